--- a/include/rushfall/choice.hpp
+++ b/include/rushfall/choice.hpp
@@ -11,6 +11,8 @@
 //    the batch size of the endpoint's kind.
 //  * Ids are the caller's and are not used again: a message id or endpoint id names one thing for
 //    good. Each Send gets one AttemptSettled; attempts of a message are numbered from 0.
+//  * A message that outlasts the dispatcher is told to its next Choice as MessageRestored, before
+//    or in the first Decide after the list; its attempts are numbered from 0 again.
 //  * Events about unknown messages, attempts or endpoints are ignored.
 #ifndef RUSHFALL_CHOICE_HPP_
 #define RUSHFALL_CHOICE_HPP_
@@ -84,6 +86,9 @@
   std::size_t group_size = 1;  // dispatchers that share the destinations
 };
 
+// What a client is told that is turned away because max_held messages are held.
+inline constexpr Duration kRetryWhenFull = std::chrono::seconds(1);
+
 // ---- events ----
 
 enum class Outcome {
@@ -111,6 +116,18 @@
   std::string key;  // of the order; empty: none
 };
 
+// A message that an earlier process of this dispatcher had taken on. It is past the gate.
+struct MessageRestored {
+  MessageId message = 0;
+  DestinationId destination = 0;
+  std::size_t message_class = 0;
+  Duration time_left{};  // below 0: its time is up
+  std::string key;       // as in MessageArrived
+  std::size_t attempts_used = 0;
+  std::optional<Time> may_have_run;  // send of the first attempt that may have
+  EndpointId ran_at = 0;             // where that was
+};
+
 struct AttemptSettled {
   MessageId message = 0;
   std::size_t attempt = 0;
@@ -118,7 +135,8 @@
   Outcome outcome = Outcome::kError;
   Duration elapsed{};
   bool finished = false;   // the message is over, by this outcome or before it
-  Duration retry_after{};  // told with kFull; 0: none
+  bool exhausted = false;  // no further attempt of it would be taken
+  Duration retry_after{};  // told with the answer; 0: none
   LoadReport report;
 };
 
@@ -156,8 +174,8 @@
   std::vector<EndpointEntry> entries;
 };
 
-using Event = std::variant<MessageArrived, AttemptSettled, MessageWithdrawn, TimerFired,
-                           ProbeSettled, EndpointList>;
+using Event = std::variant<MessageArrived, MessageRestored, AttemptSettled, MessageWithdrawn,
+                           TimerFired, ProbeSettled, EndpointList>;
 
 // ---- actions ----
 
@@ -165,6 +183,7 @@
   MessageId message = 0;
   EndpointId endpoint = 0;
   Duration timeout{};  // always above 0
+  Time start_by{};     // no attempt may begin later than this
 };
 struct Refuse {  // final: handing the message in again does no harm
   MessageId message = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -104,6 +104,7 @@
   Time accepted{};
   Time not_before{};
   std::vector<Attempt> attempts;
+  std::size_t attempts_before = 0;   // by an earlier process
   std::optional<Time> may_have_run;  // send of the first attempt that may have run
   EndpointId ran_at = 0;             // where that was
   int out = 0;
@@ -242,6 +243,35 @@
       actions_.push_back(Refuse{e.message, Duration{}});
       return;
     }
+    Message m = Taken(e);
+    Destination& destination = DestinationOf(e.destination);
+    destination.arrivals.Add(now_);
+    if (!Admit(destination)) {
+      actions_.push_back(Refuse{m.id, RetryAfter(destination, m)});
+      return;
+    }
+    Hold(std::move(m), e.key);
+  }
+
+  // Taken on before a restart: the gate has let it in, and its history binds it. Guards against
+  // attempts beyond the allowed ones and repeats that the destination no longer drops.
+  void On(const MessageRestored& e) {
+    if (messages_.count(e.message) != 0) return;
+    if (e.message_class >= set_.classes.size()) {
+      actions_.push_back(Surrender{e.message});
+      return;
+    }
+    Message m = Taken(e);
+    m.attempts_before = e.attempts_used;
+    m.may_have_run = e.may_have_run;
+    m.ran_at = e.ran_at;
+    DestinationOf(e.destination);
+    Hold(std::move(m), e.key);
+    if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
+  }
+
+  template <typename E>
+  Message Taken(const E& e) const {
     Message m;
     m.id = e.message;
     m.destination = e.destination;
@@ -249,17 +279,15 @@
     m.deadline = now_ + e.time_left;
     m.first_handed_in = m.deadline - set_.classes[e.message_class].deadline;
     m.accepted = now_;
-    Destination& destination = DestinationOf(e.destination);
-    destination.arrivals.Add(now_);
-    if (!Admit(destination)) {
-      actions_.push_back(Refuse{m.id, RetryAfter(destination, m)});
-      return;
-    }
-    if (ClassOf(m).ordered && !e.key.empty()) {
-      m.key = e.key;
+    return m;
+  }
+
+  void Hold(Message m, const std::string& key) {
+    if (ClassOf(m).ordered && !key.empty()) {
+      m.key = key;
       keys_[m.key].order.push_back(m.id);
     }
-    destination.waiting.push_back(m.id);
+    destinations_.at(m.destination).waiting.push_back(m.id);
     busy_.insert(m.destination);
     ++held_;
     messages_.emplace(m.id, std::move(m));
@@ -337,7 +365,7 @@
     } else if (e.finished || e.outcome == Outcome::kDelivered) {
       Close(m);
     } else {
-      AfterFailure(m, e.outcome);
+      AfterFailure(m, e);
     }
   }
 
@@ -656,9 +684,9 @@
   bool Sendable(const Message& m, const Endpoint& e) const {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
     if (m.may_have_run && ClassOf(m).effect == Effect::kKeyed &&
-        ClassOf(m).dedup_scope == DedupScope::kZone &&
-        endpoints_.at(m.ran_at).entry.zone != e.entry.zone) {
-      return false;
+        ClassOf(m).dedup_scope == DedupScope::kZone) {
+      const auto ran_at = endpoints_.find(m.ran_at);
+      if (ran_at == endpoints_.end() || ran_at->second.entry.zone != e.entry.zone) return false;
     }
     return e.health != Health::kOpen || ClassOf(m).effect == Effect::kSafe || !set_.probes_allowed;
   }
@@ -758,7 +786,7 @@
       d.sends.Add(now_);
       std::erase(d.waiting, m->id);
       m->attempts.push_back({e.entry.endpoint, now_, id, true, false});
-      actions_.push_back(Send{m->id, e.entry.endpoint, TimeoutOf(*m, e)});
+      actions_.push_back(Send{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
       if (call.out == BatchOf(e)) break;
     }
     Paced(e);
@@ -795,11 +823,21 @@
     return std::min(left, 2 * OverdueAfter(e));
   }
 
-  void AfterFailure(Message& m, Outcome outcome) {
-    const bool spent = set_.max_attempts > 0 && m.attempts.size() >= set_.max_attempts;
+  Time StartBy(const Message& m) const {
+    if (!m.may_have_run || ClassOf(m).effect != Effect::kKeyed) return m.deadline;
+    return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
+  }
+
+  bool Spent(const Message& m) const {
+    const bool all =
+        set_.max_attempts > 0 && m.attempts_before + m.attempts.size() >= set_.max_attempts;
     const bool lost = (m.may_have_run && ClassOf(m).effect == Effect::kUnsafe) || WindowClosed(m);
-    if (spent || lost) return GiveUp(m);
-    if (outcome == Outcome::kError) m.not_before = now_ + kFullPause;
+    return all || lost;
+  }
+
+  void AfterFailure(Message& m, const AttemptSettled& e) {
+    if (e.exhausted || Spent(m)) return GiveUp(m);
+    if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
     busy_.insert(m.destination);
     std::vector<MessageId>& waiting = destinations_.at(m.destination).waiting;
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,180 @@
+#include "config/config.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "protocol/json.hpp"
+
+namespace brassfront {
+namespace {
+
+using json::Value;
+using std::chrono::nanoseconds;
+
+constexpr std::size_t kMegabyte = 1'000'000;
+constexpr std::size_t kMostConfig = 4 << 20;
+
+double NumberOr(const Value& in, std::string_view name, double absent) {
+  const Value* value = in.Find(name);
+  return value == nullptr ? absent : value->Number();
+}
+
+std::size_t WholeOr(const Value& in, std::string_view name, std::size_t absent) {
+  const Value* value = in.Find(name);
+  return value == nullptr ? absent : value->Whole();
+}
+
+nanoseconds TimeOr(const Value& in, std::string_view name, nanoseconds absent = {}) {
+  return nanoseconds(WholeOr(in, name, static_cast<std::size_t>(absent.count())));
+}
+
+bool FlagOr(const Value& in, std::string_view name, bool absent) {
+  const Value* value = in.Find(name);
+  return value == nullptr ? absent : value->Flag();
+}
+
+std::string TextOr(const Value& in, std::string_view name, std::string_view absent) {
+  const Value* value = in.Find(name);
+  return value == nullptr ? std::string(absent) : value->Text();
+}
+
+const Value::Array& ItemsOf(const Value& in, std::string_view name) {
+  static const Value::Array kNone;
+  const Value* value = in.Find(name);
+  return value == nullptr ? kNone : value->Items();
+}
+
+const Value& GroupOf(const Value& in, std::string_view name) {
+  static const Value kNone;
+  const Value* value = in.Find(name);
+  return value == nullptr ? kNone : *value;
+}
+
+std::vector<std::string> Names(const Value& in, std::string_view list) {
+  std::vector<std::string> names;
+  for (const Value& item : ItemsOf(in, list)) names.push_back(item.Text());
+  return names;
+}
+
+rushfall::ClassSettings ReadClass(const Value& in) {
+  rushfall::ClassSettings c;
+  c.aim = nanoseconds(in.At("goal-time").Whole());
+  c.deadline = nanoseconds(in.At("hard-limit").Whole());
+  const std::string& effect = in.At("effect").Text();
+  if (effect == "pure") {
+    c.effect = rushfall::Effect::kSafe;
+  } else if (effect == "token") {
+    c.effect = rushfall::Effect::kKeyed;
+  } else if (effect == "side_effect") {
+    c.effect = rushfall::Effect::kUnsafe;
+  } else {
+    throw ConfigError("unknown effect '" + effect + "'");
+  }
+  if (TextOr(in, "key-scope", "all") == "zone") c.dedup_scope = rushfall::DedupScope::kZone;
+  c.dedup_window = TimeOr(in, "dedup-window");
+  c.worth = NumberOr(in, "worth", c.worth);
+  c.late_worth = NumberOr(in, "late-worth", c.late_worth);
+  c.ordered = FlagOr(in, "sequential", c.ordered);
+  return c;
+}
+
+std::vector<rushfall::KindSettings> ReadKinds(const Value& family, std::size_t count) {
+  const Value::Array& batches = ItemsOf(family, "bundle-max");
+  const Value::Array& apart = ItemsOf(family, "own-limits");
+  std::vector<rushfall::KindSettings> kinds(std::max({count, batches.size(), apart.size()}));
+  for (std::size_t i = 0; i < batches.size(); ++i) kinds[i].max_batch = batches[i].Whole();
+  for (std::size_t i = 0; i < apart.size(); ++i) kinds[i].separate_routes = apart[i].Flag();
+  return kinds;
+}
+
+void ReadSettings(const Value& in, Config& config) {
+  rushfall::Settings& s = config.decisions;
+  const Value& family = GroupOf(in, "family-info");
+  const Value& limits = GroupOf(in, "limits");
+  const Value& rules = GroupOf(in, "rules");
+  for (const Value& item : in.At("classes").Items()) {
+    s.classes.push_back(ReadClass(item));
+    config.class_names.push_back(item.At("name").Text());
+  }
+  if (s.classes.empty()) throw ConfigError("settings name no class");
+  for (const Value& item : ItemsOf(in, "realms")) {
+    s.tenants.push_back({NumberOr(item, "quota-rps", 0)});
+    config.tenant_names.push_back(item.At("name").Text());
+  }
+  config.kind_names = Names(in, "shapes");
+  config.zone_names = Names(in, "zones");
+  s.kinds = ReadKinds(family, config.kind_names.size());
+  if (TextOr(family, "loses-worth", "line") == "halves") s.decay = rushfall::Decay::kHalving;
+  const std::string weights = TextOr(in, "weight-source", "none");
+  if (weights == "nominal") s.weights = rushfall::WeightMeaning::kRate;
+  if (weights == "rough") s.weights = rushfall::WeightMeaning::kRoughRate;
+  s.over_quota_worth = NumberOr(in, "over-share-worth", s.over_quota_worth);
+  s.slots = WholeOr(family, "workers", 0);
+  s.max_held = WholeOr(limits, "open-cap", 0);
+  s.max_attempts = WholeOr(limits, "max-attempts", 0);
+  s.probes_allowed = FlagOr(limits, "probes", false);
+  s.cancel_allowed = FlagOr(limits, "may-cancel", false);
+  s.retry_after_heard = FlagOr(limits, "retry-after", false);
+  s.list_on_request = TextOr(in, "discovery", "push") == "ask";
+  s.max_retry_after = TimeOr(limits, "max-retry-after");
+  s.turn = TimeOr(in, "tick", std::chrono::milliseconds(5));
+  s.cold_share = NumberOr(rules, "cold-share", s.cold_share);
+  s.cold_time = TimeOr(rules, "cold");
+  s.fall_multiple = NumberOr(rules, "fall-multiple", s.fall_multiple);
+  s.fall_window = TimeOr(rules, "fall");
+  s.order_rest = TimeOr(rules, "settle-after-doubt");
+  s.group_size = WholeOr(in, "group-size", 1);
+  config.connection_idle = TimeOr(limits, "conn-idle", std::chrono::seconds(15));
+  config.connect_timeout = TimeOr(limits, "connect-timeout", std::chrono::milliseconds(1500));
+}
+
+std::uint64_t ReadSeed(const std::string& text) {
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+    throw ConfigError("the seed is not a hexadecimal number");
+  }
+  return seed;
+}
+
+Limits ReadLimits(const Value& in) {
+  Limits limits;
+  limits.memory_bytes = in.At("memory_mb").Whole() * kMegabyte;
+  limits.sockets = in.At("sockets").Whole();
+  limits.disk_bytes = in.At("disk_mb").Whole() * kMegabyte;
+  return limits;
+}
+
+}  // namespace
+
+Config ParseConfig(std::string_view text) {
+  try {
+    const Value in = json::Parse(text, {.bytes = kMostConfig});
+    Config config;
+    config.name = in.At("name").Text();
+    config.listen = in.At("listen").Text();
+    config.discovery = in.At("discovery").Text();
+    config.seed = ReadSeed(in.At("seed").Text());
+    config.limits = ReadLimits(in.At("limits"));
+    config.known = ReadMemberList(in.At("known"));
+    ReadSettings(in.At("settings"), config);
+    return config;
+  } catch (const json::Error& error) {
+    throw ConfigError(error.what());
+  }
+}
+
+Config LoadConfig(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw ConfigError("cannot read " + path);
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  try {
+    return ParseConfig(text);
+  } catch (const ConfigError& error) {
+    throw ConfigError(path + ": " + error.what());
+  }
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/forwarder/engine.cpp
@@ -0,0 +1,536 @@
+#include "forwarder/engine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/log.hpp"
+
+namespace brassfront {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kInbox = 1024;
+constexpr std::size_t kSlotsWhereNoneAreSet = 32;
+constexpr std::size_t kProbeThreads = 8;  // probes take no slot
+constexpr double kBodyShare = 0.25;       // of the memory, for the bodies of all held messages
+constexpr milliseconds kRetireEvery{1000};
+// New connections may come for 0.4 s after SIGTERM, and SIGKILL 3.7 s after it.
+constexpr milliseconds kStayAtLeast{700};
+constexpr milliseconds kStayAtMost{3200};
+
+rushfall::Time Now() { return steady_clock::now().time_since_epoch(); }
+
+steady_clock::time_point Point(rushfall::Time time) {
+  return steady_clock::time_point(duration_cast<steady_clock::duration>(time));
+}
+
+UnixMs UnixNow() {
+  return duration_cast<UnixMs>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+milliseconds InMs(rushfall::Duration time) { return std::chrono::ceil<milliseconds>(time); }
+
+std::size_t SlotsOf(const Config& config) {
+  return config.decisions.slots > 0 ? config.decisions.slots : kSlotsWhereNoneAreSet;
+}
+
+// The place of the name in the list; its size if it is not there.
+std::size_t PlaceOf(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+Answer Deferred(rushfall::Duration come_back) {
+  Answer answer;
+  if (come_back > rushfall::Duration{}) answer.come_back = InMs(come_back);
+  return answer;
+}
+
+Answer Bad(std::string fault) {
+  return {.verdict = Answer::Verdict::kBad, .come_back = {}, .fault = std::move(fault)};
+}
+
+}  // namespace
+
+Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers)
+    : config_(config),
+      spool_(spool),
+      inbox_(kInbox),
+      choice_(config.decisions, config.seed),
+      next_message_(spool.next_number()),
+      next_hops_({.threads = SlotsOf(config) + kProbeThreads,
+                  .connection_idle = config.connection_idle,
+                  .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
+                 buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
+      notices_(config.discovery, buffers,
+               [this](const std::string& id) { inbox_.Put(NoticeHeard{id}); }),
+      watch_(config.discovery, config.known.revision, buffers,
+             [this](MemberList list) { inbox_.Put(std::move(list)); }) {
+  deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
+}
+
+Engine::~Engine() { LetGo(); }
+
+// Guards against threads that wait for the engine for good, and are waited for at its end.
+void Engine::LetGo() {
+  inbox_.Close();
+  while (inbox_.Take()) {
+  }
+  arrivals_.clear();
+}
+
+// ======== for other threads ========
+
+Answer Engine::HandIn(Envelope envelope) {
+  Arrival arrival{std::move(envelope), {}};
+  std::future<Answer> answer = arrival.answer.get_future();
+  if (!inbox_.Put(std::move(arrival))) return {};
+  try {
+    return answer.get();
+  } catch (const std::future_error&) {  // the engine has left
+    return {};
+  }
+}
+
+void Engine::Heard(const std::string& id) { inbox_.Put(HeardById{id}); }
+void Engine::Lost(const std::string& id) { inbox_.Put(LostById{id}); }
+void Engine::Leave() { inbox_.Put(LeaveNow{}); }
+
+// ======== turns ========
+
+void Engine::Restore() {
+  const Time now = Now();
+  const UnixMs unix_now = UnixNow();
+  events_.emplace_back(TakeList(config_.known));
+  for (Replayed& owed : spool_.Replay()) {
+    rushfall::MessageRestored e;
+    e.message = owed.number;
+    e.destination = owed.message.destination;
+    e.message_class = PlaceOf(config_.class_names, owed.message.class_name);
+    e.time_left = owed.message.deadline - unix_now;
+    e.attempts_used = owed.attempts.size();
+    for (const SpooledAttempt& attempt : owed.attempts) {
+      if (attempt.nothing_ran || e.may_have_run) continue;
+      e.may_have_run = now - (unix_now - attempt.begun);
+      e.ran_at = HopNumber(attempt.endpoint);
+    }
+    body_bytes_ += owed.message.body.size();
+    ++owed_;
+    numbers_[owed.message.id] = owed.number;
+    held_[owed.number] = {owed.message.id, owed.message.key,    std::move(owed.message.body), true,
+                          false,           owed.attempts.size()};
+    events_.emplace_back(std::move(e));
+  }
+  LogLine("restored messages=" + std::to_string(owed_));
+  Turn(now);
+}
+
+void Engine::Run(std::function<void()> on_drain) {
+  on_drain_ = std::move(on_drain);
+  while (!left_) {
+    Time next = deadlines_.Next();
+    if (!events_.empty()) next = std::min(next, last_turn_ + config_.decisions.turn);
+    for (auto item = inbox_.TakeUntil(Point(next)); item;
+         item = inbox_.TakeUntil(steady_clock::time_point::min())) {
+      std::visit([this](auto& e) { On(std::move(e)); }, *item);
+    }
+    const Time now = Now();
+    while (const auto due = deadlines_.TakeDue(now)) On(*due);
+    if (!events_.empty() && now >= last_turn_ + config_.decisions.turn) Turn(now);
+    StartReady(now);
+    if (leaving_ && may_leave_ && held_.empty()) left_ = true;
+  }
+  LogLine("leaving held=" + std::to_string(held_.size()));
+}
+
+void Engine::Turn(Time now) {
+  last_turn_ = now;
+  std::vector<rushfall::Event> events;
+  events.swap(events_);
+  const std::vector<rushfall::Action> actions = choice_.Decide(now, events);
+  // What is turned away is so before anything is kept.
+  for (const rushfall::Action& action : actions) {
+    if (const auto* refuse = std::get_if<rushfall::Refuse>(&action)) Do(*refuse);
+    if (const auto* surrender = std::get_if<rushfall::Surrender>(&action)) Do(*surrender);
+  }
+  KeepArrivals();
+  for (const rushfall::Action& action : actions) {
+    const bool done = std::holds_alternative<rushfall::Refuse>(action) ||
+                      std::holds_alternative<rushfall::Surrender>(action);
+    if (!done) std::visit([this](const auto& e) { Do(e); }, action);
+  }
+  bundle_.clear();
+}
+
+// Arrivals that were not refused are kept by the spool, and only then are their clients told.
+void Engine::KeepArrivals() {
+  for (auto& [message, arrival] : arrivals_) {
+    Envelope& envelope = arrival.envelope;
+    const SpooledMessage record{envelope.id,
+                                envelope.key,
+                                envelope.class_name,
+                                envelope.tenant_name,
+                                envelope.destination,
+                                UnixNow() + envelope.time_left,
+                                std::move(envelope.body)};
+    if (spool_.Accept(message, record)) {
+      arrival.answer.set_value({.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}});
+      continue;
+    }
+    LogLine("spool full: envelope deferred");
+    events_.emplace_back(rushfall::MessageWithdrawn{message});
+    Erase(message);
+    arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+  }
+  arrivals_.clear();
+}
+
+// ======== what comes in ========
+
+// The fault of an envelope that the settings do not know, or nothing.
+std::string Engine::Reject(const Envelope& envelope, std::size_t& the_class,
+                           std::size_t& tenant) const {
+  the_class = PlaceOf(config_.class_names, envelope.class_name);
+  if (the_class == config_.class_names.size()) return "unknown class";
+  tenant = envelope.tenant_name.empty() ? 0 : PlaceOf(config_.tenant_names, envelope.tenant_name);
+  if (tenant > 0 && tenant == config_.tenant_names.size()) return "unknown tenant";
+  const bool keyed = config_.decisions.classes[the_class].effect == rushfall::Effect::kKeyed;
+  if (keyed && envelope.key.empty()) return "no key";
+  if (numbers_.count(envelope.id) != 0) return "the id is taken";
+  return "";
+}
+
+bool Engine::HasRoomFor(const Envelope& envelope) const {
+  const std::size_t most = config_.decisions.max_held;
+  const auto bytes =
+      static_cast<std::size_t>(static_cast<double>(config_.limits.memory_bytes) * kBodyShare);
+  return (most == 0 || owed_ < most) && body_bytes_ + envelope.body.size() <= bytes;
+}
+
+void Engine::On(Arrival arrival) {
+  const Envelope& envelope = arrival.envelope;
+  rushfall::MessageArrived e;
+  std::string fault = Reject(envelope, e.message_class, e.tenant);
+  if (!fault.empty()) return arrival.answer.set_value(Bad(std::move(fault)));
+  if (!HasRoomFor(envelope)) return arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+  e.message = next_message_++;
+  e.destination = envelope.destination;
+  e.time_left = envelope.time_left;
+  ++owed_;
+  body_bytes_ += envelope.body.size();
+  numbers_[envelope.id] = e.message;
+  held_[e.message] = {envelope.id, envelope.key, envelope.body, false, false, 0};
+  arrivals_.emplace(e.message, std::move(arrival));
+  events_.emplace_back(std::move(e));
+}
+
+void Engine::On(const HeardById& e) {
+  const auto it = numbers_.find(e.id);
+  if (it != numbers_.end()) held_.at(it->second).heard = true;
+}
+
+void Engine::On(const LostById& e) {
+  const auto it = numbers_.find(e.id);
+  if (it == numbers_.end()) return;
+  const MessageId message = it->second;
+  events_.emplace_back(rushfall::MessageWithdrawn{message});
+  spool_.End(message);
+  Erase(message);
+}
+
+void Engine::On(const NoticeHeard& e) {
+  const auto it = numbers_.find(e.id);
+  if (it == numbers_.end()) return;
+  spool_.End(it->second);
+  Erase(it->second);
+}
+
+void Engine::On(const LeaveNow&) {
+  if (std::exchange(leaving_, true)) return;
+  LogLine("told to leave held=" + std::to_string(held_.size()));
+  deadlines_.Set(Now() + kStayAtLeast, {Due::kMayLeave});
+  deadlines_.Set(Now() + kStayAtMost, {Due::kLeave});
+  on_drain_();
+}
+
+void Engine::On(const Deadline& e) {
+  switch (e.due) {
+    case Due::kModuleTimer:
+      events_.emplace_back(rushfall::TimerFired{e.number});
+      return;
+    case Due::kDeliveryEnds: {
+      const auto it = out_.find(e.number);
+      if (it != out_.end()) it->second.delivery->End(Delivery::Stop::kTimedOut);
+      return;
+    }
+    case Due::kRetireIdle:
+      next_hops_.RetireIdle();
+      deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
+      return;
+    case Due::kMayLeave:
+      may_leave_ = true;
+      return;
+    case Due::kLeave:
+      left_ = true;
+      return;
+  }
+}
+
+rushfall::EndpointId Engine::HopNumber(const std::string& name) {
+  return hop_numbers_.try_emplace(name, hop_numbers_.size()).first->second;
+}
+
+rushfall::EndpointList Engine::TakeList(const MemberList& list) {
+  rushfall::EndpointList e;
+  e.version = list.revision;
+  e.form = list.complete ? rushfall::ListForm::kWhole : rushfall::ListForm::kChanges;
+  if (list.complete) {
+    for (auto& [number, hop] : hops_) hop.entry.state = rushfall::EndpointState::kRemoved;
+  }
+  for (const Member& member : list.members) {
+    const rushfall::EndpointId number = HopNumber(member.id);
+    Hop& hop = hops_[number];
+    hop.name = member.id;
+    hop.address = member.address;
+    hop.entry = {.endpoint = number,
+                 .destination = member.destination,
+                 .kind = PlaceOf(config_.kind_names, member.kind),
+                 .zone = PlaceOf(config_.zone_names, member.zone),
+                 .state = StateOf(member.phase),
+                 .weight = member.weight};
+    e.entries.push_back(hop.entry);
+  }
+  return e;
+}
+
+void Engine::On(const MemberList& list) {
+  events_.emplace_back(TakeList(list));
+  Recall([this](const Out& out) {
+    return hops_.at(out.hop).entry.state != rushfall::EndpointState::kListed;
+  });
+  for (const auto& [number, hop] : hops_) {
+    if (hop.entry.state != rushfall::EndpointState::kListed) next_hops_.Forget(hop.address);
+  }
+}
+
+// ======== what the module asks for ========
+
+void Engine::Do(const rushfall::Refuse& e) {
+  if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
+    it->second.answer.set_value(Deferred(e.retry_after));
+    arrivals_.erase(it);
+    return Erase(e.message);
+  }
+  GiveUp(e.message, {.id = {}, .deferred = true, .again = InMs(e.retry_after)});
+}
+
+void Engine::Do(const rushfall::Surrender& e) {
+  if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
+    it->second.answer.set_value(Bad("cannot be delivered"));
+    arrivals_.erase(it);
+    return Erase(e.message);
+  }
+  GiveUp(e.message, {});
+}
+
+void Engine::GiveUp(MessageId message, Notice notice) {
+  const auto it = held_.find(message);
+  if (it == held_.end() || std::exchange(it->second.ending, true)) return;
+  --owed_;
+  notice.id = it->second.id;
+  notices_.Post(std::move(notice));
+}
+
+void Engine::Erase(MessageId message) {
+  const auto it = held_.find(message);
+  if (it == held_.end()) return;
+  if (!it->second.ending) --owed_;
+  body_bytes_ -= it->second.body.size();
+  numbers_.erase(it->second.id);
+  attempts_told_.erase(message);
+  held_.erase(it);
+}
+
+void Engine::Do(const rushfall::SetTimer& e) { deadlines_.Set(e.at, {Due::kModuleTimer, e.token}); }
+
+void Engine::Do(const rushfall::Log& e) { LogLine("module: " + e.text); }
+
+void Engine::Do(const rushfall::Probe& e) {
+  Out& out = out_[next_out_];
+  out.hop = e.endpoint;
+  out.start_by = out.ends = last_turn_ + config_.connect_timeout;
+  ready_.push_back(next_out_++);
+}
+
+// Sends of one turn to one next hop share a call, as far as its kind and the size allow.
+void Engine::Do(const rushfall::Send& e) {
+  const Hop& hop = hops_.at(e.endpoint);
+  OutPart part{.message = e.message, .id = {}, .attempt = attempts_told_[e.message]++};
+  std::size_t bytes = 0;
+  if (const auto held = held_.find(e.message); held != held_.end()) {
+    part.id = held->second.id;
+    bytes = BundleItem({part.id, held->second.key, held->second.body}).size() + 2;
+  }
+  const auto& kinds = config_.decisions.kinds;
+  const std::size_t most = hop.entry.kind < kinds.size() ? kinds[hop.entry.kind].max_batch : 1;
+  const Time ends = last_turn_ + e.timeout;
+  if (const auto open = bundle_.find(e.endpoint); open != bundle_.end()) {
+    Out& out = out_.at(open->second);
+    if (out.parts.size() < most && out.bytes + bytes <= kMostBody) {
+      out.parts.push_back(std::move(part));
+      out.bytes += bytes;
+      out.start_by = std::min(out.start_by, e.start_by);
+      out.ends = std::max(out.ends, ends);
+      return;
+    }
+  }
+  const std::uint64_t number = next_out_++;
+  Out& out = out_[number];
+  out.hop = e.endpoint;
+  out.parts.push_back(std::move(part));
+  out.bytes = bytes;
+  out.start_by = e.start_by;
+  out.ends = ends;
+  ready_.push_back(number);
+  bundle_[e.endpoint] = number;
+}
+
+void Engine::Do(const rushfall::Cancel& e) {
+  for (auto& [number, out] : out_) {
+    for (OutPart& part : out.parts) {
+      if (part.message != e.message || part.attempt != e.attempt) continue;
+      part.cancelled = true;
+      // A call is one for all in it: it is ended when nobody waits for it any longer.
+      const bool all = std::all_of(out.parts.begin(), out.parts.end(),
+                                   [](const OutPart& p) { return p.cancelled; });
+      if (!all) return;
+      out.recalled = true;
+      if (out.delivery) out.delivery->End(Delivery::Stop::kCancelled);
+      return;
+    }
+  }
+}
+
+// ======== deliveries ========
+
+// Starts what may be started: its clients know that it was taken on, and a slot is free.
+void Engine::StartReady(Time now) {
+  std::deque<std::uint64_t> later;
+  for (const std::uint64_t number : std::exchange(ready_, {})) {
+    Out& out = out_.at(number);
+    const bool probe = out.parts.empty();
+    std::erase_if(out.parts, [&](const OutPart& part) {
+      const auto held = held_.find(part.message);
+      const bool owed = held != held_.end() && !held->second.ending;
+      if (!owed) Settle(out, part, {.outcome = rushfall::Outcome::kNotSent}, now);
+      return !owed;
+    });
+    const bool heard = std::all_of(out.parts.begin(), out.parts.end(), [&](const OutPart& part) {
+      return held_.at(part.message).heard;
+    });
+    if (out.recalled || now > out.start_by || (out.parts.empty() && !probe)) {
+      SettleUnsent(out, now);
+      out_.erase(number);
+    } else if (!heard || (!probe && slots_taken_ >= SlotsOf(config_))) {
+      later.push_back(number);
+    } else if (!Start(number, out, now)) {
+      SettleUnsent(out, now);
+      out_.erase(number);
+    }
+  }
+  ready_.insert(ready_.begin(), later.begin(), later.end());
+}
+
+// Notes the attempts and hands the call to a thread; false if they could not be noted.
+bool Engine::Start(std::uint64_t number, Out& out, Time now) {
+  const Hop& hop = hops_.at(out.hop);
+  std::vector<Part> parts;
+  for (OutPart& part : out.parts) {
+    Held& held = held_.at(part.message);
+    if (!spool_.Begin(part.message, hop.name, UnixNow())) return false;
+    part.noted = held.attempts++;
+    parts.push_back({held.id, held.key, held.body});
+  }
+  const milliseconds left = InMs(out.ends - now);
+  std::string request = parts.empty()       ? HttpGet("/-/healthy", hop.address)
+                        : parts.size() == 1 ? SingleCall(hop.address, parts[0], left)
+                                            : BundleCall(hop.address, parts, left);
+  out.started = now;
+  out.delivery =
+      std::make_shared<Delivery>(number, hop.address, std::move(request), Point(out.start_by));
+  deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
+  if (!parts.empty()) ++slots_taken_;
+  next_hops_.Start(out.delivery);
+  return true;
+}
+
+void Engine::On(const DeliveryEnd& e) {
+  const auto it = out_.find(e.number);
+  if (it == out_.end()) return;
+  const Out out = std::move(it->second);
+  out_.erase(it);
+  const Time now = Now();
+  const Duration wait = WaitOf(e);
+  const rushfall::LoadReport report = ReportOf(e);
+  if (out.parts.empty()) {
+    events_.emplace_back(
+        rushfall::ProbeSettled{out.hop, OutcomeOfProbe(e), now - out.started, report});
+  } else {
+    --slots_taken_;
+    std::vector<std::string> ids;
+    for (const OutPart& part : out.parts) ids.push_back(part.id);
+    const std::vector<AttemptEnd> ends =
+        ids.size() == 1 ? std::vector<AttemptEnd>{EndOfSingle(e)} : EndsOfBundle(e, ids);
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+      Settle(out, out.parts[i], ends[i], now, wait, report);
+    }
+  }
+  if (wait <= Duration{}) return;
+  // Told to wait: what is not being written yet is not sent to that destination.
+  const rushfall::EndpointEntry& told = hops_.at(out.hop).entry;
+  const auto& kinds = config_.decisions.kinds;
+  const bool apart = told.kind < kinds.size() && kinds[told.kind].separate_routes;
+  Recall([&](const Out& other) {
+    return apart ? other.hop == out.hop : hops_.at(other.hop).entry.destination == told.destination;
+  });
+}
+
+template <typename Bound>
+void Engine::Recall(Bound bound) {
+  for (auto& [number, out] : out_) {
+    if (!bound(out)) continue;
+    out.recalled = true;
+    if (out.delivery) out.delivery->Recall();
+  }
+}
+
+void Engine::SettleUnsent(const Out& out, Time now) {
+  for (const OutPart& part : out.parts) {
+    Settle(out, part, {.outcome = rushfall::Outcome::kNotSent}, now);
+  }
+}
+
+void Engine::Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
+                    Duration wait, const rushfall::LoadReport& report) {
+  if (NeverRan(end.outcome) && out.delivery) spool_.NothingRan(part.message, part.noted);
+  const auto held = held_.find(part.message);
+  if (end.over && held != held_.end()) {
+    spool_.End(part.message);
+    Erase(part.message);
+  }
+  rushfall::AttemptSettled e;
+  e.message = part.message;
+  e.attempt = part.attempt;
+  e.endpoint = out.hop;
+  e.outcome = end.outcome;
+  e.elapsed = out.delivery ? now - out.started : Duration{};
+  e.finished = end.over || held_.count(part.message) == 0;
+  e.exhausted = end.exhausted;
+  e.retry_after = wait;
+  e.report = report;
+  events_.emplace_back(std::move(e));
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/forwarder/engine.hpp
@@ -0,0 +1,179 @@
+// The engine: one thread owns all state of the forwarder and alone calls the decision module.
+//
+// It works in turns. What other threads have to say comes by the inbox; what is of the module's
+// concern waits for the next turn, and the rest is dealt with at once. No policy is here.
+#ifndef BRASSFRONT_FORWARDER_ENGINE_HPP_
+#define BRASSFRONT_FORWARDER_ENGINE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "config/config.hpp"
+#include "forwarder/deadlines.hpp"
+#include "forwarder/intake.hpp"
+#include "forwarder/mailbox.hpp"
+#include "forwarder/translate.hpp"
+#include "net/next_hops.hpp"
+#include "net/notices.hpp"
+#include "net/watch.hpp"
+#include "rushfall/choice.hpp"
+#include "spool/spool.hpp"
+
+namespace brassfront {
+
+class Engine : public Intake {
+ public:
+  Engine(const Config& config, Spool& spool, BufferPool& buffers);
+  ~Engine() override;
+
+  // Takes up what an earlier process owed. Clients may come once it has returned.
+  void Restore();
+  // Works until it has been told to leave and may.
+  void Run(std::function<void()> on_drain);
+  // After Run: whoever still waits for an answer is deferred, and nothing more is taken.
+  void LetGo();
+
+  // ---- for other threads ----
+  Answer HandIn(Envelope envelope) override;
+  void Heard(const std::string& id) override;
+  void Lost(const std::string& id) override;
+  void Leave();
+
+ private:
+  using Duration = rushfall::Duration;
+  using Time = rushfall::Time;
+  using MessageId = rushfall::MessageId;  // the same number in the spool
+
+  struct Arrival {
+    Envelope envelope;
+    std::promise<Answer> answer;
+  };
+  struct HeardById {
+    std::string id;
+  };
+  struct LostById {
+    std::string id;
+  };
+  struct NoticeHeard {
+    std::string id;
+  };
+  struct LeaveNow {};
+  using Item =
+      std::variant<Arrival, HeardById, LostById, DeliveryEnd, MemberList, NoticeHeard, LeaveNow>;
+
+  struct Held {
+    std::string id;
+    std::string key;
+    std::string body;
+    bool heard = false;        // its client knows that it was taken on
+    bool ending = false;       // given up; its notice is on the way
+    std::size_t attempts = 0;  // noted in the spool, by earlier processes too
+  };
+
+  struct Hop {
+    std::string name;
+    std::string address;
+    rushfall::EndpointEntry entry;
+  };
+
+  struct OutPart {
+    MessageId message = 0;
+    std::string id{};
+    std::size_t attempt = 0;  // as the module counts
+    std::size_t noted = 0;    // as the spool counts
+    bool cancelled = false;
+  };
+
+  struct Out {
+    rushfall::EndpointId hop = 0;
+    std::vector<OutPart> parts;  // none: a probe
+    Time start_by{};
+    Time ends{};
+    Time started{};
+    std::size_t bytes = 0;               // of the bundle
+    bool recalled = false;               // before it was started
+    std::shared_ptr<Delivery> delivery;  // none until it is started
+  };
+
+  void On(Arrival arrival);
+  void On(const HeardById& e);
+  void On(const LostById& e);
+  void On(const DeliveryEnd& e);
+  void On(const MemberList& e);
+  void On(const NoticeHeard& e);
+  void On(const LeaveNow&);
+  void On(const Deadline& e);
+
+  void Turn(Time now);
+  void KeepArrivals();
+  void Do(const rushfall::Send& e);
+  void Do(const rushfall::Refuse& e);
+  void Do(const rushfall::Surrender& e);
+  void Do(const rushfall::Cancel& e);
+  void Do(const rushfall::SetTimer& e);
+  void Do(const rushfall::Probe& e);
+  void Do(const rushfall::Subscribe&) {}  // the watch is always open
+  void Do(const rushfall::Log& e);
+
+  std::string Reject(const Envelope& envelope, std::size_t& the_class, std::size_t& tenant) const;
+  bool HasRoomFor(const Envelope& envelope) const;
+  void GiveUp(MessageId message, Notice notice);
+  void Erase(MessageId message);
+  rushfall::EndpointId HopNumber(const std::string& name);
+  rushfall::EndpointList TakeList(const MemberList& list);
+
+  void StartReady(Time now);
+  bool Start(std::uint64_t number, Out& out, Time now);
+  void Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
+              Duration wait = {}, const rushfall::LoadReport& report = {});
+  void SettleUnsent(const Out& out, Time now);
+  template <typename Bound>
+  void Recall(Bound bound);
+
+  const Config& config_;
+  Spool& spool_;
+  Mailbox<Item> inbox_;
+  rushfall::Choice choice_;
+  std::vector<rushfall::Event> events_;  // for the next turn
+  Time last_turn_{};
+  Deadlines deadlines_;
+
+  std::map<MessageId, Held> held_;
+  std::unordered_map<std::string, MessageId> numbers_;
+  std::size_t owed_ = 0;        // held and not given up
+  std::size_t body_bytes_ = 0;  // of all held
+  MessageId next_message_;
+  std::map<MessageId, Arrival> arrivals_;  // not answered yet
+  std::map<MessageId, std::size_t> attempts_told_;
+
+  std::map<rushfall::EndpointId, Hop> hops_;
+  std::unordered_map<std::string, rushfall::EndpointId> hop_numbers_;
+
+  std::uint64_t next_out_ = 1;
+  std::map<std::uint64_t, Out> out_;
+  std::deque<std::uint64_t> ready_;                       // not started yet
+  std::map<rushfall::EndpointId, std::uint64_t> bundle_;  // still open in this turn
+  std::size_t slots_taken_ = 0;
+
+  std::function<void()> on_drain_;
+  bool leaving_ = false;    // asked to
+  bool may_leave_ = false;  // once nothing is owed
+  bool left_ = false;
+
+  // Last: their threads speak to all of the above.
+  NextHops next_hops_;
+  Notices notices_;
+  Watch watch_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_FORWARDER_ENGINE_HPP_
--- /dev/null
+++ b/src/forwarder/intake.hpp
@@ -0,0 +1,35 @@
+// How client protocols reach the engine: the one way in, whichever protocol stands before it.
+#ifndef BRASSFRONT_FORWARDER_INTAKE_HPP_
+#define BRASSFRONT_FORWARDER_INTAKE_HPP_
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "protocol/envelope.hpp"
+
+namespace brassfront {
+
+struct Answer {
+  enum class Verdict { kTaken, kDeferred, kBad };
+  Verdict verdict = Verdict::kDeferred;
+  std::optional<std::chrono::milliseconds> come_back;  // with kDeferred
+  std::string fault;                                   // with kBad, for people
+};
+
+class Intake {
+ public:
+  virtual ~Intake() = default;
+
+  // Blocks until the engine has decided. A taken envelope is kept by the spool and waits for
+  // Heard or Lost, one of which must follow.
+  virtual Answer HandIn(Envelope envelope) = 0;
+  // The client was told that the envelope was taken: deliveries may begin.
+  virtual void Heard(const std::string& id) = 0;
+  // The client went before it could be told: the envelope is withdrawn.
+  virtual void Lost(const std::string& id) = 0;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_FORWARDER_INTAKE_HPP_
--- /dev/null
+++ b/src/forwarder/translate.cpp
@@ -0,0 +1,164 @@
+#include "forwarder/translate.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+
+#include "protocol/base64.hpp"
+#include "protocol/http.hpp"
+#include "protocol/json.hpp"
+
+namespace brassfront {
+namespace {
+
+using rushfall::Outcome;
+using Fate = DeliveryEnd::Fate;
+
+constexpr std::uint64_t kLongestWait = 3'600'000;  // ms; guards against a wait that never ends
+
+template <typename T>
+std::optional<T> Parse(std::string_view text) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// What the answer's first line says of all attempts in the call.
+AttemptEnd EndOfStatus(const DeliveryEnd& end) {
+  switch (end.status) {
+    case 200:
+      return {.outcome = Outcome::kDelivered, .over = true};
+    case 429:
+      return {.outcome = Outcome::kFull};
+    case 503:
+      return {.outcome = end.slots_taken.empty() ? Outcome::kFull : Outcome::kNotSent};
+    case 504:
+      return {.outcome = Outcome::kNotSent, .exhausted = true};
+    case 410:
+      return {.outcome = Outcome::kNotSent, .over = true};
+    case 400:
+    case 413:  // not read, so none of it ran
+      return {.outcome = Outcome::kNotSent};
+    default:
+      return {.outcome = Outcome::kError};
+  }
+}
+
+AttemptEnd EndOfState(const std::string& state) {
+  if (state == "ok") return {.outcome = Outcome::kDelivered, .over = true};
+  if (state == "later") return {.outcome = Outcome::kFull};
+  if (state == "gone") return {.outcome = Outcome::kNotSent, .over = true};
+  if (state == "exhausted") return {.outcome = Outcome::kNotSent, .exhausted = true};
+  return {.outcome = Outcome::kError};
+}
+
+Outcome OutcomeOfFate(Fate fate) {
+  switch (fate) {
+    case Fate::kNotSent:
+      return Outcome::kNotSent;
+    case Fate::kConnectFailed:
+      return Outcome::kConnectFailed;
+    case Fate::kTimedOut:
+      return Outcome::kTimeout;
+    case Fate::kCancelled:
+      return Outcome::kCancelled;
+    default:
+      return Outcome::kReset;
+  }
+}
+
+HttpHeaders TimeLeft(std::chrono::milliseconds left) {
+  return {{"X-Time-Left-Ms", std::to_string(left.count())}};
+}
+
+}  // namespace
+
+bool NeverRan(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kNotSent;
+}
+
+AttemptEnd EndOfSingle(const DeliveryEnd& end) {
+  if (end.fate != Fate::kAnswered) return {.outcome = OutcomeOfFate(end.fate)};
+  return EndOfStatus(end);
+}
+
+std::vector<AttemptEnd> EndsOfBundle(const DeliveryEnd& end, std::span<const std::string> ids) {
+  if (end.fate != Fate::kAnswered || end.status != 200) {
+    return std::vector<AttemptEnd>(ids.size(), EndOfSingle(end));
+  }
+  // Part of an answer delivers nothing; an id that is missing from a whole one may have run.
+  std::vector<AttemptEnd> ends(
+      ids.size(), AttemptEnd{.outcome = end.whole ? Outcome::kError : Outcome::kReset});
+  if (!end.whole) return ends;
+  try {
+    const json::Value answer = json::Parse(end.body);
+    for (const json::Value& item : answer.Items()) {
+      const auto it = std::find(ids.begin(), ids.end(), item.At("id").Text());
+      if (it != ids.end()) ends[it - ids.begin()] = EndOfState(item.At("state").Text());
+    }
+  } catch (const json::Error&) {  // the rest keep their doubt
+  }
+  return ends;
+}
+
+Outcome OutcomeOfProbe(const DeliveryEnd& end) { return EndOfSingle(end).outcome; }
+
+std::chrono::milliseconds WaitOf(const DeliveryEnd& end) {
+  return std::chrono::milliseconds(
+      std::min(Parse<std::uint64_t>(end.wait_ms).value_or(0), kLongestWait));
+}
+
+rushfall::LoadReport ReportOf(const DeliveryEnd& end) {
+  rushfall::LoadReport report;
+  std::string_view rest = end.load;
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find(','));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    if (pair.size() < 4 || pair[2] != '=') continue;
+    const auto value = Parse<double>(pair.substr(3));
+    if (!value || !std::isfinite(*value)) continue;
+    if (pair.starts_with("x0")) report.allowance_left = value;
+    if (pair.starts_with("x1")) report.limit = value;
+  }
+  return report;
+}
+
+rushfall::EndpointState StateOf(Phase phase) {
+  switch (phase) {
+    case Phase::kReady:
+      return rushfall::EndpointState::kListed;
+    case Phase::kTerminating:
+      return rushfall::EndpointState::kDraining;
+    default:
+      return rushfall::EndpointState::kRemoved;
+  }
+}
+
+std::string BundleItem(const Part& part) {
+  std::string item = "{\"id\":" + json::Quote(part.id);
+  if (!part.key.empty()) item += ",\"key\":" + json::Quote(part.key);
+  return item + ",\"body\":\"" + EncodeBase64(part.body) + "\"}";
+}
+
+std::string SingleCall(const std::string& address, const Part& part,
+                       std::chrono::milliseconds left) {
+  HttpHeaders headers = TimeLeft(left);
+  headers.emplace_back("X-Correlation-Id", part.id);
+  if (!part.key.empty()) headers.emplace_back("Idempotency-Key", part.key);
+  return HttpPost("/events", address, headers, part.body);
+}
+
+std::string BundleCall(const std::string& address, std::span<const Part> parts,
+                       std::chrono::milliseconds left) {
+  std::string body = "[";
+  for (const Part& part : parts) {
+    if (body.size() > 1) body += ',';
+    body += BundleItem(part);
+  }
+  return HttpPost("/events/bundle", address, TimeLeft(left), body + "]");
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/forwarder/translate.hpp
@@ -0,0 +1,49 @@
+// Between the terms of the network code and the module's: how a delivery's end reads for each of
+// its attempts, and how attempts are written into a call.
+#ifndef BRASSFRONT_FORWARDER_TRANSLATE_HPP_
+#define BRASSFRONT_FORWARDER_TRANSLATE_HPP_
+
+#include <chrono>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/delivery.hpp"
+#include "protocol/discovery.hpp"
+#include "rushfall/choice.hpp"
+
+namespace brassfront {
+
+struct AttemptEnd {
+  rushfall::Outcome outcome = rushfall::Outcome::kReset;
+  bool over = false;       // nothing more is owed
+  bool exhausted = false;  // all its attempts are used
+};
+
+// The outcome shows that nothing ran.
+bool NeverRan(rushfall::Outcome outcome);
+
+AttemptEnd EndOfSingle(const DeliveryEnd& end);
+std::vector<AttemptEnd> EndsOfBundle(const DeliveryEnd& end, std::span<const std::string> ids);
+rushfall::Outcome OutcomeOfProbe(const DeliveryEnd& end);
+
+// How long the next hop asks to wait; 0: it does not.
+std::chrono::milliseconds WaitOf(const DeliveryEnd& end);
+rushfall::LoadReport ReportOf(const DeliveryEnd& end);
+
+rushfall::EndpointState StateOf(Phase phase);
+
+// One message of a call.
+struct Part {
+  std::string_view id, key, body;
+};
+std::string BundleItem(const Part& part);
+std::string SingleCall(const std::string& address, const Part& part,
+                       std::chrono::milliseconds left);
+std::string BundleCall(const std::string& address, std::span<const Part> parts,
+                       std::chrono::milliseconds left);
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_FORWARDER_TRANSLATE_HPP_
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,55 @@
+// One connection to the platform's agent, opened anew when it has ended.
+#ifndef BRASSFRONT_NET_HTTP_CLIENT_HPP_
+#define BRASSFRONT_NET_HTTP_CLIENT_HPP_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "net/buffer_pool.hpp"
+#include "net/socket.hpp"
+#include "protocol/http.hpp"
+
+namespace brassfront {
+
+class HttpClient {
+ public:
+  // `silence`: how long the other side may say nothing.
+  HttpClient(std::string side, std::string address, std::chrono::milliseconds silence,
+             BufferPool& buffers);
+  ~HttpClient();
+
+  // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
+  // is called whenever some of it has come and may end the reading by returning false. False if no
+  // whole answer came; the connection is ended then, for `reason()`.
+  using OnBytes = std::function<bool(HttpReader&)>;
+  bool Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes = {});
+
+  // For another thread: ends what is going on, and every later exchange at its start.
+  void Stop();
+  bool stopped() const { return stopped_; }
+  // Waits, or less if stopped.
+  void Pause(std::chrono::milliseconds time);
+
+ private:
+  bool Ready();
+  void End(const char* reason);
+
+  const std::string side_;
+  const std::string address_;
+  const std::chrono::milliseconds silence_;
+  BufferPool& buffers_;
+  std::mutex mutex_;  // guards the socket's opening and closing
+  std::condition_variable wake_;
+  std::atomic<bool> stopped_{false};
+  Socket socket_;
+  std::size_t exchanges_ = 0;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_HTTP_CLIENT_HPP_
--- /dev/null
+++ b/src/net/next_hops.hpp
@@ -0,0 +1,68 @@
+// The next hops' side: threads that carry out deliveries on kept connections.
+#ifndef BRASSFRONT_NET_NEXT_HOPS_HPP_
+#define BRASSFRONT_NET_NEXT_HOPS_HPP_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "forwarder/mailbox.hpp"
+#include "net/buffer_pool.hpp"
+#include "net/delivery.hpp"
+#include "net/socket.hpp"
+#include "net/thread.hpp"
+#include "protocol/http.hpp"
+
+namespace brassfront {
+
+class NextHops {
+ public:
+  struct Options {
+    std::size_t threads = 1;                     // deliveries at once; more wait for a thread
+    std::chrono::nanoseconds connection_idle{};  // after which the other side closes one
+    std::chrono::milliseconds connect_timeout{};
+  };
+  using OnEnd = std::function<void(DeliveryEnd)>;  // called by the threads
+
+  NextHops(const Options& options, BufferPool& buffers, OnEnd on_end);
+  ~NextHops();  // ends what is out
+
+  void Start(std::shared_ptr<Delivery> delivery);
+  // Closes connections that have been idle for long. To be called every second or so.
+  void RetireIdle();
+  // The next hop is gone: its idle connections are closed.
+  void Forget(const std::string& address);
+
+ private:
+  struct Connection {
+    Socket socket;
+    std::string address;
+    SteadyTime idle_since{};
+    std::size_t exchanges = 0;
+  };
+
+  void Work();
+  DeliveryEnd Carry(Delivery& delivery);
+  bool Open(Connection& connection, Delivery& delivery);
+  DeliveryEnd ReadAnswer(Connection& connection, Delivery& delivery);
+  void End(Connection& connection, const char* reason);
+  Connection TakeIdle(const std::string& address);
+  void Keep(Connection connection);
+
+  const Options options_;
+  BufferPool& buffers_;
+  const OnEnd on_end_;
+  std::mutex mutex_;                                     // guards what follows
+  std::map<std::string, std::vector<Connection>> idle_;  // the newest last
+  std::map<std::uint64_t, std::shared_ptr<Delivery>> out_;
+  Mailbox<std::shared_ptr<Delivery>> work_;
+  std::vector<Thread> threads_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_NEXT_HOPS_HPP_
--- /dev/null
+++ b/src/net/notices.cpp
@@ -0,0 +1,66 @@
+#include "net/notices.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "protocol/json.hpp"
+
+namespace brassfront {
+namespace {
+
+constexpr std::chrono::milliseconds kSilence{100};  // the answer comes at once
+constexpr std::chrono::milliseconds kPause{20};     // before a notice is posted again
+constexpr std::size_t kMostWaiting = 100'000;
+constexpr std::size_t kMostInPost = 500;
+
+}  // namespace
+
+std::string NoticeLine(const Notice& notice) {
+  std::string line = "{\"id\":" + json::Quote(notice.id);
+  if (notice.deferred) {
+    line += ",\"status\":\"deferred\",\"again_ms\":" + std::to_string(notice.again.count());
+  } else {
+    line += ",\"status\":\"undeliverable\"";
+  }
+  return line + "}\n";
+}
+
+Notices::Notices(std::string address, BufferPool& buffers, OnHeard on_heard)
+    : address_(std::move(address)),
+      on_heard_(std::move(on_heard)),
+      client_("notices", address_, kSilence, buffers),
+      waiting_(kMostWaiting),
+      thread_([this] { Run(); }) {}
+
+Notices::~Notices() {
+  waiting_.Close();
+  client_.Stop();
+  thread_.Join();
+}
+
+void Notices::Post(Notice notice) { waiting_.Put(std::move(notice)); }
+
+void Notices::Run() {
+  while (auto first = waiting_.Take()) {
+    std::vector<Notice> batch{std::move(*first)};
+    while (batch.size() < kMostInPost) {
+      auto next = waiting_.TakeUntil(std::chrono::steady_clock::time_point::min());
+      if (!next) break;
+      batch.push_back(std::move(*next));
+    }
+    std::string body;
+    for (const Notice& notice : batch) body += NoticeLine(notice);
+    const std::string request =
+        HttpPost("/v2/finals", address_, {{"Content-Type", "application/json"}}, body);
+    while (!client_.stopped()) {
+      HttpReader reader;
+      if (client_.Exchange(request, reader) && reader.status() == 204) {
+        for (const Notice& notice : batch) on_heard_(notice.id);
+        break;
+      }
+      client_.Pause(kPause);
+    }
+  }
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/net/notices.hpp
@@ -0,0 +1,47 @@
+// Notices to the platform of what was taken on and not delivered, posted until they are heard.
+#ifndef BRASSFRONT_NET_NOTICES_HPP_
+#define BRASSFRONT_NET_NOTICES_HPP_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "forwarder/mailbox.hpp"
+#include "net/http_client.hpp"
+#include "net/thread.hpp"
+
+namespace brassfront {
+
+struct Notice {
+  std::string id{};
+  bool deferred = false;  // else undeliverable
+  std::chrono::milliseconds again{};
+};
+
+class Notices {
+ public:
+  using OnHeard = std::function<void(const std::string& id)>;  // called by the thread
+
+  Notices(std::string address, BufferPool& buffers, OnHeard on_heard);
+  ~Notices();
+
+  void Post(Notice notice);
+
+ private:
+  void Run();
+
+  const std::string address_;
+  const OnHeard on_heard_;
+  HttpClient client_;
+  Mailbox<Notice> waiting_;
+  Thread thread_;
+};
+
+// The line that a notice is on the wire.
+std::string NoticeLine(const Notice& notice);
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_NOTICES_HPP_
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,125 @@
+#include "net/socket.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+
+#include "net/log.hpp"
+
+namespace brassfront {
+namespace {
+
+constexpr int kBacklog = 512;
+
+std::optional<sockaddr_in> ParseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  const bool good = error == std::errc() && stop == end &&
+                    inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
+  if (!good) return std::nullopt;
+  address.sin_port = htons(port);
+  return address;
+}
+
+void SetTimeout(int fd, int option, std::chrono::milliseconds time) {
+  timeval value{};
+  value.tv_sec = time.count() / 1000;
+  value.tv_usec = time.count() % 1000 * 1000;
+  setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
+}
+
+void SetOn(int fd, int level, int option) {
+  const int on = 1;
+  setsockopt(fd, level, option, &on, sizeof on);
+}
+
+}  // namespace
+
+void Socket::Close() {
+  if (fd_ >= 0) close(std::exchange(fd_, -1));
+}
+
+bool Socket::SendAll(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+long Socket::Receive(std::span<char> into) {
+  while (true) {
+    const ssize_t n = recv(fd_, into.data(), into.size(), 0);
+    if (n >= 0 || errno != EINTR) return n;
+  }
+}
+
+bool Socket::HasInputOrEnd() const {
+  char byte = 0;
+  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+}
+
+bool Socket::HasEnded() const {
+  char byte = 0;
+  const ssize_t n = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+void Socket::ReceiveTimeout(std::chrono::milliseconds time) { SetTimeout(fd_, SO_RCVTIMEO, time); }
+
+bool IsAddress(const std::string& address) { return ParseAddress(address).has_value(); }
+
+Socket NewSocket() { return Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)); }
+
+bool Connect(const Socket& socket, const std::string& address, std::chrono::milliseconds limit) {
+  const auto to = ParseAddress(address);
+  if (!to || !socket.is_open()) return false;
+  SetTimeout(socket.fd(), SO_SNDTIMEO, limit);
+  if (connect(socket.fd(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) return false;
+  SetTimeout(socket.fd(), SO_SNDTIMEO, {});
+  SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  return true;
+}
+
+Socket Listen(const std::string& address) {
+  const auto at = ParseAddress(address);
+  Socket listener = NewSocket();
+  if (!at || !listener.is_open()) return Socket();
+  SetOn(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
+  if (bind(listener.fd(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0 ||
+      listen(listener.fd(), kBacklog) != 0) {
+    return Socket();
+  }
+  return listener;
+}
+
+Socket Accept(const Socket& listener) {
+  Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+  if (socket.is_open()) SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  return socket;
+}
+
+void ShutDown(int fd) { shutdown(fd, SHUT_RDWR); }
+
+void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
+                      std::size_t exchanges) {
+  std::string line = "connection ended side=";
+  line.append(side);
+  if (!peer.empty()) line.append(" peer=").append(peer);
+  line.append(" reason=").append(reason).append(" exchanges=").append(std::to_string(exchanges));
+  LogLine(line);
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,63 @@
+// Blocking TCP sockets over IPv4 addresses; names are not resolved.
+#ifndef BRASSFRONT_NET_SOCKET_HPP_
+#define BRASSFRONT_NET_SOCKET_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace brassfront {
+
+class Socket {
+ public:
+  Socket() = default;
+  explicit Socket(int fd) : fd_(fd) {}
+  ~Socket() { Close(); }
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+
+  int fd() const { return fd_; }
+  bool is_open() const { return fd_ >= 0; }
+  void Close();
+
+  bool SendAll(std::string_view bytes);
+  // Bytes read, 0 at the peer's end, -1 at an error (errno tells: EAGAIN at a time-out).
+  long Receive(std::span<char> into);
+  // Something to read or the end has come: a connection between calls is stale then.
+  bool HasInputOrEnd() const;
+  // The peer has ended or reset it; unread bytes do not count.
+  bool HasEnded() const;
+  void ReceiveTimeout(std::chrono::milliseconds time);
+
+ private:
+  int fd_ = -1;
+};
+
+// True if the text is IPv4:PORT.
+bool IsAddress(const std::string& address);
+
+// A stream socket that is not connected yet, so that another thread may shut it down meanwhile.
+Socket NewSocket();
+bool Connect(const Socket& socket, const std::string& address, std::chrono::milliseconds limit);
+
+// Closed if the address cannot be listened on; errno tells why.
+Socket Listen(const std::string& address);
+Socket Accept(const Socket& listener);
+
+// Wakes up whichever thread is blocked on it.
+void ShutDown(int fd);
+
+// The one line that each connection leaves at its end.
+void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
+                      std::size_t exchanges);
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_SOCKET_HPP_
--- /dev/null
+++ b/src/net/thread.hpp
@@ -0,0 +1,56 @@
+// Threads with small stacks, for the standard library offers no size.
+//
+// 128 KiB: the deepest path (a discovery line through the JSON reader, 32 levels) needs under
+// 20 KiB in a Release build, sanitizers take several times that, and large data is on the heap or
+// in pooled buffers. With the 8 MiB that are usual, 300 threads would reserve 2.4 GB.
+#ifndef BRASSFRONT_NET_THREAD_HPP_
+#define BRASSFRONT_NET_THREAD_HPP_
+
+#include <pthread.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace brassfront {
+
+class Thread {
+ public:
+  static constexpr std::size_t kStackBytes = 128 * 1024;
+
+  Thread() = default;
+  explicit Thread(std::function<void()> body) {
+    auto held = std::make_unique<std::function<void()>>(std::move(body));
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, kStackBytes);
+    const auto run = [](void* given) -> void* {
+      const std::unique_ptr<std::function<void()>> own(static_cast<std::function<void()>*>(given));
+      (*own)();
+      return nullptr;
+    };
+    started_ = pthread_create(&thread_, &attributes, run, held.get()) == 0;
+    if (started_) held.release();
+    pthread_attr_destroy(&attributes);
+  }
+  ~Thread() { Join(); }
+  Thread(Thread&& other) noexcept { *this = std::move(other); }
+  Thread& operator=(Thread&& other) noexcept {
+    std::swap(thread_, other.thread_);
+    std::swap(started_, other.started_);
+    return *this;
+  }
+
+  bool started() const { return started_; }  // false where the system had no room for one
+  void Join() {
+    if (std::exchange(started_, false)) pthread_join(thread_, nullptr);
+  }
+
+ private:
+  pthread_t thread_{};
+  bool started_ = false;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_THREAD_HPP_
--- /dev/null
+++ b/src/net/watch.hpp
@@ -0,0 +1,35 @@
+// The discovery watch: keeps a watch open and passes on each list that comes.
+#ifndef BRASSFRONT_NET_WATCH_HPP_
+#define BRASSFRONT_NET_WATCH_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "net/http_client.hpp"
+#include "net/thread.hpp"
+#include "protocol/discovery.hpp"
+
+namespace brassfront {
+
+class Watch {
+ public:
+  using OnList = std::function<void(MemberList)>;
+
+  Watch(std::string address, std::uint64_t revision, BufferPool& buffers, OnList on_list);
+  ~Watch();
+
+ private:
+  void Follow();
+  bool TakeLines(HttpReader& reader, LineCutter& lines);
+
+  const std::string address_;
+  const OnList on_list_;
+  std::uint64_t revision_;
+  HttpClient client_;
+  Thread thread_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_WATCH_HPP_
--- /dev/null
+++ b/src/protocol/envelope.hpp
@@ -0,0 +1,36 @@
+// An envelope: what a client hands in, whatever protocol it came by.
+#ifndef BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
+#define BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
+
+#include <chrono>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace brassfront {
+
+inline constexpr std::size_t kMostBody = 64 * 1024;
+
+struct Envelope {
+  std::string id;
+  std::string key;  // the idempotency key; empty: none
+  std::string class_name;
+  std::string tenant_name;  // empty: the first
+  std::uint64_t destination = 0;
+  std::chrono::milliseconds time_left{};
+  std::string body;
+};
+
+// What the client is told in answer; the text is for people.
+class BadEnvelope : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// The words of `MSG.PUT ZEROS ID FIELDS BODY`; throws BadEnvelope.
+Envelope ParsePut(std::vector<std::string>&& words);
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
--- /dev/null
+++ b/src/spool/file.cpp
@@ -0,0 +1,60 @@
+#include "spool/file.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace brassfront {
+
+File::~File() {
+  if (fd_ >= 0) close(fd_);
+}
+
+File File::Open(const std::string& path) {
+  return File(open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+}
+
+File File::OpenToRead(const std::string& path) {
+  return File(open(path.c_str(), O_RDONLY | O_CLOEXEC));
+}
+
+File File::OpenEmpty(const std::string& path) {
+  return File(open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+}
+
+std::optional<std::size_t> File::Size() const {
+  struct stat status {};
+  if (fstat(fd_, &status) != 0) return std::nullopt;
+  return static_cast<std::size_t>(status.st_size);
+}
+
+std::optional<std::string> File::Read(std::size_t at, std::size_t length) const {
+  std::string bytes(length, '\0');
+  for (std::size_t done = 0; done < length;) {
+    const ssize_t n = pread(fd_, bytes.data() + done, length - done, static_cast<off_t>(at + done));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return std::nullopt;
+    done += static_cast<std::size_t>(n);
+  }
+  return bytes;
+}
+
+bool File::Write(std::size_t at, std::string_view bytes) {
+  for (std::size_t done = 0; done < bytes.size();) {
+    const ssize_t n =
+        pwrite(fd_, bytes.data() + done, bytes.size() - done, static_cast<off_t>(at + done));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) {
+      Cut(at);
+      return false;
+    }
+    done += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
+bool File::Cut(std::size_t size) { return ftruncate(fd_, static_cast<off_t>(size)) == 0; }
+
+}  // namespace brassfront
