Test the protocols, the spool and the running program; add the example folder

The tests cover what they would not show: cuts, garbage, torn tails, a full disk, SIGKILL and SIGTERM, drains and malformed input.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -45,6 +45,7 @@
   if (!listener.is_open()) {
     throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
   }
+  const std::string address = AddressOf(listener);
   SenderSide senders(std::move(listener),
                      std::min(kMostSenders, config.limits.sockets / kSocketsShare), engine,
                      buffers);
@@ -53,7 +54,7 @@
     sigwait(&signals, &signal);
     engine.Leave();
   });
-  LogLine("serving name=" + config.name + " listen=" + config.listen);
+  LogLine("serving name=" + config.name + " listen=" + address);
   engine.Run([&] { senders.Drain(); });
   engine.LetGo();
   waiter.Join();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -105,6 +105,15 @@
   return listener;
 }
 
+std::string AddressOf(const Socket& listener) {
+  sockaddr_in at{};
+  socklen_t length = sizeof at;
+  char host[INET_ADDRSTRLEN] = "";
+  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&at), &length);
+  inet_ntop(AF_INET, &at.sin_addr, host, sizeof host);
+  return std::string(host) + ":" + std::to_string(ntohs(at.sin_port));
+}
+
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
   if (socket.is_open()) SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -49,6 +49,7 @@
 
 // Closed if the address cannot be listened on; errno tells why.
 Socket Listen(const std::string& address);
+std::string AddressOf(const Socket& listener);  // with the port that the system chose for port 0
 Socket Accept(const Socket& listener);
 
 // Wakes up whichever thread is blocked on it.
--- /dev/null
+++ b/tests/integration/forwarder_test.py
@@ -0,0 +1,333 @@
+"""Starts the program on loopback and speaks to it. No fixed ports, and no verdict depends on speed:
+what is waited for has a long limit that only a failure reaches."""
+
+import json
+import os
+import pathlib
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "examples"))
+import toy_server  # noqa: E402
+
+PROGRAM = os.environ["BRASSFRONT"]
+LIMIT = 60  # s
+
+
+def member(toy, name, dest, kind, phase="Ready", address=None):
+    return {
+        "id": name,
+        "host_port": address or toy.address,
+        "locality": "here",
+        "flavor": kind,
+        "cell": dest,
+        "phase": phase,
+        "size": 50.0,
+        "up_since_ms": 0,
+    }
+
+
+class Forwarder:
+    def __init__(self, toy, folder, members=None, **limits):
+        config = json.loads((ROOT / "examples" / "config.json").read_text())
+        config["listen"] = "127.0.0.1:0"
+        config["discovery"] = toy.address
+        config["known"]["members"] = members or [
+            member(toy, "single", 1, "single"),
+            member(toy, "bundle", 2, "bundle"),
+        ]
+        config["settings"]["limits"].update(limits)
+        self.folder = folder
+        path = pathlib.Path(folder) / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen(
+            [PROGRAM, "serve", "--config", str(path), "--state", folder],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.clients = []
+        self.log = []
+        lines = queue.Queue()
+        self.reader = threading.Thread(target=self.read_log, args=(lines,), daemon=True)
+        self.reader.start()
+        while True:
+            line = lines.get(timeout=LIMIT)
+            if line is None:
+                raise AssertionError("did not start: %s" % self.log)
+            if line.startswith("serving "):
+                self.address = line.split("listen=")[1]
+                return
+
+    def read_log(self, lines):
+        for line in self.process.stderr:
+            self.log.append(line.rstrip("\n"))
+            lines.put(self.log[-1])
+        lines.put(None)
+
+    def client(self):
+        self.clients.append(toy_server.Client(self.address, timeout=LIMIT))
+        return self.clients[-1]
+
+    def end(self, how):
+        """The exit status, once all of the log is read."""
+        if self.process.poll() is None:
+            self.process.send_signal(how)
+        status = self.process.wait(timeout=LIMIT)
+        self.reader.join(timeout=LIMIT)
+        self.process.stderr.close()
+        for client in self.clients:
+            client.close()
+        return status
+
+
+class ForwarderTest(unittest.TestCase):
+    def setUp(self):
+        self.toy = toy_server.Toy().start()
+        folder = tempfile.TemporaryDirectory()
+        self.folder = folder.name
+        self.addCleanup(folder.cleanup)
+        self.addCleanup(self.toy.server_close)
+        self.addCleanup(self.toy.shutdown)
+
+    def start(self, **options):
+        forwarder = Forwarder(self.toy, self.folder, **options)
+        self.addCleanup(forwarder.end, signal.SIGKILL)
+        return forwarder
+
+    def wait_for(self, what, condition):
+        end = time.monotonic() + LIMIT
+        with self.toy.changed:
+            while not condition():
+                self.assertLess(time.monotonic(), end, "waited in vain for " + what)
+                self.toy.changed.wait(timeout=0.2)
+
+    def calls_of(self, message):
+        return [call for call in self.toy.calls if call["id"] == message]
+
+    def notices_of(self, message):
+        return [n["status"] for n in self.toy.notices if n["id"] == message]
+
+    def dead_address(self):
+        """An address on which nothing listens, kept from others by a bound socket."""
+        held = socket.socket()
+        self.addCleanup(held.close)
+        held.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % held.getsockname()[1]
+
+    # ---- delivery ----
+
+    def test_a_message_is_delivered_with_its_id_key_and_body(self):
+        client = self.start().client()
+        self.assertEqual(client.call("PING"), "+PONG")
+        body = bytes(range(256))
+        message, answer = client.put(1, body, key="some-key")
+        self.assertEqual(answer, "+OK")
+        self.wait_for("the call", lambda: self.calls_of(message))
+        call = self.calls_of(message)[0]
+        self.assertEqual((call["key"], call["body"]), ("some-key", body))
+
+    def test_messages_for_one_endpoint_may_share_a_call(self):
+        client = self.start().client()
+        sent = {}
+        end = time.monotonic() + LIMIT
+        while max([c["bundle"] for c in self.toy.calls], default=0) < 2:
+            self.assertLess(time.monotonic(), end)
+            for i in range(5):  # fewer than the gate would turn away
+                message, answer = client.put(2, "body %d" % i)
+                self.assertEqual(answer, "+OK")
+                sent[message] = b"body %d" % i
+            self.wait_for("all", lambda: len(self.toy.calls) >= len(sent))
+        self.assertEqual({c["id"]: c["body"] for c in self.toy.calls}, sent)
+
+    def test_a_message_that_was_turned_away_is_sent_again(self):
+        self.toy.answer = lambda call: (200, {}) if len(self.toy.calls) > 1 else (429, {"Wait-Ms": 50})
+        message, _ = self.start().client().put(1, "x")
+        self.wait_for("a second call", lambda: len(self.calls_of(message)) == 2)
+
+    def test_a_connection_is_used_again(self):
+        forwarder = self.start()
+        client = forwarder.client()
+        for i in range(5):
+            message, _ = client.put(1, "x")
+            self.wait_for("the call", lambda: self.calls_of(message))
+        client.close()
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+        ended = [line for line in forwarder.log if "side=next-hop" in line]
+        self.assertLess(len(ended), 5)
+        self.assertTrue(any("side=sender" in line for line in forwarder.log))
+
+    # ---- refusal ----
+
+    def test_what_cannot_be_delivered_in_time_ends_with_a_notice_until_heard(self):
+        self.toy.refused_notices = 2
+        gone = [member(self.toy, "gone", 1, "single", address=self.dead_address())]
+        forwarder = self.start(members=gone)
+        message, answer = forwarder.client().put(1, "x", left_ms=300)
+        self.assertEqual(answer, "+OK")
+        self.wait_for("the notice", lambda: self.notices_of(message))
+        self.assertEqual(self.notices_of(message), ["deferred"])
+        self.assertEqual(self.toy.refused_notices, 0)
+        # The end is kept as well: the next process owes nothing.
+        self.wait_for("the end", lambda: "0 owed" in self.spool())
+        forwarder.end(signal.SIGKILL)
+        self.assertIn("restored messages=0", self.start().log)
+
+    def spool(self):
+        return subprocess.run(
+            [PROGRAM, "spool", "--state", self.folder], capture_output=True, text=True, check=True
+        ).stdout
+
+    def test_more_than_it_may_hold_is_turned_away_with_a_time(self):
+        gone = [member(self.toy, "gone", 1, "single", address=self.dead_address())]
+        client = self.start(members=gone, **{"open-cap": 3}).client()
+        answers = [client.put(1, "x")[1] for _ in range(10)]
+        busy = [a for a in answers if a.startswith("-BUSY ")]
+        self.assertEqual(len(busy) + answers.count("+OK"), 10)
+        self.assertGreaterEqual(len(busy), 7)
+
+    def test_without_a_usable_folder_messages_are_turned_away(self):
+        (pathlib.Path(self.folder) / "spool").mkdir()
+        client = self.start().client()
+        self.assertEqual(client.call("PING"), "+PONG")
+        self.assertRegex(client.put(1, "x")[1], r"^-BUSY \d+$")
+
+    # ---- bad input ----
+
+    def test_bad_requests_get_an_error_and_the_connection_stays(self):
+        client = self.start().client()
+        for words in (
+            ("NOSUCH",),
+            ("MSG.PUT",),
+            ("MSG.PUT", "0", "id", "c=nosuch,t=acme,d=1,k=k,dest=1", ""),
+            ("MSG.PUT", "0", "id", "c=plan-event,t=nosuch,d=1,k=k,dest=1", ""),
+            ("MSG.PUT", "0", "id", "c=plan-event,t=acme,d=1,dest=1", ""),
+            ("MSG.PUT", "0", "id", "c=plan-event,t=acme,d=1,k=k,dest=1,z=1", ""),
+            ("MSG.PUT", "0", "id", "c=plan-event,t=acme,d=1,k=k,dest=1", "x" * 65537),
+        ):
+            self.assertTrue(client.call(*words).startswith("-ERR "), words)
+        self.assertEqual(client.put(1, "x" * 65536)[1], "+OK")
+
+    def test_malformed_bytes_get_an_error_and_the_close(self):
+        forwarder = self.start()
+        for data in (b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$x\r\n", b"\x00" * 200, b"*1\r\n$1\r\nabc\r\n"):
+            client = forwarder.client()
+            client.socket.sendall(data)
+            self.assertTrue(client.read().startswith("-ERR "), data)
+            self.assertEqual(client.read(), "", data)
+        self.assertEqual(forwarder.client().call("PING"), "+PONG")
+
+    def test_a_bad_configuration_is_one_line_and_a_failure(self):
+        for text in ("", "{", "{}", '{"name":1}', '{"name":"n","listen":"x"}'):
+            path = pathlib.Path(self.folder) / "bad.json"
+            path.write_text(text)
+            for command in ("serve", "check-config"):
+                done = subprocess.run(
+                    [PROGRAM, command, "--config", str(path), "--state", self.folder],
+                    capture_output=True,
+                    text=True,
+                    timeout=LIMIT,
+                )
+                self.assertNotEqual(done.returncode, 0)
+                self.assertEqual(done.stderr.count("\n"), 1, done.stderr)
+
+    def test_the_example_configuration_is_good(self):
+        path = str(ROOT / "examples" / "config.json")
+        done = subprocess.run([PROGRAM, "check-config", "--config", path], capture_output=True)
+        self.assertEqual(done.returncode, 0)
+
+    # ---- drains ----
+
+    def test_a_draining_endpoint_gets_nothing_new(self):
+        other = toy_server.Toy().start()
+        self.addCleanup(other.server_close)
+        self.addCleanup(other.shutdown)
+        forwarder = self.start(members=[member(self.toy, "a", 1, "single")])
+        self.toy.announce(
+            [
+                member(self.toy, "a", 1, "single", phase="Terminating"),
+                member(self.toy, "b", 1, "single", address=other.address),
+            ]
+        )
+        client = forwarder.client()
+        # The list is told by the watch: from the first call at the new endpoint on, none at the old.
+        end = time.monotonic() + LIMIT
+        while not other.calls:
+            self.assertLess(time.monotonic(), end)
+            client.put(1, "x")
+        before = len(self.toy.calls)
+        told = [client.put(1, "x")[0] for _ in range(20)]
+        with other.changed:
+            while not set(told) <= {c["id"] for c in other.calls}:
+                self.assertLess(time.monotonic(), end)
+                other.changed.wait(timeout=0.2)
+        self.assertEqual(len(self.toy.calls), before)
+
+    # ---- restarts ----
+
+    def test_what_was_taken_on_outlasts_a_kill(self):
+        gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
+        first = self.start(members=gone)
+        client = first.client()
+        taken = [client.put(1, "body %d" % i) for i in range(5)]
+        self.assertEqual({answer for _, answer in taken}, {"+OK"})
+        first.end(signal.SIGKILL)
+        self.assertIn("5 owed", self.spool())
+        self.start()
+        ids = {message for message, _ in taken}
+        self.wait_for("all calls", lambda: {c["id"] for c in self.toy.calls} == ids)
+        self.wait_for("the ends", lambda: "0 owed" in self.spool())
+        self.assertEqual(len(self.toy.calls), 5)
+
+    def test_a_message_whose_time_ran_out_meanwhile_is_ended_at_once(self):
+        gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
+        first = self.start(members=gone)
+        message, _ = first.client().put(1, "x", left_ms=1500)
+        first.end(signal.SIGKILL)
+        time.sleep(1.6)
+        self.start()
+        self.wait_for("the notice", lambda: self.notices_of(message))
+        self.assertEqual(self.toy.calls, [])
+
+    def test_a_torn_tail_is_cut_off_and_the_rest_is_kept(self):
+        gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
+        first = self.start(members=gone)
+        message, _ = first.client().put(1, "x")
+        first.end(signal.SIGKILL)
+        with open(pathlib.Path(self.folder) / "spool", "ab") as file:
+            file.write(b"\x20\x00\x00\x00torn")
+        second = self.start()
+        self.assertTrue(any("tail" in line for line in second.log))
+        self.wait_for("the call", lambda: self.calls_of(message))
+
+    def test_after_sigterm_it_answers_and_delivers_and_leaves_by_itself(self):
+        forwarder = self.start()
+        idle = forwarder.client()
+        self.assertEqual(idle.call("PING"), "+PONG")
+        fresh = forwarder.client()
+        forwarder.process.send_signal(signal.SIGTERM)
+        self.assertEqual(idle.read(), "")  # closed between requests
+        message, answer = fresh.put(1, "late")
+        self.assertEqual(answer, "+OK")
+        self.assertEqual(fresh.read(), "")  # closed after its one request
+        self.wait_for("the call", lambda: self.calls_of(message))
+        self.assertEqual(forwarder.process.wait(timeout=LIMIT), 0)
+        self.assertIn("0 owed", self.spool())
+
+    def test_what_sigterm_leaves_no_time_for_stays_owed(self):
+        gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
+        forwarder = self.start(members=gone)
+        forwarder.client().put(1, "x")
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+        self.assertIn("1 owed", self.spool())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/network/spool_test.cpp
@@ -0,0 +1,204 @@
+#include "spool/spool.hpp"
+
+#include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace brassfront {
+namespace {
+
+namespace fs = std::filesystem;
+
+// A folder of its own, gone at the end.
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/brassfront-spool-XXXXXX";
+    path_ = mkdtemp(name);
+  }
+  ~Folder() { fs::remove_all(path_); }
+  std::string path() const { return path_; }
+  std::string file() const { return path_ + "/spool"; }
+  std::string Read() const {
+    std::ifstream in(file(), std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  }
+  void Write(const std::string& bytes) const { std::ofstream(file(), std::ios::binary) << bytes; }
+
+ private:
+  std::string path_;
+};
+
+constexpr std::size_t kDisk = 3'000'000;
+
+Spool Open(const Folder& folder, int* reports = nullptr, std::size_t disk = kDisk) {
+  return Spool(folder.path(), disk, [reports](const std::string&) {
+    if (reports != nullptr) ++*reports;
+  });
+}
+
+SpooledMessage Message(const std::string& id, std::size_t bytes = 10) {
+  return {.id = id,
+          .key = "k" + id,
+          .class_name = "c",
+          .tenant_name = "t",
+          .destination = 7,
+          .deadline = UnixMs(1234567890123),
+          .body = std::string(bytes, 'b')};
+}
+
+TEST_CASE("what is owed comes back with its history") {
+  const Folder folder;
+  {
+    Spool spool = Open(folder);
+    for (SpoolId i = 1; i <= 3; ++i) REQUIRE(spool.Accept(i, Message(std::to_string(i))));
+    REQUIRE(spool.Begin(2, "e1", UnixMs(50)));
+    spool.NothingRan(2, 0);
+    REQUIRE(spool.Begin(2, "e2", UnixMs(60)));
+    spool.End(1);
+  }
+  Spool spool = Open(folder);
+  const auto owed = spool.Replay();
+  REQUIRE(owed.size() == 2);
+  CHECK(owed[0].number == 2);
+  CHECK(owed[0].message.id == "2");
+  CHECK(owed[0].message.key == "k2");
+  CHECK(owed[0].message.destination == 7);
+  CHECK(owed[0].message.deadline == UnixMs(1234567890123));
+  CHECK(owed[0].message.body == std::string(10, 'b'));
+  REQUIRE(owed[0].attempts.size() == 2);
+  CHECK(owed[0].attempts[0].nothing_ran);
+  CHECK_FALSE(owed[0].attempts[1].nothing_ran);
+  CHECK(owed[0].attempts[1].endpoint == "e2");
+  CHECK(owed[0].attempts[1].begun == UnixMs(60));
+  CHECK(spool.next_number() == 4);
+}
+
+TEST_CASE("a tail that was torn at any byte is cut off") {
+  const Folder folder;
+  std::size_t kept = 0;
+  {
+    Spool spool = Open(folder);
+    REQUIRE(spool.Accept(1, Message("1")));
+    kept = spool.file_bytes();
+    REQUIRE(spool.Accept(2, Message("2")));
+  }
+  const std::string whole = folder.Read();
+  for (std::size_t cut = kept; cut < whole.size(); ++cut) {
+    folder.Write(whole.substr(0, cut));
+    {
+      Spool spool = Open(folder);
+      CHECK(spool.owed() == 1);
+      CHECK(fs::file_size(folder.file()) == kept);
+      REQUIRE(spool.Accept(3, Message("3")));
+    }
+    CHECK(Open(folder).owed() == 2);
+  }
+}
+
+TEST_CASE("a changed byte ends the reading where it stands") {
+  const Folder folder;
+  {
+    Spool spool = Open(folder);
+    for (SpoolId i = 1; i <= 2; ++i) REQUIRE(spool.Accept(i, Message(std::to_string(i))));
+  }
+  const std::string whole = folder.Read();
+  for (std::size_t at = 0; at < whole.size(); ++at) {
+    std::string changed = whole;
+    changed[at] = static_cast<char>(changed[at] ^ 0x40);
+    folder.Write(changed);
+    int reports = 0;
+    Spool spool = Open(folder, &reports);
+    CHECK(spool.owed() < 2);
+    CHECK(reports == 1);
+    CHECK(spool.Accept(9, Message("9")));
+  }
+}
+
+TEST_CASE("a folder that is not there accepts nothing and says so once") {
+  int reports = 0;
+  Spool spool("/nonexistent/folder", kDisk, [&](const std::string&) { ++reports; });
+  CHECK(reports == 1);
+  CHECK_FALSE(spool.Accept(1, Message("1")));
+  CHECK(spool.Replay().empty());
+}
+
+TEST_CASE("the file and its compaction stay within the disk") {
+  const Folder folder;
+  Spool spool = Open(folder, nullptr, 400'000);
+  std::size_t most = 0, refused = 0;
+  SpoolId oldest = 1;
+  for (SpoolId i = 1; i <= 2000; ++i) {
+    refused += !spool.Accept(i, Message(std::to_string(i), 3000));
+    CHECK(spool.Begin(i, "e", UnixMs(1)));  // never refused for want of room
+    most = std::max(most, spool.file_bytes());
+    if (i >= 20) spool.End(oldest++);
+  }
+  CHECK(refused == 0);
+  CHECK(most <= 400'000);
+  CHECK(spool.owed() == 19);
+  const auto owed = Open(folder, nullptr, 400'000).Replay();
+  REQUIRE(owed.size() == 19);
+  CHECK(owed.front().message.body.size() == 3000);
+  CHECK(owed.front().attempts.size() == 1);
+  CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
+}
+
+TEST_CASE("what does not fit is refused, and ends make room") {
+  const Folder folder;
+  Spool spool = Open(folder, nullptr, 600'000);
+  SpoolId accepted = 0;
+  while (spool.Accept(accepted + 1, Message(std::to_string(accepted + 1), 20'000))) ++accepted;
+  CHECK(accepted > 5);
+  CHECK(2 * spool.file_bytes() <= 600'000);
+  for (SpoolId i = 1; i <= accepted; ++i) CHECK(spool.Begin(i, "e", UnixMs(1)));
+  for (SpoolId i = 1; i <= accepted; ++i) spool.End(i);
+  CHECK(spool.owed() == 0);
+  CHECK(spool.Accept(accepted + 1, Message("next", 20'000)));
+}
+
+TEST_CASE("a full disk refuses the message and leaves no part of it") {
+  const Folder folder;
+  {
+    Spool spool = Open(folder);
+    REQUIRE(spool.Accept(1, Message("1")));
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    const auto old = signal(SIGXFSZ, SIG_IGN);
+    const rlimit full{spool.file_bytes() + 100, before.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &full);
+    CHECK_FALSE(spool.Accept(2, Message("2", 1000)));
+    setrlimit(RLIMIT_FSIZE, &before);
+    signal(SIGXFSZ, old);
+    CHECK(fs::file_size(folder.file()) == spool.file_bytes());
+    CHECK(spool.Accept(3, Message("3", 1000)));
+  }
+  CHECK(Open(folder).owed() == 2);
+}
+
+TEST_CASE("a compaction that was cut short is forgotten") {
+  const Folder folder;
+  REQUIRE(Open(folder).Accept(1, Message("1")));
+  std::ofstream(folder.path() + "/spool.new") << "half";
+  CHECK(Open(folder).owed() == 1);
+  CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
+}
+
+TEST_CASE("looking at a spool leaves it as it is") {
+  const Folder folder;
+  REQUIRE(Open(folder).Accept(1, Message("1")));
+  const std::string torn = folder.Read() + "torn";
+  folder.Write(torn);
+  Spool spool = Spool::OpenToRead(folder.path(), [](const std::string&) {});
+  CHECK(spool.Replay().size() == 1);
+  CHECK(folder.Read() == torn);
+}
+
+}  // namespace
+}  // namespace brassfront
--- /dev/null
+++ b/tests/network/translate_test.cpp
@@ -0,0 +1,118 @@
+#include "forwarder/translate.hpp"
+
+#include <doctest/doctest.h>
+
+#include "cuts.hpp"
+
+namespace brassfront {
+namespace {
+
+using rushfall::Outcome;
+using Fate = DeliveryEnd::Fate;
+
+DeliveryEnd Answered(int status, std::string body = "") {
+  DeliveryEnd end;
+  end.fate = Fate::kAnswered;
+  end.status = status;
+  end.whole = true;
+  end.body = std::move(body);
+  return end;
+}
+
+TEST_CASE("what each answer to one message means") {
+  CHECK(EndOfSingle(Answered(200)).outcome == Outcome::kDelivered);
+  CHECK(EndOfSingle(Answered(200)).over);
+  CHECK(EndOfSingle(Answered(500)).outcome == Outcome::kError);
+  CHECK(EndOfSingle(Answered(429)).outcome == Outcome::kFull);
+  CHECK(EndOfSingle(Answered(503)).outcome == Outcome::kFull);
+  CHECK(EndOfSingle(Answered(404)).outcome == Outcome::kError);
+  CHECK(EndOfSingle(Answered(504)).exhausted);
+  CHECK_FALSE(EndOfSingle(Answered(504)).over);
+  CHECK(EndOfSingle(Answered(410)).over);
+  CHECK(EndOfSingle(Answered(410)).outcome == Outcome::kNotSent);
+  DeliveryEnd no_slot = Answered(503);
+  no_slot.slots_taken = "1";
+  CHECK(EndOfSingle(no_slot).outcome == Outcome::kNotSent);
+  DeliveryEnd cut = Answered(200);
+  cut.whole = false;  // the first line is enough for one message
+  CHECK(EndOfSingle(cut).outcome == Outcome::kDelivered);
+}
+
+TEST_CASE("what no answer means, and what it shows") {
+  const std::pair<Fate, Outcome> kTable[] = {{Fate::kNotSent, Outcome::kNotSent},
+                                             {Fate::kConnectFailed, Outcome::kConnectFailed},
+                                             {Fate::kReset, Outcome::kReset},
+                                             {Fate::kTimedOut, Outcome::kTimeout},
+                                             {Fate::kCancelled, Outcome::kCancelled}};
+  for (const auto& [fate, outcome] : kTable) {
+    DeliveryEnd end;
+    end.fate = fate;
+    CHECK(EndOfSingle(end).outcome == outcome);
+    CHECK(NeverRan(outcome) == (fate == Fate::kNotSent || fate == Fate::kConnectFailed));
+  }
+  CHECK(NeverRan(Outcome::kFull));
+  CHECK_FALSE(NeverRan(Outcome::kError));
+}
+
+constexpr std::string_view kStates =
+    R"([{"id":"a","state":"ok"},{"id":"b","state":"error"},{"id":"c","state":"later"},)"
+    R"({"id":"d","state":"gone"},{"id":"e","state":"exhausted"},{"id":"x","state":"ok"}])";
+const std::vector<std::string> kIds = {"a", "b", "c", "d", "e", "missing"};
+
+TEST_CASE("each message of a bundle has its own end") {
+  const auto ends = EndsOfBundle(Answered(200, std::string(kStates)), kIds);
+  REQUIRE(ends.size() == 6);
+  CHECK(ends[0].outcome == Outcome::kDelivered);
+  CHECK(ends[1].outcome == Outcome::kError);
+  CHECK(ends[2].outcome == Outcome::kFull);
+  CHECK(ends[3].over);
+  CHECK(ends[3].outcome == Outcome::kNotSent);
+  CHECK(ends[4].exhausted);
+  CHECK(ends[5].outcome == Outcome::kError);  // nobody knows: it may have run
+}
+
+TEST_CASE("a bundle whose answer breaks off delivers nothing") {
+  DeliveryEnd cut = Answered(200, std::string(kStates));
+  cut.whole = false;
+  for (const AttemptEnd& end : EndsOfBundle(cut, kIds)) CHECK(end.outcome == Outcome::kReset);
+  for (const AttemptEnd& end : EndsOfBundle(Answered(503), kIds)) {
+    CHECK(end.outcome == Outcome::kFull);
+  }
+}
+
+TEST_CASE("garbage in answers never crashes and never ends what is not named") {
+  for (int seed = 0; seed < testing::kRounds; ++seed) {
+    const auto ends =
+        EndsOfBundle(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
+    CHECK(ends[0].outcome == Outcome::kError);
+    DeliveryEnd end = Answered(429);
+    end.load = testing::Garbage("x0=0.4,x1=25", seed);
+    end.wait_ms = testing::Garbage("250", seed);
+    ReportOf(end);
+    CHECK(WaitOf(end) >= std::chrono::milliseconds(0));
+  }
+}
+
+TEST_CASE("reports and waits") {
+  DeliveryEnd end = Answered(200);
+  end.load = "x0=0.4,x1=25";
+  end.wait_ms = "250";
+  CHECK(ReportOf(end).allowance_left == 0.4);
+  CHECK(ReportOf(end).limit == 25);
+  CHECK(WaitOf(end) == std::chrono::milliseconds(250));
+  CHECK(WaitOf(Answered(200)) == std::chrono::milliseconds(0));
+  CHECK_FALSE(ReportOf(Answered(200)).limit.has_value());
+}
+
+TEST_CASE("calls on the wire") {
+  const Part parts[] = {{"a", "k", "foo"}, {"b", "", ""}};
+  const std::string one = SingleCall("h:1", parts[0], std::chrono::milliseconds(1500));
+  CHECK(one ==
+        "POST /events HTTP/1.1\r\nHost: h:1\r\nX-Time-Left-Ms: 1500\r\nX-Correlation-Id: a\r\n"
+        "Idempotency-Key: k\r\nContent-Length: 3\r\n\r\nfoo");
+  const std::string many = BundleCall("h:1", parts, std::chrono::milliseconds(1));
+  CHECK(many.ends_with(R"([{"id":"a","key":"k","body":"Zm9v"},{"id":"b","body":""}])"));
+}
+
+}  // namespace
+}  // namespace brassfront
