--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,7 +38,8 @@
 constexpr double kLittleLeft = 0.3;  // reported share of a limit below which no rate grows
 constexpr double kLeastLimit = 3;    // calls a second, of all dispatchers: where nothing is told
 constexpr double kLeastPart = 0.2;   // of our demand: a paced rate is never lower
-constexpr Duration kFullPause = std::chrono::milliseconds(300);  // after a refusal
+constexpr Duration kFullPause = std::chrono::milliseconds(300);    // after a refusal
+constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
 constexpr double kPauseCalls = 0.6;    // of our calls' mean distance, doubled with each in a row
 constexpr double kLeastTrials = 1e-3;  // a second; no setting stops them
 constexpr Duration kLimitSpan = std::chrono::seconds(2);  // refusals for longer are an outage
@@ -838,6 +839,8 @@
   void AfterFailure(Message& m, const AttemptSettled& e) {
     if (e.exhausted || Spent(m)) return GiveUp(m);
     if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
+    // Guards against all attempts spent within a few turns while no slot is free.
+    if (e.outcome == Outcome::kNotSent) m.not_before = now_ + kUnsentPause;
     busy_.insert(m.destination);
     std::vector<MessageId>& waiting = destinations_.at(m.destination).waiting;
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -14,8 +14,8 @@
 
 constexpr std::size_t kInbox = 1024;
 constexpr std::size_t kSlotsWhereNoneAreSet = 32;
-constexpr std::size_t kProbeThreads = 8;  // probes take no slot
-constexpr double kBodyShare = 0.25;       // of the memory, for the bodies of all held messages
+constexpr std::size_t kProbeThreads = 16;  // probes take no slot
+constexpr double kBodyShare = 0.25;        // of the memory, for the bodies of all held messages
 constexpr milliseconds kRetireEvery{1000};
 // New connections may come for 0.4 s after SIGTERM, and SIGKILL 3.7 s after it.
 constexpr milliseconds kStayAtLeast{700};
@@ -119,8 +119,11 @@
     body_bytes_ += owed.message.body.size();
     ++owed_;
     numbers_[owed.message.id] = owed.number;
-    held_[owed.number] = {owed.message.id, owed.message.key,    std::move(owed.message.body), true,
-                          false,           owed.attempts.size()};
+    held_[owed.number] = {.id = owed.message.id,
+                          .key = owed.message.key,
+                          .body = std::move(owed.message.body),
+                          .heard = true,
+                          .attempts = owed.attempts.size()};
     events_.emplace_back(std::move(e));
   }
   LogLine("restored messages=" + std::to_string(owed_));
@@ -221,7 +224,7 @@
   ++owed_;
   body_bytes_ += envelope.body.size();
   numbers_[envelope.id] = e.message;
-  held_[e.message] = {envelope.id, envelope.key, envelope.body, false, false, 0};
+  held_[e.message] = {.id = envelope.id, .key = envelope.key, .body = envelope.body};
   arrivals_.emplace(e.message, std::move(arrival));
   events_.emplace_back(std::move(e));
 }
@@ -284,7 +287,7 @@
 
 rushfall::EndpointList Engine::TakeList(const MemberList& list) {
   rushfall::EndpointList e;
-  e.version = list.revision;
+  e.version = revision_ = list.revision;
   e.form = list.complete ? rushfall::ListForm::kWhole : rushfall::ListForm::kChanges;
   if (list.complete) {
     for (auto& [number, hop] : hops_) hop.entry.state = rushfall::EndpointState::kRemoved;
@@ -306,6 +309,7 @@
 }
 
 void Engine::On(const MemberList& list) {
+  if (list.revision < revision_) return;
   events_.emplace_back(TakeList(list));
   Recall([this](const Out& out) {
     return hops_.at(out.hop).entry.state != rushfall::EndpointState::kListed;
@@ -349,7 +353,6 @@
   if (!it->second.ending) --owed_;
   body_bytes_ -= it->second.body.size();
   numbers_.erase(it->second.id);
-  attempts_told_.erase(message);
   held_.erase(it);
 }
 
@@ -367,10 +370,11 @@
 // Sends of one turn to one next hop share a call, as far as its kind and the size allow.
 void Engine::Do(const rushfall::Send& e) {
   const Hop& hop = hops_.at(e.endpoint);
-  OutPart part{.message = e.message, .id = {}, .attempt = attempts_told_[e.message]++};
+  OutPart part{.message = e.message};
   std::size_t bytes = 0;
   if (const auto held = held_.find(e.message); held != held_.end()) {
     part.id = held->second.id;
+    part.attempt = held->second.attempts_told++;
     bytes = BundleItem({part.id, held->second.key, held->second.body}).size() + 2;
   }
   const auto& kinds = config_.decisions.kinds;
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -70,12 +70,13 @@
       std::variant<Arrival, HeardById, LostById, DeliveryEnd, MemberList, NoticeHeard, LeaveNow>;
 
   struct Held {
-    std::string id;
-    std::string key;
-    std::string body;
-    bool heard = false;        // its client knows that it was taken on
-    bool ending = false;       // given up; its notice is on the way
-    std::size_t attempts = 0;  // noted in the spool, by earlier processes too
+    std::string id{};
+    std::string key{};
+    std::string body{};
+    bool heard = false;             // its client knows that it was taken on
+    bool ending = false;            // given up; its notice is on the way
+    std::size_t attempts = 0;       // noted in the spool, by earlier processes too
+    std::size_t attempts_told = 0;  // by the module
   };
 
   struct Hop {
@@ -152,10 +153,10 @@
   std::size_t body_bytes_ = 0;  // of all held
   MessageId next_message_;
   std::map<MessageId, Arrival> arrivals_;  // not answered yet
-  std::map<MessageId, std::size_t> attempts_told_;
 
   std::map<rushfall::EndpointId, Hop> hops_;
   std::unordered_map<std::string, rushfall::EndpointId> hop_numbers_;
+  std::uint64_t revision_ = 0;
 
   std::uint64_t next_out_ = 1;
   std::map<std::uint64_t, Out> out_;
--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -8,6 +8,7 @@
 constexpr const char* kSide = "next-hop";
 constexpr std::size_t kMostIdle = 2;  // for each next hop: some take few, idle ones counted
 constexpr std::size_t kMostWaiting = 4096;
+constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
 // Of the time after which the other side closes an idle connection. Guards against a call that
 // crosses that close and ends as a reset, which may have run.
 constexpr double kIdleShare = 0.6;
@@ -111,7 +112,7 @@
 }
 
 DeliveryEnd NextHops::ReadAnswer(Connection& connection, Delivery& delivery) {
-  HttpReader reader;
+  HttpReader reader(kMostAnswer);
   bool ended = false;
   {
     BufferPool::Buffer buffer = buffers_.Get();
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -28,7 +28,7 @@
   acceptor_.Join();
   {
     const std::lock_guard lock(mutex_);
-    for (Connection& c : connections_) ShutDown(c.socket.fd());
+    for (Connection& c : connections_) StopReading(c.socket.fd());  // replies still go out
   }
   for (Connection& c : connections_) c.thread.Join();
 }
@@ -37,7 +37,7 @@
   const std::lock_guard lock(mutex_);
   draining_ = true;
   for (Connection& c : connections_) {
-    if (c.reading) ShutDown(c.socket.fd());
+    if (c.reading) StopReading(c.socket.fd());
   }
 }
 
@@ -121,7 +121,7 @@
   std::string reply;
   bool last = false;
   if (command.oversize) {
-    reply = RespError("ERR", "a word is over 64 KiB");
+    reply = RespError("ERR", "over 64 KiB");
   } else if (name == "MSG.PUT") {
     return HandIn(connection, command, reason);
   } else if (name == "PING") {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -121,6 +121,7 @@
 }
 
 void ShutDown(int fd) { shutdown(fd, SHUT_RDWR); }
+void StopReading(int fd) { shutdown(fd, SHUT_RD); }
 
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -54,6 +54,7 @@
 
 // Wakes up whichever thread is blocked on it.
 void ShutDown(int fd);
+void StopReading(int fd);  // the same, but what is being written is not cut off
 
 // The one line that each connection leaves at its end.
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kMostWords = 64;
+constexpr std::size_t kMostBesideBody = 4096;      // bytes of a command's other words
 constexpr std::size_t kMostLine = 32;              // of a count
 constexpr std::size_t kMostPassedOver = 16 << 20;  // of one word; more is no mistake in size
 
@@ -67,6 +68,7 @@
     } else if (*count > 0) {
       words_due_ = *count;
       command_ = {};
+      command_bytes_ = 0;
       state_ = State::kBulk;
     }
   } else {
@@ -76,7 +78,9 @@
       return;
     }
     bytes_due_ = *size;
-    passing_over_ = *size > kMostBody;
+    // Guards against a command of many long words, from each of many clients at once.
+    passing_over_ = *size > kMostBody || command_bytes_ + *size > kMostBody + kMostBesideBody;
+    if (!passing_over_) command_bytes_ += *size;
     command_.oversize |= passing_over_;
     command_.words.emplace_back();
     state_ = bytes_due_ > 0 ? State::kBody : State::kBodyEnd;
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -12,7 +12,7 @@
 
 struct RespCommand {
   std::vector<std::string> words;
-  bool oversize = false;  // a word was longer than a body may be; its bytes were passed over
+  bool oversize = false;  // it was longer than it may be; bytes were passed over
 };
 
 class RespReader {
@@ -36,6 +36,7 @@
   std::size_t words_due_ = 0;
   std::size_t bytes_due_ = 0;
   bool passing_over_ = false;
+  std::size_t command_bytes_ = 0;  // kept of its words
   RespCommand command_;
   std::deque<RespCommand> commands_;
 };
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t kWorthCompacting = 128 * 1024;  // of dead bytes
 
 // Kept free for the attempts and ends of what was accepted: those records may not be refused.
-constexpr std::size_t kReserve = 64 * 1024;
+// Twelve attempts with their outcomes take some 0.8 KiB, and 237 messages may be held.
+constexpr std::size_t kReserve = 192 * 1024;
 
 enum class Kind : char { kAccepted = 'A', kBegun = 'B', kNothingRan = 'N', kEnded = 'E' };
 
@@ -255,7 +256,9 @@
     return Fits(size_ + record.size() + spare, live_bytes_ + record.size() + spare);
   };
   const bool crowded = size_ > live_bytes_ + kWorthCompacting;
-  if (crowded || (!fits() && size_ > live_bytes_)) Compact();
+  const bool wanted = crowded || (!fits() && size_ > live_bytes_);
+  // Guards against a failing disk that is written anew for each record.
+  if (wanted && size_ >= compact_from_ && !Compact()) compact_from_ = size_ + kWorthCompacting;
   if (!fits() || !file_.Write(size_, record)) return false;
   Apply(payload, size_, record.size());
   size_ += record.size();
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -87,7 +87,8 @@
   const Report report_;
   File file_;
   std::size_t size_ = 0;
-  std::size_t live_bytes_ = 0;  // of the file after a compaction
+  std::size_t live_bytes_ = 0;    // of the file after a compaction
+  std::size_t compact_from_ = 0;  // the size from which another compaction is tried
   SpoolId next_number_ = 1;
   std::map<SpoolId, Live> live_;
 };
--- a/tests/consumer/install_and_run.cmake
+++ b/tests/consumer/install_and_run.cmake
@@ -11,6 +11,8 @@
 set(flags "")
 if(SANITIZE)
   set(flags "-fsanitize=address,undefined")
+elseif(TSAN)
+  set(flags "-fsanitize=thread")
 endif()
 run(${CMAKE_COMMAND} --install ${BUILD_DIR} --prefix ${prefix})
 run(${CMAKE_COMMAND} -S ${EXAMPLE} -B ${build} -DCMAKE_PREFIX_PATH=${prefix}
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -85,6 +85,9 @@
         self.process.stderr.close()
         for client in self.clients:
             client.close()
+        reports = [line for line in self.log if "Sanitizer" in line]
+        if reports:
+            raise AssertionError("\n".join(self.log))
         return status
 
 
--- a/tests/network/resp_test.cpp
+++ b/tests/network/resp_test.cpp
@@ -58,6 +58,16 @@
   CHECK_FALSE(reader.commands()[2].oversize);
 }
 
+TEST_CASE("many words that are long together are passed over too") {
+  RespReader reader;
+  reader.Feed(Command(std::vector<std::string>(10, std::string(kMostBody, 'x'))));
+  REQUIRE(reader.commands().size() == 1);
+  CHECK(reader.commands()[0].oversize);
+  std::size_t kept = 0;
+  for (const std::string& word : reader.commands()[0].words) kept += word.size();
+  CHECK(kept <= 2 * kMostBody);
+}
+
 TEST_CASE("framing that cannot be read breaks the stream") {
   for (const char* text : {"PING\r\n", "*x\r\n", "*-1\r\n", "*65\r\n", "*1\r\n+OK\r\n",
                            "*1\r\n$3\r\nabcd\r\n", "*1\r\n$99999999999\r\n"}) {
