--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -294,6 +294,9 @@
   }
   for (const Member& member : list.members) {
     const rushfall::EndpointId number = HopNumber(member.id);
+    if (hops_.count(number) == 0) {  // the module's lines name its numbers
+      LogLine("next hop " + member.id + " is endpoint " + std::to_string(number));
+    }
     Hop& hop = hops_[number];
     hop.name = member.id;
     hop.address = member.address;
--- /dev/null
+++ b/tests/network/next_hops_test.cpp
@@ -0,0 +1,144 @@
+// The next hops against a listener on loopback that does what each case says.
+#include "net/next_hops.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+namespace brassfront {
+namespace {
+
+using Fate = DeliveryEnd::Fate;
+
+constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const SteadyTime kNever = SteadyTime::max();
+
+class Peer {
+ public:
+  Peer() : listener_(Listen("127.0.0.1:0")), address(AddressOf(listener_)) {}
+  // Takes a connection and reads one request on it.
+  Socket Take() {
+    Socket socket = Accept(listener_);
+    ReadRequest(socket);
+    return socket;
+  }
+  static void ReadRequest(Socket& socket) {
+    std::string got;
+    char byte = 0;
+    while (!got.ends_with("\r\n\r\n") && socket.Receive({&byte, 1}) == 1) got += byte;
+  }
+  void StopListening() { listener_.Close(); }
+
+ private:
+  Socket listener_;
+
+ public:
+  const std::string address;
+};
+
+class Fixture {
+ public:
+  Fixture()
+      : ends(100),
+        hops({.threads = 2,
+              .connection_idle = std::chrono::seconds(15),
+              .connect_timeout = std::chrono::milliseconds(1500)},
+             buffers, [this](DeliveryEnd end) { ends.Put(std::move(end)); }) {}
+  std::shared_ptr<Delivery> Make(SteadyTime start_by = kNever) {
+    return std::make_shared<Delivery>(++number, peer.address, HttpGet("/", peer.address), start_by);
+  }
+  DeliveryEnd End() { return ends.Take().value(); }
+
+  Peer peer;
+  BufferPool buffers;
+  Mailbox<DeliveryEnd> ends;
+  std::uint64_t number = 0;
+  NextHops hops;
+};
+
+TEST_CASE_FIXTURE(Fixture, "a kept connection is used again, and not once the peer has closed it") {
+  hops.Start(Make());
+  Socket first = peer.Take();
+  first.SendAll(kOk);
+  CHECK(End().status == 200);
+  hops.Start(Make());
+  Peer::ReadRequest(first);  // on the same connection
+  first.SendAll(kOk);
+  CHECK(End().whole);
+  first.Close();
+  hops.Start(Make());
+  Socket second = peer.Take();  // a reset would count as a call that may have run
+  second.SendAll(kOk);
+  CHECK(End().fate == Fate::kAnswered);
+}
+
+TEST_CASE_FIXTURE(Fixture, "what is recalled or too late before its first byte is not sent") {
+  auto recalled = Make();
+  recalled->Recall();
+  hops.Start(recalled);
+  CHECK(End().fate == Fate::kNotSent);
+  hops.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
+  CHECK(End().fate == Fate::kNotSent);
+  // The connection that was opened for it serves the next.
+  hops.Start(Make());
+  Socket socket = peer.Take();
+  socket.SendAll(kOk);
+  CHECK(End().status == 200);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a recall does nothing to a call that is out") {
+  auto delivery = Make();
+  hops.Start(delivery);
+  Socket socket = peer.Take();
+  delivery->Recall();
+  socket.SendAll(kOk);
+  CHECK(End().status == 200);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call that is ended has closed its connection when that is told") {
+  for (const auto stop : {Delivery::Stop::kCancelled, Delivery::Stop::kTimedOut}) {
+    auto delivery = Make();
+    hops.Start(delivery);
+    Socket socket = peer.Take();
+    delivery->End(stop);
+    CHECK(End().fate == (stop == Delivery::Stop::kCancelled ? Fate::kCancelled : Fate::kTimedOut));
+    char byte = 0;
+    CHECK(socket.Receive({&byte, 1}) == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a break after the last byte is a reset, and a first line stands") {
+  hops.Start(Make());
+  peer.Take().Close();
+  CHECK(End().fate == Fate::kReset);
+  hops.Start(Make());
+  Socket socket = peer.Take();
+  socket.SendAll("HTTP/1.1 200 OK\r\nContent-Le");
+  socket.Close();
+  const DeliveryEnd end = End();
+  CHECK(end.fate == Fate::kAnswered);
+  CHECK(end.status == 200);
+  CHECK_FALSE(end.whole);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refused connection never ran") {
+  peer.StopListening();
+  hops.Start(Make());
+  CHECK(End().fate == Fate::kConnectFailed);
+}
+
+TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
+  hops.Start(Make());
+  Socket socket = peer.Take();
+  socket.SendAll(
+      "HTTP/1.1 503 Busy\r\nWait-Ms: 40\r\nSlots-Taken: 1\r\nX-Backend-Load: x0=1\r\n"
+      "Content-Length: 0\r\n\r\n");
+  const DeliveryEnd end = End();
+  CHECK(end.wait_ms == "40");
+  CHECK(end.slots_taken == "1");
+  CHECK(end.load == "x0=1");
+}
+
+}  // namespace
+}  // namespace brassfront
