Reread the configuration on SIGHUP and move the watch and the notices

Cause: serve.cpp blocked and waited for SIGTERM and SIGINT alone, so SIGHUP had its default action; HttpClient's address was fixed at its construction. Ruled out: a lag of the new watch (it starts from the revision already told) and lost notices (a batch without its 204 is posted again at the new address). A bad file leaves the old settings, with one line. Integration tests cover both.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -65,7 +65,7 @@
   }
   if (command == "spool" || command == "serve") {
     if (state.empty()) throw brassfront::ConfigError("no state folder: give --state or NODE_STATE");
-    if (command == "serve") return brassfront::Serve(brassfront::LoadConfig(config), state);
+    if (command == "serve") return brassfront::Serve(config, state);
     ListSpool(state);
     return 0;
   }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,12 +1,15 @@
 #include "cli/serve.hpp"
 
 #include <pthread.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <csignal>
 #include <cstring>
 
+#include "config/config.hpp"
 #include "forwarder/engine.hpp"
 #include "net/log.hpp"
 #include "net/sender_side.hpp"
@@ -20,22 +23,37 @@
 constexpr std::size_t kMostSenders = 256;
 constexpr std::size_t kSocketsShare = 4;  // of the descriptors, a part of this for clients
 
-sigset_t EndSignals() {
+// Blocked in every thread that is started from here on; one of them waits for these.
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
 
-}  // namespace
-
-int Serve(const Config& config, const std::string& state) {
+Config ReadConfig(const std::string& path) {
+  Config config = LoadConfig(path);
   if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
   if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
-  const sigset_t signals = EndSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);  // in every thread; one of them waits for these
+  return config;
+}
+
+void Reload(const std::string& path, Engine& engine) {
+  try {
+    Config config = ReadConfig(path);
+    LogLine("configuration read again discovery=" + config.discovery);
+    engine.Move(std::move(config.discovery));
+  } catch (const ConfigError& error) {
+    LogLine(std::string("configuration not taken up, the old one holds: ") + error.what());
+  }
+}
+
+}  // namespace
 
+int Serve(const std::string& config_path, const std::string& state) {
+  const sigset_t signals = BlockSignals();
+  const Config config = ReadConfig(config_path);
   BufferPool buffers;
   Spool spool(state, config.limits.disk_bytes, [](const std::string& text) { LogLine(text); });
   Engine engine(config, spool, buffers);
@@ -48,14 +66,22 @@
   SenderSide senders(std::move(listener),
                      std::min(kMostSenders, config.limits.sockets / kSocketsShare), engine,
                      buffers);
+  std::atomic<bool> over{false};
   Thread waiter([&] {
     int signal = 0;
-    sigwait(&signals, &signal);
-    engine.Leave();
+    while (sigwait(&signals, &signal) == 0 && !over) {
+      if (signal == SIGHUP) {
+        Reload(config_path, engine);
+      } else {
+        engine.Leave();
+      }
+    }
   });
   LogLine("serving name=" + config.name + " listen=" + address);
   engine.Run([&] { senders.Drain(); });
   engine.LetGo();
+  over = true;
+  kill(getpid(), SIGTERM);  // for the waiter, which takes it
   waiter.Join();
   return 0;
 }
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -3,12 +3,11 @@
 
 #include <string>
 
-#include "config/config.hpp"
-
 namespace brassfront {
 
-// Forwards until SIGTERM or SIGINT; returns the exit status.
-int Serve(const Config& config, const std::string& state);
+// Forwards until SIGTERM or SIGINT; returns the exit status. SIGHUP has the configuration read
+// again: its discovery address is taken up, and the rest holds from the next start on.
+int Serve(const std::string& config_path, const std::string& state);
 
 }  // namespace brassfront
 
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -97,6 +97,7 @@
 void Engine::Heard(const std::string& id) { inbox_.Put(HeardById{id}); }
 void Engine::Lost(const std::string& id) { inbox_.Put(LostById{id}); }
 void Engine::Leave() { inbox_.Put(LeaveNow{}); }
+void Engine::Move(std::string discovery) { inbox_.Put(MoveNow{std::move(discovery)}); }
 
 // ======== turns ========
 
@@ -258,6 +259,11 @@
   on_drain_();
 }
 
+void Engine::On(const MoveNow& e) {
+  watch_.MoveTo(e.discovery);
+  notices_.MoveTo(e.discovery);
+}
+
 void Engine::On(const Deadline& e) {
   switch (e.due) {
     case Due::kModuleTimer:
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -46,6 +46,8 @@
   void Heard(const std::string& id) override;
   void Lost(const std::string& id) override;
   void Leave();
+  // Discovery and the platform are to be reached at another address.
+  void Move(std::string discovery);
 
  private:
   using Duration = rushfall::Duration;
@@ -66,8 +68,11 @@
     std::string id;
   };
   struct LeaveNow {};
-  using Item =
-      std::variant<Arrival, HeardById, LostById, DeliveryEnd, MemberList, NoticeHeard, LeaveNow>;
+  struct MoveNow {
+    std::string discovery;
+  };
+  using Item = std::variant<Arrival, HeardById, LostById, DeliveryEnd, MemberList, NoticeHeard,
+                            LeaveNow, MoveNow>;
 
   struct Held {
     std::string id{};
@@ -111,6 +116,7 @@
   void On(const MemberList& e);
   void On(const NoticeHeard& e);
   void On(const LeaveNow&);
+  void On(const MoveNow& e);
   void On(const Deadline& e);
 
   void Turn(Time now);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -7,7 +7,7 @@
 
 HttpClient::HttpClient(std::string side, std::string address, std::chrono::milliseconds silence,
                        BufferPool& buffers)
-    : side_(std::move(side)), address_(std::move(address)), silence_(silence), buffers_(buffers) {}
+    : side_(std::move(side)), silence_(silence), buffers_(buffers), address_(std::move(address)) {}
 
 HttpClient::~HttpClient() {
   if (socket_.is_open()) End("shutdown");
@@ -16,7 +16,25 @@
 void HttpClient::End(const char* reason) {
   const std::lock_guard lock(mutex_);
   socket_.Close();
-  LogConnectionEnd(side_, address_, stopped_ ? "shutdown" : reason, exchanges_);
+  const bool moved = connected_to_ != address_;
+  LogConnectionEnd(side_, connected_to_,
+                   stopped_ ? "shutdown"
+                   : moved  ? "moved"
+                            : reason,
+                   exchanges_);
+}
+
+std::string HttpClient::address() const {
+  const std::lock_guard lock(mutex_);
+  return address_;
+}
+
+void HttpClient::MoveTo(std::string address) {
+  const std::lock_guard lock(mutex_);
+  if (address == address_) return;
+  address_ = std::move(address);
+  if (socket_.is_open()) ShutDown(socket_.fd());
+  wake_.notify_all();
 }
 
 bool HttpClient::Ready() {
@@ -26,12 +44,18 @@
     const std::lock_guard lock(mutex_);
     if (stopped_) return false;
     socket_ = NewSocket();
+    connected_to_ = address_;
     exchanges_ = 0;
   }
-  if (Connect(socket_, address_, silence_)) {
-    socket_.ReceiveTimeout(silence_);
-    return true;
+  const bool connected = Connect(socket_, connected_to_, silence_);
+  if (connected) socket_.ReceiveTimeout(silence_);
+  bool meant = false;
+  {
+    // Guards against a stop or a move that came before there was a connection to shut down.
+    const std::lock_guard lock(mutex_);
+    meant = !stopped_ && connected_to_ == address_;
   }
+  if (connected && meant) return true;
   End("connect-failed");
   return false;
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -23,6 +23,10 @@
              BufferPool& buffers);
   ~HttpClient();
 
+  std::string address() const;
+  // For another thread: ends what is going on and goes to this address from now on.
+  void MoveTo(std::string address);
+
   // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
   // is called whenever some of it has come and may end the reading by returning false. False if no
   // whole answer came; the connection is ended then.
@@ -40,10 +44,11 @@
   void End(const char* reason);
 
   const std::string side_;
-  const std::string address_;
   const std::chrono::milliseconds silence_;
   BufferPool& buffers_;
-  std::mutex mutex_;  // guards the socket's opening and closing
+  mutable std::mutex mutex_;  // guards the address and the socket's opening and closing
+  std::string address_;
+  std::string connected_to_;
   std::condition_variable wake_;
   std::atomic<bool> stopped_{false};
   Socket socket_;
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -26,9 +26,8 @@
 }
 
 Notices::Notices(std::string address, BufferPool& buffers, OnHeard on_heard)
-    : address_(std::move(address)),
-      on_heard_(std::move(on_heard)),
-      client_("notices", address_, kSilence, buffers),
+    : on_heard_(std::move(on_heard)),
+      client_("notices", std::move(address), kSilence, buffers),
       waiting_(kMostWaiting),
       thread_([this] { Run(); }) {}
 
@@ -50,9 +49,9 @@
     }
     std::string body;
     for (const Notice& notice : batch) body += NoticeLine(notice);
-    const std::string request =
-        HttpPost("/v2/finals", address_, {{"Content-Type", "application/json"}}, body);
     while (!client_.stopped()) {
+      const std::string request =
+          HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
       HttpReader reader;
       if (client_.Exchange(request, reader) && reader.status() == 204) {
         for (const Notice& notice : batch) on_heard_(notice.id);
--- a/src/net/notices.hpp
+++ b/src/net/notices.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "forwarder/mailbox.hpp"
 #include "net/http_client.hpp"
@@ -28,11 +29,12 @@
   ~Notices();
 
   void Post(Notice notice);
+  // What has not been heard yet is posted there as well.
+  void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
 
  private:
   void Run();
 
-  const std::string address_;
   const OnHeard on_heard_;
   HttpClient client_;
   Mailbox<Notice> waiting_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -16,10 +16,9 @@
 }  // namespace
 
 Watch::Watch(std::string address, std::uint64_t revision, BufferPool& buffers, OnList on_list)
-    : address_(std::move(address)),
-      on_list_(std::move(on_list)),
+    : on_list_(std::move(on_list)),
       revision_(revision),
-      client_("discovery", address_, kSilence, buffers),
+      client_("discovery", std::move(address), kSilence, buffers),
       thread_([this] { Follow(); }) {}
 
 Watch::~Watch() {
@@ -32,7 +31,7 @@
     HttpReader reader;
     LineCutter lines;
     const std::string path = "/api/targets?watch=1&from=" + std::to_string(revision_);
-    client_.Exchange(HttpGet(path, address_), reader,
+    client_.Exchange(HttpGet(path, client_.address()), reader,
                      [&](HttpReader& r) { return TakeLines(r, lines); });
     client_.Pause(kPause);
   }
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "net/http_client.hpp"
 #include "net/thread.hpp"
@@ -19,11 +20,13 @@
   Watch(std::string address, std::uint64_t revision, BufferPool& buffers, OnList on_list);
   ~Watch();
 
+  // Goes on at another address, from the last revision that was told.
+  void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
+
  private:
   void Follow();
   bool TakeLines(HttpReader& reader, LineCutter& lines);
 
-  const std::string address_;
   const OnList on_list_;
   std::uint64_t revision_;
   HttpClient client_;
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -46,6 +46,7 @@
         ]
         config["settings"]["limits"].update(limits)
         self.folder = folder
+        self.config = config
         path = pathlib.Path(folder) / "config.json"
         path.write_text(json.dumps(config))
         self.process = subprocess.Popen(
@@ -72,6 +73,10 @@
             lines.put(self.log[-1])
         lines.put(None)
 
+    def reload(self, text):
+        (pathlib.Path(self.folder) / "config.json").write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def client(self):
         self.clients.append(toy_server.Client(self.address, timeout=LIMIT))
         return self.clients[-1]
@@ -249,9 +254,7 @@
     # ---- drains ----
 
     def test_a_draining_endpoint_gets_nothing_new(self):
-        other = toy_server.Toy().start()
-        self.addCleanup(other.server_close)
-        self.addCleanup(other.shutdown)
+        other = self.other_toy()
         forwarder = self.start(members=[member(self.toy, "a", 1, "single")])
         self.toy.announce(
             [
@@ -273,6 +276,43 @@
                 other.changed.wait(timeout=0.2)
         self.assertEqual(len(self.toy.calls), before)
 
+    # ---- new configurations ----
+
+    def other_toy(self, **options):
+        other = toy_server.Toy(**options).start()
+        self.addCleanup(other.server_close)
+        self.addCleanup(other.shutdown)
+        return other
+
+    def test_after_sighup_lists_and_unheard_notices_go_to_the_new_address(self):
+        self.toy.refused_notices = 1 << 30  # the old address hears none
+        gone = [member(self.toy, "gone", 1, "single", address=self.dead_address())]
+        forwarder = self.start(members=gone)
+        client = forwarder.client()
+        message, answer = client.put(1, "x", left_ms=300)
+        self.assertEqual(answer, "+OK")
+        self.wait_for("a refused notice", lambda: self.toy.refused_notices < 1 << 30)
+        other = self.other_toy(members=[member(self.toy, "new", 1, "single")], revision=7)
+        forwarder.config["discovery"] = other.address
+        forwarder.reload(json.dumps(forwarder.config))
+        self.wait_for("the notice", lambda: [n["id"] for n in other.notices] == [message])
+        later, answer = client.put(1, "y")
+        self.assertEqual(answer, "+OK")
+        self.wait_for("the call at the listed endpoint", lambda: self.calls_of(later))
+
+    def test_a_bad_new_configuration_changes_nothing(self):
+        forwarder = self.start()
+        bad_address = dict(forwarder.config, discovery="nowhere")
+        for i, text in enumerate(("", "{", json.dumps(bad_address))):
+            forwarder.reload(text)
+            self.wait_for(
+                "the line", lambda: sum("the old one holds" in line for line in forwarder.log) > i
+            )
+        self.toy.announce([member(self.toy, "later", 3, "single")])
+        message, _ = forwarder.client().put(3, "x")
+        self.wait_for("the call", lambda: self.calls_of(message))
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+
     # ---- restarts ----
 
     def test_what_was_taken_on_outlasts_a_kill(self):
