Bound clients by total time, make room for newcomers, tell spoilt answers from true ones

Checked: descriptors (106 of 256) and memory (4 of 32 MB) had room, CPU was 0.1 s a second at most, so neither the limits nor the core were the cause. Ruled out: next hops (few resets, no time-outs). Lines at fault: SenderSide::TakeConnections counted places that nobody used, Exchange read without a limit; serve.cpp gave clients a quarter of the descriptors whatever the rest needed; Engine::Reject did not look at the destination; HttpReader::Feed called bytes behind a whole answer broken, and ReadAnswer trusted any status of a spoilt one; idle_ was kept by address alone. Now: 2 s in all for a command, 4 s idle, newcomers take the places of silent or long idle connections; descriptors are counted out between clients, calls out and idle connections; an answer has 0.5 s from its first byte on; idle connections belong to an endpoint id; removed endpoints are forgotten by the engine after the longest deadline.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -158,7 +158,10 @@
 
     def read(self):
         """The line of a reply; empty if the forwarder closed the connection."""
-        return self.file.readline().decode().rstrip("\r\n")
+        try:
+            return self.file.readline().decode().rstrip("\r\n")
+        except ConnectionResetError:
+            return ""
 
     def call(self, *words):
         self.send(*words)
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -18,10 +18,21 @@
 namespace brassfront {
 namespace {
 
-// Client connections at once: their threads and buffers cost some 0.2 MB each at the most, and the
-// next hops keep two connections each.
-constexpr std::size_t kMostSenders = 256;
-constexpr std::size_t kSocketsShare = 4;  // of the descriptors, a part of this for clients
+constexpr std::size_t kMostSenders = 384;  // connections
+// A connection costs a thread's stack and a command of 68 KiB at the most. An eighth of the memory
+// stands against the quarter for bodies.
+constexpr std::size_t kSenderBytes = 256 * 1024;
+constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
+constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
+
+// What the descriptors leave once every delivery is out, within the memory.
+std::size_t SenderConnections(const Config& config) {
+  const std::size_t all = config.limits.sockets;
+  const std::size_t others = kOwnDescriptors + Engine::MostNextHopConnections(config);
+  const std::size_t left = std::max(all > others ? all - others : 0, all / kLeastSenderShare);
+  const std::size_t in_memory = config.limits.memory_bytes / kSenderBytes;
+  return std::max<std::size_t>(1, std::min({kMostSenders, left, in_memory}));
+}
 
 // Blocked in every thread that is started from here on; one of them waits for these.
 sigset_t BlockSignals() {
@@ -63,8 +74,7 @@
     throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
   }
   const std::string address = AddressOf(listener);
-  SenderSide senders(std::move(listener),
-                     std::min(kMostSenders, config.limits.sockets / kSocketsShare), engine,
+  SenderSide senders(std::move(listener), {.connections = SenderConnections(config)}, engine,
                      buffers);
   std::atomic<bool> over{false};
   Thread waiter([&] {
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -1,6 +1,7 @@
 #include "forwarder/engine.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "net/log.hpp"
@@ -37,6 +38,13 @@
   return config.decisions.slots > 0 ? config.decisions.slots : kSlotsWhereNoneAreSet;
 }
 
+std::size_t MostOut(const Config& config) { return SlotsOf(config) + kProbeThreads; }
+
+// A sixteenth of the descriptors, or more where more calls are out at once.
+std::size_t MostIdle(const Config& config) {
+  return std::max(SlotsOf(config), config.limits.sockets / 16);
+}
+
 // The place of the name in the list; its size if it is not there.
 std::size_t PlaceOf(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
@@ -54,13 +62,18 @@
 
 }  // namespace
 
+std::size_t Engine::MostNextHopConnections(const Config& config) {
+  return MostOut(config) + MostIdle(config);
+}
+
 Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers)
     : config_(config),
       spool_(spool),
       inbox_(kInbox),
       choice_(config.decisions, config.seed),
       next_message_(spool.next_number()),
-      next_hops_({.threads = SlotsOf(config) + kProbeThreads,
+      next_hops_({.threads = MostOut(config),
+                  .most_idle = MostIdle(config),
                   .connection_idle = config.connection_idle,
                   .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
                  buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
@@ -68,6 +81,9 @@
                [this](const std::string& id) { inbox_.Put(NoticeHeard{id}); }),
       watch_(config.discovery, config.known.revision, buffers,
              [this](MemberList list) { inbox_.Put(std::move(list)); }) {
+  for (const rushfall::ClassSettings& c : config.decisions.classes) {
+    longest_deadline_ = std::max(longest_deadline_, c.deadline);
+  }
   deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
 }
 
@@ -206,6 +222,14 @@
   return "";
 }
 
+// Some endpoint of the destination is listed, or was lately. What no list names is not taken on,
+// but a list may be late.
+bool Engine::IsListed(rushfall::DestinationId destination) const {
+  return std::any_of(hops_.begin(), hops_.end(), [&](const auto& entry) {
+    return entry.second.entry.destination == destination;
+  });
+}
+
 bool Engine::HasRoomFor(const Envelope& envelope) const {
   const std::size_t most = config_.decisions.max_held;
   const auto bytes =
@@ -218,10 +242,14 @@
   rushfall::MessageArrived e;
   std::string fault = Reject(envelope, e.message_class, e.tenant);
   if (!fault.empty()) return arrival.answer.set_value(Bad(std::move(fault)));
-  if (!HasRoomFor(envelope)) return arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+  if (!IsListed(envelope.destination) || !HasRoomFor(envelope)) {
+    return arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+  }
   e.message = next_message_++;
   e.destination = envelope.destination;
-  e.time_left = envelope.time_left;
+  // Guards against a time that no client may ask for, and a message that is held for a day.
+  e.time_left = arrival.envelope.time_left = std::min<milliseconds>(
+      envelope.time_left, InMs(config_.decisions.classes[e.message_class].deadline));
   ++owed_;
   body_bytes_ += envelope.body.size();
   numbers_[envelope.id] = e.message;
@@ -276,6 +304,7 @@
     }
     case Due::kRetireIdle:
       next_hops_.RetireIdle();
+      ForgetHops(Now());
       deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
       return;
     case Due::kMayLeave:
@@ -288,7 +317,23 @@
 }
 
 rushfall::EndpointId Engine::HopNumber(const std::string& name) {
-  return hop_numbers_.try_emplace(name, hop_numbers_.size()).first->second;
+  const auto [it, added] = hop_numbers_.try_emplace(name, next_hop_);
+  if (added) ++next_hop_;
+  return it->second;
+}
+
+// What was removed for as long as any message may live is forgotten, once no call to it is out.
+// Until then its destination is known, though it may have no other endpoint for the moment.
+void Engine::ForgetHops(Time now) {
+  std::set<rushfall::EndpointId> called;
+  for (const auto& [number, out] : out_) called.insert(out.hop);
+  std::erase_if(hops_, [&](const auto& entry) {
+    const auto& [number, hop] = entry;
+    const bool gone = hop.entry.state == rushfall::EndpointState::kRemoved &&
+                      now - hop.gone_since > longest_deadline_ && called.count(number) == 0;
+    if (gone) hop_numbers_.erase(hop.name);
+    return gone;
+  });
 }
 
 rushfall::EndpointList Engine::TakeList(const MemberList& list) {
@@ -298,6 +343,7 @@
   if (list.complete) {
     for (auto& [number, hop] : hops_) hop.entry.state = rushfall::EndpointState::kRemoved;
   }
+  const Time now = Now();
   for (const Member& member : list.members) {
     const rushfall::EndpointId number = HopNumber(member.id);
     if (hops_.count(number) == 0) {  // the module's lines name its numbers
@@ -314,6 +360,13 @@
                  .weight = member.weight};
     e.entries.push_back(hop.entry);
   }
+  for (auto& [number, hop] : hops_) {
+    if (hop.entry.state != rushfall::EndpointState::kRemoved) {
+      hop.gone_since = {};
+    } else if (hop.gone_since == Time{}) {
+      hop.gone_since = now;
+    }
+  }
   return e;
 }
 
@@ -324,7 +377,7 @@
     return hops_.at(out.hop).entry.state != rushfall::EndpointState::kListed;
   });
   for (const auto& [number, hop] : hops_) {
-    if (hop.entry.state != rushfall::EndpointState::kListed) next_hops_.Forget(hop.address);
+    if (hop.entry.state != rushfall::EndpointState::kListed) next_hops_.Forget(number);
   }
 }
 
@@ -471,8 +524,8 @@
                         : parts.size() == 1 ? SingleCall(hop.address, parts[0], left)
                                             : BundleCall(hop.address, parts, left);
   out.started = now;
-  out.delivery =
-      std::make_shared<Delivery>(number, hop.address, std::move(request), Point(out.start_by));
+  out.delivery = std::make_shared<Delivery>(number, out.hop, hop.address, std::move(request),
+                                            Point(out.start_by));
   deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
   if (!parts.empty()) ++slots_taken_;
   next_hops_.Start(out.delivery);
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -31,6 +31,9 @@
 
 class Engine : public Intake {
  public:
+  // Connections to next hops at once, at most.
+  static std::size_t MostNextHopConnections(const Config& config);
+
   Engine(const Config& config, Spool& spool, BufferPool& buffers);
   ~Engine() override;
 
@@ -88,6 +91,7 @@
     std::string name;
     std::string address;
     rushfall::EndpointEntry entry;
+    Time gone_since{};  // if it is removed
   };
 
   struct OutPart {
@@ -131,10 +135,12 @@
   void Do(const rushfall::Log& e);
 
   std::string Reject(const Envelope& envelope, std::size_t& the_class, std::size_t& tenant) const;
+  bool IsListed(rushfall::DestinationId destination) const;
   bool HasRoomFor(const Envelope& envelope) const;
   void GiveUp(MessageId message, Notice notice);
   void Erase(MessageId message);
   rushfall::EndpointId HopNumber(const std::string& name);
+  void ForgetHops(Time now);
   rushfall::EndpointList TakeList(const MemberList& list);
 
   void StartReady(Time now);
@@ -162,6 +168,8 @@
 
   std::map<rushfall::EndpointId, Hop> hops_;
   std::unordered_map<std::string, rushfall::EndpointId> hop_numbers_;
+  rushfall::EndpointId next_hop_ = 0;
+  Duration longest_deadline_{};  // of the classes
   std::uint64_t revision_ = 0;
 
   std::uint64_t next_out_ = 1;
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <optional>
 
 #include "protocol/base64.hpp"
@@ -15,6 +14,9 @@
 using rushfall::Outcome;
 using Fate = DeliveryEnd::Fate;
 
+// A report beyond these cannot be meant. A share may be a little over 1, for reports are noisy.
+constexpr double kMostShare = 2;
+constexpr double kMostLimit = 1e6;                 // calls a second
 constexpr std::uint64_t kLongestWait = 3'600'000;  // ms; guards against a wait that never ends
 
 template <typename T>
@@ -119,9 +121,9 @@
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     if (pair.size() < 4 || pair[2] != '=') continue;
     const auto value = Parse<double>(pair.substr(3));
-    if (!value || !std::isfinite(*value)) continue;
-    if (pair.starts_with("x0")) report.allowance_left = value;
-    if (pair.starts_with("x1")) report.limit = value;
+    if (!value || !(*value >= 0)) continue;
+    if (pair.starts_with("x0") && *value <= kMostShare) report.allowance_left = value;
+    if (pair.starts_with("x1") && *value <= kMostLimit) report.limit = value;
   }
   return report;
 }
--- a/src/net/delivery.hpp
+++ b/src/net/delivery.hpp
@@ -13,16 +13,20 @@
 
 namespace brassfront {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 class Delivery {
  public:
   enum class Stop { kNone, kRecalled, kCancelled, kTimedOut };
 
-  Delivery(std::uint64_t its_number, std::string to, std::string bytes, SteadyTime latest)
-      : number(its_number), address(std::move(to)), request(std::move(bytes)), start_by(latest) {}
+  Delivery(std::uint64_t its_number, std::uint64_t its_hop, std::string to, std::string bytes,
+           SteadyTime latest)
+      : number(its_number),
+        hop(its_hop),
+        address(std::move(to)),
+        request(std::move(bytes)),
+        start_by(latest) {}
 
   const std::uint64_t number;
+  const std::uint64_t hop;  // of the next hop; another one may take over the address
   const std::string address;
   const std::string request;
   const SteadyTime start_by;  // not to be written later than this
@@ -83,9 +87,9 @@
   enum class Fate { kAnswered, kNotSent, kConnectFailed, kReset, kTimedOut, kCancelled };
   std::uint64_t number = 0;
   Fate fate = Fate::kReset;
-  // With kAnswered:
+  // With kAnswered: a whole answer, or one that is spoilt after a first line with 200.
   int status = 0;
-  bool whole = false;  // the answer came to its end
+  bool whole = false;
   std::string body{};
   std::string wait_ms{}, slots_taken{}, load{};  // headers as they stand; empty if absent
 };
--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -1,17 +1,21 @@
 #include "net/next_hops.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace brassfront {
 namespace {
 
 constexpr const char* kSide = "next-hop";
-constexpr std::size_t kMostIdle = 2;  // for each next hop: some take few, idle ones counted
+constexpr std::ptrdiff_t kMostIdle = 2;  // for each next hop: some take few, idle ones counted
 constexpr std::size_t kMostWaiting = 4096;
 constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
 // Of the time after which the other side closes an idle connection. Guards against a call that
 // crosses that close and ends as a reset, which may have run.
 constexpr double kIdleShare = 0.6;
+// From an answer's first byte to its last. Guards against one that claims more than ever comes, and
+// holds its slot meanwhile.
+constexpr std::chrono::milliseconds kAnswerTime{500};
 
 const char* ReasonOf(Delivery::Stop stop, const char* otherwise) {
   switch (stop) {
@@ -43,9 +47,7 @@
     for (auto& [number, delivery] : out_) delivery->End(Delivery::Stop::kCancelled);
   }
   for (Thread& thread : threads_) thread.Join();
-  for (auto& [address, connections] : idle_) {
-    for (Connection& c : connections) End(c, "shutdown");
-  }
+  for (Connection& c : idle_) End(c, "shutdown");
 }
 
 void NextHops::Start(std::shared_ptr<Delivery> delivery) {
@@ -71,7 +73,7 @@
 DeliveryEnd NextHops::Carry(Delivery& delivery) {
   using Fate = DeliveryEnd::Fate;
   while (true) {
-    Connection connection = TakeIdle(delivery.address);
+    Connection connection = TakeIdle(delivery);
     const bool reused = connection.socket.is_open();
     if (!reused) connection.socket = NewSocket();
     if (!delivery.Attach(connection.socket)) {
@@ -113,17 +115,25 @@
 
 DeliveryEnd NextHops::ReadAnswer(Connection& connection, Delivery& delivery) {
   HttpReader reader(kMostAnswer);
-  bool ended = false;
-  {
+  const char* fault = "malformed";
+  SteadyTime until = SteadyTime::max();
+  while (!reader.done() && !reader.broken()) {
+    if (!reader.begun()) {
+      until = SteadyTime::max();
+    } else if (until == SteadyTime::max()) {
+      until = std::chrono::steady_clock::now() + kAnswerTime;
+    }
+    if (!connection.socket.AwaitInput(until)) {
+      fault = "unfinished";
+      break;
+    }
     BufferPool::Buffer buffer = buffers_.Get();
-    while (!reader.done() && !reader.broken()) {
-      const long n = connection.socket.Receive(buffer.span());
-      ended = n <= 0;
-      if (ended) {
-        reader.FeedEnd();
-      } else {
-        reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
-      }
+    const long n = connection.socket.Receive(buffer.span());
+    if (n > 0) {
+      reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
+    } else {
+      fault = "reset";
+      reader.FeedEnd();
     }
   }
   delivery.Detach();
@@ -133,12 +143,15 @@
   if (reader.done() && reader.keep_alive() && stop == Delivery::Stop::kNone) {
     Keep(std::move(connection));
   } else {
-    End(connection, ReasonOf(stop, reader.done() ? "peer-asked" : ended ? "reset" : "malformed"));
+    End(connection, ReasonOf(stop, reader.done() ? "not-kept" : fault));
   }
-  if (reader.status() != 0) {
+  // Of a spoilt answer only a first line with 200 is true. Guards against taking a request that has
+  // run for one that was turned away.
+  if (reader.done() || reader.status() == 200) {
     end.fate = DeliveryEnd::Fate::kAnswered;
     end.status = reader.status();
     end.whole = reader.done();
+    if (!end.whole) return end;
     end.body = reader.body();
     end.wait_ms = reader.Header("wait-ms");
     end.slots_taken = reader.Header("slots-taken");
@@ -157,29 +170,34 @@
 }
 
 // The newest that still stands, or one without a socket. Guards against writing to a connection
-// that the other side has closed.
-NextHops::Connection NextHops::TakeIdle(const std::string& address) {
+// that the other side has closed, or on which it has said more than it was asked.
+NextHops::Connection NextHops::TakeIdle(const Delivery& delivery) {
   const std::lock_guard lock(mutex_);
-  std::vector<Connection>& idle = idle_[address];
-  while (!idle.empty()) {
-    Connection connection = std::move(idle.back());
-    idle.pop_back();
+  for (auto it = idle_.end(); it != idle_.begin();) {
+    --it;
+    if (it->hop != delivery.hop || it->address != delivery.address) continue;
+    Connection connection = std::move(*it);
+    it = idle_.erase(it);
     if (!connection.socket.HasInputOrEnd()) return connection;
     End(connection, "stale");
   }
   Connection fresh;
-  fresh.address = address;
+  fresh.hop = delivery.hop;
+  fresh.address = delivery.address;
   return fresh;
 }
 
 void NextHops::Keep(Connection connection) {
   const std::lock_guard lock(mutex_);
-  std::vector<Connection>& idle = idle_[connection.address];
+  const std::uint64_t hop = connection.hop;
   connection.idle_since = std::chrono::steady_clock::now();
-  idle.push_back(std::move(connection));
-  if (idle.size() <= kMostIdle) return;
-  End(idle.front(), "one-too-many");
-  idle.erase(idle.begin());
+  idle_.push_back(std::move(connection));
+  const auto of_hop = [&](const Connection& c) { return c.hop == hop; };
+  const bool many = std::count_if(idle_.begin(), idle_.end(), of_hop) > kMostIdle;
+  if (!many && idle_.size() <= options_.most_idle) return;
+  const auto oldest = many ? std::find_if(idle_.begin(), idle_.end(), of_hop) : idle_.begin();
+  End(*oldest, "one-too-many");
+  idle_.erase(oldest);
 }
 
 void NextHops::RetireIdle() {
@@ -187,22 +205,21 @@
       std::chrono::steady_clock::now() -
       std::chrono::duration_cast<std::chrono::nanoseconds>(options_.connection_idle * kIdleShare);
   const std::lock_guard lock(mutex_);
-  for (auto& [address, connections] : idle_) {
-    std::erase_if(connections, [&](Connection& c) {
-      const bool stale = c.socket.HasInputOrEnd();
-      if (!stale && c.idle_since >= oldest) return false;
-      End(c, stale ? "peer-closed" : "idle");
-      return true;
-    });
-  }
+  std::erase_if(idle_, [&](Connection& c) {
+    const bool stale = c.socket.HasInputOrEnd();
+    if (!stale && c.idle_since >= oldest) return false;
+    End(c, stale ? "peer-closed" : "idle");
+    return true;
+  });
 }
 
-void NextHops::Forget(const std::string& address) {
+void NextHops::Forget(std::uint64_t hop) {
   const std::lock_guard lock(mutex_);
-  const auto it = idle_.find(address);
-  if (it == idle_.end()) return;
-  for (Connection& c : it->second) End(c, "gone");
-  idle_.erase(it);
+  std::erase_if(idle_, [&](Connection& c) {
+    if (c.hop != hop) return false;
+    End(c, "gone");
+    return true;
+  });
 }
 
 }  // namespace brassfront
--- a/src/net/next_hops.hpp
+++ b/src/net/next_hops.hpp
@@ -23,6 +23,7 @@
  public:
   struct Options {
     std::size_t threads = 1;                     // deliveries at once; more wait for a thread
+    std::size_t most_idle = 64;                  // kept connections
     std::chrono::nanoseconds connection_idle{};  // after which the other side closes one
     std::chrono::milliseconds connect_timeout{};
   };
@@ -35,11 +36,12 @@
   // Closes connections that have been idle for long. To be called every second or so.
   void RetireIdle();
   // The next hop is gone: its idle connections are closed.
-  void Forget(const std::string& address);
+  void Forget(std::uint64_t hop);
 
  private:
   struct Connection {
     Socket socket;
+    std::uint64_t hop = 0;
     std::string address;
     SteadyTime idle_since{};
     std::size_t exchanges = 0;
@@ -50,14 +52,14 @@
   bool Open(Connection& connection, Delivery& delivery);
   DeliveryEnd ReadAnswer(Connection& connection, Delivery& delivery);
   void End(Connection& connection, const char* reason);
-  Connection TakeIdle(const std::string& address);
+  Connection TakeIdle(const Delivery& delivery);
   void Keep(Connection connection);
 
   const Options options_;
   BufferPool& buffers_;
   const OnEnd on_end_;
-  std::mutex mutex_;                                     // guards what follows
-  std::map<std::string, std::vector<Connection>> idle_;  // the newest last
+  std::mutex mutex_;              // guards what follows
+  std::vector<Connection> idle_;  // the newest last
   std::map<std::uint64_t, std::shared_ptr<Delivery>> out_;
   Mailbox<std::shared_ptr<Delivery>> work_;
   std::vector<Thread> threads_;
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -11,12 +11,20 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
+constexpr std::chrono::milliseconds kReplyTime{2000};  // for a reply to be written
+constexpr std::size_t kMostLeaving = 16;  // connections that were dropped and are not closed yet
 constexpr const char* kSide = "sender";
 
+// Without waiting for anything: other clients wait to be taken.
+void TurnAway(Socket& socket, const char* reason) {
+  socket.SendAll(RespError("BUSY", "1000"), std::chrono::steady_clock::now());
+  LogConnectionEnd(kSide, "", reason, 0);
+}
+
 }  // namespace
 
-SenderSide::SenderSide(Socket listener, std::size_t most, Intake& intake, BufferPool& buffers)
-    : most_(most),
+SenderSide::SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers)
+    : limits_(limits),
       intake_(intake),
       buffers_(buffers),
       listener_(std::move(listener)),
@@ -51,21 +59,44 @@
       continue;
     }
     const std::lock_guard lock(mutex_);
-    if (connections_.size() >= most_) {
-      socket.SendAll(RespError("BUSY", "1000"));
-      LogConnectionEnd(kSide, "", "too-many", 0);
+    if (connections_.size() >= limits_.connections && !MakeRoom()) {
+      TurnAway(socket, "too-many");
       continue;
     }
     Connection& c = connections_.emplace_back();
     c.socket = std::move(socket);
+    c.since = std::chrono::steady_clock::now();
     c.thread = Thread([this, &c] { Serve(c); });
     if (c.thread.started()) continue;
-    c.socket.SendAll(RespError("BUSY", "1000"));
-    LogConnectionEnd(kSide, "", "no-thread", 0);
+    TurnAway(c.socket, "no-thread");
     connections_.pop_back();
   }
 }
 
+// Ends the connection that is the least loss, for a newcomer. Guards against clients that connect
+// and say nothing, or have had their answer and stay, in the places of those with a message.
+bool SenderSide::MakeRoom() {
+  std::size_t standing = 0;
+  Connection* least = nullptr;
+  const SteadyTime now = std::chrono::steady_clock::now();
+  for (Connection& c : connections_) {
+    if (c.ended || c.dropped) continue;
+    ++standing;
+    const auto bound = c.heard ? limits_.long_idle : limits_.unheard;
+    if ((c.heard && !c.reading) || now - c.since < bound) continue;
+    const bool better = least == nullptr || (least->heard && !c.heard) ||
+                        (least->heard == c.heard && c.since < least->since);
+    if (better) least = &c;
+  }
+  // What was dropped has its socket and thread for a little longer.
+  if (connections_.size() >= limits_.connections + kMostLeaving) return false;
+  if (standing < limits_.connections) return true;
+  if (least == nullptr) return false;
+  least->dropped = true;
+  StopReading(least->socket.fd());  // what is being answered is not cut off
+  return true;
+}
+
 void SenderSide::Reap() {
   const std::lock_guard lock(mutex_);
   connections_.remove_if([](const Connection& c) { return c.ended; });  // their threads are over
@@ -76,6 +107,11 @@
   connection.reading = reading;
 }
 
+bool SenderSide::Dropped(const Connection& connection) {
+  const std::lock_guard lock(mutex_);
+  return connection.dropped;
+}
+
 void SenderSide::Serve(Connection& connection) {
   RespReader reader;
   std::size_t exchanges = 0;
@@ -90,30 +126,54 @@
 // Serves the connection and returns the reason for its end.
 const char* SenderSide::Exchange(Connection& connection, RespReader& reader,
                                  std::size_t& exchanges) {
+  SteadyTime due = connection.since + limits_.command;
   while (true) {
-    if (draining_ && exchanges > 0 && reader.between_commands()) return "drained";
-    BufferPool::Buffer buffer = buffers_.Get();
+    const bool between = reader.between_commands();
+    if (draining_ && exchanges > 0 && between) return "drained";
     // A new connection may send its one request in a drain: only those that had theirs are cut.
-    SetReading(connection, exchanges > 0 && reader.between_commands());
-    const long n = connection.socket.Receive(buffer.span());
+    SetReading(connection, exchanges > 0 && between);
+    const bool came = connection.socket.AwaitInput(due);
     SetReading(connection, false);
-    if (n < 0) return stopping_ ? "shutdown" : "reset";
-    if (n == 0) return stopping_ ? "shutdown" : draining_ ? "drained" : "peer-closed";
+    if (!came) {
+      if (exchanges > 0 && between) return "idle";
+      Send(connection, RespError("ERR", "no command in time"));
+      return between ? "silent" : "too-slow";
+    }
+    BufferPool::Buffer buffer = buffers_.Get();
+    const long n = connection.socket.Receive(buffer.span());
+    if (n <= 0) {
+      if (stopping_) return "shutdown";
+      if (Dropped(connection)) return "made-room";
+      return n < 0 ? "reset" : draining_ ? "drained" : "peer-closed";
+    }
+    if (exchanges > 0 && between) due = std::chrono::steady_clock::now() + limits_.command;
     reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
+    bool answered = false;
     while (!reader.commands().empty()) {
       RespCommand command = std::move(reader.commands().front());
       reader.commands().pop_front();
       const char* reason = nullptr;
       ++exchanges;
+      answered = true;
       if (!Reply(connection, command, reason)) return reason;
     }
     if (reader.broken()) {
-      connection.socket.SendAll(RespError("ERR", "protocol error"));
+      Send(connection, RespError("ERR", "protocol error"));
+      connection.socket.Linger(buffer.span());
       return "malformed";
     }
+    if (!answered) continue;
+    const std::lock_guard lock(mutex_);
+    connection.heard = true;
+    connection.since = std::chrono::steady_clock::now();
+    due = connection.since + (reader.between_commands() ? limits_.idle : limits_.command);
   }
 }
 
+bool SenderSide::Send(Connection& connection, const std::string& reply) {
+  return connection.socket.SendAll(reply, std::chrono::steady_clock::now() + kReplyTime);
+}
+
 // False, with the reason, if the connection is to end.
 bool SenderSide::Reply(Connection& connection, RespCommand& command, const char*& reason) {
   std::string& name = command.words[0];
@@ -132,7 +192,7 @@
   } else {
     reply = RespError("ERR", "unknown command");
   }
-  if (!connection.socket.SendAll(reply)) {
+  if (!Send(connection, reply)) {
     reason = "reset";
     return false;
   }
@@ -146,20 +206,20 @@
   try {
     envelope = ParsePut(std::move(command.words));
   } catch (const BadEnvelope& fault) {
-    return connection.socket.SendAll(RespError("ERR", fault.what()));
+    return Send(connection, RespError("ERR", fault.what()));
   }
   const std::string id = envelope.id;
   const Answer answer = intake_.HandIn(std::move(envelope));
   if (answer.verdict == Answer::Verdict::kBad) {
-    return connection.socket.SendAll(RespError("ERR", answer.fault));
+    return Send(connection, RespError("ERR", answer.fault));
   }
   if (answer.verdict == Answer::Verdict::kDeferred) {
     std::string wait;
     if (answer.come_back) wait = std::to_string(answer.come_back->count());
-    return connection.socket.SendAll(RespError("BUSY", wait));
+    return Send(connection, RespError("BUSY", wait));
   }
   // A client that has stopped waiting may hand the message in again under a new id.
-  if (connection.socket.HasEnded() || !connection.socket.SendAll(RespSimple("OK"))) {
+  if (connection.socket.HasEnded() || !Send(connection, RespSimple("OK"))) {
     intake_.Lost(id);
     reason = "gone-before-answer";
     return false;
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -3,6 +3,7 @@
 #define BRASSFRONT_NET_SENDER_SIDE_HPP_
 
 #include <atomic>
+#include <chrono>
 #include <list>
 #include <mutex>
 #include <string>
@@ -18,8 +19,20 @@
 
 class SenderSide {
  public:
-  // Takes connections from the listener until it is destroyed, `most` at once.
-  SenderSide(Socket listener, std::size_t most, Intake& intake, BufferPool& buffers);
+  struct Limits {
+    std::size_t connections = 1;  // at once
+    // For each command to come whole: the first from connecting on, others from their first byte
+    // on. A total, so that a client that trickles is no better off than one that is silent.
+    std::chrono::milliseconds command{2000};
+    std::chrono::milliseconds idle{4000};  // between two commands
+    // What newcomers take the place of, once all are taken: a connection without any command yet,
+    // and else one that has been idle for so long.
+    std::chrono::milliseconds unheard{100};
+    std::chrono::milliseconds long_idle{2000};
+  };
+
+  // Takes connections from the listener until it is destroyed.
+  SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers);
   ~SenderSide();
 
   // From now on each connection is closed between two requests; new ones get one request.
@@ -29,19 +42,25 @@
   struct Connection {
     Socket socket;
     Thread thread;
-    bool reading = false;  // blocked between two requests
+    SteadyTime since{};    // connected, or its last command was answered
+    bool heard = false;    // a whole command has come
+    bool reading = false;  // waits for a command of which nothing has come
+    bool dropped = false;  // for a newcomer
     bool ended = false;
   };
 
   void TakeConnections();
+  bool MakeRoom();
   void Serve(Connection& connection);
   const char* Exchange(Connection& connection, RespReader& reader, std::size_t& exchanges);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
   bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
+  bool Send(Connection& connection, const std::string& reply);
   void SetReading(Connection& connection, bool reading);
+  bool Dropped(const Connection& connection);
   void Reap();
 
-  const std::size_t most_;
+  const Limits limits_;
   Intake& intake_;
   BufferPool& buffers_;
   Socket listener_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr int kBacklog = 512;
+constexpr std::size_t kMostPassedOver = 1 << 20;  // bytes, while lingering
+constexpr std::chrono::milliseconds kLingerFor{500};
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -49,10 +53,29 @@
   if (fd_ >= 0) close(std::exchange(fd_, -1));
 }
 
-bool Socket::SendAll(std::string_view bytes) {
+bool Socket::Await(short events, SteadyTime until) const {
+  while (true) {
+    int ms = -1;
+    if (until != SteadyTime::max()) {
+      const auto left =
+          std::chrono::ceil<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+      ms = static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(left.count(), 0, 1 << 30));
+    }
+    pollfd wanted{fd_, events, 0};
+    const int n = poll(&wanted, 1, ms);
+    if (n > 0) return true;
+    if (n == 0) return false;
+    if (errno != EINTR) return true;  // reading or writing tells what is wrong
+  }
+}
+
+bool Socket::AwaitInput(SteadyTime until) const { return Await(POLLIN, until); }
+
+bool Socket::SendAll(std::string_view bytes, SteadyTime until) {
   while (!bytes.empty()) {
-    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
     if (n <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(n));
   }
@@ -79,6 +102,16 @@
 
 void Socket::ReceiveTimeout(std::chrono::milliseconds time) { SetTimeout(fd_, SO_RCVTIMEO, time); }
 
+void Socket::Linger(std::span<char> buffer) {
+  const SteadyTime until = std::chrono::steady_clock::now() + kLingerFor;
+  shutdown(fd_, SHUT_WR);
+  for (std::size_t passed = 0; passed < kMostPassedOver && AwaitInput(until);) {
+    const long n = Receive(buffer);
+    if (n <= 0) return;
+    passed += static_cast<std::size_t>(n);
+  }
+}
+
 bool IsAddress(const std::string& address) { return ParseAddress(address).has_value(); }
 
 Socket NewSocket() { return Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)); }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -12,6 +12,8 @@
 
 namespace brassfront {
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 class Socket {
  public:
   Socket() = default;
@@ -27,7 +29,10 @@
   bool is_open() const { return fd_ >= 0; }
   void Close();
 
-  bool SendAll(std::string_view bytes);
+  // False if not all could be written by then.
+  bool SendAll(std::string_view bytes, SteadyTime until = SteadyTime::max());
+  // Waits for something to read or the peer's end; false if neither came by then.
+  bool AwaitInput(SteadyTime until) const;
   // Bytes read, 0 at the peer's end, -1 at an error (errno tells: EAGAIN at a time-out).
   long Receive(std::span<char> into);
   // Something to read or the end has come: a connection between calls is stale then.
@@ -35,8 +40,13 @@
   // The peer has ended or reset it; unread bytes do not count.
   bool HasEnded() const;
   void ReceiveTimeout(std::chrono::milliseconds time);
+  // Before the closing: ends the writing and passes over some of what still comes. Guards against a
+  // reset that overtakes the last reply, as closing a socket with unread bytes sends one.
+  void Linger(std::span<char> buffer);
 
  private:
+  bool Await(short events, SteadyTime until) const;
+
   int fd_ = -1;
 };
 
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -37,8 +37,10 @@
 void HttpReader::Feed(std::string_view bytes) {
   while (!bytes.empty() && state_ != State::kBroken) {
     if (state_ == State::kDone) {
-      state_ = State::kBroken;
-    } else if (state_ == State::kBody || state_ == State::kUntilEnd || state_ == State::kChunk) {
+      keep_alive_ = false;
+      return;
+    }
+    if (state_ == State::kBody || state_ == State::kUntilEnd || state_ == State::kChunk) {
       TakeBytes(bytes);
     } else {
       line_ += bytes.front();
@@ -83,7 +85,7 @@
     case State::kChunkSize: {
       head_bytes_ = 0;  // the bound is for each line of a stream that stays open
       const std::string_view size = Trim(std::string_view(line_).substr(0, line_.find(';')));
-      if (!ParseSize(size, 16, bytes_due_)) {
+      if (!ParseSize(size, 16, bytes_due_) || bytes_due_ > most_body_) {
         state_ = State::kBroken;
       } else {
         state_ = bytes_due_ > 0 ? State::kChunk : State::kTrailer;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -14,12 +14,17 @@
  public:
   explicit HttpReader(std::size_t most_body = 1 << 20) : most_body_(most_body) {}
 
-  // Takes any cut of the stream; what comes after the answer's end counts as a broken answer.
+  // Takes any cut of the stream. What comes after the answer's end is passed over, and the
+  // connection cannot be used again.
   void Feed(std::string_view bytes);
   // The peer ended the connection.
   void FeedEnd();
 
   int status() const { return status_; }  // 0 until the first line has come whole
+  // Some of the answer has come, not only of an interim one before it.
+  bool begun() const {
+    return state_ == State::kStatus ? !line_.empty() : state_ != State::kHeaders || status_ >= 200;
+  }
   bool head_done() const { return state_ >= State::kBody && state_ != State::kBroken; }
   bool done() const { return state_ == State::kDone; }
   bool broken() const { return state_ == State::kBroken; }
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -223,6 +223,25 @@
             self.assertTrue(client.call(*words).startswith("-ERR "), words)
         self.assertEqual(client.put(1, "x" * 65536)[1], "+OK")
 
+    def test_what_no_list_names_is_not_taken_on(self):
+        client = self.start().client()
+        self.assertRegex(client.put(77, "x")[1], r"^-BUSY \d+$")
+        self.assertIn("0 owed", self.spool())
+
+    def test_silent_and_trickling_clients_do_not_keep_others_out(self):
+        forwarder = self.start()
+        rude = [forwarder.client() for _ in range(500)]
+        for client in rude[::2]:
+            client.socket.sendall(b"*5\r\n$7\r\nMSG")
+        answer, end = "-BUSY", time.monotonic() + LIMIT
+        while answer.startswith("-BUSY"):  # in the very moment of such a crowd
+            self.assertLess(time.monotonic(), end)
+            message, answer = forwarder.client().put(1, "x")
+        self.assertEqual(answer, "+OK")
+        self.wait_for("the call", lambda: self.calls_of(message))
+        for client in rude:  # each gets an error, or just the close
+            self.assertRegex(client.read(), "^(-.*)?$")
+
     def test_malformed_bytes_get_an_error_and_the_close(self):
         forwarder = self.start()
         for data in (b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$x\r\n", b"\x00" * 200, b"*1\r\n$1\r\nabc\r\n"):
--- /dev/null
+++ b/tests/network/sender_side_test.cpp
@@ -0,0 +1,122 @@
+// The sender side against clients on loopback that behave badly. What is waited for has no limit of
+// its own: only a failure would wait for good.
+#include "net/sender_side.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace brassfront {
+namespace {
+
+constexpr std::chrono::milliseconds kNever = std::chrono::hours(1);
+constexpr std::string_view kPing = "*1\r\n$4\r\nPING\r\n";
+
+class NoIntake : public Intake {
+  Answer HandIn(Envelope) override { return {}; }
+  void Heard(const std::string&) override {}
+  void Lost(const std::string&) override {}
+};
+
+class Fixture {
+ public:
+  void Start(const SenderSide::Limits& limits) {
+    Socket listener = Listen("127.0.0.1:0");
+    address = AddressOf(listener);
+    side.emplace(std::move(listener), limits, intake, buffers);
+  }
+  Socket Client(std::string_view says = {}) {
+    Socket socket = NewSocket();
+    REQUIRE(Connect(socket, address, kNever));
+    socket.SendAll(says);
+    return socket;
+  }
+  // All that comes up to the close.
+  static std::string ToTheEnd(Socket& socket) {
+    std::string got;
+    char byte = 0;
+    while (socket.Receive({&byte, 1}) == 1) got += byte;
+    return got;
+  }
+  static std::string Line(Socket& socket) {
+    std::string got;
+    char byte = 0;
+    while (!got.ends_with("\r\n") && socket.Receive({&byte, 1}) == 1) got += byte;
+    return got;
+  }
+
+  NoIntake intake;
+  BufferPool buffers;
+  std::string address;
+  std::optional<SenderSide> side;
+};
+
+TEST_CASE_FIXTURE(Fixture, "a client without a whole command in time gets an error and the close") {
+  Start({.connections = 8, .command = std::chrono::milliseconds(50), .idle = kNever});
+  for (const std::string_view says : {"", "*1\r\n$4\r\nPI", "*", "*1\r\n$100\r\nabc"}) {
+    Socket client = Client(says);
+    CHECK(ToTheEnd(client).starts_with("-ERR "));
+  }
+  Socket later = Client(std::string(kPing) + "*1\r\n$4");  // a later command is bound as well
+  CHECK(Line(later) == "+PONG\r\n");
+  CHECK(ToTheEnd(later).starts_with("-ERR "));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a client that trickles is bound by the total, not by the gaps") {
+  Start({.connections = 8, .command = std::chrono::milliseconds(200), .idle = kNever});
+  Socket client = Client("*1\r\n$1000000\r\n");
+  std::string got;
+  while (got.empty()) {  // one byte at a time, far more often than the bound
+    client.SendAll("x");
+    if (client.AwaitInput(std::chrono::steady_clock::now() + std::chrono::milliseconds(5))) {
+      got = Line(client);
+    }
+  }
+  CHECK(got.starts_with("-ERR "));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection that is idle is closed without a word") {
+  Start({.connections = 8, .command = kNever, .idle = std::chrono::milliseconds(50)});
+  Socket client = Client(kPing);
+  CHECK(ToTheEnd(client) == "+PONG\r\n");
+}
+
+TEST_CASE_FIXTURE(Fixture, "newcomers take the places of the silent, then of the long idle") {
+  Start({.connections = 2,
+         .command = kNever,
+         .idle = kNever,
+         .unheard = std::chrono::milliseconds(0),
+         .long_idle = std::chrono::milliseconds(0)});
+  Socket idle = Client(kPing);
+  CHECK(Line(idle) == "+PONG\r\n");
+  Socket silent = Client();
+  Socket newcomer = Client(kPing);
+  CHECK(Line(newcomer) == "+PONG\r\n");
+  CHECK(ToTheEnd(silent).empty());
+  Socket another = Client(kPing);
+  CHECK(Line(another) == "+PONG\r\n");
+  CHECK(ToTheEnd(idle).empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "with all places in use a newcomer is told to come back") {
+  Start({.connections = 2,
+         .command = kNever,
+         .idle = kNever,
+         .unheard = kNever,
+         .long_idle = kNever});
+  Socket first = Client(kPing), second = Client(kPing);
+  CHECK(Line(first) == "+PONG\r\n");
+  CHECK(Line(second) == "+PONG\r\n");
+  Socket third = Client();
+  CHECK(ToTheEnd(third) == "-BUSY 1000\r\n");
+}
+
+TEST_CASE_FIXTURE(Fixture, "the error line arrives though more was sent than is read") {
+  Start({.connections = 2});
+  Socket client = Client("*1\r\n$60000000\r\n" + std::string(300'000, 'x'));
+  CHECK(ToTheEnd(client) == "-ERR protocol error\r\n");
+}
+
+}  // namespace
+}  // namespace brassfront
