Let the gate's mark follow our share of a healthy destination's limit; forget old endpoints

Probe lines in Admit gave n 8, sends 0.0, arrivals 20 a second, held 25 of 892, R 8: nothing had been sent yet, since bundles gather for 0.4 of the aim. A restart has the same: what was restored fills the least mark at once. Ruled out: the hold, the slots (8 of 17 free) and turned away connections. Lines at fault: MarksOf took the rate of sends alone. Now R takes our even share of the told limit where that is more and all endpoints are healthy.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -105,9 +105,9 @@
   Time accepted{};
   Time not_before{};
   std::vector<Attempt> attempts;
-  std::size_t attempts_before = 0;   // by an earlier process
-  std::optional<Time> may_have_run;  // send of the first attempt that may have run
-  EndpointId ran_at = 0;             // where that was
+  std::size_t attempts_before = 0;    // by an earlier process
+  std::optional<Time> may_have_run;   // send of the first attempt that may have run
+  std::optional<std::size_t> ran_in;  // the zone of that
   int out = 0;
   bool finished = false;
 };
@@ -163,6 +163,7 @@
   int calls_out = 0;
   int fresh_out = 0;  // of them not overdue
   bool probing = false;
+  std::optional<Time> removed;
   Lane own_lane;
 };
 
@@ -265,7 +266,9 @@
     Message m = Taken(e);
     m.attempts_before = e.attempts_used;
     m.may_have_run = e.may_have_run;
-    m.ran_at = e.ran_at;
+    if (const auto it = endpoints_.find(e.ran_at); e.may_have_run && it != endpoints_.end()) {
+      m.ran_in = it->second.entry.zone;
+    }
     DestinationOf(e.destination);
     Hold(std::move(m), e.key);
     if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
@@ -357,7 +360,7 @@
                        e.outcome == Outcome::kCancelled;
     if ((doubt || e.outcome == Outcome::kError) && !m.may_have_run) {
       m.may_have_run = attempt.sent;
-      m.ran_at = attempt.endpoint;
+      m.ran_in = endpoints_.at(attempt.endpoint).entry.zone;
     }
     if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + set_.order_rest;
     JudgeCall(attempt, e);
@@ -376,11 +379,29 @@
     double abatement, onset, discard;
   };
 
-  // R clears in the shortest deadline at the rate of sends. A backlog also leaves half of its
-  // size free in the hold, however small that is (guards against a sick destination that fills the
-  // hold, so that messages for healthy ones are turned away before they reach the gate).
-  Marks MarksOf(const Destination& d) const {
-    double discard = d.sends.Rate(now_) * kDeadlineShare * ToSeconds(shortest_deadline_);
+  // Our even share, in messages a second, of what the destination is said to take; 0 if that is not
+  // known or any of its endpoints is in trouble.
+  double ShareOf(const Destination& d) {
+    double share = 0;
+    for (EndpointId id : d.endpoints) {
+      Endpoint& e = endpoints_.at(id);
+      if (e.entry.state != EndpointState::kListed) continue;
+      if (e.health != Health::kClosed) return 0;
+      const double batch = static_cast<double>(BatchOf(e));
+      share = std::max(share, LaneOf(e).limit * batch / static_cast<double>(set_.group_size));
+    }
+    return share;
+  }
+
+  // R clears in the shortest deadline at the rate of sends, or at our share of the limit where that
+  // is more: guards against a start, when nothing was sent yet and messages gather in their calls
+  // or are back from an earlier process, and all others would be turned away. A backlog also leaves
+  // half of its size free in the hold, however small that is (guards against a sick destination
+  // that fills the hold, so that messages for healthy ones are turned away before they reach the
+  // gate).
+  Marks MarksOf(const Destination& d) {
+    const double rate = std::max(d.sends.Rate(now_), ShareOf(d));
+    double discard = rate * kDeadlineShare * ToSeconds(shortest_deadline_);
     discard = std::max(discard, kLeastDiscardMark);
     if (set_.max_held > 0) {
       const double room = static_cast<double>(set_.max_held) - static_cast<double>(held_);
@@ -685,9 +706,8 @@
   bool Sendable(const Message& m, const Endpoint& e) const {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
     if (m.may_have_run && ClassOf(m).effect == Effect::kKeyed &&
-        ClassOf(m).dedup_scope == DedupScope::kZone) {
-      const auto ran_at = endpoints_.find(m.ran_at);
-      if (ran_at == endpoints_.end() || ran_at->second.entry.zone != e.entry.zone) return false;
+        ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
+      return false;
     }
     return e.health != Health::kOpen || ClassOf(m).effect == Effect::kSafe || !set_.probes_allowed;
   }
@@ -915,6 +935,23 @@
       Lane& lane = LaneOf(it->second);
       if (set_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = entry.weight;
     }
+    ForgetRemoved();
+  }
+
+  // What was removed long ago and has no call out. Guards against endpoints that are replaced for
+  // as long as the process lives. What is known of one that is listed again soon is kept.
+  void ForgetRemoved() {
+    const Duration kept = std::max(longest_deadline_, set_.cold_time);
+    for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+      auto& [id, e] = *it;
+      if (e.entry.state != EndpointState::kRemoved)
+        e.removed.reset();
+      else if (!e.removed)
+        e.removed = now_;
+      const bool gone = e.removed && now_ - *e.removed > kept && e.calls_out == 0;
+      if (gone) std::erase(destinations_.at(e.entry.destination).endpoints, id);
+      it = gone ? endpoints_.erase(it) : std::next(it);
+    }
   }
 
   // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -162,6 +162,22 @@
 }
 
 // A least mark of eight once kept the gate out of small holds until they were full.
+TEST(Gate, AStartLetsMessagesGatherWithinOurShareOfTheListedRate) {
+  Settings s = TestSettings();
+  s.weights = WeightMeaning::kRate;
+  s.kinds[0].max_batch = 20;
+  Bench b(s);
+  std::vector<Event> events{Listed({{.endpoint = 1, .destination = 1, .weight = 4},
+                                    {.endpoint = 2, .destination = 2, .weight = 0.1}})};
+  for (MessageId id = 1; id <= 15; ++id) events.emplace_back(Arrive(id, kSafe, 1));
+  b.At(0s, events);
+  EXPECT_TRUE(b.Got<Refuse>().empty());
+  events.clear();
+  for (MessageId id = 16; id <= 60; ++id) events.emplace_back(Arrive(id, kSafe, 2));
+  b.At(1ms, events);  // it takes two messages a second from us
+  EXPECT_FALSE(b.Got<Refuse>().empty());
+}
+
 TEST(Gate, DiscardComesBeforeASmallHoldIsFull) {
   const std::map<std::size_t, MessageId> entering = {{8, 6}, {9, 6}, {10, 7}, {11, 8}, {12, 8}};
   for (const auto& [hold, entered] : entering) {
@@ -343,6 +359,18 @@
   EXPECT_EQ(b.attempts[2], 0u);
 }
 
+TEST(Lists, AnEndpointThatIsGoneIsForgotten) {
+  Bench b;
+  b.At(0s, {One(), Arrive(1)});
+  b.At(1s, {b.End(1, Outcome::kConnectFailed)});
+  b.At(2s, {b.End(1, Outcome::kConnectFailed), Listed({}, 2)});
+  b.At(62s, {Listed({}, 3)});
+  std::vector<Event> events{Listed({{.endpoint = 1, .destination = 1}}, 4)};
+  for (MessageId id = 2; id <= 5; ++id) events.emplace_back(Arrive(id));
+  b.At(63s, events);
+  EXPECT_GE(b.Got<Send>().size(), 4u);  // one at a time had its failure been kept
+}
+
 TEST(Lists, AnOlderListIsIgnored) {
   Bench b;
   b.At(1s, {Listed({{.endpoint = 1, .destination = 1}}, 5), Listed({}, 4), Arrive(1)});
