--- a/include/rushfall/choice.hpp
+++ b/include/rushfall/choice.hpp
@@ -99,7 +99,8 @@
   kConnectFailed,  // never ran
   kReset,          // may have run, or still run
   kCancelled,      // may have run, or still run
-  kNotSent         // never left the dispatcher
+  kNotSent,        // never left the dispatcher
+  kCrowded         // the endpoint runs, but holds all the connections that it takes; never ran
 };
 
 struct LoadReport {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,6 +40,7 @@
 constexpr double kLeastPart = 0.2;   // of our demand: a paced rate is never lower
 constexpr Duration kFullPause = std::chrono::milliseconds(300);    // after a refusal
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
+constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
 constexpr double kPauseCalls = 0.6;    // of our calls' mean distance, doubled with each in a row
 constexpr double kLeastTrials = 1e-3;  // a second; no setting stops them
 constexpr Duration kLimitSpan = std::chrono::seconds(2);  // refusals for longer are an outage
@@ -164,6 +165,9 @@
   int fresh_out = 0;  // of them not overdue
   bool probing = false;
   std::optional<Time> removed;
+  int places = 0;  // calls out that its connections allowed us last; 0: no bound seen
+  Time crowded{};  // when it was seen
+  Time next_call{};
   Lane own_lane;
 };
 
@@ -601,11 +605,27 @@
     } else if (outcome == Outcome::kFull) {
       OnFull(e, call, told);
       JudgeFull(e, lane, told);
+    } else if (outcome == Outcome::kCrowded) {
+      OnCrowded(e);
     } else if (!call.overdue) {
       Failed(e, call);
     }
   }
 
+  // No more connections for us than there are, and one more with each pause from then on. That is
+  // neither a limit on calls nor an outage: guards against a pace or a trickle where calls on the
+  // connections that stand would be taken.
+  void OnCrowded(Endpoint& e) {
+    e.places = std::max(1, e.calls_out - 1);
+    e.crowded = now_;
+    if (e.calls_out == 1) e.next_call = now_ + Spread(kFullPause);
+  }
+
+  bool HasPlace(const Endpoint& e) const {
+    if (e.next_call > now_) return false;
+    return e.places == 0 || e.calls_out < e.places + (now_ - e.crowded) / kPlacePause;
+  }
+
   // An answer at the usual pace after silence: the silent calls were lost on the way, not queued.
   // Guards against loss everywhere, when silent calls fill the slots; a slow or hung destination
   // does not answer like this.
@@ -716,7 +736,7 @@
     Lane& lane = LaneOf(e);
     if (e.health == Health::kRecovering && now_ - e.since > set_.cold_time)
       Turn(e, Health::kClosed);
-    if (e.entry.state != EndpointState::kListed) return false;
+    if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
     if (std::max(lane.wait_until, lane.next_call) > now_) return false;
     if ((e.fails_in_row > 0 && e.fresh_out > 0) || !WithinSickShare(e)) return false;
     return e.health == Health::kClosed || (lane.next_trial <= now_ && !e.probing);
@@ -860,7 +880,9 @@
     if (e.exhausted || Spent(m)) return GiveUp(m);
     if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
     // Guards against all attempts spent within a few turns while no slot is free.
-    if (e.outcome == Outcome::kNotSent) m.not_before = now_ + kUnsentPause;
+    if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kCrowded) {
+      m.not_before = now_ + kUnsentPause;
+    }
     busy_.insert(m.destination);
     std::vector<MessageId>& waiting = destinations_.at(m.destination).waiting;
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
@@ -982,6 +1004,7 @@
       if (d.waiting.empty()) continue;
       for (EndpointId e : d.endpoints) {
         const Lane& lane = LaneOf(endpoints_.at(e));
+        consider(endpoints_.at(e).next_call);
         consider(std::max(lane.wait_until, lane.next_call));
         consider(lane.next_trial);
       }
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -62,6 +62,8 @@
       return Outcome::kNotSent;
     case Fate::kConnectFailed:
       return Outcome::kConnectFailed;
+    case Fate::kCrowded:
+      return Outcome::kCrowded;
     case Fate::kTimedOut:
       return Outcome::kTimeout;
     case Fate::kCancelled:
@@ -79,7 +81,7 @@
 
 bool NeverRan(Outcome outcome) {
   return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed ||
-         outcome == Outcome::kNotSent;
+         outcome == Outcome::kCrowded || outcome == Outcome::kNotSent;
 }
 
 AttemptEnd EndOfSingle(const DeliveryEnd& end) {
--- a/src/net/delivery.hpp
+++ b/src/net/delivery.hpp
@@ -84,7 +84,7 @@
 
 // How a delivery ended, as the connection shows it.
 struct DeliveryEnd {
-  enum class Fate { kAnswered, kNotSent, kConnectFailed, kReset, kTimedOut, kCancelled };
+  enum class Fate { kAnswered, kNotSent, kConnectFailed, kCrowded, kReset, kTimedOut, kCancelled };
   std::uint64_t number = 0;
   Fate fate = Fate::kReset;
   // With kAnswered: a whole answer, or one that is spoilt after a first line with 200.
--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -156,6 +156,11 @@
     end.wait_ms = reader.Header("wait-ms");
     end.slots_taken = reader.Header("slots-taken");
     end.load = reader.Header("x-backend-load");
+    // Turned away on a connection's first call, and the connection with it, is one too many.
+    // Guards against taking that for a limit on calls.
+    const bool crowded = end.status == 503 && connection.exchanges == 1 && !reader.keep_alive() &&
+                         end.wait_ms.empty() && end.slots_taken.empty();
+    if (crowded) end.fate = DeliveryEnd::Fate::kCrowded;
   } else if (stop == Delivery::Stop::kTimedOut) {
     end.fate = DeliveryEnd::Fate::kTimedOut;
   } else if (stop == Delivery::Stop::kCancelled) {
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -479,6 +479,22 @@
 }
 
 // A learned rate once held a partner's messages until they died, long after it had room again.
+TEST(Pacer, ACrowdedEndpointGetsAsManyCallsAsItHasPlacesForUs) {
+  Bench b;
+  std::vector<Event> events{One()};
+  for (MessageId id = 1; id <= 4; ++id) events.emplace_back(Arrive(id));
+  b.At(0s, events);
+  ASSERT_EQ(b.Got<Send>().size(), 4u);
+  events = {b.End(4, Outcome::kCrowded)};
+  for (MessageId id = 5; id <= 7; ++id) events.emplace_back(Arrive(id));
+  b.At(100ms, events);
+  EXPECT_TRUE(b.Got<Send>().empty()) << "three are out, and no more was let in";
+  b.At(200ms, {b.End(1, Outcome::kDelivered)});
+  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  b.At(300ms, {b.End(2, Outcome::kDelivered), b.End(3, Outcome::kDelivered)});
+  EXPECT_EQ(b.Got<Send>().size(), 2u) << "at once: neither paced nor sick";
+}
+
 TEST(Pacer, ALearnedRateGrowsBackFasterTheLongerNothingIsRefused) {
   EXPECT_LE(CallsAfterARefusal({}, 1s, 4s), 6);
   EXPECT_GE(CallsAfterARefusal({}, 18s, 21s), 25);
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -65,7 +65,8 @@
 };
 
 bool ProvesNotRun(Outcome o) {
-  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent;
+  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent ||
+         o == Outcome::kCrowded;
 }
 
 bool Doubt(Outcome o) {
--- a/tests/network/next_hops_test.cpp
+++ b/tests/network/next_hops_test.cpp
@@ -166,6 +166,18 @@
   CHECK(End().fate == Fate::kConnectFailed);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a 503 that ends a new connection tells of too many connections") {
+  const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n";
+  Socket socket;
+  CHECK(Answered(socket, busy + "Connection: close\r\n\r\n").fate == Fate::kCrowded);
+  CHECK(Answered(socket, busy + "Connection: close\r\nWait-Ms: 5\r\n\r\n").status == 503);
+  CHECK(Answered(socket, busy + "\r\n").fate == Fate::kAnswered);
+  hops.Start(Make());  // on the connection that stands
+  Peer::ReadRequest(socket);
+  socket.SendAll(busy + "Connection: close\r\n\r\n");
+  CHECK(End().fate == Fate::kAnswered);
+}
+
 TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
   hops.Start(Make());
   Socket socket = peer.Take();
