Let newcomers take the place of the longest idle connection; count places by half of the memory

The log had 3085 connections turned away as too-many on one forwarder, at 222 of 384 descriptors and 3 of 48 MB. Ruled out: next hops (59 connections, no resets), CPU. Lines at fault: serve.cpp allowed 256 KiB for each connection, and MakeRoom ended none that had been idle for less than 2 s, so a newcomer with a message was refused for the sake of idle ones.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -19,9 +19,9 @@
 namespace {
 
 constexpr std::size_t kMostSenders = 384;  // connections
-// A connection costs a thread's stack and a command of 68 KiB at the most. An eighth of the memory
-// stands against the quarter for bodies.
-constexpr std::size_t kSenderBytes = 256 * 1024;
+// A connection costs a thread's stack, of which some 20 KiB are used, and a command of 68 KiB at
+// the most. All of them get half of the memory, beside the quarter for bodies.
+constexpr std::size_t kSenderBytes = 96 * 1024;
 constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
 constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
 
@@ -30,7 +30,7 @@
   const std::size_t all = config.limits.sockets;
   const std::size_t others = kOwnDescriptors + Engine::MostNextHopConnections(config);
   const std::size_t left = std::max(all > others ? all - others : 0, all / kLeastSenderShare);
-  const std::size_t in_memory = config.limits.memory_bytes / kSenderBytes;
+  const std::size_t in_memory = config.limits.memory_bytes / 2 / kSenderBytes;
   return std::max<std::size_t>(1, std::min({kMostSenders, left, in_memory}));
 }
 
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
 constexpr std::chrono::milliseconds kReplyTime{2000};  // for a reply to be written
-constexpr std::size_t kMostLeaving = 16;  // connections that were dropped and are not closed yet
+constexpr std::size_t kMostLeaving = 32;  // connections that were dropped and are not closed yet
 constexpr const char* kSide = "sender";
 
 // Without waiting for anything: other clients wait to be taken.
@@ -82,7 +82,7 @@
   for (Connection& c : connections_) {
     if (c.ended || c.dropped) continue;
     ++standing;
-    const auto bound = c.heard ? limits_.long_idle : limits_.unheard;
+    const auto bound = c.heard ? limits_.least_idle : limits_.unheard;
     if ((c.heard && !c.reading) || now - c.since < bound) continue;
     const bool better = least == nullptr || (least->heard && !c.heard) ||
                         (least->heard == c.heard && c.since < least->since);
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -26,9 +26,9 @@
     std::chrono::milliseconds command{2000};
     std::chrono::milliseconds idle{4000};  // between two commands
     // What newcomers take the place of, once all are taken: a connection without any command yet,
-    // and else one that has been idle for so long.
+    // and else the one that has been idle for longest; each for so long at least.
     std::chrono::milliseconds unheard{100};
-    std::chrono::milliseconds long_idle{2000};
+    std::chrono::milliseconds least_idle{200};
   };
 
   // Takes connections from the listener until it is destroyed.
--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/sender_side_test.cpp
@@ -87,7 +87,7 @@
          .command = kNever,
          .idle = kNever,
          .unheard = std::chrono::milliseconds(0),
-         .long_idle = std::chrono::milliseconds(0)});
+         .least_idle = std::chrono::milliseconds(0)});
   Socket idle = Client(kPing);
   CHECK(Line(idle) == "+PONG\r\n");
   Socket silent = Client();
@@ -104,7 +104,7 @@
          .command = kNever,
          .idle = kNever,
          .unheard = kNever,
-         .long_idle = kNever});
+         .least_idle = kNever});
   Socket first = Client(kPing), second = Client(kPing);
   CHECK(Line(first) == "+PONG\r\n");
   CHECK(Line(second) == "+PONG\r\n");
