Count only good envelopes for a place; pause a crowded endpoint without a call out

From reading the change again: a bad envelope made its connection as worth keeping as a good one, and a crowded answer to a probe set no pause. Tests for both tables of outcomes and for reports beyond sense.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -618,7 +618,7 @@
   void OnCrowded(Endpoint& e) {
     e.places = std::max(1, e.calls_out - 1);
     e.crowded = now_;
-    if (e.calls_out == 1) e.next_call = now_ + Spread(kFullPause);
+    if (e.calls_out <= 1) e.next_call = now_ + Spread(kFullPause);
   }
 
   bool HasPlace(const Endpoint& e) const {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -24,8 +24,7 @@
 constexpr std::size_t kSenderBytes = 96 * 1024;
 constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
 constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
-
-constexpr std::size_t kIdleSenderShare = 6;  // of the descriptors; clients use a third at most
+constexpr std::size_t kIdleSenderShare = 6;   // of the descriptors; clients use a third at most
 
 // What the descriptors leave once every delivery is out, within the memory.
 std::size_t SenderConnections(const Config& config) {
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -224,15 +224,15 @@
   } catch (const BadEnvelope& fault) {
     return Send(connection, RespError("ERR", fault.what()));
   }
-  {
-    const std::lock_guard lock(mutex_);
-    connection.useful = true;
-  }
   const std::string id = envelope.id;
   const Answer answer = intake_.HandIn(std::move(envelope));
   if (answer.verdict == Answer::Verdict::kBad) {
     return Send(connection, RespError("ERR", answer.fault));
   }
+  {
+    const std::lock_guard lock(mutex_);
+    connection.useful = true;
+  }
   if (answer.verdict == Answer::Verdict::kDeferred) {
     std::string wait;
     if (answer.come_back) wait = std::to_string(answer.come_back->count());
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -29,7 +29,7 @@
     // only so many connections, and leave each open after one message.
     std::size_t most_idle = SIZE_MAX;
     // What newcomers take the place of, once all are taken: the longest idle of those that have
-    // handed in no envelope, and else the longest idle of all; each for so long at least.
+    // handed in no good envelope, and else the longest idle of all; each for so long at least.
     std::chrono::milliseconds useless{100};
     std::chrono::milliseconds least_idle{200};
   };
@@ -49,7 +49,7 @@
     bool idle = true;    // waits for a first command, or for a further one to begin
     // A new connection may send its one request in a drain: only those that had theirs are cut.
     bool answered = false;
-    bool useful = false;   // has handed in an envelope
+    bool useful = false;   // has handed in a good envelope
     bool dropped = false;  // for a newcomer
     bool ended = false;
   };
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -495,6 +495,15 @@
   EXPECT_EQ(b.Got<Send>().size(), 2u) << "at once: neither paced nor sick";
 }
 
+TEST(Pacer, ACrowdedEndpointWithoutACallOutIsNotAskedAgainAtOnce) {
+  Bench b;
+  b.At(0s, {One(), Arrive(1)});
+  b.At(100ms, {b.End(1, Outcome::kCrowded), Arrive(2)});
+  EXPECT_TRUE(b.Got<Send>().empty());
+  b.At(2s);
+  EXPECT_FALSE(b.Got<Send>().empty());
+}
+
 TEST(Pacer, ALearnedRateGrowsBackFasterTheLongerNothingIsRefused) {
   EXPECT_LE(CallsAfterARefusal({}, 1s, 4s), 6);
   EXPECT_GE(CallsAfterARefusal({}, 18s, 21s), 25);
--- a/tests/network/translate_test.cpp
+++ b/tests/network/translate_test.cpp
@@ -39,16 +39,16 @@
 }
 
 TEST_CASE("what no answer means, and what it shows") {
-  const std::pair<Fate, Outcome> kTable[] = {{Fate::kNotSent, Outcome::kNotSent},
-                                             {Fate::kConnectFailed, Outcome::kConnectFailed},
-                                             {Fate::kReset, Outcome::kReset},
-                                             {Fate::kTimedOut, Outcome::kTimeout},
-                                             {Fate::kCancelled, Outcome::kCancelled}};
+  const std::pair<Fate, Outcome> kTable[] = {
+      {Fate::kNotSent, Outcome::kNotSent},  {Fate::kConnectFailed, Outcome::kConnectFailed},
+      {Fate::kCrowded, Outcome::kCrowded},  {Fate::kReset, Outcome::kReset},
+      {Fate::kTimedOut, Outcome::kTimeout}, {Fate::kCancelled, Outcome::kCancelled}};
   for (const auto& [fate, outcome] : kTable) {
     DeliveryEnd end;
     end.fate = fate;
     CHECK(EndOfSingle(end).outcome == outcome);
-    CHECK(NeverRan(outcome) == (fate == Fate::kNotSent || fate == Fate::kConnectFailed));
+    CHECK(NeverRan(outcome) ==
+          (fate == Fate::kNotSent || fate == Fate::kConnectFailed || fate == Fate::kCrowded));
   }
   CHECK(NeverRan(Outcome::kFull));
   CHECK_FALSE(NeverRan(Outcome::kError));
@@ -102,6 +102,12 @@
   CHECK(WaitOf(end) == std::chrono::milliseconds(250));
   CHECK(WaitOf(Answered(200)) == std::chrono::milliseconds(0));
   CHECK_FALSE(ReportOf(Answered(200)).limit.has_value());
+  for (const char* unreadable :
+       {"x0=9,x1=1e300", "x0=-1,x1=-5", "x0=nan,x1=inf", "x0=,x1", "\xfe"}) {
+    end.load = unreadable;
+    CHECK_FALSE(ReportOf(end).allowance_left.has_value());
+    CHECK_FALSE(ReportOf(end).limit.has_value());
+  }
 }
 
 TEST_CASE("calls on the wire") {
