Do not count a reset against an endpoint that answers

Lines at fault: Failed counted each reset in fails_in_row, so CanCall gave that endpoint one call at a time until its next answer.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -607,11 +607,17 @@
       JudgeFull(e, lane, told);
     } else if (outcome == Outcome::kCrowded) {
       OnCrowded(e);
-    } else if (!call.overdue) {
+    } else if (!call.overdue && !(outcome == Outcome::kReset && Answered(e))) {
       Failed(e, call);
     }
   }
 
+  // It answered lately, so a reset is its connection's end and not its own. Guards against one call
+  // at a time where connections are often cut; an endpoint that died refuses the next one.
+  bool Answered(const Endpoint& e) const {
+    return e.last_answer > Time{} && now_ - e.last_answer < shortest_aim_;
+  }
+
   // No more connections for us than there are, and one more with each pause from then on. That is
   // neither a limit on calls nor an outage: guards against a pace or a trickle where calls on the
   // connections that stand would be taken.
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -495,6 +495,15 @@
   EXPECT_EQ(b.Got<Send>().size(), 2u) << "at once: neither paced nor sick";
 }
 
+TEST(Breaker, AResetWhereOthersAreAnsweredDoesNotHoldCallsBack) {
+  Bench b;
+  b.At(1s, {One(), Arrive(1), Arrive(2)});
+  b.At(1100ms, {b.End(1, Outcome::kDelivered), b.End(2, Outcome::kReset), Arrive(3), Arrive(4)});
+  EXPECT_EQ(b.Got<Send>().size(), 3u) << "the reset one and both new ones";
+  b.At(1200ms, {b.End(3, Outcome::kError), b.End(4, Outcome::kReset), Arrive(5), Arrive(6)});
+  EXPECT_LE(b.Got<Send>().size(), 1u) << "an error does";
+}
+
 TEST(Pacer, ACrowdedEndpointWithoutACallOutIsNotAskedAgainAtOnce) {
   Bench b;
   b.At(0s, {One(), Arrive(1)});
