--- /dev/null
+++ b/src/cli/inspect.cpp
@@ -0,0 +1,44 @@
+// The commands that look at what a forwarder reads and keeps: its configuration and its spool.
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "cli/command.hpp"
+#include "config/config.hpp"
+#include "spool/spool.hpp"
+
+namespace brassfront {
+
+int CheckConfigCommand(int argc, char** argv) {
+  cxxopts::Options options("brassfront check-config");
+  options.add_options()("config", "configuration file [$NODE_CONFIG]",
+                        cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")));
+  cxxopts::ParseResult given;
+  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const auto path = given["config"].as<std::string>();
+  const Config config = LoadConfig(path);
+  std::cout << path << ": good; forwarder " << config.name << " at " << config.listen << ", "
+            << config.known.members.size() << " next hops known\n";
+  return 0;
+}
+
+int SpoolCommand(int argc, char** argv) {
+  cxxopts::Options options("brassfront spool");
+  options.add_options()("state", "folder that lasts [$NODE_STATE]",
+                        cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")));
+  cxxopts::ParseResult given;
+  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const auto folder = given["state"].as<std::string>();
+  if (folder.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
+  Spool spool =
+      Spool::OpenToRead(folder, [](const std::string& text) { std::cerr << text << "\n"; });
+  for (const Replayed& owed : spool.Replay()) {
+    const SpooledMessage& m = owed.message;
+    std::cout << "id=" << m.id << " class=" << m.class_name << " dest=" << m.destination
+              << " deadline_unix_ms=" << m.deadline.count() << " bytes=" << m.body.size()
+              << " attempts=" << owed.attempts.size() << "\n";
+  }
+  std::cout << spool.owed() << " owed, " << spool.file_bytes() << " bytes\n";
+  return 0;
+}
+
+}  // namespace brassfront
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,83 +3,85 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <iomanip>
 #include <iostream>
-#include <string>
+#include <string_view>
 
-#include "cli/serve.hpp"
-#include "config/config.hpp"
-#include "spool/spool.hpp"
+#include "cli/command.hpp"
 
-namespace {
-
-constexpr const char* kUsage =
-    "brassfront COMMAND [OPTIONS]\n"
-    "\n"
-    "  serve         forward messages until SIGTERM\n"
-    "  check-config  read the configuration and say what is wrong with it\n"
-    "  spool         list the messages that a state folder still owes an end\n"
-    "  version       print the version\n";
+namespace brassfront {
 
 std::string Environment(const char* name) {
   const char* value = std::getenv(name);
   return value == nullptr ? "" : value;
 }
 
-void ListSpool(const std::string& folder) {
-  brassfront::Spool spool = brassfront::Spool::OpenToRead(
-      folder, [](const std::string& text) { std::cerr << text << "\n"; });
-  for (const brassfront::Replayed& owed : spool.Replay()) {
-    const brassfront::SpooledMessage& m = owed.message;
-    std::cout << "id=" << m.id << " class=" << m.class_name << " dest=" << m.destination
-              << " deadline_unix_ms=" << m.deadline.count() << " bytes=" << m.body.size()
-              << " attempts=" << owed.attempts.size() << "\n";
+bool ParseOptions(cxxopts::Options& options, int argc, char** argv, cxxopts::ParseResult& result) {
+  options.add_options()("h,help", "print this");
+  try {
+    result = options.parse(argc, argv);
+    if (!result.unmatched().empty()) {
+      throw UsageError("not understood: " + result.unmatched().front());
+    }
+  } catch (const cxxopts::exceptions::exception& fault) {
+    throw UsageError(fault.what());
   }
-  std::cout << spool.owed() << " owed, " << spool.file_bytes() << " bytes\n";
+  if (result.count("help") == 0) return true;
+  std::cout << options.help();
+  return false;
 }
 
-int Main(int argc, char** argv) {
-  cxxopts::Options options("brassfront", "Forwards messages from RESP2 clients to HTTP endpoints");
-  options.add_options()("command", "", cxxopts::value<std::string>()->default_value(""))(
-      "config", "configuration file [$NODE_CONFIG]",
-      cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")))(
-      "state", "folder that lasts [$NODE_STATE]",
-      cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")))("h,help", "help");
-  options.parse_positional({"command"});
-  const auto given = options.parse(argc, argv);
-  const auto command = given["command"].as<std::string>();
-  const auto config = given["config"].as<std::string>();
-  const auto state = given["state"].as<std::string>();
-  if (given.count("help") > 0) {
-    std::cout << kUsage << options.help();
-    return 0;
+namespace {
+
+constexpr Command kCommands[] = {
+    {"serve", "forward messages until SIGTERM", ServeCommand},
+    {"check-config", "read the configuration and say what is wrong with it", CheckConfigCommand},
+    {"spool", "list the messages that a state folder still owes an end", SpoolCommand},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "brassfront COMMAND [OPTIONS]\n\n";
+  for (const Command& command : kCommands) {
+    out << "  " << std::left << std::setw(14) << command.name << command.summary << "\n";
   }
-  if (command == "version") {
+  out << "  " << std::left << std::setw(14) << "version"
+      << "print the version\n  " << std::setw(14) << "help"
+      << "print this; `brassfront COMMAND --help` tells a command's options\n";
+}
+
+int Main(int argc, char** argv) {
+  const std::string_view name = argc > 1 ? argv[1] : "";
+  if (name == "version") {
     std::cout << "brassfront " << BRASSFRONT_VERSION << "\n";
     return 0;
   }
-  if (command == "check-config") {
-    const brassfront::Config read = brassfront::LoadConfig(config);
-    std::cout << config << ": good; forwarder " << read.name << " at " << read.listen << ", "
-              << read.known.members.size() << " next hops known\n";
+  if (name == "help" || name == "--help" || name == "-h") {
+    PrintUsage(std::cout);
     return 0;
   }
-  if (command == "spool" || command == "serve") {
-    if (state.empty()) throw brassfront::ConfigError("no state folder: give --state or NODE_STATE");
-    if (command == "serve") return brassfront::Serve(config, state);
-    ListSpool(state);
-    return 0;
+  for (const Command& command : kCommands) {
+    if (name != command.name) continue;
+    try {
+      return command.run(argc - 1, argv + 1);
+    } catch (const UsageError& fault) {
+      std::cerr << "brassfront " << name << ": " << fault.what() << "\nTry `brassfront " << name
+                << " --help`.\n";
+      return 2;
+    }
   }
-  std::cerr << kUsage;
+  if (!name.empty()) std::cerr << "brassfront: no command " << name << "\n";
+  PrintUsage(std::cerr);
   return 2;
 }
 
 }  // namespace
+}  // namespace brassfront
 
 int main(int argc, char** argv) {
   // Hundreds of threads: an arena for each few of them would cost more memory than their stacks.
   mallopt(M_ARENA_MAX, 2);
   try {
-    return Main(argc, argv);
+    return brassfront::Main(argc, argv);
   } catch (const std::exception& error) {
     std::cerr << "brassfront: " << error.what() << "\n";
     return 1;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,4 +1,3 @@
-#include "cli/serve.hpp"
 
 #include <pthread.h>
 #include <unistd.h>
@@ -8,16 +7,21 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <cxxopts.hpp>
 
+#include "cli/command.hpp"
 #include "config/config.hpp"
 #include "forwarder/engine.hpp"
-#include "net/log.hpp"
 #include "net/sender_side.hpp"
+#include "observe/log.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
 namespace {
 
+using observe::Concern;
+using observe::Level;
+
 constexpr std::size_t kMostSenders = 384;  // connections
 // A connection costs a thread's stack, of which some 20 KiB are used, and a command of 68 KiB at
 // the most. All of them get half of the memory, beside the quarter for bodies.
@@ -54,20 +58,22 @@
 void Reload(const std::string& path, Engine& engine) {
   try {
     Config config = ReadConfig(path);
-    LogLine("configuration read again discovery=" + config.discovery);
+    observe::Log(Concern::kService, Level::kInfo, "configuration read again",
+                 {{"discovery", config.discovery}});
     engine.Move(std::move(config.discovery));
   } catch (const ConfigError& error) {
-    LogLine(std::string("configuration not taken up, the old one holds: ") + error.what());
+    observe::Log(Concern::kService, Level::kError, "configuration not taken up, the old one holds",
+                 {{"fault", error.what()}});
   }
 }
 
-}  // namespace
-
 int Serve(const std::string& config_path, const std::string& state) {
   const sigset_t signals = BlockSignals();
   const Config config = ReadConfig(config_path);
   BufferPool buffers;
-  Spool spool(state, config.limits.disk_bytes, [](const std::string& text) { LogLine(text); });
+  Spool spool(state, config.limits.disk_bytes, [](const std::string& text) {
+    observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
+  });
   Engine engine(config, spool, buffers);
   engine.Restore();
   Socket listener = Listen(config.listen);
@@ -80,7 +86,7 @@
                       .most_idle = config.limits.sockets / kIdleSenderShare},
                      engine, buffers);
   std::atomic<bool> over{false};
-  Thread waiter([&] {
+  Thread waiter("signals", [&] {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && !over) {
       if (signal == SIGHUP) {
@@ -90,7 +96,8 @@
       }
     }
   });
-  LogLine("serving name=" + config.name + " listen=" + address);
+  observe::Log(Concern::kService, Level::kInfo, "serving",
+               {{"name", config.name}, {"listen", address}});
   engine.Run([&] { senders.Drain(); });
   engine.LetGo();
   over = true;
@@ -99,4 +106,34 @@
   return 0;
 }
 
+void SetUpLogFrom(const std::string& format, const std::string& level) {
+  observe::LogOptions options;
+  if (!observe::ParseFormat(format, options.format)) {
+    throw UsageError("--log-format takes text, logfmt or json, not " + format);
+  }
+  if (!observe::ParseLevel(level, options.level)) {
+    throw UsageError("--log-level takes debug, info, warning, error or off, not " + level);
+  }
+  observe::SetUpLog(options);
+}
+
+}  // namespace
+
+int ServeCommand(int argc, char** argv) {
+  cxxopts::Options options("brassfront serve");
+  options.add_options()("config", "configuration file [$NODE_CONFIG]",
+                        cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")))(
+      "state", "folder that lasts [$NODE_STATE]",
+      cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")))(
+      "log-format", "text, logfmt or json", cxxopts::value<std::string>()->default_value("text"))(
+      "log-level", "debug, info, warning, error or off",
+      cxxopts::value<std::string>()->default_value("info"));
+  cxxopts::ParseResult given;
+  if (!ParseOptions(options, argc, argv, given)) return 0;
+  SetUpLogFrom(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
+  const auto state = given["state"].as<std::string>();
+  if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
+  return Serve(given["config"].as<std::string>(), state);
+}
+
 }  // namespace brassfront
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -1,14 +1,15 @@
 #include "forwarder/engine.hpp"
 
 #include <algorithm>
+#include <ctime>
 #include <set>
 #include <utility>
 
-#include "net/log.hpp"
-
 namespace brassfront {
 namespace {
 
+using observe::Concern;
+using observe::Level;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -18,6 +19,8 @@
 constexpr std::size_t kProbeThreads = 16;  // probes take no slot
 constexpr double kBodyShare = 0.25;        // of the memory, for the bodies of all held messages
 constexpr milliseconds kRetireEvery{1000};
+// No notice is overdue until 1.5 s after a restarted forwarder is ready.
+constexpr milliseconds kAfterRestart{1500};
 // New connections may come for 0.4 s after SIGTERM, and SIGKILL 3.7 s after it.
 constexpr milliseconds kStayAtLeast{700};
 constexpr milliseconds kStayAtMost{3200};
@@ -78,7 +81,7 @@
                   .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
                  buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
       notices_(config.discovery, buffers,
-               [this](const std::string& id) { inbox_.Put(NoticeHeard{id}); }),
+               [this](MessageId message) { inbox_.Put(NoticeHeard{message}); }),
       watch_(config.discovery, config.known.revision, buffers,
              [this](MemberList list) { inbox_.Put(std::move(list)); }) {
   for (const rushfall::ClassSettings& c : config.decisions.classes) {
@@ -99,8 +102,19 @@
 
 // ======== for other threads ========
 
+// What the settings alone can turn away is turned away here, on the client's thread. Guards against
+// a flood of bad envelopes that the engine would have to look at, one by one.
 Answer Engine::HandIn(Envelope envelope) {
-  Arrival arrival{std::move(envelope), {}};
+  Arrival arrival;
+  std::string fault = Reject(envelope, arrival.the_class, arrival.tenant);
+  if (!fault.empty()) return Bad(std::move(fault));
+  if (!IsListed(envelope.destination)) {
+    Answer unlisted = Deferred(rushfall::kRetryWhenFull);
+    unlisted.unlisted = true;
+    return unlisted;
+  }
+  arrival.envelope = std::move(envelope);
+  arrival.handed_in = Now();
   std::future<Answer> answer = arrival.answer.get_future();
   if (!inbox_.Put(std::move(arrival))) return {};
   try {
@@ -110,8 +124,8 @@
   }
 }
 
-void Engine::Heard(const std::string& id) { inbox_.Put(HeardById{id}); }
-void Engine::Lost(const std::string& id) { inbox_.Put(LostById{id}); }
+void Engine::Heard(std::uint64_t message) { inbox_.Put(HeardNow{message}); }
+void Engine::Lost(std::uint64_t message) { inbox_.Put(LostNow{message}); }
 void Engine::Leave() { inbox_.Put(LeaveNow{}); }
 void Engine::Move(std::string discovery) { inbox_.Put(MoveNow{std::move(discovery)}); }
 
@@ -141,28 +155,77 @@
                           .body = std::move(owed.message.body),
                           .heard = true,
                           .attempts = owed.attempts.size()};
+    // A notice is not overdue until a while after the restart.
+    lives_.Begin(owed.number, now, now + std::max<Duration>(e.time_left, kAfterRestart),
+                 Step::kRestored, static_cast<std::uint32_t>(owed.attempts.size()));
     events_.emplace_back(std::move(e));
   }
-  LogLine("restored messages=" + std::to_string(owed_));
+  observe::Log(Concern::kEngine, Level::kInfo, "restored", {{"messages", owed_}});
   Turn(now);
 }
 
 void Engine::Run(std::function<void()> on_drain) {
   on_drain_ = std::move(on_drain);
   while (!left_) {
-    Time next = deadlines_.Next();
-    if (!events_.empty()) next = std::min(next, last_turn_ + config_.decisions.turn);
-    for (auto item = inbox_.TakeUntil(Point(next)); item;
-         item = inbox_.TakeUntil(steady_clock::time_point::min())) {
-      std::visit([this](auto& e) { On(std::move(e)); }, *item);
-    }
+    DrainUntil(
+        inbox_, [this] { return Point(NextDue()); }, steady_clock::now,
+        [this](Item item) { std::visit([this](auto& e) { On(std::move(e)); }, item); });
     const Time now = Now();
     while (const auto due = deadlines_.TakeDue(now)) On(*due);
     if (!events_.empty() && now >= last_turn_ + config_.decisions.turn) Turn(now);
     StartReady(now);
+    if (now >= lives_.Next()) TellOverdue(now);
     if (leaving_ && may_leave_ && held_.empty()) left_ = true;
   }
-  LogLine("leaving held=" + std::to_string(held_.size()));
+  TellStages(Level::kInfo);
+  observe::Log(Concern::kEngine, Level::kInfo, "leaving",
+               {{"held", held_.size()}, {"overdue", lives_.overdue()}});
+}
+
+Engine::Time Engine::NextDue() const {
+  const Time next = std::min(deadlines_.Next(), lives_.Next());
+  return events_.empty() ? next : std::min(next, last_turn_ + config_.decisions.turn);
+}
+
+void Engine::TellOverdue(Time now) {
+  for (const Lives::Overdue& late : lives_.TakeOverdue(now)) {
+    const auto held = held_.find(late.message);
+    observe::Log(Concern::kEngine, Level::kError, "message overdue",
+                 {{"id", held == held_.end() ? "" : held->second.id},
+                  {"state", NameOf(late.state)},
+                  {"history", late.history},
+                  {"overdue", lives_.overdue()}});
+  }
+}
+
+// What waited since it was last told, where anything did.
+void Engine::TellStages(Level level) {
+  if (!observe::Logs(Concern::kEngine, level)) return;
+  const auto cpu = [](clockid_t clock) {
+    timespec time{};
+    clock_gettime(clock, &time);
+    return time.tv_sec * 1000 + time.tv_nsec / 1'000'000;
+  };
+  observe::Log(Concern::kEngine, level, "at work",
+               {{"held", held_.size()},
+                {"out", out_.size()},
+                {"cpu_ms", cpu(CLOCK_PROCESS_CPUTIME_ID)},
+                {"engine_cpu_ms", cpu(CLOCK_THREAD_CPUTIME_ID)}});
+  const std::pair<const char*, const observe::Histogram*> all[] = {{"put", &stages_.put},
+                                                                   {"answer", &stages_.answer},
+                                                                   {"start", &stages_.start},
+                                                                   {"notice", &stages_.notice},
+                                                                   {"turn", &stages_.turn}};
+  for (const auto& [name, times] : all) {
+    if (times->count() == 0) continue;
+    observe::Log(Concern::kEngine, level, "waited",
+                 {{"stage", name},
+                  {"count", times->count()},
+                  {"p50_us", times->Quantile(0.5).count()},
+                  {"p99_us", times->Quantile(0.99).count()},
+                  {"max_us", times->max().count()}});
+  }
+  stages_ = {};
 }
 
 void Engine::Turn(Time now) {
@@ -182,6 +245,7 @@
     if (!done) std::visit([this](const auto& e) { Do(e); }, action);
   }
   bundle_.clear();
+  stages_.turn.Add(Now() - now);
 }
 
 // Arrivals that were not refused are kept by the spool, and only then are their clients told.
@@ -195,11 +259,15 @@
                                 envelope.destination,
                                 UnixNow() + envelope.time_left,
                                 std::move(envelope.body)};
+    const Time now = Now();
+    stages_.answer.Add(now - arrival.handed_in);
     if (spool_.Accept(message, record)) {
-      arrival.answer.set_value({.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}});
+      lives_.Begin(message, arrival.handed_in, now + envelope.time_left, Step::kTaken);
+      arrival.answer.set_value(
+          {.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}, .message = message});
       continue;
     }
-    LogLine("spool full: envelope deferred");
+    observe::LogSeldom(Concern::kSpool, Level::kWarning, "spool full: envelope deferred");
     events_.emplace_back(rushfall::MessageWithdrawn{message});
     Erase(message);
     arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
@@ -209,7 +277,8 @@
 
 // ======== what comes in ========
 
-// The fault of an envelope that the settings do not know, or nothing.
+// The fault of an envelope that the settings do not know, or nothing. For any thread: the settings
+// stay as they are.
 std::string Engine::Reject(const Envelope& envelope, std::size_t& the_class,
                            std::size_t& tenant) const {
   the_class = PlaceOf(config_.class_names, envelope.class_name);
@@ -218,16 +287,21 @@
   if (tenant > 0 && tenant == config_.tenant_names.size()) return "unknown tenant";
   const bool keyed = config_.decisions.classes[the_class].effect == rushfall::Effect::kKeyed;
   if (keyed && envelope.key.empty()) return "no key";
-  if (numbers_.count(envelope.id) != 0) return "the id is taken";
   return "";
 }
 
 // Some endpoint of the destination is listed, or was lately. What no list names is not taken on,
 // but a list may be late.
 bool Engine::IsListed(rushfall::DestinationId destination) const {
-  return std::any_of(hops_.begin(), hops_.end(), [&](const auto& entry) {
-    return entry.second.entry.destination == destination;
-  });
+  const std::shared_lock lock(listed_mutex_);
+  return listed_.count(destination) != 0;
+}
+
+void Engine::NoteListed() {
+  std::unordered_set<rushfall::DestinationId> listed;
+  for (const auto& [number, hop] : hops_) listed.insert(hop.entry.destination);
+  const std::unique_lock lock(listed_mutex_);
+  listed_.swap(listed);
 }
 
 bool Engine::HasRoomFor(const Envelope& envelope) const {
@@ -239,11 +313,13 @@
 
 void Engine::On(Arrival arrival) {
   const Envelope& envelope = arrival.envelope;
+  stages_.put.Add(Now() - arrival.handed_in);
+  if (numbers_.count(envelope.id) != 0) return Refused(arrival, Bad("the id is taken"));
   rushfall::MessageArrived e;
-  std::string fault = Reject(envelope, e.message_class, e.tenant);
-  if (!fault.empty()) return arrival.answer.set_value(Bad(std::move(fault)));
-  if (!IsListed(envelope.destination) || !HasRoomFor(envelope)) {
-    return arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+  e.message_class = arrival.the_class;
+  e.tenant = arrival.tenant;
+  if (!HasRoomFor(envelope)) {
+    return Refused(arrival, Deferred(rushfall::kRetryWhenFull));
   }
   e.message = next_message_++;
   e.destination = envelope.destination;
@@ -258,30 +334,47 @@
   events_.emplace_back(std::move(e));
 }
 
-void Engine::On(const HeardById& e) {
-  const auto it = numbers_.find(e.id);
-  if (it != numbers_.end()) held_.at(it->second).heard = true;
+void Engine::Refused(Arrival& arrival, Answer answer) {
+  stages_.answer.Add(Now() - arrival.handed_in);
+  arrival.answer.set_value(std::move(answer));
 }
 
-void Engine::On(const LostById& e) {
-  const auto it = numbers_.find(e.id);
-  if (it == numbers_.end()) return;
-  const MessageId message = it->second;
-  events_.emplace_back(rushfall::MessageWithdrawn{message});
-  spool_.End(message);
-  Erase(message);
+void Engine::On(const HeardNow& e) {
+  const auto it = held_.find(e.message);
+  if (it == held_.end()) return;
+  it->second.heard = true;
+  lives_.Note(e.message, Now(), Step::kHeard);
+}
+
+void Engine::On(const LostNow& e) {
+  if (held_.count(e.message) == 0) return;
+  events_.emplace_back(rushfall::MessageWithdrawn{e.message});
+  End(e.message, Step::kWithdrawn);
 }
 
 void Engine::On(const NoticeHeard& e) {
-  const auto it = numbers_.find(e.id);
-  if (it == numbers_.end()) return;
-  spool_.End(it->second);
-  Erase(it->second);
+  const auto it = held_.find(e.message);
+  if (it == held_.end()) return;
+  stages_.notice.Add(Now() - it->second.given_up);
+  End(e.message, Step::kNoticed);
+}
+
+// The end of a taken message: the spool's record, and the last line of its life.
+void Engine::End(MessageId message, Step step) {
+  spool_.End(message);
+  if (observe::Logs(Concern::kEngine, Level::kDebug)) {
+    observe::Log(Concern::kEngine, Level::kDebug, "message ended",
+                 {{"id", held_.at(message).id},
+                  {"reason", NameOf(step)},
+                  {"history", lives_.HistoryOf(message)}});
+  }
+  lives_.Note(message, Now(), step);
+  Erase(message);
 }
 
 void Engine::On(const LeaveNow&) {
   if (std::exchange(leaving_, true)) return;
-  LogLine("told to leave held=" + std::to_string(held_.size()));
+  observe::Log(Concern::kEngine, Level::kInfo, "told to leave", {{"held", held_.size()}});
   deadlines_.Set(Now() + kStayAtLeast, {Due::kMayLeave});
   deadlines_.Set(Now() + kStayAtMost, {Due::kLeave});
   on_drain_();
@@ -305,6 +398,7 @@
     case Due::kRetireIdle:
       next_hops_.RetireIdle();
       ForgetHops(Now());
+      TellStages(Level::kDebug);
       deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
       return;
     case Due::kMayLeave:
@@ -327,13 +421,14 @@
 void Engine::ForgetHops(Time now) {
   std::set<rushfall::EndpointId> called;
   for (const auto& [number, out] : out_) called.insert(out.hop);
-  std::erase_if(hops_, [&](const auto& entry) {
+  const auto forgotten = std::erase_if(hops_, [&](const auto& entry) {
     const auto& [number, hop] = entry;
     const bool gone = hop.entry.state == rushfall::EndpointState::kRemoved &&
                       now - hop.gone_since > longest_deadline_ && called.count(number) == 0;
     if (gone) hop_numbers_.erase(hop.name);
     return gone;
   });
+  if (forgotten > 0) NoteListed();
 }
 
 rushfall::EndpointList Engine::TakeList(const MemberList& list) {
@@ -347,7 +442,8 @@
   for (const Member& member : list.members) {
     const rushfall::EndpointId number = HopNumber(member.id);
     if (hops_.count(number) == 0) {  // the module's lines name its numbers
-      LogLine("next hop " + member.id + " is endpoint " + std::to_string(number));
+      observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
+                   {{"id", member.id}, {"endpoint", number}});
     }
     Hop& hop = hops_[number];
     hop.name = member.id;
@@ -367,6 +463,7 @@
       hop.gone_since = now;
     }
   }
+  NoteListed();
   return e;
 }
 
@@ -385,16 +482,16 @@
 
 void Engine::Do(const rushfall::Refuse& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    it->second.answer.set_value(Deferred(e.retry_after));
+    Refused(it->second, Deferred(e.retry_after));
     arrivals_.erase(it);
     return Erase(e.message);
   }
-  GiveUp(e.message, {.id = {}, .deferred = true, .again = InMs(e.retry_after)});
+  GiveUp(e.message, {.deferred = true, .again = InMs(e.retry_after)});
 }
 
 void Engine::Do(const rushfall::Surrender& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    it->second.answer.set_value(Bad("cannot be delivered"));
+    Refused(it->second, Bad("cannot be delivered"));
     arrivals_.erase(it);
     return Erase(e.message);
   }
@@ -405,6 +502,9 @@
   const auto it = held_.find(message);
   if (it == held_.end() || std::exchange(it->second.ending, true)) return;
   --owed_;
+  it->second.given_up = Now();
+  lives_.Note(message, it->second.given_up, Step::kGivenUp, notice.deferred ? 1 : 0);
+  notice.message = message;
   notice.id = it->second.id;
   notices_.Post(std::move(notice));
 }
@@ -420,11 +520,14 @@
 
 void Engine::Do(const rushfall::SetTimer& e) { deadlines_.Set(e.at, {Due::kModuleTimer, e.token}); }
 
-void Engine::Do(const rushfall::Log& e) { LogLine("module: " + e.text); }
+void Engine::Do(const rushfall::Log& e) {
+  observe::Log(Concern::kModule, Level::kInfo, "module: " + e.text);
+}
 
 void Engine::Do(const rushfall::Probe& e) {
   Out& out = out_[next_out_];
   out.hop = e.endpoint;
+  out.asked = last_turn_;
   out.start_by = out.ends = last_turn_ + config_.connect_timeout;
   ready_.push_back(next_out_++);
 }
@@ -457,6 +560,7 @@
   out.hop = e.endpoint;
   out.parts.push_back(std::move(part));
   out.bytes = bytes;
+  out.asked = last_turn_;
   out.start_by = e.start_by;
   out.ends = ends;
   ready_.push_back(number);
@@ -517,6 +621,7 @@
     Held& held = held_.at(part.message);
     if (!spool_.Begin(part.message, hop.name, UnixNow())) return false;
     part.noted = held.attempts++;
+    lives_.Note(part.message, now, Step::kStarted, static_cast<std::uint32_t>(out.hop));
     parts.push_back({held.id, held.key, held.body});
   }
   const milliseconds left = InMs(out.ends - now);
@@ -524,6 +629,7 @@
                         : parts.size() == 1 ? SingleCall(hop.address, parts[0], left)
                                             : BundleCall(hop.address, parts, left);
   out.started = now;
+  stages_.start.Add(now - out.asked);
   out.delivery = std::make_shared<Delivery>(number, out.hop, hop.address, std::move(request),
                                             Point(out.start_by));
   deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
@@ -581,10 +687,12 @@
 void Engine::Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
                     Duration wait, const rushfall::LoadReport& report) {
   if (NeverRan(end.outcome) && out.delivery) spool_.NothingRan(part.message, part.noted);
-  const auto held = held_.find(part.message);
-  if (end.over && held != held_.end()) {
-    spool_.End(part.message);
-    Erase(part.message);
+  if (out.delivery) {
+    lives_.Note(part.message, now, Step::kSettled, static_cast<std::uint32_t>(end.outcome));
+  }
+  if (end.over && held_.count(part.message) != 0) {
+    const bool delivered = end.outcome == rushfall::Outcome::kDelivered;
+    End(part.message, delivered ? Step::kDelivered : Step::kGone);
   }
   rushfall::AttemptSettled e;
   e.message = part.message;
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -11,19 +11,24 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <shared_mutex>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "config/config.hpp"
 #include "forwarder/deadlines.hpp"
 #include "forwarder/intake.hpp"
+#include "forwarder/lives.hpp"
 #include "forwarder/mailbox.hpp"
 #include "forwarder/translate.hpp"
 #include "net/next_hops.hpp"
 #include "net/notices.hpp"
 #include "net/watch.hpp"
+#include "observe/histogram.hpp"
+#include "observe/log.hpp"
 #include "rushfall/choice.hpp"
 #include "spool/spool.hpp"
 
@@ -46,8 +51,8 @@
 
   // ---- for other threads ----
   Answer HandIn(Envelope envelope) override;
-  void Heard(const std::string& id) override;
-  void Lost(const std::string& id) override;
+  void Heard(std::uint64_t message) override;
+  void Lost(std::uint64_t message) override;
   void Leave();
   // Discovery and the platform are to be reached at another address.
   void Move(std::string discovery);
@@ -60,21 +65,23 @@
   struct Arrival {
     Envelope envelope;
     std::promise<Answer> answer;
+    std::size_t the_class = 0, tenant = 0;
+    Time handed_in{};
   };
-  struct HeardById {
-    std::string id;
+  struct HeardNow {
+    MessageId message;
   };
-  struct LostById {
-    std::string id;
+  struct LostNow {
+    MessageId message;
   };
   struct NoticeHeard {
-    std::string id;
+    MessageId message;
   };
   struct LeaveNow {};
   struct MoveNow {
     std::string discovery;
   };
-  using Item = std::variant<Arrival, HeardById, LostById, DeliveryEnd, MemberList, NoticeHeard,
+  using Item = std::variant<Arrival, HeardNow, LostNow, DeliveryEnd, MemberList, NoticeHeard,
                             LeaveNow, MoveNow>;
 
   struct Held {
@@ -85,6 +92,7 @@
     bool ending = false;            // given up; its notice is on the way
     std::size_t attempts = 0;       // noted in the spool, by earlier processes too
     std::size_t attempts_told = 0;  // by the module
+    Time given_up{};
   };
 
   struct Hop {
@@ -107,6 +115,7 @@
     std::vector<OutPart> parts;  // none: a probe
     Time start_by{};
     Time ends{};
+    Time asked{};  // for, by the module
     Time started{};
     std::size_t bytes = 0;               // of the bundle
     bool recalled = false;               // before it was started
@@ -114,8 +123,8 @@
   };
 
   void On(Arrival arrival);
-  void On(const HeardById& e);
-  void On(const LostById& e);
+  void On(const HeardNow& e);
+  void On(const LostNow& e);
   void On(const DeliveryEnd& e);
   void On(const MemberList& e);
   void On(const NoticeHeard& e);
@@ -135,10 +144,16 @@
   void Do(const rushfall::Log& e);
 
   std::string Reject(const Envelope& envelope, std::size_t& the_class, std::size_t& tenant) const;
+  Time NextDue() const;
+  void Refused(Arrival& arrival, Answer answer);
   bool IsListed(rushfall::DestinationId destination) const;
+  void NoteListed();
   bool HasRoomFor(const Envelope& envelope) const;
   void GiveUp(MessageId message, Notice notice);
   void Erase(MessageId message);
+  void End(MessageId message, Step step);
+  void TellOverdue(Time now);
+  void TellStages(observe::Level level);
   rushfall::EndpointId HopNumber(const std::string& name);
   void ForgetHops(Time now);
   rushfall::EndpointList TakeList(const MemberList& list);
@@ -161,6 +176,7 @@
 
   std::map<MessageId, Held> held_;
   std::unordered_map<std::string, MessageId> numbers_;
+  Lives lives_;
   std::size_t owed_ = 0;        // held and not given up
   std::size_t body_bytes_ = 0;  // of all held
   MessageId next_message_;
@@ -170,6 +186,8 @@
   std::unordered_map<std::string, rushfall::EndpointId> hop_numbers_;
   rushfall::EndpointId next_hop_ = 0;
   Duration longest_deadline_{};  // of the classes
+  mutable std::shared_mutex listed_mutex_;
+  std::unordered_set<rushfall::DestinationId> listed_;  // those of hops_; for other threads as well
   std::uint64_t revision_ = 0;
 
   std::uint64_t next_out_ = 1;
@@ -178,6 +196,14 @@
   std::map<rushfall::EndpointId, std::uint64_t> bundle_;  // still open in this turn
   std::size_t slots_taken_ = 0;
 
+  // How long things wait, since it was last told. `put` is from a hand-in to its being seen,
+  // `answer` to its answer, `start` from the module's send to the thread, `notice` to the
+  // platform's 204.
+  struct Stages {
+    observe::Histogram put, answer, start, notice, turn;
+  };
+  Stages stages_;
+
   std::function<void()> on_drain_;
   bool leaving_ = false;    // asked to
   bool may_leave_ = false;  // once nothing is owed
--- a/src/forwarder/intake.hpp
+++ b/src/forwarder/intake.hpp
@@ -3,6 +3,7 @@
 #define BRASSFRONT_FORWARDER_INTAKE_HPP_
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,10 @@
   Verdict verdict = Verdict::kDeferred;
   std::optional<std::chrono::milliseconds> come_back;  // with kDeferred
   std::string fault;                                   // with kBad, for people
+  bool unlisted = false;  // with kDeferred: no list names its destination so far
+  // With kTaken: what Heard and Lost name. Not the client's id, which is the client's to choose and
+  // may be that of another client's message.
+  std::uint64_t message = 0;
 };
 
 class Intake {
@@ -25,9 +30,9 @@
   // Heard or Lost, one of which must follow.
   virtual Answer HandIn(Envelope envelope) = 0;
   // The client was told that the envelope was taken: deliveries may begin.
-  virtual void Heard(const std::string& id) = 0;
+  virtual void Heard(std::uint64_t message) = 0;
   // The client went before it could be told: the envelope is withdrawn.
-  virtual void Lost(const std::string& id) = 0;
+  virtual void Lost(std::uint64_t message) = 0;
 };
 
 }  // namespace brassfront
--- a/src/forwarder/mailbox.hpp
+++ b/src/forwarder/mailbox.hpp
@@ -68,6 +68,20 @@
   bool closed_ = false;
 };
 
+// Hands over what the box holds until the time has come, or until it is empty and then one more or
+// the time. `due` gives that time anew after each value, for a value may bring it forward. Guards
+// against a box that is filled as fast as it is emptied, before which nothing else would get a
+// turn.
+template <typename T, typename Due, typename Clock, typename Handle>
+void DrainUntil(Mailbox<T>& box, Due due, Clock now, Handle handle) {
+  auto value = box.TakeUntil(due());
+  while (value) {
+    handle(std::move(*value));
+    if (now() >= due()) return;
+    value = box.TakeUntil(std::chrono::steady_clock::time_point::min());
+  }
+}
+
 }  // namespace brassfront
 
 #endif  // BRASSFRONT_FORWARDER_MAILBOX_HPP_
--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -35,7 +35,7 @@
 NextHops::NextHops(const Options& options, BufferPool& buffers, OnEnd on_end)
     : options_(options), buffers_(buffers), on_end_(std::move(on_end)), work_(kMostWaiting) {
   for (std::size_t i = 0; i < options_.threads; ++i) {
-    Thread thread([this] { Work(); });
+    Thread thread("next-hop", [this] { Work(); });
     if (thread.started()) threads_.push_back(std::move(thread));
   }
 }
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -29,7 +29,7 @@
     : on_heard_(std::move(on_heard)),
       client_("notices", std::move(address), kSilence, buffers),
       waiting_(kMostWaiting),
-      thread_([this] { Run(); }) {}
+      thread_("notices", [this] { Run(); }) {}
 
 Notices::~Notices() {
   waiting_.Close();
@@ -54,7 +54,7 @@
           HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
       HttpReader reader;
       if (client_.Exchange(request, reader) && reader.status() == 204) {
-        for (const Notice& notice : batch) on_heard_(notice.id);
+        for (const Notice& notice : batch) on_heard_(notice.message);
         break;
       }
       client_.Pause(kPause);
--- a/src/net/notices.hpp
+++ b/src/net/notices.hpp
@@ -16,6 +16,7 @@
 namespace brassfront {
 
 struct Notice {
+  std::uint64_t message = 0;  // the poster's number for it, which OnHeard is told
   std::string id{};
   bool deferred = false;  // else undeliverable
   std::chrono::milliseconds again{};
@@ -23,7 +24,7 @@
 
 class Notices {
  public:
-  using OnHeard = std::function<void(const std::string& id)>;  // called by the thread
+  using OnHeard = std::function<void(std::uint64_t message)>;  // called by the thread
 
   Notices(std::string address, BufferPool& buffers, OnHeard on_heard);
   ~Notices();
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -5,13 +5,12 @@
 #include <thread>
 #include <utility>
 
-#include "net/log.hpp"
-
 namespace brassfront {
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
 constexpr std::chrono::milliseconds kReplyTime{2000};  // for a reply to be written
+constexpr std::size_t kMostReplies = 16 * 1024;        // bytes that wait for one write
 constexpr std::size_t kMostLeaving = 32;  // connections that were dropped and are not closed yet
 constexpr const char* kSide = "sender";
 
@@ -28,7 +27,7 @@
       intake_(intake),
       buffers_(buffers),
       listener_(std::move(listener)),
-      acceptor_([this] { TakeConnections(); }) {}
+      acceptor_("acceptor", [this] { TakeConnections(); }) {}
 
 SenderSide::~SenderSide() {
   stopping_ = true;
@@ -66,7 +65,7 @@
     Connection& c = connections_.emplace_back();
     c.socket = std::move(socket);
     c.since = std::chrono::steady_clock::now();
-    c.thread = Thread([this, &c] { Serve(c); });
+    c.thread = Thread("sender", [this, &c] { Serve(c); });
     if (c.thread.started()) continue;
     TurnAway(c.socket, "no-thread");
     connections_.pop_back();
@@ -151,7 +150,8 @@
     SetIdle(connection, false);
     if (!came) {
       if (exchanges > 0 && between) return "idle";
-      Send(connection, RespError("ERR", "no command in time"));
+      Say(connection, RespError("ERR", "no command in time"));
+      Flush(connection);
       return between ? "silent" : "too-slow";
     }
     BufferPool::Buffer buffer = buffers_.Get();
@@ -170,13 +170,18 @@
       const char* reason = nullptr;
       ++exchanges;
       answered = true;
-      if (!Reply(connection, command, reason)) return reason;
+      if (Reply(connection, command, reason)) continue;
+      Flush(connection);
+      if (connection.faults >= limits_.most_faults) connection.socket.Linger(buffer.span());
+      return reason;
     }
     if (reader.broken()) {
-      Send(connection, RespError("ERR", "protocol error"));
+      Say(connection, RespError("ERR", "protocol error"));
+      Flush(connection);
       connection.socket.Linger(buffer.span());
       return "malformed";
     }
+    if (!Flush(connection)) return "reset";
     if (!answered) continue;
     const std::lock_guard lock(mutex_);
     connection.answered = true;
@@ -186,34 +191,42 @@
   }
 }
 
-bool SenderSide::Send(Connection& connection, const std::string& reply) {
-  return connection.socket.SendAll(reply, std::chrono::steady_clock::now() + kReplyTime);
+// Replies to commands that came together go out together. Guards against a system call for each of
+// hundreds. False if the client cannot be reached.
+bool SenderSide::Say(Connection& connection, const std::string& reply) {
+  connection.replies += reply;
+  return connection.replies.size() < kMostReplies || Flush(connection);
+}
+
+bool SenderSide::Flush(Connection& connection) {
+  if (connection.replies.empty()) return true;
+  const std::string replies = std::exchange(connection.replies, {});
+  return connection.socket.SendAll(replies, std::chrono::steady_clock::now() + kReplyTime);
+}
+
+bool SenderSide::SayFault(Connection& connection, const std::string& reply, const char*& reason) {
+  reason = "reset";
+  if (!Say(connection, reply)) return false;
+  reason = "too-many-faults";
+  return ++connection.faults < limits_.most_faults;
 }
 
 // False, with the reason, if the connection is to end.
 bool SenderSide::Reply(Connection& connection, RespCommand& command, const char*& reason) {
   std::string& name = command.words[0];
   for (char& c : name) c = c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c;
-  std::string reply;
-  bool last = false;
-  if (command.oversize) {
-    reply = RespError("ERR", "over 64 KiB");
-  } else if (name == "MSG.PUT") {
-    return HandIn(connection, command, reason);
-  } else if (name == "PING") {
-    reply = command.words.size() > 1 ? RespBulk(command.words[1]) : RespSimple("PONG");
-  } else if (name == "QUIT") {
-    reply = RespSimple("OK");
-    last = true;
-  } else {
-    reply = RespError("ERR", "unknown command");
+  if (command.oversize) return SayFault(connection, RespError("ERR", "over 64 KiB"), reason);
+  if (name == "MSG.PUT") return HandIn(connection, command, reason);
+  reason = "reset";
+  if (name == "PING") {
+    return Say(connection,
+               command.words.size() > 1 ? RespBulk(command.words[1]) : RespSimple("PONG"));
   }
-  if (!Send(connection, reply)) {
-    reason = "reset";
+  if (name == "QUIT") {
+    if (Say(connection, RespSimple("OK"))) reason = "quit";
     return false;
   }
-  reason = "quit";
-  return !last;
+  return SayFault(connection, RespError("ERR", "unknown command"), reason);
 }
 
 bool SenderSide::HandIn(Connection& connection, RespCommand& command, const char*& reason) {
@@ -222,13 +235,17 @@
   try {
     envelope = ParsePut(std::move(command.words));
   } catch (const BadEnvelope& fault) {
-    return Send(connection, RespError("ERR", fault.what()));
+    return SayFault(connection, RespError("ERR", fault.what()), reason);
   }
-  const std::string id = envelope.id;
   const Answer answer = intake_.HandIn(std::move(envelope));
   if (answer.verdict == Answer::Verdict::kBad) {
-    return Send(connection, RespError("ERR", answer.fault));
+    return SayFault(connection, RespError("ERR", answer.fault), reason);
+  }
+  if (answer.unlisted) {
+    const auto wait = answer.come_back.value_or(std::chrono::milliseconds(0));
+    return SayFault(connection, RespError("BUSY", std::to_string(wait.count())), reason);
   }
+  connection.faults = 0;
   {
     const std::lock_guard lock(mutex_);
     connection.useful = true;
@@ -236,15 +253,17 @@
   if (answer.verdict == Answer::Verdict::kDeferred) {
     std::string wait;
     if (answer.come_back) wait = std::to_string(answer.come_back->count());
-    return Send(connection, RespError("BUSY", wait));
+    return Say(connection, RespError("BUSY", wait));
   }
-  // A client that has stopped waiting may hand the message in again under a new id.
-  if (connection.socket.HasEnded() || !Send(connection, RespSimple("OK"))) {
-    intake_.Lost(id);
+  // A client that has stopped waiting may hand the message in again under a new id. One whose
+  // connection is to end for our reasons, a newcomer's or a drain's, waits for its answer.
+  if (connection.socket.PeerHasEnded() || !Say(connection, RespSimple("OK")) ||
+      !Flush(connection)) {
+    intake_.Lost(answer.message);
     reason = "gone-before-answer";
     return false;
   }
-  intake_.Heard(id);
+  intake_.Heard(answer.message);
   return true;
 }
 
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -32,6 +32,9 @@
     // handed in no good envelope, and else the longest idle of all; each for so long at least.
     std::chrono::milliseconds useless{100};
     std::chrono::milliseconds least_idle{200};
+    // Commands in a row that could not be used: then the connection is closed. Guards against a
+    // client that sends hundreds at once, each of which costs as much as a message.
+    std::size_t most_faults = 16;
   };
 
   // Takes connections from the listener until it is destroyed.
@@ -52,6 +55,9 @@
     bool useful = false;   // has handed in a good envelope
     bool dropped = false;  // for a newcomer
     bool ended = false;
+    // Its thread's own.
+    std::string replies;     // not written yet, of commands that came together
+    std::size_t faults = 0;  // in a row
   };
 
   void TakeConnections();
@@ -62,7 +68,9 @@
   const char* Exchange(Connection& connection, RespReader& reader, std::size_t& exchanges);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
   bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
-  bool Send(Connection& connection, const std::string& reply);
+  bool Say(Connection& connection, const std::string& reply);
+  bool SayFault(Connection& connection, const std::string& reply, const char*& reason);
+  bool Flush(Connection& connection);
   void SetIdle(Connection& connection, bool idle);
   bool Dropped(const Connection& connection);
   void Reap();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -11,7 +11,7 @@
 #include <cerrno>
 #include <charconv>
 
-#include "net/log.hpp"
+#include "observe/log.hpp"
 
 namespace brassfront {
 namespace {
@@ -94,10 +94,11 @@
   return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
 }
 
-bool Socket::HasEnded() const {
-  char byte = 0;
-  const ssize_t n = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN);
+bool Socket::PeerHasEnded() const {
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  if (getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return true;
+  return info.tcpi_state != TCP_ESTABLISHED;
 }
 
 void Socket::ReceiveTimeout(std::chrono::milliseconds time) { SetTimeout(fd_, SO_RCVTIMEO, time); }
@@ -158,11 +159,18 @@
 
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges) {
-  std::string line = "connection ended side=";
-  line.append(side);
-  if (!peer.empty()) line.append(" peer=").append(peer);
-  line.append(" reason=").append(reason).append(" exchanges=").append(std::to_string(exchanges));
-  LogLine(line);
+  using observe::Concern;
+  constexpr const char* kEvent = "connection ended";
+  const Concern concern = side == "sender"     ? Concern::kSender
+                          : side == "next-hop" ? Concern::kNextHop
+                                               : Concern::kPlatform;
+  if (peer.empty()) {
+    observe::Log(concern, observe::Level::kInfo, kEvent,
+                 {{"side", side}, {"reason", reason}, {"exchanges", exchanges}});
+  } else {
+    observe::Log(concern, observe::Level::kInfo, kEvent,
+                 {{"side", side}, {"peer", peer}, {"reason", reason}, {"exchanges", exchanges}});
+  }
 }
 
 }  // namespace brassfront
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -37,8 +37,9 @@
   long Receive(std::span<char> into);
   // Something to read or the end has come: a connection between calls is stale then.
   bool HasInputOrEnd() const;
-  // The peer has ended or reset it; unread bytes do not count.
-  bool HasEnded() const;
+  // The peer has ended or reset it, as TCP's state tells: unread bytes do not count, and neither
+  // does what this side has shut down.
+  bool PeerHasEnded() const;
   void ReceiveTimeout(std::chrono::milliseconds time);
   // Before the closing: ends the writing and passes over some of what still comes. Guards against a
   // reset that overtakes the last reply, as closing a socket with unread bytes sends one.
--- a/src/net/thread.hpp
+++ b/src/net/thread.hpp
@@ -20,7 +20,8 @@
   static constexpr std::size_t kStackBytes = 128 * 1024;
 
   Thread() = default;
-  explicit Thread(std::function<void()> body) {
+  // The name is what the system's tools show of it, up to 15 bytes.
+  Thread(const char* name, std::function<void()> body) {
     auto held = std::make_unique<std::function<void()>>(std::move(body));
     pthread_attr_t attributes;
     pthread_attr_init(&attributes);
@@ -31,7 +32,10 @@
       return nullptr;
     };
     started_ = pthread_create(&thread_, &attributes, run, held.get()) == 0;
-    if (started_) held.release();
+    if (started_) {
+      held.release();
+      pthread_setname_np(thread_, name);
+    }
     pthread_attr_destroy(&attributes);
   }
   ~Thread() { Join(); }
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <utility>
 
-#include "net/log.hpp"
+#include "observe/log.hpp"
 
 namespace brassfront {
 namespace {
@@ -19,7 +19,7 @@
     : on_list_(std::move(on_list)),
       revision_(revision),
       client_("discovery", std::move(address), kSilence, buffers),
-      thread_([this] { Follow(); }) {}
+      thread_("watch", [this] { Follow(); }) {}
 
 Watch::~Watch() {
   client_.Stop();
@@ -46,7 +46,8 @@
       revision_ = list.revision;
       on_list_(std::move(list));
     } catch (const json::Error& error) {
-      LogLine(std::string("discovery line unreadable: ") + error.what());
+      observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning,
+                         "discovery line unreadable", {{"fault", error.what()}});
       return false;
     }
   }
--- /dev/null
+++ b/src/observe/histogram.hpp
@@ -0,0 +1,71 @@
+// Counts of durations in buckets that grow with the value: within 9 % of it, from 1 us to 17 min.
+// One fixed block of memory; no locks; one owner.
+#ifndef BRASSFRONT_OBSERVE_HISTOGRAM_HPP_
+#define BRASSFRONT_OBSERVE_HISTOGRAM_HPP_
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <chrono>
+#include <cstdint>
+
+namespace brassfront::observe {
+
+class Histogram {
+ public:
+  using Duration = std::chrono::microseconds;
+
+  // What is below 0 counts as 0, and what is too long as the longest.
+  template <typename Rep, typename Period>
+  void Add(std::chrono::duration<Rep, Period> value) {
+    const auto us = std::chrono::duration_cast<Duration>(value).count();
+    ++counts_[PlaceOf(static_cast<std::uint64_t>(std::max<Duration::rep>(us, 0)))];
+    ++count_;
+    max_ = std::max(max_, Duration(us));
+  }
+
+  std::uint64_t count() const { return count_; }
+  Duration max() const { return max_; }
+
+  // The upper edge of the bucket with the share-th value, `share` from 0 to 1; 0 if there is none.
+  Duration Quantile(double share) const {
+    const auto wanted = static_cast<std::uint64_t>(share * static_cast<double>(count_));
+    std::uint64_t passed = 0;
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+      passed += counts_[i];
+      if (passed > wanted) return std::min(Duration(EdgeOf(i)), max_);
+    }
+    return max_;
+  }
+
+  void Merge(const Histogram& other) {
+    for (std::size_t i = 0; i < counts_.size(); ++i) counts_[i] += other.counts_[i];
+    count_ += other.count_;
+    max_ = std::max(max_, other.max_);
+  }
+
+ private:
+  static constexpr int kBits = 3;  // eight buckets for each doubling
+  static constexpr std::uint64_t kSteps = 1 << kBits;
+  static constexpr std::size_t kPlaces = 28 * kSteps;
+
+  static std::size_t PlaceOf(std::uint64_t us) {
+    if (us < kSteps) return us;
+    const int shift = std::bit_width(us) - kBits - 1;
+    const std::uint64_t place = (static_cast<std::uint64_t>(shift) << kBits) + (us >> shift);
+    return std::min<std::uint64_t>(place, kPlaces - 1);
+  }
+  static Duration::rep EdgeOf(std::size_t place) {
+    if (place < kSteps) return static_cast<Duration::rep>(place);
+    const std::size_t shift = (place >> kBits) - 1;
+    return static_cast<Duration::rep>(((place - (shift << kBits)) + 1) << shift) - 1;
+  }
+
+  std::array<std::uint32_t, kPlaces> counts_{};
+  std::uint64_t count_ = 0;
+  Duration max_{};
+};
+
+}  // namespace brassfront::observe
+
+#endif  // BRASSFRONT_OBSERVE_HISTOGRAM_HPP_
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,265 @@
+#include "observe/log.hpp"
+
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/logger.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <ctime>
+#include <iterator>
+#include <memory>
+#include <mutex>
+
+#include "observe/repeats.hpp"
+
+namespace brassfront::observe {
+namespace {
+
+constexpr std::array<const char*, kConcerns> kConcernNames = {
+    "service", "engine", "sender", "next-hop", "platform", "spool", "module"};
+constexpr std::array<const char*, 5> kLevelNames = {"debug", "info", "warning", "error", "off"};
+
+spdlog::level::level_enum SpdlogLevel(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return spdlog::level::debug;
+    case Level::kInfo:
+      return spdlog::level::info;
+    case Level::kWarning:
+      return spdlog::level::warn;
+    case Level::kError:
+      return spdlog::level::err;
+    case Level::kOff:
+      break;
+  }
+  return spdlog::level::off;
+}
+
+bool WriteWhole(int fd, std::string_view line) {
+  pollfd room{fd, POLLOUT, 0};
+  if (poll(&room, 1, 0) <= 0) return false;
+  while (!line.empty()) {
+    const ssize_t n = write(fd, line.data(), line.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    line.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+// A pipe has room for PIPE_BUF bytes when it is ready for writing, so a line that is cut to that
+// does not wait.
+class DescriptorSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  DescriptorSink(int fd, Format format) : fd_(fd), format_(format) {}
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    if (dropped_ > 0) {
+      const auto ms =
+          std::chrono::duration_cast<std::chrono::milliseconds>(message.time.time_since_epoch())
+              .count();
+      const std::string told = FormatLine(format_, ms, Concern::kService, Level::kWarning,
+                                          "log lines dropped", {{"count", dropped_}}) +
+                               "\n";
+      if (WriteWhole(fd_, told)) dropped_ = 0;
+    }
+    std::string line(message.payload.data(), message.payload.size());
+    if (line.size() >= kMostLine) line.resize(kMostLine - 1);
+    line += '\n';
+    if (dropped_ > 0 || !WriteWhole(fd_, line)) ++dropped_;
+  }
+  void flush_() override {}
+
+ private:
+  static constexpr std::size_t kMostLine = 4096;  // PIPE_BUF
+
+  const int fd_;
+  const Format format_;
+  std::uint64_t dropped_ = 0;
+};
+
+struct Loggers {
+  explicit Loggers(const LogOptions& options)
+      : format(options.format), repeats(options.most_repeats) {
+    const auto sink = std::make_shared<DescriptorSink>(options.descriptor, options.format);
+    for (std::size_t i = 0; i < kConcerns; ++i) {
+      by_concern[i] = std::make_unique<spdlog::logger>(kConcernNames[i], sink);
+      by_concern[i]->set_level(SpdlogLevel(options.level));
+    }
+  }
+
+  const Format format;
+  std::array<std::unique_ptr<spdlog::logger>, kConcerns> by_concern;
+  std::mutex mutex;  // guards the repeats
+  Repeats repeats;
+};
+
+// Kept to the end of the process: threads may log while it exits.
+Loggers*& Current() {
+  static Loggers* current = new Loggers(LogOptions{});
+  return current;
+}
+
+spdlog::logger& Of(Concern concern) {
+  return *Current()->by_concern[static_cast<std::size_t>(concern)];
+}
+
+void AppendHex(std::string& out, unsigned char c) {
+  constexpr const char* kDigits = "0123456789abcdef";
+  out += kDigits[c >> 4];
+  out += kDigits[c & 15];
+}
+
+// In quotes, with what neither form can hold escaped. Bytes that are no ASCII are escaped as one
+// character each, for ids and faults may quote what a client sent.
+void AppendQuoted(std::string& out, std::string_view text) {
+  out += '"';
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (c == '\n') {
+      out += "\\n";
+    } else if (byte < 32 || byte > 126) {
+      out += "\\u00";
+      AppendHex(out, byte);
+    } else {
+      out += c;
+    }
+  }
+  out += '"';
+}
+
+bool IsPlain(std::string_view text) {
+  if (text.empty()) return false;
+  for (const char c : text) {
+    if (c <= 32 || c > 126 || c == '"' || c == '=' || c == '\\') return false;
+  }
+  return true;
+}
+
+// The text form leaves its values as they are, line ends apart.
+void AppendValue(std::string& out, Format format, const Field::Value& value) {
+  if (const auto* text = std::get_if<std::string_view>(&value)) {
+    if (format == Format::kJson || (format == Format::kLogfmt && !IsPlain(*text))) {
+      AppendQuoted(out, *text);
+    } else {
+      for (const char c : *text) out += c == '\n' || c == '\r' ? ' ' : c;
+    }
+  } else if (const auto* whole = std::get_if<std::int64_t>(&value)) {
+    out += std::to_string(*whole);
+  } else {
+    out += std::to_string(std::get<std::uint64_t>(value));
+  }
+}
+
+// RFC 3339, in UTC, with milliseconds.
+std::string TimeText(std::int64_t ms) {
+  const std::time_t seconds = static_cast<std::time_t>(ms / 1000);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[64];
+  const std::size_t n = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+  std::string out(text, n);
+  const std::string fraction = std::to_string(ms % 1000);
+  return out.append(".").append(3 - fraction.size(), '0').append(fraction).append("Z");
+}
+
+void Write(Concern concern, Level level, std::string_view event, Fields fields,
+           std::uint64_t repeats) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count();
+  const Format format = Current()->format;
+  std::string line = FormatLine(format, ms, concern, level, event, fields);
+  if (repeats > 0) {
+    if (format == Format::kJson) {
+      line.pop_back();
+      line += ",\"repeats\":" + std::to_string(repeats) + "}";
+    } else {
+      line += " repeats=" + std::to_string(repeats);
+    }
+  }
+  Of(concern).log(SpdlogLevel(level), spdlog::string_view_t(line.data(), line.size()));
+}
+
+}  // namespace
+
+void SetUpLog(const LogOptions& options) {
+  static std::mutex mutex;
+  const std::lock_guard lock(mutex);
+  delete std::exchange(Current(), new Loggers(options));
+}
+
+bool Logs(Concern concern, Level level) { return Of(concern).should_log(SpdlogLevel(level)); }
+
+void Log(Concern concern, Level level, std::string_view event, Fields fields) {
+  if (Logs(concern, level)) Write(concern, level, event, fields, 0);
+}
+
+void LogSeldom(Concern concern, Level level, std::string_view event, Fields fields) {
+  if (!Logs(concern, level)) return;
+  std::optional<std::uint64_t> left_out;
+  {
+    Loggers& loggers = *Current();
+    const std::lock_guard lock(loggers.mutex);
+    left_out = loggers.repeats.Take(event, std::chrono::steady_clock::now().time_since_epoch());
+  }
+  if (left_out) Write(concern, level, event, fields, *left_out);
+}
+
+bool ParseFormat(std::string_view name, Format& format) {
+  constexpr std::array<std::string_view, 3> kNames = {"text", "logfmt", "json"};
+  for (std::size_t i = 0; i < kNames.size(); ++i) {
+    if (name != kNames[i]) continue;
+    format = static_cast<Format>(i);
+    return true;
+  }
+  return false;
+}
+
+bool ParseLevel(std::string_view name, Level& level) {
+  for (std::size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (name != kLevelNames[i]) continue;
+    level = static_cast<Level>(i);
+    return true;
+  }
+  return false;
+}
+
+std::string FormatLine(Format format, std::int64_t time_ms, Concern concern, Level level,
+                       std::string_view event, Fields fields) {
+  const char* concern_name = kConcernNames[static_cast<std::size_t>(concern)];
+  const char* level_name = kLevelNames[static_cast<std::size_t>(level)];
+  std::string line;
+  if (format == Format::kText) {
+    line = event;
+  } else if (format == Format::kLogfmt) {
+    line.append("ts=").append(TimeText(time_ms)).append(" level=").append(level_name);
+    line.append(" concern=").append(concern_name).append(" event=");
+    AppendValue(line, format, event);
+  } else {
+    line.append("{\"ts\":\"").append(TimeText(time_ms)).append("\",\"level\":\"");
+    line.append(level_name).append("\",\"concern\":\"").append(concern_name);
+    line.append("\",\"event\":");
+    AppendValue(line, format, event);
+  }
+  for (const Field& field : fields) {
+    if (format == Format::kJson) {
+      line.append(",\"").append(field.name).append("\":");
+    } else {
+      line.append(" ").append(field.name).append("=");
+    }
+    AppendValue(line, format, field.value);
+  }
+  if (format == Format::kJson) line += '}';
+  return line;
+}
+
+}  // namespace brassfront::observe
--- /dev/null
+++ b/src/observe/repeats.hpp
@@ -0,0 +1,59 @@
+// Which of many like events are told: so many a second of each name, and how many were left out.
+// Knows no clock; used under its owner's lock.
+#ifndef BRASSFRONT_OBSERVE_REPEATS_HPP_
+#define BRASSFRONT_OBSERVE_REPEATS_HPP_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace brassfront::observe {
+
+class Repeats {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  explicit Repeats(std::size_t most) : most_(most) {}
+
+  // Nothing if the event is to be left out; else how many were left out since the last one told.
+  std::optional<std::uint64_t> Take(std::string_view name, Time now) {
+    auto it = seen_.find(name);
+    if (it == seen_.end()) {
+      // Names are literals in the code; guards against one that is made up at run time.
+      if (seen_.size() >= kMostNames) return 0;
+      it = seen_.emplace(std::string(name), Seen{.from = now}).first;
+    }
+    Seen& seen = it->second;
+    if (now - seen.from >= kWindow) {
+      seen.from = now;
+      seen.told = 0;
+    }
+    if (seen.told >= most_) {
+      ++seen.left_out;
+      return std::nullopt;
+    }
+    ++seen.told;
+    return std::exchange(seen.left_out, 0);
+  }
+
+ private:
+  static constexpr Time kWindow = std::chrono::seconds(1);
+  static constexpr std::size_t kMostNames = 256;
+
+  struct Seen {
+    Time from{};
+    std::size_t told = 0;  // in the window
+    std::uint64_t left_out = 0;
+  };
+
+  const std::size_t most_;
+  std::map<std::string, Seen, std::less<>> seen_;
+};
+
+}  // namespace brassfront::observe
+
+#endif  // BRASSFRONT_OBSERVE_REPEATS_HPP_
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import queue
+import re
 import signal
 import socket
 import subprocess
@@ -36,7 +37,7 @@
 
 
 class Forwarder:
-    def __init__(self, toy, folder, members=None, **limits):
+    def __init__(self, toy, folder, members=None, options=(), **limits):
         config = json.loads((ROOT / "examples" / "config.json").read_text())
         config["listen"] = "127.0.0.1:0"
         config["discovery"] = toy.address
@@ -50,7 +51,7 @@
         path = pathlib.Path(folder) / "config.json"
         path.write_text(json.dumps(config))
         self.process = subprocess.Popen(
-            [PROGRAM, "serve", "--config", str(path), "--state", folder],
+            [PROGRAM, "serve", "--config", str(path), "--state", folder, *options],
             stderr=subprocess.PIPE,
             text=True,
         )
@@ -63,8 +64,8 @@
             line = lines.get(timeout=LIMIT)
             if line is None:
                 raise AssertionError("did not start: %s" % self.log)
-            if line.startswith("serving "):
-                self.address = line.split("listen=")[1]
+            if "serving" in line:
+                self.address = re.search(r'listen"?[=:]"?([\d.:]+)', line)[1]
                 return
 
     def read_log(self, lines):
@@ -285,9 +286,9 @@
         for text in ("", "{", "{}", '{"name":1}', '{"name":"n","listen":"x"}'):
             path = pathlib.Path(self.folder) / "bad.json"
             path.write_text(text)
-            for command in ("serve", "check-config"):
+            for command in (["serve", "--state", self.folder], ["check-config"]):
                 done = subprocess.run(
-                    [PROGRAM, command, "--config", str(path), "--state", self.folder],
+                    [PROGRAM, *command, "--config", str(path)],
                     capture_output=True,
                     text=True,
                     timeout=LIMIT,
@@ -349,6 +350,34 @@
         self.assertEqual(answer, "+OK")
         self.wait_for("the call at the listed endpoint", lambda: self.calls_of(later))
 
+    def test_a_message_whose_end_is_not_heard_in_time_is_told_with_its_history(self):
+        gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
+        forwarder = self.start(members=gone)
+        self.toy.refused_notices = 1 << 30
+        message, answer = forwarder.client().put(1, "x", left_ms=200)
+        self.assertEqual(answer, "+OK")
+        line = "message overdue id=%s state=ending history=taken+0 " % message
+        self.wait_for("the line", lambda: any(text.startswith(line) for text in forwarder.log))
+
+    def test_each_end_of_a_message_is_told_at_debug_level(self):
+        forwarder = self.start(options=("--log-level", "debug", "--log-format", "json"))
+        message, answer = forwarder.client().put(1, "x")
+        self.assertEqual(answer, "+OK")
+
+        def ends():
+            events = [json.loads(line) for line in forwarder.log]
+            return [e for e in events if e["event"] == "message ended" and e["id"] == message]
+
+        self.wait_for("the line", ends)
+        self.assertEqual(ends()[0]["reason"], "delivered")
+        self.assertRegex(ends()[0]["history"], r"^taken\+0 heard\+\d+ started\+\d+")
+
+    def test_an_option_that_is_not_known_is_told_with_the_way_to_help(self):
+        for options in (["--log-level", "loud"], ["--log-format", "xml"], ["--loud"], ["word"]):
+            done = subprocess.run([PROGRAM, "serve", *options], capture_output=True, text=True)
+            self.assertEqual(done.returncode, 2, done.stderr)
+            self.assertIn("brassfront serve --help", done.stderr)
+
     def test_a_bad_new_configuration_changes_nothing(self):
         forwarder = self.start()
         bad_address = dict(forwarder.config, discovery="nowhere")
@@ -436,7 +465,7 @@
     def test_with_nothing_owed_it_leaves_in_order(self):
         forwarder = self.start()
         self.assertEqual(forwarder.end(signal.SIGTERM), 0)
-        self.assertIn("leaving held=0", forwarder.log)
+        self.assertIn("leaving held=0 overdue=0", forwarder.log)
 
     def test_what_sigterm_leaves_no_time_for_stays_owed(self):
         gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
--- /dev/null
+++ b/tests/network/engine_test.cpp
@@ -0,0 +1,170 @@
+// The engine by itself: one next hop on loopback, no clients, no discovery.
+#include "forwarder/engine.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "net/socket.hpp"
+
+namespace brassfront {
+namespace {
+
+// A folder that goes with its owner.
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/brassfront-test-XXXXXX";
+    REQUIRE(mkdtemp(name) != nullptr);
+    path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+Config OneHop(const std::string& address) {
+  Config config = ParseConfig(R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+    "seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":3},
+    "known":{"revision":1,"complete":true,"members":[{"id":"hop","host_port":")" +
+                              address + R"(","locality":"z","flavor":"f","cell":1,"phase":"Ready",
+      "size":50.0,"up_since_ms":0}]},
+    "settings":{"classes":[{"name":"e","effect":"token","key-scope":"all","goal-time":2500000000,
+      "hard-limit":20000000000,"dedup-window":5000000000,"late-worth":0.3,"worth":1.0}],
+      "realms":[{"name":"t","quota-rps":50.0}],"shapes":["f"],"zones":["z"],
+      "family-info":{"workers":8,"bundle-max":[1],"own-limits":[false],"loses-worth":"line"},
+      "limits":{"open-cap":100,"max-attempts":12,"may-cancel":true,"probes":false,
+        "retry-after":true,"max-retry-after":2000000000,"conn-idle":15000000000,
+        "connect-timeout":1500000000},
+      "rules":{"cold":14000000000,"cold-share":0.31,"fall":3000000000,"fall-multiple":1.5},
+      "group-size":1,"tick":5000000,"weight-source":"rough"}})");
+  return config;
+}
+
+Envelope Message(const std::string& id) {
+  Envelope envelope;
+  envelope.id = id;
+  envelope.key = "key-" + id;
+  envelope.class_name = "e";
+  envelope.tenant_name = "t";
+  envelope.destination = 1;
+  envelope.time_left = std::chrono::seconds(20);
+  envelope.body = "b";
+  return envelope;
+}
+
+class Fixture {
+ public:
+  Fixture()
+      : listener(Listen("127.0.0.1:0")),
+        config(OneHop(AddressOf(listener))),
+        spool(folder.path, config.limits.disk_bytes, [](const std::string&) {}) {
+    engine.emplace(config, spool, buffers);
+  }
+  ~Fixture() {
+    if (!runner.joinable()) return;
+    engine->Leave();
+    runner.join();
+  }
+  void Run() {
+    engine->Restore();
+    runner = std::thread([this] { engine->Run([] {}); });
+  }
+  // Takes one call, answers it with 200 and returns its id.
+  std::string AnswerOne() {
+    Socket socket = Accept(listener);
+    std::string got;
+    char byte = 0;
+    while (!got.ends_with("\r\n\r\nb") && socket.Receive({&byte, 1}) == 1) got += byte;
+    socket.SendAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    const std::string mark = "X-Correlation-Id: ";
+    const std::size_t at = got.find(mark);
+    if (at == std::string::npos) return "";
+    return got.substr(at + mark.size(), got.find("\r\n", at) - at - mark.size());
+  }
+
+  Folder folder;
+  Socket listener;
+  Config config;
+  BufferPool buffers;
+  Spool spool;
+  std::optional<Engine> engine;
+  std::thread runner;
+};
+
+TEST_CASE_FIXTURE(Fixture, "what the settings do not know is turned away without the engine") {
+  // It does not run: anything that needed it would wait for good.
+  Envelope unknown_class = Message("a"), unknown_tenant = Message("b"), no_key = Message("c");
+  unknown_class.class_name = "x";
+  unknown_tenant.tenant_name = "x";
+  no_key.key.clear();
+  CHECK(engine->HandIn(std::move(unknown_class)).fault == "unknown class");
+  CHECK(engine->HandIn(std::move(unknown_tenant)).fault == "unknown tenant");
+  CHECK(engine->HandIn(std::move(no_key)).fault == "no key");
+  Envelope unlisted = Message("d");
+  unlisted.destination = 2;
+  CHECK(engine->HandIn(std::move(unlisted)).unlisted);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a message is named by its number: another one may have its client's id") {
+  Run();
+  const Answer first = engine->HandIn(Message("same"));
+  REQUIRE(first.verdict == Answer::Verdict::kTaken);
+  CHECK(engine->HandIn(Message("same")).fault == "the id is taken");
+  engine->Lost(first.message);
+  // The inbox keeps its order, so the first one is gone by now.
+  const Answer second = engine->HandIn(Message("same"));
+  REQUIRE(second.verdict == Answer::Verdict::kTaken);
+  CHECK(second.message != first.message);
+  engine->Lost(first.message);  // once more, as a late thread would
+  engine->Heard(second.message);
+  CHECK(AnswerOne() == "same");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a message that its client was not told of is not sent") {
+  Run();
+  const Answer unheard = engine->HandIn(Message("unheard"));
+  const Answer heard = engine->HandIn(Message("heard"));
+  REQUIRE(unheard.verdict == Answer::Verdict::kTaken);
+  REQUIRE(heard.verdict == Answer::Verdict::kTaken);
+  engine->Heard(heard.message);
+  CHECK(AnswerOne() == "heard");
+  engine->Lost(unheard.message);
+}
+
+TEST_CASE("a box that is filled as fast as it is emptied lets others have their turn") {
+  Mailbox<int> box(4);
+  box.Put(0);
+  std::chrono::steady_clock::time_point now{};
+  const auto due = now + std::chrono::milliseconds(5);
+  int taken = 0;
+  DrainUntil(
+      box, [&] { return due; }, [&] { return now; },
+      [&](int value) {
+        REQUIRE(++taken < 1000);  // an unbounded drain would not end
+        now += std::chrono::milliseconds(1);
+        box.Put(value + 1);
+      });
+  CHECK(taken == 5);
+}
+
+TEST_CASE("a value may bring the turn forward") {
+  Mailbox<int> box(4);
+  for (int i = 0; i < 3; ++i) box.Put(i);
+  std::chrono::steady_clock::time_point now{}, due = now + std::chrono::hours(1);
+  int taken = 0;
+  DrainUntil(
+      box, [&] { return due; }, [&] { return now; },
+      [&](int) {
+        ++taken;
+        due = now;
+      });
+  CHECK(taken == 1);
+}
+
+}  // namespace
+}  // namespace brassfront
--- /dev/null
+++ b/tests/network/log_test.cpp
@@ -0,0 +1,130 @@
+// The structured log: its three forms, what it leaves out, and a reader that stands still.
+#include "observe/log.hpp"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "observe/histogram.hpp"
+#include "observe/repeats.hpp"
+
+namespace brassfront::observe {
+namespace {
+
+// A log into a pipe, and back to the usual one.
+class PipedLog {
+ public:
+  explicit PipedLog(LogOptions options) {
+    REQUIRE(pipe(ends_) == 0);
+    REQUIRE(fcntl(ends_[0], F_SETFL, O_NONBLOCK) == 0);
+    options.descriptor = ends_[1];
+    SetUpLog(options);
+  }
+  ~PipedLog() {
+    SetUpLog({});
+    close(ends_[0]);
+    close(ends_[1]);
+  }
+  std::string Read() {
+    std::string all;
+    char part[4096];
+    for (ssize_t n = 0; (n = read(ends_[0], part, sizeof part)) > 0;) {
+      all.append(part, static_cast<std::size_t>(n));
+    }
+    return all;
+  }
+
+ private:
+  int ends_[2] = {-1, -1};
+};
+
+TEST_CASE("an event has the same fields in each form") {
+  const auto line = [](Format format) {
+    return FormatLine(format, 1'700'000'000'007, Concern::kSender, Level::kInfo, "connection ended",
+                      {{"side", "sender"}, {"fault", "a \"b\"\n\x01"}, {"empty", ""}, {"n", -3}});
+  };
+  CHECK(line(Format::kText) == "connection ended side=sender fault=a \"b\" \x01 empty= n=-3");
+  CHECK(line(Format::kLogfmt) ==
+        "ts=2023-11-14T22:13:20.007Z level=info concern=sender event=\"connection ended\" "
+        "side=sender fault=\"a \\\"b\\\"\\n\\u0001\" empty=\"\" n=-3");
+  CHECK(line(Format::kJson) ==
+        "{\"ts\":\"2023-11-14T22:13:20.007Z\",\"level\":\"info\",\"concern\":\"sender\","
+        "\"event\":\"connection ended\",\"side\":\"sender\",\"fault\":\"a \\\"b\\\"\\n\\u0001\","
+        "\"empty\":\"\",\"n\":-3}");
+}
+
+TEST_CASE("a line below the level is not written, and an empty log writes nothing") {
+  PipedLog log({.level = Level::kWarning});
+  Log(Concern::kEngine, Level::kInfo, "unseen");
+  CHECK_FALSE(Logs(Concern::kEngine, Level::kInfo));
+  Log(Concern::kEngine, Level::kError, "seen", {{"n", 1U}});
+  CHECK(log.Read() == "seen n=1\n");
+}
+
+TEST_CASE("a reader that stands still stops nobody, and is told what it missed") {
+  PipedLog log({});
+  const std::string long_text(500, 'x');
+  constexpr int kLines = 1000;  // some 500 KiB, and a pipe holds 64
+  for (int i = 0; i < kLines; ++i) Log(Concern::kEngine, Level::kInfo, "line", {{"t", long_text}});
+  const std::string first = log.Read();
+  const auto lines = std::count(first.begin(), first.end(), '\n');
+  CHECK(lines > 10);
+  CHECK(lines < kLines);
+  Log(Concern::kEngine, Level::kInfo, "after");
+  CHECK(log.Read() == "log lines dropped count=" + std::to_string(kLines - lines) + "\nafter\n");
+}
+
+TEST_CASE("repeats are left out and counted; other names are not touched by them") {
+  Repeats repeats(2);
+  const auto second = std::chrono::seconds(1);
+  CHECK(repeats.Take("a", {}) == 0);
+  CHECK(repeats.Take("a", {}) == 0);
+  CHECK(repeats.Take("a", {}) == std::nullopt);
+  CHECK(repeats.Take("a", second / 2) == std::nullopt);
+  CHECK(repeats.Take("b", {}) == 0);
+  CHECK(repeats.Take("a", second) == 2);
+  CHECK(repeats.Take("a", second) == 0);
+}
+
+TEST_CASE("a repeated event says how many were left out") {
+  PipedLog log({.most_repeats = 1});
+  LogSeldom(Concern::kSpool, Level::kWarning, "spool full");
+  LogSeldom(Concern::kSpool, Level::kWarning, "spool full");
+  Log(Concern::kSpool, Level::kWarning, "spool full");
+  CHECK(log.Read() == "spool full\nspool full\n");
+}
+
+TEST_CASE("names of forms and levels") {
+  Format format{};
+  Level level{};
+  CHECK(ParseFormat("json", format));
+  CHECK(format == Format::kJson);
+  CHECK(ParseLevel("error", level));
+  CHECK(level == Level::kError);
+  CHECK_FALSE(ParseLevel("loud", level));
+  CHECK_FALSE(ParseFormat("", format));
+}
+
+TEST_CASE("a histogram's quantiles are within a ninth of the values") {
+  Histogram times;
+  CHECK(times.Quantile(0.5).count() == 0);
+  for (int us = 1; us <= 100'000; ++us) times.Add(std::chrono::microseconds(us));
+  for (const double share : {0.01, 0.5, 0.9, 0.99, 0.999}) {
+    const double told = static_cast<double>(times.Quantile(share).count());
+    const double value = share * 100'000;
+    CHECK(told >= value);
+    CHECK(told <= value * 1.125 + 1);
+  }
+  CHECK(times.max().count() == 100'000);
+  times.Add(std::chrono::hours(10));
+  CHECK(times.Quantile(1.0) == times.max());
+  Histogram other;
+  other.Add(std::chrono::microseconds(-5));
+  other.Merge(times);
+  CHECK(other.count() == 100'002);
+}
+
+}  // namespace
+}  // namespace brassfront::observe
--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/sender_side_test.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace brassfront {
@@ -15,10 +17,19 @@
 constexpr std::string_view kPut =
     "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\ni\r\n$14\r\nc=n,d=1,dest=1\r\n$1\r\nx\r\n";
 
-class NoIntake : public Intake {
-  Answer HandIn(Envelope) override { return {}; }
-  void Heard(const std::string&) override {}
-  void Lost(const std::string&) override {}
+// Refuses, or takes everything; counts what it is told.
+class CountingIntake : public Intake {
+ public:
+  Answer HandIn(Envelope) override {
+    if (!takes) return {};
+    ++taken;
+    return {.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}, .message = 1};
+  }
+  void Heard(std::uint64_t) override { ++heard; }
+  void Lost(std::uint64_t) override { ++lost; }
+
+  bool takes = false;
+  std::atomic<int> taken{0}, heard{0}, lost{0};
 };
 
 class Fixture {
@@ -48,7 +59,7 @@
     return got;
   }
 
-  NoIntake intake;
+  CountingIntake intake;
   BufferPool buffers;
   std::string address;
   std::optional<SenderSide> side;
@@ -92,7 +103,7 @@
          .useless = std::chrono::milliseconds(0),
          .least_idle = std::chrono::milliseconds(0)});
   Socket used = Client(kPut);
-  CHECK(Line(used) == "-BUSY\r\n");  // what NoIntake answers
+  CHECK(Line(used) == "-BUSY\r\n");  // what the intake answers
   Socket pinged = Client(kPing);
   CHECK(Line(pinged) == "+PONG\r\n");
   Socket silent = Client();
@@ -134,6 +145,58 @@
   CHECK(ToTheEnd(third) == "-BUSY 1000\r\n");
 }
 
+// A drain, like a newcomer that needs the place, stops the reading of idle connections. A command
+// may have come just before, and is then read all the same: its answer is owed.
+TEST_CASE("a command that crosses our own end of a connection is answered or was not read") {
+  int crossed = 0;
+  for (int round = 0; round < 1000; ++round) {
+    Fixture fixture;
+    fixture.intake.takes = true;
+    fixture.Start({.connections = 2, .command = kNever, .idle = kNever});
+    Socket client = fixture.Client(kPing);
+    REQUIRE(Fixture::Line(client) == "+PONG\r\n");
+    client.SendAll(kPut);
+    fixture.side->Drain();  // mostly before the thread has woken up
+    const std::string answer = Fixture::ToTheEnd(client);
+    fixture.side.reset();
+    CHECK(fixture.intake.lost == 0);
+    CHECK(fixture.intake.heard == fixture.intake.taken);
+    CHECK(answer == (fixture.intake.taken > 0 ? "+OK\r\n" : ""));
+    crossed += fixture.intake.taken;
+  }
+  CHECK(crossed > 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "commands that came together are answered in order, faults to a bound") {
+  Start({.connections = 2, .command = kNever, .idle = kNever, .most_faults = 3});
+  std::string together;
+  for (int i = 0; i < 600; ++i) together += kPing;
+  Socket good = Client(together);
+  for (int i = 0; i < 600; ++i) REQUIRE(Line(good) == "+PONG\r\n");
+  constexpr std::string_view kNoSuch = "*1\r\n$4\r\nNOPE\r\n";
+  const std::string put(kPut);  // in between, a good one starts the count anew
+  std::string bad = std::string(kNoSuch) + std::string(kNoSuch) + put;
+  for (int i = 0; i < 600; ++i) bad += kNoSuch;
+  Socket client = Client(bad);
+  const std::string error = "-ERR unknown command\r\n";
+  CHECK(ToTheEnd(client) == error + error + "-BUSY\r\n" + error + error + error);
+}
+
+TEST_CASE("the peer's end is told from our own, unread bytes or not") {
+  Socket listener = Listen("127.0.0.1:0");
+  Socket peer = NewSocket();
+  REQUIRE(Connect(peer, AddressOf(listener), kNever));
+  Socket ours = Accept(listener);
+  CHECK_FALSE(ours.PeerHasEnded());
+  StopReading(ours.fd());
+  CHECK_FALSE(ours.PeerHasEnded());
+  peer.SendAll("unread");
+  peer.Close();
+  ours.AwaitInput(SteadyTime::max());
+  while (!ours.PeerHasEnded()) std::this_thread::yield();  // its packet may still be on the way
+  CHECK(ours.PeerHasEnded());
+}
+
 TEST_CASE_FIXTURE(Fixture, "the error line arrives though more was sent than is read") {
   Start({.connections = 2});
   Socket client = Client("*1\r\n$60000000\r\n" + std::string(300'000, 'x'));
