Let clients wait in one thread, and threads come and go with the work

Change: the sender side has one thread that waits for all clients (epoll) and reads, and a crew of workers for whole commands; the next hops have a crew as well. Whoever loses its place to a newcomer or a drain is read from once more, so no command that has come is dropped. Deadlines and the longest idle connections are in sorted sets instead of searched for.

Network and integration tests pass; the thread sanitizer finds nothing.

Ruled out: fewer bytes of stack (page faults were none), a lower priority for sender threads (their wake-ups are the cost, not their work).

--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -8,7 +8,7 @@
 
 constexpr const char* kSide = "next-hop";
 constexpr std::ptrdiff_t kMostIdle = 2;  // for each next hop: some take few, idle ones counted
-constexpr std::size_t kMostWaiting = 4096;
+constexpr std::size_t kLeastThreads = 2;
 constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
 // Of the time after which the other side closes an idle connection. Guards against a call that
 // crosses that close and ends as a reset, which may have run.
@@ -33,21 +33,20 @@
 }  // namespace
 
 NextHops::NextHops(const Options& options, BufferPool& buffers, OnEnd on_end)
-    : options_(options), buffers_(buffers), on_end_(std::move(on_end)), work_(kMostWaiting) {
-  for (std::size_t i = 0; i < options_.threads; ++i) {
-    Thread thread("next-hop", [this] { Work(); });
-    if (thread.started()) threads_.push_back(std::move(thread));
-  }
-}
-
+    : options_(options),
+      buffers_(buffers),
+      on_end_(std::move(on_end)),
+      crew_("next-hop",
+            {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
+            [this](const std::shared_ptr<Delivery>& delivery) { Work(delivery); }) {}
+
+// The crew is the last member: it makes what is still waiting end, and then its threads.
 NextHops::~NextHops() {
-  work_.Close();
-  {
-    const std::lock_guard lock(mutex_);
-    for (auto& [number, delivery] : out_) delivery->End(Delivery::Stop::kCancelled);
-  }
-  for (Thread& thread : threads_) thread.Join();
+  const std::lock_guard lock(mutex_);
+  closed_ = true;
+  for (auto& [number, delivery] : out_) delivery->End(Delivery::Stop::kCancelled);
   for (Connection& c : idle_) End(c, "shutdown");
+  idle_.clear();
 }
 
 void NextHops::Start(std::shared_ptr<Delivery> delivery) {
@@ -55,19 +54,17 @@
     const std::lock_guard lock(mutex_);
     out_[delivery->number] = delivery;
   }
-  work_.Put(std::move(delivery));
+  crew_.Put(std::move(delivery));
 }
 
-void NextHops::Work() {
-  while (auto delivery = work_.Take()) {
-    DeliveryEnd end = Carry(**delivery);
-    end.number = (*delivery)->number;
-    {
-      const std::lock_guard lock(mutex_);
-      out_.erase(end.number);
-    }
-    on_end_(std::move(end));
+void NextHops::Work(const std::shared_ptr<Delivery>& delivery) {
+  DeliveryEnd end = Carry(*delivery);
+  end.number = delivery->number;
+  {
+    const std::lock_guard lock(mutex_);
+    out_.erase(end.number);
   }
+  on_end_(std::move(end));
 }
 
 DeliveryEnd NextHops::Carry(Delivery& delivery) {
@@ -194,6 +191,7 @@
 
 void NextHops::Keep(Connection connection) {
   const std::lock_guard lock(mutex_);
+  if (closed_) return End(connection, "shutdown");
   const std::uint64_t hop = connection.hop;
   connection.idle_since = std::chrono::steady_clock::now();
   idle_.push_back(std::move(connection));
--- a/src/net/next_hops.hpp
+++ b/src/net/next_hops.hpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
-#include "forwarder/mailbox.hpp"
 #include "net/buffer_pool.hpp"
+#include "net/crew.hpp"
 #include "net/delivery.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
@@ -29,6 +29,7 @@
   };
   using OnEnd = std::function<void(DeliveryEnd)>;  // called by the threads
 
+  // Throws std::runtime_error where the system has no room for a thread.
   NextHops(const Options& options, BufferPool& buffers, OnEnd on_end);
   ~NextHops();  // ends what is out
 
@@ -47,7 +48,7 @@
     std::size_t exchanges = 0;
   };
 
-  void Work();
+  void Work(const std::shared_ptr<Delivery>& delivery);
   DeliveryEnd Carry(Delivery& delivery);
   bool Open(Connection& connection, Delivery& delivery);
   DeliveryEnd ReadAnswer(Connection& connection, Delivery& delivery);
@@ -58,11 +59,11 @@
   const Options options_;
   BufferPool& buffers_;
   const OnEnd on_end_;
-  std::mutex mutex_;              // guards what follows
+  std::mutex mutex_;  // guards what follows
+  bool closed_ = false;
   std::vector<Connection> idle_;  // the newest last
   std::map<std::uint64_t, std::shared_ptr<Delivery>> out_;
-  Mailbox<std::shared_ptr<Delivery>> work_;
-  std::vector<Thread> threads_;
+  Crew<std::shared_ptr<Delivery>> crew_;
 };
 
 }  // namespace brassfront
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -1,17 +1,32 @@
 #include "net/sender_side.hpp"
 
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
 #include <cerrno>
-#include <chrono>
+#include <stdexcept>
 #include <thread>
-#include <utility>
+#include <vector>
 
 namespace brassfront {
 namespace {
 
-constexpr std::chrono::milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
-constexpr std::chrono::milliseconds kReplyTime{2000};  // for a reply to be written
-constexpr std::size_t kMostReplies = 16 * 1024;        // bytes that wait for one write
-constexpr std::size_t kMostLeaving = 32;  // connections that were dropped and are not closed yet
+using std::chrono::milliseconds;
+
+constexpr milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
+constexpr milliseconds kReplyTime{500};   // for a reply to be written
+constexpr milliseconds kSweep{50};        // between two looks at what is due
+constexpr milliseconds kLingerFor{500};   // and so many bytes, of what still comes
+constexpr std::size_t kMostPassedOver = 1 << 20;
+constexpr std::size_t kMostReplies = 16 * 1024;  // bytes that wait for one write
+constexpr std::size_t kMostLeaving = 32;         // connections that only pass over what still comes
+constexpr std::size_t kMostAccepts = 64;         // before the others get their turn
+constexpr std::size_t kLeastWorkers = 2;
+constexpr std::uint64_t kListener = UINT64_MAX, kWake = UINT64_MAX - 1;
 constexpr const char* kSide = "sender";
 
 // Without waiting for anything: other clients wait to be taken.
@@ -20,6 +35,13 @@
   LogConnectionEnd(kSide, "", reason, 0);
 }
 
+bool Watches(const Socket& readiness, int how, int fd, std::uint64_t number, std::uint32_t events) {
+  epoll_event wanted{};
+  wanted.events = events;
+  wanted.data.u64 = number;
+  return epoll_ctl(readiness.fd(), how, fd, &wanted) == 0;
+}
+
 }  // namespace
 
 SenderSide::SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers)
@@ -27,238 +49,334 @@
       intake_(intake),
       buffers_(buffers),
       listener_(std::move(listener)),
-      acceptor_("acceptor", [this] { TakeConnections(); }) {}
+      readiness_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_(eventfd(0, EFD_CLOEXEC)),
+      workers_("sender", {.least = std::min(kLeastWorkers, limits.workers), .most = limits.workers},
+               [this](Connection* connection) { Serve(*connection); }) {
+  DoNotWait(listener_);
+  if (!Watches(readiness_, EPOLL_CTL_ADD, listener_.fd(), kListener, EPOLLIN) ||
+      !Watches(readiness_, EPOLL_CTL_ADD, wake_.fd(), kWake, EPOLLIN)) {
+    throw std::runtime_error("no room for a descriptor");
+  }
+  lobby_ = Thread("lobby", [this] { Watch(); });
+  if (!lobby_.started()) throw std::runtime_error("no room for a thread");
+}
 
 SenderSide::~SenderSide() {
-  stopping_ = true;
-  ShutDown(listener_.fd());
-  acceptor_.Join();
   {
     const std::lock_guard lock(mutex_);
-    for (Connection& c : connections_) StopReading(c.socket.fd());  // replies still go out
+    stopping_ = true;
   }
-  for (Connection& c : connections_) c.thread.Join();
+  eventfd_write(wake_.fd(), 1);
+  lobby_.Join();
+  // The workers go on with what they were given: replies still go out. They come last.
 }
 
 void SenderSide::Drain() {
-  const std::lock_guard lock(mutex_);
-  draining_ = true;
-  for (Connection& c : connections_) {
-    if (c.idle && c.answered) StopReading(c.socket.fd());
+  {
+    const std::lock_guard lock(mutex_);
+    draining_ = true;
+  }
+  eventfd_write(wake_.fd(), 1);
+}
+
+// ======== the lobby ========
+
+void SenderSide::Watch() {
+  std::array<epoll_event, 64> events;
+  int wait = -1;
+  while (true) {
+    const int n = epoll_wait(readiness_.fd(), events.data(), events.size(), wait);
+    const std::lock_guard lock(mutex_);
+    if (stopping_) {
+      for (auto it = connections_.begin(); it != connections_.end();) {
+        Connection& c = *(it++)->second;
+        if (c.state != State::kServing) Erase(c, "shutdown");
+      }
+      return;
+    }
+    for (int i = 0; i < n; ++i) {
+      const std::uint64_t number = events[i].data.u64;
+      if (number == kListener) {
+        TakeConnections();
+      } else if (number == kWake) {
+        eventfd_t count = 0;
+        eventfd_read(wake_.fd(), &count);
+        EndForDrain();
+      } else if (const auto it = connections_.find(number); it != connections_.end()) {
+        if (it->second->state != State::kServing) Read(*it->second);
+      }
+    }
+    EndDue(std::chrono::steady_clock::now());
+    wait = connections_.empty() ? -1 : static_cast<int>(kSweep.count());
   }
 }
 
 void SenderSide::TakeConnections() {
-  while (!stopping_) {
+  for (std::size_t i = 0; i < kMostAccepts; ++i) {
     Socket socket = Accept(listener_);
-    if (stopping_) return;
-    Reap();
     if (!socket.is_open()) {
-      std::this_thread::sleep_for(kAcceptPause);
-      continue;
+      // Guards against a listener that stays ready while no descriptor is free.
+      if (errno != EAGAIN) std::this_thread::sleep_for(kAcceptPause);
+      return;
     }
-    const std::lock_guard lock(mutex_);
-    if (connections_.size() >= limits_.connections && !MakeRoom()) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (connections_.size() - leaving_ >= limits_.connections && !MakeRoom(now)) {
       TurnAway(socket, "too-many");
       continue;
     }
-    Connection& c = connections_.emplace_back();
+    const Number number = next_++;
+    Connection& c = *connections_.emplace(number, std::make_unique<Connection>()).first->second;
+    c.number = number;
     c.socket = std::move(socket);
-    c.since = std::chrono::steady_clock::now();
-    c.thread = Thread("sender", [this, &c] { Serve(c); });
-    if (c.thread.started()) continue;
-    TurnAway(c.socket, "no-thread");
-    connections_.pop_back();
+    c.since = now;
+    Arm(c, EPOLL_CTL_ADD);
+    Enter(c, now + limits_.command);
   }
 }
 
 // Ends the connection that is the least loss, for a newcomer. Guards against clients that connect
 // and say nothing, or have had their answer and stay, in the places of those with a message.
-bool SenderSide::MakeRoom() {
-  std::size_t standing = 0;
-  Connection* least = nullptr;
-  const SteadyTime now = std::chrono::steady_clock::now();
-  for (Connection& c : connections_) {
-    if (c.ended || c.dropped) continue;
-    ++standing;
-    if (!c.idle || now - c.since < (c.useful ? limits_.least_idle : limits_.useless)) continue;
-    const bool better = least == nullptr || (least->useful && !c.useful) ||
-                        (least->useful == c.useful && c.since < least->since);
-    if (better) least = &c;
+bool SenderSide::MakeRoom(SteadyTime now) {
+  const auto end_longest = [&](const Order& idle, milliseconds at_least) {
+    // One with a command that has come meanwhile goes to a worker, and the next is looked at.
+    while (!idle.empty() && now - idle.begin()->first >= at_least) {
+      if (EndIdle(idle.begin()->second, "made-room")) return true;
+    }
+    return false;
+  };
+  return end_longest(idle_useless_, limits_.useless) ||
+         end_longest(idle_useful_, limits_.least_idle);
+}
+
+// Ends the longest idle of the connections that have had an answer, if there are too many of them.
+void SenderSide::TrimIdle(SteadyTime now) {
+  if (idle_useful_.size() <= limits_.most_idle) return;
+  const auto [since, number] = *idle_useful_.begin();
+  if (now - since >= limits_.least_idle) EndIdle(number, "made-room");
+}
+
+// False if something has come on it meanwhile: it is no longer idle, or it has ended by itself.
+bool SenderSide::EndIdle(Number number, const char* reason) {
+  Connection& c = *connections_.at(number);
+  if (c.socket.HasInputOrEnd()) {
+    if (Read(c)) return false;
+    if (connections_.count(number) == 0) return true;
+    if (!c.IsIdle()) return false;  // a command has begun
   }
-  // What was dropped has its socket and thread for a little longer.
-  if (connections_.size() >= limits_.connections + kMostLeaving) return false;
-  if (standing < limits_.connections) return true;
-  if (least == nullptr) return false;
-  Drop(*least);
+  Erase(c, reason);
   return true;
 }
 
-// Ends the longest idle of the connections that have had an answer, if there are too many of them.
-void SenderSide::TrimIdle() {
-  std::size_t idle = 0;
-  Connection* longest = nullptr;
-  for (Connection& c : connections_) {
-    if (!c.idle || !c.useful || c.ended || c.dropped) continue;
-    ++idle;
-    if (longest == nullptr || c.since < longest->since) longest = &c;
+// Reads once. True if the connection has work for a worker, who has it now.
+bool SenderSide::Read(Connection& c) {
+  BufferPool::Buffer buffer = buffers_.Get();
+  const long n = c.socket.ReceiveNow(buffer.span());
+  if (n < 0 && errno == EAGAIN) {
+    Arm(c, EPOLL_CTL_MOD);
+    return false;
+  }
+  if (c.state == State::kLeaving) {
+    c.passed_over += static_cast<std::size_t>(std::max(n, 0L));
+    if (n <= 0 || c.passed_over >= kMostPassedOver) {
+      Erase(c, c.leaves_for);
+    } else {
+      Arm(c, EPOLL_CTL_MOD);
+    }
+    return false;
+  }
+  if (n <= 0) {
+    Erase(c, n < 0 ? "reset" : "peer-closed");
+    return false;
   }
-  if (idle <= limits_.most_idle) return;
-  if (std::chrono::steady_clock::now() - longest->since >= limits_.least_idle) Drop(*longest);
+  const bool begins = c.exchanges > 0 && c.reader.between_commands();
+  c.reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
+  if (!c.reader.commands().empty() || c.reader.broken()) {
+    Withdraw(c);
+    c.state = State::kServing;
+    workers_.Put(&c);
+    return true;
+  }
+  Arm(c, EPOLL_CTL_MOD);
+  if (begins) {
+    Withdraw(c);
+    Enter(c, std::chrono::steady_clock::now() + limits_.command);
+  }
+  return false;
 }
 
-void SenderSide::Drop(Connection& connection) {
-  connection.dropped = true;
-  StopReading(connection.socket.fd());  // what is being answered is not cut off
+void SenderSide::EndDue(SteadyTime now) {
+  while (!due_.empty() && due_.begin()->first <= now) {
+    Connection& c = *connections_.at(due_.begin()->second);
+    if (c.state == State::kLeaving) {
+      Erase(c, c.leaves_for);
+    } else if (c.exchanges > 0 && c.reader.between_commands()) {
+      EndIdle(c.number, "idle");
+    } else {
+      c.socket.SendAll(RespError("ERR", "no command in time"), now);
+      Erase(c, c.reader.between_commands() ? "silent" : "too-slow");
+    }
+  }
 }
 
-void SenderSide::Reap() {
-  const std::lock_guard lock(mutex_);
-  connections_.remove_if([](const Connection& c) { return c.ended; });  // their threads are over
+// A new connection may send its one request in a drain: only those that had theirs are ended.
+void SenderSide::EndForDrain() {
+  if (!draining_) return;
+  std::vector<Number> had_theirs;
+  for (const auto& [number, c] : connections_) {
+    if (c->state == State::kWaiting && c->exchanges > 0 && c->reader.between_commands()) {
+      had_theirs.push_back(number);
+    }
+  }
+  for (const Number number : had_theirs) {
+    if (connections_.count(number) != 0) EndIdle(number, "drained");
+  }
 }
 
-void SenderSide::SetIdle(Connection& connection, bool idle) {
-  const std::lock_guard lock(mutex_);
-  connection.idle = idle;
+// Into the sorted sets, as one that waits or leaves.
+void SenderSide::Enter(Connection& c, SteadyTime due) {
+  c.due = due;
+  due_.emplace(due, c.number);
+  if (c.state == State::kLeaving) {
+    ++leaving_;
+  } else if (c.IsIdle()) {
+    (c.useful ? idle_useful_ : idle_useless_).emplace(c.since, c.number);
+  }
 }
 
-bool SenderSide::Dropped(const Connection& connection) {
-  const std::lock_guard lock(mutex_);
-  return connection.dropped;
+// Out of them: to be entered anew, served or ended.
+void SenderSide::Withdraw(Connection& c) {
+  due_.erase({c.due, c.number});
+  idle_useful_.erase({c.since, c.number});
+  idle_useless_.erase({c.since, c.number});
+  if (c.state == State::kLeaving) --leaving_;
+}
+
+void SenderSide::Arm(Connection& c, int how) {
+  // One that cannot be watched is ended when it is due.
+  Watches(readiness_, how, c.socket.fd(), c.number, EPOLLIN | EPOLLONESHOT);
 }
 
-void SenderSide::Serve(Connection& connection) {
-  RespReader reader;
-  std::size_t exchanges = 0;
-  const char* reason = Exchange(connection, reader, exchanges);
-  LogConnectionEnd(kSide, "", reason, exchanges);
+void SenderSide::Erase(Connection& c, const char* reason) {
+  if (c.state != State::kServing) Withdraw(c);
+  LogConnectionEnd(kSide, "", reason, c.exchanges);
+  connections_.erase(c.number);
+}
+
+// ======== a worker ========
+
+void SenderSide::Serve(Connection& c) {
+  const char* reason = "";
+  After after = Answer(c, reason);
+  const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
-  ShutDown(connection.socket.fd());
-  connection.socket.Close();
-  connection.ended = true;
+  const bool between = c.reader.between_commands();
+  if (after == After::kStay && between && draining_) {
+    reason = "drained";
+    after = After::kClose;
+  }
+  if (stopping_) {  // there is no lobby any longer
+    if (after == After::kStay) reason = "shutdown";
+    after = After::kClose;
+  }
+  if (after == After::kClose) return Erase(c, reason);
+  if (after == After::kLinger) {
+    c.state = State::kLeaving;
+    c.leaves_for = reason;
+    shutdown(c.socket.fd(), SHUT_WR);
+    Enter(c, now + kLingerFor);
+    if (leaving_ > kMostLeaving) return Erase(c, reason);
+  } else {
+    c.state = State::kWaiting;
+    c.since = now;
+    Enter(c, now + (between ? limits_.idle : limits_.command));
+  }
+  Arm(c, EPOLL_CTL_MOD);
+  TrimIdle(now);
 }
 
-// Serves the connection and returns the reason for its end.
-const char* SenderSide::Exchange(Connection& connection, RespReader& reader,
-                                 std::size_t& exchanges) {
-  SteadyTime due = connection.since + limits_.command;
-  while (true) {
-    const bool between = reader.between_commands();
-    if (draining_ && exchanges > 0 && between) return "drained";
-    SetIdle(connection, exchanges == 0 || between);
-    const bool came = connection.socket.AwaitInput(due);
-    SetIdle(connection, false);
-    if (!came) {
-      if (exchanges > 0 && between) return "idle";
-      Say(connection, RespError("ERR", "no command in time"));
-      Flush(connection);
-      return between ? "silent" : "too-slow";
-    }
-    BufferPool::Buffer buffer = buffers_.Get();
-    const long n = connection.socket.Receive(buffer.span());
-    if (n <= 0) {
-      if (stopping_) return "shutdown";
-      if (Dropped(connection)) return "made-room";
-      return n < 0 ? "reset" : draining_ ? "drained" : "peer-closed";
-    }
-    if (exchanges > 0 && between) due = std::chrono::steady_clock::now() + limits_.command;
-    reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
-    bool answered = false;
-    while (!reader.commands().empty()) {
-      RespCommand command = std::move(reader.commands().front());
-      reader.commands().pop_front();
-      const char* reason = nullptr;
-      ++exchanges;
-      answered = true;
-      if (Reply(connection, command, reason)) continue;
-      Flush(connection);
-      if (connection.faults >= limits_.most_faults) connection.socket.Linger(buffer.span());
-      return reason;
-    }
-    if (reader.broken()) {
-      Say(connection, RespError("ERR", "protocol error"));
-      Flush(connection);
-      connection.socket.Linger(buffer.span());
-      return "malformed";
-    }
-    if (!Flush(connection)) return "reset";
-    if (!answered) continue;
-    const std::lock_guard lock(mutex_);
-    connection.answered = true;
-    TrimIdle();
-    connection.since = std::chrono::steady_clock::now();
-    due = connection.since + (reader.between_commands() ? limits_.idle : limits_.command);
+// Answers what has come whole.
+SenderSide::After SenderSide::Answer(Connection& c, const char*& reason) {
+  while (!c.reader.commands().empty()) {
+    RespCommand command = std::move(c.reader.commands().front());
+    c.reader.commands().pop_front();
+    ++c.exchanges;
+    if (Reply(c, command, reason)) continue;
+    Flush(c);
+    return c.faults >= limits_.most_faults ? After::kLinger : After::kClose;
+  }
+  if (c.reader.broken()) {
+    Say(c, RespError("ERR", "protocol error"));
+    Flush(c);
+    reason = "malformed";
+    return After::kLinger;
   }
+  if (Flush(c)) return After::kStay;
+  reason = "reset";
+  return After::kClose;
 }
 
 // Replies to commands that came together go out together. Guards against a system call for each of
 // hundreds. False if the client cannot be reached.
-bool SenderSide::Say(Connection& connection, const std::string& reply) {
-  connection.replies += reply;
-  return connection.replies.size() < kMostReplies || Flush(connection);
+bool SenderSide::Say(Connection& c, const std::string& reply) {
+  c.replies += reply;
+  return c.replies.size() < kMostReplies || Flush(c);
 }
 
-bool SenderSide::Flush(Connection& connection) {
-  if (connection.replies.empty()) return true;
-  const std::string replies = std::exchange(connection.replies, {});
-  return connection.socket.SendAll(replies, std::chrono::steady_clock::now() + kReplyTime);
+bool SenderSide::Flush(Connection& c) {
+  if (c.replies.empty()) return true;
+  const std::string replies = std::exchange(c.replies, {});
+  return c.socket.SendAll(replies, std::chrono::steady_clock::now() + kReplyTime);
 }
 
-bool SenderSide::SayFault(Connection& connection, const std::string& reply, const char*& reason) {
+bool SenderSide::SayFault(Connection& c, const std::string& reply, const char*& reason) {
   reason = "reset";
-  if (!Say(connection, reply)) return false;
+  if (!Say(c, reply)) return false;
   reason = "too-many-faults";
-  return ++connection.faults < limits_.most_faults;
+  return ++c.faults < limits_.most_faults;
 }
 
 // False, with the reason, if the connection is to end.
-bool SenderSide::Reply(Connection& connection, RespCommand& command, const char*& reason) {
+bool SenderSide::Reply(Connection& c, RespCommand& command, const char*& reason) {
   std::string& name = command.words[0];
-  for (char& c : name) c = c >= 'a' && c <= 'z' ? static_cast<char>(c - 'a' + 'A') : c;
-  if (command.oversize) return SayFault(connection, RespError("ERR", "over 64 KiB"), reason);
-  if (name == "MSG.PUT") return HandIn(connection, command, reason);
+  for (char& letter : name) {
+    if (letter >= 'a' && letter <= 'z') letter = static_cast<char>(letter - 'a' + 'A');
+  }
+  if (command.oversize) return SayFault(c, RespError("ERR", "over 64 KiB"), reason);
+  if (name == "MSG.PUT") return HandIn(c, command, reason);
   reason = "reset";
   if (name == "PING") {
-    return Say(connection,
-               command.words.size() > 1 ? RespBulk(command.words[1]) : RespSimple("PONG"));
+    return Say(c, command.words.size() > 1 ? RespBulk(command.words[1]) : RespSimple("PONG"));
   }
   if (name == "QUIT") {
-    if (Say(connection, RespSimple("OK"))) reason = "quit";
+    if (Say(c, RespSimple("OK"))) reason = "quit";
     return false;
   }
-  return SayFault(connection, RespError("ERR", "unknown command"), reason);
+  return SayFault(c, RespError("ERR", "unknown command"), reason);
 }
 
-bool SenderSide::HandIn(Connection& connection, RespCommand& command, const char*& reason) {
+bool SenderSide::HandIn(Connection& c, RespCommand& command, const char*& reason) {
   reason = "reset";
   Envelope envelope;
   try {
     envelope = ParsePut(std::move(command.words));
   } catch (const BadEnvelope& fault) {
-    return SayFault(connection, RespError("ERR", fault.what()), reason);
+    return SayFault(c, RespError("ERR", fault.what()), reason);
   }
-  const Answer answer = intake_.HandIn(std::move(envelope));
-  if (answer.verdict == Answer::Verdict::kBad) {
-    return SayFault(connection, RespError("ERR", answer.fault), reason);
-  }
-  if (answer.unlisted) {
-    const auto wait = answer.come_back.value_or(std::chrono::milliseconds(0));
-    return SayFault(connection, RespError("BUSY", std::to_string(wait.count())), reason);
-  }
-  connection.faults = 0;
-  {
-    const std::lock_guard lock(mutex_);
-    connection.useful = true;
+  const brassfront::Answer answer = intake_.HandIn(std::move(envelope));
+  if (answer.verdict == brassfront::Answer::Verdict::kBad) {
+    return SayFault(c, RespError("ERR", answer.fault), reason);
   }
-  if (answer.verdict == Answer::Verdict::kDeferred) {
-    std::string wait;
-    if (answer.come_back) wait = std::to_string(answer.come_back->count());
-    return Say(connection, RespError("BUSY", wait));
+  std::string wait;
+  if (answer.come_back) wait = std::to_string(answer.come_back->count());
+  if (answer.unlisted) return SayFault(c, RespError("BUSY", wait), reason);
+  c.faults = 0;
+  c.useful = true;
+  if (answer.verdict == brassfront::Answer::Verdict::kDeferred) {
+    return Say(c, RespError("BUSY", wait));
   }
-  // A client that has stopped waiting may hand the message in again under a new id. One whose
-  // connection is to end for our reasons, a newcomer's or a drain's, waits for its answer.
-  if (connection.socket.PeerHasEnded() || !Say(connection, RespSimple("OK")) ||
-      !Flush(connection)) {
+  // A client that has stopped waiting may hand the message in again under a new id.
+  if (c.socket.PeerHasEnded() || !Say(c, RespSimple("OK")) || !Flush(c)) {
     intake_.Lost(answer.message);
     reason = "gone-before-answer";
     return false;
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -1,16 +1,23 @@
-// The sender side: takes clients' connections, one thread for each, and speaks RESP2 with them.
+// The sender side: takes clients' connections and speaks RESP2 with them.
+//
+// One thread, the lobby, waits for all clients and reads from them. A connection with a whole
+// command goes to a worker, which may wait for the engine, and comes back once it is answered. So
+// threads follow the commands being answered, not the connections that stand.
 #ifndef BRASSFRONT_NET_SENDER_SIDE_HPP_
 #define BRASSFRONT_NET_SENDER_SIDE_HPP_
 
-#include <atomic>
 #include <chrono>
-#include <list>
+#include <cstdint>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <string>
-#include <vector>
+#include <unordered_map>
+#include <utility>
 
 #include "forwarder/intake.hpp"
 #include "net/buffer_pool.hpp"
+#include "net/crew.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
 #include "protocol/resp.hpp"
@@ -35,9 +42,11 @@
     // Commands in a row that could not be used: then the connection is closed. Guards against a
     // client that sends hundreds at once, each of which costs as much as a message.
     std::size_t most_faults = 16;
+    std::size_t workers = 32;  // commands being answered at once; more wait
   };
 
-  // Takes connections from the listener until it is destroyed.
+  // Takes connections from the listener until it is destroyed. Throws std::runtime_error where the
+  // system has no room for its threads or descriptors.
   SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers);
   ~SenderSide();
 
@@ -45,45 +54,73 @@
   void Drain();
 
  private:
+  using Number = std::uint64_t;  // of a connection; not used again
+  using Order = std::set<std::pair<SteadyTime, Number>>;
+
+  // Waiting: the lobby's. Serving: a worker's. Leaving: the lobby's, and what still comes is passed
+  // over, so that the last reply is not overtaken by a reset.
+  enum class State { kWaiting, kServing, kLeaving };
+
   struct Connection {
+    Number number = 0;
     Socket socket;
-    Thread thread;
+    RespReader reader{};
+    State state = State::kWaiting;
     SteadyTime since{};  // connected, or its last command was answered
-    bool idle = true;    // waits for a first command, or for a further one to begin
-    // A new connection may send its one request in a drain: only those that had theirs are cut.
-    bool answered = false;
-    bool useful = false;   // has handed in a good envelope
-    bool dropped = false;  // for a newcomer
-    bool ended = false;
-    // Its thread's own.
-    std::string replies;     // not written yet, of commands that came together
-    std::size_t faults = 0;  // in a row
+    SteadyTime due{};    // of what it waits for
+    std::size_t exchanges = 0;
+    bool useful = false;          // has handed in a good envelope
+    std::size_t passed_over = 0;  // bytes, while leaving
+    const char* leaves_for = "";  // the reason
+    std::string replies{};        // not written yet, of commands that came together
+    std::size_t faults = 0;       // in a row
+
+    // Waits for a first command, or for a further one to begin.
+    bool IsIdle() const { return exchanges == 0 || reader.between_commands(); }
   };
+  enum class After { kStay, kLinger, kClose };
 
+  // ---- the lobby's, under the lock ----
+  void Watch();
   void TakeConnections();
-  bool MakeRoom();
-  void TrimIdle();
-  void Drop(Connection& connection);
+  bool MakeRoom(SteadyTime now);
+  void TrimIdle(SteadyTime now);
+  bool EndIdle(Number number, const char* reason);
+  bool Read(Connection& connection);
+  void EndDue(SteadyTime now);
+  void EndForDrain();
+  void Enter(Connection& connection, SteadyTime due);
+  void Withdraw(Connection& connection);
+  void Arm(Connection& connection, int how);
+  void Erase(Connection& connection, const char* reason);
+
+  // ---- a worker's; the connection is its own meanwhile ----
   void Serve(Connection& connection);
-  const char* Exchange(Connection& connection, RespReader& reader, std::size_t& exchanges);
+  After Answer(Connection& connection, const char*& reason);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
   bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
   bool Say(Connection& connection, const std::string& reply);
   bool SayFault(Connection& connection, const std::string& reply, const char*& reason);
   bool Flush(Connection& connection);
-  void SetIdle(Connection& connection, bool idle);
-  bool Dropped(const Connection& connection);
-  void Reap();
 
   const Limits limits_;
   Intake& intake_;
   BufferPool& buffers_;
   Socket listener_;
-  std::atomic<bool> draining_{false};
-  std::atomic<bool> stopping_{false};
-  std::mutex mutex_;  // guards the list and the connections' flags
-  std::list<Connection> connections_;
-  Thread acceptor_;
+  Socket readiness_;  // epoll
+  Socket wake_;       // eventfd
+
+  std::mutex mutex_;  // guards what follows, and all connections that are not being served
+  bool draining_ = false;
+  bool stopping_ = false;
+  Number next_ = 0;
+  std::unordered_map<Number, std::unique_ptr<Connection>> connections_;
+  Order due_;                         // all that wait or leave
+  Order idle_useless_, idle_useful_;  // of those that wait, the longest first
+  std::size_t leaving_ = 0;
+
+  Crew<Connection*> workers_;
+  Thread lobby_;
 };
 
 }  // namespace brassfront
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,6 +1,7 @@
 #include "net/socket.hpp"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -17,8 +18,6 @@
 namespace {
 
 constexpr int kBacklog = 512;
-constexpr std::size_t kMostPassedOver = 1 << 20;  // bytes, while lingering
-constexpr std::chrono::milliseconds kLingerFor{500};
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -82,9 +81,12 @@
   return true;
 }
 
-long Socket::Receive(std::span<char> into) {
+long Socket::Receive(std::span<char> into) { return ReceiveWith(into, 0); }
+long Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
+
+long Socket::ReceiveWith(std::span<char> into, int flags) {
   while (true) {
-    const ssize_t n = recv(fd_, into.data(), into.size(), 0);
+    const ssize_t n = recv(fd_, into.data(), into.size(), flags);
     if (n >= 0 || errno != EINTR) return n;
   }
 }
@@ -103,16 +105,6 @@
 
 void Socket::ReceiveTimeout(std::chrono::milliseconds time) { SetTimeout(fd_, SO_RCVTIMEO, time); }
 
-void Socket::Linger(std::span<char> buffer) {
-  const SteadyTime until = std::chrono::steady_clock::now() + kLingerFor;
-  shutdown(fd_, SHUT_WR);
-  for (std::size_t passed = 0; passed < kMostPassedOver && AwaitInput(until);) {
-    const long n = Receive(buffer);
-    if (n <= 0) return;
-    passed += static_cast<std::size_t>(n);
-  }
-}
-
 bool IsAddress(const std::string& address) { return ParseAddress(address).has_value(); }
 
 Socket NewSocket() { return Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)); }
@@ -154,8 +146,11 @@
   return socket;
 }
 
+void DoNotWait(const Socket& listener) {
+  fcntl(listener.fd(), F_SETFL, fcntl(listener.fd(), F_GETFL) | O_NONBLOCK);
+}
+
 void ShutDown(int fd) { shutdown(fd, SHUT_RDWR); }
-void StopReading(int fd) { shutdown(fd, SHUT_RD); }
 
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges) {
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -35,17 +35,16 @@
   bool AwaitInput(SteadyTime until) const;
   // Bytes read, 0 at the peer's end, -1 at an error (errno tells: EAGAIN at a time-out).
   long Receive(std::span<char> into);
+  long ReceiveNow(std::span<char> into);  // -1 with EAGAIN where nothing has come
   // Something to read or the end has come: a connection between calls is stale then.
   bool HasInputOrEnd() const;
   // The peer has ended or reset it, as TCP's state tells: unread bytes do not count, and neither
   // does what this side has shut down.
   bool PeerHasEnded() const;
   void ReceiveTimeout(std::chrono::milliseconds time);
-  // Before the closing: ends the writing and passes over some of what still comes. Guards against a
-  // reset that overtakes the last reply, as closing a socket with unread bytes sends one.
-  void Linger(std::span<char> buffer);
 
  private:
+  long ReceiveWith(std::span<char> into, int flags);
   bool Await(short events, SteadyTime until) const;
 
   int fd_ = -1;
@@ -62,10 +61,11 @@
 Socket Listen(const std::string& address);
 std::string AddressOf(const Socket& listener);  // with the port that the system chose for port 0
 Socket Accept(const Socket& listener);
+// From now on Accept fails with EAGAIN where nobody waits to be taken.
+void DoNotWait(const Socket& listener);
 
 // Wakes up whichever thread is blocked on it.
 void ShutDown(int fd);
-void StopReading(int fd);  // the same, but what is being written is not cut off
 
 // The one line that each connection leaves at its end.
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
--- a/tests/network/next_hops_test.cpp
+++ b/tests/network/next_hops_test.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <string>
 
+#include "forwarder/mailbox.hpp"
+
 namespace brassfront {
 namespace {
 
--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/sender_side_test.cpp
@@ -3,6 +3,7 @@
 #include "net/sender_side.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <string>
@@ -188,7 +189,7 @@
   REQUIRE(Connect(peer, AddressOf(listener), kNever));
   Socket ours = Accept(listener);
   CHECK_FALSE(ours.PeerHasEnded());
-  StopReading(ours.fd());
+  shutdown(ours.fd(), SHUT_RD);
   CHECK_FALSE(ours.PeerHasEnded());
   peer.SendAll("unread");
   peer.Close();
