--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -132,14 +132,14 @@
       return;
     case What::kFellOver: {
       double all = 0, seen = 0;
-      for (const auto& [forwarder, messages] : e.pushed) {
-        all += static_cast<double>(messages);
-        if (saw_failing_[e.partner].count(forwarder) != 0) seen += static_cast<double>(messages);
+      for (const auto& [forwarder, work] : e.pushed) {
+        all += work;
+        if (saw_failing_[e.partner].count(forwarder) != 0) seen += work;
       }
       if (seen < all * 2 / 3) return;
       Tell(Rule::kFailBack, e.at,
            scenario_.partners[e.partner].name + " was pushed over while cold by " +
-               std::to_string(static_cast<long>(all)) + " messages, of which " +
+               std::to_string(static_cast<long>(all)) + " calls' work, of which " +
                std::to_string(static_cast<long>(seen)) + " came from forwarders that saw it fail");
       return;
     }
@@ -251,7 +251,7 @@
 
 void Auditor::TakeCall(const Event& e) {
   Call& call = calls_[e.call];
-  call = {e.forwarder, e.endpoint, e.partner, true, {}};
+  call = {e.forwarder, e.endpoint, e.partner, true, e.at, {}};
   Second& second = SecondOf(e.at);
   ++second.calls;
   ++partners_[e.partner].calls;
@@ -284,9 +284,15 @@
     if (put.end == End::kNotice) {
       Tell(Rule::kAfterEnd, e.at, "sent after its notice", part.put);
     }
-    if (put.may_have_run && scenario_.message_class.effect == Effect::kOnce) {
+    const Effect effect = scenario_.message_class.effect;
+    if (put.may_have_run && effect == Effect::kOnce) {
       Tell(Rule::kResend, e.at, "sent again though it may have run", part.put);
     }
+    // A partner drops repeats for a while only, from the first send that may have run on.
+    const Time window = scenario_.partners[put.partner].dedup;
+    if (effect == Effect::kKeyed && put.ran_since && e.at > *put.ran_since + window + kSlack) {
+      Tell(Rule::kResend, e.at, "sent again after its partner's window for repeats", part.put);
+    }
   }
 }
 
@@ -320,12 +326,12 @@
     Put& put = puts_[part.put];
     switch (part.fate) {
       case Fate::kOk:
-        put.may_have_run = true;
+        MayRun(put, call.at);
         put.ok_seen = true;
         if (put.taken) Delivered(part.put, e.at);
         break;
       case Fate::kError:
-        put.may_have_run = true;
+        MayRun(put, call.at);
         break;
       case Fate::kGone:
         EndPut(part.put, End::kGone, e.at);
@@ -347,11 +353,16 @@
   for (const PutId id : call.puts) {
     Put& put = puts_[id];
     if (put.out > 0) --put.out;
-    put.may_have_run = true;
+    MayRun(put, call.at);
     put.steps.push_back({e.at, e.what, e.call});
   }
 }
 
+void Auditor::MayRun(Put& put, Time sent) {
+  put.may_have_run = true;
+  put.ran_since = std::min(put.ran_since.value_or(sent), sent);
+}
+
 bool Auditor::MayHaveRun(PutId put) const {
   return put < puts_.size() && (puts_[put].may_have_run || puts_[put].out > 0);
 }
--- a/src/rehearsal/auditor.hpp
+++ b/src/rehearsal/auditor.hpp
@@ -40,7 +40,7 @@
     kTold,        // forwarder, endpoint, leaving: drains or is gone, or not
     kDown,        // partner: an outage begins
     kBack,        // partner: it ends, cold
-    kFellOver,    // partner, pushed: messages in its window by forwarder
+    kFellOver,    // partner, pushed: work in its window by forwarder
     kStopped,     // forwarder, planned: signalled, or found dead
     kReady,       // forwarder
     kMachineLost  // forwarder: with all that it held
@@ -68,7 +68,7 @@
   bool leaving = false;
   bool planned = false;
   std::vector<Part> parts{};
-  std::map<std::size_t, std::size_t> pushed{};
+  std::map<std::size_t, double> pushed{};
 };
 
 enum class Rule {
@@ -159,12 +159,14 @@
     std::size_t attempts = 0;
     std::size_t out = 0;  // calls with it that are open
     bool may_have_run = false;
+    std::optional<Time> ran_since;  // when the first call that may have run was sent
     std::size_t applied = 0;
     std::vector<Step> steps;
   };
   struct Call {
     std::size_t forwarder = 0, endpoint = 0, partner = 0;
     bool open = false;
+    Time at{};
     std::vector<PutId> puts;
   };
   struct Origin {
@@ -185,6 +187,7 @@
   void TakeCall(const Event& e);
   void TakeAnswer(const Event& e);
   void TakeCut(const Event& e);
+  void MayRun(Put& put, Time sent);
   void EndPut(PutId id, End end, Time at);
   void Delivered(PutId id, Time at);
   void CheckLost(Time now);
--- a/src/rehearsal/endpoints.cpp
+++ b/src/rehearsal/endpoints.cpp
@@ -88,6 +88,7 @@
   struct Message {
     PutId put = kUnknownPut;
     std::string key;
+    bool repeat = false;  // which the partner drops
   };
 
   const Partner& Its() const { return stage_.scenario.partners[owner_.at(number_).partner]; }
@@ -214,10 +215,12 @@
       case PartnerModel::What::kReset:
         return Reset();
       case PartnerModel::What::kRefuse:
+        if (messages_.empty()) return Answer(503, {}, Fate::kNever);  // a probe is told no wait
         return Answer(verdict.wait ? 429 : 503, verdict.wait, Fate::kNever, verdict.above_limit);
       case PartnerModel::What::kServe:
         break;
     }
+    for (Message& m : messages_) m.repeat = model.IsRepeat(now, m.key);
     // It runs then, whether anyone still waits for the answer or not.
     stage_.At(std::max(verdict.at, now),
               [self = shared_from_this(), call = call_, messages = messages_] {
@@ -231,19 +234,16 @@
     std::vector<Event::Part> parts;
     for (const Message& m : messages) {
       const HandIn& hand_in = stage_.hand_ins[m.put];
-      if (hand_in.unanswered || stage_.Now() > hand_in.until + Auditor::kEndGrace) {
-        parts.push_back({m.put, Fate::kGone});
-        continue;
-      }
-      const PartnerModel::Applied applied = model.Apply(stage_.Now(), m.key);
-      if (applied.applied) {
+      if (!m.repeat) {
         Event event{.what = Event::What::kRan};
         event.call = call;
         event.put = m.put;
-        event.twice = applied.twice;
+        event.twice = model.Apply(stage_.Now(), m.key);
         stage_.Emit(std::move(event));
       }
-      parts.push_back({m.put, Fate::kOk});
+      // Its client has given up, or its time is over: nothing more is owed.
+      const bool gone = hand_in.unanswered || stage_.Now() > hand_in.until + Auditor::kEndGrace;
+      parts.push_back({m.put, gone ? Fate::kGone : Fate::kOk});
     }
     return parts;
   }
--- a/src/rehearsal/partner_model.cpp
+++ b/src/rehearsal/partner_model.cpp
@@ -13,6 +13,8 @@
 // A plain rate lets so much of a second come at once.
 constexpr double kBurstSeconds = 0.25;
 
+// Of a call, in calls with one message.
+double WorkOf(std::size_t messages) { return 1 + kItemCost * static_cast<double>(messages - 1); }
 double Seconds(Time time) { return static_cast<double>(time.count()) / kNs; }
 Time At(double seconds) { return Time(static_cast<Time::rep>(seconds * kNs)); }
 
@@ -34,34 +36,28 @@
   // A lognormal with this median and coefficient of variation.
   const double sigma = std::sqrt(std::log1p(partner_.spread * partner_.spread));
   boost::random::lognormal_distribution<double> time(std::log(Seconds(partner_.pace)), sigma);
-  const double items = 1 + kItemCost * static_cast<double>(messages - 1);
-  return At(time(random_) * items * slow_);
+  return At(time(random_) * WorkOf(messages) * slow_);
 }
 
 // All that reaches a cold partner pushes it, what it turns away too.
 bool PartnerModel::Push(Time now, std::size_t messages, std::size_t forwarder) {
-  pushes_.push_back({now, messages, forwarder});
-  pushed_ += messages;
-  while (now - pushes_.front().at > cold_.fall) {
-    pushed_ -= pushes_.front().messages;
-    pushes_.pop_front();
-  }
+  pushes_.push_back({now, WorkOf(messages), forwarder});
+  while (now - pushes_.front().at > cold_.fall) pushes_.pop_front();
   if (!back_since_ || fallen_) return false;
   const double warmth = Warmth(now);
   if (warmth >= 1) return false;
-  // Only a window that lies after the return counts.
-  std::size_t since_return = 0;
-  for (const Pushes& p : pushes_) since_return += p.at >= *back_since_ ? p.messages : 0;
-  const double bearable = cold_.multiple * partner_.capacity * warmth * Seconds(cold_.fall);
-  if (static_cast<double>(since_return) <= bearable + 1) return false;
+  // Only what came after the return counts.
+  double work = 0;
+  for (const Pushes& p : pushes_) work += p.at >= *back_since_ ? p.work : 0;
+  if (work <= cold_.multiple * partner_.capacity * warmth * Seconds(cold_.fall) + 1) return false;
   fallen_ = true;
   return true;
 }
 
-std::map<std::size_t, std::size_t> PartnerModel::Pushed() const {
-  std::map<std::size_t, std::size_t> by_forwarder;
+std::map<std::size_t, double> PartnerModel::Pushed() const {
+  std::map<std::size_t, double> by_forwarder;
   for (const Pushes& p : pushes_) {
-    if (!back_since_ || p.at >= *back_since_) by_forwarder[p.forwarder] += p.messages;
+    if (!back_since_ || p.at >= *back_since_) by_forwarder[p.forwarder] += p.work;
   }
   return by_forwarder;
 }
@@ -154,15 +150,19 @@
   outage_until_ = now;
   back_since_ = now;
   pushes_.clear();
-  pushed_ = 0;
 }
 
-PartnerModel::Applied PartnerModel::Apply(Time now, const std::string& key) {
-  const auto [it, first] = applied_.try_emplace(key, now);
-  if (first) return {};
-  if (now - it->second <= partner_.dedup) return {.applied = false};
-  it->second = now;
-  return {.applied = true, .twice = true};
+bool PartnerModel::IsRepeat(Time now, const std::string& key) {
+  Key& known = keys_[key];
+  if (known.running > 0 || (known.applied && now - *known.applied <= partner_.dedup)) return true;
+  ++known.running;
+  return false;
+}
+
+bool PartnerModel::Apply(Time now, const std::string& key) {
+  Key& known = keys_[key];
+  --known.running;
+  return std::exchange(known.applied, now).has_value();
 }
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/partner_model.hpp
+++ b/src/rehearsal/partner_model.hpp
@@ -58,16 +58,14 @@
   Time outage_began() const { return outage_began_; }
   // Share of its capacity that it has just now.
   double Warmth(Time now) const;
-  // Work that reached it in the last `cold.fall`, by forwarder, messages.
-  std::map<std::size_t, std::size_t> Pushed() const;
+  // Work that reached it in the last `cold.fall`, by forwarder, in calls with one message.
+  std::map<std::size_t, double> Pushed() const;
 
-  // The call has run: true for each key that is applied now, false for one that is a repeat in
-  // time. A key that was applied before, longer ago, is applied twice.
-  struct Applied {
-    bool applied = true;
-    bool twice = false;
-  };
-  Applied Apply(Time now, const std::string& key);
+  // A message that will be served has come: true if it is a repeat, which the partner drops. That
+  // is decided on its arrival: its key is being run, or was applied within the window.
+  bool IsRepeat(Time now, const std::string& key);
+  // One that is none has run: true if its key was applied before, longer ago.
+  bool Apply(Time now, const std::string& key);
 
  private:
   std::optional<Time> OverLimit(Time now, bool& above);  // the wait it would tell, if above
@@ -92,11 +90,15 @@
   std::size_t in_span_ = 0;
   struct Pushes {
     Time at;
-    std::size_t messages, forwarder;
+    double work;
+    std::size_t forwarder;
   };
   std::deque<Pushes> pushes_;
-  std::size_t pushed_ = 0;
-  std::unordered_map<std::string, Time> applied_;
+  struct Key {
+    std::size_t running = 0;
+    std::optional<Time> applied;  // the last time
+  };
+  std::unordered_map<std::string, Key> keys_;
 };
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -48,7 +48,7 @@
   double weight = 1;          // of the traffic
   Time pace{};                // median time of a call
   double spread = 0;          // coefficient of variation of it
-  double capacity = 0;        // messages a second, of all its endpoints
+  double capacity = 0;        // calls with one message a second, of all its endpoints
   std::optional<Limit> limit;
   Time wait{};                  // told by a refusal of a rate limit or a full queue
   Time queue{};                 // in time of the capacity
--- a/src/rehearsal/scenario_schema.cpp
+++ b/src/rehearsal/scenario_schema.cpp
@@ -19,7 +19,7 @@
   weight:      number & >=0 | *1                     // of the traffic
   pace:        duration & >=1ms & <=30s | *100ms     // median time of a call
   spread:      number & >=0 & <=3 | *40%
-  capacity:    rate & >0/s | *30/s                   // messages, of all its endpoints together
+  capacity:    rate & >0/s | *30/s                   // calls with one message, of all its endpoints
   limit:       false | #Limit | *false
   wait:        duration & >=1ms & <=60s | *400ms
   queue:       duration & >=0s & <=60s | *600ms
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -151,6 +151,8 @@
     if (getppid() != parent) _exit(127);
     dup2(ends[1], STDERR_FILENO);
     dup2(ends[1], STDOUT_FILENO);
+    // Asio's sockets are kept over an exec. Guards against a listener that lives on in a forwarder.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     const rlimit limit{sockets, sockets};
     setrlimit(RLIMIT_NOFILE, &limit);
     sigset_t none;
--- a/tests/rehearsal/auditor_test.cpp
+++ b/tests/rehearsal/auditor_test.cpp
@@ -208,6 +208,18 @@
     CHECK(s.Broken(Rule::kResend) == 0);
     CHECK(s.auditor.Finish(seconds(60)).metrics.at("applied_twice") == 1);
   }
+  SUBCASE("keyed: within the partner's window of the first send that may have run, or after it") {
+    for (const int ms : {5040, 5060}) {
+      Story s;
+      const PutId put = s.Taken(seconds(1), 0);
+      s.Answer(seconds(2), s.Call(seconds(1), put), put, 503);  // never ran: does not count
+      s.Answer(seconds(4), s.Call(seconds(3), put), put, 500);
+      s.Answer(seconds(6), s.Call(seconds(5), put), put, 500);
+      const Time at = seconds(3) + milliseconds(ms);
+      s.Answer(at, s.Call(at, put), put, 200);
+      CHECK(s.Broken(Rule::kResend) == (ms > 5050 ? 1 : 0));
+    }
+  }
   SUBCASE("once: after a reset") {
     Story s("once");
     const PutId put = s.Taken(seconds(1), 0);
--- a/tests/rehearsal/model_test.cpp
+++ b/tests/rehearsal/model_test.cpp
@@ -82,7 +82,7 @@
   }
   CHECK(pushed >= 74);
   CHECK(pushed <= 82);
-  CHECK(model.Pushed().at(0) + model.Pushed().at(1) == static_cast<std::size_t>(pushed) + 1);
+  CHECK(model.Pushed().at(0) + model.Pushed().at(1) == doctest::Approx(pushed + 1));
   CHECK(model.fallen());
   CHECK(model.Call(seconds(19), 1, 0).what == What::kRefuse);
   PartnerModel gentle = Model(s);
@@ -97,11 +97,12 @@
 TEST_CASE("a key is applied once in its window, and again after it") {
   const Scenario s = With("dedup: 5s");
   PartnerModel model = Model(s);
-  CHECK(model.Apply(seconds(1), "k").applied);
-  CHECK_FALSE(model.Apply(seconds(6), "k").applied);
-  const auto again = model.Apply(seconds(6) + milliseconds(1), "k");
-  CHECK(again.applied);
-  CHECK(again.twice);
+  CHECK_FALSE(model.IsRepeat(seconds(1), "k"));
+  CHECK(model.IsRepeat(seconds(8), "k"));  // it runs still
+  CHECK_FALSE(model.Apply(seconds(9), "k"));
+  CHECK(model.IsRepeat(seconds(14), "k"));
+  CHECK_FALSE(model.IsRepeat(seconds(14) + milliseconds(1), "k"));
+  CHECK(model.Apply(seconds(20), "k"));
 }
 
 TEST_CASE("the plan: same seed, same bytes; rates, clumps and bursts as asked") {
