--- a/tests/records/records_test.cpp
+++ b/tests/records/records_test.cpp
@@ -86,7 +86,8 @@
     const std::string faults = FaultsOf(text);
     CHECK_MESSAGE(faults.find(words) != std::string::npos, faults);
   };
-  has("partners: [{name: \"a\", pace: 5}]", "f:1:30: expected duration >=1ms <=10s | 120ms, found 5");
+  has("partners: [{name: \"a\", pace: 5}]",
+      "f:1:30: expected duration >=1ms <=10s | 120ms, found 5");
   has("partners: [{name: \"a\", pace: 500us}]", "f:1:30: expected >=1ms, found 500us");
   has("partners: [{name: \"a\", pace: 500us}]", "(declared at schema:6:22)");
   has("partners: [{name: \"\"}]", "f:1:19: expected !=\"\", found \"\"");
