Free the place of a refused record file once: GCC 12 destroyed it twice

A struct was built in braces with a part that throws, and GCC 12 then destroys the parts that were ready twice. Its warning of uninitialised parts had been silenced, though it was true.

Change: the fields are read before the expression is made, and single faults are thrown by one function, which replaces six braced throws.

Measured: the records tests, failing before under the address sanitizer, pass there.

--- a/src/records/place.cpp
+++ b/src/records/place.cpp
@@ -49,6 +49,12 @@
 BadRecords::BadRecords(std::vector<Fault> faults)
     : std::runtime_error(Lines(faults)), faults_(std::move(faults)) {}
 
+void ThrowFault(Place at, std::string message) {
+  std::vector<Fault> faults;
+  faults.push_back({std::move(at), std::move(message), {}});
+  throw BadRecords(std::move(faults));
+}
+
 std::string Nearest(std::string_view name, const std::vector<std::string>& known) {
   std::string best;
   std::size_t least = std::max<std::size_t>(1, name.size() / 3) + 1;
--- a/src/records/place.hpp
+++ b/src/records/place.hpp
@@ -37,6 +37,10 @@
   std::vector<Fault> faults_;
 };
 
+// Throws BadRecords with this fault. A function, for GCC 12 destroys the parts of a braced fault
+// twice where one of them throws.
+[[noreturn]] void ThrowFault(Place at, std::string message);
+
 // The name of the list that is most like this one, for `did you mean`; empty if none is like it.
 std::string Nearest(std::string_view name, const std::vector<std::string>& known);
 
--- a/src/records/syntax.cpp
+++ b/src/records/syntax.cpp
@@ -169,7 +169,7 @@
 
  private:
   [[noreturn]] void Fail(const Node& node, std::string message) const {
-    throw BadRecords({{At(node), std::move(message), {}}});
+    ThrowFault(At(node), std::move(message));
   }
 
   Field FieldOf(const Node& node) const {
@@ -406,7 +406,7 @@
     }
     if (depth <= kMostDepth && colons <= kMostDepth) continue;
     const Place at{std::make_shared<const std::string>(file), line, i - line_start + 1};
-    throw BadRecords({{at, "nested deeper than " + std::to_string(kMostDepth) + " levels", {}}});
+    ThrowFault(at, "nested deeper than " + std::to_string(kMostDepth) + " levels");
   }
 }
 
@@ -415,14 +415,15 @@
 ExpressionPtr ParseRecords(std::string_view text, const std::string& file) {
   const auto name = std::make_shared<const std::string>(file);
   if (text.size() > kMostBytes) {
-    throw BadRecords({{{name, 1, 1}, "larger than 1 MiB", {}}});
+    ThrowFault(Place{name, 1, 1}, "larger than 1 MiB");
   }
   CheckDepth(text, file);
   peg::memory_input in(text.data(), text.size(), file);
   try {
     const auto root = peg::parse_tree::parse<File, Selector, peg::nothing, Control>(in);
     const Builder builder(file);
-    return std::make_shared<const Expression>(Expression{{name, 1, 1}, builder.FieldsOf(*root)});
+    Expression::Struct fields = builder.FieldsOf(*root);
+    return std::make_shared<const Expression>(Expression{{name, 1, 1}, std::move(fields)});
   } catch (const peg::parse_error& error) {
     const auto& position = error.positions().front();
     const Place at{name, position.line, position.column};
@@ -432,17 +433,17 @@
       const std::string_view word = rest.substr(0, rest.find_first_of(" \t\r\n"));
       found = word.empty() ? "the end of the line" : Quote(word);
     }
-    throw BadRecords({{at, std::string(error.message()) + ", found " + found, {}}});
+    ThrowFault(at, std::string(error.message()) + ", found " + found);
   }
 }
 
 std::string ReadRecordFile(const std::string& path) {
   const auto name = std::make_shared<const std::string>(path);
   std::ifstream in(path, std::ios::binary);
-  if (!in) throw BadRecords({{{}, path + ": " + std::strerror(errno), {}}});
+  if (!in) ThrowFault(Place{}, path + ": " + std::strerror(errno));
   std::string text(kMostBytes + 1, '\0');
   in.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (in.bad()) throw BadRecords({{{}, path + ": cannot be read", {}}});
+  if (in.bad()) ThrowFault(Place{}, path + ": cannot be read");
   text.resize(static_cast<std::size_t>(in.gcount()));
   return text;
 }
