--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -58,7 +58,7 @@
   try {
     record = work(evaluator);
   } catch (const Evaluator::TooMuch& too_much) {
-    throw BadRecords({too_much.fault});
+    ThrowFault(too_much.fault.at, too_much.fault.message);
   }
   if (!evaluator.faults().empty()) throw BadRecords(evaluator.faults());
   if (!record) throw std::logic_error("records: refused without a reason");
