Write times and numbers by one function each in the kit, and drop what nobody uses

Need: reading the change again showed four copies of the same conversion of times, two of the shortest text of a number, and in the partner model a flag that was always set and a time that nobody asked for.

Change: SecondsOf and FromSeconds beside Time, ShortestText beside Number; the dead parts and unused includes are gone, and missing ones are there. Behaviour stays.

--- a/src/cli/check_records.cpp
+++ b/src/cli/check_records.cpp
@@ -1,6 +1,7 @@
 // `brassfront check-records`: reads an operator file and says all that is wrong with it.
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 
 #include "cli/command.hpp"
 #include "records/records.hpp"
--- a/src/cli/rehearse.cpp
+++ b/src/cli/rehearse.cpp
@@ -1,11 +1,14 @@
 // `brassfront rehearse`: plays scenarios on this machine and judges them.
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sstream>
+#include <string>
+#include <vector>
 
 #include "cli/command.hpp"
 #include "rehearsal/plan.hpp"
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -166,7 +166,8 @@
 
 void Engine::Run(std::function<void()> on_drain) {
   on_drain_ = std::move(on_drain);
-  // What Restore decided. Guards against waiting for the first thing to happen, while its time runs.
+  // What Restore decided. Guards against waiting for the first thing to happen, while its time
+  // runs.
   StartReady(Now());
   while (!left_) {
     DrainUntil(
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,18 +1,18 @@
 #include "observe/log.hpp"
 
 #include <poll.h>
-#include <spdlog/details/null_mutex.h>
 #include <spdlog/logger.h>
-#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <ctime>
-#include <iterator>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <utility>
 
 #include "observe/repeats.hpp"
 
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -1,7 +1,6 @@
 #include "records/records.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <stdexcept>
 
 #include "records/unify.hpp"
@@ -9,12 +8,6 @@
 namespace brassfront::records {
 namespace {
 
-std::string Shortest(double value) {
-  char text[40];
-  const auto [end, error] = std::to_chars(text, text + sizeof text, value);
-  return std::string(text, end);
-}
-
 std::string NumberText(const Number& number, bool json) {
   switch (number.unit) {
     case Unit::kDuration:
@@ -22,11 +15,11 @@
     case Unit::kSize:
       return std::to_string(number.exact) + (json ? "" : "B");
     case Unit::kRate:
-      return Shortest(number.value) + (json ? "" : "/s");
+      return ShortestText(number.value) + (json ? "" : "/s");
     case Unit::kNone:
       break;
   }
-  return number.whole ? std::to_string(number.exact) : Shortest(number.value);
+  return number.whole ? std::to_string(number.exact) : ShortestText(number.value);
 }
 
 std::string Text(const Record& record, bool json) {
--- a/src/records/syntax.cpp
+++ b/src/records/syntax.cpp
@@ -412,6 +412,12 @@
 
 }  // namespace
 
+std::string ShortestText(double value) {
+  char text[40];
+  const auto [end, error] = std::to_chars(text, text + sizeof text, value);
+  return std::string(text, end);
+}
+
 ExpressionPtr ParseRecords(std::string_view text, const std::string& file) {
   const auto name = std::make_shared<const std::string>(file);
   if (text.size() > kMostBytes) {
--- a/src/records/syntax.hpp
+++ b/src/records/syntax.hpp
@@ -38,6 +38,9 @@
   friend bool operator==(const Number&, const Number&) = default;
 };
 
+// The shortest that reads back as the same value.
+std::string ShortestText(double value);
+
 enum class Relation { kLess, kAtMost, kMore, kAtLeast, kNot };
 
 struct Expression;
--- a/src/records/unify.cpp
+++ b/src/records/unify.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <type_traits>
 #include <utility>
@@ -70,12 +69,6 @@
   return a == b;
 }
 
-std::string Shortest(double value) {
-  char text[40];
-  const auto [end, error] = std::to_chars(text, text + sizeof text, value);
-  return std::string(text, end);
-}
-
 // In the largest unit that leaves no fraction.
 std::string DurationText(std::int64_t ns) {
   constexpr std::pair<const char*, std::int64_t> kUnits[] = {
@@ -103,11 +96,11 @@
     case Unit::kSize:
       return SizeText(number.exact);
     case Unit::kRate:
-      return Shortest(number.value) + "/s";
+      return ShortestText(number.value) + "/s";
     case Unit::kNone:
       break;
   }
-  return number.whole ? std::to_string(number.exact) : Shortest(number.value);
+  return number.whole ? std::to_string(number.exact) : ShortestText(number.value);
 }
 
 std::string ScalarText(const Term::Scalar& scalar) {
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -24,11 +24,9 @@
     "call out",  "answered", "cut",       "ran",      "notice",     "told",
     "down",      "back",     "fell over", "stopped",  "ready",      "machine lost"};
 
-double Seconds(Time time) { return static_cast<double>(time.count()) / 1e9; }
-
 std::string Text(Time time) {
   char text[32];
-  std::snprintf(text, sizeof text, "%.3f s", Seconds(time));
+  std::snprintf(text, sizeof text, "%.3f s", SecondsOf(time));
   return text;
 }
 
@@ -186,7 +184,7 @@
   const double rate = scenario_.merchants[e.merchant].share * scenario_.clients.rate * kShareRoom;
   double& left = share_left_[e.merchant];
   left = std::min(rate * kShareSeconds,
-                  left + rate * Seconds(e.at - std::exchange(share_at_[e.merchant], e.at)));
+                  left + rate * SecondsOf(e.at - std::exchange(share_at_[e.merchant], e.at)));
   origin.beyond_share = left < 1;
   if (!origin.beyond_share) left -= 1;
   PartnerFigures& partner = partners_[e.partner];
@@ -401,7 +399,7 @@
   const Time took = *origin.delivered - origin.at;
   if (took <= c.goal) return 1;
   if (took > c.deadline + kEndGrace) return 0;
-  const double past = Seconds(took - c.goal) / std::max(1e-9, Seconds(c.deadline - c.goal));
+  const double past = SecondsOf(took - c.goal) / std::max(1e-9, SecondsOf(c.deadline - c.goal));
   return 1 - (1 - c.late_worth) * std::min(1.0, past);
 }
 
@@ -437,7 +435,7 @@
       ++(in_time ? s.in_time : s.late);
       if (in_time) ++partner.in_time_by_second[second];
       ++partner.delivered;
-      times.push_back(Seconds(took));
+      times.push_back(SecondsOf(took));
       ++delivered;
       late += in_time ? 0 : 1;
     } else {
--- a/src/rehearsal/endpoints.cpp
+++ b/src/rehearsal/endpoints.cpp
@@ -422,7 +422,6 @@
 }
 
 void Endpoints::BeginOutage(const Act& act, std::size_t partner, Outage outage) {
-  const Time now = stage_.Now();
   const Time until = act.lasts == Time{} ? Time::max() : act.at + act.lasts;
   for (const std::size_t number : Of(partner)) {
     if (act.endpoint && number != Of(partner)[*act.endpoint]) continue;
@@ -430,7 +429,7 @@
     if (act.endpoint) at(number).outage = outage;
   }
   if (act.endpoint) return;
-  models_[partner].Begin(outage, now, until, act.wait, true);
+  models_[partner].Begin(outage, until, act.wait);
   Event event{.what = Event::What::kDown};
   event.partner = partner;
   stage_.Emit(std::move(event));
--- a/src/rehearsal/partner_model.cpp
+++ b/src/rehearsal/partner_model.cpp
@@ -9,34 +9,30 @@
 namespace {
 
 constexpr double kItemCost = 0.1;  // of the pace, for each message of a call beyond the first
-constexpr double kNs = 1e9;
 // A plain rate lets so much of a second come at once.
 constexpr double kBurstSeconds = 0.25;
 
 // Of a call, in calls with one message.
 double WorkOf(std::size_t messages) { return 1 + kItemCost * static_cast<double>(messages - 1); }
-double Seconds(Time time) { return static_cast<double>(time.count()) / kNs; }
-Time At(double seconds) { return Time(static_cast<Time::rep>(seconds * kNs)); }
-
 }  // namespace
 
 PartnerModel::PartnerModel(const Partner& partner, const Cold& cold, std::uint64_t seed)
     : partner_(partner), cold_(cold), random_(seed) {
-  const auto workers = std::max(1L, std::lround(partner.capacity * Seconds(partner.pace)));
+  const auto workers = std::max(1L, std::lround(partner.capacity * SecondsOf(partner.pace)));
   for (long i = 0; i < workers; ++i) free_at_.push(Time{});
 }
 
 double PartnerModel::Warmth(Time now) const {
   if (!back_since_) return 1;
-  const double passed = Seconds(now - *back_since_) / Seconds(cold_.warm);
+  const double passed = SecondsOf(now - *back_since_) / SecondsOf(cold_.warm);
   return std::min(1.0, cold_.share + (1 - cold_.share) * passed);
 }
 
 Time PartnerModel::ServiceTime(std::size_t messages) {
   // A lognormal with this median and coefficient of variation.
   const double sigma = std::sqrt(std::log1p(partner_.spread * partner_.spread));
-  boost::random::lognormal_distribution<double> time(std::log(Seconds(partner_.pace)), sigma);
-  return At(time(random_) * WorkOf(messages) * slow_);
+  boost::random::lognormal_distribution<double> time(std::log(SecondsOf(partner_.pace)), sigma);
+  return FromSeconds(time(random_) * WorkOf(messages) * slow_);
 }
 
 // All that reaches a cold partner pushes it, what it turns away too.
@@ -49,7 +45,7 @@
   // Only what came after the return counts.
   double work = 0;
   for (const Pushes& p : pushes_) work += p.at >= *back_since_ ? p.work : 0;
-  if (work <= cold_.multiple * partner_.capacity * warmth * Seconds(cold_.fall) + 1) return false;
+  if (work <= cold_.multiple * partner_.capacity * warmth * SecondsOf(cold_.fall) + 1) return false;
   fallen_ = true;
   return true;
 }
@@ -69,14 +65,14 @@
   if (limit.window) {
     const std::int64_t span = now / limit.span;
     if (span != std::exchange(span_, span)) in_span_ = 0;
-    const auto most = std::max(1L, std::lround(limit.calls * Seconds(limit.span)));
+    const auto most = std::max(1L, std::lround(limit.calls * SecondsOf(limit.span)));
     above = in_span_ >= static_cast<std::size_t>(most);
     if (!above || limit.counts_refused) ++in_span_;
     return Time(limit.span.count() * (span + 1)) - now;
   }
   // The generic cell rate algorithm (ITU-T I.371): spaced, with some that may come at once.
-  const Time gap = At(1 / limit.calls);
-  const Time burst = std::max(gap, At(kBurstSeconds));
+  const Time gap = FromSeconds(1 / limit.calls);
+  const Time burst = std::max(gap, FromSeconds(kBurstSeconds));
   above = tokens_at_ - now > burst;
   if (!above || limit.counts_refused) tokens_at_ = std::max(tokens_at_, now) + gap;
   // Refused calls that use the limit up do not push it away for good.
@@ -94,7 +90,7 @@
   }
   if (outage == Outage::kShut) {
     verdict.what = What::kRefuse;
-    if (tells_) verdict.wait = outage_wait_ ? *outage_wait_ : outage_until_ - now;
+    verdict.wait = outage_wait_ ? *outage_wait_ : outage_until_ - now;
     return verdict;
   }
   if (outage == Outage::kSilent || outage == Outage::kRefuse) {
@@ -133,13 +129,10 @@
   return verdict;
 }
 
-void PartnerModel::Begin(Outage outage, Time now, Time until, std::optional<Time> wait,
-                         bool tells) {
+void PartnerModel::Begin(Outage outage, Time until, std::optional<Time> wait) {
   outage_ = outage;
-  outage_began_ = now;
   outage_until_ = until;
   outage_wait_ = wait;
-  tells_ = tells;
   back_since_.reset();
   fallen_ = false;
 }
--- a/src/rehearsal/partner_model.hpp
+++ b/src/rehearsal/partner_model.hpp
@@ -42,7 +42,7 @@
   Verdict Call(Time now, std::size_t messages, std::size_t forwarder);
 
   // Outages of the whole partner, until then; `wait` is told with refusals, or else the time left.
-  void Begin(Outage outage, Time now, Time until, std::optional<Time> wait, bool tells);
+  void Begin(Outage outage, Time until, std::optional<Time> wait);
   void End(Time now);
   void Slow(double factor) { slow_ = factor; }
   // Answers full whatever there is room for, until then. No outage: it does not come back cold.
@@ -55,7 +55,6 @@
   bool fallen() const { return fallen_; }
   // When the last outage ended; nothing if there was none or it goes on.
   std::optional<Time> back_since() const { return back_since_; }
-  Time outage_began() const { return outage_began_; }
   // Share of its capacity that it has just now.
   double Warmth(Time now) const;
   // Work that reached it in the last `cold.fall`, by forwarder, in calls with one message.
@@ -78,9 +77,8 @@
   std::priority_queue<Time, std::vector<Time>, std::greater<>> free_at_;  // of its workers
   double slow_ = 1;
   Outage outage_ = Outage::kNone;
-  Time outage_began_{}, outage_until_{};
+  Time outage_until_{};
   std::optional<Time> outage_wait_;
-  bool tells_ = true;
   std::optional<Time> back_since_;
   Time full_until_{};
   std::optional<Time> full_wait_;
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -13,10 +13,6 @@
 using Random = boost::random::mt19937_64;  // Boost's distributions give the same on all platforms
 
 constexpr double kClumpSpread = 0.1;  // s, in which a clump's messages come
-constexpr double kNs = 1e9;
-
-Time At(double seconds) { return Time(static_cast<Time::rep>(seconds * kNs)); }
-double Seconds(Time time) { return static_cast<double>(time.count()) / kNs; }
 
 std::vector<double> Weights(const Scenario& s) {
   std::vector<double> weights;
@@ -28,7 +24,7 @@
 std::size_t ClumpSize(const Partner& p, Time time) {
   double rate = p.capacity;
   if (p.limit) rate = std::min(rate, p.limit->calls * static_cast<double>(p.batch));
-  return std::max<std::size_t>(2, static_cast<std::size_t>(std::lround(rate * Seconds(time))));
+  return std::max<std::size_t>(2, static_cast<std::size_t>(std::lround(rate * SecondsOf(time))));
 }
 
 std::string Hex(std::uint64_t value) {
@@ -53,18 +49,18 @@
     std::vector<double> shares;
     for (const Merchant& m : s_.merchants) shares.push_back(m.share);
     merchant_ = boost::random::discrete_distribution<std::size_t>(shares);
-    end_ = Seconds(s_.duration);
+    end_ = SecondsOf(s_.duration);
   }
 
   std::vector<Arrival> Make() {
     Stream(s_.clients.rate * (1 - s_.clients.clumps), 0, end_, {});
     Clumps();
     for (const Act& act : s_.acts) {
-      const double from = Seconds(act.at);
+      const double from = SecondsOf(act.at);
       if (act.kind == ActKind::kBurst) {
         const double share = s_.merchants[*act.merchant].share;
         Stream(s_.clients.rate * share * (act.factor - 1), from,
-               std::min(end_, from + Seconds(act.lasts)), act.merchant);
+               std::min(end_, from + SecondsOf(act.lasts)), act.merchant);
       } else if (act.kind == ActKind::kClump) {
         const std::size_t p = act.partners.front();
         Clump(from, p,
@@ -111,7 +107,7 @@
 
   void Add(double t, std::size_t partner, std::optional<std::size_t> merchant, bool in_clump) {
     const std::size_t whose = merchant ? *merchant : merchant_(random_);
-    if (t < end_) all_.push_back({At(t), 0, whose, partner, in_clump});
+    if (t < end_) all_.push_back({FromSeconds(t), 0, whose, partner, in_clump});
   }
 
   const Scenario& s_;
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -55,8 +55,6 @@
   return out;
 }
 
-double SecondsOf(Time time) { return static_cast<double>(time.count()) / 1e9; }
-
 std::string ActText(const Scenario& s, const Act& act) {
   std::string text = NameOf(act.kind);
   if (act.partners.size() == s.partners.size() && s.partners.size() > 1) {
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -5,10 +5,8 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
-#include <cmath>
 #include <cstdio>
 #include <memory>
-#include <set>
 #include <stdexcept>
 
 #include "rehearsal/agent.hpp"
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -16,6 +16,11 @@
 
 using Time = std::chrono::nanoseconds;  // since the rehearsal's start
 
+inline double SecondsOf(Time time) { return std::chrono::duration<double>(time).count(); }
+inline Time FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Time>(std::chrono::duration<double>(seconds));
+}
+
 enum class Effect { kPure, kKeyed, kOnce };
 
 struct MessageClass {
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <array>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <fstream>
--- a/tests/rehearsal/model_test.cpp
+++ b/tests/rehearsal/model_test.cpp
@@ -67,7 +67,7 @@
   const Scenario s = With("capacity: 100/s, pace: 10ms, spread: 0, queue: 10s",
                           "cold: {share: 50%, warm: 10s, multiple: 1.5, fall: 1s}");
   PartnerModel model = Model(s);
-  model.Begin(Outage::kShut, seconds(1), seconds(3), {}, true);
+  model.Begin(Outage::kShut, seconds(3), {});
   const auto shut = model.Call(seconds(2), 1, 0);
   CHECK(shut.what == What::kRefuse);
   CHECK(shut.wait == seconds(1));
@@ -86,7 +86,7 @@
   CHECK(model.fallen());
   CHECK(model.Call(seconds(19), 1, 0).what == What::kRefuse);
   PartnerModel gentle = Model(s);
-  gentle.Begin(Outage::kSilent, seconds(1), seconds(3), {}, true);
+  gentle.Begin(Outage::kSilent, seconds(3), {});
   CHECK(gentle.Call(seconds(2), 1, 0).what == What::kSilent);
   gentle.End(seconds(3));
   for (Time t = seconds(3); t < seconds(15); t += milliseconds(20)) {
