--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -30,6 +30,7 @@
 int SpoolCommand(int argc, char** argv);
 int CheckRecordsCommand(int argc, char** argv);
 int RehearseCommand(int argc, char** argv);  // with the kit
+int ZoneCommand(int argc, char** argv);      // with zones
 
 // The variable's value; empty if it is not set.
 std::string Environment(const char* name);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -42,6 +42,9 @@
 #ifdef BRASSFRONT_KIT
     {"rehearse", "play partner outages on this machine and judge them", RehearseCommand},
 #endif
+#ifdef BRASSFRONT_ZONES
+    {"zone", "read and change DNS zones, and serve them", ZoneCommand},
+#endif
 };
 
 void PrintUsage(std::ostream& out) {
--- /dev/null
+++ b/src/dns/follower.cpp
@@ -0,0 +1,99 @@
+#include "dns/follower.hpp"
+
+#include <algorithm>
+
+#include "dns/rdata.hpp"
+#include "dns/serial.hpp"
+
+namespace brassfront::dns {
+
+SoaTimers SoaTimers::Of(std::string_view soa_rdata) {
+  const auto field = [soa_rdata](std::size_t n) {
+    return std::clamp<double>(NumberField(type::kSoa, soa_rdata, n), Follower::kLeastWait,
+                              Follower::kMostWait);
+  };
+  SoaTimers timers{field(soa::kRefresh), field(soa::kRetry), 0};
+  // What expires before it is asked for again would come and go (RFC 1912 §2.2).
+  timers.expire = std::max<double>(NumberField(type::kSoa, soa_rdata, soa::kExpire),
+                                   timers.refresh + timers.retry);
+  return timers;
+}
+
+void Follower::Start(std::uint32_t serial, const SoaTimers& timers, double age, double now) {
+  serial_ = serial;
+  timers_ = timers;
+  confirmed_ = now - std::max(age, 0.0);
+  due_ = now;
+}
+
+Follower::Step Follower::Due(double now) {
+  if (has_zone() && !expired_ && now >= confirmed_ + timers_.expire) {
+    expired_ = true;
+    return Step::kExpire;
+  }
+  if (phase_ == Phase::kMustTransfer) {
+    phase_ = Phase::kTransferring;
+    return Step::kTransfer;
+  }
+  if (phase_ != Phase::kWaiting || now < due_) return Step::kNothing;
+  asked_ = now;
+  notified_ = false;
+  // Without a zone there is no serial to compare: the transfer comes at once.
+  phase_ = has_zone() ? Phase::kAsking : Phase::kTransferring;
+  return has_zone() ? Step::kAskSerial : Step::kTransfer;
+}
+
+double Follower::NextDue() const {
+  const double expiry = has_zone() && !expired_ ? confirmed_ + timers_.expire : 1e18;
+  switch (phase_) {
+    case Phase::kWaiting:
+      return std::min(due_, expiry);
+    case Phase::kMustTransfer:
+      return 0;
+    default:
+      return expiry;
+  }
+}
+
+void Follower::Notified(std::optional<std::uint32_t> serial, double now) {
+  // A serial that is held already needs no question; what a notice claims is believed no further.
+  if (serial && serial_ && !expired_ && !IsNewer(*serial, *serial_)) return;
+  if (phase_ == Phase::kWaiting) {
+    due_ = std::min(due_, std::max(now, asked_ + kBetweenQuestions));
+  } else {
+    notified_ = true;
+  }
+}
+
+void Follower::SerialIs(std::uint32_t serial, double now) {
+  if (phase_ != Phase::kAsking) return;
+  if (IsNewer(serial, *serial_)) {
+    phase_ = Phase::kMustTransfer;
+  } else if (serial == *serial_) {
+    Confirm(now);
+  } else {
+    Failed(now);  // it has gone back: whatever it holds is not what it should
+  }
+}
+
+void Follower::Took(std::uint32_t serial, const SoaTimers& timers, double now) {
+  serial_ = serial;
+  timers_ = timers;
+  Confirm(now);
+}
+
+void Follower::IsUpToDate(double now) { Confirm(now); }
+
+void Follower::Confirm(double now) {
+  phase_ = Phase::kWaiting;
+  confirmed_ = now;
+  expired_ = false;
+  due_ = notified_ ? std::max(now, asked_ + kBetweenQuestions) : now + timers_.refresh;
+}
+
+void Follower::Failed(double now) {
+  phase_ = Phase::kWaiting;
+  due_ = notified_ ? std::max(now, asked_ + kBetweenQuestions) : now + timers_.retry;
+}
+
+}  // namespace brassfront::dns
--- /dev/null
+++ b/src/dns/follower.hpp
@@ -0,0 +1,73 @@
+// When a secondary asks its primary, and what it makes of the answers (RFC 1035 §3.3.13, RFC 1996):
+// the timers of the SOA, notices of changes, and the end of a zone that cannot be followed any
+// more. A state machine without I/O; times are seconds on a clock that never goes back.
+#ifndef BRASSFRONT_DNS_FOLLOWER_HPP_
+#define BRASSFRONT_DNS_FOLLOWER_HPP_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace brassfront::dns {
+
+struct SoaTimers {
+  double refresh = 0, retry = 0, expire = 0;  // seconds
+
+  // Those of a SOA's RDATA, within Follower's limits.
+  static SoaTimers Of(std::string_view soa_rdata);
+};
+
+class Follower {
+ public:
+  // A SOA may ask for less or more than is good for either side.
+  static constexpr double kLeastWait = 1, kMostWait = 86400;
+  static constexpr double kFirstRetry = 1;  // as long as no SOA says otherwise
+  // Notices are answered by one question at a time, and not by more than five a second.
+  static constexpr double kBetweenQuestions = 0.2;
+
+  enum class Step {
+    kNothing,
+    kAskSerial,  // ask for the SOA
+    kTransfer,   // ask for what is newer
+    kExpire,     // what is held counts no more
+  };
+
+  explicit Follower(double now) : due_(now), asked_(now - kBetweenQuestions) {}
+
+  // What was kept from earlier: its serial, and how long ago it was confirmed.
+  void Start(std::uint32_t serial, const SoaTimers& timers, double age, double now);
+
+  // What to do now. After kAskSerial and kTransfer one of the answers below must come.
+  Step Due(double now);
+  double NextDue() const;
+
+  // A notice of a change, with the serial it names if it does (RFC 1996 §3.7).
+  void Notified(std::optional<std::uint32_t> serial, double now);
+  void SerialIs(std::uint32_t serial, double now);  // the SOA's answer
+  void Took(std::uint32_t serial, const SoaTimers& timers, double now);
+  void IsUpToDate(double now);
+  void Failed(double now);  // no answer, a refusal or a transfer that came to nothing
+
+  bool has_zone() const { return serial_.has_value(); }
+  std::uint32_t serial() const { return serial_.value_or(0); }
+  bool expired() const { return expired_; }
+  double confirmed() const { return confirmed_; }
+
+ private:
+  enum class Phase { kWaiting, kAsking, kMustTransfer, kTransferring };
+
+  void Confirm(double now);
+
+  Phase phase_ = Phase::kWaiting;
+  std::optional<std::uint32_t> serial_;
+  SoaTimers timers_{kLeastWait, kFirstRetry, kMostWait};
+  double due_;
+  double asked_;  // last
+  double confirmed_ = 0;
+  bool notified_ = false;  // since the question that is out
+  bool expired_ = false;
+};
+
+}  // namespace brassfront::dns
+
+#endif  // BRASSFRONT_DNS_FOLLOWER_HPP_
--- /dev/null
+++ b/src/dns/transfer.cpp
@@ -0,0 +1,233 @@
+#include "dns/transfer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dns/serial.hpp"
+
+namespace brassfront::dns {
+namespace {
+
+// Of one message: small enough to be worked on in one piece, large enough to compress well.
+constexpr std::size_t kPartBytes = 16 * 1024;
+
+// Cuts a stream of records into messages.
+class Parts {
+ public:
+  Parts(const Message& request, TsigSession* session, std::uint64_t now)
+      : request_(request), session_(session), now_(now), part_(Start()) {}
+
+  void Add(const Record& record) {
+    constexpr std::size_t kHead = 10;
+    const std::size_t size = record.name.wire().size() + kHead + record.rdata.size();
+    if (bytes_ > 0 && bytes_ + size > kPartBytes) End();
+    bytes_ += size;
+    part_.answer.push_back(record);
+  }
+
+  std::vector<std::string> Take() {
+    End();
+    return std::move(messages_);
+  }
+
+ private:
+  Message Start() const {
+    Message message = ReplyTo(request_, Rcode::kNoError);
+    message.authoritative = true;
+    return message;
+  }
+
+  void End() {
+    std::string bytes = Encode(part_);
+    messages_.push_back(session_ != nullptr ? session_->Sign(std::move(bytes), now_)
+                                            : std::move(bytes));
+    part_ = Start();
+    bytes_ = 0;
+  }
+
+  const Message& request_;
+  TsigSession* session_;
+  std::uint64_t now_;
+  Message part_;
+  std::size_t bytes_ = 0;
+  std::vector<std::string> messages_;
+};
+
+}  // namespace
+
+std::optional<std::uint32_t> SerialAskedFrom(const Message& request) {
+  if (request.authority.size() != 1 || request.authority[0].type != type::kSoa) return std::nullopt;
+  return SerialOf(request.authority[0].rdata);
+}
+
+std::vector<std::string> TransferAnswer(const Zone& zone, const Message& request, bool stream,
+                                        std::size_t limit, TsigSession* session,
+                                        std::uint64_t now) {
+  const Record soa = zone.Soa();
+  std::optional<std::vector<const Change*>> changes;
+  bool soa_alone = false;
+  if (request.question[0].type == type::kIxfr) {
+    const auto from = SerialAskedFrom(request);
+    if (from) {
+      soa_alone = *from == zone.serial() || IsNewer(*from, zone.serial());
+      changes = zone.Since(*from);
+    }
+  }
+  const auto send = [&](TsigSession* by) {
+    Parts parts(request, by, now);
+    parts.Add(soa);
+    if (soa_alone) return parts.Take();
+    if (changes) {
+      for (const Change* change : *changes) {
+        for (const Record& record : change->removed) parts.Add(record);
+        for (const Record& record : change->added) parts.Add(record);
+      }
+    } else {
+      zone.EachRecord([&parts](const Record& record) { parts.Add(record); });
+    }
+    parts.Add(soa);
+    return parts.Take();
+  };
+  if (stream) return send(session);
+  const std::size_t room = limit - std::min(limit, session != nullptr ? session->MostBytes() : 0);
+  if (!soa_alone) {
+    // The whole zone is not even tried in a datagram.
+    const auto tried = changes ? send(nullptr) : std::vector<std::string>();
+    soa_alone = tried.size() != 1 || tried[0].size() > room;
+  }
+  return send(session);
+}
+
+Message TransferRequest(const Name& zone, const std::optional<Record>& have, std::uint16_t id) {
+  Message request;
+  request.id = id;
+  request.question = {{zone, have ? type::kIxfr : type::kAxfr, klass::kIn}};
+  if (have) request.authority = {*have};
+  return request;
+}
+
+TransferReader::TransferReader(Name zone, const std::optional<Record>& have, std::uint16_t id,
+                               std::optional<TsigSession> session, std::size_t most_records)
+    : zone_(std::move(zone)),
+      have_(have ? std::optional(SerialOf(have->rdata)) : std::nullopt),
+      id_(id),
+      session_(std::move(session)),
+      most_records_(most_records),
+      whole_(zone_) {}
+
+std::optional<Transferred> TransferReader::Take(std::string_view bytes, std::uint64_t now) {
+  Decoded decoded = Decode(bytes);
+  if (!decoded.message) return Bad("a message that cannot be read: " + decoded.why);
+  Message& message = *decoded.message;
+  if (!message.response || message.opcode != Opcode::kQuery || message.id != id_) {
+    return Bad("an answer to something else");
+  }
+  if (session_) {
+    const TsigError error = session_->Check(bytes, message, now);
+    const TsigError told = error == TsigError::kNone ? ErrorIn(message) : error;
+    if (told != TsigError::kNone) {
+      return Bad("the signature does not hold: " + RcodeText(static_cast<std::uint16_t>(told)));
+    }
+  }
+  if (message.rcode != Rcode::kNoError) {
+    const bool first = messages_ == 0 && have_;
+    const bool unknown = message.rcode == Rcode::kNotImp || message.rcode == Rcode::kFormErr;
+    return Unfit{"the primary answers " + RcodeText(message.rcode), first && unknown};
+  }
+  for (const Question& question : message.question) {
+    if (!(question.name == zone_)) return Bad("an answer about " + question.name.ToText());
+  }
+  ++messages_;
+  for (Record& record : message.answer) {
+    if (auto unfit = TakeRecord(std::move(record))) return *std::move(unfit);
+  }
+  return End(message);
+}
+
+std::optional<Unfit> TransferReader::TakeRecord(Record record) {
+  if (++records_ > most_records_) return Bad("more records than are kept");
+  if (record.klass != klass::kIn || !IsDataType(record.type) || !record.name.IsAtOrBelow(zone_)) {
+    return Bad("a record that is none of the zone's: " + record.ToText());
+  }
+  const bool soa = record.type == type::kSoa;
+  if (soa && !(record.name == zone_)) return Bad("a SOA at " + record.name.ToText());
+  const auto is_newest = [this](const Record& other) {
+    return SerialOf(other.rdata) == SerialOf(soa_.rdata);
+  };
+  switch (state_) {
+    case State::kFirst:
+      if (!soa) return Bad("it does not begin with the SOA");
+      soa_ = std::move(record);
+      state_ = State::kSecond;
+      return std::nullopt;
+    case State::kSecond:
+      if (soa && have_ && !is_newest(record)) {
+        if (SerialOf(record.rdata) != *have_) return Bad("its changes begin at another serial");
+        changes_.push_back({{std::move(record)}, {}});
+        state_ = State::kRemoving;
+        return std::nullopt;
+      }
+      whole_.Add(soa_);
+      state_ = State::kWhole;
+      [[fallthrough]];
+    case State::kWhole:
+      if (soa) {
+        if (!is_newest(record)) return Bad("the zone changed during the transfer");
+        state_ = State::kDone;
+      } else {
+        whole_.Add(record);
+      }
+      return std::nullopt;
+    case State::kRemoving:
+      if (soa) {
+        if (!IsNewer(SerialOf(record.rdata), changes_.back().from())) {
+          return Bad("its changes lead to an older serial");
+        }
+        state_ = State::kAdding;
+        changes_.back().added.push_back(std::move(record));
+      } else {
+        changes_.back().removed.push_back(std::move(record));
+      }
+      return std::nullopt;
+    case State::kAdding:
+      if (!soa) {
+        changes_.back().added.push_back(std::move(record));
+      } else if (changes_.back().to() == SerialOf(soa_.rdata)) {
+        if (!is_newest(record)) return Bad("changes beyond the newest serial");
+        state_ = State::kDone;
+      } else if (SerialOf(record.rdata) != changes_.back().to()) {
+        return Bad("a change that does not start where the last one ended");
+      } else {
+        changes_.push_back({{std::move(record)}, {}});
+        state_ = State::kRemoving;
+      }
+      return std::nullopt;
+    case State::kDone:
+      return Bad("records after its end");
+  }
+  return std::nullopt;
+}
+
+std::optional<Transferred> TransferReader::End(const Message& message) {
+  if (state_ == State::kSecond && have_ &&
+      (SerialOf(soa_.rdata) == *have_ || IsNewer(*have_, SerialOf(soa_.rdata)))) {
+    return UpToDate{};
+  }
+  // By UDP the SOA alone means "come by TCP"; there is no more to wait for on a stream either.
+  if (state_ != State::kDone) return std::nullopt;
+  if (session_ && !message.tsig) return Bad("its last message is not signed");
+  if (!changes_.empty()) return Changes{std::move(changes_)};
+  if (have_ && !IsNewer(whole_.serial(), *have_)) {
+    return Bad("a whole zone of serial " + std::to_string(whole_.serial()) + ", not newer than " +
+               std::to_string(*have_));
+  }
+  const auto faults = FaultsOf(whole_);
+  if (!faults.empty()) return Bad("no whole zone: " + faults[0]);
+  return WholeZone{std::move(whole_)};
+}
+
+Transferred TransferReader::CutShort(std::string why) const {
+  return Bad("cut short after " + std::to_string(records_) + " records: " + std::move(why));
+}
+
+}  // namespace brassfront::dns
--- /dev/null
+++ b/src/dns/tsig.cpp
@@ -0,0 +1,247 @@
+#include "dns/tsig.hpp"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <array>
+
+namespace brassfront::dns {
+namespace {
+
+constexpr std::pair<Algorithm, const char*> kAlgorithms[] = {
+    {Algorithm::kHmacSha256, "hmac-sha256"}, {Algorithm::kHmacSha512, "hmac-sha512"}};
+
+std::string Hmac(const Key& key, std::string_view bytes) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
+  unsigned length = 0;
+  HMAC(key.algorithm == Algorithm::kHmacSha256 ? EVP_sha256() : EVP_sha512(), key.secret.data(),
+       static_cast<int>(key.secret.size()), reinterpret_cast<const unsigned char*>(bytes.data()),
+       bytes.size(), mac.data(), &length);
+  return {reinterpret_cast<const char*>(mac.data()), length};
+}
+
+std::size_t MacBytes(Algorithm algorithm) { return algorithm == Algorithm::kHmacSha256 ? 32 : 64; }
+
+Name AlgorithmName(Algorithm algorithm) { return Name::Known(AlgorithmText(algorithm)); }
+
+void Put48(std::string& out, std::uint64_t value) {
+  Put16(out, static_cast<std::uint32_t>(value >> 32) & 0xffff);
+  Put32(out, static_cast<std::uint32_t>(value));
+}
+
+// RFC 8945 §4.2.
+struct Fields {
+  Name algorithm;
+  std::uint64_t time = 0;
+  std::uint16_t fudge = kFudgeSeconds;
+  std::string mac;
+  std::uint16_t original_id = 0;
+  TsigError error = TsigError::kNone;
+  std::string other;
+
+  std::string Bytes() const {
+    std::string out = algorithm.wire();
+    Put48(out, time);
+    Put16(out, fudge);
+    Put16(out, static_cast<std::uint32_t>(mac.size()));
+    out += mac;
+    Put16(out, original_id);
+    Put16(out, static_cast<std::uint32_t>(error));
+    Put16(out, static_cast<std::uint32_t>(other.size()));
+    return out + other;
+  }
+};
+
+std::optional<Fields> FieldsOf(std::string_view rdata) {
+  std::size_t at = 0;
+  while (at < rdata.size() && rdata[at] != 0) at += 1 + static_cast<unsigned char>(rdata[at]);
+  if (at + 1 > rdata.size()) return std::nullopt;
+  const auto algorithm = Name::FromWire(rdata.substr(0, at + 1));
+  rdata.remove_prefix(at + 1);
+  if (!algorithm || rdata.size() < 10) return std::nullopt;
+  Fields fields;
+  fields.algorithm = *algorithm;
+  fields.time = std::uint64_t{Get16(rdata, 0)} << 32 | Get32(rdata, 2);
+  fields.fudge = static_cast<std::uint16_t>(Get16(rdata, 6));
+  const std::size_t mac_length = Get16(rdata, 8);
+  if (rdata.size() < 10 + mac_length + 6) return std::nullopt;
+  fields.mac = rdata.substr(10, mac_length);
+  rdata.remove_prefix(10 + mac_length);
+  fields.original_id = static_cast<std::uint16_t>(Get16(rdata, 0));
+  fields.error = static_cast<TsigError>(Get16(rdata, 2));
+  fields.other = rdata.substr(6);
+  if (fields.other.size() != Get16(rdata, 4)) return std::nullopt;
+  return fields;
+}
+
+void AddToCount(std::string& message, int change) {
+  const auto count = Get16(message, 10) + static_cast<std::uint32_t>(change);
+  message[10] = static_cast<char>(count >> 8);
+  message[11] = static_cast<char>(count);
+}
+
+std::string Appended(std::string message, const Name& key, const Fields& fields) {
+  AddToCount(message, 1);
+  message += key.wire();
+  Put16(message, type::kTsig);
+  Put16(message, klass::kAny);
+  Put32(message, 0);
+  const std::string rdata = fields.Bytes();
+  Put16(message, static_cast<std::uint32_t>(rdata.size()));
+  return message + rdata;
+}
+
+std::string WithLength(std::string_view mac) {
+  std::string out;
+  Put16(out, static_cast<std::uint32_t>(mac.size()));
+  return out.append(mac);
+}
+
+// What the MAC is over (RFC 8945 §4.3): a third and later message has the times alone (§5.3.1).
+std::string Signed(std::string_view prior, std::string_view message, const Name& key,
+                   const Fields& fields, bool times_alone) {
+  std::string out(prior);
+  out += message;
+  if (!times_alone) {
+    out += key.Lower().wire();
+    Put16(out, klass::kAny);
+    Put32(out, 0);
+    out += fields.algorithm.Lower().wire();
+  }
+  Put48(out, fields.time);
+  Put16(out, fields.fudge);
+  if (!times_alone) {
+    Put16(out, static_cast<std::uint32_t>(fields.error));
+    Put16(out, static_cast<std::uint32_t>(fields.other.size()));
+    out += fields.other;
+  }
+  return out;
+}
+
+}  // namespace
+
+std::optional<Algorithm> AlgorithmFromText(std::string_view text) {
+  for (const auto& [algorithm, name] : kAlgorithms) {
+    if (SameIgnoringCase(text, name)) return algorithm;
+  }
+  return std::nullopt;
+}
+
+std::string AlgorithmText(Algorithm algorithm) {
+  for (const auto& [known, name] : kAlgorithms) {
+    if (known == algorithm) return name;
+  }
+  return {};
+}
+
+std::optional<std::string> SecretFromText(std::string_view text) {
+  if (text.empty() || text.size() % 4 != 0) return std::nullopt;
+  std::string bytes(text.size() / 4 * 3, '\0');
+  if (EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size())) < 0) {
+    return std::nullopt;
+  }
+  bytes.resize(bytes.size() -
+               static_cast<std::size_t>(std::count(text.end() - 2, text.end(), '=')));
+  return bytes;
+}
+
+std::string TsigSession::Append(std::string message, std::uint64_t time, TsigError error,
+                                std::string_view other) {
+  Fields fields;
+  fields.algorithm = AlgorithmName(key_.algorithm);
+  fields.time = time;
+  fields.original_id = static_cast<std::uint16_t>(Get16(message, 0));
+  fields.error = error;
+  fields.other = other;
+  fields.mac = Hmac(key_, Signed(prior_mac_ + between_, message, key_.name, fields, checked_ >= 2));
+  prior_mac_ = WithLength(fields.mac);
+  between_.clear();
+  ++checked_;
+  return Appended(std::move(message), key_.name, fields);
+}
+
+std::string TsigSession::Sign(std::string message, std::uint64_t now) {
+  return Append(std::move(message), now, TsigError::kNone, {});
+}
+
+std::size_t TsigSession::MostBytes() const {
+  constexpr std::size_t kFixed = 10 + 16 + 6;  // the record's, RDATA's, and a time in it
+  return key_.name.wire().size() + AlgorithmName(key_.algorithm).wire().size() + kFixed +
+         MacBytes(key_.algorithm);
+}
+
+std::string TsigSession::SignBadTime(std::string message, std::uint64_t signed_at,
+                                     std::uint64_t now) {
+  std::string other;
+  Put48(other, now);
+  return Append(std::move(message), signed_at, TsigError::kBadTime, other);
+}
+
+TsigError TsigSession::Check(std::string_view bytes, const Message& message, std::uint64_t now) {
+  if (!message.tsig) {
+    // The request and the first answer are signed (RFC 8945 §5.3.1).
+    if (checked_ < 2 || ++unsigned_ > kMostUnsigned) return TsigError::kBadSig;
+    between_ += bytes;
+    return TsigError::kNone;
+  }
+  const auto fields = FieldsOf(message.tsig->rdata);
+  if (!fields || !(message.tsig->name == key_.name) ||
+      !(fields->algorithm == AlgorithmName(key_.algorithm))) {
+    return TsigError::kBadKey;
+  }
+  if (message.tsig->klass != klass::kAny || message.tsig->ttl != 0) return TsigError::kBadSig;
+  if (fields->mac.size() != MacBytes(key_.algorithm)) {
+    return fields->mac.empty() ? TsigError::kBadSig : TsigError::kBadTrunc;
+  }
+  std::string plain(bytes.substr(0, message.tsig_at));
+  AddToCount(plain, -1);
+  plain[0] = static_cast<char>(fields->original_id >> 8);
+  plain[1] = static_cast<char>(fields->original_id);
+  const std::string mac =
+      Hmac(key_, Signed(prior_mac_ + between_, plain, key_.name, *fields, checked_ >= 2));
+  if (CRYPTO_memcmp(mac.data(), fields->mac.data(), mac.size()) != 0) return TsigError::kBadSig;
+  prior_mac_ = WithLength(mac);
+  between_.clear();
+  ++checked_;
+  unsigned_ = 0;
+  signed_at_ = fields->time;
+  const std::uint64_t apart = now > fields->time ? now - fields->time : fields->time - now;
+  return apart > std::min(fields->fudge, kFudgeSeconds) ? TsigError::kBadTime : TsigError::kNone;
+}
+
+std::optional<Key> KeyOf(const Message& request, const KeyRing& keys, TsigError& error) {
+  error = TsigError::kNone;
+  if (!request.tsig) return std::nullopt;
+  error = TsigError::kBadKey;
+  const auto fields = FieldsOf(request.tsig->rdata);
+  const auto found = keys.find(request.tsig->name.Key());
+  if (!fields || found == keys.end() ||
+      !(fields->algorithm == AlgorithmName(found->second.algorithm))) {
+    return std::nullopt;
+  }
+  error = TsigError::kNone;
+  return found->second;
+}
+
+std::string WithTsigError(std::string message, const Message& request, TsigError error) {
+  const auto asked = FieldsOf(request.tsig->rdata);
+  Fields fields;
+  if (asked) {
+    fields.algorithm = asked->algorithm;
+    fields.time = asked->time;
+  }
+  fields.original_id = request.id;
+  fields.error = error;
+  return Appended(std::move(message), request.tsig->name, fields);
+}
+
+TsigError ErrorIn(const Message& message) {
+  const auto fields = message.tsig ? FieldsOf(message.tsig->rdata) : std::nullopt;
+  return fields ? fields->error : TsigError::kNone;
+}
+
+}  // namespace brassfront::dns
--- /dev/null
+++ b/src/dns/zone.cpp
@@ -0,0 +1,270 @@
+#include "dns/zone.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace brassfront::dns {
+namespace {
+
+constexpr int kMostCnames = 16;  // followed for one answer; the rest is for the asker
+
+Record RecordOf(const Name& name, std::uint16_t type, std::uint32_t ttl, std::string rdata) {
+  return {name, type, klass::kIn, ttl, std::move(rdata)};
+}
+
+std::vector<std::string>::const_iterator FindRdata(const RecordSet& set, std::uint16_t type,
+                                                   std::string_view rdata) {
+  const std::string wanted = CanonicalRdata(type, rdata);
+  return std::find_if(set.rdatas.begin(), set.rdatas.end(), [&](const std::string& held) {
+    return held == rdata || (held.size() == rdata.size() && CanonicalRdata(type, held) == wanted);
+  });
+}
+
+// The field in which records of the type name a host that has addresses.
+std::optional<std::size_t> TargetField(std::uint16_t type) {
+  switch (type) {
+    case type::kNs:
+      return 0;
+    case type::kMx:
+    case type::kSvcb:
+    case type::kHttps:
+      return 1;
+    case type::kSrv:
+      return 3;
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+Record Zone::Soa() const {
+  const RecordSet* set = Find(origin_, type::kSoa);
+  return set == nullptr ? Record{} : RecordOf(origin_, type::kSoa, set->ttl, set->rdatas.front());
+}
+
+std::uint32_t Zone::serial() const {
+  const RecordSet* set = Find(origin_, type::kSoa);
+  return set == nullptr ? 0 : SerialOf(set->rdatas.front());
+}
+
+const Node* Zone::Find(const Name& name) const {
+  const auto node = nodes_.find(name.Key());
+  return node == nodes_.end() ? nullptr : &node->second;
+}
+
+const RecordSet* Zone::Find(const Name& name, std::uint16_t type) const {
+  const Node* node = Find(name);
+  if (node == nullptr) return nullptr;
+  const auto set = node->sets.find(type);
+  return set == node->sets.end() ? nullptr : &set->second;
+}
+
+bool Zone::Holds(const Record& record) const {
+  const RecordSet* set = Find(record.name, record.type);
+  return set != nullptr && FindRdata(*set, record.type, record.rdata) != set->rdatas.end();
+}
+
+bool Zone::Exists(const Name& name) const {
+  const std::string key = name.Key();
+  const auto node = nodes_.lower_bound(key);
+  return node != nodes_.end() && node->first.starts_with(key);
+}
+
+bool Zone::Add(const Record& record) {
+  std::string key = record.name.Key();
+  auto node = nodes_.find(key);
+  if (node == nodes_.end()) node = nodes_.emplace(std::move(key), Node{record.name, {}}).first;
+  RecordSet& set = node->second.sets[record.type];
+  const bool same_ttl = std::exchange(set.ttl, record.ttl) == record.ttl;
+  if (FindRdata(set, record.type, record.rdata) != set.rdatas.end()) return !same_ttl;
+  set.rdatas.push_back(record.rdata);
+  ++records_;
+  return true;
+}
+
+bool Zone::Remove(const Record& record) {
+  const auto node = nodes_.find(record.name.Key());
+  if (node == nodes_.end()) return false;
+  const auto set = node->second.sets.find(record.type);
+  if (set == node->second.sets.end()) return false;
+  const auto rdata = FindRdata(set->second, record.type, record.rdata);
+  if (rdata == set->second.rdatas.end()) return false;
+  set->second.rdatas.erase(rdata);
+  --records_;
+  if (set->second.rdatas.empty()) node->second.sets.erase(set);
+  if (node->second.sets.empty()) nodes_.erase(node);
+  return true;
+}
+
+void Zone::EachRecord(const std::function<void(const Record&)>& take) const {
+  for (const auto& [key, node] : nodes_) {
+    for (const auto& [type, set] : node.sets) {
+      if (type == type::kSoa) continue;
+      for (const auto& rdata : set.rdatas) take(RecordOf(node.name, type, set.ttl, rdata));
+    }
+  }
+}
+
+std::vector<Record> Zone::RecordsOf(const Name& name) const {
+  std::vector<Record> records;
+  if (const Node* node = Find(name)) {
+    for (const auto& [type, set] : node->sets) AddSet(name, *node, type, records);
+  }
+  return records;
+}
+
+const Node* Zone::CutAbove(const Name& name) const {
+  const Node* cut = nullptr;
+  for (Name at = name; !(at == origin_) && !at.IsRoot(); at = at.Parent()) {
+    const Node* node = Find(at);
+    if (node != nullptr && node->sets.contains(type::kNs)) cut = node;  // the topmost one counts
+  }
+  return cut;
+}
+
+const Node* Zone::WildcardFor(const Name& name) const {
+  // RFC 4592 §3.3.1: the one below the closest name that exists.
+  Name at = name;
+  do {
+    at = at.Parent();
+  } while (!Exists(at) && !(at == origin_));
+  const auto wildcard = at.WithLabel("*");
+  return wildcard ? Find(*wildcard) : nullptr;
+}
+
+void Zone::AddSet(const Name& as, const Node& node, std::uint16_t type,
+                  std::vector<Record>& into) const {
+  const auto set = node.sets.find(type);
+  if (set == node.sets.end()) return;
+  for (const auto& rdata : set->second.rdatas) {
+    into.push_back(RecordOf(as, type, set->second.ttl, rdata));
+  }
+}
+
+void Zone::AddAddresses(const std::vector<Record>& from, std::vector<Record>& into) const {
+  std::set<std::string> done;
+  for (const Record& record : from) {
+    const auto field = TargetField(record.type);
+    if (!field) continue;
+    const Name target = NameField(record.type, record.rdata, *field);
+    if (!target.IsAtOrBelow(origin_) || !done.insert(target.Key()).second) continue;
+    if (const Node* node = Find(target)) {
+      AddSet(target, *node, type::kA, into);
+      AddSet(target, *node, type::kAaaa, into);
+    }
+  }
+}
+
+void Zone::AddNegative(Lookup& lookup) const {
+  Record soa = Soa();  // for as long as the lesser of both times (RFC 2308 §3)
+  soa.ttl = std::min(soa.ttl, NumberField(type::kSoa, soa.rdata, soa::kMinimum));
+  lookup.authority.push_back(std::move(soa));
+}
+
+Lookup Zone::Ask(const Name& name, std::uint16_t type) const {
+  Lookup lookup;
+  Name at = name;
+  for (int hop = 0; hop <= kMostCnames; ++hop) {
+    if (!at.IsAtOrBelow(origin_)) break;  // a CNAME led out: the asker goes on elsewhere
+    if (const Node* cut = CutAbove(at)) {
+      lookup.authoritative = !lookup.answer.empty();
+      AddSet(cut->name, *cut, type::kNs, lookup.authority);
+      AddAddresses(lookup.authority, lookup.additional);
+      return lookup;
+    }
+    const Node* node = Find(at);
+    const bool exists = node != nullptr || Exists(at);
+    if (!exists) node = WildcardFor(at);
+    if (node == nullptr) {
+      if (!exists) lookup.rcode = Rcode::kNxDomain;
+      AddNegative(lookup);
+      return lookup;
+    }
+    const auto cname = node->sets.find(type::kCname);
+    if (cname != node->sets.end() && type != type::kCname && type != type::kAny) {
+      AddSet(at, *node, type::kCname, lookup.answer);
+      at = NameField(type::kCname, cname->second.rdatas.front(), 0);
+      continue;
+    }
+    const std::size_t before = lookup.answer.size();
+    for (const auto& [held, set] : node->sets) {
+      if (type == held || type == type::kAny) AddSet(at, *node, held, lookup.answer);
+    }
+    if (lookup.answer.size() == before) AddNegative(lookup);
+    break;
+  }
+  AddAddresses(lookup.answer, lookup.additional);
+  return lookup;
+}
+
+bool Zone::Fits(const Change& change) const {
+  return !change.removed.empty() && !change.added.empty() && change.removed[0].type == type::kSoa &&
+         change.added[0].type == type::kSoa && change.from() == serial() &&
+         std::all_of(change.removed.begin(), change.removed.end(),
+                     [this](const Record& record) { return Holds(record); });
+}
+
+bool Zone::Apply(const Change& change) {
+  if (!Fits(change)) return false;
+  for (const Record& record : change.removed) Remove(record);
+  for (const Record& record : change.added) Add(record);
+  changes_.push_back(change);
+  change_records_ += change.removed.size() + change.added.size();
+  Trim();
+  return true;
+}
+
+void Zone::Trim() {
+  while (!changes_.empty() && change_records_ > most_change_records_) {
+    change_records_ -= changes_.front().removed.size() + changes_.front().added.size();
+    changes_.pop_front();
+  }
+}
+
+std::optional<std::vector<const Change*>> Zone::Since(std::uint32_t wanted) const {
+  std::vector<const Change*> changes;
+  if (wanted == serial()) return changes;
+  for (const Change& change : changes_) {
+    if (!changes.empty() || change.from() == wanted) changes.push_back(&change);
+  }
+  if (changes.empty()) return std::nullopt;
+  return changes;
+}
+
+Change Difference(const Zone& from, const Zone& to) {
+  Change change{{from.Soa()}, {to.Soa()}};
+  const auto collect = [](const Zone& zone, const Zone& other, std::vector<Record>& into) {
+    zone.EachRecord([&](const Record& record) {
+      const RecordSet* set = other.Find(record.name, record.type);
+      if (set == nullptr || set->ttl != record.ttl || !other.Holds(record)) into.push_back(record);
+    });
+  };
+  collect(from, to, change.removed);
+  collect(to, from, change.added);
+  return change;
+}
+
+std::vector<std::string> FaultsOf(const Zone& zone) {
+  std::vector<std::string> faults;
+  const Name& origin = zone.origin();
+  const RecordSet* soa = zone.Find(origin, type::kSoa);
+  if (soa == nullptr) faults.push_back("no SOA at " + origin.ToText());
+  if (soa != nullptr && soa->rdatas.size() > 1) faults.push_back("more than one SOA");
+  if (zone.Find(origin, type::kNs) == nullptr) faults.push_back("no NS at " + origin.ToText());
+  Name last_cname;
+  zone.EachRecord([&](const Record& record) {
+    if (record.type != type::kCname || std::exchange(last_cname, record.name) == record.name)
+      return;
+    if (zone.Find(record.name)->sets.size() > 1) {
+      faults.push_back("CNAME beside other data at " + record.name.ToText());
+    }
+    if (zone.Find(record.name, type::kCname)->rdatas.size() > 1) {
+      faults.push_back("more than one CNAME at " + record.name.ToText());
+    }
+  });
+  return faults;
+}
+
+}  // namespace brassfront::dns
--- /dev/null
+++ b/src/dns/zone_file.cpp
@@ -0,0 +1,457 @@
+#include "dns/zone_file.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <tao/pegtl.hpp>
+#include <utility>
+
+namespace brassfront::dns {
+namespace {
+
+namespace peg = tao::pegtl;
+
+constexpr std::size_t kMostIncludes = 16;            // one inside the other
+constexpr std::uint64_t kMostGenerated = 1'000'000;  // by one $GENERATE
+
+// ======== the grammar: lines of words ========
+
+struct Escaped : peg::seq<peg::one<'\\'>, peg::not_one<'\n', '\r'>> {};
+struct QuotedByte : peg::sor<Escaped, peg::not_one<'"', '\\', '\n', '\r'>> {};
+struct QuoteEnd : peg::one<'"'> {};
+struct QuotedBody : peg::star<QuotedByte> {};
+struct InQuotes : peg::seq<peg::one<'"'>, QuotedBody, peg::must<QuoteEnd>> {};
+struct Quoted : peg::seq<InQuotes> {};
+struct PlainByte
+    : peg::sor<Escaped, peg::not_one<' ', '\t', '\n', '\r', ';', '(', ')', '"', '\\'>> {};
+// A service parameter may have its value in quotes: key="a value".
+struct WithQuotedValue : peg::seq<peg::plus<peg::seq<peg::not_at<peg::one<'='>>, PlainByte>>,
+                                  peg::one<'='>, InQuotes> {};
+struct Bare : peg::sor<WithQuotedValue, peg::plus<PlainByte>> {};
+struct Comment : peg::seq<peg::one<';'>, peg::until<peg::at<peg::eolf>>> {};
+struct GroupEnd : peg::one<')'> {};
+struct Group
+    : peg::seq<peg::one<'('>, peg::star<peg::sor<peg::blank, peg::eol, Comment, Quoted, Bare>>,
+               peg::must<GroupEnd>> {};
+struct Indent : peg::at<peg::blank> {};
+struct EndOfLine : peg::eolf {};
+struct Line : peg::seq<peg::opt<Indent>, peg::star<peg::sor<peg::blank, Quoted, Bare, Group>>,
+                       peg::opt<Comment>, peg::must<EndOfLine>> {};
+struct File : peg::until<peg::eof, Line> {};
+
+template <typename Rule>
+inline constexpr const char* kExpected = nullptr;
+template <>
+inline constexpr const char* kExpected<QuoteEnd> = "expected the closing quote on this line";
+template <>
+inline constexpr const char* kExpected<GroupEnd> =
+    "expected ) to end what ( began; no ( may be inside";
+template <>
+inline constexpr const char* kExpected<EndOfLine> =
+    "expected the line's end: a ) without (, or \\ before nothing?";
+template <>
+inline constexpr const char* kExpected<File> = "expected lines";
+
+struct Errors {
+  template <typename Rule>
+  static constexpr auto message = kExpected<Rule>;
+};
+template <typename Rule>
+using Control = peg::must_if<Errors>::control<Rule>;
+
+struct Entry {
+  bool indented = false;
+  std::vector<Word> words;
+};
+
+template <typename Rule>
+struct Action : peg::nothing<Rule> {};
+template <>
+struct Action<Indent> {
+  template <typename Reader>
+  static void apply0(Reader& reader) {
+    reader.entry.indented = true;
+  }
+};
+template <typename Input, typename Reader>
+void TakeWord(const Input& in, Reader& reader, bool quoted) {
+  std::string text = in.string();
+  if (quoted) text = text.substr(1, text.size() - 2);
+  const auto place = in.position();
+  reader.entry.words.push_back({std::move(text), quoted, place.line, place.column});
+}
+template <>
+struct Action<Bare> {
+  template <typename Input, typename Reader>
+  static void apply(const Input& in, Reader& reader) {
+    TakeWord(in, reader, false);
+  }
+};
+
+// ======== $GENERATE ========
+
+struct Range {
+  std::uint32_t from = 0, to = 0, step = 1;
+};
+
+std::optional<std::uint32_t> CountOf(std::string_view text) {
+  std::uint32_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::optional<Range> RangeOf(std::string_view text) {
+  const auto dash = text.find('-');
+  if (dash == std::string_view::npos) return std::nullopt;
+  const auto slash = text.find('/');
+  const auto from = CountOf(text.substr(0, dash));
+  const auto to = CountOf(text.substr(
+      dash + 1, slash == std::string_view::npos ? std::string_view::npos : slash - dash - 1));
+  const auto step = slash == std::string_view::npos ? 1 : CountOf(text.substr(slash + 1));
+  if (!from || !to || !step || *to < *from || *step == 0) return std::nullopt;
+  return Range{*from, *to, *step};
+}
+
+std::string InBase(std::uint64_t value, char base, std::size_t width) {
+  std::string out;
+  if (base == 'n' || base == 'N') {  // nibbles from the lowest, with dots between
+    while (out.size() < width || value > 0 || out.empty()) {
+      if (!out.empty()) out += '.';
+      out += (base == 'n' ? "0123456789abcdef" : "0123456789ABCDEF")[value % 16];
+      value /= 16;
+    }
+    return out;
+  }
+  const unsigned radix = base == 'o' ? 8 : base == 'd' ? 10 : 16;
+  do {
+    out += (base == 'X' ? "0123456789ABCDEF" : "0123456789abcdef")[value % radix];
+    value /= radix;
+  } while (value > 0);
+  if (out.size() < width) out.append(width - out.size(), '0');
+  std::reverse(out.begin(), out.end());
+  return out;
+}
+
+// `$` and `${offset,width,base}` in the pattern made the number; `\$` stays a dollar.
+std::optional<std::string> Generated(std::string_view pattern, std::uint32_t number) {
+  std::string out;
+  for (std::size_t at = 0; at < pattern.size(); ++at) {
+    if (pattern[at] == '\\' && at + 1 < pattern.size()) {
+      if (pattern[at + 1] != '$') out += '\\';
+      out += pattern[++at];
+      continue;
+    }
+    if (pattern[at] != '$') {
+      out += pattern[at];
+      continue;
+    }
+    long long offset = 0;
+    std::size_t width = 0;
+    char base = 'd';
+    if (at + 1 < pattern.size() && pattern[at + 1] == '{') {
+      const auto end = pattern.find('}', at);
+      if (end == std::string_view::npos) return std::nullopt;
+      std::string_view inside = pattern.substr(at + 2, end - at - 2);
+      std::vector<std::string_view> parts;
+      while (true) {
+        const auto comma = inside.find(',');
+        parts.push_back(inside.substr(0, comma));
+        if (comma == std::string_view::npos) break;
+        inside.remove_prefix(comma + 1);
+      }
+      const auto [stop, error] =
+          std::from_chars(parts[0].data(), parts[0].data() + parts[0].size(), offset);
+      if (error != std::errc() || stop != parts[0].data() + parts[0].size() || parts.size() > 3) {
+        return std::nullopt;
+      }
+      if (parts.size() > 1) {
+        const auto given = CountOf(parts[1]);
+        if (!given || *given > 255) return std::nullopt;
+        width = *given;
+      }
+      if (parts.size() > 2) {
+        if (parts[2].size() != 1 ||
+            std::string_view("doxXnN").find(parts[2][0]) == std::string_view::npos) {
+          return std::nullopt;
+        }
+        base = parts[2][0];
+      }
+      at = end;
+    }
+    if (offset < -static_cast<long long>(number) || offset > 0xffffffffLL) return std::nullopt;
+    out += InBase(static_cast<std::uint64_t>(number + offset), base, width);
+  }
+  return out;
+}
+
+// ======== entries to records ========
+
+class Reader {
+ public:
+  Reader(const Name& zone, const Including& including, const std::function<void(Record)>& take,
+         std::vector<ZoneFault>& faults)
+      : zone_(zone), origin_(zone), including_(including), take_(take), faults_(faults) {}
+
+  void Read(const ZoneText& text) {
+    const ZoneText* outer = std::exchange(text_, &text);
+    files_.push_back(text.identity);
+    peg::memory_input<peg::tracking_mode::eager, peg::eol::lf_crlf, const char*> input(
+        text.text.data(), text.text.data() + text.text.size(), text.file.c_str());
+    try {
+      peg::parse<File, Action, Control>(input, *this);
+    } catch (const peg::parse_error& error) {
+      const auto& place = error.positions().front();
+      AddFault(place.line, place.column, std::string(error.message()));
+    }
+    entry = {};
+    files_.pop_back();
+    text_ = outer;
+  }
+
+  void EndEntry() {
+    const Entry ended = std::exchange(entry, {});
+    if (ended.words.empty()) return;
+    const Word& first = ended.words[0];
+    if (!ended.indented && !first.quoted && first.text.starts_with('$')) {
+      Direct(ended.words);
+    } else {
+      const std::span<const Word> words(ended.words);
+      TakeEntry(ended.indented ? std::nullopt : std::optional(first.text),
+                words.subspan(ended.indented ? 0 : 1), first);
+    }
+  }
+
+  Entry entry;  // the line that is being read
+
+ private:
+  void AddFault(std::size_t line, std::size_t column, std::string why) {
+    faults_.push_back({text_->file, line, column, std::move(why)});
+    if (faults_.size() >= BadZone::kMostFaults) throw BadZone(faults_);
+  }
+  void AddFault(const Word& at, std::string why) { AddFault(at.line, at.column, std::move(why)); }
+
+  void Direct(const std::vector<Word>& words) {
+    const std::string& directive = words[0].text;
+    const auto arguments = words.size() - 1;
+    std::string why;
+    if (SameIgnoringCase(directive, "$ORIGIN") && arguments == 1) {
+      const auto name = Name::FromText(words[1].text, origin_, why);
+      if (name) {
+        origin_ = *name;
+      } else {
+        AddFault(words[1], why);
+      }
+    } else if (SameIgnoringCase(directive, "$TTL") && arguments == 1) {
+      default_ttl_ = SecondsFromText(words[1].text);
+      if (!default_ttl_) AddFault(words[1], "'" + words[1].text + "' is no time");
+    } else if (SameIgnoringCase(directive, "$INCLUDE") && (arguments == 1 || arguments == 2)) {
+      Include(words);
+    } else if (SameIgnoringCase(directive, "$GENERATE") && arguments >= 4) {
+      Generate(words);
+    } else {
+      static constexpr const char* kKnown[] = {"$ORIGIN", "$TTL", "$INCLUDE", "$GENERATE"};
+      const bool known = std::any_of(std::begin(kKnown), std::end(kKnown), [&](const char* name) {
+        return SameIgnoringCase(directive, name);
+      });
+      AddFault(words[0], known ? directive + " has too few or too many arguments"
+                               : "'" + directive + "' is no directive");
+    }
+  }
+
+  void Include(const std::vector<Word>& words) {
+    std::string why;
+    const auto named = Unescape(words[1].text);
+    const auto text = named ? including_(*text_, *named, why) : std::nullopt;
+    if (!text) {
+      AddFault(words[1], named ? why : "an escape in the file's name is not \\DDD");
+      return;
+    }
+    if (std::find(files_.begin(), files_.end(), text->identity) != files_.end()) {
+      AddFault(words[1], text->file + " includes itself");
+      return;
+    }
+    if (files_.size() >= kMostIncludes) {
+      AddFault(words[1], "more than 16 files, one inside the other");
+      return;
+    }
+    const Name origin = origin_;
+    const auto owner = owner_;
+    if (words.size() > 2) {
+      const auto name = Name::FromText(words[2].text, origin_, why);
+      if (!name) {
+        AddFault(words[2], why);
+        return;
+      }
+      origin_ = *name;
+    }
+    Read(*text);
+    origin_ = origin;
+    owner_ = owner;
+  }
+
+  void Generate(const std::vector<Word>& words) {
+    const auto range = RangeOf(words[1].text);
+    if (!range) {
+      AddFault(words[1], "expected a range such as 1-100 or 0-254/2");
+      return;
+    }
+    const std::uint64_t steps = (std::uint64_t{range->to} - range->from) / range->step + 1;
+    if (steps > kMostGenerated) {
+      AddFault(words[1], "more than a million records from one $GENERATE");
+      return;
+    }
+    const std::size_t faults = faults_.size();
+    for (std::uint64_t n = 0; n < steps && faults_.size() == faults; ++n) {
+      const auto number = static_cast<std::uint32_t>(range->from + n * range->step);
+      std::vector<Word> made(words.begin() + 2, words.end());
+      for (Word& word : made) {
+        const auto text = Generated(word.text, number);
+        if (!text) {
+          AddFault(word, "expected $ or ${offset,width,base}");
+          return;
+        }
+        word.text = *text;
+      }
+      TakeEntry(made[0].text, std::span<const Word>(made).subspan(1), words[0]);
+    }
+  }
+
+  // An owner that is not given is the last one.
+  void TakeEntry(const std::optional<std::string>& owner, std::span<const Word> words,
+                 const Word& at) {
+    std::string why;
+    if (owner) {
+      owner_ = Name::FromText(*owner, origin_, why);
+      if (!owner_) {
+        AddFault(at, why);
+        return;
+      }
+    } else if (!owner_) {
+      AddFault(at, "a record without a name, and none before it");
+      return;
+    }
+    std::optional<std::uint32_t> ttl;
+    std::optional<std::uint16_t> klass;
+    std::optional<std::uint16_t> type;
+    // TTL and class in either order, then the type.
+    for (; !words.empty() && !type; words = words.subspan(1)) {
+      const std::string& text = words[0].text;
+      if (!ttl && !text.empty() && text[0] >= '0' && text[0] <= '9') {
+        ttl = SecondsFromText(text);
+        if (!ttl) {
+          AddFault(words[0], "'" + text + "' is no time from 0 to 2147483647 s");
+          return;
+        }
+      } else if (const auto given = klass ? std::nullopt : ClassFromText(text)) {
+        klass = given;
+        if (*klass != klass::kIn) {
+          AddFault(words[0], "class " + text + ": zones of class IN alone are read");
+          return;
+        }
+      } else {
+        type = TypeFromText(text);
+        if (!type || !IsDataType(*type)) {
+          AddFault(words[0], "'" + text + "' is no type of a record in a zone");
+          return;
+        }
+      }
+    }
+    if (!type) {
+      AddFault(at, "a record without a type");
+      return;
+    }
+    std::size_t at_word = 0;
+    auto rdata = RdataFromText(*type, words, origin_, why, at_word);
+    if (!rdata) {
+      AddFault(at_word < words.size() ? words[at_word] : at, TypeText(*type) + ": " + why);
+      return;
+    }
+    if (!ttl) ttl = default_ttl_ ? default_ttl_ : last_ttl_;
+    if (!ttl && *type == type::kSoa) ttl = NumberField(type::kSoa, *rdata, soa::kMinimum);
+    if (!ttl) {
+      AddFault(at, "no TTL: neither here, nor in $TTL, nor in a record before this one");
+      return;
+    }
+    last_ttl_ = ttl;
+    if (!owner_->IsAtOrBelow(zone_)) {
+      AddFault(at, owner_->ToText() + " is outside the zone " + zone_.ToText());
+    } else if (*type == type::kSoa && !(*owner_ == zone_)) {
+      AddFault(at, "a SOA at " + owner_->ToText() + ", not at the zone's top");
+    } else {
+      take_({*owner_, *type, klass::kIn, *ttl, *std::move(rdata)});
+    }
+  }
+
+  const Name zone_;
+  Name origin_;
+  const Including& including_;
+  const std::function<void(Record)>& take_;
+  std::vector<ZoneFault>& faults_;
+  const ZoneText* text_ = nullptr;
+  std::vector<std::string> files_;  // that are open, by identity
+  std::optional<Name> owner_;
+  std::optional<std::uint32_t> default_ttl_;
+  std::optional<std::uint32_t> last_ttl_;
+};
+
+template <>
+struct Action<Quoted> {
+  template <typename Input>
+  static void apply(const Input& in, Reader& reader) {
+    TakeWord(in, reader, true);
+  }
+};
+template <>
+struct Action<Line> {
+  static void apply0(Reader& reader) { reader.EndEntry(); }
+};
+
+std::string Joined(const std::vector<ZoneFault>& faults) {
+  std::string out;
+  for (const ZoneFault& fault : faults) out += (out.empty() ? "" : "\n") + fault.ToText();
+  return out;
+}
+
+}  // namespace
+
+std::string ZoneFault::ToText() const {
+  if (line == 0) return file + ": " + why;
+  return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + why;
+}
+
+BadZone::BadZone(std::vector<ZoneFault> faults)
+    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {}
+
+void ReadRecords(const ZoneText& text, const Name& origin, const Including& including,
+                 const std::function<void(Record)>& take) {
+  std::vector<ZoneFault> faults;
+  Reader reader(origin, including, take, faults);
+  reader.Read(text);
+  if (!faults.empty()) throw BadZone(std::move(faults));
+}
+
+Zone ReadZone(const ZoneText& text, const Name& origin, const Including& including) {
+  Zone zone(origin);
+  ReadRecords(text, origin, including, [&zone](Record record) {
+    // A set has one TTL: the smallest of those given (RFC 2181 §5.2).
+    if (const RecordSet* set = zone.Find(record.name, record.type)) {
+      record.ttl = std::min(record.ttl, set->ttl);
+    }
+    zone.Add(record);
+  });
+  std::vector<ZoneFault> faults;
+  for (std::string& why : FaultsOf(zone)) {
+    faults.push_back({text.file, 0, 0, std::move(why)});
+    if (faults.size() == BadZone::kMostFaults) break;
+  }
+  if (!faults.empty()) throw BadZone(std::move(faults));
+  return zone;
+}
+
+void WriteZone(const Zone& zone, const std::function<void(std::string_view)>& write) {
+  if (zone.has_soa()) write(zone.Soa().ToText() + "\n");
+  zone.EachRecord([&write](const Record& record) { write(record.ToText() + "\n"); });
+}
+
+}  // namespace brassfront::dns
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,288 @@
+#include "membership/membership.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace brassfront::membership {
+namespace {
+
+constexpr double kNever = 1e18;
+// A penalty below this is forgotten.
+constexpr double kForgotten = 0.05;
+
+int Badness(Phase phase) { return phase == Phase::kReady ? 0 : phase == Phase::kGone ? 2 : 1; }
+
+bool Same(const Member& a, const Member& b) {
+  return a.id == b.id && a.address == b.address && a.zone == b.zone && a.kind == b.kind &&
+         a.destination == b.destination && a.phase == b.phase && a.weight == b.weight;
+}
+
+}  // namespace
+
+Membership::Membership(Damping damping, std::uint64_t revision)
+    : damping_(damping), revision_(revision) {}
+
+SourceId Membership::AddSource(SourceSettings settings) {
+  sources_.emplace_back().settings = std::move(settings);
+  return sources_.size() - 1;
+}
+
+void Membership::Heard(Source& source, double now) {
+  source.heard = now;
+  source.failing = 0;
+  const bool back = !Counts(source);
+  source.spoke = true;
+  source.expired = false;
+  if (!back) return;
+  for (const auto& [number, said] : source.said) touched_.insert(number);
+  for (const auto number : source.owned) touched_.insert(number);
+}
+
+void Membership::Confirm(SourceId source, double now) { Heard(sources_[source], now); }
+
+void Membership::Failed(SourceId source, double now) {
+  if (sources_[source].failing == 0) sources_[source].failing = now;
+}
+
+void Membership::Take(SourceId id, const std::string& group, const std::vector<Member>& members,
+                      double now) {
+  Source& source = sources_[id];
+  Heard(source, now);
+  std::set<std::pair<std::uint64_t, std::string>> before;
+  if (const auto known = source.groups.find(group); known != source.groups.end()) {
+    for (const auto& key : known->second) {
+      before.insert(key);
+      touched_.insert(key.first);
+      auto& said = source.said[key.first];
+      std::erase_if(said[key.second], [&group](const Said& one) { return one.group == group; });
+      if (said[key.second].empty()) said.erase(key.second);
+      if (said.empty()) source.said.erase(key.first);
+    }
+    source.groups.erase(known);
+  }
+  auto& keys = source.groups[group];
+  for (const Member& member : members) {
+    if (member.phase == Phase::kGone) continue;
+    const std::pair key(member.destination, member.address);
+    touched_.insert(member.destination);
+    if (source.settings.owns) source.owned.insert(member.destination);
+    if (std::find(keys.begin(), keys.end(), key) == keys.end()) keys.push_back(key);
+    source.said[member.destination][member.address].push_back({member, group});
+    // To list it again takes its removal back.
+    Destination& destination = destinations_[member.destination];
+    if (const auto veto = destination.vetoed.find(member.address);
+        veto != destination.vetoed.end() && veto->second.erase(id) > 0 && veto->second.empty()) {
+      destination.vetoed.erase(veto);
+    }
+  }
+  if (keys.empty()) source.groups.erase(group);
+  for (const auto& [number, address] : before) {
+    const auto said = source.said.find(number);
+    if (said != source.said.end() && said->second.contains(address)) continue;
+    destinations_[number].vetoed[address].insert(id);
+  }
+}
+
+void Membership::TakeList(SourceId id, const MemberList& list, double now) {
+  auto& by_id = sources_[id].by_id;
+  if (list.complete) by_id.clear();
+  for (const Member& member : list.members) {
+    if (member.phase == Phase::kGone) {
+      by_id.erase(member.id);
+    } else {
+      by_id[member.id] = member;
+    }
+  }
+  std::vector<Member> members;
+  members.reserve(by_id.size());
+  for (const auto& [member_id, member] : by_id) members.push_back(member);
+  Take(id, "", members, now);
+}
+
+void Membership::Expire(double now) {
+  for (Source& source : sources_) {
+    const double expiry = source.settings.expiry;
+    if (!Counts(source) || expiry <= 0 || now < source.heard + expiry) continue;
+    source.expired = true;
+    for (const auto& [number, said] : source.said) touched_.insert(number);
+    for (const auto number : source.owned) touched_.insert(number);
+  }
+}
+
+std::map<std::string, Member> Membership::Wanted(std::uint64_t number,
+                                                 const Destination& destination) const {
+  const Source* owner = nullptr;
+  for (const Source& source : sources_) {
+    if (!Counts(source) || !source.owned.contains(number)) continue;
+    if (owner == nullptr || source.settings.rank < owner->settings.rank) owner = &source;
+  }
+  std::map<std::string, std::pair<int, Member>> best;  // with the rank of who said it
+  for (SourceId id = 0; id < sources_.size(); ++id) {
+    const Source& source = sources_[id];
+    if (!Counts(source) || (owner != nullptr && owner != &source)) continue;
+    const auto said = source.said.find(number);
+    if (said == source.said.end()) continue;
+    for (const auto& [address, all] : said->second) {
+      for (const Said& one : all) {
+        const int rank = source.settings.rank;
+        const auto [place, fresh] = best.try_emplace(address, rank, one.member);
+        if (fresh) continue;
+        auto& [held_rank, held] = place->second;
+        const Phase worst =
+            Badness(held.phase) > Badness(one.member.phase) ? held.phase : one.member.phase;
+        if (rank < held_rank) place->second = {rank, one.member};
+        held.phase = worst;
+      }
+    }
+  }
+  std::map<std::string, Member> wanted;
+  for (auto& [address, found] : best) {
+    const auto veto = destination.vetoed.find(address);
+    const bool vetoed = owner == nullptr && veto != destination.vetoed.end() &&
+                        std::any_of(veto->second.begin(), veto->second.end(),
+                                    [this](SourceId id) { return Counts(sources_[id]); });
+    if (!vetoed) wanted.emplace(address, std::move(found.second));
+  }
+  return wanted;
+}
+
+double Membership::PenaltyNow(const Flaps& flaps, double now) const {
+  return flaps.penalty * std::exp2(-(now - flaps.at) / damping_.half_life);
+}
+
+void Membership::HoldBack(Destination& destination, std::map<std::string, Member>& wanted,
+                          double now) {
+  std::map<std::string, Member> held;
+  for (auto member = wanted.begin(); member != wanted.end();) {
+    const auto flaps = destination.flaps.find(member->first);
+    const bool hold = !destination.told.contains(member->first) &&
+                      flaps != destination.flaps.end() && flaps->second.held_until > now;
+    if (hold) held.insert(*member);
+    member = hold ? wanted.erase(member) : std::next(member);
+  }
+  const bool some_ready = std::any_of(wanted.begin(), wanted.end(), [](const auto& entry) {
+    return entry.second.phase == Phase::kReady;
+  });
+  if (some_ready || held.empty()) return;
+  // Better one that comes and goes than none: the one that did so least.
+  const auto least = std::min_element(held.begin(), held.end(), [&](const auto& a, const auto& b) {
+    return PenaltyNow(destination.flaps.at(a.first), now) <
+           PenaltyNow(destination.flaps.at(b.first), now);
+  });
+  wanted.insert(*least);
+}
+
+void Membership::Work(std::uint64_t number, Destination& destination, double now, MemberList& out) {
+  // What no source lists needs no veto any more.
+  std::erase_if(destination.vetoed, [&](const auto& veto) {
+    return std::none_of(sources_.begin(), sources_.end(), [&](const Source& source) {
+      const auto said = source.said.find(number);
+      return said != source.said.end() && said->second.contains(veto.first);
+    });
+  });
+  std::map<std::string, Member> wanted = Wanted(number, destination);
+
+  // Removals first: they are never held back, and they count for damping.
+  for (auto told = destination.told.begin(); told != destination.told.end();) {
+    if (wanted.contains(told->first)) {
+      ++told;
+      continue;
+    }
+    Member gone = std::move(told->second);
+    gone.phase = Phase::kGone;
+    if (damping_.on) {
+      Flaps& flaps = destination.flaps[told->first];
+      flaps.penalty = PenaltyNow(flaps, now) + damping_.penalty;
+      flaps.at = now;
+      if (flaps.penalty > damping_.suppress) {
+        const double wait = damping_.half_life * std::log2(flaps.penalty / damping_.reuse);
+        flaps.held_until = now + std::min(wait, damping_.longest);
+        releases_.emplace(flaps.held_until, number);
+      }
+    }
+    told = destination.told.erase(told);
+    --told_;
+    out.members.push_back(std::move(gone));
+  }
+  HoldBack(destination, wanted, now);
+  for (auto& [address, member] : wanted) {
+    const auto [told, fresh] = destination.told.try_emplace(address);
+    told_ += fresh ? 1 : 0;
+    if (!fresh && Same(told->second, member)) continue;
+    // The engine knows an endpoint by its id: under another one, the first is gone.
+    if (!fresh && told->second.id != member.id) {
+      told->second.phase = Phase::kGone;
+      out.members.push_back(told->second);
+    }
+    told->second = member;
+    out.members.push_back(std::move(member));
+  }
+  std::erase_if(destination.flaps, [&](const auto& entry) {
+    return entry.second.held_until <= now && PenaltyNow(entry.second, now) < kForgotten;
+  });
+}
+
+std::optional<MemberList> Membership::Changes(double now) {
+  Expire(now);
+  while (!releases_.empty() && releases_.begin()->first <= now) {
+    touched_.insert(releases_.begin()->second);
+    releases_.erase(releases_.begin());
+  }
+  MemberList list;
+  for (const std::uint64_t number : std::exchange(touched_, {})) {
+    const auto destination = destinations_.try_emplace(number).first;
+    Work(number, destination->second, now, list);
+    if (destination->second.told.empty() && destination->second.vetoed.empty() &&
+        destination->second.flaps.empty()) {
+      destinations_.erase(destination);
+    }
+  }
+  const bool spoke = std::any_of(sources_.begin(), sources_.end(),
+                                 [](const Source& source) { return source.spoke; });
+  if (list.members.empty() && !(first_ && spoke)) return std::nullopt;
+  list.complete = std::exchange(first_, false);
+  list.revision = ++revision_;
+  return list;
+}
+
+double Membership::NextDue() const {
+  double due = releases_.empty() ? kNever : releases_.begin()->first;
+  if (!touched_.empty()) due = 0;
+  for (const Source& source : sources_) {
+    if (Counts(source) && source.settings.expiry > 0) {
+      due = std::min(due, source.heard + source.settings.expiry);
+    }
+  }
+  return due;
+}
+
+std::vector<Membership::SourceState> Membership::Sources() const {
+  std::vector<SourceState> states;
+  for (const Source& source : sources_) {
+    SourceState& state = states.emplace_back();
+    state.settings = source.settings;
+    state.groups = source.groups.size();
+    for (const auto& [number, said] : source.said) state.members += said.size();
+    state.heard = source.heard;
+    state.failing = source.failing;
+    state.expired = source.expired;
+  }
+  return states;
+}
+
+std::size_t Membership::suppressed() const {
+  std::size_t count = 0;
+  for (const auto& [number, destination] : destinations_) {
+    for (const auto& [address, flaps] : destination.flaps) {
+      const bool listed = destination.told.contains(address);
+      const bool said = std::any_of(sources_.begin(), sources_.end(), [&](const Source& source) {
+        const auto of = source.said.find(number);
+        return Counts(source) && of != source.said.end() && of->second.contains(address);
+      });
+      count += !listed && said ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+}  // namespace brassfront::membership
--- /dev/null
+++ b/src/nameserver/client.cpp
@@ -0,0 +1,183 @@
+#include "nameserver/client.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/random.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <thread>
+#include <vector>
+
+namespace brassfront::nameserver {
+namespace {
+
+using dns::Message;
+using dns::TsigError;
+
+std::optional<sockaddr_in> Address(const std::string& text) {
+  if (!IsAddress(text)) return std::nullopt;
+  const auto colon = text.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  address.sin_port = htons(port);
+  inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr);
+  return address;
+}
+
+template <typename Attach>
+Socket Datagrams(const std::string& text, Attach attach) {
+  const auto address = Address(text);
+  if (!address) return {};
+  Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  if (!socket.is_open()) return {};
+  if (attach(socket.fd(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0) {
+    return {};
+  }
+  return socket;
+}
+
+// Why it is no answer to that message; empty if it is one. The session is spent by a good one
+// alone.
+std::string Unfit(const Message& asked, std::string_view bytes, const dns::Decoded& decoded,
+                  std::optional<dns::TsigSession>& session) {
+  if (!decoded.message) return "an answer that cannot be read: " + decoded.why;
+  const Message& answer = *decoded.message;
+  if (!answer.response || answer.id != asked.id || answer.opcode != asked.opcode) {
+    return "an answer to something else";
+  }
+  for (std::size_t n = 0; n < answer.question.size(); ++n) {
+    if (n >= asked.question.size() || !(answer.question[n].name == asked.question[n].name) ||
+        answer.question[n].type != asked.question[n].type) {
+      return "an answer to something else";
+    }
+  }
+  if (!session) return {};
+  dns::TsigSession tried = *session;
+  TsigError error = tried.Check(bytes, answer, SecondsNow());
+  // An error that cannot be signed comes so; it is told, and believed no further.
+  if (ErrorIn(answer) != TsigError::kNone) error = ErrorIn(answer);
+  if (error != TsigError::kNone) {
+    return "the signature does not hold: " + dns::RcodeText(static_cast<std::uint16_t>(error));
+  }
+  session = std::move(tried);
+  return {};
+}
+
+Asked ByDatagram(const Ask& how, const Message& message) {
+  Asked asked{{}, "no answer"};
+  Socket socket = ConnectDatagrams(how.server);
+  if (!socket.is_open()) return {{}, "no way to " + how.server + ": " + std::strerror(errno)};
+  std::vector<char> buffer(dns::kMostMessageBytes);
+  for (int attempt = 0; attempt < how.tries; ++attempt) {
+    std::optional<dns::TsigSession> session;
+    std::string bytes = Encode(message);
+    if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+    const auto until = std::chrono::steady_clock::now() + how.wait;
+    if (send(socket.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
+      asked.why = std::strerror(errno);
+    }
+    while (socket.AwaitInput(until)) {
+      const long length = recv(socket.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (length < 0) {
+        // Nobody listens there for now (ECONNREFUSED): time passes before the next try.
+        asked.why = std::strerror(errno);
+        std::this_thread::sleep_until(until);
+        break;
+      }
+      const std::string_view got(buffer.data(), static_cast<std::size_t>(length));
+      dns::Decoded decoded = dns::Decode(got);
+      asked.why = Unfit(message, got, decoded, session);
+      // What is no answer may be another's try to pass for one: the real one is waited for.
+      if (asked.why.empty()) return {std::move(decoded.message), {}};
+    }
+  }
+  return asked;
+}
+
+// Calls `take` with each message of the answer until it returns true; why not, otherwise.
+template <typename Take>
+std::string ByStream(const Ask& how, const std::string& bytes, Take take) {
+  const auto until = std::chrono::steady_clock::now() + how.wait * how.tries;
+  Socket socket = NewSocket();
+  if (!Connect(socket, how.server, how.wait)) {
+    return "no connection to " + how.server + ": " + std::strerror(errno);
+  }
+  if (!socket.SendAll(dns::InStream(bytes), until)) return "the connection ended while asking";
+  dns::StreamReader reader;
+  std::vector<char> buffer(16 * 1024);
+  auto last = until;
+  while (socket.AwaitInput(last)) {
+    const long length = socket.ReceiveNow(buffer);
+    if (length < 0 && errno == EAGAIN) continue;
+    if (length <= 0) return "the connection ended before the answer did";
+    reader.Feed({buffer.data(), static_cast<std::size_t>(length)});
+    for (; !reader.messages().empty(); reader.messages().pop_front()) {
+      if (take(reader.messages().front())) return {};
+    }
+    last = std::chrono::steady_clock::now() + how.wait * how.tries;
+  }
+  return "no answer in time";
+}
+
+}  // namespace
+
+Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
+Socket ConnectDatagrams(const std::string& address) { return Datagrams(address, connect); }
+
+std::uint64_t SecondsNow() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
+std::uint16_t RandomId() {
+  std::uint16_t id = 0;
+  while (getrandom(&id, sizeof id, 0) != sizeof id) {
+  }
+  return id;
+}
+
+Asked AskServer(const Ask& how, Message message) {
+  message.id = RandomId();
+  if (!how.stream && message.opcode != dns::Opcode::kUpdate) {
+    Asked asked = ByDatagram(how, message);
+    if (!asked.answer || !asked.answer->truncated) return asked;
+  }
+  std::optional<dns::TsigSession> session;
+  std::string bytes = Encode(message);
+  if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+  Asked asked;
+  std::string why = ByStream(how, bytes, [&](std::string_view got) {
+    dns::Decoded decoded = dns::Decode(got);
+    asked.why = Unfit(message, got, decoded, session);
+    if (asked.why.empty()) asked.answer = std::move(decoded.message);
+    return true;
+  });
+  if (!why.empty()) asked.why = std::move(why);
+  return asked;
+}
+
+dns::Transferred Transfer(const Ask& how, const dns::Name& zone,
+                          const std::optional<dns::Record>& have) {
+  const Message request = TransferRequest(zone, have, RandomId());
+  std::optional<dns::TsigSession> session;
+  std::string bytes = Encode(request);
+  if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+  dns::TransferReader reader(zone, have, request.id, std::move(session));
+  std::optional<dns::Transferred> done;
+  std::string why = ByStream(how, bytes, [&](std::string_view got) {
+    done = reader.Take(got, SecondsNow());
+    return done.has_value();
+  });
+  if (!done) return reader.CutShort(std::move(why));
+  const auto* unfit = std::get_if<dns::Unfit>(&*done);
+  if (unfit != nullptr && unfit->by_changes) return Transfer(how, zone, std::nullopt);
+  return *std::move(done);
+}
+
+}  // namespace brassfront::nameserver
--- /dev/null
+++ b/src/nameserver/client.hpp
@@ -0,0 +1,48 @@
+// Asking a name server: one question by UDP and again by TCP where the answer was cut, transfers
+// and updates. Blocking; names are not resolved, a server is IPv4:PORT.
+#ifndef BRASSFRONT_NAMESERVER_CLIENT_HPP_
+#define BRASSFRONT_NAMESERVER_CLIENT_HPP_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "dns/message.hpp"
+#include "dns/transfer.hpp"
+#include "dns/tsig.hpp"
+#include "net/socket.hpp"
+
+namespace brassfront::nameserver {
+
+// Datagram sockets, for the server too.
+Socket BindDatagrams(const std::string& address);     // closed where it cannot be
+Socket ConnectDatagrams(const std::string& address);  // closed where it cannot be
+
+std::uint64_t SecondsNow();  // since 1970, as signatures have them
+std::uint16_t RandomId();    // not to be guessed (RFC 5452)
+
+struct Asked {
+  std::optional<dns::Message> answer;
+  std::string why;  // where there is none
+};
+
+struct Ask {
+  std::string server;
+  std::optional<dns::Key> key;
+  std::chrono::milliseconds wait{500};  // for each try by UDP, and for all by TCP
+  int tries = 3;                        // by UDP
+  bool stream = false;                  // by TCP at once
+};
+
+// The answer to the message, whose ID is set here; it is checked against the question and, with a
+// key, its signature. An update is tried once only, by TCP: who sends it again may do so twice.
+Asked AskServer(const Ask& how, dns::Message message);
+
+// IXFR where `have` is given, and AXFR if the primary cannot do that.
+dns::Transferred Transfer(const Ask& how, const dns::Name& zone,
+                          const std::optional<dns::Record>& have);
+
+}  // namespace brassfront::nameserver
+
+#endif  // BRASSFRONT_NAMESERVER_CLIENT_HPP_
--- /dev/null
+++ b/src/nameserver/following.cpp
@@ -0,0 +1,184 @@
+#include "nameserver/following.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "dns/serial.hpp"
+#include "observe/log.hpp"
+
+namespace brassfront::nameserver {
+namespace {
+
+using observe::Concern;
+using observe::Level;
+
+double Now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+Following::Following(FollowedZone& zone, std::mutex& mutex, Ask how, double age,
+                     ZoneWatcher watcher)
+    : zone_(zone),
+      zones_mutex_(mutex),
+      how_(std::move(how)),
+      watcher_(std::move(watcher)),
+      follower_(Now()) {
+  if (zone_.zone().has_soa()) {
+    const dns::Record soa = zone_.zone().Soa();
+    follower_.Start(zone_.zone().serial(), dns::SoaTimers::Of(soa.rdata), age, Now());
+  }
+  thread_ = Thread("dns-follow", [this] { Follow(); });
+}
+
+Following::~Following() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  thread_.Join();
+}
+
+void Following::Notified(std::optional<std::uint32_t> serial) {
+  const std::lock_guard lock(mutex_);
+  follower_.Notified(serial, Now());
+  poked_ = true;
+  wake_.notify_all();
+}
+
+void Following::Follow() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const auto step = follower_.Due(Now());
+    if (step == dns::Follower::Step::kNothing) {
+      // An hour at most: a due time far away is none to the clock's arithmetic.
+      const double wait = std::clamp(follower_.NextDue() - Now(), 0.001, 3600.0);
+      wake_.wait_for(lock, std::chrono::duration<double>(wait),
+                     [this] { return stopping_ || std::exchange(poked_, false); });
+      continue;
+    }
+    lock.unlock();
+    switch (step) {
+      case dns::Follower::Step::kAskSerial:
+        AskSerial();
+        break;
+      case dns::Follower::Step::kTransfer:
+        TransferNow(true);
+        break;
+      default: {
+        const std::lock_guard zones(zones_mutex_);
+        observe::Log(Concern::kZones, Level::kWarning, "zone expired",
+                     {{"zone", zone_.zone().origin().ToText()}, {"primary", how_.server}});
+        zone_.set_expired(true);
+        if (watcher_.expired) watcher_.expired(zone_.zone());
+      }
+    }
+    lock.lock();
+  }
+}
+
+void Following::Fail(const std::string& why) {
+  {
+    const std::lock_guard zones(zones_mutex_);
+    observe::LogSeldom(
+        Concern::kZones, Level::kWarning, "zone not renewed",
+        {{"zone", zone_.zone().origin().ToText()}, {"primary", how_.server}, {"why", why}});
+    if (watcher_.failed) watcher_.failed(zone_.zone(), why);
+  }
+  const std::lock_guard lock(mutex_);
+  follower_.Failed(Now());
+}
+
+void Following::AskSerial() {
+  dns::Message message;
+  message.question = {{zone_.zone().origin(), dns::type::kSoa, dns::klass::kIn}};
+  const Asked asked = AskServer(how_, std::move(message));
+  const auto* answer = asked.answer ? &*asked.answer : nullptr;
+  const bool good = answer != nullptr && answer->rcode == dns::Rcode::kNoError &&
+                    answer->authoritative && answer->answer.size() == 1 &&
+                    answer->answer[0].type == dns::type::kSoa;
+  if (!good) {
+    return Fail(answer == nullptr ? asked.why
+                                  : "the primary answers " + RcodeText(answer->rcode) +
+                                        " where its SOA was asked for");
+  }
+  const auto serial = dns::SerialOf(answer->answer[0].rdata);
+  const std::lock_guard zones(zones_mutex_);
+  const std::lock_guard lock(mutex_);
+  follower_.SerialIs(serial, Now());
+  if (serial == zone_.zone().serial()) {
+    zone_.set_expired(false);
+    if (watcher_.confirmed) watcher_.confirmed(zone_.zone());
+  } else if (follower_.NextDue() > 0) {
+    const std::string why = "the primary's serial is " + std::to_string(serial) +
+                            ", not newer than " + std::to_string(zone_.zone().serial());
+    observe::LogSeldom(Concern::kZones, Level::kWarning, "zone not renewed",
+                       {{"zone", zone_.zone().origin().ToText()}, {"why", why}});
+    if (watcher_.failed) watcher_.failed(zone_.zone(), why);
+  }
+}
+
+void Following::TransferNow(bool by_changes) {
+  std::optional<dns::Record> have;
+  if (by_changes && zone_.zone().has_soa()) have = zone_.zone().Soa();
+  dns::Transferred result = Transfer(how_, zone_.zone().origin(), have);
+  std::string why;
+  bool again = false;
+  {
+    const std::lock_guard zones(zones_mutex_);
+    const std::uint32_t before = zone_.zone().serial();
+    const bool had = zone_.zone().has_soa();
+    std::size_t applied = 0;
+    if (auto* whole = std::get_if<dns::WholeZone>(&result)) {
+      std::optional<dns::Change> change;
+      if (had && dns::IsNewer(before, whole->zone.serial())) {
+        why = "the primary sends a whole zone of the older serial " +
+              std::to_string(whole->zone.serial());
+      } else if (had) {
+        change = dns::Difference(zone_.zone(), whole->zone);
+      }
+      if (why.empty() && zone_.Replace(whole->zone, why)) {
+        ++applied;
+        zone_.set_expired(false);
+        if (watcher_.changed) watcher_.changed(zone_.zone(), change ? &*change : nullptr);
+      }
+    } else if (auto* changes = std::get_if<dns::Changes>(&result)) {
+      for (const dns::Change& change : changes->changes) {
+        if (!zone_.Commit(change, why)) {
+          again = true;  // what the primary says does not fit what is held: all of it, then
+          break;
+        }
+        ++applied;
+        zone_.set_expired(false);
+        if (watcher_.changed) watcher_.changed(zone_.zone(), &change);
+      }
+    } else if (std::holds_alternative<dns::UpToDate>(result)) {
+      zone_.set_expired(false);
+      if (watcher_.confirmed) watcher_.confirmed(zone_.zone());
+    } else {
+      why = std::get<dns::Unfit>(result).why;
+    }
+    if (applied > 0) {
+      observe::Log(Concern::kZones, Level::kInfo, "zone renewed",
+                   {{"zone", zone_.zone().origin().ToText()},
+                    {"from", before},
+                    {"to", zone_.zone().serial()}});
+    }
+    if (why.empty()) {
+      const std::lock_guard lock(mutex_);
+      if (applied > 0) {
+        follower_.Took(zone_.zone().serial(), dns::SoaTimers::Of(zone_.zone().Soa().rdata), Now());
+      } else {
+        follower_.IsUpToDate(Now());
+      }
+    }
+  }
+  if (why.empty()) return;
+  if (again && by_changes) return TransferNow(false);
+  Fail(why);
+}
+
+}  // namespace brassfront::nameserver
--- /dev/null
+++ b/src/nameserver/following.hpp
@@ -0,0 +1,58 @@
+// Follows a primary with one thread: asks, transfers, and applies what came (dns::Follower decides
+// when and what).
+#ifndef BRASSFRONT_NAMESERVER_FOLLOWING_HPP_
+#define BRASSFRONT_NAMESERVER_FOLLOWING_HPP_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "dns/follower.hpp"
+#include "nameserver/client.hpp"
+#include "nameserver/keeper.hpp"
+#include "net/thread.hpp"
+
+namespace brassfront::nameserver {
+
+// What became of a zone. Called with the zones' mutex held.
+struct ZoneWatcher {
+  // `change` leads from what was there to the zone; null where all of it is new.
+  std::function<void(const dns::Zone& zone, const dns::Change* change)> changed;
+  std::function<void(const dns::Zone& zone)> confirmed;  // nothing new, by its source's word
+  std::function<void(const dns::Zone& zone, const std::string& why)> failed;
+  std::function<void(const dns::Zone& zone)> expired;
+};
+
+class Following {
+ public:
+  // `mutex` guards the zone. `age` is how long ago, in seconds, what the zone holds was confirmed.
+  Following(FollowedZone& zone, std::mutex& mutex, Ask how, double age, ZoneWatcher watcher);
+  ~Following();
+
+  // From a notice; never waits for the thread.
+  void Notified(std::optional<std::uint32_t> serial);
+
+ private:
+  void Follow();
+  void AskSerial();
+  void TransferNow(bool by_changes);
+  void Fail(const std::string& why);
+
+  FollowedZone& zone_;
+  std::mutex& zones_mutex_;
+  const Ask how_;
+  const ZoneWatcher watcher_;
+  std::mutex mutex_;  // guards what follows; taken after the zones' mutex, if both are
+  std::condition_variable wake_;
+  dns::Follower follower_;
+  bool poked_ = false;
+  bool stopping_ = false;
+  Thread thread_;
+};
+
+}  // namespace brassfront::nameserver
+
+#endif  // BRASSFRONT_NAMESERVER_FOLLOWING_HPP_
--- /dev/null
+++ b/src/nameserver/keeper.hpp
@@ -0,0 +1,93 @@
+// Where zones are kept: on disk, in memory, or as a copy of a primary's.
+#ifndef BRASSFRONT_NAMESERVER_KEEPER_HPP_
+#define BRASSFRONT_NAMESERVER_KEEPER_HPP_
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "nameserver/responder.hpp"
+#include "zones/store.hpp"
+
+namespace brassfront::nameserver {
+
+// A primary's zone in a folder; what it confirms outlives the process.
+class StoredZone : public ZoneKeeper {
+ public:
+  StoredZone(std::string folder, const dns::Name& origin, zones::ZoneStore::Options options)
+      : store_(std::move(folder), origin, options) {}
+
+  zones::ZoneStore& store() { return store_; }
+  const dns::Zone& zone() const override { return store_.zone(); }
+  bool answers() const override { return store_.zone().has_soa(); }
+  bool Commit(const dns::Change& change, std::string& why) override {
+    if (store_.Commit(change)) return true;
+    why = store_.why();
+    return false;
+  }
+
+ private:
+  zones::ZoneStore store_;
+};
+
+// A zone in memory: its changes end with the process.
+class MemoryZone : public ZoneKeeper {
+ public:
+  explicit MemoryZone(dns::Zone zone) : zone_(std::move(zone)) {}
+
+  const dns::Zone& zone() const override { return zone_; }
+  bool answers() const override { return zone_.has_soa(); }
+  bool Commit(const dns::Change& change, std::string& why) override {
+    if (zone_.Apply(change)) return true;
+    why = "the change does not start from what the zone holds";
+    return false;
+  }
+
+ protected:
+  dns::Zone zone_;
+};
+
+// A zone that is read from a file again and again, and changed by nothing else.
+class FileZone : public MemoryZone {
+ public:
+  using MemoryZone::MemoryZone;
+  bool takes_updates() const override { return false; }
+  void Start(dns::Zone zone) { zone_ = std::move(zone); }
+};
+
+// A copy of a primary's zone. Who follows it writes to it, and says when it counts no more.
+class FollowedZone : public ZoneKeeper {
+ public:
+  // With a folder the copy outlives the process. Throws zones::StoreFault.
+  FollowedZone(const dns::Name& origin, const std::string& folder) : zone_(origin) {
+    if (!folder.empty()) store_.emplace(folder, origin, zones::ZoneStore::Options{});
+  }
+  explicit FollowedZone(const dns::Name& origin) : FollowedZone(origin, "") {}
+
+  const dns::Zone& zone() const override { return store_ ? store_->zone() : zone_; }
+  bool answers() const override { return zone().has_soa() && !expired_; }
+  bool takes_updates() const override { return false; }
+  bool Commit(const dns::Change& change, std::string& why) override {
+    if (store_ ? store_->Commit(change) : zone_.Apply(change)) return true;
+    why = store_ ? store_->why() : "the change does not start from what the zone holds";
+    return false;
+  }
+  bool Replace(const dns::Zone& zone, std::string& why) {
+    if (store_ && !store_->Replace(zone)) {
+      why = store_->why();
+      return false;
+    }
+    if (!store_) zone_ = zone;
+    return true;
+  }
+  void set_expired(bool expired) { expired_ = expired; }
+
+ private:
+  dns::Zone zone_;
+  std::optional<zones::ZoneStore> store_;
+  bool expired_ = false;
+};
+
+}  // namespace brassfront::nameserver
+
+#endif  // BRASSFRONT_NAMESERVER_KEEPER_HPP_
--- /dev/null
+++ b/src/nameserver/server.cpp
@@ -0,0 +1,317 @@
+#include "nameserver/server.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "nameserver/client.hpp"
+#include "observe/log.hpp"
+
+namespace brassfront::nameserver {
+namespace {
+
+using observe::Concern;
+using observe::Level;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A notice is sent again after this, then after twice as long, and so on (RFC 1996 §3.6).
+constexpr milliseconds kNoticeWait{200};
+constexpr int kNoticeTries = 6;
+constexpr std::size_t kStreamThreads = 8;
+constexpr milliseconds kSendTime{5000};  // for one answer over a stream
+constexpr int kPortTries = 50;           // TCP's free port may be taken for UDP
+
+std::string PeerText(const sockaddr_in& peer) {
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+  return std::string(text.data()) + ":" + std::to_string(ntohs(peer.sin_port));
+}
+
+}  // namespace
+
+Server::Server(Options options, Responder& responder, std::mutex& mutex)
+    : options_(std::move(options)), responder_(responder), mutex_(mutex) {
+  for (int attempt = 0; attempt < kPortTries && !datagrams_.is_open(); ++attempt) {
+    listener_ = Listen(options_.address);
+    if (!listener_.is_open()) break;
+    address_ = AddressOf(listener_);
+    datagrams_ = BindDatagrams(address_);
+    if (!datagrams_.is_open() && !options_.address.ends_with(":0")) break;
+  }
+  wake_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (!datagrams_.is_open() || wake_ < 0) {
+    throw std::runtime_error("cannot listen on " + options_.address + ": " + std::strerror(errno));
+  }
+  DoNotWait(listener_);
+  crew_ = std::make_unique<Crew<std::shared_ptr<Connection>>>(
+      "dns-answer", Crew<std::shared_ptr<Connection>>::Size{1, kStreamThreads, milliseconds(2000)},
+      [this](std::shared_ptr<Connection> connection) { ServeOne(std::move(connection)); });
+  datagram_thread_ = Thread("dns-udp", [this] { ServeDatagrams(); });
+  stream_thread_ = Thread("dns-tcp", [this] { ServeStreams(); });
+  notice_thread_ = Thread("dns-notice", [this] { SendNotices(); });
+}
+
+Server::~Server() {
+  stopping_ = true;
+  {
+    const std::lock_guard lock(state_mutex_);
+    state_changed_.notify_all();
+  }
+  ShutDown(datagrams_.fd());
+  const std::uint64_t one = 1;
+  (void)!write(wake_, &one, sizeof one);
+  datagram_thread_.Join();
+  stream_thread_.Join();
+  notice_thread_.Join();
+  crew_.reset();
+  close(wake_);
+}
+
+void Server::SetFaults(const Faults& faults) {
+  const std::lock_guard lock(state_mutex_);
+  faults_ = faults;
+  state_changed_.notify_all();
+}
+
+Faults Server::FaultsNow() {
+  const std::lock_guard lock(state_mutex_);
+  return faults_;
+}
+
+void Server::OnNotices(OnNotice take) {
+  const std::lock_guard lock(mutex_);
+  on_notice_ = std::move(take);
+}
+
+void Server::OnUpdates(OnUpdate take) {
+  const std::lock_guard lock(mutex_);
+  on_update_ = std::move(take);
+}
+
+std::vector<std::string> Server::Answers(std::string_view bytes, bool stream,
+                                         const Faults& faults) {
+  if (faults.quiet) return {};
+  if (faults.delay.count() > 0) {
+    std::unique_lock lock(state_mutex_);
+    state_changed_.wait_for(lock, faults.delay, [this] { return stopping_.load(); });
+  }
+  Responder::Reply reply;
+  {
+    const std::lock_guard lock(mutex_);
+    responder_.ClaimSerial(faults.claimed_serial);
+    reply = responder_.Answer(bytes, stream, SecondsNow());
+    if (reply.changed != nullptr) {
+      if (on_update_) on_update_(*reply.changed, *reply.change);
+      Announce(reply.changed->origin());
+    }
+    if (reply.notified != nullptr && on_notice_) {
+      on_notice_(*reply.notified, reply.notified_serial);
+    }
+  }
+  ++answered_;
+  observe::LogSeldom(Concern::kZones, Level::kDebug, "dns", {{"did", reply.event}});
+  for (std::string& message : reply.messages) {
+    if (faults.garbage) message = std::string(message.size(), '\x5a');
+    if (message.size() < 12) continue;
+    if (faults.truncate && !stream) message[2] = static_cast<char>(message[2] | 2);
+    if (faults.refuse) {
+      message = Encode(
+          ReplyTo(dns::Decode(bytes).message.value_or(dns::Message{}), dns::Rcode::kServFail));
+    }
+  }
+  return std::move(reply.messages);
+}
+
+void Server::ServeDatagrams() {
+  std::vector<char> buffer(dns::kMostMessageBytes);
+  while (!stopping_) {
+    sockaddr_in peer{};
+    socklen_t peer_size = sizeof peer;
+    const ssize_t length = recvfrom(datagrams_.fd(), buffer.data(), buffer.size(), 0,
+                                    reinterpret_cast<sockaddr*>(&peer), &peer_size);
+    if (stopping_) break;
+    if (length < 0) continue;
+    const auto answers =
+        Answers({buffer.data(), static_cast<std::size_t>(length)}, false, FaultsNow());
+    for (const std::string& answer : answers) {
+      sendto(datagrams_.fd(), answer.data(), answer.size(), MSG_NOSIGNAL,
+             reinterpret_cast<const sockaddr*>(&peer), peer_size);
+    }
+  }
+}
+
+void Server::Close(const Connection& connection, const char* reason) {
+  LogConnectionEnd("zone side", connection.peer, reason, connection.exchanges);
+  const std::lock_guard lock(state_mutex_);
+  --open_;
+}
+
+void Server::ServeStreams() {
+  std::vector<std::shared_ptr<Connection>> idle;
+  while (!stopping_) {
+    std::vector<pollfd> wanted = {{listener_.fd(), POLLIN, 0}, {wake_, POLLIN, 0}};
+    auto next = steady_clock::now() + options_.idle;
+    for (const auto& connection : idle) {
+      wanted.push_back({connection->socket.fd(), POLLIN, 0});
+      next = std::min(next, connection->until);
+    }
+    const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now()).count();
+    poll(wanted.data(), wanted.size(), static_cast<int>(std::max<long>(left, 0)));
+    if (wanted[1].revents != 0) {
+      std::uint64_t count = 0;
+      (void)!read(wake_, &count, sizeof count);
+    }
+    std::vector<std::shared_ptr<Connection>> still;
+    for (std::size_t n = 0; n < idle.size(); ++n) {
+      if (wanted[n + 2].revents != 0) {
+        crew_->Put(std::move(idle[n]));
+      } else if (steady_clock::now() >= idle[n]->until) {
+        Close(*idle[n], "idle");
+      } else {
+        still.push_back(std::move(idle[n]));
+      }
+    }
+    idle = std::move(still);
+    {
+      const std::lock_guard lock(state_mutex_);
+      for (auto& connection : returned_) idle.push_back(std::move(connection));
+      returned_.clear();
+    }
+    while (!stopping_) {
+      Socket socket = Accept(listener_);
+      if (!socket.is_open()) break;
+      sockaddr_in peer{};
+      socklen_t peer_size = sizeof peer;
+      getpeername(socket.fd(), reinterpret_cast<sockaddr*>(&peer), &peer_size);
+      bool full = false;
+      {
+        const std::lock_guard lock(state_mutex_);
+        full = open_ >= options_.most_connections;
+        if (!full) ++open_;
+      }
+      if (full) {
+        LogConnectionEnd("zone side", PeerText(peer), "too many connections", 0);
+        continue;
+      }
+      auto connection = std::make_shared<Connection>();
+      connection->socket = std::move(socket);
+      connection->peer = PeerText(peer);
+      connection->until = steady_clock::now() + options_.idle;
+      idle.push_back(std::move(connection));
+    }
+  }
+  for (const auto& connection : idle) Close(*connection, "the server ends");
+}
+
+void Server::ServeOne(std::shared_ptr<Connection> connection) {
+  std::array<char, 4096> buffer{};
+  const long length = connection->socket.ReceiveNow(buffer);
+  if (length == 0 || (length < 0 && errno != EAGAIN)) {
+    Close(*connection, length == 0 ? "closed by the client" : std::strerror(errno));
+    return;
+  }
+  if (length > 0) connection->reader.Feed({buffer.data(), static_cast<std::size_t>(length)});
+  auto& messages = connection->reader.messages();
+  for (; !messages.empty() && !stopping_; messages.pop_front()) {
+    const Faults faults = FaultsNow();
+    auto answers = Answers(messages.front(), true, faults);
+    const bool half = faults.half_transfers && dns::Decode(messages.front()).message &&
+                      dns::Decode(messages.front()).message->opcode == dns::Opcode::kQuery;
+    if (half && !answers.empty()) {
+      answers.resize((answers.size() + 1) / 2);
+      if (answers.size() == 1) answers[0].resize(answers[0].size() / 2);
+    }
+    const auto until = steady_clock::now() + kSendTime;
+    for (const std::string& answer : answers) {
+      // With half a transfer the length is the whole one's, as a stream that breaks has it.
+      std::string framed = dns::InStream(answer);
+      if (half) framed[0] = static_cast<char>(framed[0] | 0x40);
+      if (!connection->socket.SendAll(framed, until)) {
+        Close(*connection, "the client does not read");
+        return;
+      }
+    }
+    ++connection->exchanges;
+    if (half) {
+      Close(*connection, "half a transfer by order");
+      return;
+    }
+  }
+  connection->until = steady_clock::now() + options_.idle;
+  {
+    const std::lock_guard lock(state_mutex_);
+    returned_.push_back(std::move(connection));
+  }
+  const std::uint64_t one = 1;
+  (void)!write(wake_, &one, sizeof one);
+}
+
+void Server::Announce(const dns::Name& zone) {
+  const std::lock_guard lock(state_mutex_);
+  if (!faults_.notices) return;
+  for (const std::string& secondary : options_.notify) {
+    auto& notices = due_notices_[secondary];
+    // A newer notice of the zone takes the place of the one that waits.
+    std::erase_if(notices, [&zone](const Notice& notice) { return notice.zone == zone; });
+    notices.push_back({zone, steady_clock::now(), kNoticeWait, kNoticeTries, RandomId()});
+  }
+  announced_ = true;
+  state_changed_.notify_all();
+}
+
+void Server::SendNotices() {
+  std::array<char, 512> buffer{};
+  while (!stopping_) {
+    auto next = steady_clock::now() + std::chrono::hours(1);
+    std::vector<std::pair<std::string, std::string>> sends;
+    {
+      const std::lock_guard lock(state_mutex_);
+      announced_ = false;
+      for (auto& [secondary, notices] : due_notices_) {
+        std::erase_if(notices, [](const Notice& notice) { return notice.left <= 0; });
+        for (Notice& notice : notices) {
+          if (notice.due <= steady_clock::now()) {
+            dns::Message message;
+            message.id = notice.id;
+            message.opcode = dns::Opcode::kNotify;
+            message.authoritative = true;
+            message.question = {{notice.zone, dns::type::kSoa, dns::klass::kIn}};
+            sends.emplace_back(secondary, Encode(message));
+            notice.due = steady_clock::now() + notice.wait;
+            notice.wait *= 2;
+            --notice.left;
+          }
+          next = std::min(next, notice.due);
+        }
+      }
+    }
+    for (const auto& [secondary, bytes] : sends) {
+      const Socket to = ConnectDatagrams(secondary);
+      if (!to.is_open()) continue;
+      send(to.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      const auto until = steady_clock::now() + milliseconds(50);
+      if (!to.AwaitInput(until)) continue;
+      const long length = recv(to.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (length < 12) continue;
+      const auto id = dns::Get16({buffer.data(), 12}, 0);
+      const std::lock_guard lock(state_mutex_);
+      std::erase_if(due_notices_[secondary], [id](const Notice& one) { return one.id == id; });
+    }
+    std::unique_lock lock(state_mutex_);
+    state_changed_.wait_until(lock, next, [this] { return stopping_ || announced_; });
+  }
+}
+
+}  // namespace brassfront::nameserver
--- /dev/null
+++ b/src/nameserver/server.hpp
@@ -0,0 +1,124 @@
+// The name server's sockets: UDP and TCP on one address, notices to secondaries, and faults by
+// order, for it stands in for other people's servers in tests and rehearsals.
+//
+// One thread reads datagrams, one waits at all TCP connections, and a few come and go with the
+// answers that streams ask for. One mutex is around all zones; an update holds it until the disk
+// has confirmed it.
+#ifndef BRASSFRONT_NAMESERVER_SERVER_HPP_
+#define BRASSFRONT_NAMESERVER_SERVER_HPP_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "nameserver/responder.hpp"
+#include "net/crew.hpp"
+#include "net/socket.hpp"
+#include "net/thread.hpp"
+
+namespace brassfront::nameserver {
+
+// What a name server may do wrong. All may be changed at any time.
+struct Faults {
+  bool quiet = false;                           // takes requests and answers none
+  std::chrono::milliseconds delay{0};           // before each answer
+  bool refuse = false;                          // SERVFAIL to all
+  bool truncate = false;                        // TC on every answer by UDP
+  std::optional<std::uint32_t> claimed_serial;  // in SOA answers, whatever the zone's is
+  bool half_transfers = false;                  // the stream ends in the middle
+  bool garbage = false;                         // answers with bytes that mean nothing
+  bool notices = true;                          // false: changes are not told of
+
+  bool any() const {
+    return quiet || delay.count() > 0 || refuse || truncate || claimed_serial || half_transfers ||
+           garbage;
+  }
+};
+
+class Server {
+ public:
+  struct Options {
+    std::string address = "127.0.0.1:0";  // IPv4:PORT
+    std::vector<std::string> notify;      // IPv4:PORT of secondaries
+    std::size_t most_connections = 100;
+    std::chrono::seconds idle{10};  // after which a connection without a request is ended
+  };
+  // Called with the zone's mutex held.
+  using OnNotice = std::function<void(const dns::Name& zone, std::optional<std::uint32_t> serial)>;
+  using OnUpdate = std::function<void(const dns::Zone& zone, const dns::Change& change)>;
+
+  // Listens from now on. Throws std::runtime_error if it cannot. The mutex guards the responder
+  // and all that it leads to.
+  Server(Options options, Responder& responder, std::mutex& mutex);
+  ~Server();
+
+  const std::string& address() const { return address_; }
+  void SetFaults(const Faults& faults);
+  void OnNotices(OnNotice take);
+  void OnUpdates(OnUpdate take);
+  // Tells the secondaries of the zone's present serial.
+  void Announce(const dns::Name& zone);
+  std::uint64_t answered() const { return answered_; }
+
+ private:
+  struct Connection {
+    Socket socket;
+    dns::StreamReader reader;
+    std::string peer;
+    SteadyTime until;
+    std::size_t exchanges = 0;
+  };
+  struct Notice {
+    dns::Name zone;
+    SteadyTime due;
+    std::chrono::milliseconds wait{};
+    int left = 0;
+    std::uint16_t id = 0;
+  };
+
+  void ServeDatagrams();
+  void ServeStreams();
+  void ServeOne(std::shared_ptr<Connection> connection);
+  void SendNotices();
+  void Close(const Connection& connection, const char* reason);
+  // Empty if nothing is to be sent. With the faults of the moment.
+  std::vector<std::string> Answers(std::string_view bytes, bool stream, const Faults& faults);
+  Faults FaultsNow();
+
+  const Options options_;
+  Responder& responder_;
+  std::mutex& mutex_;
+  std::string address_;
+  Socket datagrams_;
+  Socket listener_;
+  int wake_ = -1;  // an eventfd: a connection came back, or the end
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::uint64_t> answered_ = 0;
+
+  std::mutex state_mutex_;  // guards what follows
+  std::condition_variable state_changed_;
+  Faults faults_;
+  OnNotice on_notice_;
+  OnUpdate on_update_;
+  std::vector<std::shared_ptr<Connection>> returned_;
+  std::map<std::string, std::vector<Notice>> due_notices_;  // by secondary
+  bool announced_ = false;                                  // since the notices were looked at
+  std::size_t open_ = 0;
+
+  std::unique_ptr<Crew<std::shared_ptr<Connection>>> crew_;
+  Thread datagram_thread_;
+  Thread stream_thread_;
+  Thread notice_thread_;
+};
+
+}  // namespace brassfront::nameserver
+
+#endif  // BRASSFRONT_NAMESERVER_SERVER_HPP_
--- /dev/null
+++ b/src/zones/store.cpp
@@ -0,0 +1,387 @@
+#include "zones/store.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+
+#include "spool/file.hpp"
+
+namespace brassfront::zones {
+namespace {
+
+namespace fs = std::filesystem;
+using dns::Get16;
+using dns::Get32;
+using dns::Put16;
+using dns::Put32;
+
+// A file starts with these and the zone's name. The digit is the format's version.
+constexpr std::string_view kJournalMark = "brassfront zone journal 1\n";
+constexpr std::string_view kSnapshotMark = "brassfront zone snapshot 1\n";
+// An entry: length of the body (4), its checksum (8), the body, whose first 8 bytes are its number.
+constexpr std::size_t kEntryHead = 12;
+constexpr std::size_t kPieceBytes = 1 << 16;  // of a snapshot; each with a checksum as an entry
+
+void Put64(std::string& out, std::uint64_t value) {
+  Put32(out, static_cast<std::uint32_t>(value >> 32));
+  Put32(out, static_cast<std::uint32_t>(value));
+}
+
+std::uint64_t Get64(std::string_view bytes, std::size_t at) {
+  return std::uint64_t{Get32(bytes, at)} << 32 | Get32(bytes, at + 4);
+}
+
+std::string Entry(std::string_view body) {
+  std::string out;
+  Put32(out, static_cast<std::uint32_t>(body.size()));
+  Put64(out, XXH64(body.data(), body.size(), body.size()));
+  return out.append(body);
+}
+
+void PutRecord(std::string& out, const dns::Record& record) {
+  out += record.name.wire();
+  Put16(out, record.type);
+  Put32(out, record.ttl);
+  Put16(out, static_cast<std::uint32_t>(record.rdata.size()));
+  out += record.rdata;
+}
+
+// The record at the start, which is taken off; nothing if it is not one.
+std::optional<dns::Record> TakeRecord(std::string_view& bytes) {
+  std::size_t end = 0;
+  while (end < bytes.size() && bytes[end] != 0) end += 1 + static_cast<unsigned char>(bytes[end]);
+  if (bytes.size() < end + 1 + 8) return std::nullopt;
+  const auto name = dns::Name::FromWire(bytes.substr(0, end + 1));
+  bytes.remove_prefix(end + 1);
+  const std::size_t length = Get16(bytes, 6);
+  if (!name || bytes.size() < 8 + length) return std::nullopt;
+  dns::Record record{*name, static_cast<std::uint16_t>(Get16(bytes, 0)), dns::klass::kIn,
+                     Get32(bytes, 2), std::string(bytes.substr(8, length))};
+  bytes.remove_prefix(8 + length);
+  if (!dns::IsRdata(record.type, record.rdata)) return std::nullopt;
+  return record;
+}
+
+std::string ChangeBody(std::uint64_t number, const dns::Change& change) {
+  std::string body;
+  Put64(body, number);
+  for (const auto* records : {&change.removed, &change.added}) {
+    Put32(body, static_cast<std::uint32_t>(records->size()));
+    for (const auto& record : *records) PutRecord(body, record);
+  }
+  return body;
+}
+
+std::optional<dns::Change> ChangeIn(std::string_view body) {
+  body.remove_prefix(8);
+  dns::Change change;
+  for (auto* records : {&change.removed, &change.added}) {
+    if (body.size() < 4) return std::nullopt;
+    std::uint32_t count = Get32(body, 0);
+    body.remove_prefix(4);
+    for (; count > 0; --count) {
+      auto record = TakeRecord(body);
+      if (!record) return std::nullopt;
+      records->push_back(*std::move(record));
+    }
+  }
+  if (!body.empty() || change.removed.empty() || change.added.empty()) return std::nullopt;
+  return change;
+}
+
+enum class Next { kEntry, kEnd, kBad };
+
+// The entry at `at`, which moves past it. The body starts with the entry's number.
+Next TakeEntry(std::string_view bytes, std::size_t& at, std::string_view& body) {
+  const std::size_t left = bytes.size() - at;
+  if (left == 0) return Next::kEnd;
+  if (left < kEntryHead) return Next::kBad;
+  const std::size_t length = Get32(bytes, at);
+  if (length < 8 || left - kEntryHead < length) return Next::kBad;
+  body = bytes.substr(at + kEntryHead, length);
+  if (XXH64(body.data(), length, length) != Get64(bytes, at + 4)) return Next::kBad;
+  at += kEntryHead + length;
+  return Next::kEntry;
+}
+
+// Whether a whole entry with a number above `number` starts anywhere behind `at`. What a write that
+// was cut short leaves has none behind it; a bad entry that has is damage.
+bool HasEntryBehind(std::string_view bytes, std::size_t at, std::uint64_t number) {
+  constexpr std::uint64_t kMostEntries = std::uint64_t{1} << 32;  // behind one that is bad
+  while (++at + kEntryHead + 8 <= bytes.size()) {
+    const std::uint64_t found = Get64(bytes, at + kEntryHead);
+    if (found <= number || found - number > kMostEntries) continue;
+    std::size_t tried = at;
+    std::string_view body;
+    if (TakeEntry(bytes, tried, body) == Next::kEntry) return true;
+  }
+  return false;
+}
+
+std::string Start(std::string_view mark, const dns::Name& origin) {
+  return std::string(mark) + origin.Lower().ToText() + "\n";
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  const File file = File::OpenToRead(path);
+  const auto size = file.is_open() ? file.Size() : std::nullopt;
+  return size ? file.Read(0, *size) : std::nullopt;
+}
+
+bool SynchroniseFolder(Disk& disk, const std::string& folder) {
+  const int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) return false;
+  const bool done = disk.Synchronise(fd) == 0;
+  close(fd);
+  return done;
+}
+
+}  // namespace
+
+long Disk::Write(int fd, const char* bytes, std::size_t length) { return write(fd, bytes, length); }
+int Disk::Synchronise(int fd) { return fdatasync(fd); }
+int Disk::Cut(int fd, std::size_t size) { return ftruncate(fd, static_cast<off_t>(size)); }
+int Disk::Rename(const char* from, const char* to) { return std::rename(from, to); }
+
+ZoneStore::ZoneStore(std::string folder, const dns::Name& origin, Options options)
+    : folder_(std::move(folder)),
+      options_(options),
+      disk_(options.disk != nullptr ? *options.disk : system_),
+      zone_(origin) {
+  std::error_code error;
+  fs::create_directories(folder_, error);
+  lock_ = open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (lock_ < 0) throw StoreFault(folder_ + " cannot be written to: " + std::strerror(errno));
+  try {
+    if (flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+      throw StoreFault(folder_ + " is held by another process");
+    }
+    Read();
+  } catch (...) {
+    close(lock_);
+    if (journal_ >= 0) close(journal_);
+    throw;
+  }
+}
+
+ZoneStore::~ZoneStore() {
+  if (journal_ >= 0) close(journal_);
+  if (lock_ >= 0) close(lock_);
+}
+
+void ZoneStore::Read() {
+  std::error_code error;
+  for (const char* half : {"/snapshot.new", "/journal.new"}) fs::remove(folder_ + half, error);
+  const std::string snapshot = folder_ + "/snapshot";
+  if (fs::exists(snapshot, error)) {
+    const auto bytes = ReadFile(snapshot);
+    const std::string start = Start(kSnapshotMark, zone_.origin());
+    if (!bytes) throw StoreFault(snapshot + " cannot be read: " + std::strerror(errno));
+    if (!bytes->starts_with(start)) {
+      throw StoreFault(snapshot + " is no snapshot of " + zone_.origin().ToText() +
+                       " in this version's format");
+    }
+    snapshot_bytes_ = bytes->size();
+    std::size_t at = start.size();
+    std::string_view body;
+    bool ended = false;
+    while (TakeEntry(*bytes, at, body) == Next::kEntry) {
+      if (ended) throw StoreFault(snapshot + " goes on after its end");
+      entries_ = Get64(body, 0);
+      body.remove_prefix(8);
+      ended = body.empty();
+      while (!body.empty()) {
+        const auto record = TakeRecord(body);
+        if (!record) throw StoreFault(snapshot + " holds a damaged record");
+        zone_.Add(*record);
+      }
+    }
+    if (!ended || at != bytes->size()) {
+      throw StoreFault(snapshot + " is damaged at byte " + std::to_string(at));
+    }
+  }
+  const std::string journal = folder_ + "/journal";
+  if (!fs::exists(journal, error)) {
+    if (!StartJournal()) throw StoreFault(why_);
+    return;
+  }
+  const auto bytes = ReadFile(journal);
+  if (!bytes) throw StoreFault(journal + " cannot be read: " + std::strerror(errno));
+  journal_ = open(journal.c_str(), O_RDWR | O_APPEND | O_CLOEXEC);
+  if (journal_ < 0) throw StoreFault(journal + " cannot be written to: " + std::strerror(errno));
+  ReplayJournal(*bytes);
+}
+
+void ZoneStore::ReplayJournal(std::string_view bytes) {
+  const std::string journal = folder_ + "/journal";
+  const std::string start = Start(kJournalMark, zone_.origin());
+  if (!bytes.starts_with(start)) {
+    throw StoreFault(journal + " is no journal of " + zone_.origin().ToText() +
+                     " in this version's format");
+  }
+  std::size_t at = start.size();
+  std::string_view body;
+  while (true) {
+    const std::size_t before = at;
+    const Next next = TakeEntry(bytes, at, body);
+    if (next == Next::kEnd) break;
+    const std::string place = journal + " at byte " + std::to_string(before);
+    if (next == Next::kBad) {
+      if (HasEntryBehind(bytes, before, entries_)) {
+        throw StoreFault(place + " is damaged, with more behind it: restore it from a copy");
+      }
+      cut_bytes_ = bytes.size() - before;
+      if (disk_.Cut(journal_, before) != 0 || disk_.Synchronise(journal_) != 0) {
+        throw StoreFault(journal + ": its half last entry cannot be cut off");
+      }
+      break;
+    }
+    const std::uint64_t number = Get64(body, 0);
+    if (number <= entries_) continue;  // in the snapshot
+    const auto change = ChangeIn(body);
+    if (number != entries_ + 1 || !change || !zone_.Apply(*change)) {
+      throw StoreFault(place + " does not follow from what is before it");
+    }
+    entries_ = number;
+    ++replayed_;
+  }
+  journal_bytes_ = bytes.size() - cut_bytes_;
+}
+
+bool ZoneStore::Fail(const std::string& what) {
+  why_ = what + ": " + std::strerror(errno);
+  return false;
+}
+
+bool ZoneStore::WriteAll(int fd, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const long written = disk_.Write(fd, bytes.data(), bytes.size());
+    if (written < 0 && errno == EINTR) continue;
+    if (written <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+bool ZoneStore::WriteNew(const std::string& name, const std::function<bool(int fd)>& fill) {
+  const std::string path = folder_ + "/" + name;
+  const std::string fresh = path + ".new";
+  const int fd = open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0) return Fail(fresh);
+  bool done = fill(fd) && disk_.Synchronise(fd) == 0;
+  done = close(fd) == 0 && done;
+  if (!done || disk_.Rename(fresh.c_str(), path.c_str()) != 0) {
+    Fail(fresh);
+    unlink(fresh.c_str());
+    return false;
+  }
+  if (SynchroniseFolder(disk_, folder_)) return true;
+  // The new file has its name now, or will have the old one after a power cut: nobody can tell.
+  broken_ = true;
+  return Fail(folder_);
+}
+
+bool ZoneStore::WriteSnapshot(const dns::Zone& zone) {
+  std::size_t size = 0;
+  const bool done = WriteNew("snapshot", [&](int fd) {
+    std::string out = Start(kSnapshotMark, zone.origin());
+    std::string body;
+    bool good = true;
+    const auto flush = [&] {
+      out += Entry(body);
+      size += out.size();
+      good = good && WriteAll(fd, out);
+      out.clear();
+      body.clear();
+      Put64(body, entries_);
+    };
+    Put64(body, entries_);
+    PutRecord(body, zone.Soa());
+    zone.EachRecord([&](const dns::Record& record) {
+      PutRecord(body, record);
+      if (body.size() >= kPieceBytes) flush();
+    });
+    if (body.size() > 8) flush();
+    flush();  // an empty one is the end
+    return good;
+  });
+  if (done) snapshot_bytes_ = size;
+  return done;
+}
+
+bool ZoneStore::StartJournal() {
+  const std::string start = Start(kJournalMark, zone_.origin());
+  if (!WriteNew("journal", [&](int fd) { return WriteAll(fd, start); })) return false;
+  const int fd = open((folder_ + "/journal").c_str(), O_RDWR | O_APPEND | O_CLOEXEC);
+  if (fd < 0) {
+    broken_ = true;  // what is open has lost its name: nothing may go there any more
+    return Fail(folder_ + "/journal");
+  }
+  if (journal_ >= 0) close(journal_);
+  journal_ = fd;
+  journal_bytes_ = start.size();
+  return true;
+}
+
+bool ZoneStore::Append(std::string_view entry) {
+  if (WriteAll(journal_, entry) && disk_.Synchronise(journal_) == 0) {
+    journal_bytes_ += entry.size();
+    return true;
+  }
+  Fail(folder_ + "/journal");
+  // The half entry may not stay before a later whole one.
+  if (disk_.Cut(journal_, journal_bytes_) != 0 || disk_.Synchronise(journal_) != 0) {
+    broken_ = true;
+    why_ += "; the half entry cannot be cut off";
+  }
+  return false;
+}
+
+bool ZoneStore::Commit(const dns::Change& change) {
+  why_.clear();
+  if (broken_) {
+    why_ = folder_ + " could not be written to before; what it holds stands until the next start";
+    return false;
+  }
+  if (!zone_.Fits(change)) {
+    why_ = "the change does not start from what the zone holds";
+    return false;
+  }
+  if (!Append(Entry(ChangeBody(entries_ + 1, change)))) return false;
+  ++entries_;
+  zone_.Apply(change);
+  if (journal_bytes_ > options_.compact_bytes && journal_bytes_ > snapshot_bytes_) {
+    // The change stands whether or not this succeeds; the journal goes on where it was.
+    if (WriteSnapshot(zone_)) StartJournal();
+  }
+  return true;
+}
+
+bool ZoneStore::Replace(const dns::Zone& zone) {
+  why_.clear();
+  if (broken_) {
+    why_ = folder_ + " could not be written to before; what it holds stands until the next start";
+    return false;
+  }
+  if (zone_.has_soa() && zone_.serial() != zone.serial()) {
+    return Commit(dns::Difference(zone_, zone));
+  }
+  // The journal holds nothing newer than the snapshot then, whether or not it is started anew.
+  ++entries_;
+  if (!WriteSnapshot(zone)) {
+    --entries_;
+    return false;
+  }
+  zone_ = zone;
+  StartJournal();
+  return true;
+}
+
+}  // namespace brassfront::zones
--- /dev/null
+++ b/tests/dns/store_test.cpp
@@ -0,0 +1,344 @@
+// The zone store: what is confirmed outlives kills, full disks and flipped bits.
+#include "zones/store.hpp"
+
+#include <doctest/doctest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <string>
+
+#include "zones/zone_source.hpp"
+
+namespace brassfront::zones {
+namespace {
+
+namespace fs = std::filesystem;
+using dns::Change;
+using dns::Name;
+using dns::Record;
+using dns::Zone;
+
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = (fs::temp_directory_path() / "brassfront-zone-XXXXXX").string();
+    path_ = mkdtemp(pattern.data());
+  }
+  ~Folder() { fs::remove_all(path_); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string operator/(const std::string& name) const { return path_ + "/" + name; }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+const Name kOrigin = Name::Known("example.");
+
+Record Address(int n) {
+  std::string rdata = {10, 0, static_cast<char>(n >> 8), static_cast<char>(n)};
+  return {Name::Known("h" + std::to_string(n) + ".example."), dns::type::kA, dns::klass::kIn, 60,
+          rdata};
+}
+
+Zone First() {
+  Zone zone(kOrigin);
+  std::string soa = Name::Known("ns.example.").wire() + Name::Known("h.example.").wire();
+  for (const unsigned number : {1u, 60u, 10u, 600u, 5u}) dns::Put32(soa, number);
+  zone.Add({kOrigin, dns::type::kSoa, dns::klass::kIn, 60, soa});
+  zone.Add({kOrigin, dns::type::kNs, dns::klass::kIn, 60, Name::Known("ns.example.").wire()});
+  return zone;
+}
+
+// Serial s has the addresses 2 to s, but for those that 3 divides once s is beyond them by 3.
+Change Next(const Zone& zone) {
+  Change change{{zone.Soa()}, {zone.Soa()}};
+  const auto serial = static_cast<int>(zone.serial()) + 1;
+  change.added[0].rdata = dns::WithSerial(change.added[0].rdata, static_cast<unsigned>(serial));
+  change.added.push_back(Address(serial));
+  if (serial > 5 && serial % 3 == 0) change.removed.push_back(Address(serial - 3));
+  return change;
+}
+
+void CheckWhole(const Zone& zone) {
+  const auto serial = static_cast<int>(zone.serial());
+  std::size_t expected = 2;
+  for (int n = 2; n <= serial; ++n) {
+    const bool gone = n % 3 == 0 && n + 3 <= serial;
+    REQUIRE(zone.Holds(Address(n)) == !gone);
+    expected += gone ? 0 : 1;
+  }
+  REQUIRE(zone.records() == expected);
+}
+
+std::string Bytes(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+void Put(const std::string& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+TEST_CASE("what was committed is there again, over compactions") {
+  const Folder folder;
+  for (int start = 0; start < 10; ++start) {
+    ZoneStore store(folder / "zone", kOrigin, {.compact_bytes = 2000});
+    if (start == 0) {
+      CHECK_FALSE(store.zone().has_soa());
+      REQUIRE(store.Replace(First()));
+    }
+    CHECK(store.zone().serial() == static_cast<unsigned>(1 + 20 * start));
+    CheckWhole(store.zone());
+    for (int n = 0; n < 20; ++n) REQUIRE(store.Commit(Next(store.zone())));
+  }
+  CHECK(fs::file_size(folder / "zone/journal") < 20000);
+  // A second process, or store, may not hold it too.
+  ZoneStore store(folder / "zone", kOrigin, {});
+  CHECK_THROWS_WITH_AS(ZoneStore(folder / "zone", kOrigin, {}),
+                       (folder / "zone" + " is held by another process").c_str(), StoreFault);
+}
+
+TEST_CASE("a change that does not fit is refused and leaves no trace") {
+  const Folder folder;
+  ZoneStore store(folder.path(), kOrigin, {});
+  REQUIRE(store.Replace(First()));
+  Change change = Next(store.zone());
+  REQUIRE(store.Commit(change));
+  const std::string before = Bytes(folder / "journal");
+  CHECK_FALSE(store.Commit(change));
+  CHECK(store.why() == "the change does not start from what the zone holds");
+  CHECK(Bytes(folder / "journal") == before);
+}
+
+TEST_CASE("a hundred kills: all that was confirmed is there, and nothing half done") {
+  const Folder folder;
+  { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
+  std::mt19937 random(9);
+  std::uint32_t last = 1;
+  for (int kill_number = 0; kill_number < 100; ++kill_number) {
+    std::array<int, 2> pipe_ends{};
+    REQUIRE(pipe(pipe_ends.data()) == 0);
+    const pid_t child = fork();
+    if (child == 0) {
+      close(pipe_ends[0]);
+      ZoneStore store(folder.path(), kOrigin, {.compact_bytes = 3000});
+      while (store.Commit(Next(store.zone()))) {
+        const std::uint32_t serial = store.zone().serial();
+        if (write(pipe_ends[1], &serial, sizeof serial) != sizeof serial) break;
+      }
+      _exit(1);
+    }
+    close(pipe_ends[1]);
+    std::uint32_t confirmed = 0;
+    for (unsigned n = 0; n < 1 + random() % 8; ++n) {
+      REQUIRE(read(pipe_ends[0], &confirmed, sizeof confirmed) == sizeof confirmed);
+    }
+    usleep(random() % 2000);
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    while (read(pipe_ends[0], &confirmed, sizeof confirmed) == sizeof confirmed) {
+    }
+    close(pipe_ends[0]);
+    const ZoneStore store(folder.path(), kOrigin, {});
+    REQUIRE(store.zone().serial() >= confirmed);
+    REQUIRE(store.zone().serial() <= confirmed + 1);
+    REQUIRE(confirmed > last);
+    last = confirmed;
+    CheckWhole(store.zone());
+  }
+}
+
+TEST_CASE("a journal cut anywhere loses its last entries alone") {
+  const Folder folder;
+  std::vector<std::size_t> ends;
+  {
+    ZoneStore store(folder.path(), kOrigin, {});
+    REQUIRE(store.Replace(First()));
+    for (int n = 0; n < 6; ++n) {
+      ends.push_back(fs::file_size(folder / "journal"));
+      REQUIRE(store.Commit(Next(store.zone())));
+    }
+  }
+  const std::string whole = Bytes(folder / "journal");
+  for (std::size_t size = ends[0]; size < whole.size(); ++size) {
+    Put(folder / "journal", whole.substr(0, size));
+    std::size_t entries = 0;
+    while (entries + 1 < ends.size() && ends[entries + 1] <= size) ++entries;
+    ZoneStore store(folder.path(), kOrigin, {});
+    REQUIRE(store.zone().serial() == 1 + entries);
+    REQUIRE(store.cut_bytes() == size - ends[entries]);
+    CheckWhole(store.zone());
+    REQUIRE(store.Commit(Next(store.zone())));
+  }
+  Put(folder / "journal", whole.substr(0, ends[0] - 1));
+  CHECK_THROWS_AS(ZoneStore(folder.path(), kOrigin, {}), StoreFault);
+}
+
+TEST_CASE("a bit flipped anywhere is never believed") {
+  const Folder folder;
+  {
+    ZoneStore store(folder.path(), kOrigin, {});
+    REQUIRE(store.Replace(First()));
+    for (int n = 0; n < 3; ++n) REQUIRE(store.Commit(Next(store.zone())));
+  }
+  for (const char* name : {"journal", "snapshot"}) {
+    const std::string whole = Bytes(folder / name);
+    for (std::size_t bit = 0; bit < whole.size() * 8; bit += 3) {
+      std::string flipped = whole;
+      flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ (1 << bit % 8));
+      Put(folder / name, flipped);
+      try {
+        const ZoneStore store(folder.path(), kOrigin, {});
+        // The journal's last entry may pass for one that was cut short.
+        REQUIRE(std::string(name) == "journal");
+        REQUIRE(store.zone().serial() == 3);
+        CheckWhole(store.zone());
+      } catch (const StoreFault&) {
+      }
+      Put(folder / name, whole);
+    }
+  }
+  const ZoneStore store(folder.path(), kOrigin, {});
+  CHECK(store.zone().serial() == 4);
+}
+
+TEST_CASE("files of another zone or version are refused with their name") {
+  const Folder folder;
+  { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
+  CHECK_THROWS_AS(ZoneStore(folder.path(), Name::Known("other."), {}), StoreFault);
+  std::string snapshot = Bytes(folder / "snapshot");
+  snapshot.replace(snapshot.find(" 1\n"), 3, " 2\n");
+  Put(folder / "snapshot", snapshot);
+  CHECK_THROWS_WITH_AS(
+      ZoneStore(folder.path(), kOrigin, {}),
+      (folder / "snapshot" + " is no snapshot of example. in this version's format").c_str(),
+      StoreFault);
+}
+
+// Fails the n-th call, with half of the bytes written if it is a write, and all after it if asked.
+class FailingDisk : public Disk {
+ public:
+  explicit FailingDisk(int at, bool for_good) : left_(at), for_good_(for_good) {}
+
+  bool failed() const { return left_ <= 0; }
+
+  long Write(int fd, const char* bytes, std::size_t length) override {
+    if (Passes()) return Disk::Write(fd, bytes, length);
+    if (half_ && length > 1) {
+      half_ = false;
+      ++left_;  // the call that follows the short one fails
+      return Disk::Write(fd, bytes, length / 2);
+    }
+    errno = ENOSPC;
+    return -1;
+  }
+  int Synchronise(int fd) override { return Passes() ? Disk::Synchronise(fd) : Failed(); }
+  int Cut(int fd, std::size_t size) override { return Passes() ? Disk::Cut(fd, size) : Failed(); }
+  int Rename(const char* from, const char* to) override {
+    return Passes() ? Disk::Rename(from, to) : Failed();
+  }
+
+ private:
+  bool Passes() { return for_good_ ? --left_ > 0 : left_-- != 1; }
+  static int Failed() {
+    errno = EIO;
+    return -1;
+  }
+
+  int left_;
+  bool for_good_;
+  bool half_ = true;
+};
+
+TEST_CASE("each call that writes fails in turn, once or for good: no confirmed change is lost") {
+  for (const bool for_good : {false, true}) {
+    bool reached_end = false;
+    for (int at = 1; !reached_end; ++at) {
+      CAPTURE(at);
+      CAPTURE(for_good);
+      REQUIRE(at < 500);
+      const Folder folder;
+      { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
+      FailingDisk disk(at, for_good);
+      std::uint32_t confirmed = 1;
+      bool refused = false;
+      {
+        ZoneStore store(folder.path(), kOrigin, {.compact_bytes = 400, .disk = &disk});
+        for (int n = 0; n < 25; ++n) {
+          if (store.Commit(Next(store.zone()))) {
+            confirmed = store.zone().serial();
+          } else {
+            refused = true;
+            REQUIRE(store.why() != "");
+          }
+        }
+        REQUIRE(store.zone().serial() == confirmed);
+      }
+      reached_end = !disk.failed();
+      const ZoneStore store(folder.path(), kOrigin, {});
+      // What was refused may still be there, if the disk took it and could not say so.
+      REQUIRE(store.zone().serial() >= confirmed);
+      REQUIRE(store.zone().serial() <= confirmed + (refused ? 1 : 0));
+      CheckWhole(store.zone());
+    }
+  }
+}
+
+TEST_CASE("replacing a zone: as a change, or whole where no serial leads there") {
+  const Folder folder;
+  ZoneStore store(folder.path(), kOrigin, {});
+  REQUIRE(store.Replace(First()));
+  for (int n = 0; n < 5; ++n) REQUIRE(store.Commit(Next(store.zone())));
+  Zone other = First();
+  other.Add(Address(99));
+  REQUIRE(store.Replace(other));  // serial 1 again: by difference, though it is older
+  CHECK(store.zone().Holds(Address(99)));
+  CHECK_FALSE(store.zone().Holds(Address(3)));
+  other.Add(Address(98));
+  REQUIRE(store.Replace(other));  // the same serial with other data
+  CHECK(store.zone().Holds(Address(98)));
+  CHECK_FALSE(store.zone().Since(6));
+  REQUIRE(store.Commit(Next(store.zone())));
+}
+
+TEST_CASE("zone files: includes stay inside the folder, and a missing file is told") {
+  const Folder folder;
+  fs::create_directories(folder / "zones/parts");
+  const std::string top = "$TTL 60\n@ SOA ns h 1 2 3 4 5\n@ NS ns\n";
+  Put(folder / "secret", "x A 10.0.0.9\n");
+  Put(folder / "zones/parts/a", "a A 10.0.0.1\n$INCLUDE b\n$INCLUDE ../c\n");
+  Put(folder / "zones/parts/b", "b A 10.0.0.2\n");
+  Put(folder / "zones/c", "c A 10.0.0.3\n");
+  fs::create_symlink(folder / "secret", folder / "zones/link");
+  const std::string zone_path = folder / "zones/zone";
+  const auto load = [&](const std::string& text) -> std::string {
+    Put(zone_path, top + text);
+    try {
+      return std::to_string(LoadZone(zone_path, kOrigin).records());
+    } catch (const dns::BadZone& bad) {
+      return bad.what();
+    }
+  };
+  CHECK(load("$INCLUDE parts/a\n") == "5");
+  const std::string outside = " is outside the folder of the zone's file";
+  CHECK(load("$INCLUDE ../secret\n") == zone_path + ":4:10: ../secret" + outside);
+  CHECK(load("$INCLUDE " + (folder / "secret") + "\n").find(outside) != std::string::npos);
+  CHECK(load("$INCLUDE link\n") == zone_path + ":4:10: link" + outside);
+  CHECK(load("$INCLUDE ../gone\n") == zone_path + ":4:10: ../gone" + outside);
+  CHECK(load("$INCLUDE gone\n").find("gone cannot be read") != std::string::npos);
+  CHECK(load("$INCLUDE parts\n").find("no file that can be read") != std::string::npos);
+  CHECK(load("$INCLUDE parts/../zone\n").find("includes itself") != std::string::npos);
+  CHECK_THROWS_AS(LoadZone(folder / "none", kOrigin), dns::BadZone);
+}
+
+}  // namespace
+}  // namespace brassfront::zones
--- /dev/null
+++ b/tests/dns/transfer_test.cpp
@@ -0,0 +1,319 @@
+// Transfers in both forms, cut and lying ones, and the follower's timers.
+#include "dns/transfer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+#include "dns/follower.hpp"
+#include "dns/zone_file.hpp"
+
+namespace brassfront::dns {
+namespace {
+
+const Name kOrigin = Name::Known("example.");
+constexpr std::uint64_t kNow = 1'800'000'000;
+
+Zone Big(int hosts) {
+  std::string text = "$TTL 60\n@ SOA ns h 1 20 10 60 5\n@ NS ns\n";
+  for (int n = 0; n < hosts; ++n) {
+    text += "h" + std::to_string(n) + " A 10.0." + std::to_string(n / 256) + "." +
+            std::to_string(n % 256) + "\n";
+  }
+  return ReadZone(
+      {"zone", text, "zone"}, kOrigin,
+      [](const ZoneText&, const std::string&, std::string&) { return std::optional<ZoneText>(); });
+}
+
+// Changes the address of some hosts.
+void Change1(Zone& zone, std::mt19937& random) {
+  Change change{{zone.Soa()}, {zone.Soa()}};
+  change.added[0].rdata = WithSerial(change.added[0].rdata, zone.serial() + 1);
+  const auto n = random() % 50;
+  const Record old = zone.RecordsOf(Name::Known("h" + std::to_string(n) + ".example.")).at(0);
+  change.removed.push_back(old);
+  change.added.push_back(old);
+  change.added[1].rdata[3] = static_cast<char>(random());
+  change.added[1].rdata[1] = static_cast<char>(zone.serial());
+  REQUIRE(zone.Apply(change));
+}
+
+Key SomeKey() { return {Name::Known("k."), Algorithm::kHmacSha256, std::string(32, 's')}; }
+
+struct Exchange {
+  std::vector<std::string> messages;
+  TransferReader reader;
+};
+
+Exchange Begin(const Zone& zone, const std::optional<Record>& have, bool with_key = false) {
+  const Message request = TransferRequest(kOrigin, have, 99);
+  std::optional<TsigSession> client;
+  std::optional<TsigSession> server;
+  if (with_key) {
+    client.emplace(SomeKey());
+    server.emplace(SomeKey());
+    const std::string bytes = client->Sign(Encode(request), kNow);
+    REQUIRE(server->Check(bytes, *Decode(bytes).message, kNow) == TsigError::kNone);
+  }
+  auto messages =
+      TransferAnswer(zone, request, true, kMostMessageBytes, server ? &*server : nullptr, kNow);
+  return {std::move(messages), TransferReader(kOrigin, have, 99, client)};
+}
+
+Transferred Run(Exchange& exchange) {
+  for (const auto& message : exchange.messages) {
+    if (auto done = exchange.reader.Take(message, kNow)) return *std::move(done);
+  }
+  return exchange.reader.CutShort("the end");
+}
+
+std::string WhyNot(const Transferred& result) {
+  const auto* unfit = std::get_if<Unfit>(&result);
+  return unfit != nullptr ? unfit->why : "";
+}
+
+bool SameZone(const Zone& a, const Zone& b) {
+  const Change change = Difference(a, b);
+  return change.removed.size() == 1 && change.added.size() == 1 && a.serial() == b.serial();
+}
+
+TEST_CASE("a whole zone over many messages, signed and not") {
+  const Zone zone = Big(3000);
+  for (const bool with_key : {false, true}) {
+    Exchange exchange = Begin(zone, std::nullopt, with_key);
+    CHECK(exchange.messages.size() > 3);
+    const Transferred result = Run(exchange);
+    CAPTURE(WhyNot(result));
+    REQUIRE(std::holds_alternative<WholeZone>(result));
+    CHECK(SameZone(std::get<WholeZone>(result).zone, zone));
+  }
+}
+
+TEST_CASE("changes since a serial, from each that is remembered; the whole for others") {
+  std::mt19937 random(5);
+  Zone zone = Big(50);
+  std::vector<Zone> past;
+  for (int n = 0; n < 30; ++n) {
+    past.push_back(zone);
+    Change1(zone, random);
+  }
+  for (const Zone& before : past) {
+    Exchange exchange = Begin(zone, before.Soa(), true);
+    const Transferred result = Run(exchange);
+    CAPTURE(WhyNot(result));
+    REQUIRE(std::holds_alternative<Changes>(result));
+    Zone after = before;
+    for (const Change& change : std::get<Changes>(result).changes) REQUIRE(after.Apply(change));
+    CHECK(SameZone(after, zone));
+  }
+  Exchange same = Begin(zone, zone.Soa());
+  CHECK(std::holds_alternative<UpToDate>(Run(same)));
+  Record ahead = zone.Soa();
+  ahead.rdata = WithSerial(ahead.rdata, zone.serial() + 9);
+  Exchange newer = Begin(zone, ahead);
+  CHECK(std::holds_alternative<UpToDate>(Run(newer)));
+  zone.Forget();
+  Exchange forgotten = Begin(zone, past[20].Soa());
+  CHECK(std::holds_alternative<WholeZone>(Run(forgotten)));
+}
+
+TEST_CASE("by UDP: what fits, or the SOA alone") {
+  std::mt19937 random(5);
+  Zone zone = Big(50);
+  const Record first = zone.Soa();
+  Change1(zone, random);
+  const Message small = TransferRequest(kOrigin, first, 1);
+  auto messages = TransferAnswer(zone, small, false, 512, nullptr, kNow);
+  REQUIRE(messages.size() == 1);
+  CHECK(Decode(messages[0]).message->answer.size() > 1);
+  for (int n = 0; n < 50; ++n) Change1(zone, random);
+  messages = TransferAnswer(zone, small, false, 512, nullptr, kNow);
+  REQUIRE(messages.size() == 1);
+  CHECK(messages[0].size() <= 512);
+  CHECK(Decode(messages[0]).message->answer.size() == 1);
+}
+
+TEST_CASE("half a transfer comes to nothing, wherever it ends") {
+  const Zone zone = Big(3000);
+  Exchange whole = Begin(zone, std::nullopt, true);
+  for (std::size_t parts = 0; parts < whole.messages.size(); ++parts) {
+    Exchange exchange = Begin(zone, std::nullopt, true);
+    exchange.messages.resize(parts);
+    CHECK(WhyNot(Run(exchange)).starts_with("cut short after"));
+  }
+  // One message left out, in the middle.
+  Exchange exchange = Begin(zone, std::nullopt, true);
+  exchange.messages.erase(exchange.messages.begin() + 1);
+  CHECK(WhyNot(Run(exchange)) == "the signature does not hold: BADVERS/BADSIG");
+}
+
+std::string WhyNotRecords(const std::vector<Record>& records, const std::optional<Record>& have) {
+  Message message = ReplyTo(TransferRequest(kOrigin, have, 99), Rcode::kNoError);
+  message.answer = records;
+  TransferReader reader(kOrigin, have, 99, std::nullopt);
+  const auto done = reader.Take(Encode(message), kNow);
+  return done ? WhyNot(*done) : "more is awaited";
+}
+
+Record Soa(std::uint32_t serial) {
+  Record soa = Big(0).Soa();
+  soa.rdata = WithSerial(soa.rdata, serial);
+  return soa;
+}
+
+TEST_CASE("a primary that lies is not believed") {
+  const Record ns = Big(0).RecordsOf(kOrigin).at(0);
+  const Record a{Name::Known("a.example."), type::kA, klass::kIn, 1, "\1\2\3\4"};
+  Record outside = a;
+  outside.name = Name::Known("a.other.");
+  Record not_ns = ns.type == type::kNs ? ns : Big(0).RecordsOf(kOrigin).at(1);
+  CHECK(WhyNotRecords({Soa(5), not_ns, a, Soa(5)}, std::nullopt) == "");
+  CHECK(WhyNotRecords({a}, std::nullopt) == "it does not begin with the SOA");
+  CHECK(WhyNotRecords({Soa(5), outside}, std::nullopt).starts_with("a record that is none"));
+  CHECK(WhyNotRecords({Soa(5), not_ns, Soa(6)}, std::nullopt) ==
+        "the zone changed during the transfer");
+  CHECK(WhyNotRecords({Soa(5), not_ns, Soa(5), a}, std::nullopt) == "records after its end");
+  CHECK(WhyNotRecords({Soa(5), a, Soa(5)}, std::nullopt) == "no whole zone: no NS at example.");
+  CHECK(WhyNotRecords({Soa(5), not_ns, a}, std::nullopt) == "more is awaited");
+  // It says that it is newer and then sends what is not.
+  CHECK(WhyNotRecords({Soa(4), not_ns, Soa(4)}, Soa(4)).find("not newer than 4") !=
+        std::string::npos);
+  CHECK(WhyNotRecords({Soa(9), Soa(3), a, Soa(9), Soa(9)}, Soa(4)) ==
+        "its changes begin at another serial");
+  CHECK(WhyNotRecords({Soa(9), Soa(4), a, Soa(3)}, Soa(4)) ==
+        "its changes lead to an older serial");
+  CHECK(WhyNotRecords({Soa(9), Soa(4), a, Soa(6), Soa(7)}, Soa(4)) ==
+        "a change that does not start where the last one ended");
+  CHECK(WhyNotRecords({Soa(9), Soa(4), a, Soa(9), Soa(10)}, Soa(4)) ==
+        "changes beyond the newest serial");
+  CHECK(WhyNotRecords({Soa(9), Soa(4), a, Soa(9), Soa(9)}, Soa(4)) == "");
+  CHECK(WhyNotRecords({Soa(9), Soa(4), a, Soa(9)}, Soa(4)) == "more is awaited");
+  Message refusal = ReplyTo(TransferRequest(kOrigin, Soa(4), 99), Rcode::kNotImp);
+  TransferReader reader(kOrigin, Soa(4), 99, std::nullopt);
+  const auto done = reader.Take(Encode(refusal), kNow);
+  REQUIRE(done);
+  CHECK(std::get<Unfit>(*done).by_changes);
+  TransferReader bounded(kOrigin, std::nullopt, 99, std::nullopt, 3);
+  Message much = ReplyTo(TransferRequest(kOrigin, std::nullopt, 99), Rcode::kNoError);
+  much.answer = {Soa(1), not_ns, a, a};
+  CHECK(WhyNot(*bounded.Take(Encode(much), kNow)) == "more records than are kept");
+}
+
+constexpr SoaTimers kTimers{20, 5, 100};
+using Step = Follower::Step;
+
+TEST_CASE("the follower asks by the SOA's timers") {
+  Follower follower(0);
+  CHECK(follower.Due(0) == Step::kTransfer);  // nothing is held: no question first
+  CHECK(follower.Due(0) == Step::kNothing);
+  follower.Failed(1);
+  CHECK(follower.Due(1) == Step::kNothing);
+  CHECK(follower.NextDue() == 1 + Follower::kFirstRetry);
+  CHECK(follower.Due(2) == Step::kTransfer);
+  follower.Took(7, kTimers, 3);
+  CHECK(follower.NextDue() == 23);
+  CHECK(follower.Due(22.9) == Step::kNothing);
+  CHECK(follower.Due(23) == Step::kAskSerial);
+  follower.SerialIs(7, 23.5);
+  CHECK(follower.NextDue() == 43.5);
+  CHECK(follower.Due(43.5) == Step::kAskSerial);
+  follower.Failed(44);
+  CHECK(follower.Due(48.9) == Step::kNothing);
+  CHECK(follower.Due(49) == Step::kAskSerial);
+  follower.SerialIs(8, 49);
+  CHECK(follower.Due(49) == Step::kTransfer);
+  follower.Failed(50);  // half a transfer
+  CHECK(follower.serial() == 7);
+  CHECK(follower.Due(55) == Step::kAskSerial);
+  follower.SerialIs(8, 55);
+  CHECK(follower.Due(55) == Step::kTransfer);
+  follower.Took(8, kTimers, 56);
+  CHECK(follower.serial() == 8);
+}
+
+TEST_CASE("a primary that goes quiet or back in serials: the zone expires, and comes back") {
+  Follower follower(0);
+  follower.Start(7, kTimers, 0, 0);
+  double now = 0;
+  bool expired = false;
+  int asked = 0;
+  while (now < 200 && !expired) {
+    now = std::max(now, follower.NextDue());
+    const Step step = follower.Due(now);
+    if (step == Step::kAskSerial) {
+      ++asked;
+      if (asked % 2 == 0) {
+        follower.SerialIs(6, now);
+      } else {
+        follower.Failed(now);
+      }
+    }
+    expired = step == Step::kExpire;
+  }
+  CHECK(expired);
+  CHECK(now == 100);
+  CHECK(asked == 20);
+  CHECK(follower.expired());
+  now = follower.NextDue();
+  CHECK(follower.Due(now) == Step::kAskSerial);
+  follower.SerialIs(7, now);
+  CHECK_FALSE(follower.expired());
+}
+
+TEST_CASE("what was kept counts from when it was confirmed, and is asked about at once") {
+  Follower follower(50);
+  follower.Start(7, kTimers, 90, 50);
+  CHECK(follower.Due(50) == Step::kAskSerial);
+  CHECK(follower.NextDue() == 60);
+  CHECK(follower.Due(60) == Step::kExpire);
+}
+
+TEST_CASE("notices: at once, one at a time, and no more than five a second") {
+  Follower follower(0);
+  follower.Start(7, kTimers, 0, 0);
+  CHECK(follower.Due(0) == Step::kAskSerial);
+  follower.SerialIs(7, 0);
+  follower.Notified(7, 5);  // it is held already
+  CHECK(follower.NextDue() == 20);
+  follower.Notified(8, 5);
+  CHECK(follower.Due(5) == Step::kAskSerial);
+  follower.Notified(9, 5.01);  // while the question is out: once more after it
+  follower.Notified(10, 5.02);
+  follower.SerialIs(8, 5.05);
+  CHECK(follower.Due(5.05) == Step::kTransfer);
+  follower.Took(8, kTimers, 5.1);
+  CHECK(follower.NextDue() == doctest::Approx(5.2));
+  CHECK(follower.Due(5.2) == Step::kAskSerial);
+  follower.SerialIs(8, 5.21);
+  CHECK(follower.NextDue() == 25.21);
+  int asked = 0;
+  for (double now = 30; now < 31; now += 0.001) {
+    follower.Notified(std::nullopt, now);
+    if (follower.Due(now) == Step::kAskSerial) {
+      ++asked;
+      follower.SerialIs(8, now);
+    }
+  }
+  CHECK(asked <= 6);
+  CHECK(asked >= 4);
+}
+
+TEST_CASE("round the end of serials, and SOA timers within limits") {
+  Follower follower(0);
+  follower.Start(0xffffffff, kTimers, 0, 0);
+  CHECK(follower.Due(0) == Step::kAskSerial);
+  follower.SerialIs(1, 0);
+  CHECK(follower.Due(0) == Step::kTransfer);
+  follower.Took(1, kTimers, 0);
+  CHECK(follower.serial() == 1);
+  std::string soa = Name().wire() + Name().wire();
+  for (const unsigned n : {1u, 0u, 0u, 0u, 0u}) Put32(soa, n);
+  const SoaTimers least = SoaTimers::Of(soa);
+  CHECK(least.refresh == Follower::kLeastWait);
+  CHECK(least.retry == Follower::kLeastWait);
+  CHECK(least.expire >= least.refresh + least.retry);
+}
+
+}  // namespace
+}  // namespace brassfront::dns
