--- /dev/null
+++ b/fuzz/libfuzzer.cpp
@@ -0,0 +1,10 @@
+// The entry that libFuzzer calls.
+#include <cstddef>
+#include <cstdint>
+
+#include "targets.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  brassfront::fuzz::Take({reinterpret_cast<const char*>(data), size});
+  return 0;
+}
--- /dev/null
+++ b/fuzz/tsig.cpp
@@ -0,0 +1,46 @@
+// Signatures: nothing that was not signed with the key is taken, and what was signed is.
+#include "dns/tsig.hpp"
+
+#include "targets.hpp"
+
+namespace brassfront::fuzz {
+
+void Take(std::string_view bytes) {
+  constexpr std::uint64_t kNow = 1'800'000'000;
+  const dns::Key key{dns::Name::Known("key."), dns::Algorithm::kHmacSha256, std::string(32, 'k')};
+  dns::KeyRing keys;
+  keys.emplace(key.name.Key(), key);
+  const dns::Decoded decoded = dns::Decode(bytes);
+  if (!decoded.message) return;
+  dns::TsigError error = dns::TsigError::kNone;
+  if (const auto found = KeyOf(*decoded.message, keys, error)) {
+    dns::TsigSession session(*found);
+    Must(session.Check(bytes, *decoded.message, kNow) != dns::TsigError::kNone,
+         "nobody else signs with the key");
+  }
+  ErrorIn(*decoded.message);
+  if (decoded.message->tsig) {
+    WithTsigError(Encode(ReplyTo(*decoded.message, dns::Rcode::kNotAuth)), *decoded.message,
+                  dns::TsigError::kBadKey);
+    return;
+  }
+  if (bytes.size() + 200 > dns::kMostMessageBytes) return;
+  dns::TsigSession signer(key);
+  dns::TsigSession checker(key);
+  std::string sealed = signer.Sign(std::string(bytes), kNow);
+  const dns::Decoded whole = dns::Decode(sealed);
+  Must(whole.message && whole.message->tsig, "what is signed can be decoded");
+  Must(checker.Check(sealed, *whole.message, kNow + 10) == dns::TsigError::kNone,
+       "what is signed is taken");
+  // One bit of the message, by the message's own bytes, but none of its ID.
+  std::size_t sum = 0;
+  for (const char c : bytes) sum = sum * 31 + static_cast<unsigned char>(c);
+  const std::size_t bit = 16 + sum % (bytes.size() * 8 - 16);
+  sealed[bit / 8] = static_cast<char>(sealed[bit / 8] ^ (1 << bit % 8));
+  const dns::Decoded broken = dns::Decode(sealed);
+  dns::TsigSession other(key);
+  Must(!broken.message || other.Check(sealed, *broken.message, kNow) != dns::TsigError::kNone,
+       "a changed bit is seen");
+}
+
+}  // namespace brassfront::fuzz
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <cstring>
 #include <cxxopts.hpp>
+#include <functional>
+#include <memory>
 
 #include "cli/command.hpp"
 #include "config/config.hpp"
@@ -15,6 +17,9 @@
 #include "net/sender_side.hpp"
 #include "observe/log.hpp"
 #include "spool/spool.hpp"
+#ifdef BRASSFRONT_ZONES
+#include "forwarder/endpoint_sources.hpp"
+#endif
 
 namespace brassfront {
 namespace {
@@ -30,6 +35,10 @@
 constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
 constexpr std::size_t kIdleSenderShare = 6;   // of the descriptors; clients use a third at most
 
+// Zones that are followed have this long to be confirmed at the start, before what was kept of them
+// is used.
+constexpr std::chrono::milliseconds kZonesConfirmed{500};
+
 // What the descriptors leave once every delivery is out, within the memory.
 std::size_t SenderConnections(const Config& config) {
   const std::size_t all = config.limits.sockets;
@@ -67,20 +76,45 @@
   }
 }
 
-int Serve(const std::string& config_path, const std::string& state) {
+#ifndef BRASSFRONT_ZONES
+// Stands in where zones are not built in: there are no sources but the platform.
+struct EndpointSources {
+  void TakePlatform(const MemberList&) {}
+  MemberList Begin(std::chrono::milliseconds) { return {}; }
+  void Start(const std::function<void(MemberList)>&) {}
+  void Stop() {}
+};
+#endif
+
+// None if no file is named.
+std::unique_ptr<EndpointSources> SourcesFrom(const std::string& path, const Config& config) {
+  if (path.empty()) return nullptr;
+#ifdef BRASSFRONT_ZONES
+  return std::make_unique<EndpointSources>(LoadSources(path, config), config);
+#else
+  throw ConfigError("--sources: DNS zones are not built into this program (" + config.name + ")");
+#endif
+}
+
+int Serve(const std::string& config_path, const std::string& state,
+          const std::string& sources_path) {
   const sigset_t signals = BlockSignals();
   const Config config = ReadConfig(config_path);
   BufferPool buffers;
   Spool spool(state, config.limits.disk_bytes, [](const std::string& text) {
     observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
   });
-  Engine engine(config, spool, buffers);
-  engine.Restore();
+  const auto sources = SourcesFrom(sources_path, config);
+  Watch::OnList divert;
+  if (sources) divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
+  Engine engine(config, spool, buffers, std::move(divert));
+  engine.Restore(sources ? sources->Begin(kZonesConfirmed) : config.known);
   Socket listener = Listen(config.listen);
   if (!listener.is_open()) {
     throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
   }
   const std::string address = AddressOf(listener);
+  if (sources) sources->Start([&engine](MemberList list) { engine.Listed(std::move(list)); });
   SenderSide senders(std::move(listener),
                      {.connections = SenderConnections(config),
                       .most_idle = config.limits.sockets / kIdleSenderShare},
@@ -99,6 +133,7 @@
   observe::Log(Concern::kService, Level::kInfo, "serving",
                {{"name", config.name}, {"listen", address}});
   engine.Run([&] { senders.Drain(); });
+  if (sources) sources->Stop();
   engine.LetGo();
   over = true;
   kill(getpid(), SIGTERM);  // for the waiter, which takes it
@@ -125,6 +160,8 @@
                         cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")))(
       "state", "folder that lasts [$NODE_STATE]",
       cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")))(
+      "sources", "operator file of further sources of endpoints",
+      cxxopts::value<std::string>()->default_value(""))(
       "log-format", "text, logfmt or json", cxxopts::value<std::string>()->default_value("text"))(
       "log-level", "debug, info, warning, error or off",
       cxxopts::value<std::string>()->default_value("info"));
@@ -133,7 +170,7 @@
   SetUpLogFrom(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
   const auto state = given["state"].as<std::string>();
   if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
-  return Serve(given["config"].as<std::string>(), state);
+  return Serve(given["config"].as<std::string>(), state, given["sources"].as<std::string>());
 }
 
 }  // namespace brassfront
--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -58,8 +58,9 @@
         }
         const std::size_t to = Get16(bytes_, at) & kMostPointer;
         if (!jumped) at_ = at + 2;
-        if (to >= start) {
-          Fail("a name points forward or at itself");
+        // The header's counts change when a message is signed; a name there would change with them.
+        if (to >= start || to < kHeaderBytes) {
+          Fail(to < start ? "a name points into the header" : "a name points forward or at itself");
           break;
         }
         jumped = true;
--- a/src/dns/tsig.hpp
+++ b/src/dns/tsig.hpp
@@ -31,6 +31,13 @@
 // Base64 without a line break. Nothing if it is not that, or empty.
 std::optional<std::string> SecretFromText(std::string_view text);
 
+// The signature of a request that changed something, and when it says it was made: known again, the
+// request does nothing a second time.
+struct Witness {
+  std::string mac;
+  std::uint64_t signed_at = 0;
+};
+
 using KeyRing = std::map<std::string, Key>;  // by the name's Key()
 
 // RFC 8945 §3.
--- /dev/null
+++ b/src/forwarder/endpoint_sources.cpp
@@ -0,0 +1,254 @@
+#include "forwarder/endpoint_sources.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <utility>
+
+#include "observe/log.hpp"
+#include "records/syntax.hpp"
+
+namespace brassfront {
+namespace {
+
+using observe::Concern;
+using observe::Level;
+
+double Now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+double Seconds(const records::Record& record) {
+  return std::chrono::duration<double>(record.Duration()).count();
+}
+
+bool IsOneOf(const std::string& name, const std::vector<std::string>& names) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+constexpr std::string_view kSchema = R"(
+#Listing: {
+  zone:     string & !=""                     // of the name server's zones
+  rank:     int & >=0 & <=100 | *1            // the lower, the more it counts
+  owns:     bool | *true                      // it alone tells of the destinations that it lists
+  expiry:   duration & >=0s | *0s             // of a zone from a file; 0s: it holds for good
+  kind:     string | *""                      // of services that do not say theirs
+  locality: string | *""
+}
+
+#Damping: {
+  on:        bool | *true
+  half_life: duration & >=1s & <=1h | *30s
+  suppress:  number & >=1 & <=100 | *2.5      // removals, as they fade
+  reuse:     number & >0 & <=100 | *1
+  longest:   duration & >=0s & <=1h | *60s    // the most that coming back is delayed
+}
+
+#Sources: {
+  nameserver:    #Nameserver
+  listings:      [#Listing, ...#Listing]
+  platform_rank: int & >=0 & <=100 | *10
+  damping:       #Damping
+}
+)";
+
+}  // namespace
+
+std::string SourcesSchema() {
+  return std::string(nameserver::NameserverSchema()) + std::string(kSchema);
+}
+
+SourceSettings LoadSources(const std::string& path, const Config& config) {
+  const std::string text = records::ReadRecordFile(path);
+  const std::string schema = SourcesSchema();
+  const auto root = records::Load({text, path}, {schema, "sources schema"}, "#Sources");
+  SourceSettings settings;
+  settings.nameserver = nameserver::ReadHostSettings(
+      root.At("nameserver"), std::filesystem::path(path).parent_path().string());
+  settings.platform_rank = static_cast<int>(root.At("platform_rank").Int());
+  const auto& damping = root.At("damping");
+  settings.damping.on = damping.At("on").Bool();
+  settings.damping.half_life = Seconds(damping.At("half_life"));
+  settings.damping.suppress = damping.At("suppress").Double();
+  settings.damping.reuse = damping.At("reuse").Double();
+  settings.damping.longest = Seconds(damping.At("longest"));
+  std::vector<records::Fault> faults;
+  if (settings.damping.reuse > settings.damping.suppress) {
+    faults.push_back(damping.At("reuse").Complain("reuse must not be above suppress"));
+  }
+  for (const auto& record : root.At("listings").Items()) {
+    SourceSettings::Listing listing;
+    std::string why;
+    const auto name = dns::Name::FromText(record.At("zone").Text(), dns::Name(), why);
+    if (name) listing.zone = *name;
+    const auto& zones = settings.nameserver.zones;
+    if (std::none_of(zones.begin(), zones.end(),
+                     [&](const auto& zone) { return name && zone.name == *name; })) {
+      faults.push_back(record.At("zone").Complain("the name server has no zone of this name"));
+    }
+    if (std::any_of(settings.listings.begin(), settings.listings.end(),
+                    [&](const auto& other) { return other.zone == listing.zone; })) {
+      faults.push_back(record.At("zone").Complain("a listing of this zone was given before"));
+    }
+    listing.rank = static_cast<int>(record.At("rank").Int());
+    listing.owns = record.At("owns").Bool();
+    listing.expiry = Seconds(record.At("expiry"));
+    listing.defaults = {record.At("kind").Text(), record.At("locality").Text()};
+    if (!listing.defaults.kind.empty() && !IsOneOf(listing.defaults.kind, config.kind_names)) {
+      faults.push_back(record.At("kind").Complain("no kind of the configuration"));
+    }
+    if (!listing.defaults.zone.empty() && !IsOneOf(listing.defaults.zone, config.zone_names)) {
+      faults.push_back(record.At("locality").Complain("no zone of the configuration"));
+    }
+    settings.listings.push_back(std::move(listing));
+  }
+  if (!faults.empty()) throw records::BadRecords(std::move(faults));
+  return settings;
+}
+
+EndpointSources::EndpointSources(SourceSettings settings, const Config& config)
+    : settings_(std::move(settings)),
+      kinds_(config.kind_names),
+      zones_(config.zone_names),
+      merged_(settings_.damping, config.known.revision) {
+  platform_ = merged_.AddSource({"platform", settings_.platform_rank, false, 0});
+  for (const auto& listing : settings_.listings) {
+    Listed& listed = listed_[listing.zone.Key()];
+    listed.settings = listing;
+    listed.source =
+        merged_.AddSource({listing.zone.ToText(), listing.rank, listing.owns, listing.expiry});
+    listed.map = std::make_unique<membership::ZoneMap>(listing.defaults);
+  }
+  merged_.TakeList(platform_, config.known, Now());
+}
+
+EndpointSources::~EndpointSources() { Stop(); }
+
+MemberList EndpointSources::Begin(std::chrono::milliseconds wait) {
+  nameserver::ZoneWatcher watcher;
+  watcher.kept = [this](const dns::Zone& zone) {
+    const std::lock_guard lock(mutex_);
+    Listed* listed = Of(zone);
+    if (listed == nullptr) return;
+    const auto& zones = settings_.nameserver.zones;
+    const bool followed = std::any_of(zones.begin(), zones.end(), [&zone](const auto& one) {
+      return one.name == zone.origin() && !one.primary.empty();
+    });
+    if (!followed) Heard(*listed);
+    TakeServices(*listed, listed->map->Replace(zone));
+  };
+  watcher.changed = [this](const dns::Zone& zone, const dns::Change* change) {
+    const std::lock_guard lock(mutex_);
+    Listed* listed = Of(zone);
+    if (listed == nullptr) return;
+    Heard(*listed);
+    TakeServices(*listed, change != nullptr ? listed->map->Apply(zone, *change)
+                                            : listed->map->Replace(zone));
+    Send();
+  };
+  watcher.confirmed = [this](const dns::Zone& zone) {
+    const std::lock_guard lock(mutex_);
+    if (Listed* listed = Of(zone)) Heard(*listed);
+    Send();
+  };
+  watcher.failed = [this](const dns::Zone& zone, const std::string&) {
+    const std::lock_guard lock(mutex_);
+    if (Listed* listed = Of(zone)) merged_.Failed(listed->source, Now());
+  };
+  watcher.expired = [this](const dns::Zone& zone) {
+    const std::lock_guard lock(mutex_);
+    if (Listed* listed = Of(zone)) merged_.Expired(listed->source);
+    Send();
+  };
+  host_ = std::make_unique<nameserver::Host>(settings_.nameserver, std::move(watcher));
+  observe::Log(Concern::kZones, Level::kInfo, "zones served", {{"listen", host_->address()}});
+  std::unique_lock lock(mutex_);
+  const bool all = wake_.wait_for(lock, wait, [this] {
+    return std::all_of(listed_.begin(), listed_.end(),
+                       [](const auto& entry) { return entry.second.heard; });
+  });
+  if (!all) observe::Log(Concern::kZones, Level::kWarning, "zones not confirmed at the start");
+  return merged_.Changes(Now()).value_or(MemberList{});
+}
+
+void EndpointSources::Start(Put put) {
+  {
+    const std::lock_guard lock(mutex_);
+    put_ = std::move(put);
+    Send();
+  }
+  thread_ = Thread("sources", [this] { Watch(); });
+}
+
+void EndpointSources::Stop() {
+  host_.reset();  // its threads call here
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    put_ = nullptr;
+  }
+  wake_.notify_all();
+  thread_.Join();
+}
+
+void EndpointSources::TakePlatform(const MemberList& list) {
+  const std::lock_guard lock(mutex_);
+  merged_.TakeList(platform_, list, Now());
+  Send();
+}
+
+EndpointSources::Listed* EndpointSources::Of(const dns::Zone& zone) {
+  const auto found = listed_.find(zone.origin().Key());
+  return found == listed_.end() ? nullptr : &found->second;
+}
+
+void EndpointSources::Heard(Listed& listed) {
+  listed.heard = true;
+  merged_.Confirm(listed.source, Now());
+  wake_.notify_all();
+}
+
+void EndpointSources::TakeServices(Listed& listed,
+                                   std::vector<membership::ZoneMap::Service> services) {
+  for (auto& service : services) {
+    // What the module has no number for it cannot be told.
+    std::erase_if(service.members, [&](const Member& member) {
+      const bool known = IsOneOf(member.kind, kinds_) && IsOneOf(member.zone, zones_);
+      if (!known) {
+        service.faults.push_back(member.id + ": kind '" + member.kind + "' or zone '" +
+                                 member.zone + "' is not of the configuration");
+      }
+      return !known;
+    });
+    for (const std::string& fault : service.faults) {
+      observe::LogSeldom(Concern::kZones, Level::kWarning, "zone record lists nothing",
+                         {{"fault", fault}});
+    }
+    merged_.Take(listed.source, service.name, service.members, Now());
+  }
+}
+
+void EndpointSources::Send() {
+  if (!put_) return;
+  if (auto list = merged_.Changes(Now())) {
+    observe::Log(Concern::kZones, Level::kDebug, "list merged",
+                 {{"revision", list->revision},
+                  {"changes", list->members.size()},
+                  {"endpoints", merged_.endpoints()},
+                  {"suppressed", merged_.suppressed()}});
+    put_(*std::move(list));
+  }
+  wake_.notify_all();
+}
+
+void EndpointSources::Watch() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const double wait = std::clamp(merged_.NextDue() - Now(), 0.001, 3600.0);
+    wake_.wait_for(lock, std::chrono::duration<double>(wait));
+    if (stopping_ || merged_.NextDue() > Now()) continue;
+    if (auto list = merged_.Changes(Now()); list && put_) put_(*std::move(list));
+  }
+}
+
+}  // namespace brassfront
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -69,7 +69,7 @@
   return MostOut(config) + MostIdle(config);
 }
 
-Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers)
+Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers, Watch::OnList divert)
     : config_(config),
       spool_(spool),
       inbox_(kInbox),
@@ -82,8 +82,9 @@
                  buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
       notices_(config.discovery, buffers,
                [this](MessageId message) { inbox_.Put(NoticeHeard{message}); }),
-      watch_(config.discovery, config.known.revision, buffers,
-             [this](MemberList list) { inbox_.Put(std::move(list)); }) {
+      watch_(
+          config.discovery, config.known.revision, buffers,
+          divert ? std::move(divert) : [this](MemberList list) { Listed(std::move(list)); }) {
   for (const rushfall::ClassSettings& c : config.decisions.classes) {
     longest_deadline_ = std::max(longest_deadline_, c.deadline);
   }
@@ -131,10 +132,10 @@
 
 // ======== turns ========
 
-void Engine::Restore() {
+void Engine::Restore(const MemberList& known) {
   const Time now = Now();
   const UnixMs unix_now = UnixNow();
-  events_.emplace_back(TakeList(config_.known));
+  events_.emplace_back(TakeList(known));
   for (Replayed& owed : spool_.Replay()) {
     rushfall::MessageRestored e;
     e.message = owed.number;
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -39,11 +39,15 @@
   // Connections to next hops at once, at most.
   static std::size_t MostNextHopConnections(const Config& config);
 
-  Engine(const Config& config, Spool& spool, BufferPool& buffers);
+  // Lists from discovery go to `divert` instead, if it is given: whoever takes them says by Listed
+  // what they come to.
+  Engine(const Config& config, Spool& spool, BufferPool& buffers, Watch::OnList divert = nullptr);
   ~Engine() override;
 
-  // Takes up what an earlier process owed. Clients may come once it has returned.
-  void Restore();
+  // Takes up what an earlier process owed, with the endpoints that there are. Clients may come once
+  // it has returned.
+  void Restore(const MemberList& known);
+  void Restore() { Restore(config_.known); }
   // Works until it has been told to leave and may.
   void Run(std::function<void()> on_drain);
   // After Run: whoever still waits for an answer is deferred, and nothing more is taken.
@@ -54,6 +58,7 @@
   void Heard(std::uint64_t message) override;
   void Lost(std::uint64_t message) override;
   void Leave();
+  void Listed(MemberList list) { inbox_.Put(std::move(list)); }
   // Discovery and the platform are to be reached at another address.
   void Move(std::string discovery);
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -33,9 +33,7 @@
   const bool back = !Counts(source);
   source.spoke = true;
   source.expired = false;
-  if (!back) return;
-  for (const auto& [number, said] : source.said) touched_.insert(number);
-  for (const auto number : source.owned) touched_.insert(number);
+  if (back) Touch(source);
 }
 
 void Membership::Confirm(SourceId source, double now) { Heard(sources_[source], now); }
@@ -99,16 +97,25 @@
   Take(id, "", members, now);
 }
 
-void Membership::Expire(double now) {
-  for (Source& source : sources_) {
-    const double expiry = source.settings.expiry;
-    if (!Counts(source) || expiry <= 0 || now < source.heard + expiry) continue;
-    source.expired = true;
-    for (const auto& [number, said] : source.said) touched_.insert(number);
-    for (const auto number : source.owned) touched_.insert(number);
+void Membership::Expired(SourceId id) {
+  Source& source = sources_[id];
+  if (!Counts(source)) return;
+  source.expired = true;
+  Touch(source);
+}
+
+void Membership::ExpireDue(double now) {
+  for (SourceId id = 0; id < sources_.size(); ++id) {
+    const double expiry = sources_[id].settings.expiry;
+    if (expiry > 0 && now >= sources_[id].heard + expiry) Expired(id);
   }
 }
 
+void Membership::Touch(const Source& source) {
+  for (const auto& [number, said] : source.said) touched_.insert(number);
+  touched_.insert(source.owned.begin(), source.owned.end());
+}
+
 std::map<std::string, Member> Membership::Wanted(std::uint64_t number,
                                                  const Destination& destination) const {
   const Source* owner = nullptr;
@@ -223,7 +230,7 @@
 }
 
 std::optional<MemberList> Membership::Changes(double now) {
-  Expire(now);
+  ExpireDue(now);
   while (!releases_.empty() && releases_.begin()->first <= now) {
     touched_.insert(releases_.begin()->second);
     releases_.erase(releases_.begin());
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -70,6 +70,8 @@
   void Confirm(SourceId source, double now);
   // Something went wrong; what it said last stands until it expires.
   void Failed(SourceId source, double now);
+  // It counts no more, by its own measure of time; until it speaks again.
+  void Expired(SourceId source);
 
   // What the engine is to be told since the last call: nothing, if nothing changed. The first list
   // is whole, later ones are changes.
@@ -121,7 +123,8 @@
 
   bool Counts(const Source& source) const { return source.spoke && !source.expired; }
   void Heard(Source& source, double now);
-  void Expire(double now);
+  void Touch(const Source& source);
+  void ExpireDue(double now);
   std::map<std::string, Member> Wanted(std::uint64_t number, const Destination& destination) const;
   void Work(std::uint64_t number, Destination& destination, double now, MemberList& out);
   void HoldBack(Destination& destination, std::map<std::string, Member>& wanted, double now);
--- a/src/nameserver/following.cpp
+++ b/src/nameserver/following.cpp
@@ -147,7 +147,7 @@
       }
     } else if (auto* changes = std::get_if<dns::Changes>(&result)) {
       for (const dns::Change& change : changes->changes) {
-        if (!zone_.Commit(change, why)) {
+        if (!zone_.Commit(change, nullptr, why)) {
           again = true;  // what the primary says does not fit what is held: all of it, then
           break;
         }
--- a/src/nameserver/following.hpp
+++ b/src/nameserver/following.hpp
@@ -19,6 +19,8 @@
 
 // What became of a zone. Called with the zones' mutex held.
 struct ZoneWatcher {
+  // What is there at the start: of a followed zone, its copy in the folder.
+  std::function<void(const dns::Zone& zone)> kept;
   // `change` leads from what was there to the zone; null where all of it is new.
   std::function<void(const dns::Zone& zone, const dns::Change* change)> changed;
   std::function<void(const dns::Zone& zone)> confirmed;  // nothing new, by its source's word
--- a/src/nameserver/host.cpp
+++ b/src/nameserver/host.cpp
@@ -133,7 +133,7 @@
     hosted.read = hosted.seen = StampOf(zone.file);
     TakeFile(hosted);
   }
-  if (keeper->zone().has_soa() && watcher_.changed) watcher_.changed(keeper->zone(), nullptr);
+  if (keeper->zone().has_soa() && watcher_.kept) watcher_.kept(keeper->zone());
 }
 
 std::string Host::TakeZone(Hosted& hosted, const dns::Zone& zone) {
@@ -153,7 +153,7 @@
     std::string why;
     ZoneKeeper& keeper = hosted.stored ? static_cast<ZoneKeeper&>(*hosted.stored)
                                        : static_cast<ZoneKeeper&>(*hosted.from_file);
-    if (!keeper.Commit(change, why)) return why;
+    if (!keeper.Commit(change, nullptr, why)) return why;
     if (server_) {
       if (watcher_.changed) watcher_.changed(keeper.zone(), &change);
       server_->Announce(zone.origin());
--- a/src/nameserver/host.hpp
+++ b/src/nameserver/host.hpp
@@ -26,7 +26,6 @@
  public:
   // Reads what there is and serves from now on. A zone whose file is bad is not answered until the
   // file is good; a folder that cannot be used ends the start. Throws std::runtime_error.
-  // The watcher hears of the zones that are there already, too.
   Host(HostSettings settings, ZoneWatcher watcher);
   ~Host();
 
--- a/src/nameserver/keeper.hpp
+++ b/src/nameserver/keeper.hpp
@@ -20,12 +20,16 @@
   zones::ZoneStore& store() { return store_; }
   const dns::Zone& zone() const override { return store_.zone(); }
   bool answers() const override { return store_.zone().has_soa(); }
-  bool Commit(const dns::Change& change, std::string& why) override {
-    if (store_.Commit(change)) return true;
+  bool Commit(const dns::Change& change, const dns::Witness* by, std::string& why) override {
+    if (store_.Commit(change, by)) return true;
     why = store_.why();
     return false;
   }
 
+  std::vector<dns::Witness> witnesses() const override {
+    return {store_.witnesses().begin(), store_.witnesses().end()};
+  }
+
  private:
   zones::ZoneStore store_;
 };
@@ -37,7 +41,7 @@
 
   const dns::Zone& zone() const override { return zone_; }
   bool answers() const override { return zone_.has_soa(); }
-  bool Commit(const dns::Change& change, std::string& why) override {
+  bool Commit(const dns::Change& change, const dns::Witness*, std::string& why) override {
     if (zone_.Apply(change)) return true;
     why = "the change does not start from what the zone holds";
     return false;
@@ -67,7 +71,7 @@
   const dns::Zone& zone() const override { return store_ ? store_->zone() : zone_; }
   bool answers() const override { return zone().has_soa() && !expired_; }
   bool takes_updates() const override { return false; }
-  bool Commit(const dns::Change& change, std::string& why) override {
+  bool Commit(const dns::Change& change, const dns::Witness*, std::string& why) override {
     if (store_ ? store_->Commit(change) : zone_.Apply(change)) return true;
     why = store_ ? store_->why() : "the change does not start from what the zone holds";
     return false;
--- a/src/nameserver/responder.cpp
+++ b/src/nameserver/responder.cpp
@@ -56,7 +56,12 @@
   return session != nullptr ? std::optional(session->key().name) : std::nullopt;
 }
 
-void Responder::AddZone(ZoneKeeper* keeper) { zones_[keeper->zone().origin().Key()] = keeper; }
+void Responder::AddZone(ZoneKeeper* keeper) {
+  zones_[keeper->zone().origin().Key()] = keeper;
+  for (const dns::Witness& by : keeper->witnesses()) {
+    witnesses_.Add(by.mac, by.signed_at, by.signed_at + dns::kFudgeSeconds, Rcode::kNoError);
+  }
+}
 
 void Responder::SetKeys(dns::KeyRing keys, std::vector<dns::Grant> grants) {
   keys_ = std::move(keys);
@@ -225,7 +230,9 @@
   std::string event = "updated " + keeper->zone().origin().ToText() + ": nothing to change";
   if (outcome.change) {
     std::string why;
-    if (!keeper->Commit(*outcome.change, why)) {
+    dns::Witness by;
+    if (!mac.empty()) by = {mac, request.session->signed_at()};
+    if (!keeper->Commit(*outcome.change, mac.empty() ? nullptr : &by, why)) {
       return Refuse(request, Rcode::kServFail, "an update that cannot be kept: " + why);
     }
     event = "updated " + keeper->zone().origin().ToText() + " to serial " +
--- a/src/nameserver/responder.hpp
+++ b/src/nameserver/responder.hpp
@@ -24,7 +24,9 @@
  public:
   virtual ~ZoneKeeper() = default;
   virtual const dns::Zone& zone() const = 0;
-  virtual bool Commit(const dns::Change& change, std::string& why) = 0;
+  virtual bool Commit(const dns::Change& change, const dns::Witness* by, std::string& why) = 0;
+  // What earlier changes were signed with.
+  virtual std::vector<dns::Witness> witnesses() const { return {}; }
   // False for a zone that is followed, or has not been read yet, or has expired.
   virtual bool answers() const { return true; }
   virtual bool takes_updates() const { return true; }
--- a/src/rehearsal/agent.cpp
+++ b/src/rehearsal/agent.cpp
@@ -227,6 +227,7 @@
 }
 
 void Agent::Told(std::uint64_t from) {
+  if (quietly_) return;
   for (const auto& [number, entry] : entries_) {
     if (entry.revision <= from) continue;
     Event event{.what = Event::What::kTold};
--- a/src/rehearsal/agent.hpp
+++ b/src/rehearsal/agent.hpp
@@ -26,6 +26,10 @@
   Agent(Stage& stage, Endpoints& endpoints, std::size_t forwarder, const std::string& host,
         OnNotice on_notice);
 
+  // From now on the list is not what the forwarders go by, and is told without a word to the
+  // auditor.
+  void TellQuietly() { quietly_ = true; }
+
   std::string address() const;
   // The list as it is known now, as JSON; for `known` in a configuration as well.
   std::string ListJson() const { return Line(true, 0); }
@@ -59,6 +63,7 @@
   std::vector<std::weak_ptr<AgentConnection>> open_;
   std::map<std::size_t, Entry> entries_;  // by endpoint
   std::uint64_t revision_ = 1;
+  bool quietly_ = false;
 };
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -97,10 +97,11 @@
       return TakeHandIn(e);
     case What::kFirstByte: {
       const auto told = leaving_.find({e.forwarder, e.endpoint});
-      if (told != leaving_.end() && e.at > told->second + kDrainGrace + kSlack) {
+      last_call_[{e.forwarder, e.endpoint}] = e.at;
+      if (told != leaving_.end() && e.at > told->second.told + kDrainGrace + kSlack) {
         Tell(Rule::kDrain, e.at,
              "forwarder " + std::to_string(e.forwarder) + " calls endpoint " +
-                 std::to_string(e.endpoint) + ", which leaves, " + Text(e.at - told->second) +
+                 std::to_string(e.endpoint) + ", which leaves, " + Text(e.at - told->second.told) +
                  " after it was told");
       }
       return;
@@ -116,7 +117,8 @@
       return;
     case What::kTold:
       if (e.leaving) {
-        leaving_.try_emplace({e.forwarder, e.endpoint}, e.at);
+        leaving_.try_emplace({e.forwarder, e.endpoint},
+                             Leaving{e.since.value_or(e.at), e.since.has_value()});
       } else {
         leaving_.erase({e.forwarder, e.endpoint});
       }
@@ -144,12 +146,16 @@
     case What::kStopped:
       restarts_[e.forwarder].emplace_back(e.at, Time::max());
       std::erase_if(waits_, [&](const auto& w) { return w.first.first == e.forwarder; });
-      std::erase_if(leaving_, [&](const auto& l) { return l.first.first == e.forwarder; });
+      std::erase_if(leaving_,
+                    [&](const auto& l) { return l.first.first == e.forwarder && !l.second.lasts; });
       if (e.planned) return;
       ++crashes_;
       Tell(Rule::kCrash, e.at, "forwarder " + std::to_string(e.forwarder) + " ended by itself");
       return;
     case What::kReady:
+      for (auto& [key, leaving] : leaving_) {
+        if (key.first == e.forwarder) leaving.told = std::max(leaving.told, e.at);
+      }
       if (!restarts_[e.forwarder].empty()) restarts_[e.forwarder].back().second = e.at;
       return;
     case What::kMachineLost:
@@ -509,9 +515,29 @@
   out.broken = broken_;
   std::size_t all = 0;
   for (const std::size_t count : broken_) all += count;
+  CountRemovals(out);
   out.metrics["rule_breaks"] = static_cast<double>(all);
   out.metrics["lost"] = static_cast<double>(broken_[static_cast<std::size_t>(Rule::kLost)]);
   return out;
 }
 
+// How long each endpoint that leaves is called on, by each forwarder.
+void Auditor::CountRemovals(Judgement& out) const {
+  std::vector<double> after;
+  for (const auto& [key, leaving] : leaving_) {
+    const auto called = last_call_.find(key);
+    const Time late = called == last_call_.end() ? Time{} : called->second - leaving.told;
+    after.push_back(std::max(0.0, static_cast<double>(late.count()) / 1e6));
+  }
+  std::sort(after.begin(), after.end());
+  const auto quantile = [&after](double share) {
+    if (after.empty()) return 0.0;
+    return after[static_cast<std::size_t>(share * static_cast<double>(after.size() - 1) + 0.5)];
+  };
+  out.metrics["removals"] = static_cast<double>(after.size());
+  out.metrics["removed_p50_ms"] = quantile(0.5);
+  out.metrics["removed_p99_ms"] = quantile(0.99);
+  out.metrics["removed_max_ms"] = quantile(1);
+}
+
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/auditor.hpp
+++ b/src/rehearsal/auditor.hpp
@@ -37,7 +37,8 @@
     kCut,         // call: its connection ended before it was answered
     kRan,         // call, put, twice: applied, or a repeat that the partner dropped
     kNotice,      // put, forwarder, deferred, wait
-    kTold,        // forwarder, endpoint, leaving: drains or is gone, or not
+    kTold,        // forwarder, endpoint, leaving: drains or is gone, or not; since, if it holds
+                  // from then on whatever becomes of the forwarder
     kDown,        // partner: an outage begins
     kBack,        // partner: it ends, cold
     kFellOver,    // partner, pushed: work in its window by forwarder
@@ -61,6 +62,7 @@
   std::uint64_t origin = 0;  // the message that the client wants delivered, over all its hand-ins
   Time until{};              // its time is up then
   std::optional<Time> wait{};
+  std::optional<Time> since{};
   int status = 0;
   bool above_limit = false;
   bool twice = false;
@@ -196,6 +198,7 @@
   Second& SecondOf(Time at);
   double WorthOf(const Origin& origin) const;
   void CountService(Judgement& out) const;
+  void CountRemovals(Judgement& out) const;
 
   const Scenario scenario_;
   std::vector<Put> puts_;
@@ -204,9 +207,13 @@
   std::vector<double> share_left_;  // by merchant: a bucket of messages within its share
   std::vector<Time> share_at_;
   std::map<std::pair<std::size_t, std::size_t>, Told> waits_;  // forwarder and partner
-  std::map<std::pair<std::size_t, std::size_t>, Time>
-      leaving_;                                     // forwarder and endpoint, when told
-  std::vector<bool> down_;                          // by partner
+  struct Leaving {
+    Time told{};
+    bool lasts = false;  // told by a zone, which a forwarder that starts anew knows as well
+  };
+  std::map<std::pair<std::size_t, std::size_t>, Leaving> leaving_;  // forwarder and endpoint
+  std::map<std::pair<std::size_t, std::size_t>, Time> last_call_;   // its first byte
+  std::vector<bool> down_;                                          // by partner
   std::vector<std::set<std::size_t>> saw_failing_;  // by partner: forwarders, in its outage
   std::vector<std::vector<std::pair<Time, Time>>> restarts_;  // by forwarder: stopped, ready
   std::vector<Second> seconds_;
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <cstdio>
@@ -14,6 +15,9 @@
 #include "rehearsal/endpoints.hpp"
 #include "rehearsal/plan.hpp"
 #include "rehearsal/supervisor.hpp"
+#ifdef BRASSFRONT_ZONES
+#include "rehearsal/zone_side.hpp"
+#endif
 
 namespace brassfront::rehearsal {
 namespace {
@@ -24,6 +28,7 @@
 constexpr Time kReadyWithin = seconds(30);
 constexpr Time kSampleEvery = milliseconds(250);
 constexpr Time kDrainTakes = milliseconds(500);  // from Terminating to Gone
+constexpr Time kChurnPause = milliseconds(250);  // where the act names none
 constexpr Time kAfterLast = milliseconds(1200);  // for what is decided in the last moment
 
 // 127.x.y. from the process's number, so that rehearsals beside each other keep apart.
@@ -56,6 +61,7 @@
         supervisor_(stage_, options.forwarder, options.out, prefix_,
                     {.discovery = [this](std::size_t f) { return agents_[f]->address(); },
                      .known = [this](std::size_t f) { return agents_[f]->ListJson(); },
+                     .sources = [this](std::size_t f) { return SourcesOf(f); },
                      .ready = [this](std::size_t f, const tcp::endpoint& at) { Ready(f, at); },
                      .stopped = [this](std::size_t f, bool planned) { Stopped(f, planned); }}) {
     for (std::size_t f = 0; f < scenario_.forwarders.count; ++f) {
@@ -65,6 +71,7 @@
                                     Noticed(f, put, deferred, wait);
                                   }));
     }
+    if (scenario_.by_zones) ServeZones();
   }
 
   Result Play() {
@@ -193,6 +200,59 @@
     }
   }
 
+  // ---- the name server ----
+
+#ifdef BRASSFRONT_ZONES
+  void ServeZones() {
+    zones_ = std::make_unique<ZoneSide>(
+        stage_, endpoints_, prefix_, options_.out,
+        [this](std::size_t f, std::size_t endpoint, Agent::Phase phase, Time since) {
+          asio::post(io_, [this, f, endpoint, phase, since] {
+            Event event{.what = Event::What::kTold};
+            event.forwarder = f;
+            event.endpoint = endpoint;
+            event.leaving = phase != Agent::Phase::kReady;
+            event.since = since;
+            stage_.Emit(std::move(event));
+          });
+        });
+    for (const auto& agent : agents_) agent->TellQuietly();
+  }
+
+  std::string SourcesOf(std::size_t f) const { return zones_ ? zones_->SourcesFile(f) : ""; }
+
+  void TellZones(std::size_t endpoint, Agent::Phase phase) { zones_->Tell(endpoint, phase); }
+
+  void SpoilNameServer(const Act& act) {
+    open_faults_.push_back(&act);
+    SetFaults();
+    stage_.At(act.at + act.lasts, [this, &act] {
+      std::erase(open_faults_, &act);
+      SetFaults();
+    });
+  }
+
+  void SetFaults() {
+    nameserver::Faults faults;
+    for (const Act* act : open_faults_) {
+      faults.quiet |= act->fault == NameServerFault::kQuiet;
+      faults.refuse |= act->fault == NameServerFault::kRefuse;
+      faults.garbage |= act->fault == NameServerFault::kGarbage;
+      faults.half_transfers |= act->fault == NameServerFault::kHalfTransfers;
+      faults.notices &= act->fault != NameServerFault::kLostNotices;
+    }
+    zones_->SetFaults(faults);
+  }
+
+  std::unique_ptr<ZoneSide> zones_;
+  std::vector<const Act*> open_faults_;
+#else
+  void ServeZones() { throw std::runtime_error("zones are not built into this program"); }
+  std::string SourcesOf(std::size_t) const { return ""; }
+  void TellZones(std::size_t, Agent::Phase) {}
+  void SpoilNameServer(const Act&) {}
+#endif
+
   // ---- the course of it ----
 
   void Begin() {
@@ -212,6 +272,12 @@
       case ActKind::kDrain:
       case ActKind::kReplace:
         return LeaveOrReplace(act);
+      case ActKind::kChurn:
+        return Churn(act, 0);
+      case ActKind::kVanish:
+        return Vanish(act);
+      case ActKind::kNameServer:
+        return SpoilNameServer(act);
       case ActKind::kStale:
         stale_ = Time(static_cast<Time::rep>(act.factor * 1e9));
         stage_.At(act.at + act.lasts, [this] { stale_ = {}; });
@@ -272,7 +338,39 @@
     }
   }
 
+  // One endpoint after the other goes without a drain, and a new one comes for it.
+  void Churn(const Act& act, std::size_t round) {
+    const Time now = stage_.Now();
+    if (now >= act.at + act.lasts || closing_) return;
+    const std::size_t partner = act.partners[round % act.partners.size()];
+    const std::vector<std::size_t> its = endpoints_.Of(partner);
+    if (!its.empty()) {
+      endpoints_.at(its.front()).gone = true;
+      TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
+      TellAll(its.front(), Agent::Phase::kGone);
+    }
+    stage_.At(act.at + static_cast<Time::rep>(round + 1) * act.wait.value_or(kChurnPause),
+              [this, &act, round] { Churn(act, round + 1); });
+  }
+
+  // All of a partner's endpoints go, and as many new ones come at the act's end.
+  void Vanish(const Act& act) {
+    for (const std::size_t partner : act.partners) {
+      const std::vector<std::size_t> its = endpoints_.Of(partner);
+      for (const std::size_t leaves : its) {
+        endpoints_.at(leaves).gone = true;
+        TellAll(leaves, Agent::Phase::kGone);
+      }
+      stage_.At(act.at + act.lasts, [this, partner, count = its.size()] {
+        for (std::size_t n = 0; n < count; ++n) {
+          TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
+        }
+      });
+    }
+  }
+
   void TellAll(std::size_t endpoint, Agent::Phase phase) {
+    if (scenario_.by_zones) TellZones(endpoint, phase);
     stage_.At(stage_.Now() + scenario_.discovery_delay + stale_, [this, endpoint, phase] {
       for (const auto& agent : agents_) agent->Learn(endpoint, phase);
     });
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -14,10 +14,13 @@
 using records::Fault;
 using records::Record;
 
-constexpr std::array<const char*, 17> kActNames = {
-    "slow",   "full",  "shut",         "silent", "refuse",         "reset",
-    "garble", "drain", "replace",      "stale",  "move-discovery", "terminate",
-    "kill",   "roll",  "lose-machine", "burst",  "clump"};
+constexpr std::array<const char*, 20> kActNames = {
+    "slow",  "full",  "shut",         "silent",  "refuse", "reset",          "garble",
+    "drain", "churn", "vanish",       "replace", "stale",  "move-discovery", "terminate",
+    "kill",  "roll",  "lose-machine", "burst",   "clump",  "name-server"};
+
+constexpr std::array<const char*, 5> kFaultNames = {"quiet", "refuse", "garbage", "half-transfers",
+                                                    "lost-notices"};
 
 constexpr std::size_t kBatchOfBigRetail = 20;
 constexpr double kSlotsOverBusy = 2.0;  // slots, over what the traffic keeps busy
@@ -49,6 +52,7 @@
     ReadClients(s.clients);
     s.notice = root_.At("front").At("notice").Duration();
     s.discovery_delay = root_.At("discovery").At("delay").Duration();
+    s.by_zones = root_.At("discovery").At("by").Text() == "zones";
     s.late_by = root_.At("void").At("late").Duration();
     s.late_share = root_.At("void").At("share").Double();
     ReadForwarders(s);
@@ -197,7 +201,20 @@
       if (field != nullptr && !may) Complain(*field, name + " takes no " + what);
     };
     takes(partner, "partner", StrikesPartner(act.kind));
-    takes(endpoint, "endpoint", StrikesPartner(act.kind) && act.kind != ActKind::kClump);
+    takes(endpoint, "endpoint",
+          StrikesPartner(act.kind) && act.kind != ActKind::kClump && act.kind != ActKind::kChurn &&
+              act.kind != ActKind::kVanish);
+    const Record* fault = from.Find("fault");
+    takes(fault, "fault", act.kind == ActKind::kNameServer);
+    if (act.kind == ActKind::kNameServer) {
+      if (fault == nullptr) {
+        Complain(from, name + " needs a fault");
+      } else {
+        const auto found = std::find(kFaultNames.begin(), kFaultNames.end(), fault->Text());
+        act.fault = static_cast<NameServerFault>(found - kFaultNames.begin());
+      }
+      if (!s.by_zones) Complain(from, name + " needs `discovery: by: \"zones\"`");
+    }
     takes(forwarder, "forwarder", StrikesForwarder(act.kind));
     takes(merchant, "merchant", act.kind == ActKind::kBurst || act.kind == ActKind::kClump);
     if (StrikesPartner(act.kind)) {
@@ -222,7 +239,9 @@
     if (act.kind == ActKind::kBurst && merchant == nullptr)
       Complain(from, "burst needs a merchant");
     const bool needs_end = act.kind == ActKind::kBurst || act.kind == ActKind::kStale ||
-                           act.kind == ActKind::kShut || act.kind == ActKind::kFull;
+                           act.kind == ActKind::kShut || act.kind == ActKind::kFull ||
+                           act.kind == ActKind::kChurn || act.kind == ActKind::kVanish ||
+                           act.kind == ActKind::kNameServer;
     if (needs_end && act.lasts == Time{}) Complain(from, name + " needs `for`");
     s.acts.push_back(std::move(act));
   }
@@ -284,10 +303,11 @@
 
 const std::vector<std::string>& MetricNames() {
   static const std::vector<std::string> names = {
-      "service",        "whole",        "worst_10s", "worst_merchant", "rule_breaks",
-      "lost",           "delivered",    "refused",   "failed",         "refusals_above_limit",
-      "attempts_each",  "late_share",   "p50_ms",    "p99_ms",         "unheard_share",
-      "most_memory_mb", "most_sockets", "crashes",   "applied_twice"};
+      "service",        "whole",          "worst_10s",     "worst_merchant", "rule_breaks",
+      "lost",           "delivered",      "refused",       "failed",         "refusals_above_limit",
+      "attempts_each",  "late_share",     "p50_ms",        "p99_ms",         "unheard_share",
+      "most_memory_mb", "most_sockets",   "crashes",       "applied_twice",  "removals",
+      "removed_p50_ms", "removed_p99_ms", "removed_max_ms"};
   return names;
 }
 
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -96,6 +96,8 @@
   kReset,
   kGarble,
   kDrain,
+  kChurn,
+  kVanish,
   kReplace,
   kStale,
   kMoveDiscovery,
@@ -104,9 +106,13 @@
   kRoll,
   kLoseMachine,
   kBurst,
-  kClump
+  kClump,
+  kNameServer
 };
 
+// What the name server of a rehearsal does wrong meanwhile.
+enum class NameServerFault { kQuiet, kRefuse, kGarbage, kHalfTransfers, kLostNotices };
+
 struct Act {
   ActKind kind = ActKind::kSlow;
   Time at{};
@@ -118,6 +124,7 @@
   double factor = 1;
   std::optional<Time> wait;  // told with each refusal; none: none is told
   Time down{};               // of a killed or restarted forwarder
+  NameServerFault fault = NameServerFault::kQuiet;
 };
 
 enum class Sense { kAtLeast, kAtMost, kEqual };
@@ -142,6 +149,7 @@
   Forwarders forwarders;
   Time notice{};           // after which the front knows that a forwarder is dead
   Time discovery_delay{};  // until a change of the list is told
+  bool by_zones = false;   // changes are told by a name server, and by the platform's list later
   double late_share = 0;   // of actions, by which a run is void
   Time late_by{};
   std::vector<Act> acts;
--- a/src/rehearsal/scenario_schema.cpp
+++ b/src/rehearsal/scenario_schema.cpp
@@ -36,7 +36,7 @@
 #Act: {
   at:  duration & >=0s
   for: duration & >0s | *0s
-  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump"
+  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "churn" | "vanish" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump" | "name-server"
   partner?:   string               // its name, or "all"
   endpoint?:  int & >=0            // only this one of the partner's
   forwarder?: int & >=0
@@ -45,6 +45,7 @@
   factor:     number & >0 & <=1000 | *4
   wait?:      duration & >=1ms
   down:       duration & >=0s & <=60s | *1s
+  fault?:     "quiet" | "refuse" | "garbage" | "half-transfers" | "lost-notices"  // of name-server
 }
 
 #Scenario: {
@@ -85,7 +86,10 @@
     held:    int & >=0 | *0      // messages; 0: from the traffic
   }
   front:     notice: duration & >=0s & <=30s | *2s
-  discovery: delay:  duration & >=0s & <=30s | *500ms
+  discovery: {
+    delay: duration & >=0s & <=30s | *500ms
+    by:    "zones" | *"platform"   // zones: a name server tells at once, the platform's list later
+  }
   void: {
     late:  duration & >=1ms & <=10s | *50ms   // an action so late counts
     share: number & >0 & <=1 | *1%            // with this share of such actions the run is void
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -139,6 +139,11 @@
   WriteConfig(forwarder);
   const std::string base = out_ + "/n" + std::to_string(forwarder);
   const std::string config = base + ".json";
+  const std::string sources = hooks_.sources(forwarder);
+  std::vector<const char*> words = {program_.c_str(), "serve",   "--config",
+                                    config.c_str(),   "--state", base.c_str()};
+  if (!sources.empty()) words.insert(words.end(), {"--sources", sources.c_str()});
+  words.push_back(nullptr);
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no room for a pipe");
   const pid_t parent = getpid();
@@ -158,8 +163,7 @@
     sigset_t none;
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
-    execl(program_.c_str(), program_.c_str(), "serve", "--config", config.c_str(), "--state",
-          base.c_str(), static_cast<char*>(nullptr));
+    execv(program_.c_str(), const_cast<char* const*>(words.data()));
     _exit(127);
   }
   stage_.io.notify_fork(asio::io_context::fork_parent);
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -23,6 +23,7 @@
   struct Hooks {
     std::function<std::string(std::size_t)> discovery;  // the address to configure
     std::function<std::string(std::size_t)> known;      // the list to configure, JSON
+    std::function<std::string(std::size_t)> sources;    // its operator file; empty: it has none
     std::function<void(std::size_t, const tcp::endpoint&)> ready;
     std::function<void(std::size_t, bool planned)> stopped;
   };
--- /dev/null
+++ b/src/rehearsal/zone_side.cpp
@@ -0,0 +1,169 @@
+#include "rehearsal/zone_side.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+
+#include "dns/zone_file.hpp"
+#include "nameserver/client.hpp"
+
+namespace brassfront::rehearsal {
+namespace {
+
+using dns::Name;
+using dns::Record;
+namespace klass = dns::klass;
+namespace type = dns::type;
+
+// On addresses that are the rehearsal's own, so that no port of another's is meant.
+constexpr int kZonePort = 5300;
+constexpr const char* kSecret = "cmVoZWFyc2FsLWtleS1vZi10aGlydHktdHdvLWJ5dGU=";
+constexpr std::uint32_t kTtl = 5;
+constexpr std::chrono::milliseconds kBetweenTries{100};  // of an update
+
+std::string Text(const std::string& text) { return static_cast<char>(text.size()) + text; }
+
+}  // namespace
+
+ZoneSide::ZoneSide(const Stage& stage, Endpoints& endpoints, const std::string& prefix,
+                   std::string out, OnTold on_told)
+    : stage_(stage),
+      endpoints_(endpoints),
+      prefix_(prefix),
+      out_(std::move(out)),
+      on_told_(std::move(on_told)) {
+  key_ = {Name::Known("rehearsal-key."), dns::Algorithm::kHmacSha256,
+          *dns::SecretFromText(kSecret)};
+  nameserver::HostSettings settings;
+  settings.server.address = prefix_ + "250:" + std::to_string(kZonePort);
+  settings.keys.emplace(key_.name.Key(), key_);
+  settings.grants = {{key_.name, Name(), {}, true, true}};
+  const std::size_t forwarders = stage_.scenario.forwarders.count;
+  for (std::size_t f = 0; f < forwarders; ++f) {
+    settings.server.notify.push_back(prefix_ + std::to_string(100 + f) + ":" +
+                                     std::to_string(kZonePort));
+    Write(f);
+    // The folder's updates are of this rehearsal alone.
+    const std::string folder = out_ + "/zone-f" + std::to_string(f);
+    std::filesystem::remove_all(folder);
+    settings.zones.push_back({ZoneOf(f), folder + ".zone", folder, "", {}});
+  }
+  host_ = std::make_unique<nameserver::Host>(std::move(settings), nameserver::ZoneWatcher{});
+  thread_ = std::thread([this] { Work(); });
+}
+
+ZoneSide::~ZoneSide() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  filled_.notify_all();
+  thread_.join();
+}
+
+Name ZoneSide::ZoneOf(std::size_t forwarder) const {
+  return Name::Known("f" + std::to_string(forwarder) + ".rehearsal.");
+}
+
+std::vector<Record> ZoneSide::RecordsOf(std::size_t forwarder, std::size_t endpoint) const {
+  const Endpoint& e = endpoints_.at(endpoint);
+  const Partner& partner = stage_.scenario.partners[e.partner];
+  const Name zone = ZoneOf(forwarder);
+  const Name service =
+      Name::Known("_plan._tcp.p" + std::to_string(e.partner) + "." + zone.ToText());
+  const Name host = Name::Known("e" + std::to_string(endpoint) + "." + zone.ToText());
+  const auto& address = e.addresses[forwarder];
+  const double weight = partner.limit ? partner.limit->calls : partner.capacity;
+  std::string srv;
+  dns::Put16(srv, 0);
+  dns::Put16(srv, static_cast<std::uint32_t>(std::clamp(std::round(weight), 1.0, 65535.0)));
+  dns::Put16(srv, address.port());
+  srv += host.wire();
+  const auto bytes = address.address().to_v4().to_bytes();
+  return {{service, type::kSrv, klass::kIn, kTtl, srv},
+          {service, type::kTxt, klass::kIn, kTtl,
+           Text("destination=" + std::to_string(partner.destination)) +
+               Text("kind=" + partner.kind) + Text("zone=a")},
+          {host, type::kA, klass::kIn, kTtl, std::string(bytes.begin(), bytes.end())}};
+}
+
+void ZoneSide::Write(std::size_t forwarder) const {
+  dns::Zone zone(ZoneOf(forwarder));
+  const Name ns = Name::Known("ns." + zone.origin().ToText());
+  std::string soa = ns.wire() + ns.wire();
+  for (const unsigned value : {1u, 1u, 1u, 120u, 1u}) dns::Put32(soa, value);
+  zone.Add({zone.origin(), type::kSoa, klass::kIn, kTtl, soa});
+  zone.Add({zone.origin(), type::kNs, klass::kIn, kTtl, ns.wire()});
+  for (std::size_t e = 0; e < endpoints_.count(); ++e) {
+    for (const Record& record : RecordsOf(forwarder, e)) zone.Add(record);
+  }
+  const std::string name = "f" + std::to_string(forwarder);
+  std::ofstream file(out_ + "/zone-" + name + ".zone");
+  dns::WriteZone(zone, [&file](std::string_view line) { file << line; });
+  std::filesystem::remove_all(out_ + "/copy-" + name);
+  std::ofstream(SourcesFile(forwarder))
+      << "nameserver: {\n  listen: \"" << prefix_ << 100 + forwarder << ":" << kZonePort
+      << "\"\n  keys: [{name: \"rehearsal-key.\", secret: \"" << kSecret
+      << "\"}]\n  zones: [{name: \"" << zone.origin().ToText() << "\", folder: \"copy-" << name
+      << "\", primary: \"" << prefix_ << "250:" << kZonePort
+      << "\", key: \"rehearsal-key.\"}]\n}\nlistings: [{zone: \"" << zone.origin().ToText()
+      << "\"}]\n";
+}
+
+std::string ZoneSide::SourcesFile(std::size_t forwarder) const {
+  return out_ + "/sources-f" + std::to_string(forwarder) + ".records";
+}
+
+void ZoneSide::Tell(std::size_t endpoint, Agent::Phase phase) {
+  for (std::size_t f = 0; f < stage_.scenario.forwarders.count; ++f) {
+    auto records = RecordsOf(f, endpoint);
+    const Name host = records[2].name;
+    Job job;
+    job.forwarder = f;
+    job.endpoint = endpoint;
+    job.phase = phase;
+    job.update.opcode = dns::Opcode::kUpdate;
+    job.update.question = {{ZoneOf(f), type::kSoa, klass::kIn}};
+    switch (phase) {
+      case Agent::Phase::kReady:
+        job.update.authority = std::move(records);
+        break;
+      case Agent::Phase::kTerminating:
+        job.update.authority = {{host, type::kTxt, klass::kIn, kTtl, Text("phase=drain")}};
+        break;
+      case Agent::Phase::kGone:
+        records[0].klass = klass::kNone;
+        records[0].ttl = 0;
+        job.update.authority = {records[0], {host, type::kAny, klass::kAny, 0, ""}};
+    }
+    const std::lock_guard lock(mutex_);
+    jobs_.push_back(std::move(job));
+  }
+  filled_.notify_all();
+}
+
+void ZoneSide::Work() {
+  nameserver::Ask ask;
+  ask.server = host_->address();
+  ask.key = key_;
+  std::unique_lock lock(mutex_);
+  while (true) {
+    filled_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+    if (stopping_) return;
+    const Job job = std::move(jobs_.front());
+    jobs_.pop_front();
+    // What is not confirmed is sent again, signed anew: it comes to the same.
+    for (bool done = false; !done && !stopping_;) {
+      lock.unlock();
+      const Time since = stage_.Now();
+      const auto asked = nameserver::AskServer(ask, job.update);
+      done = asked.answer && asked.answer->rcode == dns::Rcode::kNoError;
+      if (done) on_told_(job.forwarder, job.endpoint, job.phase, since);
+      if (!done) std::this_thread::sleep_for(kBetweenTries);
+      lock.lock();
+    }
+  }
+}
+
+}  // namespace brassfront::rehearsal
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -27,6 +27,7 @@
 constexpr std::string_view kSnapshotMark = "brassfront zone snapshot 1\n";
 // An entry: length of the body (4), its checksum (8), the body, whose first 8 bytes are its number.
 constexpr std::size_t kEntryHead = 12;
+constexpr std::size_t kMostWitnesses = 100'000;
 constexpr std::size_t kPieceBytes = 1 << 16;  // of a snapshot; each with a checksum as an entry
 
 void Put64(std::string& out, std::uint64_t value) {
@@ -69,9 +70,29 @@
   return record;
 }
 
-std::string ChangeBody(std::uint64_t number, const dns::Change& change) {
+// An entry's body: its number, its signature if it has one, and the change if it has one.
+std::string WitnessBody(std::uint64_t number, const dns::Witness* by) {
   std::string body;
   Put64(body, number);
+  Put16(body, by == nullptr ? 0 : static_cast<std::uint32_t>(by->mac.size()));
+  if (by != nullptr) body += by->mac;
+  Put64(body, by == nullptr ? 0 : by->signed_at);
+  return body;
+}
+
+// Taken off the start of a body without its number; false if it is not one.
+bool TakeWitness(std::string_view& body, dns::Witness& by) {
+  if (body.size() < 2) return false;
+  const std::size_t length = Get16(body, 0);
+  if (body.size() < 2 + length + 8) return false;
+  by.mac = body.substr(2, length);
+  by.signed_at = Get64(body, 2 + length);
+  body.remove_prefix(2 + length + 8);
+  return true;
+}
+
+std::string ChangeBody(std::uint64_t number, const dns::Change& change, const dns::Witness* by) {
+  std::string body = WitnessBody(number, by);
   for (const auto* records : {&change.removed, &change.added}) {
     Put32(body, static_cast<std::uint32_t>(records->size()));
     for (const auto& record : *records) PutRecord(body, record);
@@ -80,7 +101,6 @@
 }
 
 std::optional<dns::Change> ChangeIn(std::string_view body) {
-  body.remove_prefix(8);
   dns::Change change;
   for (auto* records : {&change.removed, &change.added}) {
     if (body.size() < 4) return std::nullopt;
@@ -244,6 +264,10 @@
       break;
     }
     const std::uint64_t number = Get64(body, 0);
+    body.remove_prefix(8);
+    dns::Witness by;
+    if (!TakeWitness(body, by)) throw StoreFault(place + " has no signature's place");
+    if (!by.mac.empty()) Remember(by);
     if (number <= entries_) continue;  // in the snapshot
     const auto change = ChangeIn(body);
     if (number != entries_ + 1 || !change || !zone_.Apply(*change)) {
@@ -317,7 +341,8 @@
 }
 
 bool ZoneStore::StartJournal() {
-  const std::string start = Start(kJournalMark, zone_.origin());
+  std::string start = Start(kJournalMark, zone_.origin());
+  for (const dns::Witness& by : witnesses_) start += Entry(WitnessBody(entries_, &by));
   if (!WriteNew("journal", [&](int fd) { return WriteAll(fd, start); })) return false;
   const int fd = open((folder_ + "/journal").c_str(), O_RDWR | O_APPEND | O_CLOEXEC);
   if (fd < 0) {
@@ -344,7 +369,15 @@
   return false;
 }
 
-bool ZoneStore::Commit(const dns::Change& change) {
+void ZoneStore::Remember(const dns::Witness& by) {
+  witnesses_.push_back(by);
+  while (witnesses_.size() > kMostWitnesses ||
+         witnesses_.front().signed_at + 2 * dns::kFudgeSeconds < by.signed_at) {
+    witnesses_.pop_front();
+  }
+}
+
+bool ZoneStore::Commit(const dns::Change& change, const dns::Witness* by) {
   why_.clear();
   if (broken_) {
     why_ = folder_ + " could not be written to before; what it holds stands until the next start";
@@ -354,8 +387,9 @@
     why_ = "the change does not start from what the zone holds";
     return false;
   }
-  if (!Append(Entry(ChangeBody(entries_ + 1, change)))) return false;
+  if (!Append(Entry(ChangeBody(entries_ + 1, change, by)))) return false;
   ++entries_;
+  if (by != nullptr) Remember(*by);
   zone_.Apply(change);
   if (journal_bytes_ > options_.compact_bytes && journal_bytes_ > snapshot_bytes_) {
     // The change stands whether or not this succeeds; the journal goes on where it was.
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -13,12 +13,14 @@
 #define BRASSFRONT_ZONES_STORE_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 
+#include "dns/tsig.hpp"
 #include "dns/zone.hpp"
 
 namespace brassfront::zones {
@@ -56,9 +58,11 @@
   std::size_t replayed() const { return replayed_; }    // changes, at the start
   std::size_t cut_bytes() const { return cut_bytes_; }  // of a last entry that was half written
 
-  // Makes the change durable and then applies it. False, with nothing changed, if it does not fit
-  // the zone or cannot be written: why() tells.
-  bool Commit(const dns::Change& change);
+  // Makes the change durable, with what it was signed with if it was, and then applies it. False,
+  // with nothing changed, if it does not fit the zone or cannot be written: why() tells.
+  bool Commit(const dns::Change& change, const dns::Witness* by = nullptr);
+  // Of the changes so far, those that may be sent again (within twice the window of time).
+  const std::deque<dns::Witness>& witnesses() const { return witnesses_; }
   // Puts another zone's data in the place of all, as one change, or as a snapshot if there was no
   // data yet or nothing leads from one to the other.
   bool Replace(const dns::Zone& zone);
@@ -69,6 +73,7 @@
   void ReplayJournal(std::string_view bytes);
   bool WriteSnapshot(const dns::Zone& zone);
   bool StartJournal();
+  void Remember(const dns::Witness& by);
   bool Append(std::string_view entry);
   bool WriteAll(int fd, std::string_view bytes);
   bool Fail(const std::string& what);
@@ -84,6 +89,7 @@
   std::size_t journal_bytes_ = 0;
   std::size_t snapshot_bytes_ = 0;
   std::uint64_t entries_ = 0;  // written so far, over all journals
+  std::deque<dns::Witness> witnesses_;
   std::size_t replayed_ = 0;
   std::size_t cut_bytes_ = 0;
   bool broken_ = false;  // what the disk holds cannot be told, so that nothing more may go there
--- a/tests/dns/interop_test.py
+++ b/tests/dns/interop_test.py
@@ -368,6 +368,9 @@
         remove.delete("x")
         self.assertEqual(server.send(remove).rcode(), dns.rcode.NOERROR)
         self.assertEqual(send(), dns.rcode.NOERROR)
+        server.kill()
+        server.start()
+        self.assertEqual(send(), dns.rcode.NOERROR)
         self.assertEqual(server.ask("x.example.").rcode(), dns.rcode.NXDOMAIN)
         self.assertEqual(server.serial(), 3)
 
--- a/tests/dns/responder_test.cpp
+++ b/tests/dns/responder_test.cpp
@@ -127,7 +127,7 @@
     change.added[0].rdata = WithSerial(change.added[0].rdata, rig.primary.zone().serial() + 1);
     change.added.push_back({Name::Known("a.example."), type::kA, klass::kIn, 60,
                             std::string("\1\1\1") + static_cast<char>(n)});
-    REQUIRE(rig.primary.Commit(change, why));
+    REQUIRE(rig.primary.Commit(change, nullptr, why));
   }
   CHECK(rig.Ask(Query("a.example."), false).truncated);
   CHECK_FALSE(rig.Ask(Query("a.example."), true).truncated);
@@ -227,7 +227,7 @@
 class FullDisk : public MemoryZone {
  public:
   using MemoryZone::MemoryZone;
-  bool Commit(const Change&, std::string& why) override {
+  bool Commit(const Change&, const Witness*, std::string& why) override {
     why = "no space left";
     return false;
   }
--- a/tests/dns/store_test.cpp
+++ b/tests/dns/store_test.cpp
@@ -107,6 +107,27 @@
                        (folder / "zone" + " is held by another process").c_str(), StoreFault);
 }
 
+TEST_CASE("what changes were signed with is known again, over compactions and for ten minutes") {
+  const Folder folder;
+  for (std::uint64_t start = 0; start < 4; ++start) {
+    ZoneStore store(folder.path(), kOrigin, {.compact_bytes = 700});
+    if (start == 0) REQUIRE(store.Replace(First()));
+    for (std::uint64_t n = 0; n < 10; ++n) {
+      const dns::Witness by{"mac" + std::to_string(start * 10 + n), 1000 + start * 10 + n};
+      REQUIRE(store.Commit(Next(store.zone()), n % 2 == 0 ? &by : nullptr));
+    }
+    REQUIRE(store.witnesses().size() == 5 * (start + 1));
+  }
+  ZoneStore store(folder.path(), kOrigin, {});
+  REQUIRE(store.witnesses().size() == 20);
+  CHECK(store.witnesses().front().mac == "mac0");
+  CHECK(store.witnesses().back().signed_at == 1038);
+  const dns::Witness late{"late", 1000 + 2 * dns::kFudgeSeconds + 11};
+  REQUIRE(store.Commit(Next(store.zone()), &late));
+  CHECK(store.witnesses().front().mac == "mac12");
+  CheckWhole(store.zone());
+}
+
 TEST_CASE("a change that does not fit is refused and leaves no trace") {
   const Folder folder;
   ZoneStore store(folder.path(), kOrigin, {});
--- a/tests/dns/wire_test.cpp
+++ b/tests/dns/wire_test.cpp
@@ -234,6 +234,7 @@
   CHECK(refused(Header(1, 0) + "\xc0\x0c" + type_and_class).find("points") != std::string::npos);
   CHECK(refused(Header(1, 0) + "\xc0\x20" + type_and_class).find("points") != std::string::npos);
   CHECK(refused(Header(1, 0) + "\1a\xc0\x0c" + type_and_class).find("points") != std::string::npos);
+  CHECK(refused(Header(1, 0) + "\xc0\x0b" + type_and_class) == "a name points into the header");
   CHECK(refused(Header(1, 0) + "\x40" + "a" + type_and_class) != "");
   CHECK(refused(Header(1, 0) + "\1a") != "");
   CHECK(refused(Header(2, 0) + std::string("\1a\0", 3) + type_and_class) != "");
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -326,6 +326,90 @@
                 other.changed.wait(timeout=0.2)
         self.assertEqual(len(self.toy.calls), before)
 
+    # ---- further sources of endpoints ----
+
+    ZONE = """$TTL 60
+@ SOA ns host %(serial)d 60 60 60 60
+@ NS ns
+s SRV 0 1 %(port)s h
+s TXT destination=1 kind=%(kind)s zone=here
+h A 127.0.0.1
+"""
+
+    def write_zone(self, serial, toy, kind="single"):
+        port = toy.address.rsplit(":")[1]
+        text = self.ZONE % {"serial": serial, "port": port, "kind": kind}
+        (pathlib.Path(self.folder) / "example.zone").write_text(text)
+
+    def sources(self, more=""):
+        path = pathlib.Path(self.folder) / "sources.records"
+        path.write_text(
+            'nameserver: zones: [{name: "example.", file: "example.zone"}]\n'
+            'listings: [{zone: "example."%s}]\n' % more
+        )
+        return ["--sources", str(path)]
+
+    def test_a_zone_file_decides_where_it_lists_and_the_platform_elsewhere(self):
+        other = self.other_toy()
+        self.write_zone(1, other)
+        forwarder = self.start(options=self.sources())
+        client = forwarder.client()
+        for _ in range(5):
+            self.assertEqual(client.put(1, "x")[1], "+OK")
+            self.assertEqual(client.put(2, "y")[1], "+OK")
+        self.wait_for("the platform's", lambda: len(self.toy.calls) >= 5)
+        end = time.monotonic() + LIMIT
+        with other.changed:
+            while len(other.calls) < 5:
+                self.assertLess(time.monotonic(), end)
+                other.changed.wait(timeout=0.2)
+        self.assertEqual({c["body"] for c in other.calls}, {b"x"})
+        self.assertEqual({c["body"] for c in self.toy.calls}, {b"y"})
+        # A zone that is bad for a while changes nothing; the next good one moves the calls.
+        (pathlib.Path(self.folder) / "example.zone").write_text("half a")
+        while not any("zone file not taken up" in line for line in forwarder.log):
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.02)
+        before = len(other.calls)
+        client.put(1, "still there")
+        with other.changed:
+            while len(other.calls) == before:
+                self.assertLess(time.monotonic(), end)
+                other.changed.wait(timeout=0.2)
+        third = self.other_toy()
+        self.write_zone(2, third)
+        while not third.calls:
+            self.assertLess(time.monotonic(), end)
+            client.put(1, "z")
+            time.sleep(0.02)
+        before = len(other.calls)
+        for _ in range(10):
+            client.put(1, "z")
+        self.assertEqual(len(other.calls), before)
+
+    def test_kinds_that_the_configuration_does_not_have_are_told_and_left_out(self):
+        self.write_zone(1, self.toy, kind="strange")
+        forwarder = self.start(options=self.sources(", owns: false"))
+        self.assertTrue(any("kind 'strange'" in line for line in forwarder.log), forwarder.log)
+        self.assertEqual(forwarder.client().put(1, "x")[1], "+OK")  # the platform's list has it
+
+    def test_a_bad_operator_file_is_a_failure_with_its_place(self):
+        path = pathlib.Path(self.folder) / "config.json"
+        path.write_text((ROOT / "examples" / "config.json").read_text())
+        for more, why in (
+            (', kind: "strange"', ":2:37: no kind of the configuration"),
+            (', locality: "strange"', ":2:41: no zone of the configuration"),
+            ('}, {zone: "other."', ":2:39: the name server has no zone of this name"),
+            ("}, {zone: 7", ":2:39:"),
+        ):
+            done = subprocess.run(
+                [PROGRAM, "serve", "--config", str(path), "--state", self.folder,
+                 *self.sources(more)],
+                capture_output=True, text=True, timeout=LIMIT,
+            )
+            self.assertNotEqual(done.returncode, 0)
+            self.assertIn("sources.records" + why, done.stderr)
+
     # ---- new configurations ----
 
     def other_toy(self, **options):
--- a/tests/rehearsal/bad_forwarder.py
+++ b/tests/rehearsal/bad_forwarder.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """A small forwarder that breaks one rule on purpose, named by $BAD, or none.
 
-Started as the real one is: `bad_forwarder.py serve --config FILE --state DIR`. It shows that the
+Started as the real one is: `bad_forwarder.py serve --config FILE --state DIR`, with `--sources FILE`
+that it takes no notice of. It shows that the
 auditor of the rehearsal kit catches what it is there for.
 """
 
@@ -191,6 +192,7 @@
     parser.add_argument("command")
     parser.add_argument("--config")
     parser.add_argument("--state")
+    parser.add_argument("--sources")
     given = parser.parse_args()
     with open(given.config) as file:
         config = json.load(file)
--- a/tests/rehearsal/rehearsal_test.py
+++ b/tests/rehearsal/rehearsal_test.py
@@ -142,6 +142,26 @@
         again = self.rehearse("report", out)
         self.assertEqual(again.stdout, (out / "report.txt").read_text())
 
+    def zones(self, acts, more="", duration="7s"):
+        text = scenario(acts, duration=duration).replace(
+            "discovery: delay: 50ms", 'discovery: {by: "zones", delay: 30s}'
+        )
+        return text + more
+
+    def test_endpoints_that_a_name_server_removes_are_left(self):
+        text = self.zones(
+            '{at: 1s, for: 4s, do: "churn", partner: "all", wait: 400ms},'
+            '{at: 2s, for: 1s, do: "name-server", fault: "quiet"},'
+            '{at: 3s, do: "terminate", forwarder: 0, down: 200ms}',
+            'expect: ["removals >= 8", "removed_max_ms <= 2000", "service >= 0.6"]\n',
+        )
+        status, report = self.play(text)
+        self.assertEqual(status, KEPT, report)
+
+    def test_a_forwarder_that_takes_no_notice_of_the_name_server_is_caught(self):
+        text = self.zones('{at: 1s, for: 2s, do: "churn", partner: "all", wait: 200ms}')
+        self.assert_caught("drain", "none", text)
+
     def test_an_expectation_that_falls_short_is_told(self):
         status, report = self.play(scenario() + 'expect: ["service >= 1.5"]\n', bad="none")
         self.assertEqual(status, BROKEN)
@@ -166,6 +186,11 @@
             ('{at: 9s, do: "kill"}', "after the end of the scenario"),
             ('{at: 1s, do: "shut", partner: "x"}', 'no partner "x"'),
             ('{at: 1s, do: "shut", partner: "a"}', "shut needs `for`"),
+            ('{at: 1s, do: "churn", partner: "a"}', "churn needs `for`"),
+            ('{at: 1s, for: 1s, do: "vanish"}', "vanish needs a partner"),
+            ('{at: 1s, for: 1s, do: "name-server"}', "name-server needs a fault"),
+            ('{at: 1s, for: 1s, do: "name-server", fault: "quiet"}', "needs `discovery: by:"),
+            ('{at: 1s, do: "kill", fault: "quiet"}', "kill takes no fault"),
             ('{at: 1s, do: "kill", forwarder: 3}', "there are 1 forwarders"),
             ('{at: 1s, do: "kill", partner: "a"}', "kill takes no partner"),
             ('{at: 1s, do: "slow", partner: "a", endpoint: 5}', "has 2 endpoints"),
