--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -13,6 +13,7 @@
 
 #include "cli/command.hpp"
 #include "dns/zone_file.hpp"
+#include "forwarder/endpoint_sources.hpp"
 #include "membership/zone_map.hpp"
 #include "nameserver/client.hpp"
 #include "nameserver/host.hpp"
@@ -302,7 +303,7 @@
     if (what == "update" && words.size() >= 2) return Update(words, given);
     if (what == "serve" && words.size() == 1) return Serve(words[0], given);
     if (what == "schema" && words.empty()) {
-      std::cout << nameserver::NameserverSchema();
+      std::cout << SourcesSchema();
       return kGood;
     }
   } catch (const dns::BadZone& bad) {
--- a/tests/dns/interop_test.py
+++ b/tests/dns/interop_test.py
@@ -453,6 +453,20 @@
         self.assertEqual(dns.query.tcp(refused, "127.0.0.1", port=server.port, timeout=10).rcode(),
                          dns.rcode.REFUSED)
 
+    def test_serials_go_round_their_end(self):
+        last = 4294967295
+        port = self.free_port()
+        primary = self.serve(zone=ZONE.replace("host 1 ", f"host {last} "),
+                             more=f'notify: ["127.0.0.1:{port}"]')
+        second = self.follower(primary, listen=f"127.0.0.1:{port}")
+        zone = primary.transfer()
+        self.assertTrue(wait_for(lambda: second.serial() == last))
+        for n in range(3):
+            self.change(primary, f"round{n}")
+            self.assertTrue(wait_for(lambda: second.serial() == n + 1))
+        primary.transfer(zone, serial=last)
+        self.assertEqual(records_of(zone), records_of(second.transfer()))
+
     def test_ours_takes_them_from_dnspython(self):
         """A primary that dnspython's renderer and signer make."""
         zone = dns.zone.from_text(ZONE, "example.", relativize=False)
@@ -631,6 +645,14 @@
         (server.folder / "example.zone").write_text(ZONE)
         self.assertTrue(wait_for(lambda: server.ask("www.example.").answer))
 
+    def test_the_example_of_an_operator_file_is_good(self):
+        schema = pathlib.Path(self.folder) / "schema"
+        schema.write_text(self.run_program("schema").stdout)
+        example = CORPUS.parents[2] / "deploy" / "sources.records"
+        done = subprocess.run([PROGRAM, "check-records", example, "--schema", schema,
+                               "--definition", "#Sources"], capture_output=True, text=True)
+        self.assertEqual(done.returncode, 0, done.stderr)
+
     def test_settings_that_cannot_be_are_refused_with_their_place(self):
         file = pathlib.Path(self.folder) / "bad.records"
         for text, why in (('zones: [{name: "a..b", file: "x"}]', "empty label"),
