Fail the zone store's calls in runs and pairs, so that its last two guards are tested

The tests now let one to four calls in a row fail, all, or two with a gap, and end right after the next confirmed change or go on.

--- a/tests/dns/store_test.cpp
+++ b/tests/dns/store_test.cpp
@@ -245,20 +245,18 @@
       StoreFault);
 }
 
-// Fails the n-th call, with half of the bytes written if it is a write, and all after it if asked.
+// Fails so many calls from the n-th on, and one more a while after the n-th if asked. A write that
+// fails first writes half of its bytes.
 class FailingDisk : public Disk {
  public:
-  explicit FailingDisk(int at, bool for_good) : left_(at), for_good_(for_good) {}
+  FailingDisk(int at, int count, int again)
+      : from_(at), to_(at + count), again_(again > 0 ? at + again : 0) {}
 
-  bool failed() const { return left_ <= 0; }
+  bool reached() const { return calls_ >= from_; }
 
   long Write(int fd, const char* bytes, std::size_t length) override {
     if (Passes()) return Disk::Write(fd, bytes, length);
-    if (half_ && length > 1) {
-      half_ = false;
-      ++left_;  // the call that follows the short one fails
-      return Disk::Write(fd, bytes, length / 2);
-    }
+    if (calls_ == from_ && length > 1) return Disk::Write(fd, bytes, length / 2);
     errno = ENOSPC;
     return -1;
   }
@@ -269,47 +267,61 @@
   }
 
  private:
-  bool Passes() { return for_good_ ? --left_ > 0 : left_-- != 1; }
+  bool Passes() {
+    ++calls_;
+    return (calls_ < from_ || calls_ >= to_) && calls_ != again_;
+  }
   static int Failed() {
     errno = EIO;
     return -1;
   }
 
-  int left_;
-  bool for_good_;
-  bool half_ = true;
+  const int from_, to_, again_;
+  int calls_ = 0;
 };
 
-TEST_CASE("each call that writes fails in turn, once or for good: no confirmed change is lost") {
-  for (const bool for_good : {false, true}) {
-    bool reached_end = false;
-    for (int at = 1; !reached_end; ++at) {
-      CAPTURE(at);
-      CAPTURE(for_good);
-      REQUIRE(at < 500);
-      const Folder folder;
-      { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
-      FailingDisk disk(at, for_good);
-      std::uint32_t confirmed = 1;
-      bool refused = false;
-      {
-        ZoneStore store(folder.path(), kOrigin, {.compact_bytes = 400, .disk = &disk});
-        for (int n = 0; n < 25; ++n) {
-          if (store.Commit(Next(store.zone()))) {
-            confirmed = store.zone().serial();
-          } else {
-            refused = true;
-            REQUIRE(store.why() != "");
+TEST_CASE("each call that writes fails in turn, alone or with those after it: nothing is lost") {
+  constexpr int kForGood = 1 << 20;
+  // The last pair: a new journal has its name, but the folder is not confirmed, and the next
+  // snapshot fails.
+  const std::pair<int, int> failures[] = {{1, 0}, {2, 0}, {3, 0}, {4, 0}, {kForGood, 0}, {1, 3}};
+  for (const auto& [count, again] : failures) {
+    // The process ends right after the next change that is confirmed, or goes on.
+    for (const bool ends_soon : {false, true}) {
+      bool reached = true;
+      for (int at = 1; reached; ++at) {
+        CAPTURE(at);
+        CAPTURE(count);
+        CAPTURE(again);
+        CAPTURE(ends_soon);
+        REQUIRE(at < 500);
+        const Folder folder;
+        { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
+        FailingDisk disk(at, count, again);
+        std::uint32_t confirmed = 1;
+        bool refused = false;
+        {
+          ZoneStore store(folder.path(), kOrigin, {.compact_bytes = 300, .disk = &disk});
+          bool over = false;
+          for (int n = 0; n < 15 && !over; ++n) {
+            const bool before = disk.reached();
+            if (store.Commit(Next(store.zone()))) {
+              confirmed = store.zone().serial();
+              over = ends_soon && before;
+            } else {
+              refused = true;
+              REQUIRE(store.why() != "");
+            }
           }
+          REQUIRE(store.zone().serial() == confirmed);
         }
-        REQUIRE(store.zone().serial() == confirmed);
+        reached = disk.reached();
+        const ZoneStore store(folder.path(), kOrigin, {});
+        // What was refused may still be there, if the disk took it and could not say so.
+        REQUIRE(store.zone().serial() >= confirmed);
+        REQUIRE(store.zone().serial() <= confirmed + (refused ? 1 : 0));
+        CheckWhole(store.zone());
       }
-      reached_end = !disk.failed();
-      const ZoneStore store(folder.path(), kOrigin, {});
-      // What was refused may still be there, if the disk took it and could not say so.
-      REQUIRE(store.zone().serial() >= confirmed);
-      REQUIRE(store.zone().serial() <= confirmed + (refused ? 1 : 0));
-      CheckWhole(store.zone());
     }
   }
 }
