--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -471,7 +471,14 @@
                 "the line", lambda: sum("the old one holds" in line for line in forwarder.log) > i
             )
         self.toy.announce([member(self.toy, "later", 3, "single")])
-        message, _ = forwarder.client().put(3, "x")
+        # The list is told by the watch: until it has come, what it names is turned away.
+        client = forwarder.client()
+        message, answer = client.put(3, "x")
+        end = time.monotonic() + LIMIT
+        while answer != "+OK":
+            self.assertLess(time.monotonic(), end, answer)
+            time.sleep(0.02)
+            message, answer = client.put(3, "x")
         self.wait_for("the call", lambda: self.calls_of(message))
         self.assertEqual(forwarder.end(signal.SIGTERM), 0)
 
