--- a/src/rehearsal/zone_side.cpp
+++ b/src/rehearsal/zone_side.cpp
@@ -33,8 +33,7 @@
       prefix_(prefix),
       out_(std::move(out)),
       on_told_(std::move(on_told)) {
-  key_ = {Name::Known("rehearsal-key."), dns::Algorithm::kHmacSha256,
-          *dns::FromBase64(kSecret)};
+  key_ = {Name::Known("rehearsal-key."), dns::Algorithm::kHmacSha256, *dns::FromBase64(kSecret)};
   nameserver::HostSettings settings;
   settings.server.address = prefix_ + "250:" + std::to_string(kZonePort);
   settings.keys.emplace(key_.name.Key(), key_);
