--- a/fuzz/wire.cpp
+++ b/fuzz/wire.cpp
@@ -17,8 +17,8 @@
   dns::Message message = *decoded.message;
   if (message.tsig) message.additional.push_back(*message.tsig);
   const std::string encoded = Encode(message);
-  if (dns::Decode(encoded).message && dns::Decode(encoded).message->truncated) return;
   const dns::Decoded again = dns::Decode(encoded);
+  if (again.message && again.message->truncated) return;
   Must(again.message.has_value(), "what is encoded can be decoded");
   dns::Message same = *again.message;
   if (same.tsig) same.additional.push_back(*same.tsig);
--- a/fuzz/zone_file.cpp
+++ b/fuzz/zone_file.cpp
@@ -29,9 +29,8 @@
 
 void Take(std::string_view bytes) {
   // A $GENERATE may ask for a million records: that is allowed, but no use here.
-  if (bytes.size() > 65536 || bytes.find("$GENERATE") != std::string_view::npos) {
-    if (bytes.size() > 300) return;
-  }
+  const bool generates = bytes.find("$GENERATE") != std::string_view::npos;
+  if (bytes.size() > 65536 || (generates && bytes.size() > 300)) return;
   try {
     const std::string written = Written(Read(std::string(bytes)));
     Must(Written(Read(written)) == written, "a zone goes round");
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -116,8 +116,7 @@
   for (std::size_t n = same_soa ? 1 : 0; n < change.added.size(); ++n) {
     std::cout << "+" << change.added[n].ToText() << "\n";
   }
-  const bool same = same_soa && change.removed.size() == 1 && change.added.size() == 1;
-  return same ? kGood : kOther;
+  return same_soa && change.is_soa_alone() ? kGood : kOther;
 }
 
 nameserver::Ask AskFrom(const std::string& server, const cxxopts::ParseResult& given) {
--- a/src/dns/follower.cpp
+++ b/src/dns/follower.cpp
@@ -70,7 +70,7 @@
   if (IsNewer(serial, *serial_)) {
     phase_ = Phase::kMustTransfer;
   } else if (serial == *serial_) {
-    Confirm(now);
+    IsUpToDate(now);
   } else {
     Failed(now);  // it has gone back: whatever it holds is not what it should
   }
@@ -79,21 +79,20 @@
 void Follower::Took(std::uint32_t serial, const SoaTimers& timers, double now) {
   serial_ = serial;
   timers_ = timers;
-  Confirm(now);
+  IsUpToDate(now);
 }
 
-void Follower::IsUpToDate(double now) { Confirm(now); }
-
-void Follower::Confirm(double now) {
-  phase_ = Phase::kWaiting;
+void Follower::IsUpToDate(double now) {
   confirmed_ = now;
   expired_ = false;
-  due_ = notified_ ? std::max(now, asked_ + kBetweenQuestions) : now + timers_.refresh;
+  Wait(timers_.refresh, now);
 }
 
-void Follower::Failed(double now) {
+void Follower::Failed(double now) { Wait(timers_.retry, now); }
+
+void Follower::Wait(double seconds, double now) {
   phase_ = Phase::kWaiting;
-  due_ = notified_ ? std::max(now, asked_ + kBetweenQuestions) : now + timers_.retry;
+  due_ = notified_ ? std::max(now, asked_ + kBetweenQuestions) : now + seconds;
 }
 
 }  // namespace brassfront::dns
--- a/src/dns/follower.hpp
+++ b/src/dns/follower.hpp
@@ -51,12 +51,12 @@
   bool has_zone() const { return serial_.has_value(); }
   std::uint32_t serial() const { return serial_.value_or(0); }
   bool expired() const { return expired_; }
-  double confirmed() const { return confirmed_; }
 
  private:
   enum class Phase { kWaiting, kAsking, kMustTransfer, kTransferring };
 
-  void Confirm(double now);
+  // Until it is time to ask again: at once, if a notice came meanwhile.
+  void Wait(double seconds, double now);
 
   Phase phase_ = Phase::kWaiting;
   std::optional<std::uint32_t> serial_;
--- a/src/dns/name.cpp
+++ b/src/dns/name.cpp
@@ -105,20 +105,29 @@
   return Name(std::move(wire));
 }
 
-std::optional<Name> Name::FromWire(std::string_view wire) {
-  if (wire.size() > kMostBytes) return std::nullopt;
-  for (std::size_t at = 0; at < wire.size();) {
-    const auto length = static_cast<unsigned char>(wire[at]);
-    if (length == 0) {
-      if (at + 1 != wire.size()) return std::nullopt;
-      return Name(std::string(wire));
-    }
+std::optional<std::size_t> Name::LengthIn(std::string_view bytes) {
+  for (std::size_t at = 0; at < bytes.size() && at < kMostBytes;) {
+    const auto length = static_cast<unsigned char>(bytes[at]);
     if (length > kMostLabelBytes) return std::nullopt;
     at += 1 + length;
+    if (length == 0) return at;
   }
   return std::nullopt;
 }
 
+std::optional<Name> Name::TakeWire(std::string_view& bytes) {
+  const auto length = LengthIn(bytes);
+  if (!length) return std::nullopt;
+  Name name{std::string(bytes.substr(0, *length))};
+  bytes.remove_prefix(*length);
+  return name;
+}
+
+std::optional<Name> Name::FromWire(std::string_view wire) {
+  auto name = TakeWire(wire);
+  return wire.empty() ? std::move(name) : std::nullopt;
+}
+
 Name Name::Known(std::string_view text) {
   std::string why;
   const auto name = FromText(text, Name(), why);
--- a/src/dns/name.hpp
+++ b/src/dns/name.hpp
@@ -24,6 +24,10 @@
   static std::optional<Name> FromText(std::string_view text, const Name& origin, std::string& why);
   // From labels with their lengths, the root's included. Nothing if that is not all of the bytes.
   static std::optional<Name> FromWire(std::string_view wire);
+  // How many of the bytes the name is that starts them; nothing if none does.
+  static std::optional<std::size_t> LengthIn(std::string_view bytes);
+  // The name that starts the bytes, which is taken off; nothing, and all left, if none does.
+  static std::optional<Name> TakeWire(std::string_view& bytes);
   // A name that is written in this program.
   static Name Known(std::string_view text);
 
--- a/src/dns/rdata.cpp
+++ b/src/dns/rdata.cpp
@@ -5,11 +5,12 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include "protocol/base64.hpp"
+
 namespace brassfront::dns {
 namespace {
 
@@ -43,14 +44,6 @@
                                     "ipv4hint",  "ech",  "ipv6hint"};
 enum : std::uint16_t { kMandatory, kAlpn, kNoDefaultAlpn, kPort, kIpv4Hint, kEch, kIpv6Hint };
 
-template <typename Number>
-std::optional<Number> NumberOf(std::string_view text) {
-  Number value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || text.empty()) return std::nullopt;
-  return value;
-}
-
 std::optional<std::string> Address(int family, const std::string& text) {
   std::array<char, 16> bytes{};
   if (inet_pton(family, text.c_str(), bytes.data()) != 1) return std::nullopt;
@@ -93,7 +86,7 @@
     if (text == kSvcKeys[key]) return key;
   }
   if (!text.starts_with("key") || (text.size() > 4 && text[3] == '0')) return std::nullopt;
-  const auto key = NumberOf<std::uint16_t>(text.substr(3));
+  const auto key = WholeNumber<std::uint16_t>(text.substr(3));
   return key == 65535 ? std::nullopt : key;
 }
 
@@ -138,7 +131,7 @@
     case kNoDefaultAlpn:
       return text.empty() ? std::optional(out) : std::nullopt;
     case kPort: {
-      const auto port = NumberOf<std::uint16_t>(text);
+      const auto port = WholeNumber<std::uint16_t>(text);
       if (!port) return std::nullopt;
       Put16(out, *port);
       return out;
@@ -292,14 +285,8 @@
         add(AddressText(AF_INET6, value.substr(at, 16)));
       }
       return out;
-    case kEch: {
-      std::string text(4 * ((value.size() + 2) / 3) + 1, '\0');
-      const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                         reinterpret_cast<const unsigned char*>(value.data()),
-                                         static_cast<int>(value.size()));
-      text.resize(static_cast<std::size_t>(length));
-      return text;
-    }
+    case kEch:
+      return EncodeBase64(value);
     default:
       out = value;
   }
@@ -333,15 +320,8 @@
       return fixed(16);
     case kName:
     case kPlainName:
-    case kStrictName: {
-      for (std::size_t at = 0; at < bytes.size() && at < Name::kMostBytes;) {
-        const auto length = static_cast<unsigned char>(bytes[at]);
-        if (length > Name::kMostLabelBytes) return std::nullopt;
-        at += 1 + length;
-        if (length == 0) return at;
-      }
-      return std::nullopt;
-    }
+    case kStrictName:
+      return Name::LengthIn(bytes);
     case kStrings: {
       std::size_t at = 0;
       while (at < bytes.size()) at += 1 + static_cast<unsigned char>(bytes[at]);
@@ -401,10 +381,10 @@
     value = Address(field == kIpv4 ? AF_INET : AF_INET6, text);
     if (!value) why = "'" + text + "' is no IPv" + (field == kIpv4 ? "4" : "6") + " address";
   } else if (field == kU16) {
-    if (const auto number = NumberOf<std::uint16_t>(text)) Put16(value.emplace(), *number);
+    if (const auto number = WholeNumber<std::uint16_t>(text)) Put16(value.emplace(), *number);
     if (!value) why = "'" + text + "' is no number from 0 to 65535";
   } else {
-    const auto number = field == kU32 ? NumberOf<std::uint32_t>(text) : SecondsFromText(text);
+    const auto number = field == kU32 ? WholeNumber<std::uint32_t>(text) : SecondsFromText(text);
     if (number) Put32(value.emplace(), *number);
     if (!value && field == kU32) why = "'" + text + "' is no number from 0 to 4294967295";
     if (!value && field == kSeconds) why = "'" + text + "' is no time such as 3600 or 1h30m";
@@ -419,7 +399,7 @@
 // `\# LENGTH HEX...` (RFC 3597 §5), which any type may be given as.
 std::optional<std::string> UnknownFromText(std::span<const Word> words, std::string& why,
                                            std::size_t& at_word) {
-  const auto length = words.size() > 1 ? NumberOf<std::uint16_t>(words[1].text) : std::nullopt;
+  const auto length = words.size() > 1 ? WholeNumber<std::uint16_t>(words[1].text) : std::nullopt;
   at_word = std::min<std::size_t>(1, words.size());
   if (!length) {
     why = "expected \\# and the number of bytes that follow in hexadecimal";
@@ -452,7 +432,7 @@
     if (SameIgnoringCase(text, mnemonic)) return type;
   }
   if (!SameIgnoringCase(text.substr(0, 4), "TYPE")) return std::nullopt;
-  return NumberOf<std::uint16_t>(text.substr(4));
+  return WholeNumber<std::uint16_t>(text.substr(4));
 }
 
 std::string TypeText(std::uint16_t type) {
@@ -472,7 +452,7 @@
     if (SameIgnoringCase(text, mnemonic)) return value;
   }
   if (!SameIgnoringCase(text.substr(0, 5), "CLASS")) return std::nullopt;
-  return NumberOf<std::uint16_t>(text.substr(5));
+  return WholeNumber<std::uint16_t>(text.substr(5));
 }
 
 std::string ClassText(std::uint16_t klass) {
@@ -581,6 +561,11 @@
   return rdata.empty() ? out : out + " " + HexText(rdata);
 }
 
+bool HasNames(std::uint16_t type) {
+  const TypeInfo* info = InfoOf(type);
+  return info != nullptr && std::any_of(std::begin(info->fields), std::end(info->fields), IsName);
+}
+
 bool IsRdata(std::uint16_t type, std::string_view rdata) {
   const TypeInfo* info = InfoOf(type);
   return rdata.size() <= 65535 &&
--- a/src/dns/rdata.hpp
+++ b/src/dns/rdata.hpp
@@ -4,11 +4,14 @@
 #ifndef BRASSFRONT_DNS_RDATA_HPP_
 #define BRASSFRONT_DNS_RDATA_HPP_
 
+#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <type_traits>
 
 #include "dns/name.hpp"
 
@@ -55,6 +58,16 @@
 // IN, CH, HS, NONE, ANY or CLASS123.
 std::optional<std::uint16_t> ClassFromText(std::string_view text);
 std::string ClassText(std::uint16_t klass);
+// All of the text as a number, without a sign. Nothing if it is not one, or too large.
+template <typename Number>
+std::optional<Number> WholeNumber(std::string_view text) {
+  static_assert(std::is_unsigned_v<Number>);
+  Number value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return value;
+}
 // Seconds, or with units as in `1h30m` or `2W`. Nothing beyond 2^31 - 1 (RFC 2181 §8).
 std::optional<std::uint32_t> SecondsFromText(std::string_view text);
 
@@ -72,6 +85,8 @@
                                          std::size_t& at_word);
 std::string RdataText(std::uint16_t type, std::string_view rdata);
 
+// Whether there are names in what the type holds.
+bool HasNames(std::uint16_t type);
 // True if the bytes are what a record of the type may hold.
 bool IsRdata(std::uint16_t type, std::string_view rdata);
 // With the names in it in small letters: what is equal so is the same record (RFC 4034 §6.2).
--- a/src/dns/transfer.cpp
+++ b/src/dns/transfer.cpp
@@ -90,11 +90,15 @@
   };
   if (stream) return send(session);
   const std::size_t room = limit - std::min(limit, session != nullptr ? session->MostBytes() : 0);
-  if (!soa_alone) {
-    // The whole zone is not even tried in a datagram.
-    const auto tried = changes ? send(nullptr) : std::vector<std::string>();
-    soa_alone = tried.size() != 1 || tried[0].size() > room;
+  // The whole zone is not even tried in a datagram.
+  if (!soa_alone && changes) {
+    auto tried = send(nullptr);
+    if (tried.size() == 1 && tried[0].size() <= room) {
+      if (session != nullptr) tried[0] = session->Sign(std::move(tried[0]), now);
+      return tried;
+    }
   }
+  soa_alone = true;
   return send(session);
 }
 
--- a/src/dns/tsig.cpp
+++ b/src/dns/tsig.cpp
@@ -55,11 +55,7 @@
 };
 
 std::optional<Fields> FieldsOf(std::string_view rdata) {
-  std::size_t at = 0;
-  while (at < rdata.size() && rdata[at] != 0) at += 1 + static_cast<unsigned char>(rdata[at]);
-  if (at + 1 > rdata.size()) return std::nullopt;
-  const auto algorithm = Name::FromWire(rdata.substr(0, at + 1));
-  rdata.remove_prefix(at + 1);
+  const auto algorithm = Name::TakeWire(rdata);
   if (!algorithm || rdata.size() < 10) return std::nullopt;
   Fields fields;
   fields.algorithm = *algorithm;
--- a/src/dns/update.cpp
+++ b/src/dns/update.cpp
@@ -115,7 +115,7 @@
     Change change = Difference(before_, after_);
     const bool same_soa = SameData(change.removed[0], change.added[0]) &&
                           change.removed[0].ttl == change.added[0].ttl;
-    if (same_soa && change.removed.size() == 1 && change.added.size() == 1) return std::nullopt;
+    if (same_soa && change.is_soa_alone()) return std::nullopt;
     if (!IsNewer(change.to(), change.from())) {
       std::string& soa = change.added[0].rdata;
       soa = WithSerial(soa, NextSerial(change.from()));
@@ -143,7 +143,7 @@
       after_.Remove(after_.Soa());
     } else if (record.type == type::kCname) {
       if (node != nullptr && !alias) return;
-      if (alias) RemoveSet(record.name, type::kCname);
+      if (alias) Delete({record.name, type::kCname, klass::kAny, 0, {}});
     } else if (alias) {
       return;
     }
@@ -167,12 +167,6 @@
     }
   }
 
-  void RemoveSet(const Name& name, std::uint16_t type) {
-    for (const Record& held : after_.RecordsOf(name)) {
-      if (held.type == type) after_.Remove(held);
-    }
-  }
-
   const Zone& zone_;
   Zone before_;
   Zone after_;
--- a/src/dns/zone.cpp
+++ b/src/dns/zone.cpp
@@ -16,9 +16,7 @@
 // Sets are kept in the order of their records' canonical form (RFC 4034 §6.3), so that one of many
 // is found without a look at all.
 bool ComesBefore(std::uint16_t type, std::string_view a, std::string_view b) {
-  if (InfoOf(type) == nullptr || type == type::kA || type == type::kAaaa || type == type::kTxt) {
-    return a < b;  // no names in it
-  }
+  if (!HasNames(type)) return a < b;
   return CanonicalRdata(type, a) < CanonicalRdata(type, b);
 }
 
@@ -223,12 +221,16 @@
 
 bool Zone::Apply(const Change& change) {
   if (!Fits(change)) return false;
+  ApplyFitting(change);
+  return true;
+}
+
+void Zone::ApplyFitting(const Change& change) {
   for (const Record& record : change.removed) Remove(record);
   for (const Record& record : change.added) Add(record);
   changes_.push_back(change);
   change_records_ += change.removed.size() + change.added.size();
   Trim();
-  return true;
 }
 
 void Zone::Trim() {
--- a/src/dns/zone.hpp
+++ b/src/dns/zone.hpp
@@ -40,6 +40,8 @@
 
   std::uint32_t from() const { return SerialOf(removed.front().rdata); }
   std::uint32_t to() const { return SerialOf(added.front().rdata); }
+  // No other record goes or comes.
+  bool is_soa_alone() const { return removed.size() == 1 && added.size() == 1; }
 };
 
 // The outcome of a query by RFC 1034 §4.3.2 within one zone.
@@ -82,6 +84,8 @@
   bool Fits(const Change& change) const;
   // Applies a change that fits, whole, and remembers it. False, and nothing done, if it does not.
   bool Apply(const Change& change);
+  // The same where Fits was asked already.
+  void ApplyFitting(const Change& change);
   // Remembered changes from that serial to the newest, in order. Nothing if it is not known.
   std::optional<std::vector<const Change*>> Since(std::uint32_t serial) const;
   void Forget() { changes_.clear(), change_records_ = 0; }
--- a/src/dns/zone_file.cpp
+++ b/src/dns/zone_file.cpp
@@ -94,21 +94,15 @@
   std::uint32_t from = 0, to = 0, step = 1;
 };
 
-std::optional<std::uint32_t> CountOf(std::string_view text) {
-  std::uint32_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
 std::optional<Range> RangeOf(std::string_view text) {
   const auto dash = text.find('-');
   if (dash == std::string_view::npos) return std::nullopt;
   const auto slash = text.find('/');
-  const auto from = CountOf(text.substr(0, dash));
-  const auto to = CountOf(text.substr(
+  const auto from = WholeNumber<std::uint32_t>(text.substr(0, dash));
+  const auto to = WholeNumber<std::uint32_t>(text.substr(
       dash + 1, slash == std::string_view::npos ? std::string_view::npos : slash - dash - 1));
-  const auto step = slash == std::string_view::npos ? 1 : CountOf(text.substr(slash + 1));
+  const auto step =
+      slash == std::string_view::npos ? 1 : WholeNumber<std::uint32_t>(text.substr(slash + 1));
   if (!from || !to || !step || *to < *from || *step == 0) return std::nullopt;
   return Range{*from, *to, *step};
 }
@@ -169,7 +163,7 @@
         return std::nullopt;
       }
       if (parts.size() > 1) {
-        const auto given = CountOf(parts[1]);
+        const auto given = WholeNumber<std::uint32_t>(parts[1]);
         if (!given || *given > 255) return std::nullopt;
         width = *given;
       }
--- a/src/forwarder/endpoint_sources.cpp
+++ b/src/forwarder/endpoint_sources.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <utility>
 
+#include "nameserver/client.hpp"
 #include "observe/log.hpp"
 #include "records/syntax.hpp"
 
@@ -14,14 +15,6 @@
 using observe::Concern;
 using observe::Level;
 
-double Now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
-double Seconds(const records::Record& record) {
-  return std::chrono::duration<double>(record.Duration()).count();
-}
-
 bool IsOneOf(const std::string& name, const std::vector<std::string>& names) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -68,10 +61,10 @@
   settings.platform_rank = static_cast<int>(root.At("platform_rank").Int());
   const auto& damping = root.At("damping");
   settings.damping.on = damping.At("on").Bool();
-  settings.damping.half_life = Seconds(damping.At("half_life"));
+  settings.damping.half_life = nameserver::SecondsIn(damping.At("half_life"));
   settings.damping.suppress = damping.At("suppress").Double();
   settings.damping.reuse = damping.At("reuse").Double();
-  settings.damping.longest = Seconds(damping.At("longest"));
+  settings.damping.longest = nameserver::SecondsIn(damping.At("longest"));
   std::vector<records::Fault> faults;
   if (settings.damping.reuse > settings.damping.suppress) {
     faults.push_back(damping.At("reuse").Complain("reuse must not be above suppress"));
@@ -92,7 +85,7 @@
     }
     listing.rank = static_cast<int>(record.At("rank").Int());
     listing.owns = record.At("owns").Bool();
-    listing.expiry = Seconds(record.At("expiry"));
+    listing.expiry = nameserver::SecondsIn(record.At("expiry"));
     listing.defaults = {record.At("kind").Text(), record.At("locality").Text()};
     if (!listing.defaults.kind.empty() && !IsOneOf(listing.defaults.kind, config.kind_names)) {
       faults.push_back(record.At("kind").Complain("no kind of the configuration"));
@@ -119,7 +112,7 @@
         merged_.AddSource({listing.zone.ToText(), listing.rank, listing.owns, listing.expiry});
     listed.map = std::make_unique<membership::ZoneMap>(listing.defaults);
   }
-  merged_.TakeList(platform_, config.known, Now());
+  merged_.TakeList(platform_, config.known, nameserver::SteadySeconds());
 }
 
 EndpointSources::~EndpointSources() { Stop(); }
@@ -153,7 +146,7 @@
   };
   watcher.failed = [this](const dns::Zone& zone, const std::string&) {
     const std::lock_guard lock(mutex_);
-    if (Listed* listed = Of(zone)) merged_.Failed(listed->source, Now());
+    if (Listed* listed = Of(zone)) merged_.Failed(listed->source, nameserver::SteadySeconds());
   };
   watcher.expired = [this](const dns::Zone& zone) {
     const std::lock_guard lock(mutex_);
@@ -168,7 +161,7 @@
                        [](const auto& entry) { return entry.second.heard; });
   });
   if (!all) observe::Log(Concern::kZones, Level::kWarning, "zones not confirmed at the start");
-  return merged_.Changes(Now()).value_or(MemberList{});
+  return merged_.Changes(nameserver::SteadySeconds()).value_or(MemberList{});
 }
 
 void EndpointSources::Start(Put put) {
@@ -193,7 +186,7 @@
 
 void EndpointSources::TakePlatform(const MemberList& list) {
   const std::lock_guard lock(mutex_);
-  merged_.TakeList(platform_, list, Now());
+  merged_.TakeList(platform_, list, nameserver::SteadySeconds());
   Send();
 }
 
@@ -204,7 +197,7 @@
 
 void EndpointSources::Heard(Listed& listed) {
   listed.heard = true;
-  merged_.Confirm(listed.source, Now());
+  merged_.Confirm(listed.source, nameserver::SteadySeconds());
   wake_.notify_all();
 }
 
@@ -224,18 +217,21 @@
       observe::LogSeldom(Concern::kZones, Level::kWarning, "zone record lists nothing",
                          {{"fault", fault}});
     }
-    merged_.Take(listed.source, service.name, service.members, Now());
+    merged_.Take(listed.source, service.name, service.members, nameserver::SteadySeconds());
   }
 }
 
 void EndpointSources::Send() {
   if (!put_) return;
-  if (auto list = merged_.Changes(Now())) {
-    observe::Log(Concern::kZones, Level::kDebug, "list merged",
-                 {{"revision", list->revision},
-                  {"changes", list->members.size()},
-                  {"endpoints", merged_.endpoints()},
-                  {"suppressed", merged_.suppressed()}});
+  if (auto list = merged_.Changes(nameserver::SteadySeconds())) {
+    // To count what is held back costs a look at all.
+    if (observe::Logs(Concern::kZones, Level::kDebug)) {
+      observe::Log(Concern::kZones, Level::kDebug, "list merged",
+                   {{"revision", list->revision},
+                    {"changes", list->members.size()},
+                    {"endpoints", merged_.endpoints()},
+                    {"suppressed", merged_.suppressed()}});
+    }
     put_(*std::move(list));
   }
   wake_.notify_all();
@@ -244,10 +240,9 @@
 void EndpointSources::Watch() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const double wait = std::clamp(merged_.NextDue() - Now(), 0.001, 3600.0);
+    const double wait = std::clamp(merged_.NextDue() - nameserver::SteadySeconds(), 0.001, 3600.0);
     wake_.wait_for(lock, std::chrono::duration<double>(wait));
-    if (stopping_ || merged_.NextDue() > Now()) continue;
-    if (auto list = merged_.Changes(Now()); list && put_) put_(*std::move(list));
+    if (!stopping_ && merged_.NextDue() <= nameserver::SteadySeconds()) Send();
   }
 }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -241,9 +241,9 @@
       destinations_.erase(destination);
     }
   }
-  const bool spoke = std::any_of(sources_.begin(), sources_.end(),
-                                 [](const Source& source) { return source.spoke; });
-  if (list.members.empty() && !(first_ && spoke)) return std::nullopt;
+  const auto spoke = [](const Source& source) { return source.spoke; };
+  const bool empty_first = first_ && std::any_of(sources_.begin(), sources_.end(), spoke);
+  if (list.members.empty() && !empty_first) return std::nullopt;
   list.complete = std::exchange(first_, false);
   list.revision = ++revision_;
   return list;
--- a/src/membership/zone_map.cpp
+++ b/src/membership/zone_map.cpp
@@ -1,7 +1,6 @@
 #include "membership/zone_map.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 namespace brassfront::membership {
@@ -93,10 +92,8 @@
     return found == words.end() ? otherwise : found->second;
   };
   const std::string number = word("destination", "");
-  std::uint64_t destination = 0;
-  const auto [end, error] =
-      std::from_chars(number.data(), number.data() + number.size(), destination);
-  if (number.empty() || error != std::errc() || end != number.data() + number.size()) {
+  const auto destination = dns::WholeNumber<std::uint64_t>(number);
+  if (!destination) {
     faults.push_back(service.name + ": no TXT record with destination=NUMBER beside its SRV");
     return service;
   }
@@ -140,7 +137,7 @@
       member.id = service.name + "/" + shown + "@" + member.address;
       member.zone = own_zone != own.end() ? own_zone->second : word("zone", defaults_.zone);
       member.kind = kind;
-      member.destination = destination;
+      member.destination = *destination;
       member.phase = Worse(*service_phase, *phase);
       member.weight = weight == 0 ? kLeastWeight : weight;
       by_priority[priority].push_back(std::move(member));
--- a/src/nameserver/client.cpp
+++ b/src/nameserver/client.cpp
@@ -1,12 +1,9 @@
 #include "nameserver/client.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/random.h>
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <thread>
 #include <vector>
@@ -17,28 +14,12 @@
 using dns::Message;
 using dns::TsigError;
 
-std::optional<sockaddr_in> Address(const std::string& text) {
-  if (!IsAddress(text)) return std::nullopt;
-  const auto colon = text.rfind(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  std::uint16_t port = 0;
-  std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-  address.sin_port = htons(port);
-  inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr);
-  return address;
-}
-
-template <typename Attach>
-Socket Datagrams(const std::string& text, Attach attach) {
-  const auto address = Address(text);
-  if (!address) return {};
-  Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-  if (!socket.is_open()) return {};
-  if (attach(socket.fd(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0) {
-    return {};
-  }
-  return socket;
+// The message's bytes, signed with a new session if there is a key.
+std::string Sealed(const Ask& how, const Message& message,
+                   std::optional<dns::TsigSession>& session) {
+  std::string bytes = Encode(message);
+  if (!how.key) return bytes;
+  return session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
 }
 
 // Why it is no answer to that message; empty if it is one. The session is spent by a good one
@@ -75,8 +56,7 @@
   std::vector<char> buffer(dns::kMostMessageBytes);
   for (int attempt = 0; attempt < how.tries; ++attempt) {
     std::optional<dns::TsigSession> session;
-    std::string bytes = Encode(message);
-    if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+    const std::string bytes = Sealed(how, message, session);
     const auto until = std::chrono::steady_clock::now() + how.wait;
     if (send(socket.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
       asked.why = std::strerror(errno);
@@ -126,15 +106,16 @@
 
 }  // namespace
 
-Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
-Socket ConnectDatagrams(const std::string& address) { return Datagrams(address, connect); }
-
 std::uint64_t SecondsNow() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(
                                         std::chrono::system_clock::now().time_since_epoch())
                                         .count());
 }
 
+double SteadySeconds() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
 std::uint16_t RandomId() {
   std::uint16_t id = 0;
   while (getrandom(&id, sizeof id, 0) != sizeof id) {
@@ -149,8 +130,7 @@
     if (!asked.answer || !asked.answer->truncated) return asked;
   }
   std::optional<dns::TsigSession> session;
-  std::string bytes = Encode(message);
-  if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+  const std::string bytes = Sealed(how, message, session);
   Asked asked;
   std::string why = ByStream(how, bytes, [&](std::string_view got) {
     dns::Decoded decoded = dns::Decode(got);
@@ -166,8 +146,7 @@
                           const std::optional<dns::Record>& have) {
   const Message request = TransferRequest(zone, have, RandomId());
   std::optional<dns::TsigSession> session;
-  std::string bytes = Encode(request);
-  if (how.key) bytes = session.emplace(*how.key).Sign(std::move(bytes), SecondsNow());
+  const std::string bytes = Sealed(how, request, session);
   dns::TransferReader reader(zone, have, request.id, std::move(session));
   std::optional<dns::Transferred> done;
   std::string why = ByStream(how, bytes, [&](std::string_view got) {
--- a/src/nameserver/client.hpp
+++ b/src/nameserver/client.hpp
@@ -15,11 +15,8 @@
 
 namespace brassfront::nameserver {
 
-// Datagram sockets, for the server too.
-Socket BindDatagrams(const std::string& address);     // closed where it cannot be
-Socket ConnectDatagrams(const std::string& address);  // closed where it cannot be
-
 std::uint64_t SecondsNow();  // since 1970, as signatures have them
+double SteadySeconds();      // on a clock that never goes back
 std::uint16_t RandomId();    // not to be guessed (RFC 5452)
 
 struct Asked {
--- a/src/nameserver/following.cpp
+++ b/src/nameserver/following.cpp
@@ -13,10 +13,6 @@
 using observe::Concern;
 using observe::Level;
 
-double Now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 }  // namespace
 
 Following::Following(FollowedZone& zone, std::mutex& mutex, Ask how, double age,
@@ -25,10 +21,10 @@
       zones_mutex_(mutex),
       how_(std::move(how)),
       watcher_(std::move(watcher)),
-      follower_(Now()) {
+      follower_(SteadySeconds()) {
   if (zone_.zone().has_soa()) {
     const dns::Record soa = zone_.zone().Soa();
-    follower_.Start(zone_.zone().serial(), dns::SoaTimers::Of(soa.rdata), age, Now());
+    follower_.Start(zone_.zone().serial(), dns::SoaTimers::Of(soa.rdata), age, SteadySeconds());
   }
   thread_ = Thread("dns-follow", [this] { Follow(); });
 }
@@ -44,7 +40,7 @@
 
 void Following::Notified(std::optional<std::uint32_t> serial) {
   const std::lock_guard lock(mutex_);
-  follower_.Notified(serial, Now());
+  follower_.Notified(serial, SteadySeconds());
   poked_ = true;
   wake_.notify_all();
 }
@@ -52,10 +48,10 @@
 void Following::Follow() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const auto step = follower_.Due(Now());
+    const auto step = follower_.Due(SteadySeconds());
     if (step == dns::Follower::Step::kNothing) {
       // An hour at most: a due time far away is none to the clock's arithmetic.
-      const double wait = std::clamp(follower_.NextDue() - Now(), 0.001, 3600.0);
+      const double wait = std::clamp(follower_.NextDue() - SteadySeconds(), 0.001, 3600.0);
       wake_.wait_for(lock, std::chrono::duration<double>(wait),
                      [this] { return stopping_ || std::exchange(poked_, false); });
       continue;
@@ -80,16 +76,20 @@
   }
 }
 
+void Following::TellFailed(const std::string& why) {
+  observe::LogSeldom(
+      Concern::kZones, Level::kWarning, "zone not renewed",
+      {{"zone", zone_.zone().origin().ToText()}, {"primary", how_.server}, {"why", why}});
+  if (watcher_.failed) watcher_.failed(zone_.zone(), why);
+}
+
 void Following::Fail(const std::string& why) {
   {
     const std::lock_guard zones(zones_mutex_);
-    observe::LogSeldom(
-        Concern::kZones, Level::kWarning, "zone not renewed",
-        {{"zone", zone_.zone().origin().ToText()}, {"primary", how_.server}, {"why", why}});
-    if (watcher_.failed) watcher_.failed(zone_.zone(), why);
+    TellFailed(why);
   }
   const std::lock_guard lock(mutex_);
-  follower_.Failed(Now());
+  follower_.Failed(SteadySeconds());
 }
 
 void Following::AskSerial() {
@@ -108,16 +108,13 @@
   const auto serial = dns::SerialOf(answer->answer[0].rdata);
   const std::lock_guard zones(zones_mutex_);
   const std::lock_guard lock(mutex_);
-  follower_.SerialIs(serial, Now());
+  follower_.SerialIs(serial, SteadySeconds());
   if (serial == zone_.zone().serial()) {
     zone_.set_expired(false);
     if (watcher_.confirmed) watcher_.confirmed(zone_.zone());
-  } else if (follower_.NextDue() > 0) {
-    const std::string why = "the primary's serial is " + std::to_string(serial) +
-                            ", not newer than " + std::to_string(zone_.zone().serial());
-    observe::LogSeldom(Concern::kZones, Level::kWarning, "zone not renewed",
-                       {{"zone", zone_.zone().origin().ToText()}, {"why", why}});
-    if (watcher_.failed) watcher_.failed(zone_.zone(), why);
+  } else if (!dns::IsNewer(serial, zone_.zone().serial())) {
+    TellFailed("the primary's serial is " + std::to_string(serial) + ", not newer than " +
+               std::to_string(zone_.zone().serial()));
   }
 }
 
@@ -170,9 +167,10 @@
     if (why.empty()) {
       const std::lock_guard lock(mutex_);
       if (applied > 0) {
-        follower_.Took(zone_.zone().serial(), dns::SoaTimers::Of(zone_.zone().Soa().rdata), Now());
+        follower_.Took(zone_.zone().serial(), dns::SoaTimers::Of(zone_.zone().Soa().rdata),
+                       SteadySeconds());
       } else {
-        follower_.IsUpToDate(Now());
+        follower_.IsUpToDate(SteadySeconds());
       }
     }
   }
--- a/src/nameserver/following.hpp
+++ b/src/nameserver/following.hpp
@@ -41,6 +41,7 @@
   void Follow();
   void AskSerial();
   void TransferNow(bool by_changes);
+  void TellFailed(const std::string& why);  // with the zones' mutex held
   void Fail(const std::string& why);
 
   FollowedZone& zone_;
--- a/src/nameserver/host.cpp
+++ b/src/nameserver/host.cpp
@@ -44,14 +44,6 @@
 
 }  // namespace
 
-std::optional<Host::Stamp> Host::StampOf(const std::string& file) {
-  struct stat state {};
-  if (stat(file.c_str(), &state) != 0) return std::nullopt;
-  return Stamp(
-      std::chrono::seconds(state.st_mtim.tv_sec) + std::chrono::nanoseconds(state.st_mtim.tv_nsec),
-      static_cast<std::size_t>(state.st_size));
-}
-
 Host::Host(HostSettings settings, ZoneWatcher watcher)
     : settings_(std::move(settings)), watcher_(std::move(watcher)) {
   responder_.SetKeys(settings_.keys, settings_.grants);
@@ -108,10 +100,9 @@
 
 void Host::Open(Hosted& hosted) {
   const ZoneSettings& zone = hosted.settings;
-  ZoneKeeper* keeper = nullptr;
   if (!zone.primary.empty()) {
     hosted.followed = std::make_unique<FollowedZone>(zone.name, zone.folder);
-    keeper = hosted.followed.get();
+    hosted.keeper = hosted.followed.get();
     struct stat state {};
     if (!zone.folder.empty() && stat((zone.folder + "/confirmed").c_str(), &state) == 0) {
       hosted.kept_age = std::max<double>(0, static_cast<double>(time(nullptr) - state.st_mtime));
@@ -119,31 +110,30 @@
   } else if (!zone.folder.empty()) {
     hosted.stored =
         std::make_unique<StoredZone>(zone.folder, zone.name, zones::ZoneStore::Options{});
-    keeper = hosted.stored.get();
+    hosted.keeper = hosted.stored.get();
     if (hosted.stored->store().cut_bytes() > 0) {
       observe::Log(Concern::kZones, Level::kWarning, "zone journal ended in half an entry",
                    {{"zone", zone.name.ToText()}, {"bytes", hosted.stored->store().cut_bytes()}});
     }
   } else {
     hosted.from_file = std::make_unique<FileZone>(dns::Zone(zone.name));
-    keeper = hosted.from_file.get();
+    hosted.keeper = hosted.from_file.get();
   }
-  responder_.AddZone(keeper);
+  responder_.AddZone(hosted.keeper);
   if (!zone.file.empty()) {
-    hosted.read = hosted.seen = StampOf(zone.file);
+    hosted.read = hosted.seen = zones::StampOf(zone.file);
     TakeFile(hosted);
   }
-  if (keeper->zone().has_soa() && watcher_.kept) watcher_.kept(keeper->zone());
+  if (hosted.keeper->zone().has_soa() && watcher_.kept) watcher_.kept(hosted.keeper->zone());
 }
 
 std::string Host::TakeZone(Hosted& hosted, const dns::Zone& zone) {
-  const dns::Zone& held = hosted.stored ? hosted.stored->zone() : hosted.from_file->zone();
+  const dns::Zone& held = hosted.keeper->zone();
   if (held.has_soa()) {
     const dns::Change change = dns::Difference(held, zone);
     if (zone.serial() == held.serial()) {
-      const bool same = change.removed.size() == 1 && change.added.size() == 1;
-      return same ? ""
-                  : "its records changed, but its serial is still " + std::to_string(zone.serial());
+      if (change.is_soa_alone()) return "";
+      return "its records changed, but its serial is still " + std::to_string(zone.serial());
     }
     if (!dns::IsNewer(zone.serial(), held.serial())) {
       return "its serial " + std::to_string(zone.serial()) + " is not newer than " +
@@ -151,11 +141,9 @@
              (hosted.stored ? ", which updates have led to" : ", which was read before");
     }
     std::string why;
-    ZoneKeeper& keeper = hosted.stored ? static_cast<ZoneKeeper&>(*hosted.stored)
-                                       : static_cast<ZoneKeeper&>(*hosted.from_file);
-    if (!keeper.Commit(change, nullptr, why)) return why;
+    if (!hosted.keeper->Commit(change, nullptr, why)) return why;
     if (server_) {
-      if (watcher_.changed) watcher_.changed(keeper.zone(), &change);
+      if (watcher_.changed) watcher_.changed(held, &change);
       server_->Announce(zone.origin());
     }
     return "";
@@ -180,7 +168,7 @@
   }
   const std::lock_guard lock(zones_mutex_);
   if (zone) why = TakeZone(hosted, *zone);
-  const dns::Zone& held = hosted.stored ? hosted.stored->zone() : hosted.from_file->zone();
+  const dns::Zone& held = hosted.keeper->zone();
   hosted.good = why.empty();
   if (hosted.good) {
     observe::Log(Concern::kZones, Level::kInfo, "zone file read",
@@ -195,19 +183,16 @@
 void Host::LookAtFiles() {
   for (Hosted& hosted : hosted_) {
     if (hosted.settings.file.empty()) continue;
-    const std::optional<Stamp> now = StampOf(hosted.settings.file);
-    const bool settled = std::exchange(hosted.seen, now) == now;
-    if (!settled || now == hosted.read) {
+    const auto now = zones::StampOf(hosted.settings.file);
+    if (std::exchange(hosted.seen, now) != now) continue;  // it is still being written
+    if (hosted.read != now) {
+      hosted.read = now;
+      TakeFile(hosted);
+    } else if (now && hosted.good && watcher_.confirmed) {
       // A file that is there and the same says again what it said.
-      if (settled && now && watcher_.confirmed) {
-        const std::lock_guard lock(zones_mutex_);
-        const dns::Zone& zone = hosted.stored ? hosted.stored->zone() : hosted.from_file->zone();
-        if (zone.has_soa() && hosted.good) watcher_.confirmed(zone);
-      }
-      continue;
+      const std::lock_guard lock(zones_mutex_);
+      watcher_.confirmed(hosted.keeper->zone());
     }
-    hosted.read = now;
-    TakeFile(hosted);
   }
 }
 
--- a/src/nameserver/host.hpp
+++ b/src/nameserver/host.hpp
@@ -19,6 +19,7 @@
 #include "nameserver/server.hpp"
 #include "nameserver/settings.hpp"
 #include "net/thread.hpp"
+#include "zones/zone_source.hpp"
 
 namespace brassfront::nameserver {
 
@@ -34,22 +35,19 @@
   void SetFaults(const Faults& faults) { server_->SetFaults(faults); }
 
  private:
-  // When a file was last written, and how large it is.
-  using Stamp = std::pair<std::chrono::nanoseconds, std::size_t>;
-
   struct Hosted {
     ZoneSettings settings;
     std::unique_ptr<StoredZone> stored;
     std::unique_ptr<FileZone> from_file;
     std::unique_ptr<FollowedZone> followed;
+    ZoneKeeper* keeper = nullptr;  // of the three, the one that it is
     std::unique_ptr<Following> following;
     // Of the file: as it was when it was read, and as it was at the last look.
-    std::optional<Stamp> read, seen;
+    std::optional<zones::FileStamp> read, seen;
     bool good = false;    // what it said then was taken up
     double kept_age = 0;  // of a followed zone's copy in its folder, in seconds
   };
 
-  static std::optional<Stamp> StampOf(const std::string& file);  // nothing: it is not there
   void Open(Hosted& hosted);
   void TakeFile(Hosted& hosted);
   std::string TakeZone(Hosted& hosted, const dns::Zone& zone);
--- a/src/nameserver/server.cpp
+++ b/src/nameserver/server.cpp
@@ -1,6 +1,5 @@
 #include "nameserver/server.hpp"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/eventfd.h>
@@ -12,7 +11,6 @@
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 #include "nameserver/client.hpp"
@@ -33,12 +31,6 @@
 constexpr milliseconds kSendTime{5000};  // for one answer over a stream
 constexpr int kPortTries = 50;           // TCP's free port may be taken for UDP
 
-std::string PeerText(const sockaddr_in& peer) {
-  std::array<char, INET_ADDRSTRLEN> text{};
-  inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
-  return std::string(text.data()) + ":" + std::to_string(ntohs(peer.sin_port));
-}
-
 }  // namespace
 
 Server::Server(Options options, Responder& responder, std::mutex& mutex)
@@ -70,8 +62,7 @@
     state_changed_.notify_all();
   }
   ShutDown(datagrams_.fd());
-  const std::uint64_t one = 1;
-  (void)!write(wake_, &one, sizeof one);
+  WakeStreams();
   datagram_thread_.Join();
   stream_thread_.Join();
   notice_thread_.Join();
@@ -85,6 +76,11 @@
   state_changed_.notify_all();
 }
 
+void Server::WakeStreams() {
+  const std::uint64_t one = 1;
+  (void)!write(wake_, &one, sizeof one);
+}
+
 Faults Server::FaultsNow() {
   const std::lock_guard lock(state_mutex_);
   return faults_;
@@ -192,9 +188,7 @@
     while (!stopping_) {
       Socket socket = Accept(listener_);
       if (!socket.is_open()) break;
-      sockaddr_in peer{};
-      socklen_t peer_size = sizeof peer;
-      getpeername(socket.fd(), reinterpret_cast<sockaddr*>(&peer), &peer_size);
+      const std::string peer = PeerOf(socket);
       bool full = false;
       {
         const std::lock_guard lock(state_mutex_);
@@ -202,12 +196,12 @@
         if (!full) ++open_;
       }
       if (full) {
-        LogConnectionEnd("zone side", PeerText(peer), "too many connections", 0);
+        LogConnectionEnd("zone side", peer, "too many connections", 0);
         continue;
       }
       auto connection = std::make_shared<Connection>();
       connection->socket = std::move(socket);
-      connection->peer = PeerText(peer);
+      connection->peer = peer;
       connection->until = steady_clock::now() + options_.idle;
       idle.push_back(std::move(connection));
     }
@@ -227,8 +221,11 @@
   for (; !messages.empty() && !stopping_; messages.pop_front()) {
     const Faults faults = FaultsNow();
     auto answers = Answers(messages.front(), true, faults);
-    const bool half = faults.half_transfers && dns::Decode(messages.front()).message &&
-                      dns::Decode(messages.front()).message->opcode == dns::Opcode::kQuery;
+    bool half = false;
+    if (faults.half_transfers) {
+      const auto asked = dns::Decode(messages.front()).message;
+      half = asked && asked->opcode == dns::Opcode::kQuery;
+    }
     if (half && !answers.empty()) {
       answers.resize((answers.size() + 1) / 2);
       if (answers.size() == 1) answers[0].resize(answers[0].size() / 2);
@@ -254,8 +251,7 @@
     const std::lock_guard lock(state_mutex_);
     returned_.push_back(std::move(connection));
   }
-  const std::uint64_t one = 1;
-  (void)!write(wake_, &one, sizeof one);
+  WakeStreams();
 }
 
 void Server::Announce(const dns::Name& zone) {
--- a/src/nameserver/server.hpp
+++ b/src/nameserver/server.hpp
@@ -92,6 +92,7 @@
   // Empty if nothing is to be sent. With the faults of the moment.
   std::vector<std::string> Answers(std::string_view bytes, bool stream, const Faults& faults);
   Faults FaultsNow();
+  void WakeStreams();
 
   const Options options_;
   Responder& responder_;
--- a/src/nameserver/settings.cpp
+++ b/src/nameserver/settings.cpp
@@ -13,10 +13,6 @@
 using records::Fault;
 using records::Record;
 
-double Seconds(const Record& record) {
-  return std::chrono::duration<double>(record.Duration()).count();
-}
-
 class Reader {
  public:
   explicit Reader(std::string folder) : folder_(std::move(folder)) {}
@@ -41,8 +37,8 @@
     for (const Record& grant : root.At("grants").Items()) ReadGrant(grant, settings);
     for (const Record& fault : root.At("faults").Items()) {
       FaultAct& act = settings.faults.emplace_back();
-      act.at = Seconds(fault.At("at"));
-      act.length = Seconds(fault.At("for"));
+      act.at = SecondsIn(fault.At("at"));
+      act.length = SecondsIn(fault.At("for"));
       act.faults.quiet = fault.At("quiet").Bool();
       act.faults.delay =
           std::chrono::duration_cast<std::chrono::milliseconds>(fault.At("delay").Duration());
@@ -149,6 +145,10 @@
 
 }  // namespace
 
+double SecondsIn(const Record& duration) {
+  return std::chrono::duration<double>(duration.Duration()).count();
+}
+
 std::string_view NameserverSchema() {
   return R"(
 #Key: {
--- a/src/nameserver/settings.hpp
+++ b/src/nameserver/settings.hpp
@@ -37,6 +37,8 @@
   std::vector<FaultAct> faults;
 };
 
+double SecondsIn(const records::Record& duration);
+
 // The definitions #Key, #Grant, #Zone, #Fault and #Nameserver.
 std::string_view NameserverSchema();
 // Throws records::BadRecords with all that no schema can say. Paths are from the file's folder.
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -34,6 +34,24 @@
   return address;
 }
 
+std::string AddressText(const sockaddr_in& address) {
+  char host[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &address.sin_addr, host, sizeof host);
+  return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+// A datagram socket that bind(2) or connect(2) has given the address.
+Socket Datagrams(const std::string& text, int (*attach)(int, const sockaddr*, socklen_t)) {
+  const auto address = ParseAddress(text);
+  if (!address) return {};
+  Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+  if (!socket.is_open()) return {};
+  if (attach(socket.fd(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0) {
+    return {};
+  }
+  return socket;
+}
+
 void SetTimeout(int fd, int option, std::chrono::milliseconds time) {
   timeval value{};
   value.tv_sec = time.count() / 1000;
@@ -134,12 +152,20 @@
 std::string AddressOf(const Socket& listener) {
   sockaddr_in at{};
   socklen_t length = sizeof at;
-  char host[INET_ADDRSTRLEN] = "";
   getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&at), &length);
-  inet_ntop(AF_INET, &at.sin_addr, host, sizeof host);
-  return std::string(host) + ":" + std::to_string(ntohs(at.sin_port));
+  return AddressText(at);
+}
+
+std::string PeerOf(const Socket& connection) {
+  sockaddr_in at{};
+  socklen_t length = sizeof at;
+  getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&at), &length);
+  return AddressText(at);
 }
 
+Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
+Socket ConnectDatagrams(const std::string& address) { return Datagrams(address, connect); }
+
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
   if (socket.is_open()) SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -60,10 +60,15 @@
 // Closed if the address cannot be listened on; errno tells why.
 Socket Listen(const std::string& address);
 std::string AddressOf(const Socket& listener);  // with the port that the system chose for port 0
+std::string PeerOf(const Socket& connection);   // IPv4:PORT of its other side
 Socket Accept(const Socket& listener);
 // From now on Accept fails with EAGAIN where nobody waits to be taken.
 void DoNotWait(const Socket& listener);
 
+// Datagram sockets on, or towards, an address; closed where it cannot be, and errno tells why.
+Socket BindDatagrams(const std::string& address);
+Socket ConnectDatagrams(const std::string& address);
+
 // Wakes up whichever thread is blocked on it.
 void ShutDown(int fd);
 
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -527,17 +527,12 @@
   for (const auto& [key, leaving] : leaving_) {
     const auto called = last_call_.find(key);
     const Time late = called == last_call_.end() ? Time{} : called->second - leaving.told;
-    after.push_back(std::max(0.0, static_cast<double>(late.count()) / 1e6));
+    after.push_back(std::max(0.0, SecondsOf(late)));
   }
-  std::sort(after.begin(), after.end());
-  const auto quantile = [&after](double share) {
-    if (after.empty()) return 0.0;
-    return after[static_cast<std::size_t>(share * static_cast<double>(after.size() - 1) + 0.5)];
-  };
   out.metrics["removals"] = static_cast<double>(after.size());
-  out.metrics["removed_p50_ms"] = quantile(0.5);
-  out.metrics["removed_p99_ms"] = quantile(0.99);
-  out.metrics["removed_max_ms"] = quantile(1);
+  out.metrics["removed_p50_ms"] = QuantileMs(after, 0.5);
+  out.metrics["removed_p99_ms"] = QuantileMs(after, 0.99);
+  out.metrics["removed_max_ms"] = QuantileMs(after, 1);
 }
 
 }  // namespace brassfront::rehearsal
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -56,13 +56,10 @@
 
 // The record at the start, which is taken off; nothing if it is not one.
 std::optional<dns::Record> TakeRecord(std::string_view& bytes) {
-  std::size_t end = 0;
-  while (end < bytes.size() && bytes[end] != 0) end += 1 + static_cast<unsigned char>(bytes[end]);
-  if (bytes.size() < end + 1 + 8) return std::nullopt;
-  const auto name = dns::Name::FromWire(bytes.substr(0, end + 1));
-  bytes.remove_prefix(end + 1);
+  const auto name = dns::Name::TakeWire(bytes);
+  if (!name || bytes.size() < 8) return std::nullopt;
   const std::size_t length = Get16(bytes, 6);
-  if (!name || bytes.size() < 8 + length) return std::nullopt;
+  if (bytes.size() < 8 + length) return std::nullopt;
   dns::Record record{*name, static_cast<std::uint16_t>(Get16(bytes, 0)), dns::klass::kIn,
                      Get32(bytes, 2), std::string(bytes.substr(8, length))};
   bytes.remove_prefix(8 + length);
@@ -376,12 +373,16 @@
   }
 }
 
-bool ZoneStore::Commit(const dns::Change& change, const dns::Witness* by) {
+bool ZoneStore::MayWrite() {
   why_.clear();
   if (broken_) {
     why_ = folder_ + " could not be written to before; what it holds stands until the next start";
-    return false;
   }
+  return !broken_;
+}
+
+bool ZoneStore::Commit(const dns::Change& change, const dns::Witness* by) {
+  if (!MayWrite()) return false;
   if (!zone_.Fits(change)) {
     why_ = "the change does not start from what the zone holds";
     return false;
@@ -389,7 +390,7 @@
   if (!Append(Entry(ChangeBody(entries_ + 1, change, by)))) return false;
   ++entries_;
   if (by != nullptr) Remember(*by);
-  zone_.Apply(change);
+  zone_.ApplyFitting(change);
   if (journal_bytes_ > options_.compact_bytes && journal_bytes_ > snapshot_bytes_) {
     // The change stands whether or not this succeeds; the journal goes on where it was.
     if (WriteSnapshot(zone_)) StartJournal();
@@ -398,11 +399,7 @@
 }
 
 bool ZoneStore::Replace(const dns::Zone& zone) {
-  why_.clear();
-  if (broken_) {
-    why_ = folder_ + " could not be written to before; what it holds stands until the next start";
-    return false;
-  }
+  if (!MayWrite()) return false;
   if (zone_.has_soa() && zone_.serial() != zone.serial()) {
     return Commit(dns::Difference(zone_, zone));
   }
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -71,6 +71,7 @@
  private:
   void Read();
   void ReplayJournal(std::string_view bytes);
+  bool MayWrite();
   bool WriteSnapshot(const dns::Zone& zone);
   bool StartJournal();
   void Remember(const dns::Witness& by);
--- a/src/zones/zone_source.cpp
+++ b/src/zones/zone_source.cpp
@@ -5,8 +5,6 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
-#include <optional>
-#include <tuple>
 
 #include "spool/file.hpp"
 
@@ -17,15 +15,6 @@
 
 constexpr std::size_t kMostFileBytes = std::size_t{1} << 30;
 
-using Stamp = std::tuple<dev_t, ino_t, off_t, time_t, long>;
-
-std::optional<Stamp> StampOf(const std::string& path) {
-  struct stat state {};
-  if (stat(path.c_str(), &state) != 0) return std::nullopt;
-  return Stamp(state.st_dev, state.st_ino, state.st_size, state.st_mtim.tv_sec,
-               state.st_mtim.tv_nsec);
-}
-
 std::optional<dns::ZoneText> ReadText(const std::string& path, const std::string& shown,
                                       std::string& why) {
   std::error_code error;
@@ -59,6 +48,13 @@
 
 }  // namespace
 
+std::optional<FileStamp> StampOf(const std::string& path) {
+  struct stat state {};
+  if (stat(path.c_str(), &state) != 0) return std::nullopt;
+  return FileStamp(state.st_dev, state.st_ino, state.st_size, state.st_mtim.tv_sec,
+                   state.st_mtim.tv_nsec);
+}
+
 dns::Zone LoadZone(const std::string& path, const dns::Name& origin) {
   std::error_code error;
   const fs::path real = fs::canonical(path, error);
