Keep idle connections for the forwarder's share of a next hop's places

Cause: NextHops::Keep and RetireIdle kept two idle connections for each next hop and forwarder for 0.6 of the idle time, 9 s. An endpoint holds some tens, idle ones counted; a hundred forwarders that call it once in 3 s held all of them, and the calls of all others were turned away.

Keeping none pays for a handshake at each call.

Change: src/net/idle_share says, without I/O, how many connections are kept and for how long. The group spares itself 8 places of a next hop; where that is less than one connection for each, one is kept for that share of the mean time between calls, so that clumps still find theirs. A crowded next hop halves it, which is forgotten in time. One of up to four forwarders keeps what it kept before. The engine sets a deadline for the next connection that has been idle for long enough.

Tests: the sum over a hundred, clumps, crowding and its end, the close itself. Each failed with its guard broken (ten times the spared places, a crowd that counts for nothing, one that is not told).

--- a/src/forwarder/deadlines.hpp
+++ b/src/forwarder/deadlines.hpp
@@ -11,7 +11,7 @@
 
 namespace brassfront {
 
-enum class Due { kModuleTimer, kDeliveryEnds, kRetireIdle, kMayLeave, kLeave };
+enum class Due { kModuleTimer, kDeliveryEnds, kRetireIdle, kEverySecond, kMayLeave, kLeave };
 
 struct Deadline {
   Due due = Due::kModuleTimer;
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kSlotsWhereNoneAreSet = 32;
 constexpr std::size_t kProbeThreads = 16;  // probes take no slot
 constexpr double kBodyShare = 0.25;        // of the memory, for the bodies of all held messages
-constexpr milliseconds kRetireEvery{1000};
+constexpr milliseconds kHousekeepingEvery{1000};
 // No notice is overdue until 1.5 s after a restarted forwarder is ready.
 constexpr milliseconds kAfterRestart{1500};
 // New connections may come for 0.4 s after SIGTERM, and SIGKILL 3.7 s after it.
@@ -77,6 +77,7 @@
       next_message_(spool.next_number()),
       next_hops_({.threads = MostOut(config),
                   .most_idle = MostIdle(config),
+                  .group = config.decisions.group_size,
                   .connection_idle = config.connection_idle,
                   .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
                  buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
@@ -88,7 +89,7 @@
   for (const rushfall::ClassSettings& c : config.decisions.classes) {
     longest_deadline_ = std::max(longest_deadline_, c.deadline);
   }
-  deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
+  deadlines_.Set(Now() + kHousekeepingEvery, {Due::kEverySecond});
 }
 
 Engine::~Engine() { LetGo(); }
@@ -400,10 +401,15 @@
       return;
     }
     case Due::kRetireIdle:
+      retire_at_ = Time::max();
+      next_hops_.RetireIdle();
+      RetireInTime();
+      return;
+    case Due::kEverySecond:
       next_hops_.RetireIdle();
       ForgetHops(Now());
       TellStages(Level::kDebug);
-      deadlines_.Set(Now() + kRetireEvery, {Due::kRetireIdle});
+      deadlines_.Set(Now() + kHousekeepingEvery, {Due::kEverySecond});
       return;
     case Due::kMayLeave:
       may_leave_ = true;
@@ -414,6 +420,13 @@
   }
 }
 
+void Engine::RetireInTime() {
+  const Time next = next_hops_.NextRetire().time_since_epoch();
+  if (next >= retire_at_) return;
+  retire_at_ = next;
+  deadlines_.Set(next, {Due::kRetireIdle});
+}
+
 rushfall::EndpointId Engine::HopNumber(const std::string& name) {
   const auto [it, added] = hop_numbers_.try_emplace(name, next_hop_);
   if (added) ++next_hop_;
@@ -645,6 +658,7 @@
 void Engine::On(const DeliveryEnd& e) {
   const auto it = out_.find(e.number);
   if (it == out_.end()) return;
+  RetireInTime();
   const Out out = std::move(it->second);
   out_.erase(it);
   const Time now = Now();
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -161,6 +161,7 @@
   void TellStages(observe::Level level);
   rushfall::EndpointId HopNumber(const std::string& name);
   void ForgetHops(Time now);
+  void RetireInTime();
   rushfall::EndpointList TakeList(const MemberList& list);
 
   void StartReady(Time now);
@@ -178,6 +179,7 @@
   std::vector<rushfall::Event> events_;  // for the next turn
   Time last_turn_{};
   Deadlines deadlines_;
+  Time retire_at_ = Time::max();  // the earliest deadline set for it
 
   std::map<MessageId, Held> held_;
   std::unordered_map<std::string, MessageId> numbers_;
--- /dev/null
+++ b/src/net/idle_share.cpp
@@ -0,0 +1,47 @@
+#include "net/idle_share.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace brassfront {
+namespace {
+
+constexpr double kMostIdle = 2;   // connections; more were measured without gain
+constexpr double kSpared = 8;     // places of a next hop for the idle connections of the group
+constexpr double kGapGain = 0.3;  // weight of the newest gap: clumps begin and end at once
+constexpr double kMostCrowd = 6;  // doublings
+constexpr IdleShare::Seconds kFirstGap{1};
+constexpr IdleShare::Seconds kCrowdMemory{4};  // until one doubling is forgotten
+
+}  // namespace
+
+IdleShare::IdleShare(std::size_t group)
+    : share_(std::min(kMostIdle, kSpared / static_cast<double>(std::max<std::size_t>(group, 1)))),
+      gap_(kFirstGap) {}
+
+void IdleShare::Called(Time now) {
+  if (called_ != Time{}) gap_ += kGapGain * (Seconds(now - called_) - gap_);
+  called_ = now;
+}
+
+void IdleShare::Crowded(Time now) {
+  const double left = std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
+  crowd_ = std::min(kMostCrowd, left + 1);
+  crowded_ = now;
+}
+
+double IdleShare::ShareAt(Time now) const {
+  const double crowd = std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
+  return share_ * std::exp2(-crowd);
+}
+
+std::size_t IdleShare::Most(Time now) const {
+  return static_cast<std::size_t>(std::ceil(ShareAt(now)));
+}
+
+IdleShare::Seconds IdleShare::KeptFor(Time now, Seconds idle) const {
+  const double share = ShareAt(now);
+  return share >= 1 ? idle : std::min(idle, share * gap_);
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/net/idle_share.hpp
@@ -0,0 +1,45 @@
+// How many idle connections to one next hop a forwarder keeps, and for how long. No I/O, no clock.
+//
+// A next hop holds few connections, idle ones counted, and each of a group of forwarders keeps its
+// own. Guards against a hundred that each keep one or two: the tables are full of connections that
+// nobody uses, and the calls of all others are turned away.
+#ifndef BRASSFRONT_NET_IDLE_SHARE_HPP_
+#define BRASSFRONT_NET_IDLE_SHARE_HPP_
+
+#include <chrono>
+#include <cstddef>
+
+namespace brassfront {
+
+class IdleShare {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+  using Seconds = std::chrono::duration<double>;
+
+  // `group`: forwarders that call the next hop, this one among them; 0 is taken for 1.
+  explicit IdleShare(std::size_t group);
+
+  // A call to the next hop begins.
+  void Called(Time now);
+  // It turned a connection away for want of room.
+  void Crowded(Time now);
+
+  // Connections to be kept idle at once.
+  std::size_t Most(Time now) const;
+  // How long each may stay idle, at most `idle`. Where the share is below one connection, so much
+  // of the mean time between calls that the group together keeps its share of the places.
+  Seconds KeptFor(Time now, Seconds idle) const;
+
+ private:
+  double ShareAt(Time now) const;
+
+  double share_;      // connections
+  double crowd_ = 0;  // doublings of caution after the last time it was crowded
+  Time crowded_{};
+  Time called_{};
+  Seconds gap_;  // mean time between calls
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_IDLE_SHARE_HPP_
--- a/src/net/next_hops.cpp
+++ b/src/net/next_hops.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr const char* kSide = "next-hop";
-constexpr std::ptrdiff_t kMostIdle = 2;  // for each next hop: some take few, idle ones counted
 constexpr std::size_t kLeastThreads = 2;
 constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
 // Of the time after which the other side closes an idle connection. Guards against a call that
@@ -157,7 +156,11 @@
     // Guards against taking that for a limit on calls.
     const bool crowded = end.status == 503 && connection.exchanges == 1 && !reader.keep_alive() &&
                          end.wait_ms.empty() && end.slots_taken.empty();
-    if (crowded) end.fate = DeliveryEnd::Fate::kCrowded;
+    if (crowded) {
+      end.fate = DeliveryEnd::Fate::kCrowded;
+      const std::lock_guard lock(mutex_);
+      ShareOf(delivery.hop).Crowded(std::chrono::steady_clock::now());
+    }
   } else if (stop == Delivery::Stop::kTimedOut) {
     end.fate = DeliveryEnd::Fate::kTimedOut;
   } else if (stop == Delivery::Stop::kCancelled) {
@@ -175,6 +178,7 @@
 // that the other side has closed, or on which it has said more than it was asked.
 NextHops::Connection NextHops::TakeIdle(const Delivery& delivery) {
   const std::lock_guard lock(mutex_);
+  ShareOf(delivery.hop).Called(std::chrono::steady_clock::now());
   for (auto it = idle_.end(); it != idle_.begin();) {
     --it;
     if (it->hop != delivery.hop || it->address != delivery.address) continue;
@@ -193,10 +197,14 @@
   const std::lock_guard lock(mutex_);
   if (closed_) return End(connection, "shutdown");
   const std::uint64_t hop = connection.hop;
-  connection.idle_since = std::chrono::steady_clock::now();
+  const SteadyTime now = std::chrono::steady_clock::now();
+  const IdleShare& share = ShareOf(hop);
+  connection.kept_until = now + std::chrono::duration_cast<SteadyTime::duration>(
+                                    share.KeptFor(now, options_.connection_idle * kIdleShare));
   idle_.push_back(std::move(connection));
   const auto of_hop = [&](const Connection& c) { return c.hop == hop; };
-  const bool many = std::count_if(idle_.begin(), idle_.end(), of_hop) > kMostIdle;
+  const auto kept = std::count_if(idle_.begin(), idle_.end(), of_hop);
+  const bool many = static_cast<std::size_t>(kept) > share.Most(now);
   if (!many && idle_.size() <= options_.most_idle) return;
   const auto oldest = many ? std::find_if(idle_.begin(), idle_.end(), of_hop) : idle_.begin();
   End(*oldest, "one-too-many");
@@ -204,20 +212,31 @@
 }
 
 void NextHops::RetireIdle() {
-  const auto oldest =
-      std::chrono::steady_clock::now() -
-      std::chrono::duration_cast<std::chrono::nanoseconds>(options_.connection_idle * kIdleShare);
+  const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
   std::erase_if(idle_, [&](Connection& c) {
     const bool stale = c.socket.HasInputOrEnd();
-    if (!stale && c.idle_since >= oldest) return false;
+    if (!stale && c.kept_until > now) return false;
     End(c, stale ? "peer-closed" : "idle");
     return true;
   });
 }
 
+SteadyTime NextHops::NextRetire() const {
+  const std::lock_guard lock(mutex_);
+  SteadyTime next = SteadyTime::max();
+  for (const Connection& c : idle_) next = std::min(next, c.kept_until);
+  return next;
+}
+
+// With the mutex held.
+IdleShare& NextHops::ShareOf(std::uint64_t hop) {
+  return shares_.try_emplace(hop, options_.group).first->second;
+}
+
 void NextHops::Forget(std::uint64_t hop) {
   const std::lock_guard lock(mutex_);
+  shares_.erase(hop);
   std::erase_if(idle_, [&](Connection& c) {
     if (c.hop != hop) return false;
     End(c, "gone");
--- a/src/net/next_hops.hpp
+++ b/src/net/next_hops.hpp
@@ -13,6 +13,7 @@
 #include "net/buffer_pool.hpp"
 #include "net/crew.hpp"
 #include "net/delivery.hpp"
+#include "net/idle_share.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
 #include "protocol/http.hpp"
@@ -24,6 +25,7 @@
   struct Options {
     std::size_t threads = 1;                     // deliveries at once; more wait for a thread
     std::size_t most_idle = 64;                  // kept connections
+    std::size_t group = 1;                       // forwarders that call the same next hops
     std::chrono::nanoseconds connection_idle{};  // after which the other side closes one
     std::chrono::milliseconds connect_timeout{};
   };
@@ -34,8 +36,10 @@
   ~NextHops();  // ends what is out
 
   void Start(std::shared_ptr<Delivery> delivery);
-  // Closes connections that have been idle for long. To be called every second or so.
+  // Closes connections that have been idle for long. To be called every second, and at NextRetire.
   void RetireIdle();
+  // When the next of the kept connections has been idle for long enough; max() if none is kept.
+  SteadyTime NextRetire() const;
   // The next hop is gone: its idle connections are closed.
   void Forget(std::uint64_t hop);
 
@@ -44,7 +48,7 @@
     Socket socket;
     std::uint64_t hop = 0;
     std::string address;
-    SteadyTime idle_since{};
+    SteadyTime kept_until{};
     std::size_t exchanges = 0;
   };
 
@@ -55,13 +59,15 @@
   void End(Connection& connection, const char* reason);
   Connection TakeIdle(const Delivery& delivery);
   void Keep(Connection connection);
+  IdleShare& ShareOf(std::uint64_t hop);
 
   const Options options_;
   BufferPool& buffers_;
   const OnEnd on_end_;
-  std::mutex mutex_;  // guards what follows
+  mutable std::mutex mutex_;  // guards what follows
   bool closed_ = false;
   std::vector<Connection> idle_;  // the newest last
+  std::map<std::uint64_t, IdleShare> shares_;
   std::map<std::uint64_t, std::shared_ptr<Delivery>> out_;
   Crew<std::shared_ptr<Delivery>> crew_;
 };
--- /dev/null
+++ b/tests/network/idle_share_test.cpp
@@ -0,0 +1,56 @@
+// How long idle connections are kept, over one forwarder and over a hundred.
+#include "net/idle_share.hpp"
+
+#include <doctest/doctest.h>
+
+namespace brassfront {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = IdleShare::Seconds;
+
+constexpr Seconds kIdle{9};
+constexpr std::size_t kGroup = 100;
+const IdleShare::Time kStart{std::chrono::hours(1)};
+
+TEST_CASE("one of a few forwarders keeps two connections for as long as the other side does") {
+  for (const std::size_t group : {0, 1, 2, 4}) {
+    const IdleShare share(group);
+    CHECK(share.Most(kStart) == 2);
+    CHECK(share.KeptFor(kStart, kIdle) == kIdle);
+  }
+}
+
+TEST_CASE("a hundred forwarders together leave a next hop most of its places") {
+  for (const milliseconds gap : {milliseconds(20), milliseconds(3000), milliseconds(60000)}) {
+    IdleShare share(kGroup);
+    for (int i = 0; i < 50; ++i) share.Called(kStart + i * gap);
+    const auto now = kStart + 50 * gap;
+    CHECK(share.Most(now) == 1);
+    // The part of the time that each holds one, by the group: idle connections at once.
+    const double held = share.KeptFor(now, kIdle) / Seconds(gap) * kGroup;
+    CHECK(held <= 8.5);
+  }
+}
+
+TEST_CASE("calls that come in a clump find their connection again") {
+  IdleShare share(kGroup);
+  share.Called(kStart);
+  share.Called(kStart + milliseconds(5000));
+  CHECK(share.KeptFor(kStart, kIdle) > milliseconds(100));
+}
+
+TEST_CASE("a next hop that is crowded is left its places, and trusted again in time") {
+  for (const std::size_t group : {std::size_t{2}, kGroup}) {
+    IdleShare share(group);
+    const Seconds before = share.KeptFor(kStart, kIdle);
+    for (int i = 0; i < 100; ++i) share.Crowded(kStart);
+    CHECK(share.Most(kStart) <= 1);
+    CHECK(share.KeptFor(kStart, kIdle) < before / 10);
+    const auto later = kStart + std::chrono::minutes(1);
+    CHECK(share.KeptFor(later, kIdle) == before);
+  }
+}
+
+}  // namespace
+}  // namespace brassfront
--- a/tests/network/next_hops_test.cpp
+++ b/tests/network/next_hops_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "forwarder/mailbox.hpp"
 
@@ -41,9 +42,10 @@
 
 class Fixture {
  public:
-  Fixture()
+  explicit Fixture(std::size_t group = 1)
       : ends(100),
         hops({.threads = 2,
+              .group = group,
               .connection_idle = std::chrono::seconds(15),
               .connect_timeout = std::chrono::milliseconds(1500)},
              buffers, [this](DeliveryEnd end) { ends.Put(std::move(end)); }) {}
@@ -180,6 +182,30 @@
   CHECK(End().fate == Fate::kAnswered);
 }
 
+struct OneOfAHundred : Fixture {
+  OneOfAHundred() : Fixture(100) {}
+};
+
+TEST_CASE_FIXTURE(OneOfAHundred, "a connection that others need more is closed soon") {
+  Socket socket;
+  CHECK(Answered(socket, kOk).whole);
+  const SteadyTime until = hops.NextRetire();
+  CHECK(until < std::chrono::steady_clock::now() + std::chrono::seconds(1));
+  while (std::chrono::steady_clock::now() < until) std::this_thread::sleep_until(until);
+  hops.RetireIdle();
+  char byte = 0;
+  CHECK(socket.Receive({&byte, 1}) == 0);
+  CHECK(hops.NextRetire() == SteadyTime::max());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a next hop that was crowded gets its places back") {
+  Socket turned_away, sockets[2];
+  const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  for (int i = 0; i < 4; ++i) CHECK(Answered(turned_away, busy).fate == Fate::kCrowded);
+  CHECK(Answered(sockets[0], kOk).whole);
+  CHECK(hops.NextRetire() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
+}
+
 TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
   hops.Start(Make());
   Socket socket = peer.Take();
