Ask discovery again with a back-off that is spread over the group

From 15 s on endpoints that a release had replaced refused connections, and few forwarders knew the new ones: destinations 0, 4 and 6 took 5 to 20 calls in 2.5 s while up to 60 probes and calls met a closed port.

Cause: Watch::Follow opened the next watch 100 ms after any end, and all forwarders began at the moment of the start. A hundred ask 550 times a second, discovery turns away nearly all of it, and each that is turned away asks again before the rest is served.

Checked: the answer's status and headers (a debug line at TakeLines: 503 each time, no wait told); the clients' side and the endpoints are not the cause, since forwarders with the new list delivered.

Change: src/net/back_off.hpp, without I/O: pauses double and are spread by half to one and a half. The watch's first and longest pause follow from the group's size in the settings (100 forwarders: 1 s and 4 s; up to ten: 100 ms and 500 ms), and one of more than four begins at a moment of its own. `call ended` at debug level and the fields of `next hop listed` are what the calls were counted with.

Tests: doubling, spread, success; a hundred that ask a service for 30 a second are served within 15 s with fewer than five asks each. Broken on purpose: no doubling, no spread, no new start; each failed.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -84,7 +84,8 @@
       notices_(config.discovery, buffers,
                [this](MessageId message) { inbox_.Put(NoticeHeard{message}); }),
       watch_(
-          config.discovery, config.known.revision, buffers,
+          config.discovery, config.known.revision,
+          {.size = config.decisions.group_size, .seed = config.seed}, buffers,
           divert ? std::move(divert) : [this](MemberList list) { Listed(std::move(list)); }) {
   for (const rushfall::ClassSettings& c : config.decisions.classes) {
     longest_deadline_ = std::max(longest_deadline_, c.deadline);
@@ -460,7 +461,11 @@
     const rushfall::EndpointId number = HopNumber(member.id);
     if (hops_.count(number) == 0) {  // the module's lines name its numbers
       observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
-                   {{"id", member.id}, {"endpoint", number}});
+                   {{"id", member.id},
+                    {"endpoint", number},
+                    {"destination", member.destination},
+                    {"address", member.address},
+                    {"weight", std::to_string(member.weight)}});
     }
     Hop& hop = hops_[number];
     hop.name = member.id;
@@ -664,6 +669,16 @@
   const Time now = Now();
   const Duration wait = WaitOf(e);
   const rushfall::LoadReport report = ReportOf(e);
+  if (observe::Logs(Concern::kEngine, Level::kDebug)) {
+    observe::Log(Concern::kEngine, Level::kDebug, "call ended",
+                 {{"endpoint", out.hop},
+                  {"parts", out.parts.size()},
+                  {"fate", static_cast<int>(e.fate)},
+                  {"status", e.status},
+                  {"wait", e.wait_ms},
+                  {"took", (now - out.started).count() / 1000000},
+                  {"load", e.load}});
+  }
   if (out.parts.empty()) {
     events_.emplace_back(
         rushfall::ProbeSettled{out.hop, OutcomeOfProbe(e), now - out.started, report});
--- /dev/null
+++ b/src/net/back_off.hpp
@@ -0,0 +1,47 @@
+// How long to wait before asking again for what was not to be had. No I/O, no clock.
+//
+// Doubled with each failure in a row, and spread: each pause is half to one and a half of its
+// length, so that many that failed at one moment come back apart. Guards against a service that is
+// asked by a whole group at once, turns most of them away, and is asked by all of those again
+// before it has served the rest.
+#ifndef BRASSFRONT_NET_BACK_OFF_HPP_
+#define BRASSFRONT_NET_BACK_OFF_HPP_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace brassfront {
+
+class BackOff {
+ public:
+  using Duration = std::chrono::milliseconds;
+
+  // The first pause and the longest one, in the mean; a longest one below the first is taken for
+  // it.
+  BackOff(Duration first, Duration longest, std::uint64_t seed)
+      : first_(first), longest_(std::max(first, longest)), next_(first), random_(seed) {}
+
+  // The pause after a failure.
+  Duration Failed() {
+    const Duration pause = next_;
+    next_ = std::min(longest_, 2 * next_);
+    return pause / 2 + Anywhere(pause);
+  }
+  // It was to be had: the next failure is the first again.
+  void Succeeded() { next_ = first_; }
+  // Anywhere in this span, for a start that many make at once.
+  Duration Anywhere(Duration span) {
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, span.count())(random_));
+  }
+
+ private:
+  const Duration first_, longest_;
+  Duration next_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_BACK_OFF_HPP_
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "net/back_off.hpp"
 #include "net/http_client.hpp"
 #include "net/thread.hpp"
 #include "protocol/discovery.hpp"
@@ -17,7 +18,14 @@
  public:
   using OnList = std::function<void(MemberList)>;
 
-  Watch(std::string address, std::uint64_t revision, BufferPool& buffers, OnList on_list);
+  // The forwarders that ask the same discovery, this one among them, and the seed of its spread.
+  struct Group {
+    std::size_t size = 1;
+    std::uint64_t seed = 0;
+  };
+
+  Watch(std::string address, std::uint64_t revision, const Group& group, BufferPool& buffers,
+        OnList on_list);
   ~Watch();
 
   // Goes on at another address, from the last revision that was told.
@@ -28,6 +36,8 @@
   bool TakeLines(HttpReader& reader, LineCutter& lines);
 
   const OnList on_list_;
+  BackOff pauses_;
+  const std::chrono::milliseconds first_pause_;
   std::uint64_t revision_;
   HttpClient client_;
   Thread thread_;
