Pace one of many by its even share of the limit after a refusal

Refused calls use the limit up, so that a fleet over it gets nothing through.

Cause: OnFull sets the rate from `accepted`, a meter of 3 s, and never below kLeastPart of our own demand. One that calls once in three seconds has seen no accepted call or one; the floors of a hundred add up to 7 to 20 calls a second, and all come back within 0.5 s of the wait's end.

Change: where ten or more share, one with under six of its own calls in the pace's memory takes 0.8 of its even share of the limit after a refusal, half of the last with each further one, 0.4 of the share at least. The next call is anywhere in the gap between two. Room that is reported lifts it at once and brings the next call forward.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -14,11 +14,12 @@
 #include <set>
 #include <utility>
 
+#include "choice_state.hpp"
+
 namespace rushfall {
 namespace {
 
 using std::chrono::duration_cast;
-using Seconds = std::chrono::duration<double>;
 
 // ---- constants: unit and reason ----
 constexpr double kOnset = 0.9;           // H, share of R; the paper's ratio
@@ -38,6 +39,11 @@
 constexpr double kLittleLeft = 0.3;  // reported share of a limit below which no rate grows
 constexpr double kLeastLimit = 3;    // calls a second, of all dispatchers: where nothing is told
 constexpr double kLeastPart = 0.2;   // of our demand: a paced rate is never lower
+constexpr std::size_t kManySharers = 10;  // dispatchers: our own calls are a small part of all
+constexpr double kFewCalls = 6;     // in the pace's memory: with fewer our own rate tells nothing
+constexpr double kShareUsed = 0.8;  // of our even share of a limit then, after a refusal
+constexpr double kSeldomBackOff = 0.5;  // of the rate, for each further one
+constexpr double kLeastShare = 0.4;     // of the even share: the least rate then
 constexpr Duration kFullPause = std::chrono::milliseconds(300);    // after a refusal
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
 constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
@@ -59,147 +65,8 @@
 constexpr double kLossGain = 0.1;       // weight of the newest answer in the share of loss
 constexpr double kLossy = 0.08;         // of answers after a lost call, and it is the network
 
-double ToSeconds(Duration d) { return duration_cast<Seconds>(d).count(); }
 Duration FromSeconds(double s) { return duration_cast<Duration>(Seconds(s)); }
 
-// Events a second, forgotten exponentially. What was seen since the start counts for the whole
-// memory: a dispatcher that has just started does not take its rates for low, and the rates of all
-// dispatchers add up to that of the group however seldom each sees an event.
-class Meter {
- public:
-  Meter(Seconds memory, Time first) : memory_(memory.count()), first_(first) {}
-  void Add(Time now) {
-    value_ = value_ * Left(now - last_) + 1 / memory_;
-    last_ = now;
-  }
-  double Rate(Time now) const {
-    if (value_ <= 0) return 0;
-    const Duration seen = std::max<Duration>(now - first_, std::chrono::seconds(1));
-    return value_ * Left(now - last_) / (1 - Left(seen));
-  }
-
- private:
-  double Left(Duration d) const { return std::exp(-ToSeconds(d) / memory_); }
-
-  double memory_;
-  double value_ = 0;
-  Time first_{};
-  Time last_{};
-};
-
-// ---- state ----
-struct Attempt {
-  EndpointId endpoint = 0;
-  Time sent{};
-  std::uint64_t call = 0;
-  bool out = true;
-  bool cancelled = false;
-};
-
-struct Message {
-  MessageId id = 0;
-  DestinationId destination = 0;
-  std::size_t message_class = 0;
-  std::string key;
-  Time first_handed_in{};
-  Time deadline{};
-  Time accepted{};
-  Time not_before{};
-  std::vector<Attempt> attempts;
-  std::size_t attempts_before = 0;    // by an earlier process
-  std::optional<Time> may_have_run;   // send of the first attempt that may have run
-  std::optional<std::size_t> ran_in;  // the zone of that
-  int out = 0;
-  bool finished = false;
-};
-
-struct KeyLine {
-  std::deque<MessageId> order;
-  Time rests_until{};
-};
-
-enum class Mode { kNormal, kOverload, kDiscard };
-
-struct Gate {
-  Mode mode = Mode::kNormal;
-  Time last_at_onset{};
-  Duration last_fall = kFirstRetryAfter;
-};
-
-// What shares one limit, one wait and one fail-back budget: a destination, or one route of it.
-struct Lane {
-  explicit Lane(Time start) : accepted(kPaceMemory, start) {}
-
-  Time wait_until{};
-  Time next_call{};
-  Time next_trial{};
-  double rate = 0;   // calls a second; 0: no limit seen
-  double limit = 0;  // of all dispatchers, calls a second: reported, else listed; 0: untold
-  bool reported = false;
-  std::optional<double> left;  // reported share of it
-  Time rate_changed{};
-  int full_row = 0;
-  Time first_full{};
-  Time last_full{};
-  Meter accepted;
-};
-
-enum class Health { kClosed, kOpen, kRecovering };
-
-struct Endpoint {
-  Endpoint(EndpointEntry listed, Time start) : entry(listed), own_lane(start) {}
-
-  EndpointEntry entry;
-  Health health = Health::kClosed;
-  Time since{};
-  bool shut = false;  // open for refusals
-  double failure = 0;
-  std::vector<double> class_failure;
-  int fails_in_row = 0;
-  Time first_fail{};   // send of the first of them
-  int silent_row = 0;  // of them overdue
-  double latency = 0;  // mean, in seconds; 0: unknown
-  double spread = 0;   // mean deviation from it
-  Time last_answer{};  // send of the last call that was delivered
-  int calls_out = 0;
-  int fresh_out = 0;  // of them not overdue
-  bool probing = false;
-  std::optional<Time> removed;
-  int places = 0;  // calls out that its connections allowed us last; 0: no bound seen
-  Time crowded{};  // when it was seen
-  Time next_call{};
-  Lane own_lane;
-};
-
-struct Candidate {
-  Message* message = nullptr;
-  Endpoint* endpoint = nullptr;
-  double urgency = -1;
-};
-
-struct Destination {
-  Destination(Seconds memory, Time start)
-      : lane(start), arrivals(memory, start), sends(memory, start) {}
-
-  std::vector<EndpointId> endpoints;
-  std::vector<MessageId> waiting;  // held and not out, in order of acceptance
-  Gate gate;
-  Lane lane;
-  int calls_out = 0;
-  Time last_answer{};  // send of the last call that was delivered, at any endpoint
-  Meter arrivals;
-  Meter sends;
-};
-
-struct Call {
-  Time sent{};
-  std::size_t out = 0;            // messages in it without an outcome
-  std::size_t message_class = 0;  // of its first message
-  bool sick = false;              // the call before it had failed
-  bool overdue = false;           // counted as a failure for its silence
-  bool judged = false;            // one fate: the first outcome speaks for all
-};
-
 }  // namespace
 
 class Choice::Impl {
@@ -240,7 +107,7 @@
 
   Destination& DestinationOf(DestinationId id) {
     const Seconds memory = std::max<Seconds>(kRateMemory, longest_deadline_);
-    return destinations_.try_emplace(id, memory, *started_).first->second;
+    return destinations_.try_emplace(id, memory, kPaceMemory, *started_).first->second;
   }
 
   void On(const MessageArrived& e) {
@@ -441,7 +308,8 @@
 
   Duration RetryAfter(const Destination& d, const Message& m) const {
     if (!set_.retry_after_heard) return Duration{};
-    Duration after = std::min(d.gate.last_fall, std::max(m.deadline - now_, Duration{}));
+    Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
+                              std::max(m.deadline - now_, Duration{}));
     if (set_.max_retry_after > Duration{}) after = std::min(after, set_.max_retry_after);
     return after;
   }
@@ -535,6 +403,23 @@
     const double spans = ToSeconds(now_ - lane.last_full) / ToSeconds(kLimitSpan);
     lane.rate *= 1 + std::min(1.0, kRegain * (1 + spans)) * dt;
     lane.rate_changed = now_;
+    if (!lane.seldom) return;
+    lane.rate = std::max(lane.rate, ShareUsed(lane));
+    lane.next_call = std::min(lane.next_call, now_ + FromSeconds(1 / lane.rate));
+  }
+
+  double ShareUsed(const Lane& lane) const {
+    return kShareUsed * lane.limit / static_cast<double>(set_.group_size);
+  }
+
+  // The pace after a refusal for one that calls seldom: its own calls tell it too little and too
+  // late, so it takes its even share of the limit, and half of that with each further refusal.
+  void PaceSeldom(Lane& lane, double part) {
+    const double share = lane.limit > 0 ? ShareUsed(lane) : part;
+    const double last = lane.seldom ? kSeldomBackOff * lane.rate : share;
+    lane.rate = std::max(kLeastShare * share, std::min(last, share));
+    lane.seldom = true;
+    lane.rate_changed = now_;
   }
 
   // A pause that doubles with each refusal in a row up to the gap of trials, from a told wait's
@@ -554,6 +439,13 @@
     // A cold one tells nothing of its limit. Guards against a crawl long after its return.
     if (e.health != Health::kClosed) return;
     if (lane.rate > 0 && now_ - lane.rate_changed < kFullPause) return;  // the same overshoot
+    if (set_.group_size >= kManySharers && part * kPaceMemory.count() < kFewCalls) {
+      PaceSeldom(lane, part);
+      const Duration gap = FromSeconds(1 / lane.rate);
+      lane.next_call = std::max(lane.next_call, now_ + told + Spread(gap) - gap / 2);
+      return;
+    }
+    lane.seldom = false;
     const double seen = lane.accepted.Rate(now_);
     const double last = lane.rate > 0 ? lane.rate : 2 * std::max(seen, part);
     lane.rate = std::max(kLeastPart * part, kBackOff * std::min(last, std::max(seen, last / 2)));
@@ -957,7 +849,8 @@
       for (auto& [id, endpoint] : endpoints_) endpoint.entry.state = EndpointState::kRemoved;
     }
     for (const EndpointEntry& entry : e.entries) {
-      const auto [it, added] = endpoints_.try_emplace(entry.endpoint, entry, *started_);
+      const auto [it, added] =
+          endpoints_.try_emplace(entry.endpoint, entry, kPaceMemory, *started_);
       if (added) DestinationOf(entry.destination).endpoints.push_back(entry.endpoint);
       it->second.entry = entry;
       Lane& lane = LaneOf(it->second);
