Try a refused destination with a keyed message, and leave its outage at the share's pace

In tests/fleet_test.cpp the moment when all take a destination for warm again sends 113 calls in a second to one with a limit of 60.

Cause: Sendable keeps keyed messages from an open endpoint wherever probes are allowed, so each of a hundred first spends a trial gap of 7 s on a probe and then waits for the next gap. And Turn leaves recovery with no pace at all, while each holds a backlog.

Checked: the sum of calls and probes is what the budget gives (15 a second of 26), so the budget is not too small but spent on probes. Lists and connections are not the cause: no crowding in that time.

Change: an endpoint remembers whether its last failure was a connection that never came up. Then nothing can have run, and a keyed message is the trial. After silence, resets and errors it is a probe as before, and always for messages that may not be repeated. One of ten or more that calls seldom begins at 0.8 of its even share of the limit when it takes a destination for warm.

Tests: the budget over any 2 s of a hundred, what they deliver meanwhile, calls above the limit later; a keyed message after refusal, reset and time-out. Broken on purpose: no keyed trial, one after any failure, no pace after recovery (98 calls above for fewer than 60), a budget of 1.4; each failed.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -412,6 +412,10 @@
     return kShareUsed * lane.limit / static_cast<double>(set_.group_size);
   }
 
+  bool Seldom(double part) const {
+    return set_.group_size >= kManySharers && part * kPaceMemory.count() < kFewCalls;
+  }
+
   // The pace after a refusal for one that calls seldom: its own calls tell it too little and too
   // late, so it takes its even share of the limit, and half of that with each further refusal.
   void PaceSeldom(Lane& lane, double part) {
@@ -439,7 +443,7 @@
     // A cold one tells nothing of its limit. Guards against a crawl long after its return.
     if (e.health != Health::kClosed) return;
     if (lane.rate > 0 && now_ - lane.rate_changed < kFullPause) return;  // the same overshoot
-    if (set_.group_size >= kManySharers && part * kPaceMemory.count() < kFewCalls) {
+    if (Seldom(part)) {
       PaceSeldom(lane, part);
       const Duration gap = FromSeconds(1 / lane.rate);
       lane.next_call = std::max(lane.next_call, now_ + told + Spread(gap) - gap / 2);
@@ -500,7 +504,7 @@
     } else if (outcome == Outcome::kCrowded) {
       OnCrowded(e);
     } else if (!call.overdue && !(outcome == Outcome::kReset && Answered(e))) {
-      Failed(e, call);
+      Failed(e, call, outcome == Outcome::kConnectFailed);
     }
   }
 
@@ -550,7 +554,8 @@
   // reason, is an outage, and so is one where nothing was answered lately: many dispatchers that
   // know of one failure each push a returning destination over. Guards against hangs, crashes,
   // silence and errors alike, and leaves an endpoint in use where only some calls are lost.
-  void Failed(Endpoint& e, const Call& call) {
+  void Failed(Endpoint& e, const Call& call, bool closed = false) {
+    e.closed = closed;
     if (e.fails_in_row++ == 0) e.first_fail = call.sent;
     if (e.health == Health::kRecovering && call.sent < e.since) return;  // older than the recovery
     e.class_failure.resize(set_.classes.size());
@@ -578,10 +583,14 @@
   }
 
   void Turn(Endpoint& e, Health health) {
+    Lane& lane = LaneOf(e);
+    // Guards against a hundred backlogs that are sent at once when all take it for warm.
+    if (e.health == Health::kRecovering && health == Health::kClosed && Seldom(PartOf(e))) {
+      PaceSeldom(lane, PartOf(e));
+    }
     e.health = health;
     e.shut = false;
     e.since = now_;
-    Lane& lane = LaneOf(e);
     lane.next_trial = std::max(lane.next_trial, now_ + Spread(TrialGap(e)));
     static constexpr const char* kNames[] = {"closed", "open", "recovering"};
     actions_.push_back(Log{"breaker " + std::string(kNames[static_cast<int>(health)]) +
@@ -627,7 +636,15 @@
         ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
       return false;
     }
-    return e.health != Health::kOpen || ClassOf(m).effect == Effect::kSafe || !set_.probes_allowed;
+    return e.health != Health::kOpen || MayTry(m, e);
+  }
+
+  // A trial call that is a message saves a probe. Where no connection came up the next one will not
+  // either or will be answered, so a message that may be repeated is risked there.
+  bool MayTry(const Message& m, const Endpoint& e) const {
+    const Effect effect = ClassOf(m).effect;
+    return effect == Effect::kSafe || !set_.probes_allowed ||
+           (effect == Effect::kKeyed && e.closed);
   }
 
   bool CanCall(Endpoint& e) {
@@ -739,6 +756,8 @@
       if (d.waiting.empty()) continue;
       Endpoint* e = BestEndpoint(d, SIZE_MAX);
       if (e == nullptr || e->health != Health::kOpen) continue;
+      const auto may_try = [&](MessageId m) { return MayTry(messages_.at(m), *e); };
+      if (std::any_of(d.waiting.begin(), d.waiting.end(), may_try)) continue;
       e->probing = true;
       Paced(*e);
       actions_.push_back(Probe{e->entry.endpoint});
--- a/src/choice_state.hpp
+++ b/src/choice_state.hpp
@@ -117,11 +117,12 @@
   double failure = 0;
   std::vector<double> class_failure;
   int fails_in_row = 0;
-  Time first_fail{};   // send of the first of them
-  int silent_row = 0;  // of them overdue
-  double latency = 0;  // mean, in seconds; 0: unknown
-  double spread = 0;   // mean deviation from it
-  Time last_answer{};  // send of the last call that was delivered
+  Time first_fail{};    // send of the first of them
+  int silent_row = 0;   // of them overdue
+  bool closed = false;  // the last of them was a connection that never came up
+  double latency = 0;   // mean, in seconds; 0: unknown
+  double spread = 0;    // mean deviation from it
+  Time last_answer{};   // send of the last call that was delivered
   int calls_out = 0;
   int fresh_out = 0;  // of them not overdue
   bool probing = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -739,6 +739,29 @@
   }
 }
 
+// Where no connection came up a repeat is harmless; where an answer is missing it may have run.
+TEST(Breaker, AKeyedMessageIsTheTrialOnlyWhereNoConnectionCameUp) {
+  for (const Outcome outcome : {Outcome::kConnectFailed, Outcome::kReset, Outcome::kTimeout}) {
+    Settings s = TestSettings();
+    s.probes_allowed = true;
+    Bench b(s);
+    MessageId next = 1;
+    b.At(900ms, {One()});
+    CallsWhileAllEnd(b, outcome, 1s, 5s, next);
+    std::vector<Event> events;
+    for (MessageId id = 1; id < next; ++id) events.push_back(MessageWithdrawn{id});
+    events.push_back(Arrive(5000, kOrdered));
+    std::size_t probes = 0;
+    for (Time t = 5s; t < 12s; t += 100ms) {
+      b.At(t, events);
+      events.clear();
+      probes += b.Got<Probe>().size();
+    }
+    EXPECT_EQ(b.attempts[5000] > 0, outcome == Outcome::kConnectFailed);
+    EXPECT_EQ(probes == 0, outcome == Outcome::kConnectFailed);
+  }
+}
+
 // ---- attempts ----
 
 TEST(Attempts, ASilentCallIsCalledOffOnlyWhereThatIsAllowed) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -228,5 +228,35 @@
   EXPECT_GT(lifted.delivered, lifted.arrived);
 }
 
+// ---- destinations that are down and come back cold (zone) ----
+
+// What it can do when cold, as a share of a capacity 1.15 times its limit, grows over the cold
+// time.
+double CapacityAt(Duration back) {
+  return 60 * 1.15 * (0.31 + 0.69 * std::min(1.0, SecondsOf(back) / 9));
+}
+
+TEST(Fleet, AHundredStayBelowWhatTopplesAColdDestinationAndUseItAtOnce) {
+  Fleet fleet(100, 1, 40);
+  fleet.Play(6s);
+  fleet.partner.down = true;
+  const Counts outage = fleet.Play(5s);
+  EXPECT_LT(outage.calls + outage.probes, 200);
+  fleet.partner.down = false;
+  int before = 0, delivered = 0, arrived = 0, probes = 0;
+  for (Duration back = 0s; back < 9s; back += 1s) {
+    const Counts now = fleet.Play(1s);
+    EXPECT_LT(now.calls + now.probes + before, 2 * 1.5 * CapacityAt(back)) << SecondsOf(back);
+    before = now.calls + now.probes;
+    delivered += now.delivered;
+    arrived += now.arrived;
+    probes += now.probes;
+  }
+  EXPECT_GT(delivered, arrived * 4 / 10) << "trials deliver messages";
+  EXPECT_LT(probes, 20);
+  const Counts warm = fleet.Play(15s);
+  EXPECT_LT(warm.above, 60) << "its limit stands when all take it for warm";
+}
+
 }  // namespace
 }  // namespace rushfall
