Spend a keyed message's attempts on trials only where ten or more share

Three integration tests failed: with one forwarder and a dead endpoint the trials used up a message's attempts, so that it was given up instead of staying owed.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -644,7 +644,7 @@
   bool MayTry(const Message& m, const Endpoint& e) const {
     const Effect effect = ClassOf(m).effect;
     return effect == Effect::kSafe || !set_.probes_allowed ||
-           (effect == Effect::kKeyed && e.closed);
+           (effect == Effect::kKeyed && e.closed && set_.group_size >= kManySharers);
   }
 
   bool CanCall(Endpoint& e) {
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -744,6 +744,7 @@
   for (const Outcome outcome : {Outcome::kConnectFailed, Outcome::kReset, Outcome::kTimeout}) {
     Settings s = TestSettings();
     s.probes_allowed = true;
+    s.group_size = 100;
     Bench b(s);
     MessageId next = 1;
     b.At(900ms, {One()});
