--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <limits>
 #include <map>
 #include <random>
@@ -412,9 +411,9 @@
     return kShareUsed * lane.limit / static_cast<double>(set_.group_size);
   }
 
-  bool Seldom(double part) const {
-    return set_.group_size >= kManySharers && part * kPaceMemory.count() < kFewCalls;
-  }
+  bool ManyShare() const { return set_.group_size >= kManySharers; }
+
+  bool Seldom(double part) const { return ManyShare() && part * kPaceMemory.count() < kFewCalls; }
 
   // The pace after a refusal for one that calls seldom: its own calls tell it too little and too
   // late, so it takes its even share of the limit, and half of that with each further refusal.
@@ -585,8 +584,9 @@
   void Turn(Endpoint& e, Health health) {
     Lane& lane = LaneOf(e);
     // Guards against a hundred backlogs that are sent at once when all take it for warm.
-    if (e.health == Health::kRecovering && health == Health::kClosed && Seldom(PartOf(e))) {
-      PaceSeldom(lane, PartOf(e));
+    if (e.health == Health::kRecovering && health == Health::kClosed) {
+      const double part = PartOf(e);
+      if (Seldom(part)) PaceSeldom(lane, part);
     }
     e.health = health;
     e.shut = false;
@@ -640,11 +640,12 @@
   }
 
   // A trial call that is a message saves a probe. Where no connection came up the next one will not
-  // either or will be answered, so a message that may be repeated is risked there.
+  // either or will be answered, so one of many risks a message that may be repeated there. Of a
+  // few, whose trials come often, a message would spend all its attempts on them.
   bool MayTry(const Message& m, const Endpoint& e) const {
     const Effect effect = ClassOf(m).effect;
     return effect == Effect::kSafe || !set_.probes_allowed ||
-           (effect == Effect::kKeyed && e.closed && set_.group_size >= kManySharers);
+           (effect == Effect::kKeyed && e.closed && ManyShare());
   }
 
   bool CanCall(Endpoint& e) {
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -443,8 +443,10 @@
     const auto& [number, hop] = entry;
     const bool gone = hop.entry.state == rushfall::EndpointState::kRemoved &&
                       now - hop.gone_since > longest_deadline_ && called.count(number) == 0;
-    if (gone) hop_numbers_.erase(hop.name);
-    return gone;
+    if (!gone) return false;
+    hop_numbers_.erase(hop.name);
+    next_hops_.Forget(number);  // a call that was out at its removal has come back since
+    return true;
   });
   if (forgotten > 0) NoteListed();
 }
@@ -676,7 +678,7 @@
                   {"fate", static_cast<int>(e.fate)},
                   {"status", e.status},
                   {"wait", e.wait_ms},
-                  {"took", (now - out.started).count() / 1000000},
+                  {"took", duration_cast<milliseconds>(now - out.started).count()},
                   {"load", e.load}});
   }
   if (out.parts.empty()) {
--- a/src/net/back_off.hpp
+++ b/src/net/back_off.hpp
@@ -31,12 +31,12 @@
   }
   // It was to be had: the next failure is the first again.
   void Succeeded() { next_ = first_; }
-  // Anywhere in this span, for a start that many make at once.
+
+ private:
   Duration Anywhere(Duration span) {
     return Duration(std::uniform_int_distribution<Duration::rep>(0, span.count())(random_));
   }
 
- private:
   const Duration first_, longest_;
   Duration next_;
   std::mt19937_64 random_;
--- a/src/net/idle_share.cpp
+++ b/src/net/idle_share.cpp
@@ -25,16 +25,17 @@
 }
 
 void IdleShare::Crowded(Time now) {
-  const double left = std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
-  crowd_ = std::min(kMostCrowd, left + 1);
+  crowd_ = std::min(kMostCrowd, CrowdAt(now) + 1);
   crowded_ = now;
 }
 
-double IdleShare::ShareAt(Time now) const {
-  const double crowd = std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
-  return share_ * std::exp2(-crowd);
+// What is left of the caution.
+double IdleShare::CrowdAt(Time now) const {
+  return std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
 }
 
+double IdleShare::ShareAt(Time now) const { return share_ * std::exp2(-CrowdAt(now)); }
+
 std::size_t IdleShare::Most(Time now) const {
   return static_cast<std::size_t>(std::ceil(ShareAt(now)));
 }
--- a/src/net/idle_share.hpp
+++ b/src/net/idle_share.hpp
@@ -31,6 +31,7 @@
   Seconds KeptFor(Time now, Seconds idle) const;
 
  private:
+  double CrowdAt(Time now) const;
   double ShareAt(Time now) const;
 
   double share_;      // connections
--- a/tests/network/next_hops_test.cpp
+++ b/tests/network/next_hops_test.cpp
@@ -199,10 +199,10 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "a next hop that was crowded gets its places back") {
-  Socket turned_away, sockets[2];
+  Socket turned_away, taken;
   const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   for (int i = 0; i < 4; ++i) CHECK(Answered(turned_away, busy).fate == Fate::kCrowded);
-  CHECK(Answered(sockets[0], kOk).whole);
+  CHECK(Answered(taken, kOk).whole);
   CHECK(hops.NextRetire() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
 }
 
