Take a group of no forwarders for one in the module, as the design note says

docs/design/fleet.md says that a group of 0 is taken for 1. That held for idle shares and for the watch, but the module divided by it: the even share was without bound and so were the trials of a failed endpoint. The constructor takes 0 for 1 now, and nothing else changes for any other size.

The test calls a failing endpoint with sizes 0 and 1 and wants as many calls; without the line it fails. 78 tests of the module pass.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -71,6 +71,7 @@
 class Choice::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
+    set_.group_size = std::max<std::size_t>(set_.group_size, 1);
     shortest_deadline_ = shortest_aim_ = Duration::max();
     for (const ClassSettings& c : set_.classes) {
       longest_deadline_ = std::max(longest_deadline_, c.deadline);
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -867,6 +867,21 @@
   EXPECT_EQ(b.Got<Send>().size(), 1u);
 }
 
+// The share of nobody would be without bound, and a failed endpoint called each turn.
+TEST(Caller, AGroupOfNoneIsAGroupOfOne) {
+  int calls[2] = {};
+  for (std::size_t group : {0, 1}) {
+    Settings s = TestSettings();
+    s.group_size = group;
+    Bench b(s);
+    MessageId next = 1;
+    b.At(900ms, {One()});
+    calls[group] = CallsWhileAllEnd(b, Outcome::kConnectFailed, 1s, 20s, next);
+  }
+  EXPECT_GT(calls[1], 0);
+  EXPECT_EQ(calls[0], calls[1]);
+}
+
 TEST(Caller, AMessageWithNoTimeLeftIsAnsweredAtOnce) {
   Bench b;
   MessageArrived late = Arrive(1, kUnsafe);
