Let the rehearsal's stand-in forwarder trickle to a partner that failed

The auditor was right: the Python stand-in broke fail-back, "a was pushed over while cold by 17 calls' work, of which 17 came from forwarders that saw it fail". Each held message has its own thread in tests/rehearsal/bad_forwarder.py and tried again 0.15 s after a refusal, so the backlog of a partner that was shut for half a second all went to it at once when it came back cold. Whether that reached the fall budget depended on how fast the machine ran the threads, which is why it had passed before.

Checked: the C++ under test plays no part (the stand-in is Python; the auditor and partners are unchanged), and the failure does not depend on the module.

Change: for the scenarios' cold time (4 s) after a call at a destination came back undelivered, the stand-in sends there one call at a time, after any told wait, a tenth of a second apart, and gives a message up as not sent when its time runs out while waiting. The stand-ins that are to break fail-back or attempts keep their old haste, so those rules are still caught.

--- a/tests/rehearsal/bad_forwarder.py
+++ b/tests/rehearsal/bad_forwarder.py
@@ -19,6 +19,7 @@
 import time
 
 BAD = os.environ.get("BAD", "none")
+COLD_S = 4  # the scenarios' warm-up time
 
 
 class State:
@@ -27,6 +28,8 @@
         self.lock = threading.Lock()
         self.members = {m["id"]: m for m in config["known"]["members"]}
         self.waits = {}  # dest: until
+        self.failed = {}  # dest: when a call there last came back without delivery
+        self.trickles = {}  # dest: the lock that lets one call at a time go there while it is cold
         self.slots = threading.Semaphore(200)
         self.count = 0
         self.notices = queue.Queue()
@@ -100,6 +103,40 @@
         connection.close()
 
 
+def careful_call(state, dest, address, message, end, timeout):
+    """A call, and the wait that it told. For the cold time after a failure there, one at a time,
+    after any wait and a tenth of a second apart, so that a partner that comes back is not pushed
+    over by the backlog: timing alone does not decide whether a forwarder that keeps the rules
+    passes."""
+    now = time.monotonic()
+    if BAD in ("fail-back", "attempts") or now - state.failed.get(dest, -COLD_S) >= COLD_S:
+        return noted_call(state, dest, address, message, timeout)
+    with state.lock:
+        trickle = state.trickles.setdefault(dest, threading.Lock())
+    if not trickle.acquire(timeout=max(0.0, end - now)):
+        return 503, 0  # not sent
+    try:
+        while BAD != "wait" and state.waits.get(dest, 0) > time.monotonic():
+            time.sleep(state.waits[dest] - time.monotonic() + 0.02)
+        if time.monotonic() >= end:
+            return 503, 0
+        status, told = noted_call(state, dest, address, message, min(timeout, end - time.monotonic()))
+        time.sleep(0.1)
+        return status, told
+    finally:
+        trickle.release()
+
+
+def noted_call(state, dest, address, message, timeout):
+    status, told = call(address, message, timeout)
+    if told > 0:
+        until = time.monotonic() + told
+        state.waits[dest] = max(until, state.waits.get(dest, 0))
+    if status not in (200, 410):
+        state.failed[dest] = time.monotonic()
+    return status, told
+
+
 def deliver(state, message, number):
     dest = message["dest"]
     end = message["until"] - 0.3
@@ -129,10 +166,9 @@
         tries += 1
         if BAD == "overlap":
             threading.Thread(target=call, args=(address, message, end - now), daemon=True).start()
-        status, told = call(address, message, min(end - now, 5 if ran_since is None else 0.2))
-        if told > 0:
-            until = time.monotonic() + told
-            state.waits[dest] = max(until, state.waits.get(dest, 0))
+        status, told = careful_call(
+            state, dest, address, message, end, 5 if ran_since is None else 0.2
+        )
         if status == 200:
             if BAD == "resend":
                 time.sleep(0.8)
