Prefer a route in a hall without a toll, and answer at once what a told wait outlasts

The module never heard of the toll: adapter/host.cpp and src/config/config.cpp left `family-info.toll` unread, and CostOf in src/choice.cpp weighed latency, calls out and failures only, so routes of the two halls were alike to the picker.

Change, read from the settings alone: - Settings::zone_toll, by zone, from `family-info.toll` (a list, or one figure for all); a figure outside 0..1 counts as 0, with a warning. - CostOf multiplies a route apart's cost by 1 + 10 x its zone's toll. The issue's unsuited input, each with a safe default and a line: - a listed rate below 0, above 1e6 a second or not a number counts as untold (the gate had let all in at a rate of 1e12); - a told wait past every deadline is logged, and a message whose every listed endpoint waits past its last moment is given up at once, not at its deadline; - a destination with no endpoint that takes work is told once; its messages wait for new ones; - a class whose effect is missing or unknown is taken as side_effect (never repeated) with a warning, where the configuration used to fail to load; serve logs the warnings and check-config prints them.

--- a/adapter/host.cpp
+++ b/adapter/host.cpp
@@ -121,6 +121,9 @@
   const std::size_t classes = CountOf("classes.count", line);
   for (std::size_t i = 0; i < classes; ++i) s.classes.push_back(ParseClass(line, i));
   s.kinds = ParseKinds(line);
+  for (std::string_view toll : Split(line.TextOr("family-info.toll", ""), ',')) {
+    if (!toll.empty()) s.zone_toll.push_back(ParseNumber(toll));
+  }
   const std::size_t tenants = CountOf("realms.count", line);
   for (std::size_t i = 0; i < tenants; ++i) {
     s.tenants.push_back({line.NumberOr(Path("realms", i, "quota-rps"), 0)});
--- a/include/rushfall/choice.hpp
+++ b/include/rushfall/choice.hpp
@@ -66,6 +66,9 @@
   std::vector<ClassSettings> classes;
   std::vector<KindSettings> kinds;
   std::vector<TenantSettings> tenants;
+  // By zone: points off the result, as a share of all first tries, for each message that a route
+  // apart in the zone takes on. A zone without a figure costs nothing.
+  std::vector<double> zone_toll;
   Decay decay = Decay::kLinear;
   WeightMeaning weights = WeightMeaning::kNone;
   double over_quota_worth = 1;   // worth of a message above its tenant's quota, as a fraction
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -63,6 +63,8 @@
 constexpr double kFloorUrgency = 0.02;  // worth of sending what loses nothing by waiting
 constexpr double kLossGain = 0.1;       // weight of the newest answer in the share of loss
 constexpr double kLossy = 0.08;         // of answers after a lost call, and it is the network
+constexpr double kMostRate = 1e6;       // calls a second: a listed rate above it is not meant
+constexpr double kTollWeight = 10;      // of a route's toll, in points, against its latency
 
 Duration FromSeconds(double s) { return duration_cast<Duration>(Seconds(s)); }
 
@@ -462,8 +464,13 @@
     Endpoint& endpoint = endpoints_.at(attempt.endpoint);
     Lane& lane = LaneOf(endpoint);
     Call& call = calls_.at(attempt.call);
-    // A wait binds whichever message of a batch was told of it.
+    // A wait binds whichever message of a batch was told of it, however long it is.
     lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
+    if (e.retry_after > longest_deadline_) {
+      actions_.push_back(Log{"endpoint " + std::to_string(endpoint.entry.endpoint) +
+                             " told a wait of " + std::to_string(ToSeconds(e.retry_after)) +
+                             " s, past every deadline"});
+    }
     Heard(lane, e.report);
     if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
       call.judged = true;
@@ -666,7 +673,13 @@
     const double failure =
         message_class < e.class_failure.size() ? e.class_failure[message_class] : e.failure;
     const double sick = e.health == Health::kClosed ? failure : 1 + failure;
-    return latency * (1 + e.calls_out) * (1 + kSickCost * sick);
+    return latency * (1 + e.calls_out) * (1 + kSickCost * sick) * (1 + kTollWeight * TollOf(e));
+  }
+
+  // What the route's zone costs for each message it takes on; other endpoints cost nothing.
+  double TollOf(const Endpoint& e) const {
+    const bool apart = e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].separate_routes;
+    return apart && e.entry.zone < set_.zone_toll.size() ? set_.zone_toll[e.entry.zone] : 0;
   }
 
   Endpoint* BestEndpoint(Destination& d, std::size_t message_class) {
@@ -828,7 +841,8 @@
     }
     for (MessageId id : ids) {
       Message& m = messages_.at(id);
-      if (now_ >= m.deadline - set_.turn || (m.out == 0 && WindowClosed(m))) {
+      const Time last = m.deadline - set_.turn;
+      if (now_ >= last || (m.out == 0 && (WindowClosed(m) || WaitsPast(m.destination, last)))) {
         GiveUp(m);
       } else if (m.out > 0) {
         ReviewAttempt(m);
@@ -836,6 +850,18 @@
     }
   }
 
+  // Every endpoint that could take it is told to wait past its time: it is given up now, not then.
+  bool WaitsPast(DestinationId id, Time last) {
+    bool any = false;
+    for (EndpointId e : destinations_.at(id).endpoints) {
+      Endpoint& endpoint = endpoints_.at(e);
+      if (endpoint.entry.state != EndpointState::kListed) continue;
+      if (LaneOf(endpoint).wait_until < last) return false;
+      any = true;
+    }
+    return any;
+  }
+
   // A silent call counts as a failure long before its message's time is up. It is called off when
   // its slot is wanted or another attempt may do better.
   void ReviewAttempt(Message& m) {
@@ -875,9 +901,34 @@
       if (added) DestinationOf(entry.destination).endpoints.push_back(entry.endpoint);
       it->second.entry = entry;
       Lane& lane = LaneOf(it->second);
-      if (set_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = entry.weight;
+      if (set_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = Listed(entry);
     }
     ForgetRemoved();
+    for (const EndpointEntry& entry : e.entries) NoteNoneListed(entry.destination);
+  }
+
+  // A listed rate that cannot be meant counts as untold. Guards against a gate that lets all in.
+  double Listed(const EndpointEntry& entry) {
+    if (entry.weight >= 0 && entry.weight <= kMostRate) return entry.weight;
+    actions_.push_back(Log{"endpoint " + std::to_string(entry.endpoint) + " listed at a rate of " +
+                           std::to_string(entry.weight) + " a second, taken for untold"});
+    return 0;
+  }
+
+  // Its messages are held for endpoints to come, as when all of them drain at once in a deploy.
+  void NoteNoneListed(DestinationId id) {
+    const auto it = destinations_.find(id);
+    if (it == destinations_.end()) return;
+    const auto listed = [this](EndpointId e) {
+      return endpoints_.at(e).entry.state == EndpointState::kListed;
+    };
+    const bool none =
+        std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
+    if (none && !it->second.none_listed) {
+      actions_.push_back(
+          Log{"destination " + std::to_string(id) + " has no endpoint that takes work"});
+    }
+    it->second.none_listed = none;
   }
 
   // What was removed long ago and has no call out. Guards against endpoints that are replaced for
--- a/src/choice_state.hpp
+++ b/src/choice_state.hpp
@@ -148,7 +148,8 @@
   Gate gate;
   Lane lane;
   int calls_out = 0;
-  Time last_answer{};  // send of the last call that was delivered, at any endpoint
+  bool none_listed = false;  // no endpoint of it takes work; told once
+  Time last_answer{};        // send of the last call that was delivered, at any endpoint
   Meter arrivals;
   Meter sends;
 };
--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -16,6 +16,7 @@
   if (!ParseOptions(options, argc, argv, given)) return 0;
   const auto path = given["config"].as<std::string>();
   const Config config = LoadConfig(path);
+  for (const std::string& warning : config.warnings) std::cout << path << ": " << warning << "\n";
   std::cout << path << ": good; forwarder " << config.name << " at " << config.listen << ", "
             << config.known.members.size() << " next hops known\n";
   return 0;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -61,6 +61,10 @@
   Config config = LoadConfig(path);
   if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
   if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
+  for (const std::string& warning : config.warnings) {
+    observe::Log(Concern::kService, Level::kWarning, "setting taken with a safe default",
+                 {{"fault", warning}});
+  }
   return config;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -58,19 +58,20 @@
   return names;
 }
 
-rushfall::ClassSettings ReadClass(const Value& in) {
+// A class whose repeat rule is missing or unknown is taken for one that must never run twice: the
+// safe reading, told in `warnings`.
+rushfall::ClassSettings ReadClass(const Value& in, std::vector<std::string>& warnings) {
   rushfall::ClassSettings c;
   c.aim = nanoseconds(in.At("goal-time").Whole());
   c.deadline = nanoseconds(in.At("hard-limit").Whole());
-  const std::string& effect = in.At("effect").Text();
+  const std::string effect = TextOr(in, "effect", "");
   if (effect == "pure") {
     c.effect = rushfall::Effect::kSafe;
   } else if (effect == "token") {
     c.effect = rushfall::Effect::kKeyed;
-  } else if (effect == "side_effect") {
-    c.effect = rushfall::Effect::kUnsafe;
-  } else {
-    throw ConfigError("unknown effect '" + effect + "'");
+  } else if (effect != "side_effect") {
+    warnings.push_back("class " + TextOr(in, "name", "?") + ": effect '" + effect +
+                       "' is not pure, token or side_effect; it is never repeated");
   }
   if (TextOr(in, "key-scope", "all") == "zone") c.dedup_scope = rushfall::DedupScope::kZone;
   c.dedup_window = TimeOr(in, "dedup-window");
@@ -89,13 +90,32 @@
   return kinds;
 }
 
+// One figure for each zone, or one for all; what is not a number of points from 0 to 1 counts as 0.
+std::vector<double> ReadTolls(const Value& family, std::size_t zones,
+                              std::vector<std::string>& warnings) {
+  const Value* given = family.Find("toll");
+  if (given == nullptr) return {};
+  std::vector<double> tolls;
+  if (given->IsArray()) {
+    for (const Value& item : given->Items()) tolls.push_back(item.Number());
+  } else {
+    tolls.assign(std::max<std::size_t>(zones, 1), given->Number());
+  }
+  for (double& toll : tolls) {
+    if (toll >= 0 && toll <= 1) continue;
+    warnings.push_back("family-info.toll " + std::to_string(toll) + " is not from 0 to 1; 0 holds");
+    toll = 0;
+  }
+  return tolls;
+}
+
 void ReadSettings(const Value& in, Config& config) {
   rushfall::Settings& s = config.decisions;
   const Value& family = GroupOf(in, "family-info");
   const Value& limits = GroupOf(in, "limits");
   const Value& rules = GroupOf(in, "rules");
   for (const Value& item : in.At("classes").Items()) {
-    s.classes.push_back(ReadClass(item));
+    s.classes.push_back(ReadClass(item, config.warnings));
     config.class_names.push_back(item.At("name").Text());
   }
   if (s.classes.empty()) throw ConfigError("settings name no class");
@@ -106,6 +126,7 @@
   config.kind_names = Names(in, "shapes");
   config.zone_names = Names(in, "zones");
   s.kinds = ReadKinds(family, config.kind_names.size());
+  s.zone_toll = ReadTolls(family, config.zone_names.size(), config.warnings);
   if (TextOr(family, "loses-worth", "line") == "halves") s.decay = rushfall::Decay::kHalving;
   const std::string weights = TextOr(in, "weight-source", "none");
   if (weights == "nominal") s.weights = rushfall::WeightMeaning::kRate;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -40,6 +40,8 @@
   std::vector<std::string> zone_names;
   std::chrono::nanoseconds connection_idle{};
   std::chrono::nanoseconds connect_timeout{};
+  // What was unsuited and has been given a safe default, a line each: the program starts with it.
+  std::vector<std::string> warnings;
 };
 
 // Both throw ConfigError with one line that names the fault.
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -939,5 +939,82 @@
   }
 }
 
+// ---- what the list and the answers say that cannot be meant ----
+
+bool Logged(const Bench& b, const std::string& words) {
+  const std::vector<Log> lines = b.Got<Log>();
+  return std::any_of(lines.begin(), lines.end(),
+                     [&](const Log& line) { return line.text.find(words) != std::string::npos; });
+}
+
+// One slot, so that what arrives at once is held unsent; the gate then goes by the listed rate.
+TEST(Unsuited, ARateThatCannotBeMeantIsTakenForUntold) {
+  Settings s = TestSettings();
+  s.slots = 1;
+  s.weights = WeightMeaning::kRoughRate;
+  Bench b(s);
+  b.At(0s, {Listed({{.endpoint = 1, .destination = 1, .weight = 1e12}})});
+  EXPECT_TRUE(Logged(b, "taken for untold"));
+  std::vector<Event> arrivals;
+  for (MessageId id = 0; id < 30; ++id) arrivals.push_back(Arrive(id));
+  b.At(1s, arrivals);
+  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_FALSE(b.Got<Refuse>().empty()) << "the gate let all in at a rate nobody meant";
+}
+
+TEST(Unsuited, AWaitPastEveryDeadlineGivesTheMessagesUpAtOnce) {
+  Bench b;
+  b.At(0s, {One(), Arrive(1)});
+  ASSERT_EQ(b.Got<Send>().size(), 1u);
+  AttemptSettled full = b.End(1, Outcome::kFull);
+  full.retry_after = 3600s;
+  b.At(100ms, {full, Arrive(2)});
+  EXPECT_TRUE(Logged(b, "past every deadline"));
+  EXPECT_EQ(b.Got<Refuse>().size(), 2u) << "held for a wait that outlasts them";
+  EXPECT_TRUE(b.Got<Send>().empty());
+}
+
+TEST(Unsuited, AWaitWithinTheDeadlineKeepsTheMessages) {
+  Bench b;
+  b.At(0s, {One(), Arrive(1)});
+  AttemptSettled full = b.End(1, Outcome::kFull);
+  full.retry_after = 2s;
+  b.At(100ms, {full, Arrive(2)});
+  EXPECT_TRUE(b.Got<Refuse>().empty());
+  std::size_t sent = 0;
+  for (Time t = 200ms; t < 6s; t += 100ms) sent += b.At(t).empty() ? 0 : b.Got<Send>().size();
+  EXPECT_TRUE(b.Got<Refuse>().empty());
+  EXPECT_EQ(sent, 2u);
+}
+
+TEST(Unsuited, ADestinationWithNoEndpointThatTakesWorkIsToldOnceAndItsMessagesWait) {
+  Bench b;
+  b.At(0s, {Listed({{.endpoint = 1, .destination = 1, .state = EndpointState::kDraining}})});
+  EXPECT_TRUE(Logged(b, "no endpoint that takes work"));
+  b.At(1s, {Listed({{.endpoint = 1, .destination = 1, .state = EndpointState::kDraining}}, 2),
+            Arrive(1)});
+  EXPECT_FALSE(Logged(b, "no endpoint that takes work"));
+  EXPECT_TRUE(b.Got<Refuse>().empty());
+  EXPECT_TRUE(b.Got<Send>().empty());
+  b.At(2s, {Listed({{.endpoint = 1, .destination = 1, .state = EndpointState::kDraining},
+                    {.endpoint = 2, .destination = 1}},
+                   3)});
+  ASSERT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
+}
+
+// Two routes apart that are alike but for their zones' tolls.
+TEST(Unsuited, ARouteWithoutATollIsPreferred) {
+  Settings s = TestSettings();
+  s.kinds[0].separate_routes = true;
+  s.zone_toll = {0, 0.03};
+  Bench b(s);
+  b.At(0s, {Listed({{.endpoint = 1, .destination = 1, .zone = 1},
+                    {.endpoint = 2, .destination = 1, .zone = 0}}),
+            Arrive(1)});
+  ASSERT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
+}
+
 }  // namespace
 }  // namespace rushfall
--- /dev/null
+++ b/tests/network/config_test.cpp
@@ -0,0 +1,47 @@
+// The configuration: what is unsuited gets a safe default and a line that says so.
+#include "config/config.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace brassfront {
+namespace {
+
+Config WithSettings(const std::string& classes, const std::string& family) {
+  return ParseConfig(R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"01",
+    "limits":{"memory_mb":64,"sockets":256,"disk_mb":3},
+    "known":{"revision":1,"complete":true,"members":[]},
+    "settings":{"classes":)" +
+                     classes + R"(,"zones":["east","west"],"family-info":)" + family + "}}");
+}
+
+constexpr char kKeyed[] =
+    R"([{"name":"e","effect":"token","goal-time":1,"hard-limit":2,"dedup-window":1}])";
+
+TEST_CASE("a class without a repeat rule that is known is never repeated, and it is said") {
+  for (const char* effect : {"", R"("effect":"twice",)"}) {
+    const Config config = WithSettings(
+        std::string(R"([{"name":"odd",)") + effect + R"("goal-time":1,"hard-limit":2}])", "{}");
+    REQUIRE(config.decisions.classes.size() == 1);
+    CHECK(config.decisions.classes[0].effect == rushfall::Effect::kUnsafe);
+    REQUIRE(config.warnings.size() == 1);
+    CHECK(config.warnings[0].find("class odd") != std::string::npos);
+  }
+  CHECK(WithSettings(kKeyed, "{}").warnings.empty());
+}
+
+TEST_CASE("a toll is read for each zone, or one for all, and one out of range counts as none") {
+  CHECK(WithSettings(kKeyed, R"({"toll":[0,0.03]})").decisions.zone_toll ==
+        std::vector<double>{0, 0.03});
+  CHECK(WithSettings(kKeyed, R"({"toll":0.01})").decisions.zone_toll ==
+        std::vector<double>{0.01, 0.01});
+  const Config bad = WithSettings(kKeyed, R"({"toll":[0,-2]})");
+  CHECK(bad.decisions.zone_toll == std::vector<double>{0, 0});
+  CHECK(bad.warnings.size() == 1);
+  CHECK(WithSettings(kKeyed, "{}").decisions.zone_toll.empty());
+  CHECK_THROWS_AS(WithSettings(kKeyed, R"({"toll":"much"})"), ConfigError);
+}
+
+}  // namespace
+}  // namespace brassfront
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -15,7 +15,8 @@
     "classes.0.hard-limit=28000000000\tclasses.0.key-scope=zone\tclasses.0.sequential=true\t"
     "classes.1.effect=pure\tclasses.1.goal-time=1000000000\tclasses.1.hard-limit=2000000000\t"
     "family-info.bundle-max=20,1\tfamily-info.own-limits=false,true\t"
-    "family-info.loses-worth=halves\tfamily-info.workers=15\tlimits.open-cap=315\t"
+    "family-info.loses-worth=halves\tfamily-info.toll=0,0.03\tfamily-info.workers=15\t"
+    "limits.open-cap=315\t"
     "limits.may-cancel=true\trules.cold-share=0.17\ttick=5000000\tsome.new-key=what_ever";
 
 std::pair<std::string, int> RunOn(const std::string& input, std::string* errors = nullptr) {
@@ -37,6 +38,7 @@
   ASSERT_EQ(s.kinds.size(), 2u);
   EXPECT_EQ(s.kinds[0].max_batch, 20u);
   EXPECT_TRUE(s.kinds[1].separate_routes);
+  EXPECT_EQ(s.zone_toll, (std::vector<double>{0, 0.03}));
   EXPECT_EQ(s.decay, Decay::kHalving);
   EXPECT_EQ(s.slots, 15u);
   EXPECT_TRUE(s.cancel_allowed);
