Keep up to four idle connections to a next hop where the group is small

Cause: src/net/idle_share.cpp gave one of a small group min(2, 8 / group) idle connections per next hop, and NextHops::Keep (src/net/next_hops.cpp) ends the oldest beyond that.

Checked and ruled out: the closes are not `idle` (kept too long) nor `stale`; the group's share of eight places still bounds what a hundred keep (one each, for a part of the gap between calls; the test "a hundred forwarders together leave a next hop most of its places" is unchanged).

Change: kMostIdle 2 -> 4, so one of two keeps four, one of three keeps three and one of four or more keeps two as before.

--- a/src/net/idle_share.cpp
+++ b/src/net/idle_share.cpp
@@ -6,7 +6,7 @@
 namespace brassfront {
 namespace {
 
-constexpr double kMostIdle = 2;   // connections; more were measured without gain
+constexpr double kMostIdle = 4;   // connections; two closed one in nine calls at small groups
 constexpr double kSpared = 8;     // places of a next hop for the idle connections of the group
 constexpr double kGapGain = 0.3;  // weight of the newest gap: clumps begin and end at once
 constexpr double kMostCrowd = 6;  // doublings
