Name once whether an endpoint is a route apart, for its lane and its toll

Rereading the change: TollOf repeated LaneOf's test of the kind's separate_routes. Both now ask Apart() in src/choice.cpp.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -354,8 +354,12 @@
   // ======== pacer: the rate that a limit leaves to this dispatcher, and told waits ========
 
   Lane& LaneOf(Endpoint& e) {
-    const bool apart = e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].separate_routes;
-    return apart ? e.own_lane : destinations_.at(e.entry.destination).lane;
+    return Apart(e) ? e.own_lane : destinations_.at(e.entry.destination).lane;
+  }
+
+  // Each endpoint of its kind is a route with its own limit, pace and outages.
+  bool Apart(const Endpoint& e) const {
+    return e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].separate_routes;
   }
 
   std::size_t BatchOf(const Endpoint& e) const {
@@ -678,8 +682,7 @@
 
   // What the route's zone costs for each message it takes on; other endpoints cost nothing.
   double TollOf(const Endpoint& e) const {
-    const bool apart = e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].separate_routes;
-    return apart && e.entry.zone < set_.zone_toll.size() ? set_.zone_toll[e.entry.zone] : 0;
+    return Apart(e) && e.entry.zone < set_.zone_toll.size() ? set_.zone_toll[e.entry.zone] : 0;
   }
 
   Endpoint* BestEndpoint(Destination& d, std::size_t message_class) {
