Tell which forwarders of a fleet live: rosters, signed frames and a SWIM core

Need: forwarders know nothing of their peers; machines out for work, shared limits and takeovers all start from who is there. src/peers is a core without I/O, clock or threads.

- Roster: typed records, names, halls, addresses, voters, timings with bounds; ChangeFault allows one change at a time.
The key file may be read by its owner alone.
- Frames: length, version, fleet, names, identity of the folder, incarnation, HMAC-SHA256.
The HMAC and Base64 that TSIG uses moved to src/signing; no frame with a flipped bit or a cut passes.
- Detector: SWIM with suspicion; a late tick (a stopped process) judges nobody; a member doubts itself only where those it asked for help are silent too; a one-way cut is told from a death.

--- a/src/dns/rdata.cpp
+++ b/src/dns/rdata.cpp
@@ -1,7 +1,6 @@
 #include "dns/rdata.hpp"
 
 #include <arpa/inet.h>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <array>
@@ -612,19 +611,6 @@
   return out.append(soa_rdata.substr(soa_rdata.size() - 16));
 }
 
-std::optional<std::string> FromBase64(std::string_view text) {
-  if (text.empty() || text.size() % 4 != 0) return std::nullopt;
-  std::string bytes(text.size() / 4 * 3, '\0');
-  if (EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size())) < 0) {
-    return std::nullopt;
-  }
-  const auto padding = static_cast<std::size_t>(std::count(text.end() - 2, text.end(), '='));
-  bytes.resize(bytes.size() - padding);
-  return bytes;
-}
-
 void Put16(std::string& out, std::uint32_t value) {
   out += static_cast<char>(value >> 8);
   out += static_cast<char>(value);
--- a/src/dns/rdata.hpp
+++ b/src/dns/rdata.hpp
@@ -14,6 +14,7 @@
 #include <type_traits>
 
 #include "dns/name.hpp"
+#include "signing/signing.hpp"
 
 namespace brassfront::dns {
 
@@ -103,8 +104,7 @@
 std::uint32_t SerialOf(std::string_view soa_rdata);
 std::string WithSerial(std::string_view soa_rdata, std::uint32_t serial);
 
-// Base64 (RFC 4648 §4) with its padding and without spaces. Nothing if it is not that, or empty.
-std::optional<std::string> FromBase64(std::string_view text);
+using signing::FromBase64;
 
 // Numbers in network order.
 void Put16(std::string& out, std::uint32_t value);
--- a/src/dns/tsig.cpp
+++ b/src/dns/tsig.cpp
@@ -1,9 +1,5 @@
 #include "dns/tsig.hpp"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <algorithm>
 #include <array>
 
@@ -14,16 +10,9 @@
     {Algorithm::kHmacSha256, "hmac-sha256"}, {Algorithm::kHmacSha512, "hmac-sha512"}};
 
 std::string Hmac(const Key& key, std::string_view bytes) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
-  unsigned length = 0;
-  HMAC(key.algorithm == Algorithm::kHmacSha256 ? EVP_sha256() : EVP_sha512(), key.secret.data(),
-       static_cast<int>(key.secret.size()), reinterpret_cast<const unsigned char*>(bytes.data()),
-       bytes.size(), mac.data(), &length);
-  return {reinterpret_cast<const char*>(mac.data()), length};
+  return signing::Hmac(key.algorithm, key.secret, bytes);
 }
 
-std::size_t MacBytes(Algorithm algorithm) { return algorithm == Algorithm::kHmacSha256 ? 32 : 64; }
-
 Name AlgorithmName(Algorithm algorithm) { return Name::Known(AlgorithmText(algorithm)); }
 
 void Put48(std::string& out, std::uint64_t value) {
@@ -154,7 +143,7 @@
 std::size_t TsigSession::MostBytes() const {
   constexpr std::size_t kFixed = 10 + 16 + 6;  // the record's, RDATA's, and a time in it
   return key_.name.wire().size() + AlgorithmName(key_.algorithm).wire().size() + kFixed +
-         MacBytes(key_.algorithm);
+         signing::MacBytes(key_.algorithm);
 }
 
 std::string TsigSession::SignBadTime(std::string message, std::uint64_t signed_at,
@@ -177,7 +166,7 @@
     return TsigError::kBadKey;
   }
   if (message.tsig->klass != klass::kAny || message.tsig->ttl != 0) return TsigError::kBadSig;
-  if (fields->mac.size() != MacBytes(key_.algorithm)) {
+  if (fields->mac.size() != signing::MacBytes(key_.algorithm)) {
     return fields->mac.empty() ? TsigError::kBadSig : TsigError::kBadTrunc;
   }
   std::string plain(bytes.substr(0, message.tsig_at));
@@ -186,7 +175,7 @@
   plain[1] = static_cast<char>(fields->original_id);
   const std::string mac =
       Hmac(key_, Signed(prior_mac_ + between_, plain, key_.name, *fields, checked_ >= 2));
-  if (CRYPTO_memcmp(mac.data(), fields->mac.data(), mac.size()) != 0) return TsigError::kBadSig;
+  if (!signing::IsSame(mac, fields->mac)) return TsigError::kBadSig;
   prior_mac_ = WithLength(mac);
   between_.clear();
   ++checked_;
--- a/src/dns/tsig.hpp
+++ b/src/dns/tsig.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "dns/message.hpp"
+#include "signing/signing.hpp"
 
 namespace brassfront::dns {
 
@@ -19,7 +20,7 @@
 // Of a transfer's messages that come unsigned in a row (RFC 8945 §5.3.1).
 inline constexpr int kMostUnsigned = 99;
 
-enum class Algorithm { kHmacSha256, kHmacSha512 };
+using signing::Algorithm;
 
 struct Key {
   Name name;
--- /dev/null
+++ b/src/peers/roster.hpp
@@ -0,0 +1,64 @@
+// Who is in the fleet: an operator file (typed records), the same for all members. docs/fleet.md
+// says what each field does.
+#ifndef BRASSFRONT_PEERS_ROSTER_HPP_
+#define BRASSFRONT_PEERS_ROSTER_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace brassfront::peers {
+
+using Time = std::chrono::nanoseconds;  // on the member's own monotonic clock
+
+inline constexpr std::size_t kMostMembers = 300;
+inline constexpr std::size_t kLeastVoters = 3, kMostVoters = 7;
+inline constexpr std::size_t kLeastSecretBytes = 16;
+
+struct Member {
+  std::string name;
+  std::string hall;
+  std::string address;  // IPv4:PORT, of its datagrams
+  bool voter = false;
+
+  bool operator==(const Member&) const = default;
+};
+
+struct Timings {
+  Time probe{};      // between two probes of a member
+  Time answer{};     // of a direct probe, before others are asked to try
+  Time suspicion{};  // from suspected to dead, where no word of its life comes
+  Time heartbeat{};  // of the settled log's leader
+  Time election{};   // without a leader's word, at least
+  Time drain{};      // of a machine, before its turn is said to have failed
+  Time back{};       // of a machine that returns, likewise
+
+  bool operator==(const Timings&) const = default;
+};
+
+struct Roster {
+  std::string fleet;
+  std::string secret;  // bytes, from the key file
+  std::vector<Member> members;
+  std::size_t out_in_all = 0, out_in_hall = 0;  // machines out or dead at once, at most
+  Timings timings;
+
+  const Member* Find(std::string_view name) const;
+  std::vector<std::string> Voters() const;
+};
+
+std::string_view RosterSchema();
+
+// Throws records::BadRecords with all that is wrong. The key file is read as well; its path is from
+// the roster's folder, and nobody but its owner may read it.
+Roster LoadRoster(const std::string& path);
+
+// What is not allowed in a change from one roster to the next; empty: it may be taken up. A change
+// is one member added, taken away or changed, or limits and timings alone.
+std::string ChangeFault(const Roster& now, const Roster& next);
+
+}  // namespace brassfront::peers
+
+#endif  // BRASSFRONT_PEERS_ROSTER_HPP_
--- /dev/null
+++ b/tests/fleet/peers_test.cpp
@@ -0,0 +1,295 @@
+// Frames, rosters, and who is held for dead, in virtual time.
+#include <doctest/doctest.h>
+#include <sys/stat.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "../network/cuts.hpp"
+#include "fleet/world.hpp"
+#include "peers/bytes.hpp"
+#include "records/records.hpp"
+
+namespace brassfront::peers {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kSecret = "0123456789abcdef";
+
+Frame Some() {
+  return {Kind::kSettled, "n0", "n1", 77, IncarnationOf(3) + 1, std::string("\0body", 5)};
+}
+
+TEST_CASE("a frame comes back as it was sent, and no other does") {
+  const std::string bytes = Encode(Some(), "tacoma", kSecret);
+  Frame frame;
+  CHECK(Decode(bytes, "tacoma", kSecret, "n1", frame) == Drop::kNone);
+  CHECK(frame.kind == Kind::kSettled);
+  CHECK(frame.body == Some().body);
+  CHECK(frame.incarnation == Some().incarnation);
+  CHECK(Decode(bytes, "bengal", kSecret, "n1", frame) == Drop::kFleet);
+  CHECK(Decode(bytes, "tacoma", "another key of it", "n1", frame) == Drop::kSignature);
+  CHECK(Decode(bytes, "tacoma", kSecret, "n2", frame) == Drop::kNotForUs);
+  std::string old = bytes;
+  old[4] = 0;
+  CHECK(Decode(old, "tacoma", kSecret, "n1", frame) == Drop::kVersion);
+  for (std::size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+    std::string flipped = bytes;
+    flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ (1 << (bit % 8)));
+    CHECK(Decode(flipped, "tacoma", kSecret, "n1", frame) != Drop::kNone);
+  }
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    CHECK(Decode(bytes.substr(0, length), "tacoma", kSecret, "n1", frame) == Drop::kShort);
+  }
+}
+
+TEST_CASE("bodies of noise do not disturb a detector") {
+  Detector detector(World(3, 1).timings, "m0", {"m0", "m1", "m2"}, 1, 1, 1);
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 20000; ++i) {
+    Frame frame{static_cast<Kind>(1 + random() % 3), "m1", "m0", 7,
+                random() % 5 << kDenialBits,         ""};
+    frame.body.resize(random() % 60);
+    for (char& c : frame.body) c = static_cast<char>(random() % 7 == 0 ? random() : random() % 3);
+    detector.Receive(frame, milliseconds(i));
+    detector.Tick(milliseconds(i));
+    CHECK(detector.TakeFrames().size() < 20);
+  }
+  CHECK(detector.counts().bad > 1000);
+}
+
+TEST_CASE("a killed member is dead to all within the bound, and alive again after its restart") {
+  for (const std::size_t count : {3U, 5U, 12U}) {
+    World world(count, count);
+    world.RunFor(seconds(3));
+    CHECK(world.told.size() >= count * (count - 1));
+    world.told.clear();
+    world.End(1);
+    const Time killed = world.now;
+    world.RunFor(seconds(6));
+    for (std::size_t i = 0; i < count; ++i) {
+      if (i != 1) CHECK(world.Of(i, 1) == State::kDead);
+    }
+    for (const World::Told& t : world.told) {
+      CHECK(t.change.name == "m1");
+      CHECK(t.at - killed < seconds(4));
+    }
+    world.Start(1, 2);
+    world.RunFor(seconds(4));
+    for (std::size_t i = 0; i < count; ++i) {
+      if (i != 1) CHECK(world.Of(i, 1) == State::kAlive);
+    }
+  }
+}
+
+TEST_CASE("one that has lost its count of lives is heard again, and knows that its folder is old") {
+  World world(4, 3);
+  world.End(1);
+  world.Start(1, 9);
+  world.RunFor(seconds(3));
+  world.End(1);
+  world.RunFor(seconds(5));
+  world.Start(1, 1);  // an empty folder, or yesterday's
+  world.RunFor(seconds(5));
+  CHECK(world.Of(0, 1) == State::kAlive);
+  CHECK(world.at(1).folder_is_old());
+  CHECK(LifeOf(world.at(1).incarnation()) == 9);
+  CHECK_FALSE(world.at(0).folder_is_old());
+}
+
+TEST_CASE("a stopped member that wakes up takes nobody for dead, and is alive again") {
+  World world(5, 4);
+  world.RunFor(seconds(3));
+  world.Stop(2);
+  world.RunFor(seconds(10));
+  CHECK(world.Of(0, 2) == State::kDead);
+  world.told.clear();
+  world.Wake(2);
+  world.RunFor(seconds(6));
+  for (const World::Told& t : world.told)
+    CHECK_FALSE((t.by == "m2" && t.change.to == State::kDead));
+  for (std::size_t i = 0; i < 5; ++i) {
+    if (i != 2) CHECK(world.Of(i, 2) == State::kAlive);
+    if (i != 2) CHECK(world.Of(2, i) == State::kAlive);
+  }
+  CHECK(world.at(2).counts().pauses == 1);
+}
+
+TEST_CASE("a link that is cut one way is noticed on both sides, and nobody dies of it") {
+  World world(5, 5);
+  world.RunFor(seconds(3));
+  world.told.clear();
+  world.Cut(0, 1);
+  world.RunFor(seconds(20));
+  for (std::size_t i = 0; i < 5; ++i) CHECK(world.Deaths(i) == 0);
+  CHECK(world.at(0).peers().at("m1").link == Link::kOneWay);
+  CHECK(world.at(1).peers().at("m0").link == Link::kIndirect);
+  CHECK(world.at(2).peers().at("m0").link == Link::kWhole);
+  world.Cut(0, 1, false);
+  world.RunFor(seconds(10));
+  CHECK(world.at(0).peers().at("m1").link == Link::kWhole);
+  CHECK(world.at(1).peers().at("m0").link == Link::kWhole);
+}
+
+TEST_CASE("both sides of a split hold the other for dead, and find each other when it heals") {
+  World world(5, 6);
+  world.RunFor(seconds(3));
+  for (const std::size_t a : {0U, 1U}) {
+    for (const std::size_t b : {2U, 3U, 4U}) {
+      world.Cut(a, b);
+      world.Cut(b, a);
+    }
+  }
+  world.RunFor(seconds(40));
+  CHECK(world.Of(0, 4) == State::kDead);
+  CHECK(world.Of(4, 1) == State::kDead);
+  CHECK(world.Of(3, 4) == State::kAlive);
+  for (const std::size_t a : {0U, 1U}) {
+    for (const std::size_t b : {2U, 3U, 4U}) {
+      world.Cut(a, b, false);
+      world.Cut(b, a, false);
+    }
+  }
+  world.RunFor(seconds(10));
+  for (std::size_t i = 0; i < 5; ++i) {
+    for (std::size_t j = 0; j < 5; ++j) {
+      if (i != j) CHECK(world.Of(i, j) == State::kAlive);
+    }
+  }
+}
+
+TEST_CASE("a member that leaves is not suspected") {
+  World world(4, 7);
+  world.RunFor(seconds(3));
+  world.told.clear();
+  world.at(3).Leave(world.now);
+  world.RunFor(milliseconds(1));
+  world.RunFor(seconds(3));
+  CHECK(world.Of(0, 3) == State::kLeft);
+  CHECK(world.Of(1, 3) == State::kLeft);
+  CHECK(world.Deaths(3) == 0);
+}
+
+TEST_CASE("loss and jitter kill nobody") {
+  std::size_t deaths = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    World world(5, seed);
+    world.fault.loss = 0.2;
+    world.fault.twice = 0.05;
+    world.fault.jitter = milliseconds(200);
+    world.RunFor(seconds(120));
+    for (std::size_t i = 0; i < 5; ++i) deaths += world.Deaths(i);
+  }
+  MESSAGE("wrong deaths in 10 minutes of five members: ", deaths);
+  CHECK(deaths == 0);
+}
+
+// Bytes a second that each member of so many sends, once all have met.
+double BytesEach(std::size_t count, Time met) {
+  World world(count, 9);
+  world.RunFor(met);
+  world.frames = world.bytes = 0;
+  world.told.clear();
+  world.RunFor(seconds(10));
+  const auto each = [count](std::uint64_t all) {
+    return static_cast<double>(all) / 10 / static_cast<double>(count);
+  };
+  MESSAGE(count, " members: ", each(world.frames), " frames and ", each(world.bytes),
+          " bytes a second each");
+  CHECK(world.told.empty());
+  return each(world.bytes);
+}
+
+TEST_CASE("what a member sends does not grow with the fleet") {
+  const double of_five = BytesEach(5, seconds(10));
+  CHECK(BytesEach(30, seconds(30)) < 1.1 * of_five);
+  CHECK(BytesEach(60, seconds(60)) < 1.1 * of_five);
+}
+
+// 20 s of processor time: brassfront_fleet_tests --no-skip -tc="*three hundred*"
+TEST_CASE("nor with three hundred members" * doctest::skip()) {
+  CHECK(BytesEach(300, seconds(200)) < 1.1 * BytesEach(5, seconds(10)));
+}
+
+// ---- rosters ----
+
+class RosterFile {
+ public:
+  RosterFile()
+      : folder_(std::filesystem::temp_directory_path() / ("roster-" + std::to_string(getpid()))) {
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ / "fleet.key") << "MDEyMzQ1Njc4OWFiY2RlZg==\n";
+    chmod((folder_ / "fleet.key").c_str(), 0600);
+  }
+  ~RosterFile() { std::filesystem::remove_all(folder_); }
+  Roster Read(const std::string& text) {
+    std::ofstream(folder_ / "f.records") << text;
+    return LoadRoster((folder_ / "f.records").string());
+  }
+  std::string Fault(const std::string& text) {
+    try {
+      Read(text);
+    } catch (const records::BadRecords& bad) {
+      return bad.what();
+    }
+    return "";
+  }
+  std::filesystem::path folder_;
+};
+
+std::string Text(const std::string& more, const std::string& key = "fleet.key") {
+  return "fleet: \"tacoma\"\nkey: \"" + key + "\"\nout: {all: 1, hall: 1}\n" + more;
+}
+const std::string kMembers =
+    "members: [\n{name: \"n0\", hall: \"e\", peer: \"127.0.0.1:7400\"},\n"
+    "{name: \"n1\", hall: \"w\", peer: \"127.0.0.1:7401\"},\n"
+    "{name: \"n2\", hall: \"e\", peer: \"127.0.0.1:7402\"},\n]\n";
+
+TEST_CASE("a roster is read, and what is wrong with one is said with its place") {
+  RosterFile file;
+  const Roster roster = file.Read(Text(kMembers));
+  CHECK(roster.members.size() == 3);
+  CHECK(roster.Voters().size() == 3);
+  CHECK(roster.secret == kSecret);
+  CHECK(roster.timings.probe == milliseconds(200));
+  const auto replaced = [](std::string text, const std::string& from, const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+  };
+  CHECK(file.Fault(Text(replaced(kMembers, "n1", "n0"))).find("f.records:6:") != std::string::npos);
+  CHECK(file.Fault(Text(replaced(kMembers, "n1", "N 1"))).find("a name has") != std::string::npos);
+  CHECK(file.Fault(Text(replaced(kMembers, ":7401", ":7400"))).find("another member") !=
+        std::string::npos);
+  CHECK(file.Fault(Text(replaced(kMembers, ":7401", ""))).find("expected an address") !=
+        std::string::npos);
+  CHECK(file.Fault(Text(replaced(kMembers, "127.0.0.1:7401", "127.0.0.256:7401"))) != "");
+  CHECK(file.Fault(Text("members: [{name: \"a\", hall: \"b\", peer: \"127.0.0.1:1\"}]"))
+            .find("3 members") != std::string::npos);
+  CHECK(file.Fault(Text("timings: answer: 200ms\n" + kMembers)).find("less than probe") !=
+        std::string::npos);
+  CHECK(file.Fault(Text(kMembers, "no.key")).find("no key") != std::string::npos);
+  chmod((file.folder_ / "fleet.key").c_str(), 0644);
+  CHECK(file.Fault(Text(kMembers)).find("chmod 600") != std::string::npos);
+}
+
+TEST_CASE("a roster changes one member at a time") {
+  RosterFile file;
+  const Roster now = file.Read(Text(kMembers));
+  Roster next = now;
+  CHECK(ChangeFault(now, next).empty());
+  next.members[0].hall = "w";
+  CHECK(ChangeFault(now, next).empty());
+  next.members.push_back({"n3", "e", "127.0.0.1:7403", false});
+  CHECK(ChangeFault(now, next).find("more than one") != std::string::npos);
+  next.members[0].hall = "e";
+  CHECK(ChangeFault(now, next).empty());
+  next.out_in_all = 2;
+  CHECK_FALSE(ChangeFault(now, next).empty());
+  next = now;
+  next.secret += "x";
+  CHECK_FALSE(ChangeFault(now, next).empty());
+}
+
+}  // namespace
+}  // namespace brassfront::peers
