Play faults between forwarders: peers on datagrams, a stand-in network, deaths judged from outside

Need: the on-call group wants behaviour between processes shown by processes with faults between them.

- Kit: each forwarder is told an address of its own for each peer; acts cut, lossy, slow-link, flap and pause; a fleet auditor that knows what was done to processes and links and judges what each says of the others: wrong_deaths, noticed_ms, unnoticed.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -20,6 +20,9 @@
 #ifdef BRASSFRONT_ZONES
 #include "forwarder/endpoint_sources.hpp"
 #endif
+#ifdef BRASSFRONT_FLEET
+#include "fleet/fleet.hpp"
+#endif
 
 namespace brassfront {
 namespace {
@@ -100,8 +103,30 @@
 #endif
 }
 
-int Serve(const std::string& config_path, const std::string& state,
-          const std::string& sources_path) {
+#ifndef BRASSFRONT_FLEET
+// Stands in where what forwarders share is not built in.
+namespace fleet {
+struct Fleet {
+  void Begin() {}
+  void Reload() {}
+  void Leave() {}
+};
+}  // namespace fleet
+#endif
+
+// None if no roster is named.
+std::unique_ptr<fleet::Fleet> FleetFrom(const std::string& roster, const Config& config,
+                                        const std::string& state) {
+  if (roster.empty()) return nullptr;
+#ifdef BRASSFRONT_FLEET
+  return std::make_unique<fleet::Fleet>(roster, config.name, state + "/fleet", config.seed);
+#else
+  throw ConfigError("--fleet: not built into this program (" + config.name + ", " + state + ")");
+#endif
+}
+
+int Serve(const std::string& config_path, const std::string& state, const std::string& sources_path,
+          const std::string& roster_path) {
   const sigset_t signals = BlockSignals();
   const Config config = ReadConfig(config_path);
   BufferPool buffers;
@@ -111,6 +136,7 @@
   const auto sources = SourcesFrom(sources_path, config);
   Watch::OnList divert;
   if (sources) divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
+  const auto peers = FleetFrom(roster_path, config, state);
   Engine engine(config, spool, buffers, std::move(divert));
   engine.Restore(sources ? sources->Begin(kZonesConfirmed) : config.known);
   Socket listener = Listen(config.listen);
@@ -123,12 +149,14 @@
                      {.connections = SenderConnections(config),
                       .most_idle = config.limits.sockets / kIdleSenderShare},
                      engine, buffers);
+  if (peers) peers->Begin();
   std::atomic<bool> over{false};
   Thread waiter("signals", [&] {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && !over) {
       if (signal == SIGHUP) {
         Reload(config_path, engine);
+        if (peers) peers->Reload();
       } else {
         engine.Leave();
       }
@@ -138,6 +166,7 @@
                {{"name", config.name}, {"listen", address}});
   engine.Run([&] { senders.Drain(); });
   if (sources) sources->Stop();
+  if (peers) peers->Leave();
   engine.LetGo();
   over = true;
   kill(getpid(), SIGTERM);  // for the waiter, which takes it
@@ -166,6 +195,8 @@
       cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")))(
       "sources", "operator file of further sources of endpoints",
       cxxopts::value<std::string>()->default_value(""))(
+      "fleet", "operator file of the forwarders that share what they know",
+      cxxopts::value<std::string>()->default_value(""))(
       "log-format", "text, logfmt or json", cxxopts::value<std::string>()->default_value("text"))(
       "log-level", "debug, info, warning, error or off",
       cxxopts::value<std::string>()->default_value("info"));
@@ -174,7 +205,8 @@
   SetUpLogFrom(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
   const auto state = given["state"].as<std::string>();
   if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
-  return Serve(given["config"].as<std::string>(), state, given["sources"].as<std::string>());
+  return Serve(given["config"].as<std::string>(), state, given["sources"].as<std::string>(),
+               given["fleet"].as<std::string>());
 }
 
 }  // namespace brassfront
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -22,8 +22,8 @@
 enum class Format { kText, kLogfmt, kJson };
 
 // One logger each, with a level of its own.
-enum class Concern { kService, kEngine, kSender, kNextHop, kPlatform, kSpool, kModule, kZones };
-inline constexpr std::size_t kConcerns = 8;
+enum class Concern { kService, kEngine, kSender, kNextHop, kPlatform, kSpool, kModule, kZones, kFleet };
+inline constexpr std::size_t kConcerns = 9;
 
 struct Field {
   using Value = std::variant<std::string_view, std::int64_t, std::uint64_t>;
--- a/src/peers/detector.cpp
+++ b/src/peers/detector.cpp
@@ -347,6 +347,13 @@
       if (as_new) Suspect(word.name, peer, now);
       return;
     case State::kDead:
+      // Guards against the word of one side of a split, which takes the whole other side for dead,
+      // when it heals: who lives gets the time to deny it.
+      if (as_new && peer.state == State::kAlive) {
+        peer.incarnation = word.incarnation;
+        return Suspect(word.name, peer, now);
+      }
+      [[fallthrough]];
     case State::kLeft:
       if (as_new && peer.state != State::kDead && peer.state != State::kLeft) {
         Set(word.name, peer, word.state, word.incarnation, now);
--- /dev/null
+++ b/src/rehearsal/peer_net.hpp
@@ -0,0 +1,62 @@
+// The network between forwarders: a socket for each ordered pair, so that each forwarder is told an
+// address of its own for each peer, and the acts of a scenario on what goes through.
+#ifndef BRASSFRONT_REHEARSAL_PEER_NET_HPP_
+#define BRASSFRONT_REHEARSAL_PEER_NET_HPP_
+
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "rehearsal/stage.hpp"
+
+namespace brassfront::rehearsal {
+
+class PeerNet {
+ public:
+  // A link stands or is cut from now on.
+  using OnLink = std::function<void(std::size_t from, std::size_t to, bool cut)>;
+
+  PeerNet(Stage& stage, const std::string& prefix, OnLink on_link);
+
+  // Writes forwarder f's roster into the folder and returns its path.
+  std::string WriteRoster(std::size_t f, const std::string& folder) const;
+  // An act on links, from now until its end.
+  void Play(const Act& act);
+  void Close();
+
+  std::uint64_t frames() const { return frames_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+ private:
+  struct Link {
+    std::size_t from = 0, to = 0;
+    std::unique_ptr<asio::ip::udp::socket> socket;
+    std::vector<char> buffer;
+    std::vector<const Act*> acts;
+    std::size_t cuts = 0;  // that hold now
+    Time free_at{};        // of a link with a bounded rate
+  };
+
+  Link& Of(std::size_t from, std::size_t to) { return *links_[from * count_ + to]; }
+  void ForEach(const Act& act, const std::function<void(Link&)>& what);
+  void Cut(Link& link, bool cut);
+  void Flap(const Act& act, bool down);
+  void Read(Link& link);
+  void Carry(Link& link, std::size_t bytes);
+  double Chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  Stage& stage_;
+  const std::size_t count_;
+  const OnLink on_link_;
+  std::vector<asio::ip::udp::endpoint> homes_;  // where each forwarder takes datagrams
+  std::vector<std::unique_ptr<Link>> links_;    // none from one to itself
+  std::mt19937_64 random_;
+  std::uint64_t frames_ = 0, bytes_ = 0;
+};
+
+}  // namespace brassfront::rehearsal
+
+#endif  // BRASSFRONT_REHEARSAL_PEER_NET_HPP_
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -63,6 +63,9 @@
     for (const std::size_t p : act.partners) text += " " + s.partners[p].name;
   }
   for (const std::size_t f : act.forwarders) text += " n" + std::to_string(f);
+  for (const std::size_t f : act.from) text += " n" + std::to_string(f);
+  if (!act.to.empty()) text += act.both_ways ? " <->" : " ->";
+  for (const std::size_t f : act.to) text += " n" + std::to_string(f);
   if (act.merchant) text += " " + s.merchants[*act.merchant].name;
   return text;
 }
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -13,6 +13,8 @@
 #include "rehearsal/agent.hpp"
 #include "rehearsal/client_side.hpp"
 #include "rehearsal/endpoints.hpp"
+#include "rehearsal/fleet_auditor.hpp"
+#include "rehearsal/peer_net.hpp"
 #include "rehearsal/plan.hpp"
 #include "rehearsal/supervisor.hpp"
 #ifdef BRASSFRONT_ZONES
@@ -58,10 +60,13 @@
         clients_(stage_),
         interrupts_(io_, SIGINT, SIGTERM),
         state_(scenario.forwarders.count),
+        fleet_auditor_(scenario_),
         supervisor_(stage_, options.forwarder, options.out, prefix_,
                     {.discovery = [this](std::size_t f) { return agents_[f]->address(); },
                      .known = [this](std::size_t f) { return agents_[f]->ListJson(); },
                      .sources = [this](std::size_t f) { return SourcesOf(f); },
+                     .roster = [this](std::size_t f) { return RosterOf(f); },
+                     .line = [this](std::size_t f, const std::string& line) { Line(f, line); },
                      .ready = [this](std::size_t f, const tcp::endpoint& at) { Ready(f, at); },
                      .stopped = [this](std::size_t f, bool planned) { Stopped(f, planned); }}) {
     for (std::size_t f = 0; f < scenario_.forwarders.count; ++f) {
@@ -72,6 +77,12 @@
                                   }));
     }
     if (scenario_.by_zones) ServeZones();
+    if (scenario_.fleet.on) {
+      peer_net_ = std::make_unique<PeerNet>(stage_, prefix_,
+                                            [this](std::size_t from, std::size_t to, bool cut) {
+                                              fleet_auditor_.Cut(from, to, cut, stage_.Now());
+                                            });
+    }
   }
 
   Result Play() {
@@ -90,6 +101,7 @@
     result.seed = options_.seed;
     result.plan_hash = Hash(PlanText(scenario_, plan_));
     result.judgement = stage_.auditor.Finish(stage_.Now());
+    fleet_auditor_.Finish(stage_.Now(), result.judgement);
     auto& metrics = result.judgement.metrics;
     metrics["most_memory_mb"] = supervisor_.most_memory_mb();
     metrics["most_sockets"] = static_cast<double>(supervisor_.most_descriptors());
@@ -143,6 +155,7 @@
     state_[f] = NodeState::kReady;
     clients_.Ready(f, at);
     if (began_) {
+      fleet_auditor_.Runs(f, true, stage_.Now());
       Event event{.what = Event::What::kReady};
       event.forwarder = f;
       return stage_.Emit(std::move(event));
@@ -163,7 +176,30 @@
     supervisor_.Start(f);
   }
 
+  std::string RosterOf(std::size_t f) const {
+    return peer_net_ ? peer_net_->WriteRoster(f, options_.out) : "";
+  }
+
+  void Line(std::size_t f, const std::string& line) {
+    if (began_ && !closing_) fleet_auditor_.Line(f, line, stage_.Now());
+  }
+
+  // A stopped process takes no signal but SIGKILL, so its front finds out as it would of a slow
+  // one.
+  void Pause(const Act& act) {
+    for (const std::size_t f : act.forwarders) {
+      if (!supervisor_.running(f) || state_[f] != NodeState::kReady) continue;
+      supervisor_.Pause(f, true);
+      fleet_auditor_.Paused(f, true, stage_.Now());
+      stage_.At(act.at + act.lasts, [this, f] {
+        supervisor_.Pause(f, false);
+        fleet_auditor_.Paused(f, false, stage_.Now());
+      });
+    }
+  }
+
   void TellStopped(std::size_t f, bool planned) {
+    fleet_auditor_.Runs(f, false, stage_.Now());
     Event event{.what = Event::What::kStopped};
     event.forwarder = f;
     event.planned = planned;
@@ -256,6 +292,7 @@
   void Begin() {
     began_ = true;
     stage_.Begin();
+    for (std::size_t f = 0; f < agents_.size(); ++f) fleet_auditor_.Runs(f, true, Time{});
     clients_.Play(plan_);
     for (const Act& act : scenario_.acts) {
       stage_.At(act.at, [this, &act] { PlayAct(act); });
@@ -293,6 +330,13 @@
       case ActKind::kLoseMachine:
         for (const std::size_t f : act.forwarders) Signal(f, act.kind, act.down);
         return;
+      case ActKind::kPause:
+        return Pause(act);
+      case ActKind::kCut:
+      case ActKind::kLossy:
+      case ActKind::kSlowLink:
+      case ActKind::kFlap:
+        return peer_net_->Play(act);
       case ActKind::kBurst:
       case ActKind::kClump:
         return;  // the plan has them
@@ -441,6 +485,8 @@
   ClientSide clients_;
   asio::signal_set interrupts_;
   std::vector<NodeState> state_;
+  FleetAuditor fleet_auditor_;
+  std::unique_ptr<PeerNet> peer_net_;  // none without a fleet
   Time stale_{};
   bool began_ = false, closing_ = false;
   int quiet_ = 0;
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -14,10 +14,11 @@
 using records::Fault;
 using records::Record;
 
-constexpr std::array<const char*, 20> kActNames = {
+constexpr std::array<const char*, 25> kActNames = {
     "slow",  "full",  "shut",         "silent",  "refuse", "reset",          "garble",
     "drain", "churn", "vanish",       "replace", "stale",  "move-discovery", "terminate",
-    "kill",  "roll",  "lose-machine", "burst",   "clump",  "name-server"};
+    "kill",  "roll",  "lose-machine", "burst",   "clump",  "name-server",    "pause",
+    "cut",   "lossy", "slow-link",    "flap"};
 
 constexpr std::array<const char*, 5> kFaultNames = {"quiet", "refuse", "garbage", "half-transfers",
                                                     "lost-notices"};
@@ -31,9 +32,11 @@
 
 bool StrikesForwarder(ActKind kind) {
   return kind == ActKind::kTerminate || kind == ActKind::kKill || kind == ActKind::kRoll ||
-         kind == ActKind::kLoseMachine;
+         kind == ActKind::kLoseMachine || kind == ActKind::kPause;
 }
 
+bool StrikesLinks(ActKind kind) { return kind >= ActKind::kCut && kind <= ActKind::kFlap; }
+
 class Reader {
  public:
   explicit Reader(const Record& root) : root_(root) {}
@@ -56,6 +59,7 @@
     s.late_by = root_.At("void").At("late").Duration();
     s.late_share = root_.At("void").At("share").Double();
     ReadForwarders(s);
+    ReadFleet(s);
     for (const Record& act : root_.At("acts").Items()) ReadAct(act, s);
     for (const Record& line : root_.At("expect").Items()) ReadExpectation(line, s.expectations);
     if (!faults_.empty()) throw BadRecords(std::move(faults_));
@@ -169,6 +173,53 @@
     if (f.held == 0) f.held = std::max(kLeastHeld, static_cast<std::size_t>(each * kHeldSeconds));
   }
 
+  void ReadFleet(Scenario& s) {
+    const Record& from = root_.At("fleet");
+    FleetPart& f = s.fleet;
+    f.on = from.At("on").Bool();
+    for (const Record& hall : from.At("halls").Items()) f.halls.push_back(hall.Text());
+    f.voters = static_cast<std::size_t>(from.At("voters").Int());
+    f.out_in_all = static_cast<std::size_t>(from.At("out").At("all").Int());
+    f.out_in_hall = static_cast<std::size_t>(from.At("out").At("hall").Int());
+    for (const char* name : {"probe", "answer", "suspicion"}) {
+      const auto ms = from.At(name).Duration().count() / 1'000'000;
+      f.timings += std::string(name) + ": " + std::to_string(ms) + "ms\n";
+    }
+    if (f.on && s.forwarders.count < 3) {
+      Complain(root_.At("forwarders").At("count"), "a fleet has 3 forwarders at least");
+    }
+  }
+
+  void ReadLinks(const Record& from, const Scenario& s, Act& act) {
+    if (!s.fleet.on) Complain(from, std::string(NameOf(act.kind)) + " needs `fleet: on: true`");
+    const auto read = [&](const char* name, std::vector<std::size_t>& into) {
+      const Record* group = from.Find(name);
+      if (group == nullptr) return;
+      for (const Record& number : group->Items()) {
+        into.push_back(static_cast<std::size_t>(number.Int()));
+        if (into.back() < s.forwarders.count) continue;
+        Complain(number,
+                 "there are " + std::to_string(s.forwarders.count) + " forwarders, counted from 0");
+      }
+    };
+    read("from", act.from);
+    read("to", act.to);
+    if (act.from.empty()) Complain(from, std::string(NameOf(act.kind)) + " needs `from`");
+    if (act.to.empty()) {
+      for (std::size_t i = 0; i < s.forwarders.count; ++i) {
+        if (std::find(act.from.begin(), act.from.end(), i) == act.from.end()) act.to.push_back(i);
+      }
+    }
+    act.both_ways = from.At("both").Bool();
+    act.loss = from.At("loss").Double();
+    act.twice = from.At("twice").Double();
+    act.delay = from.At("delay").Duration();
+    act.jitter = from.At("jitter").Duration();
+    act.rate = static_cast<double>(from.At("rate").Bytes());
+    act.period = from.At("period").Duration();
+    if (act.lasts == Time{}) Complain(from, std::string(NameOf(act.kind)) + " needs `for`");
+  }
+
   template <typename List>
   std::optional<std::size_t> Place(const Record& name, const List& list, const char* what) {
     std::vector<std::string> known;
@@ -235,13 +286,14 @@
       }
     }
     if (StrikesForwarder(act.kind)) ReadStruck(from, forwarder, s, act);
+    if (StrikesLinks(act.kind)) ReadLinks(from, s, act);
     if (merchant != nullptr) act.merchant = Place(*merchant, s.merchants, "merchant");
     if (act.kind == ActKind::kBurst && merchant == nullptr)
       Complain(from, "burst needs a merchant");
     const bool needs_end = act.kind == ActKind::kBurst || act.kind == ActKind::kStale ||
                            act.kind == ActKind::kShut || act.kind == ActKind::kFull ||
                            act.kind == ActKind::kChurn || act.kind == ActKind::kVanish ||
-                           act.kind == ActKind::kNameServer;
+                           act.kind == ActKind::kNameServer || act.kind == ActKind::kPause;
     if (needs_end && act.lasts == Time{}) Complain(from, name + " needs `for`");
     s.acts.push_back(std::move(act));
   }
@@ -302,12 +354,19 @@
 }  // namespace
 
 const std::vector<std::string>& MetricNames() {
-  static const std::vector<std::string> names = {
-      "service",        "whole",          "worst_10s",     "worst_merchant", "rule_breaks",
-      "lost",           "delivered",      "refused",       "failed",         "refusals_above_limit",
-      "attempts_each",  "late_share",     "p50_ms",        "p99_ms",         "unheard_share",
-      "most_memory_mb", "most_sockets",   "crashes",       "applied_twice",  "removals",
-      "removed_p50_ms", "removed_p99_ms", "removed_max_ms"};
+  static const std::vector<std::string> names = {"service",        "whole",
+                                                 "worst_10s",      "worst_merchant",
+                                                 "rule_breaks",    "lost",
+                                                 "delivered",      "refused",
+                                                 "failed",         "refusals_above_limit",
+                                                 "attempts_each",  "late_share",
+                                                 "p50_ms",         "p99_ms",
+                                                 "unheard_share",  "most_memory_mb",
+                                                 "most_sockets",   "crashes",
+                                                 "applied_twice",  "removals",
+                                                 "removed_p50_ms", "removed_p99_ms",
+                                                 "removed_max_ms", "wrong_deaths",
+                                                 "noticed_ms",     "unnoticed"};
   return names;
 }
 
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -107,7 +107,12 @@
   kLoseMachine,
   kBurst,
   kClump,
-  kNameServer
+  kNameServer,
+  kPause,
+  kCut,
+  kLossy,
+  kSlowLink,
+  kFlap
 };
 
 // What the name server of a rehearsal does wrong meanwhile.
@@ -125,6 +130,22 @@
   std::optional<Time> wait;  // told with each refusal; none: none is told
   Time down{};               // of a killed or restarted forwarder
   NameServerFault fault = NameServerFault::kQuiet;
+  // Of links: from each of one group to each of the other, and back if both ways.
+  std::vector<std::size_t> from, to;
+  bool both_ways = true;
+  double loss = 0, twice = 0;  // shares of frames
+  Time delay{}, jitter{};      // of each frame; jitter reorders
+  double rate = 0;             // bytes a second; 0: no bound
+  Time period{};               // of a flapping link: down for the first half of each
+};
+
+// Forwarders that share what they know, if there is a fleet.
+struct FleetPart {
+  bool on = false;
+  std::vector<std::string> halls;  // members are dealt out over them in turn
+  std::size_t voters = 0;          // the first so many; 0: as the roster's reader has it
+  std::size_t out_in_all = 1, out_in_hall = 1;
+  std::string timings;  // as in a roster
 };
 
 enum class Sense { kAtLeast, kAtMost, kEqual };
@@ -147,6 +168,7 @@
   Cold cold;
   Clients clients;
   Forwarders forwarders;
+  FleetPart fleet;
   Time notice{};           // after which the front knows that a forwarder is dead
   Time discovery_delay{};  // until a change of the list is told
   bool by_zones = false;   // changes are told by a name server, and by the platform's list later
--- a/src/rehearsal/scenario_schema.cpp
+++ b/src/rehearsal/scenario_schema.cpp
@@ -36,7 +36,7 @@
 #Act: {
   at:  duration & >=0s
   for: duration & >0s | *0s
-  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "churn" | "vanish" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump" | "name-server"
+  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "churn" | "vanish" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump" | "name-server" | "pause" | "cut" | "lossy" | "slow-link" | "flap"
   partner?:   string               // its name, or "all"
   endpoint?:  int & >=0            // only this one of the partner's
   forwarder?: int & >=0
@@ -46,6 +46,16 @@
   wait?:      duration & >=1ms
   down:       duration & >=0s & <=60s | *1s
   fault?:     "quiet" | "refuse" | "garbage" | "half-transfers" | "lost-notices"  // of name-server
+  // Links between forwarders: from each of `from` to each of `to`, or all others.
+  from?:  [int & >=0, ...int & >=0]
+  to?:    [int & >=0, ...int & >=0]
+  both:   bool | *true                       // and back
+  loss:   number & >=0 & <=1 | *0            // of lossy: share of frames, of those twice as well
+  twice:  number & >=0 & <=1 | *0
+  delay:  duration & >=0s & <=10s | *0s      // of slow-link; jitter reorders, for lossy as well
+  jitter: duration & >=0s & <=10s | *0s
+  rate:   size & >=0B & <=100MiB | *0B       // a second, of slow-link; 0: no bound
+  period: duration & >=50ms & <=1m | *2s     // of flap: down for the first half of each
 }
 
 #Scenario: {
@@ -85,6 +95,18 @@
     slots:   int & >=0 | *0      // calls out at once; 0: from the traffic
     held:    int & >=0 | *0      // messages; 0: from the traffic
   }
+  fleet: {
+    on:     bool | *false
+    halls:  [string, ...string] | *["east", "west"]
+    voters: int & >=0 & <=7 | *0             // 0: the first 3 or 5
+    out: {
+      all:  int & >=1 & <=31 | *1
+      hall: int & >=1 & <=31 | *1
+    }
+    probe:     duration & >=20ms & <=10s | *200ms
+    answer:    duration & >=5ms & <=5s | *100ms
+    suspicion: duration & >=100ms & <=1m | *800ms
+  }
   front:     notice: duration & >=0s & <=30s | *2s
   discovery: {
     delay: duration & >=0s & <=30s | *500ms
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -143,6 +143,8 @@
   std::vector<const char*> words = {program_.c_str(), "serve",   "--config",
                                     config.c_str(),   "--state", base.c_str()};
   if (!sources.empty()) words.insert(words.end(), {"--sources", sources.c_str()});
+  const std::string roster = hooks_.roster(forwarder);
+  if (!roster.empty()) words.insert(words.end(), {"--fleet", roster.c_str()});
   words.push_back(nullptr);
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no room for a pipe");
@@ -199,6 +201,7 @@
 
 // `serving name=n0 listen=127.1.2.100:4711`
 void Supervisor::TakeLine(std::size_t forwarder, const std::string& line) {
+  hooks_.line(forwarder, line);
   const std::size_t at = line.find(" listen=");
   if (line.rfind("serving ", 0) != 0 || at == std::string::npos) return;
   const std::size_t colon = line.rfind(':');
@@ -260,6 +263,10 @@
   kill(node.pid, SIGKILL);
 }
 
+void Supervisor::Pause(std::size_t forwarder, bool pause) {
+  if (nodes_[forwarder].pid > 0) kill(nodes_[forwarder].pid, pause ? SIGSTOP : SIGCONT);
+}
+
 void Supervisor::EmptyFolder(std::size_t forwarder) {
   const std::string folder = out_ + "/n" + std::to_string(forwarder);
   std::filesystem::remove_all(folder);
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -24,6 +24,8 @@
     std::function<std::string(std::size_t)> discovery;  // the address to configure
     std::function<std::string(std::size_t)> known;      // the list to configure, JSON
     std::function<std::string(std::size_t)> sources;    // its operator file; empty: it has none
+    std::function<std::string(std::size_t)> roster;     // likewise, of its fleet
+    std::function<void(std::size_t, const std::string&)> line;  // of its log
     std::function<void(std::size_t, const tcp::endpoint&)> ready;
     std::function<void(std::size_t, bool planned)> stopped;
   };
@@ -36,6 +38,8 @@
   // SIGTERM, and SIGKILL 3.7 s later if it still runs; planned either way.
   void Terminate(std::size_t forwarder, std::function<void()> ended);
   void Kill(std::size_t forwarder, std::function<void()> ended);
+  // SIGSTOP, or SIGCONT.
+  void Pause(std::size_t forwarder, bool pause);
   // The folder that outlasts the process is emptied, as that of a machine that is replaced.
   void EmptyFolder(std::size_t forwarder);
   // Writes the configuration anew and sends SIGHUP.
