--- /dev/null
+++ b/src/consensus/file_store.cpp
@@ -0,0 +1,269 @@
+#include "consensus/file_store.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include "peers/bytes.hpp"
+#include "peers/whole_file.hpp"
+
+namespace brassfront::consensus {
+namespace {
+
+using peers::Reader;
+using peers::Writer;
+
+enum class What : std::uint8_t { kBase = 1, kTerm, kVote, kEntry, kTruncate };
+
+constexpr std::size_t kHeader = 16;  // length and its check, u32 each; the payload's hash, u64
+constexpr std::size_t kMostRecord = 1 << 20;
+
+std::uint32_t CheckOf(std::uint32_t length) {
+  return static_cast<std::uint32_t>(XXH64(&length, sizeof length, 0x6C656E67));
+}
+
+std::string RecordOf(Writer payload) {
+  Writer out;
+  const auto length = static_cast<std::uint32_t>(payload.size());
+  out.U32(length).U32(CheckOf(length)).U64(XXH64(payload.bytes().data(), payload.size(), 0));
+  return out.Raw(payload.bytes()).Take();
+}
+
+std::string RecordOf(What what, std::uint64_t value) {
+  Writer payload;
+  return RecordOf(std::move(payload.U8(static_cast<std::uint64_t>(what)).U64(value)));
+}
+
+std::string RecordOf(const Entry& entry) {
+  Writer payload;
+  payload.U8(static_cast<std::uint64_t>(What::kEntry)).U64(entry.term).U16(entry.type);
+  return RecordOf(std::move(payload.Text(entry.data)));
+}
+
+std::string BaseOf(const Kept& kept) {
+  Writer payload;
+  payload.U8(static_cast<std::uint64_t>(What::kBase)).U64(kept.term).U64(kept.vote);
+  std::string all = RecordOf(std::move(payload.U64(kept.first)));
+  for (const Entry& entry : kept.entries) all += RecordOf(entry);
+  return all;
+}
+
+// False if the payload is no record at all.
+bool Replay(std::string_view payload, Kept& kept) {
+  Reader in(payload);
+  switch (static_cast<What>(in.U8())) {
+    case What::kBase:
+      kept.term = in.U64();
+      kept.vote = in.U64();
+      kept.first = in.U64();
+      kept.entries.clear();
+      break;
+    case What::kTerm:
+      kept.term = in.U64();
+      kept.vote = 0;
+      break;
+    case What::kVote:
+      kept.vote = in.U64();
+      break;
+    case What::kEntry: {
+      Entry entry;
+      entry.term = in.U64();
+      entry.type = in.U16();
+      entry.data = in.Text();
+      kept.entries.push_back(std::move(entry));
+      break;
+    }
+    case What::kTruncate: {
+      const std::uint64_t from = in.U64();
+      if (from < kept.first) return false;
+      if (from - kept.first < kept.entries.size()) kept.entries.resize(from - kept.first);
+      break;
+    }
+    default:
+      return false;
+  }
+  return in.done();
+}
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::string BytesOf(const Snapshot& snapshot) {
+  Writer payload;
+  payload.U64(snapshot.index).U64(snapshot.term).U64(snapshot.servers_index);
+  payload.U8(snapshot.servers.size());
+  for (const Server& s : snapshot.servers) {
+    payload.U64(s.id).Name(s.name).U8(static_cast<std::uint64_t>(s.role));
+  }
+  payload.Text(snapshot.state);
+  Writer all;
+  return all.U64(XXH64(payload.bytes().data(), payload.size(), 1)).Raw(payload.bytes()).Take();
+}
+
+bool ReadSnapshot(const std::string& bytes, Snapshot& snapshot) {
+  Reader in(bytes);
+  const std::uint64_t hash = in.U64();
+  if (in.broken() || XXH64(bytes.data() + 8, bytes.size() - 8, 1) != hash) return false;
+  snapshot.index = in.U64();
+  snapshot.term = in.U64();
+  snapshot.servers_index = in.U64();
+  snapshot.servers.resize(in.U8());
+  for (Server& s : snapshot.servers) {
+    s.id = in.U64();
+    s.name = in.Name();
+    s.role = in.U8();
+  }
+  snapshot.state = in.Text();
+  return in.done();
+}
+
+}  // namespace
+
+FileStore::FileStore(std::string folder, std::size_t most_bytes)
+    : folder_(std::move(folder)), most_bytes_(most_bytes) {
+  std::filesystem::create_directories(folder_);
+  if (!Open()) throw std::runtime_error("cannot write " + LogPath());
+}
+
+FileStore::~FileStore() { close(log_); }
+
+bool FileStore::Open() {
+  if (log_ >= 0) close(log_);
+  log_ = open(LogPath().c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (log_ < 0) return false;
+  const off_t size = lseek(log_, 0, SEEK_END);
+  log_bytes_ = size < 0 ? 0 : static_cast<std::size_t>(size);
+  return size >= 0;
+}
+
+Kept FileStore::Load(bool& damaged) {
+  damaged = false;
+  kept_ = {};
+  const std::string log = ReadAll(LogPath());
+  std::size_t at = 0;
+  while (at + kHeader <= log.size()) {
+    Reader header(std::string_view(log).substr(at, kHeader));
+    const std::uint32_t length = header.U32(), check = header.U32();
+    const std::uint64_t hash = header.U64();
+    if (check != CheckOf(length) || length > kMostRecord) {
+      damaged = true;
+      break;
+    }
+    if (at + kHeader + length > log.size()) break;  // torn
+    const std::string_view payload = std::string_view(log).substr(at + kHeader, length);
+    if (XXH64(payload.data(), payload.size(), 0) != hash || !Replay(payload, kept_)) {
+      damaged = true;
+      break;
+    }
+    at += kHeader + length;
+  }
+  if (!damaged && at < log.size()) {
+    if (ftruncate(log_, static_cast<off_t>(at)) != 0 || fdatasync(log_) != 0) failed_ = true;
+    log_bytes_ = at;
+  }
+  const std::string bytes = ReadAll(SnapshotPath());
+  snapshot_bytes_ = bytes.size();
+  if (!bytes.empty()) {
+    Snapshot snapshot;
+    if (!ReadSnapshot(bytes, snapshot)) {
+      damaged = true;
+    } else {
+      // The process may have ended between the snapshot and the log's new beginning.
+      const std::uint64_t index = snapshot.index;
+      const bool holds = index >= kept_.first && index <= kept_.last() &&
+                         kept_.entries[index - kept_.first].term == snapshot.term;
+      const bool follows = index + 1 == kept_.first;
+      if (!holds && !follows) {
+        kept_.entries.clear();
+        kept_.first = index + 1;
+      }
+      kept_.snapshot = std::move(snapshot);
+    }
+  }
+  if (!damaged && kept_.first > 1 && !kept_.snapshot) damaged = true;
+  if (damaged) kept_ = {};
+  return kept_;
+}
+
+bool FileStore::Write(std::string_view records) {
+  if (failed_) return false;
+  if (log_bytes_ + snapshot_bytes_ + records.size() > most_bytes_) return false;
+  std::size_t at = 0;
+  while (at < records.size()) {
+    const ssize_t n =
+        pwrite(log_, records.data() + at, records.size() - at, static_cast<off_t>(log_bytes_ + at));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) break;
+    at += static_cast<std::size_t>(n);
+  }
+  if (at == records.size() && fdatasync(log_) == 0) {
+    log_bytes_ += records.size();
+    return true;
+  }
+  // Half a record must not stand before the next one.
+  failed_ = ftruncate(log_, static_cast<off_t>(log_bytes_)) != 0 || fdatasync(log_) != 0;
+  return false;
+}
+
+bool FileStore::SetTerm(std::uint64_t term) {
+  if (!Write(RecordOf(What::kTerm, term))) return false;
+  kept_.term = term;
+  kept_.vote = 0;
+  return true;
+}
+
+bool FileStore::SetVote(std::uint64_t id) {
+  if (!Write(RecordOf(What::kVote, id))) return false;
+  kept_.vote = id;
+  return true;
+}
+
+bool FileStore::Append(const std::vector<Entry>& entries) {
+  std::string records;
+  for (const Entry& entry : entries) records += RecordOf(entry);
+  if (!Write(records)) return false;
+  kept_.entries.insert(kept_.entries.end(), entries.begin(), entries.end());
+  return true;
+}
+
+bool FileStore::Truncate(std::uint64_t from) {
+  if (from < kept_.first || !Write(RecordOf(What::kTruncate, from))) return false;
+  if (from - kept_.first < kept_.entries.size()) kept_.entries.resize(from - kept_.first);
+  return true;
+}
+
+bool FileStore::Put(const Snapshot& snapshot, std::uint64_t trailing) {
+  if (failed_) return false;
+  Kept next = kept_;
+  MemoryStore::Compact(next, snapshot, trailing);
+  const std::string bytes = BytesOf(snapshot);
+  const std::string log = BaseOf(next);
+  if (bytes.size() + log.size() > most_bytes_ || !peers::WriteWhole(SnapshotPath(), bytes)) {
+    return false;
+  }
+  snapshot_bytes_ = bytes.size();
+  if (!peers::WriteWhole(LogPath(), log) || !Open()) {
+    failed_ = true;  // the snapshot stands and the log may not: nothing more is written
+    return false;
+  }
+  kept_ = std::move(next);
+  return true;
+}
+
+bool FileStore::Clear() {
+  unlink(SnapshotPath().c_str());
+  kept_ = {};
+  snapshot_bytes_ = 0;
+  failed_ = !peers::WriteWhole(LogPath(), "") || !Open();
+  return !failed_;
+}
+
+}  // namespace brassfront::consensus
--- a/src/fleet/self.cpp
+++ b/src/fleet/self.cpp
@@ -6,14 +6,13 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <charconv>
-#include <cstdio>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 
+#include "peers/whole_file.hpp"
+
 namespace brassfront::fleet {
 namespace {
 
@@ -25,16 +24,6 @@
   return std::to_string(hash);
 }
 
-bool WriteAll(int fd, const std::string& bytes) {
-  for (std::size_t at = 0; at < bytes.size();) {
-    const ssize_t n = write(fd, bytes.data() + at, bytes.size() - at);
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
-    at += static_cast<std::size_t>(n);
-  }
-  return true;
-}
-
 std::uint64_t DrawIdentity() {
   std::uint64_t value = 0;
   while (value == 0) {
@@ -48,25 +37,6 @@
 
 }  // namespace
 
-bool WriteWhole(const std::string& path, const std::string& bytes) {
-  const std::string beside = path + ".new";
-  const int fd = open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0) return false;
-  const bool written = WriteAll(fd, bytes) && fsync(fd) == 0;
-  close(fd);
-  if (!written || rename(beside.c_str(), path.c_str()) != 0) {
-    unlink(beside.c_str());
-    return false;
-  }
-  // The rename itself must last as well.
-  const std::string folder = std::filesystem::path(path).parent_path().string();
-  const int of = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (of < 0) return false;
-  const bool lasts = fsync(of) == 0;
-  close(of);
-  return lasts;
-}
-
 Self::Self(const std::string& folder) : folder_(folder) {
   std::filesystem::create_directories(folder_);
   std::filesystem::permissions(folder_, std::filesystem::perms::owner_all);
@@ -97,8 +67,8 @@
 
 void Self::Write() const {
   const std::string numbers = std::to_string(identity_) + " " + std::to_string(life_);
-  if (!WriteWhole(folder_ + "/member",
-                  std::string(kFirstWord) + " " + numbers + " " + Sum(numbers) + "\n")) {
+  if (!peers::WriteWhole(folder_ + "/member",
+                         std::string(kFirstWord) + " " + numbers + " " + Sum(numbers) + "\n")) {
     throw std::runtime_error("cannot write " + folder_ + "/member: " + std::strerror(errno));
   }
 }
--- a/src/fleet/self.hpp
+++ b/src/fleet/self.hpp
@@ -34,10 +34,6 @@
   std::uint64_t life_ = 0;
 };
 
-// Writes a file beside it, has it on the disk and renames it. False where that fails; the old file
-// then stands as it was.
-bool WriteWhole(const std::string& path, const std::string& bytes);
-
 }  // namespace brassfront::fleet
 
 #endif  // BRASSFRONT_FLEET_SELF_HPP_
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -22,7 +22,17 @@
 enum class Format { kText, kLogfmt, kJson };
 
 // One logger each, with a level of its own.
-enum class Concern { kService, kEngine, kSender, kNextHop, kPlatform, kSpool, kModule, kZones, kFleet };
+enum class Concern {
+  kService,
+  kEngine,
+  kSender,
+  kNextHop,
+  kPlatform,
+  kSpool,
+  kModule,
+  kZones,
+  kFleet
+};
 inline constexpr std::size_t kConcerns = 9;
 
 struct Field {
--- /dev/null
+++ b/tests/fleet/council_test.cpp
@@ -0,0 +1,507 @@
+// The settled log in virtual time, on stores in memory and in files.
+#include "consensus/council.hpp"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+
+#include "consensus/file_store.hpp"
+
+namespace brassfront::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Settled commands in their order.
+class List : public StateMachine {
+ public:
+  void Apply(std::string_view command) override { all.emplace_back(command); }
+  std::string Save() const override {
+    std::string out;
+    for (const std::string& c : all) out += c + "\n";
+    return out;
+  }
+  bool Load(std::string_view state) override {
+    all.clear();
+    while (!state.empty()) {
+      all.emplace_back(state.substr(0, state.find('\n')));
+      state.remove_prefix(all.back().size() + 1);
+    }
+    return true;
+  }
+  std::vector<std::string> all;
+};
+
+struct Voter {
+  std::uint64_t id = 0;
+  MemoryStore store;
+  List list;
+  std::unique_ptr<Council> council;
+  bool stopped = false;
+};
+
+class Parliament {
+ public:
+  explicit Parliament(std::size_t count, std::uint64_t seed = 1) : random_(seed) {
+    for (std::size_t i = 0; i < count; ++i) names_.push_back("v" + std::to_string(i));
+    for (const std::string& name : names_) {
+      voters_[name].id = ++last_id_;
+      Start(name);
+    }
+  }
+  void Start(const std::string& name) {
+    Voter& v = voters_[name];
+    v.list.all.clear();
+    Council::Options options;
+    options.id = v.id;
+    options.self = name;
+    options.voters = names_;
+    options.seed = random_();
+    v.council = std::make_unique<Council>(options, v.store, v.list);
+    v.council->MayVote();
+    v.stopped = false;
+  }
+  void Kill(const std::string& name) { voters_[name].council.reset(); }
+  void LoseFolder(const std::string& name) {
+    voters_[name].store.Clear();
+    voters_[name].id = ++last_id_;
+  }
+  void Cut(const std::string& a, const std::string& b, bool cut = true) {
+    for (const auto& pair : {std::pair{a, b}, std::pair{b, a}}) {
+      if (cut) {
+        cut_.insert(pair);
+      } else {
+        cut_.erase(pair);
+      }
+    }
+  }
+  void Heal() { cut_.clear(); }
+
+  void RunFor(Time time) {
+    for (const Time until = now + time; now < until;) {
+      now += milliseconds(5);
+      std::vector<Flight> due;
+      std::erase_if(flights_, [&](Flight& f) {
+        if (f.at > now) return false;
+        due.push_back(std::move(f));
+        return true;
+      });
+      for (Flight& f : due) {
+        Voter& to = voters_[f.message.to];
+        if (to.council == nullptr || to.stopped) continue;
+        to.council->Receive(f.from, f.id, f.message.founding, f.message.body, now);
+        Collect(f.message.to);
+      }
+      for (const std::string& name : names_) {
+        Voter& v = voters_[name];
+        if (v.council == nullptr || v.stopped) continue;
+        v.council->Tick(now);
+        Collect(name);
+      }
+    }
+  }
+
+  std::string Leader() const {
+    std::string leader;
+    std::uint64_t term = 0;
+    for (const auto& [name, v] : voters_) {
+      if (v.council && !v.stopped && v.council->leads() && v.council->term() > term) {
+        leader = name;
+        term = v.council->term();
+      }
+    }
+    return leader;
+  }
+  std::string AwaitLeader() {
+    for (int i = 0; i < 400 && Leader().empty(); ++i) RunFor(milliseconds(50));
+    return Leader();
+  }
+  // What became of it, if that was told.
+  std::shared_ptr<std::optional<Council::Outcome>> Propose(const std::string& to,
+                                                           const std::string& command) {
+    auto outcome = std::make_shared<std::optional<Council::Outcome>>();
+    voters_[to].council->Propose(command, [outcome](Council::Outcome o) { *outcome = o; });
+    Collect(to);
+    return outcome;
+  }
+  bool Settle(const std::string& command) {
+    for (int i = 0; i < 100; ++i) {
+      const std::string leader = AwaitLeader();
+      if (leader.empty()) return false;
+      const auto outcome = Propose(leader, command);
+      for (int k = 0; k < 40 && !outcome->has_value(); ++k) RunFor(milliseconds(50));
+      if (*outcome == Council::Outcome::kSettled) return true;
+    }
+    return false;
+  }
+  // One is a beginning of the other: nobody ever believes another order.
+  void CheckSameOrder() const {
+    for (const auto& [a, one] : voters_) {
+      for (const auto& [b, other] : voters_) {
+        const auto& x = one.list.all;
+        const auto& y = other.list.all;
+        for (std::size_t i = 0; i < std::min(x.size(), y.size()); ++i) REQUIRE(x[i] == y[i]);
+      }
+    }
+  }
+  Voter& at(const std::string& name) { return voters_[name]; }
+
+  Time now = seconds(1);
+  double loss = 0;
+
+ private:
+  struct Flight {
+    Time at;
+    std::string from;
+    std::uint64_t id;
+    Council::Message message;
+  };
+  void Collect(const std::string& name) {
+    for (Council::Message& m : voters_[name].council->TakeMessages()) {
+      if (cut_.contains({name, m.to}) || static_cast<double>(random_() % 1000) < loss * 1000) {
+        continue;
+      }
+      flights_.push_back({now + milliseconds(1 + random_() % 10), name, voters_[name].id, m});
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::vector<std::string> names_;
+  std::map<std::string, Voter> voters_;
+  std::set<std::pair<std::string, std::string>> cut_;
+  std::vector<Flight> flights_;
+  std::uint64_t last_id_ = 0;
+};
+
+TEST_CASE("empty folders found one log, and commands are settled in one order") {
+  for (const std::size_t count : {3U, 5U, 7U}) {
+    Parliament p(count, count);
+    CHECK_FALSE(p.AwaitLeader().empty());
+    for (int i = 0; i < 200; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
+    p.RunFor(seconds(2));
+    p.CheckSameOrder();
+    CHECK(p.at("v1").list.all.size() == 200);
+    CHECK(p.at("v1").store.works);
+  }
+}
+
+TEST_CASE("no log is founded while a voter is missing") {
+  Parliament p(3);
+  p.Kill("v2");
+  p.RunFor(seconds(10));
+  CHECK_FALSE(p.at("v0").council->founded());
+  p.Start("v2");
+  CHECK_FALSE(p.AwaitLeader().empty());
+}
+
+TEST_CASE("what was settled survives the loss of the leader, and restarts of all") {
+  Parliament p(3, 7);
+  for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("a" + std::to_string(i)));
+  p.Kill(p.Leader());
+  p.RunFor(seconds(3));
+  REQUIRE(p.Settle("after"));
+  for (const char* name : {"v0", "v1", "v2"}) {
+    p.Kill(name);
+    p.Start(name);
+  }
+  REQUIRE(p.Settle("last"));
+  p.RunFor(seconds(3));
+  p.CheckSameOrder();
+  for (const char* name : {"v0", "v1", "v2"}) CHECK(p.at(name).list.all.back() == "last");
+}
+
+TEST_CASE("a minority settles nothing, and its leader learns of it") {
+  Parliament p(5, 9);
+  REQUIRE(p.Settle("one"));
+  const std::string old = p.Leader();
+  for (const char* name : {"v0", "v1", "v2", "v3", "v4"}) {
+    if (name != old) p.Cut(old, name);
+  }
+  const auto lost = p.Propose(old, "lost");
+  p.RunFor(seconds(5));
+  CHECK(lost->value_or(Council::Outcome::kUnknown) == Council::Outcome::kUnknown);
+  CHECK_FALSE(p.at(old).council->leads());
+  REQUIRE(p.Settle("two"));
+  p.Heal();
+  REQUIRE(p.Settle("three"));
+  p.RunFor(seconds(3));
+  p.CheckSameOrder();
+  CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two", "three"});
+}
+
+TEST_CASE("a stopped leader that wakes up settles nothing on its own") {
+  Parliament p(3, 11);
+  REQUIRE(p.Settle("one"));
+  const std::string old = p.Leader();
+  p.at(old).stopped = true;
+  p.RunFor(seconds(5));
+  REQUIRE(p.Settle("two"));
+  p.at(old).stopped = false;
+  const auto late = p.Propose(old, "late");
+  p.RunFor(seconds(5));
+  CHECK(*late != Council::Outcome::kSettled);
+  p.CheckSameOrder();
+  CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("a voter that comes back with an empty folder has no vote until it is let in again") {
+  Parliament p(3, 13);
+  REQUIRE(p.Settle("one"));
+  const std::string leader = p.Leader();
+  std::string lost = leader == "v1" ? "v2" : "v1", last = "v0";
+  if (leader == "v0") last = lost == "v1" ? "v2" : "v1";
+  // The only other copy of what is settled goes away, and the one that held it has forgotten.
+  p.Kill(last);
+  p.RunFor(milliseconds(50));
+  REQUIRE(p.Settle("two"));  // by the leader and the one that will lose it
+  p.Kill(leader);
+  p.Kill(lost);
+  p.LoseFolder(lost);
+  p.Start(lost);
+  p.Start(last);
+  p.RunFor(seconds(20));
+  CHECK(p.Leader().empty());  // the two must not settle anything without "two"
+  p.Start(leader);
+  REQUIRE(p.Settle("three"));
+  p.RunFor(seconds(10));
+  p.CheckSameOrder();
+  CHECK(p.at(lost).list.all == std::vector<std::string>{"one", "two", "three"});
+  // Let in again, under its new id, it votes.
+  bool votes = false;
+  for (const Server& server : p.at(p.Leader()).council->servers()) {
+    votes |= server.name == lost && server.id == p.at(lost).id && server.role == 1;
+  }
+  CHECK(votes);
+}
+
+TEST_CASE("loss on every link delays and breaks nothing") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Parliament p(5, seed);
+    p.loss = 0.2;
+    for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
+    p.loss = 0;
+    p.RunFor(seconds(5));
+    p.CheckSameOrder();
+  }
+}
+
+TEST_CASE(
+    "random kills, cuts, stops and lost folders: one order, and what was told settled is there") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    Parliament p(5, seed);
+    std::mt19937_64 random(seed);
+    REQUIRE_FALSE(p.AwaitLeader().empty());
+    std::vector<std::pair<std::string, std::shared_ptr<std::optional<Council::Outcome>>>> asked;
+    const auto name = [&] { return "v" + std::to_string(random() % 5); };
+    std::size_t lost = 0;
+    Time lost_at{};
+    for (int step = 0; step < 150; ++step) {
+      switch (random() % 8) {
+        case 0:
+          p.Kill(name());
+          break;
+        case 1:
+          p.at(name()).stopped = true;
+          break;
+        case 2:
+          p.Cut(name(), name());
+          break;
+        case 3:
+          if (random() % 6 == 0 && p.now - lost_at > seconds(30) && lost < 3) {
+            // One folder at a time, and never before the last was let in again.
+            p.Heal();
+            for (int i = 0; i < 5; ++i) {
+              const std::string each = "v" + std::to_string(i);
+              p.at(each).stopped = false;
+              if (p.at(each).council == nullptr) p.Start(each);
+            }
+            p.RunFor(seconds(10));
+            const std::string who = name();
+            p.Kill(who);
+            p.LoseFolder(who);
+            p.Start(who);
+            lost_at = p.now;
+            ++lost;
+            p.RunFor(seconds(10));
+          }
+          break;
+        case 4:
+          p.Heal();
+          break;
+        case 5: {
+          const std::string who = name();
+          if (p.at(who).council == nullptr) p.Start(who);
+          p.at(who).stopped = false;
+          break;
+        }
+        default: {
+          const std::string leader = p.Leader();
+          if (leader.empty()) break;
+          const std::string command = "c" + std::to_string(step);
+          asked.emplace_back(command, p.Propose(leader, command));
+        }
+      }
+      p.RunFor(milliseconds(random() % 900));
+      p.CheckSameOrder();
+    }
+    p.Heal();
+    for (int i = 0; i < 5; ++i) {
+      const std::string each = "v" + std::to_string(i);
+      p.at(each).stopped = false;
+      if (p.at(each).council == nullptr) p.Start(each);
+    }
+    REQUIRE(p.Settle("end"));
+    p.RunFor(seconds(10));
+    p.CheckSameOrder();
+    const auto& all = p.at(p.Leader()).list.all;
+    for (const auto& [command, outcome] : asked) {
+      const auto times = std::count(all.begin(), all.end(), command);
+      CHECK(times <= 1);
+      if (*outcome == Council::Outcome::kSettled) CHECK(times == 1);
+    }
+  }
+}
+
+TEST_CASE("a full disk stops a voter and not the others") {
+  Parliament p(3, 17);
+  REQUIRE(p.Settle("one"));
+  const std::string full = p.Leader() == "v1" ? "v2" : "v1";
+  p.at(full).store.works = false;
+  REQUIRE(p.Settle("two"));
+  p.RunFor(seconds(3));
+  p.at(full).store.works = true;
+  p.Kill(full);
+  p.Start(full);
+  REQUIRE(p.Settle("three"));
+  p.RunFor(seconds(3));
+  CHECK(p.at(full).list.all == std::vector<std::string>{"one", "two", "three"});
+}
+
+// ---- the store in files ----
+
+class Folder {
+ public:
+  Folder()
+      : path(std::filesystem::temp_directory_path() / ("settled-" + std::to_string(getpid()))) {
+    std::filesystem::remove_all(path);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string Read(const char* name) const {
+    std::ifstream in(path / name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  void Write(const char* name, const std::string& bytes) const {
+    std::ofstream(path / name, std::ios::binary) << bytes;
+  }
+  std::filesystem::path path;
+};
+
+TEST_CASE("a file holds what memory holds, over any calls and restarts") {
+  Folder folder;
+  std::mt19937_64 random(3);
+  auto file = std::make_unique<FileStore>(folder.path.string());
+  MemoryStore memory;
+  bool damaged = false;
+  Kept kept = file->Load(damaged);
+  for (int step = 0; step < 400; ++step) {
+    const std::uint64_t value = random() % 50;
+    switch (random() % 7) {
+      case 0:
+        CHECK(file->SetTerm(value) == memory.SetTerm(value));
+        break;
+      case 1:
+        CHECK(file->SetVote(value) == memory.SetVote(value));
+        break;
+      case 2:
+      case 3: {
+        const std::vector<Entry> entries(1 + random() % 3, {value, 1, std::string(value, 'x')});
+        CHECK(file->Append(entries) == memory.Append(entries));
+        break;
+      }
+      case 4: {
+        // Never below the snapshot: what is in it is settled.
+        const std::uint64_t settled = kept.snapshot ? kept.snapshot->index + 1 : kept.first;
+        const std::uint64_t least = std::max(kept.first, settled);
+        const std::uint64_t from = least + random() % (kept.last() + 2 - least);
+        CHECK(file->Truncate(from) == memory.Truncate(from));
+        break;
+      }
+      case 5:
+        if (!kept.entries.empty()) {
+          const std::size_t at = random() % kept.entries.size();
+          if (kept.snapshot && kept.first + at < kept.snapshot->index) break;
+          const Snapshot s{kept.first + at, kept.entries[at].term, {{7, "v", 1}}, 1, "state"};
+          const std::uint64_t trailing = random() % 4;
+          CHECK(file->Put(s, trailing) == memory.Put(s, trailing));
+        }
+        break;
+      default:
+        file.reset();
+        file = std::make_unique<FileStore>(folder.path.string());
+    }
+    kept = file->Load(damaged);
+    const Kept wanted = memory.Load(damaged);
+    REQUIRE(kept.term == wanted.term);
+    REQUIRE(kept.vote == wanted.vote);
+    REQUIRE(kept.first == wanted.first);
+    REQUIRE(kept.entries == wanted.entries);
+    REQUIRE(kept.snapshot == wanted.snapshot);
+  }
+}
+
+TEST_CASE("a torn end is cut off, and a flipped bit anywhere is damage") {
+  Folder folder;
+  bool damaged = false;
+  {
+    FileStore store(folder.path.string());
+    store.Load(damaged);
+    store.SetTerm(3);
+    store.SetVote(9);
+    store.Append({{3, 1, "one"}, {3, 1, "two"}});
+  }
+  const std::string whole = folder.Read("settled");
+  std::size_t cut_votes = 0;
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    folder.Write("settled", whole.substr(0, length));
+    FileStore store(folder.path.string());
+    const Kept kept = store.Load(damaged);
+    CHECK_FALSE(damaged);
+    cut_votes += kept.vote == 0;
+    CHECK(store.SetVote(5));
+    CHECK(store.Load(damaged).vote == 5);
+  }
+  CHECK(cut_votes > 0);
+  for (std::size_t bit = 0; bit < whole.size() * 8; ++bit) {
+    std::string flipped = whole;
+    flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ (1 << (bit % 8)));
+    folder.Write("settled", flipped);
+    FileStore store(folder.path.string());
+    store.Load(damaged);
+    CHECK(damaged);
+  }
+}
+
+TEST_CASE("a store that is full takes nothing, and holds what it had") {
+  Folder folder;
+  bool damaged = false;
+  FileStore store(folder.path.string(), 400);
+  store.Load(damaged);
+  CHECK(store.SetTerm(1));
+  while (store.Append({{1, 1, "some bytes of a command"}})) {
+  }
+  const Kept before = store.Load(damaged);
+  CHECK_FALSE(store.Append({{1, 1, "some bytes of a command"}}));
+  CHECK(store.Load(damaged).entries == before.entries);
+  CHECK_FALSE(damaged);
+}
+
+}  // namespace
+}  // namespace brassfront::consensus
