Decide who is out for work: a settled state machine, the leader's turns and a member's duty

Need: staff ask for work on a set of machines and go away; the fleet settles who goes when.

src/maintenance, cores without I/O: Machine (places used by the dead and by those whose turn has come until they say that they serve; an endpoint is out once all have confirmed in their present life, or have ended by staff's word; requests carry a token, so a late repeat does nothing), Leader (roster, lives, deadlines, turns by urgency with ageing, alternating halls, busiest first; none until it can know who is dead) and DutyOf for each member.

--- /dev/null
+++ b/src/maintenance/machine.cpp
@@ -0,0 +1,405 @@
+#include "maintenance/machine.hpp"
+
+#include <algorithm>
+
+#include "peers/bytes.hpp"
+
+namespace brassfront::maintenance {
+namespace {
+
+using peers::Reader;
+using peers::Writer;
+
+constexpr const char* kHallPrefix = "hall:";
+constexpr std::size_t kMostName = 128;  // of an endpoint's id
+constexpr std::uint8_t kSaved = 1;      // the form of a saved state
+
+void Put(Writer& out, const Request& r) {
+  out.U64(r.id).U8(static_cast<std::uint64_t>(r.kind)).Name(r.name);
+  out.U8(static_cast<std::uint64_t>(r.urgency)).U8(static_cast<std::uint64_t>(r.state));
+  out.U32(r.passed).Name(r.why).U16(r.confirmed.size());
+  for (const auto& [name, life] : r.confirmed) out.Name(name).U64(life);
+}
+
+Request ReadRequest(Reader& in) {
+  Request r;
+  r.id = in.U64();
+  const std::uint8_t kind = in.U8();
+  r.kind = static_cast<Kind>(kind);
+  r.name = in.Name();
+  const std::uint8_t urgency = in.U8(), state = in.U8();
+  r.urgency = static_cast<Urgency>(urgency);
+  r.state = static_cast<State>(state);
+  const bool known = (kind == 1 || kind == 2) && urgency <= 2 &&
+                     state <= static_cast<std::uint8_t>(State::kCancelled);
+  if (!known) in.Raw(SIZE_MAX);  // no such request: the whole is broken
+  r.passed = in.U32();
+  r.why = in.Name();
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
+    const std::string name = in.Name();
+    r.confirmed[name] = in.U64();
+  }
+  return r;
+}
+
+}  // namespace
+
+const char* NameOf(Urgency urgency) {
+  constexpr const char* kNames[] = {"low", "normal", "high"};
+  return kNames[static_cast<std::size_t>(urgency)];
+}
+
+const char* NameOf(State state) {
+  constexpr const char* kNames[] = {"asked",  "draining", "out",      "returning",
+                                    "failed", "back",     "cancelled"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
+std::string Command::Encode() const {
+  Writer out;
+  out.U8(static_cast<std::uint64_t>(verb)).U8(static_cast<std::uint64_t>(kind));
+  out.Name(name.substr(0, kMostName)).Name(text.substr(0, 200));
+  out.U8(static_cast<std::uint64_t>(urgency)).U64(request).U64(life).U64(token).U8(flag);
+  return out.Take();
+}
+
+std::optional<Command> Command::Decode(std::string_view bytes) {
+  Reader in(bytes);
+  Command c;
+  const std::uint8_t verb = in.U8(), kind = in.U8();
+  c.verb = static_cast<Verb>(verb);
+  c.kind = static_cast<Kind>(kind);
+  c.name = in.Name();
+  c.text = in.Name();
+  const std::uint8_t urgency = in.U8();
+  c.urgency = static_cast<Urgency>(urgency);
+  c.request = in.U64();
+  c.life = in.U64();
+  c.token = in.U64();
+  c.flag = in.U8() != 0;
+  const bool good = in.done() && verb >= 1 && verb <= static_cast<std::uint8_t>(Verb::kEnded) &&
+                    (kind == 1 || kind == 2) && urgency <= 2 && c.name.size() <= kMostName;
+  if (!good) return std::nullopt;
+  return c;
+}
+
+// ======== what is asked of it ========
+
+const Answer* Machine::AnswerTo(std::uint64_t token) const {
+  for (const auto& [its, answer] : answers_) {
+    if (its == token) return &answer;
+  }
+  return nullptr;
+}
+
+const Request* Machine::RequestFor(Kind kind, const std::string& name) const {
+  for (const auto& [id, request] : requests_) {
+    if (request.kind == kind && request.name == name) return &request;
+  }
+  return nullptr;
+}
+
+std::size_t Machine::Used(const std::string& hall) const {
+  std::size_t used = 0;
+  for (const auto& [name, member] : members_) {
+    if (!hall.empty() && member.hall != hall) continue;
+    const Request* request = member.dead ? nullptr : RequestFor(Kind::kMachine, name);
+    used += member.dead || (request != nullptr && request->HoldsPlace());
+  }
+  return used;
+}
+
+std::string Machine::WaitsFor(const Request& request) const {
+  if (request.state == State::kDraining && request.kind == Kind::kEndpoint) {
+    std::string text;
+    for (const std::string& name : Unconfirmed(request)) text += (text.empty() ? "" : " ") + name;
+    return text.empty() ? "" : "the word of " + text;
+  }
+  if (request.state != State::kAsked) return "";
+  if (held_) return "the queue, which is held";
+  if (request.kind == Kind::kEndpoint) return "";
+  const auto it = members_.find(request.name);
+  if (it == members_.end()) return "the roster, which has no " + request.name;
+  if (it->second.dead) return request.name + ", which is dead and uses a place already";
+  const std::string& hall = it->second.hall;
+  const bool all_full = Used("") >= out_in_all_, hall_full = Used(hall) >= out_in_hall_;
+  if (!all_full && !hall_full) return "";
+  std::string names;
+  for (const auto& [name, member] : members_) {
+    if (!all_full && member.hall != hall) continue;
+    const Request* other = RequestFor(Kind::kMachine, name);
+    if (!member.dead && (other == nullptr || !other->HoldsPlace())) continue;
+    names += (names.empty() ? "" : ", ") + name + " (" +
+             (member.dead ? "dead" : NameOf(other->state)) + ")";
+  }
+  return names;
+}
+
+std::vector<std::string> Machine::Unconfirmed(const Request& request) const {
+  std::vector<std::string> names;
+  for (const auto& [name, member] : members_) {
+    const auto it = request.confirmed.find(name);
+    const bool said = it != request.confirmed.end() && it->second >= member.life;
+    // A life that has ended starts nothing more, and the next one begins with the ban.
+    const bool ended = member.dead && member.ended >= member.life && member.ended > 0;
+    if (!said && !ended) names.push_back(name);
+  }
+  return names;
+}
+
+// ======== commands ========
+
+void Machine::Apply(std::string_view bytes) {
+  ++revision_;
+  if (const auto command = Command::Decode(bytes)) Do(*command);
+}
+
+void Machine::Tell(std::uint64_t token, Answer answer) {
+  if (token == 0) return;
+  answers_.emplace_back(token, std::move(answer));
+  if (answers_.size() > kMostAnswers) answers_.pop_front();
+}
+
+void Machine::Do(const Command& c) {
+  const auto request = requests_.find(c.request);
+  const auto member = members_.find(c.name);
+  const bool has = request != requests_.end();
+  // What operators ask may come twice, after an answer that was lost.
+  const bool asked = c.verb == Verb::kAsk || c.verb == Verb::kCancel || c.verb == Verb::kHold ||
+                     c.verb == Verb::kBringBack || c.verb == Verb::kEnded;
+  if (asked && c.token != 0 && AnswerTo(c.token) != nullptr) return;
+  switch (c.verb) {
+    case Verb::kMember:
+      members_[c.name].hall = c.text;
+      break;
+    case Verb::kNoMember:
+      members_.erase(c.name);
+      if (const Request* its = RequestFor(Kind::kMachine, c.name)) {
+        End(its->id, State::kCancelled, "no longer in the roster");
+      }
+      break;
+    case Verb::kLimits:
+      out_in_all_ = c.life;
+      out_in_hall_ = c.token;
+      break;
+    case Verb::kAsk:
+      Tell(c.token, Ask(c));
+      break;
+    case Verb::kCancel:
+      Tell(c.token, Cancel(c));
+      break;
+    case Verb::kHold:
+      held_ = c.flag;
+      Tell(c.token, {true, held_ ? "held: no further turn comes" : "goes on"});
+      break;
+    case Verb::kBringBack:
+      Tell(c.token, BringBack(c));
+      break;
+    case Verb::kGrant:
+      if (has) Grant(request->second);
+      break;
+    case Verb::kOutNow:
+      if (has && request->second.state == State::kDraining &&
+          request->second.kind == Kind::kMachine) {
+        request->second.state = State::kOut;
+      }
+      break;
+    case Verb::kConfirm:
+      if (has && member != members_.end() && request->second.kind == Kind::kEndpoint) {
+        request->second.confirmed[c.name] = c.life;
+        member->second.life = std::max(member->second.life, c.life);
+      }
+      break;
+    case Verb::kReturned:
+      if (has && request->second.state == State::kReturning) End(c.request, State::kBack, "");
+      break;
+    case Verb::kFail:
+      if (has && (request->second.state == State::kDraining ||
+                  request->second.state == State::kReturning)) {
+        request->second.state = State::kFailed;
+        request->second.why = c.text;
+      }
+      break;
+    case Verb::kDead:
+    case Verb::kAlive:
+      if (member == members_.end()) break;
+      member->second.dead = c.verb == Verb::kDead;
+      member->second.life = std::max(member->second.life, c.life);
+      break;
+    case Verb::kEnded:
+      if (member == members_.end()) {
+        Tell(c.token, {false, "no machine " + c.name});
+      } else if (!member->second.dead) {
+        Tell(c.token, {false, c.name + " is heard: it has not ended"});
+      } else {
+        member->second.ended = std::max<std::uint64_t>(1, member->second.life);
+        Tell(c.token, {true, c.name + " is taken to have ended, on your word"});
+      }
+      break;
+  }
+  CheckEndpoints();
+}
+
+Answer Machine::Ask(const Command& c) {
+  const std::string& name = c.name;
+  if (c.kind == Kind::kEndpoint || (name != "all" && name.rfind(kHallPrefix, 0) != 0)) {
+    return AskOne(c, name);
+  }
+  const std::string hall = name == "all" ? "" : name.substr(std::string(kHallPrefix).size());
+  std::string fresh;
+  bool any = false;
+  for (const auto& [its, member] : members_) {
+    if (!hall.empty() && member.hall != hall) continue;
+    any = true;
+    if (RequestFor(Kind::kMachine, its) != nullptr) continue;
+    const Answer answer = AskOne(c, its);
+    if (!answer.good) return answer;
+    fresh += (fresh.empty() ? "" : " ") + its;
+  }
+  if (!any) return {false, "no machine is in hall " + hall};
+  return {true, fresh.empty() ? "already asked" : "asked for " + fresh};
+}
+
+Answer Machine::AskOne(const Command& c, const std::string& name) {
+  if (c.kind == Kind::kMachine && !members_.contains(name)) {
+    std::string near;
+    for (const auto& [its, member] : members_) near += (near.empty() ? "" : " ") + its;
+    return {false, "no machine " + name + "; there are " + near.substr(0, 160)};
+  }
+  if (const Request* its = RequestFor(c.kind, name)) {
+    return {true,
+            "already asked: request " + std::to_string(its->id) + " is " + NameOf(its->state)};
+  }
+  if (c.kind == Kind::kMachine && (out_in_all_ == 0 || out_in_hall_ == 0)) {
+    return {false, "the roster spares no machine"};
+  }
+  if (requests_.size() >= kMostRequests) return {false, "too many requests are open"};
+  Request request;
+  request.id = next_id_++;
+  request.kind = c.kind;
+  request.name = name;
+  request.urgency = c.urgency;
+  requests_[request.id] = request;
+  return {true, "asked: request " + std::to_string(request.id)};
+}
+
+Answer Machine::Cancel(const Command& c) {
+  const auto it = requests_.find(c.request);
+  if (it == requests_.end()) return {false, "no request " + std::to_string(c.request) + " is open"};
+  Request& request = it->second;
+  if (request.state == State::kAsked) {
+    End(request.id, State::kCancelled, "by request");
+    return {true, "cancelled"};
+  }
+  if (request.state == State::kOut) return {false, request.name + " is out; bring it back"};
+  if (request.kind == Kind::kEndpoint) {
+    End(request.id, State::kCancelled, "by request");
+    return {true, "cancelled; " + request.name + " may serve"};
+  }
+  request.state = State::kReturning;
+  return {true, request.name + " returns"};
+}
+
+Answer Machine::BringBack(const Command& c) {
+  std::vector<std::uint64_t> its;
+  for (const auto& [id, request] : requests_) {
+    if (request.kind == c.kind && (c.name == "all" || request.name == c.name)) its.push_back(id);
+  }
+  if (its.empty()) return {c.name == "all", c.name + " is not out, nor asked for"};
+  for (const std::uint64_t id : its) {
+    Request& request = requests_.at(id);
+    if (request.state == State::kAsked) {
+      End(id, State::kCancelled, "brought back before its turn");
+    } else if (request.kind == Kind::kEndpoint) {
+      End(id, State::kBack, "");
+    } else {
+      request.state = State::kReturning;
+    }
+  }
+  return {true, std::to_string(its.size()) + " brought back"};
+}
+
+// The rule itself: whoever proposed this may have known less than what was settled since.
+void Machine::Grant(Request& request) {
+  if (request.state != State::kAsked || !WaitsFor(request).empty()) return;
+  request.state = State::kDraining;
+  for (auto& [id, other] : requests_) {
+    if (other.state == State::kAsked && id < request.id) ++other.passed;
+  }
+  if (request.kind == Kind::kMachine) last_hall_ = members_.at(request.name).hall;
+}
+
+void Machine::CheckEndpoints() {
+  for (auto& [id, request] : requests_) {
+    const bool drains = request.kind == Kind::kEndpoint && request.state == State::kDraining;
+    if (drains && Unconfirmed(request).empty()) request.state = State::kOut;
+  }
+}
+
+void Machine::End(std::uint64_t id, State state, std::string why) {
+  auto node = requests_.extract(id);
+  Request& request = node.mapped();
+  request.state = state;
+  request.why = std::move(why);
+  request.confirmed.clear();
+  over_.push_back(std::move(request));
+  if (over_.size() > kMostOver) over_.pop_front();
+}
+
+// ======== saved ========
+
+std::string Machine::Save() const {
+  Writer out;
+  out.U8(kSaved).U64(revision_).U64(next_id_).U32(out_in_all_).U32(out_in_hall_);
+  out.U8(held_).Name(last_hall_).U16(members_.size());
+  for (const auto& [name, m] : members_) {
+    out.Name(name).Name(m.hall).U64(m.life).U8(m.dead).U64(m.ended);
+  }
+  out.U16(requests_.size());
+  for (const auto& [id, request] : requests_) Put(out, request);
+  out.U16(over_.size());
+  for (const Request& request : over_) Put(out, request);
+  out.U16(answers_.size());
+  for (const auto& [token, answer] : answers_) {
+    out.U64(token).U8(answer.good).Name(answer.text.substr(0, 200));
+  }
+  return out.Take();
+}
+
+bool Machine::Load(std::string_view state) {
+  Reader in(state);
+  Machine m;
+  if (in.U8() != kSaved) return false;
+  m.revision_ = in.U64();
+  m.next_id_ = in.U64();
+  m.out_in_all_ = in.U32();
+  m.out_in_hall_ = in.U32();
+  m.held_ = in.U8() != 0;
+  m.last_hall_ = in.Name();
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
+    const std::string name = in.Name();
+    MemberState& its = m.members_[name];
+    its.hall = in.Name();
+    its.life = in.U64();
+    its.dead = in.U8() != 0;
+    its.ended = in.U64();
+  }
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
+    Request request = ReadRequest(in);
+    const std::uint64_t id = request.id;
+    m.requests_[id] = std::move(request);
+  }
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) m.over_.push_back(ReadRequest(in));
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
+    const std::uint64_t token = in.U64();
+    Answer answer;
+    answer.good = in.U8() != 0;
+    answer.text = in.Name();
+    m.answers_.emplace_back(token, std::move(answer));
+  }
+  if (!in.done()) return false;
+  *this = std::move(m);
+  return true;
+}
+
+}  // namespace brassfront::maintenance
--- /dev/null
+++ b/src/maintenance/machine.hpp
@@ -0,0 +1,150 @@
+// What is settled of machines and endpoints that are out for work: a state machine that the settled
+// log drives, the same on every member. No I/O, no clock, nothing drawn.
+//
+// A place is one machine that the fleet does without. It is used by a machine that is dead, and by
+// one whose turn has come, from the moment it may begin to drain until it says itself that it
+// serves again; so a place is never given away while its holder may still be out.
+#ifndef BRASSFRONT_MAINTENANCE_MACHINE_HPP_
+#define BRASSFRONT_MAINTENANCE_MACHINE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "consensus/council.hpp"
+
+namespace brassfront::maintenance {
+
+enum class Kind : std::uint8_t { kMachine = 1, kEndpoint };
+enum class Urgency : std::uint8_t { kLow, kNormal, kHigh };
+const char* NameOf(Urgency urgency);
+
+// kAsked waits for a place. kDraining: its turn has come. kBack, kCancelled: over. kFailed: a
+// deadline passed; a machine keeps its place until it is brought back.
+enum class State : std::uint8_t { kAsked, kDraining, kOut, kReturning, kFailed, kBack, kCancelled };
+const char* NameOf(State state);
+inline bool IsOver(State state) { return state == State::kBack || state == State::kCancelled; }
+
+inline constexpr std::size_t kMostRequests = 400;  // that are not over
+inline constexpr std::size_t kMostOver = 50;       // that are remembered
+inline constexpr std::size_t kMostAnswers = 200;
+
+struct Request {
+  std::uint64_t id = 0;
+  Kind kind = Kind::kMachine;
+  std::string name;  // of the machine, or the endpoint's id
+  Urgency urgency = Urgency::kNormal;
+  State state = State::kAsked;
+  std::uint32_t passed = 0;  // grants to others that were asked for later, since it was asked for
+  std::string why;           // with kFailed and kCancelled
+  // Of an endpoint: who starts nothing more there, and the life it said so in.
+  std::map<std::string, std::uint64_t> confirmed;
+
+  bool HoldsPlace() const {
+    return kind == Kind::kMachine && state != State::kAsked && !IsOver(state);
+  }
+};
+
+enum class Verb : std::uint8_t {
+  kMember = 1,  // name, hall: is in the roster
+  kNoMember,    // name: no longer
+  kLimits,      // all, hall
+  kAsk,         // kind, name (or "hall:NAME", "all"), urgency, token
+  kCancel,      // request, token
+  kHold,        // flag, token: nothing more is granted
+  kBringBack,   // kind, name (or "all"), token
+  kGrant,       // request
+  kOutNow,      // request: the machine has drained
+  kConfirm,     // request, name, life
+  kReturned,    // request: the machine serves again
+  kFail,        // request, why
+  kDead,        // name, life
+  kAlive,       // name, life
+  kEnded        // name, token: staff say that its process has ended
+};
+
+struct Command {
+  Verb verb{};
+  Kind kind = Kind::kMachine;
+  std::string name;
+  std::string text;  // a hall, or a reason
+  Urgency urgency = Urgency::kNormal;
+  std::uint64_t request = 0;
+  std::uint64_t life = 0;   // or the limit of all
+  std::uint64_t token = 0;  // of who asked, to find the answer by; or the limit of a hall
+  bool flag = false;
+
+  std::string Encode() const;
+  static std::optional<Command> Decode(std::string_view bytes);
+};
+
+struct MemberState {
+  std::string hall;
+  std::uint64_t life = 0;  // the last that was told with its death or life
+  bool dead = false;
+  std::uint64_t ended = 0;  // lives up to this one have surely ended
+};
+
+// What an operator is told of a request.
+struct Answer {
+  bool good = false;
+  std::string text;
+};
+
+class Machine : public consensus::StateMachine {
+ public:
+  void Apply(std::string_view command) override;
+  std::string Save() const override;
+  bool Load(std::string_view state) override;
+
+  std::uint64_t revision() const { return revision_; }  // counts commands
+  const std::map<std::string, MemberState>& members() const { return members_; }
+  const std::map<std::uint64_t, Request>& requests() const { return requests_; }
+  const std::deque<Request>& over() const { return over_; }
+  std::size_t out_in_all() const { return out_in_all_; }
+  std::size_t out_in_hall() const { return out_in_hall_; }
+  bool held() const { return held_; }
+  const std::string& last_hall() const { return last_hall_; }
+  const Answer* AnswerTo(std::uint64_t token) const;
+
+  // Of a machine that is not over; nullptr: none.
+  const Request* RequestFor(Kind kind, const std::string& name) const;
+  // Places that are used now.
+  std::size_t UsedInAll() const { return Used(""); }
+  std::size_t UsedInHall(const std::string& hall) const { return Used(hall); }
+  // Empty: its turn may come now. Else whom or what it waits for, by name.
+  std::string WaitsFor(const Request& request) const;
+  // Of an endpoint that drains: who has not confirmed.
+  std::vector<std::string> Unconfirmed(const Request& request) const;
+
+ private:
+  void Do(const Command& command);
+  Answer Ask(const Command& command);
+  Answer AskOne(const Command& command, const std::string& name);
+  Answer Cancel(const Command& command);
+  Answer BringBack(const Command& command);
+  void Grant(Request& request);
+  void End(std::uint64_t id, State state, std::string why);
+  void CheckEndpoints();
+  std::size_t Used(const std::string& hall) const;
+  void Tell(std::uint64_t token, Answer answer);
+
+  std::uint64_t revision_ = 0;
+  std::uint64_t next_id_ = 1;
+  std::map<std::string, MemberState> members_;
+  std::map<std::uint64_t, Request> requests_;
+  std::deque<Request> over_;
+  std::deque<std::pair<std::uint64_t, Answer>> answers_;
+  std::size_t out_in_all_ = 0, out_in_hall_ = 0;
+  bool held_ = false;
+  std::string last_hall_;  // of the last machine whose turn came
+};
+
+}  // namespace brassfront::maintenance
+
+#endif  // BRASSFRONT_MAINTENANCE_MACHINE_HPP_
--- /dev/null
+++ b/src/maintenance/turns.cpp
@@ -0,0 +1,164 @@
+#include "maintenance/turns.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace brassfront::maintenance {
+namespace {
+
+bool IsGone(peers::State state) {
+  return state == peers::State::kDead || state == peers::State::kLeft;
+}
+
+bool IsThere(peers::State state) {
+  return state == peers::State::kAlive || state == peers::State::kSuspect;
+}
+
+std::uint32_t RankOf(const Request& request) {
+  return static_cast<std::uint32_t>(request.urgency) + request.passed / kPatience;
+}
+
+}  // namespace
+
+std::optional<Command> Leader::Next(const Machine& machine, const peers::Roster& roster,
+                                    const std::map<std::string, Seen>& seen, Time led_for,
+                                    Time now) {
+  if (auto c = Roster(machine, roster)) return c;
+  if (auto c = Lives(machine, seen)) return c;
+  if (auto c = Deadlines(machine, roster.timings, now)) return c;
+  if (led_for < SettleOf(roster.timings)) return std::nullopt;
+  return Turn(machine, seen);
+}
+
+// One change at a time, so that each is a small command.
+std::optional<Command> Leader::Roster(const Machine& machine, const peers::Roster& roster) {
+  Command c;
+  for (const peers::Member& member : roster.members) {
+    const auto it = machine.members().find(member.name);
+    if (it != machine.members().end() && it->second.hall == member.hall) continue;
+    c.verb = Verb::kMember;
+    c.name = member.name;
+    c.text = member.hall;
+    return c;
+  }
+  for (const auto& [name, state] : machine.members()) {
+    if (roster.Find(name) != nullptr) continue;
+    c.verb = Verb::kNoMember;
+    c.name = name;
+    return c;
+  }
+  if (machine.out_in_all() != roster.out_in_all || machine.out_in_hall() != roster.out_in_hall) {
+    c.verb = Verb::kLimits;
+    c.life = roster.out_in_all;
+    c.token = roster.out_in_hall;
+    return c;
+  }
+  return std::nullopt;
+}
+
+std::optional<Command> Leader::Lives(const Machine& machine,
+                                     const std::map<std::string, Seen>& seen) {
+  for (const auto& [name, member] : machine.members()) {
+    const auto it = seen.find(name);
+    if (it == seen.end()) continue;
+    const Seen& s = it->second;
+    Command c;
+    c.name = name;
+    c.life = s.life;
+    c.verb = Verb::kDead;
+    if (IsGone(s.state) && !member.dead) return c;
+    c.verb = Verb::kAlive;
+    if (IsThere(s.state) && (member.dead || s.life > member.life)) return c;
+  }
+  return std::nullopt;
+}
+
+std::optional<Command> Leader::Deadlines(const Machine& machine, const peers::Timings& timings,
+                                         Time now) {
+  std::erase_if(since_, [&](const auto& e) { return !machine.requests().contains(e.first); });
+  for (const auto& [id, request] : machine.requests()) {
+    auto& [state, since] = since_.try_emplace(id, request.state, now).first->second;
+    if (state != request.state) {
+      state = request.state;
+      since = now;
+    }
+    if (request.kind != Kind::kMachine) continue;  // an endpoint waits for whom `status` names
+    const bool drains = state == State::kDraining && now - since > timings.drain;
+    const bool returns = state == State::kReturning && now - since > timings.back;
+    if (!drains && !returns) continue;
+    Command c;
+    c.verb = Verb::kFail;
+    c.request = id;
+    c.text = drains ? "did not drain in time" : "did not serve again in time";
+    return c;
+  }
+  return std::nullopt;
+}
+
+// By urgency; then a hall that the last turn was not in; then the busiest, which has gained most by
+// its turn while others still have room for its clients; then the oldest. Settled as one command,
+// so it is the same everywhere.
+std::optional<Command> Leader::Turn(const Machine& machine,
+                                    const std::map<std::string, Seen>& seen) {
+  const Request* best = nullptr;
+  const auto key = [&](const Request& r) {
+    const auto member = machine.members().find(r.name);
+    const bool machine_kind = r.kind == Kind::kMachine;
+    const bool same_hall = machine_kind && member != machine.members().end() &&
+                           member->second.hall == machine.last_hall();
+    const auto it = seen.find(r.name);
+    const std::uint64_t load = machine_kind && it != seen.end() ? it->second.load : 0;
+    return std::tuple(RankOf(r), !same_hall, load, UINT64_MAX - r.id);
+  };
+  for (const auto& [id, request] : machine.requests()) {
+    if (request.state != State::kAsked || !machine.WaitsFor(request).empty()) continue;
+    const auto it = seen.find(request.name);
+    // Guards against a turn for one that is being suspected: it may be dead, and uses a place then.
+    if (request.kind == Kind::kMachine &&
+        (it == seen.end() || it->second.state != peers::State::kAlive)) {
+      continue;
+    }
+    if (best == nullptr || key(request) > key(*best)) best = &request;
+  }
+  if (best == nullptr) return std::nullopt;
+  Command c;
+  c.verb = Verb::kGrant;
+  c.request = best->id;
+  return c;
+}
+
+Duty DutyOf(const Machine& machine, const std::string& self, std::uint64_t life, const Own& own) {
+  Duty duty;
+  const auto say = [&duty](Verb verb, const Request& request) -> Command& {
+    Command& c = duty.say.emplace_back();
+    c.verb = verb;
+    c.request = request.id;
+    return c;
+  };
+  for (const auto& [id, request] : machine.requests()) {
+    if (request.kind == Kind::kEndpoint) {
+      if (request.state != State::kDraining && request.state != State::kOut) continue;
+      duty.ban.insert(request.name);
+      const auto it = request.confirmed.find(self);
+      const bool said = it != request.confirmed.end() && it->second >= life;
+      if (own.banned.contains(request.name) && !said) {
+        Command& c = say(Verb::kConfirm, request);
+        c.name = self;
+        c.life = life;
+      }
+      continue;
+    }
+    if (request.name != self) continue;
+    duty.stand_by = request.state == State::kDraining || request.state == State::kOut ||
+                    request.state == State::kFailed;
+    if (request.state == State::kDraining && own.standing_by && own.drained) {
+      say(Verb::kOutNow, request);
+    }
+    if (request.state == State::kReturning && own.serving && !own.standing_by) {
+      say(Verb::kReturned, request);
+    }
+  }
+  return duty;
+}
+
+}  // namespace brassfront::maintenance
--- /dev/null
+++ b/tests/fleet/maintenance_test.cpp
@@ -0,0 +1,294 @@
+// Who is out for work, and in which order, without a log under it.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "maintenance/turns.hpp"
+
+namespace brassfront::maintenance {
+namespace {
+
+using std::chrono::seconds;
+
+peers::Roster RosterOf(std::size_t count, std::size_t all, std::size_t hall) {
+  peers::Roster roster;
+  roster.fleet = "t";
+  for (std::size_t i = 0; i < count; ++i) {
+    roster.members.push_back({"m" + std::to_string(i), i % 2 == 0 ? "east" : "west", "", false});
+  }
+  roster.out_in_all = all;
+  roster.out_in_hall = hall;
+  roster.timings.probe = std::chrono::milliseconds(200);
+  roster.timings.suspicion = std::chrono::milliseconds(800);
+  roster.timings.drain = roster.timings.back = seconds(60);
+  return roster;
+}
+
+// A leader that sees all, and a log that settles at once.
+struct Fleet {
+  explicit Fleet(const peers::Roster& its) : roster(its) {
+    for (const peers::Member& m : roster.members) seen[m.name] = {peers::State::kAlive, 1, 0};
+    Lead();
+  }
+  void Lead() {
+    for (int i = 0; i < 1000; ++i) {
+      const auto c = leader.Next(machine, roster, seen, seconds(100), now);
+      if (!c) return;
+      if (c->verb == Verb::kGrant) order.push_back(machine.requests().at(c->request).name);
+      machine.Apply(c->Encode());
+    }
+    FAIL("the leader never stops");
+  }
+  Answer Do(Command c) {
+    c.token = ++token;
+    machine.Apply(c.Encode());
+    const Answer* answer = machine.AnswerTo(token);
+    REQUIRE(answer != nullptr);
+    return *answer;
+  }
+  Answer Ask(const std::string& name, Urgency urgency = Urgency::kNormal,
+             Kind kind = Kind::kMachine) {
+    Command c;
+    c.verb = Verb::kAsk;
+    c.kind = kind;
+    c.name = name;
+    c.urgency = urgency;
+    return Do(c);
+  }
+  Answer Back(const std::string& name, Kind kind = Kind::kMachine) {
+    Command c;
+    c.verb = Verb::kBringBack;
+    c.kind = kind;
+    c.name = name;
+    return Do(c);
+  }
+  // Each machine does its part.
+  void Obey(const std::string& name) {
+    const Duty duty = DutyOf(machine, name, seen[name].life,
+                             {stands_by[name], stands_by[name], !stands_by[name], banned[name]});
+    stands_by[name] = duty.stand_by;
+    banned[name] = duty.ban;
+    for (const Command& c : duty.say) machine.Apply(c.Encode());
+  }
+  void Round() {
+    for (const auto& [name, s] : seen) {
+      if (s.state == peers::State::kAlive) Obey(name);
+    }
+    Lead();
+  }
+  const Request& Of(const std::string& name, Kind kind = Kind::kMachine) {
+    const Request* request = machine.RequestFor(kind, name);
+    REQUIRE(request != nullptr);
+    return *request;
+  }
+
+  peers::Roster roster;
+  Machine machine;
+  Leader leader;
+  std::map<std::string, Seen> seen;
+  std::map<std::string, bool> stands_by;
+  std::map<std::string, std::set<std::string>> banned;
+  std::vector<std::string> order;
+  std::uint64_t token = 0;
+  Time now = seconds(1);
+};
+
+TEST_CASE("one machine goes out, comes back, and the next goes") {
+  Fleet f(RosterOf(3, 1, 1));
+  CHECK(f.Ask("m0").good);
+  CHECK(f.Ask("m1").good);
+  f.Lead();
+  CHECK(f.Of("m0").state == State::kDraining);
+  CHECK(f.machine.WaitsFor(f.Of("m1")) == "m0 (draining)");
+  f.Round();
+  f.Round();
+  CHECK(f.Of("m0").state == State::kOut);
+  CHECK(f.Of("m1").state == State::kAsked);
+  CHECK(f.Back("m0").good);
+  f.Round();
+  f.Round();
+  CHECK(f.machine.RequestFor(Kind::kMachine, "m0") == nullptr);
+  CHECK(f.Of("m1").state != State::kAsked);
+}
+
+TEST_CASE("a dead machine uses a place, and a turn that has begun keeps it") {
+  Fleet f(RosterOf(5, 2, 2));
+  f.seen["m4"].state = peers::State::kDead;
+  f.Lead();
+  f.Ask("all");
+  f.Lead();
+  CHECK(f.machine.UsedInAll() == 2);
+  CHECK(f.order.size() == 1);
+  // The holder dies while it drains: its place stays its own.
+  f.seen[f.order[0]].state = peers::State::kDead;
+  f.seen["m4"].state = peers::State::kAlive;
+  f.Lead();
+  CHECK(f.machine.UsedInAll() == 2);
+  CHECK(f.order.size() == 2);
+  f.now += seconds(61);
+  f.Lead();
+  f.now += seconds(61);
+  f.Lead();
+  CHECK(f.Of(f.order[0]).state == State::kFailed);
+  CHECK(f.machine.UsedInAll() == 2);
+  CHECK(f.order.size() == 2);
+}
+
+TEST_CASE("a grant that knew less than what was settled is not carried out") {
+  Fleet f(RosterOf(3, 1, 1));
+  f.Ask("m0");
+  f.Ask("m1");
+  Command grant;
+  grant.verb = Verb::kGrant;
+  grant.request = f.Of("m0").id;
+  f.machine.Apply(grant.Encode());
+  grant.request = f.Of("m1").id;  // by a leader that did not know
+  f.machine.Apply(grant.Encode());
+  CHECK(f.Of("m1").state == State::kAsked);
+  CHECK(f.machine.UsedInAll() == 1);
+}
+
+TEST_CASE("halls alternate, urgency goes first, and nobody starves") {
+  Fleet f(RosterOf(8, 1, 1));
+  f.Ask("all");
+  for (int i = 0; i < 200 && f.order.size() < 8; ++i) {
+    for (const auto& [id, r] : std::map(f.machine.requests())) {
+      if (r.state == State::kOut) f.Back(r.name);
+    }
+    f.Round();
+  }
+  REQUIRE(f.order.size() == 8);
+  for (std::size_t i = 1; i < 8; ++i) {
+    CHECK((f.order[i].back() - '0') % 2 != (f.order[i - 1].back() - '0') % 2);
+  }
+  // One of low urgency among a stream of high ones.
+  Fleet g(RosterOf(8, 1, 1));
+  g.Ask("m7", Urgency::kLow);
+  std::size_t turns = 0;
+  for (; turns < 60; ++turns) {
+    for (int i = 0; i < 7; ++i) g.Ask("m" + std::to_string(i), Urgency::kHigh);
+    g.Lead();
+    if (g.machine.RequestFor(Kind::kMachine, "m7")->state != State::kAsked) break;
+    for (const auto& [id, r] : std::map(g.machine.requests())) {
+      if (r.state != State::kAsked) g.Back(r.name);
+    }
+    g.Round();
+  }
+  CHECK(turns > 3);
+  CHECK(turns <= 2 * kPatience + 8);
+}
+
+TEST_CASE("an endpoint is out only when every member has confirmed, or has surely ended") {
+  Fleet f(RosterOf(3, 1, 1));
+  CHECK(f.Ask("e-1", Urgency::kNormal, Kind::kEndpoint).good);
+  f.seen["m2"].state = peers::State::kDead;  // or cut off: nobody can tell
+  f.Lead();
+  f.Round();
+  f.Round();
+  CHECK(f.Of("e-1", Kind::kEndpoint).state == State::kDraining);
+  CHECK(f.machine.WaitsFor(f.Of("e-1", Kind::kEndpoint)) == "the word of m2");
+  SUBCASE("staff say that it has ended") {
+    Command c;
+    c.verb = Verb::kEnded;
+    c.name = "m1";
+    CHECK_FALSE(f.Do(c).good);  // it is heard
+    c.name = "m2";
+    CHECK(f.Do(c).good);
+    CHECK(f.Of("e-1", Kind::kEndpoint).state == State::kOut);
+  }
+  SUBCASE("it comes back, with its ban") {
+    f.seen["m2"] = {peers::State::kAlive, 2, 0};
+    f.Lead();
+    f.Round();
+    f.Round();
+    CHECK(f.Of("e-1", Kind::kEndpoint).state == State::kOut);
+    CHECK(f.banned["m2"].contains("e-1"));
+    CHECK(f.Back("e-1", Kind::kEndpoint).good);
+    f.Round();
+    CHECK(f.banned["m2"].empty());
+  }
+  SUBCASE("a word of an earlier life does not count") {
+    f.seen["m0"].life = 2;
+    f.seen["m2"] = {peers::State::kAlive, 1, 0};
+    f.Lead();
+    f.Obey("m2");
+    f.Obey("m2");
+    CHECK(f.machine.WaitsFor(f.Of("e-1", Kind::kEndpoint)) == "the word of m0");
+  }
+}
+
+TEST_CASE("bad requests get a clear answer, and repeated ones do no harm") {
+  Fleet f(RosterOf(3, 1, 1));
+  CHECK(f.Ask("m9").text.find("no machine m9") != std::string::npos);
+  CHECK(f.Ask("hall:north").text.find("hall north") != std::string::npos);
+  CHECK(f.Ask("m0").good);
+  CHECK(f.Ask("m0").text.find("already asked") != std::string::npos);
+  Command c;
+  c.verb = Verb::kAsk;
+  c.name = "m1";
+  c.token = 99;
+  f.machine.Apply(c.Encode());
+  const std::uint64_t id = f.Of("m1").id;
+  CHECK(f.Back("m1").good);
+  f.machine.Apply(c.Encode());  // the same request, late
+  CHECK(f.machine.RequestFor(Kind::kMachine, "m1") == nullptr);
+  Command cancel;
+  cancel.verb = Verb::kCancel;
+  cancel.request = id;
+  CHECK_FALSE(f.Do(cancel).good);
+  Command hold;
+  hold.verb = Verb::kHold;
+  hold.flag = true;
+  CHECK(f.Do(hold).good);
+  f.Lead();
+  CHECK(f.order.empty());
+  CHECK(f.machine.WaitsFor(f.Of("m0")).find("held") != std::string::npos);
+  hold.flag = false;
+  f.Do(hold);
+  f.Lead();
+  CHECK(f.order.size() == 1);
+}
+
+TEST_CASE("a new leader gives out no turn until it can know who is dead") {
+  Fleet f(RosterOf(3, 1, 1));
+  f.Ask("m0");
+  Leader fresh;
+  CHECK_FALSE(fresh.Next(f.machine, f.roster, f.seen, seconds(1), f.now).has_value());
+  CHECK(fresh.Next(f.machine, f.roster, f.seen, seconds(4), f.now).has_value());
+}
+
+TEST_CASE("the saved state is the state, and noise is refused") {
+  std::mt19937_64 random(1);
+  Fleet f(RosterOf(5, 2, 1));
+  for (int step = 0; step < 300; ++step) {
+    Command c;
+    c.verb = static_cast<Verb>(1 + random() % 15);
+    c.kind = random() % 4 == 0 ? Kind::kEndpoint : Kind::kMachine;
+    c.name = random() % 9 == 0 ? "all" : "m" + std::to_string(random() % 6);
+    c.request = random() % 40;
+    c.life = random() % 3;
+    c.token = random() % 1000;
+    c.flag = random() % 5 == 0;
+    c.text = "east";
+    if (c.verb == Verb::kLimits) c.life = 2, c.token = 1;
+    f.machine.Apply(c.Encode());
+    Machine copy;
+    REQUIRE(copy.Load(f.machine.Save()));
+    REQUIRE(copy.Save() == f.machine.Save());
+  }
+  const std::string saved = f.machine.Save();
+  for (std::size_t length = 0; length < saved.size(); ++length) {
+    Machine copy;
+    CHECK_FALSE(copy.Load(saved.substr(0, length)));
+  }
+  for (int i = 0; i < 2000; ++i) {
+    std::string noise = saved;
+    noise[random() % noise.size()] = static_cast<char>(random());
+    Machine copy;
+    copy.Load(noise);
+    f.machine.Apply(noise.substr(0, random() % 60));
+  }
+}
+
+}  // namespace
+}  // namespace brassfront::maintenance
