--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -31,6 +31,7 @@
 int CheckRecordsCommand(int argc, char** argv);
 int RehearseCommand(int argc, char** argv);  // with the kit
 int ZoneCommand(int argc, char** argv);      // with zones
+int FleetCommand(int argc, char** argv);     // with what forwarders share
 
 // The variable's value; empty if it is not set.
 std::string Environment(const char* name);
--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,150 @@
+// `brassfront fleet`: asks a forwarder on this machine, by the socket in its state folder.
+#include <cxxopts.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "cli/command.hpp"
+#include "fleet/control.hpp"
+#include "peers/roster.hpp"
+#include "protocol/json.hpp"
+#include "records/records.hpp"
+
+namespace brassfront {
+namespace {
+
+// The exit statuses that the page names.
+constexpr int kDone = 0, kRefused = 1, kBad = 2, kNoQuorum = 3;
+
+constexpr const char* kHelp =
+    "brassfront fleet status                          this forwarder's view, in short\n"
+    "brassfront fleet members                         each member, its state and its link\n"
+    "brassfront fleet check FILE                      say all that is wrong with a roster\n"
+    "brassfront fleet maintenance list                who is out, and who waits for whom\n"
+    "brassfront fleet maintenance ask NAME            a machine, hall:NAME or all\n"
+    "brassfront fleet maintenance ask ID --endpoint   an endpoint\n"
+    "brassfront fleet maintenance back NAME           bring back (--endpoint; all)\n"
+    "brassfront fleet maintenance cancel REQUEST      by its number\n"
+    "brassfront fleet maintenance hold yes|no         no further turn comes\n"
+    "brassfront fleet maintenance ended NAME          you know that its process has ended\n";
+
+std::string Escaped(const std::string& text) {
+  constexpr const char* kDigits = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       c == '-' || c == '.' || c == ':' || c == '_';
+    const auto byte = static_cast<unsigned char>(c);
+    out += plain ? std::string(1, c) : std::string{'%', kDigits[byte >> 4], kDigits[byte & 15]};
+  }
+  return out;
+}
+
+std::string TextOf(const json::Value& value) {
+  if (const auto* fields = std::get_if<json::Value::Object>(&value.data())) {
+    std::string line;
+    for (const auto& [name, field] : *fields) {
+      const std::string text = TextOf(field);
+      if (!text.empty()) line += (line.empty() ? "" : "  ") + name + "=" + text;
+    }
+    return line;
+  }
+  if (const auto* text = std::get_if<std::string>(&value.data())) return *text;
+  if (const auto* flag = std::get_if<bool>(&value.data())) return *flag ? "yes" : "no";
+  if (const auto* number = std::get_if<double>(&value.data())) {
+    return std::to_string(static_cast<long long>(*number));
+  }
+  return "";
+}
+
+// Lists a row a line, the rest on one.
+void Print(const std::string& body) {
+  const json::Value value = json::Parse(body);
+  std::string rest;
+  for (const auto& [name, field] : std::get<json::Value::Object>(value.data())) {
+    if (!field.IsArray()) {
+      const std::string text = TextOf(field);
+      if (name == "token") continue;
+      const bool alone = name == "done" || name == "error";
+      rest += (rest.empty() ? "" : "  ") + (alone ? text : name + "=" + text);
+      continue;
+    }
+    if (!field.Items().empty()) std::cout << name << ":\n";
+    for (const json::Value& row : field.Items()) std::cout << "  " << TextOf(row) << "\n";
+  }
+  if (!rest.empty()) std::cout << rest << "\n";
+}
+
+int Check(const std::string& path) {
+  try {
+    const peers::Roster roster = peers::LoadRoster(path);
+    std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
+              << " members, " << roster.Voters().size() << " voters, " << roster.out_in_all
+              << " out at once, " << roster.out_in_hall << " in a hall\n";
+    return kDone;
+  } catch (const records::BadRecords& bad) {
+    std::cerr << bad.what() << "\n";
+    return kBad;
+  }
+}
+
+int Ask(const std::string& state, const std::string& method, const std::string& target, bool json) {
+  if (state.empty()) throw UsageError("no state folder: give --state or NODE_STATE");
+  const fleet::Reply reply = fleet::CallControl(state + "/fleet", method, target);
+  if (json) {
+    std::cout << reply.body << "\n";
+  } else {
+    Print(reply.body);
+  }
+  return reply.status < 300 ? kDone : reply.status == 503 ? kNoQuorum : kRefused;
+}
+
+}  // namespace
+
+int FleetCommand(int argc, char** argv) {
+  cxxopts::Options options("brassfront fleet", "Asks a forwarder of its fleet");
+  options.add_options()("words", "what to do",
+                        cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "state", "the forwarder's state folder [$NODE_STATE]",
+      cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")))(
+      "endpoint", "the name is an endpoint's")("urgency", "low, normal or high",
+                                               cxxopts::value<std::string>()->default_value(""))(
+      "token", "a number of yours: the same asked again is done once",
+      cxxopts::value<std::uint64_t>()->default_value("0"))("json", "the answer as it comes");
+  options.parse_positional({"words"});
+  options.positional_help("status|members|check FILE|maintenance ...");
+  cxxopts::ParseResult given;
+  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const auto words = given["words"].as<std::vector<std::string>>();
+  const auto state = given["state"].as<std::string>();
+  const bool json = given.count("json") > 0;
+  const std::string what = words.empty() ? "" : words[0];
+  if (what.empty()) {
+    std::cout << kHelp;
+    return kDone;
+  }
+  if (what == "check") {
+    if (words.size() != 2) throw UsageError("check needs a file");
+    return Check(words[1]);
+  }
+  if (what == "status" || what == "members") return Ask(state, "GET", "/fleet/" + what, json);
+  if (what != "maintenance" || words.size() < 2) throw UsageError("no such thing to do: " + what);
+  const std::string& verb = words[1];
+  if (verb == "list") return Ask(state, "GET", "/fleet/maintenance", json);
+  const bool named = verb == "ask" || verb == "back" || verb == "ended";
+  if (!named && verb != "cancel" && verb != "hold") {
+    throw UsageError("no such thing to do: maintenance " + verb);
+  }
+  if (words.size() != 3) throw UsageError("maintenance " + verb + " needs one word more");
+  const std::string field = named ? "name" : verb == "cancel" ? "request" : "on";
+  std::string target = "/fleet/maintenance/" + verb + "?" + field + "=" + Escaped(words[2]);
+  if (given.count("endpoint") > 0) target += "&kind=endpoint";
+  const auto urgency = given["urgency"].as<std::string>();
+  if (!urgency.empty()) target += "&urgency=" + Escaped(urgency);
+  if (const auto token = given["token"].as<std::uint64_t>(); token != 0) {
+    target += "&token=" + std::to_string(token);
+  }
+  return Ask(state, "POST", target, json);
+}
+
+}  // namespace brassfront
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -42,6 +42,9 @@
 #ifdef BRASSFRONT_KIT
     {"rehearse", "play partner outages on this machine and judge them", RehearseCommand},
 #endif
+#ifdef BRASSFRONT_FLEET
+    {"fleet", "ask a forwarder of its fleet, and take machines out for work", FleetCommand},
+#endif
 #ifdef BRASSFRONT_ZONES
     {"zone", "read and change DNS zones, and serve them", ZoneCommand},
 #endif
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -106,8 +106,15 @@
 #ifndef BRASSFRONT_FLEET
 // Stands in where what forwarders share is not built in.
 namespace fleet {
+struct Doors {
+  std::function<void(bool)> stand_by;
+  std::function<std::size_t()> held;
+  std::function<void(MemberList)> listed;
+  std::function<void(std::function<void()>)> then;
+};
 struct Fleet {
-  void Begin() {}
+  MemberList Filter(MemberList list) { return list; }
+  void Begin(const Doors&) {}
   void Reload() {}
   void Leave() {}
 };
@@ -134,22 +141,41 @@
     observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
   });
   const auto sources = SourcesFrom(sources_path, config);
-  Watch::OnList divert;
-  if (sources) divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
   const auto peers = FleetFrom(roster_path, config, state);
+  const auto filtered = [&peers](MemberList list) {
+    return peers ? peers->Filter(std::move(list)) : list;
+  };
+  std::atomic<Engine*> there{nullptr};  // the watch begins before the engine's constructor returns
+  const std::function<void(MemberList)> listed = [&there](MemberList list) {
+    there.wait(nullptr);
+    there.load()->Listed(std::move(list));
+  };
+  Watch::OnList divert;
+  if (sources) {
+    divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
+  } else if (peers) {
+    divert = [&](MemberList list) { listed(filtered(std::move(list))); };
+  }
   Engine engine(config, spool, buffers, std::move(divert));
-  engine.Restore(sources ? sources->Begin(kZonesConfirmed) : config.known);
+  there = &engine;
+  there.notify_all();
+  engine.Restore(filtered(sources ? sources->Begin(kZonesConfirmed) : config.known));
   Socket listener = Listen(config.listen);
   if (!listener.is_open()) {
     throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
   }
   const std::string address = AddressOf(listener);
-  if (sources) sources->Start([&engine](MemberList list) { engine.Listed(std::move(list)); });
+  if (sources) sources->Start([&](MemberList list) { listed(filtered(std::move(list))); });
   SenderSide senders(std::move(listener),
                      {.connections = SenderConnections(config),
                       .most_idle = config.limits.sockets / kIdleSenderShare},
                      engine, buffers);
-  if (peers) peers->Begin();
+  if (peers) {
+    peers->Begin({.stand_by = [&senders](bool on) { senders.StandBy(on); },
+                  .held = [&engine] { return engine.held(); },
+                  .listed = listed,
+                  .then = [&engine](std::function<void()> what) { engine.Then(std::move(what)); }});
+  }
   std::atomic<bool> over{false};
   Thread waiter("signals", [&] {
     int signal = 0;
--- /dev/null
+++ b/src/fleet/bans.hpp
@@ -0,0 +1,32 @@
+// Endpoints that are out for work, kept out of every list that reaches the engine. The engine knows
+// of no ban: to it the endpoint drains, as the platform's own lists would have it.
+#ifndef BRASSFRONT_FLEET_BANS_HPP_
+#define BRASSFRONT_FLEET_BANS_HPP_
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "protocol/discovery.hpp"
+
+namespace brassfront::fleet {
+
+// For any thread.
+class Bans {
+ public:
+  // A list as it came; the same with banned endpoints as terminating.
+  MemberList Take(MemberList list);
+  // The changes that lead from the bans before to these; no members: nothing changes.
+  MemberList Set(std::set<std::string> banned);
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, Member> known_;  // by id, as the lists have it; not those that are gone
+  std::uint64_t revision_ = 0;
+  std::set<std::string> banned_;
+};
+
+}  // namespace brassfront::fleet
+
+#endif  // BRASSFRONT_FLEET_BANS_HPP_
--- /dev/null
+++ b/src/fleet/control.cpp
@@ -0,0 +1,189 @@
+#include "fleet/control.hpp"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+#include <vector>
+
+#include "observe/log.hpp"
+#include "protocol/http.hpp"
+#include "protocol/json.hpp"
+
+namespace brassfront::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kHeadWithin{1000};
+constexpr seconds kAnswerWithin{20};
+constexpr std::size_t kMostHead = 8192;
+constexpr const char* kName = "control";
+
+// A path of any length: the socket's own field holds 107 bytes, so it is reached by its folder.
+sockaddr_un AddressIn(int folder) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  const std::string path = "/proc/self/fd/" + std::to_string(folder) + "/" + kName;
+  std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
+  return address;
+}
+
+Socket OpenFolder(const std::string& folder) {
+  return Socket(open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+}
+
+// %XX and + as in a query.
+std::string Unescaped(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    const bool hex = text[i] == '%' && i + 2 < text.size() + 0 &&
+                     std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ptr ==
+                         text.data() + i + 3;
+    if (hex) i += 2;
+    out += hex ? static_cast<char>(value) : text[i] == '+' ? ' ' : text[i];
+  }
+  return out;
+}
+
+}  // namespace
+
+Reply Refusal(int status, const std::string& why) {
+  return {status, "{\"error\": " + json::Quote(why) + "}"};
+}
+
+bool ParseCall(std::string_view head, Call& call) {
+  const std::string_view line = head.substr(0, head.find("\r\n"));
+  const std::size_t first = line.find(' ');
+  const std::size_t last = line.rfind(' ');
+  if (first == std::string_view::npos || last <= first + 1) return false;
+  if (line.substr(last + 1) != "HTTP/1.1" && line.substr(last + 1) != "HTTP/1.0") return false;
+  call.method = line.substr(0, first);
+  std::string_view target = line.substr(first + 1, last - first - 1);
+  if (target.front() != '/' || (call.method != "GET" && call.method != "POST")) return false;
+  const std::size_t mark = target.find('?');
+  call.path = target.substr(0, mark);
+  if (mark == std::string_view::npos) return true;
+  target.remove_prefix(mark + 1);
+  while (!target.empty()) {
+    const std::string_view part = target.substr(0, target.find('&'));
+    target.remove_prefix(std::min(target.size(), part.size() + 1));
+    const std::size_t equals = part.find('=');
+    if (equals == std::string_view::npos) return false;
+    call.query[Unescaped(part.substr(0, equals))] = Unescaped(part.substr(equals + 1));
+  }
+  return true;
+}
+
+Control::Control(const std::string& folder, Handle handle)
+    : path_(folder + "/" + kName),
+      handle_(std::move(handle)),
+      listener_(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)),
+      wake_(eventfd(0, EFD_CLOEXEC)) {
+  const Socket at = OpenFolder(folder);
+  unlink(path_.c_str());  // an earlier process's; the folder is locked, so that it has ended
+  const sockaddr_un address = AddressIn(at.fd());
+  const mode_t before = umask(0177);
+  const bool bound =
+      at.is_open() &&
+      bind(listener_.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+  umask(before);
+  if (!bound || listen(listener_.fd(), 8) != 0) {
+    throw std::runtime_error("cannot listen on " + path_ + ": " + std::strerror(errno));
+  }
+  thread_ = Thread("control", [this] { Serve(); });
+  if (!thread_.started()) throw std::runtime_error("no room for a thread");
+}
+
+Control::~Control() {
+  eventfd_write(wake_.fd(), 1);
+  thread_.Join();
+  unlink(path_.c_str());
+}
+
+void Control::Serve() {
+  while (true) {
+    pollfd ready[2] = {{listener_.fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
+    if (poll(ready, 2, -1) < 0 && errno != EINTR) return;
+    if (ready[1].revents != 0) return;
+    if (ready[0].revents == 0) continue;
+    Socket connection(accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (connection.is_open()) Answer(std::move(connection));
+  }
+}
+
+void Control::Answer(Socket connection) {
+  const SteadyTime until = std::chrono::steady_clock::now() + kHeadWithin;
+  Reply reply = Refusal(400, "no request that can be read came in time");
+  ucred peer{};
+  socklen_t length = sizeof peer;
+  const bool known = getsockopt(connection.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0;
+  std::string head;
+  std::vector<char> bytes(1024);
+  while (head.find("\r\n\r\n") == std::string::npos && head.size() < kMostHead) {
+    if (!connection.AwaitInput(until)) break;
+    const long n = connection.ReceiveNow(bytes);
+    if (n <= 0) break;
+    head.append(bytes.data(), static_cast<std::size_t>(n));
+  }
+  Call call;
+  if (!known || (peer.uid != geteuid() && peer.uid != 0)) {
+    reply = Refusal(403, "only the owner of the forwarder may ask");
+  } else if (head.find("\r\n\r\n") != std::string::npos && ParseCall(head, call)) {
+    reply = handle_(call);
+  }
+  connection.SendAll("HTTP/1.1 " + std::to_string(reply.status) +
+                         (reply.status < 300 ? " OK" : " No") +
+                         "\r\nContent-Type: application/json\r\nConnection: close\r\n"
+                         "Content-Length: " +
+                         std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body,
+                     std::chrono::steady_clock::now() + kHeadWithin);
+}
+
+Reply CallControl(const std::string& folder, const std::string& method, const std::string& target) {
+  const std::string path = folder + "/" + kName;
+  struct stat status {};
+  if (stat(path.c_str(), &status) != 0) {
+    throw std::runtime_error("no forwarder of a fleet is at work in " + folder + " (" +
+                             std::strerror(errno) + ")");
+  }
+  if (status.st_uid != geteuid() && geteuid() != 0) {
+    throw std::runtime_error(path + " belongs to another user");
+  }
+  if ((status.st_mode & 077) != 0) throw std::runtime_error(path + " is open to other users");
+  const Socket at = OpenFolder(folder);
+  Socket connection(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_un address = AddressIn(at.fd());
+  if (connect(connection.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    throw std::runtime_error("nobody answers at " + path + ": " + std::strerror(errno));
+  }
+  const std::string request =
+      method == "GET" ? HttpGet(target, "fleet") : HttpPost(target, "fleet", {}, "");
+  const SteadyTime until = std::chrono::steady_clock::now() + kAnswerWithin;
+  HttpReader reader;
+  if (connection.SendAll(request, until)) {
+    std::vector<char> bytes(4096);
+    while (!reader.done() && !reader.broken() && connection.AwaitInput(until)) {
+      const long n = connection.ReceiveNow(bytes);
+      if (n <= 0) {
+        reader.FeedEnd();
+        break;
+      }
+      reader.Feed({bytes.data(), static_cast<std::size_t>(n)});
+    }
+  }
+  if (!reader.done()) throw std::runtime_error("no answer came from " + path);
+  return {reader.status(), reader.body()};
+}
+
+}  // namespace brassfront::fleet
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -8,10 +8,15 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
+#include "fleet/reports.hpp"
 #include "observe/log.hpp"
+#include "peers/bytes.hpp"
+#include "peers/whole_file.hpp"
 #include "records/records.hpp"
 
 namespace brassfront::fleet {
@@ -26,6 +31,14 @@
 constexpr std::size_t kMostTold = 512;  // senders of bad frames that are remembered
 constexpr Time kTellEvery = std::chrono::minutes(1);
 constexpr Time kLongestWait = milliseconds(250);
+constexpr Time kDutyEvery = milliseconds(100);        // what this member owes the settled state
+constexpr Time kNewsEvery = milliseconds(500);        // from the leader, with our load for it
+constexpr Time kStandByAtLeast = milliseconds(1500);  // so that clients have gone elsewhere
+constexpr Time kOperatorWaits = std::chrono::seconds(5);
+constexpr Time kTryAgain = milliseconds(300);
+constexpr Time kCouncilAgain = std::chrono::seconds(2);  // after its store failed
+
+enum class News : std::uint8_t { kAsk = 1, kTell = 2 };
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
@@ -57,16 +70,34 @@
 Fleet::Fleet(std::string roster_path, const std::string& self, const std::string& folder,
              std::uint64_t seed)
     : path_(std::move(roster_path)),
+      folder_(folder),
       roster_(RosterWith(path_, self)),
       self_name_(self),
+      seed_(seed),
       self_(folder),
-      detector_(roster_.timings, self, NamesOf(roster_), self_.identity(), self_.life(),
-                seed ^ self_.identity()),
-      buffer_(peers::kMostFrame + 1) {}
+      buffer_(peers::kMostFrame + 1) {
+  detector_.emplace(roster_.timings, self, NamesOf(roster_), self_.identity(), self_.life(),
+                    seed ^ self_.identity());
+  store_ = std::make_unique<consensus::FileStore>(folder_);
+  std::ifstream in(folder_ + "/known", std::ios::binary);
+  const std::string kept{std::istreambuf_iterator<char>(in), {}};
+  if (!kept.empty() && !known_.Load(kept)) {
+    observe::Log(Concern::kFleet, Level::kWarning, "kept state cannot be read, asked for anew");
+  }
+  // What was settled holds from the first list on.
+  const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
+  bans_.Set(duty.ban);
+}
 
 Fleet::~Fleet() { Leave(); }
 
-void Fleet::Begin() {
+bool Fleet::Votes() const {
+  const peers::Member* self = roster_.Find(self_name_);
+  return self != nullptr && self->voter;
+}
+
+void Fleet::Begin(Doors doors) {
+  doors_ = std::move(doors);
   const std::string& address = roster_.Find(self_name_)->address;
   socket_ = BindDatagrams(address);
   if (!socket_.is_open()) {
@@ -74,8 +105,21 @@
   }
   DoNotWait(socket_);
   wake_ = Socket(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
+  if (!wake_.is_open()) throw std::runtime_error("no room for a descriptor");
+  MakeCouncil();
+  DoDuty(Now());
+  control_ = std::make_unique<Control>(folder_, [this](const Call& call) {
+    Asked asked{call, {}};
+    std::future<Reply> reply = asked.reply.get_future();
+    Put(std::move(asked));
+    try {
+      return reply.get();
+    } catch (const std::future_error&) {
+      return Refusal(503, "this forwarder ends");
+    }
+  });
   thread_ = Thread("fleet", [this] { Work(); });
-  if (!wake_.is_open() || !thread_.started()) throw std::runtime_error("no room for a thread");
+  if (!thread_.started()) throw std::runtime_error("no room for a thread");
   observe::Log(Concern::kFleet, Level::kInfo, "fleet member",
                {{"name", self_name_},
                 {"fleet", roster_.fleet},
@@ -84,49 +128,63 @@
                 {"life", self_.life()}});
 }
 
-void Fleet::Reload() {
-  if (inbox_.Put({Item::What::kReload})) eventfd_write(wake_.fd(), 1);
+void Fleet::Put(Item item) {
+  if (inbox_.Put(std::move(item))) eventfd_write(wake_.fd(), 1);
 }
 
+void Fleet::Reload() { Put(ReloadNow{}); }
+
 void Fleet::Leave() {
   if (!thread_.started()) return;
-  if (inbox_.Put({Item::What::kLeave})) eventfd_write(wake_.fd(), 1);
+  Put(LeaveNow{});
   thread_.Join();
+  inbox_.Close();
+  while (inbox_.Take()) {
+  }
+  control_.reset();
 }
 
 // ======== the thread ========
 
 void Fleet::Work() {
   while (!leaving_) {
-    const Time now = Now();
-    const Time wait = std::clamp<Time>(detector_.Next() - now, Time{}, kLongestWait);
+    Time next = std::min({detector_->Next(), next_duty_, next_news_});
+    if (council_) next = std::min(next, council_->Next());
+    const Time wait = std::clamp<Time>(next - Now(), Time{}, kLongestWait);
     pollfd ready[2] = {{socket_.fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
     poll(ready, 2, static_cast<int>(std::chrono::ceil<milliseconds>(wait).count()));
     // First what is due: a process that was stopped must see that before what came meanwhile.
-    detector_.Tick(Now());
-    if (ready[0].revents != 0) ReadDatagrams(Now());
+    const Time now = Now();
+    detector_->Tick(now);
+    TickCouncil(now);
+    if (ready[0].revents != 0) ReadDatagrams(now);
     if (ready[1].revents != 0) TakeItems();
-    SendFrames();
+    TakeSettled();
+    LeadTurns(now);
+    DoDuty(now);
+    AskForNews(now);
+    SettlePending(now);
     TellChanges();
+    SendFrames();
   }
 }
 
 void Fleet::TakeItems() {
   eventfd_t count = 0;
   eventfd_read(wake_.fd(), &count);
-  while (const auto item = inbox_.TakeUntil(std::chrono::steady_clock::time_point::min())) {
-    switch (item->what) {
-      case Item::What::kReload:
-        TakeRoster();
-        break;
-      case Item::What::kLeave:
-        detector_.Leave(Now());
-        leaving_ = true;
-        break;
-    }
+  while (auto item = inbox_.TakeUntil(std::chrono::steady_clock::time_point::min())) {
+    std::visit([this](auto& e) { On(e); }, *item);
   }
 }
 
+void Fleet::On(const LeaveNow&) {
+  detector_->Leave(Now());
+  SendFrames();
+  leaving_ = true;
+}
+
+// ======== frames ========
+
 void Fleet::ReadDatagrams(Time now) {
   for (int i = 0; i < kMostDatagrams; ++i) {
     const long n = socket_.ReceiveNow({buffer_.data(), buffer_.size()});
@@ -138,8 +196,60 @@
       TellDropped(drop, frame.from, now);
       continue;
     }
-    detector_.Receive(frame, now);
+    TakeFrame(frame, now);
+  }
+}
+
+void Fleet::TakeFrame(const peers::Frame& frame, Time now) {
+  detector_->Receive(frame, now);
+  if (roster_.Find(frame.from) == nullptr || frame.from == self_name_) return;
+  switch (frame.kind) {
+    case peers::Kind::kSettled:
+    case peers::Kind::kFound:
+      if (council_) {
+        council_->Receive(frame.from, frame.identity, frame.kind == peers::Kind::kFound, frame.body,
+                          now);
+      }
+      return;
+    case peers::Kind::kAsk:
+      return TakeAsk(frame);
+    case peers::Kind::kNews:
+      return TakeNews(frame, now);
+    default:
+      return;
+  }
+}
+
+// A command of another member's. It sees in the settled state whether it was settled; what it
+// cannot see is sent again, so nothing is answered.
+void Fleet::TakeAsk(const peers::Frame& frame) {
+  if (!council_ || !council_->leads() || !maintenance::Command::Decode(frame.body)) return;
+  council_->Propose(frame.body, [](consensus::Council::Outcome) {});
+}
+
+void Fleet::TakeNews(const peers::Frame& frame, Time now) {
+  peers::Reader in(frame.body);
+  const auto what = static_cast<News>(in.U8());
+  const std::uint64_t revision = in.U64();
+  if (what == News::kAsk) {
+    const std::uint64_t load = in.U64();
+    if (!in.done()) return;
+    loads_[frame.from] = load;
+    if (!council_ || !council_->founded()) return;
+    peers::Writer body;
+    body.U8(static_cast<std::uint64_t>(News::kTell)).U64(known_.revision());
+    body.Name(Leader()).Text(known_.revision() > revision ? known_.Save() : "");
+    ++news_sent_;
+    return Send(peers::Kind::kNews, frame.from, body.Take());
   }
+  const std::string leader = in.Name(), state = in.Text();
+  if (what != News::kTell || !in.done()) return;
+  believed_leader_ = leader;
+  maintenance::Machine told;
+  if (state.empty() || !told.Load(state) || told.revision() <= known_.revision()) return;
+  const maintenance::Machine before = std::exchange(known_, std::move(told));
+  TellRequests(before);
+  next_duty_ = now;
 }
 
 // One line a sender and minute. The name may be a lie, so only so many are remembered.
@@ -154,21 +264,272 @@
                {{"from", who}, {"reason", peers::NameOf(drop)}, {"dropped", dropped_[drop]}});
 }
 
+void Fleet::Send(peers::Kind kind, const std::string& to, std::string body) {
+  out_.push_back(
+      {kind, self_name_, to, self_.identity(), detector_->incarnation(), std::move(body)});
+}
+
 void Fleet::SendFrames() {
-  for (const peers::Frame& frame : detector_.TakeFrames()) {
-    const peers::Member* to = roster_.Find(frame.to);
-    if (to == nullptr) continue;
-    const std::string bytes = peers::Encode(frame, roster_.fleet, roster_.secret);
-    if (bytes.size() > peers::kMostFrame) continue;
-    const sockaddr_in address = AddressFrom(to->address);
-    // What does not go out now is as good as lost, which every core bears.
-    sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT,
-           reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  for (const peers::Frame& frame : detector_->TakeFrames()) SendOut(frame);
+  if (council_) {
+    for (auto& m : council_->TakeMessages()) {
+      Send(m.founding ? peers::Kind::kFound : peers::Kind::kSettled, m.to, std::move(m.body));
+    }
   }
+  for (const peers::Frame& frame : std::exchange(out_, {})) SendOut(frame);
 }
 
+void Fleet::SendOut(const peers::Frame& frame) {
+  const peers::Member* to = roster_.Find(frame.to);
+  if (to == nullptr) return;
+  const std::string bytes = peers::Encode(frame, roster_.fleet, roster_.secret);
+  if (bytes.size() > peers::kMostFrame) {
+    observe::LogSeldom(Concern::kFleet, Level::kError, "frame too long",
+                       {{"to", frame.to}, {"bytes", bytes.size()}});
+    return;
+  }
+  const sockaddr_in address = AddressFrom(to->address);
+  // What does not go out now is as good as lost, which every core bears.
+  sendto(socket_.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+         reinterpret_cast<const sockaddr*>(&address), sizeof address);
+}
+
+// ======== the settled log ========
+
+// Anew at the start, when the folder turned out to be an old copy, and when the store failed.
+void Fleet::MakeCouncil() {
+  council_.reset();
+  if (!Votes()) return;
+  settled_ = {};
+  consensus::Council::Options options;
+  options.id = self_.identity();
+  options.self = self_name_;
+  options.voters = roster_.Voters();
+  options.heartbeat = roster_.timings.heartbeat;
+  options.election = roster_.timings.election;
+  options.seed = seed_ ^ self_.identity() ^ self_.life();
+  council_ = std::make_unique<consensus::Council>(std::move(options), *store_, settled_);
+  if (!council_->damaged()) return;
+  observe::Log(Concern::kFleet, Level::kError,
+               "settled log damaged, this folder joins anew and has no vote until then");
+  store_->Clear();
+  self_.Renew();
+  MakeCouncil();
+}
+
+void Fleet::TickCouncil(Time now) {
+  if (!council_) return;
+  if (detector_->folder_is_old() && !council_->founded() && !std::exchange(old_seen_, true)) {
+    // Peers remember later lives of ours: a vote since then may be missing here.
+    bool damaged = false;
+    if (!store_->Load(damaged).empty() || damaged) {
+      observe::Log(Concern::kFleet, Level::kError,
+                   "settled log is an old copy, this folder joins anew");
+      store_->Clear();
+      self_.Renew();
+      MakeCouncil();
+    }
+  }
+  // Half of the other voters at least have told what they remember of us.
+  const std::size_t others = roster_.Voters().size() - 1;
+  if (detector_->answered_by() >= (others + 1) / 2) council_->MayVote();
+  if (council_->broken()) {
+    if (council_again_ == Time{}) {
+      observe::Log(Concern::kFleet, Level::kError, "settled log cannot be written");
+      council_again_ = now + kCouncilAgain;
+    }
+    if (now < council_again_) return;
+    council_again_ = {};
+    MakeCouncil();
+    return;
+  }
+  council_->Tick(now);
+}
+
+void Fleet::TakeSettled() {
+  if (!council_ || settled_.revision() <= known_.revision()) return;
+  const maintenance::Machine before = std::exchange(known_, settled_);
+  TellRequests(before);
+  next_duty_ = {};
+}
+
+// A line for each request that is in another state now. The state is kept for the next start.
+void Fleet::TellRequests(const maintenance::Machine& before) {
+  const auto tell = [&](const maintenance::Request& request) {
+    observe::Log(Concern::kFleet, Level::kInfo, "work",
+                 {{"request", request.id},
+                  {"name", request.name},
+                  {"state", NameOf(request.state)},
+                  {"used", known_.UsedInAll()},
+                  {"revision", known_.revision()}});
+  };
+  const auto was = [&](std::uint64_t id) -> std::optional<maintenance::State> {
+    const auto it = before.requests().find(id);
+    if (it == before.requests().end()) return std::nullopt;
+    return it->second.state;
+  };
+  for (const auto& [id, request] : known_.requests()) {
+    if (was(id) != request.state) tell(request);
+  }
+  for (const auto& request : known_.over()) {
+    if (was(request.id)) tell(request);
+  }
+  if (!peers::WriteWhole(folder_ + "/known", known_.Save())) {
+    observe::LogSeldom(Concern::kFleet, Level::kError, "settled state cannot be kept");
+  }
+}
+
+std::string Fleet::Leader() const {
+  if (council_ && council_->founded()) return council_->leader();
+  return believed_leader_;
+}
+
+// To the leader, from wherever; what is lost on the way is submitted again by who needs it.
+void Fleet::Submit(const maintenance::Command& command) {
+  if (council_ && council_->leads()) {
+    return council_->Propose(command.Encode(), [](consensus::Council::Outcome) {});
+  }
+  const std::string leader = Leader();
+  if (!leader.empty()) Send(peers::Kind::kAsk, leader, command.Encode());
+}
+
+void Fleet::LeadTurns(Time now) {
+  if (!council_ || !council_->leads()) {
+    if (leads_since_) observe::Log(Concern::kFleet, Level::kInfo, "leads no longer");
+    leads_since_.reset();
+    leader_waits_ = false;
+    return;
+  }
+  if (!leads_since_) {
+    leads_since_ = now;
+    leader_ = {};
+    leader_waits_ = false;
+    observe::Log(Concern::kFleet, Level::kInfo, "leads", {{"term", council_->term()}});
+  }
+  if (leader_waits_) return;
+  std::map<std::string, maintenance::Seen> seen;
+  for (const auto& [name, peer] : detector_->peers()) {
+    seen[name] = {peer.state, peers::LifeOf(peer.incarnation), loads_[name]};
+  }
+  seen[self_name_] = {peers::State::kAlive, self_.life(), doors_.held()};
+  const auto command = leader_.Next(settled_, roster_, seen, now - *leads_since_, now);
+  if (!command) return;
+  leader_waits_ = true;
+  council_->Propose(command->Encode(),
+                    [this](consensus::Council::Outcome) { leader_waits_ = false; });
+}
+
+// ======== this member's part ========
+
+void Fleet::DoDuty(Time now) {
+  if (now < next_duty_) return;
+  next_duty_ = now + kDutyEvery;
+  own_.drained =
+      own_.standing_by && now - stands_by_since_ >= kStandByAtLeast && doors_.held() == 0;
+  own_.serving = !own_.standing_by;
+  const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
+  if (duty.stand_by != own_.standing_by) {
+    own_.standing_by = duty.stand_by;
+    stands_by_since_ = now;
+    doors_.stand_by(duty.stand_by);
+    observe::Log(Concern::kFleet, Level::kInfo, duty.stand_by ? "standby" : "active");
+  }
+  if (duty.ban != ban_asked_) {
+    ban_asked_ = duty.ban;
+    // Until the engine has taken this up, only what both have is certain.
+    std::erase_if(own_.banned, [&](const std::string& e) { return !duty.ban.contains(e); });
+    MemberList changes = bans_.Set(duty.ban);
+    if (!changes.members.empty()) doors_.listed(std::move(changes));
+    doors_.then([this, ban = duty.ban] { Put(Banned{ban}); });
+  }
+  if (!thread_.started()) return;  // nobody to tell yet
+  for (const maintenance::Command& command : duty.say) Submit(command);
+}
+
+void Fleet::AskForNews(Time now) {
+  if (now < next_news_) return;
+  next_news_ = now + kNewsEvery;
+  std::string to = Leader();
+  if (to == self_name_) return;
+  if (to.empty()) {
+    // Any voter that is there tells who leads.
+    std::vector<std::string> there;
+    for (const std::string& voter : roster_.Voters()) {
+      const auto it = detector_->peers().find(voter);
+      if (it != detector_->peers().end() && it->second.state == peers::State::kAlive) {
+        there.push_back(voter);
+      }
+    }
+    if (there.empty()) return;
+    to = there[static_cast<std::size_t>(now.count() / 1'000'000) % there.size()];
+  }
+  if (detector_->peers().contains(to) && detector_->peers().at(to).state == peers::State::kDead) {
+    believed_leader_.clear();
+  }
+  peers::Writer body;
+  body.U8(static_cast<std::uint64_t>(News::kAsk)).U64(known_.revision()).U64(doors_.held());
+  Send(peers::Kind::kNews, to, body.Take());
+}
+
+// ======== operators ========
+
+void Fleet::On(Asked& e) {
+  const Call& call = e.call;
+  const auto word = [&](const char* name) {
+    const auto it = call.query.find(name);
+    return it == call.query.end() ? std::string() : it->second;
+  };
+  if (call.method == "GET") {
+    if (call.path == "/fleet/status") return e.reply.set_value(Status(false));
+    if (call.path == "/fleet/members") return e.reply.set_value(Status(true));
+    if (call.path == "/fleet/maintenance") return e.reply.set_value(List());
+    return e.reply.set_value(Refusal(404, "nothing is at " + call.path));
+  }
+  maintenance::Command c;
+  std::string fault;
+  if (!CommandFrom(call.path, call.query, c, fault)) {
+    return e.reply.set_value(
+        Refusal(call.path.rfind("/fleet/maintenance/", 0) == 0 ? 400 : 404, fault));
+  }
+  c.token = std::stoull("0" + word("token"));
+  while (c.token == 0) {
+    c.token = peers::LifeOf(self_.identity()) ^ static_cast<std::uint64_t>(Now().count());
+  }
+  pending_.push_back({std::move(c), std::move(e.reply), Now() + kOperatorWaits, Time{}});
+}
+
+void Fleet::SettlePending(Time now) {
+  std::erase_if(pending_, [&](Pending& p) {
+    if (const maintenance::Answer* answer = known_.AnswerTo(p.command.token)) {
+      p.reply.set_value({answer->good ? 200 : 409, AnswerJson(*answer, p.command.token)});
+      return true;
+    }
+    if (now >= p.until) {
+      p.reply.set_value(Refusal(503, NoQuorumText(Leader(), roster_, *detector_)));
+      return true;
+    }
+    if (now >= p.next_try) {
+      p.next_try = now + kTryAgain;
+      next_news_ = std::min(next_news_, now + kTryAgain / 3);
+      Submit(p.command);
+    }
+    return false;
+  });
+}
+
+Reply Fleet::Status(bool members) const {
+  StatusFacts facts{self_name_, Leader(),    council_ ? council_->term() : 0,
+                    known_,     roster_,     *detector_,
+                    own_,       self_.life()};
+  return {200, members ? MembersJson(facts) : StatusJson(facts)};
+}
+
+Reply Fleet::List() const { return {200, RequestsJson(known_)}; }
+
+// ======== what is told ========
+
 void Fleet::TellChanges() {
-  for (const auto& change : detector_.TakeChanges()) {
+  for (const auto& change : detector_->TakeChanges()) {
     if (change.link) {
       observe::Log(Concern::kFleet, Level::kWarning, "peer link",
                    {{"name", change.name}, {"link", peers::NameOf(*change.link)}});
@@ -190,8 +551,17 @@
     if (next.Find(self_name_)->address != roster_.Find(self_name_)->address) {
       throw std::runtime_error("this forwarder's own address changes; that takes a restart");
     }
+    if (next.timings != roster_.timings) {
+      throw std::runtime_error("the timings change; that takes a restart");
+    }
+    const bool voted = Votes();
     roster_ = std::move(next);
-    detector_.SetMembers(NamesOf(roster_));
+    detector_->SetMembers(NamesOf(roster_));
+    if (voted != Votes()) {
+      MakeCouncil();
+    } else if (council_) {
+      council_->SetVoters(roster_.Voters());
+    }
     observe::Log(Concern::kFleet, Level::kInfo, "roster read again",
                  {{"members", roster_.members.size()}});
   } catch (const std::exception& error) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -5,12 +5,24 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <future>
 #include <map>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "consensus/council.hpp"
+#include "consensus/file_store.hpp"
+#include "fleet/bans.hpp"
+#include "fleet/control.hpp"
+#include "fleet/doors.hpp"
 #include "fleet/self.hpp"
 #include "forwarder/mailbox.hpp"
+#include "maintenance/turns.hpp"
 #include "net/socket.hpp"
 #include "net/thread.hpp"
 #include "peers/detector.hpp"
@@ -26,8 +38,12 @@
         std::uint64_t seed);
   ~Fleet();
 
-  // From now on it speaks with its peers. Throws std::runtime_error.
-  void Begin();
+  // A list of endpoints on its way to the engine; what comes back goes there. For any thread.
+  MemberList Filter(MemberList list) { return bans_.Take(std::move(list)); }
+
+  // From now on it speaks with its peers. What was settled before about this forwarder holds before
+  // it returns: a machine that is out starts standing by. Throws std::runtime_error.
+  void Begin(Doors doors);
   // Reads the roster again; a bad one, or one that changes too much, changes nothing and leaves a
   // line. For any thread.
   void Reload();
@@ -35,33 +51,93 @@
   void Leave();
 
  private:
-  struct Item {
-    enum class What { kReload, kLeave } what;
+  using Time = peers::Time;
+  struct ReloadNow {};
+  struct LeaveNow {};
+  struct Banned {
+    std::set<std::string> endpoints;
+  };
+  struct Asked {
+    Call call;
+    std::promise<Reply> reply;
+  };
+  using Item = std::variant<ReloadNow, LeaveNow, Banned, Asked>;
+
+  // A command of an operator's that waits to be settled.
+  struct Pending {
+    maintenance::Command command;
+    std::promise<Reply> reply;
+    Time until{}, next_try{};
   };
 
   void Work();
+  void Put(Item item);
   void TakeItems();
-  void ReadDatagrams(peers::Time now);
+  void On(const ReloadNow&) { TakeRoster(); }
+  void On(const LeaveNow&);
+  void On(Banned& e) { own_.banned = std::move(e.endpoints); }
+  void On(Asked& e);
+  void ReadDatagrams(Time now);
+  void TakeFrame(const peers::Frame& frame, Time now);
+  void TakeAsk(const peers::Frame& frame);
+  void TakeNews(const peers::Frame& frame, Time now);
   void TakeRoster();
+  void MakeCouncil();
+  void TickCouncil(Time now);
+  void LeadTurns(Time now);
+  void DoDuty(Time now);
+  void AskForNews(Time now);
+  void TakeSettled();
+  void TellRequests(const maintenance::Machine& before);
+  void SettlePending(Time now);
+  void Submit(const maintenance::Command& command);
+  void Send(peers::Kind kind, const std::string& to, std::string body);
   void SendFrames();
+  void SendOut(const peers::Frame& frame);
   void TellChanges();
-  void TellDropped(peers::Drop drop, const std::string& from, peers::Time now);
+  void TellDropped(peers::Drop drop, const std::string& from, Time now);
+  std::string Leader() const;
+  Reply Status(bool members) const;
+  Reply List() const;
+  bool Votes() const;
 
-  const std::string path_;
+  const std::string path_, folder_;
   peers::Roster roster_;
   const std::string self_name_;
+  const std::uint64_t seed_;
   Self self_;
+  Bans bans_;
+  Doors doors_;
   Socket socket_;
   Socket wake_;  // eventfd
   Mailbox<Item> inbox_{64};
 
   // The thread's own.
-  peers::Detector detector_;
-  std::map<std::string, peers::Time> told_;  // bad frames, by whom they claim to be from
+  std::optional<peers::Detector> detector_;
+  std::unique_ptr<consensus::FileStore> store_;
+  maintenance::Machine settled_;  // what our own log comes to, if we vote
+  std::unique_ptr<consensus::Council> council_;
+  Time council_again_{};
+  bool old_seen_ = false;       // the folder was found to be an old copy
+  maintenance::Machine known_;  // the newest settled state that we have, from whoever
+  maintenance::Leader leader_;
+  std::optional<Time> leads_since_;
+  bool leader_waits_ = false;    // for its last command
+  std::string believed_leader_;  // where we do not vote
+  std::map<std::string, std::uint64_t> loads_;
+  maintenance::Own own_;
+  Time stands_by_since_{};
+  std::set<std::string> ban_asked_;
+  Time next_duty_{}, next_news_{};
+  std::vector<Pending> pending_;
+  std::map<std::string, Time> told_;  // bad frames, by whom they claim to be from
   std::map<peers::Drop, std::uint64_t> dropped_;
   std::vector<char> buffer_;
+  std::vector<peers::Frame> out_;
+  std::uint64_t news_sent_ = 0;
   bool leaving_ = false;
 
+  std::unique_ptr<Control> control_;
   Thread thread_;
 };
 
--- /dev/null
+++ b/src/fleet/reports.hpp
@@ -0,0 +1,38 @@
+// What operators ask and are told: requests read from calls, and JSON of what is known. No I/O.
+#ifndef BRASSFRONT_FLEET_REPORTS_HPP_
+#define BRASSFRONT_FLEET_REPORTS_HPP_
+
+#include <map>
+#include <string>
+
+#include "maintenance/turns.hpp"
+#include "peers/detector.hpp"
+#include "peers/roster.hpp"
+
+namespace brassfront::fleet {
+
+// False, with the fault, if the call asks for nothing that there is.
+bool CommandFrom(const std::string& path, const std::map<std::string, std::string>& query,
+                 maintenance::Command& command, std::string& fault);
+
+struct StatusFacts {
+  const std::string& self;
+  std::string leader;
+  std::uint64_t term;
+  const maintenance::Machine& known;
+  const peers::Roster& roster;
+  const peers::Detector& detector;
+  const maintenance::Own& own;
+  std::uint64_t life;
+};
+std::string StatusJson(const StatusFacts& facts);
+std::string MembersJson(const StatusFacts& facts);
+std::string RequestsJson(const maintenance::Machine& machine);
+std::string AnswerJson(const maintenance::Answer& answer, std::uint64_t token);
+// Why nothing can be settled, and what still works.
+std::string NoQuorumText(const std::string& leader, const peers::Roster& roster,
+                         const peers::Detector& detector);
+
+}  // namespace brassfront::fleet
+
+#endif  // BRASSFRONT_FLEET_REPORTS_HPP_
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -1,7 +1,6 @@
 #include "forwarder/engine.hpp"
 
 #include <algorithm>
-#include <ctime>
 #include <set>
 #include <utility>
 
@@ -130,6 +129,7 @@
 void Engine::Heard(std::uint64_t message) { inbox_.Put(HeardNow{message}); }
 void Engine::Lost(std::uint64_t message) { inbox_.Put(LostNow{message}); }
 void Engine::Leave() { inbox_.Put(LeaveNow{}); }
+void Engine::Then(std::function<void()> what) { inbox_.Put(ThenNow{std::move(what)}); }
 void Engine::Move(std::string discovery) { inbox_.Put(MoveNow{std::move(discovery)}); }
 
 // ======== turns ========
@@ -180,10 +180,11 @@
     while (const auto due = deadlines_.TakeDue(now)) On(*due);
     if (!events_.empty() && now >= last_turn_ + config_.decisions.turn) Turn(now);
     StartReady(now);
+    held_now_ = held_.size();
     if (now >= lives_.Next()) TellOverdue(now);
     if (leaving_ && may_leave_ && held_.empty()) left_ = true;
   }
-  TellStages(Level::kInfo);
+  stages_.Tell(Level::kInfo, held_.size(), out_.size());
   observe::Log(Concern::kEngine, Level::kInfo, "leaving",
                {{"held", held_.size()}, {"overdue", lives_.overdue()}});
 }
@@ -204,36 +205,6 @@
   }
 }
 
-// What waited since it was last told, where anything did.
-void Engine::TellStages(Level level) {
-  if (!observe::Logs(Concern::kEngine, level)) return;
-  const auto cpu = [](clockid_t clock) {
-    timespec time{};
-    clock_gettime(clock, &time);
-    return time.tv_sec * 1000 + time.tv_nsec / 1'000'000;
-  };
-  observe::Log(Concern::kEngine, level, "at work",
-               {{"held", held_.size()},
-                {"out", out_.size()},
-                {"cpu_ms", cpu(CLOCK_PROCESS_CPUTIME_ID)},
-                {"engine_cpu_ms", cpu(CLOCK_THREAD_CPUTIME_ID)}});
-  const std::pair<const char*, const observe::Histogram*> all[] = {{"put", &stages_.put},
-                                                                   {"answer", &stages_.answer},
-                                                                   {"start", &stages_.start},
-                                                                   {"notice", &stages_.notice},
-                                                                   {"turn", &stages_.turn}};
-  for (const auto& [name, times] : all) {
-    if (times->count() == 0) continue;
-    observe::Log(Concern::kEngine, level, "waited",
-                 {{"stage", name},
-                  {"count", times->count()},
-                  {"p50_us", times->Quantile(0.5).count()},
-                  {"p99_us", times->Quantile(0.99).count()},
-                  {"max_us", times->max().count()}});
-  }
-  stages_ = {};
-}
-
 void Engine::Turn(Time now) {
   last_turn_ = now;
   std::vector<rushfall::Event> events;
@@ -386,6 +357,8 @@
   on_drain_();
 }
 
+void Engine::On(const ThenNow& e) { e.what(); }
+
 void Engine::On(const MoveNow& e) {
   watch_.MoveTo(e.discovery);
   notices_.MoveTo(e.discovery);
@@ -409,7 +382,7 @@
     case Due::kEverySecond:
       next_hops_.RetireIdle();
       ForgetHops(Now());
-      TellStages(Level::kDebug);
+      stages_.Tell(Level::kDebug, held_.size(), out_.size());
       deadlines_.Set(Now() + kHousekeepingEvery, {Due::kEverySecond});
       return;
     case Due::kMayLeave:
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -5,6 +5,7 @@
 #ifndef BRASSFRONT_FORWARDER_ENGINE_HPP_
 #define BRASSFRONT_FORWARDER_ENGINE_HPP_
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -23,11 +24,11 @@
 #include "forwarder/intake.hpp"
 #include "forwarder/lives.hpp"
 #include "forwarder/mailbox.hpp"
+#include "forwarder/stages.hpp"
 #include "forwarder/translate.hpp"
 #include "net/next_hops.hpp"
 #include "net/notices.hpp"
 #include "net/watch.hpp"
-#include "observe/histogram.hpp"
 #include "observe/log.hpp"
 #include "rushfall/choice.hpp"
 #include "spool/spool.hpp"
@@ -59,6 +60,10 @@
   void Lost(std::uint64_t message) override;
   void Leave();
   void Listed(MemberList list) { inbox_.Put(std::move(list)); }
+  // Does it on the engine's thread, once all that was put before has been taken up.
+  void Then(std::function<void()> what);
+  // Messages that are taken on and not ended, as of the last turn.
+  std::size_t held() const { return held_now_; }
   // Discovery and the platform are to be reached at another address.
   void Move(std::string discovery);
 
@@ -86,8 +91,11 @@
   struct MoveNow {
     std::string discovery;
   };
+  struct ThenNow {
+    std::function<void()> what;
+  };
   using Item = std::variant<Arrival, HeardNow, LostNow, DeliveryEnd, MemberList, NoticeHeard,
-                            LeaveNow, MoveNow>;
+                            LeaveNow, MoveNow, ThenNow>;
 
   struct Held {
     std::string id{};
@@ -135,6 +143,7 @@
   void On(const NoticeHeard& e);
   void On(const LeaveNow&);
   void On(const MoveNow& e);
+  void On(const ThenNow& e);
   void On(const Deadline& e);
 
   void Turn(Time now);
@@ -158,7 +167,6 @@
   void Erase(MessageId message);
   void End(MessageId message, Step step);
   void TellOverdue(Time now);
-  void TellStages(observe::Level level);
   rushfall::EndpointId HopNumber(const std::string& name);
   void ForgetHops(Time now);
   void RetireInTime();
@@ -203,13 +211,8 @@
   std::map<rushfall::EndpointId, std::uint64_t> bundle_;  // still open in this turn
   std::size_t slots_taken_ = 0;
 
-  // How long things wait, since it was last told. `put` is from a hand-in to its being seen,
-  // `answer` to its answer, `start` from the module's send to the thread, `notice` to the
-  // platform's 204.
-  struct Stages {
-    observe::Histogram put, answer, start, notice, turn;
-  };
   Stages stages_;
+  std::atomic<std::size_t> held_now_{0};  // for other threads
 
   std::function<void()> on_drain_;
   bool leaving_ = false;    // asked to
--- /dev/null
+++ b/src/forwarder/stages.cpp
@@ -0,0 +1,36 @@
+#include "forwarder/stages.hpp"
+
+#include <ctime>
+#include <utility>
+
+namespace brassfront {
+
+using observe::Concern;
+
+void Stages::Tell(observe::Level level, std::size_t held, std::size_t out) {
+  if (!observe::Logs(Concern::kEngine, level)) return;
+  const auto cpu = [](clockid_t clock) {
+    timespec time{};
+    clock_gettime(clock, &time);
+    return time.tv_sec * 1000 + time.tv_nsec / 1'000'000;
+  };
+  observe::Log(Concern::kEngine, level, "at work",
+               {{"held", held},
+                {"out", out},
+                {"cpu_ms", cpu(CLOCK_PROCESS_CPUTIME_ID)},
+                {"engine_cpu_ms", cpu(CLOCK_THREAD_CPUTIME_ID)}});
+  const std::pair<const char*, const observe::Histogram*> all[] = {
+      {"put", &put}, {"answer", &answer}, {"start", &start}, {"notice", &notice}, {"turn", &turn}};
+  for (const auto& [name, times] : all) {
+    if (times->count() == 0) continue;
+    observe::Log(Concern::kEngine, level, "waited",
+                 {{"stage", name},
+                  {"count", times->count()},
+                  {"p50_us", times->Quantile(0.5).count()},
+                  {"p99_us", times->Quantile(0.99).count()},
+                  {"max_us", times->max().count()}});
+  }
+  *this = {};
+}
+
+}  // namespace brassfront
--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -80,6 +80,15 @@
   eventfd_write(wake_.fd(), 1);
 }
 
+void SenderSide::StandBy(bool stand_by) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (standing_by_.exchange(stand_by) == stand_by) return;
+    stands_by_since_ = std::chrono::steady_clock::now();
+  }
+  eventfd_write(wake_.fd(), 1);
+}
+
 // ======== the lobby ========
 
 void SenderSide::Watch() {
@@ -221,7 +230,7 @@
 
 // A new connection may send its one request in a drain: only those that had theirs are ended.
 void SenderSide::EndForDrain() {
-  if (!draining_) return;
+  if (!SendsAway()) return;
   std::vector<Number> had_theirs;
   for (const auto& [number, c] : connections_) {
     if (c->state == State::kWaiting && c->exchanges > 0 && c->reader.between_commands()) {
@@ -271,7 +280,7 @@
   const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
   const bool between = c.reader.between_commands();
-  if (after == After::kStay && between && draining_) {
+  if (after == After::kStay && between && SendsAway()) {
     reason = "drained";
     after = After::kClose;
   }
@@ -346,6 +355,7 @@
   if (name == "MSG.PUT") return HandIn(c, command, reason);
   reason = "reset";
   if (name == "PING") {
+    if (StandsBy(milliseconds{0})) return Say(c, RespError("STANDBY", "taken out for work"));
     return Say(c, command.words.size() > 1 ? RespBulk(command.words[1]) : RespSimple("PONG"));
   }
   if (name == "QUIT") {
@@ -355,8 +365,15 @@
   return SayFault(c, RespError("ERR", "unknown command"), reason);
 }
 
+bool SenderSide::StandsBy(milliseconds for_so_long) {
+  if (!standing_by_) return false;
+  const std::lock_guard lock(mutex_);
+  return std::chrono::steady_clock::now() - stands_by_since_ >= for_so_long;
+}
+
 bool SenderSide::HandIn(Connection& c, RespCommand& command, const char*& reason) {
   reason = "reset";
+  if (StandsBy(kTakenInStandby)) return Say(c, RespError("BUSY", "1000"));
   Envelope envelope;
   try {
     envelope = ParsePut(std::move(command.words));
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -6,6 +6,7 @@
 #ifndef BRASSFRONT_NET_SENDER_SIDE_HPP_
 #define BRASSFRONT_NET_SENDER_SIDE_HPP_
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -52,6 +53,10 @@
 
   // From now on each connection is closed between two requests; new ones get one request.
   void Drain();
+  // The same, until it is told otherwise, so that clients go elsewhere: PING is answered with an
+  // error at once, and hand-ins are deferred once kTakenInStandby has passed.
+  void StandBy(bool stand_by);
+  static constexpr std::chrono::milliseconds kTakenInStandby{1000};
 
  private:
   using Number = std::uint64_t;  // of a connection; not used again
@@ -88,6 +93,7 @@
   bool EndIdle(Number number, const char* reason);
   bool Read(Connection& connection);
   void EndDue(SteadyTime now);
+  bool SendsAway() const { return draining_ || standing_by_; }
   void EndForDrain();
   void Enter(Connection& connection, SteadyTime due);
   void Withdraw(Connection& connection);
@@ -99,6 +105,7 @@
   After Answer(Connection& connection, const char*& reason);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
   bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
+  bool StandsBy(std::chrono::milliseconds for_so_long);
   bool Say(Connection& connection, const std::string& reply);
   bool SayFault(Connection& connection, const std::string& reply, const char*& reason);
   bool Flush(Connection& connection);
@@ -112,6 +119,8 @@
 
   std::mutex mutex_;  // guards what follows, and all connections that are not being served
   bool draining_ = false;
+  std::atomic<bool> standing_by_{false};  // read without the lock as well
+  SteadyTime stands_by_since_{};
   bool stopping_ = false;
   Number next_ = 0;
   std::unordered_map<Number, std::unique_ptr<Connection>> connections_;
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -27,6 +27,7 @@
 
   bool IsNull() const { return std::holds_alternative<std::monostate>(data_); }
   bool IsArray() const { return std::holds_alternative<Array>(data_); }
+  const Data& data() const { return data_; }
   const Value* Find(std::string_view name) const;  // null if absent or not an object
 
   // These throw Error, naming what was expected.
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -16,8 +16,8 @@
 constexpr double kWhole = 0.6, kWorst = 0.3, kMerchant = 0.1;
 
 constexpr std::array<const char*, kRules> kRuleNames = {
-    "lost",  "overlap",   "resend", "attempts", "after-end",
-    "drain", "fail-back", "wait",   "own",      "crash"};
+    "lost",      "overlap", "resend", "attempts", "after-end", "drain",
+    "fail-back", "wait",    "own",    "crash",    "spared",    "ban"};
 
 constexpr std::array<const char*, 18> kStepNames = {
     "handed in", "taken",    "refused",   "rejected", "unanswered", "first byte",
--- a/src/rehearsal/auditor.hpp
+++ b/src/rehearsal/auditor.hpp
@@ -83,9 +83,11 @@
   kFailBack,  // a cold partner was pushed over by those that saw it fail
   kWait,      // during a wait that was told
   kOwn,       // to an endpoint of another destination, or a message that nobody handed in
-  kCrash      // a forwarder ended by itself
+  kCrash,     // a forwarder ended by itself
+  kSpared,    // more machines out or dead than the roster spares
+  kBan        // to an endpoint that the fleet has said is out
 };
-inline constexpr std::size_t kRules = 10;
+inline constexpr std::size_t kRules = 12;
 const char* NameOf(Rule rule);
 
 struct Break {
--- a/src/rehearsal/client_side.hpp
+++ b/src/rehearsal/client_side.hpp
@@ -24,6 +24,9 @@
   void Ready(std::size_t forwarder, const tcp::endpoint& address);
   void Dead(std::size_t forwarder);  // known to the front only after its notice time
 
+  // What its PING says now, to the front.
+  void TakesClients(std::size_t forwarder, bool takes) { targets_[forwarder].known = takes; }
+
   // All that the plan asks for, at its times.
   void Play(const Plan& plan);
   // A notice: its client may come again.
--- a/src/rehearsal/fleet_auditor.cpp
+++ b/src/rehearsal/fleet_auditor.cpp
@@ -7,7 +7,10 @@
 namespace brassfront::rehearsal {
 namespace {
 
-// The value of ` name=` in a line of the log; empty if it is not there.
+constexpr std::size_t kMostHistory = 200;
+
+}  // namespace
+
 std::string FieldOf(const std::string& line, const std::string& name) {
   const std::size_t at = line.find(" " + name + "=");
   if (at == std::string::npos) return "";
@@ -15,8 +18,6 @@
   return line.substr(from, line.find(' ', from) - from);
 }
 
-}  // namespace
-
 FleetAuditor::FleetAuditor(const Scenario& scenario)
     : count_(scenario.forwarders.count),
       runs_(count_),
@@ -24,7 +25,11 @@
       cut_(count_, std::vector<bool>(count_)),
       reach_(count_, std::vector<bool>(count_)),
       reach_since_(count_, std::vector<Time>(count_)),
-      absent_(count_, true) {}
+      absent_(count_, true),
+      limits_(scenario.fleet),
+      stands_by_(count_),
+      absent_since_(count_),
+      broken_(kRules) {}
 
 void FleetAuditor::Runs(std::size_t f, bool runs, Time at) {
   runs_[f] = runs;
@@ -67,6 +72,7 @@
     const bool was = absent_[a];
     absent_[a] = !reached;
     if (was == absent_[a]) continue;
+    absent_since_[a] = at;
     if (absent_[a]) {
       absences_.push_back({a, at, std::nullopt, {}, std::vector<bool>(count_)});
     } else {
@@ -89,6 +95,94 @@
     const std::size_t about = std::stoul("0" + FieldOf(line, "name").substr(1));
     if (about < count_) Held(by, about, FieldOf(line, "state"), at);
   }
+  if (line.rfind("work request=", 0) == 0) Work(line, at);
+}
+
+void FleetAuditor::Work(const std::string& line, Time at) {
+  const std::string request = FieldOf(line, "request"), state = FieldOf(line, "state");
+  const std::string before = std::exchange(works_[request], state);
+  if (state == "back" && before != state) last_back_ = at;
+  if (state == "out" && before != state) EndpointOut(FieldOf(line, "name"), true, at);
+}
+
+void FleetAuditor::EndpointOut(const std::string& id, bool out, Time at) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  if (out) {
+    out_since_[it->second] = at;
+  } else {
+    out_since_.erase(it->second);
+  }
+}
+
+// What is out must not be called, whoever has not heard of it.
+void FleetAuditor::Take(const Event& event) {
+  if (event.what != Event::What::kFirstByte) return;
+  const auto it = out_since_.find(event.endpoint);
+  if (it == out_since_.end() || event.at <= it->second + Auditor::kSlack) return;
+  Tell(Rule::kBan, event.at,
+       "forwarder " + std::to_string(event.forwarder) + " calls endpoint " +
+           std::to_string(event.endpoint) + ", which is out");
+}
+
+void FleetAuditor::Asked(Time at) {
+  if (!first_asked_) first_asked_ = at;
+}
+
+void FleetAuditor::Settled(Time took) { settled_most_ = std::max(settled_most_, took); }
+
+void FleetAuditor::StandsBy(std::size_t f, bool stands_by, Time at) {
+  if (stands_by_[f] != stands_by) {
+    stands_by_[f] = stands_by;
+    if (stands_by) last_turn_ = at;
+    if (history_.size() < kMostHistory) {
+      history_.push_back(std::to_string(SecondsOf(at)) + " s n" + std::to_string(f) +
+                         (stands_by ? " stands by" : " takes clients"));
+    }
+  }
+  CountPlaces(at);
+}
+
+// A turn must find a place: others that stand by use one each, and so do those that had been away
+// for so long, when the last turn began, that all must have known it. Each is looked at every tenth
+// of a second, so only what lasts is certain.
+void FleetAuditor::CountPlaces(Time at) {
+  const std::size_t halls = limits_.halls.size();
+  std::vector<std::size_t> in_hall(halls);
+  std::size_t in_all = 0;
+  std::string who;
+  for (std::size_t f = 0; f < count_; ++f) {
+    const bool away = absent_[f] && last_turn_ - absent_since_[f] > kNoticed;
+    if (!stands_by_[f] && !away) continue;
+    ++in_all;
+    ++in_hall[f % halls];
+    who += " n" + std::to_string(f) + (stands_by_[f] ? "" : " (away)");
+  }
+  level_since_.resize(count_ + 1);
+  for (std::size_t level = 1; level <= count_; ++level) {
+    if (in_all < level) {
+      level_since_[level].reset();
+    } else if (!level_since_[level]) {
+      level_since_[level] = at;
+    } else if (at - *level_since_[level] > kLooks) {
+      most_out_ = std::max(most_out_, level);
+    }
+  }
+  const bool over = in_all > limits_.out_in_all ||
+                    *std::max_element(in_hall.begin(), in_hall.end()) > limits_.out_in_hall;
+  if (!over) {
+    over_since_.reset();
+  } else if (!over_since_) {
+    over_since_ = at;
+  } else if (at - *over_since_ > kLooks) {
+    Tell(Rule::kSpared, at, "out or dead at once:" + who);
+    over_since_ = Time::max() / 2;  // told once, until it is over
+  }
+}
+
+void FleetAuditor::Tell(Rule rule, Time at, std::string what) {
+  if (++broken_[static_cast<std::size_t>(rule)] > Auditor::kMostBreaks) return;
+  breaks_.push_back({rule, at, std::move(what), history_});
 }
 
 void FleetAuditor::Held(std::size_t by, std::size_t about, const std::string& state, Time at) {
@@ -116,6 +210,21 @@
       }
     }
   }
+  std::size_t back = 0, open = 0;
+  for (const auto& [request, state] : works_) {
+    back += state == "back";
+    open += state != "back" && state != "cancelled";
+  }
+  for (std::size_t rule = 0; rule < kRules; ++rule) {
+    into.broken[rule] += broken_[rule];
+    into.metrics["rule_breaks"] += static_cast<double>(broken_[rule]);
+  }
+  into.breaks.insert(into.breaks.end(), breaks_.begin(), breaks_.end());
+  into.metrics["works_back"] = static_cast<double>(back);
+  into.metrics["works_open"] = static_cast<double>(open);
+  into.metrics["works_s"] = first_asked_ && last_back_ ? SecondsOf(*last_back_ - *first_asked_) : 0;
+  into.metrics["settled_ms"] = SecondsOf(settled_most_) * 1e3;
+  into.metrics["most_out"] = static_cast<double>(most_out_);
   into.metrics["wrong_deaths"] = static_cast<double>(wrong_deaths_);
   into.metrics["noticed_ms"] = noticed_ms;
   into.metrics["unnoticed"] = static_cast<double>(unnoticed);
--- a/src/rehearsal/fleet_auditor.hpp
+++ b/src/rehearsal/fleet_auditor.hpp
@@ -11,11 +11,13 @@
 #include <string>
 #include <vector>
 
+#include "rehearsal/auditor.hpp"
 #include "rehearsal/scenario.hpp"
 
 namespace brassfront::rehearsal {
 
-struct Judgement;
+// The value of ` name=` in a line of a forwarder's log; empty if it is not there.
+std::string FieldOf(const std::string& line, const std::string& name);
 
 class FleetAuditor {
  public:
@@ -24,6 +26,9 @@
   // An absence that lasts so long has to be noticed by all that run.
   static constexpr Time kNoticed = std::chrono::seconds(6);
 
+  // Between two looks at a forwarder, and the time that one takes.
+  static constexpr Time kLooks = std::chrono::milliseconds(350);
+
   explicit FleetAuditor(const Scenario& scenario);
 
   // ---- what the kit does ----
@@ -31,6 +36,16 @@
   void Paused(std::size_t f, bool paused, Time at);
   void Cut(std::size_t from, std::size_t to, bool cut, Time at);
 
+  // ---- what clients, partners and staff see ----
+  void StandsBy(std::size_t f, bool stands_by, Time at);  // its PING says so
+  void Take(const Event& event);                          // a call to an endpoint
+  void Asked(Time at);                                    // work
+  void Settled(Time took);                                // the answer to that was yes
+  // An endpoint is out, as a forwarder has said, or staff are about to ask for it back.
+  void EndpointOut(const std::string& id, bool out, Time at);
+  // The number by which calls name it.
+  void EndpointIs(const std::string& id, std::size_t number) { endpoints_[id] = number; }
+
   // ---- what forwarder `by` says on its log ----
   void Line(std::size_t by, const std::string& line, Time at);
 
@@ -49,6 +64,9 @@
   void Recount(Time at);
   bool Reach(std::size_t a, std::size_t b) const;
   bool Works(std::size_t f) const { return runs_[f] && !paused_[f]; }
+  void Work(const std::string& line, Time at);
+  void CountPlaces(Time at);
+  void Tell(Rule rule, Time at, std::string what);
   void Held(std::size_t by, std::size_t about, const std::string& state, Time at);
 
   const std::size_t count_;
@@ -59,6 +77,21 @@
   std::vector<bool> absent_;  // by member: nobody that works reaches it
   std::vector<Absence> absences_;
   std::size_t wrong_deaths_ = 0;
+  const FleetPart limits_;
+  std::vector<bool> stands_by_;
+  std::vector<Time> absent_since_;
+  std::size_t most_out_ = 0;
+  Time last_turn_{};
+  std::vector<std::optional<Time>> level_since_;  // that so many or more are out
+  std::optional<Time> over_since_;
+  Time settled_most_{};
+  std::optional<Time> first_asked_, last_back_;
+  std::map<std::string, std::string> works_;  // by request: its last state
+  std::map<std::string, std::size_t> endpoints_;
+  std::map<std::size_t, Time> out_since_;  // endpoints
+  std::vector<Break> breaks_;
+  std::vector<std::size_t> broken_;
+  std::vector<std::string> history_;  // of places, as evidence
 };
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -16,6 +16,7 @@
 #include "rehearsal/fleet_auditor.hpp"
 #include "rehearsal/peer_net.hpp"
 #include "rehearsal/plan.hpp"
+#include "rehearsal/staff.hpp"
 #include "rehearsal/supervisor.hpp"
 #ifdef BRASSFRONT_ZONES
 #include "rehearsal/zone_side.hpp"
@@ -78,6 +79,16 @@
     }
     if (scenario_.by_zones) ServeZones();
     if (scenario_.fleet.on) {
+      stage_.also = [this](const Event& event) { fleet_auditor_.Take(event); };
+      staff_ = std::make_unique<Staff>(
+          stage_, fleet_auditor_, options_.out,
+          Staff::Hooks{
+              .runs = [this](std::size_t f) { return state_[f] == NodeState::kReady && !closing_; },
+              .address = [this](std::size_t f) { return addresses_[f]; },
+              .restart =
+                  [this](std::size_t f) { Signal(f, ActKind::kTerminate, milliseconds(300)); },
+              .takes_clients = [this](std::size_t f,
+                                      bool takes) { clients_.TakesClients(f, takes); }});
       peer_net_ = std::make_unique<PeerNet>(stage_, prefix_,
                                             [this](std::size_t from, std::size_t to, bool cut) {
                                               fleet_auditor_.Cut(from, to, cut, stage_.Now());
@@ -153,6 +164,7 @@
 
   void Ready(std::size_t f, const tcp::endpoint& at) {
     state_[f] = NodeState::kReady;
+    addresses_[f] = at;
     clients_.Ready(f, at);
     if (began_) {
       fleet_auditor_.Runs(f, true, stage_.Now());
@@ -181,7 +193,21 @@
   }
 
   void Line(std::size_t f, const std::string& line) {
-    if (began_ && !closing_) fleet_auditor_.Line(f, line, stage_.Now());
+    if (!began_ || closing_) return;
+    fleet_auditor_.Line(f, line, stage_.Now());
+    if (staff_) staff_->Line(line);
+  }
+
+  void AskForWork(const Act& act) {
+    if (!act.machine.empty()) return staff_->Ask(act, act.machine);
+    for (const std::size_t partner : act.partners) {
+      const std::vector<std::size_t> its = endpoints_.Of(partner);
+      const std::size_t place = act.endpoint.value_or(0);
+      if (place >= its.size()) continue;
+      const std::string id = endpoints_.at(its[place]).id;
+      fleet_auditor_.EndpointIs(id, its[place]);
+      staff_->Ask(act, id);
+    }
   }
 
   // A stopped process takes no signal but SIGKILL, so its front finds out as it would of a slow
@@ -294,6 +320,7 @@
     stage_.Begin();
     for (std::size_t f = 0; f < agents_.size(); ++f) fleet_auditor_.Runs(f, true, Time{});
     clients_.Play(plan_);
+    if (staff_) staff_->Begin();
     for (const Act& act : scenario_.acts) {
       stage_.At(act.at, [this, &act] { PlayAct(act); });
     }
@@ -337,6 +364,8 @@
       case ActKind::kSlowLink:
       case ActKind::kFlap:
         return peer_net_->Play(act);
+      case ActKind::kWork:
+        return AskForWork(act);
       case ActKind::kBurst:
       case ActKind::kClump:
         return;  // the plan has them
@@ -461,6 +490,7 @@
     const bool over = now > last + kAfterLast + seconds(2) || quiet_ * kSampleEvery > kAfterLast;
     if (!over) return stage_.At(now + kSampleEvery, [this] { CheckEnd(); });
     closing_ = true;
+    if (staff_) staff_->Close();
     for (std::size_t f = 0; f < agents_.size(); ++f) supervisor_.Terminate(f, nullptr);
     AwaitAllGone();
   }
@@ -487,6 +517,8 @@
   std::vector<NodeState> state_;
   FleetAuditor fleet_auditor_;
   std::unique_ptr<PeerNet> peer_net_;  // none without a fleet
+  std::unique_ptr<Staff> staff_;       // likewise
+  std::vector<tcp::endpoint> addresses_ = std::vector<tcp::endpoint>(scenario_.forwarders.count);
   Time stale_{};
   bool began_ = false, closing_ = false;
   int quiet_ = 0;
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -14,11 +14,11 @@
 using records::Fault;
 using records::Record;
 
-constexpr std::array<const char*, 25> kActNames = {
+constexpr std::array<const char*, 26> kActNames = {
     "slow",  "full",  "shut",         "silent",  "refuse", "reset",          "garble",
     "drain", "churn", "vanish",       "replace", "stale",  "move-discovery", "terminate",
     "kill",  "roll",  "lose-machine", "burst",   "clump",  "name-server",    "pause",
-    "cut",   "lossy", "slow-link",    "flap"};
+    "cut",   "lossy", "slow-link",    "flap",    "work"};
 
 constexpr std::array<const char*, 5> kFaultNames = {"quiet", "refuse", "garbage", "half-transfers",
                                                     "lost-notices"};
@@ -251,10 +251,11 @@
     const auto takes = [&](const Record* field, const char* what, bool may) {
       if (field != nullptr && !may) Complain(*field, name + " takes no " + what);
     };
-    takes(partner, "partner", StrikesPartner(act.kind));
+    const bool work = act.kind == ActKind::kWork;
+    takes(partner, "partner", StrikesPartner(act.kind) || work);
     takes(endpoint, "endpoint",
-          StrikesPartner(act.kind) && act.kind != ActKind::kClump && act.kind != ActKind::kChurn &&
-              act.kind != ActKind::kVanish);
+          work || (StrikesPartner(act.kind) && act.kind != ActKind::kClump &&
+                   act.kind != ActKind::kChurn && act.kind != ActKind::kVanish));
     const Record* fault = from.Find("fault");
     takes(fault, "fault", act.kind == ActKind::kNameServer);
     if (act.kind == ActKind::kNameServer) {
@@ -266,9 +267,10 @@
       }
       if (!s.by_zones) Complain(from, name + " needs `discovery: by: \"zones\"`");
     }
-    takes(forwarder, "forwarder", StrikesForwarder(act.kind));
+    takes(forwarder, "forwarder", StrikesForwarder(act.kind) || work);
+    if (work) ReadWork(from, partner, s, act);
     takes(merchant, "merchant", act.kind == ActKind::kBurst || act.kind == ActKind::kClump);
-    if (StrikesPartner(act.kind)) {
+    if (StrikesPartner(act.kind) || (work && partner != nullptr)) {
       if (partner == nullptr) {
         Complain(from, name + " needs a partner");
       } else if (partner->Text() == "all") {
@@ -285,7 +287,7 @@
                                 " endpoints, counted from 0");
       }
     }
-    if (StrikesForwarder(act.kind)) ReadStruck(from, forwarder, s, act);
+    if (StrikesForwarder(act.kind) || work) ReadStruck(from, forwarder, s, act);
     if (StrikesLinks(act.kind)) ReadLinks(from, s, act);
     if (merchant != nullptr) act.merchant = Place(*merchant, s.merchants, "merchant");
     if (act.kind == ActKind::kBurst && merchant == nullptr)
@@ -298,6 +300,24 @@
     s.acts.push_back(std::move(act));
   }
 
+  void ReadWork(const Record& from, const Record* partner, const Scenario& s, Act& act) {
+    if (!s.fleet.on) Complain(from, "work needs `fleet: on: true`");
+    const Record* machine = from.Find("machine");
+    if ((machine == nullptr) == (partner == nullptr)) {
+      return Complain(from, "work needs a machine, or else a partner with its endpoint");
+    }
+    act.stay = from.At("stay").Duration();
+    act.restart = from.At("restart").Bool();
+    if (machine == nullptr) return;
+    act.machine = machine->Text();
+    bool known = act.machine == "all";
+    for (std::size_t f = 0; f < s.forwarders.count; ++f) {
+      known |= act.machine == "n" + std::to_string(f);
+    }
+    for (const std::string& hall : s.fleet.halls) known |= act.machine == "hall:" + hall;
+    if (!known) Complain(*machine, "no machine " + records::Quote(act.machine));
+  }
+
   void ReadStruck(const Record& from, const Record* named, const Scenario& s, Act& act) {
     const std::size_t count = s.forwarders.count;
     if (named != nullptr) {
@@ -366,7 +386,10 @@
                                                  "applied_twice",  "removals",
                                                  "removed_p50_ms", "removed_p99_ms",
                                                  "removed_max_ms", "wrong_deaths",
-                                                 "noticed_ms",     "unnoticed"};
+                                                 "settled_ms",     "works_back",
+                                                 "works_open",     "works_s",
+                                                 "most_out",       "noticed_ms",
+                                                 "unnoticed"};
   return names;
 }
 
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -112,7 +112,8 @@
   kCut,
   kLossy,
   kSlowLink,
-  kFlap
+  kFlap,
+  kWork
 };
 
 // What the name server of a rehearsal does wrong meanwhile.
@@ -130,6 +131,11 @@
   std::optional<Time> wait;  // told with each refusal; none: none is told
   Time down{};               // of a killed or restarted forwarder
   NameServerFault fault = NameServerFault::kQuiet;
+  // Of work: which machine (or "all", "hall:NAME"), else an endpoint of the partner; how long staff
+  // keep it once it is out, and whether they start the process anew meanwhile.
+  std::string machine;
+  Time stay{};
+  bool restart = false;
   // Of links: from each of one group to each of the other, and back if both ways.
   std::vector<std::size_t> from, to;
   bool both_ways = true;
--- a/src/rehearsal/scenario_schema.cpp
+++ b/src/rehearsal/scenario_schema.cpp
@@ -36,7 +36,7 @@
 #Act: {
   at:  duration & >=0s
   for: duration & >0s | *0s
-  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "churn" | "vanish" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump" | "name-server" | "pause" | "cut" | "lossy" | "slow-link" | "flap"
+  do:  "slow" | "full" | "shut" | "silent" | "refuse" | "reset" | "garble" | "drain" | "replace" | "churn" | "vanish" | "stale" | "move-discovery" | "terminate" | "kill" | "roll" | "lose-machine" | "burst" | "clump" | "name-server" | "pause" | "cut" | "lossy" | "slow-link" | "flap" | "work"
   partner?:   string               // its name, or "all"
   endpoint?:  int & >=0            // only this one of the partner's
   forwarder?: int & >=0
@@ -46,6 +46,11 @@
   wait?:      duration & >=1ms
   down:       duration & >=0s & <=60s | *1s
   fault?:     "quiet" | "refuse" | "garbage" | "half-transfers" | "lost-notices"  // of name-server
+  // Of work, asked of `forwarder`: a machine such as "n1", "all" or "hall:east", or an endpoint of
+  // `partner`. Staff bring it back once it has been out for `stay`.
+  machine?: string & !=""
+  stay:    duration & >=0s & <=1m | *1s
+  restart: bool | *false                     // they start the process anew meanwhile
   // Links between forwarders: from each of `from` to each of `to`, or all others.
   from?:  [int & >=0, ...int & >=0]
   to?:    [int & >=0, ...int & >=0]
--- /dev/null
+++ b/src/rehearsal/staff.cpp
@@ -0,0 +1,141 @@
+#include "rehearsal/staff.hpp"
+
+#include <array>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+
+namespace brassfront::rehearsal {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Time kLookEvery = milliseconds(100);
+constexpr Time kPingWithin = milliseconds(400);
+constexpr Time kAnswerWithin = milliseconds(5500);
+constexpr Time kAskAgain = milliseconds(500);
+
+}  // namespace
+
+Staff::Staff(Stage& stage, FleetAuditor& auditor, std::string out, Hooks hooks)
+    : stage_(stage), auditor_(auditor), out_(std::move(out)), hooks_(std::move(hooks)) {}
+
+void Staff::Begin() {
+  for (std::size_t f = 0; f < stage_.scenario.forwarders.count; ++f) Look(f);
+}
+
+void Staff::Look(std::size_t f) {
+  if (closed_) return;
+  stage_.At(stage_.Now() + kLookEvery, [this, f] { Look(f); });
+  if (!hooks_.runs(f)) return;
+  struct Ping {
+    explicit Ping(asio::io_context& io) : socket(io), timer(io) {}
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::array<char, 64> bytes{};
+  };
+  auto ping = std::make_shared<Ping>(stage_.io);
+  ping->timer.expires_after(kPingWithin);
+  ping->timer.async_wait([ping](error_code error) {
+    error_code ignored;
+    if (!error) ping->socket.close(ignored);
+  });
+  ping->socket.async_connect(hooks_.address(f), [this, ping, f](error_code error) {
+    if (error) return;
+    asio::async_write(ping->socket, asio::buffer("*1\r\n$4\r\nPING\r\n", 14),
+                      [](error_code, std::size_t) {});
+    ping->socket.async_read_some(asio::buffer(ping->bytes),
+                                 [this, ping, f](error_code failed, std::size_t n) {
+                                   ping->timer.cancel();
+                                   if (failed || closed_ || !hooks_.runs(f)) return;
+                                   const std::string reply(ping->bytes.data(), n);
+                                   const bool away = reply.rfind("-STANDBY", 0) == 0;
+                                   if (!away && reply.rfind("+PONG", 0) != 0) return;
+                                   auditor_.StandsBy(f, away, stage_.Now());
+                                   hooks_.takes_clients(f, !away);
+                                 });
+  });
+}
+
+void Staff::Ask(const Act& act, const std::string& name) {
+  wanted_[name] = &act;
+  if (name == "all" || name.rfind("hall:", 0) == 0) all_ = &act;
+  const bool machine = !act.machine.empty();
+  auditor_.Asked(stage_.Now());
+  Start("/fleet/maintenance/ask?name=" + name + (machine ? "" : "&kind=endpoint"),
+        act.forwarders.front(), true);
+}
+
+void Staff::Start(std::string target, std::size_t forwarder, bool ask) {
+  const std::uint64_t token = (stage_.seed << 20) + errands_.size() + 1;
+  target += "&token=" + std::to_string(token);
+  errands_.push_back({std::move(target), forwarder, stage_.Now(), ask});
+  Try(errands_.size() - 1);
+}
+
+void Staff::Try(std::size_t number) {
+  if (closed_) return;
+  Errand& errand = errands_[number];
+  const std::size_t count = stage_.scenario.forwarders.count;
+  for (std::size_t i = 0; i < count && !hooks_.runs(errand.asked); ++i) {
+    errand.asked = (errand.asked + 1) % count;
+  }
+  struct Post {
+    explicit Post(asio::io_context& io) : socket(io), timer(io) {}
+    asio::local::stream_protocol::socket socket;
+    asio::steady_timer timer;
+    std::string request, answer;
+    bool over = false;
+  };
+  auto post = std::make_shared<Post>(stage_.io);
+  post->request = "POST " + errand.target + " HTTP/1.1\r\nHost: fleet\r\nContent-Length: 0\r\n\r\n";
+  const auto done = [this, post, number] {
+    if (std::exchange(post->over, true) || closed_) return;
+    post->timer.cancel();
+    error_code ignored;
+    post->socket.close(ignored);
+    Answered(number, post->answer);
+  };
+  post->timer.expires_after(kAnswerWithin);
+  post->timer.async_wait([done](error_code error) {
+    if (!error) done();
+  });
+  const std::string path = out_ + "/n" + std::to_string(errand.asked) + "/fleet/control";
+  post->socket.async_connect(path, [post, done](error_code error) {
+    if (error) return done();
+    asio::async_write(post->socket, asio::buffer(post->request), [](error_code, std::size_t) {});
+    asio::async_read(post->socket, asio::dynamic_buffer(post->answer),
+                     [done](error_code, std::size_t) { done(); });
+  });
+}
+
+// 200 and 409 are the fleet's word; anything else is asked again, of the next one.
+void Staff::Answered(std::size_t number, const std::string& text) {
+  Errand& errand = errands_[number];
+  const bool good = text.rfind("HTTP/1.1 200", 0) == 0;
+  if (good && errand.ask) auditor_.Settled(stage_.Now() - errand.since);
+  if (good || text.rfind("HTTP/1.1 409", 0) == 0) return;
+  errand.asked = (errand.asked + 1) % stage_.scenario.forwarders.count;
+  stage_.At(stage_.Now() + kAskAgain, [this, number] { Try(number); });
+}
+
+void Staff::Line(const std::string& line) {
+  if (closed_ || line.rfind("work request=", 0) != 0) return;
+  const std::string request = FieldOf(line, "request"), name = FieldOf(line, "name");
+  if (FieldOf(line, "state") != "out" || !brought_.insert(request).second) return;
+  const auto it = wanted_.find(name);
+  const Act* act = it == wanted_.end() ? all_ : it->second;
+  if (act == nullptr) return;
+  const bool machine = !act->machine.empty();
+  if (machine && act->restart && name.size() > 1) hooks_.restart(std::stoul(name.substr(1)));
+  stage_.At(stage_.Now() + act->stay, [this, name, machine, act] {
+    if (!machine) auditor_.EndpointOut(name, false, stage_.Now());
+    Start("/fleet/maintenance/back?name=" + name + (machine ? "" : "&kind=endpoint"),
+          act->forwarders.front(), false);
+  });
+}
+
+}  // namespace brassfront::rehearsal
--- /dev/null
+++ b/src/rehearsal/staff.hpp
@@ -0,0 +1,64 @@
+// On-call staff in a rehearsal: they ask any forwarder for work by its control socket, as
+// `brassfront fleet` would, bring back what has been out for long enough, and look every tenth of a
+// second whether each forwarder takes clients. They ask again, with the same number, where nobody
+// answers.
+#ifndef BRASSFRONT_REHEARSAL_STAFF_HPP_
+#define BRASSFRONT_REHEARSAL_STAFF_HPP_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rehearsal/fleet_auditor.hpp"
+#include "rehearsal/stage.hpp"
+
+namespace brassfront::rehearsal {
+
+class Staff {
+ public:
+  struct Hooks {
+    std::function<bool(std::size_t)> runs;  // serves, or stands by
+    std::function<tcp::endpoint(std::size_t)> address;
+    std::function<void(std::size_t)> restart;  // its process is replaced
+    std::function<void(std::size_t, bool takes)> takes_clients;
+  };
+
+  Staff(Stage& stage, FleetAuditor& auditor, std::string out, Hooks hooks);
+
+  // Looks at all forwarders from now on.
+  void Begin();
+  // Asks for the work of an act; `name` is the machine's, or the endpoint's id.
+  void Ask(const Act& act, const std::string& name);
+  // A line of a forwarder's log: what has been said to be out is brought back in time.
+  void Line(const std::string& line);
+  void Close() { closed_ = true; }
+
+ private:
+  struct Errand {
+    std::string target;  // of the call, with its token
+    std::size_t asked = 0;
+    Time since{};
+    bool ask = false;
+  };
+
+  void Look(std::size_t forwarder);
+  void Try(std::size_t errand);
+  void Answered(std::size_t errand, const std::string& text);
+  void Start(std::string target, std::size_t forwarder, bool ask);
+
+  Stage& stage_;
+  FleetAuditor& auditor_;
+  const std::string out_;
+  const Hooks hooks_;
+  std::vector<Errand> errands_;
+  std::map<std::string, const Act*> wanted_;  // by machine or endpoint
+  const Act* all_ = nullptr;                  // the last act for a hall or all
+  std::set<std::string> brought_;             // request numbers
+  bool closed_ = false;
+};
+
+}  // namespace brassfront::rehearsal
+
+#endif  // BRASSFRONT_REHEARSAL_STAFF_HPP_
--- a/src/rehearsal/stage.hpp
+++ b/src/rehearsal/stage.hpp
@@ -52,6 +52,7 @@
   std::vector<HandIn> hand_ins;  // by PutId
   std::unordered_map<std::string, PutId> by_wire_id;
   CallId next_call = 0;
+  std::function<void(const Event&)> also;  // is told each event after the auditor
 
   Time Now() const { return std::chrono::steady_clock::now() - began_; }
   // The clock starts again: once all forwarders are ready.
@@ -61,6 +62,7 @@
     event.at = std::max(event.at == Time{} ? Now() : event.at, last_);
     last_ = event.at;
     auditor.Take(event);
+    if (also) also(event);
   }
 
   // Does it then, and counts how late it was done. Nothing is done once the stage is closed.
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -232,7 +232,9 @@
         attempt->socket.async_read_some(
             asio::buffer(attempt->bytes),
             [this, attempt, again, forwarder, life](error_code failed, std::size_t n) {
-              if (failed || std::string(attempt->bytes.data(), n).rfind("+PONG", 0) != 0) {
+              const std::string reply(attempt->bytes.data(), failed ? 0 : n);
+              // One that is out for work comes back as such.
+              if (reply.rfind("+PONG", 0) != 0 && reply.rfind("-STANDBY", 0) != 0) {
                 return again();
               }
               if (nodes_[forwarder].life != life || nodes_[forwarder].pid <= 0) return;
