Play campaigns of random faults over real processes, and shorten what fails

Need: schedules that nobody thought of, each replayable by one command. rehearse campaign draws acts from a seed (work, kills, stops, cuts, loss, flaps, a lost machine), plays several at once as processes of their own, plays void runs again, keeps a failed run whole and leaves acts out while it stays broken. The kit wrote the fleet's key again for each forwarder while another read it; it is written once.

--- a/src/cli/rehearse.cpp
+++ b/src/cli/rehearse.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cli/command.hpp"
+#include "rehearsal/campaign.hpp"
 #include "rehearsal/plan.hpp"
 #include "rehearsal/report.hpp"
 #include "rehearsal/run.hpp"
@@ -26,6 +27,7 @@
 
 constexpr const char* kHelp =
     "brassfront rehearse run FILE    play a scenario and judge it\n"
+    "brassfront rehearse campaign FILE   play it with random faults, again and again\n"
     "brassfront rehearse check FILE  say all that is wrong with a scenario\n"
     "brassfront rehearse plan FILE   print what it would ask for, and when\n"
     "brassfront rehearse list        list the scenarios of a folder\n"
@@ -84,6 +86,37 @@
   return kVoid;
 }
 
+int RunCampaign(const std::string& path, const cxxopts::ParseResult& given) {
+  rehearsal::CampaignOptions options;
+  options.base = records::ReadRecordFile(path);
+  options.program = fs::read_symlink("/proc/self/exe").string();
+  options.seed = given["seed"].as<std::uint64_t>();
+  options.runs = given["runs"].as<std::size_t>();
+  options.minutes = given["minutes"].as<double>();
+  options.jobs = std::max<std::size_t>(1, given["jobs"].as<std::size_t>());
+  options.out = given["out"].as<std::string>();
+  if (options.out.empty()) {
+    options.out =
+        (fs::temp_directory_path() / ("campaign-" + std::to_string(options.seed))).string();
+  }
+  if (options.runs == 0 && options.minutes <= 0) {
+    throw UsageError("a campaign needs --runs or --minutes");
+  }
+  if (given.count("quiet") == 0) {
+    options.progress = [](const std::string& line) { std::cerr << line << "\n"; };
+  }
+  const rehearsal::CampaignResult result = rehearsal::PlayCampaign(options);
+  std::cout << result.kept << " kept, " << result.broken << " broken, " << result.voided
+            << " void\n";
+  for (const auto& failed : result.failed) {
+    std::cout << "seed " << failed.seed << ": " << failed.acts << " of " << failed.acts_before
+              << " acts; brassfront rehearse run " << failed.scenario << " --seed " << failed.seed
+              << "\n"
+              << failed.what;
+  }
+  return result.broken > 0 ? kBroken : result.kept > 0 ? kKept : kVoid;
+}
+
 int List(const std::string& folder) {
   std::vector<fs::path> files;
   for (const auto& entry : fs::directory_iterator(folder)) {
@@ -111,17 +144,20 @@
 int RehearseCommand(int argc, char** argv) {
   cxxopts::Options options("brassfront rehearse",
                            "Plays partner outages on this machine and judges them");
-  options.add_options()("what", "run, check, plan, list, report or schema",
+  options.add_options()("what", "run, campaign, check, plan, list, report or schema",
                         cxxopts::value<std::string>()->default_value(""))(
       "target", "a scenario, or a folder", cxxopts::value<std::string>()->default_value(""))(
       "seed", "of all that is drawn", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "out", "folder for the report, the logs and the states",
       cxxopts::value<std::string>()->default_value(""))(
       "forwarder", "the program to rehearse with; this one if it is left out",
-      cxxopts::value<std::string>()->default_value(""))("quiet", "no progress");
+      cxxopts::value<std::string>()->default_value(""))("quiet", "no progress")(
+      "runs", "of a campaign, at most", cxxopts::value<std::size_t>()->default_value("0"))(
+      "minutes", "of a campaign, at most", cxxopts::value<double>()->default_value("0"))(
+      "jobs", "plays of a campaign at once", cxxopts::value<std::size_t>()->default_value("1"));
   options.parse_positional({"what", "target"});
   options.custom_help("[OPTIONS]");
-  options.positional_help("run|check|plan|list|report|schema [FILE|DIR]");
+  options.positional_help("run|campaign|check|plan|list|report|schema [FILE|DIR]");
   cxxopts::ParseResult given;
   if (!ParseOptions(options, argc, argv, given)) return 0;
   const auto what = given["what"].as<std::string>();
@@ -137,6 +173,7 @@
   if (target.empty() && what != "list") throw UsageError(what + " needs a file or a folder");
   try {
     if (what == "run") return RunOne(target, given);
+    if (what == "campaign") return RunCampaign(target, given);
     if (what == "list") return List(target.empty() ? "rehearsals" : target);
     if (what == "report") return Report(target);
     if (what == "check") {
--- a/src/rehearsal/peer_net.cpp
+++ b/src/rehearsal/peer_net.cpp
@@ -1,6 +1,7 @@
 #include "rehearsal/peer_net.hpp"
 
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
@@ -52,9 +53,12 @@
 
 std::string PeerNet::WriteRoster(std::size_t f, const std::string& folder) const {
   const Scenario& s = stage_.scenario;
+  // Once, for others read it meanwhile.
   const std::string key = folder + "/fleet.key";
-  std::ofstream(key) << kKey << "\n";
-  chmod(key.c_str(), 0600);
+  if (access(key.c_str(), R_OK) != 0) {
+    std::ofstream(key) << kKey << "\n";
+    chmod(key.c_str(), 0600);
+  }
   const std::string path = folder + "/n" + std::to_string(f) + ".fleet";
   std::ofstream out(path);
   out << "fleet: \"" << s.name << "\"\nkey: \"fleet.key\"\n"
