Believe a word of death only where the dead has not been heard within the suspicion time

Ruled out by the lines' order: own probes (they were answered), stale incarnations.

Now a word of death brings a suspicion's end forward to a suspicion time after the last frame that was heard, and no further.

--- a/src/peers/detector.cpp
+++ b/src/peers/detector.cpp
@@ -348,12 +348,16 @@
       return;
     case State::kDead:
       // Guards against the word of one side of a split, which takes the whole other side for dead,
-      // when it heals: who lives gets the time to deny it.
-      if (as_new && peer.state == State::kAlive) {
-        peer.incarnation = word.incarnation;
-        return Suspect(word.name, peer, now);
+      // when it heals: who lives gets the time to deny it, and whom we heard lately is not dead.
+      if (!as_new || peer.state == State::kDead || peer.state == State::kLeft) return;
+      if (newer) peer.incarnation = word.incarnation;
+      if (peer.state != State::kSuspect) return Suspect(word.name, peer, now);
+      peer.dead_at = std::min(peer.dead_at, peer.heard + timings_.suspicion);
+      if (peer.dead_at <= now) {
+        Set(word.name, peer, State::kDead, peer.incarnation, now);
+        Spread(word.name);
       }
-      [[fallthrough]];
+      return;
     case State::kLeft:
       if (as_new && peer.state != State::kDead && peer.state != State::kLeft) {
         Set(word.name, peer, word.state, word.incarnation, now);
--- a/tests/fleet/peers_test.cpp
+++ b/tests/fleet/peers_test.cpp
@@ -160,6 +160,30 @@
   }
 }
 
+TEST_CASE("a link that flaps lets nobody die at the hands of one that reaches it") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    World world(5, seed);
+    world.RunFor(seconds(3));
+    world.told.clear();
+    for (int flap = 0; flap < 6; ++flap) {
+      for (const bool cut : {true, false}) {
+        for (const std::size_t a : {2U, 4U}) {
+          for (const std::size_t b : {0U, 1U, 3U}) {
+            world.Cut(a, b, cut);
+            world.Cut(b, a, cut);
+          }
+        }
+        world.RunFor(milliseconds(1240));
+      }
+    }
+    const auto side = [](const std::string& name) { return name == "m2" || name == "m4"; };
+    for (const World::Told& t : world.told) {
+      const bool same_side = side(t.by) == side(t.change.name);
+      CHECK_FALSE((same_side && !t.change.link && t.change.to == State::kDead));
+    }
+  }
+}
+
 TEST_CASE("a member that leaves is not suspected") {
   World world(4, 7);
   world.RunFor(seconds(3));
