Test a fleet of processes from outside: commands, foreign keys, twins, damaged logs, a short set

A run whose cast was late is played again, so that the verdict does not depend on the machine.

Two processes with one name are noticed by the folder's identity that goes to and fro.

--- a/src/consensus/council.cpp
+++ b/src/consensus/council.cpp
@@ -603,4 +603,11 @@
 
 std::vector<Server> Council::servers() const { return ServersOf(raft_->raft.configuration); }
 
+bool Council::votes() const {
+  for (const Server& server : servers()) {
+    if (server.id == options_.id) return server.role == RAFT_VOTER;
+  }
+  return false;
+}
+
 }  // namespace brassfront::consensus
--- a/src/consensus/council.hpp
+++ b/src/consensus/council.hpp
@@ -86,6 +86,8 @@
   bool broken() const;
   bool damaged() const { return damaged_; }
   std::vector<Server> servers() const;
+  // This folder is one of them, as a voter.
+  bool votes() const;
 
  private:
   struct Raft;  // libraft's side
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -38,6 +38,8 @@
 constexpr Time kTryAgain = milliseconds(300);
 constexpr Time kCouncilAgain = std::chrono::seconds(2);  // after its store failed
 
+constexpr std::size_t kFlipsOfTwins = 3;
+
 enum class News : std::uint8_t { kAsk = 1, kTell = 2 };
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
@@ -518,9 +520,9 @@
 }
 
 Reply Fleet::Status(bool members) const {
-  StatusFacts facts{self_name_, Leader(),    council_ ? council_->term() : 0,
-                    known_,     roster_,     *detector_,
-                    own_,       self_.life()};
+  StatusFacts facts{self_name_, Leader(),     council_ ? council_->term() : 0,
+                    known_,     roster_,      *detector_,
+                    own_,       self_.life(), council_ && council_->votes()};
   return {200, members ? MembersJson(facts) : StatusJson(facts)};
 }
 
@@ -529,6 +531,11 @@
 // ======== what is told ========
 
 void Fleet::TellChanges() {
+  for (const auto& [name, peer] : detector_->peers()) {
+    // A folder that was lost flips once, and a late frame of its former life once more.
+    if (peer.flips < kFlipsOfTwins || !twins_.insert(name).second) continue;
+    observe::Log(Concern::kFleet, Level::kError, "name given twice", {{"name", name}});
+  }
   for (const auto& change : detector_->TakeChanges()) {
     if (change.link) {
       observe::Log(Concern::kFleet, Level::kWarning, "peer link",
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -132,6 +132,7 @@
   std::vector<Pending> pending_;
   std::map<std::string, Time> told_;  // bad frames, by whom they claim to be from
   std::map<peers::Drop, std::uint64_t> dropped_;
+  std::set<std::string> twins_;  // names that two processes use, as was told
   std::vector<char> buffer_;
   std::vector<peers::Frame> out_;
   std::uint64_t news_sent_ = 0;
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -98,7 +98,7 @@
          ", \"life\": " + std::to_string(f.life) +
          ", \"members\": " + std::to_string(f.roster.members.size()) +
          ", \"alive\": " + std::to_string(alive) + ", \"leader\": " + Quote(f.leader) +
-         ", \"term\": " + std::to_string(f.term) +
+         ", \"term\": " + std::to_string(f.term) + ", \"votes\": " + (f.votes ? "true" : "false") +
          ", \"revision\": " + std::to_string(f.known.revision()) +
          ", \"places\": " + std::to_string(f.known.out_in_all()) +
          ", \"used\": " + std::to_string(f.known.UsedInAll()) +
--- a/src/fleet/reports.hpp
+++ b/src/fleet/reports.hpp
@@ -24,6 +24,7 @@
   const peers::Detector& detector;
   const maintenance::Own& own;
   std::uint64_t life;
+  bool votes;  // is a voter of the settled log, under the id that its folder has now
 };
 std::string StatusJson(const StatusFacts& facts);
 std::string MembersJson(const StatusFacts& facts);
--- a/src/peers/detector.cpp
+++ b/src/peers/detector.cpp
@@ -239,10 +239,6 @@
 }
 
 void Detector::Receive(const Frame& frame, Time now) {
-  if (frame.from == self_) {
-    if (frame.identity != identity_) ++counts_.twice;
-    return;
-  }
   const auto it = peers_.find(frame.from);
   if (it == peers_.end() || left_) return;
   Hear(frame, now);
@@ -309,11 +305,17 @@
 void Detector::Hear(const Frame& frame, Time now) {
   Peer& peer = peers_.at(frame.from);
   peer.heard = now;
+  if (frame.identity != peer.identity && frame.identity == peer.former) {
+    ++peer.flips;
+    ++counts_.twice;
+  }
+  if (frame.identity != peer.identity) {
+    peer.former = std::exchange(peer.identity, frame.identity);
+  }
   if (frame.incarnation < peer.incarnation) {
     ++counts_.stale;  // our answer tells it what we know
     return;
   }
-  peer.identity = frame.identity;
   const bool newer = frame.incarnation > peer.incarnation || peer.state == State::kUnknown;
   if (newer) {
     Set(frame.from, peer, State::kAlive, frame.incarnation, now);
--- a/src/peers/detector.hpp
+++ b/src/peers/detector.hpp
@@ -48,6 +48,8 @@
     State state = State::kUnknown;
     std::uint64_t incarnation = 0;
     std::uint64_t identity = 0;  // of its folder; 0: not heard directly
+    std::uint64_t former = 0;    // identity before that one
+    std::size_t flips = 0;       // times that the former one was heard again: two use the name
     Link link = Link::kWhole;
     Time heard{};            // its last frame that came to us
     Time since{};            // it has been in its state
@@ -66,7 +68,7 @@
   struct Counts {
     std::uint64_t probes = 0, missed = 0, asked_others = 0, denials = 0, stale = 0, pauses = 0;
     std::uint64_t bad = 0;    // frames that could not be read
-    std::uint64_t twice = 0;  // frames of another process with our own name
+    std::uint64_t twice = 0;  // words of two processes with one name
   };
 
   Detector(const Timings& timings, std::string self, const std::vector<std::string>& members,
--- /dev/null
+++ b/tests/fleet/fleet_test.py
@@ -0,0 +1,381 @@
+"""Several processes of the program that share a fleet, from outside: the commands, what they say of
+faults, and a short set of rehearsals with faults between processes.
+
+No fixed ports, and no verdict depends on speed: what is waited for has a long limit that only a
+failure reaches, and a rehearsal whose cast was late is played again.
+"""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import stat
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "examples"))
+import toy_server  # noqa: E402
+
+PROGRAM = os.environ["BRASSFRONT"]
+LIMIT = 60  # s
+KEY = "dGhlIGtleSBvZiB0aGVzZSB0ZXN0cw==\n"
+OTHER_KEY = "c29tZSBvdGhlciBrZXkgb2YgdGVzdHM=\n"
+DONE, REFUSED, BAD, NO_QUORUM = 0, 1, 2, 3
+
+
+def free_ports(count):
+    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+class Member:
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.folder = fleet.folder / name
+        self.folder.mkdir(exist_ok=True)
+        self.log = []
+        self.process = None
+
+    def start(self):
+        config = json.loads((ROOT / "examples" / "config.json").read_text())
+        config["name"] = self.name
+        config["listen"] = "127.0.0.1:0"
+        config["discovery"] = self.fleet.toy.address
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen(
+            [PROGRAM, "serve", "--config", str(path), "--state", str(self.folder / "state")]
+            + ["--fleet", str(self.fleet.roster_of(self.name))],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        threading.Thread(target=self.read, args=(self.process,), daemon=True).start()
+        self.wait_for("serving name=")
+        return self
+
+    def read(self, process):
+        for line in process.stderr:
+            self.log.append(line.rstrip("\n"))
+
+    def wait_for(self, text, since=0):
+        end = time.monotonic() + LIMIT
+        while not any(text in line for line in self.log[since:]):
+            if time.monotonic() > end:
+                raise AssertionError("no %r from %s in %s" % (text, self.name, self.log))
+            time.sleep(0.02)
+
+    def end(self, how=signal.SIGKILL):
+        if self.process is None:
+            return None
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(how)
+        status = self.process.wait(timeout=LIMIT)
+        self.process.stderr.close()
+        return status
+
+    def ask(self, *words):
+        """The exit status, and what was said."""
+        done = subprocess.run(
+            [PROGRAM, "fleet", *words, "--state", str(self.folder / "state")],
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def told(self, *words):
+        status, text = self.ask(*words, "--json")
+        if status != DONE:
+            raise AssertionError(text)
+        return json.loads(text)
+
+    def until(self, what, condition, *words):
+        end = time.monotonic() + LIMIT
+        while True:
+            value = self.told(*words)
+            if condition(value):
+                return value
+            if time.monotonic() > end:
+                raise AssertionError("waited in vain for %s: %s" % (what, value))
+            time.sleep(0.05)
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self):
+        self.toy = toy_server.Toy().start()
+        self.addCleanup(self.toy.server_close)
+        self.addCleanup(self.toy.shutdown)
+        folder = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.names = ["n0", "n1", "n2"]
+        self.ports = dict(zip(self.names, free_ports(3)))
+        self.roster = {name: {} for name in self.names}
+        self.members = {}
+
+    def roster_of(self, name, key=KEY, fleet="tests", more="", halls=None):
+        own = self.roster.get(name, {})
+        path = self.folder / (name + ".fleet")
+        key_path = self.folder / (name + ".key")
+        key_path.touch(mode=0o600)
+        key_path.write_text(own.get("key", key))
+        rows = "".join(
+            '  {name: "%s", hall: "%s", peer: "127.0.0.1:%d"},\n'
+            % (each, (halls or {}).get(each, "east"), self.ports[each])
+            for each in self.ports
+        )
+        path.write_text(
+            'fleet: "%s"\nkey: "%s.key"\n%s\nmembers: [\n%s]\n'
+            % (own.get("fleet", fleet), name, more, rows)
+        )
+        return path
+
+    def start(self, *names):
+        for name in names or self.names:
+            member = Member(self, name)
+            self.members[name] = member
+            self.addCleanup(member.end)
+            member.start()
+        return [self.members[name] for name in names or self.names]
+
+    def settled(self):
+        """Three members that have settled their roster."""
+        members = self.start()
+        for member in members:
+            member.until("a leader", lambda s: s["leader"] and s["alive"] == 3, "status")
+            member.until("its vote", lambda s: s["votes"], "status")
+            member.until("the roster", lambda s: s["places"] == 1, "status")
+        return members
+
+    # ---- asking ----
+
+    def test_any_member_takes_a_request_and_tells_of_it(self):
+        n0, n1, n2 = self.settled()
+        self.assertEqual(n2.ask("maintenance", "ask", "n0")[0], DONE)
+        again = n1.ask("maintenance", "ask", "n0")
+        self.assertEqual(again[0], DONE)
+        self.assertIn("already asked", again[1])
+        self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
+        out = lambda v: any(r["name"] == "n0" and r["state"] == "out" for r in v["open"])
+        n1.until("n0 to be out", out, "maintenance", "list")
+        waits = lambda v: any(
+            (r["name"], r["state"], r["waits_for"]) == ("n1", "waiting", "n0 (out)")
+            for r in v["open"]
+        )
+        n2.until("n1 to wait for n0", waits, "maintenance", "list")
+        self.assertTrue(n0.told("status")["standing_by"])
+        client = toy_server.Client(self.address_of(n0), timeout=LIMIT)
+        self.addCleanup(client.close)
+        self.assertIn("STANDBY", client.call("PING"))
+        # It stays out over a restart, and serves again only when it is brought back.
+        n0.end()
+        since = len(n0.log)
+        n0.start()
+        n0.wait_for("standby", since)
+        self.assertEqual(n1.ask("maintenance", "back", "n0")[0], DONE)
+        n0.until("n0 to serve", lambda s: not s["standing_by"], "status")
+        n0.until("n1's turn", lambda v: all(r["name"] != "n0" for r in v["open"]), "maintenance", "list")
+        n2.until(
+            "n1 to be out",
+            lambda v: any(r["name"] == "n1" and r["state"] == "out" for r in v["open"]),
+            "maintenance",
+            "list",
+        )
+
+    def address_of(self, member):
+        for line in reversed(member.log):
+            found = re.search(r"^serving .*listen=([\d.:]+)", line)
+            if found:
+                return found[1]
+        raise AssertionError(member.log)
+
+    def test_bad_requests_are_refused_with_the_reason(self):
+        n0, n1, _ = self.settled()
+        for words, status, text in [
+            (("ask", "n9"), REFUSED, "no machine n9; there are n0 n1 n2"),
+            (("ask", "hall:north"), REFUSED, "no machine is in hall north"),
+            (("back", "n1"), REFUSED, "not out"),
+            (("cancel", "77"), REFUSED, "no request 77"),
+            (("cancel", "x"), REFUSED, "number of a request"),
+            (("hold", "perhaps"), REFUSED, "on=yes or on=no"),
+            (("ended", "n1"), REFUSED, "it has not ended"),
+            (("ask", "n1", "--urgency", "great"), REFUSED, "low, normal or high"),
+            (("dance", "n1"), BAD, "no such thing"),
+        ]:
+            found = n0.ask("maintenance", *words)
+            self.assertEqual((found[0], text in found[1]), (status, True), (words, found))
+        self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
+        self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
+        waits = lambda v: v["open"] and "held" in v["open"][0]["waits_for"]
+        row = n0.until("the held request", waits, "maintenance", "list")["open"][0]
+        self.assertEqual(n1.ask("maintenance", "cancel", str(row["request"]))[0], DONE)
+
+    def test_without_a_quorum_it_is_said_what_works_and_nothing_is_done_twice(self):
+        n0, n1, n2 = self.settled()
+        for member in (n1, n2):
+            member.process.send_signal(signal.SIGSTOP)
+        status, text = n0.ask("maintenance", "ask", "n1", "--token", "4711")
+        self.assertEqual(status, NO_QUORUM, text)
+        self.assertIn("ask again", text)
+        self.assertEqual(n0.ask("members")[0], DONE)
+        for member in (n1, n2):
+            member.process.send_signal(signal.SIGCONT)
+        end = time.monotonic() + LIMIT
+        while n0.ask("maintenance", "ask", "n1", "--token", "4711")[0] != DONE:
+            self.assertLess(time.monotonic(), end)
+        value = n0.told("maintenance", "list")
+        self.assertEqual(len(value["open"]) + len(value["over"]), 1, value)
+
+    def test_nobody_else_may_ask(self):
+        n0, _, _ = self.settled()
+        control = n0.folder / "state" / "fleet" / "control"
+        self.assertEqual(stat.S_IMODE(control.stat().st_mode), 0o600)
+        self.assertEqual(stat.S_IMODE(control.parent.stat().st_mode), 0o700)
+        control.chmod(0o666)
+        status, text = n0.ask("status")
+        self.assertEqual((status, "open to other users" in text), (REFUSED, True), text)
+        empty = Member(self, "n8")
+        status, text = empty.ask("status")
+        self.assertEqual((status, "no forwarder of a fleet" in text), (REFUSED, True), text)
+
+    def test_noise_on_the_control_socket_is_answered_and_harms_nothing(self):
+        n0, _, _ = self.settled()
+        path = str(n0.folder / "state" / "fleet" / "control")
+        for noise in [b"\r\n\r\n", b"\0" * 9000, b"GET /nothing HTTP/1.1\r\n\r\n", b"PUT / HTTP/1.1\r\n\r\n", b""]:
+            with socket.socket(socket.AF_UNIX) as client:
+                client.settimeout(LIMIT)
+                client.connect(path)
+                try:
+                    client.sendall(noise)
+                    self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 40"), noise)
+                except ConnectionError:
+                    pass  # more was sent than is read
+        self.assertEqual(n0.ask("status")[0], DONE)
+
+    # ---- members that do not fit ----
+
+    def test_a_member_with_another_key_or_fleet_is_not_heard_and_said_once(self):
+        self.roster["n2"] = {"key": OTHER_KEY}
+        n0, n1, n2 = self.start()
+        n0.wait_for("frame dropped from=n2 reason=wrong signature")
+        time.sleep(1)
+        lines = [line for line in n0.log if "frame dropped" in line and "n2" in line]
+        self.assertEqual(len(lines), 1, lines)
+        states = {m["name"]: m["state"] for m in n0.told("members")["members"]}
+        self.assertNotEqual(states["n2"], "alive")
+        n2.end()
+        self.roster["n2"] = {"fleet": "others"}
+        n2.start()
+        n2.wait_for("reason=other fleet")
+
+    def test_a_name_given_twice_is_noticed(self):
+        n0, n1, n2 = self.settled()
+        twin = Member(self, "n1")
+        twin.folder = self.folder / "twin"
+        twin.folder.mkdir()
+        ports = dict(self.ports)
+        self.ports["n1"] = free_ports(1)[0]
+        twin.start()
+        self.addCleanup(twin.end)
+        self.ports = ports
+        n0.wait_for("name given twice name=n1")
+
+    def test_a_roster_changes_one_thing_at_a_time(self):
+        n0, n1, n2 = self.settled()
+        self.roster_of("n0", more="out: {all: 2, hall: 2}", halls={"n1": "west"})
+        since = len(n0.log)
+        n0.process.send_signal(signal.SIGHUP)
+        n0.wait_for("roster not taken up", since)
+        for member in (n0, n1, n2):
+            self.roster_of(member.name, halls={"n1": "west"})
+            member.process.send_signal(signal.SIGHUP)
+        moved = lambda v: all(m["hall"] == "west" for m in v["members"] if m["name"] == "n1")
+        n0.until("the new hall", moved, "members")
+        self.assertEqual(n2.ask("maintenance", "ask", "hall:west")[0], DONE)
+
+    def test_one_that_ends_as_planned_is_not_held_for_dead(self):
+        n0, n1, n2 = self.settled()
+        self.assertEqual(n1.end(signal.SIGTERM), 0)
+        n0.wait_for("peer name=n1 state=left")
+        self.assertFalse([line for line in n0.log if "name=n1 state=dead" in line])
+
+    # ---- folders ----
+
+    def test_a_damaged_log_joins_anew_and_has_no_vote_until_then(self):
+        n0, n1, n2 = self.settled()
+        n1.end()
+        path = n1.folder / "state" / "fleet" / "settled"
+        content = bytearray(path.read_bytes())
+        content[len(content) // 2] ^= 4
+        path.write_bytes(content)
+        since = len(n1.log)
+        n1.start()
+        n1.wait_for("settled log damaged", since)
+        self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
+        held = n1.until("n1 to vote again", lambda s: s["held"] and s["votes"], "status")
+        # It carries the quorum now: without it nothing can be settled.
+        end = time.monotonic() + LIMIT
+        n2.end()
+        while n0.ask("maintenance", "hold", "no")[0] != DONE:
+            self.assertLess(time.monotonic(), end, held)
+
+    def test_two_processes_cannot_hold_one_folder(self):
+        n0, _, _ = self.settled()
+        done = subprocess.run(
+            [PROGRAM, "serve", "--config", str(n0.folder / "config.json")]
+            + ["--state", str(n0.folder / "state"), "--fleet", str(self.folder / "n0.fleet")],
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+        )
+        self.assertNotEqual(done.returncode, 0)
+        self.assertIn("another process holds", done.stderr)
+
+    # ---- rehearsals with faults between processes ----
+
+    SHORT_SET = [
+        "fleet-killed",
+        "fleet-one-way",
+        "fleet-leader-killed",
+        "fleet-split",
+        "fleet-endpoint-out",
+        "fleet-flapping-pair",
+    ]
+
+    def rehearse(self, name):
+        for turn in range(3):
+            out = self.folder / ("%s-%d" % (name, turn))
+            done = subprocess.run(
+                [PROGRAM, "rehearse", "run", str(ROOT / "rehearsals" / (name + ".rehearsal"))]
+                + ["--quiet", "--out", str(out)],
+                capture_output=True,
+                text=True,
+                timeout=4 * LIMIT,
+            )
+            if done.returncode != 3:  # void
+                break
+        return name, done.returncode, done.stdout + done.stderr
+
+    def test_the_short_set_of_rehearsals_is_kept(self):
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            for name, status, text in pool.map(self.rehearse, self.SHORT_SET):
+                self.assertEqual(status, 0, "%s\n%s" % (name, text))
+
+
+if __name__ == "__main__":
+    unittest.main()
