Let only a process that stays say that its machine serves again

A machine asked back while its old process still ended was 'returning' to that process, which was not standing by, and said that it served (src/fleet/fleet.cpp, DoDuty); its place was given away while the machine was down. Ruled out: late looks of the kit (the machine took no clients for 2 s), two leaders (one revision).

Doors gain stays(): a process that was told to end says nothing of serving. Kept for good as rehearsals/fleet-back-while-ending, in the short set.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -108,6 +108,7 @@
 namespace fleet {
 struct Doors {
   std::function<void(bool)> stand_by;
+  std::function<bool()> stays;
   std::function<std::size_t()> held;
   std::function<void(MemberList)> listed;
   std::function<void(std::function<void()>)> then;
@@ -170,13 +171,14 @@
                      {.connections = SenderConnections(config),
                       .most_idle = config.limits.sockets / kIdleSenderShare},
                      engine, buffers);
+  std::atomic<bool> leaves{false}, over{false};
   if (peers) {
     peers->Begin({.stand_by = [&senders](bool on) { senders.StandBy(on); },
+                  .stays = [&leaves] { return !leaves; },
                   .held = [&engine] { return engine.held(); },
                   .listed = listed,
                   .then = [&engine](std::function<void()> what) { engine.Then(std::move(what)); }});
   }
-  std::atomic<bool> over{false};
   Thread waiter("signals", [&] {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && !over) {
@@ -184,6 +186,7 @@
         Reload(config_path, engine);
         if (peers) peers->Reload();
       } else {
+        leaves = true;
         engine.Leave();
       }
     }
--- a/src/fleet/doors.hpp
+++ b/src/fleet/doors.hpp
@@ -13,6 +13,8 @@
 struct Doors {
   // Clients are sent away, or taken again.
   std::function<void(bool)> stand_by;
+  // The process means to stay: it has not been told to end.
+  std::function<bool()> stays;
   // Messages that are taken on and not ended.
   std::function<std::size_t()> held;
   // Changes of the list, for the engine.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -428,7 +428,9 @@
   next_duty_ = now + kDutyEvery;
   own_.drained =
       own_.standing_by && now - stands_by_since_ >= kStandByAtLeast && doors_.held() == 0;
-  own_.serving = !own_.standing_by;
+  // Guards against a machine that is asked back while its old process still ends: it takes no more
+  // clients, and only the next process may say that it serves.
+  own_.serving = !own_.standing_by && doors_.stays();
   const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
   if (duty.stand_by != own_.standing_by) {
     own_.standing_by = duty.stand_by;
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -355,6 +355,7 @@
         "fleet-split",
         "fleet-endpoint-out",
         "fleet-flapping-pair",
+        "fleet-back-while-ending",
     ]
 
     def rehearse(self, name):
