--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -241,7 +241,6 @@
     peers::Writer body;
     body.U8(static_cast<std::uint64_t>(News::kTell)).U64(known_.revision());
     body.Name(Leader()).Text(known_.revision() > revision ? known_.Save() : "");
-    ++news_sent_;
     return Send(peers::Kind::kNews, frame.from, body.Take());
   }
   const std::string leader = in.Name(), state = in.Text();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -135,7 +135,6 @@
   std::set<std::string> twins_;  // names that two processes use, as was told
   std::vector<char> buffer_;
   std::vector<peers::Frame> out_;
-  std::uint64_t news_sent_ = 0;
   bool leaving_ = false;
 
   std::unique_ptr<Control> control_;
