Take an endpoint for out once, though a forwarder that lags says so late

What is over stays over now, with a test; each of the fleet auditor's rules has one that breaks it and a neighbour that keeps it.

--- a/src/rehearsal/fleet_auditor.cpp
+++ b/src/rehearsal/fleet_auditor.cpp
@@ -100,9 +100,14 @@
 
 void FleetAuditor::Work(const std::string& line, Time at) {
   const std::string request = FieldOf(line, "request"), state = FieldOf(line, "state");
-  const std::string before = std::exchange(works_[request], state);
-  if (state == "back" && before != state) last_back_ = at;
-  if (state == "out" && before != state) EndpointOut(FieldOf(line, "name"), true, at);
+  std::string& last = works_[request];
+  // One that lags tells late what is over.
+  if (last == "back" || last == "cancelled") return;
+  if (state == "back") last_back_ = at;
+  if (state == "out" && was_out_.insert(request).second) {
+    EndpointOut(FieldOf(line, "name"), true, at);
+  }
+  last = state;
 }
 
 void FleetAuditor::EndpointOut(const std::string& id, bool out, Time at) {
--- a/src/rehearsal/fleet_auditor.hpp
+++ b/src/rehearsal/fleet_auditor.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,7 @@
   Time settled_most_{};
   std::optional<Time> first_asked_, last_back_;
   std::map<std::string, std::string> works_;  // by request: its last state
+  std::set<std::string> was_out_;             // requests
   std::map<std::string, std::size_t> endpoints_;
   std::map<std::size_t, Time> out_since_;  // endpoints
   std::vector<Break> breaks_;
--- /dev/null
+++ b/tests/rehearsal/fleet_auditor_test.cpp
@@ -0,0 +1,143 @@
+// The judge of a fleet by itself: each rule and figure broken by a stream of events, and kept by
+// its neighbour.
+#include "rehearsal/fleet_auditor.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "rehearsal/campaign.hpp"
+
+namespace brassfront::rehearsal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kBase = R"(
+name: "s"
+duration: 45s
+partners: [{name: "a", endpoints: 2}, {name: "b"}]
+forwarders: count: 5
+fleet: on: true
+)";
+
+struct Story {
+  Story() : auditor(ReadScenario(kBase, "base")) {
+    for (std::size_t f = 0; f < 5; ++f) auditor.Runs(f, true, Time{});
+  }
+  void Look(std::size_t f, bool away, Time from, Time until) {
+    for (Time at = from; at < until; at += milliseconds(100)) auditor.StandsBy(f, away, at);
+  }
+  Judgement End(Time at) {
+    Judgement j;
+    j.broken.resize(kRules);
+    auditor.Finish(at, j);
+    return j;
+  }
+  static std::size_t Broken(const Judgement& j, Rule rule) {
+    return j.broken[static_cast<std::size_t>(rule)];
+  }
+  FleetAuditor auditor;
+};
+
+TEST_CASE("a death told of one that was there is wrong, and of one that was away is not") {
+  Story s;
+  s.auditor.Line(0, "peer name=n1 state=dead was=suspect life=1", seconds(10));
+  s.auditor.Runs(2, false, seconds(11));
+  s.auditor.Line(0, "peer name=n2 state=dead was=suspect life=1", seconds(12));
+  s.auditor.Paused(3, true, seconds(13));
+  s.auditor.Line(0, "peer name=n3 state=dead was=suspect life=1", seconds(14));
+  const Judgement j = s.End(seconds(20));
+  CHECK(j.metrics.at("wrong_deaths") == 1);
+}
+
+TEST_CASE("a cut link excuses a death only where no third joins the two") {
+  Story s;
+  s.auditor.Cut(0, 1, true, seconds(5));
+  s.auditor.Line(0, "peer name=n1 state=dead was=suspect life=1", seconds(10));
+  for (std::size_t f = 1; f < 5; ++f) s.auditor.Cut(4, f == 4 ? 0 : f, true, seconds(11));
+  s.auditor.Line(0, "peer name=n4 state=dead was=suspect life=1", seconds(12));
+  CHECK(s.End(seconds(20)).metrics.at("wrong_deaths") == 1);
+}
+
+TEST_CASE("an absence has to be noticed by all that were there") {
+  Story s;
+  s.auditor.Runs(1, false, seconds(10));
+  for (const std::size_t f : {0U, 2U, 3U}) {
+    s.auditor.Line(f, "peer name=n1 state=dead was=suspect life=1", seconds(10 + f));
+  }
+  s.auditor.Runs(1, true, seconds(19));
+  const Judgement j = s.End(seconds(30));
+  CHECK(j.metrics.at("unnoticed") == 1);  // n4 never said so
+  CHECK(j.metrics.at("noticed_ms") == 3000);
+}
+
+TEST_CASE("two that stand by where one is spared break the rule, and a late look does not") {
+  Story s;
+  s.Look(0, true, seconds(5), seconds(7));
+  s.Look(1, true, seconds(7), milliseconds(7200));
+  s.Look(0, false, milliseconds(7200), seconds(8));
+  CHECK(Story::Broken(s.End(seconds(9)), Rule::kSpared) == 0);
+  s.Look(0, true, seconds(10), seconds(11));
+  s.Look(1, true, seconds(11), seconds(12));
+  const Judgement j = s.End(seconds(13));
+  CHECK(Story::Broken(j, Rule::kSpared) == 1);
+  CHECK(j.metrics.at("most_out") == 2);
+}
+
+TEST_CASE("one that has long been dead uses a place, and one that dies later does not") {
+  Story s;
+  s.auditor.Runs(3, false, seconds(5));
+  s.Look(0, true, seconds(8), seconds(9));
+  CHECK(Story::Broken(s.End(seconds(9)), Rule::kSpared) == 0);
+  s.Look(0, false, seconds(9), seconds(10));
+  s.Look(0, true, seconds(12), seconds(13));
+  CHECK(Story::Broken(s.End(seconds(13)), Rule::kSpared) == 1);
+}
+
+TEST_CASE("a call to an endpoint that is out breaks the rule, until it is asked back") {
+  Story s;
+  s.auditor.EndpointIs("e2", 2);
+  const auto call = [&](Time at) {
+    Event e{.what = Event::What::kFirstByte};
+    e.at = at;
+    e.endpoint = 2;
+    s.auditor.Take(e);
+  };
+  call(seconds(5));
+  s.auditor.Line(0, "work request=1 name=e2 state=draining used=0 revision=3", seconds(6));
+  call(seconds(6));
+  s.auditor.Line(0, "work request=1 name=e2 state=out used=0 revision=4", seconds(7));
+  call(seconds(8));
+  s.auditor.EndpointOut("e2", false, seconds(9));
+  call(seconds(10));
+  // One that lags says late that it was out.
+  s.auditor.Line(0, "work request=1 name=e2 state=back used=0 revision=5", seconds(10));
+  s.auditor.Line(3, "work request=1 name=e2 state=out used=0 revision=4", seconds(11));
+  call(seconds(12));
+  const Judgement j = s.End(seconds(13));
+  CHECK(Story::Broken(j, Rule::kBan) == 1);
+  CHECK(j.metrics.at("works_back") == 1);
+  CHECK(j.metrics.at("works_open") == 0);
+}
+
+TEST_CASE("a schedule follows from its seed, can be read, and leaves time for its end") {
+  const Scenario base = ReadScenario(kBase, "base");
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const auto acts = MakeSchedule(base, seed);
+    CHECK(acts == MakeSchedule(base, seed));
+    const Scenario s = ReadScenario(WithActs(kBase, acts), "schedule");
+    CHECK(s.acts.size() == acts.size());
+    std::size_t lost = 0;
+    for (const Act& act : s.acts) {
+      CHECK(act.at + act.lasts <= seconds(27));
+      lost += act.kind == ActKind::kLoseMachine;
+    }
+    CHECK(lost <= 1);
+  }
+  CHECK(MakeSchedule(base, 1) != MakeSchedule(base, 2));
+}
+
+}  // namespace
+}  // namespace brassfront::rehearsal
