End in time while an operator's request waits, and refuse a token that is no number

Found on rereading: at its end a forwarder waited for its control thread, which waited for the answer to a request that could not be settled (src/fleet/fleet.cpp, Leave: pending_ is let go first now), and a token over 2^64 on the control socket ended the process (On(Asked): stoull). Both have a test with processes.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -143,6 +143,7 @@
   inbox_.Close();
   while (inbox_.Take()) {
   }
+  pending_.clear();  // or whoever asked would be waited for
   control_.reset();
 }
 
@@ -478,10 +479,6 @@
 
 void Fleet::On(Asked& e) {
   const Call& call = e.call;
-  const auto word = [&](const char* name) {
-    const auto it = call.query.find(name);
-    return it == call.query.end() ? std::string() : it->second;
-  };
   if (call.method == "GET") {
     if (call.path == "/fleet/status") return e.reply.set_value(Status(false));
     if (call.path == "/fleet/members") return e.reply.set_value(Status(true));
@@ -494,7 +491,6 @@
     return e.reply.set_value(
         Refusal(call.path.rfind("/fleet/maintenance/", 0) == 0 ? 400 : 404, fault));
   }
-  c.token = std::stoull("0" + word("token"));
   while (c.token == 0) {
     c.token = peers::LifeOf(self_.identity()) ^ static_cast<std::uint64_t>(Now().count());
   }
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -45,6 +45,14 @@
   }
   command.kind = kind != nullptr && *kind == "endpoint" ? Kind::kEndpoint : Kind::kMachine;
   if (name != nullptr) command.name = *name;
+  if (const std::string* token = Word(query, "token")) {
+    const char* const end = token->data() + token->size();
+    const auto [stop, error] = std::from_chars(token->data(), end, command.token);
+    if (error != std::errc() || stop != end) {
+      fault = "a token is a number below 2^64";
+      return false;
+    }
+  }
   if (name != nullptr && name->size() > 128) {
     fault = "a name has 128 bytes at most";
     return false;
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -63,7 +63,8 @@
             stderr=subprocess.PIPE,
             text=True,
         )
-        threading.Thread(target=self.read, args=(self.process,), daemon=True).start()
+        self.reader = threading.Thread(target=self.read, args=(self.process,), daemon=True)
+        self.reader.start()
         self.wait_for("serving name=")
         return self
 
@@ -85,6 +86,7 @@
             self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(how)
         status = self.process.wait(timeout=LIMIT)
+        self.reader.join(timeout=LIMIT)
         self.process.stderr.close()
         return status
 
@@ -256,7 +258,10 @@
     def test_noise_on_the_control_socket_is_answered_and_harms_nothing(self):
         n0, _, _ = self.settled()
         path = str(n0.folder / "state" / "fleet" / "control")
-        for noise in [b"\r\n\r\n", b"\0" * 9000, b"GET /nothing HTTP/1.1\r\n\r\n", b"PUT / HTTP/1.1\r\n\r\n", b""]:
+        for noise in [b"\r\n\r\n", b"\0" * 9000, b"GET /nothing HTTP/1.1\r\n\r\n", b"PUT / HTTP/1.1\r\n\r\n", b"",
+                      b"POST /fleet/maintenance/ask?name=n1&token=99999999999999999999999 HTTP/1.1\r\n\r\n",
+                      b"POST /fleet/maintenance/ask?name=n1&token=x HTTP/1.1\r\n\r\n",
+                      b"POST /fleet/maintenance/ask?name=%%%&kind=%zz HTTP/1.1\r\n\r\n"]:
             with socket.socket(socket.AF_UNIX) as client:
                 client.settimeout(LIMIT)
                 client.connect(path)
@@ -314,6 +319,18 @@
         n0.wait_for("peer name=n1 state=left")
         self.assertFalse([line for line in n0.log if "name=n1 state=dead" in line])
 
+    def test_one_that_is_asked_and_cannot_answer_still_ends_in_time(self):
+        n0, n1, n2 = self.settled()
+        for member in (n1, n2):
+            member.process.send_signal(signal.SIGSTOP)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            asked = pool.submit(n0.ask, "maintenance", "ask", "n1")
+            time.sleep(0.5)
+            n0.process.send_signal(signal.SIGTERM)
+            status = n0.process.wait(timeout=LIMIT)  # for good, if it waits for its own answer
+            self.assertEqual(status, 0)
+            self.assertNotEqual(asked.result()[0], DONE)
+
     # ---- folders ----
 
     def test_a_damaged_log_joins_anew_and_has_no_vote_until_then(self):
