Say once what the fleet's code said twice, and drop state that nobody read

Found on rereading; behaviour stays. SplitMix64 stood in the detector and the council (src/peers/random); joining anew and taking a newer settled state stood twice in the driver; the detector and the store need no heap of their own; a bound on remembered senders could not be reached, for names outside the roster are one sender. A campaign's failed run is moved, not copied, which a socket left behind in a folder would have ended.

--- a/src/consensus/council.cpp
+++ b/src/consensus/council.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include "peers/bytes.hpp"
+#include "peers/random.hpp"
 
 namespace brassfront::consensus {
 namespace {
@@ -220,7 +221,7 @@
 // Everything that libraft asks of the outside. What it wants to be told later waits in `later`, for
 // it must not be told while it asks.
 struct Council::Raft {
-  explicit Raft(Council& its) : council(its) {
+  explicit Raft(Council& its) : council(its), random(its.options_.seed) {
     io.version = 2;
     io.impl = this;  // `data` is the library's
     io.init = [](raft_io*, raft_id, const char*) { return 0; };
@@ -281,7 +282,10 @@
       return static_cast<raft_time>(
           std::chrono::duration_cast<milliseconds>(Of(i).council.now_).count());
     };
-    io.random = [](raft_io* i, int min, int max) { return Of(i).Random(min, max); };
+    io.random = [](raft_io* i, int min, int max) {
+      const auto span = static_cast<std::uint64_t>(std::max(1, max - min));
+      return min + static_cast<int>(Of(i).random.Below(span));
+    };
     io.async_work = [](raft_io* i, raft_io_async_work* request, raft_io_async_work_cb cb) {
       const int status = request->work(request);
       Of(i).later.push_back([request, cb, status] { cb(request, status); });
@@ -308,19 +312,10 @@
       raft_free(buffer->base);
       return 0;
     };
-    random = its.options_.seed;
   }
 
   static Raft& Of(raft_io* io) { return *static_cast<Raft*>(io->impl); }
 
-  int Random(int min, int max) {  // SplitMix64
-    std::uint64_t z = random += 0x9E3779B97F4A7C15;
-    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9;
-    z = (z ^ (z >> 27)) * 0x94D049BB133111EB;
-    const auto span = static_cast<std::uint64_t>(std::max(1, max - min));
-    return min + static_cast<int>((z ^ (z >> 31)) % span);
-  }
-
   static raft_snapshot* Made(const Snapshot& from) {
     auto* made = static_cast<raft_snapshot*>(raft_calloc(1, sizeof(raft_snapshot)));
     if (made == nullptr) throw std::bad_alloc();
@@ -372,8 +367,8 @@
   raft_io_recv_cb recv = nullptr;
   std::optional<Snapshot> snapshot;
   std::deque<std::function<void()>> later;
-  std::uint64_t random = 0;
-  bool initialised = false, closed = false, changing = false, failed = false;
+  peers::Random random;
+  bool closed = false, changing = false, failed = false;
 };
 
 Council::Council(Options options, Store& store, StateMachine& machine)
@@ -384,7 +379,6 @@
     throw std::runtime_error("the settled log cannot be set up");
   }
   raft_->raft.data = raft_.get();
-  raft_->initialised = true;
   const auto ms = [](Time time) {
     return static_cast<unsigned>(std::chrono::duration_cast<milliseconds>(time).count());
   };
--- a/src/fleet/control.cpp
+++ b/src/fleet/control.cpp
@@ -47,7 +47,7 @@
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
     unsigned value = 0;
-    const bool hex = text[i] == '%' && i + 2 < text.size() + 0 &&
+    const bool hex = text[i] == '%' && i + 2 < text.size() &&
                      std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ptr ==
                          text.data() + i + 3;
     if (hex) i += 2;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -27,8 +27,7 @@
 using peers::Time;
 using std::chrono::milliseconds;
 
-constexpr int kMostDatagrams = 256;     // read before the cores get their turn
-constexpr std::size_t kMostTold = 512;  // senders of bad frames that are remembered
+constexpr int kMostDatagrams = 256;  // read before the cores get their turn
 constexpr Time kTellEvery = std::chrono::minutes(1);
 constexpr Time kLongestWait = milliseconds(250);
 constexpr Time kDutyEvery = milliseconds(100);        // what this member owes the settled state
@@ -77,10 +76,10 @@
       self_name_(self),
       seed_(seed),
       self_(folder),
+      detector_(roster_.timings, self, NamesOf(roster_), self_.identity(), self_.life(),
+                seed ^ self_.identity()),
+      store_(folder_),
       buffer_(peers::kMostFrame + 1) {
-  detector_.emplace(roster_.timings, self, NamesOf(roster_), self_.identity(), self_.life(),
-                    seed ^ self_.identity());
-  store_ = std::make_unique<consensus::FileStore>(folder_);
   std::ifstream in(folder_ + "/known", std::ios::binary);
   const std::string kept{std::istreambuf_iterator<char>(in), {}};
   if (!kept.empty() && !known_.Load(kept)) {
@@ -151,18 +150,18 @@
 
 void Fleet::Work() {
   while (!leaving_) {
-    Time next = std::min({detector_->Next(), next_duty_, next_news_});
+    Time next = std::min({detector_.Next(), next_duty_, next_news_});
     if (council_) next = std::min(next, council_->Next());
     const Time wait = std::clamp<Time>(next - Now(), Time{}, kLongestWait);
     pollfd ready[2] = {{socket_.fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
     poll(ready, 2, static_cast<int>(std::chrono::ceil<milliseconds>(wait).count()));
     // First what is due: a process that was stopped must see that before what came meanwhile.
     const Time now = Now();
-    detector_->Tick(now);
+    detector_.Tick(now);
     TickCouncil(now);
     if (ready[0].revents != 0) ReadDatagrams(now);
     if (ready[1].revents != 0) TakeItems();
-    TakeSettled();
+    if (council_) Know(settled_);
     LeadTurns(now);
     DoDuty(now);
     AskForNews(now);
@@ -181,7 +180,7 @@
 }
 
 void Fleet::On(const LeaveNow&) {
-  detector_->Leave(Now());
+  detector_.Leave(Now());
   SendFrames();
   leaving_ = true;
 }
@@ -204,7 +203,7 @@
 }
 
 void Fleet::TakeFrame(const peers::Frame& frame, Time now) {
-  detector_->Receive(frame, now);
+  detector_.Receive(frame, now);
   if (roster_.Find(frame.from) == nullptr || frame.from == self_name_) return;
   switch (frame.kind) {
     case peers::Kind::kSettled:
@@ -217,7 +216,7 @@
     case peers::Kind::kAsk:
       return TakeAsk(frame);
     case peers::Kind::kNews:
-      return TakeNews(frame, now);
+      return TakeNews(frame);
     default:
       return;
   }
@@ -230,7 +229,7 @@
   council_->Propose(frame.body, [](consensus::Council::Outcome) {});
 }
 
-void Fleet::TakeNews(const peers::Frame& frame, Time now) {
+void Fleet::TakeNews(const peers::Frame& frame) {
   peers::Reader in(frame.body);
   const auto what = static_cast<News>(in.U8());
   const std::uint64_t revision = in.U64();
@@ -248,17 +247,13 @@
   if (what != News::kTell || !in.done()) return;
   believed_leader_ = leader;
   maintenance::Machine told;
-  if (state.empty() || !told.Load(state) || told.revision() <= known_.revision()) return;
-  const maintenance::Machine before = std::exchange(known_, std::move(told));
-  TellRequests(before);
-  next_duty_ = now;
+  if (!state.empty() && told.Load(state)) Know(told);
 }
 
-// One line a sender and minute. The name may be a lie, so only so many are remembered.
+// One line a sender and minute; whoever claims a name that the roster has not is one sender.
 void Fleet::TellDropped(peers::Drop drop, const std::string& from, Time now) {
   ++dropped_[drop];
   const std::string who = roster_.Find(from) == nullptr ? "unknown" : from;
-  if (told_.size() >= kMostTold) told_.clear();
   const auto [it, first] = told_.try_emplace(who, now);
   if (!first && now - it->second < kTellEvery) return;
   it->second = now;
@@ -268,11 +263,11 @@
 
 void Fleet::Send(peers::Kind kind, const std::string& to, std::string body) {
   out_.push_back(
-      {kind, self_name_, to, self_.identity(), detector_->incarnation(), std::move(body)});
+      {kind, self_name_, to, self_.identity(), detector_.incarnation(), std::move(body)});
 }
 
 void Fleet::SendFrames() {
-  for (const peers::Frame& frame : detector_->TakeFrames()) SendOut(frame);
+  for (const peers::Frame& frame : detector_.TakeFrames()) SendOut(frame);
   if (council_) {
     for (auto& m : council_->TakeMessages()) {
       Send(m.founding ? peers::Kind::kFound : peers::Kind::kSettled, m.to, std::move(m.body));
@@ -310,31 +305,32 @@
   options.heartbeat = roster_.timings.heartbeat;
   options.election = roster_.timings.election;
   options.seed = seed_ ^ self_.identity() ^ self_.life();
-  council_ = std::make_unique<consensus::Council>(std::move(options), *store_, settled_);
-  if (!council_->damaged()) return;
-  observe::Log(Concern::kFleet, Level::kError,
-               "settled log damaged, this folder joins anew and has no vote until then");
-  store_->Clear();
+  council_ = std::make_unique<consensus::Council>(std::move(options), store_, settled_);
+  if (council_->damaged()) {
+    JoinAnew("settled log damaged, this folder joins anew and has no vote until then");
+  }
+}
+
+// What the folder says of votes cannot be trusted: it forgets them and is another one from now on.
+void Fleet::JoinAnew(std::string_view why) {
+  observe::Log(Concern::kFleet, Level::kError, why);
+  store_.Clear();
   self_.Renew();
   MakeCouncil();
 }
 
 void Fleet::TickCouncil(Time now) {
   if (!council_) return;
-  if (detector_->folder_is_old() && !council_->founded() && !std::exchange(old_seen_, true)) {
+  if (detector_.folder_is_old() && !council_->founded() && !std::exchange(old_seen_, true)) {
     // Peers remember later lives of ours: a vote since then may be missing here.
     bool damaged = false;
-    if (!store_->Load(damaged).empty() || damaged) {
-      observe::Log(Concern::kFleet, Level::kError,
-                   "settled log is an old copy, this folder joins anew");
-      store_->Clear();
-      self_.Renew();
-      MakeCouncil();
+    if (!store_.Load(damaged).empty() || damaged) {
+      JoinAnew("settled log is an old copy, this folder joins anew");
     }
   }
   // Half of the other voters at least have told what they remember of us.
   const std::size_t others = roster_.Voters().size() - 1;
-  if (detector_->answered_by() >= (others + 1) / 2) council_->MayVote();
+  if (detector_.answered_by() >= (others + 1) / 2) council_->MayVote();
   if (council_->broken()) {
     if (council_again_ == Time{}) {
       observe::Log(Concern::kFleet, Level::kError, "settled log cannot be written");
@@ -348,10 +344,10 @@
   council_->Tick(now);
 }
 
-void Fleet::TakeSettled() {
-  if (!council_ || settled_.revision() <= known_.revision()) return;
-  const maintenance::Machine before = std::exchange(known_, settled_);
-  TellRequests(before);
+// From our own log or the leader; the duty that follows is done in this turn.
+void Fleet::Know(const maintenance::Machine& newer) {
+  if (newer.revision() <= known_.revision()) return;
+  TellRequests(std::exchange(known_, newer));
   next_duty_ = {};
 }
 
@@ -410,7 +406,7 @@
   }
   if (leader_waits_) return;
   std::map<std::string, maintenance::Seen> seen;
-  for (const auto& [name, peer] : detector_->peers()) {
+  for (const auto& [name, peer] : detector_.peers()) {
     seen[name] = {peer.state, peers::LifeOf(peer.incarnation), loads_[name]};
   }
   seen[self_name_] = {peers::State::kAlive, self_.life(), doors_.held()};
@@ -459,15 +455,15 @@
     // Any voter that is there tells who leads.
     std::vector<std::string> there;
     for (const std::string& voter : roster_.Voters()) {
-      const auto it = detector_->peers().find(voter);
-      if (it != detector_->peers().end() && it->second.state == peers::State::kAlive) {
+      const auto it = detector_.peers().find(voter);
+      if (it != detector_.peers().end() && it->second.state == peers::State::kAlive) {
         there.push_back(voter);
       }
     }
     if (there.empty()) return;
     to = there[static_cast<std::size_t>(now.count() / 1'000'000) % there.size()];
   }
-  if (detector_->peers().contains(to) && detector_->peers().at(to).state == peers::State::kDead) {
+  if (detector_.peers().contains(to) && detector_.peers().at(to).state == peers::State::kDead) {
     believed_leader_.clear();
   }
   peers::Writer body;
@@ -504,7 +500,7 @@
       return true;
     }
     if (now >= p.until) {
-      p.reply.set_value(Refusal(503, NoQuorumText(Leader(), roster_, *detector_)));
+      p.reply.set_value(Refusal(503, NoQuorumText(Leader(), roster_, detector_)));
       return true;
     }
     if (now >= p.next_try) {
@@ -518,7 +514,7 @@
 
 Reply Fleet::Status(bool members) const {
   StatusFacts facts{self_name_, Leader(),     council_ ? council_->term() : 0,
-                    known_,     roster_,      *detector_,
+                    known_,     roster_,      detector_,
                     own_,       self_.life(), council_ && council_->votes()};
   return {200, members ? MembersJson(facts) : StatusJson(facts)};
 }
@@ -528,12 +524,12 @@
 // ======== what is told ========
 
 void Fleet::TellChanges() {
-  for (const auto& [name, peer] : detector_->peers()) {
+  for (const auto& [name, peer] : detector_.peers()) {
     // A folder that was lost flips once, and a late frame of its former life once more.
     if (peer.flips < kFlipsOfTwins || !twins_.insert(name).second) continue;
     observe::Log(Concern::kFleet, Level::kError, "name given twice", {{"name", name}});
   }
-  for (const auto& change : detector_->TakeChanges()) {
+  for (const auto& change : detector_.TakeChanges()) {
     if (change.link) {
       observe::Log(Concern::kFleet, Level::kWarning, "peer link",
                    {{"name", change.name}, {"link", peers::NameOf(*change.link)}});
@@ -560,7 +556,7 @@
     }
     const bool voted = Votes();
     roster_ = std::move(next);
-    detector_->SetMembers(NamesOf(roster_));
+    detector_.SetMembers(NamesOf(roster_));
     if (voted != Votes()) {
       MakeCouncil();
     } else if (council_) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -80,14 +81,15 @@
   void ReadDatagrams(Time now);
   void TakeFrame(const peers::Frame& frame, Time now);
   void TakeAsk(const peers::Frame& frame);
-  void TakeNews(const peers::Frame& frame, Time now);
+  void TakeNews(const peers::Frame& frame);
   void TakeRoster();
   void MakeCouncil();
+  void JoinAnew(std::string_view why);
   void TickCouncil(Time now);
   void LeadTurns(Time now);
   void DoDuty(Time now);
   void AskForNews(Time now);
-  void TakeSettled();
+  void Know(const maintenance::Machine& newer);
   void TellRequests(const maintenance::Machine& before);
   void SettlePending(Time now);
   void Submit(const maintenance::Command& command);
@@ -113,8 +115,8 @@
   Mailbox<Item> inbox_{64};
 
   // The thread's own.
-  std::optional<peers::Detector> detector_;
-  std::unique_ptr<consensus::FileStore> store_;
+  peers::Detector detector_;
+  consensus::FileStore store_;
   maintenance::Machine settled_;  // what our own log comes to, if we vote
   std::unique_ptr<consensus::Council> council_;
   Time council_again_{};
--- a/src/peers/detector.cpp
+++ b/src/peers/detector.cpp
@@ -58,13 +58,6 @@
   if (probe_ && !peers_.contains(probe_->target)) probe_.reset();
 }
 
-std::uint64_t Detector::Draw(std::uint64_t below) {  // SplitMix64
-  std::uint64_t z = random_ += 0x9E3779B97F4A7C15;
-  z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9;
-  z = (z ^ (z >> 27)) * 0x94D049BB133111EB;
-  return (z ^ (z >> 31)) % below;
-}
-
 // ======== time ========
 
 Time Detector::Next() const {
@@ -103,7 +96,7 @@
   if (probe_ && now >= probe_->ends) EndProbe(now);
   for (const std::string& name : std::vector(suspects_.begin(), suspects_.end())) {
     Peer& peer = peers_.at(name);
-    if (now >= peer.dead_at) Set(name, peer, State::kDead, peer.incarnation, now);
+    if (now >= peer.dead_at) Set(name, peer, State::kDead, peer.incarnation);
   }
   if (now >= next_probe_) {
     if (probe_) EndProbe(now);
@@ -123,15 +116,16 @@
   // A suspect gets more chances, and those that are away are asked now and then: a healed partition
   // must be noticed by somebody.
   if (!suspects_.empty()) {
-    Ping(*std::next(suspects_.begin(), static_cast<std::ptrdiff_t>(Draw(suspects_.size()))),
-         next_number_++);
+    Ping(
+        *std::next(suspects_.begin(), static_cast<std::ptrdiff_t>(random_.Below(suspects_.size()))),
+        next_number_++);
   }
   if (probe_ && periods_ % kAbsentEvery != 0) return;
   std::vector<std::string> absent;
   for (const auto& [name, peer] : peers_) {
     if (!IsPresent(peer) && !(probe_ && name == probe_->target)) absent.push_back(name);
   }
-  if (!absent.empty()) Ping(absent[Draw(absent.size())], next_number_++);
+  if (!absent.empty()) Ping(absent[random_.Below(absent.size())], next_number_++);
 }
 
 // Members in a random order, each once a round: the time to the next probe of one is bounded.
@@ -146,7 +140,8 @@
       }
     }
     for (const auto& [name, peer] : peers_) round_.push_back(name);
-    for (std::size_t i = round_.size(); i > 1; --i) std::swap(round_[i - 1], round_[Draw(i)]);
+    for (std::size_t i = round_.size(); i > 1; --i)
+      std::swap(round_[i - 1], round_[random_.Below(i)]);
   }
   return std::nullopt;
 }
@@ -157,7 +152,7 @@
     if (name != but && peer.state == State::kAlive) names.push_back(name);
   }
   for (std::size_t i = 0; i < names.size() && i < most; ++i) {
-    std::swap(names[i], names[i + Draw(names.size() - i)]);
+    std::swap(names[i], names[i + random_.Below(names.size() - i)]);
   }
   names.resize(std::min(most, names.size()));
   return names;
@@ -272,12 +267,12 @@
         if (probe_ && probe_->number == number) ++probe_->helpers_heard;
         return;
       }
-      return Answered(about.empty() ? frame.from : about, number, about.empty(), now);
+      return Answered(about.empty() ? frame.from : about, number, about.empty());
   }
 }
 
 // `name` has answered probe `number`: ours, or one that we did for somebody else.
-void Detector::Answered(const std::string& name, std::uint32_t number, bool directly, Time now) {
+void Detector::Answered(const std::string& name, std::uint32_t number, bool directly) {
   if (directly) {
     for (const Errand& errand : errands_) {
       if (errand.number != number) continue;
@@ -297,7 +292,7 @@
   if (!std::exchange(probe_->answered, true) && doubt_ > 0) --doubt_;
   probe_->directly |= directly;
   // Others reach it: it lives, though it is not us that it hears.
-  if (peer.state == State::kSuspect) Set(name, peer, State::kAlive, peer.incarnation, now);
+  if (peer.state == State::kSuspect) Set(name, peer, State::kAlive, peer.incarnation);
 }
 
 // Whoever sends a frame lives. One that is held for dead has to hear of it and deny it itself, for
@@ -318,10 +313,10 @@
   }
   const bool newer = frame.incarnation > peer.incarnation || peer.state == State::kUnknown;
   if (newer) {
-    Set(frame.from, peer, State::kAlive, frame.incarnation, now);
+    Set(frame.from, peer, State::kAlive, frame.incarnation);
     Spread(frame.from);
   } else if (peer.state == State::kSuspect) {
-    Set(frame.from, peer, State::kAlive, peer.incarnation, now);
+    Set(frame.from, peer, State::kAlive, peer.incarnation);
   }
 }
 
@@ -337,7 +332,7 @@
   switch (word.state) {
     case State::kAlive:
       if (newer || (as_new && peer.state == State::kUnknown)) {
-        Set(word.name, peer, State::kAlive, word.incarnation, now);
+        Set(word.name, peer, State::kAlive, word.incarnation);
         Spread(word.name);
       }
       return;
@@ -356,13 +351,13 @@
       if (peer.state != State::kSuspect) return Suspect(word.name, peer, now);
       peer.dead_at = std::min(peer.dead_at, peer.heard + timings_.suspicion);
       if (peer.dead_at <= now) {
-        Set(word.name, peer, State::kDead, peer.incarnation, now);
+        Set(word.name, peer, State::kDead, peer.incarnation);
         Spread(word.name);
       }
       return;
     case State::kLeft:
       if (as_new && peer.state != State::kDead && peer.state != State::kLeft) {
-        Set(word.name, peer, word.state, word.incarnation, now);
+        Set(word.name, peer, word.state, word.incarnation);
         Spread(word.name);
       }
       return;
@@ -384,13 +379,12 @@
 
 void Detector::Suspect(const std::string& name, Peer& peer, Time now) {
   if (peer.state == State::kSuspect) return;
-  Set(name, peer, State::kSuspect, peer.incarnation, now);
+  Set(name, peer, State::kSuspect, peer.incarnation);
   peer.dead_at = now + Stretched(timings_.suspicion);
   Spread(name);
 }
 
-void Detector::Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation,
-                   Time now) {
+void Detector::Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation) {
   const State from = std::exchange(peer.state, state);
   if (state == State::kSuspect) {
     suspects_.insert(name);
@@ -400,7 +394,6 @@
   const bool restarted = LifeOf(incarnation) > LifeOf(peer.incarnation);
   peer.incarnation = incarnation;
   if (from == state && !restarted) return;
-  peer.since = now;
   if (state == State::kDead || state == State::kLeft) {
     peer.missed = 0;
     peer.link = Link::kWhole;
--- a/src/peers/detector.hpp
+++ b/src/peers/detector.hpp
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "peers/frame.hpp"
+#include "peers/random.hpp"
 #include "peers/roster.hpp"
 
 namespace brassfront::peers {
@@ -52,7 +53,6 @@
     std::size_t flips = 0;       // times that the former one was heard again: two use the name
     Link link = Link::kWhole;
     Time heard{};            // its last frame that came to us
-    Time since{};            // it has been in its state
     Time dead_at{};          // while suspected: if no word of its life comes
     std::size_t missed = 0;  // direct probes in a row
   };
@@ -126,10 +126,10 @@
   void Ping(const std::string& target, std::uint32_t number);
   void Send(Kind kind, const std::string& to, Writer body);
   void Hear(const Frame& frame, Time now);
-  void Answered(const std::string& name, std::uint32_t number, bool directly, Time now);
+  void Answered(const std::string& name, std::uint32_t number, bool directly);
   void Take(const Word& word, Time now);
   void TakeAboutSelf(const Word& word);
-  void Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation, Time now);
+  void Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation);
   void Suspect(const std::string& name, Peer& peer, Time now);
   void SetLink(const std::string& name, Peer& peer);
   void Spread(const std::string& name);
@@ -141,13 +141,12 @@
     return peer.state == State::kAlive || peer.state == State::kSuspect;
   }
   Time Stretched(Time time) const { return time * static_cast<Time::rep>(1 + doubt_); }
-  std::uint64_t Draw(std::uint64_t below);
 
   const Timings timings_;
   const std::string self_;
   const std::uint64_t identity_;
   std::uint64_t incarnation_;
-  std::uint64_t random_;
+  Random random_;
   std::map<std::string, Peer> peers_;
   std::set<std::string> suspects_;
   std::map<std::string, std::size_t> to_spread_;  // words, by whom they are about: times left
--- a/src/rehearsal/campaign.cpp
+++ b/src/rehearsal/campaign.cpp
@@ -161,9 +161,7 @@
         // What was played first stays whole, whatever becomes of the shortening.
         const fs::path whole = options_.out + "/failed-" + std::to_string(job.seed);
         fs::remove_all(whole);
-        fs::copy(job.out, whole,
-                 fs::copy_options::recursive | fs::copy_options::skip_symlinks |
-                     fs::copy_options::copy_symlinks);
+        fs::rename(job.out, whole);
       }
     } else {
       ++job.next_cut;  // without that act it is kept, this time
--- a/src/rehearsal/fleet_auditor.cpp
+++ b/src/rehearsal/fleet_auditor.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "rehearsal/auditor.hpp"
-
 namespace brassfront::rehearsal {
 namespace {
 
