Wait for the engine by a future, for an atomic's wait asks for what the platform refuses

Cause: src/cli/serve.cpp waited for the engine's pointer by std::atomic::wait, which GCC writes into the caller as a bare futex call. A future waits inside the C++ library.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <cxxopts.hpp>
 #include <functional>
+#include <future>
 #include <memory>
 
 #include "cli/command.hpp"
@@ -146,10 +147,10 @@
   const auto filtered = [&peers](MemberList list) {
     return peers ? peers->Filter(std::move(list)) : list;
   };
-  std::atomic<Engine*> there{nullptr};  // the watch begins before the engine's constructor returns
-  const std::function<void(MemberList)> listed = [&there](MemberList list) {
-    there.wait(nullptr);
-    there.load()->Listed(std::move(list));
+  std::promise<Engine*> made;  // the watch begins before the engine's constructor returns
+  const std::shared_future<Engine*> there = made.get_future();
+  const std::function<void(MemberList)> listed = [there](MemberList list) {
+    there.get()->Listed(std::move(list));
   };
   Watch::OnList divert;
   if (sources) {
@@ -158,8 +159,7 @@
     divert = [&](MemberList list) { listed(filtered(std::move(list))); };
   }
   Engine engine(config, spool, buffers, std::move(divert));
-  there = &engine;
-  there.notify_all();
+  made.set_value(&engine);
   engine.Restore(filtered(sources ? sources->Begin(kZonesConfirmed) : config.known));
   Socket listener = Listen(config.listen);
   if (!listener.is_open()) {
