Hear shares and words of other dispatchers as typed events, and ask before the first byte

Need: the fleet's limits, verdicts and endpoints that come back from work have to reach the decision module, and a call has to be stopped in its last moment where its share has run out.

Two events: a leased share is a pace for its lane; a word (down, told wait, cold, serves, being tried) binds with two witnesses, while one costs a single call that checks it, so that one liar costs a round trip. Our own later answer counts for more.

Tests: PeerWords.*.

--- a/include/rushfall/choice.hpp
+++ b/include/rushfall/choice.hpp
@@ -178,8 +178,33 @@
   std::vector<EndpointEntry> entries;
 };
 
+// ---- what other dispatchers know ----
+//
+// For callers whose dispatchers tell each other; where they share nothing none of these comes, and
+// nothing is decided otherwise for their being there.
+
+// Our present part of a limit that all dispatchers keep together, on what shares the endpoint's
+// limit: its destination, or its route where routes are apart. It holds until the next one.
+struct ShareLeased {
+  EndpointId endpoint = 0;
+  std::optional<double> rate;  // calls a second; none: the limit is not shared any longer
+};
+
+// kDown: calls there fail. kWait: it has told to wait. kCold: it is back from an outage, or from
+// work. kServes: it answered a trial. kTried: somebody else tries it now.
+enum class Word { kDown, kWait, kCold, kServes, kTried };
+
+// It makes us more careful at once, and less careful only by two witnesses or our own calls.
+struct PeerWord {
+  EndpointId endpoint = 0;
+  Word word = Word::kDown;
+  Duration age{};             // since it was seen
+  Duration rest{};            // of the told wait, or of the time to wait for the trial's word
+  std::size_t witnesses = 1;  // that saw it themselves, as far as none of them was found wrong
+};
+
 using Event = std::variant<MessageArrived, MessageRestored, AttemptSettled, MessageWithdrawn,
-                           TimerFired, ProbeSettled, EndpointList>;
+                           TimerFired, ProbeSettled, EndpointList, ShareLeased, PeerWord>;
 
 // ---- actions ----
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -60,11 +60,13 @@
 constexpr double kLatencyGain = 0.15;  // weight of the newest latency
 constexpr double kGather = 0.4;   // of the aim: how long a message waits for others in its call
 constexpr double kSickCost = 20;  // times the usual, where all calls fail or it is not warm
-constexpr double kFloorUrgency = 0.02;  // worth of sending what loses nothing by waiting
-constexpr double kLossGain = 0.1;       // weight of the newest answer in the share of loss
-constexpr double kLossy = 0.08;         // of answers after a lost call, and it is the network
-constexpr double kMostRate = 1e6;       // calls a second: a listed rate above it is not meant
-constexpr double kTollWeight = 10;      // of a route's toll, in points, against its latency
+constexpr double kFloorUrgency = 0.02;     // worth of sending what loses nothing by waiting
+constexpr double kLossGain = 0.1;          // weight of the newest answer in the share of loss
+constexpr double kLossy = 0.08;            // of answers after a lost call, and it is the network
+constexpr double kMostRate = 1e6;          // calls a second: a listed rate above it is not meant
+constexpr double kLeastLeased = 0.05;      // calls a second: a share below it is one call in 20 s
+constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
+constexpr double kTollWeight = 10;         // of a route's toll, in points, against its latency
 
 Duration FromSeconds(double s) { return duration_cast<Duration>(Seconds(s)); }
 
@@ -371,7 +373,9 @@
   void Paced(Endpoint& e) {
     Lane& lane = LaneOf(e);
     double gap = lane.rate > 0 ? 1 / lane.rate : 0;
-    if (lane.reported) gap = std::max(gap, 1 / lane.limit);
+    const double own = lane.reported ? lane.limit : 0;
+    const double most = lane.share ? std::max(*lane.share, kLeastLeased) : own;
+    if (most > 0) gap = std::max(gap, 1 / most);
     lane.next_call = std::max(lane.next_call, now_) + FromSeconds(gap);
     if (e.health != Health::kClosed) lane.next_trial = now_ + Spread(TrialGap(e));
   }
@@ -471,9 +475,7 @@
     // A wait binds whichever message of a batch was told of it, however long it is.
     lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
     if (e.retry_after > longest_deadline_) {
-      actions_.push_back(Log{"endpoint " + std::to_string(endpoint.entry.endpoint) +
-                             " told a wait of " + std::to_string(ToSeconds(e.retry_after)) +
-                             " s, past every deadline"});
+      actions_.push_back(LongWaitText(endpoint.entry, e.retry_after));
     }
     Heard(lane, e.report);
     if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
@@ -604,10 +606,7 @@
     e.shut = false;
     e.since = now_;
     lane.next_trial = std::max(lane.next_trial, now_ + Spread(TrialGap(e)));
-    static constexpr const char* kNames[] = {"closed", "open", "recovering"};
-    actions_.push_back(Log{"breaker " + std::string(kNames[static_cast<int>(health)]) +
-                           " destination " + std::to_string(e.entry.destination) + " endpoint " +
-                           std::to_string(e.entry.endpoint)});
+    actions_.push_back(TurnedText(health, e.entry));
   }
 
   // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
@@ -622,6 +621,39 @@
     return FromSeconds(1 / std::max(rate, kLeastTrials));
   }
 
+  // ======== what other dispatchers know ========
+
+  void On(const ShareLeased& e) {
+    const auto it = endpoints_.find(e.endpoint);
+    if (it != endpoints_.end()) LaneOf(it->second).share = e.rate;
+  }
+
+  // One witness is checked by a single call, two bind as our own calls would. Guards against one
+  // that is wrong or lies: it costs a round trip, whatever it claims.
+  void On(const PeerWord& w) {
+    const auto it = endpoints_.find(w.endpoint);
+    if (it == endpoints_.end() || it->second.last_answer > now_ - w.age) return;  // ours is newer
+    Endpoint& e = it->second;
+    Lane& lane = LaneOf(e);
+    const bool sure = w.witnesses >= kSureWitnesses;
+    if (w.word == Word::kTried) {
+      lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.rest, kLimitSpan));
+    } else if (w.word == Word::kServes) {
+      if (e.health != Health::kOpen) return;
+      if (sure) Turn(e, Health::kRecovering);
+      lane.next_trial = std::min(lane.next_trial, now_ + Spread(kFullPause));
+    } else if (!sure) {
+      if (e.fails_in_row > 0) return;
+      e.fails_in_row = 1;
+      e.first_fail = now_;
+    } else if (w.word == Word::kWait) {
+      lane.wait_until = std::max(lane.wait_until, now_ + std::min(w.rest, longest_deadline_));
+    } else if (e.health == Health::kClosed) {
+      Turn(e, w.word == Word::kDown ? Health::kOpen : Health::kRecovering);
+      if (w.word == Word::kCold) e.since = now_ - std::min(w.age, now_);
+    }
+  }
+
   // ======== picker: which held message gets the next slot ========
 
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
@@ -913,8 +945,7 @@
   // A listed rate that cannot be meant counts as untold. Guards against a gate that lets all in.
   double Listed(const EndpointEntry& entry) {
     if (entry.weight >= 0 && entry.weight <= kMostRate) return entry.weight;
-    actions_.push_back(Log{"endpoint " + std::to_string(entry.endpoint) + " listed at a rate of " +
-                           std::to_string(entry.weight) + " a second, taken for untold"});
+    actions_.push_back(OddRateText(entry));
     return 0;
   }
 
--- a/src/choice_state.hpp
+++ b/src/choice_state.hpp
@@ -101,6 +101,7 @@
   int full_row = 0;
   Time first_full{};
   Time last_full{};
+  std::optional<double> share;  // of a limit that all dispatchers keep together, calls a second
   Meter accepted;
 };
 
@@ -163,6 +164,24 @@
   bool judged = false;            // one fate: the first outcome speaks for all
 };
 
+// ---- texts of the log ----
+
+inline Log TurnedText(Health health, const EndpointEntry& e) {
+  static constexpr const char* kNames[] = {"closed", "open", "recovering"};
+  return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
+          std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
+}
+
+inline Log LongWaitText(const EndpointEntry& e, Duration wait) {
+  return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
+          std::to_string(ToSeconds(wait)) + " s, past every deadline"};
+}
+
+inline Log OddRateText(const EndpointEntry& e) {
+  return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
+          std::to_string(e.weight) + " a second, taken for untold"};
+}
+
 }  // namespace rushfall
 
 #endif  // RUSHFALL_CHOICE_STATE_HPP_
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -52,16 +52,6 @@
   return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
-Answer Deferred(rushfall::Duration come_back) {
-  Answer answer;
-  if (come_back > rushfall::Duration{}) answer.come_back = InMs(come_back);
-  return answer;
-}
-
-Answer Bad(std::string fault) {
-  return {.verdict = Answer::Verdict::kBad, .come_back = {}, .fault = std::move(fault)};
-}
-
 }  // namespace
 
 std::size_t Engine::MostNextHopConnections(const Config& config) {
@@ -109,9 +99,9 @@
 Answer Engine::HandIn(Envelope envelope) {
   Arrival arrival;
   std::string fault = Reject(envelope, arrival.the_class, arrival.tenant);
-  if (!fault.empty()) return Bad(std::move(fault));
+  if (!fault.empty()) return Answer::Bad(std::move(fault));
   if (!IsListed(envelope.destination)) {
-    Answer unlisted = Deferred(rushfall::kRetryWhenFull);
+    Answer unlisted = Answer::Deferred(rushfall::kRetryWhenFull);
     unlisted.unlisted = true;
     return unlisted;
   }
@@ -247,7 +237,7 @@
     observe::LogSeldom(Concern::kSpool, Level::kWarning, "spool full: envelope deferred");
     events_.emplace_back(rushfall::MessageWithdrawn{message});
     Erase(message);
-    arrival.answer.set_value(Deferred(rushfall::kRetryWhenFull));
+    arrival.answer.set_value(Answer::Deferred(rushfall::kRetryWhenFull));
   }
   arrivals_.clear();
 }
@@ -291,12 +281,12 @@
 void Engine::On(Arrival arrival) {
   const Envelope& envelope = arrival.envelope;
   stages_.put.Add(Now() - arrival.handed_in);
-  if (numbers_.count(envelope.id) != 0) return Refused(arrival, Bad("the id is taken"));
+  if (numbers_.count(envelope.id) != 0) return Refused(arrival, Answer::Bad("the id is taken"));
   rushfall::MessageArrived e;
   e.message_class = arrival.the_class;
   e.tenant = arrival.tenant;
   if (!HasRoomFor(envelope)) {
-    return Refused(arrival, Deferred(rushfall::kRetryWhenFull));
+    return Refused(arrival, Answer::Deferred(rushfall::kRetryWhenFull));
   }
   e.message = next_message_++;
   e.destination = envelope.destination;
@@ -359,6 +349,27 @@
 
 void Engine::On(const ThenNow& e) { e.what(); }
 
+void Engine::On(PeerNews e) {
+  const auto it = hop_numbers_.find(e.endpoint);
+  if (it == hop_numbers_.end()) return;
+  const auto tell = [&](auto& event) {
+    event.endpoint = it->second;
+    events_.emplace_back(event);
+  };
+  std::visit(tell, e.what);
+}
+
+CallPlace Engine::PlaceOfCall(const Hop& hop) const {
+  const auto& kinds = config_.decisions.kinds;
+  return {hop.name, hop.entry.destination,
+          hop.entry.kind < kinds.size() && kinds[hop.entry.kind].separate_routes};
+}
+
+std::function<bool()> Engine::PermitOf(const Hop& hop) const {
+  if (door_ == nullptr) return nullptr;
+  return [door = door_, place = PlaceOfCall(hop)] { return door->MayBegin(place); };
+}
+
 void Engine::On(const MoveNow& e) {
   watch_.MoveTo(e.discovery);
   notices_.MoveTo(e.discovery);
@@ -434,14 +445,7 @@
   const Time now = Now();
   for (const Member& member : list.members) {
     const rushfall::EndpointId number = HopNumber(member.id);
-    if (hops_.count(number) == 0) {  // the module's lines name its numbers
-      observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
-                   {{"id", member.id},
-                    {"endpoint", number},
-                    {"destination", member.destination},
-                    {"address", member.address},
-                    {"weight", std::to_string(member.weight)}});
-    }
+    if (hops_.count(number) == 0) LogListed(member, number);
     Hop& hop = hops_[number];
     hop.name = member.id;
     hop.address = member.address;
@@ -479,7 +483,7 @@
 
 void Engine::Do(const rushfall::Refuse& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    Refused(it->second, Deferred(e.retry_after));
+    Refused(it->second, Answer::Deferred(e.retry_after));
     arrivals_.erase(it);
     return Erase(e.message);
   }
@@ -488,7 +492,7 @@
 
 void Engine::Do(const rushfall::Surrender& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    Refused(it->second, Bad("cannot be delivered"));
+    Refused(it->second, Answer::Bad("cannot be delivered"));
     arrivals_.erase(it);
     return Erase(e.message);
   }
@@ -628,7 +632,7 @@
   out.started = now;
   stages_.start.Add(now - out.asked);
   out.delivery = std::make_shared<Delivery>(number, out.hop, hop.address, std::move(request),
-                                            Point(out.start_by));
+                                            Point(out.start_by), PermitOf(hop));
   deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
   if (!parts.empty()) ++slots_taken_;
   next_hops_.Start(out.delivery);
@@ -644,15 +648,12 @@
   const Time now = Now();
   const Duration wait = WaitOf(e);
   const rushfall::LoadReport report = ReportOf(e);
-  if (observe::Logs(Concern::kEngine, Level::kDebug)) {
-    observe::Log(Concern::kEngine, Level::kDebug, "call ended",
-                 {{"endpoint", out.hop},
-                  {"parts", out.parts.size()},
-                  {"fate", static_cast<int>(e.fate)},
-                  {"status", e.status},
-                  {"wait", e.wait_ms},
-                  {"took", duration_cast<milliseconds>(now - out.started).count()},
-                  {"load", e.load}});
+  LogCallEnd(e, out.hop, out.parts.size(), duration_cast<milliseconds>(now - out.started));
+  if (door_ != nullptr) {
+    const bool probe = out.parts.empty();
+    door_->Ended({PlaceOfCall(hops_.at(out.hop)),
+                  probe ? OutcomeOfProbe(e) : EndOfSingle(e).outcome, probe, Point(out.started),
+                  WaitOf(e), report});
   }
   if (out.parts.empty()) {
     events_.emplace_back(
@@ -669,11 +670,10 @@
   }
   if (wait <= Duration{}) return;
   // Told to wait: what is not being written yet is not sent to that destination.
-  const rushfall::EndpointEntry& told = hops_.at(out.hop).entry;
-  const auto& kinds = config_.decisions.kinds;
-  const bool apart = told.kind < kinds.size() && kinds[told.kind].separate_routes;
+  const CallPlace told = PlaceOfCall(hops_.at(out.hop));
   Recall([&](const Out& other) {
-    return apart ? other.hop == out.hop : hops_.at(other.hop).entry.destination == told.destination;
+    return told.apart ? other.hop == out.hop
+                      : hops_.at(other.hop).entry.destination == told.destination;
   });
 }
 
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -24,6 +24,7 @@
 #include "forwarder/intake.hpp"
 #include "forwarder/lives.hpp"
 #include "forwarder/mailbox.hpp"
+#include "forwarder/peer_door.hpp"
 #include "forwarder/stages.hpp"
 #include "forwarder/translate.hpp"
 #include "net/next_hops.hpp"
@@ -45,6 +46,8 @@
   Engine(const Config& config, Spool& spool, BufferPool& buffers, Watch::OnList divert = nullptr);
   ~Engine() override;
 
+  // Before Restore: it hears of every call from now on, and outlives the engine.
+  void Attach(PeerDoor& door) { door_ = &door; }
   // Takes up what an earlier process owed, with the endpoints that there are. Clients may come once
   // it has returned.
   void Restore(const MemberList& known);
@@ -60,6 +63,7 @@
   void Lost(std::uint64_t message) override;
   void Leave();
   void Listed(MemberList list) { inbox_.Put(std::move(list)); }
+  void Tell(PeerNews news) { inbox_.Put(std::move(news)); }
   // Does it on the engine's thread, once all that was put before has been taken up.
   void Then(std::function<void()> what);
   // Messages that are taken on and not ended, as of the last turn.
@@ -95,7 +99,7 @@
     std::function<void()> what;
   };
   using Item = std::variant<Arrival, HeardNow, LostNow, DeliveryEnd, MemberList, NoticeHeard,
-                            LeaveNow, MoveNow, ThenNow>;
+                            LeaveNow, MoveNow, ThenNow, PeerNews>;
 
   struct Held {
     std::string id{};
@@ -144,6 +148,7 @@
   void On(const LeaveNow&);
   void On(const MoveNow& e);
   void On(const ThenNow& e);
+  void On(PeerNews e);
   void On(const Deadline& e);
 
   void Turn(Time now);
@@ -180,8 +185,12 @@
   template <typename Bound>
   void Recall(Bound bound);
 
+  CallPlace PlaceOfCall(const Hop& hop) const;
+  std::function<bool()> PermitOf(const Hop& hop) const;
+
   const Config& config_;
   Spool& spool_;
+  PeerDoor* door_ = nullptr;
   Mailbox<Item> inbox_;
   rushfall::Choice choice_;
   std::vector<rushfall::Event> events_;  // for the next turn
--- a/src/forwarder/intake.hpp
+++ b/src/forwarder/intake.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "protocol/envelope.hpp"
 
@@ -20,6 +21,18 @@
   // With kTaken: what Heard and Lost name. Not the client's id, which is the client's to choose and
   // may be that of another client's message.
   std::uint64_t message = 0;
+
+  // 0: it is not said when to come back.
+  static Answer Deferred(std::chrono::nanoseconds come_back) {
+    Answer answer;
+    if (come_back.count() > 0) {
+      answer.come_back = std::chrono::ceil<std::chrono::milliseconds>(come_back);
+    }
+    return answer;
+  }
+  static Answer Bad(std::string its_fault) {
+    return {.verdict = Verdict::kBad, .come_back = {}, .fault = std::move(its_fault)};
+  }
 };
 
 class Intake {
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 
+#include "observe/log.hpp"
 #include "protocol/base64.hpp"
 #include "protocol/http.hpp"
 #include "protocol/json.hpp"
@@ -13,6 +14,8 @@
 
 using rushfall::Outcome;
 using Fate = DeliveryEnd::Fate;
+using observe::Concern;
+using observe::Level;
 
 // A report beyond these cannot be meant. A share may be a little over 1, for reports are noisy.
 constexpr double kMostShare = 2;
@@ -165,4 +168,26 @@
   return HttpPost("/events/bundle", address, TimeLeft(left), body + "]");
 }
 
+void LogListed(const Member& member, rushfall::EndpointId number) {
+  observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
+               {{"id", member.id},
+                {"endpoint", number},
+                {"destination", member.destination},
+                {"address", member.address},
+                {"weight", std::to_string(member.weight)}});
+}
+
+void LogCallEnd(const DeliveryEnd& end, rushfall::EndpointId number, std::size_t parts,
+                std::chrono::milliseconds took) {
+  if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
+  observe::Log(Concern::kEngine, Level::kDebug, "call ended",
+               {{"endpoint", number},
+                {"parts", parts},
+                {"fate", static_cast<int>(end.fate)},
+                {"status", end.status},
+                {"wait", end.wait_ms},
+                {"took", took.count()},
+                {"load", end.load}});
+}
+
 }  // namespace brassfront
--- a/src/forwarder/translate.hpp
+++ b/src/forwarder/translate.hpp
@@ -44,6 +44,11 @@
 std::string BundleCall(const std::string& address, std::span<const Part> parts,
                        std::chrono::milliseconds left);
 
+// Lines of the log: the module's own lines name endpoints by these numbers.
+void LogListed(const Member& member, rushfall::EndpointId number);
+void LogCallEnd(const DeliveryEnd& end, rushfall::EndpointId number, std::size_t parts,
+                std::chrono::milliseconds took);
+
 }  // namespace brassfront
 
 #endif  // BRASSFRONT_FORWARDER_TRANSLATE_HPP_
--- a/src/net/delivery.hpp
+++ b/src/net/delivery.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -17,13 +18,15 @@
  public:
   enum class Stop { kNone, kRecalled, kCancelled, kTimedOut };
 
+  // `permit` is asked last of all before the first byte; none: nobody has to be asked.
   Delivery(std::uint64_t its_number, std::uint64_t its_hop, std::string to, std::string bytes,
-           SteadyTime latest)
+           SteadyTime latest, std::function<bool()> permit = nullptr)
       : number(its_number),
         hop(its_hop),
         address(std::move(to)),
         request(std::move(bytes)),
-        start_by(latest) {}
+        start_by(latest),
+        permit_(std::move(permit)) {}
 
   const std::uint64_t number;
   const std::uint64_t hop;  // of the next hop; another one may take over the address
@@ -62,6 +65,7 @@
   bool BeginWrite() {
     const std::lock_guard lock(mutex_);
     if (stop_ != Stop::kNone || std::chrono::steady_clock::now() > start_by) return false;
+    if (permit_ && !permit_()) return false;
     begun_ = true;
     return true;
   }
@@ -76,6 +80,7 @@
   }
 
  private:
+  const std::function<bool()> permit_;
   mutable std::mutex mutex_;
   int fd_ = -1;
   bool begun_ = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -1016,5 +1016,97 @@
   EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
 }
 
+// ---- what other dispatchers know ----
+
+// Calls to endpoint 1 from `from` to `to`, a message each tenth of a second, all delivered.
+int CallsWhileAllIsWell(Bench& b, Time from, Time to, MessageId& next) {
+  return CallsWhileAllEnd(b, Outcome::kDelivered, from, to, next);
+}
+
+TEST(PeerWords, ALeasedShareIsThePaceAndEndsWithTheSharing) {
+  Bench b;
+  MessageId next = 1;
+  b.At(900ms, {One(), ShareLeased{1, 2.0}});
+  const int leased = CallsWhileAllIsWell(b, 1s, 5s, next);
+  EXPECT_GE(leased, 7);
+  EXPECT_LE(leased, 9);
+  Bench over;
+  next = 1;
+  over.At(900ms, {One(), ShareLeased{1, 2.0}, ShareLeased{1, std::nullopt}});
+  EXPECT_GE(CallsWhileAllIsWell(over, 1s, 5s, next), 40);
+}
+
+TEST(PeerWords, OneWitnessOfAnOutageCostsOneCallAtATimeAndTwoBind) {
+  Bench b;
+  b.At(1s, {One(), PeerWord{.endpoint = 1, .word = Word::kDown}, Arrive(1), Arrive(2)});
+  ASSERT_EQ(b.Got<Send>().size(), 1u);  // the cheap check
+  b.At(1100ms, {b.End(b.Got<Send>()[0].message, Outcome::kDelivered), Arrive(3), Arrive(4)});
+  EXPECT_EQ(b.Got<Send>().size(), 3u);  // it was wrong
+
+  Bench sure;
+  MessageId next = 1;
+  sure.At(1s, {One(), PeerWord{.endpoint = 1, .word = Word::kDown, .witnesses = 2}});
+  const auto fail = [&](Time, const Send& s) { return sure.End(s.message, Outcome::kError); };
+  int calls = 0;
+  Drive(
+      sure, 1s, 6s, [&] { return Arrive(next++); },
+      [&](Time t, const Send& s) { return ++calls, fail(t, s); });
+  EXPECT_LE(calls, 15);
+}
+
+TEST(PeerWords, OurOwnLaterAnswerCountsForMore) {
+  Bench b;
+  b.At(1s, {One(), Arrive(1)});
+  b.At(1100ms, {b.End(1, Outcome::kDelivered)});
+  b.At(1200ms, {PeerWord{.endpoint = 1, .word = Word::kDown, .age = 500ms, .witnesses = 9},
+                Arrive(2), Arrive(3)});
+  EXPECT_EQ(b.Got<Send>().size(), 2u);
+}
+
+TEST(PeerWords, AToldWaitBindsByTwoAndIsNeverLongerThanAnyDeadline) {
+  const auto sent = [](std::size_t witnesses, Time at) {
+    Bench b;
+    b.At(1s,
+         {One(), PeerWord{.endpoint = 1, .word = Word::kWait, .rest = 1h, .witnesses = witnesses}});
+    b.At(at, {Arrive(1)});
+    return b.Got<Send>().size();
+  };
+  EXPECT_EQ(sent(1, 2s), 1u);
+  EXPECT_EQ(sent(2, 2s), 0u);
+  EXPECT_EQ(sent(2, 22s), 1u);  // the longest deadline is 20 s
+}
+
+TEST(PeerWords, AnEndpointThatIsBackIsColdAndAnotherOnesTrialIsWaitedFor) {
+  Bench warm, cold;
+  MessageId next = 1;
+  warm.At(900ms, {One()});
+  const int usual = CallsWhileAllIsWell(warm, 1s, 4s, next);
+  cold.At(900ms, {One(), PeerWord{.endpoint = 1, .word = Word::kCold, .witnesses = 9}});
+  EXPECT_LT(CallsWhileAllIsWell(cold, 1s, 4s, next), usual / 2);
+
+  Bench waits;
+  next = 1;
+  waits.At(900ms, {One()});
+  CallsWhileAllEnd(waits, Outcome::kConnectFailed, 1s, 5s, next);
+  waits.At(5s, {PeerWord{.endpoint = 1, .word = Word::kTried, .rest = 1h}});
+  EXPECT_EQ(CallsWhileAllEnd(waits, Outcome::kConnectFailed, 5s, 6900ms, next), 0);
+  EXPECT_GT(CallsWhileAllEnd(waits, Outcome::kConnectFailed, 7s, 12s, next), 0);  // a bound
+}
+
+// Less careful: a word that it serves brings a trial forward, and two of them the slow start.
+TEST(PeerWords, ItServesIsBelievedOfTwo) {
+  const auto calls = [](std::size_t witnesses) {
+    Bench b;
+    MessageId next = 1;
+    b.At(900ms, {One()});
+    CallsWhileAllEnd(b, Outcome::kConnectFailed, 1s, 5s, next);
+    b.At(5s, {PeerWord{.endpoint = 1, .word = Word::kServes, .witnesses = witnesses}});
+    EXPECT_EQ(Logged(b, "recovering"), witnesses > 1);
+    return CallsWhileAllIsWell(b, 5s, 6s, next);
+  };
+  EXPECT_GT(calls(1), 0);
+  EXPECT_GT(calls(2), 0);
+}
+
 }  // namespace
 }  // namespace rushfall
