Lend floors that are not needed, ask for what waits, and know all limits from the start

A member lends what it does not need of its floor and leaves it alone for longer than any lease from it can last; the leader grants from it only while it can tell that the loan is young (it names the answer that it had). So floors may be large: 90 % of a limit by default, and a cut-off member keeps nearly its even share.

--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kMostPlaces = 64;               // endpoints of one limit
 // Of a share, what the module paces itself by: what is held back at the first byte costs an
 // attempt.
-constexpr double kPaceShare = 0.95;
+constexpr double kPaceShare = 0.98;
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -217,7 +217,7 @@
   verdicts: bool | *true
   term:     duration & >=200ms & <=1m | *1s       // of a lease
   drift:    number & >=0 & <=0.1 | *1%            // by which two members' clocks may run apart
-  floor:    number & >0 & <=0.9 | *40%            // of a limit, set aside in even parts
+  floor:    number & >0 & <=1 | *90%            // of a limit, set aside in even parts
   burst:    duration & >=1ms & <=1s | *100ms      // of a member's rate, what may come at once
   told:     bool | *true                          // limits that endpoints report hold as well
   kept:     duration & >=500ms & <=5m | *10s      // of a word on an endpoint
--- a/src/quota/grantor.cpp
+++ b/src/quota/grantor.cpp
@@ -5,11 +5,16 @@
 #include <vector>
 
 namespace brassfront::quota {
+namespace {
+
+constexpr std::size_t kAnswersKept = 8;  // of one holder's; it shows to have had one of the last
+
+}  // namespace
 
 void Grantor::Begin(Time now) {
   begun_ = now;
   limits_.clear();
-  numbers_.clear();
+  askers_.clear();
 }
 
 double Grantor::Outstanding(const std::string& key, Time now) const {
@@ -35,6 +40,12 @@
   return agreed > 0 ? std::min(agreed, heard) : heard;
 }
 
+double Grantor::Lent(const Limit& limit, Time now) const {
+  double sum = 0;
+  for (const auto& [who, loan] : limit.lent) sum += now < loan.until ? loan.amount : 0;
+  return sum;
+}
+
 // Max-min fair over what holders want above their floors: whoever wants little gets it whole, and
 // the rest share evenly.
 double Grantor::FairPart(const Limit& limit, const std::string& holder, double pool, double floor,
@@ -59,9 +70,16 @@
 std::optional<Grant> Grantor::Answer(const std::string& holder, const Request& request, Time now) {
   if (!begun_) return std::nullopt;
   // A late copy says nothing of what the holder keeps now.
-  std::uint64_t& last = numbers_[holder];
-  if (request.number <= last) return std::nullopt;
-  last = request.number;
+  Asker& asker = askers_[holder];
+  if (request.number <= asker.number) return std::nullopt;
+  asker.number = request.number;
+  // It was written after that answer: what it lends is as young at least.
+  std::optional<Time> younger_than;
+  for (const auto& [number, at] : asker.answered) {
+    if (number == request.had) younger_than = at;
+  }
+  asker.answered.emplace_back(request.number, now);
+  if (asker.answered.size() > kAnswersKept) asker.answered.pop_front();
   Grant grant;
   grant.number = request.number;
   grant.leases = grants(now);
@@ -73,16 +91,23 @@
     Part& part = grant.parts[key];
     part.limit = limit.limit = Agreed(key, limit, now);
     // What it says to keep holds until the end of its lease at most, whatever becomes of this.
+    limit.lent[holder] = {wish.lend, younger_than ? *younger_than + terms_.Lent() : Time{}};
     Lease& lease = limit.leases[holder];
     lease.amount = now < lease.ends ? std::min(lease.amount, wish.keep) : 0;
     if (!grant.leases || part.limit <= 0) continue;
-    const double pool = part.limit * (1 - terms_.floor);
+    const double pool = part.limit * (1 - terms_.floor) + Lent(limit, now);
     const double others = Outstanding(key, now) - lease.amount;
     const double fair = FairPart(limit, holder, pool, terms_.FloorOf(part.limit), now);
     part.lease = std::clamp(pool - others, 0.0, fair);
     lease.amount = std::max(lease.amount, part.lease);
     lease.ends = now + terms_.Stretched(terms_.term);
   }
+  // Limits that it does not use are told too: their floors are lent.
+  for (const auto& [key, limit] : limits_) {
+    if (limit.limit > 0 && grant.parts.size() < kMostKeys) {
+      grant.parts.try_emplace(key, Part{limit.limit, 0});
+    }
+  }
   return grant;
 }
 
--- a/src/quota/grantor.hpp
+++ b/src/quota/grantor.hpp
@@ -7,9 +7,11 @@
 #define BRASSFRONT_QUOTA_GRANTOR_HPP_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "quota/messages.hpp"
 #include "quota/terms.hpp"
@@ -37,7 +39,12 @@
     double rate = 0;
     Time at{};
   };
+  struct Loan {  // of a floor, by its member
+    double amount = 0;
+    Time until{};  // granted from no longer
+  };
   struct Limit {
+    std::map<std::string, Loan> lent;
     std::map<std::string, Lease> leases;   // by holder
     std::map<std::string, Claim> told;     // by who says so
     std::map<std::string, Claim> demands;  // by holder
@@ -50,13 +57,18 @@
 
  private:
   double Agreed(const std::string& key, Limit& limit, Time now) const;
+  double Lent(const Limit& limit, Time now) const;
   double FairPart(const Limit& limit, const std::string& holder, double pool, double floor,
                   Time now) const;
 
   Terms terms_;
   std::optional<Time> begun_;
   std::map<std::string, Limit> limits_;
-  std::map<std::string, std::uint64_t> numbers_;  // of each holder's last request
+  struct Asker {
+    std::uint64_t number = 0;                             // of its last request
+    std::deque<std::pair<std::uint64_t, Time>> answered;  // its last requests, and when
+  };
+  std::map<std::string, Asker> askers_;
 };
 
 }  // namespace brassfront::quota
--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -10,9 +10,17 @@
 constexpr double kTellChange = 0.1;    // of a rate
 constexpr double kHeadroom = 1.1;      // of the demand that is asked for, and a call in 2 s
 constexpr double kLeastHeadroom = 0.5;
+constexpr double kSaturated = 0.75;  // of the rate that may be used
+constexpr double kGrowth = 1.6;      // of what is used, asked for then
+constexpr double kMostLent = 0.9;    // of the floor: a first call may go at once
 
 }  // namespace
 
+// What is listed is there from the start, so that the floor of one that calls nowhere is lent.
+Holder::Holder(Terms terms) : terms_(std::move(terms)) {
+  for (const auto& [key, limit] : terms_.listed) shares_[key].limit = limit;
+}
+
 Holder::Share& Holder::Of(const std::string& key, Time now) {
   const auto [it, added] = shares_.try_emplace(key);
   if (added) {
@@ -40,22 +48,41 @@
   return share.demand * std::exp(-SecondsOf(now - share.demand_at) / kDemandMemory);
 }
 
+// What comes, with some headroom; or more than what is used, where all that may be used is: then
+// something waits. Guards against a backlog that is never asked for.
+double Holder::WantOf(const Share& share, Time now) const {
+  const double comes = DemandOf(share, now) * kHeadroom;
+  const double used = share.used * std::exp(-SecondsOf(now - share.used_at) / kDemandMemory);
+  const double rate = FloorOf(share, now) + LeaseOf(share, now);
+  return used < kSaturated * rate ? comes : std::max(comes, kGrowth * used);
+}
+
+// What comes to one that has lent its floor, or has too small a lease, is asked for soon.
 void Holder::Wanted(const std::string& key, Time now) {
   Share& share = Of(key, now);
   share.demand = DemandOf(share, now) + 1 / kDemandMemory;
   share.demand_at = now;
+  if (FloorOf(share, now) + LeaseOf(share, now) < share.demand) {
+    next_ = std::min(next_, asked_ + terms_.Renew() / 4);
+  }
+}
+
+double Holder::FloorOf(const Share& share, Time now) const {
+  double lent = 0;
+  for (const auto& [amount, until] : share.lent) lent = std::max(lent, now < until ? amount : 0);
+  return std::max(0.0, terms_.FloorOf(LimitOf(share)) - lent);
 }
 
 std::optional<double> Holder::RateOf(const std::string& key, Time now) const {
   const auto it = shares_.find(key);
   if (it == shares_.end() || LimitOf(it->second) <= 0) return std::nullopt;
-  return terms_.FloorOf(LimitOf(it->second)) + LeaseOf(it->second, now);
+  return FloorOf(it->second, now) + LeaseOf(it->second, now);
 }
 
 // The lease counts until its end and no longer, however late this is asked. Guards against one that
 // was stopped past its lease and wakes up with calls ready.
 void Holder::Refill(Share& share, Time now) const {
-  const double floor = terms_.FloorOf(LimitOf(share));
+  const double floor = FloorOf(share, share.tokens_at);  // what was lent then may be back since
   const Time leased = std::max(Time{}, std::min(now, share.ends) - share.tokens_at);
   const double lease = share.limit > 0 ? share.lease * LimitOf(share) / share.limit : 0;
   share.tokens += floor * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
@@ -74,6 +101,9 @@
     share.tokens -= 1;
   }
   ++share.begun;
+  share.used *= std::exp(-SecondsOf(now - share.used_at) / kDemandMemory);
+  share.used += 1 / kDemandMemory;
+  share.used_at = now;
   return true;
 }
 
@@ -89,17 +119,24 @@
   if (shares_.empty()) return std::nullopt;
   Request request;
   request.number = ++number_;
+  request.had = had_;
   asked_ = now;
   for (auto& [key, share] : shares_) {
     if (request.wishes.size() >= kMostKeys) break;
     Wish& wish = request.wishes[key];
-    wish.demand = DemandOf(share, now) * kHeadroom + kLeastHeadroom;
+    const double floor = terms_.FloorOf(LimitOf(share));
+    const double comes = WantOf(share, now);
+    wish.demand = comes + std::min(kLeastHeadroom, floor);
     wish.told = terms_.told ? share.told : 0;
     // What is not needed is given back: from now on no more is used than is said here.
     Refill(share, now);
     if (now >= share.ends) share.lease = 0;
     share.lease = std::min(share.lease, wish.demand);
     wish.keep = share.lease;
+    wish.lend = std::max(0.0, std::min(floor - comes, kMostLent * floor));
+    std::erase_if(share.lent, [&](const auto& lent) { return now >= lent.second; });
+    // Whether it is ever granted or not, it is left alone.
+    if (wish.lend > 0) share.lent.emplace_back(wish.lend, now + terms_.LeftAlone());
   }
   return request;
 }
@@ -107,10 +144,9 @@
 // The answer to an older request says nothing of what we said to keep since.
 void Holder::Take(const Grant& grant, Time now) {
   if (grant.number != number_) return;
+  had_ = grant.number;
   for (const auto& [key, part] : grant.parts) {
-    const auto it = shares_.find(key);
-    if (it == shares_.end()) continue;
-    Share& share = it->second;
+    Share& share = Of(key, now);
     Refill(share, now);
     if (!grant.leases && now < share.ends) continue;  // what we have runs on by its own limit
     share.limit = part.limit;
--- a/src/quota/holder.hpp
+++ b/src/quota/holder.hpp
@@ -19,7 +19,7 @@
 
 class Holder {
  public:
-  explicit Holder(Terms terms) : terms_(std::move(terms)) {}
+  explicit Holder(Terms terms);
 
   // Something came that will want a call.
   void Wanted(const std::string& key, Time now);
@@ -48,6 +48,10 @@
     Time ends{};        // of the lease
     double demand = 0;  // calls a second, of the last seconds
     Time demand_at{};
+    double used = 0;  // calls a second that were begun, likewise
+    Time used_at{};
+    // Of the floor, what was lent and is left alone until then.
+    std::vector<std::pair<double, Time>> lent;
     double tokens = 0;
     Time tokens_at{};
     std::optional<double> last;  // as Changes told it
@@ -59,12 +63,15 @@
   Share& Of(const std::string& key, Time now);
   double LimitOf(const Share& share) const;
   double LeaseOf(const Share& share, Time now) const;
+  double WantOf(const Share& share, Time now) const;
   double DemandOf(const Share& share, Time now) const;
+  double FloorOf(const Share& share, Time now) const;
   void Refill(Share& share, Time now) const;
 
   Terms terms_;
   std::map<std::string, Share> shares_;
   std::uint64_t number_ = 0;  // of the last request
+  std::uint64_t had_ = 0;     // of the last one that was answered
   Time asked_{};              // when that was
   Time next_{};
 };
--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -25,9 +25,9 @@
 
 std::string Request::Encode() const {
   Writer out;
-  out.U64(number).U16(wishes.size());
+  out.U64(number).U64(had).U16(wishes.size());
   for (const auto& [key, w] : wishes) {
-    out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.told));
+    out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.told)).U32(Milli(w.lend));
   }
   return out.Take();
 }
@@ -36,12 +36,14 @@
   Reader in(bytes);
   Request request;
   request.number = in.U64();
+  request.had = in.U64();
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
     Wish& w = request.wishes[in.Name()];
     w.demand = FromMilli(in.U32());
     w.keep = FromMilli(in.U32());
     w.told = FromMilli(in.U32());
+    w.lend = FromMilli(in.U32());
   }
   if (!in.done() || count > kMostKeys) return std::nullopt;
   return request;
--- a/src/quota/messages.hpp
+++ b/src/quota/messages.hpp
@@ -17,9 +17,11 @@
   double demand = 0;  // what comes to the holder for it
   double keep = 0;    // of its lease: it uses no more than this until the answer
   double told = 0;    // the limit that its own calls were told; 0: none
+  double lend = 0;    // of its floor: it leaves that alone for Terms::LeftAlone
 };
 struct Request {
   std::uint64_t number = 0;  // the holder takes the answer to its last one alone
+  std::uint64_t had = 0;  // the last one whose answer it had: so this is younger than that answer
   std::map<std::string, Wish> wishes;
 
   std::string Encode() const;
--- a/src/quota/terms.hpp
+++ b/src/quota/terms.hpp
@@ -32,6 +32,11 @@
   // member's clock, and the one before, which leads for two elections without a majority at most,
   // grants no more.
   Time Quiet() const { return Stretched(term + 2 * election); }
+  // What a member has lent of its floor may be granted for so long after the answer that it shows
+  // to have had, and the member leaves it alone for so long after each time that it says so: until
+  // all leases from it have surely ended.
+  Time Lent() const { return Shortened(term); }
+  Time LeftAlone() const { return Stretched(Stretched(2 * term)); }
   // As long as any clock may take for it.
   Time Stretched(Time time) const { return FromSeconds(SecondsOf(time) * (1 + drift)); }
   // Ended on its own clock after so long, a time has ended on no other clock before.
