--- a/src/rehearsal/campaign.cpp
+++ b/src/rehearsal/campaign.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <filesystem>
@@ -267,6 +268,27 @@
         }
     }
   }
+  // What strikes partners, where limits and endpoints are shared; drawn last, so that schedules of
+  // other bases stay what they were.
+  const auto strike = [&](const std::string& what) {
+    const double at = draw.Between(kFirstFault, end);
+    const double lasts = std::max(0.3, std::min(draw.Between(0.5, 8), end - at + 0.5));
+    add(at, "for: " + Ms(lasts) + ", " + what);
+  };
+  for (const Partner& p : base.partners) {
+    if (base.fleet.limits && p.limit && draw.Below(2) == 0) {
+      strike("do: \"limit\", partner: \"" + p.name + "\", factor: 0." +
+             std::to_string(2 + draw.Below(7)));
+    }
+    if (base.fleet.verdicts && draw.Below(2) == 0) {
+      constexpr std::array<const char*, 3> kOutages = {"silent", "reset", "shut"};
+      strike("do: \"" + std::string(kOutages[draw.Below(3)]) + "\", partner: \"" + p.name +
+             "\", endpoint: 0");
+    }
+  }
+  if ((base.fleet.limits || base.fleet.verdicts) && draw.Below(4) == 0) {
+    strike("do: \"wrong-peer\"");
+  }
   std::sort(acts.begin(), acts.end());
   std::vector<std::string> lines;
   for (auto& [at, line] : acts) lines.push_back(std::move(line));
--- a/tests/rehearsal/auditor_test.cpp
+++ b/tests/rehearsal/auditor_test.cpp
@@ -254,6 +254,12 @@
   s.Notice(seconds(2), put);
   s.Answer(seconds(3), s.Call(seconds(3), put), put, 503);
   CHECK(s.Broken(Rule::kAfterEnd) == 1);
+  Story close;  // both were on their way
+  const PutId other = close.Taken(seconds(1), 0);
+  close.Notice(seconds(2), other);
+  const Time same = seconds(2) + Auditor::kSlack / 2;
+  close.Answer(same, close.Call(same, other), other, 503);
+  CHECK(close.Broken(Rule::kAfterEnd) == 0);
 }
 
 TEST_CASE("removals: how long each is called, and what a zone told outlasts a restart") {
