Notice a stop before any request is answered, and take grants only from whom we asked

Found on rereading: a leader that was stopped looked at the gap only after it had read what came meanwhile, so its first answers could be leases beside those of the leader after it; and any member's frame could pass for a grant. The gap is looked at before anything is read (Sharing::Tick). Tests: tests/fleet/sharing_test.cpp.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -163,6 +163,7 @@
     const Time now = Now();
     detector_.Tick(now);
     TickCouncil(now);
+    if (sharing_) sharing_->Tick(council_ && council_->leads(), now);
     if (ready[0].revents != 0) ReadDatagrams(now);
     if (ready[1].revents != 0) TakeItems();
     if (council_) Know(settled_);
@@ -498,7 +499,7 @@
       present.push_back(name);
     }
   }
-  sharing_->Turn(council_ && council_->leads(), Leader(), std::move(present), now);
+  sharing_->Turn(Leader(), std::move(present), now);
   for (Sharing::Out& out : sharing_->TakeFrames()) Send(out.kind, out.to, std::move(out.body));
   for (PeerNews& news : sharing_->TakeNews()) doors_.tell(std::move(news));
 }
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -164,24 +164,29 @@
   } else if (!settings_.limits) {
     return;
   } else if (frame.kind == peers::Kind::kGrant) {
-    if (const auto grant = quota::Grant::Decode(frame.body)) holder_.Take(*grant, now);
+    const auto grant = quota::Grant::Decode(frame.body);
+    if (grant && frame.from == asked_) holder_.Take(*grant, now);
   } else if (const auto request = quota::Request::Decode(frame.body); request && leads_) {
     Answer(frame.from, *request, now);
   }
 }
 
-void Sharing::Turn(bool leads, const std::string& leader, std::vector<std::string> present,
-                   Time now) {
+// One that was stopped for as long as an election takes may lead no longer without knowing it.
+void Sharing::Tick(bool leads, Time now) {
   const std::lock_guard lock(mutex_);
-  // One that was stopped for as long as an election takes may lead no longer without knowing it.
   const bool stopped = now - std::exchange(last_turn_, now) > election_;
   if (leads && (!leads_ || stopped)) grantor_.Begin(now);
   if (!leads && leads_) grantor_.End();
   leads_ = leads;
+}
+
+void Sharing::Turn(const std::string& leader, std::vector<std::string> present, Time now) {
+  const std::lock_guard lock(mutex_);
   table_.SetPresent(std::move(present));
-  if (settings_.limits && (leads || !leader.empty())) {
+  if (settings_.limits && (leads_ || !leader.empty())) {
     if (const auto request = holder_.Ask(now)) {
-      if (leads) {
+      asked_ = leads_ ? self_ : leader;
+      if (leads_) {
         Answer(self_, *request, now);
       } else {
         out_.push_back({peers::Kind::kWant, leader, request->Encode()});
--- a/src/fleet/sharing.hpp
+++ b/src/fleet/sharing.hpp
@@ -43,9 +43,12 @@
   void Listed(const MemberList& list);
 
   // ---- for the fleet's thread ----
+  // Before anything is read: `leads`, of the settled log. One that was stopped while it led grants
+  // nothing for a while, not even to what has come meanwhile.
+  void Tick(bool leads, Time now);
   void Take(const peers::Frame& frame, Time now);
-  // The cores' turn: `leads`, of the settled log; `present`, members that are heard, and ourselves.
-  void Turn(bool leads, const std::string& leader, std::vector<std::string> present, Time now);
+  // The cores' turn; `present`: members that are heard, and ourselves.
+  void Turn(const std::string& leader, std::vector<std::string> present, Time now);
   Time Next() const;
   void SetRoster(const peers::Roster& roster, Time now);
   std::vector<Out> TakeFrames() { return std::exchange(out_, {}); }
@@ -67,6 +70,7 @@
   // The fleet's thread's own.
   Time election_{};
   bool leads_ = false;
+  std::string asked_;  // whom, for limits; nobody else's grant is taken
   Time last_turn_{}, next_tick_{};
   std::vector<Out> out_;
 };
