--- a/src/quota/holder.cpp
+++ b/src/quota/holder.cpp
@@ -17,6 +17,11 @@
 constexpr double kGrowth = 1.6;      // of what is used, asked for then
 constexpr double kMostLent = 0.9;    // of the floor: a first call may go at once
 
+// A rate that was counted up to `at`, forgotten exponentially since.
+double Faded(double rate, Time at, Time now) {
+  return rate * std::exp(-SecondsOf(now - at) / kDemandMemory);
+}
+
 }  // namespace
 
 // What is listed is there from the start, so that the floor of one that calls nowhere is lent.
@@ -49,14 +54,14 @@
 }
 
 double Holder::DemandOf(const Share& share, Time now) const {
-  return share.demand * std::exp(-SecondsOf(now - share.demand_at) / kDemandMemory);
+  return Faded(share.demand, share.demand_at, now);
 }
 
 // What comes, with some headroom; or more than what is used, where all that may be used is: then
 // something waits. Guards against a backlog that is never asked for.
 double Holder::WantOf(const Share& share, Time now) const {
   const double comes = DemandOf(share, now) * kHeadroom;
-  const double used = share.used * std::exp(-SecondsOf(now - share.used_at) / kDemandMemory);
+  const double used = Faded(share.used, share.used_at, now);
   const double rate = FloorOf(share, now) + LeaseOf(share, now);
   return used < kSaturated * rate ? comes : std::max(comes, kGrowth * used);
 }
@@ -105,8 +110,7 @@
     share.tokens -= 1;
   }
   ++share.begun;
-  share.used *= std::exp(-SecondsOf(now - share.used_at) / kDemandMemory);
-  share.used += 1 / kDemandMemory;
+  share.used = Faded(share.used, share.used_at, now) + 1 / kDemandMemory;
   share.used_at = now;
   return true;
 }
