End a shared call with the first of its messages, and let brief ones go apart

Some partners hold the time of the first message of a call for the call's and answer after it: nothing counts then. engine.cpp kept such a call open (`Do(Cancel)`: "ended when nobody waits any longer"), told it the longest of its messages' times (`Do(Send)`: std::max), and took the answer.

Change: a shared call has the least time of its messages, and is over with the first that is given up; notices leave at the end of a turn, when that call is ended. So that this costs little, a message with less time left than an answer takes in the mean shares calls with its like alone. The worth by age has moved to choice_state.hpp to make room.

Tests, shown to fail without it: choice_test.cpp:441 "Which is: 2, which is: 1" (calls), engine_test.cpp:198 "FATAL ERROR: REQUIRE(AwaitInput)" (the other message was never sent again).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -660,20 +660,12 @@
   double Urgency(const Message& m) const {
     const ClassSettings& c = ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
-    const double value = WorthAt(c, age);
-    const double later = m.deadline - now_ <= c.aim / 2 ? 0 : WorthAt(c, age + c.aim / 2);
+    const double value = WorthAt(c, age, set_.decay);
+    const double later =
+        m.deadline - now_ <= c.aim / 2 ? 0 : WorthAt(c, age + c.aim / 2, set_.decay);
     return c.worth * (value - later + kFloorUrgency * value);
   }
 
-  double WorthAt(const ClassSettings& c, Duration age) const {
-    if (age <= c.aim || c.aim <= Duration{}) return 1;
-    if (set_.decay == Decay::kHalving) {
-      return std::max(c.late_worth, std::exp2(-ToSeconds(age - c.aim) / ToSeconds(c.aim)));
-    }
-    const double span = std::max(1e-3, ToSeconds(c.deadline - c.aim));
-    return std::max(c.late_worth, 1 - (1 - c.late_worth) * ToSeconds(age - c.aim) / span);
-  }
-
   bool Sendable(const Message& m, const Endpoint& e) const {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
     if (m.may_have_run && ClassOf(m).effect == Effect::kKeyed &&
@@ -732,8 +724,9 @@
     return best;
   }
 
-  // The most urgent message that some endpoint of the destination can take; of `joined` if given.
-  Candidate BestMessage(Destination& d, Endpoint* joined = nullptr) {
+  // The most urgent message that some endpoint of the destination can take; for the call to
+  // `joined` if given, which a brief message began.
+  Candidate BestMessage(Destination& d, Endpoint* joined = nullptr, bool brief = false) {
     Candidate best;
     std::vector<std::optional<Endpoint*>> where(set_.classes.size());
     for (MessageId id : d.waiting) {
@@ -741,13 +734,20 @@
       std::optional<Endpoint*>& e = where[m.message_class];
       if (!e) e = joined != nullptr ? joined : BestEndpoint(d, m.message_class);
       if (*e == nullptr || !Sendable(m, **e)) continue;
-      if (joined == nullptr && !Gathered(d, m, **e)) continue;
+      if (joined == nullptr ? !Gathered(d, m, **e) : Brief(m, **e) != brief) continue;
       const double urgency = Urgency(m);
       if (urgency > best.urgency) best = {&m, *e, urgency};
     }
     return best;
   }
 
+  // Its time is up before an answer comes there in the mean. It goes with its like: a call is over
+  // at the time of the first of its messages. Guards against one that takes all others back with
+  // it.
+  bool Brief(const Message& m, const Endpoint& e) const {
+    return BatchOf(e) > 1 && ToSeconds(m.deadline - now_) < e.latency;
+  }
+
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
   bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
@@ -786,7 +786,8 @@
     ++e.calls_out;
     ++e.fresh_out;
     ++d.calls_out;
-    for (Message* m = &first; m != nullptr; m = BestMessage(d, &e).message) {
+    const bool brief = Brief(first, e);
+    for (Message* m = &first; m != nullptr; m = BestMessage(d, &e, brief).message) {
       ++call.out;
       ++m->out;
       d.sends.Add(now_);
--- a/src/choice_state.hpp
+++ b/src/choice_state.hpp
@@ -164,6 +164,16 @@
   bool judged = false;            // one fate: the first outcome speaks for all
 };
 
+// What is left, as a share, of a message's worth at this age.
+inline double WorthAt(const ClassSettings& c, Duration age, Decay decay) {
+  if (age <= c.aim || c.aim <= Duration{}) return 1;
+  if (decay == Decay::kHalving) {
+    return std::max(c.late_worth, std::exp2(-ToSeconds(age - c.aim) / ToSeconds(c.aim)));
+  }
+  const double span = std::max(1e-3, ToSeconds(c.deadline - c.aim));
+  return std::max(c.late_worth, 1 - (1 - c.late_worth) * ToSeconds(age - c.aim) / span);
+}
+
 // ---- texts of the log ----
 
 inline Log TurnedText(Health health, const EndpointEntry& e) {
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -212,6 +212,8 @@
     if (!done) std::visit([this](const auto& e) { Do(e); }, action);
   }
   bundle_.clear();
+  // Last: the calls of what was given up are ended by now.
+  for (Notice& notice : std::exchange(given_up_, {})) notices_.Post(std::move(notice));
   stages_.turn.Add(Now() - now);
 }
 
@@ -508,7 +510,7 @@
   lives_.Note(message, it->second.given_up, Step::kGivenUp, notice.deferred ? 1 : 0);
   notice.message = message;
   notice.id = it->second.id;
-  notices_.Post(std::move(notice));
+  given_up_.push_back(std::move(notice));
 }
 
 void Engine::Erase(MessageId message) {
@@ -553,7 +555,7 @@
       out.parts.push_back(std::move(part));
       out.bytes += bytes;
       out.start_by = std::min(out.start_by, e.start_by);
-      out.ends = std::max(out.ends, ends);
+      out.ends = std::min(out.ends, ends);
       return;
     }
   }
@@ -574,10 +576,14 @@
     for (OutPart& part : out.parts) {
       if (part.message != e.message || part.attempt != e.attempt) continue;
       part.cancelled = true;
-      // A call is one for all in it: it is ended when nobody waits for it any longer.
+      // A call is one for all in it: it ends when nobody waits for it any longer, or with the first
+      // of them that is given up. Guards against an answer that comes after that: the partner holds
+      // the call's time for up and counts nothing in it as delivered, and we would.
+      const auto held = held_.find(part.message);
+      const bool over = held == held_.end() || held->second.ending;
       const bool all = std::all_of(out.parts.begin(), out.parts.end(),
                                    [](const OutPart& p) { return p.cancelled; });
-      if (!all) return;
+      if (!over && !all) return;
       out.recalled = true;
       if (out.delivery) out.delivery->End(Delivery::Stop::kCancelled);
       return;
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -218,6 +218,7 @@
   std::map<std::uint64_t, Out> out_;
   std::deque<std::uint64_t> ready_;                       // not started yet
   std::map<rushfall::EndpointId, std::uint64_t> bundle_;  // still open in this turn
+  std::vector<Notice> given_up_;                          // in this turn
   std::size_t slots_taken_ = 0;
 
   Stages stages_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -422,6 +422,26 @@
   EXPECT_NE(b.Got<Send>()[0].endpoint, told);
 }
 
+// A call is over with the first of its messages: one that has less time than an answer takes would
+// take all others back with it.
+TEST(Picker, ABriefMessageSharesNoCallWithOthers) {
+  Settings s = TestSettings();
+  s.kinds[0].max_batch = 5;
+  Bench b(s);
+  b.At(1s, {One(), Arrive(1)});
+  b.At(2s);
+  ASSERT_EQ(b.Got<Send>().size(), 1u);
+  AttemptSettled slow = b.End(1, Outcome::kDelivered);
+  slow.elapsed = 400ms;
+  b.At(2400ms, {slow});
+  MessageArrived brief = Arrive(2);
+  brief.time_left = 300ms;
+  b.At(3s, {brief, Arrive(3)});
+  b.At(3100ms);  // the brief one has gathered, the other would join it
+  ASSERT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<Send>()[0].message, 2u);
+}
+
 // A wait told to a later message of a batch was once missed.
 TEST(Pacer, WaitToldToAnyMessageOfABatchBinds) {
   Settings s = TestSettings();
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -1,4 +1,4 @@
-// The engine by itself: one next hop on loopback, no clients, no discovery.
+// The engine by itself: one next hop on loopback, no clients, and discovery in one test alone.
 #include "forwarder/engine.hpp"
 
 #include <doctest/doctest.h>
@@ -7,7 +7,9 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 #include "net/socket.hpp"
 
@@ -26,16 +28,20 @@
   std::string path;
 };
 
-Config OneHop(const std::string& address) {
-  Config config = ParseConfig(R"({"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+Config OneHop(const std::string& address, const std::string& discovery = "127.0.0.1:1",
+              int bundle = 1) {
+  Config config =
+      ParseConfig(R"({"name":"n","listen":"127.0.0.1:0","discovery":")" + discovery +
+                  R"(",
     "seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256,"disk_mb":3},
     "known":{"revision":1,"complete":true,"members":[{"id":"hop","host_port":")" +
-                              address + R"(","locality":"z","flavor":"f","cell":1,"phase":"Ready",
+                  address + R"(","locality":"z","flavor":"f","cell":1,"phase":"Ready",
       "size":50.0,"up_since_ms":0}]},
     "settings":{"classes":[{"name":"e","effect":"token","key-scope":"all","goal-time":2500000000,
       "hard-limit":20000000000,"dedup-window":5000000000,"late-worth":0.3,"worth":1.0}],
       "realms":[{"name":"t","quota-rps":50.0}],"shapes":["f"],"zones":["z"],
-      "family-info":{"workers":8,"bundle-max":[1],"own-limits":[false],"loses-worth":"line"},
+      "family-info":{"workers":8,"bundle-max":[)" +
+                  std::to_string(bundle) + R"(],"own-limits":[false],"loses-worth":"line"},
       "limits":{"open-cap":100,"max-attempts":12,"may-cancel":true,"probes":false,
         "retry-after":true,"max-retry-after":2000000000,"conn-idle":15000000000,
         "connect-timeout":1500000000},
@@ -56,11 +62,41 @@
   return envelope;
 }
 
+// What comes up to the mark, or up to the end.
+std::string ReadUntil(Socket& socket, std::string_view mark) {
+  std::string got;
+  char byte = 0;
+  while (!got.ends_with(mark) && socket.Receive({&byte, 1}) == 1) got += byte;
+  return got;
+}
+
+// The platform's agent, which says nothing but that notices have come.
+class Platform {
+ public:
+  std::string address() const { return AddressOf(listener_); }
+  // The body of the next post of notices.
+  std::string NextNotice() {
+    while (true) {
+      Socket socket = Accept(listener_);
+      const bool post = ReadUntil(socket, " ").starts_with("POST");
+      if (post) ReadUntil(socket, "\r\n\r\n");
+      const std::string body = post ? ReadUntil(socket, "}\n") : "";
+      if (post) socket.SendAll("HTTP/1.1 204 No Content\r\n\r\n");
+      kept_.push_back(std::move(socket));
+      if (post) return body;
+    }
+  }
+
+ private:
+  Socket listener_ = Listen("127.0.0.1:0");
+  std::vector<Socket> kept_;
+};
+
 class Fixture {
  public:
-  Fixture()
+  explicit Fixture(const std::string& discovery = "127.0.0.1:1", int bundle = 1)
       : listener(Listen("127.0.0.1:0")),
-        config(OneHop(AddressOf(listener))),
+        config(OneHop(AddressOf(listener), discovery, bundle)),
         spool(folder.path, config.limits.disk_bytes, [](const std::string&) {}) {
     engine.emplace(config, spool, buffers);
   }
@@ -76,9 +112,7 @@
   // Takes one call, answers it with 200 and returns its id.
   std::string AnswerOne() {
     Socket socket = Accept(listener);
-    std::string got;
-    char byte = 0;
-    while (!got.ends_with("\r\n\r\nb") && socket.Receive({&byte, 1}) == 1) got += byte;
+    const std::string got = ReadUntil(socket, "\r\n\r\nb");
     socket.SendAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     const std::string mark = "X-Correlation-Id: ";
     const std::size_t at = got.find(mark);
@@ -136,6 +170,35 @@
   engine->Lost(unheard.message);
 }
 
+// An answer that came after the first of its messages had been given up was taken for all the
+// others: the partner counted none of them, and they were lost.
+TEST_CASE("a call that several messages share is over with the first of them") {
+  Platform platform;
+  Fixture f(platform.address(), 2);
+  f.Run();
+  Envelope brief = Message("brief");
+  brief.time_left = std::chrono::milliseconds(400);
+  const Answer first = f.engine->HandIn(std::move(brief));
+  const Answer second = f.engine->HandIn(Message("long"));
+  REQUIRE(first.verdict == Answer::Verdict::kTaken);
+  REQUIRE(second.verdict == Answer::Verdict::kTaken);
+  f.engine->Heard(first.message);
+  f.engine->Heard(second.message);
+  Socket shared = Accept(f.listener);
+  const std::string call = ReadUntil(shared, "]");
+  REQUIRE(call.find("\"brief\"") != std::string::npos);
+  REQUIRE(call.find("\"long\"") != std::string::npos);
+  const std::string mark = "X-Time-Left-Ms: ";
+  CHECK(std::stoi(call.substr(call.find(mark) + mark.size())) <= 400);
+
+  CHECK(platform.NextNotice().find("\"brief\"") != std::string::npos);
+  const std::string body = R"([{"id":"brief","state":"ok"},{"id":"long","state":"ok"}])";
+  shared.SendAll("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                 body);
+  REQUIRE(f.listener.AwaitInput(std::chrono::steady_clock::now() + std::chrono::seconds(10)));
+  CHECK(f.AnswerOne() == "long");
+}
+
 TEST_CASE("a box that is filled as fast as it is emptied lets others have their turn") {
   Mailbox<int> box(4);
   box.Put(0);
