End every client's connection in one way that no unread byte resets

Need: on drain, stop and idle end (sender_side.cpp `Serve`, `EndIdle`, `Watch` at the stop) a connection was closed at once. Bytes that came between the last read and the close made the kernel reset it, and the reply just written may go with the reset: the client then holds a taken message for unanswered. Only ends after an error of the client's passed over what still came.

Change: `Leave` is the one end: sending is shut down and what comes is passed over to the end, 0.5 s or 1 MiB; what is read after the shutdown is no command any longer. At the end of the process a worker does the same by itself, for 0.1 s at most. Connections that leave count as places and go first when a newcomer needs one: before, 32 of them stood beside the places and could take the descriptors kept for calls out.

--- a/src/net/sender_side.cpp
+++ b/src/net/sender_side.cpp
@@ -17,13 +17,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kAcceptPause{20};  // after a failed accept, for descriptors
-constexpr milliseconds kReplyTime{500};   // for a reply to be written
-constexpr milliseconds kSweep{50};        // between two looks at what is due
-constexpr milliseconds kLingerFor{500};   // and so many bytes, of what still comes
+constexpr milliseconds kAcceptPause{20};   // after a failed accept, for descriptors
+constexpr milliseconds kReplyTime{500};    // for a reply to be written
+constexpr milliseconds kSweep{50};         // between two looks at what is due
+constexpr milliseconds kLingerFor{500};    // and so many bytes, of what still comes
+constexpr milliseconds kLingerAlone{100};  // the same at the end of the process
 constexpr std::size_t kMostPassedOver = 1 << 20;
 constexpr std::size_t kMostReplies = 16 * 1024;  // bytes that wait for one write
-constexpr std::size_t kMostLeaving = 32;         // connections that only pass over what still comes
 constexpr std::size_t kMostAccepts = 64;         // before the others get their turn
 constexpr std::size_t kLeastWorkers = 2;
 constexpr std::uint64_t kListener = UINT64_MAX, kWake = UINT64_MAX - 1;
@@ -100,7 +100,7 @@
     if (stopping_) {
       for (auto it = connections_.begin(); it != connections_.end();) {
         Connection& c = *(it++)->second;
-        if (c.state != State::kServing) Erase(c, "shutdown");
+        if (c.state != State::kServing) EndAlone(c, "shutdown", std::chrono::steady_clock::now());
       }
       return;
     }
@@ -130,7 +130,7 @@
       return;
     }
     const SteadyTime now = std::chrono::steady_clock::now();
-    if (connections_.size() - leaving_ >= limits_.connections && !MakeRoom(now)) {
+    if (connections_.size() >= limits_.connections && !MakeRoom(now)) {
       TurnAway(socket, "too-many");
       continue;
     }
@@ -147,10 +147,14 @@
 // Ends the connection that is the least loss, for a newcomer. Guards against clients that connect
 // and say nothing, or have had their answer and stay, in the places of those with a message.
 bool SenderSide::MakeRoom(SteadyTime now) {
+  if (EndLeaving()) return true;
   const auto end_longest = [&](const Order& idle, milliseconds at_least) {
     // One with a command that has come meanwhile goes to a worker, and the next is looked at.
     while (!idle.empty() && now - idle.begin()->first >= at_least) {
-      if (EndIdle(idle.begin()->second, "made-room")) return true;
+      if (EndIdle(idle.begin()->second, "made-room")) {
+        EndLeaving();
+        return true;
+      }
     }
     return false;
   };
@@ -158,6 +162,14 @@
          end_longest(idle_useful_, limits_.least_idle);
 }
 
+// Ends the one that has been leaving for longest, if there is one.
+bool SenderSide::EndLeaving() {
+  if (leaving_.empty()) return false;
+  Connection& c = *connections_.at(leaving_.begin()->second);
+  Erase(c, c.leaves_for);
+  return true;
+}
+
 // Ends the longest idle of the connections that have had an answer, if there are too many of them.
 void SenderSide::TrimIdle(SteadyTime now) {
   if (idle_useful_.size() <= limits_.most_idle) return;
@@ -173,10 +185,23 @@
     if (connections_.count(number) == 0) return true;
     if (!c.IsIdle()) return false;  // a command has begun
   }
-  Erase(c, reason);
+  Withdraw(c);
+  Leave(c, reason);
   return true;
 }
 
+// The one way to end a client's connection from our side; it stands in none of the sorted sets.
+// Guards against bytes that come between the last read and the end: a close over unread bytes
+// resets the connection, and the last reply may go with it. What comes from now on is not read as a
+// command, so the client knows that it may send it again elsewhere.
+void SenderSide::Leave(Connection& c, const char* reason) {
+  c.state = State::kLeaving;
+  c.leaves_for = reason;
+  shutdown(c.socket.fd(), SHUT_WR);
+  Enter(c, std::chrono::steady_clock::now() + kLingerFor);
+  Arm(c, EPOLL_CTL_MOD);
+}
+
 // Reads once. True if the connection has work for a worker, who has it now.
 bool SenderSide::Read(Connection& c) {
   BufferPool::Buffer buffer = buffers_.Get();
@@ -223,7 +248,8 @@
       EndIdle(c.number, "idle");
     } else {
       c.socket.SendAll(RespError("ERR", "no command in time"), now);
-      Erase(c, c.reader.between_commands() ? "silent" : "too-slow");
+      Withdraw(c);
+      Leave(c, c.reader.between_commands() ? "silent" : "too-slow");
     }
   }
 }
@@ -247,7 +273,7 @@
   c.due = due;
   due_.emplace(due, c.number);
   if (c.state == State::kLeaving) {
-    ++leaving_;
+    leaving_.emplace(due, c.number);
   } else if (c.IsIdle()) {
     (c.useful ? idle_useful_ : idle_useless_).emplace(c.since, c.number);
   }
@@ -258,7 +284,7 @@
   due_.erase({c.due, c.number});
   idle_useful_.erase({c.since, c.number});
   idle_useless_.erase({c.since, c.number});
-  if (c.state == State::kLeaving) --leaving_;
+  leaving_.erase({c.due, c.number});
 }
 
 void SenderSide::Arm(Connection& c, int how) {
@@ -276,53 +302,55 @@
 
 void SenderSide::Serve(Connection& c) {
   const char* reason = "";
-  After after = Answer(c, reason);
-  const SteadyTime now = std::chrono::steady_clock::now();
+  bool stays = Answer(c, reason);
   const std::lock_guard lock(mutex_);
   const bool between = c.reader.between_commands();
-  if (after == After::kStay && between && SendsAway()) {
+  if (stays && between && SendsAway()) {
     reason = "drained";
-    after = After::kClose;
+    stays = false;
   }
   if (stopping_) {  // there is no lobby any longer
-    if (after == After::kStay) reason = "shutdown";
-    after = After::kClose;
-  }
-  if (after == After::kClose) return Erase(c, reason);
-  if (after == After::kLinger) {
-    c.state = State::kLeaving;
-    c.leaves_for = reason;
-    shutdown(c.socket.fd(), SHUT_WR);
-    Enter(c, now + kLingerFor);
-    if (leaving_ > kMostLeaving) return Erase(c, reason);
-  } else {
-    c.state = State::kWaiting;
-    c.since = now;
-    Enter(c, now + (between ? limits_.idle : limits_.command));
+    return EndAlone(c, stays ? "shutdown" : reason,
+                    std::chrono::steady_clock::now() + kLingerAlone);
   }
+  if (!stays) return Leave(c, reason);
+  c.state = State::kWaiting;
+  c.since = std::chrono::steady_clock::now();
+  Enter(c, c.since + (between ? limits_.idle : limits_.command));
   Arm(c, EPOLL_CTL_MOD);
-  TrimIdle(now);
+  TrimIdle(c.since);
+}
+
+// Leaves without the lobby: what still comes by then is passed over here.
+void SenderSide::EndAlone(Connection& c, const char* reason, SteadyTime until) {
+  shutdown(c.socket.fd(), SHUT_WR);
+  BufferPool::Buffer buffer = buffers_.Get();
+  while (c.passed_over < kMostPassedOver && c.socket.AwaitInput(until)) {
+    const long n = c.socket.ReceiveNow(buffer.span());
+    if (n <= 0) break;
+    c.passed_over += static_cast<std::size_t>(n);
+  }
+  Erase(c, reason);
 }
 
-// Answers what has come whole.
-SenderSide::After SenderSide::Answer(Connection& c, const char*& reason) {
+// Answers what has come whole. False, with the reason, if the connection is to end.
+bool SenderSide::Answer(Connection& c, const char*& reason) {
   while (!c.reader.commands().empty()) {
     RespCommand command = std::move(c.reader.commands().front());
     c.reader.commands().pop_front();
     ++c.exchanges;
     if (Reply(c, command, reason)) continue;
     Flush(c);
-    return c.faults >= limits_.most_faults ? After::kLinger : After::kClose;
+    return false;
   }
   if (c.reader.broken()) {
     Say(c, RespError("ERR", "protocol error"));
     Flush(c);
     reason = "malformed";
-    return After::kLinger;
+    return false;
   }
-  if (Flush(c)) return After::kStay;
   reason = "reset";
-  return After::kClose;
+  return Flush(c);
 }
 
 // Replies to commands that came together go out together. Guards against a system call for each of
--- a/src/net/sender_side.hpp
+++ b/src/net/sender_side.hpp
@@ -83,7 +83,6 @@
     // Waits for a first command, or for a further one to begin.
     bool IsIdle() const { return exchanges == 0 || reader.between_commands(); }
   };
-  enum class After { kStay, kLinger, kClose };
 
   // ---- the lobby's, under the lock ----
   void Watch();
@@ -98,11 +97,14 @@
   void Enter(Connection& connection, SteadyTime due);
   void Withdraw(Connection& connection);
   void Arm(Connection& connection, int how);
+  void Leave(Connection& connection, const char* reason);
+  void EndAlone(Connection& connection, const char* reason, SteadyTime until);
+  bool EndLeaving();
   void Erase(Connection& connection, const char* reason);
 
   // ---- a worker's; the connection is its own meanwhile ----
   void Serve(Connection& connection);
-  After Answer(Connection& connection, const char*& reason);
+  bool Answer(Connection& connection, const char*& reason);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
   bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
   bool StandsBy(std::chrono::milliseconds for_so_long);
@@ -126,7 +128,7 @@
   std::unordered_map<Number, std::unique_ptr<Connection>> connections_;
   Order due_;                         // all that wait or leave
   Order idle_useless_, idle_useful_;  // of those that wait, the longest first
-  std::size_t leaving_ = 0;
+  Order leaving_;                     // of those, the one due first leads
 
   Crew<Connection*> workers_;
   Thread lobby_;
--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/sender_side_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,6 +23,7 @@
 class CountingIntake : public Intake {
  public:
   Answer HandIn(Envelope) override {
+    if (meanwhile) meanwhile();
     if (!takes) return {};
     ++taken;
     return {.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}, .message = 1};
@@ -30,6 +32,7 @@
   void Lost(std::uint64_t) override { ++lost; }
 
   bool takes = false;
+  std::function<void()> meanwhile;  // before each answer
   std::atomic<int> taken{0}, heard{0}, lost{0};
 };
 
@@ -183,6 +186,40 @@
   CHECK(ToTheEnd(client) == error + error + "-BUSY\r\n" + error + error + error);
 }
 
+// A close over unread bytes reset the connection, and the reply just written went with it.
+TEST_CASE_FIXTURE(Fixture, "what comes while a last reply is written resets nothing") {
+  Start({.connections = 8, .command = kNever, .idle = kNever});
+  intake.takes = true;
+  Socket client = Client();
+  intake.meanwhile = [&] {  // the command is read, and nothing reads on until it is answered
+    CHECK(client.SendAll(kPut));
+    side->Drain();
+  };
+  CHECK(client.SendAll(kPut));
+  CHECK(Line(client) == "+OK\r\n");
+  char byte = 0;
+  CHECK(client.Receive({&byte, 1}) == 0);  // the end, and no reset
+  CHECK(intake.taken == 1);                // what was not read before it is not taken on
+}
+
+// The same where the whole side ends meanwhile.
+TEST_CASE_FIXTURE(Fixture, "what comes while the last reply of all is written resets nothing") {
+  Start({.connections = 8, .command = kNever, .idle = kNever});
+  intake.takes = true;
+  Socket client = Client();
+  std::thread end;
+  intake.meanwhile = [&] {
+    CHECK(client.SendAll(kPut));
+    end = std::thread([&] { side.reset(); });
+  };
+  CHECK(client.SendAll(kPut));
+  CHECK(Line(client) == "+OK\r\n");
+  char byte = 0;
+  CHECK(client.Receive({&byte, 1}) == 0);
+  client.Close();
+  end.join();
+}
+
 TEST_CASE("the peer's end is told from our own, unread bytes or not") {
   Socket listener = Listen("127.0.0.1:0");
   Socket peer = NewSocket();
