--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/sender_side_test.cpp
@@ -206,11 +206,14 @@
 TEST_CASE_FIXTURE(Fixture, "what comes while the last reply of all is written resets nothing") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
   intake.takes = true;
-  Socket client = Client();
+  Socket client = Client(), other = Client(kPing);
+  REQUIRE(Line(other) == "+PONG\r\n");
   std::thread end;
   intake.meanwhile = [&] {
     CHECK(client.SendAll(kPut));
     end = std::thread([&] { side.reset(); });
+    CHECK(ToTheEnd(other).empty());  // the stop has come
+    other.Close();
   };
   CHECK(client.SendAll(kPut));
   CHECK(Line(client) == "+OK\r\n");
