End a shared call a little before the first of its messages' times

What is left of the known one is a window of some milliseconds: client and partner count a message's time from its sending, we from its coming, and we act on it at our next turn; an answer in between is one that the partner holds to be too late.

Change: such a call is over 50 ms before the first of its times and says so in X-Time-Left-Ms; it counts as called off, not as a silent endpoint.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kProbeThreads = 16;  // probes take no slot
 constexpr double kBodyShare = 0.25;        // of the memory, for the bodies of all held messages
 constexpr milliseconds kHousekeepingEvery{1000};
+// A call that several messages share is over so long before the first of their times. Guards
+// against an answer between that time as the client and the partner count it, from the sending of
+// the message, and ours, which began with its coming and waits for our next turn.
+constexpr milliseconds kSharedEndsEarly{50};
 // No notice is overdue until 1.5 s after a restarted forwarder is ready.
 constexpr milliseconds kAfterRestart{1500};
 // New connections may come for 0.4 s after SIGTERM, and SIGKILL 3.7 s after it.
@@ -385,7 +389,10 @@
       return;
     case Due::kDeliveryEnds: {
       const auto it = out_.find(e.number);
-      if (it != out_.end()) it->second.delivery->End(Delivery::Stop::kTimedOut);
+      if (it == out_.end()) return;
+      // Of a shared call the brief messages are to blame, and not the endpoint for its silence.
+      const bool shared = it->second.parts.size() > 1;
+      it->second.delivery->End(shared ? Delivery::Stop::kCancelled : Delivery::Stop::kTimedOut);
       return;
     }
     case Due::kRetireIdle:
@@ -632,7 +639,8 @@
     lives_.Note(part.message, now, Step::kStarted, static_cast<std::uint32_t>(out.hop));
     parts.push_back({held.id, held.key, held.body});
   }
-  const milliseconds left = InMs(out.ends - now);
+  if (parts.size() > 1) out.ends -= kSharedEndsEarly;
+  const milliseconds left = std::max(InMs(out.ends - now), milliseconds(0));
   std::string request = parts.empty()       ? HttpGet("/-/healthy", hop.address)
                         : parts.size() == 1 ? SingleCall(hop.address, parts[0], left)
                                             : BundleCall(hop.address, parts, left);
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -189,7 +189,7 @@
   REQUIRE(call.find("\"brief\"") != std::string::npos);
   REQUIRE(call.find("\"long\"") != std::string::npos);
   const std::string mark = "X-Time-Left-Ms: ";
-  CHECK(std::stoi(call.substr(call.find(mark) + mark.size())) <= 400);
+  CHECK(std::stoi(call.substr(call.find(mark) + mark.size())) <= 350);  // a little before its time
 
   CHECK(platform.NextNotice().find("\"brief\"") != std::string::npos);
   const std::string body = R"([{"id":"brief","state":"ok"},{"id":"long","state":"ok"}])";
