Ask discovery anew within 5 s on every path, and 2.5 s after a move

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the asks before. watch.cpp gave up after 3 s of silence, a connect took as long before it, and the pause after that was 1.5 to 4.5 s for 300 forwarders and up to 6 s later on: 7.5 s after a silent watch, 9 s and more after an ask that hung in connecting. A side that sent bytes without a line's end was never silent and held the watch for good. After SIGHUP, which counts after 4 s, the same pause of up to 6 s went by.

Change: src/net/ask_times.hpp holds the times and the sum of each path in one place: an ask, connecting included, or a watch is given up 3 s after its beginning or its last whole line, and the next one follows 5 s after that moment at the latest; a move cuts a pause short and is followed by one of 2.5 s at most. HttpClient::Exchange takes a time for all of it.

Tests: five paths, nine sizes of group, 200 seeds each in virtual time: worst case 5 s.

--- /dev/null
+++ b/src/net/ask_times.hpp
@@ -0,0 +1,81 @@
+// When the watch on discovery gives up, and when it asks again. No I/O, no clock.
+//
+// A change counts as told 6 s after discovery had it and could be reached, whatever became of the
+// asks before. The worst case of each path, from that moment on:
+//
+//   silent, half a chunk, bytes without a line's end   kSilence from the last whole line or from
+//   the
+//     or a connection that does not come up            beginning of the ask, and a pause that ends
+//                                                      kAskAgain after that moment:  5 s
+//   refused, turned away, given up, back after         a pause, kAskAgain after the beginning of
+//   the
+//     being down                                       ask at the latest:            5 s
+//   start with an old list                             a pause, the same:            5 s
+//   another address                                    a pause of its own:           2.5 s, of 4 s
+//
+// and then an ask that is answered at once. What is left is for a busy machine.
+#ifndef BRASSFRONT_NET_ASK_TIMES_HPP_
+#define BRASSFRONT_NET_ASK_TIMES_HPP_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "net/back_off.hpp"
+
+namespace brassfront {
+
+class AskTimes {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+  using Duration = std::chrono::milliseconds;
+
+  static constexpr Duration kToldAfter{6000};
+  static constexpr Duration kSilence{3000};  // an empty line comes every 2 s
+  static constexpr Duration kAskAgain{5000};
+  static constexpr Duration kAfterMove{2500};
+  static_assert(kSilence < kAskAgain && kAskAgain + Duration(1000) <= kToldAfter);
+
+  // `group`: the forwarders that ask the same discovery, this one among them; `seed`: of the
+  // spread.
+  AskTimes(std::size_t group, std::uint64_t seed) : group_(group), pauses_(PausesOf(group, seed)) {}
+
+  // Before the first ask. A few forwarders that start at one moment may ask at once.
+  Duration PauseAtStart() { return group_ > kFew ? pauses_.Failed(kAskAgain) : Duration(0); }
+  void Asked(Time now) { heard_ = now; }
+  void HeardLine(Time now) {
+    heard_ = now;
+    pauses_.Succeeded();
+  }
+  Time GiveUpAt() const { return heard_ + kSilence; }
+  // After an ask or a watch has ended.
+  Duration PauseAfter(Time now) {
+    const auto left = std::chrono::floor<Duration>(heard_ + kAskAgain - now);
+    return pauses_.Failed(std::max(left, Duration(0)));
+  }
+  Duration PauseAfterMove() { return pauses_.Failed(kAfterMove); }
+
+ private:
+  // A hundred ask some hundred times a second at the most, and fewer with each failure.
+  static constexpr Duration kPause{10};  // for each forwarder that may be asking
+  static constexpr Duration kLeastPause{100};
+  static constexpr Duration kLongestPause{40};  // the longest, for each of them
+  static constexpr Duration kLeastLongestPause{500};
+  static constexpr Duration kMostLongestPause{4000};
+  static constexpr std::size_t kFew = 4;
+
+  static BackOff PausesOf(std::size_t group, std::uint64_t seed) {
+    const auto size = static_cast<Duration::rep>(std::min<std::size_t>(group, 1000));
+    return BackOff(std::max(kLeastPause, size * kPause),
+                   std::clamp(size * kLongestPause, kLeastLongestPause, kMostLongestPause), seed);
+  }
+
+  const std::size_t group_;
+  BackOff pauses_;
+  Time heard_{};  // the beginning of the ask, or the last whole line
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_ASK_TIMES_HPP_
--- a/src/net/back_off.hpp
+++ b/src/net/back_off.hpp
@@ -23,9 +23,9 @@
   BackOff(Duration first, Duration longest, std::uint64_t seed)
       : first_(first), longest_(std::max(first, longest)), next_(first), random_(seed) {}
 
-  // The pause after a failure.
-  Duration Failed() {
-    const Duration pause = next_;
+  // The pause after a failure, `most` at the most.
+  Duration Failed(Duration most = Duration::max()) {
+    const Duration pause = std::min(next_, most - most / 3);
     next_ = std::min(longest_, 2 * next_);
     return pause / 2 + Anywhere(pause);
   }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -60,7 +60,8 @@
   return false;
 }
 
-bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes) {
+bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
+                          const GiveUpAt& give_up_at) {
   if (!Ready()) return false;
   if (!socket_.SendAll(request)) {
     End("write-failed");
@@ -69,6 +70,10 @@
   ++exchanges_;
   BufferPool::Buffer buffer = buffers_.Get();
   while (!reader.done() && !reader.broken()) {
+    if (give_up_at && !socket_.AwaitInput(give_up_at())) {
+      End("silent");
+      return false;
+    }
     const long n = socket_.Receive(buffer.span());
     if (n < 0) {
       End(errno == EAGAIN ? "silent" : "reset");
@@ -95,9 +100,11 @@
   wake_.notify_all();
 }
 
-void HttpClient::Pause(std::chrono::milliseconds time) {
+bool HttpClient::Pause(std::chrono::milliseconds time, const std::string& address) {
   std::unique_lock lock(mutex_);
-  wake_.wait_for(lock, time, [this] { return stopped_.load(); });
+  const auto moved = [&] { return !address.empty() && address != address_; };
+  wake_.wait_for(lock, time, [&] { return stopped_ || moved(); });
+  return moved();
 }
 
 }  // namespace brassfront
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,14 +30,18 @@
   // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
   // is called whenever some of it has come and may end the reading by returning false. False if no
   // whole answer came; the connection is ended then.
+  // With `give_up_at` all of it, connecting too, is over at that time, which is asked for anew
+  // after each read. Guards against a side that trickles, and is never silent.
   using OnBytes = std::function<bool(HttpReader&)>;
-  bool Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes = {});
+  using GiveUpAt = std::function<SteadyTime()>;
+  bool Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes = {},
+                const GiveUpAt& give_up_at = {});
 
   // For another thread: ends what is going on, and every later exchange at its start.
   void Stop();
   bool stopped() const { return stopped_; }
-  // Waits, or less if stopped.
-  void Pause(std::chrono::milliseconds time);
+  // Waits, or less if stopped or moved away from the address, if one is given. True if moved.
+  bool Pause(std::chrono::milliseconds time, const std::string& address = {});
 
  private:
   bool Ready();
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-#include "net/back_off.hpp"
+#include "net/ask_times.hpp"
 #include "net/http_client.hpp"
 #include "net/thread.hpp"
 #include "protocol/discovery.hpp"
@@ -36,8 +36,7 @@
   bool TakeLines(HttpReader& reader, LineCutter& lines);
 
   const OnList on_list_;
-  BackOff pauses_;
-  const std::chrono::milliseconds first_pause_;
+  AskTimes times_;
   std::uint64_t revision_;
   HttpClient client_;
   Thread thread_;
--- /dev/null
+++ b/tests/network/watch_test.cpp
@@ -0,0 +1,100 @@
+// The watch on discovery: its worst cases in virtual time, and against an agent on loopback that
+// behaves badly. What is waited for there has no limit of its own: only a failure would wait for
+// good.
+#include "net/watch.hpp"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "net/ask_times.hpp"
+#include "net/socket.hpp"
+
+namespace brassfront {
+namespace {
+
+using std::chrono::milliseconds;
+
+enum class Path { kSilent, kRefused, kSlowToRefuse, kWatchFellSilent, kWatchEnded };
+
+// How long after the moment from which discovery can be reached, and has a change, it is asked.
+milliseconds ToldAfter(Path path, std::size_t group, std::uint64_t seed, milliseconds down) {
+  AskTimes times(group, seed);
+  const AskTimes::Time start{milliseconds(10'000)};
+  AskTimes::Time now = start;
+  const AskTimes::Time reachable = start + down;
+  if (path == Path::kWatchFellSilent || path == Path::kWatchEnded) {
+    times.Asked(now);
+    times.HeardLine(now);  // the last one: it falls silent, or ends, just after it
+    now = path == Path::kWatchEnded ? now : times.GiveUpAt();
+    now += times.PauseAfter(now);
+  } else {
+    now += times.PauseAtStart();
+  }
+  std::mt19937_64 random(seed);
+  while (now < reachable) {  // an ask from before stays without an answer
+    times.Asked(now);
+    const auto whole = std::chrono::duration_cast<milliseconds>(times.GiveUpAt() - now);
+    now += path == Path::kSilent ? whole
+           : path == Path::kSlowToRefuse
+               ? whole * static_cast<milliseconds::rep>(random() % 100) / 100
+               : milliseconds(1);
+    now += times.PauseAfter(now);
+  }
+  return std::chrono::duration_cast<milliseconds>(now - reachable);
+}
+
+TEST_CASE("a change is told in time on every path, whatever the group") {
+  milliseconds worst{0};
+  for (const Path path : {Path::kSilent, Path::kRefused, Path::kSlowToRefuse,
+                          Path::kWatchFellSilent, Path::kWatchEnded}) {
+    for (const std::size_t group : {1, 2, 4, 5, 30, 100, 300, 1000, 100'000}) {
+      for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        const milliseconds down(static_cast<milliseconds::rep>(seed * 97 % 20'000));
+        worst = std::max(worst, ToldAfter(path, group, seed, down));
+      }
+    }
+  }
+  CHECK(worst <= AskTimes::kAskAgain + milliseconds(1));
+  CHECK(worst + milliseconds(500) <= AskTimes::kToldAfter);
+  CHECK(worst >= milliseconds(3000));  // the paths are real ones
+}
+
+TEST_CASE("another address is asked in time, whatever was asked before") {
+  for (const std::size_t group : {1, 300, 100'000}) {
+    AskTimes times(group, 7);
+    for (int i = 0; i < 20; ++i) {
+      times.Asked(AskTimes::Time{});
+      times.PauseAfter(AskTimes::Time{});
+      CHECK(times.PauseAfterMove() <= milliseconds(2500));
+    }
+  }
+}
+
+// A side that trickles was never silent: the watch stayed on it for good, and no list came.
+TEST_CASE("a watch on which no line ends is given up") {
+  Socket agent = Listen("127.0.0.1:0");
+  BufferPool buffers;
+  std::atomic<int> lists{0};
+  Watch watch(AddressOf(agent), 1, {}, buffers, [&](MemberList) { ++lists; });
+  Socket trickling = Accept(agent);
+  trickling.SendAll("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  bool asked_again = false;
+  for (int i = 0; i < 4000 && !asked_again; ++i) {  // a byte each 5 ms, far under the silence
+    trickling.SendAll("1\r\n \r\n");
+    asked_again = agent.AwaitInput(std::chrono::steady_clock::now() + std::chrono::milliseconds(5));
+  }
+  REQUIRE(asked_again);
+  Socket good = Accept(agent);
+  const std::string line = R"({"revision":2,"complete":true,"members":[]})"
+                           "\n";
+  good.SendAll("HTTP/1.1 200 OK\r\n\r\n" + line);
+  while (lists == 0) std::this_thread::yield();
+  CHECK(lists == 1);
+}
+
+}  // namespace
+}  // namespace brassfront
