--- a/src/net/ask_times.hpp
+++ b/src/net/ask_times.hpp
@@ -3,15 +3,13 @@
 // A change counts as told 6 s after discovery had it and could be reached, whatever became of the
 // asks before. The worst case of each path, from that moment on:
 //
-//   silent, half a chunk, bytes without a line's end   kSilence from the last whole line or from
-//   the
-//     or a connection that does not come up            beginning of the ask, and a pause that ends
-//                                                      kAskAgain after that moment:  5 s
-//   refused, turned away, given up, back after         a pause, kAskAgain after the beginning of
-//   the
-//     being down                                       ask at the latest:            5 s
-//   start with an old list                             a pause, the same:            5 s
-//   another address                                    a pause of its own:           2.5 s, of 4 s
+//   5 s: silence, half a chunk, bytes without a line's end, a connection that does not come up. It
+//        is given up kSilence after the last whole line or the ask's beginning, and the pause ends
+//        kAskAgain after that moment.
+//   5 s: refused, turned away, given up, back after being down. The pause is the same.
+//   5 s: a start with an old list.
+//   2.5 s: another address, which counts after 4 s; but a move within the pause at the start waits
+//        for its end.
 //
 // and then an ask that is answered at once. What is left is for a busy machine.
 #ifndef BRASSFRONT_NET_ASK_TIMES_HPP_
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,8 +30,9 @@
   // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
   // is called whenever some of it has come and may end the reading by returning false. False if no
   // whole answer came; the connection is ended then.
-  // With `give_up_at` all of it, connecting too, is over at that time, which is asked for anew
-  // after each read. Guards against a side that trickles, and is never silent.
+  // With `give_up_at` the answer is waited for until then; it is asked for anew after each read,
+  // and connecting is bound by the silence alone. Guards against a side that trickles, never
+  // silent.
   using OnBytes = std::function<bool(HttpReader&)>;
   using GiveUpAt = std::function<SteadyTime()>;
   bool Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes = {},
