--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -1,8 +1,8 @@
 #include <iostream>
 
-#include "host.hpp"
+#include "simulator_host.hpp"
 
 int main() {
   std::ios::sync_with_stdio(false);
-  return rushfall::wire::Run(std::cin, std::cout, std::cerr);
+  return dispatch_policy::simulator::Run(std::cin, std::cout, std::cerr);
 }
--- a/adapter/host.cpp
+++ b/adapter/simulator_host.cpp
@@ -1,9 +1,9 @@
-#include "host.hpp"
+#include "simulator_host.hpp"
 
 #include <istream>
 #include <ostream>
 
-namespace rushfall::wire {
+namespace dispatch_policy::simulator {
 namespace {
 
 std::string Path(const char* list, std::size_t i, const char* leaf) {
@@ -17,23 +17,23 @@
 }
 
 Effect ParseEffect(std::string_view text) {
-  if (text == "pure") return Effect::kSafe;
-  if (text == "token") return Effect::kKeyed;
-  if (text == "side_effect") return Effect::kUnsafe;
+  if (text == "pure") return Effect::kIdempotent;
+  if (text == "token") return Effect::kIdempotentWithKey;
+  if (text == "side_effect") return Effect::kNotIdempotent;
   throw WireError("unknown effect: '" + std::string(text) + "'");
 }
 
 ClassSettings ParseClass(const Line& line, std::size_t i) {
   ClassSettings c;
-  c.aim = line.TimeOr(Path("classes", i, "goal-time"), Duration{});
+  c.latency_objective = line.TimeOr(Path("classes", i, "goal-time"), Duration{});
   c.deadline = line.TimeOr(Path("classes", i, "hard-limit"), Duration{});
   c.effect = ParseEffect(line.TextOr(Path("classes", i, "effect"), "side_effect"));
   c.dedup_scope = line.TextOr(Path("classes", i, "key-scope"), "all") == "all"
                       ? DedupScope::kDestination
                       : DedupScope::kZone;
   c.dedup_window = line.TimeOr(Path("classes", i, "dedup-window"), Duration{});
-  c.worth = line.NumberOr(Path("classes", i, "worth"), c.worth);
-  c.late_worth = line.NumberOr(Path("classes", i, "late-worth"), c.late_worth);
+  c.priority_weight = line.NumberOr(Path("classes", i, "worth"), c.priority_weight);
+  c.late_weight_share = line.NumberOr(Path("classes", i, "late-worth"), c.late_weight_share);
   c.ordered = line.FlagOr(Path("classes", i, "sequential"), c.ordered);
   return c;
 }
@@ -51,7 +51,7 @@
     const std::vector<std::string_view> flags = Split(routes, ',');
     if (kinds.size() < flags.size()) kinds.resize(flags.size());
     for (std::size_t i = 0; i < flags.size(); ++i) {
-      kinds[i].separate_routes = ParseFlag(flags[i]);
+      kinds[i].per_endpoint_limits = ParseFlag(flags[i]);
     }
   }
   return kinds;
@@ -64,7 +64,7 @@
     case 255:
       return Outcome::kError;
     case 254:
-      return Outcome::kFull;
+      return Outcome::kRejected;
     case 253:
       return Outcome::kTimeout;
     case 252:
@@ -122,7 +122,7 @@
   for (std::size_t i = 0; i < classes; ++i) s.classes.push_back(ParseClass(line, i));
   s.kinds = ParseKinds(line);
   for (std::string_view toll : Split(line.TextOr("family-info.toll", ""), ',')) {
-    if (!toll.empty()) s.zone_toll.push_back(ParseNumber(toll));
+    if (!toll.empty()) s.zone_penalty.push_back(ParseNumber(toll));
   }
   const std::size_t tenants = CountOf("realms.count", line);
   for (std::size_t i = 0; i < tenants; ++i) {
@@ -132,22 +132,22 @@
       line.TextOr("family-info.loses-worth", "line") == "halves" ? Decay::kHalving : Decay::kLinear;
   const std::string_view weights = line.TextOr("weight-source", "none");
   if (weights == "nominal") s.weights = WeightMeaning::kRate;
-  if (weights == "rough") s.weights = WeightMeaning::kRoughRate;
-  s.over_quota_worth = line.NumberOr("over-share-worth", s.over_quota_worth);
-  s.slots = line.WholeOr("family-info.workers", 0);
-  s.max_held = line.WholeOr("limits.open-cap", 0);
+  if (weights == "rough") s.weights = WeightMeaning::kApproximateRate;
+  s.over_quota_weight_share = line.NumberOr("over-share-worth", s.over_quota_weight_share);
+  s.max_concurrent_calls = line.WholeOr("family-info.workers", 0);
+  s.max_in_flight = line.WholeOr("limits.open-cap", 0);
   s.max_attempts = line.WholeOr("limits.max-attempts", 0);
-  s.probes_allowed = line.FlagOr("limits.probes", false);
+  s.health_checks_allowed = line.FlagOr("limits.probes", false);
   s.cancel_allowed = line.FlagOr("limits.may-cancel", false);
-  s.retry_after_heard = line.FlagOr("limits.retry-after", false);
-  s.list_on_request = line.TextOr("discovery", "push") == "ask";
+  s.clients_honor_retry_after = line.FlagOr("limits.retry-after", false);
+  s.subscribe_to_endpoint_list = line.TextOr("discovery", "push") == "ask";
   s.max_retry_after = line.TimeOr("limits.max-retry-after", Duration{});
-  s.turn = line.TimeOr("tick", Duration{});
-  s.cold_share = line.NumberOr("rules.cold-share", s.cold_share);
-  s.cold_time = line.TimeOr("rules.cold", Duration{});
-  s.fall_multiple = line.NumberOr("rules.fall-multiple", s.fall_multiple);
-  s.fall_window = line.TimeOr("rules.fall", Duration{});
-  s.order_rest = line.TimeOr("rules.settle-after-doubt", Duration{});
+  s.decision_interval = line.TimeOr("tick", Duration{});
+  s.slow_start_share = line.NumberOr("rules.cold-share", s.slow_start_share);
+  s.slow_start_duration = line.TimeOr("rules.cold", Duration{});
+  s.collapse_load_multiple = line.NumberOr("rules.fall-multiple", s.collapse_load_multiple);
+  s.collapse_window = line.TimeOr("rules.fall", Duration{});
+  s.ordering_cooldown = line.TimeOr("rules.settle-after-doubt", Duration{});
   s.group_size = line.WholeOr("group-size", 1);
   return s;
 }
@@ -204,7 +204,7 @@
 
 void Host::Start(const Line& line) {
   Instance instance;
-  instance.choice = std::make_unique<Choice>(ParseSettings(line), line.Whole("seed"));
+  instance.choice = std::make_unique<DispatchPolicy>(ParseSettings(line), line.Whole("seed"));
   instances_.insert_or_assign(line.Whole("who"), std::move(instance));
 }
 
@@ -217,7 +217,7 @@
   } else if (form == "patch") {
     list.form = ListForm::kChanges;
   } else if (form == "whole" || form == "stale_copy") {
-    list.form = ListForm::kWhole;
+    list.form = ListForm::kComplete;
   } else {
     throw WireError("unknown form: '" + std::string(form) + "'");
   }
@@ -257,24 +257,24 @@
     e.key = line.TextOr("subject", "");
     instance.events.emplace_back(std::move(e));
   } else if (name == "SETTLED") {
-    AttemptSettled e;
+    AttemptCompleted e;
     e.message = instance.messages.Number(line.Text("call"));
     e.attempt = line.Whole("hop");
     e.endpoint = instance.endpoints.Number(line.Text("endpoint"));
     e.outcome = ParseOutcome(line.Whole("reason"));
     e.elapsed = line.TimeOr("duration", Duration{});
     e.finished = line.FlagOr("over", false);
-    if (e.outcome == Outcome::kFull) {
+    if (e.outcome == Outcome::kRejected) {
       e.retry_after = std::chrono::milliseconds(line.WholeOr("hold-ms", 0));
     }
     e.report = ParseReport(line.TextOr("pressure", ""));
     instance.events.emplace_back(e);
   } else if (name == "ABORTED") {
-    instance.events.emplace_back(MessageWithdrawn{instance.messages.Number(line.Text("call"))});
+    instance.events.emplace_back(MessageCancelled{instance.messages.Number(line.Text("call"))});
   } else if (name == "TIMER") {
     instance.events.emplace_back(TimerFired{line.Whole("key-back")});
   } else if (name == "HEALTH_RESULT") {
-    ProbeSettled e;
+    HealthCheckCompleted e;
     e.endpoint = instance.endpoints.Number(line.Text("endpoint"));
     e.outcome = ParseOutcome(line.Whole("reason"));
     e.elapsed = line.TimeOr("duration", Duration{});
@@ -294,19 +294,19 @@
   const auto endpoint = [&](EndpointId id) {
     Put(reply_, "endpoint", instance.endpoints.Name(id));
   };
-  if (const auto* send = std::get_if<Send>(&action)) {
+  if (const auto* send = std::get_if<SendAttempt>(&action)) {
     begin("TRY");
     call(send->message);
     endpoint(send->endpoint);
     Put(reply_, "max-wait", send->timeout);
-  } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+  } else if (const auto* refuse = std::get_if<RejectMessage>(&action)) {
     begin("REFUSE");
     call(refuse->message);
     Put(reply_, "pause", refuse->retry_after);
-  } else if (const auto* surrender = std::get_if<Surrender>(&action)) {
+  } else if (const auto* surrender = std::get_if<FailMessage>(&action)) {
     begin("SURRENDER");
     call(surrender->message);
-  } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+  } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
     begin("CALL_OFF");
     call(cancel->message);
     Put(reply_, "hop", std::uint64_t{cancel->attempt});
@@ -314,13 +314,13 @@
     begin("SET_TIMER");
     Put(reply_, "key-back", timer->token);
     Put(reply_, "moment", timer->at);
-  } else if (const auto* probe = std::get_if<Probe>(&action)) {
+  } else if (const auto* probe = std::get_if<StartHealthCheck>(&action)) {
     begin("HEALTH_CHECK");
     endpoint(probe->endpoint);
-  } else if (std::holds_alternative<Subscribe>(action)) {
+  } else if (std::holds_alternative<SubscribeToEndpointList>(action)) {
     begin("LISTEN");
     Put(reply_, "active", std::uint64_t{1});
-  } else if (const auto* log = std::get_if<Log>(&action)) {
+  } else if (const auto* log = std::get_if<LogMessage>(&action)) {
     begin("PRINT");
     Put(reply_, "message", log->text);
   }
@@ -351,10 +351,10 @@
     }
     if (host.in_batch()) throw WireError("the input ends inside a batch");
   } catch (const WireError& error) {
-    errors << "rushfall_simhost: line " << number << ": " << error.what() << std::endl;
+    errors << "policy_simulator: line " << number << ": " << error.what() << std::endl;
     return 1;
   }
   return 0;
 }
 
-}  // namespace rushfall::wire
+}  // namespace dispatch_policy::simulator
--- a/adapter/host.hpp
+++ b/adapter/simulator_host.hpp
@@ -1,6 +1,6 @@
 // Hosts many instances of the module on the simulator's wire. It translates and decides nothing.
-#ifndef RUSHFALL_ADAPTER_HOST_HPP_
-#define RUSHFALL_ADAPTER_HOST_HPP_
+#ifndef BRASSFRONT_ADAPTER_SIMULATOR_HOST_HPP_
+#define BRASSFRONT_ADAPTER_SIMULATOR_HOST_HPP_
 
 #include <array>
 #include <iosfwd>
@@ -12,10 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "rushfall/choice.hpp"
-#include "wire.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
+#include "simulator_wire.hpp"
 
-namespace rushfall::wire {
+namespace dispatch_policy::simulator {
 
 Settings ParseSettings(const Line& start);
 
@@ -40,7 +40,7 @@
     std::vector<std::string> names_;
   };
   struct Instance {
-    std::unique_ptr<Choice> choice;
+    std::unique_ptr<DispatchPolicy> choice;
     Names messages;
     Names endpoints;
     std::vector<Event> events;
@@ -70,6 +70,6 @@
 // Runs until the input ends; returns the exit status.
 int Run(std::istream& in, std::ostream& out, std::ostream& errors);
 
-}  // namespace rushfall::wire
+}  // namespace dispatch_policy::simulator
 
-#endif  // RUSHFALL_ADAPTER_HOST_HPP_
+#endif  // BRASSFRONT_ADAPTER_SIMULATOR_HOST_HPP_
--- a/adapter/wire.cpp
+++ b/adapter/simulator_wire.cpp
@@ -1,10 +1,10 @@
-#include "wire.hpp"
+#include "simulator_wire.hpp"
 
 #include <charconv>
 #include <cmath>
 #include <limits>
 
-namespace rushfall::wire {
+namespace dispatch_policy::simulator {
 namespace {
 
 std::string Quoted(std::string_view text) { return "'" + std::string(text) + "'"; }
@@ -105,4 +105,4 @@
   return Has(field) ? Time(field) : absent;
 }
 
-}  // namespace rushfall::wire
+}  // namespace dispatch_policy::simulator
--- a/adapter/wire.hpp
+++ b/adapter/simulator_wire.hpp
@@ -1,6 +1,6 @@
 // The simulator's wire: lines of tab-separated name=value parts. Syntax only.
-#ifndef RUSHFALL_ADAPTER_WIRE_HPP_
-#define RUSHFALL_ADAPTER_WIRE_HPP_
+#ifndef BRASSFRONT_ADAPTER_SIMULATOR_WIRE_HPP_
+#define BRASSFRONT_ADAPTER_SIMULATOR_WIRE_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace rushfall::wire {
+namespace dispatch_policy::simulator {
 
 // A line that can't be taken; what() names the fault.
 class WireError : public std::runtime_error {
@@ -47,6 +47,6 @@
 bool ParseFlag(std::string_view text);
 std::vector<std::string_view> Split(std::string_view text, char separator);
 
-}  // namespace rushfall::wire
+}  // namespace dispatch_policy::simulator
 
-#endif  // RUSHFALL_ADAPTER_WIRE_HPP_
+#endif  // BRASSFRONT_ADAPTER_SIMULATOR_WIRE_HPP_
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -15,7 +15,7 @@
 #include "cli/command.hpp"
 #include "config/config.hpp"
 #include "forwarder/engine.hpp"
-#include "net/sender_side.hpp"
+#include "net/client_server.hpp"
 #include "observe/log.hpp"
 #include "spool/spool.hpp"
 #ifdef BRASSFRONT_ZONES
@@ -46,7 +46,7 @@
 // What the descriptors leave once every delivery is out, within the memory.
 std::size_t SenderConnections(const Config& config) {
   const std::size_t all = config.limits.sockets;
-  const std::size_t others = kOwnDescriptors + Engine::MostNextHopConnections(config);
+  const std::size_t others = kOwnDescriptors + Engine::MaxEndpointConnections(config);
   const std::size_t left = std::max(all > others ? all - others : 0, all / kLeastSenderShare);
   const std::size_t in_memory = config.limits.memory_bytes / 2 / kSenderBytes;
   return std::max<std::size_t>(1, std::min({kMostSenders, left, in_memory}));
@@ -77,7 +77,7 @@
     Config config = ReadConfig(path);
     observe::Log(Concern::kService, Level::kInfo, "configuration read again",
                  {{"discovery", config.discovery}});
-    engine.Move(std::move(config.discovery));
+    engine.SetDiscoveryAddress(std::move(config.discovery));
   } catch (const ConfigError& error) {
     observe::Log(Concern::kService, Level::kError, "configuration not taken up, the old one holds",
                  {{"fault", error.what()}});
@@ -107,18 +107,18 @@
 #ifndef BRASSFRONT_FLEET
 // Stands in where what forwarders share is not built in.
 namespace fleet {
-struct Doors {
-  std::function<void(bool)> stand_by;
-  std::function<bool()> stays;
-  std::function<std::size_t()> held;
-  std::function<void(PeerNews)> tell;
-  std::function<void(MemberList)> listed;
-  std::function<void(std::function<void()>)> then;
+struct ForwarderControl {
+  std::function<void(bool)> set_standby;
+  std::function<bool()> keeps_running;
+  std::function<std::size_t()> messages_in_flight;
+  std::function<void(EndpointUpdate)> update_endpoint;
+  std::function<void(MemberList)> set_endpoints;
+  std::function<void(std::function<void()>)> post;
 };
 struct Fleet {
   MemberList Filter(MemberList list) { return list; }
-  PeerDoor* door() { return nullptr; }
-  void Begin(const Doors&) {}
+  CallObserver* call_observer() { return nullptr; }
+  void Begin(const ForwarderControl&) {}
   void Reload() {}
   void Leave() {}
 };
@@ -152,9 +152,9 @@
   std::promise<Engine*> made;  // the watch begins before the engine's constructor returns
   const std::shared_future<Engine*> there = made.get_future();
   const std::function<void(MemberList)> listed = [there](MemberList list) {
-    there.get()->Listed(std::move(list));
+    there.get()->SetEndpoints(std::move(list));
   };
-  Watch::OnList divert;
+  DiscoveryWatcher::OnEndpointList divert;
   if (sources) {
     divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
   } else if (peers) {
@@ -162,7 +162,7 @@
   }
   Engine engine(config, spool, buffers, std::move(divert));
   made.set_value(&engine);
-  if (peers && peers->door() != nullptr) engine.Attach(*peers->door());
+  if (peers && peers->call_observer() != nullptr) engine.SetCallObserver(*peers->call_observer());
   engine.Restore(filtered(sources ? sources->Begin(kZonesConfirmed) : config.known));
   Socket listener = Listen(config.listen);
   if (!listener.is_open()) {
@@ -170,18 +170,20 @@
   }
   const std::string address = AddressOf(listener);
   if (sources) sources->Start([&](MemberList list) { listed(filtered(std::move(list))); });
-  SenderSide senders(std::move(listener),
-                     {.connections = SenderConnections(config),
-                      .most_idle = config.limits.sockets / kIdleSenderShare},
-                     engine, buffers);
+  ClientServer senders(std::move(listener),
+                       {.connections = SenderConnections(config),
+                        .most_idle = config.limits.sockets / kIdleSenderShare},
+                       engine, buffers);
   std::atomic<bool> leaves{false}, over{false};
   if (peers) {
-    peers->Begin({.stand_by = [&senders](bool on) { senders.StandBy(on); },
-                  .stays = [&leaves] { return !leaves; },
-                  .held = [&engine] { return engine.held(); },
-                  .tell = [&engine](PeerNews news) { engine.Tell(std::move(news)); },
-                  .listed = listed,
-                  .then = [&engine](std::function<void()> what) { engine.Then(std::move(what)); }});
+    peers->Begin(
+        {.set_standby = [&senders](bool on) { senders.StandBy(on); },
+         .keeps_running = [&leaves] { return !leaves; },
+         .messages_in_flight = [&engine] { return engine.messages_in_flight(); },
+         .update_endpoint =
+             [&engine](EndpointUpdate update) { engine.UpdateEndpoint(std::move(update)); },
+         .set_endpoints = listed,
+         .post = [&engine](std::function<void()> what) { engine.Post(std::move(what)); }});
   }
   Thread waiter("signals", [&] {
     int signal = 0;
@@ -191,7 +193,7 @@
         if (peers) peers->Reload();
       } else {
         leaves = true;
-        engine.Leave();
+        engine.BeginGracefulShutdown();
       }
     }
   });
@@ -200,7 +202,7 @@
   engine.Run([&] { senders.Drain(); });
   if (sources) sources->Stop();
   if (peers) peers->Leave();
-  engine.LetGo();
+  engine.Close();
   over = true;
   kill(getpid(), SIGTERM);  // for the waiter, which takes it
   waiter.Join();
--- a/src/net/thread.hpp
+++ b/src/concurrency/thread.hpp
@@ -4,8 +4,8 @@
 // sanitizers need more. The deepest path is a discovery line through the JSON reader, which is
 // bounded; large data is on the heap or in pooled buffers. With the usual 8 MiB, 300 threads would
 // reserve 2.4 GB.
-#ifndef BRASSFRONT_NET_THREAD_HPP_
-#define BRASSFRONT_NET_THREAD_HPP_
+#ifndef BRASSFRONT_CONCURRENCY_THREAD_HPP_
+#define BRASSFRONT_CONCURRENCY_THREAD_HPP_
 
 #include <pthread.h>
 
@@ -58,4 +58,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_THREAD_HPP_
+#endif  // BRASSFRONT_CONCURRENCY_THREAD_HPP_
--- a/src/net/crew.hpp
+++ b/src/concurrency/thread_pool.hpp
@@ -3,8 +3,8 @@
 // Guards against hundreds of threads that wait for something: each of them costs the system time
 // whenever the process is stopped and let go on, which is how some platforms hold it to its share
 // of a core, and that time is taken from the threads that have work.
-#ifndef BRASSFRONT_NET_CREW_HPP_
-#define BRASSFRONT_NET_CREW_HPP_
+#ifndef BRASSFRONT_CONCURRENCY_THREAD_POOL_HPP_
+#define BRASSFRONT_CONCURRENCY_THREAD_POOL_HPP_
 
 #include <chrono>
 #include <condition_variable>
@@ -16,12 +16,12 @@
 #include <stdexcept>
 #include <utility>
 
-#include "net/thread.hpp"
+#include "concurrency/thread.hpp"
 
 namespace brassfront {
 
 template <typename T>
-class Crew {
+class ThreadPool {
  public:
   struct Size {
     std::size_t least = 1;  // stay, whatever there is to do
@@ -30,7 +30,7 @@
   };
 
   // Throws where the system has no room for the first of them.
-  Crew(const char* name, const Size& size, std::function<void(T)> work)
+  ThreadPool(const char* name, const Size& size, std::function<void(T)> work)
       : name_(name), size_(size), work_(std::move(work)) {
     const std::lock_guard lock(mutex_);
     while (members_.size() < size_.least && StartOne()) {
@@ -38,7 +38,7 @@
     if (members_.empty()) throw std::runtime_error("no room for a thread");
   }
   // Does what is waiting, and returns once all of it is done.
-  ~Crew() {
+  ~ThreadPool() {
     {
       const std::lock_guard lock(mutex_);
       closed_ = true;
@@ -48,7 +48,7 @@
   }
 
   // Never waits. Where the system has no room for a further thread, the others do the work.
-  void Put(T value) {
+  void Submit(T value) {
     {
       const std::lock_guard lock(mutex_);
       members_.remove_if([](const Member& member) { return member.gone; });
@@ -119,4 +119,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_CREW_HPP_
+#endif  // BRASSFRONT_CONCURRENCY_THREAD_POOL_HPP_
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -60,33 +60,33 @@
 
 // A class whose repeat rule is missing or unknown is taken for one that must never run twice: the
 // safe reading, told in `warnings`.
-rushfall::ClassSettings ReadClass(const Value& in, std::vector<std::string>& warnings) {
-  rushfall::ClassSettings c;
-  c.aim = nanoseconds(in.At("goal-time").Whole());
+dispatch_policy::ClassSettings ReadClass(const Value& in, std::vector<std::string>& warnings) {
+  dispatch_policy::ClassSettings c;
+  c.latency_objective = nanoseconds(in.At("goal-time").Whole());
   c.deadline = nanoseconds(in.At("hard-limit").Whole());
   const std::string effect = TextOr(in, "effect", "");
   if (effect == "pure") {
-    c.effect = rushfall::Effect::kSafe;
+    c.effect = dispatch_policy::Effect::kIdempotent;
   } else if (effect == "token") {
-    c.effect = rushfall::Effect::kKeyed;
+    c.effect = dispatch_policy::Effect::kIdempotentWithKey;
   } else if (effect != "side_effect") {
     warnings.push_back("class " + TextOr(in, "name", "?") + ": effect '" + effect +
                        "' is not pure, token or side_effect; it is never repeated");
   }
-  if (TextOr(in, "key-scope", "all") == "zone") c.dedup_scope = rushfall::DedupScope::kZone;
+  if (TextOr(in, "key-scope", "all") == "zone") c.dedup_scope = dispatch_policy::DedupScope::kZone;
   c.dedup_window = TimeOr(in, "dedup-window");
-  c.worth = NumberOr(in, "worth", c.worth);
-  c.late_worth = NumberOr(in, "late-worth", c.late_worth);
+  c.priority_weight = NumberOr(in, "worth", c.priority_weight);
+  c.late_weight_share = NumberOr(in, "late-worth", c.late_weight_share);
   c.ordered = FlagOr(in, "sequential", c.ordered);
   return c;
 }
 
-std::vector<rushfall::KindSettings> ReadKinds(const Value& family, std::size_t count) {
+std::vector<dispatch_policy::KindSettings> ReadKinds(const Value& family, std::size_t count) {
   const Value::Array& batches = ItemsOf(family, "bundle-max");
   const Value::Array& apart = ItemsOf(family, "own-limits");
-  std::vector<rushfall::KindSettings> kinds(std::max({count, batches.size(), apart.size()}));
+  std::vector<dispatch_policy::KindSettings> kinds(std::max({count, batches.size(), apart.size()}));
   for (std::size_t i = 0; i < batches.size(); ++i) kinds[i].max_batch = batches[i].Whole();
-  for (std::size_t i = 0; i < apart.size(); ++i) kinds[i].separate_routes = apart[i].Flag();
+  for (std::size_t i = 0; i < apart.size(); ++i) kinds[i].per_endpoint_limits = apart[i].Flag();
   return kinds;
 }
 
@@ -110,7 +110,7 @@
 }
 
 void ReadSettings(const Value& in, Config& config) {
-  rushfall::Settings& s = config.decisions;
+  dispatch_policy::Settings& s = config.policy_settings;
   const Value& family = GroupOf(in, "family-info");
   const Value& limits = GroupOf(in, "limits");
   const Value& rules = GroupOf(in, "rules");
@@ -126,26 +126,26 @@
   config.kind_names = Names(in, "shapes");
   config.zone_names = Names(in, "zones");
   s.kinds = ReadKinds(family, config.kind_names.size());
-  s.zone_toll = ReadTolls(family, config.zone_names.size(), config.warnings);
-  if (TextOr(family, "loses-worth", "line") == "halves") s.decay = rushfall::Decay::kHalving;
+  s.zone_penalty = ReadTolls(family, config.zone_names.size(), config.warnings);
+  if (TextOr(family, "loses-worth", "line") == "halves") s.decay = dispatch_policy::Decay::kHalving;
   const std::string weights = TextOr(in, "weight-source", "none");
-  if (weights == "nominal") s.weights = rushfall::WeightMeaning::kRate;
-  if (weights == "rough") s.weights = rushfall::WeightMeaning::kRoughRate;
-  s.over_quota_worth = NumberOr(in, "over-share-worth", s.over_quota_worth);
-  s.slots = WholeOr(family, "workers", 0);
-  s.max_held = WholeOr(limits, "open-cap", 0);
+  if (weights == "nominal") s.weights = dispatch_policy::WeightMeaning::kRate;
+  if (weights == "rough") s.weights = dispatch_policy::WeightMeaning::kApproximateRate;
+  s.over_quota_weight_share = NumberOr(in, "over-share-worth", s.over_quota_weight_share);
+  s.max_concurrent_calls = WholeOr(family, "workers", 0);
+  s.max_in_flight = WholeOr(limits, "open-cap", 0);
   s.max_attempts = WholeOr(limits, "max-attempts", 0);
-  s.probes_allowed = FlagOr(limits, "probes", false);
+  s.health_checks_allowed = FlagOr(limits, "probes", false);
   s.cancel_allowed = FlagOr(limits, "may-cancel", false);
-  s.retry_after_heard = FlagOr(limits, "retry-after", false);
-  s.list_on_request = TextOr(in, "discovery", "push") == "ask";
+  s.clients_honor_retry_after = FlagOr(limits, "retry-after", false);
+  s.subscribe_to_endpoint_list = TextOr(in, "discovery", "push") == "ask";
   s.max_retry_after = TimeOr(limits, "max-retry-after");
-  s.turn = TimeOr(in, "tick", std::chrono::milliseconds(5));
-  s.cold_share = NumberOr(rules, "cold-share", s.cold_share);
-  s.cold_time = TimeOr(rules, "cold");
-  s.fall_multiple = NumberOr(rules, "fall-multiple", s.fall_multiple);
-  s.fall_window = TimeOr(rules, "fall");
-  s.order_rest = TimeOr(rules, "settle-after-doubt");
+  s.decision_interval = TimeOr(in, "tick", std::chrono::milliseconds(5));
+  s.slow_start_share = NumberOr(rules, "cold-share", s.slow_start_share);
+  s.slow_start_duration = TimeOr(rules, "cold");
+  s.collapse_load_multiple = NumberOr(rules, "fall-multiple", s.collapse_load_multiple);
+  s.collapse_window = TimeOr(rules, "fall");
+  s.ordering_cooldown = TimeOr(rules, "settle-after-doubt");
   s.group_size = WholeOr(in, "group-size", 1);
   config.connection_idle = TimeOr(limits, "conn-idle", std::chrono::seconds(15));
   config.connect_timeout = TimeOr(limits, "connect-timeout", std::chrono::milliseconds(1500));
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch_policy/dispatch_policy.hpp"
 #include "protocol/discovery.hpp"
-#include "rushfall/choice.hpp"
 
 namespace brassfront {
 
@@ -33,7 +33,7 @@
   MemberList known;
 
   // Of the settings: what the module is told, and the names that stand for its numbers.
-  rushfall::Settings decisions;
+  dispatch_policy::Settings policy_settings;
   std::vector<std::string> class_names;
   std::vector<std::string> tenant_names;
   std::vector<std::string> kind_names;
--- a/src/fleet/control.hpp
+++ b/src/fleet/control.hpp
@@ -7,8 +7,8 @@
 #include <map>
 #include <string>
 
+#include "concurrency/thread.hpp"
 #include "net/socket.hpp"
-#include "net/thread.hpp"
 
 namespace brassfront::fleet {
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -100,8 +100,8 @@
   return self != nullptr && self->voter;
 }
 
-void Fleet::Begin(Doors doors) {
-  doors_ = std::move(doors);
+void Fleet::Begin(ForwarderControl control) {
+  forwarder_ = std::move(control);
   const std::string& address = roster_.Find(self_name_)->address;
   socket_ = BindDatagrams(address);
   if (!socket_.is_open()) {
@@ -112,7 +112,7 @@
   if (!wake_.is_open()) throw std::runtime_error("no room for a descriptor");
   MakeCouncil();
   DoDuty(Now());
-  control_ = std::make_unique<Control>(folder_, [this](const Call& call) {
+  control_server_ = std::make_unique<Control>(folder_, [this](const Call& call) {
     Asked asked{call, {}};
     std::future<Reply> reply = asked.reply.get_future();
     Put(std::move(asked));
@@ -133,7 +133,7 @@
 }
 
 void Fleet::Put(Item item) {
-  if (inbox_.Put(std::move(item))) eventfd_write(wake_.fd(), 1);
+  if (inbox_.Push(std::move(item))) eventfd_write(wake_.fd(), 1);
 }
 
 void Fleet::Reload() { Put(ReloadNow{}); }
@@ -143,10 +143,10 @@
   Put(LeaveNow{});
   thread_.Join();
   inbox_.Close();
-  while (inbox_.Take()) {
+  while (inbox_.Pop()) {
   }
   pending_.clear();  // or whoever asked would be waited for
-  control_.reset();
+  control_server_.reset();
 }
 
 // ======== the thread ========
@@ -180,7 +180,7 @@
 void Fleet::TakeItems() {
   eventfd_t count = 0;
   eventfd_read(wake_.fd(), &count);
-  while (auto item = inbox_.TakeUntil(std::chrono::steady_clock::time_point::min())) {
+  while (auto item = inbox_.PopUntil(std::chrono::steady_clock::time_point::min())) {
     std::visit([this](auto& e) { On(e); }, *item);
   }
 }
@@ -420,7 +420,7 @@
   for (const auto& [name, peer] : detector_.peers()) {
     seen[name] = {peer.state, peers::LifeOf(peer.incarnation), loads_[name]};
   }
-  seen[self_name_] = {peers::State::kAlive, self_.life(), doors_.held()};
+  seen[self_name_] = {peers::State::kAlive, self_.life(), forwarder_.messages_in_flight()};
   const auto command = leader_.Next(settled_, roster_, seen, now - *leads_since_, now);
   if (!command) return;
   leader_waits_ = true;
@@ -433,16 +433,16 @@
 void Fleet::DoDuty(Time now) {
   if (now < next_duty_) return;
   next_duty_ = now + kDutyEvery;
-  own_.drained =
-      own_.standing_by && now - stands_by_since_ >= kStandByAtLeast && doors_.held() == 0;
+  own_.drained = own_.standing_by && now - stands_by_since_ >= kStandByAtLeast &&
+                 forwarder_.messages_in_flight() == 0;
   // Guards against a machine that is asked back while its old process still ends: it takes no more
   // clients, and only the next process may say that it serves.
-  own_.serving = !own_.standing_by && doors_.stays();
+  own_.serving = !own_.standing_by && forwarder_.keeps_running();
   const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
   if (duty.stand_by != own_.standing_by) {
     own_.standing_by = duty.stand_by;
     stands_by_since_ = now;
-    doors_.stand_by(duty.stand_by);
+    forwarder_.set_standby(duty.stand_by);
     observe::Log(Concern::kFleet, Level::kInfo, duty.stand_by ? "standby" : "active");
   }
   if (duty.ban != ban_asked_) {
@@ -454,13 +454,14 @@
     // Until the engine has taken this up, only what both have is certain.
     std::erase_if(own_.banned, [&](const std::string& e) { return !duty.ban.contains(e); });
     MemberList changes = bans_.Set(duty.ban);
-    if (!changes.members.empty()) doors_.listed(std::move(changes));
+    if (!changes.members.empty()) forwarder_.set_endpoints(std::move(changes));
     // It was settled, so it binds as if two had seen it.
     for (std::string& e : back) {
-      doors_.tell(
-          {std::move(e), rushfall::PeerWord{.word = rushfall::Word::kCold, .witnesses = 2}});
+      forwarder_.update_endpoint(
+          {std::move(e), dispatch_policy::PeerHealthReport{
+                             .health = dispatch_policy::PeerHealth::kWarmingUp, .witnesses = 2}});
     }
-    doors_.then([this, ban = duty.ban] { Put(Banned{ban}); });
+    forwarder_.post([this, ban = duty.ban] { Put(Banned{ban}); });
   }
   if (!thread_.started()) return;  // nobody to tell yet
   for (const maintenance::Command& command : duty.say) Submit(command);
@@ -487,7 +488,9 @@
     believed_leader_.clear();
   }
   peers::Writer body;
-  body.U8(static_cast<std::uint64_t>(News::kAsk)).U64(known_.revision()).U64(doors_.held());
+  body.U8(static_cast<std::uint64_t>(News::kAsk))
+      .U64(known_.revision())
+      .U64(forwarder_.messages_in_flight());
   Send(peers::Kind::kNews, to, body.Take());
 }
 
@@ -501,7 +504,7 @@
   }
   sharing_->Turn(Leader(), std::move(present), now);
   for (Sharing::Out& out : sharing_->TakeFrames()) Send(out.kind, out.to, std::move(out.body));
-  for (PeerNews& news : sharing_->TakeNews()) doors_.tell(std::move(news));
+  for (EndpointUpdate& news : sharing_->TakeNews()) forwarder_.update_endpoint(std::move(news));
 }
 
 // ======== operators ========
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -16,17 +16,17 @@
 #include <variant>
 #include <vector>
 
+#include "concurrency/bounded_queue.hpp"
+#include "concurrency/thread.hpp"
 #include "consensus/council.hpp"
 #include "consensus/file_store.hpp"
 #include "fleet/bans.hpp"
 #include "fleet/control.hpp"
-#include "fleet/doors.hpp"
+#include "fleet/forwarder_control.hpp"
 #include "fleet/self.hpp"
 #include "fleet/sharing.hpp"
-#include "forwarder/mailbox.hpp"
 #include "maintenance/turns.hpp"
 #include "net/socket.hpp"
-#include "net/thread.hpp"
 #include "peers/detector.hpp"
 #include "peers/roster.hpp"
 
@@ -47,11 +47,11 @@
   }
 
   // What the engine is to tell of its calls; none: nothing is shared beside work.
-  PeerDoor* door() { return sharing_.get(); }
+  CallObserver* call_observer() { return sharing_.get(); }
 
   // From now on it speaks with its peers. What was settled before about this forwarder holds before
   // it returns: a machine that is out starts standing by. Throws std::runtime_error.
-  void Begin(Doors doors);
+  void Begin(ForwarderControl control);
   // Reads the roster again; a bad one, or one that changes too much, changes nothing and leaves a
   // line. For any thread.
   void Reload();
@@ -118,10 +118,10 @@
   Self self_;
   Bans bans_;
   std::unique_ptr<Sharing> sharing_;  // none: the roster has no such part
-  Doors doors_;
+  ForwarderControl forwarder_;
   Socket socket_;
   Socket wake_;  // eventfd
-  Mailbox<Item> inbox_{64};
+  BoundedQueue<Item> inbox_{64};
 
   // The thread's own.
   peers::Detector detector_;
@@ -148,7 +148,7 @@
   std::vector<peers::Frame> out_;
   bool leaving_ = false;
 
-  std::unique_ptr<Control> control_;
+  std::unique_ptr<Control> control_server_;
   Thread thread_;
 };
 
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -8,8 +8,8 @@
 namespace brassfront::fleet {
 namespace {
 
+using dispatch_policy::Outcome;
 using peers::Time;
-using rushfall::Outcome;
 using std::chrono::milliseconds;
 
 constexpr Time kTickEvery = milliseconds(250);
@@ -21,8 +21,9 @@
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
-std::string KeyOf(const CallPlace& place) {
-  return place.apart ? quota::KeyOf(place.endpoint) : quota::KeyOf(place.destination);
+std::string KeyOf(const CallTarget& target) {
+  return target.has_own_rate_limit ? quota::KeyOf(target.endpoint)
+                                   : quota::KeyOf(target.destination);
 }
 
 verdicts::Settings SettingsOf(const peers::Sharing& s) {
@@ -39,20 +40,20 @@
 
 std::string Seconds(Time time) { return Number(quota::SecondsOf(time)); }
 
-rushfall::Word WordOf(verdicts::Advice::What what) {
+dispatch_policy::PeerHealth WordOf(verdicts::Advice::What what) {
   switch (what) {
     case verdicts::Advice::What::kDown:
-      return rushfall::Word::kDown;
+      return dispatch_policy::PeerHealth::kFailing;
     case verdicts::Advice::What::kWait:
-      return rushfall::Word::kWait;
+      return dispatch_policy::PeerHealth::kRetryAfter;
     case verdicts::Advice::What::kCold:
-      return rushfall::Word::kCold;
+      return dispatch_policy::PeerHealth::kWarmingUp;
     case verdicts::Advice::What::kServes:
-      return rushfall::Word::kServes;
+      return dispatch_policy::PeerHealth::kServing;
     case verdicts::Advice::What::kTried:
       break;
   }
-  return rushfall::Word::kTried;
+  return dispatch_policy::PeerHealth::kBeingTested;
 }
 
 }  // namespace
@@ -83,11 +84,11 @@
 
 // ======== the engine's door ========
 
-void Sharing::Known(const std::string& key, const CallPlace& place) {
+void Sharing::Known(const std::string& key, const CallTarget& target) {
   // A route apart has no part in its destination's limit.
-  if (place.apart) places_[quota::KeyOf(place.destination)].erase(place.endpoint);
+  if (target.has_own_rate_limit) places_[quota::KeyOf(target.destination)].erase(target.endpoint);
   std::set<std::string>& its = places_[key];
-  if (its.size() < kMostPlaces && its.insert(place.endpoint).second) holder_.TellAgain(key);
+  if (its.size() < kMostPlaces && its.insert(target.endpoint).second) holder_.TellAgain(key);
 }
 
 // Guards against calls that begin unpaced, and are held back at their first byte, at a start.
@@ -103,33 +104,33 @@
   }
 }
 
-void Sharing::Arrived(std::uint64_t destination) {
+void Sharing::OnMessageArrived(std::uint64_t destination) {
   if (!settings_.limits) return;
   const std::lock_guard lock(mutex_);
   holder_.Wanted(quota::KeyOf(destination), Now());
 }
 
-bool Sharing::MayBegin(const CallPlace& place) {
+bool Sharing::AllowsCall(const CallTarget& target) {
   if (!settings_.limits) return true;
-  const std::string key = KeyOf(place);
+  const std::string key = KeyOf(target);
   const std::lock_guard lock(mutex_);
-  Known(key, place);
+  Known(key, target);
   const Time now = Now();
-  if (place.apart)
+  if (target.has_own_rate_limit)
     holder_.Wanted(key, now);  // what comes for a destination says nothing of a route
   return holder_.MayBegin(key, now);
 }
 
-void Sharing::Ended(const CallEnded& end) {
-  const std::string key = KeyOf(end.place);
+void Sharing::OnCallCompleted(const CallCompleted& end) {
+  const std::string key = KeyOf(end.target);
   const std::lock_guard lock(mutex_);
   const Time now = Now();
-  Known(key, end.place);
+  Known(key, end.target);
   if (settings_.limits && end.report.limit.value_or(0) > 0) {
     holder_.Told(key, *end.report.limit, now);
   }
   if (!settings_.verdicts) return;
-  const std::string& endpoint = end.place.endpoint;
+  const std::string& endpoint = end.target.endpoint;
   switch (end.outcome) {
     case Outcome::kDelivered:
       return table_.Answered(endpoint, end.started.time_since_epoch(), now);
@@ -139,11 +140,11 @@
     case Outcome::kCancelled:
     case Outcome::kError:
       return table_.Failed(endpoint, now);
-    case Outcome::kFull:
-      if (end.wait >= kLeastWait) table_.ToldWait(endpoint, end.wait, now);
+    case Outcome::kRejected:
+      if (end.retry_after >= kLeastWait) table_.ToldWait(endpoint, end.retry_after, now);
       return;
     case Outcome::kNotSent:
-    case Outcome::kCrowded:
+    case Outcome::kConnectionLimitReached:
       return;
   }
 }
@@ -217,21 +218,21 @@
   grantor_.Change(TermsOf(roster));
 }
 
-std::vector<PeerNews> Sharing::TakeNews() {
+std::vector<EndpointUpdate> Sharing::TakeNews() {
   const std::lock_guard lock(mutex_);
-  std::vector<PeerNews> news;
+  std::vector<EndpointUpdate> news;
   for (const auto& [key, rate] : holder_.Changes(Now())) {
     const auto its = places_.find(key);
     if (its == places_.end()) continue;
-    rushfall::ShareLeased share;
+    dispatch_policy::QuotaLeased share;
     if (rate) share.rate = *rate * kPaceShare;
     for (const std::string& endpoint : its->second) news.push_back({endpoint, share});
   }
   for (const verdicts::Advice& advice : table_.TakeAdvice()) {
-    rushfall::PeerWord word;
-    word.word = WordOf(advice.what);
+    dispatch_policy::PeerHealthReport word;
+    word.health = WordOf(advice.what);
     word.age = advice.age;
-    word.rest = advice.rest;
+    word.duration = advice.rest;
     word.witnesses = advice.witnesses;
     news.push_back({advice.endpoint, word});
   }
--- a/src/fleet/sharing.hpp
+++ b/src/fleet/sharing.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "forwarder/peer_door.hpp"
+#include "forwarder/call_observer.hpp"
 #include "peers/frame.hpp"
 #include "peers/roster.hpp"
 #include "protocol/discovery.hpp"
@@ -23,7 +23,7 @@
 
 namespace brassfront::fleet {
 
-class Sharing : public PeerDoor {
+class Sharing : public CallObserver {
  public:
   using Time = peers::Time;
   struct Out {
@@ -35,9 +35,9 @@
   Sharing(const peers::Roster& roster, std::string self, std::uint64_t life);
 
   // ---- the engine's door ----
-  void Arrived(std::uint64_t destination) override;
-  bool MayBegin(const CallPlace& place) override;
-  void Ended(const CallEnded& end) override;
+  void OnMessageArrived(std::uint64_t destination) override;
+  bool AllowsCall(const CallTarget& target) override;
+  void OnCallCompleted(const CallCompleted& end) override;
 
   // A list on its way to the engine, from any thread: whose limits will be asked for.
   void Listed(const MemberList& list);
@@ -52,13 +52,13 @@
   Time Next() const;
   void SetRoster(const peers::Roster& roster, Time now);
   std::vector<Out> TakeFrames() { return std::exchange(out_, {}); }
-  std::vector<PeerNews> TakeNews();
+  std::vector<EndpointUpdate> TakeNews();
   std::string LimitsJson(Time now) const;
   std::string VerdictsJson(Time now) const;
 
  private:
   void Answer(const std::string& holder, const quota::Request& request, Time now);
-  void Known(const std::string& key, const CallPlace& place);
+  void Known(const std::string& key, const CallTarget& target);
 
   const std::string self_;
   peers::Sharing settings_;
--- a/src/forwarder/endpoint_sources.cpp
+++ b/src/forwarder/endpoint_sources.cpp
@@ -170,7 +170,7 @@
     put_ = std::move(put);
     Send();
   }
-  thread_ = Thread("sources", [this] { Watch(); });
+  thread_ = Thread("sources", [this] { RunSources(); });
 }
 
 void EndpointSources::Stop() {
@@ -237,7 +237,7 @@
   wake_.notify_all();
 }
 
-void EndpointSources::Watch() {
+void EndpointSources::RunSources() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     const double wait = std::clamp(merged_.NextDue() - nameserver::SteadySeconds(), 0.001, 3600.0);
--- a/src/forwarder/endpoint_sources.hpp
+++ b/src/forwarder/endpoint_sources.hpp
@@ -14,11 +14,11 @@
 #include <string_view>
 #include <vector>
 
+#include "concurrency/thread.hpp"
 #include "config/config.hpp"
 #include "membership/membership.hpp"
 #include "membership/zone_map.hpp"
 #include "nameserver/host.hpp"
-#include "net/thread.hpp"
 
 namespace brassfront {
 
@@ -72,7 +72,7 @@
   void TakeServices(Listed& listed, std::vector<membership::ZoneMap::Service> services);
   void Heard(Listed& listed);
   void Send();
-  void Watch();
+  void RunSources();
 
   const SourceSettings settings_;
   const std::vector<std::string> kinds_;
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr std::size_t kInbox = 1024;
+constexpr std::size_t kInboxCapacity = 1024;
 constexpr std::size_t kSlotsWhereNoneAreSet = 32;
 constexpr std::size_t kProbeThreads = 16;  // probes take no slot
 constexpr double kBodyShare = 0.25;        // of the memory, for the bodies of all held messages
@@ -28,9 +28,9 @@
 constexpr milliseconds kStayAtLeast{700};
 constexpr milliseconds kStayAtMost{3200};
 
-rushfall::Time Now() { return steady_clock::now().time_since_epoch(); }
+dispatch_policy::Time Now() { return steady_clock::now().time_since_epoch(); }
 
-steady_clock::time_point Point(rushfall::Time time) {
+steady_clock::time_point Point(dispatch_policy::Time time) {
   return steady_clock::time_point(duration_cast<steady_clock::duration>(time));
 }
 
@@ -38,10 +38,12 @@
   return duration_cast<UnixMs>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-milliseconds InMs(rushfall::Duration time) { return std::chrono::ceil<milliseconds>(time); }
+milliseconds InMs(dispatch_policy::Duration time) { return std::chrono::ceil<milliseconds>(time); }
 
 std::size_t SlotsOf(const Config& config) {
-  return config.decisions.slots > 0 ? config.decisions.slots : kSlotsWhereNoneAreSet;
+  return config.policy_settings.max_concurrent_calls > 0
+             ? config.policy_settings.max_concurrent_calls
+             : kSlotsWhereNoneAreSet;
 }
 
 std::size_t MostOut(const Config& config) { return SlotsOf(config) + kProbeThreads; }
@@ -58,40 +60,41 @@
 
 }  // namespace
 
-std::size_t Engine::MostNextHopConnections(const Config& config) {
+std::size_t Engine::MaxEndpointConnections(const Config& config) {
   return MostOut(config) + MostIdle(config);
 }
 
-Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers, Watch::OnList divert)
+Engine::Engine(const Config& config, Spool& spool, BufferPool& buffers,
+               DiscoveryWatcher::OnEndpointList divert)
     : config_(config),
       spool_(spool),
-      inbox_(kInbox),
-      choice_(config.decisions, config.seed),
+      inbox_(kInboxCapacity),
+      policy_(config.policy_settings, config.seed),
       next_message_(spool.next_number()),
       next_hops_({.threads = MostOut(config),
                   .most_idle = MostIdle(config),
-                  .group = config.decisions.group_size,
+                  .group = config.policy_settings.group_size,
                   .connection_idle = config.connection_idle,
                   .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
-                 buffers, [this](DeliveryEnd end) { inbox_.Put(std::move(end)); }),
+                 buffers, [this](EndpointCallResult end) { inbox_.Push(std::move(end)); }),
       notices_(config.discovery, buffers,
-               [this](MessageId message) { inbox_.Put(NoticeHeard{message}); }),
+               [this](MessageId message) { inbox_.Push(NoticeHeard{message}); }),
       watch_(
           config.discovery, config.known.revision,
-          {.size = config.decisions.group_size, .seed = config.seed}, buffers,
-          divert ? std::move(divert) : [this](MemberList list) { Listed(std::move(list)); }) {
-  for (const rushfall::ClassSettings& c : config.decisions.classes) {
+          {.size = config.policy_settings.group_size, .seed = config.seed}, buffers,
+          divert ? std::move(divert) : [this](MemberList list) { SetEndpoints(std::move(list)); }) {
+  for (const dispatch_policy::ClassSettings& c : config.policy_settings.classes) {
     longest_deadline_ = std::max(longest_deadline_, c.deadline);
   }
   deadlines_.Set(Now() + kHousekeepingEvery, {Due::kEverySecond});
 }
 
-Engine::~Engine() { LetGo(); }
+Engine::~Engine() { Close(); }
 
 // Guards against threads that wait for the engine for good, and are waited for at its end.
-void Engine::LetGo() {
+void Engine::Close() {
   inbox_.Close();
-  while (inbox_.Take()) {
+  while (inbox_.Pop()) {
   }
   arrivals_.clear();
 }
@@ -100,19 +103,19 @@
 
 // What the settings alone can turn away is turned away here, on the client's thread. Guards against
 // a flood of bad envelopes that the engine would have to look at, one by one.
-Answer Engine::HandIn(Envelope envelope) {
+SubmitResult Engine::Submit(DeliveryRequest request) {
   Arrival arrival;
-  std::string fault = Reject(envelope, arrival.the_class, arrival.tenant);
-  if (!fault.empty()) return Answer::Bad(std::move(fault));
-  if (!IsListed(envelope.destination)) {
-    Answer unlisted = Answer::Deferred(rushfall::kRetryWhenFull);
-    unlisted.unlisted = true;
+  std::string fault = Reject(request, arrival.the_class, arrival.tenant);
+  if (!fault.empty()) return SubmitResult::Invalid(std::move(fault));
+  if (!IsListed(request.destination)) {
+    SubmitResult unlisted = SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull);
+    unlisted.unknown_destination = true;
     return unlisted;
   }
-  arrival.envelope = std::move(envelope);
+  arrival.request = std::move(request);
   arrival.handed_in = Now();
-  std::future<Answer> answer = arrival.answer.get_future();
-  if (!inbox_.Put(std::move(arrival))) return {};
+  std::future<SubmitResult> answer = arrival.answer.get_future();
+  if (!inbox_.Push(std::move(arrival))) return {};
   try {
     return answer.get();
   } catch (const std::future_error&) {  // the engine has left
@@ -120,11 +123,13 @@
   }
 }
 
-void Engine::Heard(std::uint64_t message) { inbox_.Put(HeardNow{message}); }
-void Engine::Lost(std::uint64_t message) { inbox_.Put(LostNow{message}); }
-void Engine::Leave() { inbox_.Put(LeaveNow{}); }
-void Engine::Then(std::function<void()> what) { inbox_.Put(ThenNow{std::move(what)}); }
-void Engine::Move(std::string discovery) { inbox_.Put(MoveNow{std::move(discovery)}); }
+void Engine::OnAcknowledged(std::uint64_t message) { inbox_.Push(HeardNow{message}); }
+void Engine::OnClientDisconnected(std::uint64_t message) { inbox_.Push(LostNow{message}); }
+void Engine::BeginGracefulShutdown() { inbox_.Push(LeaveNow{}); }
+void Engine::Post(std::function<void()> what) { inbox_.Push(ThenNow{std::move(what)}); }
+void Engine::SetDiscoveryAddress(std::string discovery) {
+  inbox_.Push(MoveNow{std::move(discovery)});
+}
 
 // ======== turns ========
 
@@ -133,7 +138,7 @@
   const UnixMs unix_now = UnixNow();
   events_.emplace_back(TakeList(known));
   for (Replayed& owed : spool_.Replay()) {
-    rushfall::MessageRestored e;
+    dispatch_policy::MessageRestored e;
     e.message = owed.number;
     e.destination = owed.message.destination;
     e.message_class = PlaceOf(config_.class_names, owed.message.class_name);
@@ -142,7 +147,7 @@
     for (const SpooledAttempt& attempt : owed.attempts) {
       if (attempt.nothing_ran || e.may_have_run) continue;
       e.may_have_run = now - (unix_now - attempt.begun);
-      e.ran_at = HopNumber(attempt.endpoint);
+      e.ran_on_endpoint = HopNumber(attempt.endpoint);
     }
     body_bytes_ += owed.message.body.size();
     ++owed_;
@@ -172,9 +177,10 @@
         [this](Item item) { std::visit([this](auto& e) { On(std::move(e)); }, item); });
     const Time now = Now();
     while (const auto due = deadlines_.TakeDue(now)) On(*due);
-    if (!events_.empty() && now >= last_turn_ + config_.decisions.turn) Turn(now);
+    if (!events_.empty() && now >= last_turn_ + config_.policy_settings.decision_interval)
+      Turn(now);
     StartReady(now);
-    held_now_ = held_.size();
+    messages_in_flight_ = held_.size();
     if (now >= lives_.Next()) TellOverdue(now);
     if (leaving_ && may_leave_ && held_.empty()) left_ = true;
   }
@@ -185,11 +191,12 @@
 
 Engine::Time Engine::NextDue() const {
   const Time next = std::min(deadlines_.Next(), lives_.Next());
-  return events_.empty() ? next : std::min(next, last_turn_ + config_.decisions.turn);
+  return events_.empty() ? next
+                         : std::min(next, last_turn_ + config_.policy_settings.decision_interval);
 }
 
 void Engine::TellOverdue(Time now) {
-  for (const Lives::Overdue& late : lives_.TakeOverdue(now)) {
+  for (const MessageTrace::Overdue& late : lives_.TakeOverdue(now)) {
     const auto held = held_.find(late.message);
     observe::Log(Concern::kEngine, Level::kError, "message overdue",
                  {{"id", held == held_.end() ? "" : held->second.id},
@@ -201,114 +208,118 @@
 
 void Engine::Turn(Time now) {
   last_turn_ = now;
-  std::vector<rushfall::Event> events;
+  std::vector<dispatch_policy::Event> events;
   events.swap(events_);
-  const std::vector<rushfall::Action> actions = choice_.Decide(now, events);
+  const std::vector<dispatch_policy::Action> actions = policy_.Decide(now, events);
   // What is turned away is so before anything is kept.
-  for (const rushfall::Action& action : actions) {
-    if (const auto* refuse = std::get_if<rushfall::Refuse>(&action)) Do(*refuse);
-    if (const auto* surrender = std::get_if<rushfall::Surrender>(&action)) Do(*surrender);
+  for (const dispatch_policy::Action& action : actions) {
+    if (const auto* refuse = std::get_if<dispatch_policy::RejectMessage>(&action)) Do(*refuse);
+    if (const auto* surrender = std::get_if<dispatch_policy::FailMessage>(&action)) Do(*surrender);
   }
   KeepArrivals();
-  for (const rushfall::Action& action : actions) {
-    const bool done = std::holds_alternative<rushfall::Refuse>(action) ||
-                      std::holds_alternative<rushfall::Surrender>(action);
+  for (const dispatch_policy::Action& action : actions) {
+    const bool done = std::holds_alternative<dispatch_policy::RejectMessage>(action) ||
+                      std::holds_alternative<dispatch_policy::FailMessage>(action);
     if (!done) std::visit([this](const auto& e) { Do(e); }, action);
   }
   bundle_.clear();
   // Last: the calls of what was given up are ended by now.
-  for (Notice& notice : std::exchange(given_up_, {})) notices_.Post(std::move(notice));
+  for (Notification& notice : std::exchange(given_up_, {})) notices_.Post(std::move(notice));
   stages_.turn.Add(Now() - now);
 }
 
 // Arrivals that were not refused are kept by the spool, and only then are their clients told.
 void Engine::KeepArrivals() {
   for (auto& [message, arrival] : arrivals_) {
-    Envelope& envelope = arrival.envelope;
-    const SpooledMessage record{envelope.id,
-                                envelope.key,
-                                envelope.class_name,
-                                envelope.tenant_name,
-                                envelope.destination,
-                                UnixNow() + envelope.time_left,
-                                std::move(envelope.body)};
+    DeliveryRequest& request = arrival.request;
+    const SpooledMessage record{request.id,
+                                request.key,
+                                request.class_name,
+                                request.tenant_name,
+                                request.destination,
+                                UnixNow() + request.time_left,
+                                std::move(request.body)};
     const Time now = Now();
     stages_.answer.Add(now - arrival.handed_in);
     if (spool_.Accept(message, record)) {
-      lives_.Begin(message, arrival.handed_in, now + envelope.time_left, Step::kTaken);
-      arrival.answer.set_value(
-          {.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}, .message = message});
+      lives_.Begin(message, arrival.handed_in, now + request.time_left, Step::kTaken);
+      arrival.answer.set_value({.status = SubmitResult::Status::kAccepted,
+                                .retry_after = {},
+                                .error = {},
+                                .message = message});
       continue;
     }
     observe::LogSeldom(Concern::kSpool, Level::kWarning, "spool full: envelope deferred");
-    events_.emplace_back(rushfall::MessageWithdrawn{message});
+    events_.emplace_back(dispatch_policy::MessageCancelled{message});
     Erase(message);
-    arrival.answer.set_value(Answer::Deferred(rushfall::kRetryWhenFull));
+    arrival.answer.set_value(SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull));
   }
   arrivals_.clear();
 }
 
 // ======== what comes in ========
 
-// The fault of an envelope that the settings do not know, or nothing. For any thread: the settings
+// The fault of an request that the settings do not know, or nothing. For any thread: the settings
 // stay as they are.
-std::string Engine::Reject(const Envelope& envelope, std::size_t& the_class,
+std::string Engine::Reject(const DeliveryRequest& request, std::size_t& the_class,
                            std::size_t& tenant) const {
-  the_class = PlaceOf(config_.class_names, envelope.class_name);
+  the_class = PlaceOf(config_.class_names, request.class_name);
   if (the_class == config_.class_names.size()) return "unknown class";
-  tenant = envelope.tenant_name.empty() ? 0 : PlaceOf(config_.tenant_names, envelope.tenant_name);
+  tenant = request.tenant_name.empty() ? 0 : PlaceOf(config_.tenant_names, request.tenant_name);
   if (tenant > 0 && tenant == config_.tenant_names.size()) return "unknown tenant";
-  const bool keyed = config_.decisions.classes[the_class].effect == rushfall::Effect::kKeyed;
-  if (keyed && envelope.key.empty()) return "no key";
+  const bool keyed = config_.policy_settings.classes[the_class].effect ==
+                     dispatch_policy::Effect::kIdempotentWithKey;
+  if (keyed && request.key.empty()) return "no key";
   return "";
 }
 
 // Some endpoint of the destination is listed, or was lately. What no list names is not taken on,
 // but a list may be late.
-bool Engine::IsListed(rushfall::DestinationId destination) const {
+bool Engine::IsListed(dispatch_policy::DestinationId destination) const {
   const std::shared_lock lock(listed_mutex_);
   return listed_.count(destination) != 0;
 }
 
 void Engine::NoteListed() {
-  std::unordered_set<rushfall::DestinationId> listed;
+  std::unordered_set<dispatch_policy::DestinationId> listed;
   for (const auto& [number, hop] : hops_) listed.insert(hop.entry.destination);
   const std::unique_lock lock(listed_mutex_);
   listed_.swap(listed);
 }
 
-bool Engine::HasRoomFor(const Envelope& envelope) const {
-  const std::size_t most = config_.decisions.max_held;
+bool Engine::HasRoomFor(const DeliveryRequest& request) const {
+  const std::size_t most = config_.policy_settings.max_in_flight;
   const auto bytes =
       static_cast<std::size_t>(static_cast<double>(config_.limits.memory_bytes) * kBodyShare);
-  return (most == 0 || owed_ < most) && body_bytes_ + envelope.body.size() <= bytes;
+  return (most == 0 || owed_ < most) && body_bytes_ + request.body.size() <= bytes;
 }
 
 void Engine::On(Arrival arrival) {
-  const Envelope& envelope = arrival.envelope;
+  const DeliveryRequest& request = arrival.request;
   stages_.put.Add(Now() - arrival.handed_in);
-  if (numbers_.count(envelope.id) != 0) return Refused(arrival, Answer::Bad("the id is taken"));
-  rushfall::MessageArrived e;
+  if (numbers_.count(request.id) != 0)
+    return Refused(arrival, SubmitResult::Invalid("the id is taken"));
+  dispatch_policy::MessageArrived e;
   e.message_class = arrival.the_class;
   e.tenant = arrival.tenant;
-  if (!HasRoomFor(envelope)) {
-    return Refused(arrival, Answer::Deferred(rushfall::kRetryWhenFull));
+  if (!HasRoomFor(request)) {
+    return Refused(arrival, SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull));
   }
   e.message = next_message_++;
-  e.destination = envelope.destination;
-  if (door_ != nullptr) door_->Arrived(e.destination);
+  e.destination = request.destination;
+  if (call_observer_ != nullptr) call_observer_->OnMessageArrived(e.destination);
   // Guards against a time that no client may ask for, and a message that is held for a day.
-  e.time_left = arrival.envelope.time_left = std::min<milliseconds>(
-      envelope.time_left, InMs(config_.decisions.classes[e.message_class].deadline));
+  e.time_left = arrival.request.time_left = std::min<milliseconds>(
+      request.time_left, InMs(config_.policy_settings.classes[e.message_class].deadline));
   ++owed_;
-  body_bytes_ += envelope.body.size();
-  numbers_[envelope.id] = e.message;
-  held_[e.message] = {.id = envelope.id, .key = envelope.key, .body = envelope.body};
+  body_bytes_ += request.body.size();
+  numbers_[request.id] = e.message;
+  held_[e.message] = {.id = request.id, .key = request.key, .body = request.body};
   arrivals_.emplace(e.message, std::move(arrival));
   events_.emplace_back(std::move(e));
 }
 
-void Engine::Refused(Arrival& arrival, Answer answer) {
+void Engine::Refused(Arrival& arrival, SubmitResult answer) {
   stages_.answer.Add(Now() - arrival.handed_in);
   arrival.answer.set_value(std::move(answer));
 }
@@ -322,7 +333,7 @@
 
 void Engine::On(const LostNow& e) {
   if (held_.count(e.message) == 0) return;
-  events_.emplace_back(rushfall::MessageWithdrawn{e.message});
+  events_.emplace_back(dispatch_policy::MessageCancelled{e.message});
   End(e.message, Step::kWithdrawn);
 }
 
@@ -356,25 +367,26 @@
 
 void Engine::On(const ThenNow& e) { e.what(); }
 
-void Engine::On(PeerNews e) {
+void Engine::On(EndpointUpdate e) {
   const auto it = hop_numbers_.find(e.endpoint);
   if (it == hop_numbers_.end()) return;
   const auto tell = [&](auto& event) {
     event.endpoint = it->second;
     events_.emplace_back(event);
   };
-  std::visit(tell, e.what);
+  std::visit(tell, e.event);
 }
 
-CallPlace Engine::PlaceOfCall(const Hop& hop) const {
-  const auto& kinds = config_.decisions.kinds;
+CallTarget Engine::TargetOf(const Hop& hop) const {
+  const auto& kinds = config_.policy_settings.kinds;
   return {hop.name, hop.entry.destination,
-          hop.entry.kind < kinds.size() && kinds[hop.entry.kind].separate_routes};
+          hop.entry.kind < kinds.size() && kinds[hop.entry.kind].per_endpoint_limits};
 }
 
 std::function<bool()> Engine::PermitOf(const Hop& hop) const {
-  if (door_ == nullptr) return nullptr;
-  return [door = door_, place = PlaceOfCall(hop)] { return door->MayBegin(place); };
+  if (call_observer_ == nullptr) return nullptr;
+  return
+      [observer = call_observer_, target = TargetOf(hop)] { return observer->AllowsCall(target); };
 }
 
 void Engine::On(const MoveNow& e) {
@@ -385,14 +397,15 @@
 void Engine::On(const Deadline& e) {
   switch (e.due) {
     case Due::kModuleTimer:
-      events_.emplace_back(rushfall::TimerFired{e.number});
+      events_.emplace_back(dispatch_policy::TimerFired{e.number});
       return;
     case Due::kDeliveryEnds: {
       const auto it = out_.find(e.number);
       if (it == out_.end()) return;
       // Of a shared call the brief messages are to blame, and not the endpoint for its silence.
       const bool shared = it->second.parts.size() > 1;
-      it->second.delivery->End(shared ? Delivery::Stop::kCancelled : Delivery::Stop::kTimedOut);
+      it->second.delivery->End(shared ? EndpointCall::Stop::kCancelled
+                                      : EndpointCall::Stop::kTimedOut);
       return;
     }
     case Due::kRetireIdle:
@@ -422,7 +435,7 @@
   deadlines_.Set(next, {Due::kRetireIdle});
 }
 
-rushfall::EndpointId Engine::HopNumber(const std::string& name) {
+dispatch_policy::EndpointId Engine::HopNumber(const std::string& name) {
   const auto [it, added] = hop_numbers_.try_emplace(name, next_hop_);
   if (added) ++next_hop_;
   return it->second;
@@ -431,11 +444,11 @@
 // What was removed for as long as any message may live is forgotten, once no call to it is out.
 // Until then its destination is known, though it may have no other endpoint for the moment.
 void Engine::ForgetHops(Time now) {
-  std::set<rushfall::EndpointId> called;
+  std::set<dispatch_policy::EndpointId> called;
   for (const auto& [number, out] : out_) called.insert(out.hop);
   const auto forgotten = std::erase_if(hops_, [&](const auto& entry) {
     const auto& [number, hop] = entry;
-    const bool gone = hop.entry.state == rushfall::EndpointState::kRemoved &&
+    const bool gone = hop.entry.state == dispatch_policy::EndpointState::kRemoved &&
                       now - hop.gone_since > longest_deadline_ && called.count(number) == 0;
     if (!gone) return false;
     hop_numbers_.erase(hop.name);
@@ -445,16 +458,17 @@
   if (forgotten > 0) NoteListed();
 }
 
-rushfall::EndpointList Engine::TakeList(const MemberList& list) {
-  rushfall::EndpointList e;
+dispatch_policy::EndpointList Engine::TakeList(const MemberList& list) {
+  dispatch_policy::EndpointList e;
   e.version = revision_ = list.revision;
-  e.form = list.complete ? rushfall::ListForm::kWhole : rushfall::ListForm::kChanges;
+  e.form =
+      list.complete ? dispatch_policy::ListForm::kComplete : dispatch_policy::ListForm::kChanges;
   if (list.complete) {
-    for (auto& [number, hop] : hops_) hop.entry.state = rushfall::EndpointState::kRemoved;
+    for (auto& [number, hop] : hops_) hop.entry.state = dispatch_policy::EndpointState::kRemoved;
   }
   const Time now = Now();
   for (const Member& member : list.members) {
-    const rushfall::EndpointId number = HopNumber(member.id);
+    const dispatch_policy::EndpointId number = HopNumber(member.id);
     if (hops_.count(number) == 0) LogListed(member, number);
     Hop& hop = hops_[number];
     hop.name = member.id;
@@ -468,7 +482,7 @@
     e.entries.push_back(hop.entry);
   }
   for (auto& [number, hop] : hops_) {
-    if (hop.entry.state != rushfall::EndpointState::kRemoved) {
+    if (hop.entry.state != dispatch_policy::EndpointState::kRemoved) {
       hop.gone_since = {};
     } else if (hop.gone_since == Time{}) {
       hop.gone_since = now;
@@ -482,34 +496,34 @@
   if (list.revision < revision_) return;
   events_.emplace_back(TakeList(list));
   Recall([this](const Out& out) {
-    return hops_.at(out.hop).entry.state != rushfall::EndpointState::kListed;
+    return hops_.at(out.hop).entry.state != dispatch_policy::EndpointState::kListed;
   });
   for (const auto& [number, hop] : hops_) {
-    if (hop.entry.state != rushfall::EndpointState::kListed) next_hops_.Forget(number);
+    if (hop.entry.state != dispatch_policy::EndpointState::kListed) next_hops_.Forget(number);
   }
 }
 
 // ======== what the module asks for ========
 
-void Engine::Do(const rushfall::Refuse& e) {
+void Engine::Do(const dispatch_policy::RejectMessage& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    Refused(it->second, Answer::Deferred(e.retry_after));
+    Refused(it->second, SubmitResult::Rejected(e.retry_after));
     arrivals_.erase(it);
     return Erase(e.message);
   }
   GiveUp(e.message, {.deferred = true, .again = InMs(e.retry_after)});
 }
 
-void Engine::Do(const rushfall::Surrender& e) {
+void Engine::Do(const dispatch_policy::FailMessage& e) {
   if (const auto it = arrivals_.find(e.message); it != arrivals_.end()) {
-    Refused(it->second, Answer::Bad("cannot be delivered"));
+    Refused(it->second, SubmitResult::Invalid("cannot be delivered"));
     arrivals_.erase(it);
     return Erase(e.message);
   }
   GiveUp(e.message, {});
 }
 
-void Engine::GiveUp(MessageId message, Notice notice) {
+void Engine::GiveUp(MessageId message, Notification notice) {
   const auto it = held_.find(message);
   if (it == held_.end() || std::exchange(it->second.ending, true)) return;
   --owed_;
@@ -529,13 +543,15 @@
   held_.erase(it);
 }
 
-void Engine::Do(const rushfall::SetTimer& e) { deadlines_.Set(e.at, {Due::kModuleTimer, e.token}); }
+void Engine::Do(const dispatch_policy::SetTimer& e) {
+  deadlines_.Set(e.at, {Due::kModuleTimer, e.token});
+}
 
-void Engine::Do(const rushfall::Log& e) {
+void Engine::Do(const dispatch_policy::LogMessage& e) {
   observe::Log(Concern::kModule, Level::kInfo, "module: " + e.text);
 }
 
-void Engine::Do(const rushfall::Probe& e) {
+void Engine::Do(const dispatch_policy::StartHealthCheck& e) {
   Out& out = out_[next_out_];
   out.hop = e.endpoint;
   out.asked = last_turn_;
@@ -544,7 +560,7 @@
 }
 
 // Sends of one turn to one next hop share a call, as far as its kind and the size allow.
-void Engine::Do(const rushfall::Send& e) {
+void Engine::Do(const dispatch_policy::SendAttempt& e) {
   const Hop& hop = hops_.at(e.endpoint);
   OutPart part{.message = e.message};
   std::size_t bytes = 0;
@@ -553,12 +569,12 @@
     part.attempt = held->second.attempts_told++;
     bytes = BundleItem({part.id, held->second.key, held->second.body}).size() + 2;
   }
-  const auto& kinds = config_.decisions.kinds;
+  const auto& kinds = config_.policy_settings.kinds;
   const std::size_t most = hop.entry.kind < kinds.size() ? kinds[hop.entry.kind].max_batch : 1;
   const Time ends = last_turn_ + e.timeout;
   if (const auto open = bundle_.find(e.endpoint); open != bundle_.end()) {
     Out& out = out_.at(open->second);
-    if (out.parts.size() < most && out.bytes + bytes <= kMostBody) {
+    if (out.parts.size() < most && out.bytes + bytes <= kMaxBodyBytes) {
       out.parts.push_back(std::move(part));
       out.bytes += bytes;
       out.start_by = std::min(out.start_by, e.start_by);
@@ -578,7 +594,7 @@
   bundle_[e.endpoint] = number;
 }
 
-void Engine::Do(const rushfall::Cancel& e) {
+void Engine::Do(const dispatch_policy::CancelAttempt& e) {
   for (auto& [number, out] : out_) {
     for (OutPart& part : out.parts) {
       if (part.message != e.message || part.attempt != e.attempt) continue;
@@ -592,7 +608,7 @@
                                    [](const OutPart& p) { return p.cancelled; });
       if (!over && !all) return;
       out.recalled = true;
-      if (out.delivery) out.delivery->End(Delivery::Stop::kCancelled);
+      if (out.delivery) out.delivery->End(EndpointCall::Stop::kCancelled);
       return;
     }
   }
@@ -609,7 +625,7 @@
     std::erase_if(out.parts, [&](const OutPart& part) {
       const auto held = held_.find(part.message);
       const bool owed = held != held_.end() && !held->second.ending;
-      if (!owed) Settle(out, part, {.outcome = rushfall::Outcome::kNotSent}, now);
+      if (!owed) Settle(out, part, {.outcome = dispatch_policy::Outcome::kNotSent}, now);
       return !owed;
     });
     const bool heard = std::all_of(out.parts.begin(), out.parts.end(), [&](const OutPart& part) {
@@ -646,15 +662,15 @@
                                             : BundleCall(hop.address, parts, left);
   out.started = now;
   stages_.start.Add(now - out.asked);
-  out.delivery = std::make_shared<Delivery>(number, out.hop, hop.address, std::move(request),
-                                            Point(out.start_by), PermitOf(hop));
+  out.delivery = std::make_shared<EndpointCall>(number, out.hop, hop.address, std::move(request),
+                                                Point(out.start_by), PermitOf(hop));
   deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
   if (!parts.empty()) ++slots_taken_;
   next_hops_.Start(out.delivery);
   return true;
 }
 
-void Engine::On(const DeliveryEnd& e) {
+void Engine::On(const EndpointCallResult& e) {
   const auto it = out_.find(e.number);
   if (it == out_.end()) return;
   RetireInTime();
@@ -662,17 +678,17 @@
   out_.erase(it);
   const Time now = Now();
   const Duration wait = WaitOf(e);
-  const rushfall::LoadReport report = ReportOf(e);
+  const dispatch_policy::LoadReport report = ReportOf(e);
   LogCallEnd(e, out.hop, out.parts.size(), duration_cast<milliseconds>(now - out.started));
-  if (door_ != nullptr) {
+  if (call_observer_ != nullptr) {
     const bool probe = out.parts.empty();
-    door_->Ended({PlaceOfCall(hops_.at(out.hop)),
-                  probe ? OutcomeOfProbe(e) : EndOfSingle(e).outcome, probe, Point(out.started),
-                  WaitOf(e), report});
+    call_observer_->OnCallCompleted({TargetOf(hops_.at(out.hop)),
+                                     probe ? OutcomeOfProbe(e) : EndOfSingle(e).outcome, probe,
+                                     Point(out.started), WaitOf(e), report});
   }
   if (out.parts.empty()) {
-    events_.emplace_back(
-        rushfall::ProbeSettled{out.hop, OutcomeOfProbe(e), now - out.started, report});
+    events_.emplace_back(dispatch_policy::HealthCheckCompleted{out.hop, OutcomeOfProbe(e),
+                                                               now - out.started, report});
   } else {
     --slots_taken_;
     std::vector<std::string> ids;
@@ -685,10 +701,10 @@
   }
   if (wait <= Duration{}) return;
   // Told to wait: what is not being written yet is not sent to that destination.
-  const CallPlace told = PlaceOfCall(hops_.at(out.hop));
+  const CallTarget told = TargetOf(hops_.at(out.hop));
   Recall([&](const Out& other) {
-    return told.apart ? other.hop == out.hop
-                      : hops_.at(other.hop).entry.destination == told.destination;
+    return told.has_own_rate_limit ? other.hop == out.hop
+                                   : hops_.at(other.hop).entry.destination == told.destination;
   });
 }
 
@@ -703,21 +719,21 @@
 
 void Engine::SettleUnsent(const Out& out, Time now) {
   for (const OutPart& part : out.parts) {
-    Settle(out, part, {.outcome = rushfall::Outcome::kNotSent}, now);
+    Settle(out, part, {.outcome = dispatch_policy::Outcome::kNotSent}, now);
   }
 }
 
 void Engine::Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
-                    Duration wait, const rushfall::LoadReport& report) {
+                    Duration wait, const dispatch_policy::LoadReport& report) {
   if (NeverRan(end.outcome) && out.delivery) spool_.NothingRan(part.message, part.noted);
   if (out.delivery) {
     lives_.Note(part.message, now, Step::kSettled, static_cast<std::uint32_t>(end.outcome));
   }
   if (end.over && held_.count(part.message) != 0) {
-    const bool delivered = end.outcome == rushfall::Outcome::kDelivered;
+    const bool delivered = end.outcome == dispatch_policy::Outcome::kDelivered;
     End(part.message, delivered ? Step::kDelivered : Step::kGone);
   }
-  rushfall::AttemptSettled e;
+  dispatch_policy::AttemptCompleted e;
   e.message = part.message;
   e.attempt = part.attempt;
   e.endpoint = out.hop;
--- a/src/forwarder/lives.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -1,4 +1,4 @@
-#include "forwarder/lives.hpp"
+#include "forwarder/message_trace.hpp"
 
 #include <algorithm>
 
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-bool Lives::Begin(MessageId message, Time now, Time deadline, Step step, std::uint32_t detail) {
+bool MessageTrace::Begin(MessageId message, Time now, Time deadline, Step step,
+                         std::uint32_t detail) {
   const auto [it, added] = lives_.try_emplace(message);
   if (!added) return false;
   it->second.begun = now;
@@ -24,7 +25,7 @@
   return true;
 }
 
-void Lives::Note(MessageId message, Time now, Step step, std::uint32_t detail) {
+void MessageTrace::Note(MessageId message, Time now, Step step, std::uint32_t detail) {
   const auto it = lives_.find(message);
   if (it == lives_.end()) return;
   Life& life = it->second;
@@ -43,7 +44,7 @@
 }
 
 // Of a long life the first steps stay and the last ones turn over.
-void Lives::Add(Life& life, Time now, Step step, std::uint32_t detail) {
+void MessageTrace::Add(Life& life, Time now, Step step, std::uint32_t detail) {
   std::size_t place = life.steps;
   if (place >= kMostSteps) {
     std::move(life.marks.begin() + kFirstSteps + 1, life.marks.end(),
@@ -55,17 +56,17 @@
   ++life.steps;
 }
 
-LifeState Lives::StateOf(MessageId message) const {
+LifeState MessageTrace::StateOf(MessageId message) const {
   const auto it = lives_.find(message);
   return it == lives_.end() ? LifeState::kOver : it->second.state;
 }
 
-std::string Lives::HistoryOf(MessageId message) const {
+std::string MessageTrace::HistoryOf(MessageId message) const {
   const auto it = lives_.find(message);
   return it == lives_.end() ? "" : History(it->second);
 }
 
-std::string Lives::History(const Life& life) {
+std::string MessageTrace::History(const Life& life) {
   std::string out;
   const std::size_t kept = std::min<std::size_t>(life.steps, kMostSteps);
   for (std::size_t i = 0; i < kept; ++i) {
@@ -78,9 +79,11 @@
   return out;
 }
 
-Lives::Time Lives::Next() const { return due_.empty() ? Time::max() : due_.begin()->first; }
+MessageTrace::Time MessageTrace::Next() const {
+  return due_.empty() ? Time::max() : due_.begin()->first;
+}
 
-std::vector<Lives::Overdue> Lives::TakeOverdue(Time now) {
+std::vector<MessageTrace::Overdue> MessageTrace::TakeOverdue(Time now) {
   std::vector<Overdue> all;
   while (!due_.empty() && due_.begin()->first <= now) {
     const MessageId message = due_.begin()->second;
--- a/src/forwarder/lives.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -2,8 +2,8 @@
 // should have ended by now. It decides nothing: it is the engine's own check on itself.
 //
 // Does no I/O and knows no clock; used by one thread. Times are those of the caller's clock.
-#ifndef BRASSFRONT_FORWARDER_LIVES_HPP_
-#define BRASSFRONT_FORWARDER_LIVES_HPP_
+#ifndef BRASSFRONT_FORWARDER_MESSAGE_TRACE_HPP_
+#define BRASSFRONT_FORWARDER_MESSAGE_TRACE_HPP_
 
 #include <array>
 #include <chrono>
@@ -37,7 +37,7 @@
   kWithdrawn   // over: the client went before it was told
 };
 
-class Lives {
+class MessageTrace {
  public:
   using Time = std::chrono::nanoseconds;
   using MessageId = std::uint64_t;
@@ -96,4 +96,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_FORWARDER_LIVES_HPP_
+#endif  // BRASSFRONT_FORWARDER_MESSAGE_TRACE_HPP_
--- a/src/forwarder/stages.cpp
+++ b/src/forwarder/stage_latencies.cpp
@@ -1,4 +1,4 @@
-#include "forwarder/stages.hpp"
+#include "forwarder/stage_latencies.hpp"
 
 #include <ctime>
 #include <utility>
@@ -7,7 +7,7 @@
 
 using observe::Concern;
 
-void Stages::Tell(observe::Level level, std::size_t held, std::size_t out) {
+void StageLatencies::Tell(observe::Level level, std::size_t held, std::size_t out) {
   if (!observe::Logs(Concern::kEngine, level)) return;
   const auto cpu = [](clockid_t clock) {
     timespec time{};
--- a/src/forwarder/stages.hpp
+++ b/src/forwarder/stage_latencies.hpp
@@ -1,6 +1,6 @@
 // How long things wait inside the engine, told on its log by stage.
-#ifndef BRASSFRONT_FORWARDER_STAGES_HPP_
-#define BRASSFRONT_FORWARDER_STAGES_HPP_
+#ifndef BRASSFRONT_FORWARDER_STAGE_LATENCIES_HPP_
+#define BRASSFRONT_FORWARDER_STAGE_LATENCIES_HPP_
 
 #include <cstddef>
 
@@ -11,7 +11,7 @@
 
 // Since it was last told. `put` is from a hand-in to its being seen, `answer` to its answer,
 // `start` from the module's send to the thread, `notice` to the platform's 204.
-struct Stages {
+struct StageLatencies {
   observe::Histogram put, answer, start, notice, turn;
 
   // A line on what the engine holds and one for each stage in which anything waited; then begins
@@ -21,4 +21,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_FORWARDER_STAGES_HPP_
+#endif  // BRASSFRONT_FORWARDER_STAGE_LATENCIES_HPP_
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -12,8 +12,7 @@
 namespace brassfront {
 namespace {
 
-using rushfall::Outcome;
-using Fate = DeliveryEnd::Fate;
+using dispatch_policy::Outcome;
 using observe::Concern;
 using observe::Level;
 
@@ -31,14 +30,14 @@
 }
 
 // What the answer's first line says of all attempts in the call.
-AttemptEnd EndOfStatus(const DeliveryEnd& end) {
+AttemptEnd EndOfStatus(const EndpointCallResult& end) {
   switch (end.status) {
     case 200:
       return {.outcome = Outcome::kDelivered, .over = true};
     case 429:
-      return {.outcome = Outcome::kFull};
+      return {.outcome = Outcome::kRejected};
     case 503:
-      return {.outcome = end.slots_taken.empty() ? Outcome::kFull : Outcome::kNotSent};
+      return {.outcome = end.slots_taken.empty() ? Outcome::kRejected : Outcome::kNotSent};
     case 504:
       return {.outcome = Outcome::kNotSent, .exhausted = true};
     case 410:
@@ -53,23 +52,23 @@
 
 AttemptEnd EndOfState(const std::string& state) {
   if (state == "ok") return {.outcome = Outcome::kDelivered, .over = true};
-  if (state == "later") return {.outcome = Outcome::kFull};
+  if (state == "later") return {.outcome = Outcome::kRejected};
   if (state == "gone") return {.outcome = Outcome::kNotSent, .over = true};
   if (state == "exhausted") return {.outcome = Outcome::kNotSent, .exhausted = true};
   return {.outcome = Outcome::kError};
 }
 
-Outcome OutcomeOfFate(Fate fate) {
-  switch (fate) {
-    case Fate::kNotSent:
+Outcome OutcomeOfFate(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kNotSent:
       return Outcome::kNotSent;
-    case Fate::kConnectFailed:
+    case CallOutcome::kConnectFailed:
       return Outcome::kConnectFailed;
-    case Fate::kCrowded:
-      return Outcome::kCrowded;
-    case Fate::kTimedOut:
+    case CallOutcome::kConnectionLimitReached:
+      return Outcome::kConnectionLimitReached;
+    case CallOutcome::kTimedOut:
       return Outcome::kTimeout;
-    case Fate::kCancelled:
+    case CallOutcome::kCancelled:
       return Outcome::kCancelled;
     default:
       return Outcome::kReset;
@@ -83,17 +82,18 @@
 }  // namespace
 
 bool NeverRan(Outcome outcome) {
-  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed ||
-         outcome == Outcome::kCrowded || outcome == Outcome::kNotSent;
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kConnectionLimitReached || outcome == Outcome::kNotSent;
 }
 
-AttemptEnd EndOfSingle(const DeliveryEnd& end) {
-  if (end.fate != Fate::kAnswered) return {.outcome = OutcomeOfFate(end.fate)};
+AttemptEnd EndOfSingle(const EndpointCallResult& end) {
+  if (end.outcome != CallOutcome::kAnswered) return {.outcome = OutcomeOfFate(end.outcome)};
   return EndOfStatus(end);
 }
 
-std::vector<AttemptEnd> EndsOfBundle(const DeliveryEnd& end, std::span<const std::string> ids) {
-  if (end.fate != Fate::kAnswered || end.status != 200) {
+std::vector<AttemptEnd> EndsOfBundle(const EndpointCallResult& end,
+                                     std::span<const std::string> ids) {
+  if (end.outcome != CallOutcome::kAnswered || end.status != 200) {
     return std::vector<AttemptEnd>(ids.size(), EndOfSingle(end));
   }
   // Part of an answer delivers nothing; an id that is missing from a whole one may have run.
@@ -111,15 +111,15 @@
   return ends;
 }
 
-Outcome OutcomeOfProbe(const DeliveryEnd& end) { return EndOfSingle(end).outcome; }
+Outcome OutcomeOfProbe(const EndpointCallResult& end) { return EndOfSingle(end).outcome; }
 
-std::chrono::milliseconds WaitOf(const DeliveryEnd& end) {
+std::chrono::milliseconds WaitOf(const EndpointCallResult& end) {
   return std::chrono::milliseconds(
       std::min(Parse<std::uint64_t>(end.wait_ms).value_or(0), kLongestWait));
 }
 
-rushfall::LoadReport ReportOf(const DeliveryEnd& end) {
-  rushfall::LoadReport report;
+dispatch_policy::LoadReport ReportOf(const EndpointCallResult& end) {
+  dispatch_policy::LoadReport report;
   std::string_view rest = end.load;
   while (!rest.empty()) {
     const std::string_view pair = rest.substr(0, rest.find(','));
@@ -133,14 +133,14 @@
   return report;
 }
 
-rushfall::EndpointState StateOf(Phase phase) {
+dispatch_policy::EndpointState StateOf(Phase phase) {
   switch (phase) {
     case Phase::kReady:
-      return rushfall::EndpointState::kListed;
+      return dispatch_policy::EndpointState::kListed;
     case Phase::kTerminating:
-      return rushfall::EndpointState::kDraining;
+      return dispatch_policy::EndpointState::kDraining;
     default:
-      return rushfall::EndpointState::kRemoved;
+      return dispatch_policy::EndpointState::kRemoved;
   }
 }
 
@@ -168,7 +168,7 @@
   return HttpPost("/events/bundle", address, TimeLeft(left), body + "]");
 }
 
-void LogListed(const Member& member, rushfall::EndpointId number) {
+void LogListed(const Member& member, dispatch_policy::EndpointId number) {
   observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
                {{"id", member.id},
                 {"endpoint", number},
@@ -177,13 +177,13 @@
                 {"weight", std::to_string(member.weight)}});
 }
 
-void LogCallEnd(const DeliveryEnd& end, rushfall::EndpointId number, std::size_t parts,
-                std::chrono::milliseconds took) {
+void LogCallEnd(const EndpointCallResult& end, dispatch_policy::EndpointId number,
+                std::size_t parts, std::chrono::milliseconds took) {
   if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
   observe::Log(Concern::kEngine, Level::kDebug, "call ended",
                {{"endpoint", number},
                 {"parts", parts},
-                {"fate", static_cast<int>(end.fate)},
+                {"fate", static_cast<int>(end.outcome)},
                 {"status", end.status},
                 {"wait", end.wait_ms},
                 {"took", took.count()},
--- a/src/forwarder/translate.hpp
+++ b/src/forwarder/translate.hpp
@@ -9,30 +9,31 @@
 #include <string_view>
 #include <vector>
 
-#include "net/delivery.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
+#include "net/endpoint_call.hpp"
 #include "protocol/discovery.hpp"
-#include "rushfall/choice.hpp"
 
 namespace brassfront {
 
 struct AttemptEnd {
-  rushfall::Outcome outcome = rushfall::Outcome::kReset;
+  dispatch_policy::Outcome outcome = dispatch_policy::Outcome::kReset;
   bool over = false;       // nothing more is owed
   bool exhausted = false;  // all its attempts are used
 };
 
 // The outcome shows that nothing ran.
-bool NeverRan(rushfall::Outcome outcome);
+bool NeverRan(dispatch_policy::Outcome outcome);
 
-AttemptEnd EndOfSingle(const DeliveryEnd& end);
-std::vector<AttemptEnd> EndsOfBundle(const DeliveryEnd& end, std::span<const std::string> ids);
-rushfall::Outcome OutcomeOfProbe(const DeliveryEnd& end);
+AttemptEnd EndOfSingle(const EndpointCallResult& end);
+std::vector<AttemptEnd> EndsOfBundle(const EndpointCallResult& end,
+                                     std::span<const std::string> ids);
+dispatch_policy::Outcome OutcomeOfProbe(const EndpointCallResult& end);
 
 // How long the next hop asks to wait; 0: it does not.
-std::chrono::milliseconds WaitOf(const DeliveryEnd& end);
-rushfall::LoadReport ReportOf(const DeliveryEnd& end);
+std::chrono::milliseconds WaitOf(const EndpointCallResult& end);
+dispatch_policy::LoadReport ReportOf(const EndpointCallResult& end);
 
-rushfall::EndpointState StateOf(Phase phase);
+dispatch_policy::EndpointState StateOf(Phase phase);
 
 // One message of a call.
 struct Part {
@@ -45,9 +46,9 @@
                        std::chrono::milliseconds left);
 
 // Lines of the log: the module's own lines name endpoints by these numbers.
-void LogListed(const Member& member, rushfall::EndpointId number);
-void LogCallEnd(const DeliveryEnd& end, rushfall::EndpointId number, std::size_t parts,
-                std::chrono::milliseconds took);
+void LogListed(const Member& member, dispatch_policy::EndpointId number);
+void LogCallEnd(const EndpointCallResult& end, dispatch_policy::EndpointId number,
+                std::size_t parts, std::chrono::milliseconds took);
 
 }  // namespace brassfront
 
--- a/src/nameserver/following.hpp
+++ b/src/nameserver/following.hpp
@@ -10,10 +10,10 @@
 #include <optional>
 #include <string>
 
+#include "concurrency/thread.hpp"
 #include "dns/follower.hpp"
 #include "nameserver/client.hpp"
 #include "nameserver/keeper.hpp"
-#include "net/thread.hpp"
 
 namespace brassfront::nameserver {
 
--- a/src/nameserver/host.cpp
+++ b/src/nameserver/host.cpp
@@ -92,7 +92,7 @@
   }
   end_.notify_all();
   thread_.Join();
-  // Notices end before those who take them.
+  // NotificationClient end before those who take them.
   server_->OnNotices(nullptr);
   for (Hosted& hosted : hosted_) hosted.following.reset();
   server_.reset();
--- a/src/nameserver/host.hpp
+++ b/src/nameserver/host.hpp
@@ -14,11 +14,11 @@
 #include <utility>
 #include <vector>
 
+#include "concurrency/thread.hpp"
 #include "nameserver/following.hpp"
 #include "nameserver/keeper.hpp"
 #include "nameserver/server.hpp"
 #include "nameserver/settings.hpp"
-#include "net/thread.hpp"
 #include "zones/zone_source.hpp"
 
 namespace brassfront::nameserver {
--- a/src/nameserver/server.cpp
+++ b/src/nameserver/server.cpp
@@ -47,8 +47,9 @@
     throw std::runtime_error("cannot listen on " + options_.address + ": " + std::strerror(errno));
   }
   DoNotWait(listener_);
-  crew_ = std::make_unique<Crew<std::shared_ptr<Connection>>>(
-      "dns-answer", Crew<std::shared_ptr<Connection>>::Size{1, kStreamThreads, milliseconds(2000)},
+  crew_ = std::make_unique<ThreadPool<std::shared_ptr<Connection>>>(
+      "dns-answer",
+      ThreadPool<std::shared_ptr<Connection>>::Size{1, kStreamThreads, milliseconds(2000)},
       [this](std::shared_ptr<Connection> connection) { ServeOne(std::move(connection)); });
   datagram_thread_ = Thread("dns-udp", [this] { ServeDatagrams(); });
   stream_thread_ = Thread("dns-tcp", [this] { ServeStreams(); });
@@ -172,7 +173,7 @@
     std::vector<std::shared_ptr<Connection>> still;
     for (std::size_t n = 0; n < idle.size(); ++n) {
       if (wanted[n + 2].revents != 0) {
-        crew_->Put(std::move(idle[n]));
+        crew_->Submit(std::move(idle[n]));
       } else if (steady_clock::now() >= idle[n]->until) {
         Close(*idle[n], "idle");
       } else {
--- a/src/nameserver/server.hpp
+++ b/src/nameserver/server.hpp
@@ -19,10 +19,10 @@
 #include <string>
 #include <vector>
 
+#include "concurrency/thread.hpp"
+#include "concurrency/thread_pool.hpp"
 #include "nameserver/responder.hpp"
-#include "net/crew.hpp"
 #include "net/socket.hpp"
-#include "net/thread.hpp"
 
 namespace brassfront::nameserver {
 
@@ -114,7 +114,7 @@
   bool announced_ = false;                                  // since the notices were looked at
   std::size_t open_ = 0;
 
-  std::unique_ptr<Crew<std::shared_ptr<Connection>>> crew_;
+  std::unique_ptr<ThreadPool<std::shared_ptr<Connection>>> crew_;
   Thread datagram_thread_;
   Thread stream_thread_;
   Thread notice_thread_;
--- a/src/net/back_off.hpp
+++ b/src/net/backoff.hpp
@@ -4,8 +4,8 @@
 // length, so that many that failed at one moment come back apart. Guards against a service that is
 // asked by a whole group at once, turns most of them away, and is asked by all of those again
 // before it has served the rest.
-#ifndef BRASSFRONT_NET_BACK_OFF_HPP_
-#define BRASSFRONT_NET_BACK_OFF_HPP_
+#ifndef BRASSFRONT_NET_BACKOFF_HPP_
+#define BRASSFRONT_NET_BACKOFF_HPP_
 
 #include <algorithm>
 #include <chrono>
@@ -14,13 +14,13 @@
 
 namespace brassfront {
 
-class BackOff {
+class Backoff {
  public:
   using Duration = std::chrono::milliseconds;
 
   // The first pause and the longest one, in the mean; a longest one below the first is taken for
   // it.
-  BackOff(Duration first, Duration longest, std::uint64_t seed)
+  Backoff(Duration first, Duration longest, std::uint64_t seed)
       : first_(first), longest_(std::max(first, longest)), next_(first), random_(seed) {}
 
   // The pause after a failure, `most` at the most.
@@ -44,4 +44,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_BACK_OFF_HPP_
+#endif  // BRASSFRONT_NET_BACKOFF_HPP_
--- a/src/net/sender_side.cpp
+++ b/src/net/client_server.cpp
@@ -1,4 +1,4 @@
-#include "net/sender_side.hpp"
+#include "net/client_server.hpp"
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -44,9 +44,10 @@
 
 }  // namespace
 
-SenderSide::SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers)
+ClientServer::ClientServer(Socket listener, const Limits& limits, MessageAcceptor& acceptor,
+                           BufferPool& buffers)
     : limits_(limits),
-      intake_(intake),
+      acceptor_(acceptor),
       buffers_(buffers),
       listener_(std::move(listener)),
       readiness_(epoll_create1(EPOLL_CLOEXEC)),
@@ -58,11 +59,11 @@
       !Watches(readiness_, EPOLL_CTL_ADD, wake_.fd(), kWake, EPOLLIN)) {
     throw std::runtime_error("no room for a descriptor");
   }
-  lobby_ = Thread("lobby", [this] { Watch(); });
+  lobby_ = Thread("lobby", [this] { RunPollLoop(); });
   if (!lobby_.started()) throw std::runtime_error("no room for a thread");
 }
 
-SenderSide::~SenderSide() {
+ClientServer::~ClientServer() {
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
@@ -72,7 +73,7 @@
   // The workers go on with what they were given: replies still go out. They come last.
 }
 
-void SenderSide::Drain() {
+void ClientServer::Drain() {
   {
     const std::lock_guard lock(mutex_);
     draining_ = true;
@@ -80,7 +81,7 @@
   eventfd_write(wake_.fd(), 1);
 }
 
-void SenderSide::StandBy(bool stand_by) {
+void ClientServer::StandBy(bool stand_by) {
   {
     const std::lock_guard lock(mutex_);
     if (standing_by_.exchange(stand_by) == stand_by) return;
@@ -91,7 +92,7 @@
 
 // ======== the lobby ========
 
-void SenderSide::Watch() {
+void ClientServer::RunPollLoop() {
   std::array<epoll_event, 64> events;
   int wait = -1;
   while (true) {
@@ -121,7 +122,7 @@
   }
 }
 
-void SenderSide::TakeConnections() {
+void ClientServer::TakeConnections() {
   for (std::size_t i = 0; i < kMostAccepts; ++i) {
     Socket socket = Accept(listener_);
     if (!socket.is_open()) {
@@ -146,7 +147,7 @@
 
 // Ends the connection that is the least loss, for a newcomer. Guards against clients that connect
 // and say nothing, or have had their answer and stay, in the places of those with a message.
-bool SenderSide::MakeRoom(SteadyTime now) {
+bool ClientServer::MakeRoom(SteadyTime now) {
   if (EndLeaving()) return true;
   const auto end_longest = [&](const Order& idle, milliseconds at_least) {
     // One with a command that has come meanwhile goes to a worker, and the next is looked at.
@@ -163,7 +164,7 @@
 }
 
 // Ends the one that has been leaving for longest, if there is one.
-bool SenderSide::EndLeaving() {
+bool ClientServer::EndLeaving() {
   if (leaving_.empty()) return false;
   Connection& c = *connections_.at(leaving_.begin()->second);
   Erase(c, c.leaves_for);
@@ -171,14 +172,14 @@
 }
 
 // Ends the longest idle of the connections that have had an answer, if there are too many of them.
-void SenderSide::TrimIdle(SteadyTime now) {
+void ClientServer::TrimIdle(SteadyTime now) {
   if (idle_useful_.size() <= limits_.most_idle) return;
   const auto [since, number] = *idle_useful_.begin();
   if (now - since >= limits_.least_idle) EndIdle(number, "made-room");
 }
 
 // False if something has come on it meanwhile: it is no longer idle, or it has ended by itself.
-bool SenderSide::EndIdle(Number number, const char* reason) {
+bool ClientServer::EndIdle(Number number, const char* reason) {
   Connection& c = *connections_.at(number);
   if (c.socket.HasInputOrEnd()) {
     if (Read(c)) return false;
@@ -194,7 +195,7 @@
 // Guards against bytes that come between the last read and the end: a close over unread bytes
 // resets the connection, and the last reply may go with it. What comes from now on is not read as a
 // command, so the client knows that it may send it again elsewhere.
-void SenderSide::Leave(Connection& c, const char* reason) {
+void ClientServer::Leave(Connection& c, const char* reason) {
   c.state = State::kLeaving;
   c.leaves_for = reason;
   shutdown(c.socket.fd(), SHUT_WR);
@@ -203,7 +204,7 @@
 }
 
 // Reads once. True if the connection has work for a worker, who has it now.
-bool SenderSide::Read(Connection& c) {
+bool ClientServer::Read(Connection& c) {
   BufferPool::Buffer buffer = buffers_.Get();
   const long n = c.socket.ReceiveNow(buffer.span());
   if (n < 0 && errno == EAGAIN) {
@@ -228,7 +229,7 @@
   if (!c.reader.commands().empty() || c.reader.broken()) {
     Withdraw(c);
     c.state = State::kServing;
-    workers_.Put(&c);
+    workers_.Submit(&c);
     return true;
   }
   Arm(c, EPOLL_CTL_MOD);
@@ -239,7 +240,7 @@
   return false;
 }
 
-void SenderSide::EndDue(SteadyTime now) {
+void ClientServer::EndDue(SteadyTime now) {
   while (!due_.empty() && due_.begin()->first <= now) {
     Connection& c = *connections_.at(due_.begin()->second);
     if (c.state == State::kLeaving) {
@@ -255,7 +256,7 @@
 }
 
 // A new connection may send its one request in a drain: only those that had theirs are ended.
-void SenderSide::EndForDrain() {
+void ClientServer::EndForDrain() {
   if (!SendsAway()) return;
   std::vector<Number> had_theirs;
   for (const auto& [number, c] : connections_) {
@@ -269,7 +270,7 @@
 }
 
 // Into the sorted sets, as one that waits or leaves.
-void SenderSide::Enter(Connection& c, SteadyTime due) {
+void ClientServer::Enter(Connection& c, SteadyTime due) {
   c.due = due;
   due_.emplace(due, c.number);
   if (c.state == State::kLeaving) {
@@ -280,19 +281,19 @@
 }
 
 // Out of them: to be entered anew, served or ended.
-void SenderSide::Withdraw(Connection& c) {
+void ClientServer::Withdraw(Connection& c) {
   due_.erase({c.due, c.number});
   idle_useful_.erase({c.since, c.number});
   idle_useless_.erase({c.since, c.number});
   leaving_.erase({c.due, c.number});
 }
 
-void SenderSide::Arm(Connection& c, int how) {
+void ClientServer::Arm(Connection& c, int how) {
   // One that cannot be watched is ended when it is due.
   Watches(readiness_, how, c.socket.fd(), c.number, EPOLLIN | EPOLLONESHOT);
 }
 
-void SenderSide::Erase(Connection& c, const char* reason) {
+void ClientServer::Erase(Connection& c, const char* reason) {
   if (c.state != State::kServing) Withdraw(c);
   LogConnectionEnd(kSide, "", reason, c.exchanges);
   connections_.erase(c.number);
@@ -300,9 +301,9 @@
 
 // ======== a worker ========
 
-void SenderSide::Serve(Connection& c) {
+void ClientServer::Serve(Connection& c) {
   const char* reason = "";
-  bool stays = Answer(c, reason);
+  bool stays = AnswerCommands(c, reason);
   const std::lock_guard lock(mutex_);
   const bool between = c.reader.between_commands();
   if (stays && between && SendsAway()) {
@@ -322,7 +323,7 @@
 }
 
 // Leaves without the lobby: what still comes by then is passed over here.
-void SenderSide::EndAlone(Connection& c, const char* reason, SteadyTime until) {
+void ClientServer::EndAlone(Connection& c, const char* reason, SteadyTime until) {
   shutdown(c.socket.fd(), SHUT_WR);
   BufferPool::Buffer buffer = buffers_.Get();
   while (c.passed_over < kMostPassedOver && c.socket.AwaitInput(until)) {
@@ -334,7 +335,7 @@
 }
 
 // Answers what has come whole. False, with the reason, if the connection is to end.
-bool SenderSide::Answer(Connection& c, const char*& reason) {
+bool ClientServer::AnswerCommands(Connection& c, const char*& reason) {
   while (!c.reader.commands().empty()) {
     RespCommand command = std::move(c.reader.commands().front());
     c.reader.commands().pop_front();
@@ -355,18 +356,18 @@
 
 // Replies to commands that came together go out together. Guards against a system call for each of
 // hundreds. False if the client cannot be reached.
-bool SenderSide::Say(Connection& c, const std::string& reply) {
+bool ClientServer::Say(Connection& c, const std::string& reply) {
   c.replies += reply;
   return c.replies.size() < kMostReplies || Flush(c);
 }
 
-bool SenderSide::Flush(Connection& c) {
+bool ClientServer::Flush(Connection& c) {
   if (c.replies.empty()) return true;
   const std::string replies = std::exchange(c.replies, {});
   return c.socket.SendAll(replies, std::chrono::steady_clock::now() + kReplyTime);
 }
 
-bool SenderSide::SayFault(Connection& c, const std::string& reply, const char*& reason) {
+bool ClientServer::SayFault(Connection& c, const std::string& reply, const char*& reason) {
   reason = "reset";
   if (!Say(c, reply)) return false;
   reason = "too-many-faults";
@@ -374,13 +375,13 @@
 }
 
 // False, with the reason, if the connection is to end.
-bool SenderSide::Reply(Connection& c, RespCommand& command, const char*& reason) {
+bool ClientServer::Reply(Connection& c, RespCommand& command, const char*& reason) {
   std::string& name = command.words[0];
   for (char& letter : name) {
     if (letter >= 'a' && letter <= 'z') letter = static_cast<char>(letter - 'a' + 'A');
   }
   if (command.oversize) return SayFault(c, RespError("ERR", "over 64 KiB"), reason);
-  if (name == "MSG.PUT") return HandIn(c, command, reason);
+  if (name == "MSG.PUT") return Submit(c, command, reason);
   reason = "reset";
   if (name == "PING") {
     if (StandsBy(milliseconds{0})) return Say(c, RespError("STANDBY", "taken out for work"));
@@ -393,40 +394,40 @@
   return SayFault(c, RespError("ERR", "unknown command"), reason);
 }
 
-bool SenderSide::StandsBy(milliseconds for_so_long) {
+bool ClientServer::StandsBy(milliseconds for_so_long) {
   if (!standing_by_) return false;
   const std::lock_guard lock(mutex_);
   return std::chrono::steady_clock::now() - stands_by_since_ >= for_so_long;
 }
 
-bool SenderSide::HandIn(Connection& c, RespCommand& command, const char*& reason) {
+bool ClientServer::Submit(Connection& c, RespCommand& command, const char*& reason) {
   reason = "reset";
   if (StandsBy(kTakenInStandby)) return Say(c, RespError("BUSY", "1000"));
-  Envelope envelope;
+  DeliveryRequest request;
   try {
-    envelope = ParsePut(std::move(command.words));
-  } catch (const BadEnvelope& fault) {
+    request = ParseDeliveryRequest(std::move(command.words));
+  } catch (const InvalidDeliveryRequest& fault) {
     return SayFault(c, RespError("ERR", fault.what()), reason);
   }
-  const brassfront::Answer answer = intake_.HandIn(std::move(envelope));
-  if (answer.verdict == brassfront::Answer::Verdict::kBad) {
-    return SayFault(c, RespError("ERR", answer.fault), reason);
+  const SubmitResult answer = acceptor_.Submit(std::move(request));
+  if (answer.status == SubmitResult::Status::kInvalid) {
+    return SayFault(c, RespError("ERR", answer.error), reason);
   }
   std::string wait;
-  if (answer.come_back) wait = std::to_string(answer.come_back->count());
-  if (answer.unlisted) return SayFault(c, RespError("BUSY", wait), reason);
+  if (answer.retry_after) wait = std::to_string(answer.retry_after->count());
+  if (answer.unknown_destination) return SayFault(c, RespError("BUSY", wait), reason);
   c.faults = 0;
   c.useful = true;
-  if (answer.verdict == brassfront::Answer::Verdict::kDeferred) {
+  if (answer.status == SubmitResult::Status::kRejected) {
     return Say(c, RespError("BUSY", wait));
   }
   // A client that has stopped waiting may hand the message in again under a new id.
   if (c.socket.PeerHasEnded() || !Say(c, RespSimple("OK")) || !Flush(c)) {
-    intake_.Lost(answer.message);
+    acceptor_.OnClientDisconnected(answer.message);
     reason = "gone-before-answer";
     return false;
   }
-  intake_.Heard(answer.message);
+  acceptor_.OnAcknowledged(answer.message);
   return true;
 }
 
--- a/src/net/sender_side.hpp
+++ b/src/net/client_server.hpp
@@ -3,8 +3,8 @@
 // One thread, the lobby, waits for all clients and reads from them. A connection with a whole
 // command goes to a worker, which may wait for the engine, and comes back once it is answered. So
 // threads follow the commands being answered, not the connections that stand.
-#ifndef BRASSFRONT_NET_SENDER_SIDE_HPP_
-#define BRASSFRONT_NET_SENDER_SIDE_HPP_
+#ifndef BRASSFRONT_NET_CLIENT_SERVER_HPP_
+#define BRASSFRONT_NET_CLIENT_SERVER_HPP_
 
 #include <atomic>
 #include <chrono>
@@ -16,16 +16,16 @@
 #include <unordered_map>
 #include <utility>
 
-#include "forwarder/intake.hpp"
+#include "acceptance/message_acceptor.hpp"
+#include "concurrency/thread.hpp"
+#include "concurrency/thread_pool.hpp"
 #include "net/buffer_pool.hpp"
-#include "net/crew.hpp"
 #include "net/socket.hpp"
-#include "net/thread.hpp"
 #include "protocol/resp.hpp"
 
 namespace brassfront {
 
-class SenderSide {
+class ClientServer {
  public:
   struct Limits {
     std::size_t connections = 1;  // at once
@@ -33,11 +33,11 @@
     // on. A total, so that a client that trickles is no better off than one that is silent.
     std::chrono::milliseconds command{2000};
     std::chrono::milliseconds idle{2000};  // between two commands
-    // Idle ones kept of those that have handed in an envelope. Guards against clients that may open
+    // Idle ones kept of those that have handed in an request. Guards against clients that may open
     // only so many connections, and leave each open after one message.
     std::size_t most_idle = SIZE_MAX;
     // What newcomers take the place of, once all are taken: the longest idle of those that have
-    // handed in no good envelope, and else the longest idle of all; each for so long at least.
+    // handed in no good request, and else the longest idle of all; each for so long at least.
     std::chrono::milliseconds useless{100};
     std::chrono::milliseconds least_idle{200};
     // Commands in a row that could not be used: then the connection is closed. Guards against a
@@ -48,8 +48,9 @@
 
   // Takes connections from the listener until it is destroyed. Throws std::runtime_error where the
   // system has no room for its threads or descriptors.
-  SenderSide(Socket listener, const Limits& limits, Intake& intake, BufferPool& buffers);
-  ~SenderSide();
+  ClientServer(Socket listener, const Limits& limits, MessageAcceptor& acceptor,
+               BufferPool& buffers);
+  ~ClientServer();
 
   // From now on each connection is closed between two requests; new ones get one request.
   void Drain();
@@ -74,7 +75,7 @@
     SteadyTime since{};  // connected, or its last command was answered
     SteadyTime due{};    // of what it waits for
     std::size_t exchanges = 0;
-    bool useful = false;          // has handed in a good envelope
+    bool useful = false;          // has handed in a good request
     std::size_t passed_over = 0;  // bytes, while leaving
     const char* leaves_for = "";  // the reason
     std::string replies{};        // not written yet, of commands that came together
@@ -85,7 +86,7 @@
   };
 
   // ---- the lobby's, under the lock ----
-  void Watch();
+  void RunPollLoop();
   void TakeConnections();
   bool MakeRoom(SteadyTime now);
   void TrimIdle(SteadyTime now);
@@ -104,16 +105,16 @@
 
   // ---- a worker's; the connection is its own meanwhile ----
   void Serve(Connection& connection);
-  bool Answer(Connection& connection, const char*& reason);
+  bool AnswerCommands(Connection& connection, const char*& reason);
   bool Reply(Connection& connection, RespCommand& command, const char*& reason);
-  bool HandIn(Connection& connection, RespCommand& command, const char*& reason);
+  bool Submit(Connection& connection, RespCommand& command, const char*& reason);
   bool StandsBy(std::chrono::milliseconds for_so_long);
   bool Say(Connection& connection, const std::string& reply);
   bool SayFault(Connection& connection, const std::string& reply, const char*& reason);
   bool Flush(Connection& connection);
 
   const Limits limits_;
-  Intake& intake_;
+  MessageAcceptor& acceptor_;
   BufferPool& buffers_;
   Socket listener_;
   Socket readiness_;  // epoll
@@ -130,10 +131,10 @@
   Order idle_useless_, idle_useful_;  // of those that wait, the longest first
   Order leaving_;                     // of those, the one due first leads
 
-  Crew<Connection*> workers_;
+  ThreadPool<Connection*> workers_;
   Thread lobby_;
 };
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_SENDER_SIDE_HPP_
+#endif  // BRASSFRONT_NET_CLIENT_SERVER_HPP_
--- a/src/net/ask_times.hpp
+++ b/src/net/discovery_timeouts.hpp
@@ -12,19 +12,19 @@
 //        for its end.
 //
 // and then an ask that is answered at once. What is left is for a busy machine.
-#ifndef BRASSFRONT_NET_ASK_TIMES_HPP_
-#define BRASSFRONT_NET_ASK_TIMES_HPP_
+#ifndef BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
+#define BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
 
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 
-#include "net/back_off.hpp"
+#include "net/backoff.hpp"
 
 namespace brassfront {
 
-class AskTimes {
+class DiscoveryTimeouts {
  public:
   using Time = std::chrono::steady_clock::time_point;
   using Duration = std::chrono::milliseconds;
@@ -37,7 +37,8 @@
 
   // `group`: the forwarders that ask the same discovery, this one among them; `seed`: of the
   // spread.
-  AskTimes(std::size_t group, std::uint64_t seed) : group_(group), pauses_(PausesOf(group, seed)) {}
+  DiscoveryTimeouts(std::size_t group, std::uint64_t seed)
+      : group_(group), pauses_(PausesOf(group, seed)) {}
 
   // Before the first ask. A few forwarders that start at one moment may ask at once.
   Duration PauseAtStart() { return group_ > kFew ? pauses_.Failed(kAskAgain) : Duration(0); }
@@ -63,17 +64,17 @@
   static constexpr Duration kMostLongestPause{4000};
   static constexpr std::size_t kFew = 4;
 
-  static BackOff PausesOf(std::size_t group, std::uint64_t seed) {
+  static Backoff PausesOf(std::size_t group, std::uint64_t seed) {
     const auto size = static_cast<Duration::rep>(std::min<std::size_t>(group, 1000));
-    return BackOff(std::max(kLeastPause, size * kPause),
+    return Backoff(std::max(kLeastPause, size * kPause),
                    std::clamp(size * kLongestPause, kLeastLongestPause, kMostLongestPause), seed);
   }
 
   const std::size_t group_;
-  BackOff pauses_;
+  Backoff pauses_;
   Time heard_{};  // the beginning of the ask, or the last whole line
 };
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_ASK_TIMES_HPP_
+#endif  // BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
--- a/src/net/watch.cpp
+++ b/src/net/discovery_watcher.cpp
@@ -1,4 +1,4 @@
-#include "net/watch.hpp"
+#include "net/discovery_watcher.hpp"
 
 #include <chrono>
 #include <utility>
@@ -7,20 +7,20 @@
 
 namespace brassfront {
 
-Watch::Watch(std::string address, std::uint64_t revision, const Group& group, BufferPool& buffers,
-             OnList on_list)
+DiscoveryWatcher::DiscoveryWatcher(std::string address, std::uint64_t revision, const Group& group,
+                                   BufferPool& buffers, OnEndpointList on_list)
     : on_list_(std::move(on_list)),
       times_(group.size, group.seed),
       revision_(revision),
-      client_("discovery", std::move(address), AskTimes::kSilence, buffers),
+      client_("discovery", std::move(address), DiscoveryTimeouts::kSilence, buffers),
       thread_("watch", [this] { Follow(); }) {}
 
-Watch::~Watch() {
+DiscoveryWatcher::~DiscoveryWatcher() {
   client_.Stop();
   thread_.Join();
 }
 
-void Watch::Follow() {
+void DiscoveryWatcher::Follow() {
   client_.Pause(times_.PauseAtStart());
   while (!client_.stopped()) {
     const std::string address = client_.address();
@@ -38,7 +38,7 @@
   }
 }
 
-bool Watch::TakeLines(HttpReader& reader, LineCutter& lines) {
+bool DiscoveryWatcher::TakeLines(HttpReader& reader, LineCutter& lines) {
   if (reader.head_done() && reader.status() != 200) return false;
   for (const std::string& line : lines.Feed(reader.TakeBody())) {
     times_.HeardLine(std::chrono::steady_clock::now());
--- a/src/net/watch.hpp
+++ b/src/net/discovery_watcher.hpp
@@ -1,22 +1,22 @@
 // The discovery watch: keeps a watch open and passes on each list that comes.
-#ifndef BRASSFRONT_NET_WATCH_HPP_
-#define BRASSFRONT_NET_WATCH_HPP_
+#ifndef BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
+#define BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
 
-#include "net/ask_times.hpp"
+#include "concurrency/thread.hpp"
+#include "net/discovery_timeouts.hpp"
 #include "net/http_client.hpp"
-#include "net/thread.hpp"
 #include "protocol/discovery.hpp"
 
 namespace brassfront {
 
-class Watch {
+class DiscoveryWatcher {
  public:
-  using OnList = std::function<void(MemberList)>;
+  using OnEndpointList = std::function<void(MemberList)>;
 
   // The forwarders that ask the same discovery, this one among them, and the seed of its spread.
   struct Group {
@@ -24,9 +24,9 @@
     std::uint64_t seed = 0;
   };
 
-  Watch(std::string address, std::uint64_t revision, const Group& group, BufferPool& buffers,
-        OnList on_list);
-  ~Watch();
+  DiscoveryWatcher(std::string address, std::uint64_t revision, const Group& group,
+                   BufferPool& buffers, OnEndpointList on_list);
+  ~DiscoveryWatcher();
 
   // Goes on at another address, from the last revision that was told.
   void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
@@ -35,8 +35,8 @@
   void Follow();
   bool TakeLines(HttpReader& reader, LineCutter& lines);
 
-  const OnList on_list_;
-  AskTimes times_;
+  const OnEndpointList on_list_;
+  DiscoveryTimeouts times_;
   std::uint64_t revision_;
   HttpClient client_;
   Thread thread_;
@@ -44,4 +44,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_WATCH_HPP_
+#endif  // BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
--- a/src/net/delivery.hpp
+++ b/src/net/endpoint_call.hpp
@@ -1,7 +1,7 @@
 // A delivery: one call to a next hop, which carries one delivery attempt or a bundle of them.
 // The engine makes it and may recall or stop it; one thread of the next hops carries it out.
-#ifndef BRASSFRONT_NET_DELIVERY_HPP_
-#define BRASSFRONT_NET_DELIVERY_HPP_
+#ifndef BRASSFRONT_NET_ENDPOINT_CALL_HPP_
+#define BRASSFRONT_NET_ENDPOINT_CALL_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -14,13 +14,13 @@
 
 namespace brassfront {
 
-class Delivery {
+class EndpointCall {
  public:
   enum class Stop { kNone, kRecalled, kCancelled, kTimedOut };
 
   // `permit` is asked last of all before the first byte; none: nobody has to be asked.
-  Delivery(std::uint64_t its_number, std::uint64_t its_hop, std::string to, std::string bytes,
-           SteadyTime latest, std::function<bool()> permit = nullptr)
+  EndpointCall(std::uint64_t its_number, std::uint64_t its_hop, std::string to, std::string bytes,
+               SteadyTime latest, std::function<bool()> permit = nullptr)
       : number(its_number),
         hop(its_hop),
         address(std::move(to)),
@@ -87,11 +87,21 @@
   Stop stop_ = Stop::kNone;
 };
 
-// How a delivery ended, as the connection shows it.
-struct DeliveryEnd {
-  enum class Fate { kAnswered, kNotSent, kConnectFailed, kCrowded, kReset, kTimedOut, kCancelled };
+// How a call ended, as its connection shows it.
+enum class CallOutcome {
+  kAnswered,
+  kNotSent,
+  kConnectFailed,
+  kConnectionLimitReached,
+  kReset,
+  kTimedOut,
+  kCancelled
+};
+
+// What a call brought: its outcome and, if it was answered, the answer.
+struct EndpointCallResult {
   std::uint64_t number = 0;
-  Fate fate = Fate::kReset;
+  CallOutcome outcome = CallOutcome::kReset;
   // With kAnswered: a whole answer, or one that is spoilt after a first line with 200.
   int status = 0;
   bool whole = false;
@@ -101,4 +111,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_DELIVERY_HPP_
+#endif  // BRASSFRONT_NET_ENDPOINT_CALL_HPP_
--- a/src/net/next_hops.cpp
+++ b/src/net/endpoint_client.cpp
@@ -1,4 +1,4 @@
-#include "net/next_hops.hpp"
+#include "net/endpoint_client.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,13 +16,13 @@
 // holds its slot meanwhile.
 constexpr std::chrono::milliseconds kAnswerTime{500};
 
-const char* ReasonOf(Delivery::Stop stop, const char* otherwise) {
+const char* ReasonOf(EndpointCall::Stop stop, const char* otherwise) {
   switch (stop) {
-    case Delivery::Stop::kCancelled:
+    case EndpointCall::Stop::kCancelled:
       return "cancelled";
-    case Delivery::Stop::kTimedOut:
+    case EndpointCall::Stop::kTimedOut:
       return "timed-out";
-    case Delivery::Stop::kRecalled:
+    case EndpointCall::Stop::kRecalled:
       return "recalled";
     default:
       return otherwise;
@@ -31,33 +31,33 @@
 
 }  // namespace
 
-NextHops::NextHops(const Options& options, BufferPool& buffers, OnEnd on_end)
+EndpointClient::EndpointClient(const Options& options, BufferPool& buffers, OnEnd on_end)
     : options_(options),
       buffers_(buffers),
       on_end_(std::move(on_end)),
-      crew_("next-hop",
-            {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
-            [this](const std::shared_ptr<Delivery>& delivery) { Work(delivery); }) {}
+      threads_("next-hop",
+               {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
+               [this](const std::shared_ptr<EndpointCall>& delivery) { Work(delivery); }) {}
 
 // The crew is the last member: it makes what is still waiting end, and then its threads.
-NextHops::~NextHops() {
+EndpointClient::~EndpointClient() {
   const std::lock_guard lock(mutex_);
   closed_ = true;
-  for (auto& [number, delivery] : out_) delivery->End(Delivery::Stop::kCancelled);
+  for (auto& [number, delivery] : out_) delivery->End(EndpointCall::Stop::kCancelled);
   for (Connection& c : idle_) End(c, "shutdown");
   idle_.clear();
 }
 
-void NextHops::Start(std::shared_ptr<Delivery> delivery) {
+void EndpointClient::Start(std::shared_ptr<EndpointCall> delivery) {
   {
     const std::lock_guard lock(mutex_);
     out_[delivery->number] = delivery;
   }
-  crew_.Put(std::move(delivery));
+  threads_.Submit(std::move(delivery));
 }
 
-void NextHops::Work(const std::shared_ptr<Delivery>& delivery) {
-  DeliveryEnd end = Carry(*delivery);
+void EndpointClient::Work(const std::shared_ptr<EndpointCall>& delivery) {
+  EndpointCallResult end = Carry(*delivery);
   end.number = delivery->number;
   {
     const std::lock_guard lock(mutex_);
@@ -66,50 +66,50 @@
   on_end_(std::move(end));
 }
 
-DeliveryEnd NextHops::Carry(Delivery& delivery) {
-  using Fate = DeliveryEnd::Fate;
+EndpointCallResult EndpointClient::Carry(EndpointCall& delivery) {
   while (true) {
     Connection connection = TakeIdle(delivery);
     const bool reused = connection.socket.is_open();
     if (!reused) connection.socket = NewSocket();
     if (!delivery.Attach(connection.socket)) {
       if (reused) Keep(std::move(connection));
-      return {.fate = Fate::kNotSent};
+      return {.outcome = CallOutcome::kNotSent};
     }
     if (!reused && !Open(connection, delivery)) {
-      return {.fate = delivery.stopped() == Delivery::Stop::kNone ? Fate::kConnectFailed
-                                                                  : Fate::kNotSent};
+      return {.outcome = delivery.stopped() == EndpointCall::Stop::kNone
+                             ? CallOutcome::kConnectFailed
+                             : CallOutcome::kNotSent};
     }
     if (!delivery.BeginWrite()) {
       delivery.Detach();
-      const Delivery::Stop stop = delivery.stopped();
-      if (stop == Delivery::Stop::kCancelled || stop == Delivery::Stop::kTimedOut) {
+      const EndpointCall::Stop stop = delivery.stopped();
+      if (stop == EndpointCall::Stop::kCancelled || stop == EndpointCall::Stop::kTimedOut) {
         End(connection, ReasonOf(stop, ""));
       } else {
         Keep(std::move(connection));
       }
-      return {.fate = Fate::kNotSent};
+      return {.outcome = CallOutcome::kNotSent};
     }
     if (connection.socket.SendAll(delivery.request)) return ReadAnswer(connection, delivery);
     // The last byte was not written, so nothing ran. A kept connection may have died unnoticed:
     // that tells nothing of the next hop, and a new one may do.
     delivery.TakeBackWrite();
     delivery.Detach();
-    const Delivery::Stop stop = delivery.stopped();
+    const EndpointCall::Stop stop = delivery.stopped();
     End(connection, ReasonOf(stop, "write-failed"));
-    if (stop != Delivery::Stop::kNone) return {.fate = Fate::kNotSent};
-    if (!reused) return {.fate = Fate::kConnectFailed};
+    if (stop != EndpointCall::Stop::kNone) return {.outcome = CallOutcome::kNotSent};
+    if (!reused) return {.outcome = CallOutcome::kConnectFailed};
   }
 }
 
-bool NextHops::Open(Connection& connection, Delivery& delivery) {
+bool EndpointClient::Open(Connection& connection, EndpointCall& delivery) {
   if (Connect(connection.socket, delivery.address, options_.connect_timeout)) return true;
   delivery.Detach();
   End(connection, ReasonOf(delivery.stopped(), "connect-failed"));
   return false;
 }
 
-DeliveryEnd NextHops::ReadAnswer(Connection& connection, Delivery& delivery) {
+EndpointCallResult EndpointClient::ReadAnswer(Connection& connection, EndpointCall& delivery) {
   HttpReader reader(kMostAnswer);
   const char* fault = "malformed";
   SteadyTime until = SteadyTime::max();
@@ -133,10 +133,10 @@
     }
   }
   delivery.Detach();
-  const Delivery::Stop stop = delivery.stopped();
+  const EndpointCall::Stop stop = delivery.stopped();
   ++connection.exchanges;
-  DeliveryEnd end;
-  if (reader.done() && reader.keep_alive() && stop == Delivery::Stop::kNone) {
+  EndpointCallResult end;
+  if (reader.done() && reader.keep_alive() && stop == EndpointCall::Stop::kNone) {
     Keep(std::move(connection));
   } else {
     End(connection, ReasonOf(stop, reader.done() ? "not-kept" : fault));
@@ -144,7 +144,7 @@
   // Of a spoilt answer only a first line with 200 is true. Guards against taking a request that has
   // run for one that was turned away.
   if (reader.done() || reader.status() == 200) {
-    end.fate = DeliveryEnd::Fate::kAnswered;
+    end.outcome = CallOutcome::kAnswered;
     end.status = reader.status();
     end.whole = reader.done();
     if (!end.whole) return end;
@@ -157,26 +157,26 @@
     const bool crowded = end.status == 503 && connection.exchanges == 1 && !reader.keep_alive() &&
                          end.wait_ms.empty() && end.slots_taken.empty();
     if (crowded) {
-      end.fate = DeliveryEnd::Fate::kCrowded;
+      end.outcome = CallOutcome::kConnectionLimitReached;
       const std::lock_guard lock(mutex_);
       ShareOf(delivery.hop).Crowded(std::chrono::steady_clock::now());
     }
-  } else if (stop == Delivery::Stop::kTimedOut) {
-    end.fate = DeliveryEnd::Fate::kTimedOut;
-  } else if (stop == Delivery::Stop::kCancelled) {
-    end.fate = DeliveryEnd::Fate::kCancelled;
+  } else if (stop == EndpointCall::Stop::kTimedOut) {
+    end.outcome = CallOutcome::kTimedOut;
+  } else if (stop == EndpointCall::Stop::kCancelled) {
+    end.outcome = CallOutcome::kCancelled;
   }
   return end;
 }
 
-void NextHops::End(Connection& connection, const char* reason) {
+void EndpointClient::End(Connection& connection, const char* reason) {
   connection.socket.Close();
   LogConnectionEnd(kSide, connection.address, reason, connection.exchanges);
 }
 
 // The newest that still stands, or one without a socket. Guards against writing to a connection
 // that the other side has closed, or on which it has said more than it was asked.
-NextHops::Connection NextHops::TakeIdle(const Delivery& delivery) {
+EndpointClient::Connection EndpointClient::TakeIdle(const EndpointCall& delivery) {
   const std::lock_guard lock(mutex_);
   ShareOf(delivery.hop).Called(std::chrono::steady_clock::now());
   for (auto it = idle_.end(); it != idle_.begin();) {
@@ -193,12 +193,12 @@
   return fresh;
 }
 
-void NextHops::Keep(Connection connection) {
+void EndpointClient::Keep(Connection connection) {
   const std::lock_guard lock(mutex_);
   if (closed_) return End(connection, "shutdown");
   const std::uint64_t hop = connection.hop;
   const SteadyTime now = std::chrono::steady_clock::now();
-  const IdleShare& share = ShareOf(hop);
+  const IdleConnectionBudget& share = ShareOf(hop);
   connection.kept_until = now + std::chrono::duration_cast<SteadyTime::duration>(
                                     share.KeptFor(now, options_.connection_idle * kIdleShare));
   idle_.push_back(std::move(connection));
@@ -211,7 +211,7 @@
   idle_.erase(oldest);
 }
 
-void NextHops::RetireIdle() {
+void EndpointClient::RetireIdle() {
   const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
   std::erase_if(idle_, [&](Connection& c) {
@@ -222,7 +222,7 @@
   });
 }
 
-SteadyTime NextHops::NextRetire() const {
+SteadyTime EndpointClient::NextRetire() const {
   const std::lock_guard lock(mutex_);
   SteadyTime next = SteadyTime::max();
   for (const Connection& c : idle_) next = std::min(next, c.kept_until);
@@ -230,11 +230,11 @@
 }
 
 // With the mutex held.
-IdleShare& NextHops::ShareOf(std::uint64_t hop) {
+IdleConnectionBudget& EndpointClient::ShareOf(std::uint64_t hop) {
   return shares_.try_emplace(hop, options_.group).first->second;
 }
 
-void NextHops::Forget(std::uint64_t hop) {
+void EndpointClient::Forget(std::uint64_t hop) {
   const std::lock_guard lock(mutex_);
   shares_.erase(hop);
   std::erase_if(idle_, [&](Connection& c) {
--- a/src/net/next_hops.hpp
+++ b/src/net/endpoint_client.hpp
@@ -1,6 +1,6 @@
 // The next hops' side: threads that carry out deliveries on kept connections.
-#ifndef BRASSFRONT_NET_NEXT_HOPS_HPP_
-#define BRASSFRONT_NET_NEXT_HOPS_HPP_
+#ifndef BRASSFRONT_NET_ENDPOINT_CLIENT_HPP_
+#define BRASSFRONT_NET_ENDPOINT_CLIENT_HPP_
 
 #include <chrono>
 #include <functional>
@@ -10,17 +10,17 @@
 #include <string>
 #include <vector>
 
+#include "concurrency/thread.hpp"
+#include "concurrency/thread_pool.hpp"
 #include "net/buffer_pool.hpp"
-#include "net/crew.hpp"
-#include "net/delivery.hpp"
-#include "net/idle_share.hpp"
+#include "net/endpoint_call.hpp"
+#include "net/idle_connection_budget.hpp"
 #include "net/socket.hpp"
-#include "net/thread.hpp"
 #include "protocol/http.hpp"
 
 namespace brassfront {
 
-class NextHops {
+class EndpointClient {
  public:
   struct Options {
     std::size_t threads = 1;                     // deliveries at once; more wait for a thread
@@ -29,13 +29,13 @@
     std::chrono::nanoseconds connection_idle{};  // after which the other side closes one
     std::chrono::milliseconds connect_timeout{};
   };
-  using OnEnd = std::function<void(DeliveryEnd)>;  // called by the threads
+  using OnEnd = std::function<void(EndpointCallResult)>;  // called by the threads
 
   // Throws std::runtime_error where the system has no room for a thread.
-  NextHops(const Options& options, BufferPool& buffers, OnEnd on_end);
-  ~NextHops();  // ends what is out
+  EndpointClient(const Options& options, BufferPool& buffers, OnEnd on_end);
+  ~EndpointClient();  // ends what is out
 
-  void Start(std::shared_ptr<Delivery> delivery);
+  void Start(std::shared_ptr<EndpointCall> delivery);
   // Closes connections that have been idle for long. To be called every second, and at NextRetire.
   void RetireIdle();
   // When the next of the kept connections has been idle for long enough; max() if none is kept.
@@ -52,14 +52,14 @@
     std::size_t exchanges = 0;
   };
 
-  void Work(const std::shared_ptr<Delivery>& delivery);
-  DeliveryEnd Carry(Delivery& delivery);
-  bool Open(Connection& connection, Delivery& delivery);
-  DeliveryEnd ReadAnswer(Connection& connection, Delivery& delivery);
+  void Work(const std::shared_ptr<EndpointCall>& delivery);
+  EndpointCallResult Carry(EndpointCall& delivery);
+  bool Open(Connection& connection, EndpointCall& delivery);
+  EndpointCallResult ReadAnswer(Connection& connection, EndpointCall& delivery);
   void End(Connection& connection, const char* reason);
-  Connection TakeIdle(const Delivery& delivery);
+  Connection TakeIdle(const EndpointCall& delivery);
   void Keep(Connection connection);
-  IdleShare& ShareOf(std::uint64_t hop);
+  IdleConnectionBudget& ShareOf(std::uint64_t hop);
 
   const Options options_;
   BufferPool& buffers_;
@@ -67,11 +67,11 @@
   mutable std::mutex mutex_;  // guards what follows
   bool closed_ = false;
   std::vector<Connection> idle_;  // the newest last
-  std::map<std::uint64_t, IdleShare> shares_;
-  std::map<std::uint64_t, std::shared_ptr<Delivery>> out_;
-  Crew<std::shared_ptr<Delivery>> crew_;
+  std::map<std::uint64_t, IdleConnectionBudget> shares_;
+  std::map<std::uint64_t, std::shared_ptr<EndpointCall>> out_;
+  ThreadPool<std::shared_ptr<EndpointCall>> threads_;
 };
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_NEXT_HOPS_HPP_
+#endif  // BRASSFRONT_NET_ENDPOINT_CLIENT_HPP_
--- a/src/net/idle_share.hpp
+++ b/src/net/idle_connection_budget.hpp
@@ -3,21 +3,21 @@
 // A next hop holds few connections, idle ones counted, and each of a group of forwarders keeps its
 // own. Guards against a hundred that each keep one or two: the tables are full of connections that
 // nobody uses, and the calls of all others are turned away.
-#ifndef BRASSFRONT_NET_IDLE_SHARE_HPP_
-#define BRASSFRONT_NET_IDLE_SHARE_HPP_
+#ifndef BRASSFRONT_NET_IDLE_CONNECTION_BUDGET_HPP_
+#define BRASSFRONT_NET_IDLE_CONNECTION_BUDGET_HPP_
 
 #include <chrono>
 #include <cstddef>
 
 namespace brassfront {
 
-class IdleShare {
+class IdleConnectionBudget {
  public:
   using Time = std::chrono::steady_clock::time_point;
   using Seconds = std::chrono::duration<double>;
 
   // `group`: forwarders that call the next hop, this one among them; 0 is taken for 1.
-  explicit IdleShare(std::size_t group);
+  explicit IdleConnectionBudget(std::size_t group);
 
   // A call to the next hop begins.
   void Called(Time now);
@@ -43,4 +43,4 @@
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_IDLE_SHARE_HPP_
+#endif  // BRASSFRONT_NET_IDLE_CONNECTION_BUDGET_HPP_
--- a/src/net/notices.cpp
+++ b/src/net/notification_client.cpp
@@ -1,4 +1,4 @@
-#include "net/notices.hpp"
+#include "net/notification_client.hpp"
 
 #include <utility>
 #include <vector>
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-std::string NoticeLine(const Notice& notice) {
+std::string NotificationLine(const Notification& notice) {
   std::string line = "{\"id\":" + json::Quote(notice.id);
   if (notice.deferred) {
     line += ",\"status\":\"deferred\",\"again_ms\":" + std::to_string(notice.again.count());
@@ -25,36 +25,36 @@
   return line + "}\n";
 }
 
-Notices::Notices(std::string address, BufferPool& buffers, OnHeard on_heard)
+NotificationClient::NotificationClient(std::string address, BufferPool& buffers, OnHeard on_heard)
     : on_heard_(std::move(on_heard)),
       client_("notices", std::move(address), kSilence, buffers),
       waiting_(kMostWaiting),
       thread_("notices", [this] { Run(); }) {}
 
-Notices::~Notices() {
+NotificationClient::~NotificationClient() {
   waiting_.Close();
   client_.Stop();
   thread_.Join();
 }
 
-void Notices::Post(Notice notice) { waiting_.Put(std::move(notice)); }
+void NotificationClient::Post(Notification notice) { waiting_.Push(std::move(notice)); }
 
-void Notices::Run() {
-  while (auto first = waiting_.Take()) {
-    std::vector<Notice> batch{std::move(*first)};
+void NotificationClient::Run() {
+  while (auto first = waiting_.Pop()) {
+    std::vector<Notification> batch{std::move(*first)};
     while (batch.size() < kMostInPost) {
-      auto next = waiting_.TakeUntil(std::chrono::steady_clock::time_point::min());
+      auto next = waiting_.PopUntil(std::chrono::steady_clock::time_point::min());
       if (!next) break;
       batch.push_back(std::move(*next));
     }
     std::string body;
-    for (const Notice& notice : batch) body += NoticeLine(notice);
+    for (const Notification& notice : batch) body += NotificationLine(notice);
     while (!client_.stopped()) {
       const std::string request =
           HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
       HttpReader reader;
       if (client_.Exchange(request, reader) && reader.status() == 204) {
-        for (const Notice& notice : batch) on_heard_(notice.message);
+        for (const Notification& notice : batch) on_heard_(notice.message);
         break;
       }
       client_.Pause(kPause);
--- a/src/net/notices.hpp
+++ b/src/net/notification_client.hpp
@@ -1,6 +1,7 @@
-// Notices to the platform of what was taken on and not delivered, posted until they are heard.
-#ifndef BRASSFRONT_NET_NOTICES_HPP_
-#define BRASSFRONT_NET_NOTICES_HPP_
+// NotificationClient to the platform of what was taken on and not delivered, posted until they are
+// heard.
+#ifndef BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
+#define BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -9,27 +10,27 @@
 #include <string>
 #include <utility>
 
-#include "forwarder/mailbox.hpp"
+#include "concurrency/bounded_queue.hpp"
+#include "concurrency/thread.hpp"
 #include "net/http_client.hpp"
-#include "net/thread.hpp"
 
 namespace brassfront {
 
-struct Notice {
+struct Notification {
   std::uint64_t message = 0;  // the poster's number for it, which OnHeard is told
   std::string id{};
   bool deferred = false;  // else undeliverable
   std::chrono::milliseconds again{};
 };
 
-class Notices {
+class NotificationClient {
  public:
   using OnHeard = std::function<void(std::uint64_t message)>;  // called by the thread
 
-  Notices(std::string address, BufferPool& buffers, OnHeard on_heard);
-  ~Notices();
+  NotificationClient(std::string address, BufferPool& buffers, OnHeard on_heard);
+  ~NotificationClient();
 
-  void Post(Notice notice);
+  void Post(Notification notice);
   // What has not been heard yet is posted there as well.
   void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
 
@@ -38,13 +39,13 @@
 
   const OnHeard on_heard_;
   HttpClient client_;
-  Mailbox<Notice> waiting_;
+  BoundedQueue<Notification> waiting_;
   Thread thread_;
 };
 
 // The line that a notice is on the wire.
-std::string NoticeLine(const Notice& notice);
+std::string NotificationLine(const Notification& notice);
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_NET_NOTICES_HPP_
+#endif  // BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
--- a/src/choice.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -1,9 +1,9 @@
-// The decisions of rushfall. Types, events and actions: include/rushfall/choice.hpp.
+// The decisions of dispatch_policy. Types, events and actions: include/dispatch_policy/choice.hpp.
 //
 // The ordinary path is hysteresis at the door for each destination, after Abaev et al.,
 // "Simulation of Overload Control in SIP Server Networks"; docs/design.md tells what was kept.
 // Sections: ledger, gate, slot share, pacer, breaker, picker, attempts.
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -13,9 +13,9 @@
 #include <set>
 #include <utility>
 
-#include "choice_state.hpp"
+#include "policy/policy_state.hpp"
 
-namespace rushfall {
+namespace dispatch_policy {
 namespace {
 
 using std::chrono::duration_cast;
@@ -72,7 +72,7 @@
 
 }  // namespace
 
-class Choice::Impl {
+class DispatchPolicy::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
     set_.group_size = std::max<std::size_t>(set_.group_size, 1);
@@ -80,7 +80,7 @@
     for (const ClassSettings& c : set_.classes) {
       longest_deadline_ = std::max(longest_deadline_, c.deadline);
       shortest_deadline_ = std::min(shortest_deadline_, c.deadline);
-      shortest_aim_ = std::min(shortest_aim_, c.aim);
+      shortest_aim_ = std::min(shortest_aim_, c.latency_objective);
     }
     if (set_.classes.empty()) shortest_deadline_ = shortest_aim_ = std::chrono::seconds(1);
   }
@@ -89,7 +89,8 @@
     if (!started_) started_ = now;
     now_ = std::max(now_, now);
     actions_.clear();
-    if (set_.list_on_request && !std::exchange(subscribed_, true)) actions_.push_back(Subscribe{});
+    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true))
+      actions_.push_back(SubscribeToEndpointList{});
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
     }
@@ -117,14 +118,14 @@
   void On(const MessageArrived& e) {
     if (messages_.count(e.message) != 0) return;
     if (e.message_class >= set_.classes.size()) {  // of no class: nothing is known to be safe
-      actions_.push_back(Refuse{e.message, Duration{}});
+      actions_.push_back(RejectMessage{e.message, Duration{}});
       return;
     }
     Message m = Taken(e);
     Destination& destination = DestinationOf(e.destination);
     destination.arrivals.Add(now_);
     if (!Admit(destination)) {
-      actions_.push_back(Refuse{m.id, RetryAfter(destination, m)});
+      actions_.push_back(RejectMessage{m.id, RetryAfter(destination, m)});
       return;
     }
     Hold(std::move(m), e.key);
@@ -135,13 +136,14 @@
   void On(const MessageRestored& e) {
     if (messages_.count(e.message) != 0) return;
     if (e.message_class >= set_.classes.size()) {
-      actions_.push_back(Surrender{e.message});
+      actions_.push_back(FailMessage{e.message});
       return;
     }
     Message m = Taken(e);
     m.attempts_before = e.attempts_used;
     m.may_have_run = e.may_have_run;
-    if (const auto it = endpoints_.find(e.ran_at); e.may_have_run && it != endpoints_.end()) {
+    if (const auto it = endpoints_.find(e.ran_on_endpoint);
+        e.may_have_run && it != endpoints_.end()) {
       m.ran_in = it->second.entry.zone;
     }
     DestinationOf(e.destination);
@@ -172,7 +174,7 @@
     messages_.emplace(m.id, std::move(m));
   }
 
-  void On(const MessageWithdrawn& e) {
+  void On(const MessageCancelled& e) {
     auto it = messages_.find(e.message);
     if (it == messages_.end() || it->second.finished) return;
     CancelOut(it->second);
@@ -181,13 +183,13 @@
 
   bool MayRefuse(const Message& m) const {
     const ClassSettings& c = ClassOf(m);
-    if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kSafe) return true;
-    return c.effect == Effect::kKeyed && c.dedup_scope == DedupScope::kDestination;
+    if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kIdempotent) return true;
+    return c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination;
   }
 
   // A keyed message that may have run is not sent again once its destination may have forgotten it.
   bool WindowClosed(const Message& m) const {
-    return m.may_have_run && ClassOf(m).effect == Effect::kKeyed &&
+    return m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
            now_ - *m.may_have_run >= ClassOf(m).dedup_window;
   }
 
@@ -195,9 +197,9 @@
   void GiveUp(Message& m) {
     CancelOut(m);
     if (MayRefuse(m)) {
-      actions_.push_back(Refuse{m.id, RetryAfter(destinations_.at(m.destination), m)});
+      actions_.push_back(RejectMessage{m.id, RetryAfter(destinations_.at(m.destination), m)});
     } else {
-      actions_.push_back(Surrender{m.id});
+      actions_.push_back(FailMessage{m.id});
     }
     Close(m);
   }
@@ -223,7 +225,7 @@
     return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
   }
 
-  void On(const AttemptSettled& e) {
+  void On(const AttemptCompleted& e) {
     auto it = messages_.find(e.message);
     if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return;
     Message& m = it->second;
@@ -237,7 +239,7 @@
       m.may_have_run = attempt.sent;
       m.ran_in = endpoints_.at(attempt.endpoint).entry.zone;
     }
-    if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + set_.order_rest;
+    if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + set_.ordering_cooldown;
     JudgeCall(attempt, e);
     if (m.finished) {
       Forget(m.id);
@@ -278,8 +280,8 @@
     const double rate = std::max(d.sends.Rate(now_), ShareOf(d));
     double discard = rate * kDeadlineShare * ToSeconds(shortest_deadline_);
     discard = std::max(discard, kLeastDiscardMark);
-    if (set_.max_held > 0) {
-      const double room = static_cast<double>(set_.max_held) - static_cast<double>(held_);
+    if (set_.max_in_flight > 0) {
+      const double room = static_cast<double>(set_.max_in_flight) - static_cast<double>(held_);
       discard = std::max(std::min(discard, kRoomMultiple * room), 1.0);
     }
     return {kAbatement * discard, kOnset * discard, discard};
@@ -311,7 +313,7 @@
   }
 
   Duration RetryAfter(const Destination& d, const Message& m) const {
-    if (!set_.retry_after_heard) return Duration{};
+    if (!set_.clients_honor_retry_after) return Duration{};
     Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
                               std::max(m.deadline - now_, Duration{}));
     if (set_.max_retry_after > Duration{}) after = std::min(after, set_.max_retry_after);
@@ -321,15 +323,17 @@
   // ======== slot share: the companion keeps one destination from filling the slots ========
 
   std::size_t FreeSlots() const {
-    if (set_.slots == 0) return SIZE_MAX;
-    return set_.slots > calls_.size() ? set_.slots - calls_.size() : 0;
+    if (set_.max_concurrent_calls == 0) return SIZE_MAX;
+    return set_.max_concurrent_calls > calls_.size() ? set_.max_concurrent_calls - calls_.size()
+                                                     : 0;
   }
 
   // Few slots would be left free once `taken` more are filled. The companion counts the slot that
   // it is about to give: with five slots or fewer there would be nothing left to share otherwise.
   bool SlotsScarce(std::size_t taken) const {
-    return set_.slots > 0 && static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
-                                 kScarceSlots * static_cast<double>(set_.slots);
+    return set_.max_concurrent_calls > 0 &&
+           static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
+               kScarceSlots * static_cast<double>(set_.max_concurrent_calls);
   }
 
   bool OthersHoldWork(const Destination& d) const {
@@ -344,7 +348,7 @@
   }
 
   double SlotsOf(double share) const {
-    return std::max(1.0, std::floor(share * static_cast<double>(set_.slots)));
+    return std::max(1.0, std::floor(share * static_cast<double>(set_.max_concurrent_calls)));
   }
 
   // All sick endpoints share a quarter. Guards against many destinations that are each a little
@@ -361,7 +365,7 @@
 
   // Each endpoint of its kind is a route with its own limit, pace and outages.
   bool Apart(const Endpoint& e) const {
-    return e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].separate_routes;
+    return e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].per_endpoint_limits;
   }
 
   std::size_t BatchOf(const Endpoint& e) const {
@@ -468,7 +472,7 @@
 
   // ======== breaker: outages, the trial call, the slow start within the fail-back budget ========
 
-  void JudgeCall(const Attempt& attempt, const AttemptSettled& e) {
+  void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = endpoints_.at(attempt.endpoint);
     Lane& lane = LaneOf(endpoint);
     Call& call = calls_.at(attempt.call);
@@ -490,7 +494,7 @@
     calls_.erase(attempt.call);
   }
 
-  void On(const ProbeSettled& e) {
+  void On(const HealthCheckCompleted& e) {
     auto it = endpoints_.find(e.endpoint);
     if (it == endpoints_.end() || !it->second.probing) return;
     it->second.probing = false;
@@ -511,10 +515,10 @@
         e.latency += kLatencyGain * (seen - e.latency);
       }
       Succeeded(e, call);
-    } else if (outcome == Outcome::kFull) {
+    } else if (outcome == Outcome::kRejected) {
       OnFull(e, call, told);
       JudgeFull(e, lane, told);
-    } else if (outcome == Outcome::kCrowded) {
+    } else if (outcome == Outcome::kConnectionLimitReached) {
       OnCrowded(e);
     } else if (!call.overdue && !(outcome == Outcome::kReset && Answered(e))) {
       Failed(e, call, outcome == Outcome::kConnectFailed);
@@ -612,33 +616,33 @@
   // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
   // over the cold time once it answers; for our part of its traffic, as the others see to theirs.
   Duration TrialGap(Endpoint& e) {
-    double warm = set_.cold_share;
-    if (e.health == Health::kRecovering && set_.cold_time > Duration{}) {
-      warm += (1 - set_.cold_share) *
-              std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(set_.cold_time));
+    double warm = set_.slow_start_share;
+    if (e.health == Health::kRecovering && set_.slow_start_duration > Duration{}) {
+      warm += (1 - set_.slow_start_share) *
+              std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(set_.slow_start_duration));
     }
-    const double rate = PartOf(e) * warm * kBudgetShare * set_.fall_multiple;
+    const double rate = PartOf(e) * warm * kBudgetShare * set_.collapse_load_multiple;
     return FromSeconds(1 / std::max(rate, kLeastTrials));
   }
 
   // ======== what other dispatchers know ========
 
-  void On(const ShareLeased& e) {
+  void On(const QuotaLeased& e) {
     const auto it = endpoints_.find(e.endpoint);
     if (it != endpoints_.end()) LaneOf(it->second).share = e.rate;
   }
 
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
-  void On(const PeerWord& w) {
+  void On(const PeerHealthReport& w) {
     const auto it = endpoints_.find(w.endpoint);
     if (it == endpoints_.end() || it->second.last_answer > now_ - w.age) return;  // ours is newer
     Endpoint& e = it->second;
     Lane& lane = LaneOf(e);
     const bool sure = w.witnesses >= kSureWitnesses;
-    if (w.word == Word::kTried) {
-      lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.rest, kLimitSpan));
-    } else if (w.word == Word::kServes) {
+    if (w.health == PeerHealth::kBeingTested) {
+      lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.duration, kLimitSpan));
+    } else if (w.health == PeerHealth::kServing) {
       if (e.health != Health::kOpen) return;
       if (sure) Turn(e, Health::kRecovering);
       lane.next_trial = std::min(lane.next_trial, now_ + Spread(kFullPause));
@@ -646,11 +650,11 @@
       if (e.fails_in_row > 0) return;
       e.fails_in_row = 1;
       e.first_fail = now_;
-    } else if (w.word == Word::kWait) {
-      lane.wait_until = std::max(lane.wait_until, now_ + std::min(w.rest, longest_deadline_));
+    } else if (w.health == PeerHealth::kRetryAfter) {
+      lane.wait_until = std::max(lane.wait_until, now_ + std::min(w.duration, longest_deadline_));
     } else if (e.health == Health::kClosed) {
-      Turn(e, w.word == Word::kDown ? Health::kOpen : Health::kRecovering);
-      if (w.word == Word::kCold) e.since = now_ - std::min(w.age, now_);
+      Turn(e, w.health == PeerHealth::kFailing ? Health::kOpen : Health::kRecovering);
+      if (w.health == PeerHealth::kWarmingUp) e.since = now_ - std::min(w.age, now_);
     }
   }
 
@@ -661,14 +665,15 @@
     const ClassSettings& c = ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
     const double value = WorthAt(c, age, set_.decay);
-    const double later =
-        m.deadline - now_ <= c.aim / 2 ? 0 : WorthAt(c, age + c.aim / 2, set_.decay);
-    return c.worth * (value - later + kFloorUrgency * value);
+    const double later = m.deadline - now_ <= c.latency_objective / 2
+                             ? 0
+                             : WorthAt(c, age + c.latency_objective / 2, set_.decay);
+    return c.priority_weight * (value - later + kFloorUrgency * value);
   }
 
   bool Sendable(const Message& m, const Endpoint& e) const {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
-    if (m.may_have_run && ClassOf(m).effect == Effect::kKeyed &&
+    if (m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
         ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
       return false;
     }
@@ -680,13 +685,13 @@
   // few, whose trials come often, a message would spend all its attempts on them.
   bool MayTry(const Message& m, const Endpoint& e) const {
     const Effect effect = ClassOf(m).effect;
-    return effect == Effect::kSafe || !set_.probes_allowed ||
-           (effect == Effect::kKeyed && e.closed && ManyShare());
+    return effect == Effect::kIdempotent || !set_.health_checks_allowed ||
+           (effect == Effect::kIdempotentWithKey && e.closed && ManyShare());
   }
 
   bool CanCall(Endpoint& e) {
     Lane& lane = LaneOf(e);
-    if (e.health == Health::kRecovering && now_ - e.since > set_.cold_time)
+    if (e.health == Health::kRecovering && now_ - e.since > set_.slow_start_duration)
       Turn(e, Health::kClosed);
     if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
     if (std::max(lane.wait_until, lane.next_call) > now_) return false;
@@ -706,7 +711,8 @@
 
   // What the route's zone costs for each message it takes on; other endpoints cost nothing.
   double TollOf(const Endpoint& e) const {
-    return Apart(e) && e.entry.zone < set_.zone_toll.size() ? set_.zone_toll[e.entry.zone] : 0;
+    return Apart(e) && e.entry.zone < set_.zone_penalty.size() ? set_.zone_penalty[e.entry.zone]
+                                                               : 0;
   }
 
   Endpoint* BestEndpoint(Destination& d, std::size_t message_class) {
@@ -751,12 +757,12 @@
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
   bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
-    const bool crowded = set_.max_held > 0 && 2 * held_ >= set_.max_held;
+    const bool crowded = set_.max_in_flight > 0 && 2 * held_ >= set_.max_in_flight;
     return crowded || BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
   }
 
   Time GatheredAt(const Message& m) const {
-    const Duration time = std::min(ClassOf(m).aim, (m.deadline - m.accepted) / 2);
+    const Duration time = std::min(ClassOf(m).latency_objective, (m.deadline - m.accepted) / 2);
     return m.accepted + FromSeconds(kGather * ToSeconds(time));
   }
 
@@ -793,7 +799,7 @@
       d.sends.Add(now_);
       std::erase(d.waiting, m->id);
       m->attempts.push_back({e.entry.endpoint, now_, id, true, false});
-      actions_.push_back(Send{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
+      actions_.push_back(SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
       if (call.out == BatchOf(e)) break;
     }
     Paced(e);
@@ -801,7 +807,7 @@
 
   // A probe is the trial call where no held message may be risked.
   void SendProbes() {
-    if (!set_.probes_allowed) return;
+    if (!set_.health_checks_allowed) return;
     for (DestinationId id : busy_) {
       Destination& d = destinations_.at(id);
       if (d.waiting.empty()) continue;
@@ -811,7 +817,7 @@
       if (std::any_of(d.waiting.begin(), d.waiting.end(), may_try)) continue;
       e->probing = true;
       Paced(*e);
-      actions_.push_back(Probe{e->entry.endpoint});
+      actions_.push_back(StartHealthCheck{e->entry.endpoint});
     }
   }
 
@@ -827,28 +833,29 @@
   }
 
   Duration TimeoutOf(const Message& m, const Endpoint& e) const {
-    const Duration left = std::max<Duration>(m.deadline - now_, set_.turn);
-    if (set_.cancel_allowed || ClassOf(m).effect == Effect::kUnsafe) return left;
+    const Duration left = std::max<Duration>(m.deadline - now_, set_.decision_interval);
+    if (set_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
     return std::min(left, 2 * OverdueAfter(e));
   }
 
   Time StartBy(const Message& m) const {
-    if (!m.may_have_run || ClassOf(m).effect != Effect::kKeyed) return m.deadline;
+    if (!m.may_have_run || ClassOf(m).effect != Effect::kIdempotentWithKey) return m.deadline;
     return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
   }
 
   bool Spent(const Message& m) const {
     const bool all =
         set_.max_attempts > 0 && m.attempts_before + m.attempts.size() >= set_.max_attempts;
-    const bool lost = (m.may_have_run && ClassOf(m).effect == Effect::kUnsafe) || WindowClosed(m);
+    const bool lost =
+        (m.may_have_run && ClassOf(m).effect == Effect::kNotIdempotent) || WindowClosed(m);
     return all || lost;
   }
 
-  void AfterFailure(Message& m, const AttemptSettled& e) {
+  void AfterFailure(Message& m, const AttemptCompleted& e) {
     if (e.exhausted || Spent(m)) return GiveUp(m);
     if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
     // Guards against all attempts spent within a few turns while no slot is free.
-    if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kCrowded) {
+    if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kConnectionLimitReached) {
       m.not_before = now_ + kUnsentPause;
     }
     busy_.insert(m.destination);
@@ -862,7 +869,7 @@
       Attempt& a = m.attempts[i];
       if (!a.out || a.cancelled) continue;
       a.cancelled = true;
-      actions_.push_back(Cancel{m.id, i});
+      actions_.push_back(CancelAttempt{m.id, i});
     }
   }
 
@@ -877,7 +884,7 @@
     }
     for (MessageId id : ids) {
       Message& m = messages_.at(id);
-      const Time last = m.deadline - set_.turn;
+      const Time last = m.deadline - set_.decision_interval;
       if (now_ >= last || (m.out == 0 && (WindowClosed(m) || WaitsPast(m.destination, last)))) {
         GiveUp(m);
       } else if (m.out > 0) {
@@ -913,7 +920,7 @@
       Failed(e, call);
     }
     if (a.cancelled || !set_.cancel_allowed) return;
-    const bool repeat = ClassOf(m).effect != Effect::kUnsafe;
+    const bool repeat = ClassOf(m).effect != Effect::kNotIdempotent;
     const bool lost = e.last_answer > a.sent || loss_ > kLossy;
     const bool silent = now_ - a.sent >= 2 * limit;
     if ((SlotsScarce(0) && (lost || silent)) || (repeat && silent)) CancelOut(m);
@@ -928,7 +935,7 @@
     }
     if (version_ && e.version < *version_) return;
     version_ = e.version;
-    if (e.form == ListForm::kWhole) {
+    if (e.form == ListForm::kComplete) {
       for (auto& [id, endpoint] : endpoints_) endpoint.entry.state = EndpointState::kRemoved;
     }
     for (const EndpointEntry& entry : e.entries) {
@@ -961,7 +968,7 @@
         std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
     if (none && !it->second.none_listed) {
       actions_.push_back(
-          Log{"destination " + std::to_string(id) + " has no endpoint that takes work"});
+          LogMessage{"destination " + std::to_string(id) + " has no endpoint that takes work"});
     }
     it->second.none_listed = none;
   }
@@ -969,7 +976,7 @@
   // What was removed long ago and has no call out. Guards against endpoints that are replaced for
   // as long as the process lives. What is known of one that is listed again soon is kept.
   void ForgetRemoved() {
-    const Duration kept = std::max(longest_deadline_, set_.cold_time);
+    const Duration kept = std::max(longest_deadline_, set_.slow_start_duration);
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
       auto& [id, e] = *it;
       if (e.entry.state != EndpointState::kRemoved)
@@ -994,7 +1001,7 @@
     };
     for (const auto& [id, m] : messages_) {
       if (m.finished) continue;
-      consider(m.deadline - set_.turn);
+      consider(m.deadline - set_.decision_interval);
       consider(m.not_before);
       consider(GatheredAt(m));
       if (m.may_have_run) consider(*m.may_have_run + ClassOf(m).dedup_window);
@@ -1041,14 +1048,14 @@
   std::vector<Action> actions_;
 };
 
-Choice::Choice(Settings settings, std::uint64_t seed)
+DispatchPolicy::DispatchPolicy(Settings settings, std::uint64_t seed)
     : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
-Choice::~Choice() = default;
-Choice::Choice(Choice&&) noexcept = default;
-Choice& Choice::operator=(Choice&&) noexcept = default;
+DispatchPolicy::~DispatchPolicy() = default;
+DispatchPolicy::DispatchPolicy(DispatchPolicy&&) noexcept = default;
+DispatchPolicy& DispatchPolicy::operator=(DispatchPolicy&&) noexcept = default;
 
-std::vector<Action> Choice::Decide(Time now, std::span<const Event> events) {
+std::vector<Action> DispatchPolicy::Decide(Time now, std::span<const Event> events) {
   return impl_->Decide(now, events);
 }
 
-}  // namespace rushfall
+}  // namespace dispatch_policy
--- a/src/choice_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -1,7 +1,7 @@
 // What the decision module remembers of messages, endpoints and destinations, and its meter of
 // rates. Records only: every decision on them is in choice.cpp.
-#ifndef RUSHFALL_CHOICE_STATE_HPP_
-#define RUSHFALL_CHOICE_STATE_HPP_
+#ifndef BRASSFRONT_POLICY_POLICY_STATE_HPP_
+#define BRASSFRONT_POLICY_POLICY_STATE_HPP_
 
 #include <algorithm>
 #include <chrono>
@@ -13,9 +13,9 @@
 #include <string>
 #include <vector>
 
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
-namespace rushfall {
+namespace dispatch_policy {
 
 using Seconds = std::chrono::duration<double>;
 
@@ -166,32 +166,34 @@
 
 // What is left, as a share, of a message's worth at this age.
 inline double WorthAt(const ClassSettings& c, Duration age, Decay decay) {
-  if (age <= c.aim || c.aim <= Duration{}) return 1;
+  if (age <= c.latency_objective || c.latency_objective <= Duration{}) return 1;
   if (decay == Decay::kHalving) {
-    return std::max(c.late_worth, std::exp2(-ToSeconds(age - c.aim) / ToSeconds(c.aim)));
+    return std::max(c.late_weight_share, std::exp2(-ToSeconds(age - c.latency_objective) /
+                                                   ToSeconds(c.latency_objective)));
   }
-  const double span = std::max(1e-3, ToSeconds(c.deadline - c.aim));
-  return std::max(c.late_worth, 1 - (1 - c.late_worth) * ToSeconds(age - c.aim) / span);
+  const double span = std::max(1e-3, ToSeconds(c.deadline - c.latency_objective));
+  return std::max(c.late_weight_share,
+                  1 - (1 - c.late_weight_share) * ToSeconds(age - c.latency_objective) / span);
 }
 
 // ---- texts of the log ----
 
-inline Log TurnedText(Health health, const EndpointEntry& e) {
+inline LogMessage TurnedText(Health health, const EndpointEntry& e) {
   static constexpr const char* kNames[] = {"closed", "open", "recovering"};
   return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
           std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
 }
 
-inline Log LongWaitText(const EndpointEntry& e, Duration wait) {
+inline LogMessage LongWaitText(const EndpointEntry& e, Duration wait) {
   return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
           std::to_string(ToSeconds(wait)) + " s, past every deadline"};
 }
 
-inline Log OddRateText(const EndpointEntry& e) {
+inline LogMessage OddRateText(const EndpointEntry& e) {
   return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
           std::to_string(e.weight) + " a second, taken for untold"};
 }
 
-}  // namespace rushfall
+}  // namespace dispatch_policy
 
-#endif  // RUSHFALL_CHOICE_STATE_HPP_
+#endif  // BRASSFRONT_POLICY_POLICY_STATE_HPP_
--- a/src/protocol/envelope.cpp
+++ b/src/protocol/delivery_request.cpp
@@ -1,4 +1,4 @@
-#include "protocol/envelope.hpp"
+#include "protocol/delivery_request.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -14,7 +14,7 @@
 std::string Name(std::string_view text, const char* what) {
   const bool fit = !text.empty() && text.size() <= kMostName &&
                    std::all_of(text.begin(), text.end(), [](char c) { return c > 32 && c < 127; });
-  if (!fit) throw BadEnvelope(std::string("bad ") + what);
+  if (!fit) throw InvalidDeliveryRequest(std::string("bad ") + what);
   return std::string(text);
 }
 
@@ -22,45 +22,45 @@
   std::uint64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (text.empty() || error != std::errc() || end != text.data() + text.size() || value > most) {
-    throw BadEnvelope(std::string("bad ") + what);
+    throw InvalidDeliveryRequest(std::string("bad ") + what);
   }
   return value;
 }
 
 }  // namespace
 
-Envelope ParsePut(std::vector<std::string>&& words) {
-  if (words.size() != 5) throw BadEnvelope("wrong number of arguments for MSG.PUT");
-  Envelope envelope;
-  envelope.id = Name(words[2], "id");
+DeliveryRequest ParseDeliveryRequest(std::vector<std::string>&& words) {
+  if (words.size() != 5) throw InvalidDeliveryRequest("wrong number of arguments for MSG.PUT");
+  DeliveryRequest request;
+  request.id = Name(words[2], "id");
   bool has_time = false, has_destination = false;
   for (std::string_view rest = words[3]; !rest.empty();) {
     const std::string_view field = rest.substr(0, rest.find(','));
     rest.remove_prefix(std::min(rest.size(), field.size() + 1));
     const std::size_t equals = field.find('=');
-    if (equals == std::string_view::npos) throw BadEnvelope("a field without a value");
+    if (equals == std::string_view::npos) throw InvalidDeliveryRequest("a field without a value");
     const std::string_view name = field.substr(0, equals), value = field.substr(equals + 1);
     if (name == "c") {
-      envelope.class_name = Name(value, "class");
+      request.class_name = Name(value, "class");
     } else if (name == "t") {
-      envelope.tenant_name = Name(value, "tenant");
+      request.tenant_name = Name(value, "tenant");
     } else if (name == "d") {
-      envelope.time_left = std::chrono::milliseconds(Whole(value, "time left", kMostTimeLeft));
+      request.time_left = std::chrono::milliseconds(Whole(value, "time left", kMostTimeLeft));
       has_time = true;
     } else if (name == "dest") {
-      envelope.destination = Whole(value, "destination", UINT32_MAX);
+      request.destination = Whole(value, "destination", UINT32_MAX);
       has_destination = true;
     } else if (name == "k") {
-      envelope.key = Name(value, "key");
+      request.key = Name(value, "key");
     } else if (name != "r" && name != "again") {  // marks of repeats: nothing here needs them
-      throw BadEnvelope("unknown field");
+      throw InvalidDeliveryRequest("unknown field");
     }
   }
-  if (envelope.class_name.empty()) throw BadEnvelope("no class");
-  if (!has_time) throw BadEnvelope("no time left");
-  if (!has_destination) throw BadEnvelope("no destination");
-  envelope.body = std::move(words[4]);
-  return envelope;
+  if (request.class_name.empty()) throw InvalidDeliveryRequest("no class");
+  if (!has_time) throw InvalidDeliveryRequest("no time left");
+  if (!has_destination) throw InvalidDeliveryRequest("no destination");
+  request.body = std::move(words[4]);
+  return request;
 }
 
 }  // namespace brassfront
--- a/src/protocol/envelope.hpp
+++ b/src/protocol/delivery_request.hpp
@@ -1,6 +1,6 @@
-// An envelope: what a client hands in, whatever protocol it came by.
-#ifndef BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
-#define BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
+// An request: what a client hands in, whatever protocol it came by.
+#ifndef BRASSFRONT_PROTOCOL_DELIVERY_REQUEST_HPP_
+#define BRASSFRONT_PROTOCOL_DELIVERY_REQUEST_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -11,9 +11,9 @@
 
 namespace brassfront {
 
-inline constexpr std::size_t kMostBody = 64 * 1024;
+inline constexpr std::size_t kMaxBodyBytes = 64 * 1024;
 
-struct Envelope {
+struct DeliveryRequest {
   std::string id;
   std::string key;  // the idempotency key; empty: none
   std::string class_name;
@@ -24,13 +24,13 @@
 };
 
 // What the client is told in answer; the text is for people.
-class BadEnvelope : public std::runtime_error {
+class InvalidDeliveryRequest : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-// The words of `MSG.PUT ZEROS ID FIELDS BODY`; throws BadEnvelope.
-Envelope ParsePut(std::vector<std::string>&& words);
+// The words of `MSG.PUT ZEROS ID FIELDS BODY`; throws InvalidDeliveryRequest.
+DeliveryRequest ParseDeliveryRequest(std::vector<std::string>&& words);
 
 }  // namespace brassfront
 
-#endif  // BRASSFRONT_PROTOCOL_ENVELOPE_HPP_
+#endif  // BRASSFRONT_PROTOCOL_DELIVERY_REQUEST_HPP_
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <optional>
 
-#include "protocol/envelope.hpp"
+#include "protocol/delivery_request.hpp"
 
 namespace brassfront {
 namespace {
@@ -78,7 +78,8 @@
     }
     bytes_due_ = *size;
     // Guards against a command of many long words, from each of many clients at once.
-    passing_over_ = *size > kMostBody || command_bytes_ + *size > kMostBody + kMostBesideBody;
+    passing_over_ =
+        *size > kMaxBodyBytes || command_bytes_ + *size > kMaxBodyBytes + kMostBesideBody;
     if (!passing_over_) command_bytes_ += *size;
     command_.oversize |= passing_over_;
     command_.words.emplace_back();
--- a/tests/consumer/dispatcher.cpp
+++ b/tests/consumer/dispatcher.cpp
@@ -4,37 +4,41 @@
 #include <variant>
 #include <vector>
 
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
 int main() {
   using namespace std::chrono_literals;
-  rushfall::Settings settings;
-  settings.classes.push_back({.aim = 2s, .deadline = 20s, .effect = rushfall::Effect::kUnsafe});
-  settings.slots = 4;
-  settings.max_held = 100;
-  settings.turn = 5ms;
-  rushfall::Choice choice(settings, 1);
+  dispatch_policy::Settings settings;
+  settings.classes.push_back({.latency_objective = 2s,
+                              .deadline = 20s,
+                              .effect = dispatch_policy::Effect::kNotIdempotent});
+  settings.max_concurrent_calls = 4;
+  settings.max_in_flight = 100;
+  settings.decision_interval = 5ms;
+  dispatch_policy::DispatchPolicy choice(settings, 1);
 
-  std::vector<rushfall::Event> events;
-  events.push_back(rushfall::EndpointList{.version = 1,
-                                          .form = rushfall::ListForm::kWhole,
-                                          .entries = {{.endpoint = 7, .destination = 3}}});
+  std::vector<dispatch_policy::Event> events;
+  events.push_back(dispatch_policy::EndpointList{.version = 1,
+                                                 .form = dispatch_policy::ListForm::kComplete,
+                                                 .entries = {{.endpoint = 7, .destination = 3}}});
   events.push_back(
-      rushfall::MessageArrived{.message = 1, .destination = 3, .time_left = 20s, .key = {}});
+      dispatch_policy::MessageArrived{.message = 1, .destination = 3, .time_left = 20s, .key = {}});
 
   int delivered = 0;
-  for (rushfall::Time now = 0ms; now < 1s && delivered == 0; now += settings.turn) {
-    const std::vector<rushfall::Action> actions = choice.Decide(now, events);
+  for (dispatch_policy::Time now = 0ms; now < 1s && delivered == 0;
+       now += settings.decision_interval) {
+    const std::vector<dispatch_policy::Action> actions = choice.Decide(now, events);
     events.clear();
-    for (const rushfall::Action& action : actions) {
-      if (const auto* send = std::get_if<rushfall::Send>(&action)) {
+    for (const dispatch_policy::Action& action : actions) {
+      if (const auto* send = std::get_if<dispatch_policy::SendAttempt>(&action)) {
         // Here the call goes out; its end is told to a later Decide.
-        events.push_back(rushfall::AttemptSettled{.message = send->message,
-                                                  .endpoint = send->endpoint,
-                                                  .outcome = rushfall::Outcome::kDelivered,
-                                                  .elapsed = settings.turn,
-                                                  .finished = true,
-                                                  .report = {}});
+        events.push_back(
+            dispatch_policy::AttemptCompleted{.message = send->message,
+                                              .endpoint = send->endpoint,
+                                              .outcome = dispatch_policy::Outcome::kDelivered,
+                                              .elapsed = settings.decision_interval,
+                                              .finished = true,
+                                              .report = {}});
         ++delivered;
       }
     }
--- a/tests/network/back_off_test.cpp
+++ b/tests/network/backoff_test.cpp
@@ -1,5 +1,5 @@
 // Pauses after failures: by themselves, and of a hundred that ask one service in virtual time.
-#include "net/back_off.hpp"
+#include "net/backoff.hpp"
 
 #include <doctest/doctest.h>
 
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 TEST_CASE("pauses double up to the longest, each is spread, and success begins anew") {
-  BackOff pauses(milliseconds(100), milliseconds(1000), 7);
+  Backoff pauses(milliseconds(100), milliseconds(1000), 7);
   for (const int mean : {100, 200, 400, 800, 1000, 1000}) {
     const auto pause = pauses.Failed();
     CHECK(pause >= milliseconds(mean / 2));
@@ -23,8 +23,8 @@
 }
 
 TEST_CASE("a longest pause below the first, and none at all, are taken as they must be") {
-  CHECK(BackOff(milliseconds(100), milliseconds(0), 1).Failed() >= milliseconds(50));
-  BackOff none(milliseconds(0), milliseconds(0), 1);
+  CHECK(Backoff(milliseconds(100), milliseconds(0), 1).Failed() >= milliseconds(50));
+  Backoff none(milliseconds(0), milliseconds(0), 1);
   CHECK(none.Failed() == milliseconds(0));
   CHECK(none.Failed() == milliseconds(0));
 }
@@ -32,7 +32,7 @@
 TEST_CASE("those that failed at one moment come back apart") {
   std::map<milliseconds, int> at;
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
-    ++at[BackOff(milliseconds(1000), milliseconds(4000), seed).Failed() / 100];
+    ++at[Backoff(milliseconds(1000), milliseconds(4000), seed).Failed() / 100];
   }
   for (const auto& [tenth, count] : at) CHECK(count <= 25);
 }
@@ -42,7 +42,7 @@
 TEST_CASE("a service that a hundred ask at once has served all of them soon") {
   constexpr int kClients = 100;
   constexpr double kCapacity = 30;  // a second
-  std::vector<BackOff> pauses;
+  std::vector<Backoff> pauses;
   std::multimap<milliseconds, int> asks;
   for (int i = 0; i < kClients; ++i) {
     pauses.emplace_back(milliseconds(1000), milliseconds(4000), static_cast<std::uint64_t>(i));
--- a/tests/network/sender_side_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -1,6 +1,6 @@
 // The sender side against clients on loopback that behave badly. What is waited for has no limit of
 // its own: only a failure would wait for good.
-#include "net/sender_side.hpp"
+#include "net/client_server.hpp"
 
 #include <doctest/doctest.h>
 #include <sys/socket.h>
@@ -20,16 +20,17 @@
     "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\ni\r\n$14\r\nc=n,d=1,dest=1\r\n$1\r\nx\r\n";
 
 // Refuses, or takes everything; counts what it is told.
-class CountingIntake : public Intake {
+class CountingIntake : public MessageAcceptor {
  public:
-  Answer HandIn(Envelope) override {
+  SubmitResult Submit(DeliveryRequest) override {
     if (meanwhile) meanwhile();
     if (!takes) return {};
     ++taken;
-    return {.verdict = Answer::Verdict::kTaken, .come_back = {}, .fault = {}, .message = 1};
+    return {
+        .status = SubmitResult::Status::kAccepted, .retry_after = {}, .error = {}, .message = 1};
   }
-  void Heard(std::uint64_t) override { ++heard; }
-  void Lost(std::uint64_t) override { ++lost; }
+  void OnAcknowledged(std::uint64_t) override { ++heard; }
+  void OnClientDisconnected(std::uint64_t) override { ++lost; }
 
   bool takes = false;
   std::function<void()> meanwhile;  // before each answer
@@ -38,10 +39,10 @@
 
 class Fixture {
  public:
-  void Start(const SenderSide::Limits& limits) {
+  void Start(const ClientServer::Limits& limits) {
     Socket listener = Listen("127.0.0.1:0");
     address = AddressOf(listener);
-    side.emplace(std::move(listener), limits, intake, buffers);
+    side.emplace(std::move(listener), limits, acceptor, buffers);
   }
   Socket Client(std::string_view says = {}) {
     Socket socket = NewSocket();
@@ -63,10 +64,10 @@
     return got;
   }
 
-  CountingIntake intake;
+  CountingIntake acceptor;
   BufferPool buffers;
   std::string address;
-  std::optional<SenderSide> side;
+  std::optional<ClientServer> side;
 };
 
 TEST_CASE_FIXTURE(Fixture, "a client without a whole command in time gets an error and the close") {
@@ -107,7 +108,7 @@
          .useless = std::chrono::milliseconds(0),
          .least_idle = std::chrono::milliseconds(0)});
   Socket used = Client(kPut);
-  CHECK(Line(used) == "-BUSY\r\n");  // what the intake answers
+  CHECK(Line(used) == "-BUSY\r\n");  // what the acceptor answers
   Socket pinged = Client(kPing);
   CHECK(Line(pinged) == "+PONG\r\n");
   Socket silent = Client();
@@ -155,7 +156,7 @@
   int crossed = 0;
   for (int round = 0; round < 1000; ++round) {
     Fixture fixture;
-    fixture.intake.takes = true;
+    fixture.acceptor.takes = true;
     fixture.Start({.connections = 2, .command = kNever, .idle = kNever});
     Socket client = fixture.Client(kPing);
     REQUIRE(Fixture::Line(client) == "+PONG\r\n");
@@ -163,10 +164,10 @@
     fixture.side->Drain();  // mostly before the thread has woken up
     const std::string answer = Fixture::ToTheEnd(client);
     fixture.side.reset();
-    CHECK(fixture.intake.lost == 0);
-    CHECK(fixture.intake.heard == fixture.intake.taken);
-    CHECK(answer == (fixture.intake.taken > 0 ? "+OK\r\n" : ""));
-    crossed += fixture.intake.taken;
+    CHECK(fixture.acceptor.lost == 0);
+    CHECK(fixture.acceptor.heard == fixture.acceptor.taken);
+    CHECK(answer == (fixture.acceptor.taken > 0 ? "+OK\r\n" : ""));
+    crossed += fixture.acceptor.taken;
   }
   CHECK(crossed > 0);
 }
@@ -189,9 +190,9 @@
 // A close over unread bytes reset the connection, and the reply just written went with it.
 TEST_CASE_FIXTURE(Fixture, "what comes while a last reply is written resets nothing") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
-  intake.takes = true;
+  acceptor.takes = true;
   Socket client = Client();
-  intake.meanwhile = [&] {  // the command is read, and nothing reads on until it is answered
+  acceptor.meanwhile = [&] {  // the command is read, and nothing reads on until it is answered
     CHECK(client.SendAll(kPut));
     side->Drain();
   };
@@ -199,17 +200,17 @@
   CHECK(Line(client) == "+OK\r\n");
   char byte = 0;
   CHECK(client.Receive({&byte, 1}) == 0);  // the end, and no reset
-  CHECK(intake.taken == 1);                // what was not read before it is not taken on
+  CHECK(acceptor.taken == 1);              // what was not read before it is not taken on
 }
 
 // The same where the whole side ends meanwhile.
 TEST_CASE_FIXTURE(Fixture, "what comes while the last reply of all is written resets nothing") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
-  intake.takes = true;
+  acceptor.takes = true;
   Socket client = Client(), other = Client(kPing);
   REQUIRE(Line(other) == "+PONG\r\n");
   std::thread end;
-  intake.meanwhile = [&] {
+  acceptor.meanwhile = [&] {
     CHECK(client.SendAll(kPut));
     end = std::thread([&] { side.reset(); });
     CHECK(ToTheEnd(other).empty());  // the stop has come
--- a/tests/network/config_test.cpp
+++ b/tests/network/config_test.cpp
@@ -16,31 +16,31 @@
                      classes + R"(,"zones":["east","west"],"family-info":)" + family + "}}");
 }
 
-constexpr char kKeyed[] =
+constexpr char kIdempotentWithKey[] =
     R"([{"name":"e","effect":"token","goal-time":1,"hard-limit":2,"dedup-window":1}])";
 
 TEST_CASE("a class without a repeat rule that is known is never repeated, and it is said") {
   for (const char* effect : {"", R"("effect":"twice",)"}) {
     const Config config = WithSettings(
         std::string(R"([{"name":"odd",)") + effect + R"("goal-time":1,"hard-limit":2}])", "{}");
-    REQUIRE(config.decisions.classes.size() == 1);
-    CHECK(config.decisions.classes[0].effect == rushfall::Effect::kUnsafe);
+    REQUIRE(config.policy_settings.classes.size() == 1);
+    CHECK(config.policy_settings.classes[0].effect == dispatch_policy::Effect::kNotIdempotent);
     REQUIRE(config.warnings.size() == 1);
     CHECK(config.warnings[0].find("class odd") != std::string::npos);
   }
-  CHECK(WithSettings(kKeyed, "{}").warnings.empty());
+  CHECK(WithSettings(kIdempotentWithKey, "{}").warnings.empty());
 }
 
 TEST_CASE("a toll is read for each zone, or one for all, and one out of range counts as none") {
-  CHECK(WithSettings(kKeyed, R"({"toll":[0,0.03]})").decisions.zone_toll ==
+  CHECK(WithSettings(kIdempotentWithKey, R"({"toll":[0,0.03]})").policy_settings.zone_penalty ==
         std::vector<double>{0, 0.03});
-  CHECK(WithSettings(kKeyed, R"({"toll":0.01})").decisions.zone_toll ==
+  CHECK(WithSettings(kIdempotentWithKey, R"({"toll":0.01})").policy_settings.zone_penalty ==
         std::vector<double>{0.01, 0.01});
-  const Config bad = WithSettings(kKeyed, R"({"toll":[0,-2]})");
-  CHECK(bad.decisions.zone_toll == std::vector<double>{0, 0});
+  const Config bad = WithSettings(kIdempotentWithKey, R"({"toll":[0,-2]})");
+  CHECK(bad.policy_settings.zone_penalty == std::vector<double>{0, 0});
   CHECK(bad.warnings.size() == 1);
-  CHECK(WithSettings(kKeyed, "{}").decisions.zone_toll.empty());
-  CHECK_THROWS_AS(WithSettings(kKeyed, R"({"toll":"much"})"), ConfigError);
+  CHECK(WithSettings(kIdempotentWithKey, "{}").policy_settings.zone_penalty.empty());
+  CHECK_THROWS_AS(WithSettings(kIdempotentWithKey, R"({"toll":"much"})"), ConfigError);
 }
 
 }  // namespace
--- a/tests/network/watch_test.cpp
+++ b/tests/network/discovery_watcher_test.cpp
@@ -1,7 +1,7 @@
 // The watch on discovery: its worst cases in virtual time, and against an agent on loopback that
 // behaves badly. What is waited for there has no limit of its own: only a failure would wait for
 // good.
-#include "net/watch.hpp"
+#include "net/discovery_watcher.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <thread>
 
-#include "net/ask_times.hpp"
+#include "net/discovery_timeouts.hpp"
 #include "net/socket.hpp"
 
 namespace brassfront {
@@ -22,10 +22,10 @@
 
 // How long after the moment from which discovery can be reached, and has a change, it is asked.
 milliseconds ToldAfter(Path path, std::size_t group, std::uint64_t seed, milliseconds down) {
-  AskTimes times(group, seed);
-  const AskTimes::Time start{milliseconds(10'000)};
-  AskTimes::Time now = start;
-  const AskTimes::Time reachable = start + down;
+  DiscoveryTimeouts times(group, seed);
+  const DiscoveryTimeouts::Time start{milliseconds(10'000)};
+  DiscoveryTimeouts::Time now = start;
+  const DiscoveryTimeouts::Time reachable = start + down;
   if (path == Path::kWatchFellSilent || path == Path::kWatchEnded) {
     times.Asked(now);
     times.HeardLine(now);  // the last one: it falls silent, or ends, just after it
@@ -58,17 +58,17 @@
       }
     }
   }
-  CHECK(worst <= AskTimes::kAskAgain + milliseconds(1));
-  CHECK(worst + milliseconds(500) <= AskTimes::kToldAfter);
+  CHECK(worst <= DiscoveryTimeouts::kAskAgain + milliseconds(1));
+  CHECK(worst + milliseconds(500) <= DiscoveryTimeouts::kToldAfter);
   CHECK(worst >= milliseconds(3000));  // the paths are real ones
 }
 
 TEST_CASE("another address is asked in time, whatever was asked before") {
   for (const std::size_t group : {1, 300, 100'000}) {
-    AskTimes times(group, 7);
+    DiscoveryTimeouts times(group, 7);
     for (int i = 0; i < 20; ++i) {
-      times.Asked(AskTimes::Time{});
-      times.PauseAfter(AskTimes::Time{});
+      times.Asked(DiscoveryTimeouts::Time{});
+      times.PauseAfter(DiscoveryTimeouts::Time{});
       CHECK(times.PauseAfterMove() <= milliseconds(2500));
     }
   }
@@ -79,7 +79,7 @@
   Socket agent = Listen("127.0.0.1:0");
   BufferPool buffers;
   std::atomic<int> lists{0};
-  Watch watch(AddressOf(agent), 1, {}, buffers, [&](MemberList) { ++lists; });
+  DiscoveryWatcher watch(AddressOf(agent), 1, {}, buffers, [&](MemberList) { ++lists; });
   Socket trickling = Accept(agent);
   trickling.SendAll("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   bool asked_again = false;
--- a/tests/network/next_hops_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -1,5 +1,5 @@
 // The next hops against a listener on loopback that does what each case says.
-#include "net/next_hops.hpp"
+#include "net/endpoint_client.hpp"
 
 #include <doctest/doctest.h>
 
@@ -7,13 +7,11 @@
 #include <string>
 #include <thread>
 
-#include "forwarder/mailbox.hpp"
+#include "concurrency/bounded_queue.hpp"
 
 namespace brassfront {
 namespace {
 
-using Fate = DeliveryEnd::Fate;
-
 constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const SteadyTime kNever = SteadyTime::max();
 
@@ -48,25 +46,25 @@
               .group = group,
               .connection_idle = std::chrono::seconds(15),
               .connect_timeout = std::chrono::milliseconds(1500)},
-             buffers, [this](DeliveryEnd end) { ends.Put(std::move(end)); }) {}
-  std::shared_ptr<Delivery> Make(SteadyTime start_by = kNever, std::uint64_t hop = 1) {
-    return std::make_shared<Delivery>(++number, hop, peer.address, HttpGet("/", peer.address),
-                                      start_by);
+             buffers, [this](EndpointCallResult end) { ends.Push(std::move(end)); }) {}
+  std::shared_ptr<EndpointCall> Make(SteadyTime start_by = kNever, std::uint64_t hop = 1) {
+    return std::make_shared<EndpointCall>(++number, hop, peer.address, HttpGet("/", peer.address),
+                                          start_by);
   }
   // Carries one delivery out, answered with these bytes, and leaves the connection open.
-  DeliveryEnd Answered(Socket& socket, std::string_view bytes, std::uint64_t hop = 1) {
+  EndpointCallResult Answered(Socket& socket, std::string_view bytes, std::uint64_t hop = 1) {
     hops.Start(Make(kNever, hop));
     socket = peer.Take();
     socket.SendAll(bytes);
     return End();
   }
-  DeliveryEnd End() { return ends.Take().value(); }
+  EndpointCallResult End() { return ends.Pop().value(); }
 
   Peer peer;
   BufferPool buffers;
-  Mailbox<DeliveryEnd> ends;
+  BoundedQueue<EndpointCallResult> ends;
   std::uint64_t number = 0;
-  NextHops hops;
+  EndpointClient hops;
 };
 
 TEST_CASE_FIXTURE(Fixture, "a kept connection is used again, and not once the peer has closed it") {
@@ -82,16 +80,16 @@
   hops.Start(Make());
   Socket second = peer.Take();  // a reset would count as a call that may have run
   second.SendAll(kOk);
-  CHECK(End().fate == Fate::kAnswered);
+  CHECK(End().outcome == CallOutcome::kAnswered);
 }
 
 TEST_CASE_FIXTURE(Fixture, "what is recalled or too late before its first byte is not sent") {
   auto recalled = Make();
   recalled->Recall();
   hops.Start(recalled);
-  CHECK(End().fate == Fate::kNotSent);
+  CHECK(End().outcome == CallOutcome::kNotSent);
   hops.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
-  CHECK(End().fate == Fate::kNotSent);
+  CHECK(End().outcome == CallOutcome::kNotSent);
   // The connection that was opened for it serves the next.
   hops.Start(Make());
   Socket socket = peer.Take();
@@ -109,12 +107,13 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "a call that is ended has closed its connection when that is told") {
-  for (const auto stop : {Delivery::Stop::kCancelled, Delivery::Stop::kTimedOut}) {
+  for (const auto stop : {EndpointCall::Stop::kCancelled, EndpointCall::Stop::kTimedOut}) {
     auto delivery = Make();
     hops.Start(delivery);
     Socket socket = peer.Take();
     delivery->End(stop);
-    CHECK(End().fate == (stop == Delivery::Stop::kCancelled ? Fate::kCancelled : Fate::kTimedOut));
+    CHECK(End().outcome == (stop == EndpointCall::Stop::kCancelled ? CallOutcome::kCancelled
+                                                                   : CallOutcome::kTimedOut));
     char byte = 0;
     CHECK(socket.Receive({&byte, 1}) == 0);
   }
@@ -123,13 +122,13 @@
 TEST_CASE_FIXTURE(Fixture, "a break after the last byte is a reset, and a first line stands") {
   hops.Start(Make());
   peer.Take().Close();
-  CHECK(End().fate == Fate::kReset);
+  CHECK(End().outcome == CallOutcome::kReset);
   hops.Start(Make());
   Socket socket = peer.Take();
   socket.SendAll("HTTP/1.1 200 OK\r\nContent-Le");
   socket.Close();
-  const DeliveryEnd end = End();
-  CHECK(end.fate == Fate::kAnswered);
+  const EndpointCallResult end = End();
+  CHECK(end.outcome == CallOutcome::kAnswered);
   CHECK(end.status == 200);
   CHECK_FALSE(end.whole);
 }
@@ -139,11 +138,11 @@
   const std::string cut = "\r\nContent-Length: 9\r\n\r\nabc";  // the connection stays open
   for (const std::string status :
        {"429 Too Many", "503 Busy", "410 Gone", "504 Late", "500 Error"}) {
-    CHECK(Answered(socket, "HTTP/1.1 " + status + cut).fate == Fate::kReset);
+    CHECK(Answered(socket, "HTTP/1.1 " + status + cut).outcome == CallOutcome::kReset);
   }
-  CHECK(Answered(socket, "noise without an end").fate == Fate::kReset);
-  CHECK(Answered(socket, "HTTP/1.1 429 Full\r\nno colon\r\n\r\n").fate == Fate::kReset);
-  const DeliveryEnd told =
+  CHECK(Answered(socket, "noise without an end").outcome == CallOutcome::kReset);
+  CHECK(Answered(socket, "HTTP/1.1 429 Full\r\nno colon\r\n\r\n").outcome == CallOutcome::kReset);
+  const EndpointCallResult told =
       Answered(socket, "HTTP/1.1 200 OK\r\nWait-Ms: 50\r\nContent-Length: 3000000000\r\n\r\nabc");
   CHECK(told.status == 200);
   CHECK_FALSE(told.whole);
@@ -167,19 +166,20 @@
 TEST_CASE_FIXTURE(Fixture, "a refused connection never ran") {
   peer.StopListening();
   hops.Start(Make());
-  CHECK(End().fate == Fate::kConnectFailed);
+  CHECK(End().outcome == CallOutcome::kConnectFailed);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a 503 that ends a new connection tells of too many connections") {
   const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n";
   Socket socket;
-  CHECK(Answered(socket, busy + "Connection: close\r\n\r\n").fate == Fate::kCrowded);
+  CHECK(Answered(socket, busy + "Connection: close\r\n\r\n").outcome ==
+        CallOutcome::kConnectionLimitReached);
   CHECK(Answered(socket, busy + "Connection: close\r\nWait-Ms: 5\r\n\r\n").status == 503);
-  CHECK(Answered(socket, busy + "\r\n").fate == Fate::kAnswered);
+  CHECK(Answered(socket, busy + "\r\n").outcome == CallOutcome::kAnswered);
   hops.Start(Make());  // on the connection that stands
   Peer::ReadRequest(socket);
   socket.SendAll(busy + "Connection: close\r\n\r\n");
-  CHECK(End().fate == Fate::kAnswered);
+  CHECK(End().outcome == CallOutcome::kAnswered);
 }
 
 struct OneOfAHundred : Fixture {
@@ -201,7 +201,8 @@
 TEST_CASE_FIXTURE(Fixture, "a next hop that was crowded gets its places back") {
   Socket turned_away, taken;
   const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-  for (int i = 0; i < 4; ++i) CHECK(Answered(turned_away, busy).fate == Fate::kCrowded);
+  for (int i = 0; i < 4; ++i)
+    CHECK(Answered(turned_away, busy).outcome == CallOutcome::kConnectionLimitReached);
   CHECK(Answered(taken, kOk).whole);
   CHECK(hops.NextRetire() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
 }
@@ -212,7 +213,7 @@
   socket.SendAll(
       "HTTP/1.1 503 Busy\r\nWait-Ms: 40\r\nSlots-Taken: 1\r\nX-Backend-Load: x0=1\r\n"
       "Content-Length: 0\r\n\r\n");
-  const DeliveryEnd end = End();
+  const EndpointCallResult end = End();
   CHECK(end.wait_ms == "40");
   CHECK(end.slots_taken == "1");
   CHECK(end.load == "x0=1");
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -50,16 +50,16 @@
   return config;
 }
 
-Envelope Message(const std::string& id) {
-  Envelope envelope;
-  envelope.id = id;
-  envelope.key = "key-" + id;
-  envelope.class_name = "e";
-  envelope.tenant_name = "t";
-  envelope.destination = 1;
-  envelope.time_left = std::chrono::seconds(20);
-  envelope.body = "b";
-  return envelope;
+DeliveryRequest Message(const std::string& id) {
+  DeliveryRequest request;
+  request.id = id;
+  request.key = "key-" + id;
+  request.class_name = "e";
+  request.tenant_name = "t";
+  request.destination = 1;
+  request.time_left = std::chrono::seconds(20);
+  request.body = "b";
+  return request;
 }
 
 // What comes up to the mark, or up to the end.
@@ -102,7 +102,7 @@
   }
   ~Fixture() {
     if (!runner.joinable()) return;
-    engine->Leave();
+    engine->BeginGracefulShutdown();
     runner.join();
   }
   void Run() {
@@ -131,43 +131,44 @@
 
 TEST_CASE_FIXTURE(Fixture, "what the settings do not know is turned away without the engine") {
   // It does not run: anything that needed it would wait for good.
-  Envelope unknown_class = Message("a"), unknown_tenant = Message("b"), no_key = Message("c");
+  DeliveryRequest unknown_class = Message("a"), unknown_tenant = Message("b"),
+                  no_key = Message("c");
   unknown_class.class_name = "x";
   unknown_tenant.tenant_name = "x";
   no_key.key.clear();
-  CHECK(engine->HandIn(std::move(unknown_class)).fault == "unknown class");
-  CHECK(engine->HandIn(std::move(unknown_tenant)).fault == "unknown tenant");
-  CHECK(engine->HandIn(std::move(no_key)).fault == "no key");
-  Envelope unlisted = Message("d");
+  CHECK(engine->Submit(std::move(unknown_class)).error == "unknown class");
+  CHECK(engine->Submit(std::move(unknown_tenant)).error == "unknown tenant");
+  CHECK(engine->Submit(std::move(no_key)).error == "no key");
+  DeliveryRequest unlisted = Message("d");
   unlisted.destination = 2;
-  CHECK(engine->HandIn(std::move(unlisted)).unlisted);
+  CHECK(engine->Submit(std::move(unlisted)).unknown_destination);
 }
 
 TEST_CASE_FIXTURE(Fixture,
                   "a message is named by its number: another one may have its client's id") {
   Run();
-  const Answer first = engine->HandIn(Message("same"));
-  REQUIRE(first.verdict == Answer::Verdict::kTaken);
-  CHECK(engine->HandIn(Message("same")).fault == "the id is taken");
-  engine->Lost(first.message);
+  const SubmitResult first = engine->Submit(Message("same"));
+  REQUIRE(first.status == SubmitResult::Status::kAccepted);
+  CHECK(engine->Submit(Message("same")).error == "the id is taken");
+  engine->OnClientDisconnected(first.message);
   // The inbox keeps its order, so the first one is gone by now.
-  const Answer second = engine->HandIn(Message("same"));
-  REQUIRE(second.verdict == Answer::Verdict::kTaken);
+  const SubmitResult second = engine->Submit(Message("same"));
+  REQUIRE(second.status == SubmitResult::Status::kAccepted);
   CHECK(second.message != first.message);
-  engine->Lost(first.message);  // once more, as a late thread would
-  engine->Heard(second.message);
+  engine->OnClientDisconnected(first.message);  // once more, as a late thread would
+  engine->OnAcknowledged(second.message);
   CHECK(AnswerOne() == "same");
 }
 
 TEST_CASE_FIXTURE(Fixture, "a message that its client was not told of is not sent") {
   Run();
-  const Answer unheard = engine->HandIn(Message("unheard"));
-  const Answer heard = engine->HandIn(Message("heard"));
-  REQUIRE(unheard.verdict == Answer::Verdict::kTaken);
-  REQUIRE(heard.verdict == Answer::Verdict::kTaken);
-  engine->Heard(heard.message);
+  const SubmitResult unheard = engine->Submit(Message("unheard"));
+  const SubmitResult heard = engine->Submit(Message("heard"));
+  REQUIRE(unheard.status == SubmitResult::Status::kAccepted);
+  REQUIRE(heard.status == SubmitResult::Status::kAccepted);
+  engine->OnAcknowledged(heard.message);
   CHECK(AnswerOne() == "heard");
-  engine->Lost(unheard.message);
+  engine->OnClientDisconnected(unheard.message);
 }
 
 // An answer that came after the first of its messages had been given up was taken for all the
@@ -176,14 +177,14 @@
   Platform platform;
   Fixture f(platform.address(), 2);
   f.Run();
-  Envelope brief = Message("brief");
+  DeliveryRequest brief = Message("brief");
   brief.time_left = std::chrono::milliseconds(400);
-  const Answer first = f.engine->HandIn(std::move(brief));
-  const Answer second = f.engine->HandIn(Message("long"));
-  REQUIRE(first.verdict == Answer::Verdict::kTaken);
-  REQUIRE(second.verdict == Answer::Verdict::kTaken);
-  f.engine->Heard(first.message);
-  f.engine->Heard(second.message);
+  const SubmitResult first = f.engine->Submit(std::move(brief));
+  const SubmitResult second = f.engine->Submit(Message("long"));
+  REQUIRE(first.status == SubmitResult::Status::kAccepted);
+  REQUIRE(second.status == SubmitResult::Status::kAccepted);
+  f.engine->OnAcknowledged(first.message);
+  f.engine->OnAcknowledged(second.message);
   Socket shared = Accept(f.listener);
   const std::string call = ReadUntil(shared, "]");
   REQUIRE(call.find("\"brief\"") != std::string::npos);
@@ -200,28 +201,28 @@
 }
 
 TEST_CASE("a box that is filled as fast as it is emptied lets others have their turn") {
-  Mailbox<int> box(4);
-  box.Put(0);
+  BoundedQueue<int> queue(4);
+  queue.Push(0);
   std::chrono::steady_clock::time_point now{};
   const auto due = now + std::chrono::milliseconds(5);
   int taken = 0;
   DrainUntil(
-      box, [&] { return due; }, [&] { return now; },
+      queue, [&] { return due; }, [&] { return now; },
       [&](int value) {
         REQUIRE(++taken < 1000);  // an unbounded drain would not end
         now += std::chrono::milliseconds(1);
-        box.Put(value + 1);
+        queue.Push(value + 1);
       });
   CHECK(taken == 5);
 }
 
 TEST_CASE("a value may bring the turn forward") {
-  Mailbox<int> box(4);
-  for (int i = 0; i < 3; ++i) box.Put(i);
+  BoundedQueue<int> queue(4);
+  for (int i = 0; i < 3; ++i) queue.Push(i);
   std::chrono::steady_clock::time_point now{}, due = now + std::chrono::hours(1);
   int taken = 0;
   DrainUntil(
-      box, [&] { return due; }, [&] { return now; },
+      queue, [&] { return due; }, [&] { return now; },
       [&](int) {
         ++taken;
         due = now;
--- a/tests/network/idle_share_test.cpp
+++ b/tests/network/idle_connection_budget_test.cpp
@@ -1,5 +1,5 @@
 // How long idle connections are kept, over one forwarder and over a hundred.
-#include "net/idle_share.hpp"
+#include "net/idle_connection_budget.hpp"
 
 #include <doctest/doctest.h>
 
@@ -7,17 +7,17 @@
 namespace {
 
 using std::chrono::milliseconds;
-using Seconds = IdleShare::Seconds;
+using Seconds = IdleConnectionBudget::Seconds;
 
 constexpr Seconds kIdle{9};
 constexpr std::size_t kGroup = 100;
-const IdleShare::Time kStart{std::chrono::hours(1)};
+const IdleConnectionBudget::Time kStart{std::chrono::hours(1)};
 
 // Routes that take several calls at once from each forwarder of a small group find them open again.
 TEST_CASE("one of a few forwarders keeps its share of eight connections, four at most") {
   for (const auto& [group, most] :
        {std::pair<std::size_t, std::size_t>{0, 4}, {1, 4}, {2, 4}, {3, 3}, {4, 2}}) {
-    const IdleShare share(group);
+    const IdleConnectionBudget share(group);
     CHECK(share.Most(kStart) == most);
     CHECK(share.KeptFor(kStart, kIdle) == kIdle);
   }
@@ -25,7 +25,7 @@
 
 TEST_CASE("a hundred forwarders together leave a next hop most of its places") {
   for (const milliseconds gap : {milliseconds(20), milliseconds(3000), milliseconds(60000)}) {
-    IdleShare share(kGroup);
+    IdleConnectionBudget share(kGroup);
     for (int i = 0; i < 50; ++i) share.Called(kStart + i * gap);
     const auto now = kStart + 50 * gap;
     CHECK(share.Most(now) == 1);
@@ -36,7 +36,7 @@
 }
 
 TEST_CASE("calls that come in a clump find their connection again") {
-  IdleShare share(kGroup);
+  IdleConnectionBudget share(kGroup);
   share.Called(kStart);
   share.Called(kStart + milliseconds(5000));
   CHECK(share.KeptFor(kStart, kIdle) > milliseconds(100));
@@ -44,7 +44,7 @@
 
 TEST_CASE("a next hop that is crowded is left its places, and trusted again in time") {
   for (const std::size_t group : {std::size_t{2}, kGroup}) {
-    IdleShare share(group);
+    IdleConnectionBudget share(group);
     const Seconds before = share.KeptFor(kStart, kIdle);
     for (int i = 0; i < 100; ++i) share.Crowded(kStart);
     CHECK(share.Most(kStart) <= 1);
--- a/tests/network/lives_test.cpp
+++ b/tests/network/message_trace_test.cpp
@@ -1,5 +1,5 @@
 // The lives of taken messages: states, histories, and which ones are overdue.
-#include "forwarder/lives.hpp"
+#include "forwarder/message_trace.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,7 +10,7 @@
 using std::chrono::seconds;
 
 TEST_CASE("a life's state follows from its steps") {
-  Lives lives;
+  MessageTrace lives;
   CHECK(lives.StateOf(1) == LifeState::kOver);
   CHECK(lives.Begin(1, {}, seconds(20), Step::kTaken));
   CHECK_FALSE(lives.Begin(1, {}, seconds(20), Step::kTaken));
@@ -30,25 +30,25 @@
   lives.Note(1, milliseconds(15), Step::kNoticed);
   CHECK(lives.StateOf(1) == LifeState::kOver);
   CHECK(lives.living() == 0);
-  CHECK(lives.Next() == Lives::Time::max());
+  CHECK(lives.Next() == MessageTrace::Time::max());
   lives.Note(1, milliseconds(20), Step::kSettled);  // late: passed over
   CHECK(lives.HistoryOf(1).empty());
 }
 
 TEST_CASE("what has not ended in time is told once, with its history") {
-  Lives lives;
+  MessageTrace lives;
   lives.Begin(1, seconds(1), seconds(3), Step::kTaken);
   lives.Begin(2, seconds(1), seconds(2), Step::kRestored, 4);
   lives.Begin(3, seconds(1), seconds(2), Step::kTaken);
   lives.Note(3, seconds(2), Step::kDelivered);
-  CHECK(lives.Next() == seconds(2) + Lives::kGrace);
-  CHECK(lives.TakeOverdue(seconds(2) + Lives::kGrace - milliseconds(1)).empty());
-  const auto late = lives.TakeOverdue(seconds(2) + Lives::kGrace);
+  CHECK(lives.Next() == seconds(2) + MessageTrace::kGrace);
+  CHECK(lives.TakeOverdue(seconds(2) + MessageTrace::kGrace - milliseconds(1)).empty());
+  const auto late = lives.TakeOverdue(seconds(2) + MessageTrace::kGrace);
   REQUIRE(late.size() == 1);
   CHECK(late[0].message == 2);
   CHECK(late[0].state == LifeState::kHeld);
   CHECK(late[0].history == "restored+0(4)");
-  CHECK(lives.TakeOverdue(seconds(2) + Lives::kGrace).empty());
+  CHECK(lives.TakeOverdue(seconds(2) + MessageTrace::kGrace).empty());
   CHECK(lives.TakeOverdue(seconds(9)).size() == 1);
   CHECK(lives.overdue() == 2);
   lives.Note(2, seconds(9), Step::kNoticed);  // late, but it ends
@@ -56,7 +56,7 @@
 }
 
 TEST_CASE("of a long life the first and the last steps are kept") {
-  Lives lives;
+  MessageTrace lives;
   lives.Begin(1, {}, seconds(20), Step::kTaken);
   for (std::uint32_t i = 1; i <= 200; ++i) lives.Note(1, milliseconds(i), Step::kStarted, i);
   const std::string history = lives.HistoryOf(1);
