--- a/tests/network/resp_test.cpp
+++ b/tests/network/resp_test.cpp
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "cuts.hpp"
-#include "protocol/envelope.hpp"
+#include "protocol/delivery_request.hpp"
 
 namespace brassfront {
 namespace {
@@ -50,22 +50,22 @@
 
 TEST_CASE("a word that is too long is passed over and the next command is read") {
   RespReader reader;
-  reader.Feed(Command({"MSG.PUT", std::string(kMostBody + 1, 'x')}) + Command({"PING"}));
+  reader.Feed(Command({"MSG.PUT", std::string(kMaxBodyBytes + 1, 'x')}) + Command({"PING"}));
   REQUIRE(reader.commands().size() == 2);
   CHECK(reader.commands()[0].oversize);
   CHECK_FALSE(reader.commands()[1].oversize);
-  reader.Feed(Command({"MSG.PUT", std::string(kMostBody, 'x')}));
+  reader.Feed(Command({"MSG.PUT", std::string(kMaxBodyBytes, 'x')}));
   CHECK_FALSE(reader.commands()[2].oversize);
 }
 
 TEST_CASE("many words that are long together are passed over too") {
   RespReader reader;
-  reader.Feed(Command(std::vector<std::string>(10, std::string(kMostBody, 'x'))));
+  reader.Feed(Command(std::vector<std::string>(10, std::string(kMaxBodyBytes, 'x'))));
   REQUIRE(reader.commands().size() == 1);
   CHECK(reader.commands()[0].oversize);
   std::size_t kept = 0;
   for (const std::string& word : reader.commands()[0].words) kept += word.size();
-  CHECK(kept <= 2 * kMostBody);
+  CHECK(kept <= 2 * kMaxBodyBytes);
 }
 
 TEST_CASE("framing that cannot be read breaks the stream") {
@@ -78,7 +78,7 @@
 }
 
 TEST_CASE("the fields of an envelope") {
-  const Envelope e = ParsePut(std::vector<std::string>(kPut));
+  const DeliveryRequest e = ParseDeliveryRequest(std::vector<std::string>(kPut));
   CHECK(e.id == "9b1f03aa5c7e2d41");
   CHECK(e.class_name == "notice");
   CHECK(e.tenant_name == "acme");
@@ -90,20 +90,21 @@
 
 TEST_CASE("envelopes that cannot be taken are told apart from good ones") {
   const auto put = [](std::string id, std::string fields) {
-    return ParsePut({"MSG.PUT", "0", std::move(id), std::move(fields), "body"});
+    return ParseDeliveryRequest({"MSG.PUT", "0", std::move(id), std::move(fields), "body"});
   };
   CHECK_NOTHROW(put("i", "c=n,d=1,dest=1"));
-  CHECK_THROWS_AS(ParsePut({"MSG.PUT", "0", "i"}), BadEnvelope);
-  CHECK_THROWS_AS(put("", "c=n,d=1,dest=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i\r\nX: y", "c=n,d=1,dest=1"), BadEnvelope);  // would forge a header
-  CHECK_THROWS_AS(put("i", "c=n,d=1,dest=1,k=a b"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,d=-1,dest=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,d=99999999999999999999,dest=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,d=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "d=1,dest=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,dest=1"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,d=1,dest=1,colour=red"), BadEnvelope);
-  CHECK_THROWS_AS(put("i", "c=n,d=1,dest"), BadEnvelope);
+  CHECK_THROWS_AS(ParseDeliveryRequest({"MSG.PUT", "0", "i"}), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("", "c=n,d=1,dest=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i\r\nX: y", "c=n,d=1,dest=1"),
+                  InvalidDeliveryRequest);  // would forge a header
+  CHECK_THROWS_AS(put("i", "c=n,d=1,dest=1,k=a b"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,d=-1,dest=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,d=99999999999999999999,dest=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,d=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "d=1,dest=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,dest=1"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,d=1,dest=1,colour=red"), InvalidDeliveryRequest);
+  CHECK_THROWS_AS(put("i", "c=n,d=1,dest"), InvalidDeliveryRequest);
 }
 
 TEST_CASE("a reply is one line whatever its text") {
--- a/tests/network/crew_test.cpp
+++ b/tests/network/thread_pool_test.cpp
@@ -1,5 +1,5 @@
 // Threads that come and go with the work.
-#include "net/crew.hpp"
+#include "concurrency/thread_pool.hpp"
 
 #include <doctest/doctest.h>
 
@@ -19,30 +19,31 @@
   const std::shared_future<void> gone(go.get_future());
   std::atomic<int> done{0};
   {
-    Crew<Task> crew("test", {.least = 1, .most = 3, .idle = kNever}, [](const Task& t) { t(); });
-    CHECK(crew.threads() == 1);
+    ThreadPool<Task> pool("test", {.least = 1, .most = 3, .idle = kNever},
+                          [](const Task& t) { t(); });
+    CHECK(pool.threads() == 1);
     for (int i = 0; i < 100; ++i) {
-      crew.Put([&] {
+      pool.Submit([&] {
         gone.wait();
         ++done;
       });
     }
-    CHECK(crew.threads() == 3);
+    CHECK(pool.threads() == 3);
     go.set_value();
   }
   CHECK(done == 100);  // its end waits for what was put
 }
 
 TEST_CASE("threads beyond the least go when there is nothing to do, and come again") {
-  Crew<Task> crew("test", {.least = 1, .most = 8, .idle = std::chrono::milliseconds(1)},
-                  [](const Task& t) { t(); });
+  ThreadPool<Task> pool("test", {.least = 1, .most = 8, .idle = std::chrono::milliseconds(1)},
+                        [](const Task& t) { t(); });
   for (int round = 0; round < 20; ++round) {
     std::promise<void> go;
     const std::shared_future<void> gone(go.get_future());
-    for (int i = 0; i < 8; ++i) crew.Put([gone] { gone.wait(); });
-    CHECK(crew.threads() == 8);
+    for (int i = 0; i < 8; ++i) pool.Submit([gone] { gone.wait(); });
+    CHECK(pool.threads() == 8);
     go.set_value();
-    while (crew.threads() > 1) std::this_thread::yield();
+    while (pool.threads() > 1) std::this_thread::yield();
   }
 }
 
--- a/tests/network/translate_test.cpp
+++ b/tests/network/translate_test.cpp
@@ -7,12 +7,11 @@
 namespace brassfront {
 namespace {
 
-using rushfall::Outcome;
-using Fate = DeliveryEnd::Fate;
+using dispatch_policy::Outcome;
 
-DeliveryEnd Answered(int status, std::string body = "") {
-  DeliveryEnd end;
-  end.fate = Fate::kAnswered;
+EndpointCallResult Answered(int status, std::string body = "") {
+  EndpointCallResult end;
+  end.outcome = CallOutcome::kAnswered;
   end.status = status;
   end.whole = true;
   end.body = std::move(body);
@@ -23,34 +22,38 @@
   CHECK(EndOfSingle(Answered(200)).outcome == Outcome::kDelivered);
   CHECK(EndOfSingle(Answered(200)).over);
   CHECK(EndOfSingle(Answered(500)).outcome == Outcome::kError);
-  CHECK(EndOfSingle(Answered(429)).outcome == Outcome::kFull);
-  CHECK(EndOfSingle(Answered(503)).outcome == Outcome::kFull);
+  CHECK(EndOfSingle(Answered(429)).outcome == Outcome::kRejected);
+  CHECK(EndOfSingle(Answered(503)).outcome == Outcome::kRejected);
   CHECK(EndOfSingle(Answered(404)).outcome == Outcome::kError);
   CHECK(EndOfSingle(Answered(504)).exhausted);
   CHECK_FALSE(EndOfSingle(Answered(504)).over);
   CHECK(EndOfSingle(Answered(410)).over);
   CHECK(EndOfSingle(Answered(410)).outcome == Outcome::kNotSent);
-  DeliveryEnd no_slot = Answered(503);
+  EndpointCallResult no_slot = Answered(503);
   no_slot.slots_taken = "1";
   CHECK(EndOfSingle(no_slot).outcome == Outcome::kNotSent);
-  DeliveryEnd cut = Answered(200);
+  EndpointCallResult cut = Answered(200);
   cut.whole = false;  // the first line is enough for one message
   CHECK(EndOfSingle(cut).outcome == Outcome::kDelivered);
 }
 
 TEST_CASE("what no answer means, and what it shows") {
-  const std::pair<Fate, Outcome> kTable[] = {
-      {Fate::kNotSent, Outcome::kNotSent},  {Fate::kConnectFailed, Outcome::kConnectFailed},
-      {Fate::kCrowded, Outcome::kCrowded},  {Fate::kReset, Outcome::kReset},
-      {Fate::kTimedOut, Outcome::kTimeout}, {Fate::kCancelled, Outcome::kCancelled}};
-  for (const auto& [fate, outcome] : kTable) {
-    DeliveryEnd end;
-    end.fate = fate;
+  const std::pair<CallOutcome, Outcome> kTable[] = {
+      {CallOutcome::kNotSent, Outcome::kNotSent},
+      {CallOutcome::kConnectFailed, Outcome::kConnectFailed},
+      {CallOutcome::kConnectionLimitReached, Outcome::kConnectionLimitReached},
+      {CallOutcome::kReset, Outcome::kReset},
+      {CallOutcome::kTimedOut, Outcome::kTimeout},
+      {CallOutcome::kCancelled, Outcome::kCancelled}};
+  for (const auto& [call_outcome, outcome] : kTable) {
+    EndpointCallResult end;
+    end.outcome = call_outcome;
     CHECK(EndOfSingle(end).outcome == outcome);
     CHECK(NeverRan(outcome) ==
-          (fate == Fate::kNotSent || fate == Fate::kConnectFailed || fate == Fate::kCrowded));
+          (call_outcome == CallOutcome::kNotSent || call_outcome == CallOutcome::kConnectFailed ||
+           call_outcome == CallOutcome::kConnectionLimitReached));
   }
-  CHECK(NeverRan(Outcome::kFull));
+  CHECK(NeverRan(Outcome::kRejected));
   CHECK_FALSE(NeverRan(Outcome::kError));
 }
 
@@ -64,7 +67,7 @@
   REQUIRE(ends.size() == 6);
   CHECK(ends[0].outcome == Outcome::kDelivered);
   CHECK(ends[1].outcome == Outcome::kError);
-  CHECK(ends[2].outcome == Outcome::kFull);
+  CHECK(ends[2].outcome == Outcome::kRejected);
   CHECK(ends[3].over);
   CHECK(ends[3].outcome == Outcome::kNotSent);
   CHECK(ends[4].exhausted);
@@ -72,11 +75,11 @@
 }
 
 TEST_CASE("a bundle whose answer breaks off delivers nothing") {
-  DeliveryEnd cut = Answered(200, std::string(kStates));
+  EndpointCallResult cut = Answered(200, std::string(kStates));
   cut.whole = false;
   for (const AttemptEnd& end : EndsOfBundle(cut, kIds)) CHECK(end.outcome == Outcome::kReset);
   for (const AttemptEnd& end : EndsOfBundle(Answered(503), kIds)) {
-    CHECK(end.outcome == Outcome::kFull);
+    CHECK(end.outcome == Outcome::kRejected);
   }
 }
 
@@ -85,7 +88,7 @@
     const auto ends =
         EndsOfBundle(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
     CHECK(ends[0].outcome == Outcome::kError);
-    DeliveryEnd end = Answered(429);
+    EndpointCallResult end = Answered(429);
     end.load = testing::Garbage("x0=0.4,x1=25", seed);
     end.wait_ms = testing::Garbage("250", seed);
     ReportOf(end);
@@ -94,7 +97,7 @@
 }
 
 TEST_CASE("reports and waits") {
-  DeliveryEnd end = Answered(200);
+  EndpointCallResult end = Answered(200);
   end.load = "x0=0.4,x1=25";
   end.wait_ms = "250";
   CHECK(ReportOf(end).allowance_left == 0.4);
--- a/tests/policy/characterization_test.cpp
+++ b/tests/policy/characterization_test.cpp
@@ -18,9 +18,9 @@
 #include <random>
 #include <string>
 
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
-namespace rushfall {
+namespace dispatch_policy {
 namespace {
 
 using namespace std::chrono_literals;
@@ -49,43 +49,50 @@
 Settings DrawSettings(std::mt19937_64& random, int stream) {
   const auto flag = [&] { return random() % 2 == 0; };
   Settings settings;
-  settings.classes = {
-      {.aim = 200ms, .deadline = 2s, .effect = Effect::kSafe, .worth = 1, .late_worth = 0.2},
-      {.aim = 400ms,
-       .deadline = 4s,
-       .effect = Effect::kKeyed,
-       .dedup_scope = DedupScope::kDestination,
-       .dedup_window = 1s,
-       .worth = 2,
-       .late_worth = 0.5,
-       .ordered = flag()},
-      {.aim = 300ms,
-       .deadline = 3s,
-       .effect = Effect::kKeyed,
-       .dedup_scope = DedupScope::kZone,
-       .dedup_window = 2s,
-       .worth = 3},
-      {.aim = 300ms, .deadline = 3s, .effect = Effect::kUnsafe, .worth = 4, .ordered = flag()}};
+  settings.classes = {{.latency_objective = 200ms,
+                       .deadline = 2s,
+                       .effect = Effect::kIdempotent,
+                       .priority_weight = 1,
+                       .late_weight_share = 0.2},
+                      {.latency_objective = 400ms,
+                       .deadline = 4s,
+                       .effect = Effect::kIdempotentWithKey,
+                       .dedup_scope = DedupScope::kDestination,
+                       .dedup_window = 1s,
+                       .priority_weight = 2,
+                       .late_weight_share = 0.5,
+                       .ordered = flag()},
+                      {.latency_objective = 300ms,
+                       .deadline = 3s,
+                       .effect = Effect::kIdempotentWithKey,
+                       .dedup_scope = DedupScope::kZone,
+                       .dedup_window = 2s,
+                       .priority_weight = 3},
+                      {.latency_objective = 300ms,
+                       .deadline = 3s,
+                       .effect = Effect::kNotIdempotent,
+                       .priority_weight = 4,
+                       .ordered = flag()}};
   settings.kinds = {{1 + random() % 4, false}, {1 + random() % 3, true}};
   settings.tenants = {{0}, {5.0}};
-  settings.zone_toll = {0, 0.02};
+  settings.zone_penalty = {0, 0.02};
   settings.decay = flag() ? Decay::kLinear : Decay::kHalving;
   settings.weights = static_cast<WeightMeaning>(random() % 3);
-  settings.over_quota_worth = 0.5;
-  settings.slots = flag() ? 2 + random() % 30 : 0;
-  settings.max_held = flag() ? 10 + random() % 200 : 0;
+  settings.over_quota_weight_share = 0.5;
+  settings.max_concurrent_calls = flag() ? 2 + random() % 30 : 0;
+  settings.max_in_flight = flag() ? 10 + random() % 200 : 0;
   settings.max_attempts = flag() ? 2 + random() % 6 : 0;
-  settings.probes_allowed = flag();
+  settings.health_checks_allowed = flag();
   settings.cancel_allowed = flag();
-  settings.retry_after_heard = flag();
-  settings.list_on_request = flag();
+  settings.clients_honor_retry_after = flag();
+  settings.subscribe_to_endpoint_list = flag();
   settings.max_retry_after = flag() ? Duration(500ms) : Duration(0);
-  settings.turn = 5ms;
-  settings.cold_share = 0.2;
-  settings.cold_time = flag() ? Duration(2s) : Duration(0);
-  settings.fall_multiple = 2;
-  settings.fall_window = 500ms;
-  settings.order_rest = 100ms;
+  settings.decision_interval = 5ms;
+  settings.slow_start_share = 0.2;
+  settings.slow_start_duration = flag() ? Duration(2s) : Duration(0);
+  settings.collapse_load_multiple = 2;
+  settings.collapse_window = 500ms;
+  settings.ordering_cooldown = 100ms;
   settings.group_size = kGroupSizes[static_cast<std::size_t>(stream) % kGroupSizes.size()];
   return settings;
 }
@@ -96,7 +103,7 @@
   explicit Stream(int number)
       : random_(0x5eed0000u + static_cast<unsigned>(number)),
         settings_(DrawSettings(random_, number)),
-        policy_(std::make_unique<Choice>(settings_, random_())),
+        policy_(std::make_unique<DispatchPolicy>(settings_, random_())),
         sparse_(number % 4 == 3) {
     for (EndpointId id = 0; id < kEndpoints; ++id) {
       entries_[id] = {id,     id % kDestinations,     id % kDestinations % 2,
@@ -105,7 +112,7 @@
   }
 
   void Run() {
-    AnnounceEndpoints(ListForm::kWhole);
+    AnnounceEndpoints(ListForm::kComplete);
     for (int step = 0; step < kStepsPerStream; ++step) {
       now_ += std::chrono::milliseconds(5 + random_() % (sparse_ ? 400 : 60));
       DrawEvents();
@@ -140,7 +147,7 @@
     std::vector<Attempt> attempts;
     std::size_t attempts_before = 0;
     std::optional<Time> may_have_run;
-    EndpointId ran_at = 0;
+    EndpointId ran_on_endpoint = 0;
   };
 
   bool OneIn(std::uint64_t times) { return random_() % times == 0; }
@@ -156,17 +163,18 @@
     if (OneIn(30)) ChangeEndpoints();
     if (OneIn(60) && next_message_ > 0) {
       const MessageId message = random_() % next_message_;
-      events_.emplace_back(MessageWithdrawn{message});
+      events_.emplace_back(MessageCancelled{message});
       messages_.erase(message);
     }
     if (OneIn(40)) health_ = random_() % 6;
-    if (OneIn(25)) events_.emplace_back(ShareLeased{RandomEndpoint(), DrawShare()});
+    if (OneIn(25)) events_.emplace_back(QuotaLeased{RandomEndpoint(), DrawShare()});
     if (OneIn(15)) {
-      events_.emplace_back(PeerWord{RandomEndpoint(), static_cast<Word>(random_() % 5), UpTo(2s),
-                                    UpTo(1s), 1 + random_() % 3});
+      events_.emplace_back(PeerHealthReport{RandomEndpoint(),
+                                            static_cast<PeerHealth>(random_() % 5), UpTo(2s),
+                                            UpTo(1s), 1 + random_() % 3});
     }
     if (OneIn(100)) {
-      AttemptSettled of_unknown_message;
+      AttemptCompleted of_unknown_message;
       of_unknown_message.message = next_message_ + 7;
       events_.emplace_back(of_unknown_message);
     }
@@ -210,7 +218,7 @@
       entry.state = OneIn(2) ? EndpointState::kListed : static_cast<EndpointState>(random_() % 3);
       entry.weight = OneIn(10) ? 1e9 : static_cast<double>(random_() % 40);
     }
-    AnnounceEndpoints(OneIn(2) ? ListForm::kWhole : ListForm::kChanges);
+    AnnounceEndpoints(OneIn(2) ? ListForm::kComplete : ListForm::kChanges);
   }
 
   void AnnounceEndpoints(ListForm form) {
@@ -229,9 +237,9 @@
   void Restart() {
     events_.clear();
     timer_.reset();
-    policy_ = std::make_unique<Choice>(settings_, random_());
+    policy_ = std::make_unique<DispatchPolicy>(settings_, random_());
     version_ = 1;
-    AnnounceEndpoints(ListForm::kWhole);
+    AnnounceEndpoints(ListForm::kComplete);
     for (auto& [id, message] : messages_) {
       for (const Attempt& attempt : message.attempts) {
         if (attempt.out) NoteMayHaveRun(message, attempt);
@@ -245,7 +253,7 @@
       message.attempts_before += message.attempts.size();
       event.attempts_used = message.attempts_before;
       event.may_have_run = message.may_have_run;
-      event.ran_at = message.ran_at;
+      event.ran_on_endpoint = message.ran_on_endpoint;
       message.attempts.clear();
       events_.emplace_back(std::move(event));
     }
@@ -254,7 +262,7 @@
   static void NoteMayHaveRun(Message& message, const Attempt& attempt) {
     if (message.may_have_run) return;
     message.may_have_run = attempt.sent;
-    message.ran_at = attempt.endpoint;
+    message.ran_on_endpoint = attempt.endpoint;
   }
 
   void CompleteAttempts() {
@@ -270,7 +278,7 @@
     for (const MessageId id : over) messages_.erase(id);
     for (const EndpointId endpoint : checks_) {
       events_.emplace_back(
-          ProbeSettled{endpoint, DrawOutcome(endpoint), UpTo(200ms), DrawReport()});
+          HealthCheckCompleted{endpoint, DrawOutcome(endpoint), UpTo(200ms), DrawReport()});
     }
     checks_.clear();
   }
@@ -278,7 +286,7 @@
   // True if the message is over.
   bool Complete(MessageId id, Message& message, std::size_t number) {
     const Attempt& attempt = message.attempts[number];
-    AttemptSettled event;
+    AttemptCompleted event;
     event.message = id;
     event.attempt = number;
     event.endpoint = attempt.endpoint;
@@ -286,7 +294,8 @@
     event.elapsed = now_ - attempt.sent;
     event.finished = event.outcome == Outcome::kDelivered || OneIn(100);
     event.exhausted = OneIn(100);
-    if (event.outcome == Outcome::kFull && OneIn(2)) event.retry_after = UpTo(OneIn(20) ? 20s : 3s);
+    if (event.outcome == Outcome::kRejected && OneIn(2))
+      event.retry_after = UpTo(OneIn(20) ? 20s : 3s);
     event.report = DrawReport();
     const bool doubt = event.outcome == Outcome::kTimeout || event.outcome == Outcome::kReset ||
                        event.outcome == Outcome::kCancelled || event.outcome == Outcome::kError;
@@ -316,7 +325,7 @@
     digest_.Add(std::uint64_t{kind});
   }
 
-  void Apply(const Send& action) {
+  void Apply(const SendAttempt& action) {
     Begin(0);
     digest_.Add(action.message);
     digest_.Add(action.endpoint);
@@ -328,18 +337,18 @@
     const Duration takes = OneIn(10) ? action.timeout : std::min(usual, action.timeout);
     it->second.attempts.push_back({action.endpoint, now_, now_ + takes});
   }
-  void Apply(const Refuse& action) {
+  void Apply(const RejectMessage& action) {
     Begin(1);
     digest_.Add(action.message);
     digest_.Add(action.retry_after);
     messages_.erase(action.message);
   }
-  void Apply(const Surrender& action) {
+  void Apply(const FailMessage& action) {
     Begin(2);
     digest_.Add(action.message);
     messages_.erase(action.message);
   }
-  void Apply(const Cancel& action) {
+  void Apply(const CancelAttempt& action) {
     Begin(3);
     digest_.Add(action.message);
     digest_.Add(std::uint64_t{action.attempt});
@@ -352,17 +361,17 @@
     digest_.Add(action.at);
     timer_ = action.at;
   }
-  void Apply(const Probe& action) {
+  void Apply(const StartHealthCheck& action) {
     Begin(5);
     digest_.Add(action.endpoint);
     checks_.push_back(action.endpoint);
   }
-  void Apply(const Subscribe&) { Begin(6); }
-  void Apply(const Log&) { ++counts_[7]; }
+  void Apply(const SubscribeToEndpointList&) { Begin(6); }
+  void Apply(const LogMessage&) { ++counts_[7]; }
 
   std::mt19937_64 random_;
   Settings settings_;
-  std::unique_ptr<Choice> policy_;
+  std::unique_ptr<DispatchPolicy> policy_;
   const bool sparse_;  // few messages over a long time: each endpoint is called seldom
   Time now_ = 1s;
   std::optional<Time> timer_;
@@ -410,4 +419,4 @@
 }
 
 }  // namespace
-}  // namespace rushfall
+}  // namespace dispatch_policy
--- a/tests/choice_test.cpp
+++ b/tests/policy/dispatch_policy_test.cpp
@@ -1,4 +1,4 @@
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
 #include <gtest/gtest.h>
 
@@ -6,34 +6,37 @@
 #include <map>
 #include <random>
 
-namespace rushfall {
+namespace dispatch_policy {
 namespace {
 
 using namespace std::chrono_literals;
 
 Settings TestSettings() {
   Settings s;
-  s.classes.push_back({.aim = 2s, .deadline = 20s, .effect = Effect::kSafe});
-  s.classes.push_back(
-      {.aim = 2s, .deadline = 20s, .effect = Effect::kKeyed, .dedup_window = 6s, .ordered = true});
-  s.classes.push_back({.aim = 2s, .deadline = 20s, .effect = Effect::kUnsafe});
+  s.classes.push_back({.latency_objective = 2s, .deadline = 20s, .effect = Effect::kIdempotent});
+  s.classes.push_back({.latency_objective = 2s,
+                       .deadline = 20s,
+                       .effect = Effect::kIdempotentWithKey,
+                       .dedup_window = 6s,
+                       .ordered = true});
+  s.classes.push_back({.latency_objective = 2s, .deadline = 20s, .effect = Effect::kNotIdempotent});
   s.kinds.resize(1);
-  s.slots = 20;
-  s.max_held = 1000;
+  s.max_concurrent_calls = 20;
+  s.max_in_flight = 1000;
   s.max_attempts = 12;
   s.cancel_allowed = true;
-  s.retry_after_heard = true;
-  s.turn = 5ms;
-  s.cold_share = 0.2;
-  s.cold_time = 10s;
-  s.fall_multiple = 2;
-  s.fall_window = 2s;
-  s.order_rest = 100ms;
+  s.clients_honor_retry_after = true;
+  s.decision_interval = 5ms;
+  s.slow_start_share = 0.2;
+  s.slow_start_duration = 10s;
+  s.collapse_load_multiple = 2;
+  s.collapse_window = 2s;
+  s.ordering_cooldown = 100ms;
   s.group_size = 2;
   return s;
 }
 
-constexpr std::size_t kSafe = 0, kOrdered = 1, kUnsafe = 2;
+constexpr std::size_t kIdempotent = 0, kOrdered = 1, kNotIdempotent = 2;
 
 // Drives one module by hand; messages and endpoints are numbered by the test.
 class Bench {
@@ -44,7 +47,7 @@
   std::vector<Action> At(Time at, std::vector<Event> events = {}) {
     actions = choice.Decide(at, events);
     for (const Action& a : actions) {
-      if (const auto* send = std::get_if<Send>(&a)) ++attempts[send->message];
+      if (const auto* send = std::get_if<SendAttempt>(&a)) ++attempts[send->message];
     }
     return actions;
   }
@@ -56,8 +59,8 @@
     }
     return found;
   }
-  AttemptSettled End(MessageId id, Outcome outcome, EndpointId endpoint = 1) {
-    AttemptSettled e;
+  AttemptCompleted End(MessageId id, Outcome outcome, EndpointId endpoint = 1) {
+    AttemptCompleted e;
     e.message = id;
     e.attempt = attempts[id] - 1;
     e.endpoint = endpoint;
@@ -67,18 +70,18 @@
     return e;
   }
 
-  Choice choice;
+  DispatchPolicy choice;
   std::vector<Action> actions;
   std::map<MessageId, std::size_t> attempts;
 };
 
-MessageArrived Arrive(MessageId id, std::size_t message_class = kSafe, DestinationId to = 1,
+MessageArrived Arrive(MessageId id, std::size_t message_class = kIdempotent, DestinationId to = 1,
                       std::string key = "") {
   return {id, to, message_class, 0, 20s, std::move(key)};
 }
 
 EndpointList Listed(std::vector<EndpointEntry> entries, std::uint64_t version = 1) {
-  return {version, ListForm::kWhole, std::move(entries)};
+  return {version, ListForm::kComplete, std::move(entries)};
 }
 
 EndpointList One() { return Listed({{.endpoint = 1, .destination = 1}}); }
@@ -86,13 +89,13 @@
 // A message each tenth of a second; each call has ended by the next as `end` says. Returns the ends
 // that are not told yet.
 std::vector<Event> Drive(Bench& b, Time from, Time to, const std::function<MessageArrived()>& next,
-                         const std::function<AttemptSettled(Time, const Send&)>& end,
+                         const std::function<AttemptCompleted(Time, const SendAttempt&)>& end,
                          std::vector<Event> events = {}) {
   for (Time t = from; t < to; t += 100ms) {
     events.push_back(next());
     b.At(t, events);
     events.clear();
-    for (const Send& send : b.Got<Send>()) events.push_back(end(t, send));
+    for (const SendAttempt& send : b.Got<SendAttempt>()) events.push_back(end(t, send));
   }
   return events;
 }
@@ -104,23 +107,25 @@
   Bench b;
   for (MessageId id = 0; id < 8; ++id) {
     b.At(1s, {Arrive(id)});
-    EXPECT_TRUE(b.Got<Refuse>().empty()) << id;
+    EXPECT_TRUE(b.Got<RejectMessage>().empty()) << id;
   }
 }
 
 TEST(Gate, OverloadRefusesAShareAndDiscardRefusesAll) {
   int entered = 0;
   for (std::uint64_t seed = 0; seed < 400; ++seed) {
-    Choice choice(TestSettings(), seed);
+    DispatchPolicy choice(TestSettings(), seed);
     std::vector<Event> events;
     for (MessageId id = 0; id < 8; ++id) events.push_back(Arrive(id));
     events.push_back(Arrive(8));  // at n = 8 = R: discard
     int refused = 0;
-    for (const Action& a : choice.Decide(1s, events)) refused += std::holds_alternative<Refuse>(a);
+    for (const Action& a : choice.Decide(1s, events))
+      refused += std::holds_alternative<RejectMessage>(a);
     EXPECT_EQ(refused, 1);
-    events = {MessageWithdrawn{0}, Arrive(9)};  // n = 7 < H: discard gives way to overload
+    events = {MessageCancelled{0}, Arrive(9)};  // n = 7 < H: discard gives way to overload
     refused = 0;
-    for (const Action& a : choice.Decide(2s, events)) refused += std::holds_alternative<Refuse>(a);
+    for (const Action& a : choice.Decide(2s, events))
+      refused += std::holds_alternative<RejectMessage>(a);
     entered += 1 - refused;
   }
   EXPECT_NEAR(entered / 400.0, 0.4, 0.08);  // q is 0.6
@@ -132,10 +137,10 @@
   for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
   b.At(1s, events);
   b.At(2s, {Arrive(20)});
-  EXPECT_EQ(b.Got<Refuse>().size(), 1u) << "n is 8: discard";
-  b.At(3s, {MessageWithdrawn{0}, MessageWithdrawn{1}});  // n = 6 < L: normal
+  EXPECT_EQ(b.Got<RejectMessage>().size(), 1u) << "n is 8: discard";
+  b.At(3s, {MessageCancelled{0}, MessageCancelled{1}});  // n = 6 < L: normal
   b.At(3s, {Arrive(21)});
-  EXPECT_TRUE(b.Got<Refuse>().empty());
+  EXPECT_TRUE(b.Got<RejectMessage>().empty());
 }
 
 TEST(Gate, RetryAfterIsTheLastFallFromOnsetToAbatement) {
@@ -143,22 +148,22 @@
   std::vector<Event> events;
   for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
   b.At(1s, events);
-  ASSERT_EQ(b.Got<Refuse>().size(), 1u);
-  EXPECT_EQ(b.Got<Refuse>()[0].retry_after, 1s) << "not yet measured";
-  b.At(4s, {MessageWithdrawn{0}, MessageWithdrawn{1}});
+  ASSERT_EQ(b.Got<RejectMessage>().size(), 1u);
+  EXPECT_EQ(b.Got<RejectMessage>()[0].retry_after, 1s) << "not yet measured";
+  b.At(4s, {MessageCancelled{0}, MessageCancelled{1}});
   b.At(4s, {Arrive(10), Arrive(11), Arrive(12)});
-  ASSERT_EQ(b.Got<Refuse>().size(), 1u);
-  EXPECT_EQ(b.Got<Refuse>()[0].retry_after, 3s);
+  ASSERT_EQ(b.Got<RejectMessage>().size(), 1u);
+  EXPECT_EQ(b.Got<RejectMessage>()[0].retry_after, 3s);
 }
 
 TEST(Gate, NoRetryAfterWhereClientsDoNotHearIt) {
   Settings s = TestSettings();
-  s.retry_after_heard = false;
+  s.clients_honor_retry_after = false;
   Bench b(s);
   std::vector<Event> events;
   for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
   b.At(1s, events);
-  EXPECT_EQ(b.Got<Refuse>()[0].retry_after, 0s);
+  EXPECT_EQ(b.Got<RejectMessage>()[0].retry_after, 0s);
 }
 
 // A least mark of eight once kept the gate out of small holds until they were full.
@@ -169,24 +174,24 @@
   Bench b(s);
   std::vector<Event> events{Listed({{.endpoint = 1, .destination = 1, .weight = 4},
                                     {.endpoint = 2, .destination = 2, .weight = 0.1}})};
-  for (MessageId id = 1; id <= 15; ++id) events.emplace_back(Arrive(id, kSafe, 1));
+  for (MessageId id = 1; id <= 15; ++id) events.emplace_back(Arrive(id, kIdempotent, 1));
   b.At(0s, events);
-  EXPECT_TRUE(b.Got<Refuse>().empty());
+  EXPECT_TRUE(b.Got<RejectMessage>().empty());
   events.clear();
-  for (MessageId id = 16; id <= 60; ++id) events.emplace_back(Arrive(id, kSafe, 2));
+  for (MessageId id = 16; id <= 60; ++id) events.emplace_back(Arrive(id, kIdempotent, 2));
   b.At(1ms, events);  // it takes two messages a second from us
-  EXPECT_FALSE(b.Got<Refuse>().empty());
+  EXPECT_FALSE(b.Got<RejectMessage>().empty());
 }
 
 TEST(Gate, DiscardComesBeforeASmallHoldIsFull) {
   const std::map<std::size_t, MessageId> entering = {{8, 6}, {9, 6}, {10, 7}, {11, 8}, {12, 8}};
   for (const auto& [hold, entered] : entering) {
     Settings s = TestSettings();
-    s.max_held = hold;
+    s.max_in_flight = hold;
     Bench b(s);
     for (MessageId id = 0; id < hold; ++id) {
       b.At(1s, {Arrive(id)});
-      EXPECT_EQ(b.Got<Refuse>().size(), id < entered ? 0u : 1u) << hold << " " << id;
+      EXPECT_EQ(b.Got<RejectMessage>().size(), id < entered ? 0u : 1u) << hold << " " << id;
     }
   }
 }
@@ -195,16 +200,16 @@
 
 TEST(SlotShare, OneDestinationFillsAtMostHalfWhileOthersWait) {
   Settings s = TestSettings();
-  s.slots = 8;
+  s.max_concurrent_calls = 8;
   Bench b(s);
   std::vector<Event> events = {
       Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 2}})};
-  for (MessageId id = 0; id < 7; ++id) events.push_back(Arrive(id, kSafe, 1));
+  for (MessageId id = 0; id < 7; ++id) events.push_back(Arrive(id, kIdempotent, 1));
   b.At(1s, events);
-  EXPECT_EQ(b.Got<Send>().size(), 7u) << "slots to spare: no share";
-  b.At(1s, {Arrive(7, kSafe, 1), Arrive(8, kSafe, 2), Arrive(9, kSafe, 2)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u) << "destination 1 is over its half";
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 7u) << "slots to spare: no share";
+  b.At(1s, {Arrive(7, kIdempotent, 1), Arrive(8, kIdempotent, 2), Arrive(9, kIdempotent, 2)});
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>()[0].endpoint, 2u) << "destination 1 is over its half";
 }
 
 // Few slots once left nothing to share: the last one must count before it is given away.
@@ -212,39 +217,39 @@
   const std::map<std::size_t, std::size_t> most = {{2, 1}, {3, 2}, {4, 3}, {5, 4}, {20, 16}};
   for (const auto& [slots, calls] : most) {
     Settings s = TestSettings();
-    s.slots = slots;
+    s.max_concurrent_calls = slots;
     Bench b(s);
-    b.At(1s, {One(), Arrive(900, kSafe, 2)});  // 2 waits for an endpoint
+    b.At(1s, {One(), Arrive(900, kIdempotent, 2)});  // 2 waits for an endpoint
     std::size_t sent = 0;
     for (MessageId id = 0; id < 22; ++id) {
       b.At(1s, {Arrive(id)});
-      sent += b.Got<Send>().size();
+      sent += b.Got<SendAttempt>().size();
     }
     EXPECT_EQ(sent, calls) << slots;
     b.At(1100ms, {b.End(0, Outcome::kDelivered)});
-    EXPECT_EQ(b.Got<Send>().size(), 1u) << "the slot just left free, no more: " << slots;
+    EXPECT_EQ(b.Got<SendAttempt>().size(), 1u) << "the slot just left free, no more: " << slots;
   }
 }
 
 // Many destinations that are each a little sick once filled the sender together.
 TEST(SlotShare, SickDestinationsShareAQuarterTogether) {
   Settings s = TestSettings();
-  s.slots = 4;
+  s.max_concurrent_calls = 4;
   Bench b(s);
   std::vector<EndpointEntry> entries;
   for (EndpointId id = 1; id <= 9; ++id) entries.push_back({.endpoint = id, .destination = id});
   b.At(1s, {Listed(entries)});
   Time t = 1s;
   for (MessageId id = 1; id <= 8; ++id) {  // each has failed once, and its message is held again
-    b.At(t += 10ms, {Arrive(id, kSafe, id)});
-    b.At(t += 10ms, {b.End(id, Outcome::kReset, id), MessageWithdrawn{id}});
+    b.At(t += 10ms, {Arrive(id, kIdempotent, id)});
+    b.At(t += 10ms, {b.End(id, Outcome::kReset, id), MessageCancelled{id}});
   }
   std::vector<Event> events;
-  for (MessageId id = 11; id <= 18; ++id) events.push_back(Arrive(id, kSafe, id - 10));
-  for (MessageId id = 30; id < 40; ++id) events.push_back(Arrive(id, kUnsafe, 20));
+  for (MessageId id = 11; id <= 18; ++id) events.push_back(Arrive(id, kIdempotent, id - 10));
+  for (MessageId id = 30; id < 40; ++id) events.push_back(Arrive(id, kNotIdempotent, 20));
   b.At(t += 10ms, events);
-  EXPECT_LE(b.Got<Send>().size(), 3u) << "the last slot is for those that answer";
-  b.At(t += 10ms, {Arrive(50, kSafe, 9)});
+  EXPECT_LE(b.Got<SendAttempt>().size(), 3u) << "the last slot is for those that answer";
+  b.At(t += 10ms, {Arrive(50, kIdempotent, 9)});
   EXPECT_EQ(b.attempts[50], 1u);
 }
 
@@ -252,29 +257,29 @@
 
 TEST(Ledger, EveryMessageGetsOneAnswerBeforeItsTimeIsUp) {
   Bench b;
-  b.At(1s, {Arrive(1, kUnsafe)});
-  EXPECT_TRUE(b.Got<Refuse>().empty()) << "held: an endpoint may still be listed";
+  b.At(1s, {Arrive(1, kNotIdempotent)});
+  EXPECT_TRUE(b.Got<RejectMessage>().empty()) << "held: an endpoint may still be listed";
   b.At(21s);
-  EXPECT_EQ(b.Got<Refuse>().size(), 1u);
+  EXPECT_EQ(b.Got<RejectMessage>().size(), 1u);
   b.At(22s, {One()});
-  EXPECT_TRUE(b.Got<Send>().empty());
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
 }
 
 TEST(Ledger, UnsafeMessageIsSentAgainOnlyIfItNeverRan) {
-  for (Outcome o : {Outcome::kFull, Outcome::kConnectFailed, Outcome::kNotSent}) {
+  for (Outcome o : {Outcome::kRejected, Outcome::kConnectFailed, Outcome::kNotSent}) {
     Bench b;
-    b.At(1s, {One(), Arrive(1, kUnsafe)});
+    b.At(1s, {One(), Arrive(1, kNotIdempotent)});
     b.At(2s, {b.End(1, o)});
     b.At(4s);
-    EXPECT_TRUE(b.Got<Surrender>().empty());
+    EXPECT_TRUE(b.Got<FailMessage>().empty());
     EXPECT_EQ(b.attempts[1], 2u);
   }
   for (Outcome o : {Outcome::kError, Outcome::kTimeout, Outcome::kReset, Outcome::kCancelled}) {
     Bench b;
-    b.At(1s, {One(), Arrive(1, kUnsafe)});
+    b.At(1s, {One(), Arrive(1, kNotIdempotent)});
     b.At(2s, {b.End(1, o)});
-    EXPECT_EQ(b.Got<Surrender>().size(), 1u) << "at once";
-    EXPECT_TRUE(b.Got<Refuse>().empty());
+    EXPECT_EQ(b.Got<FailMessage>().size(), 1u) << "at once";
+    EXPECT_TRUE(b.Got<RejectMessage>().empty());
     b.At(4s);
     EXPECT_EQ(b.attempts[1], 1u);
   }
@@ -288,7 +293,7 @@
   EXPECT_EQ(b.attempts[1], 2u);
   b.At(7100ms, {b.End(1, Outcome::kError)});
   EXPECT_EQ(b.attempts[1], 2u);
-  EXPECT_EQ(b.Got<Refuse>().size() + b.Got<Surrender>().size(), 1u) << "given up at once";
+  EXPECT_EQ(b.Got<RejectMessage>().size() + b.Got<FailMessage>().size(), 1u) << "given up at once";
 }
 
 TEST(Ledger, KeyedMessageStaysInItsZoneWhereRepeatsAreDroppedByZone) {
@@ -300,7 +305,7 @@
   b.At(3s);
   EXPECT_EQ(b.attempts[1], 1u);
   b.At(8s);
-  EXPECT_EQ(b.Got<Surrender>().size(), 1u) << "may not be refused either";
+  EXPECT_EQ(b.Got<FailMessage>().size(), 1u) << "may not be refused either";
 }
 
 TEST(Ledger, OrderedKeyGoesOneByOneAndRestsAfterDoubt) {
@@ -308,7 +313,7 @@
   b.At(1s, {One(), Arrive(1, kOrdered, 1, "k"), Arrive(2, kOrdered, 1, "k")});
   EXPECT_EQ(b.attempts[1], 1u);
   EXPECT_EQ(b.attempts[2], 0u);
-  AttemptSettled end = b.End(1, Outcome::kTimeout);
+  AttemptCompleted end = b.End(1, Outcome::kTimeout);
   end.finished = true;  // answered otherwise; the attempt may still run
   b.At(2s, {end});
   EXPECT_EQ(b.attempts[2], 0u) << "the key rests";
@@ -321,7 +326,7 @@
 TEST(Ledger, OrderedKeyWaitsForAnAttemptOfAFinishedMessage) {
   Bench b;
   b.At(1s, {One(), Arrive(1, kOrdered, 1, "k"), Arrive(2, kOrdered, 1, "k")});
-  b.At(2s, {MessageWithdrawn{1}});
+  b.At(2s, {MessageCancelled{1}});
   b.At(3s);
   EXPECT_EQ(b.attempts[2], 0u) << "the cancelled attempt is still out";
   b.At(4s, {b.End(1, Outcome::kCancelled)});
@@ -334,11 +339,11 @@
   s.max_attempts = 2;
   Bench b(s);
   b.At(1s, {One(), Arrive(1)});
-  b.At(2s, {b.End(1, Outcome::kFull)});
+  b.At(2s, {b.End(1, Outcome::kRejected)});
   b.At(4s);
   ASSERT_EQ(b.attempts[1], 2u);
-  b.At(5s, {b.End(1, Outcome::kFull)});
-  EXPECT_EQ(b.Got<Refuse>().size(), 1u);
+  b.At(5s, {b.End(1, Outcome::kRejected)});
+  EXPECT_EQ(b.Got<RejectMessage>().size(), 1u);
 }
 
 // ---- lists ----
@@ -352,9 +357,9 @@
             Arrive(1)});
   EXPECT_EQ(b.attempts[1], 0u);
   b.At(3s, {Listed({{.endpoint = 2, .destination = 1}}, 3)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
-  b.At(4s, {Listed({}, 4), b.End(1, Outcome::kFull, 2), Arrive(2)});
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>()[0].endpoint, 2u);
+  b.At(4s, {Listed({}, 4), b.End(1, Outcome::kRejected, 2), Arrive(2)});
   b.At(6s);
   EXPECT_EQ(b.attempts[2], 0u);
 }
@@ -368,7 +373,7 @@
   std::vector<Event> events{Listed({{.endpoint = 1, .destination = 1}}, 4)};
   for (MessageId id = 2; id <= 5; ++id) events.emplace_back(Arrive(id));
   b.At(63s, events);
-  EXPECT_GE(b.Got<Send>().size(), 4u);  // one at a time had its failure been kept
+  EXPECT_GE(b.Got<SendAttempt>().size(), 4u);  // one at a time had its failure been kept
 }
 
 TEST(Lists, AnOlderListIsIgnored) {
@@ -380,17 +385,17 @@
 TEST(Lists, AskedForOnlyWhereNeededAndAgainAfterAFailure) {
   Bench quiet;
   quiet.At(1s);
-  EXPECT_TRUE(quiet.Got<Subscribe>().empty());
+  EXPECT_TRUE(quiet.Got<SubscribeToEndpointList>().empty());
   Settings s = TestSettings();
-  s.list_on_request = true;
+  s.subscribe_to_endpoint_list = true;
   Bench b(s);
   b.At(1s);
-  EXPECT_EQ(b.Got<Subscribe>().size(), 1u);
+  EXPECT_EQ(b.Got<SubscribeToEndpointList>().size(), 1u);
   b.At(2s);
-  EXPECT_TRUE(b.Got<Subscribe>().empty());
+  EXPECT_TRUE(b.Got<SubscribeToEndpointList>().empty());
   b.At(3s, {EndpointList{0, ListForm::kFailed, {}}});
   b.At(4s);
-  EXPECT_EQ(b.Got<Subscribe>().size(), 1u);
+  EXPECT_EQ(b.Got<SubscribeToEndpointList>().size(), 1u);
 }
 
 // ---- pacer ----
@@ -399,27 +404,27 @@
   Bench b;
   b.At(1s,
        {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}), Arrive(1)});
-  AttemptSettled end = b.End(1, Outcome::kFull, b.Got<Send>()[0].endpoint);
+  AttemptCompleted end = b.End(1, Outcome::kRejected, b.Got<SendAttempt>()[0].endpoint);
   end.retry_after = 1s;
   b.At(2s, {end, Arrive(2)});
   b.At(2999ms, {Arrive(3)});
   EXPECT_EQ(b.attempts[1] + b.attempts[2] + b.attempts[3], 1u);
   b.At(3400ms);
-  EXPECT_GE(b.Got<Send>().size(), 1u);
+  EXPECT_GE(b.Got<SendAttempt>().size(), 1u);
 }
 
 TEST(Pacer, ToldWaitBindsOnlyItsRouteWhereRoutesAreApart) {
   Settings s = TestSettings();
-  s.kinds[0].separate_routes = true;
+  s.kinds[0].per_endpoint_limits = true;
   Bench b(s);
   b.At(1s,
        {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}), Arrive(1)});
-  const EndpointId told = b.Got<Send>()[0].endpoint;
-  AttemptSettled end = b.End(1, Outcome::kFull, told);
+  const EndpointId told = b.Got<SendAttempt>()[0].endpoint;
+  AttemptCompleted end = b.End(1, Outcome::kRejected, told);
   end.retry_after = 1s;
   b.At(2s, {end});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_NE(b.Got<Send>()[0].endpoint, told);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_NE(b.Got<SendAttempt>()[0].endpoint, told);
 }
 
 // A call is over with the first of its messages: one that has less time than an answer takes would
@@ -430,16 +435,16 @@
   Bench b(s);
   b.At(1s, {One(), Arrive(1)});
   b.At(2s);
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  AttemptSettled slow = b.End(1, Outcome::kDelivered);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  AttemptCompleted slow = b.End(1, Outcome::kDelivered);
   slow.elapsed = 400ms;
   b.At(2400ms, {slow});
   MessageArrived brief = Arrive(2);
   brief.time_left = 300ms;
   b.At(3s, {brief, Arrive(3)});
   b.At(3100ms);  // the brief one has gathered, the other would join it
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_EQ(b.Got<Send>()[0].message, 2u);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>()[0].message, 2u);
 }
 
 // A wait told to a later message of a batch was once missed.
@@ -449,10 +454,10 @@
   Bench b(s);
   b.At(1s, {One(), Arrive(1), Arrive(2)});
   b.At(1800ms);
-  ASSERT_EQ(b.Got<Send>().size(), 2u);
-  AttemptSettled second = b.End(2, Outcome::kFull);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 2u);
+  AttemptCompleted second = b.End(2, Outcome::kRejected);
   second.retry_after = 2s;
-  b.At(2s, {b.End(1, Outcome::kFull), second});
+  b.At(2s, {b.End(1, Outcome::kRejected), second});
   b.At(3900ms);
   EXPECT_EQ(b.attempts[1] + b.attempts[2], 2u);
 }
@@ -476,10 +481,10 @@
 TEST(Pacer, AfterARefusalOneCallAtATime) {
   Bench b;
   b.At(1s, {One(), Arrive(1)});
-  b.At(2s, {b.End(1, Outcome::kFull), Arrive(2), Arrive(3)});
-  EXPECT_TRUE(b.Got<Send>().empty());
+  b.At(2s, {b.End(1, Outcome::kRejected), Arrive(2), Arrive(3)});
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
   b.At(4s);
-  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 1u);
 }
 
 // A refused destination: then ten messages a second are asked for, and all calls are accepted.
@@ -488,13 +493,13 @@
   b.At(1s, {One(), Arrive(1)});
   int calls = 0;
   MessageId next = 2;
-  const auto end = [&](Time t, const Send& send) {
-    AttemptSettled delivered = b.End(send.message, Outcome::kDelivered);
+  const auto end = [&](Time t, const SendAttempt& send) {
+    AttemptCompleted delivered = b.End(send.message, Outcome::kDelivered);
     delivered.report = report;
     calls += t >= from;
     return delivered;
   };
-  Drive(b, 1100ms, to, [&] { return Arrive(next++); }, end, {b.End(1, Outcome::kFull)});
+  Drive(b, 1100ms, to, [&] { return Arrive(next++); }, end, {b.End(1, Outcome::kRejected)});
   return calls;
 }
 
@@ -504,33 +509,33 @@
   std::vector<Event> events{One()};
   for (MessageId id = 1; id <= 4; ++id) events.emplace_back(Arrive(id));
   b.At(0s, events);
-  ASSERT_EQ(b.Got<Send>().size(), 4u);
-  events = {b.End(4, Outcome::kCrowded)};
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 4u);
+  events = {b.End(4, Outcome::kConnectionLimitReached)};
   for (MessageId id = 5; id <= 7; ++id) events.emplace_back(Arrive(id));
   b.At(100ms, events);
-  EXPECT_TRUE(b.Got<Send>().empty()) << "three are out, and no more was let in";
+  EXPECT_TRUE(b.Got<SendAttempt>().empty()) << "three are out, and no more was let in";
   b.At(200ms, {b.End(1, Outcome::kDelivered)});
-  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 1u);
   b.At(300ms, {b.End(2, Outcome::kDelivered), b.End(3, Outcome::kDelivered)});
-  EXPECT_EQ(b.Got<Send>().size(), 2u) << "at once: neither paced nor sick";
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 2u) << "at once: neither paced nor sick";
 }
 
 TEST(Breaker, AResetWhereOthersAreAnsweredDoesNotHoldCallsBack) {
   Bench b;
   b.At(1s, {One(), Arrive(1), Arrive(2)});
   b.At(1100ms, {b.End(1, Outcome::kDelivered), b.End(2, Outcome::kReset), Arrive(3), Arrive(4)});
-  EXPECT_EQ(b.Got<Send>().size(), 3u) << "the reset one and both new ones";
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 3u) << "the reset one and both new ones";
   b.At(1200ms, {b.End(3, Outcome::kError), b.End(4, Outcome::kReset), Arrive(5), Arrive(6)});
-  EXPECT_LE(b.Got<Send>().size(), 1u) << "an error does";
+  EXPECT_LE(b.Got<SendAttempt>().size(), 1u) << "an error does";
 }
 
 TEST(Pacer, ACrowdedEndpointWithoutACallOutIsNotAskedAgainAtOnce) {
   Bench b;
   b.At(0s, {One(), Arrive(1)});
-  b.At(100ms, {b.End(1, Outcome::kCrowded), Arrive(2)});
-  EXPECT_TRUE(b.Got<Send>().empty());
+  b.At(100ms, {b.End(1, Outcome::kConnectionLimitReached), Arrive(2)});
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
   b.At(2s);
-  EXPECT_FALSE(b.Got<Send>().empty());
+  EXPECT_FALSE(b.Got<SendAttempt>().empty());
 }
 
 TEST(Pacer, ALearnedRateGrowsBackFasterTheLongerNothingIsRefused) {
@@ -551,9 +556,9 @@
 TEST(Pacer, TheCallAfterARefusalDoesNotWaitForAHungOne) {
   Bench b;
   b.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
-            Arrive(1, kUnsafe), Arrive(2, kUnsafe)});
-  ASSERT_EQ(b.Got<Send>().size(), 2u);
-  b.At(1100ms, {b.End(2, Outcome::kFull, b.Got<Send>()[1].endpoint)});
+            Arrive(1, kNotIdempotent), Arrive(2, kNotIdempotent)});
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 2u);
+  b.At(1100ms, {b.End(2, Outcome::kRejected, b.Got<SendAttempt>()[1].endpoint)});
   for (Time t = 1200ms; t < 8s; t += 100ms) b.At(t);
   EXPECT_EQ(b.attempts[2], 2u);
 }
@@ -563,7 +568,7 @@
 // Sends a safe message a tenth of a second and ends every call alike; returns how many went out.
 int CallsWhileAllEnd(Bench& b, Outcome outcome, Time from, Time to, MessageId& next) {
   int calls = 0;
-  const auto end = [&](Time, const Send& send) {
+  const auto end = [&](Time, const SendAttempt& send) {
     ++calls;
     return b.End(send.message, outcome, send.endpoint);
   };
@@ -572,7 +577,7 @@
   while (!events.empty()) {  // nothing is left without an outcome
     b.At(to, events);
     events.clear();
-    for (const Send& send : b.Got<Send>())
+    for (const SendAttempt& send : b.Got<SendAttempt>())
       events.push_back(b.End(send.message, outcome, send.endpoint));
   }
   return calls;
@@ -607,7 +612,7 @@
   b.At(900ms, {One()});
   CallsWhileAllEnd(b, Outcome::kDelivered, 1s, 10s, next);
   b.At(10s, {Arrive(9000)});
-  AttemptSettled end = b.End(9000, Outcome::kFull);
+  AttemptCompleted end = b.End(9000, Outcome::kRejected);
   end.retry_after = 8s;
   b.At(10100ms, {end});
   CallsWhileAllEnd(b, Outcome::kDelivered, 10200ms, 18100ms, next);
@@ -622,7 +627,7 @@
   b.At(900ms, {One()});
   CallsWhileAllEnd(b, Outcome::kDelivered, 1s, 10s, next);
   b.At(10s, {Arrive(9000), Arrive(9001)});
-  AttemptSettled end = b.End(9000, Outcome::kFull);
+  AttemptCompleted end = b.End(9000, Outcome::kRejected);
   end.retry_after = 8s;
   b.At(10100ms, {end});
   b.At(10500ms, {b.End(9001, Outcome::kDelivered)});
@@ -640,12 +645,12 @@
   b.At(900ms, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}})});
   std::map<std::pair<std::size_t, EndpointId>, int> calls;
   MessageId id = 0;
-  const auto class_of = [](MessageId m) { return m % 2 == 0 ? kSafe : kUnsafe; };
+  const auto class_of = [](MessageId m) { return m % 2 == 0 ? kIdempotent : kNotIdempotent; };
   const auto next = [&] {
     ++id;
     return Arrive(id, class_of(id));
   };
-  const auto end = [&](Time, const Send& send) {
+  const auto end = [&](Time, const SendAttempt& send) {
     const std::size_t c = class_of(send.message);
     if (id > 200) ++calls[{c, send.endpoint}];
     const bool failed = fails(c, send.endpoint);
@@ -656,22 +661,22 @@
 }
 
 TEST(Breaker, OneClassFailingAtOneEndpointMovesThatClassOnly) {
-  auto calls = CallsWhen([](std::size_t c, EndpointId e) { return c == kUnsafe && e == 1; });
-  EXPECT_LE((calls[{kUnsafe, 1}]), 2) << "unsafe messages are not spent on finding out";
-  EXPECT_GE((calls[{kUnsafe, 2}]), 95);
-  EXPECT_GE((calls[{kSafe, 1}]), 20) << "the other class stays";
+  auto calls = CallsWhen([](std::size_t c, EndpointId e) { return c == kNotIdempotent && e == 1; });
+  EXPECT_LE((calls[{kNotIdempotent, 1}]), 2) << "unsafe messages are not spent on finding out";
+  EXPECT_GE((calls[{kNotIdempotent, 2}]), 95);
+  EXPECT_GE((calls[{kIdempotent, 1}]), 20) << "the other class stays";
 }
 
 TEST(Breaker, AnEndpointThatIsDownIsLeftByAllClasses) {
   auto calls = CallsWhen([](std::size_t, EndpointId e) { return e == 1; });
-  EXPECT_EQ((calls[{kUnsafe, 1}]), 0);
-  EXPECT_LE((calls[{kSafe, 1}]), 10);
-  EXPECT_GE((calls[{kSafe, 2}]), 90);
+  EXPECT_EQ((calls[{kNotIdempotent, 1}]), 0);
+  EXPECT_LE((calls[{kIdempotent, 1}]), 10);
+  EXPECT_GE((calls[{kIdempotent, 2}]), 90);
 }
 
 TEST(Breaker, APartnerThatIsDownGetsTrialsByItsSafeMessagesAlone) {
   auto calls = CallsWhen([](std::size_t, EndpointId) { return true; });
-  EXPECT_LE((calls[{kSafe, 1}] + calls[{kSafe, 2}]), 100);
+  EXPECT_LE((calls[{kIdempotent, 1}] + calls[{kIdempotent, 2}]), 100);
 }
 
 // Every dispatcher once sent a harmless trickle, and all together pushed the partner over.
@@ -698,7 +703,7 @@
       for (std::size_t i = 0; i < group; ++i) {
         all[i].At(t, events[i]);
         events[i].clear();
-        for (const Send& send : all[i].Got<Send>()) {
+        for (const SendAttempt& send : all[i].Got<SendAttempt>()) {
           const Outcome o = down ? Outcome::kConnectFailed : Outcome::kDelivered;
           events[i].push_back(all[i].End(send.message, o));
           after_return += t >= 32s && t < 34s;
@@ -716,7 +721,7 @@
   b.At(900ms, {One()});
   int calls = 0;
   MessageId next = 1000;
-  const auto end = [&](Time, const Send& send) {
+  const auto end = [&](Time, const SendAttempt& send) {
     return b.End(send.message, ++calls % 3 == 0 ? Outcome::kReset : Outcome::kDelivered);
   };
   Drive(
@@ -732,7 +737,7 @@
   CallsWhileAllEnd(b, Outcome::kDelivered, 1s, 6s, next);
   CallsWhileAllEnd(b, Outcome::kConnectFailed, 6s, 14s, next);
   CallsWhileAllEnd(b, Outcome::kDelivered, 14s, 20s, next);
-  CallsWhileAllEnd(b, Outcome::kFull, 20s, 21s, next);
+  CallsWhileAllEnd(b, Outcome::kRejected, 20s, 21s, next);
   CallsWhileAllEnd(b, Outcome::kDelivered, 21s, 28s, next);
   EXPECT_GE(CallsWhileAllEnd(b, Outcome::kDelivered, 28s, 30s, next), 18);
 }
@@ -740,19 +745,19 @@
 TEST(Breaker, ProbesOnlyWhereAllowedAndNeverRisksAnUnsafeMessage) {
   for (bool allowed : {false, true}) {
     Settings s = TestSettings();
-    s.probes_allowed = allowed;
+    s.health_checks_allowed = allowed;
     Bench b(s);
     MessageId next = 1;
     b.At(900ms, {One()});
     CallsWhileAllEnd(b, Outcome::kConnectFailed, 1s, 5s, next);
     std::size_t probes = 0;
     std::vector<Event> events;
-    for (MessageId id = 1; id < next; ++id) events.push_back(MessageWithdrawn{id});
-    events.push_back(Arrive(5000, kUnsafe));
+    for (MessageId id = 1; id < next; ++id) events.push_back(MessageCancelled{id});
+    events.push_back(Arrive(5000, kNotIdempotent));
     for (Time t = 5s; t < 12s; t += 100ms) {
       b.At(t, events);
       events.clear();
-      probes += b.Got<Probe>().size();
+      probes += b.Got<StartHealthCheck>().size();
     }
     EXPECT_EQ(probes > 0, allowed);
     EXPECT_EQ(b.attempts[5000] == 0, allowed);
@@ -763,20 +768,20 @@
 TEST(Breaker, AKeyedMessageIsTheTrialOnlyWhereNoConnectionCameUp) {
   for (const Outcome outcome : {Outcome::kConnectFailed, Outcome::kReset, Outcome::kTimeout}) {
     Settings s = TestSettings();
-    s.probes_allowed = true;
+    s.health_checks_allowed = true;
     s.group_size = 100;
     Bench b(s);
     MessageId next = 1;
     b.At(900ms, {One()});
     CallsWhileAllEnd(b, outcome, 1s, 5s, next);
     std::vector<Event> events;
-    for (MessageId id = 1; id < next; ++id) events.push_back(MessageWithdrawn{id});
+    for (MessageId id = 1; id < next; ++id) events.push_back(MessageCancelled{id});
     events.push_back(Arrive(5000, kOrdered));
     std::size_t probes = 0;
     for (Time t = 5s; t < 12s; t += 100ms) {
       b.At(t, events);
       events.clear();
-      probes += b.Got<Probe>().size();
+      probes += b.Got<StartHealthCheck>().size();
     }
     EXPECT_EQ(b.attempts[5000] > 0, outcome == Outcome::kConnectFailed);
     EXPECT_EQ(probes == 0, outcome == Outcome::kConnectFailed);
@@ -791,12 +796,12 @@
     s.cancel_allowed = allowed;
     Bench b(s);
     b.At(1s, {One(), Arrive(1)});
-    ASSERT_EQ(b.Got<Send>().size(), 1u);
-    EXPECT_EQ(b.Got<Send>()[0].timeout < 20s, !allowed);
+    ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+    EXPECT_EQ(b.Got<SendAttempt>()[0].timeout < 20s, !allowed);
     std::size_t cancels = 0;
     for (Time t = 1s; t < 15s; t += 100ms) {
       b.At(t);
-      cancels += b.Got<Cancel>().size();
+      cancels += b.Got<CancelAttempt>().size();
     }
     EXPECT_EQ(cancels, allowed ? 1u : 0u);
   }
@@ -808,7 +813,7 @@
   Time called_off[2];
   for (bool lossy : {false, true}) {
     Settings s = TestSettings();
-    s.slots = 2;
+    s.max_concurrent_calls = 2;
     Bench b(s);
     b.At(900ms, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 2}})});
     Time t = 1s;
@@ -816,14 +821,15 @@
       b.At(t, {Arrive(id)});
       if (lossy && id % 4 == 0) {
         b.At(t += 1s);
-        b.At(t += 1s, {b.End(id, Outcome::kCancelled), MessageWithdrawn{id}});
+        b.At(t += 1s, {b.End(id, Outcome::kCancelled), MessageCancelled{id}});
       } else {
         b.At(t += 100ms, {b.End(id, Outcome::kDelivered)});
       }
     }
-    b.At(t += 1s, {Arrive(1, kUnsafe, 2), Arrive(2, kUnsafe, 2), Arrive(3, kUnsafe, 2)});
+    b.At(t += 1s, {Arrive(1, kNotIdempotent, 2), Arrive(2, kNotIdempotent, 2),
+                   Arrive(3, kNotIdempotent, 2)});
     const Time sent = t;
-    while (b.Got<Cancel>().empty() && t < sent + 19s) b.At(t += 50ms);
+    while (b.Got<CancelAttempt>().empty() && t < sent + 19s) b.At(t += 50ms);
     called_off[lossy] = t - sent;
   }
   EXPECT_LT(called_off[true], called_off[false]);
@@ -831,13 +837,13 @@
 
 TEST(Attempts, AnUnsafeSilentCallIsLeftAloneWhileSlotsAreFree) {
   Bench b;
-  b.At(1s, {One(), Arrive(1, kUnsafe)});
+  b.At(1s, {One(), Arrive(1, kNotIdempotent)});
   for (Time t = 1s; t < 20s; t += 100ms) {
     b.At(t);
-    EXPECT_TRUE(b.Got<Cancel>().empty());
+    EXPECT_TRUE(b.Got<CancelAttempt>().empty());
   }
   b.At(21s);
-  EXPECT_EQ(b.Got<Surrender>().size(), 1u);
+  EXPECT_EQ(b.Got<FailMessage>().size(), 1u);
 }
 
 // A timer that fired a little early was taken for one still to come, and messages were lost.
@@ -855,11 +861,12 @@
 
 TEST(Caller, UnknownThingsAreIgnored) {
   Bench b;
-  b.At(1s, {One(), AttemptSettled{}, MessageWithdrawn{77}, ProbeSettled{}, TimerFired{12345}});
-  AttemptSettled unsent = b.End(1, Outcome::kDelivered);
+  b.At(1s, {One(), AttemptCompleted{}, MessageCancelled{77}, HealthCheckCompleted{},
+            TimerFired{12345}});
+  AttemptCompleted unsent = b.End(1, Outcome::kDelivered);
   unsent.attempt = 3;
   b.At(2s, {Arrive(1), Arrive(1), unsent});
-  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 1u);
   b.At(3s, {b.End(1, Outcome::kDelivered), b.End(1, Outcome::kTimeout)});
   EXPECT_TRUE(b.actions.empty());
 }
@@ -875,16 +882,16 @@
 }
 
 TEST(Caller, ZeroAndMissingSettingsAreNoLimit) {
-  Choice choice(Settings{}, 0);
+  DispatchPolicy choice(Settings{}, 0);
   const std::vector<Event> unknown = {Arrive(1)};
   const auto refused = choice.Decide(1s, unknown);
   ASSERT_EQ(refused.size(), 1u);
-  EXPECT_TRUE(std::holds_alternative<Refuse>(refused[0])) << "no such class";
+  EXPECT_TRUE(std::holds_alternative<RejectMessage>(refused[0])) << "no such class";
   Settings s;
   s.classes.resize(1);
   Bench b(s);
-  b.At(1s, {One(), Arrive(1, kSafe, 1)});
-  EXPECT_EQ(b.Got<Send>().size(), 1u);
+  b.At(1s, {One(), Arrive(1, kIdempotent, 1)});
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 1u);
 }
 
 // The share of nobody would be without bound, and a failed endpoint called each turn.
@@ -904,11 +911,11 @@
 
 TEST(Caller, AMessageWithNoTimeLeftIsAnsweredAtOnce) {
   Bench b;
-  MessageArrived late = Arrive(1, kUnsafe);
+  MessageArrived late = Arrive(1, kNotIdempotent);
   late.time_left = 0ms;
   b.At(1s, {One(), late});
-  EXPECT_EQ(b.Got<Refuse>().size(), 1u);
-  EXPECT_TRUE(b.Got<Send>().empty());
+  EXPECT_EQ(b.Got<RejectMessage>().size(), 1u);
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
 }
 
 TEST(Caller, ALongListMayChangeWhileCallsAreOut) {
@@ -916,16 +923,16 @@
   std::vector<EndpointEntry> entries;
   for (EndpointId id = 1; id <= 600; ++id) entries.push_back({.endpoint = id, .destination = id});
   std::vector<Event> events = {Listed(entries)};
-  for (MessageId id = 1; id <= 20; ++id) events.push_back(Arrive(id, kSafe, id));
+  for (MessageId id = 1; id <= 20; ++id) events.push_back(Arrive(id, kIdempotent, id));
   b.At(1s, events);
-  ASSERT_EQ(b.Got<Send>().size(), 20u);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 20u);
   for (EndpointEntry& e : entries) e.endpoint += 1000;  // all are replaced
   events = {Listed(entries, 2)};
   for (MessageId id = 1; id <= 20; ++id) events.push_back(b.End(id, Outcome::kConnectFailed, id));
   b.At(2s, events);
-  for (const Send& send : b.Got<Send>()) EXPECT_GT(send.endpoint, 1000u);
-  EXPECT_EQ(b.Got<Send>().size(), 20u) << "other endpoints of the same destinations";
-  b.At(3s, {Listed({}, 3), Arrive(99, kSafe, 5)});
+  for (const SendAttempt& send : b.Got<SendAttempt>()) EXPECT_GT(send.endpoint, 1000u);
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 20u) << "other endpoints of the same destinations";
+  b.At(3s, {Listed({}, 3), Arrive(99, kIdempotent, 5)});
   EXPECT_EQ(b.attempts[99], 0u);
 }
 
@@ -941,7 +948,7 @@
       b.At(t, events);
       events.clear();
       timers += b.Got<SetTimer>().size();
-      for (const Send& send : b.Got<Send>()) {
+      for (const SendAttempt& send : b.Got<SendAttempt>()) {
         events.push_back(b.End(send.message, Outcome::kConnectFailed));
       }
     }
@@ -955,55 +962,57 @@
     const Time at = 1s + std::chrono::milliseconds(10 * id);
     const std::vector<Event> events = {Arrive(id, id % 3, id % 2)};
     EXPECT_EQ(one.At(at, events).size(), two.At(at, events).size());
-    EXPECT_EQ(one.Got<Refuse>().size(), two.Got<Refuse>().size());
+    EXPECT_EQ(one.Got<RejectMessage>().size(), two.Got<RejectMessage>().size());
   }
 }
 
 // ---- what the list and the answers say that cannot be meant ----
 
 bool Logged(const Bench& b, const std::string& words) {
-  const std::vector<Log> lines = b.Got<Log>();
-  return std::any_of(lines.begin(), lines.end(),
-                     [&](const Log& line) { return line.text.find(words) != std::string::npos; });
+  const std::vector<LogMessage> lines = b.Got<LogMessage>();
+  return std::any_of(lines.begin(), lines.end(), [&](const LogMessage& line) {
+    return line.text.find(words) != std::string::npos;
+  });
 }
 
 // One slot, so that what arrives at once is held unsent; the gate then goes by the listed rate.
 TEST(Unsuited, ARateThatCannotBeMeantIsTakenForUntold) {
   Settings s = TestSettings();
-  s.slots = 1;
-  s.weights = WeightMeaning::kRoughRate;
+  s.max_concurrent_calls = 1;
+  s.weights = WeightMeaning::kApproximateRate;
   Bench b(s);
   b.At(0s, {Listed({{.endpoint = 1, .destination = 1, .weight = 1e12}})});
   EXPECT_TRUE(Logged(b, "taken for untold"));
   std::vector<Event> arrivals;
   for (MessageId id = 0; id < 30; ++id) arrivals.push_back(Arrive(id));
   b.At(1s, arrivals);
-  EXPECT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_FALSE(b.Got<Refuse>().empty()) << "the gate let all in at a rate nobody meant";
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_FALSE(b.Got<RejectMessage>().empty()) << "the gate let all in at a rate nobody meant";
 }
 
 TEST(Unsuited, AWaitPastEveryDeadlineGivesTheMessagesUpAtOnce) {
   Bench b;
   b.At(0s, {One(), Arrive(1)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  AttemptSettled full = b.End(1, Outcome::kFull);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  AttemptCompleted full = b.End(1, Outcome::kRejected);
   full.retry_after = 3600s;
   b.At(100ms, {full, Arrive(2)});
   EXPECT_TRUE(Logged(b, "past every deadline"));
-  EXPECT_EQ(b.Got<Refuse>().size(), 2u) << "held for a wait that outlasts them";
-  EXPECT_TRUE(b.Got<Send>().empty());
+  EXPECT_EQ(b.Got<RejectMessage>().size(), 2u) << "held for a wait that outlasts them";
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
 }
 
 TEST(Unsuited, AWaitWithinTheDeadlineKeepsTheMessages) {
   Bench b;
   b.At(0s, {One(), Arrive(1)});
-  AttemptSettled full = b.End(1, Outcome::kFull);
+  AttemptCompleted full = b.End(1, Outcome::kRejected);
   full.retry_after = 2s;
   b.At(100ms, {full, Arrive(2)});
-  EXPECT_TRUE(b.Got<Refuse>().empty());
+  EXPECT_TRUE(b.Got<RejectMessage>().empty());
   std::size_t sent = 0;
-  for (Time t = 200ms; t < 6s; t += 100ms) sent += b.At(t).empty() ? 0 : b.Got<Send>().size();
-  EXPECT_TRUE(b.Got<Refuse>().empty());
+  for (Time t = 200ms; t < 6s; t += 100ms)
+    sent += b.At(t).empty() ? 0 : b.Got<SendAttempt>().size();
+  EXPECT_TRUE(b.Got<RejectMessage>().empty());
   EXPECT_EQ(sent, 2u);
 }
 
@@ -1014,26 +1023,26 @@
   b.At(1s, {Listed({{.endpoint = 1, .destination = 1, .state = EndpointState::kDraining}}, 2),
             Arrive(1)});
   EXPECT_FALSE(Logged(b, "no endpoint that takes work"));
-  EXPECT_TRUE(b.Got<Refuse>().empty());
-  EXPECT_TRUE(b.Got<Send>().empty());
+  EXPECT_TRUE(b.Got<RejectMessage>().empty());
+  EXPECT_TRUE(b.Got<SendAttempt>().empty());
   b.At(2s, {Listed({{.endpoint = 1, .destination = 1, .state = EndpointState::kDraining},
                     {.endpoint = 2, .destination = 1}},
                    3)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>()[0].endpoint, 2u);
 }
 
 // Two routes apart that are alike but for their zones' tolls.
 TEST(Unsuited, ARouteWithoutATollIsPreferred) {
   Settings s = TestSettings();
-  s.kinds[0].separate_routes = true;
-  s.zone_toll = {0, 0.03};
+  s.kinds[0].per_endpoint_limits = true;
+  s.zone_penalty = {0, 0.03};
   Bench b(s);
   b.At(0s, {Listed({{.endpoint = 1, .destination = 1, .zone = 1},
                     {.endpoint = 2, .destination = 1, .zone = 0}}),
             Arrive(1)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);
-  EXPECT_EQ(b.Got<Send>()[0].endpoint, 2u);
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);
+  EXPECT_EQ(b.Got<SendAttempt>()[0].endpoint, 2u);
 }
 
 // ---- what other dispatchers know ----
@@ -1046,31 +1055,35 @@
 TEST(PeerWords, ALeasedShareIsThePaceAndEndsWithTheSharing) {
   Bench b;
   MessageId next = 1;
-  b.At(900ms, {One(), ShareLeased{1, 2.0}});
+  b.At(900ms, {One(), QuotaLeased{1, 2.0}});
   const int leased = CallsWhileAllIsWell(b, 1s, 5s, next);
   EXPECT_GE(leased, 7);
   EXPECT_LE(leased, 9);
   Bench over;
   next = 1;
-  over.At(900ms, {One(), ShareLeased{1, 2.0}, ShareLeased{1, std::nullopt}});
+  over.At(900ms, {One(), QuotaLeased{1, 2.0}, QuotaLeased{1, std::nullopt}});
   EXPECT_GE(CallsWhileAllIsWell(over, 1s, 5s, next), 40);
 }
 
 TEST(PeerWords, OneWitnessOfAnOutageCostsOneCallAtATimeAndTwoBind) {
   Bench b;
-  b.At(1s, {One(), PeerWord{.endpoint = 1, .word = Word::kDown}, Arrive(1), Arrive(2)});
-  ASSERT_EQ(b.Got<Send>().size(), 1u);  // the cheap check
-  b.At(1100ms, {b.End(b.Got<Send>()[0].message, Outcome::kDelivered), Arrive(3), Arrive(4)});
-  EXPECT_EQ(b.Got<Send>().size(), 3u);  // it was wrong
+  b.At(1s, {One(), PeerHealthReport{.endpoint = 1, .health = PeerHealth::kFailing}, Arrive(1),
+            Arrive(2)});
+  ASSERT_EQ(b.Got<SendAttempt>().size(), 1u);  // the cheap check
+  b.At(1100ms, {b.End(b.Got<SendAttempt>()[0].message, Outcome::kDelivered), Arrive(3), Arrive(4)});
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 3u);  // it was wrong
 
   Bench sure;
   MessageId next = 1;
-  sure.At(1s, {One(), PeerWord{.endpoint = 1, .word = Word::kDown, .witnesses = 2}});
-  const auto fail = [&](Time, const Send& s) { return sure.End(s.message, Outcome::kError); };
+  sure.At(1s,
+          {One(), PeerHealthReport{.endpoint = 1, .health = PeerHealth::kFailing, .witnesses = 2}});
+  const auto fail = [&](Time, const SendAttempt& s) {
+    return sure.End(s.message, Outcome::kError);
+  };
   int calls = 0;
   Drive(
       sure, 1s, 6s, [&] { return Arrive(next++); },
-      [&](Time t, const Send& s) { return ++calls, fail(t, s); });
+      [&](Time t, const SendAttempt& s) { return ++calls, fail(t, s); });
   EXPECT_LE(calls, 15);
 }
 
@@ -1078,18 +1091,21 @@
   Bench b;
   b.At(1s, {One(), Arrive(1)});
   b.At(1100ms, {b.End(1, Outcome::kDelivered)});
-  b.At(1200ms, {PeerWord{.endpoint = 1, .word = Word::kDown, .age = 500ms, .witnesses = 9},
+  b.At(1200ms, {PeerHealthReport{
+                    .endpoint = 1, .health = PeerHealth::kFailing, .age = 500ms, .witnesses = 9},
                 Arrive(2), Arrive(3)});
-  EXPECT_EQ(b.Got<Send>().size(), 2u);
+  EXPECT_EQ(b.Got<SendAttempt>().size(), 2u);
 }
 
 TEST(PeerWords, AToldWaitBindsByTwoAndIsNeverLongerThanAnyDeadline) {
   const auto sent = [](std::size_t witnesses, Time at) {
     Bench b;
-    b.At(1s,
-         {One(), PeerWord{.endpoint = 1, .word = Word::kWait, .rest = 1h, .witnesses = witnesses}});
+    b.At(1s, {One(), PeerHealthReport{.endpoint = 1,
+                                      .health = PeerHealth::kRetryAfter,
+                                      .duration = 1h,
+                                      .witnesses = witnesses}});
     b.At(at, {Arrive(1)});
-    return b.Got<Send>().size();
+    return b.Got<SendAttempt>().size();
   };
   EXPECT_EQ(sent(1, 2s), 1u);
   EXPECT_EQ(sent(2, 2s), 0u);
@@ -1101,14 +1117,16 @@
   MessageId next = 1;
   warm.At(900ms, {One()});
   const int usual = CallsWhileAllIsWell(warm, 1s, 4s, next);
-  cold.At(900ms, {One(), PeerWord{.endpoint = 1, .word = Word::kCold, .witnesses = 9}});
+  cold.At(900ms, {One(), PeerHealthReport{
+                             .endpoint = 1, .health = PeerHealth::kWarmingUp, .witnesses = 9}});
   EXPECT_LT(CallsWhileAllIsWell(cold, 1s, 4s, next), usual / 2);
 
   Bench waits;
   next = 1;
   waits.At(900ms, {One()});
   CallsWhileAllEnd(waits, Outcome::kConnectFailed, 1s, 5s, next);
-  waits.At(5s, {PeerWord{.endpoint = 1, .word = Word::kTried, .rest = 1h}});
+  waits.At(5s,
+           {PeerHealthReport{.endpoint = 1, .health = PeerHealth::kBeingTested, .duration = 1h}});
   EXPECT_EQ(CallsWhileAllEnd(waits, Outcome::kConnectFailed, 5s, 6900ms, next), 0);
   EXPECT_GT(CallsWhileAllEnd(waits, Outcome::kConnectFailed, 7s, 12s, next), 0);  // a bound
 }
@@ -1120,7 +1138,8 @@
     MessageId next = 1;
     b.At(900ms, {One()});
     CallsWhileAllEnd(b, Outcome::kConnectFailed, 1s, 5s, next);
-    b.At(5s, {PeerWord{.endpoint = 1, .word = Word::kServes, .witnesses = witnesses}});
+    b.At(5s,
+         {PeerHealthReport{.endpoint = 1, .health = PeerHealth::kServing, .witnesses = witnesses}});
     EXPECT_EQ(Logged(b, "recovering"), witnesses > 1);
     return CallsWhileAllIsWell(b, 5s, 6s, next);
   };
@@ -1129,4 +1148,4 @@
 }
 
 }  // namespace
-}  // namespace rushfall
+}  // namespace dispatch_policy
--- a/tests/fleet_test.cpp
+++ b/tests/policy/group_test.cpp
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
-namespace rushfall {
+namespace dispatch_policy {
 namespace {
 
 using namespace std::chrono_literals;
@@ -20,23 +20,23 @@
 
 Settings FleetSettings(std::size_t group, std::size_t batch) {
   Settings s;
-  s.classes.push_back({.aim = 2500ms,
+  s.classes.push_back({.latency_objective = 2500ms,
                        .deadline = 12s,
-                       .effect = Effect::kKeyed,
+                       .effect = Effect::kIdempotentWithKey,
                        .dedup_window = 5s,
-                       .late_worth = 0.3});
+                       .late_weight_share = 0.3});
   s.kinds.push_back({.max_batch = batch});
-  s.slots = 20;
-  s.max_held = 200;
+  s.max_concurrent_calls = 20;
+  s.max_in_flight = 200;
   s.max_attempts = 12;
-  s.probes_allowed = s.cancel_allowed = s.retry_after_heard = true;
+  s.health_checks_allowed = s.cancel_allowed = s.clients_honor_retry_after = true;
   s.max_retry_after = 2s;
-  s.turn = 5ms;
-  s.cold_share = 0.31;
-  s.cold_time = 9s;
-  s.fall_multiple = 1.5;
-  s.fall_window = 2s;
-  s.weights = WeightMeaning::kRoughRate;
+  s.decision_interval = 5ms;
+  s.slow_start_share = 0.31;
+  s.slow_start_duration = 9s;
+  s.collapse_load_multiple = 1.5;
+  s.collapse_window = 2s;
+  s.weights = WeightMeaning::kApproximateRate;
   s.group_size = group;
   return s;
 }
@@ -55,7 +55,7 @@
     last = now;
     const bool room = used + 1 <= limit;
     used = std::min(used + 1, limit);
-    return room ? Outcome::kDelivered : Outcome::kFull;
+    return room ? Outcome::kDelivered : Outcome::kRejected;
   }
 };
 
@@ -79,10 +79,10 @@
   void Start(std::size_t i) {
     const auto held = std::exchange(nodes[i].held, {});
     nodes[i] = Node{};
-    nodes[i].choice = std::make_unique<Choice>(settings, ++seed);
+    nodes[i].choice = std::make_unique<DispatchPolicy>(settings, ++seed);
     EndpointList list;
     list.entries.push_back({.endpoint = 1, .destination = 1, .weight = 60});
-    list.form = ListForm::kWhole;
+    list.form = ListForm::kComplete;
     nodes[i].inbox.emplace_back(list);
     for (const auto& [id, kept] : held) {
       MessageRestored restored;
@@ -121,7 +121,7 @@
 
  private:
   struct Node {
-    std::unique_ptr<Choice> choice;
+    std::unique_ptr<DispatchPolicy> choice;
     std::vector<Event> inbox;
     Time wake = Time::max();
     std::map<MessageId, std::pair<Time, std::size_t>> held;  // arrival, attempts
@@ -155,16 +155,16 @@
     for (const Action& action : node.choice->Decide(now, events)) {
       if (const auto* timer = std::get_if<SetTimer>(&action)) {
         node.wake = std::min(node.wake, timer->at);
-      } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+      } else if (const auto* refuse = std::get_if<RejectMessage>(&action)) {
         counts.refused += static_cast<int>(node.held.erase(refuse->message));
-      } else if (const auto* surrender = std::get_if<Surrender>(&action)) {
+      } else if (const auto* surrender = std::get_if<FailMessage>(&action)) {
         node.held.erase(surrender->message);
-      } else if (std::holds_alternative<Probe>(action)) {
+      } else if (std::holds_alternative<StartHealthCheck>(action)) {
         ++counts.probes;
         const Outcome outcome = Reached();
         ends.emplace(now + kLatency,
-                     std::pair(i, ProbeSettled{1, outcome, kLatency, Report(outcome)}));
-      } else if (const auto* send = std::get_if<Send>(&action)) {
+                     std::pair(i, HealthCheckCompleted{1, outcome, kLatency, Report(outcome)}));
+      } else if (const auto* send = std::get_if<SendAttempt>(&action)) {
         call.push_back(send->message);
         if (call.size() == settings.kinds[0].max_batch) Carry(i, std::exchange(call, {}));
       }
@@ -174,7 +174,7 @@
 
   Outcome Reached() {
     const Outcome outcome = partner.Take(now);
-    counts.above += outcome == Outcome::kFull;
+    counts.above += outcome == Outcome::kRejected;
     return outcome;
   }
 
@@ -189,7 +189,7 @@
     counts.accepted += outcome == Outcome::kDelivered;
     for (const MessageId id : call) {
       auto& [arrived, attempts] = nodes[i].held.at(id);
-      AttemptSettled e;
+      AttemptCompleted e;
       e.message = id;
       e.attempt = attempts++;
       e.endpoint = 1;
@@ -308,4 +308,4 @@
 }
 
 }  // namespace
-}  // namespace rushfall
+}  // namespace dispatch_policy
--- a/tests/invariants_test.cpp
+++ b/tests/policy/invariants_test.cpp
@@ -7,9 +7,9 @@
 #include <random>
 #include <set>
 
-#include "rushfall/choice.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
 
-namespace rushfall {
+namespace dispatch_policy {
 namespace {
 
 using namespace std::chrono_literals;
@@ -17,31 +17,34 @@
 Settings RandomSettings(std::mt19937_64& random) {
   const auto flag = [&] { return random() % 2 == 0; };
   Settings s;
-  s.classes.push_back({.aim = 300ms, .deadline = 3s, .effect = Effect::kSafe});
-  s.classes.push_back({.aim = 400ms,
+  s.classes.push_back({.latency_objective = 300ms, .deadline = 3s, .effect = Effect::kIdempotent});
+  s.classes.push_back({.latency_objective = 400ms,
                        .deadline = 4s,
-                       .effect = Effect::kKeyed,
+                       .effect = Effect::kIdempotentWithKey,
                        .dedup_scope = flag() ? DedupScope::kDestination : DedupScope::kZone,
                        .dedup_window = 1s,
-                       .worth = 2,
-                       .late_worth = 0.5,
+                       .priority_weight = 2,
+                       .late_weight_share = 0.5,
                        .ordered = flag()});
-  s.classes.push_back({.aim = 300ms, .deadline = 3s, .effect = Effect::kUnsafe, .worth = 4});
+  s.classes.push_back({.latency_objective = 300ms,
+                       .deadline = 3s,
+                       .effect = Effect::kNotIdempotent,
+                       .priority_weight = 4});
   s.kinds = {{1 + random() % 4, flag()}, {1, flag()}};
   s.decay = flag() ? Decay::kLinear : Decay::kHalving;
-  s.slots = 2 + random() % 10;
-  s.max_held = 20 + random() % 100;
+  s.max_concurrent_calls = 2 + random() % 10;
+  s.max_in_flight = 20 + random() % 100;
   s.max_attempts = 2 + random() % 6;
-  s.probes_allowed = flag();
+  s.health_checks_allowed = flag();
   s.cancel_allowed = flag();
-  s.retry_after_heard = flag();
+  s.clients_honor_retry_after = flag();
   s.max_retry_after = 500ms;
-  s.turn = 5ms;
-  s.cold_share = 0.2;
-  s.cold_time = 2s;
-  s.fall_multiple = 2;
-  s.fall_window = 500ms;
-  s.order_rest = 100ms;
+  s.decision_interval = 5ms;
+  s.slow_start_share = 0.2;
+  s.slow_start_duration = 2s;
+  s.collapse_load_multiple = 2;
+  s.collapse_window = 500ms;
+  s.ordering_cooldown = 100ms;
   return s;
 }
 
@@ -60,13 +63,13 @@
   Time deadline{};
   std::vector<Sent> sent;
   std::optional<Time> may_have_run;
-  EndpointId ran_at = 0;
+  EndpointId ran_on_endpoint = 0;
   bool over = false;
 };
 
 bool ProvesNotRun(Outcome o) {
-  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kNotSent ||
-         o == Outcome::kCrowded;
+  return o == Outcome::kRejected || o == Outcome::kConnectFailed || o == Outcome::kNotSent ||
+         o == Outcome::kConnectionLimitReached;
 }
 
 bool Doubt(Outcome o) {
@@ -76,15 +79,15 @@
 class World {
  public:
   explicit World(std::uint64_t seed)
-      : random_(seed), set_(RandomSettings(random_)), choice_(set_, seed) {
+      : random_(seed), set_(RandomSettings(random_)), policy_(set_, seed) {
     for (EndpointId id = 0; id < 6; ++id) {
       entries_[id] = {id, id / 2, id / 2 % 2, id % 2, EndpointState::kListed, 1};
     }
   }
 
   void Run() {
-    SendList(ListForm::kWhole);
-    for (now_ = 1s; now_ < 20s; now_ += set_.turn) {
+    SendList(ListForm::kComplete);
+    for (now_ = 1s; now_ < 20s; now_ += set_.decision_interval) {
       if (now_ < 15s) Happen();
       Settle();
       if (timer_ && *timer_ <= now_) {
@@ -92,7 +95,7 @@
         timer_.reset();
       }
       if (events_.empty()) continue;
-      const std::vector<Action> actions = choice_.Decide(now_, events_);
+      const std::vector<Action> actions = policy_.Decide(now_, events_);
       events_.clear();
       for (const Action& a : actions) std::visit([this](const auto& x) { Check(x); }, a);
       calls_of_turn_.clear();
@@ -121,13 +124,13 @@
     if (random_() % 100 == 0) {
       EndpointEntry& e = entries_[random_() % entries_.size()];
       e.state = static_cast<EndpointState>(random_() % 3);
-      SendList(random_() % 2 == 0 ? ListForm::kWhole : ListForm::kChanges);
+      SendList(random_() % 2 == 0 ? ListForm::kComplete : ListForm::kChanges);
     }
     if (random_() % 400 == 0 && !held_.empty()) {
       Held& m = held_[random_() % next_];
       if (!m.over) {
         m.over = true;
-        events_.push_back(MessageWithdrawn{m.told.message});
+        events_.push_back(MessageCancelled{m.told.message});
       }
     }
     if (random_() % 50 == 0) bias_ = static_cast<int>(random_() % 7);  // a trouble comes or goes
@@ -149,26 +152,26 @@
         Sent& s = m.sent[i];
         if (!s.out || s.settles > now_) continue;
         s.out = false;
-        AttemptSettled e;
+        AttemptCompleted e;
         e.message = id;
         e.attempt = i;
         e.endpoint = s.endpoint;
         e.outcome = s.outcome;
         e.elapsed = now_ - s.at;
         if (s.outcome == Outcome::kDelivered) m.over = true;
-        if (s.outcome == Outcome::kFull && random_() % 2 == 0) {
+        if (s.outcome == Outcome::kRejected && random_() % 2 == 0) {
           e.retry_after = std::chrono::milliseconds(50 + random_() % 3000);
           const EndpointEntry& where = entries_.at(s.endpoint);
-          const bool apart = set_.kinds[where.kind].separate_routes;
+          const bool apart = set_.kinds[where.kind].per_endpoint_limits;
           Time& wait = waits_[apart ? 1000 + where.endpoint : where.destination];
           wait = std::max(wait, now_ + e.retry_after);
         }
         if (!ProvesNotRun(s.outcome) && s.outcome != Outcome::kDelivered && !m.may_have_run) {
           m.may_have_run = s.at;
-          m.ran_at = s.endpoint;
+          m.ran_on_endpoint = s.endpoint;
         }
         if (Doubt(s.outcome) && set_.classes[m.told.message_class].ordered)
-          rests_[m.told.key] = now_ + set_.order_rest;
+          rests_[m.told.key] = now_ + set_.ordering_cooldown;
         e.finished = m.over;
         events_.push_back(e);
       }
@@ -178,7 +181,7 @@
         ++it;
         continue;
       }
-      ProbeSettled e;
+      HealthCheckCompleted e;
       e.endpoint = it->first;
       e.outcome = random_() % 2 == 0 ? Outcome::kDelivered : Outcome::kTimeout;
       events_.push_back(e);
@@ -191,7 +194,7 @@
     return std::max(waits_[e.destination], waits_[1000 + e.endpoint]);
   }
 
-  void Check(const Send& a) {
+  void Check(const SendAttempt& a) {
     ++sends_;
     ASSERT_TRUE(held_.count(a.message));
     Held& m = held_[a.message];
@@ -205,11 +208,11 @@
     EXPECT_LT(m.sent.size(), set_.max_attempts);
     for (const Sent& s : m.sent) EXPECT_FALSE(s.out) << "two attempts at once";
     if (m.may_have_run) {
-      EXPECT_NE(c.effect, Effect::kUnsafe) << "effect twice";
-      if (c.effect == Effect::kKeyed) {
+      EXPECT_NE(c.effect, Effect::kNotIdempotent) << "effect twice";
+      if (c.effect == Effect::kIdempotentWithKey) {
         EXPECT_LT(now_ - *m.may_have_run, c.dedup_window);
         if (c.dedup_scope == DedupScope::kZone) {
-          EXPECT_EQ(e.zone, entries_.at(m.ran_at).zone);
+          EXPECT_EQ(e.zone, entries_.at(m.ran_on_endpoint).zone);
         }
       }
     }
@@ -249,7 +252,7 @@
         if (x.out) out.insert(x.call);
       }
     }
-    EXPECT_LE(out.size(), set_.slots);
+    EXPECT_LE(out.size(), set_.max_concurrent_calls);
   }
 
   Outcome Draw() {
@@ -266,27 +269,28 @@
     held_[id].over = true;
   }
 
-  void Check(const Refuse& a) {
+  void Check(const RejectMessage& a) {
     Final(a.message);
     const Held& m = held_[a.message];
     const ClassSettings& c = set_.classes[m.told.message_class];
     const bool ran = m.may_have_run ||
                      std::any_of(m.sent.begin(), m.sent.end(), [](const Sent& s) { return s.out; });
-    const bool harmless = c.effect == Effect::kSafe ||
-                          (c.effect == Effect::kKeyed && c.dedup_scope == DedupScope::kDestination);
+    const bool harmless =
+        c.effect == Effect::kIdempotent ||
+        (c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination);
     EXPECT_TRUE(!ran || harmless) << "refused though it may have run";
-    EXPECT_LE(a.retry_after, set_.retry_after_heard ? set_.max_retry_after : 0ms);
+    EXPECT_LE(a.retry_after, set_.clients_honor_retry_after ? set_.max_retry_after : 0ms);
   }
-  void Check(const Surrender& a) { Final(a.message); }
-  void Check(const Cancel& a) {
+  void Check(const FailMessage& a) { Final(a.message); }
+  void Check(const CancelAttempt& a) {
     EXPECT_TRUE(set_.cancel_allowed);
     ASSERT_LT(a.attempt, held_[a.message].sent.size());
     Sent& s = held_[a.message].sent[a.attempt];
     s.outcome = Outcome::kCancelled;
     s.settles = now_ + 5ms;
   }
-  void Check(const Probe& a) {
-    EXPECT_TRUE(set_.probes_allowed);
+  void Check(const StartHealthCheck& a) {
+    EXPECT_TRUE(set_.health_checks_allowed);
     EXPECT_EQ(entries_.at(a.endpoint).state, EndpointState::kListed);
     EXPECT_LE(WaitOf(a.endpoint), now_) << "wait";
     EXPECT_FALSE(probes_.count(a.endpoint));
@@ -296,12 +300,12 @@
     EXPECT_GT(a.at, now_);
     timer_ = timer_ ? std::min(*timer_, a.at) : a.at;
   }
-  void Check(const Subscribe&) { ADD_FAILURE(); }
-  void Check(const Log&) { EXPECT_LE(++logs_, 60); }
+  void Check(const SubscribeToEndpointList&) { ADD_FAILURE(); }
+  void Check(const LogMessage&) { EXPECT_LE(++logs_, 60); }
 
   std::mt19937_64 random_;
   Settings set_;
-  Choice choice_;
+  DispatchPolicy policy_;
   Time now_{};
   std::vector<Event> events_;
   std::map<EndpointId, EndpointEntry> entries_;
@@ -331,4 +335,4 @@
 }
 
 }  // namespace
-}  // namespace rushfall
+}  // namespace dispatch_policy
--- a/tests/wire_test.cpp
+++ b/tests/policy/simulator_host_test.cpp
@@ -1,12 +1,12 @@
-#include "wire.hpp"
+#include "simulator_host.hpp"
 
 #include <gtest/gtest.h>
 
 #include <sstream>
 
-#include "host.hpp"
+#include "simulator_wire.hpp"
 
-namespace rushfall::wire {
+namespace dispatch_policy::simulator {
 namespace {
 
 constexpr char kStart[] =
@@ -30,20 +30,20 @@
 TEST(Wire, SettingsAreReadAndUnknownOnesSkipped) {
   const Settings s = ParseSettings(Line(kStart));
   ASSERT_EQ(s.classes.size(), 2u);
-  EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(s.classes[0].effect, Effect::kIdempotentWithKey);
   EXPECT_EQ(s.classes[0].dedup_scope, DedupScope::kZone);
   EXPECT_EQ(s.classes[0].dedup_window, std::chrono::seconds(15));
   EXPECT_TRUE(s.classes[0].ordered);
-  EXPECT_EQ(s.classes[1].effect, Effect::kSafe);
+  EXPECT_EQ(s.classes[1].effect, Effect::kIdempotent);
   ASSERT_EQ(s.kinds.size(), 2u);
   EXPECT_EQ(s.kinds[0].max_batch, 20u);
-  EXPECT_TRUE(s.kinds[1].separate_routes);
-  EXPECT_EQ(s.zone_toll, (std::vector<double>{0, 0.03}));
+  EXPECT_TRUE(s.kinds[1].per_endpoint_limits);
+  EXPECT_EQ(s.zone_penalty, (std::vector<double>{0, 0.03}));
   EXPECT_EQ(s.decay, Decay::kHalving);
-  EXPECT_EQ(s.slots, 15u);
+  EXPECT_EQ(s.max_concurrent_calls, 15u);
   EXPECT_TRUE(s.cancel_allowed);
-  EXPECT_FALSE(s.probes_allowed);
-  EXPECT_DOUBLE_EQ(s.cold_share, 0.17);
+  EXPECT_FALSE(s.health_checks_allowed);
+  EXPECT_DOUBLE_EQ(s.slow_start_share, 0.17);
 }
 
 TEST(Wire, AnEmptyBatchGetsAnEmptyReply) {
@@ -115,4 +115,4 @@
 }
 
 }  // namespace
-}  // namespace rushfall::wire
+}  // namespace dispatch_policy::simulator
