--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -29,7 +29,9 @@
         self.changed = threading.Condition()
         self.revision = revision
         self.members = list(members)
-        self.calls = []  # one entry for each message in each call: id, key, body, bundle
+        self.calls = (
+            []
+        )  # one entry for each message in each call: id, key, body, bundle
         self.notices = []
         self.refused_notices = 0  # so many posts of notices are answered with an error
         # Of one message: (status, headers), or bytes that are written as they stand, or a state for a
@@ -133,7 +135,9 @@
             }
             self.server.note(self.server.calls, call)
             status, _ = self.server.answer(call)
-            states.append({"id": item["id"], "state": "ok" if status == 200 else "later"})
+            states.append(
+                {"id": item["id"], "state": "ok" if status == 200 else "later"}
+            )
         self.reply(200, body=json.dumps(states).encode())
 
     def finals(self, body):
@@ -171,7 +175,15 @@
         self.send(*words)
         return self.read()
 
-    def put(self, dest, body, left_ms=20000, message=None, key=None, fields="c=plan-event,t=acme"):
+    def put(
+        self,
+        dest,
+        body,
+        left_ms=20000,
+        message=None,
+        key=None,
+        fields="c=plan-event,t=acme",
+    ):
         message = message or uuid.uuid4().hex[:16]
         key = key or uuid.uuid4().hex[:16]
         fields += ",d=%d,k=%s,dest=%d" % (left_ms, key, dest)
--- a/tests/dns/interop_test.py
+++ b/tests/dns/interop_test.py
@@ -38,7 +38,9 @@
 PROGRAM = os.environ["BRASSFRONT"]
 CORPUS = pathlib.Path(__file__).parent / "corpus"
 SECRET = base64.b64encode(b"0123456789abcdef0123456789abcdef").decode()
-KEYS = dns.tsigkeyring.from_text({"writer.": SECRET, "reader.": SECRET, "stranger.": SECRET})
+KEYS = dns.tsigkeyring.from_text(
+    {"writer.": SECRET, "reader.": SECRET, "stranger.": SECRET}
+)
 KILLS = int(os.environ.get("BRASSFRONT_KILLS", "100"))
 
 ZONE = """$TTL 60
@@ -64,7 +66,9 @@
   {key: "reader.", top: "example.", transfer: true},
   {key: "large.", top: "sub.example.", types: ["A"], update: true},
 ]
-""" % {"secret": SECRET}
+""" % {
+    "secret": SECRET
+}
 
 
 def wait_for(condition, seconds=20):
@@ -89,11 +93,15 @@
 
     def start(self):
         self.file.write_text(
-            f'listen: "127.0.0.1:{self.port}"\nzones: [{self.zones}]\n{SETTINGS}\n{self.more}\n')
+            f'listen: "127.0.0.1:{self.port}"\nzones: [{self.zones}]\n{SETTINGS}\n{self.more}\n'
+        )
         self.log = open(self.folder / "log", "a")
         self.process = subprocess.Popen(
             [PROGRAM, "zone", "serve", str(self.file), "--log-level", "debug"],
-            stdout=subprocess.PIPE, stderr=self.log, text=True)
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            text=True,
+        )
         line = self.process.stdout.readline()
         if not line.startswith("serving on "):
             raise RuntimeError(f"no start: {line} {(self.folder / 'log').read_text()}")
@@ -126,8 +134,9 @@
         return answer.answer[0][0].serial if answer.answer else None
 
     def update(self, key="writer.", algorithm=dns.tsig.HMAC_SHA256, keys=KEYS):
-        return dns.update.UpdateMessage("example.", keyring=keys, keyname=key,
-                                        keyalgorithm=algorithm)
+        return dns.update.UpdateMessage(
+            "example.", keyring=keys, keyname=key, keyalgorithm=algorithm
+        )
 
     def send(self, update, tcp=True):
         by = dns.query.tcp if tcp else dns.query.udp
@@ -136,12 +145,20 @@
     def transfer(self, zone=None, key="reader.", serial=None):
         """Into the zone, from a serial if one is given."""
         zone = zone or dns.zone.Zone("example.", relativize=False)
-        query, _ = dns.xfr.make_query(zone, serial=serial if serial is not None else 0,
-                                      keyring=KEYS, keyname=key,
-                                      keyalgorithm=dns.tsig.HMAC_SHA256)
+        query, _ = dns.xfr.make_query(
+            zone,
+            serial=serial if serial is not None else 0,
+            keyring=KEYS,
+            keyname=key,
+            keyalgorithm=dns.tsig.HMAC_SHA256,
+        )
         if serial is None:
-            query, _ = dns.xfr.make_query(dns.zone.Zone("example."), keyring=KEYS, keyname=key,
-                                          keyalgorithm=dns.tsig.HMAC_SHA256)
+            query, _ = dns.xfr.make_query(
+                dns.zone.Zone("example."),
+                keyring=KEYS,
+                keyname=key,
+                keyalgorithm=dns.tsig.HMAC_SHA256,
+            )
         dns.query.inbound_xfr("127.0.0.1", zone, query, port=self.port, timeout=10)
         return zone
 
@@ -169,8 +186,14 @@
             if server.process.poll() is None:
                 self.assertEqual(server.stop(), 0)
 
-    def serve(self, zones='{name: "example.", file: "example.zone", folder: "kept"}', more="",
-              name="primary", zone=ZONE, listen="127.0.0.1:0"):
+    def serve(
+        self,
+        zones='{name: "example.", file: "example.zone", folder: "kept"}',
+        more="",
+        name="primary",
+        zone=ZONE,
+        listen="127.0.0.1:0",
+    ):
         folder = pathlib.Path(self.folder) / name
         folder.mkdir()
         if zone:
@@ -180,8 +203,13 @@
         return server
 
     def run_program(self, *words, input=None):
-        return subprocess.run([PROGRAM, "zone", *map(str, words)], input=input, text=True,
-                              capture_output=True, timeout=60)
+        return subprocess.run(
+            [PROGRAM, "zone", *map(str, words)],
+            input=input,
+            text=True,
+            capture_output=True,
+            timeout=60,
+        )
 
 
 class Corpus(TestCase):
@@ -195,18 +223,26 @@
                 count += 1
                 with self.subTest(file=file.name):
                     ours = self.run_program("show", file, "--origin", "example.")
-                    self.assertEqual(ours.returncode, 0 if kind == "good" else 1, ours.stderr)
+                    self.assertEqual(
+                        ours.returncode, 0 if kind == "good" else 1, ours.stderr
+                    )
                     if kind == "bad":
                         self.assertIn(str(file), ours.stderr)
                     if file.stem in other:
                         continue
                     try:
-                        theirs = dns.zone.from_file(str(file), "example.", relativize=False)
+                        theirs = dns.zone.from_file(
+                            str(file), "example.", relativize=False
+                        )
                     except Exception as fault:  # it has many kinds
                         theirs = None
-                        self.assertEqual(kind, "bad", f"dnspython refuses it: {fault!r}")
+                        self.assertEqual(
+                            kind, "bad", f"dnspython refuses it: {fault!r}"
+                        )
                     if kind == "good":
-                        again = dns.zone.from_text(ours.stdout, "example.", relativize=False)
+                        again = dns.zone.from_text(
+                            ours.stdout, "example.", relativize=False
+                        )
                         self.assertEqual(records_of(again), records_of(theirs))
                     else:
                         self.assertIsNone(theirs, "dnspython takes it")
@@ -218,15 +254,23 @@
         server = self.serve()
         answer = server.ask("WWW.example.")
         self.assertTrue(answer.flags & dns.flags.AA)
-        self.assertEqual(sorted(r.address for r in answer.answer[0]), ["192.0.2.2", "192.0.2.3"])
-        self.assertEqual(server.ask("alias.example.").answer[0][0].to_text(), "www.example.")
-        self.assertEqual(server.ask("text.example.", "TXT").answer[0][0].strings,
-                         (b"some text", b"more"))
+        self.assertEqual(
+            sorted(r.address for r in answer.answer[0]), ["192.0.2.2", "192.0.2.3"]
+        )
+        self.assertEqual(
+            server.ask("alias.example.").answer[0][0].to_text(), "www.example."
+        )
+        self.assertEqual(
+            server.ask("text.example.", "TXT").answer[0][0].strings,
+            (b"some text", b"more"),
+        )
         service = server.ask("_s._tcp.example.", "SRV", tcp=True)
         self.assertEqual(service.answer[0][0].port, 80)
         self.assertEqual(len(service.additional[0]), 2)
-        self.assertEqual(server.ask("big.example.", "HTTPS").answer[0][0].to_text(),
-                         '1 . alpn="h2" port="8443"')
+        self.assertEqual(
+            server.ask("big.example.", "HTTPS").answer[0][0].to_text(),
+            '1 . alpn="h2" port="8443"',
+        )
         gone = server.ask("gone.example.")
         self.assertEqual(gone.rcode(), dns.rcode.NXDOMAIN)
         self.assertEqual(gone.authority[0].rdtype, dns.rdatatype.SOA)
@@ -240,7 +284,11 @@
         self.assertTrue(cut.flags & dns.flags.TC)
         self.assertLessEqual(len(cut.to_wire()), 512)
         whole, by_tcp = dns.query.udp_with_fallback(
-            dns.message.make_query("many.example.", "A"), "127.0.0.1", port=server.port, timeout=10)
+            dns.message.make_query("many.example.", "A"),
+            "127.0.0.1",
+            port=server.port,
+            timeout=10,
+        )
         self.assertTrue(by_tcp)
         self.assertEqual(len(whole.answer[0]), 200)
         ours = self.run_program("query", server.address, "many.example.")
@@ -250,9 +298,11 @@
         server = self.serve()
         with socket.create_connection(("127.0.0.1", server.port), timeout=10) as stream:
             queries = [dns.message.make_query("www.example.", "A") for _ in range(20)]
-            raw = b"".join(struct.pack("!H", len(q.to_wire())) + q.to_wire() for q in queries)
+            raw = b"".join(
+                struct.pack("!H", len(q.to_wire())) + q.to_wire() for q in queries
+            )
             for at in range(0, len(raw), 7):
-                stream.sendall(raw[at:at + 7])
+                stream.sendall(raw[at : at + 7])
             for query in queries:
                 answer, _ = dns.query.receive_tcp(stream, time.time() + 10)
                 self.assertEqual(answer.id, query.id)
@@ -266,10 +316,14 @@
                 packet = bytearray(good)
                 for _ in range(chance.randrange(6)):
                     packet[chance.randrange(len(packet))] = chance.randrange(256)
-                sender.sendto(bytes(packet[:chance.randrange(len(packet) + 1)]),
-                              ("127.0.0.1", server.port))
+                sender.sendto(
+                    bytes(packet[: chance.randrange(len(packet) + 1)]),
+                    ("127.0.0.1", server.port),
+                )
         for _ in range(50):
-            with socket.create_connection(("127.0.0.1", server.port), timeout=10) as stream:
+            with socket.create_connection(
+                ("127.0.0.1", server.port), timeout=10
+            ) as stream:
                 stream.sendall(chance.randbytes(200))
         self.assertTrue(wait_for(lambda: self.answers(server)))
         self.assertEqual(server.serial(), 1)
@@ -290,7 +344,9 @@
             answer = server.send(update, tcp)
             self.assertEqual(answer.rcode(), dns.rcode.NOERROR)
             self.assertTrue(answer.had_tsig)
-            self.assertEqual(server.ask(f"new{tcp:d}.example.").answer[0][0].address, "192.0.2.9")
+            self.assertEqual(
+                server.ask(f"new{tcp:d}.example.").answer[0][0].address, "192.0.2.9"
+            )
         self.assertEqual(server.serial(), 3)
         update = server.update()
         update.present("www", "A", "192.0.2.2")
@@ -302,7 +358,9 @@
         update.replace("www", 30, "A", "192.0.2.77")
         update.delete("text", "TXT")
         self.assertEqual(server.send(update).rcode(), dns.rcode.NOERROR)
-        self.assertEqual([r.address for r in server.ask("www.example.").answer[0]], ["192.0.2.77"])
+        self.assertEqual(
+            [r.address for r in server.ask("www.example.").answer[0]], ["192.0.2.77"]
+        )
         self.assertEqual(server.ask("text.example.", "TXT").rcode(), dns.rcode.NXDOMAIN)
 
     def test_who_may_not_is_refused(self):
@@ -317,15 +375,19 @@
         update.add("x", 60, "A", "192.0.2.9")
         with self.assertRaises(dns.tsig.PeerBadKey):
             server.send(update)
-        wrong = dns.tsigkeyring.from_text({"writer.": base64.b64encode(b"x" * 32).decode()})
+        wrong = dns.tsigkeyring.from_text(
+            {"writer.": base64.b64encode(b"x" * 32).decode()}
+        )
         update = server.update(keys=wrong)
         update.add("x", 60, "A", "192.0.2.9")
         with self.assertRaises(dns.tsig.PeerBadSignature):
             server.send(update)
         large = dns.tsigkeyring.from_text({"large.": SECRET})
-        for name, rdtype, data, rcode in (("a.sub", "A", "192.0.2.9", dns.rcode.NOERROR),
-                                          ("a.sub", "TXT", "x", dns.rcode.REFUSED),
-                                          ("a", "A", "192.0.2.9", dns.rcode.REFUSED)):
+        for name, rdtype, data, rcode in (
+            ("a.sub", "A", "192.0.2.9", dns.rcode.NOERROR),
+            ("a.sub", "TXT", "x", dns.rcode.REFUSED),
+            ("a", "A", "192.0.2.9", dns.rcode.REFUSED),
+        ):
             update = server.update("large.", dns.tsig.HMAC_SHA512, large)
             update.add(name, 60, rdtype, data)
             self.assertEqual(server.send(update).rcode(), rcode)
@@ -342,9 +404,11 @@
                 wire = update.to_wire()
             finally:
                 time.time = real
-            with socket.create_connection(("127.0.0.1", server.port), timeout=10) as stream:
+            with socket.create_connection(
+                ("127.0.0.1", server.port), timeout=10
+            ) as stream:
                 stream.sendall(struct.pack("!H", len(wire)) + wire)
-                length, = struct.unpack("!H", stream.recv(2, socket.MSG_WAITALL))
+                (length,) = struct.unpack("!H", stream.recv(2, socket.MSG_WAITALL))
                 raw = stream.recv(length, socket.MSG_WAITALL)
             self.assertEqual(raw[3] & 15, dns.rcode.NOTAUTH)
             with self.assertRaises(dns.tsig.PeerBadTime):
@@ -358,10 +422,15 @@
         wire = add.to_wire()
 
         def send():
-            with socket.create_connection(("127.0.0.1", server.port), timeout=10) as stream:
+            with socket.create_connection(
+                ("127.0.0.1", server.port), timeout=10
+            ) as stream:
                 stream.sendall(struct.pack("!H", len(wire)) + wire)
-                length, = struct.unpack("!H", stream.recv(2, socket.MSG_WAITALL))
-                return struct.unpack("!H", stream.recv(length, socket.MSG_WAITALL)[2:4])[0] & 15
+                (length,) = struct.unpack("!H", stream.recv(2, socket.MSG_WAITALL))
+                return (
+                    struct.unpack("!H", stream.recv(length, socket.MSG_WAITALL)[2:4])[0]
+                    & 15
+                )
 
         self.assertEqual(send(), dns.rcode.NOERROR)
         remove = server.update()
@@ -379,23 +448,44 @@
         key = pathlib.Path(self.folder) / "key"
         key.write_text(f'key: {{name: "writer.", secret: "{SECRET}"}}\n')
         common = ("--origin", "example.", "--key", key)
-        done = self.run_program("update", server.address, "require www A", "forbid gone",
-                                'add x 60 TXT "two words" (three)', "-", *common,
-                                input="add x 60 A 192.0.2.9\n\ndelete text\n")
+        done = self.run_program(
+            "update",
+            server.address,
+            "require www A",
+            "forbid gone",
+            'add x 60 TXT "two words" (three)',
+            "-",
+            *common,
+            input="add x 60 A 192.0.2.9\n\ndelete text\n",
+        )
         self.assertEqual((done.returncode, done.stdout), (0, "NOERROR\n"), done.stderr)
-        self.assertEqual(server.ask("x.example.", "TXT").answer[0][0].strings,
-                         (b"two words", b"three"))
-        done = self.run_program("update", server.address, "require gone A", "delete www", *common)
+        self.assertEqual(
+            server.ask("x.example.", "TXT").answer[0][0].strings,
+            (b"two words", b"three"),
+        )
+        done = self.run_program(
+            "update", server.address, "require gone A", "delete www", *common
+        )
         self.assertEqual((done.returncode, done.stdout), (1, "NXRRSET\n"))
-        done = self.run_program("update", server.address, "delete www A 192.0.2.2", *common)
+        done = self.run_program(
+            "update", server.address, "delete www A 192.0.2.2", *common
+        )
         self.assertEqual(done.returncode, 0)
         self.assertEqual(len(server.ask("www.example.").answer[0]), 1)
-        for step in ("put x A 1.2.3.4", "add x 60 A", "add x 60 A 1.2.3", "delete x FOO",
-                     "forbid x A 1.2.3.4", "add x..y 60 A 1.2.3.4"):
+        for step in (
+            "put x A 1.2.3.4",
+            "add x 60 A",
+            "add x 60 A 1.2.3",
+            "delete x FOO",
+            "forbid x A 1.2.3.4",
+            "add x..y 60 A 1.2.3.4",
+        ):
             done = self.run_program("update", server.address, step, *common)
             self.assertEqual(done.returncode, 2, step)
             self.assertIn(step, done.stderr)
-        self.assertEqual(self.run_program("query", "127.0.0.1:1", "x.", "--wait", "50").returncode, 3)
+        self.assertEqual(
+            self.run_program("query", "127.0.0.1:1", "x.", "--wait", "50").returncode, 3
+        )
 
     def test_a_hundred_kills_lose_nothing_that_was_confirmed(self):
         server = self.serve()
@@ -438,8 +528,10 @@
     def test_whole_and_by_changes_to_dnspython(self):
         server = self.serve()
         zone = server.transfer()
-        self.assertEqual(records_of(zone),
-                         records_of(dns.zone.from_text(ZONE, "example.", relativize=False)))
+        self.assertEqual(
+            records_of(zone),
+            records_of(dns.zone.from_text(ZONE, "example.", relativize=False)),
+        )
         for n in range(30):
             update = server.update()
             update.add(f"n{n}", 60, "A", "192.0.2.9")
@@ -450,14 +542,18 @@
         server.transfer(zone, serial=zone.get_soa().serial)
         self.assertEqual(records_of(zone), records_of(server.transfer()))
         refused = dns.message.make_query("example.", "AXFR")
-        self.assertEqual(dns.query.tcp(refused, "127.0.0.1", port=server.port, timeout=10).rcode(),
-                         dns.rcode.REFUSED)
+        self.assertEqual(
+            dns.query.tcp(refused, "127.0.0.1", port=server.port, timeout=10).rcode(),
+            dns.rcode.REFUSED,
+        )
 
     def test_serials_go_round_their_end(self):
         last = 4294967295
         port = self.free_port()
-        primary = self.serve(zone=ZONE.replace("host 1 ", f"host {last} "),
-                             more=f'notify: ["127.0.0.1:{port}"]')
+        primary = self.serve(
+            zone=ZONE.replace("host 1 ", f"host {last} "),
+            more=f'notify: ["127.0.0.1:{port}"]',
+        )
         second = self.follower(primary, listen=f"127.0.0.1:{port}")
         zone = primary.transfer()
         self.assertTrue(wait_for(lambda: second.serial() == last))
@@ -471,8 +567,12 @@
         """A primary that dnspython's renderer and signer make."""
         zone = dns.zone.from_text(ZONE, "example.", relativize=False)
         soa = zone.get_rdataset("example.", "SOA")
-        records = [(n, r) for n, r in zone.iterate_rdatasets() if r.rdtype != dns.rdatatype.SOA]
-        old = dns.rdataset.from_text("IN", "SOA", 60, soa[0].to_text().replace(" 1 2 ", " 0 2 "))
+        records = [
+            (n, r) for n, r in zone.iterate_rdatasets() if r.rdtype != dns.rdatatype.SOA
+        ]
+        old = dns.rdataset.from_text(
+            "IN", "SOA", 60, soa[0].to_text().replace(" 1 2 ", " 0 2 ")
+        )
         gone = dns.rdataset.from_text("IN", "A", 60, "192.0.2.99")
         new = dns.rdataset.from_text("IN", "A", 60, "192.0.2.2", "192.0.2.3")
 
@@ -480,8 +580,14 @@
             origin = dns.name.from_text("example.")
             if query.question[0].rdtype == dns.rdatatype.IXFR:
                 www = dns.name.from_text("www.example.")
-                parts = [(origin, soa), (origin, old), (www, gone), (origin, soa), (www, new),
-                         (origin, soa)]
+                parts = [
+                    (origin, soa),
+                    (origin, old),
+                    (www, gone),
+                    (origin, soa),
+                    (www, new),
+                    (origin, soa),
+                ]
             else:
                 parts = [(origin, soa), *records, (origin, soa)]
             context = None
@@ -492,9 +598,18 @@
                 renderer.add_rdataset(dns.renderer.ANSWER, name, rdataset)
                 renderer.write_header()
                 context = renderer.add_multi_tsig(
-                    context, query.keyname, query.keyring[query.keyname] if isinstance(
-                        query.keyring, dict) else query.keyring, 300, query.id, 0, b"",
-                    query.mac, dns.tsig.HMAC_SHA256)
+                    context,
+                    query.keyname,
+                    query.keyring[query.keyname]
+                    if isinstance(query.keyring, dict)
+                    else query.keyring,
+                    300,
+                    query.id,
+                    0,
+                    b"",
+                    query.mac,
+                    dns.tsig.HMAC_SHA256,
+                )
                 renderer.write_header()
                 yield renderer.get_wire()
 
@@ -508,7 +623,9 @@
                 except OSError:
                     return
                 with stream:
-                    query, _ = dns.query.receive_tcp(stream, time.time() + 10, keyring=KEYS)
+                    query, _ = dns.query.receive_tcp(
+                        stream, time.time() + 10, keyring=KEYS
+                    )
                     for wire in answer(query):
                         stream.sendall(struct.pack("!H", len(wire)) + wire)
                     stream.recv(1)
@@ -527,8 +644,10 @@
         self.assertIn("+www.example. 60 IN A 192.0.2.2\n", done.stdout)
 
     def follower(self, primary, **more):
-        zones = ('{name: "example.", primary: "%s", key: "reader.", folder: "copy"}'
-                 % primary.address)
+        zones = (
+            '{name: "example.", primary: "%s", key: "reader.", folder: "copy"}'
+            % primary.address
+        )
         return self.serve(zones, name="second", zone=None, **more)
 
     def free_port(self):
@@ -570,8 +689,14 @@
         second = self.follower(primary)
         self.assertTrue(wait_for(lambda: second.serial() == 1))
         before = records_of(second.transfer())
-        for fault in ("quiet: true", "refuse: true", "garbage: true", "half_transfers: true",
-                      "serial: 4000000000", "serial: 99"):
+        for fault in (
+            "quiet: true",
+            "refuse: true",
+            "garbage: true",
+            "half_transfers: true",
+            "serial: 4000000000",
+            "serial: 99",
+        ):
             with self.subTest(fault=fault):
                 primary.stop()
                 primary.more = f"faults: [{{at: 0s, for: 10m, {fault}}}]"
@@ -579,9 +704,13 @@
                 primary.start()
                 self.change_through(primary)
                 mark = len((second.folder / "log").read_text())
-                self.assertTrue(wait_for(
-                    lambda: "zone not renewed" in (second.folder / "log").read_text()[mark:]
-                    or fault.startswith("serial: 99")))
+                self.assertTrue(
+                    wait_for(
+                        lambda: "zone not renewed"
+                        in (second.folder / "log").read_text()[mark:]
+                        or fault.startswith("serial: 99")
+                    )
+                )
                 if fault.startswith("serial: 99"):
                     continue  # claims more than it has: what it then sends is newer, and true
                 self.assertEqual(records_of(second.transfer()), before)
@@ -597,7 +726,9 @@
         update = primary.update()
         update.add(f"c{time.monotonic_ns()}", 60, "A", "192.0.2.50")
         wire = update.to_wire()
-        with socket.create_connection(("127.0.0.1", primary.port), timeout=10) as stream:
+        with socket.create_connection(
+            ("127.0.0.1", primary.port), timeout=10
+        ) as stream:
             stream.sendall(struct.pack("!H", len(wire)) + wire)
 
     def test_a_zone_whose_primary_is_gone_expires(self):
@@ -606,8 +737,9 @@
         second = self.follower(primary)
         self.assertTrue(wait_for(lambda: second.serial() == 1))
         primary.kill()
-        self.assertTrue(wait_for(
-            lambda: second.ask("www.example.").rcode() == dns.rcode.SERVFAIL))
+        self.assertTrue(
+            wait_for(lambda: second.ask("www.example.").rcode() == dns.rcode.SERVFAIL)
+        )
         primary.start()
         self.assertTrue(wait_for(lambda: second.ask("www.example.").answer))
 
@@ -633,14 +765,17 @@
         time.sleep(0.5)
         self.assertTrue(server.ask("new.example.").answer)
         write(ZONE.replace("host 1 ", "host 4 "))
-        self.assertTrue(wait_for(
-            lambda: server.ask("new.example.").rcode() == dns.rcode.NXDOMAIN))
+        self.assertTrue(
+            wait_for(lambda: server.ask("new.example.").rcode() == dns.rcode.NXDOMAIN)
+        )
 
     def log(self, server):
         return (server.folder / "log").read_text()
 
     def test_a_bad_file_at_the_start_is_answered_by_servfail_until_it_is_good(self):
-        server = self.serve('{name: "example.", file: "example.zone"}', zone="nothing\n")
+        server = self.serve(
+            '{name: "example.", file: "example.zone"}', zone="nothing\n"
+        )
         self.assertEqual(server.ask("www.example.").rcode(), dns.rcode.SERVFAIL)
         (server.folder / "example.zone").write_text(ZONE)
         self.assertTrue(wait_for(lambda: server.ask("www.example.").answer))
@@ -649,27 +784,51 @@
         schema = pathlib.Path(self.folder) / "schema"
         schema.write_text(self.run_program("schema").stdout)
         example = CORPUS.parents[2] / "deploy" / "sources.records"
-        done = subprocess.run([PROGRAM, "check-records", example, "--schema", schema,
-                               "--definition", "#Sources"], capture_output=True, text=True)
+        done = subprocess.run(
+            [
+                PROGRAM,
+                "check-records",
+                example,
+                "--schema",
+                schema,
+                "--definition",
+                "#Sources",
+            ],
+            capture_output=True,
+            text=True,
+        )
         self.assertEqual(done.returncode, 0, done.stderr)
 
     def test_settings_that_cannot_be_are_refused_with_their_place(self):
         file = pathlib.Path(self.folder) / "bad.records"
-        for text, why in (('zones: [{name: "a..b", file: "x"}]', "empty label"),
-                          ('zones: [{name: "a."}]', "a zone has a file"),
-                          ('zones: [{name: "a.", file: "x", primary: "127.0.0.1:1"}]',
-                           "a zone has a file"),
-                          ('zones: [{name: "a.", file: "x"}, {name: "A.", file: "x"}]',
-                           "given before"),
-                          ('zones: [{name: "a.", primary: "here"}]', "expected an address"),
-                          ('zones: [{name: "a.", file: "x"}]\nkeys: [{name: "k.", secret: "?"}]',
-                           "Base64"),
-                          ('zones: [{name: "a.", file: "x"}]\n'
-                           'grants: [{key: "k.", top: "a."}]', "no key of this name")):
+        for text, why in (
+            ('zones: [{name: "a..b", file: "x"}]', "empty label"),
+            ('zones: [{name: "a."}]', "a zone has a file"),
+            (
+                'zones: [{name: "a.", file: "x", primary: "127.0.0.1:1"}]',
+                "a zone has a file",
+            ),
+            (
+                'zones: [{name: "a.", file: "x"}, {name: "A.", file: "x"}]',
+                "given before",
+            ),
+            ('zones: [{name: "a.", primary: "here"}]', "expected an address"),
+            (
+                'zones: [{name: "a.", file: "x"}]\nkeys: [{name: "k.", secret: "?"}]',
+                "Base64",
+            ),
+            (
+                'zones: [{name: "a.", file: "x"}]\n' 'grants: [{key: "k.", top: "a."}]',
+                "no key of this name",
+            ),
+        ):
             file.write_text(text + "\n")
             done = self.run_program("serve", file)
             self.assertEqual(done.returncode, 1, text)
-            self.assertIn(str(file) + ":1:" if "\n" not in text else str(file) + ":2:", done.stderr)
+            self.assertIn(
+                str(file) + ":1:" if "\n" not in text else str(file) + ":2:",
+                done.stderr,
+            )
             self.assertIn(why, done.stderr)
 
 
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -58,12 +58,21 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         self.process = subprocess.Popen(
-            [PROGRAM, "serve", "--config", str(path), "--state", str(self.folder / "state")]
+            [
+                PROGRAM,
+                "serve",
+                "--config",
+                str(path),
+                "--state",
+                str(self.folder / "state"),
+            ]
             + ["--fleet", str(self.fleet.roster_of(self.name))],
             stderr=subprocess.PIPE,
             text=True,
         )
-        self.reader = threading.Thread(target=self.read, args=(self.process,), daemon=True)
+        self.reader = threading.Thread(
+            target=self.read, args=(self.process,), daemon=True
+        )
         self.reader.start()
         self.wait_for("serving name=")
         return self
@@ -76,7 +85,9 @@
         end = time.monotonic() + LIMIT
         while not any(text in line for line in self.log[since:]):
             if time.monotonic() > end:
-                raise AssertionError("no %r from %s in %s" % (text, self.name, self.log))
+                raise AssertionError(
+                    "no %r from %s in %s" % (text, self.name, self.log)
+                )
             time.sleep(0.02)
 
     def end(self, how=signal.SIGKILL):
@@ -159,7 +170,9 @@
         """Three members that have settled their roster."""
         members = self.start()
         for member in members:
-            member.until("a leader", lambda s: s["leader"] and s["alive"] == 3, "status")
+            member.until(
+                "a leader", lambda s: s["leader"] and s["alive"] == 3, "status"
+            )
             member.until("its vote", lambda s: s["votes"], "status")
             member.until("the roster", lambda s: s["places"] == 1, "status")
         return members
@@ -173,7 +186,9 @@
         self.assertEqual(again[0], DONE)
         self.assertIn("already asked", again[1])
         self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
-        out = lambda v: any(r["name"] == "n0" and r["state"] == "out" for r in v["open"])
+        out = lambda v: any(
+            r["name"] == "n0" and r["state"] == "out" for r in v["open"]
+        )
         n1.until("n0 to be out", out, "maintenance", "list")
         waits = lambda v: any(
             (r["name"], r["state"], r["waits_for"]) == ("n1", "waiting", "n0 (out)")
@@ -191,7 +206,12 @@
         n0.wait_for("standby", since)
         self.assertEqual(n1.ask("maintenance", "back", "n0")[0], DONE)
         n0.until("n0 to serve", lambda s: not s["standing_by"], "status")
-        n0.until("n1's turn", lambda v: all(r["name"] != "n0" for r in v["open"]), "maintenance", "list")
+        n0.until(
+            "n1's turn",
+            lambda v: all(r["name"] != "n0" for r in v["open"]),
+            "maintenance",
+            "list",
+        )
         n2.until(
             "n1 to be out",
             lambda v: any(r["name"] == "n1" and r["state"] == "out" for r in v["open"]),
@@ -220,7 +240,9 @@
             (("dance", "n1"), BAD, "no such thing"),
         ]:
             found = n0.ask("maintenance", *words)
-            self.assertEqual((found[0], text in found[1]), (status, True), (words, found))
+            self.assertEqual(
+                (found[0], text in found[1]), (status, True), (words, found)
+            )
         self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
         self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
         waits = lambda v: v["open"] and "held" in v["open"][0]["waits_for"]
@@ -253,15 +275,23 @@
         self.assertEqual((status, "open to other users" in text), (REFUSED, True), text)
         empty = Member(self, "n8")
         status, text = empty.ask("status")
-        self.assertEqual((status, "no forwarder of a fleet" in text), (REFUSED, True), text)
+        self.assertEqual(
+            (status, "no forwarder of a fleet" in text), (REFUSED, True), text
+        )
 
     def test_noise_on_the_control_socket_is_answered_and_harms_nothing(self):
         n0, _, _ = self.settled()
         path = str(n0.folder / "state" / "fleet" / "control")
-        for noise in [b"\r\n\r\n", b"\0" * 9000, b"GET /nothing HTTP/1.1\r\n\r\n", b"PUT / HTTP/1.1\r\n\r\n", b"",
-                      b"POST /fleet/maintenance/ask?name=n1&token=99999999999999999999999 HTTP/1.1\r\n\r\n",
-                      b"POST /fleet/maintenance/ask?name=n1&token=x HTTP/1.1\r\n\r\n",
-                      b"POST /fleet/maintenance/ask?name=%%%&kind=%zz HTTP/1.1\r\n\r\n"]:
+        for noise in [
+            b"\r\n\r\n",
+            b"\0" * 9000,
+            b"GET /nothing HTTP/1.1\r\n\r\n",
+            b"PUT / HTTP/1.1\r\n\r\n",
+            b"",
+            b"POST /fleet/maintenance/ask?name=n1&token=99999999999999999999999 HTTP/1.1\r\n\r\n",
+            b"POST /fleet/maintenance/ask?name=n1&token=x HTTP/1.1\r\n\r\n",
+            b"POST /fleet/maintenance/ask?name=%%%&kind=%zz HTTP/1.1\r\n\r\n",
+        ]:
             with socket.socket(socket.AF_UNIX) as client:
                 client.settimeout(LIMIT)
                 client.connect(path)
@@ -309,7 +339,9 @@
         for member in (n0, n1, n2):
             self.roster_of(member.name, halls={"n1": "west"})
             member.process.send_signal(signal.SIGHUP)
-        moved = lambda v: all(m["hall"] == "west" for m in v["members"] if m["name"] == "n1")
+        moved = lambda v: all(
+            m["hall"] == "west" for m in v["members"] if m["name"] == "n1"
+        )
         n0.until("the new hall", moved, "members")
         self.assertEqual(n2.ask("maintenance", "ask", "hall:west")[0], DONE)
 
@@ -327,7 +359,9 @@
             asked = pool.submit(n0.ask, "maintenance", "ask", "n1")
             time.sleep(0.5)
             n0.process.send_signal(signal.SIGTERM)
-            status = n0.process.wait(timeout=LIMIT)  # for good, if it waits for its own answer
+            status = n0.process.wait(
+                timeout=LIMIT
+            )  # for good, if it waits for its own answer
             self.assertEqual(status, 0)
             self.assertNotEqual(asked.result()[0], DONE)
 
@@ -344,7 +378,9 @@
         n1.start()
         n1.wait_for("settled log damaged", since)
         self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
-        held = n1.until("n1 to vote again", lambda s: s["held"] and s["votes"], "status")
+        held = n1.until(
+            "n1 to vote again", lambda s: s["held"] and s["votes"], "status"
+        )
         # It carries the quorum now: without it nothing can be settled.
         end = time.monotonic() + LIMIT
         n2.end()
@@ -355,7 +391,12 @@
         n0, _, _ = self.settled()
         done = subprocess.run(
             [PROGRAM, "serve", "--config", str(n0.folder / "config.json")]
-            + ["--state", str(n0.folder / "state"), "--fleet", str(self.folder / "n0.fleet")],
+            + [
+                "--state",
+                str(n0.folder / "state"),
+                "--fleet",
+                str(self.folder / "n0.fleet"),
+            ],
             capture_output=True,
             text=True,
             timeout=LIMIT,
@@ -372,7 +413,12 @@
         for turn in range(3):
             out = self.folder / ("%s-%d" % (name, turn))
             done = subprocess.run(
-                [PROGRAM, "rehearse", "run", str(ROOT / "rehearsals" / (name + ".rehearsal"))]
+                [
+                    PROGRAM,
+                    "rehearse",
+                    "run",
+                    str(ROOT / "rehearsals" / (name + ".rehearsal")),
+                ]
                 + ["--quiet", "--out", str(out)],
                 capture_output=True,
                 text=True,
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -157,7 +157,11 @@
         self.assertEqual({c["id"]: c["body"] for c in self.toy.calls}, sent)
 
     def test_a_message_that_was_turned_away_is_sent_again(self):
-        self.toy.answer = lambda call: (200, {}) if len(self.toy.calls) > 1 else (429, {"Wait-Ms": 50})
+        self.toy.answer = (
+            lambda call: (200, {})
+            if len(self.toy.calls) > 1
+            else (429, {"Wait-Ms": 50})
+        )
         message, _ = self.start().client().put(1, "x")
         self.wait_for("a second call", lambda: len(self.calls_of(message)) == 2)
 
@@ -187,18 +191,24 @@
         self.wait_for("the end", lambda: "0 owed" in self.spool())
         self.assertEqual(self.notices_of(message), [])
 
-    def test_a_first_line_with_200_is_true_and_what_comes_behind_an_answer_harmless(self):
+    def test_a_first_line_with_200_is_true_and_what_comes_behind_an_answer_harmless(
+        self,
+    ):
         for answer in (
             b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
-            b"HTTP/1.1 102 Wait\r\n\r\n" + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2,
+            b"HTTP/1.1 102 Wait\r\n\r\n"
+            + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2,
             b"HTTP/1.1 200 OK\r\nX-Backend-Load: x0=\xfe,,=\r\nContent-Length: 0\r\n\r\nnoise",
         ):
             with self.subTest(answer):
                 self.toy.answer = lambda call: answer
                 forwarder = self.start()
                 message, _ = forwarder.client().put(1, "x")
-                self.wait_for("the end", lambda: self.calls_of(message) and "0 owed" in self.spool())
+                self.wait_for(
+                    "the end",
+                    lambda: self.calls_of(message) and "0 owed" in self.spool(),
+                )
                 self.assertEqual(forwarder.end(signal.SIGTERM), 0)
                 self.assertEqual(len(self.calls_of(message)), 1)
                 self.assertEqual(self.notices_of(message), [])
@@ -221,7 +231,10 @@
 
     def spool(self):
         return subprocess.run(
-            [PROGRAM, "spool", "--state", self.folder], capture_output=True, text=True, check=True
+            [PROGRAM, "spool", "--state", self.folder],
+            capture_output=True,
+            text=True,
+            check=True,
         ).stdout
 
     def test_more_than_it_may_hold_is_turned_away_with_a_time(self):
@@ -275,7 +288,12 @@
 
     def test_malformed_bytes_get_an_error_and_the_close(self):
         forwarder = self.start()
-        for data in (b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$x\r\n", b"\x00" * 200, b"*1\r\n$1\r\nabc\r\n"):
+        for data in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"*1\r\n$x\r\n",
+            b"\x00" * 200,
+            b"*1\r\n$1\r\nabc\r\n",
+        ):
             client = forwarder.client()
             client.socket.sendall(data)
             self.assertTrue(client.read().startswith("-ERR "), data)
@@ -298,7 +316,9 @@
 
     def test_the_example_configuration_is_good(self):
         path = str(ROOT / "examples" / "config.json")
-        done = subprocess.run([PROGRAM, "check-config", "--config", path], capture_output=True)
+        done = subprocess.run(
+            [PROGRAM, "check-config", "--config", path], capture_output=True
+        )
         self.assertEqual(done.returncode, 0)
 
     # ---- drains ----
@@ -390,8 +410,12 @@
     def test_kinds_that_the_configuration_does_not_have_are_told_and_left_out(self):
         self.write_zone(1, self.toy, kind="strange")
         forwarder = self.start(options=self.sources(", owns: false"))
-        self.assertTrue(any("kind 'strange'" in line for line in forwarder.log), forwarder.log)
-        self.assertEqual(forwarder.client().put(1, "x")[1], "+OK")  # the platform's list has it
+        self.assertTrue(
+            any("kind 'strange'" in line for line in forwarder.log), forwarder.log
+        )
+        self.assertEqual(
+            forwarder.client().put(1, "x")[1], "+OK"
+        )  # the platform's list has it
 
     def test_a_bad_operator_file_is_a_failure_with_its_place(self):
         path = pathlib.Path(self.folder) / "config.json"
@@ -403,9 +427,18 @@
             ("}, {zone: 7", ":2:39:"),
         ):
             done = subprocess.run(
-                [PROGRAM, "serve", "--config", str(path), "--state", self.folder,
-                 *self.sources(more)],
-                capture_output=True, text=True, timeout=LIMIT,
+                [
+                    PROGRAM,
+                    "serve",
+                    "--config",
+                    str(path),
+                    "--state",
+                    self.folder,
+                    *self.sources(more),
+                ],
+                capture_output=True,
+                text=True,
+                timeout=LIMIT,
             )
             self.assertNotEqual(done.returncode, 0)
             self.assertIn("sources.records" + why, done.stderr)
@@ -426,10 +459,14 @@
         message, answer = client.put(1, "x", left_ms=300)
         self.assertEqual(answer, "+OK")
         self.wait_for("a refused notice", lambda: self.toy.refused_notices < 1 << 30)
-        other = self.other_toy(members=[member(self.toy, "new", 1, "single")], revision=7)
+        other = self.other_toy(
+            members=[member(self.toy, "new", 1, "single")], revision=7
+        )
         forwarder.config["discovery"] = other.address
         forwarder.reload(json.dumps(forwarder.config))
-        self.wait_for("the notice", lambda: [n["id"] for n in other.notices] == [message])
+        self.wait_for(
+            "the notice", lambda: [n["id"] for n in other.notices] == [message]
+        )
         later, answer = client.put(1, "y")
         self.assertEqual(answer, "+OK")
         self.wait_for("the call at the listed endpoint", lambda: self.calls_of(later))
@@ -441,7 +478,9 @@
         message, answer = forwarder.client().put(1, "x", left_ms=200)
         self.assertEqual(answer, "+OK")
         line = "message overdue id=%s state=ending history=taken+0 " % message
-        self.wait_for("the line", lambda: any(text.startswith(line) for text in forwarder.log))
+        self.wait_for(
+            "the line", lambda: any(text.startswith(line) for text in forwarder.log)
+        )
 
     def test_each_end_of_a_message_is_told_at_debug_level(self):
         forwarder = self.start(options=("--log-level", "debug", "--log-format", "json"))
@@ -450,15 +489,26 @@
 
         def ends():
             events = [json.loads(line) for line in forwarder.log]
-            return [e for e in events if e["event"] == "message ended" and e["id"] == message]
+            return [
+                e
+                for e in events
+                if e["event"] == "message ended" and e["id"] == message
+            ]
 
         self.wait_for("the line", ends)
         self.assertEqual(ends()[0]["reason"], "delivered")
         self.assertRegex(ends()[0]["history"], r"^taken\+0 heard\+\d+ started\+\d+")
 
     def test_an_option_that_is_not_known_is_told_with_the_way_to_help(self):
-        for options in (["--log-level", "loud"], ["--log-format", "xml"], ["--loud"], ["word"]):
-            done = subprocess.run([PROGRAM, "serve", *options], capture_output=True, text=True)
+        for options in (
+            ["--log-level", "loud"],
+            ["--log-format", "xml"],
+            ["--loud"],
+            ["word"],
+        ):
+            done = subprocess.run(
+                [PROGRAM, "serve", *options], capture_output=True, text=True
+            )
             self.assertEqual(done.returncode, 2, done.stderr)
             self.assertIn("brassfront serve --help", done.stderr)
 
@@ -468,7 +518,8 @@
         for i, text in enumerate(("", "{", json.dumps(bad_address))):
             forwarder.reload(text)
             self.wait_for(
-                "the line", lambda: sum("the old one holds" in line for line in forwarder.log) > i
+                "the line",
+                lambda: sum("the old one holds" in line for line in forwarder.log) > i,
             )
         self.toy.announce([member(self.toy, "later", 3, "single")])
         # The list is told by the watch: until it has come, what it names is turned away.
@@ -500,19 +551,26 @@
 
     def test_much_that_is_held_outlasts_new_configurations_and_restarts(self):
         gone = [
-            member(self.toy, "e%d" % i, i, "single", address=self.dead_address()) for i in range(1, 13)
+            member(self.toy, "e%d" % i, i, "single", address=self.dead_address())
+            for i in range(1, 13)
         ]
         first = self.start(members=gone)
-        taken = [first.client().put(dest, "x") for dest in range(1, 13) for _ in range(5)]
+        taken = [
+            first.client().put(dest, "x") for dest in range(1, 13) for _ in range(5)
+        ]
         self.assertEqual({answer for _, answer in taken}, {"+OK"})
         first.config["discovery"] = self.other_toy().address
         first.reload(json.dumps(first.config))
         self.assertEqual(first.end(signal.SIGTERM), 0)
         self.start(members=gone).end(signal.SIGKILL)
-        self.start(members=[member(self.toy, "e%d" % i, i, "single") for i in range(1, 13)])
+        self.start(
+            members=[member(self.toy, "e%d" % i, i, "single") for i in range(1, 13)]
+        )
         self.wait_for("the ends", lambda: "\n0 owed" in "\n" + self.spool())
         # A slow machine may see a call repeated, with its key; none is left out.
-        self.assertEqual({c["id"] for c in self.toy.calls}, {message for message, _ in taken})
+        self.assertEqual(
+            {c["id"] for c in self.toy.calls}, {message for message, _ in taken}
+        )
         self.assertEqual(self.toy.notices, [])
 
     def test_a_message_whose_time_ran_out_meanwhile_is_ended_at_once(self):
--- a/tests/rehearsal/bad_forwarder.py
+++ b/tests/rehearsal/bad_forwarder.py
@@ -29,7 +29,9 @@
         self.members = {m["id"]: m for m in config["known"]["members"]}
         self.waits = {}  # dest: until
         self.failed = {}  # dest: when a call there last came back without delivery
-        self.trickles = {}  # dest: the lock that lets one call at a time go there while it is cold
+        self.trickles = (
+            {}
+        )  # dest: the lock that lets one call at a time go there while it is cold
         self.slots = threading.Semaphore(200)
         self.count = 0
         self.notices = queue.Queue()
@@ -37,8 +39,15 @@
     def endpoint_of(self, dest, turn):
         with self.lock:
             if BAD == "own" and self.count % 7 == 0:
-                dest = next((m["cell"] for m in self.members.values() if m["cell"] != dest), dest)
-            fit = [m for m in self.members.values() if m["cell"] == dest and m["phase"] == "Ready"]
+                dest = next(
+                    (m["cell"] for m in self.members.values() if m["cell"] != dest),
+                    dest,
+                )
+            fit = [
+                m
+                for m in self.members.values()
+                if m["cell"] == dest and m["phase"] == "Ready"
+            ]
             if BAD == "drain":
                 fit = [m for m in self.config["known"]["members"] if m["cell"] == dest]
             if not fit:
@@ -109,7 +118,10 @@
     over by the backlog: timing alone does not decide whether a forwarder that keeps the rules
     passes."""
     now = time.monotonic()
-    if BAD in ("fail-back", "attempts") or now - state.failed.get(dest, -COLD_S) >= COLD_S:
+    if (
+        BAD in ("fail-back", "attempts")
+        or now - state.failed.get(dest, -COLD_S) >= COLD_S
+    ):
         return noted_call(state, dest, address, message, timeout)
     with state.lock:
         trickle = state.trickles.setdefault(dest, threading.Lock())
@@ -120,7 +132,9 @@
             time.sleep(state.waits[dest] - time.monotonic() + 0.02)
         if time.monotonic() >= end:
             return 503, 0
-        status, told = noted_call(state, dest, address, message, min(timeout, end - time.monotonic()))
+        status, told = noted_call(
+            state, dest, address, message, min(timeout, end - time.monotonic())
+        )
         time.sleep(0.1)
         return status, told
     finally:
@@ -152,8 +166,10 @@
         wait = state.waits.get(dest, 0) - now
         # A repeat is dropped by the partner only for a while.
         too_old = ran_since is not None and now - ran_since > 0.4
-        if now >= end or too_old or (
-            tries >= 12 and BAD not in ("attempts", "fail-back")
+        if (
+            now >= end
+            or too_old
+            or (tries >= 12 and BAD not in ("attempts", "fail-back"))
         ):
             break
         if wait > 0 and BAD not in ("wait", "fail-back"):
@@ -165,7 +181,9 @@
             continue
         tries += 1
         if BAD == "overlap":
-            threading.Thread(target=call, args=(address, message, end - now), daemon=True).start()
+            threading.Thread(
+                target=call, args=(address, message, end - now), daemon=True
+            ).start()
         status, told = careful_call(
             state, dest, address, message, end, 5 if ran_since is None else 0.2
         )
@@ -241,8 +259,12 @@
     server.state = state
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     signal.signal(signal.SIGHUP, lambda *_: None)
-    print("serving name=%s listen=%s:%d" % (config["name"], host, server.server_address[1]),
-          file=sys.stderr, flush=True)
+    print(
+        "serving name=%s listen=%s:%d"
+        % (config["name"], host, server.server_address[1]),
+        file=sys.stderr,
+        flush=True,
+    )
     server.serve_forever()
 
 
--- a/tests/rehearsal/rehearsal_test.py
+++ b/tests/rehearsal/rehearsal_test.py
@@ -67,7 +67,14 @@
         out = self.folder / "out"
         forwarder = ("--forwarder", BAD) if bad is not None else ()
         done = self.rehearse(
-            "run", self.file(text), "--quiet", "--out", str(out), *forwarder, *options, bad=bad
+            "run",
+            self.file(text),
+            "--quiet",
+            "--out",
+            str(out),
+            *forwarder,
+            *options,
+            bad=bad,
         )
         self.assertIn(done.returncode, (KEPT, BROKEN, VOID), done.stderr)
         report = json.loads((out / "report.json").read_text())
@@ -86,7 +93,9 @@
         acts = '{at: 1s, for: 500ms, do: "shut", partner: "a", wait: 300ms},'
         acts += '{at: 1s, do: "replace", partner: "b"}'
         status, report = self.play(scenario(acts), bad="none")
-        self.assertEqual((status, report["metrics"]["rule_breaks"]), (KEPT, 0), report["breaks"])
+        self.assertEqual(
+            (status, report["metrics"]["rule_breaks"]), (KEPT, 0), report["breaks"]
+        )
         self.assertGreater(report["metrics"]["delivered"], 50)
 
     def test_a_lost_message_is_caught(self):
@@ -130,7 +139,9 @@
 
     def test_the_quick_scenario_is_kept_with_the_real_forwarder(self):
         out = self.folder / "out"
-        done = self.rehearse("run", ROOT / "rehearsals/quick.rehearsal", "--out", str(out))
+        done = self.rehearse(
+            "run", ROOT / "rehearsals/quick.rehearsal", "--out", str(out)
+        )
         self.assertEqual(done.returncode, KEPT, done.stdout + done.stderr)
         report = json.loads((out / "report.json").read_text())
         self.assertEqual(report["verdict"], "kept")
@@ -163,21 +174,26 @@
         self.assert_caught("drain", "none", text)
 
     def test_an_expectation_that_falls_short_is_told(self):
-        status, report = self.play(scenario() + 'expect: ["service >= 1.5"]\n', bad="none")
+        status, report = self.play(
+            scenario() + 'expect: ["service >= 1.5"]\n', bad="none"
+        )
         self.assertEqual(status, BROKEN)
         self.assertFalse(report["expectations"][0]["kept"])
 
     def test_the_same_seed_gives_the_same_plan(self):
         for path in sorted((ROOT / "rehearsals").glob("*.rehearsal")):
-            plans = [self.rehearse("plan", path, "--seed", seed).stdout for seed in ("7", "7", "8")]
+            plans = [
+                self.rehearse("plan", path, "--seed", seed).stdout
+                for seed in ("7", "7", "8")
+            ]
             self.assertEqual(plans[0], plans[1], path)
             self.assertNotEqual(plans[0], plans[2], path)
             self.assertGreater(plans[0].count("\n"), 50)
 
     def test_a_bad_scenario_is_refused_with_all_its_faults(self):
-        bad = scenario('{at: 9s, do: "kil"}, {at: 1s, do: "shut", partner: "x"}').replace(
-            "rate: 30/s", "rate: 30"
-        )
+        bad = scenario(
+            '{at: 9s, do: "kil"}, {at: 1s, do: "shut", partner: "x"}'
+        ).replace("rate: 30/s", "rate: 30")
         done = self.rehearse("run", self.file(bad))
         self.assertEqual(done.returncode, BAD_SCENARIO)
         self.assertIn('did you mean "kill"', done.stderr)
@@ -189,7 +205,10 @@
             ('{at: 1s, do: "churn", partner: "a"}', "churn needs `for`"),
             ('{at: 1s, for: 1s, do: "vanish"}', "vanish needs a partner"),
             ('{at: 1s, for: 1s, do: "name-server"}', "name-server needs a fault"),
-            ('{at: 1s, for: 1s, do: "name-server", fault: "quiet"}', "needs `discovery: by:"),
+            (
+                '{at: 1s, for: 1s, do: "name-server", fault: "quiet"}',
+                "needs `discovery: by:",
+            ),
             ('{at: 1s, do: "kill", fault: "quiet"}', "kill takes no fault"),
             ('{at: 1s, do: "kill", forwarder: 3}', "there are 1 forwarders"),
             ('{at: 1s, do: "kill", partner: "a"}', "kill takes no partner"),
@@ -203,7 +222,9 @@
             ("service > 1", "expected >=, <= or =="),
             ("service >= x", "expected a number"),
         ):
-            done = self.rehearse("check", self.file(scenario() + 'expect: ["%s"]\n' % text))
+            done = self.rehearse(
+                "check", self.file(scenario() + 'expect: ["%s"]\n' % text)
+            )
             self.assertEqual(done.returncode, BAD_SCENARIO, text)
             self.assertIn(words, done.stderr)
 
@@ -220,14 +241,23 @@
     def test_an_interrupt_leaves_no_process_and_writes_the_report(self):
         out = self.folder / "out"
         process = subprocess.Popen(
-            [PROGRAM, "rehearse", "run", self.file(scenario(duration="60s")), "--out", str(out)],
+            [
+                PROGRAM,
+                "rehearse",
+                "run",
+                self.file(scenario(duration="60s")),
+                "--out",
+                str(out),
+            ],
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
         )
         process.stderr.readline()  # it plays once it tells its progress
         children = subprocess.run(
-            ["ps", "--ppid", str(process.pid), "-o", "pid="], capture_output=True, text=True
+            ["ps", "--ppid", str(process.pid), "-o", "pid="],
+            capture_output=True,
+            text=True,
         ).stdout.split()
         self.assertEqual(len(children), 1)
         process.send_signal(signal.SIGINT)
