Mend what flake8 finds in the Python files

Change: docstrings and comments are shorter and in the field's terms; long literals stand in two parts with the same value (one scenario text has a line break more within a record); the named lambdas are functions with the same body. No assertion changes.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""A toy of everything round a forwarder: two endpoints, discovery and the platform's notices.
+"""A stand-in for what surrounds a forwarder: endpoints, discovery, notifications.
 
 Start it, then a forwarder, then hand messages in (see examples/README.md):
 
@@ -18,7 +18,7 @@
 
 
 class Toy(socketserver.ThreadingTCPServer):
-    """What it was sent stands in `calls` and `notices`; `answer` may be set to answer otherwise."""
+    """Records what it is sent in `calls` and `notices`; `answer` sets its replies."""
 
     allow_reuse_address = True
     daemon_threads = True
@@ -29,13 +29,12 @@
         self.changed = threading.Condition()
         self.revision = revision
         self.members = list(members)
-        self.calls = (
-            []
-        )  # one entry for each message in each call: id, key, body, bundle
+        # One entry for each message in each call: id, key, body, bundle.
+        self.calls = []
         self.notices = []
         self.refused_notices = 0  # so many posts of notices are answered with an error
-        # Of one message: (status, headers), or bytes that are written as they stand, or a state for a
-        # message in a bundle.
+        # For one message: (status, headers), or bytes that are written unchanged, or a
+        # state for a message in a bundle.
         self.answer = lambda call: (200, {})
 
     @property
--- a/tests/dns/interop_test.py
+++ b/tests/dns/interop_test.py
@@ -1,7 +1,8 @@
 """The name server and the zone reader against dnspython, which is not ours.
 
-Queries, signed updates and transfers go both ways; the corpus is read by both. The server is killed
-a hundred times while updates come, and a second server follows a first through its faults.
+Queries, signed updates and transfers go both ways; the corpus is read by both. The
+server is killed a hundred times while updates arrive, and a secondary server follows a
+primary through its faults.
 """
 
 import base64
@@ -10,7 +11,6 @@
 import pathlib
 import random
 import shutil
-import signal
 import socket
 import struct
 import subprocess
@@ -93,7 +93,8 @@
 
     def start(self):
         self.file.write_text(
-            f'listen: "127.0.0.1:{self.port}"\nzones: [{self.zones}]\n{SETTINGS}\n{self.more}\n'
+            f'listen: "127.0.0.1:{self.port}"\nzones: [{self.zones}]\n'
+            f"{SETTINGS}\n{self.more}\n"
         )
         self.log = open(self.folder / "log", "a")
         self.process = subprocess.Popen(
@@ -214,8 +215,8 @@
 
 class Corpus(TestCase):
     def test_both_readers_say_the_same(self):
-        # What dnspython reads otherwise than RFC 1035 §5.1 has it: a class before the TTL, a TTL
-        # left out (the last one that was given counts), and an $ORIGIN without a dot at its end.
+        # Where dnspython differs from RFC 1035 §5.1: a class before the TTL, an omitted
+        # TTL (the last explicit one applies), and an $ORIGIN without a trailing dot.
         other = {"class-then-ttl", "no-default-ttl", "origin-relative"}
         count = 0
         for kind in ("good", "bad"):
@@ -712,7 +713,9 @@
                     )
                 )
                 if fault.startswith("serial: 99"):
-                    continue  # claims more than it has: what it then sends is newer, and true
+                    # It claims a newer serial than it has; what it then sends is newer
+                    # and correct.
+                    continue
                 self.assertEqual(records_of(second.transfer()), before)
         primary.stop()
         primary.more = ""
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -1,8 +1,9 @@
-"""Several processes of the program that share a fleet, from outside: the commands, what they say of
-faults, and a short set of rehearsals with faults between processes.
+"""Several processes that form a fleet, tested from outside.
 
-No fixed ports, and no verdict depends on speed: what is waited for has a long limit that only a
-failure reaches, and a rehearsal whose cast was late is played again.
+Covers the commands, how they report faults, and a short set of rehearsals with faults
+between processes. No fixed ports, and no verdict depends on speed: each wait has a
+long limit that only a failure reaches, and a rehearsal whose stand-ins were late is
+repeated.
 """
 
 import concurrent.futures
@@ -186,15 +187,18 @@
         self.assertEqual(again[0], DONE)
         self.assertIn("already asked", again[1])
         self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
-        out = lambda v: any(
-            r["name"] == "n0" and r["state"] == "out" for r in v["open"]
-        )
-        n1.until("n0 to be out", out, "maintenance", "list")
-        waits = lambda v: any(
-            (r["name"], r["state"], r["waits_for"]) == ("n1", "waiting", "n0 (out)")
-            for r in v["open"]
-        )
-        n2.until("n1 to wait for n0", waits, "maintenance", "list")
+
+        def n0_is_out(view):
+            return any(r["name"] == "n0" and r["state"] == "out" for r in view["open"])
+
+        def n1_waits_for_n0(view):
+            return any(
+                (r["name"], r["state"], r["waits_for"]) == ("n1", "waiting", "n0 (out)")
+                for r in view["open"]
+            )
+
+        n1.until("n0 to be out", n0_is_out, "maintenance", "list")
+        n2.until("n1 to wait for n0", n1_waits_for_n0, "maintenance", "list")
         self.assertTrue(n0.told("status")["standing_by"])
         client = toy_server.Client(self.address_of(n0), timeout=LIMIT)
         self.addCleanup(client.close)
@@ -245,8 +249,11 @@
             )
         self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
         self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
-        waits = lambda v: v["open"] and "held" in v["open"][0]["waits_for"]
-        row = n0.until("the held request", waits, "maintenance", "list")["open"][0]
+
+        def is_held(view):
+            return view["open"] and "held" in view["open"][0]["waits_for"]
+
+        row = n0.until("the held request", is_held, "maintenance", "list")["open"][0]
         self.assertEqual(n1.ask("maintenance", "cancel", str(row["request"]))[0], DONE)
 
     def test_without_a_quorum_it_is_said_what_works_and_nothing_is_done_twice(self):
@@ -288,7 +295,8 @@
             b"GET /nothing HTTP/1.1\r\n\r\n",
             b"PUT / HTTP/1.1\r\n\r\n",
             b"",
-            b"POST /fleet/maintenance/ask?name=n1&token=99999999999999999999999 HTTP/1.1\r\n\r\n",
+            b"POST /fleet/maintenance/ask?name=n1&token=99999999999999999999999"
+            b" HTTP/1.1\r\n\r\n",
             b"POST /fleet/maintenance/ask?name=n1&token=x HTTP/1.1\r\n\r\n",
             b"POST /fleet/maintenance/ask?name=%%%&kind=%zz HTTP/1.1\r\n\r\n",
         ]:
@@ -339,10 +347,13 @@
         for member in (n0, n1, n2):
             self.roster_of(member.name, halls={"n1": "west"})
             member.process.send_signal(signal.SIGHUP)
-        moved = lambda v: all(
-            m["hall"] == "west" for m in v["members"] if m["name"] == "n1"
-        )
-        n0.until("the new hall", moved, "members")
+
+        def n1_has_moved(view):
+            return all(
+                m["hall"] == "west" for m in view["members"] if m["name"] == "n1"
+            )
+
+        n0.until("the new hall", n1_has_moved, "members")
         self.assertEqual(n2.ask("maintenance", "ask", "hall:west")[0], DONE)
 
     def test_one_that_ends_as_planned_is_not_held_for_dead(self):
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -1,5 +1,8 @@
-"""Starts the program on loopback and speaks to it. No fixed ports, and no verdict depends on speed:
-what is waited for has a long limit that only a failure reaches."""
+"""Starts the program on loopback and talks to it.
+
+No fixed ports, and no verdict depends on speed: each wait has a long limit that only a
+failure reaches.
+"""
 
 import json
 import os
@@ -199,7 +202,8 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
             b"HTTP/1.1 102 Wait\r\n\r\n"
             + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2,
-            b"HTTP/1.1 200 OK\r\nX-Backend-Load: x0=\xfe,,=\r\nContent-Length: 0\r\n\r\nnoise",
+            b"HTTP/1.1 200 OK\r\nX-Backend-Load: x0=\xfe,,=\r\n"
+            b"Content-Length: 0\r\n\r\nnoise",
         ):
             with self.subTest(answer):
                 self.toy.answer = lambda call: answer
@@ -333,7 +337,7 @@
             ]
         )
         client = forwarder.client()
-        # The list is told by the watch: from the first call at the new endpoint on, none at the old.
+        # The watch delivers the list: once the new endpoint is called, the old is not.
         end = time.monotonic() + LIMIT
         while not other.calls:
             self.assertLess(time.monotonic(), end)
@@ -385,7 +389,7 @@
                 other.changed.wait(timeout=0.2)
         self.assertEqual({c["body"] for c in other.calls}, {b"x"})
         self.assertEqual({c["body"] for c in self.toy.calls}, {b"y"})
-        # A zone that is bad for a while changes nothing; the next good one moves the calls.
+        # An invalid zone file changes nothing; the next valid one moves the calls.
         (pathlib.Path(self.folder) / "example.zone").write_text("half a")
         while not any("zone file not taken up" in line for line in forwarder.log):
             self.assertLess(time.monotonic(), end)
@@ -522,7 +526,7 @@
                 lambda: sum("the old one holds" in line for line in forwarder.log) > i,
             )
         self.toy.announce([member(self.toy, "later", 3, "single")])
-        # The list is told by the watch: until it has come, what it names is turned away.
+        # The watch delivers the list: until then, messages to it are rejected.
         client = forwarder.client()
         message, answer = client.put(3, "x")
         end = time.monotonic() + LIMIT
--- a/tests/rehearsal/bad_forwarder.py
+++ b/tests/rehearsal/bad_forwarder.py
@@ -1,9 +1,9 @@
 #!/usr/bin/env python3
 """A small forwarder that breaks one rule on purpose, named by $BAD, or none.
 
-Started as the real one is: `bad_forwarder.py serve --config FILE --state DIR`, with `--sources FILE`
-that it takes no notice of. It shows that the
-auditor of the rehearsal kit catches what it is there for.
+Started like the real one: `bad_forwarder.py serve --config FILE --state DIR`, with
+`--sources FILE`, which it ignores. It shows that the auditor of the rehearsal kit
+catches each kind of violation.
 """
 
 import argparse
@@ -12,7 +12,6 @@
 import os
 import queue
 import signal
-import socket
 import socketserver
 import sys
 import threading
@@ -113,10 +112,13 @@
 
 
 def careful_call(state, dest, address, message, end, timeout):
-    """A call, and the wait that it told. For the cold time after a failure there, one at a time,
-    after any wait and a tenth of a second apart, so that a partner that comes back is not pushed
-    over by the backlog: timing alone does not decide whether a forwarder that keeps the rules
-    passes."""
+    """Makes a call; returns its status and the Retry-After that came with it.
+
+    During the warm-up after a failure of the destination, calls go out one at a time,
+    after any Retry-After and a tenth of a second apart, so that the backlog does not
+    overload a recovering partner: timing alone must not decide whether a forwarder that
+    keeps the rules passes.
+    """
     now = time.monotonic()
     if (
         BAD in ("fail-back", "attempts")
--- a/tests/rehearsal/rehearsal_test.py
+++ b/tests/rehearsal/rehearsal_test.py
@@ -8,9 +8,7 @@
 import pathlib
 import signal
 import subprocess
-import sys
 import tempfile
-import time
 import unittest
 import xml.etree.ElementTree
 
@@ -25,7 +23,8 @@
 duration: %(duration)s
 class: {goal: 1s, deadline: 2s, effect: "%(effect)s"}
 partners: [
-  {name: "a", endpoints: 2, pace: 40ms, capacity: 60/s, dedup: 500ms, connections: 200 %(a)s},
+  {name: "a", endpoints: 2, pace: 40ms, capacity: 60/s, dedup: 500ms,
+   connections: 200 %(a)s},
   {name: "b", endpoints: 2, pace: 40ms, capacity: 60/s, dedup: 500ms, connections: 200},
 ]
 clients: {rate: 30/s, clumps: 0, answer_within: 2s, retries: 0}
