--- a/include/dispatch_policy/events.hpp
+++ b/include/dispatch_policy/events.hpp
@@ -122,8 +122,8 @@
 
 // ---- from other dispatchers ----
 //
-// For callers whose dispatchers share what they know. Where they share nothing, none of these comes,
-// and nothing is decided otherwise because they exist.
+// For callers whose dispatchers share what they know. Where they share nothing, none of these
+// comes, and nothing is decided otherwise because they exist.
 
 // This dispatcher's present part of a limit that all dispatchers keep together, on whatever shares
 // the endpoint's limit: its destination, or the endpoint alone where limits are per endpoint. It
@@ -142,8 +142,8 @@
   kBeingTested  // another dispatcher tries it at present
 };
 
-// What other dispatchers have seen of an endpoint. It makes the policy more careful at once, and less
-// careful only by two witnesses or by calls of its own.
+// What other dispatchers have seen of an endpoint. It makes the policy more careful at once, and
+// less careful only by two witnesses or by calls of its own.
 struct PeerHealthReport {
   EndpointId endpoint = 0;
   PeerHealth health = PeerHealth::kFailing;
@@ -155,9 +155,9 @@
   std::size_t witnesses = 1;
 };
 
-using Event = std::variant<MessageArrived, MessageRestored, AttemptCompleted, MessageCancelled,
-                           TimerFired, HealthCheckCompleted, EndpointList, QuotaLeased,
-                           PeerHealthReport>;
+using Event =
+    std::variant<MessageArrived, MessageRestored, AttemptCompleted, MessageCancelled, TimerFired,
+                 HealthCheckCompleted, EndpointList, QuotaLeased, PeerHealthReport>;
 
 }  // namespace dispatch_policy
 
--- a/include/dispatch_policy/settings.hpp
+++ b/include/dispatch_policy/settings.hpp
@@ -1,5 +1,5 @@
-// What the operator's settings tell the dispatch policy: message classes, kinds of endpoints, limits
-// and costs. Values only; nothing here decides anything.
+// What the operator's settings tell the dispatch policy: message classes, kinds of endpoints,
+// limits and costs. Values only; nothing here decides anything.
 #ifndef DISPATCH_POLICY_SETTINGS_HPP_
 #define DISPATCH_POLICY_SETTINGS_HPP_
 
@@ -73,8 +73,8 @@
   std::vector<KindSettings> kinds;
   std::vector<TenantSettings> tenants;
 
-  // By zone: what a message costs that an endpoint with limits of its own takes on there, as a share
-  // of the result. Zones beyond the list cost nothing.
+  // By zone: what a message costs that an endpoint with limits of its own takes on there, as a
+  // share of the result. Zones beyond the list cost nothing.
   std::vector<double> zone_penalty;
   Decay decay = Decay::kLinear;
   WeightMeaning weights = WeightMeaning::kNone;
