--- a/adapter/simulator_host.hpp
+++ b/adapter/simulator_host.hpp
@@ -23,9 +23,9 @@
  public:
   // Takes one line of input; returns true when a reply is complete in reply().
   bool Take(std::string_view line);
-  const std::string& reply() const { return reply_; }
+  [[nodiscard]] const std::string& reply() const { return reply_; }
   // The input may end only between batches.
-  bool in_batch() const { return in_batch_; }
+  [[nodiscard]] bool in_batch() const { return in_batch_; }
 
  private:
   // Names of one instance and the numbers that the module knows them by, in order of appearance,
--- a/adapter/simulator_wire.cpp
+++ b/adapter/simulator_wire.cpp
@@ -39,7 +39,7 @@
 }
 
 double ParseNumber(std::string_view text) {
-  const double value = ParseAll<double>(text, "a number");
+  const auto value = ParseAll<double>(text, "a number");
   if (!std::isfinite(value)) throw WireError("a number out of range: " + Quoted(text));
   return value;
 }
--- a/adapter/simulator_wire.hpp
+++ b/adapter/simulator_wire.hpp
@@ -25,17 +25,18 @@
  public:
   explicit Line(std::string_view text);
 
-  std::string_view name() const { return name_; }
-  const std::vector<Field>& fields() const { return fields_; }
-  bool Has(std::string_view field) const;
-  std::string_view Text(std::string_view field) const;
-  std::string_view TextOr(std::string_view field, std::string_view absent) const;
-  std::uint64_t Whole(std::string_view field) const;
-  std::uint64_t WholeOr(std::string_view field, std::uint64_t absent) const;
-  double NumberOr(std::string_view field, double absent) const;
-  bool FlagOr(std::string_view field, bool absent) const;
-  std::chrono::nanoseconds Time(std::string_view field) const;
-  std::chrono::nanoseconds TimeOr(std::string_view field, std::chrono::nanoseconds absent) const;
+  [[nodiscard]] std::string_view name() const { return name_; }
+  [[nodiscard]] const std::vector<Field>& fields() const { return fields_; }
+  [[nodiscard]] bool Has(std::string_view field) const;
+  [[nodiscard]] std::string_view Text(std::string_view field) const;
+  [[nodiscard]] std::string_view TextOr(std::string_view field, std::string_view absent) const;
+  [[nodiscard]] std::uint64_t Whole(std::string_view field) const;
+  [[nodiscard]] std::uint64_t WholeOr(std::string_view field, std::uint64_t absent) const;
+  [[nodiscard]] double NumberOr(std::string_view field, double absent) const;
+  [[nodiscard]] bool FlagOr(std::string_view field, bool absent) const;
+  [[nodiscard]] std::chrono::nanoseconds Time(std::string_view field) const;
+  [[nodiscard]] std::chrono::nanoseconds TimeOr(std::string_view field,
+                                                std::chrono::nanoseconds absent) const;
 
  private:
   std::string_view name_;
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -155,8 +155,9 @@
     if (words.size() != 2) throw UsageError("bounds needs a file");
     return Bounds(words[1], json);
   }
-  if (what == "status" || what == "members" || what == "limits" || what == "verdicts")
+  if (what == "status" || what == "members" || what == "limits" || what == "verdicts") {
     return Ask(state, "GET", "/fleet/" + what, json);
+  }
   if (what != "maintenance" || words.size() < 2) throw UsageError("no such thing to do: " + what);
   const std::string& verb = words[1];
   if (verb == "list") return Ask(state, "GET", "/fleet/maintenance", json);
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -1,7 +1,7 @@
 // `brassfront zone`: zone files, name servers, and the stand-in name server.
 #include <pthread.h>
-#include <signal.h>
 
+#include <csignal>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
--- a/src/concurrency/thread.hpp
+++ b/src/concurrency/thread.hpp
@@ -46,7 +46,9 @@
     return *this;
   }
 
-  bool started() const { return started_; }  // false where the system had no room for one
+  [[nodiscard]] bool started() const {
+    return started_;
+  }  // false where the system had no room for one
   void Join() {
     if (std::exchange(started_, false)) pthread_join(thread_, nullptr);
   }
--- a/src/consensus/council.hpp
+++ b/src/consensus/council.hpp
@@ -34,7 +34,7 @@
  public:
   virtual ~StateMachine() = default;
   virtual void Apply(std::string_view command) = 0;
-  virtual std::string Save() const = 0;
+  [[nodiscard]] virtual std::string Save() const = 0;
   virtual bool Load(std::string_view state) = 0;
 };
 
@@ -65,7 +65,7 @@
 
   void Tick(Time now);
   // Never, once it is broken: whoever waits for it would not wait at all else.
-  Time Next() const { return broken() ? Time::max() : next_tick_; }
+  [[nodiscard]] Time Next() const { return broken() ? Time::max() : next_tick_; }
   // `identity` is the sender's folder, as its frame says.
   void Receive(const std::string& from, std::uint64_t identity, bool founding,
                std::string_view body, Time now);
@@ -78,17 +78,17 @@
   // life.
   void MayVote() { may_vote_ = true; }
 
-  bool leads() const;
-  std::string leader() const;  // empty: none known
-  std::uint64_t term() const;
-  std::uint64_t last_index() const;
-  bool founded() const { return started_; }
+  [[nodiscard]] bool leads() const;
+  [[nodiscard]] std::string leader() const;  // empty: none known
+  [[nodiscard]] std::uint64_t term() const;
+  [[nodiscard]] std::uint64_t last_index() const;
+  [[nodiscard]] bool founded() const { return started_; }
   // The store failed, or its log was damaged: this core does nothing more and is to be made anew.
-  bool broken() const;
-  bool damaged() const { return damaged_; }
-  std::vector<Server> servers() const;
+  [[nodiscard]] bool broken() const;
+  [[nodiscard]] bool damaged() const { return damaged_; }
+  [[nodiscard]] std::vector<Server> servers() const;
   // This folder is one of them, as a voter.
-  bool votes() const;
+  [[nodiscard]] bool votes() const;
 
  private:
   struct Raft;  // libraft's side
--- a/src/consensus/file_store.hpp
+++ b/src/consensus/file_store.hpp
@@ -34,8 +34,8 @@
  private:
   bool Write(std::string_view records);
   bool Open();
-  std::string LogPath() const { return folder_ + "/settled"; }
-  std::string SnapshotPath() const { return folder_ + "/settled.snapshot"; }
+  [[nodiscard]] std::string LogPath() const { return folder_ + "/settled"; }
+  [[nodiscard]] std::string SnapshotPath() const { return folder_ + "/settled.snapshot"; }
 
   const std::string folder_;
   const std::size_t most_bytes_;
--- a/src/consensus/store.hpp
+++ b/src/consensus/store.hpp
@@ -45,8 +45,8 @@
   std::uint64_t first = 1;  // index of the first of the entries
   std::vector<Entry> entries;
 
-  bool empty() const { return term == 0 && !snapshot && entries.empty(); }
-  std::uint64_t last() const { return first + entries.size() - 1; }
+  [[nodiscard]] bool empty() const { return term == 0 && !snapshot && entries.empty(); }
+  [[nodiscard]] std::uint64_t last() const { return first + entries.size() - 1; }
 };
 
 class Store {
--- a/src/dns/follower.hpp
+++ b/src/dns/follower.hpp
@@ -39,7 +39,7 @@
 
   // What to do now. After kAskSerial and kTransfer one of the answers below must come.
   Step Due(double now);
-  double NextDue() const;
+  [[nodiscard]] double NextDue() const;
 
   // A notice of a change, with the serial it names if it does (RFC 1996 §3.7).
   void Notified(std::optional<std::uint32_t> serial, double now);
@@ -48,9 +48,9 @@
   void IsUpToDate(double now);
   void Failed(double now);  // no answer, a refusal or a transfer that came to nothing
 
-  bool has_zone() const { return serial_.has_value(); }
-  std::uint32_t serial() const { return serial_.value_or(0); }
-  bool expired() const { return expired_; }
+  [[nodiscard]] bool has_zone() const { return serial_.has_value(); }
+  [[nodiscard]] std::uint32_t serial() const { return serial_.value_or(0); }
+  [[nodiscard]] bool expired() const { return expired_; }
 
  private:
   enum class Phase { kWaiting, kAsking, kMustTransfer, kTransferring };
--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -15,10 +15,10 @@
  public:
   explicit Reader(std::string_view bytes) : bytes_(bytes) {}
 
-  bool good() const { return why_ == nullptr; }
-  const char* why() const { return why_; }
-  std::size_t at() const { return at_; }
-  bool at_end() const { return at_ == bytes_.size(); }
+  [[nodiscard]] bool good() const { return why_ == nullptr; }
+  [[nodiscard]] const char* why() const { return why_; }
+  [[nodiscard]] std::size_t at() const { return at_; }
+  [[nodiscard]] bool at_end() const { return at_ == bytes_.size(); }
   void Fail(const char* why) {
     if (why_ == nullptr) why_ = why;
   }
@@ -314,9 +314,9 @@
                                            &message.additional};
   for (std::size_t section = 0; section < 3 && !truncated; ++section) {
     const auto& records = *sections[section];
-    for (std::size_t n = 0; n < records.size(); ++n) {
+    for (const auto& record : records) {
       const std::size_t before = writer.bytes().size();
-      writer.PutRecord(records[n]);
+      writer.PutRecord(record);
       if (writer.bytes().size() + opt.size() <= limit) {
         ++counts[section + 1];
         continue;
--- a/src/dns/message.hpp
+++ b/src/dns/message.hpp
@@ -58,7 +58,7 @@
   std::string rdata;
 
   // Owner, TTL, class, type and RDATA in a zone file's form.
-  std::string ToText() const;
+  [[nodiscard]] std::string ToText() const;
 };
 // Name, type and RDATA, whatever the TTL and the case of names.
 bool SameData(const Record& a, const Record& b);
@@ -111,7 +111,7 @@
   void Feed(std::string_view bytes);
   std::deque<std::string>& messages() { return messages_; }
   // Nothing of a further message has come.
-  bool between_messages() const { return pending_.empty(); }
+  [[nodiscard]] bool between_messages() const { return pending_.empty(); }
 
  private:
   std::string pending_;  // a length, and what has come of its message
--- a/src/dns/name.hpp
+++ b/src/dns/name.hpp
@@ -31,20 +31,20 @@
   // A name that is written in this program.
   static Name Known(std::string_view text);
 
-  const std::string& wire() const { return wire_; }
-  bool IsRoot() const { return wire_.size() == 1; }
+  [[nodiscard]] const std::string& wire() const { return wire_; }
+  [[nodiscard]] bool IsRoot() const { return wire_.size() == 1; }
   // With a dot at its end and with what needs it escaped, so that FromText reads the same name.
-  std::string ToText() const;
+  [[nodiscard]] std::string ToText() const;
   // From the left, without the root's.
-  std::vector<std::string_view> Labels() const;
+  [[nodiscard]] std::vector<std::string_view> Labels() const;
   // Sorts as RFC 4034 §6.1 has it, so that a name comes just before all below it; the key of a name
   // is how the keys of all below it start. Equal for equal names.
-  std::string Key() const;
-  Name Parent() const;  // the root's is the root
-  Name Lower() const;
-  bool IsAtOrBelow(const Name& top) const;
+  [[nodiscard]] std::string Key() const;
+  [[nodiscard]] Name Parent() const;  // the root's is the root
+  [[nodiscard]] Name Lower() const;
+  [[nodiscard]] bool IsAtOrBelow(const Name& top) const;
   // Nothing if that would be too long.
-  std::optional<Name> WithLabel(std::string_view label) const;
+  [[nodiscard]] std::optional<Name> WithLabel(std::string_view label) const;
 
   friend bool operator==(const Name& a, const Name& b);
 
--- a/src/dns/transfer.cpp
+++ b/src/dns/transfer.cpp
@@ -31,7 +31,7 @@
   }
 
  private:
-  Message Start() const {
+  [[nodiscard]] Message Start() const {
     Message message = ReplyTo(request_, Rcode::kNoError);
     message.authoritative = true;
     return message;
--- a/src/dns/transfer.hpp
+++ b/src/dns/transfer.hpp
@@ -52,14 +52,14 @@
   // Takes the answer's next message. Something once it is over, for good or bad.
   std::optional<Transferred> Take(std::string_view bytes, std::uint64_t now);
   // The peer has ended, or nothing came in time.
-  Transferred CutShort(std::string why) const;
+  [[nodiscard]] Transferred CutShort(std::string why) const;
 
  private:
   enum class State { kFirst, kSecond, kWhole, kRemoving, kAdding, kDone };
 
   std::optional<Unfit> TakeRecord(Record record);
   std::optional<Transferred> End(const Message& message);
-  Unfit Bad(std::string why) const { return {std::move(why), false}; }
+  [[nodiscard]] Unfit Bad(std::string why) const { return {std::move(why), false}; }
 
   const Name zone_;
   const std::optional<std::uint32_t> have_;
--- a/src/dns/tsig.cpp
+++ b/src/dns/tsig.cpp
@@ -30,7 +30,7 @@
   TsigError error = TsigError::kNone;
   std::string other;
 
-  std::string Bytes() const {
+  [[nodiscard]] std::string Bytes() const {
     std::string out = algorithm.wire();
     Put48(out, time);
     Put16(out, fudge);
--- a/src/dns/tsig.hpp
+++ b/src/dns/tsig.hpp
@@ -55,11 +55,11 @@
   // To sign and check with this key.
   explicit TsigSession(Key key) : key_(std::move(key)) {}
 
-  const Key& key() const { return key_; }
+  [[nodiscard]] const Key& key() const { return key_; }
 
   // The message with a TSIG at its end. At most MostBytes() longer.
   std::string Sign(std::string message, std::uint64_t now);
-  std::size_t MostBytes() const;
+  [[nodiscard]] std::size_t MostBytes() const;
   // A message inside an answer of many that is sent without a TSIG; the next one vouches for it.
   void PassUnsigned(std::string_view message) { between_ += message; }
   // An answer that tells of a request's wrong time is signed and says this side's time
@@ -70,9 +70,9 @@
   // is taken inside an answer of many alone; the next one that has it vouches for it.
   TsigError Check(std::string_view bytes, const Message& message, std::uint64_t now);
   // When the message that was checked last says it was signed.
-  std::uint64_t signed_at() const { return signed_at_; }
+  [[nodiscard]] std::uint64_t signed_at() const { return signed_at_; }
   // What it was signed with: the same for the same message alone.
-  const std::string& mac() const { return prior_mac_; }
+  [[nodiscard]] const std::string& mac() const { return prior_mac_; }
 
  private:
   std::string Append(std::string message, std::uint64_t time, TsigError error,
--- a/src/dns/zone.cpp
+++ b/src/dns/zone.cpp
@@ -272,8 +272,9 @@
   if (zone.Find(origin, type::kNs) == nullptr) faults.push_back("no NS at " + origin.ToText());
   Name last_cname;
   zone.EachRecord([&](const Record& record) {
-    if (record.type != type::kCname || std::exchange(last_cname, record.name) == record.name)
+    if (record.type != type::kCname || std::exchange(last_cname, record.name) == record.name) {
       return;
+    }
     if (zone.Find(record.name)->sets.size() > 1) {
       faults.push_back("CNAME beside other data at " + record.name.ToText());
     }
--- a/src/dns/zone.hpp
+++ b/src/dns/zone.hpp
@@ -38,10 +38,10 @@
   std::vector<Record> removed;
   std::vector<Record> added;
 
-  std::uint32_t from() const { return SerialOf(removed.front().rdata); }
-  std::uint32_t to() const { return SerialOf(added.front().rdata); }
+  [[nodiscard]] std::uint32_t from() const { return SerialOf(removed.front().rdata); }
+  [[nodiscard]] std::uint32_t to() const { return SerialOf(added.front().rdata); }
   // No other record goes or comes.
-  bool is_soa_alone() const { return removed.size() == 1 && added.size() == 1; }
+  [[nodiscard]] bool is_soa_alone() const { return removed.size() == 1 && added.size() == 1; }
 };
 
 // The outcome of a query by RFC 1034 §4.3.2 within one zone.
@@ -57,17 +57,17 @@
  public:
   explicit Zone(Name origin) : origin_(std::move(origin)) {}
 
-  const Name& origin() const { return origin_; }
-  std::size_t records() const { return records_; }
-  bool has_soa() const { return Find(origin_, type::kSoa) != nullptr; }
-  Record Soa() const;
-  std::uint32_t serial() const;
+  [[nodiscard]] const Name& origin() const { return origin_; }
+  [[nodiscard]] std::size_t records() const { return records_; }
+  [[nodiscard]] bool has_soa() const { return Find(origin_, type::kSoa) != nullptr; }
+  [[nodiscard]] Record Soa() const;
+  [[nodiscard]] std::uint32_t serial() const;
 
-  const Node* Find(const Name& name) const;
-  const RecordSet* Find(const Name& name, std::uint16_t type) const;
-  bool Holds(const Record& record) const;
+  [[nodiscard]] const Node* Find(const Name& name) const;
+  [[nodiscard]] const RecordSet* Find(const Name& name, std::uint16_t type) const;
+  [[nodiscard]] bool Holds(const Record& record) const;
   // True if the name or one below it has records (an empty non-terminal exists too).
-  bool Exists(const Name& name) const;
+  [[nodiscard]] bool Exists(const Name& name) const;
 
   // Puts one record in. A set has one TTL, the last one given (RFC 2181 §5.2). False if it was
   // there with that TTL.
@@ -76,18 +76,18 @@
 
   // Every record but the SOA, in canonical order.
   void EachRecord(const std::function<void(const Record&)>& take) const;
-  std::vector<Record> RecordsOf(const Name& name) const;
+  [[nodiscard]] std::vector<Record> RecordsOf(const Name& name) const;
 
-  Lookup Ask(const Name& name, std::uint16_t type) const;
+  [[nodiscard]] Lookup Ask(const Name& name, std::uint16_t type) const;
 
   // False if the change does not start at the zone's serial, or removes what is not there.
-  bool Fits(const Change& change) const;
+  [[nodiscard]] bool Fits(const Change& change) const;
   // Applies a change that fits, whole, and remembers it. False, and nothing done, if it does not.
   bool Apply(const Change& change);
   // The same where Fits was asked already.
   void ApplyFitting(const Change& change);
   // Remembered changes from that serial to the newest, in order. Nothing if it is not known.
-  std::optional<std::vector<const Change*>> Since(std::uint32_t serial) const;
+  [[nodiscard]] std::optional<std::vector<const Change*>> Since(std::uint32_t serial) const;
   void Forget() { changes_.clear(), change_records_ = 0; }
   // Changes are remembered up to this many records altogether.
   void RememberAtMost(std::size_t records) { most_change_records_ = records; }
@@ -96,8 +96,8 @@
   using Nodes = std::map<std::string, Node>;
 
   // Delegations above or at the name, but not the zone's own NS.
-  const Node* CutAbove(const Name& name) const;
-  const Node* WildcardFor(const Name& name) const;
+  [[nodiscard]] const Node* CutAbove(const Name& name) const;
+  [[nodiscard]] const Node* WildcardFor(const Name& name) const;
   void AddSet(const Name& as, const Node& node, std::uint16_t type,
               std::vector<Record>& into) const;
   void AddAddresses(const std::vector<Record>& from, std::vector<Record>& into) const;
--- a/src/dns/zone_file.hpp
+++ b/src/dns/zone_file.hpp
@@ -32,7 +32,7 @@
   std::size_t column = 0;
   std::string why;
 
-  std::string ToText() const;  // file:line:column: why
+  [[nodiscard]] std::string ToText() const;  // file:line:column: why
 };
 
 // All that is wrong, up to kMostFaults; what() has one a line.
@@ -40,7 +40,7 @@
  public:
   static constexpr std::size_t kMostFaults = 20;
   explicit BadZone(std::vector<ZoneFault> faults);
-  const std::vector<ZoneFault>& faults() const { return faults_; }
+  [[nodiscard]] const std::vector<ZoneFault>& faults() const { return faults_; }
 
  private:
   std::vector<ZoneFault> faults_;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -106,10 +106,10 @@
   void SendOut(const peers::Frame& frame);
   void TellChanges();
   void TellDropped(peers::Drop drop, const std::string& from, Time now);
-  std::string Leader() const;
-  Reply Status(bool members) const;
-  Reply List() const;
-  bool Votes() const;
+  [[nodiscard]] std::string Leader() const;
+  [[nodiscard]] Reply Status(bool members) const;
+  [[nodiscard]] Reply List() const;
+  [[nodiscard]] bool Votes() const;
 
   const std::string path_, folder_;
   peers::Roster roster_;
--- a/src/fleet/self.hpp
+++ b/src/fleet/self.hpp
@@ -18,9 +18,9 @@
   Self(const Self&) = delete;
   Self& operator=(const Self&) = delete;
 
-  std::uint64_t identity() const { return identity_; }
-  std::uint64_t life() const { return life_; }  // 1 at the first start
-  bool is_new() const { return life_ == 1; }
+  [[nodiscard]] std::uint64_t identity() const { return identity_; }
+  [[nodiscard]] std::uint64_t life() const { return life_; }  // 1 at the first start
+  [[nodiscard]] bool is_new() const { return life_ == 1; }
   // The folder turned out to be an old copy, so that what it says of votes cannot be trusted: from
   // now on it is another one.
   void Renew();
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -116,8 +116,9 @@
   const std::lock_guard lock(mutex_);
   Known(key, target);
   const Time now = Now();
-  if (target.has_own_rate_limit)
+  if (target.has_own_rate_limit) {
     holder_.Wanted(key, now);  // what comes for a destination says nothing of a route
+  }
   return holder_.MayBegin(key, now);
 }
 
--- a/src/forwarder/deadlines.hpp
+++ b/src/forwarder/deadlines.hpp
@@ -23,7 +23,7 @@
   using Time = std::chrono::nanoseconds;
 
   void Set(Time at, Deadline deadline) { sorted_.emplace(at, deadline); }
-  Time Next() const { return sorted_.empty() ? Time::max() : sorted_.begin()->first; }
+  [[nodiscard]] Time Next() const { return sorted_.empty() ? Time::max() : sorted_.begin()->first; }
   // The earliest one that has come, taken out.
   std::optional<Deadline> TakeDue(Time now) {
     if (sorted_.empty() || sorted_.begin()->first > now) return std::nullopt;
--- a/src/forwarder/endpoint_sources.hpp
+++ b/src/forwarder/endpoint_sources.hpp
@@ -58,7 +58,7 @@
   // A list from the platform. It may come before Begin.
   void TakePlatform(const MemberList& list);
   // Where zones are served and notices are taken; empty before Begin.
-  std::string address() const { return host_ ? host_->address() : std::string(); }
+  [[nodiscard]] std::string address() const { return host_ ? host_->address() : std::string(); }
 
  private:
   struct Listed {
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -177,8 +177,9 @@
         [this](Item item) { std::visit([this](auto& e) { On(std::move(e)); }, item); });
     const Time now = Now();
     while (const auto due = deadlines_.TakeDue(now)) On(*due);
-    if (!events_.empty() && now >= last_turn_ + config_.policy_settings.decision_interval)
+    if (!events_.empty() && now >= last_turn_ + config_.policy_settings.decision_interval) {
       Turn(now);
+    }
     StartReady(now);
     messages_in_flight_ = held_.size();
     if (now >= lives_.Next()) TellOverdue(now);
@@ -297,8 +298,9 @@
 void Engine::On(Arrival arrival) {
   const DeliveryRequest& request = arrival.request;
   stages_.put.Add(Now() - arrival.handed_in);
-  if (numbers_.count(request.id) != 0)
+  if (numbers_.count(request.id) != 0) {
     return Refused(arrival, SubmitResult::Invalid("the id is taken"));
+  }
   dispatch_policy::MessageArrived e;
   e.message_class = arrival.the_class;
   e.tenant = arrival.tenant;
--- a/src/forwarder/message_trace.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -58,15 +58,15 @@
   void Note(MessageId message, Time now, Step step, std::uint32_t detail = 0);
 
   // The state; kOver for any that does not live.
-  LifeState StateOf(MessageId message) const;
-  std::string HistoryOf(MessageId message) const;
-  std::size_t living() const { return lives_.size(); }
+  [[nodiscard]] LifeState StateOf(MessageId message) const;
+  [[nodiscard]] std::string HistoryOf(MessageId message) const;
+  [[nodiscard]] std::size_t living() const { return lives_.size(); }
 
   // When the next one becomes overdue; Time::max() if none can.
-  Time Next() const;
+  [[nodiscard]] Time Next() const;
   // Those that have become overdue by now; each is told once.
   std::vector<Overdue> TakeOverdue(Time now);
-  std::uint64_t overdue() const { return overdue_; }  // of this process, so far
+  [[nodiscard]] std::uint64_t overdue() const { return overdue_; }  // of this process, so far
 
  private:
   struct Mark {
--- a/src/maintenance/machine.hpp
+++ b/src/maintenance/machine.hpp
@@ -45,7 +45,7 @@
   // Of an endpoint: who starts nothing more there, and the life it said so in.
   std::map<std::string, std::uint64_t> confirmed;
 
-  bool HoldsPlace() const {
+  [[nodiscard]] bool HoldsPlace() const {
     return kind == Kind::kMachine && state != State::kAsked && !IsOver(state);
   }
 };
@@ -79,7 +79,7 @@
   std::uint64_t token = 0;  // of who asked, to find the answer by; or the limit of a hall
   bool flag = false;
 
-  std::string Encode() const;
+  [[nodiscard]] std::string Encode() const;
   static std::optional<Command> Decode(std::string_view bytes);
 };
 
@@ -99,33 +99,33 @@
 class Machine : public consensus::StateMachine {
  public:
   void Apply(std::string_view command) override;
-  std::string Save() const override;
+  [[nodiscard]] std::string Save() const override;
   bool Load(std::string_view state) override;
 
-  std::uint64_t revision() const { return revision_; }  // counts commands
-  const std::map<std::string, MemberState>& members() const { return members_; }
-  const std::map<std::uint64_t, Request>& requests() const { return requests_; }
-  const std::deque<Request>& over() const { return over_; }
-  std::size_t out_in_all() const { return out_in_all_; }
-  std::size_t out_in_hall() const { return out_in_hall_; }
-  bool held() const { return held_; }
-  const std::string& last_hall() const { return last_hall_; }
-  const Answer* AnswerTo(std::uint64_t token) const;
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }  // counts commands
+  [[nodiscard]] const std::map<std::string, MemberState>& members() const { return members_; }
+  [[nodiscard]] const std::map<std::uint64_t, Request>& requests() const { return requests_; }
+  [[nodiscard]] const std::deque<Request>& over() const { return over_; }
+  [[nodiscard]] std::size_t out_in_all() const { return out_in_all_; }
+  [[nodiscard]] std::size_t out_in_hall() const { return out_in_hall_; }
+  [[nodiscard]] bool held() const { return held_; }
+  [[nodiscard]] const std::string& last_hall() const { return last_hall_; }
+  [[nodiscard]] const Answer* AnswerTo(std::uint64_t token) const;
 
   // Of a machine that is not over; nullptr: none.
-  const Request* RequestFor(Kind kind, const std::string& name) const;
+  [[nodiscard]] const Request* RequestFor(Kind kind, const std::string& name) const;
   // Places that are used now.
-  std::size_t UsedInAll() const { return UsedInHall(""); }
-  std::size_t UsedInHall(const std::string& hall) const {  // empty: in all
+  [[nodiscard]] std::size_t UsedInAll() const { return UsedInHall(""); }
+  [[nodiscard]] std::size_t UsedInHall(const std::string& hall) const {  // empty: in all
     const auto it = used_.find(hall);
     return it == used_.end() ? 0 : it->second;
   }
   // Its turn may come now.
-  bool MayGo(const Request& request) const;
+  [[nodiscard]] bool MayGo(const Request& request) const;
   // Empty: its turn may come now. Else whom or what it waits for, by name.
-  std::string WaitsFor(const Request& request) const;
+  [[nodiscard]] std::string WaitsFor(const Request& request) const;
   // Of an endpoint that drains: who has not confirmed.
-  std::vector<std::string> Unconfirmed(const Request& request) const;
+  [[nodiscard]] std::vector<std::string> Unconfirmed(const Request& request) const;
 
  private:
   void Do(const Command& command);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -121,8 +121,7 @@
     if (owner == nullptr || source.settings.rank < owner->settings.rank) owner = &source;
   }
   std::map<std::string, std::pair<int, Member>> best;  // with the rank of who said it
-  for (SourceId id = 0; id < sources_.size(); ++id) {
-    const Source& source = sources_[id];
+  for (const auto& source : sources_) {
     if (!Counts(source) || (owner != nullptr && owner != &source)) continue;
     const auto said = source.said.find(number);
     if (said == source.said.end()) continue;
@@ -279,10 +278,12 @@
   for (const auto& [number, destination] : destinations_) {
     for (const auto& [address, flaps] : destination.flaps) {
       const bool listed = destination.told.contains(address);
-      const bool said = std::any_of(sources_.begin(), sources_.end(), [&](const Source& source) {
-        const auto of = source.said.find(number);
-        return Counts(source) && of != source.said.end() && of->second.contains(address);
-      });
+      const bool said = std::any_of(
+          sources_.begin(), sources_.end(),
+          [&, &number = number, &address = address](const Source& source) {
+            const auto of = source.said.find(number);
+            return Counts(source) && of != source.said.end() && of->second.contains(address);
+          });
       count += !listed && said ? 1 : 0;
     }
   }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -77,7 +77,7 @@
   // is whole, later ones are changes.
   std::optional<MemberList> Changes(double now);
   // When Changes may have something by time alone.
-  double NextDue() const;
+  [[nodiscard]] double NextDue() const;
 
   // ---- for people ----
   struct SourceState {
@@ -88,9 +88,9 @@
     double failing = 0;  // since when it fails; 0: it does not
     bool expired = false;
   };
-  std::vector<SourceState> Sources() const;
-  std::size_t suppressed() const;
-  std::size_t endpoints() const { return told_; }
+  [[nodiscard]] std::vector<SourceState> Sources() const;
+  [[nodiscard]] std::size_t suppressed() const;
+  [[nodiscard]] std::size_t endpoints() const { return told_; }
 
  private:
   // An endpoint's key within its destination is its address.
@@ -120,14 +120,15 @@
     std::map<std::string, Flaps> flaps;
   };
 
-  bool Counts(const Source& source) const { return source.spoke && !source.expired; }
+  [[nodiscard]] bool Counts(const Source& source) const { return source.spoke && !source.expired; }
   void Heard(Source& source, double now);
   void Touch(const Source& source);
   void ExpireDue(double now);
-  std::map<std::string, Member> Wanted(std::uint64_t number, const Destination& destination) const;
+  [[nodiscard]] std::map<std::string, Member> Wanted(std::uint64_t number,
+                                                     const Destination& destination) const;
   void Work(std::uint64_t number, Destination& destination, double now, MemberList& out);
   void HoldBack(Destination& destination, std::map<std::string, Member>& wanted, double now);
-  double PenaltyNow(const Flaps& flaps, double now) const;
+  [[nodiscard]] double PenaltyNow(const Flaps& flaps, double now) const;
 
   const Damping damping_;
   std::uint64_t revision_;
--- a/src/membership/zone_map.hpp
+++ b/src/membership/zone_map.hpp
@@ -43,7 +43,7 @@
   // Those that a change touches; the zone is the one after it.
   std::vector<Service> Apply(const dns::Zone& zone, const dns::Change& change);
 
-  std::size_t services() const { return names_.size(); }
+  [[nodiscard]] std::size_t services() const { return names_.size(); }
 
  private:
   Service Work(const dns::Zone& zone, const dns::Name& name);
--- a/src/nameserver/host.hpp
+++ b/src/nameserver/host.hpp
@@ -30,8 +30,8 @@
   Host(HostSettings settings, ZoneWatcher watcher);
   ~Host();
 
-  const std::string& address() const { return server_->address(); }
-  std::uint64_t answered() const { return server_->answered(); }
+  [[nodiscard]] const std::string& address() const { return server_->address(); }
+  [[nodiscard]] std::uint64_t answered() const { return server_->answered(); }
   void SetFaults(const Faults& faults) { server_->SetFaults(faults); }
 
  private:
--- a/src/nameserver/keeper.hpp
+++ b/src/nameserver/keeper.hpp
@@ -18,15 +18,15 @@
       : store_(std::move(folder), origin, options) {}
 
   zones::ZoneStore& store() { return store_; }
-  const dns::Zone& zone() const override { return store_.zone(); }
-  bool answers() const override { return store_.zone().has_soa(); }
+  [[nodiscard]] const dns::Zone& zone() const override { return store_.zone(); }
+  [[nodiscard]] bool answers() const override { return store_.zone().has_soa(); }
   bool Commit(const dns::Change& change, const dns::Witness* by, std::string& why) override {
     if (store_.Commit(change, by)) return true;
     why = store_.why();
     return false;
   }
 
-  std::vector<dns::Witness> witnesses() const override {
+  [[nodiscard]] std::vector<dns::Witness> witnesses() const override {
     return {store_.witnesses().begin(), store_.witnesses().end()};
   }
 
@@ -39,8 +39,8 @@
  public:
   explicit MemoryZone(dns::Zone zone) : zone_(std::move(zone)) {}
 
-  const dns::Zone& zone() const override { return zone_; }
-  bool answers() const override { return zone_.has_soa(); }
+  [[nodiscard]] const dns::Zone& zone() const override { return zone_; }
+  [[nodiscard]] bool answers() const override { return zone_.has_soa(); }
   bool Commit(const dns::Change& change, const dns::Witness*, std::string& why) override {
     if (zone_.Apply(change)) return true;
     why = "the change does not start from what the zone holds";
@@ -55,7 +55,7 @@
 class FileZone : public MemoryZone {
  public:
   using MemoryZone::MemoryZone;
-  bool takes_updates() const override { return false; }
+  [[nodiscard]] bool takes_updates() const override { return false; }
   void Start(dns::Zone zone) { zone_ = std::move(zone); }
 };
 
@@ -68,9 +68,9 @@
   }
   explicit FollowedZone(const dns::Name& origin) : FollowedZone(origin, "") {}
 
-  const dns::Zone& zone() const override { return store_ ? store_->zone() : zone_; }
-  bool answers() const override { return zone().has_soa() && !expired_; }
-  bool takes_updates() const override { return false; }
+  [[nodiscard]] const dns::Zone& zone() const override { return store_ ? store_->zone() : zone_; }
+  [[nodiscard]] bool answers() const override { return zone().has_soa() && !expired_; }
+  [[nodiscard]] bool takes_updates() const override { return false; }
   bool Commit(const dns::Change& change, const dns::Witness*, std::string& why) override {
     if (store_ ? store_->Commit(change) : zone_.Apply(change)) return true;
     why = store_ ? store_->why() : "the change does not start from what the zone holds";
--- a/src/nameserver/responder.hpp
+++ b/src/nameserver/responder.hpp
@@ -23,13 +23,13 @@
 class ZoneKeeper {
  public:
   virtual ~ZoneKeeper() = default;
-  virtual const dns::Zone& zone() const = 0;
+  [[nodiscard]] virtual const dns::Zone& zone() const = 0;
   virtual bool Commit(const dns::Change& change, const dns::Witness* by, std::string& why) = 0;
   // What earlier changes were signed with.
-  virtual std::vector<dns::Witness> witnesses() const { return {}; }
+  [[nodiscard]] virtual std::vector<dns::Witness> witnesses() const { return {}; }
   // False for a zone that is followed, or has not been read yet, or has expired.
-  virtual bool answers() const { return true; }
-  virtual bool takes_updates() const { return true; }
+  [[nodiscard]] virtual bool answers() const { return true; }
+  [[nodiscard]] virtual bool takes_updates() const { return true; }
 };
 
 // Signatures of requests that changed something, so that one that is sent again within the window
@@ -39,12 +39,12 @@
   static constexpr std::size_t kMost = 100'000;
 
   // What was answered to the request with this signature; nothing if it was not seen.
-  std::optional<dns::Rcode> Find(const std::string& mac) const;
+  [[nodiscard]] std::optional<dns::Rcode> Find(const std::string& mac) const;
   // `until` is when its window is over. Of more than kMost those whose windows end first go, and
   // no request as old as them is taken any more.
   void Add(const std::string& mac, std::uint64_t signed_at, std::uint64_t until, dns::Rcode rcode);
   void Forget(std::uint64_t now);
-  bool IsTooOld(std::uint64_t signed_at) const { return signed_at <= dropped_; }
+  [[nodiscard]] bool IsTooOld(std::uint64_t signed_at) const { return signed_at <= dropped_; }
 
  private:
   struct Seen {
@@ -85,17 +85,18 @@
     dns::TsigSession* session = nullptr;  // if it was signed, by a key that is known
     std::size_t limit = dns::kMostMessageBytes;
 
-    std::optional<dns::Name> key() const;
+    [[nodiscard]] std::optional<dns::Name> key() const;
   };
 
-  ZoneKeeper* ZoneOf(const dns::Name& name) const;  // the nearest at or above
-  ZoneKeeper* ZoneAt(const dns::Name& name) const;  // whose top it is
-  Reply Signed(const Request& request, const dns::Message& answer, std::string event) const;
-  Reply Refuse(const Request& request, dns::Rcode rcode, std::string why) const;
-  Reply Query(const Request& request) const;
-  Reply Transfer(const Request& request) const;
+  [[nodiscard]] ZoneKeeper* ZoneOf(const dns::Name& name) const;  // the nearest at or above
+  [[nodiscard]] ZoneKeeper* ZoneAt(const dns::Name& name) const;  // whose top it is
+  [[nodiscard]] Reply Signed(const Request& request, const dns::Message& answer,
+                             std::string event) const;
+  [[nodiscard]] Reply Refuse(const Request& request, dns::Rcode rcode, std::string why) const;
+  [[nodiscard]] Reply Query(const Request& request) const;
+  [[nodiscard]] Reply Transfer(const Request& request) const;
   Reply Update(const Request& request);
-  Reply Notify(const Request& request) const;
+  [[nodiscard]] Reply Notify(const Request& request) const;
 
   std::map<std::string, ZoneKeeper*> zones_;  // by the top's Key()
   dns::KeyRing keys_;
--- a/src/nameserver/server.hpp
+++ b/src/nameserver/server.hpp
@@ -37,7 +37,7 @@
   bool garbage = false;                         // answers with bytes that mean nothing
   bool notices = true;                          // false: changes are not told of
 
-  bool any() const {
+  [[nodiscard]] bool any() const {
     return quiet || delay.count() > 0 || refuse || truncate || claimed_serial || half_transfers ||
            garbage;
   }
@@ -60,13 +60,13 @@
   Server(Options options, Responder& responder, std::mutex& mutex);
   ~Server();
 
-  const std::string& address() const { return address_; }
+  [[nodiscard]] const std::string& address() const { return address_; }
   void SetFaults(const Faults& faults);
   void OnNotices(OnNotice take);
   void OnUpdates(OnUpdate take);
   // Tells the secondaries of the zone's present serial.
   void Announce(const dns::Name& zone);
-  std::uint64_t answered() const { return answered_; }
+  [[nodiscard]] std::uint64_t answered() const { return answered_; }
 
  private:
   struct Connection {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -82,7 +82,7 @@
     std::size_t faults = 0;       // in a row
 
     // Waits for a first command, or for a further one to begin.
-    bool IsIdle() const { return exchanges == 0 || reader.between_commands(); }
+    [[nodiscard]] bool IsIdle() const { return exchanges == 0 || reader.between_commands(); }
   };
 
   // ---- the lobby's, under the lock ----
--- a/src/net/discovery_timeouts.hpp
+++ b/src/net/discovery_timeouts.hpp
@@ -47,7 +47,7 @@
     heard_ = now;
     pauses_.Succeeded();
   }
-  Time GiveUpAt() const { return heard_ + kSilence; }
+  [[nodiscard]] Time GiveUpAt() const { return heard_ + kSilence; }
   // After an ask or a watch has ended.
   Duration PauseAfter(Time now) {
     const auto left = std::chrono::floor<Duration>(heard_ + kAskAgain - now);
--- a/src/net/idle_connection_budget.hpp
+++ b/src/net/idle_connection_budget.hpp
@@ -25,14 +25,14 @@
   void Crowded(Time now);
 
   // Connections to be kept idle at once.
-  std::size_t Most(Time now) const;
+  [[nodiscard]] std::size_t Most(Time now) const;
   // How long each may stay idle, at most `idle`. Where the share is below one connection, so much
   // of the mean time between calls that the group together keeps its share of the places.
-  Seconds KeptFor(Time now, Seconds idle) const;
+  [[nodiscard]] Seconds KeptFor(Time now, Seconds idle) const;
 
  private:
-  double CrowdAt(Time now) const;
-  double ShareAt(Time now) const;
+  [[nodiscard]] double CrowdAt(Time now) const;
+  [[nodiscard]] double ShareAt(Time now) const;
 
   double share_;      // connections
   double crowd_ = 0;  // doublings of caution after the last time it was crowded
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -25,27 +25,27 @@
     return *this;
   }
 
-  int fd() const { return fd_; }
-  bool is_open() const { return fd_ >= 0; }
+  [[nodiscard]] int fd() const { return fd_; }
+  [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   void Close();
 
   // False if not all could be written by then.
   bool SendAll(std::string_view bytes, SteadyTime until = SteadyTime::max());
   // Waits for something to read or the peer's end; false if neither came by then.
-  bool AwaitInput(SteadyTime until) const;
+  [[nodiscard]] bool AwaitInput(SteadyTime until) const;
   // Bytes read, 0 at the peer's end, -1 at an error (errno tells: EAGAIN at a time-out).
   long Receive(std::span<char> into);
   long ReceiveNow(std::span<char> into);  // -1 with EAGAIN where nothing has come
   // Something to read or the end has come: a connection between calls is stale then.
-  bool HasInputOrEnd() const;
+  [[nodiscard]] bool HasInputOrEnd() const;
   // The peer has ended or reset it, as TCP's state tells: unread bytes do not count, and neither
   // does what this side has shut down.
-  bool PeerHasEnded() const;
+  [[nodiscard]] bool PeerHasEnded() const;
   void ReceiveTimeout(std::chrono::milliseconds time);
 
  private:
   long ReceiveWith(std::span<char> into, int flags);
-  bool Await(short events, SteadyTime until) const;
+  [[nodiscard]] bool Await(short events, SteadyTime until) const;
 
   int fd_ = -1;
 };
--- a/src/observe/histogram.hpp
+++ b/src/observe/histogram.hpp
@@ -24,11 +24,11 @@
     max_ = std::max(max_, Duration(us));
   }
 
-  std::uint64_t count() const { return count_; }
-  Duration max() const { return max_; }
+  [[nodiscard]] std::uint64_t count() const { return count_; }
+  [[nodiscard]] Duration max() const { return max_; }
 
   // The upper edge of the bucket with the share-th value, `share` from 0 to 1; 0 if there is none.
-  Duration Quantile(double share) const {
+  [[nodiscard]] Duration Quantile(double share) const {
     const auto wanted = static_cast<std::uint64_t>(share * static_cast<double>(count_));
     std::uint64_t passed = 0;
     for (std::size_t i = 0; i < counts_.size(); ++i) {
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -101,7 +101,7 @@
 
 // Kept to the end of the process: threads may log while it exits.
 Loggers*& Current() {
-  static Loggers* current = new Loggers(LogOptions{});
+  static auto* current = new Loggers(LogOptions{});
   return current;
 }
 
@@ -161,7 +161,7 @@
 
 // RFC 3339, in UTC, with milliseconds.
 std::string TimeText(std::int64_t ms) {
-  const std::time_t seconds = static_cast<std::time_t>(ms / 1000);
+  const auto seconds = static_cast<std::time_t>(ms / 1000);
   std::tm parts{};
   gmtime_r(&seconds, &parts);
   char text[64];
--- a/src/peers/bytes.hpp
+++ b/src/peers/bytes.hpp
@@ -21,8 +21,8 @@
     bytes_ += bytes;
     return *this;
   }
-  std::size_t size() const { return bytes_.size(); }
-  const std::string& bytes() const { return bytes_; }
+  [[nodiscard]] std::size_t size() const { return bytes_.size(); }
+  [[nodiscard]] const std::string& bytes() const { return bytes_; }
   std::string Take() { return std::move(bytes_); }
 
  private:
@@ -53,10 +53,10 @@
     left_.remove_prefix(bytes);
     return taken;
   }
-  std::size_t left() const { return left_.size(); }
-  bool broken() const { return broken_; }
+  [[nodiscard]] std::size_t left() const { return left_.size(); }
+  [[nodiscard]] bool broken() const { return broken_; }
   // Everything was read, and everything was there.
-  bool done() const { return !broken_ && left_.empty(); }
+  [[nodiscard]] bool done() const { return !broken_ && left_.empty(); }
 
  private:
   std::uint64_t Number(std::size_t bytes) {
--- a/src/peers/detector.cpp
+++ b/src/peers/detector.cpp
@@ -140,8 +140,9 @@
       }
     }
     for (const auto& [name, peer] : peers_) round_.push_back(name);
-    for (std::size_t i = round_.size(); i > 1; --i)
+    for (std::size_t i = round_.size(); i > 1; --i) {
       std::swap(round_[i - 1], round_[random_.Below(i)]);
+    }
   }
   return std::nullopt;
 }
--- a/src/peers/detector.hpp
+++ b/src/peers/detector.hpp
@@ -77,7 +77,7 @@
   // Does what is due. To be called at Next() at the latest; a call that comes much later means that
   // this process was stopped, and nobody is judged by what it missed.
   void Tick(Time now);
-  Time Next() const;
+  [[nodiscard]] Time Next() const;
   // A frame of a peer that has checked. Kinds of other cores count as signs of life.
   void Receive(const Frame& frame, Time now);
   // Says good-bye: others need not suspect us.
@@ -88,18 +88,18 @@
   std::vector<Frame> TakeFrames() { return std::exchange(out_, {}); }
   std::vector<Change> TakeChanges() { return std::exchange(changes_, {}); }
 
-  const std::map<std::string, Peer>& peers() const { return peers_; }
-  const Counts& counts() const { return counts_; }
-  std::uint64_t incarnation() const { return incarnation_; }
-  std::uint64_t identity() const { return identity_; }
+  [[nodiscard]] const std::map<std::string, Peer>& peers() const { return peers_; }
+  [[nodiscard]] const Counts& counts() const { return counts_; }
+  [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
+  [[nodiscard]] std::uint64_t identity() const { return identity_; }
   // 0: all is well. Each probe that went unanswered adds one, 8 at most, where those that were
   // asked for help were silent as well: then it may be us. Our own time limits are so many times
   // longer, and one more.
-  std::size_t doubt() const { return doubt_; }
+  [[nodiscard]] std::size_t doubt() const { return doubt_; }
   // Others have known a later life of ours than our folder does: it is an old copy, or was lost.
-  bool folder_is_old() const { return folder_is_old_; }
+  [[nodiscard]] bool folder_is_old() const { return folder_is_old_; }
   // Peers that have told, since our start, what they know of us (an answer to a probe).
-  std::size_t answered_by() const { return answered_.size(); }
+  [[nodiscard]] std::size_t answered_by() const { return answered_.size(); }
 
  private:
   struct Word {
@@ -137,10 +137,12 @@
   std::vector<Word> ReadWords(Reader& reader);
   std::optional<std::string> NextTarget();
   std::vector<std::string> Some(std::size_t most, const std::string& but);
-  bool IsPresent(const Peer& peer) const {
+  [[nodiscard]] bool IsPresent(const Peer& peer) const {
     return peer.state == State::kAlive || peer.state == State::kSuspect;
   }
-  Time Stretched(Time time) const { return time * static_cast<Time::rep>(1 + doubt_); }
+  [[nodiscard]] Time Stretched(Time time) const {
+    return time * static_cast<Time::rep>(1 + doubt_);
+  }
 
   const Timings timings_;
   const std::string self_;
--- a/src/peers/roster.hpp
+++ b/src/peers/roster.hpp
@@ -62,8 +62,8 @@
   Timings timings;
   Sharing sharing;
 
-  const Member* Find(std::string_view name) const;
-  std::vector<std::string> Voters() const;
+  [[nodiscard]] const Member* Find(std::string_view name) const;
+  [[nodiscard]] std::vector<std::string> Voters() const;
 };
 
 std::string_view RosterSchema();
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -89,8 +89,9 @@
     if (!started_) started_ = now;
     now_ = std::max(now_, now);
     actions_.clear();
-    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true))
+    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
       actions_.push_back(SubscribeToEndpointList{});
+    }
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
     }
@@ -108,7 +109,9 @@
  private:
   // ======== ledger: each message's attempts, what may have run, its one final answer ========
 
-  const ClassSettings& ClassOf(const Message& m) const { return set_.classes[m.message_class]; }
+  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
+    return set_.classes[m.message_class];
+  }
 
   Destination& DestinationOf(DestinationId id) {
     const Seconds memory = std::max<Seconds>(kRateMemory, longest_deadline_);
@@ -152,7 +155,7 @@
   }
 
   template <typename E>
-  Message Taken(const E& e) const {
+  [[nodiscard]] [[nodiscard]] Message Taken(const E& e) const {
     Message m;
     m.id = e.message;
     m.destination = e.destination;
@@ -181,14 +184,14 @@
     Close(it->second);
   }
 
-  bool MayRefuse(const Message& m) const {
+  [[nodiscard]] bool MayRefuse(const Message& m) const {
     const ClassSettings& c = ClassOf(m);
     if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kIdempotent) return true;
     return c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination;
   }
 
   // A keyed message that may have run is not sent again once its destination may have forgotten it.
-  bool WindowClosed(const Message& m) const {
+  [[nodiscard]] bool WindowClosed(const Message& m) const {
     return m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
            now_ - *m.may_have_run >= ClassOf(m).dedup_window;
   }
@@ -219,7 +222,7 @@
     messages_.erase(it);
   }
 
-  bool KeyFree(const Message& m) const {
+  [[nodiscard]] bool KeyFree(const Message& m) const {
     if (m.key.empty()) return true;
     const KeyLine& line = keys_.at(m.key);
     return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
@@ -264,7 +267,7 @@
       Endpoint& e = endpoints_.at(id);
       if (e.entry.state != EndpointState::kListed) continue;
       if (e.health != Health::kClosed) return 0;
-      const double batch = static_cast<double>(BatchOf(e));
+      const auto batch = static_cast<double>(BatchOf(e));
       share = std::max(share, LaneOf(e).limit * batch / static_cast<double>(set_.group_size));
     }
     return share;
@@ -289,7 +292,7 @@
 
   void UpdateGate(Destination& d) {
     const Marks marks = MarksOf(d);
-    const double n = static_cast<double>(d.waiting.size());
+    const auto n = static_cast<double>(d.waiting.size());
     Gate& gate = d.gate;
     if (n >= marks.onset) gate.last_at_onset = now_;
     if (n >= marks.discard) {
@@ -312,7 +315,7 @@
     return static_cast<double>(random_()) >= kRefusedShare * static_cast<double>(random_.max());
   }
 
-  Duration RetryAfter(const Destination& d, const Message& m) const {
+  [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) const {
     if (!set_.clients_honor_retry_after) return Duration{};
     Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
                               std::max(m.deadline - now_, Duration{}));
@@ -322,7 +325,7 @@
 
   // ======== slot share: the companion keeps one destination from filling the slots ========
 
-  std::size_t FreeSlots() const {
+  [[nodiscard]] std::size_t FreeSlots() const {
     if (set_.max_concurrent_calls == 0) return SIZE_MAX;
     return set_.max_concurrent_calls > calls_.size() ? set_.max_concurrent_calls - calls_.size()
                                                      : 0;
@@ -330,30 +333,30 @@
 
   // Few slots would be left free once `taken` more are filled. The companion counts the slot that
   // it is about to give: with five slots or fewer there would be nothing left to share otherwise.
-  bool SlotsScarce(std::size_t taken) const {
+  [[nodiscard]] bool SlotsScarce(std::size_t taken) const {
     return set_.max_concurrent_calls > 0 &&
            static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
                kScarceSlots * static_cast<double>(set_.max_concurrent_calls);
   }
 
-  bool OthersHoldWork(const Destination& d) const {
+  [[nodiscard]] bool OthersHoldWork(const Destination& d) const {
     return std::any_of(busy_.begin(), busy_.end(), [&](DestinationId id) {
       const Destination& other = destinations_.at(id);
       return &other != &d && !other.waiting.empty();
     });
   }
 
-  bool WithinSlotShare(const Destination& d) const {
+  [[nodiscard]] bool WithinSlotShare(const Destination& d) const {
     return !SlotsScarce(1) || !OthersHoldWork(d) || d.calls_out < SlotsOf(kSlotShare);
   }
 
-  double SlotsOf(double share) const {
+  [[nodiscard]] double SlotsOf(double share) const {
     return std::max(1.0, std::floor(share * static_cast<double>(set_.max_concurrent_calls)));
   }
 
   // All sick endpoints share a quarter. Guards against many destinations that are each a little
   // sick: none fills its half, and together they would fill the sender.
-  bool WithinSickShare(const Endpoint& e) const {
+  [[nodiscard]] bool WithinSickShare(const Endpoint& e) const {
     return e.fails_in_row == 0 || !SlotsScarce(1) || sick_out_ < SlotsOf(kSickSlotShare);
   }
 
@@ -364,11 +367,11 @@
   }
 
   // Each endpoint of its kind is a route with its own limit, pace and outages.
-  bool Apart(const Endpoint& e) const {
+  [[nodiscard]] bool Apart(const Endpoint& e) const {
     return e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].per_endpoint_limits;
   }
 
-  std::size_t BatchOf(const Endpoint& e) const {
+  [[nodiscard]] std::size_t BatchOf(const Endpoint& e) const {
     if (e.entry.kind >= set_.kinds.size()) return 1;
     return std::max<std::size_t>(1, set_.kinds[e.entry.kind].max_batch);
   }
@@ -422,13 +425,15 @@
     lane.next_call = std::min(lane.next_call, now_ + FromSeconds(1 / lane.rate));
   }
 
-  double ShareUsed(const Lane& lane) const {
+  [[nodiscard]] double ShareUsed(const Lane& lane) const {
     return kShareUsed * lane.limit / static_cast<double>(set_.group_size);
   }
 
-  bool ManyShare() const { return set_.group_size >= kManySharers; }
+  [[nodiscard]] bool ManyShare() const { return set_.group_size >= kManySharers; }
 
-  bool Seldom(double part) const { return ManyShare() && part * kPaceMemory.count() < kFewCalls; }
+  [[nodiscard]] bool Seldom(double part) const {
+    return ManyShare() && part * kPaceMemory.count() < kFewCalls;
+  }
 
   // The pace after a refusal for one that calls seldom: its own calls tell it too little and too
   // late, so it takes its even share of the limit, and half of that with each further refusal.
@@ -527,7 +532,7 @@
 
   // It answered lately, so a reset is its connection's end and not its own. Guards against one call
   // at a time where connections are often cut; an endpoint that died refuses the next one.
-  bool Answered(const Endpoint& e) const {
+  [[nodiscard]] bool Answered(const Endpoint& e) const {
     return e.last_answer > Time{} && now_ - e.last_answer < shortest_aim_;
   }
 
@@ -540,7 +545,7 @@
     if (e.calls_out <= 1) e.next_call = now_ + Spread(kFullPause);
   }
 
-  bool HasPlace(const Endpoint& e) const {
+  [[nodiscard]] bool HasPlace(const Endpoint& e) const {
     if (e.next_call > now_) return false;
     return e.places == 0 || e.calls_out < e.places + (now_ - e.crowded) / kPlacePause;
   }
@@ -661,7 +666,7 @@
   // ======== picker: which held message gets the next slot ========
 
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
-  double Urgency(const Message& m) const {
+  [[nodiscard]] double Urgency(const Message& m) const {
     const ClassSettings& c = ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
     const double value = WorthAt(c, age, set_.decay);
@@ -671,7 +676,7 @@
     return c.priority_weight * (value - later + kFloorUrgency * value);
   }
 
-  bool Sendable(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool Sendable(const Message& m, const Endpoint& e) const {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
     if (m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
         ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
@@ -683,7 +688,7 @@
   // A trial call that is a message saves a probe. Where no connection came up the next one will not
   // either or will be answered, so one of many risks a message that may be repeated there. Of a
   // few, whose trials come often, a message would spend all its attempts on them.
-  bool MayTry(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) const {
     const Effect effect = ClassOf(m).effect;
     return effect == Effect::kIdempotent || !set_.health_checks_allowed ||
            (effect == Effect::kIdempotentWithKey && e.closed && ManyShare());
@@ -691,8 +696,9 @@
 
   bool CanCall(Endpoint& e) {
     Lane& lane = LaneOf(e);
-    if (e.health == Health::kRecovering && now_ - e.since > set_.slow_start_duration)
+    if (e.health == Health::kRecovering && now_ - e.since > set_.slow_start_duration) {
       Turn(e, Health::kClosed);
+    }
     if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
     if (std::max(lane.wait_until, lane.next_call) > now_) return false;
     if ((e.fails_in_row > 0 && e.fresh_out > 0) || !WithinSickShare(e)) return false;
@@ -701,7 +707,7 @@
 
   // Its latency with our calls there, dearer the more of the class's calls failed. Guards against
   // one class that fails at one endpoint: its messages go to the others, and the rest stay.
-  double CostOf(const Endpoint& e, std::size_t message_class) const {
+  [[nodiscard]] double CostOf(const Endpoint& e, std::size_t message_class) const {
     const double latency = e.latency > 0 ? e.latency : ToSeconds(shortest_aim_) / 10;
     const double failure =
         message_class < e.class_failure.size() ? e.class_failure[message_class] : e.failure;
@@ -710,7 +716,7 @@
   }
 
   // What the route's zone costs for each message it takes on; other endpoints cost nothing.
-  double TollOf(const Endpoint& e) const {
+  [[nodiscard]] double TollOf(const Endpoint& e) const {
     return Apart(e) && e.entry.zone < set_.zone_penalty.size() ? set_.zone_penalty[e.entry.zone]
                                                                : 0;
   }
@@ -750,18 +756,18 @@
   // Its time is up before an answer comes there in the mean. It goes with its like: a call is over
   // at the time of the first of its messages. Guards against one that takes all others back with
   // it.
-  bool Brief(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool Brief(const Message& m, const Endpoint& e) const {
     return BatchOf(e) > 1 && ToSeconds(m.deadline - now_) < e.latency;
   }
 
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
-  bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
     const bool crowded = set_.max_in_flight > 0 && 2 * held_ >= set_.max_in_flight;
     return crowded || BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
   }
 
-  Time GatheredAt(const Message& m) const {
+  [[nodiscard]] Time GatheredAt(const Message& m) const {
     const Duration time = std::min(ClassOf(m).latency_objective, (m.deadline - m.accepted) / 2);
     return m.accepted + FromSeconds(kGather * ToSeconds(time));
   }
@@ -824,7 +830,7 @@
   // ======== attempts: time-outs, further attempts, surrender ========
 
   // Doubled with each failure in a row, so that an endpoint that has become slow is still heard.
-  Duration OverdueAfter(const Endpoint& e) const {
+  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) const {
     const double usual = e.latency + kOverdueSpreads * e.spread;
     const double least = kLeastOverdue * ToSeconds(shortest_aim_);
     const double known = e.latency > 0 ? std::max(usual, least) : 2 * least;
@@ -832,18 +838,18 @@
     return std::min(FromSeconds(known) * (1 << doublings), 2 * shortest_aim_);
   }
 
-  Duration TimeoutOf(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) const {
     const Duration left = std::max<Duration>(m.deadline - now_, set_.decision_interval);
     if (set_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
     return std::min(left, 2 * OverdueAfter(e));
   }
 
-  Time StartBy(const Message& m) const {
+  [[nodiscard]] Time StartBy(const Message& m) const {
     if (!m.may_have_run || ClassOf(m).effect != Effect::kIdempotentWithKey) return m.deadline;
     return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
   }
 
-  bool Spent(const Message& m) const {
+  [[nodiscard]] bool Spent(const Message& m) const {
     const bool all =
         set_.max_attempts > 0 && m.attempts_before + m.attempts.size() >= set_.max_attempts;
     const bool lost =
@@ -979,10 +985,11 @@
     const Duration kept = std::max(longest_deadline_, set_.slow_start_duration);
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
       auto& [id, e] = *it;
-      if (e.entry.state != EndpointState::kRemoved)
+      if (e.entry.state != EndpointState::kRemoved) {
         e.removed.reset();
-      else if (!e.removed)
+      } else if (!e.removed) {
         e.removed = now_;
+      }
       const bool gone = e.removed && now_ - *e.removed > kept && e.calls_out == 0;
       if (gone) std::erase(destinations_.at(e.entry.destination).endpoints, id);
       it = gone ? endpoints_.erase(it) : std::next(it);
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -31,14 +31,14 @@
     value_ = value_ * Left(now - last_) + 1 / memory_;
     last_ = now;
   }
-  double Rate(Time now) const {
+  [[nodiscard]] double Rate(Time now) const {
     if (value_ <= 0) return 0;
     const Duration seen = std::max<Duration>(now - first_, std::chrono::seconds(1));
     return value_ * Left(now - last_) / (1 - Left(seen));
   }
 
  private:
-  double Left(Duration d) const { return std::exp(-ToSeconds(d) / memory_); }
+  [[nodiscard]] double Left(Duration d) const { return std::exp(-ToSeconds(d) / memory_); }
 
   double memory_;
   double value_ = 0;
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -36,7 +36,7 @@
  public:
   explicit LineCutter(std::size_t most = 1 << 20) : most_(most) {}
   std::vector<std::string> Feed(std::string_view bytes);
-  bool broken() const { return broken_; }
+  [[nodiscard]] bool broken() const { return broken_; }
 
  private:
   const std::size_t most_;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -20,17 +20,20 @@
   // The peer ended the connection.
   void FeedEnd();
 
-  int status() const { return status_; }  // 0 until the first line has come whole
+  [[nodiscard]] int status() const { return status_; }  // 0 until the first line has come whole
   // Some of the answer has come, not only of an interim one before it.
-  bool begun() const {
+  [[nodiscard]] bool begun() const {
     return state_ == State::kStatus ? !line_.empty() : state_ != State::kHeaders || status_ >= 200;
   }
-  bool head_done() const { return state_ >= State::kBody && state_ != State::kBroken; }
-  bool done() const { return state_ == State::kDone; }
-  bool broken() const { return state_ == State::kBroken; }
-  bool keep_alive() const { return keep_alive_; }
-  std::string_view Header(std::string_view name) const;  // name in lower case; empty if absent
-  const std::string& body() const { return body_; }
+  [[nodiscard]] bool head_done() const {
+    return state_ >= State::kBody && state_ != State::kBroken;
+  }
+  [[nodiscard]] bool done() const { return state_ == State::kDone; }
+  [[nodiscard]] bool broken() const { return state_ == State::kBroken; }
+  [[nodiscard]] bool keep_alive() const { return keep_alive_; }
+  [[nodiscard]] std::string_view Header(
+      std::string_view name) const;  // name in lower case; empty if absent
+  [[nodiscard]] const std::string& body() const { return body_; }
   // What has come of the body since the last call, for an answer that stays open.
   std::string TakeBody() { return std::exchange(body_, {}); }
 
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -25,7 +25,7 @@
     throw Error("JSON at byte " + std::to_string(at_) + ": " + what);
   }
 
-  char Peek() const { return at_ < text_.size() ? text_[at_] : '\0'; }
+  [[nodiscard]] char Peek() const { return at_ < text_.size() ? text_[at_] : '\0'; }
 
   void Space() {
     while (at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) < 4) ++at_;
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -25,18 +25,18 @@
   Value() = default;
   explicit Value(Data data) : data_(std::move(data)) {}
 
-  bool IsNull() const { return std::holds_alternative<std::monostate>(data_); }
-  bool IsArray() const { return std::holds_alternative<Array>(data_); }
-  const Data& data() const { return data_; }
-  const Value* Find(std::string_view name) const;  // null if absent or not an object
+  [[nodiscard]] bool IsNull() const { return std::holds_alternative<std::monostate>(data_); }
+  [[nodiscard]] bool IsArray() const { return std::holds_alternative<Array>(data_); }
+  [[nodiscard]] const Data& data() const { return data_; }
+  [[nodiscard]] const Value* Find(std::string_view name) const;  // null if absent or not an object
 
   // These throw Error, naming what was expected.
-  const Value& At(std::string_view name) const;
-  const std::string& Text() const;
-  double Number() const;
-  std::uint64_t Whole() const;
-  bool Flag() const;
-  const Array& Items() const;
+  [[nodiscard]] const Value& At(std::string_view name) const;
+  [[nodiscard]] const std::string& Text() const;
+  [[nodiscard]] double Number() const;
+  [[nodiscard]] std::uint64_t Whole() const;
+  [[nodiscard]] bool Flag() const;
+  [[nodiscard]] const Array& Items() const;
 
  private:
   Data data_;
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -21,9 +21,9 @@
   void Feed(std::string_view bytes);
   std::deque<RespCommand>& commands() { return commands_; }
   // The framing is lost: nothing after this can be read.
-  bool broken() const { return state_ == State::kBroken; }
+  [[nodiscard]] bool broken() const { return state_ == State::kBroken; }
   // Nothing of a further command has come.
-  bool between_commands() const { return state_ == State::kArray && line_.empty(); }
+  [[nodiscard]] bool between_commands() const { return state_ == State::kArray && line_.empty(); }
 
  private:
   enum class State { kArray, kBulk, kBody, kBodyEnd, kBroken };
--- a/src/quota/grantor.hpp
+++ b/src/quota/grantor.hpp
@@ -50,16 +50,16 @@
     std::map<std::string, Claim> demands;  // by holder
     double limit = 0;                      // as last agreed
   };
-  const std::map<std::string, Limit>& limits() const { return limits_; }
-  bool grants(Time now) const { return begun_ && now - *begun_ >= terms_.Quiet(); }
+  [[nodiscard]] const std::map<std::string, Limit>& limits() const { return limits_; }
+  [[nodiscard]] bool grants(Time now) const { return begun_ && now - *begun_ >= terms_.Quiet(); }
   // Of a key, what is granted and has not surely ended.
-  double Outstanding(const std::string& key, Time now) const;
+  [[nodiscard]] double Outstanding(const std::string& key, Time now) const;
 
  private:
   double Agreed(const std::string& key, Limit& limit, Time now) const;
-  double Lent(const Limit& limit, Time now) const;
-  double FairPart(const Limit& limit, const std::string& holder, double pool, double floor,
-                  Time now) const;
+  [[nodiscard]] double Lent(const Limit& limit, Time now) const;
+  [[nodiscard]] double FairPart(const Limit& limit, const std::string& holder, double pool,
+                                double floor, Time now) const;
 
   Terms terms_;
   std::optional<Time> begun_;
--- a/src/quota/holder.hpp
+++ b/src/quota/holder.hpp
@@ -31,13 +31,13 @@
 
   // The next request to the grantor, if one is due.
   std::optional<Request> Ask(Time now);
-  Time Next() const { return next_; }
+  [[nodiscard]] Time Next() const { return next_; }
   void Take(const Grant& grant, Time now);
   // The roster has other members, or the operator file other limits.
   void Change(Terms terms, Time now);
 
   // Calls a second that we may begin now; none: no limit is known.
-  std::optional<double> RateOf(const std::string& key, Time now) const;
+  [[nodiscard]] std::optional<double> RateOf(const std::string& key, Time now) const;
   // Whoever was told of the key's rate is to be told again.
   void TellAgain(const std::string& key);
   // Keys whose rate has changed by a tenth since this was last asked, or ended.
@@ -60,15 +60,15 @@
     std::optional<double> last;  // as Changes told it
     std::uint64_t begun = 0, held_back = 0;
   };
-  const std::map<std::string, Share>& shares() const { return shares_; }
+  [[nodiscard]] const std::map<std::string, Share>& shares() const { return shares_; }
 
  private:
   Share& Of(const std::string& key, Time now);
-  double LimitOf(const Share& share, Time now) const;
-  double LeaseOf(const Share& share, Time now) const;
-  double WantOf(const Share& share, Time now) const;
-  double DemandOf(const Share& share, Time now) const;
-  double FloorOf(const Share& share, Time now) const;
+  [[nodiscard]] double LimitOf(const Share& share, Time now) const;
+  [[nodiscard]] double LeaseOf(const Share& share, Time now) const;
+  [[nodiscard]] double WantOf(const Share& share, Time now) const;
+  [[nodiscard]] double DemandOf(const Share& share, Time now) const;
+  [[nodiscard]] double FloorOf(const Share& share, Time now) const;
   void Refill(Share& share, Time now) const;
 
   Terms terms_;
--- a/src/quota/messages.hpp
+++ b/src/quota/messages.hpp
@@ -24,7 +24,7 @@
   std::uint64_t had = 0;  // the last one whose answer it had: so this is younger than that answer
   std::map<std::string, Wish> wishes;
 
-  std::string Encode() const;
+  [[nodiscard]] std::string Encode() const;
   static std::optional<Request> Decode(std::string_view bytes);
 };
 
@@ -37,7 +37,7 @@
   bool leases = false;       // else the parts say limits alone, and leases run on
   std::map<std::string, Part> parts;
 
-  std::string Encode() const;
+  [[nodiscard]] std::string Encode() const;
   static std::optional<Grant> Decode(std::string_view bytes);
 };
 
--- a/src/quota/terms.hpp
+++ b/src/quota/terms.hpp
@@ -27,25 +27,31 @@
   bool told = true;                        // limits that endpoints report hold as well
   std::map<std::string, double> listed{};  // calls a second, by key, from the operator file
 
-  Time Renew() const { return term / 4; }
+  [[nodiscard]] Time Renew() const { return term / 4; }
   // What a call was told of a limit counts for so long; whoever calls seldom knows only an old one.
-  Time Fresh() const { return 2 * term; }
+  [[nodiscard]] Time Fresh() const { return 2 * term; }
   // A new grantor waits for so long: what the one before granted has ended by then, on whichever
   // member's clock, and the one before, which leads for two elections without a majority at most,
   // grants no more.
-  Time Quiet() const { return Stretched(term + 2 * election); }
+  [[nodiscard]] Time Quiet() const { return Stretched(term + 2 * election); }
   // What a member has lent of its floor may be granted for so long after the answer that it shows
   // to have had, and the member leaves it alone for so long after each time that it says so: until
   // all leases from it have surely ended.
-  Time Lent() const { return Shortened(term); }
-  Time LeftAlone() const { return Stretched(Stretched(2 * term)); }
+  [[nodiscard]] Time Lent() const { return Shortened(term); }
+  [[nodiscard]] Time LeftAlone() const { return Stretched(Stretched(2 * term)); }
   // As long as any clock may take for it.
-  Time Stretched(Time time) const { return FromSeconds(SecondsOf(time) * (1 + drift)); }
+  [[nodiscard]] Time Stretched(Time time) const {
+    return FromSeconds(SecondsOf(time) * (1 + drift));
+  }
   // Ended on its own clock after so long, a time has ended on no other clock before.
-  Time Shortened(Time time) const { return FromSeconds(SecondsOf(time) * (1 - drift)); }
-  double FloorOf(double limit) const { return limit * floor / static_cast<double>(members); }
+  [[nodiscard]] Time Shortened(Time time) const {
+    return FromSeconds(SecondsOf(time) * (1 - drift));
+  }
+  [[nodiscard]] double FloorOf(double limit) const {
+    return limit * floor / static_cast<double>(members);
+  }
   // Calls that a member of this rate may begin at once.
-  double BurstOf(double rate) const {
+  [[nodiscard]] double BurstOf(double rate) const {
     const double calls = rate * SecondsOf(burst);
     return calls > 1 ? calls : 1;
   }
@@ -54,13 +60,13 @@
 
   // Calls above limit x window, in any window, while the limit stands: with links whole or cut,
   // members stopped, killed or woken.
-  double MostAtOnce(double limit) const {
+  [[nodiscard]] double MostAtOnce(double limit) const {
     return static_cast<double>(members) + limit * SecondsOf(burst);
   }
   // For so long after a limit was lowered more may be begun, at the old rate at most: until all
   // that was granted by the old one has ended. `unheard` until a member that grants has heard of
   // it.
-  Time LoweredFor(Time unheard) const { return unheard + Stretched(term); }
+  [[nodiscard]] Time LoweredFor(Time unheard) const { return unheard + Stretched(term); }
 };
 
 // A limit's name: of a destination, or of an endpoint whose route is apart.
--- a/src/records/place.hpp
+++ b/src/records/place.hpp
@@ -16,7 +16,7 @@
   std::size_t line = 0;                     // from 1
   std::size_t column = 0;                   // from 1, in bytes
 
-  std::string Text() const;  // file:line:column
+  [[nodiscard]] std::string Text() const;  // file:line:column
 };
 
 struct Fault {
@@ -24,14 +24,14 @@
   std::string message;  // what was expected and what was found
   Place declared;       // what says so, where that is another place
 
-  std::string Text() const;  // file:line:column: message (declared at ...)
+  [[nodiscard]] std::string Text() const;  // file:line:column: message (declared at ...)
 };
 
 // An operator file that cannot be used, with everything that is wrong with it; never empty.
 class BadRecords : public std::runtime_error {
  public:
   explicit BadRecords(std::vector<Fault> faults);
-  const std::vector<Fault>& faults() const { return faults_; }
+  [[nodiscard]] const std::vector<Fault>& faults() const { return faults_; }
 
  private:
   std::vector<Fault> faults_;
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -73,31 +73,31 @@
 const Record::Struct& Record::Fields() const { return As<Struct>("a struct"); }
 
 std::int64_t Record::Int() const {
-  const Number& number = As<Number>("an int");
+  const auto& number = As<Number>("an int");
   if (number.unit != Unit::kNone || !number.whole) Mistake(*this, "an int");
   return number.exact;
 }
 
 double Record::Double() const {
-  const Number& number = As<Number>("a number");
+  const auto& number = As<Number>("a number");
   if (number.unit != Unit::kNone) Mistake(*this, "a number");
   return number.value;
 }
 
 std::chrono::nanoseconds Record::Duration() const {
-  const Number& number = As<Number>("a duration");
+  const auto& number = As<Number>("a duration");
   if (number.unit != Unit::kDuration) Mistake(*this, "a duration");
   return std::chrono::nanoseconds(number.exact);
 }
 
 std::int64_t Record::Bytes() const {
-  const Number& number = As<Number>("a size");
+  const auto& number = As<Number>("a size");
   if (number.unit != Unit::kSize) Mistake(*this, "a size");
   return number.exact;
 }
 
 double Record::PerSecond() const {
-  const Number& number = As<Number>("a rate");
+  const auto& number = As<Number>("a rate");
   if (number.unit != Unit::kRate) Mistake(*this, "a rate");
   return number.value;
 }
--- a/src/records/records.hpp
+++ b/src/records/records.hpp
@@ -29,29 +29,30 @@
 
   Record(Place at, Form form) : at_(std::move(at)), form_(std::move(form)) {}
 
-  const Place& at() const { return at_; }
-  const Form& form() const { return form_; }
-
-  bool Bool() const;
-  std::int64_t Int() const;
-  double Double() const;  // of an int or a number
-  const std::string& Text() const;
-  std::chrono::nanoseconds Duration() const;
-  std::int64_t Bytes() const;
-  double PerSecond() const;
-  const List& Items() const;
-  const Struct& Fields() const;
-
-  const Record& At(std::string_view name) const;
-  const Record* Find(std::string_view name) const;  // nullptr: an optional field that is not there
+  [[nodiscard]] const Place& at() const { return at_; }
+  [[nodiscard]] const Form& form() const { return form_; }
+
+  [[nodiscard]] bool Bool() const;
+  [[nodiscard]] std::int64_t Int() const;
+  [[nodiscard]] double Double() const;  // of an int or a number
+  [[nodiscard]] const std::string& Text() const;
+  [[nodiscard]] std::chrono::nanoseconds Duration() const;
+  [[nodiscard]] std::int64_t Bytes() const;
+  [[nodiscard]] double PerSecond() const;
+  [[nodiscard]] const List& Items() const;
+  [[nodiscard]] const Struct& Fields() const;
+
+  [[nodiscard]] const Record& At(std::string_view name) const;
+  [[nodiscard]] const Record* Find(
+      std::string_view name) const;  // nullptr: an optional field that is not there
 
   // A fault at this value's place, for what no schema can say.
-  Fault Complain(std::string message) const { return {at_, std::move(message), {}}; }
+  [[nodiscard]] Fault Complain(std::string message) const { return {at_, std::move(message), {}}; }
 
   // On one line and the same for the same value, whatever the file looked like.
-  std::string Canonical() const;
+  [[nodiscard]] std::string Canonical() const;
   // JSON (RFC 8259); durations as ns, sizes as bytes, rates as events a second.
-  std::string Json() const;
+  [[nodiscard]] std::string Json() const;
 
  private:
   template <typename T>
--- a/src/records/syntax.cpp
+++ b/src/records/syntax.cpp
@@ -150,7 +150,7 @@
  public:
   explicit Builder(const std::string& file) : file_(std::make_shared<const std::string>(file)) {}
 
-  Expression::Struct FieldsOf(const Node& parent) const {
+  [[nodiscard]] Expression::Struct FieldsOf(const Node& parent) const {
     Expression::Struct out;
     for (const auto& child : parent.children) {
       if (child->is_type<Open>()) {
@@ -162,7 +162,7 @@
     return out;
   }
 
-  Place At(const Node& node) const {
+  [[nodiscard]] Place At(const Node& node) const {
     const auto position = node.begin();
     return {file_, position.line, position.column};
   }
@@ -172,7 +172,7 @@
     ThrowFault(At(node), std::move(message));
   }
 
-  Field FieldOf(const Node& node) const {
+  [[nodiscard]] Field FieldOf(const Node& node) const {
     Field field;
     field.at = At(node);
     const Node& label = *node.children.front();
@@ -194,11 +194,12 @@
   }
 
   template <typename Form>
-  ExpressionPtr Make(const Node& node, Form form) const {
+  [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] [[nodiscard]] ExpressionPtr
+  Make(const Node& node, Form form) const {
     return std::make_shared<const Expression>(Expression{At(node), std::move(form)});
   }
 
-  ExpressionPtr ValueOf(const Node& node) const {
+  [[nodiscard]] ExpressionPtr ValueOf(const Node& node) const {
     if (node.is_type<Value>()) {
       Expression::Or choices;
       for (const auto& child : node.children) {
@@ -226,7 +227,7 @@
     return Make(node, Expression::Name{node.string()});
   }
 
-  Expression::List ListOf(const Node& node) const {
+  [[nodiscard]] Expression::List ListOf(const Node& node) const {
     Expression::List list;
     for (const auto& child : node.children) {
       if (list.rest) Fail(*child, "nothing may follow ... in a list");
@@ -241,7 +242,7 @@
     return list;
   }
 
-  Expression::Bound BoundOf(const Node& node) const {
+  [[nodiscard]] Expression::Bound BoundOf(const Node& node) const {
     const std::string relation = node.children[0]->string();
     const Node& limit = *node.children[1];
     Expression::Bound bound{relation == ">="   ? Relation::kAtLeast
@@ -259,7 +260,7 @@
     return bound;
   }
 
-  std::string StringOf(const Node& node) const {
+  [[nodiscard]] std::string StringOf(const Node& node) const {
     const std::string raw = node.children.empty() ? "" : node.children.front()->string();
     std::string out;
     for (std::size_t i = 0; i < raw.size(); ++i) {
@@ -311,7 +312,7 @@
     double factor;
   };
 
-  Number NumberOf(const Node& node) const {
+  [[nodiscard]] Number NumberOf(const Node& node) const {
     constexpr double kKi = 1024;
     static constexpr UnitOf kUnits[] = {{"ns", Unit::kDuration, 1},
                                         {"us", Unit::kDuration, 1e3},
--- a/src/records/unify.cpp
+++ b/src/records/unify.cpp
@@ -351,8 +351,9 @@
   for (std::size_t i = 0; i < declared.alternatives.size(); ++i) {
     const Term& choice = declared.alternatives[i].term;
     if (choice.scalar) {
-      if (const auto* text = std::get_if<std::string>(&*choice.scalar))
+      if (const auto* text = std::get_if<std::string>(&*choice.scalar)) {
         texts.push_back(Quote(*text));
+      }
       continue;
     }
     only_scalars = false;
--- a/src/rehearsal/agent.hpp
+++ b/src/rehearsal/agent.hpp
@@ -30,9 +30,9 @@
   // auditor.
   void TellQuietly() { quietly_ = true; }
 
-  std::string address() const;
+  [[nodiscard]] std::string address() const;
   // The list as it is known now, as JSON; for `known` in a configuration as well.
-  std::string ListJson() const { return Line(true, 0); }
+  [[nodiscard]] std::string ListJson() const { return Line(true, 0); }
 
   // A change reached this agent: it is told to whoever watches.
   void Learn(std::size_t endpoint, Phase phase);
@@ -50,7 +50,7 @@
 
   void Listen();
   void Accept(std::shared_ptr<tcp::acceptor> acceptor);
-  std::string Line(bool whole, std::uint64_t from) const;
+  [[nodiscard]] std::string Line(bool whole, std::uint64_t from) const;
   void Told(std::uint64_t from);
   void Push();
 
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -480,7 +480,7 @@
     out.merchant_service.push_back(Ratio(merchant_got[i], merchant_asked[i]));
     merchant = std::min(merchant, out.merchant_service.back());
   }
-  const double all = static_cast<double>(origins_.size());
+  const auto all = static_cast<double>(origins_.size());
   out.metrics = {
       {"service", kWhole * whole + kWorst * worst + kMerchant * merchant},
       {"whole", whole},
--- a/src/rehearsal/campaign.cpp
+++ b/src/rehearsal/campaign.cpp
@@ -58,6 +58,7 @@
   const std::vector<std::string> words = {options.program, "rehearse", "run", file,     "--seed",
                                           number,          "--out",    out,   "--quiet"};
   std::vector<char*> argv;
+  argv.reserve(words.size());
   for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
@@ -128,7 +129,7 @@
   }
 
  private:
-  bool More() const {
+  [[nodiscard]] bool More() const {
     const double minutes =
         std::chrono::duration<double, std::ratio<60>>(std::chrono::steady_clock::now() - began_)
             .count();
@@ -289,6 +290,7 @@
   // No wrong-peer: it is a member that answers no probe, and so uses a place for good.
   std::sort(acts.begin(), acts.end());
   std::vector<std::string> lines;
+  lines.reserve(acts.size());
   for (auto& [at, line] : acts) lines.push_back(std::move(line));
   return lines;
 }
--- a/src/rehearsal/client_side.hpp
+++ b/src/rehearsal/client_side.hpp
@@ -33,7 +33,7 @@
   void Noticed(PutId put, bool deferred, std::optional<Time> wait);
   // What the lost machine held and did not end comes again.
   void MachineLost(std::size_t forwarder);
-  std::size_t most_connections() const { return most_connections_; }
+  [[nodiscard]] std::size_t most_connections() const { return most_connections_; }
 
  private:
   friend class ClientConnection;
--- a/src/rehearsal/endpoints.hpp
+++ b/src/rehearsal/endpoints.hpp
@@ -38,9 +38,9 @@
   Endpoint& Add(std::size_t partner);
   PartnerModel& model(std::size_t partner) { return models_[partner]; }
   Endpoint& at(std::size_t number) { return *endpoints_[number]; }
-  std::size_t count() const { return endpoints_.size(); }
+  [[nodiscard]] std::size_t count() const { return endpoints_.size(); }
   // The partner's that are not gone, in order of their numbers.
-  std::vector<std::size_t> Of(std::size_t partner) const;
+  [[nodiscard]] std::vector<std::size_t> Of(std::size_t partner) const;
 
   void Play(const Act& act);
   void Close();
--- a/src/rehearsal/fleet_auditor.hpp
+++ b/src/rehearsal/fleet_auditor.hpp
@@ -58,7 +58,7 @@
   void Line(std::size_t by, const std::string& line, Time at);
 
   // Frames go from one to the other now, and both have worked and been joined for a while.
-  bool Joined(std::size_t from, std::size_t to, Time now) const;
+  [[nodiscard]] bool Joined(std::size_t from, std::size_t to, Time now) const;
   // Adds its metrics.
   void Finish(Time now, Judgement& into);
 
@@ -72,8 +72,8 @@
   };
 
   void Recount(Time at);
-  bool Reach(std::size_t a, std::size_t b) const;
-  bool Works(std::size_t f) const { return runs_[f] && !paused_[f]; }
+  [[nodiscard]] bool Reach(std::size_t a, std::size_t b) const;
+  [[nodiscard]] bool Works(std::size_t f) const { return runs_[f] && !paused_[f]; }
   void Work(const std::string& line, Time at);
   void CountPlaces(Time at);
   void Tell(Rule rule, Time at, std::string what);
--- a/src/rehearsal/peer_net.hpp
+++ b/src/rehearsal/peer_net.hpp
@@ -24,7 +24,7 @@
   PeerNet(Stage& stage, const std::string& prefix, OnLink on_link);
 
   // Writes forwarder f's roster into the folder and returns its path.
-  std::string WriteRoster(std::size_t f, const std::string& folder) const;
+  [[nodiscard]] std::string WriteRoster(std::size_t f, const std::string& folder) const;
   // Staff change the roster: files that are written from now on say so.
   void ChangeRoster(const Act& act);
   // An act on links, from now until its end.
@@ -33,9 +33,9 @@
   void Lie(const Act& act, std::function<std::vector<std::string>()> endpoints);
   void Close();
 
-  std::uint64_t lies() const { return lies_; }
-  std::uint64_t frames() const { return frames_; }
-  std::uint64_t bytes() const { return bytes_; }
+  [[nodiscard]] std::uint64_t lies() const { return lies_; }
+  [[nodiscard]] std::uint64_t frames() const { return frames_; }
+  [[nodiscard]] std::uint64_t bytes() const { return bytes_; }
 
  private:
   struct Link {
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -82,7 +82,8 @@
  public:
   Chart(const Result& result, double seconds) : result_(result), seconds_(std::max(1.0, seconds)) {}
 
-  std::string Stacked(const std::string& title, const std::vector<Series>& series) const {
+  [[nodiscard]] std::string Stacked(const std::string& title,
+                                    const std::vector<Series>& series) const {
     double most = 1;
     for (const Second& s : result_.judgement.seconds) {
       double sum = 0;
@@ -107,7 +108,8 @@
     return Frame(title, series, most, bars);
   }
 
-  std::string Lines(const std::string& title, const std::vector<Series>& series) const {
+  [[nodiscard]] std::string Lines(const std::string& title,
+                                  const std::vector<Series>& series) const {
     double most = 1;
     for (const Second& s : result_.judgement.seconds) {
       for (const Series& part : series) most = std::max(most, part.value(s));
@@ -126,7 +128,7 @@
     return Frame(title, series, most, lines);
   }
 
-  std::string HeatMap() const {
+  [[nodiscard]] std::string HeatMap() const {
     constexpr double kRow = 18;
     const Scenario& s = result_.scenario;
     const double height = kRow * static_cast<double>(s.partners.size());
@@ -154,9 +156,9 @@
   }
 
  private:
-  double X(double second) const { return kLeft + second / seconds_ * kWidth; }
+  [[nodiscard]] double X(double second) const { return kLeft + second / seconds_ * kWidth; }
 
-  std::string Axis(double y) const {
+  [[nodiscard]] std::string Axis(double y) const {
     std::string out;
     const double step = seconds_ > 120 ? 30 : seconds_ > 40 ? 10 : seconds_ > 15 ? 5 : 1;
     for (double t = 0; t <= seconds_; t += step) {
@@ -170,7 +172,7 @@
   }
 
   // Each act where it begins, and shaded while it lasts.
-  std::string Acts() const {
+  [[nodiscard]] std::string Acts() const {
     std::string out;
     for (const Act& act : result_.scenario.acts) {
       const double from = SecondsOf(act.at), lasts = SecondsOf(act.lasts);
@@ -189,8 +191,8 @@
     return out;
   }
 
-  std::string Frame(const std::string& title, const std::vector<Series>& series, double most,
-                    const std::string& inner) const {
+  [[nodiscard]] std::string Frame(const std::string& title, const std::vector<Series>& series,
+                                  double most, const std::string& inner) const {
     std::string out = "<h3>" + title + "</h3><p class=\"legend\">";
     for (const Series& part : series) {
       out += Format("<span style=\"color:%s\">&#9632;</span> %s &nbsp; ", part.colour, part.name);
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -1,11 +1,11 @@
 #include "rehearsal/run.hpp"
 
-#include <signal.h>
 #include <unistd.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <optional>
@@ -271,7 +271,7 @@
     fleet_auditor_.Roster(act.places, left, stage_.Now());
     for (std::size_t f = 0; f < state_.size(); ++f) {
       if (f == left) continue;
-      peer_net_->WriteRoster(f, options_.out);
+      static_cast<void>(peer_net_->WriteRoster(f, options_.out));
       if (state_[f] == NodeState::kReady) supervisor_.Hangup(f);
     }
   }
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -76,8 +76,9 @@
 
  private:
   void Complain(const Record& record, std::string message) {
-    if (faults_.size() < records::kMostFaults)
+    if (faults_.size() < records::kMostFaults) {
       faults_.push_back(record.Complain(std::move(message)));
+    }
   }
 
   void ReadClass(MessageClass& c) {
@@ -95,8 +96,9 @@
   template <typename List>
   void CheckName(const Record& name, const List& list) {
     for (const auto& other : list) {
-      if (other.name == name.Text())
+      if (other.name == name.Text()) {
         Complain(name, records::Quote(name.Text()) + " is there already");
+      }
     }
   }
 
@@ -316,8 +318,9 @@
     if (StrikesForwarder(act.kind) || work) ReadStruck(from, forwarder, s, act);
     if (StrikesLinks(act.kind)) ReadLinks(from, s, act);
     if (merchant != nullptr) act.merchant = Place(*merchant, s.merchants, "merchant");
-    if (act.kind == ActKind::kBurst && merchant == nullptr)
+    if (act.kind == ActKind::kBurst && merchant == nullptr) {
       Complain(from, "burst needs a merchant");
+    }
     const bool needs_end = act.kind == ActKind::kBurst || act.kind == ActKind::kStale ||
                            act.kind == ActKind::kShut || act.kind == ActKind::kFull ||
                            act.kind == ActKind::kChurn || act.kind == ActKind::kVanish ||
--- a/src/rehearsal/sharing_auditor.hpp
+++ b/src/rehearsal/sharing_auditor.hpp
@@ -54,8 +54,8 @@
 
   void Called(const Event& event);
   void Failed(std::size_t call, Time at);
-  double AllowedAt(const Its& its, Time at) const;
-  double MostOver(double limit) const;
+  [[nodiscard]] double AllowedAt(const Its& its, Time at) const;
+  [[nodiscard]] double MostOver(double limit) const;
   void Tell(Rule rule, Time at, std::string what);
 
   const Scenario& scenario_;
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -1,7 +1,6 @@
 #include "rehearsal/supervisor.hpp"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -10,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <csignal>
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -49,13 +49,13 @@
   // Writes the configuration anew and sends SIGHUP.
   void Reload(std::size_t forwarder);
 
-  bool running(std::size_t forwarder) const { return nodes_[forwarder].pid > 0; }
+  [[nodiscard]] bool running(std::size_t forwarder) const { return nodes_[forwarder].pid > 0; }
   // Looks at memory and descriptors; to be called a few times a second.
   void Sample();
-  double most_memory_mb() const { return most_memory_mb_; }
-  std::size_t most_descriptors() const { return most_descriptors_; }
+  [[nodiscard]] double most_memory_mb() const { return most_memory_mb_; }
+  [[nodiscard]] std::size_t most_descriptors() const { return most_descriptors_; }
   // CPU seconds of all processes that have ended.
-  double cpu_seconds() const { return cpu_seconds_; }
+  [[nodiscard]] double cpu_seconds() const { return cpu_seconds_; }
 
  private:
   struct Node {
--- a/src/rehearsal/wrong_peer.hpp
+++ b/src/rehearsal/wrong_peer.hpp
@@ -26,7 +26,7 @@
                                 const std::vector<std::string>& endpoints);
 
  private:
-  std::string Signed(int kind, const std::string& to, const std::string& body) const;
+  [[nodiscard]] std::string Signed(int kind, const std::string& to, const std::string& body) const;
   std::string Words(int seen, std::uint32_t rest_ms, const std::vector<std::string>& endpoints);
   std::string Wants(double told);
 
--- a/src/rehearsal/zone_side.hpp
+++ b/src/rehearsal/zone_side.hpp
@@ -34,14 +34,15 @@
   ~ZoneSide();
 
   // The operator file that the forwarder is started with.
-  std::string SourcesFile(std::size_t forwarder) const;
+  [[nodiscard]] std::string SourcesFile(std::size_t forwarder) const;
   // Sends the update for each forwarder, in order, soon.
   void Tell(std::size_t endpoint, Agent::Phase phase);
   void SetFaults(const nameserver::Faults& faults) { host_->SetFaults(faults); }
 
  private:
-  dns::Name ZoneOf(std::size_t forwarder) const;
-  std::vector<dns::Record> RecordsOf(std::size_t forwarder, std::size_t endpoint) const;
+  [[nodiscard]] dns::Name ZoneOf(std::size_t forwarder) const;
+  [[nodiscard]] std::vector<dns::Record> RecordsOf(std::size_t forwarder,
+                                                   std::size_t endpoint) const;
   void Write(std::size_t forwarder) const;
   void Work();
 
--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -25,10 +25,10 @@
   static File OpenToRead(const std::string& path);
   static File OpenEmpty(const std::string& path);
 
-  bool is_open() const { return fd_ >= 0; }
-  std::optional<std::size_t> Size() const;
+  [[nodiscard]] bool is_open() const { return fd_ >= 0; }
+  [[nodiscard]] std::optional<std::size_t> Size() const;
   // All of the bytes or nothing.
-  std::optional<std::string> Read(std::size_t at, std::size_t length) const;
+  [[nodiscard]] std::optional<std::string> Read(std::size_t at, std::size_t length) const;
   bool Write(std::size_t at, std::string_view bytes);
   bool Cut(std::size_t size);
 
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -55,8 +55,8 @@
     return value;
   }
   std::string Text() { return std::string(Next(Number(4))); }
-  bool ok() const { return ok_; }
-  bool AtEnd() const { return ok_ && in_.empty(); }
+  [[nodiscard]] bool ok() const { return ok_; }
+  [[nodiscard]] bool AtEnd() const { return ok_ && in_.empty(); }
 
  private:
   std::string_view Next(std::size_t length) {
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -64,9 +64,9 @@
   void NothingRan(SpoolId number, std::size_t attempt);
   void End(SpoolId number);
 
-  SpoolId next_number() const { return next_number_; }
-  std::size_t owed() const { return live_.size(); }
-  std::size_t file_bytes() const { return size_; }
+  [[nodiscard]] SpoolId next_number() const { return next_number_; }
+  [[nodiscard]] std::size_t owed() const { return live_.size(); }
+  [[nodiscard]] std::size_t file_bytes() const { return size_; }
 
  private:
   struct Live {
@@ -79,7 +79,7 @@
   void Load();
   bool Apply(std::string_view payload, std::size_t offset, std::size_t length);
   bool Append(const std::string& payload, bool forced);
-  bool Fits(std::size_t file, std::size_t live) const;
+  [[nodiscard]] bool Fits(std::size_t file, std::size_t live) const;
   bool Compact();
 
   const std::string folder_;
--- a/src/verdicts/table.hpp
+++ b/src/verdicts/table.hpp
@@ -83,7 +83,7 @@
     std::vector<std::string> to;
   };
   Saying Say(Time now);
-  Time Next() const { return to_say_ > 0 ? next_ : Time::max(); }
+  [[nodiscard]] Time Next() const { return to_say_ > 0 ? next_ : Time::max(); }
   // A frame of a member's. What cannot be read changes nothing.
   void Take(const std::string& from, std::string_view bytes, Time now);
   // Members that are heard, ourselves too: who of them tries an endpoint next.
@@ -97,12 +97,14 @@
     std::uint32_t strikes = 0;
     Time shunned_until{};
   };
-  const std::map<std::pair<std::string, std::string>, Word>& words() const { return words_; }
-  const std::map<std::string, Witness>& witnesses() const { return witnesses_; }
-  bool Counts(const std::string& witness, Time now) const;
+  [[nodiscard]] const std::map<std::pair<std::string, std::string>, Word>& words() const {
+    return words_;
+  }
+  [[nodiscard]] const std::map<std::string, Witness>& witnesses() const { return witnesses_; }
+  [[nodiscard]] bool Counts(const std::string& witness, Time now) const;
   // Of what is seen there, how many other members that count stand behind it.
-  std::size_t WitnessesOf(const std::string& endpoint, Seen seen, Time now) const;
-  std::uint64_t refused() const { return refused_; }
+  [[nodiscard]] std::size_t WitnessesOf(const std::string& endpoint, Seen seen, Time now) const;
+  [[nodiscard]] std::uint64_t refused() const { return refused_; }
 
  private:
   struct Own {
@@ -116,9 +118,9 @@
   void Note(const std::string& endpoint, Own& own, Seen seen, Time rest, Time now);
   void Advise(const Word& word, Time now);
   // Our own calls were answered there since, or just before.
-  bool Known(const std::string& endpoint, Time seen) const;
+  [[nodiscard]] bool Known(const std::string& endpoint, Time seen) const;
   void Strike(const std::string& witness, Time now);
-  std::string TrierOf(const std::string& endpoint, Time now) const;
+  [[nodiscard]] std::string TrierOf(const std::string& endpoint, Time now) const;
 
   Settings settings_;
   const std::string self_;
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -54,19 +54,19 @@
   ZoneStore& operator=(const ZoneStore&) = delete;
 
   // Without a SOA if nothing was stored yet.
-  const dns::Zone& zone() const { return zone_; }
+  [[nodiscard]] const dns::Zone& zone() const { return zone_; }
   // At the start, of a last entry that was half written.
-  std::size_t cut_bytes() const { return cut_bytes_; }
+  [[nodiscard]] std::size_t cut_bytes() const { return cut_bytes_; }
 
   // Makes the change durable, with what it was signed with if it was, and then applies it. False,
   // with nothing changed, if it does not fit the zone or cannot be written: why() tells.
   bool Commit(const dns::Change& change, const dns::Witness* by = nullptr);
   // Of the changes so far, those that may be sent again (within twice the window of time).
-  const std::deque<dns::Witness>& witnesses() const { return witnesses_; }
+  [[nodiscard]] const std::deque<dns::Witness>& witnesses() const { return witnesses_; }
   // Puts another zone's data in the place of all, as one change, or as a snapshot if there was no
   // data yet or nothing leads from one to the other.
   bool Replace(const dns::Zone& zone);
-  const std::string& why() const { return why_; }
+  [[nodiscard]] const std::string& why() const { return why_; }
 
  private:
   void Read();
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -234,7 +234,7 @@
   CHECK_FALSE(ours.PeerHasEnded());
   peer.SendAll("unread");
   peer.Close();
-  ours.AwaitInput(SteadyTime::max());
+  REQUIRE(ours.AwaitInput(SteadyTime::max()));
   while (!ours.PeerHasEnded()) std::this_thread::yield();  // its packet may still be on the way
   CHECK(ours.PeerHasEnded());
 }
--- a/tests/network/json_test.cpp
+++ b/tests/network/json_test.cpp
@@ -22,9 +22,9 @@
   CHECK(items[3].IsNull());
   CHECK(items[4].Text() == "x\n\xc3\xa9\xf0\x9f\x98\x80");
   CHECK(v.Find("c") == nullptr);
-  CHECK_THROWS_AS(v.At("c"), json::Error);
-  CHECK_THROWS_AS(items[1].Whole(), json::Error);
-  CHECK_THROWS_AS(items[0].Text(), json::Error);
+  CHECK_THROWS_AS(static_cast<void>(v.At("c")), json::Error);
+  CHECK_THROWS_AS(static_cast<void>(items[1].Whole()), json::Error);
+  CHECK_THROWS_AS(static_cast<void>(items[0].Text()), json::Error);
 }
 
 TEST_CASE("what is not JSON is refused") {
--- a/tests/records/records_test.cpp
+++ b/tests/records/records_test.cpp
@@ -77,8 +77,8 @@
   CHECK(file.At("count").Int() == 3);
   CHECK(file.At("labels").At("any_name").Text() == "x");
   CHECK(second.At("share").at().Text() == "f:4:48");
-  CHECK_THROWS_AS(file.At("count").Duration(), std::logic_error);
-  CHECK_THROWS_AS(file.At("nothing"), std::logic_error);
+  CHECK_THROWS_AS(static_cast<void>(file.At("count").Duration()), std::logic_error);
+  CHECK_THROWS_AS(static_cast<void>(file.At("nothing")), std::logic_error);
 }
 
 TEST_CASE("each fault names its place, what was expected and what was found") {
