--- /dev/null
+++ b/tests/compatibility/state_folders.py
@@ -0,0 +1,308 @@
+"""Opens copies of stored state folders with the program under test."""
+
+import contextlib
+import os
+import pathlib
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+
+import recording_server
+import spool_file
+from program import (
+    DATA,
+    LIMIT_SECONDS,
+    Forwarder,
+    binary,
+    encode_command,
+    endpoint,
+    run,
+    wait_until,
+)
+from recording_server import RecordingServer
+from transcripts import mask, show
+
+
+@contextlib.contextmanager
+def copy_of(name):
+    """A copy of one folder of the test data, removed at the end."""
+    with tempfile.TemporaryDirectory() as parent:
+        folder = pathlib.Path(parent) / name
+        shutil.copytree(DATA / name, folder)
+        yield folder
+
+
+# ---- the spool ----
+
+
+def spool_members(address):
+    """An endpoint for each destination of the stored spool."""
+    return [
+        endpoint("at-%d" % destination, address, destination=destination)
+        for destination in range(1, 7)
+    ]
+
+
+def spool_listing():
+    """What `brassfront spool` prints; the folder stays as it was."""
+    with copy_of("spool") as folder:
+        before = (folder / "spool").read_bytes()
+        status, text = run("spool", "--state", folder)
+        if (folder / "spool").read_bytes() != before:
+            raise AssertionError("the command changed the spool")
+    return "status %d\n%s" % (status, text)
+
+
+def _log_lines(forwarder, *starts):
+    return "".join(line + "\n" for line in forwarder.log if line.startswith(starts))
+
+
+def spool_after_its_deadlines():
+    """The notices that a forwarder sends for a spool whose times have passed."""
+    with RecordingServer() as server, copy_of("spool") as folder:
+        forwarder = Forwarder(folder, server.address, spool_members(server.address))
+        try:
+            wait_until(
+                "the ends", lambda: "0 owed" in run("spool", "--state", folder)[1]
+            )
+            lines = b"".join(
+                request.split(b"\r\n\r\n", 1)[1]
+                for request in server.of(recording_server.NOTICE)
+            ).splitlines(keepends=True)
+        finally:
+            forwarder.end(signal.SIGKILL)
+        text = _log_lines(forwarder, "spool tail", "restored")
+    return text + "".join(sorted(mask(line).decode() for line in lines))
+
+
+def spool_soon_after_the_end():
+    """The calls that a forwarder makes for a spool that was left a moment ago."""
+    with RecordingServer() as server, copy_of("spool") as folder:
+        path = folder / "spool"
+        path.write_bytes(spool_file.shift_to_now(path.read_bytes()))
+        forwarder = Forwarder(folder, server.address, spool_members(server.address))
+        try:
+            wait_until(
+                "the ends", lambda: "0 owed" in run("spool", "--state", folder)[1]
+            )
+            calls = server.of(recording_server.SINGLE_CALL)
+            notices = server.of(recording_server.NOTICE)
+        finally:
+            forwarder.end(signal.SIGKILL)
+        text = _log_lines(forwarder, "spool tail", "restored")
+    text += "".join(show("a call", call) for call in sorted(calls, key=_correlation_id))
+    return text + "".join(show("a notice", notice) for notice in notices)
+
+
+def _correlation_id(call):
+    return re.search(rb"\r\nX-Correlation-Id: (.*)\r\n", call)[1]
+
+
+# ---- a fleet's members ----
+
+FLEET_NAMES = ("n0", "n1", "n2")
+FLEET_KEY = "dGhlIGtleSBvZiB0aGVzZSB0ZXN0cw==\n"
+
+
+class Fleet:
+    """Members that share a folder, each with its state in a folder of its name."""
+
+    def __init__(self, folder, names=FLEET_NAMES):
+        self.folder = pathlib.Path(folder)
+        self.names = names
+        self.server = RecordingServer()
+        self.members = {}
+        self._write_roster()
+
+    def __enter__(self):
+        try:
+            for name in self.names:
+                self._start(name)
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        for member in self.members.values():
+            member.end(signal.SIGKILL)
+        self.server.__exit__()
+
+    def _write_roster(self):
+        key = self.folder / "fleet.key"
+        key.touch(mode=0o600)
+        key.write_text(FLEET_KEY)
+        rows = "".join(
+            '  {name: "%s", hall: "east", peer: "127.0.0.1:%d"},\n' % row
+            for row in zip(FLEET_NAMES, free_datagram_ports(len(FLEET_NAMES)))
+        )
+        text = 'fleet: "tests"\nkey: "fleet.key"\nmembers: [\n%s]\n' % rows
+        (self.folder / "roster").write_text(text)
+
+    def _start(self, name):
+        (self.folder / name).mkdir(exist_ok=True)
+        members = [endpoint("single", self.server.address)]
+        self.members[name] = Forwarder(
+            self.folder / name,
+            self.server.address,
+            members,
+            name=name,
+            options=("--fleet", self.folder / "roster"),
+        )
+
+    def ask(self, name, *words):
+        """The exit status of a control request to one member, and its reply."""
+        status, text = run("fleet", *words, "--state", self.folder / name)
+        return "status %d\n%s" % (status, text)
+
+    def ask_until_done(self, name, *words):
+        """A control request, again until a quorum has settled it."""
+        return wait_until(
+            " ".join(words),
+            lambda: next(
+                (text for text in [self.ask(name, *words)] if "status 0" in text), None
+            ),
+        )
+
+    def wait_for(self, name, text, *words):
+        """The reply of one member, once it holds the text."""
+        return wait_until(
+            "%s at %s" % (text, name),
+            lambda: next((r for r in [self.ask(name, *words)] if text in r), None),
+        )
+
+
+def free_datagram_ports(count):
+    """Ports that are free now; all are held until the last is known."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            held = stack.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            held.bind(("127.0.0.1", 0))
+            ports.append(held.getsockname()[1])
+        return ports
+
+
+# ---- zones ----
+
+ZONE = "example."
+ZONE_KEY = "key.records"
+
+
+class NameServer:
+    """One `brassfront zone serve` that keeps the zone in a folder."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.process = subprocess.Popen(
+            [binary(), "zone", "serve", str(self.folder / "server.records")],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        first = self.process.stdout.readline()
+        if not first.startswith("serving on "):
+            self.end()
+            raise AssertionError("did not start: " + first)
+        self.address = first.split()[-1]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.end()
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+        self.process.wait(timeout=LIMIT_SECONDS)
+        self.process.stdout.close()
+
+    def query(self, *words):
+        key = self.folder / ZONE_KEY
+        return _command("zone", "query", self.address, *words, "--key", key)
+
+    def update(self, *steps):
+        options = ("--origin", ZONE, "--key", self.folder / ZONE_KEY)
+        return _command("zone", "update", self.address, *steps, *options)
+
+
+def _command(*words):
+    status, text = run(*words)
+    return "status %d\n%s" % (status, text)
+
+
+def zone_contents():
+    """The zone that a stored journal and snapshot hold, and the endpoints it lists."""
+    with copy_of("zone") as folder:
+        show_zone = ("zone", "show", folder / "kept", "--origin", ZONE)
+        return _command(*show_zone) + _command(*show_zone, "--endpoints")
+
+
+def zone_server_replies():
+    """A name server's replies about a stored zone: records, history, next change."""
+    with copy_of("zone") as folder, NameServer(folder) as server:
+        return (
+            server.query(ZONE, "SOA")
+            + server.query("www.example.", "A")
+            + server.query(ZONE, "AXFR")
+            + server.query(ZONE, "IXFR=2")
+            + server.update("add new.example. 60 A 192.0.2.77")
+            + server.query(ZONE, "AXFR")
+        )
+
+
+def zone_with_torn_journal():
+    """The zone whose journal ends in half an entry."""
+    with copy_of("zone") as folder:
+        journal = folder / "kept" / "journal"
+        os.truncate(journal, journal.stat().st_size - 5)
+        return _command("zone", "show", folder / "kept", "--origin", ZONE)
+
+
+# ---- fleet replies ----
+
+
+def _member_word(folder):
+    """The identity and the count of starts that a member's folder holds."""
+    _, identity, starts, _ = (folder / "fleet" / "member").read_text().split()
+    return identity, int(starts)
+
+
+def _mask_term(text):
+    return re.sub(
+        r"term=\d+", "term=<term>", re.sub(r"leader=\w*", "leader=<name>", text)
+    )
+
+
+def fleet_member_alone():
+    """What one member knows from its folder while no quorum can be reached."""
+    with copy_of("fleet") as folder:
+        identity, starts = _member_word(folder / "n0")
+        with Fleet(folder, names=("n0",)) as fleet:
+            text = fleet.ask("n0", "maintenance", "list")
+            text += _mask_term(fleet.ask("n0", "status"))
+            with fleet.members["n0"].connect() as client:
+                text += show("a ping", client.exchange(encode_command("PING")))
+            if _member_word(folder / "n0") != (identity, starts + 1):
+                raise AssertionError("the member's identity was not read")
+    return text
+
+
+def fleet_from_replicated_log():
+    """What all members agree on once they have only their replicated logs."""
+    with copy_of("fleet") as folder:
+        for name in FLEET_NAMES:
+            (folder / name / "fleet" / "known").unlink()
+        with Fleet(folder) as fleet:
+            text = ""
+            for name in FLEET_NAMES:
+                fleet.wait_for(name, "votes=yes", "status")
+                text += "# %s\n" % name
+                text += fleet.wait_for(name, "over:\n", "maintenance", "list")
+            text += fleet.ask_until_done("n1", "maintenance", "hold", "no")
+            text += fleet.ask_until_done("n1", "maintenance", "back", "n0")
+    return text
--- /dev/null
+++ b/tests/compatibility/state_test.py
@@ -0,0 +1,43 @@
+"""State folders that the program left at commit 052a23f, read by the program under
+test.
+
+Copies of the stored folders are opened, and what the program reads in them is compared
+with what it read then. The environment variable BRASSFRONT names the binary. """
+
+import unittest
+
+from golden_case import GoldenCase
+
+
+class SpoolTest(GoldenCase):
+    def test_a_stored_spool_lists_the_same_messages_and_attempts(self):
+        self.check("spool/listing")
+
+    def test_stored_messages_whose_deadline_passed_end_with_the_same_notices(self):
+        self.check("spool/after_its_deadlines")
+
+    def test_stored_messages_in_time_are_delivered_with_the_same_calls(self):
+        self.check("spool/soon_after_the_end")
+
+
+class FleetTest(GoldenCase):
+    def test_a_member_alone_knows_the_same_from_its_stored_folder(self):
+        self.check("fleet/member_alone")
+
+    def test_members_agree_on_the_same_from_their_stored_replicated_logs(self):
+        self.check("fleet/from_replicated_log")
+
+
+class ZoneTest(GoldenCase):
+    def test_a_stored_zone_has_the_same_records_and_endpoints(self):
+        self.check("zone/contents")
+
+    def test_a_stored_zone_is_served_and_changed_alike(self):
+        self.check("zone/server_replies")
+
+    def test_a_stored_zone_with_a_torn_journal_is_read_up_to_the_last_whole_entry(self):
+        self.check("zone/torn_journal")
+
+
+if __name__ == "__main__":
+    unittest.main()
