--- a/tests/compatibility/golden.py
+++ b/tests/compatibility/golden.py
@@ -1,5 +1,6 @@
 """What is compared with stored text: for each text, how it is recorded anew."""
 
+import fleet_control
 import simulator_transcripts
 import state_folders
 import transcripts
@@ -12,6 +13,8 @@
     "spool/soon_after_the_end": state_folders.spool_soon_after_the_end,
     "fleet/member_alone": state_folders.fleet_member_alone,
     "fleet/from_replicated_log": state_folders.fleet_from_replicated_log,
+    "fleet/control_replies": fleet_control.control_replies,
+    "fleet/control_reply_without_quorum": fleet_control.control_reply_without_quorum,
     "zone/contents": state_folders.zone_contents,
     "zone/server_replies": state_folders.zone_server_replies,
     "zone/torn_journal": state_folders.zone_with_torn_journal,
--- a/tests/compatibility/make_data.py
+++ b/tests/compatibility/make_data.py
@@ -200,6 +200,7 @@
 
 def make_golden():
     for name, record in golden.RECORDINGS.items():
+        print(name, flush=True)
         path = golden.path_of(name)
         path.parent.mkdir(parents=True, exist_ok=True)
         path.write_text(record())
--- a/tests/compatibility/state_test.py
+++ b/tests/compatibility/state_test.py
@@ -27,6 +27,12 @@
     def test_members_agree_on_the_same_from_their_stored_replicated_logs(self):
         self.check("fleet/from_replicated_log")
 
+    def test_each_control_request_gets_the_same_reply(self):
+        self.check("fleet/control_replies")
+
+    def test_a_control_request_without_a_quorum_gets_the_same_reply(self):
+        self.check("fleet/control_reply_without_quorum")
+
 
 class ZoneTest(GoldenCase):
     def test_a_stored_zone_has_the_same_records_and_endpoints(self):
