--- a/tests/compatibility/golden.py
+++ b/tests/compatibility/golden.py
@@ -1,6 +1,7 @@
 """What is compared with stored text: for each text, how it is recorded anew."""
 
 import fleet_control
+import peer_frames
 import simulator_transcripts
 import state_folders
 import transcripts
@@ -15,6 +16,7 @@
     "fleet/from_replicated_log": state_folders.fleet_from_replicated_log,
     "fleet/control_replies": fleet_control.control_replies,
     "fleet/control_reply_without_quorum": fleet_control.control_reply_without_quorum,
+    "fleet/peer_frames": peer_frames.frames,
     "zone/contents": state_folders.zone_contents,
     "zone/server_replies": state_folders.zone_server_replies,
     "zone/torn_journal": state_folders.zone_with_torn_journal,
--- a/tests/compatibility/state_folders.py
+++ b/tests/compatibility/state_folders.py
@@ -135,9 +135,11 @@
         key = self.folder / "fleet.key"
         key.touch(mode=0o600)
         key.write_text(FLEET_KEY)
+        ports = free_datagram_ports(len(FLEET_NAMES))
+        self.ports = dict(zip(FLEET_NAMES, ports))
         rows = "".join(
             '  {name: "%s", hall: "east", peer: "127.0.0.1:%d"},\n' % row
-            for row in zip(FLEET_NAMES, free_datagram_ports(len(FLEET_NAMES)))
+            for row in self.ports.items()
         )
         text = 'fleet: "tests"\nkey: "fleet.key"\nmembers: [\n%s]\n' % rows
         (self.folder / "roster").write_text(text)
@@ -266,7 +268,7 @@
 # ---- fleet replies ----
 
 
-def _member_word(folder):
+def member_identity(folder):
     """The identity and the count of starts that a member's folder holds."""
     _, identity, starts, _ = (folder / "fleet" / "member").read_text().split()
     return identity, int(starts)
@@ -281,13 +283,13 @@
 def fleet_member_alone():
     """What one member knows from its folder while no quorum can be reached."""
     with copy_of("fleet") as folder:
-        identity, starts = _member_word(folder / "n0")
+        identity, starts = member_identity(folder / "n0")
         with Fleet(folder, names=("n0",)) as fleet:
             text = fleet.ask("n0", "maintenance", "list")
             text += _mask_term(fleet.ask("n0", "status"))
             with fleet.members["n0"].connect() as client:
                 text += show("a ping", client.exchange(encode_command("PING")))
-            if _member_word(folder / "n0") != (identity, starts + 1):
+            if member_identity(folder / "n0") != (identity, starts + 1):
                 raise AssertionError("the member's identity was not read")
     return text
 
--- a/tests/compatibility/state_test.py
+++ b/tests/compatibility/state_test.py
@@ -33,6 +33,9 @@
     def test_a_control_request_without_a_quorum_gets_the_same_reply(self):
         self.check("fleet/control_reply_without_quorum")
 
+    def test_a_member_sends_its_peers_the_same_frames(self):
+        self.check("fleet/peer_frames")
+
 
 class ZoneTest(GoldenCase):
     def test_a_stored_zone_has_the_same_records_and_endpoints(self):
