Wait for the stored spool's deadlines when the compatibility data is made

Need: the notices that a stored spool leads to are recorded after its deadlines; made in one go, the data would show messages that could still be delivered.

Change: make_data.py waits until the last stored deadline has passed.

--- a/tests/compatibility/make_data.py
+++ b/tests/compatibility/make_data.py
@@ -17,9 +17,11 @@
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import tempfile
+import time
 
 import golden
 import simulator_script
@@ -60,7 +62,16 @@
         raise AssertionError("the program left a torn record of its own")
     last = len(payloads[-1]) + spool_file.FRAME.size
     torn = data[-last:][:TORN_BYTES]
-    (replace_folder("spool") / "spool").write_bytes(data + torn)
+    folder = replace_folder("spool")
+    (folder / "spool").write_bytes(data + torn)
+    _wait_for_deadlines(folder)
+
+
+def _wait_for_deadlines(folder):
+    """What is read in the spool later must not depend on how much later."""
+    _, listing = run("spool", "--state", folder)
+    latest = max(map(int, re.findall(r"deadline_unix_ms=(\d+)", listing)))
+    wait_until("the deadlines", lambda: time.time() * 1000 > latest)
 
 
 def _leave_spool(server, folder):
