Rename the log's events, fields and reasons to the terms of the field

The lines of the log are what the engineers on call read first; they spoke of hand-ins, next hops and lives. Texts of the policy, which the simulator prints too, `serving` and `restored` stay.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -66,8 +66,8 @@
   if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
   if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
   for (const std::string& warning : config.warnings) {
-    observe::Log(Concern::kService, Level::kWarning, "setting taken with a safe default",
-                 {{"fault", warning}});
+    observe::Log(Concern::kService, Level::kWarning, "setting replaced by a safe default",
+                 {{"error", warning}});
   }
   return config;
 }
@@ -75,12 +75,12 @@
 void Reload(const std::string& path, Engine& engine) {
   try {
     Config config = ReadConfig(path);
-    observe::Log(Concern::kService, Level::kInfo, "configuration read again",
+    observe::Log(Concern::kService, Level::kInfo, "configuration reloaded",
                  {{"discovery", config.discovery}});
     engine.SetDiscoveryAddress(std::move(config.discovery));
   } catch (const ConfigError& error) {
-    observe::Log(Concern::kService, Level::kError, "configuration not taken up, the old one holds",
-                 {{"fault", error.what()}});
+    observe::Log(Concern::kService, Level::kError,
+                 "configuration rejected, keeping the previous one", {{"error", error.what()}});
   }
 }
 
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -186,8 +186,8 @@
     if (leaving_ && may_leave_ && held_.empty()) left_ = true;
   }
   stages_.Tell(Level::kInfo, held_.size(), out_.size());
-  observe::Log(Concern::kEngine, Level::kInfo, "leaving",
-               {{"held", held_.size()}, {"overdue", lives_.overdue()}});
+  observe::Log(Concern::kEngine, Level::kInfo, "shutdown complete",
+               {{"in_flight", held_.size()}, {"overdue", lives_.overdue()}});
 }
 
 Engine::Time Engine::NextDue() const {
@@ -250,7 +250,7 @@
                                 .message = message});
       continue;
     }
-    observe::LogSeldom(Concern::kSpool, Level::kWarning, "spool full: envelope deferred");
+    observe::LogSeldom(Concern::kSpool, Level::kWarning, "spool full: message rejected");
     events_.emplace_back(dispatch_policy::MessageCancelled{message});
     Erase(message);
     arrival.answer.set_value(SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull));
@@ -361,7 +361,7 @@
 
 void Engine::On(const LeaveNow&) {
   if (std::exchange(leaving_, true)) return;
-  observe::Log(Concern::kEngine, Level::kInfo, "told to leave", {{"held", held_.size()}});
+  observe::Log(Concern::kEngine, Level::kInfo, "shutdown requested", {{"in_flight", held_.size()}});
   deadlines_.Set(Now() + kStayAtLeast, {Due::kMayLeave});
   deadlines_.Set(Now() + kStayAtMost, {Due::kLeave});
   on_drain_();
@@ -550,7 +550,7 @@
 }
 
 void Engine::Do(const dispatch_policy::LogMessage& e) {
-  observe::Log(Concern::kModule, Level::kInfo, "module: " + e.text);
+  observe::Log(Concern::kPolicy, Level::kInfo, "policy: " + e.text);
 }
 
 void Engine::Do(const dispatch_policy::StartHealthCheck& e) {
--- a/src/forwarder/message_trace.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -98,11 +98,11 @@
 const char* NameOf(LifeState state) {
   switch (state) {
     case LifeState::kHeld:
-      return "held";
+      return "waiting";
     case LifeState::kOut:
-      return "out";
+      return "calling";
     case LifeState::kEnding:
-      return "ending";
+      return "notifying";
     case LifeState::kOver:
       break;
   }
@@ -110,8 +110,9 @@
 }
 
 const char* NameOf(Step step) {
-  constexpr const char* kNames[] = {"taken",    "restored",  "heard", "started", "settled",
-                                    "given-up", "delivered", "gone",  "noticed", "withdrawn"};
+  constexpr const char* kNames[] = {"accepted",  "restored", "acknowledged", "started",
+                                    "completed", "given-up", "delivered",    "gone",
+                                    "notified",  "cancelled"};
   return kNames[static_cast<std::size_t>(step)];
 }
 
--- a/src/forwarder/stage_latencies.cpp
+++ b/src/forwarder/stage_latencies.cpp
@@ -14,16 +14,19 @@
     clock_gettime(clock, &time);
     return time.tv_sec * 1000 + time.tv_nsec / 1'000'000;
   };
-  observe::Log(Concern::kEngine, level, "at work",
-               {{"held", held},
-                {"out", out},
+  observe::Log(Concern::kEngine, level, "load",
+               {{"in_flight", held},
+                {"calls", out},
                 {"cpu_ms", cpu(CLOCK_PROCESS_CPUTIME_ID)},
                 {"engine_cpu_ms", cpu(CLOCK_THREAD_CPUTIME_ID)}});
-  const std::pair<const char*, const observe::Histogram*> all[] = {
-      {"put", &put}, {"answer", &answer}, {"start", &start}, {"notice", &notice}, {"turn", &turn}};
+  const std::pair<const char*, const observe::Histogram*> all[] = {{"submit", &put},
+                                                                   {"accept", &answer},
+                                                                   {"start", &start},
+                                                                   {"notify", &notice},
+                                                                   {"decide", &turn}};
   for (const auto& [name, times] : all) {
     if (times->count() == 0) continue;
-    observe::Log(Concern::kEngine, level, "waited",
+    observe::Log(Concern::kEngine, level, "stage latency",
                  {{"stage", name},
                   {"count", times->count()},
                   {"p50_us", times->Quantile(0.5).count()},
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -169,7 +169,7 @@
 }
 
 void LogListed(const Member& member, dispatch_policy::EndpointId number) {
-  observe::Log(Concern::kEngine, Level::kInfo, "next hop listed",
+  observe::Log(Concern::kEngine, Level::kInfo, "endpoint listed",
                {{"id", member.id},
                 {"endpoint", number},
                 {"destination", member.destination},
@@ -180,13 +180,13 @@
 void LogCallEnd(const EndpointCallResult& end, dispatch_policy::EndpointId number,
                 std::size_t parts, std::chrono::milliseconds took) {
   if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
-  observe::Log(Concern::kEngine, Level::kDebug, "call ended",
+  observe::Log(Concern::kEngine, Level::kDebug, "call completed",
                {{"endpoint", number},
-                {"parts", parts},
-                {"fate", static_cast<int>(end.outcome)},
+                {"messages", parts},
+                {"outcome", static_cast<int>(end.outcome)},
                 {"status", end.status},
-                {"wait", end.wait_ms},
-                {"took", took.count()},
+                {"retry_after_ms", end.wait_ms},
+                {"elapsed_ms", took.count()},
                 {"load", end.load}});
 }
 
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t kMostAccepts = 64;         // before the others get their turn
 constexpr std::size_t kLeastWorkers = 2;
 constexpr std::uint64_t kListener = UINT64_MAX, kWake = UINT64_MAX - 1;
-constexpr const char* kSide = "sender";
+constexpr const char* kSide = "client";
 
 // Without waiting for anything: other clients wait to be taken.
 void TurnAway(Socket& socket, const char* reason) {
@@ -52,14 +52,14 @@
       listener_(std::move(listener)),
       readiness_(epoll_create1(EPOLL_CLOEXEC)),
       wake_(eventfd(0, EFD_CLOEXEC)),
-      workers_("sender", {.least = std::min(kLeastWorkers, limits.workers), .most = limits.workers},
+      workers_("client", {.least = std::min(kLeastWorkers, limits.workers), .most = limits.workers},
                [this](Connection* connection) { Serve(*connection); }) {
   DoNotWait(listener_);
   if (!Watches(readiness_, EPOLL_CTL_ADD, listener_.fd(), kListener, EPOLLIN) ||
       !Watches(readiness_, EPOLL_CTL_ADD, wake_.fd(), kWake, EPOLLIN)) {
     throw std::runtime_error("no room for a descriptor");
   }
-  lobby_ = Thread("lobby", [this] { RunPollLoop(); });
+  lobby_ = Thread("client-poll", [this] { RunPollLoop(); });
   if (!lobby_.started()) throw std::runtime_error("no room for a thread");
 }
 
@@ -132,7 +132,7 @@
     }
     const SteadyTime now = std::chrono::steady_clock::now();
     if (connections_.size() >= limits_.connections && !MakeRoom(now)) {
-      TurnAway(socket, "too-many");
+      TurnAway(socket, "connection-limit");
       continue;
     }
     const Number number = next_++;
@@ -152,7 +152,7 @@
   const auto end_longest = [&](const Order& idle, milliseconds at_least) {
     // One with a command that has come meanwhile goes to a worker, and the next is looked at.
     while (!idle.empty() && now - idle.begin()->first >= at_least) {
-      if (EndIdle(idle.begin()->second, "made-room")) {
+      if (EndIdle(idle.begin()->second, "evicted")) {
         EndLeaving();
         return true;
       }
@@ -175,7 +175,7 @@
 void ClientServer::TrimIdle(SteadyTime now) {
   if (idle_useful_.size() <= limits_.most_idle) return;
   const auto [since, number] = *idle_useful_.begin();
-  if (now - since >= limits_.least_idle) EndIdle(number, "made-room");
+  if (now - since >= limits_.least_idle) EndIdle(number, "evicted");
 }
 
 // False if something has come on it meanwhile: it is no longer idle, or it has ended by itself.
@@ -265,7 +265,7 @@
     }
   }
   for (const Number number : had_theirs) {
-    if (connections_.count(number) != 0) EndIdle(number, "drained");
+    if (connections_.count(number) != 0) EndIdle(number, "draining");
   }
 }
 
@@ -307,7 +307,7 @@
   const std::lock_guard lock(mutex_);
   const bool between = c.reader.between_commands();
   if (stays && between && SendsAway()) {
-    reason = "drained";
+    reason = "draining";
     stays = false;
   }
   if (stopping_) {  // there is no lobby any longer
@@ -370,7 +370,7 @@
 bool ClientServer::SayFault(Connection& c, const std::string& reply, const char*& reason) {
   reason = "reset";
   if (!Say(c, reply)) return false;
-  reason = "too-many-faults";
+  reason = "too-many-errors";
   return ++c.faults < limits_.most_faults;
 }
 
@@ -424,7 +424,7 @@
   // A client that has stopped waiting may hand the message in again under a new id.
   if (c.socket.PeerHasEnded() || !Say(c, RespSimple("OK")) || !Flush(c)) {
     acceptor_.OnClientDisconnected(answer.message);
-    reason = "gone-before-answer";
+    reason = "client-gone";
     return false;
   }
   acceptor_.OnAcknowledged(answer.message);
--- a/src/net/discovery_watcher.cpp
+++ b/src/net/discovery_watcher.cpp
@@ -13,7 +13,7 @@
       times_(group.size, group.seed),
       revision_(revision),
       client_("discovery", std::move(address), DiscoveryTimeouts::kSilence, buffers),
-      thread_("watch", [this] { Follow(); }) {}
+      thread_("discovery", [this] { Follow(); }) {}
 
 DiscoveryWatcher::~DiscoveryWatcher() {
   client_.Stop();
@@ -49,7 +49,7 @@
       on_list_(std::move(list));
     } catch (const json::Error& error) {
       observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning,
-                         "discovery line unreadable", {{"fault", error.what()}});
+                         "discovery line invalid", {{"error", error.what()}});
       return false;
     }
   }
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -6,7 +6,7 @@
 namespace brassfront {
 namespace {
 
-constexpr const char* kSide = "next-hop";
+constexpr const char* kSide = "endpoint";
 constexpr std::size_t kLeastThreads = 2;
 constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
 // Of the time after which the other side closes an idle connection. Guards against a call that
@@ -23,7 +23,7 @@
     case EndpointCall::Stop::kTimedOut:
       return "timed-out";
     case EndpointCall::Stop::kRecalled:
-      return "recalled";
+      return "withdrawn";
     default:
       return otherwise;
   }
@@ -35,7 +35,7 @@
     : options_(options),
       buffers_(buffers),
       on_end_(std::move(on_end)),
-      threads_("next-hop",
+      threads_("endpoint",
                {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
                [this](const std::shared_ptr<EndpointCall>& delivery) { Work(delivery); }) {}
 
@@ -120,7 +120,7 @@
       until = std::chrono::steady_clock::now() + kAnswerTime;
     }
     if (!connection.socket.AwaitInput(until)) {
-      fault = "unfinished";
+      fault = "incomplete";
       break;
     }
     BufferPool::Buffer buffer = buffers_.Get();
@@ -139,7 +139,7 @@
   if (reader.done() && reader.keep_alive() && stop == EndpointCall::Stop::kNone) {
     Keep(std::move(connection));
   } else {
-    End(connection, ReasonOf(stop, reader.done() ? "not-kept" : fault));
+    End(connection, ReasonOf(stop, reader.done() ? "keep-alive-off" : fault));
   }
   // Of a spoilt answer only a first line with 200 is true. Guards against taking a request that has
   // run for one that was turned away.
@@ -207,7 +207,7 @@
   const bool many = static_cast<std::size_t>(kept) > share.Most(now);
   if (!many && idle_.size() <= options_.most_idle) return;
   const auto oldest = many ? std::find_if(idle_.begin(), idle_.end(), of_hop) : idle_.begin();
-  End(*oldest, "one-too-many");
+  End(*oldest, "idle-limit");
   idle_.erase(oldest);
 }
 
@@ -239,7 +239,7 @@
   shares_.erase(hop);
   std::erase_if(idle_, [&](Connection& c) {
     if (c.hop != hop) return false;
-    End(c, "gone");
+    End(c, "endpoint-removed");
     return true;
   });
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -85,11 +85,11 @@
       reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
     }
     if (on_bytes && !on_bytes(reader)) {
-      End("unreadable");
+      End("invalid");
       return false;
     }
   }
-  if (!reader.done() || !reader.keep_alive()) End(reader.done() ? "peer-asked" : "peer-closed");
+  if (!reader.done() || !reader.keep_alive()) End(reader.done() ? "keep-alive-off" : "peer-closed");
   return reader.done();
 }
 
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -27,9 +27,9 @@
 
 NotificationClient::NotificationClient(std::string address, BufferPool& buffers, OnHeard on_heard)
     : on_heard_(std::move(on_heard)),
-      client_("notices", std::move(address), kSilence, buffers),
+      client_("notifications", std::move(address), kSilence, buffers),
       waiting_(kMostWaiting),
-      thread_("notices", [this] { Run(); }) {}
+      thread_("notifications", [this] { Run(); }) {}
 
 NotificationClient::~NotificationClient() {
   waiting_.Close();
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -182,8 +182,8 @@
                       std::size_t exchanges) {
   using observe::Concern;
   constexpr const char* kEvent = "connection ended";
-  const Concern concern = side == "sender"     ? Concern::kSender
-                          : side == "next-hop" ? Concern::kNextHop
+  const Concern concern = side == "client"     ? Concern::kClient
+                          : side == "endpoint" ? Concern::kEndpoint
                                                : Concern::kPlatform;
   if (peer.empty()) {
     observe::Log(concern, observe::Level::kInfo, kEvent,
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr std::array<const char*, kConcerns> kConcernNames = {
-    "service", "engine", "sender", "next-hop", "platform", "spool", "module", "zones", "fleet"};
+    "service", "engine", "client", "endpoint", "platform", "spool", "policy", "zones", "fleet"};
 constexpr std::array<const char*, 5> kLevelNames = {"debug", "info", "warning", "error", "off"};
 
 spdlog::level::level_enum SpdlogLevel(Level level) {
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -25,11 +25,11 @@
 enum class Concern {
   kService,
   kEngine,
-  kSender,
-  kNextHop,
+  kClient,
+  kEndpoint,
   kPlatform,
   kSpool,
-  kModule,
+  kPolicy,
   kZones,
   kFleet
 };
--- a/tests/integration/forwarder_test.py
+++ b/tests/integration/forwarder_test.py
@@ -176,9 +176,9 @@
             self.wait_for("the end", lambda: "0 owed" in self.spool())
         client.close()
         self.assertEqual(forwarder.end(signal.SIGTERM), 0)
-        ended = [line for line in forwarder.log if "side=next-hop" in line]
+        ended = [line for line in forwarder.log if "side=endpoint" in line]
         self.assertLess(len(ended), 5)
-        self.assertTrue(any("side=sender" in line for line in forwarder.log))
+        self.assertTrue(any("side=client" in line for line in forwarder.log))
 
     # ---- spoilt answers ----
 
@@ -481,7 +481,7 @@
         self.toy.refused_notices = 1 << 30
         message, answer = forwarder.client().put(1, "x", left_ms=200)
         self.assertEqual(answer, "+OK")
-        line = "message overdue id=%s state=ending history=taken+0 " % message
+        line = "message overdue id=%s state=notifying history=accepted+0 " % message
         self.wait_for(
             "the line", lambda: any(text.startswith(line) for text in forwarder.log)
         )
@@ -501,7 +501,9 @@
 
         self.wait_for("the line", ends)
         self.assertEqual(ends()[0]["reason"], "delivered")
-        self.assertRegex(ends()[0]["history"], r"^taken\+0 heard\+\d+ started\+\d+")
+        self.assertRegex(
+            ends()[0]["history"], r"^accepted\+0 acknowledged\+\d+ started\+\d+"
+        )
 
     def test_an_option_that_is_not_known_is_told_with_the_way_to_help(self):
         for options in (
@@ -523,7 +525,10 @@
             forwarder.reload(text)
             self.wait_for(
                 "the line",
-                lambda: sum("the old one holds" in line for line in forwarder.log) > i,
+                lambda: sum(
+                    "keeping the previous one" in line for line in forwarder.log
+                )
+                > i,
             )
         self.toy.announce([member(self.toy, "later", 3, "single")])
         # The watch delivers the list: until then, messages to it are rejected.
@@ -618,7 +623,7 @@
     def test_with_nothing_owed_it_leaves_in_order(self):
         forwarder = self.start()
         self.assertEqual(forwarder.end(signal.SIGTERM), 0)
-        self.assertIn("leaving held=0 overdue=0", forwarder.log)
+        self.assertIn("shutdown complete in_flight=0 overdue=0", forwarder.log)
 
     def test_what_sigterm_leaves_no_time_for_stays_owed(self):
         gone = [member(self.toy, "e", 1, "single", address=self.dead_address())]
--- a/tests/network/log_test.cpp
+++ b/tests/network/log_test.cpp
@@ -42,16 +42,16 @@
 
 TEST_CASE("an event has the same fields in each form") {
   const auto line = [](Format format) {
-    return FormatLine(format, 1'700'000'000'007, Concern::kSender, Level::kInfo, "connection ended",
-                      {{"side", "sender"}, {"fault", "a \"b\"\n\x01"}, {"empty", ""}, {"n", -3}});
+    return FormatLine(format, 1'700'000'000'007, Concern::kClient, Level::kInfo, "connection ended",
+                      {{"side", "client"}, {"fault", "a \"b\"\n\x01"}, {"empty", ""}, {"n", -3}});
   };
-  CHECK(line(Format::kText) == "connection ended side=sender fault=a \"b\" \x01 empty= n=-3");
+  CHECK(line(Format::kText) == "connection ended side=client fault=a \"b\" \x01 empty= n=-3");
   CHECK(line(Format::kLogfmt) ==
-        "ts=2023-11-14T22:13:20.007Z level=info concern=sender event=\"connection ended\" "
-        "side=sender fault=\"a \\\"b\\\"\\n\\u0001\" empty=\"\" n=-3");
+        "ts=2023-11-14T22:13:20.007Z level=info concern=client event=\"connection ended\" "
+        "side=client fault=\"a \\\"b\\\"\\n\\u0001\" empty=\"\" n=-3");
   CHECK(line(Format::kJson) ==
-        "{\"ts\":\"2023-11-14T22:13:20.007Z\",\"level\":\"info\",\"concern\":\"sender\","
-        "\"event\":\"connection ended\",\"side\":\"sender\",\"fault\":\"a \\\"b\\\"\\n\\u0001\","
+        "{\"ts\":\"2023-11-14T22:13:20.007Z\",\"level\":\"info\",\"concern\":\"client\","
+        "\"event\":\"connection ended\",\"side\":\"client\",\"fault\":\"a \\\"b\\\"\\n\\u0001\","
         "\"empty\":\"\",\"n\":-3}");
 }
 
