--- a/tests/network/message_trace_test.cpp
+++ b/tests/network/message_trace_test.cpp
@@ -26,7 +26,8 @@
   lives.Note(1, milliseconds(12), Step::kSettled, 4);
   CHECK(lives.StateOf(1) == LifeState::kEnding);  // the notice is still owed
   CHECK(lives.HistoryOf(1) ==
-        "taken+0 heard+1 started+5(12) settled+9(2) started+10(3) given-up+11(1) settled+12(4)");
+        "accepted+0 acknowledged+1 started+5(12) completed+9(2) started+10(3) given-up+11(1) "
+        "completed+12(4)");
   lives.Note(1, milliseconds(15), Step::kNoticed);
   CHECK(lives.StateOf(1) == LifeState::kOver);
   CHECK(lives.living() == 0);
@@ -60,7 +61,7 @@
   lives.Begin(1, {}, seconds(20), Step::kTaken);
   for (std::uint32_t i = 1; i <= 200; ++i) lives.Note(1, milliseconds(i), Step::kStarted, i);
   const std::string history = lives.HistoryOf(1);
-  CHECK(history.starts_with("taken+0 started+1(1) started+2(2)"));
+  CHECK(history.starts_with("accepted+0 started+1(1) started+2(2)"));
   CHECK(history.find("started+7(7) ... started+185(185)") != std::string::npos);
   CHECK(history.ends_with("started+200(200)"));
 }
