Rename the calls, notifications and spool records that the engine uses

Recall, TakeBackWrite, NothingRan, RetireIdle and their like say what they do now: WithdrawBeforeSend, UndoBeginWrite, MarkNotRun, CloseExpiredIdle; StopReason, call_id, retry_after_ms, RecoveredMessage, known_not_run.

--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -32,13 +32,13 @@
   if (folder.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
   Spool spool =
       Spool::OpenToRead(folder, [](const std::string& text) { std::cerr << text << "\n"; });
-  for (const Replayed& owed : spool.Replay()) {
+  for (const RecoveredMessage& owed : spool.Recover()) {
     const SpooledMessage& m = owed.message;
     std::cout << "id=" << m.id << " class=" << m.class_name << " dest=" << m.destination
               << " deadline_unix_ms=" << m.deadline.count() << " bytes=" << m.body.size()
               << " attempts=" << owed.attempts.size() << "\n";
   }
-  std::cout << spool.owed() << " owed, " << spool.file_bytes() << " bytes\n";
+  std::cout << spool.open_messages() << " owed, " << spool.file_bytes() << " bytes\n";
   return 0;
 }
 
--- a/src/forwarder/deadlines.hpp
+++ b/src/forwarder/deadlines.hpp
@@ -11,10 +11,17 @@
 
 namespace brassfront {
 
-enum class Due { kModuleTimer, kDeliveryEnds, kRetireIdle, kEverySecond, kMayLeave, kLeave };
+enum class Due {
+  kPolicyTimer,
+  kCallTimeout,
+  kCloseIdle,
+  kEverySecond,
+  kMayShutDown,
+  kMustShutDown
+};
 
 struct Deadline {
-  Due due = Due::kModuleTimer;
+  Due due = Due::kPolicyTimer;
   std::uint64_t number = 0;  // of the timer or delivery
 };
 
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -71,12 +71,12 @@
       inbox_(kInboxCapacity),
       policy_(config.policy_settings, config.seed),
       next_message_(spool.next_number()),
-      next_hops_({.threads = MostOut(config),
-                  .most_idle = MostIdle(config),
-                  .group = config.policy_settings.group_size,
-                  .connection_idle = config.connection_idle,
-                  .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
-                 buffers, [this](EndpointCallResult end) { inbox_.Push(std::move(end)); }),
+      endpoint_client_({.threads = MostOut(config),
+                        .max_idle_connections = MostIdle(config),
+                        .group_size = config.policy_settings.group_size,
+                        .connection_idle = config.connection_idle,
+                        .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)},
+                       buffers, [this](EndpointCallResult end) { inbox_.Push(std::move(end)); }),
       notices_(config.discovery, buffers,
                [this](MessageId message) { inbox_.Push(NoticeHeard{message}); }),
       watch_(
@@ -137,7 +137,7 @@
   const Time now = Now();
   const UnixMs unix_now = UnixNow();
   events_.emplace_back(TakeList(known));
-  for (Replayed& owed : spool_.Replay()) {
+  for (RecoveredMessage& owed : spool_.Recover()) {
     dispatch_policy::MessageRestored e;
     e.message = owed.number;
     e.destination = owed.message.destination;
@@ -145,8 +145,8 @@
     e.time_left = owed.message.deadline - unix_now;
     e.attempts_used = owed.attempts.size();
     for (const SpooledAttempt& attempt : owed.attempts) {
-      if (attempt.nothing_ran || e.may_have_run) continue;
-      e.may_have_run = now - (unix_now - attempt.begun);
+      if (attempt.known_not_run || e.may_have_run) continue;
+      e.may_have_run = now - (unix_now - attempt.started_at);
       e.ran_on_endpoint = HopNumber(attempt.endpoint);
     }
     body_bytes_ += owed.message.body.size();
@@ -348,7 +348,7 @@
 
 // The end of a taken message: the spool's record, and the last line of its life.
 void Engine::End(MessageId message, Step step) {
-  spool_.End(message);
+  spool_.Finish(message);
   if (observe::Logs(Concern::kEngine, Level::kDebug)) {
     observe::Log(Concern::kEngine, Level::kDebug, "message ended",
                  {{"id", held_.at(message).id},
@@ -362,8 +362,8 @@
 void Engine::On(const LeaveNow&) {
   if (std::exchange(leaving_, true)) return;
   observe::Log(Concern::kEngine, Level::kInfo, "shutdown requested", {{"in_flight", held_.size()}});
-  deadlines_.Set(Now() + kStayAtLeast, {Due::kMayLeave});
-  deadlines_.Set(Now() + kStayAtMost, {Due::kLeave});
+  deadlines_.Set(Now() + kStayAtLeast, {Due::kMayShutDown});
+  deadlines_.Set(Now() + kStayAtMost, {Due::kMustShutDown});
   on_drain_();
 }
 
@@ -392,49 +392,49 @@
 }
 
 void Engine::On(const MoveNow& e) {
-  watch_.MoveTo(e.discovery);
-  notices_.MoveTo(e.discovery);
+  watch_.SetAddress(e.discovery);
+  notices_.SetAddress(e.discovery);
 }
 
 void Engine::On(const Deadline& e) {
   switch (e.due) {
-    case Due::kModuleTimer:
+    case Due::kPolicyTimer:
       events_.emplace_back(dispatch_policy::TimerFired{e.number});
       return;
-    case Due::kDeliveryEnds: {
+    case Due::kCallTimeout: {
       const auto it = out_.find(e.number);
       if (it == out_.end()) return;
       // Of a shared call the brief messages are to blame, and not the endpoint for its silence.
       const bool shared = it->second.parts.size() > 1;
-      it->second.delivery->End(shared ? EndpointCall::Stop::kCancelled
-                                      : EndpointCall::Stop::kTimedOut);
+      it->second.delivery->Abort(shared ? EndpointCall::StopReason::kCancelled
+                                        : EndpointCall::StopReason::kTimedOut);
       return;
     }
-    case Due::kRetireIdle:
+    case Due::kCloseIdle:
       retire_at_ = Time::max();
-      next_hops_.RetireIdle();
+      endpoint_client_.CloseExpiredIdle();
       RetireInTime();
       return;
     case Due::kEverySecond:
-      next_hops_.RetireIdle();
+      endpoint_client_.CloseExpiredIdle();
       ForgetHops(Now());
       stages_.Tell(Level::kDebug, held_.size(), out_.size());
       deadlines_.Set(Now() + kHousekeepingEvery, {Due::kEverySecond});
       return;
-    case Due::kMayLeave:
+    case Due::kMayShutDown:
       may_leave_ = true;
       return;
-    case Due::kLeave:
+    case Due::kMustShutDown:
       left_ = true;
       return;
   }
 }
 
 void Engine::RetireInTime() {
-  const Time next = next_hops_.NextRetire().time_since_epoch();
+  const Time next = endpoint_client_.NextIdleExpiry().time_since_epoch();
   if (next >= retire_at_) return;
   retire_at_ = next;
-  deadlines_.Set(next, {Due::kRetireIdle});
+  deadlines_.Set(next, {Due::kCloseIdle});
 }
 
 dispatch_policy::EndpointId Engine::HopNumber(const std::string& name) {
@@ -454,7 +454,8 @@
                       now - hop.gone_since > longest_deadline_ && called.count(number) == 0;
     if (!gone) return false;
     hop_numbers_.erase(hop.name);
-    next_hops_.Forget(number);  // a call that was out at its removal has come back since
+    endpoint_client_.RemoveEndpoint(
+        number);  // a call that was out at its removal has come back since
     return true;
   });
   if (forgotten > 0) NoteListed();
@@ -501,7 +502,8 @@
     return hops_.at(out.hop).entry.state != dispatch_policy::EndpointState::kListed;
   });
   for (const auto& [number, hop] : hops_) {
-    if (hop.entry.state != dispatch_policy::EndpointState::kListed) next_hops_.Forget(number);
+    if (hop.entry.state != dispatch_policy::EndpointState::kListed)
+      endpoint_client_.RemoveEndpoint(number);
   }
 }
 
@@ -513,7 +515,7 @@
     arrivals_.erase(it);
     return Erase(e.message);
   }
-  GiveUp(e.message, {.deferred = true, .again = InMs(e.retry_after)});
+  GiveUp(e.message, {.retry_allowed = true, .retry_after = InMs(e.retry_after)});
 }
 
 void Engine::Do(const dispatch_policy::FailMessage& e) {
@@ -530,7 +532,7 @@
   if (it == held_.end() || std::exchange(it->second.ending, true)) return;
   --owed_;
   it->second.given_up = Now();
-  lives_.Note(message, it->second.given_up, Step::kGivenUp, notice.deferred ? 1 : 0);
+  lives_.Note(message, it->second.given_up, Step::kGivenUp, notice.retry_allowed ? 1 : 0);
   notice.message = message;
   notice.id = it->second.id;
   given_up_.push_back(std::move(notice));
@@ -546,7 +548,7 @@
 }
 
 void Engine::Do(const dispatch_policy::SetTimer& e) {
-  deadlines_.Set(e.at, {Due::kModuleTimer, e.token});
+  deadlines_.Set(e.at, {Due::kPolicyTimer, e.token});
 }
 
 void Engine::Do(const dispatch_policy::LogMessage& e) {
@@ -610,7 +612,7 @@
                                    [](const OutPart& p) { return p.cancelled; });
       if (!over && !all) return;
       out.recalled = true;
-      if (out.delivery) out.delivery->End(EndpointCall::Stop::kCancelled);
+      if (out.delivery) out.delivery->Abort(EndpointCall::StopReason::kCancelled);
       return;
     }
   }
@@ -652,7 +654,7 @@
   std::vector<Part> parts;
   for (OutPart& part : out.parts) {
     Held& held = held_.at(part.message);
-    if (!spool_.Begin(part.message, hop.name, UnixNow())) return false;
+    if (!spool_.BeginAttempt(part.message, hop.name, UnixNow())) return false;
     part.noted = held.attempts++;
     lives_.Note(part.message, now, Step::kStarted, static_cast<std::uint32_t>(out.hop));
     parts.push_back({held.id, held.key, held.body});
@@ -666,14 +668,14 @@
   stages_.start.Add(now - out.asked);
   out.delivery = std::make_shared<EndpointCall>(number, out.hop, hop.address, std::move(request),
                                                 Point(out.start_by), PermitOf(hop));
-  deadlines_.Set(out.ends, {Due::kDeliveryEnds, number});
+  deadlines_.Set(out.ends, {Due::kCallTimeout, number});
   if (!parts.empty()) ++slots_taken_;
-  next_hops_.Start(out.delivery);
+  endpoint_client_.Start(out.delivery);
   return true;
 }
 
 void Engine::On(const EndpointCallResult& e) {
-  const auto it = out_.find(e.number);
+  const auto it = out_.find(e.call_id);
   if (it == out_.end()) return;
   RetireInTime();
   const Out out = std::move(it->second);
@@ -715,7 +717,7 @@
   for (auto& [number, out] : out_) {
     if (!bound(out)) continue;
     out.recalled = true;
-    if (out.delivery) out.delivery->Recall();
+    if (out.delivery) out.delivery->WithdrawBeforeSend();
   }
 }
 
@@ -727,7 +729,7 @@
 
 void Engine::Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
                     Duration wait, const dispatch_policy::LoadReport& report) {
-  if (NeverRan(end.outcome) && out.delivery) spool_.NothingRan(part.message, part.noted);
+  if (NeverRan(end.outcome) && out.delivery) spool_.MarkNotRun(part.message, part.noted);
   if (out.delivery) {
     lives_.Note(part.message, now, Step::kSettled, static_cast<std::uint32_t>(end.outcome));
   }
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -233,7 +233,7 @@
   bool left_ = false;
 
   // Last: their threads speak to all of the above.
-  EndpointClient next_hops_;
+  EndpointClient endpoint_client_;
   NotificationClient notices_;
   DiscoveryWatcher watch_;
 };
--- a/src/forwarder/message_trace.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -18,7 +18,7 @@
                          std::uint32_t detail) {
   const auto [it, added] = lives_.try_emplace(message);
   if (!added) return false;
-  it->second.begun = now;
+  it->second.started_at = now;
   it->second.deadline = deadline;
   due_.emplace(deadline + kGrace, message);
   Add(it->second, now, step, detail);
@@ -51,7 +51,8 @@
               life.marks.begin() + kFirstSteps);
     place = kMostSteps - 1;
   }
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - life.begun).count();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - life.started_at).count();
   life.marks[place] = {static_cast<std::uint32_t>(ms), step, detail};
   ++life.steps;
 }
--- a/src/forwarder/message_trace.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -75,7 +75,7 @@
     std::uint32_t detail = 0;
   };
   struct Life {
-    Time begun{};
+    Time started_at{};
     Time deadline{};
     LifeState state = LifeState::kHeld;
     std::uint32_t out = 0;    // attempts
--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/translate.cpp
@@ -98,8 +98,8 @@
   }
   // Part of an answer delivers nothing; an id that is missing from a whole one may have run.
   std::vector<AttemptEnd> ends(
-      ids.size(), AttemptEnd{.outcome = end.whole ? Outcome::kError : Outcome::kReset});
-  if (!end.whole) return ends;
+      ids.size(), AttemptEnd{.outcome = end.complete ? Outcome::kError : Outcome::kReset});
+  if (!end.complete) return ends;
   try {
     const json::Value answer = json::Parse(end.body);
     for (const json::Value& item : answer.Items()) {
@@ -115,12 +115,12 @@
 
 std::chrono::milliseconds WaitOf(const EndpointCallResult& end) {
   return std::chrono::milliseconds(
-      std::min(Parse<std::uint64_t>(end.wait_ms).value_or(0), kLongestWait));
+      std::min(Parse<std::uint64_t>(end.retry_after_ms).value_or(0), kLongestWait));
 }
 
 dispatch_policy::LoadReport ReportOf(const EndpointCallResult& end) {
   dispatch_policy::LoadReport report;
-  std::string_view rest = end.load;
+  std::string_view rest = end.load_report;
   while (!rest.empty()) {
     const std::string_view pair = rest.substr(0, rest.find(','));
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
@@ -185,9 +185,9 @@
                 {"messages", parts},
                 {"outcome", static_cast<int>(end.outcome)},
                 {"status", end.status},
-                {"retry_after_ms", end.wait_ms},
+                {"retry_after_ms", end.retry_after_ms},
                 {"elapsed_ms", took.count()},
-                {"load", end.load}});
+                {"load", end.load_report}});
 }
 
 }  // namespace brassfront
--- a/src/net/discovery_watcher.hpp
+++ b/src/net/discovery_watcher.hpp
@@ -29,7 +29,7 @@
   ~DiscoveryWatcher();
 
   // Goes on at another address, from the last revision that was told.
-  void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
+  void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
 
  private:
   void Follow();
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -16,13 +16,13 @@
 // holds its slot meanwhile.
 constexpr std::chrono::milliseconds kAnswerTime{500};
 
-const char* ReasonOf(EndpointCall::Stop stop, const char* otherwise) {
+const char* ReasonOf(EndpointCall::StopReason stop, const char* otherwise) {
   switch (stop) {
-    case EndpointCall::Stop::kCancelled:
+    case EndpointCall::StopReason::kCancelled:
       return "cancelled";
-    case EndpointCall::Stop::kTimedOut:
+    case EndpointCall::StopReason::kTimedOut:
       return "timed-out";
-    case EndpointCall::Stop::kRecalled:
+    case EndpointCall::StopReason::kWithdrawn:
       return "withdrawn";
     default:
       return otherwise;
@@ -31,10 +31,10 @@
 
 }  // namespace
 
-EndpointClient::EndpointClient(const Options& options, BufferPool& buffers, OnEnd on_end)
+EndpointClient::EndpointClient(const Options& options, BufferPool& buffers, OnResult on_result)
     : options_(options),
       buffers_(buffers),
-      on_end_(std::move(on_end)),
+      on_result_(std::move(on_result)),
       threads_("endpoint",
                {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
                [this](const std::shared_ptr<EndpointCall>& delivery) { Work(delivery); }) {}
@@ -43,7 +43,7 @@
 EndpointClient::~EndpointClient() {
   const std::lock_guard lock(mutex_);
   closed_ = true;
-  for (auto& [number, delivery] : out_) delivery->End(EndpointCall::Stop::kCancelled);
+  for (auto& [number, delivery] : out_) delivery->Abort(EndpointCall::StopReason::kCancelled);
   for (Connection& c : idle_) End(c, "shutdown");
   idle_.clear();
 }
@@ -51,19 +51,19 @@
 void EndpointClient::Start(std::shared_ptr<EndpointCall> delivery) {
   {
     const std::lock_guard lock(mutex_);
-    out_[delivery->number] = delivery;
+    out_[delivery->id] = delivery;
   }
   threads_.Submit(std::move(delivery));
 }
 
 void EndpointClient::Work(const std::shared_ptr<EndpointCall>& delivery) {
   EndpointCallResult end = Carry(*delivery);
-  end.number = delivery->number;
+  end.call_id = delivery->id;
   {
     const std::lock_guard lock(mutex_);
-    out_.erase(end.number);
+    out_.erase(end.call_id);
   }
-  on_end_(std::move(end));
+  on_result_(std::move(end));
 }
 
 EndpointCallResult EndpointClient::Carry(EndpointCall& delivery) {
@@ -71,19 +71,20 @@
     Connection connection = TakeIdle(delivery);
     const bool reused = connection.socket.is_open();
     if (!reused) connection.socket = NewSocket();
-    if (!delivery.Attach(connection.socket)) {
+    if (!delivery.AttachConnection(connection.socket)) {
       if (reused) Keep(std::move(connection));
       return {.outcome = CallOutcome::kNotSent};
     }
     if (!reused && !Open(connection, delivery)) {
-      return {.outcome = delivery.stopped() == EndpointCall::Stop::kNone
+      return {.outcome = delivery.stop_reason() == EndpointCall::StopReason::kNone
                              ? CallOutcome::kConnectFailed
                              : CallOutcome::kNotSent};
     }
     if (!delivery.BeginWrite()) {
-      delivery.Detach();
-      const EndpointCall::Stop stop = delivery.stopped();
-      if (stop == EndpointCall::Stop::kCancelled || stop == EndpointCall::Stop::kTimedOut) {
+      delivery.DetachConnection();
+      const EndpointCall::StopReason stop = delivery.stop_reason();
+      if (stop == EndpointCall::StopReason::kCancelled ||
+          stop == EndpointCall::StopReason::kTimedOut) {
         End(connection, ReasonOf(stop, ""));
       } else {
         Keep(std::move(connection));
@@ -93,19 +94,19 @@
     if (connection.socket.SendAll(delivery.request)) return ReadAnswer(connection, delivery);
     // The last byte was not written, so nothing ran. A kept connection may have died unnoticed:
     // that tells nothing of the next hop, and a new one may do.
-    delivery.TakeBackWrite();
-    delivery.Detach();
-    const EndpointCall::Stop stop = delivery.stopped();
+    delivery.UndoBeginWrite();
+    delivery.DetachConnection();
+    const EndpointCall::StopReason stop = delivery.stop_reason();
     End(connection, ReasonOf(stop, "write-failed"));
-    if (stop != EndpointCall::Stop::kNone) return {.outcome = CallOutcome::kNotSent};
+    if (stop != EndpointCall::StopReason::kNone) return {.outcome = CallOutcome::kNotSent};
     if (!reused) return {.outcome = CallOutcome::kConnectFailed};
   }
 }
 
 bool EndpointClient::Open(Connection& connection, EndpointCall& delivery) {
   if (Connect(connection.socket, delivery.address, options_.connect_timeout)) return true;
-  delivery.Detach();
-  End(connection, ReasonOf(delivery.stopped(), "connect-failed"));
+  delivery.DetachConnection();
+  End(connection, ReasonOf(delivery.stop_reason(), "connect-failed"));
   return false;
 }
 
@@ -132,11 +133,11 @@
       reader.FeedEnd();
     }
   }
-  delivery.Detach();
-  const EndpointCall::Stop stop = delivery.stopped();
+  delivery.DetachConnection();
+  const EndpointCall::StopReason stop = delivery.stop_reason();
   ++connection.exchanges;
   EndpointCallResult end;
-  if (reader.done() && reader.keep_alive() && stop == EndpointCall::Stop::kNone) {
+  if (reader.done() && reader.keep_alive() && stop == EndpointCall::StopReason::kNone) {
     Keep(std::move(connection));
   } else {
     End(connection, ReasonOf(stop, reader.done() ? "keep-alive-off" : fault));
@@ -146,24 +147,24 @@
   if (reader.done() || reader.status() == 200) {
     end.outcome = CallOutcome::kAnswered;
     end.status = reader.status();
-    end.whole = reader.done();
-    if (!end.whole) return end;
+    end.complete = reader.done();
+    if (!end.complete) return end;
     end.body = reader.body();
-    end.wait_ms = reader.Header("wait-ms");
+    end.retry_after_ms = reader.Header("wait-ms");
     end.slots_taken = reader.Header("slots-taken");
-    end.load = reader.Header("x-backend-load");
+    end.load_report = reader.Header("x-backend-load");
     // Turned away on a connection's first call, and the connection with it, is one too many.
     // Guards against taking that for a limit on calls.
     const bool crowded = end.status == 503 && connection.exchanges == 1 && !reader.keep_alive() &&
-                         end.wait_ms.empty() && end.slots_taken.empty();
+                         end.retry_after_ms.empty() && end.slots_taken.empty();
     if (crowded) {
       end.outcome = CallOutcome::kConnectionLimitReached;
       const std::lock_guard lock(mutex_);
-      ShareOf(delivery.hop).Crowded(std::chrono::steady_clock::now());
+      ShareOf(delivery.endpoint).Crowded(std::chrono::steady_clock::now());
     }
-  } else if (stop == EndpointCall::Stop::kTimedOut) {
+  } else if (stop == EndpointCall::StopReason::kTimedOut) {
     end.outcome = CallOutcome::kTimedOut;
-  } else if (stop == EndpointCall::Stop::kCancelled) {
+  } else if (stop == EndpointCall::StopReason::kCancelled) {
     end.outcome = CallOutcome::kCancelled;
   }
   return end;
@@ -178,17 +179,17 @@
 // that the other side has closed, or on which it has said more than it was asked.
 EndpointClient::Connection EndpointClient::TakeIdle(const EndpointCall& delivery) {
   const std::lock_guard lock(mutex_);
-  ShareOf(delivery.hop).Called(std::chrono::steady_clock::now());
+  ShareOf(delivery.endpoint).Called(std::chrono::steady_clock::now());
   for (auto it = idle_.end(); it != idle_.begin();) {
     --it;
-    if (it->hop != delivery.hop || it->address != delivery.address) continue;
+    if (it->hop != delivery.endpoint || it->address != delivery.address) continue;
     Connection connection = std::move(*it);
     it = idle_.erase(it);
     if (!connection.socket.HasInputOrEnd()) return connection;
     End(connection, "stale");
   }
   Connection fresh;
-  fresh.hop = delivery.hop;
+  fresh.hop = delivery.endpoint;
   fresh.address = delivery.address;
   return fresh;
 }
@@ -205,13 +206,13 @@
   const auto of_hop = [&](const Connection& c) { return c.hop == hop; };
   const auto kept = std::count_if(idle_.begin(), idle_.end(), of_hop);
   const bool many = static_cast<std::size_t>(kept) > share.Most(now);
-  if (!many && idle_.size() <= options_.most_idle) return;
+  if (!many && idle_.size() <= options_.max_idle_connections) return;
   const auto oldest = many ? std::find_if(idle_.begin(), idle_.end(), of_hop) : idle_.begin();
   End(*oldest, "idle-limit");
   idle_.erase(oldest);
 }
 
-void EndpointClient::RetireIdle() {
+void EndpointClient::CloseExpiredIdle() {
   const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
   std::erase_if(idle_, [&](Connection& c) {
@@ -222,7 +223,7 @@
   });
 }
 
-SteadyTime EndpointClient::NextRetire() const {
+SteadyTime EndpointClient::NextIdleExpiry() const {
   const std::lock_guard lock(mutex_);
   SteadyTime next = SteadyTime::max();
   for (const Connection& c : idle_) next = std::min(next, c.kept_until);
@@ -231,10 +232,10 @@
 
 // With the mutex held.
 IdleConnectionBudget& EndpointClient::ShareOf(std::uint64_t hop) {
-  return shares_.try_emplace(hop, options_.group).first->second;
+  return shares_.try_emplace(hop, options_.group_size).first->second;
 }
 
-void EndpointClient::Forget(std::uint64_t hop) {
+void EndpointClient::RemoveEndpoint(std::uint64_t hop) {
   const std::lock_guard lock(mutex_);
   shares_.erase(hop);
   std::erase_if(idle_, [&](Connection& c) {
--- a/src/net/endpoint_client.hpp
+++ b/src/net/endpoint_client.hpp
@@ -24,24 +24,25 @@
  public:
   struct Options {
     std::size_t threads = 1;                     // deliveries at once; more wait for a thread
-    std::size_t most_idle = 64;                  // kept connections
-    std::size_t group = 1;                       // forwarders that call the same next hops
+    std::size_t max_idle_connections = 64;       // kept connections
+    std::size_t group_size = 1;                  // forwarders that call the same next hops
     std::chrono::nanoseconds connection_idle{};  // after which the other side closes one
     std::chrono::milliseconds connect_timeout{};
   };
-  using OnEnd = std::function<void(EndpointCallResult)>;  // called by the threads
+  using OnResult = std::function<void(EndpointCallResult)>;  // called by the threads
 
   // Throws std::runtime_error where the system has no room for a thread.
-  EndpointClient(const Options& options, BufferPool& buffers, OnEnd on_end);
+  EndpointClient(const Options& options, BufferPool& buffers, OnResult on_result);
   ~EndpointClient();  // ends what is out
 
   void Start(std::shared_ptr<EndpointCall> delivery);
-  // Closes connections that have been idle for long. To be called every second, and at NextRetire.
-  void RetireIdle();
+  // Closes connections that have been idle for long. To be called every second, and at
+  // NextIdleExpiry.
+  void CloseExpiredIdle();
   // When the next of the kept connections has been idle for long enough; max() if none is kept.
-  SteadyTime NextRetire() const;
+  SteadyTime NextIdleExpiry() const;
   // The next hop is gone: its idle connections are closed.
-  void Forget(std::uint64_t hop);
+  void RemoveEndpoint(std::uint64_t hop);
 
  private:
   struct Connection {
@@ -63,7 +64,7 @@
 
   const Options options_;
   BufferPool& buffers_;
-  const OnEnd on_end_;
+  const OnResult on_result_;
   mutable std::mutex mutex_;  // guards what follows
   bool closed_ = false;
   std::vector<Connection> idle_;  // the newest last
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -29,7 +29,7 @@
   return address_;
 }
 
-void HttpClient::MoveTo(std::string address) {
+void HttpClient::SetAddress(std::string address) {
   const std::lock_guard lock(mutex_);
   if (address == address_) return;
   address_ = std::move(address);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,7 +25,7 @@
 
   std::string address() const;
   // For another thread: ends what is going on and goes to this address from now on.
-  void MoveTo(std::string address);
+  void SetAddress(std::string address);
 
   // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
   // is called whenever some of it has come and may end the reading by returning false. False if no
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -17,34 +17,34 @@
 namespace brassfront {
 
 struct Notification {
-  std::uint64_t message = 0;  // the poster's number for it, which OnHeard is told
+  std::uint64_t message = 0;  // the poster's number for it, which OnConfirmed is told
   std::string id{};
-  bool deferred = false;  // else undeliverable
-  std::chrono::milliseconds again{};
+  bool retry_allowed = false;  // else undeliverable
+  std::chrono::milliseconds retry_after{};
 };
 
 class NotificationClient {
  public:
-  using OnHeard = std::function<void(std::uint64_t message)>;  // called by the thread
+  using OnConfirmed = std::function<void(std::uint64_t message)>;  // called by the thread
 
-  NotificationClient(std::string address, BufferPool& buffers, OnHeard on_heard);
+  NotificationClient(std::string address, BufferPool& buffers, OnConfirmed on_confirmed);
   ~NotificationClient();
 
-  void Post(Notification notice);
+  void Post(Notification notification);
   // What has not been heard yet is posted there as well.
-  void MoveTo(std::string address) { client_.MoveTo(std::move(address)); }
+  void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
 
  private:
   void Run();
 
-  const OnHeard on_heard_;
+  const OnConfirmed on_confirmed_;
   HttpClient client_;
   BoundedQueue<Notification> waiting_;
   Thread thread_;
 };
 
-// The line that a notice is on the wire.
-std::string NotificationLine(const Notification& notice);
+// The line that a notification is on the wire.
+std::string NotificationLine(const Notification& notification);
 
 }  // namespace brassfront
 
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -198,7 +198,7 @@
     case Kind::kBegun: {
       SpooledAttempt attempt;
       attempt.endpoint = in.Text();
-      attempt.begun = UnixMs(static_cast<std::int64_t>(in.Number()));
+      attempt.started_at = UnixMs(static_cast<std::int64_t>(in.Number()));
       if (!in.AtEnd()) return false;
       if (it == live_.end()) return true;
       it->second.attempts.push_back(std::move(attempt));
@@ -209,7 +209,7 @@
       const std::size_t which = in.Number();
       if (!in.AtEnd()) return false;
       if (it == live_.end() || which >= it->second.attempts.size()) return true;
-      it->second.attempts[which].nothing_ran = true;
+      it->second.attempts[which].known_not_run = true;
       live_bytes_ += length;
       return true;
     }
@@ -219,8 +219,8 @@
       live_bytes_ -= it->second.length;
       for (std::size_t i = 0; i < it->second.attempts.size(); ++i) {
         const SpooledAttempt& a = it->second.attempts[i];
-        live_bytes_ -= kFrame + BegunRecord(number, a.endpoint, a.begun).size();
-        if (a.nothing_ran) live_bytes_ -= kFrame + NothingRanRecord(number, i).size();
+        live_bytes_ -= kFrame + BegunRecord(number, a.endpoint, a.started_at).size();
+        if (a.known_not_run) live_bytes_ -= kFrame + NothingRanRecord(number, i).size();
       }
       live_.erase(it);
       return true;
@@ -228,8 +228,8 @@
   return false;
 }
 
-std::vector<Replayed> Spool::Replay() {
-  std::vector<Replayed> owed;
+std::vector<RecoveredMessage> Spool::Recover() {
+  std::vector<RecoveredMessage> owed;
   for (const auto& [number, live] : live_) {
     const auto record = file_.Read(live.offset, live.length);
     if (!record) {
@@ -269,15 +269,15 @@
   return Append(AcceptedRecord(number, message), false);
 }
 
-bool Spool::Begin(SpoolId number, const std::string& endpoint, UnixMs at) {
+bool Spool::BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at) {
   return Append(BegunRecord(number, endpoint.substr(0, kMostEndpoint), at), true);
 }
 
-void Spool::NothingRan(SpoolId number, std::size_t attempt) {
+void Spool::MarkNotRun(SpoolId number, std::size_t attempt) {
   Append(NothingRanRecord(number, attempt), true);
 }
 
-void Spool::End(SpoolId number) {
+void Spool::Finish(SpoolId number) {
   if (live_.count(number) == 0) return;
   if (!Append(Writer(Kind::kEnded).Number(number).Take(), true)) {
     report_("spool: an end could not be noted");
@@ -302,8 +302,8 @@
     good = good && record && put(*record);
     for (std::size_t i = 0; good && i < live.attempts.size(); ++i) {
       const SpooledAttempt& a = live.attempts[i];
-      good = put(Framed(BegunRecord(number, a.endpoint, a.begun))) &&
-             (!a.nothing_ran || put(Framed(NothingRanRecord(number, i))));
+      good = put(Framed(BegunRecord(number, a.endpoint, a.started_at))) &&
+             (!a.known_not_run || put(Framed(NothingRanRecord(number, i))));
     }
   }
   if (!good || std::rename(path.c_str(), (folder_ + "/spool").c_str()) != 0) {
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -33,11 +33,11 @@
 
 struct SpooledAttempt {
   std::string endpoint;
-  UnixMs begun{};
-  bool nothing_ran = false;  // its outcome showed that
+  UnixMs started_at{};
+  bool known_not_run = false;  // its outcome showed that
 };
 
-struct Replayed {
+struct RecoveredMessage {
   SpoolId number = 0;
   SpooledMessage message;
   std::vector<SpooledAttempt> attempts;
@@ -55,17 +55,17 @@
   static Spool OpenToRead(std::string folder, Report report);
 
   // What was owed at the opening, in order of acceptance; bodies are read from the file here.
-  std::vector<Replayed> Replay();
+  std::vector<RecoveredMessage> Recover();
 
   // False if the message cannot be kept: nothing is owed then.
   bool Accept(SpoolId number, const SpooledMessage& message);
   // Before the first byte of the attempt; false if that could not be noted.
-  bool Begin(SpoolId number, const std::string& endpoint, UnixMs at);
-  void NothingRan(SpoolId number, std::size_t attempt);
-  void End(SpoolId number);
+  bool BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at);
+  void MarkNotRun(SpoolId number, std::size_t attempt);
+  void Finish(SpoolId number);
 
   [[nodiscard]] SpoolId next_number() const { return next_number_; }
-  [[nodiscard]] std::size_t owed() const { return live_.size(); }
+  [[nodiscard]] std::size_t open_messages() const { return live_.size(); }
   [[nodiscard]] std::size_t file_bytes() const { return size_; }
 
  private:
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -40,10 +40,10 @@
 
 class Fixture {
  public:
-  explicit Fixture(std::size_t group = 1)
+  explicit Fixture(std::size_t group_size = 1)
       : ends(100),
         hops({.threads = 2,
-              .group = group,
+              .group_size = group_size,
               .connection_idle = std::chrono::seconds(15),
               .connect_timeout = std::chrono::milliseconds(1500)},
              buffers, [this](EndpointCallResult end) { ends.Push(std::move(end)); }) {}
@@ -75,7 +75,7 @@
   hops.Start(Make());
   Peer::ReadRequest(first);  // on the same connection
   first.SendAll(kOk);
-  CHECK(End().whole);
+  CHECK(End().complete);
   first.Close();
   hops.Start(Make());
   Socket second = peer.Take();  // a reset would count as a call that may have run
@@ -85,7 +85,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "what is recalled or too late before its first byte is not sent") {
   auto recalled = Make();
-  recalled->Recall();
+  recalled->WithdrawBeforeSend();
   hops.Start(recalled);
   CHECK(End().outcome == CallOutcome::kNotSent);
   hops.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
@@ -101,19 +101,20 @@
   auto delivery = Make();
   hops.Start(delivery);
   Socket socket = peer.Take();
-  delivery->Recall();
+  delivery->WithdrawBeforeSend();
   socket.SendAll(kOk);
   CHECK(End().status == 200);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a call that is ended has closed its connection when that is told") {
-  for (const auto stop : {EndpointCall::Stop::kCancelled, EndpointCall::Stop::kTimedOut}) {
+  for (const auto stop :
+       {EndpointCall::StopReason::kCancelled, EndpointCall::StopReason::kTimedOut}) {
     auto delivery = Make();
     hops.Start(delivery);
     Socket socket = peer.Take();
-    delivery->End(stop);
-    CHECK(End().outcome == (stop == EndpointCall::Stop::kCancelled ? CallOutcome::kCancelled
-                                                                   : CallOutcome::kTimedOut));
+    delivery->Abort(stop);
+    CHECK(End().outcome == (stop == EndpointCall::StopReason::kCancelled ? CallOutcome::kCancelled
+                                                                         : CallOutcome::kTimedOut));
     char byte = 0;
     CHECK(socket.Receive({&byte, 1}) == 0);
   }
@@ -130,7 +131,7 @@
   const EndpointCallResult end = End();
   CHECK(end.outcome == CallOutcome::kAnswered);
   CHECK(end.status == 200);
-  CHECK_FALSE(end.whole);
+  CHECK_FALSE(end.complete);
 }
 
 TEST_CASE_FIXTURE(Fixture, "of a spoilt answer only a first line with 200 is true") {
@@ -145,22 +146,22 @@
   const EndpointCallResult told =
       Answered(socket, "HTTP/1.1 200 OK\r\nWait-Ms: 50\r\nContent-Length: 3000000000\r\n\r\nabc");
   CHECK(told.status == 200);
-  CHECK_FALSE(told.whole);
-  CHECK(told.wait_ms.empty());
+  CHECK_FALSE(told.complete);
+  CHECK(told.retry_after_ms.empty());
 }
 
 TEST_CASE_FIXTURE(Fixture, "a connection that said more than it was asked is not used again") {
   Socket sockets[3];
-  CHECK(Answered(sockets[0], std::string(kOk) + "noise").whole);  // with the answer
-  CHECK(Answered(sockets[1], kOk).whole);                         // on a new connection
+  CHECK(Answered(sockets[0], std::string(kOk) + "noise").complete);  // with the answer
+  CHECK(Answered(sockets[1], kOk).complete);                         // on a new connection
   sockets[1].SendAll(kOk);                                        // or after it
-  CHECK(Answered(sockets[2], kOk).whole);
+  CHECK(Answered(sockets[2], kOk).complete);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a next hop that takes over an address gets connections of its own") {
   Socket first, second;
-  CHECK(Answered(first, kOk, 1).whole);
-  CHECK(Answered(second, kOk, 2).whole);
+  CHECK(Answered(first, kOk, 1).complete);
+  CHECK(Answered(second, kOk, 2).complete);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a refused connection never ran") {
@@ -188,14 +189,14 @@
 
 TEST_CASE_FIXTURE(OneOfAHundred, "a connection that others need more is closed soon") {
   Socket socket;
-  CHECK(Answered(socket, kOk).whole);
-  const SteadyTime until = hops.NextRetire();
+  CHECK(Answered(socket, kOk).complete);
+  const SteadyTime until = hops.NextIdleExpiry();
   CHECK(until < std::chrono::steady_clock::now() + std::chrono::seconds(1));
   while (std::chrono::steady_clock::now() < until) std::this_thread::sleep_until(until);
-  hops.RetireIdle();
+  hops.CloseExpiredIdle();
   char byte = 0;
   CHECK(socket.Receive({&byte, 1}) == 0);
-  CHECK(hops.NextRetire() == SteadyTime::max());
+  CHECK(hops.NextIdleExpiry() == SteadyTime::max());
 }
 
 TEST_CASE_FIXTURE(Fixture, "a next hop that was crowded gets its places back") {
@@ -203,8 +204,8 @@
   const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   for (int i = 0; i < 4; ++i)
     CHECK(Answered(turned_away, busy).outcome == CallOutcome::kConnectionLimitReached);
-  CHECK(Answered(taken, kOk).whole);
-  CHECK(hops.NextRetire() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
+  CHECK(Answered(taken, kOk).complete);
+  CHECK(hops.NextIdleExpiry() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
 }
 
 TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
@@ -214,9 +215,9 @@
       "HTTP/1.1 503 Busy\r\nWait-Ms: 40\r\nSlots-Taken: 1\r\nX-Backend-Load: x0=1\r\n"
       "Content-Length: 0\r\n\r\n");
   const EndpointCallResult end = End();
-  CHECK(end.wait_ms == "40");
+  CHECK(end.retry_after_ms == "40");
   CHECK(end.slots_taken == "1");
-  CHECK(end.load == "x0=1");
+  CHECK(end.load_report == "x0=1");
 }
 
 }  // namespace
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -58,13 +58,13 @@
   {
     Spool spool = Open(folder);
     for (SpoolId i = 1; i <= 3; ++i) REQUIRE(spool.Accept(i, Message(std::to_string(i))));
-    REQUIRE(spool.Begin(2, "e1", UnixMs(50)));
-    spool.NothingRan(2, 0);
-    REQUIRE(spool.Begin(2, "e2", UnixMs(60)));
-    spool.End(1);
+    REQUIRE(spool.BeginAttempt(2, "e1", UnixMs(50)));
+    spool.MarkNotRun(2, 0);
+    REQUIRE(spool.BeginAttempt(2, "e2", UnixMs(60)));
+    spool.Finish(1);
   }
   Spool spool = Open(folder);
-  const auto owed = spool.Replay();
+  const auto owed = spool.Recover();
   REQUIRE(owed.size() == 2);
   CHECK(owed[0].number == 2);
   CHECK(owed[0].message.id == "2");
@@ -73,10 +73,10 @@
   CHECK(owed[0].message.deadline == UnixMs(1234567890123));
   CHECK(owed[0].message.body == std::string(10, 'b'));
   REQUIRE(owed[0].attempts.size() == 2);
-  CHECK(owed[0].attempts[0].nothing_ran);
-  CHECK_FALSE(owed[0].attempts[1].nothing_ran);
+  CHECK(owed[0].attempts[0].known_not_run);
+  CHECK_FALSE(owed[0].attempts[1].known_not_run);
   CHECK(owed[0].attempts[1].endpoint == "e2");
-  CHECK(owed[0].attempts[1].begun == UnixMs(60));
+  CHECK(owed[0].attempts[1].started_at == UnixMs(60));
   CHECK(spool.next_number() == 4);
 }
 
@@ -94,11 +94,11 @@
     folder.Write(whole.substr(0, cut));
     {
       Spool spool = Open(folder);
-      CHECK(spool.owed() == 1);
+      CHECK(spool.open_messages() == 1);
       CHECK(fs::file_size(folder.file()) == kept);
       REQUIRE(spool.Accept(3, Message("3")));
     }
-    CHECK(Open(folder).owed() == 2);
+    CHECK(Open(folder).open_messages() == 2);
   }
 }
 
@@ -115,7 +115,7 @@
     folder.Write(changed);
     int reports = 0;
     Spool spool = Open(folder, &reports);
-    CHECK(spool.owed() < 2);
+    CHECK(spool.open_messages() < 2);
     CHECK(reports == 1);
     CHECK(spool.Accept(9, Message("9")));
   }
@@ -126,7 +126,7 @@
   Spool spool("/nonexistent/folder", kDisk, [&](const std::string&) { ++reports; });
   CHECK(reports == 1);
   CHECK_FALSE(spool.Accept(1, Message("1")));
-  CHECK(spool.Replay().empty());
+  CHECK(spool.Recover().empty());
 }
 
 TEST_CASE("the file and its compaction stay within the disk") {
@@ -136,14 +136,14 @@
   SpoolId oldest = 1;
   for (SpoolId i = 1; i <= 2000; ++i) {
     refused += !spool.Accept(i, Message(std::to_string(i), 3000));
-    CHECK(spool.Begin(i, "e", UnixMs(1)));  // never refused for want of room
+    CHECK(spool.BeginAttempt(i, "e", UnixMs(1)));  // never refused for want of room
     most = std::max(most, spool.file_bytes());
-    if (i >= 20) spool.End(oldest++);
+    if (i >= 20) spool.Finish(oldest++);
   }
   CHECK(refused == 0);
   CHECK(most <= 800'000);
-  CHECK(spool.owed() == 19);
-  const auto owed = Open(folder, nullptr, 800'000).Replay();
+  CHECK(spool.open_messages() == 19);
+  const auto owed = Open(folder, nullptr, 800'000).Recover();
   REQUIRE(owed.size() == 19);
   CHECK(owed.front().message.body.size() == 3000);
   CHECK(owed.front().attempts.size() == 1);
@@ -157,9 +157,9 @@
   while (spool.Accept(accepted + 1, Message(std::to_string(accepted + 1), 20'000))) ++accepted;
   CHECK(accepted > 5);
   CHECK(2 * spool.file_bytes() <= 1'000'000);
-  for (SpoolId i = 1; i <= accepted; ++i) CHECK(spool.Begin(i, "e", UnixMs(1)));
-  for (SpoolId i = 1; i <= accepted; ++i) spool.End(i);
-  CHECK(spool.owed() == 0);
+  for (SpoolId i = 1; i <= accepted; ++i) CHECK(spool.BeginAttempt(i, "e", UnixMs(1)));
+  for (SpoolId i = 1; i <= accepted; ++i) spool.Finish(i);
+  CHECK(spool.open_messages() == 0);
   CHECK(spool.Accept(accepted + 1, Message("next", 20'000)));
 }
 
@@ -179,14 +179,14 @@
     CHECK(fs::file_size(folder.file()) == spool.file_bytes());
     CHECK(spool.Accept(3, Message("3", 1000)));
   }
-  CHECK(Open(folder).owed() == 2);
+  CHECK(Open(folder).open_messages() == 2);
 }
 
 TEST_CASE("a compaction that was cut short is forgotten") {
   const Folder folder;
   REQUIRE(Open(folder).Accept(1, Message("1")));
   std::ofstream(folder.path() + "/spool.new") << "half";
-  CHECK(Open(folder).owed() == 1);
+  CHECK(Open(folder).open_messages() == 1);
   CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
 }
 
@@ -196,7 +196,7 @@
   const std::string torn = folder.Read() + "torn";
   folder.Write(torn);
   Spool spool = Spool::OpenToRead(folder.path(), [](const std::string&) {});
-  CHECK(spool.Replay().size() == 1);
+  CHECK(spool.Recover().size() == 1);
   CHECK(folder.Read() == torn);
 }
 
--- a/tests/network/translate_test.cpp
+++ b/tests/network/translate_test.cpp
@@ -13,7 +13,7 @@
   EndpointCallResult end;
   end.outcome = CallOutcome::kAnswered;
   end.status = status;
-  end.whole = true;
+  end.complete = true;
   end.body = std::move(body);
   return end;
 }
@@ -33,7 +33,7 @@
   no_slot.slots_taken = "1";
   CHECK(EndOfSingle(no_slot).outcome == Outcome::kNotSent);
   EndpointCallResult cut = Answered(200);
-  cut.whole = false;  // the first line is enough for one message
+  cut.complete = false;  // the first line is enough for one message
   CHECK(EndOfSingle(cut).outcome == Outcome::kDelivered);
 }
 
@@ -76,7 +76,7 @@
 
 TEST_CASE("a bundle whose answer breaks off delivers nothing") {
   EndpointCallResult cut = Answered(200, std::string(kStates));
-  cut.whole = false;
+  cut.complete = false;
   for (const AttemptEnd& end : EndsOfBundle(cut, kIds)) CHECK(end.outcome == Outcome::kReset);
   for (const AttemptEnd& end : EndsOfBundle(Answered(503), kIds)) {
     CHECK(end.outcome == Outcome::kRejected);
@@ -89,8 +89,8 @@
         EndsOfBundle(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
     CHECK(ends[0].outcome == Outcome::kError);
     EndpointCallResult end = Answered(429);
-    end.load = testing::Garbage("x0=0.4,x1=25", seed);
-    end.wait_ms = testing::Garbage("250", seed);
+    end.load_report = testing::Garbage("x0=0.4,x1=25", seed);
+    end.retry_after_ms = testing::Garbage("250", seed);
     ReportOf(end);
     CHECK(WaitOf(end) >= std::chrono::milliseconds(0));
   }
@@ -98,8 +98,8 @@
 
 TEST_CASE("reports and waits") {
   EndpointCallResult end = Answered(200);
-  end.load = "x0=0.4,x1=25";
-  end.wait_ms = "250";
+  end.load_report = "x0=0.4,x1=25";
+  end.retry_after_ms = "250";
   CHECK(ReportOf(end).allowance_left == 0.4);
   CHECK(ReportOf(end).limit == 25);
   CHECK(WaitOf(end) == std::chrono::milliseconds(250));
@@ -107,7 +107,7 @@
   CHECK_FALSE(ReportOf(Answered(200)).limit.has_value());
   for (const char* unreadable :
        {"x0=9,x1=1e300", "x0=-1,x1=-5", "x0=nan,x1=inf", "x0=,x1", "\xfe"}) {
-    end.load = unreadable;
+    end.load_report = unreadable;
     CHECK_FALSE(ReportOf(end).allowance_left.has_value());
     CHECK_FALSE(ReportOf(end).limit.has_value());
   }
