--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -1,4 +1,5 @@
 // `brassfront fleet`: asks a forwarder on this machine, by the socket in its state folder.
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -52,16 +53,19 @@
     std::string line;
     for (const auto& [name, field] : *fields) {
       const std::string text = TextOf(field);
-      if (!text.empty()) line += (line.empty() ? "" : "  ") + name + "=" + text;
+      if (text.empty()) continue;
+      if (!line.empty()) line += "  ";
+      line.append(name).append("=").append(text);
     }
     return line;
   }
   if (const auto* text = std::get_if<std::string>(&value.data())) return *text;
   if (const auto* flag = std::get_if<bool>(&value.data())) return *flag ? "yes" : "no";
   if (const auto* number = std::get_if<double>(&value.data())) {
-    char shown[32];
-    std::snprintf(shown, sizeof shown, *number == std::floor(*number) ? "%.0f" : "%.3f", *number);
-    return shown;
+    std::array<char, 32> shown{};
+    const char* const format = *number == std::floor(*number) ? "%.0f" : "%.3f";
+    std::snprintf(shown.data(), shown.size(), format, *number);
+    return shown.data();
   }
   return "";
 }
@@ -75,7 +79,9 @@
       const std::string text = TextOf(field);
       if (name == "token") continue;
       const bool alone = name == "done" || name == "error";
-      rest += (rest.empty() ? "" : "  ") + (alone ? text : name + "=" + text);
+      if (!rest.empty()) rest += "  ";
+      if (!alone) rest.append(name).append("=");
+      rest += text;
       continue;
     }
     if (!field.Items().empty()) std::cout << name << ":\n";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,7 @@
 // The command line of brassfront.
 #include <malloc.h>
 
+#include <array>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iomanip>
@@ -33,7 +34,7 @@
 
 namespace {
 
-constexpr Command kCommands[] = {
+constexpr auto kCommands = std::to_array<Command>({
     {"serve", "forward messages until SIGTERM", ServeCommand},
     {"check-config", "read the configuration and say what is wrong with it", CheckConfigCommand},
     {"spool", "list the messages that a state folder still owes an end", SpoolCommand},
@@ -48,7 +49,7 @@
 #ifdef BRASSFRONT_ZONES
     {"zone", "read and change DNS zones, and serve them", ZoneCommand},
 #endif
-};
+});
 
 void PrintUsage(std::ostream& out) {
   out << "brassfront COMMAND [OPTIONS]\n\n";
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -150,6 +150,10 @@
   return kGood;
 }
 
+void PrintSection(const char* section, const std::vector<Record>& records) {
+  for (const auto& record : records) std::cout << section << " " << record.ToText() << "\n";
+}
+
 int Query(const std::vector<std::string>& words, const cxxopts::ParseResult& given) {
   const nameserver::Ask ask = AskFrom(words[0], given);
   const Name name = NameFrom(words[1]);
@@ -176,11 +180,9 @@
   const dns::Message& got = *answer.answer;
   std::cout << RcodeText(got.rcode) << (got.authoritative ? " authoritative" : "")
             << (got.truncated ? " truncated" : "") << "\n";
-  const std::pair<const char*, const std::vector<Record>*> sections[] = {
-      {"answer", &got.answer}, {"authority", &got.authority}, {"additional", &got.additional}};
-  for (const auto& [section, records] : sections) {
-    for (const auto& record : *records) std::cout << section << " " << record.ToText() << "\n";
-  }
+  PrintSection("answer", got.answer);
+  PrintSection("authority", got.authority);
+  PrintSection("additional", got.additional);
   return got.rcode == dns::Rcode::kNoError ? kGood : kOther;
 }
 
--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -1,6 +1,7 @@
 #include "dns/message.hpp"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace brassfront::dns {
@@ -40,42 +41,23 @@
     return good() ? Get32(bytes, 0) : 0;
   }
 
+  // A name; with compression (RFC 1035 §4.1.4) where `pointers` allows it.
   Name TakeName(bool pointers) {
     std::string wire;
-    std::size_t at = at_;
-    std::size_t start = at_;  // of the labels that are being read; a pointer goes before them
-    bool jumped = false;
+    NameCursor cursor{at_, at_, false};
     while (good()) {
-      if (at >= bytes_.size()) {
+      if (cursor.at >= bytes_.size()) {
         Fail("a name ends too early");
         break;
       }
-      const auto length = static_cast<unsigned char>(bytes_[at]);
-      if ((length & 0xc0) == 0xc0) {
-        if (!pointers || at + 1 >= bytes_.size()) {
-          Fail("a compressed name where none may be");
-          break;
-        }
-        const std::size_t to = Get16(bytes_, at) & kMostPointer;
-        if (!jumped) at_ = at + 2;
-        // The header's counts change when a message is signed; a name there would change with them.
-        if (to >= start || to < kHeaderBytes) {
-          Fail(to < start ? "a name points into the header" : "a name points forward or at itself");
-          break;
-        }
-        jumped = true;
-        start = at = to;
+      const auto length = static_cast<unsigned char>(bytes_[cursor.at]);
+      if ((length & kPointerBits) == kPointerBits) {
+        FollowPointer(cursor, pointers);
         continue;
       }
-      if (length > Name::kMostLabelBytes || wire.size() + 1 + length > Name::kMostBytes ||
-          bytes_.size() - at < 1u + length) {
-        Fail("a label or a name is too long");
-        break;
-      }
-      wire.append(bytes_.substr(at, 1u + length));
-      at += 1u + length;
-      if (length > 0) continue;
-      if (!jumped) at_ = at;
+      TakeLabel(cursor, length, wire);
+      if (!good() || length > 0) continue;
+      if (!cursor.jumped) at_ = cursor.at;
       if (auto name = Name::FromWire(wire)) return *std::move(name);
       Fail("a name is not well-formed");
     }
@@ -83,6 +65,37 @@
   }
 
  private:
+  static constexpr unsigned char kPointerBits = 0xc0;
+
+  struct NameCursor {
+    std::size_t at;
+    std::size_t start;  // of the labels that are being read; a pointer goes before them
+    bool jumped;
+  };
+
+  void FollowPointer(NameCursor& cursor, bool allowed) {
+    if (!allowed || cursor.at + 1 >= bytes_.size()) {
+      return Fail("a compressed name where none may be");
+    }
+    const std::size_t target = Get16(bytes_, cursor.at) & kMostPointer;
+    if (!cursor.jumped) at_ = cursor.at + 2;
+    // The header's counts change when a message is signed; a name there would change with them.
+    if (target >= cursor.start || target < kHeaderBytes) {
+      return Fail(target < cursor.start ? "a name points into the header"
+                                        : "a name points forward or at itself");
+    }
+    cursor = {target, target, true};
+  }
+
+  void TakeLabel(NameCursor& cursor, unsigned char length, std::string& wire) {
+    if (length > Name::kMostLabelBytes || wire.size() + 1 + length > Name::kMostBytes ||
+        bytes_.size() - cursor.at < 1u + length) {
+      return Fail("a label or a name is too long");
+    }
+    wire.append(bytes_.substr(cursor.at, 1u + length));
+    cursor.at += 1u + length;
+  }
+
   std::string_view bytes_;
   std::size_t at_ = 0;
   const char* why_ = nullptr;
@@ -94,7 +107,7 @@
   const std::size_t end = reader.at() + length;
   if (info == nullptr) return std::string(reader.Take(length));
   std::string out;
-  for (const Field* field = info->fields; *field != Field::kEnd && reader.good(); ++field) {
+  for (const Field* field = info->fields.data(); *field != Field::kEnd && reader.good(); ++field) {
     const std::size_t left = end > reader.at() ? end - reader.at() : 0;
     switch (*field) {
       case Field::kName:
@@ -214,13 +227,76 @@
   return out + edns.options;
 }
 
+// Of the questions, answers, authority and additional records, as the header has them.
+using SectionCounts = std::array<std::uint32_t, 4>;
+constexpr std::size_t kRecordSections = 3;
+
+// The id and the flags, which are returned as they stand too.
+std::uint32_t TakeHeader(Reader& reader, Message& message) {
+  message.id = static_cast<std::uint16_t>(reader.Number16());
+  const std::uint32_t flags = reader.Number16();
+  message.response = (flags & 0x8000) != 0;
+  message.opcode = static_cast<Opcode>(flags >> 11 & 15);
+  message.authoritative = (flags & 0x0400) != 0;
+  message.truncated = (flags & 0x0200) != 0;
+  message.recursion_desired = (flags & 0x0100) != 0;
+  message.recursion_available = (flags & 0x0080) != 0;
+  message.rcode = static_cast<Rcode>(flags & 15);
+  return flags;
+}
+
+void TakeQuestions(Reader& reader, std::uint32_t count, Message& message) {
+  for (std::uint32_t n = 0; n < count && reader.good(); ++n) {
+    Question question;
+    question.name = reader.TakeName(true);
+    question.type = static_cast<std::uint16_t>(reader.Number16());
+    question.klass = static_cast<std::uint16_t>(reader.Number16());
+    message.question.push_back(std::move(question));
+  }
+}
+
+// RFC 6891 §6.1.1: one, of the root, in the additional section.
+void TakeOpt(Reader& reader, const Record& opt, bool additional, std::uint32_t flags,
+             Message& message) {
+  if (!additional || message.edns || !opt.name.IsRoot()) {
+    reader.Fail("OPT in a place or a number that is not allowed");
+  }
+  message.edns = EdnsFrom(opt);
+  message.rcode = static_cast<Rcode>((flags & 15) | (opt.ttl >> 24) << 4);
+}
+
+void TakeRecords(Reader& reader, std::uint32_t flags, const SectionCounts& counts,
+                 Message& message) {
+  const bool update = message.opcode == Opcode::kUpdate;
+  const std::array<std::vector<Record>*, kRecordSections> sections = {
+      &message.answer, &message.authority, &message.additional};
+  for (std::size_t section = 0; section < kRecordSections; ++section) {
+    const bool additional = section == kRecordSections - 1;
+    for (std::uint32_t n = 0; n < counts[section + 1] && reader.good(); ++n) {
+      const std::size_t start = reader.at();
+      Record record = TakeRecord(reader, update);
+      if (!reader.good()) break;
+      if (record.type == type::kOpt) {
+        TakeOpt(reader, record, additional, flags, message);
+      } else if (record.type == type::kTsig) {
+        const bool is_last = additional && n + 1 == counts[section + 1];
+        if (!is_last) reader.Fail("TSIG that is not the last record");
+        message.tsig_at = start;
+        message.tsig = std::move(record);
+      } else {
+        sections[section]->push_back(std::move(record));
+      }
+    }
+  }
+}
+
 }  // namespace
 
 std::string RcodeText(std::uint16_t rcode) {
-  static constexpr const char* kTexts[] = {"NOERROR", "FORMERR", "SERVFAIL", "NXDOMAIN",
-                                           "NOTIMP",  "REFUSED", "YXDOMAIN", "YXRRSET",
-                                           "NXRRSET", "NOTAUTH", "NOTZONE"};
-  if (rcode < std::size(kTexts)) return kTexts[rcode];
+  static constexpr std::array kTexts = {"NOERROR", "FORMERR", "SERVFAIL", "NXDOMAIN",
+                                        "NOTIMP",  "REFUSED", "YXDOMAIN", "YXRRSET",
+                                        "NXRRSET", "NOTAUTH", "NOTZONE"};
+  if (rcode < kTexts.size()) return kTexts[rcode];
   switch (rcode) {
     case 16:
       return "BADVERS/BADSIG";  // by whether OPT or TSIG has it
@@ -248,50 +324,13 @@
 Decoded Decode(std::string_view bytes) {
   Reader reader(bytes);
   Message message;
-  message.id = static_cast<std::uint16_t>(reader.Number16());
-  const std::uint32_t flags = reader.Number16();
-  std::uint32_t counts[4];
+  const std::uint32_t flags = TakeHeader(reader, message);
+  SectionCounts counts{};
   for (auto& count : counts) count = reader.Number16();
   if (!reader.good()) return {{}, {}, "the message is shorter than its header"};
-  message.response = (flags & 0x8000) != 0;
-  message.opcode = static_cast<Opcode>(flags >> 11 & 15);
-  message.authoritative = (flags & 0x0400) != 0;
-  message.truncated = (flags & 0x0200) != 0;
-  message.recursion_desired = (flags & 0x0100) != 0;
-  message.recursion_available = (flags & 0x0080) != 0;
-  message.rcode = static_cast<Rcode>(flags & 15);
-
   const Message header = message;
-  const bool update = message.opcode == Opcode::kUpdate;
-  for (std::uint32_t n = 0; n < counts[0] && reader.good(); ++n) {
-    Question question;
-    question.name = reader.TakeName(true);
-    question.type = static_cast<std::uint16_t>(reader.Number16());
-    question.klass = static_cast<std::uint16_t>(reader.Number16());
-    message.question.push_back(std::move(question));
-  }
-  std::vector<Record>* sections[] = {&message.answer, &message.authority, &message.additional};
-  for (std::size_t section = 0; section < 3; ++section) {
-    for (std::uint32_t n = 0; n < counts[section + 1] && reader.good(); ++n) {
-      const std::size_t start = reader.at();
-      Record record = TakeRecord(reader, update);
-      if (!reader.good()) break;
-      const bool is_last = section == 2 && n + 1 == counts[3];
-      if (record.type == type::kOpt) {
-        if (section != 2 || message.edns || !record.name.IsRoot()) {
-          reader.Fail("OPT in a place or a number that is not allowed");
-        }
-        message.edns = EdnsFrom(record);
-        message.rcode = static_cast<Rcode>((flags & 15) | (record.ttl >> 24) << 4);
-      } else if (record.type == type::kTsig) {
-        if (!is_last) reader.Fail("TSIG that is not the last record");
-        message.tsig_at = start;
-        message.tsig = std::move(record);
-      } else {
-        sections[section]->push_back(std::move(record));
-      }
-    }
-  }
+  TakeQuestions(reader, counts[0], message);
+  TakeRecords(reader, flags, counts, message);
   if (reader.good() && !reader.at_end()) reader.Fail("bytes follow the last record");
   if (reader.good()) return {std::move(message), {}, {}};
   if (header.response) return {{}, {}, reader.why()};
@@ -302,7 +341,7 @@
   Writer writer;
   Put16(writer.bytes(), message.id);
   writer.bytes().append(kHeaderBytes - 2, '\0');
-  std::uint32_t counts[4] = {static_cast<std::uint32_t>(message.question.size())};
+  SectionCounts counts{static_cast<std::uint32_t>(message.question.size())};
   for (const Question& question : message.question) {
     writer.PutName(question.name, true);
     Put16(writer.bytes(), question.type);
@@ -310,9 +349,9 @@
   }
   const std::string opt = message.edns ? OptBytes(*message.edns, message.rcode) : std::string();
   bool truncated = message.truncated;
-  const std::vector<Record>* sections[] = {&message.answer, &message.authority,
-                                           &message.additional};
-  for (std::size_t section = 0; section < 3 && !truncated; ++section) {
+  const std::array<const std::vector<Record>*, kRecordSections> sections = {
+      &message.answer, &message.authority, &message.additional};
+  for (std::size_t section = 0; section < kRecordSections && !truncated; ++section) {
     const auto& records = *sections[section];
     for (const auto& record : records) {
       const std::size_t before = writer.bytes().size();
--- a/src/dns/name.cpp
+++ b/src/dns/name.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <ranges>
 
 namespace brassfront::dns {
 namespace {
@@ -158,8 +157,8 @@
   std::string key;
   key.reserve(wire_.size());
   const auto labels = Labels();
-  for (auto label : std::ranges::reverse_view(labels)) {
-    for (const char c : label) {
+  for (auto label = labels.rbegin(); label != labels.rend(); ++label) {
+    for (const char c : *label) {
       if (c == 0 || c == 1) key += '\1';
       key += c == 0 ? '\1' : c == 1 ? '\2' : LowerOf(c);
     }
--- a/src/dns/rdata.cpp
+++ b/src/dns/rdata.cpp
@@ -15,7 +15,7 @@
 
 using enum Field;
 
-constexpr TypeInfo kTypes[] = {
+constexpr auto kTypes = std::to_array<TypeInfo>({
     {type::kA, "A", {kIpv4}},
     {type::kNs, "NS", {kName}},
     {type::kCname, "CNAME", {kName}},
@@ -27,20 +27,21 @@
     {type::kSrv, "SRV", {kU16, kU16, kU16, kPlainName}},
     {type::kSvcb, "SVCB", {kU16, kStrictName, kSvcParams}},
     {type::kHttps, "HTTPS", {kU16, kStrictName, kSvcParams}},
-};
+});
 
 // Mnemonics of what is asked for or signed, but holds no data of a zone.
-constexpr std::pair<std::uint16_t, const char*> kOtherTypes[] = {{type::kOpt, "OPT"},
-                                                                 {type::kTsig, "TSIG"},
-                                                                 {type::kIxfr, "IXFR"},
-                                                                 {type::kAxfr, "AXFR"},
-                                                                 {type::kAny, "ANY"}};
-constexpr std::pair<std::uint16_t, const char*> kClasses[] = {
-    {1, "IN"}, {3, "CH"}, {4, "HS"}, {klass::kNone, "NONE"}, {klass::kAny, "ANY"}};
+using Mnemonic = std::pair<std::uint16_t, const char*>;
+constexpr auto kOtherTypes = std::to_array<Mnemonic>({{type::kOpt, "OPT"},
+                                                      {type::kTsig, "TSIG"},
+                                                      {type::kIxfr, "IXFR"},
+                                                      {type::kAxfr, "AXFR"},
+                                                      {type::kAny, "ANY"}});
+constexpr auto kClasses = std::to_array<Mnemonic>(
+    {{1, "IN"}, {3, "CH"}, {4, "HS"}, {klass::kNone, "NONE"}, {klass::kAny, "ANY"}});
 
 // RFC 9460 §14.3.2, by number.
-constexpr const char* kSvcKeys[] = {"mandatory", "alpn", "no-default-alpn", "port",
-                                    "ipv4hint",  "ech",  "ipv6hint"};
+constexpr std::array kSvcKeys = {"mandatory", "alpn", "no-default-alpn", "port",
+                                 "ipv4hint",  "ech",  "ipv6hint"};
 enum : std::uint16_t { kMandatory, kAlpn, kNoDefaultAlpn, kPort, kIpv4Hint, kEch, kIpv6Hint };
 
 std::optional<std::string> Address(int family, const std::string& text) {
@@ -69,7 +70,7 @@
 }
 
 std::string HexText(std::string_view bytes) {
-  static constexpr char kDigits[] = "0123456789abcdef";
+  static constexpr std::string_view kDigits = "0123456789abcdef";
   std::string out;
   for (const char c : bytes) {
     out += kDigits[static_cast<unsigned char>(c) >> 4];
@@ -81,8 +82,8 @@
 // ======== SvcParams (RFC 9460 §2.1, appendix A) ========
 
 std::optional<std::uint16_t> SvcKeyOf(std::string_view text) {
-  for (std::uint16_t key = 0; key < std::size(kSvcKeys); ++key) {
-    if (text == kSvcKeys[key]) return key;
+  for (std::size_t key = 0; key < kSvcKeys.size(); ++key) {
+    if (text == kSvcKeys[key]) return static_cast<std::uint16_t>(key);
   }
   if (!text.starts_with("key") || (text.size() > 4 && text[3] == '0')) return std::nullopt;
   const auto key = WholeNumber<std::uint16_t>(text.substr(3));
@@ -90,7 +91,7 @@
 }
 
 std::string SvcKeyText(std::uint16_t key) {
-  return key < std::size(kSvcKeys) ? kSvcKeys[key] : "key" + std::to_string(key);
+  return key < kSvcKeys.size() ? kSvcKeys[key] : "key" + std::to_string(key);
 }
 
 // At commas; one with a backslash before it is part of a value, as is a backslash so (A.1).
@@ -107,20 +108,25 @@
   return parts;
 }
 
+// The keys that a client must know, in their order (RFC 9460 §8).
+std::optional<std::string> MandatoryFromText(const std::string& text) {
+  std::vector<std::uint16_t> keys;
+  for (const auto& part : CommaList(text)) {
+    const auto key = SvcKeyOf(part);
+    if (!key) return std::nullopt;
+    keys.push_back(*key);
+  }
+  std::sort(keys.begin(), keys.end());
+  std::string out;
+  for (const auto key : keys) Put16(out, key);
+  return out;
+}
+
 std::optional<std::string> SvcValueFromText(std::uint16_t key, const std::string& text) {
   std::string out;
   switch (key) {
-    case kMandatory: {
-      std::vector<std::uint16_t> keys;
-      for (const auto& part : CommaList(text)) {
-        const auto named = SvcKeyOf(part);
-        if (!named) return std::nullopt;
-        keys.push_back(*named);
-      }
-      std::sort(keys.begin(), keys.end());
-      for (const auto named : keys) Put16(out, named);
-      return out;
-    }
+    case kMandatory:
+      return MandatoryFromText(text);
     case kAlpn:
       for (const auto& part : CommaList(text)) {
         if (part.empty() || part.size() > 255) return std::nullopt;
@@ -186,7 +192,7 @@
 // Calls `take(key, value)` for each; false if the bytes are not well-formed.
 template <typename Take>
 bool EachSvcParam(std::string_view bytes, Take take) {
-  long last = -1;
+  std::int32_t last = -1;
   for (std::size_t at = 0; at < bytes.size();) {
     if (bytes.size() - at < 4) return false;
     const auto key = static_cast<std::uint16_t>(Get16(bytes, at));
@@ -339,7 +345,7 @@
 // Calls `take(field, bytes)` for each field; false where the bytes are not the type's.
 template <typename Take>
 bool EachField(const TypeInfo& info, std::string_view rdata, Take take) {
-  for (const Field* field = info.fields; *field != kEnd; ++field) {
+  for (const Field* field = info.fields.data(); *field != kEnd; ++field) {
     const auto length = LengthOf(*field, rdata);
     if (!length) return false;
     take(*field, rdata.substr(0, *length));
@@ -348,6 +354,50 @@
   return rdata.empty();
 }
 
+// Character-strings up to the end (RFC 1035 §3.3).
+std::optional<std::string> StringsFromText(std::span<const Word>& words, std::string& why,
+                                           std::size_t& at_word) {
+  std::string out;
+  for (; !words.empty(); words = words.subspan(1), ++at_word) {
+    const auto bytes = Unescape(words[0].text);
+    if (!bytes || bytes->size() > 255) {
+      why = bytes ? "a string is longer than 255 bytes" : "an escape in a string is not \\DDD";
+      return std::nullopt;
+    }
+    out += static_cast<char>(bytes->size()) + *bytes;
+  }
+  return out;
+}
+
+std::optional<std::string> NumberFromText(Field field, const std::string& text, std::string& why) {
+  std::optional<std::string> value;
+  if (field == kU16) {
+    if (const auto number = WholeNumber<std::uint16_t>(text)) Put16(value.emplace(), *number);
+    if (!value) why = "'" + text + "' is no number from 0 to 65535";
+    return value;
+  }
+  const auto number = field == kU32 ? WholeNumber<std::uint32_t>(text) : SecondsFromText(text);
+  if (number) Put32(value.emplace(), *number);
+  if (!value && field == kU32) why = "'" + text + "' is no number from 0 to 4294967295";
+  if (!value && field == kSeconds) why = "'" + text + "' is no time such as 3600 or 1h30m";
+  return value;
+}
+
+// A field that is one word.
+std::optional<std::string> WordFromText(Field field, const std::string& text, const Name& origin,
+                                        std::string& why) {
+  if (IsName(field)) {
+    const auto name = Name::FromText(text, origin, why);
+    return name ? std::optional(name->wire()) : std::nullopt;
+  }
+  if (field == kIpv4 || field == kIpv6) {
+    auto value = Address(field == kIpv4 ? AF_INET : AF_INET6, text);
+    if (!value) why = "'" + text + "' is no IPv" + (field == kIpv4 ? "4" : "6") + " address";
+    return value;
+  }
+  return NumberFromText(field, text, why);
+}
+
 // The field that the words start with; takes as many as it needs.
 std::optional<std::string> FieldFromText(Field field, std::span<const Word>& words,
                                          const Name& origin, std::string& why,
@@ -359,35 +409,8 @@
     why = "a field is missing";
     return std::nullopt;
   }
-  std::string out;
-  if (field == kStrings) {
-    for (; !words.empty(); words = words.subspan(1), ++at_word) {
-      const auto bytes = Unescape(words[0].text);
-      if (!bytes || bytes->size() > 255) {
-        why = bytes ? "a string is longer than 255 bytes" : "an escape in a string is not \\DDD";
-        return std::nullopt;
-      }
-      out += static_cast<char>(bytes->size()) + *bytes;
-    }
-    return out;
-  }
-  const std::string& text = words[0].text;
-  std::optional<std::string> value;
-  if (IsName(field)) {
-    const auto name = Name::FromText(text, origin, why);
-    if (name) value = name->wire();
-  } else if (field == kIpv4 || field == kIpv6) {
-    value = Address(field == kIpv4 ? AF_INET : AF_INET6, text);
-    if (!value) why = "'" + text + "' is no IPv" + (field == kIpv4 ? "4" : "6") + " address";
-  } else if (field == kU16) {
-    if (const auto number = WholeNumber<std::uint16_t>(text)) Put16(value.emplace(), *number);
-    if (!value) why = "'" + text + "' is no number from 0 to 65535";
-  } else {
-    const auto number = field == kU32 ? WholeNumber<std::uint32_t>(text) : SecondsFromText(text);
-    if (number) Put32(value.emplace(), *number);
-    if (!value && field == kU32) why = "'" + text + "' is no number from 0 to 4294967295";
-    if (!value && field == kSeconds) why = "'" + text + "' is no time such as 3600 or 1h30m";
-  }
+  if (field == kStrings) return StringsFromText(words, why, at_word);
+  auto value = WordFromText(field, words[0].text, origin, why);
   if (value) {
     words = words.subspan(1);
     ++at_word;
@@ -406,7 +429,7 @@
   }
   std::string digits;
   for (const Word& word : words.subspan(2)) digits += word.text;
-  const auto bytes = HexBytes(digits);
+  auto bytes = HexBytes(digits);
   if (bytes && bytes->size() == *length) return bytes;
   at_word = std::min<std::size_t>(2, words.size());
   why = bytes ? "there are " + std::to_string(bytes->size()) + " bytes where " +
@@ -473,7 +496,7 @@
       digits = true;
     } else {
       const auto unit = std::string_view("smhdw").find(LowerOf(c));
-      constexpr std::uint64_t kSeconds[] = {1, 60, 3600, 86400, 604800};
+      constexpr std::array<std::uint64_t, 5> kSeconds = {1, 60, 3600, 86400, 604800};
       if (!digits || unit == std::string_view::npos) return std::nullopt;
       sum += number * kSeconds[unit];
       number = 0;
@@ -503,7 +526,7 @@
     return std::nullopt;
   }
   std::string rdata;
-  for (const Field* field = info->fields; *field != kEnd; ++field) {
+  for (const Field* field = info->fields.data(); *field != kEnd; ++field) {
     const auto bytes = FieldFromText(*field, words, origin, why, at_word);
     if (!bytes) return std::nullopt;
     rdata += *bytes;
--- a/src/dns/rdata.hpp
+++ b/src/dns/rdata.hpp
@@ -4,6 +4,7 @@
 #ifndef BRASSFRONT_DNS_RDATA_HPP_
 #define BRASSFRONT_DNS_RDATA_HPP_
 
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -46,7 +47,7 @@
 struct TypeInfo {
   std::uint16_t type;
   const char* mnemonic;
-  Field fields[8];  // ends in kEnd
+  std::array<Field, 8> fields;  // ends in kEnd
 };
 
 // Nothing for a type that has no fields known here.
--- a/src/dns/transfer.cpp
+++ b/src/dns/transfer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Of one message: small enough to be worked on in one piece, large enough to compress well.
-constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::size_t kPartBytes{16 * 1024};
 
 // Cuts a stream of records into messages.
 class Parts {
@@ -53,6 +53,38 @@
   std::vector<std::string> messages_;
 };
 
+// What a transfer has beside the SOA: nothing, the changes since a serial, or the whole zone.
+struct TransferContent {
+  bool soa_alone = false;
+  std::optional<std::vector<const Change*>> changes;
+};
+
+TransferContent ContentFor(const Zone& zone, const Message& request) {
+  if (request.question[0].type != type::kIxfr) return {};
+  const auto from = SerialAskedFrom(request);
+  if (!from) return {};
+  return {*from == zone.serial() || IsNewer(*from, zone.serial()), zone.Since(*from)};
+}
+
+std::vector<std::string> WriteTransfer(const Zone& zone, const Message& request,
+                                       const TransferContent& content, TsigSession* session,
+                                       std::uint64_t now) {
+  const Record soa = zone.Soa();
+  Parts parts(request, session, now);
+  parts.Add(soa);
+  if (content.soa_alone) return parts.Take();
+  if (content.changes) {
+    for (const Change* change : *content.changes) {
+      for (const Record& record : change->removed) parts.Add(record);
+      for (const Record& record : change->added) parts.Add(record);
+    }
+  } else {
+    zone.EachRecord([&parts](const Record& record) { parts.Add(record); });
+  }
+  parts.Add(soa);
+  return parts.Take();
+}
+
 }  // namespace
 
 std::optional<std::uint32_t> SerialAskedFrom(const Message& request) {
@@ -63,43 +95,18 @@
 std::vector<std::string> TransferAnswer(const Zone& zone, const Message& request, bool stream,
                                         std::size_t limit, TsigSession* session,
                                         std::uint64_t now) {
-  const Record soa = zone.Soa();
-  std::optional<std::vector<const Change*>> changes;
-  bool soa_alone = false;
-  if (request.question[0].type == type::kIxfr) {
-    const auto from = SerialAskedFrom(request);
-    if (from) {
-      soa_alone = *from == zone.serial() || IsNewer(*from, zone.serial());
-      changes = zone.Since(*from);
-    }
-  }
-  const auto send = [&](TsigSession* by) {
-    Parts parts(request, by, now);
-    parts.Add(soa);
-    if (soa_alone) return parts.Take();
-    if (changes) {
-      for (const Change* change : *changes) {
-        for (const Record& record : change->removed) parts.Add(record);
-        for (const Record& record : change->added) parts.Add(record);
-      }
-    } else {
-      zone.EachRecord([&parts](const Record& record) { parts.Add(record); });
-    }
-    parts.Add(soa);
-    return parts.Take();
-  };
-  if (stream) return send(session);
+  const TransferContent content = ContentFor(zone, request);
+  if (stream) return WriteTransfer(zone, request, content, session, now);
   const std::size_t room = limit - std::min(limit, session != nullptr ? session->MostBytes() : 0);
   // The whole zone is not even tried in a datagram.
-  if (!soa_alone && changes) {
-    auto tried = send(nullptr);
+  if (!content.soa_alone && content.changes) {
+    auto tried = WriteTransfer(zone, request, content, nullptr, now);
     if (tried.size() == 1 && tried[0].size() <= room) {
       if (session != nullptr) tried[0] = session->Sign(std::move(tried[0]), now);
       return tried;
     }
   }
-  soa_alone = true;
-  return send(session);
+  return WriteTransfer(zone, request, {.soa_alone = true, .changes = {}}, session, now);
 }
 
 Message TransferRequest(const Name& zone, const std::optional<Record>& have, std::uint16_t id) {
@@ -155,9 +162,6 @@
   }
   const bool soa = record.type == type::kSoa;
   if (soa && !(record.name == zone_)) return Bad("a SOA at " + record.name.ToText());
-  const auto is_newest = [this](const Record& other) {
-    return SerialOf(other.rdata) == SerialOf(soa_.rdata);
-  };
   switch (state_) {
     case State::kFirst:
       if (!soa) return Bad("it does not begin with the SOA");
@@ -165,53 +169,77 @@
       state_ = State::kSecond;
       return std::nullopt;
     case State::kSecond:
-      if (soa && have_ && !is_newest(record)) {
-        if (SerialOf(record.rdata) != *have_) return Bad("its changes begin at another serial");
-        changes_.push_back({{std::move(record)}, {}});
-        state_ = State::kRemoving;
-        return std::nullopt;
-      }
-      whole_.Add(soa_);
-      state_ = State::kWhole;
-      [[fallthrough]];
+      return TakeSecond(std::move(record));
     case State::kWhole:
-      if (soa) {
-        if (!is_newest(record)) return Bad("the zone changed during the transfer");
-        state_ = State::kDone;
-      } else {
-        whole_.Add(record);
-      }
-      return std::nullopt;
+      return TakeOfWhole(record);
     case State::kRemoving:
-      if (soa) {
-        if (!IsNewer(SerialOf(record.rdata), changes_.back().from())) {
-          return Bad("its changes lead to an older serial");
-        }
-        state_ = State::kAdding;
-        changes_.back().added.push_back(std::move(record));
-      } else {
-        changes_.back().removed.push_back(std::move(record));
-      }
-      return std::nullopt;
+      return TakeRemoved(std::move(record));
     case State::kAdding:
-      if (!soa) {
-        changes_.back().added.push_back(std::move(record));
-      } else if (changes_.back().to() == SerialOf(soa_.rdata)) {
-        if (!is_newest(record)) return Bad("changes beyond the newest serial");
-        state_ = State::kDone;
-      } else if (SerialOf(record.rdata) != changes_.back().to()) {
-        return Bad("a change that does not start where the last one ended");
-      } else {
-        changes_.push_back({{std::move(record)}, {}});
-        state_ = State::kRemoving;
-      }
-      return std::nullopt;
+      return TakeAdded(std::move(record));
     case State::kDone:
       return Bad("records after its end");
   }
   return std::nullopt;
 }
 
+bool TransferReader::IsNewestSoa(const Record& record) const {
+  return SerialOf(record.rdata) == SerialOf(soa_.rdata);
+}
+
+// The second record tells a transfer of changes from one of the whole zone (RFC 1995 §4).
+std::optional<Unfit> TransferReader::TakeSecond(Record record) {
+  if (record.type == type::kSoa && have_ && !IsNewestSoa(record)) {
+    if (SerialOf(record.rdata) != *have_) return Bad("its changes begin at another serial");
+    changes_.push_back({{std::move(record)}, {}});
+    state_ = State::kRemoving;
+    return std::nullopt;
+  }
+  whole_.Add(soa_);
+  state_ = State::kWhole;
+  return TakeOfWhole(record);
+}
+
+std::optional<Unfit> TransferReader::TakeOfWhole(const Record& record) {
+  if (record.type != type::kSoa) {
+    whole_.Add(record);
+    return std::nullopt;
+  }
+  if (!IsNewestSoa(record)) return Bad("the zone changed during the transfer");
+  state_ = State::kDone;
+  return std::nullopt;
+}
+
+std::optional<Unfit> TransferReader::TakeRemoved(Record record) {
+  if (record.type != type::kSoa) {
+    changes_.back().removed.push_back(std::move(record));
+    return std::nullopt;
+  }
+  if (!IsNewer(SerialOf(record.rdata), changes_.back().from())) {
+    return Bad("its changes lead to an older serial");
+  }
+  state_ = State::kAdding;
+  changes_.back().added.push_back(std::move(record));
+  return std::nullopt;
+}
+
+std::optional<Unfit> TransferReader::TakeAdded(Record record) {
+  if (record.type != type::kSoa) {
+    changes_.back().added.push_back(std::move(record));
+    return std::nullopt;
+  }
+  if (changes_.back().to() == SerialOf(soa_.rdata)) {
+    if (!IsNewestSoa(record)) return Bad("changes beyond the newest serial");
+    state_ = State::kDone;
+    return std::nullopt;
+  }
+  if (SerialOf(record.rdata) != changes_.back().to()) {
+    return Bad("a change that does not start where the last one ended");
+  }
+  changes_.push_back({{std::move(record)}, {}});
+  state_ = State::kRemoving;
+  return std::nullopt;
+}
+
 std::optional<Transferred> TransferReader::End(const Message& message) {
   if (state_ == State::kSecond && have_ &&
       (SerialOf(soa_.rdata) == *have_ || IsNewer(*have_, SerialOf(soa_.rdata)))) {
--- a/src/dns/transfer.hpp
+++ b/src/dns/transfer.hpp
@@ -58,6 +58,11 @@
   enum class State { kFirst, kSecond, kWhole, kRemoving, kAdding, kDone };
 
   std::optional<Unfit> TakeRecord(Record record);
+  [[nodiscard]] bool IsNewestSoa(const Record& record) const;
+  std::optional<Unfit> TakeSecond(Record record);
+  std::optional<Unfit> TakeOfWhole(const Record& record);
+  std::optional<Unfit> TakeRemoved(Record record);
+  std::optional<Unfit> TakeAdded(Record record);
   std::optional<Transferred> End(const Message& message);
   [[nodiscard]] Unfit Bad(std::string why) const { return {std::move(why), false}; }
 
--- a/src/dns/tsig.cpp
+++ b/src/dns/tsig.cpp
@@ -6,8 +6,8 @@
 namespace brassfront::dns {
 namespace {
 
-constexpr std::pair<Algorithm, const char*> kAlgorithms[] = {
-    {Algorithm::kHmacSha256, "hmac-sha256"}, {Algorithm::kHmacSha512, "hmac-sha512"}};
+constexpr auto kAlgorithms = std::to_array<std::pair<Algorithm, const char*>>(
+    {{Algorithm::kHmacSha256, "hmac-sha256"}, {Algorithm::kHmacSha512, "hmac-sha512"}});
 
 std::string Hmac(const Key& key, std::string_view bytes) {
   return signing::Hmac(key.algorithm, key.secret, bytes);
--- a/src/dns/update.cpp
+++ b/src/dns/update.cpp
@@ -13,48 +13,59 @@
 // ANY is a type of its own in prerequisites and deletions.
 bool IsTypeOrAny(std::uint16_t type) { return IsDataType(type) || type == type::kAny; }
 
+// That a name or a set is there, or is not, whatever it holds (RFC 2136 §2.4.1, §2.4.3 to §2.4.5).
+UpdateOutcome CheckPresence(const Zone& zone, const Record& record, const std::string& what) {
+  if (!record.rdata.empty() || !IsTypeOrAny(record.type)) {
+    return Refused(Rcode::kFormErr, "a prerequisite that is not well-formed: " + what);
+  }
+  const bool any_type = record.type == type::kAny;
+  const bool there =
+      any_type ? zone.Find(record.name) != nullptr : zone.Find(record.name, record.type) != nullptr;
+  const bool expected = record.klass == klass::kAny;
+  if (there == expected) return {};
+  if (expected)
+    return Refused(any_type ? Rcode::kNxDomain : Rcode::kNxRrset, what + " is not there");
+  return Refused(any_type ? Rcode::kYxDomain : Rcode::kYxRrset, what + " is there");
+}
+
+// A set must be there as a whole, no more and no less (RFC 2136 §3.2.5).
+UpdateOutcome CheckSet(const Zone& zone, const std::vector<Record>& expected) {
+  const Record& first = expected[0];
+  const RecordSet* set = zone.Find(first.name, first.type);
+  std::set<std::string> distinct;
+  for (const Record& record : expected) {
+    distinct.insert(CanonicalRdata(record.type, record.rdata));
+  }
+  const bool same = set != nullptr && set->rdatas.size() == distinct.size() &&
+                    std::all_of(expected.begin(), expected.end(),
+                                [&zone](const Record& record) { return zone.Holds(record); });
+  if (same) return {};
+  return Refused(Rcode::kNxRrset, first.name.ToText() + " " + TypeText(first.type) +
+                                      " is not what the update expects");
+}
+
 // RFC 2136 §3.2.
 UpdateOutcome CheckPrerequisites(const Zone& zone, const Message& update) {
-  std::map<std::pair<std::string, std::uint16_t>, std::vector<Record>> wanted_sets;
+  std::map<std::pair<std::string, std::uint16_t>, std::vector<Record>> expected_sets;
   for (const Record& record : update.answer) {
     const std::string what = record.name.ToText() + " " + TypeText(record.type);
     if (record.ttl != 0) return Refused(Rcode::kFormErr, "a prerequisite with a TTL: " + what);
     if (!record.name.IsAtOrBelow(zone.origin())) {
       return Refused(Rcode::kNotZone, "a prerequisite outside the zone: " + what);
     }
-    const bool any_type = record.type == type::kAny;
-    const bool there = any_type ? zone.Find(record.name) != nullptr
-                                : zone.Find(record.name, record.type) != nullptr;
     if (record.klass == klass::kAny || record.klass == klass::kNone) {
-      if (!record.rdata.empty() || !IsTypeOrAny(record.type)) {
-        return Refused(Rcode::kFormErr, "a prerequisite that is not well-formed: " + what);
-      }
-      const bool want_it = record.klass == klass::kAny;
-      if (there == want_it) continue;
-      if (want_it) {
-        return Refused(any_type ? Rcode::kNxDomain : Rcode::kNxRrset, what + " is not there");
-      }
-      return Refused(any_type ? Rcode::kYxDomain : Rcode::kYxRrset, what + " is there");
+      UpdateOutcome outcome = CheckPresence(zone, record, what);
+      if (outcome.rcode != Rcode::kNoError) return outcome;
+      continue;
     }
     if (record.klass != klass::kIn || !IsDataType(record.type)) {
       return Refused(Rcode::kFormErr, "a prerequisite of another class or type: " + what);
     }
-    wanted_sets[{record.name.Key(), record.type}].push_back(record);
+    expected_sets[{record.name.Key(), record.type}].push_back(record);
   }
-  // A set must be there as a whole, no more and no less (§3.2.5).
-  for (auto& [key, wanted] : wanted_sets) {
-    const RecordSet* set = zone.Find(wanted[0].name, wanted[0].type);
-    std::set<std::string> distinct;
-    for (const Record& record : wanted) {
-      distinct.insert(CanonicalRdata(record.type, record.rdata));
-    }
-    const bool same = set != nullptr && set->rdatas.size() == distinct.size() &&
-                      std::all_of(wanted.begin(), wanted.end(),
-                                  [&zone](const Record& record) { return zone.Holds(record); });
-    if (!same) {
-      return Refused(Rcode::kNxRrset, wanted[0].name.ToText() + " " + TypeText(wanted[0].type) +
-                                          " is not what the update expects");
-    }
+  for (const auto& [key, expected] : expected_sets) {
+    UpdateOutcome outcome = CheckSet(zone, expected);
+    if (outcome.rcode != Rcode::kNoError) return outcome;
   }
   return {};
 }
--- a/src/dns/zone_file.cpp
+++ b/src/dns/zone_file.cpp
@@ -1,6 +1,7 @@
 #include "dns/zone_file.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <tao/pegtl.hpp>
@@ -54,6 +55,7 @@
 
 struct Errors {
   template <typename Rule>
+  // NOLINTNEXTLINE(readability-identifier-naming): PEGTL looks the text up by this name.
   static constexpr auto message = kExpected<Rule>;
 };
 template <typename Rule>
@@ -130,7 +132,47 @@
   return out;
 }
 
-// `$` and `${offset,width,base}` in the pattern made the number; `\$` stays a dollar.
+// How $GENERATE writes its number: `${offset,width,base}`.
+struct GenerateFormat {
+  std::int64_t offset = 0;
+  std::size_t width = 0;
+  char base = 'd';
+};
+
+constexpr std::uint32_t kMostGenerateWidth = 255;
+
+std::vector<std::string_view> SplitAtCommas(std::string_view text) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const auto comma = text.find(',');
+    parts.push_back(text.substr(0, comma));
+    if (comma == std::string_view::npos) return parts;
+    text.remove_prefix(comma + 1);
+  }
+}
+
+// What stands between the braces; nothing if it is not well-formed.
+std::optional<GenerateFormat> ParseGenerateFormat(std::string_view inside) {
+  const auto parts = SplitAtCommas(inside);
+  GenerateFormat format;
+  const char* const end = parts[0].data() + parts[0].size();
+  const auto [stop, error] = std::from_chars(parts[0].data(), end, format.offset);
+  if (error != std::errc() || stop != end || parts.size() > 3) return std::nullopt;
+  if (parts.size() > 1) {
+    const auto width = WholeNumber<std::uint32_t>(parts[1]);
+    if (!width || *width > kMostGenerateWidth) return std::nullopt;
+    format.width = *width;
+  }
+  if (parts.size() > 2) {
+    constexpr std::string_view kBases = "doxXnN";
+    if (parts[2].size() != 1 || kBases.find(parts[2][0]) == std::string_view::npos)
+      return std::nullopt;
+    format.base = parts[2][0];
+  }
+  return format;
+}
+
+// The pattern with `$` and `${offset,width,base}` replaced by the number; `\$` stays a dollar.
 std::optional<std::string> Generated(std::string_view pattern, std::uint32_t number) {
   std::string out;
   for (std::size_t at = 0; at < pattern.size(); ++at) {
@@ -143,41 +185,17 @@
       out += pattern[at];
       continue;
     }
-    long long offset = 0;
-    std::size_t width = 0;
-    char base = 'd';
+    GenerateFormat format;
     if (at + 1 < pattern.size() && pattern[at + 1] == '{') {
       const auto end = pattern.find('}', at);
       if (end == std::string_view::npos) return std::nullopt;
-      std::string_view inside = pattern.substr(at + 2, end - at - 2);
-      std::vector<std::string_view> parts;
-      while (true) {
-        const auto comma = inside.find(',');
-        parts.push_back(inside.substr(0, comma));
-        if (comma == std::string_view::npos) break;
-        inside.remove_prefix(comma + 1);
-      }
-      const auto [stop, error] =
-          std::from_chars(parts[0].data(), parts[0].data() + parts[0].size(), offset);
-      if (error != std::errc() || stop != parts[0].data() + parts[0].size() || parts.size() > 3) {
-        return std::nullopt;
-      }
-      if (parts.size() > 1) {
-        const auto given = WholeNumber<std::uint32_t>(parts[1]);
-        if (!given || *given > 255) return std::nullopt;
-        width = *given;
-      }
-      if (parts.size() > 2) {
-        if (parts[2].size() != 1 ||
-            std::string_view("doxXnN").find(parts[2][0]) == std::string_view::npos) {
-          return std::nullopt;
-        }
-        base = parts[2][0];
-      }
+      const auto given = ParseGenerateFormat(pattern.substr(at + 2, end - at - 2));
+      if (!given) return std::nullopt;
+      format = *given;
       at = end;
     }
-    if (offset < -static_cast<long long>(number) || offset > 0xffffffffLL) return std::nullopt;
-    out += InBase(static_cast<std::uint64_t>(number + offset), base, width);
+    if (format.offset < -std::int64_t{number} || format.offset > 0xffffffffLL) return std::nullopt;
+    out += InBase(static_cast<std::uint64_t>(number + format.offset), format.base, format.width);
   }
   return out;
 }
@@ -247,8 +265,8 @@
     } else if (SameIgnoringCase(directive, "$GENERATE") && arguments >= 4) {
       Generate(words);
     } else {
-      static constexpr const char* kKnown[] = {"$ORIGIN", "$TTL", "$INCLUDE", "$GENERATE"};
-      const bool known = std::any_of(std::begin(kKnown), std::end(kKnown), [&](const char* name) {
+      static constexpr std::array kKnown = {"$ORIGIN", "$TTL", "$INCLUDE", "$GENERATE"};
+      const bool known = std::any_of(kKnown.begin(), kKnown.end(), [&](const char* name) {
         return SameIgnoringCase(directive, name);
       });
       AddFault(words[0], known ? directive + " has too few or too many arguments"
@@ -314,58 +332,74 @@
     }
   }
 
-  // An owner that is not given is the last one.
-  void TakeEntry(const std::optional<std::string>& owner, std::span<const Word> words,
-                 const Word& at) {
-    std::string why;
-    if (owner) {
-      owner_ = Name::FromText(*owner, origin_, why);
-      if (!owner_) {
-        AddFault(at, why);
-        return;
-      }
-    } else if (!owner_) {
-      AddFault(at, "a record without a name, and none before it");
-      return;
+  // What stands before the data of a record.
+  struct EntryHeader {
+    std::optional<std::uint32_t> ttl;
+    std::uint16_t type = 0;
+  };
+
+  // An owner that is not given is the last one. False after a fault.
+  bool TakeOwner(const std::optional<std::string>& owner, const Word& at) {
+    if (!owner) {
+      if (!owner_) AddFault(at, "a record without a name, and none before it");
+      return owner_.has_value();
     }
+    std::string why;
+    owner_ = Name::FromText(*owner, origin_, why);
+    if (!owner_) AddFault(at, why);
+    return owner_.has_value();
+  }
+
+  // TTL and class in either order, then the type; takes the words. Nothing after a fault.
+  std::optional<EntryHeader> TakeEntryHeader(std::span<const Word>& words, const Word& at) {
     std::optional<std::uint32_t> ttl;
     std::optional<std::uint16_t> klass;
-    std::optional<std::uint16_t> type;
-    // TTL and class in either order, then the type.
-    for (; !words.empty() && !type; words = words.subspan(1)) {
+    for (; !words.empty(); words = words.subspan(1)) {
       const std::string& text = words[0].text;
       if (!ttl && !text.empty() && text[0] >= '0' && text[0] <= '9') {
         ttl = SecondsFromText(text);
         if (!ttl) {
           AddFault(words[0], "'" + text + "' is no time from 0 to 2147483647 s");
-          return;
+          return std::nullopt;
         }
-      } else if (const auto given = klass ? std::nullopt : ClassFromText(text)) {
+        continue;
+      }
+      if (const auto given = klass ? std::nullopt : ClassFromText(text)) {
         klass = given;
         if (*klass != klass::kIn) {
           AddFault(words[0], "class " + text + ": zones of class IN alone are read");
-          return;
-        }
-      } else {
-        type = TypeFromText(text);
-        if (!type || !IsDataType(*type)) {
-          AddFault(words[0], "'" + text + "' is no type of a record in a zone");
-          return;
+          return std::nullopt;
         }
+        continue;
       }
+      const auto type = TypeFromText(text);
+      if (!type || !IsDataType(*type)) {
+        AddFault(words[0], "'" + text + "' is no type of a record in a zone");
+        return std::nullopt;
+      }
+      words = words.subspan(1);
+      return EntryHeader{ttl, *type};
     }
-    if (!type) {
-      AddFault(at, "a record without a type");
-      return;
-    }
+    AddFault(at, "a record without a type");
+    return std::nullopt;
+  }
+
+  void TakeEntry(const std::optional<std::string>& owner, std::span<const Word> words,
+                 const Word& at) {
+    if (!TakeOwner(owner, at)) return;
+    const auto header = TakeEntryHeader(words, at);
+    if (!header) return;
+    std::string why;
     std::size_t at_word = 0;
-    auto rdata = RdataFromText(*type, words, origin_, why, at_word);
+    auto rdata = RdataFromText(header->type, words, origin_, why, at_word);
     if (!rdata) {
-      AddFault(at_word < words.size() ? words[at_word] : at, TypeText(*type) + ": " + why);
+      AddFault(at_word < words.size() ? words[at_word] : at, TypeText(header->type) + ": " + why);
       return;
     }
+    const bool is_soa = header->type == type::kSoa;
+    auto ttl = header->ttl;
     if (!ttl) ttl = default_ttl_ ? default_ttl_ : last_ttl_;
-    if (!ttl && *type == type::kSoa) ttl = NumberField(type::kSoa, *rdata, soa::kMinimum);
+    if (!ttl && is_soa) ttl = NumberField(type::kSoa, *rdata, soa::kMinimum);
     if (!ttl) {
       AddFault(at, "no TTL: neither here, nor in $TTL, nor in a record before this one");
       return;
@@ -373,10 +407,10 @@
     last_ttl_ = ttl;
     if (!owner_->IsAtOrBelow(zone_)) {
       AddFault(at, owner_->ToText() + " is outside the zone " + zone_.ToText());
-    } else if (*type == type::kSoa && !(*owner_ == zone_)) {
+    } else if (is_soa && !(*owner_ == zone_)) {
       AddFault(at, "a SOA at " + owner_->ToText() + ", not at the zone's top");
     } else {
-      take_({*owner_, *type, klass::kIn, *ttl, *std::move(rdata)});
+      take_({*owner_, header->type, klass::kIn, *ttl, *std::move(rdata)});
     }
   }
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -113,38 +113,51 @@
   touched_.insert(source.owned.begin(), source.owned.end());
 }
 
-std::map<std::string, Member> Membership::Wanted(std::uint64_t number,
-                                                 const Destination& destination) const {
+const Membership::Source* Membership::OwnerOf(std::uint64_t number) const {
   const Source* owner = nullptr;
   for (const Source& source : sources_) {
     if (!Counts(source) || !source.owned.contains(number)) continue;
     if (owner == nullptr || source.settings.rank < owner->settings.rank) owner = &source;
   }
-  std::map<std::string, std::pair<int, Member>> best;  // with the rank of who said it
+  return owner;
+}
+
+void Membership::MergeSource(const Source& source, std::uint64_t number, RankedMembers& best) {
+  const auto said = source.said.find(number);
+  if (said == source.said.end()) return;
+  const int rank = source.settings.rank;
+  for (const auto& [address, all] : said->second) {
+    for (const Said& one : all) {
+      const auto [place, fresh] = best.try_emplace(address, RankedMember{rank, one.member});
+      if (fresh) continue;
+      RankedMember& held = place->second;
+      const Phase worst = Badness(held.member.phase) > Badness(one.member.phase) ? held.member.phase
+                                                                                 : one.member.phase;
+      if (rank < held.rank) held = {rank, one.member};
+      held.member.phase = worst;
+    }
+  }
+}
+
+bool Membership::IsVetoed(const Destination& destination, const std::string& address) const {
+  const auto veto = destination.vetoed.find(address);
+  return veto != destination.vetoed.end() &&
+         std::any_of(veto->second.begin(), veto->second.end(),
+                     [this](SourceId id) { return Counts(sources_[id]); });
+}
+
+std::map<std::string, Member> Membership::Wanted(std::uint64_t number,
+                                                 const Destination& destination) const {
+  const Source* owner = OwnerOf(number);
+  RankedMembers best;
   for (const auto& source : sources_) {
     if (!Counts(source) || (owner != nullptr && owner != &source)) continue;
-    const auto said = source.said.find(number);
-    if (said == source.said.end()) continue;
-    for (const auto& [address, all] : said->second) {
-      for (const Said& one : all) {
-        const int rank = source.settings.rank;
-        const auto [place, fresh] = best.try_emplace(address, rank, one.member);
-        if (fresh) continue;
-        auto& [held_rank, held] = place->second;
-        const Phase worst =
-            Badness(held.phase) > Badness(one.member.phase) ? held.phase : one.member.phase;
-        if (rank < held_rank) place->second = {rank, one.member};
-        held.phase = worst;
-      }
-    }
+    MergeSource(source, number, best);
   }
   std::map<std::string, Member> wanted;
   for (auto& [address, found] : best) {
-    const auto veto = destination.vetoed.find(address);
-    const bool vetoed = owner == nullptr && veto != destination.vetoed.end() &&
-                        std::any_of(veto->second.begin(), veto->second.end(),
-                                    [this](SourceId id) { return Counts(sources_[id]); });
-    if (!vetoed) wanted.emplace(address, std::move(found.second));
+    const bool vetoed = owner == nullptr && IsVetoed(destination, address);
+    if (!vetoed) wanted.emplace(address, std::move(found.member));
   }
   return wanted;
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -124,6 +124,18 @@
   void Heard(Source& source, double now);
   void Touch(const Source& source);
   void ExpireDue(double now);
+  // A member with the rank of the source that it is taken from.
+  struct RankedMember {
+    int rank = 0;
+    Member member;
+  };
+  using RankedMembers = std::map<std::string, RankedMember>;  // by address
+
+  // The source that alone speaks for the destination; null if none does.
+  [[nodiscard]] const Source* OwnerOf(std::uint64_t number) const;
+  // Adds what the source lists: the lowest rank holds, in the worst phase that any of them tells.
+  static void MergeSource(const Source& source, std::uint64_t number, RankedMembers& best);
+  [[nodiscard]] bool IsVetoed(const Destination& destination, const std::string& address) const;
   [[nodiscard]] std::map<std::string, Member> Wanted(std::uint64_t number,
                                                      const Destination& destination) const;
   void Work(std::uint64_t number, Destination& destination, double now, MemberList& out);
--- a/src/membership/zone_map.cpp
+++ b/src/membership/zone_map.cpp
@@ -18,42 +18,54 @@
   return text;
 }
 
-// `key=value` words of the TXT records at a name (RFC 1464's form); keys in any case.
-std::map<std::string, std::string> Words(const Zone& zone, const Name& name,
-                                         std::vector<std::string>& faults) {
-  std::map<std::string, std::string> words;
+using Attributes = std::map<std::string, std::string>;
+
+// Adds `key=value` (RFC 1464), the key in lower case. A word without `=` is passed over.
+void AddAttribute(std::string_view word, const Name& name, Attributes& attributes,
+                  std::vector<std::string>& faults) {
+  const auto equals = word.find('=');
+  if (equals == std::string_view::npos) return;
+  std::string key(word.substr(0, equals));
+  for (char& c : key) c = dns::LowerOf(c);
+  const std::string value(word.substr(equals + 1));
+  const auto [place, fresh] = attributes.emplace(key, value);
+  if (!fresh && place->second != value) {
+    faults.push_back(name.ToText() + " TXT: " + key + " is said in two ways");
+  }
+}
+
+// The attributes in the TXT records at a name; one character-string may hold several words.
+Attributes AttributesAt(const Zone& zone, const Name& name, std::vector<std::string>& faults) {
+  Attributes attributes;
   const dns::RecordSet* set = zone.Find(name, type::kTxt);
-  if (set == nullptr) return words;
+  if (set == nullptr) return attributes;
   for (const std::string& rdata : set->rdatas) {
     for (std::size_t at = 0; at < rdata.size();) {
       const auto length = static_cast<unsigned char>(rdata[at]);
-      std::string_view all = std::string_view(rdata).substr(at + 1, length);
+      std::string_view rest = std::string_view(rdata).substr(at + 1, length);
       at += 1u + length;
-      // One string may hold several words.
-      while (!all.empty()) {
-        const std::string_view word = all.substr(0, all.find(' '));
-        all.remove_prefix(std::min(all.size(), word.size() + 1));
-        const auto equals = word.find('=');
-        if (equals == std::string_view::npos) continue;
-        std::string key(word.substr(0, equals));
-        for (char& c : key) c = dns::LowerOf(c);
-        std::string value(word.substr(equals + 1));
-        const auto [place, fresh] = words.emplace(key, value);
-        if (!fresh && place->second != value) {
-          faults.push_back(name.ToText() + " TXT: " + key + " is said in two ways");
-        }
+      while (!rest.empty()) {
+        const std::string_view word = rest.substr(0, rest.find(' '));
+        rest.remove_prefix(std::min(rest.size(), word.size() + 1));
+        AddAttribute(word, name, attributes, faults);
       }
     }
   }
-  return words;
+  return attributes;
+}
+
+std::string AttributeOr(const Attributes& attributes, const std::string& key,
+                        const std::string& absent) {
+  const auto found = attributes.find(key);
+  return found == attributes.end() ? absent : found->second;
 }
 
-std::optional<Phase> PhaseIn(const std::map<std::string, std::string>& words, const Name& name,
+std::optional<Phase> PhaseIn(const Attributes& attributes, const Name& name,
                              std::vector<std::string>& faults) {
-  const auto word = words.find("phase");
-  if (word == words.end() || word->second == "ready") return Phase::kReady;
-  if (word->second == "drain") return Phase::kTerminating;
-  faults.push_back(name.ToText() + " TXT: phase=" + word->second + " is neither ready nor drain");
+  const std::string phase = AttributeOr(attributes, "phase", "ready");
+  if (phase == "ready") return Phase::kReady;
+  if (phase == "drain") return Phase::kTerminating;
+  faults.push_back(name.ToText() + " TXT: phase=" + phase + " is neither ready nor drain");
   return std::nullopt;
 }
 
@@ -72,88 +84,95 @@
   needs_.erase(needs);
 }
 
+void ZoneMap::Need(const std::string& service_key, const Name& name) {
+  needs_[service_key].insert(name.Key());
+  needed_by_[name.Key()].insert(service_key);
+}
+
+// Follows aliases from the SRV record's target to its addresses; null with a fault if there are
+// none.
+const dns::RecordSet* ZoneMap::AddressesOf(const Zone& zone, const std::string& service_key,
+                                           std::uint32_t port, Name& target, Service& service) {
+  const std::string shown = WithoutEndDot(target.Lower().ToText());
+  int aliases = 0;
+  Need(service_key, target);
+  const dns::RecordSet* alias = nullptr;
+  while ((alias = zone.Find(target, type::kCname)) != nullptr && ++aliases <= kMostAliases) {
+    target = dns::NameField(type::kCname, alias->rdatas.front(), 0);
+    Need(service_key, target);
+  }
+  const dns::RecordSet* addresses = zone.Find(target, type::kA);
+  if (alias == nullptr && addresses != nullptr && port != 0) return addresses;
+  std::string why = shown + " leads out of the zone to " + target.ToText();
+  if (target.IsAtOrBelow(zone.origin())) why = shown + " has no A record";
+  if (alias != nullptr) why = shown + " is an alias without an end";
+  if (port == 0) why = "port 0";
+  service.faults.push_back(service.name + ": " + why);
+  return nullptr;
+}
+
 ZoneMap::Service ZoneMap::Work(const Zone& zone, const Name& name) {
   const std::string key = name.Key();
   Forget(key);
   Service service{WithoutEndDot(name.Lower().ToText()), {}, {}};
   auto& faults = service.faults;
-  auto& needs = needs_[key];
-  const auto need = [&](const Name& needed) {
-    needs.insert(needed.Key());
-    needed_by_[needed.Key()].insert(key);
-  };
-  need(name);
+  Need(key, name);
   const dns::RecordSet* srv = zone.Find(name, type::kSrv);
   if (srv == nullptr) return service;
 
-  const auto words = Words(zone, name, faults);
-  const auto word = [&words](const char* which, const std::string& otherwise) {
-    const auto found = words.find(which);
-    return found == words.end() ? otherwise : found->second;
-  };
-  const std::string number = word("destination", "");
-  const auto destination = dns::WholeNumber<std::uint64_t>(number);
+  const Attributes attributes = AttributesAt(zone, name, faults);
+  const auto destination =
+      dns::WholeNumber<std::uint64_t>(AttributeOr(attributes, "destination", ""));
   if (!destination) {
     faults.push_back(service.name + ": no TXT record with destination=NUMBER beside its SRV");
     return service;
   }
-  const std::string kind = word("kind", defaults_.kind);
-  const auto service_phase = PhaseIn(words, name, faults);
+  const auto service_phase = PhaseIn(attributes, name, faults);
   if (!service_phase) return service;
+  const std::string service_zone = AttributeOr(attributes, "zone", defaults_.zone);
 
   std::map<std::uint32_t, std::vector<Member>> by_priority;
   for (const std::string& rdata : srv->rdatas) {
-    const auto priority = dns::NumberField(type::kSrv, rdata, 0);
     const auto weight = dns::NumberField(type::kSrv, rdata, 1);
     const auto port = dns::NumberField(type::kSrv, rdata, 2);
     Name target = dns::NameField(type::kSrv, rdata, 3);
     if (target.IsRoot()) continue;
     const std::string shown = WithoutEndDot(target.Lower().ToText());
-    int aliases = 0;
-    need(target);
-    const dns::RecordSet* alias = nullptr;
-    while ((alias = zone.Find(target, type::kCname)) != nullptr && ++aliases <= kMostAliases) {
-      target = dns::NameField(type::kCname, alias->rdatas.front(), 0);
-      need(target);
-    }
-    const dns::RecordSet* addresses = zone.Find(target, type::kA);
-    if (alias != nullptr || addresses == nullptr || port == 0) {
-      faults.push_back(service.name + ": " +
-                       (port == 0          ? "port 0"
-                        : alias != nullptr ? shown + " is an alias without an end"
-                        : target.IsAtOrBelow(zone.origin())
-                            ? shown + " has no A record"
-                            : shown + " leads out of the zone to " + target.ToText()));
-      continue;
-    }
-    const auto own = Words(zone, target, faults);
+    const dns::RecordSet* addresses = AddressesOf(zone, key, port, target, service);
+    if (addresses == nullptr) continue;
+    const Attributes own = AttributesAt(zone, target, faults);
     const auto phase = PhaseIn(own, target, faults);
     if (!phase) continue;
-    const auto own_zone = own.find("zone");
     for (const std::string& address : addresses->rdatas) {
       Member member;
       member.address = dns::RdataText(type::kA, address) + ":" + std::to_string(port);
-      // Of its place and address: with either changed it is another endpoint.
+      // Of its target and address: with either changed it is another endpoint.
       member.id = service.name + "/" + shown + "@" + member.address;
-      member.zone = own_zone != own.end() ? own_zone->second : word("zone", defaults_.zone);
-      member.kind = kind;
+      member.zone = AttributeOr(own, "zone", service_zone);
+      member.kind = AttributeOr(attributes, "kind", defaults_.kind);
       member.destination = *destination;
       member.phase = Worse(*service_phase, *phase);
       member.weight = weight == 0 ? kLeastWeight : weight;
-      by_priority[priority].push_back(std::move(member));
+      by_priority[dns::NumberField(type::kSrv, rdata, 0)].push_back(std::move(member));
     }
   }
-  bool served = false;  // by a priority before
-  for (auto& [priority, members] : by_priority) {
+  TakeByPriority(std::move(by_priority), service.members);
+  return service;
+}
+
+// Members of a later priority serve only while none of an earlier one is ready (RFC 2782).
+void ZoneMap::TakeByPriority(std::map<std::uint32_t, std::vector<Member>> by_priority,
+                             std::vector<Member>& members) {
+  bool served = false;
+  for (auto& [priority, of_priority] : by_priority) {
     bool ready = false;
-    for (Member& member : members) {
+    for (Member& member : of_priority) {
       const bool is_ready = member.phase == Phase::kReady;
       ready = ready || is_ready;
-      if (!is_ready || !served) service.members.push_back(std::move(member));
+      if (!is_ready || !served) members.push_back(std::move(member));
     }
     served = served || ready;
   }
-  return service;
 }
 
 std::vector<ZoneMap::Service> ZoneMap::Replace(const Zone& zone) {
--- a/src/membership/zone_map.hpp
+++ b/src/membership/zone_map.hpp
@@ -47,6 +47,12 @@
 
  private:
   Service Work(const dns::Zone& zone, const dns::Name& name);
+  // A change at `name` makes the service be worked out anew.
+  void Need(const std::string& service_key, const dns::Name& name);
+  const dns::RecordSet* AddressesOf(const dns::Zone& zone, const std::string& service_key,
+                                    std::uint32_t port, dns::Name& target, Service& service);
+  static void TakeByPriority(std::map<std::uint32_t, std::vector<Member>> by_priority,
+                             std::vector<Member>& members);
   void Forget(const std::string& key);
 
   const Defaults defaults_;
--- a/src/nameserver/client.cpp
+++ b/src/nameserver/client.cpp
@@ -11,6 +11,8 @@
 namespace brassfront::nameserver {
 namespace {
 
+constexpr std::size_t kReadBytes{16 * 1024};
+
 using dns::Message;
 using dns::TsigError;
 
@@ -62,7 +64,7 @@
       asked.why = std::strerror(errno);
     }
     while (socket.AwaitInput(until)) {
-      const long length = recv(socket.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+      const ssize_t length = recv(socket.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
       if (length < 0) {
         // Nobody listens there for now (ECONNREFUSED): time passes before the next try.
         asked.why = std::strerror(errno);
@@ -89,10 +91,10 @@
   }
   if (!socket.SendAll(dns::InStream(bytes), until)) return "the connection ended while asking";
   dns::StreamReader reader;
-  std::vector<char> buffer(16 * 1024);
+  std::vector<char> buffer(kReadBytes);
   auto last = until;
   while (socket.AwaitInput(last)) {
-    const long length = socket.ReceiveNow(buffer);
+    const auto length = socket.ReceiveNow(buffer);
     if (length < 0 && errno == EAGAIN) continue;
     if (length <= 0) return "the connection ended before the answer did";
     reader.Feed({buffer.data(), static_cast<std::size_t>(length)});
--- a/src/nameserver/following.cpp
+++ b/src/nameserver/following.cpp
@@ -118,61 +118,73 @@
   }
 }
 
+bool Following::TakeWholeZone(const dns::Zone& fetched, std::string& why) {
+  std::optional<dns::Change> change;
+  if (zone_.zone().has_soa()) {
+    if (dns::IsNewer(zone_.zone().serial(), fetched.serial())) {
+      why =
+          "the primary sends a whole zone of the older serial " + std::to_string(fetched.serial());
+      return false;
+    }
+    change = dns::Difference(zone_.zone(), fetched);
+  }
+  if (!zone_.Replace(fetched, why)) return false;
+  zone_.set_expired(false);
+  if (watcher_.changed) watcher_.changed(zone_.zone(), change ? &*change : nullptr);
+  return true;
+}
+
+Following::AppliedChanges Following::TakeChanges(const std::vector<dns::Change>& changes,
+                                                 std::string& why) {
+  AppliedChanges applied;
+  for (const dns::Change& change : changes) {
+    if (!zone_.Commit(change, nullptr, why)) {
+      applied.all_fit = false;
+      return applied;
+    }
+    ++applied.count;
+    zone_.set_expired(false);
+    if (watcher_.changed) watcher_.changed(zone_.zone(), &change);
+  }
+  return applied;
+}
+
+void Following::NoteTransferred(bool changed) {
+  const std::lock_guard lock(mutex_);
+  if (!changed) return follower_.IsUpToDate(SteadySeconds());
+  follower_.Took(zone_.zone().serial(), dns::SoaTimers::Of(zone_.zone().Soa().rdata),
+                 SteadySeconds());
+}
+
 void Following::TransferNow(bool by_changes) {
   std::optional<dns::Record> have;
   if (by_changes && zone_.zone().has_soa()) have = zone_.zone().Soa();
-  dns::Transferred result = Transfer(how_, zone_.zone().origin(), have);
+  const dns::Transferred result = Transfer(how_, zone_.zone().origin(), have);
   std::string why;
   bool again = false;
   {
     const std::lock_guard zones(zones_mutex_);
     const std::uint32_t before = zone_.zone().serial();
-    const bool had = zone_.zone().has_soa();
-    std::size_t applied = 0;
-    if (auto* whole = std::get_if<dns::WholeZone>(&result)) {
-      std::optional<dns::Change> change;
-      if (had && dns::IsNewer(before, whole->zone.serial())) {
-        why = "the primary sends a whole zone of the older serial " +
-              std::to_string(whole->zone.serial());
-      } else if (had) {
-        change = dns::Difference(zone_.zone(), whole->zone);
-      }
-      if (why.empty() && zone_.Replace(whole->zone, why)) {
-        ++applied;
-        zone_.set_expired(false);
-        if (watcher_.changed) watcher_.changed(zone_.zone(), change ? &*change : nullptr);
-      }
-    } else if (auto* changes = std::get_if<dns::Changes>(&result)) {
-      for (const dns::Change& change : changes->changes) {
-        if (!zone_.Commit(change, nullptr, why)) {
-          again = true;  // what the primary says does not fit what is held: all of it, then
-          break;
-        }
-        ++applied;
-        zone_.set_expired(false);
-        if (watcher_.changed) watcher_.changed(zone_.zone(), &change);
-      }
+    bool changed = false;
+    if (const auto* whole = std::get_if<dns::WholeZone>(&result)) {
+      changed = TakeWholeZone(whole->zone, why);
+    } else if (const auto* changes = std::get_if<dns::Changes>(&result)) {
+      const AppliedChanges applied = TakeChanges(changes->changes, why);
+      changed = applied.count > 0;
+      again = !applied.all_fit;  // what the primary says does not fit what is held: fetch it all
     } else if (std::holds_alternative<dns::UpToDate>(result)) {
       zone_.set_expired(false);
       if (watcher_.confirmed) watcher_.confirmed(zone_.zone());
     } else {
       why = std::get<dns::Unfit>(result).why;
     }
-    if (applied > 0) {
+    if (changed) {
       observe::Log(Concern::kZones, Level::kInfo, "zone renewed",
                    {{"zone", zone_.zone().origin().ToText()},
                     {"from", before},
                     {"to", zone_.zone().serial()}});
     }
-    if (why.empty()) {
-      const std::lock_guard lock(mutex_);
-      if (applied > 0) {
-        follower_.Took(zone_.zone().serial(), dns::SoaTimers::Of(zone_.zone().Soa().rdata),
-                       SteadySeconds());
-      } else {
-        follower_.IsUpToDate(SteadySeconds());
-      }
-    }
+    if (why.empty()) NoteTransferred(changed);
   }
   if (why.empty()) return;
   if (again && by_changes) return TransferNow(false);
--- a/src/nameserver/following.hpp
+++ b/src/nameserver/following.hpp
@@ -41,6 +41,17 @@
   void Follow();
   void AskSerial();
   void TransferNow(bool by_changes);
+
+  struct AppliedChanges {
+    std::size_t count = 0;
+    bool all_fit = true;
+  };
+
+  // With the zones' mutex held; `why` tells what did not fit.
+  bool TakeWholeZone(const dns::Zone& fetched, std::string& why);
+  AppliedChanges TakeChanges(const std::vector<dns::Change>& changes, std::string& why);
+  void NoteTransferred(bool changed);
+
   void TellFailed(const std::string& why);  // with the zones' mutex held
   void Fail(const std::string& why);
 
--- a/src/nameserver/server.cpp
+++ b/src/nameserver/server.cpp
@@ -31,6 +31,19 @@
 constexpr milliseconds kSendTime{5000};  // for one answer over a stream
 constexpr int kPortTries = 50;           // TCP's free port may be taken for UDP
 
+constexpr const char* kLogSide = "zone side";
+constexpr milliseconds kNoticeAnswerTime{50};
+constexpr ssize_t kHeaderBytes = 12;  // of a DNS message
+
+std::string NotifyMessage(const dns::Name& zone, std::uint16_t id) {
+  dns::Message message;
+  message.id = id;
+  message.opcode = dns::Opcode::kNotify;
+  message.authoritative = true;
+  message.question = {{zone, dns::type::kSoa, dns::klass::kIn}};
+  return Encode(message);
+}
+
 }  // namespace
 
 Server::Server(Options options, Responder& responder, std::mutex& mutex)
@@ -150,69 +163,78 @@
 }
 
 void Server::Close(const Connection& connection, const char* reason) {
-  LogConnectionEnd("zone side", connection.peer, reason, connection.exchanges);
+  LogConnectionEnd(kLogSide, connection.peer, reason, connection.exchanges);
   const std::lock_guard lock(state_mutex_);
   --open_;
 }
 
 void Server::ServeStreams() {
-  std::vector<std::shared_ptr<Connection>> idle;
+  Connections idle;
   while (!stopping_) {
-    std::vector<pollfd> wanted = {{listener_.fd(), POLLIN, 0}, {wake_, POLLIN, 0}};
-    auto next = steady_clock::now() + options_.idle;
-    for (const auto& connection : idle) {
-      wanted.push_back({connection->socket.fd(), POLLIN, 0});
-      next = std::min(next, connection->until);
-    }
-    const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now()).count();
-    poll(wanted.data(), wanted.size(), static_cast<int>(std::max<long>(left, 0)));
-    if (wanted[1].revents != 0) {
-      std::uint64_t count = 0;
-      (void)!read(wake_, &count, sizeof count);
-    }
-    std::vector<std::shared_ptr<Connection>> still;
-    for (std::size_t n = 0; n < idle.size(); ++n) {
-      if (wanted[n + 2].revents != 0) {
-        crew_->Submit(std::move(idle[n]));
-      } else if (steady_clock::now() >= idle[n]->until) {
-        Close(*idle[n], "idle");
-      } else {
-        still.push_back(std::move(idle[n]));
-      }
-    }
-    idle = std::move(still);
+    idle = AwaitStreams(std::move(idle));
     {
       const std::lock_guard lock(state_mutex_);
       for (auto& connection : returned_) idle.push_back(std::move(connection));
       returned_.clear();
     }
-    while (!stopping_) {
-      Socket socket = Accept(listener_);
-      if (!socket.is_open()) break;
-      const std::string peer = PeerOf(socket);
-      bool full = false;
-      {
-        const std::lock_guard lock(state_mutex_);
-        full = open_ >= options_.most_connections;
-        if (!full) ++open_;
-      }
-      if (full) {
-        LogConnectionEnd("zone side", peer, "too many connections", 0);
-        continue;
-      }
-      auto connection = std::make_shared<Connection>();
-      connection->socket = std::move(socket);
-      connection->peer = peer;
-      connection->until = steady_clock::now() + options_.idle;
-      idle.push_back(std::move(connection));
-    }
+    AcceptStreams(idle);
   }
   for (const auto& connection : idle) Close(*connection, "the server ends");
 }
 
+// Waits for one to be readable, and hands those that are to the pool; returns those that stay idle.
+Server::Connections Server::AwaitStreams(Connections idle) {
+  std::vector<pollfd> wanted = {{listener_.fd(), POLLIN, 0}, {wake_, POLLIN, 0}};
+  auto next = steady_clock::now() + options_.idle;
+  for (const auto& connection : idle) {
+    wanted.push_back({connection->socket.fd(), POLLIN, 0});
+    next = std::min(next, connection->until);
+  }
+  const auto left = std::chrono::ceil<milliseconds>(next - steady_clock::now()).count();
+  poll(wanted.data(), wanted.size(), static_cast<int>(std::max<std::int64_t>(left, 0)));
+  if (wanted[1].revents != 0) {
+    std::uint64_t count = 0;
+    (void)!read(wake_, &count, sizeof count);
+  }
+  Connections still;
+  for (std::size_t n = 0; n < idle.size(); ++n) {
+    if (wanted[n + 2].revents != 0) {
+      crew_->Submit(std::move(idle[n]));
+    } else if (steady_clock::now() >= idle[n]->until) {
+      Close(*idle[n], "idle");
+    } else {
+      still.push_back(std::move(idle[n]));
+    }
+  }
+  return still;
+}
+
+void Server::AcceptStreams(Connections& idle) {
+  while (!stopping_) {
+    Socket socket = Accept(listener_);
+    if (!socket.is_open()) return;
+    const std::string peer = PeerOf(socket);
+    bool full = false;
+    {
+      const std::lock_guard lock(state_mutex_);
+      full = open_ >= options_.most_connections;
+      if (!full) ++open_;
+    }
+    if (full) {
+      LogConnectionEnd(kLogSide, peer, "too many connections", 0);
+      continue;
+    }
+    auto connection = std::make_shared<Connection>();
+    connection->socket = std::move(socket);
+    connection->peer = peer;
+    connection->until = steady_clock::now() + options_.idle;
+    idle.push_back(std::move(connection));
+  }
+}
+
 void Server::ServeOne(std::shared_ptr<Connection> connection) {
   std::array<char, 4096> buffer{};
-  const long length = connection->socket.ReceiveNow(buffer);
+  const auto length = connection->socket.ReceiveNow(buffer);
   if (length == 0 || (length < 0 && errno != EAGAIN)) {
     Close(*connection, length == 0 ? "closed by the client" : std::strerror(errno));
     return;
@@ -220,32 +242,7 @@
   if (length > 0) connection->reader.Feed({buffer.data(), static_cast<std::size_t>(length)});
   auto& messages = connection->reader.messages();
   for (; !messages.empty() && !stopping_; messages.pop_front()) {
-    const Faults faults = FaultsNow();
-    auto answers = Answers(messages.front(), true, faults);
-    bool half = false;
-    if (faults.half_transfers) {
-      const auto asked = dns::Decode(messages.front()).message;
-      half = asked && asked->opcode == dns::Opcode::kQuery;
-    }
-    if (half && !answers.empty()) {
-      answers.resize((answers.size() + 1) / 2);
-      if (answers.size() == 1) answers[0].resize(answers[0].size() / 2);
-    }
-    const auto until = steady_clock::now() + kSendTime;
-    for (const std::string& answer : answers) {
-      // With half a transfer the length is the whole one's, as a stream that breaks has it.
-      std::string framed = dns::InStream(answer);
-      if (half) framed[0] = static_cast<char>(framed[0] | 0x40);
-      if (!connection->socket.SendAll(framed, until)) {
-        Close(*connection, "the client does not read");
-        return;
-      }
-    }
-    ++connection->exchanges;
-    if (half) {
-      Close(*connection, "half a transfer by order");
-      return;
-    }
+    if (!AnswerOnStream(*connection, messages.front())) return;
   }
   connection->until = steady_clock::now() + options_.idle;
   {
@@ -255,6 +252,35 @@
   WakeStreams();
 }
 
+// False if the connection has been closed.
+bool Server::AnswerOnStream(Connection& connection, std::string_view message) {
+  const Faults faults = FaultsNow();
+  auto answers = Answers(message, true, faults);
+  bool half = false;
+  if (faults.half_transfers) {
+    const auto asked = dns::Decode(message).message;
+    half = asked && asked->opcode == dns::Opcode::kQuery;
+  }
+  if (half && !answers.empty()) {
+    answers.resize((answers.size() + 1) / 2);
+    if (answers.size() == 1) answers[0].resize(answers[0].size() / 2);
+  }
+  const auto until = steady_clock::now() + kSendTime;
+  for (const std::string& answer : answers) {
+    // With half a transfer the length is the whole one's, as a stream that breaks has it.
+    std::string framed = dns::InStream(answer);
+    if (half) framed[0] = static_cast<char>(framed[0] | 0x40);
+    if (!connection.socket.SendAll(framed, until)) {
+      Close(connection, "the client does not read");
+      return false;
+    }
+  }
+  ++connection.exchanges;
+  if (!half) return true;
+  Close(connection, "half a transfer by order");
+  return false;
+}
+
 void Server::Announce(const dns::Name& zone) {
   const std::lock_guard lock(state_mutex_);
   if (!faults_.notices) return;
@@ -268,44 +294,44 @@
   state_changed_.notify_all();
 }
 
-void Server::SendNotices() {
-  std::array<char, 512> buffer{};
-  while (!stopping_) {
-    auto next = steady_clock::now() + std::chrono::hours(1);
-    std::vector<std::pair<std::string, std::string>> sends;
-    {
-      const std::lock_guard lock(state_mutex_);
-      announced_ = false;
-      for (auto& [secondary, notices] : due_notices_) {
-        std::erase_if(notices, [](const Notice& notice) { return notice.left <= 0; });
-        for (Notice& notice : notices) {
-          if (notice.due <= steady_clock::now()) {
-            dns::Message message;
-            message.id = notice.id;
-            message.opcode = dns::Opcode::kNotify;
-            message.authoritative = true;
-            message.question = {{notice.zone, dns::type::kSoa, dns::klass::kIn}};
-            sends.emplace_back(secondary, Encode(message));
-            notice.due = steady_clock::now() + notice.wait;
-            notice.wait *= 2;
-            --notice.left;
-          }
-          next = std::min(next, notice.due);
-        }
+// The notices whose time has come, each with its next one set; `next` is when to look again.
+std::vector<Server::OutgoingNotice> Server::TakeDueNotices(SteadyTime& next) {
+  std::vector<OutgoingNotice> due;
+  const std::lock_guard lock(state_mutex_);
+  announced_ = false;
+  for (auto& [secondary, notices] : due_notices_) {
+    std::erase_if(notices, [](const Notice& notice) { return notice.left <= 0; });
+    for (Notice& notice : notices) {
+      if (notice.due <= steady_clock::now()) {
+        due.push_back({secondary, NotifyMessage(notice.zone, notice.id)});
+        notice.due = steady_clock::now() + notice.wait;
+        notice.wait *= 2;
+        --notice.left;
       }
+      next = std::min(next, notice.due);
     }
-    for (const auto& [secondary, bytes] : sends) {
-      const Socket to = ConnectDatagrams(secondary);
-      if (!to.is_open()) continue;
-      send(to.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-      const auto until = steady_clock::now() + milliseconds(50);
-      if (!to.AwaitInput(until)) continue;
-      const long length = recv(to.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
-      if (length < 12) continue;
-      const auto id = dns::Get16({buffer.data(), 12}, 0);
-      const std::lock_guard lock(state_mutex_);
-      std::erase_if(due_notices_[secondary], [id](const Notice& one) { return one.id == id; });
-    }
+  }
+  return due;
+}
+
+// Sends it and forgets it if the secondary confirms it at once; else it is sent again.
+void Server::SendNotice(const OutgoingNotice& notice) {
+  const Socket to = ConnectDatagrams(notice.secondary);
+  if (!to.is_open()) return;
+  send(to.fd(), notice.bytes.data(), notice.bytes.size(), MSG_NOSIGNAL);
+  if (!to.AwaitInput(steady_clock::now() + kNoticeAnswerTime)) return;
+  std::array<char, 512> buffer{};
+  const ssize_t length = recv(to.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (length < kHeaderBytes) return;
+  const auto id = dns::Get16({buffer.data(), kHeaderBytes}, 0);
+  const std::lock_guard lock(state_mutex_);
+  std::erase_if(due_notices_[notice.secondary], [id](const Notice& one) { return one.id == id; });
+}
+
+void Server::SendNotices() {
+  while (!stopping_) {
+    SteadyTime next = steady_clock::now() + std::chrono::hours(1);
+    for (const OutgoingNotice& notice : TakeDueNotices(next)) SendNotice(notice);
     std::unique_lock lock(state_mutex_);
     state_changed_.wait_until(lock, next, [this] { return stopping_ || announced_; });
   }
--- a/src/nameserver/server.hpp
+++ b/src/nameserver/server.hpp
@@ -84,10 +84,21 @@
     std::uint16_t id = 0;
   };
 
+  using Connections = std::vector<std::shared_ptr<Connection>>;
+  struct OutgoingNotice {
+    std::string secondary;  // its address
+    std::string bytes;
+  };
+
   void ServeDatagrams();
   void ServeStreams();
+  Connections AwaitStreams(Connections idle);
+  void AcceptStreams(Connections& idle);
+  bool AnswerOnStream(Connection& connection, std::string_view message);
   void ServeOne(std::shared_ptr<Connection> connection);
   void SendNotices();
+  std::vector<OutgoingNotice> TakeDueNotices(SteadyTime& next);
+  void SendNotice(const OutgoingNotice& notice);
   void Close(const Connection& connection, const char* reason);
   // Empty if nothing is to be sent. With the faults of the moment.
   std::vector<std::string> Answers(std::string_view bytes, bool stream, const Faults& faults);
--- a/src/observe/histogram.hpp
+++ b/src/observe/histogram.hpp
@@ -51,7 +51,7 @@
 
   static std::size_t PlaceOf(std::uint64_t us) {
     if (us < kSteps) return us;
-    const int shift = std::bit_width(us) - kBits - 1;
+    const int shift = static_cast<int>(std::bit_width(us)) - kBits - 1;
     const std::uint64_t place = (static_cast<std::uint64_t>(shift) << kBits) + (us >> shift);
     return std::min<std::uint64_t>(place, kPlaces - 1);
   }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -164,9 +164,9 @@
   const auto seconds = static_cast<std::time_t>(ms / 1000);
   std::tm parts{};
   gmtime_r(&seconds, &parts);
-  char text[64];
-  const std::size_t n = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
-  std::string out(text, n);
+  std::array<char, 64> text{};
+  const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::string out(text.data(), length);
   const std::string fraction = std::to_string(ms % 1000);
   return out.append(".").append(3 - fraction.size(), '0').append(fraction).append("Z");
 }
@@ -245,9 +245,9 @@
     line.append(" concern=").append(concern_name).append(" event=");
     AppendValue(line, format, event);
   } else {
-    line.append("{\"ts\":\"").append(TimeText(time_ms)).append("\",\"level\":\"");
-    line.append(level_name).append("\",\"concern\":\"").append(concern_name);
-    line.append("\",\"event\":");
+    line.append(R"({"ts":")").append(TimeText(time_ms)).append(R"(","level":")");
+    line.append(level_name).append(R"(","concern":")").append(concern_name);
+    line.append(R"(","event":)");
     AppendValue(line, format, event);
   }
   for (const Field& field : fields) {
--- a/src/protocol/base64.cpp
+++ b/src/protocol/base64.cpp
@@ -1,9 +1,11 @@
 #include "protocol/base64.hpp"
 
+#include <string_view>
+
 namespace brassfront {
 
 std::string EncodeBase64(std::string_view bytes) {
-  static constexpr char kDigits[] =
+  static constexpr std::string_view kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   out.reserve((bytes.size() + 2) / 3 * 4);
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -1,5 +1,6 @@
 #include "protocol/json.hpp"
 
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdint>
@@ -141,8 +142,8 @@
       return;
     }
     const int more = code < 0x800 ? 1 : code < 0x10000 ? 2 : 3;
-    static constexpr unsigned kLead[] = {0, 0xC0, 0xE0, 0xF0};
-    out += static_cast<char>(kLead[more] | (code >> (6 * more)));
+    static constexpr std::array<unsigned, 4> kLead = {0, 0xC0, 0xE0, 0xF0};
+    out += static_cast<char>(kLead[static_cast<std::size_t>(more)] | (code >> (6 * more)));
     for (int i = more - 1; i >= 0; --i) {
       out += static_cast<char>(0x80 | ((code >> (6 * i)) & 0x3F));
     }
@@ -233,7 +234,7 @@
 Value Parse(std::string_view text, const Bounds& bounds) { return Parser(text, bounds).Whole(); }
 
 std::string Quote(std::string_view text) {
-  static constexpr char kHex[] = "0123456789abcdef";
+  static constexpr std::string_view kHex = "0123456789abcdef";
   std::string out = "\"";
   for (const char c : text) {
     if (c == '"' || c == '\\') {
@@ -241,8 +242,8 @@
       out += c;
     } else if (static_cast<unsigned char>(c) < 0x20) {
       out += "\\u00";
-      out += kHex[c >> 4];
-      out += kHex[c & 15];
+      out += kHex[static_cast<unsigned char>(c) >> 4];
+      out += kHex[static_cast<unsigned char>(c) & 15];
     } else {
       out += c;
     }
--- a/src/records/syntax.cpp
+++ b/src/records/syntax.cpp
@@ -1,8 +1,10 @@
 #include "records/syntax.hpp"
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <cstdint>
 #include <cstring>
 #include <fstream>
 #include <sstream>
@@ -126,8 +128,10 @@
 
 struct Expected {
   template <typename Rule>
+  // NOLINTNEXTLINE(readability-identifier-naming): PEGTL looks the text up by this name.
   static constexpr auto message = kExpected<Rule>;
   template <typename Rule>
+  // NOLINTNEXTLINE(readability-identifier-naming): PEGTL looks the rule's way up by this name.
   static constexpr bool raise_on_failure = false;  // but where the grammar says must
 };
 template <typename Rule>
@@ -291,7 +295,7 @@
     return out;
   }
 
-  static bool AppendUtf8(std::string& out, unsigned long code) {
+  static bool AppendUtf8(std::string& out, std::uint32_t code) {
     if (code >= 0xD800 && code < 0xE000) return false;
     if (code < 0x80) {
       out += static_cast<char>(code);
@@ -414,9 +418,9 @@
 }  // namespace
 
 std::string ShortestText(double value) {
-  char text[40];
-  const auto [end, error] = std::to_chars(text, text + sizeof text, value);
-  return std::string(text, end);
+  std::array<char, 40> text{};
+  const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), value);
+  return std::string(text.data(), end);
 }
 
 ExpressionPtr ParseRecords(std::string_view text, const std::string& file) {
--- a/src/records/unify.cpp
+++ b/src/records/unify.cpp
@@ -71,9 +71,13 @@
 
 // In the largest unit that leaves no fraction.
 std::string DurationText(std::int64_t ns) {
-  constexpr std::pair<const char*, std::int64_t> kUnits[] = {
-      {"h", 3'600'000'000'000}, {"m", 60'000'000'000}, {"s", 1'000'000'000},
-      {"ms", 1'000'000},        {"us", 1'000},         {"ns", 1}};
+  constexpr auto kUnits =
+      std::to_array<std::pair<const char*, std::int64_t>>({{"h", 3'600'000'000'000},
+                                                           {"m", 60'000'000'000},
+                                                           {"s", 1'000'000'000},
+                                                           {"ms", 1'000'000},
+                                                           {"us", 1'000},
+                                                           {"ns", 1}});
   for (const auto& [name, factor] : kUnits) {
     if (ns != 0 && ns % factor == 0) return std::to_string(ns / factor) + name;
   }
@@ -81,8 +85,8 @@
 }
 
 std::string SizeText(std::int64_t bytes) {
-  constexpr std::pair<const char*, std::int64_t> kUnits[] = {
-      {"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}};
+  constexpr auto kUnits = std::to_array<std::pair<const char*, std::int64_t>>(
+      {{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}});
   for (const auto& [name, factor] : kUnits) {
     if (bytes != 0 && bytes % factor == 0) return std::to_string(bytes / factor) + name;
   }
@@ -139,6 +143,17 @@
   return number->value != limit->value;
 }
 
+// Any value within the bound.
+Term BoundTerm(const Place& at, const Expression::Bound& bound) {
+  Term term;
+  term.at = at;
+  const auto* number = std::get_if<Number>(&bound.limit);
+  term.kind = number == nullptr ? Kind::kString : KindOf(*number);
+  if (term.kind == Kind::kInt) term.kind = Kind::kNumber;
+  term.bounds.push_back({bound, at});
+  return term;
+}
+
 std::string DidYouMean(const std::string& name, const std::vector<std::string>& known) {
   const std::string near = Nearest(name, known);
   return near.empty() ? "" : ", did you mean " + near + "?";
@@ -181,44 +196,51 @@
     return Single(ScalarTerm(expression.at, Kind::kString, *text));
   }
   if (const auto* bound = std::get_if<Expression::Bound>(&form)) {
-    Term term;
-    term.at = expression.at;
-    const auto* number = std::get_if<Number>(&bound->limit);
-    term.kind = number == nullptr ? Kind::kString : KindOf(*number);
-    if (term.kind == Kind::kInt) term.kind = Kind::kNumber;
-    term.bounds.push_back({*bound, expression.at});
-    return Single(std::move(term));
+    return Single(BoundTerm(expression.at, *bound));
   }
   if (const auto* fields = std::get_if<Expression::Struct>(&form)) {
     return EvaluateStruct(expression, *fields, scope, closing);
   }
   if (const auto* list = std::get_if<Expression::List>(&form)) {
-    Term term;
-    term.kind = Kind::kList;
-    term.at = expression.at;
-    for (const ExpressionPtr& item : list->items) {
-      ValuePtr value = Evaluate(*item, scope, closing);
-      if (!value) return nullptr;
-      term.items.push_back(std::move(value));
-    }
-    if (list->rest) {
-      term.rest = Evaluate(*list->rest, scope, closing);
-      if (!term.rest) return nullptr;
-    }
-    return Single(std::move(term));
+    return EvaluateList(expression, *list, scope, closing);
   }
   if (const auto* parts = std::get_if<Expression::And>(&form)) {
-    ValuePtr all;
-    for (const ExpressionPtr& part : parts->parts) {
-      ValuePtr value = Evaluate(*part, scope, closing);
-      if (!value) return nullptr;
-      all = all ? Unify(*all, *value) : std::move(value);
-      if (!all) return nullptr;
-    }
-    return all;
+    return EvaluateAnd(*parts, scope, closing);
+  }
+  return EvaluateOr(std::get<Expression::Or>(form), scope, closing);
+}
+
+ValuePtr Evaluator::EvaluateList(const Expression& expression, const Expression::List& form,
+                                 const Scope& scope, bool closing) {
+  Term term;
+  term.kind = Kind::kList;
+  term.at = expression.at;
+  for (const ExpressionPtr& item : form.items) {
+    ValuePtr value = Evaluate(*item, scope, closing);
+    if (!value) return nullptr;
+    term.items.push_back(std::move(value));
+  }
+  if (form.rest) {
+    term.rest = Evaluate(*form.rest, scope, closing);
+    if (!term.rest) return nullptr;
   }
+  return Single(std::move(term));
+}
+
+ValuePtr Evaluator::EvaluateAnd(const Expression::And& form, const Scope& scope, bool closing) {
+  ValuePtr all;
+  for (const ExpressionPtr& part : form.parts) {
+    ValuePtr value = Evaluate(*part, scope, closing);
+    if (!value) return nullptr;
+    all = all ? Unify(*all, *value) : std::move(value);
+    if (!all) return nullptr;
+  }
+  return all;
+}
+
+ValuePtr Evaluator::EvaluateOr(const Expression::Or& form, const Scope& scope, bool closing) {
   Value any_of;
-  for (const Expression::Or::Choice& choice : std::get<Expression::Or>(form).choices) {
+  for (const Expression::Or::Choice& choice : form.choices) {
     const ValuePtr value = Evaluate(*choice.value, scope, closing);
     if (!value) return nullptr;
     for (Value::Alternative alternative : value->alternatives) {
@@ -253,10 +275,10 @@
 ValuePtr Evaluator::EvaluateReference(const Expression& expression, const std::string& name,
                                       const Scope& scope) {
   std::vector<std::string> known;
-  for (const Scope* s = &scope; s != nullptr; s = s->outer) {
-    if (s->definitions == nullptr) continue;
+  for (const Scope* level = &scope; level != nullptr; level = level->outer) {
+    if (level->definitions == nullptr) continue;
     const Field* found = nullptr;
-    for (const Field& field : s->definitions->fields) {
+    for (const Field& field : level->definitions->fields) {
       if (field.name[0] == '#') known.push_back(field.name);
       if (field.name != name) continue;
       if (found != nullptr) {
@@ -265,27 +287,26 @@
       }
       found = &field;
     }
-    if (found != nullptr) {
-      const Field& field = *found;
-      const Expression* definition = field.value.get();
-      auto done = done_.find(definition);
-      if (done == done_.end()) {
-        if (std::find(evaluating_.begin(), evaluating_.end(), definition) != evaluating_.end()) {
-          Complain(expression.at, name + " refers to itself", field.at);
-          return nullptr;
-        }
-        evaluating_.push_back(definition);
-        ValuePtr value = Evaluate(*definition, *s, true);
-        evaluating_.pop_back();
-        done = done_.emplace(definition, std::move(value)).first;
-      }
-      return done->second;
-    }
+    if (found != nullptr) return EvaluateDefinition(expression, *found, *level);
   }
   Complain(expression.at, "no definition " + name + DidYouMean(name, known));
   return nullptr;
 }
 
+ValuePtr Evaluator::EvaluateDefinition(const Expression& reference, const Field& definition,
+                                       const Scope& scope) {
+  const Expression* value = definition.value.get();
+  if (const auto done = done_.find(value); done != done_.end()) return done->second;
+  if (std::find(evaluating_.begin(), evaluating_.end(), value) != evaluating_.end()) {
+    Complain(reference.at, definition.name + " refers to itself", definition.at);
+    return nullptr;
+  }
+  evaluating_.push_back(value);
+  ValuePtr evaluated = Evaluate(*value, scope, true);
+  evaluating_.pop_back();
+  return done_.emplace(value, std::move(evaluated)).first->second;
+}
+
 ValuePtr Evaluator::EvaluateStruct(const Expression& expression, const Expression::Struct& form,
                                    const Scope& scope, bool closing) {
   const Scope inner{&form, &scope};
@@ -473,12 +494,12 @@
                                         const Place& owner) {
   const Value::Alternative* chosen = nullptr;
   bool one = true;
-  for (const Value::Alternative& a : value.alternatives) {
-    if (value.has_default && !a.preferred) continue;
+  for (const Value::Alternative& alternative : value.alternatives) {
+    if (value.has_default && !alternative.preferred) continue;
     if (chosen == nullptr) {
-      chosen = &a;
-    } else if (!a.term.scalar || !chosen->term.scalar ||
-               !Equal(*a.term.scalar, *chosen->term.scalar)) {
+      chosen = &alternative;
+    } else if (!alternative.term.scalar || !chosen->term.scalar ||
+               !Equal(*alternative.term.scalar, *chosen->term.scalar)) {
       one = false;
     }
   }
@@ -492,17 +513,23 @@
   if (term.scalar) {
     return std::visit([&](const auto& scalar) { return Record(term.at, scalar); }, *term.scalar);
   }
+  return term.kind == Kind::kList ? FinishList(term, name) : FinishStruct(term);
+}
+
+std::optional<Record> Evaluator::FinishList(const Term& term, const std::string& name) {
   bool good = true;
-  if (term.kind == Kind::kList) {
-    Record::List items;
-    for (std::size_t i = 0; i < term.items.size(); ++i) {
-      auto item = Finish(*term.items[i], name + "[" + std::to_string(i) + "]", term.at);
-      good &= item.has_value();
-      if (item) items.push_back(std::move(*item));
-    }
-    if (!good) return std::nullopt;
-    return Record(term.at, std::move(items));
+  Record::List items;
+  for (std::size_t i = 0; i < term.items.size(); ++i) {
+    auto item = Finish(*term.items[i], name + "[" + std::to_string(i) + "]", term.at);
+    good &= item.has_value();
+    if (item) items.push_back(std::move(*item));
   }
+  if (!good) return std::nullopt;
+  return Record(term.at, std::move(items));
+}
+
+std::optional<Record> Evaluator::FinishStruct(const Term& term) {
+  bool good = true;
   Record::Struct fields;
   for (const Term::Slot& slot : term.fields) {
     if (slot.optional) continue;  // declared, and not given
--- a/src/records/unify.hpp
+++ b/src/records/unify.hpp
@@ -80,6 +80,14 @@
   ValuePtr EvaluateName(const Expression& expression, const std::string& name);
   ValuePtr EvaluateReference(const Expression& expression, const std::string& name,
                              const Scope& scope);
+  ValuePtr EvaluateDefinition(const Expression& reference, const Field& definition,
+                              const Scope& scope);
+  ValuePtr EvaluateList(const Expression& expression, const Expression::List& form,
+                        const Scope& scope, bool closing);
+  ValuePtr EvaluateAnd(const Expression::And& form, const Scope& scope, bool closing);
+  ValuePtr EvaluateOr(const Expression::Or& form, const Scope& scope, bool closing);
+  std::optional<Record> FinishList(const Term& term, const std::string& name);
+  std::optional<Record> FinishStruct(const Term& term);
   ValuePtr EvaluateStruct(const Expression& expression, const Expression::Struct& form,
                           const Scope& scope, bool closing);
 
--- a/src/rehearsal/agent.cpp
+++ b/src/rehearsal/agent.cpp
@@ -170,12 +170,12 @@
   bool watching_ = false;
 };
 
-Agent::Agent(Stage& stage, Endpoints& endpoints, std::size_t forwarder, const std::string& host,
+Agent::Agent(Stage& stage, Endpoints& endpoints, std::size_t forwarder, std::string host,
              OnNotice on_notice)
     : stage_(stage),
       endpoints_(endpoints),
       forwarder_(forwarder),
-      host_(host),
+      host_(std::move(host)),
       on_notice_(std::move(on_notice)) {
   for (std::size_t e = 0; e < endpoints_.count(); ++e) entries_[e] = {};
   Listen();
@@ -192,7 +192,7 @@
   Accept(acceptor_);
 }
 
-void Agent::Accept(std::shared_ptr<tcp::acceptor> acceptor) {
+void Agent::Accept(const std::shared_ptr<tcp::acceptor>& acceptor) {
   acceptor->async_accept([this, acceptor](error_code error, tcp::socket socket) {
     if (stage_.closed || !acceptor->is_open()) return;
     if (!error) {
--- a/src/rehearsal/agent.hpp
+++ b/src/rehearsal/agent.hpp
@@ -23,7 +23,7 @@
   // The answer to a notice: which message, whether it was deferred, and the wait.
   using OnNotice = std::function<void(PutId, bool deferred, std::optional<Time> wait)>;
 
-  Agent(Stage& stage, Endpoints& endpoints, std::size_t forwarder, const std::string& host,
+  Agent(Stage& stage, Endpoints& endpoints, std::size_t forwarder, std::string host,
         OnNotice on_notice);
 
   // From now on the list is not what the forwarders go by, and is told without a word to the
@@ -49,7 +49,7 @@
   };
 
   void Listen();
-  void Accept(std::shared_ptr<tcp::acceptor> acceptor);
+  void Accept(const std::shared_ptr<tcp::acceptor>& acceptor);
   [[nodiscard]] std::string Line(bool whole, std::uint64_t from) const;
   void Told(std::uint64_t from);
   void Push();
--- a/src/rehearsal/auditor.cpp
+++ b/src/rehearsal/auditor.cpp
@@ -24,10 +24,12 @@
     "call out",  "answered", "cut",       "ran",      "notice",     "told",
     "down",      "back",     "fell over", "stopped",  "ready",      "machine lost"};
 
+constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
+
 std::string Text(Time time) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f s", SecondsOf(time));
-  return text;
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f s", SecondsOf(time));
+  return text.data();
 }
 
 double Ratio(double part, double whole) { return whole > 0 ? part / whole : 1; }
@@ -95,17 +97,8 @@
   switch (e.what) {
     case What::kHandedIn:
       return TakeHandIn(e);
-    case What::kFirstByte: {
-      const auto told = leaving_.find({e.forwarder, e.endpoint});
-      last_call_[{e.forwarder, e.endpoint}] = e.at;
-      if (told != leaving_.end() && e.at > told->second.told + kDrainGrace + kSlack) {
-        Tell(Rule::kDrain, e.at,
-             "forwarder " + std::to_string(e.forwarder) + " calls endpoint " +
-                 std::to_string(e.endpoint) + ", which leaves, " + Text(e.at - told->second.told) +
-                 " after it was told");
-      }
-      return;
-    }
+    case What::kFirstByte:
+      return TakeFirstByte(e);
     case What::kCall:
       return TakeCall(e);
     case What::kAnswered:
@@ -116,13 +109,7 @@
       if (e.put == kUnknownPut) Tell(Rule::kOwn, e.at, "a notice for a message nobody handed in");
       return;
     case What::kTold:
-      if (e.leaving) {
-        leaving_.try_emplace({e.forwarder, e.endpoint},
-                             Leaving{e.since.value_or(e.at), e.since.has_value()});
-      } else {
-        leaving_.erase({e.forwarder, e.endpoint});
-      }
-      return;
+      return TakeTold(e);
     case What::kDown:
       down_[e.partner] = true;
       saw_failing_[e.partner].clear();
@@ -130,44 +117,79 @@
     case What::kBack:
       down_[e.partner] = false;
       return;
-    case What::kFellOver: {
-      double all = 0, seen = 0;
-      for (const auto& [forwarder, work] : e.pushed) {
-        all += work;
-        if (saw_failing_[e.partner].count(forwarder) != 0) seen += work;
-      }
-      if (seen < all * 2 / 3) return;
-      Tell(Rule::kFailBack, e.at,
-           scenario_.partners[e.partner].name + " was pushed over while cold by " +
-               std::to_string(static_cast<long>(all)) + " calls' work, of which " +
-               std::to_string(static_cast<long>(seen)) + " came from forwarders that saw it fail");
-      return;
-    }
+    case What::kFellOver:
+      return TakeFellOver(e);
     case What::kStopped:
-      restarts_[e.forwarder].emplace_back(e.at, Time::max());
-      std::erase_if(waits_, [&](const auto& w) { return w.first.first == e.forwarder; });
-      std::erase_if(leaving_,
-                    [&](const auto& l) { return l.first.first == e.forwarder && !l.second.lasts; });
-      if (e.planned) return;
-      ++crashes_;
-      Tell(Rule::kCrash, e.at, "forwarder " + std::to_string(e.forwarder) + " ended by itself");
-      return;
+      return TakeStopped(e);
     case What::kReady:
-      for (auto& [key, leaving] : leaving_) {
-        if (key.first == e.forwarder) leaving.told = std::max(leaving.told, e.at);
-      }
-      if (!restarts_[e.forwarder].empty()) restarts_[e.forwarder].back().second = e.at;
-      return;
+      return TakeReady(e);
     case What::kMachineLost:
-      for (PutId id = 0; id < puts_.size(); ++id) {
-        if (puts_[id].forwarder == e.forwarder && puts_[id].taken) EndPut(id, End::kExcused, e.at);
-      }
-      return;
+      return TakeMachineLost(e);
     default:
       return;
   }
 }
 
+// Rule `drain`: an endpoint that is draining gets no new call after a grace period.
+void Auditor::TakeFirstByte(const Event& e) {
+  const auto told = leaving_.find({e.forwarder, e.endpoint});
+  last_call_[{e.forwarder, e.endpoint}] = e.at;
+  if (told == leaving_.end() || e.at <= told->second.told + kDrainGrace + kSlack) return;
+  Tell(Rule::kDrain, e.at,
+       "forwarder " + std::to_string(e.forwarder) + " calls endpoint " +
+           std::to_string(e.endpoint) + ", which leaves, " + Text(e.at - told->second.told) +
+           " after it was told");
+}
+
+void Auditor::TakeTold(const Event& e) {
+  if (!e.leaving) {
+    leaving_.erase({e.forwarder, e.endpoint});
+    return;
+  }
+  leaving_.try_emplace({e.forwarder, e.endpoint},
+                       Leaving{e.since.value_or(e.at), e.since.has_value()});
+}
+
+// Rule `fail-back`: a partner that comes back is not overloaded by forwarders that saw it fail.
+void Auditor::TakeFellOver(const Event& e) {
+  double all = 0;
+  double seen = 0;
+  for (const auto& [forwarder, work] : e.pushed) {
+    all += work;
+    if (saw_failing_[e.partner].count(forwarder) != 0) seen += work;
+  }
+  if (seen < all * 2 / 3) return;
+  Tell(Rule::kFailBack, e.at,
+       scenario_.partners[e.partner].name + " was pushed over while cold by " +
+           std::to_string(static_cast<std::int64_t>(all)) + " calls' work, of which " +
+           std::to_string(static_cast<std::int64_t>(seen)) +
+           " came from forwarders that saw it fail");
+}
+
+void Auditor::TakeStopped(const Event& e) {
+  restarts_[e.forwarder].emplace_back(e.at, Time::max());
+  std::erase_if(waits_, [&](const auto& wait) { return wait.first.first == e.forwarder; });
+  std::erase_if(leaving_, [&](const auto& leaving) {
+    return leaving.first.first == e.forwarder && !leaving.second.lasts;
+  });
+  if (e.planned) return;
+  ++crashes_;
+  Tell(Rule::kCrash, e.at, "forwarder " + std::to_string(e.forwarder) + " ended by itself");
+}
+
+void Auditor::TakeReady(const Event& e) {
+  for (auto& [key, leaving] : leaving_) {
+    if (key.first == e.forwarder) leaving.told = std::max(leaving.told, e.at);
+  }
+  if (!restarts_[e.forwarder].empty()) restarts_[e.forwarder].back().second = e.at;
+}
+
+void Auditor::TakeMachineLost(const Event& e) {
+  for (PutId id = 0; id < puts_.size(); ++id) {
+    if (puts_[id].forwarder == e.forwarder && puts_[id].taken) EndPut(id, End::kExcused, e.at);
+  }
+}
+
 void Auditor::Paused(std::size_t forwarder, bool paused, Time at) {
   auto& pauses = restarts_[forwarder];
   if (paused) {
@@ -385,22 +407,28 @@
   return put < puts_.size() && puts_[put].taken && puts_[put].end == End::kNone;
 }
 
+// When the message has to be over; Time::max() while its forwarder is stopped.
+Time Auditor::DueOf(const Put& put) const {
+  // No notice is overdue from a restart's signal until a while after the forwarder is ready.
+  Time due = put.until + kEndGrace + kSlack;
+  for (const auto& [stopped, ready] : restarts_[put.forwarder]) {
+    if (stopped > due) continue;
+    if (ready == Time::max()) {
+      due = Time::max();
+      continue;
+    }
+    // Handed in to a stopped process: it reads it, and how long it has, once it wakes.
+    if (stopped <= put.at && put.at < ready) due += ready - put.at;
+    due = std::max(due, ready + kRestartGrace + kSlack);
+  }
+  return due;
+}
+
 void Auditor::CheckLost(Time now) {
   for (PutId id = 0; id < puts_.size(); ++id) {
     const Put& put = puts_[id];
     if (!put.taken || put.end == End::kExcused || put.end == End::kNeverTaken) continue;
-    // No notice is overdue from a restart's signal until a while after the forwarder is ready.
-    Time due = put.until + kEndGrace + kSlack;
-    for (const auto& [stopped, ready] : restarts_[put.forwarder]) {
-      if (stopped > due) continue;
-      // Handed in to a stopped process: it reads it, and how long it has, once it wakes.
-      if (stopped <= put.at && put.at < ready && ready != Time::max()) due += ready - put.at;
-      if (ready == Time::max()) {
-        due = Time::max();
-      } else if (ready + kRestartGrace + kSlack > due) {
-        due = ready + kRestartGrace + kSlack;
-      }
-    }
+    const Time due = DueOf(put);
     if (due > now && put.end == End::kNone) continue;
     if (put.end == End::kNone || put.ended > due) {
       Tell(Rule::kLost, due,
@@ -421,63 +449,70 @@
   return 1 - (1 - c.late_worth) * std::min(1.0, past);
 }
 
-void Auditor::CountService(Judgement& out) const {
-  std::vector<double> merchant_asked(scenario_.merchants.size());
-  std::vector<double> merchant_got(scenario_.merchants.size());
-  std::vector<double> times;
-  double asked = 0, got = 0, attempts = 0, delivered = 0, refused = 0, late = 0;
-  for (const auto& [number, origin] : origins_) {
-    const double worth = origin.beyond_share ? kBeyondShare : 1;
-    const double gained = worth * WorthOf(origin);
-    asked += worth;
-    got += gained;
-    attempts += static_cast<double>(origin.attempts);
-    const auto second = static_cast<std::size_t>(origin.at.count() / 1'000'000'000);
-    if (out.seconds.size() <= second) out.seconds.resize(second + 1);
-    Second& s = out.seconds[second];
-    ++s.asked;
-    s.worth_asked += worth;
-    s.worth_got += gained;
-    PartnerFigures& partner = out.partners[origin.partner];
-    for (auto* line : {&partner.asked_by_second, &partner.in_time_by_second}) {
-      if (line->size() <= second) line->resize(second + 1);
-    }
-    ++partner.asked_by_second[second];
-    if (!origin.beyond_share) {
-      merchant_asked[origin.merchant] += worth;
-      merchant_got[origin.merchant] += gained;
-    }
-    if (origin.delivered) {
-      const Time took = *origin.delivered - origin.at;
-      const bool in_time = took <= scenario_.message_class.goal;
-      ++(in_time ? s.in_time : s.late);
-      if (in_time) ++partner.in_time_by_second[second];
-      ++partner.delivered;
-      times.push_back(SecondsOf(took));
-      ++delivered;
-      late += in_time ? 0 : 1;
-    } else {
-      ++(origin.refused ? s.refused : s.failed);
-      refused += origin.refused ? 1 : 0;
-    }
+void Auditor::CountOrigin(const Origin& origin, ServiceTotals& totals, Judgement& out) const {
+  const double worth = origin.beyond_share ? kBeyondShare : 1;
+  const double gained = worth * WorthOf(origin);
+  totals.asked += worth;
+  totals.got += gained;
+  totals.attempts += static_cast<double>(origin.attempts);
+  const auto second = static_cast<std::size_t>(origin.at.count() / kNanosecondsPerSecond);
+  if (out.seconds.size() <= second) out.seconds.resize(second + 1);
+  Second& of_second = out.seconds[second];
+  ++of_second.asked;
+  of_second.worth_asked += worth;
+  of_second.worth_got += gained;
+  PartnerFigures& partner = out.partners[origin.partner];
+  for (auto* line : {&partner.asked_by_second, &partner.in_time_by_second}) {
+    if (line->size() <= second) line->resize(second + 1);
+  }
+  ++partner.asked_by_second[second];
+  if (!origin.beyond_share) {
+    totals.merchant_asked[origin.merchant] += worth;
+    totals.merchant_got[origin.merchant] += gained;
+  }
+  if (!origin.delivered) {
+    ++(origin.refused ? of_second.refused : of_second.failed);
+    totals.refused += origin.refused ? 1 : 0;
+    return;
   }
+  const Time took = *origin.delivered - origin.at;
+  const bool in_time = took <= scenario_.message_class.goal;
+  ++(in_time ? of_second.in_time : of_second.late);
+  if (in_time) ++partner.in_time_by_second[second];
+  ++partner.delivered;
+  totals.times.push_back(SecondsOf(took));
+  ++totals.delivered;
+  totals.late += in_time ? 0 : 1;
+}
+
+// The least share of worth over kWorstSeconds in a row, or `whole` where there are fewer.
+double Auditor::WorstService(const std::vector<Second>& seconds, double whole) {
   double worst = 1;
   // Of the time in which messages came: what comes after it is too little to count.
-  std::size_t last = out.seconds.size();
-  while (last > 0 && out.seconds[last - 1].asked == 0) --last;
+  std::size_t last = seconds.size();
+  while (last > 0 && seconds[last - 1].asked == 0) --last;
   for (std::size_t from = 0; from + kWorstSeconds <= last; ++from) {
-    double part_asked = 0, part_got = 0;
+    double asked = 0;
+    double got = 0;
     for (std::size_t i = from; i < from + kWorstSeconds; ++i) {
-      part_asked += out.seconds[i].worth_asked;
-      part_got += out.seconds[i].worth_got;
+      asked += seconds[i].worth_asked;
+      got += seconds[i].worth_got;
     }
-    if (part_asked >= 1) worst = std::min(worst, part_got / part_asked);
+    if (asked >= 1) worst = std::min(worst, got / asked);
   }
-  const double whole = Ratio(got, asked);
-  if (last < kWorstSeconds) worst = whole;
+  return last < kWorstSeconds ? whole : worst;
+}
+
+void Auditor::CountService(Judgement& out) const {
+  ServiceTotals totals;
+  totals.merchant_asked.resize(scenario_.merchants.size());
+  totals.merchant_got.resize(scenario_.merchants.size());
+  for (const auto& [number, origin] : origins_) CountOrigin(origin, totals, out);
+  const double whole = Ratio(totals.got, totals.asked);
+  const double worst = WorstService(out.seconds, whole);
   double merchant = 1;
-  for (std::size_t i = 0; i < merchant_asked.size(); ++i) {
-    out.merchant_service.push_back(Ratio(merchant_got[i], merchant_asked[i]));
+  for (std::size_t i = 0; i < totals.merchant_asked.size(); ++i) {
+    out.merchant_service.push_back(Ratio(totals.merchant_got[i], totals.merchant_asked[i]));
     merchant = std::min(merchant, out.merchant_service.back());
   }
   const auto all = static_cast<double>(origins_.size());
@@ -486,13 +521,13 @@
       {"whole", whole},
       {"worst_10s", worst},
       {"worst_merchant", merchant},
-      {"delivered", delivered},
-      {"refused", refused},
-      {"failed", all - delivered - refused},
-      {"late_share", Ratio(late, delivered)},
-      {"attempts_each", all > 0 ? attempts / all : 0},
-      {"p50_ms", QuantileMs(times, 0.5)},
-      {"p99_ms", QuantileMs(times, 0.99)},
+      {"delivered", totals.delivered},
+      {"refused", totals.refused},
+      {"failed", all - totals.delivered - totals.refused},
+      {"late_share", Ratio(totals.late, totals.delivered)},
+      {"attempts_each", all > 0 ? totals.attempts / all : 0},
+      {"p50_ms", QuantileMs(totals.times, 0.5)},
+      {"p99_ms", QuantileMs(totals.times, 0.99)},
       {"refusals_above_limit", static_cast<double>(refusals_above_)},
       {"unheard_share",
        handed_in_ > 0 ? static_cast<double>(unheard_) / static_cast<double>(handed_in_) : 0},
@@ -507,19 +542,20 @@
   out.partners = partners_;
   CountService(out);
   // What was held at each second's end.
-  std::vector<long> change(out.seconds.size() + 2);
+  std::vector<std::int64_t> change(out.seconds.size() + 2);
   const auto place = [&](Time at) {
-    return std::min(static_cast<std::size_t>(at.count() / 1'000'000'000), out.seconds.size());
+    return std::min(static_cast<std::size_t>(at.count() / kNanosecondsPerSecond),
+                    out.seconds.size());
   };
   for (const Put& put : puts_) {
     if (!put.taken) continue;
     ++change[place(put.at)];
     if (put.end != End::kNone) --change[place(put.ended)];
   }
-  long held = 0;
+  std::int64_t held = 0;
   for (std::size_t i = 0; i < out.seconds.size(); ++i) {
     held += change[i];
-    out.seconds[i].held = static_cast<std::size_t>(std::max(0L, held));
+    out.seconds[i].held = static_cast<std::size_t>(std::max<std::int64_t>(0, held));
   }
   std::stable_sort(breaks_.begin(), breaks_.end(),
                    [](const Break& a, const Break& b) { return a.at < b.at; });
--- a/src/rehearsal/auditor.hpp
+++ b/src/rehearsal/auditor.hpp
@@ -195,14 +195,35 @@
   void TakeCall(const Event& e);
   void TakeAnswer(const Event& e);
   void TakeCut(const Event& e);
+  void TakeFirstByte(const Event& e);
+  void TakeTold(const Event& e);
+  void TakeFellOver(const Event& e);
+  void TakeStopped(const Event& e);
+  void TakeReady(const Event& e);
+  void TakeMachineLost(const Event& e);
   void MayRun(Put& put, Time sent);
   void EndPut(PutId id, End end, Time at);
   void Delivered(PutId id, Time at);
+  [[nodiscard]] Time DueOf(const Put& put) const;
   void CheckLost(Time now);
   void Tell(Rule rule, Time at, std::string what, PutId put = kUnknownPut);
   std::vector<std::string> Timeline(PutId id) const;
   Second& SecondOf(Time at);
   double WorthOf(const Origin& origin) const;
+  // Sums over all messages.
+  struct ServiceTotals {
+    double asked = 0;
+    double got = 0;
+    double attempts = 0;
+    double delivered = 0;
+    double refused = 0;
+    double late = 0;
+    std::vector<double> times;  // seconds until the delivery
+    std::vector<double> merchant_asked;
+    std::vector<double> merchant_got;
+  };
+  void CountOrigin(const Origin& origin, ServiceTotals& totals, Judgement& out) const;
+  static double WorstService(const std::vector<Second>& seconds, double whole);
   void CountService(Judgement& out) const;
   void CountRemovals(Judgement& out) const;
 
--- a/src/rehearsal/campaign.cpp
+++ b/src/rehearsal/campaign.cpp
@@ -40,7 +40,9 @@
   std::mt19937_64 random_;
 };
 
-std::string Ms(double seconds) { return std::to_string(static_cast<long>(seconds * 1000)) + "ms"; }
+std::string Ms(double seconds) {
+  return std::to_string(static_cast<std::int64_t>(seconds * 1000)) + "ms";
+}
 
 std::string Group(Draw& draw, std::size_t count) {
   std::vector<std::size_t> all;
@@ -197,102 +199,143 @@
   CampaignResult result_;
 };
 
-}  // namespace
+// Draws the faults of one run. The order in which it draws is part of what a seed means.
+class ScheduleGenerator {
+ public:
+  ScheduleGenerator(const Scenario& base, std::uint64_t seed)
+      : base_(base),
+        draw_(seed),
+        end_(SecondsOf(base.duration) * kFaultsEnd),
+        count_(base.forwarders.count) {}
 
-std::vector<std::string> MakeSchedule(const Scenario& base, std::uint64_t seed) {
-  Draw draw(seed);
-  const double duration = SecondsOf(base.duration), end = duration * kFaultsEnd;
-  const std::size_t count = base.forwarders.count;
-  std::vector<std::pair<double, std::string>> acts;
-  const auto add = [&](double at, const std::string& rest) {
-    acts.emplace_back(at, "{at: " + Ms(at) + ", " + rest + "}");
-  };
-  const auto one = [&] { return "forwarder: " + std::to_string(draw.Below(count)); };
-  // Work first: some machines, a hall or all, asked of anybody; sometimes an endpoint.
-  const std::size_t works = 1 + draw.Below(2);
-  for (std::size_t i = 0; i < works; ++i) {
-    const std::size_t kind = draw.Below(4);
-    const std::string what =
-        kind == 0 ? "machine: \"all\""
-        : kind == 1
-            ? "machine: \"hall:" + base.fleet.halls[draw.Below(base.fleet.halls.size())] + "\""
-        : kind == 2 ? "machine: \"n" + std::to_string(draw.Below(count)) + "\""
-                    : "partner: \"" + base.partners[draw.Below(base.partners.size())].name +
-                          "\", endpoint: 0";
-    add(draw.Between(kFirstWork, end), "do: \"work\", " + what + ", " + one() + ", stay: 300ms" +
-                                           (draw.Below(3) == 0 ? ", restart: true" : ""));
+  // The acts as lines of a scenario file, in order of time.
+  std::vector<std::string> Generate() {
+    const std::size_t works = 1 + draw_.Below(2);
+    for (std::size_t i = 0; i < works; ++i) AddMaintenance();
+    const std::size_t faults = 2 + draw_.Below(5);
+    for (std::size_t i = 0; i < faults; ++i) AddFault();
+    // What strikes partners, where limits and endpoints are shared; drawn last, so that schedules
+    // of other bases stay what they were.
+    for (const Partner& partner : base_.partners) AddPartnerFaults(partner);
+    // No wrong-peer: it is a member that answers no probe, and so uses a place for good.
+    std::sort(acts_.begin(), acts_.end());
+    std::vector<std::string> lines;
+    lines.reserve(acts_.size());
+    for (auto& [at, line] : acts_) lines.push_back(std::move(line));
+    return lines;
+  }
+
+ private:
+  void Add(double at, const std::string& rest) {
+    acts_.emplace_back(at, "{at: " + Ms(at) + ", " + rest + "}");
+  }
+
+  std::string OneForwarder() { return "forwarder: " + std::to_string(draw_.Below(count_)); }
+
+  // Some machines, a hall or all, asked of any forwarder; sometimes an endpoint.
+  void AddMaintenance() {
+    const std::string what = DrawMaintenanceTarget();
+    const std::string restart = draw_.Below(3) == 0 ? ", restart: true" : "";
+    const std::string rest = "do: \"work\", " + what + ", " + OneForwarder() + ", stay: 300ms";
+    Add(draw_.Between(kFirstWork, end_), rest + restart);
+  }
+
+  std::string DrawMaintenanceTarget() {
+    switch (draw_.Below(4)) {
+      case 0:
+        return "machine: \"all\"";
+      case 1:
+        return "machine: \"hall:" + base_.fleet.halls[draw_.Below(base_.fleet.halls.size())] + "\"";
+      case 2:
+        return "machine: \"n" + std::to_string(draw_.Below(count_)) + "\"";
+      default:
+        return "partner: \"" + base_.partners[draw_.Below(base_.partners.size())].name +
+               "\", endpoint: 0";
+    }
   }
-  bool lost = false;
-  const std::size_t faults = 2 + draw.Below(5);
-  for (std::size_t i = 0; i < faults; ++i) {
-    const double at = draw.Between(kFirstFault, end);
-    const double lasts = std::min(draw.Between(0.3, 8), end - at + 0.5);
+
+  void AddFault() {
+    const double at = draw_.Between(kFirstFault, end_);
+    const double lasts = std::min(draw_.Between(0.3, 8), end_ - at + 0.5);
     const std::string until = "for: " + Ms(lasts) + ", ";
-    const std::string down = "down: " + Ms(draw.Between(0.2, 4));
-    const std::string both = draw.Below(3) == 0 ? ", both: false" : "";
-    switch (draw.Below(11)) {
+    const std::string down = "down: " + Ms(draw_.Between(0.2, 4));
+    const std::string both = draw_.Below(3) == 0 ? ", both: false" : "";
+    switch (draw_.Below(11)) {
       case 0:
       case 1:
-        add(at, "do: \"kill\", " + one() + ", " + down);
-        break;
+        return Add(at, "do: \"kill\", " + OneForwarder() + ", " + down);
       case 2:
-        add(at, "do: \"terminate\", " + one() + ", " + down);
-        break;
+        return Add(at, "do: \"terminate\", " + OneForwarder() + ", " + down);
       case 3:
-        add(at, until + "do: \"pause\", " + one());
-        break;
+        return Add(at, until + "do: \"pause\", " + OneForwarder());
       case 4:
       case 5:
-        add(at, until + "do: \"cut\", from: " + Group(draw, count) + both);
-        break;
+        return Add(at, until + "do: \"cut\", from: " + Group(draw_, count_) + both);
       case 6:
-        add(at, until + "do: \"lossy\", from: " + Group(draw, count) +
-                    ", loss: " + std::to_string(10 + draw.Below(30)) +
-                    "%, twice: 10%, jitter: " + std::to_string(draw.Below(200)) + "ms");
-        break;
+        return Add(at, until + LossyLinks());
       case 7:
-        add(at, until + "do: \"flap\", from: " + Group(draw, count) + both +
-                    ", period: " + Ms(draw.Between(0.3, 3)));
-        break;
+        return Add(at, until + FlappingLinks(both));
       case 8:
-        add(at, until + "do: \"full-disk\", " + one());
-        break;
+        return Add(at, until + "do: \"full-disk\", " + OneForwarder());
       case 9:
-        add(at, "do: \"roster\", places: " + std::to_string(1 + draw.Below(2)));
-        break;
+        return Add(at, "do: \"roster\", places: " + std::to_string(1 + draw_.Below(2)));
       default:
-        if (!std::exchange(lost, true)) {
-          add(at, "do: \"lose-machine\", " + one() + ", " + down);
-        } else {
-          add(at, until + "do: \"slow-link\", from: " + Group(draw, count) +
-                      ", delay: " + std::to_string(draw.Below(300)) + "ms");
+        if (!std::exchange(machine_lost_, true)) {
+          return Add(at, "do: \"lose-machine\", " + OneForwarder() + ", " + down);
         }
+        return Add(at, until + SlowLinks());
     }
   }
-  // What strikes partners, where limits and endpoints are shared; drawn last, so that schedules of
-  // other bases stay what they were.
-  const auto strike = [&](const std::string& what) {
-    const double at = draw.Between(kFirstFault, end);
-    const double lasts = std::max(0.3, std::min(draw.Between(0.5, 8), end - at + 0.5));
-    add(at, "for: " + Ms(lasts) + ", " + what);
-  };
-  for (const Partner& p : base.partners) {
-    if (base.fleet.limits && p.limit && draw.Below(2) == 0) {
-      strike("do: \"limit\", partner: \"" + p.name + "\", factor: 0." +
-             std::to_string(2 + draw.Below(7)));
+
+  std::string LossyLinks() {
+    const std::size_t jitter = draw_.Below(200);
+    const std::size_t loss = 10 + draw_.Below(30);
+    const std::string from = Group(draw_, count_);
+    return "do: \"lossy\", from: " + from + ", loss: " + std::to_string(loss) +
+           "%, twice: 10%, jitter: " + std::to_string(jitter) + "ms";
+  }
+
+  std::string FlappingLinks(const std::string& both) {
+    const std::string period = Ms(draw_.Between(0.3, 3));
+    return "do: \"flap\", from: " + Group(draw_, count_) + both + ", period: " + period;
+  }
+
+  std::string SlowLinks() {
+    const std::string delay = std::to_string(draw_.Below(300)) + "ms";
+    return "do: \"slow-link\", from: " + Group(draw_, count_) + ", delay: " + delay;
+  }
+
+  void AddPartnerFaults(const Partner& partner) {
+    const std::string name = "partner: \"" + partner.name + "\"";
+    if (base_.fleet.limits && partner.limit && draw_.Below(2) == 0) {
+      const std::string factor = "0." + std::to_string(2 + draw_.Below(7));
+      AddPartnerFault("do: \"limit\", " + name + ", factor: " + factor);
     }
-    if (base.fleet.verdicts && draw.Below(2) == 0) {
+    if (base_.fleet.verdicts && draw_.Below(2) == 0) {
       constexpr std::array<const char*, 3> kOutages = {"silent", "reset", "shut"};
-      strike("do: \"" + std::string(kOutages[draw.Below(3)]) + "\", partner: \"" + p.name +
-             "\", endpoint: 0");
+      const std::string outage = kOutages[draw_.Below(3)];
+      AddPartnerFault("do: \"" + outage + "\", " + name + ", endpoint: 0");
     }
   }
-  // No wrong-peer: it is a member that answers no probe, and so uses a place for good.
-  std::sort(acts.begin(), acts.end());
-  std::vector<std::string> lines;
-  lines.reserve(acts.size());
-  for (auto& [at, line] : acts) lines.push_back(std::move(line));
-  return lines;
+
+  void AddPartnerFault(const std::string& what) {
+    const double at = draw_.Between(kFirstFault, end_);
+    const double lasts = std::max(0.3, std::min(draw_.Between(0.5, 8), end_ - at + 0.5));
+    Add(at, "for: " + Ms(lasts) + ", " + what);
+  }
+
+  const Scenario& base_;
+  Draw draw_;
+  const double end_;  // of the faults, in seconds
+  const std::size_t count_;
+  std::vector<std::pair<double, std::string>> acts_;  // by time in seconds
+  bool machine_lost_ = false;
+};
+
+}  // namespace
+
+std::vector<std::string> MakeSchedule(const Scenario& base, std::uint64_t seed) {
+  return ScheduleGenerator(base, seed).Generate();
 }
 
 std::string WithActs(const std::string& base, const std::vector<std::string>& acts) {
--- a/src/rehearsal/endpoints.cpp
+++ b/src/rehearsal/endpoints.cpp
@@ -1,5 +1,6 @@
 #include "rehearsal/endpoints.hpp"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t kMostBody = 64 * 1024;
+constexpr std::size_t kMostBody{64 * 1024};
 constexpr double kGarbledShare = 0.5;
 
 std::uint64_t NextRandom(std::uint64_t& state) {
@@ -252,7 +253,7 @@
     if (parts.empty()) return Answer(200, {}, Fate::kOk);  // a probe
     const bool bundle = parser_->get().target() == "/events/bundle";
     const std::size_t partner = owner_.at(number_).partner;
-    if (NextRandom(owner_.random_) % 1000 < owner_.garble_[partner] * 1000) {
+    if (static_cast<double>(NextRandom(owner_.random_) % 1000) < owner_.garble_[partner] * 1000) {
       return AnswerSpoilt(parts, bundle);
     }
     if (!bundle) {
@@ -318,9 +319,10 @@
 
   // x0: the share of the limit that is left; x1: the limit in calls a second.
   void Report(http::response<http::string_body>& response) {
-    char text[64];
-    std::snprintf(text, sizeof text, "x1=%g", owner_.model(owner_.at(number_).partner).limit());
-    response.set("X-Backend-Load", text);
+    std::array<char, 64> text{};
+    const double limit = owner_.model(owner_.at(number_).partner).limit();
+    std::snprintf(text.data(), text.size(), "x1=%g", limit);
+    response.set("X-Backend-Load", text.data());
   }
 
   void SendText(std::string text) {
--- a/src/rehearsal/fleet_auditor.cpp
+++ b/src/rehearsal/fleet_auditor.cpp
@@ -74,33 +74,41 @@
          now - reach_since_[from][to] > kSettled && now - last_cut_ > kSettled;
 }
 
+// Whether any member that works reaches it; notes since when each does.
+bool FleetAuditor::UpdateReach(std::size_t member, Time at) {
+  bool reached = false;
+  for (std::size_t other = 0; other < count_; ++other) {
+    if (member == other) continue;
+    const bool now = Reach(member, other);
+    reached |= now;
+    if (now && !reach_[member][other]) reach_since_[member][other] = at;
+    reach_[member][other] = now;
+  }
+  return reached;
+}
+
+void FleetAuditor::NoteAbsence(std::size_t member, bool absent, Time at) {
+  absent_[member] = absent;
+  absent_since_[member] = at;
+  if (absent) {
+    absences_.push_back({member, at, std::nullopt, {}, std::vector<bool>(count_)});
+    return;
+  }
+  for (Absence& absence : absences_) {
+    if (absence.who == member && !absence.until) absence.until = at;
+  }
+}
+
 void FleetAuditor::Recount(Time at) {
-  for (std::size_t a = 0; a < count_; ++a) {
-    bool reached = false;
-    for (std::size_t b = 0; b < count_; ++b) {
-      if (a == b) continue;
-      const bool now = Reach(a, b);
-      reached |= now;
-      if (now && !reach_[a][b]) reach_since_[a][b] = at;
-      reach_[a][b] = now;
-    }
-    const bool was = absent_[a];
-    absent_[a] = !reached;
-    if (was == absent_[a]) continue;
-    absent_since_[a] = at;
-    if (absent_[a]) {
-      absences_.push_back({a, at, std::nullopt, {}, std::vector<bool>(count_)});
-    } else {
-      for (Absence& absence : absences_) {
-        if (absence.who == a && !absence.until) absence.until = at;
-      }
-    }
+  for (std::size_t member = 0; member < count_; ++member) {
+    const bool absent = !UpdateReach(member, at);
+    if (absent != absent_[member]) NoteAbsence(member, absent, at);
   }
   for (Absence& absence : absences_) {
     if (absence.until) continue;
     // One that is itself away, at any time, need not have seen it.
-    for (std::size_t f = 0; f < count_; ++f) {
-      if (absent_[f]) absence.excused[f] = true;
+    for (std::size_t member = 0; member < count_; ++member) {
+      if (absent_[member]) absence.excused[member] = true;
     }
   }
 }
--- a/src/rehearsal/fleet_auditor.hpp
+++ b/src/rehearsal/fleet_auditor.hpp
@@ -72,6 +72,8 @@
   };
 
   void Recount(Time at);
+  bool UpdateReach(std::size_t member, Time at);
+  void NoteAbsence(std::size_t member, bool absent, Time at);
   [[nodiscard]] bool Reach(std::size_t a, std::size_t b) const;
   [[nodiscard]] bool Works(std::size_t f) const { return runs_[f] && !paused_[f]; }
   void Work(const std::string& line, Time at);
--- a/src/rehearsal/partner_model.cpp
+++ b/src/rehearsal/partner_model.cpp
@@ -18,8 +18,9 @@
 
 PartnerModel::PartnerModel(const Partner& partner, const Cold& cold, std::uint64_t seed)
     : partner_(partner), cold_(cold), random_(seed) {
-  const auto workers = std::max(1L, std::lround(partner.capacity * SecondsOf(partner.pace)));
-  for (long i = 0; i < workers; ++i) free_at_.push(Time{});
+  const auto workers =
+      std::max<std::int64_t>(1, std::llround(partner.capacity * SecondsOf(partner.pace)));
+  for (std::int64_t i = 0; i < workers; ++i) free_at_.push(Time{});
 }
 
 double PartnerModel::Warmth(Time now) const {
--- a/src/rehearsal/peer_net.cpp
+++ b/src/rehearsal/peer_net.cpp
@@ -72,7 +72,7 @@
     std::ofstream(key) << kKey << "\n";
     chmod(key.c_str(), 0600);
   }
-  const std::string path = folder + "/n" + std::to_string(f) + ".fleet";
+  std::string path = folder + "/n" + std::to_string(f) + ".fleet";
   std::ofstream out(path);
   out << "fleet: \"" << s.name << "\"\nkey: \"fleet.key\"\n"
       << "out: {all: " << out_in_all_ << ", hall: " << out_in_hall_ << "}\n"
@@ -202,7 +202,7 @@
   }
 }
 
-void PeerNet::Lie(const Act& act, std::function<std::vector<std::string>()> endpoints) {
+void PeerNet::Lie(const Act& act, const std::function<std::vector<std::string>()>& endpoints) {
   const Time now = stage_.Now();
   if (now >= act.at + act.lasts) return;
   for (std::size_t f = 0; f < count_; ++f) {
--- a/src/rehearsal/peer_net.hpp
+++ b/src/rehearsal/peer_net.hpp
@@ -30,7 +30,7 @@
   // An act on links, from now until its end.
   void Play(const Act& act);
   // A scripted member tells lies to all, from now until the act's end.
-  void Lie(const Act& act, std::function<std::vector<std::string>()> endpoints);
+  void Lie(const Act& act, const std::function<std::vector<std::string>()>& endpoints);
   void Close();
 
   [[nodiscard]] std::uint64_t lies() const { return lies_; }
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -1,6 +1,7 @@
 #include "rehearsal/report.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdarg>
 #include <cstdio>
 #include <fstream>
@@ -16,12 +17,12 @@
 
 std::string Format(const char* format, ...) __attribute__((format(printf, 1, 2)));
 std::string Format(const char* format, ...) {
-  char text[512];
+  std::array<char, 512> text{};
   va_list arguments;
   va_start(arguments, format);
-  std::vsnprintf(text, sizeof text, format, arguments);
+  std::vsnprintf(text.data(), text.size(), format, arguments);
   va_end(arguments);
-  return text;
+  return text.data();
 }
 
 const char* NameOf(Result::Verdict verdict) {
@@ -439,10 +440,10 @@
 }
 
 void WriteReports(const Result& result, const std::string& folder) {
-  const std::pair<const char*, std::string> files[] = {{"report.txt", TextReport(result)},
-                                                       {"report.json", JsonReport(result)},
-                                                       {"junit.xml", JUnitReport(result)},
-                                                       {"report.html", HtmlReport(result)}};
+  using ReportFile = std::pair<const char*, std::string>;
+  const std::array<ReportFile, 4> files = {
+      ReportFile{"report.txt", TextReport(result)}, ReportFile{"report.json", JsonReport(result)},
+      ReportFile{"junit.xml", JUnitReport(result)}, ReportFile{"report.html", HtmlReport(result)}};
   for (const auto& [name, text] : files) {
     std::ofstream out(folder + "/" + name, std::ios::binary);
     out << text;
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -2,9 +2,11 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <cinttypes>
 #include <csignal>
 #include <cstdio>
 #include <memory>
@@ -46,9 +48,9 @@
 std::string Hash(const std::string& text) {
   std::uint64_t hash = 0xCBF29CE484222325;
   for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001B3;
-  char out[17];
-  std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(hash));
-  return out;
+  std::array<char, 17> out{};
+  std::snprintf(out.data(), out.size(), "%016" PRIx64, hash);
+  return out.data();
 }
 
 class Run {
@@ -166,11 +168,11 @@
     result.verdict = kept ? Result::Verdict::kKept : Result::Verdict::kBroken;
     result.void_because = void_because_;
     if (result.void_because.empty() && result.late_share > scenario_.late_share) {
-      char text[120];
-      std::snprintf(text, sizeof text, "the cast was late: %.1f %% of its actions by over %lld ms",
-                    result.late_share * 100,
-                    static_cast<long long>(scenario_.late_by.count() / 1'000'000));
-      result.void_because = text;
+      std::array<char, 120> text{};
+      std::snprintf(text.data(), text.size(),
+                    "the cast was late: %.1f %% of its actions by over %" PRId64 " ms",
+                    result.late_share * 100, std::int64_t{scenario_.late_by.count() / 1'000'000});
+      result.void_because = text.data();
     }
     if (!result.void_because.empty()) result.verdict = Result::Verdict::kVoid;
   }
@@ -531,12 +533,13 @@
   void Tick(int second) {
     if (!options_.progress) return;
     stage_.At(seconds(second), [this, second] {
-      char text[160];
-      std::snprintf(text, sizeof text, "%4d s of %lld  handed in %zu  held %zu  late p99 %.1f ms",
-                    second, static_cast<long long>(scenario_.duration.count() / 1'000'000'000),
+      std::array<char, 160> text{};
+      std::snprintf(text.data(), text.size(),
+                    "%4d s of %" PRId64 "  handed in %zu  held %zu  late p99 %.1f ms", second,
+                    std::int64_t{scenario_.duration.count() / 1'000'000'000},
                     stage_.hand_ins.size(), stage_.auditor.held(),
                     static_cast<double>(stage_.lateness.Quantile(0.99).count()) / 1e3);
-      options_.progress(text);
+      options_.progress(text.data());
       Tick(second + 1);
     });
   }
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -41,6 +41,31 @@
          kind == ActKind::kLoseMachine || kind == ActKind::kPause || kind == ActKind::kFullDisk;
 }
 
+// One endpoint of a partner, or all of them.
+bool StrikesEndpoint(ActKind kind) {
+  return StrikesPartner(kind) && kind != ActKind::kClump && kind != ActKind::kLimit &&
+         kind != ActKind::kChurn && kind != ActKind::kVanish;
+}
+
+bool NeedsDuration(ActKind kind) {
+  switch (kind) {
+    case ActKind::kBurst:
+    case ActKind::kStale:
+    case ActKind::kShut:
+    case ActKind::kFull:
+    case ActKind::kChurn:
+    case ActKind::kVanish:
+    case ActKind::kNameServer:
+    case ActKind::kPause:
+    case ActKind::kFullDisk:
+    case ActKind::kLimit:
+    case ActKind::kWrongPeer:
+      return true;
+    default:
+      return false;
+  }
+}
+
 bool StrikesLinks(ActKind kind) { return kind >= ActKind::kCut && kind <= ActKind::kFlap; }
 
 class Reader {
@@ -264,73 +289,85 @@
     act.down = from.At("down").Duration();
     if (const Record* wait = from.Find("wait")) act.wait = wait->Duration();
     if (act.at >= s.duration) Complain(from.At("at"), "after the end of the scenario");
-    const Record* partner = from.Find("partner");
-    const Record* endpoint = from.Find("endpoint");
-    const Record* forwarder = from.Find("forwarder");
-    const Record* merchant = from.Find("merchant");
-    const auto takes = [&](const Record* field, const char* what, bool may) {
-      if (field != nullptr && !may) Complain(*field, name + " takes no " + what);
-    };
+    CheckTargets(from, act.kind);
+    if (act.kind == ActKind::kNameServer) ReadNameServerFault(from, s, act);
     const bool work = act.kind == ActKind::kWork;
-    takes(partner, "partner", StrikesPartner(act.kind) || work);
-    takes(endpoint, "endpoint",
-          work || (StrikesPartner(act.kind) && act.kind != ActKind::kClump &&
-                   act.kind != ActKind::kLimit && act.kind != ActKind::kChurn &&
-                   act.kind != ActKind::kVanish));
-    const Record* fault = from.Find("fault");
-    takes(fault, "fault", act.kind == ActKind::kNameServer);
-    if (act.kind == ActKind::kNameServer) {
-      if (fault == nullptr) {
-        Complain(from, name + " needs a fault");
-      } else {
-        const auto found = std::find(kFaultNames.begin(), kFaultNames.end(), fault->Text());
-        act.fault = static_cast<NameServerFault>(found - kFaultNames.begin());
-      }
-      if (!s.by_zones) Complain(from, name + " needs `discovery: by: \"zones\"`");
-    }
-    takes(forwarder, "forwarder", StrikesForwarder(act.kind) || work);
+    const Record* partner = from.Find("partner");
     if (work) ReadWork(from, partner, s, act);
     if (act.kind == ActKind::kRoster) ReadRoster(from, s, act);
-    if (act.kind == ActKind::kWrongPeer) {
-      if (!s.fleet.limits && !s.fleet.verdicts) Complain(from, "wrong-peer needs `fleet: sharing`");
-      const auto lie = std::find(kLieNames.begin(), kLieNames.end(), from.At("lie").Text());
-      act.lie = static_cast<Lie>(lie - kLieNames.begin());
-      s.fleet.liar = true;
-    }
-    takes(merchant, "merchant", act.kind == ActKind::kBurst || act.kind == ActKind::kClump);
-    if (StrikesPartner(act.kind) || (work && partner != nullptr)) {
-      if (partner == nullptr) {
-        Complain(from, name + " needs a partner");
-      } else if (partner->Text() == "all") {
-        for (std::size_t i = 0; i < s.partners.size(); ++i) act.partners.push_back(i);
-      } else if (const auto place = Place(*partner, s.partners, "partner")) {
-        act.partners.push_back(*place);
-      }
-    }
-    if (endpoint != nullptr) {
-      act.endpoint = static_cast<std::size_t>(endpoint->Int());
-      for (const std::size_t p : act.partners) {
-        if (*act.endpoint < s.partners[p].endpoints) continue;
-        Complain(*endpoint, "the partner has " + std::to_string(s.partners[p].endpoints) +
-                                " endpoints, counted from 0");
-      }
-    }
-    if (StrikesForwarder(act.kind) || work) ReadStruck(from, forwarder, s, act);
+    if (act.kind == ActKind::kWrongPeer) ReadWrongPeer(from, s, act);
+    if (StrikesPartner(act.kind) || (work && partner != nullptr)) ReadPartners(from, s, act);
+    ReadEndpoint(from, s, act);
+    if (StrikesForwarder(act.kind) || work) ReadStruck(from, from.Find("forwarder"), s, act);
     if (StrikesLinks(act.kind)) ReadLinks(from, s, act);
+    const Record* merchant = from.Find("merchant");
     if (merchant != nullptr) act.merchant = Place(*merchant, s.merchants, "merchant");
     if (act.kind == ActKind::kBurst && merchant == nullptr) {
       Complain(from, "burst needs a merchant");
     }
-    const bool needs_end = act.kind == ActKind::kBurst || act.kind == ActKind::kStale ||
-                           act.kind == ActKind::kShut || act.kind == ActKind::kFull ||
-                           act.kind == ActKind::kChurn || act.kind == ActKind::kVanish ||
-                           act.kind == ActKind::kNameServer || act.kind == ActKind::kPause ||
-                           act.kind == ActKind::kFullDisk || act.kind == ActKind::kLimit ||
-                           act.kind == ActKind::kWrongPeer;
-    if (needs_end && act.lasts == Time{}) Complain(from, name + " needs `for`");
+    if (NeedsDuration(act.kind) && act.lasts == Time{}) Complain(from, name + " needs `for`");
     s.acts.push_back(std::move(act));
   }
 
+  // No act has a target that means nothing to it.
+  void CheckTargets(const Record& from, ActKind kind) {
+    const bool work = kind == ActKind::kWork;
+    const auto allow = [&](const char* field, bool allowed) {
+      const Record* given = from.Find(field);
+      if (given != nullptr && !allowed) {
+        Complain(*given, from.At("do").Text() + " takes no " + field);
+      }
+    };
+    allow("partner", StrikesPartner(kind) || work);
+    allow("endpoint", work || StrikesEndpoint(kind));
+    allow("fault", kind == ActKind::kNameServer);
+    allow("forwarder", StrikesForwarder(kind) || work);
+    allow("merchant", kind == ActKind::kBurst || kind == ActKind::kClump);
+  }
+
+  void ReadNameServerFault(const Record& from, const Scenario& s, Act& act) {
+    const std::string& name = from.At("do").Text();
+    const Record* fault = from.Find("fault");
+    if (fault == nullptr) {
+      Complain(from, name + " needs a fault");
+    } else {
+      const auto found = std::find(kFaultNames.begin(), kFaultNames.end(), fault->Text());
+      act.fault = static_cast<NameServerFault>(found - kFaultNames.begin());
+    }
+    if (!s.by_zones) Complain(from, name + " needs `discovery: by: \"zones\"`");
+  }
+
+  void ReadWrongPeer(const Record& from, Scenario& s, Act& act) {
+    if (!s.fleet.limits && !s.fleet.verdicts) Complain(from, "wrong-peer needs `fleet: sharing`");
+    const auto lie = std::find(kLieNames.begin(), kLieNames.end(), from.At("lie").Text());
+    act.lie = static_cast<Lie>(lie - kLieNames.begin());
+    s.fleet.liar = true;
+  }
+
+  // The partners that the act is about: one by its name, or all.
+  void ReadPartners(const Record& from, const Scenario& s, Act& act) {
+    const Record* partner = from.Find("partner");
+    if (partner == nullptr) {
+      Complain(from, from.At("do").Text() + " needs a partner");
+    } else if (partner->Text() == "all") {
+      for (std::size_t i = 0; i < s.partners.size(); ++i) act.partners.push_back(i);
+    } else if (const auto place = Place(*partner, s.partners, "partner")) {
+      act.partners.push_back(*place);
+    }
+  }
+
+  void ReadEndpoint(const Record& from, const Scenario& s, Act& act) {
+    const Record* endpoint = from.Find("endpoint");
+    if (endpoint == nullptr) return;
+    act.endpoint = static_cast<std::size_t>(endpoint->Int());
+    for (const std::size_t partner : act.partners) {
+      const std::size_t endpoints = s.partners[partner].endpoints;
+      if (*act.endpoint < endpoints) continue;
+      Complain(*endpoint,
+               "the partner has " + std::to_string(endpoints) + " endpoints, counted from 0");
+    }
+  }
+
   void ReadWork(const Record& from, const Record* partner, const Scenario& s, Act& act) {
     if (!s.fleet.on) Complain(from, "work needs `fleet: on: true`");
     const Record* machine = from.Find("machine");
@@ -421,26 +458,26 @@
 }  // namespace
 
 const std::vector<std::string>& MetricNames() {
-  static const std::vector<std::string> names = {"service",        "whole",
-                                                 "worst_10s",      "worst_merchant",
-                                                 "rule_breaks",    "lost",
-                                                 "delivered",      "refused",
-                                                 "failed",         "refusals_above_limit",
-                                                 "attempts_each",  "late_share",
-                                                 "p50_ms",         "p99_ms",
-                                                 "unheard_share",  "most_memory_mb",
-                                                 "most_sockets",   "crashes",
-                                                 "applied_twice",  "removals",
-                                                 "removed_p50_ms", "removed_p99_ms",
-                                                 "removed_max_ms", "wrong_deaths",
-                                                 "settled_ms",     "works_back",
-                                                 "works_open",     "works_s",
-                                                 "most_out",       "noticed_ms",
-                                                 "unnoticed",      "returned_calls",
-                                                 "over_limit",     "over_bound",
-                                                 "over_share",     "stale_calls",
-                                                 "liar_frames"};
-  return names;
+  static const std::vector<std::string> kNames = {"service",        "whole",
+                                                  "worst_10s",      "worst_merchant",
+                                                  "rule_breaks",    "lost",
+                                                  "delivered",      "refused",
+                                                  "failed",         "refusals_above_limit",
+                                                  "attempts_each",  "late_share",
+                                                  "p50_ms",         "p99_ms",
+                                                  "unheard_share",  "most_memory_mb",
+                                                  "most_sockets",   "crashes",
+                                                  "applied_twice",  "removals",
+                                                  "removed_p50_ms", "removed_p99_ms",
+                                                  "removed_max_ms", "wrong_deaths",
+                                                  "settled_ms",     "works_back",
+                                                  "works_open",     "works_s",
+                                                  "most_out",       "noticed_ms",
+                                                  "unnoticed",      "returned_calls",
+                                                  "over_limit",     "over_bound",
+                                                  "over_share",     "stale_calls",
+                                                  "liar_frames"};
+  return kNames;
 }
 
 const char* NameOf(ActKind kind) { return kActNames[static_cast<std::size_t>(kind)]; }
--- a/src/rehearsal/scenario_schema.cpp
+++ b/src/rehearsal/scenario_schema.cpp
@@ -2,8 +2,9 @@
 
 namespace brassfront::rehearsal {
 
-std::string_view ScenarioSchema() {
-  return R"(
+namespace {
+
+constexpr std::string_view kSchema = R"(
 #Limit: {
   kind:           "rate" | "window"
   calls:          rate & >0/s
@@ -138,6 +139,9 @@
   expect: [...string] | *[]
 }
 )";
-}
+
+}  // namespace
+
+std::string_view ScenarioSchema() { return kSchema; }
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/sharing_auditor.cpp
+++ b/src/rehearsal/sharing_auditor.cpp
@@ -1,6 +1,7 @@
 #include "rehearsal/sharing_auditor.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -61,36 +62,9 @@
       return Called(event);
     case Event::What::kCall:
       partner_of_[event.endpoint] = event.partner;
-      if (scenario_.fleet.limits && partners_[event.partner].limit > 0) {
-        Its& its = partners_[event.partner];
-        its.calls.push_back(event.at);
-        while (event.at - its.calls.front() >= kWindow) its.calls.pop_front();
-        const double limit = AllowedAt(its, event.at), bound = MostOver(limit);
-        const double over = static_cast<double>(its.calls.size()) - limit * SecondsOf(kWindow);
-        over_most_ = std::max(over_most_, over);
-        over_bound_ = std::max(over_bound_, bound);
-        over_share_ = std::max(over_share_, over / bound);
-        if (over > bound) {
-          char text[160];
-          std::snprintf(text, sizeof text,
-                        "%zu calls in a second to partner %zu at a limit of %.1f, bound %.1f above",
-                        its.calls.size(), event.partner, limit, bound);
-          Tell(Rule::kOverLimit, event.at, text);
-        }
-      }
-      return;
+      return CheckLimit(event);
     case Event::What::kAnswered:
-      if (const auto it = open_.find(event.call); it != open_.end()) {
-        if (event.status == 200) {
-          if (const auto f = failing_.find(it->second.second); f != failing_.end()) {
-            f->second.failures.erase(it->second.first);
-          }
-          open_.erase(it);
-        } else {
-          Failed(event.call, event.at);
-        }
-      }
-      return;
+      return Answered(event);
     case Event::What::kCut:
       return Failed(event.call, event.at);
     default:
@@ -98,6 +72,37 @@
   }
 }
 
+// Rule `over-limit`: all forwarders together stay within the limit and its stated overshoot.
+void SharingAuditor::CheckLimit(const Event& event) {
+  Its& its = partners_[event.partner];
+  if (!scenario_.fleet.limits || its.limit <= 0) return;
+  its.calls.push_back(event.at);
+  while (event.at - its.calls.front() >= kWindow) its.calls.pop_front();
+  const double limit = AllowedAt(its, event.at);
+  const double bound = MostOver(limit);
+  const double over = static_cast<double>(its.calls.size()) - limit * SecondsOf(kWindow);
+  over_most_ = std::max(over_most_, over);
+  over_bound_ = std::max(over_bound_, bound);
+  over_share_ = std::max(over_share_, over / bound);
+  if (over <= bound) return;
+  std::array<char, 160> text{};
+  std::snprintf(text.data(), text.size(),
+                "%zu calls in a second to partner %zu at a limit of %.1f, bound %.1f above",
+                its.calls.size(), event.partner, limit, bound);
+  Tell(Rule::kOverLimit, event.at, text.data());
+}
+
+void SharingAuditor::Answered(const Event& event) {
+  const auto call = open_.find(event.call);
+  if (call == open_.end()) return;
+  if (event.status != 200) return Failed(event.call, event.at);
+  const auto [forwarder, endpoint] = call->second;
+  if (const auto failing = failing_.find(endpoint); failing != failing_.end()) {
+    failing->second.failures.erase(forwarder);
+  }
+  open_.erase(call);
+}
+
 void SharingAuditor::Failed(std::size_t call, Time at) {
   const auto it = open_.find(static_cast<CallId>(call));
   if (it == open_.end()) return;
--- a/src/rehearsal/sharing_auditor.hpp
+++ b/src/rehearsal/sharing_auditor.hpp
@@ -52,6 +52,8 @@
     std::map<std::size_t, std::deque<Time>> calls;  // by forwarder, of the last window
   };
 
+  void CheckLimit(const Event& event);
+  void Answered(const Event& event);
   void Called(const Event& event);
   void Failed(std::size_t call, Time at);
   [[nodiscard]] double AllowedAt(const Its& its, Time at) const;
--- a/src/rehearsal/stage.hpp
+++ b/src/rehearsal/stage.hpp
@@ -21,6 +21,7 @@
 namespace brassfront::rehearsal {
 
 namespace asio = boost::asio;
+// NOLINTNEXTLINE(readability-identifier-naming): the name that Asio's own examples use.
 using tcp = asio::ip::tcp;
 
 // One hand-in as the cast knows it.
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <csignal>
@@ -85,8 +86,8 @@
 
 }  // namespace
 
-Supervisor::Supervisor(Stage& stage, std::string program, std::string out, std::string prefix,
-                       Hooks hooks)
+Supervisor::Supervisor(Stage& stage, std::string program, std::string out,
+                       const std::string& prefix, Hooks hooks)
     : stage_(stage),
       program_(std::move(program)),
       out_(std::move(out)),
@@ -146,8 +147,8 @@
   const std::string roster = hooks_.roster(forwarder);
   if (!roster.empty()) words.insert(words.end(), {"--fleet", roster.c_str()});
   words.push_back(nullptr);
-  int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no room for a pipe");
+  std::array<int, 2> ends{};
+  if (pipe2(ends.data(), O_CLOEXEC) != 0) throw std::runtime_error("no room for a pipe");
   const pid_t parent = getpid();
   const rlim_t sockets = stage_.scenario.forwarders.sockets;
   stage_.io.notify_fork(asio::io_context::fork_prepare);
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -31,7 +31,8 @@
   };
 
   // `program` is the forwarder; what it writes goes to OUT/nN.log, its state to OUT/nN.
-  Supervisor(Stage& stage, std::string program, std::string out, std::string prefix, Hooks hooks);
+  Supervisor(Stage& stage, std::string program, std::string out, const std::string& prefix,
+             Hooks hooks);
   ~Supervisor();  // kills what still runs, and waits for it
 
   void Start(std::size_t forwarder);
--- a/src/rehearsal/zone_side.cpp
+++ b/src/rehearsal/zone_side.cpp
@@ -26,11 +26,11 @@
 
 }  // namespace
 
-ZoneSide::ZoneSide(const Stage& stage, Endpoints& endpoints, const std::string& prefix,
-                   std::string out, OnTold on_told)
+ZoneSide::ZoneSide(const Stage& stage, Endpoints& endpoints, std::string prefix, std::string out,
+                   OnTold on_told)
     : stage_(stage),
       endpoints_(endpoints),
-      prefix_(prefix),
+      prefix_(std::move(prefix)),
       out_(std::move(out)),
       on_told_(std::move(on_told)) {
   key_ = {Name::Known("rehearsal-key."), dns::Algorithm::kHmacSha256, *dns::FromBase64(kSecret)};
--- a/src/rehearsal/zone_side.hpp
+++ b/src/rehearsal/zone_side.hpp
@@ -29,7 +29,7 @@
                                     Time since)>;
 
   // Serves the endpoints that there are, at PREFIX250; files for the forwarders go to `out`.
-  ZoneSide(const Stage& stage, Endpoints& endpoints, const std::string& prefix, std::string out,
+  ZoneSide(const Stage& stage, Endpoints& endpoints, std::string prefix, std::string out,
            OnTold on_told);
   ~ZoneSide();
 
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -162,7 +162,9 @@
 
 }  // namespace
 
-long Disk::Write(int fd, const char* bytes, std::size_t length) { return write(fd, bytes, length); }
+ssize_t Disk::Write(int fd, const char* bytes, std::size_t length) {
+  return write(fd, bytes, length);
+}
 int Disk::Synchronise(int fd) { return fdatasync(fd); }
 int Disk::Cut(int fd, std::size_t size) { return ftruncate(fd, static_cast<off_t>(size)); }
 int Disk::Rename(const char* from, const char* to) { return std::rename(from, to); }
@@ -196,34 +198,7 @@
 void ZoneStore::Read() {
   std::error_code error;
   for (const char* half : {"/snapshot.new", "/journal.new"}) fs::remove(folder_ + half, error);
-  const std::string snapshot = folder_ + "/snapshot";
-  if (fs::exists(snapshot, error)) {
-    const auto bytes = ReadFile(snapshot);
-    const std::string start = Start(kSnapshotMark, zone_.origin());
-    if (!bytes) throw StoreFault(snapshot + " cannot be read: " + std::strerror(errno));
-    if (!bytes->starts_with(start)) {
-      throw StoreFault(snapshot + " is no snapshot of " + zone_.origin().ToText() +
-                       " in this version's format");
-    }
-    snapshot_bytes_ = bytes->size();
-    std::size_t at = start.size();
-    std::string_view body;
-    bool ended = false;
-    while (TakeEntry(*bytes, at, body) == Next::kEntry) {
-      if (ended) throw StoreFault(snapshot + " goes on after its end");
-      entries_ = Get64(body, 0);
-      body.remove_prefix(8);
-      ended = body.empty();
-      while (!body.empty()) {
-        const auto record = TakeRecord(body);
-        if (!record) throw StoreFault(snapshot + " holds a damaged record");
-        zone_.Add(*record);
-      }
-    }
-    if (!ended || at != bytes->size()) {
-      throw StoreFault(snapshot + " is damaged at byte " + std::to_string(at));
-    }
-  }
+  if (fs::exists(folder_ + "/snapshot", error)) ReadSnapshot();
   const std::string journal = folder_ + "/journal";
   if (!fs::exists(journal, error)) {
     if (!StartJournal()) throw StoreFault(why_);
@@ -236,6 +211,35 @@
   ReplayJournal(*bytes);
 }
 
+void ZoneStore::ReadSnapshot() {
+  const std::string snapshot = folder_ + "/snapshot";
+  const auto bytes = ReadFile(snapshot);
+  const std::string start = Start(kSnapshotMark, zone_.origin());
+  if (!bytes) throw StoreFault(snapshot + " cannot be read: " + std::strerror(errno));
+  if (!bytes->starts_with(start)) {
+    throw StoreFault(snapshot + " is no snapshot of " + zone_.origin().ToText() +
+                     " in this version's format");
+  }
+  snapshot_bytes_ = bytes->size();
+  std::size_t at = start.size();
+  std::string_view body;
+  bool ended = false;
+  while (TakeEntry(*bytes, at, body) == Next::kEntry) {
+    if (ended) throw StoreFault(snapshot + " goes on after its end");
+    entries_ = Get64(body, 0);
+    body.remove_prefix(8);
+    ended = body.empty();
+    while (!body.empty()) {
+      const auto record = TakeRecord(body);
+      if (!record) throw StoreFault(snapshot + " holds a damaged record");
+      zone_.Add(*record);
+    }
+  }
+  if (!ended || at != bytes->size()) {
+    throw StoreFault(snapshot + " is damaged at byte " + std::to_string(at));
+  }
+}
+
 void ZoneStore::ReplayJournal(std::string_view bytes) {
   const std::string journal = folder_ + "/journal";
   const std::string start = Start(kJournalMark, zone_.origin());
@@ -282,7 +286,7 @@
 
 bool ZoneStore::WriteAll(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
-    const long written = disk_.Write(fd, bytes.data(), bytes.size());
+    const ssize_t written = disk_.Write(fd, bytes.data(), bytes.size());
     if (written < 0 && errno == EINTR) continue;
     if (written <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(written));
@@ -368,7 +372,7 @@
 void ZoneStore::Remember(const dns::Witness& by) {
   witnesses_.push_back(by);
   while (witnesses_.size() > kMostWitnesses ||
-         witnesses_.front().signed_at + 2 * dns::kFudgeSeconds < by.signed_at) {
+         witnesses_.front().signed_at + std::uint64_t{2} * dns::kFudgeSeconds < by.signed_at) {
     witnesses_.pop_front();
   }
 }
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -12,6 +12,8 @@
 #ifndef BRASSFRONT_ZONES_STORE_HPP_
 #define BRASSFRONT_ZONES_STORE_HPP_
 
+#include <sys/types.h>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -33,10 +35,10 @@
 class Disk {
  public:
   virtual ~Disk() = default;
-  virtual long Write(int fd, const char* bytes, std::size_t length);  // as write(2)
-  virtual int Synchronise(int fd);                                    // as fdatasync(2)
-  virtual int Cut(int fd, std::size_t size);                          // as ftruncate(2)
-  virtual int Rename(const char* from, const char* to);               // as rename(2)
+  virtual ssize_t Write(int fd, const char* bytes, std::size_t length);  // as write(2)
+  virtual int Synchronise(int fd);                                       // as fdatasync(2)
+  virtual int Cut(int fd, std::size_t size);                             // as ftruncate(2)
+  virtual int Rename(const char* from, const char* to);                  // as rename(2)
 };
 
 class ZoneStore {
@@ -70,6 +72,7 @@
 
  private:
   void Read();
+  void ReadSnapshot();
   void ReplayJournal(std::string_view bytes);
   bool MayWrite();
   bool WriteSnapshot(const dns::Zone& zone);
--- a/src/zones/zone_source.hpp
+++ b/src/zones/zone_source.hpp
@@ -14,7 +14,7 @@
 namespace brassfront::zones {
 
 // Which file it is, how large, and when it was written last: with the same stamp it is the same.
-using FileStamp = std::tuple<dev_t, ino_t, off_t, time_t, long>;
+using FileStamp = std::tuple<dev_t, ino_t, off_t, time_t, std::int64_t>;
 std::optional<FileStamp> StampOf(const std::string& path);  // nothing: it is not there
 
 // Reads the zone from the file. Includes are found from the folder of the file that names them and
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -154,7 +154,7 @@
   Socket sockets[3];
   CHECK(Answered(sockets[0], std::string(kOk) + "noise").complete);  // with the answer
   CHECK(Answered(sockets[1], kOk).complete);                         // on a new connection
-  sockets[1].SendAll(kOk);                                        // or after it
+  sockets[1].SendAll(kOk);                                           // or after it
   CHECK(Answered(sockets[2], kOk).complete);
 }
 
