--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cli/command.hpp"
-#include "fleet/control.hpp"
+#include "fleet/control_server.hpp"
 #include "fleet/sharing.hpp"
 #include "peers/roster.hpp"
 #include "protocol/json.hpp"
@@ -94,8 +94,8 @@
   try {
     const peers::Roster roster = peers::LoadRoster(path);
     std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
-              << " members, " << roster.Voters().size() << " voters, " << roster.out_in_all
-              << " out at once, " << roster.out_in_hall << " in a hall\n";
+              << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
+              << " out at once, " << roster.max_out_per_zone << " in a hall\n";
     return kDone;
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
@@ -120,7 +120,7 @@
 
 int Ask(const std::string& state, const std::string& method, const std::string& target, bool json) {
   if (state.empty()) throw UsageError("no state folder: give --state or NODE_STATE");
-  const fleet::Reply reply = fleet::CallControl(state + "/fleet", method, target);
+  const fleet::ControlReply reply = fleet::CallControl(state + "/fleet", method, target);
   if (json) {
     std::cout << reply.body << "\n";
   } else {
--- a/src/consensus/file_store.cpp
+++ b/src/consensus/file_store.cpp
@@ -10,8 +10,8 @@
 #include <iterator>
 #include <stdexcept>
 
+#include "peers/atomic_file.hpp"
 #include "peers/bytes.hpp"
-#include "peers/whole_file.hpp"
 
 namespace brassfront::consensus {
 namespace {
@@ -46,7 +46,7 @@
   return RecordOf(std::move(payload.Text(entry.data)));
 }
 
-std::string BaseOf(const Kept& kept) {
+std::string BaseOf(const PersistentState& kept) {
   Writer payload;
   payload.U8(static_cast<std::uint64_t>(What::kBase)).U64(kept.term).U64(kept.vote);
   std::string all = RecordOf(std::move(payload.U64(kept.first)));
@@ -55,7 +55,7 @@
 }
 
 // False if the payload is no record at all.
-bool Replay(std::string_view payload, Kept& kept) {
+bool Replay(std::string_view payload, PersistentState& kept) {
   Reader in(payload);
   switch (static_cast<What>(in.U8())) {
     case What::kBase:
@@ -144,9 +144,9 @@
   return size >= 0;
 }
 
-Kept FileStore::Load(bool& damaged) {
+PersistentState FileStore::Load(bool& damaged) {
   damaged = false;
-  kept_ = {};
+  persistent_ = {};
   const std::string log = ReadAll(LogPath());
   std::size_t at = 0;
   while (at + kHeader <= log.size()) {
@@ -159,7 +159,7 @@
     }
     if (at + kHeader + length > log.size()) break;  // torn
     const std::string_view payload = std::string_view(log).substr(at + kHeader, length);
-    if (XXH64(payload.data(), payload.size(), 0) != hash || !Replay(payload, kept_)) {
+    if (XXH64(payload.data(), payload.size(), 0) != hash || !Replay(payload, persistent_)) {
       damaged = true;
       break;
     }
@@ -178,19 +178,19 @@
     } else {
       // The process may have ended between the snapshot and the log's new beginning.
       const std::uint64_t index = snapshot.index;
-      const bool holds = index >= kept_.first && index <= kept_.last() &&
-                         kept_.entries[index - kept_.first].term == snapshot.term;
-      const bool follows = index + 1 == kept_.first;
+      const bool holds = index >= persistent_.first && index <= persistent_.last() &&
+                         persistent_.entries[index - persistent_.first].term == snapshot.term;
+      const bool follows = index + 1 == persistent_.first;
       if (!holds && !follows) {
-        kept_.entries.clear();
-        kept_.first = index + 1;
+        persistent_.entries.clear();
+        persistent_.first = index + 1;
       }
-      kept_.snapshot = std::move(snapshot);
+      persistent_.snapshot = std::move(snapshot);
     }
   }
-  if (!damaged && kept_.first > 1 && !kept_.snapshot) damaged = true;
-  if (damaged) kept_ = {};
-  return kept_;
+  if (!damaged && persistent_.first > 1 && !persistent_.snapshot) damaged = true;
+  if (damaged) persistent_ = {};
+  return persistent_;
 }
 
 bool FileStore::Write(std::string_view records) {
@@ -215,14 +215,14 @@
 
 bool FileStore::SetTerm(std::uint64_t term) {
   if (!Write(RecordOf(What::kTerm, term))) return false;
-  kept_.term = term;
-  kept_.vote = 0;
+  persistent_.term = term;
+  persistent_.vote = 0;
   return true;
 }
 
 bool FileStore::SetVote(std::uint64_t id) {
   if (!Write(RecordOf(What::kVote, id))) return false;
-  kept_.vote = id;
+  persistent_.vote = id;
   return true;
 }
 
@@ -230,39 +230,40 @@
   std::string records;
   for (const Entry& entry : entries) records += RecordOf(entry);
   if (!Write(records)) return false;
-  kept_.entries.insert(kept_.entries.end(), entries.begin(), entries.end());
+  persistent_.entries.insert(persistent_.entries.end(), entries.begin(), entries.end());
   return true;
 }
 
 bool FileStore::Truncate(std::uint64_t from) {
-  if (from < kept_.first || !Write(RecordOf(What::kTruncate, from))) return false;
-  if (from - kept_.first < kept_.entries.size()) kept_.entries.resize(from - kept_.first);
+  if (from < persistent_.first || !Write(RecordOf(What::kTruncate, from))) return false;
+  if (from - persistent_.first < persistent_.entries.size())
+    persistent_.entries.resize(from - persistent_.first);
   return true;
 }
 
 bool FileStore::Put(const Snapshot& snapshot, std::uint64_t trailing) {
   if (failed_) return false;
-  Kept next = kept_;
+  PersistentState next = persistent_;
   MemoryStore::Compact(next, snapshot, trailing);
   const std::string bytes = BytesOf(snapshot);
   const std::string log = BaseOf(next);
-  if (bytes.size() + log.size() > most_bytes_ || !peers::WriteWhole(SnapshotPath(), bytes)) {
+  if (bytes.size() + log.size() > most_bytes_ || !peers::WriteAtomically(SnapshotPath(), bytes)) {
     return false;
   }
   snapshot_bytes_ = bytes.size();
-  if (!peers::WriteWhole(LogPath(), log) || !Open()) {
+  if (!peers::WriteAtomically(LogPath(), log) || !Open()) {
     failed_ = true;  // the snapshot stands and the log may not: nothing more is written
     return false;
   }
-  kept_ = std::move(next);
+  persistent_ = std::move(next);
   return true;
 }
 
 bool FileStore::Clear() {
   unlink(SnapshotPath().c_str());
-  kept_ = {};
+  persistent_ = {};
   snapshot_bytes_ = 0;
-  failed_ = !peers::WriteWhole(LogPath(), "") || !Open();
+  failed_ = !peers::WriteAtomically(LogPath(), "") || !Open();
   return !failed_;
 }
 
--- a/src/consensus/file_store.hpp
+++ b/src/consensus/file_store.hpp
@@ -23,7 +23,7 @@
   FileStore(const FileStore&) = delete;
   FileStore& operator=(const FileStore&) = delete;
 
-  Kept Load(bool& damaged) override;
+  PersistentState Load(bool& damaged) override;
   bool SetTerm(std::uint64_t term) override;
   bool SetVote(std::uint64_t id) override;
   bool Append(const std::vector<Entry>& entries) override;
@@ -41,8 +41,8 @@
   const std::size_t most_bytes_;
   int log_ = -1;
   std::size_t log_bytes_ = 0, snapshot_bytes_ = 0;
-  bool failed_ = false;  // what the file holds cannot be told
-  Kept kept_;            // what the file comes to
+  bool failed_ = false;         // what the file holds cannot be told
+  PersistentState persistent_;  // what the file comes to
 };
 
 }  // namespace brassfront::consensus
--- a/src/consensus/council.cpp
+++ b/src/consensus/raft_node.cpp
@@ -1,4 +1,4 @@
-#include "consensus/council.hpp"
+#include "consensus/raft_node.hpp"
 
 extern "C" {
 #include <raft.h>  // a C header that does not say so
@@ -220,8 +220,8 @@
 
 // Everything that libraft asks of the outside. What it wants to be told later waits in `later`, for
 // it must not be told while it asks.
-struct Council::Raft {
-  explicit Raft(Council& its) : council(its), random(its.options_.seed) {
+struct RaftNode::Raft {
+  explicit Raft(RaftNode& its) : raft_node(its), random(its.options_.seed) {
     io.version = 2;
     io.impl = this;  // `data` is the library's
     io.init = [](raft_io*, raft_id, const char*) { return 0; };
@@ -237,13 +237,13 @@
     io.bootstrap = [](raft_io* i, const raft_configuration* c) { return Of(i).Bootstrap(*c); };
     io.recover = [](raft_io*, const raft_configuration*) { return RAFT_IOERR; };
     io.set_term = [](raft_io* i, raft_term term) {
-      return Of(i).council.store_.SetTerm(term) ? 0 : RAFT_IOERR;
+      return Of(i).raft_node.store_.SetTerm(term) ? 0 : RAFT_IOERR;
     };
     io.set_vote = [](raft_io* i, raft_id id) {
-      return Of(i).council.store_.SetVote(id) ? 0 : RAFT_IOERR;
+      return Of(i).raft_node.store_.SetVote(id) ? 0 : RAFT_IOERR;
     };
     io.send = [](raft_io* i, raft_io_send* request, const raft_message* m, raft_io_send_cb cb) {
-      Of(i).council.out_.push_back({m->server_address, false, Encode(*m)});
+      Of(i).raft_node.out_.push_back({m->server_address, false, Encode(*m)});
       Of(i).later.push_back([request, cb] { cb(request, 0); });
       return 0;
     };
@@ -253,20 +253,20 @@
       for (unsigned k = 0; k < n; ++k) {
         all.push_back({entries[k].term, entries[k].type, std::string(ViewOf(entries[k].buf))});
       }
-      const int status = Of(i).council.store_.Append(all) ? 0 : RAFT_IOERR;
+      const int status = Of(i).raft_node.store_.Append(all) ? 0 : RAFT_IOERR;
       if (status != 0) Of(i).failed = true;
       Of(i).later.push_back([request, cb, status] { cb(request, status); });
       return 0;
     };
     io.truncate = [](raft_io* i, raft_index from) {
-      return Of(i).council.store_.Truncate(from) ? 0 : RAFT_IOERR;
+      return Of(i).raft_node.store_.Truncate(from) ? 0 : RAFT_IOERR;
     };
     io.snapshot_put = [](raft_io* i, unsigned trailing, raft_io_snapshot_put* request,
                          const raft_snapshot* from, raft_io_snapshot_put_cb cb) {
       Snapshot made{from->index, from->term, ServersOf(from->configuration),
                     from->configuration_index, ""};
       for (unsigned k = 0; k < from->n_bufs; ++k) made.state += ViewOf(from->bufs[k]);
-      const int status = Of(i).council.store_.Put(made, trailing) ? 0 : RAFT_IOERR;
+      const int status = Of(i).raft_node.store_.Put(made, trailing) ? 0 : RAFT_IOERR;
       if (status == 0) Of(i).snapshot = std::move(made);
       Of(i).later.push_back([request, cb, status] { cb(request, status); });
       return 0;
@@ -280,7 +280,7 @@
     };
     io.time = [](raft_io* i) {
       return static_cast<raft_time>(
-          std::chrono::duration_cast<milliseconds>(Of(i).council.now_).count());
+          std::chrono::duration_cast<milliseconds>(Of(i).raft_node.now_).count());
     };
     io.random = [](raft_io* i, int min, int max) {
       const auto span = static_cast<std::uint64_t>(std::max(1, max - min));
@@ -294,19 +294,19 @@
     fsm.version = 1;
     fsm.data = this;
     fsm.apply = [](raft_fsm* f, const raft_buffer* buffer, void** result) {
-      static_cast<Raft*>(f->data)->council.machine_.Apply(ViewOf(*buffer));
+      static_cast<Raft*>(f->data)->raft_node.machine_.Apply(ViewOf(*buffer));
       *result = nullptr;
       return 0;
     };
     fsm.snapshot = [](raft_fsm* f, raft_buffer** buffers, unsigned* n) {
       *buffers = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
       if (*buffers == nullptr) return RAFT_NOMEM;
-      **buffers = BufferOf(static_cast<Raft*>(f->data)->council.machine_.Save());
+      **buffers = BufferOf(static_cast<Raft*>(f->data)->raft_node.machine_.Save());
       *n = 1;
       return 0;
     };
     fsm.restore = [](raft_fsm* f, raft_buffer* buffer) {
-      if (!static_cast<Raft*>(f->data)->council.machine_.Load(ViewOf(*buffer))) {
+      if (!static_cast<Raft*>(f->data)->raft_node.machine_.Load(ViewOf(*buffer))) {
         return RAFT_MALFORMED;
       }
       raft_free(buffer->base);
@@ -332,7 +332,7 @@
 
   int Load(raft_term* term, raft_id* vote, raft_snapshot** its_snapshot, raft_index* start,
            raft_entry** entries, size_t* n) {
-    const Kept kept = std::exchange(council.kept_, {});
+    const PersistentState kept = std::exchange(raft_node.persistent_, {});
     *term = kept.term;
     *vote = kept.vote;
     snapshot = kept.snapshot;
@@ -355,11 +355,11 @@
     if (raft_configuration_encode(&configuration, &buffer) != 0) return RAFT_NOMEM;
     const Entry entry{1, RAFT_CHANGE, std::string(ViewOf(buffer))};
     raft_free(buffer.base);
-    Store& store = council.store_;
+    Store& store = raft_node.store_;
     return store.SetTerm(1) && store.Append({entry}) ? 0 : RAFT_IOERR;
   }
 
-  Council& council;
+  RaftNode& raft_node;
   raft_io io{};
   raft_fsm fsm{};
   struct raft raft {};
@@ -371,9 +371,9 @@
   bool closed = false, changing = false, failed = false;
 };
 
-Council::Council(Options options, Store& store, StateMachine& machine)
+RaftNode::RaftNode(Options options, Store& store, StateMachine& machine)
     : options_(std::move(options)), store_(store), machine_(machine) {
-  kept_ = store_.Load(damaged_);
+  persistent_ = store_.Load(damaged_);
   raft_ = std::make_unique<Raft>(*this);
   if (raft_init(&raft_->raft, &raft_->io, &raft_->fsm, options_.id, options_.self.c_str()) != 0) {
     throw std::runtime_error("the settled log cannot be set up");
@@ -390,12 +390,12 @@
   raft_set_pre_vote(&raft_->raft, true);
 }
 
-Council::~Council() {
+RaftNode::~RaftNode() {
   raft_close(&raft_->raft, [](struct raft* r) { static_cast<Raft*>(r->data)->closed = true; });
   while (!raft_->closed && !raft_->later.empty()) RunLater();
 }
 
-void Council::RunLater() {
+void RaftNode::RunLater() {
   while (!raft_->later.empty()) {
     const auto what = std::move(raft_->later.front());
     raft_->later.pop_front();
@@ -403,33 +403,34 @@
   }
 }
 
-void Council::Start() {
+void RaftNode::Start() {
   if (started_ || raft_start(&raft_->raft) != 0) return;
   started_ = true;
   RunLater();
 }
 
-bool Council::Bootstrap(const std::vector<Server>& servers) {
+bool RaftNode::Bootstrap(const std::vector<Server>& servers) {
   raft_configuration configuration{};
   const bool made =
       Fill(configuration, servers) && raft_bootstrap(&raft_->raft, &configuration) == 0;
   raft_configuration_close(&configuration);
   if (!made) return false;
-  kept_ = store_.Load(damaged_);
+  persistent_ = store_.Load(damaged_);
   first_ = servers;
   return true;
 }
 
 // ======== time and messages ========
 
-void Council::Tick(Time now) {
+void RaftNode::Tick(Time now) {
   now_ = now;
   if (now < next_tick_ || broken()) return;
   // Half a heartbeat, as finely as the time limits ask for.
   next_tick_ = now + options_.heartbeat / 2;
   if (!started_) {
-    // A log of an earlier life: only once peers have told that it is not older than they remember.
-    if (!kept_.empty()) {
+    // A log of an earlier process_incarnation: only once peers have told that it is not older than
+    // they remember.
+    if (!persistent_.empty()) {
       if (may_vote_) Start();
       return;
     }
@@ -441,8 +442,8 @@
   RunLater();
 }
 
-void Council::Receive(const std::string& from, std::uint64_t identity, bool founding,
-                      std::string_view body, Time now) {
+void RaftNode::Receive(const std::string& from, std::uint64_t identity, bool founding,
+                       std::string_view body, Time now) {
   now_ = now;
   if (broken()) return;
   if (founding) return TakeFounding(from, identity, body, now);
@@ -450,15 +451,16 @@
   message.server_id = identity;
   message.server_address = from.c_str();
   // Without a log: whoever knows this folder's id has given us a place, and says what we are.
-  if ((!started_ && (!kept_.empty() || damaged_)) || !Decode(body, options_.id, message)) return;
+  if ((!started_ && (!persistent_.empty() || damaged_)) || !Decode(body, options_.id, message))
+    return;
   Start();
   if (!started_) return;
   raft_->recv(&raft_->io, &message);
   RunLater();
 }
 
-void Council::Propose(std::string command, Done done) {
-  if (command.size() > kMostCommand) return done(Outcome::kTooLong);
+void RaftNode::Propose(std::string command, Done done) {
+  if (command.size() > kMaxCommandBytes) return done(Outcome::kTooLong);
   if (!leads()) return done(Outcome::kNotLeader);
   struct Request {
     struct raft_apply apply;
@@ -483,7 +485,7 @@
 // ======== the first configuration ========
 
 // Says that we have no log; the first voter makes the first configuration once all have said so.
-void Council::Found(Time now) {
+void RaftNode::Found(Time now) {
   const auto& voters = options_.voters;
   const bool votes = std::find(voters.begin(), voters.end(), options_.self) != voters.end();
   if (!votes || now < next_found_) return;
@@ -504,8 +506,8 @@
   if (Bootstrap(servers)) Start();
 }
 
-void Council::TakeFounding(const std::string& from, std::uint64_t identity, std::string_view body,
-                           Time now) {
+void RaftNode::TakeFounding(const std::string& from, std::uint64_t identity, std::string_view body,
+                            Time now) {
   Reader in(body);
   const auto what = static_cast<Founding>(in.U8());
   if (what == Founding::kEmpty && in.done()) {
@@ -523,7 +525,7 @@
     }
     return;
   }
-  if (what != Founding::kFirst || started_ || damaged_ || !kept_.empty()) return;
+  if (what != Founding::kFirst || started_ || damaged_ || !persistent_.empty()) return;
   const std::vector<Server> servers = ReadServers(in);
   const bool ours = std::any_of(servers.begin(), servers.end(), [this](const Server& server) {
     return server.id == options_.id && server.name == options_.self;
@@ -533,10 +535,10 @@
 
 // ======== who votes ========
 
-void Council::SetVoters(std::vector<std::string> voters) { options_.voters = std::move(voters); }
+void RaftNode::SetVoters(std::vector<std::string> voters) { options_.voters = std::move(voters); }
 
 // The leader's: one step towards the roster's voters, each by the folder that it has now.
-void Council::BringConfiguration(Time now) {
+void RaftNode::BringConfiguration(Time now) {
   if (!leads() || raft_->changing) return;
   const struct raft& r = raft_->raft;
   if (r.configuration_uncommitted_index != 0 || r.last_applied < r.configuration_index) return;
@@ -582,9 +584,9 @@
 
 // ======== what is known ========
 
-bool Council::leads() const { return started_ && raft_state(&raft_->raft) == RAFT_LEADER; }
+bool RaftNode::leads() const { return started_ && raft_state(&raft_->raft) == RAFT_LEADER; }
 
-std::string Council::leader() const {
+std::string RaftNode::leader() const {
   if (!started_) return "";
   raft_id id = 0;
   const char* address = nullptr;
@@ -592,18 +594,20 @@
   return id == 0 || address == nullptr ? "" : address;
 }
 
-std::uint64_t Council::term() const { return started_ ? raft_->raft.current_term : kept_.term; }
-std::uint64_t Council::last_index() const {
-  return started_ ? raft_last_index(&raft_->raft) : kept_.last();
+std::uint64_t RaftNode::term() const {
+  return started_ ? raft_->raft.current_term : persistent_.term;
+}
+std::uint64_t RaftNode::last_index() const {
+  return started_ ? raft_last_index(&raft_->raft) : persistent_.last();
 }
 
-bool Council::broken() const {
+bool RaftNode::broken() const {
   return raft_->failed || (started_ && raft_state(&raft_->raft) == RAFT_UNAVAILABLE);
 }
 
-std::vector<Server> Council::servers() const { return ServersOf(raft_->raft.configuration); }
+std::vector<Server> RaftNode::servers() const { return ServersOf(raft_->raft.configuration); }
 
-bool Council::votes() const {
+bool RaftNode::votes() const {
   for (const Server& server : servers()) {
     if (server.id == options_.id) return server.role == RAFT_VOTER;
   }
--- a/src/consensus/council.hpp
+++ b/src/consensus/raft_node.hpp
@@ -8,8 +8,8 @@
 // another id, which is in no configuration, so it cannot vote for what it has forgotten. The leader
 // then puts the new id in the place of the old one. The first configuration is made by the first
 // voter of the roster, once every voter has said that its folder is empty.
-#ifndef BRASSFRONT_CONSENSUS_COUNCIL_HPP_
-#define BRASSFRONT_CONSENSUS_COUNCIL_HPP_
+#ifndef BRASSFRONT_CONSENSUS_RAFT_NODE_HPP_
+#define BRASSFRONT_CONSENSUS_RAFT_NODE_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -27,7 +27,7 @@
 
 using Time = std::chrono::nanoseconds;
 
-inline constexpr std::size_t kMostCommand = 512;  // bytes
+inline constexpr std::size_t kMaxCommandBytes = 512;  // bytes
 
 // What the settled commands act on. Commands must come to the same everywhere.
 class StateMachine {
@@ -38,7 +38,7 @@
   virtual bool Load(std::string_view state) = 0;
 };
 
-class Council {
+class RaftNode {
  public:
   struct Options {
     std::uint64_t id = 0;  // of the folder
@@ -58,10 +58,10 @@
   using Done = std::function<void(Outcome)>;
 
   // Throws std::runtime_error where the log cannot be read at all.
-  Council(Options options, Store& store, StateMachine& machine);
-  ~Council();
-  Council(const Council&) = delete;
-  Council& operator=(const Council&) = delete;
+  RaftNode(Options options, Store& store, StateMachine& machine);
+  ~RaftNode();
+  RaftNode(const RaftNode&) = delete;
+  RaftNode& operator=(const RaftNode&) = delete;
 
   void Tick(Time now);
   // Never, once it is broken: whoever waits for it would not wait at all else.
@@ -74,15 +74,15 @@
   void Propose(std::string command, Done done);
   // The roster's voters have changed; the leader brings the configuration there, a step at a time.
   void SetVoters(std::vector<std::string> voters);
-  // Until it is told that our folder is no old copy (Detector), it starts no log of an earlier
-  // life.
-  void MayVote() { may_vote_ = true; }
+  // Until it is told that our folder is no old copy (FailureDetector), it starts no log of an
+  // earlier process_incarnation.
+  void AllowVoting() { may_vote_ = true; }
 
   [[nodiscard]] bool leads() const;
   [[nodiscard]] std::string leader() const;  // empty: none known
   [[nodiscard]] std::uint64_t term() const;
   [[nodiscard]] std::uint64_t last_index() const;
-  [[nodiscard]] bool founded() const { return started_; }
+  [[nodiscard]] bool bootstrapped() const { return started_; }
   // The store failed, or its log was damaged: this core does nothing more and is to be made anew.
   [[nodiscard]] bool broken() const;
   [[nodiscard]] bool damaged() const { return damaged_; }
@@ -106,8 +106,8 @@
   Store& store_;
   StateMachine& machine_;
   std::unique_ptr<Raft> raft_;
-  Kept kept_;                  // as loaded, until it is started
-  std::vector<Server> first_;  // the first configuration, while it is known
+  PersistentState persistent_;  // as loaded, until it is started
+  std::vector<Server> first_;   // the first configuration, while it is known
   bool started_ = false, damaged_ = false, may_vote_ = false;
   Time now_{}, next_tick_{}, next_found_{};
   struct Empty {
@@ -121,4 +121,4 @@
 
 }  // namespace brassfront::consensus
 
-#endif  // BRASSFRONT_CONSENSUS_COUNCIL_HPP_
+#endif  // BRASSFRONT_CONSENSUS_RAFT_NODE_HPP_
--- a/src/consensus/store.hpp
+++ b/src/consensus/store.hpp
@@ -39,7 +39,7 @@
   bool operator==(const Snapshot&) const = default;
 };
 
-struct Kept {
+struct PersistentState {
   std::uint64_t term = 0, vote = 0;
   std::optional<Snapshot> snapshot;
   std::uint64_t first = 1;  // index of the first of the entries
@@ -54,7 +54,7 @@
   virtual ~Store() = default;
   // What is kept. Where it cannot be trusted (bytes flipped before the end), nothing, and
   // `damaged` is set: such a voter must not vote for what it may have forgotten.
-  virtual Kept Load(bool& damaged) = 0;
+  virtual PersistentState Load(bool& damaged) = 0;
   virtual bool SetTerm(std::uint64_t term) = 0;  // and no vote in it yet
   virtual bool SetVote(std::uint64_t id) = 0;
   virtual bool Append(const std::vector<Entry>& entries) = 0;
@@ -69,39 +69,41 @@
 // In memory: for tests, and the model of what FileStore does.
 class MemoryStore : public Store {
  public:
-  Kept Load(bool& damaged) override {
+  PersistentState Load(bool& damaged) override {
     damaged = false;
-    return kept_;
+    return persistent_;
   }
   bool SetTerm(std::uint64_t term) override {
-    kept_.term = term;
-    kept_.vote = 0;
+    persistent_.term = term;
+    persistent_.vote = 0;
     return works;
   }
   bool SetVote(std::uint64_t id) override {
-    kept_.vote = id;
+    persistent_.vote = id;
     return works;
   }
   bool Append(const std::vector<Entry>& entries) override {
-    if (works) kept_.entries.insert(kept_.entries.end(), entries.begin(), entries.end());
+    if (works)
+      persistent_.entries.insert(persistent_.entries.end(), entries.begin(), entries.end());
     return works;
   }
   bool Truncate(std::uint64_t from) override {
-    if (from < kept_.first) return false;
-    if (from - kept_.first < kept_.entries.size()) kept_.entries.resize(from - kept_.first);
+    if (from < persistent_.first) return false;
+    if (from - persistent_.first < persistent_.entries.size())
+      persistent_.entries.resize(from - persistent_.first);
     return works;
   }
   bool Put(const Snapshot& snapshot, std::uint64_t trailing) override {
     if (!works) return false;
-    Compact(kept_, snapshot, trailing);
+    Compact(persistent_, snapshot, trailing);
     return true;
   }
   bool Clear() override {
-    kept_ = {};
+    persistent_ = {};
     return true;
   }
   // What Put comes to.
-  static void Compact(Kept& kept, const Snapshot& snapshot, std::uint64_t trailing) {
+  static void Compact(PersistentState& kept, const Snapshot& snapshot, std::uint64_t trailing) {
     kept.snapshot = snapshot;
     if (trailing == 0 || snapshot.index > kept.last()) {
       kept.entries.clear();
@@ -119,7 +121,7 @@
   bool works = true;  // a full disk
 
  private:
-  Kept kept_;
+  PersistentState persistent_;
 };
 
 }  // namespace brassfront::consensus
--- a/src/fleet/control.cpp
+++ b/src/fleet/control_server.cpp
@@ -1,4 +1,4 @@
-#include "fleet/control.hpp"
+#include "fleet/control_server.hpp"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -58,11 +58,11 @@
 
 }  // namespace
 
-Reply Refusal(int status, const std::string& why) {
+ControlReply Refusal(int status, const std::string& why) {
   return {status, "{\"error\": " + json::Quote(why) + "}"};
 }
 
-bool ParseCall(std::string_view head, Call& call) {
+bool ParseControlRequest(std::string_view head, ControlRequest& call) {
   const std::string_view line = head.substr(0, head.find("\r\n"));
   const std::size_t first = line.find(' ');
   const std::size_t last = line.rfind(' ');
@@ -85,7 +85,7 @@
   return true;
 }
 
-Control::Control(const std::string& folder, Handle handle)
+ControlServer::ControlServer(const std::string& folder, Handle handle)
     : path_(folder + "/" + kName),
       handle_(std::move(handle)),
       listener_(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)),
@@ -105,26 +105,26 @@
   if (!thread_.started()) throw std::runtime_error("no room for a thread");
 }
 
-Control::~Control() {
+ControlServer::~ControlServer() {
   eventfd_write(wake_.fd(), 1);
   thread_.Join();
   unlink(path_.c_str());
 }
 
-void Control::Serve() {
+void ControlServer::Serve() {
   while (true) {
     pollfd ready[2] = {{listener_.fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
     if (poll(ready, 2, -1) < 0 && errno != EINTR) return;
     if (ready[1].revents != 0) return;
     if (ready[0].revents == 0) continue;
     Socket connection(accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
-    if (connection.is_open()) Answer(std::move(connection));
+    if (connection.is_open()) AnswerRequest(std::move(connection));
   }
 }
 
-void Control::Answer(Socket connection) {
+void ControlServer::AnswerRequest(Socket connection) {
   const SteadyTime until = std::chrono::steady_clock::now() + kHeadWithin;
-  Reply reply = Refusal(400, "no request that can be read came in time");
+  ControlReply reply = Refusal(400, "no request that can be read came in time");
   ucred peer{};
   socklen_t length = sizeof peer;
   const bool known = getsockopt(connection.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0;
@@ -136,10 +136,10 @@
     if (n <= 0) break;
     head.append(bytes.data(), static_cast<std::size_t>(n));
   }
-  Call call;
+  ControlRequest call;
   if (!known || (peer.uid != geteuid() && peer.uid != 0)) {
     reply = Refusal(403, "only the owner of the forwarder may ask");
-  } else if (head.find("\r\n\r\n") != std::string::npos && ParseCall(head, call)) {
+  } else if (head.find("\r\n\r\n") != std::string::npos && ParseControlRequest(head, call)) {
     reply = handle_(call);
   }
   connection.SendAll("HTTP/1.1 " + std::to_string(reply.status) +
@@ -150,7 +150,8 @@
                      std::chrono::steady_clock::now() + kHeadWithin);
 }
 
-Reply CallControl(const std::string& folder, const std::string& method, const std::string& target) {
+ControlReply CallControl(const std::string& folder, const std::string& method,
+                         const std::string& target) {
   const std::string path = folder + "/" + kName;
   struct stat status {};
   if (stat(path.c_str(), &status) != 0) {
--- a/src/fleet/control.hpp
+++ b/src/fleet/control_server.hpp
@@ -1,7 +1,7 @@
 // The control socket: HTTP/1.1 on a Unix socket in the state folder, for its owner and root alone.
 // One call a connection; it asks the fleet's thread and answers JSON.
-#ifndef BRASSFRONT_FLEET_CONTROL_HPP_
-#define BRASSFRONT_FLEET_CONTROL_HPP_
+#ifndef BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
+#define BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
 
 #include <functional>
 #include <map>
@@ -12,36 +12,36 @@
 
 namespace brassfront::fleet {
 
-struct Call {
+struct ControlRequest {
   std::string method;  // GET or POST
   std::string path;    // without its query
   std::map<std::string, std::string> query;
 };
-struct Reply {
+struct ControlReply {
   int status = 200;
   std::string body;  // JSON
 };
 
 // `{"error": ...}`.
-Reply Refusal(int status, const std::string& why);
+ControlReply Refusal(int status, const std::string& why);
 
 // False if the text is no request's head.
-bool ParseCall(std::string_view head, Call& call);
+bool ParseControlRequest(std::string_view head, ControlRequest& call);
 
-class Control {
+class ControlServer {
  public:
   // Answers, and may take some seconds for it.
-  using Handle = std::function<Reply(const Call&)>;
+  using Handle = std::function<ControlReply(const ControlRequest&)>;
 
   // Throws std::runtime_error where the socket cannot be made.
-  Control(const std::string& folder, Handle handle);
-  ~Control();
-  Control(const Control&) = delete;
-  Control& operator=(const Control&) = delete;
+  ControlServer(const std::string& folder, Handle handle);
+  ~ControlServer();
+  ControlServer(const ControlServer&) = delete;
+  ControlServer& operator=(const ControlServer&) = delete;
 
  private:
   void Serve();
-  void Answer(Socket connection);
+  void AnswerRequest(Socket connection);
 
   const std::string path_;
   const Handle handle_;
@@ -51,8 +51,9 @@
 
 // Calls the control socket of a folder; throws std::runtime_error with what is wrong, such as that
 // nobody listens there or that the folder is somebody else's.
-Reply CallControl(const std::string& folder, const std::string& method, const std::string& target);
+ControlReply CallControl(const std::string& folder, const std::string& method,
+                         const std::string& target);
 
 }  // namespace brassfront::fleet
 
-#endif  // BRASSFRONT_FLEET_CONTROL_HPP_
+#endif  // BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
--- a/src/fleet/bans.cpp
+++ b/src/fleet/endpoint_exclusions.cpp
@@ -1,10 +1,10 @@
-#include "fleet/bans.hpp"
+#include "fleet/endpoint_exclusions.hpp"
 
 #include <utility>
 
 namespace brassfront::fleet {
 
-MemberList Bans::Take(MemberList list) {
+MemberList EndpointExclusions::Take(MemberList list) {
   const std::lock_guard lock(mutex_);
   if (list.complete) known_.clear();
   revision_ = std::max(revision_, list.revision);
@@ -19,7 +19,7 @@
   return list;
 }
 
-MemberList Bans::Set(std::set<std::string> banned) {
+MemberList EndpointExclusions::Set(std::set<std::string> banned) {
   const std::lock_guard lock(mutex_);
   MemberList changes;
   changes.revision = revision_;
--- a/src/fleet/bans.hpp
+++ b/src/fleet/endpoint_exclusions.hpp
@@ -1,7 +1,7 @@
 // Endpoints that are out for work, kept out of every list that reaches the engine. The engine knows
 // of no ban: to it the endpoint drains, as the platform's own lists would have it.
-#ifndef BRASSFRONT_FLEET_BANS_HPP_
-#define BRASSFRONT_FLEET_BANS_HPP_
+#ifndef BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
+#define BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
 
 #include <map>
 #include <mutex>
@@ -13,7 +13,7 @@
 namespace brassfront::fleet {
 
 // For any thread.
-class Bans {
+class EndpointExclusions {
  public:
   // A list as it came; the same with banned endpoints as terminating.
   MemberList Take(MemberList list);
@@ -29,4 +29,4 @@
 
 }  // namespace brassfront::fleet
 
-#endif  // BRASSFRONT_FLEET_BANS_HPP_
+#endif  // BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,8 +15,8 @@
 
 #include "fleet/reports.hpp"
 #include "observe/log.hpp"
+#include "peers/atomic_file.hpp"
 #include "peers/bytes.hpp"
-#include "peers/whole_file.hpp"
 #include "records/records.hpp"
 
 namespace brassfront::fleet {
@@ -76,8 +76,8 @@
       self_name_(self),
       seed_(seed),
       self_(folder),
-      detector_(roster_.timings, self, NamesOf(roster_), self_.identity(), self_.life(),
-                seed ^ self_.identity()),
+      failure_detector_(roster_.timings, self, NamesOf(roster_), self_.identity(),
+                        self_.process_incarnation(), seed ^ self_.identity()),
       store_(folder_),
       buffer_(peers::kMostFrame + 1) {
   std::ifstream in(folder_ + "/known", std::ios::binary);
@@ -86,11 +86,12 @@
     observe::Log(Concern::kFleet, Level::kWarning, "kept state cannot be read, asked for anew");
   }
   if (roster_.sharing.limits || roster_.sharing.verdicts) {
-    sharing_ = std::make_unique<Sharing>(roster_, self_name_, self_.life());
+    sharing_ = std::make_unique<Sharing>(roster_, self_name_, self_.process_incarnation());
   }
   // What was settled holds from the first list on.
-  const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
-  bans_.Set(duty.ban);
+  const maintenance::Duty duty =
+      ComputeDuty(known_, self_name_, self_.process_incarnation(), local_);
+  exclusions_.Set(duty.ban);
 }
 
 Fleet::~Fleet() { Leave(); }
@@ -110,11 +111,11 @@
   DoNotWait(socket_);
   wake_ = Socket(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
   if (!wake_.is_open()) throw std::runtime_error("no room for a descriptor");
-  MakeCouncil();
+  MakeRaftNode();
   DoDuty(Now());
-  control_server_ = std::make_unique<Control>(folder_, [this](const Call& call) {
+  control_server_ = std::make_unique<ControlServer>(folder_, [this](const ControlRequest& call) {
     Asked asked{call, {}};
-    std::future<Reply> reply = asked.reply.get_future();
+    std::future<ControlReply> reply = asked.reply.get_future();
     Put(std::move(asked));
     try {
       return reply.get();
@@ -129,7 +130,7 @@
                 {"fleet", roster_.fleet},
                 {"members", roster_.members.size()},
                 {"address", address},
-                {"life", self_.life()}});
+                {"life", self_.process_incarnation()}});
 }
 
 void Fleet::Put(Item item) {
@@ -153,20 +154,20 @@
 
 void Fleet::Work() {
   while (!leaving_) {
-    Time next = std::min({detector_.Next(), next_duty_, next_news_});
-    if (council_) next = std::min(next, council_->Next());
+    Time next = std::min({failure_detector_.Next(), next_duty_, next_news_});
+    if (raft_node_) next = std::min(next, raft_node_->Next());
     if (sharing_) next = std::min(next, sharing_->Next());
     const Time wait = std::clamp<Time>(next - Now(), Time{}, kLongestWait);
     pollfd ready[2] = {{socket_.fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}};
     poll(ready, 2, static_cast<int>(std::chrono::ceil<milliseconds>(wait).count()));
     // First what is due: a process that was stopped must see that before what came meanwhile.
     const Time now = Now();
-    detector_.Tick(now);
-    TickCouncil(now);
-    if (sharing_) sharing_->Tick(council_ && council_->leads(), now);
+    failure_detector_.Tick(now);
+    TickRaftNode(now);
+    if (sharing_) sharing_->Tick(raft_node_ && raft_node_->leads(), now);
     if (ready[0].revents != 0) ReadDatagrams(now);
     if (ready[1].revents != 0) TakeItems();
-    if (council_) Know(settled_);
+    if (raft_node_) Know(settled_);
     LeadTurns(now);
     DoDuty(now);
     AskForNews(now);
@@ -186,7 +187,7 @@
 }
 
 void Fleet::On(const LeaveNow&) {
-  detector_.Leave(Now());
+  failure_detector_.Leave(Now());
   SendFrames();
   leaving_ = true;
 }
@@ -209,14 +210,14 @@
 }
 
 void Fleet::TakeFrame(const peers::Frame& frame, Time now) {
-  detector_.Receive(frame, now);
+  failure_detector_.Receive(frame, now);
   if (roster_.Find(frame.from) == nullptr || frame.from == self_name_) return;
   switch (frame.kind) {
     case peers::Kind::kSettled:
     case peers::Kind::kFound:
-      if (council_) {
-        council_->Receive(frame.from, frame.identity, frame.kind == peers::Kind::kFound, frame.body,
-                          now);
+      if (raft_node_) {
+        raft_node_->Receive(frame.from, frame.identity, frame.kind == peers::Kind::kFound,
+                            frame.body, now);
       }
       return;
     case peers::Kind::kAsk:
@@ -236,8 +237,8 @@
 // A command of another member's. It sees in the settled state whether it was settled; what it
 // cannot see is sent again, so nothing is answered.
 void Fleet::TakeAsk(const peers::Frame& frame) {
-  if (!council_ || !council_->leads() || !maintenance::Command::Decode(frame.body)) return;
-  council_->Propose(frame.body, [](consensus::Council::Outcome) {});
+  if (!raft_node_ || !raft_node_->leads() || !maintenance::Command::Decode(frame.body)) return;
+  raft_node_->Propose(frame.body, [](consensus::RaftNode::Outcome) {});
 }
 
 void Fleet::TakeNews(const peers::Frame& frame) {
@@ -248,7 +249,7 @@
     const std::uint64_t load = in.U64();
     if (!in.done()) return;
     loads_[frame.from] = load;
-    if (!council_ || !council_->founded()) return;
+    if (!raft_node_ || !raft_node_->bootstrapped()) return;
     peers::Writer body;
     body.U8(static_cast<std::uint64_t>(News::kTell)).U64(known_.revision());
     body.Name(Leader()).Text(known_.revision() > revision ? known_.Save() : "");
@@ -257,7 +258,7 @@
   const std::string leader = in.Name(), state = in.Text();
   if (what != News::kTell || !in.done()) return;
   believed_leader_ = leader;
-  maintenance::Machine told;
+  maintenance::MaintenanceState told;
   if (!state.empty() && told.Load(state)) Know(told);
 }
 
@@ -269,18 +270,18 @@
   if (!first && now - it->second < kTellEvery) return;
   it->second = now;
   observe::Log(Concern::kFleet, Level::kWarning, "frame dropped",
-               {{"from", who}, {"reason", peers::NameOf(drop)}, {"dropped", dropped_[drop]}});
+               {{"from", who}, {"reason", peers::ToString(drop)}, {"dropped", dropped_[drop]}});
 }
 
 void Fleet::Send(peers::Kind kind, const std::string& to, std::string body) {
   out_.push_back(
-      {kind, self_name_, to, self_.identity(), detector_.incarnation(), std::move(body)});
+      {kind, self_name_, to, self_.identity(), failure_detector_.incarnation(), std::move(body)});
 }
 
 void Fleet::SendFrames() {
-  for (const peers::Frame& frame : detector_.TakeFrames()) SendOut(frame);
-  if (council_) {
-    for (auto& m : council_->TakeMessages()) {
+  for (const peers::Frame& frame : failure_detector_.TakeFrames()) SendOut(frame);
+  if (raft_node_) {
+    for (auto& m : raft_node_->TakeMessages()) {
       Send(m.founding ? peers::Kind::kFound : peers::Kind::kSettled, m.to, std::move(m.body));
     }
   }
@@ -305,70 +306,71 @@
 // ======== the settled log ========
 
 // Anew at the start, when the folder turned out to be an old copy, and when the store failed.
-void Fleet::MakeCouncil() {
-  council_.reset();
+void Fleet::MakeRaftNode() {
+  raft_node_.reset();
   if (!Votes()) return;
   settled_ = {};
-  consensus::Council::Options options;
+  consensus::RaftNode::Options options;
   options.id = self_.identity();
   options.self = self_name_;
   options.voters = roster_.Voters();
   options.heartbeat = roster_.timings.heartbeat;
   options.election = roster_.timings.election;
-  options.seed = seed_ ^ self_.identity() ^ self_.life();
-  council_ = std::make_unique<consensus::Council>(std::move(options), store_, settled_);
-  if (council_->damaged()) {
-    JoinAnew("settled log damaged, this folder joins anew and has no vote until then");
+  options.seed = seed_ ^ self_.identity() ^ self_.process_incarnation();
+  raft_node_ = std::make_unique<consensus::RaftNode>(std::move(options), store_, settled_);
+  if (raft_node_->damaged()) {
+    Rejoin("settled log damaged, this folder joins anew and has no vote until then");
   }
 }
 
 // What the folder says of votes cannot be trusted: it forgets them and is another one from now on.
-void Fleet::JoinAnew(std::string_view why) {
+void Fleet::Rejoin(std::string_view why) {
   observe::Log(Concern::kFleet, Level::kError, why);
   store_.Clear();
   self_.Renew();
-  MakeCouncil();
+  MakeRaftNode();
 }
 
-void Fleet::TickCouncil(Time now) {
-  if (!council_) return;
-  if (detector_.folder_is_old() && !council_->founded() && !std::exchange(old_seen_, true)) {
+void Fleet::TickRaftNode(Time now) {
+  if (!raft_node_) return;
+  if (failure_detector_.folder_is_stale() && !raft_node_->bootstrapped() &&
+      !std::exchange(old_seen_, true)) {
     // Peers remember later lives of ours: a vote since then may be missing here.
     bool damaged = false;
     if (!store_.Load(damaged).empty() || damaged) {
-      JoinAnew("settled log is an old copy, this folder joins anew");
+      Rejoin("settled log is an old copy, this folder joins anew");
     }
   }
   // Half of the other voters at least have told what they remember of us.
   const std::size_t others = roster_.Voters().size() - 1;
-  if (detector_.answered_by() >= (others + 1) / 2) council_->MayVote();
-  if (council_->broken()) {
+  if (failure_detector_.answered_by() >= (others + 1) / 2) raft_node_->AllowVoting();
+  if (raft_node_->broken()) {
     if (council_again_ == Time{}) {
       observe::Log(Concern::kFleet, Level::kError, "settled log cannot be written");
       council_again_ = now + kCouncilAgain;
     }
     if (now < council_again_) return;
     council_again_ = {};
-    MakeCouncil();
+    MakeRaftNode();
     return;
   }
-  council_->Tick(now);
+  raft_node_->Tick(now);
 }
 
 // From our own log or the leader; the duty that follows is done in this turn.
-void Fleet::Know(const maintenance::Machine& newer) {
+void Fleet::Know(const maintenance::MaintenanceState& newer) {
   if (newer.revision() <= known_.revision()) return;
   TellRequests(std::exchange(known_, newer));
   next_duty_ = {};
 }
 
 // A line for each request that is in another state now. The state is kept for the next start.
-void Fleet::TellRequests(const maintenance::Machine& before) {
+void Fleet::TellRequests(const maintenance::MaintenanceState& before) {
   const auto tell = [&](const maintenance::Request& request) {
     observe::Log(Concern::kFleet, Level::kInfo, "work",
                  {{"request", request.id},
                   {"name", request.name},
-                  {"state", NameOf(request.state)},
+                  {"state", ToString(request.state)},
                   {"used", known_.UsedInAll()},
                   {"revision", known_.revision()}});
   };
@@ -383,27 +385,27 @@
   for (const auto& request : known_.over()) {
     if (was(request.id)) tell(request);
   }
-  if (!peers::WriteWhole(folder_ + "/known", known_.Save())) {
+  if (!peers::WriteAtomically(folder_ + "/known", known_.Save())) {
     observe::LogSeldom(Concern::kFleet, Level::kError, "settled state cannot be kept");
   }
 }
 
 std::string Fleet::Leader() const {
-  if (council_ && council_->founded()) return council_->leader();
+  if (raft_node_ && raft_node_->bootstrapped()) return raft_node_->leader();
   return believed_leader_;
 }
 
 // To the leader, from wherever; what is lost on the way is submitted again by who needs it.
 void Fleet::Submit(const maintenance::Command& command) {
-  if (council_ && council_->leads()) {
-    return council_->Propose(command.Encode(), [](consensus::Council::Outcome) {});
+  if (raft_node_ && raft_node_->leads()) {
+    return raft_node_->Propose(command.Encode(), [](consensus::RaftNode::Outcome) {});
   }
   const std::string leader = Leader();
   if (!leader.empty()) Send(peers::Kind::kAsk, leader, command.Encode());
 }
 
 void Fleet::LeadTurns(Time now) {
-  if (!council_ || !council_->leads()) {
+  if (!raft_node_ || !raft_node_->leads()) {
     if (leads_since_) observe::Log(Concern::kFleet, Level::kInfo, "leads no longer");
     leads_since_.reset();
     leader_waits_ = false;
@@ -413,19 +415,20 @@
     leads_since_ = now;
     leader_ = {};
     leader_waits_ = false;
-    observe::Log(Concern::kFleet, Level::kInfo, "leads", {{"term", council_->term()}});
+    observe::Log(Concern::kFleet, Level::kInfo, "leads", {{"term", raft_node_->term()}});
   }
   if (leader_waits_) return;
-  std::map<std::string, maintenance::Seen> seen;
-  for (const auto& [name, peer] : detector_.peers()) {
-    seen[name] = {peer.state, peers::LifeOf(peer.incarnation), loads_[name]};
+  std::map<std::string, maintenance::ObservedMember> seen;
+  for (const auto& [name, peer] : failure_detector_.peers()) {
+    seen[name] = {peer.state, peers::ProcessIncarnationOf(peer.incarnation), loads_[name]};
   }
-  seen[self_name_] = {peers::State::kAlive, self_.life(), forwarder_.messages_in_flight()};
+  seen[self_name_] = {peers::State::kAlive, self_.process_incarnation(),
+                      forwarder_.messages_in_flight()};
   const auto command = leader_.Next(settled_, roster_, seen, now - *leads_since_, now);
   if (!command) return;
   leader_waits_ = true;
-  council_->Propose(command->Encode(),
-                    [this](consensus::Council::Outcome) { leader_waits_ = false; });
+  raft_node_->Propose(command->Encode(),
+                      [this](consensus::RaftNode::Outcome) { leader_waits_ = false; });
 }
 
 // ======== this member's part ========
@@ -433,14 +436,15 @@
 void Fleet::DoDuty(Time now) {
   if (now < next_duty_) return;
   next_duty_ = now + kDutyEvery;
-  own_.drained = own_.standing_by && now - stands_by_since_ >= kStandByAtLeast &&
-                 forwarder_.messages_in_flight() == 0;
+  local_.drained = local_.standing_by && now - stands_by_since_ >= kStandByAtLeast &&
+                   forwarder_.messages_in_flight() == 0;
   // Guards against a machine that is asked back while its old process still ends: it takes no more
   // clients, and only the next process may say that it serves.
-  own_.serving = !own_.standing_by && forwarder_.keeps_running();
-  const maintenance::Duty duty = DutyOf(known_, self_name_, self_.life(), own_);
-  if (duty.stand_by != own_.standing_by) {
-    own_.standing_by = duty.stand_by;
+  local_.serving = !local_.standing_by && forwarder_.keeps_running();
+  const maintenance::Duty duty =
+      ComputeDuty(known_, self_name_, self_.process_incarnation(), local_);
+  if (duty.stand_by != local_.standing_by) {
+    local_.standing_by = duty.stand_by;
     stands_by_since_ = now;
     forwarder_.set_standby(duty.stand_by);
     observe::Log(Concern::kFleet, Level::kInfo, duty.stand_by ? "standby" : "active");
@@ -452,8 +456,8 @@
     }
     ban_asked_ = duty.ban;
     // Until the engine has taken this up, only what both have is certain.
-    std::erase_if(own_.banned, [&](const std::string& e) { return !duty.ban.contains(e); });
-    MemberList changes = bans_.Set(duty.ban);
+    std::erase_if(local_.banned, [&](const std::string& e) { return !duty.ban.contains(e); });
+    MemberList changes = exclusions_.Set(duty.ban);
     if (!changes.members.empty()) forwarder_.set_endpoints(std::move(changes));
     // It was settled, so it binds as if two had seen it.
     for (std::string& e : back) {
@@ -476,15 +480,16 @@
     // Any voter that is there tells who leads.
     std::vector<std::string> there;
     for (const std::string& voter : roster_.Voters()) {
-      const auto it = detector_.peers().find(voter);
-      if (it != detector_.peers().end() && it->second.state == peers::State::kAlive) {
+      const auto it = failure_detector_.peers().find(voter);
+      if (it != failure_detector_.peers().end() && it->second.state == peers::State::kAlive) {
         there.push_back(voter);
       }
     }
     if (there.empty()) return;
     to = there[static_cast<std::size_t>(now.count() / 1'000'000) % there.size()];
   }
-  if (detector_.peers().contains(to) && detector_.peers().at(to).state == peers::State::kDead) {
+  if (failure_detector_.peers().contains(to) &&
+      failure_detector_.peers().at(to).state == peers::State::kDead) {
     believed_leader_.clear();
   }
   peers::Writer body;
@@ -497,7 +502,7 @@
 void Fleet::Share(Time now) {
   if (!sharing_) return;
   std::vector<std::string> present{self_name_};
-  for (const auto& [name, peer] : detector_.peers()) {
+  for (const auto& [name, peer] : failure_detector_.peers()) {
     if (peer.state == peers::State::kAlive || peer.state == peers::State::kSuspect) {
       present.push_back(name);
     }
@@ -510,7 +515,7 @@
 // ======== operators ========
 
 void Fleet::On(Asked& e) {
-  const Call& call = e.call;
+  const ControlRequest& call = e.call;
   if (call.method == "GET") {
     if (call.path == "/fleet/status") return e.reply.set_value(Status(false));
     if (call.path == "/fleet/members") return e.reply.set_value(Status(true));
@@ -530,19 +535,20 @@
         Refusal(call.path.rfind("/fleet/maintenance/", 0) == 0 ? 400 : 404, fault));
   }
   while (c.token == 0) {
-    c.token = peers::LifeOf(self_.identity()) ^ static_cast<std::uint64_t>(Now().count());
+    c.token =
+        peers::ProcessIncarnationOf(self_.identity()) ^ static_cast<std::uint64_t>(Now().count());
   }
   pending_.push_back({std::move(c), std::move(e.reply), Now() + kOperatorWaits, Time{}});
 }
 
 void Fleet::SettlePending(Time now) {
   std::erase_if(pending_, [&](Pending& p) {
-    if (const maintenance::Answer* answer = known_.AnswerTo(p.command.token)) {
+    if (const maintenance::RequestResult* answer = known_.ResultFor(p.command.token)) {
       p.reply.set_value({answer->good ? 200 : 409, AnswerJson(*answer, p.command.token)});
       return true;
     }
     if (now >= p.until) {
-      p.reply.set_value(Refusal(503, NoQuorumText(Leader(), roster_, detector_)));
+      p.reply.set_value(Refusal(503, NoQuorumText(Leader(), roster_, failure_detector_)));
       return true;
     }
     if (now >= p.next_try) {
@@ -554,34 +560,41 @@
   });
 }
 
-Reply Fleet::Status(bool members) const {
-  StatusFacts facts{self_name_, Leader(),     council_ ? council_->term() : 0,
-                    known_,     roster_,      detector_,
-                    own_,       self_.life(), council_ && council_->votes()};
+ControlReply Fleet::Status(bool members) const {
+  StatusFacts facts{self_name_,
+                    Leader(),
+                    raft_node_ ? raft_node_->term() : 0,
+                    known_,
+                    roster_,
+                    failure_detector_,
+                    local_,
+                    self_.process_incarnation(),
+                    raft_node_ && raft_node_->votes()};
   return {200, members ? MembersJson(facts) : StatusJson(facts)};
 }
 
-Reply Fleet::List() const { return {200, RequestsJson(known_)}; }
+ControlReply Fleet::List() const { return {200, RequestsJson(known_)}; }
 
 // ======== what is told ========
 
 void Fleet::TellChanges() {
-  for (const auto& [name, peer] : detector_.peers()) {
-    // A folder that was lost flips once, and a late frame of its former life once more.
-    if (peer.flips < kFlipsOfTwins || !twins_.insert(name).second) continue;
+  for (const auto& [name, peer] : failure_detector_.peers()) {
+    // A folder that was lost flips once, and a late frame of its former process_incarnation once
+    // more.
+    if (peer.flips < kFlipsOfTwins || !duplicate_members_.insert(name).second) continue;
     observe::Log(Concern::kFleet, Level::kError, "name given twice", {{"name", name}});
   }
-  for (const auto& change : detector_.TakeChanges()) {
+  for (const auto& change : failure_detector_.TakeChanges()) {
     if (change.link) {
       observe::Log(Concern::kFleet, Level::kWarning, "peer link",
-                   {{"name", change.name}, {"link", peers::NameOf(*change.link)}});
+                   {{"name", change.name}, {"link", peers::ToString(*change.link)}});
       continue;
     }
     observe::Log(Concern::kFleet, Level::kInfo, "peer",
                  {{"name", change.name},
-                  {"state", peers::NameOf(change.to)},
-                  {"was", peers::NameOf(change.from)},
-                  {"life", peers::LifeOf(change.incarnation)}});
+                  {"state", peers::ToString(change.to)},
+                  {"was", peers::ToString(change.from)},
+                  {"life", peers::ProcessIncarnationOf(change.incarnation)}});
   }
 }
 
@@ -602,11 +615,11 @@
     const bool voted = Votes();
     roster_ = std::move(next);
     if (sharing_) sharing_->SetRoster(roster_, Now());
-    detector_.SetMembers(NamesOf(roster_));
+    failure_detector_.SetMembers(NamesOf(roster_));
     if (voted != Votes()) {
-      MakeCouncil();
-    } else if (council_) {
-      council_->SetVoters(roster_.Voters());
+      MakeRaftNode();
+    } else if (raft_node_) {
+      raft_node_->SetVoters(roster_.Voters());
     }
     observe::Log(Concern::kFleet, Level::kInfo, "roster read again",
                  {{"members", roster_.members.size()}});
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -18,16 +18,16 @@
 
 #include "concurrency/bounded_queue.hpp"
 #include "concurrency/thread.hpp"
-#include "consensus/council.hpp"
 #include "consensus/file_store.hpp"
-#include "fleet/bans.hpp"
-#include "fleet/control.hpp"
+#include "consensus/raft_node.hpp"
+#include "fleet/control_server.hpp"
+#include "fleet/endpoint_exclusions.hpp"
 #include "fleet/forwarder_control.hpp"
-#include "fleet/self.hpp"
+#include "fleet/local_identity.hpp"
 #include "fleet/sharing.hpp"
-#include "maintenance/turns.hpp"
+#include "maintenance/maintenance_scheduler.hpp"
 #include "net/socket.hpp"
-#include "peers/detector.hpp"
+#include "peers/failure_detector.hpp"
 #include "peers/roster.hpp"
 
 namespace brassfront::fleet {
@@ -43,7 +43,7 @@
   // A list of endpoints on its way to the engine; what comes back goes there. For any thread.
   MemberList Filter(MemberList list) {
     if (sharing_) sharing_->Listed(list);
-    return bans_.Take(std::move(list));
+    return exclusions_.Take(std::move(list));
   }
 
   // What the engine is to tell of its calls; none: nothing is shared beside work.
@@ -66,15 +66,15 @@
     std::set<std::string> endpoints;
   };
   struct Asked {
-    Call call;
-    std::promise<Reply> reply;
+    ControlRequest call;
+    std::promise<ControlReply> reply;
   };
   using Item = std::variant<ReloadNow, LeaveNow, Banned, Asked>;
 
   // A command of an operator's that waits to be settled.
   struct Pending {
     maintenance::Command command;
-    std::promise<Reply> reply;
+    std::promise<ControlReply> reply;
     Time until{}, next_try{};
   };
 
@@ -83,22 +83,22 @@
   void TakeItems();
   void On(const ReloadNow&) { TakeRoster(); }
   void On(const LeaveNow&);
-  void On(Banned& e) { own_.banned = std::move(e.endpoints); }
+  void On(Banned& e) { local_.banned = std::move(e.endpoints); }
   void On(Asked& e);
   void ReadDatagrams(Time now);
   void TakeFrame(const peers::Frame& frame, Time now);
   void TakeAsk(const peers::Frame& frame);
   void TakeNews(const peers::Frame& frame);
   void TakeRoster();
-  void MakeCouncil();
-  void JoinAnew(std::string_view why);
-  void TickCouncil(Time now);
+  void MakeRaftNode();
+  void Rejoin(std::string_view why);
+  void TickRaftNode(Time now);
   void LeadTurns(Time now);
   void DoDuty(Time now);
   void AskForNews(Time now);
   void Share(Time now);
-  void Know(const maintenance::Machine& newer);
-  void TellRequests(const maintenance::Machine& before);
+  void Know(const maintenance::MaintenanceState& newer);
+  void TellRequests(const maintenance::MaintenanceState& before);
   void SettlePending(Time now);
   void Submit(const maintenance::Command& command);
   void Send(peers::Kind kind, const std::string& to, std::string body);
@@ -107,16 +107,16 @@
   void TellChanges();
   void TellDropped(peers::Drop drop, const std::string& from, Time now);
   [[nodiscard]] std::string Leader() const;
-  [[nodiscard]] Reply Status(bool members) const;
-  [[nodiscard]] Reply List() const;
+  [[nodiscard]] ControlReply Status(bool members) const;
+  [[nodiscard]] ControlReply List() const;
   [[nodiscard]] bool Votes() const;
 
   const std::string path_, folder_;
   peers::Roster roster_;
   const std::string self_name_;
   const std::uint64_t seed_;
-  Self self_;
-  Bans bans_;
+  LocalIdentity self_;
+  EndpointExclusions exclusions_;
   std::unique_ptr<Sharing> sharing_;  // none: the roster has no such part
   ForwarderControl forwarder_;
   Socket socket_;
@@ -124,31 +124,31 @@
   BoundedQueue<Item> inbox_{64};
 
   // The thread's own.
-  peers::Detector detector_;
+  peers::FailureDetector failure_detector_;
   consensus::FileStore store_;
-  maintenance::Machine settled_;  // what our own log comes to, if we vote
-  std::unique_ptr<consensus::Council> council_;
+  maintenance::MaintenanceState settled_;  // what our own log comes to, if we vote
+  std::unique_ptr<consensus::RaftNode> raft_node_;
   Time council_again_{};
-  bool old_seen_ = false;       // the folder was found to be an old copy
-  maintenance::Machine known_;  // the newest settled state that we have, from whoever
-  maintenance::Leader leader_;
+  bool old_seen_ = false;                // the folder was found to be an old copy
+  maintenance::MaintenanceState known_;  // the newest settled state that we have, from whoever
+  maintenance::MaintenanceScheduler leader_;
   std::optional<Time> leads_since_;
   bool leader_waits_ = false;    // for its last command
   std::string believed_leader_;  // where we do not vote
   std::map<std::string, std::uint64_t> loads_;
-  maintenance::Own own_;
+  maintenance::LocalMember local_;
   Time stands_by_since_{};
   std::set<std::string> ban_asked_;
   Time next_duty_{}, next_news_{};
   std::vector<Pending> pending_;
   std::map<std::string, Time> told_;  // bad frames, by whom they claim to be from
   std::map<peers::Drop, std::uint64_t> dropped_;
-  std::set<std::string> twins_;  // names that two processes use, as was told
+  std::set<std::string> duplicate_members_;  // names that two processes use, as was told
   std::vector<char> buffer_;
   std::vector<peers::Frame> out_;
   bool leaving_ = false;
 
-  std::unique_ptr<Control> control_server_;
+  std::unique_ptr<ControlServer> control_server_;
   Thread thread_;
 };
 
--- a/src/fleet/self.cpp
+++ b/src/fleet/local_identity.cpp
@@ -1,4 +1,4 @@
-#include "fleet/self.hpp"
+#include "fleet/local_identity.hpp"
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -11,7 +11,7 @@
 #include <fstream>
 #include <stdexcept>
 
-#include "peers/whole_file.hpp"
+#include "peers/atomic_file.hpp"
 
 namespace brassfront::fleet {
 namespace {
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-Self::Self(const std::string& folder) : folder_(folder) {
+LocalIdentity::LocalIdentity(const std::string& folder) : folder_(folder) {
   std::filesystem::create_directories(folder_);
   std::filesystem::permissions(folder_, std::filesystem::perms::owner_all);
   lock_ = open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
@@ -48,27 +48,29 @@
   }
   std::ifstream in(folder_ + "/member");
   std::string first, sum;
-  if (in >> first >> identity_ >> life_ >> sum && first == kFirstWord &&
-      sum == Sum(std::to_string(identity_) + " " + std::to_string(life_)) && identity_ != 0) {
-    ++life_;
+  if (in >> first >> identity_ >> process_incarnation_ >> sum && first == kFirstWord &&
+      sum == Sum(std::to_string(identity_) + " " + std::to_string(process_incarnation_)) &&
+      identity_ != 0) {
+    ++process_incarnation_;
   } else {
     identity_ = DrawIdentity();
-    life_ = 1;
+    process_incarnation_ = 1;
   }
   Write();
 }
 
-Self::~Self() { close(lock_); }
+LocalIdentity::~LocalIdentity() { close(lock_); }
 
-void Self::Renew() {
+void LocalIdentity::Renew() {
   identity_ = DrawIdentity();
   Write();
 }
 
-void Self::Write() const {
-  const std::string numbers = std::to_string(identity_) + " " + std::to_string(life_);
-  if (!peers::WriteWhole(folder_ + "/member",
-                         std::string(kFirstWord) + " " + numbers + " " + Sum(numbers) + "\n")) {
+void LocalIdentity::Write() const {
+  const std::string numbers =
+      std::to_string(identity_) + " " + std::to_string(process_incarnation_);
+  if (!peers::WriteAtomically(folder_ + "/member", std::string(kFirstWord) + " " + numbers + " " +
+                                                       Sum(numbers) + "\n")) {
     throw std::runtime_error("cannot write " + folder_ + "/member: " + std::strerror(errno));
   }
 }
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -10,19 +10,19 @@
 using json::Quote;
 using maintenance::Command;
 using maintenance::Kind;
-using maintenance::Machine;
+using maintenance::MaintenanceState;
 using maintenance::Request;
 using maintenance::Urgency;
 using maintenance::Verb;
 
-std::string RequestJson(const Machine& machine, const Request& r) {
+std::string RequestJson(const MaintenanceState& machine, const Request& r) {
   std::string waits = machine.WaitsFor(r);
   return "{\"request\": " + std::to_string(r.id) +
          ", \"kind\": " + (r.kind == Kind::kMachine ? "\"machine\"" : "\"endpoint\"") +
-         ", \"name\": " + Quote(r.name) + ", \"urgency\": " + Quote(NameOf(r.urgency)) +
+         ", \"name\": " + Quote(r.name) + ", \"urgency\": " + Quote(ToString(r.urgency)) +
          ", \"state\": " +
-         Quote(waits.empty() || r.state != maintenance::State::kAsked ? NameOf(r.state)
-                                                                      : "waiting") +
+         Quote(waits.empty() || r.state != maintenance::State::kRequested ? ToString(r.state)
+                                                                          : "waiting") +
          ", \"waits_for\": " + Quote(waits) + ", \"why\": " + Quote(r.why) + "}";
 }
 
@@ -103,12 +103,12 @@
   std::size_t alive = 1;
   for (const auto& [name, peer] : f.detector.peers()) alive += peer.state == peers::State::kAlive;
   return "{\"name\": " + Quote(f.self) + ", \"fleet\": " + Quote(f.roster.fleet) +
-         ", \"life\": " + std::to_string(f.life) +
+         ", \"life\": " + std::to_string(f.process_incarnation) +
          ", \"members\": " + std::to_string(f.roster.members.size()) +
          ", \"alive\": " + std::to_string(alive) + ", \"leader\": " + Quote(f.leader) +
          ", \"term\": " + std::to_string(f.term) + ", \"votes\": " + (f.votes ? "true" : "false") +
          ", \"revision\": " + std::to_string(f.known.revision()) +
-         ", \"places\": " + std::to_string(f.known.out_in_all()) +
+         ", \"places\": " + std::to_string(f.known.max_out_total()) +
          ", \"used\": " + std::to_string(f.known.UsedInAll()) +
          ", \"held\": " + (f.known.held() ? "true" : "false") +
          ", \"standing_by\": " + (f.own.standing_by ? "true" : "false") +
@@ -124,14 +124,15 @@
     const bool dead = settled != f.known.members().end() && settled->second.dead;
     const Request* request = f.known.RequestFor(Kind::kMachine, m.name);
     rows += std::string(rows.empty() ? "" : ", ") + "{\"name\": " + Quote(m.name) +
-            ", \"hall\": " + Quote(m.hall) + ", \"voter\": " + (m.voter ? "true" : "false") +
-            ", \"state\": " + Quote(self ? "self" : NameOf(peer->second.state)) +
-            ", \"link\": " + Quote(self ? "" : NameOf(peer->second.link)) + ", \"life\": " +
-            std::to_string(self ? f.life : peers::LifeOf(peer->second.incarnation)) +
+            ", \"hall\": " + Quote(m.zone) + ", \"voter\": " + (m.voter ? "true" : "false") +
+            ", \"state\": " + Quote(self ? "self" : ToString(peer->second.state)) +
+            ", \"link\": " + Quote(self ? "" : ToString(peer->second.link)) + ", \"life\": " +
+            std::to_string(self ? f.process_incarnation
+                                : peers::ProcessIncarnationOf(peer->second.incarnation)) +
             ", \"settled\": " + Quote(dead ? "dead" : "alive") +
-            ", \"work\": " + Quote(request == nullptr ? "" : NameOf(request->state)) + "}";
+            ", \"work\": " + Quote(request == nullptr ? "" : ToString(request->state)) + "}";
   }
-  const peers::Detector::Counts& c = f.detector.counts();
+  const peers::FailureDetector::Counts& c = f.detector.counts();
   return "{\"members\": [" + rows + "], \"doubt\": " + std::to_string(f.detector.doubt()) +
          ", \"probes\": " + std::to_string(c.probes) + ", \"missed\": " + std::to_string(c.missed) +
          ", \"denials\": " + std::to_string(c.denials) + ", \"stale\": " + std::to_string(c.stale) +
@@ -139,7 +140,7 @@
          ", \"named_twice\": " + std::to_string(c.twice) + "}";
 }
 
-std::string RequestsJson(const Machine& machine) {
+std::string RequestsJson(const MaintenanceState& machine) {
   std::string open, over;
   for (const auto& [id, r] : machine.requests()) {
     open += (open.empty() ? "" : ", ") + RequestJson(machine, r);
@@ -150,18 +151,18 @@
   return "{\"open\": [" + open + "], \"over\": [" + over + "]}";
 }
 
-std::string AnswerJson(const maintenance::Answer& answer, std::uint64_t token) {
+std::string AnswerJson(const maintenance::RequestResult& answer, std::uint64_t token) {
   return std::string("{\"") + (answer.good ? "done" : "error") + "\": " + Quote(answer.text) +
          ", \"token\": \"" + std::to_string(token) + "\"}";
 }
 
 std::string NoQuorumText(const std::string& leader, const peers::Roster& roster,
-                         const peers::Detector& detector) {
+                         const peers::FailureDetector& detector) {
   std::string missing;
   for (const std::string& voter : roster.Voters()) {
     const auto it = detector.peers().find(voter);
     if (it == detector.peers().end() || it->second.state == peers::State::kAlive) continue;
-    missing += (missing.empty() ? "" : ", ") + voter + " (" + NameOf(it->second.state) + ")";
+    missing += (missing.empty() ? "" : ", ") + voter + " (" + ToString(it->second.state) + ")";
   }
   return "nothing was settled in time: " +
          (leader.empty() ? "no leader is known" : "the leader was " + leader) +
--- a/src/fleet/reports.hpp
+++ b/src/fleet/reports.hpp
@@ -5,8 +5,8 @@
 #include <map>
 #include <string>
 
-#include "maintenance/turns.hpp"
-#include "peers/detector.hpp"
+#include "maintenance/maintenance_scheduler.hpp"
+#include "peers/failure_detector.hpp"
 #include "peers/roster.hpp"
 
 namespace brassfront::fleet {
@@ -19,20 +19,20 @@
   const std::string& self;
   std::string leader;
   std::uint64_t term;
-  const maintenance::Machine& known;
+  const maintenance::MaintenanceState& known;
   const peers::Roster& roster;
-  const peers::Detector& detector;
-  const maintenance::Own& own;
-  std::uint64_t life;
+  const peers::FailureDetector& detector;
+  const maintenance::LocalMember& own;
+  std::uint64_t process_incarnation;
   bool votes;  // is a voter of the settled log, under the id that its folder has now
 };
 std::string StatusJson(const StatusFacts& facts);
 std::string MembersJson(const StatusFacts& facts);
-std::string RequestsJson(const maintenance::Machine& machine);
-std::string AnswerJson(const maintenance::Answer& answer, std::uint64_t token);
+std::string RequestsJson(const maintenance::MaintenanceState& machine);
+std::string AnswerJson(const maintenance::RequestResult& answer, std::uint64_t token);
 // Why nothing can be settled, and what still works.
 std::string NoQuorumText(const std::string& leader, const peers::Roster& roster,
-                         const peers::Detector& detector);
+                         const peers::FailureDetector& detector);
 
 }  // namespace brassfront::fleet
 
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -40,17 +40,17 @@
 
 std::string Seconds(Time time) { return Number(quota::SecondsOf(time)); }
 
-dispatch_policy::PeerHealth WordOf(verdicts::Advice::What what) {
+dispatch_policy::PeerHealth WordOf(verdicts::HealthAdvice::What what) {
   switch (what) {
-    case verdicts::Advice::What::kDown:
+    case verdicts::HealthAdvice::What::kDown:
       return dispatch_policy::PeerHealth::kFailing;
-    case verdicts::Advice::What::kWait:
+    case verdicts::HealthAdvice::What::kWait:
       return dispatch_policy::PeerHealth::kRetryAfter;
-    case verdicts::Advice::What::kCold:
+    case verdicts::HealthAdvice::What::kCold:
       return dispatch_policy::PeerHealth::kWarmingUp;
-    case verdicts::Advice::What::kServes:
+    case verdicts::HealthAdvice::What::kServes:
       return dispatch_policy::PeerHealth::kServing;
-    case verdicts::Advice::What::kTried:
+    case verdicts::HealthAdvice::What::kTried:
       break;
   }
   return dispatch_policy::PeerHealth::kBeingTested;
@@ -58,28 +58,28 @@
 
 }  // namespace
 
-quota::Terms TermsOf(const peers::Roster& roster) {
+quota::LeaseSettings LeaseSettingsFor(const peers::Roster& roster) {
   const peers::Sharing& s = roster.sharing;
-  quota::Terms terms;
-  terms.term = s.term;
-  terms.drift = s.drift;
-  terms.floor = s.floor;
-  terms.burst = s.burst;
-  terms.election = roster.timings.election;
-  terms.members = roster.members.size();
-  terms.told = s.told;
+  quota::LeaseSettings settings;
+  settings.term = s.term;
+  settings.drift = s.drift;
+  settings.floor = s.floor;
+  settings.burst = s.burst;
+  settings.election = roster.timings.election;
+  settings.members = roster.members.size();
+  settings.reported = s.told;
   for (const auto& [destination, calls] : s.listed) {
-    terms.listed[quota::KeyOf(destination)] = calls;
+    settings.listed[quota::KeyOf(destination)] = calls;
   }
-  return terms;
+  return settings;
 }
 
-Sharing::Sharing(const peers::Roster& roster, std::string self, std::uint64_t life)
+Sharing::Sharing(const peers::Roster& roster, std::string self, std::uint64_t process_incarnation)
     : self_(std::move(self)),
       settings_(roster.sharing),
-      holder_(TermsOf(roster)),
-      grantor_(TermsOf(roster)),
-      table_(SettingsOf(roster.sharing), self_, life),
+      holder_(LeaseSettingsFor(roster)),
+      grantor_(LeaseSettingsFor(roster)),
+      table_(SettingsOf(roster.sharing), self_, process_incarnation),
       election_(roster.timings.election) {}
 
 // ======== the engine's door ========
@@ -88,7 +88,7 @@
   // A route apart has no part in its destination's limit.
   if (target.has_own_rate_limit) places_[quota::KeyOf(target.destination)].erase(target.endpoint);
   std::set<std::string>& its = places_[key];
-  if (its.size() < kMostPlaces && its.insert(target.endpoint).second) holder_.TellAgain(key);
+  if (its.size() < kMostPlaces && its.insert(target.endpoint).second) holder_.ReportAgain(key);
 }
 
 // Guards against calls that begin unpaced, and are held back at their first byte, at a start.
@@ -107,7 +107,7 @@
 void Sharing::OnMessageArrived(std::uint64_t destination) {
   if (!settings_.limits) return;
   const std::lock_guard lock(mutex_);
-  holder_.Wanted(quota::KeyOf(destination), Now());
+  holder_.OnDemand(quota::KeyOf(destination), Now());
 }
 
 bool Sharing::AllowsCall(const CallTarget& target) {
@@ -117,9 +117,9 @@
   Known(key, target);
   const Time now = Now();
   if (target.has_own_rate_limit) {
-    holder_.Wanted(key, now);  // what comes for a destination says nothing of a route
+    holder_.OnDemand(key, now);  // what comes for a destination says nothing of a route
   }
-  return holder_.MayBegin(key, now);
+  return holder_.TryAcquire(key, now);
 }
 
 void Sharing::OnCallCompleted(const CallCompleted& end) {
@@ -128,7 +128,7 @@
   const Time now = Now();
   Known(key, end.target);
   if (settings_.limits && end.report.limit.value_or(0) > 0) {
-    holder_.Told(key, *end.report.limit, now);
+    holder_.OnLimitReported(key, *end.report.limit, now);
   }
   if (!settings_.verdicts) return;
   const std::string& endpoint = end.target.endpoint;
@@ -152,7 +152,8 @@
 
 // ======== the fleet's thread ========
 
-void Sharing::Answer(const std::string& holder, const quota::Request& request, Time now) {
+void Sharing::GrantLeases(const std::string& holder, const quota::LeaseRequestBatch& request,
+                          Time now) {
   const auto grant = grantor_.Answer(holder, request, now);
   if (!grant) return;
   if (holder == self_) return holder_.Take(*grant, now);
@@ -166,10 +167,10 @@
   } else if (!settings_.limits) {
     return;
   } else if (frame.kind == peers::Kind::kGrant) {
-    const auto grant = quota::Grant::Decode(frame.body);
+    const auto grant = quota::LeaseGrant::Decode(frame.body);
     if (grant && frame.from == asked_) holder_.Take(*grant, now);
-  } else if (const auto request = quota::Request::Decode(frame.body); request && leads_) {
-    Answer(frame.from, *request, now);
+  } else if (const auto request = quota::LeaseRequestBatch::Decode(frame.body); request && leads_) {
+    GrantLeases(frame.from, *request, now);
   }
 }
 
@@ -189,7 +190,7 @@
     if (const auto request = holder_.Ask(now)) {
       asked_ = leads_ ? self_ : leader;
       if (leads_) {
-        Answer(self_, *request, now);
+        GrantLeases(self_, *request, now);
       } else {
         out_.push_back({peers::Kind::kWant, leader, request->Encode()});
       }
@@ -200,7 +201,7 @@
     next_tick_ = now + kTickEvery;
     table_.Tick(now);
   }
-  verdicts::Table::Saying saying = table_.Say(now);
+  verdicts::HealthReportTable::Saying saying = table_.Say(now);
   for (std::string& to : saying.to) out_.push_back({peers::Kind::kWords, to, saying.bytes});
 }
 
@@ -215,8 +216,8 @@
 void Sharing::SetRoster(const peers::Roster& roster, Time now) {
   const std::lock_guard lock(mutex_);
   settings_ = roster.sharing;
-  holder_.Change(TermsOf(roster), now);
-  grantor_.Change(TermsOf(roster));
+  holder_.Change(LeaseSettingsFor(roster), now);
+  grantor_.Change(LeaseSettingsFor(roster));
 }
 
 std::vector<EndpointUpdate> Sharing::TakeNews() {
@@ -229,7 +230,7 @@
     if (rate) share.rate = *rate * kPaceShare;
     for (const std::string& endpoint : its->second) news.push_back({endpoint, share});
   }
-  for (const verdicts::Advice& advice : table_.TakeAdvice()) {
+  for (const verdicts::HealthAdvice& advice : table_.TakeAdvice()) {
     dispatch_policy::PeerHealthReport word;
     word.health = WordOf(advice.what);
     word.age = advice.age;
@@ -251,7 +252,7 @@
   for (const auto& [key, s] : holder_.shares()) {
     const auto rate = holder_.RateOf(key, now);
     text += (first ? "" : ",") + std::string("{\"limit\":") + json::Quote(key);
-    text += ",\"calls\":" + Number(s.limit) + ",\"told\":" + Number(s.told);
+    text += ",\"calls\":" + Number(s.limit) + ",\"told\":" + Number(s.reported);
     text += ",\"ours\":" + (rate ? Number(*rate) : "null") + ",\"lease\":" + Number(s.lease);
     text += ",\"ends_in_s\":" + Seconds(std::max(Time{}, s.ends - now));
     text += ",\"demand\":" + Number(s.demand) + ",\"begun\":" + std::to_string(s.begun);
@@ -278,7 +279,7 @@
   bool first = true;
   for (const auto& [key, word] : table_.words()) {
     text += (first ? "" : ",") + std::string("{\"endpoint\":") + json::Quote(word.endpoint);
-    text += ",\"witness\":" + json::Quote(word.witness) + ",\"seen\":\"" + NameOf(word.seen);
+    text += ",\"witness\":" + json::Quote(word.witness) + ",\"seen\":\"" + ToString(word.seen);
     text += "\",\"age_s\":" + Seconds(now - word.at) + ",\"rest_s\":" + Seconds(word.rest);
     text += ",\"times\":" + std::to_string(word.times) + ",\"counts\":";
     text += table_.Counts(word.witness, now) ? "true}" : "false}";
@@ -296,8 +297,8 @@
 }
 
 std::string BoundsText(const peers::Roster& roster, bool as_json) {
-  const quota::Terms terms = TermsOf(roster);
-  const Time unheard = terms.Renew() + terms.Stretched(terms.term);
+  const quota::LeaseSettings settings = LeaseSettingsFor(roster);
+  const Time unheard = settings.Renew() + settings.Stretched(settings.term);
   std::string text;
   const auto line = [&](const char* name, const std::string& value, const std::string& words) {
     if (as_json) {
@@ -306,16 +307,17 @@
       text += std::string(name) + " " + value + "  " + words + "\n";
     }
   };
-  line("quiet_s", Seconds(terms.Quiet()), "a new leader grants nothing for so long; floors hold");
-  line("lease_ends_s", Seconds(terms.Stretched(terms.term)),
+  line("quiet_s", Seconds(settings.QuietTime()),
+       "a new leader grants nothing for so long; floors hold");
+  line("lease_ends_s", Seconds(settings.Stretched(settings.term)),
        "after a cut, a pause or a death its lease is free again, at most");
-  line("lowered_s", Seconds(terms.LoweredFor(unheard)),
+  line("lowered_s", Seconds(settings.LoweredFor(unheard)),
        "after a limit falls calls of the old rate may go on, at most");
   line("word_kept_s", Seconds(roster.sharing.kept), "a word on an endpoint is dropped");
-  for (const auto& [key, limit] : terms.listed) {
-    line(("over_" + key).c_str(), Number(terms.MostAtOnce(limit)),
+  for (const auto& [key, limit] : settings.listed) {
+    line(("over_" + key).c_str(), Number(settings.MostAtOnce(limit)),
          "calls above " + Number(limit) + "/s times the window, in any window");
-    line(("floor_" + key).c_str(), Number(terms.FloorOf(limit)),
+    line(("floor_" + key).c_str(), Number(settings.FloorOf(limit)),
          "calls a second that a cut-off member may begin");
   }
   return as_json ? text + "}" : text;
--- a/src/fleet/sharing.hpp
+++ b/src/fleet/sharing.hpp
@@ -17,9 +17,9 @@
 #include "peers/frame.hpp"
 #include "peers/roster.hpp"
 #include "protocol/discovery.hpp"
-#include "quota/grantor.hpp"
-#include "quota/holder.hpp"
-#include "verdicts/table.hpp"
+#include "quota/lease_grantor.hpp"
+#include "quota/lease_holder.hpp"
+#include "verdicts/health_report_table.hpp"
 
 namespace brassfront::fleet {
 
@@ -32,7 +32,7 @@
     std::string body;
   };
 
-  Sharing(const peers::Roster& roster, std::string self, std::uint64_t life);
+  Sharing(const peers::Roster& roster, std::string self, std::uint64_t process_incarnation);
 
   // ---- the engine's door ----
   void OnMessageArrived(std::uint64_t destination) override;
@@ -57,15 +57,15 @@
   std::string VerdictsJson(Time now) const;
 
  private:
-  void Answer(const std::string& holder, const quota::Request& request, Time now);
+  void GrantLeases(const std::string& holder, const quota::LeaseRequestBatch& request, Time now);
   void Known(const std::string& key, const CallTarget& target);
 
   const std::string self_;
   peers::Sharing settings_;
   mutable std::mutex mutex_;  // guards what follows
-  quota::Holder holder_;
-  quota::Grantor grantor_;
-  verdicts::Table table_;
+  quota::LeaseHolder holder_;
+  quota::LeaseGrantor grantor_;
+  verdicts::HealthReportTable table_;
   std::map<std::string, std::set<std::string>> places_;  // endpoints, by key
   // The fleet's thread's own.
   Time election_{};
@@ -76,7 +76,7 @@
 };
 
 // The terms of limits that a roster sets.
-quota::Terms TermsOf(const peers::Roster& roster);
+quota::LeaseSettings LeaseSettingsFor(const peers::Roster& roster);
 // What a roster promises, for people or as JSON.
 std::string BoundsText(const peers::Roster& roster, bool json);
 
--- a/src/maintenance/turns.cpp
+++ b/src/maintenance/maintenance_scheduler.cpp
@@ -1,4 +1,4 @@
-#include "maintenance/turns.hpp"
+#include "maintenance/maintenance_scheduler.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -20,9 +20,10 @@
 
 }  // namespace
 
-std::optional<Command> Leader::Next(const Machine& machine, const peers::Roster& roster,
-                                    const std::map<std::string, Seen>& seen, Time led_for,
-                                    Time now) {
+std::optional<Command> MaintenanceScheduler::Next(const MaintenanceState& machine,
+                                                  const peers::Roster& roster,
+                                                  const std::map<std::string, ObservedMember>& seen,
+                                                  Time led_for, Time now) {
   if (auto c = Roster(machine, roster)) return c;
   if (auto c = Lives(machine, seen)) return c;
   if (auto c = Deadlines(machine, roster.timings, now)) return c;
@@ -31,14 +32,15 @@
 }
 
 // One change at a time, so that each is a small command.
-std::optional<Command> Leader::Roster(const Machine& machine, const peers::Roster& roster) {
+std::optional<Command> MaintenanceScheduler::Roster(const MaintenanceState& machine,
+                                                    const peers::Roster& roster) {
   Command c;
   for (const peers::Member& member : roster.members) {
     const auto it = machine.members().find(member.name);
-    if (it != machine.members().end() && it->second.hall == member.hall) continue;
+    if (it != machine.members().end() && it->second.zone == member.zone) continue;
     c.verb = Verb::kMember;
     c.name = member.name;
-    c.text = member.hall;
+    c.text = member.zone;
     return c;
   }
   for (const auto& [name, state] : machine.members()) {
@@ -47,34 +49,36 @@
     c.name = name;
     return c;
   }
-  if (machine.out_in_all() != roster.out_in_all || machine.out_in_hall() != roster.out_in_hall) {
+  if (machine.max_out_total() != roster.max_out_total ||
+      machine.max_out_per_zone() != roster.max_out_per_zone) {
     c.verb = Verb::kLimits;
-    c.life = roster.out_in_all;
-    c.token = roster.out_in_hall;
+    c.process_incarnation = roster.max_out_total;
+    c.token = roster.max_out_per_zone;
     return c;
   }
   return std::nullopt;
 }
 
-std::optional<Command> Leader::Lives(const Machine& machine,
-                                     const std::map<std::string, Seen>& seen) {
+std::optional<Command> MaintenanceScheduler::Lives(
+    const MaintenanceState& machine, const std::map<std::string, ObservedMember>& seen) {
   for (const auto& [name, member] : machine.members()) {
     const auto it = seen.find(name);
     if (it == seen.end()) continue;
-    const Seen& s = it->second;
+    const ObservedMember& s = it->second;
     Command c;
     c.name = name;
-    c.life = s.life;
+    c.process_incarnation = s.process_incarnation;
     c.verb = Verb::kDead;
     if (IsGone(s.state) && !member.dead) return c;
     c.verb = Verb::kAlive;
-    if (IsThere(s.state) && (member.dead || s.life > member.life)) return c;
+    if (IsThere(s.state) && (member.dead || s.process_incarnation > member.process_incarnation))
+      return c;
   }
   return std::nullopt;
 }
 
-std::optional<Command> Leader::Deadlines(const Machine& machine, const peers::Timings& timings,
-                                         Time now) {
+std::optional<Command> MaintenanceScheduler::Deadlines(const MaintenanceState& machine,
+                                                       const peers::Timings& timings, Time now) {
   std::erase_if(since_, [&](const auto& e) { return !machine.requests().contains(e.first); });
   for (const auto& [id, request] : machine.requests()) {
     auto& [state, since] = since_.try_emplace(id, request.state, now).first->second;
@@ -98,14 +102,14 @@
 // By urgency; then a hall that the last turn was not in; then the busiest, which has gained most by
 // its turn while others still have room for its clients; then the oldest. Settled as one command,
 // so it is the same everywhere.
-std::optional<Command> Leader::Turn(const Machine& machine,
-                                    const std::map<std::string, Seen>& seen) {
+std::optional<Command> MaintenanceScheduler::Turn(
+    const MaintenanceState& machine, const std::map<std::string, ObservedMember>& seen) {
   const Request* best = nullptr;
   const auto key = [&](const Request& r) {
     const auto member = machine.members().find(r.name);
     const bool machine_kind = r.kind == Kind::kMachine;
     const bool same_hall = machine_kind && member != machine.members().end() &&
-                           member->second.hall == machine.last_hall();
+                           member->second.zone == machine.last_zone();
     const auto it = seen.find(r.name);
     const std::uint64_t load = machine_kind && it != seen.end() ? it->second.load : 0;
     return std::tuple(RankOf(r), !same_hall, load, UINT64_MAX - r.id);
@@ -127,7 +131,8 @@
   return c;
 }
 
-Duty DutyOf(const Machine& machine, const std::string& self, std::uint64_t life, const Own& own) {
+Duty ComputeDuty(const MaintenanceState& machine, const std::string& self,
+                 std::uint64_t process_incarnation, const LocalMember& own) {
   Duty duty;
   const auto say = [&duty](Verb verb, const Request& request) -> Command& {
     Command& c = duty.say.emplace_back();
@@ -140,11 +145,11 @@
       if (request.state != State::kDraining && request.state != State::kOut) continue;
       duty.ban.insert(request.name);
       const auto it = request.confirmed.find(self);
-      const bool said = it != request.confirmed.end() && it->second >= life;
+      const bool said = it != request.confirmed.end() && it->second >= process_incarnation;
       if (own.banned.contains(request.name) && !said) {
         Command& c = say(Verb::kConfirm, request);
         c.name = self;
-        c.life = life;
+        c.process_incarnation = process_incarnation;
       }
       continue;
     }
--- a/src/maintenance/turns.hpp
+++ b/src/maintenance/maintenance_scheduler.hpp
@@ -1,8 +1,8 @@
 // What is to be proposed for the settled log: by the leader, who brings the settled state up to
 // what it sees and gives out turns, and by each member, who does what the settled state asks of it.
 // No I/O, no clock; time is the caller's own.
-#ifndef BRASSFRONT_MAINTENANCE_TURNS_HPP_
-#define BRASSFRONT_MAINTENANCE_TURNS_HPP_
+#ifndef BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
+#define BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
 
 #include <cstdint>
 #include <map>
@@ -12,8 +12,8 @@
 #include <utility>
 #include <vector>
 
-#include "maintenance/machine.hpp"
-#include "peers/detector.hpp"
+#include "maintenance/maintenance_state.hpp"
+#include "peers/failure_detector.hpp"
 #include "peers/roster.hpp"
 
 namespace brassfront::maintenance {
@@ -21,9 +21,9 @@
 using peers::Time;
 
 // What the leader sees of one member.
-struct Seen {
+struct ObservedMember {
   peers::State state = peers::State::kUnknown;
-  std::uint64_t life = 0;
+  std::uint64_t process_incarnation = 0;
   std::uint64_t load = 0;  // messages held, as it says
 };
 
@@ -31,24 +31,27 @@
 // waits for more than 2 x kPatience grants more than the requests before it.
 inline constexpr std::uint32_t kPatience = 8;
 
-class Leader {
+class MaintenanceScheduler {
  public:
   // The next command, or none. To be asked again once that one is settled or lost. A leader that
   // has led for less than `settle` gives out no turn: it may not have noticed yet who is dead.
-  std::optional<Command> Next(const Machine& machine, const peers::Roster& roster,
-                              const std::map<std::string, Seen>& seen, Time led_for, Time now);
+  std::optional<Command> Next(const MaintenanceState& machine, const peers::Roster& roster,
+                              const std::map<std::string, ObservedMember>& seen, Time led_for,
+                              Time now);
   // How long it takes at most, in a whole fleet, until a death that nobody has noticed is noticed.
   static Time SettleOf(const peers::Timings& timings) {
     return 2 * timings.suspicion + 6 * timings.probe;
   }
 
  private:
-  static std::optional<Command> Roster(const Machine& machine, const peers::Roster& roster);
-  static std::optional<Command> Lives(const Machine& machine,
-                                      const std::map<std::string, Seen>& seen);
-  std::optional<Command> Deadlines(const Machine& machine, const peers::Timings& timings, Time now);
-  static std::optional<Command> Turn(const Machine& machine,
-                                     const std::map<std::string, Seen>& seen);
+  static std::optional<Command> Roster(const MaintenanceState& machine,
+                                       const peers::Roster& roster);
+  static std::optional<Command> Lives(const MaintenanceState& machine,
+                                      const std::map<std::string, ObservedMember>& seen);
+  std::optional<Command> Deadlines(const MaintenanceState& machine, const peers::Timings& timings,
+                                   Time now);
+  static std::optional<Command> Turn(const MaintenanceState& machine,
+                                     const std::map<std::string, ObservedMember>& seen);
 
   // Since when we have seen a request in its state. A new leader counts anew, so a deadline is at
   // most once longer for each change of leaders.
@@ -56,7 +59,7 @@
 };
 
 // A member's own part.
-struct Own {
+struct LocalMember {
   bool standing_by = false;      // clients are sent away
   bool drained = false;          // and nothing is held
   bool serving = false;          // clients are taken
@@ -68,8 +71,9 @@
   std::set<std::string> ban;
   std::vector<Command> say;  // until the settled state shows it
 };
-Duty DutyOf(const Machine& machine, const std::string& self, std::uint64_t life, const Own& own);
+Duty ComputeDuty(const MaintenanceState& machine, const std::string& self,
+                 std::uint64_t process_incarnation, const LocalMember& own);
 
 }  // namespace brassfront::maintenance
 
-#endif  // BRASSFRONT_MAINTENANCE_TURNS_HPP_
+#endif  // BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
--- a/src/maintenance/machine.cpp
+++ b/src/maintenance/maintenance_state.cpp
@@ -1,4 +1,4 @@
-#include "maintenance/machine.hpp"
+#include "maintenance/maintenance_state.hpp"
 
 #include <algorithm>
 
@@ -18,7 +18,8 @@
   out.U64(r.id).U8(static_cast<std::uint64_t>(r.kind)).Name(r.name);
   out.U8(static_cast<std::uint64_t>(r.urgency)).U8(static_cast<std::uint64_t>(r.state));
   out.U32(r.passed).Name(r.why).U16(r.confirmed.size());
-  for (const auto& [name, life] : r.confirmed) out.Name(name).U64(life);
+  for (const auto& [name, process_incarnation] : r.confirmed)
+    out.Name(name).U64(process_incarnation);
 }
 
 Request ReadRequest(Reader& in) {
@@ -44,12 +45,12 @@
 
 }  // namespace
 
-const char* NameOf(Urgency urgency) {
+const char* ToString(Urgency urgency) {
   constexpr const char* kNames[] = {"low", "normal", "high"};
   return kNames[static_cast<std::size_t>(urgency)];
 }
 
-const char* NameOf(State state) {
+const char* ToString(State state) {
   constexpr const char* kNames[] = {"asked",  "draining", "out",      "returning",
                                     "failed", "back",     "cancelled"};
   return kNames[static_cast<std::size_t>(state)];
@@ -59,7 +60,11 @@
   Writer out;
   out.U8(static_cast<std::uint64_t>(verb)).U8(static_cast<std::uint64_t>(kind));
   out.Name(name.substr(0, kMostName)).Name(text.substr(0, 200));
-  out.U8(static_cast<std::uint64_t>(urgency)).U64(request).U64(life).U64(token).U8(flag);
+  out.U8(static_cast<std::uint64_t>(urgency))
+      .U64(request)
+      .U64(process_incarnation)
+      .U64(token)
+      .U8(flag);
   return out.Take();
 }
 
@@ -74,7 +79,7 @@
   const std::uint8_t urgency = in.U8();
   c.urgency = static_cast<Urgency>(urgency);
   c.request = in.U64();
-  c.life = in.U64();
+  c.process_incarnation = in.U64();
   c.token = in.U64();
   c.flag = in.U8() != 0;
   const bool good = in.done() && verb >= 1 && verb <= static_cast<std::uint8_t>(Verb::kEnded) &&
@@ -85,14 +90,14 @@
 
 // ======== what is asked of it ========
 
-const Answer* Machine::AnswerTo(std::uint64_t token) const {
+const RequestResult* MaintenanceState::ResultFor(std::uint64_t token) const {
   for (const auto& [its, answer] : answers_) {
     if (its == token) return &answer;
   }
   return nullptr;
 }
 
-const Request* Machine::RequestFor(Kind kind, const std::string& name) const {
+const Request* MaintenanceState::RequestFor(Kind kind, const std::string& name) const {
   for (const auto& [id, request] : requests_) {
     if (request.kind == kind && request.name == name) return &request;
   }
@@ -101,66 +106,68 @@
 
 // Counted once a command, not where it is asked for: with hundreds of requests the leader asks for
 // each of them on every wake.
-void Machine::CountPlaces() {
+void MaintenanceState::CountSlots() {
   used_.clear();
   const auto use = [this](const std::string& hall) {
     ++used_[""];
     ++used_[hall];
   };
   for (const auto& [name, member] : members_) {
-    if (member.dead) use(member.hall);
+    if (member.dead) use(member.zone);
   }
   for (const auto& [id, request] : requests_) {
     const auto it = members_.find(request.name);
-    if (request.HoldsPlace() && it != members_.end() && !it->second.dead) use(it->second.hall);
+    if (request.HoldsSlot() && it != members_.end() && !it->second.dead) use(it->second.zone);
   }
 }
 
-bool Machine::MayGo(const Request& request) const {
-  if (request.state != State::kAsked || held_) return false;
+bool MaintenanceState::MayGo(const Request& request) const {
+  if (request.state != State::kRequested || held_) return false;
   if (request.kind == Kind::kEndpoint) return true;
   const auto it = members_.find(request.name);
-  return it != members_.end() && !it->second.dead && UsedInAll() < out_in_all_ &&
-         UsedInHall(it->second.hall) < out_in_hall_;
+  return it != members_.end() && !it->second.dead && UsedInAll() < max_out_total_ &&
+         UsedInZone(it->second.zone) < max_out_per_zone_;
 }
 
-std::string Machine::WaitsFor(const Request& request) const {
+std::string MaintenanceState::WaitsFor(const Request& request) const {
   if (request.state == State::kDraining && request.kind == Kind::kEndpoint) {
     std::string text;
     for (const std::string& name : Unconfirmed(request)) text += (text.empty() ? "" : " ") + name;
     return text.empty() ? "" : "the word of " + text;
   }
-  if (request.state != State::kAsked) return "";
+  if (request.state != State::kRequested) return "";
   if (held_) return "the queue, which is held";
   if (request.kind == Kind::kEndpoint) return "";
   const auto it = members_.find(request.name);
   if (it == members_.end()) return "the roster, which has no " + request.name;
   if (it->second.dead) return request.name + ", which is dead and uses a place already";
-  const std::string& hall = it->second.hall;
+  const std::string& hall = it->second.zone;
   if (MayGo(request)) return "";
-  const bool all_full = UsedInAll() >= out_in_all_;
+  const bool all_full = UsedInAll() >= max_out_total_;
   std::string names;
   const auto add = [&](const std::string& name, const char* why) {
     names += (names.empty() ? "" : ", ") + name + " (" + why + ")";
   };
   for (const auto& [name, member] : members_) {
-    if (member.dead && (all_full || member.hall == hall)) add(name, "dead");
+    if (member.dead && (all_full || member.zone == hall)) add(name, "dead");
   }
   for (const auto& [id, other] : requests_) {
     const auto holder = members_.find(other.name);
-    if (!other.HoldsPlace() || holder == members_.end() || holder->second.dead) continue;
-    if (all_full || holder->second.hall == hall) add(other.name, NameOf(other.state));
+    if (!other.HoldsSlot() || holder == members_.end() || holder->second.dead) continue;
+    if (all_full || holder->second.zone == hall) add(other.name, ToString(other.state));
   }
   return names;
 }
 
-std::vector<std::string> Machine::Unconfirmed(const Request& request) const {
+std::vector<std::string> MaintenanceState::Unconfirmed(const Request& request) const {
   std::vector<std::string> names;
   for (const auto& [name, member] : members_) {
     const auto it = request.confirmed.find(name);
-    const bool said = it != request.confirmed.end() && it->second >= member.life;
-    // A life that has ended starts nothing more, and the next one begins with the ban.
-    const bool ended = member.dead && member.ended >= member.life && member.ended > 0;
+    const bool said = it != request.confirmed.end() && it->second >= member.process_incarnation;
+    // A process_incarnation that has ended starts nothing more, and the next one begins with the
+    // ban.
+    const bool ended =
+        member.dead && member.ended >= member.process_incarnation && member.ended > 0;
     if (!said && !ended) names.push_back(name);
   }
   return names;
@@ -168,28 +175,28 @@
 
 // ======== commands ========
 
-void Machine::Apply(std::string_view bytes) {
+void MaintenanceState::Apply(std::string_view bytes) {
   ++revision_;
   if (const auto command = Command::Decode(bytes)) Do(*command);
 }
 
-void Machine::Tell(std::uint64_t token, Answer answer) {
+void MaintenanceState::Tell(std::uint64_t token, RequestResult answer) {
   if (token == 0) return;
   answers_.emplace_back(token, std::move(answer));
   if (answers_.size() > kMostAnswers) answers_.pop_front();
 }
 
-void Machine::Do(const Command& c) {
+void MaintenanceState::Do(const Command& c) {
   const auto request = requests_.find(c.request);
   const auto member = members_.find(c.name);
   const bool has = request != requests_.end();
   // What operators ask may come twice, after an answer that was lost.
   const bool asked = c.verb == Verb::kAsk || c.verb == Verb::kCancel || c.verb == Verb::kHold ||
                      c.verb == Verb::kBringBack || c.verb == Verb::kEnded;
-  if (asked && c.token != 0 && AnswerTo(c.token) != nullptr) return;
+  if (asked && c.token != 0 && ResultFor(c.token) != nullptr) return;
   switch (c.verb) {
     case Verb::kMember:
-      members_[c.name].hall = c.text;
+      members_[c.name].zone = c.text;
       break;
     case Verb::kNoMember:
       members_.erase(c.name);
@@ -198,8 +205,8 @@
       }
       break;
     case Verb::kLimits:
-      out_in_all_ = c.life;
-      out_in_hall_ = c.token;
+      max_out_total_ = c.process_incarnation;
+      max_out_per_zone_ = c.token;
       break;
     case Verb::kAsk:
       Tell(c.token, Ask(c));
@@ -225,8 +232,9 @@
       break;
     case Verb::kConfirm:
       if (has && member != members_.end() && request->second.kind == Kind::kEndpoint) {
-        request->second.confirmed[c.name] = c.life;
-        member->second.life = std::max(member->second.life, c.life);
+        request->second.confirmed[c.name] = c.process_incarnation;
+        member->second.process_incarnation =
+            std::max(member->second.process_incarnation, c.process_incarnation);
       }
       break;
     case Verb::kReturned:
@@ -243,7 +251,8 @@
     case Verb::kAlive:
       if (member == members_.end()) break;
       member->second.dead = c.verb == Verb::kDead;
-      member->second.life = std::max(member->second.life, c.life);
+      member->second.process_incarnation =
+          std::max(member->second.process_incarnation, c.process_incarnation);
       break;
     case Verb::kEnded:
       if (member == members_.end()) {
@@ -251,16 +260,16 @@
       } else if (!member->second.dead) {
         Tell(c.token, {false, c.name + " is heard: it has not ended"});
       } else {
-        member->second.ended = std::max<std::uint64_t>(1, member->second.life);
+        member->second.ended = std::max<std::uint64_t>(1, member->second.process_incarnation);
         Tell(c.token, {true, c.name + " is taken to have ended, on your word"});
       }
       break;
   }
   CheckEndpoints();
-  CountPlaces();
+  CountSlots();
 }
 
-Answer Machine::Ask(const Command& c) {
+RequestResult MaintenanceState::Ask(const Command& c) {
   const std::string& name = c.name;
   if (c.kind == Kind::kEndpoint || (name != "all" && name.rfind(kHallPrefix, 0) != 0)) {
     return AskOne(c, name);
@@ -269,10 +278,10 @@
   std::string fresh;
   bool any = false;
   for (const auto& [its, member] : members_) {
-    if (!hall.empty() && member.hall != hall) continue;
+    if (!hall.empty() && member.zone != hall) continue;
     any = true;
     if (RequestFor(Kind::kMachine, its) != nullptr) continue;
-    const Answer answer = AskOne(c, its);
+    const RequestResult answer = AskOne(c, its);
     if (!answer.good) return answer;
     fresh += (fresh.empty() ? "" : " ") + its;
   }
@@ -280,7 +289,7 @@
   return {true, fresh.empty() ? "already asked" : "asked for " + fresh};
 }
 
-Answer Machine::AskOne(const Command& c, const std::string& name) {
+RequestResult MaintenanceState::AskOne(const Command& c, const std::string& name) {
   if (c.kind == Kind::kMachine && !members_.contains(name)) {
     std::string near;
     for (const auto& [its, member] : members_) near += (near.empty() ? "" : " ") + its;
@@ -288,9 +297,9 @@
   }
   if (const Request* its = RequestFor(c.kind, name)) {
     return {true,
-            "already asked: request " + std::to_string(its->id) + " is " + NameOf(its->state)};
+            "already asked: request " + std::to_string(its->id) + " is " + ToString(its->state)};
   }
-  if (c.kind == Kind::kMachine && (out_in_all_ == 0 || out_in_hall_ == 0)) {
+  if (c.kind == Kind::kMachine && (max_out_total_ == 0 || max_out_per_zone_ == 0)) {
     return {false, "the roster spares no machine"};
   }
   if (requests_.size() >= kMostRequests) return {false, "too many requests are open"};
@@ -303,11 +312,11 @@
   return {true, "asked: request " + std::to_string(request.id)};
 }
 
-Answer Machine::Cancel(const Command& c) {
+RequestResult MaintenanceState::Cancel(const Command& c) {
   const auto it = requests_.find(c.request);
   if (it == requests_.end()) return {false, "no request " + std::to_string(c.request) + " is open"};
   Request& request = it->second;
-  if (request.state == State::kAsked) {
+  if (request.state == State::kRequested) {
     End(request.id, State::kCancelled, "by request");
     return {true, "cancelled"};
   }
@@ -320,7 +329,7 @@
   return {true, request.name + " returns"};
 }
 
-Answer Machine::BringBack(const Command& c) {
+RequestResult MaintenanceState::BringBack(const Command& c) {
   std::vector<std::uint64_t> its;
   for (const auto& [id, request] : requests_) {
     if (request.kind == c.kind && (c.name == "all" || request.name == c.name)) its.push_back(id);
@@ -328,7 +337,7 @@
   if (its.empty()) return {c.name == "all", c.name + " is not out, nor asked for"};
   for (const std::uint64_t id : its) {
     Request& request = requests_.at(id);
-    if (request.state == State::kAsked) {
+    if (request.state == State::kRequested) {
       End(id, State::kCancelled, "brought back before its turn");
     } else if (request.kind == Kind::kEndpoint) {
       End(id, State::kBack, "");
@@ -340,23 +349,23 @@
 }
 
 // The rule itself: whoever proposed this may have known less than what was settled since.
-void Machine::Grant(Request& request) {
+void MaintenanceState::Grant(Request& request) {
   if (!MayGo(request)) return;
   request.state = State::kDraining;
   for (auto& [id, other] : requests_) {
-    if (other.state == State::kAsked && id < request.id) ++other.passed;
+    if (other.state == State::kRequested && id < request.id) ++other.passed;
   }
-  if (request.kind == Kind::kMachine) last_hall_ = members_.at(request.name).hall;
+  if (request.kind == Kind::kMachine) last_zone_ = members_.at(request.name).zone;
 }
 
-void Machine::CheckEndpoints() {
+void MaintenanceState::CheckEndpoints() {
   for (auto& [id, request] : requests_) {
     const bool drains = request.kind == Kind::kEndpoint && request.state == State::kDraining;
     if (drains && Unconfirmed(request).empty()) request.state = State::kOut;
   }
 }
 
-void Machine::End(std::uint64_t id, State state, std::string why) {
+void MaintenanceState::End(std::uint64_t id, State state, std::string why) {
   auto node = requests_.extract(id);
   Request& request = node.mapped();
   request.state = state;
@@ -368,12 +377,12 @@
 
 // ======== saved ========
 
-std::string Machine::Save() const {
+std::string MaintenanceState::Save() const {
   Writer out;
-  out.U8(kSaved).U64(revision_).U64(next_id_).U32(out_in_all_).U32(out_in_hall_);
-  out.U8(held_).Name(last_hall_).U16(members_.size());
+  out.U8(kSaved).U64(revision_).U64(next_id_).U32(max_out_total_).U32(max_out_per_zone_);
+  out.U8(held_).Name(last_zone_).U16(members_.size());
   for (const auto& [name, m] : members_) {
-    out.Name(name).Name(m.hall).U64(m.life).U8(m.dead).U64(m.ended);
+    out.Name(name).Name(m.zone).U64(m.process_incarnation).U8(m.dead).U64(m.ended);
   }
   out.U16(requests_.size());
   for (const auto& [id, request] : requests_) Put(out, request);
@@ -386,21 +395,21 @@
   return out.Take();
 }
 
-bool Machine::Load(std::string_view state) {
+bool MaintenanceState::Load(std::string_view state) {
   Reader in(state);
-  Machine m;
+  MaintenanceState m;
   if (in.U8() != kSaved) return false;
   m.revision_ = in.U64();
   m.next_id_ = in.U64();
-  m.out_in_all_ = in.U32();
-  m.out_in_hall_ = in.U32();
+  m.max_out_total_ = in.U32();
+  m.max_out_per_zone_ = in.U32();
   m.held_ = in.U8() != 0;
-  m.last_hall_ = in.Name();
+  m.last_zone_ = in.Name();
   for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
     const std::string name = in.Name();
     MemberState& its = m.members_[name];
-    its.hall = in.Name();
-    its.life = in.U64();
+    its.zone = in.Name();
+    its.process_incarnation = in.U64();
     its.dead = in.U8() != 0;
     its.ended = in.U64();
   }
@@ -412,13 +421,13 @@
   for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) m.over_.push_back(ReadRequest(in));
   for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
     const std::uint64_t token = in.U64();
-    Answer answer;
+    RequestResult answer;
     answer.good = in.U8() != 0;
     answer.text = in.Name();
     m.answers_.emplace_back(token, std::move(answer));
   }
   if (!in.done()) return false;
-  m.CountPlaces();
+  m.CountSlots();
   *this = std::move(m);
   return true;
 }
--- a/src/maintenance/machine.hpp
+++ b/src/maintenance/maintenance_state.hpp
@@ -4,8 +4,8 @@
 // A place is one machine that the fleet does without. It is used by a machine that is dead, and by
 // one whose turn has come, from the moment it may begin to drain until it says itself that it
 // serves again; so a place is never given away while its holder may still be out.
-#ifndef BRASSFRONT_MAINTENANCE_MACHINE_HPP_
-#define BRASSFRONT_MAINTENANCE_MACHINE_HPP_
+#ifndef BRASSFRONT_MAINTENANCE_MAINTENANCE_STATE_HPP_
+#define BRASSFRONT_MAINTENANCE_MAINTENANCE_STATE_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -16,18 +16,26 @@
 #include <utility>
 #include <vector>
 
-#include "consensus/council.hpp"
+#include "consensus/raft_node.hpp"
 
 namespace brassfront::maintenance {
 
 enum class Kind : std::uint8_t { kMachine = 1, kEndpoint };
 enum class Urgency : std::uint8_t { kLow, kNormal, kHigh };
-const char* NameOf(Urgency urgency);
+const char* ToString(Urgency urgency);
 
-// kAsked waits for a place. kDraining: its turn has come. kBack, kCancelled: over. kFailed: a
+// kRequested waits for a place. kDraining: its turn has come. kBack, kCancelled: over. kFailed: a
 // deadline passed; a machine keeps its place until it is brought back.
-enum class State : std::uint8_t { kAsked, kDraining, kOut, kReturning, kFailed, kBack, kCancelled };
-const char* NameOf(State state);
+enum class State : std::uint8_t {
+  kRequested,
+  kDraining,
+  kOut,
+  kReturning,
+  kFailed,
+  kBack,
+  kCancelled
+};
+const char* ToString(State state);
 inline bool IsOver(State state) { return state == State::kBack || state == State::kCancelled; }
 
 inline constexpr std::size_t kMostRequests = 400;  // that are not over
@@ -39,14 +47,14 @@
   Kind kind = Kind::kMachine;
   std::string name;  // of the machine, or the endpoint's id
   Urgency urgency = Urgency::kNormal;
-  State state = State::kAsked;
+  State state = State::kRequested;
   std::uint32_t passed = 0;  // grants to others that were asked for later, since it was asked for
   std::string why;           // with kFailed and kCancelled
-  // Of an endpoint: who starts nothing more there, and the life it said so in.
+  // Of an endpoint: who starts nothing more there, and the process_incarnation it said so in.
   std::map<std::string, std::uint64_t> confirmed;
 
-  [[nodiscard]] bool HoldsPlace() const {
-    return kind == Kind::kMachine && state != State::kAsked && !IsOver(state);
+  [[nodiscard]] bool HoldsSlot() const {
+    return kind == Kind::kMachine && state != State::kRequested && !IsOver(state);
   }
 };
 
@@ -60,11 +68,11 @@
   kBringBack,   // kind, name (or "all"), token
   kGrant,       // request
   kOutNow,      // request: the machine has drained
-  kConfirm,     // request, name, life
+  kConfirm,     // request, name, process_incarnation
   kReturned,    // request: the machine serves again
   kFail,        // request, why
-  kDead,        // name, life
-  kAlive,       // name, life
+  kDead,        // name, process_incarnation
+  kAlive,       // name, process_incarnation
   kEnded        // name, token: staff say that its process has ended
 };
 
@@ -75,7 +83,7 @@
   std::string text;  // a hall, or a reason
   Urgency urgency = Urgency::kNormal;
   std::uint64_t request = 0;
-  std::uint64_t life = 0;   // or the limit of all
+  std::uint64_t process_incarnation = 0;  // or the limit of all
   std::uint64_t token = 0;  // of who asked, to find the answer by; or the limit of a hall
   bool flag = false;
 
@@ -84,19 +92,20 @@
 };
 
 struct MemberState {
-  std::string hall;
-  std::uint64_t life = 0;  // the last that was told with its death or life
+  std::string zone;
+  std::uint64_t process_incarnation =
+      0;  // the last that was told with its death or process_incarnation
   bool dead = false;
   std::uint64_t ended = 0;  // lives up to this one have surely ended
 };
 
 // What an operator is told of a request.
-struct Answer {
+struct RequestResult {
   bool good = false;
   std::string text;
 };
 
-class Machine : public consensus::StateMachine {
+class MaintenanceState : public consensus::StateMachine {
  public:
   void Apply(std::string_view command) override;
   [[nodiscard]] std::string Save() const override;
@@ -106,17 +115,17 @@
   [[nodiscard]] const std::map<std::string, MemberState>& members() const { return members_; }
   [[nodiscard]] const std::map<std::uint64_t, Request>& requests() const { return requests_; }
   [[nodiscard]] const std::deque<Request>& over() const { return over_; }
-  [[nodiscard]] std::size_t out_in_all() const { return out_in_all_; }
-  [[nodiscard]] std::size_t out_in_hall() const { return out_in_hall_; }
+  [[nodiscard]] std::size_t max_out_total() const { return max_out_total_; }
+  [[nodiscard]] std::size_t max_out_per_zone() const { return max_out_per_zone_; }
   [[nodiscard]] bool held() const { return held_; }
-  [[nodiscard]] const std::string& last_hall() const { return last_hall_; }
-  [[nodiscard]] const Answer* AnswerTo(std::uint64_t token) const;
+  [[nodiscard]] const std::string& last_zone() const { return last_zone_; }
+  [[nodiscard]] const RequestResult* ResultFor(std::uint64_t token) const;
 
   // Of a machine that is not over; nullptr: none.
   [[nodiscard]] const Request* RequestFor(Kind kind, const std::string& name) const;
   // Places that are used now.
-  [[nodiscard]] std::size_t UsedInAll() const { return UsedInHall(""); }
-  [[nodiscard]] std::size_t UsedInHall(const std::string& hall) const {  // empty: in all
+  [[nodiscard]] std::size_t UsedInAll() const { return UsedInZone(""); }
+  [[nodiscard]] std::size_t UsedInZone(const std::string& hall) const {  // empty: in all
     const auto it = used_.find(hall);
     return it == used_.end() ? 0 : it->second;
   }
@@ -129,28 +138,28 @@
 
  private:
   void Do(const Command& command);
-  Answer Ask(const Command& command);
-  Answer AskOne(const Command& command, const std::string& name);
-  Answer Cancel(const Command& command);
-  Answer BringBack(const Command& command);
+  RequestResult Ask(const Command& command);
+  RequestResult AskOne(const Command& command, const std::string& name);
+  RequestResult Cancel(const Command& command);
+  RequestResult BringBack(const Command& command);
   void Grant(Request& request);
   void End(std::uint64_t id, State state, std::string why);
   void CheckEndpoints();
-  void CountPlaces();
-  void Tell(std::uint64_t token, Answer answer);
+  void CountSlots();
+  void Tell(std::uint64_t token, RequestResult answer);
 
   std::uint64_t revision_ = 0;
   std::uint64_t next_id_ = 1;
   std::map<std::string, MemberState> members_;
   std::map<std::uint64_t, Request> requests_;
   std::deque<Request> over_;
-  std::deque<std::pair<std::uint64_t, Answer>> answers_;
-  std::size_t out_in_all_ = 0, out_in_hall_ = 0;
+  std::deque<std::pair<std::uint64_t, RequestResult>> answers_;
+  std::size_t max_out_total_ = 0, max_out_per_zone_ = 0;
   bool held_ = false;
-  std::string last_hall_;                    // of the last machine whose turn came
+  std::string last_zone_;                    // of the last machine whose turn came
   std::map<std::string, std::size_t> used_;  // places, by hall, and in all; follows from the above
 };
 
 }  // namespace brassfront::maintenance
 
-#endif  // BRASSFRONT_MAINTENANCE_MACHINE_HPP_
+#endif  // BRASSFRONT_MAINTENANCE_MAINTENANCE_STATE_HPP_
--- a/src/peers/whole_file.cpp
+++ b/src/peers/atomic_file.cpp
@@ -1,4 +1,4 @@
-#include "peers/whole_file.hpp"
+#include "peers/atomic_file.hpp"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-bool WriteWhole(const std::string& path, const std::string& bytes) {
+bool WriteAtomically(const std::string& path, const std::string& bytes) {
   const std::string beside = path + ".new";
   const int fd = open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0) return false;
--- a/src/peers/detector.cpp
+++ b/src/peers/failure_detector.cpp
@@ -1,4 +1,4 @@
-#include "peers/detector.hpp"
+#include "peers/failure_detector.hpp"
 
 #include <algorithm>
 #include <bit>
@@ -23,28 +23,28 @@
 
 }  // namespace
 
-const char* NameOf(State state) {
+const char* ToString(State state) {
   constexpr const char* kNames[] = {"unknown", "alive", "suspect", "dead", "left"};
   return kNames[static_cast<std::size_t>(state)];
 }
 
-const char* NameOf(Link link) {
+const char* ToString(Link link) {
   constexpr const char* kNames[] = {"whole", "one-way", "indirect"};
   return kNames[static_cast<std::size_t>(link)];
 }
 
-Detector::Detector(const Timings& timings, std::string self,
-                   const std::vector<std::string>& members, std::uint64_t identity,
-                   std::uint64_t life, std::uint64_t seed)
+FailureDetector::FailureDetector(const Timings& timings, std::string self,
+                                 const std::vector<std::string>& members, std::uint64_t identity,
+                                 std::uint64_t process_incarnation, std::uint64_t seed)
     : timings_(timings),
       self_(std::move(self)),
       identity_(identity),
-      incarnation_(IncarnationOf(life)),
+      incarnation_(IncarnationOf(process_incarnation)),
       random_(seed) {
   SetMembers(members);
 }
 
-void Detector::SetMembers(const std::vector<std::string>& members) {
+void FailureDetector::SetMembers(const std::vector<std::string>& members) {
   const std::set<std::string> names(members.begin(), members.end());
   std::erase_if(peers_, [&](const auto& entry) { return !names.contains(entry.first); });
   std::erase_if(to_spread_, [&](const auto& entry) {
@@ -60,7 +60,7 @@
 
 // ======== time ========
 
-Time Detector::Next() const {
+Time FailureDetector::Next() const {
   if (left_) return Time::max();
   Time next = next_probe_;
   if (probe_ && !probe_->answered) {
@@ -70,7 +70,7 @@
   return next;
 }
 
-void Detector::Tick(Time now) {
+void FailureDetector::Tick(Time now) {
   if (left_) return;
   // Guards against a process that was stopped, wakes up and takes all others for dead.
   if (last_tick_ && now - *last_tick_ > std::max(kPause, 2 * timings_.probe)) {
@@ -105,7 +105,7 @@
   }
 }
 
-void Detector::StartProbe(Time now) {
+void FailureDetector::StartProbe(Time now) {
   ++periods_;
   if (const auto target = NextTarget()) {
     probe_ = Outstanding{*target, next_number_++, now + Stretched(timings_.answer),
@@ -129,7 +129,7 @@
 }
 
 // Members in a random order, each once a round: the time to the next probe of one is bounded.
-std::optional<std::string> Detector::NextTarget() {
+std::optional<std::string> FailureDetector::NextTarget() {
   for (int round = 0; round < 2; ++round) {
     while (!round_.empty()) {
       const std::string name = std::move(round_.back());
@@ -147,7 +147,7 @@
   return std::nullopt;
 }
 
-std::vector<std::string> Detector::Some(std::size_t most, const std::string& but) {
+std::vector<std::string> FailureDetector::Some(std::size_t most, const std::string& but) {
   std::vector<std::string> names;
   for (const auto& [name, peer] : peers_) {
     if (name != but && peer.state == State::kAlive) names.push_back(name);
@@ -159,7 +159,7 @@
   return names;
 }
 
-void Detector::EndProbe(Time now) {
+void FailureDetector::EndProbe(Time now) {
   const Outstanding ended = *std::exchange(probe_, std::nullopt);
   const auto it = peers_.find(ended.target);
   if (it == peers_.end()) return;
@@ -180,19 +180,19 @@
 
 // ======== frames ========
 
-void Detector::Ping(const std::string& target, std::uint32_t number) {
+void FailureDetector::Ping(const std::string& target, std::uint32_t number) {
   Writer body;
   body.U32(number);
   Send(Kind::kPing, target, std::move(body));
 }
 
-void Detector::Send(Kind kind, const std::string& to, Writer body) {
+void FailureDetector::Send(Kind kind, const std::string& to, Writer body) {
   PutWords(body, to);
   out_.push_back({kind, self_, to, identity_, incarnation_, body.Take()});
 }
 
 // What the receiver should know of itself goes first: only it can deny its death.
-void Detector::PutWords(Writer& body, const std::string& to) {
+void FailureDetector::PutWords(Writer& body, const std::string& to) {
   std::vector<std::string> names;
   if (const auto it = peers_.find(to); it != peers_.end() && it->second.incarnation > 0) {
     names.push_back(to);
@@ -222,7 +222,7 @@
   }
 }
 
-std::vector<Detector::Word> Detector::ReadWords(Reader& reader) {
+std::vector<FailureDetector::Word> FailureDetector::ReadWords(Reader& reader) {
   std::vector<Word> words(std::min<std::size_t>(reader.U8(), kMostWords));
   for (Word& word : words) {
     word.name = reader.Name();
@@ -234,7 +234,7 @@
   return words;
 }
 
-void Detector::Receive(const Frame& frame, Time now) {
+void FailureDetector::Receive(const Frame& frame, Time now) {
   const auto it = peers_.find(frame.from);
   if (it == peers_.end() || left_) return;
   Hear(frame, now);
@@ -273,7 +273,7 @@
 }
 
 // `name` has answered probe `number`: ours, or one that we did for somebody else.
-void Detector::Answered(const std::string& name, std::uint32_t number, bool directly) {
+void FailureDetector::Answered(const std::string& name, std::uint32_t number, bool directly) {
   if (directly) {
     for (const Errand& errand : errands_) {
       if (errand.number != number) continue;
@@ -298,7 +298,7 @@
 
 // Whoever sends a frame lives. One that is held for dead has to hear of it and deny it itself, for
 // others hold it for dead as well.
-void Detector::Hear(const Frame& frame, Time now) {
+void FailureDetector::Hear(const Frame& frame, Time now) {
   Peer& peer = peers_.at(frame.from);
   peer.heard = now;
   if (frame.identity != peer.identity && frame.identity == peer.former) {
@@ -323,7 +323,7 @@
 
 // ======== words ========
 
-void Detector::Take(const Word& word, Time now) {
+void FailureDetector::Take(const Word& word, Time now) {
   if (word.name == self_) return TakeAboutSelf(word);
   const auto it = peers_.find(word.name);
   if (it == peers_.end()) return;
@@ -368,8 +368,9 @@
 }
 
 // Our own death is denied with an incarnation above that of the word.
-void Detector::TakeAboutSelf(const Word& word) {
-  if (LifeOf(word.incarnation) > LifeOf(incarnation_)) folder_is_old_ = true;
+void FailureDetector::TakeAboutSelf(const Word& word) {
+  if (ProcessIncarnationOf(word.incarnation) > ProcessIncarnationOf(incarnation_))
+    folder_is_old_ = true;
   const bool denies = word.state != State::kAlive && word.incarnation >= incarnation_;
   if (!denies && word.incarnation <= incarnation_) return;
   incarnation_ = word.incarnation + 1;
@@ -378,21 +379,22 @@
   Spread(self_);
 }
 
-void Detector::Suspect(const std::string& name, Peer& peer, Time now) {
+void FailureDetector::Suspect(const std::string& name, Peer& peer, Time now) {
   if (peer.state == State::kSuspect) return;
   Set(name, peer, State::kSuspect, peer.incarnation);
   peer.dead_at = now + Stretched(timings_.suspicion);
   Spread(name);
 }
 
-void Detector::Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation) {
+void FailureDetector::Set(const std::string& name, Peer& peer, State state,
+                          std::uint64_t incarnation) {
   const State from = std::exchange(peer.state, state);
   if (state == State::kSuspect) {
     suspects_.insert(name);
   } else {
     suspects_.erase(name);
   }
-  const bool restarted = LifeOf(incarnation) > LifeOf(peer.incarnation);
+  const bool restarted = ProcessIncarnationOf(incarnation) > ProcessIncarnationOf(peer.incarnation);
   peer.incarnation = incarnation;
   if (from == state && !restarted) return;
   if (state == State::kDead || state == State::kLeft) {
@@ -403,7 +405,7 @@
   changes_.push_back({name, from, state, incarnation, std::nullopt});
 }
 
-void Detector::SetLink(const std::string& name, Peer& peer) {
+void FailureDetector::SetLink(const std::string& name, Peer& peer) {
   Link link = Link::kWhole;
   if (peer.missed >= kMissedForLink && peer.state == State::kAlive) {
     const Time heard_lately = timings_.probe * static_cast<Time::rep>(2 * peers_.size() + 4);
@@ -416,11 +418,11 @@
   changes_.push_back({name, peer.state, peer.state, peer.incarnation, link});
 }
 
-void Detector::Spread(const std::string& name) {
+void FailureDetector::Spread(const std::string& name) {
   to_spread_[name] = kSpreadFactor * std::bit_width(peers_.size() + 1);
 }
 
-void Detector::Leave(Time now) {
+void FailureDetector::Leave(Time now) {
   Tick(now);
   left_ = true;
   for (const std::string& name : Some(2 * kHelpers, "")) {
--- a/src/peers/detector.hpp
+++ b/src/peers/failure_detector.hpp
@@ -8,8 +8,8 @@
 // An incarnation is a member's number of starts, kept in its folder, and behind it the number of
 // times that it has denied its own death since then: of two words about a member the one with the
 // higher incarnation is newer, so a restart is told from a stale word.
-#ifndef BRASSFRONT_PEERS_DETECTOR_HPP_
-#define BRASSFRONT_PEERS_DETECTOR_HPP_
+#ifndef BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
+#define BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
 
 #include <cstdint>
 #include <map>
@@ -32,18 +32,22 @@
 // kUnknown: not heard of since our start. kLeft: it said that it ends. kDead may be alive and cut
 // off: nobody can tell.
 enum class State : std::uint8_t { kUnknown, kAlive, kSuspect, kDead, kLeft };
-const char* NameOf(State state);
+const char* ToString(State state);
 
 // Between us and one peer, by our own probes. kOneWay: we hear it, and our probes come back by way
 // of others alone. kIndirect: neither hears the other directly, and others hear it.
 enum class Link : std::uint8_t { kWhole, kOneWay, kIndirect };
-const char* NameOf(Link link);
+const char* ToString(Link link);
 
 inline constexpr std::uint64_t kDenialBits = 20;
-inline std::uint64_t IncarnationOf(std::uint64_t life) { return life << kDenialBits; }
-inline std::uint64_t LifeOf(std::uint64_t incarnation) { return incarnation >> kDenialBits; }
-
-class Detector {
+inline std::uint64_t IncarnationOf(std::uint64_t process_incarnation) {
+  return process_incarnation << kDenialBits;
+}
+inline std::uint64_t ProcessIncarnationOf(std::uint64_t incarnation) {
+  return incarnation >> kDenialBits;
+}
+
+class FailureDetector {
  public:
   struct Peer {
     State state = State::kUnknown;
@@ -53,7 +57,7 @@
     std::size_t flips = 0;       // times that the former one was heard again: two use the name
     Link link = Link::kWhole;
     Time heard{};            // its last frame that came to us
-    Time dead_at{};          // while suspected: if no word of its life comes
+    Time dead_at{};          // while suspected: if no word of its process_incarnation comes
     std::size_t missed = 0;  // direct probes in a row
   };
 
@@ -71,14 +75,14 @@
     std::uint64_t twice = 0;  // words of two processes with one name
   };
 
-  Detector(const Timings& timings, std::string self, const std::vector<std::string>& members,
-           std::uint64_t identity, std::uint64_t life, std::uint64_t seed);
+  FailureDetector(const Timings& timings, std::string self, const std::vector<std::string>& members,
+                  std::uint64_t identity, std::uint64_t process_incarnation, std::uint64_t seed);
 
   // Does what is due. To be called at Next() at the latest; a call that comes much later means that
   // this process was stopped, and nobody is judged by what it missed.
   void Tick(Time now);
   [[nodiscard]] Time Next() const;
-  // A frame of a peer that has checked. Kinds of other cores count as signs of life.
+  // A frame of a peer that has checked. Kinds of other cores count as signs of process_incarnation.
   void Receive(const Frame& frame, Time now);
   // Says good-bye: others need not suspect us.
   void Leave(Time now);
@@ -96,8 +100,9 @@
   // asked for help were silent as well: then it may be us. Our own time limits are so many times
   // longer, and one more.
   [[nodiscard]] std::size_t doubt() const { return doubt_; }
-  // Others have known a later life of ours than our folder does: it is an old copy, or was lost.
-  [[nodiscard]] bool folder_is_old() const { return folder_is_old_; }
+  // Others have known a later process_incarnation of ours than our folder does: it is an old copy,
+  // or was lost.
+  [[nodiscard]] bool folder_is_stale() const { return folder_is_old_; }
   // Peers that have told, since our start, what they know of us (an answer to a probe).
   [[nodiscard]] std::size_t answered_by() const { return answered_.size(); }
 
@@ -170,4 +175,4 @@
 
 }  // namespace brassfront::peers
 
-#endif  // BRASSFRONT_PEERS_DETECTOR_HPP_
+#endif  // BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
--- a/src/peers/frame.cpp
+++ b/src/peers/frame.cpp
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-const char* NameOf(Drop drop) {
+const char* ToString(Drop drop) {
   switch (drop) {
     case Drop::kNone:
       return "none";
--- a/src/peers/frame.hpp
+++ b/src/peers/frame.hpp
@@ -41,7 +41,7 @@
 
 // Why a frame is dropped. A wrong version is told before a wrong signature, for an old member.
 enum class Drop { kNone, kShort, kVersion, kKind, kSignature, kFleet, kNotForUs };
-const char* NameOf(Drop drop);
+const char* ToString(Drop drop);
 
 std::string Encode(const Frame& frame, std::string_view fleet, std::string_view secret);
 // The frame is whole only with kNone; `from` may be filled in else, for the log, and be a lie.
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -66,9 +66,9 @@
     for (const Record& member : root_.At("members").Items()) ReadMember(member, roster);
     ReadSharing(roster);
     ChooseVoters(roster);
-    roster.out_in_all = static_cast<std::size_t>(root_.At("out").At("all").Int());
-    roster.out_in_hall = static_cast<std::size_t>(root_.At("out").At("hall").Int());
-    if (roster.out_in_all >= roster.members.size()) {
+    roster.max_out_total = static_cast<std::size_t>(root_.At("out").At("all").Int());
+    roster.max_out_per_zone = static_cast<std::size_t>(root_.At("out").At("hall").Int());
+    if (roster.max_out_total >= roster.members.size()) {
       Complain(root_.At("out").At("all"), "expected less than the number of members");
     }
     if (!faults_.empty()) throw records::BadRecords(std::move(faults_));
@@ -268,7 +268,8 @@
     if (!changed.empty()) return "more than one member changes (" + changed + " and " + name + ")";
     changed = name;
   }
-  const bool rest_too = now.out_in_all != next.out_in_all || now.out_in_hall != next.out_in_hall ||
+  const bool rest_too = now.max_out_total != next.max_out_total ||
+                        now.max_out_per_zone != next.max_out_per_zone ||
                         now.timings != next.timings || now.sharing != next.sharing;
   if (!changed.empty() && rest_too) return changed + " changes, and limits or timings as well";
   return "";
--- a/src/peers/roster.hpp
+++ b/src/peers/roster.hpp
@@ -21,7 +21,7 @@
 
 struct Member {
   std::string name;
-  std::string hall;
+  std::string zone;
   std::string address;  // IPv4:PORT, of its datagrams
   bool voter = false;
 
@@ -31,7 +31,7 @@
 struct Timings {
   Time probe{};      // between two probes of a member
   Time answer{};     // of a direct probe, before others are asked to try
-  Time suspicion{};  // from suspected to dead, where no word of its life comes
+  Time suspicion{};  // from suspected to dead, where no word of its process_incarnation comes
   Time heartbeat{};  // of the settled log's leader
   Time election{};   // without a leader's word, at least
   Time drain{};      // of a machine, before its turn is said to have failed
@@ -58,7 +58,7 @@
   std::string fleet;
   std::string secret;  // bytes, from the key file
   std::vector<Member> members;
-  std::size_t out_in_all = 0, out_in_hall = 0;  // machines out or dead at once, at most
+  std::size_t max_out_total = 0, max_out_per_zone = 0;  // machines out or dead at once, at most
   Timings timings;
   Sharing sharing;
 
--- a/src/quota/grantor.cpp
+++ b/src/quota/lease_grantor.cpp
@@ -1,4 +1,4 @@
-#include "quota/grantor.hpp"
+#include "quota/lease_grantor.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,13 +11,13 @@
 
 }  // namespace
 
-void Grantor::Begin(Time now) {
+void LeaseGrantor::Begin(Time now) {
   begun_ = now;
   limits_.clear();
   askers_.clear();
 }
 
-double Grantor::Outstanding(const std::string& key, Time now) const {
+double LeaseGrantor::Outstanding(const std::string& key, Time now) const {
   const auto it = limits_.find(key);
   double sum = 0;
   if (it == limits_.end()) return sum;
@@ -25,22 +25,23 @@
   return sum;
 }
 
-// The second lowest of what members were told; the lower of two, the only one. So neither one that
-// claims nothing nor one that claims a million moves it where three call there. Nothing above what
-// the operator file lists.
-double Grantor::Agreed(const std::string& key, Limit& limit, Time now) const {
-  std::erase_if(limit.told, [&](const auto& c) { return now - c.second.at > terms_.Fresh(); });
-  std::vector<double> told;
-  for (const auto& [who, claim] : limit.told) told.push_back(claim.rate);
-  std::sort(told.begin(), told.end());
-  const auto listed = terms_.listed.find(key);
-  double agreed = listed == terms_.listed.end() ? 0 : listed->second;
-  if (told.empty()) return agreed;
-  const double heard = told.size() < 3 ? told[0] : told[1];
+// The second lowest of what members were reported; the lower of two, the only one. So neither one
+// that claims nothing nor one that claims a million moves it where three call there. Nothing above
+// what the operator file lists.
+double LeaseGrantor::Agreed(const std::string& key, Limit& limit, Time now) const {
+  std::erase_if(limit.reported,
+                [&](const auto& c) { return now - c.second.at > settings_.Fresh(); });
+  std::vector<double> reported;
+  for (const auto& [who, claim] : limit.reported) reported.push_back(claim.rate);
+  std::sort(reported.begin(), reported.end());
+  const auto listed = settings_.listed.find(key);
+  double agreed = listed == settings_.listed.end() ? 0 : listed->second;
+  if (reported.empty()) return agreed;
+  const double heard = reported.size() < 3 ? reported[0] : reported[1];
   return agreed > 0 ? std::min(agreed, heard) : heard;
 }
 
-double Grantor::Lent(const Limit& limit, Time now) const {
+double LeaseGrantor::Lent(const Limit& limit, Time now) const {
   double sum = 0;
   for (const auto& [who, loan] : limit.lent) sum += now < loan.until ? loan.amount : 0;
   return sum;
@@ -48,12 +49,12 @@
 
 // Max-min fair over what holders want above their floors: whoever wants little gets it whole, and
 // the rest share evenly.
-double Grantor::FairPart(const Limit& limit, const std::string& holder, double pool, double floor,
-                         Time now) const {
+double LeaseGrantor::FairPart(const Limit& limit, const std::string& holder, double pool,
+                              double floor, Time now) const {
   std::vector<double> wants;
   double ours = 0;
   for (const auto& [who, claim] : limit.demands) {
-    if (now - claim.at > terms_.term) continue;
+    if (now - claim.at > settings_.term) continue;
     const double want = std::max(0.0, claim.rate - floor);
     if (who == holder) ours = want;
     wants.push_back(want);
@@ -67,7 +68,8 @@
   return ours;
 }
 
-std::optional<Grant> Grantor::Answer(const std::string& holder, const Request& request, Time now) {
+std::optional<LeaseGrant> LeaseGrantor::Answer(const std::string& holder,
+                                               const LeaseRequestBatch& request, Time now) {
   if (!begun_) return std::nullopt;
   // A late copy says nothing of what the holder keeps now.
   Asker& asker = askers_[holder];
@@ -80,32 +82,32 @@
   }
   asker.answered.emplace_back(request.number, now);
   if (asker.answered.size() > kAnswersKept) asker.answered.pop_front();
-  Grant grant;
+  LeaseGrant grant;
   grant.number = request.number;
   grant.leases = grants(now);
-  for (const auto& [key, wish] : request.wishes) {
+  for (const auto& [key, wish] : request.requests) {
     if (!limits_.contains(key) && limits_.size() >= kMostKeys) continue;
     Limit& limit = limits_[key];
     limit.demands[holder] = {wish.demand, now};
-    if (terms_.told && wish.told > 0) limit.told[holder] = {wish.told, now};
-    Part& part = grant.parts[key];
+    if (settings_.reported && wish.reported > 0) limit.reported[holder] = {wish.reported, now};
+    GrantedLease& part = grant.parts[key];
     part.limit = limit.limit = Agreed(key, limit, now);
     // What it says to keep holds until the end of its lease at most, whatever becomes of this.
-    limit.lent[holder] = {wish.lend, younger_than ? *younger_than + terms_.Lent() : Time{}};
+    limit.lent[holder] = {wish.lend, younger_than ? *younger_than + settings_.Lent() : Time{}};
     Lease& lease = limit.leases[holder];
     lease.amount = now < lease.ends ? std::min(lease.amount, wish.keep) : 0;
     if (!grant.leases || part.limit <= 0) continue;
-    const double pool = part.limit * (1 - terms_.floor) + Lent(limit, now);
+    const double pool = part.limit * (1 - settings_.floor) + Lent(limit, now);
     const double others = Outstanding(key, now) - lease.amount;
-    const double fair = FairPart(limit, holder, pool, terms_.FloorOf(part.limit), now);
+    const double fair = FairPart(limit, holder, pool, settings_.FloorOf(part.limit), now);
     part.lease = std::clamp(pool - others, 0.0, fair);
     lease.amount = std::max(lease.amount, part.lease);
-    lease.ends = now + terms_.Stretched(terms_.term);
+    lease.ends = now + settings_.Stretched(settings_.term);
   }
-  // Limits that it does not use are told too: their floors are lent.
+  // Limits that it does not use are reported too: their floors are lent.
   for (const auto& [key, limit] : limits_) {
     if (limit.limit > 0 && grant.parts.size() < kMostKeys) {
-      grant.parts.try_emplace(key, Part{limit.limit, 0});
+      grant.parts.try_emplace(key, GrantedLease{limit.limit, 0});
     }
   }
   return grant;
--- a/src/quota/grantor.hpp
+++ b/src/quota/lease_grantor.hpp
@@ -3,8 +3,8 @@
 //
 // A core: no I/O, no clock, no threads. It remembers nothing across a change of leaders: a new one
 // waits until all that was granted before has surely ended.
-#ifndef BRASSFRONT_QUOTA_GRANTOR_HPP_
-#define BRASSFRONT_QUOTA_GRANTOR_HPP_
+#ifndef BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
+#define BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -13,23 +13,24 @@
 #include <string>
 #include <utility>
 
+#include "quota/lease_settings.hpp"
 #include "quota/messages.hpp"
-#include "quota/terms.hpp"
 
 namespace brassfront::quota {
 
-class Grantor {
+class LeaseGrantor {
  public:
-  explicit Grantor(Terms terms) : terms_(std::move(terms)) {}
+  explicit LeaseGrantor(LeaseSettings terms) : settings_(std::move(terms)) {}
 
   // We lead from now on, or may have been stopped while we led: nothing is granted for a while.
   void Begin(Time now);
   // We lead no longer.
   void End() { begun_.reset(); }
-  void Change(Terms terms) { terms_ = std::move(terms); }
+  void Change(LeaseSettings terms) { settings_ = std::move(terms); }
 
   // None: we do not lead. During the quiet time the answer has limits and no leases.
-  std::optional<Grant> Answer(const std::string& holder, const Request& request, Time now);
+  std::optional<LeaseGrant> Answer(const std::string& holder, const LeaseRequestBatch& request,
+                                   Time now);
 
   struct Lease {
     double amount = 0;
@@ -45,13 +46,15 @@
   };
   struct Limit {
     std::map<std::string, Loan> lent;
-    std::map<std::string, Lease> leases;   // by holder
-    std::map<std::string, Claim> told;     // by who says so
-    std::map<std::string, Claim> demands;  // by holder
-    double limit = 0;                      // as last agreed
+    std::map<std::string, Lease> leases;    // by holder
+    std::map<std::string, Claim> reported;  // by who says so
+    std::map<std::string, Claim> demands;   // by holder
+    double limit = 0;                       // as last agreed
   };
   [[nodiscard]] const std::map<std::string, Limit>& limits() const { return limits_; }
-  [[nodiscard]] bool grants(Time now) const { return begun_ && now - *begun_ >= terms_.Quiet(); }
+  [[nodiscard]] bool grants(Time now) const {
+    return begun_ && now - *begun_ >= settings_.QuietTime();
+  }
   // Of a key, what is granted and has not surely ended.
   [[nodiscard]] double Outstanding(const std::string& key, Time now) const;
 
@@ -61,7 +64,7 @@
   [[nodiscard]] double FairPart(const Limit& limit, const std::string& holder, double pool,
                                 double floor, Time now) const;
 
-  Terms terms_;
+  LeaseSettings settings_;
   std::optional<Time> begun_;
   std::map<std::string, Limit> limits_;
   struct Asker {
@@ -73,4 +76,4 @@
 
 }  // namespace brassfront::quota
 
-#endif  // BRASSFRONT_QUOTA_GRANTOR_HPP_
+#endif  // BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
--- a/src/quota/holder.cpp
+++ b/src/quota/lease_holder.cpp
@@ -1,4 +1,4 @@
-#include "quota/holder.hpp"
+#include "quota/lease_holder.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -25,41 +25,42 @@
 }  // namespace
 
 // What is listed is there from the start, so that the floor of one that calls nowhere is lent.
-Holder::Holder(Terms terms) : terms_(std::move(terms)) {
-  for (const auto& [key, limit] : terms_.listed) shares_[key].limit = limit;
+LeaseHolder::LeaseHolder(LeaseSettings terms) : settings_(std::move(terms)) {
+  for (const auto& [key, limit] : settings_.listed) shares_[key].limit = limit;
 }
 
-Holder::Share& Holder::Of(const std::string& key, Time now) {
+LeaseHolder::Share& LeaseHolder::Of(const std::string& key, Time now) {
   const auto [it, added] = shares_.try_emplace(key);
   if (added) {
-    const auto listed = terms_.listed.find(key);
-    if (listed != terms_.listed.end()) it->second.limit = listed->second;
+    const auto listed = settings_.listed.find(key);
+    if (listed != settings_.listed.end()) it->second.limit = listed->second;
     it->second.tokens = 1;
     it->second.tokens_at = it->second.demand_at = now;
   }
   return it->second;
 }
 
-// What our own calls were told makes us more careful at once; less careful only by the grant.
-double Holder::LimitOf(const Share& share, Time now) const {
-  const bool fresh = share.told > 0 && (now - share.told_at < terms_.Fresh() || now >= share.ends);
-  if (!terms_.told || !fresh) return share.limit;
-  return share.limit > 0 ? std::min(share.limit, share.told) : share.told;
+// What our own calls were reported makes us more careful at once; less careful only by the grant.
+double LeaseHolder::LimitOf(const Share& share, Time now) const {
+  const bool fresh =
+      share.reported > 0 && (now - share.told_at < settings_.Fresh() || now >= share.ends);
+  if (!settings_.reported || !fresh) return share.limit;
+  return share.limit > 0 ? std::min(share.limit, share.reported) : share.reported;
 }
 
-// A lease granted by a higher limit than our own calls are told shrinks with it.
-double Holder::LeaseOf(const Share& share, Time now) const {
+// A lease granted by a higher limit than our own calls are reported shrinks with it.
+double LeaseHolder::LeaseOf(const Share& share, Time now) const {
   if (now >= share.ends || share.limit <= 0) return 0;
   return share.lease * LimitOf(share, now) / share.limit;
 }
 
-double Holder::DemandOf(const Share& share, Time now) const {
+double LeaseHolder::DemandOf(const Share& share, Time now) const {
   return Faded(share.demand, share.demand_at, now);
 }
 
 // What comes, with some headroom; or more than what is used, where all that may be used is: then
 // something waits. Guards against a backlog that is never asked for.
-double Holder::WantOf(const Share& share, Time now) const {
+double LeaseHolder::WantOf(const Share& share, Time now) const {
   const double comes = DemandOf(share, now) * kHeadroom;
   const double used = Faded(share.used, share.used_at, now);
   const double rate = FloorOf(share, now) + LeaseOf(share, now);
@@ -67,22 +68,22 @@
 }
 
 // What comes to one that has lent its floor, or has too small a lease, is asked for soon.
-void Holder::Wanted(const std::string& key, Time now) {
+void LeaseHolder::OnDemand(const std::string& key, Time now) {
   Share& share = Of(key, now);
   share.demand = DemandOf(share, now) + 1 / kDemandMemory;
   share.demand_at = now;
   if (FloorOf(share, now) + LeaseOf(share, now) < share.demand) {
-    next_ = std::min(next_, asked_ + terms_.Renew() / 4);
+    next_ = std::min(next_, asked_ + settings_.Renew() / 4);
   }
 }
 
-double Holder::FloorOf(const Share& share, Time now) const {
+double LeaseHolder::FloorOf(const Share& share, Time now) const {
   double lent = 0;
   for (const auto& [amount, until] : share.lent) lent = std::max(lent, now < until ? amount : 0);
-  return std::max(0.0, terms_.FloorOf(LimitOf(share, now)) - lent);
+  return std::max(0.0, settings_.FloorOf(LimitOf(share, now)) - lent);
 }
 
-std::optional<double> Holder::RateOf(const std::string& key, Time now) const {
+std::optional<double> LeaseHolder::RateOf(const std::string& key, Time now) const {
   const auto it = shares_.find(key);
   if (it == shares_.end() || LimitOf(it->second, now) <= 0) return std::nullopt;
   return FloorOf(it->second, now) + LeaseOf(it->second, now);
@@ -90,16 +91,16 @@
 
 // The lease counts until its end and no longer, however late this is asked. Guards against one that
 // was stopped past its lease and wakes up with calls ready.
-void Holder::Refill(Share& share, Time now) const {
+void LeaseHolder::Refill(Share& share, Time now) const {
   const double floor = FloorOf(share, share.tokens_at);  // what was lent then may be back since
   const Time leased = std::max(Time{}, std::min(now, share.ends) - share.tokens_at);
   const double lease = share.limit > 0 ? share.lease * LimitOf(share, now) / share.limit : 0;
   share.tokens += floor * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
-  share.tokens = std::min(share.tokens, terms_.BurstOf(floor + LeaseOf(share, now)));
+  share.tokens = std::min(share.tokens, settings_.BurstOf(floor + LeaseOf(share, now)));
   share.tokens_at = now;
 }
 
-bool Holder::MayBegin(const std::string& key, Time now) {
+bool LeaseHolder::TryAcquire(const std::string& key, Time now) {
   Share& share = Of(key, now);
   if (LimitOf(share, now) > 0) {
     Refill(share, now);
@@ -115,27 +116,28 @@
   return true;
 }
 
-void Holder::Told(const std::string& key, double limit, Time now) {
+void LeaseHolder::OnLimitReported(const std::string& key, double limit, Time now) {
   Share& share = Of(key, now);
   Refill(share, now);
-  share.told = limit;
+  share.reported = limit;
   share.told_at = now;
 }
 
-std::optional<Request> Holder::Ask(Time now) {
+std::optional<LeaseRequestBatch> LeaseHolder::Ask(Time now) {
   if (now < next_) return std::nullopt;
-  next_ = now + terms_.Renew();
+  next_ = now + settings_.Renew();
   if (shares_.empty()) return std::nullopt;
-  Request request;
+  LeaseRequestBatch request;
   request.number = ++number_;
   request.had = had_;
   asked_ = now;
   for (auto& [key, share] : shares_) {
-    if (request.wishes.size() >= kMostKeys) break;
-    Wish& wish = request.wishes[key];
-    const double floor = terms_.FloorOf(LimitOf(share, now));
+    if (request.requests.size() >= kMostKeys) break;
+    LeaseRequest& wish = request.requests[key];
+    const double floor = settings_.FloorOf(LimitOf(share, now));
     wish.demand = WantOf(share, now) + std::min(kLeastHeadroom, floor);
-    wish.told = terms_.told && now - share.told_at < terms_.Fresh() ? share.told : 0;
+    wish.reported =
+        settings_.reported && now - share.told_at < settings_.Fresh() ? share.reported : 0;
     // What is not needed is given back: from now on no more is used than is said here.
     Refill(share, now);
     if (now >= share.ends) share.lease = 0;
@@ -145,13 +147,13 @@
     wish.lend = std::max(0.0, floor - keeps);
     std::erase_if(share.lent, [&](const auto& lent) { return now >= lent.second; });
     // Whether it is ever granted or not, it is left alone.
-    if (wish.lend > 0) share.lent.emplace_back(wish.lend, now + terms_.LeftAlone());
+    if (wish.lend > 0) share.lent.emplace_back(wish.lend, now + settings_.LeaseCoolDown());
   }
   return request;
 }
 
 // The answer to an older request says nothing of what we said to keep since.
-void Holder::Take(const Grant& grant, Time now) {
+void LeaseHolder::Take(const LeaseGrant& grant, Time now) {
   if (grant.number != number_) return;
   had_ = grant.number;
   for (const auto& [key, part] : grant.parts) {
@@ -161,24 +163,24 @@
     share.limit = part.limit;
     if (!grant.leases) continue;
     share.lease = part.lease;
-    share.ends = asked_ + terms_.Shortened(terms_.term);
+    share.ends = asked_ + settings_.Shortened(settings_.term);
   }
 }
 
-void Holder::Change(Terms terms, Time now) {
+void LeaseHolder::Change(LeaseSettings terms, Time now) {
   for (auto& [key, share] : shares_) Refill(share, now);
-  terms_ = std::move(terms);
+  settings_ = std::move(terms);
   for (auto& [key, share] : shares_) {
-    const auto listed = terms_.listed.find(key);
-    if (listed != terms_.listed.end() && now >= share.ends) share.limit = listed->second;
+    const auto listed = settings_.listed.find(key);
+    if (listed != settings_.listed.end() && now >= share.ends) share.limit = listed->second;
   }
 }
 
-void Holder::TellAgain(const std::string& key) {
+void LeaseHolder::ReportAgain(const std::string& key) {
   if (const auto it = shares_.find(key); it != shares_.end()) it->second.last.reset();
 }
 
-std::vector<std::pair<std::string, std::optional<double>>> Holder::Changes(Time now) {
+std::vector<std::pair<std::string, std::optional<double>>> LeaseHolder::Changes(Time now) {
   std::vector<std::pair<std::string, std::optional<double>>> changes;
   for (auto& [key, share] : shares_) {
     const std::optional<double> rate = RateOf(key, now);
--- a/src/quota/holder.hpp
+++ b/src/quota/lease_holder.hpp
@@ -2,8 +2,8 @@
 // and a lease on top, which ends on this member's own clock.
 //
 // A core: no I/O, no clock, no threads. Time goes only forward.
-#ifndef BRASSFRONT_QUOTA_HOLDER_HPP_
-#define BRASSFRONT_QUOTA_HOLDER_HPP_
+#ifndef BRASSFRONT_QUOTA_LEASE_HOLDER_HPP_
+#define BRASSFRONT_QUOTA_LEASE_HOLDER_HPP_
 
 #include <cstdint>
 #include <map>
@@ -12,40 +12,40 @@
 #include <utility>
 #include <vector>
 
+#include "quota/lease_settings.hpp"
 #include "quota/messages.hpp"
-#include "quota/terms.hpp"
 
 namespace brassfront::quota {
 
-class Holder {
+class LeaseHolder {
  public:
-  explicit Holder(Terms terms);
+  explicit LeaseHolder(LeaseSettings terms);
 
   // Something came that will want a call.
-  void Wanted(const std::string& key, Time now);
+  void OnDemand(const std::string& key, Time now);
   // The last question before a call's first byte. Books the call if it may begin. Where no limit is
   // known it may.
-  bool MayBegin(const std::string& key, Time now);
-  // Our own call was told the limit, calls a second.
-  void Told(const std::string& key, double limit, Time now);
+  bool TryAcquire(const std::string& key, Time now);
+  // Our own call was reported the limit, calls a second.
+  void OnLimitReported(const std::string& key, double limit, Time now);
 
   // The next request to the grantor, if one is due.
-  std::optional<Request> Ask(Time now);
+  std::optional<LeaseRequestBatch> Ask(Time now);
   [[nodiscard]] Time Next() const { return next_; }
-  void Take(const Grant& grant, Time now);
+  void Take(const LeaseGrant& grant, Time now);
   // The roster has other members, or the operator file other limits.
-  void Change(Terms terms, Time now);
+  void Change(LeaseSettings terms, Time now);
 
   // Calls a second that we may begin now; none: no limit is known.
   [[nodiscard]] std::optional<double> RateOf(const std::string& key, Time now) const;
-  // Whoever was told of the key's rate is to be told again.
-  void TellAgain(const std::string& key);
+  // Whoever was reported of the key's rate is to be reported again.
+  void ReportAgain(const std::string& key);
   // Keys whose rate has changed by a tenth since this was last asked, or ended.
   std::vector<std::pair<std::string, std::optional<double>>> Changes(Time now);
 
   struct Share {
-    double limit = 0;  // as granted with, or listed; 0: unknown
-    double told = 0;   // by our own calls
+    double limit = 0;     // as granted with, or listed; 0: unknown
+    double reported = 0;  // by our own calls
     Time told_at{};
     double lease = 0;   // calls a second
     Time ends{};        // of the lease
@@ -57,7 +57,7 @@
     std::vector<std::pair<double, Time>> lent;
     double tokens = 0;
     Time tokens_at{};
-    std::optional<double> last;  // as Changes told it
+    std::optional<double> last;  // as Changes reported it
     std::uint64_t begun = 0, held_back = 0;
   };
   [[nodiscard]] const std::map<std::string, Share>& shares() const { return shares_; }
@@ -71,7 +71,7 @@
   [[nodiscard]] double FloorOf(const Share& share, Time now) const;
   void Refill(Share& share, Time now) const;
 
-  Terms terms_;
+  LeaseSettings settings_;
   std::map<std::string, Share> shares_;
   std::uint64_t number_ = 0;  // of the last request
   std::uint64_t had_ = 0;     // of the last one that was answered
@@ -81,4 +81,4 @@
 
 }  // namespace brassfront::quota
 
-#endif  // BRASSFRONT_QUOTA_HOLDER_HPP_
+#endif  // BRASSFRONT_QUOTA_LEASE_HOLDER_HPP_
--- a/src/quota/terms.hpp
+++ b/src/quota/lease_settings.hpp
@@ -1,6 +1,6 @@
 // What limits of a whole fleet are kept by, and the bounds that follow. No I/O, no clock.
-#ifndef BRASSFRONT_QUOTA_TERMS_HPP_
-#define BRASSFRONT_QUOTA_TERMS_HPP_
+#ifndef BRASSFRONT_QUOTA_LEASE_SETTINGS_HPP_
+#define BRASSFRONT_QUOTA_LEASE_SETTINGS_HPP_
 
 #include <chrono>
 #include <cstddef>
@@ -17,28 +17,29 @@
   return std::chrono::duration_cast<Time>(std::chrono::duration<double>(seconds));
 }
 
-struct Terms {
+struct LeaseSettings {
   Time term{};          // of a lease, from the moment when it was asked for
   double drift = 0.01;  // by which two members' clocks may run apart
   double floor = 0.2;   // share of a limit that is set aside: an even part for each member
   Time burst{};         // of a member's rate, what may come at once; one call at least
   Time election{};      // of the settled log, whose leader grants
   std::size_t members = 1;
-  bool told = true;                        // limits that endpoints report hold as well
+  bool reported = true;                    // limits that endpoints report hold as well
   std::map<std::string, double> listed{};  // calls a second, by key, from the operator file
 
   [[nodiscard]] Time Renew() const { return term / 4; }
-  // What a call was told of a limit counts for so long; whoever calls seldom knows only an old one.
+  // What a call was reported of a limit counts for so long; whoever calls seldom knows only an old
+  // one.
   [[nodiscard]] Time Fresh() const { return 2 * term; }
   // A new grantor waits for so long: what the one before granted has ended by then, on whichever
   // member's clock, and the one before, which leads for two elections without a majority at most,
   // grants no more.
-  [[nodiscard]] Time Quiet() const { return Stretched(term + 2 * election); }
+  [[nodiscard]] Time QuietTime() const { return Stretched(term + 2 * election); }
   // What a member has lent of its floor may be granted for so long after the answer that it shows
   // to have had, and the member leaves it alone for so long after each time that it says so: until
   // all leases from it have surely ended.
   [[nodiscard]] Time Lent() const { return Shortened(term); }
-  [[nodiscard]] Time LeftAlone() const { return Stretched(Stretched(2 * term)); }
+  [[nodiscard]] Time LeaseCoolDown() const { return Stretched(Stretched(2 * term)); }
   // As long as any clock may take for it.
   [[nodiscard]] Time Stretched(Time time) const {
     return FromSeconds(SecondsOf(time) * (1 + drift));
@@ -75,4 +76,4 @@
 
 }  // namespace brassfront::quota
 
-#endif  // BRASSFRONT_QUOTA_TERMS_HPP_
+#endif  // BRASSFRONT_QUOTA_LEASE_SETTINGS_HPP_
--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -23,47 +23,47 @@
 
 }  // namespace
 
-std::string Request::Encode() const {
+std::string LeaseRequestBatch::Encode() const {
   Writer out;
-  out.U64(number).U64(had).U16(wishes.size());
-  for (const auto& [key, w] : wishes) {
-    out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.told)).U32(Milli(w.lend));
+  out.U64(number).U64(had).U16(requests.size());
+  for (const auto& [key, w] : requests) {
+    out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.reported)).U32(Milli(w.lend));
   }
   return out.Take();
 }
 
-std::optional<Request> Request::Decode(std::string_view bytes) {
+std::optional<LeaseRequestBatch> LeaseRequestBatch::Decode(std::string_view bytes) {
   Reader in(bytes);
-  Request request;
+  LeaseRequestBatch request;
   request.number = in.U64();
   request.had = in.U64();
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    Wish& w = request.wishes[in.Name()];
+    LeaseRequest& w = request.requests[in.Name()];
     w.demand = FromMilli(in.U32());
     w.keep = FromMilli(in.U32());
-    w.told = FromMilli(in.U32());
+    w.reported = FromMilli(in.U32());
     w.lend = FromMilli(in.U32());
   }
   if (!in.done() || count > kMostKeys) return std::nullopt;
   return request;
 }
 
-std::string Grant::Encode() const {
+std::string LeaseGrant::Encode() const {
   Writer out;
   out.U64(number).U8(leases).U16(parts.size());
   for (const auto& [key, p] : parts) out.Name(key).U32(Milli(p.limit)).U32(Milli(p.lease));
   return out.Take();
 }
 
-std::optional<Grant> Grant::Decode(std::string_view bytes) {
+std::optional<LeaseGrant> LeaseGrant::Decode(std::string_view bytes) {
   Reader in(bytes);
-  Grant grant;
+  LeaseGrant grant;
   grant.number = in.U64();
   grant.leases = in.U8() != 0;
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    Part& p = grant.parts[in.Name()];
+    GrantedLease& p = grant.parts[in.Name()];
     p.limit = FromMilli(in.U32());
     p.lease = FromMilli(in.U32());
   }
--- a/src/verdicts/table.cpp
+++ b/src/verdicts/health_report_table.cpp
@@ -1,4 +1,4 @@
-#include "verdicts/table.hpp"
+#include "verdicts/health_report_table.hpp"
 
 #include <algorithm>
 #include <set>
@@ -28,28 +28,29 @@
 
 }  // namespace
 
-const char* NameOf(Seen seen) {
+const char* ToString(ObservedState seen) {
   constexpr const char* kNames[] = {"fine", "down", "wait", "cold"};
   return kNames[static_cast<std::size_t>(seen) - 1];
 }
 
 // ======== our own calls ========
 
-void Table::Note(const std::string& endpoint, Own& own, Seen seen, Time rest, Time now) {
+void HealthReportTable::Note(const std::string& endpoint, Own& own, ObservedState seen, Time rest,
+                             Time now) {
   own.said_at = now;
-  own.said = Word{endpoint,
-                  self_,
-                  ++number_,
-                  seen,
-                  now,
-                  std::min(rest, kMostRest),
-                  std::max<std::uint32_t>(1, own.failures)};
+  own.said = HealthReport{endpoint,
+                          self_,
+                          ++number_,
+                          seen,
+                          now,
+                          std::min(rest, kMostRest),
+                          std::max<std::uint32_t>(1, own.failures)};
   words_[{endpoint, self_}] = *own.said;
   to_say_ = 2 * present_.size();
-  if (seen == Seen::kFine) own.said.reset();
+  if (seen == ObservedState::kFine) own.said.reset();
 }
 
-void Table::Answered(const std::string& endpoint, Time sent, Time now) {
+void HealthReportTable::Answered(const std::string& endpoint, Time sent, Time now) {
   Own& own = own_[endpoint];
   own.failures = 0;
   own.last_ok = std::max(own.last_ok, sent);
@@ -63,48 +64,50 @@
     Strike(claim.word.witness, now);
   }
   // That it is cold stays said until it has aged.
-  if (!own.said || own.said->at > sent || own.said->seen == Seen::kCold) return;
+  if (!own.said || own.said->at > sent || own.said->seen == ObservedState::kCold) return;
   // It was down, by what we said: it is back, and cold. A wait is over.
-  const bool back = own.said->seen == Seen::kDown;
-  Note(endpoint, own, back ? Seen::kCold : Seen::kFine, Time{}, now);
+  const bool back = own.said->seen == ObservedState::kDown;
+  Note(endpoint, own, back ? ObservedState::kCold : ObservedState::kFine, Time{}, now);
 }
 
-void Table::Failed(const std::string& endpoint, Time now) {
+void HealthReportTable::Failed(const std::string& endpoint, Time now) {
   Own& own = own_[endpoint];
   for (auto it = words_.lower_bound({endpoint, ""});
        it != words_.end() && it->first.first == endpoint; ++it) {
     // It was right: what it was found wrong in before does not add up with what is to come.
-    if (it->second.seen == Seen::kDown) witnesses_[it->second.witness].strikes = 0;
+    if (it->second.seen == ObservedState::kDown) witnesses_[it->second.witness].strikes = 0;
   }
   if (++own.failures < kFailuresToSay) return;
-  const bool said = own.said && own.said->seen == Seen::kDown;
-  if (!said || now - own.said_at >= settings_.again) Note(endpoint, own, Seen::kDown, Time{}, now);
+  const bool said = own.said && own.said->seen == ObservedState::kDown;
+  if (!said || now - own.said_at >= settings_.again)
+    Note(endpoint, own, ObservedState::kDown, Time{}, now);
 }
 
-void Table::ToldWait(const std::string& endpoint, Time rest, Time now) {
+void HealthReportTable::ToldWait(const std::string& endpoint, Time rest, Time now) {
   Own& own = own_[endpoint];
-  const bool known = own.said && own.said->seen == Seen::kWait &&
+  const bool known = own.said && own.said->seen == ObservedState::kWait &&
                      own.said->at + own.said->rest + milliseconds(100) >= now + rest;
-  if (!known) Note(endpoint, own, Seen::kWait, rest, now);
+  if (!known) Note(endpoint, own, ObservedState::kWait, rest, now);
 }
 
 // ======== others ========
 
 // One that was shunned starts anew afterwards; each strike is one word.
-void Table::Strike(const std::string& witness, Time now) {
+void HealthReportTable::Strike(const std::string& witness, Time now) {
   Witness& w = witnesses_[witness];
   if (now < w.shunned_until) return;
   if (++w.strikes < kStrikes) return;
   w.strikes = 0;
-  w.shunned_until = now + kShunned;
+  w.shunned_until = now + kDistrustDuration;
 }
 
-bool Table::Counts(const std::string& witness, Time now) const {
+bool HealthReportTable::Counts(const std::string& witness, Time now) const {
   const auto it = witnesses_.find(witness);
   return it == witnesses_.end() || now >= it->second.shunned_until;
 }
 
-std::size_t Table::WitnessesOf(const std::string& endpoint, Seen seen, Time now) const {
+std::size_t HealthReportTable::WitnessesOf(const std::string& endpoint, ObservedState seen,
+                                           Time now) const {
   std::size_t count = 0;
   for (auto it = words_.lower_bound({endpoint, ""});
        it != words_.end() && it->first.first == endpoint; ++it) {
@@ -113,14 +116,14 @@
   return count;
 }
 
-Table::Saying Table::Say(Time now) {
+HealthReportTable::Saying HealthReportTable::Say(Time now) {
   Saying saying;
   if (to_say_ == 0 || now < next_ || present_.empty()) return saying;
   next_ = now + settings_.spread;
   peers::Writer words;
   std::size_t count = 0;
   for (const auto& [key, w] : words_) {
-    if (key.second != self_ || count >= kMostWords) continue;
+    if (key.second != self_ || count >= kMaxReportsPerFrame) continue;
     words.Name(w.endpoint).U64(w.number).U8(static_cast<std::uint64_t>(w.seen));
     words.U32(Ms(now - w.at)).U32(Ms(w.rest)).U32(w.times);
     ++count;
@@ -128,7 +131,7 @@
   peers::Writer out;
   out.U16(count).Raw(words.bytes());
   saying.bytes = out.Take();
-  const std::size_t most = std::min({kMostFrames, to_say_, present_.size()});
+  const std::size_t most = std::min({kMaxFramesPerRound, to_say_, present_.size()});
   for (std::size_t i = 0; i < most; ++i) {
     const std::string& to = present_[place_++ % present_.size()];
     if (to != self_) saying.to.push_back(to);
@@ -137,12 +140,12 @@
   return saying;
 }
 
-void Table::Take(const std::string& from, std::string_view bytes, Time now) {
+void HealthReportTable::Take(const std::string& from, std::string_view bytes, Time now) {
   peers::Reader in(bytes);
-  std::vector<Word> heard;
+  std::vector<HealthReport> heard;
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    Word w;
+    HealthReport w;
     w.endpoint = in.Name();
     w.witness = from;
     w.number = in.U64();
@@ -150,27 +153,27 @@
     w.at = now - milliseconds(in.U32());
     w.rest = std::min<Time>(milliseconds(in.U32()), kMostRest);
     w.times = in.U32();
-    if (seen < 1 || seen > static_cast<std::uint8_t>(Seen::kCold)) break;
-    w.seen = static_cast<Seen>(seen);
+    if (seen < 1 || seen > static_cast<std::uint8_t>(ObservedState::kCold)) break;
+    w.seen = static_cast<ObservedState>(seen);
     heard.push_back(std::move(w));
   }
-  if (!in.done() || count > kMostWords || heard.size() != count || from == self_) {
+  if (!in.done() || count > kMaxReportsPerFrame || heard.size() != count || from == self_) {
     ++refused_;
     return;
   }
-  for (const Word& w : heard) {
+  for (const HealthReport& w : heard) {
     if (now - w.at > settings_.kept) continue;
     const auto key = std::pair{w.endpoint, w.witness};
     const auto known = words_.find(key);
     if (known != words_.end() && known->second.number >= w.number) continue;
-    if (known == words_.end() && words_.size() >= kMostKnown) continue;
+    if (known == words_.end() && words_.size() >= kMaxReports) continue;
     words_[key] = w;
-    if (w.seen == Seen::kDown) claims_[key] = {w, false, false};
+    if (w.seen == ObservedState::kDown) claims_[key] = {w, false, false};
     Advise(w, now);
   }
 }
 
-bool Table::Known(const std::string& endpoint, Time seen) const {
+bool HealthReportTable::Known(const std::string& endpoint, Time seen) const {
   const auto it = own_.find(endpoint);
   return it != own_.end() && it->second.last_ok != Time::min() &&
          seen - it->second.last_ok < kSameTime;
@@ -178,31 +181,31 @@
 
 // One witness against what we have just seen ourselves is not even checked; if nothing is answered
 // there from now on, Tick comes back to it.
-void Table::Advise(const Word& w, Time now) {
+void HealthReportTable::Advise(const HealthReport& w, Time now) {
   if (!Counts(w.witness, now)) return;
   if (WitnessesOf(w.endpoint, w.seen, now) < kSure && Known(w.endpoint, w.at)) return;
   if (const auto claim = claims_.find({w.endpoint, w.witness}); claim != claims_.end()) {
     claim->second.advised |= claim->second.word.number == w.number;
   }
-  Advice advice;
+  HealthAdvice advice;
   advice.endpoint = w.endpoint;
   advice.age = now - w.at;
   advice.witnesses = WitnessesOf(w.endpoint, w.seen, now);
   switch (w.seen) {
-    case Seen::kFine:
+    case ObservedState::kFine:
       return;  // what was said before is taken back; our own calls say the rest
-    case Seen::kDown:
-      advice.what = Advice::What::kDown;
+    case ObservedState::kDown:
+      advice.what = HealthAdvice::What::kDown;
       break;
-    case Seen::kWait:
-      advice.what = Advice::What::kWait;
+    case ObservedState::kWait:
+      advice.what = HealthAdvice::What::kWait;
       advice.rest = std::max(Time{}, w.rest - advice.age);
       if (advice.rest == Time{}) return;
       break;
-    case Seen::kCold:
-      advice.what = Advice::What::kCold;
+    case ObservedState::kCold:
+      advice.what = HealthAdvice::What::kCold;
       advice_.push_back(advice);
-      advice.what = Advice::What::kServes;
+      advice.what = HealthAdvice::What::kServes;
       own_[w.endpoint].tried_since = {};
       break;
   }
@@ -211,7 +214,7 @@
 
 // By rendezvous (Thaler, Ravishankar 1998) over those that are heard, a turn each. Members whose
 // clocks or views differ may pick two: that is one trial more.
-std::string Table::TrierOf(const std::string& endpoint, Time now) const {
+std::string HealthReportTable::TrierOf(const std::string& endpoint, Time now) const {
   const auto it = own_.find(endpoint);
   const Time since = it == own_.end() ? now : it->second.tried_since;
   const auto turn = static_cast<std::uint64_t>((now - since) / kTurn);
@@ -224,19 +227,19 @@
   return order[turn % order.size()].second;
 }
 
-void Table::Tick(Time now) {
+void HealthReportTable::Tick(Time now) {
   std::erase_if(words_, [&](const auto& e) {
     // One that tells a wait lasts as long as that.
     return now - e.second.at > std::max(settings_.kept, e.second.rest);
   });
   std::set<std::string> down;
   for (const auto& [key, word] : words_) {
-    if (word.seen == Seen::kDown && Counts(key.second, now)) down.insert(key.first);
+    if (word.seen == ObservedState::kDown && Counts(key.second, now)) down.insert(key.first);
   }
   for (auto& [endpoint, own] : own_) {
     if (!down.contains(endpoint)) own.tried_since = {};
     const bool old = own.said && now - own.said->at > settings_.kept;
-    if (old && own.said->seen == Seen::kCold) own.said.reset();
+    if (old && own.said->seen == ObservedState::kCold) own.said.reset();
   }
   std::erase_if(claims_, [&](const auto& e) { return now - e.second.word.at > settings_.kept; });
   for (auto& [key, claim] : claims_) {
@@ -246,16 +249,16 @@
     if (claim.advised || answered || !stands || now - claim.word.at < kSameTime) continue;
     claim.advised = true;
     if (Counts(key.second, now)) {
-      advice_.push_back({key.first, Advice::What::kDown, now - claim.word.at, Time{},
-                         WitnessesOf(key.first, Seen::kDown, now)});
+      advice_.push_back({key.first, HealthAdvice::What::kDown, now - claim.word.at, Time{},
+                         WitnessesOf(key.first, ObservedState::kDown, now)});
     }
   }
   for (const std::string& endpoint : down) {
-    if (WitnessesOf(endpoint, Seen::kDown, now) < kSure) continue;
+    if (WitnessesOf(endpoint, ObservedState::kDown, now) < kSure) continue;
     Own& own = own_[endpoint];
     if (own.tried_since == Time{}) own.tried_since = now;
     if (now - own.tried_since > kTriedMost || TrierOf(endpoint, now) == self_) continue;
-    advice_.push_back({endpoint, Advice::What::kTried, Time{}, kTurn / 2, 1});
+    advice_.push_back({endpoint, HealthAdvice::What::kTried, Time{}, kTurn / 2, 1});
   }
 }
 
--- a/src/verdicts/table.hpp
+++ b/src/verdicts/health_report_table.hpp
@@ -8,8 +8,8 @@
 // A word from others makes the decision module more careful at once, if only by a single call that
 // checks it; how many members stand behind it goes with it. A witness that our own calls find wrong
 // again and again is not counted for a while.
-#ifndef BRASSFRONT_VERDICTS_TABLE_HPP_
-#define BRASSFRONT_VERDICTS_TABLE_HPP_
+#ifndef BRASSFRONT_VERDICTS_HEALTH_REPORT_TABLE_HPP_
+#define BRASSFRONT_VERDICTS_HEALTH_REPORT_TABLE_HPP_
 
 #include <chrono>
 #include <cstddef>
@@ -26,8 +26,8 @@
 using Time = std::chrono::nanoseconds;  // on the member's own monotonic clock
 
 // kFine takes back what was said before.
-enum class Seen : std::uint8_t { kFine = 1, kDown, kWait, kCold };
-const char* NameOf(Seen seen);
+enum class ObservedState : std::uint8_t { kFine = 1, kDown, kWait, kCold };
+const char* ToString(ObservedState seen);
 
 struct Settings {
   Time kept = std::chrono::seconds(10);          // of a word, from when it was seen
@@ -36,26 +36,26 @@
 };
 
 // What one witness says of one endpoint.
-struct Word {
+struct HealthReport {
   std::string endpoint;
   std::string witness;
-  std::uint64_t number = 0;  // of the witness's words: its life, then a count
-  Seen seen = Seen::kFine;
+  std::uint64_t number = 0;  // of the witness's words: its process_incarnation, then a count
+  ObservedState seen = ObservedState::kFine;
   Time at{};                // when it was seen; on the wire its age
   Time rest{};              // of a told wait, from then on
   std::uint32_t times = 1;  // calls that showed it, in a row
 };
 
-inline constexpr std::size_t kMostWords = 64;       // in one frame
-inline constexpr std::size_t kMostFrames = 32;      // in one round
-inline constexpr std::size_t kMostKnown = 4096;     // words in all
+inline constexpr std::size_t kMaxReportsPerFrame = 64;  // in one frame
+inline constexpr std::size_t kMaxFramesPerRound = 32;   // in one round
+inline constexpr std::size_t kMaxReports = 4096;        // words in all
 inline constexpr std::uint32_t kFailuresToSay = 3;  // calls in a row, before an endpoint is down
 inline constexpr std::uint32_t kStrikes = 3;  // words found wrong, and a witness counts no more
-inline constexpr Time kShunned = std::chrono::minutes(1);
+inline constexpr Time kDistrustDuration = std::chrono::minutes(1);
 inline constexpr Time kMostRest = std::chrono::minutes(10);
 
 // A word for the decision module.
-struct Advice {
+struct HealthAdvice {
   enum class What { kDown, kWait, kCold, kServes, kTried };
   std::string endpoint;
   What what = What::kDown;
@@ -64,11 +64,12 @@
   std::size_t witnesses = 0;  // that count
 };
 
-class Table {
+class HealthReportTable {
  public:
-  // `life` counts this member's starts: its words are newer than those of an earlier life.
-  Table(Settings settings, std::string self, std::uint64_t life)
-      : settings_(settings), self_(std::move(self)), number_(life << 32) {}
+  // `process_incarnation` counts this member's starts: its words are newer than those of an earlier
+  // process_incarnation.
+  HealthReportTable(Settings settings, std::string self, std::uint64_t process_incarnation)
+      : settings_(settings), self_(std::move(self)), number_(process_incarnation << 32) {}
 
   // ---- our own calls ----
   void Answered(const std::string& endpoint, Time sent, Time now);  // delivered
@@ -89,7 +90,7 @@
   // Members that are heard, ourselves too: who of them tries an endpoint next.
   void SetPresent(std::vector<std::string> present) { present_ = std::move(present); }
 
-  std::vector<Advice> TakeAdvice() { return std::exchange(advice_, {}); }
+  std::vector<HealthAdvice> TakeAdvice() { return std::exchange(advice_, {}); }
   // Drops what has aged, and says who is to try. To be called some times a second.
   void Tick(Time now);
 
@@ -97,26 +98,27 @@
     std::uint32_t strikes = 0;
     Time shunned_until{};
   };
-  [[nodiscard]] const std::map<std::pair<std::string, std::string>, Word>& words() const {
+  [[nodiscard]] const std::map<std::pair<std::string, std::string>, HealthReport>& words() const {
     return words_;
   }
   [[nodiscard]] const std::map<std::string, Witness>& witnesses() const { return witnesses_; }
   [[nodiscard]] bool Counts(const std::string& witness, Time now) const;
   // Of what is seen there, how many other members that count stand behind it.
-  [[nodiscard]] std::size_t WitnessesOf(const std::string& endpoint, Seen seen, Time now) const;
+  [[nodiscard]] std::size_t WitnessesOf(const std::string& endpoint, ObservedState seen,
+                                        Time now) const;
   [[nodiscard]] std::uint64_t refused() const { return refused_; }
 
  private:
   struct Own {
-    std::uint32_t failures = 0;  // in a row
-    Time last_ok = Time::min();  // send of the last call that was delivered
-    std::optional<Word> said;    // and not taken back
+    std::uint32_t failures = 0;        // in a row
+    Time last_ok = Time::min();        // send of the last call that was delivered
+    std::optional<HealthReport> said;  // and not taken back
     Time said_at{};
     Time tried_since{};  // nobody has said yet what came of a trial
   };
 
-  void Note(const std::string& endpoint, Own& own, Seen seen, Time rest, Time now);
-  void Advise(const Word& word, Time now);
+  void Note(const std::string& endpoint, Own& own, ObservedState seen, Time rest, Time now);
+  void Advise(const HealthReport& word, Time now);
   // Our own calls were answered there since, or just before.
   [[nodiscard]] bool Known(const std::string& endpoint, Time seen) const;
   void Strike(const std::string& witness, Time now);
@@ -125,18 +127,18 @@
   Settings settings_;
   const std::string self_;
   std::uint64_t number_;
-  std::map<std::pair<std::string, std::string>, Word> words_;  // by endpoint and witness
+  std::map<std::pair<std::string, std::string>, HealthReport> words_;  // by endpoint and witness
   // By endpoint and witness: the last word that it is down, whatever was said since, whether it was
   // found wrong, and whether it was passed on to the decision module.
   struct Claim {
-    Word word;
+    HealthReport word;
     bool struck = false, advised = false;
   };
   std::map<std::pair<std::string, std::string>, Claim> claims_;
   std::map<std::string, Own> own_;
   std::map<std::string, Witness> witnesses_;
   std::vector<std::string> present_;
-  std::vector<Advice> advice_;
+  std::vector<HealthAdvice> advice_;
   std::size_t to_say_ = 0;  // frames to go, until all have heard all twice
   std::size_t place_ = 0;   // of who comes next
   Time next_{};
@@ -145,4 +147,4 @@
 
 }  // namespace brassfront::verdicts
 
-#endif  // BRASSFRONT_VERDICTS_TABLE_HPP_
+#endif  // BRASSFRONT_VERDICTS_HEALTH_REPORT_TABLE_HPP_
--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -3,7 +3,7 @@
 
 #include <random>
 
-#include "maintenance/turns.hpp"
+#include "maintenance/maintenance_scheduler.hpp"
 #include "peers/frame.hpp"
 
 namespace brassfront::maintenance {
@@ -17,8 +17,8 @@
   for (std::size_t i = 0; i < count; ++i) {
     roster.members.push_back({"m" + std::to_string(i), i % 2 == 0 ? "east" : "west", "", false});
   }
-  roster.out_in_all = all;
-  roster.out_in_hall = hall;
+  roster.max_out_total = all;
+  roster.max_out_per_zone = hall;
   roster.timings.probe = std::chrono::milliseconds(200);
   roster.timings.suspicion = std::chrono::milliseconds(800);
   roster.timings.drain = roster.timings.back = seconds(60);
@@ -40,15 +40,15 @@
     }
     FAIL("the leader never stops");
   }
-  Answer Do(Command c) {
+  RequestResult Do(Command c) {
     c.token = ++token;
     machine.Apply(c.Encode());
-    const Answer* answer = machine.AnswerTo(token);
+    const RequestResult* answer = machine.ResultFor(token);
     REQUIRE(answer != nullptr);
     return *answer;
   }
-  Answer Ask(const std::string& name, Urgency urgency = Urgency::kNormal,
-             Kind kind = Kind::kMachine) {
+  RequestResult Ask(const std::string& name, Urgency urgency = Urgency::kNormal,
+                    Kind kind = Kind::kMachine) {
     Command c;
     c.verb = Verb::kAsk;
     c.kind = kind;
@@ -56,7 +56,7 @@
     c.urgency = urgency;
     return Do(c);
   }
-  Answer Back(const std::string& name, Kind kind = Kind::kMachine) {
+  RequestResult Back(const std::string& name, Kind kind = Kind::kMachine) {
     Command c;
     c.verb = Verb::kBringBack;
     c.kind = kind;
@@ -65,8 +65,9 @@
   }
   // Each machine does its part.
   void Obey(const std::string& name) {
-    const Duty duty = DutyOf(machine, name, seen[name].life,
-                             {stands_by[name], stands_by[name], !stands_by[name], banned[name]});
+    const Duty duty =
+        ComputeDuty(machine, name, seen[name].process_incarnation,
+                    {stands_by[name], stands_by[name], !stands_by[name], banned[name]});
     stands_by[name] = duty.stand_by;
     banned[name] = duty.ban;
     for (const Command& c : duty.say) machine.Apply(c.Encode());
@@ -84,9 +85,9 @@
   }
 
   peers::Roster roster;
-  Machine machine;
-  Leader leader;
-  std::map<std::string, Seen> seen;
+  MaintenanceState machine;
+  MaintenanceScheduler leader;
+  std::map<std::string, ObservedMember> seen;
   std::map<std::string, bool> stands_by;
   std::map<std::string, std::set<std::string>> banned;
   std::vector<std::string> order;
@@ -104,12 +105,12 @@
   f.Round();
   f.Round();
   CHECK(f.Of("m0").state == State::kOut);
-  CHECK(f.Of("m1").state == State::kAsked);
+  CHECK(f.Of("m1").state == State::kRequested);
   CHECK(f.Back("m0").good);
   f.Round();
   f.Round();
   CHECK(f.machine.RequestFor(Kind::kMachine, "m0") == nullptr);
-  CHECK(f.Of("m1").state != State::kAsked);
+  CHECK(f.Of("m1").state != State::kRequested);
 }
 
 TEST_CASE("a dead machine uses a place, and a turn that has begun keeps it") {
@@ -145,7 +146,7 @@
   f.machine.Apply(grant.Encode());
   grant.request = f.Of("m1").id;  // by a leader that did not know
   f.machine.Apply(grant.Encode());
-  CHECK(f.Of("m1").state == State::kAsked);
+  CHECK(f.Of("m1").state == State::kRequested);
   CHECK(f.machine.UsedInAll() == 1);
 }
 
@@ -169,9 +170,9 @@
   for (; turns < 60; ++turns) {
     for (int i = 0; i < 7; ++i) g.Ask("m" + std::to_string(i), Urgency::kHigh);
     g.Lead();
-    if (g.machine.RequestFor(Kind::kMachine, "m7")->state != State::kAsked) break;
+    if (g.machine.RequestFor(Kind::kMachine, "m7")->state != State::kRequested) break;
     for (const auto& [id, r] : std::map(g.machine.requests())) {
-      if (r.state != State::kAsked) g.Back(r.name);
+      if (r.state != State::kRequested) g.Back(r.name);
     }
     g.Round();
   }
@@ -209,7 +210,7 @@
     CHECK(f.banned["m2"].empty());
   }
   SUBCASE("a word of an earlier life does not count") {
-    f.seen["m0"].life = 2;
+    f.seen["m0"].process_incarnation = 2;
     f.seen["m2"] = {peers::State::kAlive, 1, 0};
     f.Lead();
     f.Obey("m2");
@@ -253,7 +254,7 @@
 TEST_CASE("a new leader gives out no turn until it can know who is dead") {
   Fleet f(RosterOf(3, 1, 1));
   f.Ask("m0");
-  Leader fresh;
+  MaintenanceScheduler fresh;
   CHECK_FALSE(fresh.Next(f.machine, f.roster, f.seen, seconds(1), f.now).has_value());
   CHECK(fresh.Next(f.machine, f.roster, f.seen, seconds(4), f.now).has_value());
 }
@@ -267,25 +268,25 @@
     c.kind = random() % 4 == 0 ? Kind::kEndpoint : Kind::kMachine;
     c.name = random() % 9 == 0 ? "all" : "m" + std::to_string(random() % 6);
     c.request = random() % 40;
-    c.life = random() % 3;
+    c.process_incarnation = random() % 3;
     c.token = random() % 1000;
     c.flag = random() % 5 == 0;
     c.text = "east";
-    if (c.verb == Verb::kLimits) c.life = 2, c.token = 1;
+    if (c.verb == Verb::kLimits) c.process_incarnation = 2, c.token = 1;
     f.machine.Apply(c.Encode());
-    Machine copy;
+    MaintenanceState copy;
     REQUIRE(copy.Load(f.machine.Save()));
     REQUIRE(copy.Save() == f.machine.Save());
   }
   const std::string saved = f.machine.Save();
   for (std::size_t length = 0; length < saved.size(); ++length) {
-    Machine copy;
+    MaintenanceState copy;
     CHECK_FALSE(copy.Load(saved.substr(0, length)));
   }
   for (int i = 0; i < 2000; ++i) {
     std::string noise = saved;
     noise[random() % noise.size()] = static_cast<char>(random());
-    Machine copy;
+    MaintenanceState copy;
     copy.Load(noise);
     f.machine.Apply(noise.substr(0, random() % 60));
   }
--- a/tests/fleet/peers_test.cpp
+++ b/tests/fleet/peers_test.cpp
@@ -6,7 +6,7 @@
 #include <fstream>
 
 #include "../network/cuts.hpp"
-#include "fleet/world.hpp"
+#include "fleet/simulated_cluster.hpp"
 #include "peers/bytes.hpp"
 #include "records/records.hpp"
 
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("bodies of noise do not disturb a detector") {
-  Detector detector(World(3, 1).timings, "m0", {"m0", "m1", "m2"}, 1, 1, 1);
+  FailureDetector detector(SimulatedCluster(3, 1).timings, "m0", {"m0", "m1", "m2"}, 1, 1, 1);
   std::mt19937_64 random(5);
   for (int i = 0; i < 20000; ++i) {
     Frame frame{static_cast<Kind>(1 + random() % 3), "m1", "m0", 7,
@@ -62,7 +62,7 @@
 
 TEST_CASE("a killed member is dead to all within the bound, and alive again after its restart") {
   for (const std::size_t count : {3U, 5U, 12U}) {
-    World world(count, count);
+    SimulatedCluster world(count, count);
     world.RunFor(seconds(3));
     CHECK(world.told.size() >= count * (count - 1));
     world.told.clear();
@@ -72,7 +72,7 @@
     for (std::size_t i = 0; i < count; ++i) {
       if (i != 1) CHECK(world.Of(i, 1) == State::kDead);
     }
-    for (const World::Told& t : world.told) {
+    for (const SimulatedCluster::Told& t : world.told) {
       CHECK(t.change.name == "m1");
       CHECK(t.at - killed < seconds(4));
     }
@@ -85,7 +85,7 @@
 }
 
 TEST_CASE("one that has lost its count of lives is heard again, and knows that its folder is old") {
-  World world(4, 3);
+  SimulatedCluster world(4, 3);
   world.End(1);
   world.Start(1, 9);
   world.RunFor(seconds(3));
@@ -94,13 +94,13 @@
   world.Start(1, 1);  // an empty folder, or yesterday's
   world.RunFor(seconds(5));
   CHECK(world.Of(0, 1) == State::kAlive);
-  CHECK(world.at(1).folder_is_old());
-  CHECK(LifeOf(world.at(1).incarnation()) == 9);
-  CHECK_FALSE(world.at(0).folder_is_old());
+  CHECK(world.at(1).folder_is_stale());
+  CHECK(ProcessIncarnationOf(world.at(1).incarnation()) == 9);
+  CHECK_FALSE(world.at(0).folder_is_stale());
 }
 
 TEST_CASE("a stopped member that wakes up takes nobody for dead, and is alive again") {
-  World world(5, 4);
+  SimulatedCluster world(5, 4);
   world.RunFor(seconds(3));
   world.Stop(2);
   world.RunFor(seconds(10));
@@ -108,7 +108,7 @@
   world.told.clear();
   world.Wake(2);
   world.RunFor(seconds(6));
-  for (const World::Told& t : world.told)
+  for (const SimulatedCluster::Told& t : world.told)
     CHECK_FALSE((t.by == "m2" && t.change.to == State::kDead));
   for (std::size_t i = 0; i < 5; ++i) {
     if (i != 2) CHECK(world.Of(i, 2) == State::kAlive);
@@ -118,7 +118,7 @@
 }
 
 TEST_CASE("a link that is cut one way is noticed on both sides, and nobody dies of it") {
-  World world(5, 5);
+  SimulatedCluster world(5, 5);
   world.RunFor(seconds(3));
   world.told.clear();
   world.Cut(0, 1);
@@ -134,7 +134,7 @@
 }
 
 TEST_CASE("both sides of a split hold the other for dead, and find each other when it heals") {
-  World world(5, 6);
+  SimulatedCluster world(5, 6);
   world.RunFor(seconds(3));
   for (const std::size_t a : {0U, 1U}) {
     for (const std::size_t b : {2U, 3U, 4U}) {
@@ -162,7 +162,7 @@
 
 TEST_CASE("a link that flaps lets nobody die at the hands of one that reaches it") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    World world(5, seed);
+    SimulatedCluster world(5, seed);
     world.RunFor(seconds(3));
     world.told.clear();
     for (int flap = 0; flap < 6; ++flap) {
@@ -177,7 +177,7 @@
       }
     }
     const auto side = [](const std::string& name) { return name == "m2" || name == "m4"; };
-    for (const World::Told& t : world.told) {
+    for (const SimulatedCluster::Told& t : world.told) {
       const bool same_side = side(t.by) == side(t.change.name);
       CHECK_FALSE((same_side && !t.change.link && t.change.to == State::kDead));
     }
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("a member that leaves is not suspected") {
-  World world(4, 7);
+  SimulatedCluster world(4, 7);
   world.RunFor(seconds(3));
   world.told.clear();
   world.at(3).Leave(world.now);
@@ -199,7 +199,7 @@
 TEST_CASE("loss and jitter kill nobody") {
   std::size_t deaths = 0;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    World world(5, seed);
+    SimulatedCluster world(5, seed);
     world.fault.loss = 0.2;
     world.fault.twice = 0.05;
     world.fault.jitter = milliseconds(200);
@@ -212,7 +212,7 @@
 
 // Bytes a second that each member of so many sends, once all have met.
 double BytesEach(std::size_t count, Time met) {
-  World world(count, 9);
+  SimulatedCluster world(count, 9);
   world.RunFor(met);
   world.frames = world.bytes = 0;
   world.told.clear();
@@ -302,13 +302,13 @@
   const Roster now = file.Read(Text(kMembers));
   Roster next = now;
   CHECK(ChangeFault(now, next).empty());
-  next.members[0].hall = "w";
+  next.members[0].zone = "w";
   CHECK(ChangeFault(now, next).empty());
   next.members.push_back({"n3", "e", "127.0.0.1:7403", false});
   CHECK(ChangeFault(now, next).find("more than one") != std::string::npos);
-  next.members[0].hall = "e";
+  next.members[0].zone = "e";
   CHECK(ChangeFault(now, next).empty());
-  next.out_in_all = 2;
+  next.max_out_total = 2;
   CHECK_FALSE(ChangeFault(now, next).empty());
   next = now;
   next.secret += "x";
--- a/tests/fleet/quota_test.cpp
+++ b/tests/fleet/quota_test.cpp
@@ -6,8 +6,8 @@
 #include <memory>
 #include <random>
 
-#include "quota/grantor.hpp"
-#include "quota/holder.hpp"
+#include "quota/lease_grantor.hpp"
+#include "quota/lease_holder.hpp"
 
 namespace brassfront::quota {
 namespace {
@@ -15,8 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-Terms TermsFor(std::size_t members) {
-  Terms t;
+LeaseSettings TermsFor(std::size_t members) {
+  LeaseSettings t;
   t.term = seconds(2);
   t.burst = milliseconds(100);
   t.election = milliseconds(500);
@@ -27,11 +27,12 @@
 }
 
 // Members with clocks that run apart by the drift at most; all frames take 1 to 40 ms.
-class World {
+class SimulatedCluster {
  public:
-  World(std::size_t count, std::uint64_t seed) : terms(TermsFor(count)), random_(seed) {
+  SimulatedCluster(std::size_t count, std::uint64_t seed) : terms(TermsFor(count)), random_(seed) {
     for (std::size_t i = 0; i < count; ++i) {
-      members_.push_back({Holder(terms), Grantor(terms), 1 + (Chance() - 0.5) * terms.drift});
+      members_.push_back(
+          {LeaseHolder(terms), LeaseGrantor(terms), 1 + (Chance() - 0.5) * terms.drift});
       members_.back().offset = seconds(random_() % 1000);
       wants.push_back(1.5);
     }
@@ -66,8 +67,8 @@
   Time ClockOf(std::size_t i) const {
     return members_[i].offset + FromSeconds(SecondsOf(now) * members_[i].speed);
   }
-  Grantor& grantor() { return members_[leader_].grantor; }
-  Holder& holder(std::size_t i) { return members_[i].holder; }
+  LeaseGrantor& grantor() { return members_[leader_].grantor; }
+  LeaseHolder& holder(std::size_t i) { return members_[i].holder; }
   // The most calls in any window of so long, above the limit times the window.
   double MostOver(Time window, double limit, Time from = {}) const {
     double most = 0;
@@ -81,17 +82,17 @@
     return most;
   }
 
-  Terms terms;
+  LeaseSettings terms;
   std::vector<double> wants;  // calls a second, by member
-  double told = 0;            // with each call, if above 0
+  double reported = 0;        // with each call, if above 0
   std::vector<Time> begun;    // all calls
   Time now = seconds(5);
   std::uint64_t bytes = 0;
 
  private:
   struct Member {
-    Holder holder;
-    Grantor grantor;
+    LeaseHolder holder;
+    LeaseGrantor grantor;
     double speed = 1;
     Time offset{};
     bool stopped = false, cut = false, leads = false;
@@ -117,12 +118,12 @@
     Member& to = members_[f.to];
     if (to.stopped || to.cut) return;
     if (f.grant) {
-      const auto grant = Grant::Decode(f.body);
+      const auto grant = LeaseGrant::Decode(f.body);
       REQUIRE(grant);
       return to.holder.Take(*grant, ClockOf(f.to));
     }
     if (!to.leads || now > to.leads_until) return;
-    const auto request = Request::Decode(f.body);
+    const auto request = LeaseRequestBatch::Decode(f.body);
     REQUIRE(request);
     if (const auto grant = to.grantor.Answer(std::to_string(f.from), *request, ClockOf(f.to))) {
       Send(f.to, f.from, true, grant->Encode());
@@ -135,13 +136,13 @@
     if (now > m.leads_until) m.leads = false;
     const double arrive = wants[i] * 0.002;
     if (Chance() < arrive) {
-      m.holder.Wanted("d1", clock);
+      m.holder.OnDemand("d1", clock);
       m.ready = std::min(m.ready + 1, 20.0);
     }
-    while (m.ready >= 1 && m.holder.MayBegin("d1", clock)) {
+    while (m.ready >= 1 && m.holder.TryAcquire("d1", clock)) {
       m.ready -= 1;
       begun.push_back(now);
-      if (told > 0) m.holder.Told("d1", told, clock);
+      if (reported > 0) m.holder.OnLimitReported("d1", reported, clock);
     }
     const auto request = m.holder.Ask(clock);
     if (!request) return;
@@ -163,7 +164,7 @@
 };
 
 TEST_CASE("a member that gets nearly all the traffic gets nearly all of the limit") {
-  World w(5, 1);
+  SimulatedCluster w(5, 1);
   w.wants = {40, 0.2, 0.2, 0.2, 0.2};
   w.RunFor(seconds(10));
   const std::size_t before = w.begun.size();
@@ -174,7 +175,7 @@
 }
 
 TEST_CASE("shares move with the traffic, and the sum never goes over") {
-  World w(5, 2);
+  SimulatedCluster w(5, 2);
   std::mt19937_64 random(3);
   for (int round = 0; round < 30; ++round) {
     for (double& want : w.wants) want = static_cast<double>(random() % 12);
@@ -189,7 +190,7 @@
 // Random cuts, stops, deaths of leaders, and old leaders that go on granting for as long as they
 // may.
 std::pair<double, double> Storm(std::size_t members, std::uint64_t seed, int rounds) {
-  World w(members, seed);
+  SimulatedCluster w(members, seed);
   std::mt19937_64 random(seed);
   for (double& want : w.wants) want = 6;
   std::vector<std::size_t> cut, stopped;
@@ -237,7 +238,7 @@
 }
 
 TEST_CASE("a lease that was granted ends on the holder's own clock, however late it wakes") {
-  World w(3, 5);
+  SimulatedCluster w(3, 5);
   w.wants = {0, 0, 30};
   w.RunFor(seconds(8));
   REQUIRE(*w.holder(2).RateOf("d1", w.ClockOf(2)) > 3);
@@ -247,13 +248,13 @@
   CHECK(*w.holder(2).RateOf("d1", w.ClockOf(2)) == doctest::Approx(floor));
   // What it may begin at once on waking is a burst of its floor: one call.
   std::size_t at_once = 0;
-  while (w.holder(2).MayBegin("d1", w.ClockOf(2))) ++at_once;
+  while (w.holder(2).TryAcquire("d1", w.ClockOf(2))) ++at_once;
   CHECK(at_once == 1);
 }
 
 TEST_CASE("what is lent is granted only while it is known to be young, and left alone for longer") {
-  const Terms terms = TermsFor(2);
-  Grantor grantor(terms);
+  const LeaseSettings terms = TermsFor(2);
+  LeaseGrantor grantor(terms);
   grantor.Begin(Time{});
   const Time t = seconds(10);
   const auto ask = [&](const char* who, std::uint64_t number, std::uint64_t had, double demand,
@@ -267,15 +268,15 @@
         doctest::Approx(4 * 0.1 + 0.3));
   CHECK(ask("busy", 3, 2, 9, 0, t + terms.Lent())->parts.at("d1").lease ==
         doctest::Approx(4 * 0.1));
-  CHECK(terms.LeftAlone() >= terms.Stretched(terms.Lent()) + terms.Stretched(terms.term));
+  CHECK(terms.LeaseCoolDown() >= terms.Stretched(terms.Lent()) + terms.Stretched(terms.term));
 }
 
 TEST_CASE("a limit that falls is kept by all within the stated time") {
-  World w(5, 9);
+  SimulatedCluster w(5, 9);
   for (double& want : w.wants) want = 6;
-  w.told = 10;
+  w.reported = 10;
   w.RunFor(seconds(8));
-  w.told = 4;
+  w.reported = 4;
   const Time fell = w.now;
   w.RunFor(seconds(15));
   const Time kept = fell + w.terms.LoweredFor(w.terms.Renew() + w.terms.Stretched(w.terms.term));
@@ -284,14 +285,14 @@
 
 TEST_CASE("neither a liar that claims nothing nor one that claims a million moves the limit") {
   for (const double lie : {0.01, 1e6}) {
-    Terms terms = TermsFor(5);
+    LeaseSettings terms = TermsFor(5);
     terms.listed.clear();
-    Grantor grantor(terms);
+    LeaseGrantor grantor(terms);
     grantor.Begin(Time{});
     for (std::uint64_t n = 1; n <= 20; ++n) {
       const Time now = seconds(n);
       for (int m = 0; m < 5; ++m) {
-        Request request{n, 0, {{"d1", {5, 0, m == 4 ? lie : 10.0, 0}}}};
+        LeaseRequestBatch request{n, 0, {{"d1", {5, 0, m == 4 ? lie : 10.0, 0}}}};
         const auto grant = grantor.Answer(std::to_string(m), request, now);
         REQUIRE(grant);
         if (n > 5 && m < 4) CHECK(grant->parts.at("d1").limit == doctest::Approx(10));
@@ -301,32 +302,32 @@
 }
 
 TEST_CASE("a grantor that has just begun gives no lease, and an old request says nothing") {
-  const Terms terms = TermsFor(3);
-  Grantor grantor(terms);
-  const Request request{5, 0, {{"d1", {9, 0, 0, 0}}}};
+  const LeaseSettings terms = TermsFor(3);
+  LeaseGrantor grantor(terms);
+  const LeaseRequestBatch request{5, 0, {{"d1", {9, 0, 0, 0}}}};
   CHECK_FALSE(grantor.Answer("a", request, seconds(1)));
   grantor.Begin(seconds(1));
   CHECK_FALSE(grantor.Answer("a", request, seconds(2))->leases);
-  const Time later = seconds(1) + terms.Quiet();
+  const Time later = seconds(1) + terms.QuietTime();
   CHECK_FALSE(grantor.Answer("a", request, later));  // the same number again
   CHECK(grantor.Answer("a", {6, 0, {{"d1", {9, 0, 0, 0}}}}, later)->parts.at("d1").lease > 0);
   CHECK_FALSE(grantor.Answer("a", {4, 0, {{"d1", {9, 0, 0, 0}}}}, later + seconds(1)));
 }
 
 TEST_CASE("frames come back as they were, and noise is refused") {
-  const Request request{7, 3, {{"d1", {1.5, 2.25, 0, 0.5}}, {"e:x", {0, 0, 9, 0}}}};
-  const auto again = Request::Decode(request.Encode());
+  const LeaseRequestBatch request{7, 3, {{"d1", {1.5, 2.25, 0, 0.5}}, {"e:x", {0, 0, 9, 0}}}};
+  const auto again = LeaseRequestBatch::Decode(request.Encode());
   REQUIRE(again);
-  CHECK(again->wishes.at("d1").keep == 2.25);
-  CHECK(again->wishes.at("d1").lend == 0.5);
-  CHECK(again->wishes.at("e:x").told == 9);
+  CHECK(again->requests.at("d1").keep == 2.25);
+  CHECK(again->requests.at("d1").lend == 0.5);
+  CHECK(again->requests.at("e:x").reported == 9);
   std::mt19937_64 random(1);
   for (int i = 0; i < 3000; ++i) {
     std::string noise = request.Encode();
     noise.resize(random() % (noise.size() + 1));
     if (!noise.empty()) noise[random() % noise.size()] = static_cast<char>(random());
-    static_cast<void>(Request::Decode(noise));
-    static_cast<void>(Grant::Decode(noise));
+    static_cast<void>(LeaseRequestBatch::Decode(noise));
+    static_cast<void>(LeaseGrant::Decode(noise));
   }
 }
 
