--- a/tests/fleet/council_test.cpp
+++ b/tests/fleet/raft_node_test.cpp
@@ -1,5 +1,5 @@
 // The settled log in virtual time, on stores in memory and in files.
-#include "consensus/council.hpp"
+#include "consensus/raft_node.hpp"
 
 #include <doctest/doctest.h>
 #include <unistd.h>
@@ -44,7 +44,7 @@
   std::uint64_t id = 0;
   MemoryStore store;
   List list;
-  std::unique_ptr<Council> council;
+  std::unique_ptr<RaftNode> raft_node;
   bool stopped = false;
 };
 
@@ -60,16 +60,16 @@
   void Start(const std::string& name) {
     Voter& v = voters_[name];
     v.list.all.clear();
-    Council::Options options;
+    RaftNode::Options options;
     options.id = v.id;
     options.self = name;
     options.voters = names_;
     options.seed = random_();
-    v.council = std::make_unique<Council>(options, v.store, v.list);
-    v.council->MayVote();
+    v.raft_node = std::make_unique<RaftNode>(options, v.store, v.list);
+    v.raft_node->AllowVoting();
     v.stopped = false;
   }
-  void Kill(const std::string& name) { voters_[name].council.reset(); }
+  void Kill(const std::string& name) { voters_[name].raft_node.reset(); }
   void LoseFolder(const std::string& name) {
     voters_[name].store.Clear();
     voters_[name].id = ++last_id_;
@@ -96,14 +96,14 @@
       });
       for (Flight& f : due) {
         Voter& to = voters_[f.message.to];
-        if (to.council == nullptr || to.stopped) continue;
-        to.council->Receive(f.from, f.id, f.message.founding, f.message.body, now);
+        if (to.raft_node == nullptr || to.stopped) continue;
+        to.raft_node->Receive(f.from, f.id, f.message.founding, f.message.body, now);
         Collect(f.message.to);
       }
       for (const std::string& name : names_) {
         Voter& v = voters_[name];
-        if (v.council == nullptr || v.stopped) continue;
-        v.council->Tick(now);
+        if (v.raft_node == nullptr || v.stopped) continue;
+        v.raft_node->Tick(now);
         Collect(name);
       }
     }
@@ -113,9 +113,9 @@
     std::string leader;
     std::uint64_t term = 0;
     for (const auto& [name, v] : voters_) {
-      if (v.council && !v.stopped && v.council->leads() && v.council->term() > term) {
+      if (v.raft_node && !v.stopped && v.raft_node->leads() && v.raft_node->term() > term) {
         leader = name;
-        term = v.council->term();
+        term = v.raft_node->term();
       }
     }
     return leader;
@@ -125,10 +125,10 @@
     return Leader();
   }
   // What became of it, if that was told.
-  std::shared_ptr<std::optional<Council::Outcome>> Propose(const std::string& to,
-                                                           const std::string& command) {
-    auto outcome = std::make_shared<std::optional<Council::Outcome>>();
-    voters_[to].council->Propose(command, [outcome](Council::Outcome o) { *outcome = o; });
+  std::shared_ptr<std::optional<RaftNode::Outcome>> Propose(const std::string& to,
+                                                            const std::string& command) {
+    auto outcome = std::make_shared<std::optional<RaftNode::Outcome>>();
+    voters_[to].raft_node->Propose(command, [outcome](RaftNode::Outcome o) { *outcome = o; });
     Collect(to);
     return outcome;
   }
@@ -138,7 +138,7 @@
       if (leader.empty()) return false;
       const auto outcome = Propose(leader, command);
       for (int k = 0; k < 40 && !outcome->has_value(); ++k) RunFor(milliseconds(50));
-      if (*outcome == Council::Outcome::kSettled) return true;
+      if (*outcome == RaftNode::Outcome::kSettled) return true;
     }
     return false;
   }
@@ -162,10 +162,10 @@
     Time at;
     std::string from;
     std::uint64_t id;
-    Council::Message message;
+    RaftNode::Message message;
   };
   void Collect(const std::string& name) {
-    for (Council::Message& m : voters_[name].council->TakeMessages()) {
+    for (RaftNode::Message& m : voters_[name].raft_node->TakeMessages()) {
       if (cut_.contains({name, m.to}) || static_cast<double>(random_() % 1000) < loss * 1000) {
         continue;
       }
@@ -197,7 +197,7 @@
   Parliament p(3);
   p.Kill("v2");
   p.RunFor(seconds(10));
-  CHECK_FALSE(p.at("v0").council->founded());
+  CHECK_FALSE(p.at("v0").raft_node->bootstrapped());
   p.Start("v2");
   CHECK_FALSE(p.AwaitLeader().empty());
 }
@@ -227,8 +227,8 @@
   }
   const auto lost = p.Propose(old, "lost");
   p.RunFor(seconds(5));
-  CHECK(lost->value_or(Council::Outcome::kUnknown) == Council::Outcome::kUnknown);
-  CHECK_FALSE(p.at(old).council->leads());
+  CHECK(lost->value_or(RaftNode::Outcome::kUnknown) == RaftNode::Outcome::kUnknown);
+  CHECK_FALSE(p.at(old).raft_node->leads());
   REQUIRE(p.Settle("two"));
   p.Heal();
   REQUIRE(p.Settle("three"));
@@ -247,7 +247,7 @@
   p.at(old).stopped = false;
   const auto late = p.Propose(old, "late");
   p.RunFor(seconds(5));
-  CHECK(*late != Council::Outcome::kSettled);
+  CHECK(*late != RaftNode::Outcome::kSettled);
   p.CheckSameOrder();
   CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two"});
 }
@@ -276,7 +276,7 @@
   CHECK(p.at(lost).list.all == std::vector<std::string>{"one", "two", "three"});
   // Let in again, under its new id, it votes.
   bool votes = false;
-  for (const Server& server : p.at(p.Leader()).council->servers()) {
+  for (const Server& server : p.at(p.Leader()).raft_node->servers()) {
     votes |= server.name == lost && server.id == p.at(lost).id && server.role == 1;
   }
   CHECK(votes);
@@ -299,7 +299,7 @@
     Parliament p(5, seed);
     std::mt19937_64 random(seed);
     REQUIRE_FALSE(p.AwaitLeader().empty());
-    std::vector<std::pair<std::string, std::shared_ptr<std::optional<Council::Outcome>>>> asked;
+    std::vector<std::pair<std::string, std::shared_ptr<std::optional<RaftNode::Outcome>>>> asked;
     const auto name = [&] { return "v" + std::to_string(random() % 5); };
     std::size_t lost = 0;
     Time lost_at{};
@@ -321,7 +321,7 @@
             for (int i = 0; i < 5; ++i) {
               const std::string each = "v" + std::to_string(i);
               p.at(each).stopped = false;
-              if (p.at(each).council == nullptr) p.Start(each);
+              if (p.at(each).raft_node == nullptr) p.Start(each);
             }
             p.RunFor(seconds(10));
             const std::string who = name();
@@ -338,7 +338,7 @@
           break;
         case 5: {
           const std::string who = name();
-          if (p.at(who).council == nullptr) p.Start(who);
+          if (p.at(who).raft_node == nullptr) p.Start(who);
           p.at(who).stopped = false;
           break;
         }
@@ -356,7 +356,7 @@
     for (int i = 0; i < 5; ++i) {
       const std::string each = "v" + std::to_string(i);
       p.at(each).stopped = false;
-      if (p.at(each).council == nullptr) p.Start(each);
+      if (p.at(each).raft_node == nullptr) p.Start(each);
     }
     REQUIRE(p.Settle("end"));
     p.RunFor(seconds(10));
@@ -365,7 +365,7 @@
     for (const auto& [command, outcome] : asked) {
       const auto times = std::count(all.begin(), all.end(), command);
       CHECK(times <= 1);
-      if (*outcome == Council::Outcome::kSettled) CHECK(times == 1);
+      if (*outcome == RaftNode::Outcome::kSettled) CHECK(times == 1);
     }
   }
 }
@@ -378,8 +378,8 @@
   REQUIRE(p.Settle("two"));
   p.RunFor(seconds(3));
   // Its owner waits for nothing: a tick that lay in the past kept a core busy.
-  REQUIRE(p.at(full).council->broken());
-  CHECK(p.at(full).council->Next() > p.now);
+  REQUIRE(p.at(full).raft_node->broken());
+  CHECK(p.at(full).raft_node->Next() > p.now);
   p.at(full).store.works = true;
   p.Kill(full);
   p.Start(full);
@@ -413,7 +413,7 @@
   auto file = std::make_unique<FileStore>(folder.path.string());
   MemoryStore memory;
   bool damaged = false;
-  Kept kept = file->Load(damaged);
+  PersistentState kept = file->Load(damaged);
   for (int step = 0; step < 400; ++step) {
     const std::uint64_t value = random() % 50;
     switch (random() % 7) {
@@ -451,7 +451,7 @@
         file = std::make_unique<FileStore>(folder.path.string());
     }
     kept = file->Load(damaged);
-    const Kept wanted = memory.Load(damaged);
+    const PersistentState wanted = memory.Load(damaged);
     REQUIRE(kept.term == wanted.term);
     REQUIRE(kept.vote == wanted.vote);
     REQUIRE(kept.first == wanted.first);
@@ -475,7 +475,7 @@
   for (std::size_t length = 0; length < whole.size(); ++length) {
     folder.Write("settled", whole.substr(0, length));
     FileStore store(folder.path.string());
-    const Kept kept = store.Load(damaged);
+    const PersistentState kept = store.Load(damaged);
     CHECK_FALSE(damaged);
     cut_votes += kept.vote == 0;
     CHECK(store.SetVote(5));
@@ -500,7 +500,7 @@
   CHECK(store.SetTerm(1));
   while (store.Append({{1, 1, "some bytes of a command"}})) {
   }
-  const Kept before = store.Load(damaged);
+  const PersistentState before = store.Load(damaged);
   CHECK_FALSE(store.Append({{1, 1, "some bytes of a command"}}));
   CHECK(store.Load(damaged).entries == before.entries);
   CHECK_FALSE(damaged);
--- a/tests/fleet/sharing_test.cpp
+++ b/tests/fleet/sharing_test.cpp
@@ -29,17 +29,18 @@
   peers::Frame frame;
   frame.kind = peers::Kind::kWant;
   frame.from = from;
-  frame.body = quota::Request{number, 0, {{"d1", {20, 0, 0, 0}}}}.Encode();
+  frame.body = quota::LeaseRequestBatch{number, 0, {{"d1", {20, 0, 0, 0}}}}.Encode();
   return frame;
 }
 
 // What is answered to a member that asks now; none: nothing.
-std::optional<quota::Grant> Ask(Sharing& sharing, const char* from, std::uint64_t number,
-                                Time now) {
+std::optional<quota::LeaseGrant> Ask(Sharing& sharing, const char* from, std::uint64_t number,
+                                     Time now) {
   sharing.TakeFrames();
   sharing.Take(Want(from, number), now);
   for (const Sharing::Out& out : sharing.TakeFrames()) {
-    if (out.kind == peers::Kind::kGrant && out.to == from) return quota::Grant::Decode(out.body);
+    if (out.kind == peers::Kind::kGrant && out.to == from)
+      return quota::LeaseGrant::Decode(out.body);
   }
   return std::nullopt;
 }
@@ -79,17 +80,17 @@
   sharing.Turn("a", {"a", "b", "c"}, seconds(10));
   std::uint64_t number = 0;
   for (const Sharing::Out& out : sharing.TakeFrames()) {
-    if (out.kind == peers::Kind::kWant) number = quota::Request::Decode(out.body)->number;
+    if (out.kind == peers::Kind::kWant) number = quota::LeaseRequestBatch::Decode(out.body)->number;
   }
   REQUIRE(number > 0);
   peers::Frame frame;
   frame.kind = peers::Kind::kGrant;
-  frame.body = quota::Grant{number, true, {{"d1", {1e6, 1e6}}}}.Encode();
+  frame.body = quota::LeaseGrant{number, true, {{"d1", {1e6, 1e6}}}}.Encode();
   frame.from = "c";
   sharing.Take(frame, seconds(10));
   CHECK(rate(seconds(10)) == 0);
   frame.from = "a";
-  frame.body = quota::Grant{number, true, {{"d1", {30, 9}}}}.Encode();
+  frame.body = quota::LeaseGrant{number, true, {{"d1", {30, 9}}}}.Encode();
   sharing.Take(frame, seconds(10));
   CHECK(rate(seconds(10)) == doctest::Approx(9));
 }
--- a/tests/fleet/world.hpp
+++ b/tests/fleet/simulated_cluster.hpp
@@ -1,7 +1,7 @@
 // Virtual time for cores: a queue of frames with a link's delay and loss, and members that are cut,
 // stopped or ended. One seed; the same seed gives the same run.
-#ifndef BRASSFRONT_TESTS_FLEET_WORLD_HPP_
-#define BRASSFRONT_TESTS_FLEET_WORLD_HPP_
+#ifndef BRASSFRONT_TESTS_FLEET_SIMULATED_CLUSTER_HPP_
+#define BRASSFRONT_TESTS_FLEET_SIMULATED_CLUSTER_HPP_
 
 #include <functional>
 #include <map>
@@ -12,25 +12,25 @@
 #include <string>
 #include <vector>
 
-#include "peers/detector.hpp"
+#include "peers/failure_detector.hpp"
 
 namespace brassfront::peers {
 
-class World {
+class SimulatedCluster {
  public:
   struct LinkFault {
     double loss = 0, twice = 0;
     Time delay = std::chrono::microseconds(200), jitter{};
   };
 
-  World(std::size_t count, std::uint64_t seed) : random_(seed) {
+  SimulatedCluster(std::size_t count, std::uint64_t seed) : random_(seed) {
     for (std::size_t i = 0; i < count; ++i) names_.push_back("m" + std::to_string(i));
     for (std::size_t i = 0; i < count; ++i) Start(i, 1);
   }
 
-  void Start(std::size_t i, std::uint64_t life) {
-    members_[names_[i]] =
-        std::make_unique<Detector>(timings, names_[i], names_, 1000 + i, life, random_());
+  void Start(std::size_t i, std::uint64_t process_incarnation) {
+    members_[names_[i]] = std::make_unique<FailureDetector>(timings, names_[i], names_, 1000 + i,
+                                                            process_incarnation, random_());
     Wake(i);
   }
   void End(std::size_t i) {
@@ -52,7 +52,7 @@
       cut_.erase({names_[from], names_[to]});
     }
   }
-  Detector& at(std::size_t i) { return *members_.at(names_[i]); }
+  FailureDetector& at(std::size_t i) { return *members_.at(names_[i]); }
   State Of(std::size_t seer, std::size_t seen) { return at(seer).peers().at(names_[seen]).state; }
 
   void RunFor(Time time) {
@@ -76,7 +76,7 @@
       }
       while (!due_.empty() && due_.begin()->first <= now) {
         const std::string name = due_.begin()->second;
-        Detector& member = *members_.at(name);
+        FailureDetector& member = *members_.at(name);
         member.Tick(now);
         // A stopped process finds its datagrams in the socket when it wakes, after its timers.
         for (const auto& frame : std::exchange(waiting_[name], {})) member.Receive(*frame, now);
@@ -88,7 +88,7 @@
   struct Told {
     Time at{};
     std::string by;
-    Detector::Change change;
+    FailureDetector::Change change;
   };
   std::size_t Deaths(std::size_t of) const {
     std::size_t count = 0;
@@ -130,7 +130,7 @@
     due_at_[name] = next;
   }
 
-  void Collect(Detector& member, const std::string& name) {
+  void Collect(FailureDetector& member, const std::string& name) {
     Due(name);
     for (Frame& frame : member.TakeFrames()) {
       ++frames;
@@ -145,7 +145,8 @@
         queue_.push({now + fault.delay + late, next_++, shared});
       }
     }
-    for (Detector::Change& change : member.TakeChanges()) told.push_back({now, name, change});
+    for (FailureDetector::Change& change : member.TakeChanges())
+      told.push_back({now, name, change});
   }
   static constexpr std::size_t kHead = 4 + 2 + 3 + 4 + 16 + 32;  // of a frame in fleet "test"
 
@@ -153,7 +154,7 @@
 
   std::mt19937_64 random_;
   std::vector<std::string> names_;
-  std::map<std::string, std::unique_ptr<Detector>> members_;
+  std::map<std::string, std::unique_ptr<FailureDetector>> members_;
   std::set<std::string> stopped_;
   std::set<std::pair<Time, std::string>> due_;
   std::map<std::string, Time> due_at_;
@@ -165,4 +166,4 @@
 
 }  // namespace brassfront::peers
 
-#endif  // BRASSFRONT_TESTS_FLEET_WORLD_HPP_
+#endif  // BRASSFRONT_TESTS_FLEET_SIMULATED_CLUSTER_HPP_
--- a/tests/fleet/verdicts_test.cpp
+++ b/tests/fleet/verdicts_test.cpp
@@ -3,17 +3,18 @@
 
 #include <random>
 
-#include "verdicts/table.hpp"
+#include "verdicts/health_report_table.hpp"
 
 namespace brassfront::verdicts {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using What = Advice::What;
+using What = HealthAdvice::What;
 
 struct Member {
-  explicit Member(const std::string& name, std::uint64_t life = 1) : table(Settings{}, name, life) {
+  explicit Member(const std::string& name, std::uint64_t process_incarnation = 1)
+      : table(Settings{}, name, process_incarnation) {
     table.SetPresent({"a", "b", "c", "d"});
   }
   std::string Down(Time at, const char* endpoint = "e0") {
@@ -22,12 +23,12 @@
   }
   std::size_t Advised(What what) {
     std::size_t most = 0;
-    for (const Advice& a : table.TakeAdvice()) {
+    for (const HealthAdvice& a : table.TakeAdvice()) {
       if (a.what == what) most = std::max(most, a.witnesses);
     }
     return most;
   }
-  Table table;
+  HealthReportTable table;
 };
 
 TEST_CASE("an endpoint is down by three calls in a row, and by as many witnesses as have said so") {
@@ -53,8 +54,8 @@
   const std::string second = young.table.Say(seconds(2)).bytes;
   for (const std::string& s : {first, second, first}) c.table.Take("a", s, seconds(2));
   for (const std::string& s : {second, first, second}) d.table.Take("a", s, seconds(2));
-  CHECK(c.table.words().at({"e0", "a"}).seen == Seen::kWait);
-  CHECK(d.table.words().at({"e0", "a"}).seen == Seen::kWait);
+  CHECK(c.table.words().at({"e0", "a"}).seen == ObservedState::kWait);
+  CHECK(d.table.words().at({"e0", "a"}).seen == ObservedState::kWait);
 }
 
 TEST_CASE("a word ages on the way and is dropped at its bound") {
@@ -77,8 +78,8 @@
     now += seconds(1);
   }
   CHECK_FALSE(c.table.Counts("a", now));
-  CHECK(c.table.WitnessesOf("e0", Seen::kDown, now) == 0);
-  CHECK(c.table.Counts("a", now + kShunned));
+  CHECK(c.table.WitnessesOf("e0", ObservedState::kDown, now) == 0);
+  CHECK(c.table.Counts("a", now + kDistrustDuration));
   // An honest one: it was down, and it came back.
   Member d("d"), b("b");
   d.table.Take("b", b.Down(seconds(10)), seconds(10));
@@ -101,9 +102,9 @@
   for (Member& m : members) {
     m.table.TakeAdvice();
     m.table.Tick(seconds(1));
-    for (const Advice& a : m.table.TakeAdvice()) waits += a.what == What::kTried;
+    for (const HealthAdvice& a : m.table.TakeAdvice()) waits += a.what == What::kTried;
     m.table.Tick(seconds(8));
-    for (const Advice& a : m.table.TakeAdvice()) late += a.what == What::kTried;
+    for (const HealthAdvice& a : m.table.TakeAdvice()) late += a.what == What::kTried;
   }
   CHECK(waits == 3);
   CHECK(late == 0);
@@ -121,7 +122,7 @@
 }
 
 TEST_CASE("all are told twice, in rounds of a bounded size") {
-  Table table(Settings{}, "m0", 1);
+  HealthReportTable table(Settings{}, "m0", 1);
   std::vector<std::string> all;
   for (int i = 0; i < 300; ++i) all.push_back("m" + std::to_string(i));
   table.SetPresent(all);
@@ -130,7 +131,7 @@
   Time now = seconds(1);
   for (int i = 0; i < 100; ++i, now += milliseconds(100)) {
     const auto saying = table.Say(now);
-    CHECK(saying.to.size() <= kMostFrames);
+    CHECK(saying.to.size() <= kMaxFramesPerRound);
     CHECK(saying.bytes.size() < 200);
     for (const std::string& to : saying.to) ++told[to];
   }
