--- a/src/forwarder/translate.cpp
+++ b/src/forwarder/endpoint_protocol.cpp
@@ -1,4 +1,4 @@
-#include "forwarder/translate.hpp"
+#include "forwarder/endpoint_protocol.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -17,9 +17,9 @@
 using observe::Level;
 
 // A report beyond these cannot be meant. A share may be a little over 1, for reports are noisy.
-constexpr double kMostShare = 2;
-constexpr double kMostLimit = 1e6;                 // calls a second
-constexpr std::uint64_t kLongestWait = 3'600'000;  // ms; guards against a wait that never ends
+constexpr double kMaxAllowanceLeft = 2;
+constexpr double kMaxReportedLimit = 1e6;              // calls a second
+constexpr std::uint64_t kMaxRetryAfterMs = 3'600'000;  // ms; guards against a wait that never ends
 
 template <typename T>
 std::optional<T> Parse(std::string_view text) {
@@ -30,7 +30,7 @@
 }
 
 // What the answer's first line says of all attempts in the call.
-AttemptEnd EndOfStatus(const EndpointCallResult& end) {
+AttemptResult ResultOfStatus(const EndpointCallResult& end) {
   switch (end.status) {
     case 200:
       return {.outcome = Outcome::kDelivered, .over = true};
@@ -50,7 +50,7 @@
   }
 }
 
-AttemptEnd EndOfState(const std::string& state) {
+AttemptResult ParseItemState(const std::string& state) {
   if (state == "ok") return {.outcome = Outcome::kDelivered, .over = true};
   if (state == "later") return {.outcome = Outcome::kRejected};
   if (state == "gone") return {.outcome = Outcome::kNotSent, .over = true};
@@ -58,7 +58,7 @@
   return {.outcome = Outcome::kError};
 }
 
-Outcome OutcomeOfFate(CallOutcome outcome) {
+Outcome ToOutcome(CallOutcome outcome) {
   switch (outcome) {
     case CallOutcome::kNotSent:
       return Outcome::kNotSent;
@@ -81,44 +81,44 @@
 
 }  // namespace
 
-bool NeverRan(Outcome outcome) {
+bool KnownNotRun(Outcome outcome) {
   return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
          outcome == Outcome::kConnectionLimitReached || outcome == Outcome::kNotSent;
 }
 
-AttemptEnd EndOfSingle(const EndpointCallResult& end) {
-  if (end.outcome != CallOutcome::kAnswered) return {.outcome = OutcomeOfFate(end.outcome)};
-  return EndOfStatus(end);
+AttemptResult ParseSingleAnswer(const EndpointCallResult& end) {
+  if (end.outcome != CallOutcome::kAnswered) return {.outcome = ToOutcome(end.outcome)};
+  return ResultOfStatus(end);
 }
 
-std::vector<AttemptEnd> EndsOfBundle(const EndpointCallResult& end,
-                                     std::span<const std::string> ids) {
+std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& end,
+                                            std::span<const std::string> ids) {
   if (end.outcome != CallOutcome::kAnswered || end.status != 200) {
-    return std::vector<AttemptEnd>(ids.size(), EndOfSingle(end));
+    return std::vector<AttemptResult>(ids.size(), ParseSingleAnswer(end));
   }
   // Part of an answer delivers nothing; an id that is missing from a whole one may have run.
-  std::vector<AttemptEnd> ends(
-      ids.size(), AttemptEnd{.outcome = end.complete ? Outcome::kError : Outcome::kReset});
+  std::vector<AttemptResult> ends(
+      ids.size(), AttemptResult{.outcome = end.complete ? Outcome::kError : Outcome::kReset});
   if (!end.complete) return ends;
   try {
     const json::Value answer = json::Parse(end.body);
     for (const json::Value& item : answer.Items()) {
       const auto it = std::find(ids.begin(), ids.end(), item.At("id").Text());
-      if (it != ids.end()) ends[it - ids.begin()] = EndOfState(item.At("state").Text());
+      if (it != ids.end()) ends[it - ids.begin()] = ParseItemState(item.At("state").Text());
     }
   } catch (const json::Error&) {  // the rest keep their doubt
   }
   return ends;
 }
 
-Outcome OutcomeOfProbe(const EndpointCallResult& end) { return EndOfSingle(end).outcome; }
+Outcome HealthCheckOutcome(const EndpointCallResult& end) { return ParseSingleAnswer(end).outcome; }
 
-std::chrono::milliseconds WaitOf(const EndpointCallResult& end) {
+std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& end) {
   return std::chrono::milliseconds(
-      std::min(Parse<std::uint64_t>(end.retry_after_ms).value_or(0), kLongestWait));
+      std::min(Parse<std::uint64_t>(end.retry_after_ms).value_or(0), kMaxRetryAfterMs));
 }
 
-dispatch_policy::LoadReport ReportOf(const EndpointCallResult& end) {
+dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& end) {
   dispatch_policy::LoadReport report;
   std::string_view rest = end.load_report;
   while (!rest.empty()) {
@@ -127,13 +127,13 @@
     if (pair.size() < 4 || pair[2] != '=') continue;
     const auto value = Parse<double>(pair.substr(3));
     if (!value || !(*value >= 0)) continue;
-    if (pair.starts_with("x0") && *value <= kMostShare) report.allowance_left = value;
-    if (pair.starts_with("x1") && *value <= kMostLimit) report.limit = value;
+    if (pair.starts_with("x0") && *value <= kMaxAllowanceLeft) report.allowance_left = value;
+    if (pair.starts_with("x1") && *value <= kMaxReportedLimit) report.limit = value;
   }
   return report;
 }
 
-dispatch_policy::EndpointState StateOf(Phase phase) {
+dispatch_policy::EndpointState ToEndpointState(Phase phase) {
   switch (phase) {
     case Phase::kReady:
       return dispatch_policy::EndpointState::kListed;
@@ -144,31 +144,31 @@
   }
 }
 
-std::string BundleItem(const Part& part) {
+std::string FormatBatchItem(const CallItem& part) {
   std::string item = "{\"id\":" + json::Quote(part.id);
   if (!part.key.empty()) item += ",\"key\":" + json::Quote(part.key);
   return item + ",\"body\":\"" + EncodeBase64(part.body) + "\"}";
 }
 
-std::string SingleCall(const std::string& address, const Part& part,
-                       std::chrono::milliseconds left) {
+std::string FormatSingleCall(const std::string& address, const CallItem& part,
+                             std::chrono::milliseconds left) {
   HttpHeaders headers = TimeLeft(left);
   headers.emplace_back("X-Correlation-Id", part.id);
   if (!part.key.empty()) headers.emplace_back("Idempotency-Key", part.key);
   return HttpPost("/events", address, headers, part.body);
 }
 
-std::string BundleCall(const std::string& address, std::span<const Part> parts,
-                       std::chrono::milliseconds left) {
+std::string FormatBatchCall(const std::string& address, std::span<const CallItem> parts,
+                            std::chrono::milliseconds left) {
   std::string body = "[";
-  for (const Part& part : parts) {
+  for (const CallItem& part : parts) {
     if (body.size() > 1) body += ',';
-    body += BundleItem(part);
+    body += FormatBatchItem(part);
   }
   return HttpPost("/events/bundle", address, TimeLeft(left), body + "]");
 }
 
-void LogListed(const Member& member, dispatch_policy::EndpointId number) {
+void LogEndpointListed(const Member& member, dispatch_policy::EndpointId number) {
   observe::Log(Concern::kEngine, Level::kInfo, "endpoint listed",
                {{"id", member.id},
                 {"endpoint", number},
@@ -177,8 +177,8 @@
                 {"weight", std::to_string(member.weight)}});
 }
 
-void LogCallEnd(const EndpointCallResult& end, dispatch_policy::EndpointId number,
-                std::size_t parts, std::chrono::milliseconds took) {
+void LogCallCompleted(const EndpointCallResult& end, dispatch_policy::EndpointId number,
+                      std::size_t parts, std::chrono::milliseconds took) {
   if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
   observe::Log(Concern::kEngine, Level::kDebug, "call completed",
                {{"endpoint", number},
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -24,10 +24,10 @@
 #include "config/config.hpp"
 #include "dispatch_policy/dispatch_policy.hpp"
 #include "forwarder/call_observer.hpp"
-#include "forwarder/deadlines.hpp"
+#include "forwarder/deadline_queue.hpp"
+#include "forwarder/endpoint_protocol.hpp"
 #include "forwarder/message_trace.hpp"
 #include "forwarder/stage_latencies.hpp"
-#include "forwarder/translate.hpp"
 #include "net/discovery_watcher.hpp"
 #include "net/endpoint_client.hpp"
 #include "net/notification_client.hpp"
@@ -38,7 +38,7 @@
 
 class Engine : public MessageAcceptor {
  public:
-  // Connections to next hops at once, at most.
+  // Connections to next endpoint at once, at most.
   static std::size_t MaxEndpointConnections(const Config& config);
 
   // Lists from discovery go to `divert` instead, if it is given: whoever takes them says by Listed
@@ -77,165 +77,168 @@
   using Time = dispatch_policy::Time;
   using MessageId = dispatch_policy::MessageId;  // the same number in the spool
 
-  struct Arrival {
+  struct PendingSubmission {
     DeliveryRequest request;
-    std::promise<SubmitResult> answer;
-    std::size_t the_class = 0, tenant = 0;
-    Time handed_in{};
+    std::promise<SubmitResult> reply;
+    std::size_t message_class = 0, tenant = 0;
+    Time submitted_at{};
   };
-  struct HeardNow {
+  struct MessageAcknowledged {
     MessageId message;
   };
-  struct LostNow {
+  struct ClientDisconnected {
     MessageId message;
   };
-  struct NoticeHeard {
+  struct NotificationConfirmed {
     MessageId message;
   };
-  struct LeaveNow {};
-  struct MoveNow {
+  struct ShutdownRequested {};
+  struct DiscoveryAddressChanged {
     std::string discovery;
   };
-  struct ThenNow {
+  struct PostedTask {
     std::function<void()> what;
   };
-  using Item = std::variant<Arrival, HeardNow, LostNow, EndpointCallResult, MemberList, NoticeHeard,
-                            LeaveNow, MoveNow, ThenNow, EndpointUpdate>;
+  using InboxEvent =
+      std::variant<PendingSubmission, MessageAcknowledged, ClientDisconnected, EndpointCallResult,
+                   MemberList, NotificationConfirmed, ShutdownRequested, DiscoveryAddressChanged,
+                   PostedTask, EndpointUpdate>;
 
-  struct Held {
+  struct InFlightMessage {
     std::string id{};
     std::string key{};
     std::string body{};
-    bool heard = false;             // its client knows that it was taken on
-    bool ending = false;            // given up; its notice is on the way
-    std::size_t attempts = 0;       // noted in the spool, by earlier processes too
-    std::size_t attempts_told = 0;  // by the module
-    Time given_up{};
+    bool acknowledged = false;         // its client knows that it was taken on
+    bool given_up = false;             // given up; its notice is on the way
+    std::size_t attempts = 0;          // spool_index in the spool, by earlier processes too
+    std::size_t attempts_decided = 0;  // by the module
+    Time given_up_at{};
   };
 
-  struct Hop {
+  struct Endpoint {
     std::string name;
     std::string address;
     dispatch_policy::EndpointEntry entry;
     Time gone_since{};  // if it is removed
   };
 
-  struct OutPart {
+  struct PendingAttempt {
     MessageId message = 0;
     std::string id{};
-    std::size_t attempt = 0;  // as the module counts
-    std::size_t noted = 0;    // as the spool counts
+    std::size_t attempt = 0;      // as the module counts
+    std::size_t spool_index = 0;  // as the spool counts
     bool cancelled = false;
   };
 
-  struct Out {
-    dispatch_policy::EndpointId hop = 0;
-    std::vector<OutPart> parts;  // none: a probe
+  struct PendingCall {
+    dispatch_policy::EndpointId endpoint = 0;
+    std::vector<PendingAttempt> attempts;  // none: a probe
     Time start_by{};
-    Time ends{};
-    Time asked{};  // for, by the module
+    Time deadline{};
+    Time decided_at{};  // for, by the module
     Time started{};
-    std::size_t bytes = 0;                   // of the bundle
-    bool recalled = false;                   // before it was started
-    std::shared_ptr<EndpointCall> delivery;  // none until it is started
+    std::size_t bytes = 0;                        // of the bundle
+    bool withdrawn = false;                       // before it was started
+    std::shared_ptr<EndpointCall> endpoint_call;  // none until it is started
   };
 
-  void On(Arrival arrival);
-  void On(const HeardNow& e);
-  void On(const LostNow& e);
-  void On(const EndpointCallResult& e);
-  void On(const MemberList& e);
-  void On(const NoticeHeard& e);
-  void On(const LeaveNow&);
-  void On(const MoveNow& e);
-  void On(const ThenNow& e);
-  void On(EndpointUpdate e);
-  void On(const Deadline& e);
-
-  void Turn(Time now);
-  void KeepArrivals();
-  void Do(const dispatch_policy::SendAttempt& e);
-  void Do(const dispatch_policy::RejectMessage& e);
-  void Do(const dispatch_policy::FailMessage& e);
-  void Do(const dispatch_policy::CancelAttempt& e);
-  void Do(const dispatch_policy::SetTimer& e);
-  void Do(const dispatch_policy::StartHealthCheck& e);
-  void Do(const dispatch_policy::SubscribeToEndpointList&) {}  // the watch is always open
-  void Do(const dispatch_policy::LogMessage& e);
-
-  std::string Reject(const DeliveryRequest& request, std::size_t& the_class,
+  void On(PendingSubmission submission);
+  void On(const MessageAcknowledged& event);
+  void On(const ClientDisconnected& event);
+  void On(const EndpointCallResult& event);
+  void On(const MemberList& event);
+  void On(const NotificationConfirmed& event);
+  void On(const ShutdownRequested&);
+  void On(const DiscoveryAddressChanged& event);
+  void On(const PostedTask& event);
+  void On(EndpointUpdate event);
+  void On(const Deadline& event);
+
+  void Decide(Time now);
+  void PersistAccepted();
+  void Apply(const dispatch_policy::SendAttempt& action);
+  void Apply(const dispatch_policy::RejectMessage& action);
+  void Apply(const dispatch_policy::FailMessage& action);
+  void Apply(const dispatch_policy::CancelAttempt& action);
+  void Apply(const dispatch_policy::SetTimer& action);
+  void Apply(const dispatch_policy::StartHealthCheck& action);
+  void Apply(const dispatch_policy::SubscribeToEndpointList&) {}  // the watch is always open
+  void Apply(const dispatch_policy::LogMessage& action);
+
+  std::string Reject(const DeliveryRequest& request, std::size_t& message_class,
                      std::size_t& tenant) const;
-  Time NextDue() const;
-  void Refused(Arrival& arrival, SubmitResult answer);
-  bool IsListed(dispatch_policy::DestinationId destination) const;
-  void NoteListed();
-  bool HasRoomFor(const DeliveryRequest& request) const;
+  Time NextWakeUp() const;
+  void Reply(PendingSubmission& submission, SubmitResult reply);
+  bool KnowsDestination(dispatch_policy::DestinationId destination) const;
+  void PublishKnownDestinations();
+  bool HasCapacityFor(const DeliveryRequest& request) const;
   void GiveUp(MessageId message, Notification notice);
   void Erase(MessageId message);
-  void End(MessageId message, Step step);
-  void TellOverdue(Time now);
-  dispatch_policy::EndpointId HopNumber(const std::string& name);
-  void ForgetHops(Time now);
-  void RetireInTime();
-  dispatch_policy::EndpointList TakeList(const MemberList& list);
-
-  void StartReady(Time now);
-  bool Start(std::uint64_t number, Out& out, Time now);
-  void Settle(const Out& out, const OutPart& part, const AttemptEnd& end, Time now,
-              Duration wait = {}, const dispatch_policy::LoadReport& report = {});
-  void SettleUnsent(const Out& out, Time now);
+  void End(MessageId message, TraceStep step);
+  void LogOverdue(Time now);
+  dispatch_policy::EndpointId FindOrAddEndpoint(const std::string& name);
+  void ForgetRemovedEndpoints(Time now);
+  void ScheduleIdleExpiry();
+  dispatch_policy::EndpointList ApplyList(const MemberList& list);
+
+  void StartReadyCalls(Time now);
+  bool Start(std::uint64_t number, PendingCall& call, Time now);
+  void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
+                       const AttemptResult& end, Time now, Duration wait = {},
+                       const dispatch_policy::LoadReport& report = {});
+  void CompleteUnsent(const PendingCall& call, Time now);
   template <typename Bound>
-  void Recall(Bound bound);
+  void WithdrawCalls(Bound bound);
 
-  CallTarget TargetOf(const Hop& hop) const;
-  std::function<bool()> PermitOf(const Hop& hop) const;
+  CallTarget Target(const Endpoint& endpoint) const;
+  std::function<bool()> CallPermit(const Endpoint& endpoint) const;
 
   const Config& config_;
   Spool& spool_;
   CallObserver* call_observer_ = nullptr;
-  BoundedQueue<Item> inbox_;
+  BoundedQueue<InboxEvent> inbox_;
   dispatch_policy::DispatchPolicy policy_;
   std::vector<dispatch_policy::Event> events_;  // for the next turn
-  Time last_turn_{};
-  Deadlines deadlines_;
-  Time retire_at_ = Time::max();  // the earliest deadline set for it
-
-  std::map<MessageId, Held> held_;
-  std::unordered_map<std::string, MessageId> numbers_;
-  MessageTrace lives_;
-  std::size_t owed_ = 0;        // held and not given up
-  std::size_t body_bytes_ = 0;  // of all held
+  Time last_decision_{};
+  DeadlineQueue deadlines_;
+  Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
+
+  std::map<MessageId, InFlightMessage> messages_;
+  std::unordered_map<std::string, MessageId> ids_by_client_id_;
+  MessageTrace trace_;
+  std::size_t deliverable_ = 0;  // held and not given up
+  std::size_t body_bytes_ = 0;   // of all held
   MessageId next_message_;
-  std::map<MessageId, Arrival> arrivals_;  // not answered yet
+  std::map<MessageId, PendingSubmission> submissions_;  // not answered yet
 
-  std::map<dispatch_policy::EndpointId, Hop> hops_;
-  std::unordered_map<std::string, dispatch_policy::EndpointId> hop_numbers_;
-  dispatch_policy::EndpointId next_hop_ = 0;
+  std::map<dispatch_policy::EndpointId, Endpoint> endpoints_;
+  std::unordered_map<std::string, dispatch_policy::EndpointId> endpoint_ids_;
+  dispatch_policy::EndpointId next_endpoint_ = 0;
   Duration longest_deadline_{};  // of the classes
-  mutable std::shared_mutex listed_mutex_;
+  mutable std::shared_mutex known_destinations_mutex_;
   std::unordered_set<dispatch_policy::DestinationId>
-      listed_;  // those of hops_; for other threads as well
+      known_destinations_;  // those of endpoints_; for other threads as well
   std::uint64_t revision_ = 0;
 
-  std::uint64_t next_out_ = 1;
-  std::map<std::uint64_t, Out> out_;
-  std::deque<std::uint64_t> ready_;                              // not started yet
-  std::map<dispatch_policy::EndpointId, std::uint64_t> bundle_;  // still open in this turn
-  std::vector<Notification> given_up_;                           // in this turn
-  std::size_t slots_taken_ = 0;
+  std::uint64_t next_call_ = 1;
+  std::map<std::uint64_t, PendingCall> calls_;
+  std::deque<std::uint64_t> ready_calls_;                              // not started yet
+  std::map<dispatch_policy::EndpointId, std::uint64_t> open_batches_;  // still open in this turn
+  std::vector<Notification> notifications_;                            // in this turn
+  std::size_t running_calls_ = 0;
 
-  StageLatencies stages_;
+  StageLatencies latencies_;
   std::atomic<std::size_t> messages_in_flight_{0};  // for other threads
 
   std::function<void()> on_drain_;
-  bool leaving_ = false;    // asked to
-  bool may_leave_ = false;  // once nothing is owed
-  bool left_ = false;
+  bool shutting_down_ = false;  // decided_at to
+  bool may_exit_ = false;       // once nothing is recovered
+  bool exited_ = false;
 
   // Last: their threads speak to all of the above.
   EndpointClient endpoint_client_;
-  NotificationClient notices_;
-  DiscoveryWatcher watch_;
+  NotificationClient notification_client_;
+  DiscoveryWatcher discovery_watcher_;
 };
 
 }  // namespace brassfront
--- a/src/forwarder/message_trace.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -5,112 +5,112 @@
 namespace brassfront {
 namespace {
 
-constexpr std::size_t kFirstSteps = 8;  // kept from the start, when there are too many
+constexpr std::size_t kMaxFirstSteps = 8;  // kept from the start, when there are too many
 
-bool Ends(Step step) {
-  return step == Step::kDelivered || step == Step::kGone || step == Step::kNoticed ||
-         step == Step::kWithdrawn;
+bool IsFinal(TraceStep step) {
+  return step == TraceStep::kDelivered || step == TraceStep::kGone ||
+         step == TraceStep::kNotified || step == TraceStep::kCancelled;
 }
 
 }  // namespace
 
-bool MessageTrace::Begin(MessageId message, Time now, Time deadline, Step step,
+bool MessageTrace::Begin(MessageId message, Time now, Time deadline, TraceStep step,
                          std::uint32_t detail) {
-  const auto [it, added] = lives_.try_emplace(message);
+  const auto [it, added] = messages_.try_emplace(message);
   if (!added) return false;
   it->second.started_at = now;
   it->second.deadline = deadline;
-  due_.emplace(deadline + kGrace, message);
+  overdue_times_.insert({deadline + kGrace, message});
   Add(it->second, now, step, detail);
   return true;
 }
 
-void MessageTrace::Note(MessageId message, Time now, Step step, std::uint32_t detail) {
-  const auto it = lives_.find(message);
-  if (it == lives_.end()) return;
-  Life& life = it->second;
-  if (Ends(step)) {
-    due_.erase({life.deadline + kGrace, message});
-    lives_.erase(it);
+void MessageTrace::Note(MessageId message, Time now, TraceStep step, std::uint32_t detail) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end()) return;
+  TracedMessage& traced = it->second;
+  if (IsFinal(step)) {
+    overdue_times_.erase({traced.deadline + kGrace, message});
+    messages_.erase(it);
     return;
   }
-  Add(life, now, step, detail);
-  if (step == Step::kStarted) ++life.out;
-  if (step == Step::kSettled && life.out > 0) --life.out;
-  if (step == Step::kGivenUp) life.state = LifeState::kEnding;
-  if (life.state != LifeState::kEnding) {
-    life.state = life.out > 0 ? LifeState::kOut : LifeState::kHeld;
+  Add(traced, now, step, detail);
+  if (step == TraceStep::kStarted) ++traced.running_attempts;
+  if (step == TraceStep::kCompleted && traced.running_attempts > 0) --traced.running_attempts;
+  if (step == TraceStep::kGivenUp) traced.state = MessageState::kNotifying;
+  if (traced.state != MessageState::kNotifying) {
+    traced.state = traced.running_attempts > 0 ? MessageState::kCalling : MessageState::kWaiting;
   }
 }
 
-// Of a long life the first steps stay and the last ones turn over.
-void MessageTrace::Add(Life& life, Time now, Step step, std::uint32_t detail) {
-  std::size_t place = life.steps;
-  if (place >= kMostSteps) {
-    std::move(life.marks.begin() + kFirstSteps + 1, life.marks.end(),
-              life.marks.begin() + kFirstSteps);
-    place = kMostSteps - 1;
+// Of a long history the first steps are kept, and the last ones as a sliding window.
+void MessageTrace::Add(TracedMessage& traced, Time now, TraceStep step, std::uint32_t detail) {
+  std::size_t index = traced.step_count;
+  if (index >= kMaxSteps) {
+    std::move(traced.recorded_steps.begin() + kMaxFirstSteps + 1, traced.recorded_steps.end(),
+              traced.recorded_steps.begin() + kMaxFirstSteps);
+    index = kMaxSteps - 1;
   }
   const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - life.started_at).count();
-  life.marks[place] = {static_cast<std::uint32_t>(ms), step, detail};
-  ++life.steps;
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - traced.started_at).count();
+  traced.recorded_steps[index] = {static_cast<std::uint32_t>(ms), step, detail};
+  ++traced.step_count;
 }
 
-LifeState MessageTrace::StateOf(MessageId message) const {
-  const auto it = lives_.find(message);
-  return it == lives_.end() ? LifeState::kOver : it->second.state;
+MessageState MessageTrace::State(MessageId message) const {
+  const auto it = messages_.find(message);
+  return it == messages_.end() ? MessageState::kOver : it->second.state;
 }
 
-std::string MessageTrace::HistoryOf(MessageId message) const {
-  const auto it = lives_.find(message);
-  return it == lives_.end() ? "" : History(it->second);
+std::string MessageTrace::History(MessageId message) const {
+  const auto it = messages_.find(message);
+  return it == messages_.end() ? "" : Format(it->second);
 }
 
-std::string MessageTrace::History(const Life& life) {
+std::string MessageTrace::Format(const TracedMessage& traced) {
   std::string out;
-  const std::size_t kept = std::min<std::size_t>(life.steps, kMostSteps);
+  const std::size_t kept = std::min<std::size_t>(traced.step_count, kMaxSteps);
   for (std::size_t i = 0; i < kept; ++i) {
-    if (life.steps > kMostSteps && i == kFirstSteps) out += " ...";
-    const Mark& mark = life.marks[i];
+    if (traced.step_count > kMaxSteps && i == kMaxFirstSteps) out += " ...";
+    const RecordedStep& recorded = traced.recorded_steps[i];
     if (!out.empty()) out += ' ';
-    out.append(NameOf(mark.step)).append("+").append(std::to_string(mark.ms));
-    if (mark.detail > 0) out.append("(").append(std::to_string(mark.detail)).append(")");
+    out.append(ToString(recorded.step)).append("+").append(std::to_string(recorded.ms));
+    if (recorded.detail > 0) out.append("(").append(std::to_string(recorded.detail)).append(")");
   }
   return out;
 }
 
-MessageTrace::Time MessageTrace::Next() const {
-  return due_.empty() ? Time::max() : due_.begin()->first;
+MessageTrace::Time MessageTrace::NextOverdue() const {
+  return overdue_times_.empty() ? Time::max() : overdue_times_.begin()->at;
 }
 
 std::vector<MessageTrace::Overdue> MessageTrace::TakeOverdue(Time now) {
   std::vector<Overdue> all;
-  while (!due_.empty() && due_.begin()->first <= now) {
-    const MessageId message = due_.begin()->second;
-    due_.erase(due_.begin());
-    const Life& life = lives_.at(message);
-    all.push_back({message, life.state, History(life)});
+  while (!overdue_times_.empty() && overdue_times_.begin()->at <= now) {
+    const MessageId message = overdue_times_.begin()->message;
+    overdue_times_.erase(overdue_times_.begin());
+    const TracedMessage& traced = messages_.at(message);
+    all.push_back({message, traced.state, Format(traced)});
     ++overdue_;
   }
   return all;
 }
 
-const char* NameOf(LifeState state) {
+const char* ToString(MessageState state) {
   switch (state) {
-    case LifeState::kHeld:
+    case MessageState::kWaiting:
       return "waiting";
-    case LifeState::kOut:
+    case MessageState::kCalling:
       return "calling";
-    case LifeState::kEnding:
+    case MessageState::kNotifying:
       return "notifying";
-    case LifeState::kOver:
+    case MessageState::kOver:
       break;
   }
   return "over";
 }
 
-const char* NameOf(Step step) {
+const char* ToString(TraceStep step) {
   constexpr const char* kNames[] = {"accepted",  "restored", "acknowledged", "started",
                                     "completed", "given-up", "delivered",    "gone",
                                     "notified",  "cancelled"};
--- a/src/forwarder/message_trace.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -1,40 +1,41 @@
-// The lives of taken messages: which state each is in, what became of it so far, and which ones
-// should have ended by now. It decides nothing: it is the engine's own check on itself.
+// The history of each accepted message: its state, its steps so far, and whether it should have
+// ended by now. It decides nothing; it lets the engine report messages that outlive their deadline.
 //
-// Does no I/O and knows no clock; used by one thread. Times are those of the caller's clock.
+// No I/O and no clock of its own: times are those of the caller's clock. Used by one thread.
 #ifndef BRASSFRONT_FORWARDER_MESSAGE_TRACE_HPP_
 #define BRASSFRONT_FORWARDER_MESSAGE_TRACE_HPP_
 
 #include <array>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace brassfront {
 
-// What a taken message is waiting for. A state follows from the life's steps.
-enum class LifeState {
-  kHeld,    // for its turn
-  kOut,     // for the end of an attempt
-  kEnding,  // for the platform to hear its notice
-  kOver     // nothing: its end is noted
+// What an accepted message is waiting for. It follows from the steps that were recorded. The names
+// in the log are the names here (docs/logging.md).
+enum class MessageState {
+  kWaiting,    // for an attempt to start
+  kCalling,    // for a running attempt to complete
+  kNotifying,  // for the platform to confirm the notification
+  kOver        // nothing: the message has ended, or was never known
 };
 
-enum class Step : std::uint8_t {
-  kTaken,      // the spool has it
-  kRestored,   // from an earlier process; detail: its attempts
-  kHeard,      // the client was told
-  kStarted,    // an attempt; detail: the next hop
-  kSettled,    // an attempt; detail: its outcome as the module names it
-  kGivenUp,    // its notice was handed over; detail: 1 if deferred
-  kDelivered,  // over
-  kGone,       // over: the endpoint says that nothing more is owed
-  kNoticed,    // over: the platform has heard
-  kWithdrawn   // over: the client went before it was told
+enum class TraceStep : std::uint8_t {
+  kAccepted,      // recorded in the spool
+  kRestored,      // from an earlier process; detail: the attempts it used
+  kAcknowledged,  // the client was told that it was accepted
+  kStarted,       // an attempt; detail: the endpoint's id
+  kCompleted,     // an attempt; detail: its dispatch_policy::Outcome
+  kGivenUp,       // a notification is due; detail: 1 for a rejection, 0 for a failure
+  kDelivered,     // final
+  kGone,          // final: the endpoint says that nothing more is owed
+  kNotified,      // final: the platform has confirmed the notification
+  kCancelled      // final: the client disconnected before it was told
 };
 
 class MessageTrace {
@@ -42,57 +43,69 @@
   using Time = std::chrono::nanoseconds;
   using MessageId = std::uint64_t;
 
-  // A message that has not ended so long after its time is overdue. The rule allows 300 ms.
+  // How long after its deadline a message becomes overdue. The platform allows 300 ms.
   static constexpr Time kGrace = std::chrono::milliseconds(150);
-  static constexpr std::size_t kMostSteps = 24;  // kept of each; of more, the first and the last
+  // Steps kept for each message. Of a longer history the first and the last steps are kept.
+  static constexpr std::size_t kMaxSteps = 24;
 
   struct Overdue {
     MessageId message = 0;
-    LifeState state = LifeState::kHeld;
-    std::string history;  // `taken+0 heard+1 started+5(12) ...`, in ms since the first step
+    MessageState state = MessageState::kWaiting;
+    std::string history;  // `accepted+0 acknowledged+1 started+5(12) ...`, in ms since the first
   };
 
-  // A new life. An id that lives already keeps its life, and false is returned.
-  bool Begin(MessageId message, Time now, Time deadline, Step step, std::uint32_t detail = 0);
-  // Steps of messages that are over or unknown are passed over: an attempt may settle after that.
-  void Note(MessageId message, Time now, Step step, std::uint32_t detail = 0);
-
-  // The state; kOver for any that does not live.
-  [[nodiscard]] LifeState StateOf(MessageId message) const;
-  [[nodiscard]] std::string HistoryOf(MessageId message) const;
-  [[nodiscard]] std::size_t living() const { return lives_.size(); }
-
-  // When the next one becomes overdue; Time::max() if none can.
-  [[nodiscard]] Time Next() const;
-  // Those that have become overdue by now; each is told once.
-  std::vector<Overdue> TakeOverdue(Time now);
-  [[nodiscard]] std::uint64_t overdue() const { return overdue_; }  // of this process, so far
+  // Begins a history with `step`. An id that is traced already keeps its history, and false is
+  // returned.
+  bool Begin(MessageId message, Time now, Time deadline, TraceStep step, std::uint32_t detail = 0);
+  // Records a step; a final one ends the history. Steps of messages that have ended or are unknown
+  // are ignored, because an attempt may complete after its message has ended.
+  void Note(MessageId message, Time now, TraceStep step, std::uint32_t detail = 0);
+
+  // kOver if the message is not traced.
+  [[nodiscard]] MessageState State(MessageId message) const;
+  // Empty if the message is not traced.
+  [[nodiscard]] std::string History(MessageId message) const;
+  // Messages that have not ended.
+  [[nodiscard]] std::size_t size() const { return messages_.size(); }
+
+  // When the next message becomes overdue; Time::max() if none can.
+  [[nodiscard]] Time NextOverdue() const;
+  // The messages that have become overdue by `now`. Each is returned once.
+  [[nodiscard]] std::vector<Overdue> TakeOverdue(Time now);
+  // Messages returned by TakeOverdue so far.
+  [[nodiscard]] std::uint64_t overdue() const { return overdue_; }
 
  private:
-  struct Mark {
+  struct RecordedStep {
     std::uint32_t ms = 0;  // since the first step
-    Step step = Step::kTaken;
+    TraceStep step = TraceStep::kAccepted;
     std::uint32_t detail = 0;
   };
-  struct Life {
+  struct TracedMessage {
     Time started_at{};
     Time deadline{};
-    LifeState state = LifeState::kHeld;
-    std::uint32_t out = 0;    // attempts
-    std::uint32_t steps = 0;  // with those that are not kept
-    std::array<Mark, kMostSteps> marks{};
+    MessageState state = MessageState::kWaiting;
+    std::uint32_t running_attempts = 0;
+    std::uint32_t step_count = 0;  // with those that are not kept
+    std::array<RecordedStep, kMaxSteps> recorded_steps{};
+  };
+  struct OverdueTime {
+    Time at{};
+    MessageId message = 0;
+    friend auto operator<=>(const OverdueTime&, const OverdueTime&) = default;
   };
 
-  void Add(Life& life, Time now, Step step, std::uint32_t detail);
-  static std::string History(const Life& life);
+  static void Add(TracedMessage& traced, Time now, TraceStep step, std::uint32_t detail);
+  static std::string Format(const TracedMessage& traced);
 
-  std::map<MessageId, Life> lives_;
-  std::set<std::pair<Time, MessageId>> due_;
+  std::map<MessageId, TracedMessage> messages_;
+  std::set<OverdueTime> overdue_times_;
   std::uint64_t overdue_ = 0;
 };
 
-const char* NameOf(LifeState state);
-const char* NameOf(Step step);
+// The names in the log.
+const char* ToString(MessageState state);
+const char* ToString(TraceStep step);
 
 }  // namespace brassfront
 
--- a/src/forwarder/stage_latencies.hpp
+++ b/src/forwarder/stage_latencies.hpp
@@ -9,14 +9,15 @@
 
 namespace brassfront {
 
-// Since it was last told. `put` is from a hand-in to its being seen, `answer` to its answer,
-// `start` from the module's send to the thread, `notice` to the platform's 204.
+// `submit` runs from Submit to the engine thread, `accept` to the reply,
+// `start` from the decision to send to the call thread, `notify` to the platform's 204, `decide` is
+// one decision.
 struct StageLatencies {
-  observe::Histogram put, answer, start, notice, turn;
+  observe::Histogram submit, accept, start, notify, decide;
 
   // A line on what the engine holds and one for each stage in which anything waited; then begins
   // anew. To be called by the engine's thread, whose processor time is told.
-  void Tell(observe::Level level, std::size_t held, std::size_t out);
+  void LogAndReset(observe::Level level, std::size_t in_flight, std::size_t calls);
 };
 
 }  // namespace brassfront
--- a/tests/network/translate_test.cpp
+++ b/tests/network/endpoint_protocol_test.cpp
@@ -1,4 +1,4 @@
-#include "forwarder/translate.hpp"
+#include "forwarder/endpoint_protocol.hpp"
 
 #include <doctest/doctest.h>
 
@@ -19,22 +19,22 @@
 }
 
 TEST_CASE("what each answer to one message means") {
-  CHECK(EndOfSingle(Answered(200)).outcome == Outcome::kDelivered);
-  CHECK(EndOfSingle(Answered(200)).over);
-  CHECK(EndOfSingle(Answered(500)).outcome == Outcome::kError);
-  CHECK(EndOfSingle(Answered(429)).outcome == Outcome::kRejected);
-  CHECK(EndOfSingle(Answered(503)).outcome == Outcome::kRejected);
-  CHECK(EndOfSingle(Answered(404)).outcome == Outcome::kError);
-  CHECK(EndOfSingle(Answered(504)).exhausted);
-  CHECK_FALSE(EndOfSingle(Answered(504)).over);
-  CHECK(EndOfSingle(Answered(410)).over);
-  CHECK(EndOfSingle(Answered(410)).outcome == Outcome::kNotSent);
+  CHECK(ParseSingleAnswer(Answered(200)).outcome == Outcome::kDelivered);
+  CHECK(ParseSingleAnswer(Answered(200)).over);
+  CHECK(ParseSingleAnswer(Answered(500)).outcome == Outcome::kError);
+  CHECK(ParseSingleAnswer(Answered(429)).outcome == Outcome::kRejected);
+  CHECK(ParseSingleAnswer(Answered(503)).outcome == Outcome::kRejected);
+  CHECK(ParseSingleAnswer(Answered(404)).outcome == Outcome::kError);
+  CHECK(ParseSingleAnswer(Answered(504)).exhausted);
+  CHECK_FALSE(ParseSingleAnswer(Answered(504)).over);
+  CHECK(ParseSingleAnswer(Answered(410)).over);
+  CHECK(ParseSingleAnswer(Answered(410)).outcome == Outcome::kNotSent);
   EndpointCallResult no_slot = Answered(503);
   no_slot.slots_taken = "1";
-  CHECK(EndOfSingle(no_slot).outcome == Outcome::kNotSent);
+  CHECK(ParseSingleAnswer(no_slot).outcome == Outcome::kNotSent);
   EndpointCallResult cut = Answered(200);
   cut.complete = false;  // the first line is enough for one message
-  CHECK(EndOfSingle(cut).outcome == Outcome::kDelivered);
+  CHECK(ParseSingleAnswer(cut).outcome == Outcome::kDelivered);
 }
 
 TEST_CASE("what no answer means, and what it shows") {
@@ -48,13 +48,13 @@
   for (const auto& [call_outcome, outcome] : kTable) {
     EndpointCallResult end;
     end.outcome = call_outcome;
-    CHECK(EndOfSingle(end).outcome == outcome);
-    CHECK(NeverRan(outcome) ==
+    CHECK(ParseSingleAnswer(end).outcome == outcome);
+    CHECK(KnownNotRun(outcome) ==
           (call_outcome == CallOutcome::kNotSent || call_outcome == CallOutcome::kConnectFailed ||
            call_outcome == CallOutcome::kConnectionLimitReached));
   }
-  CHECK(NeverRan(Outcome::kRejected));
-  CHECK_FALSE(NeverRan(Outcome::kError));
+  CHECK(KnownNotRun(Outcome::kRejected));
+  CHECK_FALSE(KnownNotRun(Outcome::kError));
 }
 
 constexpr std::string_view kStates =
@@ -63,7 +63,7 @@
 const std::vector<std::string> kIds = {"a", "b", "c", "d", "e", "missing"};
 
 TEST_CASE("each message of a bundle has its own end") {
-  const auto ends = EndsOfBundle(Answered(200, std::string(kStates)), kIds);
+  const auto ends = ParseBatchAnswer(Answered(200, std::string(kStates)), kIds);
   REQUIRE(ends.size() == 6);
   CHECK(ends[0].outcome == Outcome::kDelivered);
   CHECK(ends[1].outcome == Outcome::kError);
@@ -77,8 +77,9 @@
 TEST_CASE("a bundle whose answer breaks off delivers nothing") {
   EndpointCallResult cut = Answered(200, std::string(kStates));
   cut.complete = false;
-  for (const AttemptEnd& end : EndsOfBundle(cut, kIds)) CHECK(end.outcome == Outcome::kReset);
-  for (const AttemptEnd& end : EndsOfBundle(Answered(503), kIds)) {
+  for (const AttemptResult& end : ParseBatchAnswer(cut, kIds))
+    CHECK(end.outcome == Outcome::kReset);
+  for (const AttemptResult& end : ParseBatchAnswer(Answered(503), kIds)) {
     CHECK(end.outcome == Outcome::kRejected);
   }
 }
@@ -86,13 +87,13 @@
 TEST_CASE("garbage in answers never crashes and never ends what is not named") {
   for (int seed = 0; seed < testing::kRounds; ++seed) {
     const auto ends =
-        EndsOfBundle(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
+        ParseBatchAnswer(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
     CHECK(ends[0].outcome == Outcome::kError);
     EndpointCallResult end = Answered(429);
     end.load_report = testing::Garbage("x0=0.4,x1=25", seed);
     end.retry_after_ms = testing::Garbage("250", seed);
-    ReportOf(end);
-    CHECK(WaitOf(end) >= std::chrono::milliseconds(0));
+    ParseLoadReport(end);
+    CHECK(ParseRetryAfter(end) >= std::chrono::milliseconds(0));
   }
 }
 
@@ -100,26 +101,26 @@
   EndpointCallResult end = Answered(200);
   end.load_report = "x0=0.4,x1=25";
   end.retry_after_ms = "250";
-  CHECK(ReportOf(end).allowance_left == 0.4);
-  CHECK(ReportOf(end).limit == 25);
-  CHECK(WaitOf(end) == std::chrono::milliseconds(250));
-  CHECK(WaitOf(Answered(200)) == std::chrono::milliseconds(0));
-  CHECK_FALSE(ReportOf(Answered(200)).limit.has_value());
+  CHECK(ParseLoadReport(end).allowance_left == 0.4);
+  CHECK(ParseLoadReport(end).limit == 25);
+  CHECK(ParseRetryAfter(end) == std::chrono::milliseconds(250));
+  CHECK(ParseRetryAfter(Answered(200)) == std::chrono::milliseconds(0));
+  CHECK_FALSE(ParseLoadReport(Answered(200)).limit.has_value());
   for (const char* unreadable :
        {"x0=9,x1=1e300", "x0=-1,x1=-5", "x0=nan,x1=inf", "x0=,x1", "\xfe"}) {
     end.load_report = unreadable;
-    CHECK_FALSE(ReportOf(end).allowance_left.has_value());
-    CHECK_FALSE(ReportOf(end).limit.has_value());
+    CHECK_FALSE(ParseLoadReport(end).allowance_left.has_value());
+    CHECK_FALSE(ParseLoadReport(end).limit.has_value());
   }
 }
 
 TEST_CASE("calls on the wire") {
-  const Part parts[] = {{"a", "k", "foo"}, {"b", "", ""}};
-  const std::string one = SingleCall("h:1", parts[0], std::chrono::milliseconds(1500));
+  const CallItem parts[] = {{"a", "k", "foo"}, {"b", "", ""}};
+  const std::string one = FormatSingleCall("h:1", parts[0], std::chrono::milliseconds(1500));
   CHECK(one ==
         "POST /events HTTP/1.1\r\nHost: h:1\r\nX-Time-Left-Ms: 1500\r\nX-Correlation-Id: a\r\n"
         "Idempotency-Key: k\r\nContent-Length: 3\r\n\r\nfoo");
-  const std::string many = BundleCall("h:1", parts, std::chrono::milliseconds(1));
+  const std::string many = FormatBatchCall("h:1", parts, std::chrono::milliseconds(1));
   CHECK(many.ends_with(R"([{"id":"a","key":"k","body":"Zm9v"},{"id":"b","body":""}])"));
 }
 
