Split the engine into event loop, messages, calls, endpoints and shutdown

engine.cpp held turns, acceptance, calls, endpoint list and shutdown in one class of 750 lines, and none of it could be tested without sockets. Each is a part of its own now: EventLoop (inbox and deadlines), MessageTable (messages in flight, spool, histories), CallTracker (batches, slots, cancellation), EndpointRegistry (ids, retirement, known destinations), GracefulShutdown and ValidateRequest; the engine wires them. The parts use no sockets and no threads and take the time from their caller. RequestError replaces the empty string that meant no error, and removed_at an empty time. HealthCheckOutcome is gone: it was ParseSingleAnswer's outcome.

--- a/src/forwarder/deadline_queue.hpp
+++ b/src/forwarder/deadline_queue.hpp
@@ -15,8 +15,7 @@
   kCallTimeout,
   kIdleConnectionExpiry,
   kHousekeeping,
-  kEarliestExit,
-  kLatestExit
+  kShutdown  // wakes the loop, which checks whether the shutdown is over
 };
 
 struct Deadline {
--- a/src/forwarder/endpoint_protocol.cpp
+++ b/src/forwarder/endpoint_protocol.cpp
@@ -111,8 +111,6 @@
   return ends;
 }
 
-Outcome HealthCheckOutcome(const EndpointCallResult& end) { return ParseSingleAnswer(end).outcome; }
-
 std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& end) {
   return std::chrono::milliseconds(
       std::min(Parse<std::uint64_t>(end.retry_after_ms).value_or(0), kMaxRetryAfterMs));
--- a/src/forwarder/endpoint_protocol.hpp
+++ b/src/forwarder/endpoint_protocol.hpp
@@ -27,7 +27,6 @@
 AttemptResult ParseSingleAnswer(const EndpointCallResult& end);
 std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& end,
                                             std::span<const std::string> ids);
-dispatch_policy::Outcome HealthCheckOutcome(const EndpointCallResult& end);
 
 // How long the next hop asks to wait; 0: it does not.
 std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& end);
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -1,87 +1,94 @@
-// The engine: one thread owns all state of the forwarder and alone calls the decision module.
+// The engine wires the forwarder's parts: it feeds the dispatch policy with what clients, endpoints
+// and the platform say, and applies the actions that the policy returns. It decides nothing itself.
 //
-// It works in turns. What other threads have to say comes by the inbox; what is of the module's
-// concern waits for the next turn, and the rest is dealt with at once. No policy is here.
+// One thread, the caller of Restore and Run, owns all state. Other threads reach it by its inbox.
+// The order of operations is what keeps messages safe: the spool's record of a message precedes its
+// client's OK, which precedes its first attempt; the record of an attempt precedes its first byte;
+// the record of a message's end follows the delivery or the platform's 204 to the notification.
 #ifndef BRASSFRONT_FORWARDER_ENGINE_HPP_
 #define BRASSFRONT_FORWARDER_ENGINE_HPP_
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <future>
 #include <map>
-#include <memory>
-#include <shared_mutex>
 #include <string>
-#include <unordered_map>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
 #include "acceptance/message_acceptor.hpp"
-#include "concurrency/bounded_queue.hpp"
 #include "config/config.hpp"
 #include "dispatch_policy/dispatch_policy.hpp"
 #include "forwarder/call_observer.hpp"
-#include "forwarder/deadline_queue.hpp"
+#include "forwarder/call_tracker.hpp"
 #include "forwarder/endpoint_protocol.hpp"
-#include "forwarder/message_trace.hpp"
+#include "forwarder/endpoint_registry.hpp"
+#include "forwarder/event_loop.hpp"
+#include "forwarder/message_table.hpp"
+#include "forwarder/request_validator.hpp"
+#include "forwarder/shutdown.hpp"
 #include "forwarder/stage_latencies.hpp"
 #include "net/discovery_watcher.hpp"
 #include "net/endpoint_client.hpp"
 #include "net/notification_client.hpp"
-#include "observe/log.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
 
-class Engine : public MessageAcceptor {
+class Engine : public MessageAcceptor, private CallTracker::Starter {
  public:
-  // Connections to next endpoint at once, at most.
-  static std::size_t MaxEndpointConnections(const Config& config);
+  // Connections to endpoints at once, at most: running calls, health checks and idle ones.
+  [[nodiscard]] static std::size_t MaxEndpointConnections(const Config& config);
 
-  // Lists from discovery go to `divert` instead, if it is given: whoever takes them says by Listed
-  // what they come to.
+  // The arguments outlive the engine. Lists from discovery go to `divert` instead, if it is given:
+  // its owner passes on by SetEndpoints what follows from them. Throws std::runtime_error where the
+  // system has no room for a thread.
   Engine(const Config& config, Spool& spool, BufferPool& buffers,
          DiscoveryWatcher::OnEndpointList divert = nullptr);
   ~Engine() override;
 
-  // Before Restore: it hears of every call from now on, and outlives the engine.
+  // ---- the engine's thread ----
+
+  // To be called before Restore, if at all. The observer sees every call from then on, and outlives
+  // the engine.
   void SetCallObserver(CallObserver& observer) { call_observer_ = &observer; }
-  // Takes up what an earlier process owed, with the endpoints that there are. Clients may come once
-  // it has returned.
+  // Takes over the messages that an earlier process had accepted, with the endpoints that are known
+  // now. Clients may connect once it has returned.
   void Restore(const MemberList& known);
   void Restore() { Restore(config_.known); }
-  // Works until it has been told to leave and may.
+  // Works until a shutdown is over. Calls `on_drain` when one begins.
   void Run(std::function<void()> on_drain);
-  // After Run: whoever still waits for an answer is deferred, and nothing more is taken.
+  // To be called after Run: clients that wait in Submit are rejected, and nothing more is accepted.
   void Close();
 
-  // ---- for other threads ----
+  // ---- any thread ----
+
   SubmitResult Submit(DeliveryRequest request) override;
   void OnAcknowledged(std::uint64_t message) override;
   void OnClientDisconnected(std::uint64_t message) override;
   void BeginGracefulShutdown();
-  void SetEndpoints(MemberList list) { inbox_.Push(std::move(list)); }
-  void UpdateEndpoint(EndpointUpdate update) { inbox_.Push(std::move(update)); }
-  // Does it on the engine's thread, once all that was put before has been taken up.
-  void Post(std::function<void()> what);
-  // Messages that are taken on and not ended, as of the last turn.
-  std::size_t messages_in_flight() const { return messages_in_flight_; }
-  // Discovery and the platform are to be reached at another address.
+  void SetEndpoints(MemberList list) { loop_.Push(std::move(list)); }
+  void UpdateEndpoint(EndpointUpdate update) { loop_.Push(std::move(update)); }
+  // Runs the task on the engine's thread, after everything that was pushed before.
+  void Post(std::function<void()> task);
+  // As of the last round of the loop.
+  [[nodiscard]] std::size_t messages_in_flight() const { return messages_in_flight_; }
+  // Discovery and the platform's notifications are reached at this address from now on.
   void SetDiscoveryAddress(std::string discovery);
 
  private:
   using Duration = dispatch_policy::Duration;
   using Time = dispatch_policy::Time;
-  using MessageId = dispatch_policy::MessageId;  // the same number in the spool
+  using MessageId = dispatch_policy::MessageId;
 
+  // A client's thread waits for the reply. Dropped without one, it is rejected.
   struct PendingSubmission {
     DeliveryRequest request;
-    std::promise<SubmitResult> reply;
-    std::size_t message_class = 0, tenant = 0;
+    RequestIndexes indexes;
     Time submitted_at{};
+    std::promise<SubmitResult> reply;
   };
   struct MessageAcknowledged {
     MessageId message;
@@ -97,65 +104,26 @@
     std::string discovery;
   };
   struct PostedTask {
-    std::function<void()> what;
+    std::function<void()> task;
   };
   using InboxEvent =
       std::variant<PendingSubmission, MessageAcknowledged, ClientDisconnected, EndpointCallResult,
                    MemberList, NotificationConfirmed, ShutdownRequested, DiscoveryAddressChanged,
                    PostedTask, EndpointUpdate>;
 
-  struct InFlightMessage {
-    std::string id{};
-    std::string key{};
-    std::string body{};
-    bool acknowledged = false;         // its client knows that it was taken on
-    bool given_up = false;             // given up; its notice is on the way
-    std::size_t attempts = 0;          // spool_index in the spool, by earlier processes too
-    std::size_t attempts_decided = 0;  // by the module
-    Time given_up_at{};
-  };
-
-  struct Endpoint {
-    std::string name;
-    std::string address;
-    dispatch_policy::EndpointEntry entry;
-    Time gone_since{};  // if it is removed
-  };
-
-  struct PendingAttempt {
-    MessageId message = 0;
-    std::string id{};
-    std::size_t attempt = 0;      // as the module counts
-    std::size_t spool_index = 0;  // as the spool counts
-    bool cancelled = false;
-  };
-
-  struct PendingCall {
-    dispatch_policy::EndpointId endpoint = 0;
-    std::vector<PendingAttempt> attempts;  // none: a probe
-    Time start_by{};
-    Time deadline{};
-    Time decided_at{};  // for, by the module
-    Time started{};
-    std::size_t bytes = 0;                        // of the bundle
-    bool withdrawn = false;                       // before it was started
-    std::shared_ptr<EndpointCall> endpoint_call;  // none until it is started
-  };
-
   void On(PendingSubmission submission);
   void On(const MessageAcknowledged& event);
   void On(const ClientDisconnected& event);
   void On(const EndpointCallResult& event);
   void On(const MemberList& event);
   void On(const NotificationConfirmed& event);
-  void On(const ShutdownRequested&);
+  void On(const ShutdownRequested& event);
   void On(const DiscoveryAddressChanged& event);
   void On(const PostedTask& event);
   void On(EndpointUpdate event);
   void On(const Deadline& event);
 
   void Decide(Time now);
-  void PersistAccepted();
   void Apply(const dispatch_policy::SendAttempt& action);
   void Apply(const dispatch_policy::RejectMessage& action);
   void Apply(const dispatch_policy::FailMessage& action);
@@ -165,77 +133,46 @@
   void Apply(const dispatch_policy::SubscribeToEndpointList&) {}  // the watch is always open
   void Apply(const dispatch_policy::LogMessage& action);
 
-  std::string Reject(const DeliveryRequest& request, std::size_t& message_class,
-                     std::size_t& tenant) const;
-  Time NextWakeUp() const;
-  void Reply(PendingSubmission& submission, SubmitResult reply);
-  bool KnowsDestination(dispatch_policy::DestinationId destination) const;
-  void PublishKnownDestinations();
-  bool HasCapacityFor(const DeliveryRequest& request) const;
-  void GiveUp(MessageId message, Notification notice);
-  void Erase(MessageId message);
-  void End(MessageId message, TraceStep step);
-  void LogOverdue(Time now);
-  dispatch_policy::EndpointId FindOrAddEndpoint(const std::string& name);
-  void ForgetRemovedEndpoints(Time now);
-  void ScheduleIdleExpiry();
-  dispatch_policy::EndpointList ApplyList(const MemberList& list);
+  // CallTracker::Starter
+  [[nodiscard]] bool IsDeliverable(MessageId message) const override;
+  [[nodiscard]] bool IsAcknowledged(MessageId message) const override;
+  [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override;
+  void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override;
 
-  void StartReadyCalls(Time now);
-  bool Start(std::uint64_t number, PendingCall& call, Time now);
+  void RestoreMessage(RecoveredMessage recovered, Time now, UnixMs unix_now);
+  [[nodiscard]] Time NextWakeUp() const;
+  void Reply(PendingSubmission& submission, SubmitResult result);
+  bool RejectSubmission(MessageId message, SubmitResult result);
+  void PersistAccepted();
+  void GiveUp(MessageId message, Notification notification);
+  void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now);
   void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
-                       const AttemptResult& end, Time now, Duration wait = {},
-                       const dispatch_policy::LoadReport& report = {});
-  void CompleteUnsent(const PendingCall& call, Time now);
-  template <typename Bound>
-  void WithdrawCalls(Bound bound);
-
-  CallTarget Target(const Endpoint& endpoint) const;
-  std::function<bool()> CallPermit(const Endpoint& endpoint) const;
+                       const AttemptResult& result, dispatch_policy::AttemptCompleted completed,
+                       Time now);
+  void ScheduleIdleExpiry();
+  void DoHousekeeping();
 
   const Config& config_;
-  Spool& spool_;
   CallObserver* call_observer_ = nullptr;
-  BoundedQueue<InboxEvent> inbox_;
+  EventLoop<InboxEvent> loop_;
   dispatch_policy::DispatchPolicy policy_;
-  std::vector<dispatch_policy::Event> events_;  // for the next turn
+  std::vector<dispatch_policy::Event> policy_events_;  // for the next decision
   Time last_decision_{};
-  DeadlineQueue deadlines_;
-  Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
 
-  std::map<MessageId, InFlightMessage> messages_;
-  std::unordered_map<std::string, MessageId> ids_by_client_id_;
-  MessageTrace trace_;
-  std::size_t deliverable_ = 0;  // held and not given up
-  std::size_t body_bytes_ = 0;   // of all held
-  MessageId next_message_;
-  std::map<MessageId, PendingSubmission> submissions_;  // not answered yet
-
-  std::map<dispatch_policy::EndpointId, Endpoint> endpoints_;
-  std::unordered_map<std::string, dispatch_policy::EndpointId> endpoint_ids_;
-  dispatch_policy::EndpointId next_endpoint_ = 0;
-  Duration longest_deadline_{};  // of the classes
-  mutable std::shared_mutex known_destinations_mutex_;
-  std::unordered_set<dispatch_policy::DestinationId>
-      known_destinations_;  // those of endpoints_; for other threads as well
-  std::uint64_t revision_ = 0;
-
-  std::uint64_t next_call_ = 1;
-  std::map<std::uint64_t, PendingCall> calls_;
-  std::deque<std::uint64_t> ready_calls_;                              // not started yet
-  std::map<dispatch_policy::EndpointId, std::uint64_t> open_batches_;  // still open in this turn
-  std::vector<Notification> notifications_;                            // in this turn
-  std::size_t running_calls_ = 0;
+  MessageTable messages_;
+  Spool& spool_;
+  std::map<MessageId, PendingSubmission> submissions_;  // added and not replied to
+  std::vector<Notification> notifications_;             // to be posted after this decision
+  EndpointRegistry endpoints_;
+  CallTracker calls_;
+  GracefulShutdown shutdown_;
+  std::function<void()> on_drain_;
+  Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
 
   StageLatencies latencies_;
-  std::atomic<std::size_t> messages_in_flight_{0};  // for other threads
-
-  std::function<void()> on_drain_;
-  bool shutting_down_ = false;  // decided_at to
-  bool may_exit_ = false;       // once nothing is recovered
-  bool exited_ = false;
+  std::atomic<std::size_t> messages_in_flight_{0};
 
-  // Last: their threads speak to all of the above.
+  // Last, so that their threads end first: they push to the loop.
   EndpointClient endpoint_client_;
   NotificationClient notification_client_;
   DiscoveryWatcher discovery_watcher_;
--- /dev/null
+++ b/src/forwarder/message_table.cpp
@@ -0,0 +1,142 @@
+#include "forwarder/message_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "forwarder/endpoint_protocol.hpp"
+#include "observe/log.hpp"
+
+namespace brassfront {
+
+using observe::Concern;
+using observe::Level;
+
+MessageTable::MessageTable(Spool& spool, const Limits& limits)
+    : spool_(spool), limits_(limits), next_id_(spool.next_number()) {}
+
+bool MessageTable::HasClientId(const std::string& client_id) const {
+  return ids_by_client_id_.count(client_id) != 0;
+}
+
+bool MessageTable::HasCapacityFor(std::size_t body_bytes) const {
+  const bool below_max = limits_.max_in_flight == 0 || deliverable_ < limits_.max_in_flight;
+  return below_max && body_bytes_ + body_bytes <= limits_.max_body_bytes;
+}
+
+MessageTable::MessageId MessageTable::Add(const DeliveryRequest& request) {
+  const MessageId id = next_id_++;
+  Insert(id, {.client_id = request.id, .key = request.key, .body = request.body});
+  return id;
+}
+
+void MessageTable::AddRestored(RecoveredMessage message, Duration time_left, Time now) {
+  const std::size_t attempts = message.attempts.size();
+  Insert(message.number, {.client_id = std::move(message.message.id),
+                          .key = std::move(message.message.key),
+                          .body = std::move(message.message.body),
+                          .acknowledged = true,
+                          .attempts_recorded = attempts});
+  trace_.Begin(message.number, now, now + std::max(time_left, kMinTimeAfterRestore),
+               TraceStep::kRestored, static_cast<std::uint32_t>(attempts));
+}
+
+void MessageTable::Insert(MessageId id, InFlightMessage message) {
+  ++deliverable_;
+  body_bytes_ += message.body.size();
+  ids_by_client_id_[message.client_id] = id;
+  messages_[id] = std::move(message);
+}
+
+bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time submitted_at, Time now,
+                           UnixMs unix_now) {
+  const std::chrono::milliseconds time_left = request.time_left;
+  const SpooledMessage record{std::move(request.id),         std::move(request.key),
+                              std::move(request.class_name), std::move(request.tenant_name),
+                              request.destination,           unix_now + time_left,
+                              std::move(request.body)};
+  if (!spool_.Accept(message, record)) {
+    Remove(message);
+    return false;
+  }
+  trace_.Begin(message, submitted_at, now + time_left, TraceStep::kAccepted);
+  return true;
+}
+
+void MessageTable::Remove(MessageId message) {
+  const auto it = messages_.find(message);
+  if (it == messages_.end()) return;
+  if (!it->second.given_up) --deliverable_;
+  body_bytes_ -= it->second.body.size();
+  ids_by_client_id_.erase(it->second.client_id);
+  messages_.erase(it);
+}
+
+InFlightMessage* MessageTable::Find(MessageId message) {
+  const auto it = messages_.find(message);
+  return it == messages_.end() ? nullptr : &it->second;
+}
+
+const InFlightMessage* MessageTable::Find(MessageId message) const {
+  const auto it = messages_.find(message);
+  return it == messages_.end() ? nullptr : &it->second;
+}
+
+bool MessageTable::IsDeliverable(MessageId message) const {
+  const InFlightMessage* found = Find(message);
+  return found != nullptr && !found->given_up;
+}
+
+void MessageTable::Acknowledge(MessageId message, Time now) {
+  InFlightMessage* found = Find(message);
+  if (found == nullptr) return;
+  found->acknowledged = true;
+  trace_.Note(message, now, TraceStep::kAcknowledged);
+}
+
+std::optional<std::size_t> MessageTable::BeginAttempt(MessageId message, const Endpoint& endpoint,
+                                                      Time now, UnixMs unix_now) {
+  if (!spool_.BeginAttempt(message, endpoint.name, unix_now)) return std::nullopt;
+  trace_.Note(message, now, TraceStep::kStarted,
+              static_cast<std::uint32_t>(endpoint.entry.endpoint));
+  return messages_.at(message).attempts_recorded++;
+}
+
+void MessageTable::CompleteAttempt(MessageId message, std::size_t spool_index,
+                                   dispatch_policy::Outcome outcome, Time now) {
+  if (KnownNotRun(outcome)) spool_.MarkNotRun(message, spool_index);
+  trace_.Note(message, now, TraceStep::kCompleted, static_cast<std::uint32_t>(outcome));
+}
+
+const InFlightMessage* MessageTable::GiveUp(MessageId message, bool retry_allowed, Time now) {
+  InFlightMessage* found = Find(message);
+  if (found == nullptr || std::exchange(found->given_up, true)) return nullptr;
+  --deliverable_;
+  found->given_up_at = now;
+  trace_.Note(message, now, TraceStep::kGivenUp, retry_allowed ? 1 : 0);
+  return found;
+}
+
+void MessageTable::End(MessageId message, TraceStep final_step, Time now) {
+  spool_.Finish(message);
+  if (observe::Logs(Concern::kEngine, Level::kDebug)) {
+    observe::Log(Concern::kEngine, Level::kDebug, "message ended",
+                 {{"id", messages_.at(message).client_id},
+                  {"reason", ToString(final_step)},
+                  {"history", trace_.History(message)}});
+  }
+  trace_.Note(message, now, final_step);
+  Remove(message);
+}
+
+void MessageTable::LogOverdue(Time now) {
+  for (const MessageTrace::Overdue& late : trace_.TakeOverdue(now)) {
+    const InFlightMessage* message = Find(late.message);
+    observe::Log(Concern::kEngine, Level::kError, "message overdue",
+                 {{"id", message == nullptr ? "" : message->client_id},
+                  {"state", ToString(late.state)},
+                  {"history", late.history},
+                  {"overdue", trace_.overdue()}});
+  }
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/forwarder/message_table.hpp
@@ -0,0 +1,111 @@
+// The messages in flight: accepted and not ended. It keeps the spool's records of them and their
+// histories (MessageTrace), and finds them by id and by the client's id.
+#ifndef BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
+#define BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "dispatch_policy/dispatch_policy.hpp"
+#include "forwarder/endpoint_registry.hpp"
+#include "forwarder/message_trace.hpp"
+#include "protocol/delivery_request.hpp"
+#include "spool/spool.hpp"
+
+namespace brassfront {
+
+struct InFlightMessage {
+  std::string client_id{};
+  std::string key{};  // the idempotency key; empty: none
+  std::string body{};
+  bool acknowledged = false;  // its client knows that it was accepted
+  bool given_up = false;      // its notification is not confirmed yet
+  dispatch_policy::Time given_up_at{};
+  std::size_t attempts_recorded = 0;  // in the spool, by earlier processes too
+  std::size_t attempts_decided = 0;   // by the policy of this process
+};
+
+// Used by the engine's thread alone. Knows no clock: times are the caller's.
+class MessageTable {
+ public:
+  using MessageId = dispatch_policy::MessageId;  // the same number in the spool
+  using Time = dispatch_policy::Time;
+  using Duration = dispatch_policy::Duration;
+
+  struct Limits {
+    std::size_t max_in_flight = 0;   // messages that are not given up; 0: unlimited
+    std::size_t max_body_bytes = 0;  // of all bodies together
+  };
+
+  // A restored message is overdue no earlier than this after the restart: its notification may have
+  // to wait for the platform.
+  static constexpr Duration kMinTimeAfterRestore = std::chrono::milliseconds(1500);
+
+  // The spool outlives the table.
+  MessageTable(Spool& spool, const Limits& limits);
+
+  // ---- entering ----
+
+  [[nodiscard]] bool HasClientId(const std::string& client_id) const;
+  // Whether one more message with a body of that size is within the limits.
+  [[nodiscard]] bool HasCapacityFor(std::size_t body_bytes) const;
+  // Enters a message that the spool has not recorded yet.
+  [[nodiscard]] MessageId Add(const DeliveryRequest& request);
+  // Records an added message in the spool. False if the spool has no room: the message is removed.
+  [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time submitted_at,
+                             Time now, UnixMs unix_now);
+  // Removes a message that is not in the spool.
+  void Remove(MessageId message);
+  // Enters a message that an earlier process had accepted.
+  void AddRestored(RecoveredMessage message, Duration time_left, Time now);
+
+  // ---- progress ----
+
+  // None if the message is not in flight.
+  [[nodiscard]] InFlightMessage* Find(MessageId message);
+  [[nodiscard]] const InFlightMessage* Find(MessageId message) const;
+  // In flight and not given up.
+  [[nodiscard]] bool IsDeliverable(MessageId message) const;
+  void Acknowledge(MessageId message, Time now);
+  // Records an attempt of a message in flight in the spool before its first byte, and returns
+  // the spool's number of it. None if it cannot be recorded: it must not be sent.
+  [[nodiscard]] std::optional<std::size_t> BeginAttempt(MessageId message, const Endpoint& endpoint,
+                                                        Time now, UnixMs unix_now);
+  // An attempt that was started has completed; the message may have ended before.
+  void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
+                       Time now);
+  // The message will not be delivered, and a notification is due. None if it has ended or was given
+  // up before; else the message. `retry_allowed`: it was rejected, not failed.
+  [[nodiscard]] const InFlightMessage* GiveUp(MessageId message, bool retry_allowed, Time now);
+  // Records the end of a message in flight in spool, log and history, and removes it.
+  void End(MessageId message, TraceStep final_step, Time now);
+
+  // ---- all messages ----
+
+  // Writes the messages that are overdue by `now` to the log.
+  void LogOverdue(Time now);
+  [[nodiscard]] Time NextOverdue() const { return trace_.NextOverdue(); }
+  [[nodiscard]] std::uint64_t overdue() const { return trace_.overdue(); }
+  [[nodiscard]] std::size_t size() const { return messages_.size(); }
+  [[nodiscard]] std::size_t deliverable() const { return deliverable_; }
+
+ private:
+  void Insert(MessageId id, InFlightMessage message);
+
+  Spool& spool_;
+  const Limits limits_;
+  std::map<MessageId, InFlightMessage> messages_;
+  std::unordered_map<std::string, MessageId> ids_by_client_id_;
+  MessageTrace trace_;
+  std::size_t deliverable_ = 0;
+  std::size_t body_bytes_ = 0;
+  MessageId next_id_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
--- /dev/null
+++ b/tests/forwarder/message_table_test.cpp
@@ -0,0 +1,168 @@
+// Messages in flight, on a spool in a folder of the test's own.
+#include "forwarder/message_table.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <optional>
+
+namespace brassfront {
+namespace {
+
+using dispatch_policy::Outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr dispatch_policy::Time kStart = seconds(100);
+constexpr UnixMs kUnixStart = milliseconds(1'700'000'000'000);
+
+class TableFixture {
+ public:
+  TableFixture() {
+    char name[] = "/tmp/brassfront-test-XXXXXX";
+    REQUIRE(mkdtemp(name) != nullptr);
+    folder = name;
+    Open();
+  }
+  ~TableFixture() { std::filesystem::remove_all(folder); }
+
+  // As a new process would.
+  void Open() {
+    table.reset();
+    spool.reset();
+    spool.emplace(folder, std::size_t{1} << 20, [](const std::string&) {});
+    table.emplace(*spool, MessageTable::Limits{.max_in_flight = 2, .max_body_bytes = 100});
+  }
+  static DeliveryRequest Request(const std::string& id) {
+    DeliveryRequest request;
+    request.id = id;
+    request.key = "key";
+    request.class_name = "c";
+    request.time_left = seconds(20);
+    request.body = "body";
+    return request;
+  }
+  MessageTable::MessageId AddPersisted(const std::string& id) {
+    const auto message = table->Add(Request(id));
+    REQUIRE(table->Persist(message, Request(id), kStart, kStart, kUnixStart));
+    return message;
+  }
+
+  std::string folder;
+  std::optional<Spool> spool;
+  std::optional<MessageTable> table;
+  Endpoint endpoint{.name = "a", .address = "a:1", .entry = {.endpoint = 5}, .removed_at = {}};
+};
+
+TEST_CASE_FIXTURE(TableFixture, "a client's id is taken while its message is in flight") {
+  const auto message = table->Add(Request("m"));
+  CHECK(table->HasClientId("m"));
+  table->Remove(message);
+  CHECK_FALSE(table->HasClientId("m"));
+  CHECK(table->size() == 0);
+  CHECK(table->Add(Request("m")) != message);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "messages that were given up take no place, but memory") {
+  const auto first = AddPersisted("m");
+  AddPersisted("n");
+  CHECK_FALSE(table->HasCapacityFor(1));
+  REQUIRE(table->GiveUp(first, true, kStart) != nullptr);
+  CHECK(table->HasCapacityFor(92));
+  CHECK_FALSE(table->HasCapacityFor(93));  // two bodies of 4 bytes are kept
+  table->End(first, TraceStep::kNotified, kStart);
+  CHECK(table->HasCapacityFor(96));
+  CHECK(table->deliverable() == 1);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "a message is given up once") {
+  const auto message = AddPersisted("m");
+  CHECK(table->IsDeliverable(message));
+  const InFlightMessage* given_up = table->GiveUp(message, false, kStart + seconds(1));
+  REQUIRE(given_up != nullptr);
+  CHECK(given_up->client_id == "m");
+  CHECK(given_up->given_up_at == kStart + seconds(1));
+  CHECK_FALSE(table->IsDeliverable(message));
+  CHECK(table->GiveUp(message, false, kStart + seconds(2)) == nullptr);
+  CHECK(table->GiveUp(message + 1, false, kStart) == nullptr);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "a message survives the process until its end is recorded") {
+  AddPersisted("kept");
+  const auto ended = AddPersisted("ended");
+  table->End(ended, TraceStep::kDelivered, kStart);
+  table->Remove(table->Add(Request("not persisted")));
+  Open();
+  const auto recovered = spool->Recover();
+  REQUIRE(recovered.size() == 1);
+  CHECK(recovered[0].message.id == "kept");
+  CHECK(recovered[0].message.deadline == kUnixStart + seconds(20));
+}
+
+TEST_CASE_FIXTURE(TableFixture,
+                  "attempts are numbered over all processes, known outcomes are kept") {
+  const auto message = AddPersisted("m");
+  CHECK(table->BeginAttempt(message, endpoint, kStart, kUnixStart) == 0);
+  CHECK(table->BeginAttempt(message, endpoint, kStart, kUnixStart) == 1);
+  table->CompleteAttempt(message, 0, Outcome::kRejected, kStart);
+  table->CompleteAttempt(message, 1, Outcome::kTimeout, kStart);
+  Open();
+  auto recovered = spool->Recover();
+  REQUIRE(recovered.size() == 1);
+  REQUIRE(recovered[0].attempts.size() == 2);
+  CHECK(recovered[0].attempts[0].known_not_run);
+  CHECK_FALSE(recovered[0].attempts[1].known_not_run);
+  CHECK(recovered[0].attempts[1].endpoint == "a");
+  table->AddRestored(std::move(recovered[0]), seconds(10), kStart);
+  CHECK(table->BeginAttempt(message, endpoint, kStart, kUnixStart) == 2);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "a restored message is acknowledged and has its client's id") {
+  const auto message = AddPersisted("m");
+  Open();
+  for (RecoveredMessage& recovered : spool->Recover()) {
+    table->AddRestored(std::move(recovered), seconds(10), kStart);
+  }
+  REQUIRE(table->Find(message) != nullptr);
+  CHECK(table->Find(message)->acknowledged);
+  CHECK(table->Find(message)->body == "body");
+  CHECK(table->HasClientId("m"));
+  CHECK(table->deliverable() == 1);
+}
+
+TEST_CASE_FIXTURE(TableFixture,
+                  "a message restored after its deadline is overdue no sooner than a "
+                  "notification can be confirmed") {
+  AddPersisted("m");
+  Open();
+  for (RecoveredMessage& recovered : spool->Recover()) {
+    table->AddRestored(std::move(recovered), seconds(-3), kStart);
+  }
+  CHECK(table->NextOverdue() == kStart + milliseconds(1500) + MessageTrace::kGrace);
+  table->LogOverdue(kStart + seconds(2));
+  CHECK(table->overdue() == 1);
+}
+
+TEST_CASE_FIXTURE(TableFixture, "events of messages that have ended are ignored") {
+  const auto message = AddPersisted("m");
+  table->End(message, TraceStep::kCancelled, kStart);
+  table->Acknowledge(message, kStart);
+  table->CompleteAttempt(message, 0, Outcome::kDelivered, kStart);
+  CHECK(table->Find(message) == nullptr);
+  CHECK_FALSE(table->IsDeliverable(message));
+}
+
+TEST_CASE("a message for which the spool has no room is removed") {
+  Spool unusable("/dev/null/none", std::size_t{1} << 20, [](const std::string&) {});
+  MessageTable table(unusable, {.max_in_flight = 0, .max_body_bytes = 100});
+  const DeliveryRequest request = TableFixture::Request("m");
+  const auto message = table.Add(request);
+  CHECK_FALSE(table.Persist(message, request, kStart, kStart, kUnixStart));
+  CHECK(table.size() == 0);
+  CHECK_FALSE(table.HasClientId("m"));
+  CHECK(table.NextOverdue() == dispatch_policy::Time::max());
+}
+
+}  // namespace
+}  // namespace brassfront
