--- /dev/null
+++ b/src/forwarder/call_dispatcher.cpp
@@ -0,0 +1,231 @@
+#include "forwarder/call_dispatcher.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "forwarder/clock.hpp"
+#include "protocol/http.hpp"
+
+namespace brassfront {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kDefaultConcurrentCalls = 32;  // where the settings have no maximum
+constexpr std::size_t kMaxHealthChecks = 16;         // beside the concurrent calls
+constexpr std::size_t kIdleConnectionDivisor = 16;   // a sixteenth of the descriptors
+// A batch times out this long before the first deadline of its messages. Clients and the platform
+// count the deadline from the submission, and the engine from the moment it saw it; an answer
+// between the two would be taken here for a delivery that the platform does not count.
+constexpr milliseconds kBatchTimeoutMargin{50};
+constexpr char kHealthCheckPath[] = "/-/healthy";
+// The comma behind an item of a batch, and the brackets around all, at most.
+constexpr std::size_t kBatchItemOverheadBytes = 2;
+
+std::size_t MaxConcurrentCalls(const Config& config) {
+  const std::size_t configured = config.policy_settings.max_concurrent_calls;
+  return configured > 0 ? configured : kDefaultConcurrentCalls;
+}
+
+std::size_t MaxCallThreads(const Config& config) {
+  return MaxConcurrentCalls(config) + kMaxHealthChecks;
+}
+
+std::size_t MaxIdleConnections(const Config& config) {
+  return std::max(MaxConcurrentCalls(config), config.limits.sockets / kIdleConnectionDivisor);
+}
+
+EndpointClient::Options ClientOptions(const Config& config) {
+  return {.threads = MaxCallThreads(config),
+          .max_idle_connections = MaxIdleConnections(config),
+          .group_size = config.policy_settings.group_size,
+          .connection_idle = config.connection_idle,
+          .connect_timeout = duration_cast<milliseconds>(config.connect_timeout)};
+}
+
+std::string FormatRequest(const Endpoint& endpoint, const std::vector<CallItem>& items,
+                          milliseconds time_left) {
+  if (items.empty()) return HttpGet(kHealthCheckPath, endpoint.address);
+  if (items.size() == 1) return FormatSingleCall(endpoint.address, items[0], time_left);
+  return FormatBatchCall(endpoint.address, items, time_left);
+}
+
+std::vector<AttemptResult> ParseAnswer(const PendingCall& call, const EndpointCallResult& result) {
+  if (call.attempts.size() == 1) return {ParseSingleAnswer(result)};
+  std::vector<std::string> ids;
+  for (const PendingAttempt& attempt : call.attempts) ids.push_back(attempt.client_id);
+  return ParseBatchAnswer(result, ids);
+}
+
+}  // namespace
+
+std::size_t CallDispatcher::MaxConnections(const Config& config) {
+  return MaxCallThreads(config) + MaxIdleConnections(config);
+}
+
+CallDispatcher::CallDispatcher(const Context& context, BufferPool& buffers,
+                               EndpointClient::OnResult on_result, SetDeadline set_deadline)
+    : context_(context),
+      set_deadline_(std::move(set_deadline)),
+      calls_(MaxConcurrentCalls(context.config)),
+      endpoint_client_(ClientOptions(context.config), buffers, std::move(on_result)) {}
+
+void CallDispatcher::StartHealthCheck(const dispatch_policy::StartHealthCheck& action,
+                                      Time decided_at) {
+  calls_.AddHealthCheck(action.endpoint, decided_at, decided_at + context_.config.connect_timeout);
+}
+
+void CallDispatcher::Send(const dispatch_policy::SendAttempt& action, Time decided_at) {
+  DecidedAttempt decided;
+  decided.attempt.message = action.message;
+  decided.endpoint = action.endpoint;
+  decided.max_batch = context_.endpoints.MaxBatch(action.endpoint);
+  decided.decided_at = decided_at;
+  decided.start_by = action.start_by;
+  decided.deadline = decided_at + action.timeout;
+  if (InFlightMessage* message = context_.messages.Find(action.message)) {
+    decided.attempt.client_id = message->client_id;
+    decided.attempt.attempt = message->attempts_decided++;
+    const CallItem item{message->client_id, message->key, message->body};
+    decided.bytes = FormatBatchItem(item).size() + kBatchItemOverheadBytes;
+  }
+  calls_.AddAttempt(std::move(decided));
+}
+
+void CallDispatcher::Cancel(const dispatch_policy::CancelAttempt& action) {
+  const bool message_over = !context_.messages.IsDeliverable(action.message);
+  calls_.CancelAttempt(action.message, action.attempt, message_over);
+}
+
+bool CallDispatcher::IsDeliverable(MessageId message) const {
+  return context_.messages.IsDeliverable(message);
+}
+
+bool CallDispatcher::IsAcknowledged(MessageId message) const {
+  return context_.messages.Find(message)->acknowledged;
+}
+
+bool CallDispatcher::Start(CallId id, PendingCall& call, Time now) {
+  const Endpoint& endpoint = context_.endpoints.At(call.endpoint);
+  std::vector<CallItem> items;
+  for (PendingAttempt& attempt : call.attempts) {
+    const auto spool_index =
+        context_.messages.BeginAttempt(attempt.message, endpoint, now, UnixNow());
+    if (!spool_index) return false;
+    attempt.spool_index = *spool_index;
+    const InFlightMessage& message = *context_.messages.Find(attempt.message);
+    items.push_back({message.client_id, message.key, message.body});
+  }
+  if (items.size() > 1) call.deadline -= kBatchTimeoutMargin;
+  const milliseconds time_left = std::max(CeilToMs(call.deadline - now), milliseconds(0));
+  call.started_at = now;
+  context_.latencies.start.Add(now - call.decided_at);
+  call.endpoint_call = std::make_shared<EndpointCall>(
+      id, call.endpoint, endpoint.address, FormatRequest(endpoint, items, time_left),
+      ToTimePoint(call.start_by), CallPermit(call.endpoint));
+  set_deadline_(call.deadline, {DeadlineKind::kCallTimeout, id});
+  endpoint_client_.Start(call.endpoint_call);
+  return true;
+}
+
+void CallDispatcher::OnResult(const EndpointCallResult& result) {
+  const auto call = calls_.Complete(result.call_id);
+  if (!call) return;
+  ScheduleIdleExpiry();
+  CompleteCall(*call, result, Now());
+  if (ParseRetryAfter(result) <= milliseconds(0)) return;
+  // The Retry-After binds all calls under the same rate limit that are not being written yet.
+  calls_.WithdrawCalls(
+      [&](auto endpoint) { return context_.endpoints.SharesRateLimit(call->endpoint, endpoint); });
+}
+
+void CallDispatcher::CompleteCall(const PendingCall& call, const EndpointCallResult& result,
+                                  Time now) {
+  const dispatch_policy::Duration elapsed = now - call.started_at;
+  const milliseconds retry_after = ParseRetryAfter(result);
+  const dispatch_policy::LoadReport report = ParseLoadReport(result);
+  const dispatch_policy::Outcome outcome = ParseSingleAnswer(result).outcome;
+  LogCallCompleted(result, call.endpoint, call.attempts.size(),
+                   duration_cast<milliseconds>(elapsed));
+  if (call_observer_ != nullptr) {
+    call_observer_->OnCallCompleted({context_.endpoints.Target(call.endpoint), outcome,
+                                     call.health_check, ToTimePoint(call.started_at), retry_after,
+                                     report});
+  }
+  if (call.health_check) {
+    context_.policy_events.emplace_back(
+        dispatch_policy::HealthCheckCompleted{call.endpoint, outcome, elapsed, report});
+    return;
+  }
+  const std::vector<AttemptResult> results = ParseAnswer(call, result);
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    dispatch_policy::AttemptCompleted completed;
+    completed.elapsed = elapsed;
+    completed.retry_after = retry_after;
+    completed.report = report;
+    CompleteAttempt(call, call.attempts[i], results[i], std::move(completed), now);
+  }
+}
+
+void CallDispatcher::OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt,
+                                      Time now) {
+  CompleteAttempt(call, attempt, {.outcome = dispatch_policy::Outcome::kNotSent}, {}, now);
+}
+
+// `completed` has what the call's answer says of all attempts.
+void CallDispatcher::CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
+                                     const AttemptResult& result,
+                                     dispatch_policy::AttemptCompleted completed, Time now) {
+  if (call.endpoint_call) {
+    context_.messages.CompleteAttempt(attempt.message, attempt.spool_index, result.outcome, now);
+  }
+  if (result.over && context_.messages.Find(attempt.message) != nullptr) {
+    const bool delivered = result.outcome == dispatch_policy::Outcome::kDelivered;
+    context_.messages.End(attempt.message, delivered ? TraceStep::kDelivered : TraceStep::kGone,
+                          Now());
+  }
+  completed.message = attempt.message;
+  completed.attempt = attempt.attempt;
+  completed.endpoint = call.endpoint;
+  completed.outcome = result.outcome;
+  completed.finished = result.over || context_.messages.Find(attempt.message) == nullptr;
+  completed.exhausted = result.exhausted;
+  context_.policy_events.emplace_back(std::move(completed));
+}
+
+std::function<bool()> CallDispatcher::CallPermit(dispatch_policy::EndpointId endpoint) const {
+  if (call_observer_ == nullptr) return nullptr;
+  return [observer = call_observer_, target = context_.endpoints.Target(endpoint)] {
+    return observer->AllowsCall(target);
+  };
+}
+
+void CallDispatcher::OnEndpointsChanged() {
+  calls_.WithdrawCalls([this](auto endpoint) { return !context_.endpoints.IsServing(endpoint); });
+  for (const auto endpoint : context_.endpoints.NotServing()) {
+    endpoint_client_.RemoveEndpoint(endpoint);
+  }
+}
+
+void CallDispatcher::OnEndpointForgotten(dispatch_policy::EndpointId endpoint) {
+  // A call that was out when the endpoint was removed may have left a connection since.
+  endpoint_client_.RemoveEndpoint(endpoint);
+}
+
+void CallDispatcher::OnIdleConnectionExpiry() {
+  idle_expiry_at_ = Time::max();
+  endpoint_client_.CloseExpiredIdle();
+  ScheduleIdleExpiry();
+}
+
+void CallDispatcher::ScheduleIdleExpiry() {
+  const Time next = endpoint_client_.NextIdleExpiry().time_since_epoch();
+  if (next >= idle_expiry_at_) return;
+  idle_expiry_at_ = next;
+  set_deadline_(next, {DeadlineKind::kIdleConnectionExpiry});
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/forwarder/call_dispatcher.hpp
@@ -0,0 +1,98 @@
+// Carries out the calls that the policy asks for: records their attempts, hands them to the threads
+// of EndpointClient, and tells the policy how they ended.
+#ifndef BRASSFRONT_FORWARDER_CALL_DISPATCHER_HPP_
+#define BRASSFRONT_FORWARDER_CALL_DISPATCHER_HPP_
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+#include "config/config.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
+#include "forwarder/call_observer.hpp"
+#include "forwarder/call_tracker.hpp"
+#include "forwarder/deadline_queue.hpp"
+#include "forwarder/endpoint_protocol.hpp"
+#include "forwarder/endpoint_registry.hpp"
+#include "forwarder/message_table.hpp"
+#include "forwarder/stage_latencies.hpp"
+#include "net/endpoint_client.hpp"
+
+namespace brassfront {
+
+// Used by the engine's thread alone; `on_result` is called by the threads that carry out calls.
+class CallDispatcher : private CallTracker::Starter {
+ public:
+  using Time = dispatch_policy::Time;
+  using MessageId = dispatch_policy::MessageId;
+  using SetDeadline = std::function<void(Time, Deadline)>;
+
+  // What the dispatcher shares with the engine, which owns all of it and outlives the dispatcher.
+  struct Context {
+    const Config& config;
+    MessageTable& messages;
+    const EndpointRegistry& endpoints;
+    StageLatencies& latencies;
+    std::vector<dispatch_policy::Event>& policy_events;  // for the next decision
+  };
+
+  // Connections to endpoints at once, at most: running calls, health checks and idle ones.
+  [[nodiscard]] static std::size_t MaxConnections(const Config& config);
+
+  // Deadlines of kind kCallTimeout and kIdleConnectionExpiry come back by the methods below. Throws
+  // std::runtime_error where the system has no room for a thread.
+  CallDispatcher(const Context& context, BufferPool& buffers, EndpointClient::OnResult on_result,
+                 SetDeadline set_deadline);
+
+  // Sees every call from now on, and outlives the dispatcher.
+  void SetCallObserver(CallObserver& observer) { call_observer_ = &observer; }
+
+  // ---- the policy's actions ----
+
+  void Send(const dispatch_policy::SendAttempt& action, Time decided_at);
+  void StartHealthCheck(const dispatch_policy::StartHealthCheck& action, Time decided_at);
+  void Cancel(const dispatch_policy::CancelAttempt& action);
+  // To be called after all actions of a decision: later attempts do not share its calls.
+  void CloseBatches() { calls_.CloseBatches(); }
+
+  // ---- events ----
+
+  // Starts what may be started by now.
+  void StartReadyCalls(Time now) { calls_.StartReadyCalls(now, *this); }
+  void OnResult(const EndpointCallResult& result);
+  void OnTimeout(CallId call) { calls_.OnTimeout(call); }
+  // The endpoint list has changed: calls to endpoints that do not serve any more are withdrawn
+  // unless they are being written, and idle connections there are closed.
+  void OnEndpointsChanged();
+  void OnEndpointForgotten(dispatch_policy::EndpointId endpoint);
+  void OnIdleConnectionExpiry();
+  void CloseExpiredIdle() { endpoint_client_.CloseExpiredIdle(); }
+
+  // Calls that have not completed, started or not.
+  [[nodiscard]] const CallTracker& calls() const { return calls_; }
+
+ private:
+  // CallTracker::Starter
+  [[nodiscard]] bool IsDeliverable(MessageId message) const override;
+  [[nodiscard]] bool IsAcknowledged(MessageId message) const override;
+  [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override;
+  void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override;
+
+  [[nodiscard]] std::function<bool()> CallPermit(dispatch_policy::EndpointId endpoint) const;
+  void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now);
+  void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
+                       const AttemptResult& result, dispatch_policy::AttemptCompleted completed,
+                       Time now);
+  void ScheduleIdleExpiry();
+
+  const Context context_;
+  const SetDeadline set_deadline_;
+  CallObserver* call_observer_ = nullptr;
+  CallTracker calls_;
+  Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
+  EndpointClient endpoint_client_;     // last, so that its threads end first
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_FORWARDER_CALL_DISPATCHER_HPP_
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -12,8 +12,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <future>
-#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,23 +19,21 @@
 #include "acceptance/message_acceptor.hpp"
 #include "config/config.hpp"
 #include "dispatch_policy/dispatch_policy.hpp"
+#include "forwarder/call_dispatcher.hpp"
 #include "forwarder/call_observer.hpp"
-#include "forwarder/call_tracker.hpp"
-#include "forwarder/endpoint_protocol.hpp"
 #include "forwarder/endpoint_registry.hpp"
 #include "forwarder/event_loop.hpp"
 #include "forwarder/message_table.hpp"
-#include "forwarder/request_validator.hpp"
 #include "forwarder/shutdown.hpp"
 #include "forwarder/stage_latencies.hpp"
+#include "forwarder/submission_queue.hpp"
 #include "net/discovery_watcher.hpp"
-#include "net/endpoint_client.hpp"
 #include "net/notification_client.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
 
-class Engine : public MessageAcceptor, private CallTracker::Starter {
+class Engine : public MessageAcceptor {
  public:
   // Connections to endpoints at once, at most: running calls, health checks and idle ones.
   [[nodiscard]] static std::size_t MaxEndpointConnections(const Config& config);
@@ -53,7 +49,7 @@
 
   // To be called before Restore, if at all. The observer sees every call from then on, and outlives
   // the engine.
-  void SetCallObserver(CallObserver& observer) { call_observer_ = &observer; }
+  void SetCallObserver(CallObserver& observer);
   // Takes over the messages that an earlier process had accepted, with the endpoints that are known
   // now. Clients may connect once it has returned.
   void Restore(const MemberList& known);
@@ -83,13 +79,6 @@
   using Time = dispatch_policy::Time;
   using MessageId = dispatch_policy::MessageId;
 
-  // A client's thread waits for the reply. Dropped without one, it is rejected.
-  struct PendingSubmission {
-    DeliveryRequest request;
-    RequestIndexes indexes;
-    Time submitted_at{};
-    std::promise<SubmitResult> reply;
-  };
   struct MessageAcknowledged {
     MessageId message;
   };
@@ -133,23 +122,10 @@
   void Apply(const dispatch_policy::SubscribeToEndpointList&) {}  // the watch is always open
   void Apply(const dispatch_policy::LogMessage& action);
 
-  // CallTracker::Starter
-  [[nodiscard]] bool IsDeliverable(MessageId message) const override;
-  [[nodiscard]] bool IsAcknowledged(MessageId message) const override;
-  [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override;
-  void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override;
-
   void RestoreMessage(RecoveredMessage recovered, Time now, UnixMs unix_now);
   [[nodiscard]] Time NextWakeUp() const;
-  void Reply(PendingSubmission& submission, SubmitResult result);
   bool RejectSubmission(MessageId message, SubmitResult result);
-  void PersistAccepted();
   void GiveUp(MessageId message, Notification notification);
-  void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now);
-  void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
-                       const AttemptResult& result, dispatch_policy::AttemptCompleted completed,
-                       Time now);
-  void ScheduleIdleExpiry();
   void DoHousekeeping();
 
   const Config& config_;
@@ -161,19 +137,16 @@
 
   MessageTable messages_;
   Spool& spool_;
-  std::map<MessageId, PendingSubmission> submissions_;  // added and not replied to
-  std::vector<Notification> notifications_;             // to be posted after this decision
+  std::vector<Notification> notifications_;  // to be posted after this decision
   EndpointRegistry endpoints_;
-  CallTracker calls_;
+  StageLatencies latencies_;
+  SubmissionQueue submissions_;
   GracefulShutdown shutdown_;
   std::function<void()> on_drain_;
-  Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
-
-  StageLatencies latencies_;
   std::atomic<std::size_t> messages_in_flight_{0};
 
   // Last, so that their threads end first: they push to the loop.
-  EndpointClient endpoint_client_;
+  CallDispatcher call_dispatcher_;
   NotificationClient notification_client_;
   DiscoveryWatcher discovery_watcher_;
 };
