Describe the endpoint protocol, sources and observer in ordinary terms

endpoint_protocol says what it writes and reads; its log lines moved to the parts that write them; AttemptResult::over is message_over. EndpointSources' Put, Of, Heard and Send are OnEndpointList, FindSource, Confirm and PublishChanges, and LoadSources and Begin are split into steps. Each stage latency is documented where it is declared. Comments say what a caller must know, and which thread calls. ParseRetryAfter's bound and the timer's bounds are named with their unit.

endpoint_protocol_test: .over is .message_over, and one call that is made only to return is cast to void, because the result must be looked at now.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -87,7 +87,7 @@
 #ifndef BRASSFRONT_ZONES
 // Stands in where zones are not built in: there are no sources but the platform.
 struct EndpointSources {
-  void TakePlatform(const MemberList&) {}
+  void ApplyPlatformList(const MemberList&) {}
   MemberList Begin(std::chrono::milliseconds) { return {}; }
   void Start(const std::function<void(MemberList)>&) {}
   void Stop() {}
@@ -156,7 +156,7 @@
   };
   DiscoveryWatcher::OnEndpointList divert;
   if (sources) {
-    divert = [&sources](const MemberList& list) { sources->TakePlatform(list); };
+    divert = [&sources](const MemberList& list) { sources->ApplyPlatformList(list); };
   } else if (peers) {
     divert = [&](MemberList list) { listed(filtered(std::move(list))); };
   }
--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -6,11 +6,14 @@
 #include <utility>
 
 #include "forwarder/clock.hpp"
+#include "observe/log.hpp"
 #include "protocol/http.hpp"
 
 namespace brassfront {
 namespace {
 
+using observe::Concern;
+using observe::Level;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -21,7 +24,7 @@
 // count the deadline from the submission, and the engine from the moment it saw it; an answer
 // between the two would be taken here for a delivery that the platform does not count.
 constexpr milliseconds kBatchTimeoutMargin{50};
-constexpr char kHealthCheckPath[] = "/-/healthy";
+constexpr const char* kHealthCheckPath = "/-/healthy";
 // The comma behind an item of a batch, and the brackets around all, at most.
 constexpr std::size_t kBatchItemOverheadBytes = 2;
 
@@ -60,6 +63,19 @@
   return ParseBatchAnswer(result, ids);
 }
 
+void LogCallCompleted(const PendingCall& call, const EndpointCallResult& result,
+                      milliseconds elapsed) {
+  if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
+  observe::Log(Concern::kEngine, Level::kDebug, "call completed",
+               {{"endpoint", call.endpoint},
+                {"messages", call.attempts.size()},
+                {"outcome", static_cast<int>(result.outcome)},
+                {"status", result.status},
+                {"retry_after_ms", result.retry_after_ms},
+                {"elapsed_ms", elapsed.count()},
+                {"load", result.load_report}});
+}
+
 }  // namespace
 
 std::size_t CallDispatcher::MaxConnections(const Config& config) {
@@ -148,8 +164,7 @@
   const milliseconds retry_after = ParseRetryAfter(result);
   const dispatch_policy::LoadReport report = ParseLoadReport(result);
   const dispatch_policy::Outcome outcome = ParseSingleAnswer(result).outcome;
-  LogCallCompleted(result, call.endpoint, call.attempts.size(),
-                   duration_cast<milliseconds>(elapsed));
+  LogCallCompleted(call, result, duration_cast<milliseconds>(elapsed));
   if (call_observer_ != nullptr) {
     call_observer_->OnCallCompleted({context_.endpoints.Target(call.endpoint), outcome,
                                      call.health_check, ToTimePoint(call.started_at), retry_after,
@@ -166,7 +181,7 @@
     completed.elapsed = elapsed;
     completed.retry_after = retry_after;
     completed.report = report;
-    CompleteAttempt(call, call.attempts[i], results[i], std::move(completed), now);
+    CompleteAttempt(call, call.attempts[i], results[i], completed, now);
   }
 }
 
@@ -182,7 +197,7 @@
   if (call.endpoint_call) {
     context_.messages.CompleteAttempt(attempt.message, attempt.spool_index, result.outcome, now);
   }
-  if (result.over && context_.messages.Find(attempt.message) != nullptr) {
+  if (result.message_over && context_.messages.Find(attempt.message) != nullptr) {
     const bool delivered = result.outcome == dispatch_policy::Outcome::kDelivered;
     context_.messages.End(attempt.message, delivered ? TraceStep::kDelivered : TraceStep::kGone,
                           Now());
@@ -191,9 +206,9 @@
   completed.attempt = attempt.attempt;
   completed.endpoint = call.endpoint;
   completed.outcome = result.outcome;
-  completed.finished = result.over || context_.messages.Find(attempt.message) == nullptr;
+  completed.finished = result.message_over || context_.messages.Find(attempt.message) == nullptr;
   completed.exhausted = result.exhausted;
-  context_.policy_events.emplace_back(std::move(completed));
+  context_.policy_events.emplace_back(completed);
 }
 
 std::function<bool()> CallDispatcher::CallPermit(dispatch_policy::EndpointId endpoint) const {
--- a/src/forwarder/call_observer.hpp
+++ b/src/forwarder/call_observer.hpp
@@ -1,6 +1,6 @@
-// The two doors between the engine and whoever shares with other forwarders: what it hears of this
-// forwarder's calls, and what it asks of the engine. The engine knows no fleet; without one behind
-// the doors nothing passes them.
+// The two interfaces between the engine and whoever shares state with other forwarders: what an
+// observer learns about this forwarder's calls, and what it may tell the engine. The engine works
+// the same without an observer.
 #ifndef BRASSFRONT_FORWARDER_CALL_OBSERVER_HPP_
 #define BRASSFRONT_FORWARDER_CALL_OBSERVER_HPP_
 
@@ -14,39 +14,42 @@
 
 namespace brassfront {
 
-// Where a call goes. `apart`: it is a route with a limit of its own, else the limit is its
-// destination's.
+// Where a call goes.
 struct CallTarget {
   std::string endpoint;  // its id in the list
   std::uint64_t destination = 0;
-  bool has_own_rate_limit = false;
+  bool has_own_rate_limit = false;  // else its calls count for the destination's limit
 };
 
-// How a call ended, in the module's terms.
+// How a call ended, in the dispatch policy's terms.
 struct CallCompleted {
   CallTarget target;
   dispatch_policy::Outcome outcome = dispatch_policy::Outcome::kNotSent;  // of the call as a whole
   bool health_check = false;
   std::chrono::steady_clock::time_point started{};
-  std::chrono::milliseconds retry_after{};  // told; 0: none
+  std::chrono::milliseconds retry_after{};  // of the answer; 0: none
   dispatch_policy::LoadReport report;
 };
 
-// What it hears. The engine's thread calls Ended, the threads that carry deliveries AllowsCall;
-// none may wait.
+// What an observer learns. Its methods must not block: they are called by the engine's thread and
+// by the threads that carry out calls.
 class CallObserver {
  public:
+  CallObserver() = default;
+  CallObserver(const CallObserver&) = delete;
+  CallObserver& operator=(const CallObserver&) = delete;
   virtual ~CallObserver() = default;
-  // A message for the destination was taken on.
+  // Engine's thread: a message for the destination has arrived and is within the limits.
   virtual void OnMessageArrived(std::uint64_t destination) = 0;
-  // The last question before a call's first byte. False: not now; it never ran, and the module
-  // tries again.
+  // A call's thread, just before the call's first byte. False: the call is not sent, and the policy
+  // may try again.
   virtual bool AllowsCall(const CallTarget& target) = 0;
+  // Engine's thread.
   virtual void OnCallCompleted(const CallCompleted& end) = 0;
 };
 
-// What it asks: a typed event for the module, about the endpoint of that id. One that is not in the
-// list is not told of.
+// What an observer may tell the engine: an event for the policy about the endpoint of that id. It
+// is ignored if the endpoint is unknown.
 struct EndpointUpdate {
   std::string endpoint;
   std::variant<dispatch_policy::QuotaLeased, dispatch_policy::PeerHealthReport> event;
--- a/src/forwarder/endpoint_protocol.cpp
+++ b/src/forwarder/endpoint_protocol.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <optional>
 
-#include "observe/log.hpp"
 #include "protocol/base64.hpp"
 #include "protocol/http.hpp"
 #include "protocol/json.hpp"
@@ -13,13 +12,13 @@
 namespace {
 
 using dispatch_policy::Outcome;
-using observe::Concern;
-using observe::Level;
 
-// A report beyond these cannot be meant. A share may be a little over 1, for reports are noisy.
+// Values of a load report beyond these are taken for errors. A share may be a little over 1,
+// because reports are noisy.
 constexpr double kMaxAllowanceLeft = 2;
-constexpr double kMaxReportedLimit = 1e6;              // calls a second
-constexpr std::uint64_t kMaxRetryAfterMs = 3'600'000;  // ms; guards against a wait that never ends
+constexpr double kMaxReportedLimit = 1e6;  // calls a second
+// A longer Retry-After is cut to this, so that an error of the endpoint does not stop it for good.
+constexpr std::chrono::milliseconds kMaxRetryAfter = std::chrono::hours(1);
 
 template <typename T>
 std::optional<T> Parse(std::string_view text) {
@@ -29,19 +28,19 @@
   return value;
 }
 
-// What the answer's first line says of all attempts in the call.
-AttemptResult ResultOfStatus(const EndpointCallResult& end) {
-  switch (end.status) {
+// What the status says of all attempts in the call.
+AttemptResult ParseStatus(const EndpointCallResult& result) {
+  switch (result.status) {
     case 200:
-      return {.outcome = Outcome::kDelivered, .over = true};
+      return {.outcome = Outcome::kDelivered, .message_over = true};
     case 429:
       return {.outcome = Outcome::kRejected};
     case 503:
-      return {.outcome = end.slots_taken.empty() ? Outcome::kRejected : Outcome::kNotSent};
+      return {.outcome = result.slots_taken.empty() ? Outcome::kRejected : Outcome::kNotSent};
     case 504:
       return {.outcome = Outcome::kNotSent, .exhausted = true};
     case 410:
-      return {.outcome = Outcome::kNotSent, .over = true};
+      return {.outcome = Outcome::kNotSent, .message_over = true};
     case 400:
     case 413:  // not read, so none of it ran
       return {.outcome = Outcome::kNotSent};
@@ -51,9 +50,9 @@
 }
 
 AttemptResult ParseItemState(const std::string& state) {
-  if (state == "ok") return {.outcome = Outcome::kDelivered, .over = true};
+  if (state == "ok") return {.outcome = Outcome::kDelivered, .message_over = true};
   if (state == "later") return {.outcome = Outcome::kRejected};
-  if (state == "gone") return {.outcome = Outcome::kNotSent, .over = true};
+  if (state == "gone") return {.outcome = Outcome::kNotSent, .message_over = true};
   if (state == "exhausted") return {.outcome = Outcome::kNotSent, .exhausted = true};
   return {.outcome = Outcome::kError};
 }
@@ -75,8 +74,8 @@
   }
 }
 
-HttpHeaders TimeLeft(std::chrono::milliseconds left) {
-  return {{"X-Time-Left-Ms", std::to_string(left.count())}};
+HttpHeaders TimeLeft(std::chrono::milliseconds time_left) {
+  return {{"X-Time-Left-Ms", std::to_string(time_left.count())}};
 }
 
 }  // namespace
@@ -86,39 +85,40 @@
          outcome == Outcome::kConnectionLimitReached || outcome == Outcome::kNotSent;
 }
 
-AttemptResult ParseSingleAnswer(const EndpointCallResult& end) {
-  if (end.outcome != CallOutcome::kAnswered) return {.outcome = ToOutcome(end.outcome)};
-  return ResultOfStatus(end);
+AttemptResult ParseSingleAnswer(const EndpointCallResult& result) {
+  if (result.outcome != CallOutcome::kAnswered) return {.outcome = ToOutcome(result.outcome)};
+  return ParseStatus(result);
 }
 
-std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& end,
+std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& result,
                                             std::span<const std::string> ids) {
-  if (end.outcome != CallOutcome::kAnswered || end.status != 200) {
-    return std::vector<AttemptResult>(ids.size(), ParseSingleAnswer(end));
+  if (result.outcome != CallOutcome::kAnswered || result.status != 200) {
+    return std::vector<AttemptResult>(ids.size(), ParseSingleAnswer(result));
   }
-  // Part of an answer delivers nothing; an id that is missing from a whole one may have run.
-  std::vector<AttemptResult> ends(
-      ids.size(), AttemptResult{.outcome = end.complete ? Outcome::kError : Outcome::kReset});
-  if (!end.complete) return ends;
+  // An incomplete answer delivers nothing; an id that a complete one does not name may have run.
+  std::vector<AttemptResult> results(
+      ids.size(), AttemptResult{.outcome = result.complete ? Outcome::kError : Outcome::kReset});
+  if (!result.complete) return results;
   try {
-    const json::Value answer = json::Parse(end.body);
+    const json::Value answer = json::Parse(result.body);
     for (const json::Value& item : answer.Items()) {
       const auto it = std::find(ids.begin(), ids.end(), item.At("id").Text());
-      if (it != ids.end()) ends[it - ids.begin()] = ParseItemState(item.At("state").Text());
+      if (it != ids.end()) results[it - ids.begin()] = ParseItemState(item.At("state").Text());
     }
-  } catch (const json::Error&) {  // the rest keep their doubt
+  } catch (const json::Error&) {  // the messages that were not read so far may have run
   }
-  return ends;
+  return results;
 }
 
-std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& end) {
+std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& result) {
+  const std::uint64_t max = kMaxRetryAfter.count();
   return std::chrono::milliseconds(
-      std::min(Parse<std::uint64_t>(end.retry_after_ms).value_or(0), kMaxRetryAfterMs));
+      std::min(Parse<std::uint64_t>(result.retry_after_ms).value_or(0), max));
 }
 
-dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& end) {
+dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& result) {
   dispatch_policy::LoadReport report;
-  std::string_view rest = end.load_report;
+  std::string_view rest = result.load_report;
   while (!rest.empty()) {
     const std::string_view pair = rest.substr(0, rest.find(','));
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
@@ -142,50 +142,28 @@
   }
 }
 
-std::string FormatBatchItem(const CallItem& part) {
-  std::string item = "{\"id\":" + json::Quote(part.id);
-  if (!part.key.empty()) item += ",\"key\":" + json::Quote(part.key);
-  return item + ",\"body\":\"" + EncodeBase64(part.body) + "\"}";
+std::string FormatBatchItem(const CallItem& item) {
+  std::string text = R"({"id":)" + json::Quote(item.id);
+  if (!item.key.empty()) text += R"(,"key":)" + json::Quote(item.key);
+  return text + R"(,"body":")" + EncodeBase64(item.body) + R"("})";
 }
 
-std::string FormatSingleCall(const std::string& address, const CallItem& part,
-                             std::chrono::milliseconds left) {
-  HttpHeaders headers = TimeLeft(left);
-  headers.emplace_back("X-Correlation-Id", part.id);
-  if (!part.key.empty()) headers.emplace_back("Idempotency-Key", part.key);
-  return HttpPost("/events", address, headers, part.body);
+std::string FormatSingleCall(const std::string& address, const CallItem& item,
+                             std::chrono::milliseconds time_left) {
+  HttpHeaders headers = TimeLeft(time_left);
+  headers.emplace_back("X-Correlation-Id", item.id);
+  if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
+  return HttpPost("/events", address, headers, item.body);
 }
 
-std::string FormatBatchCall(const std::string& address, std::span<const CallItem> parts,
-                            std::chrono::milliseconds left) {
+std::string FormatBatchCall(const std::string& address, std::span<const CallItem> items,
+                            std::chrono::milliseconds time_left) {
   std::string body = "[";
-  for (const CallItem& part : parts) {
+  for (const CallItem& item : items) {
     if (body.size() > 1) body += ',';
-    body += FormatBatchItem(part);
+    body += FormatBatchItem(item);
   }
-  return HttpPost("/events/bundle", address, TimeLeft(left), body + "]");
-}
-
-void LogEndpointListed(const Member& member, dispatch_policy::EndpointId number) {
-  observe::Log(Concern::kEngine, Level::kInfo, "endpoint listed",
-               {{"id", member.id},
-                {"endpoint", number},
-                {"destination", member.destination},
-                {"address", member.address},
-                {"weight", std::to_string(member.weight)}});
-}
-
-void LogCallCompleted(const EndpointCallResult& end, dispatch_policy::EndpointId number,
-                      std::size_t parts, std::chrono::milliseconds took) {
-  if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
-  observe::Log(Concern::kEngine, Level::kDebug, "call completed",
-               {{"endpoint", number},
-                {"messages", parts},
-                {"outcome", static_cast<int>(end.outcome)},
-                {"status", end.status},
-                {"retry_after_ms", end.retry_after_ms},
-                {"elapsed_ms", took.count()},
-                {"load", end.load_report}});
+  return HttpPost("/events/bundle", address, TimeLeft(time_left), body + "]");
 }
 
 }  // namespace brassfront
--- a/src/forwarder/endpoint_protocol.hpp
+++ b/src/forwarder/endpoint_protocol.hpp
@@ -1,5 +1,6 @@
-// Between the terms of the network code and the module's: how a delivery's end reads for each of
-// its attempts, and how attempts are written into a call.
+// The HTTP protocol of endpoints: how attempts are written into a call, and what the answer of a
+// call means for each of them, in the dispatch policy's terms. Functions of their arguments alone,
+// for any thread.
 #ifndef BRASSFRONT_FORWARDER_ENDPOINT_PROTOCOL_HPP_
 #define BRASSFRONT_FORWARDER_ENDPOINT_PROTOCOL_HPP_
 
@@ -15,39 +16,49 @@
 
 namespace brassfront {
 
+// ---- writing calls ----
+
+// One message of a call. The texts are the caller's.
+struct CallItem {
+  std::string_view id;   // the client's
+  std::string_view key;  // the idempotency key; empty: none
+  std::string_view body;
+};
+
+// The item's JSON in the body of a batch.
+[[nodiscard]] std::string FormatBatchItem(const CallItem& item);
+// `time_left`: of the call, which the endpoint is told. At least 0.
+[[nodiscard]] std::string FormatSingleCall(const std::string& address, const CallItem& item,
+                                           std::chrono::milliseconds time_left);
+[[nodiscard]] std::string FormatBatchCall(const std::string& address,
+                                          std::span<const CallItem> items,
+                                          std::chrono::milliseconds time_left);
+
+// ---- reading answers ----
+
 struct AttemptResult {
   dispatch_policy::Outcome outcome = dispatch_policy::Outcome::kReset;
-  bool over = false;       // nothing more is owed
-  bool exhausted = false;  // all its attempts are used
+  bool message_over = false;  // delivered, or the endpoint says that nothing more is owed
+  bool exhausted = false;     // the endpoint takes no further attempt of the message
 };
 
-// The outcome shows that nothing ran.
-bool KnownNotRun(dispatch_policy::Outcome outcome);
-
-AttemptResult ParseSingleAnswer(const EndpointCallResult& end);
-std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& end,
-                                            std::span<const std::string> ids);
+// The result of a call with one message, or of a health check.
+[[nodiscard]] AttemptResult ParseSingleAnswer(const EndpointCallResult& result);
+// One result for each id, in their order. An id that a complete answer does not name may have run;
+// an incomplete answer delivers nothing.
+[[nodiscard]] std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& result,
+                                                          std::span<const std::string> ids);
+// Whether the outcome shows that the attempt did not run.
+[[nodiscard]] bool KnownNotRun(dispatch_policy::Outcome outcome);
 
-// How long the next hop asks to wait; 0: it does not.
-std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& end);
-dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& end);
+// How long the endpoint asks to wait, one hour at most; 0: it does not.
+[[nodiscard]] std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& result);
+// Values out of range are left out.
+[[nodiscard]] dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& result);
 
-dispatch_policy::EndpointState ToEndpointState(Phase phase);
+// ---- discovery ----
 
-// One message of a call.
-struct CallItem {
-  std::string_view id, key, body;
-};
-std::string FormatBatchItem(const CallItem& part);
-std::string FormatSingleCall(const std::string& address, const CallItem& part,
-                             std::chrono::milliseconds left);
-std::string FormatBatchCall(const std::string& address, std::span<const CallItem> parts,
-                            std::chrono::milliseconds left);
-
-// Lines of the log: the module's own lines name endpoints by these numbers.
-void LogEndpointListed(const Member& member, dispatch_policy::EndpointId number);
-void LogCallCompleted(const EndpointCallResult& end, dispatch_policy::EndpointId number,
-                      std::size_t parts, std::chrono::milliseconds took);
+[[nodiscard]] dispatch_policy::EndpointState ToEndpointState(Phase phase);
 
 }  // namespace brassfront
 
--- a/src/forwarder/endpoint_registry.cpp
+++ b/src/forwarder/endpoint_registry.cpp
@@ -2,15 +2,31 @@
 
 #include <algorithm>
 #include <mutex>
+#include <string>
 
 #include "forwarder/endpoint_protocol.hpp"
 #include "forwarder/index_of.hpp"
+#include "observe/log.hpp"
 
 namespace brassfront {
 
 using dispatch_policy::EndpointState;
 using dispatch_policy::ListForm;
 
+namespace {
+
+// The policy's lines of the log name the endpoint by this id.
+void LogEndpointListed(const Member& member, dispatch_policy::EndpointId id) {
+  observe::Log(observe::Concern::kEngine, observe::Level::kInfo, "endpoint listed",
+               {{"id", member.id},
+                {"endpoint", id},
+                {"destination", member.destination},
+                {"address", member.address},
+                {"weight", std::to_string(member.weight)}});
+}
+
+}  // namespace
+
 EndpointRegistry::EndpointRegistry(const Config& config) : config_(config) {
   for (const dispatch_policy::ClassSettings& settings : config.policy_settings.classes) {
     longest_deadline_ = std::max(longest_deadline_, settings.deadline);
--- a/src/forwarder/endpoint_sources.cpp
+++ b/src/forwarder/endpoint_sources.cpp
@@ -19,6 +19,10 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// Bounds of one wait of the timer: no busy loop on a time that has just passed, and a finite wait.
+constexpr double kMinTimerSeconds = 0.001;
+constexpr double kMaxTimerSeconds = 3600;
+
 constexpr std::string_view kSchema = R"(
 #Listing: {
   zone:     string & !=""                     // of the name server's zones
@@ -45,6 +49,35 @@
 }
 )";
 
+// Adds what is wrong with the listing to `faults`.
+SourceSettings::Listing ReadListing(const records::Record& record, const SourceSettings& settings,
+                                    const Config& config, std::vector<records::Fault>& faults) {
+  SourceSettings::Listing listing;
+  std::string error;
+  const auto name = dns::Name::FromText(record.At("zone").Text(), dns::Name(), error);
+  if (name) listing.zone = *name;
+  const auto& zones = settings.nameserver.zones;
+  if (std::none_of(zones.begin(), zones.end(),
+                   [&](const auto& zone) { return name && zone.name == *name; })) {
+    faults.push_back(record.At("zone").Complain("the name server has no zone of this name"));
+  }
+  if (std::any_of(settings.listings.begin(), settings.listings.end(),
+                  [&](const auto& other) { return other.zone == listing.zone; })) {
+    faults.push_back(record.At("zone").Complain("a listing of this zone was given before"));
+  }
+  listing.rank = static_cast<int>(record.At("rank").Int());
+  listing.owns = record.At("owns").Bool();
+  listing.expiry = nameserver::SecondsIn(record.At("expiry"));
+  listing.defaults = {record.At("kind").Text(), record.At("locality").Text()};
+  if (!listing.defaults.kind.empty() && !IsOneOf(listing.defaults.kind, config.kind_names)) {
+    faults.push_back(record.At("kind").Complain("no kind of the configuration"));
+  }
+  if (!listing.defaults.zone.empty() && !IsOneOf(listing.defaults.zone, config.zone_names)) {
+    faults.push_back(record.At("locality").Complain("no zone of the configuration"));
+  }
+  return listing;
+}
+
 }  // namespace
 
 std::string SourcesSchema() {
@@ -70,30 +103,7 @@
     faults.push_back(damping.At("reuse").Complain("reuse must not be above suppress"));
   }
   for (const auto& record : root.At("listings").Items()) {
-    SourceSettings::Listing listing;
-    std::string why;
-    const auto name = dns::Name::FromText(record.At("zone").Text(), dns::Name(), why);
-    if (name) listing.zone = *name;
-    const auto& zones = settings.nameserver.zones;
-    if (std::none_of(zones.begin(), zones.end(),
-                     [&](const auto& zone) { return name && zone.name == *name; })) {
-      faults.push_back(record.At("zone").Complain("the name server has no zone of this name"));
-    }
-    if (std::any_of(settings.listings.begin(), settings.listings.end(),
-                    [&](const auto& other) { return other.zone == listing.zone; })) {
-      faults.push_back(record.At("zone").Complain("a listing of this zone was given before"));
-    }
-    listing.rank = static_cast<int>(record.At("rank").Int());
-    listing.owns = record.At("owns").Bool();
-    listing.expiry = nameserver::SecondsIn(record.At("expiry"));
-    listing.defaults = {record.At("kind").Text(), record.At("locality").Text()};
-    if (!listing.defaults.kind.empty() && !IsOneOf(listing.defaults.kind, config.kind_names)) {
-      faults.push_back(record.At("kind").Complain("no kind of the configuration"));
-    }
-    if (!listing.defaults.zone.empty() && !IsOneOf(listing.defaults.zone, config.zone_names)) {
-      faults.push_back(record.At("locality").Complain("no zone of the configuration"));
-    }
-    settings.listings.push_back(std::move(listing));
+    settings.listings.push_back(ReadListing(record, settings, config, faults));
   }
   if (!faults.empty()) throw records::BadRecords(std::move(faults));
   return settings;
@@ -104,73 +114,82 @@
       kinds_(config.kind_names),
       zones_(config.zone_names),
       merged_(settings_.damping, config.known.revision) {
-  platform_ = merged_.AddSource({"platform", settings_.platform_rank, false, 0});
+  platform_id_ = merged_.AddSource({"platform", settings_.platform_rank, false, 0});
   for (const auto& listing : settings_.listings) {
-    Listed& listed = listed_[listing.zone.Key()];
-    listed.settings = listing;
-    listed.source =
+    ZoneSource& source = zone_sources_[listing.zone.Key()];
+    source.settings = listing;
+    source.id =
         merged_.AddSource({listing.zone.ToText(), listing.rank, listing.owns, listing.expiry});
-    listed.map = std::make_unique<membership::ZoneMap>(listing.defaults);
+    source.map = std::make_unique<membership::ZoneMap>(listing.defaults);
   }
-  merged_.TakeList(platform_, config.known, nameserver::SteadySeconds());
+  merged_.TakeList(platform_id_, config.known, nameserver::SteadySeconds());
 }
 
 EndpointSources::~EndpointSources() { Stop(); }
 
-MemberList EndpointSources::Begin(std::chrono::milliseconds wait) {
+nameserver::ZoneWatcher EndpointSources::MakeWatcher() {
   nameserver::ZoneWatcher watcher;
   watcher.kept = [this](const dns::Zone& zone) {
     const std::lock_guard lock(mutex_);
-    Listed* listed = Of(zone);
-    if (listed == nullptr) return;
-    const auto& zones = settings_.nameserver.zones;
-    const bool followed = std::any_of(zones.begin(), zones.end(), [&zone](const auto& one) {
-      return one.name == zone.origin() && !one.primary.empty();
-    });
-    if (!followed) Heard(*listed);
-    TakeServices(*listed, listed->map->Replace(zone));
+    ZoneSource* source = FindSource(zone);
+    if (source == nullptr) return;
+    if (!IsFollowed(zone)) Confirm(*source);
+    ApplyServices(*source, source->map->Replace(zone));
   };
   watcher.changed = [this](const dns::Zone& zone, const dns::Change* change) {
     const std::lock_guard lock(mutex_);
-    Listed* listed = Of(zone);
-    if (listed == nullptr) return;
-    Heard(*listed);
-    TakeServices(*listed, change != nullptr ? listed->map->Apply(zone, *change)
-                                            : listed->map->Replace(zone));
-    Send();
+    ZoneSource* source = FindSource(zone);
+    if (source == nullptr) return;
+    Confirm(*source);
+    ApplyServices(*source, change != nullptr ? source->map->Apply(zone, *change)
+                                             : source->map->Replace(zone));
+    PublishChanges();
   };
   watcher.confirmed = [this](const dns::Zone& zone) {
     const std::lock_guard lock(mutex_);
-    if (Listed* listed = Of(zone)) Heard(*listed);
-    Send();
+    if (ZoneSource* source = FindSource(zone)) Confirm(*source);
+    PublishChanges();
   };
   watcher.failed = [this](const dns::Zone& zone, const std::string&) {
     const std::lock_guard lock(mutex_);
-    if (Listed* listed = Of(zone)) merged_.Failed(listed->source, nameserver::SteadySeconds());
+    if (ZoneSource* source = FindSource(zone)) {
+      merged_.Failed(source->id, nameserver::SteadySeconds());
+    }
   };
   watcher.expired = [this](const dns::Zone& zone) {
     const std::lock_guard lock(mutex_);
-    if (Listed* listed = Of(zone)) merged_.Expired(listed->source);
-    Send();
+    if (ZoneSource* source = FindSource(zone)) merged_.Expired(source->id);
+    PublishChanges();
   };
-  host_ = std::make_unique<nameserver::Host>(settings_.nameserver, std::move(watcher));
+  return watcher;
+}
+
+bool EndpointSources::IsFollowed(const dns::Zone& zone) const {
+  const auto& zones = settings_.nameserver.zones;
+  return std::any_of(zones.begin(), zones.end(), [&zone](const auto& configured) {
+    return configured.name == zone.origin() && !configured.primary.empty();
+  });
+}
+
+MemberList EndpointSources::Begin(std::chrono::milliseconds wait) {
+  host_ = std::make_unique<nameserver::Host>(settings_.nameserver, MakeWatcher());
   observe::Log(Concern::kZones, Level::kInfo, "zones served", {{"listen", host_->address()}});
   std::unique_lock lock(mutex_);
   const bool all = wake_.wait_for(lock, wait, [this] {
-    return std::all_of(listed_.begin(), listed_.end(),
-                       [](const auto& entry) { return entry.second.heard; });
+    return std::all_of(zone_sources_.begin(), zone_sources_.end(),
+                       [](const auto& entry) { return entry.second.confirmed; });
   });
   if (!all) observe::Log(Concern::kZones, Level::kWarning, "zones not confirmed at the start");
   return merged_.Changes(nameserver::SteadySeconds()).value_or(MemberList{});
 }
 
-void EndpointSources::Start(Put put) {
+void EndpointSources::Start(OnEndpointList on_list) {
   {
     const std::lock_guard lock(mutex_);
-    put_ = std::move(put);
-    Send();
+    on_list_ = std::move(on_list);
+    PublishChanges();
   }
-  thread_ = Thread("sources", [this] { RunSources(); });
+  thread_ = Thread("sources", [this] { RunTimer(); });
 }
 
 void EndpointSources::Stop() {
@@ -178,53 +197,57 @@
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
-    put_ = nullptr;
+    on_list_ = nullptr;
   }
   wake_.notify_all();
   thread_.Join();
 }
 
-void EndpointSources::TakePlatform(const MemberList& list) {
+void EndpointSources::ApplyPlatformList(const MemberList& list) {
   const std::lock_guard lock(mutex_);
-  merged_.TakeList(platform_, list, nameserver::SteadySeconds());
-  Send();
+  merged_.TakeList(platform_id_, list, nameserver::SteadySeconds());
+  PublishChanges();
 }
 
-EndpointSources::Listed* EndpointSources::Of(const dns::Zone& zone) {
-  const auto found = listed_.find(zone.origin().Key());
-  return found == listed_.end() ? nullptr : &found->second;
+EndpointSources::ZoneSource* EndpointSources::FindSource(const dns::Zone& zone) {
+  const auto found = zone_sources_.find(zone.origin().Key());
+  return found == zone_sources_.end() ? nullptr : &found->second;
 }
 
-void EndpointSources::Heard(Listed& listed) {
-  listed.heard = true;
-  merged_.Confirm(listed.source, nameserver::SteadySeconds());
+void EndpointSources::Confirm(ZoneSource& source) {
+  source.confirmed = true;
+  merged_.Confirm(source.id, nameserver::SteadySeconds());
   wake_.notify_all();
 }
 
-void EndpointSources::TakeServices(Listed& listed,
-                                   std::vector<membership::ZoneMap::Service> services) {
+void EndpointSources::ApplyServices(ZoneSource& source,
+                                    std::vector<membership::ZoneMap::Service> services) {
   for (auto& service : services) {
-    // What the module has no number for it cannot be told.
-    std::erase_if(service.members, [&](const Member& member) {
-      const bool known = IsOneOf(member.kind, kinds_) && IsOneOf(member.zone, zones_);
-      if (!known) {
-        service.faults.push_back(member.id + ": kind '" + member.kind + "' or zone '" +
-                                 member.zone + "' is not of the configuration");
-      }
-      return !known;
-    });
+    RemoveUnknownNames(service);
     for (const std::string& fault : service.faults) {
       observe::LogSeldom(Concern::kZones, Level::kWarning, "zone record lists nothing",
                          {{"fault", fault}});
     }
-    merged_.Take(listed.source, service.name, service.members, nameserver::SteadySeconds());
+    merged_.Take(source.id, service.name, service.members, nameserver::SteadySeconds());
   }
 }
 
-void EndpointSources::Send() {
-  if (!put_) return;
+// The policy cannot be told of a kind or zone that the settings do not have.
+void EndpointSources::RemoveUnknownNames(membership::ZoneMap::Service& service) const {
+  std::erase_if(service.members, [&](const Member& member) {
+    const bool known = IsOneOf(member.kind, kinds_) && IsOneOf(member.zone, zones_);
+    if (!known) {
+      service.faults.push_back(member.id + ": kind '" + member.kind + "' or zone '" + member.zone +
+                               "' is not of the configuration");
+    }
+    return !known;
+  });
+}
+
+void EndpointSources::PublishChanges() {
+  if (!on_list_) return;
   if (auto list = merged_.Changes(nameserver::SteadySeconds())) {
-    // To count what is held back costs a look at all.
+    // Counting suppressed endpoints looks at all of them, so only where the line is written.
     if (observe::Logs(Concern::kZones, Level::kDebug)) {
       observe::Log(Concern::kZones, Level::kDebug, "list merged",
                    {{"revision", list->revision},
@@ -232,17 +255,18 @@
                     {"endpoints", merged_.endpoints()},
                     {"suppressed", merged_.suppressed()}});
     }
-    put_(*std::move(list));
+    on_list_(*std::move(list));
   }
   wake_.notify_all();
 }
 
-void EndpointSources::RunSources() {
+void EndpointSources::RunTimer() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const double wait = std::clamp(merged_.NextDue() - nameserver::SteadySeconds(), 0.001, 3600.0);
+    const double wait = std::clamp(merged_.NextDue() - nameserver::SteadySeconds(),
+                                   kMinTimerSeconds, kMaxTimerSeconds);
     wake_.wait_for(lock, std::chrono::duration<double>(wait));
-    if (!stopping_ && merged_.NextDue() <= nameserver::SteadySeconds()) Send();
+    if (!stopping_ && merged_.NextDue() <= nameserver::SteadySeconds()) PublishChanges();
   }
 }
 
--- a/src/forwarder/endpoint_sources.hpp
+++ b/src/forwarder/endpoint_sources.hpp
@@ -1,6 +1,6 @@
-// Where the forwarder's endpoints come from when it does not take them from the platform alone: an
-// operator file names zones and what they count for, and this keeps them, merges them with the
-// platform's lists (membership::Membership) and hands the engine what changes.
+// The sources of endpoints beside the platform: zones that an operator file names. They are served
+// or followed by a name server of the forwarder's own, merged with the platform's lists
+// (membership::Membership), and passed on to the engine as changes.
 #ifndef BRASSFRONT_FORWARDER_ENDPOINT_SOURCES_HPP_
 #define BRASSFRONT_FORWARDER_ENDPOINT_SOURCES_HPP_
 
@@ -23,11 +23,12 @@
 namespace brassfront {
 
 struct SourceSettings {
+  // A zone whose records list endpoints.
   struct Listing {
     dns::Name zone;
-    int rank = 1;
-    bool owns = true;
-    double expiry = 0;
+    int rank = 1;       // where sources disagree, the lower rank counts
+    bool owns = true;   // it is the only source of the destinations that it lists
+    double expiry = 0;  // seconds without a confirmation after which it counts no more; 0: never
     membership::ZoneMap::Defaults defaults;
   };
   nameserver::HostSettings nameserver;
@@ -36,53 +37,62 @@
   membership::Damping damping;
 };
 
-// The definition #Sources, with those of the name server.
-std::string SourcesSchema();
-// Throws records::BadRecords. Kinds and zones must be of the configuration.
-SourceSettings LoadSources(const std::string& path, const Config& config);
+// The schema of the operator file: #Sources, with the definitions of the name server.
+[[nodiscard]] std::string SourcesSchema();
+// Throws records::BadRecords with every error in the file. Kinds and zones must be those of the
+// configuration.
+[[nodiscard]] SourceSettings LoadSources(const std::string& path, const Config& config);
 
+// Methods may be called by any thread unless they say otherwise.
 class EndpointSources {
  public:
-  using Put = std::function<void(MemberList)>;
+  // Called by any thread, one call at a time. Must not call back.
+  using OnEndpointList = std::function<void(MemberList)>;
 
   EndpointSources(SourceSettings settings, const Config& config);
   ~EndpointSources();
 
-  // Starts the name server and returns the first list: once all zones that are followed have been
-  // confirmed or renewed, or after `wait`, with what was kept of them. Throws std::runtime_error.
-  MemberList Begin(std::chrono::milliseconds wait);
-  // From now on `put` is called with what changes, by any thread and never after Stop.
-  void Start(Put put);
+  // Starts the name server and returns the first list: once all followed zones have been confirmed
+  // or renewed, or after `wait` with what was stored of them. Throws std::runtime_error. To be
+  // called once, before Start.
+  [[nodiscard]] MemberList Begin(std::chrono::milliseconds wait);
+  // Passes on changes to `on_list` from now on, until Stop.
+  void Start(OnEndpointList on_list);
+  // Ends the name server. `on_list` is not called once it has returned. By the thread that started
+  // it.
   void Stop();
 
   // A list from the platform. It may come before Begin.
-  void TakePlatform(const MemberList& list);
-  // Where zones are served and notices are taken; empty before Begin.
+  void ApplyPlatformList(const MemberList& list);
+  // Where zones are served and NOTIFY messages are received; empty before Begin.
   [[nodiscard]] std::string address() const { return host_ ? host_->address() : std::string(); }
 
  private:
-  struct Listed {
+  struct ZoneSource {
     SourceSettings::Listing settings;
-    membership::SourceId source = 0;
+    membership::SourceId id = 0;
     std::unique_ptr<membership::ZoneMap> map;
-    bool heard = false;  // its source has spoken since the start
+    bool confirmed = false;  // or changed, since the start
   };
 
-  Listed* Of(const dns::Zone& zone);
-  void TakeServices(Listed& listed, std::vector<membership::ZoneMap::Service> services);
-  void Heard(Listed& listed);
-  void Send();
-  void RunSources();
+  [[nodiscard]] nameserver::ZoneWatcher MakeWatcher();
+  [[nodiscard]] bool IsFollowed(const dns::Zone& zone) const;
+  [[nodiscard]] ZoneSource* FindSource(const dns::Zone& zone);
+  void ApplyServices(ZoneSource& source, std::vector<membership::ZoneMap::Service> services);
+  void RemoveUnknownNames(membership::ZoneMap::Service& service) const;
+  void Confirm(ZoneSource& source);
+  void PublishChanges();
+  void RunTimer();
 
   const SourceSettings settings_;
   const std::vector<std::string> kinds_;
   const std::vector<std::string> zones_;
-  std::mutex mutex_;  // guards what follows; taken after the zones' mutex, if both are
+  std::mutex mutex_;  // guards what follows down to stopping_; taken after the zones' mutex
   std::condition_variable wake_;
   membership::Membership merged_;
-  membership::SourceId platform_ = 0;
-  std::map<std::string, Listed> listed_;  // by zone
-  Put put_;
+  membership::SourceId platform_id_ = 0;
+  std::map<std::string, ZoneSource> zone_sources_;  // by zone
+  OnEndpointList on_list_;
   bool stopping_ = false;
   std::unique_ptr<nameserver::Host> host_;
   Thread thread_;
--- a/src/forwarder/message_trace.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -5,7 +5,8 @@
 namespace brassfront {
 namespace {
 
-constexpr std::size_t kMaxFirstSteps = 8;  // kept from the start, when there are too many
+// Of a history with more than kMaxSteps steps, these first ones are kept.
+constexpr std::size_t kMaxFirstSteps = 8;
 
 bool IsFinal(TraceStep step) {
   return step == TraceStep::kDelivered || step == TraceStep::kGone ||
@@ -111,10 +112,29 @@
 }
 
 const char* ToString(TraceStep step) {
-  constexpr const char* kNames[] = {"accepted",  "restored", "acknowledged", "started",
-                                    "completed", "given-up", "delivered",    "gone",
-                                    "notified",  "cancelled"};
-  return kNames[static_cast<std::size_t>(step)];
+  switch (step) {
+    case TraceStep::kAccepted:
+      return "accepted";
+    case TraceStep::kRestored:
+      return "restored";
+    case TraceStep::kAcknowledged:
+      return "acknowledged";
+    case TraceStep::kStarted:
+      return "started";
+    case TraceStep::kCompleted:
+      return "completed";
+    case TraceStep::kGivenUp:
+      return "given-up";
+    case TraceStep::kDelivered:
+      return "delivered";
+    case TraceStep::kGone:
+      return "gone";
+    case TraceStep::kNotified:
+      return "notified";
+    case TraceStep::kCancelled:
+      break;
+  }
+  return "cancelled";
 }
 
 }  // namespace brassfront
--- a/src/forwarder/message_trace.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -7,11 +7,11 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace brassfront {
@@ -92,7 +92,9 @@
   struct OverdueTime {
     Time at{};
     MessageId message = 0;
-    friend auto operator<=>(const OverdueTime&, const OverdueTime&) = default;
+    friend bool operator<(const OverdueTime& left, const OverdueTime& right) {
+      return std::tie(left.at, left.message) < std::tie(right.at, right.message);
+    }
   };
 
   static void Add(TracedMessage& traced, Time now, TraceStep step, std::uint32_t detail);
--- a/src/forwarder/stage_latencies.hpp
+++ b/src/forwarder/stage_latencies.hpp
@@ -1,4 +1,4 @@
-// How long things wait inside the engine, told on its log by stage.
+// How long messages and decisions wait in each stage of the engine, for the log.
 #ifndef BRASSFRONT_FORWARDER_STAGE_LATENCIES_HPP_
 #define BRASSFRONT_FORWARDER_STAGE_LATENCIES_HPP_
 
@@ -9,15 +9,17 @@
 
 namespace brassfront {
 
-// `submit` runs from Submit to the engine thread, `accept` to the reply,
-// `start` from the decision to send to the call thread, `notify` to the platform's 204, `decide` is
-// one decision.
+// Used by the engine's thread alone.
 struct StageLatencies {
-  observe::Histogram submit, accept, start, notify, decide;
+  observe::Histogram submit;  // from the client's thread to the engine's
+  observe::Histogram accept;  // from the client's thread to its reply
+  observe::Histogram start;   // from a decision to send to the call's thread
+  observe::Histogram notify;  // from giving up to the platform's 204
+  observe::Histogram decide;  // one decision, with the actions applied
 
-  // A line on what the engine holds and one for each stage in which anything waited; then begins
-  // anew. To be called by the engine's thread, whose processor time is told.
-  void LogAndReset(observe::Level level, std::size_t in_flight, std::size_t calls);
+  // Writes a line on the engine's load and one for each stage with values, then empties all. Must
+  // be called by the engine's thread, because the line has the calling thread's CPU time.
+  void LogAndReset(observe::Level level, std::size_t messages_in_flight, std::size_t calls);
 };
 
 }  // namespace brassfront
--- a/tests/network/endpoint_protocol_test.cpp
+++ b/tests/network/endpoint_protocol_test.cpp
@@ -20,14 +20,14 @@
 
 TEST_CASE("what each answer to one message means") {
   CHECK(ParseSingleAnswer(Answered(200)).outcome == Outcome::kDelivered);
-  CHECK(ParseSingleAnswer(Answered(200)).over);
+  CHECK(ParseSingleAnswer(Answered(200)).message_over);
   CHECK(ParseSingleAnswer(Answered(500)).outcome == Outcome::kError);
   CHECK(ParseSingleAnswer(Answered(429)).outcome == Outcome::kRejected);
   CHECK(ParseSingleAnswer(Answered(503)).outcome == Outcome::kRejected);
   CHECK(ParseSingleAnswer(Answered(404)).outcome == Outcome::kError);
   CHECK(ParseSingleAnswer(Answered(504)).exhausted);
-  CHECK_FALSE(ParseSingleAnswer(Answered(504)).over);
-  CHECK(ParseSingleAnswer(Answered(410)).over);
+  CHECK_FALSE(ParseSingleAnswer(Answered(504)).message_over);
+  CHECK(ParseSingleAnswer(Answered(410)).message_over);
   CHECK(ParseSingleAnswer(Answered(410)).outcome == Outcome::kNotSent);
   EndpointCallResult no_slot = Answered(503);
   no_slot.slots_taken = "1";
@@ -68,7 +68,7 @@
   CHECK(ends[0].outcome == Outcome::kDelivered);
   CHECK(ends[1].outcome == Outcome::kError);
   CHECK(ends[2].outcome == Outcome::kRejected);
-  CHECK(ends[3].over);
+  CHECK(ends[3].message_over);
   CHECK(ends[3].outcome == Outcome::kNotSent);
   CHECK(ends[4].exhausted);
   CHECK(ends[5].outcome == Outcome::kError);  // nobody knows: it may have run
@@ -92,7 +92,7 @@
     EndpointCallResult end = Answered(429);
     end.load_report = testing::Garbage("x0=0.4,x1=25", seed);
     end.retry_after_ms = testing::Garbage("250", seed);
-    ParseLoadReport(end);
+    (void)ParseLoadReport(end);  // that it returns is the check
     CHECK(ParseRetryAfter(end) >= std::chrono::milliseconds(0));
   }
 }
