--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -15,9 +15,11 @@
 using observe::Level;
 using std::chrono::milliseconds;
 
+// Events that may wait; client and call threads wait beyond it.
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr double kMaxBodyMemoryShare = 0.25;  // of the memory, for bodies in flight
 constexpr milliseconds kHousekeepingInterval{1000};
+
 MessageTable::Limits MessageLimits(const Config& config) {
   const auto memory = static_cast<double>(config.limits.memory_bytes);
   return {.max_in_flight = config.policy_settings.max_in_flight,
@@ -289,7 +291,7 @@
   GiveUp(action.message, {});
 }
 
-// False if the message has no client that waits for a reply.
+// Replies to the message's client and forgets the message. False if no client waits for a reply.
 bool Engine::RejectSubmission(MessageId message, SubmitResult result) {
   if (!submissions_.ReplyTo(message, std::move(result))) return false;
   messages_.Remove(message);
