--- a/tests/network/endpoint_protocol_test.cpp
+++ b/tests/network/endpoint_protocol_test.cpp
@@ -18,7 +18,7 @@
   return end;
 }
 
-TEST_CASE("what each answer to one message means") {
+TEST_CASE("each status of a single call has its outcome") {
   CHECK(ParseSingleAnswer(Answered(200)).outcome == Outcome::kDelivered);
   CHECK(ParseSingleAnswer(Answered(200)).message_over);
   CHECK(ParseSingleAnswer(Answered(500)).outcome == Outcome::kError);
@@ -37,7 +37,7 @@
   CHECK(ParseSingleAnswer(cut).outcome == Outcome::kDelivered);
 }
 
-TEST_CASE("what no answer means, and what it shows") {
+TEST_CASE("each failure of a call has its outcome, and shows whether it may have run") {
   const std::pair<CallOutcome, Outcome> kTable[] = {
       {CallOutcome::kNotSent, Outcome::kNotSent},
       {CallOutcome::kConnectFailed, Outcome::kConnectFailed},
@@ -62,7 +62,7 @@
     R"({"id":"d","state":"gone"},{"id":"e","state":"exhausted"},{"id":"x","state":"ok"}])";
 const std::vector<std::string> kIds = {"a", "b", "c", "d", "e", "missing"};
 
-TEST_CASE("each message of a bundle has its own end") {
+TEST_CASE("each message of a batch has its own result") {
   const auto ends = ParseBatchAnswer(Answered(200, std::string(kStates)), kIds);
   REQUIRE(ends.size() == 6);
   CHECK(ends[0].outcome == Outcome::kDelivered);
@@ -74,7 +74,7 @@
   CHECK(ends[5].outcome == Outcome::kError);  // nobody knows: it may have run
 }
 
-TEST_CASE("a bundle whose answer breaks off delivers nothing") {
+TEST_CASE("a batch whose answer is incomplete delivers nothing") {
   EndpointCallResult cut = Answered(200, std::string(kStates));
   cut.complete = false;
   for (const AttemptResult& end : ParseBatchAnswer(cut, kIds))
@@ -84,7 +84,7 @@
   }
 }
 
-TEST_CASE("garbage in answers never crashes and never ends what is not named") {
+TEST_CASE("garbage in answers never crashes and never ends a message that it does not name") {
   for (int seed = 0; seed < testing::kRounds; ++seed) {
     const auto ends =
         ParseBatchAnswer(Answered(200, testing::Garbage(kStates, seed)), {{std::string("none")}});
@@ -97,7 +97,7 @@
   }
 }
 
-TEST_CASE("reports and waits") {
+TEST_CASE("load reports and Retry-After are read, and ignored where they are invalid") {
   EndpointCallResult end = Answered(200);
   end.load_report = "x0=0.4,x1=25";
   end.retry_after_ms = "250";
@@ -114,7 +114,7 @@
   }
 }
 
-TEST_CASE("calls on the wire") {
+TEST_CASE("calls are written as the wire protocol says") {
   const CallItem parts[] = {{"a", "k", "foo"}, {"b", "", ""}};
   const std::string one = FormatSingleCall("h:1", parts[0], std::chrono::milliseconds(1500));
   CHECK(one ==
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -1,4 +1,4 @@
-// The engine by itself: one next hop on loopback, no clients, and discovery in one test alone.
+// The engine with one endpoint on loopback, without clients; the platform is there in one test.
 #include "forwarder/engine.hpp"
 
 #include <doctest/doctest.h>
@@ -16,7 +16,7 @@
 namespace brassfront {
 namespace {
 
-// A folder that goes with its owner.
+// A temporary folder, removed with its owner.
 class Folder {
  public:
   Folder() {
@@ -28,8 +28,8 @@
   std::string path;
 };
 
-Config OneHop(const std::string& address, const std::string& discovery = "127.0.0.1:1",
-              int bundle = 1) {
+Config OneEndpoint(const std::string& address, const std::string& discovery = "127.0.0.1:1",
+                   int bundle = 1) {
   Config config =
       ParseConfig(R"({"name":"n","listen":"127.0.0.1:0","discovery":")" + discovery +
                   R"(",
@@ -62,7 +62,7 @@
   return request;
 }
 
-// What comes up to the mark, or up to the end.
+// Reads up to and with `mark`, or up to the end of the stream.
 std::string ReadUntil(Socket& socket, std::string_view mark) {
   std::string got;
   char byte = 0;
@@ -70,12 +70,12 @@
   return got;
 }
 
-// The platform's agent, which says nothing but that notices have come.
+// The platform: confirms notifications and answers nothing else.
 class Platform {
  public:
   std::string address() const { return AddressOf(listener_); }
-  // The body of the next post of notices.
-  std::string NextNotice() {
+  // The body of the next request with notifications.
+  std::string NextNotification() {
     while (true) {
       Socket socket = Accept(listener_);
       const bool post = ReadUntil(socket, " ").starts_with("POST");
@@ -96,7 +96,7 @@
  public:
   explicit Fixture(const std::string& discovery = "127.0.0.1:1", int bundle = 1)
       : listener(Listen("127.0.0.1:0")),
-        config(OneHop(AddressOf(listener), discovery, bundle)),
+        config(OneEndpoint(AddressOf(listener), discovery, bundle)),
         spool(folder.path, config.limits.disk_bytes, [](const std::string&) {}) {
     engine.emplace(config, spool, buffers);
   }
@@ -129,7 +129,8 @@
   std::thread runner;
 };
 
-TEST_CASE_FIXTURE(Fixture, "what the settings do not know is turned away without the engine") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a request that the settings exclude is rejected without the engine's thread") {
   // It does not run: anything that needed it would wait for good.
   DeliveryRequest unknown_class = Message("a"), unknown_tenant = Message("b"),
                   no_key = Message("c");
@@ -144,8 +145,9 @@
   CHECK(engine->Submit(std::move(unlisted)).unknown_destination);
 }
 
-TEST_CASE_FIXTURE(Fixture,
-                  "a message is named by its number: another one may have its client's id") {
+TEST_CASE_FIXTURE(
+    Fixture,
+    "a late event of an ended message does not affect a new one with the same client's id") {
   Run();
   const SubmitResult first = engine->Submit(Message("same"));
   REQUIRE(first.status == SubmitResult::Status::kAccepted);
@@ -160,7 +162,7 @@
   CHECK(AnswerOne() == "same");
 }
 
-TEST_CASE_FIXTURE(Fixture, "a message that its client was not told of is not sent") {
+TEST_CASE_FIXTURE(Fixture, "a message whose client does not know of its acceptance is not sent") {
   Run();
   const SubmitResult unheard = engine->Submit(Message("unheard"));
   const SubmitResult heard = engine->Submit(Message("heard"));
@@ -173,7 +175,7 @@
 
 // An answer that came after the first of its messages had been given up was taken for all the
 // others: the partner counted none of them, and they were lost.
-TEST_CASE("a call that several messages share is over with the first of them") {
+TEST_CASE("a batch is cancelled when the first of its messages is given up") {
   Platform platform;
   Fixture f(platform.address(), 2);
   f.Run();
@@ -192,7 +194,7 @@
   const std::string mark = "X-Time-Left-Ms: ";
   CHECK(std::stoi(call.substr(call.find(mark) + mark.size())) <= 350);  // a little before its time
 
-  CHECK(platform.NextNotice().find("\"brief\"") != std::string::npos);
+  CHECK(platform.NextNotification().find("\"brief\"") != std::string::npos);
   const std::string body = R"([{"id":"brief","state":"ok"},{"id":"long","state":"ok"}])";
   shared.SendAll("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                  body);
@@ -200,7 +202,7 @@
   CHECK(f.AnswerOne() == "long");
 }
 
-TEST_CASE("a box that is filled as fast as it is emptied lets others have their turn") {
+TEST_CASE("a queue that is filled as fast as it is emptied does not delay a deadline") {
   BoundedQueue<int> queue(4);
   queue.Push(0);
   std::chrono::steady_clock::time_point now{};
@@ -216,7 +218,7 @@
   CHECK(taken == 5);
 }
 
-TEST_CASE("a value may bring the turn forward") {
+TEST_CASE("a value may bring the deadline forward") {
   BoundedQueue<int> queue(4);
   for (int i = 0; i < 3; ++i) queue.Push(i);
   std::chrono::steady_clock::time_point now{}, due = now + std::chrono::hours(1);
--- a/tests/network/message_trace_test.cpp
+++ b/tests/network/message_trace_test.cpp
@@ -1,4 +1,4 @@
-// The trace of taken messages: states, histories, and which ones are overdue.
+// Histories of accepted messages: states, steps, and which messages are overdue.
 #include "forwarder/message_trace.hpp"
 
 #include <doctest/doctest.h>
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_CASE("a life's state follows from its steps") {
+TEST_CASE("a message's state follows from its steps") {
   MessageTrace trace;
   CHECK(trace.State(1) == MessageState::kOver);
   CHECK(trace.Begin(1, {}, seconds(20), TraceStep::kAccepted));
@@ -36,7 +36,7 @@
   CHECK(trace.History(1).empty());
 }
 
-TEST_CASE("what has not ended in time is told once, with its history") {
+TEST_CASE("an overdue message is reported once, with its history") {
   MessageTrace trace;
   trace.Begin(1, seconds(1), seconds(3), TraceStep::kAccepted);
   trace.Begin(2, seconds(1), seconds(2), TraceStep::kRestored, 4);
@@ -56,7 +56,7 @@
   CHECK(trace.size() == 1);
 }
 
-TEST_CASE("of a long life the first and the last steps are kept") {
+TEST_CASE("of a long history the first and the last steps are kept") {
   MessageTrace trace;
   trace.Begin(1, {}, seconds(20), TraceStep::kAccepted);
   for (std::uint32_t i = 1; i <= 200; ++i) trace.Note(1, milliseconds(i), TraceStep::kStarted, i);
