--- /dev/null
+++ b/src/forwarder/endpoint_protocol.cpp
@@ -0,0 +1,169 @@
+#include "forwarder/endpoint_protocol.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+#include "protocol/base64.hpp"
+#include "protocol/http.hpp"
+#include "protocol/json.hpp"
+
+namespace brassfront {
+namespace {
+
+using dispatch_policy::Outcome;
+
+// Values of a load report beyond these are taken for errors. A share may be a little over 1,
+// because reports are noisy.
+constexpr double kMaxAllowanceLeft = 2;
+constexpr double kMaxReportedLimit = 1e6;  // calls a second
+// A longer Retry-After is cut to this, so that an error of the endpoint does not stop it for good.
+constexpr std::chrono::milliseconds kMaxRetryAfter = std::chrono::hours(1);
+
+template <typename T>
+std::optional<T> Parse(std::string_view text) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// What the status says of all attempts in the call.
+AttemptResult ParseStatus(const EndpointCallResult& result) {
+  switch (result.status) {
+    case 200:
+      return {.outcome = Outcome::kDelivered, .message_over = true};
+    case 429:
+      return {.outcome = Outcome::kRejected};
+    case 503:
+      return {.outcome = result.slots_taken.empty() ? Outcome::kRejected : Outcome::kNotSent};
+    case 504:
+      return {.outcome = Outcome::kNotSent, .exhausted = true};
+    case 410:
+      return {.outcome = Outcome::kNotSent, .message_over = true};
+    case 400:
+    case 413:  // not read, so none of it ran
+      return {.outcome = Outcome::kNotSent};
+    default:
+      return {.outcome = Outcome::kError};
+  }
+}
+
+AttemptResult ParseItemState(const std::string& state) {
+  if (state == "ok") return {.outcome = Outcome::kDelivered, .message_over = true};
+  if (state == "later") return {.outcome = Outcome::kRejected};
+  if (state == "gone") return {.outcome = Outcome::kNotSent, .message_over = true};
+  if (state == "exhausted") return {.outcome = Outcome::kNotSent, .exhausted = true};
+  return {.outcome = Outcome::kError};
+}
+
+Outcome ToOutcome(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kNotSent:
+      return Outcome::kNotSent;
+    case CallOutcome::kConnectFailed:
+      return Outcome::kConnectFailed;
+    case CallOutcome::kConnectionLimitReached:
+      return Outcome::kConnectionLimitReached;
+    case CallOutcome::kTimedOut:
+      return Outcome::kTimeout;
+    case CallOutcome::kCancelled:
+      return Outcome::kCancelled;
+    default:
+      return Outcome::kReset;
+  }
+}
+
+HttpHeaders TimeLeft(std::chrono::milliseconds time_left) {
+  return {{"X-Time-Left-Ms", std::to_string(time_left.count())}};
+}
+
+}  // namespace
+
+bool KnownNotRun(Outcome outcome) {
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed ||
+         outcome == Outcome::kConnectionLimitReached || outcome == Outcome::kNotSent;
+}
+
+AttemptResult ParseSingleAnswer(const EndpointCallResult& result) {
+  if (result.outcome != CallOutcome::kAnswered) return {.outcome = ToOutcome(result.outcome)};
+  return ParseStatus(result);
+}
+
+std::vector<AttemptResult> ParseBatchAnswer(const EndpointCallResult& result,
+                                            std::span<const std::string> ids) {
+  if (result.outcome != CallOutcome::kAnswered || result.status != 200) {
+    return std::vector<AttemptResult>(ids.size(), ParseSingleAnswer(result));
+  }
+  // An incomplete answer delivers nothing; an id that a complete one does not name may have run.
+  std::vector<AttemptResult> results(
+      ids.size(), AttemptResult{.outcome = result.complete ? Outcome::kError : Outcome::kReset});
+  if (!result.complete) return results;
+  try {
+    const json::Value answer = json::Parse(result.body);
+    for (const json::Value& item : answer.Items()) {
+      const auto it = std::find(ids.begin(), ids.end(), item.At("id").Text());
+      if (it != ids.end()) results[it - ids.begin()] = ParseItemState(item.At("state").Text());
+    }
+  } catch (const json::Error&) {  // the messages that were not read so far may have run
+  }
+  return results;
+}
+
+std::chrono::milliseconds ParseRetryAfter(const EndpointCallResult& result) {
+  const std::uint64_t max = kMaxRetryAfter.count();
+  return std::chrono::milliseconds(
+      std::min(Parse<std::uint64_t>(result.retry_after_ms).value_or(0), max));
+}
+
+dispatch_policy::LoadReport ParseLoadReport(const EndpointCallResult& result) {
+  dispatch_policy::LoadReport report;
+  std::string_view rest = result.load_report;
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find(','));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    if (pair.size() < 4 || pair[2] != '=') continue;
+    const auto value = Parse<double>(pair.substr(3));
+    if (!value || !(*value >= 0)) continue;
+    if (pair.starts_with("x0") && *value <= kMaxAllowanceLeft) report.allowance_left = value;
+    if (pair.starts_with("x1") && *value <= kMaxReportedLimit) report.limit = value;
+  }
+  return report;
+}
+
+dispatch_policy::EndpointState ToEndpointState(Phase phase) {
+  switch (phase) {
+    case Phase::kReady:
+      return dispatch_policy::EndpointState::kListed;
+    case Phase::kTerminating:
+      return dispatch_policy::EndpointState::kDraining;
+    default:
+      return dispatch_policy::EndpointState::kRemoved;
+  }
+}
+
+std::string FormatBatchItem(const CallItem& item) {
+  std::string text = R"({"id":)" + json::Quote(item.id);
+  if (!item.key.empty()) text += R"(,"key":)" + json::Quote(item.key);
+  return text + R"(,"body":")" + EncodeBase64(item.body) + R"("})";
+}
+
+std::string FormatSingleCall(const std::string& address, const CallItem& item,
+                             std::chrono::milliseconds time_left) {
+  HttpHeaders headers = TimeLeft(time_left);
+  headers.emplace_back("X-Correlation-Id", item.id);
+  if (!item.key.empty()) headers.emplace_back("Idempotency-Key", item.key);
+  return HttpPost("/events", address, headers, item.body);
+}
+
+std::string FormatBatchCall(const std::string& address, std::span<const CallItem> items,
+                            std::chrono::milliseconds time_left) {
+  std::string body = "[";
+  for (const CallItem& item : items) {
+    if (body.size() > 1) body += ',';
+    body += FormatBatchItem(item);
+  }
+  return HttpPost("/events/bundle", address, TimeLeft(time_left), body + "]");
+}
+
+}  // namespace brassfront
