--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kMostSenders = 384;  // connections
 // A connection costs a command of 68 KiB at the most and what is kept of it, and some have a thread
 // for the moment. All of them get half of the memory, beside the quarter for bodies.
-constexpr std::size_t kSenderBytes = 96 * 1024;
+constexpr std::size_t kSenderBytes = std::size_t{96} * 1024;
 constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
 constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
 constexpr std::size_t kIdleSenderShare = 6;   // of the descriptors; clients use a third at most
--- a/src/dns/name.cpp
+++ b/src/dns/name.cpp
@@ -157,8 +157,8 @@
   std::string key;
   key.reserve(wire_.size());
   const auto labels = Labels();
-  for (auto label = labels.rbegin(); label != labels.rend(); ++label) {
-    for (const char c : *label) {
+  for (std::size_t i = labels.size(); i > 0; --i) {
+    for (const char c : labels[i - 1]) {
       if (c == 0 || c == 1) key += '\1';
       key += c == 0 ? '\1' : c == 1 ? '\2' : LowerOf(c);
     }
--- a/src/dns/transfer.cpp
+++ b/src/dns/transfer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Of one message: small enough to be worked on in one piece, large enough to compress well.
-constexpr std::size_t kPartBytes{16 * 1024};
+constexpr std::size_t kPartBytes = std::size_t{16} * 1024;
 
 // Cuts a stream of records into messages.
 class Parts {
--- a/src/dns/update.cpp
+++ b/src/dns/update.cpp
@@ -23,8 +23,9 @@
       any_type ? zone.Find(record.name) != nullptr : zone.Find(record.name, record.type) != nullptr;
   const bool expected = record.klass == klass::kAny;
   if (there == expected) return {};
-  if (expected)
+  if (expected) {
     return Refused(any_type ? Rcode::kNxDomain : Rcode::kNxRrset, what + " is not there");
+  }
   return Refused(any_type ? Rcode::kYxDomain : Rcode::kYxRrset, what + " is there");
 }
 
--- a/src/dns/zone_file.cpp
+++ b/src/dns/zone_file.cpp
@@ -165,8 +165,9 @@
   }
   if (parts.size() > 2) {
     constexpr std::string_view kBases = "doxXnN";
-    if (parts[2].size() != 1 || kBases.find(parts[2][0]) == std::string_view::npos)
+    if (parts[2].size() != 1 || kBases.find(parts[2][0]) == std::string_view::npos) {
       return std::nullopt;
+    }
     format.base = parts[2][0];
   }
   return format;
--- a/src/membership/zone_map.cpp
+++ b/src/membership/zone_map.cpp
@@ -161,7 +161,7 @@
 }
 
 // Members of a later priority serve only while none of an earlier one is ready (RFC 2782).
-void ZoneMap::TakeByPriority(std::map<std::uint32_t, std::vector<Member>> by_priority,
+void ZoneMap::TakeByPriority(std::map<std::uint32_t, std::vector<Member>>&& by_priority,
                              std::vector<Member>& members) {
   bool served = false;
   for (auto& [priority, of_priority] : by_priority) {
--- a/src/membership/zone_map.hpp
+++ b/src/membership/zone_map.hpp
@@ -51,7 +51,7 @@
   void Need(const std::string& service_key, const dns::Name& name);
   const dns::RecordSet* AddressesOf(const dns::Zone& zone, const std::string& service_key,
                                     std::uint32_t port, dns::Name& target, Service& service);
-  static void TakeByPriority(std::map<std::uint32_t, std::vector<Member>> by_priority,
+  static void TakeByPriority(std::map<std::uint32_t, std::vector<Member>>&& by_priority,
                              std::vector<Member>& members);
   void Forget(const std::string& key);
 
--- a/src/nameserver/client.cpp
+++ b/src/nameserver/client.cpp
@@ -11,7 +11,7 @@
 namespace brassfront::nameserver {
 namespace {
 
-constexpr std::size_t kReadBytes{16 * 1024};
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
 using dns::Message;
 using dns::TsigError;
--- a/src/protocol/delivery_request.hpp
+++ b/src/protocol/delivery_request.hpp
@@ -11,7 +11,7 @@
 
 namespace brassfront {
 
-inline constexpr std::size_t kMaxBodyBytes{64 * 1024};
+inline constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024;
 
 struct DeliveryRequest {
   std::string id;
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -7,7 +7,7 @@
 namespace brassfront {
 namespace {
 
-constexpr std::size_t kMostHead = 16 * 1024;
+constexpr std::size_t kMostHead = std::size_t{16} * 1024;
 
 std::string Lower(std::string_view text) {
   std::string out(text);
--- a/src/records/syntax.cpp
+++ b/src/records/syntax.cpp
@@ -318,24 +318,24 @@
 
   [[nodiscard]] Number NumberOf(const Node& node) const {
     constexpr double kKi = 1024;
-    static constexpr UnitOf kUnits[] = {{"ns", Unit::kDuration, 1},
-                                        {"us", Unit::kDuration, 1e3},
-                                        {"ms", Unit::kDuration, 1e6},
-                                        {"s", Unit::kDuration, 1e9},
-                                        {"m", Unit::kDuration, 60e9},
-                                        {"h", Unit::kDuration, 3600e9},
-                                        {"d", Unit::kDuration, 86400e9},
-                                        {"B", Unit::kSize, 1},
-                                        {"KiB", Unit::kSize, kKi},
-                                        {"MiB", Unit::kSize, kKi * kKi},
-                                        {"GiB", Unit::kSize, kKi * kKi * kKi},
-                                        {"kB", Unit::kSize, 1e3},
-                                        {"MB", Unit::kSize, 1e6},
-                                        {"GB", Unit::kSize, 1e9},
-                                        {"/s", Unit::kRate, 1},
-                                        {"/m", Unit::kRate, 1.0 / 60},
-                                        {"/h", Unit::kRate, 1.0 / 3600},
-                                        {"%", Unit::kNone, 0.01}};
+    static constexpr auto kUnits = std::to_array<UnitOf>({{"ns", Unit::kDuration, 1},
+                                                          {"us", Unit::kDuration, 1e3},
+                                                          {"ms", Unit::kDuration, 1e6},
+                                                          {"s", Unit::kDuration, 1e9},
+                                                          {"m", Unit::kDuration, 60e9},
+                                                          {"h", Unit::kDuration, 3600e9},
+                                                          {"d", Unit::kDuration, 86400e9},
+                                                          {"B", Unit::kSize, 1},
+                                                          {"KiB", Unit::kSize, kKi},
+                                                          {"MiB", Unit::kSize, kKi * kKi},
+                                                          {"GiB", Unit::kSize, kKi * kKi * kKi},
+                                                          {"kB", Unit::kSize, 1e3},
+                                                          {"MB", Unit::kSize, 1e6},
+                                                          {"GB", Unit::kSize, 1e9},
+                                                          {"/s", Unit::kRate, 1},
+                                                          {"/m", Unit::kRate, 1.0 / 60},
+                                                          {"/h", Unit::kRate, 1.0 / 3600},
+                                                          {"%", Unit::kNone, 0.01}});
     std::string digits;
     for (const char c : node.children[0]->string()) {
       if (c != '_') digits += c;
--- a/src/rehearsal/endpoints.cpp
+++ b/src/rehearsal/endpoints.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t kMostBody{64 * 1024};
+constexpr std::size_t kMostBody = std::size_t{64} * 1024;
 constexpr double kGarbledShare = 0.5;
 
 std::uint64_t NextRandom(std::uint64_t& state) {
