Separate the concerns inside the policy's class before it is split

One class decides everything, so a handler of the admission gate reaches into calls and pacing. Each event handler now has a name, starting and ending a call are functions of their own, and pacing after a rejection is handed the interval of trial calls in place of computing it.

--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -89,24 +89,28 @@
     if (!started_) started_ = now;
     now_ = std::max(now_, now);
     actions_.clear();
-    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
-      actions_.push_back(SubscribeToEndpointList{});
-    }
+    Subscribe();
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
     }
     ReviewMessages();
     Dispatch();
-    for (DestinationId id : busy_) UpdateGate(destinations_.at(id));
-    std::erase_if(busy_, [this](DestinationId id) {
-      const Destination& d = destinations_.at(id);
-      return d.waiting.empty() && d.gate.mode == Mode::kNormal;
-    });
+    UpdateGates();
     SetWakeUp();
     return std::move(actions_);
   }
 
  private:
+  void On(const MessageArrived& event) { AcceptMessage(event); }
+  void On(const MessageRestored& event) { RestoreMessage(event); }
+  void On(const MessageCancelled& event) { CancelMessage(event); }
+  void On(const AttemptCompleted& event) { CompleteAttempt(event); }
+  void On(const HealthCheckCompleted& event) { CompleteHealthCheck(event); }
+  void On(const EndpointList& event) { ApplyList(event); }
+  void On(const TimerFired&) { ExpireTimer(); }
+  void On(const QuotaLeased& event) { ApplyQuota(event); }
+  void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
+
   // ======== ledger: each message's attempts, what may have run, its one final answer ========
 
   [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
@@ -118,7 +122,7 @@
     return destinations_.try_emplace(id, memory, kPaceMemory, *started_).first->second;
   }
 
-  void On(const MessageArrived& e) {
+  void AcceptMessage(const MessageArrived& e) {
     if (messages_.count(e.message) != 0) return;
     if (e.message_class >= set_.classes.size()) {  // of no class: nothing is known to be safe
       actions_.push_back(RejectMessage{e.message, Duration{}});
@@ -136,7 +140,7 @@
 
   // Taken on before a restart: the gate has let it in, and its history binds it. Guards against
   // attempts beyond the allowed ones and repeats that the destination no longer drops.
-  void On(const MessageRestored& e) {
+  void RestoreMessage(const MessageRestored& e) {
     if (messages_.count(e.message) != 0) return;
     if (e.message_class >= set_.classes.size()) {
       actions_.push_back(FailMessage{e.message});
@@ -155,7 +159,7 @@
   }
 
   template <typename E>
-  [[nodiscard]] [[nodiscard]] Message Taken(const E& e) const {
+  [[nodiscard]] Message Taken(const E& e) const {
     Message m;
     m.id = e.message;
     m.destination = e.destination;
@@ -177,7 +181,7 @@
     messages_.emplace(m.id, std::move(m));
   }
 
-  void On(const MessageCancelled& e) {
+  void CancelMessage(const MessageCancelled& e) {
     auto it = messages_.find(e.message);
     if (it == messages_.end() || it->second.finished) return;
     CancelOut(it->second);
@@ -228,7 +232,7 @@
     return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
   }
 
-  void On(const AttemptCompleted& e) {
+  void CompleteAttempt(const AttemptCompleted& e) {
     auto it = messages_.find(e.message);
     if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return;
     Message& m = it->second;
@@ -308,6 +312,14 @@
     }
   }
 
+  void UpdateGates() {
+    for (DestinationId id : busy_) UpdateGate(destinations_.at(id));
+    std::erase_if(busy_, [this](DestinationId id) {
+      const Destination& d = destinations_.at(id);
+      return d.waiting.empty() && d.gate.mode == Mode::kNormal;
+    });
+  }
+
   bool Admit(Destination& d) {
     UpdateGate(d);
     if (d.gate.mode == Mode::kDiscard) return false;
@@ -360,6 +372,27 @@
     return e.fails_in_row == 0 || !SlotsScarce(1) || sick_out_ < SlotsOf(kSickSlotShare);
   }
 
+  Call& BeginCall(Endpoint& e, Destination& d, std::uint64_t id) {
+    Call& call = calls_[id];
+    call.sent = now_;
+    call.sick = e.fails_in_row > 0;
+    sick_out_ += call.sick;
+    ++e.calls_out;
+    ++e.fresh_out;
+    ++d.calls_out;
+    return call;
+  }
+
+  // All messages of the call have an outcome: its slot is free.
+  void EndCall(Endpoint& e, std::uint64_t id) {
+    const Call& call = calls_.at(id);
+    if (!call.overdue) --e.fresh_out;
+    sick_out_ -= call.sick;
+    --e.calls_out;
+    --destinations_.at(e.entry.destination).calls_out;
+    calls_.erase(id);
+  }
+
   // ======== pacer: the rate that a limit leaves to this dispatcher, and told waits ========
 
   Lane& LaneOf(Endpoint& e) {
@@ -376,15 +409,14 @@
     return std::max<std::size_t>(1, set_.kinds[e.entry.kind].max_batch);
   }
 
-  // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
-  void Paced(Endpoint& e) {
+  // Books a call or a probe: the next one waits for the pace.
+  void PaceNext(Endpoint& e) {
     Lane& lane = LaneOf(e);
     double gap = lane.rate > 0 ? 1 / lane.rate : 0;
     const double own = lane.reported ? lane.limit : 0;
     const double most = lane.share ? std::max(*lane.share, kLeastLeased) : own;
     if (most > 0) gap = std::max(gap, 1 / most);
     lane.next_call = std::max(lane.next_call, now_) + FromSeconds(gap);
-    if (e.health != Health::kClosed) lane.next_trial = now_ + Spread(TrialGap(e));
   }
 
   // Half to one and a half of it, from the seed: dispatchers that were hit together come back
@@ -448,7 +480,7 @@
   // A pause that doubles with each refusal in a row up to the gap of trials, from a told wait's
   // end. Untold, it follows from our own demand: a hung destination with full queues refuses too,
   // and guards against many that each try it again soon. It does harm where limits free up at once.
-  void OnFull(Endpoint& e, const Call& call, Duration told) {
+  void OnFull(Endpoint& e, const Call& call, Duration told, Duration trial_gap) {
     Lane& lane = LaneOf(e);
     if (lane.full_row > 0 && call.sent < lane.last_full) return;  // sent before it was known
     if (lane.full_row++ == 0) lane.first_full = now_;
@@ -457,7 +489,7 @@
     const int doubled = 1 << std::min(lane.full_row - 1, kMostDoublings);
     const double calls = doubled == 1 && told > Duration{} ? 0 : kPauseCalls * doubled;
     const Duration asked = std::max(kFullPause * doubled, FromSeconds(calls / part));
-    const Duration pause = std::min(asked, std::max(kFullPause, TrialGap(e)));
+    const Duration pause = std::min(asked, std::max(kFullPause, trial_gap));
     lane.next_call = std::max(lane.next_call, now_ + told + Spread(pause));
     // A cold one tells nothing of its limit. Guards against a crawl long after its return.
     if (e.health != Health::kClosed) return;
@@ -491,15 +523,10 @@
       call.judged = true;
       Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
     }
-    if (--call.out > 0) return;
-    if (!call.overdue) --endpoint.fresh_out;
-    sick_out_ -= call.sick;
-    --endpoint.calls_out;
-    --destinations_.at(endpoint.entry.destination).calls_out;
-    calls_.erase(attempt.call);
+    if (--call.out == 0) EndCall(endpoint, attempt.call);
   }
 
-  void On(const HealthCheckCompleted& e) {
+  void CompleteHealthCheck(const HealthCheckCompleted& e) {
     auto it = endpoints_.find(e.endpoint);
     if (it == endpoints_.end() || !it->second.probing) return;
     it->second.probing = false;
@@ -521,7 +548,7 @@
       }
       Succeeded(e, call);
     } else if (outcome == Outcome::kRejected) {
-      OnFull(e, call, told);
+      OnFull(e, call, told, TrialGap(e));
       JudgeFull(e, lane, told);
     } else if (outcome == Outcome::kConnectionLimitReached) {
       OnCrowded(e);
@@ -618,6 +645,12 @@
     actions_.push_back(TurnedText(health, e.entry));
   }
 
+  // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
+  void Paced(Endpoint& e) {
+    PaceNext(e);
+    if (e.health != Health::kClosed) LaneOf(e).next_trial = now_ + Spread(TrialGap(e));
+  }
+
   // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
   // over the cold time once it answers; for our part of its traffic, as the others see to theirs.
   Duration TrialGap(Endpoint& e) {
@@ -632,14 +665,14 @@
 
   // ======== what other dispatchers know ========
 
-  void On(const QuotaLeased& e) {
+  void ApplyQuota(const QuotaLeased& e) {
     const auto it = endpoints_.find(e.endpoint);
     if (it != endpoints_.end()) LaneOf(it->second).share = e.rate;
   }
 
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
-  void On(const PeerHealthReport& w) {
+  void ApplyPeerReport(const PeerHealthReport& w) {
     const auto it = endpoints_.find(w.endpoint);
     if (it == endpoints_.end() || it->second.last_answer > now_ - w.age) return;  // ours is newer
     Endpoint& e = it->second;
@@ -790,14 +823,8 @@
   void SendCall(Endpoint& e, Message& first) {
     Destination& d = destinations_.at(e.entry.destination);
     const std::uint64_t id = next_call_++;
-    Call& call = calls_[id];
-    call.sent = now_;
+    Call& call = BeginCall(e, d, id);
     call.message_class = first.message_class;
-    call.sick = e.fails_in_row > 0;
-    sick_out_ += call.sick;
-    ++e.calls_out;
-    ++e.fresh_out;
-    ++d.calls_out;
     const bool brief = Brief(first, e);
     for (Message* m = &first; m != nullptr; m = BestMessage(d, &e, brief).message) {
       ++call.out;
@@ -934,7 +961,13 @@
 
   // ======== lists and time ========
 
-  void On(const EndpointList& e) {
+  void Subscribe() {
+    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
+      actions_.push_back(SubscribeToEndpointList{});
+    }
+  }
+
+  void ApplyList(const EndpointList& e) {
     if (e.form == ListForm::kFailed) {
       subscribed_ = false;
       return;
@@ -998,7 +1031,7 @@
 
   // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
   // Guards against a wake-up that is waited for and never comes, and messages lost by it.
-  void On(const TimerFired&) { wake_at_ = Time::min(); }
+  void ExpireTimer() { wake_at_ = Time::min(); }
 
   // The earliest moment at which waiting alone changes a decision.
   void SetWakeUp() {
