Give shared steps of the policy's class names of their own

Look-up of an endpoint, recording of a completed attempt, the count of messages in flight, the rest of an ordering key and the share of lost calls were reached as bare fields from several concerns. Each is a function of the concern that owns the field now.

--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -128,7 +128,8 @@
       actions_.push_back(RejectMessage{e.message, Duration{}});
       return;
     }
-    Message m = Taken(e);
+    Message m = Taken(e.message, e.message_class, e.time_left);
+    m.destination = e.destination;
     Destination& destination = DestinationOf(e.destination);
     destination.arrivals.Add(now_);
     if (!Admit(destination)) {
@@ -146,26 +147,23 @@
       actions_.push_back(FailMessage{e.message});
       return;
     }
-    Message m = Taken(e);
+    Message m = Taken(e.message, e.message_class, e.time_left);
+    m.destination = e.destination;
     m.attempts_before = e.attempts_used;
     m.may_have_run = e.may_have_run;
-    if (const auto it = endpoints_.find(e.ran_on_endpoint);
-        e.may_have_run && it != endpoints_.end()) {
-      m.ran_in = it->second.entry.zone;
-    }
+    const Endpoint* ran_on = FindEndpoint(e.ran_on_endpoint);
+    if (e.may_have_run && ran_on != nullptr) m.ran_in = ran_on->entry.zone;
     DestinationOf(e.destination);
     Hold(std::move(m), e.key);
     if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
   }
 
-  template <typename E>
-  [[nodiscard]] Message Taken(const E& e) const {
+  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) const {
     Message m;
-    m.id = e.message;
-    m.destination = e.destination;
-    m.message_class = e.message_class;
-    m.deadline = now_ + e.time_left;
-    m.first_handed_in = m.deadline - set_.classes[e.message_class].deadline;
+    m.id = id;
+    m.message_class = message_class;
+    m.deadline = now_ + time_left;
+    m.first_handed_in = m.deadline - ClassOf(m).deadline;
     m.accepted = now_;
     return m;
   }
@@ -177,7 +175,7 @@
     }
     destinations_.at(m.destination).waiting.push_back(m.id);
     busy_.insert(m.destination);
-    ++held_;
+    MessageAccepted();
     messages_.emplace(m.id, std::move(m));
   }
 
@@ -214,7 +212,7 @@
   // The message is over; its line in the ledger stays while an attempt is out.
   void Close(Message& m) {
     m.finished = true;
-    --held_;
+    MessageFinished();
     std::erase(destinations_.at(m.destination).waiting, m.id);
     Forget(m.id);
   }
@@ -226,6 +224,14 @@
     messages_.erase(it);
   }
 
+  [[nodiscard]] Time KeyRestsUntil(const Message& m) const { return keys_.at(m.key).rests_until; }
+
+  void ForgetIdleKeys() {
+    std::erase_if(keys_, [this](const auto& k) {
+      return k.second.order.empty() && k.second.rests_until <= now_;
+    });
+  }
+
   [[nodiscard]] bool KeyFree(const Message& m) const {
     if (m.key.empty()) return true;
     const KeyLine& line = keys_.at(m.key);
@@ -233,11 +239,31 @@
   }
 
   void CompleteAttempt(const AttemptCompleted& e) {
+    Message* found = FindInFlight(e);
+    if (found == nullptr) return;
+    Message& m = *found;
+    const Attempt& attempt = m.attempts[e.attempt];
+    RecordCompletion(m, e);
+    JudgeCall(attempt, e);
+    if (m.finished) {
+      Forget(m.id);
+    } else if (e.finished || e.outcome == Outcome::kDelivered) {
+      Close(m);
+    } else {
+      AfterFailure(m, e);
+    }
+  }
+
+  // Null if the message or its attempt is unknown, or the attempt has an outcome already.
+  Message* FindInFlight(const AttemptCompleted& e) {
     auto it = messages_.find(e.message);
-    if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return;
-    Message& m = it->second;
+    if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return nullptr;
+    return it->second.attempts[e.attempt].out ? &it->second : nullptr;
+  }
+
+  // Whether the message may have run, and where; its key rests if the attempt may still run.
+  void RecordCompletion(Message& m, const AttemptCompleted& e) {
     Attempt& attempt = m.attempts[e.attempt];
-    if (!attempt.out) return;
     attempt.out = false;
     --m.out;
     const bool doubt = e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset ||
@@ -247,14 +273,6 @@
       m.ran_in = endpoints_.at(attempt.endpoint).entry.zone;
     }
     if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + set_.ordering_cooldown;
-    JudgeCall(attempt, e);
-    if (m.finished) {
-      Forget(m.id);
-    } else if (e.finished || e.outcome == Outcome::kDelivered) {
-      Close(m);
-    } else {
-      AfterFailure(m, e);
-    }
   }
 
   // ======== gate: three modes on the count of messages held unsent for a destination ========
@@ -320,6 +338,17 @@
     });
   }
 
+  // A message was admitted, or restored.
+  void MessageAccepted() { ++held_; }
+
+  // A message that was accepted is over.
+  void MessageFinished() { --held_; }
+
+  // Half of the messages that may be in flight are.
+  [[nodiscard]] bool HalfFull() const {
+    return set_.max_in_flight > 0 && 2 * held_ >= set_.max_in_flight;
+  }
+
   bool Admit(Destination& d) {
     UpdateGate(d);
     if (d.gate.mode == Mode::kDiscard) return false;
@@ -372,9 +401,13 @@
     return e.fails_in_row == 0 || !SlotsScarce(1) || sick_out_ < SlotsOf(kSickSlotShare);
   }
 
-  Call& BeginCall(Endpoint& e, Destination& d, std::uint64_t id) {
+  // The call has no message yet; `message_class` is that of its first one.
+  Call& BeginCall(Endpoint& e, Destination& d, std::size_t message_class) {
+    const std::uint64_t id = next_call_++;
     Call& call = calls_[id];
+    call.id = id;
     call.sent = now_;
+    call.message_class = message_class;
     call.sick = e.fails_in_row > 0;
     sick_out_ += call.sick;
     ++e.calls_out;
@@ -384,17 +417,22 @@
   }
 
   // All messages of the call have an outcome: its slot is free.
-  void EndCall(Endpoint& e, std::uint64_t id) {
-    const Call& call = calls_.at(id);
+  void EndCall(Endpoint& e, const Call& call) {
     if (!call.overdue) --e.fresh_out;
     sick_out_ -= call.sick;
     --e.calls_out;
     --destinations_.at(e.entry.destination).calls_out;
-    calls_.erase(id);
+    calls_.erase(call.id);
   }
 
   // ======== pacer: the rate that a limit leaves to this dispatcher, and told waits ========
 
+  // Null if the endpoint is unknown.
+  Endpoint* FindEndpoint(EndpointId id) {
+    const auto it = endpoints_.find(id);
+    return it == endpoints_.end() ? nullptr : &it->second;
+  }
+
   Lane& LaneOf(Endpoint& e) {
     return Apart(e) ? e.own_lane : destinations_.at(e.entry.destination).lane;
   }
@@ -523,15 +561,15 @@
       call.judged = true;
       Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
     }
-    if (--call.out == 0) EndCall(endpoint, attempt.call);
+    if (--call.out == 0) EndCall(endpoint, call);
   }
 
   void CompleteHealthCheck(const HealthCheckCompleted& e) {
-    auto it = endpoints_.find(e.endpoint);
-    if (it == endpoints_.end() || !it->second.probing) return;
-    it->second.probing = false;
-    Heard(LaneOf(it->second), e.report);
-    Judge(it->second, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
+    Endpoint* endpoint = FindEndpoint(e.endpoint);
+    if (endpoint == nullptr || !endpoint->probing) return;
+    endpoint->probing = false;
+    Heard(LaneOf(*endpoint), e.report);
+    Judge(*endpoint, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
           Duration{});
   }
 
@@ -586,6 +624,8 @@
     e.silent_row = 0;
   }
 
+  [[nodiscard]] bool NetworkLosesCalls() const { return loss_ > kLossy; }
+
   void Succeeded(Endpoint& e, const Call& call) {
     const bool outage = e.fails_in_row > 0 && call.sent - e.first_fail > kShortestOutage;
     e.last_answer = std::max(e.last_answer, call.sent);
@@ -666,16 +706,16 @@
   // ======== what other dispatchers know ========
 
   void ApplyQuota(const QuotaLeased& e) {
-    const auto it = endpoints_.find(e.endpoint);
-    if (it != endpoints_.end()) LaneOf(it->second).share = e.rate;
+    Endpoint* endpoint = FindEndpoint(e.endpoint);
+    if (endpoint != nullptr) LaneOf(*endpoint).share = e.rate;
   }
 
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
   void ApplyPeerReport(const PeerHealthReport& w) {
-    const auto it = endpoints_.find(w.endpoint);
-    if (it == endpoints_.end() || it->second.last_answer > now_ - w.age) return;  // ours is newer
-    Endpoint& e = it->second;
+    Endpoint* endpoint = FindEndpoint(w.endpoint);
+    if (endpoint == nullptr || endpoint->last_answer > now_ - w.age) return;  // ours is newer
+    Endpoint& e = *endpoint;
     Lane& lane = LaneOf(e);
     const bool sure = w.witnesses >= kSureWitnesses;
     if (w.health == PeerHealth::kBeingTested) {
@@ -796,8 +836,7 @@
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
   [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
-    const bool crowded = set_.max_in_flight > 0 && 2 * held_ >= set_.max_in_flight;
-    return crowded || BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
+    return HalfFull() || BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
   }
 
   [[nodiscard]] Time GatheredAt(const Message& m) const {
@@ -822,16 +861,14 @@
 
   void SendCall(Endpoint& e, Message& first) {
     Destination& d = destinations_.at(e.entry.destination);
-    const std::uint64_t id = next_call_++;
-    Call& call = BeginCall(e, d, id);
-    call.message_class = first.message_class;
+    Call& call = BeginCall(e, d, first.message_class);
     const bool brief = Brief(first, e);
     for (Message* m = &first; m != nullptr; m = BestMessage(d, &e, brief).message) {
       ++call.out;
       ++m->out;
       d.sends.Add(now_);
       std::erase(d.waiting, m->id);
-      m->attempts.push_back({e.entry.endpoint, now_, id, true, false});
+      m->attempts.push_back({e.entry.endpoint, now_, call.id, true, false});
       actions_.push_back(SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
       if (call.out == BatchOf(e)) break;
     }
@@ -908,9 +945,7 @@
 
   // Time is up, a key's window has closed, or an answer is overdue.
   void ReviewMessages() {
-    std::erase_if(keys_, [this](const auto& k) {
-      return k.second.order.empty() && k.second.rests_until <= now_;
-    });
+    ForgetIdleKeys();
     std::vector<MessageId> ids;
     for (const auto& [id, m] : messages_) {
       if (!m.finished) ids.push_back(id);
@@ -954,7 +989,7 @@
     }
     if (a.cancelled || !set_.cancel_allowed) return;
     const bool repeat = ClassOf(m).effect != Effect::kNotIdempotent;
-    const bool lost = e.last_answer > a.sent || loss_ > kLossy;
+    const bool lost = e.last_answer > a.sent || NetworkLosesCalls();
     const bool silent = now_ - a.sent >= 2 * limit;
     if ((SlotsScarce(0) && (lost || silent)) || (repeat && silent)) CancelOut(m);
   }
@@ -1045,7 +1080,7 @@
       consider(m.not_before);
       consider(GatheredAt(m));
       if (m.may_have_run) consider(*m.may_have_run + ClassOf(m).dedup_window);
-      if (!m.key.empty()) consider(keys_.at(m.key).rests_until);
+      if (!m.key.empty()) consider(KeyRestsUntil(m));
       if (m.out == 0) continue;
       const Attempt& a = m.attempts.back();
       const Duration overdue = OverdueAfter(endpoints_.at(a.endpoint));
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -156,6 +156,7 @@
 };
 
 struct Call {
+  std::uint64_t id = 0;
   Time sent{};
   std::size_t out = 0;            // messages in it without an outcome
   std::size_t message_class = 0;  // of its first message
