--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -1,26 +1,18 @@
-// The decisions of dispatch_policy. Types, events and actions: include/dispatch_policy/choice.hpp.
-//
-// The ordinary path is hysteresis at the door for each destination, after Abaev et al.,
-// "Simulation of Overload Control in SIP Server Networks"; docs/design.md tells what was kept.
-// Sections: ledger, gate, slot share, pacer, breaker, picker, attempts.
 #include "dispatch_policy/dispatch_policy.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
-#include <random>
 #include <set>
 #include <utility>
 
+#include "policy/decision_context.hpp"
 #include "policy/policy_state.hpp"
 
 namespace dispatch_policy {
 namespace {
 
-using std::chrono::duration_cast;
-
-// ---- constants: unit and reason ----
 constexpr double kOnset = 0.9;           // H, share of R; the paper's ratio
 constexpr double kAbatement = 0.78;      // L, share of R; the paper's ratio
 constexpr double kRefusedShare = 0.6;    // q; the paper's value
@@ -68,27 +60,40 @@
 constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
 constexpr double kTollWeight = 10;         // of a route's toll, in points, against its latency
 
-Duration FromSeconds(double s) { return duration_cast<Duration>(Seconds(s)); }
+LogMessage OddRateText(const EndpointEntry& e) {
+  return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
+          std::to_string(e.weight) + " a second, taken for untold"};
+}
+LogMessage TurnedText(Health health, const EndpointEntry& e) {
+  static constexpr const char* kNames[] = {"closed", "open", "recovering"};
+  return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
+          std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
+}
+
+LogMessage LongWaitText(const EndpointEntry& e, Duration wait) {
+  return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
+          std::to_string(ToSeconds(wait)) + " s, past every deadline"};
+}
+// What is left, as a share, of a message's worth at this age.
+double WorthAt(const ClassSettings& c, Duration age, Decay decay) {
+  if (age <= c.latency_objective || c.latency_objective <= Duration{}) return 1;
+  if (decay == Decay::kHalving) {
+    return std::max(c.late_weight_share, std::exp2(-ToSeconds(age - c.latency_objective) /
+                                                   ToSeconds(c.latency_objective)));
+  }
+  const double span = std::max(1e-3, ToSeconds(c.deadline - c.latency_objective));
+  return std::max(c.late_weight_share,
+                  1 - (1 - c.late_weight_share) * ToSeconds(age - c.latency_objective) / span);
+}
 
 }  // namespace
 
 class DispatchPolicy::Impl {
  public:
-  Impl(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
-    set_.group_size = std::max<std::size_t>(set_.group_size, 1);
-    shortest_deadline_ = shortest_aim_ = Duration::max();
-    for (const ClassSettings& c : set_.classes) {
-      longest_deadline_ = std::max(longest_deadline_, c.deadline);
-      shortest_deadline_ = std::min(shortest_deadline_, c.deadline);
-      shortest_aim_ = std::min(shortest_aim_, c.latency_objective);
-    }
-    if (set_.classes.empty()) shortest_deadline_ = shortest_aim_ = std::chrono::seconds(1);
-  }
+  Impl(Settings settings, std::uint64_t seed) : context_(std::move(settings), seed) {}
 
   std::vector<Action> Decide(Time now, std::span<const Event> events) {
-    if (!started_) started_ = now;
-    now_ = std::max(now_, now);
-    actions_.clear();
+    context_.Begin(now);
     Subscribe();
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
@@ -97,7 +102,7 @@
     Dispatch();
     UpdateGates();
     SetWakeUp();
-    return std::move(actions_);
+    return std::move(context_.actions);
   }
 
  private:
@@ -111,21 +116,19 @@
   void On(const QuotaLeased& event) { ApplyQuota(event); }
   void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
 
-  // ======== ledger: each message's attempts, what may have run, its one final answer ========
-
   [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
-    return set_.classes[m.message_class];
+    return settings_.classes[m.message_class];
   }
 
   Destination& DestinationOf(DestinationId id) {
-    const Seconds memory = std::max<Seconds>(kRateMemory, longest_deadline_);
-    return destinations_.try_emplace(id, memory, kPaceMemory, *started_).first->second;
+    const Seconds memory = std::max<Seconds>(kRateMemory, context_.longest_deadline);
+    return destinations_.try_emplace(id, memory, kPaceMemory, *context_.started).first->second;
   }
 
   void AcceptMessage(const MessageArrived& e) {
     if (messages_.count(e.message) != 0) return;
-    if (e.message_class >= set_.classes.size()) {  // of no class: nothing is known to be safe
-      actions_.push_back(RejectMessage{e.message, Duration{}});
+    if (e.message_class >= settings_.classes.size()) {  // of no class: nothing is known to be safe
+      context_.actions.push_back(RejectMessage{e.message, Duration{}});
       return;
     }
     Message m = Taken(e.message, e.message_class, e.time_left);
@@ -133,7 +136,7 @@
     Destination& destination = DestinationOf(e.destination);
     destination.arrivals.Add(now_);
     if (!Admit(destination)) {
-      actions_.push_back(RejectMessage{m.id, RetryAfter(destination, m)});
+      context_.actions.push_back(RejectMessage{m.id, RetryAfter(destination, m)});
       return;
     }
     Hold(std::move(m), e.key);
@@ -143,8 +146,8 @@
   // attempts beyond the allowed ones and repeats that the destination no longer drops.
   void RestoreMessage(const MessageRestored& e) {
     if (messages_.count(e.message) != 0) return;
-    if (e.message_class >= set_.classes.size()) {
-      actions_.push_back(FailMessage{e.message});
+    if (e.message_class >= settings_.classes.size()) {
+      context_.actions.push_back(FailMessage{e.message});
       return;
     }
     Message m = Taken(e.message, e.message_class, e.time_left);
@@ -174,7 +177,7 @@
       keys_[m.key].order.push_back(m.id);
     }
     destinations_.at(m.destination).waiting.push_back(m.id);
-    busy_.insert(m.destination);
+    active_.insert(m.destination);
     MessageAccepted();
     messages_.emplace(m.id, std::move(m));
   }
@@ -202,9 +205,10 @@
   void GiveUp(Message& m) {
     CancelOut(m);
     if (MayRefuse(m)) {
-      actions_.push_back(RejectMessage{m.id, RetryAfter(destinations_.at(m.destination), m)});
+      context_.actions.push_back(
+          RejectMessage{m.id, RetryAfter(destinations_.at(m.destination), m)});
     } else {
-      actions_.push_back(FailMessage{m.id});
+      context_.actions.push_back(FailMessage{m.id});
     }
     Close(m);
   }
@@ -272,15 +276,9 @@
       m.may_have_run = attempt.sent;
       m.ran_in = endpoints_.at(attempt.endpoint).entry.zone;
     }
-    if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + set_.ordering_cooldown;
+    if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + settings_.ordering_cooldown;
   }
 
-  // ======== gate: three modes on the count of messages held unsent for a destination ========
-
-  struct Marks {
-    double abatement, onset, discard;
-  };
-
   // Our even share, in messages a second, of what the destination is said to take; 0 if that is not
   // known or any of its endpoints is in trouble.
   double ShareOf(const Destination& d) {
@@ -290,7 +288,7 @@
       if (e.entry.state != EndpointState::kListed) continue;
       if (e.health != Health::kClosed) return 0;
       const auto batch = static_cast<double>(BatchOf(e));
-      share = std::max(share, LaneOf(e).limit * batch / static_cast<double>(set_.group_size));
+      share = std::max(share, LaneOf(e).limit * batch / static_cast<double>(settings_.group_size));
     }
     return share;
   }
@@ -303,10 +301,10 @@
   // gate).
   Marks MarksOf(const Destination& d) {
     const double rate = std::max(d.sends.Rate(now_), ShareOf(d));
-    double discard = rate * kDeadlineShare * ToSeconds(shortest_deadline_);
+    double discard = rate * kDeadlineShare * ToSeconds(context_.shortest_deadline);
     discard = std::max(discard, kLeastDiscardMark);
-    if (set_.max_in_flight > 0) {
-      const double room = static_cast<double>(set_.max_in_flight) - static_cast<double>(held_);
+    if (settings_.max_in_flight > 0) {
+      const double room = static_cast<double>(settings_.max_in_flight) - static_cast<double>(held_);
       discard = std::max(std::min(discard, kRoomMultiple * room), 1.0);
     }
     return {kAbatement * discard, kOnset * discard, discard};
@@ -331,8 +329,8 @@
   }
 
   void UpdateGates() {
-    for (DestinationId id : busy_) UpdateGate(destinations_.at(id));
-    std::erase_if(busy_, [this](DestinationId id) {
+    for (DestinationId id : active_) UpdateGate(destinations_.at(id));
+    std::erase_if(active_, [this](DestinationId id) {
       const Destination& d = destinations_.at(id);
       return d.waiting.empty() && d.gate.mode == Mode::kNormal;
     });
@@ -346,42 +344,42 @@
 
   // Half of the messages that may be in flight are.
   [[nodiscard]] bool HalfFull() const {
-    return set_.max_in_flight > 0 && 2 * held_ >= set_.max_in_flight;
+    return settings_.max_in_flight > 0 && 2 * held_ >= settings_.max_in_flight;
   }
 
   bool Admit(Destination& d) {
     UpdateGate(d);
     if (d.gate.mode == Mode::kDiscard) return false;
     if (d.gate.mode == Mode::kNormal) return true;
-    return static_cast<double>(random_()) >= kRefusedShare * static_cast<double>(random_.max());
+    return static_cast<double>(context_.random()) >=
+           kRefusedShare * static_cast<double>(context_.random.max());
   }
 
   [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) const {
-    if (!set_.clients_honor_retry_after) return Duration{};
+    if (!settings_.clients_honor_retry_after) return Duration{};
     Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
                               std::max(m.deadline - now_, Duration{}));
-    if (set_.max_retry_after > Duration{}) after = std::min(after, set_.max_retry_after);
+    if (settings_.max_retry_after > Duration{}) after = std::min(after, settings_.max_retry_after);
     return after;
   }
 
-  // ======== slot share: the companion keeps one destination from filling the slots ========
-
   [[nodiscard]] std::size_t FreeSlots() const {
-    if (set_.max_concurrent_calls == 0) return SIZE_MAX;
-    return set_.max_concurrent_calls > calls_.size() ? set_.max_concurrent_calls - calls_.size()
-                                                     : 0;
+    if (settings_.max_concurrent_calls == 0) return SIZE_MAX;
+    return settings_.max_concurrent_calls > calls_.size()
+               ? settings_.max_concurrent_calls - calls_.size()
+               : 0;
   }
 
   // Few slots would be left free once `taken` more are filled. The companion counts the slot that
   // it is about to give: with five slots or fewer there would be nothing left to share otherwise.
   [[nodiscard]] bool SlotsScarce(std::size_t taken) const {
-    return set_.max_concurrent_calls > 0 &&
+    return settings_.max_concurrent_calls > 0 &&
            static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
-               kScarceSlots * static_cast<double>(set_.max_concurrent_calls);
+               kScarceSlots * static_cast<double>(settings_.max_concurrent_calls);
   }
 
   [[nodiscard]] bool OthersHoldWork(const Destination& d) const {
-    return std::any_of(busy_.begin(), busy_.end(), [&](DestinationId id) {
+    return std::any_of(active_.begin(), active_.end(), [&](DestinationId id) {
       const Destination& other = destinations_.at(id);
       return &other != &d && !other.waiting.empty();
     });
@@ -392,7 +390,7 @@
   }
 
   [[nodiscard]] double SlotsOf(double share) const {
-    return std::max(1.0, std::floor(share * static_cast<double>(set_.max_concurrent_calls)));
+    return std::max(1.0, std::floor(share * static_cast<double>(settings_.max_concurrent_calls)));
   }
 
   // All sick endpoints share a quarter. Guards against many destinations that are each a little
@@ -425,8 +423,6 @@
     calls_.erase(call.id);
   }
 
-  // ======== pacer: the rate that a limit leaves to this dispatcher, and told waits ========
-
   // Null if the endpoint is unknown.
   Endpoint* FindEndpoint(EndpointId id) {
     const auto it = endpoints_.find(id);
@@ -439,12 +435,13 @@
 
   // Each endpoint of its kind is a route with its own limit, pace and outages.
   [[nodiscard]] bool Apart(const Endpoint& e) const {
-    return e.entry.kind < set_.kinds.size() && set_.kinds[e.entry.kind].per_endpoint_limits;
+    return e.entry.kind < settings_.kinds.size() &&
+           settings_.kinds[e.entry.kind].per_endpoint_limits;
   }
 
   [[nodiscard]] std::size_t BatchOf(const Endpoint& e) const {
-    if (e.entry.kind >= set_.kinds.size()) return 1;
-    return std::max<std::size_t>(1, set_.kinds[e.entry.kind].max_batch);
+    if (e.entry.kind >= settings_.kinds.size()) return 1;
+    return std::max<std::size_t>(1, settings_.kinds[e.entry.kind].max_batch);
   }
 
   // Books a call or a probe: the next one waits for the pace.
@@ -457,21 +454,14 @@
     lane.next_call = std::max(lane.next_call, now_) + FromSeconds(gap);
   }
 
-  // Half to one and a half of it, from the seed: dispatchers that were hit together come back
-  // apart.
-  Duration Spread(Duration d) {
-    return d / 2 + FromSeconds(ToSeconds(d) * static_cast<double>(random_()) /
-                               static_cast<double>(random_.max()));
-  }
-
   // Our part of what the destination gets from all, in calls a second: our own demand, which adds
   // up to everybody's however uneven it is, or an even share of the limit. No part may be a
   // constant: guards against fifty dispatchers that each send a harmless trickle.
   double PartOf(Endpoint& e) {
     double demand = destinations_.at(e.entry.destination).arrivals.Rate(now_);
-    if (BatchOf(e) > 1) demand = std::min(demand, 1 / (kGather * ToSeconds(shortest_aim_)));
+    if (BatchOf(e) > 1) demand = std::min(demand, 1 / (kGather * ToSeconds(context_.shortest_aim)));
     const double even = std::max(LaneOf(e).limit, kLeastLimit);
-    return std::max(demand, even / static_cast<double>(set_.group_size));
+    return std::max(demand, even / static_cast<double>(settings_.group_size));
   }
 
   // A reported limit is all dispatchers' together: no one of them goes over it.
@@ -496,10 +486,10 @@
   }
 
   [[nodiscard]] double ShareUsed(const Lane& lane) const {
-    return kShareUsed * lane.limit / static_cast<double>(set_.group_size);
+    return kShareUsed * lane.limit / static_cast<double>(settings_.group_size);
   }
 
-  [[nodiscard]] bool ManyShare() const { return set_.group_size >= kManySharers; }
+  [[nodiscard]] bool ManyShare() const { return settings_.group_size >= kManySharers; }
 
   [[nodiscard]] bool Seldom(double part) const {
     return ManyShare() && part * kPaceMemory.count() < kFewCalls;
@@ -528,14 +518,14 @@
     const double calls = doubled == 1 && told > Duration{} ? 0 : kPauseCalls * doubled;
     const Duration asked = std::max(kFullPause * doubled, FromSeconds(calls / part));
     const Duration pause = std::min(asked, std::max(kFullPause, trial_gap));
-    lane.next_call = std::max(lane.next_call, now_ + told + Spread(pause));
-    // A cold one tells nothing of its limit. Guards against a crawl long after its return.
+    lane.next_call = std::max(lane.next_call, now_ + told + context_.Spread(pause));
+    // While warming up it rejects below its limit: a rate learned now would stay too low.
     if (e.health != Health::kClosed) return;
     if (lane.rate > 0 && now_ - lane.rate_changed < kFullPause) return;  // the same overshoot
     if (Seldom(part)) {
       PaceSeldom(lane, part);
       const Duration gap = FromSeconds(1 / lane.rate);
-      lane.next_call = std::max(lane.next_call, now_ + told + Spread(gap));
+      lane.next_call = std::max(lane.next_call, now_ + told + context_.Spread(gap));
       return;
     }
     lane.seldom = false;
@@ -545,16 +535,14 @@
     lane.rate_changed = now_;
   }
 
-  // ======== breaker: outages, the trial call, the slow start within the fail-back budget ========
-
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = endpoints_.at(attempt.endpoint);
     Lane& lane = LaneOf(endpoint);
     Call& call = calls_.at(attempt.call);
     // A wait binds whichever message of a batch was told of it, however long it is.
     lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
-    if (e.retry_after > longest_deadline_) {
-      actions_.push_back(LongWaitText(endpoint.entry, e.retry_after));
+    if (e.retry_after > context_.longest_deadline) {
+      context_.actions.push_back(LongWaitText(endpoint.entry, e.retry_after));
     }
     Heard(lane, e.report);
     if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
@@ -598,7 +586,7 @@
   // It answered lately, so a reset is its connection's end and not its own. Guards against one call
   // at a time where connections are often cut; an endpoint that died refuses the next one.
   [[nodiscard]] bool Answered(const Endpoint& e) const {
-    return e.last_answer > Time{} && now_ - e.last_answer < shortest_aim_;
+    return e.last_answer > Time{} && now_ - e.last_answer < context_.shortest_aim;
   }
 
   // No more connections for us than there are, and one more with each pause from then on. That is
@@ -607,7 +595,7 @@
   void OnCrowded(Endpoint& e) {
     e.places = std::max(1, e.calls_out - 1);
     e.crowded = now_;
-    if (e.calls_out <= 1) e.next_call = now_ + Spread(kFullPause);
+    if (e.calls_out <= 1) e.next_call = now_ + context_.Spread(kFullPause);
   }
 
   [[nodiscard]] bool HasPlace(const Endpoint& e) const {
@@ -633,8 +621,6 @@
     e.failure *= 1 - kFailureGain;
     if (call.message_class < e.class_failure.size()) e.class_failure[call.message_class] /= 2;
     e.fails_in_row = 0;
-    // An answer to a call from before it shut tells nothing of its return. Guards against the full
-    // rate at the moment a told wait is over.
     if (e.health != Health::kOpen || (e.shut && call.sent < e.since)) return;
     Turn(e, outage || e.shut ? Health::kRecovering : Health::kClosed);
   }
@@ -647,7 +633,7 @@
     e.closed = closed;
     if (e.fails_in_row++ == 0) e.first_fail = call.sent;
     if (e.health == Health::kRecovering && call.sent < e.since) return;  // older than the recovery
-    e.class_failure.resize(set_.classes.size());
+    e.class_failure.resize(settings_.classes.size());
     if (call.message_class < e.class_failure.size()) {
       double& failure = e.class_failure[call.message_class];
       failure += (1 - failure) / 2;
@@ -673,7 +659,7 @@
 
   void Turn(Endpoint& e, Health health) {
     Lane& lane = LaneOf(e);
-    // Guards against a hundred backlogs that are sent at once when all take it for warm.
+    // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
     if (e.health == Health::kRecovering && health == Health::kClosed) {
       const double part = PartOf(e);
       if (Seldom(part)) PaceSeldom(lane, part);
@@ -681,30 +667,28 @@
     e.health = health;
     e.shut = false;
     e.since = now_;
-    lane.next_trial = std::max(lane.next_trial, now_ + Spread(TrialGap(e)));
-    actions_.push_back(TurnedText(health, e.entry));
+    lane.next_trial = std::max(lane.next_trial, now_ + context_.Spread(TrialGap(e)));
+    context_.actions.push_back(TurnedText(health, e.entry));
   }
 
   // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
   void Paced(Endpoint& e) {
     PaceNext(e);
-    if (e.health != Health::kClosed) LaneOf(e).next_trial = now_ + Spread(TrialGap(e));
+    if (e.health != Health::kClosed) LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
   }
 
   // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
   // over the cold time once it answers; for our part of its traffic, as the others see to theirs.
   Duration TrialGap(Endpoint& e) {
-    double warm = set_.slow_start_share;
-    if (e.health == Health::kRecovering && set_.slow_start_duration > Duration{}) {
-      warm += (1 - set_.slow_start_share) *
-              std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(set_.slow_start_duration));
+    double warm = settings_.slow_start_share;
+    if (e.health == Health::kRecovering && settings_.slow_start_duration > Duration{}) {
+      warm += (1 - settings_.slow_start_share) *
+              std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(settings_.slow_start_duration));
     }
-    const double rate = PartOf(e) * warm * kBudgetShare * set_.collapse_load_multiple;
+    const double rate = PartOf(e) * warm * kBudgetShare * settings_.collapse_load_multiple;
     return FromSeconds(1 / std::max(rate, kLeastTrials));
   }
 
-  // ======== what other dispatchers know ========
-
   void ApplyQuota(const QuotaLeased& e) {
     Endpoint* endpoint = FindEndpoint(e.endpoint);
     if (endpoint != nullptr) LaneOf(*endpoint).share = e.rate;
@@ -713,9 +697,9 @@
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
   void ApplyPeerReport(const PeerHealthReport& w) {
-    Endpoint* endpoint = FindEndpoint(w.endpoint);
-    if (endpoint == nullptr || endpoint->last_answer > now_ - w.age) return;  // ours is newer
-    Endpoint& e = *endpoint;
+    Endpoint* known = FindEndpoint(w.endpoint);
+    if (known == nullptr || known->last_answer > now_ - w.age) return;  // ours is newer
+    Endpoint& e = *known;
     Lane& lane = LaneOf(e);
     const bool sure = w.witnesses >= kSureWitnesses;
     if (w.health == PeerHealth::kBeingTested) {
@@ -723,29 +707,28 @@
     } else if (w.health == PeerHealth::kServing) {
       if (e.health != Health::kOpen) return;
       if (sure) Turn(e, Health::kRecovering);
-      lane.next_trial = std::min(lane.next_trial, now_ + Spread(kFullPause));
+      lane.next_trial = std::min(lane.next_trial, now_ + context_.Spread(kFullPause));
     } else if (!sure) {
       if (e.fails_in_row > 0) return;
       e.fails_in_row = 1;
       e.first_fail = now_;
     } else if (w.health == PeerHealth::kRetryAfter) {
-      lane.wait_until = std::max(lane.wait_until, now_ + std::min(w.duration, longest_deadline_));
+      lane.wait_until =
+          std::max(lane.wait_until, now_ + std::min(w.duration, context_.longest_deadline));
     } else if (e.health == Health::kClosed) {
       Turn(e, w.health == PeerHealth::kFailing ? Health::kOpen : Health::kRecovering);
       if (w.health == PeerHealth::kWarmingUp) e.since = now_ - std::min(w.age, now_);
     }
   }
 
-  // ======== picker: which held message gets the next slot ========
-
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
   [[nodiscard]] double Urgency(const Message& m) const {
     const ClassSettings& c = ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
-    const double value = WorthAt(c, age, set_.decay);
+    const double value = WorthAt(c, age, settings_.decay);
     const double later = m.deadline - now_ <= c.latency_objective / 2
                              ? 0
-                             : WorthAt(c, age + c.latency_objective / 2, set_.decay);
+                             : WorthAt(c, age + c.latency_objective / 2, settings_.decay);
     return c.priority_weight * (value - later + kFloorUrgency * value);
   }
 
@@ -763,13 +746,13 @@
   // few, whose trials come often, a message would spend all its attempts on them.
   [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) const {
     const Effect effect = ClassOf(m).effect;
-    return effect == Effect::kIdempotent || !set_.health_checks_allowed ||
+    return effect == Effect::kIdempotent || !settings_.health_checks_allowed ||
            (effect == Effect::kIdempotentWithKey && e.closed && ManyShare());
   }
 
   bool CanCall(Endpoint& e) {
     Lane& lane = LaneOf(e);
-    if (e.health == Health::kRecovering && now_ - e.since > set_.slow_start_duration) {
+    if (e.health == Health::kRecovering && now_ - e.since > settings_.slow_start_duration) {
       Turn(e, Health::kClosed);
     }
     if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
@@ -781,7 +764,7 @@
   // Its latency with our calls there, dearer the more of the class's calls failed. Guards against
   // one class that fails at one endpoint: its messages go to the others, and the rest stay.
   [[nodiscard]] double CostOf(const Endpoint& e, std::size_t message_class) const {
-    const double latency = e.latency > 0 ? e.latency : ToSeconds(shortest_aim_) / 10;
+    const double latency = e.latency > 0 ? e.latency : ToSeconds(context_.shortest_aim) / 10;
     const double failure =
         message_class < e.class_failure.size() ? e.class_failure[message_class] : e.failure;
     const double sick = e.health == Health::kClosed ? failure : 1 + failure;
@@ -790,8 +773,9 @@
 
   // What the route's zone costs for each message it takes on; other endpoints cost nothing.
   [[nodiscard]] double TollOf(const Endpoint& e) const {
-    return Apart(e) && e.entry.zone < set_.zone_penalty.size() ? set_.zone_penalty[e.entry.zone]
-                                                               : 0;
+    return Apart(e) && e.entry.zone < settings_.zone_penalty.size()
+               ? settings_.zone_penalty[e.entry.zone]
+               : 0;
   }
 
   Endpoint* BestEndpoint(Destination& d, std::size_t message_class) {
@@ -813,7 +797,7 @@
   // `joined` if given, which a brief message began.
   Candidate BestMessage(Destination& d, Endpoint* joined = nullptr, bool brief = false) {
     Candidate best;
-    std::vector<std::optional<Endpoint*>> where(set_.classes.size());
+    std::vector<std::optional<Endpoint*>> where(settings_.classes.size());
     for (MessageId id : d.waiting) {
       Message& m = messages_.at(id);
       std::optional<Endpoint*>& e = where[m.message_class];
@@ -847,7 +831,7 @@
   void Dispatch() {
     while (FreeSlots() > 0) {
       Candidate best;
-      for (DestinationId id : busy_) {
+      for (DestinationId id : active_) {
         Destination& d = destinations_.at(id);
         if (d.waiting.empty() || !WithinSlotShare(d)) continue;
         const Candidate c = BestMessage(d);
@@ -869,7 +853,8 @@
       d.sends.Add(now_);
       std::erase(d.waiting, m->id);
       m->attempts.push_back({e.entry.endpoint, now_, call.id, true, false});
-      actions_.push_back(SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
+      context_.actions.push_back(
+          SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
       if (call.out == BatchOf(e)) break;
     }
     Paced(e);
@@ -877,8 +862,8 @@
 
   // A probe is the trial call where no held message may be risked.
   void SendProbes() {
-    if (!set_.health_checks_allowed) return;
-    for (DestinationId id : busy_) {
+    if (!settings_.health_checks_allowed) return;
+    for (DestinationId id : active_) {
       Destination& d = destinations_.at(id);
       if (d.waiting.empty()) continue;
       Endpoint* e = BestEndpoint(d, SIZE_MAX);
@@ -887,24 +872,22 @@
       if (std::any_of(d.waiting.begin(), d.waiting.end(), may_try)) continue;
       e->probing = true;
       Paced(*e);
-      actions_.push_back(StartHealthCheck{e->entry.endpoint});
+      context_.actions.emplace_back(StartHealthCheck{e->entry.endpoint});
     }
   }
 
-  // ======== attempts: time-outs, further attempts, surrender ========
-
   // Doubled with each failure in a row, so that an endpoint that has become slow is still heard.
   [[nodiscard]] Duration OverdueAfter(const Endpoint& e) const {
     const double usual = e.latency + kOverdueSpreads * e.spread;
-    const double least = kLeastOverdue * ToSeconds(shortest_aim_);
+    const double least = kLeastOverdue * ToSeconds(context_.shortest_aim);
     const double known = e.latency > 0 ? std::max(usual, least) : 2 * least;
     const int doublings = std::min(e.fails_in_row, kMostDoublings);
-    return std::min(FromSeconds(known) * (1 << doublings), 2 * shortest_aim_);
+    return std::min(FromSeconds(known) * (1 << doublings), 2 * context_.shortest_aim);
   }
 
   [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) const {
-    const Duration left = std::max<Duration>(m.deadline - now_, set_.decision_interval);
-    if (set_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
+    const Duration left = std::max<Duration>(m.deadline - now_, settings_.decision_interval);
+    if (settings_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
     return std::min(left, 2 * OverdueAfter(e));
   }
 
@@ -914,8 +897,8 @@
   }
 
   [[nodiscard]] bool Spent(const Message& m) const {
-    const bool all =
-        set_.max_attempts > 0 && m.attempts_before + m.attempts.size() >= set_.max_attempts;
+    const bool all = settings_.max_attempts > 0 &&
+                     m.attempts_before + m.attempts.size() >= settings_.max_attempts;
     const bool lost =
         (m.may_have_run && ClassOf(m).effect == Effect::kNotIdempotent) || WindowClosed(m);
     return all || lost;
@@ -924,35 +907,32 @@
   void AfterFailure(Message& m, const AttemptCompleted& e) {
     if (e.exhausted || Spent(m)) return GiveUp(m);
     if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
-    // Guards against all attempts spent within a few turns while no slot is free.
+    // Without a pause all attempts would be used up while no slot is free.
     if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kConnectionLimitReached) {
       m.not_before = now_ + kUnsentPause;
     }
-    busy_.insert(m.destination);
+    active_.insert(m.destination);
     std::vector<MessageId>& waiting = destinations_.at(m.destination).waiting;
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
   }
 
   void CancelOut(Message& m) {
-    if (!set_.cancel_allowed) return;
+    if (!settings_.cancel_allowed) return;
     for (std::size_t i = 0; i < m.attempts.size(); ++i) {
       Attempt& a = m.attempts[i];
       if (!a.out || a.cancelled) continue;
       a.cancelled = true;
-      actions_.push_back(CancelAttempt{m.id, i});
+      context_.actions.push_back(CancelAttempt{m.id, i});
     }
   }
 
   // Time is up, a key's window has closed, or an answer is overdue.
   void ReviewMessages() {
     ForgetIdleKeys();
-    std::vector<MessageId> ids;
-    for (const auto& [id, m] : messages_) {
-      if (!m.finished) ids.push_back(id);
-    }
-    for (MessageId id : ids) {
-      Message& m = messages_.at(id);
-      const Time last = m.deadline - set_.decision_interval;
+    for (auto it = messages_.begin(); it != messages_.end();) {
+      Message& m = it++->second;  // giving it up may erase it
+      if (m.finished) continue;
+      const Time last = m.deadline - settings_.decision_interval;
       if (now_ >= last || (m.out == 0 && (WindowClosed(m) || WaitsPast(m.destination, last)))) {
         GiveUp(m);
       } else if (m.out > 0) {
@@ -987,18 +967,16 @@
       ++e.silent_row;
       Failed(e, call);
     }
-    if (a.cancelled || !set_.cancel_allowed) return;
+    if (a.cancelled || !settings_.cancel_allowed) return;
     const bool repeat = ClassOf(m).effect != Effect::kNotIdempotent;
     const bool lost = e.last_answer > a.sent || NetworkLosesCalls();
     const bool silent = now_ - a.sent >= 2 * limit;
     if ((SlotsScarce(0) && (lost || silent)) || (repeat && silent)) CancelOut(m);
   }
 
-  // ======== lists and time ========
-
   void Subscribe() {
-    if (set_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
-      actions_.push_back(SubscribeToEndpointList{});
+    if (settings_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
+      context_.actions.push_back(SubscribeToEndpointList{});
     }
   }
 
@@ -1014,11 +992,11 @@
     }
     for (const EndpointEntry& entry : e.entries) {
       const auto [it, added] =
-          endpoints_.try_emplace(entry.endpoint, entry, kPaceMemory, *started_);
+          endpoints_.try_emplace(entry.endpoint, entry, kPaceMemory, *context_.started);
       if (added) DestinationOf(entry.destination).endpoints.push_back(entry.endpoint);
       it->second.entry = entry;
       Lane& lane = LaneOf(it->second);
-      if (set_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = Listed(entry);
+      if (settings_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = Listed(entry);
     }
     ForgetRemoved();
     for (const EndpointEntry& entry : e.entries) NoteNoneListed(entry.destination);
@@ -1027,7 +1005,7 @@
   // A listed rate that cannot be meant counts as untold. Guards against a gate that lets all in.
   double Listed(const EndpointEntry& entry) {
     if (entry.weight >= 0 && entry.weight <= kMostRate) return entry.weight;
-    actions_.push_back(OddRateText(entry));
+    context_.actions.push_back(OddRateText(entry));
     return 0;
   }
 
@@ -1041,7 +1019,7 @@
     const bool none =
         std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
     if (none && !it->second.none_listed) {
-      actions_.push_back(
+      context_.actions.push_back(
           LogMessage{"destination " + std::to_string(id) + " has no endpoint that takes work"});
     }
     it->second.none_listed = none;
@@ -1050,7 +1028,7 @@
   // What was removed long ago and has no call out. Guards against endpoints that are replaced for
   // as long as the process lives. What is known of one that is listed again soon is kept.
   void ForgetRemoved() {
-    const Duration kept = std::max(longest_deadline_, set_.slow_start_duration);
+    const Duration kept = std::max(context_.longest_deadline, settings_.slow_start_duration);
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
       auto& [id, e] = *it;
       if (e.entry.state != EndpointState::kRemoved) {
@@ -1076,7 +1054,7 @@
     };
     for (const auto& [id, m] : messages_) {
       if (m.finished) continue;
-      consider(m.deadline - set_.decision_interval);
+      consider(m.deadline - settings_.decision_interval);
       consider(m.not_before);
       consider(GatheredAt(m));
       if (m.may_have_run) consider(*m.may_have_run + ClassOf(m).dedup_window);
@@ -1087,7 +1065,7 @@
       consider(a.sent + overdue);
       consider(a.sent + 2 * overdue);
     }
-    for (DestinationId id : busy_) {
+    for (DestinationId id : active_) {
       Destination& d = destinations_.at(id);
       if (d.waiting.empty()) continue;
       for (EndpointId e : d.endpoints) {
@@ -1099,28 +1077,25 @@
     }
     if (next == Time::max() || (wake_at_ > now_ && wake_at_ <= next)) return;
     wake_at_ = next;
-    actions_.push_back(SetTimer{0, next});
+    context_.actions.push_back(SetTimer{0, next});
   }
 
-  Settings set_;
-  std::mt19937_64 random_;
-  Duration shortest_deadline_, shortest_aim_, longest_deadline_{};
-  std::optional<Time> started_;
-  Time now_ = Time::min();
-  Time wake_at_ = Time::min();
+  DecisionContext context_;
+  const Settings& settings_ = context_.settings;
+  const Time& now_ = context_.now;
   std::optional<std::uint64_t> version_;
   bool subscribed_ = false;
-  std::size_t held_ = 0;
-  int sick_out_ = 0;  // calls out to endpoints whose last call had failed
-  double loss_ = 0;   // share of answers that came after a lost call
-  std::uint64_t next_call_ = 0;
-  std::map<MessageId, Message> messages_;
-  std::map<std::string, KeyLine> keys_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, Destination> destinations_;
-  std::set<DestinationId> busy_;  // hold messages, or their gate is not in normal mode
+  std::set<DestinationId> active_;
+  std::uint64_t next_call_ = 0;
+  int sick_out_ = 0;
   std::map<std::uint64_t, Call> calls_;
-  std::vector<Action> actions_;
+  std::size_t held_ = 0;
+  std::map<MessageId, Message> messages_;
+  std::map<std::string, KeyLine> keys_;
+  double loss_ = 0;
+  Time wake_at_ = Time::min();
 };
 
 DispatchPolicy::DispatchPolicy(Settings settings, std::uint64_t seed)
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -1,11 +1,8 @@
-// What the decision module remembers of messages, endpoints and destinations, and its meter of
-// rates. Records only: every decision on them is in choice.cpp.
+// What the policy remembers of messages, calls, endpoints and destinations. Records only: the
+// components decide on them.
 #ifndef BRASSFRONT_POLICY_POLICY_STATE_HPP_
 #define BRASSFRONT_POLICY_POLICY_STATE_HPP_
 
-#include <algorithm>
-#include <chrono>
-#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -13,39 +10,12 @@
 #include <string>
 #include <vector>
 
-#include "dispatch_policy/dispatch_policy.hpp"
+#include "dispatch_policy/events.hpp"
+#include "policy/rate_estimator.hpp"
+#include "policy/seconds.hpp"
 
 namespace dispatch_policy {
 
-using Seconds = std::chrono::duration<double>;
-
-inline double ToSeconds(Duration d) { return std::chrono::duration_cast<Seconds>(d).count(); }
-
-// Events a second, forgotten exponentially. What was seen since the start counts for the whole
-// memory: a dispatcher that has just started does not take its rates for low, and the rates of all
-// dispatchers add up to that of the group however seldom each sees an event.
-class Meter {
- public:
-  Meter(Seconds memory, Time first) : memory_(memory.count()), first_(first) {}
-  void Add(Time now) {
-    value_ = value_ * Left(now - last_) + 1 / memory_;
-    last_ = now;
-  }
-  [[nodiscard]] double Rate(Time now) const {
-    if (value_ <= 0) return 0;
-    const Duration seen = std::max<Duration>(now - first_, std::chrono::seconds(1));
-    return value_ * Left(now - last_) / (1 - Left(seen));
-  }
-
- private:
-  [[nodiscard]] double Left(Duration d) const { return std::exp(-ToSeconds(d) / memory_); }
-
-  double memory_;
-  double value_ = 0;
-  Time first_{};
-  Time last_{};
-};
-
 // ---- state ----
 struct Attempt {
   EndpointId endpoint = 0;
@@ -165,35 +135,10 @@
   bool judged = false;            // one fate: the first outcome speaks for all
 };
 
-// What is left, as a share, of a message's worth at this age.
-inline double WorthAt(const ClassSettings& c, Duration age, Decay decay) {
-  if (age <= c.latency_objective || c.latency_objective <= Duration{}) return 1;
-  if (decay == Decay::kHalving) {
-    return std::max(c.late_weight_share, std::exp2(-ToSeconds(age - c.latency_objective) /
-                                                   ToSeconds(c.latency_objective)));
-  }
-  const double span = std::max(1e-3, ToSeconds(c.deadline - c.latency_objective));
-  return std::max(c.late_weight_share,
-                  1 - (1 - c.late_weight_share) * ToSeconds(age - c.latency_objective) / span);
-}
-
-// ---- texts of the log ----
-
-inline LogMessage TurnedText(Health health, const EndpointEntry& e) {
-  static constexpr const char* kNames[] = {"closed", "open", "recovering"};
-  return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
-          std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
-}
-
-inline LogMessage LongWaitText(const EndpointEntry& e, Duration wait) {
-  return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
-          std::to_string(ToSeconds(wait)) + " s, past every deadline"};
-}
-
-inline LogMessage OddRateText(const EndpointEntry& e) {
-  return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
-          std::to_string(e.weight) + " a second, taken for untold"};
-}
+// Numbers of unsent messages at which an admission gate changes its mode.
+struct Marks {
+  double abatement, onset, discard;
+};
 
 }  // namespace dispatch_policy
 
