--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "policy/decision_context.hpp"
+#include "policy/endpoint_registry.hpp"
 #include "policy/policy_state.hpp"
 
 namespace dispatch_policy {
@@ -23,8 +24,6 @@
 constexpr double kScarceSlots = 0.2;     // share of slots free below which the companion acts
 constexpr double kSlotShare = 0.5;       // of the slots for one destination then
 constexpr double kSickSlotShare = 0.25;  // and for all endpoints whose last call failed
-constexpr Seconds kRateMemory{10};       // s; longer than clumps and limit spans
-constexpr Seconds kPaceMemory{3};        // s; a limit's span is one to two
 constexpr double kBackOff = 0.85;        // of the accepted rate, after a refusal
 constexpr double kRegain = 0.15;  // growth of a rate in a second; more each span without refusals
 constexpr double kLittleLeft = 0.3;  // reported share of a limit below which no rate grows
@@ -55,15 +54,10 @@
 constexpr double kFloorUrgency = 0.02;     // worth of sending what loses nothing by waiting
 constexpr double kLossGain = 0.1;          // weight of the newest answer in the share of loss
 constexpr double kLossy = 0.08;            // of answers after a lost call, and it is the network
-constexpr double kMostRate = 1e6;          // calls a second: a listed rate above it is not meant
 constexpr double kLeastLeased = 0.05;      // calls a second: a share below it is one call in 20 s
 constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
 constexpr double kTollWeight = 10;         // of a route's toll, in points, against its latency
 
-LogMessage OddRateText(const EndpointEntry& e) {
-  return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
-          std::to_string(e.weight) + " a second, taken for untold"};
-}
 LogMessage TurnedText(Health health, const EndpointEntry& e) {
   static constexpr const char* kNames[] = {"closed", "open", "recovering"};
   return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
@@ -94,7 +88,7 @@
 
   std::vector<Action> Decide(Time now, std::span<const Event> events) {
     context_.Begin(now);
-    Subscribe();
+    registry_.Subscribe();
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
     }
@@ -111,20 +105,15 @@
   void On(const MessageCancelled& event) { CancelMessage(event); }
   void On(const AttemptCompleted& event) { CompleteAttempt(event); }
   void On(const HealthCheckCompleted& event) { CompleteHealthCheck(event); }
-  void On(const EndpointList& event) { ApplyList(event); }
+  void On(const EndpointList& event) { registry_.ApplyList(event); }
   void On(const TimerFired&) { ExpireTimer(); }
   void On(const QuotaLeased& event) { ApplyQuota(event); }
   void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
 
-  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
+  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) {
     return settings_.classes[m.message_class];
   }
 
-  Destination& DestinationOf(DestinationId id) {
-    const Seconds memory = std::max<Seconds>(kRateMemory, context_.longest_deadline);
-    return destinations_.try_emplace(id, memory, kPaceMemory, *context_.started).first->second;
-  }
-
   void AcceptMessage(const MessageArrived& e) {
     if (messages_.count(e.message) != 0) return;
     if (e.message_class >= settings_.classes.size()) {  // of no class: nothing is known to be safe
@@ -133,7 +122,7 @@
     }
     Message m = Taken(e.message, e.message_class, e.time_left);
     m.destination = e.destination;
-    Destination& destination = DestinationOf(e.destination);
+    Destination& destination = registry_.DestinationOf(e.destination);
     destination.arrivals.Add(now_);
     if (!Admit(destination)) {
       context_.actions.push_back(RejectMessage{m.id, RetryAfter(destination, m)});
@@ -154,14 +143,14 @@
     m.destination = e.destination;
     m.attempts_before = e.attempts_used;
     m.may_have_run = e.may_have_run;
-    const Endpoint* ran_on = FindEndpoint(e.ran_on_endpoint);
+    const Endpoint* ran_on = registry_.FindEndpoint(e.ran_on_endpoint);
     if (e.may_have_run && ran_on != nullptr) m.ran_in = ran_on->entry.zone;
-    DestinationOf(e.destination);
+    registry_.DestinationOf(e.destination);
     Hold(std::move(m), e.key);
     if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
   }
 
-  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) const {
+  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) {
     Message m;
     m.id = id;
     m.message_class = message_class;
@@ -176,8 +165,8 @@
       m.key = key;
       keys_[m.key].order.push_back(m.id);
     }
-    destinations_.at(m.destination).waiting.push_back(m.id);
-    active_.insert(m.destination);
+    registry_.DestinationAt(m.destination).waiting.push_back(m.id);
+    registry_.active_destinations().insert(m.destination);
     MessageAccepted();
     messages_.emplace(m.id, std::move(m));
   }
@@ -189,14 +178,14 @@
     Close(it->second);
   }
 
-  [[nodiscard]] bool MayRefuse(const Message& m) const {
+  [[nodiscard]] bool MayRefuse(const Message& m) {
     const ClassSettings& c = ClassOf(m);
     if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kIdempotent) return true;
     return c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination;
   }
 
   // A keyed message that may have run is not sent again once its destination may have forgotten it.
-  [[nodiscard]] bool WindowClosed(const Message& m) const {
+  [[nodiscard]] bool WindowClosed(const Message& m) {
     return m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
            now_ - *m.may_have_run >= ClassOf(m).dedup_window;
   }
@@ -206,7 +195,7 @@
     CancelOut(m);
     if (MayRefuse(m)) {
       context_.actions.push_back(
-          RejectMessage{m.id, RetryAfter(destinations_.at(m.destination), m)});
+          RejectMessage{m.id, RetryAfter(registry_.DestinationAt(m.destination), m)});
     } else {
       context_.actions.push_back(FailMessage{m.id});
     }
@@ -217,7 +206,7 @@
   void Close(Message& m) {
     m.finished = true;
     MessageFinished();
-    std::erase(destinations_.at(m.destination).waiting, m.id);
+    std::erase(registry_.DestinationAt(m.destination).waiting, m.id);
     Forget(m.id);
   }
 
@@ -228,7 +217,7 @@
     messages_.erase(it);
   }
 
-  [[nodiscard]] Time KeyRestsUntil(const Message& m) const { return keys_.at(m.key).rests_until; }
+  [[nodiscard]] Time KeyRestsUntil(const Message& m) { return keys_.at(m.key).rests_until; }
 
   void ForgetIdleKeys() {
     std::erase_if(keys_, [this](const auto& k) {
@@ -236,7 +225,7 @@
     });
   }
 
-  [[nodiscard]] bool KeyFree(const Message& m) const {
+  [[nodiscard]] bool KeyFree(const Message& m) {
     if (m.key.empty()) return true;
     const KeyLine& line = keys_.at(m.key);
     return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
@@ -274,7 +263,7 @@
                        e.outcome == Outcome::kCancelled;
     if ((doubt || e.outcome == Outcome::kError) && !m.may_have_run) {
       m.may_have_run = attempt.sent;
-      m.ran_in = endpoints_.at(attempt.endpoint).entry.zone;
+      m.ran_in = registry_.EndpointAt(attempt.endpoint).entry.zone;
     }
     if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + settings_.ordering_cooldown;
   }
@@ -284,11 +273,12 @@
   double ShareOf(const Destination& d) {
     double share = 0;
     for (EndpointId id : d.endpoints) {
-      Endpoint& e = endpoints_.at(id);
+      Endpoint& e = registry_.EndpointAt(id);
       if (e.entry.state != EndpointState::kListed) continue;
       if (e.health != Health::kClosed) return 0;
-      const auto batch = static_cast<double>(BatchOf(e));
-      share = std::max(share, LaneOf(e).limit * batch / static_cast<double>(settings_.group_size));
+      const auto batch = static_cast<double>(registry_.BatchOf(e));
+      share = std::max(
+          share, registry_.LaneOf(e).limit * batch / static_cast<double>(settings_.group_size));
     }
     return share;
   }
@@ -329,9 +319,10 @@
   }
 
   void UpdateGates() {
-    for (DestinationId id : active_) UpdateGate(destinations_.at(id));
-    std::erase_if(active_, [this](DestinationId id) {
-      const Destination& d = destinations_.at(id);
+    for (DestinationId id : registry_.active_destinations())
+      UpdateGate(registry_.DestinationAt(id));
+    std::erase_if(registry_.active_destinations(), [this](DestinationId id) {
+      const Destination& d = registry_.DestinationAt(id);
       return d.waiting.empty() && d.gate.mode == Mode::kNormal;
     });
   }
@@ -343,7 +334,7 @@
   void MessageFinished() { --held_; }
 
   // Half of the messages that may be in flight are.
-  [[nodiscard]] bool HalfFull() const {
+  [[nodiscard]] bool HalfFull() {
     return settings_.max_in_flight > 0 && 2 * held_ >= settings_.max_in_flight;
   }
 
@@ -355,7 +346,7 @@
            kRefusedShare * static_cast<double>(context_.random.max());
   }
 
-  [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) const {
+  [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) {
     if (!settings_.clients_honor_retry_after) return Duration{};
     Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
                               std::max(m.deadline - now_, Duration{}));
@@ -363,7 +354,7 @@
     return after;
   }
 
-  [[nodiscard]] std::size_t FreeSlots() const {
+  [[nodiscard]] std::size_t FreeSlots() {
     if (settings_.max_concurrent_calls == 0) return SIZE_MAX;
     return settings_.max_concurrent_calls > calls_.size()
                ? settings_.max_concurrent_calls - calls_.size()
@@ -372,30 +363,31 @@
 
   // Few slots would be left free once `taken` more are filled. The companion counts the slot that
   // it is about to give: with five slots or fewer there would be nothing left to share otherwise.
-  [[nodiscard]] bool SlotsScarce(std::size_t taken) const {
+  [[nodiscard]] bool SlotsScarce(std::size_t taken) {
     return settings_.max_concurrent_calls > 0 &&
            static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
                kScarceSlots * static_cast<double>(settings_.max_concurrent_calls);
   }
 
-  [[nodiscard]] bool OthersHoldWork(const Destination& d) const {
-    return std::any_of(active_.begin(), active_.end(), [&](DestinationId id) {
-      const Destination& other = destinations_.at(id);
-      return &other != &d && !other.waiting.empty();
-    });
+  [[nodiscard]] bool OthersHoldWork(const Destination& d) {
+    return std::any_of(registry_.active_destinations().begin(),
+                       registry_.active_destinations().end(), [&](DestinationId id) {
+                         const Destination& other = registry_.DestinationAt(id);
+                         return &other != &d && !other.waiting.empty();
+                       });
   }
 
-  [[nodiscard]] bool WithinSlotShare(const Destination& d) const {
+  [[nodiscard]] bool WithinSlotShare(const Destination& d) {
     return !SlotsScarce(1) || !OthersHoldWork(d) || d.calls_out < SlotsOf(kSlotShare);
   }
 
-  [[nodiscard]] double SlotsOf(double share) const {
+  [[nodiscard]] double SlotsOf(double share) {
     return std::max(1.0, std::floor(share * static_cast<double>(settings_.max_concurrent_calls)));
   }
 
   // All sick endpoints share a quarter. Guards against many destinations that are each a little
   // sick: none fills its half, and together they would fill the sender.
-  [[nodiscard]] bool WithinSickShare(const Endpoint& e) const {
+  [[nodiscard]] bool WithinSickShare(const Endpoint& e) {
     return e.fails_in_row == 0 || !SlotsScarce(1) || sick_out_ < SlotsOf(kSickSlotShare);
   }
 
@@ -419,34 +411,13 @@
     if (!call.overdue) --e.fresh_out;
     sick_out_ -= call.sick;
     --e.calls_out;
-    --destinations_.at(e.entry.destination).calls_out;
+    --registry_.DestinationAt(e.entry.destination).calls_out;
     calls_.erase(call.id);
   }
 
-  // Null if the endpoint is unknown.
-  Endpoint* FindEndpoint(EndpointId id) {
-    const auto it = endpoints_.find(id);
-    return it == endpoints_.end() ? nullptr : &it->second;
-  }
-
-  Lane& LaneOf(Endpoint& e) {
-    return Apart(e) ? e.own_lane : destinations_.at(e.entry.destination).lane;
-  }
-
-  // Each endpoint of its kind is a route with its own limit, pace and outages.
-  [[nodiscard]] bool Apart(const Endpoint& e) const {
-    return e.entry.kind < settings_.kinds.size() &&
-           settings_.kinds[e.entry.kind].per_endpoint_limits;
-  }
-
-  [[nodiscard]] std::size_t BatchOf(const Endpoint& e) const {
-    if (e.entry.kind >= settings_.kinds.size()) return 1;
-    return std::max<std::size_t>(1, settings_.kinds[e.entry.kind].max_batch);
-  }
-
   // Books a call or a probe: the next one waits for the pace.
   void PaceNext(Endpoint& e) {
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     double gap = lane.rate > 0 ? 1 / lane.rate : 0;
     const double own = lane.reported ? lane.limit : 0;
     const double most = lane.share ? std::max(*lane.share, kLeastLeased) : own;
@@ -458,9 +429,10 @@
   // up to everybody's however uneven it is, or an even share of the limit. No part may be a
   // constant: guards against fifty dispatchers that each send a harmless trickle.
   double PartOf(Endpoint& e) {
-    double demand = destinations_.at(e.entry.destination).arrivals.Rate(now_);
-    if (BatchOf(e) > 1) demand = std::min(demand, 1 / (kGather * ToSeconds(context_.shortest_aim)));
-    const double even = std::max(LaneOf(e).limit, kLeastLimit);
+    double demand = registry_.DestinationAt(e.entry.destination).arrivals.Rate(now_);
+    if (registry_.BatchOf(e) > 1)
+      demand = std::min(demand, 1 / (kGather * ToSeconds(context_.shortest_aim)));
+    const double even = std::max(registry_.LaneOf(e).limit, kLeastLimit);
     return std::max(demand, even / static_cast<double>(settings_.group_size));
   }
 
@@ -485,13 +457,13 @@
     lane.next_call = std::min(lane.next_call, now_ + FromSeconds(1 / lane.rate));
   }
 
-  [[nodiscard]] double ShareUsed(const Lane& lane) const {
+  [[nodiscard]] double ShareUsed(const Lane& lane) {
     return kShareUsed * lane.limit / static_cast<double>(settings_.group_size);
   }
 
-  [[nodiscard]] bool ManyShare() const { return settings_.group_size >= kManySharers; }
+  [[nodiscard]] bool ManyShare() { return settings_.group_size >= kManySharers; }
 
-  [[nodiscard]] bool Seldom(double part) const {
+  [[nodiscard]] bool Seldom(double part) {
     return ManyShare() && part * kPaceMemory.count() < kFewCalls;
   }
 
@@ -509,7 +481,7 @@
   // end. Untold, it follows from our own demand: a hung destination with full queues refuses too,
   // and guards against many that each try it again soon. It does harm where limits free up at once.
   void OnFull(Endpoint& e, const Call& call, Duration told, Duration trial_gap) {
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     if (lane.full_row > 0 && call.sent < lane.last_full) return;  // sent before it was known
     if (lane.full_row++ == 0) lane.first_full = now_;
     lane.last_full = now_;
@@ -536,8 +508,8 @@
   }
 
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
-    Endpoint& endpoint = endpoints_.at(attempt.endpoint);
-    Lane& lane = LaneOf(endpoint);
+    Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
+    Lane& lane = registry_.LaneOf(endpoint);
     Call& call = calls_.at(attempt.call);
     // A wait binds whichever message of a batch was told of it, however long it is.
     lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
@@ -553,16 +525,16 @@
   }
 
   void CompleteHealthCheck(const HealthCheckCompleted& e) {
-    Endpoint* endpoint = FindEndpoint(e.endpoint);
+    Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
     if (endpoint == nullptr || !endpoint->probing) return;
     endpoint->probing = false;
-    Heard(LaneOf(*endpoint), e.report);
+    Heard(registry_.LaneOf(*endpoint), e.report);
     Judge(*endpoint, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
           Duration{});
   }
 
   void Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed, Duration told) {
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     if (outcome == Outcome::kDelivered) {
       OnAccepted(lane);
       if (elapsed > Duration{}) {
@@ -585,7 +557,7 @@
 
   // It answered lately, so a reset is its connection's end and not its own. Guards against one call
   // at a time where connections are often cut; an endpoint that died refuses the next one.
-  [[nodiscard]] bool Answered(const Endpoint& e) const {
+  [[nodiscard]] bool Answered(const Endpoint& e) {
     return e.last_answer > Time{} && now_ - e.last_answer < context_.shortest_aim;
   }
 
@@ -598,7 +570,7 @@
     if (e.calls_out <= 1) e.next_call = now_ + context_.Spread(kFullPause);
   }
 
-  [[nodiscard]] bool HasPlace(const Endpoint& e) const {
+  [[nodiscard]] bool HasPlace(const Endpoint& e) {
     if (e.next_call > now_) return false;
     return e.places == 0 || e.calls_out < e.places + (now_ - e.crowded) / kPlacePause;
   }
@@ -612,12 +584,12 @@
     e.silent_row = 0;
   }
 
-  [[nodiscard]] bool NetworkLosesCalls() const { return loss_ > kLossy; }
+  [[nodiscard]] bool NetworkLosesCalls() { return loss_ > kLossy; }
 
   void Succeeded(Endpoint& e, const Call& call) {
     const bool outage = e.fails_in_row > 0 && call.sent - e.first_fail > kShortestOutage;
     e.last_answer = std::max(e.last_answer, call.sent);
-    destinations_.at(e.entry.destination).last_answer = call.sent;
+    registry_.DestinationAt(e.entry.destination).last_answer = call.sent;
     e.failure *= 1 - kFailureGain;
     if (call.message_class < e.class_failure.size()) e.class_failure[call.message_class] /= 2;
     e.fails_in_row = 0;
@@ -639,7 +611,8 @@
       failure += (1 - failure) / 2;
     }
     e.failure += kFailureGain * (1 - e.failure);
-    const bool unheard = now_ - destinations_.at(e.entry.destination).last_answer > kRateMemory;
+    const bool unheard =
+        now_ - registry_.DestinationAt(e.entry.destination).last_answer > kRateMemory;
     if ((e.failure > kFailedMost || unheard) && e.health != Health::kOpen) Turn(e, Health::kOpen);
   }
 
@@ -649,16 +622,16 @@
     const bool shut =
         told > kLimitSpan || (lane.full_row > kShutRow && now_ - lane.first_full > kLimitSpan);
     if (!shut) return;
-    for (EndpointId id : destinations_.at(e.entry.destination).endpoints) {
-      Endpoint& other = endpoints_.at(id);
-      if (&LaneOf(other) != &lane) continue;
+    for (EndpointId id : registry_.DestinationAt(e.entry.destination).endpoints) {
+      Endpoint& other = registry_.EndpointAt(id);
+      if (&registry_.LaneOf(other) != &lane) continue;
       if (other.health != Health::kOpen) Turn(other, Health::kOpen);
       other.shut = true;
     }
   }
 
   void Turn(Endpoint& e, Health health) {
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
     if (e.health == Health::kRecovering && health == Health::kClosed) {
       const double part = PartOf(e);
@@ -674,7 +647,8 @@
   // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
   void Paced(Endpoint& e) {
     PaceNext(e);
-    if (e.health != Health::kClosed) LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
+    if (e.health != Health::kClosed)
+      registry_.LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
   }
 
   // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
@@ -690,17 +664,17 @@
   }
 
   void ApplyQuota(const QuotaLeased& e) {
-    Endpoint* endpoint = FindEndpoint(e.endpoint);
-    if (endpoint != nullptr) LaneOf(*endpoint).share = e.rate;
+    Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
+    if (endpoint != nullptr) registry_.LaneOf(*endpoint).share = e.rate;
   }
 
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
   void ApplyPeerReport(const PeerHealthReport& w) {
-    Endpoint* known = FindEndpoint(w.endpoint);
+    Endpoint* known = registry_.FindEndpoint(w.endpoint);
     if (known == nullptr || known->last_answer > now_ - w.age) return;  // ours is newer
     Endpoint& e = *known;
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     const bool sure = w.witnesses >= kSureWitnesses;
     if (w.health == PeerHealth::kBeingTested) {
       lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.duration, kLimitSpan));
@@ -722,7 +696,7 @@
   }
 
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
-  [[nodiscard]] double Urgency(const Message& m) const {
+  [[nodiscard]] double Urgency(const Message& m) {
     const ClassSettings& c = ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
     const double value = WorthAt(c, age, settings_.decay);
@@ -732,7 +706,7 @@
     return c.priority_weight * (value - later + kFloorUrgency * value);
   }
 
-  [[nodiscard]] bool Sendable(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool Sendable(const Message& m, const Endpoint& e) {
     if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
     if (m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
         ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
@@ -744,14 +718,14 @@
   // A trial call that is a message saves a probe. Where no connection came up the next one will not
   // either or will be answered, so one of many risks a message that may be repeated there. Of a
   // few, whose trials come often, a message would spend all its attempts on them.
-  [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) {
     const Effect effect = ClassOf(m).effect;
     return effect == Effect::kIdempotent || !settings_.health_checks_allowed ||
            (effect == Effect::kIdempotentWithKey && e.closed && ManyShare());
   }
 
   bool CanCall(Endpoint& e) {
-    Lane& lane = LaneOf(e);
+    Lane& lane = registry_.LaneOf(e);
     if (e.health == Health::kRecovering && now_ - e.since > settings_.slow_start_duration) {
       Turn(e, Health::kClosed);
     }
@@ -763,7 +737,7 @@
 
   // Its latency with our calls there, dearer the more of the class's calls failed. Guards against
   // one class that fails at one endpoint: its messages go to the others, and the rest stay.
-  [[nodiscard]] double CostOf(const Endpoint& e, std::size_t message_class) const {
+  [[nodiscard]] double CostOf(const Endpoint& e, std::size_t message_class) {
     const double latency = e.latency > 0 ? e.latency : ToSeconds(context_.shortest_aim) / 10;
     const double failure =
         message_class < e.class_failure.size() ? e.class_failure[message_class] : e.failure;
@@ -772,8 +746,8 @@
   }
 
   // What the route's zone costs for each message it takes on; other endpoints cost nothing.
-  [[nodiscard]] double TollOf(const Endpoint& e) const {
-    return Apart(e) && e.entry.zone < settings_.zone_penalty.size()
+  [[nodiscard]] double TollOf(const Endpoint& e) {
+    return registry_.Apart(e) && e.entry.zone < settings_.zone_penalty.size()
                ? settings_.zone_penalty[e.entry.zone]
                : 0;
   }
@@ -782,7 +756,7 @@
     Endpoint* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
     for (EndpointId id : d.endpoints) {
-      Endpoint& e = endpoints_.at(id);
+      Endpoint& e = registry_.EndpointAt(id);
       if (!CanCall(e)) continue;
       const double cost = CostOf(e, message_class);
       if (cost < best_cost) {
@@ -813,17 +787,17 @@
   // Its time is up before an answer comes there in the mean. It goes with its like: a call is over
   // at the time of the first of its messages. Guards against one that takes all others back with
   // it.
-  [[nodiscard]] bool Brief(const Message& m, const Endpoint& e) const {
-    return BatchOf(e) > 1 && ToSeconds(m.deadline - now_) < e.latency;
+  [[nodiscard]] bool Brief(const Message& m, const Endpoint& e) {
+    return registry_.BatchOf(e) > 1 && ToSeconds(m.deadline - now_) < e.latency;
   }
 
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
-  [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const {
-    return HalfFull() || BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
+  [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) {
+    return HalfFull() || registry_.BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
   }
 
-  [[nodiscard]] Time GatheredAt(const Message& m) const {
+  [[nodiscard]] Time GatheredAt(const Message& m) {
     const Duration time = std::min(ClassOf(m).latency_objective, (m.deadline - m.accepted) / 2);
     return m.accepted + FromSeconds(kGather * ToSeconds(time));
   }
@@ -831,8 +805,8 @@
   void Dispatch() {
     while (FreeSlots() > 0) {
       Candidate best;
-      for (DestinationId id : active_) {
-        Destination& d = destinations_.at(id);
+      for (DestinationId id : registry_.active_destinations()) {
+        Destination& d = registry_.DestinationAt(id);
         if (d.waiting.empty() || !WithinSlotShare(d)) continue;
         const Candidate c = BestMessage(d);
         if (c.urgency > best.urgency) best = c;
@@ -844,7 +818,7 @@
   }
 
   void SendCall(Endpoint& e, Message& first) {
-    Destination& d = destinations_.at(e.entry.destination);
+    Destination& d = registry_.DestinationAt(e.entry.destination);
     Call& call = BeginCall(e, d, first.message_class);
     const bool brief = Brief(first, e);
     for (Message* m = &first; m != nullptr; m = BestMessage(d, &e, brief).message) {
@@ -855,7 +829,7 @@
       m->attempts.push_back({e.entry.endpoint, now_, call.id, true, false});
       context_.actions.push_back(
           SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
-      if (call.out == BatchOf(e)) break;
+      if (call.out == registry_.BatchOf(e)) break;
     }
     Paced(e);
   }
@@ -863,8 +837,8 @@
   // A probe is the trial call where no held message may be risked.
   void SendProbes() {
     if (!settings_.health_checks_allowed) return;
-    for (DestinationId id : active_) {
-      Destination& d = destinations_.at(id);
+    for (DestinationId id : registry_.active_destinations()) {
+      Destination& d = registry_.DestinationAt(id);
       if (d.waiting.empty()) continue;
       Endpoint* e = BestEndpoint(d, SIZE_MAX);
       if (e == nullptr || e->health != Health::kOpen) continue;
@@ -877,7 +851,7 @@
   }
 
   // Doubled with each failure in a row, so that an endpoint that has become slow is still heard.
-  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) const {
+  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) {
     const double usual = e.latency + kOverdueSpreads * e.spread;
     const double least = kLeastOverdue * ToSeconds(context_.shortest_aim);
     const double known = e.latency > 0 ? std::max(usual, least) : 2 * least;
@@ -885,18 +859,18 @@
     return std::min(FromSeconds(known) * (1 << doublings), 2 * context_.shortest_aim);
   }
 
-  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) const {
+  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) {
     const Duration left = std::max<Duration>(m.deadline - now_, settings_.decision_interval);
     if (settings_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
     return std::min(left, 2 * OverdueAfter(e));
   }
 
-  [[nodiscard]] Time StartBy(const Message& m) const {
+  [[nodiscard]] Time StartBy(const Message& m) {
     if (!m.may_have_run || ClassOf(m).effect != Effect::kIdempotentWithKey) return m.deadline;
     return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
   }
 
-  [[nodiscard]] bool Spent(const Message& m) const {
+  [[nodiscard]] bool Spent(const Message& m) {
     const bool all = settings_.max_attempts > 0 &&
                      m.attempts_before + m.attempts.size() >= settings_.max_attempts;
     const bool lost =
@@ -911,8 +885,8 @@
     if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kConnectionLimitReached) {
       m.not_before = now_ + kUnsentPause;
     }
-    active_.insert(m.destination);
-    std::vector<MessageId>& waiting = destinations_.at(m.destination).waiting;
+    registry_.active_destinations().insert(m.destination);
+    std::vector<MessageId>& waiting = registry_.DestinationAt(m.destination).waiting;
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
   }
 
@@ -944,10 +918,10 @@
   // Every endpoint that could take it is told to wait past its time: it is given up now, not then.
   bool WaitsPast(DestinationId id, Time last) {
     bool any = false;
-    for (EndpointId e : destinations_.at(id).endpoints) {
-      Endpoint& endpoint = endpoints_.at(e);
+    for (EndpointId e : registry_.DestinationAt(id).endpoints) {
+      Endpoint& endpoint = registry_.EndpointAt(e);
       if (endpoint.entry.state != EndpointState::kListed) continue;
-      if (LaneOf(endpoint).wait_until < last) return false;
+      if (registry_.LaneOf(endpoint).wait_until < last) return false;
       any = true;
     }
     return any;
@@ -957,7 +931,7 @@
   // its slot is wanted or another attempt may do better.
   void ReviewAttempt(Message& m) {
     Attempt& a = m.attempts.back();
-    Endpoint& e = endpoints_.at(a.endpoint);
+    Endpoint& e = registry_.EndpointAt(a.endpoint);
     const Duration limit = OverdueAfter(e);
     if (now_ - a.sent < limit) return;
     Call& call = calls_.at(a.call);
@@ -974,74 +948,6 @@
     if ((SlotsScarce(0) && (lost || silent)) || (repeat && silent)) CancelOut(m);
   }
 
-  void Subscribe() {
-    if (settings_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
-      context_.actions.push_back(SubscribeToEndpointList{});
-    }
-  }
-
-  void ApplyList(const EndpointList& e) {
-    if (e.form == ListForm::kFailed) {
-      subscribed_ = false;
-      return;
-    }
-    if (version_ && e.version < *version_) return;
-    version_ = e.version;
-    if (e.form == ListForm::kComplete) {
-      for (auto& [id, endpoint] : endpoints_) endpoint.entry.state = EndpointState::kRemoved;
-    }
-    for (const EndpointEntry& entry : e.entries) {
-      const auto [it, added] =
-          endpoints_.try_emplace(entry.endpoint, entry, kPaceMemory, *context_.started);
-      if (added) DestinationOf(entry.destination).endpoints.push_back(entry.endpoint);
-      it->second.entry = entry;
-      Lane& lane = LaneOf(it->second);
-      if (settings_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = Listed(entry);
-    }
-    ForgetRemoved();
-    for (const EndpointEntry& entry : e.entries) NoteNoneListed(entry.destination);
-  }
-
-  // A listed rate that cannot be meant counts as untold. Guards against a gate that lets all in.
-  double Listed(const EndpointEntry& entry) {
-    if (entry.weight >= 0 && entry.weight <= kMostRate) return entry.weight;
-    context_.actions.push_back(OddRateText(entry));
-    return 0;
-  }
-
-  // Its messages are held for endpoints to come, as when all of them drain at once in a deploy.
-  void NoteNoneListed(DestinationId id) {
-    const auto it = destinations_.find(id);
-    if (it == destinations_.end()) return;
-    const auto listed = [this](EndpointId e) {
-      return endpoints_.at(e).entry.state == EndpointState::kListed;
-    };
-    const bool none =
-        std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
-    if (none && !it->second.none_listed) {
-      context_.actions.push_back(
-          LogMessage{"destination " + std::to_string(id) + " has no endpoint that takes work"});
-    }
-    it->second.none_listed = none;
-  }
-
-  // What was removed long ago and has no call out. Guards against endpoints that are replaced for
-  // as long as the process lives. What is known of one that is listed again soon is kept.
-  void ForgetRemoved() {
-    const Duration kept = std::max(context_.longest_deadline, settings_.slow_start_duration);
-    for (auto it = endpoints_.begin(); it != endpoints_.end();) {
-      auto& [id, e] = *it;
-      if (e.entry.state != EndpointState::kRemoved) {
-        e.removed.reset();
-      } else if (!e.removed) {
-        e.removed = now_;
-      }
-      const bool gone = e.removed && now_ - *e.removed > kept && e.calls_out == 0;
-      if (gone) std::erase(destinations_.at(e.entry.destination).endpoints, id);
-      it = gone ? endpoints_.erase(it) : std::next(it);
-    }
-  }
-
   // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
   // Guards against a wake-up that is waited for and never comes, and messages lost by it.
   void ExpireTimer() { wake_at_ = Time::min(); }
@@ -1061,16 +967,16 @@
       if (!m.key.empty()) consider(KeyRestsUntil(m));
       if (m.out == 0) continue;
       const Attempt& a = m.attempts.back();
-      const Duration overdue = OverdueAfter(endpoints_.at(a.endpoint));
+      const Duration overdue = OverdueAfter(registry_.EndpointAt(a.endpoint));
       consider(a.sent + overdue);
       consider(a.sent + 2 * overdue);
     }
-    for (DestinationId id : active_) {
-      Destination& d = destinations_.at(id);
+    for (DestinationId id : registry_.active_destinations()) {
+      Destination& d = registry_.DestinationAt(id);
       if (d.waiting.empty()) continue;
       for (EndpointId e : d.endpoints) {
-        const Lane& lane = LaneOf(endpoints_.at(e));
-        consider(endpoints_.at(e).next_call);
+        const Lane& lane = registry_.LaneOf(registry_.EndpointAt(e));
+        consider(registry_.EndpointAt(e).next_call);
         consider(std::max(lane.wait_until, lane.next_call));
         consider(lane.next_trial);
       }
@@ -1083,11 +989,7 @@
   DecisionContext context_;
   const Settings& settings_ = context_.settings;
   const Time& now_ = context_.now;
-  std::optional<std::uint64_t> version_;
-  bool subscribed_ = false;
-  std::map<EndpointId, Endpoint> endpoints_;
-  std::map<DestinationId, Destination> destinations_;
-  std::set<DestinationId> active_;
+  EndpointRegistry registry_{context_};
   std::uint64_t next_call_ = 0;
   int sick_out_ = 0;
   std::map<std::uint64_t, Call> calls_;
