--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -10,6 +10,7 @@
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
 #include "policy/policy_state.hpp"
+#include "policy/rate_limiter.hpp"
 
 namespace dispatch_policy {
 namespace {
@@ -24,37 +25,21 @@
 constexpr double kScarceSlots = 0.2;     // share of slots free below which the companion acts
 constexpr double kSlotShare = 0.5;       // of the slots for one destination then
 constexpr double kSickSlotShare = 0.25;  // and for all endpoints whose last call failed
-constexpr double kBackOff = 0.85;        // of the accepted rate, after a refusal
-constexpr double kRegain = 0.15;  // growth of a rate in a second; more each span without refusals
-constexpr double kLittleLeft = 0.3;  // reported share of a limit below which no rate grows
-constexpr double kLeastLimit = 3;    // calls a second, of all dispatchers: where nothing is told
-constexpr double kLeastPart = 0.2;   // of our demand: a paced rate is never lower
-constexpr std::size_t kManySharers = 10;  // dispatchers: our own calls are a small part of all
-constexpr double kFewCalls = 6;     // in the pace's memory: with fewer our own rate tells nothing
-constexpr double kShareUsed = 0.8;  // of our even share of a limit then, after a refusal
-constexpr double kSeldomBackOff = 0.5;  // of the rate, for each further one
-constexpr double kLeastShare = 0.4;     // of the even share: the least rate then
-constexpr Duration kFullPause = std::chrono::milliseconds(300);    // after a refusal
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
 constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
-constexpr double kPauseCalls = 0.6;    // of our calls' mean distance, doubled with each in a row
-constexpr double kLeastTrials = 1e-3;  // a second; no setting stops them
-constexpr Duration kLimitSpan = std::chrono::seconds(2);  // refusals for longer are an outage
-constexpr int kShutRow = 3;                               // and for more calls in a row than this
+constexpr double kLeastTrials = 1e-3;                      // a second; no setting stops them
+constexpr int kShutRow = 3;                                // and for more calls in a row than this
 constexpr double kFailureGain = 0.3;  // weight of the newest outcome: few are seen; two open
 constexpr double kFailedMost = 0.5;   // failure share that is an outage
 constexpr Duration kShortestOutage = std::chrono::seconds(3);  // without an answer; less is loss
-constexpr double kBudgetShare = 0.6;   // of the fail-back budget; the rest is for estimates
-constexpr double kOverdueSpreads = 4;  // deviations over the mean until an answer is overdue
-constexpr double kLeastOverdue = 0.2;  // of the shortest aim; handshakes and batches vary
-constexpr int kMostDoublings = 3;      // of that time, one for each failure in a row
-constexpr double kLatencyGain = 0.15;  // weight of the newest latency
-constexpr double kGather = 0.4;   // of the aim: how long a message waits for others in its call
-constexpr double kSickCost = 20;  // times the usual, where all calls fail or it is not warm
-constexpr double kFloorUrgency = 0.02;     // worth of sending what loses nothing by waiting
-constexpr double kLossGain = 0.1;          // weight of the newest answer in the share of loss
-constexpr double kLossy = 0.08;            // of answers after a lost call, and it is the network
-constexpr double kLeastLeased = 0.05;      // calls a second: a share below it is one call in 20 s
+constexpr double kBudgetShare = 0.6;    // of the fail-back budget; the rest is for estimates
+constexpr double kOverdueSpreads = 4;   // deviations over the mean until an answer is overdue
+constexpr double kLeastOverdue = 0.2;   // of the shortest aim; handshakes and batches vary
+constexpr double kLatencyGain = 0.15;   // weight of the newest latency
+constexpr double kSickCost = 20;        // times the usual, where all calls fail or it is not warm
+constexpr double kFloorUrgency = 0.02;  // worth of sending what loses nothing by waiting
+constexpr double kLossGain = 0.1;       // weight of the newest answer in the share of loss
+constexpr double kLossy = 0.08;         // of answers after a lost call, and it is the network
 constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
 constexpr double kTollWeight = 10;         // of a route's toll, in points, against its latency
 
@@ -107,7 +92,7 @@
   void On(const HealthCheckCompleted& event) { CompleteHealthCheck(event); }
   void On(const EndpointList& event) { registry_.ApplyList(event); }
   void On(const TimerFired&) { ExpireTimer(); }
-  void On(const QuotaLeased& event) { ApplyQuota(event); }
+  void On(const QuotaLeased& event) { rate_limiter_.ApplyQuota(event); }
   void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
 
   [[nodiscard]] const ClassSettings& ClassOf(const Message& m) {
@@ -415,98 +400,6 @@
     calls_.erase(call.id);
   }
 
-  // Books a call or a probe: the next one waits for the pace.
-  void PaceNext(Endpoint& e) {
-    Lane& lane = registry_.LaneOf(e);
-    double gap = lane.rate > 0 ? 1 / lane.rate : 0;
-    const double own = lane.reported ? lane.limit : 0;
-    const double most = lane.share ? std::max(*lane.share, kLeastLeased) : own;
-    if (most > 0) gap = std::max(gap, 1 / most);
-    lane.next_call = std::max(lane.next_call, now_) + FromSeconds(gap);
-  }
-
-  // Our part of what the destination gets from all, in calls a second: our own demand, which adds
-  // up to everybody's however uneven it is, or an even share of the limit. No part may be a
-  // constant: guards against fifty dispatchers that each send a harmless trickle.
-  double PartOf(Endpoint& e) {
-    double demand = registry_.DestinationAt(e.entry.destination).arrivals.Rate(now_);
-    if (registry_.BatchOf(e) > 1)
-      demand = std::min(demand, 1 / (kGather * ToSeconds(context_.shortest_aim)));
-    const double even = std::max(registry_.LaneOf(e).limit, kLeastLimit);
-    return std::max(demand, even / static_cast<double>(settings_.group_size));
-  }
-
-  // A reported limit is all dispatchers' together: no one of them goes over it.
-  void Heard(Lane& lane, const LoadReport& report) {
-    if (report.limit.value_or(0) <= 0) return;
-    lane.limit = *report.limit;
-    lane.reported = true;
-    lane.left = report.allowance_left;
-  }
-
-  void OnAccepted(Lane& lane) {
-    lane.accepted.Add(now_);
-    lane.full_row = 0;
-    if (lane.rate <= 0 || (lane.left && *lane.left < kLittleLeft)) return;
-    const double dt = std::min(1.0, ToSeconds(now_ - lane.rate_changed));
-    const double spans = ToSeconds(now_ - lane.last_full) / ToSeconds(kLimitSpan);
-    lane.rate *= 1 + std::min(1.0, kRegain * (1 + spans)) * dt;
-    lane.rate_changed = now_;
-    if (!lane.seldom) return;
-    lane.rate = std::max(lane.rate, ShareUsed(lane));
-    lane.next_call = std::min(lane.next_call, now_ + FromSeconds(1 / lane.rate));
-  }
-
-  [[nodiscard]] double ShareUsed(const Lane& lane) {
-    return kShareUsed * lane.limit / static_cast<double>(settings_.group_size);
-  }
-
-  [[nodiscard]] bool ManyShare() { return settings_.group_size >= kManySharers; }
-
-  [[nodiscard]] bool Seldom(double part) {
-    return ManyShare() && part * kPaceMemory.count() < kFewCalls;
-  }
-
-  // The pace after a refusal for one that calls seldom: its own calls tell it too little and too
-  // late, so it takes its even share of the limit, and half of that with each further refusal.
-  void PaceSeldom(Lane& lane, double part) {
-    const double share = lane.limit > 0 ? ShareUsed(lane) : part;
-    const double last = lane.seldom ? kSeldomBackOff * lane.rate : share;
-    lane.rate = std::max(kLeastShare * share, std::min(last, share));
-    lane.seldom = true;
-    lane.rate_changed = now_;
-  }
-
-  // A pause that doubles with each refusal in a row up to the gap of trials, from a told wait's
-  // end. Untold, it follows from our own demand: a hung destination with full queues refuses too,
-  // and guards against many that each try it again soon. It does harm where limits free up at once.
-  void OnFull(Endpoint& e, const Call& call, Duration told, Duration trial_gap) {
-    Lane& lane = registry_.LaneOf(e);
-    if (lane.full_row > 0 && call.sent < lane.last_full) return;  // sent before it was known
-    if (lane.full_row++ == 0) lane.first_full = now_;
-    lane.last_full = now_;
-    const double part = PartOf(e);
-    const int doubled = 1 << std::min(lane.full_row - 1, kMostDoublings);
-    const double calls = doubled == 1 && told > Duration{} ? 0 : kPauseCalls * doubled;
-    const Duration asked = std::max(kFullPause * doubled, FromSeconds(calls / part));
-    const Duration pause = std::min(asked, std::max(kFullPause, trial_gap));
-    lane.next_call = std::max(lane.next_call, now_ + told + context_.Spread(pause));
-    // While warming up it rejects below its limit: a rate learned now would stay too low.
-    if (e.health != Health::kClosed) return;
-    if (lane.rate > 0 && now_ - lane.rate_changed < kFullPause) return;  // the same overshoot
-    if (Seldom(part)) {
-      PaceSeldom(lane, part);
-      const Duration gap = FromSeconds(1 / lane.rate);
-      lane.next_call = std::max(lane.next_call, now_ + told + context_.Spread(gap));
-      return;
-    }
-    lane.seldom = false;
-    const double seen = lane.accepted.Rate(now_);
-    const double last = lane.rate > 0 ? lane.rate : 2 * std::max(seen, part);
-    lane.rate = std::max(kLeastPart * part, kBackOff * std::min(last, std::max(seen, last / 2)));
-    lane.rate_changed = now_;
-  }
-
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
     Lane& lane = registry_.LaneOf(endpoint);
@@ -516,7 +409,7 @@
     if (e.retry_after > context_.longest_deadline) {
       context_.actions.push_back(LongWaitText(endpoint.entry, e.retry_after));
     }
-    Heard(lane, e.report);
+    rate_limiter_.Heard(lane, e.report);
     if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
       call.judged = true;
       Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
@@ -528,7 +421,7 @@
     Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
     if (endpoint == nullptr || !endpoint->probing) return;
     endpoint->probing = false;
-    Heard(registry_.LaneOf(*endpoint), e.report);
+    rate_limiter_.Heard(registry_.LaneOf(*endpoint), e.report);
     Judge(*endpoint, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
           Duration{});
   }
@@ -536,7 +429,7 @@
   void Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed, Duration told) {
     Lane& lane = registry_.LaneOf(e);
     if (outcome == Outcome::kDelivered) {
-      OnAccepted(lane);
+      rate_limiter_.OnAccepted(lane);
       if (elapsed > Duration{}) {
         const double seen = ToSeconds(elapsed);
         NoteLoss(e, seen);
@@ -546,7 +439,7 @@
       }
       Succeeded(e, call);
     } else if (outcome == Outcome::kRejected) {
-      OnFull(e, call, told, TrialGap(e));
+      rate_limiter_.OnFull(e, call, told, TrialGap(e));
       JudgeFull(e, lane, told);
     } else if (outcome == Outcome::kConnectionLimitReached) {
       OnCrowded(e);
@@ -634,8 +527,8 @@
     Lane& lane = registry_.LaneOf(e);
     // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
     if (e.health == Health::kRecovering && health == Health::kClosed) {
-      const double part = PartOf(e);
-      if (Seldom(part)) PaceSeldom(lane, part);
+      const double part = rate_limiter_.PartOf(e);
+      if (rate_limiter_.Seldom(part)) rate_limiter_.PaceSeldom(lane, part);
     }
     e.health = health;
     e.shut = false;
@@ -646,7 +539,7 @@
 
   // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
   void Paced(Endpoint& e) {
-    PaceNext(e);
+    rate_limiter_.PaceNext(e);
     if (e.health != Health::kClosed)
       registry_.LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
   }
@@ -659,15 +552,11 @@
       warm += (1 - settings_.slow_start_share) *
               std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(settings_.slow_start_duration));
     }
-    const double rate = PartOf(e) * warm * kBudgetShare * settings_.collapse_load_multiple;
+    const double rate =
+        rate_limiter_.PartOf(e) * warm * kBudgetShare * settings_.collapse_load_multiple;
     return FromSeconds(1 / std::max(rate, kLeastTrials));
   }
 
-  void ApplyQuota(const QuotaLeased& e) {
-    Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
-    if (endpoint != nullptr) registry_.LaneOf(*endpoint).share = e.rate;
-  }
-
   // One witness is checked by a single call, two bind as our own calls would. Guards against one
   // that is wrong or lies: it costs a round trip, whatever it claims.
   void ApplyPeerReport(const PeerHealthReport& w) {
@@ -721,7 +610,7 @@
   [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) {
     const Effect effect = ClassOf(m).effect;
     return effect == Effect::kIdempotent || !settings_.health_checks_allowed ||
-           (effect == Effect::kIdempotentWithKey && e.closed && ManyShare());
+           (effect == Effect::kIdempotentWithKey && e.closed && rate_limiter_.ManyShare());
   }
 
   bool CanCall(Endpoint& e) {
@@ -990,6 +879,7 @@
   const Settings& settings_ = context_.settings;
   const Time& now_ = context_.now;
   EndpointRegistry registry_{context_};
+  RateLimiter rate_limiter_{context_, registry_};
   std::uint64_t next_call_ = 0;
   int sick_out_ = 0;
   std::map<std::uint64_t, Call> calls_;
--- /dev/null
+++ b/src/policy/rate_limiter.hpp
@@ -0,0 +1,77 @@
+// Paces calls so that they stay within the rate limits of endpoints and destinations.
+#ifndef BRASSFRONT_POLICY_RATE_LIMITER_HPP_
+#define BRASSFRONT_POLICY_RATE_LIMITER_HPP_
+
+#include "policy/decision_context.hpp"
+#include "policy/endpoint_registry.hpp"
+#include "policy/policy_state.hpp"
+
+namespace dispatch_policy {
+
+// Pause after a rejection or an error before the next call.
+extern const Duration kFullPause;
+// The span that a rate limit counts calls in, at most: rejections for longer are an outage.
+extern const Duration kLimitSpan;
+// Most doublings of a backoff by failures or rejections in a row.
+extern const int kMostDoublings;
+// Share of its latency objective that a message waits for others to join its call.
+extern const double kGather;
+
+// Limits are reported, listed, leased or learned from rejections; their state is in the Lane of
+// each destination, or of each endpoint whose kind has limits of its own.
+class RateLimiter {
+ public:
+  RateLimiter(DecisionContext& context, EndpointRegistry& registry)
+      : settings_(context.settings), now_(context.now), context_(context), registry_(registry) {}
+
+  // Takes the leased share of a limit that all dispatchers keep together, or its end.
+  void ApplyQuota(const QuotaLeased& e);
+
+  // Takes up what an endpoint reports of its limit. A reported limit is that of all dispatchers
+  // together, so no single one goes over it.
+  void Heard(Lane& lane, const LoadReport& report);
+
+  // Books a call or health check to the endpoint: the next one waits for the pace.
+  void PaceNext(Endpoint& e);
+
+  // A call was accepted: lets a learned rate grow, unless little of the reported limit is left.
+  void OnAccepted(Lane& lane);
+
+  // A call was rejected. The next one waits for the told Retry-After, then for a pause that doubles
+  // with each rejection in a row up to `trial_gap`. Without a Retry-After the pause follows from
+  // this instance's own demand: an overloaded destination rejects too, and many instances that
+  // retry soon would keep it down. This costs throughput where a limit frees up at once.
+  void OnFull(Endpoint& e, const Call& call, Duration told, Duration trial_gap);
+
+  // The rate after a rejection for an instance that calls rarely: its own calls tell too little and
+  // too late, so it takes its even share of the limit, and half of that with each further
+  // rejection. `part` as from PartOf.
+  void PaceSeldom(Lane& lane, double part);
+
+  // This instance's part of what the endpoint's destination gets from all, in calls a second: its
+  // own demand or an even share of the limit, whichever is more. Scales with this instance's share
+  // of traffic; a constant rate per instance would overload the endpoint when many instances
+  // recover at once.
+  double PartOf(Endpoint& e);
+
+  // Whether so many dispatchers share the destinations that this one's calls are a small part of
+  // all.
+  [[nodiscard]] bool ManyShare() const;
+
+  // Whether calls at the rate `part` are too few to learn a rate from.
+  [[nodiscard]] bool Seldom(double part) const;
+
+ private:
+  // The rate, in calls a second, that a rarely calling instance takes of its even share of the
+  // limit.
+  [[nodiscard]] double ShareUsed(const Lane& lane) const;
+
+  const Settings& settings_;
+  const Time& now_;
+  DecisionContext& context_;
+  EndpointRegistry& registry_;
+};
+
+}  // namespace dispatch_policy
+
+#endif  // BRASSFRONT_POLICY_RATE_LIMITER_HPP_
