--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "policy/concurrency_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
 #include "policy/policy_state.hpp"
@@ -21,10 +22,7 @@
 constexpr double kLeastDiscardMark = 8;  // messages; below it one clump would flap the gate
 constexpr double kDeadlineShare = 1.0;   // of the shortest deadline: what R may take to clear
 constexpr double kRoomMultiple = 2;      // of the room left in the hold: the most for a backlog
-constexpr Duration kFirstRetryAfter = std::chrono::seconds(1);  // until a fall was measured
-constexpr double kScarceSlots = 0.2;     // share of slots free below which the companion acts
-constexpr double kSlotShare = 0.5;       // of the slots for one destination then
-constexpr double kSickSlotShare = 0.25;  // and for all endpoints whose last call failed
+constexpr Duration kFirstRetryAfter = std::chrono::seconds(1);     // until a fall was measured
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
 constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
 constexpr double kLeastTrials = 1e-3;                      // a second; no setting stops them
@@ -339,71 +337,10 @@
     return after;
   }
 
-  [[nodiscard]] std::size_t FreeSlots() {
-    if (settings_.max_concurrent_calls == 0) return SIZE_MAX;
-    return settings_.max_concurrent_calls > calls_.size()
-               ? settings_.max_concurrent_calls - calls_.size()
-               : 0;
-  }
-
-  // Few slots would be left free once `taken` more are filled. The companion counts the slot that
-  // it is about to give: with five slots or fewer there would be nothing left to share otherwise.
-  [[nodiscard]] bool SlotsScarce(std::size_t taken) {
-    return settings_.max_concurrent_calls > 0 &&
-           static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
-               kScarceSlots * static_cast<double>(settings_.max_concurrent_calls);
-  }
-
-  [[nodiscard]] bool OthersHoldWork(const Destination& d) {
-    return std::any_of(registry_.active_destinations().begin(),
-                       registry_.active_destinations().end(), [&](DestinationId id) {
-                         const Destination& other = registry_.DestinationAt(id);
-                         return &other != &d && !other.waiting.empty();
-                       });
-  }
-
-  [[nodiscard]] bool WithinSlotShare(const Destination& d) {
-    return !SlotsScarce(1) || !OthersHoldWork(d) || d.calls_out < SlotsOf(kSlotShare);
-  }
-
-  [[nodiscard]] double SlotsOf(double share) {
-    return std::max(1.0, std::floor(share * static_cast<double>(settings_.max_concurrent_calls)));
-  }
-
-  // All sick endpoints share a quarter. Guards against many destinations that are each a little
-  // sick: none fills its half, and together they would fill the sender.
-  [[nodiscard]] bool WithinSickShare(const Endpoint& e) {
-    return e.fails_in_row == 0 || !SlotsScarce(1) || sick_out_ < SlotsOf(kSickSlotShare);
-  }
-
-  // The call has no message yet; `message_class` is that of its first one.
-  Call& BeginCall(Endpoint& e, Destination& d, std::size_t message_class) {
-    const std::uint64_t id = next_call_++;
-    Call& call = calls_[id];
-    call.id = id;
-    call.sent = now_;
-    call.message_class = message_class;
-    call.sick = e.fails_in_row > 0;
-    sick_out_ += call.sick;
-    ++e.calls_out;
-    ++e.fresh_out;
-    ++d.calls_out;
-    return call;
-  }
-
-  // All messages of the call have an outcome: its slot is free.
-  void EndCall(Endpoint& e, const Call& call) {
-    if (!call.overdue) --e.fresh_out;
-    sick_out_ -= call.sick;
-    --e.calls_out;
-    --registry_.DestinationAt(e.entry.destination).calls_out;
-    calls_.erase(call.id);
-  }
-
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
     Lane& lane = registry_.LaneOf(endpoint);
-    Call& call = calls_.at(attempt.call);
+    Call& call = concurrency_limiter_.CallAt(attempt.call);
     // A wait binds whichever message of a batch was told of it, however long it is.
     lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
     if (e.retry_after > context_.longest_deadline) {
@@ -414,7 +351,7 @@
       call.judged = true;
       Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
     }
-    if (--call.out == 0) EndCall(endpoint, call);
+    if (--call.out == 0) concurrency_limiter_.EndCall(endpoint, call);
   }
 
   void CompleteHealthCheck(const HealthCheckCompleted& e) {
@@ -620,7 +557,8 @@
     }
     if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
     if (std::max(lane.wait_until, lane.next_call) > now_) return false;
-    if ((e.fails_in_row > 0 && e.fresh_out > 0) || !WithinSickShare(e)) return false;
+    if ((e.fails_in_row > 0 && e.fresh_out > 0) || !concurrency_limiter_.WithinSickShare(e))
+      return false;
     return e.health == Health::kClosed || (lane.next_trial <= now_ && !e.probing);
   }
 
@@ -692,11 +630,11 @@
   }
 
   void Dispatch() {
-    while (FreeSlots() > 0) {
+    while (concurrency_limiter_.FreeSlots() > 0) {
       Candidate best;
       for (DestinationId id : registry_.active_destinations()) {
         Destination& d = registry_.DestinationAt(id);
-        if (d.waiting.empty() || !WithinSlotShare(d)) continue;
+        if (d.waiting.empty() || !concurrency_limiter_.WithinSlotShare(d)) continue;
         const Candidate c = BestMessage(d);
         if (c.urgency > best.urgency) best = c;
       }
@@ -708,7 +646,7 @@
 
   void SendCall(Endpoint& e, Message& first) {
     Destination& d = registry_.DestinationAt(e.entry.destination);
-    Call& call = BeginCall(e, d, first.message_class);
+    Call& call = concurrency_limiter_.BeginCall(e, d, first.message_class);
     const bool brief = Brief(first, e);
     for (Message* m = &first; m != nullptr; m = BestMessage(d, &e, brief).message) {
       ++call.out;
@@ -823,7 +761,7 @@
     Endpoint& e = registry_.EndpointAt(a.endpoint);
     const Duration limit = OverdueAfter(e);
     if (now_ - a.sent < limit) return;
-    Call& call = calls_.at(a.call);
+    Call& call = concurrency_limiter_.CallAt(a.call);
     if (!call.overdue) {
       call.overdue = true;
       --e.fresh_out;
@@ -834,7 +772,8 @@
     const bool repeat = ClassOf(m).effect != Effect::kNotIdempotent;
     const bool lost = e.last_answer > a.sent || NetworkLosesCalls();
     const bool silent = now_ - a.sent >= 2 * limit;
-    if ((SlotsScarce(0) && (lost || silent)) || (repeat && silent)) CancelOut(m);
+    if ((concurrency_limiter_.SlotsScarce(0) && (lost || silent)) || (repeat && silent))
+      CancelOut(m);
   }
 
   // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
@@ -880,9 +819,7 @@
   const Time& now_ = context_.now;
   EndpointRegistry registry_{context_};
   RateLimiter rate_limiter_{context_, registry_};
-  std::uint64_t next_call_ = 0;
-  int sick_out_ = 0;
-  std::map<std::uint64_t, Call> calls_;
+  ConcurrencyLimiter concurrency_limiter_{context_, registry_};
   std::size_t held_ = 0;
   std::map<MessageId, Message> messages_;
   std::map<std::string, KeyLine> keys_;
