Take the admission gate out of the policy's class

The policy was one class of a thousand lines. What this component does is declared and documented in its header now, its decisions and constants are in its source, and its state is its own. No decision changes.

--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "policy/admission_gate.hpp"
 #include "policy/concurrency_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
@@ -16,13 +17,6 @@
 namespace dispatch_policy {
 namespace {
 
-constexpr double kOnset = 0.9;           // H, share of R; the paper's ratio
-constexpr double kAbatement = 0.78;      // L, share of R; the paper's ratio
-constexpr double kRefusedShare = 0.6;    // q; the paper's value
-constexpr double kLeastDiscardMark = 8;  // messages; below it one clump would flap the gate
-constexpr double kDeadlineShare = 1.0;   // of the shortest deadline: what R may take to clear
-constexpr double kRoomMultiple = 2;      // of the room left in the hold: the most for a backlog
-constexpr Duration kFirstRetryAfter = std::chrono::seconds(1);     // until a fall was measured
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
 constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
 constexpr double kLeastTrials = 1e-3;                      // a second; no setting stops them
@@ -77,7 +71,7 @@
     }
     ReviewMessages();
     Dispatch();
-    UpdateGates();
+    admission_gate_.UpdateGates();
     SetWakeUp();
     return std::move(context_.actions);
   }
@@ -107,8 +101,8 @@
     m.destination = e.destination;
     Destination& destination = registry_.DestinationOf(e.destination);
     destination.arrivals.Add(now_);
-    if (!Admit(destination)) {
-      context_.actions.push_back(RejectMessage{m.id, RetryAfter(destination, m)});
+    if (!admission_gate_.Admit(destination)) {
+      context_.actions.push_back(RejectMessage{m.id, admission_gate_.RetryAfter(destination, m)});
       return;
     }
     Hold(std::move(m), e.key);
@@ -150,7 +144,7 @@
     }
     registry_.DestinationAt(m.destination).waiting.push_back(m.id);
     registry_.active_destinations().insert(m.destination);
-    MessageAccepted();
+    admission_gate_.MessageAccepted();
     messages_.emplace(m.id, std::move(m));
   }
 
@@ -177,8 +171,8 @@
   void GiveUp(Message& m) {
     CancelOut(m);
     if (MayRefuse(m)) {
-      context_.actions.push_back(
-          RejectMessage{m.id, RetryAfter(registry_.DestinationAt(m.destination), m)});
+      context_.actions.push_back(RejectMessage{
+          m.id, admission_gate_.RetryAfter(registry_.DestinationAt(m.destination), m)});
     } else {
       context_.actions.push_back(FailMessage{m.id});
     }
@@ -188,7 +182,7 @@
   // The message is over; its line in the ledger stays while an attempt is out.
   void Close(Message& m) {
     m.finished = true;
-    MessageFinished();
+    admission_gate_.MessageFinished();
     std::erase(registry_.DestinationAt(m.destination).waiting, m.id);
     Forget(m.id);
   }
@@ -251,92 +245,6 @@
     if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + settings_.ordering_cooldown;
   }
 
-  // Our even share, in messages a second, of what the destination is said to take; 0 if that is not
-  // known or any of its endpoints is in trouble.
-  double ShareOf(const Destination& d) {
-    double share = 0;
-    for (EndpointId id : d.endpoints) {
-      Endpoint& e = registry_.EndpointAt(id);
-      if (e.entry.state != EndpointState::kListed) continue;
-      if (e.health != Health::kClosed) return 0;
-      const auto batch = static_cast<double>(registry_.BatchOf(e));
-      share = std::max(
-          share, registry_.LaneOf(e).limit * batch / static_cast<double>(settings_.group_size));
-    }
-    return share;
-  }
-
-  // R clears in the shortest deadline at the rate of sends, or at our share of the limit where that
-  // is more: guards against a start, when nothing was sent yet and messages gather in their calls
-  // or are back from an earlier process, and all others would be turned away. A backlog also leaves
-  // half of its size free in the hold, however small that is (guards against a sick destination
-  // that fills the hold, so that messages for healthy ones are turned away before they reach the
-  // gate).
-  Marks MarksOf(const Destination& d) {
-    const double rate = std::max(d.sends.Rate(now_), ShareOf(d));
-    double discard = rate * kDeadlineShare * ToSeconds(context_.shortest_deadline);
-    discard = std::max(discard, kLeastDiscardMark);
-    if (settings_.max_in_flight > 0) {
-      const double room = static_cast<double>(settings_.max_in_flight) - static_cast<double>(held_);
-      discard = std::max(std::min(discard, kRoomMultiple * room), 1.0);
-    }
-    return {kAbatement * discard, kOnset * discard, discard};
-  }
-
-  void UpdateGate(Destination& d) {
-    const Marks marks = MarksOf(d);
-    const auto n = static_cast<double>(d.waiting.size());
-    Gate& gate = d.gate;
-    if (n >= marks.onset) gate.last_at_onset = now_;
-    if (n >= marks.discard) {
-      gate.mode = Mode::kDiscard;
-    } else if (gate.mode == Mode::kDiscard && n < marks.onset) {
-      gate.mode = Mode::kOverload;
-    } else if (gate.mode == Mode::kNormal && n >= marks.onset) {
-      gate.mode = Mode::kOverload;
-    }
-    if (gate.mode == Mode::kOverload && n < marks.abatement) {
-      gate.mode = Mode::kNormal;
-      gate.last_fall = now_ - gate.last_at_onset;
-    }
-  }
-
-  void UpdateGates() {
-    for (DestinationId id : registry_.active_destinations())
-      UpdateGate(registry_.DestinationAt(id));
-    std::erase_if(registry_.active_destinations(), [this](DestinationId id) {
-      const Destination& d = registry_.DestinationAt(id);
-      return d.waiting.empty() && d.gate.mode == Mode::kNormal;
-    });
-  }
-
-  // A message was admitted, or restored.
-  void MessageAccepted() { ++held_; }
-
-  // A message that was accepted is over.
-  void MessageFinished() { --held_; }
-
-  // Half of the messages that may be in flight are.
-  [[nodiscard]] bool HalfFull() {
-    return settings_.max_in_flight > 0 && 2 * held_ >= settings_.max_in_flight;
-  }
-
-  bool Admit(Destination& d) {
-    UpdateGate(d);
-    if (d.gate.mode == Mode::kDiscard) return false;
-    if (d.gate.mode == Mode::kNormal) return true;
-    return static_cast<double>(context_.random()) >=
-           kRefusedShare * static_cast<double>(context_.random.max());
-  }
-
-  [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) {
-    if (!settings_.clients_honor_retry_after) return Duration{};
-    Duration after = std::min(d.gate.last_fall.value_or(kFirstRetryAfter),
-                              std::max(m.deadline - now_, Duration{}));
-    if (settings_.max_retry_after > Duration{}) after = std::min(after, settings_.max_retry_after);
-    return after;
-  }
-
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
     Lane& lane = registry_.LaneOf(endpoint);
@@ -621,7 +529,8 @@
   // Where calls take several messages and each call counts, a message waits a part of its aim for
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
   [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) {
-    return HalfFull() || registry_.BatchOf(e) <= d.waiting.size() || now_ >= GatheredAt(m);
+    return admission_gate_.HalfFull() || registry_.BatchOf(e) <= d.waiting.size() ||
+           now_ >= GatheredAt(m);
   }
 
   [[nodiscard]] Time GatheredAt(const Message& m) {
@@ -820,7 +729,7 @@
   EndpointRegistry registry_{context_};
   RateLimiter rate_limiter_{context_, registry_};
   ConcurrencyLimiter concurrency_limiter_{context_, registry_};
-  std::size_t held_ = 0;
+  AdmissionGate admission_gate_{context_, registry_};
   std::map<MessageId, Message> messages_;
   std::map<std::string, KeyLine> keys_;
   double loss_ = 0;
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -135,11 +135,6 @@
   bool judged = false;            // one fate: the first outcome speaks for all
 };
 
-// Numbers of unsent messages at which an admission gate changes its mode.
-struct Marks {
-  double abatement, onset, discard;
-};
-
 }  // namespace dispatch_policy
 
 #endif  // BRASSFRONT_POLICY_POLICY_STATE_HPP_
