--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -11,6 +11,7 @@
 #include "policy/concurrency_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
+#include "policy/message_ledger.hpp"
 #include "policy/policy_state.hpp"
 #include "policy/rate_limiter.hpp"
 
@@ -77,9 +78,9 @@
   }
 
  private:
-  void On(const MessageArrived& event) { AcceptMessage(event); }
-  void On(const MessageRestored& event) { RestoreMessage(event); }
-  void On(const MessageCancelled& event) { CancelMessage(event); }
+  void On(const MessageArrived& event) { ledger_.AcceptMessage(event); }
+  void On(const MessageRestored& event) { ledger_.RestoreMessage(event); }
+  void On(const MessageCancelled& event) { ledger_.CancelMessage(event); }
   void On(const AttemptCompleted& event) { CompleteAttempt(event); }
   void On(const HealthCheckCompleted& event) { CompleteHealthCheck(event); }
   void On(const EndpointList& event) { registry_.ApplyList(event); }
@@ -87,164 +88,22 @@
   void On(const QuotaLeased& event) { rate_limiter_.ApplyQuota(event); }
   void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
 
-  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) {
-    return settings_.classes[m.message_class];
-  }
-
-  void AcceptMessage(const MessageArrived& e) {
-    if (messages_.count(e.message) != 0) return;
-    if (e.message_class >= settings_.classes.size()) {  // of no class: nothing is known to be safe
-      context_.actions.push_back(RejectMessage{e.message, Duration{}});
-      return;
-    }
-    Message m = Taken(e.message, e.message_class, e.time_left);
-    m.destination = e.destination;
-    Destination& destination = registry_.DestinationOf(e.destination);
-    destination.arrivals.Add(now_);
-    if (!admission_gate_.Admit(destination)) {
-      context_.actions.push_back(RejectMessage{m.id, admission_gate_.RetryAfter(destination, m)});
-      return;
-    }
-    Hold(std::move(m), e.key);
-  }
-
-  // Taken on before a restart: the gate has let it in, and its history binds it. Guards against
-  // attempts beyond the allowed ones and repeats that the destination no longer drops.
-  void RestoreMessage(const MessageRestored& e) {
-    if (messages_.count(e.message) != 0) return;
-    if (e.message_class >= settings_.classes.size()) {
-      context_.actions.push_back(FailMessage{e.message});
-      return;
-    }
-    Message m = Taken(e.message, e.message_class, e.time_left);
-    m.destination = e.destination;
-    m.attempts_before = e.attempts_used;
-    m.may_have_run = e.may_have_run;
-    const Endpoint* ran_on = registry_.FindEndpoint(e.ran_on_endpoint);
-    if (e.may_have_run && ran_on != nullptr) m.ran_in = ran_on->entry.zone;
-    registry_.DestinationOf(e.destination);
-    Hold(std::move(m), e.key);
-    if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
-  }
-
-  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) {
-    Message m;
-    m.id = id;
-    m.message_class = message_class;
-    m.deadline = now_ + time_left;
-    m.first_handed_in = m.deadline - ClassOf(m).deadline;
-    m.accepted = now_;
-    return m;
-  }
-
-  void Hold(Message m, const std::string& key) {
-    if (ClassOf(m).ordered && !key.empty()) {
-      m.key = key;
-      keys_[m.key].order.push_back(m.id);
-    }
-    registry_.DestinationAt(m.destination).waiting.push_back(m.id);
-    registry_.active_destinations().insert(m.destination);
-    admission_gate_.MessageAccepted();
-    messages_.emplace(m.id, std::move(m));
-  }
-
-  void CancelMessage(const MessageCancelled& e) {
-    auto it = messages_.find(e.message);
-    if (it == messages_.end() || it->second.finished) return;
-    CancelOut(it->second);
-    Close(it->second);
-  }
-
-  [[nodiscard]] bool MayRefuse(const Message& m) {
-    const ClassSettings& c = ClassOf(m);
-    if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kIdempotent) return true;
-    return c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination;
-  }
-
-  // A keyed message that may have run is not sent again once its destination may have forgotten it.
-  [[nodiscard]] bool WindowClosed(const Message& m) {
-    return m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
-           now_ - *m.may_have_run >= ClassOf(m).dedup_window;
-  }
-
-  // Gives the message up, at once: a refusal where a repeat is harmless, else a failure.
-  void GiveUp(Message& m) {
-    CancelOut(m);
-    if (MayRefuse(m)) {
-      context_.actions.push_back(RejectMessage{
-          m.id, admission_gate_.RetryAfter(registry_.DestinationAt(m.destination), m)});
-    } else {
-      context_.actions.push_back(FailMessage{m.id});
-    }
-    Close(m);
-  }
-
-  // The message is over; its line in the ledger stays while an attempt is out.
-  void Close(Message& m) {
-    m.finished = true;
-    admission_gate_.MessageFinished();
-    std::erase(registry_.DestinationAt(m.destination).waiting, m.id);
-    Forget(m.id);
-  }
-
-  void Forget(MessageId id) {
-    auto it = messages_.find(id);
-    if (it == messages_.end() || !it->second.finished || it->second.out > 0) return;
-    if (!it->second.key.empty()) std::erase(keys_[it->second.key].order, id);
-    messages_.erase(it);
-  }
-
-  [[nodiscard]] Time KeyRestsUntil(const Message& m) { return keys_.at(m.key).rests_until; }
-
-  void ForgetIdleKeys() {
-    std::erase_if(keys_, [this](const auto& k) {
-      return k.second.order.empty() && k.second.rests_until <= now_;
-    });
-  }
-
-  [[nodiscard]] bool KeyFree(const Message& m) {
-    if (m.key.empty()) return true;
-    const KeyLine& line = keys_.at(m.key);
-    return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
-  }
-
   void CompleteAttempt(const AttemptCompleted& e) {
-    Message* found = FindInFlight(e);
+    Message* found = ledger_.FindInFlight(e);
     if (found == nullptr) return;
     Message& m = *found;
     const Attempt& attempt = m.attempts[e.attempt];
-    RecordCompletion(m, e);
+    ledger_.RecordCompletion(m, e);
     JudgeCall(attempt, e);
     if (m.finished) {
-      Forget(m.id);
+      ledger_.Forget(m.id);
     } else if (e.finished || e.outcome == Outcome::kDelivered) {
-      Close(m);
+      ledger_.Close(m);
     } else {
       AfterFailure(m, e);
     }
   }
 
-  // Null if the message or its attempt is unknown, or the attempt has an outcome already.
-  Message* FindInFlight(const AttemptCompleted& e) {
-    auto it = messages_.find(e.message);
-    if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return nullptr;
-    return it->second.attempts[e.attempt].out ? &it->second : nullptr;
-  }
-
-  // Whether the message may have run, and where; its key rests if the attempt may still run.
-  void RecordCompletion(Message& m, const AttemptCompleted& e) {
-    Attempt& attempt = m.attempts[e.attempt];
-    attempt.out = false;
-    --m.out;
-    const bool doubt = e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset ||
-                       e.outcome == Outcome::kCancelled;
-    if ((doubt || e.outcome == Outcome::kError) && !m.may_have_run) {
-      m.may_have_run = attempt.sent;
-      m.ran_in = registry_.EndpointAt(attempt.endpoint).entry.zone;
-    }
-    if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + settings_.ordering_cooldown;
-  }
-
   void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
     Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
     Lane& lane = registry_.LaneOf(endpoint);
@@ -431,7 +290,7 @@
 
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
   [[nodiscard]] double Urgency(const Message& m) {
-    const ClassSettings& c = ClassOf(m);
+    const ClassSettings& c = ledger_.ClassOf(m);
     const Duration age = now_ - m.first_handed_in;
     const double value = WorthAt(c, age, settings_.decay);
     const double later = m.deadline - now_ <= c.latency_objective / 2
@@ -441,9 +300,9 @@
   }
 
   [[nodiscard]] bool Sendable(const Message& m, const Endpoint& e) {
-    if (m.not_before > now_ || !KeyFree(m) || WindowClosed(m)) return false;
-    if (m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
-        ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
+    if (m.not_before > now_ || !ledger_.KeyFree(m) || ledger_.WindowClosed(m)) return false;
+    if (m.may_have_run && ledger_.ClassOf(m).effect == Effect::kIdempotentWithKey &&
+        ledger_.ClassOf(m).dedup_scope == DedupScope::kZone && m.ran_in != e.entry.zone) {
       return false;
     }
     return e.health != Health::kOpen || MayTry(m, e);
@@ -453,7 +312,7 @@
   // either or will be answered, so one of many risks a message that may be repeated there. Of a
   // few, whose trials come often, a message would spend all its attempts on them.
   [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) {
-    const Effect effect = ClassOf(m).effect;
+    const Effect effect = ledger_.ClassOf(m).effect;
     return effect == Effect::kIdempotent || !settings_.health_checks_allowed ||
            (effect == Effect::kIdempotentWithKey && e.closed && rate_limiter_.ManyShare());
   }
@@ -508,7 +367,7 @@
     Candidate best;
     std::vector<std::optional<Endpoint*>> where(settings_.classes.size());
     for (MessageId id : d.waiting) {
-      Message& m = messages_.at(id);
+      Message& m = ledger_.MessageAt(id);
       std::optional<Endpoint*>& e = where[m.message_class];
       if (!e) e = joined != nullptr ? joined : BestEndpoint(d, m.message_class);
       if (*e == nullptr || !Sendable(m, **e)) continue;
@@ -530,12 +389,7 @@
   // others to share its call; that costs nothing. Guards against limits spent on calls of one.
   [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) {
     return admission_gate_.HalfFull() || registry_.BatchOf(e) <= d.waiting.size() ||
-           now_ >= GatheredAt(m);
-  }
-
-  [[nodiscard]] Time GatheredAt(const Message& m) {
-    const Duration time = std::min(ClassOf(m).latency_objective, (m.deadline - m.accepted) / 2);
-    return m.accepted + FromSeconds(kGather * ToSeconds(time));
+           now_ >= ledger_.GatheredAt(m);
   }
 
   void Dispatch() {
@@ -564,7 +418,7 @@
       std::erase(d.waiting, m->id);
       m->attempts.push_back({e.entry.endpoint, now_, call.id, true, false});
       context_.actions.push_back(
-          SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), StartBy(*m)});
+          SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), ledger_.StartBy(*m)});
       if (call.out == registry_.BatchOf(e)) break;
     }
     Paced(e);
@@ -578,7 +432,7 @@
       if (d.waiting.empty()) continue;
       Endpoint* e = BestEndpoint(d, SIZE_MAX);
       if (e == nullptr || e->health != Health::kOpen) continue;
-      const auto may_try = [&](MessageId m) { return MayTry(messages_.at(m), *e); };
+      const auto may_try = [&](MessageId m) { return MayTry(ledger_.MessageAt(m), *e); };
       if (std::any_of(d.waiting.begin(), d.waiting.end(), may_try)) continue;
       e->probing = true;
       Paced(*e);
@@ -597,25 +451,13 @@
 
   [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) {
     const Duration left = std::max<Duration>(m.deadline - now_, settings_.decision_interval);
-    if (settings_.cancel_allowed || ClassOf(m).effect == Effect::kNotIdempotent) return left;
+    if (settings_.cancel_allowed || ledger_.ClassOf(m).effect == Effect::kNotIdempotent)
+      return left;
     return std::min(left, 2 * OverdueAfter(e));
   }
 
-  [[nodiscard]] Time StartBy(const Message& m) {
-    if (!m.may_have_run || ClassOf(m).effect != Effect::kIdempotentWithKey) return m.deadline;
-    return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
-  }
-
-  [[nodiscard]] bool Spent(const Message& m) {
-    const bool all = settings_.max_attempts > 0 &&
-                     m.attempts_before + m.attempts.size() >= settings_.max_attempts;
-    const bool lost =
-        (m.may_have_run && ClassOf(m).effect == Effect::kNotIdempotent) || WindowClosed(m);
-    return all || lost;
-  }
-
   void AfterFailure(Message& m, const AttemptCompleted& e) {
-    if (e.exhausted || Spent(m)) return GiveUp(m);
+    if (e.exhausted || ledger_.Spent(m)) return ledger_.GiveUp(m);
     if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
     // Without a pause all attempts would be used up while no slot is free.
     if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kConnectionLimitReached) {
@@ -626,25 +468,16 @@
     waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
   }
 
-  void CancelOut(Message& m) {
-    if (!settings_.cancel_allowed) return;
-    for (std::size_t i = 0; i < m.attempts.size(); ++i) {
-      Attempt& a = m.attempts[i];
-      if (!a.out || a.cancelled) continue;
-      a.cancelled = true;
-      context_.actions.push_back(CancelAttempt{m.id, i});
-    }
-  }
-
   // Time is up, a key's window has closed, or an answer is overdue.
   void ReviewMessages() {
-    ForgetIdleKeys();
-    for (auto it = messages_.begin(); it != messages_.end();) {
+    ledger_.ForgetIdleKeys();
+    for (auto it = ledger_.messages().begin(); it != ledger_.messages().end();) {
       Message& m = it++->second;  // giving it up may erase it
       if (m.finished) continue;
       const Time last = m.deadline - settings_.decision_interval;
-      if (now_ >= last || (m.out == 0 && (WindowClosed(m) || WaitsPast(m.destination, last)))) {
-        GiveUp(m);
+      if (now_ >= last ||
+          (m.out == 0 && (ledger_.WindowClosed(m) || WaitsPast(m.destination, last)))) {
+        ledger_.GiveUp(m);
       } else if (m.out > 0) {
         ReviewAttempt(m);
       }
@@ -678,11 +511,11 @@
       Failed(e, call);
     }
     if (a.cancelled || !settings_.cancel_allowed) return;
-    const bool repeat = ClassOf(m).effect != Effect::kNotIdempotent;
+    const bool repeat = ledger_.ClassOf(m).effect != Effect::kNotIdempotent;
     const bool lost = e.last_answer > a.sent || NetworkLosesCalls();
     const bool silent = now_ - a.sent >= 2 * limit;
     if ((concurrency_limiter_.SlotsScarce(0) && (lost || silent)) || (repeat && silent))
-      CancelOut(m);
+      ledger_.CancelOut(m);
   }
 
   // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
@@ -695,13 +528,13 @@
     auto consider = [&](Time t) {
       if (t > now_) next = std::min(next, t);
     };
-    for (const auto& [id, m] : messages_) {
+    for (const auto& [id, m] : ledger_.messages()) {
       if (m.finished) continue;
       consider(m.deadline - settings_.decision_interval);
       consider(m.not_before);
-      consider(GatheredAt(m));
-      if (m.may_have_run) consider(*m.may_have_run + ClassOf(m).dedup_window);
-      if (!m.key.empty()) consider(KeyRestsUntil(m));
+      consider(ledger_.GatheredAt(m));
+      if (m.may_have_run) consider(*m.may_have_run + ledger_.ClassOf(m).dedup_window);
+      if (!m.key.empty()) consider(ledger_.KeyRestsUntil(m));
       if (m.out == 0) continue;
       const Attempt& a = m.attempts.back();
       const Duration overdue = OverdueAfter(registry_.EndpointAt(a.endpoint));
@@ -730,8 +563,7 @@
   RateLimiter rate_limiter_{context_, registry_};
   ConcurrencyLimiter concurrency_limiter_{context_, registry_};
   AdmissionGate admission_gate_{context_, registry_};
-  std::map<MessageId, Message> messages_;
-  std::map<std::string, KeyLine> keys_;
+  MessageLedger ledger_{context_, registry_, admission_gate_};
   double loss_ = 0;
   Time wake_at_ = Time::min();
 };
--- /dev/null
+++ b/src/policy/message_ledger.hpp
@@ -0,0 +1,112 @@
+// The messages that were accepted, their attempts, and the one final answer that each gets.
+#ifndef BRASSFRONT_POLICY_MESSAGE_LEDGER_HPP_
+#define BRASSFRONT_POLICY_MESSAGE_LEDGER_HPP_
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "policy/admission_gate.hpp"
+#include "policy/decision_context.hpp"
+#include "policy/endpoint_registry.hpp"
+#include "policy/policy_state.hpp"
+#include "policy/rate_limiter.hpp"
+
+namespace dispatch_policy {
+
+// Owns all Message records and the queues of ordering keys. References to messages are valid until
+// the message is forgotten.
+class MessageLedger {
+ public:
+  MessageLedger(DecisionContext& context, EndpointRegistry& registry, AdmissionGate& admission_gate)
+      : settings_(context.settings),
+        now_(context.now),
+        context_(context),
+        registry_(registry),
+        admission_gate_(admission_gate) {}
+
+  // A client has submitted a message: holds it, or rejects it.
+  void AcceptMessage(const MessageArrived& e);
+
+  // Holds a message that an earlier process accepted; it passes the admission gate. Its attempts
+  // and when it may first have run still count, so that no limit is exceeded and nothing is sent
+  // after its dedup window.
+  void RestoreMessage(const MessageRestored& e);
+
+  // Drops a message whose client has gone.
+  void CancelMessage(const MessageCancelled& e);
+
+  // Null if the message or its attempt is unknown, or the attempt has an outcome already.
+  Message* FindInFlight(const AttemptCompleted& e);
+
+  // Records whether the message may have run, and where. Its ordering key rests if the attempt may
+  // still run.
+  void RecordCompletion(Message& m, const AttemptCompleted& e);
+
+  // Gives the message up at once: rejects it where submitting it again is harmless, else fails it.
+  void GiveUp(Message& m);
+
+  // The message is over. Its record stays while an attempt is in flight.
+  void Close(Message& m);
+
+  // Drops the record of a message that is over and has no attempt in flight.
+  void Forget(MessageId id);
+
+  // Cancels all attempts in flight, where the caller can do so.
+  void CancelOut(Message& m);
+
+  // Whether no further attempt is allowed.
+  [[nodiscard]] bool Spent(const Message& m) const;
+
+  // Whether the receiver may have forgotten the message's idempotency key: it must not be sent
+  // again.
+  [[nodiscard]] bool WindowClosed(const Message& m) const;
+
+  // Whether the message is the next of its ordering key.
+  [[nodiscard]] bool KeyFree(const Message& m) const;
+
+  // The message must have an ordering key.
+  [[nodiscard]] Time KeyRestsUntil(const Message& m) const { return keys_.at(m.key).rests_until; }
+
+  // Drops ordering keys without messages.
+  void ForgetIdleKeys();
+
+  // Until when an attempt of the message may start.
+  [[nodiscard]] Time StartBy(const Message& m) const;
+
+  // Until when the message waits for others to join its call.
+  [[nodiscard]] Time GatheredAt(const Message& m) const;
+
+  // Settings of the message's class.
+  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
+    return settings_.classes[m.message_class];
+  }
+
+  // The message must be known.
+  Message& MessageAt(MessageId id) { return messages_.at(id); }
+
+  // All messages that are not forgotten, in ascending order of their ids.
+  std::map<MessageId, Message>& messages() { return messages_; }
+
+ private:
+  // A record of a message that is accepted now; its destination is not set yet.
+  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) const;
+
+  // Queues the message for its destination, and for its key if its class is ordered.
+  void Hold(Message m, const std::string& key);
+
+  // Whether submitting the message again does no harm.
+  [[nodiscard]] bool MayRefuse(const Message& m) const;
+
+  const Settings& settings_;
+  const Time& now_;
+  DecisionContext& context_;
+  EndpointRegistry& registry_;
+  AdmissionGate& admission_gate_;
+  std::map<MessageId, Message> messages_;
+  std::map<std::string, KeyLine> keys_;
+};
+
+}  // namespace dispatch_policy
+
+#endif  // BRASSFRONT_POLICY_MESSAGE_LEDGER_HPP_
