Take the circuit breaker out of the policy's class

The policy was one class of a thousand lines. What this component does is declared and documented in its header now, its decisions and constants are in its source, and its state is its own. No decision changes.

--- /dev/null
+++ b/src/policy/circuit_breaker.hpp
@@ -0,0 +1,99 @@
+// Finds outages of endpoints, and brings endpoints back by trial calls and slow start.
+#ifndef BRASSFRONT_POLICY_CIRCUIT_BREAKER_HPP_
+#define BRASSFRONT_POLICY_CIRCUIT_BREAKER_HPP_
+
+#include "policy/concurrency_limiter.hpp"
+#include "policy/decision_context.hpp"
+#include "policy/endpoint_registry.hpp"
+#include "policy/policy_state.hpp"
+#include "policy/rate_limiter.hpp"
+
+namespace dispatch_policy {
+
+// Mean deviations above the mean latency at which an answer is overdue.
+extern const double kOverdueSpreads;
+
+// Closed: calls go out. Open: trial calls only. Recovering: calls at a rate that grows within the
+// slow start.
+class CircuitBreaker {
+ public:
+  CircuitBreaker(DecisionContext& context, EndpointRegistry& registry, RateLimiter& rate_limiter,
+                 ConcurrencyLimiter& concurrency_limiter)
+      : settings_(context.settings),
+        now_(context.now),
+        context_(context),
+        registry_(registry),
+        rate_limiter_(rate_limiter),
+        concurrency_limiter_(concurrency_limiter) {}
+
+  // Takes up the end of an attempt: told waits and load reports of each message, the outcome once a
+  // call.
+  void JudgeCall(const Attempt& attempt, const AttemptCompleted& e);
+
+  // Takes up the end of a health check; ignored if none is under way there.
+  void CompleteHealthCheck(const HealthCheckCompleted& e);
+
+  // Takes up what other dispatchers saw. One witness is checked by a single call, two count as this
+  // instance's own calls would: one that is wrong or lies costs a round trip, whatever it claims.
+  void ApplyPeerReport(const PeerHealthReport& w);
+
+  // Books a call or health check: the next one waits for the pace and, while not closed, for the
+  // next trial.
+  void Paced(Endpoint& e);
+
+  // Changes the state of the breaker, with a line in the log.
+  void Turn(Endpoint& e, Health health);
+
+  // Whether the endpoint's connection limit, as far as it was seen, leaves room for a call.
+  [[nodiscard]] bool HasPlace(const Endpoint& e) const;
+
+  // Whether so many answers came after lost calls that the network must be losing them.
+  [[nodiscard]] bool NetworkLosesCalls() const;
+
+  // A call failed, or its answer is overdue. A failure alone leaves the endpoint one call at a
+  // time. It is an outage when most calls fail, or when nothing was answered lately: many
+  // dispatchers that each know of one failure would overload a returning destination. Where only
+  // some calls are lost the endpoint stays in use.
+  void Failed(Endpoint& e, const Call& call, bool closed = false);
+
+ private:
+  // Takes up the outcome of a call or health check. `elapsed` 0: unknown; `told`: its Retry-After,
+  // 0: none.
+  void Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed, Duration told);
+
+  // A call was delivered: closes the breaker, or starts the recovery after an outage. An answer to
+  // a call from before the endpoint shut says nothing of its return.
+  void Succeeded(Endpoint& e, const Call& call);
+
+  // Opens the breaker after rejections alone for longer than a limit's span, or a long Retry-After:
+  // the endpoint will be warming up when it is back, and cannot take the rate from before.
+  void JudgeFull(Endpoint& e, Lane& lane, Duration told);
+
+  // The endpoint's connection limit is reached: no more connections for this instance than there
+  // are, and one more with each pause from then on. That is neither a rate limit nor an outage, as
+  // calls on the connections that stand are taken.
+  void OnCrowded(Endpoint& e);
+
+  // An answer at the usual latency after silence means that the silent calls were lost on the way:
+  // a slow or hung destination does not answer like this.
+  void NoteLoss(Endpoint& e, double seen);
+
+  // Whether the endpoint answered lately; a reset is then the end of its connection, not an outage.
+  [[nodiscard]] bool Answered(const Endpoint& e) const;
+
+  // Time between trial calls: at the capacity that the endpoint has while warming up, which grows
+  // over the slow start, for this instance's part of the traffic.
+  Duration TrialGap(Endpoint& e);
+
+  const Settings& settings_;
+  const Time& now_;
+  DecisionContext& context_;
+  EndpointRegistry& registry_;
+  RateLimiter& rate_limiter_;
+  ConcurrencyLimiter& concurrency_limiter_;
+  double loss_ = 0;
+};
+
+}  // namespace dispatch_policy
+
+#endif  // BRASSFRONT_POLICY_CIRCUIT_BREAKER_HPP_
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "policy/admission_gate.hpp"
+#include "policy/circuit_breaker.hpp"
 #include "policy/concurrency_limiter.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
@@ -19,33 +20,11 @@
 namespace {
 
 constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
-constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
-constexpr double kLeastTrials = 1e-3;                      // a second; no setting stops them
-constexpr int kShutRow = 3;                                // and for more calls in a row than this
-constexpr double kFailureGain = 0.3;  // weight of the newest outcome: few are seen; two open
-constexpr double kFailedMost = 0.5;   // failure share that is an outage
-constexpr Duration kShortestOutage = std::chrono::seconds(3);  // without an answer; less is loss
-constexpr double kBudgetShare = 0.6;    // of the fail-back budget; the rest is for estimates
-constexpr double kOverdueSpreads = 4;   // deviations over the mean until an answer is overdue
 constexpr double kLeastOverdue = 0.2;   // of the shortest aim; handshakes and batches vary
-constexpr double kLatencyGain = 0.15;   // weight of the newest latency
 constexpr double kSickCost = 20;        // times the usual, where all calls fail or it is not warm
 constexpr double kFloorUrgency = 0.02;  // worth of sending what loses nothing by waiting
-constexpr double kLossGain = 0.1;       // weight of the newest answer in the share of loss
-constexpr double kLossy = 0.08;         // of answers after a lost call, and it is the network
-constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
-constexpr double kTollWeight = 10;         // of a route's toll, in points, against its latency
-
-LogMessage TurnedText(Health health, const EndpointEntry& e) {
-  static constexpr const char* kNames[] = {"closed", "open", "recovering"};
-  return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
-          std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
-}
+constexpr double kTollWeight = 10;      // of a route's toll, in points, against its latency
 
-LogMessage LongWaitText(const EndpointEntry& e, Duration wait) {
-  return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
-          std::to_string(ToSeconds(wait)) + " s, past every deadline"};
-}
 // What is left, as a share, of a message's worth at this age.
 double WorthAt(const ClassSettings& c, Duration age, Decay decay) {
   if (age <= c.latency_objective || c.latency_objective <= Duration{}) return 1;
@@ -82,11 +61,11 @@
   void On(const MessageRestored& event) { ledger_.RestoreMessage(event); }
   void On(const MessageCancelled& event) { ledger_.CancelMessage(event); }
   void On(const AttemptCompleted& event) { CompleteAttempt(event); }
-  void On(const HealthCheckCompleted& event) { CompleteHealthCheck(event); }
+  void On(const HealthCheckCompleted& event) { breaker_.CompleteHealthCheck(event); }
   void On(const EndpointList& event) { registry_.ApplyList(event); }
   void On(const TimerFired&) { ExpireTimer(); }
   void On(const QuotaLeased& event) { rate_limiter_.ApplyQuota(event); }
-  void On(const PeerHealthReport& event) { ApplyPeerReport(event); }
+  void On(const PeerHealthReport& event) { breaker_.ApplyPeerReport(event); }
 
   void CompleteAttempt(const AttemptCompleted& e) {
     Message* found = ledger_.FindInFlight(e);
@@ -94,7 +73,7 @@
     Message& m = *found;
     const Attempt& attempt = m.attempts[e.attempt];
     ledger_.RecordCompletion(m, e);
-    JudgeCall(attempt, e);
+    breaker_.JudgeCall(attempt, e);
     if (m.finished) {
       ledger_.Forget(m.id);
     } else if (e.finished || e.outcome == Outcome::kDelivered) {
@@ -104,190 +83,6 @@
     }
   }
 
-  void JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
-    Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
-    Lane& lane = registry_.LaneOf(endpoint);
-    Call& call = concurrency_limiter_.CallAt(attempt.call);
-    // A wait binds whichever message of a batch was told of it, however long it is.
-    lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
-    if (e.retry_after > context_.longest_deadline) {
-      context_.actions.push_back(LongWaitText(endpoint.entry, e.retry_after));
-    }
-    rate_limiter_.Heard(lane, e.report);
-    if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
-      call.judged = true;
-      Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
-    }
-    if (--call.out == 0) concurrency_limiter_.EndCall(endpoint, call);
-  }
-
-  void CompleteHealthCheck(const HealthCheckCompleted& e) {
-    Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
-    if (endpoint == nullptr || !endpoint->probing) return;
-    endpoint->probing = false;
-    rate_limiter_.Heard(registry_.LaneOf(*endpoint), e.report);
-    Judge(*endpoint, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
-          Duration{});
-  }
-
-  void Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed, Duration told) {
-    Lane& lane = registry_.LaneOf(e);
-    if (outcome == Outcome::kDelivered) {
-      rate_limiter_.OnAccepted(lane);
-      if (elapsed > Duration{}) {
-        const double seen = ToSeconds(elapsed);
-        NoteLoss(e, seen);
-        if (e.latency <= 0) e.latency = seen;
-        e.spread += kLatencyGain * (std::abs(seen - e.latency) - e.spread);
-        e.latency += kLatencyGain * (seen - e.latency);
-      }
-      Succeeded(e, call);
-    } else if (outcome == Outcome::kRejected) {
-      rate_limiter_.OnFull(e, call, told, TrialGap(e));
-      JudgeFull(e, lane, told);
-    } else if (outcome == Outcome::kConnectionLimitReached) {
-      OnCrowded(e);
-    } else if (!call.overdue && !(outcome == Outcome::kReset && Answered(e))) {
-      Failed(e, call, outcome == Outcome::kConnectFailed);
-    }
-  }
-
-  // It answered lately, so a reset is its connection's end and not its own. Guards against one call
-  // at a time where connections are often cut; an endpoint that died refuses the next one.
-  [[nodiscard]] bool Answered(const Endpoint& e) {
-    return e.last_answer > Time{} && now_ - e.last_answer < context_.shortest_aim;
-  }
-
-  // No more connections for us than there are, and one more with each pause from then on. That is
-  // neither a limit on calls nor an outage: guards against a pace or a trickle where calls on the
-  // connections that stand would be taken.
-  void OnCrowded(Endpoint& e) {
-    e.places = std::max(1, e.calls_out - 1);
-    e.crowded = now_;
-    if (e.calls_out <= 1) e.next_call = now_ + context_.Spread(kFullPause);
-  }
-
-  [[nodiscard]] bool HasPlace(const Endpoint& e) {
-    if (e.next_call > now_) return false;
-    return e.places == 0 || e.calls_out < e.places + (now_ - e.crowded) / kPlacePause;
-  }
-
-  // An answer at the usual pace after silence: the silent calls were lost on the way, not queued.
-  // Guards against loss everywhere, when silent calls fill the slots; a slow or hung destination
-  // does not answer like this.
-  void NoteLoss(Endpoint& e, double seen) {
-    const bool lost = e.silent_row > 0 && seen <= e.latency + kOverdueSpreads * e.spread;
-    loss_ += kLossGain * ((lost ? 1 : 0) - loss_);
-    e.silent_row = 0;
-  }
-
-  [[nodiscard]] bool NetworkLosesCalls() { return loss_ > kLossy; }
-
-  void Succeeded(Endpoint& e, const Call& call) {
-    const bool outage = e.fails_in_row > 0 && call.sent - e.first_fail > kShortestOutage;
-    e.last_answer = std::max(e.last_answer, call.sent);
-    registry_.DestinationAt(e.entry.destination).last_answer = call.sent;
-    e.failure *= 1 - kFailureGain;
-    if (call.message_class < e.class_failure.size()) e.class_failure[call.message_class] /= 2;
-    e.fails_in_row = 0;
-    if (e.health != Health::kOpen || (e.shut && call.sent < e.since)) return;
-    Turn(e, outage || e.shut ? Health::kRecovering : Health::kClosed);
-  }
-
-  // A failure alone leaves the endpoint one call at a time. Most calls failing, whatever the
-  // reason, is an outage, and so is one where nothing was answered lately: many dispatchers that
-  // know of one failure each push a returning destination over. Guards against hangs, crashes,
-  // silence and errors alike, and leaves an endpoint in use where only some calls are lost.
-  void Failed(Endpoint& e, const Call& call, bool closed = false) {
-    e.closed = closed;
-    if (e.fails_in_row++ == 0) e.first_fail = call.sent;
-    if (e.health == Health::kRecovering && call.sent < e.since) return;  // older than the recovery
-    e.class_failure.resize(settings_.classes.size());
-    if (call.message_class < e.class_failure.size()) {
-      double& failure = e.class_failure[call.message_class];
-      failure += (1 - failure) / 2;
-    }
-    e.failure += kFailureGain * (1 - e.failure);
-    const bool unheard =
-        now_ - registry_.DestinationAt(e.entry.destination).last_answer > kRateMemory;
-    if ((e.failure > kFailedMost || unheard) && e.health != Health::kOpen) Turn(e, Health::kOpen);
-  }
-
-  // Refusals alone, for longer than a limit's span, or one long told wait: it is shut, and will be
-  // cold when it opens. Guards against pushing it over with the rate from before.
-  void JudgeFull(Endpoint& e, Lane& lane, Duration told) {
-    const bool shut =
-        told > kLimitSpan || (lane.full_row > kShutRow && now_ - lane.first_full > kLimitSpan);
-    if (!shut) return;
-    for (EndpointId id : registry_.DestinationAt(e.entry.destination).endpoints) {
-      Endpoint& other = registry_.EndpointAt(id);
-      if (&registry_.LaneOf(other) != &lane) continue;
-      if (other.health != Health::kOpen) Turn(other, Health::kOpen);
-      other.shut = true;
-    }
-  }
-
-  void Turn(Endpoint& e, Health health) {
-    Lane& lane = registry_.LaneOf(e);
-    // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
-    if (e.health == Health::kRecovering && health == Health::kClosed) {
-      const double part = rate_limiter_.PartOf(e);
-      if (rate_limiter_.Seldom(part)) rate_limiter_.PaceSeldom(lane, part);
-    }
-    e.health = health;
-    e.shut = false;
-    e.since = now_;
-    lane.next_trial = std::max(lane.next_trial, now_ + context_.Spread(TrialGap(e)));
-    context_.actions.push_back(TurnedText(health, e.entry));
-  }
-
-  // Books a call or a probe: the next one waits for the pace and, while not warm, for its trial.
-  void Paced(Endpoint& e) {
-    rate_limiter_.PaceNext(e);
-    if (e.health != Health::kClosed)
-      registry_.LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
-  }
-
-  // Calls and probes to a destination that failed: what it can do when cold, growing to all of it
-  // over the cold time once it answers; for our part of its traffic, as the others see to theirs.
-  Duration TrialGap(Endpoint& e) {
-    double warm = settings_.slow_start_share;
-    if (e.health == Health::kRecovering && settings_.slow_start_duration > Duration{}) {
-      warm += (1 - settings_.slow_start_share) *
-              std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(settings_.slow_start_duration));
-    }
-    const double rate =
-        rate_limiter_.PartOf(e) * warm * kBudgetShare * settings_.collapse_load_multiple;
-    return FromSeconds(1 / std::max(rate, kLeastTrials));
-  }
-
-  // One witness is checked by a single call, two bind as our own calls would. Guards against one
-  // that is wrong or lies: it costs a round trip, whatever it claims.
-  void ApplyPeerReport(const PeerHealthReport& w) {
-    Endpoint* known = registry_.FindEndpoint(w.endpoint);
-    if (known == nullptr || known->last_answer > now_ - w.age) return;  // ours is newer
-    Endpoint& e = *known;
-    Lane& lane = registry_.LaneOf(e);
-    const bool sure = w.witnesses >= kSureWitnesses;
-    if (w.health == PeerHealth::kBeingTested) {
-      lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.duration, kLimitSpan));
-    } else if (w.health == PeerHealth::kServing) {
-      if (e.health != Health::kOpen) return;
-      if (sure) Turn(e, Health::kRecovering);
-      lane.next_trial = std::min(lane.next_trial, now_ + context_.Spread(kFullPause));
-    } else if (!sure) {
-      if (e.fails_in_row > 0) return;
-      e.fails_in_row = 1;
-      e.first_fail = now_;
-    } else if (w.health == PeerHealth::kRetryAfter) {
-      lane.wait_until =
-          std::max(lane.wait_until, now_ + std::min(w.duration, context_.longest_deadline));
-    } else if (e.health == Health::kClosed) {
-      Turn(e, w.health == PeerHealth::kFailing ? Health::kOpen : Health::kRecovering);
-      if (w.health == PeerHealth::kWarmingUp) e.since = now_ - std::min(w.age, now_);
-    }
-  }
-
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
   [[nodiscard]] double Urgency(const Message& m) {
     const ClassSettings& c = ledger_.ClassOf(m);
@@ -320,9 +115,9 @@
   bool CanCall(Endpoint& e) {
     Lane& lane = registry_.LaneOf(e);
     if (e.health == Health::kRecovering && now_ - e.since > settings_.slow_start_duration) {
-      Turn(e, Health::kClosed);
+      breaker_.Turn(e, Health::kClosed);
     }
-    if (e.entry.state != EndpointState::kListed || !HasPlace(e)) return false;
+    if (e.entry.state != EndpointState::kListed || !breaker_.HasPlace(e)) return false;
     if (std::max(lane.wait_until, lane.next_call) > now_) return false;
     if ((e.fails_in_row > 0 && e.fresh_out > 0) || !concurrency_limiter_.WithinSickShare(e))
       return false;
@@ -421,7 +216,7 @@
           SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), ledger_.StartBy(*m)});
       if (call.out == registry_.BatchOf(e)) break;
     }
-    Paced(e);
+    breaker_.Paced(e);
   }
 
   // A probe is the trial call where no held message may be risked.
@@ -435,7 +230,7 @@
       const auto may_try = [&](MessageId m) { return MayTry(ledger_.MessageAt(m), *e); };
       if (std::any_of(d.waiting.begin(), d.waiting.end(), may_try)) continue;
       e->probing = true;
-      Paced(*e);
+      breaker_.Paced(*e);
       context_.actions.emplace_back(StartHealthCheck{e->entry.endpoint});
     }
   }
@@ -508,11 +303,11 @@
       call.overdue = true;
       --e.fresh_out;
       ++e.silent_row;
-      Failed(e, call);
+      breaker_.Failed(e, call);
     }
     if (a.cancelled || !settings_.cancel_allowed) return;
     const bool repeat = ledger_.ClassOf(m).effect != Effect::kNotIdempotent;
-    const bool lost = e.last_answer > a.sent || NetworkLosesCalls();
+    const bool lost = e.last_answer > a.sent || breaker_.NetworkLosesCalls();
     const bool silent = now_ - a.sent >= 2 * limit;
     if ((concurrency_limiter_.SlotsScarce(0) && (lost || silent)) || (repeat && silent))
       ledger_.CancelOut(m);
@@ -564,7 +359,7 @@
   ConcurrencyLimiter concurrency_limiter_{context_, registry_};
   AdmissionGate admission_gate_{context_, registry_};
   MessageLedger ledger_{context_, registry_, admission_gate_};
-  double loss_ = 0;
+  CircuitBreaker breaker_{context_, registry_, rate_limiter_, concurrency_limiter_};
   Time wake_at_ = Time::min();
 };
 
