--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -15,12 +15,11 @@
 #include "policy/message_ledger.hpp"
 #include "policy/policy_state.hpp"
 #include "policy/rate_limiter.hpp"
+#include "policy/retry_scheduler.hpp"
 
 namespace dispatch_policy {
 namespace {
 
-constexpr Duration kUnsentPause = std::chrono::milliseconds(100);  // after a call was not sent
-constexpr double kLeastOverdue = 0.2;   // of the shortest aim; handshakes and batches vary
 constexpr double kSickCost = 20;        // times the usual, where all calls fail or it is not warm
 constexpr double kFloorUrgency = 0.02;  // worth of sending what loses nothing by waiting
 constexpr double kTollWeight = 10;      // of a route's toll, in points, against its latency
@@ -49,10 +48,10 @@
     for (const Event& event : events) {
       std::visit([this](const auto& e) { On(e); }, event);
     }
-    ReviewMessages();
+    retry_scheduler_.ReviewMessages();
     Dispatch();
     admission_gate_.UpdateGates();
-    SetWakeUp();
+    retry_scheduler_.SetWakeUp();
     return std::move(context_.actions);
   }
 
@@ -60,29 +59,13 @@
   void On(const MessageArrived& event) { ledger_.AcceptMessage(event); }
   void On(const MessageRestored& event) { ledger_.RestoreMessage(event); }
   void On(const MessageCancelled& event) { ledger_.CancelMessage(event); }
-  void On(const AttemptCompleted& event) { CompleteAttempt(event); }
+  void On(const AttemptCompleted& event) { retry_scheduler_.CompleteAttempt(event); }
   void On(const HealthCheckCompleted& event) { breaker_.CompleteHealthCheck(event); }
   void On(const EndpointList& event) { registry_.ApplyList(event); }
-  void On(const TimerFired&) { ExpireTimer(); }
+  void On(const TimerFired&) { retry_scheduler_.ExpireTimer(); }
   void On(const QuotaLeased& event) { rate_limiter_.ApplyQuota(event); }
   void On(const PeerHealthReport& event) { breaker_.ApplyPeerReport(event); }
 
-  void CompleteAttempt(const AttemptCompleted& e) {
-    Message* found = ledger_.FindInFlight(e);
-    if (found == nullptr) return;
-    Message& m = *found;
-    const Attempt& attempt = m.attempts[e.attempt];
-    ledger_.RecordCompletion(m, e);
-    breaker_.JudgeCall(attempt, e);
-    if (m.finished) {
-      ledger_.Forget(m.id);
-    } else if (e.finished || e.outcome == Outcome::kDelivered) {
-      ledger_.Close(m);
-    } else {
-      AfterFailure(m, e);
-    }
-  }
-
   // What the message loses by waiting for another aim's half, and a little for what it is worth.
   [[nodiscard]] double Urgency(const Message& m) {
     const ClassSettings& c = ledger_.ClassOf(m);
@@ -212,8 +195,8 @@
       d.sends.Add(now_);
       std::erase(d.waiting, m->id);
       m->attempts.push_back({e.entry.endpoint, now_, call.id, true, false});
-      context_.actions.push_back(
-          SendAttempt{m->id, e.entry.endpoint, TimeoutOf(*m, e), ledger_.StartBy(*m)});
+      context_.actions.push_back(SendAttempt{
+          m->id, e.entry.endpoint, retry_scheduler_.TimeoutOf(*m, e), ledger_.StartBy(*m)});
       if (call.out == registry_.BatchOf(e)) break;
     }
     breaker_.Paced(e);
@@ -235,122 +218,6 @@
     }
   }
 
-  // Doubled with each failure in a row, so that an endpoint that has become slow is still heard.
-  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) {
-    const double usual = e.latency + kOverdueSpreads * e.spread;
-    const double least = kLeastOverdue * ToSeconds(context_.shortest_aim);
-    const double known = e.latency > 0 ? std::max(usual, least) : 2 * least;
-    const int doublings = std::min(e.fails_in_row, kMostDoublings);
-    return std::min(FromSeconds(known) * (1 << doublings), 2 * context_.shortest_aim);
-  }
-
-  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) {
-    const Duration left = std::max<Duration>(m.deadline - now_, settings_.decision_interval);
-    if (settings_.cancel_allowed || ledger_.ClassOf(m).effect == Effect::kNotIdempotent)
-      return left;
-    return std::min(left, 2 * OverdueAfter(e));
-  }
-
-  void AfterFailure(Message& m, const AttemptCompleted& e) {
-    if (e.exhausted || ledger_.Spent(m)) return ledger_.GiveUp(m);
-    if (e.outcome == Outcome::kError) m.not_before = now_ + kFullPause;
-    // Without a pause all attempts would be used up while no slot is free.
-    if (e.outcome == Outcome::kNotSent || e.outcome == Outcome::kConnectionLimitReached) {
-      m.not_before = now_ + kUnsentPause;
-    }
-    registry_.active_destinations().insert(m.destination);
-    std::vector<MessageId>& waiting = registry_.DestinationAt(m.destination).waiting;
-    waiting.insert(std::lower_bound(waiting.begin(), waiting.end(), m.id), m.id);
-  }
-
-  // Time is up, a key's window has closed, or an answer is overdue.
-  void ReviewMessages() {
-    ledger_.ForgetIdleKeys();
-    for (auto it = ledger_.messages().begin(); it != ledger_.messages().end();) {
-      Message& m = it++->second;  // giving it up may erase it
-      if (m.finished) continue;
-      const Time last = m.deadline - settings_.decision_interval;
-      if (now_ >= last ||
-          (m.out == 0 && (ledger_.WindowClosed(m) || WaitsPast(m.destination, last)))) {
-        ledger_.GiveUp(m);
-      } else if (m.out > 0) {
-        ReviewAttempt(m);
-      }
-    }
-  }
-
-  // Every endpoint that could take it is told to wait past its time: it is given up now, not then.
-  bool WaitsPast(DestinationId id, Time last) {
-    bool any = false;
-    for (EndpointId e : registry_.DestinationAt(id).endpoints) {
-      Endpoint& endpoint = registry_.EndpointAt(e);
-      if (endpoint.entry.state != EndpointState::kListed) continue;
-      if (registry_.LaneOf(endpoint).wait_until < last) return false;
-      any = true;
-    }
-    return any;
-  }
-
-  // A silent call counts as a failure long before its message's time is up. It is called off when
-  // its slot is wanted or another attempt may do better.
-  void ReviewAttempt(Message& m) {
-    Attempt& a = m.attempts.back();
-    Endpoint& e = registry_.EndpointAt(a.endpoint);
-    const Duration limit = OverdueAfter(e);
-    if (now_ - a.sent < limit) return;
-    Call& call = concurrency_limiter_.CallAt(a.call);
-    if (!call.overdue) {
-      call.overdue = true;
-      --e.fresh_out;
-      ++e.silent_row;
-      breaker_.Failed(e, call);
-    }
-    if (a.cancelled || !settings_.cancel_allowed) return;
-    const bool repeat = ledger_.ClassOf(m).effect != Effect::kNotIdempotent;
-    const bool lost = e.last_answer > a.sent || breaker_.NetworkLosesCalls();
-    const bool silent = now_ - a.sent >= 2 * limit;
-    if ((concurrency_limiter_.SlotsScarce(0) && (lost || silent)) || (repeat && silent))
-      ledger_.CancelOut(m);
-  }
-
-  // It may fire a little early where the caller's clock is coarser than ours: then it is set again.
-  // Guards against a wake-up that is waited for and never comes, and messages lost by it.
-  void ExpireTimer() { wake_at_ = Time::min(); }
-
-  // The earliest moment at which waiting alone changes a decision.
-  void SetWakeUp() {
-    Time next = Time::max();
-    auto consider = [&](Time t) {
-      if (t > now_) next = std::min(next, t);
-    };
-    for (const auto& [id, m] : ledger_.messages()) {
-      if (m.finished) continue;
-      consider(m.deadline - settings_.decision_interval);
-      consider(m.not_before);
-      consider(ledger_.GatheredAt(m));
-      if (m.may_have_run) consider(*m.may_have_run + ledger_.ClassOf(m).dedup_window);
-      if (!m.key.empty()) consider(ledger_.KeyRestsUntil(m));
-      if (m.out == 0) continue;
-      const Attempt& a = m.attempts.back();
-      const Duration overdue = OverdueAfter(registry_.EndpointAt(a.endpoint));
-      consider(a.sent + overdue);
-      consider(a.sent + 2 * overdue);
-    }
-    for (DestinationId id : registry_.active_destinations()) {
-      Destination& d = registry_.DestinationAt(id);
-      if (d.waiting.empty()) continue;
-      for (EndpointId e : d.endpoints) {
-        const Lane& lane = registry_.LaneOf(registry_.EndpointAt(e));
-        consider(registry_.EndpointAt(e).next_call);
-        consider(std::max(lane.wait_until, lane.next_call));
-        consider(lane.next_trial);
-      }
-    }
-    if (next == Time::max() || (wake_at_ > now_ && wake_at_ <= next)) return;
-    wake_at_ = next;
-    context_.actions.push_back(SetTimer{0, next});
-  }
-
   DecisionContext context_;
   const Settings& settings_ = context_.settings;
   const Time& now_ = context_.now;
@@ -360,7 +227,7 @@
   AdmissionGate admission_gate_{context_, registry_};
   MessageLedger ledger_{context_, registry_, admission_gate_};
   CircuitBreaker breaker_{context_, registry_, rate_limiter_, concurrency_limiter_};
-  Time wake_at_ = Time::min();
+  RetryScheduler retry_scheduler_{context_, registry_, concurrency_limiter_, ledger_, breaker_};
 };
 
 DispatchPolicy::DispatchPolicy(Settings settings, std::uint64_t seed)
--- /dev/null
+++ b/src/policy/retry_scheduler.hpp
@@ -0,0 +1,74 @@
+// When an attempt times out, when a message is tried again, and when it is given up.
+#ifndef BRASSFRONT_POLICY_RETRY_SCHEDULER_HPP_
+#define BRASSFRONT_POLICY_RETRY_SCHEDULER_HPP_
+
+#include "policy/circuit_breaker.hpp"
+#include "policy/concurrency_limiter.hpp"
+#include "policy/decision_context.hpp"
+#include "policy/endpoint_registry.hpp"
+#include "policy/message_ledger.hpp"
+#include "policy/policy_state.hpp"
+#include "policy/rate_limiter.hpp"
+
+namespace dispatch_policy {
+
+// Owns the wake-up timer. It starts no attempt: that is up to EndpointSelector.
+class RetryScheduler {
+ public:
+  RetryScheduler(DecisionContext& context, EndpointRegistry& registry,
+                 ConcurrencyLimiter& concurrency_limiter, MessageLedger& ledger,
+                 CircuitBreaker& breaker)
+      : settings_(context.settings),
+        now_(context.now),
+        context_(context),
+        registry_(registry),
+        concurrency_limiter_(concurrency_limiter),
+        ledger_(ledger),
+        breaker_(breaker) {}
+
+  // Takes up the end of an attempt: the message is over, given up, or waits for its retry.
+  void CompleteAttempt(const AttemptCompleted& e);
+
+  // Gives up messages whose time is up or whose dedup window has closed, and looks for overdue
+  // answers.
+  void ReviewMessages();
+
+  // Asks for a timer at the earliest moment at which waiting alone changes a decision.
+  void SetWakeUp();
+
+  // The timer fired. It may be a little early where the caller's clock is coarser; then it is set
+  // again.
+  void ExpireTimer() { wake_at_ = Time::min(); }
+
+  // Timeout of an attempt of the message at the endpoint, always above 0.
+  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) const;
+
+ private:
+  // Time after which an answer is overdue. Doubled with each failure in a row, so that answers of
+  // an endpoint that has become slow still count.
+  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) const;
+
+  // Gives the message up or queues it for a retry.
+  void AfterFailure(Message& m, const AttemptCompleted& e);
+
+  // Counts a call without an answer as a failure long before its message's deadline. Its attempt is
+  // cancelled when the slot is wanted or another attempt may do better.
+  void ReviewAttempt(Message& m);
+
+  // Whether every listed endpoint has asked to wait until `last` or longer: messages are given up
+  // now, not then.
+  bool WaitsPast(DestinationId id, Time last);
+
+  const Settings& settings_;
+  const Time& now_;
+  DecisionContext& context_;
+  EndpointRegistry& registry_;
+  ConcurrencyLimiter& concurrency_limiter_;
+  MessageLedger& ledger_;
+  CircuitBreaker& breaker_;
+  Time wake_at_ = Time::min();
+};
+
+}  // namespace dispatch_policy
+
+#endif  // BRASSFRONT_POLICY_RETRY_SCHEDULER_HPP_
