--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -104,12 +104,6 @@
   Lane own_lane;
 };
 
-struct Candidate {
-  Message* message = nullptr;
-  Endpoint* endpoint = nullptr;
-  double urgency = -1;
-};
-
 struct Destination {
   Destination(Seconds memory, Seconds pace_memory, Time start)
       : lane(pace_memory, start), arrivals(memory, start), sends(memory, start) {}
