--- a/src/policy/admission_gate.hpp
+++ b/src/policy/admission_gate.hpp
@@ -11,7 +11,7 @@
 namespace dispatch_policy {
 
 // Numbers of unsent messages at which an admission gate changes its mode.
-struct Marks {
+struct AdmissionThresholds {
   double abatement, onset, discard;
 };
 
@@ -24,44 +24,44 @@
       : settings_(context.settings), now_(context.now), context_(context), registry_(registry) {}
 
   // Whether a new message for the destination is accepted. May draw a random number.
-  bool Admit(Destination& d);
+  bool Admit(Destination& destination);
 
   // Updates the modes of all active destinations; those with nothing to do are active no longer.
-  void UpdateGates();
+  void UpdateAll();
 
   // The Retry-After of a rejection of the message, 0 if none is to be told: the time that the
   // destination last took from onset to abatement, within the message's time and the longest wait
   // that clients honour.
-  [[nodiscard]] Duration RetryAfter(const Destination& d, const Message& m) const;
+  [[nodiscard]] Duration RetryAfter(const Destination& destination, const Message& message) const;
 
   // A message was admitted or restored: it counts as in flight.
-  void MessageAccepted() { ++held_; }
+  void OnMessageAccepted() { ++in_flight_; }
 
   // A message that was accepted is over.
-  void MessageFinished() { --held_; }
+  void OnMessageFinished() { --in_flight_; }
 
   // Whether half of the messages that may be in flight are.
-  [[nodiscard]] bool HalfFull() const;
+  [[nodiscard]] bool HalfOfCapacityUsed() const;
 
  private:
   // Moves the gate from mode to mode by the number of unsent messages.
-  void UpdateGate(Destination& d);
+  void Update(Destination& destination);
 
   // The thresholds of the destination. Discard is what clears within the shortest deadline at the
   // rate of sends, or at this instance's share of the limit if that is more: just after a start
   // nothing was sent yet. A backlog also leaves room below max_in_flight, so that a failing
   // destination does not take it all from healthy ones.
-  Marks MarksOf(const Destination& d);
+  AdmissionThresholds ComputeThresholds(const Destination& destination);
 
   // This instance's even share of what the destination is said to take, in messages a second; 0 if
   // that is unknown or any of its endpoints is not healthy.
-  double ShareOf(const Destination& d);
+  double EvenShareOfRate(const Destination& destination);
 
   const Settings& settings_;
   const Time& now_;
   DecisionContext& context_;
   EndpointRegistry& registry_;
-  std::size_t held_ = 0;
+  std::size_t in_flight_ = 0;
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/circuit_breaker.cpp
+++ b/src/policy/circuit_breaker.cpp
@@ -5,198 +5,218 @@
 
 namespace dispatch_policy {
 
-const double kOverdueSpreads = 4;  // deviations over the mean until an answer is overdue
+const double kOverdueDeviations = 4;  // deviations over the mean until an answer is overdue
 namespace {
 
-constexpr Duration kPlacePause = std::chrono::seconds(2);  // until one more connection is tried
-constexpr double kLeastTrials = 1e-3;                      // a second; no setting stops them
-constexpr int kShutRow = 3;                                // and for more calls in a row than this
-constexpr double kFailureGain = 0.3;  // weight of the newest outcome: few are seen; two open
-constexpr double kFailedMost = 0.5;   // failure share that is an outage
-constexpr Duration kShortestOutage = std::chrono::seconds(3);  // without an answer; less is loss
-constexpr double kBudgetShare = 0.6;       // of the fail-back budget; the rest is for estimates
-constexpr double kLatencyGain = 0.15;      // weight of the newest latency
-constexpr double kLossGain = 0.1;          // weight of the newest answer in the share of loss
-constexpr double kLossy = 0.08;            // of answers after a lost call, and it is the network
-constexpr std::size_t kSureWitnesses = 2;  // of other dispatchers, for their word to bind
-
-LogMessage TurnedText(Health health, const EndpointEntry& e) {
+constexpr Duration kConnectionGrowthInterval =
+    std::chrono::seconds(2);                 // until one more connection is tried
+constexpr double kMinTrialRate = 1e-3;       // a second; no setting stops them
+constexpr int kMaxRejectionsInRow = 3;       // and for more calls in a row than this
+constexpr double kFailureGain = 0.3;         // weight of the newest outcome: few are seen; two open
+constexpr double kOutageFailureShare = 0.5;  // failure share that is an outage
+constexpr Duration kMinOutage = std::chrono::seconds(3);  // without an answer; less is loss
+constexpr double kRecoveryBudgetShare = 0.6;  // of the fail-back budget; the rest is for estimates
+constexpr double kLatencyGain = 0.15;         // weight of the newest latency
+constexpr double kLossGain = 0.1;             // weight of the newest answer in the share of loss
+constexpr double kLossyNetworkShare = 0.08;   // of answers after a lost call, and it is the network
+constexpr std::size_t kBindingWitnesses = 2;  // of other dispatchers, for their word to bind
+
+LogMessage TransitionText(Health health, const EndpointEntry& entry) {
   static constexpr const char* kNames[] = {"closed", "open", "recovering"};
   return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
-          std::to_string(e.destination) + " endpoint " + std::to_string(e.endpoint)};
+          std::to_string(entry.destination) + " endpoint " + std::to_string(entry.endpoint)};
 }
 
-LogMessage LongWaitText(const EndpointEntry& e, Duration wait) {
-  return {"endpoint " + std::to_string(e.endpoint) + " told a wait of " +
+LogMessage LongRetryAfterText(const EndpointEntry& entry, Duration wait) {
+  return {"endpoint " + std::to_string(entry.endpoint) + " told a wait of " +
           std::to_string(ToSeconds(wait)) + " s, past every deadline"};
 }
 
 }  // namespace
 
-void CircuitBreaker::JudgeCall(const Attempt& attempt, const AttemptCompleted& e) {
+void CircuitBreaker::RecordAttempt(const Attempt& attempt, const AttemptCompleted& event) {
   Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
-  Lane& lane = registry_.LaneOf(endpoint);
-  Call& call = concurrency_limiter_.CallAt(attempt.call);
+  RateLimitScope& scope = registry_.FindScope(endpoint);
+  Call& call = concurrency_.CallAt(attempt.call);
   // A wait binds whichever message of a batch was told of it, however long it is.
-  lane.wait_until = std::max(lane.wait_until, now_ + e.retry_after);
-  if (e.retry_after > context_.longest_deadline) {
-    context_.actions.push_back(LongWaitText(endpoint.entry, e.retry_after));
+  scope.wait_until = std::max(scope.wait_until, now_ + event.retry_after);
+  if (event.retry_after > context_.max_deadline) {
+    context_.actions.push_back(LongRetryAfterText(endpoint.entry, event.retry_after));
   }
-  rate_limiter_.Heard(lane, e.report);
-  if (!call.judged && e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
-    call.judged = true;
-    Judge(endpoint, e.outcome, call, e.elapsed, e.retry_after);
+  rate_limiter_.ApplyLoadReport(scope, event.report);
+  if (!call.outcome_recorded && event.outcome != Outcome::kCancelled &&
+      event.outcome != Outcome::kNotSent) {
+    call.outcome_recorded = true;
+    RecordOutcome(endpoint, event.outcome, call, event.elapsed, event.retry_after);
   }
-  if (--call.out == 0) concurrency_limiter_.EndCall(endpoint, call);
-}
-
-void CircuitBreaker::CompleteHealthCheck(const HealthCheckCompleted& e) {
-  Endpoint* endpoint = registry_.FindEndpoint(e.endpoint);
-  if (endpoint == nullptr || !endpoint->probing) return;
-  endpoint->probing = false;
-  rate_limiter_.Heard(registry_.LaneOf(*endpoint), e.report);
-  Judge(*endpoint, e.outcome, {.sent = now_ - e.elapsed, .message_class = SIZE_MAX}, Duration{},
-        Duration{});
-}
-
-void CircuitBreaker::ApplyPeerReport(const PeerHealthReport& w) {
-  Endpoint* known = registry_.FindEndpoint(w.endpoint);
-  if (known == nullptr || known->last_answer > now_ - w.age) return;  // ours is newer
-  Endpoint& e = *known;
-  Lane& lane = registry_.LaneOf(e);
-  const bool sure = w.witnesses >= kSureWitnesses;
-  if (w.health == PeerHealth::kBeingTested) {
-    lane.next_trial = std::max(lane.next_trial, now_ + std::min(w.duration, kLimitSpan));
-  } else if (w.health == PeerHealth::kServing) {
-    if (e.health != Health::kOpen) return;
-    if (sure) Turn(e, Health::kRecovering);
-    lane.next_trial = std::min(lane.next_trial, now_ + context_.Spread(kFullPause));
+  if (--call.messages_in_flight == 0) concurrency_.EndCall(endpoint, call);
+}
+
+void CircuitBreaker::CompleteHealthCheck(const HealthCheckCompleted& event) {
+  Endpoint* endpoint = registry_.FindEndpoint(event.endpoint);
+  if (endpoint == nullptr || !endpoint->health_check_in_flight) return;
+  endpoint->health_check_in_flight = false;
+  rate_limiter_.ApplyLoadReport(registry_.FindScope(*endpoint), event.report);
+  RecordOutcome(*endpoint, event.outcome, {.sent = now_ - event.elapsed, .message_class = SIZE_MAX},
+                Duration{}, Duration{});
+}
+
+void CircuitBreaker::ApplyPeerReport(const PeerHealthReport& report) {
+  Endpoint* known = registry_.FindEndpoint(report.endpoint);
+  if (known == nullptr || known->last_answer > now_ - report.age) return;  // ours is newer
+  Endpoint& endpoint = *known;
+  RateLimitScope& scope = registry_.FindScope(endpoint);
+  const bool sure = report.witnesses >= kBindingWitnesses;
+  if (report.health == PeerHealth::kBeingTested) {
+    scope.next_trial = std::max(scope.next_trial, now_ + std::min(report.duration, kMaxLimitSpan));
+  } else if (report.health == PeerHealth::kServing) {
+    if (endpoint.health != Health::kOpen) return;
+    if (sure) TransitionTo(endpoint, Health::kRecovering);
+    scope.next_trial = std::min(scope.next_trial, now_ + context_.AddJitter(kRejectionPause));
   } else if (!sure) {
-    if (e.fails_in_row > 0) return;
-    e.fails_in_row = 1;
-    e.first_fail = now_;
-  } else if (w.health == PeerHealth::kRetryAfter) {
-    lane.wait_until =
-        std::max(lane.wait_until, now_ + std::min(w.duration, context_.longest_deadline));
-  } else if (e.health == Health::kClosed) {
-    Turn(e, w.health == PeerHealth::kFailing ? Health::kOpen : Health::kRecovering);
-    if (w.health == PeerHealth::kWarmingUp) e.since = now_ - std::min(w.age, now_);
+    if (endpoint.failures_in_row > 0) return;
+    endpoint.failures_in_row = 1;
+    endpoint.first_failure = now_;
+  } else if (report.health == PeerHealth::kRetryAfter) {
+    scope.wait_until =
+        std::max(scope.wait_until, now_ + std::min(report.duration, context_.max_deadline));
+  } else if (endpoint.health == Health::kClosed) {
+    TransitionTo(endpoint,
+                 report.health == PeerHealth::kFailing ? Health::kOpen : Health::kRecovering);
+    if (report.health == PeerHealth::kWarmingUp)
+      endpoint.health_since = now_ - std::min(report.age, now_);
   }
 }
 
-void CircuitBreaker::Paced(Endpoint& e) {
-  rate_limiter_.PaceNext(e);
-  if (e.health != Health::kClosed)
-    registry_.LaneOf(e).next_trial = now_ + context_.Spread(TrialGap(e));
+void CircuitBreaker::RecordCall(Endpoint& endpoint) {
+  rate_limiter_.RecordCall(endpoint);
+  if (endpoint.health != Health::kClosed)
+    registry_.FindScope(endpoint).next_trial = now_ + context_.AddJitter(TrialInterval(endpoint));
 }
 
-void CircuitBreaker::Turn(Endpoint& e, Health health) {
-  Lane& lane = registry_.LaneOf(e);
+void CircuitBreaker::TransitionTo(Endpoint& endpoint, Health health) {
+  RateLimitScope& scope = registry_.FindScope(endpoint);
   // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
-  if (e.health == Health::kRecovering && health == Health::kClosed) {
-    const double part = rate_limiter_.PartOf(e);
-    if (rate_limiter_.Seldom(part)) rate_limiter_.PaceSeldom(lane, part);
+  if (endpoint.health == Health::kRecovering && health == Health::kClosed) {
+    const double local_share = rate_limiter_.LocalShareOfLimit(endpoint);
+    if (rate_limiter_.CallsRarely(local_share)) rate_limiter_.LimitRareCaller(scope, local_share);
   }
-  e.health = health;
-  e.shut = false;
-  e.since = now_;
-  lane.next_trial = std::max(lane.next_trial, now_ + context_.Spread(TrialGap(e)));
-  context_.actions.push_back(TurnedText(health, e.entry));
+  endpoint.health = health;
+  endpoint.closed_by_endpoint = false;
+  endpoint.health_since = now_;
+  scope.next_trial = std::max(scope.next_trial, now_ + context_.AddJitter(TrialInterval(endpoint)));
+  context_.actions.push_back(TransitionText(health, endpoint.entry));
 }
 
-bool CircuitBreaker::HasPlace(const Endpoint& e) const {
-  if (e.next_call > now_) return false;
-  return e.places == 0 || e.calls_out < e.places + (now_ - e.crowded) / kPlacePause;
+bool CircuitBreaker::HasConnectionCapacity(const Endpoint& endpoint) const {
+  if (endpoint.next_call > now_) return false;
+  return endpoint.connection_limit == 0 ||
+         endpoint.calls_in_flight <
+             endpoint.connection_limit + (now_ - endpoint.limit_seen) / kConnectionGrowthInterval;
 }
 
-bool CircuitBreaker::NetworkLosesCalls() const { return loss_ > kLossy; }
+bool CircuitBreaker::NetworkIsLossy() const { return loss_share_ > kLossyNetworkShare; }
 
-void CircuitBreaker::Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed,
-                           Duration told) {
-  Lane& lane = registry_.LaneOf(e);
+void CircuitBreaker::RecordOutcome(Endpoint& endpoint, Outcome outcome, const Call& call,
+                                   Duration elapsed, Duration retry_after) {
+  RateLimitScope& scope = registry_.FindScope(endpoint);
   if (outcome == Outcome::kDelivered) {
-    rate_limiter_.OnAccepted(lane);
+    rate_limiter_.OnCallAccepted(scope);
     if (elapsed > Duration{}) {
       const double seen = ToSeconds(elapsed);
-      NoteLoss(e, seen);
-      if (e.latency <= 0) e.latency = seen;
-      e.spread += kLatencyGain * (std::abs(seen - e.latency) - e.spread);
-      e.latency += kLatencyGain * (seen - e.latency);
+      UpdateLossShare(endpoint, seen);
+      if (endpoint.mean_latency <= 0) endpoint.mean_latency = seen;
+      endpoint.latency_deviation +=
+          kLatencyGain * (std::abs(seen - endpoint.mean_latency) - endpoint.latency_deviation);
+      endpoint.mean_latency += kLatencyGain * (seen - endpoint.mean_latency);
     }
-    Succeeded(e, call);
+    RecordSuccess(endpoint, call);
   } else if (outcome == Outcome::kRejected) {
-    rate_limiter_.OnFull(e, call, told, TrialGap(e));
-    JudgeFull(e, lane, told);
+    rate_limiter_.OnCallRejected(endpoint, call, retry_after, TrialInterval(endpoint));
+    OpenIfRejectingLong(endpoint, scope, retry_after);
   } else if (outcome == Outcome::kConnectionLimitReached) {
-    OnCrowded(e);
-  } else if (!call.overdue && !(outcome == Outcome::kReset && Answered(e))) {
-    Failed(e, call, outcome == Outcome::kConnectFailed);
+    OnConnectionLimit(endpoint);
+  } else if (!call.overdue && !(outcome == Outcome::kReset && AnsweredRecently(endpoint))) {
+    RecordFailure(endpoint, call, outcome == Outcome::kConnectFailed);
   }
 }
 
-void CircuitBreaker::Succeeded(Endpoint& e, const Call& call) {
-  const bool outage = e.fails_in_row > 0 && call.sent - e.first_fail > kShortestOutage;
-  e.last_answer = std::max(e.last_answer, call.sent);
-  registry_.DestinationAt(e.entry.destination).last_answer = call.sent;
-  e.failure *= 1 - kFailureGain;
-  if (call.message_class < e.class_failure.size()) e.class_failure[call.message_class] /= 2;
-  e.fails_in_row = 0;
-  if (e.health != Health::kOpen || (e.shut && call.sent < e.since)) return;
-  Turn(e, outage || e.shut ? Health::kRecovering : Health::kClosed);
-}
-
-void CircuitBreaker::Failed(Endpoint& e, const Call& call, bool closed) {
-  e.closed = closed;
-  if (e.fails_in_row++ == 0) e.first_fail = call.sent;
-  if (e.health == Health::kRecovering && call.sent < e.since) return;  // older than the recovery
-  e.class_failure.resize(settings_.classes.size());
-  if (call.message_class < e.class_failure.size()) {
-    double& failure = e.class_failure[call.message_class];
+void CircuitBreaker::RecordSuccess(Endpoint& endpoint, const Call& call) {
+  const bool outage =
+      endpoint.failures_in_row > 0 && call.sent - endpoint.first_failure > kMinOutage;
+  endpoint.last_answer = std::max(endpoint.last_answer, call.sent);
+  registry_.DestinationAt(endpoint.entry.destination).last_answer = call.sent;
+  endpoint.failure_share *= 1 - kFailureGain;
+  if (call.message_class < endpoint.class_failure_shares.size())
+    endpoint.class_failure_shares[call.message_class] /= 2;
+  endpoint.failures_in_row = 0;
+  if (endpoint.health != Health::kOpen ||
+      (endpoint.closed_by_endpoint && call.sent < endpoint.health_since))
+    return;
+  TransitionTo(endpoint,
+               outage || endpoint.closed_by_endpoint ? Health::kRecovering : Health::kClosed);
+}
+
+void CircuitBreaker::RecordFailure(Endpoint& endpoint, const Call& call, bool closed) {
+  endpoint.last_connect_failed = closed;
+  if (endpoint.failures_in_row++ == 0) endpoint.first_failure = call.sent;
+  if (endpoint.health == Health::kRecovering && call.sent < endpoint.health_since)
+    return;  // older than the recovery
+  endpoint.class_failure_shares.resize(settings_.classes.size());
+  if (call.message_class < endpoint.class_failure_shares.size()) {
+    double& failure = endpoint.class_failure_shares[call.message_class];
     failure += (1 - failure) / 2;
   }
-  e.failure += kFailureGain * (1 - e.failure);
+  endpoint.failure_share += kFailureGain * (1 - endpoint.failure_share);
   const bool unheard =
-      now_ - registry_.DestinationAt(e.entry.destination).last_answer > kRateMemory;
-  if ((e.failure > kFailedMost || unheard) && e.health != Health::kOpen) Turn(e, Health::kOpen);
-}
-
-void CircuitBreaker::JudgeFull(Endpoint& e, Lane& lane, Duration told) {
-  const bool shut =
-      told > kLimitSpan || (lane.full_row > kShutRow && now_ - lane.first_full > kLimitSpan);
-  if (!shut) return;
-  for (EndpointId id : registry_.DestinationAt(e.entry.destination).endpoints) {
+      now_ - registry_.DestinationAt(endpoint.entry.destination).last_answer > kMessageRateMemory;
+  if ((endpoint.failure_share > kOutageFailureShare || unheard) && endpoint.health != Health::kOpen)
+    TransitionTo(endpoint, Health::kOpen);
+}
+
+void CircuitBreaker::OpenIfRejectingLong(Endpoint& endpoint, RateLimitScope& scope,
+                                         Duration retry_after) {
+  const bool closed_by_endpoint =
+      retry_after > kMaxLimitSpan || (scope.rejections_in_row > kMaxRejectionsInRow &&
+                                      now_ - scope.first_rejection > kMaxLimitSpan);
+  if (!closed_by_endpoint) return;
+  for (EndpointId id : registry_.DestinationAt(endpoint.entry.destination).endpoints) {
     Endpoint& other = registry_.EndpointAt(id);
-    if (&registry_.LaneOf(other) != &lane) continue;
-    if (other.health != Health::kOpen) Turn(other, Health::kOpen);
-    other.shut = true;
+    if (&registry_.FindScope(other) != &scope) continue;
+    if (other.health != Health::kOpen) TransitionTo(other, Health::kOpen);
+    other.closed_by_endpoint = true;
   }
 }
 
-void CircuitBreaker::OnCrowded(Endpoint& e) {
-  e.places = std::max(1, e.calls_out - 1);
-  e.crowded = now_;
-  if (e.calls_out <= 1) e.next_call = now_ + context_.Spread(kFullPause);
+void CircuitBreaker::OnConnectionLimit(Endpoint& endpoint) {
+  endpoint.connection_limit = std::max(1, endpoint.calls_in_flight - 1);
+  endpoint.limit_seen = now_;
+  if (endpoint.calls_in_flight <= 1)
+    endpoint.next_call = now_ + context_.AddJitter(kRejectionPause);
 }
 
-void CircuitBreaker::NoteLoss(Endpoint& e, double seen) {
-  const bool lost = e.silent_row > 0 && seen <= e.latency + kOverdueSpreads * e.spread;
-  loss_ += kLossGain * ((lost ? 1 : 0) - loss_);
-  e.silent_row = 0;
+void CircuitBreaker::UpdateLossShare(Endpoint& endpoint, double seen) {
+  const bool lost = endpoint.overdue_in_row > 0 &&
+                    seen <= endpoint.mean_latency + kOverdueDeviations * endpoint.latency_deviation;
+  loss_share_ += kLossGain * ((lost ? 1 : 0) - loss_share_);
+  endpoint.overdue_in_row = 0;
 }
 
-bool CircuitBreaker::Answered(const Endpoint& e) const {
-  return e.last_answer > Time{} && now_ - e.last_answer < context_.shortest_aim;
+bool CircuitBreaker::AnsweredRecently(const Endpoint& endpoint) const {
+  return endpoint.last_answer > Time{} &&
+         now_ - endpoint.last_answer < context_.min_latency_objective;
 }
 
-Duration CircuitBreaker::TrialGap(Endpoint& e) {
-  double warm = settings_.slow_start_share;
-  if (e.health == Health::kRecovering && settings_.slow_start_duration > Duration{}) {
-    warm += (1 - settings_.slow_start_share) *
-            std::min(1.0, ToSeconds(now_ - e.since) / ToSeconds(settings_.slow_start_duration));
+Duration CircuitBreaker::TrialInterval(Endpoint& endpoint) {
+  double capacity_share = settings_.slow_start_share;
+  if (endpoint.health == Health::kRecovering && settings_.slow_start_duration > Duration{}) {
+    capacity_share += (1 - settings_.slow_start_share) *
+                      std::min(1.0, ToSeconds(now_ - endpoint.health_since) /
+                                        ToSeconds(settings_.slow_start_duration));
   }
-  const double rate =
-      rate_limiter_.PartOf(e) * warm * kBudgetShare * settings_.collapse_load_multiple;
-  return FromSeconds(1 / std::max(rate, kLeastTrials));
+  const double rate = rate_limiter_.LocalShareOfLimit(endpoint) * capacity_share *
+                      kRecoveryBudgetShare * settings_.collapse_load_multiple;
+  return FromSeconds(1 / std::max(rate, kMinTrialRate));
 }
 
 }  // namespace dispatch_policy
--- a/src/policy/circuit_breaker.hpp
+++ b/src/policy/circuit_breaker.hpp
@@ -11,7 +11,7 @@
 namespace dispatch_policy {
 
 // Mean deviations above the mean latency at which an answer is overdue.
-extern const double kOverdueSpreads;
+extern const double kOverdueDeviations;
 
 // Closed: calls go out. Open: trial calls only. Recovering: calls at a rate that grows within the
 // slow start.
@@ -24,74 +24,75 @@
         context_(context),
         registry_(registry),
         rate_limiter_(rate_limiter),
-        concurrency_limiter_(concurrency_limiter) {}
+        concurrency_(concurrency_limiter) {}
 
   // Takes up the end of an attempt: told waits and load reports of each message, the outcome once a
   // call.
-  void JudgeCall(const Attempt& attempt, const AttemptCompleted& e);
+  void RecordAttempt(const Attempt& attempt, const AttemptCompleted& event);
 
   // Takes up the end of a health check; ignored if none is under way there.
-  void CompleteHealthCheck(const HealthCheckCompleted& e);
+  void CompleteHealthCheck(const HealthCheckCompleted& event);
 
   // Takes up what other dispatchers saw. One witness is checked by a single call, two count as this
   // instance's own calls would: one that is wrong or lies costs a round trip, whatever it claims.
-  void ApplyPeerReport(const PeerHealthReport& w);
+  void ApplyPeerReport(const PeerHealthReport& report);
 
   // Books a call or health check: the next one waits for the pace and, while not closed, for the
   // next trial.
-  void Paced(Endpoint& e);
+  void RecordCall(Endpoint& endpoint);
 
   // Changes the state of the breaker, with a line in the log.
-  void Turn(Endpoint& e, Health health);
+  void TransitionTo(Endpoint& endpoint, Health health);
 
   // Whether the endpoint's connection limit, as far as it was seen, leaves room for a call.
-  [[nodiscard]] bool HasPlace(const Endpoint& e) const;
+  [[nodiscard]] bool HasConnectionCapacity(const Endpoint& endpoint) const;
 
   // Whether so many answers came after lost calls that the network must be losing them.
-  [[nodiscard]] bool NetworkLosesCalls() const;
+  [[nodiscard]] bool NetworkIsLossy() const;
 
   // A call failed, or its answer is overdue. A failure alone leaves the endpoint one call at a
   // time. It is an outage when most calls fail, or when nothing was answered lately: many
   // dispatchers that each know of one failure would overload a returning destination. Where only
   // some calls are lost the endpoint stays in use.
-  void Failed(Endpoint& e, const Call& call, bool closed = false);
+  void RecordFailure(Endpoint& endpoint, const Call& call, bool closed = false);
 
  private:
-  // Takes up the outcome of a call or health check. `elapsed` 0: unknown; `told`: its Retry-After,
-  // 0: none.
-  void Judge(Endpoint& e, Outcome outcome, const Call& call, Duration elapsed, Duration told);
+  // Takes up the outcome of a call or health check. `elapsed` 0: unknown; `retry_after`: its
+  // Retry-After, 0: none.
+  void RecordOutcome(Endpoint& endpoint, Outcome outcome, const Call& call, Duration elapsed,
+                     Duration retry_after);
 
   // A call was delivered: closes the breaker, or starts the recovery after an outage. An answer to
   // a call from before the endpoint shut says nothing of its return.
-  void Succeeded(Endpoint& e, const Call& call);
+  void RecordSuccess(Endpoint& endpoint, const Call& call);
 
   // Opens the breaker after rejections alone for longer than a limit's span, or a long Retry-After:
   // the endpoint will be warming up when it is back, and cannot take the rate from before.
-  void JudgeFull(Endpoint& e, Lane& lane, Duration told);
+  void OpenIfRejectingLong(Endpoint& endpoint, RateLimitScope& scope, Duration retry_after);
 
   // The endpoint's connection limit is reached: no more connections for this instance than there
   // are, and one more with each pause from then on. That is neither a rate limit nor an outage, as
   // calls on the connections that stand are taken.
-  void OnCrowded(Endpoint& e);
+  void OnConnectionLimit(Endpoint& endpoint);
 
   // An answer at the usual latency after silence means that the silent calls were lost on the way:
   // a slow or hung destination does not answer like this.
-  void NoteLoss(Endpoint& e, double seen);
+  void UpdateLossShare(Endpoint& endpoint, double seen);
 
   // Whether the endpoint answered lately; a reset is then the end of its connection, not an outage.
-  [[nodiscard]] bool Answered(const Endpoint& e) const;
+  [[nodiscard]] bool AnsweredRecently(const Endpoint& endpoint) const;
 
   // Time between trial calls: at the capacity that the endpoint has while warming up, which grows
   // over the slow start, for this instance's part of the traffic.
-  Duration TrialGap(Endpoint& e);
+  Duration TrialInterval(Endpoint& endpoint);
 
   const Settings& settings_;
   const Time& now_;
   DecisionContext& context_;
   EndpointRegistry& registry_;
   RateLimiter& rate_limiter_;
-  ConcurrencyLimiter& concurrency_limiter_;
-  double loss_ = 0;
+  ConcurrencyLimiter& concurrency_;
+  double loss_share_ = 0;
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/decision_context.cpp
+++ b/src/policy/decision_context.cpp
@@ -10,13 +10,13 @@
 DecisionContext::DecisionContext(Settings given, std::uint64_t seed)
     : settings(std::move(given)), random(seed) {
   settings.group_size = std::max<std::size_t>(settings.group_size, 1);
-  shortest_deadline = shortest_aim = Duration::max();
-  for (const ClassSettings& c : settings.classes) {
-    longest_deadline = std::max(longest_deadline, c.deadline);
-    shortest_deadline = std::min(shortest_deadline, c.deadline);
-    shortest_aim = std::min(shortest_aim, c.latency_objective);
+  min_deadline = min_latency_objective = Duration::max();
+  for (const ClassSettings& message_class : settings.classes) {
+    max_deadline = std::max(max_deadline, message_class.deadline);
+    min_deadline = std::min(min_deadline, message_class.deadline);
+    min_latency_objective = std::min(min_latency_objective, message_class.latency_objective);
   }
-  if (settings.classes.empty()) shortest_deadline = shortest_aim = std::chrono::seconds(1);
+  if (settings.classes.empty()) min_deadline = min_latency_objective = std::chrono::seconds(1);
 }
 
 void DecisionContext::Begin(Time at) {
@@ -25,7 +25,7 @@
   actions.clear();
 }
 
-Duration DecisionContext::Spread(Duration duration) {
+Duration DecisionContext::AddJitter(Duration duration) {
   return duration / 2 + FromSeconds(ToSeconds(duration) * static_cast<double>(random()) /
                                     static_cast<double>(random.max()));
 }
--- a/src/policy/decision_context.hpp
+++ b/src/policy/decision_context.hpp
@@ -24,14 +24,14 @@
 
   // A random duration between half of `duration` and one and a half times `duration`, so that
   // dispatchers that saw one fault together do not call again at one moment.
-  Duration Spread(Duration duration);
+  Duration AddJitter(Duration duration);
 
   Settings settings;
   // Over all message classes; a second where there are no classes.
-  Duration shortest_deadline;
-  Duration shortest_aim;
+  Duration min_deadline;
+  Duration min_latency_objective;
   // Over all message classes; 0 where there are none.
-  Duration longest_deadline{};
+  Duration max_deadline{};
   // Time of the first decision.
   std::optional<Time> started;
   // Time of this decision; never falls.
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -10,14 +10,14 @@
 struct DispatchPolicy::Impl : PolicyComponents {
   using PolicyComponents::PolicyComponents;
 
-  void On(const MessageArrived& event) { ledger.AcceptMessage(event); }
+  void On(const MessageArrived& event) { ledger.AdmitMessage(event); }
   void On(const MessageRestored& event) { ledger.RestoreMessage(event); }
   void On(const MessageCancelled& event) { ledger.CancelMessage(event); }
   void On(const AttemptCompleted& event) { retry_scheduler.CompleteAttempt(event); }
   void On(const HealthCheckCompleted& event) { breaker.CompleteHealthCheck(event); }
   void On(const EndpointList& event) { registry.ApplyList(event); }
-  void On(const TimerFired&) { retry_scheduler.ExpireTimer(); }
-  void On(const QuotaLeased& event) { rate_limiter.ApplyQuota(event); }
+  void On(const TimerFired&) { retry_scheduler.OnTimerFired(); }
+  void On(const QuotaLeased& event) { rate_limiter.ApplyQuotaLease(event); }
   void On(const PeerHealthReport& event) { breaker.ApplyPeerReport(event); }
 };
 
@@ -35,8 +35,8 @@
   }
   impl_->retry_scheduler.ReviewMessages();
   impl_->selector.Dispatch();
-  impl_->admission_gate.UpdateGates();
-  impl_->retry_scheduler.SetWakeUp();
+  impl_->admission_gate.UpdateAll();
+  impl_->retry_scheduler.SetWakeUpTimer();
   return std::move(impl_->context.actions);
 }
 
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -5,15 +5,15 @@
 
 namespace dispatch_policy {
 
-const Seconds kRateMemory{10};  // s; longer than clumps and limit spans
-const Seconds kPaceMemory{3};   // s; a limit's span is one to two
+const Seconds kMessageRateMemory{10};  // s; longer than clumps and limit spans
+const Seconds kCallRateMemory{3};      // s; a limit's span is one to two
 namespace {
 
-constexpr double kMostRate = 1e6;  // calls a second: a listed rate above it is not meant
+constexpr double kMaxListedRate = 1e6;  // calls a second: a listed rate above it is not meant
 
-LogMessage OddRateText(const EndpointEntry& e) {
-  return {"endpoint " + std::to_string(e.endpoint) + " listed at a rate of " +
-          std::to_string(e.weight) + " a second, taken for untold"};
+LogMessage InvalidRateText(const EndpointEntry& entry) {
+  return {"endpoint " + std::to_string(entry.endpoint) + " listed at a rate of " +
+          std::to_string(entry.weight) + " a second, taken for untold"};
 }
 
 }  // namespace
@@ -24,31 +24,32 @@
   }
 }
 
-void EndpointRegistry::ApplyList(const EndpointList& e) {
-  if (e.form == ListForm::kFailed) {
+void EndpointRegistry::ApplyList(const EndpointList& event) {
+  if (event.form == ListForm::kFailed) {
     subscribed_ = false;
     return;
   }
-  if (version_ && e.version < *version_) return;
-  version_ = e.version;
-  if (e.form == ListForm::kComplete) {
+  if (version_ && event.version < *version_) return;
+  version_ = event.version;
+  if (event.form == ListForm::kComplete) {
     for (auto& [id, endpoint] : endpoints_) endpoint.entry.state = EndpointState::kRemoved;
   }
-  for (const EndpointEntry& entry : e.entries) {
+  for (const EndpointEntry& entry : event.entries) {
     const auto [it, added] =
-        endpoints_.try_emplace(entry.endpoint, entry, kPaceMemory, *context_.started);
-    if (added) DestinationOf(entry.destination).endpoints.push_back(entry.endpoint);
+        endpoints_.try_emplace(entry.endpoint, entry, kCallRateMemory, *context_.started);
+    if (added) FindOrAddDestination(entry.destination).endpoints.push_back(entry.endpoint);
     it->second.entry = entry;
-    Lane& lane = LaneOf(it->second);
-    if (settings_.weights != WeightMeaning::kNone && !lane.reported) lane.limit = Listed(entry);
+    RateLimitScope& scope = FindScope(it->second);
+    if (settings_.weights != WeightMeaning::kNone && !scope.limit_reported)
+      scope.limit = ValidListedRate(entry);
   }
-  ForgetRemoved();
-  for (const EndpointEntry& entry : e.entries) NoteNoneListed(entry.destination);
+  ForgetRemovedEndpoints();
+  for (const EndpointEntry& entry : event.entries) LogIfNoneListed(entry.destination);
 }
 
-Destination& EndpointRegistry::DestinationOf(DestinationId id) {
-  const Seconds memory = std::max<Seconds>(kRateMemory, context_.longest_deadline);
-  return destinations_.try_emplace(id, memory, kPaceMemory, *context_.started).first->second;
+Destination& EndpointRegistry::FindOrAddDestination(DestinationId id) {
+  const Seconds memory = std::max<Seconds>(kMessageRateMemory, context_.max_deadline);
+  return destinations_.try_emplace(id, memory, kCallRateMemory, *context_.started).first->second;
 }
 
 Endpoint* EndpointRegistry::FindEndpoint(EndpointId id) {
@@ -56,30 +57,32 @@
   return it == endpoints_.end() ? nullptr : &it->second;
 }
 
-Lane& EndpointRegistry::LaneOf(Endpoint& e) {
-  return Apart(e) ? e.own_lane : destinations_.at(e.entry.destination).lane;
+RateLimitScope& EndpointRegistry::FindScope(Endpoint& endpoint) {
+  return HasOwnRateLimit(endpoint) ? endpoint.own_scope
+                                   : destinations_.at(endpoint.entry.destination).scope;
 }
 
-bool EndpointRegistry::Apart(const Endpoint& e) const {
-  return e.entry.kind < settings_.kinds.size() && settings_.kinds[e.entry.kind].per_endpoint_limits;
+bool EndpointRegistry::HasOwnRateLimit(const Endpoint& endpoint) const {
+  return endpoint.entry.kind < settings_.kinds.size() &&
+         settings_.kinds[endpoint.entry.kind].per_endpoint_limits;
 }
 
-std::size_t EndpointRegistry::BatchOf(const Endpoint& e) const {
-  if (e.entry.kind >= settings_.kinds.size()) return 1;
-  return std::max<std::size_t>(1, settings_.kinds[e.entry.kind].max_batch);
+std::size_t EndpointRegistry::MaxBatch(const Endpoint& endpoint) const {
+  if (endpoint.entry.kind >= settings_.kinds.size()) return 1;
+  return std::max<std::size_t>(1, settings_.kinds[endpoint.entry.kind].max_batch);
 }
 
-double EndpointRegistry::Listed(const EndpointEntry& entry) {
-  if (entry.weight >= 0 && entry.weight <= kMostRate) return entry.weight;
-  context_.actions.push_back(OddRateText(entry));
+double EndpointRegistry::ValidListedRate(const EndpointEntry& entry) {
+  if (entry.weight >= 0 && entry.weight <= kMaxListedRate) return entry.weight;
+  context_.actions.push_back(InvalidRateText(entry));
   return 0;
 }
 
-void EndpointRegistry::NoteNoneListed(DestinationId id) {
+void EndpointRegistry::LogIfNoneListed(DestinationId id) {
   const auto it = destinations_.find(id);
   if (it == destinations_.end()) return;
-  const auto listed = [this](EndpointId e) {
-    return endpoints_.at(e).entry.state == EndpointState::kListed;
+  const auto listed = [this](EndpointId endpoint_id) {
+    return endpoints_.at(endpoint_id).entry.state == EndpointState::kListed;
   };
   const bool none = std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
   if (none && !it->second.none_listed) {
@@ -89,17 +92,18 @@
   it->second.none_listed = none;
 }
 
-void EndpointRegistry::ForgetRemoved() {
-  const Duration kept = std::max(context_.longest_deadline, settings_.slow_start_duration);
+void EndpointRegistry::ForgetRemovedEndpoints() {
+  const Duration kept = std::max(context_.max_deadline, settings_.slow_start_duration);
   for (auto it = endpoints_.begin(); it != endpoints_.end();) {
-    auto& [id, e] = *it;
-    if (e.entry.state != EndpointState::kRemoved) {
-      e.removed.reset();
-    } else if (!e.removed) {
-      e.removed = now_;
+    auto& [id, endpoint] = *it;
+    if (endpoint.entry.state != EndpointState::kRemoved) {
+      endpoint.removed_at.reset();
+    } else if (!endpoint.removed_at) {
+      endpoint.removed_at = now_;
     }
-    const bool gone = e.removed && now_ - *e.removed > kept && e.calls_out == 0;
-    if (gone) std::erase(destinations_.at(e.entry.destination).endpoints, id);
+    const bool gone =
+        endpoint.removed_at && now_ - *endpoint.removed_at > kept && endpoint.calls_in_flight == 0;
+    if (gone) std::erase(destinations_.at(endpoint.entry.destination).endpoints, id);
     it = gone ? endpoints_.erase(it) : std::next(it);
   }
 }
--- a/src/policy/endpoint_registry.hpp
+++ b/src/policy/endpoint_registry.hpp
@@ -15,9 +15,9 @@
 
 // Time constant of arrival and send rates, at least: longer than clumps of messages and spans of
 // limits.
-extern const Seconds kRateMemory;
+extern const Seconds kMessageRateMemory;
 // Time constant of rates of accepted calls: the span of a limit is one to two seconds.
-extern const Seconds kPaceMemory;
+extern const Seconds kCallRateMemory;
 
 // Owns all Endpoint and Destination records. References to endpoints are valid until the next
 // ApplyList, references to destinations as long as the registry.
@@ -30,22 +30,22 @@
   void Subscribe();
 
   // Applies an endpoint list or changes of it; one older than the last is ignored.
-  void ApplyList(const EndpointList& e);
+  void ApplyList(const EndpointList& event);
 
   // The destination of that id, added if it is not known.
-  Destination& DestinationOf(DestinationId id);
+  Destination& FindOrAddDestination(DestinationId id);
 
   // Null if the endpoint is unknown.
   Endpoint* FindEndpoint(EndpointId id);
 
   // What the endpoint shares its limit with: its own lane, or its destination's.
-  Lane& LaneOf(Endpoint& e);
+  RateLimitScope& FindScope(Endpoint& endpoint);
 
   // Whether the endpoint's kind has rate limits and outages of its own.
-  [[nodiscard]] bool Apart(const Endpoint& e) const;
+  [[nodiscard]] bool HasOwnRateLimit(const Endpoint& endpoint) const;
 
   // Messages that one call to the endpoint takes, 1 at least.
-  [[nodiscard]] std::size_t BatchOf(const Endpoint& e) const;
+  [[nodiscard]] std::size_t MaxBatch(const Endpoint& endpoint) const;
 
   // The endpoint must be known.
   Endpoint& EndpointAt(EndpointId id) { return endpoints_.at(id); }
@@ -54,21 +54,21 @@
   Destination& DestinationAt(DestinationId id) { return destinations_.at(id); }
 
   // Destinations that hold messages or whose gate is not in normal mode, in ascending order.
-  std::set<DestinationId>& active_destinations() { return active_; }
+  std::set<DestinationId>& active() { return active_; }
 
  private:
   // The listed rate of the entry, in calls a second; 0, with a line in the log, if it is out of
   // range: a huge rate would make the admission gate let all messages in.
-  double Listed(const EndpointEntry& entry);
+  double ValidListedRate(const EndpointEntry& entry);
 
   // Logs, once, that no endpoint of the destination takes work; its messages wait for endpoints to
   // come, as when all of them drain at once during a deployment.
-  void NoteNoneListed(DestinationId id);
+  void LogIfNoneListed(DestinationId id);
 
   // Drops endpoints that were removed long ago and have no call in flight, so that memory stays
   // bounded when endpoints are replaced for years. What is known of one that is listed again soon
   // is kept.
-  void ForgetRemoved();
+  void ForgetRemovedEndpoints();
 
   const Settings& settings_;
   const Time& now_;
--- a/src/policy/endpoint_selector.hpp
+++ b/src/policy/endpoint_selector.hpp
@@ -34,70 +34,72 @@
         context_(context),
         registry_(registry),
         rate_limiter_(rate_limiter),
-        concurrency_limiter_(concurrency_limiter),
-        admission_gate_(admission_gate),
+        concurrency_(concurrency_limiter),
+        gate_(admission_gate),
         ledger_(ledger),
         breaker_(breaker),
-        retry_scheduler_(retry_scheduler) {}
+        retries_(retry_scheduler) {}
 
   // Sends waiting messages while slots are free, the most urgent first, then health checks.
   void Dispatch();
 
  private:
   // Sends a call with this message and others that may join it.
-  void SendCall(Endpoint& e, Message& first);
+  void SendCall(Endpoint& endpoint, Message& first);
 
   // Sends a health check as the trial call where no waiting message may be risked.
-  void SendProbes();
+  void SendHealthChecks();
 
   // The most urgent message that some endpoint of the destination can take; for the call to
-  // `joined` if given, whose first message was `brief` or not. No message: none can be sent.
-  Candidate BestMessage(Destination& d, Endpoint* joined = nullptr, bool brief = false);
+  // `joined` if given, whose first message was `expiring` or not. No message: none can be sent.
+  Candidate BestMessage(Destination& destination, Endpoint* joined = nullptr,
+                        bool expiring = false);
 
   // The cheapest endpoint that can take a call now; null if there is none.
-  Endpoint* BestEndpoint(Destination& d, std::size_t message_class);
+  Endpoint* BestEndpoint(Destination& destination, std::size_t message_class);
 
   // Whether a call to the endpoint may start now. Ends its slow start when the time is over.
-  bool CanCall(Endpoint& e);
+  bool CanCall(Endpoint& endpoint);
 
   // Whether the message may be sent to the endpoint now.
-  [[nodiscard]] bool Sendable(const Message& m, const Endpoint& e) const;
+  [[nodiscard]] bool CanSend(const Message& message, const Endpoint& endpoint) const;
 
   // Whether the message may be the trial call to an endpoint whose breaker is open, which saves a
   // health check. Where no connection came up the next one will not either or will be answered, so
   // one of many dispatchers risks a message with an idempotency key. One of a few, whose trials
   // come often, would use up its attempts.
-  [[nodiscard]] bool MayTry(const Message& m, const Endpoint& e) const;
+  [[nodiscard]] bool MayBeTrialCall(const Message& message, const Endpoint& endpoint) const;
 
   // Expected latency of one more call there, raised by failures of the class: a class that fails at
   // one endpoint moves to others, and the other classes stay.
-  [[nodiscard]] double CostOf(const Endpoint& e, std::size_t message_class) const;
+  [[nodiscard]] double ExpectedCost(const Endpoint& endpoint, std::size_t message_class) const;
 
   // The zone penalty of an endpoint with limits of its own; 0 for others.
-  [[nodiscard]] double TollOf(const Endpoint& e) const;
+  [[nodiscard]] double ZonePenalty(const Endpoint& endpoint) const;
 
   // The weight that the message loses by waiting for half its latency objective, and a little for
   // its weight.
-  [[nodiscard]] double Urgency(const Message& m) const;
+  [[nodiscard]] double Urgency(const Message& message) const;
 
   // Whether the message's deadline comes before an answer is expected. Such messages share calls
   // with each other only, as a call ends at the deadline of the first of its messages.
-  [[nodiscard]] bool Brief(const Message& m, const Endpoint& e) const;
+  [[nodiscard]] bool ExpiresBeforeAnswer(const Message& message, const Endpoint& endpoint) const;
 
   // Whether the message need not wait for others to join its call. Waiting a part of its latency
   // objective costs nothing, and spares the rate limit calls of one message.
-  [[nodiscard]] bool Gathered(const Destination& d, const Message& m, const Endpoint& e) const;
+  [[nodiscard]] bool BatchIsReady(const Destination& destination, const Message& message,
+                                  const Endpoint& endpoint) const;
 
   const Settings& settings_;
   const Time& now_;
   DecisionContext& context_;
   EndpointRegistry& registry_;
   RateLimiter& rate_limiter_;
-  ConcurrencyLimiter& concurrency_limiter_;
-  AdmissionGate& admission_gate_;
+  ConcurrencyLimiter& concurrency_;
+  AdmissionGate& gate_;
   MessageLedger& ledger_;
   CircuitBreaker& breaker_;
-  RetryScheduler& retry_scheduler_;
+  RetryScheduler& retries_;
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/message_ledger.cpp
+++ b/src/policy/message_ledger.cpp
@@ -5,161 +5,170 @@
 
 namespace dispatch_policy {
 
-void MessageLedger::AcceptMessage(const MessageArrived& e) {
-  if (messages_.count(e.message) != 0) return;
-  if (e.message_class >= settings_.classes.size()) {  // of no class: nothing is known to be safe
-    context_.actions.push_back(RejectMessage{e.message, Duration{}});
+void MessageLedger::AdmitMessage(const MessageArrived& event) {
+  if (messages_.count(event.message) != 0) return;
+  if (event.message_class >=
+      settings_.classes.size()) {  // of no class: nothing is known to be safe
+    context_.actions.push_back(RejectMessage{event.message, Duration{}});
     return;
   }
-  Message m = Taken(e.message, e.message_class, e.time_left);
-  m.destination = e.destination;
-  Destination& destination = registry_.DestinationOf(e.destination);
+  Message message = NewMessage(event.message, event.message_class, event.time_left);
+  message.destination = event.destination;
+  Destination& destination = registry_.FindOrAddDestination(event.destination);
   destination.arrivals.Add(now_);
-  if (!admission_gate_.Admit(destination)) {
-    context_.actions.push_back(RejectMessage{m.id, admission_gate_.RetryAfter(destination, m)});
+  if (!gate_.Admit(destination)) {
+    context_.actions.push_back(RejectMessage{message.id, gate_.RetryAfter(destination, message)});
     return;
   }
-  Hold(std::move(m), e.key);
+  Enqueue(std::move(message), event.key);
 }
 
-void MessageLedger::RestoreMessage(const MessageRestored& e) {
-  if (messages_.count(e.message) != 0) return;
-  if (e.message_class >= settings_.classes.size()) {
-    context_.actions.push_back(FailMessage{e.message});
+void MessageLedger::RestoreMessage(const MessageRestored& event) {
+  if (messages_.count(event.message) != 0) return;
+  if (event.message_class >= settings_.classes.size()) {
+    context_.actions.push_back(FailMessage{event.message});
     return;
   }
-  Message m = Taken(e.message, e.message_class, e.time_left);
-  m.destination = e.destination;
-  m.attempts_before = e.attempts_used;
-  m.may_have_run = e.may_have_run;
-  const Endpoint* ran_on = registry_.FindEndpoint(e.ran_on_endpoint);
-  if (e.may_have_run && ran_on != nullptr) m.ran_in = ran_on->entry.zone;
-  registry_.DestinationOf(e.destination);
-  Hold(std::move(m), e.key);
-  if (Spent(messages_.at(e.message))) GiveUp(messages_.at(e.message));
-}
-
-void MessageLedger::CancelMessage(const MessageCancelled& e) {
-  auto it = messages_.find(e.message);
+  Message message = NewMessage(event.message, event.message_class, event.time_left);
+  message.destination = event.destination;
+  message.earlier_attempts = event.attempts_used;
+  message.may_have_run = event.may_have_run;
+  const Endpoint* ran_on = registry_.FindEndpoint(event.ran_on_endpoint);
+  if (event.may_have_run && ran_on != nullptr) message.ran_in_zone = ran_on->entry.zone;
+  registry_.FindOrAddDestination(event.destination);
+  Enqueue(std::move(message), event.key);
+  if (AttemptsExhausted(messages_.at(event.message))) GiveUp(messages_.at(event.message));
+}
+
+void MessageLedger::CancelMessage(const MessageCancelled& event) {
+  auto it = messages_.find(event.message);
   if (it == messages_.end() || it->second.finished) return;
-  CancelOut(it->second);
-  Close(it->second);
+  CancelAttempts(it->second);
+  Finish(it->second);
 }
 
-Message* MessageLedger::FindInFlight(const AttemptCompleted& e) {
-  auto it = messages_.find(e.message);
-  if (it == messages_.end() || e.attempt >= it->second.attempts.size()) return nullptr;
-  return it->second.attempts[e.attempt].out ? &it->second : nullptr;
+Message* MessageLedger::FindInFlight(const AttemptCompleted& event) {
+  auto it = messages_.find(event.message);
+  if (it == messages_.end() || event.attempt >= it->second.attempts.size()) return nullptr;
+  return it->second.attempts[event.attempt].in_flight ? &it->second : nullptr;
 }
 
-void MessageLedger::RecordCompletion(Message& m, const AttemptCompleted& e) {
-  Attempt& attempt = m.attempts[e.attempt];
-  attempt.out = false;
-  --m.out;
-  const bool doubt = e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset ||
-                     e.outcome == Outcome::kCancelled;
-  if ((doubt || e.outcome == Outcome::kError) && !m.may_have_run) {
-    m.may_have_run = attempt.sent;
-    m.ran_in = registry_.EndpointAt(attempt.endpoint).entry.zone;
+void MessageLedger::RecordCompletion(Message& message, const AttemptCompleted& event) {
+  Attempt& attempt = message.attempts[event.attempt];
+  attempt.in_flight = false;
+  --message.attempts_in_flight;
+  const bool doubt = event.outcome == Outcome::kTimeout || event.outcome == Outcome::kReset ||
+                     event.outcome == Outcome::kCancelled;
+  if ((doubt || event.outcome == Outcome::kError) && !message.may_have_run) {
+    message.may_have_run = attempt.sent;
+    message.ran_in_zone = registry_.EndpointAt(attempt.endpoint).entry.zone;
   }
-  if (doubt && !m.key.empty()) keys_[m.key].rests_until = now_ + settings_.ordering_cooldown;
+  if (doubt && !message.key.empty())
+    keys_[message.key].cooldown_until = now_ + settings_.ordering_cooldown;
 }
 
-void MessageLedger::GiveUp(Message& m) {
-  CancelOut(m);
-  if (MayRefuse(m)) {
-    context_.actions.push_back(
-        RejectMessage{m.id, admission_gate_.RetryAfter(registry_.DestinationAt(m.destination), m)});
+void MessageLedger::GiveUp(Message& message) {
+  CancelAttempts(message);
+  if (SafeToResubmit(message)) {
+    context_.actions.push_back(RejectMessage{
+        message.id, gate_.RetryAfter(registry_.DestinationAt(message.destination), message)});
   } else {
-    context_.actions.push_back(FailMessage{m.id});
+    context_.actions.push_back(FailMessage{message.id});
   }
-  Close(m);
+  Finish(message);
 }
 
-void MessageLedger::Close(Message& m) {
-  m.finished = true;
-  admission_gate_.MessageFinished();
-  std::erase(registry_.DestinationAt(m.destination).waiting, m.id);
-  Forget(m.id);
+void MessageLedger::Finish(Message& message) {
+  message.finished = true;
+  gate_.OnMessageFinished();
+  std::erase(registry_.DestinationAt(message.destination).waiting, message.id);
+  Forget(message.id);
 }
 
 void MessageLedger::Forget(MessageId id) {
   auto it = messages_.find(id);
-  if (it == messages_.end() || !it->second.finished || it->second.out > 0) return;
-  if (!it->second.key.empty()) std::erase(keys_[it->second.key].order, id);
+  if (it == messages_.end() || !it->second.finished || it->second.attempts_in_flight > 0) return;
+  if (!it->second.key.empty()) std::erase(keys_[it->second.key].messages, id);
   messages_.erase(it);
 }
 
-void MessageLedger::CancelOut(Message& m) {
+void MessageLedger::CancelAttempts(Message& message) {
   if (!settings_.cancel_allowed) return;
-  for (std::size_t i = 0; i < m.attempts.size(); ++i) {
-    Attempt& a = m.attempts[i];
-    if (!a.out || a.cancelled) continue;
-    a.cancelled = true;
-    context_.actions.push_back(CancelAttempt{m.id, i});
+  for (std::size_t i = 0; i < message.attempts.size(); ++i) {
+    Attempt& attempt = message.attempts[i];
+    if (!attempt.in_flight || attempt.cancelled) continue;
+    attempt.cancelled = true;
+    context_.actions.push_back(CancelAttempt{message.id, i});
   }
 }
 
-bool MessageLedger::Spent(const Message& m) const {
-  const bool all =
-      settings_.max_attempts > 0 && m.attempts_before + m.attempts.size() >= settings_.max_attempts;
-  const bool lost =
-      (m.may_have_run && ClassOf(m).effect == Effect::kNotIdempotent) || WindowClosed(m);
+bool MessageLedger::AttemptsExhausted(const Message& message) const {
+  const bool all = settings_.max_attempts > 0 &&
+                   message.earlier_attempts + message.attempts.size() >= settings_.max_attempts;
+  const bool lost = (message.may_have_run && ClassOf(message).effect == Effect::kNotIdempotent) ||
+                    DedupWindowExpired(message);
   return all || lost;
 }
 
-bool MessageLedger::WindowClosed(const Message& m) const {
-  return m.may_have_run && ClassOf(m).effect == Effect::kIdempotentWithKey &&
-         now_ - *m.may_have_run >= ClassOf(m).dedup_window;
+bool MessageLedger::DedupWindowExpired(const Message& message) const {
+  return message.may_have_run && ClassOf(message).effect == Effect::kIdempotentWithKey &&
+         now_ - *message.may_have_run >= ClassOf(message).dedup_window;
 }
 
-bool MessageLedger::KeyFree(const Message& m) const {
-  if (m.key.empty()) return true;
-  const KeyLine& line = keys_.at(m.key);
-  return line.order.front() == m.id && (line.rests_until <= now_ || !m.attempts.empty());
+bool MessageLedger::IsNextOfKey(const Message& message) const {
+  if (message.key.empty()) return true;
+  const OrderingQueue& line = keys_.at(message.key);
+  return line.messages.front() == message.id &&
+         (line.cooldown_until <= now_ || !message.attempts.empty());
 }
 
 void MessageLedger::ForgetIdleKeys() {
   std::erase_if(keys_, [this](const auto& k) {
-    return k.second.order.empty() && k.second.rests_until <= now_;
+    return k.second.messages.empty() && k.second.cooldown_until <= now_;
   });
 }
 
-Time MessageLedger::StartBy(const Message& m) const {
-  if (!m.may_have_run || ClassOf(m).effect != Effect::kIdempotentWithKey) return m.deadline;
-  return std::min(m.deadline, *m.may_have_run + ClassOf(m).dedup_window);
+Time MessageLedger::LatestStart(const Message& message) const {
+  if (!message.may_have_run || ClassOf(message).effect != Effect::kIdempotentWithKey)
+    return message.deadline;
+  return std::min(message.deadline, *message.may_have_run + ClassOf(message).dedup_window);
 }
 
-Time MessageLedger::GatheredAt(const Message& m) const {
-  const Duration time = std::min(ClassOf(m).latency_objective, (m.deadline - m.accepted) / 2);
-  return m.accepted + FromSeconds(kGather * ToSeconds(time));
+Time MessageLedger::BatchingDeadline(const Message& message) const {
+  const Duration time =
+      std::min(ClassOf(message).latency_objective, (message.deadline - message.accepted) / 2);
+  return message.accepted + FromSeconds(kBatchingShare * ToSeconds(time));
 }
 
-Message MessageLedger::Taken(MessageId id, std::size_t message_class, Duration time_left) const {
-  Message m;
-  m.id = id;
-  m.message_class = message_class;
-  m.deadline = now_ + time_left;
-  m.first_handed_in = m.deadline - ClassOf(m).deadline;
-  m.accepted = now_;
-  return m;
+Message MessageLedger::NewMessage(MessageId id, std::size_t message_class,
+                                  Duration time_left) const {
+  Message message;
+  message.id = id;
+  message.message_class = message_class;
+  message.deadline = now_ + time_left;
+  message.first_submitted = message.deadline - ClassOf(message).deadline;
+  message.accepted = now_;
+  return message;
 }
 
-void MessageLedger::Hold(Message m, const std::string& key) {
-  if (ClassOf(m).ordered && !key.empty()) {
-    m.key = key;
-    keys_[m.key].order.push_back(m.id);
+void MessageLedger::Enqueue(Message message, const std::string& key) {
+  if (ClassOf(message).ordered && !key.empty()) {
+    message.key = key;
+    keys_[message.key].messages.push_back(message.id);
   }
-  registry_.DestinationAt(m.destination).waiting.push_back(m.id);
-  registry_.active_destinations().insert(m.destination);
-  admission_gate_.MessageAccepted();
-  messages_.emplace(m.id, std::move(m));
-}
-
-bool MessageLedger::MayRefuse(const Message& m) const {
-  const ClassSettings& c = ClassOf(m);
-  if ((!m.may_have_run && m.out == 0) || c.effect == Effect::kIdempotent) return true;
-  return c.effect == Effect::kIdempotentWithKey && c.dedup_scope == DedupScope::kDestination;
+  registry_.DestinationAt(message.destination).waiting.push_back(message.id);
+  registry_.active().insert(message.destination);
+  gate_.OnMessageAccepted();
+  messages_.emplace(message.id, std::move(message));
+}
+
+bool MessageLedger::SafeToResubmit(const Message& message) const {
+  const ClassSettings& settings = ClassOf(message);
+  if ((!message.may_have_run && message.attempts_in_flight == 0) ||
+      settings.effect == Effect::kIdempotent)
+    return true;
+  return settings.effect == Effect::kIdempotentWithKey &&
+         settings.dedup_scope == DedupScope::kDestination;
 }
 
 }  // namespace dispatch_policy
--- a/src/policy/message_ledger.hpp
+++ b/src/policy/message_ledger.hpp
@@ -23,63 +23,65 @@
         now_(context.now),
         context_(context),
         registry_(registry),
-        admission_gate_(admission_gate) {}
+        gate_(admission_gate) {}
 
   // A client has submitted a message: holds it, or rejects it.
-  void AcceptMessage(const MessageArrived& e);
+  void AdmitMessage(const MessageArrived& event);
 
   // Holds a message that an earlier process accepted; it passes the admission gate. Its attempts
   // and when it may first have run still count, so that no limit is exceeded and nothing is sent
   // after its dedup window.
-  void RestoreMessage(const MessageRestored& e);
+  void RestoreMessage(const MessageRestored& event);
 
   // Drops a message whose client has gone.
-  void CancelMessage(const MessageCancelled& e);
+  void CancelMessage(const MessageCancelled& event);
 
   // Null if the message or its attempt is unknown, or the attempt has an outcome already.
-  Message* FindInFlight(const AttemptCompleted& e);
+  Message* FindInFlight(const AttemptCompleted& event);
 
   // Records whether the message may have run, and where. Its ordering key rests if the attempt may
   // still run.
-  void RecordCompletion(Message& m, const AttemptCompleted& e);
+  void RecordCompletion(Message& message, const AttemptCompleted& event);
 
   // Gives the message up at once: rejects it where submitting it again is harmless, else fails it.
-  void GiveUp(Message& m);
+  void GiveUp(Message& message);
 
   // The message is over. Its record stays while an attempt is in flight.
-  void Close(Message& m);
+  void Finish(Message& message);
 
   // Drops the record of a message that is over and has no attempt in flight.
   void Forget(MessageId id);
 
   // Cancels all attempts in flight, where the caller can do so.
-  void CancelOut(Message& m);
+  void CancelAttempts(Message& message);
 
   // Whether no further attempt is allowed.
-  [[nodiscard]] bool Spent(const Message& m) const;
+  [[nodiscard]] bool AttemptsExhausted(const Message& message) const;
 
   // Whether the receiver may have forgotten the message's idempotency key: it must not be sent
   // again.
-  [[nodiscard]] bool WindowClosed(const Message& m) const;
+  [[nodiscard]] bool DedupWindowExpired(const Message& message) const;
 
   // Whether the message is the next of its ordering key.
-  [[nodiscard]] bool KeyFree(const Message& m) const;
+  [[nodiscard]] bool IsNextOfKey(const Message& message) const;
 
   // The message must have an ordering key.
-  [[nodiscard]] Time KeyRestsUntil(const Message& m) const { return keys_.at(m.key).rests_until; }
+  [[nodiscard]] Time KeyCooldownEnd(const Message& message) const {
+    return keys_.at(message.key).cooldown_until;
+  }
 
   // Drops ordering keys without messages.
   void ForgetIdleKeys();
 
   // Until when an attempt of the message may start.
-  [[nodiscard]] Time StartBy(const Message& m) const;
+  [[nodiscard]] Time LatestStart(const Message& message) const;
 
   // Until when the message waits for others to join its call.
-  [[nodiscard]] Time GatheredAt(const Message& m) const;
+  [[nodiscard]] Time BatchingDeadline(const Message& message) const;
 
   // Settings of the message's class.
-  [[nodiscard]] const ClassSettings& ClassOf(const Message& m) const {
-    return settings_.classes[m.message_class];
+  [[nodiscard]] const ClassSettings& ClassOf(const Message& message) const {
+    return settings_.classes[message.message_class];
   }
 
   // The message must be known.
@@ -90,21 +92,22 @@
 
  private:
   // A record of a message that is accepted now; its destination is not set yet.
-  [[nodiscard]] Message Taken(MessageId id, std::size_t message_class, Duration time_left) const;
+  [[nodiscard]] Message NewMessage(MessageId id, std::size_t message_class,
+                                   Duration time_left) const;
 
   // Queues the message for its destination, and for its key if its class is ordered.
-  void Hold(Message m, const std::string& key);
+  void Enqueue(Message message, const std::string& key);
 
   // Whether submitting the message again does no harm.
-  [[nodiscard]] bool MayRefuse(const Message& m) const;
+  [[nodiscard]] bool SafeToResubmit(const Message& message) const;
 
   const Settings& settings_;
   const Time& now_;
   DecisionContext& context_;
   EndpointRegistry& registry_;
-  AdmissionGate& admission_gate_;
+  AdmissionGate& gate_;
   std::map<MessageId, Message> messages_;
-  std::map<std::string, KeyLine> keys_;
+  std::map<std::string, OrderingQueue> keys_;
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -16,117 +16,128 @@
 
 namespace dispatch_policy {
 
-// ---- state ----
+// One attempt to deliver a message.
 struct Attempt {
   EndpointId endpoint = 0;
   Time sent{};
-  std::uint64_t call = 0;
-  bool out = true;
-  bool cancelled = false;
+  std::uint64_t call = 0;  // the Call that carries it
+  bool in_flight = true;   // has no outcome yet
+  bool cancelled = false;  // CancelAttempt was asked for
 };
 
+// A message that was accepted. The record outlives the answer while attempts are in flight.
 struct Message {
   MessageId id = 0;
   DestinationId destination = 0;
   std::size_t message_class = 0;
-  std::string key;
-  Time first_handed_in{};
+  std::string key;         // ordering key; empty: not ordered
+  Time first_submitted{};  // by the client, perhaps to another dispatcher
   Time deadline{};
   Time accepted{};
-  Time not_before{};
+  Time not_before{};  // no retry before this
   std::vector<Attempt> attempts;
-  std::size_t attempts_before = 0;    // by an earlier process
-  std::optional<Time> may_have_run;   // send of the first attempt that may have run
-  std::optional<std::size_t> ran_in;  // the zone of that
-  int out = 0;
-  bool finished = false;
+  std::size_t earlier_attempts = 0;        // by an earlier process
+  std::optional<Time> may_have_run;        // send of the first attempt that may have run
+  std::optional<std::size_t> ran_in_zone;  // zone of that attempt's endpoint
+  int attempts_in_flight = 0;
+  bool finished = false;  // its final answer was given
 };
 
-struct KeyLine {
-  std::deque<MessageId> order;
-  Time rests_until{};
+// The messages of one ordering key.
+struct OrderingQueue {
+  std::deque<MessageId> messages;  // in order of acceptance; the first is the next to be sent
+  Time cooldown_until{};           // an attempt may still be running until then
 };
 
-enum class Mode { kNormal, kOverload, kDiscard };
+// kOverload rejects a share of new messages, kDiscard all of them.
+enum class AdmissionMode { kNormal, kOverload, kDiscard };
 
-struct Gate {
-  Mode mode = Mode::kNormal;
+// State of one destination's admission gate.
+struct AdmissionState {
+  AdmissionMode mode = AdmissionMode::kNormal;
   Time last_at_onset{};
-  std::optional<Duration> last_fall;  // none was measured yet
+  std::optional<Duration> time_to_abate;  // last time from onset to abatement; none: unmeasured
 };
 
-// What shares one limit, one wait and one fail-back budget: a destination, or one route of it.
-struct Lane {
-  Lane(Seconds memory, Time start) : accepted(memory, start) {}
-
-  Time wait_until{};
-  Time next_call{};
-  Time next_trial{};
-  double rate = 0;      // calls a second; 0: no limit seen
-  bool seldom = false;  // it follows from our even share of the limit
-  double limit = 0;     // of all dispatchers, calls a second: reported, else listed; 0: untold
-  bool reported = false;
-  std::optional<double> left;  // reported share of it
+// What shares one rate limit, one Retry-After and one trial call: a destination, or an endpoint
+// with a limit of its own.
+struct RateLimitScope {
+  RateLimitScope(Seconds memory, Time start) : accepted_calls(memory, start) {}
+
+  Time wait_until{};                     // end of the Retry-After
+  Time next_call{};                      // no call before this
+  Time next_trial{};                     // no trial call before this
+  double rate = 0;                       // learned, calls a second; 0: no limit seen
+  bool from_even_share = false;          // `rate` follows from the even share of the limit
+  double limit = 0;                      // of all dispatchers, calls a second; 0: unknown
+  bool limit_reported = false;           // else `limit` is the listed one
+  std::optional<double> allowance_left;  // share of the reported limit, 0 to 1
+  std::optional<double> leased_rate;     // this dispatcher's, calls a second; none: not leased
   Time rate_changed{};
-  int full_row = 0;
-  Time first_full{};
-  Time last_full{};
-  std::optional<double> share;  // of a limit that all dispatchers keep together, calls a second
-  Meter accepted;
+  int rejections_in_row = 0;
+  Time first_rejection{};  // of those in a row
+  Time last_rejection{};
+  RateEstimator accepted_calls;
 };
 
+// State of an endpoint's circuit breaker.
 enum class Health { kClosed, kOpen, kRecovering };
 
+// An endpoint, listed or removed, and what was observed of it.
 struct Endpoint {
-  Endpoint(EndpointEntry listed, Seconds pace_memory, Time start)
-      : entry(listed), own_lane(pace_memory, start) {}
+  Endpoint(EndpointEntry listed, Seconds call_rate_memory, Time start)
+      : entry(listed), own_scope(call_rate_memory, start) {}
 
   EndpointEntry entry;
   Health health = Health::kClosed;
-  Time since{};
-  bool shut = false;  // open for refusals
-  double failure = 0;
-  std::vector<double> class_failure;
-  int fails_in_row = 0;
-  Time first_fail{};    // send of the first of them
-  int silent_row = 0;   // of them overdue
-  bool closed = false;  // the last of them was a connection that never came up
-  double latency = 0;   // mean, in seconds; 0: unknown
-  double spread = 0;    // mean deviation from it
-  Time last_answer{};   // send of the last call that was delivered
-  int calls_out = 0;
-  int fresh_out = 0;  // of them not overdue
-  bool probing = false;
-  std::optional<Time> removed;
-  int places = 0;  // calls out that its connections allowed us last; 0: no bound seen
-  Time crowded{};  // when it was seen
-  Time next_call{};
-  Lane own_lane;
+  Time health_since{};
+  bool closed_by_endpoint = false;           // open because it rejects or asked to wait
+  double failure_share = 0;                  // of recent calls
+  std::vector<double> class_failure_shares;  // by message class; empty: no failure yet
+  int failures_in_row = 0;
+  Time first_failure{};              // send of the first of those in a row
+  int overdue_in_row = 0;            // calls without an answer in time since the last answer
+  bool last_connect_failed = false;  // the last failure was a connection that never came up
+  double mean_latency = 0;           // seconds; 0: unknown
+  double latency_deviation = 0;      // mean deviation, seconds
+  Time last_answer{};                // send of the last call that was delivered
+  int calls_in_flight = 0;
+  int calls_not_overdue = 0;  // of those in flight
+  bool health_check_in_flight = false;
+  std::optional<Time> removed_at;
+  int connection_limit = 0;  // calls in flight that its connections allowed; 0: no limit seen
+  Time limit_seen{};         // when the connection limit was reached last
+  Time next_call{};          // no call before this
+  RateLimitScope own_scope;  // used where it has a limit of its own
 };
 
+// A destination: a set of endpoints that are equivalent to clients.
 struct Destination {
-  Destination(Seconds memory, Seconds pace_memory, Time start)
-      : lane(pace_memory, start), arrivals(memory, start), sends(memory, start) {}
+  Destination(Seconds message_rate_memory, Seconds call_rate_memory, Time start)
+      : scope(call_rate_memory, start),
+        arrivals(message_rate_memory, start),
+        sends(message_rate_memory, start) {}
 
   std::vector<EndpointId> endpoints;
-  std::vector<MessageId> waiting;  // held and not out, in order of acceptance
-  Gate gate;
-  Lane lane;
-  int calls_out = 0;
-  bool none_listed = false;  // no endpoint of it takes work; told once
+  std::vector<MessageId> waiting;  // accepted and not in flight, in order of acceptance
+  AdmissionState admission;
+  RateLimitScope scope;
+  int calls_in_flight = 0;
+  bool none_listed = false;  // no endpoint takes work, and that was logged
   Time last_answer{};        // send of the last call that was delivered, at any endpoint
-  Meter arrivals;
-  Meter sends;
+  RateEstimator arrivals;    // messages that were submitted
+  RateEstimator sends;       // messages that were sent
 };
 
+// A call in flight: one or more messages to one endpoint, which share its fate.
 struct Call {
   std::uint64_t id = 0;
   Time sent{};
-  std::size_t out = 0;            // messages in it without an outcome
-  std::size_t message_class = 0;  // of its first message
-  bool sick = false;              // the call before it had failed
-  bool overdue = false;           // counted as a failure for its silence
-  bool judged = false;            // one fate: the first outcome speaks for all
+  std::size_t messages_in_flight = 0;  // without an outcome
+  std::size_t message_class = 0;       // of its first message; SIZE_MAX for a health check
+  bool endpoint_unhealthy = false;     // the endpoint's last call before it had failed
+  bool overdue = false;                // was counted as a failure for its silence
+  bool outcome_recorded = false;       // the first message's outcome speaks for all
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/rate_estimator.hpp
+++ b/src/policy/rate_estimator.hpp
@@ -9,10 +9,10 @@
 // An exponentially weighted moving rate. The weights of what was seen since `first` are scaled up
 // to those of the whole memory, so that a dispatcher that has just started does not underestimate
 // its rates, and the rates of all dispatchers add up to that of the group.
-class Meter {
+class RateEstimator {
  public:
   // `memory`: time constant of the weights, above 0. `first`: when events can first be seen.
-  Meter(Seconds memory, Time first) : memory_(memory.count()), first_(first) {}
+  RateEstimator(Seconds memory, Time first) : memory_(memory.count()), first_(first) {}
 
   // Counts one event; `now` never falls from call to call.
   void Add(Time now);
@@ -22,7 +22,7 @@
 
  private:
   // Weight of what was seen `age` ago, 0 to 1.
-  [[nodiscard]] double Left(Duration age) const;
+  [[nodiscard]] double WeightAfter(Duration age) const;
 
   double memory_;
   double value_ = 0;
--- a/src/policy/retry_scheduler.hpp
+++ b/src/policy/retry_scheduler.hpp
@@ -22,48 +22,48 @@
         now_(context.now),
         context_(context),
         registry_(registry),
-        concurrency_limiter_(concurrency_limiter),
+        concurrency_(concurrency_limiter),
         ledger_(ledger),
         breaker_(breaker) {}
 
   // Takes up the end of an attempt: the message is over, given up, or waits for its retry.
-  void CompleteAttempt(const AttemptCompleted& e);
+  void CompleteAttempt(const AttemptCompleted& event);
 
   // Gives up messages whose time is up or whose dedup window has closed, and looks for overdue
   // answers.
   void ReviewMessages();
 
   // Asks for a timer at the earliest moment at which waiting alone changes a decision.
-  void SetWakeUp();
+  void SetWakeUpTimer();
 
   // The timer fired. It may be a little early where the caller's clock is coarser; then it is set
   // again.
-  void ExpireTimer() { wake_at_ = Time::min(); }
+  void OnTimerFired() { wake_at_ = Time::min(); }
 
   // Timeout of an attempt of the message at the endpoint, always above 0.
-  [[nodiscard]] Duration TimeoutOf(const Message& m, const Endpoint& e) const;
+  [[nodiscard]] Duration AttemptTimeout(const Message& message, const Endpoint& endpoint) const;
 
  private:
   // Time after which an answer is overdue. Doubled with each failure in a row, so that answers of
   // an endpoint that has become slow still count.
-  [[nodiscard]] Duration OverdueAfter(const Endpoint& e) const;
+  [[nodiscard]] Duration OverdueAfter(const Endpoint& endpoint) const;
 
   // Gives the message up or queues it for a retry.
-  void AfterFailure(Message& m, const AttemptCompleted& e);
+  void ScheduleRetry(Message& message, const AttemptCompleted& event);
 
   // Counts a call without an answer as a failure long before its message's deadline. Its attempt is
   // cancelled when the slot is wanted or another attempt may do better.
-  void ReviewAttempt(Message& m);
+  void ReviewAttempt(Message& message);
 
   // Whether every listed endpoint has asked to wait until `last` or longer: messages are given up
   // now, not then.
-  bool WaitsPast(DestinationId id, Time last);
+  bool AllEndpointsWaitPast(DestinationId id, Time last);
 
   const Settings& settings_;
   const Time& now_;
   DecisionContext& context_;
   EndpointRegistry& registry_;
-  ConcurrencyLimiter& concurrency_limiter_;
+  ConcurrencyLimiter& concurrency_;
   MessageLedger& ledger_;
   CircuitBreaker& breaker_;
   Time wake_at_ = Time::min();
