--- a/include/dispatch_policy/dispatch_policy.hpp
+++ b/include/dispatch_policy/dispatch_policy.hpp
@@ -41,7 +41,7 @@
   [[nodiscard]] std::vector<Action> Decide(Time now, std::span<const Event> events);
 
  private:
-  class Impl;
+  struct Impl;
   std::unique_ptr<Impl> impl_;
 };
 
--- a/src/policy/admission_gate.cpp
+++ b/src/policy/admission_gate.cpp
@@ -3,18 +3,13 @@
 #include <algorithm>
 
 namespace dispatch_policy {
-namespace {
 
-constexpr double kOnsetShare = 0.9;            // H, share of R; the paper's ratio
-constexpr double kAbatementShare = 0.78;       // L, share of R; the paper's ratio
-constexpr double kOverloadRejectShare = 0.6;   // q; the paper's value
-constexpr double kMinDiscardThreshold = 8;     // messages; below it one clump would flap the gate
-constexpr double kDrainShareOfDeadline = 1.0;  // of the shortest deadline: what R may take to clear
-constexpr double kMaxShareOfCapacityLeft =
-    2;  // of the room left in the hold: the most for a backlog
-constexpr Duration kInitialRetryAfter = std::chrono::seconds(1);  // until a fall was measured
-
-}  // namespace
+constexpr double kOnsetShare = 0.9;           // of the discard threshold; the paper's H
+constexpr double kAbatementShare = 0.78;      // of the discard threshold; the paper's L
+constexpr double kOverloadRejectShare = 0.6;  // of new messages; the paper's q
+constexpr double kMinDiscardThreshold = 8;    // messages; below it one burst flaps the gate
+constexpr double kMaxCapacityMultiple = 2;    // backlog per message that may still be accepted
+constexpr Duration kInitialRetryAfter = std::chrono::seconds(1);  // until a time was measured
 
 bool AdmissionGate::Admit(Destination& destination) {
   Update(destination);
@@ -46,43 +41,43 @@
 
 void AdmissionGate::Update(Destination& destination) {
   const AdmissionThresholds thresholds = ComputeThresholds(destination);
-  const auto n = static_cast<double>(destination.waiting.size());
-  AdmissionState& admission = destination.admission;
-  if (n >= thresholds.onset) admission.last_at_onset = now_;
-  if (n >= thresholds.discard) {
-    admission.mode = AdmissionMode::kDiscard;
-  } else if (admission.mode == AdmissionMode::kDiscard && n < thresholds.onset) {
-    admission.mode = AdmissionMode::kOverload;
-  } else if (admission.mode == AdmissionMode::kNormal && n >= thresholds.onset) {
-    admission.mode = AdmissionMode::kOverload;
+  const auto unsent = static_cast<double>(destination.waiting.size());
+  AdmissionState& state = destination.admission;
+  if (unsent >= thresholds.onset) state.last_at_onset = now_;
+  if (unsent >= thresholds.discard) {
+    state.mode = AdmissionMode::kDiscard;
+  } else if (state.mode == AdmissionMode::kDiscard && unsent < thresholds.onset) {
+    state.mode = AdmissionMode::kOverload;
+  } else if (state.mode == AdmissionMode::kNormal && unsent >= thresholds.onset) {
+    state.mode = AdmissionMode::kOverload;
   }
-  if (admission.mode == AdmissionMode::kOverload && n < thresholds.abatement) {
-    admission.mode = AdmissionMode::kNormal;
-    admission.time_to_abate = now_ - admission.last_at_onset;
+  if (state.mode == AdmissionMode::kOverload && unsent < thresholds.abatement) {
+    state.mode = AdmissionMode::kNormal;
+    state.time_to_abate = now_ - state.last_at_onset;
   }
 }
 
 AdmissionThresholds AdmissionGate::ComputeThresholds(const Destination& destination) {
   const double rate = std::max(destination.sends.Rate(now_), EvenShareOfRate(destination));
-  double discard = rate * kDrainShareOfDeadline * ToSeconds(context_.min_deadline);
+  double discard = rate * ToSeconds(context_.min_deadline);
   discard = std::max(discard, kMinDiscardThreshold);
   if (settings_.max_in_flight > 0) {
-    const double room =
-        static_cast<double>(settings_.max_in_flight) - static_cast<double>(in_flight_);
-    discard = std::max(std::min(discard, kMaxShareOfCapacityLeft * room), 1.0);
+    const auto capacity = static_cast<double>(settings_.max_in_flight);
+    const double left = capacity - static_cast<double>(in_flight_);
+    discard = std::max(std::min(discard, kMaxCapacityMultiple * left), 1.0);
   }
   return {kAbatementShare * discard, kOnsetShare * discard, discard};
 }
 
 double AdmissionGate::EvenShareOfRate(const Destination& destination) {
+  const auto group_size = static_cast<double>(settings_.group_size);
   double share = 0;
   for (EndpointId id : destination.endpoints) {
     Endpoint& endpoint = registry_.EndpointAt(id);
     if (endpoint.entry.state != EndpointState::kListed) continue;
     if (endpoint.health != Health::kClosed) return 0;
     const auto batch = static_cast<double>(registry_.MaxBatch(endpoint));
-    share = std::max(share, registry_.FindScope(endpoint).limit * batch /
-                                static_cast<double>(settings_.group_size));
+    share = std::max(share, registry_.FindScope(endpoint).limit * batch / group_size);
   }
   return share;
 }
--- a/src/policy/circuit_breaker.hpp
+++ b/src/policy/circuit_breaker.hpp
@@ -54,7 +54,7 @@
   // time. It is an outage when most calls fail, or when nothing was answered lately: many
   // dispatchers that each know of one failure would overload a returning destination. Where only
   // some calls are lost the endpoint stays in use.
-  void RecordFailure(Endpoint& endpoint, const Call& call, bool closed = false);
+  void RecordFailure(Endpoint& endpoint, const Call& call, bool connect_failed = false);
 
  private:
   // Takes up the outcome of a call or health check. `elapsed` 0: unknown; `retry_after`: its
@@ -75,9 +75,10 @@
   // calls on the connections that stand are taken.
   void OnConnectionLimit(Endpoint& endpoint);
 
-  // An answer at the usual latency after silence means that the silent calls were lost on the way:
-  // a slow or hung destination does not answer like this.
-  void UpdateLossShare(Endpoint& endpoint, double seen);
+  // Takes up the latency of a call that was delivered. An answer at the usual latency after silence
+  // means that the silent calls were lost on the way: a slow or hung destination does not answer
+  // like this.
+  void RecordLatency(Endpoint& endpoint, double seconds);
 
   // Whether the endpoint answered lately; a reset is then the end of its connection, not an outage.
   [[nodiscard]] bool AnsweredRecently(const Endpoint& endpoint) const;
--- a/src/policy/concurrency_limiter.cpp
+++ b/src/policy/concurrency_limiter.cpp
@@ -4,13 +4,10 @@
 #include <cmath>
 
 namespace dispatch_policy {
-namespace {
 
-constexpr double kScarceSlotShare = 0.2;       // share of slots free below which the companion acts
-constexpr double kDestinationSlotShare = 0.5;  // of the slots for one destination then
-constexpr double kUnhealthySlotShare = 0.25;   // and for all endpoints whose last call failed
-
-}  // namespace
+constexpr double kScarceShare = 0.2;       // of all slots: with fewer free, shares are enforced
+constexpr double kDestinationShare = 0.5;  // of all slots, for one destination
+constexpr double kUnhealthyShare = 0.25;   // of all slots, for endpoints whose last call failed
 
 Call& ConcurrencyLimiter::BeginCall(Endpoint& endpoint, Destination& destination,
                                     std::size_t message_class) {
@@ -19,7 +16,7 @@
   call.id = id;
   call.sent = now_;
   call.message_class = message_class;
-  call.endpoint_unhealthy = endpoint.failures_in_row > 0;
+  call.endpoint_unhealthy = endpoint.failures > 0;
   unhealthy_calls_ += call.endpoint_unhealthy;
   ++endpoint.calls_in_flight;
   ++endpoint.calls_not_overdue;
@@ -36,33 +33,32 @@
 }
 
 std::size_t ConcurrencyLimiter::FreeSlots() const {
-  if (settings_.max_concurrent_calls == 0) return SIZE_MAX;
-  return settings_.max_concurrent_calls > calls_.size()
-             ? settings_.max_concurrent_calls - calls_.size()
-             : 0;
+  const std::size_t slots = settings_.max_concurrent_calls;
+  return slots == 0 ? SIZE_MAX : slots - std::min(slots, calls_.size());
 }
 
 bool ConcurrencyLimiter::SlotsAreScarce(std::size_t taken) const {
-  return settings_.max_concurrent_calls > 0 &&
-         static_cast<double>(FreeSlots()) - static_cast<double>(taken) <
-             kScarceSlotShare * static_cast<double>(settings_.max_concurrent_calls);
+  const auto slots = static_cast<double>(settings_.max_concurrent_calls);
+  const double free = static_cast<double>(FreeSlots()) - static_cast<double>(taken);
+  return settings_.max_concurrent_calls > 0 && free < kScarceShare * slots;
 }
 
 bool ConcurrencyLimiter::WithinDestinationShare(const Destination& destination) const {
   return !SlotsAreScarce(1) || !OtherDestinationsWait(destination) ||
-         destination.calls_in_flight < SlotsForShare(kDestinationSlotShare);
+         destination.calls_in_flight < SlotsForShare(kDestinationShare);
 }
 
 bool ConcurrencyLimiter::WithinUnhealthyShare(const Endpoint& endpoint) const {
-  return endpoint.failures_in_row == 0 || !SlotsAreScarce(1) ||
-         unhealthy_calls_ < SlotsForShare(kUnhealthySlotShare);
+  return endpoint.failures == 0 || !SlotsAreScarce(1) ||
+         unhealthy_calls_ < SlotsForShare(kUnhealthyShare);
 }
 
 bool ConcurrencyLimiter::OtherDestinationsWait(const Destination& destination) const {
-  return std::any_of(registry_.active().begin(), registry_.active().end(), [&](DestinationId id) {
+  for (DestinationId id : registry_.active()) {
     const Destination& other = registry_.DestinationAt(id);
-    return &other != &destination && !other.waiting.empty();
-  });
+    if (&other != &destination && !other.waiting.empty()) return true;
+  }
+  return false;
 }
 
 double ConcurrencyLimiter::SlotsForShare(double share) const {
--- a/src/policy/decision_context.hpp
+++ b/src/policy/decision_context.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "dispatch_policy/actions.hpp"
@@ -22,6 +23,12 @@
   // Begins a decision at this time, or at that of the last one if the clock has run backwards.
   void Begin(Time at);
 
+  // Adds an action to those of this decision.
+  template <typename OneAction>
+  void Do(OneAction&& action) {
+    actions.emplace_back(std::forward<OneAction>(action));
+  }
+
   // A random duration between half of `duration` and one and a half times `duration`, so that
   // dispatchers that saw one fault together do not call again at one moment.
   Duration AddJitter(Duration duration);
@@ -29,7 +36,7 @@
   Settings settings;
   // Over all message classes; a second where there are no classes.
   Duration min_deadline;
-  Duration min_latency_objective;
+  Duration min_objective;
   // Over all message classes; 0 where there are none.
   Duration max_deadline{};
   // Time of the first decision.
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -5,48 +5,39 @@
 
 namespace dispatch_policy {
 
-const Seconds kMessageRateMemory{10};  // s; longer than clumps and limit spans
-const Seconds kCallRateMemory{3};      // s; a limit's span is one to two
-namespace {
+const Seconds kMessageRateMemory{10};
+const Seconds kCallRateMemory{3};
 
-constexpr double kMaxListedRate = 1e6;  // calls a second: a listed rate above it is not meant
-
-LogMessage InvalidRateText(const EndpointEntry& entry) {
-  return {"endpoint " + std::to_string(entry.endpoint) + " listed at a rate of " +
-          std::to_string(entry.weight) + " a second, taken for untold"};
-}
-
-}  // namespace
+constexpr double kMaxListedRate = 1e6;  // calls a second; more can only be a mistake
 
 void EndpointRegistry::Subscribe() {
-  if (settings_.subscribe_to_endpoint_list && !std::exchange(subscribed_, true)) {
-    context_.actions.push_back(SubscribeToEndpointList{});
-  }
+  if (!settings_.subscribe_to_endpoint_list || std::exchange(subscribed_, true)) return;
+  context_.Do(SubscribeToEndpointList{});
 }
 
 void EndpointRegistry::ApplyList(const EndpointList& event) {
-  if (event.form == ListForm::kFailed) {
-    subscribed_ = false;
-    return;
-  }
+  subscribed_ = subscribed_ && event.form != ListForm::kFailed;
+  if (event.form == ListForm::kFailed) return;
   if (version_ && event.version < *version_) return;
   version_ = event.version;
   if (event.form == ListForm::kComplete) {
     for (auto& [id, endpoint] : endpoints_) endpoint.entry.state = EndpointState::kRemoved;
   }
-  for (const EndpointEntry& entry : event.entries) {
-    const auto [it, added] =
-        endpoints_.try_emplace(entry.endpoint, entry, kCallRateMemory, *context_.started);
-    if (added) FindOrAddDestination(entry.destination).endpoints.push_back(entry.endpoint);
-    it->second.entry = entry;
-    RateLimitScope& scope = FindScope(it->second);
-    if (settings_.weights != WeightMeaning::kNone && !scope.limit_reported)
-      scope.limit = ValidListedRate(entry);
-  }
+  for (const EndpointEntry& entry : event.entries) ApplyEntry(entry);
   ForgetRemovedEndpoints();
   for (const EndpointEntry& entry : event.entries) LogIfNoneListed(entry.destination);
 }
 
+void EndpointRegistry::ApplyEntry(const EndpointEntry& entry) {
+  const auto [it, added] =
+      endpoints_.try_emplace(entry.endpoint, entry, kCallRateMemory, *context_.started);
+  if (added) FindOrAddDestination(entry.destination).endpoints.push_back(entry.endpoint);
+  it->second.entry = entry;
+  RateLimitScope& scope = FindScope(it->second);
+  if (settings_.weights == WeightMeaning::kNone || scope.limit_reported) return;
+  scope.limit = ValidListedRate(entry);
+}
+
 Destination& EndpointRegistry::FindOrAddDestination(DestinationId id) {
   const Seconds memory = std::max<Seconds>(kMessageRateMemory, context_.max_deadline);
   return destinations_.try_emplace(id, memory, kCallRateMemory, *context_.started).first->second;
@@ -58,13 +49,13 @@
 }
 
 RateLimitScope& EndpointRegistry::FindScope(Endpoint& endpoint) {
-  return HasOwnRateLimit(endpoint) ? endpoint.own_scope
-                                   : destinations_.at(endpoint.entry.destination).scope;
+  if (HasOwnRateLimit(endpoint)) return endpoint.own_scope;
+  return destinations_.at(endpoint.entry.destination).scope;
 }
 
 bool EndpointRegistry::HasOwnRateLimit(const Endpoint& endpoint) const {
-  return endpoint.entry.kind < settings_.kinds.size() &&
-         settings_.kinds[endpoint.entry.kind].per_endpoint_limits;
+  const std::size_t kind = endpoint.entry.kind;
+  return kind < settings_.kinds.size() && settings_.kinds[kind].per_endpoint_limits;
 }
 
 std::size_t EndpointRegistry::MaxBatch(const Endpoint& endpoint) const {
@@ -74,35 +65,36 @@
 
 double EndpointRegistry::ValidListedRate(const EndpointEntry& entry) {
   if (entry.weight >= 0 && entry.weight <= kMaxListedRate) return entry.weight;
-  context_.actions.push_back(InvalidRateText(entry));
+  context_.Do(LogMessage{"endpoint " + std::to_string(entry.endpoint) + " listed at a rate of " +
+                         std::to_string(entry.weight) + " a second, taken for untold"});
   return 0;
 }
 
 void EndpointRegistry::LogIfNoneListed(DestinationId id) {
   const auto it = destinations_.find(id);
   if (it == destinations_.end()) return;
-  const auto listed = [this](EndpointId endpoint_id) {
-    return endpoints_.at(endpoint_id).entry.state == EndpointState::kListed;
-  };
-  const bool none = std::none_of(it->second.endpoints.begin(), it->second.endpoints.end(), listed);
-  if (none && !it->second.none_listed) {
-    context_.actions.push_back(
-        LogMessage{"destination " + std::to_string(id) + " has no endpoint that takes work"});
+  Destination& destination = it->second;
+  const bool logged = std::exchange(destination.none_listed, true);
+  for (EndpointId endpoint : destination.endpoints) {
+    if (endpoints_.at(endpoint).entry.state != EndpointState::kListed) continue;
+    destination.none_listed = false;
+    return;
   }
-  it->second.none_listed = none;
+  if (logged) return;
+  context_.Do(LogMessage{"destination " + std::to_string(id) + " has no endpoint that takes work"});
 }
 
 void EndpointRegistry::ForgetRemovedEndpoints() {
   const Duration kept = std::max(context_.max_deadline, settings_.slow_start_duration);
   for (auto it = endpoints_.begin(); it != endpoints_.end();) {
     auto& [id, endpoint] = *it;
+    std::optional<Time>& removed_at = endpoint.removed_at;
     if (endpoint.entry.state != EndpointState::kRemoved) {
-      endpoint.removed_at.reset();
-    } else if (!endpoint.removed_at) {
-      endpoint.removed_at = now_;
+      removed_at.reset();
+    } else if (!removed_at) {
+      removed_at = now_;
     }
-    const bool gone =
-        endpoint.removed_at && now_ - *endpoint.removed_at > kept && endpoint.calls_in_flight == 0;
+    const bool gone = removed_at && now_ - *removed_at > kept && endpoint.calls_in_flight == 0;
     if (gone) std::erase(destinations_.at(endpoint.entry.destination).endpoints, id);
     it = gone ? endpoints_.erase(it) : std::next(it);
   }
--- a/src/policy/endpoint_registry.hpp
+++ b/src/policy/endpoint_registry.hpp
@@ -57,6 +57,9 @@
   std::set<DestinationId>& active() { return active_; }
 
  private:
+  // Adds or updates one endpoint.
+  void ApplyEntry(const EndpointEntry& entry);
+
   // The listed rate of the entry, in calls a second; 0, with a line in the log, if it is out of
   // range: a huge rate would make the admission gate let all messages in.
   double ValidListedRate(const EndpointEntry& entry);
--- a/src/policy/message_ledger.hpp
+++ b/src/policy/message_ledger.hpp
@@ -36,12 +36,10 @@
   // Drops a message whose client has gone.
   void CancelMessage(const MessageCancelled& event);
 
-  // Null if the message or its attempt is unknown, or the attempt has an outcome already.
-  Message* FindInFlight(const AttemptCompleted& event);
-
-  // Records whether the message may have run, and where. Its ordering key rests if the attempt may
-  // still run.
-  void RecordCompletion(Message& message, const AttemptCompleted& event);
+  // Records the end of an attempt: whether the message may have run, and where. Its ordering key
+  // cools down if the attempt may still run. Null if the message or its attempt is unknown, or the
+  // attempt has an outcome already.
+  Message* RecordCompletion(const AttemptCompleted& event);
 
   // Gives the message up at once: rejects it where submitting it again is harmless, else fails it.
   void GiveUp(Message& message);
@@ -50,7 +48,7 @@
   void Finish(Message& message);
 
   // Drops the record of a message that is over and has no attempt in flight.
-  void Forget(MessageId id);
+  void Forget(const Message& message);
 
   // Cancels all attempts in flight, where the caller can do so.
   void CancelAttempts(Message& message);
@@ -91,12 +89,8 @@
   std::map<MessageId, Message>& messages() { return messages_; }
 
  private:
-  // A record of a message that is accepted now; its destination is not set yet.
-  [[nodiscard]] Message NewMessage(MessageId id, std::size_t message_class,
-                                   Duration time_left) const;
-
   // Queues the message for its destination, and for its key if its class is ordered.
-  void Enqueue(Message message, const std::string& key);
+  void Enqueue(Message message, DestinationId destination, const std::string& key);
 
   // Whether submitting the message again does no harm.
   [[nodiscard]] bool SafeToResubmit(const Message& message) const;
--- a/src/policy/policy_components.hpp
+++ b/src/policy/policy_components.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "dispatch_policy/dispatch_policy.hpp"
 #include "policy/admission_gate.hpp"
 #include "policy/circuit_breaker.hpp"
 #include "policy/concurrency_limiter.hpp"
@@ -18,10 +19,21 @@
 namespace dispatch_policy {
 
 // Neither copied nor moved, as the components refer to each other.
-struct PolicyComponents {
-  PolicyComponents(Settings settings, std::uint64_t seed) : context(std::move(settings), seed) {}
-  PolicyComponents(const PolicyComponents&) = delete;
-  PolicyComponents& operator=(const PolicyComponents&) = delete;
+struct DispatchPolicy::Impl {
+  Impl(Settings settings, std::uint64_t seed) : context(std::move(settings), seed) {}
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  // Hands each event to the component that it is for.
+  void On(const MessageArrived& event) { ledger.AdmitMessage(event); }
+  void On(const MessageRestored& event) { ledger.RestoreMessage(event); }
+  void On(const MessageCancelled& event) { ledger.CancelMessage(event); }
+  void On(const AttemptCompleted& event) { retry_scheduler.CompleteAttempt(event); }
+  void On(const HealthCheckCompleted& event) { breaker.CompleteHealthCheck(event); }
+  void On(const EndpointList& event) { registry.ApplyList(event); }
+  void On(const TimerFired&) { retry_scheduler.OnTimerFired(); }
+  void On(const QuotaLeased& event) { rate_limiter.ApplyQuotaLease(event); }
+  void On(const PeerHealthReport& event) { breaker.ApplyPeerReport(event); }
 
   DecisionContext context;
   EndpointRegistry registry{context};
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -27,13 +27,22 @@
 
 // A message that was accepted. The record outlives the answer while attempts are in flight.
 struct Message {
-  MessageId id = 0;
+  // Accepted at `now`; `class_deadline` is the whole time that its class allows.
+  Message(MessageId message, std::size_t class_index, Time now, Duration time_left,
+          Duration class_deadline)
+      : id(message),
+        message_class(class_index),
+        first_submitted(now + time_left - class_deadline),
+        deadline(now + time_left),
+        accepted(now) {}
+
+  MessageId id;
   DestinationId destination = 0;
-  std::size_t message_class = 0;
-  std::string key;         // ordering key; empty: not ordered
-  Time first_submitted{};  // by the client, perhaps to another dispatcher
-  Time deadline{};
-  Time accepted{};
+  std::size_t message_class;
+  std::string key;       // ordering key; empty: not ordered
+  Time first_submitted;  // by the client, perhaps to another dispatcher
+  Time deadline;
+  Time accepted;
   Time not_before{};  // no retry before this
   std::vector<Attempt> attempts;
   std::size_t earlier_attempts = 0;        // by an earlier process
@@ -74,7 +83,7 @@
   std::optional<double> allowance_left;  // share of the reported limit, 0 to 1
   std::optional<double> leased_rate;     // this dispatcher's, calls a second; none: not leased
   Time rate_changed{};
-  int rejections_in_row = 0;
+  int rejections = 0;
   Time first_rejection{};  // of those in a row
   Time last_rejection{};
   RateEstimator accepted_calls;
@@ -91,19 +100,19 @@
   EndpointEntry entry;
   Health health = Health::kClosed;
   Time health_since{};
-  bool closed_by_endpoint = false;           // open because it rejects or asked to wait
-  double failure_share = 0;                  // of recent calls
-  std::vector<double> class_failure_shares;  // by message class; empty: no failure yet
-  int failures_in_row = 0;
-  Time first_failure{};              // send of the first of those in a row
-  int overdue_in_row = 0;            // calls without an answer in time since the last answer
-  bool last_connect_failed = false;  // the last failure was a connection that never came up
-  double mean_latency = 0;           // seconds; 0: unknown
-  double latency_deviation = 0;      // mean deviation, seconds
-  Time last_answer{};                // send of the last call that was delivered
+  bool closed_by_endpoint = false;     // open because it rejects or asked to wait
+  double failure_share = 0;            // of recent calls
+  std::vector<double> class_failures;  // by message class; empty: no failure yet
+  int failures = 0;
+  Time first_failure{};         // send of the first of those in a row
+  int overdue_in_row = 0;       // calls without an answer in time since the last answer
+  bool connect_failed = false;  // the last failure was a connection that never came up
+  double latency = 0;           // seconds; 0: unknown
+  double deviation = 0;         // mean deviation, seconds
+  Time last_answer{};           // send of the last call that was delivered
   int calls_in_flight = 0;
   int calls_not_overdue = 0;  // of those in flight
-  bool health_check_in_flight = false;
+  bool checking = false;
   std::optional<Time> removed_at;
   int connection_limit = 0;  // calls in flight that its connections allowed; 0: no limit seen
   Time limit_seen{};         // when the connection limit was reached last
--- a/src/policy/rate_limiter.hpp
+++ b/src/policy/rate_limiter.hpp
@@ -63,6 +63,10 @@
   [[nodiscard]] bool CallsRarely(double local_share) const;
 
  private:
+  // The rate after a rejection: somewhat below that of the calls that were accepted. `local_share`
+  // as from LocalShareOfLimit.
+  void LimitToAcceptedRate(RateLimitScope& scope, double local_share);
+
   // The rate, in calls a second, that a rarely calling instance takes of its even share of the
   // limit.
   [[nodiscard]] double UsableEvenShare(const RateLimitScope& scope) const;
--- a/src/policy/retry_scheduler.hpp
+++ b/src/policy/retry_scheduler.hpp
@@ -57,7 +57,7 @@
 
   // Whether every listed endpoint has asked to wait until `last` or longer: messages are given up
   // now, not then.
-  bool AllEndpointsWaitPast(DestinationId id, Time last);
+  bool AllEndpointsWaitPast(DestinationId destination, Time last);
 
   const Settings& settings_;
   const Time& now_;
@@ -66,7 +66,7 @@
   ConcurrencyLimiter& concurrency_;
   MessageLedger& ledger_;
   CircuitBreaker& breaker_;
-  Time wake_at_ = Time::min();
+  Time wake_at_ = Time::min();  // of the timer that is set
 };
 
 }  // namespace dispatch_policy
