--- a/src/policy/admission_gate.hpp
+++ b/src/policy/admission_gate.hpp
@@ -1,4 +1,5 @@
-// Admission control: rejects new messages before too many wait for their destination.
+// Admission control: rejects new messages before too many wait for their destination. Implemented
+// in limits.cpp.
 #ifndef BRASSFRONT_POLICY_ADMISSION_GATE_HPP_
 #define BRASSFRONT_POLICY_ADMISSION_GATE_HPP_
 
--- a/src/policy/circuit_breaker.cpp
+++ b/src/policy/circuit_breaker.cpp
@@ -1,8 +1,8 @@
 #include "policy/circuit_breaker.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <utility>
 
 namespace dispatch_policy {
 
@@ -20,11 +20,7 @@
 constexpr double kLossyNetworkShare = 0.08;   // of answers that came after lost calls
 constexpr std::size_t kBindingWitnesses = 2;  // of other dispatchers; one alone may be wrong
 
-static LogMessage TransitionText(Health health, const EndpointEntry& entry) {
-  static constexpr const char* kNames[] = {"closed", "open", "recovering"};
-  return {"breaker " + std::string(kNames[static_cast<int>(health)]) + " destination " +
-          std::to_string(entry.destination) + " endpoint " + std::to_string(entry.endpoint)};
-}
+constexpr std::array kHealthNames = {"closed", "open", "recovering"};  // in the log
 
 void CircuitBreaker::RecordAttempt(const Attempt& attempt, const AttemptCompleted& event) {
   Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
@@ -86,7 +82,6 @@
 
 void CircuitBreaker::TransitionTo(Endpoint& endpoint, Health health) {
   RateLimitScope& scope = registry_.FindScope(endpoint);
-  // The backlogs of many dispatchers must not all be sent at once when the slow start ends.
   if (endpoint.health == Health::kRecovering && health == Health::kClosed) {
     const double share = rate_limiter_.LocalShareOfLimit(endpoint);
     if (rate_limiter_.CallsRarely(share)) rate_limiter_.LimitRareCaller(scope, share);
@@ -96,7 +91,9 @@
   endpoint.health_since = now_;
   const Duration interval = context_.AddJitter(TrialInterval(endpoint));
   scope.next_trial = std::max(scope.next_trial, now_ + interval);
-  context_.Do(TransitionText(health, endpoint.entry));
+  context_.Do(LogMessage{"breaker " + std::string(kHealthNames[static_cast<std::size_t>(health)]) +
+                         " destination " + std::to_string(endpoint.entry.destination) +
+                         " endpoint " + std::to_string(endpoint.entry.endpoint)});
 }
 
 bool CircuitBreaker::HasConnectionCapacity(const Endpoint& endpoint) const {
@@ -186,8 +183,7 @@
 }
 
 bool CircuitBreaker::AnsweredRecently(const Endpoint& endpoint) const {
-  const Time last_answer = endpoint.last_answer;
-  return last_answer > Time{} && now_ - last_answer < context_.min_objective;
+  return endpoint.last_answer > Time{} && now_ - endpoint.last_answer < context_.min_objective;
 }
 
 Duration CircuitBreaker::TrialInterval(Endpoint& endpoint) {
--- a/src/policy/circuit_breaker.hpp
+++ b/src/policy/circuit_breaker.hpp
@@ -41,7 +41,8 @@
   // next trial.
   void RecordCall(Endpoint& endpoint);
 
-  // Changes the state of the breaker, with a line in the log.
+  // Changes the state of the breaker, with a line in the log. At the end of a slow start an
+  // instance that calls rarely is limited, as the backlogs of many must not all be sent at once.
   void TransitionTo(Endpoint& endpoint, Health health);
 
   // Whether the endpoint's connection limit, as far as it was seen, leaves room for a call.
--- a/src/policy/concurrency_limiter.hpp
+++ b/src/policy/concurrency_limiter.hpp
@@ -1,4 +1,4 @@
-// The calls in flight, and who may have the slots that are left.
+// The calls in flight, and who may have the slots that are left. Implemented in limits.cpp.
 #ifndef BRASSFRONT_POLICY_CONCURRENCY_LIMITER_HPP_
 #define BRASSFRONT_POLICY_CONCURRENCY_LIMITER_HPP_
 
--- a/src/policy/decision_context.hpp
+++ b/src/policy/decision_context.hpp
@@ -1,5 +1,5 @@
 // What all components of the policy share while it decides: settings, time, random numbers, and the
-// actions that are being collected.
+// actions that are being collected. Implemented in policy_state.cpp.
 #ifndef BRASSFRONT_POLICY_DECISION_CONTEXT_HPP_
 #define BRASSFRONT_POLICY_DECISION_CONTEXT_HPP_
 
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -1,7 +1,5 @@
 #include "dispatch_policy/dispatch_policy.hpp"
 
-#include <utility>
-
 #include "policy/policy_components.hpp"
 
 namespace dispatch_policy {
--- a/src/policy/endpoint_registry.hpp
+++ b/src/policy/endpoint_registry.hpp
@@ -1,4 +1,5 @@
-// The endpoints and destinations that the policy knows, and the endpoint list.
+// The endpoints and destinations that the policy knows, and the endpoint list. Implemented in
+// policy_state.cpp.
 #ifndef BRASSFRONT_POLICY_ENDPOINT_REGISTRY_HPP_
 #define BRASSFRONT_POLICY_ENDPOINT_REGISTRY_HPP_
 
--- a/src/policy/endpoint_selector.cpp
+++ b/src/policy/endpoint_selector.cpp
@@ -96,9 +96,10 @@
     Endpoint& endpoint = registry_.EndpointAt(id);
     if (!CanCall(endpoint)) continue;
     const double cost = ExpectedCost(endpoint, message_class);
-    if (cost >= best_cost) continue;
-    best = &endpoint;
-    best_cost = cost;
+    if (cost < best_cost) {
+      best = &endpoint;
+      best_cost = cost;
+    }
   }
   return best;
 }
@@ -162,8 +163,7 @@
 }
 
 bool EndpointSelector::ExpiresBeforeAnswer(const Message& message, const Endpoint& endpoint) const {
-  const double left = ToSeconds(message.deadline - now_);
-  return registry_.MaxBatch(endpoint) > 1 && left < endpoint.latency;
+  return registry_.MaxBatch(endpoint) > 1 && ToSeconds(message.deadline - now_) < endpoint.latency;
 }
 
 bool EndpointSelector::BatchIsReady(const Destination& destination, const Message& message,
--- a/src/policy/rate_estimator.hpp
+++ b/src/policy/rate_estimator.hpp
@@ -1,4 +1,4 @@
-// Estimates the rate of events from when they were seen.
+// Estimates the rate of events from when they were seen. Implemented in limits.cpp.
 #ifndef BRASSFRONT_POLICY_RATE_ESTIMATOR_HPP_
 #define BRASSFRONT_POLICY_RATE_ESTIMATOR_HPP_
 
@@ -22,7 +22,7 @@
 
  private:
   // Weight of what was seen `age` ago, 0 to 1.
-  [[nodiscard]] double WeightAfter(Duration age) const;
+  [[nodiscard]] double Weight(Duration age) const;
 
   double memory_;
   double value_ = 0;
--- a/src/policy/rate_limiter.hpp
+++ b/src/policy/rate_limiter.hpp
@@ -1,4 +1,5 @@
-// Paces calls so that they stay within the rate limits of endpoints and destinations.
+// Paces calls so that they stay within the rate limits of endpoints and destinations. Implemented
+// in limits.cpp.
 #ifndef BRASSFRONT_POLICY_RATE_LIMITER_HPP_
 #define BRASSFRONT_POLICY_RATE_LIMITER_HPP_
 
@@ -41,6 +42,9 @@
   // with each rejection in a row up to `trial_interval`. Without a Retry-After the pause follows
   // from this instance's own demand: an overloaded destination rejects too, and many instances that
   // retry soon would keep it down. This costs throughput where a limit frees up at once.
+  // A call that was sent before the last rejection says nothing new. Rejections at almost the same
+  // time have one cause, and lower the rate once. While warming up an endpoint rejects below its
+  // limit: a rate learned then would stay too low.
   void OnCallRejected(Endpoint& endpoint, const Call& call, Duration retry_after,
                       Duration trial_interval);
 
--- a/src/policy/retry_scheduler.hpp
+++ b/src/policy/retry_scheduler.hpp
@@ -1,4 +1,5 @@
-// When an attempt times out, when a message is tried again, and when it is given up.
+// When an attempt times out, when a message is tried again, and when it is given up. Implemented in
+// message_ledger.cpp.
 #ifndef BRASSFRONT_POLICY_RETRY_SCHEDULER_HPP_
 #define BRASSFRONT_POLICY_RETRY_SCHEDULER_HPP_
 
@@ -48,7 +49,8 @@
   // an endpoint that has become slow still count.
   [[nodiscard]] Duration OverdueAfter(const Endpoint& endpoint) const;
 
-  // Gives the message up or queues it for a retry.
+  // Gives the message up or queues it for a retry, after a pause where the endpoint failed or the
+  // call was not sent: without one all attempts would be used up while no slot is free.
   void ScheduleRetry(Message& message, const AttemptCompleted& event);
 
   // Counts a call without an answer as a failure long before its message's deadline. Its attempt is
