--- a/src/policy/decision_context.hpp
+++ b/src/policy/decision_context.hpp
@@ -25,8 +25,8 @@
 
   // Adds an action to those of this decision.
   template <typename OneAction>
-  void Do(OneAction&& action) {
-    actions.emplace_back(std::forward<OneAction>(action));
+  void Do(OneAction action) {
+    actions.emplace_back(std::move(action));
   }
 
   // A random duration between half of `duration` and one and a half times `duration`, so that
