Split the policy's tests by component and name what they expect

dispatch_policy_test.cpp held 69 tests of all concerns in 1,150 lines. They stand in a file for each component now, share policy_fixture.hpp, and their names say the behaviour. Every test is kept, and no assertion changes.

--- /dev/null
+++ b/tests/policy/admission_gate_test.cpp
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "policy_fixture.hpp"
+
+namespace dispatch_policy {
+namespace {
+
+// With no endpoint nothing is sent, so R is its least: 8; H is 7.2 and L is 6.24 messages.
+TEST(AdmissionGate, AcceptsEveryMessageBelowOnset) {
+  PolicyDriver driver;
+  for (MessageId id = 0; id < 8; ++id) {
+    driver.At(1s, {Arrive(id)});
+    EXPECT_TRUE(driver.ActionsOf<RejectMessage>().empty()) << id;
+  }
+}
+
+TEST(AdmissionGate, RejectsAShareInOverloadAndAllNewMessagesAboveDiscardThreshold) {
+  int entered = 0;
+  for (std::uint64_t seed = 0; seed < 400; ++seed) {
+    DispatchPolicy policy(TestSettings(), seed);
+    std::vector<Event> events;
+    for (MessageId id = 0; id < 8; ++id) events.push_back(Arrive(id));
+    events.push_back(Arrive(8));  // at n = 8 = R: discard
+    int refused = 0;
+    for (const Action& a : policy.Decide(1s, events))
+      refused += std::holds_alternative<RejectMessage>(a);
+    EXPECT_EQ(refused, 1);
+    events = {MessageCancelled{0}, Arrive(9)};  // n = 7 < H: discard gives way to overload
+    refused = 0;
+    for (const Action& a : policy.Decide(2s, events))
+      refused += std::holds_alternative<RejectMessage>(a);
+    entered += 1 - refused;
+  }
+  EXPECT_NEAR(entered / 400.0, 0.4, 0.08);  // q is 0.6
+}
+
+TEST(AdmissionGate, LeavesDiscardBelowOnsetAndOverloadBelowAbatement) {
+  PolicyDriver driver;
+  std::vector<Event> events;
+  for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
+  driver.At(1s, events);
+  driver.At(2s, {Arrive(20)});
+  EXPECT_EQ(driver.ActionsOf<RejectMessage>().size(), 1u) << "n is 8: discard";
+  driver.At(3s, {MessageCancelled{0}, MessageCancelled{1}});  // n = 6 < L: normal
+  driver.At(3s, {Arrive(21)});
+  EXPECT_TRUE(driver.ActionsOf<RejectMessage>().empty());
+}
+
+TEST(AdmissionGate, SendsRetryAfterOfTheLastTimeFromOnsetToAbatement) {
+  PolicyDriver driver;
+  std::vector<Event> events;
+  for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
+  driver.At(1s, events);
+  ASSERT_EQ(driver.ActionsOf<RejectMessage>().size(), 1u);
+  EXPECT_EQ(driver.ActionsOf<RejectMessage>()[0].retry_after, 1s) << "not yet measured";
+  driver.At(4s, {MessageCancelled{0}, MessageCancelled{1}});
+  driver.At(4s, {Arrive(10), Arrive(11), Arrive(12)});
+  ASSERT_EQ(driver.ActionsOf<RejectMessage>().size(), 1u);
+  EXPECT_EQ(driver.ActionsOf<RejectMessage>()[0].retry_after, 3s);
+}
+
+TEST(AdmissionGate, SendsNoRetryAfterWhereClientsIgnoreIt) {
+  Settings settings = TestSettings();
+  settings.clients_honor_retry_after = false;
+  PolicyDriver driver(settings);
+  std::vector<Event> events;
+  for (MessageId id = 0; id < 9; ++id) events.push_back(Arrive(id));
+  driver.At(1s, events);
+  EXPECT_EQ(driver.ActionsOf<RejectMessage>()[0].retry_after, 0s);
+}
+
+// A least mark of eight once kept the gate out of small holds until they were full.
+TEST(AdmissionGate, AcceptsItsShareOfTheListedRateAfterAStart) {
+  Settings settings = TestSettings();
+  settings.weights = WeightMeaning::kRate;
+  settings.kinds[0].max_batch = 20;
+  PolicyDriver driver(settings);
+  std::vector<Event> events{Listed({{.endpoint = 1, .destination = 1, .weight = 4},
+                                    {.endpoint = 2, .destination = 2, .weight = 0.1}})};
+  for (MessageId id = 1; id <= 15; ++id) events.emplace_back(Arrive(id, kIdempotent, 1));
+  driver.At(0s, events);
+  EXPECT_TRUE(driver.ActionsOf<RejectMessage>().empty());
+  events.clear();
+  for (MessageId id = 16; id <= 60; ++id) events.emplace_back(Arrive(id, kIdempotent, 2));
+  driver.At(1ms, events);  // it takes two messages a second from us
+  EXPECT_FALSE(driver.ActionsOf<RejectMessage>().empty());
+}
+
+TEST(AdmissionGate, DiscardsBeforeASmallCapacityIsUsedUp) {
+  const std::map<std::size_t, MessageId> entering = {{8, 6}, {9, 6}, {10, 7}, {11, 8}, {12, 8}};
+  for (const auto& [hold, entered] : entering) {
+    Settings settings = TestSettings();
+    settings.max_in_flight = hold;
+    PolicyDriver driver(settings);
+    for (MessageId id = 0; id < hold; ++id) {
+      driver.At(1s, {Arrive(id)});
+      EXPECT_EQ(driver.ActionsOf<RejectMessage>().size(), id < entered ? 0u : 1u)
+          << hold << " " << id;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dispatch_policy
--- /dev/null
+++ b/tests/policy/endpoint_selector_test.cpp
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "policy_fixture.hpp"
+
+namespace dispatch_policy {
+namespace {
+
+// A call is over with the first of its messages: one that has less time than an answer takes would
+// take all others back with it.
+TEST(EndpointSelector, SendsExpiringMessagesInCallsOfTheirOwn) {
+  Settings settings = TestSettings();
+  settings.kinds[0].max_batch = 5;
+  PolicyDriver driver(settings);
+  driver.At(1s, {One(), Arrive(1)});
+  driver.At(2s);
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+  AttemptCompleted slow = driver.End(1, Outcome::kDelivered);
+  slow.elapsed = 400ms;
+  driver.At(2400ms, {slow});
+  MessageArrived brief = Arrive(2);
+  brief.time_left = 300ms;
+  driver.At(3s, {brief, Arrive(3)});
+  driver.At(3100ms);  // the brief one has gathered, the other would join it
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+  EXPECT_EQ(driver.ActionsOf<SendAttempt>()[0].message, 2u);
+}
+
+// Messages wait for others to share their call; impatient clients once left before it went out.
+TEST(EndpointSelector, WaitsForABatchWithinTheTimeThatTheMessageHas) {
+  Settings settings = TestSettings();
+  settings.kinds[0].max_batch = 5;
+  for (const auto& [time_left, sent_by] : std::map<Duration, Duration>{{20s, 800ms}, {1s, 200ms}}) {
+    PolicyDriver driver(settings);
+    MessageArrived m = Arrive(1);
+    m.time_left = time_left;
+    driver.At(1s, {One(), m});
+    driver.At(1s + sent_by - 10ms);
+    EXPECT_EQ(driver.attempts[1], 0u);
+    driver.At(1s + sent_by);
+    EXPECT_EQ(driver.attempts[1], 1u);
+  }
+}
+
+// Two routes apart that are alike but for their zones' tolls.
+TEST(EndpointSelector, PrefersAnEndpointWithoutAZonePenalty) {
+  Settings settings = TestSettings();
+  settings.kinds[0].per_endpoint_limits = true;
+  settings.zone_penalty = {0, 0.03};
+  PolicyDriver driver(settings);
+  driver.At(0s, {Listed({{.endpoint = 1, .destination = 1, .zone = 1},
+                         {.endpoint = 2, .destination = 1, .zone = 0}}),
+                 Arrive(1)});
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+  EXPECT_EQ(driver.ActionsOf<SendAttempt>()[0].endpoint, 2u);
+}
+
+}  // namespace
+}  // namespace dispatch_policy
--- /dev/null
+++ b/tests/policy/rate_limiter_test.cpp
@@ -0,0 +1,104 @@
+#include <gtest/gtest.h>
+
+#include "policy_fixture.hpp"
+
+namespace dispatch_policy {
+namespace {
+
+TEST(RateLimiter, AppliesRetryAfterToTheWholeDestination) {
+  PolicyDriver driver;
+  driver.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
+                 Arrive(1)});
+  AttemptCompleted end =
+      driver.End(1, Outcome::kRejected, driver.ActionsOf<SendAttempt>()[0].endpoint);
+  end.retry_after = 1s;
+  driver.At(2s, {end, Arrive(2)});
+  driver.At(2999ms, {Arrive(3)});
+  EXPECT_EQ(driver.attempts[1] + driver.attempts[2] + driver.attempts[3], 1u);
+  driver.At(3400ms);
+  EXPECT_GE(driver.ActionsOf<SendAttempt>().size(), 1u);
+}
+
+TEST(RateLimiter, AppliesRetryAfterToOneEndpointWhereLimitsArePerEndpoint) {
+  Settings settings = TestSettings();
+  settings.kinds[0].per_endpoint_limits = true;
+  PolicyDriver driver(settings);
+  driver.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
+                 Arrive(1)});
+  const EndpointId told = driver.ActionsOf<SendAttempt>()[0].endpoint;
+  AttemptCompleted end = driver.End(1, Outcome::kRejected, told);
+  end.retry_after = 1s;
+  driver.At(2s, {end});
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+  EXPECT_NE(driver.ActionsOf<SendAttempt>()[0].endpoint, told);
+}
+
+// A wait told to a later message of a batch was once missed.
+TEST(RateLimiter, AppliesRetryAfterOfAnyMessageInABatch) {
+  Settings settings = TestSettings();
+  settings.kinds[0].max_batch = 5;
+  PolicyDriver driver(settings);
+  driver.At(1s, {One(), Arrive(1), Arrive(2)});
+  driver.At(1800ms);
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 2u);
+  AttemptCompleted second = driver.End(2, Outcome::kRejected);
+  second.retry_after = 2s;
+  driver.At(2s, {driver.End(1, Outcome::kRejected), second});
+  driver.At(3900ms);
+  EXPECT_EQ(driver.attempts[1] + driver.attempts[2], 2u);
+}
+
+TEST(RateLimiter, SendsOneCallAtATimeAfterARejection) {
+  PolicyDriver driver;
+  driver.At(1s, {One(), Arrive(1)});
+  driver.At(2s, {driver.End(1, Outcome::kRejected), Arrive(2), Arrive(3)});
+  EXPECT_TRUE(driver.ActionsOf<SendAttempt>().empty());
+  driver.At(4s);
+  EXPECT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+}
+
+// A refused destination: then ten messages a second are asked for, and all calls are accepted.
+int CallsAfterARefusal(LoadReport report, Time from, Time to) {
+  PolicyDriver driver;
+  driver.At(1s, {One(), Arrive(1)});
+  int calls = 0;
+  MessageId next = 2;
+  const auto end = [&](Time t, const SendAttempt& send) {
+    AttemptCompleted delivered = driver.End(send.message, Outcome::kDelivered);
+    delivered.report = report;
+    calls += t >= from;
+    return delivered;
+  };
+  Drive(driver, 1100ms, to, [&] { return Arrive(next++); }, end,
+        {driver.End(1, Outcome::kRejected)});
+  return calls;
+}
+
+TEST(RateLimiter, RaisesALearnedRateFasterTheLongerNothingIsRejected) {
+  EXPECT_LE(CallsAfterARefusal({}, 1s, 4s), 6);
+  EXPECT_GE(CallsAfterARefusal({}, 18s, 21s), 25);
+}
+
+TEST(RateLimiter, KeepsALearnedRateWhileLittleAllowanceIsLeft) {
+  EXPECT_LE(CallsAfterARefusal({.allowance_left = 0.1, .limit = 20}, 18s, 21s), 6);
+  EXPECT_GE(CallsAfterARefusal({.allowance_left = 0.9, .limit = 20}, 18s, 21s), 25);
+}
+
+TEST(RateLimiter, StaysWithinAReportedLimit) {
+  EXPECT_LE(CallsAfterARefusal({.allowance_left = 0.9, .limit = 2}, 18s, 21s), 7);
+}
+
+// A hung call once kept the one call after a refusal from going out, for the whole destination.
+TEST(RateLimiter, SendsTheNextCallAfterARejectionDespiteAHungOne) {
+  PolicyDriver driver;
+  driver.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
+                 Arrive(1, kNotIdempotent), Arrive(2, kNotIdempotent)});
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 2u);
+  driver.At(1100ms,
+            {driver.End(2, Outcome::kRejected, driver.ActionsOf<SendAttempt>()[1].endpoint)});
+  for (Time t = 1200ms; t < 8s; t += 100ms) driver.At(t);
+  EXPECT_EQ(driver.attempts[2], 2u);
+}
+
+}  // namespace
+}  // namespace dispatch_policy
