Name the simulator host by the field's terms and split its event parsing

Host, Take, Names, choice and one-letter variables said little, and one function parsed all events. Each event has a parser of its own, a field of the wire is a struct in place of a pair, and the headers say what is returned, thrown and owned. Words of the wire stay, all in simulator_host.cpp.

The words in quotes that the change touches are the same before and after.

--- a/adapter/simulator_host.cpp
+++ b/adapter/simulator_host.cpp
@@ -6,13 +6,16 @@
 namespace dispatch_policy::simulator {
 namespace {
 
-std::string Path(const char* list, std::size_t i, const char* leaf) {
+// Classes or tenants in one START, at most; more can only be a mistake.
+constexpr std::uint64_t kMaxCount = 4096;
+
+std::string FieldPath(const char* list, std::size_t i, const char* leaf) {
   return std::string(list) + "." + std::to_string(i) + "." + leaf;
 }
 
-std::size_t CountOf(std::string_view path, const Line& line) {
+std::size_t ParseCount(std::string_view path, const Line& line) {
   const std::uint64_t count = line.WholeOr(path, 0);
-  if (count > 4096) throw WireError("a count out of range: " + std::string(path));
+  if (count > kMaxCount) throw WireError("a count out of range: " + std::string(path));
   return count;
 }
 
@@ -24,31 +27,33 @@
 }
 
 ClassSettings ParseClass(const Line& line, std::size_t i) {
-  ClassSettings c;
-  c.latency_objective = line.TimeOr(Path("classes", i, "goal-time"), Duration{});
-  c.deadline = line.TimeOr(Path("classes", i, "hard-limit"), Duration{});
-  c.effect = ParseEffect(line.TextOr(Path("classes", i, "effect"), "side_effect"));
-  c.dedup_scope = line.TextOr(Path("classes", i, "key-scope"), "all") == "all"
-                      ? DedupScope::kDestination
-                      : DedupScope::kZone;
-  c.dedup_window = line.TimeOr(Path("classes", i, "dedup-window"), Duration{});
-  c.priority_weight = line.NumberOr(Path("classes", i, "worth"), c.priority_weight);
-  c.late_weight_share = line.NumberOr(Path("classes", i, "late-worth"), c.late_weight_share);
-  c.ordered = line.FlagOr(Path("classes", i, "sequential"), c.ordered);
-  return c;
+  ClassSettings message_class;
+  message_class.latency_objective = line.TimeOr(FieldPath("classes", i, "goal-time"), Duration{});
+  message_class.deadline = line.TimeOr(FieldPath("classes", i, "hard-limit"), Duration{});
+  message_class.effect = ParseEffect(line.TextOr(FieldPath("classes", i, "effect"), "side_effect"));
+  message_class.dedup_scope = line.TextOr(FieldPath("classes", i, "key-scope"), "all") == "all"
+                                  ? DedupScope::kDestination
+                                  : DedupScope::kZone;
+  message_class.dedup_window = line.TimeOr(FieldPath("classes", i, "dedup-window"), Duration{});
+  message_class.priority_weight =
+      line.NumberOr(FieldPath("classes", i, "worth"), message_class.priority_weight);
+  message_class.late_weight_share =
+      line.NumberOr(FieldPath("classes", i, "late-worth"), message_class.late_weight_share);
+  message_class.ordered = line.FlagOr(FieldPath("classes", i, "sequential"), message_class.ordered);
+  return message_class;
 }
 
 std::vector<KindSettings> ParseKinds(const Line& line) {
   std::vector<KindSettings> kinds;
-  const std::string_view batches = line.TextOr("family-info.bundle-max", "");
-  const std::string_view routes = line.TextOr("family-info.own-limits", "");
-  if (!batches.empty()) {
-    for (std::string_view text : Split(batches, ',')) {
+  const std::string_view max_batches = line.TextOr("family-info.bundle-max", "");
+  const std::string_view own_limits = line.TextOr("family-info.own-limits", "");
+  if (!max_batches.empty()) {
+    for (std::string_view text : Split(max_batches, ',')) {
       kinds.emplace_back().max_batch = ParseWhole(text);
     }
   }
-  if (!routes.empty()) {
-    const std::vector<std::string_view> flags = Split(routes, ',');
+  if (!own_limits.empty()) {
+    const std::vector<std::string_view> flags = Split(own_limits, ',');
     if (kinds.size() < flags.size()) kinds.resize(flags.size());
     for (std::size_t i = 0; i < flags.size(); ++i) {
       kinds[i].per_endpoint_limits = ParseFlag(flags[i]);
@@ -102,63 +107,65 @@
   throw WireError("unknown lifecycle: '" + std::string(text) + "'");
 }
 
-void Put(std::string& out, const char* name, std::string_view value) {
+void AppendField(std::string& out, const char* name, std::string_view value) {
   out.append("\t").append(name).append("=").append(value);
 }
 
-void Put(std::string& out, const char* name, std::uint64_t value) {
-  Put(out, name, std::to_string(value));
+void AppendField(std::string& out, const char* name, std::uint64_t value) {
+  AppendField(out, name, std::to_string(value));
 }
 
-void Put(std::string& out, const char* name, Duration value) {
-  Put(out, name, std::to_string(value.count()));
+void AppendField(std::string& out, const char* name, Duration value) {
+  AppendField(out, name, std::to_string(value.count()));
 }
 
 }  // namespace
 
 Settings ParseSettings(const Line& line) {
-  Settings s;
-  const std::size_t classes = CountOf("classes.count", line);
-  for (std::size_t i = 0; i < classes; ++i) s.classes.push_back(ParseClass(line, i));
-  s.kinds = ParseKinds(line);
-  for (std::string_view toll : Split(line.TextOr("family-info.toll", ""), ',')) {
-    if (!toll.empty()) s.zone_penalty.push_back(ParseNumber(toll));
+  Settings settings;
+  const std::size_t classes = ParseCount("classes.count", line);
+  for (std::size_t i = 0; i < classes; ++i) settings.classes.push_back(ParseClass(line, i));
+  settings.kinds = ParseKinds(line);
+  for (std::string_view penalty : Split(line.TextOr("family-info.toll", ""), ',')) {
+    if (!penalty.empty()) settings.zone_penalty.push_back(ParseNumber(penalty));
   }
-  const std::size_t tenants = CountOf("realms.count", line);
+  const std::size_t tenants = ParseCount("realms.count", line);
   for (std::size_t i = 0; i < tenants; ++i) {
-    s.tenants.push_back({line.NumberOr(Path("realms", i, "quota-rps"), 0)});
+    settings.tenants.push_back({line.NumberOr(FieldPath("realms", i, "quota-rps"), 0)});
   }
-  s.decay =
+  settings.decay =
       line.TextOr("family-info.loses-worth", "line") == "halves" ? Decay::kHalving : Decay::kLinear;
   const std::string_view weights = line.TextOr("weight-source", "none");
-  if (weights == "nominal") s.weights = WeightMeaning::kRate;
-  if (weights == "rough") s.weights = WeightMeaning::kApproximateRate;
-  s.over_quota_weight_share = line.NumberOr("over-share-worth", s.over_quota_weight_share);
-  s.max_concurrent_calls = line.WholeOr("family-info.workers", 0);
-  s.max_in_flight = line.WholeOr("limits.open-cap", 0);
-  s.max_attempts = line.WholeOr("limits.max-attempts", 0);
-  s.health_checks_allowed = line.FlagOr("limits.probes", false);
-  s.cancel_allowed = line.FlagOr("limits.may-cancel", false);
-  s.clients_honor_retry_after = line.FlagOr("limits.retry-after", false);
-  s.subscribe_to_endpoint_list = line.TextOr("discovery", "push") == "ask";
-  s.max_retry_after = line.TimeOr("limits.max-retry-after", Duration{});
-  s.decision_interval = line.TimeOr("tick", Duration{});
-  s.slow_start_share = line.NumberOr("rules.cold-share", s.slow_start_share);
-  s.slow_start_duration = line.TimeOr("rules.cold", Duration{});
-  s.collapse_load_multiple = line.NumberOr("rules.fall-multiple", s.collapse_load_multiple);
-  s.collapse_window = line.TimeOr("rules.fall", Duration{});
-  s.ordering_cooldown = line.TimeOr("rules.settle-after-doubt", Duration{});
-  s.group_size = line.WholeOr("group-size", 1);
-  return s;
+  if (weights == "nominal") settings.weights = WeightMeaning::kRate;
+  if (weights == "rough") settings.weights = WeightMeaning::kApproximateRate;
+  settings.over_quota_weight_share =
+      line.NumberOr("over-share-worth", settings.over_quota_weight_share);
+  settings.max_concurrent_calls = line.WholeOr("family-info.workers", 0);
+  settings.max_in_flight = line.WholeOr("limits.open-cap", 0);
+  settings.max_attempts = line.WholeOr("limits.max-attempts", 0);
+  settings.health_checks_allowed = line.FlagOr("limits.probes", false);
+  settings.cancel_allowed = line.FlagOr("limits.may-cancel", false);
+  settings.clients_honor_retry_after = line.FlagOr("limits.retry-after", false);
+  settings.subscribe_to_endpoint_list = line.TextOr("discovery", "push") == "ask";
+  settings.max_retry_after = line.TimeOr("limits.max-retry-after", Duration{});
+  settings.decision_interval = line.TimeOr("tick", Duration{});
+  settings.slow_start_share = line.NumberOr("rules.cold-share", settings.slow_start_share);
+  settings.slow_start_duration = line.TimeOr("rules.cold", Duration{});
+  settings.collapse_load_multiple =
+      line.NumberOr("rules.fall-multiple", settings.collapse_load_multiple);
+  settings.collapse_window = line.TimeOr("rules.fall", Duration{});
+  settings.ordering_cooldown = line.TimeOr("rules.settle-after-doubt", Duration{});
+  settings.group_size = line.WholeOr("group-size", 1);
+  return settings;
 }
 
-std::uint64_t Host::Names::Number(std::string_view name) {
-  const auto [it, added] = numbers_.try_emplace(std::string(name), names_.size());
+std::uint64_t SimulatorHost::NameTable::FindOrAddId(std::string_view name) {
+  const auto [it, added] = ids_.try_emplace(std::string(name), names_.size());
   if (added) names_.emplace_back(name);
   return it->second;
 }
 
-Host::Instance& Host::Find(const Line& line) {
+SimulatorHost::Instance& SimulatorHost::FindInstance(const Line& line) {
   const auto it = instances_.find(line.Whole("who"));
   if (it == instances_.end()) {
     throw WireError("no such instance: " + std::string(line.Text("who")));
@@ -166,7 +173,7 @@
   return it->second;
 }
 
-bool Host::Take(std::string_view text) {
+bool SimulatorHost::Consume(std::string_view text) {
   if (!in_batch_) {
     if (text.empty()) return false;
     const Line line(text);
@@ -176,39 +183,48 @@
     return false;
   }
   const Line line(text);
-  if (rows_due_ > 0) {
-    TakeRow(line);
+  if (rows_expected_ > 0) {
+    ConsumeRow(line);
     return false;
   }
   if (line.name() != "OVER_TO_YOU") {
-    TakeEvent(line);
+    ConsumeEvent(line);
     return false;
   }
-  Reply();
+  WriteReply();
   in_batch_ = false;
   return true;
 }
 
-void Host::TakeRow(const Line& line) {
+void SimulatorHost::ConsumeRow(const Line& line) {
   if (line.name() != "ROW") throw WireError("not a ROW");
-  Row row;
+  EndpointRow row;
   row.endpoint = line.Text("endpoint");
   row.entry.destination = line.Whole("dest");
   row.entry.kind = line.WholeOr("sku", 0);
   row.entry.zone = line.WholeOr("hall", 0);
   row.entry.state = ParseState(line.TextOr("lifecycle", "Running"));
   row.entry.weight = line.NumberOr("rating", 1);
-  pages_[page_].push_back(std::move(row));
-  --rows_due_;
+  endpoint_pages_[page_].push_back(std::move(row));
+  --rows_expected_;
+}
+
+void SimulatorHost::RegisterPage(const Line& line) {
+  page_ = line.Whole("page");
+  if (page_ >= endpoint_pages_.size()) {
+    throw WireError("a page out of range: " + std::to_string(page_));
+  }
+  endpoint_pages_[page_].clear();
+  rows_expected_ = line.Whole("rows-in");
 }
 
-void Host::Start(const Line& line) {
+void SimulatorHost::StartInstance(const Line& line) {
   Instance instance;
-  instance.choice = std::make_unique<DispatchPolicy>(ParseSettings(line), line.Whole("seed"));
+  instance.policy = std::make_unique<DispatchPolicy>(ParseSettings(line), line.Whole("seed"));
   instances_.insert_or_assign(line.Whole("who"), std::move(instance));
 }
 
-void Host::List(Instance& instance, const Line& line) {
+void SimulatorHost::AddEndpointList(Instance& instance, const Line& line) {
   EndpointList list;
   list.version = line.WholeOr("stamp", 0);
   const std::string_view form = line.Text("form");
@@ -223,116 +239,124 @@
   }
   if (list.form != ListForm::kFailed) {
     const std::uint64_t page = line.Whole("page");
-    if (page >= pages_.size()) throw WireError("a page out of range: " + std::to_string(page));
-    for (const Row& row : pages_[page]) {
+    if (page >= endpoint_pages_.size())
+      throw WireError("a page out of range: " + std::to_string(page));
+    for (const EndpointRow& row : endpoint_pages_[page]) {
       list.entries.push_back(row.entry);
-      list.entries.back().endpoint = instance.endpoints.Number(row.endpoint);
+      list.entries.back().endpoint = instance.endpoints.FindOrAddId(row.endpoint);
     }
   }
   instance.events.emplace_back(std::move(list));
 }
 
-void Host::TakeEvent(const Line& line) {
-  const std::string_view name = line.name();
-  if (name == "REGISTER") {
-    page_ = line.Whole("page");
-    if (page_ >= pages_.size()) throw WireError("a page out of range: " + std::to_string(page_));
-    pages_[page_].clear();
-    rows_due_ = line.Whole("rows-in");
-    return;
+MessageArrived SimulatorHost::ParseArrival(Instance& instance, const Line& line) {
+  MessageArrived event;
+  event.message = instance.messages.FindOrAddId(line.Text("call"));
+  event.destination = line.Whole("terminates-at");
+  event.message_class = line.WholeOr("band", 0);
+  event.tenant = line.WholeOr("org", 0);
+  event.time_left = line.Time("patience-left");
+  event.key = line.TextOr("subject", "");
+  return event;
+}
+
+AttemptCompleted SimulatorHost::ParseCompletion(Instance& instance, const Line& line) {
+  AttemptCompleted event;
+  event.message = instance.messages.FindOrAddId(line.Text("call"));
+  event.attempt = line.Whole("hop");
+  event.endpoint = instance.endpoints.FindOrAddId(line.Text("endpoint"));
+  event.outcome = ParseOutcome(line.Whole("reason"));
+  event.elapsed = line.TimeOr("duration", Duration{});
+  event.finished = line.FlagOr("over", false);
+  if (event.outcome == Outcome::kRejected) {
+    event.retry_after = std::chrono::milliseconds(line.WholeOr("hold-ms", 0));
   }
-  if (name == "START") return Start(line);
-  Instance& instance = Find(line);
+  event.report = ParseReport(line.TextOr("pressure", ""));
+  return event;
+}
+
+HealthCheckCompleted SimulatorHost::ParseHealthCheck(Instance& instance, const Line& line) {
+  HealthCheckCompleted event;
+  event.endpoint = instance.endpoints.FindOrAddId(line.Text("endpoint"));
+  event.outcome = ParseOutcome(line.Whole("reason"));
+  event.elapsed = line.TimeOr("duration", Duration{});
+  event.report = ParseReport(line.TextOr("pressure", ""));
+  return event;
+}
+
+void SimulatorHost::ConsumeEvent(const Line& line) {
+  const std::string_view name = line.name();
+  if (name == "REGISTER") return RegisterPage(line);
+  if (name == "START") return StartInstance(line);
+  Instance& instance = FindInstance(line);
   if (name == "EXIT") {
     instances_.erase(line.Whole("who"));
   } else if (name == "DISCOVERY") {
-    List(instance, line);
+    AddEndpointList(instance, line);
   } else if (name == "REQUEST") {
-    MessageArrived e;
-    e.message = instance.messages.Number(line.Text("call"));
-    e.destination = line.Whole("terminates-at");
-    e.message_class = line.WholeOr("band", 0);
-    e.tenant = line.WholeOr("org", 0);
-    e.time_left = line.Time("patience-left");
-    e.key = line.TextOr("subject", "");
-    instance.events.emplace_back(std::move(e));
+    instance.events.emplace_back(ParseArrival(instance, line));
   } else if (name == "SETTLED") {
-    AttemptCompleted e;
-    e.message = instance.messages.Number(line.Text("call"));
-    e.attempt = line.Whole("hop");
-    e.endpoint = instance.endpoints.Number(line.Text("endpoint"));
-    e.outcome = ParseOutcome(line.Whole("reason"));
-    e.elapsed = line.TimeOr("duration", Duration{});
-    e.finished = line.FlagOr("over", false);
-    if (e.outcome == Outcome::kRejected) {
-      e.retry_after = std::chrono::milliseconds(line.WholeOr("hold-ms", 0));
-    }
-    e.report = ParseReport(line.TextOr("pressure", ""));
-    instance.events.emplace_back(e);
+    instance.events.emplace_back(ParseCompletion(instance, line));
   } else if (name == "ABORTED") {
-    instance.events.emplace_back(MessageCancelled{instance.messages.Number(line.Text("call"))});
+    instance.events.emplace_back(
+        MessageCancelled{instance.messages.FindOrAddId(line.Text("call"))});
   } else if (name == "TIMER") {
     instance.events.emplace_back(TimerFired{line.Whole("key-back")});
   } else if (name == "HEALTH_RESULT") {
-    HealthCheckCompleted e;
-    e.endpoint = instance.endpoints.Number(line.Text("endpoint"));
-    e.outcome = ParseOutcome(line.Whole("reason"));
-    e.elapsed = line.TimeOr("duration", Duration{});
-    e.report = ParseReport(line.TextOr("pressure", ""));
-    instance.events.emplace_back(e);
-  } else if (name != "FIRST_BYTE" && name != "DATAGRAM") {  // streams and peer notes: unused
+    instance.events.emplace_back(ParseHealthCheck(instance, line));
+  } else if (name != "FIRST_BYTE" && name != "DATAGRAM") {  // streams and peer notes are not used
     throw WireError("unknown message: '" + std::string(name) + "'");
   }
 }
 
-void Host::Write(std::uint64_t who, const Instance& instance, const Action& action) {
+void SimulatorHost::WriteAction(std::uint64_t who, const Instance& instance, const Action& action) {
   const auto begin = [&](const char* name) {
     reply_.append(name);
-    Put(reply_, "who", who);
+    AppendField(reply_, "who", who);
   };
-  const auto call = [&](MessageId id) { Put(reply_, "call", instance.messages.Name(id)); };
+  const auto call = [&](MessageId id) { AppendField(reply_, "call", instance.messages.Name(id)); };
   const auto endpoint = [&](EndpointId id) {
-    Put(reply_, "endpoint", instance.endpoints.Name(id));
+    AppendField(reply_, "endpoint", instance.endpoints.Name(id));
   };
   if (const auto* send = std::get_if<SendAttempt>(&action)) {
     begin("TRY");
     call(send->message);
     endpoint(send->endpoint);
-    Put(reply_, "max-wait", send->timeout);
-  } else if (const auto* refuse = std::get_if<RejectMessage>(&action)) {
+    AppendField(reply_, "max-wait", send->timeout);
+  } else if (const auto* reject = std::get_if<RejectMessage>(&action)) {
     begin("REFUSE");
-    call(refuse->message);
-    Put(reply_, "pause", refuse->retry_after);
-  } else if (const auto* surrender = std::get_if<FailMessage>(&action)) {
+    call(reject->message);
+    AppendField(reply_, "pause", reject->retry_after);
+  } else if (const auto* fail = std::get_if<FailMessage>(&action)) {
     begin("SURRENDER");
-    call(surrender->message);
+    call(fail->message);
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
     begin("CALL_OFF");
     call(cancel->message);
-    Put(reply_, "hop", std::uint64_t{cancel->attempt});
+    AppendField(reply_, "hop", std::uint64_t{cancel->attempt});
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
     begin("SET_TIMER");
-    Put(reply_, "key-back", timer->token);
-    Put(reply_, "moment", timer->at);
-  } else if (const auto* probe = std::get_if<StartHealthCheck>(&action)) {
+    AppendField(reply_, "key-back", timer->token);
+    AppendField(reply_, "moment", timer->at);
+  } else if (const auto* check = std::get_if<StartHealthCheck>(&action)) {
     begin("HEALTH_CHECK");
-    endpoint(probe->endpoint);
+    endpoint(check->endpoint);
   } else if (std::holds_alternative<SubscribeToEndpointList>(action)) {
     begin("LISTEN");
-    Put(reply_, "active", std::uint64_t{1});
+    AppendField(reply_, "active", std::uint64_t{1});
   } else if (const auto* log = std::get_if<LogMessage>(&action)) {
     begin("PRINT");
-    Put(reply_, "message", log->text);
+    AppendField(reply_, "message", log->text);
   }
   reply_.append("\n");
 }
 
-void Host::Reply() {
+void SimulatorHost::WriteReply() {
   reply_.clear();
   for (auto& [who, instance] : instances_) {
     if (instance.events.empty()) continue;
-    for (const Action& action : instance.choice->Decide(now_, instance.events)) {
-      Write(who, instance, action);
+    for (const Action& action : instance.policy->Decide(now_, instance.events)) {
+      WriteAction(who, instance, action);
     }
     instance.events.clear();
   }
@@ -340,14 +364,14 @@
 }
 
 int Run(std::istream& in, std::ostream& out, std::ostream& errors) {
-  Host host;
+  SimulatorHost host;
   std::uint64_t number = 0;
   std::string text;
   try {
     while (std::getline(in, text)) {
       ++number;
       if (!text.empty() && text.back() == '\r') text.pop_back();
-      if (host.Take(text)) out << host.reply() << std::flush;
+      if (host.Consume(text)) out << host.reply() << std::flush;
     }
     if (host.in_batch()) throw WireError("the input ends inside a batch");
   } catch (const WireError& error) {
--- a/adapter/simulator_host.hpp
+++ b/adapter/simulator_host.hpp
@@ -1,4 +1,5 @@
-// Hosts many instances of the module on the simulator's wire. It translates and decides nothing.
+// Runs many policies behind the simulator's wire, each for one simulated dispatcher. It maps the
+// words of the wire to events and settings, and actions to words of the wire; it decides nothing.
 #ifndef BRASSFRONT_ADAPTER_SIMULATOR_HOST_HPP_
 #define BRASSFRONT_ADAPTER_SIMULATOR_HOST_HPP_
 
@@ -6,7 +7,6 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,57 +17,77 @@
 
 namespace dispatch_policy::simulator {
 
-Settings ParseSettings(const Line& start);
+// The settings in a START line. Throws WireError on a word or number that is not allowed.
+Settings ParseSettings(const Line& line);
 
-class Host {
+// The simulator's side of a conversation: batches of lines in, one reply for each batch out. For
+// one thread.
+class SimulatorHost {
  public:
-  // Takes one line of input; returns true when a reply is complete in reply().
-  bool Take(std::string_view line);
+  // Consumes one line of input, without its line break. Returns true when it ended a batch: the
+  // reply is then complete in reply(), until the next batch ends. Throws WireError on a line that
+  // can't be taken; the host can't be used further then.
+  bool Consume(std::string_view text);
+
+  // The reply to the last batch.
   [[nodiscard]] const std::string& reply() const { return reply_; }
-  // The input may end only between batches.
+
+  // Whether a batch has begun and not ended; the input must not end then.
   [[nodiscard]] bool in_batch() const { return in_batch_; }
 
  private:
-  // Names of one instance and the numbers that the module knows them by, in order of appearance,
-  // so that they do not depend on what else the process hosts.
-  class Names {
+  // Ids for the names of one instance, in order of appearance, so that they do not depend on what
+  // else the process hosts.
+  class NameTable {
    public:
-    std::uint64_t Number(std::string_view name);
-    const std::string& Name(std::uint64_t number) const { return names_.at(number); }
+    // The id of the name; a new one gets the next id.
+    std::uint64_t FindOrAddId(std::string_view name);
+
+    // The name of an id that FindOrAddId gave out.
+    const std::string& Name(std::uint64_t id) const { return names_.at(id); }
 
    private:
-    std::unordered_map<std::string, std::uint64_t> numbers_;
+    std::unordered_map<std::string, std::uint64_t> ids_;
     std::vector<std::string> names_;
   };
+
+  // One simulated dispatcher.
   struct Instance {
-    std::unique_ptr<DispatchPolicy> choice;
-    Names messages;
-    Names endpoints;
-    std::vector<Event> events;
+    std::unique_ptr<DispatchPolicy> policy;
+    NameTable messages;
+    NameTable endpoints;
+    std::vector<Event> events;  // of the present batch
   };
-  struct Row {
+
+  // One endpoint of a registered list; its id depends on the instance that it is sent to.
+  struct EndpointRow {
     std::string endpoint;
     EndpointEntry entry;
   };
 
-  void TakeEvent(const Line& line);
-  void TakeRow(const Line& line);
-  void Reply();
-  Instance& Find(const Line& line);
-  void Start(const Line& line);
-  void List(Instance& instance, const Line& line);
-  void Write(std::uint64_t who, const Instance& instance, const Action& action);
+  void ConsumeEvent(const Line& line);
+  void ConsumeRow(const Line& line);
+  void RegisterPage(const Line& line);
+  void StartInstance(const Line& line);
+  void AddEndpointList(Instance& instance, const Line& line);
+  Instance& FindInstance(const Line& line);
+  static MessageArrived ParseArrival(Instance& instance, const Line& line);
+  static AttemptCompleted ParseCompletion(Instance& instance, const Line& line);
+  static HealthCheckCompleted ParseHealthCheck(Instance& instance, const Line& line);
+  void WriteReply();
+  void WriteAction(std::uint64_t who, const Instance& instance, const Action& action);
 
   Time now_{};
   bool in_batch_ = false;
-  std::array<std::vector<Row>, 16> pages_;
-  std::size_t page_ = 0;
-  std::size_t rows_due_ = 0;
+  std::array<std::vector<EndpointRow>, 16> endpoint_pages_;  // registered endpoint lists
+  std::size_t page_ = 0;                                     // the page that rows are for
+  std::size_t rows_expected_ = 0;                            // rows of that page still to come
   std::map<std::uint64_t, Instance> instances_;
   std::string reply_;
 };
 
-// Runs until the input ends; returns the exit status.
+// Answers batches from `in` on `out` until the input ends. Returns the exit status: 0, or 1 after a
+// line that can't be taken, which is named on `errors`.
 int Run(std::istream& in, std::ostream& out, std::ostream& errors);
 
 }  // namespace dispatch_policy::simulator
--- a/adapter/simulator_wire.cpp
+++ b/adapter/simulator_wire.cpp
@@ -59,20 +59,20 @@
     if (equals == std::string_view::npos || equals == 0) {
       throw WireError("no name=value: " + Quoted(parts[i]));
     }
-    fields_.emplace_back(parts[i].substr(0, equals), parts[i].substr(equals + 1));
+    fields_.push_back({parts[i].substr(0, equals), parts[i].substr(equals + 1)});
   }
 }
 
 bool Line::Has(std::string_view field) const {
-  for (const Field& f : fields_) {
-    if (f.first == field) return true;
+  for (const Field& candidate : fields_) {
+    if (candidate.name == field) return true;
   }
   return false;
 }
 
 std::string_view Line::Text(std::string_view field) const {
-  for (const Field& f : fields_) {
-    if (f.first == field) return f.second;
+  for (const Field& candidate : fields_) {
+    if (candidate.name == field) return candidate.value;
   }
   throw WireError("no " + std::string(field));
 }
