Document the policy's public headers for callers

Comments spoke of what is told and taken up and left open who may call, what 0 means and how indexes are meant. Each type and function says it now.

--- a/include/dispatch_policy/actions.hpp
+++ b/include/dispatch_policy/actions.hpp
@@ -1,4 +1,4 @@
-// What the dispatch policy asks its caller to do.
+// What the dispatch policy asks its caller to do. Actions are values; the caller owns them.
 #ifndef DISPATCH_POLICY_ACTIONS_HPP_
 #define DISPATCH_POLICY_ACTIONS_HPP_
 
@@ -16,20 +16,22 @@
 struct SendAttempt {
   MessageId message = 0;
   EndpointId endpoint = 0;
-  // Always above 0.
+  // From the start of the attempt; always above 0.
   Duration timeout{};
   // No attempt may begin later than this.
   Time start_by{};
 };
 
-// The message is over: submitting it again does no harm.
+// The message is over, and no attempt of it has had an effect that a further submission would
+// double.
 struct RejectMessage {
   MessageId message = 0;
-  // 0: the client is not told when to come back.
+  // What the client is told to wait before it submits the message again; 0: it is told nothing.
   Duration retry_after{};
 };
 
-// The message is over: it has failed, and may have taken effect.
+// The message is over without a delivery, and may have taken effect: submitting it again may double
+// the effect.
 struct FailMessage {
   MessageId message = 0;
 };
@@ -37,7 +39,7 @@
 // Stop the attempt. It is still answered by an AttemptCompleted.
 struct CancelAttempt {
   MessageId message = 0;
-  std::size_t attempt = 0;
+  std::size_t attempt = 0;  // as numbered by SendAttempt
 };
 
 // Call Decide with TimerFired at that time. It replaces an earlier timer with the same token.
@@ -46,7 +48,7 @@
   Time at{};
 };
 
-// Check the endpoint without a message; answered by one HealthCheckCompleted.
+// Check the endpoint's health without a message; answered by one HealthCheckCompleted.
 struct StartHealthCheck {
   EndpointId endpoint = 0;
 };
@@ -54,11 +56,12 @@
 // Send endpoint lists from now on (Settings::subscribe_to_endpoint_list).
 struct SubscribeToEndpointList {};
 
-// A line of the log, for people.
+// A line for the log. Its text is for operators; its wording is part of no interface but the log.
 struct LogMessage {
   std::string text;
 };
 
+// One thing to do.
 using Action = std::variant<SendAttempt, RejectMessage, FailMessage, CancelAttempt, SetTimer,
                             StartHealthCheck, SubscribeToEndpointList, LogMessage>;
 
--- a/include/dispatch_policy/events.hpp
+++ b/include/dispatch_policy/events.hpp
@@ -1,5 +1,5 @@
-// What the caller tells the dispatch policy. Events about unknown messages, attempts or endpoints
-// are ignored.
+// What the caller reports to the dispatch policy. Events about unknown messages, attempts or
+// endpoints are ignored. All are values; the policy keeps no reference to them.
 #ifndef DISPATCH_POLICY_EVENTS_HPP_
 #define DISPATCH_POLICY_EVENTS_HPP_
 
@@ -14,7 +14,7 @@
 
 namespace dispatch_policy {
 
-// How an attempt or a health check ended.
+// How an attempt or a health check ended. Comments say whether the message may have taken effect.
 enum class Outcome {
   kDelivered,
   kError,                  // answered with an error; may have run
@@ -27,11 +27,11 @@
   kConnectionLimitReached  // the endpoint works, but takes no further connection; never ran
 };
 
-// What an endpoint says of its load with an answer.
+// The load that an endpoint reports with an answer.
 struct LoadReport {
-  // Share of the limit that is left, 0 to 1.
+  // Share of the limit that is left, 0 to 1; none: not reported.
   std::optional<double> allowance_left;
-  // Calls a second, of all dispatchers together; 0: unlimited.
+  // Rate limit in calls a second, of all dispatchers together; 0: unlimited; none: not reported.
   std::optional<double> limit;
 };
 
@@ -39,24 +39,25 @@
 struct MessageArrived {
   MessageId message = 0;
   DestinationId destination = 0;
-  std::size_t message_class = 0;
-  std::size_t tenant = 0;
-  Duration time_left{};
-  // Of the order among messages; empty: none.
+  std::size_t message_class = 0;  // index in Settings::classes
+  std::size_t tenant = 0;         // index in Settings::tenants
+  Duration time_left{};           // until its deadline
+  // Ordering key: messages with one key of an ordered class go one at a time; empty: none.
   std::string key;
 };
 
-// A message that an earlier process of this dispatcher had accepted. It passes the admission gate.
+// A message that an earlier process of this dispatcher had accepted. The admission gate does not
+// reject it.
 struct MessageRestored {
   MessageId message = 0;
   DestinationId destination = 0;
   std::size_t message_class = 0;
-  // Below 0: its deadline has passed.
+  // Until its deadline; below 0: the deadline has passed.
   Duration time_left{};
   // As in MessageArrived.
   std::string key;
-  std::size_t attempts_used = 0;
-  // Send of the first attempt that may have run, and where that was.
+  std::size_t attempts_used = 0;  // by earlier processes
+  // When the first attempt that may have run was sent, and to which endpoint; none: none has run.
   std::optional<Time> may_have_run;
   EndpointId ran_on_endpoint = 0;
 };
@@ -67,22 +68,22 @@
   std::size_t attempt = 0;
   EndpointId endpoint = 0;
   Outcome outcome = Outcome::kError;
-  Duration elapsed{};
+  Duration elapsed{};  // from start to end; 0: unknown
   // The message is over, by this outcome or before it.
   bool finished = false;
-  // No further attempt of the message would be taken.
+  // The caller takes no further attempt of the message.
   bool exhausted = false;
   // Retry-After of the answer; 0: none.
   Duration retry_after{};
   LoadReport report;
 };
 
-// The client has gone before it was told that its message was accepted.
+// The client has disconnected before its message was acknowledged.
 struct MessageCancelled {
   MessageId message = 0;
 };
 
-// The timer of SetTimer.
+// The timer of SetTimer has fired.
 struct TimerFired {
   std::uint64_t token = 0;
 };
@@ -95,18 +96,21 @@
   LoadReport report;
 };
 
+// What the endpoint list says of an endpoint: it takes work, it takes no new work, or it is gone.
 enum class EndpointState { kListed, kDraining, kRemoved };
 
+// One endpoint of an endpoint list.
 struct EndpointEntry {
   EndpointId endpoint = 0;
   DestinationId destination = 0;
-  std::size_t kind = 0;
-  std::size_t zone = 0;
+  std::size_t kind = 0;  // index in Settings::kinds
+  std::size_t zone = 0;  // index in Settings::zone_penalty
   EndpointState state = EndpointState::kListed;
   // See Settings::weights.
   double weight = 1;
 };
 
+// What an endpoint list means for endpoints that it does not name.
 enum class ListForm {
   kChanges,   // what is not named stays as it is
   kComplete,  // what is not named is removed
@@ -122,11 +126,11 @@
 
 // ---- from other dispatchers ----
 //
-// For callers whose dispatchers share what they know. Where they share nothing, none of these
-// comes, and nothing is decided otherwise because they exist.
+// For callers whose dispatchers share what they know. Without these events every decision is made
+// from this dispatcher's own observations.
 
-// This dispatcher's present part of a limit that all dispatchers keep together, on whatever shares
-// the endpoint's limit: its destination, or the endpoint alone where limits are per endpoint. It
+// This dispatcher's lease on a part of a rate limit that all dispatchers share. It is for the scope
+// of the endpoint's limit: its destination, or the endpoint alone where limits are per endpoint. It
 // holds until the next one.
 struct QuotaLeased {
   EndpointId endpoint = 0;
@@ -134,6 +138,7 @@
   std::optional<double> rate;
 };
 
+// What another dispatcher has seen of an endpoint.
 enum class PeerHealth {
   kFailing,     // calls there fail
   kRetryAfter,  // it has asked to wait
@@ -142,19 +147,20 @@
   kBeingTested  // another dispatcher tries it at present
 };
 
-// What other dispatchers have seen of an endpoint. It makes the policy more careful at once, and
-// less careful only by two witnesses or by calls of its own.
+// What other dispatchers have seen of an endpoint. One witness makes the policy send one call at a
+// time; two move the circuit breaker as its own calls would.
 struct PeerHealthReport {
   EndpointId endpoint = 0;
   PeerHealth health = PeerHealth::kFailing;
-  // Since it was seen.
+  // Time since it was seen.
   Duration age{};
-  // Of the Retry-After, or of the trial that is under way.
+  // What is left of the Retry-After, or of the trial call that is under way.
   Duration duration{};
-  // Dispatchers that saw it themselves, as far as none of them was found wrong.
+  // Dispatchers that saw it themselves, without those whose reports were found wrong.
   std::size_t witnesses = 1;
 };
 
+// One thing that has happened.
 using Event =
     std::variant<MessageArrived, MessageRestored, AttemptCompleted, MessageCancelled, TimerFired,
                  HealthCheckCompleted, EndpointList, QuotaLeased, PeerHealthReport>;
--- a/include/dispatch_policy/settings.hpp
+++ b/include/dispatch_policy/settings.hpp
@@ -1,5 +1,5 @@
-// What the operator's settings tell the dispatch policy: message classes, kinds of endpoints,
-// limits and costs. Values only; nothing here decides anything.
+// The settings of the dispatch policy: message classes, kinds of endpoints, limits and costs. Plain
+// values, copied into the policy.
 #ifndef DISPATCH_POLICY_SETTINGS_HPP_
 #define DISPATCH_POLICY_SETTINGS_HPP_
 
@@ -14,6 +14,7 @@
 // A moment, as nanoseconds since the caller's epoch; never below 0.
 using Time = std::chrono::nanoseconds;
 
+// Ids are chosen by the caller and never used again for another thing.
 using MessageId = std::uint64_t;
 using EndpointId = std::uint64_t;
 using DestinationId = std::uint64_t;
@@ -25,13 +26,14 @@
   kNotIdempotent       // takes effect twice
 };
 
-// The endpoints that share the memory of idempotency keys.
+// Which endpoints drop a second delivery of an idempotency key: all of the destination, or those in
+// the zone of the first delivery.
 enum class DedupScope { kDestination, kZone };
 
 // How the weight of a message falls once its latency objective has passed.
 enum class Decay { kLinear, kHalving };
 
-// What the weight of a listed endpoint says.
+// What the weight of an entry in the endpoint list means.
 enum class WeightMeaning {
   kNone,            // nothing
   kRate,            // calls a second that it takes
@@ -63,11 +65,13 @@
   bool per_endpoint_limits = false;
 };
 
+// A tenant. Its position in Settings::tenants is its index in events.
 struct TenantSettings {
   // Messages a second over all dispatchers; 0: unlimited.
   double quota_per_second = 0;
 };
 
+// All settings of one policy. The defaults are those of a dispatcher that is limited in nothing.
 struct Settings {
   std::vector<ClassSettings> classes;
   std::vector<KindSettings> kinds;
@@ -82,18 +86,19 @@
   double over_quota_weight_share = 1;
 
   // ---- limits; 0: none ----
+  // Calls in flight at once.
   std::size_t max_concurrent_calls = 0;
   // Messages that are accepted and not over, sent or not.
   std::size_t max_in_flight = 0;
-  // For one message.
+  // Attempts of one message, those of earlier processes included.
   std::size_t max_attempts = 0;
   // The longest Retry-After that a client honours.
   Duration max_retry_after{};
 
   // ---- what the caller can do ----
-  bool health_checks_allowed = false;
-  bool cancel_allowed = false;
-  // Clients are told the Retry-After of a rejection, and wait for it.
+  bool health_checks_allowed = false;  // StartHealthCheck
+  bool cancel_allowed = false;         // CancelAttempt
+  // Clients get the Retry-After of a rejection, and wait for it.
   bool clients_honor_retry_after = false;
   // Changes of the endpoint list come only after SubscribeToEndpointList.
   bool subscribe_to_endpoint_list = false;
--- a/src/policy/admission_gate.hpp
+++ b/src/policy/admission_gate.hpp
@@ -30,7 +30,7 @@
   // Updates the modes of all active destinations; those with nothing to do are active no longer.
   void UpdateAll();
 
-  // The Retry-After of a rejection of the message, 0 if none is to be told: the time that the
+  // The Retry-After of a rejection of the message, 0 if none is to be sent: the time that the
   // destination last took from onset to abatement, within the message's time and the longest wait
   // that clients honour.
   [[nodiscard]] Duration RetryAfter(const Destination& destination, const Message& message) const;
--- a/src/policy/circuit_breaker.hpp
+++ b/src/policy/circuit_breaker.hpp
@@ -26,7 +26,7 @@
         rate_limiter_(rate_limiter),
         concurrency_(concurrency_limiter) {}
 
-  // Takes up the end of an attempt: told waits and load reports of each message, the outcome once a
+  // Takes up the end of an attempt: Retry-After and load report of each message, the outcome once a
   // call.
   void RecordAttempt(const Attempt& attempt, const AttemptCompleted& event);
 
--- a/src/policy/endpoint_registry.hpp
+++ b/src/policy/endpoint_registry.hpp
@@ -39,7 +39,7 @@
   // Null if the endpoint is unknown.
   Endpoint* FindEndpoint(EndpointId id);
 
-  // What the endpoint shares its limit with: its own lane, or its destination's.
+  // What the endpoint shares its limit with: its own scope, or its destination's.
   RateLimitScope& FindScope(Endpoint& endpoint);
 
   // Whether the endpoint's kind has rate limits and outages of its own.
--- a/src/policy/rate_limiter.hpp
+++ b/src/policy/rate_limiter.hpp
@@ -18,8 +18,8 @@
 // Share of its latency objective that a message waits for others to join its call.
 extern const double kBatchingShare;
 
-// Limits are reported, listed, leased or learned from rejections; their state is in the Lane of
-// each destination, or of each endpoint whose kind has limits of its own.
+// Limits are reported, listed, leased or learned from rejections; their state is in the
+// RateLimitScope of each destination, or of each endpoint whose kind has limits of its own.
 class RateLimiter {
  public:
   RateLimiter(DecisionContext& context, EndpointRegistry& registry)
@@ -38,7 +38,7 @@
   // A call was accepted: lets a learned rate grow, unless little of the reported limit is left.
   void OnCallAccepted(RateLimitScope& scope);
 
-  // A call was rejected. The next one waits for the told Retry-After, then for a pause that doubles
+  // A call was rejected. The next one waits for the Retry-After, then for a pause that doubles
   // with each rejection in a row up to `trial_interval`. Without a Retry-After the pause follows
   // from this instance's own demand: an overloaded destination rejects too, and many instances that
   // retry soon would keep it down. This costs throughput where a limit frees up at once.
