--- a/adapter/simulator_host.cpp
+++ b/adapter/simulator_host.cpp
@@ -239,8 +239,9 @@
   }
   if (list.form != ListForm::kFailed) {
     const std::uint64_t page = line.Whole("page");
-    if (page >= endpoint_pages_.size())
+    if (page >= endpoint_pages_.size()) {
       throw WireError("a page out of range: " + std::to_string(page));
+    }
     for (const EndpointRow& row : endpoint_pages_[page]) {
       list.entries.push_back(row.entry);
       list.entries.back().endpoint = instance.endpoints.FindOrAddId(row.endpoint);
