Say in plain words what the policy's tests guard

Comments of the tests told past mishaps in house terms. They name the behaviour that must hold. No test or assertion changes.

--- a/tests/policy/admission_gate_test.cpp
+++ b/tests/policy/admission_gate_test.cpp
@@ -71,7 +71,7 @@
   EXPECT_EQ(driver.ActionsOf<RejectMessage>()[0].retry_after, 0s);
 }
 
-// A least mark of eight once kept the gate out of small holds until they were full.
+// The least discard threshold must not exceed what a small capacity leaves.
 TEST(AdmissionGate, AcceptsItsShareOfTheListedRateAfterAStart) {
   Settings settings = TestSettings();
   settings.weights = WeightMeaning::kRate;
--- a/tests/policy/circuit_breaker_test.cpp
+++ b/tests/policy/circuit_breaker_test.cpp
@@ -9,7 +9,7 @@
 namespace dispatch_policy {
 namespace {
 
-// A learned rate once held a partner's messages until they died, long after it had room again.
+// A connection limit must not lower the rate of calls on the connections that stand.
 TEST(CircuitBreaker, LimitsCallsToTheConnectionsThatTheEndpointAllows) {
   PolicyDriver driver;
   std::vector<Event> events{One()};
@@ -82,8 +82,8 @@
   EXPECT_LE(CallsWhileAllEnd(driver, Outcome::kDelivered, 18100ms, 20100ms, next), 8);
 }
 
-// A late answer from before the partner shut once closed the breaker during the told wait, and the
-// full rate met a cold partner when the wait was over.
+// Such an answer must not close the breaker during the Retry-After: the full rate would meet a
+// destination that is warming up.
 TEST(CircuitBreaker, IgnoresLateAnswersFromBeforeTheEndpointClosed) {
   PolicyDriver driver;
   MessageId next = 1;
@@ -100,8 +100,8 @@
   EXPECT_LE(CallsWhileAllEnd(driver, Outcome::kDelivered, 18200ms, 20200ms, next), 8);
 }
 
-// One class fails at one endpoint, all classes there, or all endpoints: each told from the others.
-// Returns the calls of the class and of the others at each endpoint in the last half.
+// One class fails at one endpoint, all classes there, or all endpoints: each has a result of its
+// own. Returns the calls of the class and of the others at each endpoint in the last half.
 std::map<std::pair<std::size_t, EndpointId>, int> CallsWhen(
     const std::function<bool(std::size_t, EndpointId)>& fails) {
   PolicyDriver driver;
@@ -143,7 +143,7 @@
   EXPECT_LE((calls[{kIdempotent, 1}] + calls[{kIdempotent, 2}]), 100);
 }
 
-// Every dispatcher once sent a harmless trickle, and all together pushed the partner over.
+// The trial calls of all dispatchers together must not overload the destination.
 TEST(CircuitBreaker, KeepsManyDispatchersTogetherWithinTheRecoveryBudget) {
   for (std::size_t group : {3u, 50u, 300u}) {
     Settings settings = TestSettings();
@@ -193,7 +193,7 @@
   EXPECT_GE(calls, 300);
 }
 
-// A refusal of a cold destination tells nothing of its limit.
+// A rejection by a destination that is warming up says nothing of its rate limit.
 TEST(CircuitBreaker, KeepsTheLearnedRateOnRejectionsWhileWarmingUp) {
   PolicyDriver driver;
   MessageId next = 1;
--- a/tests/policy/concurrency_limiter_test.cpp
+++ b/tests/policy/concurrency_limiter_test.cpp
@@ -21,7 +21,7 @@
   EXPECT_EQ(driver.ActionsOf<SendAttempt>()[0].endpoint, 2u) << "destination 1 is over its half";
 }
 
-// Few slots once left nothing to share: the last one must count before it is given away.
+// With few slots the last one must count as taken before it is given away.
 TEST(ConcurrencyLimiter, KeepsTheLastSlotsForOthersHoweverFewThereAre) {
   const std::map<std::size_t, std::size_t> most = {{2, 1}, {3, 2}, {4, 3}, {5, 4}, {20, 16}};
   for (const auto& [slots, calls] : most) {
@@ -41,7 +41,7 @@
   }
 }
 
-// Many destinations that are each a little sick once filled the sender together.
+// Many destinations with a few failing calls each must not fill all slots together.
 TEST(ConcurrencyLimiter, LimitsUnhealthyDestinationsTogetherToAQuarterOfTheSlots) {
   Settings settings = TestSettings();
   settings.max_concurrent_calls = 4;
--- a/tests/policy/endpoint_selector_test.cpp
+++ b/tests/policy/endpoint_selector_test.cpp
@@ -27,7 +27,7 @@
   EXPECT_EQ(driver.ActionsOf<SendAttempt>()[0].message, 2u);
 }
 
-// Messages wait for others to share their call; impatient clients once left before it went out.
+// Messages wait for others to share their call, but no longer than their own time allows.
 TEST(EndpointSelector, WaitsForABatchWithinTheTimeThatTheMessageHas) {
   Settings settings = TestSettings();
   settings.kinds[0].max_batch = 5;
@@ -43,7 +43,7 @@
   }
 }
 
-// Two routes apart that are alike but for their zones' tolls.
+// Two endpoints with limits of their own that differ in the penalty of their zone only.
 TEST(EndpointSelector, PrefersAnEndpointWithoutAZonePenalty) {
   Settings settings = TestSettings();
   settings.kinds[0].per_endpoint_limits = true;
--- a/tests/policy/invalid_input_test.cpp
+++ b/tests/policy/invalid_input_test.cpp
@@ -5,7 +5,7 @@
 namespace dispatch_policy {
 namespace {
 
-// One slot, so that what arrives at once is held unsent; the gate then goes by the listed rate.
+// One slot, so that what arrives at once stays unsent; the thresholds then follow the listed rate.
 TEST(InvalidInput, IgnoresAListedRateOutOfRange) {
   Settings settings = TestSettings();
   settings.max_concurrent_calls = 1;
--- a/tests/policy/rate_limiter_test.cpp
+++ b/tests/policy/rate_limiter_test.cpp
@@ -33,7 +33,7 @@
   EXPECT_NE(driver.ActionsOf<SendAttempt>()[0].endpoint, told);
 }
 
-// A wait told to a later message of a batch was once missed.
+// The Retry-After may come with any message of a call, not only with the first.
 TEST(RateLimiter, AppliesRetryAfterOfAnyMessageInABatch) {
   Settings settings = TestSettings();
   settings.kinds[0].max_batch = 5;
@@ -88,7 +88,7 @@
   EXPECT_LE(CallsAfterARefusal({.allowance_left = 0.9, .limit = 2}, 18s, 21s), 7);
 }
 
-// A hung call once kept the one call after a refusal from going out, for the whole destination.
+// A call without an answer must not hold up the one call after a rejection.
 TEST(RateLimiter, SendsTheNextCallAfterARejectionDespiteAHungOne) {
   PolicyDriver driver;
   driver.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
