--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -32,11 +32,12 @@
   if (folder.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
   Spool spool =
       Spool::OpenToRead(folder, [](const std::string& text) { std::cerr << text << "\n"; });
-  for (const RecoveredMessage& owed : spool.Recover()) {
-    const SpooledMessage& m = owed.message;
-    std::cout << "id=" << m.id << " class=" << m.class_name << " dest=" << m.destination
-              << " deadline_unix_ms=" << m.deadline.count() << " bytes=" << m.body.size()
-              << " attempts=" << owed.attempts.size() << "\n";
+  for (const RecoveredMessage& recovered : spool.Recover()) {
+    const SpooledMessage& message = recovered.message;
+    std::cout << "id=" << message.id << " class=" << message.class_name
+              << " dest=" << message.destination << " deadline_unix_ms=" << message.deadline.count()
+              << " bytes=" << message.body.size() << " attempts=" << recovered.attempts.size()
+              << "\n";
   }
   std::cout << spool.open_messages() << " owed, " << spool.file_bytes() << " bytes\n";
   return 0;
--- a/src/concurrency/bounded_queue.hpp
+++ b/src/concurrency/bounded_queue.hpp
@@ -32,14 +32,14 @@
   std::optional<T> PopUntil(std::chrono::steady_clock::time_point time) {
     std::unique_lock lock(mutex_);
     not_empty_.wait_until(lock, time, [this] { return closed_ || !values_.empty(); });
-    return PopLocked(lock);
+    return PopFront(lock);
   }
 
   // Waits as long as it takes; nothing if the queue is closed and empty.
   std::optional<T> Pop() {
     std::unique_lock lock(mutex_);
     not_empty_.wait(lock, [this] { return closed_ || !values_.empty(); });
-    return PopLocked(lock);
+    return PopFront(lock);
   }
 
   void Close() {
@@ -52,7 +52,7 @@
   }
 
  private:
-  std::optional<T> PopLocked(std::unique_lock<std::mutex>& lock) {
+  std::optional<T> PopFront(std::unique_lock<std::mutex>& lock) {
     if (values_.empty()) return std::nullopt;
     std::optional<T> value(std::move(values_.front()));
     values_.pop_front();
--- a/src/concurrency/thread_pool.hpp
+++ b/src/concurrency/thread_pool.hpp
@@ -24,18 +24,18 @@
 class ThreadPool {
  public:
   struct Size {
-    std::size_t least = 1;  // stay, whatever there is to do
-    std::size_t most = 1;
-    std::chrono::milliseconds idle{2000};  // after which one beyond the least goes
+    std::size_t min_threads = 1;  // stay, whatever there is to do
+    std::size_t max_threads = 1;
+    std::chrono::milliseconds idle_timeout{2000};  // after which one beyond the least goes
   };
 
   // Throws where the system has no room for the first of them.
-  ThreadPool(const char* name, const Size& size, std::function<void(T)> work)
-      : name_(name), size_(size), work_(std::move(work)) {
+  ThreadPool(const char* name, const Size& size, std::function<void(T)> handler)
+      : name_(name), size_(size), handler_(std::move(handler)) {
     const std::lock_guard lock(mutex_);
-    while (members_.size() < size_.least && StartOne()) {
+    while (workers_.size() < size_.min_threads && StartThread()) {
     }
-    if (members_.empty()) throw std::runtime_error("no room for a thread");
+    if (workers_.empty()) throw std::runtime_error("no room for a thread");
   }
   // Does what is waiting, and returns once all of it is done.
   ~ThreadPool() {
@@ -43,77 +43,77 @@
       const std::lock_guard lock(mutex_);
       closed_ = true;
     }
-    filled_.notify_all();
-    for (Member& member : members_) member.thread.Join();
+    not_empty_.notify_all();
+    for (Worker& worker : workers_) worker.thread.Join();
   }
 
   // Never waits. Where the system has no room for a further thread, the others do the work.
   void Submit(T value) {
     {
       const std::lock_guard lock(mutex_);
-      members_.remove_if([](const Member& member) { return member.gone; });
-      waiting_.push_back(std::move(value));
-      if (waiting_.size() > idle_ && members_.size() < size_.most) StartOne();
+      workers_.remove_if([](const Worker& worker) { return worker.finished; });
+      queue_.push_back(std::move(value));
+      if (queue_.size() > idle_threads_ && workers_.size() < size_.max_threads) StartThread();
     }
-    filled_.notify_one();
+    not_empty_.notify_one();
   }
 
   std::size_t threads() const {
     const std::lock_guard lock(mutex_);
-    return Staying();
+    return RunningThreads();
   }
 
  private:
-  struct Member {
+  struct Worker {
     Thread thread;
-    bool gone = false;
+    bool finished = false;
   };
 
-  bool StartOne() {
-    Member& member = members_.emplace_back();
-    member.thread = Thread(name_, [this, &member] { Serve(member); });
-    if (member.thread.started()) return true;
-    members_.pop_back();
+  bool StartThread() {
+    Worker& worker = workers_.emplace_back();
+    worker.thread = Thread(name_, [this, &worker] { Serve(worker); });
+    if (worker.thread.started()) return true;
+    workers_.pop_back();
     return false;
   }
 
-  void Serve(Member& member) {
+  void Serve(Worker& worker) {
     std::unique_lock lock(mutex_);
     while (true) {
-      ++idle_;
-      const auto wanted = [this] { return closed_ || !waiting_.empty(); };
-      const bool came = filled_.wait_for(lock, size_.idle, wanted);
-      --idle_;
-      if (!waiting_.empty()) {
-        T value = std::move(waiting_.front());
-        waiting_.pop_front();
+      ++idle_threads_;
+      const auto should_wake = [this] { return closed_ || !queue_.empty(); };
+      const bool has_work = not_empty_.wait_for(lock, size_.idle_timeout, should_wake);
+      --idle_threads_;
+      if (!queue_.empty()) {
+        T value = std::move(queue_.front());
+        queue_.pop_front();
         lock.unlock();
-        work_(std::move(value));
+        handler_(std::move(value));
         lock.lock();
         continue;
       }
       if (closed_) return;
-      if (!came && Staying() > size_.least) {
-        member.gone = true;
+      if (!has_work && RunningThreads() > size_.min_threads) {
+        worker.finished = true;
         return;
       }
     }
   }
 
-  std::size_t Staying() const {
+  std::size_t RunningThreads() const {
     std::size_t count = 0;
-    for (const Member& member : members_) count += member.gone ? 0 : 1;
+    for (const Worker& worker : workers_) count += worker.finished ? 0 : 1;
     return count;
   }
 
   const char* const name_;
   const Size size_;
-  const std::function<void(T)> work_;
+  const std::function<void(T)> handler_;
   mutable std::mutex mutex_;  // guards what follows
-  std::condition_variable filled_;
-  std::deque<T> waiting_;
-  std::list<Member> members_;
-  std::size_t idle_ = 0;
+  std::condition_variable not_empty_;
+  std::deque<T> queue_;
+  std::list<Worker> workers_;
+  std::size_t idle_threads_ = 0;
   bool closed_ = false;
 };
 
--- a/src/net/backoff.hpp
+++ b/src/net/backoff.hpp
@@ -20,24 +20,24 @@
 
   // The first pause and the longest one, in the mean; a longest one below the first is taken for
   // it.
-  Backoff(Duration first, Duration longest, std::uint64_t seed)
-      : first_(first), longest_(std::max(first, longest)), next_(first), random_(seed) {}
+  Backoff(Duration initial, Duration max_delay, std::uint64_t seed)
+      : initial_(initial), max_(std::max(initial, max_delay)), next_(initial), random_(seed) {}
 
   // The pause after a failure, `most` at the most.
-  Duration Failed(Duration most = Duration::max()) {
-    const Duration pause = std::min(next_, most - most / 3);
-    next_ = std::min(longest_, 2 * next_);
-    return pause / 2 + Anywhere(pause);
+  Duration NextDelay(Duration limit = Duration::max()) {
+    const Duration pause = std::min(next_, limit - limit / 3);
+    next_ = std::min(max_, 2 * next_);
+    return pause / 2 + RandomUpTo(pause);
   }
   // It was to be had: the next failure is the first again.
-  void Succeeded() { next_ = first_; }
+  void Reset() { next_ = initial_; }
 
  private:
-  Duration Anywhere(Duration span) {
+  Duration RandomUpTo(Duration span) {
     return Duration(std::uniform_int_distribution<Duration::rep>(0, span.count())(random_));
   }
 
-  const Duration first_, longest_;
+  const Duration initial_, max_;
   Duration next_;
   std::mt19937_64 random_;
 };
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -38,11 +38,11 @@
     std::size_t most_idle = SIZE_MAX;
     // What newcomers take the place of, once all are taken: the longest idle of those that have
     // handed in no good request, and else the longest idle of all; each for so long at least.
-    std::chrono::milliseconds useless{100};
-    std::chrono::milliseconds least_idle{200};
+    std::chrono::milliseconds min_idle_before_first_message{100};
+    std::chrono::milliseconds min_idle{200};
     // Commands in a row that could not be used: then the connection is closed. Guards against a
     // client that sends hundreds at once, each of which costs as much as a message.
-    std::size_t most_faults = 16;
+    std::size_t max_invalid_commands = 16;
     std::size_t workers = 32;  // commands being answered at once; more wait
   };
 
@@ -60,79 +60,80 @@
   static constexpr std::chrono::milliseconds kTakenInStandby{1000};
 
  private:
-  using Number = std::uint64_t;  // of a connection; not used again
-  using Order = std::set<std::pair<SteadyTime, Number>>;
+  using ConnectionId = std::uint64_t;  // never reused
+  using Order = std::set<std::pair<SteadyTime, ConnectionId>>;
 
-  // Waiting: the lobby's. Serving: a worker's. Leaving: the lobby's, and what still comes is passed
+  // Waiting: the poll loop's. Serving: a worker's. Leaving: the lobby's, and what still comes is passed
   // over, so that the last reply is not overtaken by a reset.
-  enum class State { kWaiting, kServing, kLeaving };
+  enum class State { kWaiting, kServing, kLingering };
 
   struct Connection {
-    Number number = 0;
+    ConnectionId id = 0;
     Socket socket;
     RespReader reader{};
     State state = State::kWaiting;
-    SteadyTime since{};  // connected, or its last command was answered
-    SteadyTime due{};    // of what it waits for
+    SteadyTime idle_since{};  // connected, or its last command was answered
+    SteadyTime deadline{};    // of what it waits for
     std::size_t exchanges = 0;
-    bool useful = false;          // has handed in a good request
-    std::size_t passed_over = 0;  // bytes, while leaving
-    const char* leaves_for = "";  // the reason
-    std::string replies{};        // not written yet, of commands that came together
-    std::size_t faults = 0;       // in a row
+    bool has_submitted = false;        // has handed in a good request
+    std::size_t discarded_bytes = 0;   // bytes, while leaving
+    const char* close_reason = "";     // the reason
+    std::string replies{};             // not written yet, of commands that came together
+    std::size_t invalid_commands = 0;  // in a row
 
     // Waits for a first command, or for a further one to begin.
     [[nodiscard]] bool IsIdle() const { return exchanges == 0 || reader.between_commands(); }
   };
 
-  // ---- the lobby's, under the lock ----
+  // ---- the poll loop's, under the lock ----
   void RunPollLoop();
-  void TakeConnections();
-  bool MakeRoom(SteadyTime now);
-  void TrimIdle(SteadyTime now);
-  bool EndIdle(Number number, const char* reason);
+  void AcceptConnections();
+  bool EvictOne(SteadyTime now);
+  void EvictExcessIdle(SteadyTime now);
+  bool CloseIfIdle(ConnectionId id, const char* reason);
   bool Read(Connection& connection);
-  void EndDue(SteadyTime now);
-  bool SendsAway() const { return draining_ || standing_by_; }
-  void EndForDrain();
-  void Enter(Connection& connection, SteadyTime due);
-  void Withdraw(Connection& connection);
-  void Arm(Connection& connection, int how);
-  void Leave(Connection& connection, const char* reason);
-  void EndAlone(Connection& connection, const char* reason, SteadyTime until);
-  bool EndLeaving();
-  void Erase(Connection& connection, const char* reason);
+  void CloseExpired(SteadyTime now);
+  bool ClosesBetweenCommands() const { return draining_ || standing_by_; }
+  void CloseIdleForDrain();
+  void Schedule(Connection& connection, SteadyTime deadline);
+  void Unschedule(Connection& connection);
+  void WatchInput(Connection& connection, int how);
+  void BeginLingeringClose(Connection& connection, const char* reason);
+  void LingerAndRemove(Connection& connection, const char* reason, SteadyTime until);
+  bool FinishOldestLinger();
+  void Remove(Connection& connection, const char* reason);
 
   // ---- a worker's; the connection is its own meanwhile ----
-  void Serve(Connection& connection);
-  bool AnswerCommands(Connection& connection, const char*& reason);
-  bool Reply(Connection& connection, RespCommand& command, const char*& reason);
+  void ServeCommands(Connection& connection);
+  bool ExecutePendingCommands(Connection& connection, const char*& reason);
+  bool Execute(Connection& connection, RespCommand& command, const char*& reason);
   bool Submit(Connection& connection, RespCommand& command, const char*& reason);
-  bool StandsBy(std::chrono::milliseconds for_so_long);
-  bool Say(Connection& connection, const std::string& reply);
-  bool SayFault(Connection& connection, const std::string& reply, const char*& reason);
-  bool Flush(Connection& connection);
+  bool HasStoodByFor(std::chrono::milliseconds duration);
+  bool AppendReply(Connection& connection, const std::string& reply);
+  bool ReplyInvalid(Connection& connection, const std::string& reply, const char*& reason);
+  bool FlushReplies(Connection& connection);
 
   const Limits limits_;
   MessageAcceptor& acceptor_;
   BufferPool& buffers_;
   Socket listener_;
-  Socket readiness_;  // epoll
-  Socket wake_;       // eventfd
+  Socket epoll_;   // epoll
+  Socket wakeup_;  // eventfd
 
   std::mutex mutex_;  // guards what follows, and all connections that are not being served
   bool draining_ = false;
   std::atomic<bool> standing_by_{false};  // read without the lock as well
-  SteadyTime stands_by_since_{};
+  SteadyTime standby_since_{};
   bool stopping_ = false;
-  Number next_ = 0;
-  std::unordered_map<Number, std::unique_ptr<Connection>> connections_;
-  Order due_;                         // all that wait or leave
-  Order idle_useless_, idle_useful_;  // of those that wait, the longest first
-  Order leaving_;                     // of those, the one due first leads
+  ConnectionId next_id_ = 0;
+  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  Order by_deadline_;  // all that wait or leave
+  Order idle_before_first_message_,
+      idle_after_first_message_;  // of those that wait, the longest first
+  Order lingering_;               // of those, the one due first leads
 
   ThreadPool<Connection*> workers_;
-  Thread lobby_;
+  Thread poll_thread_;
 };
 
 }  // namespace brassfront
--- a/src/net/discovery_watcher.hpp
+++ b/src/net/discovery_watcher.hpp
@@ -32,11 +32,11 @@
   void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
 
  private:
-  void Follow();
-  bool TakeLines(HttpReader& reader, LineCutter& lines);
+  void WatchLoop();
+  bool ConsumeLines(HttpReader& reader, LineCutter& lines);
 
   const OnEndpointList on_list_;
-  DiscoveryTimeouts times_;
+  DiscoveryTimeouts timeouts_;
   std::uint64_t revision_;
   HttpClient client_;
   Thread thread_;
--- a/src/net/endpoint_client.hpp
+++ b/src/net/endpoint_client.hpp
@@ -35,32 +35,32 @@
   EndpointClient(const Options& options, BufferPool& buffers, OnResult on_result);
   ~EndpointClient();  // ends what is out
 
-  void Start(std::shared_ptr<EndpointCall> delivery);
+  void Start(std::shared_ptr<EndpointCall> call);
   // Closes connections that have been idle for long. To be called every second, and at
   // NextIdleExpiry.
   void CloseExpiredIdle();
   // When the next of the kept connections has been idle for long enough; max() if none is kept.
   SteadyTime NextIdleExpiry() const;
-  // The next hop is gone: its idle connections are closed.
-  void RemoveEndpoint(std::uint64_t hop);
+  // The next endpoint is gone: its idle connections are closed.
+  void RemoveEndpoint(std::uint64_t endpoint);
 
  private:
   struct Connection {
     Socket socket;
-    std::uint64_t hop = 0;
+    std::uint64_t endpoint = 0;
     std::string address;
-    SteadyTime kept_until{};
+    SteadyTime expires_at{};
     std::size_t exchanges = 0;
   };
 
-  void Work(const std::shared_ptr<EndpointCall>& delivery);
-  EndpointCallResult Carry(EndpointCall& delivery);
-  bool Open(Connection& connection, EndpointCall& delivery);
-  EndpointCallResult ReadAnswer(Connection& connection, EndpointCall& delivery);
-  void End(Connection& connection, const char* reason);
-  Connection TakeIdle(const EndpointCall& delivery);
-  void Keep(Connection connection);
-  IdleConnectionBudget& ShareOf(std::uint64_t hop);
+  void Run(const std::shared_ptr<EndpointCall>& call);
+  EndpointCallResult Perform(EndpointCall& call);
+  bool ConnectTo(Connection& connection, EndpointCall& call);
+  EndpointCallResult ReadResponse(Connection& connection, EndpointCall& call);
+  void Close(Connection& connection, const char* reason);
+  Connection TakeIdle(const EndpointCall& call);
+  void ReturnIdle(Connection connection);
+  IdleConnectionBudget& BudgetFor(std::uint64_t endpoint);
 
   const Options options_;
   BufferPool& buffers_;
@@ -68,8 +68,8 @@
   mutable std::mutex mutex_;  // guards what follows
   bool closed_ = false;
   std::vector<Connection> idle_;  // the newest last
-  std::map<std::uint64_t, IdleConnectionBudget> shares_;
-  std::map<std::uint64_t, std::shared_ptr<EndpointCall>> out_;
+  std::map<std::uint64_t, IdleConnectionBudget> budgets_;
+  std::map<std::uint64_t, std::shared_ptr<EndpointCall>> in_flight_;
   ThreadPool<std::shared_ptr<EndpointCall>> threads_;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,15 +5,18 @@
 
 namespace brassfront {
 
-HttpClient::HttpClient(std::string side, std::string address, std::chrono::milliseconds silence,
-                       BufferPool& buffers)
-    : side_(std::move(side)), silence_(silence), buffers_(buffers), address_(std::move(address)) {}
+HttpClient::HttpClient(std::string side, std::string address,
+                       std::chrono::milliseconds silence_timeout, BufferPool& buffers)
+    : side_(std::move(side)),
+      silence_timeout_(silence_timeout),
+      buffers_(buffers),
+      address_(std::move(address)) {}
 
 HttpClient::~HttpClient() {
-  if (socket_.is_open()) End("shutdown");
+  if (socket_.is_open()) Close("shutdown");
 }
 
-void HttpClient::End(const char* reason) {
+void HttpClient::Close(const char* reason) {
   const std::lock_guard lock(mutex_);
   socket_.Close();
   const bool moved = connected_to_ != address_;
@@ -37,9 +40,9 @@
   wake_.notify_all();
 }
 
-bool HttpClient::Ready() {
+bool HttpClient::EnsureConnected() {
   if (socket_.is_open() && !socket_.HasInputOrEnd()) return true;
-  if (socket_.is_open()) End("peer-closed");
+  if (socket_.is_open()) Close("peer-closed");
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return false;
@@ -47,49 +50,50 @@
     connected_to_ = address_;
     exchanges_ = 0;
   }
-  const bool connected = Connect(socket_, connected_to_, silence_);
-  if (connected) socket_.ReceiveTimeout(silence_);
-  bool meant = false;
+  const bool connected = Connect(socket_, connected_to_, silence_timeout_);
+  if (connected) socket_.ReceiveTimeout(silence_timeout_);
+  bool still_wanted = false;
   {
     // Guards against a stop or a move that came before there was a connection to shut down.
     const std::lock_guard lock(mutex_);
-    meant = !stopped_ && connected_to_ == address_;
+    still_wanted = !stopped_ && connected_to_ == address_;
   }
-  if (connected && meant) return true;
-  End("connect-failed");
+  if (connected && still_wanted) return true;
+  Close("connect-failed");
   return false;
 }
 
 bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
                           const GiveUpAt& give_up_at) {
-  if (!Ready()) return false;
+  if (!EnsureConnected()) return false;
   if (!socket_.SendAll(request)) {
-    End("write-failed");
+    Close("write-failed");
     return false;
   }
   ++exchanges_;
   BufferPool::Buffer buffer = buffers_.Get();
   while (!reader.done() && !reader.broken()) {
     if (give_up_at && !socket_.AwaitInput(give_up_at())) {
-      End("silent");
+      Close("silent");
       return false;
     }
-    const long n = socket_.Receive(buffer.span());
-    if (n < 0) {
-      End(errno == EAGAIN ? "silent" : "reset");
+    const long received = socket_.Receive(buffer.span());
+    if (received < 0) {
+      Close(errno == EAGAIN ? "silent" : "reset");
       return false;
     }
-    if (n == 0) {
+    if (received == 0) {
       reader.FeedEnd();
     } else {
-      reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
+      reader.Feed({buffer.span().data(), static_cast<std::size_t>(received)});
     }
     if (on_bytes && !on_bytes(reader)) {
-      End("invalid");
+      Close("invalid");
       return false;
     }
   }
-  if (!reader.done() || !reader.keep_alive()) End(reader.done() ? "keep-alive-off" : "peer-closed");
+  if (!reader.done() || !reader.keep_alive())
+    Close(reader.done() ? "keep-alive-off" : "peer-closed");
   return reader.done();
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -19,7 +19,7 @@
 class HttpClient {
  public:
   // `silence`: how long the other side may say nothing.
-  HttpClient(std::string side, std::string address, std::chrono::milliseconds silence,
+  HttpClient(std::string side, std::string address, std::chrono::milliseconds silence_timeout,
              BufferPool& buffers);
   ~HttpClient();
 
@@ -45,11 +45,11 @@
   bool Pause(std::chrono::milliseconds time, const std::string& address = {});
 
  private:
-  bool Ready();
-  void End(const char* reason);
+  bool EnsureConnected();
+  void Close(const char* reason);
 
   const std::string side_;
-  const std::chrono::milliseconds silence_;
+  const std::chrono::milliseconds silence_timeout_;
   BufferPool& buffers_;
   mutable std::mutex mutex_;  // guards the address and the socket's opening and closing
   std::string address_;
--- a/src/net/idle_connection_budget.cpp
+++ b/src/net/idle_connection_budget.cpp
@@ -6,43 +6,49 @@
 namespace brassfront {
 namespace {
 
-constexpr double kMostIdle = 4;   // connections; two closed one in nine calls at small groups
-constexpr double kSpared = 8;     // places of a next hop for the idle connections of the group
-constexpr double kGapGain = 0.3;  // weight of the newest gap: clumps begin and end at once
-constexpr double kMostCrowd = 6;  // doublings
-constexpr IdleConnectionBudget::Seconds kFirstGap{1};
-constexpr IdleConnectionBudget::Seconds kCrowdMemory{4};  // until one doubling is forgotten
+constexpr double kMaxIdle = 4;  // connections; two closed one in nine calls at small groups
+constexpr double kConnectionsPerGroup =
+    8;  // places of a next hop for the idle connections of the group
+constexpr double kCallIntervalGain = 0.3;  // weight of the newest gap: clumps begin and end at once
+constexpr double kMaxCautionDoublings = 6;  // doublings
+constexpr IdleConnectionBudget::Seconds kInitialCallInterval{1};
+constexpr IdleConnectionBudget::Seconds kCautionHalfLife{4};  // until one doubling is forgotten
 
 }  // namespace
 
-IdleConnectionBudget::IdleConnectionBudget(std::size_t group)
-    : share_(std::min(kMostIdle, kSpared / static_cast<double>(std::max<std::size_t>(group, 1)))),
-      gap_(kFirstGap) {}
+IdleConnectionBudget::IdleConnectionBudget(std::size_t group_size)
+    : base_budget_(std::min(
+          kMaxIdle,
+          kConnectionsPerGroup / static_cast<double>(std::max<std::size_t>(group_size, 1)))),
+      mean_call_interval_(kInitialCallInterval) {}
 
-void IdleConnectionBudget::Called(Time now) {
-  if (called_ != Time{}) gap_ += kGapGain * (Seconds(now - called_) - gap_);
-  called_ = now;
+void IdleConnectionBudget::OnCall(Time now) {
+  if (last_call_ != Time{})
+    mean_call_interval_ += kCallIntervalGain * (Seconds(now - last_call_) - mean_call_interval_);
+  last_call_ = now;
 }
 
-void IdleConnectionBudget::Crowded(Time now) {
-  crowd_ = std::min(kMostCrowd, CrowdAt(now) + 1);
-  crowded_ = now;
+void IdleConnectionBudget::OnConnectionRejected(Time now) {
+  caution_ = std::min(kMaxCautionDoublings, CautionAt(now) + 1);
+  last_rejection_ = now;
 }
 
 // What is left of the caution.
-double IdleConnectionBudget::CrowdAt(Time now) const {
-  return std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
+double IdleConnectionBudget::CautionAt(Time now) const {
+  return std::max(0.0, caution_ - Seconds(now - last_rejection_) / kCautionHalfLife);
 }
 
-double IdleConnectionBudget::ShareAt(Time now) const { return share_ * std::exp2(-CrowdAt(now)); }
+double IdleConnectionBudget::BudgetAt(Time now) const {
+  return base_budget_ * std::exp2(-CautionAt(now));
+}
 
-std::size_t IdleConnectionBudget::Most(Time now) const {
-  return static_cast<std::size_t>(std::ceil(ShareAt(now)));
+std::size_t IdleConnectionBudget::MaxIdleConnections(Time now) const {
+  return static_cast<std::size_t>(std::ceil(BudgetAt(now)));
 }
 
-IdleConnectionBudget::Seconds IdleConnectionBudget::KeptFor(Time now, Seconds idle) const {
-  const double share = ShareAt(now);
-  return share >= 1 ? idle : std::min(idle, share * gap_);
+IdleConnectionBudget::Seconds IdleConnectionBudget::IdleTimeout(Time now, Seconds max_idle) const {
+  const double budget = BudgetAt(now);
+  return budget >= 1 ? max_idle : std::min(max_idle, budget * mean_call_interval_);
 }
 
 }  // namespace brassfront
--- a/src/net/idle_connection_budget.hpp
+++ b/src/net/idle_connection_budget.hpp
@@ -17,28 +17,28 @@
   using Seconds = std::chrono::duration<double>;
 
   // `group`: forwarders that call the next hop, this one among them; 0 is taken for 1.
-  explicit IdleConnectionBudget(std::size_t group);
+  explicit IdleConnectionBudget(std::size_t group_size);
 
   // A call to the next hop begins.
-  void Called(Time now);
+  void OnCall(Time now);
   // It turned a connection away for want of room.
-  void Crowded(Time now);
+  void OnConnectionRejected(Time now);
 
   // Connections to be kept idle at once.
-  [[nodiscard]] std::size_t Most(Time now) const;
+  [[nodiscard]] std::size_t MaxIdleConnections(Time now) const;
   // How long each may stay idle, at most `idle`. Where the share is below one connection, so much
   // of the mean time between calls that the group together keeps its share of the places.
-  [[nodiscard]] Seconds KeptFor(Time now, Seconds idle) const;
+  [[nodiscard]] Seconds IdleTimeout(Time now, Seconds max_idle) const;
 
  private:
-  [[nodiscard]] double CrowdAt(Time now) const;
-  [[nodiscard]] double ShareAt(Time now) const;
-
-  double share_;      // connections
-  double crowd_ = 0;  // doublings of caution after the last time it was crowded
-  Time crowded_{};
-  Time called_{};
-  Seconds gap_;  // mean time between calls
+  [[nodiscard]] double CautionAt(Time now) const;
+  [[nodiscard]] double BudgetAt(Time now) const;
+
+  double base_budget_;  // connections
+  double caution_ = 0;  // doublings of caution after the last time it was crowded
+  Time last_rejection_{};
+  Time last_call_{};
+  Seconds mean_call_interval_;  // mean time between calls
 };
 
 }  // namespace brassfront
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -8,10 +8,10 @@
 namespace brassfront {
 namespace {
 
-constexpr std::chrono::milliseconds kSilence{100};  // the answer comes at once
-constexpr std::chrono::milliseconds kPause{20};     // before a notification is posted retry_after
-constexpr std::size_t kMostWaiting = 100'000;
-constexpr std::size_t kMostInPost = 500;
+constexpr std::chrono::milliseconds kResponseTimeout{100};  // the answer comes at once
+constexpr std::chrono::milliseconds kRetryDelay{20};  // before a notification is posted retry_after
+constexpr std::size_t kMaxPending = 100'000;
+constexpr std::size_t kMaxBatch = 500;
 
 }  // namespace
 
@@ -29,25 +29,25 @@
 NotificationClient::NotificationClient(std::string address, BufferPool& buffers,
                                        OnConfirmed on_confirmed)
     : on_confirmed_(std::move(on_confirmed)),
-      client_("notifications", std::move(address), kSilence, buffers),
-      waiting_(kMostWaiting),
+      client_("notifications", std::move(address), kResponseTimeout, buffers),
+      pending_(kMaxPending),
       thread_("notifications", [this] { Run(); }) {}
 
 NotificationClient::~NotificationClient() {
-  waiting_.Close();
+  pending_.Close();
   client_.Stop();
   thread_.Join();
 }
 
-void NotificationClient::Post(Notification notification) { waiting_.Push(std::move(notification)); }
+void NotificationClient::Post(Notification notification) { pending_.Push(std::move(notification)); }
 
 void NotificationClient::Run() {
-  while (auto first = waiting_.Pop()) {
+  while (auto first = pending_.Pop()) {
     std::vector<Notification> batch{std::move(*first)};
-    while (batch.size() < kMostInPost) {
-      auto next = waiting_.PopUntil(std::chrono::steady_clock::time_point::min());
-      if (!next) break;
-      batch.push_back(std::move(*next));
+    while (batch.size() < kMaxBatch) {
+      auto another = pending_.PopUntil(std::chrono::steady_clock::time_point::min());
+      if (!another) break;
+      batch.push_back(std::move(*another));
     }
     std::string body;
     for (const Notification& notification : batch) body += NotificationLine(notification);
@@ -59,7 +59,7 @@
         for (const Notification& notification : batch) on_confirmed_(notification.message);
         break;
       }
-      client_.Pause(kPause);
+      client_.Pause(kRetryDelay);
     }
   }
 }
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -39,7 +39,7 @@
 
   const OnConfirmed on_confirmed_;
   HttpClient client_;
-  BoundedQueue<Notification> waiting_;
+  BoundedQueue<Notification> pending_;
   Thread thread_;
 };
 
--- a/src/spool/file.cpp
+++ b/src/spool/file.cpp
@@ -30,31 +30,32 @@
   return static_cast<std::size_t>(status.st_size);
 }
 
-std::optional<std::string> File::Read(std::size_t at, std::size_t length) const {
+std::optional<std::string> File::Read(std::size_t offset, std::size_t length) const {
   std::string bytes(length, '\0');
   for (std::size_t done = 0; done < length;) {
-    const ssize_t n = pread(fd_, bytes.data() + done, length - done, static_cast<off_t>(at + done));
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return std::nullopt;
-    done += static_cast<std::size_t>(n);
+    const ssize_t transferred =
+        pread(fd_, bytes.data() + done, length - done, static_cast<off_t>(offset + done));
+    if (transferred < 0 && errno == EINTR) continue;
+    if (transferred <= 0) return std::nullopt;
+    done += static_cast<std::size_t>(transferred);
   }
   return bytes;
 }
 
-bool File::Write(std::size_t at, std::string_view bytes) {
+bool File::Write(std::size_t offset, std::string_view bytes) {
   for (std::size_t done = 0; done < bytes.size();) {
-    const ssize_t n =
-        pwrite(fd_, bytes.data() + done, bytes.size() - done, static_cast<off_t>(at + done));
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) {
-      Cut(at);
+    const ssize_t transferred =
+        pwrite(fd_, bytes.data() + done, bytes.size() - done, static_cast<off_t>(offset + done));
+    if (transferred < 0 && errno == EINTR) continue;
+    if (transferred <= 0) {
+      Truncate(offset);
       return false;
     }
-    done += static_cast<std::size_t>(n);
+    done += static_cast<std::size_t>(transferred);
   }
   return true;
 }
 
-bool File::Cut(std::size_t size) { return ftruncate(fd_, static_cast<off_t>(size)) == 0; }
+bool File::Truncate(std::size_t size) { return ftruncate(fd_, static_cast<off_t>(size)) == 0; }
 
 }  // namespace brassfront
--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -28,9 +28,9 @@
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   [[nodiscard]] std::optional<std::size_t> Size() const;
   // All of the bytes or nothing.
-  [[nodiscard]] std::optional<std::string> Read(std::size_t at, std::size_t length) const;
-  bool Write(std::size_t at, std::string_view bytes);
-  bool Cut(std::size_t size);
+  [[nodiscard]] std::optional<std::string> Read(std::size_t offset, std::size_t length) const;
+  bool Write(std::size_t offset, std::string_view bytes);
+  bool Truncate(std::size_t size);
 
  private:
   explicit File(int fd) : fd_(fd) {}
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -12,17 +12,22 @@
 namespace {
 
 constexpr std::string_view kMagic = "BRSPOOL1";
-constexpr std::size_t kFrame = 8;  // length and checksum
-constexpr std::size_t kMostPayload = 1 << 20;
-constexpr std::size_t kBlock = 512;  // files are counted in whole ones
-constexpr std::size_t kMostEndpoint = 256;
-constexpr std::size_t kWorthCompacting = 128 * 1024;  // of dead bytes
+constexpr std::size_t kFrameBytes = 8;  // length and checksum
+constexpr std::size_t kMaxPayloadBytes = 1 << 20;
+constexpr std::size_t kBlockBytes = 512;  // disk use is counted in whole blocks
+constexpr std::size_t kMaxEndpointBytes = 256;
+constexpr std::size_t kCompactionThresholdBytes = 128 * 1024;  // of dead bytes
 
 // Kept free for the attempts and ends of what was accepted: those records may not be refused.
 // Twelve attempts with their outcomes take some 0.8 KiB, and 237 messages may be held.
-constexpr std::size_t kReserve = 192 * 1024;
+constexpr std::size_t kReservedBytes = 192 * 1024;
 
-enum class Kind : char { kAccepted = 'A', kBegun = 'B', kNothingRan = 'N', kEnded = 'E' };
+enum class Kind : char {
+  kAccepted = 'A',
+  kAttemptStarted = 'B',
+  kAttemptNotRun = 'N',
+  kFinished = 'E'
+};
 
 // Numbers are written with the low byte first, texts with their length in front.
 class Writer {
@@ -77,7 +82,7 @@
       crc32(0, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
 }
 
-std::string Framed(const std::string& payload) {
+std::string Frame(const std::string& payload) {
   std::string out;
   for (const std::uint32_t value :
        {static_cast<std::uint32_t>(payload.size()), Checksum(payload)}) {
@@ -86,44 +91,46 @@
   return out += payload;
 }
 
-std::string AcceptedRecord(SpoolId number, const SpooledMessage& m) {
+std::string EncodeAccepted(SpoolId number, const SpooledMessage& message) {
   return Writer(Kind::kAccepted)
       .Number(number)
-      .Text(m.id)
-      .Text(m.key)
-      .Text(m.class_name)
-      .Text(m.tenant_name)
-      .Number(m.destination)
-      .Number(static_cast<std::uint64_t>(m.deadline.count()))
-      .Text(m.body)
+      .Text(message.id)
+      .Text(message.key)
+      .Text(message.class_name)
+      .Text(message.tenant_name)
+      .Number(message.destination)
+      .Number(static_cast<std::uint64_t>(message.deadline.count()))
+      .Text(message.body)
       .Take();
 }
 
-std::string BegunRecord(SpoolId number, const std::string& endpoint, UnixMs at) {
-  return Writer(Kind::kBegun)
+std::string EncodeAttemptStarted(SpoolId number, const std::string& endpoint, UnixMs at) {
+  return Writer(Kind::kAttemptStarted)
       .Number(number)
       .Text(endpoint)
       .Number(static_cast<std::uint64_t>(at.count()))
       .Take();
 }
 
-std::string NothingRanRecord(SpoolId number, std::size_t attempt) {
-  return Writer(Kind::kNothingRan).Number(number).Number(attempt).Take();
+std::string EncodeAttemptNotRun(SpoolId number, std::size_t attempt) {
+  return Writer(Kind::kAttemptNotRun).Number(number).Number(attempt).Take();
 }
 
 SpooledMessage ReadMessage(Reader& in) {
-  SpooledMessage m;
-  m.id = in.Text();
-  m.key = in.Text();
-  m.class_name = in.Text();
-  m.tenant_name = in.Text();
-  m.destination = in.Number();
-  m.deadline = UnixMs(static_cast<std::int64_t>(in.Number()));
-  m.body = in.Text();
-  return m;
+  SpooledMessage message;
+  message.id = in.Text();
+  message.key = in.Text();
+  message.class_name = in.Text();
+  message.tenant_name = in.Text();
+  message.destination = in.Number();
+  message.deadline = UnixMs(static_cast<std::int64_t>(in.Number()));
+  message.body = in.Text();
+  return message;
 }
 
-std::size_t InBlocks(std::size_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
+std::size_t RoundUpToBlocks(std::size_t bytes) {
+  return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes;
+}
 
 }  // namespace
 
@@ -153,31 +160,31 @@
 }
 
 void Spool::Load() {
-  live_bytes_ = size_ = kMagic.size();
-  const std::size_t whole = file_.Size().value_or(0);
+  compacted_bytes_ = size_ = kMagic.size();
+  const std::size_t file_size = file_.Size().value_or(0);
   if (file_.Read(0, kMagic.size()) != kMagic) {
-    if (whole > 0) report_("spool damaged: no header; nothing can be read from it");
-    if (disk_bytes_ > 0 && (!file_.Cut(0) || !file_.Write(0, kMagic))) {
+    if (file_size > 0) report_("spool damaged: no header; nothing can be read from it");
+    if (disk_bytes_ > 0 && (!file_.Truncate(0) || !file_.Write(0, kMagic))) {
       report_("spool unusable: cannot write");
       file_ = File();
     }
     return;
   }
-  while (size_ < whole) {
-    const auto frame = file_.Read(size_, kFrame);
+  while (size_ < file_size) {
+    const auto frame = file_.Read(size_, kFrameBytes);
     if (!frame) break;
-    Reader head(*frame);
-    const std::size_t length = head.Number(4);
-    const std::uint64_t checksum = head.Number(4);
-    if (length > kMostPayload || size_ + kFrame + length > whole) break;
-    const auto payload = file_.Read(size_ + kFrame, length);
+    Reader header(*frame);
+    const std::size_t length = header.Number(4);
+    const std::uint64_t checksum = header.Number(4);
+    if (length > kMaxPayloadBytes || size_ + kFrameBytes + length > file_size) break;
+    const auto payload = file_.Read(size_ + kFrameBytes, length);
     if (!payload || Checksum(*payload) != checksum) break;
-    if (!Apply(*payload, size_, kFrame + length)) break;
-    size_ += kFrame + length;
+    if (!Apply(*payload, size_, kFrameBytes + length)) break;
+    size_ += kFrameBytes + length;
   }
-  if (size_ < whole) {
-    report_("spool tail unreadable: " + std::to_string(whole - size_) + " bytes");
-    if (disk_bytes_ > 0) file_.Cut(size_);
+  if (size_ < file_size) {
+    report_("spool tail unreadable: " + std::to_string(file_size - size_) + " bytes");
+    if (disk_bytes_ > 0) file_.Truncate(size_);
   }
 }
 
@@ -187,78 +194,81 @@
   Reader in(payload.substr(1));
   const SpoolId number = in.Number();
   next_number_ = std::max(next_number_, number + 1);
-  const auto it = live_.find(number);
+  const auto found = open_messages_.find(number);
   switch (static_cast<Kind>(payload[0])) {
     case Kind::kAccepted:
       ReadMessage(in);
-      if (!in.AtEnd() || it != live_.end()) return false;
-      live_[number] = {offset, length, {}};
-      live_bytes_ += length;
+      if (!in.AtEnd() || found != open_messages_.end()) return false;
+      open_messages_[number] = {offset, length, {}};
+      compacted_bytes_ += length;
       return true;
-    case Kind::kBegun: {
+    case Kind::kAttemptStarted: {
       SpooledAttempt attempt;
       attempt.endpoint = in.Text();
       attempt.started_at = UnixMs(static_cast<std::int64_t>(in.Number()));
       if (!in.AtEnd()) return false;
-      if (it == live_.end()) return true;
-      it->second.attempts.push_back(std::move(attempt));
-      live_bytes_ += length;
+      if (found == open_messages_.end()) return true;
+      found->second.attempts.push_back(std::move(attempt));
+      compacted_bytes_ += length;
       return true;
     }
-    case Kind::kNothingRan: {
-      const std::size_t which = in.Number();
+    case Kind::kAttemptNotRun: {
+      const std::size_t index = in.Number();
       if (!in.AtEnd()) return false;
-      if (it == live_.end() || which >= it->second.attempts.size()) return true;
-      it->second.attempts[which].known_not_run = true;
-      live_bytes_ += length;
+      if (found == open_messages_.end() || index >= found->second.attempts.size()) return true;
+      found->second.attempts[index].known_not_run = true;
+      compacted_bytes_ += length;
       return true;
     }
-    case Kind::kEnded:
+    case Kind::kFinished:
       if (!in.AtEnd()) return false;
-      if (it == live_.end()) return true;
-      live_bytes_ -= it->second.length;
-      for (std::size_t i = 0; i < it->second.attempts.size(); ++i) {
-        const SpooledAttempt& a = it->second.attempts[i];
-        live_bytes_ -= kFrame + BegunRecord(number, a.endpoint, a.started_at).size();
-        if (a.known_not_run) live_bytes_ -= kFrame + NothingRanRecord(number, i).size();
+      if (found == open_messages_.end()) return true;
+      compacted_bytes_ -= found->second.length;
+      for (std::size_t i = 0; i < found->second.attempts.size(); ++i) {
+        const SpooledAttempt& attempt = found->second.attempts[i];
+        compacted_bytes_ -=
+            kFrameBytes + EncodeAttemptStarted(number, attempt.endpoint, attempt.started_at).size();
+        if (attempt.known_not_run)
+          compacted_bytes_ -= kFrameBytes + EncodeAttemptNotRun(number, i).size();
       }
-      live_.erase(it);
+      open_messages_.erase(found);
       return true;
   }
   return false;
 }
 
 std::vector<RecoveredMessage> Spool::Recover() {
-  std::vector<RecoveredMessage> owed;
-  for (const auto& [number, live] : live_) {
-    const auto record = file_.Read(live.offset, live.length);
+  std::vector<RecoveredMessage> recovered;
+  for (const auto& [number, open] : open_messages_) {
+    const auto record = file_.Read(open.offset, open.length);
     if (!record) {
       report_("spool: a message could not be read again");
       continue;
     }
-    Reader in(std::string_view(*record).substr(kFrame + 1));
+    Reader in(std::string_view(*record).substr(kFrameBytes + 1));
     in.Number();
-    owed.push_back({number, ReadMessage(in), live.attempts});
+    recovered.push_back({number, ReadMessage(in), open.attempts});
   }
-  return owed;
+  return recovered;
 }
 
 // The compacted file must fit beside the one in use.
-bool Spool::Fits(std::size_t file, std::size_t live) const {
-  return InBlocks(file) + InBlocks(live) <= disk_bytes_;
+bool Spool::Fits(std::size_t file, std::size_t open) const {
+  return RoundUpToBlocks(file) + RoundUpToBlocks(open) <= disk_bytes_;
 }
 
-bool Spool::Append(const std::string& payload, bool forced) {
+bool Spool::Append(const std::string& payload, bool use_reserve) {
   if (!file_.is_open()) return false;
-  const std::string record = Framed(payload);
-  const std::size_t spare = forced ? 0 : kReserve;
+  const std::string record = Frame(payload);
+  const std::size_t reserve = use_reserve ? 0 : kReservedBytes;
   const auto fits = [&] {
-    return Fits(size_ + record.size() + spare, live_bytes_ + record.size() + spare);
+    return Fits(size_ + record.size() + reserve, compacted_bytes_ + record.size() + reserve);
   };
-  const bool crowded = size_ > live_bytes_ + kWorthCompacting;
-  const bool wanted = crowded || (!fits() && size_ > live_bytes_);
+  const bool mostly_obsolete = size_ > compacted_bytes_ + kCompactionThresholdBytes;
+  const bool should_compact = mostly_obsolete || (!fits() && size_ > compacted_bytes_);
   // Guards against a failing disk that is written anew for each record.
-  if (wanted && size_ >= compact_from_ && !Compact()) compact_from_ = size_ + kWorthCompacting;
+  if (should_compact && size_ >= next_compaction_size_ && !Compact())
+    next_compaction_size_ = size_ + kCompactionThresholdBytes;
   if (!fits() || !file_.Write(size_, record)) return false;
   Apply(payload, size_, record.size());
   size_ += record.size();
@@ -266,20 +276,20 @@
 }
 
 bool Spool::Accept(SpoolId number, const SpooledMessage& message) {
-  return Append(AcceptedRecord(number, message), false);
+  return Append(EncodeAccepted(number, message), false);
 }
 
 bool Spool::BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at) {
-  return Append(BegunRecord(number, endpoint.substr(0, kMostEndpoint), at), true);
+  return Append(EncodeAttemptStarted(number, endpoint.substr(0, kMaxEndpointBytes), at), true);
 }
 
 void Spool::MarkNotRun(SpoolId number, std::size_t attempt) {
-  Append(NothingRanRecord(number, attempt), true);
+  Append(EncodeAttemptNotRun(number, attempt), true);
 }
 
 void Spool::Finish(SpoolId number) {
-  if (live_.count(number) == 0) return;
-  if (!Append(Writer(Kind::kEnded).Number(number).Take(), true)) {
+  if (open_messages_.count(number) == 0) return;
+  if (!Append(Writer(Kind::kFinished).Number(number).Take(), true)) {
     report_("spool: an end could not be noted");
   }
 }
@@ -290,30 +300,30 @@
   File next = File::OpenEmpty(path);
   std::size_t size = 0;
   std::map<SpoolId, std::size_t> offsets;
-  const auto put = [&](std::string_view bytes) {
+  const auto write = [&](std::string_view bytes) {
     if (!next.is_open() || !next.Write(size, bytes)) return false;
     size += bytes.size();
     return true;
   };
-  bool good = put(kMagic);
-  for (const auto& [number, live] : live_) {
+  bool written = write(kMagic);
+  for (const auto& [number, open] : open_messages_) {
     offsets[number] = size;
-    const auto record = file_.Read(live.offset, live.length);
-    good = good && record && put(*record);
-    for (std::size_t i = 0; good && i < live.attempts.size(); ++i) {
-      const SpooledAttempt& a = live.attempts[i];
-      good = put(Framed(BegunRecord(number, a.endpoint, a.started_at))) &&
-             (!a.known_not_run || put(Framed(NothingRanRecord(number, i))));
+    const auto record = file_.Read(open.offset, open.length);
+    written = written && record && write(*record);
+    for (std::size_t i = 0; written && i < open.attempts.size(); ++i) {
+      const SpooledAttempt& attempt = open.attempts[i];
+      written = write(Frame(EncodeAttemptStarted(number, attempt.endpoint, attempt.started_at))) &&
+                (!attempt.known_not_run || write(Frame(EncodeAttemptNotRun(number, i))));
     }
   }
-  if (!good || std::rename(path.c_str(), (folder_ + "/spool").c_str()) != 0) {
+  if (!written || std::rename(path.c_str(), (folder_ + "/spool").c_str()) != 0) {
     report_("spool: could not be compacted");
     std::remove(path.c_str());
     return false;
   }
   file_ = std::move(next);
   size_ = size;
-  for (auto& [number, offset] : offsets) live_[number].offset = offset;
+  for (auto& [number, offset] : offsets) open_messages_[number].offset = offset;
   return true;
 }
 
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -47,8 +47,8 @@
  public:
   using Report = std::function<void(const std::string&)>;
 
-  // Opens the folder's file, cuts off a torn tail and keeps what is owed. A folder that cannot be
-  // used is reported, and nothing is accepted.
+  // Opens the folder's file, cuts off a torn tail and keeps what is recovered. A folder that cannot
+  // be used is reported, and nothing is accepted.
   Spool(std::string folder, std::size_t disk_bytes, Report report);
 
   // To look at what is owed: the file is left as it is, and nothing is accepted.
@@ -65,11 +65,11 @@
   void Finish(SpoolId number);
 
   [[nodiscard]] SpoolId next_number() const { return next_number_; }
-  [[nodiscard]] std::size_t open_messages() const { return live_.size(); }
+  [[nodiscard]] std::size_t open_messages() const { return open_messages_.size(); }
   [[nodiscard]] std::size_t file_bytes() const { return size_; }
 
  private:
-  struct Live {
+  struct OpenMessage {
     std::size_t offset = 0;  // of the record of its acceptance
     std::size_t length = 0;  // with the frame
     std::vector<SpooledAttempt> attempts;
@@ -78,8 +78,8 @@
   Spool(std::string folder, Report report);
   void Load();
   bool Apply(std::string_view payload, std::size_t offset, std::size_t length);
-  bool Append(const std::string& payload, bool forced);
-  [[nodiscard]] bool Fits(std::size_t file, std::size_t live) const;
+  bool Append(const std::string& payload, bool use_reserve);
+  [[nodiscard]] bool Fits(std::size_t file, std::size_t open) const;
   bool Compact();
 
   const std::string folder_;
@@ -87,10 +87,10 @@
   const Report report_;
   File file_;
   std::size_t size_ = 0;
-  std::size_t live_bytes_ = 0;    // of the file after a compaction
-  std::size_t compact_from_ = 0;  // the size from which another compaction is tried
+  std::size_t compacted_bytes_ = 0;       // of the file after a compaction
+  std::size_t next_compaction_size_ = 0;  // the size from which another compaction is tried
   SpoolId next_number_ = 1;
-  std::map<SpoolId, Live> live_;
+  std::map<SpoolId, OpenMessage> open_messages_;
 };
 
 }  // namespace brassfront
--- a/tests/network/backoff_test.cpp
+++ b/tests/network/backoff_test.cpp
@@ -14,25 +14,25 @@
 TEST_CASE("pauses double up to the longest, each is spread, and success begins anew") {
   Backoff pauses(milliseconds(100), milliseconds(1000), 7);
   for (const int mean : {100, 200, 400, 800, 1000, 1000}) {
-    const auto pause = pauses.Failed();
+    const auto pause = pauses.NextDelay();
     CHECK(pause >= milliseconds(mean / 2));
     CHECK(pause <= milliseconds(mean + mean / 2));
   }
-  pauses.Succeeded();
-  CHECK(pauses.Failed() <= milliseconds(150));
+  pauses.Reset();
+  CHECK(pauses.NextDelay() <= milliseconds(150));
 }
 
 TEST_CASE("a longest pause below the first, and none at all, are taken as they must be") {
-  CHECK(Backoff(milliseconds(100), milliseconds(0), 1).Failed() >= milliseconds(50));
+  CHECK(Backoff(milliseconds(100), milliseconds(0), 1).NextDelay() >= milliseconds(50));
   Backoff none(milliseconds(0), milliseconds(0), 1);
-  CHECK(none.Failed() == milliseconds(0));
-  CHECK(none.Failed() == milliseconds(0));
+  CHECK(none.NextDelay() == milliseconds(0));
+  CHECK(none.NextDelay() == milliseconds(0));
 }
 
 TEST_CASE("those that failed at one moment come back apart") {
   std::map<milliseconds, int> at;
   for (std::uint64_t seed = 0; seed < 100; ++seed) {
-    ++at[Backoff(milliseconds(1000), milliseconds(4000), seed).Failed() / 100];
+    ++at[Backoff(milliseconds(1000), milliseconds(4000), seed).NextDelay() / 100];
   }
   for (const auto& [tenth, count] : at) CHECK(count <= 25);
 }
@@ -63,7 +63,7 @@
     } else {
       room = std::max(0.0, room - 0.5);
       asks.emplace(
-          now + std::max(milliseconds(1), pauses[static_cast<std::size_t>(client)].Failed()),
+          now + std::max(milliseconds(1), pauses[static_cast<std::size_t>(client)].NextDelay()),
           client);
     }
   }
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -1,5 +1,5 @@
-// The sender side against clients on loopback that behave badly. What is waited for has no limit of
-// its own: only a failure would wait for good.
+// The client server against clients on loopback that behave badly. What is waited for has no limit
+// of its own: only a failure would wait for good.
 #include "net/client_server.hpp"
 
 #include <doctest/doctest.h>
@@ -19,22 +19,22 @@
 constexpr std::string_view kPut =
     "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\ni\r\n$14\r\nc=n,d=1,dest=1\r\n$1\r\nx\r\n";
 
-// Refuses, or takes everything; counts what it is told.
-class CountingIntake : public MessageAcceptor {
+// Refuses, or accepts everything; counts what it is told.
+class CountingAcceptor : public MessageAcceptor {
  public:
   SubmitResult Submit(DeliveryRequest) override {
     if (meanwhile) meanwhile();
-    if (!takes) return {};
-    ++taken;
+    if (!accepts) return {};
+    ++accepted;
     return {
         .status = SubmitResult::Status::kAccepted, .retry_after = {}, .error = {}, .message = 1};
   }
-  void OnAcknowledged(std::uint64_t) override { ++heard; }
-  void OnClientDisconnected(std::uint64_t) override { ++lost; }
+  void OnAcknowledged(std::uint64_t) override { ++acknowledged; }
+  void OnClientDisconnected(std::uint64_t) override { ++disconnected; }
 
-  bool takes = false;
+  bool accepts = false;
   std::function<void()> meanwhile;  // before each answer
-  std::atomic<int> taken{0}, heard{0}, lost{0};
+  std::atomic<int> accepted{0}, acknowledged{0}, disconnected{0};
 };
 
 class Fixture {
@@ -42,7 +42,7 @@
   void Start(const ClientServer::Limits& limits) {
     Socket listener = Listen("127.0.0.1:0");
     address = AddressOf(listener);
-    side.emplace(std::move(listener), limits, acceptor, buffers);
+    server.emplace(std::move(listener), limits, acceptor, buffers);
   }
   Socket Client(std::string_view says = {}) {
     Socket socket = NewSocket();
@@ -64,13 +64,14 @@
     return got;
   }
 
-  CountingIntake acceptor;
+  CountingAcceptor acceptor;
   BufferPool buffers;
   std::string address;
-  std::optional<ClientServer> side;
+  std::optional<ClientServer> server;
 };
 
-TEST_CASE_FIXTURE(Fixture, "a client without a whole command in time gets an error and the close") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a client without a complete command in time gets an error and is closed") {
   Start({.connections = 8, .command = std::chrono::milliseconds(50), .idle = kNever});
   for (const std::string_view says : {"", "*1\r\n$4\r\nPI", "*", "*1\r\n$100\r\nabc"}) {
     Socket client = Client(says);
@@ -94,19 +95,19 @@
   CHECK(got.starts_with("-ERR "));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a connection that is idle is closed without a word") {
+TEST_CASE_FIXTURE(Fixture, "an idle connection is closed without a reply") {
   Start({.connections = 8, .command = kNever, .idle = std::chrono::milliseconds(50)});
   Socket client = Client(kPing);
   CHECK(ToTheEnd(client) == "+PONG\r\n");
 }
 
 TEST_CASE_FIXTURE(Fixture,
-                  "newcomers take the places of those without a message, then of idle ones") {
+                  "a new connection evicts one without a message first, then an idle one") {
   Start({.connections = 3,
          .command = kNever,
          .idle = kNever,
-         .useless = std::chrono::milliseconds(0),
-         .least_idle = std::chrono::milliseconds(0)});
+         .min_idle_before_first_message = std::chrono::milliseconds(0),
+         .min_idle = std::chrono::milliseconds(0)});
   Socket used = Client(kPut);
   CHECK(Line(used) == "-BUSY\r\n");  // what the acceptor answers
   Socket pinged = Client(kPing);
@@ -122,13 +123,13 @@
   CHECK(ToTheEnd(used).empty());  // the last of them, for the third newcomer
 }
 
-TEST_CASE_FIXTURE(Fixture, "of many that had their answer and stay the longest idle is closed") {
+TEST_CASE_FIXTURE(Fixture, "the longest idle connection is closed when too many are idle") {
   Start({.connections = 8,
          .command = kNever,
          .idle = kNever,
          .most_idle = 1,
-         .useless = kNever,
-         .least_idle = std::chrono::milliseconds(0)});
+         .min_idle_before_first_message = kNever,
+         .min_idle = std::chrono::milliseconds(0)});
   Socket clients[4];
   for (Socket& client : clients) {
     client = Client(kPut);
@@ -137,12 +138,13 @@
   CHECK(ToTheEnd(clients[0]).empty());
 }
 
-TEST_CASE_FIXTURE(Fixture, "with all places in use a newcomer is told to come back") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a connection over the limit is rejected with BUSY when none may be evicted") {
   Start({.connections = 2,
          .command = kNever,
          .idle = kNever,
-         .useless = kNever,
-         .least_idle = kNever});
+         .min_idle_before_first_message = kNever,
+         .min_idle = kNever});
   Socket first = Client(kPing), second = Client(kPing);
   CHECK(Line(first) == "+PONG\r\n");
   CHECK(Line(second) == "+PONG\r\n");
@@ -156,24 +158,24 @@
   int crossed = 0;
   for (int round = 0; round < 1000; ++round) {
     Fixture fixture;
-    fixture.acceptor.takes = true;
+    fixture.acceptor.accepts = true;
     fixture.Start({.connections = 2, .command = kNever, .idle = kNever});
     Socket client = fixture.Client(kPing);
     REQUIRE(Fixture::Line(client) == "+PONG\r\n");
     client.SendAll(kPut);
-    fixture.side->Drain();  // mostly before the thread has woken up
+    fixture.server->Drain();  // mostly before the thread has woken up
     const std::string answer = Fixture::ToTheEnd(client);
-    fixture.side.reset();
-    CHECK(fixture.acceptor.lost == 0);
-    CHECK(fixture.acceptor.heard == fixture.acceptor.taken);
-    CHECK(answer == (fixture.acceptor.taken > 0 ? "+OK\r\n" : ""));
-    crossed += fixture.acceptor.taken;
+    fixture.server.reset();
+    CHECK(fixture.acceptor.disconnected == 0);
+    CHECK(fixture.acceptor.acknowledged == fixture.acceptor.accepted);
+    CHECK(answer == (fixture.acceptor.accepted > 0 ? "+OK\r\n" : ""));
+    crossed += fixture.acceptor.accepted;
   }
   CHECK(crossed > 0);
 }
 
-TEST_CASE_FIXTURE(Fixture, "commands that came together are answered in order, faults to a bound") {
-  Start({.connections = 2, .command = kNever, .idle = kNever, .most_faults = 3});
+TEST_CASE_FIXTURE(Fixture, "pipelined commands are answered in order, invalid ones up to a limit") {
+  Start({.connections = 2, .command = kNever, .idle = kNever, .max_invalid_commands = 3});
   std::string together;
   for (int i = 0; i < 600; ++i) together += kPing;
   Socket good = Client(together);
@@ -190,29 +192,29 @@
 // A close over unread bytes reset the connection, and the reply just written went with it.
 TEST_CASE_FIXTURE(Fixture, "what comes while a last reply is written resets nothing") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
-  acceptor.takes = true;
+  acceptor.accepts = true;
   Socket client = Client();
   acceptor.meanwhile = [&] {  // the command is read, and nothing reads on until it is answered
     CHECK(client.SendAll(kPut));
-    side->Drain();
+    server->Drain();
   };
   CHECK(client.SendAll(kPut));
   CHECK(Line(client) == "+OK\r\n");
   char byte = 0;
   CHECK(client.Receive({&byte, 1}) == 0);  // the end, and no reset
-  CHECK(acceptor.taken == 1);              // what was not read before it is not taken on
+  CHECK(acceptor.accepted == 1);           // what was not read before it is not accepted
 }
 
-// The same where the whole side ends meanwhile.
+// The same where the whole server ends meanwhile.
 TEST_CASE_FIXTURE(Fixture, "what comes while the last reply of all is written resets nothing") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
-  acceptor.takes = true;
+  acceptor.accepts = true;
   Socket client = Client(), other = Client(kPing);
   REQUIRE(Line(other) == "+PONG\r\n");
   std::thread end;
   acceptor.meanwhile = [&] {
     CHECK(client.SendAll(kPut));
-    end = std::thread([&] { side.reset(); });
+    end = std::thread([&] { server.reset(); });
     CHECK(ToTheEnd(other).empty());  // the stop has come
     other.Close();
   };
--- a/tests/network/discovery_watcher_test.cpp
+++ b/tests/network/discovery_watcher_test.cpp
@@ -21,28 +21,28 @@
 enum class Path { kSilent, kRefused, kSlowToRefuse, kWatchFellSilent, kWatchEnded };
 
 // How long after the moment from which discovery can be reached, and has a change, it is asked.
-milliseconds ToldAfter(Path path, std::size_t group, std::uint64_t seed, milliseconds down) {
+milliseconds NoticeDelay(Path path, std::size_t group, std::uint64_t seed, milliseconds down) {
   DiscoveryTimeouts times(group, seed);
   const DiscoveryTimeouts::Time start{milliseconds(10'000)};
   DiscoveryTimeouts::Time now = start;
   const DiscoveryTimeouts::Time reachable = start + down;
   if (path == Path::kWatchFellSilent || path == Path::kWatchEnded) {
-    times.Asked(now);
-    times.HeardLine(now);  // the last one: it falls silent, or ends, just after it
+    times.OnPollStarted(now);
+    times.OnLine(now);  // the last one: it falls silent, or ends, just after it
     now = path == Path::kWatchEnded ? now : times.GiveUpAt();
-    now += times.PauseAfter(now);
+    now += times.DelayAfter(now);
   } else {
-    now += times.PauseAtStart();
+    now += times.InitialDelay();
   }
   std::mt19937_64 random(seed);
   while (now < reachable) {  // an ask from before stays without an answer
-    times.Asked(now);
+    times.OnPollStarted(now);
     const auto whole = std::chrono::duration_cast<milliseconds>(times.GiveUpAt() - now);
     now += path == Path::kSilent ? whole
            : path == Path::kSlowToRefuse
                ? whole * static_cast<milliseconds::rep>(random() % 100) / 100
                : milliseconds(1);
-    now += times.PauseAfter(now);
+    now += times.DelayAfter(now);
   }
   return std::chrono::duration_cast<milliseconds>(now - reachable);
 }
@@ -54,12 +54,12 @@
     for (const std::size_t group : {1, 2, 4, 5, 30, 100, 300, 1000, 100'000}) {
       for (std::uint64_t seed = 0; seed < 200; ++seed) {
         const milliseconds down(static_cast<milliseconds::rep>(seed * 97 % 20'000));
-        worst = std::max(worst, ToldAfter(path, group, seed, down));
+        worst = std::max(worst, NoticeDelay(path, group, seed, down));
       }
     }
   }
-  CHECK(worst <= DiscoveryTimeouts::kAskAgain + milliseconds(1));
-  CHECK(worst + milliseconds(500) <= DiscoveryTimeouts::kToldAfter);
+  CHECK(worst <= DiscoveryTimeouts::kPollInterval + milliseconds(1));
+  CHECK(worst + milliseconds(500) <= DiscoveryTimeouts::kNoticeLimit);
   CHECK(worst >= milliseconds(3000));  // the paths are real ones
 }
 
@@ -67,9 +67,9 @@
   for (const std::size_t group : {1, 300, 100'000}) {
     DiscoveryTimeouts times(group, 7);
     for (int i = 0; i < 20; ++i) {
-      times.Asked(DiscoveryTimeouts::Time{});
-      times.PauseAfter(DiscoveryTimeouts::Time{});
-      CHECK(times.PauseAfterMove() <= milliseconds(2500));
+      times.OnPollStarted(DiscoveryTimeouts::Time{});
+      times.DelayAfter(DiscoveryTimeouts::Time{});
+      CHECK(times.DelayAfterMove() <= milliseconds(2500));
     }
   }
 }
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -1,4 +1,4 @@
-// The next hops against a listener on loopback that does what each case says.
+// The endpoint client against a listener on loopback that does what each case says.
 #include "net/endpoint_client.hpp"
 
 #include <doctest/doctest.h>
@@ -19,7 +19,7 @@
  public:
   Peer() : listener_(Listen("127.0.0.1:0")), address(AddressOf(listener_)) {}
   // Takes a connection and reads one request on it.
-  Socket Take() {
+  Socket AcceptRequest() {
     Socket socket = Accept(listener_);
     ReadRequest(socket);
     return socket;
@@ -41,97 +41,98 @@
 class Fixture {
  public:
   explicit Fixture(std::size_t group_size = 1)
-      : ends(100),
-        hops({.threads = 2,
-              .group_size = group_size,
-              .connection_idle = std::chrono::seconds(15),
-              .connect_timeout = std::chrono::milliseconds(1500)},
-             buffers, [this](EndpointCallResult end) { ends.Push(std::move(end)); }) {}
-  std::shared_ptr<EndpointCall> Make(SteadyTime start_by = kNever, std::uint64_t hop = 1) {
-    return std::make_shared<EndpointCall>(++number, hop, peer.address, HttpGet("/", peer.address),
-                                          start_by);
+      : results(100),
+        client({.threads = 2,
+                .group_size = group_size,
+                .connection_idle = std::chrono::seconds(15),
+                .connect_timeout = std::chrono::milliseconds(1500)},
+               buffers, [this](EndpointCallResult result) { results.Push(std::move(result)); }) {}
+  std::shared_ptr<EndpointCall> Make(SteadyTime start_by = kNever, std::uint64_t endpoint = 1) {
+    return std::make_shared<EndpointCall>(++number, endpoint, peer.address,
+                                          HttpGet("/", peer.address), start_by);
   }
-  // Carries one delivery out, answered with these bytes, and leaves the connection open.
-  EndpointCallResult Answered(Socket& socket, std::string_view bytes, std::uint64_t hop = 1) {
-    hops.Start(Make(kNever, hop));
-    socket = peer.Take();
+  // Carries one call out, answered with these bytes, and leaves the connection open.
+  EndpointCallResult Answered(Socket& socket, std::string_view bytes, std::uint64_t endpoint = 1) {
+    client.Start(Make(kNever, endpoint));
+    socket = peer.AcceptRequest();
     socket.SendAll(bytes);
-    return End();
+    return NextResult();
   }
-  EndpointCallResult End() { return ends.Pop().value(); }
+  EndpointCallResult NextResult() { return results.Pop().value(); }
 
   Peer peer;
   BufferPool buffers;
-  BoundedQueue<EndpointCallResult> ends;
+  BoundedQueue<EndpointCallResult> results;
   std::uint64_t number = 0;
-  EndpointClient hops;
+  EndpointClient client;
 };
 
-TEST_CASE_FIXTURE(Fixture, "a kept connection is used again, and not once the peer has closed it") {
-  hops.Start(Make());
-  Socket first = peer.Take();
+TEST_CASE_FIXTURE(Fixture, "an idle connection is reused, but not after the peer has closed it") {
+  client.Start(Make());
+  Socket first = peer.AcceptRequest();
   first.SendAll(kOk);
-  CHECK(End().status == 200);
-  hops.Start(Make());
+  CHECK(NextResult().status == 200);
+  client.Start(Make());
   Peer::ReadRequest(first);  // on the same connection
   first.SendAll(kOk);
-  CHECK(End().complete);
+  CHECK(NextResult().complete);
   first.Close();
-  hops.Start(Make());
-  Socket second = peer.Take();  // a reset would count as a call that may have run
+  client.Start(Make());
+  Socket second = peer.AcceptRequest();  // a reset would count as a call that may have run
   second.SendAll(kOk);
-  CHECK(End().outcome == CallOutcome::kAnswered);
+  CHECK(NextResult().outcome == CallOutcome::kAnswered);
 }
 
 TEST_CASE_FIXTURE(Fixture, "what is recalled or too late before its first byte is not sent") {
   auto recalled = Make();
   recalled->WithdrawBeforeSend();
-  hops.Start(recalled);
-  CHECK(End().outcome == CallOutcome::kNotSent);
-  hops.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
-  CHECK(End().outcome == CallOutcome::kNotSent);
+  client.Start(recalled);
+  CHECK(NextResult().outcome == CallOutcome::kNotSent);
+  client.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
+  CHECK(NextResult().outcome == CallOutcome::kNotSent);
   // The connection that was opened for it serves the next.
-  hops.Start(Make());
-  Socket socket = peer.Take();
+  client.Start(Make());
+  Socket socket = peer.AcceptRequest();
   socket.SendAll(kOk);
-  CHECK(End().status == 200);
+  CHECK(NextResult().status == 200);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a recall does nothing to a call that is out") {
-  auto delivery = Make();
-  hops.Start(delivery);
-  Socket socket = peer.Take();
-  delivery->WithdrawBeforeSend();
+  auto call = Make();
+  client.Start(call);
+  Socket socket = peer.AcceptRequest();
+  call->WithdrawBeforeSend();
   socket.SendAll(kOk);
-  CHECK(End().status == 200);
+  CHECK(NextResult().status == 200);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a call that is ended has closed its connection when that is told") {
   for (const auto stop :
        {EndpointCall::StopReason::kCancelled, EndpointCall::StopReason::kTimedOut}) {
-    auto delivery = Make();
-    hops.Start(delivery);
-    Socket socket = peer.Take();
-    delivery->Abort(stop);
-    CHECK(End().outcome == (stop == EndpointCall::StopReason::kCancelled ? CallOutcome::kCancelled
-                                                                         : CallOutcome::kTimedOut));
+    auto call = Make();
+    client.Start(call);
+    Socket socket = peer.AcceptRequest();
+    call->Abort(stop);
+    CHECK(NextResult().outcome == (stop == EndpointCall::StopReason::kCancelled
+                                       ? CallOutcome::kCancelled
+                                       : CallOutcome::kTimedOut));
     char byte = 0;
     CHECK(socket.Receive({&byte, 1}) == 0);
   }
 }
 
 TEST_CASE_FIXTURE(Fixture, "a break after the last byte is a reset, and a first line stands") {
-  hops.Start(Make());
-  peer.Take().Close();
-  CHECK(End().outcome == CallOutcome::kReset);
-  hops.Start(Make());
-  Socket socket = peer.Take();
+  client.Start(Make());
+  peer.AcceptRequest().Close();
+  CHECK(NextResult().outcome == CallOutcome::kReset);
+  client.Start(Make());
+  Socket socket = peer.AcceptRequest();
   socket.SendAll("HTTP/1.1 200 OK\r\nContent-Le");
   socket.Close();
-  const EndpointCallResult end = End();
-  CHECK(end.outcome == CallOutcome::kAnswered);
-  CHECK(end.status == 200);
-  CHECK_FALSE(end.complete);
+  const EndpointCallResult result = NextResult();
+  CHECK(result.outcome == CallOutcome::kAnswered);
+  CHECK(result.status == 200);
+  CHECK_FALSE(result.complete);
 }
 
 TEST_CASE_FIXTURE(Fixture, "of a spoilt answer only a first line with 200 is true") {
@@ -154,11 +155,11 @@
   Socket sockets[3];
   CHECK(Answered(sockets[0], std::string(kOk) + "noise").complete);  // with the answer
   CHECK(Answered(sockets[1], kOk).complete);                         // on a new connection
-  sockets[1].SendAll(kOk);                                        // or after it
+  sockets[1].SendAll(kOk);                                           // or after it
   CHECK(Answered(sockets[2], kOk).complete);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a next hop that takes over an address gets connections of its own") {
+TEST_CASE_FIXTURE(Fixture, "an endpoint that takes over an address gets connections of its own") {
   Socket first, second;
   CHECK(Answered(first, kOk, 1).complete);
   CHECK(Answered(second, kOk, 2).complete);
@@ -166,8 +167,8 @@
 
 TEST_CASE_FIXTURE(Fixture, "a refused connection never ran") {
   peer.StopListening();
-  hops.Start(Make());
-  CHECK(End().outcome == CallOutcome::kConnectFailed);
+  client.Start(Make());
+  CHECK(NextResult().outcome == CallOutcome::kConnectFailed);
 }
 
 TEST_CASE_FIXTURE(Fixture, "a 503 that ends a new connection tells of too many connections") {
@@ -177,10 +178,10 @@
         CallOutcome::kConnectionLimitReached);
   CHECK(Answered(socket, busy + "Connection: close\r\nWait-Ms: 5\r\n\r\n").status == 503);
   CHECK(Answered(socket, busy + "\r\n").outcome == CallOutcome::kAnswered);
-  hops.Start(Make());  // on the connection that stands
+  client.Start(Make());  // on the connection that stands
   Peer::ReadRequest(socket);
   socket.SendAll(busy + "Connection: close\r\n\r\n");
-  CHECK(End().outcome == CallOutcome::kAnswered);
+  CHECK(NextResult().outcome == CallOutcome::kAnswered);
 }
 
 struct OneOfAHundred : Fixture {
@@ -190,34 +191,34 @@
 TEST_CASE_FIXTURE(OneOfAHundred, "a connection that others need more is closed soon") {
   Socket socket;
   CHECK(Answered(socket, kOk).complete);
-  const SteadyTime until = hops.NextIdleExpiry();
+  const SteadyTime until = client.NextIdleExpiry();
   CHECK(until < std::chrono::steady_clock::now() + std::chrono::seconds(1));
   while (std::chrono::steady_clock::now() < until) std::this_thread::sleep_until(until);
-  hops.CloseExpiredIdle();
+  client.CloseExpiredIdle();
   char byte = 0;
   CHECK(socket.Receive({&byte, 1}) == 0);
-  CHECK(hops.NextIdleExpiry() == SteadyTime::max());
+  CHECK(client.NextIdleExpiry() == SteadyTime::max());
 }
 
-TEST_CASE_FIXTURE(Fixture, "a next hop that was crowded gets its places back") {
+TEST_CASE_FIXTURE(Fixture, "an endpoint that rejected connections gets its capacity back") {
   Socket turned_away, taken;
   const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   for (int i = 0; i < 4; ++i)
     CHECK(Answered(turned_away, busy).outcome == CallOutcome::kConnectionLimitReached);
   CHECK(Answered(taken, kOk).complete);
-  CHECK(hops.NextIdleExpiry() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
+  CHECK(client.NextIdleExpiry() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
 }
 
 TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
-  hops.Start(Make());
-  Socket socket = peer.Take();
+  client.Start(Make());
+  Socket socket = peer.AcceptRequest();
   socket.SendAll(
       "HTTP/1.1 503 Busy\r\nWait-Ms: 40\r\nSlots-Taken: 1\r\nX-Backend-Load: x0=1\r\n"
       "Content-Length: 0\r\n\r\n");
-  const EndpointCallResult end = End();
-  CHECK(end.retry_after_ms == "40");
-  CHECK(end.slots_taken == "1");
-  CHECK(end.load_report == "x0=1");
+  const EndpointCallResult result = NextResult();
+  CHECK(result.retry_after_ms == "40");
+  CHECK(result.slots_taken == "1");
+  CHECK(result.load_report == "x0=1");
 }
 
 }  // namespace
--- a/tests/network/idle_connection_budget_test.cpp
+++ b/tests/network/idle_connection_budget_test.cpp
@@ -18,39 +18,39 @@
   for (const auto& [group, most] :
        {std::pair<std::size_t, std::size_t>{0, 4}, {1, 4}, {2, 4}, {3, 3}, {4, 2}}) {
     const IdleConnectionBudget share(group);
-    CHECK(share.Most(kStart) == most);
-    CHECK(share.KeptFor(kStart, kIdle) == kIdle);
+    CHECK(share.MaxIdleConnections(kStart) == most);
+    CHECK(share.IdleTimeout(kStart, kIdle) == kIdle);
   }
 }
 
 TEST_CASE("a hundred forwarders together leave a next hop most of its places") {
   for (const milliseconds gap : {milliseconds(20), milliseconds(3000), milliseconds(60000)}) {
     IdleConnectionBudget share(kGroup);
-    for (int i = 0; i < 50; ++i) share.Called(kStart + i * gap);
+    for (int i = 0; i < 50; ++i) share.OnCall(kStart + i * gap);
     const auto now = kStart + 50 * gap;
-    CHECK(share.Most(now) == 1);
+    CHECK(share.MaxIdleConnections(now) == 1);
     // The part of the time that each holds one, by the group: idle connections at once.
-    const double held = share.KeptFor(now, kIdle) / Seconds(gap) * kGroup;
+    const double held = share.IdleTimeout(now, kIdle) / Seconds(gap) * kGroup;
     CHECK(held <= 8.5);
   }
 }
 
 TEST_CASE("calls that come in a clump find their connection again") {
   IdleConnectionBudget share(kGroup);
-  share.Called(kStart);
-  share.Called(kStart + milliseconds(5000));
-  CHECK(share.KeptFor(kStart, kIdle) > milliseconds(100));
+  share.OnCall(kStart);
+  share.OnCall(kStart + milliseconds(5000));
+  CHECK(share.IdleTimeout(kStart, kIdle) > milliseconds(100));
 }
 
 TEST_CASE("a next hop that is crowded is left its places, and trusted again in time") {
   for (const std::size_t group : {std::size_t{2}, kGroup}) {
     IdleConnectionBudget share(group);
-    const Seconds before = share.KeptFor(kStart, kIdle);
-    for (int i = 0; i < 100; ++i) share.Crowded(kStart);
-    CHECK(share.Most(kStart) <= 1);
-    CHECK(share.KeptFor(kStart, kIdle) < before / 10);
+    const Seconds before = share.IdleTimeout(kStart, kIdle);
+    for (int i = 0; i < 100; ++i) share.OnConnectionRejected(kStart);
+    CHECK(share.MaxIdleConnections(kStart) <= 1);
+    CHECK(share.IdleTimeout(kStart, kIdle) < before / 10);
     const auto later = kStart + std::chrono::minutes(1);
-    CHECK(share.KeptFor(later, kIdle) == before);
+    CHECK(share.IdleTimeout(later, kIdle) == before);
   }
 }
 
--- a/tests/network/thread_pool_test.cpp
+++ b/tests/network/thread_pool_test.cpp
@@ -14,12 +14,12 @@
 using Task = std::function<void()>;
 constexpr std::chrono::milliseconds kNever = std::chrono::hours(1);
 
-TEST_CASE("a crew grows with what is being done at once, up to its bound, and does all of it") {
+TEST_CASE("a thread pool grows with the concurrent work up to its maximum and does all of it") {
   std::promise<void> go;
   const std::shared_future<void> gone(go.get_future());
   std::atomic<int> done{0};
   {
-    ThreadPool<Task> pool("test", {.least = 1, .most = 3, .idle = kNever},
+    ThreadPool<Task> pool("test", {.min_threads = 1, .max_threads = 3, .idle_timeout = kNever},
                           [](const Task& t) { t(); });
     CHECK(pool.threads() == 1);
     for (int i = 0; i < 100; ++i) {
@@ -34,9 +34,10 @@
   CHECK(done == 100);  // its end waits for what was put
 }
 
-TEST_CASE("threads beyond the least go when there is nothing to do, and come again") {
-  ThreadPool<Task> pool("test", {.least = 1, .most = 8, .idle = std::chrono::milliseconds(1)},
-                        [](const Task& t) { t(); });
+TEST_CASE("threads beyond the minimum end when idle and start again with new work") {
+  ThreadPool<Task> pool(
+      "test", {.min_threads = 1, .max_threads = 8, .idle_timeout = std::chrono::milliseconds(1)},
+      [](const Task& t) { t(); });
   for (int round = 0; round < 20; ++round) {
     std::promise<void> go;
     const std::shared_future<void> gone(go.get_future());
