Split the client server by concern and give its close reasons a type

One class of 434 lines held the poll loop, the table of connections with its eviction order, the commands and the drain, and passed reasons through const char*& parameters.

- poller: epoll and eventfd as owners of their descriptors;
- client_connection, client_connection_table: the connections and which is closed next, without I/O, clock or lock, so that the eviction order has tests of its own;
- client_commands: what each RESP command does; returns std::optional<CloseReason>;
- standby_switch: standby and since when, with a lock of its own;
- close_reason: the words of the log in one place;
- client_server: the poll loop and the threads.

The order in which connections are evicted, lingered and logged is as before.

--- /dev/null
+++ b/src/net/poller.cpp
@@ -0,0 +1,60 @@
+#include "net/poller.hpp"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace brassfront {
+namespace {
+
+bool Control(const Socket& epoll, int operation, int fd, Poller::Token token,
+             std::uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 = token;
+  return epoll_ctl(epoll.fd(), operation, fd, &event) == 0;
+}
+
+void ThrowIfClosed(const Socket& descriptor) {
+  if (!descriptor.is_open()) throw std::runtime_error("no room for a descriptor");
+}
+
+}  // namespace
+
+Poller::Poller() : epoll_(epoll_create1(EPOLL_CLOEXEC)) { ThrowIfClosed(epoll_); }
+
+void Poller::Watch(int fd, Token token) {
+  if (!Control(epoll_, EPOLL_CTL_ADD, fd, token, EPOLLIN)) {
+    throw std::runtime_error("no room for a descriptor");
+  }
+}
+
+bool Poller::WatchOneShot(int fd, Token token) {
+  return Control(epoll_, EPOLL_CTL_ADD, fd, token, EPOLLIN | EPOLLONESHOT);
+}
+
+bool Poller::RearmOneShot(int fd, Token token) {
+  return Control(epoll_, EPOLL_CTL_MOD, fd, token, EPOLLIN | EPOLLONESHOT);
+}
+
+std::span<const Poller::Token> Poller::Wait(std::optional<std::chrono::milliseconds> timeout) {
+  std::array<epoll_event, kMaxReadyPerWait> events;
+  const int timeout_ms = timeout ? static_cast<int>(timeout->count()) : -1;
+  const int reported = epoll_wait(epoll_.fd(), events.data(), events.size(), timeout_ms);
+  const std::size_t count = static_cast<std::size_t>(std::max(reported, 0));
+  for (std::size_t i = 0; i < count; ++i) ready_[i] = events[i].data.u64;
+  return {ready_.data(), count};
+}
+
+WakeupEvent::WakeupEvent() : event_(eventfd(0, EFD_CLOEXEC)) { ThrowIfClosed(event_); }
+
+void WakeupEvent::Signal() { eventfd_write(event_.fd(), 1); }
+
+void WakeupEvent::Clear() {
+  eventfd_t count = 0;
+  eventfd_read(event_.fd(), &count);
+}
+
+}  // namespace brassfront
