Take the connection pool out of the endpoint client

EndpointClient mixed the calls with the idle connections, their expiry and their budgets, and closed connections by const char* reasons. ConnectionPool now keeps the idle connections; it takes the time from its caller, so that its limits have tests without waiting.

--- /dev/null
+++ b/src/net/connection_pool.hpp
@@ -0,0 +1,75 @@
+// Idle connections to endpoints, kept for later calls within the idle connection budget of each
+// endpoint. It takes the time from its caller, and no lock: EndpointClient calls it with its mutex
+// held. It reads from idle sockets only to see whether the peer has closed them.
+#ifndef BRASSFRONT_NET_CONNECTION_POOL_HPP_
+#define BRASSFRONT_NET_CONNECTION_POOL_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/close_reason.hpp"
+#include "net/idle_connection_budget.hpp"
+#include "net/socket.hpp"
+
+namespace brassfront {
+
+// One connection to an endpoint; its owner closes it by EndpointConnection::Close, which logs it.
+struct EndpointConnection {
+  Socket socket{};
+  std::uint64_t endpoint = 0;  // its id; another endpoint may take over the address
+  std::string address{};
+  std::size_t calls = 0;    // that were answered, or not, on it
+  SteadyTime expires_at{};  // while idle
+
+  // Closes the socket and leaves the one line in the log that each connection leaves.
+  void Close(CloseReason reason);
+};
+
+class ConnectionPool {
+ public:
+  struct Options {
+    std::size_t max_idle_connections = 64;  // to all endpoints together
+    std::size_t group_size = 1;             // forwarders that call the same endpoints
+    // After which the endpoint closes an idle connection.
+    IdleConnectionBudget::Seconds connection_idle{};
+  };
+
+  explicit ConnectionPool(const Options& options) : options_(options) {}
+  // Idle connections are closed as at the end of the process.
+  ~ConnectionPool() { Shutdown(); }
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  // For a call that begins now: the most recently used idle connection to the endpoint that the
+  // peer has neither closed nor sent anything on, or one without a socket if there is none.
+  [[nodiscard]] EndpointConnection Take(std::uint64_t endpoint, const std::string& address,
+                                        SteadyTime now);
+  // Keeps a connection for later calls, and closes the oldest one if there are too many.
+  void Return(EndpointConnection connection, SteadyTime now);
+  // The endpoint closed a new connection because it had too many: fewer are kept for a while.
+  void OnConnectionRejected(std::uint64_t endpoint, SteadyTime now);
+
+  // Closes what has expired or was closed by the peer.
+  void CloseExpired(SteadyTime now);
+  // When the next connection expires; max() if none is idle.
+  [[nodiscard]] SteadyTime NextExpiry() const;
+  // Closes the endpoint's idle connections and forgets its budget.
+  void RemoveEndpoint(std::uint64_t endpoint);
+  // Closes all, and from now on whatever is returned.
+  void Shutdown();
+
+ private:
+  IdleConnectionBudget& BudgetFor(std::uint64_t endpoint);
+
+  const Options options_;
+  bool shut_down_ = false;
+  std::vector<EndpointConnection> idle_;  // the most recently used last
+  std::map<std::uint64_t, IdleConnectionBudget> budgets_;
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_NET_CONNECTION_POOL_HPP_
--- /dev/null
+++ b/tests/network/connection_pool_test.cpp
@@ -0,0 +1,145 @@
+// Which idle connections are kept, at times that the tests choose. The sockets are pairs whose
+// other ends the tests hold, so that nothing is waited for.
+#include "net/connection_pool.hpp"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace brassfront {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const SteadyTime kStart{std::chrono::hours(1)};
+const std::string kAddress = "127.0.0.1:1";
+constexpr std::uint64_t kEndpoint = 1;
+constexpr std::uint64_t kOtherEndpoint = 2;
+
+class Fixture {
+ public:
+  // An open connection, and the endpoint's end of it.
+  struct Opened {
+    EndpointConnection connection;
+    Socket peer;
+  };
+  static Opened Open(std::uint64_t endpoint = kEndpoint) {
+    std::array<int, 2> ends{};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()) == 0);
+    EndpointConnection connection;
+    connection.socket = Socket(ends[0]);
+    connection.endpoint = endpoint;
+    connection.address = kAddress;
+    return {std::move(connection), Socket(ends[1])};
+  }
+  // Returns a new connection to the pool, and gives the endpoint's end of it.
+  Socket ReturnNew(SteadyTime now = kStart, std::uint64_t endpoint = kEndpoint) {
+    Opened opened = Open(endpoint);
+    pool.Return(std::move(opened.connection), now);
+    return std::move(opened.peer);
+  }
+  static bool IsClosed(const Socket& peer) { return peer.HasInputOrEnd(); }
+
+  ConnectionPool pool{{.max_idle_connections = 5, .group_size = 1, .connection_idle = seconds(10)}};
+};
+
+TEST_CASE_FIXTURE(Fixture, "the most recently returned connection is taken first") {
+  Opened first = Open();
+  Opened second = Open();
+  const int second_descriptor = second.connection.socket.fd();
+  pool.Return(std::move(first.connection), kStart);
+  pool.Return(std::move(second.connection), kStart);
+  CHECK(pool.Take(kEndpoint, kAddress, kStart).socket.fd() == second_descriptor);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without an idle connection one without a socket is given") {
+  const EndpointConnection fresh = pool.Take(kEndpoint, kAddress, kStart);
+  CHECK_FALSE(fresh.socket.is_open());
+  CHECK(fresh.endpoint == kEndpoint);
+  CHECK(fresh.address == kAddress);
+  CHECK(fresh.calls == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection is reused only for its endpoint and its address") {
+  const Socket peer = ReturnNew();
+  CHECK_FALSE(pool.Take(kOtherEndpoint, kAddress, kStart).socket.is_open());
+  CHECK_FALSE(pool.Take(kEndpoint, "127.0.0.1:2", kStart).socket.is_open());
+  CHECK(pool.Take(kEndpoint, kAddress, kStart).socket.is_open());
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a connection that the endpoint has closed or written to is not reused") {
+  Socket closing = ReturnNew();
+  Socket writing = ReturnNew();
+  closing.Close();
+  CHECK(writing.SendAll("noise"));
+  CHECK_FALSE(pool.Take(kEndpoint, kAddress, kStart).socket.is_open());
+  CHECK(pool.NextExpiry() == SteadyTime::max());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection expires before the endpoint would close it") {
+  const Socket peer = ReturnNew();
+  const SteadyTime expiry = pool.NextExpiry();
+  CHECK(expiry == kStart + seconds(6));
+  pool.CloseExpired(expiry - milliseconds(1));
+  CHECK_FALSE(IsClosed(peer));
+  pool.CloseExpired(expiry);
+  CHECK(IsClosed(peer));
+  CHECK(pool.NextExpiry() == SteadyTime::max());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the oldest connection to an endpoint is closed beyond its budget") {
+  const Socket other = ReturnNew(kStart, kOtherEndpoint);
+  const Socket oldest = ReturnNew();
+  const std::array<Socket, 3> newer{ReturnNew(), ReturnNew(), ReturnNew()};
+  CHECK_FALSE(IsClosed(oldest));
+  const Socket excess = ReturnNew();
+  CHECK(IsClosed(oldest));
+  CHECK_FALSE(IsClosed(other));
+  for (const Socket& peer : newer) CHECK_FALSE(IsClosed(peer));
+}
+
+TEST_CASE_FIXTURE(Fixture, "the oldest connection of all is closed beyond the total") {
+  const Socket oldest = ReturnNew(kStart, 10);
+  const std::array<Socket, 4> newer{ReturnNew(kStart, 11), ReturnNew(kStart, 12),
+                                    ReturnNew(kStart, 13), ReturnNew(kStart, 14)};
+  CHECK_FALSE(IsClosed(oldest));
+  const Socket excess = ReturnNew(kStart, 15);
+  CHECK(IsClosed(oldest));
+  for (const Socket& peer : newer) CHECK_FALSE(IsClosed(peer));
+}
+
+TEST_CASE_FIXTURE(Fixture, "after rejected connections fewer are kept, for a shorter time") {
+  for (int i = 0; i < 4; ++i) pool.OnConnectionRejected(kEndpoint, kStart);
+  const Socket first = ReturnNew();
+  CHECK(pool.NextExpiry() < kStart + seconds(1));
+  const Socket second = ReturnNew();
+  CHECK(IsClosed(first));
+  CHECK_FALSE(IsClosed(second));
+}
+
+TEST_CASE_FIXTURE(Fixture, "an endpoint that is removed loses its connections and its budget") {
+  for (int i = 0; i < 4; ++i) pool.OnConnectionRejected(kEndpoint, kStart);
+  const Socket removed = ReturnNew();
+  const Socket other = ReturnNew(kStart, kOtherEndpoint);
+  pool.RemoveEndpoint(kEndpoint);
+  CHECK(IsClosed(removed));
+  CHECK_FALSE(IsClosed(other));
+  const Socket again = ReturnNew();
+  CHECK(pool.NextExpiry() == kStart + seconds(6));
+}
+
+TEST_CASE_FIXTURE(Fixture, "after the shutdown a returned connection is closed") {
+  const Socket idle = ReturnNew();
+  pool.Shutdown();
+  CHECK(IsClosed(idle));
+  CHECK(IsClosed(ReturnNew()));
+}
+
+}  // namespace
+}  // namespace brassfront
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "concurrency/bounded_queue.hpp"
+#include "protocol/http.hpp"
 
 namespace brassfront {
 namespace {
