Document the net headers and type the reasons of the platform's connections

HttpClient passed close reasons as literals; it now uses CloseReason. Long functions of the HTTP client, the discovery watcher and the notification client are split into one step each, bare numbers are named constants with their reason, results that must be looked at are [[nodiscard]], and each header says who may call what, what it waits for and who owns what.

--- a/src/net/backoff.hpp
+++ b/src/net/backoff.hpp
@@ -1,9 +1,4 @@
-// How long to wait before asking again for what was not to be had. No I/O, no clock.
-//
-// Doubled with each failure in a row, and spread: each pause is half to one and a half of its
-// length, so that many that failed at one moment come back apart. Guards against a service that is
-// asked by a whole group at once, turns most of them away, and is asked by all of those again
-// before it has served the rest.
+// Exponential backoff with jitter. No I/O, no clock.
 #ifndef BRASSFRONT_NET_BACKOFF_HPP_
 #define BRASSFRONT_NET_BACKOFF_HPP_
 
@@ -14,22 +9,25 @@
 
 namespace brassfront {
 
+// The delay doubles with each failure in a row and is spread over half to one and a half of its
+// length, so that many clients that failed at one moment return one after the other. Without the
+// spread, all of them would return to an overloaded service at once, again and again.
 class Backoff {
  public:
   using Duration = std::chrono::milliseconds;
 
-  // The first pause and the longest one, in the mean; a longest one below the first is taken for
-  // it.
+  // `initial` and `max_delay` are means; a maximum below the initial delay counts as equal to it.
   Backoff(Duration initial, Duration max_delay, std::uint64_t seed)
       : initial_(initial), max_(std::max(initial, max_delay)), next_(initial), random_(seed) {}
 
-  // The pause after a failure, `most` at the most.
+  // After a failure: how long to wait, spread included, and never longer than `limit`.
   Duration NextDelay(Duration limit = Duration::max()) {
-    const Duration pause = std::min(next_, limit - limit / 3);
+    // Two thirds of the limit, as the spread adds up to a half.
+    const Duration mean = std::min(next_, limit - limit / 3);
     next_ = std::min(max_, 2 * next_);
-    return pause / 2 + RandomUpTo(pause);
+    return mean / 2 + RandomUpTo(mean);
   }
-  // It was to be had: the next failure is the first again.
+  // After a success: the next failure counts as the first one again.
   void Reset() { next_ = initial_; }
 
  private:
@@ -37,7 +35,8 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, span.count())(random_));
   }
 
-  const Duration initial_, max_;
+  const Duration initial_;
+  const Duration max_;
   Duration next_;
   std::mt19937_64 random_;
 };
--- a/src/net/discovery_timeouts.hpp
+++ b/src/net/discovery_timeouts.hpp
@@ -1,17 +1,19 @@
-// When the watch on discovery gives up, and when it asks again. No I/O, no clock.
+// When the discovery watcher gives a request up, and when it makes the next one. No I/O, no clock.
 //
-// A change counts as told 6 s after discovery had it and could be reached, whatever became of the
-// asks before. The worst case of each path, from that moment on:
+// A change of the endpoint list must be known kNoticeLimit after discovery had it and was
+// reachable, whatever became of the requests before. The longest time from that moment to the next
+// request, on each path:
 //
-//   5 s: silence, half a chunk, bytes without a line's end, a connection that does not come up. It
-//        is given up kSilenceTimeout after the last whole line or the ask's beginning, and the
-//        pause ends kPollInterval after that moment.
-//   5 s: refused, turned away, given up, back after being down. The pause is the same.
-//   5 s: a start with an old list.
-//   2.5 s: another address, which counts after 4 s; but a move within the pause at the start waits
-//        for its end.
+//   5 s:   the connection is silent, stops in the middle of a chunk, sends bytes without an end of
+//          line, or does not come up. It is given up kSilenceTimeout after the last complete line
+//          or the start of the request, and the delay ends kPollInterval after that moment.
+//   5 s:   the request is refused, rejected or cut off, or discovery is back after being down: the
+//          delay is the same.
+//   5 s:   the start with an outdated list.
+//   2.5 s: discovery has moved to another address, where changes must be known within 4 s. A move
+//          within the initial delay waits for its end.
 //
-// and then an ask that is answered at once. What is left is for a busy machine.
+// The request is answered at once then; the remaining time is for a busy machine.
 #ifndef BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
 #define BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
 
@@ -30,51 +32,57 @@
   using Duration = std::chrono::milliseconds;
 
   static constexpr Duration kNoticeLimit{6000};
-  static constexpr Duration kSilenceTimeout{3000};  // an empty line comes every 2 s
-  static constexpr Duration kPollInterval{5000};
+  static constexpr Duration kSilenceTimeout{3000};  // discovery sends an empty line every 2 s
+  static constexpr Duration kPollInterval{5000};    // between requests, at most
   static constexpr Duration kMaxDelayAfterMove{2500};
   static_assert(kSilenceTimeout < kPollInterval && kPollInterval + Duration(1000) <= kNoticeLimit);
 
-  // `group`: the forwarders that ask the same discovery, this one among them; `seed`: of the
-  // spread.
+  // `group_size`: the forwarders that poll the same discovery, this one among them; `seed`: of the
+  // delays' spread.
   DiscoveryTimeouts(std::size_t group_size, std::uint64_t seed)
       : group_size_(group_size), backoff_(MakeBackoff(group_size, seed)) {}
 
-  // Before the first ask. A few forwarders that start at one moment may ask at once.
-  Duration InitialDelay() {
-    return group_size_ > kMaxImmediateGroup ? backoff_.NextDelay(kPollInterval) : Duration(0);
+  // Before the first request. A few forwarders may start theirs at the same moment.
+  [[nodiscard]] Duration InitialDelay() {
+    return group_size_ > kMaxImmediateGroupSize ? backoff_.NextDelay(kPollInterval) : Duration(0);
   }
-  void OnPollStarted(Time now) { last_line_ = now; }
+  // A request starts.
+  void OnPollStarted(Time now) { last_progress_ = now; }
+  // A complete line of the response has come.
   void OnLine(Time now) {
-    last_line_ = now;
+    last_progress_ = now;
     backoff_.Reset();
   }
-  [[nodiscard]] Time GiveUpAt() const { return last_line_ + kSilenceTimeout; }
-  // After an ask or a watch has ended.
+  // When a request that makes no progress is to be given up.
+  [[nodiscard]] Time GiveUpAt() const { return last_progress_ + kSilenceTimeout; }
+  // After a request has ended, however it did.
   Duration DelayAfter(Time now) {
-    const auto left = std::chrono::floor<Duration>(last_line_ + kPollInterval - now);
+    const auto left = std::chrono::floor<Duration>(last_progress_ + kPollInterval - now);
     return backoff_.NextDelay(std::max(left, Duration(0)));
   }
+  // After discovery has moved to another address, in place of what is left of the delay.
   Duration DelayAfterMove() { return backoff_.NextDelay(kMaxDelayAfterMove); }
 
  private:
-  // A hundred ask some hundred times a second at the most, and fewer with each failure.
-  static constexpr Duration kDelayPerForwarder{10};  // for each forwarder that may be asking
-  static constexpr Duration kMinDelay{100};
-  static constexpr Duration kMaxDelayPerForwarder{40};  // the longest, for each of them
-  static constexpr Duration kMinMaxDelay{500};
-  static constexpr Duration kMaxMaxDelay{4000};
-  static constexpr std::size_t kMaxImmediateGroup = 4;
+  // A hundred forwarders make at most some hundred requests a second, fewer with each failure.
+  static constexpr Duration kInitialDelayPerForwarder{10};
+  static constexpr Duration kMinInitialDelay{100};
+  static constexpr Duration kMaxDelayPerForwarder{40};
+  static constexpr Duration kMaxDelayLowerBound{500};
+  static constexpr Duration kMaxDelayUpperBound{4000};
+  static constexpr std::size_t kMaxImmediateGroupSize = 4;
+  static constexpr std::size_t kMaxCountedGroupSize = 1000;
 
   static Backoff MakeBackoff(std::size_t group_size, std::uint64_t seed) {
-    const auto size = static_cast<Duration::rep>(std::min<std::size_t>(group_size, 1000));
-    return Backoff(std::max(kMinDelay, size * kDelayPerForwarder),
-                   std::clamp(size * kMaxDelayPerForwarder, kMinMaxDelay, kMaxMaxDelay), seed);
+    const auto size = static_cast<Duration::rep>(std::min(group_size, kMaxCountedGroupSize));
+    const Duration max_delay =
+        std::clamp(size * kMaxDelayPerForwarder, kMaxDelayLowerBound, kMaxDelayUpperBound);
+    return Backoff(std::max(kMinInitialDelay, size * kInitialDelayPerForwarder), max_delay, seed);
   }
 
   const std::size_t group_size_;
   Backoff backoff_;
-  Time last_line_{};  // the beginning of the ask, or the last whole line
+  Time last_progress_{};  // the start of the request, or its last complete line
 };
 
 }  // namespace brassfront
--- a/src/net/discovery_watcher.cpp
+++ b/src/net/discovery_watcher.cpp
@@ -6,6 +6,11 @@
 #include "observe/log.hpp"
 
 namespace brassfront {
+namespace {
+
+constexpr int kHttpOk = 200;
+
+}  // namespace
 
 DiscoveryWatcher::DiscoveryWatcher(std::string address, std::uint64_t revision, const Group& group,
                                    BufferPool& buffers, OnEndpointList on_list)
@@ -24,37 +29,48 @@
   client_.Pause(timeouts_.InitialDelay());
   while (!client_.stopped()) {
     const std::string address = client_.address();
-    timeouts_.OnPollStarted(std::chrono::steady_clock::now());
-    HttpReader reader;
-    LineCutter lines;
-    const std::string path = "/api/targets?watch=1&from=" + std::to_string(revision_);
-    client_.Exchange(
-        HttpGet(path, address), reader,
-        [&](HttpReader& response) { return ConsumeLines(response, lines); },
-        [this] { return timeouts_.GiveUpAt(); });
-    // A move cuts the pause short: what the other address has is told sooner.
-    if (client_.Pause(timeouts_.DelayAfter(std::chrono::steady_clock::now()), address)) {
-      client_.Pause(timeouts_.DelayAfterMove());
-    }
+    WatchOnce(address);
+    const auto delay = timeouts_.DelayAfter(std::chrono::steady_clock::now());
+    // A move ends the delay early, as changes at a new address must be known sooner.
+    const bool moved = client_.Pause(delay, address);
+    if (moved) client_.Pause(timeouts_.DelayAfterMove());
   }
 }
 
-bool DiscoveryWatcher::ConsumeLines(HttpReader& reader, LineCutter& lines) {
-  if (reader.head_done() && reader.status() != 200) return false;
-  for (const std::string& line : lines.Feed(reader.TakeBody())) {
+// One request, for as long as discovery keeps it open.
+void DiscoveryWatcher::WatchOnce(const std::string& address) {
+  timeouts_.OnPollStarted(std::chrono::steady_clock::now());
+  const std::string path = "/api/targets?watch=1&from=" + std::to_string(revision_);
+  HttpReader reader;
+  LineCutter lines;
+  const auto on_bytes = [&](HttpReader& response) { return ConsumeLines(response, lines); };
+  const auto give_up_at = [this] { return timeouts_.GiveUpAt(); };
+  // However it ends, the next request follows after the delay.
+  static_cast<void>(client_.Exchange(HttpGet(path, address), reader, on_bytes, give_up_at));
+}
+
+// False if the response can't be used.
+bool DiscoveryWatcher::ConsumeLines(HttpReader& response, LineCutter& lines) {
+  if (response.head_done() && response.status() != kHttpOk) return false;
+  for (const std::string& line : lines.Feed(response.TakeBody())) {
     timeouts_.OnLine(std::chrono::steady_clock::now());
-    if (line.empty()) continue;
-    try {
-      MemberList list = ReadMemberList(json::Parse(line));
-      revision_ = list.revision;
-      on_list_(std::move(list));
-    } catch (const json::Error& error) {
-      observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning,
-                         "discovery line invalid", {{"error", error.what()}});
-      return false;
-    }
+    if (!line.empty() && !ConsumeList(line)) return false;
   }
   return !lines.broken();
 }
 
+// False if the line is no endpoint list.
+bool DiscoveryWatcher::ConsumeList(const std::string& line) {
+  try {
+    MemberList list = ReadMemberList(json::Parse(line));
+    revision_ = list.revision;
+    on_list_(std::move(list));
+    return true;
+  } catch (const json::Error& error) {
+    observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning,
+                       "discovery line invalid", {{"error", error.what()}});
+    return false;
+  }
+}
+
 }  // namespace brassfront
--- a/src/net/discovery_watcher.hpp
+++ b/src/net/discovery_watcher.hpp
@@ -1,7 +1,9 @@
-// The discovery watch: keeps a watch open and passes on each list that comes.
+// Watches discovery: keeps a request open on which discovery sends each new endpoint list as a
+// line.
 #ifndef BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
 #define BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -16,30 +18,34 @@
 
 class DiscoveryWatcher {
  public:
+  // Called by the watcher's thread.
   using OnEndpointList = std::function<void(MemberList)>;
 
-  // The forwarders that ask the same discovery, this one among them, and the seed of its spread.
+  // The forwarders that watch the same discovery.
   struct Group {
-    std::size_t size = 1;
-    std::uint64_t seed = 0;
+    std::size_t size = 1;    // this one among them
+    std::uint64_t seed = 0;  // of the spread of this one's requests
   };
 
+  // Watches for lists after `revision` until it is destroyed. The buffers must outlive it.
   DiscoveryWatcher(std::string address, std::uint64_t revision, const Group& group,
                    BufferPool& buffers, OnEndpointList on_list);
   ~DiscoveryWatcher();
 
-  // Goes on at another address, from the last revision that was told.
+  // Any thread may call this. Continues at another address, from the last revision that came.
   void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
 
  private:
   void WatchLoop();
-  bool ConsumeLines(HttpReader& reader, LineCutter& lines);
+  void WatchOnce(const std::string& address);
+  bool ConsumeLines(HttpReader& response, LineCutter& lines);
+  bool ConsumeList(const std::string& line);
 
   const OnEndpointList on_list_;
   DiscoveryTimeouts timeouts_;
   std::uint64_t revision_;
   HttpClient client_;
-  Thread thread_;
+  Thread thread_;  // the last member: it uses the others
 };
 
 }  // namespace brassfront
--- a/src/net/endpoint_call.hpp
+++ b/src/net/endpoint_call.hpp
@@ -1,5 +1,4 @@
-// A delivery: one call to a next endpoint, which carries one delivery attempt or a bundle of them.
-// The engine makes it and may recall or stop it; one thread of the next hops carries it out.
+// One HTTP call to an endpoint, and its result.
 #ifndef BRASSFRONT_NET_ENDPOINT_CALL_HPP_
 #define BRASSFRONT_NET_ENDPOINT_CALL_HPP_
 
@@ -14,11 +13,15 @@
 
 namespace brassfront {
 
+// A call that carries one delivery attempt, a batch of them or a health check. The engine makes it
+// and may withdraw or abort it at any time; one thread of the EndpointClient performs it meanwhile.
 class EndpointCall {
  public:
+  // What the engine did to it first.
   enum class StopReason { kNone, kWithdrawn, kCancelled, kTimedOut };
 
-  // `permit` is asked last of all before the first byte; none: nobody has to be asked.
+  // `permit` is asked as the last check before the first byte, in the performing thread; without
+  // one the call is always permitted.
   EndpointCall(std::uint64_t call_id, std::uint64_t endpoint_id, std::string to, std::string bytes,
                SteadyTime latest, std::function<bool()> permit = nullptr)
       : id(call_id),
@@ -29,87 +32,89 @@
         permit_(std::move(permit)) {}
 
   const std::uint64_t id;
-  const std::uint64_t endpoint;  // of the next endpoint; another one may take over the address
-  const std::string address;
-  const std::string request;
-  const SteadyTime start_by;  // not to be written later than this
+  const std::uint64_t endpoint;  // its id; another endpoint may take over the address
+  const std::string address;     // IPv4:PORT
+  const std::string request;     // the whole HTTP request
+  const SteadyTime start_by;     // the first byte is not written later than this
 
-  // ---- for the engine ----
+  // ---- for any thread ----
 
-  // Not to be sent if it is not being written yet: a wait or a drain has come.
+  // The call is not to be sent, unless its first byte may already have been written: then this has
+  // no effect.
   void WithdrawBeforeSend() {
     const std::lock_guard lock(mutex_);
-    if (!begun_ && stop_reason_ == StopReason::kNone) stop_reason_ = StopReason::kWithdrawn;
+    if (!write_begun_ && stop_reason_ == StopReason::kNone) stop_reason_ = StopReason::kWithdrawn;
   }
-  // Ends the connection, whatever it is doing.
+  // Ends the call whatever it is doing, by shutting its connection down.
   void Abort(StopReason why) {
     const std::lock_guard lock(mutex_);
     if (stop_reason_ == StopReason::kNone) stop_reason_ = why;
-    if (fd_ >= 0) ShutDown(fd_);
+    if (attached_fd_ >= 0) ShutDown(attached_fd_);
+  }
+  [[nodiscard]] StopReason stop_reason() const {
+    const std::lock_guard lock(mutex_);
+    return stop_reason_;
   }
 
-  // ---- for the thread that carries it out ----
+  // ---- for the thread that performs it ----
 
-  // From here to DetachConnection the connection can be ended by the engine; false if it is
-  // stop_reason already.
-  bool AttachConnection(const Socket& socket) {
+  // From now until DetachConnection, Abort shuts this connection down; it must stay open. False if
+  // the call was stopped before.
+  [[nodiscard]] bool AttachConnection(const Socket& socket) {
     const std::lock_guard lock(mutex_);
     if (stop_reason_ != StopReason::kNone) return false;
-    fd_ = socket.fd();
+    attached_fd_ = socket.fd();
     return true;
   }
   void DetachConnection() {
     const std::lock_guard lock(mutex_);
-    fd_ = -1;
+    attached_fd_ = -1;
   }
-  // The last check before the first byte.
-  bool BeginWrite() {
+  // The last check before the first byte; false if the call is stopped, late or not permitted.
+  [[nodiscard]] bool BeginWrite() {
     const std::lock_guard lock(mutex_);
-    if (stop_reason_ != StopReason::kNone || std::chrono::steady_clock::now() > start_by)
-      return false;
+    if (stop_reason_ != StopReason::kNone) return false;
+    if (std::chrono::steady_clock::now() > start_by) return false;
     if (permit_ && !permit_()) return false;
-    begun_ = true;
+    write_begun_ = true;
     return true;
   }
-  // Not all of it could be written: it never ran, and may be begun again.
+  // The request could not be written completely, so it did not run: it may be begun again.
   void UndoBeginWrite() {
     const std::lock_guard lock(mutex_);
-    begun_ = false;
-  }
-  StopReason stop_reason() const {
-    const std::lock_guard lock(mutex_);
-    return stop_reason_;
+    write_begun_ = false;
   }
 
  private:
   const std::function<bool()> permit_;
-  mutable std::mutex mutex_;
-  int fd_ = -1;
-  bool begun_ = false;
+  mutable std::mutex mutex_;  // guards what follows
+  int attached_fd_ = -1;      // of the connection, which the performing thread owns
+  bool write_begun_ = false;
   StopReason stop_reason_ = StopReason::kNone;
 };
 
-// How a call ended, as its connection shows it.
+// How a call ended, as its connection shows it. The log tells them by their numbers.
 enum class CallOutcome {
-  kAnswered,
-  kNotSent,
-  kConnectFailed,
-  kConnectionLimitReached,
-  kReset,
-  kTimedOut,
-  kCancelled
+  kAnswered,                // a response came; an incomplete one only with status 200
+  kNotSent,                 // it did not run: stopped, late or not permitted before the first byte
+  kConnectFailed,           // it did not run: no connection, or the request was not written whole
+  kConnectionLimitReached,  // it did not run: the endpoint rejected the connection
+  kReset,                   // it may have run: the connection ended without a usable response
+  kTimedOut,                // aborted with kTimedOut; it may have run
+  kCancelled,               // aborted with kCancelled; it may have run
 };
 
-// What a call brought: its outcome and, if it was answered, the answer.
 struct EndpointCallResult {
   std::uint64_t call_id = 0;
   CallOutcome outcome = CallOutcome::kReset;
-  // With kAnswered: a complete answer, or one that is spoilt after a first line with 200.
-  int status = 0;
-  bool complete = false;
+  // What follows is set with kAnswered and, of a complete response, kConnectionLimitReached.
+  int status = 0;         // of HTTP
+  bool complete = false;  // else only the status is known
   std::string body{};
-  std::string retry_after_ms{}, slots_taken{},
-      load_report{};  // headers as they stand; empty if absent
+  // Headers as the endpoint sent them; empty if absent.
+  std::string retry_after_ms{};
+  std::string slots_taken{};
+  std::string load_report{};
 };
 
 }  // namespace brassfront
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,26 +5,15 @@
 
 namespace brassfront {
 
-HttpClient::HttpClient(std::string side, std::string address,
+HttpClient::HttpClient(std::string log_side, std::string address,
                        std::chrono::milliseconds silence_timeout, BufferPool& buffers)
-    : side_(std::move(side)),
+    : log_side_(std::move(log_side)),
       silence_timeout_(silence_timeout),
       buffers_(buffers),
       address_(std::move(address)) {}
 
 HttpClient::~HttpClient() {
-  if (socket_.is_open()) Close("shutdown");
-}
-
-void HttpClient::Close(const char* reason) {
-  const std::lock_guard lock(mutex_);
-  socket_.Close();
-  const bool moved = connected_to_ != address_;
-  LogConnectionEnd(side_, connected_to_,
-                   stopped_ ? "shutdown"
-                   : moved  ? "moved"
-                            : reason,
-                   exchanges_);
+  if (socket_.is_open()) Close(CloseReason::kShutdown);
 }
 
 std::string HttpClient::address() const {
@@ -40,9 +29,40 @@
   wake_.notify_all();
 }
 
+void HttpClient::Stop() {
+  const std::lock_guard lock(mutex_);
+  stopped_ = true;
+  if (socket_.is_open()) ShutDown(socket_.fd());
+  wake_.notify_all();
+}
+
+bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
+                          const GiveUpAt& give_up_at) {
+  if (!EnsureConnected()) return false;
+  if (!socket_.SendAll(request)) {
+    Close(CloseReason::kWriteFailed);
+    return false;
+  }
+  ++exchanges_;
+  if (!ReadResponse(reader, on_bytes, give_up_at)) return false;
+  if (!reader.done()) {
+    Close(CloseReason::kPeerClosed);
+  } else if (!reader.keep_alive()) {
+    Close(CloseReason::kKeepAliveOff);
+  }
+  return reader.done();
+}
+
+bool HttpClient::Pause(std::chrono::milliseconds time, const std::string& address) {
+  std::unique_lock lock(mutex_);
+  const auto moved = [&] { return !address.empty() && address != address_; };
+  wake_.wait_for(lock, time, [&] { return stopped_ || moved(); });
+  return moved();
+}
+
 bool HttpClient::EnsureConnected() {
   if (socket_.is_open() && !socket_.HasInputOrEnd()) return true;
-  if (socket_.is_open()) Close("peer-closed");
+  if (socket_.is_open()) Close(CloseReason::kPeerClosed);
   {
     const std::lock_guard lock(mutex_);
     if (stopped_) return false;
@@ -54,32 +74,27 @@
   if (connected) socket_.ReceiveTimeout(silence_timeout_);
   bool still_wanted = false;
   {
-    // Guards against a stop or a move that came before there was a connection to shut down.
+    // A stop or a new address may have come before there was a connection to shut down.
     const std::lock_guard lock(mutex_);
     still_wanted = !stopped_ && connected_to_ == address_;
   }
   if (connected && still_wanted) return true;
-  Close("connect-failed");
+  Close(CloseReason::kConnectFailed);
   return false;
 }
 
-bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
-                          const GiveUpAt& give_up_at) {
-  if (!EnsureConnected()) return false;
-  if (!socket_.SendAll(request)) {
-    Close("write-failed");
-    return false;
-  }
-  ++exchanges_;
+// Until the response is complete or can't become so. False if the connection was closed for it.
+bool HttpClient::ReadResponse(HttpReader& reader, const OnBytes& on_bytes,
+                              const GiveUpAt& give_up_at) {
   BufferPool::Buffer buffer = buffers_.Get();
   while (!reader.done() && !reader.broken()) {
     if (give_up_at && !socket_.AwaitInput(give_up_at())) {
-      Close("silent");
+      Close(CloseReason::kSilent);
       return false;
     }
     const long received = socket_.Receive(buffer.span());
     if (received < 0) {
-      Close(errno == EAGAIN ? "silent" : "reset");
+      Close(errno == EAGAIN ? CloseReason::kSilent : CloseReason::kReset);
       return false;
     }
     if (received == 0) {
@@ -88,27 +103,23 @@
       reader.Feed({buffer.span().data(), static_cast<std::size_t>(received)});
     }
     if (on_bytes && !on_bytes(reader)) {
-      Close("invalid");
+      Close(CloseReason::kInvalid);
       return false;
     }
   }
-  if (!reader.done() || !reader.keep_alive())
-    Close(reader.done() ? "keep-alive-off" : "peer-closed");
-  return reader.done();
+  return true;
 }
 
-void HttpClient::Stop() {
+// A stop and a new address shut the socket down, so they are the reason whatever was seen of it.
+void HttpClient::Close(CloseReason reason) {
   const std::lock_guard lock(mutex_);
-  stopped_ = true;
-  if (socket_.is_open()) ShutDown(socket_.fd());
-  wake_.notify_all();
-}
-
-bool HttpClient::Pause(std::chrono::milliseconds time, const std::string& address) {
-  std::unique_lock lock(mutex_);
-  const auto moved = [&] { return !address.empty() && address != address_; };
-  wake_.wait_for(lock, time, [&] { return stopped_ || moved(); });
-  return moved();
+  socket_.Close();
+  if (stopped_) {
+    reason = CloseReason::kShutdown;
+  } else if (connected_to_ != address_) {
+    reason = CloseReason::kMoved;
+  }
+  LogConnectionEnd(log_side_, connected_to_, ToString(reason), exchanges_);
 }
 
 }  // namespace brassfront
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -1,16 +1,19 @@
-// One connection to the platform's agent, opened anew when it has ended.
+// An HTTP client of one address of the platform, on one connection that is opened anew when it has
+// ended. Requests are made one at a time.
 #ifndef BRASSFRONT_NET_HTTP_CLIENT_HPP_
 #define BRASSFRONT_NET_HTTP_CLIENT_HPP_
 
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
 
 #include "net/buffer_pool.hpp"
+#include "net/close_reason.hpp"
 #include "net/socket.hpp"
 #include "protocol/http.hpp"
 
@@ -18,46 +21,55 @@
 
 class HttpClient {
  public:
-  // `silence`: how long the other side may say nothing.
-  HttpClient(std::string side, std::string address, std::chrono::milliseconds silence_timeout,
+  // `log_side`: what the log calls the peer. `silence_timeout`: how long the peer may send nothing,
+  // and how long connecting may take. The buffers must outlive the client.
+  HttpClient(std::string log_side, std::string address, std::chrono::milliseconds silence_timeout,
              BufferPool& buffers);
   ~HttpClient();
 
-  std::string address() const;
-  // For another thread: ends what is going on and goes to this address from now on.
+  // ---- for any thread ----
+
+  [[nodiscard]] std::string address() const;
+  // Ends the exchange in progress; later ones go to the new address. Without effect if it is the
+  // same.
   void SetAddress(std::string address);
+  // Ends the exchange in progress; later ones fail at once.
+  void Stop();
+  [[nodiscard]] bool stopped() const { return stopped_; }
+
+  // ---- for the one thread that makes the requests ----
 
-  // Sends the request, on the kept connection if it still stands, and reads the answer; `on_bytes`
-  // is called whenever some of it has come and may end the reading by returning false. False if no
-  // whole answer came; the connection is ended then.
-  // With `give_up_at` the answer is waited for until then; it is asked for anew after each read,
-  // and connecting is bound by the silence alone. Guards against a side that trickles, never
-  // silent.
+  // Called whenever a part of the response has come; false ends the exchange.
   using OnBytes = std::function<bool(HttpReader&)>;
+  // Until when the response is waited for; asked again after each part of it.
   using GiveUpAt = std::function<SteadyTime()>;
-  bool Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes = {},
-                const GiveUpAt& give_up_at = {});
 
-  // For another thread: ends what is going on, and every later exchange at its start.
-  void Stop();
-  bool stopped() const { return stopped_; }
-  // Waits, or less if stopped or moved away from the address, if one is given. True if moved.
+  // Sends the request, on the open connection if it still stands, and reads the response into the
+  // reader. False if the response is not complete; the connection is closed then. Without
+  // `give_up_at` each part of the response may take the silence timeout, so that a peer that
+  // trickles is waited for without end.
+  [[nodiscard]] bool Exchange(std::string_view request, HttpReader& reader,
+                              const OnBytes& on_bytes = {}, const GiveUpAt& give_up_at = {});
+
+  // Waits for the time, or less if stopped or if the address is no longer the given one, if one is
+  // given. True if the address is another one.
   bool Pause(std::chrono::milliseconds time, const std::string& address = {});
 
  private:
   bool EnsureConnected();
-  void Close(const char* reason);
+  bool ReadResponse(HttpReader& reader, const OnBytes& on_bytes, const GiveUpAt& give_up_at);
+  void Close(CloseReason reason);
 
-  const std::string side_;
+  const std::string log_side_;
   const std::chrono::milliseconds silence_timeout_;
   BufferPool& buffers_;
-  mutable std::mutex mutex_;  // guards the address and the socket's opening and closing
+  mutable std::mutex mutex_;  // guards the addresses, and the socket's opening and closing
   std::string address_;
   std::string connected_to_;
-  std::condition_variable wake_;
+  std::condition_variable wake_;  // on a stop and a new address
   std::atomic<bool> stopped_{false};
   Socket socket_;
-  std::size_t exchanges_ = 0;
+  std::size_t exchanges_ = 0;  // on this connection
 };
 
 }  // namespace brassfront
--- a/src/net/idle_connection_budget.hpp
+++ b/src/net/idle_connection_budget.hpp
@@ -1,8 +1,8 @@
-// How many idle connections to one next hop a forwarder keeps, and for how long. No I/O, no clock.
+// How many idle connections to one endpoint a forwarder keeps, and for how long. No I/O, no clock.
 //
-// A next hop holds few connections, idle ones counted, and each of a group of forwarders keeps its
-// own. Guards against a hundred that each keep one or two: the tables are full of connections that
-// nobody uses, and the calls of all others are turned away.
+// An endpoint accepts few connections, idle ones included, and each forwarder of a group keeps its
+// own. If a hundred of them kept one or two each, the endpoint's limit would be used up by idle
+// connections, and the calls of all the others would be rejected.
 #ifndef BRASSFRONT_NET_IDLE_CONNECTION_BUDGET_HPP_
 #define BRASSFRONT_NET_IDLE_CONNECTION_BUDGET_HPP_
 
@@ -16,29 +16,31 @@
   using Time = std::chrono::steady_clock::time_point;
   using Seconds = std::chrono::duration<double>;
 
-  // `group`: forwarders that call the next hop, this one among them; 0 is taken for 1.
+  // `group_size`: forwarders that call the endpoint, this one among them; 0 counts as 1.
   explicit IdleConnectionBudget(std::size_t group_size);
 
-  // A call to the next hop begins.
+  // A call to the endpoint begins.
   void OnCall(Time now);
-  // It turned a connection away for want of room.
+  // The endpoint rejected a connection because it had too many. The budget is halved, and returns
+  // to its full size within some seconds.
   void OnConnectionRejected(Time now);
 
-  // Connections to be kept idle at once.
+  // Idle connections to be kept at once.
   [[nodiscard]] std::size_t MaxIdleConnections(Time now) const;
-  // How long each may stay idle, at most `idle`. Where the share is below one connection, so much
-  // of the mean time between calls that the group together keeps its share of the places.
+  // How long each of them may stay idle, at most `max_idle`. With a budget of less than one
+  // connection, it is that fraction of the mean time between calls, so that on average the group
+  // together keeps no more than its budget.
   [[nodiscard]] Seconds IdleTimeout(Time now, Seconds max_idle) const;
 
  private:
-  [[nodiscard]] double CautionAt(Time now) const;
+  [[nodiscard]] double HalvingsAt(Time now) const;
   [[nodiscard]] double BudgetAt(Time now) const;
 
-  double base_budget_;  // connections
-  double caution_ = 0;  // doublings of caution after the last time it was crowded
+  const double full_budget_;  // connections
+  double halvings_ = 0;       // of the budget, after the last rejection
   Time last_rejection_{};
   Time last_call_{};
-  Seconds mean_call_interval_;  // mean time between calls
+  Seconds mean_call_interval_;
 };
 
 }  // namespace brassfront
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -1,17 +1,17 @@
 #include "net/notification_client.hpp"
 
 #include <utility>
-#include <vector>
 
 #include "protocol/json.hpp"
 
 namespace brassfront {
 namespace {
 
-constexpr std::chrono::milliseconds kResponseTimeout{100};  // the answer comes at once
-constexpr std::chrono::milliseconds kRetryDelay{20};  // before a notification is posted retry_after
+constexpr std::chrono::milliseconds kResponseTimeout{100};  // the platform answers at once
+constexpr std::chrono::milliseconds kRetryDelay{20};
 constexpr std::size_t kMaxPending = 100'000;
-constexpr std::size_t kMaxBatch = 500;
+constexpr std::size_t kMaxBatchSize = 500;  // notifications in a request
+constexpr int kHttpNoContent = 204;         // confirms all of a request
 
 }  // namespace
 
@@ -42,25 +42,32 @@
 void NotificationClient::Post(Notification notification) { pending_.Push(std::move(notification)); }
 
 void NotificationClient::Run() {
-  while (auto first = pending_.Pop()) {
-    std::vector<Notification> batch{std::move(*first)};
-    while (batch.size() < kMaxBatch) {
-      auto another = pending_.PopUntil(std::chrono::steady_clock::time_point::min());
-      if (!another) break;
-      batch.push_back(std::move(*another));
-    }
-    std::string body;
-    for (const Notification& notification : batch) body += NotificationLine(notification);
-    while (!client_.stopped()) {
-      const std::string request =
-          HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
-      HttpReader reader;
-      if (client_.Exchange(request, reader) && reader.status() == 204) {
-        for (const Notification& notification : batch) on_confirmed_(notification.message);
-        break;
-      }
-      client_.Pause(kRetryDelay);
+  while (auto first = pending_.Pop()) PostUntilConfirmed(CompleteBatch(std::move(*first)));
+}
+
+// With what else is waiting now.
+std::vector<Notification> NotificationClient::CompleteBatch(Notification first) {
+  std::vector<Notification> batch{std::move(first)};
+  while (batch.size() < kMaxBatchSize) {
+    auto another = pending_.PopUntil(std::chrono::steady_clock::time_point::min());
+    if (!another) break;
+    batch.push_back(std::move(*another));
+  }
+  return batch;
+}
+
+void NotificationClient::PostUntilConfirmed(const std::vector<Notification>& batch) {
+  std::string body;
+  for (const Notification& notification : batch) body += NotificationLine(notification);
+  while (!client_.stopped()) {
+    const std::string request =
+        HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
+    HttpReader reader;
+    if (client_.Exchange(request, reader) && reader.status() == kHttpNoContent) {
+      for (const Notification& notification : batch) on_confirmed_(notification.message);
+      return;
     }
+    client_.Pause(kRetryDelay);
   }
 }
 
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -1,14 +1,14 @@
-// NotificationClient to the platform of what was taken on and not delivered, posted until they are
-// heard.
+// Notifies the platform of accepted messages that will not be delivered. Each notification is
+// posted again and again until the platform has confirmed it.
 #ifndef BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
 #define BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "concurrency/bounded_queue.hpp"
 #include "concurrency/thread.hpp"
@@ -17,33 +17,41 @@
 namespace brassfront {
 
 struct Notification {
-  std::uint64_t message = 0;  // the poster's number for it, which OnConfirmed is told
-  std::string id{};
-  bool retry_allowed = false;  // else undeliverable
-  std::chrono::milliseconds retry_after{};
+  std::uint64_t message = 0;   // the caller's number for it, passed to OnConfirmed
+  std::string id{};            // the client's id of the message
+  bool retry_allowed = false;  // the client may submit it again; else it is undeliverable
+  std::chrono::milliseconds retry_after{};  // if a retry is allowed
 };
 
 class NotificationClient {
  public:
-  using OnConfirmed = std::function<void(std::uint64_t message)>;  // called by the thread
+  // Called by the client's thread, once for each notification that the platform has confirmed.
+  using OnConfirmed = std::function<void(std::uint64_t message)>;
 
+  // The buffers must outlive the client.
   NotificationClient(std::string address, BufferPool& buffers, OnConfirmed on_confirmed);
+  // What has not been confirmed by now is dropped.
   ~NotificationClient();
 
+  // Any thread may call what follows.
+
+  // Waits while the queue of 100,000 notifications is full.
   void Post(Notification notification);
-  // What has not been heard yet is posted there as well.
+  // Notifications that have not been confirmed are posted there, too.
   void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
 
  private:
   void Run();
+  std::vector<Notification> CompleteBatch(Notification first);
+  void PostUntilConfirmed(const std::vector<Notification>& batch);
 
   const OnConfirmed on_confirmed_;
   HttpClient client_;
   BoundedQueue<Notification> pending_;
-  Thread thread_;
+  Thread thread_;  // the last member: it uses the others
 };
 
-// The line that a notification is on the wire.
+// The notification's line in a request.
 std::string NotificationLine(const Notification& notification);
 
 }  // namespace brassfront
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -17,7 +17,9 @@
 namespace brassfront {
 namespace {
 
-constexpr int kBacklog = 512;
+// Connections that wait to be accepted; the system may allow fewer.
+constexpr int kListenBacklog = 512;
+constexpr std::chrono::milliseconds kMaxPollTimeout{1 << 30};  // poll(2) takes an int
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -59,11 +61,25 @@
   setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
 }
 
-void SetOn(int fd, int level, int option) {
+void EnableOption(int fd, int level, int option) {
   const int on = 1;
   setsockopt(fd, level, option, &on, sizeof on);
 }
 
+observe::Concern ConcernOfSide(std::string_view side) {
+  if (side == "client") return observe::Concern::kClient;
+  if (side == "endpoint") return observe::Concern::kEndpoint;
+  return observe::Concern::kPlatform;
+}
+
+// In milliseconds for poll(2); -1: without end.
+int PollTimeout(SteadyTime until) {
+  using std::chrono::milliseconds;
+  if (until == SteadyTime::max()) return -1;
+  const auto left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now());
+  return static_cast<int>(std::clamp(left, milliseconds(0), kMaxPollTimeout).count());
+}
+
 }  // namespace
 
 void Socket::Close() {
@@ -72,17 +88,11 @@
 
 bool Socket::Await(short events, SteadyTime until) const {
   while (true) {
-    int ms = -1;
-    if (until != SteadyTime::max()) {
-      const auto left =
-          std::chrono::ceil<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
-      ms = static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(left.count(), 0, 1 << 30));
-    }
     pollfd wanted{fd_, events, 0};
-    const int n = poll(&wanted, 1, ms);
-    if (n > 0) return true;
-    if (n == 0) return false;
-    if (errno != EINTR) return true;  // reading or writing tells what is wrong
+    const int ready = poll(&wanted, 1, PollTimeout(until));
+    if (ready > 0) return true;
+    if (ready == 0) return false;
+    if (errno != EINTR) return true;
   }
 }
 
@@ -90,11 +100,11 @@
 
 bool Socket::SendAll(std::string_view bytes, SteadyTime until) {
   while (!bytes.empty()) {
-    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
-    if (n <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(n));
+    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
   }
   return true;
 }
@@ -104,8 +114,8 @@
 
 long Socket::ReceiveWith(std::span<char> into, int flags) {
   while (true) {
-    const ssize_t n = recv(fd_, into.data(), into.size(), flags);
-    if (n >= 0 || errno != EINTR) return n;
+    const ssize_t received = recv(fd_, into.data(), into.size(), flags);
+    if (received >= 0 || errno != EINTR) return received;
   }
 }
 
@@ -133,7 +143,7 @@
   SetTimeout(socket.fd(), SO_SNDTIMEO, limit);
   if (connect(socket.fd(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) return false;
   SetTimeout(socket.fd(), SO_SNDTIMEO, {});
-  SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return true;
 }
 
@@ -141,26 +151,26 @@
   const auto at = ParseAddress(address);
   Socket listener = NewSocket();
   if (!at || !listener.is_open()) return Socket();
-  SetOn(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
+  EnableOption(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
   if (bind(listener.fd(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0 ||
-      listen(listener.fd(), kBacklog) != 0) {
+      listen(listener.fd(), kListenBacklog) != 0) {
     return Socket();
   }
   return listener;
 }
 
 std::string AddressOf(const Socket& listener) {
-  sockaddr_in at{};
-  socklen_t length = sizeof at;
-  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&at), &length);
-  return AddressText(at);
+  sockaddr_in address{};
+  socklen_t length = sizeof address;
+  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&address), &length);
+  return AddressText(address);
 }
 
 std::string PeerOf(const Socket& connection) {
-  sockaddr_in at{};
-  socklen_t length = sizeof at;
-  getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&at), &length);
-  return AddressText(at);
+  sockaddr_in address{};
+  socklen_t length = sizeof address;
+  getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&address), &length);
+  return AddressText(address);
 }
 
 Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
@@ -168,7 +178,7 @@
 
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
-  if (socket.is_open()) SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  if (socket.is_open()) EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return socket;
 }
 
@@ -180,16 +190,14 @@
 
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges) {
-  using observe::Concern;
   constexpr const char* kEvent = "connection ended";
-  const Concern concern = side == "client"     ? Concern::kClient
-                          : side == "endpoint" ? Concern::kEndpoint
-                                               : Concern::kPlatform;
+  constexpr auto kLevel = observe::Level::kInfo;
+  const observe::Concern concern = ConcernOfSide(side);
   if (peer.empty()) {
-    observe::Log(concern, observe::Level::kInfo, kEvent,
+    observe::Log(concern, kLevel, kEvent,
                  {{"side", side}, {"reason", reason}, {"exchanges", exchanges}});
   } else {
-    observe::Log(concern, observe::Level::kInfo, kEvent,
+    observe::Log(concern, kLevel, kEvent,
                  {{"side", side}, {"peer", peer}, {"reason", reason}, {"exchanges", exchanges}});
   }
 }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -1,4 +1,5 @@
-// Blocking TCP sockets over IPv4 addresses; names are not resolved.
+// Blocking sockets over IPv4, and what is done with them. Addresses are texts of the form
+// IPv4:PORT; names are not resolved.
 #ifndef BRASSFRONT_NET_SOCKET_HPP_
 #define BRASSFRONT_NET_SOCKET_HPP_
 
@@ -14,6 +15,8 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+// Owns a descriptor and closes it. For one thread at a time; another one may end what it is blocked
+// on by ShutDown, if it makes sure that the socket is not closed meanwhile.
 class Socket {
  public:
   Socket() = default;
@@ -25,22 +28,25 @@
     return *this;
   }
 
-  [[nodiscard]] int fd() const { return fd_; }
+  [[nodiscard]] int fd() const { return fd_; }  // -1 if closed
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   void Close();
 
-  // False if not all could be written by then.
+  // False if not all of the bytes could be written by then.
   bool SendAll(std::string_view bytes, SteadyTime until = SteadyTime::max());
-  // Waits for something to read or the peer's end; false if neither came by then.
+  // Waits for input or the peer's end; false if neither came by then. True at an error as well: the
+  // next read or write tells which.
   [[nodiscard]] bool AwaitInput(SteadyTime until) const;
-  // Bytes read, 0 at the peer's end, -1 at an error (errno tells: EAGAIN at a time-out).
+  // Each returns the bytes read, 0 at the peer's end, and -1 at an error; errno is EAGAIN then if
+  // nothing came in time (Receive), or has come by now (ReceiveNow).
   long Receive(std::span<char> into);
-  long ReceiveNow(std::span<char> into);  // -1 with EAGAIN where nothing has come
-  // Something to read or the end has come: a connection between calls is stale then.
+  long ReceiveNow(std::span<char> into);
+  // True if input, the peer's end or an error has come. An idle connection is not usable then.
   [[nodiscard]] bool HasInputOrEnd() const;
-  // The peer has ended or reset it, as TCP's state tells: unread bytes do not count, and neither
-  // does what this side has shut down.
+  // True if the peer has closed or reset the connection, by TCP's state: unread input does not
+  // matter, nor what this side has shut down.
   [[nodiscard]] bool PeerHasEnded() const;
+  // For Receive, from now on.
   void ReceiveTimeout(std::chrono::milliseconds time);
 
  private:
@@ -51,28 +57,37 @@
 };
 
 // True if the text is IPv4:PORT.
-bool IsAddress(const std::string& address);
-
-// A stream socket that is not connected yet, so that another thread may shut it down meanwhile.
-Socket NewSocket();
-bool Connect(const Socket& socket, const std::string& address, std::chrono::milliseconds limit);
-
-// Closed if the address cannot be listened on; errno tells why.
-Socket Listen(const std::string& address);
-std::string AddressOf(const Socket& listener);  // with the port that the system chose for port 0
-std::string PeerOf(const Socket& connection);   // IPv4:PORT of its other side
-Socket Accept(const Socket& listener);
-// From now on Accept fails with EAGAIN where nobody waits to be taken.
+[[nodiscard]] bool IsAddress(const std::string& address);
+
+// A stream socket that is not connected yet, so that another thread may shut it down while Connect
+// blocks. Closed if the system has no descriptor left.
+[[nodiscard]] Socket NewSocket();
+// False if the connection did not come up within the limit.
+[[nodiscard]] bool Connect(const Socket& socket, const std::string& address,
+                           std::chrono::milliseconds limit);
+
+// Closed if the address can't be listened on; errno tells why.
+[[nodiscard]] Socket Listen(const std::string& address);
+// The socket's own address, with the port that the system chose if port 0 was asked for.
+[[nodiscard]] std::string AddressOf(const Socket& listener);
+// The address of the socket's other side.
+[[nodiscard]] std::string PeerOf(const Socket& connection);
+// Closed if there is none; errno tells why.
+[[nodiscard]] Socket Accept(const Socket& listener);
+// From now on Accept fails with EAGAIN instead of waiting for a connection.
 void DoNotWait(const Socket& listener);
 
-// Datagram sockets on, or towards, an address; closed where it cannot be, and errno tells why.
-Socket BindDatagrams(const std::string& address);
-Socket ConnectDatagrams(const std::string& address);
+// Datagram sockets that are bound or connected to an address; closed if that is not possible, and
+// errno tells why.
+[[nodiscard]] Socket BindDatagrams(const std::string& address);
+[[nodiscard]] Socket ConnectDatagrams(const std::string& address);
 
-// Wakes up whichever thread is blocked on it.
+// Shuts down both directions, which ends whatever a thread is blocked on with this descriptor. It
+// must not be closed meanwhile.
 void ShutDown(int fd);
 
-// The one line that each connection leaves at its end.
+// Writes the one line of the log that each connection leaves at its end; docs/logging.md has the
+// words. `peer` is left out if it is empty.
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges);
 
