Take the codec of the spool's records out of the spool

spool.cpp mixed the stored form of records with the file, the compaction and the books about what is owed. spool_record now holds the four kinds of records as types and is the only place that knows their tags and bytes; Spool applies typed records. A test fixes the stored bytes of each kind.

A record whose checksum holds but which cannot be decoded (only a program of another version could write one) no longer raises next_number() before it is cut off; no message that is kept has such a number.

--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -1,4 +1,4 @@
-// A file that is read and written at given places. Writes that fail leave no part behind.
+// A file that is read and written at offsets. No error leaves a partial write behind.
 #ifndef BRASSFRONT_SPOOL_FILE_HPP_
 #define BRASSFRONT_SPOOL_FILE_HPP_
 
@@ -10,8 +10,10 @@
 
 namespace brassfront {
 
+// Owns the descriptor. For one thread at a time. Where a method fails, errno tells why.
 class File {
  public:
+  // Closed.
   File() = default;
   ~File();
   File(File&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
@@ -20,20 +22,26 @@
     return *this;
   }
 
-  // Opened for reading and writing, made if absent; closed files are returned on failure.
+  // Each returns a closed file on failure.
+  // For reading and writing; made if absent.
   static File Open(const std::string& path);
   static File OpenToRead(const std::string& path);
+  // For reading and writing; made if absent, and emptied.
   static File OpenEmpty(const std::string& path);
 
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
+  // Nothing on failure.
   [[nodiscard]] std::optional<std::size_t> Size() const;
-  // All of the bytes or nothing.
+  // Exactly `length` bytes, or nothing.
   [[nodiscard]] std::optional<std::string> Read(std::size_t offset, std::size_t length) const;
-  bool Write(std::size_t offset, std::string_view bytes);
+  // Writes all of the bytes. On failure returns false and truncates the file to `offset`: only for
+  // writing at its end.
+  [[nodiscard]] bool Write(std::size_t offset, std::string_view bytes);
   bool Truncate(std::size_t size);
 
  private:
   explicit File(int fd) : fd_(fd) {}
+
   int fd_ = -1;
 };
 
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -1,143 +1,47 @@
 #include "spool/spool.hpp"
 
-#include <zlib.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
-#include <optional>
+#include <utility>
+#include <variant>
 
 namespace brassfront {
 namespace {
 
-constexpr std::string_view kMagic = "BRSPOOL1";
-constexpr std::size_t kFrameBytes = 8;  // length and checksum
-constexpr std::size_t kMaxPayloadBytes = 1 << 20;
-constexpr std::size_t kBlockBytes = 512;  // disk use is counted in whole blocks
+constexpr std::string_view kFileHeader = "BRSPOOL1";
+constexpr const char* kFileName = "/spool";
+constexpr const char* kCompactedFileName = "/spool.new";
+constexpr std::size_t kBlockBytes = 512;  // the disk limit counts files in whole blocks
 constexpr std::size_t kMaxEndpointBytes = 256;
-constexpr std::size_t kCompactionThresholdBytes = 128 * 1024;  // of dead bytes
-
-// Kept free for the attempts and ends of what was accepted: those records may not be refused.
-// Twelve attempts with their outcomes take some 0.8 KiB, and 237 messages may be held.
+// Bytes of finished messages that make a compaction worth its writes.
+constexpr std::size_t kCompactionThresholdBytes = 128 * 1024;
+// Kept free for the attempts and ends of accepted messages: those records may not be refused.
+// Twelve attempts with their outcomes take some 0.8 KiB, and 237 messages may be in flight.
 constexpr std::size_t kReservedBytes = 192 * 1024;
 
-enum class Kind : char {
-  kAccepted = 'A',
-  kAttemptStarted = 'B',
-  kAttemptNotRun = 'N',
-  kFinished = 'E'
-};
-
-// Numbers are written with the low byte first, texts with their length in front.
-class Writer {
- public:
-  explicit Writer(Kind kind) { out_ += static_cast<char>(kind); }
-  Writer& Number(std::uint64_t value, int bytes = 8) {
-    for (int i = 0; i < bytes; ++i) out_ += static_cast<char>(value >> (8 * i) & 0xFF);
-    return *this;
-  }
-  Writer& Text(std::string_view text) {
-    Number(text.size(), 4);
-    out_.append(text);
-    return *this;
-  }
-  std::string Take() { return std::move(out_); }
-
- private:
-  std::string out_;
-};
-
-// Reading past the end yields zeros and is told by ok().
-class Reader {
- public:
-  explicit Reader(std::string_view in) : in_(in) {}
-  std::uint64_t Number(int bytes = 8) {
-    std::uint64_t value = 0;
-    for (int i = 0; i < bytes; ++i) {
-      value |= static_cast<std::uint64_t>(static_cast<unsigned char>(Next(1)[0])) << (8 * i);
-    }
-    return value;
-  }
-  std::string Text() { return std::string(Next(Number(4))); }
-  [[nodiscard]] bool ok() const { return ok_; }
-  [[nodiscard]] bool AtEnd() const { return ok_ && in_.empty(); }
-
- private:
-  std::string_view Next(std::size_t length) {
-    if (!ok_ || length > in_.size()) {
-      ok_ = false;
-      return std::string_view("\0", 1);
-    }
-    const std::string_view part = in_.substr(0, length);
-    in_.remove_prefix(length);
-    return part;
-  }
-  std::string_view in_;
-  bool ok_ = true;
-};
-
-std::uint32_t Checksum(std::string_view bytes) {
-  return static_cast<std::uint32_t>(
-      crc32(0, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
+std::size_t RoundUpToBlocks(std::size_t bytes) {
+  return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes;
 }
 
-std::string Frame(const std::string& payload) {
-  std::string out;
-  for (const std::uint32_t value :
-       {static_cast<std::uint32_t>(payload.size()), Checksum(payload)}) {
-    for (int i = 0; i < 4; ++i) out += static_cast<char>(value >> (8 * i) & 0xFF);
+// The records of a message's attempts, as a compaction writes them.
+std::string EncodeAttempts(SpoolId number, const std::vector<SpooledAttempt>& attempts) {
+  std::string records;
+  for (std::size_t i = 0; i < attempts.size(); ++i) {
+    const SpooledAttempt& attempt = attempts[i];
+    records += spool::Encode(spool::AttemptStarted{number, attempt.endpoint, attempt.started_at});
+    if (attempt.known_not_run) records += spool::Encode(spool::AttemptNotRun{number, i});
   }
-  return out += payload;
-}
-
-std::string EncodeAccepted(SpoolId number, const SpooledMessage& message) {
-  return Writer(Kind::kAccepted)
-      .Number(number)
-      .Text(message.id)
-      .Text(message.key)
-      .Text(message.class_name)
-      .Text(message.tenant_name)
-      .Number(message.destination)
-      .Number(static_cast<std::uint64_t>(message.deadline.count()))
-      .Text(message.body)
-      .Take();
-}
-
-std::string EncodeAttemptStarted(SpoolId number, const std::string& endpoint, UnixMs at) {
-  return Writer(Kind::kAttemptStarted)
-      .Number(number)
-      .Text(endpoint)
-      .Number(static_cast<std::uint64_t>(at.count()))
-      .Take();
-}
-
-std::string EncodeAttemptNotRun(SpoolId number, std::size_t attempt) {
-  return Writer(Kind::kAttemptNotRun).Number(number).Number(attempt).Take();
-}
-
-SpooledMessage ReadMessage(Reader& in) {
-  SpooledMessage message;
-  message.id = in.Text();
-  message.key = in.Text();
-  message.class_name = in.Text();
-  message.tenant_name = in.Text();
-  message.destination = in.Number();
-  message.deadline = UnixMs(static_cast<std::int64_t>(in.Number()));
-  message.body = in.Text();
-  return message;
-}
-
-std::size_t RoundUpToBlocks(std::size_t bytes) {
-  return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes;
+  return records;
 }
 
 }  // namespace
 
 Spool::Spool(std::string folder, std::size_t disk_bytes, Report report)
     : folder_(std::move(folder)), disk_bytes_(disk_bytes), report_(std::move(report)) {
-  std::remove((folder_ + "/spool.new").c_str());  // of a compaction that was cut short
-  file_ = File::Open(folder_ + "/spool");
+  std::remove((folder_ + kCompactedFileName).c_str());  // of an interrupted compaction
+  file_ = File::Open(folder_ + kFileName);
   if (!file_.is_open()) {
     report_("spool unusable: " + folder_ + ": " + std::strerror(errno));
     return;
@@ -147,7 +51,7 @@
 
 Spool::Spool(std::string folder, Report report)
     : folder_(std::move(folder)), disk_bytes_(0), report_(std::move(report)) {
-  file_ = File::OpenToRead(folder_ + "/spool");
+  file_ = File::OpenToRead(folder_ + kFileName);
   if (!file_.is_open()) {
     report_("no spool in " + folder_ + ": " + std::strerror(errno));
     return;
@@ -159,171 +63,182 @@
   return Spool(std::move(folder), std::move(report));
 }
 
+std::vector<RecoveredMessage> Spool::Recover() {
+  std::vector<RecoveredMessage> recovered;
+  for (const auto& [number, open] : open_messages_) {
+    const std::size_t payload_bytes = open.record_bytes - spool::kFrameBytes;
+    const auto payload = file_.Read(open.offset + spool::kFrameBytes, payload_bytes);
+    auto record = payload ? spool::DecodePayload(*payload) : std::nullopt;
+    auto* accepted = record ? std::get_if<spool::MessageAccepted>(&*record) : nullptr;
+    if (accepted == nullptr) {
+      report_("spool: a message could not be read again");
+      continue;
+    }
+    recovered.push_back({number, std::move(accepted->message), open.attempts});
+  }
+  return recovered;
+}
+
+bool Spool::Accept(SpoolId number, const SpooledMessage& message) {
+  return Append(spool::MessageAccepted{number, message}, Space::kUnreserved);
+}
+
+bool Spool::BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at) {
+  const spool::AttemptStarted record{number, endpoint.substr(0, kMaxEndpointBytes), at};
+  return Append(record, Space::kReserved);
+}
+
+void Spool::MarkNotRun(SpoolId number, std::size_t attempt) {
+  Append(spool::AttemptNotRun{number, attempt}, Space::kReserved);
+}
+
+void Spool::Finish(SpoolId number) {
+  if (open_messages_.count(number) == 0) return;
+  if (!Append(spool::MessageFinished{number}, Space::kReserved)) {
+    report_("spool: an end could not be noted");
+  }
+}
+
+// ======== reading ========
+
 void Spool::Load() {
-  compacted_bytes_ = size_ = kMagic.size();
-  const std::size_t file_size = file_.Size().value_or(0);
-  if (file_.Read(0, kMagic.size()) != kMagic) {
-    if (file_size > 0) report_("spool damaged: no header; nothing can be read from it");
-    if (disk_bytes_ > 0 && (!file_.Truncate(0) || !file_.Write(0, kMagic))) {
+  compacted_bytes_ = file_bytes_ = kFileHeader.size();
+  const std::size_t stored_bytes = file_.Size().value_or(0);
+  const bool read_only = disk_bytes_ == 0;
+  if (file_.Read(0, kFileHeader.size()) != kFileHeader) {
+    if (stored_bytes > 0) report_("spool damaged: no header; nothing can be read from it");
+    if (!read_only && (!file_.Truncate(0) || !file_.Write(0, kFileHeader))) {
       report_("spool unusable: cannot write");
       file_ = File();
     }
     return;
   }
-  while (size_ < file_size) {
-    const auto frame = file_.Read(size_, kFrameBytes);
-    if (!frame) break;
-    Reader header(*frame);
-    const std::size_t length = header.Number(4);
-    const std::uint64_t checksum = header.Number(4);
-    if (length > kMaxPayloadBytes || size_ + kFrameBytes + length > file_size) break;
-    const auto payload = file_.Read(size_ + kFrameBytes, length);
-    if (!payload || Checksum(*payload) != checksum) break;
-    if (!Apply(*payload, size_, kFrameBytes + length)) break;
-    size_ += kFrameBytes + length;
+  while (const auto stored = ReadRecord(file_bytes_, stored_bytes)) {
+    const auto apply = [&](const auto& record) { return Apply(record, stored->extent); };
+    if (!std::visit(apply, stored->record)) break;
+    file_bytes_ += stored->extent.bytes;
   }
-  if (size_ < file_size) {
-    report_("spool tail unreadable: " + std::to_string(file_size - size_) + " bytes");
-    if (disk_bytes_ > 0) file_.Truncate(size_);
+  if (file_bytes_ < stored_bytes) {
+    report_("spool tail unreadable: " + std::to_string(stored_bytes - file_bytes_) + " bytes");
+    if (!read_only) file_.Truncate(file_bytes_);
   }
 }
 
-// Guards against a record that checks but does not make sense, as an older program might leave.
-bool Spool::Apply(std::string_view payload, std::size_t offset, std::size_t length) {
-  if (payload.empty()) return false;
-  Reader in(payload.substr(1));
-  const SpoolId number = in.Number();
-  next_number_ = std::max(next_number_, number + 1);
-  const auto found = open_messages_.find(number);
-  switch (static_cast<Kind>(payload[0])) {
-    case Kind::kAccepted:
-      ReadMessage(in);
-      if (!in.AtEnd() || found != open_messages_.end()) return false;
-      open_messages_[number] = {offset, length, {}};
-      compacted_bytes_ += length;
-      return true;
-    case Kind::kAttemptStarted: {
-      SpooledAttempt attempt;
-      attempt.endpoint = in.Text();
-      attempt.started_at = UnixMs(static_cast<std::int64_t>(in.Number()));
-      if (!in.AtEnd()) return false;
-      if (found == open_messages_.end()) return true;
-      found->second.attempts.push_back(std::move(attempt));
-      compacted_bytes_ += length;
-      return true;
-    }
-    case Kind::kAttemptNotRun: {
-      const std::size_t index = in.Number();
-      if (!in.AtEnd()) return false;
-      if (found == open_messages_.end() || index >= found->second.attempts.size()) return true;
-      found->second.attempts[index].known_not_run = true;
-      compacted_bytes_ += length;
-      return true;
-    }
-    case Kind::kFinished:
-      if (!in.AtEnd()) return false;
-      if (found == open_messages_.end()) return true;
-      compacted_bytes_ -= found->second.length;
-      for (std::size_t i = 0; i < found->second.attempts.size(); ++i) {
-        const SpooledAttempt& attempt = found->second.attempts[i];
-        compacted_bytes_ -=
-            kFrameBytes + EncodeAttemptStarted(number, attempt.endpoint, attempt.started_at).size();
-        if (attempt.known_not_run)
-          compacted_bytes_ -= kFrameBytes + EncodeAttemptNotRun(number, i).size();
-      }
-      open_messages_.erase(found);
-      return true;
+// Nothing at the end of the file, and from a damaged record on.
+std::optional<Spool::StoredRecord> Spool::ReadRecord(std::size_t offset,
+                                                     std::size_t stored_bytes) const {
+  if (offset >= stored_bytes) return std::nullopt;
+  const auto frame = file_.Read(offset, spool::kFrameBytes);
+  if (!frame) return std::nullopt;
+  const spool::FrameHeader header = spool::DecodeFrameHeader(*frame);
+  const std::size_t record_bytes = spool::kFrameBytes + header.payload_bytes;
+  if (header.payload_bytes > spool::kMaxPayloadBytes || offset + record_bytes > stored_bytes) {
+    return std::nullopt;
   }
-  return false;
+  const auto payload = file_.Read(offset + spool::kFrameBytes, header.payload_bytes);
+  if (!payload || !spool::IsIntact(header, *payload)) return std::nullopt;
+  auto record = spool::DecodePayload(*payload);
+  if (!record) return std::nullopt;
+  return StoredRecord{std::move(*record), {offset, record_bytes}};
 }
 
-std::vector<RecoveredMessage> Spool::Recover() {
-  std::vector<RecoveredMessage> recovered;
-  for (const auto& [number, open] : open_messages_) {
-    const auto record = file_.Read(open.offset, open.length);
-    if (!record) {
-      report_("spool: a message could not be read again");
-      continue;
-    }
-    Reader in(std::string_view(*record).substr(kFrameBytes + 1));
-    in.Number();
-    recovered.push_back({number, ReadMessage(in), open.attempts});
-  }
-  return recovered;
+// ======== what a record changes ========
+
+bool Spool::Apply(const spool::MessageAccepted& record, const Extent& extent) {
+  next_number_ = std::max(next_number_, record.number + 1);
+  const OpenMessage opened{extent.offset, extent.bytes, {}};
+  if (!open_messages_.emplace(record.number, opened).second) return false;
+  compacted_bytes_ += extent.bytes;
+  return true;
 }
 
-// The compacted file must fit beside the one in use.
-bool Spool::Fits(std::size_t file, std::size_t open) const {
-  return RoundUpToBlocks(file) + RoundUpToBlocks(open) <= disk_bytes_;
+bool Spool::Apply(const spool::AttemptStarted& record, const Extent& extent) {
+  next_number_ = std::max(next_number_, record.number + 1);
+  const auto found = open_messages_.find(record.number);
+  if (found == open_messages_.end()) return true;
+  found->second.attempts.push_back({.endpoint = record.endpoint, .started_at = record.started_at});
+  compacted_bytes_ += extent.bytes;
+  return true;
 }
 
-bool Spool::Append(const std::string& payload, bool use_reserve) {
-  if (!file_.is_open()) return false;
-  const std::string record = Frame(payload);
-  const std::size_t reserve = use_reserve ? 0 : kReservedBytes;
-  const auto fits = [&] {
-    return Fits(size_ + record.size() + reserve, compacted_bytes_ + record.size() + reserve);
-  };
-  const bool mostly_obsolete = size_ > compacted_bytes_ + kCompactionThresholdBytes;
-  const bool should_compact = mostly_obsolete || (!fits() && size_ > compacted_bytes_);
-  // Guards against a failing disk that is written anew for each record.
-  if (should_compact && size_ >= next_compaction_size_ && !Compact())
-    next_compaction_size_ = size_ + kCompactionThresholdBytes;
-  if (!fits() || !file_.Write(size_, record)) return false;
-  Apply(payload, size_, record.size());
-  size_ += record.size();
+bool Spool::Apply(const spool::AttemptNotRun& record, const Extent& extent) {
+  next_number_ = std::max(next_number_, record.number + 1);
+  const auto found = open_messages_.find(record.number);
+  if (found == open_messages_.end()) return true;
+  std::vector<SpooledAttempt>& attempts = found->second.attempts;
+  if (record.attempt >= attempts.size()) return true;
+  attempts[record.attempt].known_not_run = true;
+  compacted_bytes_ += extent.bytes;
   return true;
 }
 
-bool Spool::Accept(SpoolId number, const SpooledMessage& message) {
-  return Append(EncodeAccepted(number, message), false);
+bool Spool::Apply(const spool::MessageFinished& record, const Extent&) {
+  next_number_ = std::max(next_number_, record.number + 1);
+  const auto found = open_messages_.find(record.number);
+  if (found == open_messages_.end()) return true;
+  compacted_bytes_ -= found->second.record_bytes;
+  compacted_bytes_ -= EncodeAttempts(record.number, found->second.attempts).size();
+  open_messages_.erase(found);
+  return true;
 }
 
-bool Spool::BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at) {
-  return Append(EncodeAttemptStarted(number, endpoint.substr(0, kMaxEndpointBytes), at), true);
+// ======== writing ========
+
+template <typename Record>
+bool Spool::Append(const Record& record, Space space) {
+  if (!file_.is_open()) return false;
+  const std::string bytes = spool::Encode(record);
+  const std::size_t additional_bytes =
+      bytes.size() + (space == Space::kUnreserved ? kReservedBytes : 0);
+  if (IsCompactionDue(additional_bytes) && !Compact()) {
+    // On a failing disk, not again for each record.
+    next_compaction_bytes_ = file_bytes_ + kCompactionThresholdBytes;
+  }
+  if (!Fits(additional_bytes) || !file_.Write(file_bytes_, bytes)) return false;
+  Apply(record, {file_bytes_, bytes.size()});
+  file_bytes_ += bytes.size();
+  return true;
 }
 
-void Spool::MarkNotRun(SpoolId number, std::size_t attempt) {
-  Append(EncodeAttemptNotRun(number, attempt), true);
+// The file and its compaction must fit on the disk together.
+bool Spool::Fits(std::size_t additional_bytes) const {
+  return RoundUpToBlocks(file_bytes_ + additional_bytes) +
+             RoundUpToBlocks(compacted_bytes_ + additional_bytes) <=
+         disk_bytes_;
 }
 
-void Spool::Finish(SpoolId number) {
-  if (open_messages_.count(number) == 0) return;
-  if (!Append(Writer(Kind::kFinished).Number(number).Take(), true)) {
-    report_("spool: an end could not be noted");
-  }
+bool Spool::IsCompactionDue(std::size_t additional_bytes) const {
+  if (file_bytes_ < next_compaction_bytes_) return false;
+  if (file_bytes_ > compacted_bytes_ + kCompactionThresholdBytes) return true;
+  return !Fits(additional_bytes) && file_bytes_ > compacted_bytes_;
 }
 
-// Writes what is owed to a new file, which then takes the old one's name.
+// Writes the open messages to a new file, which then replaces the old one.
 bool Spool::Compact() {
-  const std::string path = folder_ + "/spool.new";
-  File next = File::OpenEmpty(path);
+  const std::string path = folder_ + kCompactedFileName;
+  File compacted = File::OpenEmpty(path);
   std::size_t size = 0;
-  std::map<SpoolId, std::size_t> offsets;
   const auto write = [&](std::string_view bytes) {
-    if (!next.is_open() || !next.Write(size, bytes)) return false;
+    if (!compacted.is_open() || !compacted.Write(size, bytes)) return false;
     size += bytes.size();
     return true;
   };
-  bool written = write(kMagic);
+  std::map<SpoolId, std::size_t> offsets;
+  bool written = write(kFileHeader);
   for (const auto& [number, open] : open_messages_) {
+    if (!written) break;
     offsets[number] = size;
-    const auto record = file_.Read(open.offset, open.length);
-    written = written && record && write(*record);
-    for (std::size_t i = 0; written && i < open.attempts.size(); ++i) {
-      const SpooledAttempt& attempt = open.attempts[i];
-      written = write(Frame(EncodeAttemptStarted(number, attempt.endpoint, attempt.started_at))) &&
-                (!attempt.known_not_run || write(Frame(EncodeAttemptNotRun(number, i))));
-    }
+    const auto accepted = file_.Read(open.offset, open.record_bytes);
+    written = accepted && write(*accepted) && write(EncodeAttempts(number, open.attempts));
   }
-  if (!written || std::rename(path.c_str(), (folder_ + "/spool").c_str()) != 0) {
+  if (!written || std::rename(path.c_str(), (folder_ + kFileName).c_str()) != 0) {
     report_("spool: could not be compacted");
     std::remove(path.c_str());
     return false;
   }
-  file_ = std::move(next);
-  size_ = size;
-  for (auto& [number, offset] : offsets) open_messages_[number].offset = offset;
+  file_ = std::move(compacted);
+  file_bytes_ = size;
+  for (const auto& [number, offset] : offsets) open_messages_[number].offset = offset;
   return true;
 }
 
--- /dev/null
+++ b/src/spool/spool_record.hpp
@@ -0,0 +1,94 @@
+// The codec of the spool's records, and the only place that knows their stored form.
+//
+// A stored record is a frame (the payload's length and its CRC-32, 4 bytes each) and the payload: a
+// tag of one byte and the fields of that kind of record. Numbers are stored low byte first, texts
+// behind their length in 4 bytes. Files of earlier versions must stay readable: tags and fields may
+// be added, never changed. No I/O.
+#ifndef BRASSFRONT_SPOOL_SPOOL_RECORD_HPP_
+#define BRASSFRONT_SPOOL_SPOOL_RECORD_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace brassfront {
+
+using UnixMs = std::chrono::milliseconds;  // since 1970
+using SpoolId = std::uint64_t;             // of a message; not reused in the file's life
+
+// A message as it was accepted.
+struct SpooledMessage {
+  std::string id;  // the client's
+  std::string key;
+  std::string class_name;
+  std::string tenant_name;
+  std::uint64_t destination = 0;
+  UnixMs deadline{};
+  std::string body;
+};
+
+namespace spool {
+
+// ---- the kinds of records ----
+
+struct MessageAccepted {
+  SpoolId number = 0;
+  SpooledMessage message;
+};
+
+// Written before the attempt's first byte is sent.
+struct AttemptStarted {
+  SpoolId number = 0;
+  std::string endpoint;
+  UnixMs started_at{};
+};
+
+// The attempt is known not to have run at the endpoint.
+struct AttemptNotRun {
+  SpoolId number = 0;
+  std::size_t attempt = 0;  // index among the message's AttemptStarted records
+};
+
+// The message is no longer owed.
+struct MessageFinished {
+  SpoolId number = 0;
+};
+
+using Record = std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageFinished>;
+
+// ---- encoding ----
+
+// The stored record, its frame included.
+std::string Encode(const MessageAccepted& record);
+std::string Encode(const AttemptStarted& record);
+std::string Encode(const AttemptNotRun& record);
+std::string Encode(const MessageFinished& record);
+
+// ---- decoding ----
+
+inline constexpr std::size_t kFrameBytes = 8;
+// A stored length above this is taken for damage, before anything is read for it.
+inline constexpr std::size_t kMaxPayloadBytes = 1 << 20;
+
+struct FrameHeader {
+  std::size_t payload_bytes = 0;
+  std::uint32_t checksum = 0;
+};
+
+// From kFrameBytes bytes. The length may be damaged: compare it with kMaxPayloadBytes and the file.
+[[nodiscard]] FrameHeader DecodeFrameHeader(std::string_view bytes);
+
+// True if the payload has the length and the checksum that its frame says.
+[[nodiscard]] bool IsIntact(const FrameHeader& header, std::string_view payload);
+
+// Nothing if the tag is unknown or the fields are not exactly the kind's.
+[[nodiscard]] std::optional<Record> DecodePayload(std::string_view payload);
+
+}  // namespace spool
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_SPOOL_SPOOL_RECORD_HPP_
