Split the configuration's reader by the groups of its settings

ReadSettings read forty fields of five groups in one function. A file with two faults in different groups may have the other one reported first; one fault is reported as before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "config/json_fields.hpp"
 #include "protocol/json.hpp"
 
 namespace brassfront {
@@ -15,92 +16,84 @@
 
 constexpr std::size_t kMegabyte = 1'000'000;
 constexpr std::size_t kMaxConfigBytes = 4 << 20;
-
-double NumberOr(const Value& in, std::string_view name, double absent) {
-  const Value* value = in.Find(name);
-  return value == nullptr ? absent : value->Number();
-}
-
-std::size_t WholeOr(const Value& in, std::string_view name, std::size_t absent) {
-  const Value* value = in.Find(name);
-  return value == nullptr ? absent : value->Whole();
-}
-
-nanoseconds TimeOr(const Value& in, std::string_view name, nanoseconds absent = {}) {
-  return nanoseconds(WholeOr(in, name, static_cast<std::size_t>(absent.count())));
-}
-
-bool FlagOr(const Value& in, std::string_view name, bool absent) {
-  const Value* value = in.Find(name);
-  return value == nullptr ? absent : value->Flag();
+constexpr nanoseconds kDefaultDecisionInterval = std::chrono::milliseconds(5);
+constexpr nanoseconds kDefaultConnectionIdle = std::chrono::seconds(15);
+constexpr nanoseconds kDefaultConnectTimeout = std::chrono::milliseconds(1500);
+
+// ======== classes, tenants, kinds, zones ========
+
+// An effect that is missing or unknown counts as not idempotent, which never runs a message twice;
+// a warning tells of it.
+dispatch_policy::Effect ReadEffect(const Value& message_class, std::vector<std::string>& warnings) {
+  const std::string effect = TextOr(message_class, "effect", "");
+  if (effect == "pure") return dispatch_policy::Effect::kIdempotent;
+  if (effect == "token") return dispatch_policy::Effect::kIdempotentWithKey;
+  if (effect != "side_effect") {
+    warnings.push_back("class " + TextOr(message_class, "name", "?") + ": effect '" + effect +
+                       "' is not pure, token or side_effect; it is never repeated");
+  }
+  return dispatch_policy::Effect::kNotIdempotent;
 }
 
-std::string TextOr(const Value& in, std::string_view name, std::string_view absent) {
-  const Value* value = in.Find(name);
-  return value == nullptr ? std::string(absent) : value->Text();
+dispatch_policy::ClassSettings ReadClass(const Value& message_class,
+                                         std::vector<std::string>& warnings) {
+  dispatch_policy::ClassSettings settings;
+  settings.latency_objective = nanoseconds(message_class.At("goal-time").Whole());
+  settings.deadline = nanoseconds(message_class.At("hard-limit").Whole());
+  settings.effect = ReadEffect(message_class, warnings);
+  if (TextOr(message_class, "key-scope", "all") == "zone") {
+    settings.dedup_scope = dispatch_policy::DedupScope::kZone;
+  }
+  settings.dedup_window = TimeOr(message_class, "dedup-window", {});
+  settings.priority_weight = NumberOr(message_class, "worth", settings.priority_weight);
+  settings.late_weight_share = NumberOr(message_class, "late-worth", settings.late_weight_share);
+  settings.ordered = FlagOr(message_class, "sequential", settings.ordered);
+  return settings;
 }
 
-const Value::Array& ItemsOrNone(const Value& in, std::string_view name) {
-  static const Value::Array kNone;
-  const Value* value = in.Find(name);
-  return value == nullptr ? kNone : value->Items();
+void ReadClasses(const Value& settings, Config& config) {
+  for (const Value& message_class : settings.At("classes").Items()) {
+    config.policy_settings.classes.push_back(ReadClass(message_class, config.warnings));
+    config.class_names.push_back(message_class.At("name").Text());
+  }
+  if (config.class_names.empty()) throw ConfigError("settings name no class");
 }
 
-const Value& GroupOrNone(const Value& in, std::string_view name) {
-  static const Value kNone;
-  const Value* value = in.Find(name);
-  return value == nullptr ? kNone : *value;
+void ReadTenants(const Value& settings, Config& config) {
+  for (const Value& tenant : ItemsOrNone(settings, "realms")) {
+    config.policy_settings.tenants.push_back({NumberOr(tenant, "quota-rps", 0)});
+    config.tenant_names.push_back(tenant.At("name").Text());
+  }
 }
 
-std::vector<std::string> Names(const Value& in, std::string_view list) {
+std::vector<std::string> ReadNames(const Value& settings, std::string_view field) {
   std::vector<std::string> names;
-  for (const Value& item : ItemsOrNone(in, list)) names.push_back(item.Text());
+  for (const Value& name : ItemsOrNone(settings, field)) names.push_back(name.Text());
   return names;
 }
 
-// A class whose repeat rule is missing or unknown is taken for one that must never run twice: the
-// safe reading, told in `warnings`.
-dispatch_policy::ClassSettings ReadClass(const Value& in, std::vector<std::string>& warnings) {
-  dispatch_policy::ClassSettings settings;
-  settings.latency_objective = nanoseconds(in.At("goal-time").Whole());
-  settings.deadline = nanoseconds(in.At("hard-limit").Whole());
-  const std::string effect = TextOr(in, "effect", "");
-  if (effect == "pure") {
-    settings.effect = dispatch_policy::Effect::kIdempotent;
-  } else if (effect == "token") {
-    settings.effect = dispatch_policy::Effect::kIdempotentWithKey;
-  } else if (effect != "side_effect") {
-    warnings.push_back("class " + TextOr(in, "name", "?") + ": effect '" + effect +
-                       "' is not pure, token or side_effect; it is never repeated");
-  }
-  if (TextOr(in, "key-scope", "all") == "zone")
-    settings.dedup_scope = dispatch_policy::DedupScope::kZone;
-  settings.dedup_window = TimeOr(in, "dedup-window");
-  settings.priority_weight = NumberOr(in, "worth", settings.priority_weight);
-  settings.late_weight_share = NumberOr(in, "late-worth", settings.late_weight_share);
-  settings.ordered = FlagOr(in, "sequential", settings.ordered);
-  return settings;
-}
-
-std::vector<dispatch_policy::KindSettings> ReadKinds(const Value& family, std::size_t count) {
-  const Value::Array& batches = ItemsOrNone(family, "bundle-max");
+// As many kinds as the longest of the lists tells of.
+std::vector<dispatch_policy::KindSettings> ReadKinds(const Value& family, std::size_t named_kinds) {
+  const Value::Array& max_batches = ItemsOrNone(family, "bundle-max");
   const Value::Array& own_limits = ItemsOrNone(family, "own-limits");
-  std::vector<dispatch_policy::KindSettings> kinds(
-      std::max({count, batches.size(), own_limits.size()}));
-  for (std::size_t i = 0; i < batches.size(); ++i) kinds[i].max_batch = batches[i].Whole();
-  for (std::size_t i = 0; i < own_limits.size(); ++i)
+  const std::size_t count = std::max({named_kinds, max_batches.size(), own_limits.size()});
+  std::vector<dispatch_policy::KindSettings> kinds(count);
+  for (std::size_t i = 0; i < max_batches.size(); ++i) kinds[i].max_batch = max_batches[i].Whole();
+  for (std::size_t i = 0; i < own_limits.size(); ++i) {
     kinds[i].per_endpoint_limits = own_limits[i].Flag();
+  }
   return kinds;
 }
 
-// One figure for each zone, or one for all; what is not a number of points from 0 to 1 counts as 0.
+// One penalty for each zone, or one for all; one that is not from 0 to 1 counts as 0, and a warning
+// tells of it.
 std::vector<double> ReadZonePenalties(const Value& family, std::size_t zones,
                                       std::vector<std::string>& warnings) {
   const Value* given = family.Find("toll");
   if (given == nullptr) return {};
   std::vector<double> penalties;
   if (given->IsArray()) {
-    for (const Value& item : given->Items()) penalties.push_back(item.Number());
+    for (const Value& penalty : given->Items()) penalties.push_back(penalty.Number());
   } else {
     penalties.assign(std::max<std::size_t>(zones, 1), given->Number());
   }
@@ -113,79 +106,95 @@
   return penalties;
 }
 
-void ReadSettings(const Value& in, Config& config) {
+void ReadFamily(const Value& settings, Config& config) {
+  const Value& family = GroupOrNone(settings, "family-info");
   dispatch_policy::Settings& policy = config.policy_settings;
-  const Value& family = GroupOrNone(in, "family-info");
-  const Value& limits = GroupOrNone(in, "limits");
-  const Value& rules = GroupOrNone(in, "rules");
-  for (const Value& item : in.At("classes").Items()) {
-    policy.classes.push_back(ReadClass(item, config.warnings));
-    config.class_names.push_back(item.At("name").Text());
-  }
-  if (policy.classes.empty()) throw ConfigError("settings name no class");
-  for (const Value& item : ItemsOrNone(in, "realms")) {
-    policy.tenants.push_back({NumberOr(item, "quota-rps", 0)});
-    config.tenant_names.push_back(item.At("name").Text());
-  }
-  config.kind_names = Names(in, "shapes");
-  config.zone_names = Names(in, "zones");
   policy.kinds = ReadKinds(family, config.kind_names.size());
   policy.zone_penalty = ReadZonePenalties(family, config.zone_names.size(), config.warnings);
-  if (TextOr(family, "loses-worth", "line") == "halves")
+  if (TextOr(family, "loses-worth", "line") == "halves") {
     policy.decay = dispatch_policy::Decay::kHalving;
-  const std::string weights = TextOr(in, "weight-source", "none");
-  if (weights == "nominal") policy.weights = dispatch_policy::WeightMeaning::kRate;
-  if (weights == "rough") policy.weights = dispatch_policy::WeightMeaning::kApproximateRate;
-  policy.over_quota_weight_share = NumberOr(in, "over-share-worth", policy.over_quota_weight_share);
+  }
   policy.max_concurrent_calls = WholeOr(family, "workers", 0);
+}
+
+// ======== limits and rules ========
+
+void ReadPolicyLimits(const Value& settings, Config& config) {
+  const Value& limits = GroupOrNone(settings, "limits");
+  dispatch_policy::Settings& policy = config.policy_settings;
   policy.max_in_flight = WholeOr(limits, "open-cap", 0);
   policy.max_attempts = WholeOr(limits, "max-attempts", 0);
   policy.health_checks_allowed = FlagOr(limits, "probes", false);
   policy.cancel_allowed = FlagOr(limits, "may-cancel", false);
   policy.clients_honor_retry_after = FlagOr(limits, "retry-after", false);
-  policy.subscribe_to_endpoint_list = TextOr(in, "discovery", "push") == "ask";
-  policy.max_retry_after = TimeOr(limits, "max-retry-after");
-  policy.decision_interval = TimeOr(in, "tick", std::chrono::milliseconds(5));
+  policy.max_retry_after = TimeOr(limits, "max-retry-after", {});
+  config.connection_idle = TimeOr(limits, "conn-idle", kDefaultConnectionIdle);
+  config.connect_timeout = TimeOr(limits, "connect-timeout", kDefaultConnectTimeout);
+}
+
+void ReadRules(const Value& settings, dispatch_policy::Settings& policy) {
+  const Value& rules = GroupOrNone(settings, "rules");
   policy.slow_start_share = NumberOr(rules, "cold-share", policy.slow_start_share);
-  policy.slow_start_duration = TimeOr(rules, "cold");
+  policy.slow_start_duration = TimeOr(rules, "cold", {});
   policy.collapse_load_multiple = NumberOr(rules, "fall-multiple", policy.collapse_load_multiple);
-  policy.collapse_window = TimeOr(rules, "fall");
-  policy.ordering_cooldown = TimeOr(rules, "settle-after-doubt");
-  policy.group_size = WholeOr(in, "group-size", 1);
-  config.connection_idle = TimeOr(limits, "conn-idle", std::chrono::seconds(15));
-  config.connect_timeout = TimeOr(limits, "connect-timeout", std::chrono::milliseconds(1500));
+  policy.collapse_window = TimeOr(rules, "fall", {});
+  policy.ordering_cooldown = TimeOr(rules, "settle-after-doubt", {});
+}
+
+// Those that stand in no group.
+void ReadGeneral(const Value& settings, dispatch_policy::Settings& policy) {
+  const std::string weights = TextOr(settings, "weight-source", "none");
+  if (weights == "nominal") policy.weights = dispatch_policy::WeightMeaning::kRate;
+  if (weights == "rough") policy.weights = dispatch_policy::WeightMeaning::kApproximateRate;
+  policy.over_quota_weight_share =
+      NumberOr(settings, "over-share-worth", policy.over_quota_weight_share);
+  policy.subscribe_to_endpoint_list = TextOr(settings, "discovery", "push") == "ask";
+  policy.decision_interval = TimeOr(settings, "tick", kDefaultDecisionInterval);
+  policy.group_size = WholeOr(settings, "group-size", 1);
 }
 
-std::uint64_t ReadSeed(const std::string& text) {
+void ReadSettings(const Value& settings, Config& config) {
+  ReadClasses(settings, config);
+  ReadTenants(settings, config);
+  config.kind_names = ReadNames(settings, "shapes");
+  config.zone_names = ReadNames(settings, "zones");
+  ReadFamily(settings, config);
+  ReadGeneral(settings, config.policy_settings);
+  ReadPolicyLimits(settings, config);
+  ReadRules(settings, config.policy_settings);
+}
+
+// ======== the forwarder's own fields ========
+
+std::uint64_t ParseSeed(const std::string& text) {
   std::uint64_t seed = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, seed, 16);
+  if (text.empty() || error != std::errc() || stop != end) {
     throw ConfigError("the seed is not a hexadecimal number");
   }
   return seed;
 }
 
-Limits ReadLimits(const Value& in) {
-  Limits limits;
-  limits.memory_bytes = in.At("memory_mb").Whole() * kMegabyte;
-  limits.sockets = in.At("sockets").Whole();
-  limits.disk_bytes = in.At("disk_mb").Whole() * kMegabyte;
-  return limits;
+Limits ReadLimits(const Value& limits) {
+  return {.memory_bytes = limits.At("memory_mb").Whole() * kMegabyte,
+          .sockets = limits.At("sockets").Whole(),
+          .disk_bytes = limits.At("disk_mb").Whole() * kMegabyte};
 }
 
 }  // namespace
 
 Config ParseConfig(std::string_view text) {
   try {
-    const Value in = json::Parse(text, {.bytes = kMaxConfigBytes});
+    const Value file = json::Parse(text, {.bytes = kMaxConfigBytes});
     Config config;
-    config.name = in.At("name").Text();
-    config.listen = in.At("listen").Text();
-    config.discovery = in.At("discovery").Text();
-    config.seed = ReadSeed(in.At("seed").Text());
-    config.limits = ReadLimits(in.At("limits"));
-    config.known = ReadMemberList(in.At("known"));
-    ReadSettings(in.At("settings"), config);
+    config.name = file.At("name").Text();
+    config.listen = file.At("listen").Text();
+    config.discovery = file.At("discovery").Text();
+    config.seed = ParseSeed(file.At("seed").Text());
+    config.limits = ReadLimits(file.At("limits"));
+    config.known = ReadMemberList(file.At("known"));
+    ReadSettings(file.At("settings"), config);
     return config;
   } catch (const json::Error& error) {
     throw ConfigError(error.what());
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -1,8 +1,9 @@
-// What a forwarder is told at its start.
+// What a forwarder is told at its start and on a reload: its configuration file, which is JSON.
 #ifndef BRASSFRONT_CONFIG_CONFIG_HPP_
 #define BRASSFRONT_CONFIG_CONFIG_HPP_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -14,10 +15,12 @@
 
 namespace brassfront {
 
+// The configuration can't be used; its text is one line for people that names the fault.
 class ConfigError : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
+// What the platform lets the forwarder use.
 struct Limits {
   std::size_t memory_bytes = 0;
   std::size_t sockets = 0;
@@ -25,28 +28,29 @@
 };
 
 struct Config {
-  std::string name;
-  std::string listen;     // host:port
-  std::string discovery;  // host:port
+  std::string name;       // of this forwarder
+  std::string listen;     // IPv4:PORT, for clients
+  std::string discovery;  // IPv4:PORT
   std::uint64_t seed = 0;
   Limits limits;
-  MemberList known;
+  MemberList known;  // the endpoint list as it was when the file was written
 
-  // Of the settings: what the module is told, and the names that stand for its numbers.
   dispatch_policy::Settings policy_settings;
+  // The names of what the policy knows by index.
   std::vector<std::string> class_names;
   std::vector<std::string> tenant_names;
   std::vector<std::string> kind_names;
   std::vector<std::string> zone_names;
-  std::chrono::nanoseconds connection_idle{};
-  std::chrono::nanoseconds connect_timeout{};
-  // What was unsuited and has been given a safe default, a line each: the program starts with it.
+
+  std::chrono::nanoseconds connection_idle{};  // after which an endpoint closes an idle connection
+  std::chrono::nanoseconds connect_timeout{};  // for a connection to an endpoint
+  // Settings that are not valid and were replaced by safe defaults, a line for people each.
   std::vector<std::string> warnings;
 };
 
-// Both throw ConfigError with one line that names the fault.
-Config ParseConfig(std::string_view text);
-Config LoadConfig(const std::string& path);
+// Both throw ConfigError.
+[[nodiscard]] Config ParseConfig(std::string_view text);
+[[nodiscard]] Config LoadConfig(const std::string& path);
 
 }  // namespace brassfront
 
