Document the threads, the thread pool and the bounded queue

What each caller must know, in plain terms: who may call, what waits, what ends. No change of behaviour; the body of a thread is a named function in place of a lambda.

--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -1,4 +1,4 @@
-// The commands that look at what a forwarder reads and keeps: its configuration and its spool.
+// The sub-commands that inspect a forwarder's files without running it: check-config, spool.
 #include <cxxopts.hpp>
 #include <iostream>
 
--- a/src/concurrency/bounded_queue.hpp
+++ b/src/concurrency/bounded_queue.hpp
@@ -1,4 +1,4 @@
-// A bounded queue between threads. A full one makes its writers wait; a closed one takes nothing.
+// A bounded queue between threads.
 #ifndef BRASSFRONT_CONCURRENCY_BOUNDED_QUEUE_HPP_
 #define BRASSFRONT_CONCURRENCY_BOUNDED_QUEUE_HPP_
 
@@ -12,12 +12,14 @@
 
 namespace brassfront {
 
+// First in, first out. Writers wait while it is full, readers while it is empty. Any thread may
+// call any method.
 template <typename T>
 class BoundedQueue {
  public:
   explicit BoundedQueue(std::size_t capacity) : capacity_(capacity) {}
 
-  // False if the queue is closed: the value is dropped.
+  // Waits while the queue is full. False if it is closed: the value is dropped.
   bool Push(T value) {
     std::unique_lock lock(mutex_);
     not_full_.wait(lock, [this] { return closed_ || values_.size() < capacity_; });
@@ -28,20 +30,21 @@
     return true;
   }
 
-  // Nothing if the time came first or the queue is closed and empty.
+  // Nothing if the time came first, or if the queue is closed and empty.
   std::optional<T> PopUntil(std::chrono::steady_clock::time_point time) {
     std::unique_lock lock(mutex_);
     not_empty_.wait_until(lock, time, [this] { return closed_ || !values_.empty(); });
     return PopFront(lock);
   }
 
-  // Waits as long as it takes; nothing if the queue is closed and empty.
+  // Waits for as long as it takes. Nothing if the queue is closed and empty.
   std::optional<T> Pop() {
     std::unique_lock lock(mutex_);
     not_empty_.wait(lock, [this] { return closed_ || !values_.empty(); });
     return PopFront(lock);
   }
 
+  // From now on nothing is pushed; what the queue holds can still be popped.
   void Close() {
     {
       const std::lock_guard lock(mutex_);
@@ -52,6 +55,7 @@
   }
 
  private:
+  // Releases the lock.
   std::optional<T> PopFront(std::unique_lock<std::mutex>& lock) {
     if (values_.empty()) return std::nullopt;
     std::optional<T> value(std::move(values_.front()));
@@ -62,16 +66,16 @@
   }
 
   const std::size_t capacity_;
-  std::mutex mutex_;
-  std::condition_variable not_full_, not_empty_;
+  std::mutex mutex_;  // guards what follows
+  std::condition_variable not_full_;
+  std::condition_variable not_empty_;
   std::deque<T> values_;
   bool closed_ = false;
 };
 
-// Hands over what the queue holds until the time has come, or until it is empty and then one more
-// or the time. `due` gives that time anew after each value, for a value may bring it forward.
-// Guards against a queue that is filled as fast as it is emptied, before which nothing else would
-// get a turn.
+// Waits for a value until `due()`, then handles what the queue holds, until it is empty or `due()`
+// has come. `due` is called anew after each value, which may bring that time forward. The bound
+// lets the caller do its other work though the queue is filled as fast as it is emptied.
 template <typename T, typename Due, typename Clock, typename Handle>
 void DrainUntil(BoundedQueue<T>& queue, Due due, Clock now, Handle handle) {
   auto value = queue.PopUntil(due());
--- a/src/concurrency/thread.hpp
+++ b/src/concurrency/thread.hpp
@@ -1,39 +1,36 @@
-// Threads with small stacks, for the standard library offers no size.
-//
-// 128 KiB: the network and integration tests pass with 32 KiB in a Release build, and the
-// sanitizers need more. The deepest path is a discovery line through the JSON reader, which is
-// bounded; large data is on the heap or in pooled buffers. With the usual 8 MiB, 300 threads would
-// reserve 2.4 GB.
+// Threads with small stacks, as std::thread offers no choice of their size.
 #ifndef BRASSFRONT_CONCURRENCY_THREAD_HPP_
 #define BRASSFRONT_CONCURRENCY_THREAD_HPP_
 
 #include <pthread.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <utility>
 
 namespace brassfront {
 
+// Owns a running thread and joins it at its end. For one thread at a time.
 class Thread {
  public:
+  // The network and integration tests pass with 32 KiB in a Release build; the sanitizers need
+  // more. The deepest path is a discovery line through the JSON reader, which is bounded; large
+  // data is on the heap or in pooled buffers. With the usual 8 MiB, 300 threads would reserve 2.4
+  // GB.
   static constexpr std::size_t kStackBytes = 128 * 1024;
 
+  // No thread.
   Thread() = default;
-  // The name is what the system's tools show of it, up to 15 bytes.
+  // Starts a thread that runs the body. The system's tools show the name, up to 15 bytes of it.
   Thread(const char* name, std::function<void()> body) {
-    auto held = std::make_unique<std::function<void()>>(std::move(body));
+    auto owned_body = std::make_unique<std::function<void()>>(std::move(body));
     pthread_attr_t attributes;
     pthread_attr_init(&attributes);
     pthread_attr_setstacksize(&attributes, kStackBytes);
-    const auto run = [](void* given) -> void* {
-      const std::unique_ptr<std::function<void()>> own(static_cast<std::function<void()>*>(given));
-      (*own)();
-      return nullptr;
-    };
-    started_ = pthread_create(&thread_, &attributes, run, held.get()) == 0;
+    started_ = pthread_create(&thread_, &attributes, Run, owned_body.get()) == 0;
     if (started_) {
-      held.release();
+      static_cast<void>(owned_body.release());  // the thread owns it now
       pthread_setname_np(thread_, name);
     }
     pthread_attr_destroy(&attributes);
@@ -46,14 +43,21 @@
     return *this;
   }
 
-  [[nodiscard]] bool started() const {
-    return started_;
-  }  // false where the system had no room for one
+  // False if the system could not start it, and once it has been joined.
+  [[nodiscard]] bool started() const { return started_; }
+  // Waits until the body has returned; at once if there is no thread.
   void Join() {
     if (std::exchange(started_, false)) pthread_join(thread_, nullptr);
   }
 
  private:
+  static void* Run(void* argument) {
+    const std::unique_ptr<std::function<void()>> body(
+        static_cast<std::function<void()>*>(argument));
+    (*body)();
+    return nullptr;
+  }
+
   pthread_t thread_{};
   bool started_ = false;
 };
--- a/src/concurrency/thread_pool.hpp
+++ b/src/concurrency/thread_pool.hpp
@@ -1,8 +1,4 @@
-// Small-stack threads that come as work does and go when there has been none for a while.
-//
-// Guards against hundreds of threads that wait for something: each of them costs the system time
-// whenever the process is stopped and let go on, which is how some platforms hold it to its share
-// of a core, and that time is taken from the threads that have work.
+// A pool of small-stack threads that grows with the work and shrinks when it has been idle.
 #ifndef BRASSFRONT_CONCURRENCY_THREAD_POOL_HPP_
 #define BRASSFRONT_CONCURRENCY_THREAD_POOL_HPP_
 
@@ -20,16 +16,21 @@
 
 namespace brassfront {
 
+// Hands each value to one of its threads. The number of threads follows the work at hand: on some
+// platforms a process is held to its share of a core by stopping and resuming it, and each waiting
+// thread makes that cost time which the working ones lose.
 template <typename T>
 class ThreadPool {
  public:
   struct Size {
-    std::size_t min_threads = 1;  // stay, whatever there is to do
+    std::size_t min_threads = 1;  // kept, however idle
     std::size_t max_threads = 1;
-    std::chrono::milliseconds idle_timeout{2000};  // after which one beyond the least goes
+    // After which an idle thread beyond the minimum ends.
+    std::chrono::milliseconds idle_timeout{2000};
   };
 
-  // Throws where the system has no room for the first of them.
+  // The threads call `handler`, several at once. Throws std::runtime_error if the system can't
+  // start a single thread.
   ThreadPool(const char* name, const Size& size, std::function<void(T)> handler)
       : name_(name), size_(size), handler_(std::move(handler)) {
     const std::lock_guard lock(mutex_);
@@ -37,7 +38,7 @@
     }
     if (workers_.empty()) throw std::runtime_error("no room for a thread");
   }
-  // Does what is waiting, and returns once all of it is done.
+  // Returns once all values have been handled.
   ~ThreadPool() {
     {
       const std::lock_guard lock(mutex_);
@@ -47,7 +48,8 @@
     for (Worker& worker : workers_) worker.thread.Join();
   }
 
-  // Never waits. Where the system has no room for a further thread, the others do the work.
+  // Any thread may call this. Never waits. If the system can't start a further thread, the others
+  // take over the work.
   void Submit(T value) {
     {
       const std::lock_guard lock(mutex_);
@@ -58,7 +60,8 @@
     not_empty_.notify_one();
   }
 
-  std::size_t threads() const {
+  // Threads that are running now.
+  [[nodiscard]] std::size_t threads() const {
     const std::lock_guard lock(mutex_);
     return RunningThreads();
   }
@@ -66,9 +69,10 @@
  private:
   struct Worker {
     Thread thread;
-    bool finished = false;
+    bool finished = false;  // to be joined by the next Submit
   };
 
+  // With the mutex held.
   bool StartThread() {
     Worker& worker = workers_.emplace_back();
     worker.thread = Thread(name_, [this, &worker] { Serve(worker); });
@@ -77,6 +81,7 @@
     return false;
   }
 
+  // The body of a thread; takes the mutex itself.
   void Serve(Worker& worker) {
     std::unique_lock lock(mutex_);
     while (true) {
@@ -100,6 +105,7 @@
     }
   }
 
+  // With the mutex held.
   std::size_t RunningThreads() const {
     std::size_t count = 0;
     for (const Worker& worker : workers_) count += worker.finished ? 0 : 1;
