--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -1,5 +1,5 @@
 // The client server against clients on loopback that behave badly. What is waited for has no limit
-// of its own: only a failure would wait for good.
+// of its own: only a failure would wait without end.
 #include "net/client_server.hpp"
 
 #include <doctest/doctest.h>
@@ -82,7 +82,8 @@
   CHECK(ToTheEnd(later).starts_with("-ERR "));
 }
 
-TEST_CASE_FIXTURE(Fixture, "a client that trickles is bound by the total, not by the gaps") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a client that trickles a command is closed after the total command time") {
   Start({.connections = 8, .command = std::chrono::milliseconds(200), .idle = kNever});
   Socket client = Client("*1\r\n$1000000\r\n");
   std::string got;
@@ -154,7 +155,7 @@
 
 // A drain, like a newcomer that needs the place, stops the reading of idle connections. A command
 // may have come just before, and is then read all the same: its answer is owed.
-TEST_CASE("a command that crosses our own end of a connection is answered or was not read") {
+TEST_CASE("a command that crosses a drain is either answered or was not executed") {
   int crossed = 0;
   for (int round = 0; round < 1000; ++round) {
     Fixture fixture;
@@ -174,23 +175,26 @@
   CHECK(crossed > 0);
 }
 
-TEST_CASE_FIXTURE(Fixture, "pipelined commands are answered in order, invalid ones up to a limit") {
+TEST_CASE_FIXTURE(Fixture, "pipelined commands are answered in order") {
+  Start({.connections = 2, .command = kNever, .idle = kNever, .max_invalid_commands = 3});
+  std::string pipelined;
+  for (int i = 0; i < 600; ++i) pipelined += kPing;
+  Socket client = Client(pipelined);
+  for (int i = 0; i < 600; ++i) REQUIRE(Line(client) == "+PONG\r\n");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection is closed after too many invalid commands in a row") {
   Start({.connections = 2, .command = kNever, .idle = kNever, .max_invalid_commands = 3});
-  std::string together;
-  for (int i = 0; i < 600; ++i) together += kPing;
-  Socket good = Client(together);
-  for (int i = 0; i < 600; ++i) REQUIRE(Line(good) == "+PONG\r\n");
-  constexpr std::string_view kNoSuch = "*1\r\n$4\r\nNOPE\r\n";
-  const std::string put(kPut);  // in between, a good one starts the count anew
-  std::string bad = std::string(kNoSuch) + std::string(kNoSuch) + put;
-  for (int i = 0; i < 600; ++i) bad += kNoSuch;
-  Socket client = Client(bad);
+  const std::string invalid = "*1\r\n$4\r\nNOPE\r\n";
+  std::string pipelined = invalid + invalid + std::string(kPut);  // a valid one resets the count
+  for (int i = 0; i < 600; ++i) pipelined += invalid;
+  Socket client = Client(pipelined);
   const std::string error = "-ERR unknown command\r\n";
   CHECK(ToTheEnd(client) == error + error + "-BUSY\r\n" + error + error + error);
 }
 
 // A close over unread bytes reset the connection, and the reply just written went with it.
-TEST_CASE_FIXTURE(Fixture, "what comes while a last reply is written resets nothing") {
+TEST_CASE_FIXTURE(Fixture, "input during the last reply of a connection does not reset it") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
   acceptor.accepts = true;
   Socket client = Client();
@@ -206,7 +210,8 @@
 }
 
 // The same where the whole server ends meanwhile.
-TEST_CASE_FIXTURE(Fixture, "what comes while the last reply of all is written resets nothing") {
+TEST_CASE_FIXTURE(Fixture,
+                  "input during the last reply of the server does not reset its connection") {
   Start({.connections = 8, .command = kNever, .idle = kNever});
   acceptor.accepts = true;
   Socket client = Client(), other = Client(kPing);
@@ -226,7 +231,7 @@
   end.join();
 }
 
-TEST_CASE("the peer's end is told from our own, unread bytes or not") {
+TEST_CASE("the peer's end is seen behind unread input, and our own shutdown is not one") {
   Socket listener = Listen("127.0.0.1:0");
   Socket peer = NewSocket();
   REQUIRE(Connect(peer, AddressOf(listener), kNever));
@@ -241,7 +246,8 @@
   CHECK(ours.PeerHasEnded());
 }
 
-TEST_CASE_FIXTURE(Fixture, "the error line arrives though more was sent than is read") {
+TEST_CASE_FIXTURE(Fixture,
+                  "the error reply to a protocol error arrives though input is left unread") {
   Start({.connections = 2});
   Socket client = Client("*1\r\n$60000000\r\n" + std::string(300'000, 'x'));
   CHECK(ToTheEnd(client) == "-ERR protocol error\r\n");
--- a/tests/network/config_test.cpp
+++ b/tests/network/config_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 namespace brassfront {
 namespace {
@@ -19,7 +20,7 @@
 constexpr char kIdempotentWithKey[] =
     R"([{"name":"e","effect":"token","goal-time":1,"hard-limit":2,"dedup-window":1}])";
 
-TEST_CASE("a class without a repeat rule that is known is never repeated, and it is said") {
+TEST_CASE("a class without a known effect is not idempotent, with a warning") {
   for (const char* effect : {"", R"("effect":"twice",)"}) {
     const Config config = WithSettings(
         std::string(R"([{"name":"odd",)") + effect + R"("goal-time":1,"hard-limit":2}])", "{}");
@@ -31,15 +32,23 @@
   CHECK(WithSettings(kIdempotentWithKey, "{}").warnings.empty());
 }
 
-TEST_CASE("a toll is read for each zone, or one for all, and one out of range counts as none") {
-  CHECK(WithSettings(kIdempotentWithKey, R"({"toll":[0,0.03]})").policy_settings.zone_penalty ==
-        std::vector<double>{0, 0.03});
-  CHECK(WithSettings(kIdempotentWithKey, R"({"toll":0.01})").policy_settings.zone_penalty ==
-        std::vector<double>{0.01, 0.01});
+std::vector<double> ZonePenalties(const std::string& family) {
+  return WithSettings(kIdempotentWithKey, family).policy_settings.zone_penalty;
+}
+
+TEST_CASE("zone penalties are one for each zone, one for all, or none") {
+  CHECK(ZonePenalties(R"({"toll":[0,0.03]})") == std::vector<double>{0, 0.03});
+  CHECK(ZonePenalties(R"({"toll":0.01})") == std::vector<double>{0.01, 0.01});
+  CHECK(ZonePenalties("{}").empty());
+}
+
+TEST_CASE("a zone penalty out of range counts as 0, with a warning") {
   const Config bad = WithSettings(kIdempotentWithKey, R"({"toll":[0,-2]})");
   CHECK(bad.policy_settings.zone_penalty == std::vector<double>{0, 0});
   CHECK(bad.warnings.size() == 1);
-  CHECK(WithSettings(kIdempotentWithKey, "{}").policy_settings.zone_penalty.empty());
+}
+
+TEST_CASE("a zone penalty that is not a number is a fault") {
   CHECK_THROWS_AS(WithSettings(kIdempotentWithKey, R"({"toll":"much"})"), ConfigError);
 }
 
--- a/tests/network/discovery_watcher_test.cpp
+++ b/tests/network/discovery_watcher_test.cpp
@@ -1,6 +1,6 @@
 // The watch on discovery: its worst cases in virtual time, and against an agent on loopback that
-// behaves badly. What is waited for there has no limit of its own: only a failure would wait for
-// good.
+// behaves badly. What is waited for there has no limit of its own: only a failure would wait
+// without end.
 #include "net/discovery_watcher.hpp"
 
 #include <doctest/doctest.h>
@@ -20,7 +20,7 @@
 
 enum class Path { kSilent, kRefused, kSlowToRefuse, kWatchFellSilent, kWatchEnded };
 
-// How long after the moment from which discovery can be reached, and has a change, it is asked.
+// How long after the moment from which discovery can be reached, and has a change, it is polled.
 milliseconds NoticeDelay(Path path, std::size_t group, std::uint64_t seed, milliseconds down) {
   DiscoveryTimeouts times(group, seed);
   const DiscoveryTimeouts::Time start{milliseconds(10'000)};
@@ -47,7 +47,7 @@
   return std::chrono::duration_cast<milliseconds>(now - reachable);
 }
 
-TEST_CASE("a change is told in time on every path, whatever the group") {
+TEST_CASE("a change is noticed in time on every path, whatever the group's size") {
   milliseconds worst{0};
   for (const Path path : {Path::kSilent, Path::kRefused, Path::kSlowToRefuse,
                           Path::kWatchFellSilent, Path::kWatchEnded}) {
@@ -63,7 +63,7 @@
   CHECK(worst >= milliseconds(3000));  // the paths are real ones
 }
 
-TEST_CASE("another address is asked in time, whatever was asked before") {
+TEST_CASE("another address is polled in time, whatever happened before") {
   for (const std::size_t group : {1, 300, 100'000}) {
     DiscoveryTimeouts times(group, 7);
     for (int i = 0; i < 20; ++i) {
@@ -75,7 +75,7 @@
 }
 
 // A side that trickles was never silent: the watch stayed on it for good, and no list came.
-TEST_CASE("a watch on which no line ends is given up") {
+TEST_CASE("a response on which no line ends is given up") {
   Socket agent = Listen("127.0.0.1:0");
   BufferPool buffers;
   std::atomic<int> lists{0};
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -84,11 +84,14 @@
   CHECK(NextResult().outcome == CallOutcome::kAnswered);
 }
 
-TEST_CASE_FIXTURE(Fixture, "what is recalled or too late before its first byte is not sent") {
-  auto recalled = Make();
-  recalled->WithdrawBeforeSend();
-  client.Start(recalled);
+TEST_CASE_FIXTURE(Fixture, "a call that is withdrawn before its first byte is not sent") {
+  auto withdrawn = Make();
+  withdrawn->WithdrawBeforeSend();
+  client.Start(withdrawn);
   CHECK(NextResult().outcome == CallOutcome::kNotSent);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call that is late is not sent, and its connection is reused") {
   client.Start(Make(std::chrono::steady_clock::now() - std::chrono::seconds(1)));
   CHECK(NextResult().outcome == CallOutcome::kNotSent);
   // The connection that was opened for it serves the next.
@@ -98,7 +101,7 @@
   CHECK(NextResult().status == 200);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a recall does nothing to a call that is out") {
+TEST_CASE_FIXTURE(Fixture, "withdrawing a call after its first byte has no effect") {
   auto call = Make();
   client.Start(call);
   Socket socket = peer.AcceptRequest();
@@ -107,7 +110,8 @@
   CHECK(NextResult().status == 200);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a call that is ended has closed its connection when that is told") {
+TEST_CASE_FIXTURE(Fixture,
+                  "an aborted call has closed its connection before its result is passed on") {
   for (const auto stop :
        {EndpointCall::StopReason::kCancelled, EndpointCall::StopReason::kTimedOut}) {
     auto call = Make();
@@ -122,7 +126,8 @@
   }
 }
 
-TEST_CASE_FIXTURE(Fixture, "a break after the last byte is a reset, and a first line stands") {
+TEST_CASE_FIXTURE(
+    Fixture, "a connection that ends without a status line is a reset, with one it is an answer") {
   client.Start(Make());
   peer.AcceptRequest().Close();
   CHECK(NextResult().outcome == CallOutcome::kReset);
@@ -136,7 +141,7 @@
   CHECK_FALSE(result.complete);
 }
 
-TEST_CASE_FIXTURE(Fixture, "of a spoilt answer only a first line with 200 is true") {
+TEST_CASE_FIXTURE(Fixture, "an incomplete response counts as an answer only with status 200") {
   Socket socket;
   const std::string cut = "\r\nContent-Length: 9\r\n\r\nabc";  // the connection stays open
   for (const std::string status :
@@ -152,7 +157,7 @@
   CHECK(told.retry_after_ms.empty());
 }
 
-TEST_CASE_FIXTURE(Fixture, "a connection that said more than it was asked is not used again") {
+TEST_CASE_FIXTURE(Fixture, "a connection with input beyond its response is not reused") {
   Socket sockets[3];
   CHECK(Answered(sockets[0], std::string(kOk) + "noise").complete);  // with the answer
   CHECK(Answered(sockets[1], kOk).complete);                         // on a new connection
@@ -166,13 +171,14 @@
   CHECK(Answered(second, kOk, 2).complete);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a refused connection never ran") {
+TEST_CASE_FIXTURE(Fixture, "a call whose connection is refused did not run") {
   peer.StopListening();
   client.Start(Make());
   CHECK(NextResult().outcome == CallOutcome::kConnectFailed);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a 503 that ends a new connection tells of too many connections") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a 503 that closes a new connection means that the connection limit is reached") {
   const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n";
   Socket socket;
   CHECK(Answered(socket, busy + "Connection: close\r\n\r\n").outcome ==
@@ -189,7 +195,7 @@
   OneOfAHundred() : Fixture(100) {}
 };
 
-TEST_CASE_FIXTURE(OneOfAHundred, "a connection that others need more is closed soon") {
+TEST_CASE_FIXTURE(OneOfAHundred, "in a large group an idle connection is closed soon") {
   Socket socket;
   CHECK(Answered(socket, kOk).complete);
   const SteadyTime until = client.NextIdleExpiry();
@@ -201,7 +207,7 @@
   CHECK(client.NextIdleExpiry() == SteadyTime::max());
 }
 
-TEST_CASE_FIXTURE(Fixture, "an endpoint that rejected connections gets its capacity back") {
+TEST_CASE_FIXTURE(Fixture, "after rejected connections an idle connection is closed soon") {
   Socket turned_away, taken;
   const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
   for (int i = 0; i < 4; ++i)
@@ -210,7 +216,7 @@
   CHECK(client.NextIdleExpiry() < std::chrono::steady_clock::now() + std::chrono::seconds(1));
 }
 
-TEST_CASE_FIXTURE(Fixture, "headers come with the answer") {
+TEST_CASE_FIXTURE(Fixture, "the result has the headers of the response") {
   client.Start(Make());
   Socket socket = peer.AcceptRequest();
   socket.SendAll(
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -53,7 +53,7 @@
           .body = std::string(bytes, 'b')};
 }
 
-TEST_CASE("what is owed comes back with its history") {
+TEST_CASE("unfinished messages are recovered with their attempts") {
   const Folder folder;
   {
     Spool spool = Open(folder);
@@ -80,7 +80,7 @@
   CHECK(spool.next_number() == 4);
 }
 
-TEST_CASE("a tail that was torn at any byte is cut off") {
+TEST_CASE("a tail that is torn at any byte is cut off") {
   const Folder folder;
   std::size_t kept = 0;
   {
@@ -102,7 +102,7 @@
   }
 }
 
-TEST_CASE("a changed byte ends the reading where it stands") {
+TEST_CASE("a changed byte ends the reading at its record") {
   const Folder folder;
   {
     Spool spool = Open(folder);
@@ -121,7 +121,7 @@
   }
 }
 
-TEST_CASE("a folder that is not there accepts nothing and says so once") {
+TEST_CASE("a missing folder is reported once, and nothing is accepted") {
   int reports = 0;
   Spool spool("/nonexistent/folder", kDisk, [&](const std::string&) { ++reports; });
   CHECK(reports == 1);
@@ -129,7 +129,7 @@
   CHECK(spool.Recover().empty());
 }
 
-TEST_CASE("the file and its compaction stay within the disk") {
+TEST_CASE("the file and its compaction stay within the disk limit") {
   const Folder folder;
   Spool spool = Open(folder, nullptr, 800'000);
   std::size_t most = 0, refused = 0;
@@ -150,7 +150,7 @@
   CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
 }
 
-TEST_CASE("what does not fit is refused, and ends make room") {
+TEST_CASE("a message that does not fit is rejected until others are finished") {
   const Folder folder;
   Spool spool = Open(folder, nullptr, 1'000'000);
   SpoolId accepted = 0;
@@ -163,7 +163,7 @@
   CHECK(spool.Accept(accepted + 1, Message("next", 20'000)));
 }
 
-TEST_CASE("a full disk refuses the message and leaves no part of it") {
+TEST_CASE("a full disk rejects the message and leaves no part of it") {
   const Folder folder;
   {
     Spool spool = Open(folder);
@@ -182,7 +182,7 @@
   CHECK(Open(folder).open_messages() == 2);
 }
 
-TEST_CASE("a compaction that was cut short is forgotten") {
+TEST_CASE("an interrupted compaction is discarded") {
   const Folder folder;
   REQUIRE(Open(folder).Accept(1, Message("1")));
   std::ofstream(folder.path() + "/spool.new") << "half";
@@ -190,7 +190,7 @@
   CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
 }
 
-TEST_CASE("looking at a spool leaves it as it is") {
+TEST_CASE("reading a spool leaves its file as it is") {
   const Folder folder;
   REQUIRE(Open(folder).Accept(1, Message("1")));
   const std::string torn = folder.Read() + "torn";
--- a/tests/network/thread_pool_test.cpp
+++ b/tests/network/thread_pool_test.cpp
@@ -1,4 +1,4 @@
-// Threads that come and go with the work.
+// Threads that start and end with the work.
 #include "concurrency/thread_pool.hpp"
 
 #include <doctest/doctest.h>
@@ -20,7 +20,7 @@
   std::atomic<int> done{0};
   {
     ThreadPool<Task> pool("test", {.min_threads = 1, .max_threads = 3, .idle_timeout = kNever},
-                          [](const Task& t) { t(); });
+                          [](const Task& task) { task(); });
     CHECK(pool.threads() == 1);
     for (int i = 0; i < 100; ++i) {
       pool.Submit([&] {
@@ -31,13 +31,13 @@
     CHECK(pool.threads() == 3);
     go.set_value();
   }
-  CHECK(done == 100);  // its end waits for what was put
+  CHECK(done == 100);  // the destructor waits for all of the work
 }
 
 TEST_CASE("threads beyond the minimum end when idle and start again with new work") {
   ThreadPool<Task> pool(
       "test", {.min_threads = 1, .max_threads = 8, .idle_timeout = std::chrono::milliseconds(1)},
-      [](const Task& t) { t(); });
+      [](const Task& task) { task(); });
   for (int round = 0; round < 20; ++round) {
     std::promise<void> go;
     const std::shared_future<void> gone(go.get_future());
