--- a/src/concurrency/thread.hpp
+++ b/src/concurrency/thread.hpp
@@ -18,7 +18,7 @@
   // more. The deepest path is a discovery line through the JSON reader, which is bounded; large
   // data is on the heap or in pooled buffers. With the usual 8 MiB, 300 threads would reserve 2.4
   // GB.
-  static constexpr std::size_t kStackBytes = 128 * 1024;
+  static constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
 
   // No thread.
   Thread() = default;
--- a/src/net/buffer_pool.hpp
+++ b/src/net/buffer_pool.hpp
@@ -16,7 +16,7 @@
 // follows from it, so the pool never holds more buffers than there are threads.
 class BufferPool {
  public:
-  static constexpr std::size_t kBytes = 16 * 1024;
+  static constexpr std::size_t kBytes = std::size_t{16} * 1024;
   using Block = std::array<char, kBytes>;
 
   // A buffer that returns to its pool at the end of its scope.
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds kReplyTimeout{500};  // a client that does not read holds a worker so long
 // Replies to pipelined commands are collected up to this size: one system call in place of
 // hundreds.
-constexpr std::size_t kMaxPendingReplyBytes = 16 * 1024;
+constexpr std::size_t kMaxPendingReplyBytes = std::size_t{16} * 1024;
 constexpr const char* kStandbyRetryAfterMs = "1000";
 
 // False if the client could not be reached in time.
--- a/src/net/client_connection_table.hpp
+++ b/src/net/client_connection_table.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -64,7 +65,9 @@
   struct Entry {
     SteadyTime time;
     ClientConnectionId id;
-    auto operator<=>(const Entry&) const = default;
+    bool operator<(const Entry& other) const {
+      return std::tie(time, id) < std::tie(other.time, other.id);
+    }
   };
   using Order = std::set<Entry>;  // the earliest first
 
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -154,7 +154,7 @@
 // True if the connection was given to a worker.
 bool ClientServer::ReadOnce(ClientConnection& connection) {
   BufferPool::Buffer buffer = buffers_.Get();
-  const long received = connection.socket.ReceiveNow(buffer.span());
+  const ssize_t received = connection.socket.ReceiveNow(buffer.span());
   if (received < 0 && errno == EAGAIN) {
     Rearm(connection);
     return false;
@@ -184,8 +184,8 @@
 }
 
 // Of a lingering connection; `received` as Socket::Receive returns it.
-void ClientServer::DiscardInput(ClientConnection& connection, long received) {
-  connection.discarded_bytes += static_cast<std::size_t>(std::max(received, 0L));
+void ClientServer::DiscardInput(ClientConnection& connection, ssize_t received) {
+  connection.discarded_bytes += static_cast<std::size_t>(std::max<ssize_t>(received, 0));
   if (received <= 0 || connection.discarded_bytes >= kMaxDiscardedBytes) {
     Remove(connection, *connection.close_reason);
   } else {
@@ -263,7 +263,7 @@
   BufferPool::Buffer buffer = buffers_.Get();
   while (connection.discarded_bytes < kMaxDiscardedBytes &&
          connection.socket.AwaitInput(deadline)) {
-    const long received = connection.socket.ReceiveNow(buffer.span());
+    const ssize_t received = connection.socket.ReceiveNow(buffer.span());
     if (received <= 0) break;
     connection.discarded_bytes += static_cast<std::size_t>(received);
   }
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -75,7 +75,7 @@
   bool EvictOne(SteadyTime now);
   bool FinishOldestLingering();
   bool ReadOnce(ClientConnection& connection);
-  void DiscardInput(ClientConnection& connection, long received);
+  void DiscardInput(ClientConnection& connection, ssize_t received);
   void CloseExpired(SteadyTime now);
   void CloseBetweenCommands();
   void CloseAllNotServing();
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kMinThreads = 2;
 // Of a response; that to a full batch is a few KiB.
-constexpr std::size_t kMaxResponseBodyBytes = 128 * 1024;
+constexpr std::size_t kMaxResponseBodyBytes = std::size_t{128} * 1024;
 // From a response's first byte to its last. A response that claims more than ever comes would
 // occupy a thread and a connection for good.
 constexpr std::chrono::milliseconds kResponseTimeout{500};
@@ -47,7 +47,7 @@
     }
     if (!socket.AwaitInput(deadline)) return CloseReason::kIncomplete;
     BufferPool::Buffer buffer = buffers.Get();
-    const long received = socket.Receive(buffer.span());
+    const ssize_t received = socket.Receive(buffer.span());
     if (received > 0) {
       reader.Feed({buffer.span().data(), static_cast<std::size_t>(received)});
     } else {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -92,7 +92,7 @@
       Close(CloseReason::kSilent);
       return false;
     }
-    const long received = socket_.Receive(buffer.span());
+    const ssize_t received = socket_.Receive(buffer.span());
     if (received < 0) {
       Close(errno == EAGAIN ? CloseReason::kSilent : CloseReason::kReset);
       return false;
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -16,14 +16,10 @@
 }  // namespace
 
 std::string NotificationLine(const Notification& notification) {
-  std::string line = "{\"id\":" + json::Quote(notification.id);
-  if (notification.retry_allowed) {
-    line +=
-        ",\"status\":\"deferred\",\"again_ms\":" + std::to_string(notification.retry_after.count());
-  } else {
-    line += ",\"status\":\"undeliverable\"";
-  }
-  return line + "}\n";
+  const std::string id = json::Quote(notification.id);
+  if (!notification.retry_allowed) return R"({"id":)" + id + R"(,"status":"undeliverable"})" + "\n";
+  const std::string retry_after_ms = std::to_string(notification.retry_after.count());
+  return R"({"id":)" + id + R"(,"status":"deferred","again_ms":)" + retry_after_ms + "}\n";
 }
 
 NotificationClient::NotificationClient(std::string address, BufferPool& buffers,
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -29,21 +30,21 @@
   std::uint16_t port = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  const bool good = error == std::errc() && stop == end &&
-                    inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-  if (!good) return std::nullopt;
+  const bool valid = error == std::errc() && stop == end &&
+                     inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
+  if (!valid) return std::nullopt;
   address.sin_port = htons(port);
   return address;
 }
 
-std::string AddressText(const sockaddr_in& address) {
-  char host[INET_ADDRSTRLEN] = "";
-  inet_ntop(AF_INET, &address.sin_addr, host, sizeof host);
-  return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
+std::string FormatAddress(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> host{};
+  inet_ntop(AF_INET, &address.sin_addr, host.data(), host.size());
+  return std::string(host.data()) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
 // A datagram socket that bind(2) or connect(2) has given the address.
-Socket Datagrams(const std::string& text, int (*attach)(int, const sockaddr*, socklen_t)) {
+Socket OpenDatagramSocket(const std::string& text, int (*attach)(int, const sockaddr*, socklen_t)) {
   const auto address = ParseAddress(text);
   if (!address) return {};
   Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
@@ -86,7 +87,7 @@
   if (fd_ >= 0) close(std::exchange(fd_, -1));
 }
 
-bool Socket::Await(short events, SteadyTime until) const {
+bool Socket::Await(std::int16_t events, SteadyTime until) const {
   while (true) {
     pollfd wanted{fd_, events, 0};
     const int ready = poll(&wanted, 1, PollTimeout(until));
@@ -109,10 +110,10 @@
   return true;
 }
 
-long Socket::Receive(std::span<char> into) { return ReceiveWith(into, 0); }
-long Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
+ssize_t Socket::Receive(std::span<char> into) { return ReceiveWith(into, 0); }
+ssize_t Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
 
-long Socket::ReceiveWith(std::span<char> into, int flags) {
+ssize_t Socket::ReceiveWith(std::span<char> into, int flags) {
   while (true) {
     const ssize_t received = recv(fd_, into.data(), into.size(), flags);
     if (received >= 0 || errno != EINTR) return received;
@@ -163,18 +164,18 @@
   sockaddr_in address{};
   socklen_t length = sizeof address;
   getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&address), &length);
-  return AddressText(address);
+  return FormatAddress(address);
 }
 
 std::string PeerOf(const Socket& connection) {
   sockaddr_in address{};
   socklen_t length = sizeof address;
   getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&address), &length);
-  return AddressText(address);
+  return FormatAddress(address);
 }
 
-Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
-Socket ConnectDatagrams(const std::string& address) { return Datagrams(address, connect); }
+Socket BindDatagrams(const std::string& address) { return OpenDatagramSocket(address, bind); }
+Socket ConnectDatagrams(const std::string& address) { return OpenDatagramSocket(address, connect); }
 
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -3,8 +3,11 @@
 #ifndef BRASSFRONT_NET_SOCKET_HPP_
 #define BRASSFRONT_NET_SOCKET_HPP_
 
+#include <sys/types.h>
+
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -39,8 +42,8 @@
   [[nodiscard]] bool AwaitInput(SteadyTime until) const;
   // Each returns the bytes read, 0 at the peer's end, and -1 at an error; errno is EAGAIN then if
   // nothing came in time (Receive), or has come by now (ReceiveNow).
-  long Receive(std::span<char> into);
-  long ReceiveNow(std::span<char> into);
+  ssize_t Receive(std::span<char> into);
+  ssize_t ReceiveNow(std::span<char> into);
   // True if input, the peer's end or an error has come. An idle connection is not usable then.
   [[nodiscard]] bool HasInputOrEnd() const;
   // True if the peer has closed or reset the connection, by TCP's state: unread input does not
@@ -50,8 +53,8 @@
   void ReceiveTimeout(std::chrono::milliseconds time);
 
  private:
-  long ReceiveWith(std::span<char> into, int flags);
-  [[nodiscard]] bool Await(short events, SteadyTime until) const;
+  ssize_t ReceiveWith(std::span<char> into, int flags);
+  [[nodiscard]] bool Await(std::int16_t events, SteadyTime until) const;
 
   int fd_ = -1;
 };
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -16,10 +16,10 @@
 constexpr std::size_t kBlockBytes = 512;  // the disk limit counts files in whole blocks
 constexpr std::size_t kMaxEndpointBytes = 256;
 // Bytes of finished messages that make a compaction worth its writes.
-constexpr std::size_t kCompactionThresholdBytes = 128 * 1024;
+constexpr std::size_t kCompactionThresholdBytes = std::size_t{128} * 1024;
 // Kept free for the attempts and ends of accepted messages: those records may not be refused.
 // Twelve attempts with their outcomes take some 0.8 KiB, and 237 messages may be in flight.
-constexpr std::size_t kReservedBytes = 192 * 1024;
+constexpr std::size_t kReservedBytes = std::size_t{192} * 1024;
 
 std::size_t RoundUpToBlocks(std::size_t bytes) {
   return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes;
