--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -46,8 +46,8 @@
   // For inspection: the file stays as it is, and no message is accepted.
   static Spool OpenToRead(std::string folder, Report report);
 
-  // The messages that are owed, in the order of acceptance. Their bodies are read from the file
-  // here; a message that can't be read is reported and left out.
+  // The messages that are not finished, in the order of acceptance. Their bodies are read from the
+  // file here; a message that can't be read is reported and left out.
   [[nodiscard]] std::vector<RecoveredMessage> Recover();
 
   // False if the message can't be stored: it must be rejected then. `number` must be new.
@@ -57,7 +57,7 @@
   [[nodiscard]] bool BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at);
   // `attempt`: index among the message's attempts. One that can't be stored counts as possibly run.
   void MarkNotRun(SpoolId number, std::size_t attempt);
-  // The message is no longer owed. Harmless for an unknown one.
+  // The message needs no further attempt or recovery. Harmless for an unknown one.
   void Finish(SpoolId number);
 
   // Above all numbers in the file.
--- a/src/spool/spool_record.hpp
+++ b/src/spool/spool_record.hpp
@@ -53,7 +53,7 @@
   std::size_t attempt = 0;  // index among the message's AttemptStarted records
 };
 
-// The message is no longer owed.
+// The message needs no further attempt or recovery.
 struct MessageFinished {
   SpoolId number = 0;
 };
