--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -3,30 +3,88 @@
 #include <algorithm>
 #include <utility>
 
+#include "protocol/http.hpp"
+
 namespace brassfront {
 namespace {
 
-constexpr const char* kSide = "endpoint";
-constexpr std::size_t kLeastThreads = 2;
-constexpr std::size_t kMostAnswer = 128 * 1024;  // bytes of its body; a full bundle's is a few KiB
-// Of the time after which the other side closes an idle connection. Guards against a call that
-// crosses that close and ends as a reset, which may have run.
-constexpr double kIdleShare = 0.6;
-// From an answer's first byte to its last. Guards against one that claims more than ever comes, and
-// holds its slot meanwhile.
-constexpr std::chrono::milliseconds kAnswerTime{500};
-
-const char* ReasonOf(EndpointCall::StopReason stop, const char* otherwise) {
+using StopReason = EndpointCall::StopReason;
+
+constexpr std::size_t kMinThreads = 2;
+// Of a response; that to a full batch is a few KiB.
+constexpr std::size_t kMaxResponseBodyBytes = std::size_t{128} * 1024;
+// From a response's first byte to its last. A response that claims more than ever comes would
+// occupy a thread and a connection for good.
+constexpr std::chrono::milliseconds kResponseTimeout{500};
+constexpr int kHttpOk = 200;
+constexpr int kHttpServiceUnavailable = 503;
+
+// What the engine's stop makes of the reason why a connection ends.
+CloseReason CloseReasonFor(StopReason stop, CloseReason without_stop) {
   switch (stop) {
-    case EndpointCall::StopReason::kCancelled:
-      return "cancelled";
-    case EndpointCall::StopReason::kTimedOut:
-      return "timed-out";
-    case EndpointCall::StopReason::kWithdrawn:
-      return "withdrawn";
-    default:
-      return otherwise;
+    case StopReason::kNone:
+      return without_stop;
+    case StopReason::kWithdrawn:
+      return CloseReason::kWithdrawn;
+    case StopReason::kCancelled:
+      return CloseReason::kCancelled;
+    case StopReason::kTimedOut:
+      return CloseReason::kTimedOut;
+  }
+  return without_stop;
+}
+
+// Reads until the response is complete, cannot become so, or the connection is shut down. Returns
+// what the connection ends for if the response is not complete.
+CloseReason ReadUntilComplete(Socket& socket, BufferPool& buffers, HttpReader& reader) {
+  CloseReason failure = CloseReason::kMalformed;
+  SteadyTime deadline = SteadyTime::max();
+  while (!reader.done() && !reader.broken()) {
+    if (!reader.begun()) {
+      deadline = SteadyTime::max();
+    } else if (deadline == SteadyTime::max()) {
+      deadline = std::chrono::steady_clock::now() + kResponseTimeout;
+    }
+    if (!socket.AwaitInput(deadline)) return CloseReason::kIncomplete;
+    BufferPool::Buffer buffer = buffers.Get();
+    const ssize_t received = socket.Receive(buffer.span());
+    if (received > 0) {
+      reader.Feed({buffer.span().data(), static_cast<std::size_t>(received)});
+    } else {
+      failure = CloseReason::kReset;
+      reader.FeedEnd();
+    }
   }
+  return failure;
+}
+
+// The outcome of a call whose request was written. An incomplete response counts only if its first
+// line has status 200, so that a request that has run is never taken for one that was rejected.
+EndpointCallResult MakeResult(HttpReader& reader, StopReason stop) {
+  EndpointCallResult result;
+  if (reader.done() || reader.status() == kHttpOk) {
+    result.outcome = CallOutcome::kAnswered;
+    result.status = reader.status();
+    result.complete = reader.done();
+    if (!result.complete) return result;
+    result.body = reader.body();
+    result.retry_after_ms = reader.Header("wait-ms");
+    result.slots_taken = reader.Header("slots-taken");
+    result.load_report = reader.Header("x-backend-load");
+  } else if (stop == StopReason::kTimedOut) {
+    result.outcome = CallOutcome::kTimedOut;
+  } else if (stop == StopReason::kCancelled) {
+    result.outcome = CallOutcome::kCancelled;
+  }
+  return result;
+}
+
+// True if the endpoint rejected the connection, not the call: it answered 503 on the connection's
+// first call, closed it, and said nothing about its capacity for calls.
+bool IsConnectionRejected(const EndpointCallResult& result, bool keep_alive,
+                          std::size_t calls_on_connection) {
+  return result.complete && result.status == kHttpServiceUnavailable && calls_on_connection == 1 &&
+         !keep_alive && result.retry_after_ms.empty() && result.slots_taken.empty();
 }
 
 }  // namespace
@@ -35,214 +93,131 @@
     : options_(options),
       buffers_(buffers),
       on_result_(std::move(on_result)),
-      threads_("endpoint",
-               {.least = std::min(kLeastThreads, options.threads), .most = options.threads},
-               [this](const std::shared_ptr<EndpointCall>& delivery) { Work(delivery); }) {}
+      connections_({.max_idle_connections = options.max_idle_connections,
+                    .group_size = options.group_size,
+                    .connection_idle = options.connection_idle}),
+      threads_(
+          "endpoint",
+          {.min_threads = std::min(kMinThreads, options.threads), .max_threads = options.threads},
+          [this](const std::shared_ptr<EndpointCall>& call) { Run(call); }) {}
 
-// The crew is the last member: it makes what is still waiting end, and then its threads.
 EndpointClient::~EndpointClient() {
   const std::lock_guard lock(mutex_);
-  closed_ = true;
-  for (auto& [number, delivery] : out_) delivery->Abort(EndpointCall::StopReason::kCancelled);
-  for (Connection& c : idle_) End(c, "shutdown");
-  idle_.clear();
+  for (auto& [call_id, call] : in_flight_) call->Abort(StopReason::kCancelled);
+  connections_.Shutdown();
 }
 
-void EndpointClient::Start(std::shared_ptr<EndpointCall> delivery) {
+void EndpointClient::Start(std::shared_ptr<EndpointCall> call) {
   {
     const std::lock_guard lock(mutex_);
-    out_[delivery->id] = delivery;
+    in_flight_[call->id] = call;
   }
-  threads_.Submit(std::move(delivery));
+  threads_.Submit(std::move(call));
+}
+
+void EndpointClient::CloseExpiredIdle() {
+  const SteadyTime now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(mutex_);
+  connections_.CloseExpired(now);
 }
 
-void EndpointClient::Work(const std::shared_ptr<EndpointCall>& delivery) {
-  EndpointCallResult end = Carry(*delivery);
-  end.call_id = delivery->id;
+SteadyTime EndpointClient::NextIdleExpiry() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.NextExpiry();
+}
+
+void EndpointClient::RemoveEndpoint(std::uint64_t endpoint) {
+  const std::lock_guard lock(mutex_);
+  connections_.RemoveEndpoint(endpoint);
+}
+
+void EndpointClient::Run(const std::shared_ptr<EndpointCall>& call) {
+  EndpointCallResult result = Perform(*call);
+  result.call_id = call->id;
   {
     const std::lock_guard lock(mutex_);
-    out_.erase(end.call_id);
+    in_flight_.erase(result.call_id);
   }
-  on_result_(std::move(end));
+  on_result_(std::move(result));
 }
 
-EndpointCallResult EndpointClient::Carry(EndpointCall& delivery) {
+EndpointCallResult EndpointClient::Perform(EndpointCall& call) {
   while (true) {
-    Connection connection = TakeIdle(delivery);
+    EndpointConnection connection = TakeConnection(call);
     const bool reused = connection.socket.is_open();
     if (!reused) connection.socket = NewSocket();
-    if (!delivery.AttachConnection(connection.socket)) {
-      if (reused) Keep(std::move(connection));
+    if (!call.AttachConnection(connection.socket)) {
+      if (reused) ReturnConnection(std::move(connection));
       return {.outcome = CallOutcome::kNotSent};
     }
-    if (!reused && !Open(connection, delivery)) {
-      return {.outcome = delivery.stop_reason() == EndpointCall::StopReason::kNone
-                             ? CallOutcome::kConnectFailed
-                             : CallOutcome::kNotSent};
-    }
-    if (!delivery.BeginWrite()) {
-      delivery.DetachConnection();
-      const EndpointCall::StopReason stop = delivery.stop_reason();
-      if (stop == EndpointCall::StopReason::kCancelled ||
-          stop == EndpointCall::StopReason::kTimedOut) {
-        End(connection, ReasonOf(stop, ""));
-      } else {
-        Keep(std::move(connection));
-      }
-      return {.outcome = CallOutcome::kNotSent};
+    if (!reused && !OpenConnection(connection, call)) {
+      const bool stopped = call.stop_reason() != StopReason::kNone;
+      return {.outcome = stopped ? CallOutcome::kNotSent : CallOutcome::kConnectFailed};
     }
-    if (connection.socket.SendAll(delivery.request)) return ReadAnswer(connection, delivery);
-    // The last byte was not written, so nothing ran. A kept connection may have died unnoticed:
-    // that tells nothing of the next hop, and a new one may do.
-    delivery.UndoBeginWrite();
-    delivery.DetachConnection();
-    const EndpointCall::StopReason stop = delivery.stop_reason();
-    End(connection, ReasonOf(stop, "write-failed"));
-    if (stop != EndpointCall::StopReason::kNone) return {.outcome = CallOutcome::kNotSent};
+    if (!call.BeginWrite()) return GiveUpBeforeWrite(std::move(connection), call);
+    if (connection.socket.SendAll(call.request)) return ReadResponse(std::move(connection), call);
+    // The request is not complete, so it did not run. If the connection was idle before, it may
+    // have ended unnoticed, which says nothing about the endpoint: the next one may work.
+    call.UndoBeginWrite();
+    call.DetachConnection();
+    const StopReason stop = call.stop_reason();
+    connection.Close(CloseReasonFor(stop, CloseReason::kWriteFailed));
+    if (stop != StopReason::kNone) return {.outcome = CallOutcome::kNotSent};
     if (!reused) return {.outcome = CallOutcome::kConnectFailed};
   }
 }
 
-bool EndpointClient::Open(Connection& connection, EndpointCall& delivery) {
-  if (Connect(connection.socket, delivery.address, options_.connect_timeout)) return true;
-  delivery.DetachConnection();
-  End(connection, ReasonOf(delivery.stop_reason(), "connect-failed"));
-  return false;
-}
-
-EndpointCallResult EndpointClient::ReadAnswer(Connection& connection, EndpointCall& delivery) {
-  HttpReader reader(kMostAnswer);
-  const char* fault = "malformed";
-  SteadyTime until = SteadyTime::max();
-  while (!reader.done() && !reader.broken()) {
-    if (!reader.begun()) {
-      until = SteadyTime::max();
-    } else if (until == SteadyTime::max()) {
-      until = std::chrono::steady_clock::now() + kAnswerTime;
-    }
-    if (!connection.socket.AwaitInput(until)) {
-      fault = "incomplete";
-      break;
-    }
-    BufferPool::Buffer buffer = buffers_.Get();
-    const long n = connection.socket.Receive(buffer.span());
-    if (n > 0) {
-      reader.Feed({buffer.span().data(), static_cast<std::size_t>(n)});
-    } else {
-      fault = "reset";
-      reader.FeedEnd();
-    }
-  }
-  delivery.DetachConnection();
-  const EndpointCall::StopReason stop = delivery.stop_reason();
-  ++connection.exchanges;
-  EndpointCallResult end;
-  if (reader.done() && reader.keep_alive() && stop == EndpointCall::StopReason::kNone) {
-    Keep(std::move(connection));
+// The call may not be sent any more; its connection is as good as before unless it was shut down.
+EndpointCallResult EndpointClient::GiveUpBeforeWrite(EndpointConnection connection,
+                                                     EndpointCall& call) {
+  call.DetachConnection();
+  const StopReason stop = call.stop_reason();
+  if (stop == StopReason::kCancelled) {
+    connection.Close(CloseReason::kCancelled);
+  } else if (stop == StopReason::kTimedOut) {
+    connection.Close(CloseReason::kTimedOut);
   } else {
-    End(connection, ReasonOf(stop, reader.done() ? "keep-alive-off" : fault));
+    ReturnConnection(std::move(connection));
   }
-  // Of a spoilt answer only a first line with 200 is true. Guards against taking a request that has
-  // run for one that was turned away.
-  if (reader.done() || reader.status() == 200) {
-    end.outcome = CallOutcome::kAnswered;
-    end.status = reader.status();
-    end.complete = reader.done();
-    if (!end.complete) return end;
-    end.body = reader.body();
-    end.retry_after_ms = reader.Header("wait-ms");
-    end.slots_taken = reader.Header("slots-taken");
-    end.load_report = reader.Header("x-backend-load");
-    // Turned away on a connection's first call, and the connection with it, is one too many.
-    // Guards against taking that for a limit on calls.
-    const bool crowded = end.status == 503 && connection.exchanges == 1 && !reader.keep_alive() &&
-                         end.retry_after_ms.empty() && end.slots_taken.empty();
-    if (crowded) {
-      end.outcome = CallOutcome::kConnectionLimitReached;
-      const std::lock_guard lock(mutex_);
-      ShareOf(delivery.endpoint).Crowded(std::chrono::steady_clock::now());
-    }
-  } else if (stop == EndpointCall::StopReason::kTimedOut) {
-    end.outcome = CallOutcome::kTimedOut;
-  } else if (stop == EndpointCall::StopReason::kCancelled) {
-    end.outcome = CallOutcome::kCancelled;
-  }
-  return end;
+  return {.outcome = CallOutcome::kNotSent};
 }
 
-void EndpointClient::End(Connection& connection, const char* reason) {
-  connection.socket.Close();
-  LogConnectionEnd(kSide, connection.address, reason, connection.exchanges);
+bool EndpointClient::OpenConnection(EndpointConnection& connection, EndpointCall& call) {
+  if (Connect(connection.socket, call.address, options_.connect_timeout)) return true;
+  call.DetachConnection();
+  connection.Close(CloseReasonFor(call.stop_reason(), CloseReason::kConnectFailed));
+  return false;
 }
 
-// The newest that still stands, or one without a socket. Guards against writing to a connection
-// that the other side has closed, or on which it has said more than it was asked.
-EndpointClient::Connection EndpointClient::TakeIdle(const EndpointCall& delivery) {
-  const std::lock_guard lock(mutex_);
-  ShareOf(delivery.endpoint).Called(std::chrono::steady_clock::now());
-  for (auto it = idle_.end(); it != idle_.begin();) {
-    --it;
-    if (it->hop != delivery.endpoint || it->address != delivery.address) continue;
-    Connection connection = std::move(*it);
-    it = idle_.erase(it);
-    if (!connection.socket.HasInputOrEnd()) return connection;
-    End(connection, "stale");
+EndpointCallResult EndpointClient::ReadResponse(EndpointConnection connection, EndpointCall& call) {
+  HttpReader reader(kMaxResponseBodyBytes);
+  const CloseReason failure = ReadUntilComplete(connection.socket, buffers_, reader);
+  call.DetachConnection();
+  const StopReason stop = call.stop_reason();
+  const std::size_t calls_on_connection = ++connection.calls;
+  // Before the result is passed on: a call that was stopped has closed its connection then.
+  if (reader.done() && reader.keep_alive() && stop == StopReason::kNone) {
+    ReturnConnection(std::move(connection));
+  } else {
+    connection.Close(CloseReasonFor(stop, reader.done() ? CloseReason::kKeepAliveOff : failure));
   }
-  Connection fresh;
-  fresh.hop = delivery.endpoint;
-  fresh.address = delivery.address;
-  return fresh;
-}
-
-void EndpointClient::Keep(Connection connection) {
-  const std::lock_guard lock(mutex_);
-  if (closed_) return End(connection, "shutdown");
-  const std::uint64_t hop = connection.hop;
-  const SteadyTime now = std::chrono::steady_clock::now();
-  const IdleConnectionBudget& share = ShareOf(hop);
-  connection.kept_until = now + std::chrono::duration_cast<SteadyTime::duration>(
-                                    share.KeptFor(now, options_.connection_idle * kIdleShare));
-  idle_.push_back(std::move(connection));
-  const auto of_hop = [&](const Connection& c) { return c.hop == hop; };
-  const auto kept = std::count_if(idle_.begin(), idle_.end(), of_hop);
-  const bool many = static_cast<std::size_t>(kept) > share.Most(now);
-  if (!many && idle_.size() <= options_.max_idle_connections) return;
-  const auto oldest = many ? std::find_if(idle_.begin(), idle_.end(), of_hop) : idle_.begin();
-  End(*oldest, "idle-limit");
-  idle_.erase(oldest);
-}
-
-void EndpointClient::CloseExpiredIdle() {
-  const SteadyTime now = std::chrono::steady_clock::now();
-  const std::lock_guard lock(mutex_);
-  std::erase_if(idle_, [&](Connection& c) {
-    const bool stale = c.socket.HasInputOrEnd();
-    if (!stale && c.kept_until > now) return false;
-    End(c, stale ? "peer-closed" : "idle");
-    return true;
-  });
+  EndpointCallResult result = MakeResult(reader, stop);
+  if (IsConnectionRejected(result, reader.keep_alive(), calls_on_connection)) {
+    result.outcome = CallOutcome::kConnectionLimitReached;
+    const std::lock_guard lock(mutex_);
+    connections_.OnConnectionRejected(call.endpoint, std::chrono::steady_clock::now());
+  }
+  return result;
 }
 
-SteadyTime EndpointClient::NextIdleExpiry() const {
+EndpointConnection EndpointClient::TakeConnection(const EndpointCall& call) {
   const std::lock_guard lock(mutex_);
-  SteadyTime next = SteadyTime::max();
-  for (const Connection& c : idle_) next = std::min(next, c.kept_until);
-  return next;
-}
-
-// With the mutex held.
-IdleConnectionBudget& EndpointClient::ShareOf(std::uint64_t hop) {
-  return shares_.try_emplace(hop, options_.group_size).first->second;
+  return connections_.Take(call.endpoint, call.address, std::chrono::steady_clock::now());
 }
 
-void EndpointClient::RemoveEndpoint(std::uint64_t hop) {
+void EndpointClient::ReturnConnection(EndpointConnection connection) {
   const std::lock_guard lock(mutex_);
-  shares_.erase(hop);
-  std::erase_if(idle_, [&](Connection& c) {
-    if (c.hop != hop) return false;
-    End(c, "endpoint-removed");
-    return true;
-  });
+  connections_.Return(std::move(connection), std::chrono::steady_clock::now());
 }
 
 }  // namespace brassfront
--- a/src/net/idle_connection_budget.cpp
+++ b/src/net/idle_connection_budget.cpp
@@ -6,43 +6,56 @@
 namespace brassfront {
 namespace {
 
-constexpr double kMostIdle = 4;   // connections; two closed one in nine calls at small groups
-constexpr double kSpared = 8;     // places of a next hop for the idle connections of the group
-constexpr double kGapGain = 0.3;  // weight of the newest gap: clumps begin and end at once
-constexpr double kMostCrowd = 6;  // doublings
-constexpr IdleConnectionBudget::Seconds kFirstGap{1};
-constexpr IdleConnectionBudget::Seconds kCrowdMemory{4};  // until one doubling is forgotten
+// Connections that one forwarder keeps at most. With two, one in nine calls of small groups had to
+// open a new one.
+constexpr double kMaxBudget = 4;
+// Connections that the group keeps together, of those that an endpoint accepts.
+constexpr double kGroupBudget = 8;
+// Weight of the newest interval in the mean. Calls come in bursts, so the mean must follow soon.
+constexpr double kCallIntervalGain = 0.3;
+constexpr IdleConnectionBudget::Seconds kInitialCallInterval{1};
+constexpr double kMaxHalvings = 6;
+constexpr IdleConnectionBudget::Seconds kHalvingRecovery{4};  // until one of them is taken back
+
+double FullBudget(std::size_t group_size) {
+  const auto forwarders = static_cast<double>(std::max<std::size_t>(group_size, 1));
+  return std::min(kMaxBudget, kGroupBudget / forwarders);
+}
 
 }  // namespace
 
-IdleConnectionBudget::IdleConnectionBudget(std::size_t group)
-    : share_(std::min(kMostIdle, kSpared / static_cast<double>(std::max<std::size_t>(group, 1)))),
-      gap_(kFirstGap) {}
+IdleConnectionBudget::IdleConnectionBudget(std::size_t group_size)
+    : full_budget_(FullBudget(group_size)), mean_call_interval_(kInitialCallInterval) {}
 
-void IdleConnectionBudget::Called(Time now) {
-  if (called_ != Time{}) gap_ += kGapGain * (Seconds(now - called_) - gap_);
-  called_ = now;
+void IdleConnectionBudget::OnCall(Time now) {
+  if (last_call_ != Time{}) {
+    const Seconds interval(now - last_call_);
+    mean_call_interval_ += kCallIntervalGain * (interval - mean_call_interval_);
+  }
+  last_call_ = now;
 }
 
-void IdleConnectionBudget::Crowded(Time now) {
-  crowd_ = std::min(kMostCrowd, CrowdAt(now) + 1);
-  crowded_ = now;
+void IdleConnectionBudget::OnConnectionRejected(Time now) {
+  halvings_ = std::min(kMaxHalvings, HalvingsAt(now) + 1);
+  last_rejection_ = now;
 }
 
-// What is left of the caution.
-double IdleConnectionBudget::CrowdAt(Time now) const {
-  return std::max(0.0, crowd_ - Seconds(now - crowded_) / kCrowdMemory);
+std::size_t IdleConnectionBudget::MaxIdleConnections(Time now) const {
+  return static_cast<std::size_t>(std::ceil(BudgetAt(now)));
 }
 
-double IdleConnectionBudget::ShareAt(Time now) const { return share_ * std::exp2(-CrowdAt(now)); }
+IdleConnectionBudget::Seconds IdleConnectionBudget::IdleTimeout(Time now, Seconds max_idle) const {
+  const double budget = BudgetAt(now);
+  if (budget >= 1) return max_idle;
+  return std::min(max_idle, budget * mean_call_interval_);
+}
 
-std::size_t IdleConnectionBudget::Most(Time now) const {
-  return static_cast<std::size_t>(std::ceil(ShareAt(now)));
+double IdleConnectionBudget::HalvingsAt(Time now) const {
+  return std::max(0.0, halvings_ - Seconds(now - last_rejection_) / kHalvingRecovery);
 }
 
-IdleConnectionBudget::Seconds IdleConnectionBudget::KeptFor(Time now, Seconds idle) const {
-  const double share = ShareAt(now);
-  return share >= 1 ? idle : std::min(idle, share * gap_);
+double IdleConnectionBudget::BudgetAt(Time now) const {
+  return full_budget_ * std::exp2(-HalvingsAt(now));
 }
 
 }  // namespace brassfront
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -1,66 +1,69 @@
 #include "net/notification_client.hpp"
 
 #include <utility>
-#include <vector>
 
 #include "protocol/json.hpp"
 
 namespace brassfront {
 namespace {
 
-constexpr std::chrono::milliseconds kSilence{100};  // the answer comes at once
-constexpr std::chrono::milliseconds kPause{20};     // before a notification is posted retry_after
-constexpr std::size_t kMostWaiting = 100'000;
-constexpr std::size_t kMostInPost = 500;
+constexpr std::chrono::milliseconds kResponseTimeout{100};  // the platform answers at once
+constexpr std::chrono::milliseconds kRetryDelay{20};
+constexpr std::size_t kMaxPending = 100'000;
+constexpr std::size_t kMaxBatchSize = 500;  // notifications in a request
+constexpr int kHttpNoContent = 204;         // confirms all of a request
 
 }  // namespace
 
 std::string NotificationLine(const Notification& notification) {
-  std::string line = "{\"id\":" + json::Quote(notification.id);
-  if (notification.retry_allowed) {
-    line +=
-        ",\"status\":\"deferred\",\"again_ms\":" + std::to_string(notification.retry_after.count());
-  } else {
-    line += ",\"status\":\"undeliverable\"";
-  }
-  return line + "}\n";
+  const std::string id = json::Quote(notification.id);
+  if (!notification.retry_allowed) return R"({"id":)" + id + R"(,"status":"undeliverable"})" + "\n";
+  const std::string retry_after_ms = std::to_string(notification.retry_after.count());
+  return R"({"id":)" + id + R"(,"status":"deferred","again_ms":)" + retry_after_ms + "}\n";
 }
 
 NotificationClient::NotificationClient(std::string address, BufferPool& buffers,
                                        OnConfirmed on_confirmed)
     : on_confirmed_(std::move(on_confirmed)),
-      client_("notifications", std::move(address), kSilence, buffers),
-      waiting_(kMostWaiting),
+      client_("notifications", std::move(address), kResponseTimeout, buffers),
+      pending_(kMaxPending),
       thread_("notifications", [this] { Run(); }) {}
 
 NotificationClient::~NotificationClient() {
-  waiting_.Close();
+  pending_.Close();
   client_.Stop();
   thread_.Join();
 }
 
-void NotificationClient::Post(Notification notification) { waiting_.Push(std::move(notification)); }
+void NotificationClient::Post(Notification notification) { pending_.Push(std::move(notification)); }
 
 void NotificationClient::Run() {
-  while (auto first = waiting_.Pop()) {
-    std::vector<Notification> batch{std::move(*first)};
-    while (batch.size() < kMostInPost) {
-      auto next = waiting_.PopUntil(std::chrono::steady_clock::time_point::min());
-      if (!next) break;
-      batch.push_back(std::move(*next));
-    }
-    std::string body;
-    for (const Notification& notification : batch) body += NotificationLine(notification);
-    while (!client_.stopped()) {
-      const std::string request =
-          HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
-      HttpReader reader;
-      if (client_.Exchange(request, reader) && reader.status() == 204) {
-        for (const Notification& notification : batch) on_confirmed_(notification.message);
-        break;
-      }
-      client_.Pause(kPause);
+  while (auto first = pending_.Pop()) PostUntilConfirmed(CompleteBatch(std::move(*first)));
+}
+
+// With what else is waiting now.
+std::vector<Notification> NotificationClient::CompleteBatch(Notification first) {
+  std::vector<Notification> batch{std::move(first)};
+  while (batch.size() < kMaxBatchSize) {
+    auto another = pending_.PopUntil(std::chrono::steady_clock::time_point::min());
+    if (!another) break;
+    batch.push_back(std::move(*another));
+  }
+  return batch;
+}
+
+void NotificationClient::PostUntilConfirmed(const std::vector<Notification>& batch) {
+  std::string body;
+  for (const Notification& notification : batch) body += NotificationLine(notification);
+  while (!client_.stopped()) {
+    const std::string request =
+        HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
+    HttpReader reader;
+    if (client_.Exchange(request, reader) && reader.status() == kHttpNoContent) {
+      for (const Notification& notification : batch) on_confirmed_(notification.message);
+      return;
     }
+    client_.Pause(kRetryDelay);
   }
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -17,7 +18,9 @@
 namespace brassfront {
 namespace {
 
-constexpr int kBacklog = 512;
+// Connections that wait to be accepted; the system may allow fewer.
+constexpr int kListenBacklog = 512;
+constexpr std::chrono::milliseconds kMaxPollTimeout{1 << 30};  // poll(2) takes an int
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -27,21 +30,21 @@
   std::uint16_t port = 0;
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-  const bool good = error == std::errc() && stop == end &&
-                    inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-  if (!good) return std::nullopt;
+  const bool valid = error == std::errc() && stop == end &&
+                     inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
+  if (!valid) return std::nullopt;
   address.sin_port = htons(port);
   return address;
 }
 
-std::string AddressText(const sockaddr_in& address) {
-  char host[INET_ADDRSTRLEN] = "";
-  inet_ntop(AF_INET, &address.sin_addr, host, sizeof host);
-  return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
+std::string FormatAddress(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> host{};
+  inet_ntop(AF_INET, &address.sin_addr, host.data(), host.size());
+  return std::string(host.data()) + ":" + std::to_string(ntohs(address.sin_port));
 }
 
 // A datagram socket that bind(2) or connect(2) has given the address.
-Socket Datagrams(const std::string& text, int (*attach)(int, const sockaddr*, socklen_t)) {
+Socket OpenDatagramSocket(const std::string& text, int (*attach)(int, const sockaddr*, socklen_t)) {
   const auto address = ParseAddress(text);
   if (!address) return {};
   Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
@@ -59,30 +62,38 @@
   setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
 }
 
-void SetOn(int fd, int level, int option) {
+void EnableOption(int fd, int level, int option) {
   const int on = 1;
   setsockopt(fd, level, option, &on, sizeof on);
 }
 
+observe::Concern ConcernOfSide(std::string_view side) {
+  if (side == "client") return observe::Concern::kClient;
+  if (side == "endpoint") return observe::Concern::kEndpoint;
+  return observe::Concern::kPlatform;
+}
+
+// In milliseconds for poll(2); -1: without end.
+int PollTimeout(SteadyTime until) {
+  using std::chrono::milliseconds;
+  if (until == SteadyTime::max()) return -1;
+  const auto left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now());
+  return static_cast<int>(std::clamp(left, milliseconds(0), kMaxPollTimeout).count());
+}
+
 }  // namespace
 
 void Socket::Close() {
   if (fd_ >= 0) close(std::exchange(fd_, -1));
 }
 
-bool Socket::Await(short events, SteadyTime until) const {
+bool Socket::Await(std::int16_t events, SteadyTime until) const {
   while (true) {
-    int ms = -1;
-    if (until != SteadyTime::max()) {
-      const auto left =
-          std::chrono::ceil<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
-      ms = static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(left.count(), 0, 1 << 30));
-    }
     pollfd wanted{fd_, events, 0};
-    const int n = poll(&wanted, 1, ms);
-    if (n > 0) return true;
-    if (n == 0) return false;
-    if (errno != EINTR) return true;  // reading or writing tells what is wrong
+    const int ready = poll(&wanted, 1, PollTimeout(until));
+    if (ready > 0) return true;
+    if (ready == 0) return false;
+    if (errno != EINTR) return true;
   }
 }
 
@@ -90,22 +101,22 @@
 
 bool Socket::SendAll(std::string_view bytes, SteadyTime until) {
   while (!bytes.empty()) {
-    const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
-    if (n <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(n));
+    const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
   }
   return true;
 }
 
-long Socket::Receive(std::span<char> into) { return ReceiveWith(into, 0); }
-long Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
+ssize_t Socket::Receive(std::span<char> into) { return ReceiveWith(into, 0); }
+ssize_t Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
 
-long Socket::ReceiveWith(std::span<char> into, int flags) {
+ssize_t Socket::ReceiveWith(std::span<char> into, int flags) {
   while (true) {
-    const ssize_t n = recv(fd_, into.data(), into.size(), flags);
-    if (n >= 0 || errno != EINTR) return n;
+    const ssize_t received = recv(fd_, into.data(), into.size(), flags);
+    if (received >= 0 || errno != EINTR) return received;
   }
 }
 
@@ -133,7 +144,7 @@
   SetTimeout(socket.fd(), SO_SNDTIMEO, limit);
   if (connect(socket.fd(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) return false;
   SetTimeout(socket.fd(), SO_SNDTIMEO, {});
-  SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return true;
 }
 
@@ -141,34 +152,34 @@
   const auto at = ParseAddress(address);
   Socket listener = NewSocket();
   if (!at || !listener.is_open()) return Socket();
-  SetOn(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
+  EnableOption(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
   if (bind(listener.fd(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0 ||
-      listen(listener.fd(), kBacklog) != 0) {
+      listen(listener.fd(), kListenBacklog) != 0) {
     return Socket();
   }
   return listener;
 }
 
 std::string AddressOf(const Socket& listener) {
-  sockaddr_in at{};
-  socklen_t length = sizeof at;
-  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&at), &length);
-  return AddressText(at);
+  sockaddr_in address{};
+  socklen_t length = sizeof address;
+  getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&address), &length);
+  return FormatAddress(address);
 }
 
 std::string PeerOf(const Socket& connection) {
-  sockaddr_in at{};
-  socklen_t length = sizeof at;
-  getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&at), &length);
-  return AddressText(at);
+  sockaddr_in address{};
+  socklen_t length = sizeof address;
+  getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&address), &length);
+  return FormatAddress(address);
 }
 
-Socket BindDatagrams(const std::string& address) { return Datagrams(address, bind); }
-Socket ConnectDatagrams(const std::string& address) { return Datagrams(address, connect); }
+Socket BindDatagrams(const std::string& address) { return OpenDatagramSocket(address, bind); }
+Socket ConnectDatagrams(const std::string& address) { return OpenDatagramSocket(address, connect); }
 
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
-  if (socket.is_open()) SetOn(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
+  if (socket.is_open()) EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return socket;
 }
 
@@ -180,16 +191,14 @@
 
 void LogConnectionEnd(std::string_view side, std::string_view peer, std::string_view reason,
                       std::size_t exchanges) {
-  using observe::Concern;
   constexpr const char* kEvent = "connection ended";
-  const Concern concern = side == "client"     ? Concern::kClient
-                          : side == "endpoint" ? Concern::kEndpoint
-                                               : Concern::kPlatform;
+  constexpr auto kLevel = observe::Level::kInfo;
+  const observe::Concern concern = ConcernOfSide(side);
   if (peer.empty()) {
-    observe::Log(concern, observe::Level::kInfo, kEvent,
+    observe::Log(concern, kLevel, kEvent,
                  {{"side", side}, {"reason", reason}, {"exchanges", exchanges}});
   } else {
-    observe::Log(concern, observe::Level::kInfo, kEvent,
+    observe::Log(concern, kLevel, kEvent,
                  {{"side", side}, {"peer", peer}, {"reason", reason}, {"exchanges", exchanges}});
   }
 }
