--- a/src/rehearsal/peer_net.cpp
+++ b/src/rehearsal/fault_injecting_network.cpp
@@ -1,4 +1,4 @@
-#include "rehearsal/peer_net.hpp"
+#include "rehearsal/fault_injecting_network.hpp"
 
 #include <sys/stat.h>
 #include <unistd.h>
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kMostDatagram = 65536;
+constexpr std::size_t kMaxDatagram = 65536;
 constexpr std::size_t kSocketBytes = 4 << 20;
 // Known to all, and of rehearsals only: "rehearsal-of-a-fleet".
 constexpr const char* kKey = "cmVoZWFyc2FsLW9mLWEtZmxlZXQ=";
@@ -26,28 +26,30 @@
 
 }  // namespace
 
-PeerNet::PeerNet(Stage& stage, const std::string& prefix, OnLink on_link)
-    : stage_(stage),
-      count_(stage.scenario.forwarders.count),
+FaultInjectingNetwork::FaultInjectingNetwork(RunContext& context, const std::string& prefix,
+                                             OnLink on_link)
+    : context_(context),
+      count_(context.scenario.forwarders.count),
       on_link_(std::move(on_link)),
-      out_in_all_(stage.scenario.fleet.out_in_all),
-      out_in_hall_(stage.scenario.fleet.out_in_hall),
+      max_out_total_(context.scenario.fleet.out_in_all),
+      max_out_per_zone_(context.scenario.fleet.out_in_hall),
       links_(count_ * count_),
-      random_(stage.seed ^ 0x6C696E6B73) {
+      random_(context.seed ^ 0x6C696E6B73) {
   for (std::size_t f = 0; f < count_; ++f) {
     // The system's choice of a port; nobody else is on this address.
-    const udp::socket probe(stage_.io,
+    const udp::socket probe(context_.io,
                             {asio::ip::make_address(prefix + std::to_string(100 + f)), 0});
     homes_.push_back(probe.local_endpoint());
   }
-  if (stage_.scenario.fleet.liar) {
+  if (context_.scenario.fleet.malicious_peer) {
     std::vector<std::uint64_t> limited;
-    for (const Partner& p : stage_.scenario.partners) {
+    for (const Partner& p : context_.scenario.partners) {
       if (p.limit) limited.push_back(p.destination);
     }
-    liar_ = std::make_unique<WrongPeer>(stage_.scenario.name, kSecret, std::move(limited));
-    liar_socket_ = std::make_unique<udp::socket>(
-        stage_.io, udp::endpoint(asio::ip::make_address(prefix + "99"), 0));
+    malicious_peer_ =
+        std::make_unique<MaliciousPeer>(context_.scenario.name, kSecret, std::move(limited));
+    malicious_socket_ = std::make_unique<udp::socket>(
+        context_.io, udp::endpoint(asio::ip::make_address(prefix + "99"), 0));
   }
   for (std::size_t from = 0; from < count_; ++from) {
     for (std::size_t to = 0; to < count_; ++to) {
@@ -56,16 +58,17 @@
       link->from = from;
       link->to = to;
       link->socket = std::make_unique<udp::socket>(
-          stage_.io, udp::endpoint(asio::ip::make_address(prefix + std::to_string(50 + from)), 0));
+          context_.io,
+          udp::endpoint(asio::ip::make_address(prefix + std::to_string(50 + from)), 0));
       link->socket->set_option(udp::socket::receive_buffer_size(kSocketBytes));
-      link->buffer.resize(kMostDatagram);
+      link->buffer.resize(kMaxDatagram);
       Read(*link);
     }
   }
 }
 
-std::string PeerNet::WriteRoster(std::size_t f, const std::string& folder) const {
-  const Scenario& s = stage_.scenario;
+std::string FaultInjectingNetwork::WriteRoster(std::size_t f, const std::string& folder) const {
+  const Scenario& s = context_.scenario;
   // Once, for others read it meanwhile.
   const std::string key = folder + "/fleet.key";
   if (access(key.c_str(), R_OK) != 0) {
@@ -75,28 +78,28 @@
   std::string path = folder + "/n" + std::to_string(f) + ".fleet";
   std::ofstream out(path);
   out << "fleet: \"" << s.name << "\"\nkey: \"fleet.key\"\n"
-      << "out: {all: " << out_in_all_ << ", hall: " << out_in_hall_ << "}\n"
+      << "out: {all: " << max_out_total_ << ", hall: " << max_out_per_zone_ << "}\n"
       << "timings: {\n"
       << s.fleet.timings << "}\nmembers: [\n";
   for (std::size_t m = 0; m < count_; ++m) {
     if (left_.contains(m) && m != f) continue;  // whoever has left finds itself in the old one
     const udp::endpoint address =
         m == f ? homes_[f] : links_[f * count_ + m]->socket->local_endpoint();
-    out << "  {name: \"n" << m << "\", hall: \"" << s.fleet.halls[m % s.fleet.halls.size()]
+    out << "  {name: \"n" << m << "\", hall: \"" << s.fleet.zones[m % s.fleet.zones.size()]
         << "\", peer: \"" << TextOf(address) << "\"" << (m < s.fleet.voters ? ", voter: true" : "")
         << "},\n";
   }
-  if (liar_socket_) {
-    out << "  {name: \"" << WrongPeer::kName << "\", hall: \"" << s.fleet.halls[0] << "\", peer: \""
-        << TextOf(liar_socket_->local_endpoint()) << "\"},\n";
+  if (malicious_socket_) {
+    out << "  {name: \"" << MaliciousPeer::kName << "\", hall: \"" << s.fleet.zones[0]
+        << "\", peer: \"" << TextOf(malicious_socket_->local_endpoint()) << "\"},\n";
   }
   out << "]\n";
   WriteSharing(out);
   return path;
 }
 
-void PeerNet::WriteSharing(std::ostream& out) const {
-  const Scenario& s = stage_.scenario;
+void FaultInjectingNetwork::WriteSharing(std::ostream& out) const {
+  const Scenario& s = context_.scenario;
   const FleetPart& f = s.fleet;
   if (!f.limits && !f.verdicts) return;
   const auto ms = [](Time time) { return std::to_string(time.count() / 1'000'000) + "ms"; };
@@ -112,22 +115,23 @@
   out << "]}\n";
 }
 
-void PeerNet::ChangeRoster(const Act& act) {
-  if (act.places > 0) out_in_all_ = out_in_hall_ = act.places;
-  if (!act.machine.empty()) left_.insert(NumberOfMachine(act.machine));
+void FaultInjectingNetwork::ChangeRoster(const FaultAction& action) {
+  if (action.places > 0) max_out_total_ = max_out_per_zone_ = action.places;
+  if (!action.machine.empty()) left_.insert(NumberOfMachine(action.machine));
 }
 
-void PeerNet::ForEach(const Act& act, const std::function<void(Link&)>& what) {
-  for (const std::size_t a : act.from) {
-    for (const std::size_t b : act.to) {
+void FaultInjectingNetwork::ForEach(const FaultAction& action,
+                                    const std::function<void(Link&)>& what) {
+  for (const std::size_t a : action.from) {
+    for (const std::size_t b : action.to) {
       if (a == b) continue;
       what(Of(a, b));
-      if (act.both_ways) what(Of(b, a));
+      if (action.both_ways) what(Of(b, a));
     }
   }
 }
 
-void PeerNet::Cut(Link& link, bool cut) {
+void FaultInjectingNetwork::Cut(Link& link, bool cut) {
   const bool was = link.cuts > 0;
   if (cut) {
     ++link.cuts;
@@ -137,28 +141,29 @@
   if (was != (link.cuts > 0)) on_link_(link.from, link.to, link.cuts > 0);
 }
 
-void PeerNet::Play(const Act& act) {
-  const Time ends = act.at + act.lasts;
-  if (act.kind == ActKind::kFlap) return Flap(act, true);
-  if (act.kind == ActKind::kCut) {
-    ForEach(act, [this](Link& link) { Cut(link, true); });
-    return stage_.At(ends,
-                     [this, &act] { ForEach(act, [this](Link& link) { Cut(link, false); }); });
+void FaultInjectingNetwork::Play(const FaultAction& action) {
+  const Time ends = action.at + action.lasts;
+  if (action.kind == FaultKind::kFlap) return Flap(action, true);
+  if (action.kind == FaultKind::kCut) {
+    ForEach(action, [this](Link& link) { Cut(link, true); });
+    return context_.At(
+        ends, [this, &action] { ForEach(action, [this](Link& link) { Cut(link, false); }); });
   }
-  ForEach(act, [&act](Link& link) { link.acts.push_back(&act); });
-  stage_.At(ends,
-            [this, &act] { ForEach(act, [&act](Link& link) { std::erase(link.acts, &act); }); });
+  ForEach(action, [&action](Link& link) { link.actions.push_back(&action); });
+  context_.At(ends, [this, &action] {
+    ForEach(action, [&action](Link& link) { std::erase(link.actions, &action); });
+  });
 }
 
-void PeerNet::Flap(const Act& act, bool down) {
-  const Time now = stage_.Now(), ends = act.at + act.lasts;
+void FaultInjectingNetwork::Flap(const FaultAction& action, bool down) {
+  const Time now = context_.Now(), ends = action.at + action.lasts;
   if (down && now >= ends) return;
-  ForEach(act, [this, down](Link& link) { Cut(link, down); });
-  const Time next = now + act.period / 2;
-  stage_.At(down ? std::min(next, ends) : next, [this, &act, down] { Flap(act, !down); });
+  ForEach(action, [this, down](Link& link) { Cut(link, down); });
+  const Time next = now + action.period / 2;
+  context_.At(down ? std::min(next, ends) : next, [this, &action, down] { Flap(action, !down); });
 }
 
-void PeerNet::Read(Link& link) {
+void FaultInjectingNetwork::Read(Link& link) {
   link.socket->async_receive(asio::buffer(link.buffer),
                              [this, &link](error_code error, std::size_t n) {
                                if (error == asio::error::operation_aborted) return;
@@ -167,24 +172,24 @@
                              });
 }
 
-void PeerNet::Carry(Link& link, std::size_t bytes) {
+void FaultInjectingNetwork::Carry(Link& link, std::size_t bytes) {
   ++frames_;
   bytes_ += bytes;
   if (link.cuts > 0) return;
   double loss = 0, twice = 0, rate = 0;
   Time late{};
-  for (const Act* act : link.acts) {
-    loss = 1 - (1 - loss) * (1 - act->loss);
-    twice = std::max(twice, act->twice);
-    late += act->delay;
-    if (act->jitter > Time{}) {
-      late += Time(static_cast<Time::rep>(Chance() * static_cast<double>(act->jitter.count())));
+  for (const FaultAction* action : link.actions) {
+    loss = 1 - (1 - loss) * (1 - action->loss);
+    twice = std::max(twice, action->twice);
+    late += action->delay;
+    if (action->jitter > Time{}) {
+      late += Time(static_cast<Time::rep>(Chance() * static_cast<double>(action->jitter.count())));
     }
-    if (act->rate > 0) rate = rate > 0 ? std::min(rate, act->rate) : act->rate;
+    if (action->rate > 0) rate = rate > 0 ? std::min(rate, action->rate) : action->rate;
   }
   if (loss > 0 && Chance() < loss) return;
   if (rate > 0) {
-    const Time now = stage_.Now();
+    const Time now = context_.Now();
     link.free_at = std::max(link.free_at, now) + FromSeconds(static_cast<double>(bytes) / rate);
     late += link.free_at - now;
   }
@@ -195,27 +200,30 @@
       link.socket->send_to(asio::buffer(link.buffer.data(), bytes), homes_[link.to], 0, ignored);
       continue;
     }
-    stage_.At(stage_.Now() + late, [this, &link, frame = std::string(link.buffer.data(), bytes)] {
-      error_code ignored;
-      link.socket->send_to(asio::buffer(frame), homes_[link.to], 0, ignored);
-    });
+    context_.At(context_.Now() + late,
+                [this, &link, frame = std::string(link.buffer.data(), bytes)] {
+                  error_code ignored;
+                  link.socket->send_to(asio::buffer(frame), homes_[link.to], 0, ignored);
+                });
   }
 }
 
-void PeerNet::Lie(const Act& act, const std::function<std::vector<std::string>()>& endpoints) {
-  const Time now = stage_.Now();
-  if (now >= act.at + act.lasts) return;
+void FaultInjectingNetwork::FalseReport(
+    const FaultAction& action, const std::function<std::vector<std::string>()>& endpoints) {
+  const Time now = context_.Now();
+  if (now >= action.at + action.lasts) return;
   for (std::size_t f = 0; f < count_; ++f) {
-    for (const std::string& frame : liar_->Lies(act.lie, "n" + std::to_string(f), endpoints())) {
+    for (const std::string& frame :
+         malicious_peer_->Lies(action.lie, "n" + std::to_string(f), endpoints())) {
       error_code ignored;
-      liar_socket_->send_to(asio::buffer(frame), homes_[f], 0, ignored);
+      malicious_socket_->send_to(asio::buffer(frame), homes_[f], 0, ignored);
       ++lies_;
     }
   }
-  stage_.At(now + kLieEvery, [this, &act, endpoints] { Lie(act, endpoints); });
+  context_.At(now + kLieEvery, [this, &action, endpoints] { FalseReport(action, endpoints); });
 }
 
-void PeerNet::Close() {
+void FaultInjectingNetwork::Close() {
   for (const auto& link : links_) {
     error_code ignored;
     if (link) link->socket->close(ignored);
--- a/src/rehearsal/fleet_auditor.cpp
+++ b/src/rehearsal/fleet_auditor.cpp
@@ -6,7 +6,7 @@
 namespace brassfront::rehearsal {
 namespace {
 
-constexpr std::size_t kMostHistory = 200;
+constexpr std::size_t kMaxHistory = 200;
 
 }  // namespace
 
@@ -167,7 +167,7 @@
   if (stands_by_[f] != stands_by) {
     stands_by_[f] = stands_by;
     if (stands_by) last_turn_ = at;
-    if (history_.size() < kMostHistory) {
+    if (history_.size() < kMaxHistory) {
       history_.push_back(std::to_string(SecondsOf(at)) + " s n" + std::to_string(f) +
                          (stands_by ? " stands by" : " takes clients"));
     }
@@ -179,8 +179,8 @@
 // for so long, when the last turn began, that all must have known it. Each is looked at every tenth
 // of a second, so only what lasts is certain.
 void FleetAuditor::CountPlaces(Time at) {
-  const std::size_t halls = limits_.halls.size();
-  std::vector<std::size_t> in_hall(halls);
+  const std::size_t zones = limits_.zones.size();
+  std::vector<std::size_t> in_hall(zones);
   std::size_t in_all = 0;
   std::string who;
   if (fewer_places_ && at - std::max(fewer_since_, last_cut_) > kRosterTakes) {
@@ -191,7 +191,7 @@
     const bool away = absent_[f] && last_turn_ - absent_since_[f] > kNoticed;
     if (!stands_by_[f] && !away) continue;
     ++in_all;
-    ++in_hall[f % halls];
+    ++in_hall[f % zones];
     who += " n" + std::to_string(f) + (stands_by_[f] ? "" : " (away)");
   }
   level_since_.resize(count_ + 1);
@@ -201,7 +201,7 @@
     } else if (!level_since_[level]) {
       level_since_[level] = at;
     } else if (at - *level_since_[level] > kLooks) {
-      most_out_ = std::max(most_out_, level);
+      max_out_ = std::max(max_out_, level);
     }
   }
   const bool over = in_all > limits_.out_in_all ||
@@ -217,8 +217,8 @@
 }
 
 void FleetAuditor::Tell(Rule rule, Time at, std::string what) {
-  if (++broken_[static_cast<std::size_t>(rule)] > Auditor::kMostBreaks) return;
-  breaks_.push_back({rule, at, std::move(what), history_});
+  if (++broken_[static_cast<std::size_t>(rule)] > Auditor::kMaxViolations) return;
+  violations_.push_back({rule, at, std::move(what), history_});
 }
 
 void FleetAuditor::Held(std::size_t by, std::size_t about, const std::string& state, Time at) {
@@ -231,7 +231,7 @@
   }
 }
 
-void FleetAuditor::Finish(Time now, Judgement& into) {
+void FleetAuditor::Finish(Time now, AuditResult& into) {
   double noticed_ms = 0;
   std::size_t unnoticed = 0;
   for (const Absence& absence : absences_) {
@@ -255,12 +255,12 @@
     into.broken[rule] += broken_[rule];
     into.metrics["rule_breaks"] += static_cast<double>(broken_[rule]);
   }
-  into.breaks.insert(into.breaks.end(), breaks_.begin(), breaks_.end());
+  into.violations.insert(into.violations.end(), violations_.begin(), violations_.end());
   into.metrics["works_back"] = static_cast<double>(back);
   into.metrics["works_open"] = static_cast<double>(open);
   into.metrics["works_s"] = first_asked_ && last_back_ ? SecondsOf(*last_back_ - *first_asked_) : 0;
   into.metrics["settled_ms"] = SecondsOf(settled_most_) * 1e3;
-  into.metrics["most_out"] = static_cast<double>(most_out_);
+  into.metrics["most_out"] = static_cast<double>(max_out_);
   into.metrics["wrong_deaths"] = static_cast<double>(wrong_deaths_);
   into.metrics["noticed_ms"] = noticed_ms;
   std::size_t returned = 0;
--- a/src/rehearsal/fleet_auditor.hpp
+++ b/src/rehearsal/fleet_auditor.hpp
@@ -41,7 +41,7 @@
   void Runs(std::size_t f, bool runs, Time at);  // serves, or is signalled to end or killed
   void Paused(std::size_t f, bool paused, Time at);
   void Cut(std::size_t from, std::size_t to, bool cut, Time at);
-  // Staff have written so many places, or one member less, into the roster.
+  // OperatorScript have written so many places, or one member less, into the roster.
   void Roster(std::size_t places, std::optional<std::size_t> left, Time at);
 
   // ---- what clients, partners and staff see ----
@@ -60,7 +60,7 @@
   // Frames go from one to the other now, and both have worked and been joined for a while.
   [[nodiscard]] bool Joined(std::size_t from, std::size_t to, Time now) const;
   // Adds its metrics.
-  void Finish(Time now, Judgement& into);
+  void Finish(Time now, AuditResult& into);
 
  private:
   struct Absence {
@@ -95,7 +95,7 @@
   Time fewer_since_{}, last_cut_{};
   std::vector<bool> stands_by_;
   std::vector<Time> absent_since_;
-  std::size_t most_out_ = 0;
+  std::size_t max_out_ = 0;
   Time last_turn_{};
   std::vector<std::optional<Time>> level_since_;  // that so many or more are out
   std::optional<Time> over_since_;
@@ -106,7 +106,7 @@
   std::map<std::string, std::size_t> endpoints_;
   std::map<std::size_t, Time> out_since_;                           // endpoints
   std::map<std::size_t, std::pair<Time, std::size_t>> back_since_;  // endpoints: when, calls since
-  std::vector<Break> breaks_;
+  std::vector<RuleViolation> violations_;
   std::vector<std::size_t> broken_;
   std::vector<std::string> history_;  // of places, as evidence
 };
--- a/src/rehearsal/wrong_peer.cpp
+++ b/src/rehearsal/malicious_peer.cpp
@@ -1,4 +1,4 @@
-#include "rehearsal/wrong_peer.hpp"
+#include "rehearsal/malicious_peer.hpp"
 
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-std::string WrongPeer::Signed(int kind, const std::string& to, const std::string& body) const {
+std::string MaliciousPeer::Signed(int kind, const std::string& to, const std::string& body) const {
   std::string head;
   Put(head, kVersion, 1);
   Put(head, static_cast<std::uint64_t>(kind), 1);
@@ -43,8 +43,8 @@
   return all + std::string(reinterpret_cast<const char*>(mac.data()), length);
 }
 
-std::string WrongPeer::Words(int seen, std::uint32_t rest_ms,
-                             const std::vector<std::string>& endpoints) {
+std::string MaliciousPeer::Words(int seen, std::uint32_t rest_ms,
+                                 const std::vector<std::string>& endpoints) {
   std::string body;
   Put(body, endpoints.size(), 2);
   for (const std::string& endpoint : endpoints) {
@@ -58,7 +58,7 @@
   return body;
 }
 
-std::string WrongPeer::Wants(double told) {
+std::string MaliciousPeer::Wants(double told) {
   std::string body;
   Put(body, ++number_, 8);
   Put(body, destinations_.size(), 2);
@@ -71,15 +71,16 @@
   return body;
 }
 
-std::vector<std::string> WrongPeer::Lies(Lie lie, const std::string& to,
-                                         const std::vector<std::string>& endpoints) {
+std::vector<std::string> MaliciousPeer::Lies(FalseReport lie, const std::string& to,
+                                             const std::vector<std::string>& endpoints) {
   std::vector<std::string> frames;
-  const auto says = [lie](Lie one) { return lie == one || lie == Lie::kAll; };
-  if (says(Lie::kDead)) frames.push_back(Signed(kWords, to, Words(kDown, 0, endpoints)));
-  if (says(Lie::kWaits)) frames.push_back(Signed(kWords, to, Words(kWait, kAnHour, endpoints)));
-  if (says(Lie::kHealthy)) frames.push_back(Signed(kWords, to, Words(kCold, 0, endpoints)));
-  if (says(Lie::kNoLimit)) frames.push_back(Signed(kWant, to, Wants(0.01)));
-  if (says(Lie::kHugeLimit)) frames.push_back(Signed(kWant, to, Wants(1e6)));
+  const auto says = [lie](FalseReport one) { return lie == one || lie == FalseReport::kAll; };
+  if (says(FalseReport::kDead)) frames.push_back(Signed(kWords, to, Words(kDown, 0, endpoints)));
+  if (says(FalseReport::kWaits))
+    frames.push_back(Signed(kWords, to, Words(kWait, kAnHour, endpoints)));
+  if (says(FalseReport::kHealthy)) frames.push_back(Signed(kWords, to, Words(kCold, 0, endpoints)));
+  if (says(FalseReport::kNoLimit)) frames.push_back(Signed(kWant, to, Wants(0.01)));
+  if (says(FalseReport::kHugeLimit)) frames.push_back(Signed(kWant, to, Wants(1e6)));
   return frames;
 }
 
--- a/src/rehearsal/wrong_peer.hpp
+++ b/src/rehearsal/malicious_peer.hpp
@@ -1,8 +1,8 @@
 // A scripted member of a fleet that has the key and lies: its frames are written here anew, so that
 // the kit shares no code with what it judges. It answers no probe, so the others hold it for dead
 // now and then, and hear it all the same.
-#ifndef BRASSFRONT_REHEARSAL_WRONG_PEER_HPP_
-#define BRASSFRONT_REHEARSAL_WRONG_PEER_HPP_
+#ifndef BRASSFRONT_REHEARSAL_MALICIOUS_PEER_HPP_
+#define BRASSFRONT_REHEARSAL_MALICIOUS_PEER_HPP_
 
 #include <cstdint>
 #include <string>
@@ -12,17 +12,17 @@
 
 namespace brassfront::rehearsal {
 
-class WrongPeer {
+class MaliciousPeer {
  public:
   // `secret` signs its frames; `destinations` are those with limits.
-  WrongPeer(std::string fleet, std::string secret, std::vector<std::uint64_t> destinations)
+  MaliciousPeer(std::string fleet, std::string secret, std::vector<std::uint64_t> destinations)
       : fleet_(std::move(fleet)),
         secret_(std::move(secret)),
         destinations_(std::move(destinations)) {}
 
   static constexpr const char* kName = "liar";
   // The frames of one round for that forwarder; each round claims anew.
-  std::vector<std::string> Lies(Lie lie, const std::string& to,
+  std::vector<std::string> Lies(FalseReport lie, const std::string& to,
                                 const std::vector<std::string>& endpoints);
 
  private:
@@ -37,4 +37,4 @@
 
 }  // namespace brassfront::rehearsal
 
-#endif  // BRASSFRONT_REHEARSAL_WRONG_PEER_HPP_
+#endif  // BRASSFRONT_REHEARSAL_MALICIOUS_PEER_HPP_
--- a/src/rehearsal/zone_side.cpp
+++ b/src/rehearsal/name_server_stub.cpp
@@ -1,4 +1,4 @@
-#include "rehearsal/zone_side.hpp"
+#include "rehearsal/name_server_stub.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -26,9 +26,9 @@
 
 }  // namespace
 
-ZoneSide::ZoneSide(const Stage& stage, Endpoints& endpoints, std::string prefix, std::string out,
-                   OnTold on_told)
-    : stage_(stage),
+NameServerStub::NameServerStub(const RunContext& context, EndpointStub& endpoints,
+                               std::string prefix, std::string out, OnTold on_told)
+    : context_(context),
       endpoints_(endpoints),
       prefix_(std::move(prefix)),
       out_(std::move(out)),
@@ -38,7 +38,7 @@
   settings.server.address = prefix_ + "250:" + std::to_string(kZonePort);
   settings.keys.emplace(key_.name.Key(), key_);
   settings.grants = {{key_.name, Name(), {}, true, true}};
-  const std::size_t forwarders = stage_.scenario.forwarders.count;
+  const std::size_t forwarders = context_.scenario.forwarders.count;
   for (std::size_t f = 0; f < forwarders; ++f) {
     settings.server.notify.push_back(prefix_ + std::to_string(100 + f) + ":" +
                                      std::to_string(kZonePort));
@@ -52,7 +52,7 @@
   thread_ = std::thread([this] { Work(); });
 }
 
-ZoneSide::~ZoneSide() {
+NameServerStub::~NameServerStub() {
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
@@ -61,13 +61,13 @@
   thread_.join();
 }
 
-Name ZoneSide::ZoneOf(std::size_t forwarder) const {
+Name NameServerStub::ZoneOf(std::size_t forwarder) const {
   return Name::Known("f" + std::to_string(forwarder) + ".rehearsal.");
 }
 
-std::vector<Record> ZoneSide::RecordsOf(std::size_t forwarder, std::size_t endpoint) const {
+std::vector<Record> NameServerStub::RecordsOf(std::size_t forwarder, std::size_t endpoint) const {
   const Endpoint& e = endpoints_.at(endpoint);
-  const Partner& partner = stage_.scenario.partners[e.partner];
+  const Partner& partner = context_.scenario.partners[e.partner];
   const Name zone = ZoneOf(forwarder);
   const Name service =
       Name::Known("_plan._tcp.p" + std::to_string(e.partner) + "." + zone.ToText());
@@ -87,7 +87,7 @@
           {host, type::kA, klass::kIn, kTtl, std::string(bytes.begin(), bytes.end())}};
 }
 
-void ZoneSide::Write(std::size_t forwarder) const {
+void NameServerStub::Write(std::size_t forwarder) const {
   dns::Zone zone(ZoneOf(forwarder));
   const Name ns = Name::Known("ns." + zone.origin().ToText());
   std::string soa = ns.wire() + ns.wire();
@@ -110,12 +110,12 @@
       << "\"}]\n";
 }
 
-std::string ZoneSide::SourcesFile(std::size_t forwarder) const {
+std::string NameServerStub::SourcesFile(std::size_t forwarder) const {
   return out_ + "/sources-f" + std::to_string(forwarder) + ".records";
 }
 
-void ZoneSide::Tell(std::size_t endpoint, Agent::Phase phase) {
-  for (std::size_t f = 0; f < stage_.scenario.forwarders.count; ++f) {
+void NameServerStub::Tell(std::size_t endpoint, DiscoveryStub::Phase phase) {
+  for (std::size_t f = 0; f < context_.scenario.forwarders.count; ++f) {
     auto records = RecordsOf(f, endpoint);
     const Name host = records[2].name;
     Job job;
@@ -125,13 +125,13 @@
     job.update.opcode = dns::Opcode::kUpdate;
     job.update.question = {{ZoneOf(f), type::kSoa, klass::kIn}};
     switch (phase) {
-      case Agent::Phase::kReady:
+      case DiscoveryStub::Phase::kReady:
         job.update.authority = std::move(records);
         break;
-      case Agent::Phase::kTerminating:
+      case DiscoveryStub::Phase::kTerminating:
         job.update.authority = {{host, type::kTxt, klass::kIn, kTtl, Text("phase=drain")}};
         break;
-      case Agent::Phase::kGone:
+      case DiscoveryStub::Phase::kGone:
         records[0].klass = klass::kNone;
         records[0].ttl = 0;
         job.update.authority = {records[0], {host, type::kAny, klass::kAny, 0, ""}};
@@ -142,7 +142,7 @@
   filled_.notify_all();
 }
 
-void ZoneSide::Work() {
+void NameServerStub::Work() {
   nameserver::Ask ask;
   ask.server = host_->address();
   ask.key = key_;
@@ -155,7 +155,7 @@
     // What is not confirmed is sent again, signed anew: it comes to the same.
     for (bool done = false; !done && !stopping_;) {
       lock.unlock();
-      const Time since = stage_.Now();
+      const Time since = context_.Now();
       const auto asked = nameserver::AskServer(ask, job.update);
       done = asked.answer && asked.answer->rcode == dns::Rcode::kNoError;
       if (done) on_told_(job.forwarder, job.endpoint, job.phase, since);
--- a/src/rehearsal/zone_side.hpp
+++ b/src/rehearsal/name_server_stub.hpp
@@ -4,8 +4,8 @@
 //
 // The name server is the product's own (src/nameserver). What it puts on the wire is held against
 // dnspython by the tests; the auditor believes the endpoints' sockets alone.
-#ifndef BRASSFRONT_REHEARSAL_ZONE_SIDE_HPP_
-#define BRASSFRONT_REHEARSAL_ZONE_SIDE_HPP_
+#ifndef BRASSFRONT_REHEARSAL_NAME_SERVER_STUB_HPP_
+#define BRASSFRONT_REHEARSAL_NAME_SERVER_STUB_HPP_
 
 #include <condition_variable>
 #include <deque>
@@ -16,27 +16,27 @@
 #include <thread>
 
 #include "nameserver/host.hpp"
-#include "rehearsal/agent.hpp"
-#include "rehearsal/endpoints.hpp"
-#include "rehearsal/stage.hpp"
+#include "rehearsal/discovery_stub.hpp"
+#include "rehearsal/endpoint_stub.hpp"
+#include "rehearsal/run_context.hpp"
 
 namespace brassfront::rehearsal {
 
-class ZoneSide {
+class NameServerStub {
  public:
   // An update was confirmed, whose sending began at `since`. Called by the thread.
-  using OnTold = std::function<void(std::size_t forwarder, std::size_t endpoint, Agent::Phase phase,
-                                    Time since)>;
+  using OnTold = std::function<void(std::size_t forwarder, std::size_t endpoint,
+                                    DiscoveryStub::Phase phase, Time since)>;
 
   // Serves the endpoints that there are, at PREFIX250; files for the forwarders go to `out`.
-  ZoneSide(const Stage& stage, Endpoints& endpoints, std::string prefix, std::string out,
-           OnTold on_told);
-  ~ZoneSide();
+  NameServerStub(const RunContext& context, EndpointStub& endpoints, std::string prefix,
+                 std::string out, OnTold on_told);
+  ~NameServerStub();
 
   // The operator file that the forwarder is started with.
   [[nodiscard]] std::string SourcesFile(std::size_t forwarder) const;
   // Sends the update for each forwarder, in order, soon.
-  void Tell(std::size_t endpoint, Agent::Phase phase);
+  void Tell(std::size_t endpoint, DiscoveryStub::Phase phase);
   void SetFaults(const nameserver::Faults& faults) { host_->SetFaults(faults); }
 
  private:
@@ -49,12 +49,12 @@
   struct Job {
     std::size_t forwarder = 0;
     std::size_t endpoint = 0;
-    Agent::Phase phase = Agent::Phase::kReady;
+    DiscoveryStub::Phase phase = DiscoveryStub::Phase::kReady;
     dns::Message update;
   };
 
-  const Stage& stage_;
-  Endpoints& endpoints_;
+  const RunContext& context_;
+  EndpointStub& endpoints_;
   const std::string prefix_, out_;
   dns::Key key_;
   std::unique_ptr<nameserver::Host> host_;
@@ -68,4 +68,4 @@
 
 }  // namespace brassfront::rehearsal
 
-#endif  // BRASSFRONT_REHEARSAL_ZONE_SIDE_HPP_
+#endif  // BRASSFRONT_REHEARSAL_NAME_SERVER_STUB_HPP_
--- a/src/rehearsal/staff.cpp
+++ b/src/rehearsal/operator_script.cpp
@@ -1,4 +1,4 @@
-#include "rehearsal/staff.hpp"
+#include "rehearsal/operator_script.hpp"
 
 #include <array>
 #include <boost/asio/local/stream_protocol.hpp>
@@ -20,16 +20,17 @@
 
 }  // namespace
 
-Staff::Staff(Stage& stage, FleetAuditor& auditor, std::string out, Hooks hooks)
-    : stage_(stage), auditor_(auditor), out_(std::move(out)), hooks_(std::move(hooks)) {}
+OperatorScript::OperatorScript(RunContext& context, FleetAuditor& auditor, std::string out,
+                               Hooks hooks)
+    : context_(context), auditor_(auditor), out_(std::move(out)), hooks_(std::move(hooks)) {}
 
-void Staff::Begin() {
-  for (std::size_t f = 0; f < stage_.scenario.forwarders.count; ++f) Look(f);
+void OperatorScript::Begin() {
+  for (std::size_t f = 0; f < context_.scenario.forwarders.count; ++f) Look(f);
 }
 
-void Staff::Look(std::size_t f) {
+void OperatorScript::Look(std::size_t f) {
   if (closed_) return;
-  stage_.At(stage_.Now() + kLookEvery, [this, f] { Look(f); });
+  context_.At(context_.Now() + kLookEvery, [this, f] { Look(f); });
   if (!hooks_.runs(f)) return;
   struct Ping {
     explicit Ping(asio::io_context& io) : socket(io), timer(io) {}
@@ -37,7 +38,7 @@
     asio::steady_timer timer;
     std::array<char, 64> bytes{};
   };
-  auto ping = std::make_shared<Ping>(stage_.io);
+  auto ping = std::make_shared<Ping>(context_.io);
   ping->timer.expires_after(kPingWithin);
   ping->timer.async_wait([ping](error_code error) {
     error_code ignored;
@@ -54,32 +55,32 @@
                                    const std::string reply(ping->bytes.data(), n);
                                    const bool away = reply.rfind("-STANDBY", 0) == 0;
                                    if (!away && reply.rfind("+PONG", 0) != 0) return;
-                                   auditor_.StandsBy(f, away, stage_.Now());
+                                   auditor_.StandsBy(f, away, context_.Now());
                                    hooks_.takes_clients(f, !away);
                                  });
   });
 }
 
-void Staff::Ask(const Act& act, const std::string& name) {
-  wanted_[name] = &act;
-  if (name == "all" || name.rfind("hall:", 0) == 0) all_ = &act;
-  const bool machine = !act.machine.empty();
-  auditor_.Asked(stage_.Now());
+void OperatorScript::Ask(const FaultAction& action, const std::string& name) {
+  wanted_[name] = &action;
+  if (name == "all" || name.rfind("hall:", 0) == 0) all_ = &action;
+  const bool machine = !action.machine.empty();
+  auditor_.Asked(context_.Now());
   Start("/fleet/maintenance/ask?name=" + name + (machine ? "" : "&kind=endpoint"),
-        act.forwarders.front(), true);
+        action.forwarders.front(), true);
 }
 
-void Staff::Start(std::string target, std::size_t forwarder, bool ask) {
-  const std::uint64_t token = (stage_.seed << 20) + errands_.size() + 1;
+void OperatorScript::Start(std::string target, std::size_t forwarder, bool ask) {
+  const std::uint64_t token = (context_.seed << 20) + errands_.size() + 1;
   target += "&token=" + std::to_string(token);
-  errands_.push_back({std::move(target), forwarder, stage_.Now(), ask});
+  errands_.push_back({std::move(target), forwarder, context_.Now(), ask});
   Try(errands_.size() - 1);
 }
 
-void Staff::Try(std::size_t number) {
+void OperatorScript::Try(std::size_t number) {
   if (closed_) return;
   Errand& errand = errands_[number];
-  const std::size_t count = stage_.scenario.forwarders.count;
+  const std::size_t count = context_.scenario.forwarders.count;
   for (std::size_t i = 0; i < count && !hooks_.runs(errand.asked); ++i) {
     errand.asked = (errand.asked + 1) % count;
   }
@@ -90,7 +91,7 @@
     std::string request, answer;
     bool over = false;
   };
-  auto post = std::make_shared<Post>(stage_.io);
+  auto post = std::make_shared<Post>(context_.io);
   post->request = "POST " + errand.target + " HTTP/1.1\r\nHost: fleet\r\nContent-Length: 0\r\n\r\n";
   const auto done = [this, post, number] {
     if (std::exchange(post->over, true) || closed_) return;
@@ -113,28 +114,28 @@
 }
 
 // 200 and 409 are the fleet's word; anything else is asked again, of the next one.
-void Staff::Answered(std::size_t number, const std::string& text) {
+void OperatorScript::Answered(std::size_t number, const std::string& text) {
   Errand& errand = errands_[number];
   const bool good = text.rfind("HTTP/1.1 200", 0) == 0;
-  if (good && errand.ask) auditor_.Settled(stage_.Now() - errand.since);
+  if (good && errand.ask) auditor_.Settled(context_.Now() - errand.since);
   if (good || text.rfind("HTTP/1.1 409", 0) == 0) return;
-  errand.asked = (errand.asked + 1) % stage_.scenario.forwarders.count;
-  stage_.At(stage_.Now() + kAskAgain, [this, number] { Try(number); });
+  errand.asked = (errand.asked + 1) % context_.scenario.forwarders.count;
+  context_.At(context_.Now() + kAskAgain, [this, number] { Try(number); });
 }
 
-void Staff::Line(const std::string& line) {
+void OperatorScript::Line(const std::string& line) {
   if (closed_ || line.rfind("work request=", 0) != 0) return;
   const std::string request = FieldOf(line, "request"), name = FieldOf(line, "name");
   if (FieldOf(line, "state") != "out" || !brought_.insert(request).second) return;
   const auto it = wanted_.find(name);
-  const Act* act = it == wanted_.end() ? all_ : it->second;
-  if (act == nullptr) return;
-  const bool machine = !act->machine.empty();
-  if (machine && act->restart && name.size() > 1) hooks_.restart(std::stoul(name.substr(1)));
-  stage_.At(stage_.Now() + act->stay, [this, name, machine, act] {
-    if (!machine) auditor_.EndpointOut(name, false, stage_.Now());
+  const FaultAction* action = it == wanted_.end() ? all_ : it->second;
+  if (action == nullptr) return;
+  const bool machine = !action->machine.empty();
+  if (machine && action->restart && name.size() > 1) hooks_.restart(std::stoul(name.substr(1)));
+  context_.At(context_.Now() + action->stay, [this, name, machine, action] {
+    if (!machine) auditor_.EndpointOut(name, false, context_.Now());
     Start("/fleet/maintenance/back?name=" + name + (machine ? "" : "&kind=endpoint"),
-          act->forwarders.front(), false);
+          action->forwarders.front(), false);
   });
 }
 
--- a/src/rehearsal/staff.hpp
+++ b/src/rehearsal/operator_script.hpp
@@ -2,8 +2,8 @@
 // `brassfront fleet` would, bring back what has been out for long enough, and look every tenth of a
 // second whether each forwarder takes clients. They ask again, with the same number, where nobody
 // answers.
-#ifndef BRASSFRONT_REHEARSAL_STAFF_HPP_
-#define BRASSFRONT_REHEARSAL_STAFF_HPP_
+#ifndef BRASSFRONT_REHEARSAL_OPERATOR_SCRIPT_HPP_
+#define BRASSFRONT_REHEARSAL_OPERATOR_SCRIPT_HPP_
 
 #include <functional>
 #include <map>
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "rehearsal/fleet_auditor.hpp"
-#include "rehearsal/stage.hpp"
+#include "rehearsal/run_context.hpp"
 
 namespace brassfront::rehearsal {
 
-class Staff {
+class OperatorScript {
  public:
   struct Hooks {
     std::function<bool(std::size_t)> runs;  // serves, or stands by
@@ -25,12 +25,12 @@
     std::function<void(std::size_t, bool takes)> takes_clients;
   };
 
-  Staff(Stage& stage, FleetAuditor& auditor, std::string out, Hooks hooks);
+  OperatorScript(RunContext& context, FleetAuditor& auditor, std::string out, Hooks hooks);
 
   // Looks at all forwarders from now on.
   void Begin();
-  // Asks for the work of an act; `name` is the machine's, or the endpoint's id.
-  void Ask(const Act& act, const std::string& name);
+  // Asks for the work of an action; `name` is the machine's, or the endpoint's id.
+  void Ask(const FaultAction& action, const std::string& name);
   // A line of a forwarder's log: what has been said to be out is brought back in time.
   void Line(const std::string& line);
   void Close() { closed_ = true; }
@@ -48,17 +48,17 @@
   void Answered(std::size_t errand, const std::string& text);
   void Start(std::string target, std::size_t forwarder, bool ask);
 
-  Stage& stage_;
+  RunContext& context_;
   FleetAuditor& auditor_;
   const std::string out_;
   const Hooks hooks_;
   std::vector<Errand> errands_;
-  std::map<std::string, const Act*> wanted_;  // by machine or endpoint
-  const Act* all_ = nullptr;                  // the last act for a hall or all
-  std::set<std::string> brought_;             // request numbers
+  std::map<std::string, const FaultAction*> wanted_;  // by machine or endpoint
+  const FaultAction* all_ = nullptr;                  // the last action for a hall or all
+  std::set<std::string> brought_;                     // request numbers
   bool closed_ = false;
 };
 
 }  // namespace brassfront::rehearsal
 
-#endif  // BRASSFRONT_REHEARSAL_STAFF_HPP_
+#endif  // BRASSFRONT_REHEARSAL_OPERATOR_SCRIPT_HPP_
--- a/src/rehearsal/partner_model.cpp
+++ b/src/rehearsal/partner_model.cpp
@@ -16,8 +16,8 @@
 double WorkOf(std::size_t messages) { return 1 + kItemCost * static_cast<double>(messages - 1); }
 }  // namespace
 
-PartnerModel::PartnerModel(const Partner& partner, const Cold& cold, std::uint64_t seed)
-    : partner_(partner), cold_(cold), random_(seed) {
+PartnerModel::PartnerModel(const Partner& partner, const WarmUp& warm_up, std::uint64_t seed)
+    : partner_(partner), warm_up_(warm_up), random_(seed) {
   const auto workers =
       std::max<std::int64_t>(1, std::llround(partner.capacity * SecondsOf(partner.pace)));
   for (std::int64_t i = 0; i < workers; ++i) free_at_.push(Time{});
@@ -25,8 +25,8 @@
 
 double PartnerModel::Warmth(Time now) const {
   if (!back_since_) return 1;
-  const double passed = SecondsOf(now - *back_since_) / SecondsOf(cold_.warm);
-  return std::min(1.0, cold_.share + (1 - cold_.share) * passed);
+  const double passed = SecondsOf(now - *back_since_) / SecondsOf(warm_up_.warm);
+  return std::min(1.0, warm_up_.share + (1 - warm_up_.share) * passed);
 }
 
 Time PartnerModel::ServiceTime(std::size_t messages) {
@@ -36,17 +36,18 @@
   return FromSeconds(time(random_) * WorkOf(messages) * slow_);
 }
 
-// All that reaches a cold partner pushes it, what it turns away too.
+// All that reaches a warm_up partner pushes it, what it turns away too.
 bool PartnerModel::Push(Time now, std::size_t messages, std::size_t forwarder) {
   pushes_.push_back({now, WorkOf(messages), forwarder});
-  while (now - pushes_.front().at > cold_.fall) pushes_.pop_front();
+  while (now - pushes_.front().at > warm_up_.fall) pushes_.pop_front();
   if (!back_since_ || fallen_) return false;
   const double warmth = Warmth(now);
   if (warmth >= 1) return false;
   // Only what came after the return counts.
   double work = 0;
   for (const Pushes& p : pushes_) work += p.at >= *back_since_ ? p.work : 0;
-  if (work <= cold_.multiple * partner_.capacity * warmth * SecondsOf(cold_.fall) + 1) return false;
+  if (work <= warm_up_.multiple * partner_.capacity * warmth * SecondsOf(warm_up_.fall) + 1)
+    return false;
   fallen_ = true;
   return true;
 }
@@ -81,53 +82,53 @@
   return std::max(partner_.wait, tokens_at_ - burst - now);
 }
 
-PartnerModel::Verdict PartnerModel::Call(Time now, std::size_t messages, std::size_t forwarder) {
-  Verdict verdict;
-  verdict.fell_over = Push(now, messages, forwarder);
+PartnerModel::Status PartnerModel::Call(Time now, std::size_t messages, std::size_t forwarder) {
+  Status status;
+  status.fell_over = Push(now, messages, forwarder);
   const Outage outage = this->outage(now);
   if (fallen_) {
-    verdict.what = What::kRefuse;
-    return verdict;
+    status.what = What::kRefuse;
+    return status;
   }
   if (outage == Outage::kShut) {
-    verdict.what = What::kRefuse;
-    verdict.wait = outage_wait_ ? *outage_wait_ : outage_until_ - now;
-    return verdict;
+    status.what = What::kRefuse;
+    status.wait = outage_wait_ ? *outage_wait_ : outage_until_ - now;
+    return status;
   }
   if (outage == Outage::kSilent || outage == Outage::kRefuse) {
-    verdict.what = What::kSilent;
-    return verdict;
+    status.what = What::kSilent;
+    return status;
   }
   if (outage == Outage::kReset) {
-    verdict.what = What::kReset;
-    return verdict;
+    status.what = What::kReset;
+    return status;
   }
   boost::random::uniform_01<double> chance;
   if (now < full_until_) {
-    verdict.what = What::kRefuse;
-    verdict.wait = full_wait_;
-    return verdict;
+    status.what = What::kRefuse;
+    status.wait = full_wait_;
+    return status;
   }
   if (partner_.limit) {
-    const std::optional<Time> wait = OverLimit(now, verdict.above_limit);
-    if (verdict.above_limit) {
-      verdict.what = What::kRefuse;
-      if (chance(random_) < partner_.limit->told) verdict.wait = wait;
-      return verdict;
+    const std::optional<Time> wait = OverLimit(now, status.above_limit);
+    if (status.above_limit) {
+      status.what = What::kRefuse;
+      if (chance(random_) < partner_.limit->told) status.wait = wait;
+      return status;
     }
   }
   const Time start = std::max(now, free_at_.top());
   if (start - now > partner_.queue) {
-    verdict.what = What::kRefuse;
+    status.what = What::kRefuse;
     const double told = partner_.limit ? partner_.limit->told : 0.5;
-    if (chance(random_) < told) verdict.wait = std::max(partner_.wait, start - now);
-    return verdict;
+    if (chance(random_) < told) status.wait = std::max(partner_.wait, start - now);
+    return status;
   }
   free_at_.pop();
-  verdict.at = start + Time(static_cast<Time::rep>(
-                           static_cast<double>(ServiceTime(messages).count()) / Warmth(now)));
-  free_at_.push(verdict.at);
-  return verdict;
+  status.at = start + Time(static_cast<Time::rep>(
+                          static_cast<double>(ServiceTime(messages).count()) / Warmth(now)));
+  free_at_.push(status.at);
+  return status;
 }
 
 void PartnerModel::Begin(Outage outage, Time until, std::optional<Time> wait) {
--- a/src/rehearsal/partner_model.hpp
+++ b/src/rehearsal/partner_model.hpp
@@ -1,5 +1,5 @@
-// What a partner does with calls: its limit, its queue, its pace, its outages and its cold returns.
-// Fed calls and a clock, returns what to answer and when. No I/O, no wall clock; one seed.
+// What a partner does with calls: its limit, its queue, its pace, its outages and its warm_up
+// returns. Fed calls and a clock, returns what to answer and when. No I/O, no wall clock; one seed.
 #ifndef BRASSFRONT_REHEARSAL_PARTNER_MODEL_HPP_
 #define BRASSFRONT_REHEARSAL_PARTNER_MODEL_HPP_
 
@@ -28,18 +28,18 @@
     kSilent,  // nothing is said; it never runs
     kReset    // the connection is reset; it never ran, which nobody can know
   };
-  struct Verdict {
+  struct Status {
     What what = What::kServe;
     Time at{};                 // when it has run, with kServe
     std::optional<Time> wait;  // told, with kRefuse
     bool above_limit = false;  // with kRefuse
-    bool fell_over = false;    // this call was one too many for a cold partner
+    bool fell_over = false;    // this call was one too many for a warm_up partner
   };
 
-  PartnerModel(const Partner& partner, const Cold& cold, std::uint64_t seed);
+  PartnerModel(const Partner& partner, const WarmUp& warm_up, std::uint64_t seed);
 
   // A call with so many messages, from that forwarder, whose last byte came now.
-  Verdict Call(Time now, std::size_t messages, std::size_t forwarder);
+  Status Call(Time now, std::size_t messages, std::size_t forwarder);
 
   // Outages of the whole partner, until then; `wait` is told with refusals, or else the time left.
   void Begin(Outage outage, Time until, std::optional<Time> wait);
@@ -49,7 +49,7 @@
   void ScaleLimit(double factor) { limit_scale_ = factor; }
   // Calls a second; 0: none.
   double limit() const { return partner_.limit ? partner_.limit->calls * limit_scale_ : 0; }
-  // Answers full whatever there is room for, until then. No outage: it does not come back cold.
+  // Answers full whatever there is room for, until then. No outage: it does not come back warm_up.
   void Full(Time until, std::optional<Time> wait) {
     full_until_ = until;
     full_wait_ = wait;
@@ -61,7 +61,7 @@
   std::optional<Time> back_since() const { return back_since_; }
   // Share of its capacity that it has just now.
   double Warmth(Time now) const;
-  // Work that reached it in the last `cold.fall`, by forwarder, in calls with one message.
+  // Work that reached it in the last `warm_up.fall`, by forwarder, in calls with one message.
   std::map<std::size_t, double> Pushed() const;
 
   // A message that will be served has come: true if it is a repeat, which the partner drops. That
@@ -76,7 +76,7 @@
   bool Push(Time now, std::size_t messages, std::size_t forwarder);
 
   const Partner partner_;
-  const Cold cold_;
+  const WarmUp warm_up_;
   boost::random::mt19937_64 random_;
   std::priority_queue<Time, std::vector<Time>, std::greater<>> free_at_;  // of its workers
   double slow_ = 1, limit_scale_ = 1;
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -55,18 +55,18 @@
   std::vector<Arrival> Make() {
     Stream(s_.clients.rate * (1 - s_.clients.clumps), 0, end_, {});
     Clumps();
-    for (const Act& act : s_.acts) {
-      const double from = SecondsOf(act.at);
-      if (act.kind == ActKind::kBurst) {
-        const double share = s_.merchants[*act.merchant].share;
-        Stream(s_.clients.rate * share * (act.factor - 1), from,
-               std::min(end_, from + SecondsOf(act.lasts)), act.merchant);
-      } else if (act.kind == ActKind::kClump) {
-        const std::size_t p = act.partners.front();
+    for (const FaultAction& action : s_.actions) {
+      const double from = SecondsOf(action.at);
+      if (action.kind == FaultKind::kBurst) {
+        const double share = s_.merchants[*action.merchant].share;
+        Stream(s_.clients.rate * share * (action.factor - 1), from,
+               std::min(end_, from + SecondsOf(action.lasts)), action.merchant);
+      } else if (action.kind == FaultKind::kClump) {
+        const std::size_t p = action.partners.front();
         Clump(from, p,
               static_cast<std::size_t>(
-                  static_cast<double>(ClumpSize(s_.partners[p], s_.clients.clump)) * act.factor),
-              act.merchant);
+                  static_cast<double>(ClumpSize(s_.partners[p], s_.clients.clump)) * action.factor),
+              action.merchant);
       }
     }
     std::stable_sort(all_.begin(), all_.end(),
@@ -125,14 +125,14 @@
 
 std::string PlanText(const Scenario& scenario, const Plan& plan) {
   std::string out;
-  auto act = scenario.acts.begin();
+  auto action = scenario.actions.begin();
   const auto add_acts = [&](Time until) {
-    for (; act != scenario.acts.end() && act->at <= until; ++act) {
-      out += std::to_string(act->at.count()) + " act " + NameOf(act->kind) +
-             " for=" + std::to_string(act->lasts.count());
-      for (const std::size_t p : act->partners) out += " partner=" + scenario.partners[p].name;
-      if (act->endpoint) out += " endpoint=" + std::to_string(*act->endpoint);
-      for (const std::size_t f : act->forwarders) out += " forwarder=" + std::to_string(f);
+    for (; action != scenario.actions.end() && action->at <= until; ++action) {
+      out += std::to_string(action->at.count()) + " act " + ToString(action->kind) +
+             " for=" + std::to_string(action->lasts.count());
+      for (const std::size_t p : action->partners) out += " partner=" + scenario.partners[p].name;
+      if (action->endpoint) out += " endpoint=" + std::to_string(*action->endpoint);
+      for (const std::size_t f : action->forwarders) out += " forwarder=" + std::to_string(f);
       out += '\n';
     }
   };
@@ -146,8 +146,8 @@
   return out;
 }
 
-std::string WireId(std::uint64_t seed, std::uint64_t number, std::uint64_t hand_in) {
-  return Hex(Mix(Mix(seed) ^ (number << 8 | hand_in)));
+std::string WireId(std::uint64_t seed, std::uint64_t number, std::uint64_t submission) {
+  return Hex(Mix(Mix(seed) ^ (number << 8 | submission)));
 }
 
 std::string WireKey(std::uint64_t seed, std::uint64_t number) {
--- a/src/rehearsal/plan.hpp
+++ b/src/rehearsal/plan.hpp
@@ -26,11 +26,11 @@
 
 Plan MakePlan(const Scenario& scenario, std::uint64_t seed);
 
-// One line for each arrival and act, sorted by time.
+// One line for each arrival and action, sorted by time.
 std::string PlanText(const Scenario& scenario, const Plan& plan);
 
 // The ids that a message has on the wire: 16 hex digits, other ones for each time it is handed in.
-std::string WireId(std::uint64_t seed, std::uint64_t number, std::uint64_t hand_in);
+std::string WireId(std::uint64_t seed, std::uint64_t number, std::uint64_t submission);
 std::string WireKey(std::uint64_t seed, std::uint64_t number);
 
 }  // namespace brassfront::rehearsal
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -25,10 +25,10 @@
   return text.data();
 }
 
-const char* NameOf(Result::Verdict verdict) {
-  return verdict == Result::Verdict::kKept     ? "kept"
-         : verdict == Result::Verdict::kBroken ? "broken"
-                                               : "void";
+const char* ToString(Result::Status status) {
+  return status == Result::Status::kPassed   ? "kept"
+         : status == Result::Status::kFailed ? "broken"
+                                             : "void";
 }
 
 // For XML and HTML alike.
@@ -56,18 +56,18 @@
   return out;
 }
 
-std::string ActText(const Scenario& s, const Act& act) {
-  std::string text = NameOf(act.kind);
-  if (act.partners.size() == s.partners.size() && s.partners.size() > 1) {
+std::string ActText(const Scenario& s, const FaultAction& action) {
+  std::string text = ToString(action.kind);
+  if (action.partners.size() == s.partners.size() && s.partners.size() > 1) {
     text += " all";
   } else {
-    for (const std::size_t p : act.partners) text += " " + s.partners[p].name;
+    for (const std::size_t p : action.partners) text += " " + s.partners[p].name;
   }
-  for (const std::size_t f : act.forwarders) text += " n" + std::to_string(f);
-  for (const std::size_t f : act.from) text += " n" + std::to_string(f);
-  if (!act.to.empty()) text += act.both_ways ? " <->" : " ->";
-  for (const std::size_t f : act.to) text += " n" + std::to_string(f);
-  if (act.merchant) text += " " + s.merchants[*act.merchant].name;
+  for (const std::size_t f : action.forwarders) text += " n" + std::to_string(f);
+  for (const std::size_t f : action.from) text += " n" + std::to_string(f);
+  if (!action.to.empty()) text += action.both_ways ? " <->" : " ->";
+  for (const std::size_t f : action.to) text += " n" + std::to_string(f);
+  if (action.merchant) text += " " + s.merchants[*action.merchant].name;
   return text;
 }
 
@@ -86,17 +86,17 @@
   [[nodiscard]] std::string Stacked(const std::string& title,
                                     const std::vector<Series>& series) const {
     double most = 1;
-    for (const Second& s : result_.judgement.seconds) {
+    for (const Second& s : result_.audit.seconds) {
       double sum = 0;
       for (const Series& part : series) sum += part.value(s);
       most = std::max(most, sum);
     }
     std::string bars;
     const double width = kWidth / seconds_;
-    for (std::size_t i = 0; i < result_.judgement.seconds.size(); ++i) {
+    for (std::size_t i = 0; i < result_.audit.seconds.size(); ++i) {
       double base = 0;
       for (const Series& part : series) {
-        const double value = part.value(result_.judgement.seconds[i]);
+        const double value = part.value(result_.audit.seconds[i]);
         if (value <= 0) continue;
         const double height = value / most * kChartHeight;
         bars += Format(R"(<rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" fill="%s">)",
@@ -112,16 +112,15 @@
   [[nodiscard]] std::string Lines(const std::string& title,
                                   const std::vector<Series>& series) const {
     double most = 1;
-    for (const Second& s : result_.judgement.seconds) {
+    for (const Second& s : result_.audit.seconds) {
       for (const Series& part : series) most = std::max(most, part.value(s));
     }
     std::string lines;
     for (const Series& part : series) {
       std::string points;
-      for (std::size_t i = 0; i < result_.judgement.seconds.size(); ++i) {
-        points +=
-            Format("%.1f,%.1f ", X(static_cast<double>(i) + 0.5),
-                   kChartHeight - part.value(result_.judgement.seconds[i]) / most * kChartHeight);
+      for (std::size_t i = 0; i < result_.audit.seconds.size(); ++i) {
+        points += Format("%.1f,%.1f ", X(static_cast<double>(i) + 0.5),
+                         kChartHeight - part.value(result_.audit.seconds[i]) / most * kChartHeight);
       }
       lines += R"(<polyline fill="none" stroke-width="1.6" stroke=")" + std::string(part.colour) +
                "\" points=\"" + points + "\"/>";
@@ -138,7 +137,7 @@
         Format("%.0f %.0f\">", kLeft + kWidth + 110, height + 24);
     const double width = kWidth / seconds_;
     for (std::size_t p = 0; p < s.partners.size(); ++p) {
-      const PartnerFigures& figures = result_.judgement.partners[p];
+      const PartnerFigures& figures = result_.audit.partners[p];
       const double y = kRow * static_cast<double>(p);
       out += Format(R"(<text x="%.0f" y="%.1f" font-size="11">)", kLeft + kWidth + 4, y + 13) +
              Escape(s.partners[p].name) + "</text>";
@@ -171,11 +170,11 @@
     return out;
   }
 
-  // Each act where it begins, and shaded while it lasts.
+  // Each action where it begins, and shaded while it lasts.
   [[nodiscard]] std::string Acts() const {
     std::string out;
-    for (const Act& act : result_.scenario.acts) {
-      const double from = SecondsOf(act.at), lasts = SecondsOf(act.lasts);
+    for (const FaultAction& action : result_.scenario.actions) {
+      const double from = SecondsOf(action.at), lasts = SecondsOf(action.lasts);
       if (lasts > 0) {
         out += Format(
             "<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%.0f\" fill=\"#000\" "
@@ -186,7 +185,7 @@
           "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%.0f\" stroke=\"#a33\" "
           "stroke-dasharray=\"3 3\"><title>",
           X(from), X(from), kChartHeight);
-      out += Format("%g s: ", from) + Escape(ActText(result_.scenario, act)) + "</title></line>";
+      out += Format("%g s: ", from) + Escape(ActText(result_.scenario, action)) + "</title></line>";
     }
     return out;
   }
@@ -231,8 +230,8 @@
 }  // namespace
 
 std::string TextReport(const Result& r) {
-  const auto& m = r.judgement.metrics;
-  std::string out = r.scenario.name + " seed " + std::to_string(r.seed) + ": " + NameOf(r.verdict);
+  const auto& m = r.audit.metrics;
+  std::string out = r.scenario.name + " seed " + std::to_string(r.seed) + ": " + ToString(r.status);
   if (!r.void_because.empty()) out += ", " + r.void_because;
   out += Format("\n  service %.4f  whole %.4f  worst 10 s %.4f  worst merchant %.4f\n",
                 m.at("service"), m.at("whole"), m.at("worst_10s"), m.at("worst_merchant"));
@@ -244,13 +243,13 @@
                 m.at("most_memory_mb"), m.at("most_sockets"), r.forwarder_cpu_seconds);
   out += Format("  cast: late p99 %.2f ms, most %.1f ms; plan %s; %.1f s in all\n", r.late_p99_ms,
                 r.late_max_ms, r.plan_hash.c_str(), r.wall_seconds);
-  for (std::size_t i = 0; i < r.judgement.broken.size(); ++i) {
-    if (r.judgement.broken[i] == 0) continue;
-    out += Format("  RULE BROKEN %s, %zu times\n", NameOf(static_cast<Rule>(i)),
-                  r.judgement.broken[i]);
+  for (std::size_t i = 0; i < r.audit.broken.size(); ++i) {
+    if (r.audit.broken[i] == 0) continue;
+    out +=
+        Format("  RULE BROKEN %s, %zu times\n", ToString(static_cast<Rule>(i)), r.audit.broken[i]);
   }
-  if (!r.judgement.breaks.empty()) {
-    const Break& first = r.judgement.breaks.front();
+  if (!r.audit.violations.empty()) {
+    const RuleViolation& first = r.audit.violations.front();
     out += Format("  first at %.3f s: ", SecondsOf(first.at)) + first.what + "\n";
     for (const std::string& line : first.evidence) out += "      " + line + "\n";
   }
@@ -267,8 +266,8 @@
               {"about", r.scenario.about},
               {"seed", r.seed},
               {"plan", r.plan_hash},
-              {"verdict", NameOf(r.verdict)},
-              {"metrics", r.judgement.metrics},
+              {"verdict", ToString(r.status)},
+              {"metrics", r.audit.metrics},
               {"wall_s", r.wall_seconds},
               {"cast",
                {{"late_p99_ms", r.late_p99_ms},
@@ -278,13 +277,13 @@
               {"forwarder_cpu_s", r.forwarder_cpu_seconds}};
   if (!r.void_because.empty()) out["void_because"] = r.void_because;
   json rules = json::object();
-  for (std::size_t i = 0; i < r.judgement.broken.size(); ++i) {
-    rules[NameOf(static_cast<Rule>(i))] = r.judgement.broken[i];
+  for (std::size_t i = 0; i < r.audit.broken.size(); ++i) {
+    rules[ToString(static_cast<Rule>(i))] = r.audit.broken[i];
   }
   out["rules"] = rules;
   out["breaks"] = json::array();
-  for (const Break& b : r.judgement.breaks) {
-    out["breaks"].push_back({{"rule", NameOf(b.rule)},
+  for (const RuleViolation& b : r.audit.violations) {
+    out["breaks"].push_back({{"rule", ToString(b.rule)},
                              {"at_s", SecondsOf(b.at)},
                              {"what", b.what},
                              {"evidence", b.evidence}});
@@ -294,7 +293,7 @@
     out["expectations"].push_back({{"text", e.text}, {"found", e.found}, {"kept", e.kept}});
   }
   out["seconds"] = json::array();
-  for (const Second& s : r.judgement.seconds) {
+  for (const Second& s : r.audit.seconds) {
     out["seconds"].push_back({{"asked", s.asked},
                               {"in_time", s.in_time},
                               {"late", s.late},
@@ -307,8 +306,8 @@
                               {"above_limit", s.above_limit}});
   }
   out["partners"] = json::array();
-  for (std::size_t p = 0; p < r.judgement.partners.size(); ++p) {
-    const PartnerFigures& f = r.judgement.partners[p];
+  for (std::size_t p = 0; p < r.audit.partners.size(); ++p) {
+    const PartnerFigures& f = r.audit.partners[p];
     out["partners"].push_back({{"name", r.scenario.partners[p].name},
                                {"asked", f.asked},
                                {"delivered", f.delivered},
@@ -317,9 +316,9 @@
                                {"above_limit", f.above_limit}});
   }
   out["merchants"] = json::array();
-  for (std::size_t i = 0; i < r.judgement.merchant_service.size(); ++i) {
+  for (std::size_t i = 0; i < r.audit.merchant_service.size(); ++i) {
     out["merchants"].push_back(
-        {{"name", r.scenario.merchants[i].name}, {"service", r.judgement.merchant_service[i]}});
+        {{"name", r.scenario.merchants[i].name}, {"service", r.audit.merchant_service[i]}});
   }
   return out.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
 }
@@ -327,7 +326,7 @@
 std::string JUnitReport(const Result& r) {
   std::string cases;
   std::size_t tests = 0, failures = 0;
-  const bool is_void = r.verdict == Result::Verdict::kVoid;
+  const bool is_void = r.status == Result::Status::kInvalid;
   const auto add = [&](const std::string& name, const std::string& failure) {
     ++tests;
     cases +=
@@ -341,15 +340,15 @@
       cases += "><failure>" + Escape(failure) + "</failure></testcase>\n";
     }
   };
-  for (std::size_t i = 0; i < r.judgement.broken.size(); ++i) {
+  for (std::size_t i = 0; i < r.audit.broken.size(); ++i) {
     const Rule rule = static_cast<Rule>(i);
     std::string failure;
-    for (const Break& b : r.judgement.breaks) {
+    for (const RuleViolation& b : r.audit.violations) {
       if (b.rule != rule) continue;
       failure += b.what + "\n";
       for (const std::string& line : b.evidence) failure += "  " + line + "\n";
     }
-    add(std::string("rule ") + NameOf(rule), failure);
+    add(std::string("rule ") + ToString(rule), failure);
   }
   for (const ExpectationResult& e : r.expectations) {
     add(e.text, e.kept ? "" : Format("found %g", e.found));
@@ -362,11 +361,11 @@
 }
 
 std::string HtmlReport(const Result& r) {
-  const std::string verdict = NameOf(r.verdict);
+  const std::string status = ToString(r.status);
   std::string out =
       R"(<!doctype html><html lang="en"><meta charset="utf-8"><title>)" + Escape(r.scenario.name) +
       "</title><style>" + kStyle + "</style><h1>" + Escape(r.scenario.name) + ": <span class=\"" +
-      verdict + "\">" + verdict + "</span></h1><p>" + Escape(r.scenario.about) +
+      status + "\">" + status + "</span></h1><p>" + Escape(r.scenario.about) +
       Format(
           "</p><p>Seed %llu, plan %s, %.1f s in all; the cast was late by %.2f ms at the 99th "
           "percentile.",
@@ -378,23 +377,23 @@
     out += "<tr><td>" + Escape(e.text) + Format("<td class=\"n\">%g", e.found) +
            (e.kept ? "<td class=\"kept\">kept" : "<td class=\"broken\">broken") + "</tr>";
   }
-  for (std::size_t i = 0; i < r.judgement.broken.size(); ++i) {
-    const std::size_t count = r.judgement.broken[i];
-    out += std::string("<tr><td>rule ") + NameOf(static_cast<Rule>(i)) +
+  for (std::size_t i = 0; i < r.audit.broken.size(); ++i) {
+    const std::size_t count = r.audit.broken[i];
+    out += std::string("<tr><td>rule ") + ToString(static_cast<Rule>(i)) +
            Format("<td class=\"n\">%zu", count) +
            (count == 0 ? "<td class=\"kept\">kept" : "<td class=\"broken\">broken") + "</tr>";
   }
   out += "</table>";
-  if (!r.judgement.breaks.empty()) {
+  if (!r.audit.violations.empty()) {
     out += "<h2>Broken rules</h2>";
-    for (const Break& b : r.judgement.breaks) {
-      out += "<details><summary>" + Format("%.3f s, %s: ", SecondsOf(b.at), NameOf(b.rule)) +
+    for (const RuleViolation& b : r.audit.violations) {
+      out += "<details><summary>" + Format("%.3f s, %s: ", SecondsOf(b.at), ToString(b.rule)) +
              Escape(b.what) + "</summary><pre>";
       for (const std::string& line : b.evidence) out += Escape(line) + "\n";
       out += "</pre></details>";
     }
   }
-  const Chart chart(r, static_cast<double>(std::max<std::size_t>(1, r.judgement.seconds.size())));
+  const Chart chart(r, static_cast<double>(std::max<std::size_t>(1, r.audit.seconds.size())));
   out += chart.Stacked("What became of the messages that were first handed in each second",
                        {{"in time", "#2e7d4f", [](const Second& s) { return double(s.in_time); }},
                         {"late", "#c9a227", [](const Second& s) { return double(s.late); }},
@@ -410,20 +409,20 @@
        {"above a limit", "#b3261e", [](const Second& s) { return double(s.above_limit); }}});
   out += chart.HeatMap();
   out += "<h2>Acts</h2><table><tr><th>At<th>For<th>What</tr>";
-  for (const Act& act : r.scenario.acts) {
-    out += Format(R"(<tr><td class="n">%g s<td class="n">)", SecondsOf(act.at)) +
-           (act.lasts > Time{} ? Format("%g s", SecondsOf(act.lasts)) : std::string("-")) + "<td>" +
-           Escape(ActText(r.scenario, act)) + "</tr>";
+  for (const FaultAction& action : r.scenario.actions) {
+    out += Format(R"(<tr><td class="n">%g s<td class="n">)", SecondsOf(action.at)) +
+           (action.lasts > Time{} ? Format("%g s", SecondsOf(action.lasts)) : std::string("-")) +
+           "<td>" + Escape(ActText(r.scenario, action)) + "</tr>";
   }
   out += "</table><h2>Figures</h2><table>";
-  for (const auto& [name, value] : r.judgement.metrics) {
+  for (const auto& [name, value] : r.audit.metrics) {
     out += "<tr><td>" + name + "<td class=\"n\">" + MetricText(name, value) + "</tr>";
   }
   out +=
       "</table><h2>Partners</h2><table><tr><th>Partner<th>Asked<th>Delivered<th>Calls<th>Turned "
       "away<th>Above its limit</tr>";
-  for (std::size_t p = 0; p < r.judgement.partners.size(); ++p) {
-    const PartnerFigures& f = r.judgement.partners[p];
+  for (std::size_t p = 0; p < r.audit.partners.size(); ++p) {
+    const PartnerFigures& f = r.audit.partners[p];
     out += "<tr><td>" + Escape(r.scenario.partners[p].name) +
            Format(
                "<td class=\"n\">%zu<td class=\"n\">%zu<td class=\"n\">%zu<td class=\"n\">%zu<td "
@@ -431,9 +430,9 @@
                f.asked, f.delivered, f.calls, f.turned_away, f.above_limit);
   }
   out += "</table><h2>Merchants</h2><table><tr><th>Merchant<th>Service within its share</tr>";
-  for (std::size_t i = 0; i < r.judgement.merchant_service.size(); ++i) {
+  for (std::size_t i = 0; i < r.audit.merchant_service.size(); ++i) {
     out += "<tr><td>" + Escape(r.scenario.merchants[i].name) +
-           Format("<td class=\"n\">%.4f</tr>", r.judgement.merchant_service[i]);
+           Format("<td class=\"n\">%.4f</tr>", r.audit.merchant_service[i]);
   }
   return out + "</table></html>\n";
 }
--- a/src/rehearsal/run.cpp
+++ b/src/rehearsal/run.cpp
@@ -13,17 +13,17 @@
 #include <optional>
 #include <stdexcept>
 
-#include "rehearsal/agent.hpp"
-#include "rehearsal/client_side.hpp"
-#include "rehearsal/endpoints.hpp"
+#include "rehearsal/client_stub.hpp"
+#include "rehearsal/discovery_stub.hpp"
+#include "rehearsal/endpoint_stub.hpp"
+#include "rehearsal/fault_injecting_network.hpp"
 #include "rehearsal/fleet_auditor.hpp"
-#include "rehearsal/peer_net.hpp"
+#include "rehearsal/operator_script.hpp"
 #include "rehearsal/plan.hpp"
 #include "rehearsal/sharing_auditor.hpp"
-#include "rehearsal/staff.hpp"
 #include "rehearsal/supervisor.hpp"
 #ifdef BRASSFRONT_ZONES
-#include "rehearsal/zone_side.hpp"
+#include "rehearsal/name_server_stub.hpp"
 #endif
 
 namespace brassfront::rehearsal {
@@ -35,7 +35,7 @@
 constexpr Time kReadyWithin = seconds(30);
 constexpr Time kSampleEvery = milliseconds(250);
 constexpr Time kDrainTakes = milliseconds(500);  // from Terminating to Gone
-constexpr Time kChurnPause = milliseconds(250);  // where the act names none
+constexpr Time kChurnPause = milliseconds(250);  // where the action names none
 constexpr Time kAfterLast = milliseconds(1200);  // for what is decided in the last moment
 
 // 127.x.y. from the process's number, so that rehearsals beside each other keep apart.
@@ -60,17 +60,17 @@
         options_(options),
         plan_(MakePlan(scenario, options.seed)),
         prefix_(LoopbackPrefix()),
-        stage_(io_, scenario_, options.seed),
-        endpoints_(stage_, prefix_),
-        clients_(stage_),
+        context_(io_, scenario_, options.seed),
+        endpoints_(context_, prefix_),
+        clients_(context_),
         interrupts_(io_, SIGINT, SIGTERM),
         state_(scenario.forwarders.count),
         fleet_auditor_(scenario_),
         sharing_auditor_(scenario_,
                          [this](std::size_t from, std::size_t to) {
-                           return fleet_auditor_.Joined(from, to, stage_.Now());
+                           return fleet_auditor_.Joined(from, to, context_.Now());
                          }),
-        supervisor_(stage_, options.forwarder, options.out, prefix_,
+        supervisor_(context_, options.forwarder, options.out, prefix_,
                     {.discovery = [this](std::size_t f) { return agents_[f]->address(); },
                      .known = [this](std::size_t f) { return agents_[f]->ListJson(); },
                      .sources = [this](std::size_t f) { return SourcesOf(f); },
@@ -79,34 +79,34 @@
                      .ready = [this](std::size_t f, const tcp::endpoint& at) { Ready(f, at); },
                      .stopped = [this](std::size_t f, bool planned) { Stopped(f, planned); }}) {
     for (std::size_t f = 0; f < scenario_.forwarders.count; ++f) {
-      agents_.push_back(
-          std::make_unique<Agent>(stage_, endpoints_, f, prefix_ + std::to_string(200 + f),
-                                  [this, f](PutId put, bool deferred, std::optional<Time> wait) {
-                                    Noticed(f, put, deferred, wait);
-                                  }));
+      agents_.push_back(std::make_unique<DiscoveryStub>(
+          context_, endpoints_, f, prefix_ + std::to_string(200 + f),
+          [this, f](PutId put, bool deferred, std::optional<Time> wait) {
+            Noticed(f, put, deferred, wait);
+          }));
     }
     if (scenario_.by_zones) ServeZones();
     if (scenario_.fleet.on) {
-      stage_.also = [this](const Event& event) {
+      context_.also = [this](const Event& event) {
         fleet_auditor_.Take(event);
         sharing_auditor_.Take(event);
       };
       endpoints_.limit_changed = [this](std::size_t partner, double limit) {
-        sharing_auditor_.Limit(partner, limit, stage_.Now());
+        sharing_auditor_.Limit(partner, limit, context_.Now());
       };
-      staff_ = std::make_unique<Staff>(
-          stage_, fleet_auditor_, options_.out,
-          Staff::Hooks{
+      operator_script_ = std::make_unique<OperatorScript>(
+          context_, fleet_auditor_, options_.out,
+          OperatorScript::Hooks{
               .runs = [this](std::size_t f) { return state_[f] == NodeState::kReady && !closing_; },
               .address = [this](std::size_t f) { return addresses_[f]; },
               .restart =
-                  [this](std::size_t f) { Signal(f, ActKind::kTerminate, milliseconds(300)); },
+                  [this](std::size_t f) { Signal(f, FaultKind::kTerminate, milliseconds(300)); },
               .takes_clients = [this](std::size_t f,
                                       bool takes) { clients_.TakesClients(f, takes); }});
-      peer_net_ = std::make_unique<PeerNet>(stage_, prefix_,
-                                            [this](std::size_t from, std::size_t to, bool cut) {
-                                              fleet_auditor_.Cut(from, to, cut, stage_.Now());
-                                            });
+      network_ = std::make_unique<FaultInjectingNetwork>(
+          context_, prefix_, [this](std::size_t from, std::size_t to, bool cut) {
+            fleet_auditor_.Cut(from, to, cut, context_.Now());
+          });
     }
   }
 
@@ -116,31 +116,30 @@
       if (!error) Void("interrupted");
     });
     for (std::size_t f = 0; f < agents_.size(); ++f) supervisor_.Start(f);
-    stage_.At(kReadyWithin, [this] {
+    context_.At(kReadyWithin, [this] {
       if (!began_) Void("the forwarders were not ready within 30 s; see their logs");
     });
     io_.run();
-    stage_.closed = true;
+    context_.closed = true;
     Result result;
     result.scenario = scenario_;
     result.seed = options_.seed;
     result.plan_hash = Hash(PlanText(scenario_, plan_));
-    result.judgement = stage_.auditor.Finish(stage_.Now());
-    fleet_auditor_.Finish(stage_.Now(), result.judgement);
-    sharing_auditor_.Finish(result.judgement);
-    result.judgement.metrics["liar_frames"] =
-        peer_net_ ? static_cast<double>(peer_net_->lies()) : 0;
-    auto& metrics = result.judgement.metrics;
-    metrics["most_memory_mb"] = supervisor_.most_memory_mb();
-    metrics["most_sockets"] = static_cast<double>(supervisor_.most_descriptors());
+    result.audit = context_.auditor.Finish(context_.Now());
+    fleet_auditor_.Finish(context_.Now(), result.audit);
+    sharing_auditor_.Finish(result.audit);
+    result.audit.metrics["liar_frames"] = network_ ? static_cast<double>(network_->lies()) : 0;
+    auto& metrics = result.audit.metrics;
+    metrics["most_memory_mb"] = supervisor_.max_memory_mb();
+    metrics["most_sockets"] = static_cast<double>(supervisor_.max_descriptors());
     result.forwarder_cpu_seconds = supervisor_.cpu_seconds();
-    result.client_connections = clients_.most_connections();
-    result.late_p99_ms = static_cast<double>(stage_.lateness.Quantile(0.99).count()) / 1e3;
-    result.late_max_ms = static_cast<double>(stage_.lateness.max().count()) / 1e3;
-    result.late_share = stage_.lateness.count() == 0
+    result.client_connections = clients_.max_connections();
+    result.late_p99_ms = static_cast<double>(context_.lateness.Quantile(0.99).count()) / 1e3;
+    result.late_max_ms = static_cast<double>(context_.lateness.max().count()) / 1e3;
+    result.late_share = context_.lateness.count() == 0
                             ? 0
-                            : static_cast<double>(stage_.late_actions) /
-                                  static_cast<double>(stage_.lateness.count());
+                            : static_cast<double>(context_.late_actions) /
+                                  static_cast<double>(context_.lateness.count());
     result.wall_seconds =
         std::chrono::duration<double>(std::chrono::steady_clock::now() - wall).count();
     Judge(result);
@@ -156,16 +155,16 @@
   }
 
   void Judge(Result& result) const {
-    bool kept = result.judgement.metrics.at("rule_breaks") == 0;
+    bool kept = result.audit.metrics.at("rule_breaks") == 0;
     for (const Expectation& e : scenario_.expectations) {
-      const double found = result.judgement.metrics.at(e.metric);
+      const double found = result.audit.metrics.at(e.metric);
       const bool holds = e.sense == Sense::kAtLeast  ? found >= e.limit
                          : e.sense == Sense::kAtMost ? found <= e.limit
                                                      : found == e.limit;
       result.expectations.push_back({e.text, found, holds});
       kept &= holds;
     }
-    result.verdict = kept ? Result::Verdict::kKept : Result::Verdict::kBroken;
+    result.status = kept ? Result::Status::kPassed : Result::Status::kFailed;
     result.void_because = void_because_;
     if (result.void_because.empty() && result.late_share > scenario_.late_share) {
       std::array<char, 120> text{};
@@ -174,7 +173,7 @@
                     result.late_share * 100, std::int64_t{scenario_.late_by.count() / 1'000'000});
       result.void_because = text.data();
     }
-    if (!result.void_because.empty()) result.verdict = Result::Verdict::kVoid;
+    if (!result.void_because.empty()) result.status = Result::Status::kInvalid;
   }
 
   // ---- the forwarders ----
@@ -184,10 +183,10 @@
     addresses_[f] = at;
     clients_.Ready(f, at);
     if (began_) {
-      fleet_auditor_.Runs(f, true, stage_.Now());
+      fleet_auditor_.Runs(f, true, context_.Now());
       Event event{.what = Event::What::kReady};
       event.forwarder = f;
-      return stage_.Emit(std::move(event));
+      return context_.Emit(std::move(event));
     }
     for (const NodeState state : state_) {
       if (state != NodeState::kReady) return;
@@ -206,110 +205,110 @@
   }
 
   std::string RosterOf(std::size_t f) const {
-    return peer_net_ ? peer_net_->WriteRoster(f, options_.out) : "";
+    return network_ ? network_->WriteRoster(f, options_.out) : "";
   }
 
   void Line(std::size_t f, const std::string& line) {
     if (!began_ || closing_) return;
-    fleet_auditor_.Line(f, line, stage_.Now());
-    if (staff_) staff_->Line(line);
+    fleet_auditor_.Line(f, line, context_.Now());
+    if (operator_script_) operator_script_->Line(line);
   }
 
-  void AskForWork(const Act& act) {
-    if (!act.machine.empty()) return staff_->Ask(act, act.machine);
-    for (const std::size_t partner : act.partners) {
+  void AskForWork(const FaultAction& action) {
+    if (!action.machine.empty()) return operator_script_->Ask(action, action.machine);
+    for (const std::size_t partner : action.partners) {
       const std::vector<std::size_t> its = endpoints_.Of(partner);
-      const std::size_t place = act.endpoint.value_or(0);
+      const std::size_t place = action.endpoint.value_or(0);
       if (place >= its.size()) continue;
       const std::string id = endpoints_.at(its[place]).id;
       fleet_auditor_.EndpointIs(id, its[place]);
-      staff_->Ask(act, id);
+      operator_script_->Ask(action, id);
     }
   }
 
   // A stopped process takes no signal but SIGKILL, so its front finds out as it would of a slow
   // one.
-  void Pause(const Act& act) {
-    for (const std::size_t f : act.forwarders) {
+  void Pause(const FaultAction& action) {
+    for (const std::size_t f : action.forwarders) {
       if (!supervisor_.running(f) || state_[f] != NodeState::kReady) continue;
       supervisor_.Pause(f, true);
-      fleet_auditor_.Paused(f, true, stage_.Now());
-      stage_.auditor.Paused(f, true, stage_.Now());
-      stage_.At(act.at + act.lasts, [this, f] {
+      fleet_auditor_.Paused(f, true, context_.Now());
+      context_.auditor.Paused(f, true, context_.Now());
+      context_.At(action.at + action.lasts, [this, f] {
         supervisor_.Pause(f, false);
-        fleet_auditor_.Paused(f, false, stage_.Now());
-        stage_.auditor.Paused(f, false, stage_.Now());
+        fleet_auditor_.Paused(f, false, context_.Now());
+        context_.auditor.Paused(f, false, context_.Now());
       });
     }
   }
 
-  void TellOutage(const Act& act) {
-    const bool outage = act.kind == ActKind::kShut || act.kind == ActKind::kSilent ||
-                        act.kind == ActKind::kRefuse || act.kind == ActKind::kReset;
+  void TellOutage(const FaultAction& action) {
+    const bool outage = action.kind == FaultKind::kShut || action.kind == FaultKind::kSilent ||
+                        action.kind == FaultKind::kRefuse || action.kind == FaultKind::kReset;
     if (!outage) return;
-    for (const std::size_t partner : act.partners) {
+    for (const std::size_t partner : action.partners) {
       std::optional<std::size_t> endpoint;
-      if (act.endpoint) endpoint = endpoints_.Of(partner)[*act.endpoint];
-      sharing_auditor_.Outage(partner, endpoint, true, stage_.Now());
-      if (act.lasts == Time{}) continue;
-      stage_.At(act.at + act.lasts, [this, partner, endpoint] {
-        sharing_auditor_.Outage(partner, endpoint, false, stage_.Now());
+      if (action.endpoint) endpoint = endpoints_.Of(partner)[*action.endpoint];
+      sharing_auditor_.Outage(partner, endpoint, true, context_.Now());
+      if (action.lasts == Time{}) continue;
+      context_.At(action.at + action.lasts, [this, partner, endpoint] {
+        sharing_auditor_.Outage(partner, endpoint, false, context_.Now());
       });
     }
   }
 
-  void FillDisk(const Act& act) {
-    for (const std::size_t f : act.forwarders) {
+  void FillDisk(const FaultAction& action) {
+    for (const std::size_t f : action.forwarders) {
       supervisor_.FullDisk(f, true);
-      stage_.At(act.at + act.lasts, [this, f] { supervisor_.FullDisk(f, false); });
+      context_.At(action.at + action.lasts, [this, f] { supervisor_.FullDisk(f, false); });
     }
   }
 
   // The files of all are written, and all that run read them.
-  void ChangeRoster(const Act& act) {
-    peer_net_->ChangeRoster(act);
+  void ChangeRoster(const FaultAction& action) {
+    network_->ChangeRoster(action);
     std::optional<std::size_t> left;
-    if (!act.machine.empty()) left = NumberOfMachine(act.machine);
-    fleet_auditor_.Roster(act.places, left, stage_.Now());
+    if (!action.machine.empty()) left = NumberOfMachine(action.machine);
+    fleet_auditor_.Roster(action.places, left, context_.Now());
     for (std::size_t f = 0; f < state_.size(); ++f) {
       if (f == left) continue;
-      static_cast<void>(peer_net_->WriteRoster(f, options_.out));
+      static_cast<void>(network_->WriteRoster(f, options_.out));
       if (state_[f] == NodeState::kReady) supervisor_.Hangup(f);
     }
   }
 
   void TellStopped(std::size_t f, bool planned) {
-    fleet_auditor_.Runs(f, false, stage_.Now());
+    fleet_auditor_.Runs(f, false, context_.Now());
     Event event{.what = Event::What::kStopped};
     event.forwarder = f;
     event.planned = planned;
-    stage_.Emit(std::move(event));
+    context_.Emit(std::move(event));
   }
 
   void Restart(std::size_t f, Time down) {
-    stage_.At(stage_.Now() + down, [this, f] {
+    context_.At(context_.Now() + down, [this, f] {
       if (closing_ || supervisor_.running(f)) return;
       state_[f] = NodeState::kStarting;
       supervisor_.Start(f);
     });
   }
 
-  void Signal(std::size_t f, ActKind kind, Time down) {
+  void Signal(std::size_t f, FaultKind kind, Time down) {
     if (!supervisor_.running(f) || state_[f] != NodeState::kReady) return;
     state_[f] = NodeState::kStopping;
-    if (kind == ActKind::kLoseMachine) {
+    if (kind == FaultKind::kLoseMachine) {
       // Its clients hand in again what it held; nothing of it counts any longer.
       clients_.MachineLost(f);
       Event event{.what = Event::What::kMachineLost};
       event.forwarder = f;
-      stage_.Emit(std::move(event));
+      context_.Emit(std::move(event));
     }
     TellStopped(f, true);
     const auto ended = [this, f, kind, down] {
-      if (kind == ActKind::kLoseMachine) supervisor_.EmptyFolder(f);
+      if (kind == FaultKind::kLoseMachine) supervisor_.EmptyFolder(f);
       Restart(f, down);
     };
-    if (kind == ActKind::kTerminate || kind == ActKind::kRoll) {
+    if (kind == FaultKind::kTerminate || kind == FaultKind::kRoll) {
       supervisor_.Terminate(f, ended);
     } else {
       supervisor_.Kill(f, ended);
@@ -320,16 +319,16 @@
 
 #ifdef BRASSFRONT_ZONES
   void ServeZones() {
-    zones_ = std::make_unique<ZoneSide>(
-        stage_, endpoints_, prefix_, options_.out,
-        [this](std::size_t f, std::size_t endpoint, Agent::Phase phase, Time since) {
+    zones_ = std::make_unique<NameServerStub>(
+        context_, endpoints_, prefix_, options_.out,
+        [this](std::size_t f, std::size_t endpoint, DiscoveryStub::Phase phase, Time since) {
           asio::post(io_, [this, f, endpoint, phase, since] {
-            Event event{.what = Event::What::kTold};
+            Event event{.what = Event::What::kEndpointChange};
             event.forwarder = f;
             event.endpoint = endpoint;
-            event.leaving = phase != Agent::Phase::kReady;
+            event.draining = phase != DiscoveryStub::Phase::kReady;
             event.since = since;
-            stage_.Emit(std::move(event));
+            context_.Emit(std::move(event));
           });
         });
     for (const auto& agent : agents_) agent->TellQuietly();
@@ -337,25 +336,27 @@
 
   std::string SourcesOf(std::size_t f) const { return zones_ ? zones_->SourcesFile(f) : ""; }
 
-  void TellZones(std::size_t endpoint, Agent::Phase phase) { zones_->Tell(endpoint, phase); }
+  void TellZones(std::size_t endpoint, DiscoveryStub::Phase phase) {
+    zones_->Tell(endpoint, phase);
+  }
 
-  void SpoilNameServer(const Act& act) {
-    open_faults_.push_back(&act);
+  void SpoilNameServer(const FaultAction& action) {
+    open_faults_.push_back(&action);
     SetFaults();
-    stage_.At(act.at + act.lasts, [this, &act] {
-      std::erase(open_faults_, &act);
+    context_.At(action.at + action.lasts, [this, &action] {
+      std::erase(open_faults_, &action);
       SetFaults();
     });
   }
 
   void SetFaults() {
     nameserver::Faults faults;
-    for (const Act* act : open_faults_) {
-      faults.quiet |= act->fault == NameServerFault::kQuiet;
-      faults.refuse |= act->fault == NameServerFault::kRefuse;
-      faults.garbage |= act->fault == NameServerFault::kGarbage;
-      faults.half_transfers |= act->fault == NameServerFault::kHalfTransfers;
-      faults.notices &= act->fault != NameServerFault::kLostNotices;
+    for (const FaultAction* action : open_faults_) {
+      faults.quiet |= action->fault == NameServerFault::kQuiet;
+      faults.refuse |= action->fault == NameServerFault::kRefuse;
+      faults.garbage |= action->fault == NameServerFault::kGarbage;
+      faults.half_transfers |= action->fault == NameServerFault::kHalfTransfers;
+      faults.notices &= action->fault != NameServerFault::kLostNotices;
     }
     zones_->SetFaults(faults);
   }
@@ -363,182 +364,182 @@
 #else
   void ServeZones() { throw std::runtime_error("zones are not built into this program"); }
   std::string SourcesOf(std::size_t) const { return ""; }
-  void TellZones(std::size_t, Agent::Phase) {}
-  void SpoilNameServer(const Act&) {}
+  void TellZones(std::size_t, DiscoveryStub::Phase) {}
+  void SpoilNameServer(const FaultAction&) {}
 #endif
 
   // ---- the course of it ----
 
   void Begin() {
     began_ = true;
-    stage_.Begin();
+    context_.Begin();
     for (std::size_t f = 0; f < agents_.size(); ++f) fleet_auditor_.Runs(f, true, Time{});
     clients_.Play(plan_);
-    if (staff_) staff_->Begin();
-    for (const Act& act : scenario_.acts) {
-      stage_.At(act.at, [this, &act] { PlayAct(act); });
+    if (operator_script_) operator_script_->Begin();
+    for (const FaultAction& action : scenario_.actions) {
+      context_.At(action.at, [this, &action] { PlayAct(action); });
     }
     Sample();
     Tick(1);
     CheckEnd();
   }
 
-  void PlayAct(const Act& act) {
-    switch (act.kind) {
-      case ActKind::kDrain:
-      case ActKind::kReplace:
-        return LeaveOrReplace(act);
-      case ActKind::kChurn:
-        return Churn(act, 0);
-      case ActKind::kVanish:
-        return Vanish(act);
-      case ActKind::kNameServer:
-        return SpoilNameServer(act);
-      case ActKind::kStale:
-        stale_ = Time(static_cast<Time::rep>(act.factor * 1e9));
-        stage_.At(act.at + act.lasts, [this] { stale_ = {}; });
+  void PlayAct(const FaultAction& action) {
+    switch (action.kind) {
+      case FaultKind::kDrain:
+      case FaultKind::kReplace:
+        return LeaveOrReplace(action);
+      case FaultKind::kChurn:
+        return Churn(action, 0);
+      case FaultKind::kVanish:
+        return Vanish(action);
+      case FaultKind::kNameServer:
+        return SpoilNameServer(action);
+      case FaultKind::kStale:
+        stale_ = Time(static_cast<Time::rep>(action.factor * 1e9));
+        context_.At(action.at + action.lasts, [this] { stale_ = {}; });
         return;
-      case ActKind::kMoveDiscovery:
+      case FaultKind::kMoveDiscovery:
         for (std::size_t f = 0; f < agents_.size(); ++f) {
           agents_[f]->Move();
           supervisor_.Reload(f);
         }
         return;
-      case ActKind::kRoll:
-        return Roll(act, 0);
-      case ActKind::kTerminate:
-      case ActKind::kKill:
-      case ActKind::kLoseMachine:
-        for (const std::size_t f : act.forwarders) Signal(f, act.kind, act.down);
+      case FaultKind::kRoll:
+        return Roll(action, 0);
+      case FaultKind::kTerminate:
+      case FaultKind::kKill:
+      case FaultKind::kLoseMachine:
+        for (const std::size_t f : action.forwarders) Signal(f, action.kind, action.down);
         return;
-      case ActKind::kPause:
-        return Pause(act);
-      case ActKind::kFullDisk:
-        return FillDisk(act);
-      case ActKind::kWrongPeer:
-        return peer_net_->Lie(act, [this] {
+      case FaultKind::kPause:
+        return Pause(action);
+      case FaultKind::kFullDisk:
+        return FillDisk(action);
+      case FaultKind::kWrongPeer:
+        return network_->FalseReport(action, [this] {
           std::vector<std::string> ids;
           for (std::size_t p = 0; p < scenario_.partners.size(); ++p) {
             for (const std::size_t e : endpoints_.Of(p)) ids.push_back(endpoints_.at(e).id);
           }
           return ids;
         });
-      case ActKind::kRoster:
-        return ChangeRoster(act);
-      case ActKind::kCut:
-      case ActKind::kLossy:
-      case ActKind::kSlowLink:
-      case ActKind::kFlap:
-        return peer_net_->Play(act);
-      case ActKind::kWork:
-        return AskForWork(act);
-      case ActKind::kBurst:
-      case ActKind::kClump:
+      case FaultKind::kRoster:
+        return ChangeRoster(action);
+      case FaultKind::kCut:
+      case FaultKind::kLossy:
+      case FaultKind::kSlowLink:
+      case FaultKind::kFlap:
+        return network_->Play(action);
+      case FaultKind::kWork:
+        return AskForWork(action);
+      case FaultKind::kBurst:
+      case FaultKind::kClump:
         return;  // the plan has them
       default:
-        TellOutage(act);
-        return endpoints_.Play(act);
+        TellOutage(action);
+        return endpoints_.Play(action);
     }
   }
 
   // One after the other, each once the one before is ready again.
-  void Roll(const Act& act, std::size_t place) {
-    if (place >= act.forwarders.size() || closing_) return;
-    Signal(act.forwarders[place], ActKind::kRoll, act.down);
-    AwaitReady(act, place);
+  void Roll(const FaultAction& action, std::size_t place) {
+    if (place >= action.forwarders.size() || closing_) return;
+    Signal(action.forwarders[place], FaultKind::kRoll, action.down);
+    AwaitReady(action, place);
   }
 
-  void AwaitReady(const Act& act, std::size_t place) {
-    stage_.At(stage_.Now() + milliseconds(50), [this, &act, place] {
-      if (state_[act.forwarders[place]] == NodeState::kReady) return Roll(act, place + 1);
-      AwaitReady(act, place);
+  void AwaitReady(const FaultAction& action, std::size_t place) {
+    context_.At(context_.Now() + milliseconds(50), [this, &action, place] {
+      if (state_[action.forwarders[place]] == NodeState::kReady) return Roll(action, place + 1);
+      AwaitReady(action, place);
     });
   }
 
-  void LeaveOrReplace(const Act& act) {
-    for (const std::size_t partner : act.partners) {
+  void LeaveOrReplace(const FaultAction& action) {
+    for (const std::size_t partner : action.partners) {
       const std::vector<std::size_t> its = endpoints_.Of(partner);
-      const std::size_t place = act.endpoint.value_or(0);
+      const std::size_t place = action.endpoint.value_or(0);
       if (place >= its.size()) continue;
       const std::size_t leaves = its[place];
       endpoints_.at(leaves).gone = true;
-      if (act.kind == ActKind::kReplace) {
-        TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
+      if (action.kind == FaultKind::kReplace) {
+        TellAll(endpoints_.Add(partner).number, DiscoveryStub::Phase::kReady);
       }
-      TellAll(leaves, Agent::Phase::kTerminating);
-      stage_.At(stage_.Now() + kDrainTakes,
-                [this, leaves] { TellAll(leaves, Agent::Phase::kGone); });
-      if (act.kind == ActKind::kDrain && act.lasts != Time{}) {
-        stage_.At(act.at + act.lasts, [this, partner] {
-          TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
+      TellAll(leaves, DiscoveryStub::Phase::kTerminating);
+      context_.At(context_.Now() + kDrainTakes,
+                  [this, leaves] { TellAll(leaves, DiscoveryStub::Phase::kGone); });
+      if (action.kind == FaultKind::kDrain && action.lasts != Time{}) {
+        context_.At(action.at + action.lasts, [this, partner] {
+          TellAll(endpoints_.Add(partner).number, DiscoveryStub::Phase::kReady);
         });
       }
     }
   }
 
   // One endpoint after the other goes without a drain, and a new one comes for it.
-  void Churn(const Act& act, std::size_t round) {
-    const Time now = stage_.Now();
-    if (now >= act.at + act.lasts || closing_) return;
-    const std::size_t partner = act.partners[round % act.partners.size()];
+  void Churn(const FaultAction& action, std::size_t round) {
+    const Time now = context_.Now();
+    if (now >= action.at + action.lasts || closing_) return;
+    const std::size_t partner = action.partners[round % action.partners.size()];
     const std::vector<std::size_t> its = endpoints_.Of(partner);
     if (!its.empty()) {
       endpoints_.at(its.front()).gone = true;
-      TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
-      TellAll(its.front(), Agent::Phase::kGone);
+      TellAll(endpoints_.Add(partner).number, DiscoveryStub::Phase::kReady);
+      TellAll(its.front(), DiscoveryStub::Phase::kGone);
     }
-    stage_.At(act.at + static_cast<Time::rep>(round + 1) * act.wait.value_or(kChurnPause),
-              [this, &act, round] { Churn(act, round + 1); });
+    context_.At(action.at + static_cast<Time::rep>(round + 1) * action.wait.value_or(kChurnPause),
+                [this, &action, round] { Churn(action, round + 1); });
   }
 
-  // All of a partner's endpoints go, and as many new ones come at the act's end.
-  void Vanish(const Act& act) {
-    for (const std::size_t partner : act.partners) {
+  // All of a partner's endpoints go, and as many new ones come at the action's end.
+  void Vanish(const FaultAction& action) {
+    for (const std::size_t partner : action.partners) {
       const std::vector<std::size_t> its = endpoints_.Of(partner);
       for (const std::size_t leaves : its) {
         endpoints_.at(leaves).gone = true;
-        TellAll(leaves, Agent::Phase::kGone);
+        TellAll(leaves, DiscoveryStub::Phase::kGone);
       }
-      stage_.At(act.at + act.lasts, [this, partner, count = its.size()] {
+      context_.At(action.at + action.lasts, [this, partner, count = its.size()] {
         for (std::size_t n = 0; n < count; ++n) {
-          TellAll(endpoints_.Add(partner).number, Agent::Phase::kReady);
+          TellAll(endpoints_.Add(partner).number, DiscoveryStub::Phase::kReady);
         }
       });
     }
   }
 
-  void TellAll(std::size_t endpoint, Agent::Phase phase) {
+  void TellAll(std::size_t endpoint, DiscoveryStub::Phase phase) {
     if (scenario_.by_zones) TellZones(endpoint, phase);
-    stage_.At(stage_.Now() + scenario_.discovery_delay + stale_, [this, endpoint, phase] {
+    context_.At(context_.Now() + scenario_.discovery_delay + stale_, [this, endpoint, phase] {
       for (const auto& agent : agents_) agent->Learn(endpoint, phase);
     });
   }
 
   void Noticed(std::size_t f, PutId put, bool deferred, std::optional<Time> wait) {
-    const bool held = stage_.auditor.IsHeld(put);
+    const bool held = context_.auditor.IsHeld(put);
     Event event{.what = Event::What::kNotice};
     event.put = put;
     event.forwarder = f;
     event.deferred = deferred;
     event.wait = wait;
-    stage_.Emit(std::move(event));
+    context_.Emit(std::move(event));
     if (put != kUnknownPut && held) clients_.Noticed(put, deferred, wait);
   }
 
   void Sample() {
     supervisor_.Sample();
-    stage_.At(stage_.Now() + kSampleEvery, [this] { Sample(); });
+    context_.At(context_.Now() + kSampleEvery, [this] { Sample(); });
   }
 
   void Tick(int second) {
     if (!options_.progress) return;
-    stage_.At(seconds(second), [this, second] {
+    context_.At(seconds(second), [this, second] {
       std::array<char, 160> text{};
       std::snprintf(text.data(), text.size(),
                     "%4d s of %" PRId64 "  handed in %zu  held %zu  late p99 %.1f ms", second,
                     std::int64_t{scenario_.duration.count() / 1'000'000'000},
-                    stage_.hand_ins.size(), stage_.auditor.held(),
-                    static_cast<double>(stage_.lateness.Quantile(0.99).count()) / 1e3);
+                    context_.submissions.size(), context_.auditor.held(),
+                    static_cast<double>(context_.lateness.Quantile(0.99).count()) / 1e3);
       options_.progress(text.data());
       Tick(second + 1);
     });
@@ -546,19 +547,19 @@
 
   // It is over once the last message's time is up, or all are ended and nothing more will come.
   void CheckEnd() {
-    const Time now = stage_.Now();
+    const Time now = context_.Now();
     const Time last = scenario_.duration + scenario_.message_class.deadline;
     bool all_ready = true;
     for (const NodeState state : state_) all_ready &= state == NodeState::kReady;
-    if (now > scenario_.duration && stage_.auditor.held() == 0 && all_ready) {
+    if (now > scenario_.duration && context_.auditor.held() == 0 && all_ready) {
       ++quiet_;
     } else {
       quiet_ = 0;
     }
     const bool over = now > last + kAfterLast + seconds(2) || quiet_ * kSampleEvery > kAfterLast;
-    if (!over) return stage_.At(now + kSampleEvery, [this] { CheckEnd(); });
+    if (!over) return context_.At(now + kSampleEvery, [this] { CheckEnd(); });
     closing_ = true;
-    if (staff_) staff_->Close();
+    if (operator_script_) operator_script_->Close();
     for (std::size_t f = 0; f < agents_.size(); ++f) supervisor_.Terminate(f, nullptr);
     AwaitAllGone();
   }
@@ -566,7 +567,7 @@
   void AwaitAllGone() {
     for (std::size_t f = 0; f < agents_.size(); ++f) {
       if (supervisor_.running(f)) {
-        return stage_.At(stage_.Now() + milliseconds(20), [this] { AwaitAllGone(); });
+        return context_.At(context_.Now() + milliseconds(20), [this] { AwaitAllGone(); });
       }
     }
     io_.stop();
@@ -577,24 +578,24 @@
   const Plan plan_;
   const std::string prefix_;
   asio::io_context io_;
-  Stage stage_;
-  Endpoints endpoints_;
-  std::vector<std::unique_ptr<Agent>> agents_;
-  ClientSide clients_;
+  RunContext context_;
+  EndpointStub endpoints_;
+  std::vector<std::unique_ptr<DiscoveryStub>> agents_;
+  ClientStub clients_;
   asio::signal_set interrupts_;
   std::vector<NodeState> state_;
   FleetAuditor fleet_auditor_;
   SharingAuditor sharing_auditor_;
-  std::unique_ptr<PeerNet> peer_net_;  // none without a fleet
-  std::unique_ptr<Staff> staff_;       // likewise
+  std::unique_ptr<FaultInjectingNetwork> network_;   // none without a fleet
+  std::unique_ptr<OperatorScript> operator_script_;  // likewise
   std::vector<tcp::endpoint> addresses_ = std::vector<tcp::endpoint>(scenario_.forwarders.count);
   Time stale_{};
   bool began_ = false, closing_ = false;
   int quiet_ = 0;
   std::string void_because_;
 #ifdef BRASSFRONT_ZONES
-  std::unique_ptr<ZoneSide> zones_;
-  std::vector<const Act*> open_faults_;  // of the name server
+  std::unique_ptr<NameServerStub> zones_;
+  std::vector<const FaultAction*> open_faults_;  // of the name server
 #endif
   Supervisor supervisor_;
 };
--- a/src/rehearsal/run.hpp
+++ b/src/rehearsal/run.hpp
@@ -1,4 +1,4 @@
-// Plays a scenario: the cast on this machine's loopback, real forwarders, one verdict.
+// Plays a scenario: the cast on this machine's loopback, real forwarders, one status.
 #ifndef BRASSFRONT_REHEARSAL_RUN_HPP_
 #define BRASSFRONT_REHEARSAL_RUN_HPP_
 
@@ -25,15 +25,15 @@
 };
 
 struct Result {
-  enum class Verdict { kKept, kBroken, kVoid };
+  enum class Status { kPassed, kFailed, kInvalid };
 
   Scenario scenario;
   std::uint64_t seed = 0;
   std::string plan_hash;
-  Judgement judgement;
+  AuditResult audit;
   std::vector<ExpectationResult> expectations;
-  Verdict verdict = Verdict::kVoid;
-  std::string void_because;  // with kVoid
+  Status status = Status::kInvalid;
+  std::string void_because;  // with kInvalid
   double wall_seconds = 0;
   double late_p99_ms = 0, late_max_ms = 0;
   double late_share = 0;
--- a/src/rehearsal/stage.hpp
+++ b/src/rehearsal/run_context.hpp
@@ -1,7 +1,7 @@
 // What all players of a rehearsal share: one thread's event loop, one clock, one stream of events
 // to the auditor, and the register of messages that were handed in.
-#ifndef BRASSFRONT_REHEARSAL_STAGE_HPP_
-#define BRASSFRONT_REHEARSAL_STAGE_HPP_
+#ifndef BRASSFRONT_REHEARSAL_RUN_CONTEXT_HPP_
+#define BRASSFRONT_REHEARSAL_RUN_CONTEXT_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,7 +25,7 @@
 using tcp = asio::ip::tcp;
 
 // One hand-in as the cast knows it.
-struct HandIn {
+struct Submission {
   std::string id;  // on the wire
   std::string key;
   std::string body;
@@ -37,9 +37,9 @@
   std::size_t attempts = 0;
 };
 
-class Stage {
+class RunContext {
  public:
-  Stage(asio::io_context& the_io, const Scenario& the_scenario, std::uint64_t the_seed)
+  RunContext(asio::io_context& the_io, const Scenario& the_scenario, std::uint64_t the_seed)
       : io(the_io),
         scenario(the_scenario),
         seed(the_seed),
@@ -50,7 +50,7 @@
   const Scenario& scenario;
   const std::uint64_t seed;
   Auditor auditor;
-  std::vector<HandIn> hand_ins;  // by PutId
+  std::vector<Submission> submissions;  // by PutId
   std::unordered_map<std::string, PutId> by_wire_id;
   CallId next_call = 0;
   std::function<void(const Event&)> also;  // is told each event after the auditor
@@ -66,7 +66,7 @@
     if (also) also(event);
   }
 
-  // Does it then, and counts how late it was done. Nothing is done once the stage is closed.
+  // Does it then, and counts how late it was done. Nothing is done once the context is closed.
   void At(Time when, std::function<void()> what) {
     auto timer = std::make_shared<asio::steady_timer>(io, began_ + when);
     timer->async_wait([this, timer, when, what = std::move(what)](boost::system::error_code error) {
@@ -89,4 +89,4 @@
 
 }  // namespace brassfront::rehearsal
 
-#endif  // BRASSFRONT_REHEARSAL_STAGE_HPP_
+#endif  // BRASSFRONT_REHEARSAL_RUN_CONTEXT_HPP_
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -30,43 +30,44 @@
 constexpr std::size_t kBatchOfBigRetail = 20;
 constexpr double kSlotsOverBusy = 2.0;  // slots, over what the traffic keeps busy
 constexpr double kHeldSeconds = 8;      // of the traffic
-constexpr std::size_t kLeastSlots = 8, kLeastHeld = 48;
+constexpr std::size_t kMinSlots = 8, kMinHeld = 48;
 
-bool StrikesPartner(ActKind kind) {
-  return kind <= ActKind::kReplace || kind == ActKind::kClump || kind == ActKind::kLimit;
+bool StrikesPartner(FaultKind kind) {
+  return kind <= FaultKind::kReplace || kind == FaultKind::kClump || kind == FaultKind::kLimit;
 }
 
-bool StrikesForwarder(ActKind kind) {
-  return kind == ActKind::kTerminate || kind == ActKind::kKill || kind == ActKind::kRoll ||
-         kind == ActKind::kLoseMachine || kind == ActKind::kPause || kind == ActKind::kFullDisk;
+bool StrikesForwarder(FaultKind kind) {
+  return kind == FaultKind::kTerminate || kind == FaultKind::kKill || kind == FaultKind::kRoll ||
+         kind == FaultKind::kLoseMachine || kind == FaultKind::kPause ||
+         kind == FaultKind::kFullDisk;
 }
 
 // One endpoint of a partner, or all of them.
-bool StrikesEndpoint(ActKind kind) {
-  return StrikesPartner(kind) && kind != ActKind::kClump && kind != ActKind::kLimit &&
-         kind != ActKind::kChurn && kind != ActKind::kVanish;
+bool StrikesEndpoint(FaultKind kind) {
+  return StrikesPartner(kind) && kind != FaultKind::kClump && kind != FaultKind::kLimit &&
+         kind != FaultKind::kChurn && kind != FaultKind::kVanish;
 }
 
-bool NeedsDuration(ActKind kind) {
+bool NeedsDuration(FaultKind kind) {
   switch (kind) {
-    case ActKind::kBurst:
-    case ActKind::kStale:
-    case ActKind::kShut:
-    case ActKind::kFull:
-    case ActKind::kChurn:
-    case ActKind::kVanish:
-    case ActKind::kNameServer:
-    case ActKind::kPause:
-    case ActKind::kFullDisk:
-    case ActKind::kLimit:
-    case ActKind::kWrongPeer:
+    case FaultKind::kBurst:
+    case FaultKind::kStale:
+    case FaultKind::kShut:
+    case FaultKind::kFull:
+    case FaultKind::kChurn:
+    case FaultKind::kVanish:
+    case FaultKind::kNameServer:
+    case FaultKind::kPause:
+    case FaultKind::kFullDisk:
+    case FaultKind::kLimit:
+    case FaultKind::kWrongPeer:
       return true;
     default:
       return false;
   }
 }
 
-bool StrikesLinks(ActKind kind) { return kind >= ActKind::kCut && kind <= ActKind::kFlap; }
+bool StrikesLinks(FaultKind kind) { return kind >= FaultKind::kCut && kind <= FaultKind::kFlap; }
 
 class Reader {
  public:
@@ -80,9 +81,9 @@
     ReadClass(s.message_class);
     ReadMerchants(s.merchants);
     ReadPartners(s.partners);
-    const Record& cold = root_.At("cold");
-    s.cold = {cold.At("share").Double(), cold.At("warm").Duration(), cold.At("multiple").Double(),
-              cold.At("fall").Duration()};
+    const Record& warm_up = root_.At("cold");
+    s.warm_up = {warm_up.At("share").Double(), warm_up.At("warm").Duration(),
+                 warm_up.At("multiple").Double(), warm_up.At("fall").Duration()};
     ReadClients(s.clients);
     s.notice = root_.At("front").At("notice").Duration();
     s.discovery_delay = root_.At("discovery").At("delay").Duration();
@@ -91,17 +92,17 @@
     s.late_share = root_.At("void").At("share").Double();
     ReadForwarders(s);
     ReadFleet(s);
-    for (const Record& act : root_.At("acts").Items()) ReadAct(act, s);
+    for (const Record& action : root_.At("acts").Items()) ReadAct(action, s);
     for (const Record& line : root_.At("expect").Items()) ReadExpectation(line, s.expectations);
     if (!faults_.empty()) throw BadRecords(std::move(faults_));
-    std::stable_sort(s.acts.begin(), s.acts.end(),
-                     [](const Act& a, const Act& b) { return a.at < b.at; });
+    std::stable_sort(s.actions.begin(), s.actions.end(),
+                     [](const FaultAction& a, const FaultAction& b) { return a.at < b.at; });
     return s;
   }
 
  private:
   void Complain(const Record& record, std::string message) {
-    if (faults_.size() < records::kMostFaults) {
+    if (faults_.size() < records::kMaxFaults) {
       faults_.push_back(record.Complain(std::move(message)));
     }
   }
@@ -113,7 +114,7 @@
     c.effect = effect == "pure" ? Effect::kPure : effect == "once" ? Effect::kOnce : Effect::kKeyed;
     c.goal = from.At("goal").Duration();
     c.deadline = from.At("deadline").Duration();
-    c.late_worth = from.At("late_worth").Double();
+    c.late_weight_share = from.At("late_worth").Double();
     if (c.goal > c.deadline) Complain(from.At("goal"), "goal is later than the deadline");
   }
 
@@ -203,16 +204,16 @@
     const double each = std::max(even, s.clients.skew * s.clients.rate);
     if (f.slots == 0) {
       f.slots =
-          std::max(kLeastSlots, static_cast<std::size_t>(std::ceil(each * busy * kSlotsOverBusy)));
+          std::max(kMinSlots, static_cast<std::size_t>(std::ceil(each * busy * kSlotsOverBusy)));
     }
-    if (f.held == 0) f.held = std::max(kLeastHeld, static_cast<std::size_t>(each * kHeldSeconds));
+    if (f.held == 0) f.held = std::max(kMinHeld, static_cast<std::size_t>(each * kHeldSeconds));
   }
 
   void ReadFleet(Scenario& s) {
     const Record& from = root_.At("fleet");
     FleetPart& f = s.fleet;
     f.on = from.At("on").Bool();
-    for (const Record& hall : from.At("halls").Items()) f.halls.push_back(hall.Text());
+    for (const Record& hall : from.At("halls").Items()) f.zones.push_back(hall.Text());
     f.voters = static_cast<std::size_t>(from.At("voters").Int());
     f.out_in_all = static_cast<std::size_t>(from.At("out").At("all").Int());
     f.out_in_hall = static_cast<std::size_t>(from.At("out").At("hall").Int());
@@ -235,8 +236,9 @@
     }
   }
 
-  void ReadLinks(const Record& from, const Scenario& s, Act& act) {
-    if (!s.fleet.on) Complain(from, std::string(NameOf(act.kind)) + " needs `fleet: on: true`");
+  void ReadLinks(const Record& from, const Scenario& s, FaultAction& action) {
+    if (!s.fleet.on)
+      Complain(from, std::string(ToString(action.kind)) + " needs `fleet: on: true`");
     const auto read = [&](const char* name, std::vector<std::size_t>& into) {
       const Record* group = from.Find(name);
       if (group == nullptr) return;
@@ -247,22 +249,23 @@
                  "there are " + std::to_string(s.forwarders.count) + " forwarders, counted from 0");
       }
     };
-    read("from", act.from);
-    read("to", act.to);
-    if (act.from.empty()) Complain(from, std::string(NameOf(act.kind)) + " needs `from`");
-    if (act.to.empty()) {
+    read("from", action.from);
+    read("to", action.to);
+    if (action.from.empty()) Complain(from, std::string(ToString(action.kind)) + " needs `from`");
+    if (action.to.empty()) {
       for (std::size_t i = 0; i < s.forwarders.count; ++i) {
-        if (std::find(act.from.begin(), act.from.end(), i) == act.from.end()) act.to.push_back(i);
+        if (std::find(action.from.begin(), action.from.end(), i) == action.from.end())
+          action.to.push_back(i);
       }
     }
-    act.both_ways = from.At("both").Bool();
-    act.loss = from.At("loss").Double();
-    act.twice = from.At("twice").Double();
-    act.delay = from.At("delay").Duration();
-    act.jitter = from.At("jitter").Duration();
-    act.rate = static_cast<double>(from.At("rate").Bytes());
-    act.period = from.At("period").Duration();
-    if (act.lasts == Time{}) Complain(from, std::string(NameOf(act.kind)) + " needs `for`");
+    action.both_ways = from.At("both").Bool();
+    action.loss = from.At("loss").Double();
+    action.twice = from.At("twice").Double();
+    action.delay = from.At("delay").Duration();
+    action.jitter = from.At("jitter").Duration();
+    action.rate = static_cast<double>(from.At("rate").Bytes());
+    action.period = from.At("period").Duration();
+    if (action.lasts == Time{}) Complain(from, std::string(ToString(action.kind)) + " needs `for`");
   }
 
   template <typename List>
@@ -279,39 +282,39 @@
   }
 
   void ReadAct(const Record& from, Scenario& s) {
-    Act act;
+    FaultAction action;
     const std::string& name = from.At("do").Text();
     const auto it = std::find(kActNames.begin(), kActNames.end(), name);
-    act.kind = static_cast<ActKind>(it - kActNames.begin());
-    act.at = from.At("at").Duration();
-    act.lasts = from.At("for").Duration();
-    act.factor = from.At("factor").Double();
-    act.down = from.At("down").Duration();
-    if (const Record* wait = from.Find("wait")) act.wait = wait->Duration();
-    if (act.at >= s.duration) Complain(from.At("at"), "after the end of the scenario");
-    CheckTargets(from, act.kind);
-    if (act.kind == ActKind::kNameServer) ReadNameServerFault(from, s, act);
-    const bool work = act.kind == ActKind::kWork;
+    action.kind = static_cast<FaultKind>(it - kActNames.begin());
+    action.at = from.At("at").Duration();
+    action.lasts = from.At("for").Duration();
+    action.factor = from.At("factor").Double();
+    action.down = from.At("down").Duration();
+    if (const Record* wait = from.Find("wait")) action.wait = wait->Duration();
+    if (action.at >= s.duration) Complain(from.At("at"), "after the end of the scenario");
+    CheckTargets(from, action.kind);
+    if (action.kind == FaultKind::kNameServer) ReadNameServerFault(from, s, action);
+    const bool work = action.kind == FaultKind::kWork;
     const Record* partner = from.Find("partner");
-    if (work) ReadWork(from, partner, s, act);
-    if (act.kind == ActKind::kRoster) ReadRoster(from, s, act);
-    if (act.kind == ActKind::kWrongPeer) ReadWrongPeer(from, s, act);
-    if (StrikesPartner(act.kind) || (work && partner != nullptr)) ReadPartners(from, s, act);
-    ReadEndpoint(from, s, act);
-    if (StrikesForwarder(act.kind) || work) ReadStruck(from, from.Find("forwarder"), s, act);
-    if (StrikesLinks(act.kind)) ReadLinks(from, s, act);
+    if (work) ReadWork(from, partner, s, action);
+    if (action.kind == FaultKind::kRoster) ReadRoster(from, s, action);
+    if (action.kind == FaultKind::kWrongPeer) ReadWrongPeer(from, s, action);
+    if (StrikesPartner(action.kind) || (work && partner != nullptr)) ReadPartners(from, s, action);
+    ReadEndpoint(from, s, action);
+    if (StrikesForwarder(action.kind) || work) ReadStruck(from, from.Find("forwarder"), s, action);
+    if (StrikesLinks(action.kind)) ReadLinks(from, s, action);
     const Record* merchant = from.Find("merchant");
-    if (merchant != nullptr) act.merchant = Place(*merchant, s.merchants, "merchant");
-    if (act.kind == ActKind::kBurst && merchant == nullptr) {
+    if (merchant != nullptr) action.merchant = Place(*merchant, s.merchants, "merchant");
+    if (action.kind == FaultKind::kBurst && merchant == nullptr) {
       Complain(from, "burst needs a merchant");
     }
-    if (NeedsDuration(act.kind) && act.lasts == Time{}) Complain(from, name + " needs `for`");
-    s.acts.push_back(std::move(act));
+    if (NeedsDuration(action.kind) && action.lasts == Time{}) Complain(from, name + " needs `for`");
+    s.actions.push_back(std::move(action));
   }
 
-  // No act has a target that means nothing to it.
-  void CheckTargets(const Record& from, ActKind kind) {
-    const bool work = kind == ActKind::kWork;
+  // No action has a target that means nothing to it.
+  void CheckTargets(const Record& from, FaultKind kind) {
+    const bool work = kind == FaultKind::kWork;
     const auto allow = [&](const char* field, bool allowed) {
       const Record* given = from.Find(field);
       if (given != nullptr && !allowed) {
@@ -320,67 +323,67 @@
     };
     allow("partner", StrikesPartner(kind) || work);
     allow("endpoint", work || StrikesEndpoint(kind));
-    allow("fault", kind == ActKind::kNameServer);
+    allow("fault", kind == FaultKind::kNameServer);
     allow("forwarder", StrikesForwarder(kind) || work);
-    allow("merchant", kind == ActKind::kBurst || kind == ActKind::kClump);
+    allow("merchant", kind == FaultKind::kBurst || kind == FaultKind::kClump);
   }
 
-  void ReadNameServerFault(const Record& from, const Scenario& s, Act& act) {
+  void ReadNameServerFault(const Record& from, const Scenario& s, FaultAction& action) {
     const std::string& name = from.At("do").Text();
     const Record* fault = from.Find("fault");
     if (fault == nullptr) {
       Complain(from, name + " needs a fault");
     } else {
       const auto found = std::find(kFaultNames.begin(), kFaultNames.end(), fault->Text());
-      act.fault = static_cast<NameServerFault>(found - kFaultNames.begin());
+      action.fault = static_cast<NameServerFault>(found - kFaultNames.begin());
     }
     if (!s.by_zones) Complain(from, name + " needs `discovery: by: \"zones\"`");
   }
 
-  void ReadWrongPeer(const Record& from, Scenario& s, Act& act) {
+  void ReadWrongPeer(const Record& from, Scenario& s, FaultAction& action) {
     if (!s.fleet.limits && !s.fleet.verdicts) Complain(from, "wrong-peer needs `fleet: sharing`");
     const auto lie = std::find(kLieNames.begin(), kLieNames.end(), from.At("lie").Text());
-    act.lie = static_cast<Lie>(lie - kLieNames.begin());
-    s.fleet.liar = true;
+    action.lie = static_cast<FalseReport>(lie - kLieNames.begin());
+    s.fleet.malicious_peer = true;
   }
 
-  // The partners that the act is about: one by its name, or all.
-  void ReadPartners(const Record& from, const Scenario& s, Act& act) {
+  // The partners that the action is about: one by its name, or all.
+  void ReadPartners(const Record& from, const Scenario& s, FaultAction& action) {
     const Record* partner = from.Find("partner");
     if (partner == nullptr) {
       Complain(from, from.At("do").Text() + " needs a partner");
     } else if (partner->Text() == "all") {
-      for (std::size_t i = 0; i < s.partners.size(); ++i) act.partners.push_back(i);
+      for (std::size_t i = 0; i < s.partners.size(); ++i) action.partners.push_back(i);
     } else if (const auto place = Place(*partner, s.partners, "partner")) {
-      act.partners.push_back(*place);
+      action.partners.push_back(*place);
     }
   }
 
-  void ReadEndpoint(const Record& from, const Scenario& s, Act& act) {
+  void ReadEndpoint(const Record& from, const Scenario& s, FaultAction& action) {
     const Record* endpoint = from.Find("endpoint");
     if (endpoint == nullptr) return;
-    act.endpoint = static_cast<std::size_t>(endpoint->Int());
-    for (const std::size_t partner : act.partners) {
+    action.endpoint = static_cast<std::size_t>(endpoint->Int());
+    for (const std::size_t partner : action.partners) {
       const std::size_t endpoints = s.partners[partner].endpoints;
-      if (*act.endpoint < endpoints) continue;
+      if (*action.endpoint < endpoints) continue;
       Complain(*endpoint,
                "the partner has " + std::to_string(endpoints) + " endpoints, counted from 0");
     }
   }
 
-  void ReadWork(const Record& from, const Record* partner, const Scenario& s, Act& act) {
+  void ReadWork(const Record& from, const Record* partner, const Scenario& s, FaultAction& action) {
     if (!s.fleet.on) Complain(from, "work needs `fleet: on: true`");
     const Record* machine = from.Find("machine");
     if ((machine == nullptr) == (partner == nullptr)) {
       return Complain(from, "work needs a machine, or else a partner with its endpoint");
     }
-    act.stay = from.At("stay").Duration();
-    act.restart = from.At("restart").Bool();
+    action.stay = from.At("stay").Duration();
+    action.restart = from.At("restart").Bool();
     if (machine == nullptr) return;
-    act.machine = machine->Text();
-    bool known = act.machine == "all" || IsMachine(act.machine, s);
-    for (const std::string& hall : s.fleet.halls) known |= act.machine == "hall:" + hall;
-    if (!known) Complain(*machine, "no machine " + records::Quote(act.machine));
+    action.machine = machine->Text();
+    bool known = action.machine == "all" || IsMachine(action.machine, s);
+    for (const std::string& hall : s.fleet.zones) known |= action.machine == "hall:" + hall;
+    if (!known) Complain(*machine, "no machine " + records::Quote(action.machine));
   }
 
   static bool IsMachine(const std::string& name, const Scenario& s) {
@@ -390,30 +393,32 @@
     return false;
   }
 
-  void ReadRoster(const Record& from, const Scenario& s, Act& act) {
+  void ReadRoster(const Record& from, const Scenario& s, FaultAction& action) {
     if (!s.fleet.on) Complain(from, "roster needs `fleet: on: true`");
-    act.places = static_cast<std::size_t>(from.At("places").Int());
+    action.places = static_cast<std::size_t>(from.At("places").Int());
     const Record* machine = from.Find("machine");
-    if ((act.places == 0) == (machine == nullptr)) {
+    if ((action.places == 0) == (machine == nullptr)) {
       return Complain(from, "roster needs either `places` or a machine to take out of it");
     }
     if (machine == nullptr) return;
-    act.machine = machine->Text();
-    if (!IsMachine(act.machine, s)) Complain(*machine, "no machine " + records::Quote(act.machine));
+    action.machine = machine->Text();
+    if (!IsMachine(action.machine, s))
+      Complain(*machine, "no machine " + records::Quote(action.machine));
   }
 
-  void ReadStruck(const Record& from, const Record* named, const Scenario& s, Act& act) {
+  void ReadStruck(const Record& from, const Record* named, const Scenario& s, FaultAction& action) {
     const std::size_t count = s.forwarders.count;
     if (named != nullptr) {
-      act.forwarders.push_back(static_cast<std::size_t>(named->Int()));
-      if (act.forwarders[0] >= count) {
+      action.forwarders.push_back(static_cast<std::size_t>(named->Int()));
+      if (action.forwarders[0] >= count) {
         Complain(*named, "there are " + std::to_string(count) + " forwarders, counted from 0");
       }
       return;
     }
     const auto struck = static_cast<std::size_t>(
         std::floor(from.At("forwarders").Double() * static_cast<double>(count) + 0.5));
-    for (std::size_t i = 0; i < std::max<std::size_t>(1, struck); ++i) act.forwarders.push_back(i);
+    for (std::size_t i = 0; i < std::max<std::size_t>(1, struck); ++i)
+      action.forwarders.push_back(i);
   }
 
   void ReadExpectation(const Record& line, std::vector<Expectation>& into) {
@@ -480,7 +485,7 @@
   return kNames;
 }
 
-const char* NameOf(ActKind kind) { return kActNames[static_cast<std::size_t>(kind)]; }
+const char* ToString(FaultKind kind) { return kActNames[static_cast<std::size_t>(kind)]; }
 
 Scenario ReadScenario(std::string_view text, const std::string& file) {
   const Record root = records::Load({text, file}, {ScenarioSchema(), "scenario"}, "#Scenario");
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -28,7 +28,7 @@
   Effect effect = Effect::kKeyed;
   Time goal{};      // wanted within
   Time deadline{};  // given up then
-  double late_worth = 0;
+  double late_weight_share = 0;
 };
 
 struct Merchant {
@@ -62,8 +62,9 @@
   Time dedup{};
 };
 
-// After an outage a partner is cold, warms up, and falls over where too much reaches it meanwhile.
-struct Cold {
+// After an outage a partner is warm_up, warms up, and falls over where too much reaches it
+// meanwhile.
+struct WarmUp {
   double share = 0;  // of the capacity, at the return
   Time warm{};       // until all of it is back
   double multiple = 0;
@@ -88,7 +89,7 @@
   std::size_t slots = 0, held = 0;
 };
 
-enum class ActKind {
+enum class FaultKind {
   kSlow,
   kFull,
   kShut,
@@ -122,13 +123,13 @@
 };
 
 // What a scripted peer with a valid key claims.
-enum class Lie { kDead, kHealthy, kWaits, kNoLimit, kHugeLimit, kAll };
+enum class FalseReport { kDead, kHealthy, kWaits, kNoLimit, kHugeLimit, kAll };
 
 // What the name server of a rehearsal does wrong meanwhile.
 enum class NameServerFault { kQuiet, kRefuse, kGarbage, kHalfTransfers, kLostNotices };
 
-struct Act {
-  ActKind kind = ActKind::kSlow;
+struct FaultAction {
+  FaultKind kind = FaultKind::kSlow;
   Time at{};
   Time lasts{};                         // until it ends by itself; 0: for good
   std::vector<std::size_t> partners;    // that it strikes
@@ -152,15 +153,15 @@
   double rate = 0;             // bytes a second; 0: no bound
   Time period{};               // of a flapping link: down for the first half of each
   // Of a roster that staff change: places in all and in each hall; 0: as they were. With a machine:
-  // it is taken out of the roster.
+  // it is accepted out of the roster.
   std::size_t places = 0;
-  Lie lie = Lie::kAll;
+  FalseReport lie = FalseReport::kAll;
 };
 
 // Forwarders that share what they know, if there is a fleet.
 struct FleetPart {
   bool on = false;
-  std::vector<std::string> halls;  // members are dealt out over them in turn
+  std::vector<std::string> zones;  // members are dealt out over them in turn
   std::size_t voters = 0;          // the first so many; 0: as the roster's reader has it
   std::size_t out_in_all = 1, out_in_hall = 1;
   std::string timings;  // as in a roster
@@ -168,7 +169,7 @@
   bool limits = false, verdicts = false;
   Time term{}, burst{}, kept{}, election{};
   double drift = 0, floor = 0;
-  bool liar = false;  // the roster has a member more, which an act plays
+  bool malicious_peer = false;  // the roster has a member more, which an action plays
 };
 
 inline std::size_t NumberOfMachine(const std::string& name) {
@@ -192,7 +193,7 @@
   MessageClass message_class;
   std::vector<Merchant> merchants;
   std::vector<Partner> partners;
-  Cold cold;
+  WarmUp warm_up;
   Clients clients;
   Forwarders forwarders;
   FleetPart fleet;
@@ -201,14 +202,14 @@
   bool by_zones = false;   // changes are told by a name server, and by the platform's list later
   double late_share = 0;   // of actions, by which a run is void
   Time late_by{};
-  std::vector<Act> acts;
+  std::vector<FaultAction> actions;
   std::vector<Expectation> expectations;
 };
 
 // The metrics that an expectation may name.
 const std::vector<std::string>& MetricNames();
 
-const char* NameOf(ActKind kind);
+const char* ToString(FaultKind kind);
 
 // Throws records::BadRecords, with every fault.
 Scenario ReadScenario(std::string_view text, const std::string& file);
--- a/src/rehearsal/sharing_auditor.cpp
+++ b/src/rehearsal/sharing_auditor.cpp
@@ -22,7 +22,7 @@
 // partner is a little longer or shorter than at the members.
 double SharingAuditor::MostOver(double limit) const {
   const double members =
-      static_cast<double>(scenario_.forwarders.count) + (scenario_.fleet.liar ? 1 : 0);
+      static_cast<double>(scenario_.forwarders.count) + (scenario_.fleet.malicious_peer ? 1 : 0);
   return members + limit * SecondsOf(scenario_.fleet.burst) + limit * SecondsOf(kOnTheWay);
 }
 
@@ -128,7 +128,7 @@
   std::deque<Time>& calls = failing.calls[event.forwarder];
   calls.push_back(event.at);
   while (event.at - calls.front() >= kWindow) calls.pop_front();
-  const double trials = kTrials + scenario_.cold.multiple * scenario_.cold.share *
+  const double trials = kTrials + scenario_.warm_up.multiple * scenario_.warm_up.share *
                                       scenario_.partners[failing.partner].capacity *
                                       SecondsOf(kWindow) /
                                       static_cast<double>(scenario_.forwarders.count);
@@ -139,16 +139,16 @@
 }
 
 void SharingAuditor::Tell(Rule rule, Time at, std::string what) {
-  if (++broken_[static_cast<std::size_t>(rule)] > Auditor::kMostBreaks) return;
-  breaks_.push_back({rule, at, std::move(what), {}});
+  if (++broken_[static_cast<std::size_t>(rule)] > Auditor::kMaxViolations) return;
+  violations_.push_back({rule, at, std::move(what), {}});
 }
 
-void SharingAuditor::Finish(Judgement& into) {
+void SharingAuditor::Finish(AuditResult& into) {
   for (std::size_t rule = 0; rule < kRules; ++rule) {
     into.broken[rule] += broken_[rule];
     into.metrics["rule_breaks"] += static_cast<double>(broken_[rule]);
   }
-  into.breaks.insert(into.breaks.end(), breaks_.begin(), breaks_.end());
+  into.violations.insert(into.violations.end(), violations_.begin(), violations_.end());
   into.metrics["over_limit"] = over_most_;
   into.metrics["over_bound"] = over_bound_;
   into.metrics["over_share"] = over_share_;
--- a/src/rehearsal/sharing_auditor.hpp
+++ b/src/rehearsal/sharing_auditor.hpp
@@ -24,7 +24,8 @@
   static constexpr Time kOnTheWay = std::chrono::milliseconds(50);
   // From the second witness's evidence to the last member's knowing, on links that stand.
   static constexpr Time kSpread = std::chrono::milliseconds(1500);
-  // So many trials in a window are no breach, beside a member's part of what a cold partner bears.
+  // So many trials in a window are no breach, beside a member's part of what a warm_up partner
+  // bears.
   static constexpr double kTrials = 2;
   static constexpr std::size_t kFailures = 3;  // in a row, and a forwarder is a witness
 
@@ -36,7 +37,7 @@
   void Limit(std::size_t partner, double limit, Time at);
   // An outage of a partner's endpoint begins or ends; of all of them without one.
   void Outage(std::size_t partner, std::optional<std::size_t> endpoint, bool on, Time at);
-  void Finish(Judgement& into);
+  void Finish(AuditResult& into);
 
  private:
   struct Its {
@@ -68,7 +69,7 @@
   std::map<std::size_t, std::size_t> partner_of_;               // by endpoint
   double over_most_ = 0, over_share_ = 0, over_bound_ = 0;
   std::size_t stale_calls_ = 0;
-  std::vector<Break> breaks_;
+  std::vector<RuleViolation> violations_;
   std::vector<std::size_t> broken_;
 };
 
--- a/src/rehearsal/supervisor.cpp
+++ b/src/rehearsal/supervisor.cpp
@@ -55,7 +55,7 @@
                                     {"goal-time", Ns(s.message_class.goal)},
                                     {"hard-limit", Ns(s.message_class.deadline)},
                                     {"dedup-window", Ns(dedup)},
-                                    {"late-worth", s.message_class.late_worth},
+                                    {"late-worth", s.message_class.late_weight_share},
                                     {"worth", 1.0}}})},
           {"realms", realms},
           {"shapes", shapes},
@@ -67,7 +67,7 @@
             {"loses-worth", "line"}}},
           {"limits",
            {{"open-cap", s.forwarders.held},
-            {"max-attempts", Auditor::kMostAttempts},
+            {"max-attempts", Auditor::kMaxAttempts},
             {"may-cancel", true},
             {"probes", true},
             {"retry-after", true},
@@ -75,10 +75,10 @@
             {"conn-idle", 15'000'000'000},
             {"connect-timeout", 1'500'000'000}}},
           {"rules",
-           {{"cold", Ns(s.cold.warm)},
-            {"cold-share", s.cold.share},
-            {"fall", Ns(s.cold.fall)},
-            {"fall-multiple", s.cold.multiple}}},
+           {{"cold", Ns(s.warm_up.warm)},
+            {"cold-share", s.warm_up.share},
+            {"fall", Ns(s.warm_up.fall)},
+            {"fall-multiple", s.warm_up.multiple}}},
           {"group-size", s.forwarders.count},
           {"tick", 5'000'000},
           {"weight-source", "rough"}};
@@ -86,14 +86,14 @@
 
 }  // namespace
 
-Supervisor::Supervisor(Stage& stage, std::string program, std::string out,
+Supervisor::Supervisor(RunContext& context, std::string program, std::string out,
                        const std::string& prefix, Hooks hooks)
-    : stage_(stage),
+    : context_(context),
       program_(std::move(program)),
       out_(std::move(out)),
       hooks_(std::move(hooks)),
-      children_(stage.io, SIGCHLD),
-      nodes_(stage.scenario.forwarders.count) {
+      children_(context.io, SIGCHLD),
+      nodes_(context.scenario.forwarders.count) {
   for (std::size_t f = 0; f < nodes_.size(); ++f) {
     // An address of its own: nobody else takes the port while it is down.
     nodes_[f].address = {asio::ip::make_address(prefix + std::to_string(100 + f)), 0};
@@ -113,20 +113,20 @@
 
 void Supervisor::WriteConfig(std::size_t forwarder) {
   const Node& node = nodes_[forwarder];
-  const Forwarders& f = stage_.scenario.forwarders;
+  const Forwarders& f = context_.scenario.forwarders;
   constexpr std::size_t kMiB = 1 << 20;
   const nlohmann::json config = {
       {"name", "n" + std::to_string(forwarder)},
       {"listen", node.address.address().to_string() + ":" + std::to_string(node.address.port())},
       {"discovery", hooks_.discovery(forwarder)},
-      {"seed", WireId(stage_.seed, forwarder, node.life)},
+      {"seed", WireId(context_.seed, forwarder, node.life)},
       {"limits",
        {{"cores", 1.0},
         {"memory_mb", f.memory / kMiB},
         {"sockets", f.sockets},
         {"disk_mb", std::max<std::size_t>(1, f.disk / kMiB)}}},
       {"known", nlohmann::json::parse(hooks_.known(forwarder))},
-      {"settings", SettingsOf(stage_.scenario)}};
+      {"settings", SettingsOf(context_.scenario)}};
   const std::string path = out_ + "/n" + std::to_string(forwarder) + ".json";
   std::ofstream(path + ".new") << config.dump(1) << "\n";
   std::filesystem::rename(path + ".new", path);
@@ -150,8 +150,8 @@
   std::array<int, 2> ends{};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) throw std::runtime_error("no room for a pipe");
   const pid_t parent = getpid();
-  const rlim_t sockets = stage_.scenario.forwarders.sockets;
-  stage_.io.notify_fork(asio::io_context::fork_prepare);
+  const rlim_t sockets = context_.scenario.forwarders.sockets;
+  context_.io.notify_fork(asio::io_context::fork_prepare);
   const pid_t pid = fork();
   if (pid == 0) {
     // It ends with the rehearsal, even if that is killed.
@@ -170,7 +170,7 @@
     execv(program_.c_str(), const_cast<char* const*>(words.data()));
     _exit(127);
   }
-  stage_.io.notify_fork(asio::io_context::fork_parent);
+  context_.io.notify_fork(asio::io_context::fork_parent);
   close(ends[1]);
   if (pid < 0) {
     close(ends[0]);
@@ -179,7 +179,7 @@
   node.pid = pid;
   node.line.clear();
   if (!node.file.is_open()) node.file.open(base + ".log", std::ios::app);
-  node.log = std::make_unique<asio::posix::stream_descriptor>(stage_.io, ends[0]);
+  node.log = std::make_unique<asio::posix::stream_descriptor>(context_.io, ends[0]);
   ReadLog(forwarder, node.life);
 }
 
@@ -221,10 +221,10 @@
     tcp::socket socket;
     std::array<char, 64> bytes{};
   };
-  auto attempt = std::make_shared<Try>(stage_.io);
+  auto attempt = std::make_shared<Try>(context_.io);
   const auto again = [this, forwarder, life] {
     if (nodes_[forwarder].life != life || nodes_[forwarder].pid <= 0) return;
-    stage_.At(stage_.Now() + kPingPause, [this, forwarder, life] { Ping(forwarder, life); });
+    context_.At(context_.Now() + kPingPause, [this, forwarder, life] { Ping(forwarder, life); });
   };
   attempt->socket.async_connect(
       nodes_[forwarder].address, [this, attempt, again, forwarder, life](error_code error) {
@@ -252,7 +252,7 @@
   node.ended = std::move(ended);
   kill(node.pid, SIGTERM);
   const std::uint64_t life = node.life;
-  stage_.At(stage_.Now() + kUntilKill, [this, forwarder, life] {
+  context_.At(context_.Now() + kUntilKill, [this, forwarder, life] {
     if (nodes_[forwarder].life == life && nodes_[forwarder].pid > 0) {
       kill(nodes_[forwarder].pid, SIGKILL);
     }
@@ -326,7 +326,7 @@
     if (statm >> size >> resident) {
       const double mb =
           static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-      most_memory_mb_ = std::max(most_memory_mb_, mb);
+      max_memory_mb_ = std::max(max_memory_mb_, mb);
     }
     std::error_code error;
     std::size_t count = 0;
@@ -334,7 +334,7 @@
          !error && it != std::filesystem::directory_iterator(); it.increment(error)) {
       ++count;
     }
-    most_descriptors_ = std::max(most_descriptors_, count);
+    max_descriptors_ = std::max(max_descriptors_, count);
   }
 }
 
--- a/src/rehearsal/supervisor.hpp
+++ b/src/rehearsal/supervisor.hpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "rehearsal/stage.hpp"
+#include "rehearsal/run_context.hpp"
 
 namespace brassfront::rehearsal {
 
@@ -31,7 +31,7 @@
   };
 
   // `program` is the forwarder; what it writes goes to OUT/nN.log, its state to OUT/nN.
-  Supervisor(Stage& stage, std::string program, std::string out, const std::string& prefix,
+  Supervisor(RunContext& context, std::string program, std::string out, const std::string& prefix,
              Hooks hooks);
   ~Supervisor();  // kills what still runs, and waits for it
 
@@ -53,8 +53,8 @@
   [[nodiscard]] bool running(std::size_t forwarder) const { return nodes_[forwarder].pid > 0; }
   // Looks at memory and descriptors; to be called a few times a second.
   void Sample();
-  [[nodiscard]] double most_memory_mb() const { return most_memory_mb_; }
-  [[nodiscard]] std::size_t most_descriptors() const { return most_descriptors_; }
+  [[nodiscard]] double max_memory_mb() const { return max_memory_mb_; }
+  [[nodiscard]] std::size_t max_descriptors() const { return max_descriptors_; }
   // CPU seconds of all processes that have ended.
   [[nodiscard]] double cpu_seconds() const { return cpu_seconds_; }
 
@@ -78,13 +78,13 @@
   void AwaitChildren();
   void Reap();
 
-  Stage& stage_;
+  RunContext& context_;
   const std::string program_, out_;
   const Hooks hooks_;
   asio::signal_set children_;
   std::vector<Node> nodes_;
-  double most_memory_mb_ = 0;
-  std::size_t most_descriptors_ = 0;
+  double max_memory_mb_ = 0;
+  std::size_t max_descriptors_ = 0;
   double cpu_seconds_ = 0;
 };
 
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -27,7 +27,7 @@
 constexpr std::string_view kSnapshotMark = "brassfront zone snapshot 1\n";
 // An entry: length of the body (4), its checksum (8), the body, whose first 8 bytes are its number.
 constexpr std::size_t kEntryHead = 12;
-constexpr std::size_t kMostWitnesses = 100'000;
+constexpr std::size_t kMaxWitnesses = 100'000;
 constexpr std::size_t kPieceBytes = 1 << 16;  // of a snapshot; each with a checksum as an entry
 
 void Put64(std::string& out, std::uint64_t value) {
@@ -131,10 +131,10 @@
 // Whether a whole entry with a number above `number` starts anywhere behind `at`. What a write that
 // was cut short leaves has none behind it; a bad entry that has is damage.
 bool HasEntryBehind(std::string_view bytes, std::size_t at, std::uint64_t number) {
-  constexpr std::uint64_t kMostEntries = std::uint64_t{1} << 32;  // behind one that is bad
+  constexpr std::uint64_t kMaxEntries = std::uint64_t{1} << 32;  // behind one that is bad
   while (++at + kEntryHead + 8 <= bytes.size()) {
     const std::uint64_t found = Get64(bytes, at + kEntryHead);
-    if (found <= number || found - number > kMostEntries) continue;
+    if (found <= number || found - number > kMaxEntries) continue;
     std::size_t tried = at;
     std::string_view body;
     if (TakeEntry(bytes, tried, body) == Next::kEntry) return true;
@@ -177,10 +177,10 @@
   std::error_code error;
   fs::create_directories(folder_, error);
   lock_ = open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (lock_ < 0) throw StoreFault(folder_ + " cannot be written to: " + std::strerror(errno));
+  if (lock_ < 0) throw StoreError(folder_ + " cannot be written to: " + std::strerror(errno));
   try {
     if (flock(lock_, LOCK_EX | LOCK_NB) != 0) {
-      throw StoreFault(folder_ + " is held by another process");
+      throw StoreError(folder_ + " is held by another process");
     }
     Read();
   } catch (...) {
@@ -201,13 +201,13 @@
   if (fs::exists(folder_ + "/snapshot", error)) ReadSnapshot();
   const std::string journal = folder_ + "/journal";
   if (!fs::exists(journal, error)) {
-    if (!StartJournal()) throw StoreFault(why_);
+    if (!StartJournal()) throw StoreError(why_);
     return;
   }
   const auto bytes = ReadFile(journal);
-  if (!bytes) throw StoreFault(journal + " cannot be read: " + std::strerror(errno));
+  if (!bytes) throw StoreError(journal + " cannot be read: " + std::strerror(errno));
   journal_ = open(journal.c_str(), O_RDWR | O_APPEND | O_CLOEXEC);
-  if (journal_ < 0) throw StoreFault(journal + " cannot be written to: " + std::strerror(errno));
+  if (journal_ < 0) throw StoreError(journal + " cannot be written to: " + std::strerror(errno));
   ReplayJournal(*bytes);
 }
 
@@ -215,9 +215,9 @@
   const std::string snapshot = folder_ + "/snapshot";
   const auto bytes = ReadFile(snapshot);
   const std::string start = Start(kSnapshotMark, zone_.origin());
-  if (!bytes) throw StoreFault(snapshot + " cannot be read: " + std::strerror(errno));
+  if (!bytes) throw StoreError(snapshot + " cannot be read: " + std::strerror(errno));
   if (!bytes->starts_with(start)) {
-    throw StoreFault(snapshot + " is no snapshot of " + zone_.origin().ToText() +
+    throw StoreError(snapshot + " is no snapshot of " + zone_.origin().ToText() +
                      " in this version's format");
   }
   snapshot_bytes_ = bytes->size();
@@ -225,18 +225,18 @@
   std::string_view body;
   bool ended = false;
   while (TakeEntry(*bytes, at, body) == Next::kEntry) {
-    if (ended) throw StoreFault(snapshot + " goes on after its end");
+    if (ended) throw StoreError(snapshot + " goes on after its end");
     entries_ = Get64(body, 0);
     body.remove_prefix(8);
     ended = body.empty();
     while (!body.empty()) {
       const auto record = TakeRecord(body);
-      if (!record) throw StoreFault(snapshot + " holds a damaged record");
+      if (!record) throw StoreError(snapshot + " holds a damaged record");
       zone_.Add(*record);
     }
   }
   if (!ended || at != bytes->size()) {
-    throw StoreFault(snapshot + " is damaged at byte " + std::to_string(at));
+    throw StoreError(snapshot + " is damaged at byte " + std::to_string(at));
   }
 }
 
@@ -244,7 +244,7 @@
   const std::string journal = folder_ + "/journal";
   const std::string start = Start(kJournalMark, zone_.origin());
   if (!bytes.starts_with(start)) {
-    throw StoreFault(journal + " is no journal of " + zone_.origin().ToText() +
+    throw StoreError(journal + " is no journal of " + zone_.origin().ToText() +
                      " in this version's format");
   }
   std::size_t at = start.size();
@@ -256,23 +256,23 @@
     const std::string place = journal + " at byte " + std::to_string(before);
     if (next == Next::kBad) {
       if (HasEntryBehind(bytes, before, entries_)) {
-        throw StoreFault(place + " is damaged, with more behind it: restore it from a copy");
+        throw StoreError(place + " is damaged, with more behind it: restore it from a copy");
       }
       cut_bytes_ = bytes.size() - before;
       if (disk_.Cut(journal_, before) != 0 || disk_.Synchronise(journal_) != 0) {
-        throw StoreFault(journal + ": its half last entry cannot be cut off");
+        throw StoreError(journal + ": its half last entry cannot be cut off");
       }
       break;
     }
     const std::uint64_t number = Get64(body, 0);
     body.remove_prefix(8);
     dns::Witness by;
-    if (!TakeWitness(body, by)) throw StoreFault(place + " has no signature's place");
+    if (!TakeWitness(body, by)) throw StoreError(place + " has no signature's place");
     if (!by.mac.empty()) Remember(by);
     if (number <= entries_) continue;  // in the snapshot
     const auto change = ChangeIn(body);
     if (number != entries_ + 1 || !change || !zone_.Apply(*change)) {
-      throw StoreFault(place + " does not follow from what is before it");
+      throw StoreError(place + " does not follow from what is before it");
     }
     entries_ = number;
   }
@@ -371,7 +371,7 @@
 
 void ZoneStore::Remember(const dns::Witness& by) {
   witnesses_.push_back(by);
-  while (witnesses_.size() > kMostWitnesses ||
+  while (witnesses_.size() > kMaxWitnesses ||
          witnesses_.front().signed_at + std::uint64_t{2} * dns::kFudgeSeconds < by.signed_at) {
     witnesses_.pop_front();
   }
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -27,7 +27,7 @@
 
 namespace brassfront::zones {
 
-class StoreFault : public std::runtime_error {
+class StoreError : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
@@ -49,7 +49,7 @@
     Disk* disk = nullptr;  // the system's own if null
   };
 
-  // Reads what the folder has, and makes it if it is not there. Throws StoreFault.
+  // Reads what the folder has, and makes it if it is not there. Throws StoreError.
   ZoneStore(std::string folder, const dns::Name& origin, Options options);
   ~ZoneStore();
   ZoneStore(const ZoneStore&) = delete;
--- a/src/zones/zone_source.cpp
+++ b/src/zones/zone_source.cpp
@@ -13,7 +13,7 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::size_t kMostFileBytes = std::size_t{1} << 30;
+constexpr std::size_t kMaxFileBytes = std::size_t{1} << 30;
 
 std::optional<dns::ZoneText> ReadText(const std::string& path, const std::string& shown,
                                       std::string& why) {
@@ -29,7 +29,7 @@
     why = shown + " cannot be read: " + std::strerror(errno);
     return std::nullopt;
   }
-  if (*size > kMostFileBytes) {
+  if (*size > kMaxFileBytes) {
     why = shown + " is larger than 1 GiB";
     return std::nullopt;
   }
@@ -61,7 +61,7 @@
   std::string why;
   const auto text = error ? std::nullopt : ReadText(real.string(), path, why);
   if (!text) {
-    throw dns::BadZone({{path, 0, 0, error ? "cannot be read: " + error.message() : why}});
+    throw dns::InvalidZone({{path, 0, 0, error ? "cannot be read: " + error.message() : why}});
   }
   const fs::path folder = real.parent_path();
   const auto including = [&folder](const dns::ZoneText& from, const std::string& named,
--- a/src/zones/zone_source.hpp
+++ b/src/zones/zone_source.hpp
@@ -19,7 +19,7 @@
 
 // Reads the zone from the file. Includes are found from the folder of the file that names them and
 // may not lead out of the folder of the zone's file, by `..`, a link or an absolute path. A file
-// that changes while it is read is a fault, for it may be half of two. Throws dns::BadZone.
+// that changes while it is read is a fault, for it may be half of two. Throws dns::InvalidZone.
 dns::Zone LoadZone(const std::string& path, const dns::Name& origin);
 
 }  // namespace brassfront::zones
--- a/tests/dns/responder_test.cpp
+++ b/tests/dns/responder_test.cpp
@@ -7,7 +7,7 @@
 
 #include "../network/cuts.hpp"
 #include "dns/zone_file.hpp"
-#include "nameserver/keeper.hpp"
+#include "nameserver/zone_managers.hpp"
 
 namespace brassfront::nameserver {
 namespace {
--- a/tests/dns/store_test.cpp
+++ b/tests/dns/store_test.cpp
@@ -104,7 +104,7 @@
   // A second process, or store, may not hold it too.
   ZoneStore store(folder / "zone", kOrigin, {});
   CHECK_THROWS_WITH_AS(ZoneStore(folder / "zone", kOrigin, {}),
-                       (folder / "zone" + " is held by another process").c_str(), StoreFault);
+                       (folder / "zone" + " is held by another process").c_str(), StoreError);
 }
 
 TEST_CASE("what changes were signed with is known again, over compactions and for ten minutes") {
@@ -201,7 +201,7 @@
     REQUIRE(store.Commit(Next(store.zone())));
   }
   Put(folder / "journal", whole.substr(0, ends[0] - 1));
-  CHECK_THROWS_AS(ZoneStore(folder.path(), kOrigin, {}), StoreFault);
+  CHECK_THROWS_AS(ZoneStore(folder.path(), kOrigin, {}), StoreError);
 }
 
 TEST_CASE("a bit flipped anywhere is never believed") {
@@ -223,7 +223,7 @@
         REQUIRE(std::string(name) == "journal");
         REQUIRE(store.zone().serial() == 3);
         CheckWhole(store.zone());
-      } catch (const StoreFault&) {
+      } catch (const StoreError&) {
       }
       Put(folder / name, whole);
     }
@@ -235,14 +235,14 @@
 TEST_CASE("files of another zone or version are refused with their name") {
   const Folder folder;
   { REQUIRE(ZoneStore(folder.path(), kOrigin, {}).Replace(First())); }
-  CHECK_THROWS_AS(ZoneStore(folder.path(), Name::Known("other."), {}), StoreFault);
+  CHECK_THROWS_AS(ZoneStore(folder.path(), Name::Known("other."), {}), StoreError);
   std::string snapshot = Bytes(folder / "snapshot");
   snapshot.replace(snapshot.find(" 1\n"), 3, " 2\n");
   Put(folder / "snapshot", snapshot);
   CHECK_THROWS_WITH_AS(
       ZoneStore(folder.path(), kOrigin, {}),
       (folder / "snapshot" + " is no snapshot of example. in this version's format").c_str(),
-      StoreFault);
+      StoreError);
 }
 
 // Fails so many calls from the n-th on, and one more a while after the n-th if asked. A write that
@@ -357,7 +357,7 @@
     Put(zone_path, top + text);
     try {
       return std::to_string(LoadZone(zone_path, kOrigin).records());
-    } catch (const dns::BadZone& bad) {
+    } catch (const dns::InvalidZone& bad) {
       return bad.what();
     }
   };
@@ -370,7 +370,7 @@
   CHECK(load("$INCLUDE gone\n").find("gone cannot be read") != std::string::npos);
   CHECK(load("$INCLUDE parts\n").find("no file that can be read") != std::string::npos);
   CHECK(load("$INCLUDE parts/../zone\n").find("includes itself") != std::string::npos);
-  CHECK_THROWS_AS(LoadZone(folder / "none", kOrigin), dns::BadZone);
+  CHECK_THROWS_AS(LoadZone(folder / "none", kOrigin), dns::InvalidZone);
 }
 
 }  // namespace
--- a/tests/dns/transfer_test.cpp
+++ b/tests/dns/transfer_test.cpp
@@ -6,8 +6,8 @@
 #include <random>
 #include <string>
 
-#include "dns/follower.hpp"
 #include "dns/zone_file.hpp"
+#include "dns/zone_transfer_session.hpp"
 
 namespace brassfront::dns {
 namespace {
@@ -57,7 +57,7 @@
     REQUIRE(server->Check(bytes, *Decode(bytes).message, kNow) == TsigError::kNone);
   }
   auto messages =
-      TransferAnswer(zone, request, true, kMostMessageBytes, server ? &*server : nullptr, kNow);
+      TransferAnswer(zone, request, true, kMaxMessageBytes, server ? &*server : nullptr, kNow);
   return {std::move(messages), TransferReader(kOrigin, have, 99, client)};
 }
 
@@ -69,7 +69,7 @@
 }
 
 std::string WhyNot(const Transferred& result) {
-  const auto* unfit = std::get_if<Unfit>(&result);
+  const auto* unfit = std::get_if<ValidationError>(&result);
   return unfit != nullptr ? unfit->why : "";
 }
 
@@ -157,7 +157,7 @@
     TsigSession server(SomeKey());
     const std::string asked = client.Sign(Encode(request), kNow);
     REQUIRE(server.Check(asked, *Decode(asked).message, kNow) == TsigError::kNone);
-    const auto parts = TransferAnswer(zone, request, true, kMostMessageBytes, nullptr, kNow);
+    const auto parts = TransferAnswer(zone, request, true, kMaxMessageBytes, nullptr, kNow);
     REQUIRE(parts.size() > 3);
     TransferReader reader(kOrigin, std::nullopt, 99, client);
     std::optional<Transferred> done;
@@ -223,7 +223,7 @@
   TransferReader reader(kOrigin, Soa(4), 99, std::nullopt);
   const auto done = reader.Take(Encode(refusal), kNow);
   REQUIRE(done);
-  CHECK(std::get<Unfit>(*done).by_changes);
+  CHECK(std::get<ValidationError>(*done).by_changes);
   TransferReader bounded(kOrigin, std::nullopt, 99, std::nullopt, 3);
   Message much = ReplyTo(TransferRequest(kOrigin, std::nullopt, 99), Rcode::kNoError);
   much.answer = {Soa(1), not_ns, a, a};
@@ -231,15 +231,15 @@
 }
 
 constexpr SoaTimers kTimers{20, 5, 100};
-using Step = Follower::Step;
+using Step = ZoneTransferSession::Step;
 
 TEST_CASE("the follower asks by the SOA's timers") {
-  Follower follower(0);
+  ZoneTransferSession follower(0);
   CHECK(follower.Due(0) == Step::kTransfer);  // nothing is held: no question first
   CHECK(follower.Due(0) == Step::kNothing);
   follower.Failed(1);
   CHECK(follower.Due(1) == Step::kNothing);
-  CHECK(follower.NextDue() == 1 + Follower::kFirstRetry);
+  CHECK(follower.NextDue() == 1 + ZoneTransferSession::kFirstRetry);
   CHECK(follower.Due(2) == Step::kTransfer);
   follower.Took(7, kTimers, 3);
   CHECK(follower.NextDue() == 23);
@@ -263,7 +263,7 @@
 }
 
 TEST_CASE("a primary that goes quiet or back in serials: the zone expires, and comes back") {
-  Follower follower(0);
+  ZoneTransferSession follower(0);
   follower.Start(7, kTimers, 0, 0);
   double now = 0;
   bool expired = false;
@@ -292,7 +292,7 @@
 }
 
 TEST_CASE("what was kept counts from when it was confirmed, and is asked about at once") {
-  Follower follower(50);
+  ZoneTransferSession follower(50);
   follower.Start(7, kTimers, 90, 50);
   CHECK(follower.Due(50) == Step::kAskSerial);
   CHECK(follower.NextDue() == 60);
@@ -300,7 +300,7 @@
 }
 
 TEST_CASE("notices: at once, one at a time, and no more than five a second") {
-  Follower follower(0);
+  ZoneTransferSession follower(0);
   follower.Start(7, kTimers, 0, 0);
   CHECK(follower.Due(0) == Step::kAskSerial);
   follower.SerialIs(7, 0);
@@ -330,7 +330,7 @@
 }
 
 TEST_CASE("round the end of serials, and SOA timers within limits") {
-  Follower follower(0);
+  ZoneTransferSession follower(0);
   follower.Start(0xffffffff, kTimers, 0, 0);
   CHECK(follower.Due(0) == Step::kAskSerial);
   follower.SerialIs(1, 0);
@@ -340,8 +340,8 @@
   std::string soa = Name().wire() + Name().wire();
   for (const unsigned n : {1u, 0u, 0u, 0u, 0u}) Put32(soa, n);
   const SoaTimers least = SoaTimers::Of(soa);
-  CHECK(least.refresh == Follower::kLeastWait);
-  CHECK(least.retry == Follower::kLeastWait);
+  CHECK(least.refresh == ZoneTransferSession::kMinWait);
+  CHECK(least.retry == ZoneTransferSession::kMinWait);
   CHECK(least.expire >= least.refresh + least.retry);
 }
 
--- a/tests/dns/tsig_test.cpp
+++ b/tests/dns/tsig_test.cpp
@@ -136,7 +136,7 @@
   TsigSession swapped = again;
   CHECK(Checked(again, parts[2]) == TsigError::kBadSig);
   CHECK(Checked(swapped, parts[1]) == TsigError::kNone);
-  for (int n = 0; n < kMostUnsigned; ++n) REQUIRE(Checked(swapped, part(n)) == TsigError::kNone);
+  for (int n = 0; n < kMaxUnsigned; ++n) REQUIRE(Checked(swapped, part(n)) == TsigError::kNone);
   CHECK(Checked(swapped, part(1)) == TsigError::kBadSig);
 }
 
--- a/tests/dns/update_test.cpp
+++ b/tests/dns/update_test.cpp
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "dns/zone_file.hpp"
-#include "words.hpp"
+#include "dns_fixtures.hpp"
 
 namespace brassfront::dns {
 namespace {
@@ -33,16 +33,16 @@
 
 // `name class ttl type rdata...`; without RDATA where a class may be so.
 Record Line(const std::string& text) {
-  const auto words = testing::Words(text);
+  const auto tokens = testing::Tokens(text);
   Record record;
-  record.name = Below(words[0].text);
-  record.klass = *ClassFromText(words[1].text);
-  record.ttl = *SecondsFromText(words[2].text);
-  record.type = *TypeFromText(words[3].text);
-  if (words.size() == 4) return record;
+  record.name = Below(tokens[0].text);
+  record.klass = *ClassFromText(tokens[1].text);
+  record.ttl = *SecondsFromText(tokens[2].text);
+  record.type = *TypeFromText(tokens[3].text);
+  if (tokens.size() == 4) return record;
   std::string why;
   std::size_t at = 0;
-  const auto rdata = RdataFromText(record.type, std::span(words).subspan(4), kOrigin, why, at);
+  const auto rdata = RdataFromText(record.type, std::span(tokens).subspan(4), kOrigin, why, at);
   REQUIRE_MESSAGE(rdata, why);
   record.rdata = *rdata;
   return record;
--- a/tests/dns/wire_test.cpp
+++ b/tests/dns/wire_test.cpp
@@ -7,7 +7,7 @@
 #include "../network/cuts.hpp"
 #include "dns/message.hpp"
 #include "dns/serial.hpp"
-#include "words.hpp"
+#include "dns_fixtures.hpp"
 
 namespace brassfront::dns {
 namespace {
@@ -111,13 +111,13 @@
     const auto type = *TypeFromText(sample.type);
     std::string why;
     std::size_t at = 0;
-    const auto words = testing::Words(sample.text);
-    const auto rdata = RdataFromText(type, words, Name(), why, at);
+    const auto tokens = testing::Tokens(sample.text);
+    const auto rdata = RdataFromText(type, tokens, Name(), why, at);
     REQUIRE_MESSAGE(rdata, why);
     CHECK(IsRdata(type, *rdata));
     const std::string printed = RdataText(type, *rdata);
     CHECK(printed == (sample.printed != nullptr ? sample.printed : sample.text));
-    const auto again = RdataFromText(type, testing::Words(printed), Name(), why, at);
+    const auto again = RdataFromText(type, testing::Tokens(printed), Name(), why, at);
     REQUIRE_MESSAGE(again, why);
     CHECK(*again == *rdata);
     Message message;
@@ -165,12 +165,12 @@
     CAPTURE(text);
     std::string why;
     std::size_t at = 0;
-    CHECK_FALSE(RdataFromText(*TypeFromText(type), testing::Words(text), Name(), why, at));
+    CHECK_FALSE(RdataFromText(*TypeFromText(type), testing::Tokens(text), Name(), why, at));
     CHECK(why != "");
   }
   std::string why;
   std::size_t at = 0;
-  CHECK_FALSE(RdataFromText(type::kTxt, testing::Words(std::string(256, 'x')), Name(), why, at));
+  CHECK_FALSE(RdataFromText(type::kTxt, testing::Tokens(std::string(256, 'x')), Name(), why, at));
 }
 
 Message Rich() {
--- a/tests/dns/zone_file_test.cpp
+++ b/tests/dns/zone_file_test.cpp
@@ -29,7 +29,7 @@
 std::string Faults(const std::string& text) {
   try {
     Read(text);
-  } catch (const BadZone& bad) {
+  } catch (const InvalidZone& bad) {
     return bad.what();
   }
   return "";
@@ -158,7 +158,7 @@
   for (int n = 0; n < 50; ++n) many += "a A x\n";
   const std::string faults = Faults(many);
   CHECK(static_cast<std::size_t>(std::count(faults.begin(), faults.end(), '\n')) + 1 ==
-        BadZone::kMostFaults);
+        InvalidZone::kMaxFaults);
 }
 
 TEST_CASE("includes: origin and owner come back, loops and depth end, faults name the file") {
@@ -195,7 +195,7 @@
       const Zone zone = Read(text);
       ++read;
       REQUIRE(Written(Read(Written(zone))) == Written(zone));
-    } catch (const BadZone& bad) {
+    } catch (const InvalidZone& bad) {
       REQUIRE(!bad.faults().empty());
       REQUIRE(bad.faults()[0].why != "");
     }
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -107,7 +107,7 @@
   CHECK(rig.At(2) == "b");  // the platform still lists a, and is not asked
   rig.merged.TakeList(platform, List({Endpoint(1, "a2"), Endpoint(2, "b")}), 3);
   CHECK(rig.At(3) == "b");
-  // It fails: what it said last stands until it expires, then it is as if it had never spoken.
+  // It fails: what it reported last stands until it expires, then it is as if it had never spoken.
   rig.merged.Failed(zone, 4);
   CHECK(rig.At(101) == "b");
   CHECK(rig.merged.NextDue() == 102);
@@ -242,14 +242,14 @@
       const std::size_t source = random() % 3;
       const std::string group = "g" + std::to_string(random() % 3);
       std::vector<Member> members;
-      auto& said = says[std::to_string(source) + group];
-      said.clear();
+      auto& reported = says[std::to_string(source) + group];
+      reported.clear();
       for (int n = 0; n < 4; ++n) {
         if (random() % 2 == 0) continue;
         // A destination is the tens of the address's number.
         const std::string address = std::to_string(10 * (1 + random() % 2) + random() % 3);
         members.push_back(Endpoint(std::stoul(address) / 10, address));
-        said.insert(address);
+        reported.insert(address);
       }
       rig.merged.Take(ids[source], group, members, now);
       rig.At(now);
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -19,7 +19,7 @@
 constexpr std::string_view kPut =
     "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\ni\r\n$14\r\nc=n,d=1,dest=1\r\n$1\r\nx\r\n";
 
-// Refuses, or accepts everything; counts what it is told.
+// Refuses, or accepts everything; counts what it is seen.
 class CountingAcceptor : public MessageAcceptor {
  public:
   SubmitResult Submit(DeliveryRequest) override {
@@ -128,7 +128,7 @@
   Start({.connections = 8,
          .command = kNever,
          .idle = kNever,
-         .most_idle = 1,
+         .max_idle = 1,
          .min_idle_before_first_message = kNever,
          .min_idle = std::chrono::milliseconds(0)});
   Socket clients[4];
@@ -154,7 +154,7 @@
 }
 
 // A drain, like a newcomer that needs the place, stops the reading of idle connections. A command
-// may have come just before, and is then read all the same: its answer is owed.
+// may have come just before, and is then read all the same: its answer is recovered.
 TEST_CASE("a command that crosses a drain is either answered or was not executed") {
   int crossed = 0;
   for (int round = 0; round < 1000; ++round) {
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -150,11 +150,11 @@
   }
   CHECK(Answered(socket, "noise without an end").outcome == CallOutcome::kReset);
   CHECK(Answered(socket, "HTTP/1.1 429 Full\r\nno colon\r\n\r\n").outcome == CallOutcome::kReset);
-  const EndpointCallResult told =
+  const EndpointCallResult seen =
       Answered(socket, "HTTP/1.1 200 OK\r\nWait-Ms: 50\r\nContent-Length: 3000000000\r\n\r\nabc");
-  CHECK(told.status == 200);
-  CHECK_FALSE(told.complete);
-  CHECK(told.retry_after_ms.empty());
+  CHECK(seen.status == 200);
+  CHECK_FALSE(seen.complete);
+  CHECK(seen.retry_after_ms.empty());
 }
 
 TEST_CASE_FIXTURE(Fixture, "a connection with input beyond its response is not reused") {
--- a/tests/network/log_test.cpp
+++ b/tests/network/log_test.cpp
@@ -89,7 +89,7 @@
 }
 
 TEST_CASE("a repeated event says how many were left out") {
-  PipedLog log({.most_repeats = 1});
+  PipedLog log({.max_repeats = 1});
   LogSeldom(Concern::kSpool, Level::kWarning, "spool full");
   LogSeldom(Concern::kSpool, Level::kWarning, "spool full");
   Log(Concern::kSpool, Level::kWarning, "spool full");
@@ -112,10 +112,10 @@
   CHECK(times.Quantile(0.5).count() == 0);
   for (int us = 1; us <= 100'000; ++us) times.Add(std::chrono::microseconds(us));
   for (const double share : {0.01, 0.5, 0.9, 0.99, 0.999}) {
-    const double told = static_cast<double>(times.Quantile(share).count());
+    const double seen = static_cast<double>(times.Quantile(share).count());
     const double value = share * 100'000;
-    CHECK(told >= value);
-    CHECK(told <= value * 1.125 + 1);
+    CHECK(seen >= value);
+    CHECK(seen <= value * 1.125 + 1);
   }
   CHECK(times.max().count() == 100'000);
   times.Add(std::chrono::hours(10));
--- a/tests/network/message_trace_test.cpp
+++ b/tests/network/message_trace_test.cpp
@@ -24,7 +24,7 @@
   trace.Note(1, milliseconds(11), TraceStep::kGivenUp, 1);
   CHECK(trace.State(1) == MessageState::kNotifying);
   trace.Note(1, milliseconds(12), TraceStep::kCompleted, 4);
-  CHECK(trace.State(1) == MessageState::kNotifying);  // the notice is still owed
+  CHECK(trace.State(1) == MessageState::kNotifying);  // the notice is still recovered
   CHECK(trace.History(1) ==
         "accepted+0 acknowledged+1 started+5(12) completed+9(2) started+10(3) given-up+11(1) "
         "completed+12(4)");
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -64,19 +64,19 @@
     spool.Finish(1);
   }
   Spool spool = Open(folder);
-  const auto owed = spool.Recover();
-  REQUIRE(owed.size() == 2);
-  CHECK(owed[0].number == 2);
-  CHECK(owed[0].message.id == "2");
-  CHECK(owed[0].message.key == "k2");
-  CHECK(owed[0].message.destination == 7);
-  CHECK(owed[0].message.deadline == UnixMs(1234567890123));
-  CHECK(owed[0].message.body == std::string(10, 'b'));
-  REQUIRE(owed[0].attempts.size() == 2);
-  CHECK(owed[0].attempts[0].known_not_run);
-  CHECK_FALSE(owed[0].attempts[1].known_not_run);
-  CHECK(owed[0].attempts[1].endpoint == "e2");
-  CHECK(owed[0].attempts[1].started_at == UnixMs(60));
+  const auto recovered = spool.Recover();
+  REQUIRE(recovered.size() == 2);
+  CHECK(recovered[0].number == 2);
+  CHECK(recovered[0].message.id == "2");
+  CHECK(recovered[0].message.key == "k2");
+  CHECK(recovered[0].message.destination == 7);
+  CHECK(recovered[0].message.deadline == UnixMs(1234567890123));
+  CHECK(recovered[0].message.body == std::string(10, 'b'));
+  REQUIRE(recovered[0].attempts.size() == 2);
+  CHECK(recovered[0].attempts[0].known_not_run);
+  CHECK_FALSE(recovered[0].attempts[1].known_not_run);
+  CHECK(recovered[0].attempts[1].endpoint == "e2");
+  CHECK(recovered[0].attempts[1].started_at == UnixMs(60));
   CHECK(spool.next_number() == 4);
 }
 
@@ -143,10 +143,10 @@
   CHECK(refused == 0);
   CHECK(most <= 800'000);
   CHECK(spool.open_messages() == 19);
-  const auto owed = Open(folder, nullptr, 800'000).Recover();
-  REQUIRE(owed.size() == 19);
-  CHECK(owed.front().message.body.size() == 3000);
-  CHECK(owed.front().attempts.size() == 1);
+  const auto recovered = Open(folder, nullptr, 800'000).Recover();
+  REQUIRE(recovered.size() == 19);
+  CHECK(recovered.front().message.body.size() == 3000);
+  CHECK(recovered.front().attempts.size() == 1);
   CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
 }
 
--- a/tests/policy/characterization_test.cpp
+++ b/tests/policy/characterization_test.cpp
@@ -233,7 +233,7 @@
     events_.emplace_back(std::move(list));
   }
 
-  // A new process: it is told the endpoints and the messages that the earlier one still owed.
+  // A new process: it is announced the endpoints and the messages that the earlier one still owed.
   void Restart() {
     events_.clear();
     timer_.reset();
--- a/tests/policy/group_test.cpp
+++ b/tests/policy/group_test.cpp
@@ -116,8 +116,8 @@
   }
 
   Partner partner;
-  double rate;                       // messages a second
-  std::optional<double> told_limit;  // by the reports, where it is not the true one
+  double rate;                           // messages a second
+  std::optional<double> reported_limit;  // by the reports, where it is not the true one
 
  private:
   struct Node {
@@ -180,7 +180,7 @@
 
   LoadReport Report(Outcome outcome) const {
     if (outcome == Outcome::kConnectFailed) return {};
-    return {1 - partner.used / partner.limit, told_limit.value_or(partner.limit)};
+    return {1 - partner.used / partner.limit, reported_limit.value_or(partner.limit)};
   }
 
   void Carry(std::size_t i, const std::vector<MessageId>& call) {
@@ -236,7 +236,7 @@
   Fleet fleet(100, 20, 150);
   fleet.Play(6s);
   fleet.partner.limit = 15;
-  fleet.told_limit = 40;
+  fleet.reported_limit = 40;
   const Counts lowered = fleet.Play(12s);
   EXPECT_GT(lowered.accepted, 15 * 12 / 3);
   EXPECT_LT(lowered.above, 350);
--- a/tests/policy/invariants_test.cpp
+++ b/tests/policy/invariants_test.cpp
@@ -59,7 +59,7 @@
 };
 
 struct Held {
-  MessageArrived told;
+  MessageArrived announced;
   Time deadline{};
   std::vector<Sent> sent;
   std::optional<Time> may_have_run;
@@ -111,15 +111,17 @@
     const std::size_t arrivals = random_() % 20 == 0 ? 1 + random_() % 6 : 0;
     for (std::size_t i = 0; i < arrivals; ++i) {
       Held m;
-      m.told = {next_++, random_() % 4, random_() % 3, 0, 0ms, ""};
-      m.told.time_left = set_.classes[m.told.message_class].deadline / (1 + random_() % 2);
-      if (random_() % 3 > 0) m.told.key = std::string(1, static_cast<char>('a' + random_() % 4));
-      m.deadline = now_ + m.told.time_left;
-      events_.push_back(m.told);
-      if (set_.classes[m.told.message_class].ordered && !m.told.key.empty()) {
-        lines_[m.told.key].push_back(m.told.message);
+      m.announced = {next_++, random_() % 4, random_() % 3, 0, 0ms, ""};
+      m.announced.time_left =
+          set_.classes[m.announced.message_class].deadline / (1 + random_() % 2);
+      if (random_() % 3 > 0)
+        m.announced.key = std::string(1, static_cast<char>('a' + random_() % 4));
+      m.deadline = now_ + m.announced.time_left;
+      events_.push_back(m.announced);
+      if (set_.classes[m.announced.message_class].ordered && !m.announced.key.empty()) {
+        lines_[m.announced.key].push_back(m.announced.message);
       }
-      held_[m.told.message] = std::move(m);
+      held_[m.announced.message] = std::move(m);
     }
     if (random_() % 100 == 0) {
       EndpointEntry& e = entries_[random_() % entries_.size()];
@@ -130,7 +132,7 @@
       Held& m = held_[random_() % next_];
       if (!m.over) {
         m.over = true;
-        events_.push_back(MessageCancelled{m.told.message});
+        events_.push_back(MessageCancelled{m.announced.message});
       }
     }
     if (random_() % 50 == 0) bias_ = static_cast<int>(random_() % 7);  // a trouble comes or goes
@@ -170,8 +172,8 @@
           m.may_have_run = s.at;
           m.ran_on_endpoint = s.endpoint;
         }
-        if (Doubt(s.outcome) && set_.classes[m.told.message_class].ordered)
-          rests_[m.told.key] = now_ + set_.ordering_cooldown;
+        if (Doubt(s.outcome) && set_.classes[m.announced.message_class].ordered)
+          rests_[m.announced.key] = now_ + set_.ordering_cooldown;
         e.finished = m.over;
         events_.push_back(e);
       }
@@ -198,10 +200,10 @@
     ++sends_;
     ASSERT_TRUE(held_.count(a.message));
     Held& m = held_[a.message];
-    const ClassSettings& c = set_.classes[m.told.message_class];
+    const ClassSettings& c = set_.classes[m.announced.message_class];
     const EndpointEntry& e = entries_.at(a.endpoint);
     EXPECT_FALSE(m.over) << "sent after its final answer";
-    EXPECT_EQ(e.destination, m.told.destination);
+    EXPECT_EQ(e.destination, m.announced.destination);
     EXPECT_EQ(e.state, EndpointState::kListed) << "drain";
     EXPECT_LE(WaitOf(a.endpoint), now_) << "wait";
     EXPECT_GT(a.timeout, 0ms);
@@ -216,14 +218,14 @@
         }
       }
     }
-    if (c.ordered && !m.told.key.empty()) {
-      for (MessageId id : lines_[m.told.key]) {
+    if (c.ordered && !m.announced.key.empty()) {
+      for (MessageId id : lines_[m.announced.key]) {
         if (id == a.message) break;
         EXPECT_TRUE(held_[id].over) << "order";
         for (const Sent& s : held_[id].sent) EXPECT_FALSE(s.out) << "order, attempt out";
       }
       if (m.sent.empty()) {
-        EXPECT_LE(rests_[m.told.key], now_) << "rest";
+        EXPECT_LE(rests_[m.announced.key], now_) << "rest";
       }
     }
     Sent s;
@@ -272,7 +274,7 @@
   void Check(const RejectMessage& a) {
     Final(a.message);
     const Held& m = held_[a.message];
-    const ClassSettings& c = set_.classes[m.told.message_class];
+    const ClassSettings& c = set_.classes[m.announced.message_class];
     const bool ran = m.may_have_run ||
                      std::any_of(m.sent.begin(), m.sent.end(), [](const Sent& s) { return s.out; });
     const bool harmless =
--- a/tests/policy/rate_limiter_test.cpp
+++ b/tests/policy/rate_limiter_test.cpp
@@ -25,12 +25,12 @@
   PolicyDriver driver(settings);
   driver.At(1s, {Listed({{.endpoint = 1, .destination = 1}, {.endpoint = 2, .destination = 1}}),
                  Arrive(1)});
-  const EndpointId told = driver.ActionsOf<SendAttempt>()[0].endpoint;
-  AttemptCompleted end = driver.End(1, Outcome::kRejected, told);
+  const EndpointId announced = driver.ActionsOf<SendAttempt>()[0].endpoint;
+  AttemptCompleted end = driver.End(1, Outcome::kRejected, announced);
   end.retry_after = 1s;
   driver.At(2s, {end});
   ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
-  EXPECT_NE(driver.ActionsOf<SendAttempt>()[0].endpoint, told);
+  EXPECT_NE(driver.ActionsOf<SendAttempt>()[0].endpoint, announced);
 }
 
 // The Retry-After may come with any message of a call, not only with the first.
--- a/tests/records/records_test.cpp
+++ b/tests/records/records_test.cpp
@@ -137,7 +137,7 @@
   std::string colons;
   for (int i = 0; i < 60; ++i) colons += "a: ";
   has(colons + "1", "nested deeper than 48 levels");
-  has(std::string(kMostBytes + 1, ' '), "larger than 1 MiB");
+  has(std::string(kMaxBytes + 1, ' '), "larger than 1 MiB");
   has("a: duration", "no value for a: expected duration");
   has("a: 1 | 2", "no value for a: expected 1 | 2");
 }
@@ -210,7 +210,7 @@
       Read(text);
     } catch (const BadRecords& bad) {
       REQUIRE_FALSE(bad.faults().empty());
-      REQUIRE(bad.faults().size() <= kMostFaults);
+      REQUIRE(bad.faults().size() <= kMaxFaults);
       for (const Fault& fault : bad.faults()) {
         REQUIRE_FALSE(fault.message.empty());
       }
--- a/tests/rehearsal/auditor_test.cpp
+++ b/tests/rehearsal/auditor_test.cpp
@@ -35,8 +35,9 @@
     e.at = at;
     return e;
   }
-  PutId HandIn(Time at, std::uint64_t origin, std::size_t merchant = 0, std::size_t forwarder = 0) {
-    Event e = Make(What::kHandedIn, at);
+  PutId Submission(Time at, std::uint64_t origin, std::size_t merchant = 0,
+                   std::size_t forwarder = 0) {
+    Event e = Make(What::kSubmitted, at);
     e.put = next_put++;
     e.origin = origin;
     e.merchant = merchant;
@@ -46,8 +47,8 @@
     return e.put;
   }
   PutId Taken(Time at, std::uint64_t origin, std::size_t merchant = 0, std::size_t forwarder = 0) {
-    const PutId put = HandIn(at, origin, merchant, forwarder);
-    Tell(What::kTaken, at, put);
+    const PutId put = Submission(at, origin, merchant, forwarder);
+    Tell(What::kAccepted, at, put);
     return put;
   }
   void Tell(What what, Time at, PutId put) {
@@ -64,7 +65,7 @@
     auditor.Take(e);
     e.what = What::kCall;
     e.partner = partner;
-    e.parts = {{put, Fate::kNever}};
+    e.parts = {{put, CallOutcome::kNever}};
     auditor.Take(e);
     return e.call;
   }
@@ -73,10 +74,10 @@
     e.call = call;
     e.status = status;
     e.wait = wait;
-    e.parts = {{put, status == 200   ? Fate::kOk
-                     : status == 500 ? Fate::kError
-                     : status == 410 ? Fate::kGone
-                                     : Fate::kNever}};
+    e.parts = {{put, status == 200   ? CallOutcome::kOk
+                     : status == 500 ? CallOutcome::kError
+                     : status == 410 ? CallOutcome::kGone
+                                     : CallOutcome::kNever}};
     auditor.Take(e);
   }
   void Ran(Time at, PutId put, bool twice = false) {
@@ -108,7 +109,7 @@
     auditor.Take(e);
   }
   std::size_t Broken(Rule rule) {
-    const Judgement j = auditor.Finish(seconds(60));
+    const AuditResult j = auditor.Finish(seconds(60));
     CHECK(j.metrics.at("rule_breaks") == j.broken[static_cast<std::size_t>(rule)]);  // no other
     return j.broken[static_cast<std::size_t>(rule)];
   }
@@ -137,8 +138,8 @@
   SUBCASE("delivered, refused, unanswered or gone is not lost") {
     Story s;
     s.Deliver(seconds(2), s.Taken(seconds(1), 0));
-    s.Tell(What::kRefused, seconds(1), s.HandIn(seconds(1), 1));
-    s.Tell(What::kUnanswered, seconds(1), s.HandIn(seconds(1), 2));
+    s.Tell(What::kRefused, seconds(1), s.Submission(seconds(1), 1));
+    s.Tell(What::kUnanswered, seconds(1), s.Submission(seconds(1), 2));
     const PutId gone = s.Taken(seconds(1), 3);
     s.Answer(seconds(2), s.Call(seconds(2), gone), gone, 410);
     CHECK(s.Broken(Rule::kLost) == 0);
@@ -160,9 +161,9 @@
   }
   SUBCASE("a 200 before its client has heard counts once it has") {
     Story s;
-    const PutId put = s.HandIn(seconds(1), 0);
+    const PutId put = s.Submission(seconds(1), 0);
     s.Deliver(seconds(1), put);
-    s.Tell(What::kTaken, seconds(1), put);
+    s.Tell(What::kAccepted, seconds(1), put);
     CHECK(s.Broken(Rule::kLost) == 0);
     CHECK(s.auditor.Finish(seconds(60)).metrics.at("delivered") == 1);
   }
@@ -264,8 +265,8 @@
 
 TEST_CASE("removals: how long each is called, and what a zone told outlasts a restart") {
   Story s;
-  Event told = s.Make(What::kTold, milliseconds(1010));
-  told.leaving = true;
+  Event told = s.Make(What::kEndpointChange, milliseconds(1010));
+  told.draining = true;
   told.since = seconds(1);
   for (const std::size_t endpoint : {3, 4, 5}) {
     told.endpoint = endpoint;
@@ -291,9 +292,9 @@
 TEST_CASE("drain: nothing new later than 2 s after it was told") {
   for (const int ms : {2040, 2060}) {
     Story s;
-    Event told = s.Make(What::kTold, seconds(1));
+    Event told = s.Make(What::kEndpointChange, seconds(1));
     told.endpoint = 3;
-    told.leaving = true;
+    told.draining = true;
     s.auditor.Take(told);
     told.at = seconds(2);  // told again: the first time counts
     s.auditor.Take(told);
@@ -317,7 +318,7 @@
     s.Answer(seconds(3), call, next, 200);
     s.Notice(seconds(3), put);
     s.Notice(seconds(3), next);
-    const Judgement j = s.auditor.Finish(seconds(60));
+    const AuditResult j = s.auditor.Finish(seconds(60));
     return j.broken[static_cast<std::size_t>(Rule::kWait)];
   };
   CHECK(broken(milliseconds(400), 0, 0, false) == 1);
@@ -376,13 +377,13 @@
 TEST_CASE("a break has the message's timeline, and only so many are told") {
   Story s;
   for (std::uint64_t i = 0; i < 50; ++i) s.Taken(seconds(1), i);
-  const Judgement j = s.auditor.Finish(seconds(60));
+  const AuditResult j = s.auditor.Finish(seconds(60));
   CHECK(j.broken[static_cast<std::size_t>(Rule::kLost)] == 50);
-  REQUIRE(j.breaks.size() == Auditor::kMostBreaks);
-  REQUIRE(j.breaks[0].evidence.size() == 3);
-  CHECK(j.breaks[0].evidence[0] == "message 0 for a, its time is up at 11.000 s");
-  CHECK(j.breaks[0].evidence[1] == "1.000 s handed in 0");
-  CHECK(j.breaks[0].evidence[2] == "1.000 s taken");
+  REQUIRE(j.violations.size() == Auditor::kMaxViolations);
+  REQUIRE(j.violations[0].evidence.size() == 3);
+  CHECK(j.violations[0].evidence[0] == "message 0 for a, its time is up at 11.000 s");
+  CHECK(j.violations[0].evidence[1] == "1.000 s handed in 0");
+  CHECK(j.violations[0].evidence[2] == "1.000 s taken");
 }
 
 TEST_CASE("service: full worth in the goal, less after it, by merchant and in the worst stretch") {
@@ -398,7 +399,7 @@
       s.Notice(at + seconds(1), put, i == 11);
     }
   }
-  const Judgement j = s.auditor.Finish(seconds(60));
+  const AuditResult j = s.auditor.Finish(seconds(60));
   const auto& m = j.metrics;
   CHECK(m.at("whole") == doctest::Approx((10 + 5 * 0.65) / 20));
   CHECK(m.at("worst_10s") == doctest::Approx(5 * 0.65 / 10));
@@ -419,7 +420,7 @@
   Story s;
   for (std::uint64_t i = 0; i < 200; ++i) s.Taken(seconds(1), i, 0);  // its share is 5 a second
   for (std::uint64_t i = 200; i < 210; ++i) s.Deliver(seconds(1), s.Taken(seconds(1), i, 1));
-  const Judgement j = s.auditor.Finish(seconds(60));
+  const AuditResult j = s.auditor.Finish(seconds(60));
   // 31 are within what a share may bring at once: 5 s of it, and a quarter more.
   CHECK(j.metrics.at("whole") == doctest::Approx(10 / (31 + 169 * 0.05 + 10)).epsilon(0.02));
   CHECK(j.merchant_service[1] == 1);
--- a/tests/rehearsal/fleet_auditor_test.cpp
+++ b/tests/rehearsal/fleet_auditor_test.cpp
@@ -29,13 +29,13 @@
   void Look(std::size_t f, bool away, Time from, Time until) {
     for (Time at = from; at < until; at += milliseconds(100)) auditor.StandsBy(f, away, at);
   }
-  Judgement End(Time at) {
-    Judgement j;
+  AuditResult End(Time at) {
+    AuditResult j;
     j.broken.resize(kRules);
     auditor.Finish(at, j);
     return j;
   }
-  static std::size_t Broken(const Judgement& j, Rule rule) {
+  static std::size_t Broken(const AuditResult& j, Rule rule) {
     return j.broken[static_cast<std::size_t>(rule)];
   }
   FleetAuditor auditor;
@@ -48,7 +48,7 @@
   s.auditor.Line(0, "peer name=n2 state=dead was=suspect life=1", seconds(12));
   s.auditor.Paused(3, true, seconds(13));
   s.auditor.Line(0, "peer name=n3 state=dead was=suspect life=1", seconds(14));
-  const Judgement j = s.End(seconds(20));
+  const AuditResult j = s.End(seconds(20));
   CHECK(j.metrics.at("wrong_deaths") == 1);
 }
 
@@ -68,7 +68,7 @@
     s.auditor.Line(f, "peer name=n1 state=dead was=suspect life=1", seconds(10 + f));
   }
   s.auditor.Runs(1, true, seconds(19));
-  const Judgement j = s.End(seconds(30));
+  const AuditResult j = s.End(seconds(30));
   CHECK(j.metrics.at("unnoticed") == 1);  // n4 never said so
   CHECK(j.metrics.at("noticed_ms") == 3000);
 }
@@ -81,7 +81,7 @@
   CHECK(Story::Broken(s.End(seconds(9)), Rule::kSpared) == 0);
   s.Look(0, true, seconds(10), seconds(11));
   s.Look(1, true, seconds(11), seconds(12));
-  const Judgement j = s.End(seconds(13));
+  const AuditResult j = s.End(seconds(13));
   CHECK(Story::Broken(j, Rule::kSpared) == 1);
   CHECK(j.metrics.at("most_out") == 2);
 }
@@ -116,7 +116,7 @@
   s.auditor.Line(0, "work request=1 name=e2 state=back used=0 revision=5", seconds(10));
   s.auditor.Line(3, "work request=1 name=e2 state=out used=0 revision=4", seconds(11));
   call(seconds(12));
-  const Judgement j = s.End(seconds(13));
+  const AuditResult j = s.End(seconds(13));
   CHECK(Story::Broken(j, Rule::kBan) == 1);
   CHECK(j.metrics.at("works_back") == 1);
   CHECK(j.metrics.at("works_open") == 0);
@@ -125,14 +125,14 @@
 TEST_CASE("a schedule follows from its seed, can be read, and leaves time for its end") {
   const Scenario base = ReadScenario(kBase, "base");
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    const auto acts = MakeSchedule(base, seed);
-    CHECK(acts == MakeSchedule(base, seed));
-    const Scenario s = ReadScenario(WithActs(kBase, acts), "schedule");
-    CHECK(s.acts.size() == acts.size());
+    const auto actions = MakeSchedule(base, seed);
+    CHECK(actions == MakeSchedule(base, seed));
+    const Scenario s = ReadScenario(WithActs(kBase, actions), "schedule");
+    CHECK(s.actions.size() == actions.size());
     std::size_t lost = 0;
-    for (const Act& act : s.acts) {
-      CHECK(act.at + act.lasts <= seconds(27));
-      lost += act.kind == ActKind::kLoseMachine;
+    for (const FaultAction& action : s.actions) {
+      CHECK(action.at + action.lasts <= seconds(27));
+      lost += action.kind == FaultKind::kLoseMachine;
     }
     CHECK(lost <= 1);
   }
--- a/tests/rehearsal/model_test.cpp
+++ b/tests/rehearsal/model_test.cpp
@@ -1,4 +1,4 @@
-// The partner's model and the plan: limits, queues, cold returns, and the same seed.
+// The partner's model and the plan: limits, queues, warm_up returns, and the same seed.
 #include <doctest/doctest.h>
 
 #include <string>
@@ -19,7 +19,7 @@
                       "s");
 }
 
-PartnerModel Model(const Scenario& s) { return PartnerModel(s.partners[0], s.cold, 1); }
+PartnerModel Model(const Scenario& s) { return PartnerModel(s.partners[0], s.warm_up, 1); }
 
 TEST_CASE("a window takes its count and tells the time to its end") {
   const Scenario s = With("capacity: 1000/s, limit: {kind: \"window\", calls: 5/s, told: 100%}");
@@ -40,11 +40,11 @@
   Time now = seconds(1);
   int served = 0;
   for (; now < seconds(11); now += milliseconds(7)) {
-    const auto verdict = model.Call(now, 1, 0);
-    served += verdict.what == What::kServe ? 1 : 0;
-    if (verdict.what == What::kRefuse) {
-      REQUIRE(verdict.wait.has_value());
-      now += *verdict.wait;
+    const auto status = model.Call(now, 1, 0);
+    served += status.what == What::kServe ? 1 : 0;
+    if (status.what == What::kRefuse) {
+      REQUIRE(status.wait.has_value());
+      now += *status.wait;
       CHECK(model.Call(now, 1, 0).what == What::kServe);
       ++served;
     }
