Name the failure detector's parts as SWIM and Lifeguard do

They are now gossip update, indirect probe, proxy, local health score, dissemination; limits are kMax and kMin. Renames only.

--- a/src/peers/atomic_file.cpp
+++ b/src/peers/atomic_file.cpp
@@ -23,22 +23,22 @@
 }  // namespace
 
 bool WriteAtomically(const std::string& path, const std::string& bytes) {
-  const std::string beside = path + ".new";
-  const int fd = open(beside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  const std::string temporary_path = path + ".new";
+  const int fd = open(temporary_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (fd < 0) return false;
   const bool written = WriteAll(fd, bytes) && fsync(fd) == 0;
   close(fd);
-  if (!written || rename(beside.c_str(), path.c_str()) != 0) {
-    unlink(beside.c_str());
+  if (!written || rename(temporary_path.c_str(), path.c_str()) != 0) {
+    unlink(temporary_path.c_str());
     return false;
   }
   // The rename itself must last as well.
   const std::string folder = std::filesystem::path(path).parent_path().string();
-  const int of = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (of < 0) return false;
-  const bool lasts = fsync(of) == 0;
-  close(of);
-  return lasts;
+  const int folder_fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder_fd < 0) return false;
+  const bool synchronized = fsync(folder_fd) == 0;
+  close(folder_fd);
+  return synchronized;
 }
 
 }  // namespace brassfront::peers
--- a/src/peers/failure_detector.hpp
+++ b/src/peers/failure_detector.hpp
@@ -7,7 +7,7 @@
 //
 // An incarnation is a member's number of starts, kept in its folder, and behind it the number of
 // times that it has denied its own death since then: of two words about a member the one with the
-// higher incarnation is newer, so a restart is told from a stale word.
+// higher incarnation is newer, so a restart is told from a stale update.
 #ifndef BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
 #define BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
 
@@ -36,15 +36,15 @@
 
 // Between us and one peer, by our own probes. kOneWay: we hear it, and our probes come back by way
 // of others alone. kIndirect: neither hears the other directly, and others hear it.
-enum class Link : std::uint8_t { kWhole, kOneWay, kIndirect };
+enum class Link : std::uint8_t { kTwoWay, kOneWay, kIndirect };
 const char* ToString(Link link);
 
-inline constexpr std::uint64_t kDenialBits = 20;
-inline std::uint64_t IncarnationOf(std::uint64_t process_incarnation) {
-  return process_incarnation << kDenialBits;
+inline constexpr std::uint64_t kRefutationBits = 20;
+inline std::uint64_t FirstIncarnation(std::uint64_t process_incarnation) {
+  return process_incarnation << kRefutationBits;
 }
 inline std::uint64_t ProcessIncarnationOf(std::uint64_t incarnation) {
-  return incarnation >> kDenialBits;
+  return incarnation >> kRefutationBits;
 }
 
 class FailureDetector {
@@ -52,13 +52,13 @@
   struct Peer {
     State state = State::kUnknown;
     std::uint64_t incarnation = 0;
-    std::uint64_t identity = 0;  // of its folder; 0: not heard directly
-    std::uint64_t former = 0;    // identity before that one
-    std::size_t flips = 0;       // times that the former one was heard again: two use the name
-    Link link = Link::kWhole;
-    Time heard{};            // its last frame that came to us
-    Time dead_at{};          // while suspected: if no word of its process_incarnation comes
-    std::size_t missed = 0;  // direct probes in a row
+    std::uint64_t identity = 0;         // of its folder; 0: not heard directly
+    std::uint64_t former_identity = 0;  // identity before that one
+    std::size_t flips = 0;  // times that the former one was heard again: two use the name
+    Link link = Link::kTwoWay;
+    Time last_heard{};              // its last frame that came to us
+    Time suspicion_ends{};          // while suspected: if no word of its process_incarnation comes
+    std::size_t missed_probes = 0;  // direct probes in a row
   };
 
   // Something to tell people and the other cores: a state, or a link.
@@ -70,7 +70,7 @@
   };
 
   struct Counts {
-    std::uint64_t probes = 0, missed = 0, asked_others = 0, denials = 0, stale = 0, pauses = 0;
+    std::uint64_t probes = 0, missed = 0, indirect_probes = 0, denials = 0, stale = 0, pauses = 0;
     std::uint64_t bad = 0;    // frames that could not be read
     std::uint64_t twice = 0;  // words of two processes with one name
   };
@@ -89,7 +89,7 @@
   // The roster has changed.
   void SetMembers(const std::vector<std::string>& members);
 
-  std::vector<Frame> TakeFrames() { return std::exchange(out_, {}); }
+  std::vector<Frame> TakeFrames() { return std::exchange(frames_, {}); }
   std::vector<Change> TakeChanges() { return std::exchange(changes_, {}); }
 
   [[nodiscard]] const std::map<std::string, Peer>& peers() const { return peers_; }
@@ -99,54 +99,54 @@
   // 0: all is well. Each probe that went unanswered adds one, 8 at most, where those that were
   // asked for help were silent as well: then it may be us. Our own time limits are so many times
   // longer, and one more.
-  [[nodiscard]] std::size_t doubt() const { return doubt_; }
+  [[nodiscard]] std::size_t doubt() const { return local_health_score_; }
   // Others have known a later process_incarnation of ours than our folder does: it is an old copy,
   // or was lost.
-  [[nodiscard]] bool folder_is_stale() const { return folder_is_old_; }
+  [[nodiscard]] bool folder_is_stale() const { return folder_is_stale_; }
   // Peers that have told, since our start, what they know of us (an answer to a probe).
-  [[nodiscard]] std::size_t answered_by() const { return answered_.size(); }
+  [[nodiscard]] std::size_t answered_by() const { return answered_by_.size(); }
 
  private:
-  struct Word {
+  struct GossipUpdate {
     std::string name;
     State state{};
     std::uint64_t incarnation = 0;
   };
-  struct Outstanding {  // our probe of this period
+  struct DirectProbe {  // our probe of this period
     std::string target;
-    std::uint32_t number = 0;
-    Time ask_others{}, ends{};
-    bool asked = false, answered = false, directly = false;
-    std::size_t helpers = 0, helpers_heard = 0;
+    std::uint32_t sequence = 0;
+    Time request_indirect_at{}, ends{};
+    bool indirect_requested = false, answered = false, directly = false;
+    std::size_t proxies = 0, proxies_heard = 0;
   };
-  struct Errand {  // a probe for somebody else
-    std::uint32_t number = 0;
-    std::string asker;
-    std::uint32_t askers_number = 0;
+  struct IndirectProbe {  // a probe for somebody else
+    std::uint32_t sequence = 0;
+    std::string requester;
+    std::uint32_t requester_sequence = 0;
     Time ends{};
   };
 
   void StartProbe(Time now);
   void EndProbe(Time now);
-  void Ping(const std::string& target, std::uint32_t number);
+  void SendPing(const std::string& target, std::uint32_t sequence);
   void Send(Kind kind, const std::string& to, Writer body);
-  void Hear(const Frame& frame, Time now);
-  void Answered(const std::string& name, std::uint32_t number, bool directly);
-  void Take(const Word& word, Time now);
-  void TakeAboutSelf(const Word& word);
-  void Set(const std::string& name, Peer& peer, State state, std::uint64_t incarnation);
+  void RecordSender(const Frame& frame, Time now);
+  void OnProbeAnswered(const std::string& name, std::uint32_t sequence, bool directly);
+  void ApplyUpdate(const GossipUpdate& update, Time now);
+  void ApplyUpdateAboutSelf(const GossipUpdate& update);
+  void SetState(const std::string& name, Peer& peer, State state, std::uint64_t incarnation);
   void Suspect(const std::string& name, Peer& peer, Time now);
-  void SetLink(const std::string& name, Peer& peer);
-  void Spread(const std::string& name);
-  void PutWords(Writer& body, const std::string& to);
-  std::vector<Word> ReadWords(Reader& reader);
-  std::optional<std::string> NextTarget();
-  std::vector<std::string> Some(std::size_t most, const std::string& but);
+  void UpdateLink(const std::string& name, Peer& peer);
+  void Disseminate(const std::string& name);
+  void EncodeUpdates(Writer& body, const std::string& to);
+  std::vector<GossipUpdate> DecodeUpdates(Reader& reader);
+  std::optional<std::string> NextProbeTarget();
+  std::vector<std::string> ChooseAliveMembers(std::size_t max_count, const std::string& excluded);
   [[nodiscard]] bool IsPresent(const Peer& peer) const {
     return peer.state == State::kAlive || peer.state == State::kSuspect;
   }
-  [[nodiscard]] Time Stretched(Time time) const {
-    return time * static_cast<Time::rep>(1 + doubt_);
+  [[nodiscard]] Time ScaleByLocalHealth(Time time) const {
+    return time * static_cast<Time::rep>(1 + local_health_score_);
   }
 
   const Timings timings_;
@@ -156,19 +156,20 @@
   Random random_;
   std::map<std::string, Peer> peers_;
   std::set<std::string> suspects_;
-  std::map<std::string, std::size_t> to_spread_;  // words, by whom they are about: times left
-  std::vector<std::string> round_;                // still to be probed in this round
-  std::optional<Outstanding> probe_;
-  std::vector<Errand> errands_;
-  std::set<std::string> answered_;
-  std::uint32_t next_number_ = 1;
+  std::map<std::string, std::size_t>
+      transmissions_left_;                // words, by whom they are about: times left
+  std::vector<std::string> probe_round_;  // still to be probed in this round
+  std::optional<DirectProbe> probe_;
+  std::vector<IndirectProbe> indirect_probes_;
+  std::set<std::string> answered_by_;
+  std::uint32_t next_sequence_ = 1;
   std::uint64_t periods_ = 0;
   Time next_probe_{};
   std::optional<Time> last_tick_;
-  std::size_t doubt_ = 0;
-  bool folder_is_old_ = false;
+  std::size_t local_health_score_ = 0;
+  bool folder_is_stale_ = false;
   bool left_ = false;
-  std::vector<Frame> out_;
+  std::vector<Frame> frames_;
   std::vector<Change> changes_;
   Counts counts_;
 };
--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -19,8 +19,8 @@
 using records::Fault;
 using records::Record;
 
-constexpr std::size_t kVotersWhereNoneAreNamed = 5;
-constexpr double kLeastFloor = 0.05;  // calls a second
+constexpr std::size_t kDefaultVoters = 5;
+constexpr double kMinFloorCallsPerSecond = 0.05;  // calls a second
 
 // IPv4:PORT with a port that is told.
 bool IsPeerAddress(const std::string& text) {
@@ -104,8 +104,8 @@
       return Complain(name, path + " may be read by others than its owner (chmod 600)");
     }
     auto secret = signing::FromBase64(word);
-    if (!secret || secret->size() < kLeastSecretBytes) {
-      return Complain(name, path + " has no secret of " + std::to_string(kLeastSecretBytes) +
+    if (!secret || secret->size() < kMinSecretBytes) {
+      return Complain(name, path + " has no secret of " + std::to_string(kMinSecretBytes) +
                                 " bytes or more in Base64");
     }
     roster.secret = *std::move(secret);
@@ -150,7 +150,7 @@
         Complain(destination, "a limit of this destination was given before");
       }
       const double floor = calls * s.floor / static_cast<double>(roster.members.size());
-      if (floor < kLeastFloor) {
+      if (floor < kMinFloorCallsPerSecond) {
         Complain(limit.At("calls"),
                  "leaves each member a floor under a call in 20 s; a cut-off one "
                  "would serve nobody");
@@ -160,16 +160,14 @@
 
   void ChooseVoters(Roster& roster) {
     const std::size_t named = roster.Voters().size();
-    if (roster.members.size() < kLeastVoters) {
+    if (roster.members.size() < kMinVoters) {
       return Complain(root_.At("members"), "a fleet has 3 members at least");
     }
     if (named == 0) {
       // An odd number: with an even one a split in halves stops both.
-      const std::size_t most = roster.members.size() < kVotersWhereNoneAreNamed
-                                   ? kLeastVoters
-                                   : kVotersWhereNoneAreNamed;
+      const std::size_t most = roster.members.size() < kDefaultVoters ? kMinVoters : kDefaultVoters;
       for (std::size_t i = 0; i < most; ++i) roster.members[i].voter = true;
-    } else if (named < kLeastVoters || named > kMostVoters) {
+    } else if (named < kMinVoters || named > kMaxVoters) {
       Complain(root_.At("members"),
                "expected 3 to 7 voters or none named, found " + std::to_string(named));
     }
@@ -249,7 +247,7 @@
 Roster LoadRoster(const std::string& path) {
   const std::string text = records::ReadRecordFile(path);
   const Record root = records::Load({text, path}, {RosterSchema(), "fleet schema"}, "#Fleet");
-  if (root.At("members").Items().size() > kMostMembers) {
+  if (root.At("members").Items().size() > kMaxMembers) {
     records::ThrowFault(root.At("members").at(), "a fleet has 300 members at most");
   }
   return RosterReader(root, std::filesystem::path(path).parent_path()).Read();
--- a/src/peers/roster.hpp
+++ b/src/peers/roster.hpp
@@ -15,9 +15,9 @@
 
 using Time = std::chrono::nanoseconds;  // on the member's own monotonic clock
 
-inline constexpr std::size_t kMostMembers = 300;
-inline constexpr std::size_t kLeastVoters = 3, kMostVoters = 7;
-inline constexpr std::size_t kLeastSecretBytes = 16;
+inline constexpr std::size_t kMaxMembers = 300;
+inline constexpr std::size_t kMinVoters = 3, kMaxVoters = 7;
+inline constexpr std::size_t kMinSecretBytes = 16;
 
 struct Member {
   std::string name;
--- a/tests/fleet/peers_test.cpp
+++ b/tests/fleet/peers_test.cpp
@@ -19,7 +19,7 @@
 constexpr const char* kSecret = "0123456789abcdef";
 
 Frame Some() {
-  return {Kind::kSettled, "n0", "n1", 77, IncarnationOf(3) + 1, std::string("\0body", 5)};
+  return {Kind::kSettled, "n0", "n1", 77, FirstIncarnation(3) + 1, std::string("\0body", 5)};
 }
 
 TEST_CASE("a frame comes back as it was sent, and no other does") {
@@ -50,7 +50,7 @@
   std::mt19937_64 random(5);
   for (int i = 0; i < 20000; ++i) {
     Frame frame{static_cast<Kind>(1 + random() % 3), "m1", "m0", 7,
-                random() % 5 << kDenialBits,         ""};
+                random() % 5 << kRefutationBits,     ""};
     frame.body.resize(random() % 60);
     for (char& c : frame.body) c = static_cast<char>(random() % 7 == 0 ? random() : random() % 3);
     detector.Receive(frame, milliseconds(i));
@@ -126,11 +126,11 @@
   for (std::size_t i = 0; i < 5; ++i) CHECK(world.Deaths(i) == 0);
   CHECK(world.at(0).peers().at("m1").link == Link::kOneWay);
   CHECK(world.at(1).peers().at("m0").link == Link::kIndirect);
-  CHECK(world.at(2).peers().at("m0").link == Link::kWhole);
+  CHECK(world.at(2).peers().at("m0").link == Link::kTwoWay);
   world.Cut(0, 1, false);
   world.RunFor(seconds(10));
-  CHECK(world.at(0).peers().at("m1").link == Link::kWhole);
-  CHECK(world.at(1).peers().at("m0").link == Link::kWhole);
+  CHECK(world.at(0).peers().at("m1").link == Link::kTwoWay);
+  CHECK(world.at(1).peers().at("m0").link == Link::kTwoWay);
 }
 
 TEST_CASE("both sides of a split hold the other for dead, and find each other when it heals") {
