Name the replicated log's parts as Raft and libraft do

Private names in src/consensus were the house's own: founding, later, what, made, kept, Put. Names that other folders use stay. Renames only.

--- a/src/consensus/file_store.cpp
+++ b/src/consensus/file_store.cpp
@@ -19,70 +19,70 @@
 using peers::Reader;
 using peers::Writer;
 
-enum class What : std::uint8_t { kBase = 1, kTerm, kVote, kEntry, kTruncate };
+enum class Tag : std::uint8_t { kBase = 1, kTerm, kVote, kEntry, kTruncate };
 
-constexpr std::size_t kHeader = 16;  // length and its check, u32 each; the payload's hash, u64
-constexpr std::size_t kMostRecord = 1 << 20;
+constexpr std::size_t kHeaderBytes = 16;  // length and its check, u32 each; the payload's hash, u64
+constexpr std::size_t kMaxRecordBytes = 1 << 20;
 
-std::uint32_t CheckOf(std::uint32_t length) {
+std::uint32_t HashLength(std::uint32_t length) {
   return static_cast<std::uint32_t>(XXH64(&length, sizeof length, 0x6C656E67));
 }
 
-std::string RecordOf(Writer payload) {
+std::string EncodeRecord(Writer payload) {
   Writer out;
   const auto length = static_cast<std::uint32_t>(payload.size());
-  out.U32(length).U32(CheckOf(length)).U64(XXH64(payload.bytes().data(), payload.size(), 0));
+  out.U32(length).U32(HashLength(length)).U64(XXH64(payload.bytes().data(), payload.size(), 0));
   return out.Raw(payload.bytes()).Take();
 }
 
-std::string RecordOf(What what, std::uint64_t value) {
+std::string EncodeRecord(Tag tag, std::uint64_t value) {
   Writer payload;
-  return RecordOf(std::move(payload.U8(static_cast<std::uint64_t>(what)).U64(value)));
+  return EncodeRecord(std::move(payload.U8(static_cast<std::uint64_t>(tag)).U64(value)));
 }
 
-std::string RecordOf(const Entry& entry) {
+std::string EncodeRecord(const LogEntry& entry) {
   Writer payload;
-  payload.U8(static_cast<std::uint64_t>(What::kEntry)).U64(entry.term).U16(entry.type);
-  return RecordOf(std::move(payload.Text(entry.data)));
+  payload.U8(static_cast<std::uint64_t>(Tag::kEntry)).U64(entry.term).U16(entry.type);
+  return EncodeRecord(std::move(payload.Text(entry.data)));
 }
 
-std::string BaseOf(const PersistentState& kept) {
+std::string EncodeLog(const PersistentState& state) {
   Writer payload;
-  payload.U8(static_cast<std::uint64_t>(What::kBase)).U64(kept.term).U64(kept.vote);
-  std::string all = RecordOf(std::move(payload.U64(kept.first)));
-  for (const Entry& entry : kept.entries) all += RecordOf(entry);
+  payload.U8(static_cast<std::uint64_t>(Tag::kBase)).U64(state.term).U64(state.vote);
+  std::string all = EncodeRecord(std::move(payload.U64(state.first)));
+  for (const LogEntry& entry : state.entries) all += EncodeRecord(entry);
   return all;
 }
 
 // False if the payload is no record at all.
-bool Replay(std::string_view payload, PersistentState& kept) {
+bool ReplayRecord(std::string_view payload, PersistentState& state) {
   Reader in(payload);
-  switch (static_cast<What>(in.U8())) {
-    case What::kBase:
-      kept.term = in.U64();
-      kept.vote = in.U64();
-      kept.first = in.U64();
-      kept.entries.clear();
+  switch (static_cast<Tag>(in.U8())) {
+    case Tag::kBase:
+      state.term = in.U64();
+      state.vote = in.U64();
+      state.first = in.U64();
+      state.entries.clear();
       break;
-    case What::kTerm:
-      kept.term = in.U64();
-      kept.vote = 0;
+    case Tag::kTerm:
+      state.term = in.U64();
+      state.vote = 0;
       break;
-    case What::kVote:
-      kept.vote = in.U64();
+    case Tag::kVote:
+      state.vote = in.U64();
       break;
-    case What::kEntry: {
-      Entry entry;
+    case Tag::kEntry: {
+      LogEntry entry;
       entry.term = in.U64();
       entry.type = in.U16();
       entry.data = in.Text();
-      kept.entries.push_back(std::move(entry));
+      state.entries.push_back(std::move(entry));
       break;
     }
-    case What::kTruncate: {
+    case Tag::kTruncate: {
       const std::uint64_t from = in.U64();
-      if (from < kept.first) return false;
-      if (from - kept.first < kept.entries.size()) kept.entries.resize(from - kept.first);
+      if (from < state.first) return false;
+      if (from - state.first < state.entries.size()) state.entries.resize(from - state.first);
       break;
     }
     default:
@@ -91,12 +91,12 @@
   return in.done();
 }
 
-std::string ReadAll(const std::string& path) {
+std::string ReadFile(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
-std::string BytesOf(const Snapshot& snapshot) {
+std::string EncodeSnapshot(const Snapshot& snapshot) {
   Writer payload;
   payload.U64(snapshot.index).U64(snapshot.term).U64(snapshot.servers_index);
   payload.U8(snapshot.servers.size());
@@ -108,7 +108,7 @@
   return all.U64(XXH64(payload.bytes().data(), payload.size(), 1)).Raw(payload.bytes()).Take();
 }
 
-bool ReadSnapshot(const std::string& bytes, Snapshot& snapshot) {
+bool DecodeSnapshot(const std::string& bytes, Snapshot& snapshot) {
   Reader in(bytes);
   const std::uint64_t hash = in.U64();
   if (in.broken() || XXH64(bytes.data() + 8, bytes.size() - 8, 1) != hash) return false;
@@ -127,15 +127,15 @@
 
 }  // namespace
 
-FileStore::FileStore(std::string folder, std::size_t most_bytes)
-    : folder_(std::move(folder)), most_bytes_(most_bytes) {
+FileStore::FileStore(std::string folder, std::size_t max_bytes)
+    : folder_(std::move(folder)), max_bytes_(max_bytes) {
   std::filesystem::create_directories(folder_);
-  if (!Open()) throw std::runtime_error("cannot write " + LogPath());
+  if (!OpenLog()) throw std::runtime_error("cannot write " + LogPath());
 }
 
 FileStore::~FileStore() { close(log_); }
 
-bool FileStore::Open() {
+bool FileStore::OpenLog() {
   if (log_ >= 0) close(log_);
   log_ = open(LogPath().c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   if (log_ < 0) return false;
@@ -147,33 +147,33 @@
 PersistentState FileStore::Load(bool& damaged) {
   damaged = false;
   persistent_ = {};
-  const std::string log = ReadAll(LogPath());
+  const std::string log = ReadFile(LogPath());
   std::size_t at = 0;
-  while (at + kHeader <= log.size()) {
-    Reader header(std::string_view(log).substr(at, kHeader));
+  while (at + kHeaderBytes <= log.size()) {
+    Reader header(std::string_view(log).substr(at, kHeaderBytes));
     const std::uint32_t length = header.U32(), check = header.U32();
     const std::uint64_t hash = header.U64();
-    if (check != CheckOf(length) || length > kMostRecord) {
+    if (check != HashLength(length) || length > kMaxRecordBytes) {
       damaged = true;
       break;
     }
-    if (at + kHeader + length > log.size()) break;  // torn
-    const std::string_view payload = std::string_view(log).substr(at + kHeader, length);
-    if (XXH64(payload.data(), payload.size(), 0) != hash || !Replay(payload, persistent_)) {
+    if (at + kHeaderBytes + length > log.size()) break;  // torn
+    const std::string_view payload = std::string_view(log).substr(at + kHeaderBytes, length);
+    if (XXH64(payload.data(), payload.size(), 0) != hash || !ReplayRecord(payload, persistent_)) {
       damaged = true;
       break;
     }
-    at += kHeader + length;
+    at += kHeaderBytes + length;
   }
   if (!damaged && at < log.size()) {
     if (ftruncate(log_, static_cast<off_t>(at)) != 0 || fdatasync(log_) != 0) failed_ = true;
     log_bytes_ = at;
   }
-  const std::string bytes = ReadAll(SnapshotPath());
+  const std::string bytes = ReadFile(SnapshotPath());
   snapshot_bytes_ = bytes.size();
   if (!bytes.empty()) {
     Snapshot snapshot;
-    if (!ReadSnapshot(bytes, snapshot)) {
+    if (!DecodeSnapshot(bytes, snapshot)) {
       damaged = true;
     } else {
       // The process may have ended between the snapshot and the log's new beginning.
@@ -193,9 +193,9 @@
   return persistent_;
 }
 
-bool FileStore::Write(std::string_view records) {
+bool FileStore::WriteRecords(std::string_view records) {
   if (failed_) return false;
-  if (log_bytes_ + snapshot_bytes_ + records.size() > most_bytes_) return false;
+  if (log_bytes_ + snapshot_bytes_ + records.size() > max_bytes_) return false;
   std::size_t at = 0;
   while (at < records.size()) {
     const ssize_t n =
@@ -214,44 +214,44 @@
 }
 
 bool FileStore::SetTerm(std::uint64_t term) {
-  if (!Write(RecordOf(What::kTerm, term))) return false;
+  if (!WriteRecords(EncodeRecord(Tag::kTerm, term))) return false;
   persistent_.term = term;
   persistent_.vote = 0;
   return true;
 }
 
 bool FileStore::SetVote(std::uint64_t id) {
-  if (!Write(RecordOf(What::kVote, id))) return false;
+  if (!WriteRecords(EncodeRecord(Tag::kVote, id))) return false;
   persistent_.vote = id;
   return true;
 }
 
-bool FileStore::Append(const std::vector<Entry>& entries) {
+bool FileStore::Append(const std::vector<LogEntry>& entries) {
   std::string records;
-  for (const Entry& entry : entries) records += RecordOf(entry);
-  if (!Write(records)) return false;
+  for (const LogEntry& entry : entries) records += EncodeRecord(entry);
+  if (!WriteRecords(records)) return false;
   persistent_.entries.insert(persistent_.entries.end(), entries.begin(), entries.end());
   return true;
 }
 
 bool FileStore::Truncate(std::uint64_t from) {
-  if (from < persistent_.first || !Write(RecordOf(What::kTruncate, from))) return false;
+  if (from < persistent_.first || !WriteRecords(EncodeRecord(Tag::kTruncate, from))) return false;
   if (from - persistent_.first < persistent_.entries.size())
     persistent_.entries.resize(from - persistent_.first);
   return true;
 }
 
-bool FileStore::Put(const Snapshot& snapshot, std::uint64_t trailing) {
+bool FileStore::PutSnapshot(const Snapshot& snapshot, std::uint64_t trailing) {
   if (failed_) return false;
   PersistentState next = persistent_;
   MemoryStore::Compact(next, snapshot, trailing);
-  const std::string bytes = BytesOf(snapshot);
-  const std::string log = BaseOf(next);
-  if (bytes.size() + log.size() > most_bytes_ || !peers::WriteAtomically(SnapshotPath(), bytes)) {
+  const std::string bytes = EncodeSnapshot(snapshot);
+  const std::string log = EncodeLog(next);
+  if (bytes.size() + log.size() > max_bytes_ || !peers::WriteAtomically(SnapshotPath(), bytes)) {
     return false;
   }
   snapshot_bytes_ = bytes.size();
-  if (!peers::WriteAtomically(LogPath(), log) || !Open()) {
+  if (!peers::WriteAtomically(LogPath(), log) || !OpenLog()) {
     failed_ = true;  // the snapshot stands and the log may not: nothing more is written
     return false;
   }
@@ -263,7 +263,7 @@
   unlink(SnapshotPath().c_str());
   persistent_ = {};
   snapshot_bytes_ = 0;
-  failed_ = !peers::WriteAtomically(LogPath(), "") || !Open();
+  failed_ = !peers::WriteAtomically(LogPath(), "") || !OpenLog();
   return !failed_;
 }
 
--- a/src/consensus/file_store.hpp
+++ b/src/consensus/file_store.hpp
@@ -16,9 +16,9 @@
 
 class FileStore : public Store {
  public:
-  // Throws std::runtime_error where the folder cannot be written. `most_bytes` bounds the log and
+  // Throws std::runtime_error where the folder cannot be written. `max_bytes` bounds the log and
   // the snapshot together; what does not fit fails as on a full disk.
-  explicit FileStore(std::string folder, std::size_t most_bytes = 4 << 20);
+  explicit FileStore(std::string folder, std::size_t max_bytes = 4 << 20);
   ~FileStore() override;
   FileStore(const FileStore&) = delete;
   FileStore& operator=(const FileStore&) = delete;
@@ -26,19 +26,19 @@
   PersistentState Load(bool& damaged) override;
   bool SetTerm(std::uint64_t term) override;
   bool SetVote(std::uint64_t id) override;
-  bool Append(const std::vector<Entry>& entries) override;
+  bool Append(const std::vector<LogEntry>& entries) override;
   bool Truncate(std::uint64_t from) override;
-  bool Put(const Snapshot& snapshot, std::uint64_t trailing) override;
+  bool PutSnapshot(const Snapshot& snapshot, std::uint64_t trailing) override;
   bool Clear() override;
 
  private:
-  bool Write(std::string_view records);
-  bool Open();
+  bool WriteRecords(std::string_view records);
+  bool OpenLog();
   [[nodiscard]] std::string LogPath() const { return folder_ + "/settled"; }
   [[nodiscard]] std::string SnapshotPath() const { return folder_ + "/settled.snapshot"; }
 
   const std::string folder_;
-  const std::size_t most_bytes_;
+  const std::size_t max_bytes_;
   int log_ = -1;
   std::size_t log_bytes_ = 0, snapshot_bytes_ = 0;
   bool failed_ = false;         // what the file holds cannot be told
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -20,32 +20,33 @@
 using std::chrono::milliseconds;
 
 // So much of the log is sent in one frame at most: threshold and trailing of 512 bytes each.
-constexpr unsigned kSnapshotEvery = 48, kTrailing = 24;
-constexpr std::size_t kMostServers = 16;
-constexpr Time kFoundEvery = milliseconds(300);
-constexpr Time kEmptyHolds = std::chrono::seconds(3);
-constexpr std::size_t kEmptyBefore = 3;  // times said before its old id loses its place
-
-raft_buffer BufferOf(std::string_view bytes) {
+constexpr unsigned kSnapshotThreshold = 48, kSnapshotTrailing = 24;
+constexpr std::size_t kMaxServers = 16;
+constexpr Time kEmptyLogInterval = milliseconds(300);
+constexpr Time kAnnouncementLifetime = std::chrono::seconds(3);
+constexpr std::size_t kRepeatsBeforeReplacement =
+    3;  // times said before its old id loses its place
+
+raft_buffer AllocateBuffer(std::string_view bytes) {
   raft_buffer buffer{raft_malloc(std::max<std::size_t>(1, bytes.size())), bytes.size()};
   if (buffer.base == nullptr) throw std::bad_alloc();
   std::memcpy(buffer.base, bytes.data(), bytes.size());
   return buffer;
 }
 
-std::string_view ViewOf(const raft_buffer& buffer) {
+std::string_view ViewBytes(const raft_buffer& buffer) {
   return {static_cast<const char*>(buffer.base), buffer.len};
 }
 
-void PutServers(Writer& out, const std::vector<Server>& servers) {
+void EncodeServers(Writer& out, const std::vector<Server>& servers) {
   out.U8(servers.size());
   for (const Server& server : servers) {
     out.U64(server.id).Name(server.name).U8(static_cast<std::uint64_t>(server.role));
   }
 }
 
-std::vector<Server> ReadServers(Reader& in) {
-  std::vector<Server> servers(std::min<std::size_t>(in.U8(), kMostServers));
+std::vector<Server> DecodeServers(Reader& in) {
+  std::vector<Server> servers(std::min<std::size_t>(in.U8(), kMaxServers));
   for (Server& server : servers) {
     server.id = in.U64();
     server.name = in.Name();
@@ -54,7 +55,7 @@
   return servers;
 }
 
-std::vector<Server> ServersOf(const raft_configuration& configuration) {
+std::vector<Server> ReadConfiguration(const raft_configuration& configuration) {
   std::vector<Server> servers;
   for (unsigned i = 0; i < configuration.n; ++i) {
     const raft_server& from = configuration.servers[i];
@@ -63,7 +64,7 @@
   return servers;
 }
 
-bool Fill(raft_configuration& configuration, const std::vector<Server>& servers) {
+bool FillConfiguration(raft_configuration& configuration, const std::vector<Server>& servers) {
   raft_configuration_init(&configuration);
   for (const Server& s : servers) {
     if (raft_configuration_add(&configuration, s.id, s.name.c_str(), s.role) != 0) return false;
@@ -73,44 +74,44 @@
 
 // ---- messages on the wire ----
 
-std::string Encode(const raft_message& m) {
+std::string EncodeRaftMessage(const raft_message& message) {
   Writer out;
-  out.U64(m.server_id).U8(m.type);
-  switch (m.type) {
+  out.U64(message.server_id).U8(message.type);
+  switch (message.type) {
     case RAFT_IO_REQUEST_VOTE: {
-      const raft_request_vote& p = m.request_vote;
+      const raft_request_vote& p = message.request_vote;
       out.U64(p.term).U64(p.candidate_id).U64(p.last_log_index).U64(p.last_log_term);
       out.U8(p.disrupt_leader).U8(p.pre_vote);
       break;
     }
     case RAFT_IO_REQUEST_VOTE_RESULT: {
-      const raft_request_vote_result& p = m.request_vote_result;
+      const raft_request_vote_result& p = message.request_vote_result;
       out.U64(p.term).U8(p.vote_granted).U8(p.pre_vote);
       break;
     }
     case RAFT_IO_APPEND_ENTRIES: {
-      const raft_append_entries& p = m.append_entries;
+      const raft_append_entries& p = message.append_entries;
       out.U64(p.term).U64(p.prev_log_index).U64(p.prev_log_term).U64(p.leader_commit);
       out.U16(p.n_entries);
       for (unsigned i = 0; i < p.n_entries; ++i) {
-        out.U64(p.entries[i].term).U16(p.entries[i].type).Text(ViewOf(p.entries[i].buf));
+        out.U64(p.entries[i].term).U16(p.entries[i].type).Text(ViewBytes(p.entries[i].buf));
       }
       break;
     }
     case RAFT_IO_APPEND_ENTRIES_RESULT: {
-      const raft_append_entries_result& p = m.append_entries_result;
+      const raft_append_entries_result& p = message.append_entries_result;
       out.U64(p.term).U64(p.rejected).U64(p.last_log_index);
       break;
     }
     case RAFT_IO_INSTALL_SNAPSHOT: {
-      const raft_install_snapshot& p = m.install_snapshot;
+      const raft_install_snapshot& p = message.install_snapshot;
       out.U64(p.term).U64(p.last_index).U64(p.last_term).U64(p.conf_index);
-      PutServers(out, ServersOf(p.conf));
-      out.Text(ViewOf(p.data));
+      EncodeServers(out, ReadConfiguration(p.conf));
+      out.Text(ViewBytes(p.data));
       break;
     }
     case RAFT_IO_TIMEOUT_NOW: {
-      const raft_timeout_now& p = m.timeout_now;
+      const raft_timeout_now& p = message.timeout_now;
       out.U64(p.term).U64(p.last_log_index).U64(p.last_log_term);
       break;
     }
@@ -122,13 +123,13 @@
 
 // False, with nothing allocated, if the bytes are not such a message, or are for another folder: a
 // voter whose folder was lost must not answer for what it was.
-bool Decode(std::string_view bytes, std::uint64_t our_id, raft_message& m) {
+bool DecodeRaftMessage(std::string_view bytes, std::uint64_t own_id, raft_message& message) {
   Reader in(bytes);
-  if (in.U64() != our_id) return false;
-  m.type = in.U8();
-  switch (m.type) {
+  if (in.U64() != own_id) return false;
+  message.type = in.U8();
+  switch (message.type) {
     case RAFT_IO_REQUEST_VOTE: {
-      raft_request_vote& p = m.request_vote;
+      raft_request_vote& p = message.request_vote;
       p.term = in.U64();
       p.candidate_id = in.U64();
       p.last_log_index = in.U64();
@@ -138,23 +139,23 @@
       return in.done();
     }
     case RAFT_IO_REQUEST_VOTE_RESULT: {
-      raft_request_vote_result& p = m.request_vote_result;
+      raft_request_vote_result& p = message.request_vote_result;
       p.term = in.U64();
       p.vote_granted = in.U8() != 0;
       p.pre_vote = static_cast<raft_tribool>(in.U8());
       return in.done() && p.pre_vote <= std::max(raft_tribool_true, raft_tribool_false);
     }
     case RAFT_IO_APPEND_ENTRIES: {
-      raft_append_entries& p = m.append_entries;
+      raft_append_entries& p = message.append_entries;
       p.term = in.U64();
       p.prev_log_index = in.U64();
       p.prev_log_term = in.U64();
       p.leader_commit = in.U64();
       p.n_entries = in.U16();
       p.entries = nullptr;
-      std::vector<Entry> entries;
+      std::vector<LogEntry> entries;
       for (unsigned i = 0; i < p.n_entries && !in.broken(); ++i) {
-        Entry entry;
+        LogEntry entry;
         entry.term = in.U64();
         entry.type = in.U16();
         entry.data = in.Text();
@@ -168,8 +169,8 @@
       // All bytes in one batch: the library copies what it keeps of a message's entries and frees
       // their batch, but not the bytes of an entry without one.
       std::string all;
-      for (const Entry& entry : entries) all += entry.data;
-      void* const batch = BufferOf(all).base;
+      for (const LogEntry& entry : entries) all += entry.data;
+      void* const batch = AllocateBuffer(all).base;
       char* at = static_cast<char*>(batch);
       for (unsigned i = 0; i < p.n_entries; ++i) {
         p.entries[i] = {entries[i].term, entries[i].type, {at, entries[i].data.size()}, batch};
@@ -178,30 +179,30 @@
       return true;
     }
     case RAFT_IO_APPEND_ENTRIES_RESULT: {
-      raft_append_entries_result& p = m.append_entries_result;
+      raft_append_entries_result& p = message.append_entries_result;
       p.term = in.U64();
       p.rejected = in.U64();
       p.last_log_index = in.U64();
       return in.done();
     }
     case RAFT_IO_INSTALL_SNAPSHOT: {
-      raft_install_snapshot& p = m.install_snapshot;
+      raft_install_snapshot& p = message.install_snapshot;
       p.term = in.U64();
       p.last_index = in.U64();
       p.last_term = in.U64();
       p.conf_index = in.U64();
-      const std::vector<Server> servers = ReadServers(in);
+      const std::vector<Server> servers = DecodeServers(in);
       const std::string data = in.Text();
       if (!in.done()) return false;
-      if (!Fill(p.conf, servers)) {
+      if (!FillConfiguration(p.conf, servers)) {
         raft_configuration_close(&p.conf);
         return false;
       }
-      p.data = BufferOf(data);
+      p.data = AllocateBuffer(data);
       return true;
     }
     case RAFT_IO_TIMEOUT_NOW: {
-      raft_timeout_now& p = m.timeout_now;
+      raft_timeout_now& p = message.timeout_now;
       p.term = in.U64();
       p.last_log_index = in.U64();
       p.last_log_term = in.U64();
@@ -214,99 +215,103 @@
 
 // ---- the first configuration on the wire ----
 
-enum class Founding : std::uint8_t { kEmpty = 1, kFirst = 2 };
+enum class BootstrapTag : std::uint8_t { kEmptyLog = 1, kFirstConfiguration = 2 };
 
 }  // namespace
 
-// Everything that libraft asks of the outside. What it wants to be told later waits in `later`, for
-// it must not be told while it asks.
+// Everything that libraft asks of the outside. What it wants to be told later waits in
+// `completions`, for it must not be told while it asks.
 struct RaftNode::Raft {
   explicit Raft(RaftNode& its) : raft_node(its), random(its.options_.seed) {
     io.version = 2;
     io.impl = this;  // `data` is the library's
     io.init = [](raft_io*, raft_id, const char*) { return 0; };
-    io.close = [](raft_io* i, raft_io_close_cb cb) { Of(i).later.push_back([i, cb] { cb(i); }); };
+    io.close = [](raft_io* i, raft_io_close_cb cb) {
+      FromIo(i).completions.push_back([i, cb] { cb(i); });
+    };
     io.load = [](raft_io* i, raft_term* term, raft_id* vote, raft_snapshot** last,
                  raft_index* start, raft_entry** entries,
-                 size_t* n) { return Of(i).Load(term, vote, last, start, entries, n); };
+                 size_t* n) { return FromIo(i).Load(term, vote, last, start, entries, n); };
     io.start = [](raft_io* i, unsigned, raft_io_tick_cb tick_cb, raft_io_recv_cb recv_cb) {
-      Of(i).tick = tick_cb;
-      Of(i).recv = recv_cb;
+      FromIo(i).tick = tick_cb;
+      FromIo(i).recv = recv_cb;
       return 0;
     };
-    io.bootstrap = [](raft_io* i, const raft_configuration* c) { return Of(i).Bootstrap(*c); };
+    io.bootstrap = [](raft_io* i, const raft_configuration* c) { return FromIo(i).Bootstrap(*c); };
     io.recover = [](raft_io*, const raft_configuration*) { return RAFT_IOERR; };
     io.set_term = [](raft_io* i, raft_term term) {
-      return Of(i).raft_node.store_.SetTerm(term) ? 0 : RAFT_IOERR;
+      return FromIo(i).raft_node.store_.SetTerm(term) ? 0 : RAFT_IOERR;
     };
     io.set_vote = [](raft_io* i, raft_id id) {
-      return Of(i).raft_node.store_.SetVote(id) ? 0 : RAFT_IOERR;
+      return FromIo(i).raft_node.store_.SetVote(id) ? 0 : RAFT_IOERR;
     };
-    io.send = [](raft_io* i, raft_io_send* request, const raft_message* m, raft_io_send_cb cb) {
-      Of(i).raft_node.out_.push_back({m->server_address, false, Encode(*m)});
-      Of(i).later.push_back([request, cb] { cb(request, 0); });
+    io.send = [](raft_io* i, raft_io_send* request, const raft_message* message,
+                 raft_io_send_cb cb) {
+      FromIo(i).raft_node.messages_.push_back(
+          {message->server_address, false, EncodeRaftMessage(*message)});
+      FromIo(i).completions.push_back([request, cb] { cb(request, 0); });
       return 0;
     };
     io.append = [](raft_io* i, raft_io_append* request, const raft_entry* entries, unsigned n,
                    raft_io_append_cb cb) {
-      std::vector<Entry> all;
+      std::vector<LogEntry> all;
       for (unsigned k = 0; k < n; ++k) {
-        all.push_back({entries[k].term, entries[k].type, std::string(ViewOf(entries[k].buf))});
+        all.push_back({entries[k].term, entries[k].type, std::string(ViewBytes(entries[k].buf))});
       }
-      const int status = Of(i).raft_node.store_.Append(all) ? 0 : RAFT_IOERR;
-      if (status != 0) Of(i).failed = true;
-      Of(i).later.push_back([request, cb, status] { cb(request, status); });
+      const int status = FromIo(i).raft_node.store_.Append(all) ? 0 : RAFT_IOERR;
+      if (status != 0) FromIo(i).failed = true;
+      FromIo(i).completions.push_back([request, cb, status] { cb(request, status); });
       return 0;
     };
     io.truncate = [](raft_io* i, raft_index from) {
-      return Of(i).raft_node.store_.Truncate(from) ? 0 : RAFT_IOERR;
+      return FromIo(i).raft_node.store_.Truncate(from) ? 0 : RAFT_IOERR;
     };
     io.snapshot_put = [](raft_io* i, unsigned trailing, raft_io_snapshot_put* request,
                          const raft_snapshot* from, raft_io_snapshot_put_cb cb) {
-      Snapshot made{from->index, from->term, ServersOf(from->configuration),
+      Snapshot made{from->index, from->term, ReadConfiguration(from->configuration),
                     from->configuration_index, ""};
-      for (unsigned k = 0; k < from->n_bufs; ++k) made.state += ViewOf(from->bufs[k]);
-      const int status = Of(i).raft_node.store_.Put(made, trailing) ? 0 : RAFT_IOERR;
-      if (status == 0) Of(i).snapshot = std::move(made);
-      Of(i).later.push_back([request, cb, status] { cb(request, status); });
+      for (unsigned k = 0; k < from->n_bufs; ++k) made.state += ViewBytes(from->bufs[k]);
+      const int status = FromIo(i).raft_node.store_.PutSnapshot(made, trailing) ? 0 : RAFT_IOERR;
+      if (status == 0) FromIo(i).snapshot = std::move(made);
+      FromIo(i).completions.push_back([request, cb, status] { cb(request, status); });
       return 0;
     };
     io.snapshot_get = [](raft_io* i, raft_io_snapshot_get* request, raft_io_snapshot_get_cb cb) {
-      Of(i).later.push_back([i, request, cb] {
-        raft_snapshot* got = Of(i).snapshot ? Made(*Of(i).snapshot) : nullptr;
+      FromIo(i).completions.push_back([i, request, cb] {
+        raft_snapshot* got = FromIo(i).snapshot ? AllocateSnapshot(*FromIo(i).snapshot) : nullptr;
         cb(request, got, got == nullptr ? RAFT_IOERR : 0);
       });
       return 0;
     };
     io.time = [](raft_io* i) {
       return static_cast<raft_time>(
-          std::chrono::duration_cast<milliseconds>(Of(i).raft_node.now_).count());
+          std::chrono::duration_cast<milliseconds>(FromIo(i).raft_node.now_).count());
     };
     io.random = [](raft_io* i, int min, int max) {
       const auto span = static_cast<std::uint64_t>(std::max(1, max - min));
-      return min + static_cast<int>(Of(i).random.Below(span));
+      return min + static_cast<int>(FromIo(i).random.Below(span));
     };
     io.async_work = [](raft_io* i, raft_io_async_work* request, raft_io_async_work_cb cb) {
       const int status = request->work(request);
-      Of(i).later.push_back([request, cb, status] { cb(request, status); });
+      FromIo(i).completions.push_back([request, cb, status] { cb(request, status); });
       return 0;
     };
     fsm.version = 1;
     fsm.data = this;
     fsm.apply = [](raft_fsm* f, const raft_buffer* buffer, void** result) {
-      static_cast<Raft*>(f->data)->raft_node.machine_.Apply(ViewOf(*buffer));
+      static_cast<Raft*>(f->data)->raft_node.machine_.Apply(ViewBytes(*buffer));
       *result = nullptr;
       return 0;
     };
     fsm.snapshot = [](raft_fsm* f, raft_buffer** buffers, unsigned* n) {
       *buffers = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
       if (*buffers == nullptr) return RAFT_NOMEM;
-      **buffers = BufferOf(static_cast<Raft*>(f->data)->raft_node.machine_.Save());
+      **buffers = AllocateBuffer(static_cast<Raft*>(f->data)->raft_node.machine_.Save());
       *n = 1;
       return 0;
     };
     fsm.restore = [](raft_fsm* f, raft_buffer* buffer) {
-      if (!static_cast<Raft*>(f->data)->raft_node.machine_.Load(ViewOf(*buffer))) {
+      if (!static_cast<Raft*>(f->data)->raft_node.machine_.Load(ViewBytes(*buffer))) {
         return RAFT_MALFORMED;
       }
       raft_free(buffer->base);
@@ -314,29 +319,29 @@
     };
   }
 
-  static Raft& Of(raft_io* io) { return *static_cast<Raft*>(io->impl); }
+  static Raft& FromIo(raft_io* io) { return *static_cast<Raft*>(io->impl); }
 
-  static raft_snapshot* Made(const Snapshot& from) {
+  static raft_snapshot* AllocateSnapshot(const Snapshot& from) {
     auto* made = static_cast<raft_snapshot*>(raft_calloc(1, sizeof(raft_snapshot)));
     if (made == nullptr) throw std::bad_alloc();
     made->index = from.index;
     made->term = from.term;
     made->configuration_index = from.servers_index;
-    Fill(made->configuration, from.servers);
+    FillConfiguration(made->configuration, from.servers);
     made->bufs = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
     if (made->bufs == nullptr) throw std::bad_alloc();
-    made->bufs[0] = BufferOf(from.state);
+    made->bufs[0] = AllocateBuffer(from.state);
     made->n_bufs = 1;
     return made;
   }
 
-  int Load(raft_term* term, raft_id* vote, raft_snapshot** its_snapshot, raft_index* start,
+  int Load(raft_term* term, raft_id* vote, raft_snapshot** loaded_snapshot, raft_index* start,
            raft_entry** entries, size_t* n) {
     const PersistentState kept = std::exchange(raft_node.persistent_, {});
     *term = kept.term;
     *vote = kept.vote;
     snapshot = kept.snapshot;
-    *its_snapshot = snapshot ? Made(*snapshot) : nullptr;
+    *loaded_snapshot = snapshot ? AllocateSnapshot(*snapshot) : nullptr;
     *start = kept.first;
     *n = kept.entries.size();
     *entries = nullptr;
@@ -344,8 +349,8 @@
     *entries = static_cast<raft_entry*>(raft_calloc(*n, sizeof(raft_entry)));
     if (*entries == nullptr) return RAFT_NOMEM;
     for (std::size_t i = 0; i < kept.entries.size(); ++i) {
-      (*entries)[i] = {kept.entries[i].term, kept.entries[i].type, BufferOf(kept.entries[i].data),
-                       nullptr};
+      (*entries)[i] = {kept.entries[i].term, kept.entries[i].type,
+                       AllocateBuffer(kept.entries[i].data), nullptr};
     }
     return 0;
   }
@@ -353,7 +358,7 @@
   int Bootstrap(const raft_configuration& configuration) {
     raft_buffer buffer{};
     if (raft_configuration_encode(&configuration, &buffer) != 0) return RAFT_NOMEM;
-    const Entry entry{1, RAFT_CHANGE, std::string(ViewOf(buffer))};
+    const LogEntry entry{1, RAFT_CHANGE, std::string(ViewBytes(buffer))};
     raft_free(buffer.base);
     Store& store = raft_node.store_;
     return store.SetTerm(1) && store.Append({entry}) ? 0 : RAFT_IOERR;
@@ -366,9 +371,9 @@
   raft_io_tick_cb tick = nullptr;
   raft_io_recv_cb recv = nullptr;
   std::optional<Snapshot> snapshot;
-  std::deque<std::function<void()>> later;
+  std::deque<std::function<void()>> completions;
   peers::Random random;
-  bool closed = false, changing = false, failed = false;
+  bool closed = false, change_pending = false, failed = false;
 };
 
 RaftNode::RaftNode(Options options, Store& store, StateMachine& machine)
@@ -384,21 +389,21 @@
   };
   raft_set_election_timeout(&raft_->raft, ms(options_.election));
   raft_set_heartbeat_timeout(&raft_->raft, ms(options_.heartbeat));
-  raft_set_snapshot_threshold(&raft_->raft, kSnapshotEvery);
-  raft_set_snapshot_trailing(&raft_->raft, kTrailing);
+  raft_set_snapshot_threshold(&raft_->raft, kSnapshotThreshold);
+  raft_set_snapshot_trailing(&raft_->raft, kSnapshotTrailing);
   raft_set_install_snapshot_timeout(&raft_->raft, ms(4 * options_.election));
   raft_set_pre_vote(&raft_->raft, true);
 }
 
 RaftNode::~RaftNode() {
   raft_close(&raft_->raft, [](struct raft* r) { static_cast<Raft*>(r->data)->closed = true; });
-  while (!raft_->closed && !raft_->later.empty()) RunLater();
+  while (!raft_->closed && !raft_->completions.empty()) RunCompletions();
 }
 
-void RaftNode::RunLater() {
-  while (!raft_->later.empty()) {
-    const auto what = std::move(raft_->later.front());
-    raft_->later.pop_front();
+void RaftNode::RunCompletions() {
+  while (!raft_->completions.empty()) {
+    const auto what = std::move(raft_->completions.front());
+    raft_->completions.pop_front();
     what();
   }
 }
@@ -406,17 +411,17 @@
 void RaftNode::Start() {
   if (started_ || raft_start(&raft_->raft) != 0) return;
   started_ = true;
-  RunLater();
+  RunCompletions();
 }
 
 bool RaftNode::Bootstrap(const std::vector<Server>& servers) {
   raft_configuration configuration{};
-  const bool made =
-      Fill(configuration, servers) && raft_bootstrap(&raft_->raft, &configuration) == 0;
+  const bool made = FillConfiguration(configuration, servers) &&
+                    raft_bootstrap(&raft_->raft, &configuration) == 0;
   raft_configuration_close(&configuration);
   if (!made) return false;
   persistent_ = store_.Load(damaged_);
-  first_ = servers;
+  first_configuration_ = servers;
   return true;
 }
 
@@ -434,29 +439,30 @@
       if (may_vote_) Start();
       return;
     }
-    return Found(now);
+    return AnnounceEmptyLog(now);
   }
   raft_->tick(&raft_->io);
-  RunLater();
-  BringConfiguration(now);
-  RunLater();
+  RunCompletions();
+  ChangeConfiguration(now);
+  RunCompletions();
 }
 
 void RaftNode::Receive(const std::string& from, std::uint64_t identity, bool founding,
                        std::string_view body, Time now) {
   now_ = now;
   if (broken()) return;
-  if (founding) return TakeFounding(from, identity, body, now);
+  if (founding) return ReceiveBootstrap(from, identity, body, now);
   raft_message message{};
   message.server_id = identity;
   message.server_address = from.c_str();
   // Without a log: whoever knows this folder's id has given us a place, and says what we are.
-  if ((!started_ && (!persistent_.empty() || damaged_)) || !Decode(body, options_.id, message))
+  if ((!started_ && (!persistent_.empty() || damaged_)) ||
+      !DecodeRaftMessage(body, options_.id, message))
     return;
   Start();
   if (!started_) return;
   raft_->recv(&raft_->io, &message);
-  RunLater();
+  RunCompletions();
 }
 
 void RaftNode::Propose(std::string command, Done done) {
@@ -468,7 +474,7 @@
   };
   auto request = std::make_unique<Request>(Request{{}, std::move(done)});
   request->apply.data = request.get();
-  const raft_buffer buffer = BufferOf(command);
+  const raft_buffer buffer = AllocateBuffer(command);
   const auto over = [](struct raft_apply* r, int status, void*) {
     const std::unique_ptr<Request> own(static_cast<Request*>(r->data));
     own->done(status == 0 ? Outcome::kSettled : Outcome::kUnknown);
@@ -479,54 +485,57 @@
     return request->done(Outcome::kNotLeader);
   }
   request.release();
-  RunLater();
+  RunCompletions();
 }
 
 // ======== the first configuration ========
 
 // Says that we have no log; the first voter makes the first configuration once all have said so.
-void RaftNode::Found(Time now) {
+void RaftNode::AnnounceEmptyLog(Time now) {
   const auto& voters = options_.voters;
   const bool votes = std::find(voters.begin(), voters.end(), options_.self) != voters.end();
-  if (!votes || now < next_found_) return;
-  next_found_ = now + kFoundEvery;
+  if (!votes || now < next_announcement_) return;
+  next_announcement_ = now + kEmptyLogInterval;
   Writer body;
-  body.U8(static_cast<std::uint64_t>(Founding::kEmpty));
+  body.U8(static_cast<std::uint64_t>(BootstrapTag::kEmptyLog));
   for (const std::string& voter : voters) {
-    if (voter != options_.self) out_.push_back({voter, true, body.bytes()});
+    if (voter != options_.self) messages_.push_back({voter, true, body.bytes()});
   }
   if (voters.front() != options_.self || damaged_) return;
   std::vector<Server> servers = {{options_.id, options_.self, RAFT_VOTER}};
   for (const std::string& voter : voters) {
     if (voter == options_.self) continue;
-    const auto it = empty_.find(voter);
-    if (it == empty_.end() || now - it->second.at > kEmptyHolds) return;
+    const auto it = empty_logs_.find(voter);
+    if (it == empty_logs_.end() || now - it->second.received > kAnnouncementLifetime) return;
     servers.push_back({it->second.identity, voter, RAFT_VOTER});
   }
   if (Bootstrap(servers)) Start();
 }
 
-void RaftNode::TakeFounding(const std::string& from, std::uint64_t identity, std::string_view body,
-                            Time now) {
+void RaftNode::ReceiveBootstrap(const std::string& from, std::uint64_t identity,
+                                std::string_view body, Time now) {
   Reader in(body);
-  const auto what = static_cast<Founding>(in.U8());
-  if (what == Founding::kEmpty && in.done()) {
-    Empty& empty = empty_[from];
-    empty.times = empty.identity == identity && now - empty.at <= kEmptyHolds ? empty.times + 1 : 1;
+  const auto what = static_cast<BootstrapTag>(in.U8());
+  if (what == BootstrapTag::kEmptyLog && in.done()) {
+    EmptyLog& empty = empty_logs_[from];
+    empty.repeats = empty.identity == identity && now - empty.received <= kAnnouncementLifetime
+                        ? empty.repeats + 1
+                        : 1;
     empty.identity = identity;
-    empty.at = now;
+    empty.received = now;
     // It is of the first configuration and has not heard of it: no other can have been told it.
-    for (const Server& server : first_) {
+    for (const Server& server : first_configuration_) {
       if (server.id != identity || server.name != from) continue;
       Writer first;
-      first.U8(static_cast<std::uint64_t>(Founding::kFirst));
-      PutServers(first, first_);
-      out_.push_back({from, true, first.Take()});
+      first.U8(static_cast<std::uint64_t>(BootstrapTag::kFirstConfiguration));
+      EncodeServers(first, first_configuration_);
+      messages_.push_back({from, true, first.Take()});
     }
     return;
   }
-  if (what != Founding::kFirst || started_ || damaged_ || !persistent_.empty()) return;
-  const std::vector<Server> servers = ReadServers(in);
+  if (what != BootstrapTag::kFirstConfiguration || started_ || damaged_ || !persistent_.empty())
+    return;
+  const std::vector<Server> servers = DecodeServers(in);
   const bool ours = std::any_of(servers.begin(), servers.end(), [this](const Server& server) {
     return server.id == options_.id && server.name == options_.self;
   });
@@ -538,30 +547,31 @@
 void RaftNode::SetVoters(std::vector<std::string> voters) { options_.voters = std::move(voters); }
 
 // The leader's: one step towards the roster's voters, each by the folder that it has now.
-void RaftNode::BringConfiguration(Time now) {
-  if (!leads() || raft_->changing) return;
+void RaftNode::ChangeConfiguration(Time now) {
+  if (!leads() || raft_->change_pending) return;
   const struct raft& r = raft_->raft;
   if (r.configuration_uncommitted_index != 0 || r.last_applied < r.configuration_index) return;
   const auto over = [](struct raft_change* change, int) {
     const std::unique_ptr<raft_change> own(change);
-    static_cast<Raft*>(own->data)->changing = false;
+    static_cast<Raft*>(own->data)->change_pending = false;
   };
   const auto change = [&](const auto& ask) {
     auto request = std::make_unique<raft_change>();
     request->data = raft_.get();
     if (ask(request.get()) != 0) return;
     request.release();
-    raft_->changing = true;
+    raft_->change_pending = true;
   };
-  const std::vector<Server> now_there = servers();
+  const std::vector<Server> current = servers();
   const auto& voters = options_.voters;
-  for (const Server& server : now_there) {
+  for (const Server& server : current) {
     if (server.id == options_.id) continue;
     const bool wanted = std::find(voters.begin(), voters.end(), server.name) != voters.end();
-    const auto empty = empty_.find(server.name);
+    const auto empty = empty_logs_.find(server.name);
     // Guards against one word too many: the folder must have been gone for a while.
-    const bool lost = empty != empty_.end() && empty->second.identity != server.id &&
-                      now - empty->second.at <= kEmptyHolds && empty->second.times >= kEmptyBefore;
+    const bool lost = empty != empty_logs_.end() && empty->second.identity != server.id &&
+                      now - empty->second.received <= kAnnouncementLifetime &&
+                      empty->second.repeats >= kRepeatsBeforeReplacement;
     if (!wanted || lost) {
       return change([&](raft_change* c) { return raft_remove(&raft_->raft, c, server.id, over); });
     }
@@ -572,10 +582,11 @@
     }
   }
   for (const std::string& voter : voters) {
-    const bool there = std::any_of(now_there.begin(), now_there.end(),
+    const bool there = std::any_of(current.begin(), current.end(),
                                    [&](const Server& server) { return server.name == voter; });
-    const auto empty = empty_.find(voter);
-    if (there || empty == empty_.end() || now - empty->second.at > kEmptyHolds) continue;
+    const auto empty = empty_logs_.find(voter);
+    if (there || empty == empty_logs_.end() || now - empty->second.received > kAnnouncementLifetime)
+      continue;
     const std::uint64_t id = empty->second.identity;
     return change(
         [&](raft_change* c) { return raft_add(&raft_->raft, c, id, voter.c_str(), over); });
@@ -605,7 +616,9 @@
   return raft_->failed || (started_ && raft_state(&raft_->raft) == RAFT_UNAVAILABLE);
 }
 
-std::vector<Server> RaftNode::servers() const { return ServersOf(raft_->raft.configuration); }
+std::vector<Server> RaftNode::servers() const {
+  return ReadConfiguration(raft_->raft.configuration);
+}
 
 bool RaftNode::votes() const {
   for (const Server& server : servers()) {
--- a/src/consensus/raft_node.hpp
+++ b/src/consensus/raft_node.hpp
@@ -69,7 +69,7 @@
   // `identity` is the sender's folder, as its frame says.
   void Receive(const std::string& from, std::uint64_t identity, bool founding,
                std::string_view body, Time now);
-  std::vector<Message> TakeMessages() { return std::exchange(out_, {}); }
+  std::vector<Message> TakeMessages() { return std::exchange(messages_, {}); }
   // `done` is called once, during a later call or this one.
   void Propose(std::string command, Done done);
   // The roster's voters have changed; the leader brings the configuration there, a step at a time.
@@ -96,27 +96,27 @@
 
   void Start();
   bool Bootstrap(const std::vector<Server>& servers);
-  void RunLater();
-  void Found(Time now);
-  void TakeFounding(const std::string& from, std::uint64_t identity, std::string_view body,
-                    Time now);
-  void BringConfiguration(Time now);
+  void RunCompletions();
+  void AnnounceEmptyLog(Time now);
+  void ReceiveBootstrap(const std::string& from, std::uint64_t identity, std::string_view body,
+                        Time now);
+  void ChangeConfiguration(Time now);
 
   Options options_;
   Store& store_;
   StateMachine& machine_;
   std::unique_ptr<Raft> raft_;
-  PersistentState persistent_;  // as loaded, until it is started
-  std::vector<Server> first_;   // the first configuration, while it is known
+  PersistentState persistent_;               // as loaded, until it is started
+  std::vector<Server> first_configuration_;  // the first configuration, while it is known
   bool started_ = false, damaged_ = false, may_vote_ = false;
-  Time now_{}, next_tick_{}, next_found_{};
-  struct Empty {
+  Time now_{}, next_tick_{}, next_announcement_{};
+  struct EmptyLog {
     std::uint64_t identity = 0;
-    Time at{};
-    std::size_t times = 0;
+    Time received{};
+    std::size_t repeats = 0;
   };
-  std::map<std::string, Empty> empty_;  // voters that said that they have no log
-  std::vector<Message> out_;
+  std::map<std::string, EmptyLog> empty_logs_;  // voters that said that they have no log
+  std::vector<Message> messages_;
 };
 
 }  // namespace brassfront::consensus
--- a/src/consensus/store.hpp
+++ b/src/consensus/store.hpp
@@ -13,12 +13,12 @@
 
 namespace brassfront::consensus {
 
-struct Entry {
+struct LogEntry {
   std::uint64_t term = 0;
   std::uint16_t type = 0;  // of libraft: a command, a barrier, a change of voters
   std::string data;
 
-  bool operator==(const Entry&) const = default;
+  bool operator==(const LogEntry&) const = default;
 };
 
 // Who replicates the log: `role` is libraft's (0 stand-by, 1 voter, 2 spare).
@@ -43,7 +43,7 @@
   std::uint64_t term = 0, vote = 0;
   std::optional<Snapshot> snapshot;
   std::uint64_t first = 1;  // index of the first of the entries
-  std::vector<Entry> entries;
+  std::vector<LogEntry> entries;
 
   [[nodiscard]] bool empty() const { return term == 0 && !snapshot && entries.empty(); }
   [[nodiscard]] std::uint64_t last() const { return first + entries.size() - 1; }
@@ -57,11 +57,11 @@
   virtual PersistentState Load(bool& damaged) = 0;
   virtual bool SetTerm(std::uint64_t term) = 0;  // and no vote in it yet
   virtual bool SetVote(std::uint64_t id) = 0;
-  virtual bool Append(const std::vector<Entry>& entries) = 0;
+  virtual bool Append(const std::vector<LogEntry>& entries) = 0;
   virtual bool Truncate(std::uint64_t from) = 0;  // drops this entry and all after it
   // Entries up to the snapshot's index are dropped, but for the last `trailing` of them; 0: the
   // snapshot takes the place of the whole log.
-  virtual bool Put(const Snapshot& snapshot, std::uint64_t trailing) = 0;
+  virtual bool PutSnapshot(const Snapshot& snapshot, std::uint64_t trailing) = 0;
   // Forgets everything, as an empty folder.
   virtual bool Clear() = 0;
 };
@@ -82,7 +82,7 @@
     persistent_.vote = id;
     return works;
   }
-  bool Append(const std::vector<Entry>& entries) override {
+  bool Append(const std::vector<LogEntry>& entries) override {
     if (works)
       persistent_.entries.insert(persistent_.entries.end(), entries.begin(), entries.end());
     return works;
@@ -93,7 +93,7 @@
       persistent_.entries.resize(from - persistent_.first);
     return works;
   }
-  bool Put(const Snapshot& snapshot, std::uint64_t trailing) override {
+  bool PutSnapshot(const Snapshot& snapshot, std::uint64_t trailing) override {
     if (!works) return false;
     Compact(persistent_, snapshot, trailing);
     return true;
@@ -102,7 +102,7 @@
     persistent_ = {};
     return true;
   }
-  // What Put comes to.
+  // What PutSnapshot comes to.
   static void Compact(PersistentState& kept, const Snapshot& snapshot, std::uint64_t trailing) {
     kept.snapshot = snapshot;
     if (trailing == 0 || snapshot.index > kept.last()) {
--- a/tests/fleet/raft_node_test.cpp
+++ b/tests/fleet/raft_node_test.cpp
@@ -425,7 +425,7 @@
         break;
       case 2:
       case 3: {
-        const std::vector<Entry> entries(1 + random() % 3, {value, 1, std::string(value, 'x')});
+        const std::vector<LogEntry> entries(1 + random() % 3, {value, 1, std::string(value, 'x')});
         CHECK(file->Append(entries) == memory.Append(entries));
         break;
       }
@@ -443,7 +443,7 @@
           if (kept.snapshot && kept.first + at < kept.snapshot->index) break;
           const Snapshot s{kept.first + at, kept.entries[at].term, {{7, "v", 1}}, 1, "state"};
           const std::uint64_t trailing = random() % 4;
-          CHECK(file->Put(s, trailing) == memory.Put(s, trailing));
+          CHECK(file->PutSnapshot(s, trailing) == memory.PutSnapshot(s, trailing));
         }
         break;
       default:
