Split the replicated log into messages, configuration, bootstrap, adapter and node

raft_node.cpp held five jobs in 617 lines, among them a decoder of 88 lines beside an encoder that listed the same fields again. Now raft_messages lists each message's fields once for both directions, raft_configuration plans membership changes, empty_logs and bootstrap hold how the first configuration comes about, raft_io_adapter has libraft's callbacks, log_records the stored formats, and the file descriptor closes itself. Store calls are [[nodiscard]].

--- /dev/null
+++ b/src/consensus/raft_messages.hpp
@@ -0,0 +1,29 @@
+// The Raft messages between voters (RequestVote, AppendEntries, InstallSnapshot, TimeoutNow and
+// their results) as bytes. Each message's fields are listed once, in raft_messages.cpp, and that
+// list serves both directions.
+//
+//   receiver's folder id u64 | type u8 (libraft's RAFT_IO_*) | the fields of that type
+//
+// Numbers are in network order. Neither function keeps state; any thread may call them.
+#ifndef BRASSFRONT_CONSENSUS_RAFT_MESSAGES_HPP_
+#define BRASSFRONT_CONSENSUS_RAFT_MESSAGES_HPP_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "consensus/libraft.hpp"
+
+namespace brassfront::consensus {
+
+[[nodiscard]] std::string EncodeRaftMessage(const raft_message& message);
+
+// Fills `message` and returns true, and libraft then owns what was allocated for it. Returns false,
+// with nothing allocated, if the bytes are no such message or are addressed to another folder than
+// `own_id`: a voter whose folder was lost must not answer for its former self.
+[[nodiscard]] bool DecodeRaftMessage(std::string_view bytes, std::uint64_t own_id,
+                                     raft_message& message);
+
+}  // namespace brassfront::consensus
+
+#endif  // BRASSFRONT_CONSENSUS_RAFT_MESSAGES_HPP_
--- a/tests/fleet/raft_node_test.cpp
+++ b/tests/fleet/raft_node_test.cpp
@@ -466,9 +466,9 @@
   {
     FileStore store(folder.path.string());
     store.Load(damaged);
-    store.SetTerm(3);
-    store.SetVote(9);
-    store.Append({{3, 1, "one"}, {3, 1, "two"}});
+    REQUIRE(store.SetTerm(3));
+    REQUIRE(store.SetVote(9));
+    REQUIRE(store.Append({{3, 1, "one"}, {3, 1, "two"}}));
   }
   const std::string whole = folder.Read("settled");
   std::size_t cut_votes = 0;
