--- a/src/peers/atomic_file.cpp
+++ b/src/peers/atomic_file.cpp
@@ -7,15 +7,20 @@
 #include <cstdio>
 #include <filesystem>
 
+#include "peers/file_descriptor.hpp"
+
 namespace brassfront::peers {
 namespace {
 
+constexpr int kOwnerOnly = 0600;
+
 bool WriteAll(int fd, const std::string& bytes) {
-  for (std::size_t at = 0; at < bytes.size();) {
-    const ssize_t n = write(fd, bytes.data() + at, bytes.size() - at);
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
-    at += static_cast<std::size_t>(n);
+  std::size_t written = 0;
+  while (written < bytes.size()) {
+    const ssize_t count = write(fd, bytes.data() + written, bytes.size() - written);
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) return false;
+    written += static_cast<std::size_t>(count);
   }
   return true;
 }
@@ -24,21 +29,19 @@
 
 bool WriteAtomically(const std::string& path, const std::string& bytes) {
   const std::string temporary_path = path + ".new";
-  const int fd = open(temporary_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (fd < 0) return false;
-  const bool written = WriteAll(fd, bytes) && fsync(fd) == 0;
-  close(fd);
+  FileDescriptor file(
+      open(temporary_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kOwnerOnly));
+  if (!file.valid()) return false;
+  const bool written = WriteAll(file.get(), bytes) && fsync(file.get()) == 0;
+  file.Close();
   if (!written || rename(temporary_path.c_str(), path.c_str()) != 0) {
     unlink(temporary_path.c_str());
     return false;
   }
   // The rename itself must last as well.
-  const std::string folder = std::filesystem::path(path).parent_path().string();
-  const int folder_fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder_fd < 0) return false;
-  const bool synchronized = fsync(folder_fd) == 0;
-  close(folder_fd);
-  return synchronized;
+  const std::string folder_path = std::filesystem::path(path).parent_path().string();
+  const FileDescriptor folder(open(folder_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  return folder.valid() && fsync(folder.get()) == 0;
 }
 
 }  // namespace brassfront::peers
--- a/src/peers/failure_detector.cpp
+++ b/src/peers/failure_detector.cpp
@@ -1,39 +1,39 @@
 #include "peers/failure_detector.hpp"
 
 #include <algorithm>
-#include <bit>
+#include <chrono>
 #include <utility>
-
-#include "peers/bytes.hpp"
+#include <variant>
 
 namespace brassfront::peers {
 namespace {
 
-using std::chrono::milliseconds;
-
-constexpr std::size_t kMaxUpdatesPerFrame = 8;  // in a frame
-constexpr std::size_t kMaxIndirectProbes = 64;  // probes for others at once
-constexpr std::size_t kIndirectProxies = 3;     // asked to probe for us
-constexpr std::size_t kMaxLocalHealthScore = 8;
-constexpr std::size_t kMissesBeforeLinkFault = 3;  // direct probes in a row
-constexpr std::uint64_t kPeriodsPerAbsentProbe =
-    5;                                        // periods between probes of one that is not present
-constexpr std::size_t kRetransmitFactor = 3;  // times log2 of the fleet's size a word is told
-constexpr Time kPauseThreshold =
-    milliseconds(400);  // and twice `probe`: a tick so late means we stood still
+// Probes done for others at once: bounds the memory and the frames that ping-reqs can cause here.
+constexpr std::size_t kMaxIndirectProbes = 64;
+// Periods after which the requester of an indirect probe no longer waits: its own time limit is
+// stretched to nine periods at most (LocalHealth).
+constexpr int kIndirectProbePeriods = 10;
+// Proxies asked for one probe: SWIM's k.
+constexpr std::size_t kIndirectProxies = 3;
+// Peers to whom a good-bye is sent; gossip takes it to the others.
+constexpr std::size_t kLeaveReceivers = 2 * kIndirectProxies;
+// Direct probes missed in a row before the link is reported. A round of probes takes one period for
+// each member: with this, a cut link is reported within 3 x n x probe.
+constexpr std::size_t kMissesBeforeLinkFault = 3;
+// Periods between two pings of peers that are dead, gone or not yet heard: somebody must notice
+// that a partition has healed.
+constexpr std::uint64_t kPeriodsPerAbsentProbe = 5;
+// A tick that is later than this, and than twice `probe`, means that the process was paused: a tick
+// is due every `probe` at least.
+constexpr Time kPauseThreshold = std::chrono::milliseconds(400);
+// A pause is a reason for self-doubt as two missed probes are.
+constexpr std::size_t kScorePerPause = 2;
+
+bool IsPresent(State state) { return state == State::kAlive || state == State::kSuspect; }
+bool IsGone(State state) { return state == State::kDead || state == State::kLeft; }
 
 }  // namespace
 
-const char* ToString(State state) {
-  constexpr const char* kNames[] = {"unknown", "alive", "suspect", "dead", "left"};
-  return kNames[static_cast<std::size_t>(state)];
-}
-
-const char* ToString(Link link) {
-  constexpr const char* kNames[] = {"whole", "one-way", "indirect"};
-  return kNames[static_cast<std::size_t>(link)];
-}
-
 FailureDetector::FailureDetector(const Timings& timings, std::string self,
                                  const std::vector<std::string>& members, std::uint64_t identity,
                                  std::uint64_t process_incarnation, std::uint64_t seed)
@@ -46,24 +46,22 @@
 }
 
 void FailureDetector::SetMembers(const std::vector<std::string>& members) {
-  const std::set<std::string> names(members.begin(), members.end());
+  std::set<std::string> names(members.begin(), members.end());
+  names.erase(self_);
   std::erase_if(peers_, [&](const auto& entry) { return !names.contains(entry.first); });
-  std::erase_if(transmissions_left_, [&](const auto& entry) {
-    return entry.first != self_ && !names.contains(entry.first);
-  });
   std::erase_if(suspects_, [&](const std::string& name) { return !names.contains(name); });
-  for (const std::string& name : names) {
-    if (name != self_) peers_.try_emplace(name);
-  }
-  probe_round_.clear();
+  for (const std::string& name : names) peers_.try_emplace(name);
+  probe_round_.Restart();
   if (probe_ && !peers_.contains(probe_->target)) probe_.reset();
+  names.insert(self_);
+  gossip_.Retain(names);
 }
 
 // ======== time ========
 
 Time FailureDetector::Next() const {
   if (left_) return Time::max();
-  Time next = next_probe_;
+  Time next = next_period_;
   if (probe_ && !probe_->answered) {
     next = std::min(next, probe_->indirect_requested ? probe_->ends : probe_->request_indirect_at);
   }
@@ -73,252 +71,210 @@
 
 void FailureDetector::Tick(Time now) {
   if (left_) return;
-  // Guards against a process that was stopped, wakes up and takes all others for dead.
-  if (last_tick_ && now - *last_tick_ > std::max(kPauseThreshold, 2 * timings_.probe)) {
-    const Time gap = now - *last_tick_;
-    ++counts_.pauses;
-    probe_.reset();
-    next_probe_ = now;
-    local_health_score_ = std::min(kMaxLocalHealthScore, local_health_score_ + 2);
-    for (const std::string& name : suspects_) peers_.at(name).suspicion_ends += gap;
-  }
+  RecoverFromPause(now);
   last_tick_ = now;
-  std::erase_if(indirect_probes_,
-                [&](const IndirectProbe& indirect) { return indirect.ends <= now; });
+  std::erase_if(indirect_probes_, [&](const IndirectProbe& probe) { return probe.ends <= now; });
   if (probe_ && !probe_->answered && !probe_->indirect_requested &&
       now >= probe_->request_indirect_at) {
-    probe_->indirect_requested = true;
-    ++counts_.indirect_probes;
-    for (const std::string& proxy : ChooseAliveMembers(kIndirectProxies, probe_->target)) {
-      ++probe_->proxies;
-      Writer body;
-      body.U32(probe_->sequence).Name(probe_->target);
-      Send(Kind::kPingReq, proxy, std::move(body));
-    }
+    RequestIndirectProbes();
   }
-  if (probe_ && now >= probe_->ends) EndProbe(now);
-  for (const std::string& name : std::vector(suspects_.begin(), suspects_.end())) {
+  if (probe_ && now >= probe_->ends) EndDirectProbe(now);
+  ExpireSuspicions(now);
+  if (now >= next_period_) {
+    if (probe_) EndDirectProbe(now);
+    StartPeriod(now);
+    next_period_ = now + timings_.probe;
+  }
+}
+
+// After a pause acks and refutations may wait in the socket: what was open is not judged, and every
+// suspicion lasts for as much longer as the pause did.
+void FailureDetector::RecoverFromPause(Time now) {
+  if (!last_tick_) return;
+  const Time gap = now - *last_tick_;
+  if (gap <= std::max(kPauseThreshold, 2 * timings_.probe)) return;
+  ++counts_.pauses;
+  probe_.reset();
+  next_period_ = now;
+  local_health_.Worsen(kScorePerPause);
+  for (const std::string& name : suspects_) peers_.at(name).suspicion_ends += gap;
+}
+
+void FailureDetector::ExpireSuspicions(Time now) {
+  const std::vector<std::string> names(suspects_.begin(), suspects_.end());
+  for (const std::string& name : names) {
     Peer& peer = peers_.at(name);
     if (now >= peer.suspicion_ends) SetState(name, peer, State::kDead, peer.incarnation);
   }
-  if (now >= next_probe_) {
-    if (probe_) EndProbe(now);
-    StartProbe(now);
-    next_probe_ = now + timings_.probe;
+}
+
+void FailureDetector::Leave(Time now) {
+  Tick(now);
+  left_ = true;
+  for (const std::string& name : ChooseAlivePeers(kLeaveReceivers, "")) {
+    gossip_.DisseminateOnce(self_);
+    SendPing(name);
   }
 }
 
-void FailureDetector::StartProbe(Time now) {
+// ======== probes ========
+
+void FailureDetector::StartPeriod(Time now) {
   ++periods_;
-  if (const auto target = NextProbeTarget()) {
-    probe_ = DirectProbe{*target, next_sequence_++, now + ScaleByLocalHealth(timings_.answer),
-                         now + ScaleByLocalHealth(timings_.probe)};
-    ++counts_.probes;
-    SendPing(*target, probe_->sequence);
-  }
-  // A suspect gets more chances, and those that are away are asked now and then: a healed partition
-  // must be noticed by somebody.
-  if (!suspects_.empty()) {
-    SendPing(
-        *std::next(suspects_.begin(), static_cast<std::ptrdiff_t>(random_.Below(suspects_.size()))),
-        next_sequence_++);
-  }
-  if (probe_ && periods_ % kPeriodsPerAbsentProbe != 0) return;
+  StartDirectProbe(now);
+  // A suspect gets more chances to refute than its turn in the round.
+  if (!suspects_.empty()) PingRandomSuspect();
+  if (!probe_ || periods_ % kPeriodsPerAbsentProbe == 0) PingRandomAbsentPeer();
+}
+
+void FailureDetector::StartDirectProbe(Time now) {
+  const auto eligible = [&](const std::string& name) {
+    const auto it = peers_.find(name);
+    return it != peers_.end() && !IsGone(it->second.state);
+  };
+  std::optional<std::string> target = probe_round_.Next(peers_, random_, eligible);
+  if (!target) return;
+  DirectProbe& probe = probe_.emplace();
+  probe.target = *std::move(target);
+  probe.sequence = next_sequence_++;
+  probe.request_indirect_at = now + local_health_.Scale(timings_.answer);
+  probe.ends = now + local_health_.Scale(timings_.probe);
+  ++counts_.probes;
+  Send(probe.target, Ping{probe.sequence});
+}
+
+void FailureDetector::PingRandomSuspect() {
+  const auto index = static_cast<std::ptrdiff_t>(random_.Below(suspects_.size()));
+  SendPing(*std::next(suspects_.begin(), index));
+}
+
+void FailureDetector::PingRandomAbsentPeer() {
   std::vector<std::string> absent;
   for (const auto& [name, peer] : peers_) {
-    if (!IsPresent(peer) && !(probe_ && name == probe_->target)) absent.push_back(name);
-  }
-  if (!absent.empty()) SendPing(absent[random_.Below(absent.size())], next_sequence_++);
-}
-
-// Members in a random order, each once a round: the time to the next probe of one is bounded.
-std::optional<std::string> FailureDetector::NextProbeTarget() {
-  for (int round = 0; round < 2; ++round) {
-    while (!probe_round_.empty()) {
-      const std::string name = std::move(probe_round_.back());
-      probe_round_.pop_back();
-      const auto it = peers_.find(name);
-      if (it != peers_.end() && (IsPresent(it->second) || it->second.state == State::kUnknown)) {
-        return name;
-      }
-    }
-    for (const auto& [name, peer] : peers_) probe_round_.push_back(name);
-    for (std::size_t i = probe_round_.size(); i > 1; --i) {
-      std::swap(probe_round_[i - 1], probe_round_[random_.Below(i)]);
-    }
+    const bool is_probed = probe_ && name == probe_->target;
+    if (!IsPresent(peer.state) && !is_probed) absent.push_back(name);
   }
-  return std::nullopt;
+  if (!absent.empty()) SendPing(absent[random_.Below(absent.size())]);
 }
 
-std::vector<std::string> FailureDetector::ChooseAliveMembers(std::size_t max_count,
-                                                             const std::string& excluded) {
-  std::vector<std::string> names;
-  for (const auto& [name, peer] : peers_) {
-    if (name != excluded && peer.state == State::kAlive) names.push_back(name);
+void FailureDetector::RequestIndirectProbes() {
+  probe_->indirect_requested = true;
+  ++counts_.indirect_probes;
+  for (const std::string& proxy : ChooseAlivePeers(kIndirectProxies, probe_->target)) {
+    ++probe_->proxies;
+    Send(proxy, PingRequest{probe_->sequence, probe_->target});
   }
-  for (std::size_t i = 0; i < names.size() && i < max_count; ++i) {
-    std::swap(names[i], names[i + random_.Below(names.size() - i)]);
-  }
-  names.resize(std::min(max_count, names.size()));
-  return names;
 }
 
-void FailureDetector::EndProbe(Time now) {
+void FailureDetector::EndDirectProbe(Time now) {
   const DirectProbe ended = *std::exchange(probe_, std::nullopt);
   const auto it = peers_.find(ended.target);
   if (it == peers_.end()) return;
   Peer& peer = it->second;
-  if (!ended.directly) {
+  if (!ended.answered_directly) {
     ++peer.missed_probes;
     UpdateLink(ended.target, peer);
   }
   if (ended.answered) return;
   ++counts_.missed;
-  if (ended.proxies_heard < std::max<std::size_t>(1, ended.proxies)) {
-    local_health_score_ = std::min(kMaxLocalHealthScore, local_health_score_ + 1);
-  }
+  // Where proxies are silent as well, it may be us.
+  if (ended.proxies_heard < std::max<std::size_t>(1, ended.proxies)) local_health_.Worsen(1);
   if (peer.state == State::kAlive || peer.state == State::kUnknown) {
     Suspect(ended.target, peer, now);
   }
 }
 
-// ======== frames ========
-
-void FailureDetector::SendPing(const std::string& target, std::uint32_t sequence) {
-  Writer body;
-  body.U32(sequence);
-  Send(Kind::kPing, target, std::move(body));
-}
-
-void FailureDetector::Send(Kind kind, const std::string& to, Writer body) {
-  EncodeUpdates(body, to);
-  frames_.push_back({kind, self_, to, identity_, incarnation_, body.Take()});
+// `name` has answered the probe of this sequence number: ours, or one that we did as a proxy.
+void FailureDetector::OnProbeAnswered(const std::string& name, std::uint32_t sequence,
+                                      bool directly) {
+  if (directly) {
+    for (const IndirectProbe& probe : indirect_probes_) {
+      if (probe.sequence == sequence) Send(probe.requester, Ack{probe.requester_sequence, name});
+    }
+  }
+  const auto it = peers_.find(name);
+  if (it == peers_.end()) return;
+  Peer& peer = it->second;
+  if (directly) {
+    peer.missed_probes = 0;
+    UpdateLink(name, peer);
+  }
+  if (!probe_ || probe_->target != name || probe_->sequence != sequence) return;
+  if (!std::exchange(probe_->answered, true)) local_health_.Improve();
+  probe_->answered_directly |= directly;
+  // Proxies reach it: it is alive, though our link to it is not.
+  if (peer.state == State::kSuspect) SetState(name, peer, State::kAlive, peer.incarnation);
 }
 
-// What the receiver should know of itself goes first: only it can deny its death.
-void FailureDetector::EncodeUpdates(Writer& body, const std::string& to) {
+std::vector<std::string> FailureDetector::ChooseAlivePeers(std::size_t max_count,
+                                                           const std::string& excluded) {
   std::vector<std::string> names;
-  if (const auto it = peers_.find(to); it != peers_.end() && it->second.incarnation > 0) {
-    names.push_back(to);
-  }
-  std::vector<std::pair<std::size_t, const std::string*>> by_left;
-  for (const auto& [name, left] : transmissions_left_) {
-    if (name != to) by_left.emplace_back(left, &name);
-  }
-  const std::size_t max_count = std::min(by_left.size(), kMaxUpdatesPerFrame - names.size());
-  std::partial_sort(by_left.begin(), by_left.begin() + static_cast<std::ptrdiff_t>(max_count),
-                    by_left.end(), [](const auto& a, const auto& b) {
-                      return a.first != b.first ? a.first > b.first : *a.second < *b.second;
-                    });
-  by_left.resize(max_count);
-  for (const auto& [left, name] : by_left) names.push_back(*name);
-  for (const auto& [left, name] : by_left) {
-    const auto it = transmissions_left_.find(*name);
-    if (--it->second == 0) transmissions_left_.erase(it);
+  for (const auto& [name, peer] : peers_) {
+    if (name != excluded && peer.state == State::kAlive) names.push_back(name);
   }
-  body.U8(names.size());
-  for (const std::string& name : names) {
-    const bool own = name == self_;
-    const State own_state = left_ ? State::kLeft : State::kAlive;
-    body.Name(name);
-    body.U8(static_cast<std::uint8_t>(own ? own_state : peers_.at(name).state));
-    body.U64(own ? incarnation_ : peers_.at(name).incarnation);
+  for (std::size_t i = 0; i < names.size() && i < max_count; ++i) {
+    std::swap(names[i], names[i + random_.Below(names.size() - i)]);
   }
+  names.resize(std::min(max_count, names.size()));
+  return names;
+}
+
+// ======== messages ========
+
+void FailureDetector::SendPing(const std::string& target) { Send(target, Ping{next_sequence_++}); }
+
+void FailureDetector::Send(const std::string& to, const SwimMessage& message) {
+  std::string body = EncodeSwimMessage(message, TakeUpdatesFor(to));
+  frames_.push_back({GetKind(message), self_, to, identity_, incarnation_, std::move(body)});
 }
 
-std::vector<FailureDetector::GossipUpdate> FailureDetector::DecodeUpdates(Reader& reader) {
-  std::vector<GossipUpdate> updates(std::min<std::size_t>(reader.U8(), kMaxUpdatesPerFrame));
-  for (GossipUpdate& update : updates) {
-    update.name = reader.Name();
-    const std::uint8_t state = reader.U8();
-    update.state = static_cast<State>(state);
-    update.incarnation = reader.U64();
-    if (state == 0 || state > static_cast<std::uint8_t>(State::kLeft)) update.name.clear();
+// What the receiver should know of itself goes first: only it can refute that.
+std::vector<GossipUpdate> FailureDetector::TakeUpdatesFor(const std::string& receiver) {
+  std::vector<GossipUpdate> updates;
+  const auto it = peers_.find(receiver);
+  if (it != peers_.end() && it->second.incarnation > 0) updates.push_back(DescribeMember(receiver));
+  for (const std::string& name : gossip_.TakeFor(receiver, kMaxUpdatesPerFrame - updates.size())) {
+    updates.push_back(DescribeMember(name));
   }
   return updates;
 }
 
+GossipUpdate FailureDetector::DescribeMember(const std::string& name) const {
+  if (name == self_) return {name, left_ ? State::kLeft : State::kAlive, incarnation_};
+  const Peer& peer = peers_.at(name);
+  return {name, peer.state, peer.incarnation};
+}
+
 void FailureDetector::Receive(const Frame& frame, Time now) {
-  const auto it = peers_.find(frame.from);
-  if (it == peers_.end() || left_) return;
+  if (left_ || !peers_.contains(frame.from)) return;
   RecordSender(frame, now);
-  if (frame.kind > Kind::kPingReq) return;
-  Reader reader(frame.body);
-  const std::uint32_t sequence = reader.U32();
-  std::string about;
-  if (frame.kind != Kind::kPing) about = reader.Name();
-  const std::vector<GossipUpdate> updates = DecodeUpdates(reader);
-  if (!reader.done()) {
+  if (!IsSwimKind(frame.kind)) return;
+  const std::optional<DecodedSwimMessage> decoded = DecodeSwimMessage(frame.kind, frame.body);
+  if (!decoded) {
     ++counts_.bad;
     return;
   }
-  for (const GossipUpdate& update : updates) ApplyUpdate(update, now);
-  switch (frame.kind) {
-    case Kind::kPing: {
-      Writer body;
-      body.U32(sequence).Name("");
-      return Send(Kind::kAck, frame.from, std::move(body));
-    }
-    case Kind::kPingReq: {
-      if (!peers_.contains(about) || indirect_probes_.size() >= kMaxIndirectProbes) return;
-      indirect_probes_.push_back({next_sequence_, frame.from, sequence, now + 10 * timings_.probe});
-      Writer taken;  // the requester is heard, whatever becomes of it
-      Send(Kind::kAck, frame.from, std::move(taken.U32(sequence).Name(self_)));
-      return SendPing(about, next_sequence_++);
-    }
-    default:
-      answered_by_.insert(frame.from);
-      if (about == frame.from) {
-        if (probe_ && probe_->sequence == sequence) ++probe_->proxies_heard;
-        return;
-      }
-      return OnProbeAnswered(about.empty() ? frame.from : about, sequence, about.empty());
-  }
-}
-
-// `name` has answered probe `number`: ours, or one that we did for somebody else.
-void FailureDetector::OnProbeAnswered(const std::string& name, std::uint32_t sequence,
-                                      bool directly) {
-  if (directly) {
-    for (const IndirectProbe& indirect : indirect_probes_) {
-      if (indirect.sequence != sequence) continue;
-      Writer body;
-      body.U32(indirect.requester_sequence).Name(name);
-      Send(Kind::kAck, indirect.requester, std::move(body));
-    }
-  }
-  const auto it = peers_.find(name);
-  if (it == peers_.end()) return;
-  Peer& peer = it->second;
-  if (directly) {
-    peer.missed_probes = 0;
-    UpdateLink(name, peer);
-  }
-  if (!probe_ || probe_->target != name || probe_->sequence != sequence) return;
-  if (!std::exchange(probe_->answered, true) && local_health_score_ > 0) --local_health_score_;
-  probe_->directly |= directly;
-  // Others reach it: it lives, though it is not us that it hears.
-  if (peer.state == State::kSuspect) SetState(name, peer, State::kAlive, peer.incarnation);
+  for (const GossipUpdate& update : decoded->updates) ApplyUpdate(update, now);
+  std::visit([&](const auto& message) { On(message, frame.from, now); }, decoded->message);
 }
 
-// Whoever sends a frame lives. One that is held for dead has to hear of it and deny it itself, for
-// others hold it for dead as well.
+// Whoever sends a frame is alive. One that is declared dead has to hear of it and refute it, for
+// others have declared it dead as well.
 void FailureDetector::RecordSender(const Frame& frame, Time now) {
   Peer& peer = peers_.at(frame.from);
   peer.last_heard = now;
-  if (frame.identity != peer.identity && frame.identity == peer.former_identity) {
-    ++peer.flips;
-    ++counts_.twice;
-  }
   if (frame.identity != peer.identity) {
+    if (frame.identity == peer.former_identity) {
+      ++peer.flips;
+      ++counts_.twice;
+    }
     peer.former_identity = std::exchange(peer.identity, frame.identity);
   }
   if (frame.incarnation < peer.incarnation) {
     ++counts_.stale;  // our answer tells it what we know
     return;
   }
-  const bool newer = frame.incarnation > peer.incarnation || peer.state == State::kUnknown;
-  if (newer) {
+  if (frame.incarnation > peer.incarnation || peer.state == State::kUnknown) {
     SetState(frame.from, peer, State::kAlive, frame.incarnation);
     Disseminate(frame.from);
   } else if (peer.state == State::kSuspect) {
@@ -326,69 +282,102 @@
   }
 }
 
-// ======== updates ========
+void FailureDetector::On(const Ping& ping, const std::string& from, Time) {
+  Send(from, Ack{ping.sequence, ""});
+}
+
+void FailureDetector::On(const PingRequest& request, const std::string& from, Time now) {
+  if (!peers_.contains(request.target) || indirect_probes_.size() >= kMaxIndirectProbes) return;
+  indirect_probes_.push_back(
+      {next_sequence_, from, request.sequence, now + kIndirectProbePeriods * timings_.probe});
+  // The requester learns that a proxy hears it, whatever becomes of the probe.
+  Send(from, Ack{request.sequence, self_});
+  SendPing(request.target);
+}
+
+void FailureDetector::On(const Ack& ack, const std::string& from, Time) {
+  answered_by_.insert(from);
+  const bool is_proxy_confirmation = ack.subject == from;
+  if (is_proxy_confirmation) {
+    if (probe_ && probe_->sequence == ack.sequence) ++probe_->proxies_heard;
+    return;
+  }
+  const bool directly = ack.subject.empty();
+  OnProbeAnswered(directly ? from : ack.subject, ack.sequence, directly);
+}
+
+// ======== gossip ========
 
 void FailureDetector::ApplyUpdate(const GossipUpdate& update, Time now) {
   if (update.name == self_) return ApplyUpdateAboutSelf(update);
   const auto it = peers_.find(update.name);
-  if (it == peers_.end()) return;
+  if (it == peers_.end() || update.incarnation < it->second.incarnation) return;
   Peer& peer = it->second;
-  const bool newer = update.incarnation > peer.incarnation;
-  const bool not_older = update.incarnation >= peer.incarnation;
   switch (update.state) {
     case State::kAlive:
-      if (newer || (not_older && peer.state == State::kUnknown)) {
-        SetState(update.name, peer, State::kAlive, update.incarnation);
-        Disseminate(update.name);
-      }
-      return;
+      return ApplyAlive(update, peer);
     case State::kSuspect:
-      if (newer) peer.incarnation = update.incarnation;
-      if (peer.state == State::kDead || peer.state == State::kLeft) {
-        if (!newer) return;
-      }
-      if (not_older) Suspect(update.name, peer, now);
-      return;
+      return ApplySuspect(update, peer, now);
     case State::kDead:
-      // Guards against the word of one side of a split, which takes the whole other side for dead,
-      // when it heals: who lives gets the time to deny it, and whom we heard lately is not dead.
-      if (!not_older || peer.state == State::kDead || peer.state == State::kLeft) return;
-      if (newer) peer.incarnation = update.incarnation;
-      if (peer.state != State::kSuspect) return Suspect(update.name, peer, now);
-      peer.suspicion_ends = std::min(peer.suspicion_ends, peer.last_heard + timings_.suspicion);
-      if (peer.suspicion_ends <= now) {
-        SetState(update.name, peer, State::kDead, peer.incarnation);
-        Disseminate(update.name);
-      }
-      return;
+      return ApplyDead(update, peer, now);
     case State::kLeft:
-      if (not_older && peer.state != State::kDead && peer.state != State::kLeft) {
-        SetState(update.name, peer, update.state, update.incarnation);
-        Disseminate(update.name);
-      }
-      return;
+      return ApplyLeft(update, peer);
     case State::kUnknown:
       return;
   }
 }
 
-// Our own death is denied with an incarnation above that of the update.
+// Refutes our own suspicion or death with an incarnation above that of the update.
 void FailureDetector::ApplyUpdateAboutSelf(const GossipUpdate& update) {
-  if (ProcessIncarnationOf(update.incarnation) > ProcessIncarnationOf(incarnation_))
+  if (ProcessIncarnationOf(update.incarnation) > ProcessIncarnationOf(incarnation_)) {
     folder_is_stale_ = true;
-  const bool refutes = update.state != State::kAlive && update.incarnation >= incarnation_;
-  if (!refutes && update.incarnation <= incarnation_) return;
+  }
+  const bool must_refute = update.state != State::kAlive && update.incarnation >= incarnation_;
+  if (!must_refute && update.incarnation <= incarnation_) return;
   incarnation_ = update.incarnation + 1;
   ++counts_.denials;
-  if (update.state == State::kSuspect)
-    local_health_score_ = std::min(kMaxLocalHealthScore, local_health_score_ + 1);
+  if (update.state == State::kSuspect) local_health_.Worsen(1);
   Disseminate(self_);
 }
 
+// The updates below are of the peer's incarnation or a higher one.
+
+void FailureDetector::ApplyAlive(const GossipUpdate& update, Peer& peer) {
+  if (update.incarnation == peer.incarnation && peer.state != State::kUnknown) return;
+  SetState(update.name, peer, State::kAlive, update.incarnation);
+  Disseminate(update.name);
+}
+
+void FailureDetector::ApplySuspect(const GossipUpdate& update, Peer& peer, Time now) {
+  if (update.incarnation == peer.incarnation && IsGone(peer.state)) return;
+  peer.incarnation = update.incarnation;
+  Suspect(update.name, peer, now);
+}
+
+// When a partition heals, each side says that the other is dead. Whoever is alive gets the time to
+// refute that, and one that we have heard lately is not declared dead.
+void FailureDetector::ApplyDead(const GossipUpdate& update, Peer& peer, Time now) {
+  if (IsGone(peer.state)) return;
+  peer.incarnation = update.incarnation;
+  if (peer.state != State::kSuspect) return Suspect(update.name, peer, now);
+  peer.suspicion_ends = std::min(peer.suspicion_ends, peer.last_heard + timings_.suspicion);
+  if (peer.suspicion_ends > now) return;
+  SetState(update.name, peer, State::kDead, peer.incarnation);
+  Disseminate(update.name);
+}
+
+void FailureDetector::ApplyLeft(const GossipUpdate& update, Peer& peer) {
+  if (IsGone(peer.state)) return;
+  SetState(update.name, peer, State::kLeft, update.incarnation);
+  Disseminate(update.name);
+}
+
+// ======== what is believed of a peer ========
+
 void FailureDetector::Suspect(const std::string& name, Peer& peer, Time now) {
   if (peer.state == State::kSuspect) return;
   SetState(name, peer, State::kSuspect, peer.incarnation);
-  peer.suspicion_ends = now + ScaleByLocalHealth(timings_.suspicion);
+  peer.suspicion_ends = now + local_health_.Scale(timings_.suspicion);
   Disseminate(name);
 }
 
@@ -403,7 +392,7 @@
   const bool restarted = ProcessIncarnationOf(incarnation) > ProcessIncarnationOf(peer.incarnation);
   peer.incarnation = incarnation;
   if (from == state && !restarted) return;
-  if (state == State::kDead || state == State::kLeft) {
+  if (IsGone(state)) {
     peer.missed_probes = 0;
     peer.link = Link::kTwoWay;
     Disseminate(name);
@@ -414,10 +403,12 @@
 void FailureDetector::UpdateLink(const std::string& name, Peer& peer) {
   Link link = Link::kTwoWay;
   if (peer.missed_probes >= kMissesBeforeLinkFault && peer.state == State::kAlive) {
-    const Time heard_lately = timings_.probe * static_cast<Time::rep>(2 * peers_.size() + 4);
-    const bool heard =
-        last_tick_ && peer.last_heard + heard_lately > *last_tick_ && peer.last_heard > Time{};
-    link = heard ? Link::kOneWay : Link::kIndirect;
+    // Two rounds: in that time it has probed us, if it can reach us.
+    const auto periods = static_cast<Time::rep>(2 * peers_.size() + 4);
+    const bool ever_heard = peer.last_heard > Time{};
+    const bool heard_lately =
+        ever_heard && last_tick_ && peer.last_heard + periods * timings_.probe > *last_tick_;
+    link = heard_lately ? Link::kOneWay : Link::kIndirect;
   } else if (peer.missed_probes > 0) {
     return;  // too few to tell
   }
@@ -425,17 +416,4 @@
   changes_.push_back({name, peer.state, peer.state, peer.incarnation, link});
 }
 
-void FailureDetector::Disseminate(const std::string& name) {
-  transmissions_left_[name] = kRetransmitFactor * std::bit_width(peers_.size() + 1);
-}
-
-void FailureDetector::Leave(Time now) {
-  Tick(now);
-  left_ = true;
-  for (const std::string& name : ChooseAliveMembers(2 * kIndirectProxies, "")) {
-    transmissions_left_[self_] = 1;
-    SendPing(name, next_sequence_++);
-  }
-}
-
 }  // namespace brassfront::peers
--- a/src/peers/failure_detector.hpp
+++ b/src/peers/failure_detector.hpp
@@ -1,67 +1,61 @@
-// Which members live: SWIM (Das, Gupta, Motivala 2002) with suspicion, and what Lifeguard (Dadgar,
-// Phillips, Currey 2017) adds: a member that misses answers doubts itself before it doubts others.
+// Which members are alive: SWIM (Das, Gupta, Motivala 2002) with suspicion, and Lifeguard's local
+// health (Dadgar, Phillips, Currey 2017): a member that misses answers doubts itself before it
+// doubts others.
 //
-// A core: no I/O, no clock, no threads, one seed. It is fed frames and the time, and hands back
-// frames to send and what has changed. One thread owns it. Each member sends about one probe every
-// `probe`, whatever the size of the fleet, and words about members ride on these.
+// In each period of `probe` a member pings one other, in a random order in which each comes once a
+// round. Where no ack comes within `answer`, it asks proxies to ping the target for it. A target
+// that nobody reached by the end of the period is suspected, and declared dead after `suspicion`
+// unless it refutes that. Traffic per member does not grow with the fleet; updates on members ride
+// on the frames of probes.
 //
-// An incarnation is a member's number of starts, kept in its folder, and behind it the number of
-// times that it has denied its own death since then: of two words about a member the one with the
-// higher incarnation is newer, so a restart is told from a stale update.
+// A core: no I/O, no clock, no threads, one seed. It is fed frames and the time, and returns frames
+// to send and changes. One thread owns it.
+//
+// Invariants:
+// - A member's incarnation never runs backwards; an update of a lower one is ignored.
+// - Only the member itself raises its incarnation, to refute.
+// - An update that a member is dead only begins our own suspicion of it, or shortens that to
+//   `suspicion` after the last frame that we have received of the member.
+// - A process that was paused declares nobody dead for what it missed.
 #ifndef BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
 #define BRASSFRONT_PEERS_FAILURE_DETECTOR_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "peers/frame.hpp"
+#include "peers/gossip_queue.hpp"
+#include "peers/local_health.hpp"
+#include "peers/member_state.hpp"
+#include "peers/probe_round.hpp"
 #include "peers/random.hpp"
 #include "peers/roster.hpp"
+#include "peers/swim_messages.hpp"
 
 namespace brassfront::peers {
 
-class Reader;
-class Writer;
-
-// kUnknown: not heard of since our start. kLeft: it said that it ends. kDead may be alive and cut
-// off: nobody can tell.
-enum class State : std::uint8_t { kUnknown, kAlive, kSuspect, kDead, kLeft };
-const char* ToString(State state);
-
-// Between us and one peer, by our own probes. kOneWay: we hear it, and our probes come back by way
-// of others alone. kIndirect: neither hears the other directly, and others hear it.
-enum class Link : std::uint8_t { kTwoWay, kOneWay, kIndirect };
-const char* ToString(Link link);
-
-inline constexpr std::uint64_t kRefutationBits = 20;
-inline std::uint64_t FirstIncarnation(std::uint64_t process_incarnation) {
-  return process_incarnation << kRefutationBits;
-}
-inline std::uint64_t ProcessIncarnationOf(std::uint64_t incarnation) {
-  return incarnation >> kRefutationBits;
-}
-
 class FailureDetector {
  public:
   struct Peer {
     State state = State::kUnknown;
     std::uint64_t incarnation = 0;
-    std::uint64_t identity = 0;         // of its folder; 0: not heard directly
-    std::uint64_t former_identity = 0;  // identity before that one
-    std::size_t flips = 0;  // times that the former one was heard again: two use the name
+    std::uint64_t identity = 0;         // of its folder; 0: no frame of it yet
+    std::uint64_t former_identity = 0;  // the one before
+    // Times that a frame of the former identity came again: two processes use the name.
+    std::size_t flips = 0;
     Link link = Link::kTwoWay;
-    Time last_heard{};              // its last frame that came to us
-    Time suspicion_ends{};          // while suspected: if no word of its process_incarnation comes
+    Time last_heard{};              // when its last frame came to us
+    Time suspicion_ends{};          // while suspected: when it is declared dead
     std::size_t missed_probes = 0;  // direct probes in a row
   };
 
-  // Something to tell people and the other cores: a state, or a link.
+  // A state or a link that has changed, for the log and the other cores.
   struct Change {
     std::string name;
     State from{}, to{};
@@ -70,25 +64,33 @@
   };
 
   struct Counts {
-    std::uint64_t probes = 0, missed = 0, indirect_probes = 0, denials = 0, stale = 0, pauses = 0;
-    std::uint64_t bad = 0;    // frames that could not be read
-    std::uint64_t twice = 0;  // words of two processes with one name
+    std::uint64_t probes = 0;           // direct ones, one a period
+    std::uint64_t missed = 0;           // probes that nobody answered
+    std::uint64_t indirect_probes = 0;  // probes for which proxies were asked
+    std::uint64_t denials = 0;          // refutations of our own suspicion or death
+    std::uint64_t stale = 0;            // frames of an older incarnation than we know
+    std::uint64_t pauses = 0;           // times that this process was paused
+    std::uint64_t bad = 0;              // frames that could not be read
+    std::uint64_t twice = 0;            // frames of a second process with a peer's name
   };
 
+  // `identity` and `process_incarnation` are those of this member's folder; `members` may contain
+  // `self`.
   FailureDetector(const Timings& timings, std::string self, const std::vector<std::string>& members,
                   std::uint64_t identity, std::uint64_t process_incarnation, std::uint64_t seed);
 
   // Does what is due. To be called at Next() at the latest; a call that comes much later means that
-  // this process was stopped, and nobody is judged by what it missed.
+  // this process was paused.
   void Tick(Time now);
   [[nodiscard]] Time Next() const;
-  // A frame of a peer that has checked. Kinds of other cores count as signs of process_incarnation.
+  // A frame of a peer, its signature checked. Frames of other cores count as signs of life.
   void Receive(const Frame& frame, Time now);
-  // Says good-bye: others need not suspect us.
+  // Announces that this process ends, so that others need not suspect it. Nothing is done after it.
   void Leave(Time now);
   // The roster has changed.
   void SetMembers(const std::vector<std::string>& members);
 
+  // Each call returns a frame or a change once, in order.
   std::vector<Frame> TakeFrames() { return std::exchange(frames_, {}); }
   std::vector<Change> TakeChanges() { return std::exchange(changes_, {}); }
 
@@ -96,58 +98,74 @@
   [[nodiscard]] const Counts& counts() const { return counts_; }
   [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
   [[nodiscard]] std::uint64_t identity() const { return identity_; }
-  // 0: all is well. Each probe that went unanswered adds one, 8 at most, where those that were
-  // asked for help were silent as well: then it may be us. Our own time limits are so many times
-  // longer, and one more.
-  [[nodiscard]] std::size_t doubt() const { return local_health_score_; }
-  // Others have known a later process_incarnation of ours than our folder does: it is an old copy,
-  // or was lost.
+  // Lifeguard's local health score, 0 (healthy) to 8: our own time limits are (1 + score) times as
+  // long.
+  [[nodiscard]] std::size_t doubt() const { return local_health_.score(); }
+  // Others remember a later process incarnation of ours than our folder does: it is an old copy, or
+  // was lost.
   [[nodiscard]] bool folder_is_stale() const { return folder_is_stale_; }
-  // Peers that have told, since our start, what they know of us (an answer to a probe).
+  // Peers that have acknowledged a probe since our start, and so have told what they know of us.
   [[nodiscard]] std::size_t answered_by() const { return answered_by_.size(); }
 
  private:
-  struct GossipUpdate {
-    std::string name;
-    State state{};
-    std::uint64_t incarnation = 0;
-  };
-  struct DirectProbe {  // our probe of this period
+  // Our probe of this period.
+  struct DirectProbe {
     std::string target;
     std::uint32_t sequence = 0;
-    Time request_indirect_at{}, ends{};
-    bool indirect_requested = false, answered = false, directly = false;
-    std::size_t proxies = 0, proxies_heard = 0;
+    Time request_indirect_at{};  // without an ack until then, proxies are asked
+    Time ends{};
+    bool indirect_requested = false;
+    bool answered = false;  // by the target or by way of a proxy
+    bool answered_directly = false;
+    std::size_t proxies = 0;        // asked
+    std::size_t proxies_heard = 0;  // that have confirmed it
   };
-  struct IndirectProbe {  // a probe for somebody else
-    std::uint32_t sequence = 0;
+  // A probe that we do as a proxy.
+  struct IndirectProbe {
+    std::uint32_t sequence = 0;  // of our ping
     std::string requester;
-    std::uint32_t requester_sequence = 0;
+    std::uint32_t requester_sequence = 0;  // of its ping-req
     Time ends{};
   };
 
-  void StartProbe(Time now);
-  void EndProbe(Time now);
-  void SendPing(const std::string& target, std::uint32_t sequence);
-  void Send(Kind kind, const std::string& to, Writer body);
-  void RecordSender(const Frame& frame, Time now);
+  // ---- time ----
+  void RecoverFromPause(Time now);
+  void ExpireSuspicions(Time now);
+
+  // ---- probes ----
+  void StartPeriod(Time now);
+  void StartDirectProbe(Time now);
+  void PingRandomSuspect();
+  void PingRandomAbsentPeer();
+  void RequestIndirectProbes();
+  void EndDirectProbe(Time now);
   void OnProbeAnswered(const std::string& name, std::uint32_t sequence, bool directly);
+  [[nodiscard]] std::vector<std::string> ChooseAlivePeers(std::size_t max_count,
+                                                          const std::string& excluded);
+
+  // ---- messages ----
+  void Send(const std::string& to, const SwimMessage& message);
+  void SendPing(const std::string& target);
+  [[nodiscard]] std::vector<GossipUpdate> TakeUpdatesFor(const std::string& receiver);
+  [[nodiscard]] GossipUpdate DescribeMember(const std::string& name) const;
+  void RecordSender(const Frame& frame, Time now);
+  void On(const Ping& ping, const std::string& from, Time now);
+  void On(const PingRequest& request, const std::string& from, Time now);
+  void On(const Ack& ack, const std::string& from, Time now);
+
+  // ---- gossip ----
   void ApplyUpdate(const GossipUpdate& update, Time now);
   void ApplyUpdateAboutSelf(const GossipUpdate& update);
-  void SetState(const std::string& name, Peer& peer, State state, std::uint64_t incarnation);
+  void ApplyAlive(const GossipUpdate& update, Peer& peer);
+  void ApplySuspect(const GossipUpdate& update, Peer& peer, Time now);
+  void ApplyDead(const GossipUpdate& update, Peer& peer, Time now);
+  void ApplyLeft(const GossipUpdate& update, Peer& peer);
+  void Disseminate(const std::string& name) { gossip_.Disseminate(name, peers_.size() + 1); }
+
+  // ---- what is believed of a peer ----
   void Suspect(const std::string& name, Peer& peer, Time now);
+  void SetState(const std::string& name, Peer& peer, State state, std::uint64_t incarnation);
   void UpdateLink(const std::string& name, Peer& peer);
-  void Disseminate(const std::string& name);
-  void EncodeUpdates(Writer& body, const std::string& to);
-  std::vector<GossipUpdate> DecodeUpdates(Reader& reader);
-  std::optional<std::string> NextProbeTarget();
-  std::vector<std::string> ChooseAliveMembers(std::size_t max_count, const std::string& excluded);
-  [[nodiscard]] bool IsPresent(const Peer& peer) const {
-    return peer.state == State::kAlive || peer.state == State::kSuspect;
-  }
-  [[nodiscard]] Time ScaleByLocalHealth(Time time) const {
-    return time * static_cast<Time::rep>(1 + local_health_score_);
-  }
 
   const Timings timings_;
   const std::string self_;
@@ -155,18 +173,17 @@
   std::uint64_t incarnation_;
   Random random_;
   std::map<std::string, Peer> peers_;
-  std::set<std::string> suspects_;
-  std::map<std::string, std::size_t>
-      transmissions_left_;                // words, by whom they are about: times left
-  std::vector<std::string> probe_round_;  // still to be probed in this round
+  std::set<std::string> suspects_;  // the peers in kSuspect
+  GossipQueue gossip_;
+  ProbeRound probe_round_;
   std::optional<DirectProbe> probe_;
   std::vector<IndirectProbe> indirect_probes_;
   std::set<std::string> answered_by_;
   std::uint32_t next_sequence_ = 1;
   std::uint64_t periods_ = 0;
-  Time next_probe_{};
+  Time next_period_{};
   std::optional<Time> last_tick_;
-  std::size_t local_health_score_ = 0;
+  LocalHealth local_health_;
   bool folder_is_stale_ = false;
   bool left_ = false;
   std::vector<Frame> frames_;
--- /dev/null
+++ b/src/peers/roster_change.cpp
@@ -0,0 +1,58 @@
+// Which changes of a roster a running fleet can take up: one member at a time, as a Raft
+// configuration changes one server at a time.
+#include <iterator>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "peers/roster.hpp"
+
+namespace brassfront::peers {
+namespace {
+
+using MembersByName = std::map<std::string, Member>;
+
+MembersByName IndexByName(const std::vector<Member>& members) {
+  MembersByName by_name;
+  for (const Member& member : members) by_name[member.name] = member;
+  return by_name;
+}
+
+// Those that are in one roster alone, or differ, in the order of their names.
+std::set<std::string> FindChangedMembers(const Roster& now, const Roster& next) {
+  const MembersByName old_members = IndexByName(now.members);
+  const MembersByName new_members = IndexByName(next.members);
+  std::set<std::string> changed;
+  for (const auto& [name, member] : old_members) {
+    const auto it = new_members.find(name);
+    if (it == new_members.end() || it->second != member) changed.insert(name);
+  }
+  for (const auto& [name, member] : new_members) {
+    if (!old_members.contains(name)) changed.insert(name);
+  }
+  return changed;
+}
+
+bool SettingsDiffer(const Roster& now, const Roster& next) {
+  return now.max_out_total != next.max_out_total || now.max_out_per_zone != next.max_out_per_zone ||
+         now.timings != next.timings || now.sharing != next.sharing;
+}
+
+}  // namespace
+
+std::string ChangeFault(const Roster& now, const Roster& next) {
+  if (now.fleet != next.fleet) return "the fleet has another name";
+  if (now.secret != next.secret) return "the key is another one; it is taken up by a restart only";
+  const std::set<std::string> changed = FindChangedMembers(now, next);
+  if (changed.empty()) return "";
+  const std::string& first = *changed.begin();
+  if (changed.size() > 1) {
+    const std::string& second = *std::next(changed.begin());
+    return "more than one member changes (" + first + " and " + second + ")";
+  }
+  if (SettingsDiffer(now, next)) return first + " changes, and limits or timings as well";
+  return "";
+}
+
+}  // namespace brassfront::peers
