Name tests of peers and the replicated log after the behaviour they show

Test names were told as stories, and the simulated cluster had one-word members without a comment. Names now state behaviour; the simulated cluster documents what it does, and delivery and timers are functions of their own. No assertion changed.

--- a/tests/fleet/peers_test.cpp
+++ b/tests/fleet/peers_test.cpp
@@ -1,4 +1,4 @@
-// Frames, rosters, and who is held for dead, in virtual time.
+// Frames, rosters, and the failure detector in a simulated cluster.
 #include <doctest/doctest.h>
 #include <sys/stat.h>
 
@@ -18,17 +18,17 @@
 
 constexpr const char* kSecret = "0123456789abcdef";
 
-Frame Some() {
+Frame MakeFrame() {
   return {Kind::kSettled, "n0", "n1", 77, FirstIncarnation(3) + 1, std::string("\0body", 5)};
 }
 
-TEST_CASE("a frame comes back as it was sent, and no other does") {
-  const std::string bytes = Encode(Some(), "tacoma", kSecret);
+TEST_CASE("a frame decodes as it was sent, and is rejected if altered or meant for another") {
+  const std::string bytes = Encode(MakeFrame(), "tacoma", kSecret);
   Frame frame;
   CHECK(Decode(bytes, "tacoma", kSecret, "n1", frame) == Drop::kNone);
   CHECK(frame.kind == Kind::kSettled);
-  CHECK(frame.body == Some().body);
-  CHECK(frame.incarnation == Some().incarnation);
+  CHECK(frame.body == MakeFrame().body);
+  CHECK(frame.incarnation == MakeFrame().incarnation);
   CHECK(Decode(bytes, "bengal", kSecret, "n1", frame) == Drop::kFleet);
   CHECK(Decode(bytes, "tacoma", "another key of it", "n1", frame) == Drop::kSignature);
   CHECK(Decode(bytes, "tacoma", kSecret, "n2", frame) == Drop::kNotForUs);
@@ -45,7 +45,7 @@
   }
 }
 
-TEST_CASE("bodies of noise do not disturb a detector") {
+TEST_CASE("random bodies are counted as bad and cause no storm of frames") {
   FailureDetector detector(SimulatedCluster(3, 1).timings, "m0", {"m0", "m1", "m2"}, 1, 1, 1);
   std::mt19937_64 random(5);
   for (int i = 0; i < 20000; ++i) {
@@ -60,151 +60,151 @@
   CHECK(detector.counts().bad > 1000);
 }
 
-TEST_CASE("a killed member is dead to all within the bound, and alive again after its restart") {
+TEST_CASE("a killed member is declared dead by all within the bound, and alive after its restart") {
   for (const std::size_t count : {3U, 5U, 12U}) {
-    SimulatedCluster world(count, count);
-    world.RunFor(seconds(3));
-    CHECK(world.told.size() >= count * (count - 1));
-    world.told.clear();
-    world.End(1);
-    const Time killed = world.now;
-    world.RunFor(seconds(6));
+    SimulatedCluster cluster(count, count);
+    cluster.RunFor(seconds(3));
+    CHECK(cluster.changes.size() >= count * (count - 1));
+    cluster.changes.clear();
+    cluster.End(1);
+    const Time killed = cluster.now;
+    cluster.RunFor(seconds(6));
     for (std::size_t i = 0; i < count; ++i) {
-      if (i != 1) CHECK(world.Of(i, 1) == State::kDead);
+      if (i != 1) CHECK(cluster.StateOf(i, 1) == State::kDead);
     }
-    for (const SimulatedCluster::Told& t : world.told) {
-      CHECK(t.change.name == "m1");
-      CHECK(t.at - killed < seconds(4));
+    for (const SimulatedCluster::ReportedChange& reported : cluster.changes) {
+      CHECK(reported.change.name == "m1");
+      CHECK(reported.at - killed < seconds(4));
     }
-    world.Start(1, 2);
-    world.RunFor(seconds(4));
+    cluster.Start(1, 2);
+    cluster.RunFor(seconds(4));
     for (std::size_t i = 0; i < count; ++i) {
-      if (i != 1) CHECK(world.Of(i, 1) == State::kAlive);
+      if (i != 1) CHECK(cluster.StateOf(i, 1) == State::kAlive);
     }
   }
 }
 
-TEST_CASE("one that has lost its count of lives is heard again, and knows that its folder is old") {
-  SimulatedCluster world(4, 3);
-  world.End(1);
-  world.Start(1, 9);
-  world.RunFor(seconds(3));
-  world.End(1);
-  world.RunFor(seconds(5));
-  world.Start(1, 1);  // an empty folder, or yesterday's
-  world.RunFor(seconds(5));
-  CHECK(world.Of(0, 1) == State::kAlive);
-  CHECK(world.at(1).folder_is_stale());
-  CHECK(ProcessIncarnationOf(world.at(1).incarnation()) == 9);
-  CHECK_FALSE(world.at(0).folder_is_stale());
+TEST_CASE("a member with an old folder is alive again, and learns that its folder is stale") {
+  SimulatedCluster cluster(4, 3);
+  cluster.End(1);
+  cluster.Start(1, 9);
+  cluster.RunFor(seconds(3));
+  cluster.End(1);
+  cluster.RunFor(seconds(5));
+  cluster.Start(1, 1);  // an empty folder, or yesterday's
+  cluster.RunFor(seconds(5));
+  CHECK(cluster.StateOf(0, 1) == State::kAlive);
+  CHECK(cluster.at(1).folder_is_stale());
+  CHECK(ProcessIncarnationOf(cluster.at(1).incarnation()) == 9);
+  CHECK_FALSE(cluster.at(0).folder_is_stale());
 }
 
-TEST_CASE("a stopped member that wakes up takes nobody for dead, and is alive again") {
-  SimulatedCluster world(5, 4);
-  world.RunFor(seconds(3));
-  world.Stop(2);
-  world.RunFor(seconds(10));
-  CHECK(world.Of(0, 2) == State::kDead);
-  world.told.clear();
-  world.Wake(2);
-  world.RunFor(seconds(6));
-  for (const SimulatedCluster::Told& t : world.told)
-    CHECK_FALSE((t.by == "m2" && t.change.to == State::kDead));
+TEST_CASE("a member that resumes after a pause declares nobody dead, and is alive again") {
+  SimulatedCluster cluster(5, 4);
+  cluster.RunFor(seconds(3));
+  cluster.Stop(2);
+  cluster.RunFor(seconds(10));
+  CHECK(cluster.StateOf(0, 2) == State::kDead);
+  cluster.changes.clear();
+  cluster.Wake(2);
+  cluster.RunFor(seconds(6));
+  for (const SimulatedCluster::ReportedChange& reported : cluster.changes)
+    CHECK_FALSE((reported.by == "m2" && reported.change.to == State::kDead));
   for (std::size_t i = 0; i < 5; ++i) {
-    if (i != 2) CHECK(world.Of(i, 2) == State::kAlive);
-    if (i != 2) CHECK(world.Of(2, i) == State::kAlive);
+    if (i != 2) CHECK(cluster.StateOf(i, 2) == State::kAlive);
+    if (i != 2) CHECK(cluster.StateOf(2, i) == State::kAlive);
   }
-  CHECK(world.at(2).counts().pauses == 1);
+  CHECK(cluster.at(2).counts().pauses == 1);
 }
 
-TEST_CASE("a link that is cut one way is noticed on both sides, and nobody dies of it") {
-  SimulatedCluster world(5, 5);
-  world.RunFor(seconds(3));
-  world.told.clear();
-  world.Cut(0, 1);
-  world.RunFor(seconds(20));
-  for (std::size_t i = 0; i < 5; ++i) CHECK(world.Deaths(i) == 0);
-  CHECK(world.at(0).peers().at("m1").link == Link::kOneWay);
-  CHECK(world.at(1).peers().at("m0").link == Link::kIndirect);
-  CHECK(world.at(2).peers().at("m0").link == Link::kTwoWay);
-  world.Cut(0, 1, false);
-  world.RunFor(seconds(10));
-  CHECK(world.at(0).peers().at("m1").link == Link::kTwoWay);
-  CHECK(world.at(1).peers().at("m0").link == Link::kTwoWay);
+TEST_CASE("a one-way link is reported on both sides, and nobody is declared dead") {
+  SimulatedCluster cluster(5, 5);
+  cluster.RunFor(seconds(3));
+  cluster.changes.clear();
+  cluster.Cut(0, 1);
+  cluster.RunFor(seconds(20));
+  for (std::size_t i = 0; i < 5; ++i) CHECK(cluster.CountDeaths(i) == 0);
+  CHECK(cluster.at(0).peers().at("m1").link == Link::kOneWay);
+  CHECK(cluster.at(1).peers().at("m0").link == Link::kIndirect);
+  CHECK(cluster.at(2).peers().at("m0").link == Link::kTwoWay);
+  cluster.Cut(0, 1, false);
+  cluster.RunFor(seconds(10));
+  CHECK(cluster.at(0).peers().at("m1").link == Link::kTwoWay);
+  CHECK(cluster.at(1).peers().at("m0").link == Link::kTwoWay);
 }
 
-TEST_CASE("both sides of a split hold the other for dead, and find each other when it heals") {
-  SimulatedCluster world(5, 6);
-  world.RunFor(seconds(3));
+TEST_CASE("both sides of a partition declare the other dead, and find each other when it heals") {
+  SimulatedCluster cluster(5, 6);
+  cluster.RunFor(seconds(3));
   for (const std::size_t a : {0U, 1U}) {
     for (const std::size_t b : {2U, 3U, 4U}) {
-      world.Cut(a, b);
-      world.Cut(b, a);
+      cluster.Cut(a, b);
+      cluster.Cut(b, a);
     }
   }
-  world.RunFor(seconds(40));
-  CHECK(world.Of(0, 4) == State::kDead);
-  CHECK(world.Of(4, 1) == State::kDead);
-  CHECK(world.Of(3, 4) == State::kAlive);
+  cluster.RunFor(seconds(40));
+  CHECK(cluster.StateOf(0, 4) == State::kDead);
+  CHECK(cluster.StateOf(4, 1) == State::kDead);
+  CHECK(cluster.StateOf(3, 4) == State::kAlive);
   for (const std::size_t a : {0U, 1U}) {
     for (const std::size_t b : {2U, 3U, 4U}) {
-      world.Cut(a, b, false);
-      world.Cut(b, a, false);
+      cluster.Cut(a, b, false);
+      cluster.Cut(b, a, false);
     }
   }
-  world.RunFor(seconds(10));
+  cluster.RunFor(seconds(10));
   for (std::size_t i = 0; i < 5; ++i) {
     for (std::size_t j = 0; j < 5; ++j) {
-      if (i != j) CHECK(world.Of(i, j) == State::kAlive);
+      if (i != j) CHECK(cluster.StateOf(i, j) == State::kAlive);
     }
   }
 }
 
-TEST_CASE("a link that flaps lets nobody die at the hands of one that reaches it") {
+TEST_CASE("a flapping partition makes no member declare one on its own side dead") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    SimulatedCluster world(5, seed);
-    world.RunFor(seconds(3));
-    world.told.clear();
+    SimulatedCluster cluster(5, seed);
+    cluster.RunFor(seconds(3));
+    cluster.changes.clear();
     for (int flap = 0; flap < 6; ++flap) {
       for (const bool cut : {true, false}) {
         for (const std::size_t a : {2U, 4U}) {
           for (const std::size_t b : {0U, 1U, 3U}) {
-            world.Cut(a, b, cut);
-            world.Cut(b, a, cut);
+            cluster.Cut(a, b, cut);
+            cluster.Cut(b, a, cut);
           }
         }
-        world.RunFor(milliseconds(1240));
+        cluster.RunFor(milliseconds(1240));
       }
     }
     const auto side = [](const std::string& name) { return name == "m2" || name == "m4"; };
-    for (const SimulatedCluster::Told& t : world.told) {
-      const bool same_side = side(t.by) == side(t.change.name);
-      CHECK_FALSE((same_side && !t.change.link && t.change.to == State::kDead));
+    for (const SimulatedCluster::ReportedChange& reported : cluster.changes) {
+      const bool same_side = side(reported.by) == side(reported.change.name);
+      CHECK_FALSE((same_side && !reported.change.link && reported.change.to == State::kDead));
     }
   }
 }
 
 TEST_CASE("a member that leaves is not suspected") {
-  SimulatedCluster world(4, 7);
-  world.RunFor(seconds(3));
-  world.told.clear();
-  world.at(3).Leave(world.now);
-  world.RunFor(milliseconds(1));
-  world.RunFor(seconds(3));
-  CHECK(world.Of(0, 3) == State::kLeft);
-  CHECK(world.Of(1, 3) == State::kLeft);
-  CHECK(world.Deaths(3) == 0);
+  SimulatedCluster cluster(4, 7);
+  cluster.RunFor(seconds(3));
+  cluster.changes.clear();
+  cluster.at(3).Leave(cluster.now);
+  cluster.RunFor(milliseconds(1));
+  cluster.RunFor(seconds(3));
+  CHECK(cluster.StateOf(0, 3) == State::kLeft);
+  CHECK(cluster.StateOf(1, 3) == State::kLeft);
+  CHECK(cluster.CountDeaths(3) == 0);
 }
 
-TEST_CASE("loss and jitter kill nobody") {
+TEST_CASE("loss and jitter cause no false deaths") {
   std::size_t deaths = 0;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    SimulatedCluster world(5, seed);
-    world.fault.loss = 0.2;
-    world.fault.twice = 0.05;
-    world.fault.jitter = milliseconds(200);
-    world.RunFor(seconds(120));
-    for (std::size_t i = 0; i < 5; ++i) deaths += world.Deaths(i);
+    SimulatedCluster cluster(5, seed);
+    cluster.fault.loss = 0.2;
+    cluster.fault.duplication = 0.05;
+    cluster.fault.jitter = milliseconds(200);
+    cluster.RunFor(seconds(120));
+    for (std::size_t i = 0; i < 5; ++i) deaths += cluster.CountDeaths(i);
   }
   MESSAGE("wrong deaths in 10 minutes of five members: ", deaths);
   CHECK(deaths == 0);
@@ -212,28 +212,28 @@
 
 // Bytes a second that each member of so many sends, once all have met.
 double BytesEach(std::size_t count, Time met) {
-  SimulatedCluster world(count, 9);
-  world.RunFor(met);
-  world.frames = world.bytes = 0;
-  world.told.clear();
-  world.RunFor(seconds(10));
+  SimulatedCluster cluster(count, 9);
+  cluster.RunFor(met);
+  cluster.frames = cluster.bytes = 0;
+  cluster.changes.clear();
+  cluster.RunFor(seconds(10));
   const auto each = [count](std::uint64_t all) {
     return static_cast<double>(all) / 10 / static_cast<double>(count);
   };
-  MESSAGE(count, " members: ", each(world.frames), " frames and ", each(world.bytes),
+  MESSAGE(count, " members: ", each(cluster.frames), " frames and ", each(cluster.bytes),
           " bytes a second each");
-  CHECK(world.told.empty());
-  return each(world.bytes);
+  CHECK(cluster.changes.empty());
+  return each(cluster.bytes);
 }
 
-TEST_CASE("what a member sends does not grow with the fleet") {
+TEST_CASE("a member's traffic does not grow with the fleet") {
   const double of_five = BytesEach(5, seconds(10));
   CHECK(BytesEach(30, seconds(30)) < 1.1 * of_five);
   CHECK(BytesEach(60, seconds(60)) < 1.1 * of_five);
 }
 
 // 20 s of processor time: brassfront_fleet_tests --no-skip -tc="*three hundred*"
-TEST_CASE("nor with three hundred members" * doctest::skip()) {
+TEST_CASE("a member's traffic is the same with three hundred members" * doctest::skip()) {
   CHECK(BytesEach(300, seconds(200)) < 1.1 * BytesEach(5, seconds(10)));
 }
 
@@ -271,7 +271,7 @@
     "{name: \"n1\", hall: \"w\", peer: \"127.0.0.1:7401\"},\n"
     "{name: \"n2\", hall: \"e\", peer: \"127.0.0.1:7402\"},\n]\n";
 
-TEST_CASE("a roster is read, and what is wrong with one is said with its place") {
+TEST_CASE("a roster is read, and each fault in one is reported with its place") {
   RosterFile file;
   const Roster roster = file.Read(Text(kMembers));
   CHECK(roster.members.size() == 3);
@@ -297,7 +297,7 @@
   CHECK(file.Fault(Text(kMembers)).find("chmod 600") != std::string::npos);
 }
 
-TEST_CASE("a roster changes one member at a time") {
+TEST_CASE("a roster changes by one member at a time") {
   RosterFile file;
   const Roster now = file.Read(Text(kMembers));
   Roster next = now;
--- a/tests/fleet/raft_node_test.cpp
+++ b/tests/fleet/raft_node_test.cpp
@@ -1,4 +1,4 @@
-// The settled log in virtual time, on stores in memory and in files.
+// Raft nodes in virtual time on stores in memory, and the store in files.
 #include "consensus/raft_node.hpp"
 
 #include <doctest/doctest.h>
@@ -20,7 +20,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Settled commands in their order.
+// Committed commands in their order.
 class List : public StateMachine {
  public:
   void Apply(std::string_view command) override { all.emplace_back(command); }
@@ -48,9 +48,10 @@
   bool stopped = false;
 };
 
-class Parliament {
+// Voters on a simulated network: one seed, a tick of 5 ms, delays of 1 to 10 ms on each link.
+class SimulatedVoters {
  public:
-  explicit Parliament(std::size_t count, std::uint64_t seed = 1) : random_(seed) {
+  explicit SimulatedVoters(std::size_t count, std::uint64_t seed = 1) : random_(seed) {
     for (std::size_t i = 0; i < count; ++i) names_.push_back("v" + std::to_string(i));
     for (const std::string& name : names_) {
       voters_[name].id = ++last_id_;
@@ -181,9 +182,9 @@
   std::uint64_t last_id_ = 0;
 };
 
-TEST_CASE("empty folders found one log, and commands are settled in one order") {
+TEST_CASE("voters with empty folders bootstrap one log, and commands commit in one order") {
   for (const std::size_t count : {3U, 5U, 7U}) {
-    Parliament p(count, count);
+    SimulatedVoters p(count, count);
     CHECK_FALSE(p.AwaitLeader().empty());
     for (int i = 0; i < 200; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
     p.RunFor(seconds(2));
@@ -193,8 +194,8 @@
   }
 }
 
-TEST_CASE("no log is founded while a voter is missing") {
-  Parliament p(3);
+TEST_CASE("no cluster is bootstrapped while a voter is missing") {
+  SimulatedVoters p(3);
   p.Kill("v2");
   p.RunFor(seconds(10));
   CHECK_FALSE(p.at("v0").raft_node->bootstrapped());
@@ -202,8 +203,8 @@
   CHECK_FALSE(p.AwaitLeader().empty());
 }
 
-TEST_CASE("what was settled survives the loss of the leader, and restarts of all") {
-  Parliament p(3, 7);
+TEST_CASE("committed commands survive the loss of the leader, and restarts of all") {
+  SimulatedVoters p(3, 7);
   for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("a" + std::to_string(i)));
   p.Kill(p.Leader());
   p.RunFor(seconds(3));
@@ -218,8 +219,8 @@
   for (const char* name : {"v0", "v1", "v2"}) CHECK(p.at(name).list.all.back() == "last");
 }
 
-TEST_CASE("a minority settles nothing, and its leader learns of it") {
-  Parliament p(5, 9);
+TEST_CASE("a minority commits nothing, and its leader steps down") {
+  SimulatedVoters p(5, 9);
   REQUIRE(p.Settle("one"));
   const std::string old = p.Leader();
   for (const char* name : {"v0", "v1", "v2", "v3", "v4"}) {
@@ -237,8 +238,8 @@
   CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two", "three"});
 }
 
-TEST_CASE("a stopped leader that wakes up settles nothing on its own") {
-  Parliament p(3, 11);
+TEST_CASE("a paused leader that resumes commits nothing on its own") {
+  SimulatedVoters p(3, 11);
   REQUIRE(p.Settle("one"));
   const std::string old = p.Leader();
   p.at(old).stopped = true;
@@ -252,8 +253,8 @@
   CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two"});
 }
 
-TEST_CASE("a voter that comes back with an empty folder has no vote until it is let in again") {
-  Parliament p(3, 13);
+TEST_CASE("a voter with an empty folder has no vote until the leader has added it") {
+  SimulatedVoters p(3, 13);
   REQUIRE(p.Settle("one"));
   const std::string leader = p.Leader();
   std::string lost = leader == "v1" ? "v2" : "v1", last = "v0";
@@ -282,9 +283,9 @@
   CHECK(votes);
 }
 
-TEST_CASE("loss on every link delays and breaks nothing") {
+TEST_CASE("commands commit in one order with loss on every link") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-    Parliament p(5, seed);
+    SimulatedVoters p(5, seed);
     p.loss = 0.2;
     for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
     p.loss = 0;
@@ -294,9 +295,9 @@
 }
 
 TEST_CASE(
-    "random kills, cuts, stops and lost folders: one order, and what was told settled is there") {
+    "random kills, cuts, pauses and lost folders leave one order with all acknowledged commands") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    Parliament p(5, seed);
+    SimulatedVoters p(5, seed);
     std::mt19937_64 random(seed);
     REQUIRE_FALSE(p.AwaitLeader().empty());
     std::vector<std::pair<std::string, std::shared_ptr<std::optional<RaftNode::Outcome>>>> asked;
@@ -370,8 +371,8 @@
   }
 }
 
-TEST_CASE("a full disk stops a voter and not the others") {
-  Parliament p(3, 17);
+TEST_CASE("a full disk breaks one voter and not the others") {
+  SimulatedVoters p(3, 17);
   REQUIRE(p.Settle("one"));
   const std::string full = p.Leader() == "v1" ? "v2" : "v1";
   p.at(full).store.works = false;
@@ -407,7 +408,7 @@
   std::filesystem::path path;
 };
 
-TEST_CASE("a file holds what memory holds, over any calls and restarts") {
+TEST_CASE("the store in files equals the one in memory, over random calls and restarts") {
   Folder folder;
   std::mt19937_64 random(3);
   auto file = std::make_unique<FileStore>(folder.path.string());
@@ -460,7 +461,7 @@
   }
 }
 
-TEST_CASE("a torn end is cut off, and a flipped bit anywhere is damage") {
+TEST_CASE("a torn record at the end is cut off, and any flipped bit is damage") {
   Folder folder;
   bool damaged = false;
   {
@@ -492,7 +493,7 @@
   }
 }
 
-TEST_CASE("a store that is full takes nothing, and holds what it had") {
+TEST_CASE("a full store rejects writes and keeps what it had") {
   Folder folder;
   bool damaged = false;
   FileStore store(folder.path.string(), 400);
--- a/tests/fleet/simulated_cluster.hpp
+++ b/tests/fleet/simulated_cluster.hpp
@@ -1,5 +1,7 @@
-// Virtual time for cores: a queue of frames with a link's delay and loss, and members that are cut,
-// stopped or ended. One seed; the same seed gives the same run.
+// A simulated cluster of failure detectors in virtual time: no threads, no sockets, no clock.
+// Frames travel through a queue with the delay, jitter, loss and duplication of a link; links are
+// cut one way, and members are paused, ended and restarted. One seed: the same seed and the same
+// calls give the same run, frame by frame.
 #ifndef BRASSFRONT_TESTS_FLEET_SIMULATED_CLUSTER_HPP_
 #define BRASSFRONT_TESTS_FLEET_SIMULATED_CLUSTER_HPP_
 
@@ -10,6 +12,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "peers/failure_detector.hpp"
@@ -18,33 +22,40 @@
 
 class SimulatedCluster {
  public:
+  // Of every link. Probabilities from 0 to 1.
   struct LinkFault {
-    double loss = 0, twice = 0;
+    double loss = 0, duplication = 0;
     Time delay = std::chrono::microseconds(200), jitter{};
   };
 
+  // Members m0, m1, ... are started in their first process incarnation.
   SimulatedCluster(std::size_t count, std::uint64_t seed) : random_(seed) {
     for (std::size_t i = 0; i < count; ++i) names_.push_back("m" + std::to_string(i));
     for (std::size_t i = 0; i < count; ++i) Start(i, 1);
   }
 
+  // A new process of member `i`, which has been ended before.
   void Start(std::size_t i, std::uint64_t process_incarnation) {
     members_[names_[i]] = std::make_unique<FailureDetector>(timings, names_[i], names_, 1000 + i,
                                                             process_incarnation, random_());
     Wake(i);
   }
+  // Kills the process: no good-bye.
   void End(std::size_t i) {
     members_.erase(names_[i]);
-    Due(names_[i]);
+    ScheduleTick(names_[i]);
   }
+  // Pauses the process: its timers do not run, and its datagrams wait in the socket.
   void Stop(std::size_t i) {
     stopped_.insert(names_[i]);
-    Due(names_[i]);
+    ScheduleTick(names_[i]);
   }
+  // Resumes a paused process.
   void Wake(std::size_t i) {
     stopped_.erase(names_[i]);
-    Due(names_[i]);
+    ScheduleTick(names_[i]);
   }
+  // Drops all frames in this one direction, or no more (`cut` false).
   void Cut(std::size_t from, std::size_t to, bool cut = true) {
     if (cut) {
       cut_.insert({names_[from], names_[to]});
@@ -53,8 +64,12 @@
     }
   }
   FailureDetector& at(std::size_t i) { return *members_.at(names_[i]); }
-  State Of(std::size_t seer, std::size_t seen) { return at(seer).peers().at(names_[seen]).state; }
+  // The state in which `observer` holds `subject`.
+  State StateOf(std::size_t observer, std::size_t subject) {
+    return at(observer).peers().at(names_[subject]).state;
+  }
 
+  // Delivers frames and runs timers in their order, for so much virtual time.
   void RunFor(Time time) {
     const Time until = now + time;
     while (now < until) {
@@ -62,38 +77,23 @@
       if (!queue_.empty()) next = std::min(next, queue_.top().at);
       if (!due_.empty()) next = std::min(next, due_.begin()->first);
       now = std::max(now + std::chrono::microseconds(1), next);
-      while (!queue_.empty() && queue_.top().at <= now) {
-        const Flight flight = queue_.top();
-        queue_.pop();
-        const auto it = members_.find(flight.frame->to);
-        if (it == members_.end()) continue;
-        if (stopped_.contains(flight.frame->to)) {
-          waiting_[flight.frame->to].push_back(flight.frame);
-          continue;
-        }
-        it->second->Receive(*flight.frame, now);
-        Collect(*it->second, flight.frame->to);
-      }
-      while (!due_.empty() && due_.begin()->first <= now) {
-        const std::string name = due_.begin()->second;
-        FailureDetector& member = *members_.at(name);
-        member.Tick(now);
-        // A stopped process finds its datagrams in the socket when it wakes, after its timers.
-        for (const auto& frame : std::exchange(waiting_[name], {})) member.Receive(*frame, now);
-        Collect(member, name);
-      }
+      while (!queue_.empty() && queue_.top().at <= now) DeliverNextFrame();
+      while (!due_.empty() && due_.begin()->first <= now) RunNextTimer();
     }
   }
 
-  struct Told {
+  // A change that a member has reported.
+  struct ReportedChange {
     Time at{};
     std::string by;
     FailureDetector::Change change;
   };
-  std::size_t Deaths(std::size_t of) const {
+  // Times that some member has declared member `i` dead.
+  std::size_t CountDeaths(std::size_t i) const {
     std::size_t count = 0;
-    for (const Told& t : told) {
-      count += t.change.name == names_[of] && !t.change.link && t.change.to == State::kDead;
+    for (const ReportedChange& reported : changes) {
+      const FailureDetector::Change& change = reported.change;
+      count += change.name == names_[i] && !change.link && change.to == State::kDead;
     }
     return count;
   }
@@ -107,20 +107,45 @@
                   {}};
   LinkFault fault;
   Time now = std::chrono::seconds(1);
-  std::vector<Told> told;
-  std::uint64_t frames = 0, bytes = 0;
+  std::vector<ReportedChange> changes;
+  std::uint64_t frames = 0, bytes = 0;  // sent, those that were lost included
 
  private:
-  struct Flight {
+  struct FrameInFlight {
     Time at;
-    std::uint64_t number;
+    std::uint64_t number;  // frames of one time arrive in the order in which they were sent
     std::shared_ptr<const Frame> frame;
-    bool operator<(const Flight& other) const {
+    // The earliest one is the greatest, and so on top of a std::priority_queue.
+    bool operator<(const FrameInFlight& other) const {
       return std::tie(other.at, other.number) < std::tie(at, number);
     }
   };
 
-  void Due(const std::string& name) {
+  void DeliverNextFrame() {
+    const FrameInFlight next = queue_.top();
+    queue_.pop();
+    const std::string& receiver = next.frame->to;
+    const auto it = members_.find(receiver);
+    if (it == members_.end()) return;
+    if (stopped_.contains(receiver)) {
+      waiting_[receiver].push_back(next.frame);
+      return;
+    }
+    it->second->Receive(*next.frame, now);
+    Collect(*it->second, receiver);
+  }
+
+  void RunNextTimer() {
+    const std::string name = due_.begin()->second;
+    FailureDetector& member = *members_.at(name);
+    member.Tick(now);
+    // A process that resumes finds its datagrams in the socket, after its timers.
+    for (const auto& frame : std::exchange(waiting_[name], {})) member.Receive(*frame, now);
+    Collect(member, name);
+  }
+
+  // Schedules the member's next tick, or none where it is ended or paused.
+  void ScheduleTick(const std::string& name) {
     if (const auto it = due_at_.find(name); it != due_at_.end()) due_.erase({it->second, name});
     due_at_.erase(name);
     const auto member = members_.find(name);
@@ -130,25 +155,26 @@
     due_at_[name] = next;
   }
 
+  // Sends what the member has to send and notes its changes.
   void Collect(FailureDetector& member, const std::string& name) {
-    Due(name);
+    ScheduleTick(name);
     for (Frame& frame : member.TakeFrames()) {
       ++frames;
-      bytes += frame.body.size() + kHead + frame.from.size() + frame.to.size();
+      bytes += frame.body.size() + kHeadBytes + frame.from.size() + frame.to.size();
       if (cut_.contains({name, frame.to}) || Chance() < fault.loss) continue;
       const auto shared = std::make_shared<const Frame>(std::move(frame));
-      const int copies = Chance() < fault.twice ? 2 : 1;
+      const int copies = Chance() < fault.duplication ? 2 : 1;
       for (int i = 0; i < copies; ++i) {
-        const Time late = fault.jitter == Time{}
-                              ? Time{}
-                              : Time(static_cast<Time::rep>(random_() % fault.jitter.count()));
-        queue_.push({now + fault.delay + late, next_++, shared});
+        const Time jitter = fault.jitter == Time{}
+                                ? Time{}
+                                : Time(static_cast<Time::rep>(random_() % fault.jitter.count()));
+        queue_.push({now + fault.delay + jitter, next_number_++, shared});
       }
     }
     for (FailureDetector::Change& change : member.TakeChanges())
-      told.push_back({now, name, change});
+      changes.push_back({now, name, change});
   }
-  static constexpr std::size_t kHead = 4 + 2 + 3 + 4 + 16 + 32;  // of a frame in fleet "test"
+  static constexpr std::size_t kHeadBytes = 4 + 2 + 3 + 4 + 16 + 32;  // of a frame in fleet "test"
 
   double Chance() { return static_cast<double>(random_() % 1000000) / 1e6; }
 
@@ -160,8 +186,8 @@
   std::map<std::string, Time> due_at_;
   std::map<std::string, std::vector<std::shared_ptr<const Frame>>> waiting_;
   std::set<std::pair<std::string, std::string>> cut_;
-  std::priority_queue<Flight> queue_;
-  std::uint64_t next_ = 0;
+  std::priority_queue<FrameInFlight> queue_;
+  std::uint64_t next_number_ = 0;
 };
 
 }  // namespace brassfront::peers
