Document frames, roster, signing and encoding in the field's terms

Comments of the shared headers spoke of words, lives and what is told. They now say units, errors, ownership and threads; results that must be used are [[nodiscard]].

--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -116,7 +116,7 @@
   raft_->adapter.RunCompletions();
 }
 
-void RaftNode::Propose(std::string command, Done done) {
+void RaftNode::Propose(std::string_view command, Done done) {
   if (command.size() > kMaxCommandBytes) return done(Outcome::kTooLong);
   if (!leads()) return done(Outcome::kNotLeader);
   struct Request {
--- a/src/consensus/raft_node.hpp
+++ b/src/consensus/raft_node.hpp
@@ -81,7 +81,7 @@
   std::vector<Message> TakeMessages() { return std::exchange(messages_, {}); }
 
   // `done` is called once, during this call or a later one.
-  void Propose(std::string command, Done done);
+  void Propose(std::string_view command, Done done);
   // The roster's voters have changed; the leader brings the configuration there, one server at a
   // time.
   void SetVoters(std::vector<std::string> voters) { options_.voters = std::move(voters); }
--- a/src/peers/bytes.hpp
+++ b/src/peers/bytes.hpp
@@ -1,20 +1,24 @@
-// Numbers and short texts in network order, for what forwarders say to each other and keep.
+// Numbers in network order and length-prefixed texts: the encoding of all frames between forwarders
+// and of what a fleet member stores.
 #ifndef BRASSFRONT_PEERS_BYTES_HPP_
 #define BRASSFRONT_PEERS_BYTES_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace brassfront::peers {
 
+// Appends to a string of its own.
 class Writer {
  public:
   Writer& U8(std::uint64_t value) { return Number(value, 1); }
   Writer& U16(std::uint64_t value) { return Number(value, 2); }
   Writer& U32(std::uint64_t value) { return Number(value, 4); }
   Writer& U64(std::uint64_t value) { return Number(value, 8); }
-  // With its length before it: of a name 255 bytes at most, of a text 2^32 - 1.
+  // With its length before it: a name has 255 bytes at most, a text 2^32 - 1.
   Writer& Name(std::string_view name) { return U8(name.size()).Raw(name); }
   Writer& Text(std::string_view text) { return U32(text.size()).Raw(text); }
   Writer& Raw(std::string_view bytes) {
@@ -23,7 +27,7 @@
   }
   [[nodiscard]] std::size_t size() const { return bytes_.size(); }
   [[nodiscard]] const std::string& bytes() const { return bytes_; }
-  std::string Take() { return std::move(bytes_); }
+  [[nodiscard]] std::string Take() { return std::move(bytes_); }
 
  private:
   Writer& Number(std::uint64_t value, int bytes) {
@@ -33,7 +37,8 @@
   std::string bytes_;
 };
 
-// Reads what Writer wrote. What is not there reads as nothing and leaves it broken.
+// Reads what Writer has written, from bytes that outlive it. What is missing reads as zero or empty
+// and leaves the reader broken for good, so that a decoder checks once, by done(), at its end.
 class Reader {
  public:
   explicit Reader(std::string_view bytes) : left_(bytes) {}
--- a/src/peers/frame.hpp
+++ b/src/peers/frame.hpp
@@ -3,7 +3,8 @@
 //   length u32 | version u8 | kind u8 | fleet, from, to: names | identity u64 | incarnation u64 |
 //   body | HMAC-SHA256 of all before it, 32 bytes
 //
-// All numbers in network order; the length counts the whole frame.
+// All numbers in network order, each name with its length (u8) before it; the length counts the
+// whole frame. The functions keep no state; any thread may call them.
 #ifndef BRASSFRONT_PEERS_FRAME_HPP_
 #define BRASSFRONT_PEERS_FRAME_HPP_
 
@@ -14,20 +15,22 @@
 namespace brassfront::peers {
 
 inline constexpr std::uint8_t kFrameVersion = 1;
-inline constexpr std::size_t kMostFrame = 60 * 1024;  // bytes; a datagram holds 65507
+// In bytes; a UDP datagram over IPv4 holds 65507.
+inline constexpr std::size_t kMostFrame = 60 * 1024;
 
+// What a frame's body is. The values are those on the wire.
 enum class Kind : std::uint8_t {
-  kPing = 1,  // the detector's, as are the next two
+  kPing = 1,  // the failure detector's, as are the next two (swim_messages.hpp)
   kAck,
   kPingReq,
-  kSettled,  // the settled log's, between voters
-  kFound,    // the first configuration of the settled log
+  kSettled,  // a Raft message between voters
+  kFound,    // a message of the Raft cluster's bootstrap
   kAsk,      // a command for the leader
   kReply,    // what became of it
-  kNews,     // the settled state, asked for and told
-  kWant,     // for the grantor of limits: what a member wants of each
+  kNews,     // a request for the replicated state, or its answer
+  kWant,     // a lease request for the grantor of limits
   kGrant,    // its answer
-  kWords,    // what a member's own calls have shown of endpoints
+  kWords,    // health reports on endpoints from a member's own calls
 };
 inline constexpr std::uint8_t kLastKind = static_cast<std::uint8_t>(Kind::kWords);
 
@@ -35,18 +38,22 @@
   Kind kind = Kind::kPing;
   std::string from, to;           // members' names
   std::uint64_t identity = 0;     // of the sender's folder
-  std::uint64_t incarnation = 0;  // of the sender: its starts, and its denials since then
+  std::uint64_t incarnation = 0;  // of the sender (member_state.hpp)
   std::string body;
 };
 
-// Why a frame is dropped. A wrong version is told before a wrong signature, for an old member.
+// Why a frame is dropped. A wrong version is reported before a wrong signature, so that a member of
+// an older version is told from one with another key.
 enum class Drop { kNone, kShort, kVersion, kKind, kSignature, kFleet, kNotForUs };
-const char* ToString(Drop drop);
-
-std::string Encode(const Frame& frame, std::string_view fleet, std::string_view secret);
-// The frame is whole only with kNone; `from` may be filled in else, for the log, and be a lie.
-Drop Decode(std::string_view bytes, std::string_view fleet, std::string_view secret,
-            std::string_view self, Frame& frame);
+[[nodiscard]] const char* ToString(Drop drop);
+
+// Signs the frame with the fleet's secret (bytes).
+[[nodiscard]] std::string Encode(const Frame& frame, std::string_view fleet,
+                                 std::string_view secret);
+// Fills `frame` for the member `self`. It may be used only with kNone; otherwise `from` may be set,
+// for the log, but is not authenticated.
+[[nodiscard]] Drop Decode(std::string_view bytes, std::string_view fleet, std::string_view secret,
+                          std::string_view self, Frame& frame);
 
 }  // namespace brassfront::peers
 
--- a/src/peers/member_state.hpp
+++ b/src/peers/member_state.hpp
@@ -2,7 +2,7 @@
 // belief is about.
 //
 //   kUnknown --frame or update--> kAlive <--frame, refutation--> kSuspect --timeout--> kDead
-//   any of them --good-bye--> kLeft; kDead and kLeft --higher incarnation--> kAlive
+//   kUnknown, kAlive, kSuspect --good-bye--> kLeft; kDead, kLeft --higher incarnation--> kAlive
 //
 // docs/design/peers.md has the whole diagram.
 #ifndef BRASSFRONT_PEERS_MEMBER_STATE_HPP_
--- a/src/peers/random.hpp
+++ b/src/peers/random.hpp
@@ -1,4 +1,5 @@
-// Numbers drawn from a seed alone (SplitMix64; Steele, Lea, Flood 2014): the same on every machine.
+// Pseudo-random numbers from a seed alone (SplitMix64; Steele, Lea, Flood 2014): the same sequence
+// on every machine and with every standard library. Not for secrets.
 #ifndef BRASSFRONT_PEERS_RANDOM_HPP_
 #define BRASSFRONT_PEERS_RANDOM_HPP_
 
@@ -10,11 +11,13 @@
  public:
   explicit Random(std::uint64_t seed) : state_(seed) {}
 
-  std::uint64_t Below(std::uint64_t bound) {
-    std::uint64_t z = state_ += 0x9E3779B97F4A7C15;
-    z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9;
-    z = (z ^ (z >> 27)) * 0x94D049BB133111EB;
-    return (z ^ (z >> 31)) % bound;
+  // From 0 to bound - 1; `bound` is not 0. The bias of the remainder is negligible for bounds of a
+  // fleet's size.
+  [[nodiscard]] std::uint64_t Below(std::uint64_t bound) {
+    std::uint64_t mixed = state_ += 0x9E3779B97F4A7C15;
+    mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EB;
+    return (mixed ^ (mixed >> 31)) % bound;
   }
 
  private:
