--- a/tests/fleet/raft_node_test.cpp
+++ b/tests/fleet/raft_node_test.cpp
@@ -21,7 +21,7 @@
 using std::chrono::seconds;
 
 // Committed commands in their order.
-class List : public StateMachine {
+class CommandList : public StateMachine {
  public:
   void Apply(std::string_view command) override { all.emplace_back(command); }
   std::string Save() const override {
@@ -43,7 +43,7 @@
 struct Voter {
   std::uint64_t id = 0;
   MemoryStore store;
-  List list;
+  CommandList list;
   std::unique_ptr<RaftNode> raft_node;
   bool stopped = false;
 };
@@ -71,6 +71,7 @@
     v.stopped = false;
   }
   void Kill(const std::string& name) { voters_[name].raft_node.reset(); }
+  // The voter comes back with another id and an empty store.
   void LoseFolder(const std::string& name) {
     voters_[name].store.Clear();
     voters_[name].id = ++last_id_;
@@ -89,13 +90,13 @@
   void RunFor(Time time) {
     for (const Time until = now + time; now < until;) {
       now += milliseconds(5);
-      std::vector<Flight> due;
-      std::erase_if(flights_, [&](Flight& f) {
+      std::vector<MessageInFlight> due;
+      std::erase_if(in_flight_, [&](MessageInFlight& f) {
         if (f.at > now) return false;
         due.push_back(std::move(f));
         return true;
       });
-      for (Flight& f : due) {
+      for (MessageInFlight& f : due) {
         Voter& to = voters_[f.message.to];
         if (to.raft_node == nullptr || to.stopped) continue;
         to.raft_node->Receive(f.from, f.id, f.message.founding, f.message.body, now);
@@ -125,7 +126,7 @@
     for (int i = 0; i < 400 && Leader().empty(); ++i) RunFor(milliseconds(50));
     return Leader();
   }
-  // What became of it, if that was told.
+  // Its outcome, once that is known.
   std::shared_ptr<std::optional<RaftNode::Outcome>> Propose(const std::string& to,
                                                             const std::string& command) {
     auto outcome = std::make_shared<std::optional<RaftNode::Outcome>>();
@@ -133,7 +134,9 @@
     Collect(to);
     return outcome;
   }
-  bool Settle(const std::string& command) {
+  // Proposes to whoever leads until the command is committed. False if none leads for 20 s, or
+  // after 100 attempts.
+  bool Commit(const std::string& command) {
     for (int i = 0; i < 100; ++i) {
       const std::string leader = AwaitLeader();
       if (leader.empty()) return false;
@@ -143,7 +146,7 @@
     }
     return false;
   }
-  // One is a beginning of the other: nobody ever believes another order.
+  // Of any two logs one is a prefix of the other.
   void CheckSameOrder() const {
     for (const auto& [a, one] : voters_) {
       for (const auto& [b, other] : voters_) {
@@ -159,7 +162,7 @@
   double loss = 0;
 
  private:
-  struct Flight {
+  struct MessageInFlight {
     Time at;
     std::string from;
     std::uint64_t id;
@@ -170,7 +173,7 @@
       if (cut_.contains({name, m.to}) || static_cast<double>(random_() % 1000) < loss * 1000) {
         continue;
       }
-      flights_.push_back({now + milliseconds(1 + random_() % 10), name, voters_[name].id, m});
+      in_flight_.push_back({now + milliseconds(1 + random_() % 10), name, voters_[name].id, m});
     }
   }
 
@@ -178,128 +181,128 @@
   std::vector<std::string> names_;
   std::map<std::string, Voter> voters_;
   std::set<std::pair<std::string, std::string>> cut_;
-  std::vector<Flight> flights_;
+  std::vector<MessageInFlight> in_flight_;
   std::uint64_t last_id_ = 0;
 };
 
 TEST_CASE("voters with empty folders bootstrap one log, and commands commit in one order") {
   for (const std::size_t count : {3U, 5U, 7U}) {
-    SimulatedVoters p(count, count);
-    CHECK_FALSE(p.AwaitLeader().empty());
-    for (int i = 0; i < 200; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
-    p.RunFor(seconds(2));
-    p.CheckSameOrder();
-    CHECK(p.at("v1").list.all.size() == 200);
-    CHECK(p.at("v1").store.works);
+    SimulatedVoters cluster(count, count);
+    CHECK_FALSE(cluster.AwaitLeader().empty());
+    for (int i = 0; i < 200; ++i) REQUIRE(cluster.Commit("c" + std::to_string(i)));
+    cluster.RunFor(seconds(2));
+    cluster.CheckSameOrder();
+    CHECK(cluster.at("v1").list.all.size() == 200);
+    CHECK(cluster.at("v1").store.works);
   }
 }
 
 TEST_CASE("no cluster is bootstrapped while a voter is missing") {
-  SimulatedVoters p(3);
-  p.Kill("v2");
-  p.RunFor(seconds(10));
-  CHECK_FALSE(p.at("v0").raft_node->bootstrapped());
-  p.Start("v2");
-  CHECK_FALSE(p.AwaitLeader().empty());
+  SimulatedVoters cluster(3);
+  cluster.Kill("v2");
+  cluster.RunFor(seconds(10));
+  CHECK_FALSE(cluster.at("v0").raft_node->bootstrapped());
+  cluster.Start("v2");
+  CHECK_FALSE(cluster.AwaitLeader().empty());
 }
 
 TEST_CASE("committed commands survive the loss of the leader, and restarts of all") {
-  SimulatedVoters p(3, 7);
-  for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("a" + std::to_string(i)));
-  p.Kill(p.Leader());
-  p.RunFor(seconds(3));
-  REQUIRE(p.Settle("after"));
+  SimulatedVoters cluster(3, 7);
+  for (int i = 0; i < 60; ++i) REQUIRE(cluster.Commit("a" + std::to_string(i)));
+  cluster.Kill(cluster.Leader());
+  cluster.RunFor(seconds(3));
+  REQUIRE(cluster.Commit("after"));
   for (const char* name : {"v0", "v1", "v2"}) {
-    p.Kill(name);
-    p.Start(name);
+    cluster.Kill(name);
+    cluster.Start(name);
   }
-  REQUIRE(p.Settle("last"));
-  p.RunFor(seconds(3));
-  p.CheckSameOrder();
-  for (const char* name : {"v0", "v1", "v2"}) CHECK(p.at(name).list.all.back() == "last");
+  REQUIRE(cluster.Commit("last"));
+  cluster.RunFor(seconds(3));
+  cluster.CheckSameOrder();
+  for (const char* name : {"v0", "v1", "v2"}) CHECK(cluster.at(name).list.all.back() == "last");
 }
 
 TEST_CASE("a minority commits nothing, and its leader steps down") {
-  SimulatedVoters p(5, 9);
-  REQUIRE(p.Settle("one"));
-  const std::string old = p.Leader();
+  SimulatedVoters cluster(5, 9);
+  REQUIRE(cluster.Commit("one"));
+  const std::string old = cluster.Leader();
   for (const char* name : {"v0", "v1", "v2", "v3", "v4"}) {
-    if (name != old) p.Cut(old, name);
+    if (name != old) cluster.Cut(old, name);
   }
-  const auto lost = p.Propose(old, "lost");
-  p.RunFor(seconds(5));
+  const auto lost = cluster.Propose(old, "lost");
+  cluster.RunFor(seconds(5));
   CHECK(lost->value_or(RaftNode::Outcome::kUnknown) == RaftNode::Outcome::kUnknown);
-  CHECK_FALSE(p.at(old).raft_node->leads());
-  REQUIRE(p.Settle("two"));
-  p.Heal();
-  REQUIRE(p.Settle("three"));
-  p.RunFor(seconds(3));
-  p.CheckSameOrder();
-  CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two", "three"});
+  CHECK_FALSE(cluster.at(old).raft_node->leads());
+  REQUIRE(cluster.Commit("two"));
+  cluster.Heal();
+  REQUIRE(cluster.Commit("three"));
+  cluster.RunFor(seconds(3));
+  cluster.CheckSameOrder();
+  CHECK(cluster.at(old).list.all == std::vector<std::string>{"one", "two", "three"});
 }
 
 TEST_CASE("a paused leader that resumes commits nothing on its own") {
-  SimulatedVoters p(3, 11);
-  REQUIRE(p.Settle("one"));
-  const std::string old = p.Leader();
-  p.at(old).stopped = true;
-  p.RunFor(seconds(5));
-  REQUIRE(p.Settle("two"));
-  p.at(old).stopped = false;
-  const auto late = p.Propose(old, "late");
-  p.RunFor(seconds(5));
+  SimulatedVoters cluster(3, 11);
+  REQUIRE(cluster.Commit("one"));
+  const std::string old = cluster.Leader();
+  cluster.at(old).stopped = true;
+  cluster.RunFor(seconds(5));
+  REQUIRE(cluster.Commit("two"));
+  cluster.at(old).stopped = false;
+  const auto late = cluster.Propose(old, "late");
+  cluster.RunFor(seconds(5));
   CHECK(*late != RaftNode::Outcome::kSettled);
-  p.CheckSameOrder();
-  CHECK(p.at(old).list.all == std::vector<std::string>{"one", "two"});
+  cluster.CheckSameOrder();
+  CHECK(cluster.at(old).list.all == std::vector<std::string>{"one", "two"});
 }
 
 TEST_CASE("a voter with an empty folder has no vote until the leader has added it") {
-  SimulatedVoters p(3, 13);
-  REQUIRE(p.Settle("one"));
-  const std::string leader = p.Leader();
+  SimulatedVoters cluster(3, 13);
+  REQUIRE(cluster.Commit("one"));
+  const std::string leader = cluster.Leader();
   std::string lost = leader == "v1" ? "v2" : "v1", last = "v0";
   if (leader == "v0") last = lost == "v1" ? "v2" : "v1";
   // The only other copy of what is settled goes away, and the one that held it has forgotten.
-  p.Kill(last);
-  p.RunFor(milliseconds(50));
-  REQUIRE(p.Settle("two"));  // by the leader and the one that will lose it
-  p.Kill(leader);
-  p.Kill(lost);
-  p.LoseFolder(lost);
-  p.Start(lost);
-  p.Start(last);
-  p.RunFor(seconds(20));
-  CHECK(p.Leader().empty());  // the two must not settle anything without "two"
-  p.Start(leader);
-  REQUIRE(p.Settle("three"));
-  p.RunFor(seconds(10));
-  p.CheckSameOrder();
-  CHECK(p.at(lost).list.all == std::vector<std::string>{"one", "two", "three"});
+  cluster.Kill(last);
+  cluster.RunFor(milliseconds(50));
+  REQUIRE(cluster.Commit("two"));  // by the leader and the one that will lose it
+  cluster.Kill(leader);
+  cluster.Kill(lost);
+  cluster.LoseFolder(lost);
+  cluster.Start(lost);
+  cluster.Start(last);
+  cluster.RunFor(seconds(20));
+  CHECK(cluster.Leader().empty());  // the two must not settle anything without "two"
+  cluster.Start(leader);
+  REQUIRE(cluster.Commit("three"));
+  cluster.RunFor(seconds(10));
+  cluster.CheckSameOrder();
+  CHECK(cluster.at(lost).list.all == std::vector<std::string>{"one", "two", "three"});
   // Let in again, under its new id, it votes.
   bool votes = false;
-  for (const Server& server : p.at(p.Leader()).raft_node->servers()) {
-    votes |= server.name == lost && server.id == p.at(lost).id && server.role == 1;
+  for (const Server& server : cluster.at(cluster.Leader()).raft_node->servers()) {
+    votes |= server.name == lost && server.id == cluster.at(lost).id && server.role == 1;
   }
   CHECK(votes);
 }
 
 TEST_CASE("commands commit in one order with loss on every link") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-    SimulatedVoters p(5, seed);
-    p.loss = 0.2;
-    for (int i = 0; i < 60; ++i) REQUIRE(p.Settle("c" + std::to_string(i)));
-    p.loss = 0;
-    p.RunFor(seconds(5));
-    p.CheckSameOrder();
+    SimulatedVoters cluster(5, seed);
+    cluster.loss = 0.2;
+    for (int i = 0; i < 60; ++i) REQUIRE(cluster.Commit("c" + std::to_string(i)));
+    cluster.loss = 0;
+    cluster.RunFor(seconds(5));
+    cluster.CheckSameOrder();
   }
 }
 
 TEST_CASE(
     "random kills, cuts, pauses and lost folders leave one order with all acknowledged commands") {
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    SimulatedVoters p(5, seed);
+    SimulatedVoters cluster(5, seed);
     std::mt19937_64 random(seed);
-    REQUIRE_FALSE(p.AwaitLeader().empty());
+    REQUIRE_FALSE(cluster.AwaitLeader().empty());
     std::vector<std::pair<std::string, std::shared_ptr<std::optional<RaftNode::Outcome>>>> asked;
     const auto name = [&] { return "v" + std::to_string(random() % 5); };
     std::size_t lost = 0;
@@ -307,62 +310,62 @@
     for (int step = 0; step < 150; ++step) {
       switch (random() % 8) {
         case 0:
-          p.Kill(name());
+          cluster.Kill(name());
           break;
         case 1:
-          p.at(name()).stopped = true;
+          cluster.at(name()).stopped = true;
           break;
         case 2:
-          p.Cut(name(), name());
+          cluster.Cut(name(), name());
           break;
         case 3:
-          if (random() % 6 == 0 && p.now - lost_at > seconds(30) && lost < 3) {
+          if (random() % 6 == 0 && cluster.now - lost_at > seconds(30) && lost < 3) {
             // One folder at a time, and never before the last was let in again.
-            p.Heal();
+            cluster.Heal();
             for (int i = 0; i < 5; ++i) {
               const std::string each = "v" + std::to_string(i);
-              p.at(each).stopped = false;
-              if (p.at(each).raft_node == nullptr) p.Start(each);
+              cluster.at(each).stopped = false;
+              if (cluster.at(each).raft_node == nullptr) cluster.Start(each);
             }
-            p.RunFor(seconds(10));
+            cluster.RunFor(seconds(10));
             const std::string who = name();
-            p.Kill(who);
-            p.LoseFolder(who);
-            p.Start(who);
-            lost_at = p.now;
+            cluster.Kill(who);
+            cluster.LoseFolder(who);
+            cluster.Start(who);
+            lost_at = cluster.now;
             ++lost;
-            p.RunFor(seconds(10));
+            cluster.RunFor(seconds(10));
           }
           break;
         case 4:
-          p.Heal();
+          cluster.Heal();
           break;
         case 5: {
           const std::string who = name();
-          if (p.at(who).raft_node == nullptr) p.Start(who);
-          p.at(who).stopped = false;
+          if (cluster.at(who).raft_node == nullptr) cluster.Start(who);
+          cluster.at(who).stopped = false;
           break;
         }
         default: {
-          const std::string leader = p.Leader();
+          const std::string leader = cluster.Leader();
           if (leader.empty()) break;
           const std::string command = "c" + std::to_string(step);
-          asked.emplace_back(command, p.Propose(leader, command));
+          asked.emplace_back(command, cluster.Propose(leader, command));
         }
       }
-      p.RunFor(milliseconds(random() % 900));
-      p.CheckSameOrder();
+      cluster.RunFor(milliseconds(random() % 900));
+      cluster.CheckSameOrder();
     }
-    p.Heal();
+    cluster.Heal();
     for (int i = 0; i < 5; ++i) {
       const std::string each = "v" + std::to_string(i);
-      p.at(each).stopped = false;
-      if (p.at(each).raft_node == nullptr) p.Start(each);
+      cluster.at(each).stopped = false;
+      if (cluster.at(each).raft_node == nullptr) cluster.Start(each);
     }
-    REQUIRE(p.Settle("end"));
-    p.RunFor(seconds(10));
-    p.CheckSameOrder();
-    const auto& all = p.at(p.Leader()).list.all;
+    REQUIRE(cluster.Commit("end"));
+    cluster.RunFor(seconds(10));
+    cluster.CheckSameOrder();
+    const auto& all = cluster.at(cluster.Leader()).list.all;
     for (const auto& [command, outcome] : asked) {
       const auto times = std::count(all.begin(), all.end(), command);
       CHECK(times <= 1);
@@ -372,21 +375,21 @@
 }
 
 TEST_CASE("a full disk breaks one voter and not the others") {
-  SimulatedVoters p(3, 17);
-  REQUIRE(p.Settle("one"));
-  const std::string full = p.Leader() == "v1" ? "v2" : "v1";
-  p.at(full).store.works = false;
-  REQUIRE(p.Settle("two"));
-  p.RunFor(seconds(3));
+  SimulatedVoters cluster(3, 17);
+  REQUIRE(cluster.Commit("one"));
+  const std::string full = cluster.Leader() == "v1" ? "v2" : "v1";
+  cluster.at(full).store.works = false;
+  REQUIRE(cluster.Commit("two"));
+  cluster.RunFor(seconds(3));
   // Its owner waits for nothing: a tick that lay in the past kept a core busy.
-  REQUIRE(p.at(full).raft_node->broken());
-  CHECK(p.at(full).raft_node->Next() > p.now);
-  p.at(full).store.works = true;
-  p.Kill(full);
-  p.Start(full);
-  REQUIRE(p.Settle("three"));
-  p.RunFor(seconds(3));
-  CHECK(p.at(full).list.all == std::vector<std::string>{"one", "two", "three"});
+  REQUIRE(cluster.at(full).raft_node->broken());
+  CHECK(cluster.at(full).raft_node->Next() > cluster.now);
+  cluster.at(full).store.works = true;
+  cluster.Kill(full);
+  cluster.Start(full);
+  REQUIRE(cluster.Commit("three"));
+  cluster.RunFor(seconds(3));
+  CHECK(cluster.at(full).list.all == std::vector<std::string>{"one", "two", "three"});
 }
 
 // ---- the store in files ----
