--- a/src/peers/failure_detector.cpp
+++ b/src/peers/failure_detector.cpp
@@ -134,13 +134,14 @@
   };
   std::optional<std::string> target = probe_round_.Next(peers_, random_, eligible);
   if (!target) return;
-  DirectProbe& probe = probe_.emplace();
+  DirectProbe probe;
   probe.target = *std::move(target);
   probe.sequence = next_sequence_++;
   probe.request_indirect_at = now + local_health_.Scale(timings_.answer);
   probe.ends = now + local_health_.Scale(timings_.probe);
+  probe_ = std::move(probe);
   ++counts_.probes;
-  Send(probe.target, Ping{probe.sequence});
+  Send(probe_->target, Ping{probe_->sequence});
 }
 
 void FailureDetector::PingRandomSuspect() {
--- a/src/peers/frame.hpp
+++ b/src/peers/frame.hpp
@@ -8,6 +8,7 @@
 #ifndef BRASSFRONT_PEERS_FRAME_HPP_
 #define BRASSFRONT_PEERS_FRAME_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,7 +17,7 @@
 
 inline constexpr std::uint8_t kFrameVersion = 1;
 // In bytes; a UDP datagram over IPv4 holds 65507.
-inline constexpr std::size_t kMostFrame = 60 * 1024;
+inline constexpr std::size_t kMostFrame = std::size_t{60} * 1024;
 
 // What a frame's body is. The values are those on the wire.
 enum class Kind : std::uint8_t {
