--- a/src/peers/failure_detector.cpp
+++ b/src/peers/failure_detector.cpp
@@ -1,393 +1,389 @@
 #include "peers/failure_detector.hpp"
 
 #include <algorithm>
-#include <bit>
+#include <chrono>
 #include <utility>
-
-#include "peers/bytes.hpp"
+#include <variant>
 
 namespace brassfront::peers {
 namespace {
 
-using std::chrono::milliseconds;
-
-constexpr std::size_t kMostWords = 8;     // in a frame
-constexpr std::size_t kMostErrands = 64;  // probes for others at once
-constexpr std::size_t kHelpers = 3;       // asked to probe for us
-constexpr std::size_t kMostDoubt = 8;
-constexpr std::size_t kMissedForLink = 3;  // direct probes in a row
-constexpr std::uint64_t kAbsentEvery = 5;  // periods between probes of one that is not present
-constexpr std::size_t kSpreadFactor = 3;   // times log2 of the fleet's size a word is told
-constexpr Time kPause =
-    milliseconds(400);  // and twice `probe`: a tick so late means we stood still
+// Probes done for others at once: bounds the memory and the frames that ping-reqs can cause here.
+constexpr std::size_t kMaxIndirectProbes = 64;
+// Periods after which the requester of an indirect probe no longer waits: its own time limit is
+// stretched to nine periods at most (LocalHealth).
+constexpr int kIndirectProbePeriods = 10;
+// Proxies asked for one probe: SWIM's k.
+constexpr std::size_t kIndirectProxies = 3;
+// Peers to whom a good-bye is sent; gossip takes it to the others.
+constexpr std::size_t kLeaveReceivers = 2 * kIndirectProxies;
+// Direct probes missed in a row before the link is reported. A round of probes takes one period for
+// each member: with this, a cut link is reported within 3 x n x probe.
+constexpr std::size_t kMissesBeforeLinkFault = 3;
+// Periods between two pings of peers that are dead, gone or not yet heard: somebody must notice
+// that a partition has healed.
+constexpr std::uint64_t kPeriodsPerAbsentProbe = 5;
+// A tick that is later than this, and than twice `probe`, means that the process was paused: a tick
+// is due every `probe` at least.
+constexpr Time kPauseThreshold = std::chrono::milliseconds(400);
+// A pause is a reason for self-doubt as two missed probes are.
+constexpr std::size_t kScorePerPause = 2;
+
+bool IsPresent(State state) { return state == State::kAlive || state == State::kSuspect; }
+bool IsGone(State state) { return state == State::kDead || state == State::kLeft; }
 
 }  // namespace
 
-const char* ToString(State state) {
-  constexpr const char* kNames[] = {"unknown", "alive", "suspect", "dead", "left"};
-  return kNames[static_cast<std::size_t>(state)];
-}
-
-const char* ToString(Link link) {
-  constexpr const char* kNames[] = {"whole", "one-way", "indirect"};
-  return kNames[static_cast<std::size_t>(link)];
-}
-
 FailureDetector::FailureDetector(const Timings& timings, std::string self,
                                  const std::vector<std::string>& members, std::uint64_t identity,
                                  std::uint64_t process_incarnation, std::uint64_t seed)
     : timings_(timings),
       self_(std::move(self)),
       identity_(identity),
-      incarnation_(IncarnationOf(process_incarnation)),
+      incarnation_(FirstIncarnation(process_incarnation)),
       random_(seed) {
   SetMembers(members);
 }
 
 void FailureDetector::SetMembers(const std::vector<std::string>& members) {
-  const std::set<std::string> names(members.begin(), members.end());
+  std::set<std::string> names(members.begin(), members.end());
+  names.erase(self_);
   std::erase_if(peers_, [&](const auto& entry) { return !names.contains(entry.first); });
-  std::erase_if(to_spread_, [&](const auto& entry) {
-    return entry.first != self_ && !names.contains(entry.first);
-  });
   std::erase_if(suspects_, [&](const std::string& name) { return !names.contains(name); });
-  for (const std::string& name : names) {
-    if (name != self_) peers_.try_emplace(name);
-  }
-  round_.clear();
+  for (const std::string& name : names) peers_.try_emplace(name);
+  probe_round_.Restart();
   if (probe_ && !peers_.contains(probe_->target)) probe_.reset();
+  names.insert(self_);
+  gossip_.Retain(names);
 }
 
 // ======== time ========
 
 Time FailureDetector::Next() const {
   if (left_) return Time::max();
-  Time next = next_probe_;
+  Time next = next_period_;
   if (probe_ && !probe_->answered) {
-    next = std::min(next, probe_->asked ? probe_->ends : probe_->ask_others);
+    next = std::min(next, probe_->indirect_requested ? probe_->ends : probe_->request_indirect_at);
   }
-  for (const std::string& name : suspects_) next = std::min(next, peers_.at(name).dead_at);
+  for (const std::string& name : suspects_) next = std::min(next, peers_.at(name).suspicion_ends);
   return next;
 }
 
 void FailureDetector::Tick(Time now) {
   if (left_) return;
-  // Guards against a process that was stopped, wakes up and takes all others for dead.
-  if (last_tick_ && now - *last_tick_ > std::max(kPause, 2 * timings_.probe)) {
-    const Time gap = now - *last_tick_;
-    ++counts_.pauses;
-    probe_.reset();
-    next_probe_ = now;
-    doubt_ = std::min(kMostDoubt, doubt_ + 2);
-    for (const std::string& name : suspects_) peers_.at(name).dead_at += gap;
-  }
+  RecoverFromPause(now);
   last_tick_ = now;
-  std::erase_if(errands_, [&](const Errand& errand) { return errand.ends <= now; });
-  if (probe_ && !probe_->answered && !probe_->asked && now >= probe_->ask_others) {
-    probe_->asked = true;
-    ++counts_.asked_others;
-    for (const std::string& helper : Some(kHelpers, probe_->target)) {
-      ++probe_->helpers;
-      Writer body;
-      body.U32(probe_->number).Name(probe_->target);
-      Send(Kind::kPingReq, helper, std::move(body));
-    }
+  std::erase_if(indirect_probes_, [&](const IndirectProbe& probe) { return probe.ends <= now; });
+  if (probe_ && !probe_->answered && !probe_->indirect_requested &&
+      now >= probe_->request_indirect_at) {
+    RequestIndirectProbes();
+  }
+  if (probe_ && now >= probe_->ends) EndDirectProbe(now);
+  ExpireSuspicions(now);
+  if (now >= next_period_) {
+    if (probe_) EndDirectProbe(now);
+    StartPeriod(now);
+    next_period_ = now + timings_.probe;
   }
-  if (probe_ && now >= probe_->ends) EndProbe(now);
-  for (const std::string& name : std::vector(suspects_.begin(), suspects_.end())) {
+}
+
+// After a pause acks and refutations may wait in the socket: what was open is not judged, and every
+// suspicion lasts for as much longer as the pause did.
+void FailureDetector::RecoverFromPause(Time now) {
+  if (!last_tick_) return;
+  const Time gap = now - *last_tick_;
+  if (gap <= std::max(kPauseThreshold, 2 * timings_.probe)) return;
+  ++counts_.pauses;
+  probe_.reset();
+  next_period_ = now;
+  local_health_.Worsen(kScorePerPause);
+  for (const std::string& name : suspects_) peers_.at(name).suspicion_ends += gap;
+}
+
+void FailureDetector::ExpireSuspicions(Time now) {
+  const std::vector<std::string> names(suspects_.begin(), suspects_.end());
+  for (const std::string& name : names) {
     Peer& peer = peers_.at(name);
-    if (now >= peer.dead_at) Set(name, peer, State::kDead, peer.incarnation);
+    if (now >= peer.suspicion_ends) SetState(name, peer, State::kDead, peer.incarnation);
   }
-  if (now >= next_probe_) {
-    if (probe_) EndProbe(now);
-    StartProbe(now);
-    next_probe_ = now + timings_.probe;
+}
+
+void FailureDetector::Leave(Time now) {
+  Tick(now);
+  left_ = true;
+  for (const std::string& name : ChooseAlivePeers(kLeaveReceivers, "")) {
+    gossip_.DisseminateOnce(self_);
+    SendPing(name);
   }
 }
 
-void FailureDetector::StartProbe(Time now) {
+// ======== probes ========
+
+void FailureDetector::StartPeriod(Time now) {
   ++periods_;
-  if (const auto target = NextTarget()) {
-    probe_ = Outstanding{*target, next_number_++, now + Stretched(timings_.answer),
-                         now + Stretched(timings_.probe)};
-    ++counts_.probes;
-    Ping(*target, probe_->number);
-  }
-  // A suspect gets more chances, and those that are away are asked now and then: a healed partition
-  // must be noticed by somebody.
-  if (!suspects_.empty()) {
-    Ping(
-        *std::next(suspects_.begin(), static_cast<std::ptrdiff_t>(random_.Below(suspects_.size()))),
-        next_number_++);
-  }
-  if (probe_ && periods_ % kAbsentEvery != 0) return;
+  StartDirectProbe(now);
+  // A suspect gets more chances to refute than its turn in the round.
+  if (!suspects_.empty()) PingRandomSuspect();
+  if (!probe_ || periods_ % kPeriodsPerAbsentProbe == 0) PingRandomAbsentPeer();
+}
+
+void FailureDetector::StartDirectProbe(Time now) {
+  const auto eligible = [&](const std::string& name) {
+    const auto it = peers_.find(name);
+    return it != peers_.end() && !IsGone(it->second.state);
+  };
+  std::optional<std::string> target = probe_round_.Next(peers_, random_, eligible);
+  if (!target) return;
+  DirectProbe probe;
+  probe.target = *std::move(target);
+  probe.sequence = next_sequence_++;
+  probe.request_indirect_at = now + local_health_.Scale(timings_.answer);
+  probe.ends = now + local_health_.Scale(timings_.probe);
+  probe_ = std::move(probe);
+  ++counts_.probes;
+  Send(probe_->target, Ping{probe_->sequence});
+}
+
+void FailureDetector::PingRandomSuspect() {
+  const auto index = static_cast<std::ptrdiff_t>(random_.Below(suspects_.size()));
+  SendPing(*std::next(suspects_.begin(), index));
+}
+
+void FailureDetector::PingRandomAbsentPeer() {
   std::vector<std::string> absent;
   for (const auto& [name, peer] : peers_) {
-    if (!IsPresent(peer) && !(probe_ && name == probe_->target)) absent.push_back(name);
+    const bool is_probed = probe_ && name == probe_->target;
+    if (!IsPresent(peer.state) && !is_probed) absent.push_back(name);
   }
-  if (!absent.empty()) Ping(absent[random_.Below(absent.size())], next_number_++);
-}
-
-// Members in a random order, each once a round: the time to the next probe of one is bounded.
-std::optional<std::string> FailureDetector::NextTarget() {
-  for (int round = 0; round < 2; ++round) {
-    while (!round_.empty()) {
-      const std::string name = std::move(round_.back());
-      round_.pop_back();
-      const auto it = peers_.find(name);
-      if (it != peers_.end() && (IsPresent(it->second) || it->second.state == State::kUnknown)) {
-        return name;
-      }
-    }
-    for (const auto& [name, peer] : peers_) round_.push_back(name);
-    for (std::size_t i = round_.size(); i > 1; --i) {
-      std::swap(round_[i - 1], round_[random_.Below(i)]);
-    }
-  }
-  return std::nullopt;
+  if (!absent.empty()) SendPing(absent[random_.Below(absent.size())]);
 }
 
-std::vector<std::string> FailureDetector::Some(std::size_t most, const std::string& but) {
-  std::vector<std::string> names;
-  for (const auto& [name, peer] : peers_) {
-    if (name != but && peer.state == State::kAlive) names.push_back(name);
+void FailureDetector::RequestIndirectProbes() {
+  probe_->indirect_requested = true;
+  ++counts_.indirect_probes;
+  for (const std::string& proxy : ChooseAlivePeers(kIndirectProxies, probe_->target)) {
+    ++probe_->proxies;
+    Send(proxy, PingRequest{probe_->sequence, probe_->target});
   }
-  for (std::size_t i = 0; i < names.size() && i < most; ++i) {
-    std::swap(names[i], names[i + random_.Below(names.size() - i)]);
-  }
-  names.resize(std::min(most, names.size()));
-  return names;
 }
 
-void FailureDetector::EndProbe(Time now) {
-  const Outstanding ended = *std::exchange(probe_, std::nullopt);
+void FailureDetector::EndDirectProbe(Time now) {
+  const DirectProbe ended = *std::exchange(probe_, std::nullopt);
   const auto it = peers_.find(ended.target);
   if (it == peers_.end()) return;
   Peer& peer = it->second;
-  if (!ended.directly) {
-    ++peer.missed;
-    SetLink(ended.target, peer);
+  if (!ended.answered_directly) {
+    ++peer.missed_probes;
+    UpdateLink(ended.target, peer);
   }
   if (ended.answered) return;
   ++counts_.missed;
-  if (ended.helpers_heard < std::max<std::size_t>(1, ended.helpers)) {
-    doubt_ = std::min(kMostDoubt, doubt_ + 1);
-  }
+  // Where proxies are silent as well, it may be us.
+  if (ended.proxies_heard < std::max<std::size_t>(1, ended.proxies)) local_health_.Worsen(1);
   if (peer.state == State::kAlive || peer.state == State::kUnknown) {
     Suspect(ended.target, peer, now);
   }
 }
 
-// ======== frames ========
-
-void FailureDetector::Ping(const std::string& target, std::uint32_t number) {
-  Writer body;
-  body.U32(number);
-  Send(Kind::kPing, target, std::move(body));
-}
-
-void FailureDetector::Send(Kind kind, const std::string& to, Writer body) {
-  PutWords(body, to);
-  out_.push_back({kind, self_, to, identity_, incarnation_, body.Take()});
+// `name` has answered the probe of this sequence number: ours, or one that we did as a proxy.
+void FailureDetector::OnProbeAnswered(const std::string& name, std::uint32_t sequence,
+                                      bool directly) {
+  if (directly) {
+    for (const IndirectProbe& probe : indirect_probes_) {
+      if (probe.sequence == sequence) Send(probe.requester, Ack{probe.requester_sequence, name});
+    }
+  }
+  const auto it = peers_.find(name);
+  if (it == peers_.end()) return;
+  Peer& peer = it->second;
+  if (directly) {
+    peer.missed_probes = 0;
+    UpdateLink(name, peer);
+  }
+  if (!probe_ || probe_->target != name || probe_->sequence != sequence) return;
+  if (!std::exchange(probe_->answered, true)) local_health_.Improve();
+  probe_->answered_directly |= directly;
+  // Proxies reach it: it is alive, though our link to it is not.
+  if (peer.state == State::kSuspect) SetState(name, peer, State::kAlive, peer.incarnation);
 }
 
-// What the receiver should know of itself goes first: only it can deny its death.
-void FailureDetector::PutWords(Writer& body, const std::string& to) {
+std::vector<std::string> FailureDetector::ChooseAlivePeers(std::size_t max_count,
+                                                           const std::string& excluded) {
   std::vector<std::string> names;
-  if (const auto it = peers_.find(to); it != peers_.end() && it->second.incarnation > 0) {
-    names.push_back(to);
-  }
-  std::vector<std::pair<std::size_t, const std::string*>> by_left;
-  for (const auto& [name, left] : to_spread_) {
-    if (name != to) by_left.emplace_back(left, &name);
-  }
-  const std::size_t most = std::min(by_left.size(), kMostWords - names.size());
-  std::partial_sort(by_left.begin(), by_left.begin() + static_cast<std::ptrdiff_t>(most),
-                    by_left.end(), [](const auto& a, const auto& b) {
-                      return a.first != b.first ? a.first > b.first : *a.second < *b.second;
-                    });
-  by_left.resize(most);
-  for (const auto& [left, name] : by_left) names.push_back(*name);
-  for (const auto& [left, name] : by_left) {
-    const auto it = to_spread_.find(*name);
-    if (--it->second == 0) to_spread_.erase(it);
+  for (const auto& [name, peer] : peers_) {
+    if (name != excluded && peer.state == State::kAlive) names.push_back(name);
   }
-  body.U8(names.size());
-  for (const std::string& name : names) {
-    const bool own = name == self_;
-    const State own_state = left_ ? State::kLeft : State::kAlive;
-    body.Name(name);
-    body.U8(static_cast<std::uint8_t>(own ? own_state : peers_.at(name).state));
-    body.U64(own ? incarnation_ : peers_.at(name).incarnation);
+  for (std::size_t i = 0; i < names.size() && i < max_count; ++i) {
+    std::swap(names[i], names[i + random_.Below(names.size() - i)]);
   }
+  names.resize(std::min(max_count, names.size()));
+  return names;
 }
 
-std::vector<FailureDetector::Word> FailureDetector::ReadWords(Reader& reader) {
-  std::vector<Word> words(std::min<std::size_t>(reader.U8(), kMostWords));
-  for (Word& word : words) {
-    word.name = reader.Name();
-    const std::uint8_t state = reader.U8();
-    word.state = static_cast<State>(state);
-    word.incarnation = reader.U64();
-    if (state == 0 || state > static_cast<std::uint8_t>(State::kLeft)) word.name.clear();
+// ======== messages ========
+
+void FailureDetector::SendPing(const std::string& target) { Send(target, Ping{next_sequence_++}); }
+
+void FailureDetector::Send(const std::string& to, const SwimMessage& message) {
+  std::string body = EncodeSwimMessage(message, TakeUpdatesFor(to));
+  frames_.push_back({GetKind(message), self_, to, identity_, incarnation_, std::move(body)});
+}
+
+// What the receiver should know of itself goes first: only it can refute that.
+std::vector<GossipUpdate> FailureDetector::TakeUpdatesFor(const std::string& receiver) {
+  std::vector<GossipUpdate> updates;
+  const auto it = peers_.find(receiver);
+  if (it != peers_.end() && it->second.incarnation > 0) updates.push_back(DescribeMember(receiver));
+  for (const std::string& name : gossip_.TakeFor(receiver, kMaxUpdatesPerFrame - updates.size())) {
+    updates.push_back(DescribeMember(name));
   }
-  return words;
+  return updates;
+}
+
+GossipUpdate FailureDetector::DescribeMember(const std::string& name) const {
+  if (name == self_) return {name, left_ ? State::kLeft : State::kAlive, incarnation_};
+  const Peer& peer = peers_.at(name);
+  return {name, peer.state, peer.incarnation};
 }
 
 void FailureDetector::Receive(const Frame& frame, Time now) {
-  const auto it = peers_.find(frame.from);
-  if (it == peers_.end() || left_) return;
-  Hear(frame, now);
-  if (frame.kind > Kind::kPingReq) return;
-  Reader reader(frame.body);
-  const std::uint32_t number = reader.U32();
-  std::string about;
-  if (frame.kind != Kind::kPing) about = reader.Name();
-  const std::vector<Word> words = ReadWords(reader);
-  if (!reader.done()) {
+  if (left_ || !peers_.contains(frame.from)) return;
+  RecordSender(frame, now);
+  if (!IsSwimKind(frame.kind)) return;
+  const std::optional<DecodedSwimMessage> decoded = DecodeSwimMessage(frame.kind, frame.body);
+  if (!decoded) {
     ++counts_.bad;
     return;
   }
-  for (const Word& word : words) Take(word, now);
-  switch (frame.kind) {
-    case Kind::kPing: {
-      Writer body;
-      body.U32(number).Name("");
-      return Send(Kind::kAck, frame.from, std::move(body));
-    }
-    case Kind::kPingReq: {
-      if (!peers_.contains(about) || errands_.size() >= kMostErrands) return;
-      errands_.push_back({next_number_, frame.from, number, now + 10 * timings_.probe});
-      Writer taken;  // the asker is heard, whatever becomes of it
-      Send(Kind::kAck, frame.from, std::move(taken.U32(number).Name(self_)));
-      return Ping(about, next_number_++);
-    }
-    default:
-      answered_.insert(frame.from);
-      if (about == frame.from) {
-        if (probe_ && probe_->number == number) ++probe_->helpers_heard;
-        return;
-      }
-      return Answered(about.empty() ? frame.from : about, number, about.empty());
-  }
+  for (const GossipUpdate& update : decoded->updates) ApplyUpdate(update, now);
+  std::visit([&](const auto& message) { On(message, frame.from, now); }, decoded->message);
 }
 
-// `name` has answered probe `number`: ours, or one that we did for somebody else.
-void FailureDetector::Answered(const std::string& name, std::uint32_t number, bool directly) {
-  if (directly) {
-    for (const Errand& errand : errands_) {
-      if (errand.number != number) continue;
-      Writer body;
-      body.U32(errand.askers_number).Name(name);
-      Send(Kind::kAck, errand.asker, std::move(body));
-    }
-  }
-  const auto it = peers_.find(name);
-  if (it == peers_.end()) return;
-  Peer& peer = it->second;
-  if (directly) {
-    peer.missed = 0;
-    SetLink(name, peer);
-  }
-  if (!probe_ || probe_->target != name || probe_->number != number) return;
-  if (!std::exchange(probe_->answered, true) && doubt_ > 0) --doubt_;
-  probe_->directly |= directly;
-  // Others reach it: it lives, though it is not us that it hears.
-  if (peer.state == State::kSuspect) Set(name, peer, State::kAlive, peer.incarnation);
-}
-
-// Whoever sends a frame lives. One that is held for dead has to hear of it and deny it itself, for
-// others hold it for dead as well.
-void FailureDetector::Hear(const Frame& frame, Time now) {
+// Whoever sends a frame is alive. One that is declared dead has to hear of it and refute it, for
+// others have declared it dead as well.
+void FailureDetector::RecordSender(const Frame& frame, Time now) {
   Peer& peer = peers_.at(frame.from);
-  peer.heard = now;
-  if (frame.identity != peer.identity && frame.identity == peer.former) {
-    ++peer.flips;
-    ++counts_.twice;
-  }
+  peer.last_heard = now;
   if (frame.identity != peer.identity) {
-    peer.former = std::exchange(peer.identity, frame.identity);
+    if (frame.identity == peer.former_identity) {
+      ++peer.flips;
+      ++counts_.twice;
+    }
+    peer.former_identity = std::exchange(peer.identity, frame.identity);
   }
   if (frame.incarnation < peer.incarnation) {
     ++counts_.stale;  // our answer tells it what we know
     return;
   }
-  const bool newer = frame.incarnation > peer.incarnation || peer.state == State::kUnknown;
-  if (newer) {
-    Set(frame.from, peer, State::kAlive, frame.incarnation);
-    Spread(frame.from);
+  if (frame.incarnation > peer.incarnation || peer.state == State::kUnknown) {
+    SetState(frame.from, peer, State::kAlive, frame.incarnation);
+    Disseminate(frame.from);
   } else if (peer.state == State::kSuspect) {
-    Set(frame.from, peer, State::kAlive, peer.incarnation);
+    SetState(frame.from, peer, State::kAlive, peer.incarnation);
   }
 }
 
-// ======== words ========
+void FailureDetector::On(const Ping& ping, const std::string& from, Time) {
+  Send(from, Ack{ping.sequence, ""});
+}
 
-void FailureDetector::Take(const Word& word, Time now) {
-  if (word.name == self_) return TakeAboutSelf(word);
-  const auto it = peers_.find(word.name);
-  if (it == peers_.end()) return;
+void FailureDetector::On(const PingRequest& request, const std::string& from, Time now) {
+  if (!peers_.contains(request.target) || indirect_probes_.size() >= kMaxIndirectProbes) return;
+  indirect_probes_.push_back(
+      {next_sequence_, from, request.sequence, now + kIndirectProbePeriods * timings_.probe});
+  // The requester learns that a proxy hears it, whatever becomes of the probe.
+  Send(from, Ack{request.sequence, self_});
+  SendPing(request.target);
+}
+
+void FailureDetector::On(const Ack& ack, const std::string& from, Time) {
+  answered_by_.insert(from);
+  const bool is_proxy_confirmation = ack.subject == from;
+  if (is_proxy_confirmation) {
+    if (probe_ && probe_->sequence == ack.sequence) ++probe_->proxies_heard;
+    return;
+  }
+  const bool directly = ack.subject.empty();
+  OnProbeAnswered(directly ? from : ack.subject, ack.sequence, directly);
+}
+
+// ======== gossip ========
+
+void FailureDetector::ApplyUpdate(const GossipUpdate& update, Time now) {
+  if (update.name == self_) return ApplyUpdateAboutSelf(update);
+  const auto it = peers_.find(update.name);
+  if (it == peers_.end() || update.incarnation < it->second.incarnation) return;
   Peer& peer = it->second;
-  const bool newer = word.incarnation > peer.incarnation;
-  const bool as_new = word.incarnation >= peer.incarnation;
-  switch (word.state) {
+  switch (update.state) {
     case State::kAlive:
-      if (newer || (as_new && peer.state == State::kUnknown)) {
-        Set(word.name, peer, State::kAlive, word.incarnation);
-        Spread(word.name);
-      }
-      return;
+      return ApplyAlive(update, peer);
     case State::kSuspect:
-      if (newer) peer.incarnation = word.incarnation;
-      if (peer.state == State::kDead || peer.state == State::kLeft) {
-        if (!newer) return;
-      }
-      if (as_new) Suspect(word.name, peer, now);
-      return;
+      return ApplySuspect(update, peer, now);
     case State::kDead:
-      // Guards against the word of one side of a split, which takes the whole other side for dead,
-      // when it heals: who lives gets the time to deny it, and whom we heard lately is not dead.
-      if (!as_new || peer.state == State::kDead || peer.state == State::kLeft) return;
-      if (newer) peer.incarnation = word.incarnation;
-      if (peer.state != State::kSuspect) return Suspect(word.name, peer, now);
-      peer.dead_at = std::min(peer.dead_at, peer.heard + timings_.suspicion);
-      if (peer.dead_at <= now) {
-        Set(word.name, peer, State::kDead, peer.incarnation);
-        Spread(word.name);
-      }
-      return;
+      return ApplyDead(update, peer, now);
     case State::kLeft:
-      if (as_new && peer.state != State::kDead && peer.state != State::kLeft) {
-        Set(word.name, peer, word.state, word.incarnation);
-        Spread(word.name);
-      }
-      return;
+      return ApplyLeft(update, peer);
     case State::kUnknown:
       return;
   }
 }
 
-// Our own death is denied with an incarnation above that of the word.
-void FailureDetector::TakeAboutSelf(const Word& word) {
-  if (ProcessIncarnationOf(word.incarnation) > ProcessIncarnationOf(incarnation_))
-    folder_is_old_ = true;
-  const bool denies = word.state != State::kAlive && word.incarnation >= incarnation_;
-  if (!denies && word.incarnation <= incarnation_) return;
-  incarnation_ = word.incarnation + 1;
+// Refutes our own suspicion or death with an incarnation above that of the update.
+void FailureDetector::ApplyUpdateAboutSelf(const GossipUpdate& update) {
+  if (ProcessIncarnationOf(update.incarnation) > ProcessIncarnationOf(incarnation_)) {
+    folder_is_stale_ = true;
+  }
+  const bool must_refute = update.state != State::kAlive && update.incarnation >= incarnation_;
+  if (!must_refute && update.incarnation <= incarnation_) return;
+  incarnation_ = update.incarnation + 1;
   ++counts_.denials;
-  if (word.state == State::kSuspect) doubt_ = std::min(kMostDoubt, doubt_ + 1);
-  Spread(self_);
+  if (update.state == State::kSuspect) local_health_.Worsen(1);
+  Disseminate(self_);
+}
+
+// The updates below are of the peer's incarnation or a higher one.
+
+void FailureDetector::ApplyAlive(const GossipUpdate& update, Peer& peer) {
+  if (update.incarnation == peer.incarnation && peer.state != State::kUnknown) return;
+  SetState(update.name, peer, State::kAlive, update.incarnation);
+  Disseminate(update.name);
+}
+
+void FailureDetector::ApplySuspect(const GossipUpdate& update, Peer& peer, Time now) {
+  if (update.incarnation == peer.incarnation && IsGone(peer.state)) return;
+  peer.incarnation = update.incarnation;
+  Suspect(update.name, peer, now);
 }
 
+// When a partition heals, each side says that the other is dead. Whoever is alive gets the time to
+// refute that, and one that we have heard lately is not declared dead.
+void FailureDetector::ApplyDead(const GossipUpdate& update, Peer& peer, Time now) {
+  if (IsGone(peer.state)) return;
+  peer.incarnation = update.incarnation;
+  if (peer.state != State::kSuspect) return Suspect(update.name, peer, now);
+  peer.suspicion_ends = std::min(peer.suspicion_ends, peer.last_heard + timings_.suspicion);
+  if (peer.suspicion_ends > now) return;
+  SetState(update.name, peer, State::kDead, peer.incarnation);
+  Disseminate(update.name);
+}
+
+void FailureDetector::ApplyLeft(const GossipUpdate& update, Peer& peer) {
+  if (IsGone(peer.state)) return;
+  SetState(update.name, peer, State::kLeft, update.incarnation);
+  Disseminate(update.name);
+}
+
+// ======== what is believed of a peer ========
+
 void FailureDetector::Suspect(const std::string& name, Peer& peer, Time now) {
   if (peer.state == State::kSuspect) return;
-  Set(name, peer, State::kSuspect, peer.incarnation);
-  peer.dead_at = now + Stretched(timings_.suspicion);
-  Spread(name);
+  SetState(name, peer, State::kSuspect, peer.incarnation);
+  peer.suspicion_ends = now + local_health_.Scale(timings_.suspicion);
+  Disseminate(name);
 }
 
-void FailureDetector::Set(const std::string& name, Peer& peer, State state,
-                          std::uint64_t incarnation) {
+void FailureDetector::SetState(const std::string& name, Peer& peer, State state,
+                               std::uint64_t incarnation) {
   const State from = std::exchange(peer.state, state);
   if (state == State::kSuspect) {
     suspects_.insert(name);
@@ -397,38 +393,28 @@
   const bool restarted = ProcessIncarnationOf(incarnation) > ProcessIncarnationOf(peer.incarnation);
   peer.incarnation = incarnation;
   if (from == state && !restarted) return;
-  if (state == State::kDead || state == State::kLeft) {
-    peer.missed = 0;
-    peer.link = Link::kWhole;
-    Spread(name);
+  if (IsGone(state)) {
+    peer.missed_probes = 0;
+    peer.link = Link::kTwoWay;
+    Disseminate(name);
   }
   changes_.push_back({name, from, state, incarnation, std::nullopt});
 }
 
-void FailureDetector::SetLink(const std::string& name, Peer& peer) {
-  Link link = Link::kWhole;
-  if (peer.missed >= kMissedForLink && peer.state == State::kAlive) {
-    const Time heard_lately = timings_.probe * static_cast<Time::rep>(2 * peers_.size() + 4);
-    const bool heard = last_tick_ && peer.heard + heard_lately > *last_tick_ && peer.heard > Time{};
-    link = heard ? Link::kOneWay : Link::kIndirect;
-  } else if (peer.missed > 0) {
+void FailureDetector::UpdateLink(const std::string& name, Peer& peer) {
+  Link link = Link::kTwoWay;
+  if (peer.missed_probes >= kMissesBeforeLinkFault && peer.state == State::kAlive) {
+    // Two rounds: in that time it has probed us, if it can reach us.
+    const auto periods = static_cast<Time::rep>(2 * peers_.size() + 4);
+    const bool ever_heard = peer.last_heard > Time{};
+    const bool heard_lately =
+        ever_heard && last_tick_ && peer.last_heard + periods * timings_.probe > *last_tick_;
+    link = heard_lately ? Link::kOneWay : Link::kIndirect;
+  } else if (peer.missed_probes > 0) {
     return;  // too few to tell
   }
   if (std::exchange(peer.link, link) == link) return;
   changes_.push_back({name, peer.state, peer.state, peer.incarnation, link});
 }
 
-void FailureDetector::Spread(const std::string& name) {
-  to_spread_[name] = kSpreadFactor * std::bit_width(peers_.size() + 1);
-}
-
-void FailureDetector::Leave(Time now) {
-  Tick(now);
-  left_ = true;
-  for (const std::string& name : Some(2 * kHelpers, "")) {
-    to_spread_[self_] = 1;
-    Ping(name, next_number_++);
-  }
-}
-
 }  // namespace brassfront::peers
