--- a/src/maintenance/maintenance_scheduler.cpp
+++ b/src/maintenance/maintenance_scheduler.cpp
@@ -14,43 +14,44 @@
   return state == peers::State::kAlive || state == peers::State::kSuspect;
 }
 
-std::uint32_t RankOf(const Request& request) {
-  return static_cast<std::uint32_t>(request.urgency) + request.passed / kPatience;
+std::uint32_t EffectiveUrgency(const Request& request) {
+  return static_cast<std::uint32_t>(request.urgency) +
+         request.times_overtaken / kGrantsPerUrgencyStep;
 }
 
 }  // namespace
 
-std::optional<Command> MaintenanceScheduler::Next(const MaintenanceState& machine,
+std::optional<Command> MaintenanceScheduler::Next(const MaintenanceState& state_machine,
                                                   const peers::Roster& roster,
                                                   const std::map<std::string, ObservedMember>& seen,
-                                                  Time led_for, Time now) {
-  if (auto c = Roster(machine, roster)) return c;
-  if (auto c = Lives(machine, seen)) return c;
-  if (auto c = Deadlines(machine, roster.timings, now)) return c;
-  if (led_for < SettleOf(roster.timings)) return std::nullopt;
-  return Turn(machine, seen);
+                                                  Time time_as_leader, Time now) {
+  if (auto c = ProposeRosterChange(state_machine, roster)) return c;
+  if (auto c = ProposeMemberState(state_machine, seen)) return c;
+  if (auto c = ProposeFailure(state_machine, roster.timings, now)) return c;
+  if (time_as_leader < SettlingTime(roster.timings)) return std::nullopt;
+  return ProposeGrant(state_machine, seen);
 }
 
 // One change at a time, so that each is a small command.
-std::optional<Command> MaintenanceScheduler::Roster(const MaintenanceState& machine,
-                                                    const peers::Roster& roster) {
+std::optional<Command> MaintenanceScheduler::ProposeRosterChange(
+    const MaintenanceState& state_machine, const peers::Roster& roster) {
   Command c;
   for (const peers::Member& member : roster.members) {
-    const auto it = machine.members().find(member.name);
-    if (it != machine.members().end() && it->second.zone == member.zone) continue;
+    const auto it = state_machine.members().find(member.name);
+    if (it != state_machine.members().end() && it->second.zone == member.zone) continue;
     c.verb = Verb::kMember;
     c.name = member.name;
     c.text = member.zone;
     return c;
   }
-  for (const auto& [name, state] : machine.members()) {
+  for (const auto& [name, state] : state_machine.members()) {
     if (roster.Find(name) != nullptr) continue;
     c.verb = Verb::kNoMember;
     c.name = name;
     return c;
   }
-  if (machine.max_out_total() != roster.max_out_total ||
-      machine.max_out_per_zone() != roster.max_out_per_zone) {
+  if (state_machine.max_out_total() != roster.max_out_total ||
+      state_machine.max_out_per_zone() != roster.max_out_per_zone) {
     c.verb = Verb::kLimits;
     c.process_incarnation = roster.max_out_total;
     c.token = roster.max_out_per_zone;
@@ -59,9 +60,9 @@
   return std::nullopt;
 }
 
-std::optional<Command> MaintenanceScheduler::Lives(
-    const MaintenanceState& machine, const std::map<std::string, ObservedMember>& seen) {
-  for (const auto& [name, member] : machine.members()) {
+std::optional<Command> MaintenanceScheduler::ProposeMemberState(
+    const MaintenanceState& state_machine, const std::map<std::string, ObservedMember>& seen) {
+  for (const auto& [name, member] : state_machine.members()) {
     const auto it = seen.find(name);
     if (it == seen.end()) continue;
     const ObservedMember& s = it->second;
@@ -77,11 +78,13 @@
   return std::nullopt;
 }
 
-std::optional<Command> MaintenanceScheduler::Deadlines(const MaintenanceState& machine,
-                                                       const peers::Timings& timings, Time now) {
-  std::erase_if(since_, [&](const auto& e) { return !machine.requests().contains(e.first); });
-  for (const auto& [id, request] : machine.requests()) {
-    auto& [state, since] = since_.try_emplace(id, request.state, now).first->second;
+std::optional<Command> MaintenanceScheduler::ProposeFailure(const MaintenanceState& state_machine,
+                                                            const peers::Timings& timings,
+                                                            Time now) {
+  std::erase_if(observed_states_,
+                [&](const auto& e) { return !state_machine.requests().contains(e.first); });
+  for (const auto& [id, request] : state_machine.requests()) {
+    auto& [state, since] = observed_states_.try_emplace(id, request.state, now).first->second;
     if (state != request.state) {
       state = request.state;
       since = now;
@@ -102,20 +105,20 @@
 // By urgency; then a hall that the last turn was not in; then the busiest, which has gained most by
 // its turn while others still have room for its clients; then the oldest. Settled as one command,
 // so it is the same everywhere.
-std::optional<Command> MaintenanceScheduler::Turn(
-    const MaintenanceState& machine, const std::map<std::string, ObservedMember>& seen) {
+std::optional<Command> MaintenanceScheduler::ProposeGrant(
+    const MaintenanceState& state_machine, const std::map<std::string, ObservedMember>& seen) {
   const Request* best = nullptr;
   const auto key = [&](const Request& r) {
-    const auto member = machine.members().find(r.name);
+    const auto member = state_machine.members().find(r.name);
     const bool machine_kind = r.kind == Kind::kMachine;
-    const bool same_hall = machine_kind && member != machine.members().end() &&
-                           member->second.zone == machine.last_zone();
+    const bool same_hall = machine_kind && member != state_machine.members().end() &&
+                           member->second.zone == state_machine.last_zone();
     const auto it = seen.find(r.name);
     const std::uint64_t load = machine_kind && it != seen.end() ? it->second.load : 0;
-    return std::tuple(RankOf(r), !same_hall, load, UINT64_MAX - r.id);
+    return std::tuple(EffectiveUrgency(r), !same_hall, load, UINT64_MAX - r.id);
   };
-  for (const auto& [id, request] : machine.requests()) {
-    if (!machine.MayGo(request)) continue;
+  for (const auto& [id, request] : state_machine.requests()) {
+    if (!state_machine.CanBeGranted(request)) continue;
     const auto it = seen.find(request.name);
     // Guards against a turn for one that is being suspected: it may be dead, and uses a place then.
     if (request.kind == Kind::kMachine &&
@@ -131,7 +134,7 @@
   return c;
 }
 
-Duty ComputeDuty(const MaintenanceState& machine, const std::string& self,
+Duty ComputeDuty(const MaintenanceState& state_machine, const std::string& self,
                  std::uint64_t process_incarnation, const LocalMember& own) {
   Duty duty;
   const auto say = [&duty](Verb verb, const Request& request) -> Command& {
@@ -140,7 +143,7 @@
     c.request = request.id;
     return c;
   };
-  for (const auto& [id, request] : machine.requests()) {
+  for (const auto& [id, request] : state_machine.requests()) {
     if (request.kind == Kind::kEndpoint) {
       if (request.state != State::kDraining && request.state != State::kOut) continue;
       duty.ban.insert(request.name);
--- a/src/maintenance/maintenance_scheduler.hpp
+++ b/src/maintenance/maintenance_scheduler.hpp
@@ -28,34 +28,34 @@
 };
 
 // After so many grants to later ones a request is as urgent as the next urgency, and so on. So none
-// waits for more than 2 x kPatience grants more than the requests before it.
-inline constexpr std::uint32_t kPatience = 8;
+// waits for more than 2 x kGrantsPerUrgencyStep grants more than the requests before it.
+inline constexpr std::uint32_t kGrantsPerUrgencyStep = 8;
 
 class MaintenanceScheduler {
  public:
   // The next command, or none. To be asked again once that one is settled or lost. A leader that
   // has led for less than `settle` gives out no turn: it may not have noticed yet who is dead.
-  std::optional<Command> Next(const MaintenanceState& machine, const peers::Roster& roster,
-                              const std::map<std::string, ObservedMember>& seen, Time led_for,
-                              Time now);
+  std::optional<Command> Next(const MaintenanceState& state_machine, const peers::Roster& roster,
+                              const std::map<std::string, ObservedMember>& seen,
+                              Time time_as_leader, Time now);
   // How long it takes at most, in a whole fleet, until a death that nobody has noticed is noticed.
-  static Time SettleOf(const peers::Timings& timings) {
+  static Time SettlingTime(const peers::Timings& timings) {
     return 2 * timings.suspicion + 6 * timings.probe;
   }
 
  private:
-  static std::optional<Command> Roster(const MaintenanceState& machine,
-                                       const peers::Roster& roster);
-  static std::optional<Command> Lives(const MaintenanceState& machine,
-                                      const std::map<std::string, ObservedMember>& seen);
-  std::optional<Command> Deadlines(const MaintenanceState& machine, const peers::Timings& timings,
-                                   Time now);
-  static std::optional<Command> Turn(const MaintenanceState& machine,
-                                     const std::map<std::string, ObservedMember>& seen);
+  static std::optional<Command> ProposeRosterChange(const MaintenanceState& state_machine,
+                                                    const peers::Roster& roster);
+  static std::optional<Command> ProposeMemberState(
+      const MaintenanceState& state_machine, const std::map<std::string, ObservedMember>& seen);
+  std::optional<Command> ProposeFailure(const MaintenanceState& state_machine,
+                                        const peers::Timings& timings, Time now);
+  static std::optional<Command> ProposeGrant(const MaintenanceState& state_machine,
+                                             const std::map<std::string, ObservedMember>& seen);
 
   // Since when we have seen a request in its state. A new leader counts anew, so a deadline is at
   // most once longer for each change of leaders.
-  std::map<std::uint64_t, std::pair<State, Time>> since_;
+  std::map<std::uint64_t, std::pair<State, Time>> observed_states_;
 };
 
 // A member's own part.
@@ -71,7 +71,7 @@
   std::set<std::string> ban;
   std::vector<Command> say;  // until the settled state shows it
 };
-Duty ComputeDuty(const MaintenanceState& machine, const std::string& self,
+Duty ComputeDuty(const MaintenanceState& state_machine, const std::string& self,
                  std::uint64_t process_incarnation, const LocalMember& own);
 
 }  // namespace brassfront::maintenance
--- a/src/quota/lease_grantor.cpp
+++ b/src/quota/lease_grantor.cpp
@@ -7,14 +7,15 @@
 namespace brassfront::quota {
 namespace {
 
-constexpr std::size_t kAnswersKept = 8;  // of one holder's; it shows to have had one of the last
+constexpr std::size_t kMaxRememberedAnswers =
+    8;  // of one holder's; it shows to have last_answered one of the last
 
 }  // namespace
 
 void LeaseGrantor::Begin(Time now) {
-  begun_ = now;
+  leading_since_ = now;
   limits_.clear();
-  askers_.clear();
+  histories_.clear();
 }
 
 double LeaseGrantor::Outstanding(const std::string& key, Time now) const {
@@ -28,9 +29,10 @@
 // The second lowest of what members were reported; the lower of two, the only one. So neither one
 // that claims nothing nor one that claims a million moves it where three call there. Nothing above
 // what the operator file lists.
-double LeaseGrantor::Agreed(const std::string& key, Limit& limit, Time now) const {
-  std::erase_if(limit.reported,
-                [&](const auto& c) { return now - c.second.at > settings_.Fresh(); });
+double LeaseGrantor::AgreedLimit(const std::string& key, Limit& limit, Time now) const {
+  std::erase_if(limit.reported, [&](const auto& c) {
+    return now - c.second.at > settings_.ReportedLimitLifetime();
+  });
   std::vector<double> reported;
   for (const auto& [who, claim] : limit.reported) reported.push_back(claim.rate);
   std::sort(reported.begin(), reported.end());
@@ -41,7 +43,7 @@
   return agreed > 0 ? std::min(agreed, heard) : heard;
 }
 
-double LeaseGrantor::Lent(const Limit& limit, Time now) const {
+double LeaseGrantor::LentQuota(const Limit& limit, Time now) const {
   double sum = 0;
   for (const auto& [who, loan] : limit.lent) sum += now < loan.until ? loan.amount : 0;
   return sum;
@@ -49,8 +51,8 @@
 
 // Max-min fair over what holders want above their floors: whoever wants little gets it whole, and
 // the rest share evenly.
-double LeaseGrantor::FairPart(const Limit& limit, const std::string& holder, double pool,
-                              double floor, Time now) const {
+double LeaseGrantor::FairShare(const Limit& limit, const std::string& holder, double pool,
+                               double floor, Time now) const {
   std::vector<double> wants;
   double ours = 0;
   for (const auto& [who, claim] : limit.demands) {
@@ -70,43 +72,44 @@
 
 std::optional<LeaseGrant> LeaseGrantor::Answer(const std::string& holder,
                                                const LeaseRequestBatch& request, Time now) {
-  if (!begun_) return std::nullopt;
+  if (!leading_since_) return std::nullopt;
   // A late copy says nothing of what the holder keeps now.
-  Asker& asker = askers_[holder];
-  if (request.number <= asker.number) return std::nullopt;
-  asker.number = request.number;
+  RequestHistory& history = histories_[holder];
+  if (request.number <= history.number) return std::nullopt;
+  history.number = request.number;
   // It was written after that answer: what it lends is as young at least.
-  std::optional<Time> younger_than;
-  for (const auto& [number, at] : asker.answered) {
-    if (number == request.had) younger_than = at;
+  std::optional<Time> lent_since;
+  for (const auto& [number, at] : history.answers) {
+    if (number == request.last_answered) lent_since = at;
   }
-  asker.answered.emplace_back(request.number, now);
-  if (asker.answered.size() > kAnswersKept) asker.answered.pop_front();
+  history.answers.emplace_back(request.number, now);
+  if (history.answers.size() > kMaxRememberedAnswers) history.answers.pop_front();
   LeaseGrant grant;
   grant.number = request.number;
   grant.leases = grants(now);
-  for (const auto& [key, wish] : request.requests) {
-    if (!limits_.contains(key) && limits_.size() >= kMostKeys) continue;
+  for (const auto& [key, wanted] : request.requests) {
+    if (!limits_.contains(key) && limits_.size() >= kMaxKeysPerMessage) continue;
     Limit& limit = limits_[key];
-    limit.demands[holder] = {wish.demand, now};
-    if (settings_.reported && wish.reported > 0) limit.reported[holder] = {wish.reported, now};
+    limit.demands[holder] = {wanted.demand, now};
+    if (settings_.reported && wanted.reported > 0) limit.reported[holder] = {wanted.reported, now};
     GrantedLease& part = grant.parts[key];
-    part.limit = limit.limit = Agreed(key, limit, now);
+    part.limit = limit.limit = AgreedLimit(key, limit, now);
     // What it says to keep holds until the end of its lease at most, whatever becomes of this.
-    limit.lent[holder] = {wish.lend, younger_than ? *younger_than + settings_.Lent() : Time{}};
+    limit.lent[holder] = {wanted.lend,
+                          lent_since ? *lent_since + settings_.LentQuotaLifetime() : Time{}};
     Lease& lease = limit.leases[holder];
-    lease.amount = now < lease.ends ? std::min(lease.amount, wish.keep) : 0;
+    lease.amount = now < lease.ends ? std::min(lease.amount, wanted.keep) : 0;
     if (!grant.leases || part.limit <= 0) continue;
-    const double pool = part.limit * (1 - settings_.floor) + Lent(limit, now);
+    const double pool = part.limit * (1 - settings_.floor) + LentQuota(limit, now);
     const double others = Outstanding(key, now) - lease.amount;
-    const double fair = FairPart(limit, holder, pool, settings_.FloorOf(part.limit), now);
+    const double fair = FairShare(limit, holder, pool, settings_.FloorOf(part.limit), now);
     part.lease = std::clamp(pool - others, 0.0, fair);
     lease.amount = std::max(lease.amount, part.lease);
     lease.ends = now + settings_.Stretched(settings_.term);
   }
   // Limits that it does not use are reported too: their floors are lent.
   for (const auto& [key, limit] : limits_) {
-    if (limit.limit > 0 && grant.parts.size() < kMostKeys) {
+    if (limit.limit > 0 && grant.parts.size() < kMaxKeysPerMessage) {
       grant.parts.try_emplace(key, GrantedLease{limit.limit, 0});
     }
   }
--- a/src/quota/lease_grantor.hpp
+++ b/src/quota/lease_grantor.hpp
@@ -20,13 +20,13 @@
 
 class LeaseGrantor {
  public:
-  explicit LeaseGrantor(LeaseSettings terms) : settings_(std::move(terms)) {}
+  explicit LeaseGrantor(LeaseSettings settings) : settings_(std::move(settings)) {}
 
   // We lead from now on, or may have been stopped while we led: nothing is granted for a while.
   void Begin(Time now);
   // We lead no longer.
-  void End() { begun_.reset(); }
-  void Change(LeaseSettings terms) { settings_ = std::move(terms); }
+  void End() { leading_since_.reset(); }
+  void Change(LeaseSettings settings) { settings_ = std::move(settings); }
 
   // None: we do not lead. During the quiet time the answer has limits and no leases.
   std::optional<LeaseGrant> Answer(const std::string& holder, const LeaseRequestBatch& request,
@@ -36,7 +36,7 @@
     double amount = 0;
     Time ends{};  // for sure, on our clock
   };
-  struct Claim {  // of the limit, or of demand
+  struct ReportedRate {  // of the limit, or of demand
     double rate = 0;
     Time at{};
   };
@@ -46,32 +46,32 @@
   };
   struct Limit {
     std::map<std::string, Loan> lent;
-    std::map<std::string, Lease> leases;    // by holder
-    std::map<std::string, Claim> reported;  // by who says so
-    std::map<std::string, Claim> demands;   // by holder
-    double limit = 0;                       // as last agreed
+    std::map<std::string, Lease> leases;           // by holder
+    std::map<std::string, ReportedRate> reported;  // by who says so
+    std::map<std::string, ReportedRate> demands;   // by holder
+    double limit = 0;                              // as last agreed
   };
   [[nodiscard]] const std::map<std::string, Limit>& limits() const { return limits_; }
   [[nodiscard]] bool grants(Time now) const {
-    return begun_ && now - *begun_ >= settings_.QuietTime();
+    return leading_since_ && now - *leading_since_ >= settings_.QuietTime();
   }
   // Of a key, what is granted and has not surely ended.
   [[nodiscard]] double Outstanding(const std::string& key, Time now) const;
 
  private:
-  double Agreed(const std::string& key, Limit& limit, Time now) const;
-  [[nodiscard]] double Lent(const Limit& limit, Time now) const;
-  [[nodiscard]] double FairPart(const Limit& limit, const std::string& holder, double pool,
-                                double floor, Time now) const;
+  double AgreedLimit(const std::string& key, Limit& limit, Time now) const;
+  [[nodiscard]] double LentQuota(const Limit& limit, Time now) const;
+  [[nodiscard]] double FairShare(const Limit& limit, const std::string& holder, double pool,
+                                 double floor, Time now) const;
 
   LeaseSettings settings_;
-  std::optional<Time> begun_;
+  std::optional<Time> leading_since_;
   std::map<std::string, Limit> limits_;
-  struct Asker {
-    std::uint64_t number = 0;                             // of its last request
-    std::deque<std::pair<std::uint64_t, Time>> answered;  // its last requests, and when
+  struct RequestHistory {
+    std::uint64_t number = 0;                            // of its last request
+    std::deque<std::pair<std::uint64_t, Time>> answers;  // its last requests, and when
   };
-  std::map<std::string, Asker> askers_;
+  std::map<std::string, RequestHistory> histories_;
 };
 
 }  // namespace brassfront::quota
--- a/src/quota/lease_holder.hpp
+++ b/src/quota/lease_holder.hpp
@@ -19,7 +19,7 @@
 
 class LeaseHolder {
  public:
-  explicit LeaseHolder(LeaseSettings terms);
+  explicit LeaseHolder(LeaseSettings settings);
 
   // Something came that will want a call.
   void OnDemand(const std::string& key, Time now);
@@ -31,10 +31,10 @@
 
   // The next request to the grantor, if one is due.
   std::optional<LeaseRequestBatch> Ask(Time now);
-  [[nodiscard]] Time Next() const { return next_; }
+  [[nodiscard]] Time Next() const { return next_request_at_; }
   void Take(const LeaseGrant& grant, Time now);
   // The roster has other members, or the operator file other limits.
-  void Change(LeaseSettings terms, Time now);
+  void Change(LeaseSettings settings, Time now);
 
   // Calls a second that we may begin now; none: no limit is known.
   [[nodiscard]] std::optional<double> RateOf(const std::string& key, Time now) const;
@@ -46,37 +46,37 @@
   struct Share {
     double limit = 0;     // as granted with, or listed; 0: unknown
     double reported = 0;  // by our own calls
-    Time told_at{};
+    Time reported_at{};
     double lease = 0;   // calls a second
     Time ends{};        // of the lease
     double demand = 0;  // calls a second, of the last seconds
     Time demand_at{};
     double used = 0;  // calls a second that were begun, likewise
     Time used_at{};
-    // Of the floor, what was lent and is left alone until then.
+    // ShareFor the floor, what was lent and is left alone until then.
     std::vector<std::pair<double, Time>> lent;
     double tokens = 0;
     Time tokens_at{};
-    std::optional<double> last;  // as Changes reported it
+    std::optional<double> last_published;  // as Changes reported it
     std::uint64_t begun = 0, held_back = 0;
   };
   [[nodiscard]] const std::map<std::string, Share>& shares() const { return shares_; }
 
  private:
-  Share& Of(const std::string& key, Time now);
-  [[nodiscard]] double LimitOf(const Share& share, Time now) const;
-  [[nodiscard]] double LeaseOf(const Share& share, Time now) const;
-  [[nodiscard]] double WantOf(const Share& share, Time now) const;
-  [[nodiscard]] double DemandOf(const Share& share, Time now) const;
-  [[nodiscard]] double FloorOf(const Share& share, Time now) const;
+  Share& ShareFor(const std::string& key, Time now);
+  [[nodiscard]] double EffectiveLimit(const Share& share, Time now) const;
+  [[nodiscard]] double EffectiveLease(const Share& share, Time now) const;
+  [[nodiscard]] double RequestedRate(const Share& share, Time now) const;
+  [[nodiscard]] double CurrentDemand(const Share& share, Time now) const;
+  [[nodiscard]] double UsableReserve(const Share& share, Time now) const;
   void Refill(Share& share, Time now) const;
 
   LeaseSettings settings_;
   std::map<std::string, Share> shares_;
-  std::uint64_t number_ = 0;  // of the last request
-  std::uint64_t had_ = 0;     // of the last one that was answered
-  Time asked_{};              // when that was
-  Time next_{};
+  std::uint64_t last_request_number_ = 0;  // of the last request
+  std::uint64_t last_answered_ = 0;        // of the last one that was answered
+  Time last_request_at_{};                 // when that was
+  Time next_request_at_{};
 };
 
 }  // namespace brassfront::quota
--- a/src/quota/lease_settings.hpp
+++ b/src/quota/lease_settings.hpp
@@ -30,7 +30,7 @@
   [[nodiscard]] Time Renew() const { return term / 4; }
   // What a call was reported of a limit counts for so long; whoever calls seldom knows only an old
   // one.
-  [[nodiscard]] Time Fresh() const { return 2 * term; }
+  [[nodiscard]] Time ReportedLimitLifetime() const { return 2 * term; }
   // A new grantor waits for so long: what the one before granted has ended by then, on whichever
   // member's clock, and the one before, which leads for two elections without a majority at most,
   // grants no more.
@@ -38,7 +38,7 @@
   // What a member has lent of its floor may be granted for so long after the answer that it shows
   // to have had, and the member leaves it alone for so long after each time that it says so: until
   // all leases from it have surely ended.
-  [[nodiscard]] Time Lent() const { return Shortened(term); }
+  [[nodiscard]] Time LentQuotaLifetime() const { return Shortened(term); }
   [[nodiscard]] Time LeaseCoolDown() const { return Stretched(Stretched(2 * term)); }
   // As long as any clock may take for it.
   [[nodiscard]] Time Stretched(Time time) const {
@@ -52,7 +52,7 @@
     return limit * floor / static_cast<double>(members);
   }
   // Calls that a member of this rate may begin at once.
-  [[nodiscard]] double BurstOf(double rate) const {
+  [[nodiscard]] double MaxBurst(double rate) const {
     const double calls = rate * SecondsOf(burst);
     return calls > 1 ? calls : 1;
   }
--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -11,21 +11,21 @@
 using peers::Reader;
 using peers::Writer;
 
-constexpr double kMostRate = 1e6;  // calls a second; more is not meant
+constexpr double kMaxRate = 1e6;  // calls a second; more is not meant
 
 // In thousandths, rounded down: the sum of parts is not more than the whole.
 std::uint64_t Milli(double rate) {
-  return static_cast<std::uint64_t>(std::floor(std::clamp(rate, 0.0, kMostRate) * 1e3));
+  return static_cast<std::uint64_t>(std::floor(std::clamp(rate, 0.0, kMaxRate) * 1e3));
 }
 double FromMilli(std::uint64_t milli) {
-  return std::min(static_cast<double>(milli) / 1e3, kMostRate);
+  return std::min(static_cast<double>(milli) / 1e3, kMaxRate);
 }
 
 }  // namespace
 
 std::string LeaseRequestBatch::Encode() const {
   Writer out;
-  out.U64(number).U64(had).U16(requests.size());
+  out.U64(number).U64(last_answered).U16(requests.size());
   for (const auto& [key, w] : requests) {
     out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.reported)).U32(Milli(w.lend));
   }
@@ -36,7 +36,7 @@
   Reader in(bytes);
   LeaseRequestBatch request;
   request.number = in.U64();
-  request.had = in.U64();
+  request.last_answered = in.U64();
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
     LeaseRequest& w = request.requests[in.Name()];
@@ -45,7 +45,7 @@
     w.reported = FromMilli(in.U32());
     w.lend = FromMilli(in.U32());
   }
-  if (!in.done() || count > kMostKeys) return std::nullopt;
+  if (!in.done() || count > kMaxKeysPerMessage) return std::nullopt;
   return request;
 }
 
@@ -67,7 +67,7 @@
     p.limit = FromMilli(in.U32());
     p.lease = FromMilli(in.U32());
   }
-  if (!in.done() || count > kMostKeys) return std::nullopt;
+  if (!in.done() || count > kMaxKeysPerMessage) return std::nullopt;
   return grant;
 }
 
--- a/src/quota/messages.hpp
+++ b/src/quota/messages.hpp
@@ -10,7 +10,7 @@
 
 namespace brassfront::quota {
 
-inline constexpr std::size_t kMostKeys = 400;  // in one message; a frame holds them
+inline constexpr std::size_t kMaxKeysPerMessage = 400;  // in one message; a frame holds them
 
 // All rates in calls a second.
 struct LeaseRequest {
@@ -21,7 +21,8 @@
 };
 struct LeaseRequestBatch {
   std::uint64_t number = 0;  // the holder takes the answer to its last one alone
-  std::uint64_t had = 0;  // the last one whose answer it had: so this is younger than that answer
+  std::uint64_t last_answered =
+      0;  // the last one whose answer it had: so this is younger than that answer
   std::map<std::string, LeaseRequest> requests;
 
   [[nodiscard]] std::string Encode() const;
--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -177,7 +177,7 @@
     g.Round();
   }
   CHECK(turns > 3);
-  CHECK(turns <= 2 * kPatience + 8);
+  CHECK(turns <= 2 * kGrantsPerUrgencyStep + 8);
 }
 
 TEST_CASE("an endpoint is out only when every member has confirmed, or has surely ended") {
--- a/tests/fleet/quota_test.cpp
+++ b/tests/fleet/quota_test.cpp
@@ -266,9 +266,10 @@
   ask("idle", 2, 1, 0, 0.3, t + milliseconds(500));  // as young as the answer at t
   CHECK(ask("busy", 2, 1, 9, 0, t + milliseconds(600))->parts.at("d1").lease ==
         doctest::Approx(4 * 0.1 + 0.3));
-  CHECK(ask("busy", 3, 2, 9, 0, t + terms.Lent())->parts.at("d1").lease ==
+  CHECK(ask("busy", 3, 2, 9, 0, t + terms.LentQuotaLifetime())->parts.at("d1").lease ==
         doctest::Approx(4 * 0.1));
-  CHECK(terms.LeaseCoolDown() >= terms.Stretched(terms.Lent()) + terms.Stretched(terms.term));
+  CHECK(terms.LeaseCoolDown() >=
+        terms.Stretched(terms.LentQuotaLifetime()) + terms.Stretched(terms.term));
 }
 
 TEST_CASE("a limit that falls is kept by all within the stated time") {
