Split the maintenance state by concern: commands, codec, handlers, member duty

One file held the command codec, queries, all commands in one switch and the saved form. maintenance_command has the commands and their bytes; maintenance_state_codec the saved form; maintenance_state one handler a command behind three dispatchers; member_duty what a member does, apart from what the leader proposes. The order of grants is a named struct. Headers state the invariants in the field's terms. Bytes and texts are as before.

--- a/src/maintenance/maintenance_scheduler.cpp
+++ b/src/maintenance/maintenance_scheduler.cpp
@@ -1,7 +1,7 @@
 #include "maintenance/maintenance_scheduler.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <compare>
 
 namespace brassfront::maintenance {
 namespace {
@@ -19,15 +19,25 @@
          request.times_overtaken / kGrantsPerUrgencyStep;
 }
 
+// Compared field by field, in this order; the greatest is granted first.
+struct GrantPriority {
+  std::uint32_t urgency = 0;
+  bool other_zone = false;  // than the last grant's
+  std::uint64_t load = 0;   // messages in flight
+  std::uint64_t seniority = 0;
+
+  auto operator<=>(const GrantPriority&) const = default;
+};
+
 }  // namespace
 
 std::optional<Command> MaintenanceScheduler::Next(const MaintenanceState& state_machine,
                                                   const peers::Roster& roster,
                                                   const std::map<std::string, ObservedMember>& seen,
                                                   Time time_as_leader, Time now) {
-  if (auto c = ProposeRosterChange(state_machine, roster)) return c;
-  if (auto c = ProposeMemberState(state_machine, seen)) return c;
-  if (auto c = ProposeFailure(state_machine, roster.timings, now)) return c;
+  if (auto command = ProposeRosterChange(state_machine, roster)) return command;
+  if (auto command = ProposeMemberState(state_machine, seen)) return command;
+  if (auto command = ProposeFailure(state_machine, roster.timings, now)) return command;
   if (time_as_leader < SettlingTime(roster.timings)) return std::nullopt;
   return ProposeGrant(state_machine, seen);
 }
@@ -35,27 +45,27 @@
 // One change at a time, so that each is a small command.
 std::optional<Command> MaintenanceScheduler::ProposeRosterChange(
     const MaintenanceState& state_machine, const peers::Roster& roster) {
-  Command c;
+  Command command;
   for (const peers::Member& member : roster.members) {
     const auto it = state_machine.members().find(member.name);
     if (it != state_machine.members().end() && it->second.zone == member.zone) continue;
-    c.verb = Verb::kMember;
-    c.name = member.name;
-    c.text = member.zone;
-    return c;
+    command.verb = Verb::kMember;
+    command.name = member.name;
+    command.text = member.zone;
+    return command;
   }
   for (const auto& [name, state] : state_machine.members()) {
     if (roster.Find(name) != nullptr) continue;
-    c.verb = Verb::kNoMember;
-    c.name = name;
-    return c;
+    command.verb = Verb::kNoMember;
+    command.name = name;
+    return command;
   }
   if (state_machine.max_out_total() != roster.max_out_total ||
       state_machine.max_out_per_zone() != roster.max_out_per_zone) {
-    c.verb = Verb::kLimits;
-    c.process_incarnation = roster.max_out_total;
-    c.token = roster.max_out_per_zone;
-    return c;
+    command.verb = Verb::kLimits;
+    command.process_incarnation = roster.max_out_total;
+    command.token = roster.max_out_per_zone;
+    return command;
   }
   return std::nullopt;
 }
@@ -65,15 +75,17 @@
   for (const auto& [name, member] : state_machine.members()) {
     const auto it = seen.find(name);
     if (it == seen.end()) continue;
-    const ObservedMember& s = it->second;
-    Command c;
-    c.name = name;
-    c.process_incarnation = s.process_incarnation;
-    c.verb = Verb::kDead;
-    if (IsGone(s.state) && !member.dead) return c;
-    c.verb = Verb::kAlive;
-    if (IsThere(s.state) && (member.dead || s.process_incarnation > member.process_incarnation))
-      return c;
+    const ObservedMember& observed = it->second;
+    Command command;
+    command.name = name;
+    command.process_incarnation = observed.process_incarnation;
+    command.verb = Verb::kDead;
+    if (IsGone(observed.state) && !member.dead) return command;
+    command.verb = Verb::kAlive;
+    if (IsThere(observed.state) &&
+        (member.dead || observed.process_incarnation > member.process_incarnation)) {
+      return command;
+    }
   }
   return std::nullopt;
 }
@@ -84,89 +96,55 @@
   std::erase_if(observed_states_,
                 [&](const auto& e) { return !state_machine.requests().contains(e.first); });
   for (const auto& [id, request] : state_machine.requests()) {
-    auto& [state, since] = observed_states_.try_emplace(id, request.state, now).first->second;
+    auto& [state, since] =
+        observed_states_.try_emplace(id, ObservedRequestState{request.state, now}).first->second;
     if (state != request.state) {
       state = request.state;
       since = now;
     }
-    if (request.kind != Kind::kMachine) continue;  // an endpoint waits for whom `status` names
+    if (request.kind != Kind::kMachine) continue;  // an endpoint has no deadline
     const bool drains = state == State::kDraining && now - since > timings.drain;
     const bool returns = state == State::kReturning && now - since > timings.back;
     if (!drains && !returns) continue;
-    Command c;
-    c.verb = Verb::kFail;
-    c.request = id;
-    c.text = drains ? "did not drain in time" : "did not serve again in time";
-    return c;
+    Command command;
+    command.verb = Verb::kFail;
+    command.request = id;
+    command.text = drains ? "did not drain in time" : "did not serve again in time";
+    return command;
   }
   return std::nullopt;
 }
 
-// By urgency; then a hall that the last turn was not in; then the busiest, which has gained most by
-// its turn while others still have room for its clients; then the oldest. Settled as one command,
-// so it is the same everywhere.
+// In order: urgency; another zone than the last grant's; the highest load, which gains most while
+// other members still have capacity for its clients; the oldest. The grant is a committed command,
+// so that every member sees the same order.
 std::optional<Command> MaintenanceScheduler::ProposeGrant(
     const MaintenanceState& state_machine, const std::map<std::string, ObservedMember>& seen) {
   const Request* best = nullptr;
-  const auto key = [&](const Request& r) {
-    const auto member = state_machine.members().find(r.name);
-    const bool machine_kind = r.kind == Kind::kMachine;
-    const bool same_hall = machine_kind && member != state_machine.members().end() &&
+  const auto priority = [&](const Request& candidate) {
+    const auto member = state_machine.members().find(candidate.name);
+    const bool machine_kind = candidate.kind == Kind::kMachine;
+    const bool same_zone = machine_kind && member != state_machine.members().end() &&
                            member->second.zone == state_machine.last_zone();
-    const auto it = seen.find(r.name);
+    const auto it = seen.find(candidate.name);
     const std::uint64_t load = machine_kind && it != seen.end() ? it->second.load : 0;
-    return std::tuple(EffectiveUrgency(r), !same_hall, load, UINT64_MAX - r.id);
+    return GrantPriority{EffectiveUrgency(candidate), !same_zone, load, UINT64_MAX - candidate.id};
   };
   for (const auto& [id, request] : state_machine.requests()) {
     if (!state_machine.CanBeGranted(request)) continue;
     const auto it = seen.find(request.name);
-    // Guards against a turn for one that is being suspected: it may be dead, and uses a place then.
+    // A suspected machine may be dead, and would hold a slot already.
     if (request.kind == Kind::kMachine &&
         (it == seen.end() || it->second.state != peers::State::kAlive)) {
       continue;
     }
-    if (best == nullptr || key(request) > key(*best)) best = &request;
+    if (best == nullptr || priority(request) > priority(*best)) best = &request;
   }
   if (best == nullptr) return std::nullopt;
-  Command c;
-  c.verb = Verb::kGrant;
-  c.request = best->id;
-  return c;
-}
-
-Duty ComputeDuty(const MaintenanceState& state_machine, const std::string& self,
-                 std::uint64_t process_incarnation, const LocalMember& own) {
-  Duty duty;
-  const auto say = [&duty](Verb verb, const Request& request) -> Command& {
-    Command& c = duty.say.emplace_back();
-    c.verb = verb;
-    c.request = request.id;
-    return c;
-  };
-  for (const auto& [id, request] : state_machine.requests()) {
-    if (request.kind == Kind::kEndpoint) {
-      if (request.state != State::kDraining && request.state != State::kOut) continue;
-      duty.ban.insert(request.name);
-      const auto it = request.confirmed.find(self);
-      const bool said = it != request.confirmed.end() && it->second >= process_incarnation;
-      if (own.banned.contains(request.name) && !said) {
-        Command& c = say(Verb::kConfirm, request);
-        c.name = self;
-        c.process_incarnation = process_incarnation;
-      }
-      continue;
-    }
-    if (request.name != self) continue;
-    duty.stand_by = request.state == State::kDraining || request.state == State::kOut ||
-                    request.state == State::kFailed;
-    if (request.state == State::kDraining && own.standing_by && own.drained) {
-      say(Verb::kOutNow, request);
-    }
-    if (request.state == State::kReturning && own.serving && !own.standing_by) {
-      say(Verb::kReturned, request);
-    }
-  }
-  return duty;
+  Command command;
+  command.verb = Verb::kGrant;
+  command.request = best->id;
+  return command;
 }
 
 }  // namespace brassfront::maintenance
--- a/src/maintenance/maintenance_scheduler.hpp
+++ b/src/maintenance/maintenance_scheduler.hpp
@@ -1,18 +1,15 @@
-// What is to be proposed for the settled log: by the leader, who brings the settled state up to
-// what it sees and gives out turns, and by each member, who does what the settled state asks of it.
-// No I/O, no clock; time is the caller's own.
+// What the leader proposes for the replicated log: it brings the committed state up to what it
+// observes, enforces deadlines and grants slots. No I/O; the time is the caller's monotonic clock.
 #ifndef BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
 #define BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "maintenance/maintenance_state.hpp"
+#include "maintenance/member_duty.hpp"
 #include "peers/failure_detector.hpp"
 #include "peers/roster.hpp"
 
@@ -20,26 +17,28 @@
 
 using peers::Time;
 
-// What the leader sees of one member.
+// What the leader observes of one member.
 struct ObservedMember {
   peers::State state = peers::State::kUnknown;
   std::uint64_t process_incarnation = 0;
-  std::uint64_t load = 0;  // messages held, as it says
+  std::uint64_t load = 0;  // messages in flight, as the member reports
 };
 
-// After so many grants to later ones a request is as urgent as the next urgency, and so on. So none
+// After this many grants to later requests a request counts as one urgency higher, so that none
 // waits for more than 2 x kGrantsPerUrgencyStep grants more than the requests before it.
 inline constexpr std::uint32_t kGrantsPerUrgencyStep = 8;
 
+// Chooses the next command. Used by the leader's fleet thread alone.
 class MaintenanceScheduler {
  public:
-  // The next command, or none. To be asked again once that one is settled or lost. A leader that
-  // has led for less than `settle` gives out no turn: it may not have noticed yet who is dead.
-  std::optional<Command> Next(const MaintenanceState& state_machine, const peers::Roster& roster,
-                              const std::map<std::string, ObservedMember>& seen,
-                              Time time_as_leader, Time now);
-  // How long it takes at most, in a whole fleet, until a death that nobody has noticed is noticed.
-  static Time SettlingTime(const peers::Timings& timings) {
+  // The next command to propose, or none; to be called again once that one is committed or lost. A
+  // leader of less than SettlingTime grants nothing: it may not have noticed yet who is dead.
+  [[nodiscard]] std::optional<Command> Next(const MaintenanceState& state_machine,
+                                            const peers::Roster& roster,
+                                            const std::map<std::string, ObservedMember>& seen,
+                                            Time time_as_leader, Time now);
+  // The time in which a connected fleet detects any death: two suspicion periods and six probes.
+  [[nodiscard]] static Time SettlingTime(const peers::Timings& timings) {
     return 2 * timings.suspicion + 6 * timings.probe;
   }
 
@@ -53,27 +52,15 @@
   static std::optional<Command> ProposeGrant(const MaintenanceState& state_machine,
                                              const std::map<std::string, ObservedMember>& seen);
 
-  // Since when we have seen a request in its state. A new leader counts anew, so a deadline is at
-  // most once longer for each change of leaders.
-  std::map<std::uint64_t, std::pair<State, Time>> observed_states_;
+  // When this leader first saw a request in its state. A new leader counts anew, so that each
+  // change of leaders extends a deadline once at most.
+  struct ObservedRequestState {
+    State state{};
+    Time since{};
+  };
+  std::map<std::uint64_t, ObservedRequestState> observed_states_;
 };
 
-// A member's own part.
-struct LocalMember {
-  bool standing_by = false;      // clients are sent away
-  bool drained = false;          // and nothing is held
-  bool serving = false;          // clients are taken
-  std::set<std::string> banned;  // endpoints at which nothing more is begun, as the engine says
-};
-
-struct Duty {
-  bool stand_by = false;
-  std::set<std::string> ban;
-  std::vector<Command> say;  // until the settled state shows it
-};
-Duty ComputeDuty(const MaintenanceState& state_machine, const std::string& self,
-                 std::uint64_t process_incarnation, const LocalMember& own);
-
 }  // namespace brassfront::maintenance
 
 #endif  // BRASSFRONT_MAINTENANCE_MAINTENANCE_SCHEDULER_HPP_
--- a/src/maintenance/maintenance_state.hpp
+++ b/src/maintenance/maintenance_state.hpp
@@ -1,9 +1,13 @@
-// What is settled of machines and endpoints that are out for work: a state machine that the settled
-// log drives, the same on every member. No I/O, no clock, nothing drawn.
+// The replicated state of maintenance: which machines and endpoints are requested for maintenance,
+// draining or out, and which slots they hold. The replicated log drives it, so that it is the same
+// on every member. No I/O, no clock, no randomness; one thread at a time.
 //
-// A place is one machine that the fleet does without. It is used by a machine that is dead, and by
-// one whose turn has come, from the moment it may begin to drain until it says itself that it
-// serves again; so a place is never given away while existing holder may still be out.
+// A slot is one machine that the fleet may do without. Invariants:
+// - A dead machine holds a slot. A machine with a granted request holds one from the grant until it
+//   reports that it serves again, so a slot is never granted while its holder may still be out.
+// - A grant beyond the limits, in total or in a zone, is ignored when it is applied, whatever its
+//   proposer knew.
+// - A command with the token of a stored result changes nothing: retries are idempotent.
 #ifndef BRASSFRONT_MAINTENANCE_MAINTENANCE_STATE_HPP_
 #define BRASSFRONT_MAINTENANCE_MAINTENANCE_STATE_HPP_
 
@@ -17,15 +21,13 @@
 #include <vector>
 
 #include "consensus/raft_node.hpp"
+#include "maintenance/maintenance_command.hpp"
 
 namespace brassfront::maintenance {
 
-enum class Kind : std::uint8_t { kMachine = 1, kEndpoint };
-enum class Urgency : std::uint8_t { kLow, kNormal, kHigh };
-const char* ToString(Urgency urgency);
-
-// kRequested waits for a place. kDraining: existing turn has come. kBack, kCancelled: over.
-// kFailed: a deadline times_overtaken; a machine keeps existing place until it is brought back.
+// The life of a request: kRequested waits for a slot; kDraining, kOut and kReturning follow a
+// grant; kBack and kCancelled are final. kFailed: a deadline passed; a machine keeps its slot until
+// it is brought back.
 enum class State : std::uint8_t {
   kRequested,
   kDraining,
@@ -35,23 +37,27 @@
   kBack,
   kCancelled
 };
-const char* ToString(State state);
-inline bool IsOver(State state) { return state == State::kBack || state == State::kCancelled; }
+[[nodiscard]] const char* ToString(State state);
+[[nodiscard]] inline bool IsOver(State state) {
+  return state == State::kBack || state == State::kCancelled;
+}
 
-inline constexpr std::size_t kMaxOpenRequests = 400;     // that are not over
-inline constexpr std::size_t kMaxFinishedRequests = 50;  // that are remembered
-inline constexpr std::size_t kMaxStoredResults = 200;
+inline constexpr std::size_t kMaxOpenRequests = 400;     // requests that are not final
+inline constexpr std::size_t kMaxFinishedRequests = 50;  // final requests kept for operators
+inline constexpr std::size_t kMaxStoredResults = 200;    // kept to answer retries of commands
 
+// A request for maintenance of one machine or endpoint.
 struct Request {
   std::uint64_t id = 0;
   Kind kind = Kind::kMachine;
   std::string name;  // of the machine, or the endpoint's id
   Urgency urgency = Urgency::kNormal;
   State state = State::kRequested;
-  std::uint32_t times_overtaken =
-      0;            // grants to others that were asked for later, since it was asked for
-  std::string why;  // with kFailed and kCancelled
-  // Of an endpoint: who starts nothing more there, and the process_incarnation it said so in.
+  // Grants to requests that were made later; raises the effective urgency.
+  std::uint32_t times_overtaken = 0;
+  std::string why;  // the reason, with kFailed and kCancelled
+  // Of an endpoint: the members that start no more calls there, with the process incarnation in
+  // which each of them confirmed it.
   std::map<std::string, std::uint64_t> confirmed;
 
   [[nodiscard]] bool HoldsSlot() const {
@@ -59,57 +65,27 @@
   }
 };
 
-enum class Verb : std::uint8_t {
-  kMember = 1,  // name, zone: is in the roster
-  kNoMember,    // name: no longer
-  kLimits,      // all, zone
-  kAsk,         // kind, name (or "hall:NAME", "all"), urgency, token
-  kCancel,      // request, token
-  kHold,        // flag, token: nothing more is granted
-  kBringBack,   // kind, name (or "all"), token
-  kGrant,       // request
-  kOutNow,      // request: the machine has drained
-  kConfirm,     // request, name, process_incarnation
-  kReturned,    // request: the machine serves again
-  kFail,        // request, why
-  kDead,        // name, process_incarnation
-  kAlive,       // name, process_incarnation
-  kEnded        // name, token: staff say that existing process has ended
-};
-
-struct Command {
-  Verb verb{};
-  Kind kind = Kind::kMachine;
-  std::string name;
-  std::string text;  // a zone, or a reason
-  Urgency urgency = Urgency::kNormal;
-  std::uint64_t request = 0;
-  std::uint64_t process_incarnation = 0;  // or the limit of all
-  std::uint64_t token = 0;  // of who asked, to find the answer by; or the limit of a zone
-  bool flag = false;
-
-  [[nodiscard]] std::string Encode() const;
-  static std::optional<Command> Decode(std::string_view bytes);
-};
-
+// What the log holds of one member of the roster.
 struct MemberState {
   std::string zone;
-  std::uint64_t process_incarnation =
-      0;  // the last that was told with existing death or process_incarnation
+  std::uint64_t process_incarnation = 0;  // the last one that a command named
   bool dead = false;
-  std::uint64_t ended = 0;  // lives up to this one have surely ended
+  std::uint64_t ended = 0;  // process incarnations up to this one have ended for certain
 };
 
-// What an operator is told of a request.
+// The result of an operator's command; the text is shown to the operator as it is.
 struct RequestResult {
   bool good = false;
   std::string text;
 };
 
+// The state machine itself. Owned by the fleet's thread, which also copies it for readers.
 class MaintenanceState : public consensus::StateMachine {
  public:
+  // Applies one encoded command; bytes that are no valid command only count as a revision.
   void Apply(std::string_view command) override;
   [[nodiscard]] std::string Save() const override;
+  // False, and nothing changes, if the bytes are no state that Save wrote.
   bool Load(std::string_view state) override;
 
   [[nodiscard]] std::uint64_t revision() const { return revision_; }  // counts commands
@@ -120,34 +96,53 @@
   [[nodiscard]] std::size_t max_out_per_zone() const { return max_out_per_zone_; }
   [[nodiscard]] bool held() const { return grants_paused_; }
   [[nodiscard]] const std::string& last_zone() const { return last_zone_; }
+  // The stored result of the command with this token; nullptr: none, or no longer.
   [[nodiscard]] const RequestResult* ResultFor(std::uint64_t token) const;
 
-  // Of a machine that is not over; nullptr: none.
+  // The open request for a machine or endpoint; nullptr: none.
   [[nodiscard]] const Request* RequestFor(Kind kind, const std::string& name) const;
-  // Places that are used now.
+  // Slots in use, by dead machines and by granted requests.
   [[nodiscard]] std::size_t UsedInAll() const { return UsedInZone(""); }
-  [[nodiscard]] std::size_t UsedInZone(const std::string& zone) const {  // empty: in all
+  [[nodiscard]] std::size_t UsedInZone(const std::string& zone) const {  // empty: in total
     const auto it = slots_in_use_.find(zone);
     return it == slots_in_use_.end() ? 0 : it->second;
   }
-  // Its turn may come now.
+  // Whether a grant to this request would be accepted now.
   [[nodiscard]] bool CanBeGranted(const Request& request) const;
-  // Empty: existing turn may come now. Else whom or what it waits for, by name.
+  // Whom or what the request waits for, as operators read it; empty: it waits for nobody.
   [[nodiscard]] std::string WaitsFor(const Request& request) const;
-  // Of an endpoint that drains: who has not confirmed.
+  // Members that may still start calls to the endpoint of this request, by name.
   [[nodiscard]] std::vector<std::string> Unconfirmed(const Request& request) const;
 
  private:
+  // One handler for each kind of command; Execute only dispatches.
   void Execute(const Command& command);
-  RequestResult RequestAll(const Command& command);
+  void ExecuteOperatorCommand(const Command& command);
+  void ExecuteRequestCommand(const Command& command);
+  void ExecuteMemberCommand(const Command& command);
+  // Of operators.
+  RequestResult RequestMaintenance(const Command& command);
   RequestResult RequestOne(const Command& command, const std::string& name);
   RequestResult Cancel(const Command& command);
+  RequestResult PauseGrants(const Command& command);
   RequestResult BringBack(const Command& command);
+  RequestResult DeclareEnded(const Command& command);
+  // Of the leader and of members, on one request.
   void Grant(Request& request);
+  static void MarkOut(Request& request);
+  void Confirm(Request& request, const Command& command);
+  void Return(const Request& request);
+  static void Fail(Request& request, const std::string& reason);
+  // Of the leader, on the roster and on members.
+  void RemoveMember(const std::string& name);
+  void SetLiveness(const Command& command);
+
+  // Moves an open request to the finished ones.
   void Finish(std::uint64_t id, State state, std::string why);
   void FinishEndpointDrains();
   void CountSlots();
-  void StoreResult(std::uint64_t token, RequestResult answer);
+  void StoreResult(std::uint64_t token, RequestResult result);
+  [[nodiscard]] std::string SlotHolders(const std::string& zone) const;
 
   std::uint64_t revision_ = 0;
   std::uint64_t next_id_ = 1;
@@ -155,11 +150,12 @@
   std::map<std::uint64_t, Request> requests_;
   std::deque<Request> finished_;
   std::deque<std::pair<std::uint64_t, RequestResult>> results_;
-  std::size_t max_out_total_ = 0, max_out_per_zone_ = 0;
+  std::size_t max_out_total_ = 0;
+  std::size_t max_out_per_zone_ = 0;
   bool grants_paused_ = false;
-  std::string last_zone_;  // of the last machine whose turn came
-  std::map<std::string, std::size_t>
-      slots_in_use_;  // places, by zone, and in all; follows from the above
+  std::string last_zone_;  // of the machine that was granted last
+  // By zone, and in total under the empty name. Not saved: it follows from the rest.
+  std::map<std::string, std::size_t> slots_in_use_;
 };
 
 }  // namespace brassfront::maintenance
