Give lease requests and grants steps of their own, and document the quota headers

Ask and Answer each did several jobs in one loop body; RenewShare and GrantShare now do one limit, RequestHistory dates a request, LentQuota and Answered replace pairs. Each timing constant says its unit and reason. No arithmetic changes its order.

--- a/src/quota/lease_grantor.cpp
+++ b/src/quota/lease_grantor.cpp
@@ -7,8 +7,10 @@
 namespace brassfront::quota {
 namespace {
 
-constexpr std::size_t kMaxRememberedAnswers =
-    8;  // of one holder's; it shows to have last_answered one of the last
+// Answers remembered of each holder, to date its next request by the answer that it names.
+constexpr std::size_t kMaxRememberedAnswers = 8;
+// From this many reports on the second lowest counts, so that one wrong report moves nothing.
+constexpr std::size_t kReportQuorum = 3;
 
 }  // namespace
 
@@ -26,9 +28,9 @@
   return sum;
 }
 
-// The second lowest of what members were reported; the lower of two, the only one. So neither one
-// that claims nothing nor one that claims a million moves it where three call there. Nothing above
-// what the operator file lists.
+// The second lowest of the limits that members report; the lower of two, or the only one. With
+// three reporters neither a report of nothing nor one of a million moves it. Never above a listed
+// limit.
 double LeaseGrantor::AgreedLimit(const std::string& key, Limit& limit, Time now) const {
   std::erase_if(limit.reported, [&](const auto& c) {
     return now - c.second.at > settings_.ReportedLimitLifetime();
@@ -39,8 +41,8 @@
   const auto listed = settings_.listed.find(key);
   double agreed = listed == settings_.listed.end() ? 0 : listed->second;
   if (reported.empty()) return agreed;
-  const double heard = reported.size() < 3 ? reported[0] : reported[1];
-  return agreed > 0 ? std::min(agreed, heard) : heard;
+  const double agreed_report = reported.size() < kReportQuorum ? reported[0] : reported[1];
+  return agreed > 0 ? std::min(agreed, agreed_report) : agreed_report;
 }
 
 double LeaseGrantor::LentQuota(const Limit& limit, Time now) const {
@@ -49,8 +51,8 @@
   return sum;
 }
 
-// Max-min fair over what holders want above their floors: whoever wants little gets it whole, and
-// the rest share evenly.
+// Max-min fair over the demands above the reserved minimum: small demands are met in full, the
+// others share the rest evenly.
 double LeaseGrantor::FairShare(const Limit& limit, const std::string& holder, double pool,
                                double floor, Time now) const {
   std::vector<double> wants;
@@ -73,41 +75,19 @@
 std::optional<LeaseGrant> LeaseGrantor::Answer(const std::string& holder,
                                                const LeaseRequestBatch& request, Time now) {
   if (!leading_since_) return std::nullopt;
-  // A late copy says nothing of what the holder keeps now.
+  // A delayed duplicate knows nothing of what the holder keeps now.
   RequestHistory& history = histories_[holder];
   if (request.number <= history.number) return std::nullopt;
-  history.number = request.number;
-  // It was written after that answer: what it lends is as young at least.
-  std::optional<Time> lent_since;
-  for (const auto& [number, at] : history.answers) {
-    if (number == request.last_answered) lent_since = at;
-  }
-  history.answers.emplace_back(request.number, now);
-  if (history.answers.size() > kMaxRememberedAnswers) history.answers.pop_front();
+  const std::optional<Time> lent_since = history.AnsweredAt(request.last_answered);
+  history.Add(request.number, now);
   LeaseGrant grant;
   grant.number = request.number;
   grant.leases = grants(now);
   for (const auto& [key, wanted] : request.requests) {
     if (!limits_.contains(key) && limits_.size() >= kMaxKeysPerMessage) continue;
-    Limit& limit = limits_[key];
-    limit.demands[holder] = {wanted.demand, now};
-    if (settings_.reported && wanted.reported > 0) limit.reported[holder] = {wanted.reported, now};
-    GrantedLease& part = grant.parts[key];
-    part.limit = limit.limit = AgreedLimit(key, limit, now);
-    // What it says to keep holds until the end of its lease at most, whatever becomes of this.
-    limit.lent[holder] = {wanted.lend,
-                          lent_since ? *lent_since + settings_.LentQuotaLifetime() : Time{}};
-    Lease& lease = limit.leases[holder];
-    lease.amount = now < lease.ends ? std::min(lease.amount, wanted.keep) : 0;
-    if (!grant.leases || part.limit <= 0) continue;
-    const double pool = part.limit * (1 - settings_.floor) + LentQuota(limit, now);
-    const double others = Outstanding(key, now) - lease.amount;
-    const double fair = FairShare(limit, holder, pool, settings_.FloorOf(part.limit), now);
-    part.lease = std::clamp(pool - others, 0.0, fair);
-    lease.amount = std::max(lease.amount, part.lease);
-    lease.ends = now + settings_.Stretched(settings_.term);
+    grant.parts[key] = GrantShare(key, holder, wanted, lent_since, grant.leases, now);
   }
-  // Limits that it does not use are reported too: their floors are lent.
+  // Limits that the holder does not use are listed as well, so that it lends their reserves.
   for (const auto& [key, limit] : limits_) {
     if (limit.limit > 0 && grant.parts.size() < kMaxKeysPerMessage) {
       grant.parts.try_emplace(key, GrantedLease{limit.limit, 0});
@@ -116,4 +96,40 @@
   return grant;
 }
 
+GrantedLease LeaseGrantor::GrantShare(const std::string& key, const std::string& holder,
+                                      const LeaseRequest& wanted, std::optional<Time> lent_since,
+                                      bool may_lease, Time now) {
+  Limit& limit = limits_[key];
+  limit.demands[holder] = {wanted.demand, now};
+  if (settings_.reported && wanted.reported > 0) limit.reported[holder] = {wanted.reported, now};
+  GrantedLease granted;
+  granted.limit = limit.limit = AgreedLimit(key, limit, now);
+  limit.lent[holder] = {wanted.lend,
+                        lent_since ? *lent_since + settings_.LentQuotaLifetime() : Time{}};
+  // What the holder keeps stays booked until its lease has expired, whatever is granted now.
+  Lease& lease = limit.leases[holder];
+  lease.amount = now < lease.ends ? std::min(lease.amount, wanted.keep) : 0;
+  if (!may_lease || granted.limit <= 0) return granted;
+  const double pool = granted.limit * (1 - settings_.floor) + LentQuota(limit, now);
+  const double others = Outstanding(key, now) - lease.amount;
+  const double fair = FairShare(limit, holder, pool, settings_.FloorOf(granted.limit), now);
+  granted.lease = std::clamp(pool - others, 0.0, fair);
+  lease.amount = std::max(lease.amount, granted.lease);
+  lease.ends = now + settings_.Stretched(settings_.term);
+  return granted;
+}
+
+std::optional<Time> LeaseGrantor::RequestHistory::AnsweredAt(std::uint64_t answered) const {
+  const auto it = std::find_if(answers.begin(), answers.end(),
+                               [&](const Answered& answer) { return answer.number == answered; });
+  if (it == answers.end()) return std::nullopt;
+  return it->at;
+}
+
+void LeaseGrantor::RequestHistory::Add(std::uint64_t request, Time now) {
+  number = request;
+  answers.push_back({request, now});
+  if (answers.size() > kMaxRememberedAnswers) answers.pop_front();
+}
+
 }  // namespace brassfront::quota
--- a/src/quota/lease_grantor.hpp
+++ b/src/quota/lease_grantor.hpp
@@ -1,8 +1,9 @@
-// Who gives out shares of limits: the leader of the settled log, and nobody else, since there is at
-// most one that a majority follows.
+// Grants leases on the fleet's limits. Only the leader of the replicated log grants, so that at
+// most one grantor is followed by a majority.
 //
-// A core: no I/O, no clock, no threads. It remembers nothing across a change of leaders: a new one
-// waits until all that was granted before has surely ended.
+// No I/O, no clock, no threads; the caller passes its monotonic time. State is in memory alone: a
+// new leader waits for QuietTime, until all earlier leases have expired. Invariant: the leases
+// outstanding never exceed the limit less all reserves that are not lent.
 #ifndef BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
 #define BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
 
@@ -22,25 +23,26 @@
  public:
   explicit LeaseGrantor(LeaseSettings settings) : settings_(std::move(settings)) {}
 
-  // We lead from now on, or may have been stopped while we led: nothing is granted for a while.
+  // This member leads from now on, or was suspended while it led: nothing is granted for QuietTime.
   void Begin(Time now);
-  // We lead no longer.
+  // This member leads no longer.
   void End() { leading_since_.reset(); }
   void Change(LeaseSettings settings) { settings_ = std::move(settings); }
 
-  // None: we do not lead. During the quiet time the answer has limits and no leases.
+  // Nothing: this member does not lead, or the request is old. During QuietTime the answer has
+  // limits and no leases.
   std::optional<LeaseGrant> Answer(const std::string& holder, const LeaseRequestBatch& request,
                                    Time now);
 
   struct Lease {
     double amount = 0;
-    Time ends{};  // for sure, on our clock
+    Time ends{};  // expired for certain, on the grantor's clock
   };
   struct ReportedRate {  // of the limit, or of demand
     double rate = 0;
     Time at{};
   };
-  struct Loan {  // of a floor, by its member
+  struct Loan {  // of a reserve, by its member
     double amount = 0;
     Time until{};  // granted from no longer
   };
@@ -60,6 +62,10 @@
 
  private:
   double AgreedLimit(const std::string& key, Limit& limit, Time now) const;
+  // Books and returns one holder's share of one limit.
+  GrantedLease GrantShare(const std::string& key, const std::string& holder,
+                          const LeaseRequest& wanted, std::optional<Time> lent_since,
+                          bool may_lease, Time now);
   [[nodiscard]] double LentQuota(const Limit& limit, Time now) const;
   [[nodiscard]] double FairShare(const Limit& limit, const std::string& holder, double pool,
                                  double floor, Time now) const;
@@ -67,9 +73,18 @@
   LeaseSettings settings_;
   std::optional<Time> leading_since_;
   std::map<std::string, Limit> limits_;
+  // The last requests of one holder, and when each was answered.
   struct RequestHistory {
-    std::uint64_t number = 0;                            // of its last request
-    std::deque<std::pair<std::uint64_t, Time>> answers;  // its last requests, and when
+    struct Answered {
+      std::uint64_t number = 0;
+      Time at{};
+    };
+    // When the request with this number was answered; nothing: unknown, or no longer.
+    [[nodiscard]] std::optional<Time> AnsweredAt(std::uint64_t answered) const;
+    void Add(std::uint64_t request, Time now);
+
+    std::uint64_t number = 0;  // of the last request
+    std::deque<Answered> answers;
   };
   std::map<std::string, RequestHistory> histories_;
 };
--- a/src/quota/lease_holder.cpp
+++ b/src/quota/lease_holder.cpp
@@ -6,25 +6,35 @@
 namespace brassfront::quota {
 namespace {
 
-constexpr double kDemandDecaySeconds = 1.5;  // s; shorter than a term, longer than a turn
-constexpr double kPublishedChange = 0.1;     // of a rate
-// ShareFor what comes, asked for: paced at little more than that, messages would queue. Where all
-// ask for more than there is, each gets a fair part.
+// Time constant of the demand estimate, in seconds: shorter than a lease's term, so that a request
+// reflects current traffic; longer than the interval between requests.
+constexpr double kDemandDecaySeconds = 1.5;
+// A rate is published again after it has changed by this share.
+constexpr double kPublishedChange = 0.1;
+// Requested as a multiple of the demand: pacing at barely more than the demand would build queues.
+// Where all request more than there is, the grantor shares it out fairly.
 constexpr double kDemandHeadroom = 2;
-constexpr double kRetainedHeadroom = 1.25;  // of what comes, kept of a floor that is lent
+// Retained of a lent reserve, as a multiple of the demand.
+constexpr double kRetainedHeadroom = 1.25;
+// Requested even without demand, in calls a second, up to the reserve.
 constexpr double kMinRequestedRate = 0.5;
-constexpr double kSaturation = 0.75;      // of the rate that may be used
-constexpr double kSaturatedGrowth = 1.6;  // of what is used, asked for then
-constexpr double kMaxLentShare = 0.9;     // of the floor: a first call may go at once
-
-// A rate that was counted up to `at`, forgotten exponentially since.
+// From this share of the usable rate on a holder counts as saturated, and may have a backlog;
+// it then requests kSaturatedGrowth times what it uses.
+constexpr double kSaturation = 0.75;
+constexpr double kSaturatedGrowth = 1.6;
+// The largest share of the reserve that is lent: the rest lets a first call start at once.
+constexpr double kMaxLentShare = 0.9;
+// Demand beyond the usable rate brings the next request forward to this part of the interval.
+constexpr int kEarlyRequestDivisor = 4;
+
+// A rate counted until `at`, with exponential decay since then.
 double Decayed(double rate, Time at, Time now) {
   return rate * std::exp(-SecondsOf(now - at) / kDemandDecaySeconds);
 }
 
 }  // namespace
 
-// What is listed is there from the start, so that the floor of one that calls nowhere is lent.
+// Listed limits have a share from the start, so that an idle member lends its reserve.
 LeaseHolder::LeaseHolder(LeaseSettings settings) : settings_(std::move(settings)) {
   for (const auto& [key, limit] : settings_.listed) shares_[key].limit = limit;
 }
@@ -40,7 +50,7 @@
   return it->second;
 }
 
-// What our own calls were reported makes us more careful at once; less careful only by the grant.
+// A limit reported to our own calls lowers the rate at once; only a grant raises it.
 double LeaseHolder::EffectiveLimit(const Share& share, Time now) const {
   const bool fresh =
       share.reported > 0 &&
@@ -49,7 +59,7 @@
   return share.limit > 0 ? std::min(share.limit, share.reported) : share.reported;
 }
 
-// A lease granted by a higher limit than our own calls are reported shrinks with it.
+// A lease that was granted under a higher limit than now reported is scaled down with it.
 double LeaseHolder::EffectiveLease(const Share& share, Time now) const {
   if (now >= share.ends || share.limit <= 0) return 0;
   return share.lease * EffectiveLimit(share, now) / share.limit;
@@ -59,28 +69,29 @@
   return Decayed(share.demand, share.demand_at, now);
 }
 
-// What comes, with some headroom; or more than what is used, where all that may be used is: then
-// something waits. Guards against a backlog that is never asked for.
+// The demand with headroom; more if the usable rate is used up, since a backlog adds no demand.
 double LeaseHolder::RequestedRate(const Share& share, Time now) const {
-  const double comes = CurrentDemand(share, now) * kDemandHeadroom;
+  const double with_headroom = CurrentDemand(share, now) * kDemandHeadroom;
   const double used = Decayed(share.used, share.used_at, now);
   const double rate = UsableReserve(share, now) + EffectiveLease(share, now);
-  return used < kSaturation * rate ? comes : std::max(comes, kSaturatedGrowth * used);
+  return used < kSaturation * rate ? with_headroom
+                                   : std::max(with_headroom, kSaturatedGrowth * used);
 }
 
-// What comes to one that has lent its floor, or has too small a lease, is asked for soon.
+// Demand beyond the usable rate (a lent reserve, a small lease) brings the next request forward.
 void LeaseHolder::OnDemand(const std::string& key, Time now) {
   Share& share = ShareFor(key, now);
   share.demand = CurrentDemand(share, now) + 1 / kDemandDecaySeconds;
   share.demand_at = now;
   if (UsableReserve(share, now) + EffectiveLease(share, now) < share.demand) {
-    next_request_at_ = std::min(next_request_at_, last_request_at_ + settings_.Renew() / 4);
+    next_request_at_ =
+        std::min(next_request_at_, last_request_at_ + settings_.Renew() / kEarlyRequestDivisor);
   }
 }
 
 double LeaseHolder::UsableReserve(const Share& share, Time now) const {
   double lent = 0;
-  for (const auto& [amount, until] : share.lent) lent = std::max(lent, now < until ? amount : 0);
+  for (const LentQuota& part : share.lent) lent = std::max(lent, now < part.until ? part.rate : 0);
   return std::max(0.0, settings_.FloorOf(EffectiveLimit(share, now)) - lent);
 }
 
@@ -90,15 +101,15 @@
   return UsableReserve(it->second, now) + EffectiveLease(it->second, now);
 }
 
-// The lease counts until its end and no longer, however late this is asked. Guards against one that
-// was stopped past its lease and wakes up with calls ready.
+// The lease counts until it expires and no longer, however late this is called: a process that was
+// suspended past the expiry accumulates no tokens from it.
 void LeaseHolder::Refill(Share& share, Time now) const {
-  const double floor =
-      UsableReserve(share, share.tokens_at);  // what was lent then may be back since
+  const double reserve = UsableReserve(
+      share, share.tokens_at);  // as of the last refill: a cool-down may have ended since
   const Time leased = std::max(Time{}, std::min(now, share.ends) - share.tokens_at);
   const double lease = share.limit > 0 ? share.lease * EffectiveLimit(share, now) / share.limit : 0;
-  share.tokens += floor * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
-  share.tokens = std::min(share.tokens, settings_.MaxBurst(floor + EffectiveLease(share, now)));
+  share.tokens += reserve * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
+  share.tokens = std::min(share.tokens, settings_.MaxBurst(reserve + EffectiveLease(share, now)));
   share.tokens_at = now;
 }
 
@@ -135,36 +146,40 @@
   last_request_at_ = now;
   for (auto& [key, share] : shares_) {
     if (request.requests.size() >= kMaxKeysPerMessage) break;
-    LeaseRequest& wanted = request.requests[key];
-    const double floor = settings_.FloorOf(EffectiveLimit(share, now));
-    wanted.demand = RequestedRate(share, now) + std::min(kMinRequestedRate, floor);
-    wanted.reported =
-        settings_.reported && now - share.reported_at < settings_.ReportedLimitLifetime()
-            ? share.reported
-            : 0;
-    // What is not needed is given back: from now on no more is used than is said here.
-    Refill(share, now);
-    if (now >= share.ends) share.lease = 0;
-    share.lease = std::min(share.lease, wanted.demand);
-    wanted.keep = share.lease;
-    const double keeps =
-        std::max(kRetainedHeadroom * CurrentDemand(share, now), (1 - kMaxLentShare) * floor);
-    wanted.lend = std::max(0.0, floor - keeps);
-    std::erase_if(share.lent, [&](const auto& lent) { return now >= lent.second; });
-    // Whether it is ever granted or not, it is left alone.
-    if (wanted.lend > 0) share.lent.emplace_back(wanted.lend, now + settings_.LeaseCoolDown());
+    request.requests[key] = RenewShare(share, now);
   }
   return request;
 }
 
-// The answer to an older request says nothing of what we said to keep since.
+// What is not needed is given back: from now on no more is used than the request says.
+LeaseRequest LeaseHolder::RenewShare(Share& share, Time now) const {
+  LeaseRequest request;
+  const double reserve = settings_.FloorOf(EffectiveLimit(share, now));
+  request.demand = RequestedRate(share, now) + std::min(kMinRequestedRate, reserve);
+  const bool fresh = now - share.reported_at < settings_.ReportedLimitLifetime();
+  request.reported = settings_.reported && fresh ? share.reported : 0;
+  Refill(share, now);
+  if (now >= share.ends) share.lease = 0;
+  share.lease = std::min(share.lease, request.demand);
+  request.keep = share.lease;
+  const double retained =
+      std::max(kRetainedHeadroom * CurrentDemand(share, now), (1 - kMaxLentShare) * reserve);
+  request.lend = std::max(0.0, reserve - retained);
+  std::erase_if(share.lent, [&](const LentQuota& lent) { return now >= lent.until; });
+  // Unused for the whole cool-down, whether the grantor lends it to anyone or not.
+  if (request.lend > 0) share.lent.push_back({request.lend, now + settings_.LeaseCoolDown()});
+  return request;
+}
+
+// The answer to an older request knows nothing of what a later one promised to keep.
 void LeaseHolder::Take(const LeaseGrant& grant, Time now) {
   if (grant.number != last_request_number_) return;
   last_answered_ = grant.number;
   for (const auto& [key, part] : grant.parts) {
     Share& share = ShareFor(key, now);
     Refill(share, now);
-    if (!grant.leases && now < share.ends) continue;  // what we have runs on by its own limit
+    if (!grant.leases && now < share.ends)
+      continue;  // the current lease stays valid under its own limit
     share.limit = part.limit;
     if (!grant.leases) continue;
     share.lease = part.lease;
--- a/src/quota/lease_settings.hpp
+++ b/src/quota/lease_settings.hpp
@@ -1,4 +1,4 @@
-// What limits of a whole fleet are kept by, and the bounds that follow. No I/O, no clock.
+// The settings of fleet-wide limits, and the timing bounds that follow from them. No I/O, no clock.
 #ifndef BRASSFRONT_QUOTA_LEASE_SETTINGS_HPP_
 #define BRASSFRONT_QUOTA_LEASE_SETTINGS_HPP_
 
@@ -12,46 +12,49 @@
 
 using Time = std::chrono::nanoseconds;  // on the member's own monotonic clock
 
-inline double SecondsOf(Time time) { return std::chrono::duration<double>(time).count(); }
-inline Time FromSeconds(double seconds) {
+[[nodiscard]] inline double SecondsOf(Time time) {
+  return std::chrono::duration<double>(time).count();
+}
+[[nodiscard]] inline Time FromSeconds(double seconds) {
   return std::chrono::duration_cast<Time>(std::chrono::duration<double>(seconds));
 }
 
+// Settings of leases, the same on every member. docs/design/quota.md derives the bounds.
 struct LeaseSettings {
-  Time term{};          // of a lease, from the moment when it was asked for
-  double drift = 0.01;  // by which two members' clocks may run apart
-  double floor = 0.2;   // share of a limit that is set aside: an even part for each member
-  Time burst{};         // of a member's rate, what may come at once; one call at least
-  Time election{};      // of the settled log, whose leader grants
+  Time term{};          // of a lease, from the moment its request is written
+  double drift = 0.01;  // clock drift bound: the largest relative error of a member's clock
+  double floor = 0.2;   // share of each limit that is reserved, evenly among the members
+  Time burst{};         // a member may start what its rate yields in this time at once
+  Time election{};      // election timeout of the replicated log, whose leader grants
   std::size_t members = 1;
-  bool reported = true;                    // limits that endpoints report hold as well
-  std::map<std::string, double> listed{};  // calls a second, by key, from the operator file
+  bool reported = true;                    // whether limits that endpoints report apply as well
+  std::map<std::string, double> listed{};  // calls a second, by key, from the operator's file
 
+  // Interval of lease requests: a lease outlives three that are lost.
   [[nodiscard]] Time Renew() const { return term / 4; }
-  // What a call was reported of a limit counts for so long; whoever calls seldom knows only an old
-  // one.
+  // How long a limit from a response counts: a member that calls seldom knows only an old one.
   [[nodiscard]] Time ReportedLimitLifetime() const { return 2 * term; }
-  // A new grantor waits for so long: what the one before granted has ended by then, on whichever
-  // member's clock, and the one before, which leads for two elections without a majority at most,
-  // grants no more.
+  // A new grantor grants nothing for this time: a former leader grants for two elections without a
+  // majority at most, and its last lease has expired a term later, on any member's clock.
   [[nodiscard]] Time QuietTime() const { return Stretched(term + 2 * election); }
-  // What a member has lent of its floor may be granted for so long after the answer that it shows
-  // to have had, and the member leaves it alone for so long after each time that it says so: until
-  // all leases from it have surely ended.
+  // Lent quota is granted for LentQuotaLifetime after the answer that the lender names. The lender
+  // leaves it unused for LeaseCoolDown after each request that lends it: until every lease granted
+  // from it has expired, on any member's clock.
   [[nodiscard]] Time LentQuotaLifetime() const { return Shortened(term); }
   [[nodiscard]] Time LeaseCoolDown() const { return Stretched(Stretched(2 * term)); }
-  // As long as any clock may take for it.
+  // The longest time on any member's clock for this time on another's.
   [[nodiscard]] Time Stretched(Time time) const {
     return FromSeconds(SecondsOf(time) * (1 + drift));
   }
-  // Ended on its own clock after so long, a time has ended on no other clock before.
+  // A time that, once passed on the own clock, has not yet passed on any other.
   [[nodiscard]] Time Shortened(Time time) const {
     return FromSeconds(SecondsOf(time) * (1 - drift));
   }
+  // One member's reserved minimum of a limit, in calls a second.
   [[nodiscard]] double FloorOf(double limit) const {
     return limit * floor / static_cast<double>(members);
   }
-  // Calls that a member of this rate may begin at once.
+  // Calls that a member with this rate may start at once: one at least.
   [[nodiscard]] double MaxBurst(double rate) const {
     const double calls = rate * SecondsOf(burst);
     return calls > 1 ? calls : 1;
@@ -59,20 +62,22 @@
 
   // ---- bounds; docs/design/quota.md derives them ----
 
-  // Calls above limit x window, in any window, while the limit stands: with links whole or cut,
-  // members stopped, killed or woken.
+  // Upper bound of the calls above limit x window, in any window, while the limit is unchanged:
+  // with links connected or cut, members suspended, ended or resumed.
   [[nodiscard]] double MostAtOnce(double limit) const {
     return static_cast<double>(members) + limit * SecondsOf(burst);
   }
-  // For so long after a limit was lowered more may be begun, at the old rate at most: until all
-  // that was granted by the old one has ended. `unheard` until a member that grants has heard of
-  // it.
+  // How long after a limit was lowered calls may start at the old rate, at most: until every lease
+  // granted under the old limit has expired. `unheard`: until a granting member learns of it.
   [[nodiscard]] Time LoweredFor(Time unheard) const { return unheard + Stretched(term); }
 };
 
-// A limit's name: of a destination, or of an endpoint whose route is apart.
-inline std::string KeyOf(std::uint64_t destination) { return "d" + std::to_string(destination); }
-inline std::string KeyOf(const std::string& endpoint) { return "e:" + endpoint; }
+// The key of a limit, as frames and reports write it: of a destination, or of an endpoint with a
+// limit of its own.
+[[nodiscard]] inline std::string KeyOf(std::uint64_t destination) {
+  return "d" + std::to_string(destination);
+}
+[[nodiscard]] inline std::string KeyOf(const std::string& endpoint) { return "e:" + endpoint; }
 
 }  // namespace brassfront::quota
 
--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -11,7 +11,7 @@
 using peers::Reader;
 using peers::Writer;
 
-constexpr double kMaxRate = 1e6;  // calls a second; more is not meant
+constexpr double kMaxRate = 1e6;  // calls a second; larger rates are read as this one
 
 // In thousandths, rounded down: the sum of parts is not more than the whole.
 std::uint64_t Milli(double rate) {
@@ -26,8 +26,12 @@
 std::string LeaseRequestBatch::Encode() const {
   Writer out;
   out.U64(number).U64(last_answered).U16(requests.size());
-  for (const auto& [key, w] : requests) {
-    out.Name(key).U32(Milli(w.demand)).U32(Milli(w.keep)).U32(Milli(w.reported)).U32(Milli(w.lend));
+  for (const auto& [key, wanted] : requests) {
+    out.Name(key)
+        .U32(Milli(wanted.demand))
+        .U32(Milli(wanted.keep))
+        .U32(Milli(wanted.reported))
+        .U32(Milli(wanted.lend));
   }
   return out.Take();
 }
@@ -39,11 +43,11 @@
   request.last_answered = in.U64();
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    LeaseRequest& w = request.requests[in.Name()];
-    w.demand = FromMilli(in.U32());
-    w.keep = FromMilli(in.U32());
-    w.reported = FromMilli(in.U32());
-    w.lend = FromMilli(in.U32());
+    LeaseRequest& wanted = request.requests[in.Name()];
+    wanted.demand = FromMilli(in.U32());
+    wanted.keep = FromMilli(in.U32());
+    wanted.reported = FromMilli(in.U32());
+    wanted.lend = FromMilli(in.U32());
   }
   if (!in.done() || count > kMaxKeysPerMessage) return std::nullopt;
   return request;
@@ -52,7 +56,7 @@
 std::string LeaseGrant::Encode() const {
   Writer out;
   out.U64(number).U8(leases).U16(parts.size());
-  for (const auto& [key, p] : parts) out.Name(key).U32(Milli(p.limit)).U32(Milli(p.lease));
+  for (const auto& [key, part] : parts) out.Name(key).U32(Milli(part.limit)).U32(Milli(part.lease));
   return out.Take();
 }
 
@@ -63,9 +67,9 @@
   grant.leases = in.U8() != 0;
   const std::size_t count = in.U16();
   for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    GrantedLease& p = grant.parts[in.Name()];
-    p.limit = FromMilli(in.U32());
-    p.lease = FromMilli(in.U32());
+    GrantedLease& part = grant.parts[in.Name()];
+    part.limit = FromMilli(in.U32());
+    part.lease = FromMilli(in.U32());
   }
   if (!in.done() || count > kMaxKeysPerMessage) return std::nullopt;
   return grant;
--- a/src/quota/messages.hpp
+++ b/src/quota/messages.hpp
@@ -1,4 +1,5 @@
-// What holders and the grantor of limits say to each other.
+// Lease requests and grants, and their bytes in peer frames. The bytes are fixed: members of two
+// versions exchange them.
 #ifndef BRASSFRONT_QUOTA_MESSAGES_HPP_
 #define BRASSFRONT_QUOTA_MESSAGES_HPP_
 
@@ -26,7 +27,7 @@
   std::map<std::string, LeaseRequest> requests;
 
   [[nodiscard]] std::string Encode() const;
-  static std::optional<LeaseRequestBatch> Decode(std::string_view bytes);
+  [[nodiscard]] static std::optional<LeaseRequestBatch> Decode(std::string_view bytes);
 };
 
 struct GrantedLease {
@@ -39,7 +40,7 @@
   std::map<std::string, GrantedLease> parts;
 
   [[nodiscard]] std::string Encode() const;
-  static std::optional<LeaseGrant> Decode(std::string_view bytes);
+  [[nodiscard]] static std::optional<LeaseGrant> Decode(std::string_view bytes);
 };
 
 }  // namespace brassfront::quota
