--- a/src/maintenance/maintenance_command.cpp
+++ b/src/maintenance/maintenance_command.cpp
@@ -1,5 +1,7 @@
 #include "maintenance/maintenance_command.hpp"
 
+#include <array>
+
 #include "peers/bytes.hpp"
 
 namespace brassfront::maintenance {
@@ -22,7 +24,7 @@
 }  // namespace
 
 const char* ToString(Urgency urgency) {
-  constexpr const char* kNames[] = {"low", "normal", "high"};
+  constexpr std::array<const char*, 3> kNames = {"low", "normal", "high"};
   return kNames[static_cast<std::size_t>(urgency)];
 }
 
--- a/src/maintenance/maintenance_scheduler.cpp
+++ b/src/maintenance/maintenance_scheduler.cpp
@@ -1,7 +1,7 @@
 #include "maintenance/maintenance_scheduler.hpp"
 
 #include <algorithm>
-#include <compare>
+#include <tuple>
 
 namespace brassfront::maintenance {
 namespace {
@@ -26,7 +26,10 @@
   std::uint64_t load = 0;   // messages in flight
   std::uint64_t seniority = 0;
 
-  auto operator<=>(const GrantPriority&) const = default;
+  friend bool operator<(const GrantPriority& left, const GrantPriority& right) {
+    return std::tie(left.urgency, left.other_zone, left.load, left.seniority) <
+           std::tie(right.urgency, right.other_zone, right.load, right.seniority);
+  }
 };
 
 }  // namespace
@@ -138,7 +141,7 @@
         (it == seen.end() || it->second.state != peers::State::kAlive)) {
       continue;
     }
-    if (best == nullptr || priority(request) > priority(*best)) best = &request;
+    if (best == nullptr || priority(*best) < priority(request)) best = &request;
   }
   if (best == nullptr) return std::nullopt;
   Command command;
--- a/src/maintenance/maintenance_state.cpp
+++ b/src/maintenance/maintenance_state.cpp
@@ -1,6 +1,7 @@
 #include "maintenance/maintenance_state.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace brassfront::maintenance {
@@ -23,8 +24,8 @@
 }  // namespace
 
 const char* ToString(State state) {
-  constexpr const char* kNames[] = {"asked",  "draining", "out",      "returning",
-                                    "failed", "back",     "cancelled"};
+  constexpr std::array<const char*, 7> kNames = {"asked",  "draining", "out",      "returning",
+                                                 "failed", "back",     "cancelled"};
   return kNames[static_cast<std::size_t>(state)];
 }
 
--- a/src/verdicts/health_report_table.cpp
+++ b/src/verdicts/health_report_table.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <set>
-
-#include "peers/bytes.hpp"
+#include <utility>
 
 namespace brassfront::verdicts {
 namespace {
@@ -11,12 +10,19 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kWitnessQuorum = 2;  // witnesses, as the decision module has it
-constexpr Time kSameObservationWindow =
-    milliseconds(500);  // two calls within it met the same endpoint
-constexpr Time kRecoveryTestTurn =
-    seconds(1);  // of one that tries, before it is another one's turn
-constexpr Time kMaxRecoveryTestWait = seconds(5);  // others wait for its word, all in all
+// Witnesses that bind as our own calls would: the decision module's own quorum.
+constexpr std::size_t kWitnessQuorum = 2;
+// Observations closer than this met the same state of the endpoint: a contradiction counts as
+// wrong.
+constexpr Time kSameObservationWindow = milliseconds(500);
+// How long one member tests a recovering endpoint before it is another one's turn.
+constexpr Time kRecoveryTestTurn = seconds(1);
+// The others wait for the result of tests for this time in all; then each member tries on its own.
+constexpr Time kMaxRecoveryTestWait = seconds(5);
+// A Retry-After that extends the reported one by no more than this is not reported again.
+constexpr Time kWaitTolerance = milliseconds(100);
+// Each report goes to each other member this often, against the loss of one frame.
+constexpr std::size_t kSendsPerMember = 2;
 
 // FNV-1a (Fowler, Noll, Vo): the same on every member.
 std::uint64_t Hash(std::string_view text, std::uint64_t hash) {
@@ -24,17 +30,8 @@
   return hash;
 }
 
-std::uint64_t ToMilliseconds(Time time) {
-  return static_cast<std::uint64_t>(std::max<Time::rep>(0, time / milliseconds(1)));
-}
-
 }  // namespace
 
-const char* ToString(ObservedState seen) {
-  constexpr const char* kNames[] = {"fine", "down", "wait", "cold"};
-  return kNames[static_cast<std::size_t>(seen) - 1];
-}
-
 // ======== our own calls ========
 
 void HealthReportTable::RecordOwnReport(const std::string& endpoint, OwnEvidence& own,
@@ -48,7 +45,7 @@
                                     std::min(rest, kMaxWaitDuration),
                                     std::max<std::uint32_t>(1, own.failures)};
   reports_[{endpoint, self_}] = *own.current_report;
-  frames_to_send_ = 2 * present_members_.size();
+  frames_to_send_ = kSendsPerMember * present_members_.size();
   if (seen == ObservedState::kFine) own.current_report.reset();
 }
 
@@ -56,20 +53,20 @@
   OwnEvidence& own = own_evidence_[endpoint];
   own.failures = 0;
   own.last_success = std::max(own.last_success, sent);
-  // Whoever saw it fail just before this call was sent is wrong, at least as far as we are
-  // concerned: once for each report.
+  // A witness that reported it down just before this call was sent was wrong: one strike a report.
   for (auto it = down_claims_.lower_bound({endpoint, ""});
-       it != down_claims_.end() && it->first.first == endpoint; ++it) {
+       it != down_claims_.end() && it->first.endpoint == endpoint; ++it) {
     DownClaim& claim = it->second;
     const bool close = claim.report.at < sent && sent - claim.report.at < kSameObservationWindow;
     if (!close || std::exchange(claim.counted_wrong, true)) continue;
     AddStrike(claim.report.witness, now);
   }
-  // That it is cold stays reported until it has aged.
+  // A cold report stands until its retention has passed.
   if (!own.current_report || own.current_report->at > sent ||
-      own.current_report->seen == ObservedState::kCold)
+      own.current_report->seen == ObservedState::kCold) {
     return;
-  // It was down, by what we reported: it is back, and cold. A wait is over.
+  }
+  // After a down report it is back and cold; a wait is over.
   const bool back = own.current_report->seen == ObservedState::kDown;
   RecordOwnReport(endpoint, own, back ? ObservedState::kCold : ObservedState::kFine, Time{}, now);
 }
@@ -77,28 +74,29 @@
 void HealthReportTable::Failed(const std::string& endpoint, Time now) {
   OwnEvidence& own = own_evidence_[endpoint];
   for (auto it = reports_.lower_bound({endpoint, ""});
-       it != reports_.end() && it->first.first == endpoint; ++it) {
-    // It was right: what it was found wrong in before does not add up with what is to come.
+       it != reports_.end() && it->first.endpoint == endpoint; ++it) {
+    // The witness was right, which clears its strikes.
     if (it->second.seen == ObservedState::kDown) witnesses_[it->second.witness].strikes = 0;
   }
   if (++own.failures < kFailuresBeforeReport) return;
   const bool already_reported =
       own.current_report && own.current_report->seen == ObservedState::kDown;
-  if (!already_reported || now - own.reported_at >= settings_.repeat_interval)
+  if (!already_reported || now - own.reported_at >= settings_.repeat_interval) {
     RecordOwnReport(endpoint, own, ObservedState::kDown, Time{}, now);
+  }
 }
 
 void HealthReportTable::ToldWait(const std::string& endpoint, Time rest, Time now) {
   OwnEvidence& own = own_evidence_[endpoint];
   const bool known =
       own.current_report && own.current_report->seen == ObservedState::kWait &&
-      own.current_report->at + own.current_report->rest + milliseconds(100) >= now + rest;
+      own.current_report->at + own.current_report->rest + kWaitTolerance >= now + rest;
   if (!known) RecordOwnReport(endpoint, own, ObservedState::kWait, rest, now);
 }
 
-// ======== others ========
+// ======== other members' reports ========
 
-// One that was shunned starts anew afterwards; each strike is one report.
+// Each wrong report is one strike; the count starts anew after a period of distrust.
 void HealthReportTable::AddStrike(const std::string& witness, Time now) {
   Witness& suspect = witnesses_[witness];
   if (now < suspect.shunned_until) return;
@@ -116,8 +114,9 @@
                                            Time now) const {
   std::size_t count = 0;
   for (auto it = reports_.lower_bound({endpoint, ""});
-       it != reports_.end() && it->first.first == endpoint; ++it) {
-    count += it->second.seen == seen && it->first.second != self_ && Counts(it->first.second, now);
+       it != reports_.end() && it->first.endpoint == endpoint; ++it) {
+    count +=
+        it->second.seen == seen && it->first.witness != self_ && Counts(it->first.witness, now);
   }
   return count;
 }
@@ -126,50 +125,31 @@
   Saying saying;
   if (frames_to_send_ == 0 || now < next_round_at_ || present_members_.empty()) return saying;
   next_round_at_ = now + settings_.round_interval;
-  peers::Writer words;
-  std::size_t count = 0;
+  std::vector<HealthReport> own_reports;
   for (const auto& [key, report] : reports_) {
-    if (key.second != self_ || count >= kMaxReportsPerFrame) continue;
-    words.Name(report.endpoint).U64(report.number).U8(static_cast<std::uint64_t>(report.seen));
-    words.U32(ToMilliseconds(now - report.at)).U32(ToMilliseconds(report.rest)).U32(report.times);
-    ++count;
+    if (own_reports.size() >= kMaxReportsPerFrame) break;
+    if (key.witness == self_) own_reports.push_back(report);
   }
-  peers::Writer out;
-  out.U16(count).Raw(words.bytes());
-  saying.bytes = out.Take();
-  const std::size_t most = std::min({kMaxFramesPerRound, frames_to_send_, present_members_.size()});
-  for (std::size_t i = 0; i < most; ++i) {
+  saying.bytes = EncodeReports(own_reports, now);
+  const std::size_t frames =
+      std::min({kMaxFramesPerRound, frames_to_send_, present_members_.size()});
+  for (std::size_t i = 0; i < frames; ++i) {
     const std::string& to = present_members_[next_recipient_++ % present_members_.size()];
     if (to != self_) saying.to.push_back(to);
   }
-  frames_to_send_ -= most;
+  frames_to_send_ -= frames;
   return saying;
 }
 
 void HealthReportTable::Take(const std::string& from, std::string_view bytes, Time now) {
-  peers::Reader in(bytes);
-  std::vector<HealthReport> heard;
-  const std::size_t count = in.U16();
-  for (std::size_t i = 0; i < count && !in.broken(); ++i) {
-    HealthReport report;
-    report.endpoint = in.Name();
-    report.witness = from;
-    report.number = in.U64();
-    const std::uint8_t seen = in.U8();
-    report.at = now - milliseconds(in.U32());
-    report.rest = std::min<Time>(milliseconds(in.U32()), kMaxWaitDuration);
-    report.times = in.U32();
-    if (seen < 1 || seen > static_cast<std::uint8_t>(ObservedState::kCold)) break;
-    report.seen = static_cast<ObservedState>(seen);
-    heard.push_back(std::move(report));
-  }
-  if (!in.done() || count > kMaxReportsPerFrame || heard.size() != count || from == self_) {
+  const auto received = DecodeReports(from, bytes, now);
+  if (!received || from == self_) {
     ++rejected_frames_;
     return;
   }
-  for (const HealthReport& report : heard) {
+  for (const HealthReport& report : *received) {
     if (now - report.at > settings_.kept) continue;
-    const auto key = std::pair{report.endpoint, report.witness};
+    const ReportKey key{report.endpoint, report.witness};
     const auto known = reports_.find(key);
     if (known != reports_.end() && known->second.number >= report.number) continue;
     if (known == reports_.end() && reports_.size() >= kMaxReports) continue;
@@ -185,13 +165,14 @@
          seen - it->second.last_success < kSameObservationWindow;
 }
 
-// One witness against what we have just seen ourselves is not even checked; if nothing is answered
-// there from now on, Tick comes back to it.
+// A single witness does not override what our own calls have just shown; if nothing is answered
+// there from now on, Tick returns to its report.
 void HealthReportTable::Advise(const HealthReport& report, Time now) {
   if (!Counts(report.witness, now)) return;
   if (WitnessesOf(report.endpoint, report.seen, now) < kWitnessQuorum &&
-      AnsweredRecently(report.endpoint, report.at))
+      AnsweredRecently(report.endpoint, report.at)) {
     return;
+  }
   if (const auto claim = down_claims_.find({report.endpoint, report.witness});
       claim != down_claims_.end()) {
     claim->second.advised |= claim->second.report.number == report.number;
@@ -202,7 +183,7 @@
   advice.witnesses = WitnessesOf(report.endpoint, report.seen, now);
   switch (report.seen) {
     case ObservedState::kFine:
-      return;  // what was reported before is taken back; our own calls say the rest
+      return;  // only retracts an earlier report; our own calls decide the rest
     case ObservedState::kDown:
       advice.what = HealthAdvice::What::kDown;
       break;
@@ -221,8 +202,8 @@
   advice_.push_back(std::move(advice));
 }
 
-// By rendezvous (Thaler, Ravishankar 1998) over those that are heard, a turn each. Members whose
-// clocks or views differ may pick two: that is one trial more.
+// Rendezvous hashing (Thaler, Ravishankar 1998) over the members that are alive, one turn each. Two
+// members whose clocks or views differ may each pick another, which costs one more test.
 std::string HealthReportTable::RecoveryTester(const std::string& endpoint, Time now) const {
   const auto it = own_evidence_.find(endpoint);
   const Time since = it == own_evidence_.end() ? now : it->second.recovery_since;
@@ -237,39 +218,56 @@
 }
 
 void HealthReportTable::Tick(Time now) {
-  std::erase_if(reports_, [&](const auto& e) {
-    // One that tells a wait lasts as long as that.
-    return now - e.second.at > std::max(settings_.kept, e.second.rest);
-  });
-  std::set<std::string> down;
-  for (const auto& [key, report] : reports_) {
-    if (report.seen == ObservedState::kDown && Counts(key.second, now)) down.insert(key.first);
-  }
+  DropExpired(now);
+  const std::set<std::string> down = DownEndpoints(now);
   for (auto& [endpoint, own] : own_evidence_) {
     if (!down.contains(endpoint)) own.recovery_since = {};
-    const bool old = own.current_report && now - own.current_report->at > settings_.kept;
-    if (old && own.current_report->seen == ObservedState::kCold) own.current_report.reset();
+    const bool expired = own.current_report && now - own.current_report->at > settings_.kept;
+    if (expired && own.current_report->seen == ObservedState::kCold) own.current_report.reset();
   }
+  AdviseOpenClaims(now);
+  AdviseRecoveryTests(down, now);
+}
+
+void HealthReportTable::DropExpired(Time now) {
+  std::erase_if(reports_, [&](const auto& entry) {
+    // A wait lasts as long as its Retry-After, even beyond the retention.
+    return now - entry.second.at > std::max(settings_.kept, entry.second.rest);
+  });
   std::erase_if(down_claims_,
-                [&](const auto& e) { return now - e.second.report.at > settings_.kept; });
+                [&](const auto& entry) { return now - entry.second.report.at > settings_.kept; });
+}
+
+std::set<std::string> HealthReportTable::DownEndpoints(Time now) const {
+  std::set<std::string> down;
+  for (const auto& [key, report] : reports_) {
+    if (report.seen == ObservedState::kDown && Counts(key.witness, now)) down.insert(key.endpoint);
+  }
+  return down;
+}
+
+void HealthReportTable::AdviseOpenClaims(Time now) {
   for (auto& [key, claim] : down_claims_) {
-    const auto own = own_evidence_.find(key.first);
+    const auto own = own_evidence_.find(key.endpoint);
     const bool answered = own != own_evidence_.end() && own->second.last_success > claim.report.at;
-    const bool stands = reports_.contains(key) && reports_.at(key).number == claim.report.number;
-    if (claim.advised || answered || !stands || now - claim.report.at < kSameObservationWindow)
-      continue;
+    const auto current = reports_.find(key);
+    const bool stands = current != reports_.end() && current->second.number == claim.report.number;
+    const Time age = now - claim.report.at;
+    if (claim.advised || answered || !stands || age < kSameObservationWindow) continue;
     claim.advised = true;
-    if (Counts(key.second, now)) {
-      advice_.push_back({key.first, HealthAdvice::What::kDown, now - claim.report.at, Time{},
-                         WitnessesOf(key.first, ObservedState::kDown, now)});
-    }
+    if (!Counts(key.witness, now)) continue;
+    advice_.push_back({key.endpoint, HealthAdvice::What::kDown, age, Time{},
+                       WitnessesOf(key.endpoint, ObservedState::kDown, now)});
   }
+}
+
+void HealthReportTable::AdviseRecoveryTests(const std::set<std::string>& down, Time now) {
   for (const std::string& endpoint : down) {
     if (WitnessesOf(endpoint, ObservedState::kDown, now) < kWitnessQuorum) continue;
     OwnEvidence& own = own_evidence_[endpoint];
     if (own.recovery_since == Time{}) own.recovery_since = now;
-    if (now - own.recovery_since > kMaxRecoveryTestWait || RecoveryTester(endpoint, now) == self_)
-      continue;
+    const bool waited_enough = now - own.recovery_since > kMaxRecoveryTestWait;
+    if (waited_enough || RecoveryTester(endpoint, now) == self_) continue;
     advice_.push_back({endpoint, HealthAdvice::What::kTried, Time{}, kRecoveryTestTurn / 2, 1});
   }
 }
