--- a/src/maintenance/maintenance_state.cpp
+++ b/src/maintenance/maintenance_state.cpp
@@ -249,8 +249,9 @@
 
 RequestResult MaintenanceState::Cancel(const Command& command) {
   const auto it = requests_.find(command.request);
-  if (it == requests_.end())
+  if (it == requests_.end()) {
     return {false, "no request " + std::to_string(command.request) + " is open"};
+  }
   Request& request = it->second;
   if (request.state == State::kRequested) {
     Finish(request.id, State::kCancelled, "by request");
@@ -274,11 +275,13 @@
   std::vector<std::uint64_t> ids;
   for (const auto& [id, request] : requests_) {
     if (request.kind == command.kind &&
-        (command.name == kAllMachines || request.name == command.name))
+        (command.name == kAllMachines || request.name == command.name)) {
       ids.push_back(id);
+    }
   }
-  if (ids.empty())
+  if (ids.empty()) {
     return {command.name == kAllMachines, command.name + " is not out, nor asked for"};
+  }
   for (const std::uint64_t id : ids) {
     Request& request = requests_.at(id);
     if (request.state == State::kRequested) {
--- a/src/maintenance/maintenance_state_codec.cpp
+++ b/src/maintenance/maintenance_state_codec.cpp
@@ -93,8 +93,9 @@
     const std::uint64_t id = request.id;
     loaded.requests_[id] = std::move(request);
   }
-  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n)
+  for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
     loaded.finished_.push_back(ReadRequest(in));
+  }
   for (std::size_t n = in.U16(); n > 0 && !in.broken(); --n) {
     const std::uint64_t token = in.U64();
     RequestResult result;
--- a/src/quota/lease_holder.cpp
+++ b/src/quota/lease_holder.cpp
@@ -178,8 +178,8 @@
   for (const auto& [key, part] : grant.parts) {
     Share& share = ShareFor(key, now);
     Refill(share, now);
-    if (!grant.leases && now < share.ends)
-      continue;  // the current lease stays valid under its own limit
+    // Without new leases a current one stays valid under its own limit.
+    if (!grant.leases && now < share.ends) continue;
     share.limit = part.limit;
     if (!grant.leases) continue;
     share.lease = part.lease;
