--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -1,4 +1,4 @@
-// Who is out for work, and in which order, without a log under it.
+// The maintenance state machine, its scheduler and member duties, without a replicated log.
 #include <doctest/doctest.h>
 
 #include <random>
@@ -113,7 +113,7 @@
   CHECK(f.Of("m1").state != State::kRequested);
 }
 
-TEST_CASE("a dead machine uses a place, and a turn that has begun keeps it") {
+TEST_CASE("a dead machine holds a slot, and a granted request keeps its own") {
   Fleet f(RosterOf(5, 2, 2));
   f.seen["m4"].state = peers::State::kDead;
   f.Lead();
@@ -136,7 +136,7 @@
   CHECK(f.order.size() == 2);
 }
 
-TEST_CASE("a grant that knew less than what was settled is not carried out") {
+TEST_CASE("a grant beyond the limits is ignored when it is applied") {
   Fleet f(RosterOf(3, 1, 1));
   f.Ask("m0");
   f.Ask("m1");
@@ -150,7 +150,7 @@
   CHECK(f.machine.UsedInAll() == 1);
 }
 
-TEST_CASE("halls alternate, urgency goes first, and nobody starves") {
+TEST_CASE("grants alternate between zones, urgency goes first, and no request starves") {
   Fleet f(RosterOf(8, 1, 1));
   f.Ask("all");
   for (int i = 0; i < 200 && f.order.size() < 8; ++i) {
@@ -180,7 +180,7 @@
   CHECK(turns <= 2 * kGrantsPerUrgencyStep + 8);
 }
 
-TEST_CASE("an endpoint is out only when every member has confirmed, or has surely ended") {
+TEST_CASE("an endpoint is out only when every member has confirmed or has ended") {
   Fleet f(RosterOf(3, 1, 1));
   CHECK(f.Ask("e-1", Urgency::kNormal, Kind::kEndpoint).good);
   f.seen["m2"].state = peers::State::kDead;  // or cut off: nobody can tell
@@ -189,7 +189,7 @@
   f.Round();
   CHECK(f.Of("e-1", Kind::kEndpoint).state == State::kDraining);
   CHECK(f.machine.WaitsFor(f.Of("e-1", Kind::kEndpoint)) == "the word of m2");
-  SUBCASE("staff say that it has ended") {
+  SUBCASE("an operator states that it has ended") {
     Command c;
     c.verb = Verb::kEnded;
     c.name = "m1";
@@ -198,7 +198,7 @@
     CHECK(f.Do(c).good);
     CHECK(f.Of("e-1", Kind::kEndpoint).state == State::kOut);
   }
-  SUBCASE("it comes back, with its ban") {
+  SUBCASE("it restarts and excludes the endpoint") {
     f.seen["m2"] = {peers::State::kAlive, 2, 0};
     f.Lead();
     f.Round();
@@ -209,7 +209,7 @@
     f.Round();
     CHECK(f.banned["m2"].empty());
   }
-  SUBCASE("a word of an earlier life does not count") {
+  SUBCASE("a confirmation of an earlier process incarnation does not count") {
     f.seen["m0"].process_incarnation = 2;
     f.seen["m2"] = {peers::State::kAlive, 1, 0};
     f.Lead();
@@ -219,7 +219,7 @@
   }
 }
 
-TEST_CASE("bad requests get a clear answer, and repeated ones do no harm") {
+TEST_CASE("invalid requests are explained, and retries are idempotent") {
   Fleet f(RosterOf(3, 1, 1));
   CHECK(f.Ask("m9").text.find("no machine m9") != std::string::npos);
   CHECK(f.Ask("hall:north").text.find("hall north") != std::string::npos);
@@ -251,7 +251,7 @@
   CHECK(f.order.size() == 1);
 }
 
-TEST_CASE("a new leader gives out no turn until it can know who is dead") {
+TEST_CASE("a new leader grants nothing until it can know who is dead") {
   Fleet f(RosterOf(3, 1, 1));
   f.Ask("m0");
   MaintenanceScheduler fresh;
@@ -259,7 +259,7 @@
   CHECK(fresh.Next(f.machine, f.roster, f.seen, seconds(4), f.now).has_value());
 }
 
-TEST_CASE("the saved state is the state, and noise is refused") {
+TEST_CASE("a saved state loads as it was, and invalid bytes are rejected") {
   std::mt19937_64 random(1);
   Fleet f(RosterOf(5, 2, 1));
   for (int step = 0; step < 300; ++step) {
@@ -316,7 +316,7 @@
   return rounds;
 }
 
-TEST_CASE("three hundred members go out in turns, and the settled state fits into one frame") {
+TEST_CASE("three hundred members take turns, and the state fits into one frame") {
   std::size_t bytes = 0;
   const std::size_t rounds = RollAll(300, 30, bytes);
   MESSAGE("300 members: " << rounds << " rounds, settled state " << bytes << " B at most");
--- a/tests/fleet/quota_test.cpp
+++ b/tests/fleet/quota_test.cpp
@@ -1,4 +1,4 @@
-// Shares of limits in virtual time: holders and a grantor over links that are cut, members that are
+// Quota leases in virtual time: holders and a grantor over links that are cut, members that are
 // stopped or ended, leaders that change while the one before still believes that it leads.
 #include <doctest/doctest.h>
 
@@ -174,7 +174,7 @@
   CHECK(w.MostOver(seconds(1), 10) <= w.terms.MostAtOnce(10));
 }
 
-TEST_CASE("shares move with the traffic, and the sum never goes over") {
+TEST_CASE("shares follow the traffic, and their sum never exceeds the limit") {
   SimulatedCluster w(5, 2);
   std::mt19937_64 random(3);
   for (int round = 0; round < 30; ++round) {
@@ -220,7 +220,7 @@
   return {w.MostOver(seconds(1), limit) / w.terms.MostAtOnce(limit), per_member};
 }
 
-TEST_CASE("whatever is cut, stopped or believes that it leads, the bound holds") {
+TEST_CASE("the bound holds with links cut, members suspended and former leaders") {
   double worst = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed)
     worst = std::max(worst, Storm(5, seed, 40).first);
@@ -228,7 +228,7 @@
   CHECK(worst <= 1);
 }
 
-TEST_CASE("three hundred members keep it as five do") {
+TEST_CASE("the bound holds for three hundred members as for five") {
   for (const std::size_t members : {5, 30, 300}) {
     const auto [worst, bytes] = Storm(members, 7, members > 100 ? 12 : 40);
     MESSAGE(members << " members: " << worst << " of the bound, " << bytes << " B a second each");
@@ -237,7 +237,7 @@
   }
 }
 
-TEST_CASE("a lease that was granted ends on the holder's own clock, however late it wakes") {
+TEST_CASE("a lease expires on its holder's own clock, even while the holder is suspended") {
   SimulatedCluster w(3, 5);
   w.wants = {0, 0, 30};
   w.RunFor(seconds(8));
@@ -252,7 +252,7 @@
   CHECK(at_once == 1);
 }
 
-TEST_CASE("what is lent is granted only while it is known to be young, and left alone for longer") {
+TEST_CASE("lent quota is granted only while recent, and its cool-down lasts longer") {
   const LeaseSettings terms = TermsFor(2);
   LeaseGrantor grantor(terms);
   grantor.Begin(Time{});
@@ -272,7 +272,7 @@
         terms.Stretched(terms.LentQuotaLifetime()) + terms.Stretched(terms.term));
 }
 
-TEST_CASE("a limit that falls is kept by all within the stated time") {
+TEST_CASE("a lowered limit is kept by all members within the stated time") {
   SimulatedCluster w(5, 9);
   for (double& want : w.wants) want = 6;
   w.reported = 10;
@@ -284,7 +284,7 @@
   CHECK(w.MostOver(seconds(1), 4, kept) <= w.terms.MostAtOnce(4));
 }
 
-TEST_CASE("neither a liar that claims nothing nor one that claims a million moves the limit") {
+TEST_CASE("one wrong report, of nothing or of a million, does not move the limit") {
   for (const double lie : {0.01, 1e6}) {
     LeaseSettings terms = TermsFor(5);
     terms.listed.clear();
@@ -302,7 +302,7 @@
   }
 }
 
-TEST_CASE("a grantor that has just begun gives no lease, and an old request says nothing") {
+TEST_CASE("a new grantor grants no lease, and an old request is ignored") {
   const LeaseSettings terms = TermsFor(3);
   LeaseGrantor grantor(terms);
   const LeaseRequestBatch request{5, 0, {{"d1", {9, 0, 0, 0}}}};
@@ -315,7 +315,7 @@
   CHECK_FALSE(grantor.Answer("a", {4, 0, {{"d1", {9, 0, 0, 0}}}}, later + seconds(1)));
 }
 
-TEST_CASE("frames come back as they were, and noise is refused") {
+TEST_CASE("frames decode as they were encoded, and invalid bytes are rejected") {
   const LeaseRequestBatch request{7, 3, {{"d1", {1.5, 2.25, 0, 0.5}}, {"e:x", {0, 0, 9, 0}}}};
   const auto again = LeaseRequestBatch::Decode(request.Encode());
   REQUIRE(again);
--- a/tests/fleet/verdicts_test.cpp
+++ b/tests/fleet/verdicts_test.cpp
@@ -1,4 +1,4 @@
-// What is said of endpoints: merged in any order, aged, counted, and checked by our own calls.
+// Health reports: merged in any order, expired, counted, and checked against own calls.
 #include <doctest/doctest.h>
 
 #include <random>
@@ -31,7 +31,7 @@
   HealthReportTable table;
 };
 
-TEST_CASE("an endpoint is down by three calls in a row, and by as many witnesses as have said so") {
+TEST_CASE("three failures in a row report an endpoint down, and witnesses are counted") {
   Member a("a"), b("b"), c("c");
   a.table.Failed("e0", seconds(1));
   a.table.Failed("e0", seconds(1));
@@ -47,7 +47,7 @@
   CHECK(c.Advised(What::kDown) == 2);
 }
 
-TEST_CASE("neither order nor repeats matter, and an earlier life's word is old") {
+TEST_CASE("neither order nor duplicates matter, and an earlier incarnation is superseded") {
   Member old("a", 1), young("a", 2), c("c"), d("d");
   const std::string first = old.Down(seconds(1));
   young.table.ToldWait("e0", seconds(5), seconds(2));
@@ -58,7 +58,7 @@
   CHECK(d.table.words().at({"e0", "a"}).seen == ObservedState::kWait);
 }
 
-TEST_CASE("a word ages on the way and is dropped at its bound") {
+TEST_CASE("a report ages in transit and is dropped after its retention") {
   Member a("a"), c("c"), late("d");
   const std::string bytes = a.Down(seconds(1));
   c.table.Take("a", bytes, seconds(3));
@@ -68,7 +68,7 @@
   CHECK(c.table.words().empty());
 }
 
-TEST_CASE("who is found wrong three times is not counted, and one that was right is") {
+TEST_CASE("a witness is distrusted after three wrong reports, and a correct one is not") {
   Member c("c");
   Time now = seconds(10);
   for (int i = 0; i < 6; ++i) {
@@ -87,7 +87,7 @@
   CHECK(d.table.Counts("b", seconds(30)));
 }
 
-TEST_CASE("one tries a returning endpoint, the others wait for it, and not for ever") {
+TEST_CASE("one member tests a recovering endpoint while the others wait for a bounded time") {
   std::vector<Member> members;
   for (const char* name : {"a", "b", "c", "d"}) members.emplace_back(name);
   std::vector<std::string> words;
@@ -110,7 +110,7 @@
   CHECK(late == 0);
 }
 
-TEST_CASE("one that is back is cold, and serves, by the word of whom it answered") {
+TEST_CASE("an endpoint that answers again is reported as warming up and serving") {
   Member a("a"), c("c");
   a.Down(seconds(1));
   a.table.Answered("e0", seconds(2), seconds(2));
@@ -121,7 +121,7 @@
   CHECK(advice[1].what == What::kServes);
 }
 
-TEST_CASE("all are told twice, in rounds of a bounded size") {
+TEST_CASE("each member is sent the reports twice, in rounds of a bounded size") {
   HealthReportTable table(Settings{}, "m0", 1);
   std::vector<std::string> all;
   for (int i = 0; i < 300; ++i) all.push_back("m" + std::to_string(i));
@@ -139,7 +139,7 @@
   for (const auto& [name, times] : told) CHECK(times == 2);
 }
 
-TEST_CASE("noise is refused and harms nothing") {
+TEST_CASE("invalid frames are rejected and change nothing") {
   Member a("a"), c("c");
   const std::string good = a.Down(seconds(1));
   std::mt19937_64 random(1);
