--- a/src/quota/lease_grantor.hpp
+++ b/src/quota/lease_grantor.hpp
@@ -49,7 +49,7 @@
   struct Limit {
     std::map<std::string, Loan> lent;
     std::map<std::string, Lease> leases;           // by holder
-    std::map<std::string, ReportedRate> reported;  // by who says so
+    std::map<std::string, ReportedRate> reported;  // by reporting member
     std::map<std::string, ReportedRate> demands;   // by holder
     double limit = 0;                              // as last agreed
   };
--- a/src/verdicts/health_report_table.hpp
+++ b/src/verdicts/health_report_table.hpp
@@ -13,7 +13,6 @@
 #define BRASSFRONT_VERDICTS_HEALTH_REPORT_TABLE_HPP_
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -21,6 +20,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -33,7 +33,9 @@
   std::string endpoint;
   std::string witness;
 
-  auto operator<=>(const ReportKey&) const = default;
+  friend bool operator<(const ReportKey& left, const ReportKey& right) {
+    return std::tie(left.endpoint, left.witness) < std::tie(right.endpoint, right.witness);
+  }
 };
 
 struct Settings {
@@ -118,7 +120,7 @@
   // Advice on down reports that a recent answer of our own held back.
   void AdviseOpenClaims(Time now);
   void AdviseRecoveryTests(const std::set<std::string>& down, Time now);
-  void Advise(const HealthReport& word, Time now);
+  void Advise(const HealthReport& report, Time now);
   // Whether our own calls were answered after, or just before, this observation.
   [[nodiscard]] bool AnsweredRecently(const std::string& endpoint, Time seen) const;
   void AddStrike(const std::string& witness, Time now);
