State the invariant of grants and the margin of lease requests exactly

A lowered limit leaves earlier leases above the pool until they expire, so the invariant is about new grants; a lease outlives two lost requests, as the fourth comes after its expiry. Comments only.

--- a/src/maintenance/maintenance_state.hpp
+++ b/src/maintenance/maintenance_state.hpp
@@ -79,7 +79,7 @@
   std::string text;
 };
 
-// The state machine itself. Owned by the fleet's thread, which also copies it for readers.
+// The state machine itself. Owned by the fleet's thread.
 class MaintenanceState : public consensus::StateMachine {
  public:
   // Applies one encoded command; bytes that are no valid command only count as a revision.
--- a/src/quota/lease_grantor.hpp
+++ b/src/quota/lease_grantor.hpp
@@ -2,8 +2,8 @@
 // most one grantor is followed by a majority.
 //
 // No I/O, no clock, no threads; the caller passes its monotonic time. State is in memory alone: a
-// new leader waits for QuietTime, until all earlier leases have expired. Invariant: the leases
-// outstanding never exceed the limit less all reserves that are not lent.
+// new leader waits for QuietTime, until all earlier leases have expired. Invariant: no grant
+// raises the outstanding leases above the limit less the reserves that are not lent.
 #ifndef BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
 #define BRASSFRONT_QUOTA_LEASE_GRANTOR_HPP_
 
--- a/src/quota/lease_settings.hpp
+++ b/src/quota/lease_settings.hpp
@@ -30,7 +30,7 @@
   bool reported = true;                    // whether limits that endpoints report apply as well
   std::map<std::string, double> listed{};  // calls a second, by key, from the operator's file
 
-  // Interval of lease requests: a lease outlives three that are lost.
+  // Interval of lease requests: a lease outlives two that are lost.
   [[nodiscard]] Time Renew() const { return term / 4; }
   // How long a limit from a response counts: a member that calls seldom knows only an old one.
   [[nodiscard]] Time ReportedLimitLifetime() const { return 2 * term; }
