--- a/src/quota/lease_holder.cpp
+++ b/src/quota/lease_holder.cpp
@@ -6,30 +6,40 @@
 namespace brassfront::quota {
 namespace {
 
-constexpr double kDemandMemory = 1.5;  // s; shorter than a term, longer than a turn
-constexpr double kTellChange = 0.1;    // of a rate
-// Of what comes, asked for: paced at little more than that, messages would queue. Where all ask for
-// more than there is, each gets a fair part.
-constexpr double kHeadroom = 2;
-constexpr double kLendHeadroom = 1.25;  // of what comes, kept of a floor that is lent
-constexpr double kLeastHeadroom = 0.5;
-constexpr double kSaturated = 0.75;  // of the rate that may be used
-constexpr double kGrowth = 1.6;      // of what is used, asked for then
-constexpr double kMostLent = 0.9;    // of the floor: a first call may go at once
-
-// A rate that was counted up to `at`, forgotten exponentially since.
-double Faded(double rate, Time at, Time now) {
-  return rate * std::exp(-SecondsOf(now - at) / kDemandMemory);
+// Time constant of the demand estimate, in seconds: shorter than a lease's term, so that a request
+// reflects current traffic; longer than the interval between requests.
+constexpr double kDemandDecaySeconds = 1.5;
+// A rate is published again after it has changed by this share.
+constexpr double kPublishedChange = 0.1;
+// Requested as a multiple of the demand: pacing at barely more than the demand would build queues.
+// Where all request more than there is, the grantor shares it out fairly.
+constexpr double kDemandHeadroom = 2;
+// Retained of a lent reserve, as a multiple of the demand.
+constexpr double kRetainedHeadroom = 1.25;
+// Requested even without demand, in calls a second, up to the reserve.
+constexpr double kMinRequestedRate = 0.5;
+// From this share of the usable rate on a holder counts as saturated, and may have a backlog;
+// it then requests kSaturatedGrowth times what it uses.
+constexpr double kSaturation = 0.75;
+constexpr double kSaturatedGrowth = 1.6;
+// The largest share of the reserve that is lent: the rest lets a first call start at once.
+constexpr double kMaxLentShare = 0.9;
+// Demand beyond the usable rate brings the next request forward to this part of the interval.
+constexpr int kEarlyRequestDivisor = 4;
+
+// A rate counted until `at`, with exponential decay since then.
+double Decayed(double rate, Time at, Time now) {
+  return rate * std::exp(-SecondsOf(now - at) / kDemandDecaySeconds);
 }
 
 }  // namespace
 
-// What is listed is there from the start, so that the floor of one that calls nowhere is lent.
-LeaseHolder::LeaseHolder(LeaseSettings terms) : settings_(std::move(terms)) {
+// Listed limits have a share from the start, so that an idle member lends its reserve.
+LeaseHolder::LeaseHolder(LeaseSettings settings) : settings_(std::move(settings)) {
   for (const auto& [key, limit] : settings_.listed) shares_[key].limit = limit;
 }
 
-LeaseHolder::Share& LeaseHolder::Of(const std::string& key, Time now) {
+LeaseHolder::Share& LeaseHolder::ShareFor(const std::string& key, Time now) {
   const auto [it, added] = shares_.try_emplace(key);
   if (added) {
     const auto listed = settings_.listed.find(key);
@@ -40,69 +50,72 @@
   return it->second;
 }
 
-// What our own calls were reported makes us more careful at once; less careful only by the grant.
-double LeaseHolder::LimitOf(const Share& share, Time now) const {
+// A limit reported to our own calls lowers the rate at once; only a grant raises it.
+double LeaseHolder::EffectiveLimit(const Share& share, Time now) const {
   const bool fresh =
-      share.reported > 0 && (now - share.told_at < settings_.Fresh() || now >= share.ends);
+      share.reported > 0 &&
+      (now - share.reported_at < settings_.ReportedLimitLifetime() || now >= share.ends);
   if (!settings_.reported || !fresh) return share.limit;
   return share.limit > 0 ? std::min(share.limit, share.reported) : share.reported;
 }
 
-// A lease granted by a higher limit than our own calls are reported shrinks with it.
-double LeaseHolder::LeaseOf(const Share& share, Time now) const {
+// A lease that was granted under a higher limit than now reported is scaled down with it.
+double LeaseHolder::EffectiveLease(const Share& share, Time now) const {
   if (now >= share.ends || share.limit <= 0) return 0;
-  return share.lease * LimitOf(share, now) / share.limit;
+  return share.lease * EffectiveLimit(share, now) / share.limit;
 }
 
-double LeaseHolder::DemandOf(const Share& share, Time now) const {
-  return Faded(share.demand, share.demand_at, now);
+double LeaseHolder::CurrentDemand(const Share& share, Time now) const {
+  return Decayed(share.demand, share.demand_at, now);
 }
 
-// What comes, with some headroom; or more than what is used, where all that may be used is: then
-// something waits. Guards against a backlog that is never asked for.
-double LeaseHolder::WantOf(const Share& share, Time now) const {
-  const double comes = DemandOf(share, now) * kHeadroom;
-  const double used = Faded(share.used, share.used_at, now);
-  const double rate = FloorOf(share, now) + LeaseOf(share, now);
-  return used < kSaturated * rate ? comes : std::max(comes, kGrowth * used);
+// The demand with headroom; more if the usable rate is used up, since a backlog adds no demand.
+double LeaseHolder::RequestedRate(const Share& share, Time now) const {
+  const double with_headroom = CurrentDemand(share, now) * kDemandHeadroom;
+  const double used = Decayed(share.used, share.used_at, now);
+  const double rate = UsableReserve(share, now) + EffectiveLease(share, now);
+  return used < kSaturation * rate ? with_headroom
+                                   : std::max(with_headroom, kSaturatedGrowth * used);
 }
 
-// What comes to one that has lent its floor, or has too small a lease, is asked for soon.
+// Demand beyond the usable rate (a lent reserve, a small lease) brings the next request forward.
 void LeaseHolder::OnDemand(const std::string& key, Time now) {
-  Share& share = Of(key, now);
-  share.demand = DemandOf(share, now) + 1 / kDemandMemory;
+  Share& share = ShareFor(key, now);
+  share.demand = CurrentDemand(share, now) + 1 / kDemandDecaySeconds;
   share.demand_at = now;
-  if (FloorOf(share, now) + LeaseOf(share, now) < share.demand) {
-    next_ = std::min(next_, asked_ + settings_.Renew() / 4);
+  if (UsableReserve(share, now) + EffectiveLease(share, now) < share.demand) {
+    next_request_at_ =
+        std::min(next_request_at_, last_request_at_ + settings_.Renew() / kEarlyRequestDivisor);
   }
 }
 
-double LeaseHolder::FloorOf(const Share& share, Time now) const {
+double LeaseHolder::UsableReserve(const Share& share, Time now) const {
   double lent = 0;
-  for (const auto& [amount, until] : share.lent) lent = std::max(lent, now < until ? amount : 0);
-  return std::max(0.0, settings_.FloorOf(LimitOf(share, now)) - lent);
+  for (const LentQuota& part : share.lent) lent = std::max(lent, now < part.until ? part.rate : 0);
+  return std::max(0.0, settings_.FloorOf(EffectiveLimit(share, now)) - lent);
 }
 
 std::optional<double> LeaseHolder::RateOf(const std::string& key, Time now) const {
   const auto it = shares_.find(key);
-  if (it == shares_.end() || LimitOf(it->second, now) <= 0) return std::nullopt;
-  return FloorOf(it->second, now) + LeaseOf(it->second, now);
+  if (it == shares_.end() || EffectiveLimit(it->second, now) <= 0) return std::nullopt;
+  return UsableReserve(it->second, now) + EffectiveLease(it->second, now);
 }
 
-// The lease counts until its end and no longer, however late this is asked. Guards against one that
-// was stopped past its lease and wakes up with calls ready.
+// The lease counts until it expires and no longer, however late this is called: a process that was
+// suspended past the expiry accumulates no tokens from it.
 void LeaseHolder::Refill(Share& share, Time now) const {
-  const double floor = FloorOf(share, share.tokens_at);  // what was lent then may be back since
+  const double reserve = UsableReserve(
+      share, share.tokens_at);  // as of the last refill: a cool-down may have ended since
   const Time leased = std::max(Time{}, std::min(now, share.ends) - share.tokens_at);
-  const double lease = share.limit > 0 ? share.lease * LimitOf(share, now) / share.limit : 0;
-  share.tokens += floor * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
-  share.tokens = std::min(share.tokens, settings_.BurstOf(floor + LeaseOf(share, now)));
+  const double lease = share.limit > 0 ? share.lease * EffectiveLimit(share, now) / share.limit : 0;
+  share.tokens += reserve * SecondsOf(now - share.tokens_at) + lease * SecondsOf(leased);
+  share.tokens = std::min(share.tokens, settings_.MaxBurst(reserve + EffectiveLease(share, now)));
   share.tokens_at = now;
 }
 
 bool LeaseHolder::TryAcquire(const std::string& key, Time now) {
-  Share& share = Of(key, now);
-  if (LimitOf(share, now) > 0) {
+  Share& share = ShareFor(key, now);
+  if (EffectiveLimit(share, now) > 0) {
     Refill(share, now);
     if (share.tokens < 1) {
       ++share.held_back;
@@ -111,65 +124,72 @@
     share.tokens -= 1;
   }
   ++share.begun;
-  share.used = Faded(share.used, share.used_at, now) + 1 / kDemandMemory;
+  share.used = Decayed(share.used, share.used_at, now) + 1 / kDemandDecaySeconds;
   share.used_at = now;
   return true;
 }
 
 void LeaseHolder::OnLimitReported(const std::string& key, double limit, Time now) {
-  Share& share = Of(key, now);
+  Share& share = ShareFor(key, now);
   Refill(share, now);
   share.reported = limit;
-  share.told_at = now;
+  share.reported_at = now;
 }
 
 std::optional<LeaseRequestBatch> LeaseHolder::Ask(Time now) {
-  if (now < next_) return std::nullopt;
-  next_ = now + settings_.Renew();
+  if (now < next_request_at_) return std::nullopt;
+  next_request_at_ = now + settings_.Renew();
   if (shares_.empty()) return std::nullopt;
   LeaseRequestBatch request;
-  request.number = ++number_;
-  request.had = had_;
-  asked_ = now;
+  request.number = ++last_request_number_;
+  request.last_answered = last_answered_;
+  last_request_at_ = now;
   for (auto& [key, share] : shares_) {
-    if (request.requests.size() >= kMostKeys) break;
-    LeaseRequest& wish = request.requests[key];
-    const double floor = settings_.FloorOf(LimitOf(share, now));
-    wish.demand = WantOf(share, now) + std::min(kLeastHeadroom, floor);
-    wish.reported =
-        settings_.reported && now - share.told_at < settings_.Fresh() ? share.reported : 0;
-    // What is not needed is given back: from now on no more is used than is said here.
-    Refill(share, now);
-    if (now >= share.ends) share.lease = 0;
-    share.lease = std::min(share.lease, wish.demand);
-    wish.keep = share.lease;
-    const double keeps = std::max(kLendHeadroom * DemandOf(share, now), (1 - kMostLent) * floor);
-    wish.lend = std::max(0.0, floor - keeps);
-    std::erase_if(share.lent, [&](const auto& lent) { return now >= lent.second; });
-    // Whether it is ever granted or not, it is left alone.
-    if (wish.lend > 0) share.lent.emplace_back(wish.lend, now + settings_.LeaseCoolDown());
+    if (request.requests.size() >= kMaxKeysPerMessage) break;
+    request.requests[key] = RenewShare(share, now);
   }
   return request;
 }
 
-// The answer to an older request says nothing of what we said to keep since.
+// What is not needed is given back: from now on no more is used than the request says.
+LeaseRequest LeaseHolder::RenewShare(Share& share, Time now) const {
+  LeaseRequest request;
+  const double reserve = settings_.FloorOf(EffectiveLimit(share, now));
+  request.demand = RequestedRate(share, now) + std::min(kMinRequestedRate, reserve);
+  const bool fresh = now - share.reported_at < settings_.ReportedLimitLifetime();
+  request.reported = settings_.reported && fresh ? share.reported : 0;
+  Refill(share, now);
+  if (now >= share.ends) share.lease = 0;
+  share.lease = std::min(share.lease, request.demand);
+  request.keep = share.lease;
+  const double retained =
+      std::max(kRetainedHeadroom * CurrentDemand(share, now), (1 - kMaxLentShare) * reserve);
+  request.lend = std::max(0.0, reserve - retained);
+  std::erase_if(share.lent, [&](const LentQuota& lent) { return now >= lent.until; });
+  // Unused for the whole cool-down, whether the grantor lends it to anyone or not.
+  if (request.lend > 0) share.lent.push_back({request.lend, now + settings_.LeaseCoolDown()});
+  return request;
+}
+
+// The answer to an older request knows nothing of what a later one promised to keep.
 void LeaseHolder::Take(const LeaseGrant& grant, Time now) {
-  if (grant.number != number_) return;
-  had_ = grant.number;
+  if (grant.number != last_request_number_) return;
+  last_answered_ = grant.number;
   for (const auto& [key, part] : grant.parts) {
-    Share& share = Of(key, now);
+    Share& share = ShareFor(key, now);
     Refill(share, now);
-    if (!grant.leases && now < share.ends) continue;  // what we have runs on by its own limit
+    // Without new leases a current one stays valid under its own limit.
+    if (!grant.leases && now < share.ends) continue;
     share.limit = part.limit;
     if (!grant.leases) continue;
     share.lease = part.lease;
-    share.ends = asked_ + settings_.Shortened(settings_.term);
+    share.ends = last_request_at_ + settings_.Shortened(settings_.term);
   }
 }
 
-void LeaseHolder::Change(LeaseSettings terms, Time now) {
+void LeaseHolder::Change(LeaseSettings settings, Time now) {
   for (auto& [key, share] : shares_) Refill(share, now);
-  settings_ = std::move(terms);
+  settings_ = std::move(settings);
   for (auto& [key, share] : shares_) {
     const auto listed = settings_.listed.find(key);
     if (listed != settings_.listed.end() && now >= share.ends) share.limit = listed->second;
@@ -177,17 +197,18 @@
 }
 
 void LeaseHolder::ReportAgain(const std::string& key) {
-  if (const auto it = shares_.find(key); it != shares_.end()) it->second.last.reset();
+  if (const auto it = shares_.find(key); it != shares_.end()) it->second.last_published.reset();
 }
 
 std::vector<std::pair<std::string, std::optional<double>>> LeaseHolder::Changes(Time now) {
   std::vector<std::pair<std::string, std::optional<double>>> changes;
   for (auto& [key, share] : shares_) {
     const std::optional<double> rate = RateOf(key, now);
-    const bool same = rate.has_value() == share.last.has_value() &&
-                      (!rate || std::abs(*rate - *share.last) <= kTellChange * *share.last);
+    const bool same = rate.has_value() == share.last_published.has_value() &&
+                      (!rate || std::abs(*rate - *share.last_published) <=
+                                    kPublishedChange * *share.last_published);
     if (same) continue;
-    share.last = rate;
+    share.last_published = rate;
     changes.emplace_back(key, rate);
   }
   return changes;
--- a/src/quota/messages.hpp
+++ b/src/quota/messages.hpp
@@ -1,4 +1,5 @@
-// What holders and the grantor of limits say to each other.
+// Lease requests and grants, and their bytes in peer frames. The bytes are fixed: members of two
+// versions exchange them.
 #ifndef BRASSFRONT_QUOTA_MESSAGES_HPP_
 #define BRASSFRONT_QUOTA_MESSAGES_HPP_
 
@@ -10,7 +11,7 @@
 
 namespace brassfront::quota {
 
-inline constexpr std::size_t kMostKeys = 400;  // in one message; a frame holds them
+inline constexpr std::size_t kMaxKeysPerMessage = 400;  // in one message; a frame holds them
 
 // All rates in calls a second.
 struct LeaseRequest {
@@ -21,11 +22,12 @@
 };
 struct LeaseRequestBatch {
   std::uint64_t number = 0;  // the holder takes the answer to its last one alone
-  std::uint64_t had = 0;  // the last one whose answer it had: so this is younger than that answer
+  std::uint64_t last_answered =
+      0;  // the last one whose answer it had: so this is younger than that answer
   std::map<std::string, LeaseRequest> requests;
 
   [[nodiscard]] std::string Encode() const;
-  static std::optional<LeaseRequestBatch> Decode(std::string_view bytes);
+  [[nodiscard]] static std::optional<LeaseRequestBatch> Decode(std::string_view bytes);
 };
 
 struct GrantedLease {
@@ -38,7 +40,7 @@
   std::map<std::string, GrantedLease> parts;
 
   [[nodiscard]] std::string Encode() const;
-  static std::optional<LeaseGrant> Decode(std::string_view bytes);
+  [[nodiscard]] static std::optional<LeaseGrant> Decode(std::string_view bytes);
 };
 
 }  // namespace brassfront::quota
