--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 // The exit statuses that the page names.
-constexpr int kDone = 0, kRefused = 1, kBad = 2, kNoQuorum = 3;
+constexpr int kExitDone = 0, kExitRefused = 1, kExitBadInput = 2, kExitNoQuorum = 3;
 
 constexpr const char* kHelp =
     "brassfront fleet status                          this forwarder's view, in short\n"
@@ -36,7 +36,7 @@
     "brassfront fleet maintenance hold yes|no         no further turn comes\n"
     "brassfront fleet maintenance ended NAME          you know that its process has ended\n";
 
-std::string Escaped(const std::string& text) {
+std::string PercentEncode(const std::string& text) {
   constexpr const char* kDigits = "0123456789ABCDEF";
   std::string out;
   for (const char c : text) {
@@ -48,11 +48,11 @@
   return out;
 }
 
-std::string TextOf(const json::Value& value) {
+std::string ToText(const json::Value& value) {
   if (const auto* fields = std::get_if<json::Value::Object>(&value.data())) {
     std::string line;
     for (const auto& [name, field] : *fields) {
-      const std::string text = TextOf(field);
+      const std::string text = ToText(field);
       if (text.empty()) continue;
       if (!line.empty()) line += "  ";
       line.append(name).append("=").append(text);
@@ -71,12 +71,12 @@
 }
 
 // Lists a row a line, the rest on one.
-void Print(const std::string& body) {
+void PrintReply(const std::string& body) {
   const json::Value value = json::Parse(body);
   std::string rest;
   for (const auto& [name, field] : std::get<json::Value::Object>(value.data())) {
     if (!field.IsArray()) {
-      const std::string text = TextOf(field);
+      const std::string text = ToText(field);
       if (name == "token") continue;
       const bool alone = name == "done" || name == "error";
       if (!rest.empty()) rest += "  ";
@@ -85,48 +85,49 @@
       continue;
     }
     if (!field.Items().empty()) std::cout << name << ":\n";
-    for (const json::Value& row : field.Items()) std::cout << "  " << TextOf(row) << "\n";
+    for (const json::Value& row : field.Items()) std::cout << "  " << ToText(row) << "\n";
   }
   if (!rest.empty()) std::cout << rest << "\n";
 }
 
-int Check(const std::string& path) {
+int CheckRoster(const std::string& path) {
   try {
     const peers::Roster roster = peers::LoadRoster(path);
     std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
               << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
               << " out at once, " << roster.max_out_per_zone << " in a hall\n";
-    return kDone;
+    return kExitDone;
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
-    return kBad;
+    return kExitBadInput;
   }
 }
 
-int Bounds(const std::string& path, bool json) {
+int PrintBounds(const std::string& path, bool json) {
   try {
     const peers::Roster roster = peers::LoadRoster(path);
     if (!roster.sharing.limits && !roster.sharing.verdicts) {
       std::cerr << path << ": has no `sharing`, so nothing is promised\n";
-      return kRefused;
+      return kExitRefused;
     }
-    std::cout << fleet::BoundsText(roster, json) << (json ? "\n" : "");
-    return kDone;
+    std::cout << fleet::SharingBoundsToText(roster, json) << (json ? "\n" : "");
+    return kExitDone;
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
-    return kBad;
+    return kExitBadInput;
   }
 }
 
-int Ask(const std::string& state, const std::string& method, const std::string& target, bool json) {
+int CallAndPrint(const std::string& state, const std::string& method, const std::string& target,
+                 bool json) {
   if (state.empty()) throw UsageError("no state folder: give --state or NODE_STATE");
   const fleet::ControlReply reply = fleet::CallControl(state + "/fleet", method, target);
   if (json) {
     std::cout << reply.body << "\n";
   } else {
-    Print(reply.body);
+    PrintReply(reply.body);
   }
-  return reply.status < 300 ? kDone : reply.status == 503 ? kNoQuorum : kRefused;
+  return reply.status < 300 ? kExitDone : reply.status == 503 ? kExitNoQuorum : kExitRefused;
 }
 
 }  // namespace
@@ -148,39 +149,41 @@
   const auto words = given["words"].as<std::vector<std::string>>();
   const auto state = given["state"].as<std::string>();
   const bool json = given.count("json") > 0;
-  const std::string what = words.empty() ? "" : words[0];
-  if (what.empty()) {
+  const std::string subcommand = words.empty() ? "" : words[0];
+  if (subcommand.empty()) {
     std::cout << kHelp;
-    return kDone;
+    return kExitDone;
   }
-  if (what == "check") {
+  if (subcommand == "check") {
     if (words.size() != 2) throw UsageError("check needs a file");
-    return Check(words[1]);
+    return CheckRoster(words[1]);
   }
-  if (what == "bounds") {
+  if (subcommand == "bounds") {
     if (words.size() != 2) throw UsageError("bounds needs a file");
-    return Bounds(words[1], json);
+    return PrintBounds(words[1], json);
   }
-  if (what == "status" || what == "members" || what == "limits" || what == "verdicts") {
-    return Ask(state, "GET", "/fleet/" + what, json);
+  if (subcommand == "status" || subcommand == "members" || subcommand == "limits" ||
+      subcommand == "verdicts") {
+    return CallAndPrint(state, "GET", "/fleet/" + subcommand, json);
   }
-  if (what != "maintenance" || words.size() < 2) throw UsageError("no such thing to do: " + what);
+  if (subcommand != "maintenance" || words.size() < 2)
+    throw UsageError("no such thing to do: " + subcommand);
   const std::string& verb = words[1];
-  if (verb == "list") return Ask(state, "GET", "/fleet/maintenance", json);
+  if (verb == "list") return CallAndPrint(state, "GET", "/fleet/maintenance", json);
   const bool named = verb == "ask" || verb == "back" || verb == "ended";
   if (!named && verb != "cancel" && verb != "hold") {
     throw UsageError("no such thing to do: maintenance " + verb);
   }
   if (words.size() != 3) throw UsageError("maintenance " + verb + " needs one word more");
   const std::string field = named ? "name" : verb == "cancel" ? "request" : "on";
-  std::string target = "/fleet/maintenance/" + verb + "?" + field + "=" + Escaped(words[2]);
+  std::string target = "/fleet/maintenance/" + verb + "?" + field + "=" + PercentEncode(words[2]);
   if (given.count("endpoint") > 0) target += "&kind=endpoint";
   const auto urgency = given["urgency"].as<std::string>();
-  if (!urgency.empty()) target += "&urgency=" + Escaped(urgency);
+  if (!urgency.empty()) target += "&urgency=" + PercentEncode(urgency);
   if (const auto token = given["token"].as<std::uint64_t>(); token != 0) {
     target += "&token=" + std::to_string(token);
   }
-  return Ask(state, "POST", target, json);
+  return CallAndPrint(state, "POST", target, json);
 }
 
 }  // namespace brassfront
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -31,25 +31,28 @@
 using observe::Concern;
 using observe::Level;
 
-constexpr std::size_t kMostSenders = 384;  // connections
+constexpr std::size_t kMaxClientConnections = 384;  // connections
 // A connection costs a command of 68 KiB at the most and what is kept of it, and some have a thread
 // for the moment. All of them get half of the memory, beside the quarter for bodies.
-constexpr std::size_t kSenderBytes = std::size_t{96} * 1024;
-constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
-constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
-constexpr std::size_t kIdleSenderShare = 6;   // of the descriptors; clients use a third at most
+constexpr std::size_t kBytesPerClientConnection = std::size_t{96} * 1024;
+constexpr std::size_t kReservedDescriptors =
+    24;  // standard ones, spool, listener, platform, to spare
+constexpr std::size_t kMinClientDescriptorShare = 4;  // of all descriptors, at least a part of this
+constexpr std::size_t kIdleClientDescriptorShare =
+    6;  // of the descriptors; clients use a third at most
 
 // Zones that are followed have this long to be confirmed at the start, before what was kept of them
 // is used.
-constexpr std::chrono::milliseconds kZonesConfirmed{500};
+constexpr std::chrono::milliseconds kZoneConfirmationTimeout{500};
 
 // What the descriptors leave once every delivery is out, within the memory.
-std::size_t SenderConnections(const Config& config) {
+std::size_t MaxClientConnections(const Config& config) {
   const std::size_t all = config.limits.sockets;
-  const std::size_t others = kOwnDescriptors + Engine::MaxEndpointConnections(config);
-  const std::size_t left = std::max(all > others ? all - others : 0, all / kLeastSenderShare);
-  const std::size_t in_memory = config.limits.memory_bytes / 2 / kSenderBytes;
-  return std::max<std::size_t>(1, std::min({kMostSenders, left, in_memory}));
+  const std::size_t others = kReservedDescriptors + Engine::MaxEndpointConnections(config);
+  const std::size_t left =
+      std::max(all > others ? all - others : 0, all / kMinClientDescriptorShare);
+  const std::size_t in_memory = config.limits.memory_bytes / 2 / kBytesPerClientConnection;
+  return std::max<std::size_t>(1, std::min({kMaxClientConnections, left, in_memory}));
 }
 
 // Blocked in every thread that is started from here on; one of them waits for these.
@@ -95,7 +98,7 @@
 #endif
 
 // None if no file is named.
-std::unique_ptr<EndpointSources> SourcesFrom(const std::string& path, const Config& config) {
+std::unique_ptr<EndpointSources> CreateSources(const std::string& path, const Config& config) {
   if (path.empty()) return nullptr;
 #ifdef BRASSFRONT_ZONES
   return std::make_unique<EndpointSources>(LoadSources(path, config), config);
@@ -116,18 +119,18 @@
   std::function<void(std::function<void()>)> post;
 };
 struct Fleet {
-  MemberList Filter(MemberList list) { return list; }
+  MemberList FilterEndpoints(MemberList list) { return list; }
   CallObserver* call_observer() { return nullptr; }
-  void Begin(const ForwarderControl&) {}
-  void Reload() {}
-  void Leave() {}
+  void Start(const ForwarderControl&) {}
+  void ReloadRoster() {}
+  void Stop() {}
 };
 }  // namespace fleet
 #endif
 
 // None if no roster is named.
-std::unique_ptr<fleet::Fleet> FleetFrom(const std::string& roster, const Config& config,
-                                        const std::string& state) {
+std::unique_ptr<fleet::Fleet> CreateFleet(const std::string& roster, const Config& config,
+                                          const std::string& state) {
   if (roster.empty()) return nullptr;
 #ifdef BRASSFRONT_FLEET
   return std::make_unique<fleet::Fleet>(roster, config.name, state + "/fleet", config.seed);
@@ -144,10 +147,10 @@
   Spool spool(state, config.limits.disk_bytes, [](const std::string& text) {
     observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
   });
-  const auto sources = SourcesFrom(sources_path, config);
-  const auto peers = FleetFrom(roster_path, config, state);
-  const auto filtered = [&peers](MemberList list) {
-    return peers ? peers->Filter(std::move(list)) : list;
+  const auto sources = CreateSources(sources_path, config);
+  const auto fleet = CreateFleet(roster_path, config, state);
+  const auto filtered = [&fleet](MemberList list) {
+    return fleet ? fleet->FilterEndpoints(std::move(list)) : list;
   };
   std::promise<Engine*> made;  // the watch begins before the engine's constructor returns
   const std::shared_future<Engine*> there = made.get_future();
@@ -157,27 +160,27 @@
   DiscoveryWatcher::OnEndpointList divert;
   if (sources) {
     divert = [&sources](const MemberList& list) { sources->ApplyPlatformList(list); };
-  } else if (peers) {
+  } else if (fleet) {
     divert = [&](MemberList list) { listed(filtered(std::move(list))); };
   }
   Engine engine(config, spool, buffers, std::move(divert));
   made.set_value(&engine);
-  if (peers && peers->call_observer() != nullptr) engine.SetCallObserver(*peers->call_observer());
-  engine.Restore(filtered(sources ? sources->Begin(kZonesConfirmed) : config.known));
+  if (fleet && fleet->call_observer() != nullptr) engine.SetCallObserver(*fleet->call_observer());
+  engine.Restore(filtered(sources ? sources->Begin(kZoneConfirmationTimeout) : config.known));
   Socket listener = Listen(config.listen);
   if (!listener.is_open()) {
     throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
   }
   const std::string address = AddressOf(listener);
   if (sources) sources->Start([&](MemberList list) { listed(filtered(std::move(list))); });
-  ClientServer senders(std::move(listener),
-                       {.connections = SenderConnections(config),
-                        .most_idle = config.limits.sockets / kIdleSenderShare},
+  ClientServer clients(std::move(listener),
+                       {.connections = MaxClientConnections(config),
+                        .most_idle = config.limits.sockets / kIdleClientDescriptorShare},
                        engine, buffers);
   std::atomic<bool> leaves{false}, over{false};
-  if (peers) {
-    peers->Begin(
-        {.set_standby = [&senders](bool on) { senders.StandBy(on); },
+  if (fleet) {
+    fleet->Start(
+        {.set_standby = [&clients](bool on) { clients.StandBy(on); },
          .keeps_running = [&leaves] { return !leaves; },
          .messages_in_flight = [&engine] { return engine.messages_in_flight(); },
          .update_endpoint =
@@ -190,7 +193,7 @@
     while (sigwait(&signals, &signal) == 0 && !over) {
       if (signal == SIGHUP) {
         Reload(config_path, engine);
-        if (peers) peers->Reload();
+        if (fleet) fleet->ReloadRoster();
       } else {
         leaves = true;
         engine.BeginGracefulShutdown();
@@ -199,9 +202,9 @@
   });
   observe::Log(Concern::kService, Level::kInfo, "serving",
                {{"name", config.name}, {"listen", address}});
-  engine.Run([&] { senders.Drain(); });
+  engine.Run([&] { clients.Drain(); });
   if (sources) sources->Stop();
-  if (peers) peers->Leave();
+  if (fleet) fleet->Stop();
   engine.Close();
   over = true;
   kill(getpid(), SIGTERM);  // for the waiter, which takes it
@@ -209,7 +212,7 @@
   return 0;
 }
 
-void SetUpLogFrom(const std::string& format, const std::string& level) {
+void SetUpLog(const std::string& format, const std::string& level) {
   observe::LogOptions options;
   if (!observe::ParseFormat(format, options.format)) {
     throw UsageError("--log-format takes text, logfmt or json, not " + format);
@@ -237,7 +240,7 @@
       cxxopts::value<std::string>()->default_value("info"));
   cxxopts::ParseResult given;
   if (!ParseOptions(options, argc, argv, given)) return 0;
-  SetUpLogFrom(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
+  SetUpLog(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
   const auto state = given["state"].as<std::string>();
   if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
   return Serve(given["config"].as<std::string>(), state, given["sources"].as<std::string>(),
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -30,7 +30,7 @@
 using dns::Record;
 
 // The exit statuses that the page names.
-constexpr int kGood = 0, kOther = 1, kNoAnswer = 3;
+constexpr int kExitDone = 0, kExitOther = 1, kExitNoAnswer = 3;
 
 constexpr const char* kHelp =
     "brassfront zone check FILE          say all that is wrong with a zone file\n"
@@ -43,7 +43,7 @@
     "brassfront zone serve FILE          run a name server by an operator file\n"
     "brassfront zone schema              print the fields that such a file may have\n";
 
-Name NameFrom(const std::string& text) {
+Name ParseName(const std::string& text) {
   std::string why;
   const auto name = Name::FromText(text, Name(), why);
   if (!name) throw UsageError("'" + text + "' is no name: " + why);
@@ -51,15 +51,15 @@
 }
 
 // The zone's name as asked for, or that of its file: example.zone is example.
-Name OriginFor(const cxxopts::ParseResult& given, const std::string& path) {
-  if (given.count("origin") > 0) return NameFrom(given["origin"].as<std::string>());
+Name ZoneOrigin(const cxxopts::ParseResult& given, const std::string& path) {
+  if (given.count("origin") > 0) return ParseName(given["origin"].as<std::string>());
   const fs::path file = fs::path(path).filename();
-  if (file.extension() == ".zone") return NameFrom(file.stem().string());
+  if (file.extension() == ".zone") return ParseName(file.stem().string());
   throw UsageError("--origin must name the zone, unless the file is called NAME.zone");
 }
 
 // From a file, or from the folder that a name server keeps it in.
-dns::Zone ZoneFrom(const std::string& path, const Name& origin) {
+dns::Zone LoadZoneFrom(const std::string& path, const Name& origin) {
   if (!fs::is_directory(path)) return zones::LoadZone(path, origin);
   if (!fs::exists(fs::path(path) / "snapshot")) {
     throw zones::StoreFault(path + " holds no zone");
@@ -68,7 +68,7 @@
 }
 
 int Check(const std::string& path, const cxxopts::ParseResult& given) {
-  const dns::Zone zone = ZoneFrom(path, OriginFor(given, path));
+  const dns::Zone zone = LoadZoneFrom(path, ZoneOrigin(given, path));
   membership::ZoneMap map({});
   std::size_t endpoints = 0;
   std::size_t faults = 0;
@@ -81,14 +81,14 @@
             << map.services() << " services, " << endpoints << " endpoints";
   if (faults > 0) std::cout << ", " << faults << " records that list nothing";
   std::cout << "\n";
-  return kGood;
+  return kExitDone;
 }
 
 int Show(const std::string& path, const cxxopts::ParseResult& given) {
-  const dns::Zone zone = ZoneFrom(path, OriginFor(given, path));
+  const dns::Zone zone = LoadZoneFrom(path, ZoneOrigin(given, path));
   if (given.count("endpoints") == 0) {
     WriteZone(zone, [](std::string_view line) { std::cout << line; });
-    return kGood;
+    return kExitDone;
   }
   membership::ZoneMap map({});
   for (const auto& service : map.Replace(zone)) {
@@ -102,12 +102,12 @@
     }
     for (const auto& fault : service.faults) std::cout << "  ! " << fault << "\n";
   }
-  return kGood;
+  return kExitDone;
 }
 
 int Diff(const std::string& from, const std::string& to, const cxxopts::ParseResult& given) {
-  const dns::Zone old_zone = ZoneFrom(from, OriginFor(given, from));
-  const dns::Zone new_zone = ZoneFrom(to, OriginFor(given, from));
+  const dns::Zone old_zone = LoadZoneFrom(from, ZoneOrigin(given, from));
+  const dns::Zone new_zone = LoadZoneFrom(to, ZoneOrigin(given, from));
   const dns::Change change = dns::Difference(old_zone, new_zone);
   const bool same_soa = SameData(change.removed[0], change.added[0]);
   for (std::size_t n = same_soa ? 1 : 0; n < change.removed.size(); ++n) {
@@ -116,10 +116,10 @@
   for (std::size_t n = same_soa ? 1 : 0; n < change.added.size(); ++n) {
     std::cout << "+" << change.added[n].ToText() << "\n";
   }
-  return same_soa && change.is_soa_alone() ? kGood : kOther;
+  return same_soa && change.is_soa_alone() ? kExitDone : kExitOther;
 }
 
-nameserver::Ask AskFrom(const std::string& server, const cxxopts::ParseResult& given) {
+nameserver::Ask ParseServer(const std::string& server, const cxxopts::ParseResult& given) {
   if (!IsAddress(server)) throw UsageError("'" + server + "' is no server: IPv4:PORT");
   nameserver::Ask ask;
   ask.server = server;
@@ -129,9 +129,9 @@
   return ask;
 }
 
-int NoAnswer(const std::string& server, const std::string& why) {
+int ReportNoAnswer(const std::string& server, const std::string& why) {
   std::cerr << server << ": " << why << "\n";
-  return kNoAnswer;
+  return kExitNoAnswer;
 }
 
 int PrintTransfer(const std::string& server, const dns::Transferred& result) {
@@ -143,11 +143,11 @@
       for (const auto& record : change.added) std::cout << "+" << record.ToText() << "\n";
     }
   } else if (const auto* unfit = std::get_if<dns::Unfit>(&result)) {
-    return NoAnswer(server, unfit->why);
+    return ReportNoAnswer(server, unfit->why);
   } else {
     std::cout << "up to date\n";
   }
-  return kGood;
+  return kExitDone;
 }
 
 void PrintSection(const char* section, const std::vector<Record>& records) {
@@ -155,8 +155,8 @@
 }
 
 int Query(const std::vector<std::string>& words, const cxxopts::ParseResult& given) {
-  const nameserver::Ask ask = AskFrom(words[0], given);
-  const Name name = NameFrom(words[1]);
+  const nameserver::Ask ask = ParseServer(words[0], given);
+  const Name name = ParseName(words[1]);
   const std::string asked = words.size() > 2 ? words[2] : "A";
   const auto equals = asked.find('=');
   const auto type = dns::TypeFromText(asked.substr(0, equals));
@@ -176,19 +176,19 @@
   message.question = {{name, *type, dns::klass::kIn}};
   message.edns.emplace();
   const auto answer = nameserver::AskServer(ask, std::move(message));
-  if (!answer.answer) return NoAnswer(words[0], answer.why);
-  const dns::Message& got = *answer.answer;
-  std::cout << RcodeText(got.rcode) << (got.authoritative ? " authoritative" : "")
-            << (got.truncated ? " truncated" : "") << "\n";
-  PrintSection("answer", got.answer);
-  PrintSection("authority", got.authority);
-  PrintSection("additional", got.additional);
-  return got.rcode == dns::Rcode::kNoError ? kGood : kOther;
+  if (!answer.answer) return ReportNoAnswer(words[0], answer.why);
+  const dns::Message& reply = *answer.answer;
+  std::cout << RcodeText(reply.rcode) << (reply.authoritative ? " authoritative" : "")
+            << (reply.truncated ? " truncated" : "") << "\n";
+  PrintSection("answer", reply.answer);
+  PrintSection("authority", reply.authority);
+  PrintSection("additional", reply.additional);
+  return reply.rcode == dns::Rcode::kNoError ? kExitDone : kExitOther;
 }
 
 // One step of an update, put into the section that it belongs to. It is read as a line of a zone
 // file, so that quotes and escapes are as they are there.
-void TakeStep(const std::string& step, const Name& zone, dns::Message& update) {
+void AddStep(const std::string& step, const Name& zone, dns::Message& update) {
   std::istringstream in(step);
   std::string verb, name_text, rest;
   in >> verb >> name_text;
@@ -215,7 +215,7 @@
           [](const dns::ZoneText&, const std::string&, std::string&) {
             return std::optional<dns::ZoneText>();
           },
-          [&read](Record one) { read.push_back(std::move(one)); });
+          [&read](Record record_read) { read.push_back(std::move(record_read)); });
       if (read.size() != 1) bad("expected one record");
       record = read[0];
     } catch (const dns::BadZone& fault) {
@@ -234,25 +234,25 @@
 }
 
 int Update(const std::vector<std::string>& words, const cxxopts::ParseResult& given) {
-  const nameserver::Ask ask = AskFrom(words[0], given);
+  const nameserver::Ask ask = ParseServer(words[0], given);
   if (given.count("origin") == 0) throw UsageError("--origin must name the zone");
-  const Name zone = NameFrom(given["origin"].as<std::string>());
+  const Name zone = ParseName(given["origin"].as<std::string>());
   dns::Message update;
   update.opcode = dns::Opcode::kUpdate;
   update.question = {{zone, dns::type::kSoa, dns::klass::kIn}};
   for (std::size_t n = 1; n < words.size(); ++n) {
     if (words[n] != "-") {
-      TakeStep(words[n], zone, update);
+      AddStep(words[n], zone, update);
       continue;
     }
     for (std::string line; std::getline(std::cin, line);) {
-      if (line.find_first_not_of(" \t") != std::string::npos) TakeStep(line, zone, update);
+      if (line.find_first_not_of(" \t") != std::string::npos) AddStep(line, zone, update);
     }
   }
   const auto answer = nameserver::AskServer(ask, std::move(update));
-  if (!answer.answer) return NoAnswer(words[0], answer.why);
+  if (!answer.answer) return ReportNoAnswer(words[0], answer.why);
   std::cout << RcodeText(answer.answer->rcode) << "\n";
-  return answer.answer->rcode == dns::Rcode::kNoError ? kGood : kOther;
+  return answer.answer->rcode == dns::Rcode::kNoError ? kExitDone : kExitOther;
 }
 
 int Serve(const std::string& path, const cxxopts::ParseResult& given) {
@@ -274,7 +274,7 @@
   int signal = 0;
   sigwait(&signals, &signal);
   std::cout << "answered " << host.answered() << " messages\n";
-  return kGood;
+  return kExitDone;
 }
 
 }  // namespace
@@ -291,33 +291,34 @@
   options.parse_positional({"words"});
   options.positional_help("WHAT ...");
   cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return kGood;
+  if (!ParseOptions(options, argc, argv, given)) return kExitDone;
   if (given.count("words") == 0) throw UsageError("nothing to do is named");
   auto words = given["words"].as<std::vector<std::string>>();
-  const std::string what = words[0];
+  const std::string subcommand = words[0];
   words.erase(words.begin());
   try {
-    if (what == "check" && words.size() == 1) return Check(words[0], given);
-    if (what == "show" && words.size() == 1) return Show(words[0], given);
-    if (what == "diff" && words.size() == 2) return Diff(words[0], words[1], given);
-    if (what == "query" && (words.size() == 2 || words.size() == 3)) return Query(words, given);
-    if (what == "update" && words.size() >= 2) return Update(words, given);
-    if (what == "serve" && words.size() == 1) return Serve(words[0], given);
-    if (what == "schema" && words.empty()) {
+    if (subcommand == "check" && words.size() == 1) return Check(words[0], given);
+    if (subcommand == "show" && words.size() == 1) return Show(words[0], given);
+    if (subcommand == "diff" && words.size() == 2) return Diff(words[0], words[1], given);
+    if (subcommand == "query" && (words.size() == 2 || words.size() == 3))
+      return Query(words, given);
+    if (subcommand == "update" && words.size() >= 2) return Update(words, given);
+    if (subcommand == "serve" && words.size() == 1) return Serve(words[0], given);
+    if (subcommand == "schema" && words.empty()) {
       std::cout << SourcesSchema();
-      return kGood;
+      return kExitDone;
     }
   } catch (const dns::BadZone& bad) {
     std::cerr << bad.what() << "\n";
-    return kOther;
+    return kExitOther;
   } catch (const zones::StoreFault& fault) {
     std::cerr << fault.what() << "\n";
-    return kOther;
+    return kExitOther;
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
-    return kOther;
+    return kExitOther;
   }
-  throw UsageError("'" + what + "' with " + std::to_string(words.size()) + " arguments");
+  throw UsageError("'" + subcommand + "' with " + std::to_string(words.size()) + " arguments");
 }
 
 }  // namespace brassfront
--- a/src/fleet/control_server.cpp
+++ b/src/fleet/control_server.cpp
@@ -24,16 +24,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kHeadWithin{1000};
-constexpr seconds kAnswerWithin{20};
-constexpr std::size_t kMostHead = 8192;
-constexpr const char* kName = "control";
+constexpr milliseconds kRequestTimeout{1000};
+constexpr seconds kReplyTimeout{20};
+constexpr std::size_t kMaxHeadBytes = 8192;
+constexpr const char* kSocketName = "control";
 
 // A path of any length: the socket's own field holds 107 bytes, so it is reached by its folder.
-sockaddr_un AddressIn(int folder) {
+sockaddr_un SocketAddressIn(int folder) {
   sockaddr_un address{};
   address.sun_family = AF_UNIX;
-  const std::string path = "/proc/self/fd/" + std::to_string(folder) + "/" + kName;
+  const std::string path = "/proc/self/fd/" + std::to_string(folder) + "/" + kSocketName;
   std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
   return address;
 }
@@ -43,7 +43,7 @@
 }
 
 // %XX and + as in a query.
-std::string Unescaped(std::string_view text) {
+std::string PercentDecode(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
     unsigned value = 0;
@@ -58,21 +58,21 @@
 
 }  // namespace
 
-ControlReply Refusal(int status, const std::string& why) {
-  return {status, "{\"error\": " + json::Quote(why) + "}"};
+ControlReply ErrorReply(int status, const std::string& message) {
+  return {status, "{\"error\": " + json::Quote(message) + "}"};
 }
 
-bool ParseControlRequest(std::string_view head, ControlRequest& call) {
+bool ParseControlRequest(std::string_view head, ControlRequest& request) {
   const std::string_view line = head.substr(0, head.find("\r\n"));
   const std::size_t first = line.find(' ');
   const std::size_t last = line.rfind(' ');
   if (first == std::string_view::npos || last <= first + 1) return false;
   if (line.substr(last + 1) != "HTTP/1.1" && line.substr(last + 1) != "HTTP/1.0") return false;
-  call.method = line.substr(0, first);
+  request.method = line.substr(0, first);
   std::string_view target = line.substr(first + 1, last - first - 1);
-  if (target.front() != '/' || (call.method != "GET" && call.method != "POST")) return false;
+  if (target.front() != '/' || (request.method != "GET" && request.method != "POST")) return false;
   const std::size_t mark = target.find('?');
-  call.path = target.substr(0, mark);
+  request.path = target.substr(0, mark);
   if (mark == std::string_view::npos) return true;
   target.remove_prefix(mark + 1);
   while (!target.empty()) {
@@ -80,22 +80,22 @@
     target.remove_prefix(std::min(target.size(), part.size() + 1));
     const std::size_t equals = part.find('=');
     if (equals == std::string_view::npos) return false;
-    call.query[Unescaped(part.substr(0, equals))] = Unescaped(part.substr(equals + 1));
+    request.query[PercentDecode(part.substr(0, equals))] = PercentDecode(part.substr(equals + 1));
   }
   return true;
 }
 
-ControlServer::ControlServer(const std::string& folder, Handle handle)
-    : path_(folder + "/" + kName),
-      handle_(std::move(handle)),
+ControlServer::ControlServer(const std::string& folder, Handler handler)
+    : path_(folder + "/" + kSocketName),
+      handler_(std::move(handler)),
       listener_(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)),
       wake_(eventfd(0, EFD_CLOEXEC)) {
-  const Socket at = OpenFolder(folder);
+  const Socket directory = OpenFolder(folder);
   unlink(path_.c_str());  // an earlier process's; the folder is locked, so that it has ended
-  const sockaddr_un address = AddressIn(at.fd());
+  const sockaddr_un address = SocketAddressIn(directory.fd());
   const mode_t before = umask(0177);
   const bool bound =
-      at.is_open() &&
+      directory.is_open() &&
       bind(listener_.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
   umask(before);
   if (!bound || listen(listener_.fd(), 8) != 0) {
@@ -118,41 +118,41 @@
     if (ready[1].revents != 0) return;
     if (ready[0].revents == 0) continue;
     Socket connection(accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
-    if (connection.is_open()) AnswerRequest(std::move(connection));
+    if (connection.is_open()) ServeConnection(std::move(connection));
   }
 }
 
-void ControlServer::AnswerRequest(Socket connection) {
-  const SteadyTime until = std::chrono::steady_clock::now() + kHeadWithin;
-  ControlReply reply = Refusal(400, "no request that can be read came in time");
+void ControlServer::ServeConnection(Socket connection) {
+  const SteadyTime deadline = std::chrono::steady_clock::now() + kRequestTimeout;
+  ControlReply reply = ErrorReply(400, "no request that can be read came in time");
   ucred peer{};
   socklen_t length = sizeof peer;
-  const bool known = getsockopt(connection.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0;
+  const bool peer_known = getsockopt(connection.fd(), SOL_SOCKET, SO_PEERCRED, &peer, &length) == 0;
   std::string head;
   std::vector<char> bytes(1024);
-  while (head.find("\r\n\r\n") == std::string::npos && head.size() < kMostHead) {
-    if (!connection.AwaitInput(until)) break;
-    const long n = connection.ReceiveNow(bytes);
-    if (n <= 0) break;
-    head.append(bytes.data(), static_cast<std::size_t>(n));
+  while (head.find("\r\n\r\n") == std::string::npos && head.size() < kMaxHeadBytes) {
+    if (!connection.AwaitInput(deadline)) break;
+    const ssize_t count = connection.ReceiveNow(bytes);
+    if (count <= 0) break;
+    head.append(bytes.data(), static_cast<std::size_t>(count));
   }
-  ControlRequest call;
-  if (!known || (peer.uid != geteuid() && peer.uid != 0)) {
-    reply = Refusal(403, "only the owner of the forwarder may ask");
-  } else if (head.find("\r\n\r\n") != std::string::npos && ParseControlRequest(head, call)) {
-    reply = handle_(call);
+  ControlRequest request;
+  if (!peer_known || (peer.uid != geteuid() && peer.uid != 0)) {
+    reply = ErrorReply(403, "only the owner of the forwarder may ask");
+  } else if (head.find("\r\n\r\n") != std::string::npos && ParseControlRequest(head, request)) {
+    reply = handler_(request);
   }
   connection.SendAll("HTTP/1.1 " + std::to_string(reply.status) +
                          (reply.status < 300 ? " OK" : " No") +
                          "\r\nContent-Type: application/json\r\nConnection: close\r\n"
                          "Content-Length: " +
                          std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body,
-                     std::chrono::steady_clock::now() + kHeadWithin);
+                     std::chrono::steady_clock::now() + kRequestTimeout);
 }
 
 ControlReply CallControl(const std::string& folder, const std::string& method,
                          const std::string& target) {
-  const std::string path = folder + "/" + kName;
+  const std::string path = folder + "/" + kSocketName;
   struct stat status {};
   if (stat(path.c_str(), &status) != 0) {
     throw std::runtime_error("no forwarder of a fleet is at work in " + folder + " (" +
@@ -162,25 +162,25 @@
     throw std::runtime_error(path + " belongs to another user");
   }
   if ((status.st_mode & 077) != 0) throw std::runtime_error(path + " is open to other users");
-  const Socket at = OpenFolder(folder);
+  const Socket directory = OpenFolder(folder);
   Socket connection(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  const sockaddr_un address = AddressIn(at.fd());
+  const sockaddr_un address = SocketAddressIn(directory.fd());
   if (connect(connection.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     throw std::runtime_error("nobody answers at " + path + ": " + std::strerror(errno));
   }
   const std::string request =
       method == "GET" ? HttpGet(target, "fleet") : HttpPost(target, "fleet", {}, "");
-  const SteadyTime until = std::chrono::steady_clock::now() + kAnswerWithin;
+  const SteadyTime deadline = std::chrono::steady_clock::now() + kReplyTimeout;
   HttpReader reader;
-  if (connection.SendAll(request, until)) {
+  if (connection.SendAll(request, deadline)) {
     std::vector<char> bytes(4096);
-    while (!reader.done() && !reader.broken() && connection.AwaitInput(until)) {
-      const long n = connection.ReceiveNow(bytes);
-      if (n <= 0) {
+    while (!reader.done() && !reader.broken() && connection.AwaitInput(deadline)) {
+      const ssize_t count = connection.ReceiveNow(bytes);
+      if (count <= 0) {
         reader.FeedEnd();
         break;
       }
-      reader.Feed({bytes.data(), static_cast<std::size_t>(n)});
+      reader.Feed({bytes.data(), static_cast<std::size_t>(count)});
     }
   }
   if (!reader.done()) throw std::runtime_error("no answer came from " + path);
--- a/src/fleet/control_server.hpp
+++ b/src/fleet/control_server.hpp
@@ -23,28 +23,28 @@
 };
 
 // `{"error": ...}`.
-ControlReply Refusal(int status, const std::string& why);
+ControlReply ErrorReply(int status, const std::string& message);
 
 // False if the text is no request's head.
-bool ParseControlRequest(std::string_view head, ControlRequest& call);
+bool ParseControlRequest(std::string_view head, ControlRequest& request);
 
 class ControlServer {
  public:
   // Answers, and may take some seconds for it.
-  using Handle = std::function<ControlReply(const ControlRequest&)>;
+  using Handler = std::function<ControlReply(const ControlRequest&)>;
 
   // Throws std::runtime_error where the socket cannot be made.
-  ControlServer(const std::string& folder, Handle handle);
+  ControlServer(const std::string& folder, Handler handler);
   ~ControlServer();
   ControlServer(const ControlServer&) = delete;
   ControlServer& operator=(const ControlServer&) = delete;
 
  private:
   void Serve();
-  void AnswerRequest(Socket connection);
+  void ServeConnection(Socket connection);
 
   const std::string path_;
-  const Handle handle_;
+  const Handler handler_;
   Socket listener_, wake_;
   Thread thread_;
 };
--- a/src/fleet/endpoint_exclusions.cpp
+++ b/src/fleet/endpoint_exclusions.cpp
@@ -4,32 +4,32 @@
 
 namespace brassfront::fleet {
 
-MemberList EndpointExclusions::Take(MemberList list) {
+MemberList EndpointExclusions::Apply(MemberList list) {
   const std::lock_guard lock(mutex_);
-  if (list.complete) known_.clear();
+  if (list.complete) endpoints_.clear();
   revision_ = std::max(revision_, list.revision);
   for (Member& member : list.members) {
     if (member.phase == Phase::kGone) {
-      known_.erase(member.id);
+      endpoints_.erase(member.id);
       continue;
     }
-    known_[member.id] = member;
-    if (banned_.contains(member.id)) member.phase = Phase::kTerminating;
+    endpoints_[member.id] = member;
+    if (excluded_.contains(member.id)) member.phase = Phase::kTerminating;
   }
   return list;
 }
 
-MemberList EndpointExclusions::Set(std::set<std::string> banned) {
+MemberList EndpointExclusions::SetExcluded(std::set<std::string> excluded) {
   const std::lock_guard lock(mutex_);
   MemberList changes;
   changes.revision = revision_;
-  for (const auto& [id, member] : known_) {
-    const bool was = banned_.contains(id), is = banned.contains(id);
-    if (was == is) continue;
+  for (const auto& [id, member] : endpoints_) {
+    const bool was_excluded = excluded_.contains(id), is_excluded = excluded.contains(id);
+    if (was_excluded == is_excluded) continue;
     Member& change = changes.members.emplace_back(member);
-    if (is) change.phase = Phase::kTerminating;
+    if (is_excluded) change.phase = Phase::kTerminating;
   }
-  banned_ = std::move(banned);
+  excluded_ = std::move(excluded);
   return changes;
 }
 
--- a/src/fleet/endpoint_exclusions.hpp
+++ b/src/fleet/endpoint_exclusions.hpp
@@ -15,16 +15,16 @@
 // For any thread.
 class EndpointExclusions {
  public:
-  // A list as it came; the same with banned endpoints as terminating.
-  MemberList Take(MemberList list);
+  // A list as it came; the same with excluded endpoints as terminating.
+  MemberList Apply(MemberList list);
   // The changes that lead from the bans before to these; no members: nothing changes.
-  MemberList Set(std::set<std::string> banned);
+  MemberList SetExcluded(std::set<std::string> excluded);
 
  private:
   std::mutex mutex_;
-  std::map<std::string, Member> known_;  // by id, as the lists have it; not those that are gone
+  std::map<std::string, Member> endpoints_;  // by id, as the lists have it; not those that are gone
   std::uint64_t revision_ = 0;
-  std::set<std::string> banned_;
+  std::set<std::string> excluded_;
 };
 
 }  // namespace brassfront::fleet
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -40,10 +40,11 @@
         std::uint64_t seed);
   ~Fleet();
 
-  // A list of endpoints on its way to the engine; what comes back goes there. For any thread.
-  MemberList Filter(MemberList list) {
-    if (sharing_) sharing_->Listed(list);
-    return exclusions_.Take(std::move(list));
+  // A list of endpoints on its way to the engine; what comes back goes alive_voters. For any
+  // thread.
+  MemberList FilterEndpoints(MemberList list) {
+    if (sharing_) sharing_->OnEndpointList(list);
+    return exclusions_.Apply(std::move(list));
   }
 
   // What the engine is to tell of its calls; none: nothing is shared beside work.
@@ -51,102 +52,104 @@
 
   // From now on it speaks with its peers. What was settled before about this forwarder holds before
   // it returns: a machine that is out starts standing by. Throws std::runtime_error.
-  void Begin(ForwarderControl control);
+  void Start(ForwarderControl control);
   // Reads the roster again; a bad one, or one that changes too much, changes nothing and leaves a
   // line. For any thread.
-  void Reload();
+  void ReloadRoster();
   // Tells the peers that this forwarder ends, and stops.
-  void Leave();
+  void Stop();
 
  private:
   using Time = peers::Time;
-  struct ReloadNow {};
-  struct LeaveNow {};
-  struct Banned {
+  struct RosterReloadRequested {};
+  struct StopRequested {};
+  struct EndpointsExcluded {
     std::set<std::string> endpoints;
   };
-  struct Asked {
-    ControlRequest call;
+  struct ControlRequestReceived {
+    ControlRequest request;
     std::promise<ControlReply> reply;
   };
-  using Item = std::variant<ReloadNow, LeaveNow, Banned, Asked>;
+  using Event =
+      std::variant<RosterReloadRequested, StopRequested, EndpointsExcluded, ControlRequestReceived>;
 
   // A command of an operator's that waits to be settled.
-  struct Pending {
+  struct PendingCommand {
     maintenance::Command command;
     std::promise<ControlReply> reply;
-    Time until{}, next_try{};
+    Time deadline{}, next_attempt{};
   };
 
-  void Work();
-  void Put(Item item);
-  void TakeItems();
-  void On(const ReloadNow&) { TakeRoster(); }
-  void On(const LeaveNow&);
-  void On(Banned& e) { local_.banned = std::move(e.endpoints); }
-  void On(Asked& e);
+  void Run();
+  void PostEvent(Event item);
+  void HandleEvents();
+  void On(const RosterReloadRequested&) { ApplyRosterFile(); }
+  void On(const StopRequested&);
+  void On(EndpointsExcluded& event) { local_member_.banned = std::move(event.endpoints); }
+  void On(ControlRequestReceived& event);
   void ReadDatagrams(Time now);
-  void TakeFrame(const peers::Frame& frame, Time now);
-  void TakeAsk(const peers::Frame& frame);
-  void TakeNews(const peers::Frame& frame);
-  void TakeRoster();
-  void MakeRaftNode();
-  void Rejoin(std::string_view why);
+  void HandleFrame(const peers::Frame& frame, Time now);
+  void HandleForwardedCommand(const peers::Frame& frame);
+  void HandleStateMessage(const peers::Frame& frame);
+  void ApplyRosterFile();
+  void CreateRaftNode();
+  void RejoinWithNewIdentity(std::string_view why);
   void TickRaftNode(Time now);
-  void LeadTurns(Time now);
-  void DoDuty(Time now);
-  void AskForNews(Time now);
-  void Share(Time now);
-  void Know(const maintenance::MaintenanceState& newer);
-  void TellRequests(const maintenance::MaintenanceState& before);
-  void SettlePending(Time now);
-  void Submit(const maintenance::Command& command);
-  void Send(peers::Kind kind, const std::string& to, std::string body);
+  void RunScheduler(Time now);
+  void PerformDuty(Time now);
+  void RequestState(Time now);
+  void RunSharing(Time now);
+  void AdoptState(const maintenance::MaintenanceState& newer);
+  void LogRequestChanges(const maintenance::MaintenanceState& before);
+  void CompletePendingCommands(Time now);
+  void SubmitCommand(const maintenance::Command& command);
+  void QueueFrame(peers::Kind kind, const std::string& to, std::string body);
   void SendFrames();
-  void SendOut(const peers::Frame& frame);
-  void TellChanges();
-  void TellDropped(peers::Drop drop, const std::string& from, Time now);
-  [[nodiscard]] std::string Leader() const;
+  void SendFrame(const peers::Frame& frame);
+  void LogPeerChanges();
+  void LogDroppedFrame(peers::Drop drop, const std::string& from, Time now);
+  [[nodiscard]] std::string KnownLeader() const;
   [[nodiscard]] ControlReply Status(bool members) const;
   [[nodiscard]] ControlReply List() const;
-  [[nodiscard]] bool Votes() const;
+  [[nodiscard]] bool IsVoter() const;
 
-  const std::string path_, folder_;
+  const std::string roster_path_, folder_;
   peers::Roster roster_;
   const std::string self_name_;
   const std::uint64_t seed_;
-  LocalIdentity self_;
+  LocalIdentity local_identity_;
   EndpointExclusions exclusions_;
   std::unique_ptr<Sharing> sharing_;  // none: the roster has no such part
   ForwarderControl forwarder_;
   Socket socket_;
   Socket wake_;  // eventfd
-  BoundedQueue<Item> inbox_{64};
+  BoundedQueue<Event> inbox_{64};
 
   // The thread's own.
   peers::FailureDetector failure_detector_;
   consensus::FileStore store_;
-  maintenance::MaintenanceState settled_;  // what our own log comes to, if we vote
+  maintenance::MaintenanceState replicated_state_;  // what our own log comes to, if we vote
   std::unique_ptr<consensus::RaftNode> raft_node_;
-  Time council_again_{};
-  bool old_seen_ = false;                // the folder was found to be an old copy
-  maintenance::MaintenanceState known_;  // the newest settled state that we have, from whoever
-  maintenance::MaintenanceScheduler leader_;
-  std::optional<Time> leads_since_;
-  bool leader_waits_ = false;    // for its last command
-  std::string believed_leader_;  // where we do not vote
-  std::map<std::string, std::uint64_t> loads_;
-  maintenance::LocalMember local_;
-  Time stands_by_since_{};
-  std::set<std::string> ban_asked_;
-  Time next_duty_{}, next_news_{};
-  std::vector<Pending> pending_;
-  std::map<std::string, Time> told_;  // bad frames, by whom they claim to be from
+  Time raft_restart_at_{};
+  bool stale_folder_handled_ = false;  // the folder was found to be an old copy
+  maintenance::MaintenanceState
+      known_state_;  // the newest settled state that we have, from whoever
+  maintenance::MaintenanceScheduler scheduler_;
+  std::optional<Time> leader_since_;
+  bool proposal_in_flight_ = false;  // for its last command
+  std::string reported_leader_;      // where we do not vote
+  std::map<std::string, std::uint64_t> reported_loads_;
+  maintenance::LocalMember local_member_;
+  Time standby_since_{};
+  std::set<std::string> requested_exclusions_;
+  Time next_duty_at_{}, next_state_request_at_{};
+  std::vector<PendingCommand> pending_commands_;
+  std::map<std::string, Time> last_drop_logged_at_;  // bad frames, by whom they claim to be from
   std::map<peers::Drop, std::uint64_t> dropped_;
-  std::set<std::string> duplicate_members_;  // names that two processes use, as was told
-  std::vector<char> buffer_;
-  std::vector<peers::Frame> out_;
-  bool leaving_ = false;
+  std::set<std::string> duplicate_members_;  // names that two processes use, as was update
+  std::vector<char> receive_buffer_;
+  std::vector<peers::Frame> outgoing_frames_;
+  bool stopping_ = false;
 
   std::unique_ptr<ControlServer> control_server_;
   Thread thread_;
--- a/src/fleet/local_identity.cpp
+++ b/src/fleet/local_identity.cpp
@@ -16,9 +16,9 @@
 namespace brassfront::fleet {
 namespace {
 
-constexpr const char* kFirstWord = "brassfront-member-1";
+constexpr const char* kFileTag = "brassfront-member-1";
 
-std::string Sum(const std::string& text) {  // FNV-1a, against a torn or flipped file
+std::string Checksum(const std::string& text) {  // FNV-1a, against a torn or flipped file
   std::uint64_t hash = 0xCBF29CE484222325;
   for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001B3;
   return std::to_string(hash);
@@ -47,9 +47,10 @@
     throw std::runtime_error("another process holds " + folder_);
   }
   std::ifstream in(folder_ + "/member");
-  std::string first, sum;
-  if (in >> first >> identity_ >> process_incarnation_ >> sum && first == kFirstWord &&
-      sum == Sum(std::to_string(identity_) + " " + std::to_string(process_incarnation_)) &&
+  std::string tag, checksum;
+  if (in >> tag >> identity_ >> process_incarnation_ >> checksum && tag == kFileTag &&
+      checksum ==
+          Checksum(std::to_string(identity_) + " " + std::to_string(process_incarnation_)) &&
       identity_ != 0) {
     ++process_incarnation_;
   } else {
@@ -69,8 +70,8 @@
 void LocalIdentity::Write() const {
   const std::string numbers =
       std::to_string(identity_) + " " + std::to_string(process_incarnation_);
-  if (!peers::WriteAtomically(folder_ + "/member", std::string(kFirstWord) + " " + numbers + " " +
-                                                       Sum(numbers) + "\n")) {
+  if (!peers::WriteAtomically(folder_ + "/member", std::string(kFileTag) + " " + numbers + " " +
+                                                       Checksum(numbers) + "\n")) {
     throw std::runtime_error("cannot write " + folder_ + "/member: " + std::strerror(errno));
   }
 }
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -15,149 +15,156 @@
 using maintenance::Urgency;
 using maintenance::Verb;
 
-std::string RequestJson(const MaintenanceState& machine, const Request& r) {
-  std::string waits = machine.WaitsFor(r);
-  return "{\"request\": " + std::to_string(r.id) +
-         ", \"kind\": " + (r.kind == Kind::kMachine ? "\"machine\"" : "\"endpoint\"") +
-         ", \"name\": " + Quote(r.name) + ", \"urgency\": " + Quote(ToString(r.urgency)) +
-         ", \"state\": " +
-         Quote(waits.empty() || r.state != maintenance::State::kRequested ? ToString(r.state)
-                                                                          : "waiting") +
-         ", \"waits_for\": " + Quote(waits) + ", \"why\": " + Quote(r.why) + "}";
+std::string RequestJson(const MaintenanceState& state, const Request& request) {
+  const std::string waits = state.WaitsFor(request);
+  return "{\"request\": " + std::to_string(request.id) +
+         ", \"kind\": " + (request.kind == Kind::kMachine ? "\"machine\"" : "\"endpoint\"") +
+         ", \"name\": " + Quote(request.name) +
+         ", \"urgency\": " + Quote(ToString(request.urgency)) + ", \"state\": " +
+         Quote(waits.empty() || request.state != maintenance::State::kRequested
+                   ? ToString(request.state)
+                   : "waiting") +
+         ", \"waits_for\": " + Quote(waits) + ", \"why\": " + Quote(request.why) + "}";
 }
 
-const std::string* Word(const std::map<std::string, std::string>& query, const char* name) {
+const std::string* FindParameter(const std::map<std::string, std::string>& query,
+                                 const char* name) {
   const auto it = query.find(name);
   return it == query.end() || it->second.empty() ? nullptr : &it->second;
 }
 
 }  // namespace
 
-bool CommandFrom(const std::string& path, const std::map<std::string, std::string>& query,
-                 Command& command, std::string& fault) {
+bool ParseCommand(const std::string& path, const std::map<std::string, std::string>& query,
+                  Command& command, std::string& error) {
   constexpr std::string_view kPrefix = "/fleet/maintenance/";
   const std::string what = path.rfind(kPrefix, 0) == 0 ? path.substr(kPrefix.size()) : "";
-  const std::string* name = Word(query, "name");
-  const std::string* kind = Word(query, "kind");
+  const std::string* name = FindParameter(query, "name");
+  const std::string* kind = FindParameter(query, "kind");
   if (kind != nullptr && *kind != "machine" && *kind != "endpoint") {
-    fault = "kind is machine or endpoint, not " + *kind;
+    error = "kind is machine or endpoint, not " + *kind;
     return false;
   }
   command.kind = kind != nullptr && *kind == "endpoint" ? Kind::kEndpoint : Kind::kMachine;
   if (name != nullptr) command.name = *name;
-  if (const std::string* token = Word(query, "token")) {
+  if (const std::string* token = FindParameter(query, "token")) {
     const char* const end = token->data() + token->size();
-    const auto [stop, error] = std::from_chars(token->data(), end, command.token);
-    if (error != std::errc() || stop != end) {
-      fault = "a token is a number below 2^64";
+    const auto [stop, status] = std::from_chars(token->data(), end, command.token);
+    if (status != std::errc() || stop != end) {
+      error = "a token is a number below 2^64";
       return false;
     }
   }
   if (name != nullptr && name->size() > 128) {
-    fault = "a name has 128 bytes at most";
+    error = "a name has 128 bytes at most";
     return false;
   }
   if (what == "ask" || what == "back" || what == "ended") {
     if (name == nullptr) {
-      fault = what + " needs a name";
+      error = what + " needs a name";
       return false;
     }
     command.verb = what == "ask" ? Verb::kAsk : what == "back" ? Verb::kBringBack : Verb::kEnded;
-    if (const std::string* urgency = Word(query, "urgency")) {
+    if (const std::string* urgency = FindParameter(query, "urgency")) {
       if (*urgency == "low") {
         command.urgency = Urgency::kLow;
       } else if (*urgency == "high") {
         command.urgency = Urgency::kHigh;
       } else if (*urgency != "normal") {
-        fault = "urgency is low, normal or high, not " + *urgency;
+        error = "urgency is low, normal or high, not " + *urgency;
         return false;
       }
     }
     return true;
   }
   if (what == "cancel") {
-    const std::string* id = Word(query, "request");
+    const std::string* id = FindParameter(query, "request");
     const auto end = id == nullptr ? nullptr : id->data() + id->size();
     if (id == nullptr || std::from_chars(id->data(), end, command.request).ptr != end) {
-      fault = "cancel needs the number of a request";
+      error = "cancel needs the number of a request";
       return false;
     }
     command.verb = Verb::kCancel;
     return true;
   }
   if (what == "hold") {
-    const std::string* on = Word(query, "on");
+    const std::string* on = FindParameter(query, "on");
     if (on == nullptr || (*on != "yes" && *on != "no")) {
-      fault = "hold needs on=yes or on=no";
+      error = "hold needs on=yes or on=no";
       return false;
     }
     command.verb = Verb::kHold;
     command.flag = *on == "yes";
     return true;
   }
-  fault = "nothing is at " + path;
+  error = "nothing is at " + path;
   return false;
 }
 
-std::string StatusJson(const StatusFacts& f) {
+std::string StatusJson(const MemberView& view) {
   std::size_t alive = 1;
-  for (const auto& [name, peer] : f.detector.peers()) alive += peer.state == peers::State::kAlive;
-  return "{\"name\": " + Quote(f.self) + ", \"fleet\": " + Quote(f.roster.fleet) +
-         ", \"life\": " + std::to_string(f.process_incarnation) +
-         ", \"members\": " + std::to_string(f.roster.members.size()) +
-         ", \"alive\": " + std::to_string(alive) + ", \"leader\": " + Quote(f.leader) +
-         ", \"term\": " + std::to_string(f.term) + ", \"votes\": " + (f.votes ? "true" : "false") +
-         ", \"revision\": " + std::to_string(f.known.revision()) +
-         ", \"places\": " + std::to_string(f.known.max_out_total()) +
-         ", \"used\": " + std::to_string(f.known.UsedInAll()) +
-         ", \"held\": " + (f.known.held() ? "true" : "false") +
-         ", \"standing_by\": " + (f.own.standing_by ? "true" : "false") +
-         ", \"open_requests\": " + std::to_string(f.known.requests().size()) + "}";
+  for (const auto& [name, peer] : view.detector.peers())
+    alive += peer.state == peers::State::kAlive;
+  return "{\"name\": " + Quote(view.self) + ", \"fleet\": " + Quote(view.roster.fleet) +
+         ", \"life\": " + std::to_string(view.process_incarnation) +
+         ", \"members\": " + std::to_string(view.roster.members.size()) +
+         ", \"alive\": " + std::to_string(alive) + ", \"leader\": " + Quote(view.leader) +
+         ", \"term\": " + std::to_string(view.term) +
+         ", \"votes\": " + (view.votes ? "true" : "false") +
+         ", \"revision\": " + std::to_string(view.known_state.revision()) +
+         ", \"places\": " + std::to_string(view.known_state.max_out_total()) +
+         ", \"used\": " + std::to_string(view.known_state.UsedInAll()) +
+         ", \"held\": " + (view.known_state.held() ? "true" : "false") +
+         ", \"standing_by\": " + (view.local.standing_by ? "true" : "false") +
+         ", \"open_requests\": " + std::to_string(view.known_state.requests().size()) + "}";
 }
 
-std::string MembersJson(const StatusFacts& f) {
+std::string MembersJson(const MemberView& view) {
   std::string rows;
-  for (const peers::Member& m : f.roster.members) {
-    const auto peer = f.detector.peers().find(m.name);
-    const bool self = peer == f.detector.peers().end();
-    const auto settled = f.known.members().find(m.name);
-    const bool dead = settled != f.known.members().end() && settled->second.dead;
-    const Request* request = f.known.RequestFor(Kind::kMachine, m.name);
-    rows += std::string(rows.empty() ? "" : ", ") + "{\"name\": " + Quote(m.name) +
-            ", \"hall\": " + Quote(m.zone) + ", \"voter\": " + (m.voter ? "true" : "false") +
+  for (const peers::Member& member : view.roster.members) {
+    const auto peer = view.detector.peers().find(member.name);
+    const bool self = peer == view.detector.peers().end();
+    const auto settled = view.known_state.members().find(member.name);
+    const bool dead = settled != view.known_state.members().end() && settled->second.dead;
+    const Request* request = view.known_state.RequestFor(Kind::kMachine, member.name);
+    rows += std::string(rows.empty() ? "" : ", ") + "{\"name\": " + Quote(member.name) +
+            ", \"hall\": " + Quote(member.zone) +
+            ", \"voter\": " + (member.voter ? "true" : "false") +
             ", \"state\": " + Quote(self ? "self" : ToString(peer->second.state)) +
             ", \"link\": " + Quote(self ? "" : ToString(peer->second.link)) + ", \"life\": " +
-            std::to_string(self ? f.process_incarnation
+            std::to_string(self ? view.process_incarnation
                                 : peers::ProcessIncarnationOf(peer->second.incarnation)) +
             ", \"settled\": " + Quote(dead ? "dead" : "alive") +
             ", \"work\": " + Quote(request == nullptr ? "" : ToString(request->state)) + "}";
   }
-  const peers::FailureDetector::Counts& c = f.detector.counts();
-  return "{\"members\": [" + rows + "], \"doubt\": " + std::to_string(f.detector.doubt()) +
-         ", \"probes\": " + std::to_string(c.probes) + ", \"missed\": " + std::to_string(c.missed) +
-         ", \"denials\": " + std::to_string(c.denials) + ", \"stale\": " + std::to_string(c.stale) +
-         ", \"pauses\": " + std::to_string(c.pauses) +
-         ", \"named_twice\": " + std::to_string(c.twice) + "}";
+  const peers::FailureDetector::Counts& counts = view.detector.counts();
+  return "{\"members\": [" + rows + "], \"doubt\": " + std::to_string(view.detector.doubt()) +
+         ", \"probes\": " + std::to_string(counts.probes) +
+         ", \"missed\": " + std::to_string(counts.missed) +
+         ", \"denials\": " + std::to_string(counts.denials) +
+         ", \"stale\": " + std::to_string(counts.stale) +
+         ", \"pauses\": " + std::to_string(counts.pauses) +
+         ", \"named_twice\": " + std::to_string(counts.twice) + "}";
 }
 
-std::string RequestsJson(const MaintenanceState& machine) {
+std::string RequestsJson(const MaintenanceState& state) {
   std::string open, over;
-  for (const auto& [id, r] : machine.requests()) {
-    open += (open.empty() ? "" : ", ") + RequestJson(machine, r);
+  for (const auto& [id, request] : state.requests()) {
+    open += (open.empty() ? "" : ", ") + RequestJson(state, request);
   }
-  for (const Request& r : machine.over()) {
-    over += (over.empty() ? "" : ", ") + RequestJson(machine, r);
+  for (const Request& request : state.over()) {
+    over += (over.empty() ? "" : ", ") + RequestJson(state, request);
   }
   return "{\"open\": [" + open + "], \"over\": [" + over + "]}";
 }
 
-std::string AnswerJson(const maintenance::RequestResult& answer, std::uint64_t token) {
-  return std::string("{\"") + (answer.good ? "done" : "error") + "\": " + Quote(answer.text) +
+std::string RequestResultJson(const maintenance::RequestResult& result, std::uint64_t token) {
+  return std::string("{\"") + (result.good ? "done" : "error") + "\": " + Quote(result.text) +
          ", \"token\": \"" + std::to_string(token) + "\"}";
 }
 
-std::string NoQuorumText(const std::string& leader, const peers::Roster& roster,
-                         const peers::FailureDetector& detector) {
+std::string NoQuorumMessage(const std::string& leader, const peers::Roster& roster,
+                            const peers::FailureDetector& detector) {
   std::string missing;
   for (const std::string& voter : roster.Voters()) {
     const auto it = detector.peers().find(voter);
--- a/src/fleet/reports.hpp
+++ b/src/fleet/reports.hpp
@@ -12,27 +12,27 @@
 namespace brassfront::fleet {
 
 // False, with the fault, if the call asks for nothing that there is.
-bool CommandFrom(const std::string& path, const std::map<std::string, std::string>& query,
-                 maintenance::Command& command, std::string& fault);
+bool ParseCommand(const std::string& path, const std::map<std::string, std::string>& query,
+                  maintenance::Command& command, std::string& error);
 
-struct StatusFacts {
+struct MemberView {
   const std::string& self;
   std::string leader;
   std::uint64_t term;
-  const maintenance::MaintenanceState& known;
+  const maintenance::MaintenanceState& known_state;
   const peers::Roster& roster;
   const peers::FailureDetector& detector;
-  const maintenance::LocalMember& own;
+  const maintenance::LocalMember& local;
   std::uint64_t process_incarnation;
   bool votes;  // is a voter of the settled log, under the id that its folder has now
 };
-std::string StatusJson(const StatusFacts& facts);
-std::string MembersJson(const StatusFacts& facts);
-std::string RequestsJson(const maintenance::MaintenanceState& machine);
-std::string AnswerJson(const maintenance::RequestResult& answer, std::uint64_t token);
+std::string StatusJson(const MemberView& view);
+std::string MembersJson(const MemberView& view);
+std::string RequestsJson(const maintenance::MaintenanceState& state);
+std::string RequestResultJson(const maintenance::RequestResult& result, std::uint64_t token);
 // Why nothing can be settled, and what still works.
-std::string NoQuorumText(const std::string& leader, const peers::Roster& roster,
-                         const peers::FailureDetector& detector);
+std::string NoQuorumMessage(const std::string& leader, const peers::Roster& roster,
+                            const peers::FailureDetector& detector);
 
 }  // namespace brassfront::fleet
 
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -12,12 +12,13 @@
 using peers::Time;
 using std::chrono::milliseconds;
 
-constexpr Time kTickEvery = milliseconds(250);
-constexpr Time kLeastWait = std::chrono::seconds(1);  // told; shorter ones are each member's own
-constexpr std::size_t kMostPlaces = 64;               // endpoints of one limit
+constexpr Time kHealthTickInterval = milliseconds(250);
+constexpr Time kMinSharedRetryAfter =
+    std::chrono::seconds(1);                       // told; shorter ones are each member's own
+constexpr std::size_t kMaxEndpointsPerLimit = 64;  // endpoints of one limit
 // Of a share, what the module paces itself by: what is held back at the first byte costs an
 // attempt.
-constexpr double kPaceShare = 0.98;
+constexpr double kPolicyRateShare = 0.98;
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
@@ -26,21 +27,21 @@
                                    : quota::KeyOf(target.destination);
 }
 
-verdicts::Settings SettingsOf(const peers::Sharing& s) {
+verdicts::Settings HealthSettingsFrom(const peers::Sharing& sharing) {
   verdicts::Settings settings;
-  settings.kept = s.kept;
+  settings.kept = sharing.kept;
   return settings;
 }
 
-std::string Number(double value) {
+std::string NumberToText(double value) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", value);
   return text;
 }
 
-std::string Seconds(Time time) { return Number(quota::SecondsOf(time)); }
+std::string SecondsToText(Time time) { return NumberToText(quota::SecondsOf(time)); }
 
-dispatch_policy::PeerHealth WordOf(verdicts::HealthAdvice::What what) {
+dispatch_policy::PeerHealth ToPeerHealth(verdicts::HealthAdvice::What what) {
   switch (what) {
     case verdicts::HealthAdvice::What::kDown:
       return dispatch_policy::PeerHealth::kFailing;
@@ -58,17 +59,17 @@
 
 }  // namespace
 
-quota::LeaseSettings LeaseSettingsFor(const peers::Roster& roster) {
-  const peers::Sharing& s = roster.sharing;
+quota::LeaseSettings LeaseSettingsFrom(const peers::Roster& roster) {
+  const peers::Sharing& sharing = roster.sharing;
   quota::LeaseSettings settings;
-  settings.term = s.term;
-  settings.drift = s.drift;
-  settings.floor = s.floor;
-  settings.burst = s.burst;
+  settings.term = sharing.term;
+  settings.drift = sharing.drift;
+  settings.floor = sharing.floor;
+  settings.burst = sharing.burst;
   settings.election = roster.timings.election;
   settings.members = roster.members.size();
-  settings.reported = s.told;
-  for (const auto& [destination, calls] : s.listed) {
+  settings.reported = sharing.told;
+  for (const auto& [destination, calls] : sharing.listed) {
     settings.listed[quota::KeyOf(destination)] = calls;
   }
   return settings;
@@ -77,29 +78,31 @@
 Sharing::Sharing(const peers::Roster& roster, std::string self, std::uint64_t process_incarnation)
     : self_(std::move(self)),
       settings_(roster.sharing),
-      holder_(LeaseSettingsFor(roster)),
-      grantor_(LeaseSettingsFor(roster)),
-      table_(SettingsOf(roster.sharing), self_, process_incarnation),
+      lease_holder_(LeaseSettingsFrom(roster)),
+      lease_grantor_(LeaseSettingsFrom(roster)),
+      health_reports_(HealthSettingsFrom(roster.sharing), self_, process_incarnation),
       election_(roster.timings.election) {}
 
 // ======== the engine's door ========
 
-void Sharing::Known(const std::string& key, const CallTarget& target) {
+void Sharing::RecordEndpoint(const std::string& key, const CallTarget& target) {
   // A route apart has no part in its destination's limit.
-  if (target.has_own_rate_limit) places_[quota::KeyOf(target.destination)].erase(target.endpoint);
-  std::set<std::string>& its = places_[key];
-  if (its.size() < kMostPlaces && its.insert(target.endpoint).second) holder_.ReportAgain(key);
+  if (target.has_own_rate_limit)
+    endpoints_by_key_[quota::KeyOf(target.destination)].erase(target.endpoint);
+  std::set<std::string>& endpoints = endpoints_by_key_[key];
+  if (endpoints.size() < kMaxEndpointsPerLimit && endpoints.insert(target.endpoint).second)
+    lease_holder_.ReportAgain(key);
 }
 
 // Guards against calls that begin unpaced, and are held back at their first byte, at a start.
-void Sharing::Listed(const MemberList& list) {
+void Sharing::OnEndpointList(const MemberList& list) {
   const std::lock_guard lock(mutex_);
   for (const Member& member : list.members) {
     const std::string key = quota::KeyOf(member.destination);
     if (member.phase == Phase::kGone) {
-      places_[key].erase(member.id);
-    } else if (!places_.contains(quota::KeyOf(member.id))) {
-      Known(key, {member.id, member.destination, false});
+      endpoints_by_key_[key].erase(member.id);
+    } else if (!endpoints_by_key_.contains(quota::KeyOf(member.id))) {
+      RecordEndpoint(key, {member.id, member.destination, false});
     }
   }
 }
@@ -107,42 +110,43 @@
 void Sharing::OnMessageArrived(std::uint64_t destination) {
   if (!settings_.limits) return;
   const std::lock_guard lock(mutex_);
-  holder_.OnDemand(quota::KeyOf(destination), Now());
+  lease_holder_.OnDemand(quota::KeyOf(destination), Now());
 }
 
 bool Sharing::AllowsCall(const CallTarget& target) {
   if (!settings_.limits) return true;
   const std::string key = KeyOf(target);
   const std::lock_guard lock(mutex_);
-  Known(key, target);
+  RecordEndpoint(key, target);
   const Time now = Now();
   if (target.has_own_rate_limit) {
-    holder_.OnDemand(key, now);  // what comes for a destination says nothing of a route
+    lease_holder_.OnDemand(key, now);  // what comes for a destination says nothing of a route
   }
-  return holder_.TryAcquire(key, now);
+  return lease_holder_.TryAcquire(key, now);
 }
 
-void Sharing::OnCallCompleted(const CallCompleted& end) {
-  const std::string key = KeyOf(end.target);
+void Sharing::OnCallCompleted(const CallCompleted& call) {
+  const std::string key = KeyOf(call.target);
   const std::lock_guard lock(mutex_);
   const Time now = Now();
-  Known(key, end.target);
-  if (settings_.limits && end.report.limit.value_or(0) > 0) {
-    holder_.OnLimitReported(key, *end.report.limit, now);
+  RecordEndpoint(key, call.target);
+  if (settings_.limits && call.report.limit.value_or(0) > 0) {
+    lease_holder_.OnLimitReported(key, *call.report.limit, now);
   }
   if (!settings_.verdicts) return;
-  const std::string& endpoint = end.target.endpoint;
-  switch (end.outcome) {
+  const std::string& endpoint = call.target.endpoint;
+  switch (call.outcome) {
     case Outcome::kDelivered:
-      return table_.Answered(endpoint, end.started.time_since_epoch(), now);
+      return health_reports_.Answered(endpoint, call.started.time_since_epoch(), now);
     case Outcome::kConnectFailed:
     case Outcome::kReset:
     case Outcome::kTimeout:
     case Outcome::kCancelled:
     case Outcome::kError:
-      return table_.Failed(endpoint, now);
+      return health_reports_.Failed(endpoint, now);
     case Outcome::kRejected:
-      if (end.retry_after >= kLeastWait) table_.ToldWait(endpoint, end.retry_after, now);
+      if (call.retry_after >= kMinSharedRetryAfter)
+        health_reports_.ToldWait(endpoint, call.retry_after, now);
       return;
     case Outcome::kNotSent:
     case Outcome::kConnectionLimitReached:
@@ -154,21 +158,21 @@
 
 void Sharing::GrantLeases(const std::string& holder, const quota::LeaseRequestBatch& request,
                           Time now) {
-  const auto grant = grantor_.Answer(holder, request, now);
+  const auto grant = lease_grantor_.Answer(holder, request, now);
   if (!grant) return;
-  if (holder == self_) return holder_.Take(*grant, now);
-  out_.push_back({peers::Kind::kGrant, holder, grant->Encode()});
+  if (holder == self_) return lease_holder_.Take(*grant, now);
+  outgoing_frames_.push_back({peers::Kind::kGrant, holder, grant->Encode()});
 }
 
-void Sharing::Take(const peers::Frame& frame, Time now) {
+void Sharing::Receive(const peers::Frame& frame, Time now) {
   const std::lock_guard lock(mutex_);
   if (frame.kind == peers::Kind::kWords) {
-    if (settings_.verdicts) table_.Take(frame.from, frame.body, now);
+    if (settings_.verdicts) health_reports_.Take(frame.from, frame.body, now);
   } else if (!settings_.limits) {
     return;
   } else if (frame.kind == peers::Kind::kGrant) {
     const auto grant = quota::LeaseGrant::Decode(frame.body);
-    if (grant && frame.from == asked_) holder_.Take(*grant, now);
+    if (grant && frame.from == lease_request_sent_to_) lease_holder_.Take(*grant, now);
   } else if (const auto request = quota::LeaseRequestBatch::Decode(frame.body); request && leads_) {
     GrantLeases(frame.from, *request, now);
   }
@@ -177,68 +181,69 @@
 // One that was stopped for as long as an election takes may lead no longer without knowing it.
 void Sharing::Tick(bool leads, Time now) {
   const std::lock_guard lock(mutex_);
-  const bool stopped = now - std::exchange(last_turn_, now) > election_;
-  if (leads && (!leads_ || stopped)) grantor_.Begin(now);
-  if (!leads && leads_) grantor_.End();
+  const bool was_suspended = now - std::exchange(last_tick_, now) > election_;
+  if (leads && (!leads_ || was_suspended)) lease_grantor_.Begin(now);
+  if (!leads && leads_) lease_grantor_.End();
   leads_ = leads;
 }
 
-void Sharing::Turn(const std::string& leader, std::vector<std::string> present, Time now) {
+void Sharing::Update(const std::string& leader, std::vector<std::string> present, Time now) {
   const std::lock_guard lock(mutex_);
-  table_.SetPresent(std::move(present));
+  health_reports_.SetPresent(std::move(present));
   if (settings_.limits && (leads_ || !leader.empty())) {
-    if (const auto request = holder_.Ask(now)) {
-      asked_ = leads_ ? self_ : leader;
+    if (const auto request = lease_holder_.Ask(now)) {
+      lease_request_sent_to_ = leads_ ? self_ : leader;
       if (leads_) {
         GrantLeases(self_, *request, now);
       } else {
-        out_.push_back({peers::Kind::kWant, leader, request->Encode()});
+        outgoing_frames_.push_back({peers::Kind::kWant, leader, request->Encode()});
       }
     }
   }
   if (!settings_.verdicts) return;
-  if (now >= next_tick_) {
-    next_tick_ = now + kTickEvery;
-    table_.Tick(now);
+  if (now >= next_health_tick_) {
+    next_health_tick_ = now + kHealthTickInterval;
+    health_reports_.Tick(now);
   }
-  verdicts::HealthReportTable::Saying saying = table_.Say(now);
-  for (std::string& to : saying.to) out_.push_back({peers::Kind::kWords, to, saying.bytes});
+  verdicts::HealthReportTable::Saying round = health_reports_.Say(now);
+  for (std::string& to : round.to)
+    outgoing_frames_.push_back({peers::Kind::kWords, to, round.bytes});
 }
 
 Time Sharing::Next() const {
   const std::lock_guard lock(mutex_);
   Time next = Time::max();
-  if (settings_.limits) next = std::max(holder_.Next(), last_turn_ + milliseconds(50));
-  if (settings_.verdicts) next = std::min({next, next_tick_, table_.Next()});
+  if (settings_.limits) next = std::max(lease_holder_.Next(), last_tick_ + milliseconds(50));
+  if (settings_.verdicts) next = std::min({next, next_health_tick_, health_reports_.Next()});
   return next;
 }
 
 void Sharing::SetRoster(const peers::Roster& roster, Time now) {
   const std::lock_guard lock(mutex_);
   settings_ = roster.sharing;
-  holder_.Change(LeaseSettingsFor(roster), now);
-  grantor_.Change(LeaseSettingsFor(roster));
+  lease_holder_.Change(LeaseSettingsFrom(roster), now);
+  lease_grantor_.Change(LeaseSettingsFrom(roster));
 }
 
-std::vector<EndpointUpdate> Sharing::TakeNews() {
+std::vector<EndpointUpdate> Sharing::TakeEndpointUpdates() {
   const std::lock_guard lock(mutex_);
-  std::vector<EndpointUpdate> news;
-  for (const auto& [key, rate] : holder_.Changes(Now())) {
-    const auto its = places_.find(key);
-    if (its == places_.end()) continue;
-    dispatch_policy::QuotaLeased share;
-    if (rate) share.rate = *rate * kPaceShare;
-    for (const std::string& endpoint : its->second) news.push_back({endpoint, share});
+  std::vector<EndpointUpdate> updates;
+  for (const auto& [key, rate] : lease_holder_.Changes(Now())) {
+    const auto endpoints = endpoints_by_key_.find(key);
+    if (endpoints == endpoints_by_key_.end()) continue;
+    dispatch_policy::QuotaLeased lease;
+    if (rate) lease.rate = *rate * kPolicyRateShare;
+    for (const std::string& endpoint : endpoints->second) updates.push_back({endpoint, lease});
   }
-  for (const verdicts::HealthAdvice& advice : table_.TakeAdvice()) {
-    dispatch_policy::PeerHealthReport word;
-    word.health = WordOf(advice.what);
-    word.age = advice.age;
-    word.duration = advice.rest;
-    word.witnesses = advice.witnesses;
-    news.push_back({advice.endpoint, word});
+  for (const verdicts::HealthAdvice& advice : health_reports_.TakeAdvice()) {
+    dispatch_policy::PeerHealthReport report;
+    report.health = ToPeerHealth(advice.what);
+    report.age = advice.age;
+    report.duration = advice.rest;
+    report.witnesses = advice.witnesses;
+    updates.push_back({advice.endpoint, report});
   }
-  return news;
+  return updates;
 }
 
 // ======== what is told ========
@@ -246,27 +251,29 @@
 std::string Sharing::LimitsJson(Time now) const {
   const std::lock_guard lock(mutex_);
   std::string text =
-      "{\"grants\":" + std::string(leads_ && grantor_.grants(now) ? "true" : "false");
+      "{\"grants\":" + std::string(leads_ && lease_grantor_.grants(now) ? "true" : "false");
   text += ",\"limits\":[";
   bool first = true;
-  for (const auto& [key, s] : holder_.shares()) {
-    const auto rate = holder_.RateOf(key, now);
+  for (const auto& [key, share] : lease_holder_.shares()) {
+    const auto rate = lease_holder_.RateOf(key, now);
     text += (first ? "" : ",") + std::string("{\"limit\":") + json::Quote(key);
-    text += ",\"calls\":" + Number(s.limit) + ",\"told\":" + Number(s.reported);
-    text += ",\"ours\":" + (rate ? Number(*rate) : "null") + ",\"lease\":" + Number(s.lease);
-    text += ",\"ends_in_s\":" + Seconds(std::max(Time{}, s.ends - now));
-    text += ",\"demand\":" + Number(s.demand) + ",\"begun\":" + std::to_string(s.begun);
-    text += ",\"held_back\":" + std::to_string(s.held_back) + "}";
+    text += ",\"calls\":" + NumberToText(share.limit) + ",\"told\":" + NumberToText(share.reported);
+    text += ",\"ours\":" + (rate ? NumberToText(*rate) : "null") +
+            ",\"lease\":" + NumberToText(share.lease);
+    text += ",\"ends_in_s\":" + SecondsToText(std::max(Time{}, share.ends - now));
+    text +=
+        ",\"demand\":" + NumberToText(share.demand) + ",\"begun\":" + std::to_string(share.begun);
+    text += ",\"held_back\":" + std::to_string(share.held_back) + "}";
     first = false;
   }
   text += "],\"granted\":[";
   first = true;
-  for (const auto& [key, limit] : grantor_.limits()) {
+  for (const auto& [key, limit] : lease_grantor_.limits()) {
     for (const auto& [holder, lease] : limit.leases) {
       if (!leads_ || now >= lease.ends) continue;
       text += (first ? "" : ",") + std::string("{\"limit\":") + json::Quote(key);
-      text += ",\"holder\":" + json::Quote(holder) + ",\"lease\":" + Number(lease.amount);
-      text += ",\"ends_in_s\":" + Seconds(lease.ends - now) + "}";
+      text += ",\"holder\":" + json::Quote(holder) + ",\"lease\":" + NumberToText(lease.amount);
+      text += ",\"ends_in_s\":" + SecondsToText(lease.ends - now) + "}";
       first = false;
     }
   }
@@ -277,47 +284,49 @@
   const std::lock_guard lock(mutex_);
   std::string text = "{\"words\":[";
   bool first = true;
-  for (const auto& [key, word] : table_.words()) {
-    text += (first ? "" : ",") + std::string("{\"endpoint\":") + json::Quote(word.endpoint);
-    text += ",\"witness\":" + json::Quote(word.witness) + ",\"seen\":\"" + ToString(word.seen);
-    text += "\",\"age_s\":" + Seconds(now - word.at) + ",\"rest_s\":" + Seconds(word.rest);
-    text += ",\"times\":" + std::to_string(word.times) + ",\"counts\":";
-    text += table_.Counts(word.witness, now) ? "true}" : "false}";
+  for (const auto& [key, report] : health_reports_.words()) {
+    text += (first ? "" : ",") + std::string("{\"endpoint\":") + json::Quote(report.endpoint);
+    text += ",\"witness\":" + json::Quote(report.witness) + ",\"seen\":\"" + ToString(report.seen);
+    text += "\",\"age_s\":" + SecondsToText(now - report.at) +
+            ",\"rest_s\":" + SecondsToText(report.rest);
+    text += ",\"times\":" + std::to_string(report.times) + ",\"counts\":";
+    text += health_reports_.Counts(report.witness, now) ? "true}" : "false}";
     first = false;
   }
   text += "],\"witnesses\":[";
   first = true;
-  for (const auto& [name, w] : table_.witnesses()) {
+  for (const auto& [name, witness] : health_reports_.witnesses()) {
     text += (first ? "" : ",") + std::string("{\"name\":") + json::Quote(name);
-    text += ",\"strikes\":" + std::to_string(w.strikes) + ",\"shunned_for_s\":";
-    text += Seconds(std::max(Time{}, w.shunned_until - now)) + "}";
+    text += ",\"strikes\":" + std::to_string(witness.strikes) + ",\"shunned_for_s\":";
+    text += SecondsToText(std::max(Time{}, witness.shunned_until - now)) + "}";
     first = false;
   }
   return text + "]}";
 }
 
-std::string BoundsText(const peers::Roster& roster, bool as_json) {
-  const quota::LeaseSettings settings = LeaseSettingsFor(roster);
-  const Time unheard = settings.Renew() + settings.Stretched(settings.term);
+std::string SharingBoundsToText(const peers::Roster& roster, bool as_json) {
+  const quota::LeaseSettings settings = LeaseSettingsFrom(roster);
+  const Time undetected = settings.Renew() + settings.Stretched(settings.term);
   std::string text;
-  const auto line = [&](const char* name, const std::string& value, const std::string& words) {
+  const auto line = [&](const char* name, const std::string& value,
+                        const std::string& explanation) {
     if (as_json) {
       text += (text.empty() ? "{" : ",") + json::Quote(name) + ":" + value;
     } else {
-      text += std::string(name) + " " + value + "  " + words + "\n";
+      text += std::string(name) + " " + value + "  " + explanation + "\n";
     }
   };
-  line("quiet_s", Seconds(settings.QuietTime()),
+  line("quiet_s", SecondsToText(settings.QuietTime()),
        "a new leader grants nothing for so long; floors hold");
-  line("lease_ends_s", Seconds(settings.Stretched(settings.term)),
+  line("lease_ends_s", SecondsToText(settings.Stretched(settings.term)),
        "after a cut, a pause or a death its lease is free again, at most");
-  line("lowered_s", Seconds(settings.LoweredFor(unheard)),
+  line("lowered_s", SecondsToText(settings.LoweredFor(undetected)),
        "after a limit falls calls of the old rate may go on, at most");
-  line("word_kept_s", Seconds(roster.sharing.kept), "a word on an endpoint is dropped");
+  line("word_kept_s", SecondsToText(roster.sharing.kept), "a word on an endpoint is dropped");
   for (const auto& [key, limit] : settings.listed) {
-    line(("over_" + key).c_str(), Number(settings.MostAtOnce(limit)),
-         "calls above " + Number(limit) + "/s times the window, in any window");
-    line(("floor_" + key).c_str(), Number(settings.FloorOf(limit)),
+    line(("over_" + key).c_str(), NumberToText(settings.MostAtOnce(limit)),
+         "calls above " + NumberToText(limit) + "/s times the window, in any window");
+    line(("floor_" + key).c_str(), NumberToText(settings.FloorOf(limit)),
          "calls a second that a cut-off member may begin");
   }
   return as_json ? text + "}" : text;
--- a/tests/fleet/sharing_test.cpp
+++ b/tests/fleet/sharing_test.cpp
@@ -1,4 +1,5 @@
-// Between frames, cores and the engine's door, with a clock of the test's own.
+// Sharing between peer frames, the quota and health-report cores and the call observer, in virtual
+// time.
 #include "fleet/sharing.hpp"
 
 #include <doctest/doctest.h>
@@ -10,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-peers::Roster RosterOf() {
+peers::Roster MakeRoster() {
   peers::Roster roster;
   roster.fleet = "t";
   for (const char* name : {"a", "b", "c"}) roster.members.push_back({name, "east", "", true});
@@ -25,7 +26,7 @@
   return roster;
 }
 
-peers::Frame Want(const char* from, std::uint64_t number) {
+peers::Frame LeaseRequestFrame(const char* from, std::uint64_t number) {
   peers::Frame frame;
   frame.kind = peers::Kind::kWant;
   frame.from = from;
@@ -33,65 +34,66 @@
   return frame;
 }
 
-// What is answered to a member that asks now; none: nothing.
-std::optional<quota::LeaseGrant> Ask(Sharing& sharing, const char* from, std::uint64_t number,
-                                     Time now) {
+// The grant that a member gets when it requests a lease now; none: it gets no reply.
+std::optional<quota::LeaseGrant> RequestLease(Sharing& sharing, const char* from,
+                                              std::uint64_t number, Time now) {
   sharing.TakeFrames();
-  sharing.Take(Want(from, number), now);
-  for (const Sharing::Out& out : sharing.TakeFrames()) {
-    if (out.kind == peers::Kind::kGrant && out.to == from)
-      return quota::LeaseGrant::Decode(out.body);
+  sharing.Receive(LeaseRequestFrame(from, number), now);
+  for (const Sharing::OutgoingFrame& frame : sharing.TakeFrames()) {
+    if (frame.kind == peers::Kind::kGrant && frame.to == from)
+      return quota::LeaseGrant::Decode(frame.body);
   }
   return std::nullopt;
 }
 
-void Lead(Sharing& sharing, Time from, Time to) {
+void LeadFromTo(Sharing& sharing, Time from, Time to) {
   for (Time now = from; now < to; now += milliseconds(100)) {
     sharing.Tick(true, now);
-    sharing.Turn("a", {"a", "b", "c"}, now);
+    sharing.Update("a", {"a", "b", "c"}, now);
   }
 }
 
-TEST_CASE("a leader that was stopped grants nothing to what came meanwhile") {
-  Sharing sharing(RosterOf(), "a", 1);
-  CHECK_FALSE(Ask(sharing, "b", 1, seconds(10)));  // it does not lead
-  Lead(sharing, seconds(10), seconds(14));
-  const auto grant = Ask(sharing, "b", 2, seconds(14));
+TEST_CASE("a leader that was suspended grants no lease to requests that queued up meanwhile") {
+  Sharing sharing(MakeRoster(), "a", 1);
+  CHECK_FALSE(RequestLease(sharing, "b", 1, seconds(10)));  // it is not the leader
+  LeadFromTo(sharing, seconds(10), seconds(14));
+  const auto grant = RequestLease(sharing, "b", 2, seconds(14));
   REQUIRE(grant);
   CHECK(grant->leases);
   CHECK(grant->parts.at("d1").lease > 0);
-  // It wakes, and still believes that it leads.
+  // It resumes, and still believes that it is the leader.
   sharing.Tick(true, seconds(24));
-  const auto late = Ask(sharing, "b", 3, seconds(24));
-  REQUIRE(late);
-  CHECK_FALSE(late->leases);
+  const auto late_grant = RequestLease(sharing, "b", 3, seconds(24));
+  REQUIRE(late_grant);
+  CHECK_FALSE(late_grant->leases);
   sharing.Tick(false, seconds(24));
-  CHECK_FALSE(Ask(sharing, "b", 4, seconds(24)));
+  CHECK_FALSE(RequestLease(sharing, "b", 4, seconds(24)));
 }
 
-TEST_CASE("only the grant of whom we asked is taken") {
-  Sharing sharing(RosterOf(), "b", 1);
+TEST_CASE("a lease grant is accepted only from the member that was asked for it") {
+  Sharing sharing(MakeRoster(), "b", 1);
   const auto rate = [&](Time now) {
     const std::string text = sharing.LimitsJson(now);
     const std::size_t at = text.find("\"lease\":") + 8;
     return std::stod(text.substr(at));
   };
   sharing.Tick(false, seconds(10));
-  sharing.Turn("a", {"a", "b", "c"}, seconds(10));
+  sharing.Update("a", {"a", "b", "c"}, seconds(10));
   std::uint64_t number = 0;
-  for (const Sharing::Out& out : sharing.TakeFrames()) {
-    if (out.kind == peers::Kind::kWant) number = quota::LeaseRequestBatch::Decode(out.body)->number;
+  for (const Sharing::OutgoingFrame& frame : sharing.TakeFrames()) {
+    if (frame.kind == peers::Kind::kWant)
+      number = quota::LeaseRequestBatch::Decode(frame.body)->number;
   }
   REQUIRE(number > 0);
   peers::Frame frame;
   frame.kind = peers::Kind::kGrant;
   frame.body = quota::LeaseGrant{number, true, {{"d1", {1e6, 1e6}}}}.Encode();
   frame.from = "c";
-  sharing.Take(frame, seconds(10));
+  sharing.Receive(frame, seconds(10));
   CHECK(rate(seconds(10)) == 0);
   frame.from = "a";
   frame.body = quota::LeaseGrant{number, true, {{"d1", {30, 9}}}}.Encode();
-  sharing.Take(frame, seconds(10));
+  sharing.Receive(frame, seconds(10));
   CHECK(rate(seconds(10)) == doctest::Approx(9));
 }
 
