Split the fleet's driver by concern

It now wires one class for each: peer_transport (datagrams, frames, dropped frames), periodic_timer, duty_executor, operator_requests, roster_watcher, replicated_log (the Raft node and its store), known_state, state_exchange and state_messages (who is asked for the committed state, and the codec), maintenance_leadership, peer_change_log and event_inbox. The control socket is apart into protocol, server, client and path; reading commands (maintenance_commands, with a typed error) apart from JSON (reports).

--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cli/command.hpp"
-#include "fleet/control_server.hpp"
+#include "fleet/control_client.hpp"
 #include "fleet/sharing.hpp"
 #include "peers/roster.hpp"
 #include "protocol/json.hpp"
--- a/src/fleet/control_server.hpp
+++ b/src/fleet/control_server.hpp
@@ -1,59 +1,46 @@
-// The control socket: HTTP/1.1 on a Unix socket in the state folder, for its owner and root alone.
-// One call a connection; it asks the fleet's thread and answers JSON.
+// The server of the control socket: HTTP/1.1 on a Unix socket in the state
+// folder, for the folder's owner and root alone. One request a connection, one
+// connection at a time.
 #ifndef BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
 #define BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
 
 #include <functional>
-#include <map>
 #include <string>
 
 #include "concurrency/thread.hpp"
+#include "fleet/control_protocol.hpp"
 #include "net/socket.hpp"
 
 namespace brassfront::fleet {
 
-struct ControlRequest {
-  std::string method;  // GET or POST
-  std::string path;    // without its query
-  std::map<std::string, std::string> query;
-};
-struct ControlReply {
-  int status = 200;
-  std::string body;  // JSON
-};
-
-// `{"error": ...}`.
-ControlReply ErrorReply(int status, const std::string& message);
-
-// False if the text is no request's head.
-bool ParseControlRequest(std::string_view head, ControlRequest& request);
-
+// Owns the socket and a thread, from the constructor to the destructor.
 class ControlServer {
  public:
-  // Answers, and may take some seconds for it.
+  // Called by the server's thread; may take some seconds.
   using Handler = std::function<ControlReply(const ControlRequest&)>;
 
-  // Throws std::runtime_error where the socket cannot be made.
+  // Throws std::runtime_error where the socket cannot be made. The folder must
+  // be locked by this process: a socket that an earlier one left there is
+  // replaced.
   ControlServer(const std::string& folder, Handler handler);
+  // Waits for the request that is being handled.
   ~ControlServer();
   ControlServer(const ControlServer&) = delete;
   ControlServer& operator=(const ControlServer&) = delete;
 
  private:
+  void Bind(const std::string& folder);
   void Serve();
   void ServeConnection(Socket connection);
+  [[nodiscard]] ControlReply ReplyTo(Socket& connection);
 
   const std::string path_;
   const Handler handler_;
-  Socket listener_, wake_;
+  Socket listener_;
+  Socket stop_event_;  // eventfd
   Thread thread_;
 };
 
-// Calls the control socket of a folder; throws std::runtime_error with what is wrong, such as that
-// nobody listens there or that the folder is somebody else's.
-ControlReply CallControl(const std::string& folder, const std::string& method,
-                         const std::string& target);
-
 }  // namespace brassfront::fleet
 
 #endif  // BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -1,153 +1,132 @@
-// The driver of all that forwarders share: one thread with a datagram socket feeds the cores and
-// sends what they say. It decides nothing.
+// A forwarder's membership in a fleet: wires the parts that members share
+// (failure detection, the replicated log, maintenance, quota leases, health
+// reports) to one thread, a datagram socket and a control socket. It decides
+// nothing itself.
 #ifndef BRASSFRONT_FLEET_FLEET_HPP_
 #define BRASSFRONT_FLEET_FLEET_HPP_
 
-#include <chrono>
 #include <cstdint>
-#include <functional>
-#include <future>
-#include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
-#include "concurrency/bounded_queue.hpp"
 #include "concurrency/thread.hpp"
-#include "consensus/file_store.hpp"
-#include "consensus/raft_node.hpp"
 #include "fleet/control_server.hpp"
+#include "fleet/duty_executor.hpp"
 #include "fleet/endpoint_exclusions.hpp"
+#include "fleet/event_inbox.hpp"
 #include "fleet/forwarder_control.hpp"
+#include "fleet/known_state.hpp"
 #include "fleet/local_identity.hpp"
+#include "fleet/maintenance_leadership.hpp"
+#include "fleet/operator_requests.hpp"
+#include "fleet/peer_change_log.hpp"
+#include "fleet/peer_transport.hpp"
+#include "fleet/replicated_log.hpp"
+#include "fleet/roster_watcher.hpp"
 #include "fleet/sharing.hpp"
-#include "maintenance/maintenance_scheduler.hpp"
-#include "net/socket.hpp"
+#include "fleet/state_exchange.hpp"
+#include "fleet/state_messages.hpp"
 #include "peers/failure_detector.hpp"
-#include "peers/roster.hpp"
 
 namespace brassfront::fleet {
 
 class Fleet {
  public:
-  // `self` is this forwarder's name in the roster; the folder is its own. Throws
+  // `self` is this forwarder's name in the roster; the folder is its own. Reads
+  // the roster, locks the folder and counts a start in it. Throws
   // records::BadRecords and std::runtime_error.
   Fleet(std::string roster_path, const std::string& self, const std::string& folder,
         std::uint64_t seed);
   ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
 
-  // A list of endpoints on its way to the engine; what comes back goes alive_voters. For any
-  // thread.
-  MemberList FilterEndpoints(MemberList list) {
-    if (sharing_) sharing_->OnEndpointList(list);
-    return exclusions_.Apply(std::move(list));
-  }
-
-  // What the engine is to tell of its calls; none: nothing is shared beside work.
-  CallObserver* call_observer() { return sharing_.get(); }
-
-  // From now on it speaks with its peers. What was settled before about this forwarder holds before
-  // it returns: a machine that is out starts standing by. Throws std::runtime_error.
-  void Start(ForwarderControl control);
-  // Reads the roster again; a bad one, or one that changes too much, changes nothing and leaves a
-  // line. For any thread.
+  // To be asked for each list of endpoints on its way to the engine: returns
+  // what the engine is to get instead. Any thread.
+  [[nodiscard]] MemberList FilterEndpoints(MemberList list);
+
+  // What the engine has to notify of its calls; nullptr: the roster shares
+  // neither limits nor health reports. Valid as long as the fleet.
+  [[nodiscard]] CallObserver* call_observer() { return sharing_.get(); }
+
+  // Opens the sockets and starts the thread. Before it returns, the forwarder
+  // is in standby if the last known state says that its machine is in
+  // maintenance. The functions of `forwarder` must work until Stop returns.
+  // Throws std::runtime_error.
+  void Start(ForwarderControl forwarder);
+  // Reads the roster again. One that is invalid or changes too much changes
+  // nothing and leaves a line in the log. Any thread; does not wait for it.
   void ReloadRoster();
-  // Tells the peers that this forwarder ends, and stops.
+  // Tells the peers that this forwarder leaves, and ends the thread. Operators
+  // who wait for a reply get an error. The owner's thread.
   void Stop();
 
  private:
   using Time = peers::Time;
+
+  // ---- events from other threads ----
   struct RosterReloadRequested {};
   struct StopRequested {};
-  struct EndpointsExcluded {
+  // The engine starts nothing more at these endpoints.
+  struct ExclusionsApplied {
     std::set<std::string> endpoints;
   };
-  struct ControlRequestReceived {
-    ControlRequest request;
-    std::promise<ControlReply> reply;
-  };
   using Event =
-      std::variant<RosterReloadRequested, StopRequested, EndpointsExcluded, ControlRequestReceived>;
+      std::variant<RosterReloadRequested, StopRequested, ExclusionsApplied, ReceivedControlRequest>;
 
-  // A command of an operator's that waits to be settled.
-  struct PendingCommand {
-    maintenance::Command command;
-    std::promise<ControlReply> reply;
-    Time deadline{}, next_attempt{};
+  struct Readiness {
+    bool datagrams = false;
+    bool events = false;
   };
 
+  // ---- the fleet's thread ----
   void Run();
-  void PostEvent(Event item);
-  void HandleEvents();
-  void On(const RosterReloadRequested&) { ApplyRosterFile(); }
-  void On(const StopRequested&);
-  void On(EndpointsExcluded& event) { local_member_.banned = std::move(event.endpoints); }
-  void On(ControlRequestReceived& event);
-  void ReadDatagrams(Time now);
+  [[nodiscard]] Readiness WaitForInput() const;
+  void On(const RosterReloadRequested& event);
+  void On(const StopRequested& event);
+  void On(ExclusionsApplied& event);
+  void On(ReceivedControlRequest& event);
   void HandleFrame(const peers::Frame& frame, Time now);
   void HandleForwardedCommand(const peers::Frame& frame);
   void HandleStateMessage(const peers::Frame& frame);
-  void ApplyRosterFile();
-  void CreateRaftNode();
-  void RejoinWithNewIdentity(std::string_view why);
-  void TickRaftNode(Time now);
-  void RunScheduler(Time now);
+  void AdoptState(const maintenance::MaintenanceState& state);
+  void UpdateLeadership(Time now);
   void PerformDuty(Time now);
   void RequestState(Time now);
-  void RunSharing(Time now);
-  void AdoptState(const maintenance::MaintenanceState& newer);
-  void LogRequestChanges(const maintenance::MaintenanceState& before);
-  void CompletePendingCommands(Time now);
-  void SubmitCommand(const maintenance::Command& command);
+  void ExchangeSharing(Time now);
+  void AdvanceOperatorRequests(Time now);
+  void SubmitToLeader(const maintenance::Command& command);
   void QueueFrame(peers::Kind kind, const std::string& to, std::string body);
   void SendFrames();
-  void SendFrame(const peers::Frame& frame);
-  void LogPeerChanges();
-  void LogDroppedFrame(peers::Drop drop, const std::string& from, Time now);
+
   [[nodiscard]] std::string KnownLeader() const;
-  [[nodiscard]] ControlReply Status(bool members) const;
-  [[nodiscard]] ControlReply List() const;
-  [[nodiscard]] bool IsVoter() const;
+  [[nodiscard]] MemberView View() const;
+  // Called by the control server's thread; waits for the fleet's thread to
+  // reply.
+  [[nodiscard]] ControlReply HandleControlRequest(const ControlRequest& request);
 
-  const std::string roster_path_, folder_;
-  peers::Roster roster_;
+  const std::string folder_;
   const std::string self_name_;
-  const std::uint64_t seed_;
+  RosterWatcher roster_;
   LocalIdentity local_identity_;
-  EndpointExclusions exclusions_;
-  std::unique_ptr<Sharing> sharing_;  // none: the roster has no such part
+  EndpointExclusions exclusions_;     // any thread
+  std::unique_ptr<Sharing> sharing_;  // any thread; nullptr: the roster has no such part
   ForwarderControl forwarder_;
-  Socket socket_;
-  Socket wake_;  // eventfd
-  BoundedQueue<Event> inbox_{64};
+  EventInbox<Event> inbox_;  // any thread
 
-  // The thread's own.
+  // Of the fleet's thread, once that runs.
   peers::FailureDetector failure_detector_;
-  consensus::FileStore store_;
-  maintenance::MaintenanceState replicated_state_;  // what our own log comes to, if we vote
-  std::unique_ptr<consensus::RaftNode> raft_node_;
-  Time raft_restart_at_{};
-  bool stale_folder_handled_ = false;  // the folder was found to be an old copy
-  maintenance::MaintenanceState
-      known_state_;  // the newest settled state that we have, from whoever
-  maintenance::MaintenanceScheduler scheduler_;
-  std::optional<Time> leader_since_;
-  bool proposal_in_flight_ = false;  // for its last command
-  std::string reported_leader_;      // where we do not vote
-  std::map<std::string, std::uint64_t> reported_loads_;
-  maintenance::LocalMember local_member_;
-  Time standby_since_{};
-  std::set<std::string> requested_exclusions_;
-  Time next_duty_at_{}, next_state_request_at_{};
-  std::vector<PendingCommand> pending_commands_;
-  std::map<std::string, Time> last_drop_logged_at_;  // bad frames, by whom they claim to be from
-  std::map<peers::Drop, std::uint64_t> dropped_;
-  std::set<std::string> duplicate_members_;  // names that two processes use, as was update
-  std::vector<char> receive_buffer_;
+  PeerTransport transport_;
+  MaintenanceLeadership leadership_;
+  ReplicatedLog replicated_log_;
+  KnownState known_state_;
+  DutyExecutor duty_executor_;
+  StateExchange state_exchange_;
+  OperatorRequests operator_requests_;
+  PeerChangeLog peer_change_log_;
   std::vector<peers::Frame> outgoing_frames_;
   bool stopping_ = false;
 
--- a/src/fleet/sharing.cpp
+++ b/src/fleet/sharing.cpp
@@ -16,8 +16,8 @@
 constexpr Time kMinSharedRetryAfter =
     std::chrono::seconds(1);                       // told; shorter ones are each member's own
 constexpr std::size_t kMaxEndpointsPerLimit = 64;  // endpoints of one limit
-// Of a share, what the module paces itself by: what is held back at the first byte costs an
-// attempt.
+// Of a share, what the module paces itself by: what is held back at the first
+// byte costs an attempt.
 constexpr double kPolicyRateShare = 0.98;
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
@@ -94,7 +94,8 @@
     lease_holder_.ReportAgain(key);
 }
 
-// Guards against calls that begin unpaced, and are held back at their first byte, at a start.
+// Guards against calls that begin unpaced, and are held back at their first
+// byte, at a start.
 void Sharing::OnEndpointList(const MemberList& list) {
   const std::lock_guard lock(mutex_);
   for (const Member& member : list.members) {
@@ -178,7 +179,8 @@
   }
 }
 
-// One that was stopped for as long as an election takes may lead no longer without knowing it.
+// One that was stopped for as long as an election takes may lead no longer
+// without knowing it.
 void Sharing::Tick(bool leads, Time now) {
   const std::lock_guard lock(mutex_);
   const bool was_suspended = now - std::exchange(last_tick_, now) > election_;
--- a/src/fleet/sharing.hpp
+++ b/src/fleet/sharing.hpp
@@ -1,6 +1,7 @@
-// Limits and verdicts of the whole fleet: between the engine's door and the cores of quota and
-// verdicts, which know no frames. The engine's threads come in by the door, the fleet's thread by
-// the rest; a mutex keeps them apart, and nobody waits under it.
+// Limits and verdicts of the whole fleet: between the engine's door and the
+// cores of quota and verdicts, which know no frames. The engine's threads come
+// in by the door, the fleet's thread by the rest; a mutex keeps them apart, and
+// nobody waits under it.
 #ifndef BRASSFRONT_FLEET_SHARING_HPP_
 #define BRASSFRONT_FLEET_SHARING_HPP_
 
@@ -39,12 +40,14 @@
   bool AllowsCall(const CallTarget& target) override;
   void OnCallCompleted(const CallCompleted& call) override;
 
-  // A list on its way to the engine, from any thread: whose limits will be asked for.
+  // A list on its way to the engine, from any thread: whose limits will be
+  // asked for.
   void OnEndpointList(const MemberList& list);
 
   // ---- for the fleet's thread ----
-  // Before anything is read: `leads`, of the settled log. One that was stopped while it led grants
-  // nothing for a while, not even to what has come meanwhile.
+  // Before anything is read: `leads`, of the settled log. One that was stopped
+  // while it led grants nothing for a while, not even to what has come
+  // meanwhile.
   void Tick(bool leads, Time now);
   void Receive(const peers::Frame& frame, Time now);
   // The cores' turn; `present`: members that are heard, and ourselves.
