Split what members share of calls into lease and health-report traffic

sharing.cpp mixed leases, health reports, frames and JSON. lease_traffic and health_traffic are cores without threads now; Sharing keeps the mutex between the engine's threads and the fleet's; the JSON and the promised bounds are in sharing_reports. The folder's lock file is closed by a Socket instead of by hand. Comments are wrapped at the line's length.

In sharing_test.cpp the type of an outgoing frame has moved to the namespace; no check is changed.

--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -9,7 +9,7 @@
 
 #include "cli/command.hpp"
 #include "fleet/control_client.hpp"
-#include "fleet/sharing.hpp"
+#include "fleet/sharing_reports.hpp"
 #include "peers/roster.hpp"
 #include "protocol/json.hpp"
 #include "records/records.hpp"
@@ -110,7 +110,9 @@
       std::cerr << path << ": has no `sharing`, so nothing is promised\n";
       return kExitRefused;
     }
-    std::cout << fleet::SharingBoundsToText(roster, json) << (json ? "\n" : "");
+    std::cout << fleet::SharingBoundsToText(
+                     roster, json ? fleet::BoundsFormat::kJson : fleet::BoundsFormat::kText)
+              << (json ? "\n" : "");
     return kExitDone;
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
--- a/src/fleet/control_client.cpp
+++ b/src/fleet/control_client.cpp
@@ -16,14 +16,13 @@
 namespace brassfront::fleet {
 namespace {
 
-// For a whole call: longer than a command waits to be committed, so that the
-// reply which says that there is no quorum still comes.
+// For a whole call: longer than a command waits to be committed, so that the reply which says that
+// there is no quorum still comes.
 constexpr std::chrono::seconds kCallTimeout{20};
 constexpr std::size_t kReadBytes = 4096;
 constexpr mode_t kOtherUsersMask = 077;
 
-// Throws unless the socket is there, is this user's and is closed to all
-// others.
+// Throws unless the socket is there, is this user's and is closed to all others.
 void CheckOwnership(const std::string& folder, const std::string& path) {
   struct stat status {};
   if (stat(path.c_str(), &status) != 0) {
--- a/src/fleet/control_protocol.hpp
+++ b/src/fleet/control_protocol.hpp
@@ -1,5 +1,4 @@
-// The requests and replies of the control socket, and how a request's head is
-// read. No I/O.
+// The requests and replies of the control socket, and how a request's head is read. No I/O.
 #ifndef BRASSFRONT_FLEET_CONTROL_PROTOCOL_HPP_
 #define BRASSFRONT_FLEET_CONTROL_PROTOCOL_HPP_
 
@@ -32,8 +31,8 @@
 // `{"error": MESSAGE}`.
 [[nodiscard]] ControlReply ErrorReply(int status, const std::string& message);
 
-// Reads a request line with its query; header fields are not looked at. Nothing
-// if the text is no head of a GET or POST of HTTP/1.0 or 1.1.
+// Reads a request line with its query; header fields are not looked at. Nothing if the text is no
+// head of a GET or POST of HTTP/1.0 or 1.1.
 [[nodiscard]] std::optional<ControlRequest> ParseControlRequest(std::string_view head);
 
 }  // namespace brassfront::fleet
--- a/src/fleet/control_server.cpp
+++ b/src/fleet/control_server.cpp
@@ -19,8 +19,8 @@
 namespace brassfront::fleet {
 namespace {
 
-// For a request to come and, anew, for its reply to go: both are on this
-// machine, and a client that stands still keeps all others waiting.
+// For a request to come and, anew, for its reply to go: both are on this machine, and a client that
+// stands still keeps all others waiting.
 constexpr std::chrono::milliseconds kTransferTimeout{1000};
 constexpr std::size_t kMaxHeadBytes = 8192;
 constexpr std::size_t kReadBytes = 1024;
@@ -28,8 +28,7 @@
 constexpr mode_t kOwnerOnlyMask = 0177;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
-// By the kernel's word, which the peer cannot forge. False if it cannot be
-// told.
+// By the kernel's word, which the peer cannot forge. False if it cannot be told.
 bool IsOwnerOrRoot(const Socket& connection) {
   ucred peer{};
   socklen_t length = sizeof peer;
--- a/src/fleet/control_server.hpp
+++ b/src/fleet/control_server.hpp
@@ -1,6 +1,5 @@
-// The server of the control socket: HTTP/1.1 on a Unix socket in the state
-// folder, for the folder's owner and root alone. One request a connection, one
-// connection at a time.
+// The server of the control socket: HTTP/1.1 on a Unix socket in the state folder, for the folder's
+// owner and root alone. One request a connection, one connection at a time.
 #ifndef BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
 #define BRASSFRONT_FLEET_CONTROL_SERVER_HPP_
 
@@ -19,9 +18,8 @@
   // Called by the server's thread; may take some seconds.
   using Handler = std::function<ControlReply(const ControlRequest&)>;
 
-  // Throws std::runtime_error where the socket cannot be made. The folder must
-  // be locked by this process: a socket that an earlier one left there is
-  // replaced.
+  // Throws std::runtime_error where the socket cannot be made. The folder must be locked by this
+  // process: a socket that an earlier one left there is replaced.
   ControlServer(const std::string& folder, Handler handler);
   // Waits for the request that is being handled.
   ~ControlServer();
--- a/src/fleet/control_socket.hpp
+++ b/src/fleet/control_socket.hpp
@@ -1,5 +1,4 @@
-// Where the control socket of a state folder is. Shared by its server and its
-// client.
+// Where the control socket of a state folder is. Shared by its server and its client.
 #ifndef BRASSFRONT_FLEET_CONTROL_SOCKET_HPP_
 #define BRASSFRONT_FLEET_CONTROL_SOCKET_HPP_
 
@@ -12,14 +11,12 @@
 namespace brassfront::fleet {
 
 [[nodiscard]] std::string ControlSocketPath(const std::string& folder);
-// For ControlSocketAddress; closed if the folder cannot be opened, and errno
-// tells why.
+// For ControlSocketAddress; closed if the folder cannot be opened, and errno tells why.
 [[nodiscard]] Socket OpenControlFolder(const std::string& folder);
-// The socket's address by way of the open folder: its path may be longer than
-// the 107 bytes that an address holds. Valid while the folder is open.
+// The socket's address by way of the open folder: its path may be longer than the 107 bytes that an
+// address holds. Valid while the folder is open.
 [[nodiscard]] sockaddr_un ControlSocketAddress(const Socket& folder);
-// A stream socket that is neither bound nor connected; closed if the system has
-// none left.
+// A stream socket that is neither bound nor connected; closed if the system has none left.
 [[nodiscard]] Socket NewControlSocket();
 
 }  // namespace brassfront::fleet
--- a/src/fleet/duty_executor.hpp
+++ b/src/fleet/duty_executor.hpp
@@ -1,6 +1,5 @@
-// Carries out on this forwarder what the committed maintenance state asks of
-// it: standing by while the machine is in maintenance, and keeping endpoints in
-// maintenance out of the engine's list.
+// Carries out on this forwarder what the committed maintenance state asks of it: standing by while
+// the machine is in maintenance, and keeping endpoints in maintenance out of the engine's list.
 #ifndef BRASSFRONT_FLEET_DUTY_EXECUTOR_HPP_
 #define BRASSFRONT_FLEET_DUTY_EXECUTOR_HPP_
 
@@ -21,23 +20,20 @@
 class DutyExecutor {
  public:
   using Time = peers::Time;
-  // Called by the engine's thread once it starts nothing more at these
-  // endpoints; must bring them to the fleet's thread, which calls
-  // ConfirmExclusions.
+  // Called by the engine's thread once it starts nothing more at these endpoints; must bring them
+  // to the fleet's thread, which calls ConfirmExclusions.
   using OnExclusionsApplied = std::function<void(std::set<std::string> endpoints)>;
 
-  // The references must outlive this object. `forwarder` is used from the first
-  // Execute on.
+  // The references must outlive this object. `forwarder` is used from the first Execute on.
   DutyExecutor(std::string self, const LocalIdentity& identity, const ForwarderControl& forwarder,
                EndpointExclusions& exclusions, OnExclusionsApplied on_exclusions_applied);
 
-  // Excludes what an earlier process knew to be in maintenance, before the
-  // engine gets its first list.
+  // Excludes what an earlier process knew to be in maintenance, before the engine gets its first
+  // list.
   void RestoreExclusions(const maintenance::MaintenanceState& state);
 
-  // At an interval, and at once after MakeDue: does what the state asks for,
-  // and returns what this member has to submit to the leader, again and again
-  // until the state shows it.
+  // At an interval, and at once after MakeDue: does what the state asks for, and returns what this
+  // member has to submit to the leader, again and again until the state shows it.
   [[nodiscard]] std::vector<maintenance::Command> Execute(
       const maintenance::MaintenanceState& state, Time now);
   // The state has changed.
--- a/src/fleet/endpoint_exclusions.hpp
+++ b/src/fleet/endpoint_exclusions.hpp
@@ -1,6 +1,5 @@
-// Endpoints that are out for work, kept out of every list that reaches the
-// engine. The engine knows of no ban: to it the endpoint drains, as the
-// platform's own lists would have it.
+// Endpoints that are out for work, kept out of every list that reaches the engine. The engine knows
+// of no ban: to it the endpoint drains, as the platform's own lists would have it.
 #ifndef BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
 #define BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
 
@@ -18,8 +17,7 @@
  public:
   // A list as it came; the same with excluded endpoints as terminating.
   MemberList Apply(MemberList list);
-  // The changes that lead from the bans before to these; no members: nothing
-  // changes.
+  // The changes that lead from the bans before to these; no members: nothing changes.
   MemberList SetExcluded(std::set<std::string> excluded);
 
  private:
--- a/src/fleet/event_inbox.hpp
+++ b/src/fleet/event_inbox.hpp
@@ -20,8 +20,7 @@
  public:
   explicit EventInbox(std::size_t capacity) : queue_(capacity) {}
 
-  // Makes the descriptor. Throws std::runtime_error if the system has none
-  // left.
+  // Makes the descriptor. Throws std::runtime_error if the system has none left.
   void Open() {
     wakeup_ = Socket(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
     if (!wakeup_.is_open()) throw std::runtime_error("no room for a descriptor");
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -27,8 +27,7 @@
 
 Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
-// The outcome shows in the committed state; a command that was lost is
-// submitted again.
+// The outcome shows in the committed state; a command that was lost is submitted again.
 void IgnoreOutcome(consensus::RaftNode::Outcome) {}
 
 }  // namespace
@@ -71,8 +70,7 @@
   transport_.Open(address);
   inbox_.Open();
   replicated_log_.Start();
-  // Its commands are due again at the next turn, when there is somebody to send
-  // them to.
+  // Its commands are due again at the next turn, when there is somebody to send them to.
   static_cast<void>(duty_executor_.Execute(known_state_.get(), Now()));
   control_server_ = std::make_unique<ControlServer>(
       folder_, [this](const ControlRequest& request) { return HandleControlRequest(request); });
@@ -114,8 +112,8 @@
 void Fleet::Run() {
   while (!stopping_) {
     const Readiness ready = WaitForInput();
-    // First what is due: a process that was suspended must notice that before
-    // it reads what came meanwhile.
+    // First what is due: a process that was suspended must notice that before it reads what came
+    // meanwhile.
     const Time now = Now();
     failure_detector_.Tick(now);
     replicated_log_.Tick(now);
@@ -202,9 +200,8 @@
   }
 }
 
-// A command that another member submits to the leader. It gets no reply: the
-// member sees the result in the committed state, and submits the command again
-// as long as it does not.
+// A command that another member submits to the leader. It gets no reply: the member sees the result
+// in the committed state, and submits the command again as long as it does not.
 void Fleet::HandleForwardedCommand(const peers::Frame& frame) {
   if (!replicated_log_.is_leader() || !maintenance::Command::Decode(frame.body)) return;
   replicated_log_.Propose(frame.body, IgnoreOutcome);
@@ -243,8 +240,7 @@
 
 // ======== the committed state ========
 
-// From this member's own log or from the leader. The duty that follows is done
-// in this turn.
+// From this member's own log or from the leader. The duty that follows is done in this turn.
 void Fleet::AdoptState(const maintenance::MaintenanceState& state) {
   if (known_state_.Update(state)) duty_executor_.MakeDue();
 }
@@ -295,7 +291,7 @@
     }
   }
   sharing_->Update(KnownLeader(), std::move(present), now);
-  for (Sharing::OutgoingFrame& frame : sharing_->TakeFrames()) {
+  for (OutgoingFrame& frame : sharing_->TakeFrames()) {
     QueueFrame(frame.kind, frame.to, std::move(frame.body));
   }
   for (EndpointUpdate& update : sharing_->TakeEndpointUpdates()) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -1,7 +1,6 @@
-// A forwarder's membership in a fleet: wires the parts that members share
-// (failure detection, the replicated log, maintenance, quota leases, health
-// reports) to one thread, a datagram socket and a control socket. It decides
-// nothing itself.
+// A forwarder's membership in a fleet: wires the parts that members share (failure detection, the
+// replicated log, maintenance, quota leases, health reports) to one thread, a datagram socket and a
+// control socket. It decides nothing itself.
 #ifndef BRASSFRONT_FLEET_FLEET_HPP_
 #define BRASSFRONT_FLEET_FLEET_HPP_
 
@@ -35,33 +34,31 @@
 
 class Fleet {
  public:
-  // `self` is this forwarder's name in the roster; the folder is its own. Reads
-  // the roster, locks the folder and counts a start in it. Throws
-  // records::BadRecords and std::runtime_error.
+  // `self` is this forwarder's name in the roster; the folder is its own. Reads the roster, locks
+  // the folder and counts a start in it. Throws records::BadRecords and std::runtime_error.
   Fleet(std::string roster_path, const std::string& self, const std::string& folder,
         std::uint64_t seed);
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  // To be asked for each list of endpoints on its way to the engine: returns
-  // what the engine is to get instead. Any thread.
+  // To be asked for each list of endpoints on its way to the engine: returns what the engine is to
+  // get instead. Any thread.
   [[nodiscard]] MemberList FilterEndpoints(MemberList list);
 
-  // What the engine has to notify of its calls; nullptr: the roster shares
-  // neither limits nor health reports. Valid as long as the fleet.
+  // What the engine has to notify of its calls; nullptr: the roster shares neither limits nor
+  // health reports. Valid as long as the fleet.
   [[nodiscard]] CallObserver* call_observer() { return sharing_.get(); }
 
-  // Opens the sockets and starts the thread. Before it returns, the forwarder
-  // is in standby if the last known state says that its machine is in
-  // maintenance. The functions of `forwarder` must work until Stop returns.
-  // Throws std::runtime_error.
+  // Opens the sockets and starts the thread. Before it returns, the forwarder is in standby if the
+  // last known state says that its machine is in maintenance. The functions of `forwarder` must
+  // work until Stop returns. Throws std::runtime_error.
   void Start(ForwarderControl forwarder);
-  // Reads the roster again. One that is invalid or changes too much changes
-  // nothing and leaves a line in the log. Any thread; does not wait for it.
+  // Reads the roster again. One that is invalid or changes too much changes nothing and leaves a
+  // line in the log. Any thread; does not wait for it.
   void ReloadRoster();
-  // Tells the peers that this forwarder leaves, and ends the thread. Operators
-  // who wait for a reply get an error. The owner's thread.
+  // Tells the peers that this forwarder leaves, and ends the thread. Operators who wait for a reply
+  // get an error. The owner's thread.
   void Stop();
 
  private:
@@ -104,8 +101,7 @@
 
   [[nodiscard]] std::string KnownLeader() const;
   [[nodiscard]] MemberView View() const;
-  // Called by the control server's thread; waits for the fleet's thread to
-  // reply.
+  // Called by the control server's thread; waits for the fleet's thread to reply.
   [[nodiscard]] ControlReply HandleControlRequest(const ControlRequest& request);
 
   const std::string folder_;
--- a/src/fleet/forwarder_control.hpp
+++ b/src/fleet/forwarder_control.hpp
@@ -1,5 +1,5 @@
-// What the fleet asks of the forwarder, and nothing else. Each may be called by
-// the fleet's thread at any time, and none waits for long.
+// What the fleet asks of the forwarder, and nothing else. Each may be called by the fleet's thread
+// at any time, and none waits for long.
 #ifndef BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
 #define BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
 
@@ -22,8 +22,8 @@
   std::function<void(EndpointUpdate)> update_endpoint;
   // Changes of the list, for the engine.
   std::function<void(MemberList)> set_endpoints;
-  // `done` is called, by another thread, once all lists before it have been
-  // taken up: nothing more is begun then at an endpoint that they take away.
+  // `done` is called, by another thread, once all lists before it have been taken up: nothing more
+  // is begun then at an endpoint that they take away.
   std::function<void(std::function<void()> done)> post;
 };
 
--- a/src/fleet/local_identity.cpp
+++ b/src/fleet/local_identity.cpp
@@ -16,9 +16,10 @@
 namespace brassfront::fleet {
 namespace {
 
+constexpr mode_t kOwnerOnly = 0600;
 constexpr const char* kFileTag = "brassfront-member-1";
 
-std::string Checksum(const std::string& text) {  // FNV-1a, against a torn or flipped file
+std::string Checksum(const std::string& text) {  // FNV-1a
   std::uint64_t hash = 0xCBF29CE484222325;
   for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001B3;
   return std::to_string(hash);
@@ -30,7 +31,7 @@
     if (getrandom(&value, sizeof value, 0) != sizeof value) {
       throw std::runtime_error("the system gives no random bytes");
     }
-    value >>= 1;  // the settled log's library takes ids above 0
+    value >>= 1;  // libraft takes ids above 0
   }
   return value;
 }
@@ -40,18 +41,8 @@
 LocalIdentity::LocalIdentity(const std::string& folder) : folder_(folder) {
   std::filesystem::create_directories(folder_);
   std::filesystem::permissions(folder_, std::filesystem::perms::owner_all);
-  lock_ = open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (lock_ < 0) throw std::runtime_error("cannot write in " + folder_);
-  if (flock(lock_, LOCK_EX | LOCK_NB) != 0) {
-    close(lock_);
-    throw std::runtime_error("another process holds " + folder_);
-  }
-  std::ifstream in(folder_ + "/member");
-  std::string tag, checksum;
-  if (in >> tag >> identity_ >> process_incarnation_ >> checksum && tag == kFileTag &&
-      checksum ==
-          Checksum(std::to_string(identity_) + " " + std::to_string(process_incarnation_)) &&
-      identity_ != 0) {
+  Lock();
+  if (Read()) {
     ++process_incarnation_;
   } else {
     identity_ = DrawIdentity();
@@ -60,7 +51,24 @@
   Write();
 }
 
-LocalIdentity::~LocalIdentity() { close(lock_); }
+void LocalIdentity::Lock() {
+  lock_ = Socket(open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kOwnerOnly));
+  if (!lock_.is_open()) throw std::runtime_error("cannot write in " + folder_);
+  if (flock(lock_.fd(), LOCK_EX | LOCK_NB) != 0) {
+    throw std::runtime_error("another process holds " + folder_);
+  }
+}
+
+// False if there is no identity, or one that is torn or damaged.
+bool LocalIdentity::Read() {
+  std::ifstream file(folder_ + "/member");
+  std::string tag;
+  std::string checksum;
+  if (!(file >> tag >> identity_ >> process_incarnation_ >> checksum)) return false;
+  const std::string numbers =
+      std::to_string(identity_) + " " + std::to_string(process_incarnation_);
+  return tag == kFileTag && checksum == Checksum(numbers) && identity_ != 0;
+}
 
 void LocalIdentity::Renew() {
   identity_ = DrawIdentity();
--- a/src/fleet/maintenance_commands.hpp
+++ b/src/fleet/maintenance_commands.hpp
@@ -1,5 +1,4 @@
-// Reads an operator's control request as a command of the maintenance state. No
-// I/O.
+// Reads an operator's control request as a command of the maintenance state. No I/O.
 #ifndef BRASSFRONT_FLEET_MAINTENANCE_COMMANDS_HPP_
 #define BRASSFRONT_FLEET_MAINTENANCE_COMMANDS_HPP_
 
--- a/src/fleet/maintenance_leadership.hpp
+++ b/src/fleet/maintenance_leadership.hpp
@@ -1,6 +1,5 @@
-// What a member does as long as it leads the replicated log: it feeds the
-// maintenance scheduler with what it observes and proposes the scheduler's
-// commands, one at a time.
+// What a member does as long as it leads the replicated log: it feeds the maintenance scheduler
+// with what it observes and proposes the scheduler's commands, one at a time.
 #ifndef BRASSFRONT_FLEET_MAINTENANCE_LEADERSHIP_HPP_
 #define BRASSFRONT_FLEET_MAINTENANCE_LEADERSHIP_HPP_
 
@@ -16,8 +15,7 @@
 
 namespace brassfront::fleet {
 
-// Owned and called by the fleet's thread. Must outlive the log that it proposes
-// to.
+// Owned and called by the fleet's thread. Must outlive the log that it proposes to.
 class MaintenanceLeadership {
  public:
   using Time = peers::Time;
@@ -33,8 +31,7 @@
   void SetReportedLoad(const std::string& member, std::uint64_t messages_in_flight) {
     reported_loads_[member] = messages_in_flight;
   }
-  // Notices that leadership begins or ends, and proposes the next command if
-  // none is in flight.
+  // Notices that leadership begins or ends, and proposes the next command if none is in flight.
   void Update(ReplicatedLog& log, const peers::Roster& roster,
               const peers::FailureDetector& failure_detector, const Self& self, Time now);
 
--- a/src/fleet/operator_requests.cpp
+++ b/src/fleet/operator_requests.cpp
@@ -13,8 +13,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Within it an election ends and the command is committed, unless there is no
-// quorum.
+// Within it an election ends and the command is committed, unless there is no quorum.
 constexpr peers::Time kCommandTimeout = seconds(5);
 // Between two submissions of a command whose result has not been seen.
 constexpr peers::Time kCommandRetryInterval = milliseconds(300);
@@ -32,8 +31,7 @@
   return ErrorReply(kStatusNotFound, "nothing is at " + request.path);
 }
 
-// Differs between folders and from one command to the next. 0 stands for no
-// token.
+// Differs between folders and from one command to the next. 0 stands for no token.
 std::uint64_t MakeToken(std::uint64_t identity, peers::Time now) {
   const std::uint64_t token =
       peers::ProcessIncarnationOf(identity) ^ static_cast<std::uint64_t>(now.count());
--- a/src/fleet/operator_requests.hpp
+++ b/src/fleet/operator_requests.hpp
@@ -1,6 +1,5 @@
-// What operators ask by the control socket: queries are answered at once,
-// commands are submitted to the leader until the committed state has their
-// result or their time is over.
+// What operators ask by the control socket: queries are answered at once, commands are submitted to
+// the leader until the committed state has their result or their time is over.
 #ifndef BRASSFRONT_FLEET_OPERATOR_REQUESTS_HPP_
 #define BRASSFRONT_FLEET_OPERATOR_REQUESTS_HPP_
 
@@ -17,8 +16,7 @@
 
 namespace brassfront::fleet {
 
-// A request on its way from the control server's thread, which waits for the
-// reply.
+// A request on its way from the control server's thread, which waits for the reply.
 struct ReceivedControlRequest {
   ControlRequest request;
   std::promise<ControlReply> reply;
@@ -28,20 +26,18 @@
 class OperatorRequests {
  public:
   using Time = peers::Time;
-  // Sends a command to the leader. It may get lost: the command is submitted
-  // again.
+  // Sends a command to the leader. It may get lost: the command is submitted again.
   using Submit = std::function<void(const maintenance::Command&)>;
 
-  // Replies to a query, and to what cannot be read; a command becomes pending.
-  // `sharing` is nullptr if the roster has none. A command without a token gets
-  // one from `identity`, the folder's, and the time.
+  // Replies to a query, and to what cannot be read; a command becomes pending. `sharing` is nullptr
+  // if the roster has none. A command without a token gets one from `identity`, the folder's, and
+  // the time.
   void Accept(ReceivedControlRequest received, const MemberView& view, const Sharing* sharing,
               std::uint64_t identity, Time now);
-  // Replies to the commands that have a result, and to those whose time is
-  // over; submits others that are due. True if any was submitted.
+  // Replies to the commands that have a result, and to those whose time is over; submits others
+  // that are due. True if any was submitted.
   bool Advance(const MemberView& view, const Submit& submit, Time now);
-  // Drops all pending commands: whoever waits for a reply gets a broken
-  // promise.
+  // Drops all pending commands: whoever waits for a reply gets a broken promise.
   void Abandon() { pending_.clear(); }
 
  private:
--- a/src/fleet/peer_change_log.cpp
+++ b/src/fleet/peer_change_log.cpp
@@ -10,9 +10,8 @@
 using observe::Concern;
 using observe::Level;
 
-// Times that a member's former identity was heard again before it counts as a
-// duplicate. A member that lost its folder causes one, and a late frame of its
-// former process one more.
+// Times that a member's former identity was heard again before it counts as a duplicate. A member
+// that lost its folder causes one, and a late frame of its former process one more.
 constexpr std::size_t kMinIdentityFlipsOfDuplicate = 3;
 
 void LogChange(const peers::FailureDetector::Change& change) {
--- a/src/fleet/peer_change_log.hpp
+++ b/src/fleet/peer_change_log.hpp
@@ -12,8 +12,7 @@
 // Owned and called by the fleet's thread.
 class PeerChangeLog {
  public:
-  // Logs what has changed since the last call, and each name that two processes
-  // use, once.
+  // Logs what has changed since the last call, and each name that two processes use, once.
   void Write(peers::FailureDetector& failure_detector);
 
  private:
--- a/src/fleet/peer_transport.cpp
+++ b/src/fleet/peer_transport.cpp
@@ -18,11 +18,9 @@
 using observe::Level;
 using peers::Time;
 
-// Read at one wake-up, so that a flood of datagrams cannot keep the cores from
-// their timers.
+// Read at one wake-up, so that a flood of datagrams cannot keep the cores from their timers.
 constexpr int kMaxDatagramsPerWakeup = 256;
-// Between two lines about dropped frames of one sender, so that a sender cannot
-// fill the log.
+// Between two lines about dropped frames of one sender, so that a sender cannot fill the log.
 constexpr Time kDroppedFrameLogInterval = std::chrono::minutes(1);
 
 // The roster's schema admits IPv4:PORT alone.
@@ -64,8 +62,8 @@
   }
 }
 
-// All senders that claim a name which the roster does not have count as one:
-// names are free to invent, and must not fill the log or the map.
+// All senders that claim a name which the roster does not have count as one: names are free to
+// invent, and must not fill the log or the map.
 void PeerTransport::RecordDroppedFrame(peers::Drop reason, const std::string& claimed_sender,
                                        Time now) {
   const std::uint64_t dropped = ++dropped_frames_[reason];
--- a/src/fleet/periodic_timer.hpp
+++ b/src/fleet/periodic_timer.hpp
@@ -1,5 +1,4 @@
-// When a task that is done at an interval is due next. No clock: it is told the
-// time.
+// When a task that is done at an interval is due next. No clock: it is told the time.
 #ifndef BRASSFRONT_FLEET_PERIODIC_TIMER_HPP_
 #define BRASSFRONT_FLEET_PERIODIC_TIMER_HPP_
 
--- a/src/fleet/replicated_log.cpp
+++ b/src/fleet/replicated_log.cpp
@@ -11,8 +11,8 @@
 using observe::Concern;
 using observe::Level;
 
-// From a failed write to the next try: long enough for a full disk not to be
-// hammered, short enough for a voter to be back while an operator waits.
+// From a failed write to the next try: long enough for a full disk not to be hammered, short enough
+// for a voter to be back while an operator waits.
 constexpr peers::Time kStoreRetryDelay = std::chrono::seconds(2);
 
 }  // namespace
@@ -62,8 +62,8 @@
   Start();
 }
 
-// Peers that remember later incarnations of this member than its folder does
-// may have seen it vote since then.
+// Peers that remember later incarnations of this member than its folder does may have seen it vote
+// since then.
 void ReplicatedLog::RejoinIfFolderIsStale() {
   if (!failure_detector_.folder_is_stale() || node_->bootstrapped()) return;
   if (std::exchange(stale_folder_handled_, true)) return;
@@ -86,8 +86,7 @@
 void ReplicatedLog::Tick(Time now) {
   if (!node_) return;
   RejoinIfFolderIsStale();
-  // Half of the other voters at least have told what they remember of this
-  // member.
+  // Half of the other voters at least have told what they remember of this member.
   const std::size_t others = roster_.roster().Voters().size() - 1;
   if (failure_detector_.answered_by() >= (others + 1) / 2) node_->AllowVoting();
   if (node_->broken()) return RestartAfterStoreFailure(now);
--- a/src/fleet/replicated_log.hpp
+++ b/src/fleet/replicated_log.hpp
@@ -1,10 +1,8 @@
-// This member's part in the replicated log: its Raft node if the roster makes
-// it a voter, the store beneath it, and the maintenance state that the
-// committed commands come to.
+// This member's part in the replicated log: its Raft node if the roster makes it a voter, the store
+// beneath it, and the maintenance state that the committed commands come to.
 //
-// The node is made anew when its store failed, and under a new identity when
-// the folder turns out to be damaged or an old copy: such a folder must not
-// vote for what it may have forgotten.
+// The node is made anew when its store failed, and under a new identity when the folder turns out
+// to be damaged or an old copy: such a folder must not vote for what it may have forgotten.
 #ifndef BRASSFRONT_FLEET_REPLICATED_LOG_HPP_
 #define BRASSFRONT_FLEET_REPLICATED_LOG_HPP_
 
@@ -30,18 +28,17 @@
  public:
   using Time = peers::Time;
 
-  // All three must outlive this object. Throws std::runtime_error where the
-  // folder cannot be written.
+  // All three must outlive this object. Throws std::runtime_error where the folder cannot be
+  // written.
   ReplicatedLog(const RosterWatcher& roster, LocalIdentity& identity,
                 const peers::FailureDetector& failure_detector, const std::string& folder,
                 std::uint64_t seed);
 
-  // Makes the Raft node, or drops it if this member is no voter. To be called
-  // at the start and when that changes. Throws std::runtime_error where the log
-  // cannot be read at all.
+  // Makes the Raft node, or drops it if this member is no voter. To be called at the start and when
+  // that changes. Throws std::runtime_error where the log cannot be read at all.
   void Start();
-  // The roster has changed: starts or drops the node if this member has become
-  // a voter or has ceased to be one, and else tells the node who votes.
+  // The roster has changed: starts or drops the node if this member has become a voter or has
+  // ceased to be one, and else tells the node who votes.
   void OnRosterChanged();
   // Does what is due; to be called at Next() at the latest.
   void Tick(Time now);
--- a/src/fleet/reports.hpp
+++ b/src/fleet/reports.hpp
@@ -1,6 +1,5 @@
-// The JSON of the control socket's replies: what a member knows of the fleet,
-// and what became of commands. Field names are for operators' scripts and stay
-// as they are. No I/O.
+// The JSON of the control socket's replies: what a member knows of the fleet, and what became of
+// commands. Field names are for operators' scripts and stay as they are. No I/O.
 #ifndef BRASSFRONT_FLEET_REPORTS_HPP_
 #define BRASSFRONT_FLEET_REPORTS_HPP_
 
--- a/src/fleet/roster_watcher.hpp
+++ b/src/fleet/roster_watcher.hpp
@@ -1,5 +1,5 @@
-// The roster that this member works by, and which changes of its file may be
-// taken up while the process runs.
+// The roster that this member works by, and which changes of its file may be taken up while the
+// process runs.
 #ifndef BRASSFRONT_FLEET_ROSTER_WATCHER_HPP_
 #define BRASSFRONT_FLEET_ROSTER_WATCHER_HPP_
 
@@ -13,8 +13,8 @@
 // For the fleet's thread, once that runs.
 class RosterWatcher {
  public:
-  // Reads the file. Throws records::BadRecords, and std::runtime_error if the
-  // roster does not have this member.
+  // Reads the file. Throws records::BadRecords, and std::runtime_error if the roster does not have
+  // this member.
   RosterWatcher(std::string path, std::string self);
 
   // The same object for the watcher's whole life; Reload changes what it holds.
@@ -23,9 +23,8 @@
   [[nodiscard]] const peers::Member& self() const { return *roster_.Find(self_name_); }
   [[nodiscard]] std::vector<std::string> MemberNames() const;
 
-  // Reads the file again. Throws std::exception with the reason if it is
-  // invalid or changes what cannot change while the process runs; the roster
-  // then stays as it was.
+  // Reads the file again. Throws std::exception with the reason if it is invalid or changes what
+  // cannot change while the process runs; the roster then stays as it was.
   void Reload();
 
  private:
--- a/src/fleet/state_exchange.cpp
+++ b/src/fleet/state_exchange.cpp
@@ -8,8 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// Between two requests: by so much a member that does not vote lags behind the
-// log, and the leader behind the loads.
+// Between two requests: by so much a member that does not vote lags behind the log, and the leader
+// behind the loads.
 constexpr peers::Time kStateRequestInterval = milliseconds(500);
 // After a command was submitted: about as long as it takes to be committed.
 constexpr peers::Time kRequestDelayAfterCommand = milliseconds(100);
--- a/tests/fleet/sharing_test.cpp
+++ b/tests/fleet/sharing_test.cpp
@@ -39,7 +39,7 @@
                                               std::uint64_t number, Time now) {
   sharing.TakeFrames();
   sharing.Receive(LeaseRequestFrame(from, number), now);
-  for (const Sharing::OutgoingFrame& frame : sharing.TakeFrames()) {
+  for (const OutgoingFrame& frame : sharing.TakeFrames()) {
     if (frame.kind == peers::Kind::kGrant && frame.to == from)
       return quota::LeaseGrant::Decode(frame.body);
   }
@@ -80,7 +80,7 @@
   sharing.Tick(false, seconds(10));
   sharing.Update("a", {"a", "b", "c"}, seconds(10));
   std::uint64_t number = 0;
-  for (const Sharing::OutgoingFrame& frame : sharing.TakeFrames()) {
+  for (const OutgoingFrame& frame : sharing.TakeFrames()) {
     if (frame.kind == peers::Kind::kWant)
       number = quota::LeaseRequestBatch::Decode(frame.body)->number;
   }
