--- /dev/null
+++ b/src/cli/forwarder_service.cpp
@@ -0,0 +1,147 @@
+#include "cli/forwarder_service.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstddef>
+#include <cstring>
+#include <utility>
+
+#include "observe/log.hpp"
+
+namespace brassfront {
+namespace {
+
+using observe::Concern;
+using observe::Level;
+
+constexpr std::size_t kMaxClientConnections = 384;
+// A connection costs a command of 68 KiB at the most and what is kept of it, and some have a thread
+// for the moment. All of them get half of the memory, beside the quarter for bodies.
+constexpr std::size_t kBytesPerClientConnection = std::size_t{96} * 1024;
+// Descriptors for the standard streams, the spool, the listener and the platform, and some spare.
+constexpr std::size_t kReservedDescriptors = 24;
+// Clients get at least one descriptor in so many.
+constexpr std::size_t kMinClientDescriptorShare = 4;
+// Idle clients keep at most one descriptor in so many; clients use a third at most.
+constexpr std::size_t kIdleClientDescriptorShare = 6;
+
+// Secondary zones have this long to be confirmed at the start, before their stored copies are used.
+constexpr std::chrono::milliseconds kZoneConfirmationTimeout{500};
+
+// What the descriptors leave once every delivery is out, within the memory.
+std::size_t MaxClientConnections(const Config& config) {
+  const std::size_t all = config.limits.sockets;
+  const std::size_t others = kReservedDescriptors + Engine::MaxEndpointConnections(config);
+  const std::size_t left =
+      std::max(all > others ? all - others : 0, all / kMinClientDescriptorShare);
+  const std::size_t in_memory = config.limits.memory_bytes / 2 / kBytesPerClientConnection;
+  return std::max<std::size_t>(1, std::min({kMaxClientConnections, left, in_memory}));
+}
+
+Config ReadConfig(const std::string& path) {
+  Config config = LoadConfig(path);
+  if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
+  if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
+  for (const std::string& warning : config.warnings) {
+    observe::Log(Concern::kService, Level::kWarning, "setting replaced by a safe default",
+                 {{"error", warning}});
+  }
+  return config;
+}
+
+void LogSpoolWarning(const std::string& text) {
+  observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
+}
+
+}  // namespace
+
+ForwarderService::ForwarderService(const ServeOptions& options)
+    : config_path_(options.config_path),
+      config_(ReadConfig(options.config_path)),
+      spool_(options.state_folder, config_.limits.disk_bytes, LogSpoolWarning),
+      sources_(CreateSources(options.sources_path, config_)),
+      fleet_(CreateFleet(options.roster_path, config_, options.state_folder)),
+      engine_made_(engine_promise_.get_future()),
+      engine_(config_, spool_, buffers_, ListInterceptor()) {
+  engine_promise_.set_value(&engine_);
+  if (fleet_ && fleet_->call_observer() != nullptr) {
+    engine_.SetCallObserver(*fleet_->call_observer());
+  }
+  engine_.Restore(
+      FilterEndpoints(sources_ ? sources_->Begin(kZoneConfirmationTimeout) : config_.known));
+  StartClientServer();
+  StartFleet();
+}
+
+// Who gets the platform's lists instead of the engine; nobody without sources and a fleet.
+DiscoveryWatcher::OnEndpointList ForwarderService::ListInterceptor() {
+  if (sources_) {
+    return [this](const MemberList& list) { sources_->ApplyPlatformList(list); };
+  }
+  if (fleet_) {
+    return [this](MemberList list) { SetEndpoints(FilterEndpoints(std::move(list))); };
+  }
+  return {};
+}
+
+MemberList ForwarderService::FilterEndpoints(MemberList list) {
+  return fleet_ ? fleet_->FilterEndpoints(std::move(list)) : list;
+}
+
+void ForwarderService::SetEndpoints(MemberList list) {
+  engine_made_.get()->SetEndpoints(std::move(list));
+}
+
+void ForwarderService::StartClientServer() {
+  Socket listener = Listen(config_.listen);
+  if (!listener.is_open()) {
+    throw ConfigError("cannot listen on " + config_.listen + ": " + std::strerror(errno));
+  }
+  address_ = AddressOf(listener);
+  if (sources_) {
+    sources_->Start([this](MemberList list) { SetEndpoints(FilterEndpoints(std::move(list))); });
+  }
+  const ClientServer::Limits limits{
+      .connections = MaxClientConnections(config_),
+      .most_idle = config_.limits.sockets / kIdleClientDescriptorShare};
+  clients_.emplace(std::move(listener), limits, engine_, buffers_);
+}
+
+void ForwarderService::StartFleet() {
+  if (!fleet_) return;
+  fleet_->Start({.set_standby = [this](bool standby) { clients_->StandBy(standby); },
+                 .keeps_running = [this] { return !shutting_down_; },
+                 .messages_in_flight = [this] { return engine_.messages_in_flight(); },
+                 .update_endpoint =
+                     [this](EndpointUpdate update) { engine_.UpdateEndpoint(std::move(update)); },
+                 .set_endpoints = [this](MemberList list) { SetEndpoints(std::move(list)); },
+                 .post = [this](std::function<void()> task) { engine_.Post(std::move(task)); }});
+}
+
+void ForwarderService::Run() {
+  engine_.Run([this] { clients_->Drain(); });
+  if (sources_) sources_->Stop();
+  if (fleet_) fleet_->Stop();
+  engine_.Close();
+}
+
+void ForwarderService::BeginGracefulShutdown() {
+  shutting_down_ = true;
+  engine_.BeginGracefulShutdown();
+}
+
+void ForwarderService::Reload() {
+  try {
+    Config config = ReadConfig(config_path_);
+    observe::Log(Concern::kService, Level::kInfo, "configuration reloaded",
+                 {{"discovery", config.discovery}});
+    engine_.SetDiscoveryAddress(std::move(config.discovery));
+  } catch (const ConfigError& error) {
+    observe::Log(Concern::kService, Level::kError,
+                 "configuration rejected, keeping the previous one", {{"error", error.what()}});
+  }
+  if (fleet_) fleet_->ReloadRoster();
+}
+
+}  // namespace brassfront
--- /dev/null
+++ b/src/cli/forwarder_service.hpp
@@ -0,0 +1,74 @@
+// A forwarder as `brassfront serve` runs it: the spool, the engine and the client server, with
+// further sources of endpoints and the fleet if they are asked for, wired to each other.
+#ifndef BRASSFRONT_CLI_FORWARDER_SERVICE_HPP_
+#define BRASSFRONT_CLI_FORWARDER_SERVICE_HPP_
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cli/optional_features.hpp"
+#include "config/config.hpp"
+#include "forwarder/engine.hpp"
+#include "net/client_server.hpp"
+#include "spool/spool.hpp"
+
+namespace brassfront {
+
+struct ServeOptions {
+  std::string config_path;
+  std::string state_folder;
+  std::string sources_path;  // empty: the platform is the only source of endpoints
+  std::string roster_path;   // empty: no fleet
+};
+
+class ForwarderService {
+ public:
+  // Reads the files, recovers the spool, and takes clients from then on. The signals that end the
+  // process must be blocked before, since this starts threads. Throws what the files' readers
+  // throw, ConfigError if it cannot listen, and std::runtime_error.
+  explicit ForwarderService(const ServeOptions& options);
+  ForwarderService(const ForwarderService&) = delete;
+  ForwarderService& operator=(const ForwarderService&) = delete;
+
+  // Forwards messages until a graceful shutdown is over. The thread that calls it becomes the
+  // engine's.
+  void Run();
+  // Any thread.
+  void BeginGracefulShutdown();
+  // Reads the configuration and the roster again; what is invalid leaves a line in the log and
+  // changes nothing. Any thread.
+  void Reload();
+
+  [[nodiscard]] const std::string& name() const { return config_.name; }
+  // Where it listens, IPv4:PORT.
+  [[nodiscard]] const std::string& address() const { return address_; }
+
+ private:
+  [[nodiscard]] DiscoveryWatcher::OnEndpointList ListInterceptor();
+  [[nodiscard]] MemberList FilterEndpoints(MemberList list);
+  void SetEndpoints(MemberList list);
+  void StartClientServer();
+  void StartFleet();
+
+  const std::string config_path_;
+  const Config config_;
+  BufferPool buffers_;
+  Spool spool_;
+  const std::unique_ptr<EndpointSources> sources_;  // nullptr: the platform alone
+  const std::unique_ptr<fleet::Fleet> fleet_;       // nullptr: no fleet
+  // Lists may come before the engine's constructor returns; whoever has one waits for the engine.
+  std::promise<Engine*> engine_promise_;
+  const std::shared_future<Engine*> engine_made_;
+  Engine engine_;
+  std::string address_;
+  std::optional<ClientServer> clients_;
+  std::atomic<bool> shutting_down_{false};
+};
+
+}  // namespace brassfront
+
+#endif  // BRASSFRONT_CLI_FORWARDER_SERVICE_HPP_
