--- a/src/cli/check_records.cpp
+++ b/src/cli/check_records.cpp
@@ -18,8 +18,9 @@
       "json", "print what the file comes to, with defaults, as JSON");
   options.parse_positional({"file"});
   options.positional_help("FILE");
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   if (given.count("file") == 0) throw UsageError("no file named");
   const auto path = given["file"].as<std::string>();
   try {
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -3,6 +3,7 @@
 #ifndef BRASSFRONT_CLI_COMMAND_HPP_
 #define BRASSFRONT_CLI_COMMAND_HPP_
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -31,13 +32,14 @@
 int CheckRecordsCommand(int argc, char** argv);
 int RehearseCommand(int argc, char** argv);  // with the kit
 int ZoneCommand(int argc, char** argv);      // with zones
-int FleetCommand(int argc, char** argv);     // with what forwarders share
+int FleetCommand(int argc, char** argv);     // with the fleet
 
 // The variable's value; empty if it is not set.
-std::string Environment(const char* name);
+[[nodiscard]] std::string Environment(const char* name);
 
-// Adds --help and parses. False if help was asked for, and printed.
-bool ParseOptions(cxxopts::Options& options, int argc, char** argv, cxxopts::ParseResult& result);
+// Adds --help and parses. Nothing if help was asked for, and printed. Throws UsageError.
+[[nodiscard]] std::optional<cxxopts::ParseResult> ParseOptions(cxxopts::Options& options, int argc,
+                                                               char** argv);
 
 }  // namespace brassfront
 
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,10 @@
 namespace {
 
 // The exit statuses that the page names.
-constexpr int kExitDone = 0, kExitRefused = 1, kExitBadInput = 2, kExitNoQuorum = 3;
+constexpr int kExitDone = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitBadInput = 2;
+constexpr int kExitNoQuorum = 3;
 
 constexpr const char* kHelp =
     "brassfront fleet status                          this forwarder's view, in short\n"
@@ -91,29 +95,29 @@
 }
 
 int CheckRoster(const std::string& path) {
-  try {
-    const peers::Roster roster = peers::LoadRoster(path);
-    std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
-              << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
-              << " out at once, " << roster.max_out_per_zone << " in a hall\n";
-    return kExitDone;
-  } catch (const records::BadRecords& bad) {
-    std::cerr << bad.what() << "\n";
-    return kExitBadInput;
-  }
+  const peers::Roster roster = peers::LoadRoster(path);
+  std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
+            << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
+            << " out at once, " << roster.max_out_per_zone << " in a hall\n";
+  return kExitDone;
 }
 
 int PrintBounds(const std::string& path, bool json) {
+  const peers::Roster roster = peers::LoadRoster(path);
+  if (!roster.sharing.limits && !roster.sharing.verdicts) {
+    std::cerr << path << ": has no `sharing`, so nothing is promised\n";
+    return kExitRefused;
+  }
+  const auto format = json ? fleet::BoundsFormat::kJson : fleet::BoundsFormat::kText;
+  std::cout << fleet::SharingBoundsToText(roster, format) << (json ? "\n" : "");
+  return kExitDone;
+}
+
+// `check` and `bounds`, which read a roster and ask no forwarder.
+int RunOnRoster(const std::string& subcommand, const std::vector<std::string>& words, bool json) {
+  if (words.size() != 2) throw UsageError(subcommand + " needs a file");
   try {
-    const peers::Roster roster = peers::LoadRoster(path);
-    if (!roster.sharing.limits && !roster.sharing.verdicts) {
-      std::cerr << path << ": has no `sharing`, so nothing is promised\n";
-      return kExitRefused;
-    }
-    std::cout << fleet::SharingBoundsToText(
-                     roster, json ? fleet::BoundsFormat::kJson : fleet::BoundsFormat::kText)
-              << (json ? "\n" : "");
-    return kExitDone;
+    return subcommand == "check" ? CheckRoster(words[1]) : PrintBounds(words[1], json);
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
     return kExitBadInput;
@@ -129,7 +133,29 @@
   } else {
     PrintReply(reply.body);
   }
-  return reply.status < 300 ? kExitDone : reply.status == 503 ? kExitNoQuorum : kExitRefused;
+  return reply.status < 300                          ? kExitDone
+         : reply.status == fleet::kStatusUnavailable ? kExitNoQuorum
+                                                     : kExitRefused;
+}
+
+// The control request of a `maintenance` sub-command, which the first word is.
+std::string MaintenanceTarget(const std::vector<std::string>& words,
+                              const cxxopts::ParseResult& given) {
+  const std::string& verb = words[0];
+  const bool named = verb == "ask" || verb == "back" || verb == "ended";
+  if (!named && verb != "cancel" && verb != "hold") {
+    throw UsageError("no such thing to do: maintenance " + verb);
+  }
+  if (words.size() != 2) throw UsageError("maintenance " + verb + " needs one word more");
+  const std::string parameter = named ? "name" : verb == "cancel" ? "request" : "on";
+  std::string target =
+      "/fleet/maintenance/" + verb + "?" + parameter + "=" + PercentEncode(words[1]);
+  if (given.count("endpoint") > 0) target += "&kind=endpoint";
+  const auto urgency = given["urgency"].as<std::string>();
+  if (!urgency.empty()) target += "&urgency=" + PercentEncode(urgency);
+  const auto token = given["token"].as<std::uint64_t>();
+  if (token != 0) target += "&token=" + std::to_string(token);
+  return target;
 }
 
 }  // namespace
@@ -146,8 +172,9 @@
       cxxopts::value<std::uint64_t>()->default_value("0"))("json", "the answer as it comes");
   options.parse_positional({"words"});
   options.positional_help("status|members|limits|verdicts|check FILE|bounds FILE|maintenance ...");
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   const auto words = given["words"].as<std::vector<std::string>>();
   const auto state = given["state"].as<std::string>();
   const bool json = given.count("json") > 0;
@@ -156,35 +183,16 @@
     std::cout << kHelp;
     return kExitDone;
   }
-  if (subcommand == "check") {
-    if (words.size() != 2) throw UsageError("check needs a file");
-    return CheckRoster(words[1]);
-  }
-  if (subcommand == "bounds") {
-    if (words.size() != 2) throw UsageError("bounds needs a file");
-    return PrintBounds(words[1], json);
-  }
+  if (subcommand == "check" || subcommand == "bounds") return RunOnRoster(subcommand, words, json);
   if (subcommand == "status" || subcommand == "members" || subcommand == "limits" ||
       subcommand == "verdicts") {
     return CallAndPrint(state, "GET", "/fleet/" + subcommand, json);
   }
-  if (subcommand != "maintenance" || words.size() < 2)
+  if (subcommand != "maintenance" || words.size() < 2) {
     throw UsageError("no such thing to do: " + subcommand);
-  const std::string& verb = words[1];
-  if (verb == "list") return CallAndPrint(state, "GET", "/fleet/maintenance", json);
-  const bool named = verb == "ask" || verb == "back" || verb == "ended";
-  if (!named && verb != "cancel" && verb != "hold") {
-    throw UsageError("no such thing to do: maintenance " + verb);
-  }
-  if (words.size() != 3) throw UsageError("maintenance " + verb + " needs one word more");
-  const std::string field = named ? "name" : verb == "cancel" ? "request" : "on";
-  std::string target = "/fleet/maintenance/" + verb + "?" + field + "=" + PercentEncode(words[2]);
-  if (given.count("endpoint") > 0) target += "&kind=endpoint";
-  const auto urgency = given["urgency"].as<std::string>();
-  if (!urgency.empty()) target += "&urgency=" + PercentEncode(urgency);
-  if (const auto token = given["token"].as<std::uint64_t>(); token != 0) {
-    target += "&token=" + std::to_string(token);
   }
+  if (words[1] == "list") return CallAndPrint(state, "GET", "/fleet/maintenance", json);
+  const std::string target = MaintenanceTarget({words.begin() + 1, words.end()}, given);
   return CallAndPrint(state, "POST", target, json);
 }
 
--- a/src/cli/inspect.cpp
+++ b/src/cli/inspect.cpp
@@ -1,6 +1,7 @@
 // The sub-commands that inspect a forwarder's files without running it: check-config, spool.
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 
 #include "cli/command.hpp"
 #include "config/config.hpp"
@@ -12,8 +13,9 @@
   cxxopts::Options options("brassfront check-config");
   options.add_options()("config", "configuration file [$NODE_CONFIG]",
                         cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")));
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   const auto path = given["config"].as<std::string>();
   const Config config = LoadConfig(path);
   for (const std::string& warning : config.warnings) std::cout << path << ": " << warning << "\n";
@@ -26,8 +28,9 @@
   cxxopts::Options options("brassfront spool");
   options.add_options()("state", "folder that lasts [$NODE_STATE]",
                         cxxopts::value<std::string>()->default_value(Environment("NODE_STATE")));
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   const auto folder = given["state"].as<std::string>();
   if (folder.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
   Spool spool =
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <cxxopts.hpp>
 #include <iomanip>
 #include <iostream>
+#include <optional>
 #include <string_view>
 
 #include "cli/command.hpp"
@@ -17,19 +18,20 @@
   return value == nullptr ? "" : value;
 }
 
-bool ParseOptions(cxxopts::Options& options, int argc, char** argv, cxxopts::ParseResult& result) {
+std::optional<cxxopts::ParseResult> ParseOptions(cxxopts::Options& options, int argc, char** argv) {
   options.add_options()("h,help", "print this");
+  cxxopts::ParseResult result;
   try {
     result = options.parse(argc, argv);
     if (!result.unmatched().empty()) {
       throw UsageError("not understood: " + result.unmatched().front());
     }
-  } catch (const cxxopts::exceptions::exception& fault) {
-    throw UsageError(fault.what());
+  } catch (const cxxopts::exceptions::exception& error) {
+    throw UsageError(error.what());
   }
-  if (result.count("help") == 0) return true;
+  if (result.count("help") == 0) return result;
   std::cout << options.help();
-  return false;
+  return std::nullopt;
 }
 
 namespace {
@@ -75,8 +77,8 @@
     if (name != command.name) continue;
     try {
       return command.run(argc - 1, argv + 1);
-    } catch (const UsageError& fault) {
-      std::cerr << "brassfront " << name << ": " << fault.what() << "\nTry `brassfront " << name
+    } catch (const UsageError& error) {
+      std::cerr << "brassfront " << name << ": " << error.what() << "\nTry `brassfront " << name
                 << " --help`.\n";
       return 2;
     }
--- a/src/cli/rehearse.cpp
+++ b/src/cli/rehearse.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -158,8 +159,9 @@
   options.parse_positional({"what", "target"});
   options.custom_help("[OPTIONS]");
   options.positional_help("run|campaign|check|plan|list|report|schema [FILE|DIR]");
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   const auto what = given["what"].as<std::string>();
   const auto target = given["target"].as<std::string>();
   if (what.empty()) {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <optional>
 
 #include "cli/command.hpp"
 #include "cli/forwarder_service.hpp"
@@ -76,8 +77,9 @@
       "log-format", "text, logfmt or json", cxxopts::value<std::string>()->default_value("text"))(
       "log-level", "debug, info, warning, error or off",
       cxxopts::value<std::string>()->default_value("info"));
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   SetUpLog(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
   const auto state = given["state"].as<std::string>();
   if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,13 @@
 namespace brassfront {
 namespace {
 
+using zone_commands::CheckZone;
+using zone_commands::DiffZones;
 using zone_commands::kExitDone;
 using zone_commands::kExitOther;
+using zone_commands::QueryServer;
+using zone_commands::ShowZone;
+using zone_commands::UpdateZone;
 
 constexpr const char* kHelp =
     "brassfront zone check FILE          say all that is wrong with a zone file\n"
@@ -69,21 +75,21 @@
       "log-level", "of serve", cxxopts::value<std::string>()->default_value("info"));
   options.parse_positional({"words"});
   options.positional_help("WHAT ...");
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return kExitDone;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return kExitDone;
+  const cxxopts::ParseResult& given = *parsed;
   if (given.count("words") == 0) throw UsageError("nothing to do is named");
   auto words = given["words"].as<std::vector<std::string>>();
   const std::string subcommand = words[0];
   words.erase(words.begin());
   try {
-    if (subcommand == "check" && words.size() == 1)
-      return zone_commands::CheckZone(words[0], given);
-    if (subcommand == "show" && words.size() == 1) return zone_commands::ShowZone(words[0], given);
-    if (subcommand == "diff" && words.size() == 2)
-      return zone_commands::DiffZones(words[0], words[1], given);
-    if (subcommand == "query" && (words.size() == 2 || words.size() == 3))
-      return zone_commands::QueryServer(words, given);
-    if (subcommand == "update" && words.size() >= 2) return zone_commands::UpdateZone(words, given);
+    if (subcommand == "check" && words.size() == 1) return CheckZone(words[0], given);
+    if (subcommand == "show" && words.size() == 1) return ShowZone(words[0], given);
+    if (subcommand == "diff" && words.size() == 2) return DiffZones(words[0], words[1], given);
+    if (subcommand == "query" && (words.size() == 2 || words.size() == 3)) {
+      return QueryServer(words, given);
+    }
+    if (subcommand == "update" && words.size() >= 2) return UpdateZone(words, given);
     if (subcommand == "serve" && words.size() == 1) return ServeZones(words[0], given);
     if (subcommand == "schema" && words.empty()) {
       std::cout << SourcesSchema();
--- a/src/fleet/endpoint_exclusions.hpp
+++ b/src/fleet/endpoint_exclusions.hpp
@@ -1,5 +1,5 @@
-// Endpoints that are out for work, kept out of every list that reaches the engine. The engine knows
-// of no ban: to it the endpoint drains, as the platform's own lists would have it.
+// Endpoints in maintenance, kept out of every list that reaches the engine. The engine does not
+// know of exclusions: to it the endpoint is draining, as a list of the platform's would have it.
 #ifndef BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
 #define BRASSFRONT_FLEET_ENDPOINT_EXCLUSIONS_HPP_
 
@@ -12,17 +12,18 @@
 
 namespace brassfront::fleet {
 
-// For any thread.
+// Any thread may call any method.
 class EndpointExclusions {
  public:
-  // A list as it came; the same with excluded endpoints as terminating.
-  MemberList Apply(MemberList list);
-  // The changes that lead from the bans before to these; no members: nothing changes.
+  // Records a list as it came, and returns it with excluded endpoints as terminating.
+  [[nodiscard]] MemberList Apply(MemberList list);
+  // Replaces the set of excluded endpoints. Returns the list of changes that the engine has to be
+  // told; it has no members if nothing changes.
   MemberList SetExcluded(std::set<std::string> excluded);
 
  private:
-  std::mutex mutex_;
-  std::map<std::string, Member> endpoints_;  // by id, as the lists have it; not those that are gone
+  std::mutex mutex_;                         // guards what follows
+  std::map<std::string, Member> endpoints_;  // by id, as listed; without those that are gone
   std::uint64_t revision_ = 0;
   std::set<std::string> excluded_;
 };
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -121,10 +121,7 @@
     if (ready.datagrams) {
       transport_.ReceiveFrames(now, [&](const peers::Frame& frame) { HandleFrame(frame, now); });
     }
-    if (ready.events) {
-      inbox_.HandleAll(
-          [this](Event& received) { std::visit([this](auto& event) { On(event); }, received); });
-    }
+    if (ready.events) HandleEvents();
     if (const auto* state = replicated_log_.state()) AdoptState(*state);
     UpdateLeadership(now);
     PerformDuty(now);
@@ -147,6 +144,11 @@
   return {.datagrams = ready[0].revents != 0, .events = ready[1].revents != 0};
 }
 
+void Fleet::HandleEvents() {
+  inbox_.HandleAll(
+      [this](Event& received) { std::visit([this](auto& event) { On(event); }, received); });
+}
+
 void Fleet::On(const RosterReloadRequested&) {
   try {
     roster_.Reload();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -82,6 +82,7 @@
   // ---- the fleet's thread ----
   void Run();
   [[nodiscard]] Readiness WaitForInput() const;
+  void HandleEvents();
   void On(const RosterReloadRequested& event);
   void On(const StopRequested& event);
   void On(ExclusionsApplied& event);
--- a/src/fleet/forwarder_control.hpp
+++ b/src/fleet/forwarder_control.hpp
@@ -1,5 +1,5 @@
-// What the fleet asks of the forwarder, and nothing else. Each may be called by the fleet's thread
-// at any time, and none waits for long.
+// What the fleet asks of the forwarder, and nothing else. The fleet's thread may call each function
+// at any time; none of them blocks for long.
 #ifndef BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
 #define BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
 
@@ -12,18 +12,18 @@
 namespace brassfront::fleet {
 
 struct ForwarderControl {
-  // Clients are sent away, or taken again.
+  // True: clients are sent to other forwarders. False: they are served.
   std::function<void(bool)> set_standby;
-  // The process means to stay: it has not been told to end.
+  // False once the process has been told to end.
   std::function<bool()> keeps_running;
-  // Messages that are taken on and not ended.
+  // Messages that are accepted and neither delivered nor given up.
   std::function<std::size_t()> messages_in_flight;
-  // A word about an endpoint, for the decision module.
+  // An event about an endpoint, for the dispatch policy.
   std::function<void(EndpointUpdate)> update_endpoint;
-  // Changes of the list, for the engine.
+  // Changes of the endpoint list, for the engine.
   std::function<void(MemberList)> set_endpoints;
-  // `done` is called, by another thread, once all lists before it have been taken up: nothing more
-  // is begun then at an endpoint that they take away.
+  // Calls `done`, on another thread, once all lists before it have been taken up: nothing more is
+  // begun then at an endpoint that they take away.
   std::function<void(std::function<void()> done)> post;
 };
 
--- a/src/fleet/local_identity.cpp
+++ b/src/fleet/local_identity.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 #include "peers/atomic_file.hpp"
 
@@ -38,7 +39,7 @@
 
 }  // namespace
 
-LocalIdentity::LocalIdentity(const std::string& folder) : folder_(folder) {
+LocalIdentity::LocalIdentity(std::string folder) : folder_(std::move(folder)) {
   std::filesystem::create_directories(folder_);
   std::filesystem::permissions(folder_, std::filesystem::perms::owner_all);
   Lock();
--- a/src/fleet/local_identity.hpp
+++ b/src/fleet/local_identity.hpp
@@ -15,7 +15,7 @@
   // Locks the folder, counts a start, and has it on the disk before it returns. A folder without an
   // identity, or with one that cannot be read, is a new one: its identity is drawn at random.
   // Throws std::runtime_error where the folder cannot be written or another process holds it.
-  explicit LocalIdentity(const std::string& folder);
+  explicit LocalIdentity(std::string folder);
 
   [[nodiscard]] std::uint64_t identity() const { return identity_; }
   // 1 at the first start.
--- a/src/fleet/reports.cpp
+++ b/src/fleet/reports.cpp
@@ -25,9 +25,10 @@
 }  // namespace
 
 std::string StatusJson(const MemberView& view) {
-  std::size_t alive = 1;
-  for (const auto& [name, peer] : view.failure_detector.peers())
-    alive += peer.state == peers::State::kAlive;
+  std::size_t alive = 1;  // this member
+  for (const auto& [name, peer] : view.failure_detector.peers()) {
+    if (peer.state == peers::State::kAlive) ++alive;
+  }
   return "{\"name\": " + Quote(view.self) + ", \"fleet\": " + Quote(view.roster.fleet) +
          ", \"life\": " + std::to_string(view.process_incarnation) +
          ", \"members\": " + std::to_string(view.roster.members.size()) +
@@ -83,8 +84,8 @@
 }
 
 std::string RequestResultJson(const maintenance::RequestResult& result, std::uint64_t token) {
-  return std::string("{\"") + (result.good ? "done" : "error") + "\": " + Quote(result.text) +
-         ", \"token\": \"" + std::to_string(token) + "\"}";
+  return "{" + Quote(result.good ? "done" : "error") + ": " + Quote(result.text) +
+         ", \"token\": " + Quote(std::to_string(token)) + "}";
 }
 
 std::string NoQuorumMessage(const MemberView& view) {
--- a/src/fleet/sharing_reports.cpp
+++ b/src/fleet/sharing_reports.cpp
@@ -50,8 +50,8 @@
 std::string HealthReportJson(const verdicts::HealthReport& report, bool counts, Time now) {
   std::string row = "{\"endpoint\":" + json::Quote(report.endpoint);
   row += ",\"witness\":" + json::Quote(report.witness);
-  row += ",\"seen\":\"" + std::string(ToString(report.seen));
-  row += "\",\"age_s\":" + SecondsToText(now - report.at);
+  row += ",\"seen\":" + json::Quote(ToString(report.seen));
+  row += ",\"age_s\":" + SecondsToText(now - report.at);
   row += ",\"rest_s\":" + SecondsToText(report.rest);
   row += ",\"times\":" + std::to_string(report.times) + ",\"counts\":";
   row += counts ? "true}" : "false}";
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -91,7 +91,7 @@
                 )
             time.sleep(0.02)
 
-    def end(self, how=signal.SIGKILL):
+    def stop(self, how=signal.SIGKILL):
         if self.process is None:
             return None
         if self.process.poll() is None:
@@ -102,8 +102,8 @@
         self.process.stderr.close()
         return status
 
-    def ask(self, *words):
-        """The exit status, and what was said."""
+    def run_command(self, *words):
+        """The exit status, and the output."""
         done = subprocess.run(
             [PROGRAM, "fleet", *words, "--state", str(self.folder / "state")],
             capture_output=True,
@@ -112,16 +112,16 @@
         )
         return done.returncode, done.stdout + done.stderr
 
-    def told(self, *words):
-        status, text = self.ask(*words, "--json")
+    def query(self, *words):
+        status, text = self.run_command(*words, "--json")
         if status != DONE:
             raise AssertionError(text)
         return json.loads(text)
 
-    def until(self, what, condition, *words):
+    def wait_until(self, what, condition, *words):
         end = time.monotonic() + LIMIT
         while True:
-            value = self.told(*words)
+            value = self.query(*words)
             if condition(value):
                 return value
             if time.monotonic() > end:
@@ -163,30 +163,30 @@
         for name in names or self.names:
             member = Member(self, name)
             self.members[name] = member
-            self.addCleanup(member.end)
+            self.addCleanup(member.stop)
             member.start()
         return [self.members[name] for name in names or self.names]
 
-    def settled(self):
-        """Three members that have settled their roster."""
+    def start_fleet(self):
+        """Three members whose replicated log has the roster."""
         members = self.start()
         for member in members:
-            member.until(
+            member.wait_until(
                 "a leader", lambda s: s["leader"] and s["alive"] == 3, "status"
             )
-            member.until("its vote", lambda s: s["votes"], "status")
-            member.until("the roster", lambda s: s["places"] == 1, "status")
+            member.wait_until("its vote", lambda s: s["votes"], "status")
+            member.wait_until("the roster", lambda s: s["places"] == 1, "status")
         return members
 
-    # ---- asking ----
+    # ---- commands ----
 
-    def test_any_member_takes_a_request_and_tells_of_it(self):
-        n0, n1, n2 = self.settled()
-        self.assertEqual(n2.ask("maintenance", "ask", "n0")[0], DONE)
-        again = n1.ask("maintenance", "ask", "n0")
+    def test_a_request_made_at_any_member_is_carried_out_and_listed_by_all(self):
+        n0, n1, n2 = self.start_fleet()
+        self.assertEqual(n2.run_command("maintenance", "ask", "n0")[0], DONE)
+        again = n1.run_command("maintenance", "ask", "n0")
         self.assertEqual(again[0], DONE)
         self.assertIn("already asked", again[1])
-        self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
+        self.assertEqual(n1.run_command("maintenance", "ask", "n1")[0], DONE)
 
         def n0_is_out(view):
             return any(r["name"] == "n0" and r["state"] == "out" for r in view["open"])
@@ -197,26 +197,26 @@
                 for r in view["open"]
             )
 
-        n1.until("n0 to be out", n0_is_out, "maintenance", "list")
-        n2.until("n1 to wait for n0", n1_waits_for_n0, "maintenance", "list")
-        self.assertTrue(n0.told("status")["standing_by"])
+        n1.wait_until("n0 to be out", n0_is_out, "maintenance", "list")
+        n2.wait_until("n1 to wait for n0", n1_waits_for_n0, "maintenance", "list")
+        self.assertTrue(n0.query("status")["standing_by"])
         client = toy_server.Client(self.address_of(n0), timeout=LIMIT)
         self.addCleanup(client.close)
         self.assertIn("STANDBY", client.call("PING"))
         # It stays out over a restart, and serves again only when it is brought back.
-        n0.end()
+        n0.stop()
         since = len(n0.log)
         n0.start()
         n0.wait_for("standby", since)
-        self.assertEqual(n1.ask("maintenance", "back", "n0")[0], DONE)
-        n0.until("n0 to serve", lambda s: not s["standing_by"], "status")
-        n0.until(
+        self.assertEqual(n1.run_command("maintenance", "back", "n0")[0], DONE)
+        n0.wait_until("n0 to serve", lambda s: not s["standing_by"], "status")
+        n0.wait_until(
             "n1's turn",
             lambda v: all(r["name"] != "n0" for r in v["open"]),
             "maintenance",
             "list",
         )
-        n2.until(
+        n2.wait_until(
             "n1 to be out",
             lambda v: any(r["name"] == "n1" and r["state"] == "out" for r in v["open"]),
             "maintenance",
@@ -230,8 +230,8 @@
                 return found[1]
         raise AssertionError(member.log)
 
-    def test_bad_requests_are_refused_with_the_reason(self):
-        n0, n1, _ = self.settled()
+    def test_an_invalid_request_is_refused_with_its_reason(self):
+        n0, n1, _ = self.start_fleet()
         for words, status, text in [
             (("ask", "n9"), REFUSED, "no machine n9; there are n0 n1 n2"),
             (("ask", "hall:north"), REFUSED, "no machine is in hall north"),
@@ -243,51 +243,57 @@
             (("ask", "n1", "--urgency", "great"), REFUSED, "low, normal or high"),
             (("dance", "n1"), BAD, "no such thing"),
         ]:
-            found = n0.ask("maintenance", *words)
+            found = n0.run_command("maintenance", *words)
             self.assertEqual(
                 (found[0], text in found[1]), (status, True), (words, found)
             )
-        self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
-        self.assertEqual(n1.ask("maintenance", "ask", "n1")[0], DONE)
+        self.assertEqual(n0.run_command("maintenance", "hold", "yes")[0], DONE)
+        self.assertEqual(n1.run_command("maintenance", "ask", "n1")[0], DONE)
 
         def is_held(view):
             return view["open"] and "held" in view["open"][0]["waits_for"]
 
-        row = n0.until("the held request", is_held, "maintenance", "list")["open"][0]
-        self.assertEqual(n1.ask("maintenance", "cancel", str(row["request"]))[0], DONE)
+        row = n0.wait_until("the held request", is_held, "maintenance", "list")["open"][
+            0
+        ]
+        self.assertEqual(
+            n1.run_command("maintenance", "cancel", str(row["request"]))[0], DONE
+        )
 
-    def test_without_a_quorum_it_is_said_what_works_and_nothing_is_done_twice(self):
-        n0, n1, n2 = self.settled()
+    def test_without_a_quorum_a_command_fails_with_a_reason_and_a_retry_is_done_once(
+        self,
+    ):
+        n0, n1, n2 = self.start_fleet()
         for member in (n1, n2):
             member.process.send_signal(signal.SIGSTOP)
-        status, text = n0.ask("maintenance", "ask", "n1", "--token", "4711")
+        status, text = n0.run_command("maintenance", "ask", "n1", "--token", "4711")
         self.assertEqual(status, NO_QUORUM, text)
         self.assertIn("ask again", text)
-        self.assertEqual(n0.ask("members")[0], DONE)
+        self.assertEqual(n0.run_command("members")[0], DONE)
         for member in (n1, n2):
             member.process.send_signal(signal.SIGCONT)
         end = time.monotonic() + LIMIT
-        while n0.ask("maintenance", "ask", "n1", "--token", "4711")[0] != DONE:
+        while n0.run_command("maintenance", "ask", "n1", "--token", "4711")[0] != DONE:
             self.assertLess(time.monotonic(), end)
-        value = n0.told("maintenance", "list")
+        value = n0.query("maintenance", "list")
         self.assertEqual(len(value["open"]) + len(value["over"]), 1, value)
 
-    def test_nobody_else_may_ask(self):
-        n0, _, _ = self.settled()
+    def test_the_control_socket_is_refused_if_other_users_may_open_it(self):
+        n0, _, _ = self.start_fleet()
         control = n0.folder / "state" / "fleet" / "control"
         self.assertEqual(stat.S_IMODE(control.stat().st_mode), 0o600)
         self.assertEqual(stat.S_IMODE(control.parent.stat().st_mode), 0o700)
         control.chmod(0o666)
-        status, text = n0.ask("status")
+        status, text = n0.run_command("status")
         self.assertEqual((status, "open to other users" in text), (REFUSED, True), text)
         empty = Member(self, "n8")
-        status, text = empty.ask("status")
+        status, text = empty.run_command("status")
         self.assertEqual(
             (status, "no forwarder of a fleet" in text), (REFUSED, True), text
         )
 
-    def test_noise_on_the_control_socket_is_answered_and_harms_nothing(self):
-        n0, _, _ = self.settled()
+    def test_malformed_requests_on_the_control_socket_get_a_client_error(self):
+        n0, _, _ = self.start_fleet()
         path = str(n0.folder / "state" / "fleet" / "control")
         for noise in [
             b"\r\n\r\n",
@@ -308,38 +314,38 @@
                     self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 40"), noise)
                 except ConnectionError:
                     pass  # more was sent than is read
-        self.assertEqual(n0.ask("status")[0], DONE)
+        self.assertEqual(n0.run_command("status")[0], DONE)
 
-    # ---- members that do not fit ----
+    # ---- misconfigured members, and the roster ----
 
-    def test_a_member_with_another_key_or_fleet_is_not_heard_and_said_once(self):
+    def test_frames_with_another_key_or_fleet_are_dropped_and_logged_once(self):
         self.roster["n2"] = {"key": OTHER_KEY}
         n0, n1, n2 = self.start()
         n0.wait_for("frame dropped from=n2 reason=wrong signature")
         time.sleep(1)
         lines = [line for line in n0.log if "frame dropped" in line and "n2" in line]
         self.assertEqual(len(lines), 1, lines)
-        states = {m["name"]: m["state"] for m in n0.told("members")["members"]}
+        states = {m["name"]: m["state"] for m in n0.query("members")["members"]}
         self.assertNotEqual(states["n2"], "alive")
-        n2.end()
+        n2.stop()
         self.roster["n2"] = {"fleet": "others"}
         n2.start()
         n2.wait_for("reason=other fleet")
 
-    def test_a_name_given_twice_is_noticed(self):
-        n0, n1, n2 = self.settled()
-        twin = Member(self, "n1")
-        twin.folder = self.folder / "twin"
-        twin.folder.mkdir()
+    def test_two_members_with_one_name_are_logged_as_duplicates(self):
+        n0, n1, n2 = self.start_fleet()
+        duplicate = Member(self, "n1")
+        duplicate.folder = self.folder / "duplicate"
+        duplicate.folder.mkdir()
         ports = dict(self.ports)
         self.ports["n1"] = free_ports(1)[0]
-        twin.start()
-        self.addCleanup(twin.end)
+        duplicate.start()
+        self.addCleanup(duplicate.stop)
         self.ports = ports
         n0.wait_for("name given twice name=n1")
 
-    def test_a_roster_changes_one_thing_at_a_time(self):
-        n0, n1, n2 = self.settled()
+    def test_a_roster_reload_accepts_one_change_and_rejects_several(self):
+        n0, n1, n2 = self.start_fleet()
         self.roster_of("n0", more="out: {all: 2, hall: 2}", halls={"n1": "west"})
         since = len(n0.log)
         n0.process.send_signal(signal.SIGHUP)
@@ -353,21 +359,21 @@
                 m["hall"] == "west" for m in view["members"] if m["name"] == "n1"
             )
 
-        n0.until("the new hall", n1_has_moved, "members")
-        self.assertEqual(n2.ask("maintenance", "ask", "hall:west")[0], DONE)
+        n0.wait_until("the new hall", n1_has_moved, "members")
+        self.assertEqual(n2.run_command("maintenance", "ask", "hall:west")[0], DONE)
 
-    def test_one_that_ends_as_planned_is_not_held_for_dead(self):
-        n0, n1, n2 = self.settled()
-        self.assertEqual(n1.end(signal.SIGTERM), 0)
+    def test_a_member_that_is_terminated_counts_as_left_and_not_as_dead(self):
+        n0, n1, n2 = self.start_fleet()
+        self.assertEqual(n1.stop(signal.SIGTERM), 0)
         n0.wait_for("peer name=n1 state=left")
         self.assertFalse([line for line in n0.log if "name=n1 state=dead" in line])
 
-    def test_one_that_is_asked_and_cannot_answer_still_ends_in_time(self):
-        n0, n1, n2 = self.settled()
+    def test_a_member_with_a_pending_command_still_terminates(self):
+        n0, n1, n2 = self.start_fleet()
         for member in (n1, n2):
             member.process.send_signal(signal.SIGSTOP)
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
-            asked = pool.submit(n0.ask, "maintenance", "ask", "n1")
+            asked = pool.submit(n0.run_command, "maintenance", "ask", "n1")
             time.sleep(0.5)
             n0.process.send_signal(signal.SIGTERM)
             status = n0.process.wait(
@@ -378,9 +384,9 @@
 
     # ---- folders ----
 
-    def test_a_damaged_log_joins_anew_and_has_no_vote_until_then(self):
-        n0, n1, n2 = self.settled()
-        n1.end()
+    def test_a_member_with_a_damaged_log_rejoins_and_votes_again(self):
+        n0, n1, n2 = self.start_fleet()
+        n1.stop()
         path = n1.folder / "state" / "fleet" / "settled"
         content = bytearray(path.read_bytes())
         content[len(content) // 2] ^= 4
@@ -388,18 +394,18 @@
         since = len(n1.log)
         n1.start()
         n1.wait_for("settled log damaged", since)
-        self.assertEqual(n0.ask("maintenance", "hold", "yes")[0], DONE)
-        held = n1.until(
+        self.assertEqual(n0.run_command("maintenance", "hold", "yes")[0], DONE)
+        held = n1.wait_until(
             "n1 to vote again", lambda s: s["held"] and s["votes"], "status"
         )
         # It carries the quorum now: without it nothing can be settled.
         end = time.monotonic() + LIMIT
-        n2.end()
-        while n0.ask("maintenance", "hold", "no")[0] != DONE:
+        n2.stop()
+        while n0.run_command("maintenance", "hold", "no")[0] != DONE:
             self.assertLess(time.monotonic(), end, held)
 
-    def test_two_processes_cannot_hold_one_folder(self):
-        n0, _, _ = self.settled()
+    def test_a_second_process_cannot_use_a_locked_state_folder(self):
+        n0, _, _ = self.start_fleet()
         done = subprocess.run(
             [PROGRAM, "serve", "--config", str(n0.folder / "config.json")]
             + [
@@ -439,7 +445,7 @@
                 break
         return name, done.returncode, done.stdout + done.stderr
 
-    def test_the_short_set_of_rehearsals_is_kept(self):
+    def test_the_short_set_of_rehearsals_passes(self):
         with concurrent.futures.ThreadPoolExecutor(4) as pool:
             for name, status, text in pool.map(self.rehearse, self.SHORT_SET):
                 self.assertEqual(status, 0, "%s\n%s" % (name, text))
