--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -4,12 +4,13 @@
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cli/command.hpp"
-#include "fleet/control_server.hpp"
-#include "fleet/sharing.hpp"
+#include "fleet/control_client.hpp"
+#include "fleet/sharing_reports.hpp"
 #include "peers/roster.hpp"
 #include "protocol/json.hpp"
 #include "records/records.hpp"
@@ -18,7 +19,10 @@
 namespace {
 
 // The exit statuses that the page names.
-constexpr int kDone = 0, kRefused = 1, kBad = 2, kNoQuorum = 3;
+constexpr int kExitDone = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitBadInput = 2;
+constexpr int kExitNoQuorum = 3;
 
 constexpr const char* kHelp =
     "brassfront fleet status                          this forwarder's view, in short\n"
@@ -36,7 +40,7 @@
     "brassfront fleet maintenance hold yes|no         no further turn comes\n"
     "brassfront fleet maintenance ended NAME          you know that its process has ended\n";
 
-std::string Escaped(const std::string& text) {
+std::string PercentEncode(const std::string& text) {
   constexpr const char* kDigits = "0123456789ABCDEF";
   std::string out;
   for (const char c : text) {
@@ -48,11 +52,11 @@
   return out;
 }
 
-std::string TextOf(const json::Value& value) {
+std::string ToText(const json::Value& value) {
   if (const auto* fields = std::get_if<json::Value::Object>(&value.data())) {
     std::string line;
     for (const auto& [name, field] : *fields) {
-      const std::string text = TextOf(field);
+      const std::string text = ToText(field);
       if (text.empty()) continue;
       if (!line.empty()) line += "  ";
       line.append(name).append("=").append(text);
@@ -71,12 +75,12 @@
 }
 
 // Lists a row a line, the rest on one.
-void Print(const std::string& body) {
+void PrintReply(const std::string& body) {
   const json::Value value = json::Parse(body);
   std::string rest;
   for (const auto& [name, field] : std::get<json::Value::Object>(value.data())) {
     if (!field.IsArray()) {
-      const std::string text = TextOf(field);
+      const std::string text = ToText(field);
       if (name == "token") continue;
       const bool alone = name == "done" || name == "error";
       if (!rest.empty()) rest += "  ";
@@ -85,48 +89,73 @@
       continue;
     }
     if (!field.Items().empty()) std::cout << name << ":\n";
-    for (const json::Value& row : field.Items()) std::cout << "  " << TextOf(row) << "\n";
+    for (const json::Value& row : field.Items()) std::cout << "  " << ToText(row) << "\n";
   }
   if (!rest.empty()) std::cout << rest << "\n";
 }
 
-int Check(const std::string& path) {
-  try {
-    const peers::Roster roster = peers::LoadRoster(path);
-    std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
-              << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
-              << " out at once, " << roster.max_out_per_zone << " in a hall\n";
-    return kDone;
-  } catch (const records::BadRecords& bad) {
-    std::cerr << bad.what() << "\n";
-    return kBad;
+int CheckRoster(const std::string& path) {
+  const peers::Roster roster = peers::LoadRoster(path);
+  std::cout << path << ": good; fleet " << roster.fleet << ", " << roster.members.size()
+            << " members, " << roster.Voters().size() << " voters, " << roster.max_out_total
+            << " out at once, " << roster.max_out_per_zone << " in a hall\n";
+  return kExitDone;
+}
+
+int PrintBounds(const std::string& path, bool json) {
+  const peers::Roster roster = peers::LoadRoster(path);
+  if (!roster.sharing.limits && !roster.sharing.verdicts) {
+    std::cerr << path << ": has no `sharing`, so nothing is promised\n";
+    return kExitRefused;
   }
+  const auto format = json ? fleet::BoundsFormat::kJson : fleet::BoundsFormat::kText;
+  std::cout << fleet::SharingBoundsToText(roster, format) << (json ? "\n" : "");
+  return kExitDone;
 }
 
-int Bounds(const std::string& path, bool json) {
+// `check` and `bounds`, which read a roster and ask no forwarder.
+int RunOnRoster(const std::string& subcommand, const std::vector<std::string>& words, bool json) {
+  if (words.size() != 2) throw UsageError(subcommand + " needs a file");
   try {
-    const peers::Roster roster = peers::LoadRoster(path);
-    if (!roster.sharing.limits && !roster.sharing.verdicts) {
-      std::cerr << path << ": has no `sharing`, so nothing is promised\n";
-      return kRefused;
-    }
-    std::cout << fleet::BoundsText(roster, json) << (json ? "\n" : "");
-    return kDone;
+    return subcommand == "check" ? CheckRoster(words[1]) : PrintBounds(words[1], json);
   } catch (const records::BadRecords& bad) {
     std::cerr << bad.what() << "\n";
-    return kBad;
+    return kExitBadInput;
   }
 }
 
-int Ask(const std::string& state, const std::string& method, const std::string& target, bool json) {
+int CallAndPrint(const std::string& state, const std::string& method, const std::string& target,
+                 bool json) {
   if (state.empty()) throw UsageError("no state folder: give --state or NODE_STATE");
   const fleet::ControlReply reply = fleet::CallControl(state + "/fleet", method, target);
   if (json) {
     std::cout << reply.body << "\n";
   } else {
-    Print(reply.body);
+    PrintReply(reply.body);
+  }
+  return reply.status < 300                          ? kExitDone
+         : reply.status == fleet::kStatusUnavailable ? kExitNoQuorum
+                                                     : kExitRefused;
+}
+
+// The control request of a `maintenance` sub-command, which the first word is.
+std::string MaintenanceTarget(const std::vector<std::string>& words,
+                              const cxxopts::ParseResult& given) {
+  const std::string& verb = words[0];
+  const bool named = verb == "ask" || verb == "back" || verb == "ended";
+  if (!named && verb != "cancel" && verb != "hold") {
+    throw UsageError("no such thing to do: maintenance " + verb);
   }
-  return reply.status < 300 ? kDone : reply.status == 503 ? kNoQuorum : kRefused;
+  if (words.size() != 2) throw UsageError("maintenance " + verb + " needs one word more");
+  const std::string parameter = named ? "name" : verb == "cancel" ? "request" : "on";
+  std::string target =
+      "/fleet/maintenance/" + verb + "?" + parameter + "=" + PercentEncode(words[1]);
+  if (given.count("endpoint") > 0) target += "&kind=endpoint";
+  const auto urgency = given["urgency"].as<std::string>();
+  if (!urgency.empty()) target += "&urgency=" + PercentEncode(urgency);
+  const auto token = given["token"].as<std::uint64_t>();
+  if (token != 0) target += "&token=" + std::to_string(token);
+  return target;
 }
 
 }  // namespace
@@ -143,44 +172,28 @@
       cxxopts::value<std::uint64_t>()->default_value("0"))("json", "the answer as it comes");
   options.parse_positional({"words"});
   options.positional_help("status|members|limits|verdicts|check FILE|bounds FILE|maintenance ...");
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
   const auto words = given["words"].as<std::vector<std::string>>();
   const auto state = given["state"].as<std::string>();
   const bool json = given.count("json") > 0;
-  const std::string what = words.empty() ? "" : words[0];
-  if (what.empty()) {
+  const std::string subcommand = words.empty() ? "" : words[0];
+  if (subcommand.empty()) {
     std::cout << kHelp;
-    return kDone;
+    return kExitDone;
   }
-  if (what == "check") {
-    if (words.size() != 2) throw UsageError("check needs a file");
-    return Check(words[1]);
+  if (subcommand == "check" || subcommand == "bounds") return RunOnRoster(subcommand, words, json);
+  if (subcommand == "status" || subcommand == "members" || subcommand == "limits" ||
+      subcommand == "verdicts") {
+    return CallAndPrint(state, "GET", "/fleet/" + subcommand, json);
   }
-  if (what == "bounds") {
-    if (words.size() != 2) throw UsageError("bounds needs a file");
-    return Bounds(words[1], json);
-  }
-  if (what == "status" || what == "members" || what == "limits" || what == "verdicts") {
-    return Ask(state, "GET", "/fleet/" + what, json);
-  }
-  if (what != "maintenance" || words.size() < 2) throw UsageError("no such thing to do: " + what);
-  const std::string& verb = words[1];
-  if (verb == "list") return Ask(state, "GET", "/fleet/maintenance", json);
-  const bool named = verb == "ask" || verb == "back" || verb == "ended";
-  if (!named && verb != "cancel" && verb != "hold") {
-    throw UsageError("no such thing to do: maintenance " + verb);
-  }
-  if (words.size() != 3) throw UsageError("maintenance " + verb + " needs one word more");
-  const std::string field = named ? "name" : verb == "cancel" ? "request" : "on";
-  std::string target = "/fleet/maintenance/" + verb + "?" + field + "=" + Escaped(words[2]);
-  if (given.count("endpoint") > 0) target += "&kind=endpoint";
-  const auto urgency = given["urgency"].as<std::string>();
-  if (!urgency.empty()) target += "&urgency=" + Escaped(urgency);
-  if (const auto token = given["token"].as<std::uint64_t>(); token != 0) {
-    target += "&token=" + std::to_string(token);
+  if (subcommand != "maintenance" || words.size() < 2) {
+    throw UsageError("no such thing to do: " + subcommand);
   }
-  return Ask(state, "POST", target, json);
+  if (words[1] == "list") return CallAndPrint(state, "GET", "/fleet/maintenance", json);
+  const std::string target = MaintenanceTarget({words.begin() + 1, words.end()}, given);
+  return CallAndPrint(state, "POST", target, json);
 }
 
 }  // namespace brassfront
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,29 +1,17 @@
-
+// `brassfront serve`: reads its command line, runs the forwarder and carries out signals.
 #include <pthread.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <csignal>
-#include <cstring>
 #include <cxxopts.hpp>
-#include <functional>
-#include <future>
-#include <memory>
+#include <optional>
 
 #include "cli/command.hpp"
+#include "cli/forwarder_service.hpp"
+#include "concurrency/thread.hpp"
 #include "config/config.hpp"
-#include "forwarder/engine.hpp"
-#include "net/client_server.hpp"
 #include "observe/log.hpp"
-#include "spool/spool.hpp"
-#ifdef BRASSFRONT_ZONES
-#include "forwarder/endpoint_sources.hpp"
-#endif
-#ifdef BRASSFRONT_FLEET
-#include "fleet/fleet.hpp"
-#endif
 
 namespace brassfront {
 namespace {
@@ -31,27 +19,6 @@
 using observe::Concern;
 using observe::Level;
 
-constexpr std::size_t kMostSenders = 384;  // connections
-// A connection costs a command of 68 KiB at the most and what is kept of it, and some have a thread
-// for the moment. All of them get half of the memory, beside the quarter for bodies.
-constexpr std::size_t kSenderBytes = std::size_t{96} * 1024;
-constexpr std::size_t kOwnDescriptors = 24;   // standard ones, spool, listener, platform, to spare
-constexpr std::size_t kLeastSenderShare = 4;  // of all descriptors, at least a part of this
-constexpr std::size_t kIdleSenderShare = 6;   // of the descriptors; clients use a third at most
-
-// Zones that are followed have this long to be confirmed at the start, before what was kept of them
-// is used.
-constexpr std::chrono::milliseconds kZonesConfirmed{500};
-
-// What the descriptors leave once every delivery is out, within the memory.
-std::size_t SenderConnections(const Config& config) {
-  const std::size_t all = config.limits.sockets;
-  const std::size_t others = kOwnDescriptors + Engine::MaxEndpointConnections(config);
-  const std::size_t left = std::max(all > others ? all - others : 0, all / kLeastSenderShare);
-  const std::size_t in_memory = config.limits.memory_bytes / 2 / kSenderBytes;
-  return std::max<std::size_t>(1, std::min({kMostSenders, left, in_memory}));
-}
-
 // Blocked in every thread that is started from here on; one of them waits for these.
 sigset_t BlockSignals() {
   sigset_t signals;
@@ -61,155 +28,30 @@
   return signals;
 }
 
-Config ReadConfig(const std::string& path) {
-  Config config = LoadConfig(path);
-  if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
-  if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
-  for (const std::string& warning : config.warnings) {
-    observe::Log(Concern::kService, Level::kWarning, "setting replaced by a safe default",
-                 {{"error", warning}});
-  }
-  return config;
-}
-
-void Reload(const std::string& path, Engine& engine) {
-  try {
-    Config config = ReadConfig(path);
-    observe::Log(Concern::kService, Level::kInfo, "configuration reloaded",
-                 {{"discovery", config.discovery}});
-    engine.SetDiscoveryAddress(std::move(config.discovery));
-  } catch (const ConfigError& error) {
-    observe::Log(Concern::kService, Level::kError,
-                 "configuration rejected, keeping the previous one", {{"error", error.what()}});
-  }
-}
-
-#ifndef BRASSFRONT_ZONES
-// Stands in where zones are not built in: there are no sources but the platform.
-struct EndpointSources {
-  void ApplyPlatformList(const MemberList&) {}
-  MemberList Begin(std::chrono::milliseconds) { return {}; }
-  void Start(const std::function<void(MemberList)>&) {}
-  void Stop() {}
-};
-#endif
-
-// None if no file is named.
-std::unique_ptr<EndpointSources> SourcesFrom(const std::string& path, const Config& config) {
-  if (path.empty()) return nullptr;
-#ifdef BRASSFRONT_ZONES
-  return std::make_unique<EndpointSources>(LoadSources(path, config), config);
-#else
-  throw ConfigError("--sources: DNS zones are not built into this program (" + config.name + ")");
-#endif
-}
-
-#ifndef BRASSFRONT_FLEET
-// Stands in where what forwarders share is not built in.
-namespace fleet {
-struct ForwarderControl {
-  std::function<void(bool)> set_standby;
-  std::function<bool()> keeps_running;
-  std::function<std::size_t()> messages_in_flight;
-  std::function<void(EndpointUpdate)> update_endpoint;
-  std::function<void(MemberList)> set_endpoints;
-  std::function<void(std::function<void()>)> post;
-};
-struct Fleet {
-  MemberList Filter(MemberList list) { return list; }
-  CallObserver* call_observer() { return nullptr; }
-  void Begin(const ForwarderControl&) {}
-  void Reload() {}
-  void Leave() {}
-};
-}  // namespace fleet
-#endif
-
-// None if no roster is named.
-std::unique_ptr<fleet::Fleet> FleetFrom(const std::string& roster, const Config& config,
-                                        const std::string& state) {
-  if (roster.empty()) return nullptr;
-#ifdef BRASSFRONT_FLEET
-  return std::make_unique<fleet::Fleet>(roster, config.name, state + "/fleet", config.seed);
-#else
-  throw ConfigError("--fleet: not built into this program (" + config.name + ", " + state + ")");
-#endif
-}
-
-int Serve(const std::string& config_path, const std::string& state, const std::string& sources_path,
-          const std::string& roster_path) {
+int Serve(const ServeOptions& options) {
   const sigset_t signals = BlockSignals();
-  const Config config = ReadConfig(config_path);
-  BufferPool buffers;
-  Spool spool(state, config.limits.disk_bytes, [](const std::string& text) {
-    observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
-  });
-  const auto sources = SourcesFrom(sources_path, config);
-  const auto peers = FleetFrom(roster_path, config, state);
-  const auto filtered = [&peers](MemberList list) {
-    return peers ? peers->Filter(std::move(list)) : list;
-  };
-  std::promise<Engine*> made;  // the watch begins before the engine's constructor returns
-  const std::shared_future<Engine*> there = made.get_future();
-  const std::function<void(MemberList)> listed = [there](MemberList list) {
-    there.get()->SetEndpoints(std::move(list));
-  };
-  DiscoveryWatcher::OnEndpointList divert;
-  if (sources) {
-    divert = [&sources](const MemberList& list) { sources->ApplyPlatformList(list); };
-  } else if (peers) {
-    divert = [&](MemberList list) { listed(filtered(std::move(list))); };
-  }
-  Engine engine(config, spool, buffers, std::move(divert));
-  made.set_value(&engine);
-  if (peers && peers->call_observer() != nullptr) engine.SetCallObserver(*peers->call_observer());
-  engine.Restore(filtered(sources ? sources->Begin(kZonesConfirmed) : config.known));
-  Socket listener = Listen(config.listen);
-  if (!listener.is_open()) {
-    throw ConfigError("cannot listen on " + config.listen + ": " + std::strerror(errno));
-  }
-  const std::string address = AddressOf(listener);
-  if (sources) sources->Start([&](MemberList list) { listed(filtered(std::move(list))); });
-  ClientServer senders(std::move(listener),
-                       {.connections = SenderConnections(config),
-                        .max_idle = config.limits.sockets / kIdleSenderShare},
-                       engine, buffers);
-  std::atomic<bool> leaves{false}, over{false};
-  if (peers) {
-    peers->Begin(
-        {.set_standby = [&senders](bool on) { senders.StandBy(on); },
-         .keeps_running = [&leaves] { return !leaves; },
-         .messages_in_flight = [&engine] { return engine.messages_in_flight(); },
-         .update_endpoint =
-             [&engine](EndpointUpdate update) { engine.UpdateEndpoint(std::move(update)); },
-         .set_endpoints = listed,
-         .post = [&engine](std::function<void()> what) { engine.Post(std::move(what)); }});
-  }
-  Thread waiter("signals", [&] {
+  ForwarderService service(options);
+  std::atomic<bool> over{false};
+  Thread signal_thread("signals", [&] {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && !over) {
       if (signal == SIGHUP) {
-        Reload(config_path, engine);
-        if (peers) peers->Reload();
+        service.Reload();
       } else {
-        leaves = true;
-        engine.BeginGracefulShutdown();
+        service.BeginGracefulShutdown();
       }
     }
   });
   observe::Log(Concern::kService, Level::kInfo, "serving",
-               {{"name", config.name}, {"listen", address}});
-  engine.Run([&] { senders.Drain(); });
-  if (sources) sources->Stop();
-  if (peers) peers->Leave();
-  engine.Close();
+               {{"name", service.name()}, {"listen", service.address()}});
+  service.Run();
   over = true;
-  kill(getpid(), SIGTERM);  // for the waiter, which takes it
-  waiter.Join();
+  kill(getpid(), SIGTERM);  // wakes the signal thread, which takes it
+  signal_thread.Join();
   return 0;
 }
 
-void SetUpLogFrom(const std::string& format, const std::string& level) {
+void SetUpLog(const std::string& format, const std::string& level) {
   observe::LogOptions options;
   if (!observe::ParseFormat(format, options.format)) {
     throw UsageError("--log-format takes text, logfmt or json, not " + format);
@@ -235,13 +77,16 @@
       "log-format", "text, logfmt or json", cxxopts::value<std::string>()->default_value("text"))(
       "log-level", "debug, info, warning, error or off",
       cxxopts::value<std::string>()->default_value("info"));
-  cxxopts::ParseResult given;
-  if (!ParseOptions(options, argc, argv, given)) return 0;
-  SetUpLogFrom(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
+  const std::optional<cxxopts::ParseResult> parsed = ParseOptions(options, argc, argv);
+  if (!parsed) return 0;
+  const cxxopts::ParseResult& given = *parsed;
+  SetUpLog(given["log-format"].as<std::string>(), given["log-level"].as<std::string>());
   const auto state = given["state"].as<std::string>();
   if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
-  return Serve(given["config"].as<std::string>(), state, given["sources"].as<std::string>(),
-               given["fleet"].as<std::string>());
+  return Serve({.config_path = given["config"].as<std::string>(),
+                .state_folder = state,
+                .sources_path = given["sources"].as<std::string>(),
+                .roster_path = given["fleet"].as<std::string>()});
 }
 
 }  // namespace brassfront
