--- a/tests/compatibility/make_data.py
+++ b/tests/compatibility/make_data.py
@@ -5,7 +5,7 @@
 
     git checkout 052a23f && cmake -B build-tests && cmake --build build-tests -j3
     python3 tests/compatibility/make_data.py build-tests/brassfront \\
-        build-tests/rushfall_simhost [PART ...]
+        build-tests/policy_simulator [PART ...]
 
 Parts are spool, fleet, zone, simulator and golden; all of them if none is named.
 `golden` writes what the given program reads in the stored data and says on the wire.
