--- a/src/rehearsal/campaign.cpp
+++ b/src/rehearsal/campaign.cpp
@@ -103,8 +103,9 @@
  public:
   explicit Campaign(const CampaignOptions& options)
       : options_(options), base_(ReadScenario(options.base, "base")) {
-    if (!base_.actions.empty())
+    if (!base_.actions.empty()) {
       throw std::runtime_error("a campaign's base has no acts of its own");
+    }
     if (!base_.fleet.on) throw std::runtime_error("a campaign's base needs `fleet: on: true`");
     fs::create_directories(options_.out);
   }
--- a/src/rehearsal/endpoint_stub.cpp
+++ b/src/rehearsal/endpoint_stub.cpp
@@ -216,8 +216,9 @@
       case PartnerModel::What::kReset:
         return Reset();
       case PartnerModel::What::kRefuse:
-        if (messages_.empty())
+        if (messages_.empty()) {
           return Answer(503, {}, CallOutcome::kNever);  // a probe is told no wait
+        }
         return Answer(status.wait ? 429 : 503, status.wait, CallOutcome::kNever,
                       status.above_limit);
       case PartnerModel::What::kServe:
--- a/src/rehearsal/malicious_peer.cpp
+++ b/src/rehearsal/malicious_peer.cpp
@@ -76,8 +76,9 @@
   std::vector<std::string> frames;
   const auto says = [lie](FalseReport one) { return lie == one || lie == FalseReport::kAll; };
   if (says(FalseReport::kDead)) frames.push_back(Signed(kWords, to, Words(kDown, 0, endpoints)));
-  if (says(FalseReport::kWaits))
+  if (says(FalseReport::kWaits)) {
     frames.push_back(Signed(kWords, to, Words(kWait, kAnHour, endpoints)));
+  }
   if (says(FalseReport::kHealthy)) frames.push_back(Signed(kWords, to, Words(kCold, 0, endpoints)));
   if (says(FalseReport::kNoLimit)) frames.push_back(Signed(kWant, to, Wants(0.01)));
   if (says(FalseReport::kHugeLimit)) frames.push_back(Signed(kWant, to, Wants(1e6)));
--- a/src/rehearsal/partner_model.cpp
+++ b/src/rehearsal/partner_model.cpp
@@ -46,8 +46,9 @@
   // Only what came after the return counts.
   double work = 0;
   for (const Pushes& p : pushes_) work += p.at >= *back_since_ ? p.work : 0;
-  if (work <= warm_up_.multiple * partner_.capacity * warmth * SecondsOf(warm_up_.fall) + 1)
+  if (work <= warm_up_.multiple * partner_.capacity * warmth * SecondsOf(warm_up_.fall) + 1) {
     return false;
+  }
   fallen_ = true;
   return true;
 }
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -237,8 +237,9 @@
   }
 
   void ReadLinks(const Record& from, const Scenario& s, FaultAction& action) {
-    if (!s.fleet.on)
+    if (!s.fleet.on) {
       Complain(from, std::string(ToString(action.kind)) + " needs `fleet: on: true`");
+    }
     const auto read = [&](const char* name, std::vector<std::size_t>& into) {
       const Record* group = from.Find(name);
       if (group == nullptr) return;
@@ -254,8 +255,9 @@
     if (action.from.empty()) Complain(from, std::string(ToString(action.kind)) + " needs `from`");
     if (action.to.empty()) {
       for (std::size_t i = 0; i < s.forwarders.count; ++i) {
-        if (std::find(action.from.begin(), action.from.end(), i) == action.from.end())
+        if (std::find(action.from.begin(), action.from.end(), i) == action.from.end()) {
           action.to.push_back(i);
+        }
       }
     }
     action.both_ways = from.At("both").Bool();
@@ -402,8 +404,9 @@
     }
     if (machine == nullptr) return;
     action.machine = machine->Text();
-    if (!IsMachine(action.machine, s))
+    if (!IsMachine(action.machine, s)) {
       Complain(*machine, "no machine " + records::Quote(action.machine));
+    }
   }
 
   void ReadStruck(const Record& from, const Record* named, const Scenario& s, FaultAction& action) {
@@ -417,8 +420,9 @@
     }
     const auto struck = static_cast<std::size_t>(
         std::floor(from.At("forwarders").Double() * static_cast<double>(count) + 0.5));
-    for (std::size_t i = 0; i < std::max<std::size_t>(1, struck); ++i)
+    for (std::size_t i = 0; i < std::max<std::size_t>(1, struck); ++i) {
       action.forwarders.push_back(i);
+    }
   }
 
   void ReadExpectation(const Record& line, std::vector<Expectation>& into) {
