--- a/src/fleet/replicated_log.cpp
+++ b/src/fleet/replicated_log.cpp
@@ -106,8 +106,8 @@
   return node_->TakeMessages();
 }
 
-void ReplicatedLog::Propose(std::string command, consensus::RaftNode::Done done) {
-  node_->Propose(std::move(command), std::move(done));
+void ReplicatedLog::Propose(std::string_view command, consensus::RaftNode::Done done) {
+  node_->Propose(command, std::move(done));
 }
 
 }  // namespace brassfront::fleet
--- a/src/fleet/replicated_log.hpp
+++ b/src/fleet/replicated_log.hpp
@@ -48,7 +48,7 @@
   void Receive(const peers::Frame& frame, Time now);
   [[nodiscard]] std::vector<consensus::RaftNode::Message> TakeMessages();
   // Only on the leader. `done` is called once, during this call or a later one.
-  void Propose(std::string command, consensus::RaftNode::Done done);
+  void Propose(std::string_view command, consensus::RaftNode::Done done);
 
   // This member votes, and its log has begun: it knows who leads.
   [[nodiscard]] bool bootstrapped() const { return node_ && node_->bootstrapped(); }
