Answer a member's probes while the test asks whether it trusts its links

The question is asked in a second thread now, and probes are answered all the time; what is compared is the same text.

--- a/tests/compatibility/peer_frames.py
+++ b/tests/compatibility/peer_frames.py
@@ -7,6 +7,7 @@
 first.
 """
 
+import concurrent.futures
 import base64
 import hmac
 import select
@@ -120,14 +121,32 @@
             if time.monotonic() >= next_time:
                 again()
                 next_time = time.monotonic() + AGAIN_SECONDS
-            ready, _, _ = select.select(list(self.sockets.values()), [], [], 0.1)
-            for each in ready:
-                frame = Frame(each.recv(65536))
-                self._acknowledge(frame)
+            for frame in self._receive():
                 if condition(frame):
                     return frame
         raise AssertionError("no " + what)
 
+    def answer_until(self, what, condition, again):
+        """Answers probes until the condition holds, which may take long to look at."""
+        end = time.monotonic() + LIMIT_SECONDS
+        with concurrent.futures.ThreadPoolExecutor(1) as other_thread:
+            while time.monotonic() < end:
+                again()
+                check = other_thread.submit(condition)
+                while not check.done():
+                    self._receive()
+                if check.result():
+                    return
+        raise AssertionError("no " + what)
+
+    def _receive(self):
+        """Acknowledges and returns the frames that have come, after a short wait."""
+        ready, _, _ = select.select(list(self.sockets.values()), [], [], 0.1)
+        frames = [Frame(each.recv(65536)) for each in ready]
+        for frame in frames:
+            self._acknowledge(frame)
+        return frames
+
     def _acknowledge(self, frame):
         receiver = frame.names[2]
         if frame.kind == PING and receiver in self.answering:
@@ -214,9 +233,9 @@
     """n2 answers, n1 has fallen silent: n2 is asked to ping n1."""
     peers.answering = {"n1", "n2"}
     # While it doubts its own links, the member gives others more time.
-    peers.wait_for(
+    peers.answer_until(
         "trust in its own links",
-        lambda frame: "doubt=0 " in fleet.ask("n0", "members"),
+        lambda: "doubt=0 " in fleet.ask("n0", "members"),
         peers.be_alive,
     )
     peers.answering = {"n2"}
