Force the order in the tests of evicted client connections

Cause: a client may read its reply before the worker has put its connection back among the idle ones, so a newcomer could evict another one than the test meant; seen once in some twenty runs. The tests wait until the server counts the connections as idle (ClientServer::idle_connections).

--- a/src/net/client_connection_table.cpp
+++ b/src/net/client_connection_table.cpp
@@ -39,6 +39,10 @@
   idle_after_first_message_.erase({connection.idle_since, connection.id});
 }
 
+std::size_t ClientConnectionTable::idle_connections() const {
+  return idle_before_first_message_.size() + idle_after_first_message_.size();
+}
+
 ClientConnection* ClientConnectionTable::FindExpired(SteadyTime now) {
   ClientConnection* const first = First(by_deadline_);
   return first != nullptr && first->deadline <= now ? first : nullptr;
--- a/src/net/client_connection_table.hpp
+++ b/src/net/client_connection_table.hpp
@@ -30,6 +30,8 @@
 
   [[nodiscard]] std::size_t size() const { return connections_.size(); }
   [[nodiscard]] bool empty() const { return connections_.empty(); }
+  // Those in the orders of idle connections: scheduled, and between two commands or before one.
+  [[nodiscard]] std::size_t idle_connections() const;
 
   // Takes the connection over. It is not scheduled yet. The reference is valid until Remove.
   ClientConnection& Add(Socket socket, SteadyTime now);
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -83,6 +83,11 @@
   if (standby_.Set(stand_by, std::chrono::steady_clock::now())) wakeup_.Signal();
 }
 
+std::size_t ClientServer::idle_connections() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.idle_connections();
+}
+
 // ======== the poll loop ========
 
 void ClientServer::RunPollLoop() {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -66,6 +66,9 @@
   // In standby, connections are closed as in Drain, so that clients go elsewhere; PING is answered
   // with an error at once, and MSG.PUT is rejected after ClientCommands::kAcceptedInStandby.
   void StandBy(bool stand_by);
+  // Connections that wait for a command to begin. One that was answered is among them once its
+  // worker has returned it, which may be after the client has read the reply.
+  [[nodiscard]] std::size_t idle_connections() const;
 
  private:
   // ---- the poll loop's, with the mutex held ----
@@ -100,7 +103,7 @@
   StandbySwitch standby_;
   const ClientCommands commands_;
 
-  std::mutex mutex_;  // guards what follows, and all connections that are not being served
+  mutable std::mutex mutex_;  // guards what follows, and all connections that are not being served
   bool draining_ = false;
   bool stopping_ = false;
   ClientConnectionTable connections_;
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -50,6 +50,10 @@
     socket.SendAll(says);
     return socket;
   }
+  // A client may read its reply before the worker has returned its connection to the idle ones.
+  void AwaitIdle(std::size_t connections) {
+    while (server->idle_connections() != connections) std::this_thread::yield();
+  }
   // All that comes up to the close.
   static std::string ToTheEnd(Socket& socket) {
     std::string got;
@@ -114,6 +118,7 @@
   Socket pinged = Client(kPing);
   CHECK(Line(pinged) == "+PONG\r\n");
   Socket silent = Client();
+  AwaitIdle(3);
   Socket newcomers[3];
   for (Socket& newcomer : newcomers) {
     newcomer = Client(kPut);
@@ -135,6 +140,7 @@
   for (Socket& client : clients) {
     client = Client(kPut);
     CHECK(Line(client) == "-BUSY\r\n");
+    if (&client == &clients[0]) AwaitIdle(1);  // so that it is the longest idle one
   }
   CHECK(ToTheEnd(clients[0]).empty());
 }
