--- a/src/cli/optional_features.hpp
+++ b/src/cli/optional_features.hpp
@@ -5,13 +5,13 @@
 #define BRASSFRONT_CLI_OPTIONAL_FEATURES_HPP_
 
 #include <chrono>
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "config/config.hpp"
 #include "forwarder/call_observer.hpp"
+#include "forwarder/forwarder_control.hpp"
 #include "protocol/discovery.hpp"
 #ifdef BRASSFRONT_ZONES
 #include "forwarder/endpoint_sources.hpp"
@@ -33,14 +33,6 @@
 
 #ifndef BRASSFRONT_FLEET
 namespace fleet {
-struct ForwarderControl {
-  std::function<void(bool)> set_standby;
-  std::function<bool()> keeps_running;
-  std::function<std::size_t()> messages_in_flight;
-  std::function<void(EndpointUpdate)> update_endpoint;
-  std::function<void(MemberList)> set_endpoints;
-  std::function<void(std::function<void()>)> post;
-};
 struct Fleet {
   MemberList FilterEndpoints(MemberList list) { return list; }
   CallObserver* call_observer() { return nullptr; }
--- a/src/fleet/duty_executor.hpp
+++ b/src/fleet/duty_executor.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "fleet/endpoint_exclusions.hpp"
-#include "fleet/forwarder_control.hpp"
 #include "fleet/local_identity.hpp"
 #include "fleet/periodic_timer.hpp"
+#include "forwarder/forwarder_control.hpp"
 #include "maintenance/maintenance_scheduler.hpp"
 
 namespace brassfront::fleet {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -16,7 +16,6 @@
 #include "fleet/duty_executor.hpp"
 #include "fleet/endpoint_exclusions.hpp"
 #include "fleet/event_inbox.hpp"
-#include "fleet/forwarder_control.hpp"
 #include "fleet/known_state.hpp"
 #include "fleet/local_identity.hpp"
 #include "fleet/maintenance_leadership.hpp"
@@ -28,6 +27,7 @@
 #include "fleet/sharing.hpp"
 #include "fleet/state_exchange.hpp"
 #include "fleet/state_messages.hpp"
+#include "forwarder/forwarder_control.hpp"
 #include "peers/failure_detector.hpp"
 
 namespace brassfront::fleet {
--- a/src/fleet/forwarder_control.hpp
+++ b/src/forwarder/forwarder_control.hpp
@@ -1,7 +1,7 @@
 // What the fleet asks of the forwarder, and nothing else. The fleet's thread may call each function
 // at any time; none of them blocks for long.
-#ifndef BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
-#define BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
+#ifndef BRASSFRONT_FORWARDER_FORWARDER_CONTROL_HPP_
+#define BRASSFRONT_FORWARDER_FORWARDER_CONTROL_HPP_
 
 #include <cstddef>
 #include <functional>
@@ -9,7 +9,7 @@
 #include "forwarder/call_observer.hpp"
 #include "protocol/discovery.hpp"
 
-namespace brassfront::fleet {
+namespace brassfront {
 
 struct ForwarderControl {
   // True: clients are sent to other forwarders. False: they are served.
@@ -27,6 +27,6 @@
   std::function<void(std::function<void()> done)> post;
 };
 
-}  // namespace brassfront::fleet
+}  // namespace brassfront
 
-#endif  // BRASSFRONT_FLEET_FORWARDER_CONTROL_HPP_
+#endif  // BRASSFRONT_FORWARDER_FORWARDER_CONTROL_HPP_
