Reproduce the incident and its class on real processes, failing

tests/faults has a library for LD_PRELOAD that fails, shortens or kills at single system calls and steps the wall clock, switched by the test through a mapped table; a rig of stand-ins; and two tests.

--- /dev/null
+++ b/tests/faults/fault_shim.cpp
@@ -0,0 +1,326 @@
+// A library for LD_PRELOAD that makes system calls of one process fail, for tests alone.
+//
+// The file that $FAULT_TABLE names is mapped by the process and by the test (fault_table.py has the
+// same layout). The test switches a rule on and off and sees how often it took effect, so nothing
+// depends on time. A rule covers one call, on every descriptor or on the files below $FAULT_FOLDER.
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <cstdarg>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <ctime>
+#include <string>
+
+namespace {
+
+// In the order of CALLS in fault_table.py.
+enum Call : std::int32_t {
+  kOpen,
+  kPread,
+  kPwrite,
+  kFtruncate,
+  kRename,
+  kFsync,
+  kFstat,
+  kSocket,
+  kBind,
+  kListen,
+  kAccept,
+  kConnect,
+  kSend,
+  kRecv,
+  kPoll,
+  kEpollWait,
+  kEpollCtl,
+  kEpollCreate,
+  kEventfd,
+  kThread,
+  kGetsockopt,
+  kSetsockopt,
+  kWrite,
+  kRead,
+};
+
+constexpr std::int32_t kShortTransfer = -1;  // in place of an errno: at most `bytes` are moved
+constexpr std::int32_t kKillBefore = -2;     // the process ends by SIGKILL in place of the call
+constexpr std::int32_t kKillAfter = -3;      // and behind the call
+constexpr std::int32_t kKillHalfway = -4;    // a write moves `bytes`, then the process ends
+
+struct Rule {
+  std::int32_t call;
+  std::atomic<std::int32_t> active;
+  std::int32_t error;  // an errno, or one of the constants above
+  std::int32_t bytes;
+  std::atomic<std::int64_t> remaining;  // how often it still takes effect; negative: without end
+  std::atomic<std::int64_t> skipped;    // calls that are let through first
+  std::atomic<std::int64_t> hits;
+};
+
+constexpr std::size_t kRules = 8;
+
+struct Table {
+  std::atomic<std::int64_t> realtime_offset_ns;
+  std::array<Rule, kRules> rules;
+};
+
+static_assert(sizeof(Rule) == 40 && sizeof(Table) == 8 + kRules * 40);
+
+Table* MapTable() {
+  const char* const path = std::getenv("FAULT_TABLE");
+  if (path == nullptr) return nullptr;
+  using Open = int (*)(const char*, int, ...);
+  const int fd = reinterpret_cast<Open>(dlsym(RTLD_NEXT, "open"))(path, O_RDWR | O_CLOEXEC);
+  if (fd < 0) return nullptr;
+  void* const memory = mmap(nullptr, sizeof(Table), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+  close(fd);
+  return memory == MAP_FAILED ? nullptr : static_cast<Table*>(memory);
+}
+
+Table* GetTable() {
+  static Table* const table = MapTable();
+  return table;
+}
+
+// None, or the rule that takes effect on this call.
+Rule* TakeRule(Call call) {
+  Table* const table = GetTable();
+  if (table == nullptr) return nullptr;
+  for (Rule& rule : table->rules) {
+    if (rule.active == 0 || rule.call != call) continue;
+    if (rule.skipped > 0 && rule.skipped.fetch_sub(1) > 0) continue;
+    if (rule.remaining == 0) continue;
+    if (rule.remaining > 0 && rule.remaining.fetch_sub(1) <= 0) continue;
+    ++rule.hits;
+    return &rule;
+  }
+  return nullptr;
+}
+
+const char* Folder() {
+  static const char* const folder = std::getenv("FAULT_FOLDER");
+  return folder == nullptr ? "/nowhere" : folder;
+}
+
+bool IsInFolder(const char* path) {
+  return std::strncmp(path, Folder(), std::strlen(Folder())) == 0;
+}
+
+bool IsInFolder(int fd) {
+  char link[64];
+  char path[512];
+  std::snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+  const ssize_t length = readlink(link, path, sizeof path - 1);
+  if (length < 0) return false;
+  path[length] = '\0';
+  return IsInFolder(path);
+}
+
+[[noreturn]] void Die() {
+  kill(getpid(), SIGKILL);
+  while (true) pause();
+}
+
+template <typename Function>
+Function* Real(const char* name) {
+  return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, name));
+}
+
+// Carries out a call under its rule: `real` is the call itself.
+template <typename Result, typename RealCall>
+Result Run(Call call, Result failure, RealCall real) {
+  Rule* const rule = TakeRule(call);
+  if (rule == nullptr) return real();
+  if (rule->error == kKillBefore) Die();
+  if (rule->error == kKillAfter) {
+    real();
+    Die();
+  }
+  errno = rule->error;
+  return failure;
+}
+
+// The same for calls that move bytes: `real` takes how many.
+template <typename RealCall>
+ssize_t RunTransfer(Call call, std::size_t length, RealCall real) {
+  Rule* const rule = TakeRule(call);
+  if (rule == nullptr) return real(length);
+  const std::size_t part = std::min(length, static_cast<std::size_t>(rule->bytes));
+  switch (rule->error) {
+    case kShortTransfer:
+      return real(part);
+    case kKillBefore:
+      Die();
+    case kKillAfter:
+      real(length);
+      Die();
+    case kKillHalfway:
+      real(part);
+      Die();
+    default:
+      errno = rule->error;
+      return -1;
+  }
+}
+
+}  // namespace
+
+extern "C" {
+
+int open(const char* path, int flags, ...) {
+  std::va_list arguments;
+  va_start(arguments, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : 0;
+  va_end(arguments);
+  const auto real = [&] { return Real<int(const char*, int, ...)>("open")(path, flags, mode); };
+  return IsInFolder(path) ? Run(kOpen, -1, real) : real();
+}
+int open64(const char* path, int flags, ...) {
+  std::va_list arguments;
+  va_start(arguments, flags);
+  const mode_t mode = (flags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : 0;
+  va_end(arguments);
+  const auto real = [&] { return Real<int(const char*, int, ...)>("open64")(path, flags, mode); };
+  return IsInFolder(path) ? Run(kOpen, -1, real) : real();
+}
+ssize_t pread(int fd, void* into, std::size_t length, off_t offset) {
+  const auto real = [&](std::size_t size) {
+    return Real<ssize_t(int, void*, std::size_t, off_t)>("pread")(fd, into, size, offset);
+  };
+  return IsInFolder(fd) ? RunTransfer(kPread, length, real) : real(length);
+}
+ssize_t pwrite(int fd, const void* bytes, std::size_t length, off_t offset) {
+  const auto real = [&](std::size_t size) {
+    return Real<ssize_t(int, const void*, std::size_t, off_t)>("pwrite")(fd, bytes, size, offset);
+  };
+  return IsInFolder(fd) ? RunTransfer(kPwrite, length, real) : real(length);
+}
+ssize_t read(int fd, void* into, std::size_t length) {
+  const auto real = [&](std::size_t size) {
+    return Real<ssize_t(int, void*, std::size_t)>("read")(fd, into, size);
+  };
+  return IsInFolder(fd) ? RunTransfer(kRead, length, real) : real(length);
+}
+ssize_t write(int fd, const void* bytes, std::size_t length) {
+  const auto real = [&](std::size_t size) {
+    return Real<ssize_t(int, const void*, std::size_t)>("write")(fd, bytes, size);
+  };
+  const bool covered = fd == STDERR_FILENO || IsInFolder(fd);
+  return covered ? RunTransfer(kWrite, length, real) : real(length);
+}
+int ftruncate(int fd, off_t length) {
+  const auto real = [&] { return Real<int(int, off_t)>("ftruncate")(fd, length); };
+  return IsInFolder(fd) ? Run(kFtruncate, -1, real) : real();
+}
+int rename(const char* from, const char* to) {
+  const auto real = [&] { return Real<int(const char*, const char*)>("rename")(from, to); };
+  return IsInFolder(from) ? Run(kRename, -1, real) : real();
+}
+int fsync(int fd) {
+  const auto real = [&] { return Real<int(int)>("fsync")(fd); };
+  return IsInFolder(fd) ? Run(kFsync, -1, real) : real();
+}
+int fstat(int fd, struct stat* status) {
+  const auto real = [&] { return Real<int(int, struct stat*)>("fstat")(fd, status); };
+  return IsInFolder(fd) ? Run(kFstat, -1, real) : real();
+}
+
+int socket(int domain, int type, int protocol) noexcept {
+  return Run(kSocket, -1,
+             [&] { return Real<int(int, int, int)>("socket")(domain, type, protocol); });
+}
+int bind(int fd, const sockaddr* address, socklen_t length) noexcept {
+  return Run(kBind, -1, [&] {
+    return Real<int(int, const sockaddr*, socklen_t)>("bind")(fd, address, length);
+  });
+}
+int listen(int fd, int backlog) noexcept {
+  return Run(kListen, -1, [&] { return Real<int(int, int)>("listen")(fd, backlog); });
+}
+int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
+  return Run(kAccept, -1, [&] {
+    return Real<int(int, sockaddr*, socklen_t*, int)>("accept4")(fd, address, length, flags);
+  });
+}
+int connect(int fd, const sockaddr* address, socklen_t length) {
+  return Run(kConnect, -1, [&] {
+    return Real<int(int, const sockaddr*, socklen_t)>("connect")(fd, address, length);
+  });
+}
+ssize_t send(int fd, const void* bytes, std::size_t length, int flags) {
+  return RunTransfer(kSend, length, [&](std::size_t size) {
+    return Real<ssize_t(int, const void*, std::size_t, int)>("send")(fd, bytes, size, flags);
+  });
+}
+ssize_t recv(int fd, void* into, std::size_t length, int flags) {
+  return RunTransfer(kRecv, length, [&](std::size_t size) {
+    return Real<ssize_t(int, void*, std::size_t, int)>("recv")(fd, into, size, flags);
+  });
+}
+int getsockopt(int fd, int level, int option, void* value, socklen_t* length) noexcept {
+  return Run(kGetsockopt, -1, [&] {
+    return Real<int(int, int, int, void*, socklen_t*)>("getsockopt")(fd, level, option, value,
+                                                                     length);
+  });
+}
+int setsockopt(int fd, int level, int option, const void* value, socklen_t length) noexcept {
+  return Run(kSetsockopt, -1, [&] {
+    return Real<int(int, int, int, const void*, socklen_t)>("setsockopt")(fd, level, option, value,
+                                                                          length);
+  });
+}
+int poll(pollfd* descriptors, nfds_t count, int timeout) {
+  return Run(kPoll, -1,
+             [&] { return Real<int(pollfd*, nfds_t, int)>("poll")(descriptors, count, timeout); });
+}
+int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
+  return Run(kEpollWait, -1, [&] {
+    return Real<int(int, epoll_event*, int, int)>("epoll_wait")(fd, events, most, timeout);
+  });
+}
+int epoll_ctl(int fd, int operation, int target, epoll_event* event) noexcept {
+  return Run(kEpollCtl, -1, [&] {
+    return Real<int(int, int, int, epoll_event*)>("epoll_ctl")(fd, operation, target, event);
+  });
+}
+int epoll_create1(int flags) noexcept {
+  return Run(kEpollCreate, -1, [&] { return Real<int(int)>("epoll_create1")(flags); });
+}
+int eventfd(unsigned int count, int flags) noexcept {
+  return Run(kEventfd, -1, [&] { return Real<int(unsigned int, int)>("eventfd")(count, flags); });
+}
+int pthread_create(pthread_t* thread, const pthread_attr_t* attributes, void* (*body)(void*),
+                   void* argument) noexcept {
+  Rule* const rule = TakeRule(kThread);
+  if (rule != nullptr) return rule->error;
+  using Create = int(pthread_t*, const pthread_attr_t*, void* (*)(void*), void*);
+  return Real<Create>("pthread_create")(thread, attributes, body, argument);
+}
+int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  const int result = Real<int(clockid_t, timespec*)>("clock_gettime")(clock, time);
+  Table* const table = clock == CLOCK_REALTIME ? GetTable() : nullptr;
+  if (result != 0 || table == nullptr) return result;
+  constexpr std::int64_t kNanoseconds = 1'000'000'000;
+  const std::int64_t shifted =
+      time->tv_sec * kNanoseconds + time->tv_nsec + table->realtime_offset_ns;
+  time->tv_sec = shifted / kNanoseconds;
+  time->tv_nsec = shifted % kNanoseconds;
+  return 0;
+}
+
+}  // extern "C"
--- /dev/null
+++ b/tests/faults/fault_table.py
@@ -0,0 +1,56 @@
+"""The table of faults that fault_shim.cpp carries out, as a test has it."""
+
+import errno
+import mmap
+import pathlib
+import struct
+
+# In the order of `Call` in fault_shim.cpp.
+CALLS = (
+    "open pread pwrite ftruncate rename fsync fstat socket bind listen accept connect"
+    " send recv poll epoll_wait epoll_ctl epoll_create eventfd thread getsockopt"
+    " setsockopt write read"
+).split()
+SHORT, KILL_BEFORE, KILL_AFTER, KILL_HALFWAY = -1, -2, -3, -4
+RULES = 8
+RULE = struct.Struct("=iiiiqqq")
+HEADER = struct.Struct("=q")
+
+
+class FaultTable:
+    """Rules for one process, in a file that both sides map."""
+
+    def __init__(self, path):
+        self.path = pathlib.Path(path)
+        self.path.write_bytes(bytes(HEADER.size + RULES * RULE.size))
+        with self.path.open("r+b") as file:
+            self.memory = mmap.mmap(file.fileno(), 0)
+
+    def fail(self, call, error, *, times=-1, skip=0, bytes_moved=1):
+        """Switches a rule on and returns its number. `error`: an errno or its name, or
+        one of the constants above."""
+        number = next(i for i in range(RULES) if not self._rule(i)[1])
+        if isinstance(error, str):
+            error = getattr(errno, error)
+        fields = (CALLS.index(call), 0, error, bytes_moved, times, skip, 0)
+        RULE.pack_into(self.memory, self._offset(number), *fields)
+        struct.pack_into("=i", self.memory, self._offset(number) + 4, 1)
+        return number
+
+    def end(self, number=None):
+        """Switches one rule off, or all."""
+        for i in range(RULES) if number is None else [number]:
+            struct.pack_into("=i", self.memory, self._offset(i) + 4, 0)
+
+    def hits(self, number):
+        return self._rule(number)[6]
+
+    def step_clock(self, seconds):
+        """The wall clock is so many seconds ahead of the real one from now on."""
+        HEADER.pack_into(self.memory, 0, int(seconds * 1e9))
+
+    def _offset(self, number):
+        return HEADER.size + number * RULE.size
+
+    def _rule(self, number):
+        return RULE.unpack_from(self.memory, self._offset(number))
--- /dev/null
+++ b/tests/faults/incident_test.py
@@ -0,0 +1,214 @@
+"""The incident of 2 December 2026 on real processes: docs/incidents.
+
+A process must outlive the reader of its log and a fault of a moment at its start, and
+a new one must not send by the list of its configuration where discovery knows better.
+"""
+
+import os
+import signal
+import subprocess
+import unittest
+
+import rig
+from rig import FaultTest, wait_for
+
+REJECTED = (503, {})
+
+
+class LogReaderTest(FaultTest):
+    def test_a_process_outlives_the_reader_of_its_log(self):
+        forwarder = self.start()
+        forwarder.leave_log()
+        for _ in range(20):  # each connection's end is a line
+            self.assertEqual(self.ping(), "+PONG")
+            self.put_accepted()
+        self.assertTrue(forwarder.alive())
+        self.assert_all_end()
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+
+    def test_a_process_starts_with_a_log_that_nobody_reads(self):
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        forwarder = self.launch(stderr=write_end)
+        os.close(write_end)
+        self.await_serving(forwarder)
+        self.put_accepted()
+        self.assert_all_end()
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+
+    def test_a_log_on_a_full_disk_or_a_broken_descriptor_is_dropped(self):
+        for error in ("ENOSPC", "EIO", "EPIPE", "EBADF", "EAGAIN"):
+            with self.subTest(error):
+                rule = self.faults.fail("write", error)
+                forwarder = self.start()
+                self.put_accepted()
+                self.assertTrue(forwarder.alive())
+                self.assertGreater(self.faults.hits(rule), 0)
+                self.faults.end()
+                # The reader is back: it is told what it missed.
+                self.ping()
+                wait_for(
+                    "the count",
+                    lambda: any("log lines dropped" in line for line in forwarder.log),
+                )
+                forwarder.end()
+        self.assert_all_end()
+
+    def test_standard_descriptors_that_are_closed_are_not_taken_by_files(self):
+        """Otherwise the spool or a connection would get their number, and the log's
+        lines."""
+        variables = {"NODE_ADMIN": ""}
+        command = (
+            'exec "$0" serve --config "$1" --state "$2" <&- >&- 2>&-',
+            rig.PROGRAM,
+            str(self.write_config()),
+            str(self.state),
+        )
+        process = subprocess.Popen(
+            ["/bin/sh", "-c", *command], env=dict(os.environ, **variables)
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        wait_for("the forwarder", lambda: self.ping() == "+PONG")
+        for _ in range(10):
+            self.put_accepted()
+        self.assert_all_end()
+        process.kill()
+        process.wait()
+        self.assertNotIn(b"connection ended", (self.state / "spool").read_bytes())
+
+
+class KnownListTest(FaultTest):
+    def owe_messages(self, count):
+        """Accepted messages that no endpoint has taken yet, left by a process that was
+        killed."""
+        for endpoint in self.endpoints.values():
+            endpoint.answer = lambda call: REJECTED
+        forwarder = self.start()
+        owed = [self.put_accepted(left_ms=20000) for _ in range(count)]
+        forwarder.end()
+        for endpoint in self.endpoints.values():
+            endpoint.calls.clear()
+            endpoint.answer = lambda call: (200, {})
+        return owed
+
+    def test_owed_messages_do_not_go_to_an_endpoint_that_began_to_drain_meanwhile(self):
+        for phase in ("Terminating", "Gone"):
+            with self.subTest(phase):
+                self.tell()
+                owed = self.owe_messages(6)
+                self.tell(a=phase)
+                forwarder = self.start()  # its configuration still has `a` as ready
+                for message in owed:
+                    wait_for("the call", lambda: "b" in self.calls_of(message))
+                self.assertEqual(self.calls_to("a"), 0)
+                forwarder.end()
+
+    def test_without_an_answer_of_discovery_owed_messages_are_tried_all_the_same(self):
+        owed = self.owe_messages(3)
+        self.config["discovery"] = "127.0.0.1:1"
+        self.start()
+        for message in owed:
+            wait_for("a call", lambda: self.calls_of(message))
+
+    def test_lists_over_several_lines_and_in_any_chunks_are_read(self):
+        for chunk_bytes in (0, 1, 7, 1000):
+            for indent in (2, 0):
+                with self.subTest(chunk_bytes=chunk_bytes, indent=indent):
+                    self.discovery.indent = indent
+                    self.discovery.chunk_bytes = chunk_bytes
+                    self.tell()
+                    forwarder = self.start()
+                    self.settle("a")
+                    self.tell(a="Terminating")
+                    wait_for(
+                        "the state",
+                        lambda: any(
+                            "to=draining" in line and "id=a" in line
+                            for line in forwarder.log
+                        ),
+                    )
+                    self.assertFalse(
+                        [line for line in forwarder.log if "refused" in line]
+                    )
+                    forwarder.end()
+
+
+class StartTest(FaultTest):
+    """A start meets a condition of a moment."""
+
+    def assert_start_survives(self, call, error, times):
+        rule = self.faults.fail(call, error, times=times)
+        forwarder = self.start()
+        self.assertEqual(self.faults.hits(rule), times)
+        self.faults.end()
+        self.put_accepted()
+        self.assert_all_end()
+        forwarder.end()
+
+    def test_a_start_waits_out_what_fails_for_a_moment(self):
+        for call, error in (
+            ("socket", "ENFILE"),
+            ("socket", "ENOBUFS"),
+            ("bind", "EADDRINUSE"),
+            ("bind", "EADDRNOTAVAIL"),
+            ("listen", "EADDRINUSE"),
+            ("epoll_create", "EMFILE"),
+            ("epoll_ctl", "ENOMEM"),
+            ("eventfd", "EMFILE"),
+            ("thread", "EAGAIN"),
+        ):
+            with self.subTest(call=call, error=error):
+                self.assert_start_survives(call, error, times=3)
+
+
+class RunningTest(FaultTest):
+    def test_what_fails_here_is_not_taken_for_the_endpoint_or_the_client(self):
+        """Local conditions end no message and no connection of a client."""
+        for call, error in (
+            ("socket", "ENFILE"),
+            ("connect", "EADDRNOTAVAIL"),
+            ("recv", "ENOMEM"),
+            ("poll", "ENOMEM"),
+            ("getsockopt", "ENOBUFS"),
+            ("epoll_ctl", "ENOMEM"),
+            ("accept", "ECONNABORTED"),
+        ):
+            with self.subTest(call=call, error=error):
+                forwarder = self.start()
+                client = rig.toy_server.Client(self.listen, timeout=rig.LIMIT)
+                self.assertEqual(client.call("PING"), "+PONG")
+                rule = self.faults.fail(call, error, times=3)
+                message, reply = client.put(rig.DESTINATION, "body")
+                self.assertEqual(reply, "+OK")
+                self.accepted.append(message)
+                wait_for(
+                    "the fault or the end",
+                    lambda: self.faults.hits(rule) == 3 or self.calls_of(message),
+                )
+                self.assert_all_end()
+                self.assertEqual(self.notices_of(message), [])
+                self.faults.end()
+                self.assertTrue(forwarder.alive())
+                client.close()
+                forwarder.end()
+
+    def test_a_wait_that_is_interrupted_again_and_again_costs_no_core(self):
+        forwarder = self.start()
+        ticks = os.sysconf("SC_CLK_TCK")
+
+        def cpu_seconds():
+            with open("/proc/%d/stat" % forwarder.process.pid) as stat:
+                fields = stat.read().rsplit(")", 1)[1].split()
+            return (int(fields[11]) + int(fields[12])) / ticks
+
+        for call in ("epoll_wait", "poll"):
+            rule = self.faults.fail(call, "EINTR", times=200)
+            started = cpu_seconds()
+            wait_for("the interruptions", lambda: self.faults.hits(rule) == 200)
+            self.assertLess(cpu_seconds() - started, 0.2)
+        self.assertEqual(self.ping(), "+PONG")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/faults/rig.py
@@ -0,0 +1,309 @@
+"""A forwarder on loopback among stand-ins, whose faults the test decides.
+
+Discovery and each endpoint are stand-ins of their own. Every wait is for a condition,
+with a limit that only a failure reaches.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "examples"))
+sys.path.insert(0, str(ROOT / "tests" / "faults"))
+import toy_server  # noqa: E402
+from fault_table import (  # noqa: E402,F401
+    KILL_AFTER,
+    KILL_BEFORE,
+    KILL_HALFWAY,
+    SHORT,
+    FaultTable,
+)
+
+PROGRAM = os.environ["BRASSFRONT"]
+SHIM = os.environ["FAULT_SHIM"]
+LIMIT = float(os.environ.get("FAULT_LIMIT_SECONDS", "20"))
+DESTINATION = 1
+
+
+def wait_for(what, condition):
+    end = time.monotonic() + LIMIT
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("waited in vain for " + what)
+        time.sleep(0.01)
+
+
+def free_address():
+    """An address that nobody has now. It is not kept: use it for a listener that sets
+    SO_REUSEADDR, right away."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % probe.getsockname()[1]
+
+
+def member(name, address, phase="Ready", up_since_ms=0):
+    return {
+        "id": name,
+        "host_port": address,
+        "locality": "here",
+        "flavor": "single",
+        "cell": DESTINATION,
+        "phase": phase,
+        "size": 50.0,
+        "up_since_ms": up_since_ms,
+    }
+
+
+def admin_call(address, method, path, timeout=2):
+    """The status of one call to a forwarder's second address, and its body."""
+    request = urllib.request.Request("http://%s%s" % (address, path), method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+
+
+class LayoutHandler(toy_server.Handler):
+    """Writes lists as the stand-in's `indent` and `chunk_bytes` say."""
+
+    def chunk(self, text):
+        step = self.server.chunk_bytes or len(text)
+        for at in range(0, len(text), step):
+            super().chunk(text[at : at + step])
+
+
+class Discovery(toy_server.Toy):
+    """A discovery whose lists may come over several lines and in any chunks."""
+
+    def __init__(self):
+        super().__init__()
+        self.RequestHandlerClass = LayoutHandler
+        self.indent = None
+        self.chunk_bytes = 0
+
+    def list_line(self):
+        body = {"revision": self.revision, "complete": True, "members": self.members}
+        return json.dumps(body, indent=self.indent) + "\n"
+
+
+class Forwarder:
+    """One process of the program; `log` grows while its reader is there."""
+
+    def __init__(self, config_path, state, environment, options=(), stderr=None):
+        """`stderr`: a descriptor of the caller's in place of a pipe that is read."""
+        command = [
+            PROGRAM,
+            "serve",
+            "--config",
+            str(config_path),
+            "--state",
+            str(state),
+        ]
+        self.log = []
+        self.reader = None
+        self.write_end = None
+        if stderr is None:
+            self.read_end, self.write_end = os.pipe()
+        self.process = subprocess.Popen(
+            command + list(options),
+            stderr=self.write_end if stderr is None else stderr,
+            env=dict(os.environ, **environment),
+        )
+        if stderr is not None:
+            return
+        os.close(self.write_end)
+        self.reader = threading.Thread(target=self._read_log, daemon=True)
+        self.reader.start()
+
+    def _read_log(self):
+        with open(self.read_end, "rb", buffering=0, closefd=False) as lines:
+            rest = b""
+            while True:
+                part = lines.read(65536)
+                if not part:
+                    return
+                *whole, rest = (rest + part).split(b"\n")
+                self.log += [line.decode(errors="replace") for line in whole]
+
+    def leave_log(self):
+        """The reader of the log goes away: the pipe has no read end any more."""
+        nowhere = os.open(os.devnull, os.O_RDONLY)
+        os.dup2(nowhere, self.read_end)
+        os.close(nowhere)
+
+    def alive(self):
+        return self.process.poll() is None
+
+    def send_signal(self, number):
+        if self.alive():
+            self.process.send_signal(number)
+
+    def end(self, how=signal.SIGKILL):
+        self.send_signal(how)
+        return self.process.wait(timeout=LIMIT)
+
+
+class FaultTest(unittest.TestCase):
+    """A forwarder, a discovery and endpoints `a` and `b` for one destination."""
+
+    CLASS = {}  # what differs from the class of examples/config.json
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.state = self.folder / "state"
+        self.state.mkdir()
+        self.faults = FaultTable(self.folder / "faults")
+        self.discovery = self.new_stand_in(Discovery)
+        self.endpoints = {name: self.new_stand_in() for name in "ab"}
+        self.listen = free_address()
+        self.admin = free_address()
+        self.config = json.loads((ROOT / "examples" / "config.json").read_text())
+        self.config["listen"] = self.listen
+        self.config["discovery"] = self.discovery.address
+        self.config["known"]["members"] = self.members()
+        self.config["settings"]["classes"][0].update(self.CLASS)
+        self.discovery.members = self.members()
+        self.accepted = []
+
+    def new_stand_in(self, kind=toy_server.Toy):
+        stand_in = kind().start()
+        self.addCleanup(stand_in.server_close)
+        self.addCleanup(stand_in.shutdown)
+        return stand_in
+
+    def tell(self, **phases):
+        """Discovery has a new list, such as `a="Terminating"`; the rest is ready."""
+        self.discovery.announce(self.members(**phases))
+
+    def members(self, **phases):
+        return [
+            member(name, stand_in.address, phases.get(name, "Ready"))
+            for name, stand_in in self.endpoints.items()
+            if phases.get(name) != "Gone"
+        ]
+
+    # ---- the forwarder ----
+
+    def write_config(self):
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(self.config))
+        return path
+
+    def launch(self, shim=True, environment=None, options=(), stderr=None):
+        """Starts a process and does not wait for it."""
+        variables = {"NODE_ADMIN": ""}
+        if shim:
+            variables.update(
+                LD_PRELOAD=SHIM,
+                FAULT_TABLE=str(self.faults.path),
+                FAULT_FOLDER=str(self.state),
+                ASAN_OPTIONS="verify_asan_link_order=0",
+            )
+        variables.update(environment or {})
+        forwarder = Forwarder(
+            self.write_config(), self.state, variables, options, stderr
+        )
+        self.addCleanup(forwarder.end)
+        return forwarder
+
+    def start(self, **options):
+        """Starts a process and waits until it takes clients."""
+        forwarder = self.launch(**options)
+        self.await_serving(forwarder)
+        return forwarder
+
+    def await_serving(self, forwarder):
+        def answers():
+            self.assertTrue(forwarder.alive(), forwarder.log)
+            return self.ping() == "+PONG"
+
+        wait_for("a forwarder that serves", answers)
+
+    def ping(self):
+        try:
+            client = toy_server.Client(self.listen, timeout=2)
+        except OSError:
+            return ""
+        try:
+            return client.call("PING")
+        except OSError:
+            return ""
+        finally:
+            client.close()
+
+    # ---- messages ----
+
+    def put(self, **options):
+        """Hands one message in on a new connection; None if it was rejected."""
+        try:
+            client = toy_server.Client(self.listen, timeout=5)
+        except OSError:
+            return None
+        try:
+            message, reply = client.put(DESTINATION, "body", **options)
+        except OSError:
+            return None
+        finally:
+            client.close()
+        if reply != "+OK":
+            return None
+        self.accepted.append(message)
+        return message
+
+    def put_accepted(self, **options):
+        """Hands messages in until one is accepted."""
+        ids = []
+
+        def accepted():
+            message = self.put(**options)
+            ids.extend([message] if message else [])
+            return ids
+
+        wait_for("a message to be accepted", accepted)
+        return ids[0]
+
+    def calls_of(self, message):
+        return [
+            name
+            for name, stand_in in self.endpoints.items()
+            for call in list(stand_in.calls)
+            if call["id"] == message
+        ]
+
+    def calls_to(self, name):
+        return len(self.endpoints[name].calls)
+
+    def notices_of(self, message):
+        return [n for n in list(self.discovery.notices) if n["id"] == message]
+
+    def is_over(self, message):
+        return bool(self.calls_of(message) or self.notices_of(message))
+
+    def assert_all_end(self):
+        """Every accepted message is delivered or ends with a notice."""
+        for message in self.accepted:
+            wait_for("the end of " + message, lambda: self.is_over(message))
+
+    def settle(self, name):
+        """Waits until calls go to this endpoint."""
+        before = self.calls_to(name)
+
+        def called():
+            self.put()
+            return self.calls_to(name) > before
+
+        wait_for("a call to " + name, called)
--- /dev/null
+++ b/tests/faults/state_test.py
@@ -0,0 +1,218 @@
+"""A folder that fails for a while, a kill in each write, a wall clock that steps.
+
+What was accepted is still owed: it is delivered or ends with a notice, once, and
+nothing that may not be repeated runs twice.
+"""
+
+import time
+import unittest
+
+import rig
+from rig import FaultTest, wait_for
+
+REJECTED = (503, {})
+RETRY_S = 5  # s; within which a folder that is well again is in use again
+
+
+class StateTest(FaultTest):
+    def reject_all(self):
+        for endpoint in self.endpoints.values():
+            endpoint.answer = lambda call: REJECTED
+
+    def take_all(self):
+        for endpoint in self.endpoints.values():
+            endpoint.calls.clear()
+            endpoint.answer = lambda call: (200, {})
+
+    def owe(self, count=3, **options):
+        """Accepted messages that a killed process left, none of which has run."""
+        self.reject_all()
+        forwarder = self.start()
+        owed = [self.put_accepted(**options) for _ in range(count)]
+        forwarder.end()
+        self.take_all()
+        return owed
+
+
+class FolderTest(StateTest):
+    def test_owed_messages_survive_a_start_at_which_the_folder_fails(self):
+        for call, error in (
+            ("open", "EIO"),
+            ("open", "EMFILE"),
+            ("pread", "EIO"),
+            ("fstat", "EIO"),
+        ):
+            for skip in (0, 1, 2, 5):
+                with self.subTest(call=call, error=error, skip=skip):
+                    owed = self.owe()
+                    self.faults.fail(call, error, skip=skip)
+                    forwarder = self.start()
+                    self.put()
+                    self.faults.end()
+                    for message in owed:
+                        wait_for("the call", lambda: self.calls_of(message))
+                    self.put_accepted()  # the folder is in use again
+                    self.assert_all_end()
+                    forwarder.end()
+
+    def test_a_start_on_a_folder_that_takes_no_writes_serves_later(self):
+        for call in ("pwrite", "ftruncate"):
+            for error in ("ENOSPC", "EIO", "EROFS"):
+                with self.subTest(call=call, error=error):
+                    (self.state / "spool").unlink(missing_ok=True)
+                    self.faults.fail(call, error)
+                    forwarder = self.start()
+                    self.put()
+                    self.faults.end()
+                    self.put_accepted()
+                    self.assert_all_end()
+                    forwarder.end()
+
+    def test_a_torn_tail_is_cut_and_kept_beside_the_spool(self):
+        owed = self.owe()
+        with open(self.state / "spool", "ab") as spool:
+            spool.write(b"\x20\x00\x00\x00torn")
+        self.start()
+        for message in owed:
+            wait_for("the call", lambda: self.calls_of(message))
+        self.assertIn(b"torn", (self.state / "spool.cut").read_bytes())
+
+    def test_a_file_that_is_no_spool_is_kept_aside(self):
+        (self.state / "spool").write_bytes(b"something else of the operators'")
+        self.start()
+        self.put_accepted()
+        self.assert_all_end()
+        kept = (self.state / "spool.cut").read_bytes()
+        self.assertIn(b"something else", kept)
+
+    def test_an_end_that_could_not_be_written_is_written_later(self):
+        """Else the next process would deliver the message again."""
+        for error in ("ENOSPC", "EIO"):
+            with self.subTest(error):
+                self.reject_all()
+                forwarder = self.start()
+                message = self.put_accepted()
+                wait_for("a call", lambda: self.calls_of(message))
+                rule = self.faults.fail("pwrite", error, skip=1)
+                self.take_all()
+                wait_for("the delivery", lambda: self.calls_of(message))
+                wait_for("the failed write", lambda: self.faults.hits(rule) > 0)
+                self.faults.end()
+                self.put_accepted()
+                self.assert_all_end()
+                time.sleep(RETRY_S / 2)  # what is written later has no sign outside
+                forwarder.end()
+                calls = len(self.calls_of(message))
+                second = self.start()
+                self.put_accepted()
+                self.assert_all_end()
+                self.assertEqual(len(self.calls_of(message)), calls)
+                second.end()
+
+    def test_a_full_disk_rejects_and_is_left_behind(self):
+        for call, error in (("pwrite", "ENOSPC"), ("rename", "EIO"), ("open", "EIO")):
+            with self.subTest(call=call, error=error):
+                forwarder = self.start()
+                self.put_accepted()
+                self.faults.fail(call, error)
+                for _ in range(20):
+                    self.put()
+                self.assertTrue(forwarder.alive())
+                self.faults.end()
+                self.put_accepted()
+                self.assert_all_end()
+                forwarder.end()
+
+    def test_short_transfers_are_completed(self):
+        for call in ("pread", "pwrite"):
+            with self.subTest(call):
+                owed = self.owe()
+                self.faults.fail(call, rig.SHORT, bytes_moved=3)
+                forwarder = self.start()
+                for message in owed:
+                    wait_for("the call", lambda: self.calls_of(message))
+                self.put_accepted()
+                self.assert_all_end()
+                self.faults.end()
+                forwarder.end()
+
+
+class KillTest(StateTest):
+    CLASS = {"effect": "side_effect"}  # may not run twice
+
+    def test_a_kill_in_each_write_loses_nothing_and_repeats_nothing(self):
+        for how in (rig.KILL_BEFORE, rig.KILL_HALFWAY, rig.KILL_AFTER):
+            for skip in range(4):
+                with self.subTest(how=how, skip=skip):
+                    forwarder = self.start()
+                    self.faults.fail("pwrite", how, skip=skip, bytes_moved=11)
+                    while forwarder.alive():
+                        self.put()
+                    self.faults.end()
+                    second = self.start()
+                    self.put_accepted()
+                    self.assert_all_end()
+                    for message in self.accepted:
+                        self.assertLessEqual(len(self.calls_of(message)), 1)
+                    second.end()
+
+
+class ClockTest(StateTest):
+    CLASS = {"dedup-window": 1_000_000_000}  # ns
+
+    def test_owed_messages_outlive_a_step_of_the_wall_clock(self):
+        for step in (2, -2, 3600, -3600):
+            with self.subTest(step):
+                self.faults.step_clock(0)
+                owed = self.owe(left_ms=20000)
+                self.faults.step_clock(step)
+                forwarder = self.start()
+                for message in owed:
+                    wait_for("the call", lambda: self.calls_of(message))
+                    self.assertEqual(self.notices_of(message), [])
+                forwarder.end()
+
+    def test_a_step_while_running_changes_nothing_for_the_next_process(self):
+        for step in (2, -2, 3600, -3600):
+            with self.subTest(step):
+                self.faults.step_clock(0)
+                self.reject_all()
+                forwarder = self.start()
+                before = self.put_accepted()
+                self.faults.step_clock(step)
+                after = self.put_accepted()
+                forwarder.end()
+                self.take_all()
+                forwarder = self.start()
+                for message in (before, after):
+                    wait_for("the call", lambda: self.calls_of(message))
+                    self.assertEqual(self.notices_of(message), [])
+                forwarder.end()
+
+    def test_a_step_does_not_reopen_the_window_of_repeats(self):
+        """An attempt that may have run is not repeated once its key is forgotten,
+        however the wall clock was stepped meanwhile."""
+        for step in (-2, -3600):
+            with self.subTest(step):
+                self.faults.step_clock(0)
+                hanging = []
+                for endpoint in self.endpoints.values():
+                    endpoint.calls.clear()
+                    endpoint.answer = lambda call: hanging.append(call) or b""
+                forwarder = self.start()
+                message = self.put_accepted(left_ms=20000)
+                wait_for("a call", lambda: self.calls_of(message))
+                forwarder.end()
+                calls = len(self.calls_of(message))
+                time.sleep(1.1)  # the window itself, in real time
+                self.faults.step_clock(step)
+                for endpoint in self.endpoints.values():
+                    endpoint.answer = lambda call: (200, {})
+                forwarder = self.start()
+                wait_for("the notice", lambda: self.notices_of(message))
+                self.assertEqual(len(self.calls_of(message)), calls)
+                forwarder.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
