Call a message with next to no time left alone, not in a batch

Cause: 50 ms before its first deadline a batch was cancelled, and the policy could send its messages again in a batch that had no time at all (CallTracker::AddToOpenBatch looked at sizes alone): the other message lost an attempt. A batch now keeps at least 50 ms beside its margin of 50 ms.

Without the line the new case of call_tracker_test.cpp fails with sizes {4, 1}.

--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -21,10 +21,6 @@
 constexpr std::size_t kDefaultConcurrentCalls = 32;  // where the settings have no maximum
 constexpr std::size_t kMaxHealthChecks = 16;         // beside the concurrent calls
 constexpr std::size_t kIdleConnectionDivisor = 16;   // a sixteenth of the descriptors
-// A batch times out this long before the first deadline of its messages. Clients and the platform
-// count the deadline from the submission, and the engine from the moment it saw it; an answer
-// between the two would be taken here for a delivery that the platform does not count.
-constexpr milliseconds kBatchTimeoutMargin{50};
 constexpr const char* kHealthCheckPath = "/-/healthy";
 // The comma behind an item of a batch, and the brackets around all, at most.
 constexpr std::size_t kBatchItemOverheadBytes = 2;
@@ -161,7 +157,7 @@
     const InFlightMessage& message = *context_.messages.Find(attempt.message);
     items.push_back({message.client_id, message.key, message.body});
   }
-  if (items.size() > 1) call.deadline -= kBatchTimeoutMargin;
+  if (items.size() > 1) call.deadline -= CallTracker::kBatchTimeoutMargin;
   const milliseconds time_left = std::max(CeilToMs(call.deadline - now), milliseconds(0));
   call.started_at = now;
   context_.latencies.start.Add(now - call.decided_at);
--- a/src/forwarder/call_tracker.cpp
+++ b/src/forwarder/call_tracker.cpp
@@ -37,6 +37,8 @@
   PendingCall& call = calls_.at(open->second);
   if (call.attempts.size() >= decided.max_batch) return false;
   if (call.batch_bytes + decided.bytes > kMaxBodyBytes) return false;
+  const Time first_deadline = std::min(call.deadline, decided.deadline);
+  if (first_deadline - decided.decided_at < kBatchTimeoutMargin + kMinBatchTime) return false;
   call.attempts.push_back(std::move(decided.attempt));
   call.batch_bytes += decided.bytes;
   call.start_by = std::min(call.start_by, decided.start_by);
--- a/src/forwarder/call_tracker.hpp
+++ b/src/forwarder/call_tracker.hpp
@@ -4,6 +4,7 @@
 #ifndef BRASSFRONT_FORWARDER_CALL_TRACKER_HPP_
 #define BRASSFRONT_FORWARDER_CALL_TRACKER_HPP_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -62,6 +63,14 @@
   using EndpointId = dispatch_policy::EndpointId;
   using MessageId = dispatch_policy::MessageId;
 
+  // A batch times out this long before the first deadline of its messages. Clients and the platform
+  // count the deadline from the submission, and the engine from the moment it saw it; an answer
+  // between the two would be taken here for a delivery that the platform does not count.
+  static constexpr std::chrono::milliseconds kBatchTimeoutMargin{50};
+  // A batch has at least this much time besides. A message with less is called alone: in a batch it
+  // would spend an attempt of all the others.
+  static constexpr std::chrono::milliseconds kMinBatchTime{50};
+
   // What StartReadyCalls needs to know and to have done. It must not call the tracker.
   class Starter {
    public:
--- a/tests/forwarder/call_tracker_test.cpp
+++ b/tests/forwarder/call_tracker_test.cpp
@@ -88,6 +88,24 @@
   CHECK(starter.sizes == std::vector<std::size_t>{2, 1});
 }
 
+TEST_CASE_FIXTURE(TrackerFixture, "a message with next to no time left shares no call") {
+  const auto least = CallTracker::kBatchTimeoutMargin + CallTracker::kMinBatchTime;
+  DecidedAttempt brief = Attempt(1, 4);
+  brief.deadline = kStart + least - milliseconds(1);
+  tracker.AddAttempt(brief);          // alone, though it came first
+  tracker.AddAttempt(Attempt(2, 4));  // begins the next call
+  brief.attempt.message = 3;
+  tracker.AddAttempt(brief);  // does not join it
+  DecidedAttempt enough = Attempt(4, 4);
+  enough.deadline = kStart + least;
+  tracker.AddAttempt(Attempt(5, 4));
+  tracker.AddAttempt(enough);
+  Start();
+  for (const CallId call : starter.started) (void)tracker.Complete(call);
+  Start();
+  CHECK(starter.sizes == std::vector<std::size_t>{1, 1, 1, 2});
+}
+
 TEST_CASE_FIXTURE(TrackerFixture, "a batch has the earliest times of its attempts") {
   tracker.AddAttempt(Attempt(1, 4));
   DecidedAttempt brief = Attempt(2, 4);
