--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -18,13 +18,16 @@
 
 
 class Toy(socketserver.ThreadingTCPServer):
-    """Records what it is sent in `calls` and `notices`; `answer` sets its replies."""
+    """Records what it is sent in `calls` and `notices`; `answer` sets its replies.
+
+    At revision 0 it has no list, and forwarders go on with that of their configuration.
+    """
 
     allow_reuse_address = True
     daemon_threads = True
     request_queue_size = 64
 
-    def __init__(self, port=0, members=(), revision=1):
+    def __init__(self, port=0, members=(), revision=0):
         super().__init__(("127.0.0.1", port), Handler)
         self.changed = threading.Condition()
         self.revision = revision
@@ -205,7 +208,7 @@
     if given.command == "put":
         print("%s %s" % Client(given.to).put(given.dest, given.body))
         return
-    toy = Toy(given.port, revision=1).start()
+    toy = Toy(given.port).start()
     print("endpoints, discovery and notices at", toy.address, flush=True)
     while True:
         with toy.changed:
--- a/include/dispatch_policy/dispatch_policy.hpp
+++ b/include/dispatch_policy/dispatch_policy.hpp
@@ -14,7 +14,7 @@
 //  * Ids are the caller's and are not used again: a message id or endpoint id names one thing for
 //    good.
 //  * A message that outlasts the process is passed to the next DispatchPolicy as MessageRestored,
-//    before or in the first Decide after the endpoint list; its attempts are numbered from 0 again.
+//    not before the first endpoint list; its attempts are numbered from 0 again.
 #ifndef DISPATCH_POLICY_DISPATCH_POLICY_HPP_
 #define DISPATCH_POLICY_DISPATCH_POLICY_HPP_
 
--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "observe/log.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront {
 namespace {
@@ -121,11 +122,15 @@
 }
 
 void ForwarderService::StartClientServer() {
-  Socket listener = Listen(config_.listen);
-  if (!listener.is_open()) {
-    throw ConfigError("cannot listen on " + config_.listen + ": " + std::strerror(errno));
+  Socket listener;
+  const bool listening = RetryAtStart(SystemCall::kBind, [&] {
+    listener = Listen(config_.listen, AcceptMode::kNonBlocking);
+    return listener.is_open();
+  });
+  if (!listening) {
+    throw UnavailableError("cannot listen on " + config_.listen + ": " + std::strerror(errno));
   }
-  address_ = AddressOf(listener);
+  address_ = LocalAddress(listener);
   if (sources_) {
     sources_->Start([this](MemberList list) { SetEndpoints(FilterEndpoints(std::move(list))); });
   }
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 #include "cli/optional_features.hpp"
@@ -18,6 +19,11 @@
 
 namespace brassfront {
 
+// The forwarder cannot serve here and now, though its files are good.
+class UnavailableError : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 struct ServeOptions {
   std::string config_path;
   std::string state_folder;
@@ -29,7 +35,7 @@
  public:
   // Reads the files, recovers the spool, and takes clients from then on. The signals that end the
   // process must be blocked before, since this starts threads. Throws what the files' readers
-  // throw, ConfigError if it cannot listen, and std::runtime_error.
+  // throw, UnavailableError if it cannot listen, and std::runtime_error.
   explicit ForwarderService(const ServeOptions& options);
   ForwarderService(const ForwarderService&) = delete;
   ForwarderService& operator=(const ForwarderService&) = delete;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "cli/command.hpp"
+#include "system/standard_descriptors.hpp"
 
 namespace brassfront {
 
@@ -92,6 +93,8 @@
 }  // namespace brassfront
 
 int main(int argc, char** argv) {
+  brassfront::OpenStandardDescriptors();
+  brassfront::IgnoreWriteSignals();
   // Hundreds of threads: an arena for each few of them would cost more memory than their stacks.
   mallopt(M_ARENA_MAX, 2);
   try {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,10 +1,10 @@
 // `brassfront serve`: reads its command line, runs the forwarder and carries out signals.
 #include <pthread.h>
+#include <sysexits.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <csignal>
-#include <cstdlib>
 #include <cstring>
 #include <cxxopts.hpp>
 #include <optional>
@@ -15,6 +15,7 @@
 #include "concurrency/thread.hpp"
 #include "config/config.hpp"
 #include "observe/log.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront {
 namespace {
@@ -32,10 +33,11 @@
 }
 
 int Serve(const ServeOptions& options) {
+  static_cast<void>(StartupDeadline());  // counts from here
   const sigset_t signals = BlockSignals();
   ForwarderService service(options);
   std::atomic<bool> over{false};
-  Thread signal_thread("signals", [&] {
+  Thread signal_thread = Thread::Require("signals", [&] {
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && !over) {
       observe::Log(Concern::kService, Level::kInfo, "signal received",
@@ -57,6 +59,13 @@
   return 0;
 }
 
+// By sysexits.h.
+int ExitStatus(const std::exception& error) {
+  if (dynamic_cast<const ConfigError*>(&error) != nullptr) return EX_CONFIG;
+  if (dynamic_cast<const UnavailableError*>(&error) != nullptr) return EX_UNAVAILABLE;
+  return EX_OSERR;
+}
+
 void SetUpLog(const std::string& format, const std::string& level) {
   observe::LogOptions options;
   if (!observe::ParseFormat(format, options.format)) {
@@ -96,8 +105,9 @@
                   .sources_path = given["sources"].as<std::string>(),
                   .roster_path = given["fleet"].as<std::string>()});
   } catch (const std::exception& error) {
-    LogExit(error.what(), EXIT_FAILURE);
-    return EXIT_FAILURE;
+    const int status = ExitStatus(error);
+    LogExit(error.what(), status);
+    return status;
   }
 }
 
--- a/src/concurrency/thread.hpp
+++ b/src/concurrency/thread.hpp
@@ -4,11 +4,15 @@
 
 #include <pthread.h>
 
+#include <cerrno>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
+#include "system/retry.hpp"
+
 namespace brassfront {
 
 // Owns a running thread and joins it at its end. For one thread at a time.
@@ -22,18 +26,32 @@
 
   // No thread.
   Thread() = default;
-  // Starts a thread that runs the body. The system's tools show the name, up to 15 bytes of it.
+  // Starts a thread without which the process is of no use: waits out a shortage of threads for as
+  // long as a start may take. Throws std::runtime_error then.
+  [[nodiscard]] static Thread Require(const char* name, const std::function<void()>& body) {
+    Thread thread;
+    const bool started = RetryAtStart(SystemCall::kStartThread, [&] {
+      thread = Thread(name, body);
+      return thread.started();
+    });
+    if (!started) throw std::runtime_error("no room for a thread");
+    return thread;
+  }
+  // Starts a thread that runs the body; if the system can't start it, errno tells why. The system's
+  // tools show the name, up to 15 bytes of it.
   Thread(const char* name, std::function<void()> body) {
     auto owned_body = std::make_unique<std::function<void()>>(std::move(body));
     pthread_attr_t attributes;
     pthread_attr_init(&attributes);
     pthread_attr_setstacksize(&attributes, kStackBytes);
-    started_ = pthread_create(&thread_, &attributes, Run, owned_body.get()) == 0;
+    const int error = pthread_create(&thread_, &attributes, Run, owned_body.get());
+    started_ = error == 0;
     if (started_) {
       static_cast<void>(owned_body.release());  // the thread owns it now
       pthread_setname_np(thread_, name);
     }
     pthread_attr_destroy(&attributes);
+    if (!started_) errno = error;
   }
   ~Thread() { Join(); }
   Thread(Thread&& other) noexcept { *this = std::move(other); }
--- a/src/concurrency/thread_pool.hpp
+++ b/src/concurrency/thread_pool.hpp
@@ -34,9 +34,10 @@
   ThreadPool(const char* name, const Size& size, std::function<void(T)> handler)
       : name_(name), size_(size), handler_(std::move(handler)) {
     const std::lock_guard lock(mutex_);
+    const bool started = RetryAtStart(SystemCall::kStartThread, [this] { return StartThread(); });
+    if (!started) throw std::runtime_error("no room for a thread");
     while (workers_.size() < size_.min_threads && StartThread()) {
     }
-    if (workers_.empty()) throw std::runtime_error("no room for a thread");
   }
   // Returns once all values have been handled.
   ~ThreadPool() {
@@ -77,7 +78,9 @@
     Worker& worker = workers_.emplace_back();
     worker.thread = Thread(name_, [this, &worker] { Serve(worker); });
     if (worker.thread.started()) return true;
+    const int error = errno;
     workers_.pop_back();
+    errno = error;
     return false;
   }
 
--- a/src/fleet/control_server.cpp
+++ b/src/fleet/control_server.cpp
@@ -65,8 +65,7 @@
       listener_(NewControlSocket()),
       stop_event_(eventfd(0, EFD_CLOEXEC)) {
   Bind(folder);
-  thread_ = Thread("control", [this] { Serve(); });
-  if (!thread_.started()) throw std::runtime_error("no room for a thread");
+  thread_ = Thread::Require("control", [this] { Serve(); });
 }
 
 ControlServer::~ControlServer() {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -74,8 +74,7 @@
   static_cast<void>(duty_executor_.Execute(known_state_.get(), Now()));
   control_server_ = std::make_unique<ControlServer>(
       folder_, [this](const ControlRequest& request) { return HandleControlRequest(request); });
-  thread_ = Thread("fleet", [this] { Run(); });
-  if (!thread_.started()) throw std::runtime_error("no room for a thread");
+  thread_ = Thread::Require("fleet", [this] { Run(); });
   observe::Log(Concern::kFleet, Level::kInfo, "fleet member",
                {{"name", self_name_},
                 {"fleet", roster_.roster().fleet},
--- a/src/fleet/peer_transport.cpp
+++ b/src/fleet/peer_transport.cpp
@@ -43,7 +43,7 @@
   if (!socket_.is_open()) {
     throw std::runtime_error("cannot take datagrams at " + address + ": " + std::strerror(errno));
   }
-  DoNotWait(socket_);
+  SetNonBlocking(socket_);
 }
 
 void PeerTransport::ReceiveFrames(Time now,
--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -109,6 +109,7 @@
     : context_(context),
       set_deadline_(std::move(set_deadline)),
       calls_(MaxConcurrentCalls(context.config)),
+      known_list_hold_(Now()),
       endpoint_client_(ClientOptions(context.config), buffers, std::move(on_result)) {}
 
 void CallDispatcher::StartHealthCheck(const dispatch_policy::StartHealthCheck& action,
@@ -146,12 +147,16 @@
   return context_.messages.Find(message)->acknowledged;
 }
 
+bool CallDispatcher::IsHeld(const PendingCall& call, Time now) const {
+  return known_list_hold_.Holds(call.decided_at, std::min(call.start_by, call.deadline), now);
+}
+
 bool CallDispatcher::Start(CallId id, PendingCall& call, Time now) {
   const Endpoint& endpoint = context_.endpoints.At(call.endpoint);
   std::vector<CallItem> items;
   for (PendingAttempt& attempt : call.attempts) {
-    const auto spool_index =
-        context_.messages.BeginAttempt(attempt.message, endpoint, now, UnixNow());
+    const auto spool_index = context_.messages.BeginAttempt(attempt.message, endpoint, now,
+                                                            context_.messages.SpoolTime());
     if (!spool_index) return false;
     attempt.spool_index = *spool_index;
     const InFlightMessage& message = *context_.messages.Find(attempt.message);
--- a/src/forwarder/clock.hpp
+++ b/src/forwarder/clock.hpp
@@ -1,22 +1,17 @@
-// The engine's clocks and the conversions between them. The dispatch policy counts nanoseconds of
-// the steady clock; the spool counts Unix milliseconds, because the steady clock does not survive a
-// restart.
+// The engine's clock and its conversions. The dispatch policy counts nanoseconds of the steady
+// clock; what is stored counts by the spool's clock (spool/spool_clock.hpp), never by the wall
+// clock.
 #ifndef BRASSFRONT_FORWARDER_CLOCK_HPP_
 #define BRASSFRONT_FORWARDER_CLOCK_HPP_
 
 #include <chrono>
 
 #include "dispatch_policy/settings.hpp"
-#include "spool/spool.hpp"
 
 namespace brassfront {
 
 inline dispatch_policy::Time Now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
-inline UnixMs UnixNow() {
-  return std::chrono::duration_cast<UnixMs>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 inline std::chrono::steady_clock::time_point ToTimePoint(dispatch_policy::Time time) {
   return std::chrono::steady_clock::time_point(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(time));
--- a/src/forwarder/endpoint_sources.cpp
+++ b/src/forwarder/endpoint_sources.cpp
@@ -189,7 +189,7 @@
     on_list_ = std::move(on_list);
     PublishChanges();
   }
-  thread_ = Thread("sources", [this] { RunTimer(); });
+  thread_ = Thread::Require("sources", [this] { RunTimer(); });
 }
 
 void EndpointSources::Stop() {
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr double kMaxBodyMemoryShare = 0.25;  // of the memory, for bodies in flight
 constexpr milliseconds kHousekeepingInterval{1000};
+constexpr milliseconds kHoldCheckInterval{5};  // while calls are held back
+constexpr std::uint64_t kWholeList = 0;        // the revision to watch from in a new process
 constexpr milliseconds kMetricsLineInterval{60'000};
 
 MessageTable::Limits MessageLimits(const Config& config) {
@@ -57,7 +59,7 @@
           config.discovery, buffers,
           [this](MessageId message) { loop_.Push(NotificationConfirmed{message}); }),
       discovery_watcher_(
-          config.discovery, config.known.revision,
+          config.discovery, kWholeList,
           {.size = config.policy_settings.group_size, .seed = config.seed}, buffers,
           divert ? std::move(divert) : [this](MemberList list) { SetEndpoints(std::move(list)); }) {
   loop_.SetDeadline(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
@@ -120,25 +122,38 @@
 
 void Engine::Restore(const MemberList& known) {
   const Time now = Now();
-  const UnixMs unix_now = UnixNow();
   policy_events_.emplace_back(endpoints_.Apply(known, now));
-  for (RecoveredMessage& recovered : spool_.Recover()) {
-    RestoreMessage(std::move(recovered), now, unix_now);
-  }
+  RestoreMessages(now);
   observe::Log(Concern::kEngine, Level::kInfo, "restored", {{"messages", messages_.deliverable()}});
   Decide(now);
 }
 
-void Engine::RestoreMessage(RecoveredMessage recovered, Time now, UnixMs unix_now) {
+// Takes over what the spool owes and could be read by now. Returns how many messages.
+std::size_t Engine::RestoreMessages(Time now) {
+  std::vector<RecoveredMessage> messages = spool_.Recover();
+  const UnixMs spool_now = spool_.Now();
+  for (RecoveredMessage& recovered : messages) {
+    RestoreMessage(std::move(recovered), now, spool_now);
+  }
+  return messages.size();
+}
+
+void Engine::RestoreMessage(RecoveredMessage recovered, Time now, UnixMs spool_now) {
   dispatch_policy::MessageRestored event;
   event.message = recovered.number;
   event.destination = recovered.message.destination;
   event.message_class = IndexOf(config_.class_names, recovered.message.class_name);
-  event.time_left = recovered.message.deadline - unix_now;
+  event.time_left = recovered.message.deadline - spool_now;
+  // Where the machine was started anew, the wall clock may have put the deadline anywhere.
+  if (event.message_class < config_.policy_settings.classes.size()) {
+    const Duration longest = config_.policy_settings.classes[event.message_class].deadline;
+    event.time_left = std::min(event.time_left, longest);
+  }
   event.attempts_used = recovered.attempts.size();
   for (const SpooledAttempt& attempt : recovered.attempts) {
     if (attempt.known_not_run || event.may_have_run) continue;
-    event.may_have_run = now - (unix_now - attempt.started_at);
+    const Duration age = std::max(spool_now - attempt.started_at, UnixMs(0));
+    event.may_have_run = std::max(now - age, Time{});
     event.ran_on_endpoint = endpoints_.FindOrAddId(attempt.endpoint);
   }
   messages_.AddRestored(std::move(recovered), event.time_left, now);
@@ -169,9 +184,11 @@
 }
 
 Engine::Time Engine::NextWakeUp() const {
-  const Time next_overdue = messages_.NextOverdue();
-  if (policy_events_.empty()) return next_overdue;
-  return std::min(next_overdue, last_decision_ + config_.policy_settings.decision_interval);
+  Time next = messages_.NextOverdue();
+  const Time now = Now();
+  if (call_dispatcher_.HoldsCalls(now)) next = std::min<Time>(next, now + kHoldCheckInterval);
+  if (policy_events_.empty()) return next;
+  return std::min(next, last_decision_ + config_.policy_settings.decision_interval);
 }
 
 void Engine::Decide(Time now) {
@@ -217,6 +234,7 @@
 
 void Engine::DoHousekeeping() {
   PublishMetrics();
+  RetrySpool();
   call_dispatcher_.CloseExpiredIdle();
   for (const auto endpoint :
        endpoints_.ForgetRemoved(Now(), call_dispatcher_.calls().EndpointsInUse())) {
@@ -226,6 +244,14 @@
   loop_.SetDeadline(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
 }
 
+// Tries again what failed on the folder, and takes over what could not be read before.
+void Engine::RetrySpool() {
+  spool_.Retry();
+  const std::size_t restored = RestoreMessages(Now());
+  if (restored == 0) return;
+  observe::Log(Concern::kEngine, Level::kInfo, "restored late", {{"messages", restored}});
+}
+
 void Engine::PublishMetrics() {
   observe::SetGauge("messages_in_flight", {}, static_cast<std::int64_t>(messages_.size()));
   observe::SetGauge("messages_overdue_total", {}, static_cast<std::int64_t>(messages_.overdue()));
@@ -349,6 +375,8 @@
 // ======== endpoints ========
 
 void Engine::On(const MemberList& list) {
+  // Discovery has answered, if only with what was known.
+  if (list.source == ListSource::kDiscovery) call_dispatcher_.EndKnownListHold();
   if (endpoints_.IsStale(list)) {
     observe::LogSeldom(Concern::kEngine, Level::kWarning, "endpoint list refused",
                        {{"reason", "older than the one in use"},
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -123,7 +123,9 @@
   void Apply(const dispatch_policy::SubscribeToEndpointList&) {}  // the watch is always open
   void Apply(const dispatch_policy::LogMessage& action);
 
-  void RestoreMessage(RecoveredMessage recovered, Time now, UnixMs unix_now);
+  std::size_t RestoreMessages(Time now);
+  void RestoreMessage(RecoveredMessage recovered, Time now, UnixMs spool_now);
+  void RetrySpool();
   [[nodiscard]] Time NextWakeUp() const;
   bool RejectSubmission(MessageId message, SubmitResult result);
   void GiveUp(MessageId message, Notification notification);
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -11,8 +11,21 @@
 using observe::Concern;
 using observe::Level;
 
+namespace {
+
+// While the spool can't be read, its numbers are not known. Ids are taken from far above them then;
+// no two processes begin at the same one.
+MessageTable::MessageId FirstIdWithoutSpool(const Spool& spool) {
+  constexpr MessageTable::MessageId kFarAbove = MessageTable::MessageId{1} << 52;
+  return kFarAbove + static_cast<MessageTable::MessageId>(spool.Now().count()) * 1024;
+}
+
+}  // namespace
+
 MessageTable::MessageTable(Spool& spool, const Limits& limits)
-    : spool_(spool), limits_(limits), next_id_(spool.next_number()) {}
+    : spool_(spool),
+      limits_(limits),
+      next_id_(spool.is_available() ? spool.next_number() : FirstIdWithoutSpool(spool)) {}
 
 bool MessageTable::HasClientId(const std::string& client_id) const {
   return ids_by_client_id_.count(client_id) != 0;
@@ -31,6 +44,7 @@
 
 void MessageTable::AddRestored(RecoveredMessage message, Duration time_left, Time now) {
   const std::size_t attempts = message.attempts.size();
+  next_id_ = std::max(next_id_, message.number + 1);
   Insert(message.number, {.client_id = std::move(message.message.id),
                           .key = std::move(message.message.key),
                           .body = std::move(message.message.body),
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -86,6 +86,9 @@
 
   // ---- all messages ----
 
+  // The time to be recorded for what happens now.
+  [[nodiscard]] UnixMs SpoolTime() const { return spool_.Now(); }
+
   // Writes the messages that are overdue by `now` to the log.
   void LogOverdue(Time now);
   [[nodiscard]] Time NextOverdue() const { return trace_.NextOverdue(); }
--- a/src/forwarder/submission_queue.cpp
+++ b/src/forwarder/submission_queue.cpp
@@ -27,7 +27,7 @@
 std::vector<SubmissionQueue::MessageId> SubmissionQueue::AcceptAll(MessageTable& messages) {
   std::vector<MessageId> rejected;
   for (auto& [message, submission] : submissions_) {
-    const UnixMs unix_now = UnixNow();
+    const UnixMs unix_now = messages.SpoolTime();
     const dispatch_policy::Time now = Now();
     latencies_.accept.Add(now - submission.submitted_at);
     if (messages.Persist(message, std::move(submission.request), submission.submitted_at, now,
--- a/src/nameserver/host.cpp
+++ b/src/nameserver/host.cpp
@@ -82,7 +82,7 @@
     hosted.following = std::make_unique<SecondaryZone>(
         *hosted.followed, zones_mutex_, std::move(ask), hosted.kept_age, std::move(with_notices));
   }
-  thread_ = Thread("dns-files", [this] { Work(); });
+  thread_ = Thread::Require("dns-files", [this] { Work(); });
 }
 
 Host::~Host() {
--- a/src/nameserver/secondary_zone.cpp
+++ b/src/nameserver/secondary_zone.cpp
@@ -26,7 +26,7 @@
     const dns::Record soa = zone_.zone().Soa();
     session_.Start(zone_.zone().serial(), dns::SoaTimers::Of(soa.rdata), age, SteadySeconds());
   }
-  thread_ = Thread("dns-follow", [this] { Follow(); });
+  thread_ = Thread::Require("dns-follow", [this] { Follow(); });
 }
 
 SecondaryZone::~SecondaryZone() {
--- a/src/nameserver/server.cpp
+++ b/src/nameserver/server.cpp
@@ -51,7 +51,7 @@
   for (int attempt = 0; attempt < kPortTries && !datagrams_.is_open(); ++attempt) {
     listener_ = Listen(options_.address);
     if (!listener_.is_open()) break;
-    address_ = AddressOf(listener_);
+    address_ = LocalAddress(listener_);
     datagrams_ = BindDatagrams(address_);
     if (!datagrams_.is_open() && !options_.address.ends_with(":0")) break;
   }
@@ -59,14 +59,14 @@
   if (!datagrams_.is_open() || wake_ < 0) {
     throw std::runtime_error("cannot listen on " + options_.address + ": " + std::strerror(errno));
   }
-  DoNotWait(listener_);
+  SetNonBlocking(listener_);
   threads_ = std::make_unique<ThreadPool<std::shared_ptr<Connection>>>(
       "dns-answer",
       ThreadPool<std::shared_ptr<Connection>>::Size{1, kStreamThreads, milliseconds(2000)},
       [this](std::shared_ptr<Connection> connection) { ServeOne(std::move(connection)); });
-  datagram_thread_ = Thread("dns-udp", [this] { ServeDatagrams(); });
-  stream_thread_ = Thread("dns-tcp", [this] { ServeStreams(); });
-  notice_thread_ = Thread("dns-notice", [this] { SendNotices(); });
+  datagram_thread_ = Thread::Require("dns-udp", [this] { ServeDatagrams(); });
+  stream_thread_ = Thread::Require("dns-tcp", [this] { ServeStreams(); });
+  notice_thread_ = Thread::Require("dns-notice", [this] { SendNotices(); });
 }
 
 Server::~Server() {
@@ -213,7 +213,7 @@
   while (!stopping_) {
     Socket socket = Accept(listener_);
     if (!socket.is_open()) return;
-    const std::string peer = PeerOf(socket);
+    const std::string peer = PeerAddress(socket);
     bool full = false;
     {
       const std::lock_guard lock(state_mutex_);
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -6,11 +6,11 @@
 #include <cerrno>
 #include <optional>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 #include <vector>
 
 #include "protocol/resp.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront {
 namespace {
@@ -54,11 +54,9 @@
           "client",
           {.min_threads = std::min(kMinWorkers, limits.workers), .max_threads = limits.workers},
           [this](ClientConnection* connection) { ServeCommands(*connection); }) {
-  DoNotWait(listener_);
   poller_.Watch(listener_.fd(), kListenerToken);
   poller_.Watch(wakeup_.fd(), kWakeupToken);
-  poll_thread_ = Thread("client-poll", [this] { RunPollLoop(); });
-  if (!poll_thread_.started()) throw std::runtime_error("no room for a thread");
+  poll_thread_ = Thread::Require("client-poll", [this] { RunPollLoop(); });
 }
 
 ClientServer::~ClientServer() {
@@ -94,19 +92,30 @@
   std::optional<milliseconds> timeout;
   while (true) {
     const auto ready = poller_.Wait(timeout);
-    const std::lock_guard lock(mutex_);
-    if (stopping_) {
-      CloseAllNotServing();
-      return;
+    AcceptResult accepted = AcceptResult::kDone;
+    {
+      const std::lock_guard lock(mutex_);
+      if (stopping_) {
+        CloseAllNotServing();
+        return;
+      }
+      for (const Poller::Token token : ready) {
+        if (token == kListenerToken) {
+          accepted = AcceptConnections();
+        } else {
+          HandleReady(token);
+        }
+      }
+      RearmUnwatched();
+      CloseExpired(std::chrono::steady_clock::now());
+      timeout = connections_.empty() ? std::nullopt : std::optional(kExpiryCheckInterval);
     }
-    for (const Poller::Token token : ready) HandleReady(token);
-    CloseExpired(std::chrono::steady_clock::now());
-    timeout = connections_.empty() ? std::nullopt : std::optional(kExpiryCheckInterval);
+    // The listener stays ready meanwhile. Not with the mutex held, which every worker needs.
+    if (accepted == AcceptResult::kFailed) Pause(kAcceptRetryDelay);
   }
 }
 
 void ClientServer::HandleReady(Poller::Token token) {
-  if (token == kListenerToken) return AcceptConnections();
   if (token == kWakeupToken) {
     wakeup_.Clear();
     if (ClosesBetweenCommands()) CloseBetweenCommands();
@@ -117,12 +126,14 @@
   ReadOnce(*connection);
 }
 
-void ClientServer::AcceptConnections() {
+ClientServer::AcceptResult ClientServer::AcceptConnections() {
   for (std::size_t i = 0; i < kMaxAcceptsPerWakeup; ++i) {
     Socket socket = Accept(listener_);
     if (!socket.is_open()) {
-      if (errno != EAGAIN) std::this_thread::sleep_for(kAcceptRetryDelay);
-      return;
+      if (errno == EAGAIN) return AcceptResult::kDone;
+      // One that ended before it was accepted says nothing about the next.
+      if (Classify(SystemCall::kAccept, errno) == ErrorClass::kPeer) continue;
+      return AcceptResult::kFailed;
     }
     const SteadyTime now = std::chrono::steady_clock::now();
     if (connections_.size() >= limits_.connections && !EvictOne(now)) {
@@ -130,10 +141,12 @@
       continue;
     }
     ClientConnection& connection = connections_.Add(std::move(socket), now);
-    // One that can't be watched is closed at its deadline.
-    poller_.WatchOneShot(connection.socket.fd(), connection.id);
+    if (!poller_.WatchOneShot(connection.socket.fd(), connection.id)) {
+      unwatched_.insert(connection.id);
+    }
     connections_.Schedule(connection, now + limits_.command);
   }
+  return AcceptResult::kDone;
 }
 
 // Makes way for a new connection; false if no other may be closed yet.
@@ -275,9 +288,19 @@
   Remove(connection, reason);
 }
 
-// One that can't be watched is closed at its deadline.
 void ClientServer::Rearm(ClientConnection& connection) {
-  poller_.RearmOneShot(connection.socket.fd(), connection.id);
+  if (poller_.RearmOneShot(connection.socket.fd(), connection.id)) return;
+  unwatched_.insert(connection.id);
+}
+
+// For want of memory the system may have refused to watch a connection: it is asked again.
+void ClientServer::RearmUnwatched() {
+  for (const ClientConnectionId id : std::exchange(unwatched_, {})) {
+    ClientConnection* const connection = connections_.Find(id);
+    if (connection == nullptr || connection->state == ClientConnection::State::kServing) continue;
+    const int fd = connection->socket.fd();
+    if (!poller_.RearmOneShot(fd, id) && !poller_.WatchOneShot(fd, id)) unwatched_.insert(id);
+  }
 }
 
 void ClientServer::Remove(ClientConnection& connection, CloseReason reason) {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
+#include <set>
 
 #include "acceptance/message_acceptor.hpp"
 #include "concurrency/thread.hpp"
@@ -74,7 +75,8 @@
   // ---- the poll loop's, with the mutex held ----
   void RunPollLoop();
   void HandleReady(Poller::Token token);
-  void AcceptConnections();
+  enum class AcceptResult { kDone, kFailed };
+  AcceptResult AcceptConnections();
   bool EvictOne(SteadyTime now);
   bool FinishOldestLingering();
   bool ReadOnce(ClientConnection& connection);
@@ -90,6 +92,7 @@
   void BeginLingeringClose(ClientConnection& connection, CloseReason reason);
   void CloseWithoutPollLoop(ClientConnection& connection, CloseReason reason, SteadyTime deadline);
   void Rearm(ClientConnection& connection);
+  void RearmUnwatched();
   void Remove(ClientConnection& connection, CloseReason reason);
 
   // ---- a worker's, without the mutex ----
@@ -107,6 +110,7 @@
   bool draining_ = false;
   bool stopping_ = false;
   ClientConnectionTable connections_;
+  std::set<ClientConnectionId> unwatched_;  // the poller could not be told of their next input
 
   // Destroyed first, the poll loop before the workers.
   ThreadPool<ClientConnection*> workers_;
--- a/src/net/discovery_timeouts.hpp
+++ b/src/net/discovery_timeouts.hpp
@@ -4,14 +4,18 @@
 // reachable, whatever became of the requests before. The longest time from that moment to the next
 // request, on each path:
 //
-//   5 s:   the connection is silent, stops in the middle of a chunk, sends bytes without an end of
-//          line, or does not come up. It is given up kSilenceTimeout after the last complete line
-//          or the start of the request, and the delay ends kPollInterval after that moment.
+//   5 s:   the connection is silent, stops in the middle of a chunk, sends bytes that complete no
+//          list, or does not come up. It is given up kSilenceTimeout after the last complete list
+//          or empty line or the start of the request, and the delay ends kPollInterval after that
+//          moment.
 //   5 s:   the request is refused, rejected or cut off, or discovery is back after being down: the
 //          delay is the same.
-//   5 s:   the start with an outdated list.
-//   2.5 s: discovery has moved to another address, where changes must be known within 4 s. A move
-//          within the initial delay waits for its end.
+//   2.5 s: discovery has moved to another address, where changes must be known within 4 s.
+//
+// A start is another matter: what the agent on this machine has counts as known from the first
+// moment of a process, so the first request is made at once, by all forwarders of a group, for the
+// whole list; and no call is made by the list of the configuration until it is answered, or
+// discovery has not answered for KnownListHold::kMaxHold (forwarder/known_list_hold.hpp).
 //
 // The request is answered at once then; the remaining time is for a busy machine.
 #ifndef BRASSFRONT_NET_DISCOVERY_TIMEOUTS_HPP_
@@ -40,16 +44,12 @@
   // `group_size`: the forwarders that poll the same discovery, this one among them; `seed`: of the
   // delays' spread.
   DiscoveryTimeouts(std::size_t group_size, std::uint64_t seed)
-      : group_size_(group_size), backoff_(MakeBackoff(group_size, seed)) {}
+      : backoff_(MakeBackoff(group_size, seed)) {}
 
-  // Before the first request. A few forwarders may start theirs at the same moment.
-  [[nodiscard]] Duration InitialDelay() {
-    return group_size_ > kMaxImmediateGroupSize ? backoff_.NextDelay(kPollInterval) : Duration(0);
-  }
   // A request starts.
   void OnPollStarted(Time now) { last_progress_ = now; }
-  // A complete line of the response has come.
-  void OnLine(Time now) {
+  // A complete list or an empty line has come.
+  void OnProgress(Time now) {
     last_progress_ = now;
     backoff_.Reset();
   }
@@ -70,7 +70,6 @@
   static constexpr Duration kMaxDelayPerForwarder{40};
   static constexpr Duration kMaxDelayLowerBound{500};
   static constexpr Duration kMaxDelayUpperBound{4000};
-  static constexpr std::size_t kMaxImmediateGroupSize = 4;
   static constexpr std::size_t kMaxCountedGroupSize = 1000;
 
   static Backoff MakeBackoff(std::size_t group_size, std::uint64_t seed) {
@@ -80,9 +79,8 @@
     return Backoff(std::max(kMinInitialDelay, size * kInitialDelayPerForwarder), max_delay, seed);
   }
 
-  const std::size_t group_size_;
   Backoff backoff_;
-  Time last_progress_{};  // the start of the request, or its last complete line
+  Time last_progress_{};  // the start of the request, its last list or empty line
 };
 
 }  // namespace brassfront
--- a/src/net/discovery_watcher.cpp
+++ b/src/net/discovery_watcher.cpp
@@ -20,7 +20,7 @@
       timeouts_(group.size, group.seed),
       revision_(revision),
       client_("discovery", std::move(address), DiscoveryTimeouts::kSilenceTimeout, buffers),
-      thread_("discovery", [this] { WatchLoop(); }) {}
+      thread_(Thread::Require("discovery", [this] { WatchLoop(); })) {}
 
 DiscoveryWatcher::~DiscoveryWatcher() {
   client_.Stop();
@@ -28,7 +28,6 @@
 }
 
 void DiscoveryWatcher::WatchLoop() {
-  client_.Pause(timeouts_.InitialDelay());
   while (!client_.stopped()) {
     const std::string address = client_.address();
     WatchOnce(address);
@@ -43,41 +42,45 @@
 void DiscoveryWatcher::WatchOnce(const std::string& address) {
   timeouts_.OnPollStarted(std::chrono::steady_clock::now());
   const std::string path = "/api/targets?watch=1&from=" + std::to_string(revision_);
-  HttpReader reader;
-  LineCutter lines;
-  const auto on_bytes = [&](HttpReader& response) { return ConsumeLines(response, lines); };
+  HttpReader reader(ObjectCutter::kMaxObjectBytes);
+  ObjectCutter lists;
+  const auto on_bytes = [&](HttpReader& response) { return ConsumeBody(response, lists); };
   const auto give_up_at = [this] { return timeouts_.GiveUpAt(); };
   // However it ends, the next request follows after the delay.
   static_cast<void>(client_.Exchange(HttpGet(path, address), reader, on_bytes, give_up_at));
 }
 
 // False if the response can't be used.
-bool DiscoveryWatcher::ConsumeLines(HttpReader& response, LineCutter& lines) {
+bool DiscoveryWatcher::ConsumeBody(HttpReader& response, ObjectCutter& lists) {
   if (response.head_done() && response.status() != kHttpOk) return false;
-  for (const std::string& line : lines.Feed(response.TakeBody())) {
-    timeouts_.OnLine(std::chrono::steady_clock::now());
-    if (!line.empty() && !ConsumeList(line)) return false;
+  for (const std::string& text : lists.Feed(response.TakeBody())) {
+    timeouts_.OnProgress(std::chrono::steady_clock::now());
+    if (!text.empty() && !ConsumeList(text)) return false;
   }
-  return !lines.broken();
+  if (lists.broken()) LogRefused(lists.partial(), "too long");
+  return !lists.broken();
 }
 
-// False if the line is no endpoint list.
-bool DiscoveryWatcher::ConsumeList(const std::string& line) {
+// False if the text is no endpoint list.
+bool DiscoveryWatcher::ConsumeList(const std::string& text) {
   try {
-    MemberList list = ReadMemberList(json::Parse(line));
+    MemberList list = ReadMemberList(json::Parse(text, {.bytes = ObjectCutter::kMaxObjectBytes}));
     revision_ = list.revision;
     on_list_(std::move(list));
     return true;
   } catch (const json::Error& error) {
-    observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning,
-                       "endpoint list refused",
-                       {{"reason", error.what()},
-                        {"revision_in_use", revision_},
-                        {"bytes", line.size()},
-                        {"begins", std::string_view(line).substr(0, kLoggedListBytes)}});
-    observe::Count("endpoint_lists_refused_total", {"reason", "invalid"});
+    LogRefused(text, error.what());
     return false;
   }
 }
 
+void DiscoveryWatcher::LogRefused(const std::string& text, std::string_view reason) const {
+  observe::LogSeldom(observe::Concern::kPlatform, observe::Level::kWarning, "endpoint list refused",
+                     {{"reason", reason},
+                      {"revision_in_use", revision_},
+                      {"bytes", text.size()},
+                      {"begins", std::string_view(text).substr(0, kLoggedListBytes)}});
+  observe::Count("endpoint_lists_refused_total", {"reason", "invalid"});
+}
+
 }  // namespace brassfront
--- a/src/net/discovery_watcher.hpp
+++ b/src/net/discovery_watcher.hpp
@@ -1,5 +1,5 @@
-// Watches discovery: keeps a request open on which discovery sends each new endpoint list as a
-// line.
+// Watches discovery: keeps a request open on which discovery sends each new endpoint list as a JSON
+// object, in any layout.
 #ifndef BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
 #define BRASSFRONT_NET_DISCOVERY_WATCHER_HPP_
 
@@ -27,7 +27,8 @@
     std::uint64_t seed = 0;  // of the spread of this one's requests
   };
 
-  // Watches for lists after `revision` until it is destroyed. The buffers must outlive it.
+  // Watches for lists after `revision` until it is destroyed; with 0 the first answer is the whole
+  // list, at once. The first request is made at once. The buffers must outlive it.
   DiscoveryWatcher(std::string address, std::uint64_t revision, const Group& group,
                    BufferPool& buffers, OnEndpointList on_list);
   ~DiscoveryWatcher();
@@ -38,8 +39,9 @@
  private:
   void WatchLoop();
   void WatchOnce(const std::string& address);
-  bool ConsumeLines(HttpReader& response, LineCutter& lines);
-  bool ConsumeList(const std::string& line);
+  bool ConsumeBody(HttpReader& response, ObjectCutter& lists);
+  bool ConsumeList(const std::string& text);
+  void LogRefused(const std::string& text, std::string_view reason) const;
 
   const OnEndpointList on_list_;
   DiscoveryTimeouts timeouts_;
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "protocol/http.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront {
 namespace {
@@ -145,14 +146,14 @@
   while (true) {
     EndpointConnection connection = TakeConnection(call);
     const bool reused = connection.socket.is_open();
-    if (!reused) connection.socket = NewSocket();
-    if (!call.AttachConnection(connection.socket)) {
-      if (reused) ReturnConnection(std::move(connection));
+    if (reused && !call.AttachConnection(connection.socket)) {
+      ReturnConnection(std::move(connection));
       return {.outcome = CallOutcome::kNotSent};
     }
-    if (!reused && !OpenConnection(connection, call)) {
-      const bool stopped = call.stop_reason() != StopReason::kNone;
-      return {.outcome = stopped ? CallOutcome::kNotSent : CallOutcome::kConnectFailed};
+    if (!reused) {
+      const OpenResult opened = OpenConnection(connection, call);
+      if (opened == OpenResult::kNotTried) return {.outcome = CallOutcome::kNotSent};
+      if (opened == OpenResult::kFailed) return {.outcome = CallOutcome::kConnectFailed};
     }
     if (!call.BeginWrite()) return GiveUpBeforeWrite(std::move(connection), call);
     if (connection.socket.SendAll(call.request)) return ReadResponse(std::move(connection), call);
@@ -182,11 +183,30 @@
   return {.outcome = CallOutcome::kNotSent};
 }
 
-bool EndpointClient::OpenConnection(EndpointConnection& connection, EndpointCall& call) {
-  if (Connect(connection.socket, call.address, options_.connect_timeout)) return true;
-  call.DetachConnection();
-  connection.Close(CloseReasonFor(call.stop_reason(), CloseReason::kConnectFailed));
-  return false;
+// What this machine lacks for a moment says nothing about the endpoint: it is waited for, as long
+// as the call may still begin and a connection may take to come up.
+EndpointClient::OpenResult EndpointClient::OpenConnection(EndpointConnection& connection,
+                                                          EndpointCall& call) {
+  const SteadyTime until =
+      std::min(call.start_by, std::chrono::steady_clock::now() + options_.connect_timeout);
+  while (true) {
+    connection.socket = NewSocket();
+    int error = errno;
+    if (connection.socket.is_open()) {
+      if (!call.AttachConnection(connection.socket)) return OpenResult::kNotTried;
+      if (Connect(connection.socket, call.address, options_.connect_timeout)) {
+        return OpenResult::kOpened;
+      }
+      error = errno;
+      call.DetachConnection();
+    }
+    const StopReason stop = call.stop_reason();
+    connection.Close(CloseReasonFor(stop, CloseReason::kConnectFailed));
+    if (stop != StopReason::kNone) return OpenResult::kNotTried;
+    if (!IsTransient(SystemCall::kConnect, error)) return OpenResult::kFailed;
+    if (std::chrono::steady_clock::now() + kTransientPause >= until) return OpenResult::kNotTried;
+    Pause(kTransientPause);
+  }
 }
 
 EndpointCallResult EndpointClient::ReadResponse(EndpointConnection connection, EndpointCall& call) {
--- a/src/net/endpoint_client.hpp
+++ b/src/net/endpoint_client.hpp
@@ -53,7 +53,9 @@
   void Run(const std::shared_ptr<EndpointCall>& call);
   EndpointCallResult Perform(EndpointCall& call);
   EndpointCallResult GiveUpBeforeWrite(EndpointConnection connection, EndpointCall& call);
-  bool OpenConnection(EndpointConnection& connection, EndpointCall& call);
+  // kNotTried: the call was stopped, or this machine had no room for a connection.
+  enum class OpenResult { kOpened, kFailed, kNotTried };
+  [[nodiscard]] OpenResult OpenConnection(EndpointConnection& connection, EndpointCall& call);
   EndpointCallResult ReadResponse(EndpointConnection connection, EndpointCall& call);
   EndpointConnection TakeConnection(const EndpointCall& call);
   void ReturnConnection(EndpointConnection connection);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -39,7 +39,7 @@
 bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
                           const GiveUpAt& give_up_at) {
   if (!EnsureConnected()) return false;
-  if (!socket_.SendAll(request)) {
+  if (!socket_.SendAll(request, std::chrono::steady_clock::now() + silence_timeout_)) {
     Close(CloseReason::kWriteFailed);
     return false;
   }
@@ -71,7 +71,6 @@
     exchanges_ = 0;
   }
   const bool connected = Connect(socket_, connected_to_, silence_timeout_);
-  if (connected) socket_.ReceiveTimeout(silence_timeout_);
   bool still_wanted = false;
   {
     // A stop or a new address may have come before there was a connection to shut down.
@@ -88,7 +87,8 @@
                               const GiveUpAt& give_up_at) {
   BufferPool::Buffer buffer = buffers_.Get();
   while (!reader.done() && !reader.broken()) {
-    if (give_up_at && !socket_.AwaitInput(give_up_at())) {
+    const SteadyTime silent_at = std::chrono::steady_clock::now() + silence_timeout_;
+    if (!socket_.AwaitInput(give_up_at ? give_up_at() : silent_at)) {
       Close(CloseReason::kSilent);
       return false;
     }
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -27,7 +27,7 @@
     : on_confirmed_(std::move(on_confirmed)),
       client_("notifications", std::move(address), kResponseTimeout, buffers),
       pending_(kMaxPending),
-      thread_("notifications", [this] { Run(); }) {}
+      thread_(Thread::Require("notifications", [this] { Run(); })) {}
 
 NotificationClient::~NotificationClient() {
   pending_.Close();
--- a/src/net/poller.cpp
+++ b/src/net/poller.cpp
@@ -4,8 +4,12 @@
 #include <sys/eventfd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 
+#include "observe/metrics.hpp"
+#include "system/retry.hpp"
+
 namespace brassfront {
 namespace {
 
@@ -14,21 +18,31 @@
   epoll_event event{};
   event.events = events;
   event.data.u64 = token;
-  return epoll_ctl(epoll.fd(), operation, fd, &event) == 0;
+  if (epoll_ctl(epoll.fd(), operation, fd, &event) == 0) return true;
+  observe::CountSystemCallFailure("epoll_ctl", errno);
+  return false;
 }
 
-void ThrowIfClosed(const Socket& descriptor) {
-  if (!descriptor.is_open()) throw std::runtime_error("no room for a descriptor");
+// What `open` makes, once there is room for it.
+template <typename Open>
+Socket RequireDescriptor(Open open) {
+  Socket descriptor;
+  const bool opened = RetryAtStart(SystemCall::kOpenDescriptor, [&] {
+    descriptor = Socket(open());
+    return descriptor.is_open();
+  });
+  if (!opened) throw std::runtime_error("no room for a descriptor");
+  return descriptor;
 }
 
 }  // namespace
 
-Poller::Poller() : epoll_(epoll_create1(EPOLL_CLOEXEC)) { ThrowIfClosed(epoll_); }
+Poller::Poller() : epoll_(RequireDescriptor([] { return epoll_create1(EPOLL_CLOEXEC); })) {}
 
 void Poller::Watch(int fd, Token token) {
-  if (!Control(epoll_, EPOLL_CTL_ADD, fd, token, EPOLLIN)) {
-    throw std::runtime_error("no room for a descriptor");
-  }
+  const bool watched = RetryAtStart(
+      SystemCall::kPoll, [&] { return Control(epoll_, EPOLL_CTL_ADD, fd, token, EPOLLIN); });
+  if (!watched) throw std::runtime_error("no room for a descriptor");
 }
 
 bool Poller::WatchOneShot(int fd, Token token) {
@@ -43,12 +57,18 @@
   std::array<epoll_event, kMaxReadyPerWait> events;
   const int timeout_ms = timeout ? static_cast<int>(timeout->count()) : -1;
   const int reported = epoll_wait(epoll_.fd(), events.data(), events.size(), timeout_ms);
+  // The caller comes again at once; where it is interrupted each time, that would cost a core.
+  if (reported < 0) {
+    observe::CountSystemCallFailure("epoll_wait", errno);
+    Pause(kTransientPause);
+  }
   const std::size_t count = static_cast<std::size_t>(std::max(reported, 0));
   for (std::size_t i = 0; i < count; ++i) ready_[i] = events[i].data.u64;
   return {ready_.data(), count};
 }
 
-WakeupEvent::WakeupEvent() : event_(eventfd(0, EFD_CLOEXEC)) { ThrowIfClosed(event_); }
+WakeupEvent::WakeupEvent()
+    : event_(RequireDescriptor([] { return eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK); })) {}
 
 void WakeupEvent::Signal() { eventfd_write(event_.fd(), 1); }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -12,9 +12,11 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <utility>
 
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront {
 namespace {
@@ -56,13 +58,40 @@
   return socket;
 }
 
-void SetTimeout(int fd, int option, std::chrono::milliseconds time) {
+bool SetTimeout(int fd, int option, std::chrono::milliseconds time) {
   timeval value{};
   value.tv_sec = time.count() / 1000;
   value.tv_usec = time.count() % 1000 * 1000;
-  setsockopt(fd, SOL_SOCKET, option, &value, sizeof value);
+  return setsockopt(fd, SOL_SOCKET, option, &value, sizeof value) == 0;
 }
 
+Socket OpenStreamSocket(int flags) {
+  Socket opened(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0));
+  if (!opened.is_open()) observe::CountSystemCallFailure("socket", errno);
+  return opened;
+}
+
+// How long one transfer waits for a shortage to pass.
+class ShortageTimer {
+ public:
+  // False until the first wait.
+  [[nodiscard]] bool IsNew() { return std::exchange(is_new_, false); }
+  // Waits a little. False if it has waited for long enough, or until then.
+  bool Wait(SteadyTime until) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (give_up_at_ == SteadyTime{}) give_up_at_ = now + kMaxShortage;
+    if (now >= give_up_at_ || now >= until) return false;
+    Pause(kTransientPause);
+    return true;
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kMaxShortage{1000};
+
+  bool is_new_ = true;
+  SteadyTime give_up_at_{};
+};
+
 void EnableOption(int fd, int level, int option) {
   const int on = 1;
   setsockopt(fd, level, option, &on, sizeof on);
@@ -94,19 +123,28 @@
     const int ready = poll(&wanted, 1, PollTimeout(until));
     if (ready > 0) return true;
     if (ready == 0) return false;
-    if (errno != EINTR) return true;
+    observe::CountSystemCallFailure("poll", errno);
+    if (!IsTransient(SystemCall::kPoll, errno)) return true;
+    if (std::chrono::steady_clock::now() >= until) return false;
+    Pause(kTransientPause);
   }
 }
 
 bool Socket::AwaitInput(SteadyTime until) const { return Await(POLLIN, until); }
 
 bool Socket::SendAll(std::string_view bytes, SteadyTime until) {
+  ShortageTimer shortage;
   while (!bytes.empty()) {
     const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent < 0 && errno == EINTR) continue;
+    if (sent > 0) {
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+      continue;
+    }
     if (sent < 0 && errno == EAGAIN && Await(POLLOUT, until)) continue;
-    if (sent <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(sent));
+    if (sent < 0 && errno != EAGAIN) observe::CountSystemCallFailure("send", errno);
+    const bool shortage_passed = sent < 0 && errno != EAGAIN &&
+                                 IsTransient(SystemCall::kSend, errno) && shortage.Wait(until);
+    if (!shortage_passed) return false;
   }
   return true;
 }
@@ -115,60 +153,86 @@
 ssize_t Socket::ReceiveNow(std::span<char> into) { return ReceiveWith(into, MSG_DONTWAIT); }
 
 ssize_t Socket::ReceiveWith(std::span<char> into, int flags) {
+  ShortageTimer shortage;
   while (true) {
     const ssize_t received = recv(fd_, into.data(), into.size(), flags);
-    if (received >= 0 || errno != EINTR) return received;
+    if (received >= 0 || errno == EAGAIN) return received;
+    observe::CountSystemCallFailure("recv", errno);
+    if (!IsTransient(SystemCall::kReceive, errno)) return received;
+    if (errno == EINTR && shortage.IsNew()) continue;
+    if ((flags & MSG_DONTWAIT) != 0) {
+      Pause(std::chrono::milliseconds(1));  // the caller polls again at once
+      errno = EAGAIN;
+      return -1;
+    }
+    if (!shortage.Wait(SteadyTime::max())) return -1;
   }
 }
 
 bool Socket::HasInputOrEnd() const {
   char byte = 0;
-  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         !IsTransient(SystemCall::kReceive, errno);
 }
 
 bool Socket::PeerHasEnded() const {
   tcp_info info{};
   socklen_t length = sizeof info;
-  if (getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return true;
+  if (getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+    // Nothing is known then: the next write tells.
+    observe::CountSystemCallFailure("getsockopt", errno);
+    return false;
+  }
   return info.tcpi_state != TCP_ESTABLISHED;
 }
 
-void Socket::ReceiveTimeout(std::chrono::milliseconds time) { SetTimeout(fd_, SO_RCVTIMEO, time); }
-
 bool IsAddress(const std::string& address) { return ParseAddress(address).has_value(); }
 
-Socket NewSocket() { return Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)); }
+Socket NewSocket() { return OpenStreamSocket(0); }
 
 bool Connect(const Socket& socket, const std::string& address, std::chrono::milliseconds limit) {
   const auto to = ParseAddress(address);
+  if (!to) errno = EINVAL;
   if (!to || !socket.is_open()) return false;
-  SetTimeout(socket.fd(), SO_SNDTIMEO, limit);
-  if (connect(socket.fd(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) return false;
+  const SteadyTime until = std::chrono::steady_clock::now() + limit;
+  if (!SetTimeout(socket.fd(), SO_SNDTIMEO, limit)) return false;  // connect would take minutes
+  while (connect(socket.fd(), reinterpret_cast<const sockaddr*>(&*to), sizeof *to) != 0) {
+    if (errno == EISCONN) break;
+    // An interrupted connect goes on by itself: the next call waits for it, or tells how it ended.
+    const bool goes_on = errno == EINTR || errno == EALREADY;
+    if (!goes_on) observe::CountSystemCallFailure("connect", errno);
+    if (!goes_on || std::chrono::steady_clock::now() >= until) return false;
+    Pause(std::chrono::milliseconds(1));
+  }
   SetTimeout(socket.fd(), SO_SNDTIMEO, {});
   EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return true;
 }
 
-Socket Listen(const std::string& address) {
+Socket Listen(const std::string& address, AcceptMode mode) {
   const auto at = ParseAddress(address);
-  Socket listener = NewSocket();
+  Socket listener = OpenStreamSocket(mode == AcceptMode::kNonBlocking ? SOCK_NONBLOCK : 0);
+  if (!at) errno = EINVAL;
   if (!at || !listener.is_open()) return Socket();
   EnableOption(listener.fd(), SOL_SOCKET, SO_REUSEADDR);
   if (bind(listener.fd(), reinterpret_cast<const sockaddr*>(&*at), sizeof *at) != 0 ||
       listen(listener.fd(), kListenBacklog) != 0) {
-    return Socket();
+    const int error = errno;
+    observe::CountSystemCallFailure("bind", error);
+    listener.Close();
+    errno = error;
   }
   return listener;
 }
 
-std::string AddressOf(const Socket& listener) {
+std::string LocalAddress(const Socket& listener) {
   sockaddr_in address{};
   socklen_t length = sizeof address;
   getsockname(listener.fd(), reinterpret_cast<sockaddr*>(&address), &length);
   return FormatAddress(address);
 }
 
-std::string PeerOf(const Socket& connection) {
+std::string PeerAddress(const Socket& connection) {
   sockaddr_in address{};
   socklen_t length = sizeof address;
   getpeername(connection.fd(), reinterpret_cast<sockaddr*>(&address), &length);
@@ -180,12 +244,13 @@
 
 Socket Accept(const Socket& listener) {
   Socket socket(accept4(listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+  if (!socket.is_open() && errno != EAGAIN) observe::CountSystemCallFailure("accept", errno);
   if (socket.is_open()) EnableOption(socket.fd(), IPPROTO_TCP, TCP_NODELAY);
   return socket;
 }
 
-void DoNotWait(const Socket& listener) {
-  fcntl(listener.fd(), F_SETFL, fcntl(listener.fd(), F_GETFL) | O_NONBLOCK);
+void SetNonBlocking(const Socket& socket) {
+  fcntl(socket.fd(), F_SETFL, fcntl(socket.fd(), F_GETFL) | O_NONBLOCK);
 }
 
 void ShutDown(int fd) { shutdown(fd, SHUT_RDWR); }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -35,13 +35,15 @@
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   void Close();
 
-  // False if not all of the bytes could be written by then.
+  // False if not all of the bytes could be written by then. A shortage of this machine's memory is
+  // waited out, for a second at most.
   bool SendAll(std::string_view bytes, SteadyTime until = SteadyTime::max());
   // Waits for input or the peer's end; false if neither came by then. True at an error as well: the
   // next read or write tells which.
   [[nodiscard]] bool AwaitInput(SteadyTime until) const;
   // Each returns the bytes read, 0 at the peer's end, and -1 at an error; errno is EAGAIN then if
-  // nothing came in time (Receive), or has come by now (ReceiveNow).
+  // nothing came in time (Receive), or has come by now or could be read for want of memory
+  // (ReceiveNow).
   ssize_t Receive(std::span<char> into);
   ssize_t ReceiveNow(std::span<char> into);
   // True if input, the peer's end or an error has come. An idle connection is not usable then.
@@ -49,8 +51,6 @@
   // True if the peer has closed or reset the connection, by TCP's state: unread input does not
   // matter, nor what this side has shut down.
   [[nodiscard]] bool PeerHasEnded() const;
-  // For Receive, from now on.
-  void ReceiveTimeout(std::chrono::milliseconds time);
 
  private:
   ssize_t ReceiveWith(std::span<char> into, int flags);
@@ -65,20 +65,22 @@
 // A stream socket that is not connected yet, so that another thread may shut it down while Connect
 // blocks. Closed if the system has no descriptor left.
 [[nodiscard]] Socket NewSocket();
-// False if the connection did not come up within the limit.
+// False if the connection did not come up within the limit; errno tells why.
 [[nodiscard]] bool Connect(const Socket& socket, const std::string& address,
                            std::chrono::milliseconds limit);
 
+// Whether Accept waits for a connection, or fails with EAGAIN if there is none.
+enum class AcceptMode { kBlocking, kNonBlocking };
 // Closed if the address can't be listened on; errno tells why.
-[[nodiscard]] Socket Listen(const std::string& address);
+[[nodiscard]] Socket Listen(const std::string& address, AcceptMode mode = AcceptMode::kBlocking);
 // The socket's own address, with the port that the system chose if port 0 was asked for.
-[[nodiscard]] std::string AddressOf(const Socket& listener);
+[[nodiscard]] std::string LocalAddress(const Socket& listener);
 // The address of the socket's other side.
-[[nodiscard]] std::string PeerOf(const Socket& connection);
+[[nodiscard]] std::string PeerAddress(const Socket& connection);
 // Closed if there is none; errno tells why.
 [[nodiscard]] Socket Accept(const Socket& listener);
-// From now on Accept fails with EAGAIN instead of waiting for a connection.
-void DoNotWait(const Socket& listener);
+// From now on calls on the socket fail with EAGAIN instead of waiting.
+void SetNonBlocking(const Socket& socket);
 
 // Datagram sockets that are bound or connected to an address; closed if that is not possible, and
 // errno tells why.
--- a/src/protocol/discovery.cpp
+++ b/src/protocol/discovery.cpp
@@ -1,5 +1,7 @@
 #include "protocol/discovery.hpp"
 
+#include <utility>
+
 namespace brassfront {
 namespace {
 
@@ -43,19 +45,37 @@
   return list;
 }
 
-std::vector<std::string> LineCutter::Feed(std::string_view bytes) {
-  std::vector<std::string> lines;
-  while (!bytes.empty() && !broken_) {
-    const std::size_t end = bytes.find('\n');
-    line_.append(bytes.substr(0, end));
-    bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
-    broken_ = line_.size() > most_;
-    if (end == std::string_view::npos || broken_) break;
-    if (line_.ends_with('\r')) line_.pop_back();
-    lines.push_back(std::move(line_));
-    line_.clear();
+std::vector<std::string> ObjectCutter::Feed(std::string_view bytes) {
+  std::vector<std::string> pieces;
+  for (const char byte : bytes) {
+    if (broken_) break;
+    if (Take(byte)) pieces.push_back(std::exchange(piece_, {}));
+    broken_ = piece_.size() > max_bytes_;
+  }
+  return pieces;
+}
+
+bool ObjectCutter::Take(char byte) {
+  const bool is_space = byte == ' ' || byte == '\t' || byte == '\r';
+  if (depth_ == 0 && byte == '\n') {
+    // The end of the line on which an object ended is no empty line.
+    return !std::exchange(after_object_, false) || !piece_.empty();
+  }
+  if (depth_ == 0 && piece_.empty() && is_space) return false;
+  piece_ += byte;
+  if (in_string_) {
+    if (!escaped_ && byte == '"') in_string_ = false;
+    escaped_ = !escaped_ && byte == '\\';
+    return false;
   }
-  return lines;
+  // Between objects only an opening brace begins one; any other text is a line of its own.
+  const bool begins = depth_ == 0 && piece_.size() == 1 && byte == '{';
+  if (depth_ == 0 && !begins) return false;
+  if (byte == '"') in_string_ = true;
+  if (byte == '{' || byte == '[') ++depth_;
+  if (byte == '}' || byte == ']') --depth_;
+  after_object_ = depth_ == 0;
+  return after_object_;
 }
 
 }  // namespace brassfront
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -1,4 +1,4 @@
-// Discovery's lists and the lines of its watch.
+// Discovery's lists and the stream of its watch.
 #ifndef BRASSFRONT_PROTOCOL_DISCOVERY_HPP_
 #define BRASSFRONT_PROTOCOL_DISCOVERY_HPP_
 
@@ -38,16 +38,32 @@
 
 MemberList ReadMemberList(const json::Value& value);  // throws json::Error
 
-// Cuts a stream into lines without their ends; a line over the bound breaks it for good.
-class LineCutter {
+// Cuts a stream of JSON objects, in any layout and with empty lines between them, into their texts.
+// Byte-fed: a text may come in any parts.
+class ObjectCutter {
  public:
-  explicit LineCutter(std::size_t most = 1 << 20) : most_(most) {}
+  static constexpr std::size_t kMaxObjectBytes = std::size_t{4} << 20;
+
+  explicit ObjectCutter(std::size_t max_bytes = kMaxObjectBytes) : max_bytes_(max_bytes) {}
+
+  // The pieces that are complete with these bytes, in order: objects; an empty text for each empty
+  // line between them; and a line that begins no object, as it came.
   std::vector<std::string> Feed(std::string_view bytes);
+  // A piece is longer than the bound. Nothing is cut from then on.
   [[nodiscard]] bool broken() const { return broken_; }
+  // What has come of the piece that is not complete.
+  [[nodiscard]] const std::string& partial() const { return piece_; }
 
  private:
-  const std::size_t most_;
-  std::string line_;
+  // What the byte means for the piece; true if it completes it.
+  bool Take(char byte);
+
+  const std::size_t max_bytes_;
+  std::string piece_;
+  std::size_t depth_ = 0;  // of open brackets and braces
+  bool in_string_ = false;
+  bool escaped_ = false;       // the byte before was a backslash in a string
+  bool after_object_ = false;  // in the rest of the line on which an object has ended
   bool broken_ = false;
 };
 
--- a/src/spool/file.cpp
+++ b/src/spool/file.cpp
@@ -6,6 +6,8 @@
 
 #include <cerrno>
 
+#include "observe/metrics.hpp"
+
 namespace brassfront {
 
 File::~File() {
@@ -36,7 +38,11 @@
     const ssize_t transferred =
         pread(fd_, bytes.data() + done, length - done, static_cast<off_t>(offset + done));
     if (transferred < 0 && errno == EINTR) continue;
-    if (transferred <= 0) return std::nullopt;
+    if (transferred == 0) errno = 0;
+    if (transferred <= 0) {
+      if (errno != 0) observe::CountSystemCallFailure("pread", errno);
+      return std::nullopt;
+    }
     done += static_cast<std::size_t>(transferred);
   }
   return bytes;
@@ -48,7 +54,10 @@
         pwrite(fd_, bytes.data() + done, bytes.size() - done, static_cast<off_t>(offset + done));
     if (transferred < 0 && errno == EINTR) continue;
     if (transferred <= 0) {
+      const int error = transferred == 0 ? ENOSPC : errno;
+      observe::CountSystemCallFailure("pwrite", error);
       Truncate(offset);
+      errno = error;
       return false;
     }
     done += static_cast<std::size_t>(transferred);
@@ -56,6 +65,10 @@
   return true;
 }
 
-bool File::Truncate(std::size_t size) { return ftruncate(fd_, static_cast<off_t>(size)) == 0; }
+bool File::Truncate(std::size_t size) {
+  if (ftruncate(fd_, static_cast<off_t>(size)) == 0) return true;
+  observe::CountSystemCallFailure("ftruncate", errno);
+  return false;
+}
 
 }  // namespace brassfront
--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -32,7 +32,7 @@
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   // Nothing on failure.
   [[nodiscard]] std::optional<std::size_t> Size() const;
-  // Exactly `length` bytes, or nothing.
+  // Exactly `length` bytes, or nothing; errno is 0 then if the file is shorter.
   [[nodiscard]] std::optional<std::string> Read(std::size_t offset, std::size_t length) const;
   // Writes all of the bytes. On failure returns false and truncates the file to `offset`: only for
   // writing at its end.
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view kFileHeader = "BRSPOOL1";
 constexpr const char* kFileName = "/spool";
 constexpr const char* kCompactedFileName = "/spool.new";
+constexpr const char* kKeptFileName = "/spool.cut";
+constexpr std::size_t kMaxKeptBytes = std::size_t{64} * 1024;  // of a tail that was cut off
 constexpr std::size_t kBlockBytes = 512;  // the disk limit counts files in whole blocks
 constexpr std::size_t kMaxEndpointBytes = 256;
 // Bytes of finished messages that make a compaction worth its writes.
@@ -40,13 +42,8 @@
 
 Spool::Spool(std::string folder, std::size_t disk_bytes, Report report)
     : folder_(std::move(folder)), disk_bytes_(disk_bytes), report_(std::move(report)) {
-  std::remove((folder_ + kCompactedFileName).c_str());  // of an interrupted compaction
-  file_ = File::Open(folder_ + kFileName);
-  if (!file_.is_open()) {
-    report_("spool unusable: " + folder_ + ": " + std::strerror(errno));
-    return;
-  }
-  Load();
+  clock_.Begin(std::nullopt, {}, ReadMachineTime());
+  Open();
 }
 
 Spool::Spool(std::string folder, Report report)
@@ -56,18 +53,58 @@
     report_("no spool in " + folder_ + ": " + std::strerror(errno));
     return;
   }
-  Load();
+  if (!Load()) report_("spool cannot be read: " + folder_ + ": " + std::strerror(errno));
 }
 
 Spool Spool::OpenToRead(std::string folder, Report report) {
   return Spool(std::move(folder), std::move(report));
 }
 
+// Opens and reads the file. What failed before is forgotten; nothing is written but what Prepare
+// writes.
+void Spool::Open() {
+  std::remove((folder_ + kCompactedFileName).c_str());  // of an interrupted compaction
+  open_messages_.clear();
+  unrecovered_.clear();
+  file_ = File::Open(folder_ + kFileName);
+  if (!file_.is_open() || !Load()) {
+    ReportOnce("spool unusable: " + folder_ + ": " + std::strerror(errno));
+    file_ = File();
+    return;
+  }
+  if (reported_) report_("spool in use again: " + folder_);
+  reported_ = false;
+  anchor_is_due_ = clock_.Begin(stored_anchor_, latest_time_, ReadMachineTime());
+  static_cast<void>(Prepare());
+}
+
+void Spool::ReportOnce(const std::string& text) {
+  if (!std::exchange(reported_, true)) report_(text);
+}
+
+void Spool::Retry() {
+  if (!is_available()) return Open();
+  next_compaction_bytes_ = 0;
+  static_cast<void>(Prepare() && FlushPending());
+}
+
+UnixMs Spool::Now() const {
+  const auto monotonic = std::chrono::steady_clock::now().time_since_epoch();
+  return clock_.TimeAt(std::chrono::duration_cast<std::chrono::milliseconds>(monotonic));
+}
+
 std::vector<RecoveredMessage> Spool::Recover() {
   std::vector<RecoveredMessage> recovered;
-  for (const auto& [number, open] : open_messages_) {
+  for (const SpoolId number : std::exchange(unrecovered_, {})) {
+    const auto found = open_messages_.find(number);
+    if (found == open_messages_.end()) continue;
+    const OpenMessage& open = found->second;
     const std::size_t payload_bytes = open.record_bytes - spool::kFrameBytes;
     const auto payload = file_.Read(open.offset + spool::kFrameBytes, payload_bytes);
+    if (!payload && errno != 0) {
+      unrecovered_.insert(number);
+      continue;
+    }
     auto record = payload ? spool::DecodePayload(*payload) : std::nullopt;
     auto* accepted = record ? std::get_if<spool::MessageAccepted>(&*record) : nullptr;
     if (accepted == nullptr) {
@@ -89,57 +126,82 @@
 }
 
 void Spool::MarkNotRun(SpoolId number, std::size_t attempt) {
-  Append(spool::AttemptNotRun{number, attempt}, Space::kReserved);
+  const spool::AttemptNotRun record{number, attempt};
+  if (Append(record, Space::kReserved)) return;
+  pending_not_run_.push_back({number, attempt});
 }
 
 void Spool::Finish(SpoolId number) {
   if (open_messages_.count(number) == 0) return;
-  if (!Append(spool::MessageFinished{number}, Space::kReserved)) {
-    report_("spool: an end could not be noted");
-  }
+  if (Append(spool::MessageFinished{number}, Space::kReserved)) return;
+  pending_ends_.insert(number);
+  report_("spool: an end could not be noted yet");
 }
 
 // ======== reading ========
 
-void Spool::Load() {
-  compacted_bytes_ = file_bytes_ = kFileHeader.size();
-  const std::size_t stored_bytes = file_.Size().value_or(0);
-  const bool read_only = disk_bytes_ == 0;
-  if (file_.Read(0, kFileHeader.size()) != kFileHeader) {
-    if (stored_bytes > 0) report_("spool damaged: no header; nothing can be read from it");
-    if (!read_only && (!file_.Truncate(0) || !file_.Write(0, kFileHeader))) {
-      report_("spool unusable: cannot write");
-      file_ = File();
-    }
-    return;
+// False if a read failed; errno tells why. Nothing is known of the file then.
+bool Spool::Load() {
+  file_bytes_ = compacted_bytes_ = kFileHeader.size();
+  damaged_bytes_ = 0;
+  header_is_due_ = false;
+  stored_anchor_.reset();
+  const auto stored_bytes = file_.Size();
+  if (!stored_bytes) return false;
+  const File kept = File::OpenToRead(folder_ + kKeptFileName);
+  kept_bytes_ = kept.is_open() ? kept.Size().value_or(kMaxKeptBytes) : 0;
+  const std::size_t header_bytes = std::min(*stored_bytes, kFileHeader.size());
+  const auto header = file_.Read(0, header_bytes);
+  if (!header) return false;
+  if (*header != kFileHeader) {
+    // A prefix of it was torn while the file was made.
+    const bool torn = kFileHeader.starts_with(*header);
+    if (!torn) report_("spool damaged: no header; nothing can be read from it");
+    header_is_due_ = true;
+    file_bytes_ = 0;
+    damaged_bytes_ = *stored_bytes;
+    return true;
   }
-  while (const auto stored = ReadRecord(file_bytes_, stored_bytes)) {
-    const auto apply = [&](const auto& record) { return Apply(record, stored->extent); };
-    if (!std::visit(apply, stored->record)) break;
-    file_bytes_ += stored->extent.bytes;
+  return LoadRecords(*stored_bytes);
+}
+
+bool Spool::LoadRecords(std::size_t stored_bytes) {
+  while (true) {
+    const ReadResult result = ReadRecord(file_bytes_, stored_bytes);
+    if (result.outcome == ReadOutcome::kFailed) return false;
+    if (result.outcome != ReadOutcome::kRecord) break;
+    const auto apply = [&](const auto& record) { return Apply(record, result.stored.extent); };
+    if (!std::visit(apply, result.stored.record)) break;
+    file_bytes_ += result.stored.extent.bytes;
   }
-  if (file_bytes_ < stored_bytes) {
-    report_("spool tail unreadable: " + std::to_string(stored_bytes - file_bytes_) + " bytes");
-    if (!read_only) file_.Truncate(file_bytes_);
+  for (const auto& [number, open] : open_messages_) unrecovered_.insert(number);
+  damaged_bytes_ = stored_bytes - file_bytes_;
+  if (damaged_bytes_ > 0) {
+    report_("spool tail unreadable: " + std::to_string(damaged_bytes_) + " bytes");
   }
+  return true;
 }
 
-// Nothing at the end of the file, and from a damaged record on.
-std::optional<Spool::StoredRecord> Spool::ReadRecord(std::size_t offset,
-                                                     std::size_t stored_bytes) const {
-  if (offset >= stored_bytes) return std::nullopt;
-  const auto frame = file_.Read(offset, spool::kFrameBytes);
-  if (!frame) return std::nullopt;
+Spool::ReadResult Spool::ReadRecord(std::size_t offset, std::size_t stored_bytes) const {
+  if (offset >= stored_bytes) return {ReadOutcome::kEnd};
+  const auto read = [this](std::size_t at, std::size_t length, ReadResult& result) {
+    auto bytes = file_.Read(at, length);
+    if (!bytes) result.outcome = errno == 0 ? ReadOutcome::kDamaged : ReadOutcome::kFailed;
+    return bytes;
+  };
+  ReadResult result;
+  const auto frame = read(offset, spool::kFrameBytes, result);
+  if (!frame) return result;
   const spool::FrameHeader header = spool::DecodeFrameHeader(*frame);
   const std::size_t record_bytes = spool::kFrameBytes + header.payload_bytes;
   if (header.payload_bytes > spool::kMaxPayloadBytes || offset + record_bytes > stored_bytes) {
-    return std::nullopt;
+    return {ReadOutcome::kDamaged};
   }
-  const auto payload = file_.Read(offset + spool::kFrameBytes, header.payload_bytes);
-  if (!payload || !spool::IsIntact(header, *payload)) return std::nullopt;
-  auto record = spool::DecodePayload(*payload);
-  if (!record) return std::nullopt;
-  return StoredRecord{std::move(*record), {offset, record_bytes}};
+  const auto payload = read(offset + spool::kFrameBytes, header.payload_bytes, result);
+  if (!payload) return result;
+  auto record = spool::IsIntact(header, *payload) ? spool::DecodePayload(*payload) : std::nullopt;
+  if (!record) return {ReadOutcome::kDamaged};
+  return {ReadOutcome::kRecord, {std::move(*record), {offset, record_bytes}}};
 }
 
 // ======== what a record changes ========
@@ -154,6 +216,7 @@
 
 bool Spool::Apply(const spool::AttemptStarted& record, const Extent& extent) {
   next_number_ = std::max(next_number_, record.number + 1);
+  latest_time_ = std::max(latest_time_, record.started_at);
   const auto found = open_messages_.find(record.number);
   if (found == open_messages_.end()) return true;
   found->second.attempts.push_back({.endpoint = record.endpoint, .started_at = record.started_at});
@@ -182,11 +245,70 @@
   return true;
 }
 
+bool Spool::Apply(const spool::ClockAnchor& record, const Extent& extent) {
+  if (stored_anchor_) compacted_bytes_ -= spool::Encode(*stored_anchor_).size();
+  stored_anchor_ = record;
+  compacted_bytes_ += extent.bytes;
+  latest_time_ = std::max(latest_time_, record.wall);
+  return true;
+}
+
 // ======== writing ========
 
+// Brings the file into the state in which records can be appended. False if the folder fails: then
+// it is tried again before the next record.
+bool Spool::Prepare() {
+  if (!file_.is_open()) return false;
+  if (damaged_bytes_ > 0) {
+    if (!KeepDamagedTail() || !file_.Truncate(file_bytes_)) return false;
+    damaged_bytes_ = 0;
+  }
+  if (header_is_due_) {
+    if (!file_.Write(0, kFileHeader)) return false;
+    header_is_due_ = false;
+    file_bytes_ = kFileHeader.size();
+  }
+  if (!anchor_is_due_) return true;
+  anchor_is_due_ = !Write(clock_.anchor(), Space::kReserved);
+  return !anchor_is_due_;
+}
+
+// Writes the first bytes of the tail to a file of their own, for people to look at. False if it
+// can't be read or kept now, for which there is another time; a full disk is not waited for.
+bool Spool::KeepDamagedTail() {
+  const std::size_t kept_bytes = std::min(damaged_bytes_, kMaxKeptBytes);
+  const auto tail = file_.Read(file_bytes_, kept_bytes);
+  if (!tail) return errno == 0;
+  File kept = File::OpenEmpty(folder_ + kKeptFileName);
+  if (!kept.is_open()) return false;
+  if (!kept.Write(0, *tail)) return errno == ENOSPC || errno == EDQUOT;
+  kept_bytes_ = kept_bytes;
+  return true;
+}
+
+// False if something is still to be recorded.
+bool Spool::FlushPending() {
+  while (!pending_not_run_.empty()) {
+    const PendingNotRun pending = pending_not_run_.back();
+    const spool::AttemptNotRun record{pending.number, pending.attempt};
+    if (!Write(record, Space::kReserved)) return false;
+    pending_not_run_.pop_back();
+  }
+  while (!pending_ends_.empty()) {
+    const SpoolId number = *pending_ends_.begin();
+    if (!Write(spool::MessageFinished{number}, Space::kReserved)) return false;
+    pending_ends_.erase(number);
+  }
+  return true;
+}
+
 template <typename Record>
 bool Spool::Append(const Record& record, Space space) {
-  if (!file_.is_open()) return false;
+  return Prepare() && FlushPending() && Write(record, space);
+}
+
+template <typename Record>
+bool Spool::Write(const Record& record, Space space) {
   const std::string bytes = spool::Encode(record);
   const std::size_t additional_bytes =
       bytes.size() + (space == Space::kUnreserved ? kReservedBytes : 0);
@@ -203,7 +325,7 @@
 // The file and its compaction must fit on the disk together.
 bool Spool::Fits(std::size_t additional_bytes) const {
   return RoundUpToBlocks(file_bytes_ + additional_bytes) +
-             RoundUpToBlocks(compacted_bytes_ + additional_bytes) <=
+             RoundUpToBlocks(compacted_bytes_ + additional_bytes) + RoundUpToBlocks(kept_bytes_) <=
          disk_bytes_;
 }
 
@@ -224,7 +346,7 @@
     return true;
   };
   std::map<SpoolId, std::size_t> offsets;
-  bool written = write(kFileHeader);
+  bool written = write(kFileHeader) && write(spool::Encode(clock_.anchor()));
   for (const auto& [number, open] : open_messages_) {
     if (!written) break;
     offsets[number] = size;
@@ -238,6 +360,7 @@
   }
   file_ = std::move(compacted);
   file_bytes_ = size;
+  stored_anchor_ = clock_.anchor();
   for (const auto& [number, offset] : offsets) open_messages_[number].offset = offset;
   return true;
 }
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -2,8 +2,13 @@
 // the process. It holds each accepted message with its attempts, until the message is finished.
 //
 // Nothing is synced: what was written survives the end of the process, by SIGKILL as well, not that
-// of the machine. Whatever follows the first damaged record is cut off at the next start. For one
-// thread. Times are Unix times, as no other clock survives a restart.
+// of the machine. Whatever follows the first damaged record is cut off before the next write, and
+// its first bytes are kept in a file beside the spool. For one thread. Times are of the clock of
+// spool_clock.hpp.
+//
+// The folder may fail for a while. A read that fails says nothing about the file: the spool is not
+// in use then until Retry could read it. A write that fails is rejected where nothing depends on
+// it, and otherwise made again by Retry and before the next write.
 #ifndef BRASSFRONT_SPOOL_SPOOL_HPP_
 #define BRASSFRONT_SPOOL_SPOOL_HPP_
 
@@ -11,11 +16,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "spool/file.hpp"
+#include "spool/spool_clock.hpp"
 #include "spool/spool_record.hpp"
 
 namespace brassfront {
@@ -40,14 +47,21 @@
 
   // Opens the folder's file or makes it, and cuts off a damaged tail. The file and its compaction
   // stay within `disk_bytes` together. A folder that can't be used is reported, and then no message
-  // is accepted.
+  // is accepted until Retry finds it well.
   Spool(std::string folder, std::size_t disk_bytes, Report report);
 
   // For inspection: the file stays as it is, and no message is accepted.
   static Spool OpenToRead(std::string folder, Report report);
 
-  // The messages that are not finished, in the order of acceptance. Their bodies are read from the
-  // file here; a message that can't be read is reported and left out.
+  // Tries again what has failed: to open and read the file, to record ends of messages and
+  // outcomes of attempts, to compact. To be called every second or so.
+  void Retry();
+  // The file was read, and records can be written unless the folder fails.
+  [[nodiscard]] bool is_available() const { return file_.is_open(); }
+
+  // The messages that are not finished and were not returned before, in the order of acceptance.
+  // Their bodies are read from the file here; one whose read fails is left for the next call, one
+  // that can't be decoded is reported and left out.
   [[nodiscard]] std::vector<RecoveredMessage> Recover();
 
   // False if the message can't be stored: it must be rejected then. `number` must be new.
@@ -60,6 +74,10 @@
   // The message needs no further attempt or recovery. Harmless for an unknown one.
   void Finish(SpoolId number);
 
+  // The time for what follows, and of all times above. Real time passes between two of its values,
+  // across processes too, however the wall clock is stepped.
+  [[nodiscard]] UnixMs Now() const;
+
   // Above all numbers in the file.
   [[nodiscard]] SpoolId next_number() const { return next_number_; }
   [[nodiscard]] std::size_t open_messages() const { return open_messages_.size(); }
@@ -80,25 +98,44 @@
     spool::Record record;
     Extent extent;
   };
+  // What came of reading the record at an offset.
+  enum class ReadOutcome { kRecord, kEnd, kDamaged, kFailed };
+  struct ReadResult {
+    ReadOutcome outcome = ReadOutcome::kEnd;
+    StoredRecord stored{};
+  };
+  // An outcome of an attempt that could not be recorded yet.
+  struct PendingNotRun {
+    SpoolId number = 0;
+    std::size_t attempt = 0;
+  };
   // Whether a record may use the space that is reserved for the records of accepted messages.
   enum class Space { kUnreserved, kReserved };
 
   Spool(std::string folder, Report report);
 
   // ---- reading ----
-  void Load();
-  [[nodiscard]] std::optional<StoredRecord> ReadRecord(std::size_t offset,
-                                                       std::size_t stored_bytes) const;
+  void Open();
+  [[nodiscard]] bool Load();
+  [[nodiscard]] bool LoadRecords(std::size_t stored_bytes);
+  [[nodiscard]] ReadResult ReadRecord(std::size_t offset, std::size_t stored_bytes) const;
 
   // ---- what a record changes; false if it contradicts the records before it ----
   bool Apply(const spool::MessageAccepted& record, const Extent& extent);
   bool Apply(const spool::AttemptStarted& record, const Extent& extent);
   bool Apply(const spool::AttemptNotRun& record, const Extent& extent);
   bool Apply(const spool::MessageFinished& record, const Extent& extent);
+  bool Apply(const spool::ClockAnchor& record, const Extent& extent);
 
   // ---- writing ----
+  [[nodiscard]] bool Prepare();
+  [[nodiscard]] bool KeepDamagedTail();
+  [[nodiscard]] bool FlushPending();
   template <typename Record>
   bool Append(const Record& record, Space space);
+  template <typename Record>
+  bool Write(const Record& record, Space space);
+  void ReportOnce(const std::string& text);
   [[nodiscard]] bool Fits(std::size_t additional_bytes) const;
   [[nodiscard]] bool IsCompactionDue(std::size_t additional_bytes) const;
   bool Compact();
@@ -106,8 +143,19 @@
   const std::string folder_;
   const std::size_t disk_bytes_;  // 0: only for inspection
   const Report report_;
+  bool reported_ = false;  // why the spool is not in use
   File file_;
-  std::size_t file_bytes_ = 0;
+  std::size_t file_bytes_ = 0;     // intact ones
+  std::size_t damaged_bytes_ = 0;  // behind them, to be cut off
+  std::size_t kept_bytes_ = 0;     // of the file beside the spool
+  bool header_is_due_ = false;
+  bool anchor_is_due_ = false;
+  SpoolClock clock_;
+  std::optional<spool::ClockAnchor> stored_anchor_;
+  UnixMs latest_time_{};  // of any record
+  std::set<SpoolId> pending_ends_;
+  std::vector<PendingNotRun> pending_not_run_;
+  std::set<SpoolId> unrecovered_;          // not returned by Recover yet
   std::size_t compacted_bytes_ = 0;        // of the file if it were compacted now
   std::size_t next_compaction_bytes_ = 0;  // after a failed one: not before the file is this large
   SpoolId next_number_ = 1;
--- a/src/spool/spool_record.cpp
+++ b/src/spool/spool_record.cpp
@@ -13,6 +13,7 @@
   kAttemptStarted = 'B',
   kAttemptNotRun = 'N',
   kMessageFinished = 'E',
+  kClockAnchor = 'C',
 };
 
 constexpr int kNumberBytes = 8;
@@ -114,6 +115,14 @@
   return record;
 }
 
+ClockAnchor ReadClockAnchor(PayloadReader& reader) {
+  ClockAnchor record;
+  record.boot_id = reader.Text();
+  record.monotonic = reader.Time();
+  record.wall = reader.Time();
+  return record;
+}
+
 std::optional<Record> ReadRecord(Tag tag, PayloadReader& reader) {
   switch (tag) {
     case Tag::kMessageAccepted:
@@ -124,6 +133,8 @@
       return ReadAttemptNotRun(reader);
     case Tag::kMessageFinished:
       return MessageFinished{.number = reader.Number()};
+    case Tag::kClockAnchor:
+      return ReadClockAnchor(reader);
   }
   return std::nullopt;
 }
@@ -159,6 +170,14 @@
   return PayloadWriter(Tag::kMessageFinished).Number(record.number).Framed();
 }
 
+std::string Encode(const ClockAnchor& record) {
+  return PayloadWriter(Tag::kClockAnchor)
+      .Text(record.boot_id)
+      .Time(record.monotonic)
+      .Time(record.wall)
+      .Framed();
+}
+
 FrameHeader DecodeFrameHeader(std::string_view bytes) {
   PayloadReader reader(bytes);
   FrameHeader header;
--- a/src/spool/spool_record.hpp
+++ b/src/spool/spool_record.hpp
@@ -58,7 +58,16 @@
   SpoolId number = 0;
 };
 
-using Record = std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageFinished>;
+// From here on, and for all records before: times count by the machine's monotonic clock from this
+// moment (spool_clock.hpp).
+struct ClockAnchor {
+  std::string boot_id;                    // of the machine's start
+  std::chrono::milliseconds monotonic{};  // the moment
+  UnixMs wall{};                          // the time that it stands for
+};
+
+using Record =
+    std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageFinished, ClockAnchor>;
 
 // ---- encoding ----
 
@@ -67,6 +76,7 @@
 std::string Encode(const AttemptStarted& record);
 std::string Encode(const AttemptNotRun& record);
 std::string Encode(const MessageFinished& record);
+std::string Encode(const ClockAnchor& record);
 
 // ---- decoding ----
 
--- a/tests/compatibility/recording_server.py
+++ b/tests/compatibility/recording_server.py
@@ -34,7 +34,8 @@
         self.watch_generation = 0
         self.refuse_notices_with = None  # bytes; such notices are never confirmed
         self.answer = answer or (lambda request: OK)
-        self.list = {"revision": 1, "complete": True, "members": []}
+        # No list yet: the forwarder goes on with that of its configuration.
+        self.list = {"revision": 0, "complete": True, "members": []}
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def __enter__(self):
--- a/tests/faults/incident_test.py
+++ b/tests/faults/incident_test.py
@@ -10,9 +10,7 @@
 import unittest
 
 import rig
-from rig import FaultTest, wait_for
-
-REJECTED = (503, {})
+from rig import Endpoint, FaultTest, wait_for
 
 
 class LogReaderTest(FaultTest):
@@ -82,14 +80,11 @@
     def owe_messages(self, count):
         """Accepted messages that no endpoint has taken yet, left by a process that was
         killed."""
-        for endpoint in self.endpoints.values():
-            endpoint.answer = lambda call: REJECTED
+        self.set_mode(Endpoint.REJECT)
         forwarder = self.start()
         owed = [self.put_accepted(left_ms=20000) for _ in range(count)]
         forwarder.end()
-        for endpoint in self.endpoints.values():
-            endpoint.calls.clear()
-            endpoint.answer = lambda call: (200, {})
+        self.set_mode(Endpoint.TAKE)
         return owed
 
     def test_owed_messages_do_not_go_to_an_endpoint_that_began_to_drain_meanwhile(self):
@@ -97,6 +92,7 @@
             with self.subTest(phase):
                 self.tell()
                 owed = self.owe_messages(6)
+                self.endpoints["a"].delivered.clear()
                 self.tell(a=phase)
                 forwarder = self.start()  # its configuration still has `a` as ready
                 for message in owed:
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -88,7 +88,7 @@
     """A discovery whose lists may come over several lines and in any chunks."""
 
     def __init__(self):
-        super().__init__()
+        super().__init__(revision=1)
         self.RequestHandlerClass = LayoutHandler
         self.indent = None
         self.chunk_bytes = 0
@@ -98,6 +98,32 @@
         return json.dumps(body, indent=self.indent) + "\n"
 
 
+class Endpoint(toy_server.Toy):
+    """An endpoint that takes, rejects, never answers or holds what it is sent."""
+
+    TAKE, REJECT, HANG, HOLD = range(4)
+
+    def __init__(self):
+        super().__init__()
+        self.mode = self.TAKE
+        self.delivered = []  # ids, once for each call that it took
+        self.hung = []  # or held
+        self.released = threading.Event()  # what is held is taken then
+        self.answer = self.answer_by_mode
+
+    def answer_by_mode(self, call):
+        if self.mode == self.REJECT:
+            return 503, {}
+        if self.mode == self.HANG:
+            self.hung.append(call["id"])
+            return b""
+        if self.mode == self.HOLD:
+            self.hung.append(call["id"])
+            self.released.wait(timeout=LIMIT)
+        self.delivered.append(call["id"])
+        return 200, {}
+
+
 class Forwarder:
     """One process of the program; `log` grows while its reader is there."""
 
@@ -168,7 +194,7 @@
         self.state.mkdir()
         self.faults = FaultTable(self.folder / "faults")
         self.discovery = self.new_stand_in(Discovery)
-        self.endpoints = {name: self.new_stand_in() for name in "ab"}
+        self.endpoints = {name: self.new_stand_in(Endpoint) for name in "ab"}
         self.listen = free_address()
         self.admin = free_address()
         self.config = json.loads((ROOT / "examples" / "config.json").read_text())
@@ -276,16 +302,24 @@
         wait_for("a message to be accepted", accepted)
         return ids[0]
 
+    def set_mode(self, mode):
+        for endpoint in self.endpoints.values():
+            endpoint.mode = mode
+
+    def hangs(self, message):
+        return any(message in endpoint.hung for endpoint in self.endpoints.values())
+
     def calls_of(self, message):
+        """The endpoints that took the message, once for each time."""
         return [
             name
             for name, stand_in in self.endpoints.items()
-            for call in list(stand_in.calls)
-            if call["id"] == message
+            for taken in list(stand_in.delivered)
+            if taken == message
         ]
 
     def calls_to(self, name):
-        return len(self.endpoints[name].calls)
+        return len(self.endpoints[name].delivered)
 
     def notices_of(self, message):
         return [n for n in list(self.discovery.notices) if n["id"] == message]
--- a/tests/faults/state_test.py
+++ b/tests/faults/state_test.py
@@ -8,29 +8,19 @@
 import unittest
 
 import rig
-from rig import FaultTest, wait_for
+from rig import Endpoint, FaultTest, wait_for
 
-REJECTED = (503, {})
 RETRY_S = 5  # s; within which a folder that is well again is in use again
 
 
 class StateTest(FaultTest):
-    def reject_all(self):
-        for endpoint in self.endpoints.values():
-            endpoint.answer = lambda call: REJECTED
-
-    def take_all(self):
-        for endpoint in self.endpoints.values():
-            endpoint.calls.clear()
-            endpoint.answer = lambda call: (200, {})
-
     def owe(self, count=3, **options):
         """Accepted messages that a killed process left, none of which has run."""
-        self.reject_all()
+        self.set_mode(Endpoint.REJECT)
         forwarder = self.start()
         owed = [self.put_accepted(**options) for _ in range(count)]
         forwarder.end()
-        self.take_all()
+        self.set_mode(Endpoint.TAKE)
         return owed
 
 
@@ -89,12 +79,15 @@
         """Else the next process would deliver the message again."""
         for error in ("ENOSPC", "EIO"):
             with self.subTest(error):
-                self.reject_all()
+                self.set_mode(Endpoint.HOLD)
+                for endpoint in self.endpoints.values():
+                    endpoint.released.clear()
                 forwarder = self.start()
                 message = self.put_accepted()
-                wait_for("a call", lambda: self.calls_of(message))
-                rule = self.faults.fail("pwrite", error, skip=1)
-                self.take_all()
+                wait_for("the call", lambda: self.hangs(message))
+                rule = self.faults.fail("pwrite", error)
+                for endpoint in self.endpoints.values():
+                    endpoint.released.set()
                 wait_for("the delivery", lambda: self.calls_of(message))
                 wait_for("the failed write", lambda: self.faults.hits(rule) > 0)
                 self.faults.end()
@@ -176,13 +169,13 @@
         for step in (2, -2, 3600, -3600):
             with self.subTest(step):
                 self.faults.step_clock(0)
-                self.reject_all()
+                self.set_mode(Endpoint.REJECT)
                 forwarder = self.start()
                 before = self.put_accepted()
                 self.faults.step_clock(step)
                 after = self.put_accepted()
                 forwarder.end()
-                self.take_all()
+                self.set_mode(Endpoint.TAKE)
                 forwarder = self.start()
                 for message in (before, after):
                     wait_for("the call", lambda: self.calls_of(message))
@@ -195,22 +188,17 @@
         for step in (-2, -3600):
             with self.subTest(step):
                 self.faults.step_clock(0)
-                hanging = []
-                for endpoint in self.endpoints.values():
-                    endpoint.calls.clear()
-                    endpoint.answer = lambda call: hanging.append(call) or b""
+                self.set_mode(Endpoint.HANG)
                 forwarder = self.start()
                 message = self.put_accepted(left_ms=20000)
-                wait_for("a call", lambda: self.calls_of(message))
+                wait_for("a call", lambda: self.hangs(message))
                 forwarder.end()
-                calls = len(self.calls_of(message))
                 time.sleep(1.1)  # the window itself, in real time
                 self.faults.step_clock(step)
-                for endpoint in self.endpoints.values():
-                    endpoint.answer = lambda call: (200, {})
+                self.set_mode(Endpoint.TAKE)
                 forwarder = self.start()
                 wait_for("the notice", lambda: self.notices_of(message))
-                self.assertEqual(len(self.calls_of(message)), calls)
+                self.assertEqual(self.calls_of(message), [])
                 forwarder.end()
 
 
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -40,8 +40,8 @@
 class Fixture {
  public:
   void Start(const ClientServer::Limits& limits) {
-    Socket listener = Listen("127.0.0.1:0");
-    address = AddressOf(listener);
+    Socket listener = Listen("127.0.0.1:0", AcceptMode::kNonBlocking);
+    address = LocalAddress(listener);
     server.emplace(std::move(listener), limits, acceptor, buffers);
   }
   Socket Client(std::string_view says = {}) {
@@ -240,7 +240,7 @@
 TEST_CASE("the peer's end is seen behind unread input, and our own shutdown is not one") {
   Socket listener = Listen("127.0.0.1:0");
   Socket peer = NewSocket();
-  REQUIRE(Connect(peer, AddressOf(listener), kNever));
+  REQUIRE(Connect(peer, LocalAddress(listener), kNever));
   Socket ours = Accept(listener);
   CHECK_FALSE(ours.PeerHasEnded());
   shutdown(ours.fd(), SHUT_RD);
--- a/tests/network/discovery_watcher_test.cpp
+++ b/tests/network/discovery_watcher_test.cpp
@@ -28,11 +28,9 @@
   const DiscoveryTimeouts::Time reachable = start + down;
   if (path == Path::kWatchFellSilent || path == Path::kWatchEnded) {
     times.OnPollStarted(now);
-    times.OnLine(now);  // the last one: it falls silent, or ends, just after it
+    times.OnProgress(now);  // the last one: it falls silent, or ends, just after it
     now = path == Path::kWatchEnded ? now : times.GiveUpAt();
     now += times.DelayAfter(now);
-  } else {
-    now += times.InitialDelay();
   }
   std::mt19937_64 random(seed);
   while (now < reachable) {  // an ask from before stays without an answer
@@ -79,7 +77,7 @@
   Socket agent = Listen("127.0.0.1:0");
   BufferPool buffers;
   std::atomic<int> lists{0};
-  DiscoveryWatcher watch(AddressOf(agent), 1, {}, buffers, [&](MemberList) { ++lists; });
+  DiscoveryWatcher watch(LocalAddress(agent), 1, {}, buffers, [&](MemberList) { ++lists; });
   Socket trickling = Accept(agent);
   trickling.SendAll("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   bool asked_again = false;
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -18,7 +18,7 @@
 
 class Peer {
  public:
-  Peer() : listener_(Listen("127.0.0.1:0")), address(AddressOf(listener_)) {}
+  Peer() : listener_(Listen("127.0.0.1:0")), address(LocalAddress(listener_)) {}
   // Takes a connection and reads one request on it.
   Socket AcceptRequest() {
     Socket socket = Accept(listener_);
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -73,7 +73,7 @@
 // The platform: confirms notifications and answers nothing else.
 class Platform {
  public:
-  std::string address() const { return AddressOf(listener_); }
+  std::string address() const { return LocalAddress(listener_); }
   // The body of the next request with notifications.
   std::string NextNotification() {
     while (true) {
@@ -96,7 +96,7 @@
  public:
   explicit Fixture(const std::string& discovery = "127.0.0.1:1", int bundle = 1)
       : listener(Listen("127.0.0.1:0")),
-        config(OneEndpoint(AddressOf(listener), discovery, bundle)),
+        config(OneEndpoint(LocalAddress(listener), discovery, bundle)),
         spool(folder.path, config.limits.disk_bytes, [](const std::string&) {}) {
     engine.emplace(config, spool, buffers);
   }
--- a/tests/network/json_test.cpp
+++ b/tests/network/json_test.cpp
@@ -55,19 +55,26 @@
   CHECK(list.members[0].weight == 1.5);
 }
 
-TEST_CASE("lines come whole out of any cuts, empty ones too") {
-  const std::string text = "\n" + std::string(kList) + "\r\n\nlast\n";
+TEST_CASE("objects in any layout come whole out of any cuts, empty and other lines too") {
+  const std::string indented = "{\n  \"a\": [\n    \"}\\\"]{\\\\\"\n  ],\n\n  \"b\": {}\n}";
+  const std::string text =
+      "\n" + std::string(kList) + "\r\n\nlast\n" + indented + indented + "  \r\n \n";
   for (int seed = 0; seed < testing::kRounds; ++seed) {
-    LineCutter cutter;
-    std::vector<std::string> lines;
+    ObjectCutter cutter;
+    std::vector<std::string> pieces;
     testing::InCuts(text, seed, [&](std::string_view part) {
-      for (std::string& line : cutter.Feed(part)) lines.push_back(std::move(line));
+      for (std::string& piece : cutter.Feed(part)) pieces.push_back(std::move(piece));
     });
-    CHECK(lines == std::vector<std::string>{"", std::string(kList), "", "last"});
+    CHECK(pieces ==
+          std::vector<std::string>{"", std::string(kList), "", "last", indented, indented, ""});
+    CHECK(cutter.partial().empty());
   }
-  LineCutter small(4);
+  ObjectCutter small(4);
   small.Feed("12345");
   CHECK(small.broken());
+  ObjectCutter nested(4);
+  nested.Feed("{{{{{");
+  CHECK(nested.broken());
 }
 
 TEST_CASE("garbage is refused or read, and nothing else happens") {
