Serve the operators' second address: maintenance, standby, status and metrics

Where the configuration names admin, src/operators answers HTTP there, one thread for all callers: /status, /metrics, /maintenance/enter and exit, /standby, /active. Exclusions are one mechanism with the fleet's (src/exclusions): kept out of every list, checked once more before a call's first byte, in force before the write, on the disk before yes, 500 and tried on where the folder fails; while a new process can't read who is out, it makes no call. Lists and exclusions reach the engine in the order in which they were made: the list of the configuration is taken up before the engine can get one from discovery. Operators' changes go past a full inbox. What an endpoint is readmitted with counts as cold.

Not taken: a control message through the engine's inbox with a reply, which would wait for a busy engine.

--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -34,7 +34,9 @@
 // What the descriptors leave once every delivery is out, within the memory.
 std::size_t MaxClientConnections(const Config& config) {
   const std::size_t all = config.limits.sockets;
-  const std::size_t others = kReservedDescriptors + Engine::MaxEndpointConnections(config);
+  const std::size_t operators = config.admin.empty() ? 0 : OperatorServer::kMaxDescriptors;
+  const std::size_t others =
+      kReservedDescriptors + operators + Engine::MaxEndpointConnections(config);
   const std::size_t left =
       std::max(all > others ? all - others : 0, all / kMinClientDescriptorShare);
   const std::size_t in_memory = config.limits.memory_bytes / 2 / kBytesPerClientConnection;
@@ -63,9 +65,18 @@
       {{"discovery", after.discovery}, {"taken_up", Join(now)}, {"at_next_start", Join(later)}});
 }
 
+// What the other files in the state folder leave to the spool.
+std::size_t SpoolBytes(const Config& config) {
+  const std::size_t others = config.admin.empty() ? 0 : ExclusionFile::kMaxBytesOnDisk;
+  return config.limits.disk_bytes - std::min(config.limits.disk_bytes, others);
+}
+
 Config ReadConfig(const std::string& path) {
   Config config = LoadConfig(path);
   if (!IsAddress(config.listen)) throw ConfigError("bad listen address " + config.listen);
+  if (!config.admin.empty() && !IsAddress(config.admin)) {
+    throw ConfigError("bad admin address " + config.admin);
+  }
   if (!IsAddress(config.discovery)) throw ConfigError("bad discovery address " + config.discovery);
   for (const std::string& warning : config.warnings) {
     observe::Log(Concern::kService, Level::kWarning, "setting replaced by a safe default",
@@ -87,19 +98,30 @@
 ForwarderService::ForwarderService(const ServeOptions& options)
     : config_path_(options.config_path),
       config_(ReadConfig(options.config_path)),
-      spool_(options.state_folder, config_.limits.disk_bytes, LogSpoolWarning),
+      spool_(options.state_folder, SpoolBytes(config_), LogSpoolWarning),
+      operator_commands_(config_.admin.empty() ? nullptr
+                                               : std::make_unique<OperatorCommands>(
+                                                     options.state_folder, exclusions_)),
       sources_(CreateSources(options.sources_path, config_)),
-      fleet_(CreateFleet(options.roster_path, config_, options.state_folder)),
+      fleet_(CreateFleet(options.roster_path, config_, options.state_folder, exclusions_)),
+      initial_list_(InitialList()),
       engine_made_(engine_promise_.get_future()),
       engine_(config_, spool_, buffers_, ListInterceptor()) {
   engine_promise_.set_value(&engine_);
   if (fleet_ && fleet_->call_observer() != nullptr) {
     engine_.SetCallObserver(*fleet_->call_observer());
   }
-  engine_.Restore(
-      FilterEndpoints(sources_ ? sources_->Begin(kZoneConfirmationTimeout) : config_.known));
+  engine_.SetExclusions(exclusions_);
+  engine_.Restore(initial_list_);
   StartClientServer();
   StartFleet();
+  StartOperatorServer();
+}
+
+MemberList ForwarderService::InitialList() {
+  MemberList list = sources_ ? sources_->Begin(kZoneConfirmationTimeout) : config_.known;
+  if (fleet_) fleet_->OnEndpointList(list);
+  return exclusions_.Apply(std::move(list));
 }
 
 // Who gets the platform's lists instead of the engine; nobody without sources and a fleet.
@@ -107,14 +129,16 @@
   if (sources_) {
     return [this](const MemberList& list) { sources_->ApplyPlatformList(list); };
   }
-  if (fleet_) {
-    return [this](MemberList list) { SetEndpoints(FilterEndpoints(std::move(list))); };
+  if (fleet_ || operator_commands_) {
+    return [this](MemberList list) { FilterAndSetEndpoints(std::move(list)); };
   }
   return {};
 }
 
-MemberList ForwarderService::FilterEndpoints(MemberList list) {
-  return fleet_ ? fleet_->FilterEndpoints(std::move(list)) : list;
+void ForwarderService::FilterAndSetEndpoints(MemberList list) {
+  if (fleet_) fleet_->OnEndpointList(list);
+  exclusions_.Apply(std::move(list),
+                    [this](MemberList filtered) { SetEndpoints(std::move(filtered)); });
 }
 
 void ForwarderService::SetEndpoints(MemberList list) {
@@ -132,7 +156,7 @@
   }
   address_ = LocalAddress(listener);
   if (sources_) {
-    sources_->Start([this](MemberList list) { SetEndpoints(FilterEndpoints(std::move(list))); });
+    sources_->Start([this](MemberList list) { FilterAndSetEndpoints(std::move(list)); });
   }
   const ClientServer::Limits limits{
       .connections = MaxClientConnections(config_),
@@ -151,8 +175,27 @@
                  .post = [this](std::function<void()> task) { engine_.Post(std::move(task)); }});
 }
 
+void ForwarderService::StartOperatorServer() {
+  if (!operator_commands_) return;
+  // With the weight of two witnesses: operators' word is binding.
+  constexpr std::size_t kWitnesses = 2;
+  operator_commands_->Attach(
+      {.serves = [this] { return !shutting_down_; },
+       .set_standby = [this](bool standby) { clients_->StandBy(standby); },
+       .set_endpoints =
+           [this](MemberList changes) { engine_.SetEndpointsUrgently(std::move(changes)); },
+       .readmit =
+           [this](const std::string& endpoint) {
+             const dispatch_policy::PeerHealthReport report{
+                 .health = dispatch_policy::PeerHealth::kWarmingUp, .witnesses = kWitnesses};
+             engine_.UpdateEndpointUrgently({endpoint, report});
+           }});
+  operator_server_ = std::make_unique<OperatorServer>(config_.admin, *operator_commands_, buffers_);
+}
+
 void ForwarderService::Run() {
   engine_.Run([this] { clients_->Drain(); });
+  operator_server_.reset();
   if (sources_) sources_->Stop();
   if (fleet_) fleet_->Stop();
   engine_.Close();
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -13,8 +13,11 @@
 
 #include "cli/optional_features.hpp"
 #include "config/config.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "forwarder/engine.hpp"
 #include "net/client_server.hpp"
+#include "operators/operator_commands.hpp"
+#include "operators/operator_server.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
@@ -55,17 +58,22 @@
 
  private:
   [[nodiscard]] DiscoveryWatcher::OnEndpointList ListInterceptor();
-  [[nodiscard]] MemberList FilterEndpoints(MemberList list);
+  [[nodiscard]] MemberList InitialList();
+  void FilterAndSetEndpoints(MemberList list);
   void SetEndpoints(MemberList list);
   void StartClientServer();
   void StartFleet();
+  void StartOperatorServer();
 
   const std::string config_path_;
   const Config config_;
   BufferPool buffers_;
   Spool spool_;
-  const std::unique_ptr<EndpointSources> sources_;  // nullptr: the platform alone
-  const std::unique_ptr<fleet::Fleet> fleet_;       // nullptr: no fleet
+  EndpointExclusions exclusions_;
+  const std::unique_ptr<OperatorCommands> operator_commands_;  // nullptr: no second address
+  const std::unique_ptr<EndpointSources> sources_;             // nullptr: the platform alone
+  const std::unique_ptr<fleet::Fleet> fleet_;                  // nullptr: no fleet
+  const MemberList initial_list_;  // made before the engine, whose lists from discovery are newer
   // Lists may come before the engine's constructor returns; whoever has one waits for the engine.
   std::promise<Engine*> engine_promise_;
   const std::shared_future<Engine*> engine_made_;
@@ -73,6 +81,7 @@
   std::string address_;
   std::optional<ClientServer> clients_;
   std::atomic<bool> shutting_down_{false};
+  std::unique_ptr<OperatorServer> operator_server_;  // the last member: it calls the others
 };
 
 }  // namespace brassfront
--- a/src/cli/optional_features.cpp
+++ b/src/cli/optional_features.cpp
@@ -12,12 +12,14 @@
 }
 
 std::unique_ptr<fleet::Fleet> CreateFleet(const std::string& roster_path, const Config& config,
-                                          const std::string& state_folder) {
+                                          const std::string& state_folder,
+                                          EndpointExclusions& exclusions) {
   if (roster_path.empty()) return nullptr;
 #ifdef BRASSFRONT_FLEET
   return std::make_unique<fleet::Fleet>(roster_path, config.name, state_folder + "/fleet",
-                                        config.seed);
+                                        config.seed, exclusions);
 #else
+  static_cast<void>(exclusions);
   throw ConfigError("--fleet: not built into this program (" + config.name + ", " + state_folder +
                     ")");
 #endif
--- a/src/cli/optional_features.hpp
+++ b/src/cli/optional_features.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "config/config.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "forwarder/call_observer.hpp"
 #include "forwarder/forwarder_control.hpp"
 #include "protocol/discovery.hpp"
@@ -34,7 +35,7 @@
 #ifndef BRASSFRONT_FLEET
 namespace fleet {
 struct Fleet {
-  MemberList FilterEndpoints(MemberList list) { return list; }
+  void OnEndpointList(const MemberList&) {}
   CallObserver* call_observer() { return nullptr; }
   void Start(const ForwarderControl&) {}
   void ReloadRoster() {}
@@ -51,7 +52,8 @@
 // what Fleet's constructor throws.
 [[nodiscard]] std::unique_ptr<fleet::Fleet> CreateFleet(const std::string& roster_path,
                                                         const Config& config,
-                                                        const std::string& state_folder);
+                                                        const std::string& state_folder,
+                                                        EndpointExclusions& exclusions);
 
 }  // namespace brassfront
 
--- a/src/concurrency/bounded_queue.hpp
+++ b/src/concurrency/bounded_queue.hpp
@@ -30,6 +30,17 @@
     return true;
   }
 
+  // Never waits: a few urgent values may go beyond the capacity. False if the queue is closed.
+  bool PushBeyondCapacity(T value) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (closed_) return false;
+      values_.push_back(std::move(value));
+    }
+    not_empty_.notify_one();
+    return true;
+  }
+
   // Nothing if the time came first, or if the queue is closed and empty.
   std::optional<T> PopUntil(std::chrono::steady_clock::time_point time) {
     std::unique_lock lock(mutex_);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -215,6 +215,7 @@
     config.name = file.At("name").Text();
     config.listen = file.At("listen").Text();
     config.discovery = file.At("discovery").Text();
+    config.admin = TextOr(file, "admin", "");
     config.seed = ParseSeed(file.At("seed").Text());
     config.limits = ReadLimits(file.At("limits"));
     config.known = ReadMemberList(file.At("known"));
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -32,6 +32,7 @@
   std::string name;       // of this forwarder
   std::string listen;     // IPv4:PORT, for clients
   std::string discovery;  // IPv4:PORT
+  std::string admin;      // IPv4:PORT, for operators; empty: none
   std::uint64_t seed = 0;
   Limits limits;
   MemberList known;  // the endpoint list as it was when the file was written
--- a/src/exclusions/endpoint_exclusions.hpp
+++ b/src/exclusions/endpoint_exclusions.hpp
@@ -25,18 +25,18 @@
 // Any thread may call any method.
 class EndpointExclusions {
  public:
-  // Hands a list on to the engine. Called with a mutex held, so that lists and changes of exclusions
-  // reach the engine in the order in which they were made; it must not call back.
+  // Hands a list on to the engine. Called with a mutex held, so that lists and changes of
+  // exclusions reach the engine in the order in which they were made; it must not call back.
   using Deliver = std::function<void(MemberList)>;
 
-  // Records a list as it came, and returns it with excluded endpoints as terminating. A list that is
-  // older than the last one is returned as it is.
+  // Records a list as it came, and returns it with excluded endpoints as terminating. A list that
+  // is older than the last one is returned as it is.
   [[nodiscard]] MemberList Apply(MemberList list);
   // The same, and hands the result on.
   void Apply(MemberList list, const Deliver& deliver);
 
-  // Replaces the set of endpoints that the source has taken out. From then on no call to one of them
-  // begins. Hands on the list of changes that the engine has to be told, if there are any.
+  // Replaces the set of endpoints that the source has taken out. From then on no call to one of
+  // them begins. Hands on the list of changes that the engine has to be told, if there are any.
   void SetExcluded(ExclusionSource source, std::set<std::string> excluded, const Deliver& deliver);
 
   // The last check before a call's first byte.
--- a/src/fleet/duty_executor.cpp
+++ b/src/fleet/duty_executor.cpp
@@ -39,7 +39,7 @@
 }
 
 void DutyExecutor::RestoreExclusions(const maintenance::MaintenanceState& state) {
-  exclusions_.SetExcluded(ComputeDutyFrom(state).ban);
+  exclusions_.SetExcluded(ExclusionSource::kFleet, ComputeDutyFrom(state).ban, [](MemberList) {});
 }
 
 std::vector<maintenance::Command> DutyExecutor::Execute(const maintenance::MaintenanceState& state,
@@ -76,8 +76,7 @@
   // Until the engine has taken up the new set, only what both sets have is certain.
   std::erase_if(local_.banned,
                 [&](const std::string& endpoint) { return !endpoints.contains(endpoint); });
-  MemberList changes = exclusions_.SetExcluded(endpoints);
-  if (!changes.members.empty()) forwarder_.set_endpoints(std::move(changes));
+  exclusions_.SetExcluded(ExclusionSource::kFleet, endpoints, forwarder_.set_endpoints);
   for (std::string& endpoint : readmitted) {
     const dispatch_policy::PeerHealthReport report{
         .health = dispatch_policy::PeerHealth::kWarmingUp, .witnesses = kWitnessesOfCommittedState};
--- a/src/fleet/duty_executor.hpp
+++ b/src/fleet/duty_executor.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/endpoint_exclusions.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "fleet/local_identity.hpp"
 #include "fleet/periodic_timer.hpp"
 #include "forwarder/forwarder_control.hpp"
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -33,11 +33,12 @@
 }  // namespace
 
 Fleet::Fleet(std::string roster_path, const std::string& self, const std::string& folder,
-             std::uint64_t seed)
+             std::uint64_t seed, EndpointExclusions& exclusions)
     : folder_(folder),
       self_name_(self),
       roster_(std::move(roster_path), self),
       local_identity_(folder),
+      exclusions_(exclusions),
       inbox_(kInboxCapacity),
       failure_detector_(roster_.roster().timings, self, roster_.MemberNames(),
                         local_identity_.identity(), local_identity_.process_incarnation(),
@@ -59,9 +60,8 @@
 
 Fleet::~Fleet() { Stop(); }
 
-MemberList Fleet::FilterEndpoints(MemberList list) {
+void Fleet::OnEndpointList(const MemberList& list) {
   if (sharing_) sharing_->OnEndpointList(list);
-  return exclusions_.Apply(std::move(list));
 }
 
 void Fleet::Start(ForwarderControl forwarder) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "concurrency/thread.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "fleet/control_server.hpp"
 #include "fleet/duty_executor.hpp"
-#include "fleet/endpoint_exclusions.hpp"
 #include "fleet/event_inbox.hpp"
 #include "fleet/known_state.hpp"
 #include "fleet/local_identity.hpp"
@@ -37,14 +37,13 @@
   // `self` is this forwarder's name in the roster; the folder is its own. Reads the roster, locks
   // the folder and counts a start in it. Throws records::BadRecords and std::runtime_error.
   Fleet(std::string roster_path, const std::string& self, const std::string& folder,
-        std::uint64_t seed);
+        std::uint64_t seed, EndpointExclusions& exclusions);
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  // To be asked for each list of endpoints on its way to the engine: returns what the engine is to
-  // get instead. Any thread.
-  [[nodiscard]] MemberList FilterEndpoints(MemberList list);
+  // To be told of each list of endpoints on its way to the engine. Any thread.
+  void OnEndpointList(const MemberList& list);
 
   // What the engine has to notify of its calls; nullptr: the roster shares neither limits nor
   // health reports. Valid as long as the fleet.
@@ -109,7 +108,7 @@
   const std::string self_name_;
   RosterWatcher roster_;
   LocalIdentity local_identity_;
-  EndpointExclusions exclusions_;     // any thread
+  EndpointExclusions& exclusions_;    // any thread
   std::unique_ptr<Sharing> sharing_;  // any thread; nullptr: the roster has no such part
   ForwarderControl forwarder_;
   EventInbox<Event> inbox_;  // any thread
--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -148,7 +148,8 @@
 }
 
 bool CallDispatcher::IsHeld(const PendingCall& call, Time now) const {
-  return known_list_hold_.Holds(call.decided_at, std::min(call.start_by, call.deadline), now);
+  return AwaitsExclusions() ||
+         known_list_hold_.Holds(call.decided_at, std::min(call.start_by, call.deadline), now);
 }
 
 bool CallDispatcher::Start(CallId id, PendingCall& call, Time now) {
@@ -240,9 +241,11 @@
 }
 
 std::function<bool()> CallDispatcher::CallPermit(dispatch_policy::EndpointId endpoint) const {
-  if (call_observer_ == nullptr) return nullptr;
-  return [observer = call_observer_, target = context_.endpoints.Target(endpoint)] {
-    return observer->AllowsCall(target);
+  if (call_observer_ == nullptr && exclusions_ == nullptr) return nullptr;
+  return [observer = call_observer_, exclusions = exclusions_,
+          target = context_.endpoints.Target(endpoint)] {
+    if (exclusions != nullptr && exclusions->IsExcluded(target.endpoint)) return false;
+    return observer == nullptr || observer->AllowsCall(target);
   };
 }
 
--- a/src/forwarder/call_dispatcher.hpp
+++ b/src/forwarder/call_dispatcher.hpp
@@ -9,6 +9,7 @@
 
 #include "config/config.hpp"
 #include "dispatch_policy/dispatch_policy.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "forwarder/call_observer.hpp"
 #include "forwarder/call_tracker.hpp"
 #include "forwarder/deadline_queue.hpp"
@@ -48,6 +49,9 @@
   // Sees every call from now on, and outlives the dispatcher.
   void SetCallObserver(CallObserver& observer) { call_observer_ = &observer; }
 
+  // Asked before each call from now on, and outlives the dispatcher.
+  void SetExclusions(const EndpointExclusions& exclusions) { exclusions_ = &exclusions; }
+
   // ---- the policy's actions ----
 
   void Send(const dispatch_policy::SendAttempt& action, Time decided_at);
@@ -72,7 +76,9 @@
   // Discovery's list is in use: calls are not held back any more for want of it.
   void EndKnownListHold() { known_list_hold_.End(); }
   // True while calls may be held back: then StartReadyCalls is to be called every few milliseconds.
-  [[nodiscard]] bool HoldsCalls(Time now) const { return known_list_hold_.IsActive(now); }
+  [[nodiscard]] bool HoldsCalls(Time now) const {
+    return known_list_hold_.IsActive(now) || AwaitsExclusions();
+  }
 
   // Calls that have not completed, started or not.
   [[nodiscard]] const CallTracker& calls() const { return calls_; }
@@ -85,6 +91,9 @@
   [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override;
   void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override;
 
+  [[nodiscard]] bool AwaitsExclusions() const {
+    return exclusions_ != nullptr && !exclusions_->is_complete();
+  }
   [[nodiscard]] std::function<bool()> CallPermit(dispatch_policy::EndpointId endpoint) const;
   void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now);
   void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
@@ -95,6 +104,7 @@
   const Context context_;
   const SetDeadline set_deadline_;
   CallObserver* call_observer_ = nullptr;
+  const EndpointExclusions* exclusions_ = nullptr;
   CallTracker calls_;
   KnownListHold known_list_hold_;
   Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
--- a/src/forwarder/endpoint_registry.cpp
+++ b/src/forwarder/endpoint_registry.cpp
@@ -42,7 +42,7 @@
                 {"weight", std::to_string(member.weight)},
                 {"state", ToString(ToEndpointState(member.phase))},
                 {"revision", list.revision},
-                {"source", ToString(list.source)}});
+                {"source", member.excluded ? "operator" : ToString(list.source)}});
 }
 
 void LogStateChanged(const Endpoint& endpoint, EndpointState before, const MemberList& list) {
@@ -52,7 +52,7 @@
                 {"from", ToString(before)},
                 {"to", ToString(endpoint.entry.state)},
                 {"revision", list.revision},
-                {"source", ToString(list.source)}});
+                {"source", endpoint.excluded ? "operator" : ToString(list.source)}});
 }
 
 }  // namespace
@@ -92,6 +92,7 @@
   Endpoint& endpoint = endpoints_[id];
   endpoint.name = member.id;
   endpoint.address = member.address;
+  endpoint.excluded = member.excluded;
   endpoint.entry = {.endpoint = id,
                     .destination = member.destination,
                     .kind = IndexOf(config_.kind_names, member.kind),
--- a/src/forwarder/endpoint_registry.hpp
+++ b/src/forwarder/endpoint_registry.hpp
@@ -22,8 +22,9 @@
 namespace brassfront {
 
 struct Endpoint {
-  std::string name;     // its id in the list
-  std::string address;  // host:port
+  std::string name;       // its id in the list
+  std::string address;    // host:port
+  bool excluded = false;  // taken out, whatever the list says
   dispatch_policy::EndpointEntry entry;
   std::optional<dispatch_policy::Time> removed_at;  // none while it is not removed
 };
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -20,6 +20,7 @@
 #include "acceptance/message_acceptor.hpp"
 #include "config/config.hpp"
 #include "dispatch_policy/dispatch_policy.hpp"
+#include "exclusions/endpoint_exclusions.hpp"
 #include "forwarder/call_dispatcher.hpp"
 #include "forwarder/call_observer.hpp"
 #include "forwarder/endpoint_registry.hpp"
@@ -51,6 +52,11 @@
   // To be called before Restore, if at all. The observer sees every call from then on, and outlives
   // the engine.
   void SetCallObserver(CallObserver& observer);
+  // To be called before Restore, if at all. No call begins to an endpoint that is excluded, and
+  // none at all while the exclusions are not complete. They outlive the engine.
+  void SetExclusions(const EndpointExclusions& exclusions) {
+    call_dispatcher_.SetExclusions(exclusions);
+  }
   // Takes over the messages that an earlier process had accepted, with the endpoints that are known
   // now. Clients may connect once it has returned.
   void Restore(const MemberList& known);
@@ -67,6 +73,9 @@
   void OnClientDisconnected(std::uint64_t message) override;
   void BeginGracefulShutdown();
   void SetEndpoints(MemberList list) { loop_.Push(std::move(list)); }
+  // The same and the one below for operators, who are not kept waiting by a full inbox.
+  void SetEndpointsUrgently(MemberList list) { loop_.PushUrgent(std::move(list)); }
+  void UpdateEndpointUrgently(EndpointUpdate update) { loop_.PushUrgent(std::move(update)); }
   void UpdateEndpoint(EndpointUpdate update) { loop_.Push(std::move(update)); }
   // Runs the task on the engine's thread, after everything that was pushed before.
   void Post(std::function<void()> task);
--- a/src/forwarder/event_loop.hpp
+++ b/src/forwarder/event_loop.hpp
@@ -30,6 +30,9 @@
   // False if the loop is closed: the event is dropped.
   bool Push(Event event) { return inbox_.Push(std::move(event)); }
 
+  // The same without a wait, for a few urgent events.
+  bool PushUrgent(Event event) { return inbox_.PushBeyondCapacity(std::move(event)); }
+
   // Takes no more events and drops those that wait. Writers that wait return.
   void Close() {
     inbox_.Close();
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -21,6 +21,7 @@
   std::uint64_t destination = 0;
   Phase phase = Phase::kReady;
   double weight = 1;
+  bool excluded = false;  // not the list's word: it is kept out whatever the list says
 };
 
 // Whose word a list is.
--- a/src/spool/file.cpp
+++ b/src/spool/file.cpp
@@ -65,6 +65,12 @@
   return true;
 }
 
+bool File::Synchronize() {
+  if (fsync(fd_) == 0) return true;
+  observe::CountSystemCallFailure("fsync", errno);
+  return false;
+}
+
 bool File::Truncate(std::size_t size) {
   if (ftruncate(fd_, static_cast<off_t>(size)) == 0) return true;
   observe::CountSystemCallFailure("ftruncate", errno);
--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -38,6 +38,8 @@
   // writing at its end.
   [[nodiscard]] bool Write(std::size_t offset, std::string_view bytes);
   bool Truncate(std::size_t size);
+  // Returns once all that was written is on the disk; false if that failed.
+  [[nodiscard]] bool Synchronize();
 
  private:
   explicit File(int fd) : fd_(fd) {}
