Bound what a wait or a transfer repeats, read files again that can't be read for a moment

Cause, each found by the matrix of call x errno x phase: Socket::Await repeated a poll that failed each time without end, so a call's thread never saw its socket shut down and SIGTERM was not followed by an exit; File::Read and Write did the same with EINTR; the spool was tried again once a second, which served the first message 1.00 s after a fault. And of the class: LoadConfig took a failed read for the file's content, at SIGHUP for good; the fleet's control server ended at a failed poll, its datagram socket and the name server at a failed bind.

Before: poll EINTR and ENOMEM and pwrite EINTR in shutdown did not exit, open EMFILE and fstat EIO served after 1.0 s.

--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -89,6 +89,18 @@
   return config;
 }
 
+// Waits out a file that can't be read for a moment.
+Config ReadConfigAtStart(const std::string& path) {
+  while (true) {
+    try {
+      return ReadConfig(path);
+    } catch (const ConfigUnreadable&) {
+      if (std::chrono::steady_clock::now() >= StartupDeadline()) throw;
+      Pause(kTransientPause);
+    }
+  }
+}
+
 void LogSpoolWarning(const std::string& text) {
   observe::LogSeldom(Concern::kSpool, Level::kWarning, text);
 }
@@ -97,7 +109,7 @@
 
 ForwarderService::ForwarderService(const ServeOptions& options)
     : config_path_(options.config_path),
-      config_(ReadConfig(options.config_path)),
+      config_(ReadConfigAtStart(options.config_path)),
       spool_(options.state_folder, SpoolBytes(config_), LogSpoolWarning),
       operator_commands_(config_.admin.empty() ? nullptr
                                                : std::make_unique<OperatorCommands>(
@@ -206,16 +218,22 @@
   engine_.BeginGracefulShutdown();
 }
 
-void ForwarderService::Reload() {
+bool ForwarderService::Reload() {
+  bool readable = true;
   try {
     Config config = ReadConfig(config_path_);
     LogReload(config_, config);
     engine_.SetDiscoveryAddress(std::move(config.discovery));
+  } catch (const ConfigUnreadable& error) {
+    readable = false;
+    observe::LogSeldom(Concern::kService, Level::kError, "configuration not read yet",
+                       {{"error", error.what()}});
   } catch (const ConfigError& error) {
     observe::Log(Concern::kService, Level::kError,
                  "configuration rejected, keeping the previous one", {{"error", error.what()}});
   }
   if (fleet_) fleet_->ReloadRoster();
+  return readable;
 }
 
 }  // namespace brassfront
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -49,8 +49,9 @@
   // Any thread.
   void BeginGracefulShutdown();
   // Reads the configuration and the roster again; what is invalid leaves a line in the log and
-  // changes nothing. Any thread.
-  void Reload();
+  // changes nothing. False if the configuration can't be read now: call again a little later. Any
+  // thread.
+  [[nodiscard]] bool Reload();
 
   [[nodiscard]] const std::string& name() const { return config_.name; }
   // Where it listens, IPv4:PORT.
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -32,23 +32,35 @@
   return signals;
 }
 
+// Until `over`. A reload whose file can't be read now is tried again, which keeps no other signal
+// waiting.
+void CarryOutSignals(const sigset_t& signals, ForwarderService& service,
+                     const std::atomic<bool>& over) {
+  constexpr timespec kReloadRetryDelay{.tv_sec = 0, .tv_nsec = 200'000'000};
+  bool reload_is_due = false;
+  while (!over) {
+    const int signal = reload_is_due ? sigtimedwait(&signals, nullptr, &kReloadRetryDelay)
+                                     : sigwaitinfo(&signals, nullptr);
+    if (over) return;
+    if (signal > 0) {
+      observe::Log(Concern::kService, Level::kInfo, "signal received",
+                   {{"signal", sigabbrev_np(signal)}});
+    }
+    if (signal == SIGHUP || (signal < 0 && reload_is_due)) {
+      reload_is_due = !service.Reload();
+    } else if (signal > 0) {
+      service.BeginGracefulShutdown();
+    }
+  }
+}
+
 int Serve(const ServeOptions& options) {
   static_cast<void>(StartupDeadline());  // counts from here
   const sigset_t signals = BlockSignals();
   ForwarderService service(options);
   std::atomic<bool> over{false};
-  Thread signal_thread = Thread::Require("signals", [&] {
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && !over) {
-      observe::Log(Concern::kService, Level::kInfo, "signal received",
-                   {{"signal", sigabbrev_np(signal)}});
-      if (signal == SIGHUP) {
-        service.Reload();
-      } else {
-        service.BeginGracefulShutdown();
-      }
-    }
-  });
+  Thread signal_thread =
+      Thread::Require("signals", [&] { CarryOutSignals(signals, service, over); });
   observe::Log(Concern::kService, Level::kInfo, "serving",
                {{"name", service.name()}, {"listen", service.address()}});
   service.Run();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
-#include <fstream>
-#include <iterator>
+#include <cstring>
 #include <span>
 
 #include "config/json_fields.hpp"
 #include "protocol/json.hpp"
+#include "spool/file.hpp"
+#include "system/error_class.hpp"
 
 namespace brassfront {
 namespace {
@@ -243,11 +245,17 @@
 }
 
 Config LoadConfig(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw ConfigError("cannot read " + path);
-  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  const File file = File::OpenToRead(path);
+  const auto size = file.is_open() ? file.Size() : std::nullopt;
+  const auto text = size ? file.Read(0, *size) : std::nullopt;
+  if (!text) {
+    const int error = errno;
+    const std::string what = "cannot read " + path + ": " + std::strerror(error);
+    if (IsTransient(SystemCall::kStorage, error)) throw ConfigUnreadable(what);
+    throw ConfigError(what);
+  }
   try {
-    return ParseConfig(text);
+    return ParseConfig(*text);
   } catch (const ConfigError& error) {
     throw ConfigError(path + ": " + error.what());
   }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,6 +21,11 @@
   using std::runtime_error::runtime_error;
 };
 
+// The file can't be read now, which says nothing about what it holds.
+class ConfigUnreadable : public ConfigError {
+  using ConfigError::ConfigError;
+};
+
 // What the platform lets the forwarder use.
 struct Limits {
   std::size_t memory_bytes = 0;
@@ -57,7 +62,7 @@
 // The keys whose values differ, or that one of the two alone has.
 [[nodiscard]] std::vector<std::string> ChangedKeys(const Config& before, const Config& after);
 
-// Both throw ConfigError.
+// Both throw ConfigError; LoadConfig throws ConfigUnreadable if the file can't be read now.
 [[nodiscard]] Config ParseConfig(std::string_view text);
 [[nodiscard]] Config LoadConfig(const std::string& path);
 
--- a/src/fleet/control_server.cpp
+++ b/src/fleet/control_server.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "fleet/control_socket.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront::fleet {
 namespace {
@@ -91,11 +92,18 @@
 void ControlServer::Serve() {
   while (true) {
     std::array<pollfd, 2> ready{{{listener_.fd(), POLLIN, 0}, {stop_event_.fd(), POLLIN, 0}}};
-    if (poll(ready.data(), ready.size(), -1) < 0 && errno != EINTR) return;
+    if (poll(ready.data(), ready.size(), -1) < 0) {
+      Pause(kTransientPause);
+      continue;
+    }
     if (ready[1].revents != 0) return;
     if (ready[0].revents == 0) continue;
     Socket connection(accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
-    if (connection.is_open()) ServeConnection(std::move(connection));
+    if (connection.is_open()) {
+      ServeConnection(std::move(connection));
+    } else {
+      Pause(kTransientPause);  // the listener stays ready while descriptors are short
+    }
   }
 }
 
--- a/src/fleet/peer_transport.cpp
+++ b/src/fleet/peer_transport.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "observe/log.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront::fleet {
 namespace {
@@ -39,8 +40,11 @@
     : roster_(roster), self_(std::move(self)), receive_buffer_(peers::kMostFrame + 1) {}
 
 void PeerTransport::Open(const std::string& address) {
-  socket_ = BindDatagrams(address);
-  if (!socket_.is_open()) {
+  const bool bound = RetryAtStart(SystemCall::kBind, [&] {
+    socket_ = BindDatagrams(address);
+    return socket_.is_open();
+  });
+  if (!bound) {
     throw std::runtime_error("cannot take datagrams at " + address + ": " + std::strerror(errno));
   }
   SetNonBlocking(socket_);
--- a/src/forwarder/deadline_queue.hpp
+++ b/src/forwarder/deadline_queue.hpp
@@ -15,6 +15,7 @@
   kCallTimeout,
   kIdleConnectionExpiry,
   kHousekeeping,
+  kSpoolRetry,
   kShutdown  // wakes the loop, which checks whether the shutdown is over
 };
 
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr double kMaxBodyMemoryShare = 0.25;  // of the memory, for bodies in flight
 constexpr milliseconds kHousekeepingInterval{1000};
+constexpr milliseconds kSpoolRetryInterval{250};
 constexpr milliseconds kHoldCheckInterval{5};  // while calls are held back
 constexpr std::uint64_t kWholeList = 0;        // the revision to watch from in a new process
 constexpr milliseconds kMetricsLineInterval{60'000};
@@ -63,6 +64,7 @@
           {.size = config.policy_settings.group_size, .seed = config.seed}, buffers,
           divert ? std::move(divert) : [this](MemberList list) { SetEndpoints(std::move(list)); }) {
   loop_.SetDeadline(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
+  loop_.SetDeadline(Now() + kSpoolRetryInterval, {DeadlineKind::kSpoolRetry});
 }
 
 Engine::~Engine() { Close(); }
@@ -227,6 +229,9 @@
     case DeadlineKind::kHousekeeping:
       DoHousekeeping();
       return;
+    case DeadlineKind::kSpoolRetry:
+      RetrySpool();
+      return;
     case DeadlineKind::kShutdown:  // Run checks it each round
       return;
   }
@@ -234,7 +239,6 @@
 
 void Engine::DoHousekeeping() {
   PublishMetrics();
-  RetrySpool();
   call_dispatcher_.CloseExpiredIdle();
   for (const auto endpoint :
        endpoints_.ForgetRemoved(Now(), call_dispatcher_.calls().EndpointsInUse())) {
@@ -246,6 +250,7 @@
 
 // Tries again what failed on the folder, and takes over what could not be read before.
 void Engine::RetrySpool() {
+  loop_.SetDeadline(Now() + kSpoolRetryInterval, {DeadlineKind::kSpoolRetry});
   spool_.Retry();
   const std::size_t restored = RestoreMessages(Now());
   if (restored == 0) return;
--- a/src/nameserver/server.cpp
+++ b/src/nameserver/server.cpp
@@ -15,6 +15,7 @@
 
 #include "nameserver/client.hpp"
 #include "observe/log.hpp"
+#include "system/retry.hpp"
 
 namespace brassfront::nameserver {
 namespace {
@@ -49,8 +50,11 @@
 Server::Server(Options options, Responder& responder, std::mutex& mutex)
     : options_(std::move(options)), responder_(responder), mutex_(mutex) {
   for (int attempt = 0; attempt < kPortTries && !datagrams_.is_open(); ++attempt) {
-    listener_ = Listen(options_.address);
-    if (!listener_.is_open()) break;
+    const bool listening = RetryAtStart(SystemCall::kBind, [this] {
+      listener_ = Listen(options_.address);
+      return listener_.is_open();
+    });
+    if (!listening) break;
     address_ = LocalAddress(listener_);
     datagrams_ = BindDatagrams(address_);
     if (!datagrams_.is_open() && !options_.address.ends_with(":0")) break;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -23,6 +23,9 @@
 
 // Connections that wait to be accepted; the system may allow fewer.
 constexpr int kListenBacklog = 512;
+// Half a second of pauses. Then the next read or write has to tell, which a shutdown of the socket
+// ends; poll might not see that.
+constexpr int kMaxPollFailures = 50;
 constexpr std::chrono::milliseconds kMaxPollTimeout{1 << 30};  // poll(2) takes an int
 
 std::optional<sockaddr_in> ParseAddress(const std::string& text) {
@@ -118,7 +121,7 @@
 }
 
 bool Socket::Await(std::int16_t events, SteadyTime until) const {
-  while (true) {
+  for (int failures = 0; failures < kMaxPollFailures; ++failures) {
     pollfd wanted{fd_, events, 0};
     const int ready = poll(&wanted, 1, PollTimeout(until));
     if (ready > 0) return true;
@@ -128,6 +131,7 @@
     if (std::chrono::steady_clock::now() >= until) return false;
     Pause(kTransientPause);
   }
+  return true;
 }
 
 bool Socket::AwaitInput(SteadyTime until) const { return Await(POLLIN, until); }
--- a/src/spool/file.cpp
+++ b/src/spool/file.cpp
@@ -9,6 +9,12 @@
 #include "observe/metrics.hpp"
 
 namespace brassfront {
+namespace {
+
+// Of one transfer. A call that is interrupted each time fails in the end, like any other.
+constexpr int kMaxInterruptions = 100;
+
+}  // namespace
 
 File::~File() {
   if (fd_ >= 0) close(fd_);
@@ -34,10 +40,11 @@
 
 std::optional<std::string> File::Read(std::size_t offset, std::size_t length) const {
   std::string bytes(length, '\0');
+  int interruptions = 0;
   for (std::size_t done = 0; done < length;) {
     const ssize_t transferred =
         pread(fd_, bytes.data() + done, length - done, static_cast<off_t>(offset + done));
-    if (transferred < 0 && errno == EINTR) continue;
+    if (transferred < 0 && errno == EINTR && ++interruptions < kMaxInterruptions) continue;
     if (transferred == 0) errno = 0;
     if (transferred <= 0) {
       if (errno != 0) observe::CountSystemCallFailure("pread", errno);
@@ -49,10 +56,11 @@
 }
 
 bool File::Write(std::size_t offset, std::string_view bytes) {
+  int interruptions = 0;
   for (std::size_t done = 0; done < bytes.size();) {
     const ssize_t transferred =
         pwrite(fd_, bytes.data() + done, bytes.size() - done, static_cast<off_t>(offset + done));
-    if (transferred < 0 && errno == EINTR) continue;
+    if (transferred < 0 && errno == EINTR && ++interruptions < kMaxInterruptions) continue;
     if (transferred <= 0) {
       const int error = transferred == 0 ? ENOSPC : errno;
       observe::CountSystemCallFailure("pwrite", error);
