--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -58,9 +58,9 @@
 LineTime LineTimeNow() {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
-  static const auto start = std::chrono::steady_clock::now();
+  static const auto kStart = std::chrono::steady_clock::now();
   const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
-  const auto uptime = std::chrono::steady_clock::now() - start;
+  const auto uptime = std::chrono::steady_clock::now() - kStart;
   return {duration_cast<milliseconds>(unix_time).count(),
           duration_cast<milliseconds>(uptime).count()};
 }
--- a/src/system/retry.cpp
+++ b/src/system/retry.cpp
@@ -7,8 +7,8 @@
 void Pause(std::chrono::milliseconds time) { std::this_thread::sleep_for(time); }
 
 std::chrono::steady_clock::time_point StartupDeadline() {
-  static const auto deadline = std::chrono::steady_clock::now() + kStartupRetryLimit;
-  return deadline;
+  static const auto kDeadline = std::chrono::steady_clock::now() + kStartupRetryLimit;
+  return kDeadline;
 }
 
 }  // namespace brassfront
