Block signals before anything else in serve, and let those without a meaning pass

Cause, of the class: SIGHUP before the configuration was read and SIGUSR1, SIGUSR2 at any time had their default action and ended the process; the reason of exit was not the last line.

serve blocks its signals first; SIGUSR1 and SIGUSR2 leave a line, SIGQUIT shuts down like SIGTERM. The exit's line comes after all parts have ended.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -3,6 +3,7 @@
 #include <sysexits.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <cstring>
@@ -23,11 +24,15 @@
 using observe::Concern;
 using observe::Level;
 
+// SIGUSR1 and SIGUSR2 mean nothing here: they leave a line, and do not end the process.
+constexpr auto kHandledSignals =
+    std::to_array<int>({SIGTERM, SIGINT, SIGQUIT, SIGHUP, SIGUSR1, SIGUSR2});
+
 // Blocked in every thread that is started from here on; one of them waits for these.
 sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+  for (const int signal : kHandledSignals) sigaddset(&signals, signal);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
@@ -48,15 +53,14 @@
     }
     if (signal == SIGHUP || (signal < 0 && reload_is_due)) {
       reload_is_due = !service.Reload();
-    } else if (signal > 0) {
+    } else if (signal == SIGTERM || signal == SIGINT || signal == SIGQUIT) {
       service.BeginGracefulShutdown();
     }
   }
 }
 
-int Serve(const ServeOptions& options) {
+int Serve(const ServeOptions& options, const sigset_t& signals) {
   static_cast<void>(StartupDeadline());  // counts from here
-  const sigset_t signals = BlockSignals();
   ForwarderService service(options);
   std::atomic<bool> over{false};
   Thread signal_thread =
@@ -67,7 +71,6 @@
   over = true;
   kill(getpid(), SIGTERM);  // wakes the signal thread, which takes it
   signal_thread.Join();
-  LogExit("shutdown complete", 0);
   return 0;
 }
 
@@ -92,6 +95,7 @@
 }  // namespace
 
 int ServeCommand(int argc, char** argv) {
+  const sigset_t signals = BlockSignals();  // first: a SIGHUP may come at any moment
   cxxopts::Options options("brassfront serve");
   options.add_options()("config", "configuration file [$NODE_CONFIG]",
                         cxxopts::value<std::string>()->default_value(Environment("NODE_CONFIG")))(
@@ -112,10 +116,13 @@
   try {
     const auto state = given["state"].as<std::string>();
     if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
-    return Serve({.config_path = given["config"].as<std::string>(),
-                  .state_folder = state,
-                  .sources_path = given["sources"].as<std::string>(),
-                  .roster_path = given["fleet"].as<std::string>()});
+    const int status = Serve({.config_path = given["config"].as<std::string>(),
+                              .state_folder = state,
+                              .sources_path = given["sources"].as<std::string>(),
+                              .roster_path = given["fleet"].as<std::string>()},
+                             signals);
+    LogExit("shutdown complete", status);
+    return status;
   } catch (const std::exception& error) {
     const int status = ExitStatus(error);
     LogExit(error.what(), status);
--- a/src/fleet/duty_executor.cpp
+++ b/src/fleet/duty_executor.cpp
@@ -39,7 +39,8 @@
 }
 
 void DutyExecutor::RestoreExclusions(const maintenance::MaintenanceState& state) {
-  exclusions_.SetExcluded(ExclusionSource::kFleet, ComputeDutyFrom(state).ban, [](MemberList) {});
+  exclusions_.SetExcluded(ExclusionSource::kFleet, ComputeDutyFrom(state).ban,
+                          [](const MemberList&) {});
 }
 
 std::vector<maintenance::Command> DutyExecutor::Execute(const maintenance::MaintenanceState& state,
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -99,15 +99,7 @@
         CloseAllNotServing();
         return;
       }
-      for (const Poller::Token token : ready) {
-        if (token == kListenerToken) {
-          accepted = AcceptConnections();
-        } else {
-          HandleReady(token);
-        }
-      }
-      RearmUnwatched();
-      CloseExpired(std::chrono::steady_clock::now());
+      accepted = HandleAllReady(ready);
       timeout = connections_.empty() ? std::nullopt : std::optional(kExpiryCheckInterval);
     }
     // The listener stays ready meanwhile. Not with the mutex held, which every worker needs.
@@ -115,6 +107,20 @@
   }
 }
 
+ClientServer::AcceptResult ClientServer::HandleAllReady(std::span<const Poller::Token> ready) {
+  AcceptResult accepted = AcceptResult::kDone;
+  for (const Poller::Token token : ready) {
+    if (token == kListenerToken) {
+      accepted = AcceptConnections();
+    } else {
+      HandleReady(token);
+    }
+  }
+  RearmUnwatched();
+  CloseExpired(std::chrono::steady_clock::now());
+  return accepted;
+}
+
 void ClientServer::HandleReady(Poller::Token token) {
   if (token == kWakeupToken) {
     wakeup_.Clear();
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <mutex>
 #include <set>
+#include <span>
 
 #include "acceptance/message_acceptor.hpp"
 #include "concurrency/thread.hpp"
@@ -76,6 +77,7 @@
   void RunPollLoop();
   void HandleReady(Poller::Token token);
   enum class AcceptResult { kDone, kFailed };
+  AcceptResult HandleAllReady(std::span<const Poller::Token> ready);
   AcceptResult AcceptConnections();
   bool EvictOne(SteadyTime now);
   bool FinishOldestLingering();
