Hold back the configured list itself, not the calls that were decided by it

Cause: while calls waited up to 1 s for discovery's first list, the policy took their attempts for overdue (RetryScheduler::ReviewAttempt counts from the decision), blamed the endpoints and sent messages again: Integration's outlasts_a_kill once counted 7 calls for 5 messages on a busy machine.

Now the policy gets the configured list and the restored messages once discovery has answered, or after 1 s, or a quarter of the least time that a class, a restored or an arriving message has. While it is not known who is out for maintenance, it gets none either. CallTracker is as before the hold.

--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -109,7 +109,6 @@
     : context_(context),
       set_deadline_(std::move(set_deadline)),
       calls_(MaxConcurrentCalls(context.config)),
-      known_list_hold_(Now()),
       endpoint_client_(ClientOptions(context.config), buffers, std::move(on_result)) {}
 
 void CallDispatcher::StartHealthCheck(const dispatch_policy::StartHealthCheck& action,
@@ -147,11 +146,6 @@
   return context_.messages.Find(message)->acknowledged;
 }
 
-bool CallDispatcher::IsHeld(const PendingCall& call, Time now) const {
-  return AwaitsExclusions() ||
-         known_list_hold_.Holds(call.decided_at, std::min(call.start_by, call.deadline), now);
-}
-
 bool CallDispatcher::Start(CallId id, PendingCall& call, Time now) {
   const Endpoint& endpoint = context_.endpoints.At(call.endpoint);
   std::vector<CallItem> items;
--- a/src/forwarder/call_dispatcher.hpp
+++ b/src/forwarder/call_dispatcher.hpp
@@ -15,7 +15,6 @@
 #include "forwarder/deadline_queue.hpp"
 #include "forwarder/endpoint_protocol.hpp"
 #include "forwarder/endpoint_registry.hpp"
-#include "forwarder/known_list_hold.hpp"
 #include "forwarder/message_table.hpp"
 #include "forwarder/stage_latencies.hpp"
 #include "net/endpoint_client.hpp"
@@ -73,13 +72,6 @@
   void OnIdleConnectionExpiry();
   void CloseExpiredIdle() { endpoint_client_.CloseExpiredIdle(); }
 
-  // Discovery's list is in use: calls are not held back any more for want of it.
-  void EndKnownListHold() { known_list_hold_.End(); }
-  // True while calls may be held back: then StartReadyCalls is to be called every few milliseconds.
-  [[nodiscard]] bool HoldsCalls(Time now) const {
-    return known_list_hold_.IsActive(now) || AwaitsExclusions();
-  }
-
   // Calls that have not completed, started or not.
   [[nodiscard]] const CallTracker& calls() const { return calls_; }
 
@@ -87,13 +79,9 @@
   // CallTracker::Starter
   [[nodiscard]] bool IsDeliverable(MessageId message) const override;
   [[nodiscard]] bool IsAcknowledged(MessageId message) const override;
-  [[nodiscard]] bool IsHeld(const PendingCall& call, Time now) const override;
   [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override;
   void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override;
 
-  [[nodiscard]] bool AwaitsExclusions() const {
-    return exclusions_ != nullptr && !exclusions_->is_complete();
-  }
   [[nodiscard]] std::function<bool()> CallPermit(dispatch_policy::EndpointId endpoint) const;
   void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now);
   void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
@@ -106,7 +94,6 @@
   CallObserver* call_observer_ = nullptr;
   const EndpointExclusions* exclusions_ = nullptr;
   CallTracker calls_;
-  KnownListHold known_list_hold_;
   Time idle_expiry_at_ = Time::max();  // the earliest deadline set for it
   EndpointClient endpoint_client_;     // last, so that its threads end first
 };
--- a/src/forwarder/call_tracker.cpp
+++ b/src/forwarder/call_tracker.cpp
@@ -74,7 +74,7 @@
   const bool acknowledged = std::all_of(
       call.attempts.begin(), call.attempts.end(),
       [&](const PendingAttempt& attempt) { return starter.IsAcknowledged(attempt.message); });
-  if (!acknowledged || starter.IsHeld(call, now)) return Readiness::kWait;
+  if (!acknowledged) return Readiness::kWait;
   if (!call.health_check && running_calls_ >= max_running_calls_) return Readiness::kWait;
   return Readiness::kStart;
 }
--- a/src/forwarder/call_tracker.hpp
+++ b/src/forwarder/call_tracker.hpp
@@ -82,8 +82,6 @@
     [[nodiscard]] virtual bool IsDeliverable(MessageId message) const = 0;
     // Its client knows that it was accepted; asked of deliverable messages.
     [[nodiscard]] virtual bool IsAcknowledged(MessageId message) const = 0;
-    // Whether the call has to wait for another reason.
-    [[nodiscard]] virtual bool IsHeld(const PendingCall& call, Time now) const = 0;
     // Records the attempts, sets endpoint_call and hands it to a thread. False: it cannot be
     // recorded, and nothing was sent.
     [[nodiscard]] virtual bool Start(CallId id, PendingCall& call, Time now) = 0;
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -21,7 +21,7 @@
 constexpr double kMaxBodyMemoryShare = 0.25;  // of the memory, for bodies in flight
 constexpr milliseconds kHousekeepingInterval{1000};
 constexpr milliseconds kSpoolRetryInterval{250};
-constexpr milliseconds kHoldCheckInterval{5};  // while calls are held back
+constexpr milliseconds kHoldCheckInterval{5};  // while lists are held back
 constexpr std::uint64_t kWholeList = 0;        // the revision to watch from in a new process
 constexpr milliseconds kMetricsLineInterval{60'000};
 
@@ -48,6 +48,7 @@
     : config_(config),
       loop_(kInboxCapacity, Now),
       policy_(config.policy_settings, config.seed),
+      known_list_hold_(Now()),
       messages_(spool, MessageLimits(config)),
       spool_(spool),
       endpoints_(config),
@@ -63,6 +64,9 @@
           config.discovery, kWholeList,
           {.size = config.policy_settings.group_size, .seed = config.seed}, buffers,
           divert ? std::move(divert) : [this](MemberList list) { SetEndpoints(std::move(list)); }) {
+  for (const dispatch_policy::ClassSettings& settings : config.policy_settings.classes) {
+    known_list_hold_.LimitBy(Now(), settings.deadline);
+  }
   loop_.SetDeadline(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
   loop_.SetDeadline(Now() + kSpoolRetryInterval, {DeadlineKind::kSpoolRetry});
 }
@@ -124,7 +128,7 @@
 
 void Engine::Restore(const MemberList& known) {
   const Time now = Now();
-  policy_events_.emplace_back(endpoints_.Apply(known, now));
+  held_events_.emplace_back(endpoints_.Apply(known, now));
   RestoreMessages(now);
   observe::Log(Concern::kEngine, Level::kInfo, "restored", {{"messages", messages_.deliverable()}});
   Decide(now);
@@ -158,8 +162,22 @@
     event.may_have_run = std::max(now - age, Time{});
     event.ran_on_endpoint = endpoints_.FindOrAddId(attempt.endpoint);
   }
+  known_list_hold_.LimitBy(now, event.time_left);
   messages_.AddRestored(std::move(recovered), event.time_left, now);
-  policy_events_.emplace_back(std::move(event));
+  AddListEvent(std::move(event));
+}
+
+void Engine::AddListEvent(dispatch_policy::Event event) {
+  (held_events_.empty() ? policy_events_ : held_events_).emplace_back(std::move(event));
+}
+
+// The configured list and what came after it, once discovery was asked and it is known who is out.
+void Engine::ReleaseHeldEvents(Time now) {
+  if (held_events_.empty() || known_list_hold_.IsActive(now)) return;
+  if (exclusions_ != nullptr && !exclusions_->is_complete()) return;
+  for (dispatch_policy::Event& event : std::exchange(held_events_, {})) {
+    policy_events_.emplace_back(std::move(event));
+  }
 }
 
 void Engine::Run(std::function<void()> on_drain) {
@@ -173,6 +191,7 @@
           std::visit([this](auto& alternative) { On(std::move(alternative)); }, event);
         },
         [this](const Deadline& deadline) { On(deadline); });
+    ReleaseHeldEvents(now);
     const Time next_decision = last_decision_ + config_.policy_settings.decision_interval;
     if (!policy_events_.empty() && now >= next_decision) Decide(now);
     call_dispatcher_.StartReadyCalls(now);
@@ -188,7 +207,7 @@
 Engine::Time Engine::NextWakeUp() const {
   Time next = messages_.NextOverdue();
   const Time now = Now();
-  if (call_dispatcher_.HoldsCalls(now)) next = std::min<Time>(next, now + kHoldCheckInterval);
+  if (!held_events_.empty()) next = std::min<Time>(next, now + kHoldCheckInterval);
   if (policy_events_.empty()) return next;
   return std::min(next, last_decision_ + config_.policy_settings.decision_interval);
 }
@@ -308,6 +327,7 @@
   event.message_class = submission.indexes.message_class;
   event.tenant = submission.indexes.tenant;
   event.time_left = request.time_left;
+  known_list_hold_.LimitBy(Now(), request.time_left);
   LogMessageStep("message arrived", event.message);
   submissions_.Add(event.message, std::move(submission));
   policy_events_.emplace_back(std::move(event));
@@ -381,7 +401,7 @@
 
 void Engine::On(const MemberList& list) {
   // Discovery has answered, if only with what was known.
-  if (list.source == ListSource::kDiscovery) call_dispatcher_.EndKnownListHold();
+  if (list.source == ListSource::kDiscovery) known_list_hold_.End();
   if (endpoints_.IsStale(list)) {
     observe::LogSeldom(Concern::kEngine, Level::kWarning, "endpoint list refused",
                        {{"reason", "older than the one in use"},
@@ -390,7 +410,7 @@
     observe::Count("endpoint_lists_refused_total", {"reason", "stale"});
     return;
   }
-  policy_events_.emplace_back(endpoints_.Apply(list, Now()));
+  AddListEvent(endpoints_.Apply(list, Now()));
   call_dispatcher_.OnEndpointsChanged();
 }
 
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -25,6 +25,7 @@
 #include "forwarder/call_observer.hpp"
 #include "forwarder/endpoint_registry.hpp"
 #include "forwarder/event_loop.hpp"
+#include "forwarder/known_list_hold.hpp"
 #include "forwarder/message_table.hpp"
 #include "forwarder/shutdown.hpp"
 #include "forwarder/stage_latencies.hpp"
@@ -55,6 +56,7 @@
   // To be called before Restore, if at all. No call begins to an endpoint that is excluded, and
   // none at all while the exclusions are not complete. They outlive the engine.
   void SetExclusions(const EndpointExclusions& exclusions) {
+    exclusions_ = &exclusions;
     call_dispatcher_.SetExclusions(exclusions);
   }
   // Takes over the messages that an earlier process had accepted, with the endpoints that are known
@@ -135,6 +137,10 @@
   std::size_t RestoreMessages(Time now);
   void RestoreMessage(RecoveredMessage recovered, Time now, UnixMs spool_now);
   void RetrySpool();
+  // Passes an event on to the policy, or holds it back for as long as lists are.
+  void AddListEvent(dispatch_policy::Event event);
+  void ReleaseHeldEvents(Time now);
+
   [[nodiscard]] Time NextWakeUp() const;
   bool RejectSubmission(MessageId message, SubmitResult result);
   void GiveUp(MessageId message, Notification notification);
@@ -149,6 +155,10 @@
   std::vector<dispatch_policy::Event> policy_events_;  // for the next decision
   Time last_decision_{};
   Time next_metrics_line_{};
+  KnownListHold known_list_hold_;
+  // Lists and restored messages that the policy is to get when it is over, in order.
+  std::vector<dispatch_policy::Event> held_events_;
+  const EndpointExclusions* exclusions_ = nullptr;
 
   MessageTable messages_;
   Spool& spool_;
