--- a/tests/faults/fault_shim.cpp
+++ b/tests/faults/fault_shim.cpp
@@ -97,15 +97,24 @@
   return table;
 }
 
+// Takes one off a counter that is above 0; false if it is not.
+bool CountDown(std::atomic<std::int64_t>& counter) {
+  std::int64_t left = counter;
+  while (left > 0) {
+    if (counter.compare_exchange_weak(left, left - 1)) return true;
+  }
+  return false;
+}
+
 // None, or the rule that takes effect on this call.
 Rule* TakeRule(Call call) {
   Table* const table = GetTable();
   if (table == nullptr) return nullptr;
   for (Rule& rule : table->rules) {
     if (rule.active == 0 || rule.call != call) continue;
-    if (rule.skipped > 0 && rule.skipped.fetch_sub(1) > 0) continue;
-    if (rule.remaining == 0) continue;
-    if (rule.remaining > 0 && rule.remaining.fetch_sub(1) <= 0) continue;
+    if (CountDown(rule.skipped)) continue;
+    const bool limited = rule.remaining >= 0;
+    if (limited && !CountDown(rule.remaining)) continue;
     ++rule.hits;
     return &rule;
   }
--- a/tests/faults/incident_test.py
+++ b/tests/faults/incident_test.py
@@ -10,7 +10,7 @@
 import unittest
 
 import rig
-from rig import Endpoint, FaultTest, wait_for
+from rig import Endpoint, FaultTest, toy_server, wait_for
 
 
 class LogReaderTest(FaultTest):
@@ -205,10 +205,14 @@
 
         # A poll that fails 50 times in a row is given up.
         for call, times in (("epoll_wait", 200), ("poll", 40)):
+            # Without a connection the poll loop waits without end, and makes no call.
+            client = toy_server.Client(self.listen, timeout=rig.LIMIT)
+            self.assertEqual(client.call("PING"), "+PONG")
             rule = self.faults.fail(call, "EINTR", times=times)
             started = cpu_seconds()
             wait_for("the interruptions", lambda: self.faults.hits(rule) == times)
             self.assertLess(cpu_seconds() - started, 0.2)
+            client.close()
         self.assertEqual(self.ping(), "+PONG")
 
 
