Log process ids, the totals of a process's messages, and the size of the spool

Need: the incident's captures do not show which process wrote a line, nor what became of the messages that a process had taken on.

Change: 'process starts' and 'process exits' name the process; 'message totals' says at the end what was accepted, restored, delivered, notified, cancelled, and what the file holds when it is read anew. Where accepted + restored is not finished + open, that is an error line and a counter.

--- a/src/cli/process_end.cpp
+++ b/src/cli/process_end.cpp
@@ -45,7 +45,7 @@
 void LogExit(std::string_view reason, int status) {
   observe::Log(observe::Concern::kService,
                status == 0 ? observe::Level::kInfo : observe::Level::kError, "process exits",
-               {{"reason", reason}, {"status", status}});
+               {{"reason", reason}, {"status", status}, {"pid", getpid()}});
 }
 
 }  // namespace brassfront
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -115,6 +115,8 @@
   LogFatalSignals();
   try {
     const auto state = given["state"].as<std::string>();
+    observe::Log(Concern::kService, Level::kInfo, "process starts",
+                 {{"pid", getpid()}, {"state", state}});
     if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
     const int status = Serve({.config_path = given["config"].as<std::string>(),
                               .state_folder = state,
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -130,7 +130,8 @@
   const Time now = Now();
   held_events_.emplace_back(endpoints_.Apply(known, now));
   RestoreMessages(now);
-  observe::Log(Concern::kEngine, Level::kInfo, "restored", {{"messages", messages_.deliverable()}});
+  observe::Log(Concern::kEngine, Level::kInfo, "restored",
+               {{"messages", messages_.deliverable()}, {"spool_bytes", spool_.file_bytes()}});
   Decide(now);
 }
 
@@ -202,6 +203,7 @@
   latencies_.LogAndReset(Level::kInfo, messages_.size(), call_dispatcher_.calls().size());
   observe::Log(Concern::kEngine, Level::kInfo, "shutdown complete",
                {{"in_flight", messages_.size()}, {"overdue", messages_.overdue()}});
+  LogFinalTotals(messages_.totals(), spool_);
 }
 
 Engine::Time Engine::NextWakeUp() const {
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -5,6 +5,7 @@
 
 #include "forwarder/endpoint_protocol.hpp"
 #include "observe/log.hpp"
+#include "observe/metrics.hpp"
 
 namespace brassfront {
 
@@ -44,6 +45,8 @@
 
 void MessageTable::AddRestored(RecoveredMessage message, Duration time_left, Time now) {
   const std::size_t attempts = message.attempts.size();
+  ++totals_.restored;
+  observe::Count("messages_restored_total");
   next_id_ = std::max(next_id_, message.number + 1);
   Insert(message.number, {.client_id = std::move(message.message.id),
                           .key = std::move(message.message.key),
@@ -72,6 +75,8 @@
     Remove(message);
     return false;
   }
+  ++totals_.accepted;
+  observe::Count("messages_accepted_total");
   trace_.Begin(message, submitted_at, now + time_left, TraceStep::kAccepted);
   return true;
 }
@@ -132,6 +137,8 @@
 
 void MessageTable::End(MessageId message, TraceStep final_step, Time now) {
   spool_.Finish(message);
+  totals_.CountEnd(final_step);
+  observe::Count("messages_ended_total", {"reason", ToString(final_step)});
   if (observe::Logs(Concern::kEngine, Level::kDebug)) {
     observe::Log(Concern::kEngine, Level::kDebug, "message ended",
                  {{"id", messages_.at(message).client_id},
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -12,6 +12,7 @@
 
 #include "dispatch_policy/dispatch_policy.hpp"
 #include "forwarder/endpoint_registry.hpp"
+#include "forwarder/message_totals.hpp"
 #include "forwarder/message_trace.hpp"
 #include "protocol/delivery_request.hpp"
 #include "spool/spool.hpp"
@@ -95,6 +96,7 @@
   [[nodiscard]] std::uint64_t overdue() const { return trace_.overdue(); }
   [[nodiscard]] std::size_t size() const { return messages_.size(); }
   [[nodiscard]] std::size_t deliverable() const { return deliverable_; }
+  [[nodiscard]] const MessageTotals& totals() const { return totals_; }
 
  private:
   void Insert(MessageId id, InFlightMessage message);
@@ -104,6 +106,7 @@
   std::map<MessageId, InFlightMessage> messages_;
   std::unordered_map<std::string, MessageId> ids_by_client_id_;
   MessageTrace trace_;
+  MessageTotals totals_;
   std::size_t deliverable_ = 0;
   std::size_t body_bytes_ = 0;
   MessageId next_id_;
--- /dev/null
+++ b/src/forwarder/message_totals.cpp
@@ -0,0 +1,41 @@
+#include "forwarder/message_totals.hpp"
+
+#include "observe/log.hpp"
+#include "observe/metrics.hpp"
+
+namespace brassfront {
+
+using observe::Concern;
+using observe::Level;
+
+void MessageTotals::CountEnd(TraceStep final_step) {
+  switch (final_step) {
+    case TraceStep::kDelivered:
+      ++delivered;
+      return;
+    case TraceStep::kNotified:
+      ++notified;
+      return;
+    default:
+      ++cancelled;
+  }
+}
+
+void LogFinalTotals(const MessageTotals& totals, const Spool& spool) {
+  const auto open = spool.CountStoredOpen();
+  observe::Log(Concern::kEngine, Level::kInfo, "message totals",
+               {{"accepted", totals.accepted},
+                {"restored", totals.restored},
+                {"delivered", totals.delivered},
+                {"notified", totals.notified},
+                {"cancelled", totals.cancelled},
+                {"open", open ? std::to_string(*open) : "unknown"},
+                {"spool_bytes", spool.file_bytes()}});
+  if (!open || totals.Balances(*open)) return;
+  observe::Count("message_accounting_errors_total", {"at", "exit"});
+  observe::Log(Concern::kEngine, Level::kError, "message totals do not agree with the spool",
+               {{"expected_open", totals.accepted + totals.restored - totals.finished()},
+                {"open", *open}});
+}
+
+}  // namespace brassfront
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -93,6 +93,15 @@
   return clock_.TimeAt(std::chrono::duration_cast<std::chrono::milliseconds>(monotonic));
 }
 
+std::optional<std::size_t> Spool::CountStoredOpen() const {
+  if (!is_available()) return std::nullopt;
+  bool readable = true;
+  const Spool stored = OpenToRead(folder_, [&](const std::string&) { readable = false; });
+  const std::size_t left_out = pending_ends_.size() + unrecovered_.size();
+  if (!readable || stored.open_messages() < left_out) return std::nullopt;
+  return stored.open_messages() - left_out;
+}
+
 std::vector<RecoveredMessage> Spool::Recover() {
   std::vector<RecoveredMessage> recovered;
   for (const SpoolId number : std::exchange(unrecovered_, {})) {
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -82,6 +82,9 @@
   [[nodiscard]] SpoolId next_number() const { return next_number_; }
   [[nodiscard]] std::size_t open_messages() const { return open_messages_.size(); }
   [[nodiscard]] std::size_t file_bytes() const { return file_bytes_; }
+  // Reads the folder's file anew and counts the open messages in it, but for those whose end is
+  // still to be recorded and those that Recover has not returned. None if it can't be read now.
+  [[nodiscard]] std::optional<std::size_t> CountStoredOpen() const;
 
  private:
   struct OpenMessage {
