Reproduce the lost message by forcing two processes on one folder, failing

Change: the shim holds a call before, behind or half way through; ownership_test.py forces six crossings of a predecessor and a successor: behind the successor's read, before and within a write of the predecessor, before and behind the rename of a compaction, and a compaction after the read.

--- a/tests/faults/fault_shim.cpp
+++ b/tests/faults/fault_shim.cpp
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/file.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -55,12 +56,17 @@
   kSetsockopt,
   kWrite,
   kRead,
+  kFlock,
 };
 
 constexpr std::int32_t kShortTransfer = -1;  // in place of an errno: at most `bytes` are moved
 constexpr std::int32_t kKillBefore = -2;     // the process ends by SIGKILL in place of the call
 constexpr std::int32_t kKillAfter = -3;      // and behind the call
 constexpr std::int32_t kKillHalfway = -4;    // a write moves `bytes`, then the process ends
+constexpr std::int32_t kHoldBefore = -5;     // the thread waits in front of the call for the rule's end
+constexpr std::int32_t kHoldAfter = -6;      // and behind the call
+constexpr std::int32_t kObserve = -7;        // the call is counted, and carried out as ever
+constexpr std::int32_t kHoldHalfway = -8;    // a write moves `bytes`, waits, and moves the rest
 
 struct Rule {
   std::int32_t call;
@@ -145,6 +151,12 @@
   while (true) pause();
 }
 
+// Until the test switches the rule off.
+void Hold(const Rule& rule) {
+  constexpr timespec kPause{.tv_sec = 0, .tv_nsec = 1'000'000};
+  while (rule.active != 0) nanosleep(&kPause, nullptr);
+}
+
 template <typename Function>
 Function* Real(const char* name) {
   return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, name));
@@ -155,22 +167,54 @@
 Result Run(Call call, Result failure, RealCall real) {
   Rule* const rule = TakeRule(call);
   if (rule == nullptr) return real();
-  if (rule->error == kKillBefore) Die();
-  if (rule->error == kKillAfter) {
-    real();
-    Die();
+  switch (rule->error) {
+    case kKillBefore:
+      Die();
+    case kKillAfter:
+      real();
+      Die();
+    case kHoldBefore:
+      Hold(*rule);
+      return real();
+    case kHoldAfter: {
+      const Result result = real();
+      const int error = errno;
+      Hold(*rule);
+      errno = error;
+      return result;
+    }
+    case kObserve:
+      return real();
+    default:
+      errno = rule->error;
+      return failure;
   }
-  errno = rule->error;
-  return failure;
 }
 
-// The same for calls that move bytes: `real` takes how many.
+// The same for calls that move bytes: `real` takes how many, and how many have been moved before.
 template <typename RealCall>
-ssize_t RunTransfer(Call call, std::size_t length, RealCall real) {
+ssize_t RunTransfer(Call call, std::size_t length, RealCall real_at) {
+  const auto real = [&](std::size_t size) { return real_at(size, 0); };
   Rule* const rule = TakeRule(call);
   if (rule == nullptr) return real(length);
   const std::size_t part = std::min(length, static_cast<std::size_t>(rule->bytes));
   switch (rule->error) {
+    case kObserve:
+      return real(length);
+    case kHoldBefore:
+      Hold(*rule);
+      return real(length);
+    case kHoldAfter: {
+      const ssize_t moved = real(length);
+      Hold(*rule);
+      return moved;
+    }
+    case kHoldHalfway: {
+      const ssize_t moved = real(part);
+      Hold(*rule);
+      const ssize_t rest = moved < 0 ? 0 : real_at(length - moved, static_cast<std::size_t>(moved));
+      return rest < 0 ? moved : moved + rest;
+    }
     case kShortTransfer:
       return real(part);
     case kKillBefore:
@@ -208,29 +252,32 @@
   return IsInFolder(path) ? Run(kOpen, -1, real) : real();
 }
 ssize_t pread(int fd, void* into, std::size_t length, off_t offset) {
-  const auto real = [&](std::size_t size) {
-    return Real<ssize_t(int, void*, std::size_t, off_t)>("pread")(fd, into, size, offset);
+  const auto real = [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, void*, std::size_t, off_t)>("pread")(
+        fd, static_cast<char*>(into) + done, size, offset + static_cast<off_t>(done));
   };
-  return IsInFolder(fd) ? RunTransfer(kPread, length, real) : real(length);
+  return IsInFolder(fd) ? RunTransfer(kPread, length, real) : real(length, 0);
 }
 ssize_t pwrite(int fd, const void* bytes, std::size_t length, off_t offset) {
-  const auto real = [&](std::size_t size) {
-    return Real<ssize_t(int, const void*, std::size_t, off_t)>("pwrite")(fd, bytes, size, offset);
+  const auto real = [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, const void*, std::size_t, off_t)>("pwrite")(
+        fd, static_cast<const char*>(bytes) + done, size, offset + static_cast<off_t>(done));
   };
-  return IsInFolder(fd) ? RunTransfer(kPwrite, length, real) : real(length);
+  return IsInFolder(fd) ? RunTransfer(kPwrite, length, real) : real(length, 0);
 }
 ssize_t read(int fd, void* into, std::size_t length) {
-  const auto real = [&](std::size_t size) {
-    return Real<ssize_t(int, void*, std::size_t)>("read")(fd, into, size);
+  const auto real = [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, void*, std::size_t)>("read")(fd, static_cast<char*>(into) + done, size);
   };
-  return IsInFolder(fd) ? RunTransfer(kRead, length, real) : real(length);
+  return IsInFolder(fd) ? RunTransfer(kRead, length, real) : real(length, 0);
 }
 ssize_t write(int fd, const void* bytes, std::size_t length) {
-  const auto real = [&](std::size_t size) {
-    return Real<ssize_t(int, const void*, std::size_t)>("write")(fd, bytes, size);
+  const auto real = [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, const void*, std::size_t)>("write")(
+        fd, static_cast<const char*>(bytes) + done, size);
   };
   const bool covered = fd == STDERR_FILENO || IsInFolder(fd);
-  return covered ? RunTransfer(kWrite, length, real) : real(length);
+  return covered ? RunTransfer(kWrite, length, real) : real(length, 0);
 }
 int ftruncate(int fd, off_t length) {
   const auto real = [&] { return Real<int(int, off_t)>("ftruncate")(fd, length); };
@@ -244,6 +291,10 @@
   const auto real = [&] { return Real<int(int)>("fsync")(fd); };
   return IsInFolder(fd) ? Run(kFsync, -1, real) : real();
 }
+int flock(int fd, int operation) noexcept {
+  const auto real = [&] { return Real<int(int, int)>("flock")(fd, operation); };
+  return IsInFolder(fd) ? Run(kFlock, -1, real) : real();
+}
 int fstat(int fd, struct stat* status) {
   const auto real = [&] { return Real<int(int, struct stat*)>("fstat")(fd, status); };
   return IsInFolder(fd) ? Run(kFstat, -1, real) : real();
@@ -272,13 +323,15 @@
   });
 }
 ssize_t send(int fd, const void* bytes, std::size_t length, int flags) {
-  return RunTransfer(kSend, length, [&](std::size_t size) {
-    return Real<ssize_t(int, const void*, std::size_t, int)>("send")(fd, bytes, size, flags);
+  return RunTransfer(kSend, length, [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, const void*, std::size_t, int)>("send")(
+        fd, static_cast<const char*>(bytes) + done, size, flags);
   });
 }
 ssize_t recv(int fd, void* into, std::size_t length, int flags) {
-  return RunTransfer(kRecv, length, [&](std::size_t size) {
-    return Real<ssize_t(int, void*, std::size_t, int)>("recv")(fd, into, size, flags);
+  return RunTransfer(kRecv, length, [&](std::size_t size, std::size_t done) {
+    return Real<ssize_t(int, void*, std::size_t, int)>("recv")(
+        fd, static_cast<char*>(into) + done, size, flags);
   });
 }
 int getsockopt(int fd, int level, int option, void* value, socklen_t* length) noexcept {
--- a/tests/faults/fault_table.py
+++ b/tests/faults/fault_table.py
@@ -9,9 +9,10 @@
 CALLS = (
     "open pread pwrite ftruncate rename fsync fstat socket bind listen accept connect"
     " send recv poll epoll_wait epoll_ctl epoll_create eventfd thread getsockopt"
-    " setsockopt write read"
+    " setsockopt write read flock"
 ).split()
 SHORT, KILL_BEFORE, KILL_AFTER, KILL_HALFWAY = -1, -2, -3, -4
+HOLD_BEFORE, HOLD_AFTER, OBSERVE, HOLD_HALFWAY = -5, -6, -7, -8
 RULES = 8
 RULE = struct.Struct("=iiiiqqq")
 HEADER = struct.Struct("=q")
--- /dev/null
+++ b/tests/faults/ownership_test.py
@@ -0,0 +1,167 @@
+"""Two processes on one state folder, their crossings forced on real processes.
+
+A process that is started beside another one, which is ending or not, must neither lose
+nor repeat what that one has accepted, whatever either was doing at that moment.
+OWNERSHIP_ROUNDS in the environment repeats each crossing.
+"""
+
+import os
+import threading
+import unittest
+
+import rig
+from rig import Endpoint, FaultTable, FaultTest, wait_for
+
+ROUNDS = int(os.environ.get("OWNERSHIP_ROUNDS", "1"))
+WAITING = "waiting for the state folder"
+LARGE_BODY = "x" * 40_000  # four of them, once delivered, make a compaction due
+
+
+class OwnershipTest(FaultTest):
+    CLASS = {"effect": "side_effect"}  # may not run twice
+
+    def setUp(self):
+        super().setUp()
+        self.successor_faults = FaultTable(self.folder / "successor-faults")
+
+    def waits(self, forwarder):
+        return any(WAITING in line for line in forwarder.log)
+
+    def start_beside(self):
+        """A process that has read what it reads at its start, and is held before it
+        listens; or one that waits for the other."""
+        held = self.successor_faults.fail("bind", rig.HOLD_BEFORE)
+        successor = self.launch(faults=self.successor_faults)
+        wait_for(
+            "a second process",
+            lambda: self.successor_faults.hits(held) > 0 or self.waits(successor),
+        )
+        return successor
+
+    def release(self, successor):
+        self.successor_faults.end()
+        self.await_serving(successor)
+
+    def accept(self, count=3):
+        for _ in range(count):
+            self.put_accepted()
+
+    def assert_all_end_once(self):
+        self.set_mode(Endpoint.TAKE)
+        self.assert_all_end()
+        for message in self.accepted:
+            self.assertLessEqual(len(self.calls_of(message)), 1, message)
+
+    def hand_over(self, predecessor, successor):
+        """The predecessor accepts more and dies, the successor serves and dies."""
+        self.accept()
+        predecessor.end()
+        self.release(successor)
+        self.accept()
+        successor.end()
+        last = self.start()
+        self.assert_all_end_once()
+        self.assertEqual([], [line for line in last.log if "unreadable" in line])
+        last.end()
+
+    def play(self, crossing):
+        for number in range(ROUNDS):
+            with self.subTest(round=number):
+                self.set_mode(Endpoint.REJECT)  # what is accepted stays owed
+                predecessor = self.start()
+                self.accept()
+                crossing(predecessor)
+                self.faults.end()
+                self.successor_faults.end()
+
+
+class CrossingTest(OwnershipTest):
+    def test_predecessor_accepts_after_the_successor_has_read(self):
+        def crossing(predecessor):
+            self.hand_over(predecessor, self.start_beside())
+
+        self.play(crossing)
+
+    def test_predecessor_is_held_within_a_write(self):
+        def crossing(predecessor):
+            held = self.faults.fail("pwrite", rig.HOLD_HALFWAY, bytes_moved=11)
+            wait_for("a write", lambda: self.faults.hits(held) > 0)
+            successor = self.start_beside()
+            self.faults.end()
+            self.hand_over(predecessor, successor)
+
+        self.play(crossing)
+
+    def test_predecessor_is_held_before_a_write(self):
+        def crossing(predecessor):
+            held = self.faults.fail("pwrite", rig.HOLD_BEFORE)
+            wait_for("a write", lambda: self.faults.hits(held) > 0)
+            successor = self.start_beside()
+            self.faults.end()
+            self.hand_over(predecessor, successor)
+
+        self.play(crossing)
+
+    def make_compaction_due(self):
+        self.set_mode(Endpoint.TAKE)
+        for _ in range(4):
+            self.put_accepted(body=LARGE_BODY)
+        self.assert_all_end()
+        self.set_mode(Endpoint.REJECT)
+
+    def cross_compaction(self, how):
+        def crossing(predecessor):
+            held = self.faults.fail("rename", how)
+            self.set_mode(Endpoint.TAKE)
+
+            def put_until_held():
+                while not self.faults.hits(held):
+                    self.put(body=LARGE_BODY)
+
+            client = threading.Thread(target=put_until_held)
+            client.start()
+            wait_for("a compaction", lambda: self.faults.hits(held) > 0)
+            successor = self.start_beside()
+            self.faults.end()
+            client.join()
+            self.set_mode(Endpoint.REJECT)
+            self.hand_over(predecessor, successor)
+
+        self.play(crossing)
+
+    def test_predecessor_is_held_before_the_rename_of_a_compaction(self):
+        self.cross_compaction(rig.HOLD_BEFORE)
+
+    def test_predecessor_is_held_behind_the_rename_of_a_compaction(self):
+        self.cross_compaction(rig.HOLD_AFTER)
+
+    def test_predecessor_compacts_after_the_successor_has_read(self):
+        def crossing(predecessor):
+            seen = self.faults.fail("rename", rig.OBSERVE)
+            successor = self.start_beside()
+            self.make_compaction_due()
+            self.accept()
+            self.assertGreater(self.faults.hits(seen), 0)
+            self.hand_over(predecessor, successor)
+
+        self.play(crossing)
+
+
+class TwiceTest(OwnershipTest):
+    def test_a_second_process_started_by_mistake_changes_nothing(self):
+        def crossing(predecessor):
+            successor = self.start_beside()
+            self.successor_faults.end()
+            self.accept()
+            successor.end()
+            self.accept()
+            predecessor.end()
+            last = self.start()
+            self.assert_all_end_once()
+            last.end()
+
+        self.play(crossing)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -24,9 +24,13 @@
 sys.path.insert(0, str(ROOT / "tests" / "faults"))
 import toy_server  # noqa: E402
 from fault_table import (  # noqa: E402,F401
+    HOLD_AFTER,
+    HOLD_BEFORE,
+    HOLD_HALFWAY,
     KILL_AFTER,
     KILL_BEFORE,
     KILL_HALFWAY,
+    OBSERVE,
     SHORT,
     FaultTable,
 )
@@ -231,13 +235,15 @@
         path.write_text(json.dumps(self.config))
         return path
 
-    def launch(self, shim=True, environment=None, options=(), stderr=None):
-        """Starts a process and does not wait for it."""
+    def launch(
+        self, shim=True, environment=None, options=(), stderr=None, faults=None
+    ):
+        """Starts a process and does not wait for it. `faults`: a table of its own."""
         variables = {"NODE_ADMIN": ""}
         if shim:
             variables.update(
                 LD_PRELOAD=SHIM,
-                FAULT_TABLE=str(self.faults.path),
+                FAULT_TABLE=str((faults or self.faults).path),
                 FAULT_FOLDER=str(self.state),
                 ASAN_OPTIONS="verify_asan_link_order=0",
             )
@@ -275,14 +281,14 @@
 
     # ---- messages ----
 
-    def put(self, **options):
+    def put(self, body="body", **options):
         """Hands one message in on a new connection; None if it was rejected."""
         try:
             client = toy_server.Client(self.listen, timeout=5)
         except OSError:
             return None
         try:
-            message, reply = client.put(DESTINATION, "body", **options)
+            message, reply = client.put(DESTINATION, body, **options)
         except OSError:
             return None
         finally:
