Let one process at a time own the state folder, by a lock that any death drops

Cause: a process that was started beside another read, cut and wrote the same spool before it had the listening address (ForwarderService made the spool first; Spool::Open removed spool.new, Load and Prepare cut what looked torn; each process appended by its own file_bytes_ and numbers; Compact renamed the file under the other).

Change: FolderOwner holds flock(2) on the file 'owner', which is never renamed or removed. serve waits for it up to 25 s before it touches the folder, says so with the holder's process id, ends on a signal, and exits with 69 where it waited in vain; a lock that fails is tried on with the spool. The spool and the exclusions ask for it. A graceful end leaves the number of open messages, which the next owner compares. Zones and the fleet's identity use the same lock and tell a failed lock from one that is taken.

--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -67,7 +67,8 @@
 
 // What the other files in the state folder leave to the spool.
 std::size_t SpoolBytes(const Config& config) {
-  const std::size_t others = config.admin.empty() ? 0 : ExclusionFile::kMaxBytesOnDisk;
+  const std::size_t exclusions = config.admin.empty() ? 0 : ExclusionFile::kMaxBytesOnDisk;
+  const std::size_t others = exclusions + FolderOwner::kMaxBytesOnDisk;
   return config.limits.disk_bytes - std::min(config.limits.disk_bytes, others);
 }
 
@@ -107,19 +108,19 @@
 
 }  // namespace
 
-ForwarderService::ForwarderService(const ServeOptions& options)
+ForwarderService::ForwarderService(const ServeOptions& options, FolderOwner& owner)
     : config_path_(options.config_path),
       config_(ReadConfigAtStart(options.config_path)),
-      spool_(options.state_folder, SpoolBytes(config_), LogSpoolWarning),
-      operator_commands_(config_.admin.empty() ? nullptr
-                                               : std::make_unique<OperatorCommands>(
-                                                     options.state_folder, exclusions_)),
+      spool_(owner, SpoolBytes(config_), LogSpoolWarning),
+      operator_commands_(
+          config_.admin.empty() ? nullptr : std::make_unique<OperatorCommands>(owner, exclusions_)),
       sources_(CreateSources(options.sources_path, config_)),
-      fleet_(CreateFleet(options.roster_path, config_, options.state_folder, exclusions_)),
+      fleet_(CreateFleet(options.roster_path, config_, owner.folder(), exclusions_)),
       initial_list_(InitialList()),
       engine_made_(engine_promise_.get_future()),
       engine_(config_, spool_, buffers_, ListInterceptor()) {
   engine_promise_.set_value(&engine_);
+  if (spool_.is_available()) CheckAgainstPredecessor(owner.predecessor(), spool_);
   if (fleet_ && fleet_->call_observer() != nullptr) {
     engine_.SetCallObserver(*fleet_->call_observer());
   }
@@ -213,6 +214,11 @@
   engine_.Close();
 }
 
+std::optional<std::size_t> ForwarderService::open_messages() const {
+  if (!spool_.is_available()) return std::nullopt;
+  return spool_.open_messages();
+}
+
 void ForwarderService::BeginGracefulShutdown() {
   shutting_down_ = true;
   engine_.BeginGracefulShutdown();
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -29,17 +29,17 @@
 
 struct ServeOptions {
   std::string config_path;
-  std::string state_folder;
   std::string sources_path;  // empty: the platform is the only source of endpoints
   std::string roster_path;   // empty: no fleet
 };
 
 class ForwarderService {
  public:
-  // Reads the files, recovers the spool, and takes clients from then on. The signals that end the
+  // Reads the files, recovers the spool, and takes clients from then on. `owner`, which outlives
+  // this, owns the state folder, or will once the folder is well. The signals that end the
   // process must be blocked before, since this starts threads. Throws what the files' readers
   // throw, UnavailableError if it cannot listen, and std::runtime_error.
-  explicit ForwarderService(const ServeOptions& options);
+  ForwarderService(const ServeOptions& options, FolderOwner& owner);
   ForwarderService(const ForwarderService&) = delete;
   ForwarderService& operator=(const ForwarderService&) = delete;
 
@@ -53,6 +53,9 @@
   // thread.
   [[nodiscard]] bool Reload();
 
+  // In the spool, by what is on the disk; none while the spool can't be used. For the thread that
+  // has called Run.
+  [[nodiscard]] std::optional<std::size_t> open_messages() const;
   [[nodiscard]] const std::string& name() const { return config_.name; }
   // Where it listens, IPv4:PORT.
   [[nodiscard]] const std::string& address() const { return address_; }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -13,6 +13,7 @@
 #include "cli/command.hpp"
 #include "cli/forwarder_service.hpp"
 #include "cli/process_end.hpp"
+#include "cli/state_takeover.hpp"
 #include "concurrency/thread.hpp"
 #include "config/config.hpp"
 #include "observe/log.hpp"
@@ -59,9 +60,23 @@
   }
 }
 
-int Serve(const ServeOptions& options, const sigset_t& signals) {
+// Why a process ends.
+struct ServeResult {
+  const char* reason;
+  int status;
+};
+
+ServeResult Serve(const ServeOptions& options, const std::string& state_folder,
+                  const sigset_t& signals) {
+  FolderOwner owner(state_folder);
+  const Takeover takeover = TakeOverStateFolder(owner, kTakeoverLimit);
+  if (takeover == Takeover::kStopped) return {"asked to end before it owned the state folder", 0};
+  if (takeover == Takeover::kTimedOut) {
+    throw UnavailableError("state folder " + state_folder + " is owned by process " +
+                           std::to_string(owner.ReadHolder().process_id));
+  }
   static_cast<void>(StartupDeadline());  // counts from here
-  ForwarderService service(options);
+  ForwarderService service(options, owner);
   std::atomic<bool> over{false};
   Thread signal_thread =
       Thread::Require("signals", [&] { CarryOutSignals(signals, service, over); });
@@ -71,7 +86,8 @@
   over = true;
   kill(getpid(), SIGTERM);  // wakes the signal thread, which takes it
   signal_thread.Join();
-  return 0;
+  if (const auto open = service.open_messages()) owner.RecordEnd(*open);
+  return {"shutdown complete", 0};
 }
 
 // By sysexits.h.
@@ -118,13 +134,12 @@
     observe::Log(Concern::kService, Level::kInfo, "process starts",
                  {{"pid", getpid()}, {"state", state}});
     if (state.empty()) throw ConfigError("no state folder: give --state or NODE_STATE");
-    const int status = Serve({.config_path = given["config"].as<std::string>(),
-                              .state_folder = state,
-                              .sources_path = given["sources"].as<std::string>(),
-                              .roster_path = given["fleet"].as<std::string>()},
-                             signals);
-    LogExit("shutdown complete", status);
-    return status;
+    const ServeResult result = Serve({.config_path = given["config"].as<std::string>(),
+                                      .sources_path = given["sources"].as<std::string>(),
+                                      .roster_path = given["fleet"].as<std::string>()},
+                                     state, signals);
+    LogExit(result.reason, result.status);
+    return result.status;
   } catch (const std::exception& error) {
     const int status = ExitStatus(error);
     LogExit(error.what(), status);
--- a/src/fleet/local_identity.cpp
+++ b/src/fleet/local_identity.cpp
@@ -1,9 +1,6 @@
 #include "fleet/local_identity.hpp"
 
-#include <fcntl.h>
-#include <sys/file.h>
 #include <sys/random.h>
-#include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
@@ -17,7 +14,6 @@
 namespace brassfront::fleet {
 namespace {
 
-constexpr mode_t kOwnerOnly = 0600;
 constexpr const char* kFileTag = "brassfront-member-1";
 
 std::string Checksum(const std::string& text) {  // FNV-1a
@@ -53,10 +49,13 @@
 }
 
 void LocalIdentity::Lock() {
-  lock_ = Socket(open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kOwnerOnly));
-  if (!lock_.is_open()) throw std::runtime_error("cannot write in " + folder_);
-  if (flock(lock_.fd(), LOCK_EX | LOCK_NB) != 0) {
-    throw std::runtime_error("another process holds " + folder_);
+  switch (lock_.TryLock(folder_ + "/lock")) {
+    case FileLock::Outcome::kHeld:
+      return;
+    case FileLock::Outcome::kTaken:
+      throw std::runtime_error("another process holds " + folder_);
+    case FileLock::Outcome::kFailed:
+      throw std::runtime_error("cannot lock " + folder_ + ": " + std::strerror(errno));
   }
 }
 
--- a/src/fleet/local_identity.hpp
+++ b/src/fleet/local_identity.hpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-#include "net/socket.hpp"
+#include "system/file_lock.hpp"
 
 namespace brassfront::fleet {
 
@@ -31,7 +31,7 @@
   void Write() const;
 
   const std::string folder_;
-  Socket lock_;  // holds the lock on the folder as long as it is open
+  FileLock lock_;  // of the folder
   std::uint64_t identity_ = 0;
   std::uint64_t process_incarnation_ = 0;
 };
--- a/src/forwarder/message_totals.cpp
+++ b/src/forwarder/message_totals.cpp
@@ -33,9 +33,18 @@
                 {"spool_bytes", spool.file_bytes()}});
   if (!open || totals.Balances(*open)) return;
   observe::Count("message_accounting_errors_total", {"at", "exit"});
-  observe::Log(Concern::kEngine, Level::kError, "message totals do not agree with the spool",
-               {{"expected_open", totals.accepted + totals.restored - totals.finished()},
-                {"open", *open}});
+  observe::Log(
+      Concern::kEngine, Level::kError, "message totals do not agree with the spool",
+      {{"expected_open", totals.accepted + totals.restored - totals.finished()}, {"open", *open}});
+}
+
+void CheckAgainstPredecessor(const OwnerNote& predecessor, const Spool& spool) {
+  if (!predecessor.open_messages || *predecessor.open_messages == spool.open_messages()) return;
+  observe::Count("message_accounting_errors_total", {"at", "start"});
+  observe::Log(Concern::kEngine, Level::kError, "the spool differs from what its last owner left",
+               {{"predecessor", predecessor.process_id},
+                {"expected_open", *predecessor.open_messages},
+                {"open", spool.open_messages()}});
 }
 
 }  // namespace brassfront
--- a/src/forwarder/message_totals.hpp
+++ b/src/forwarder/message_totals.hpp
@@ -31,6 +31,9 @@
 // file holds by now, that is an error line and counted as `message_accounting_errors_total`.
 void LogFinalTotals(const MessageTotals& totals, const Spool& spool);
 
+// The same for what the spool holds at a start, against what the previous owner says it has left.
+void CheckAgainstPredecessor(const OwnerNote& predecessor, const Spool& spool);
+
 }  // namespace brassfront
 
 #endif  // BRASSFRONT_FORWARDER_MESSAGE_TOTALS_HPP_
--- a/src/operators/operator_commands.cpp
+++ b/src/operators/operator_commands.cpp
@@ -28,13 +28,15 @@
 
 }  // namespace
 
-OperatorCommands::OperatorCommands(const std::string& state_folder, EndpointExclusions& exclusions)
-    : file_(state_folder), exclusions_(exclusions) {
+OperatorCommands::OperatorCommands(FolderOwner& owner, EndpointExclusions& exclusions)
+    : owner_(owner), file_(owner.folder()), exclusions_(exclusions) {
   Load();
 }
 
 void OperatorCommands::Load() {
-  const auto stored = file_.Read();
+  // Another owner may still change the file; it is written only once it was read here.
+  const bool owned = owner_.Acquire() == FileLock::Outcome::kHeld;
+  const auto stored = owned ? file_.Read() : std::nullopt;
   if (stored) {
     excluded_.insert(stored->begin(), stored->end());
   } else {
--- a/src/operators/operator_commands.hpp
+++ b/src/operators/operator_commands.hpp
@@ -11,6 +11,7 @@
 #include "exclusions/endpoint_exclusions.hpp"
 #include "exclusions/exclusion_file.hpp"
 #include "protocol/http_request.hpp"
+#include "spool/folder_owner.hpp"
 
 namespace brassfront {
 
@@ -33,8 +34,8 @@
   };
 
   // Reads who was taken out by earlier processes; while that can't be read, no call may begin. The
-  // exclusions outlive this.
-  OperatorCommands(const std::string& state_folder, EndpointExclusions& exclusions);
+  // exclusions and the owner of the state folder outlive this.
+  OperatorCommands(FolderOwner& owner, EndpointExclusions& exclusions);
 
   // To be called before Execute.
   void Attach(Forwarder forwarder) { forwarder_ = std::move(forwarder); }
@@ -51,6 +52,7 @@
   void Load();
   void Apply();
 
+  FolderOwner& owner_;
   const ExclusionFile file_;
   EndpointExclusions& exclusions_;
   Forwarder forwarder_;
--- /dev/null
+++ b/src/spool/folder_owner.cpp
@@ -0,0 +1,75 @@
+#include "spool/folder_owner.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include "spool/file.hpp"
+
+namespace brassfront {
+namespace {
+
+constexpr const char* kProcessKey = "pid";
+constexpr const char* kOpenKey = "open";
+
+std::string Format(const OwnerNote& note) {
+  std::string text = std::string(kProcessKey) + " " + std::to_string(note.process_id) + "\n";
+  if (note.open_messages) {
+    text += std::string(kOpenKey) + " " + std::to_string(*note.open_messages) + "\n";
+  }
+  return text;
+}
+
+// Lines of a key and a number; what is torn or not understood says nothing.
+OwnerNote Parse(const std::string& text) {
+  OwnerNote note;
+  std::istringstream lines(text);
+  std::string key;
+  std::uint64_t number = 0;
+  while (lines >> key >> number) {
+    if (key == kProcessKey) note.process_id = static_cast<std::int64_t>(number);
+    if (key == kOpenKey) note.open_messages = number;
+  }
+  return note;
+}
+
+OwnerNote ReadNote(const std::string& path) {
+  const File file = File::OpenToRead(path);
+  const auto size = file.is_open() ? file.Size() : std::nullopt;
+  if (!size) return {};
+  const auto text = file.Read(0, std::min(*size, FolderOwner::kMaxBytesOnDisk));
+  return text ? Parse(*text) : OwnerNote{};
+}
+
+}  // namespace
+
+FileLock::Outcome FolderOwner::Acquire() {
+  const std::lock_guard lock(mutex_);
+  if (lock_.is_held()) return FileLock::Outcome::kHeld;
+  const FileLock::Outcome outcome = lock_.TryLock(path());
+  if (outcome != FileLock::Outcome::kHeld) return outcome;
+  predecessor_ = ReadNote(path());
+  Write({.process_id = getpid(), .open_messages = std::nullopt});
+  return outcome;
+}
+
+OwnerNote FolderOwner::predecessor() const {
+  const std::lock_guard lock(mutex_);
+  return predecessor_;
+}
+
+OwnerNote FolderOwner::ReadHolder() const { return ReadNote(path()); }
+
+void FolderOwner::RecordEnd(std::size_t open_messages) {
+  const std::lock_guard lock(mutex_);
+  if (lock_.is_held()) Write({.process_id = getpid(), .open_messages = open_messages});
+}
+
+// One that fails leaves the note empty or torn, which says nothing to anyone.
+void FolderOwner::Write(const OwnerNote& note) {
+  File file = File::OpenEmpty(path());
+  if (file.is_open()) static_cast<void>(file.Write(0, Format(note)));
+}
+
+}  // namespace brassfront
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -40,14 +40,14 @@
 
 }  // namespace
 
-Spool::Spool(std::string folder, std::size_t disk_bytes, Report report)
-    : folder_(std::move(folder)), disk_bytes_(disk_bytes), report_(std::move(report)) {
+Spool::Spool(FolderOwner& owner, std::size_t disk_bytes, Report report)
+    : owner_(&owner), folder_(owner.folder()), disk_bytes_(disk_bytes), report_(std::move(report)) {
   clock_.Begin(std::nullopt, {}, ReadMachineTime());
   Open();
 }
 
 Spool::Spool(std::string folder, Report report)
-    : folder_(std::move(folder)), disk_bytes_(0), report_(std::move(report)) {
+    : owner_(nullptr), folder_(std::move(folder)), disk_bytes_(0), report_(std::move(report)) {
   file_ = File::OpenToRead(folder_ + kFileName);
   if (!file_.is_open()) {
     report_("no spool in " + folder_ + ": " + std::strerror(errno));
@@ -60,9 +60,26 @@
   return Spool(std::move(folder), std::move(report));
 }
 
+// Nothing in the folder is touched before.
+bool Spool::OwnsFolder() {
+  switch (owner_->Acquire()) {
+    case FileLock::Outcome::kHeld:
+      return true;
+    case FileLock::Outcome::kTaken:
+      ReportOnce("spool unusable: " + folder_ + " is owned by process " +
+                 std::to_string(owner_->ReadHolder().process_id));
+      return false;
+    case FileLock::Outcome::kFailed:
+      ReportOnce("spool unusable: " + folder_ + " cannot be locked: " + std::strerror(errno));
+      return false;
+  }
+  return false;
+}
+
 // Opens and reads the file. What failed before is forgotten; nothing is written but what Prepare
 // writes.
 void Spool::Open() {
+  if (!OwnsFolder()) return;
   std::remove((folder_ + kCompactedFileName).c_str());  // of an interrupted compaction
   open_messages_.clear();
   unrecovered_.clear();
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "spool/file.hpp"
+#include "spool/folder_owner.hpp"
 #include "spool/spool_clock.hpp"
 #include "spool/spool_record.hpp"
 
@@ -46,9 +47,10 @@
   using Report = std::function<void(const std::string&)>;
 
   // Opens the folder's file or makes it, and cuts off a damaged tail. The file and its compaction
-  // stay within `disk_bytes` together. A folder that can't be used is reported, and then no message
-  // is accepted until Retry finds it well.
-  Spool(std::string folder, std::size_t disk_bytes, Report report);
+  // stay within `disk_bytes` together. A folder that can't be used, or is owned by another process,
+  // is reported, and then no message is accepted until Retry finds it well. The owner outlives the
+  // spool.
+  Spool(FolderOwner& owner, std::size_t disk_bytes, Report report);
 
   // For inspection: the file stays as it is, and no message is accepted.
   static Spool OpenToRead(std::string folder, Report report);
@@ -118,6 +120,7 @@
   Spool(std::string folder, Report report);
 
   // ---- reading ----
+  [[nodiscard]] bool OwnsFolder();
   void Open();
   [[nodiscard]] bool Load();
   [[nodiscard]] bool LoadRecords(std::size_t stored_bytes);
@@ -143,6 +146,7 @@
   [[nodiscard]] bool IsCompactionDue(std::size_t additional_bytes) const;
   bool Compact();
 
+  FolderOwner* const owner_;  // nullptr: only for inspection
   const std::string folder_;
   const std::size_t disk_bytes_;  // 0: only for inspection
   const Report report_;
--- /dev/null
+++ b/src/system/file_lock.cpp
@@ -0,0 +1,44 @@
+#include "system/file_lock.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace brassfront {
+namespace {
+
+constexpr mode_t kOwnerOnly = 0600;
+// A call that is interrupted each time fails in the end, like any other.
+constexpr int kMaxInterruptions = 100;
+
+bool LockWithoutWaiting(int fd) {
+  for (int interruptions = 0; interruptions < kMaxInterruptions; ++interruptions) {
+    if (flock(fd, LOCK_EX | LOCK_NB) == 0) return true;
+    if (errno != EINTR) return false;
+  }
+  return false;
+}
+
+}  // namespace
+
+FileLock::~FileLock() {
+  if (fd_ >= 0) close(fd_);
+}
+
+FileLock::Outcome FileLock::TryLock(const std::string& path) {
+  if (is_held()) return Outcome::kHeld;
+  const int fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kOwnerOnly);
+  if (fd < 0) return Outcome::kFailed;
+  if (LockWithoutWaiting(fd)) {
+    fd_ = fd;
+    return Outcome::kHeld;
+  }
+  const int error = errno;
+  close(fd);
+  errno = error;
+  return error == EWOULDBLOCK ? Outcome::kTaken : Outcome::kFailed;
+}
+
+}  // namespace brassfront
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -1,7 +1,6 @@
 #include "zones/store.hpp"
 
 #include <fcntl.h>
-#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
@@ -176,15 +175,17 @@
       zone_(origin) {
   std::error_code error;
   fs::create_directories(folder_, error);
-  lock_ = open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (lock_ < 0) throw StoreError(folder_ + " cannot be written to: " + std::strerror(errno));
-  try {
-    if (flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+  switch (lock_.TryLock(folder_ + "/lock")) {
+    case FileLock::Outcome::kHeld:
+      break;
+    case FileLock::Outcome::kTaken:
       throw StoreError(folder_ + " is held by another process");
-    }
+    case FileLock::Outcome::kFailed:
+      throw StoreError(folder_ + " cannot be locked: " + std::strerror(errno));
+  }
+  try {
     Read();
   } catch (...) {
-    close(lock_);
     if (journal_ >= 0) close(journal_);
     throw;
   }
@@ -192,7 +193,6 @@
 
 ZoneStore::~ZoneStore() {
   if (journal_ >= 0) close(journal_);
-  if (lock_ >= 0) close(lock_);
 }
 
 void ZoneStore::Read() {
--- a/src/zones/store.hpp
+++ b/src/zones/store.hpp
@@ -24,6 +24,7 @@
 
 #include "dns/tsig.hpp"
 #include "dns/zone.hpp"
+#include "system/file_lock.hpp"
 
 namespace brassfront::zones {
 
@@ -88,7 +89,7 @@
   Disk system_;
   Disk& disk_;
   dns::Zone zone_;
-  int lock_ = -1;
+  FileLock lock_;
   int journal_ = -1;
   std::size_t journal_bytes_ = 0;
   std::size_t snapshot_bytes_ = 0;
--- a/tests/faults/fault_shim.cpp
+++ b/tests/faults/fault_shim.cpp
@@ -63,10 +63,11 @@
 constexpr std::int32_t kKillBefore = -2;     // the process ends by SIGKILL in place of the call
 constexpr std::int32_t kKillAfter = -3;      // and behind the call
 constexpr std::int32_t kKillHalfway = -4;    // a write moves `bytes`, then the process ends
-constexpr std::int32_t kHoldBefore = -5;     // the thread waits in front of the call for the rule's end
-constexpr std::int32_t kHoldAfter = -6;      // and behind the call
-constexpr std::int32_t kObserve = -7;        // the call is counted, and carried out as ever
-constexpr std::int32_t kHoldHalfway = -8;    // a write moves `bytes`, waits, and moves the rest
+constexpr std::int32_t kHoldBefore =
+    -5;                                  // the thread waits in front of the call for the rule's end
+constexpr std::int32_t kHoldAfter = -6;  // and behind the call
+constexpr std::int32_t kObserve = -7;    // the call is counted, and carried out as ever
+constexpr std::int32_t kHoldHalfway = -8;  // a write moves `bytes`, waits, and moves the rest
 
 struct Rule {
   std::int32_t call;
@@ -82,10 +83,11 @@
 
 struct Table {
   std::atomic<std::int64_t> realtime_offset_ns;
+  std::atomic<std::int64_t> monotonic_offset_ns;
   std::array<Rule, kRules> rules;
 };
 
-static_assert(sizeof(Rule) == 40 && sizeof(Table) == 8 + kRules * 40);
+static_assert(sizeof(Rule) == 40 && sizeof(Table) == 16 + kRules * 40);
 
 Table* MapTable() {
   const char* const path = std::getenv("FAULT_TABLE");
@@ -267,7 +269,8 @@
 }
 ssize_t read(int fd, void* into, std::size_t length) {
   const auto real = [&](std::size_t size, std::size_t done) {
-    return Real<ssize_t(int, void*, std::size_t)>("read")(fd, static_cast<char*>(into) + done, size);
+    return Real<ssize_t(int, void*, std::size_t)>("read")(fd, static_cast<char*>(into) + done,
+                                                          size);
   };
   return IsInFolder(fd) ? RunTransfer(kRead, length, real) : real(length, 0);
 }
@@ -330,8 +333,8 @@
 }
 ssize_t recv(int fd, void* into, std::size_t length, int flags) {
   return RunTransfer(kRecv, length, [&](std::size_t size, std::size_t done) {
-    return Real<ssize_t(int, void*, std::size_t, int)>("recv")(
-        fd, static_cast<char*>(into) + done, size, flags);
+    return Real<ssize_t(int, void*, std::size_t, int)>("recv")(fd, static_cast<char*>(into) + done,
+                                                               size, flags);
   });
 }
 int getsockopt(int fd, int level, int option, void* value, socklen_t* length) noexcept {
@@ -375,11 +378,13 @@
 }
 int clock_gettime(clockid_t clock, timespec* time) noexcept {
   const int result = Real<int(clockid_t, timespec*)>("clock_gettime")(clock, time);
-  Table* const table = clock == CLOCK_REALTIME ? GetTable() : nullptr;
+  const bool covered = clock == CLOCK_REALTIME || clock == CLOCK_MONOTONIC;
+  Table* const table = covered ? GetTable() : nullptr;
   if (result != 0 || table == nullptr) return result;
   constexpr std::int64_t kNanoseconds = 1'000'000'000;
-  const std::int64_t shifted =
-      time->tv_sec * kNanoseconds + time->tv_nsec + table->realtime_offset_ns;
+  const std::int64_t offset =
+      clock == CLOCK_REALTIME ? table->realtime_offset_ns : table->monotonic_offset_ns;
+  const std::int64_t shifted = time->tv_sec * kNanoseconds + time->tv_nsec + offset;
   time->tv_sec = shifted / kNanoseconds;
   time->tv_nsec = shifted % kNanoseconds;
   return 0;
--- a/tests/faults/fault_table.py
+++ b/tests/faults/fault_table.py
@@ -15,7 +15,7 @@
 HOLD_BEFORE, HOLD_AFTER, OBSERVE, HOLD_HALFWAY = -5, -6, -7, -8
 RULES = 8
 RULE = struct.Struct("=iiiiqqq")
-HEADER = struct.Struct("=q")
+HEADER = struct.Struct("=qq")
 
 
 class FaultTable:
@@ -48,7 +48,11 @@
 
     def step_clock(self, seconds):
         """The wall clock is so many seconds ahead of the real one from now on."""
-        HEADER.pack_into(self.memory, 0, int(seconds * 1e9))
+        struct.pack_into("=q", self.memory, 0, int(seconds * 1e9))
+
+    def step_monotonic_clock(self, seconds):
+        """The same for the monotonic clock, as if so much time had passed."""
+        struct.pack_into("=q", self.memory, 8, int(seconds * 1e9))
 
     def _offset(self, number):
         return HEADER.size + number * RULE.size
--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -6,7 +6,9 @@
 """
 
 import os
+import signal
 import threading
+import time
 import unittest
 
 import rig
@@ -147,6 +149,144 @@
         self.play(crossing)
 
 
+class WaitTest(OwnershipTest):
+    """How long a process waits for the folder, and how that ends."""
+
+    READY_S = 10  # after its predecessor's end
+
+    def wait_beside(self):
+        successor = self.launch(faults=self.successor_faults)
+        wait_for("a process that waits", lambda: self.waits(successor))
+        return successor
+
+    def assert_ready(self, successor, since):
+        self.await_serving(successor)
+        self.assertLess(time.monotonic() - since, self.READY_S)
+
+    def files(self):
+        """All files of the folder but the owner's note, as they are."""
+        return {
+            path.name: path.read_bytes()
+            for path in self.state.iterdir()
+            if path.name != "owner"
+        }
+
+    def test_a_successor_takes_over_when_its_predecessor_is_killed(self):
+        def crossing(predecessor):
+            successor = self.wait_beside()
+            self.accept()
+            predecessor.end()
+            self.assert_ready(successor, time.monotonic())
+            self.assert_all_end_once()
+            successor.end()
+
+        self.play(crossing)
+
+    def test_a_successor_takes_over_when_its_predecessor_has_shut_down(self):
+        def crossing(predecessor):
+            successor = self.wait_beside()
+            self.accept()
+            self.assertEqual(predecessor.end(signal.SIGTERM), 0)
+            self.assert_ready(successor, time.monotonic())
+            self.assert_all_end_once()
+            self.assertEqual(successor.end(signal.SIGTERM), 0)
+            for forwarder in (predecessor, successor):
+                wrong = [line for line in forwarder.log if "spool differs" in line]
+                wrong += [line for line in forwarder.log if "do not agree" in line]
+                self.assertEqual(wrong, [])
+
+        self.play(crossing)
+
+    def test_a_predecessor_that_is_stopped_keeps_what_it_owns(self):
+        def crossing(predecessor):
+            successor = self.wait_beside()
+            before = self.files()
+            predecessor.send_signal(signal.SIGSTOP)
+            second = self.wait_beside()
+            second.end()
+            self.assertEqual(self.files().keys(), before.keys())
+            self.assertTrue(successor.alive())
+            predecessor.send_signal(signal.SIGCONT)
+            self.accept()
+            predecessor.end()
+            self.assert_ready(successor, time.monotonic())
+            self.assert_all_end_once()
+            successor.end()
+
+        self.play(crossing)
+
+    def test_a_process_that_waits_ends_on_a_signal_and_has_touched_nothing(self):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
+            with self.subTest(number):
+                predecessor = self.start()
+                self.set_mode(Endpoint.TAKE)
+                self.accept()
+                self.assert_all_end()
+                predecessor.send_signal(signal.SIGSTOP)
+                before = self.files()
+                successor = self.wait_beside()
+                successor.send_signal(signal.SIGHUP)
+                self.assertEqual(successor.end(number), 0)
+                self.assertEqual(self.files(), before)
+                predecessor.send_signal(signal.SIGCONT)
+                self.accept()
+                self.assert_all_end_once()
+                predecessor.end()
+
+    def test_a_process_that_waits_in_vain_says_who_owns_the_folder(self):
+        predecessor = self.start()
+        successor = self.wait_beside()
+        self.successor_faults.step_monotonic_clock(60)
+        self.assertEqual(successor.process.wait(timeout=rig.LIMIT), os.EX_UNAVAILABLE)
+        owned = "is owned by process %d" % predecessor.process.pid
+        wait_for("the reason", lambda: any(owned in line for line in successor.log))
+        self.set_mode(Endpoint.TAKE)
+        self.accept()
+        self.assert_all_end_once()
+
+
+class LockFailureTest(OwnershipTest):
+    def test_a_lock_that_fails_for_a_while_keeps_the_folder_untouched(self):
+        for error in ("ENOLCK", "EIO", "ENOMEM"):
+            with self.subTest(error):
+                self.set_mode(Endpoint.REJECT)
+                predecessor = self.start()
+                self.accept()
+                predecessor.end()
+                rule = self.faults.fail("flock", error)
+                successor = self.start()
+                self.assertIsNone(self.put())  # rejected: nobody owns the spool
+                self.assertGreater(self.faults.hits(rule), 1)
+                self.faults.end()
+                self.put_accepted()
+                self.assert_all_end_once()
+                successor.end()
+
+    def test_a_lock_that_is_interrupted_is_asked_for_again(self):
+        self.faults.fail("flock", "EINTR", times=5)
+        forwarder = self.start()
+        self.set_mode(Endpoint.TAKE)
+        self.put_accepted()
+        self.assert_all_end_once()
+        forwarder.end()
+
+    def test_a_folder_that_could_not_be_locked_is_not_shared_later(self):
+        """The first process is without its lock when the second one gets it."""
+        rule = self.faults.fail("flock", "ENOLCK")
+        first = self.start()
+        wait_for("a second try", lambda: self.faults.hits(rule) > 1)
+        self.listen, first_address = rig.free_address(), self.listen
+        self.config["listen"] = self.listen
+        second = self.start(faults=self.successor_faults)
+        self.faults.end()
+        self.accept()
+        second_address, self.listen = self.listen, first_address
+        self.assertIsNone(self.put())
+        self.listen = second_address
+        self.assert_all_end_once()
+        second.end()
+
+
 class TwiceTest(OwnershipTest):
     def test_a_second_process_started_by_mistake_changes_nothing(self):
         def crossing(predecessor):
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -235,9 +235,7 @@
         path.write_text(json.dumps(self.config))
         return path
 
-    def launch(
-        self, shim=True, environment=None, options=(), stderr=None, faults=None
-    ):
+    def launch(self, shim=True, environment=None, options=(), stderr=None, faults=None):
         """Starts a process and does not wait for it. `faults`: a table of its own."""
         variables = {"NODE_ADMIN": ""}
         if shim:
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -31,7 +31,9 @@
   void Open() {
     table.reset();
     spool.reset();
-    spool.emplace(folder, std::size_t{1} << 20, [](const std::string&) {});
+    owner.reset();
+    owner.emplace(folder);
+    spool.emplace(*owner, std::size_t{1} << 20, [](const std::string&) {});
     table.emplace(*spool, MessageTable::Limits{.max_in_flight = 2, .max_body_bytes = 100});
   }
   static DeliveryRequest Request(const std::string& id) {
@@ -50,6 +52,7 @@
   }
 
   std::string folder;
+  std::optional<FolderOwner> owner;
   std::optional<Spool> spool;
   std::optional<MessageTable> table;
   Endpoint endpoint{.name = "a", .address = "a:1", .entry = {.endpoint = 5}, .removed_at = {}};
@@ -154,7 +157,8 @@
 }
 
 TEST_CASE("a message for which the spool has no room is removed") {
-  Spool unusable("/dev/null/none", std::size_t{1} << 20, [](const std::string&) {});
+  FolderOwner nowhere("/dev/null/none");
+  Spool unusable(nowhere, std::size_t{1} << 20, [](const std::string&) {});
   MessageTable table(unusable, {.max_in_flight = 0, .max_body_bytes = 100});
   const DeliveryRequest request = TableFixture::Request("m");
   const auto message = table.Add(request);
--- a/tests/network/engine_test.cpp
+++ b/tests/network/engine_test.cpp
@@ -97,7 +97,8 @@
   explicit Fixture(const std::string& discovery = "127.0.0.1:1", int bundle = 1)
       : listener(Listen("127.0.0.1:0")),
         config(OneEndpoint(LocalAddress(listener), discovery, bundle)),
-        spool(folder.path, config.limits.disk_bytes, [](const std::string&) {}) {
+        owner(folder.path),
+        spool(owner, config.limits.disk_bytes, [](const std::string&) {}) {
     engine.emplace(config, spool, buffers);
   }
   ~Fixture() {
@@ -124,6 +125,7 @@
   Socket listener;
   Config config;
   BufferPool buffers;
+  FolderOwner owner;
   Spool spool;
   std::optional<Engine> engine;
   std::thread runner;
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -18,12 +18,10 @@
 // A folder of its own, gone at the end.
 class Folder {
  public:
-  Folder() {
-    char name[] = "/tmp/brassfront-spool-XXXXXX";
-    path_ = mkdtemp(name);
-  }
+  Folder() : path_(MakeFolder()), owner_(path_) {}
   ~Folder() { fs::remove_all(path_); }
   std::string path() const { return path_; }
+  FolderOwner& owner() const { return owner_; }
   std::string file() const { return path_ + "/spool"; }
   std::string Read() const {
     std::ifstream in(file(), std::ios::binary);
@@ -32,13 +30,19 @@
   void Write(const std::string& bytes) const { std::ofstream(file(), std::ios::binary) << bytes; }
 
  private:
+  static std::string MakeFolder() {
+    char name[] = "/tmp/brassfront-spool-XXXXXX";
+    return mkdtemp(name);
+  }
+
   std::string path_;
+  mutable FolderOwner owner_;
 };
 
 constexpr std::size_t kDisk = 3'000'000;
 
 Spool Open(const Folder& folder, int* reports = nullptr, std::size_t disk = kDisk) {
-  return Spool(folder.path(), disk, [reports](const std::string&) {
+  return Spool(folder.owner(), disk, [reports](const std::string&) {
     if (reports != nullptr) ++*reports;
   });
 }
@@ -123,7 +127,8 @@
 
 TEST_CASE("a missing folder is reported once, and nothing is accepted") {
   int reports = 0;
-  Spool spool("/nonexistent/folder", kDisk, [&](const std::string&) { ++reports; });
+  FolderOwner owner("/nonexistent/folder");
+  Spool spool(owner, kDisk, [&](const std::string&) { ++reports; });
   CHECK(reports == 1);
   CHECK_FALSE(spool.Accept(1, Message("1")));
   CHECK(spool.Recover().empty());
