--- /dev/null
+++ b/tests/spool/salvage_test.cpp
@@ -0,0 +1,251 @@
+// Spools with damaged places: only what was damaged is missing, and it is named.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "spool/spool.hpp"
+#include "spool/spool_record.hpp"
+
+namespace brassfront {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t kDisk = 3'000'000;
+constexpr std::size_t kHeaderBytes = 8;
+constexpr const char* kHeader = "BRSPOOL1";
+
+// A stored file, and what is known of its records.
+struct StoredRecord {
+  std::size_t offset = 0;
+  std::size_t bytes = 0;
+  SpoolId number = 0;
+  enum class Kind { kAccepted, kAttempt, kFinished } kind = Kind::kAccepted;
+};
+
+struct StoredFile {
+  std::string bytes = kHeader;
+  std::vector<StoredRecord> records;
+
+  void Append(StoredRecord::Kind kind, SpoolId number, const std::string& encoded) {
+    records.push_back({bytes.size(), encoded.size(), number, kind});
+    bytes += encoded;
+  }
+};
+
+StoredFile MakeFile(std::mt19937& random) {
+  StoredFile file;
+  std::vector<SpoolId> open;
+  for (SpoolId number = 1; number <= 24; ++number) {
+    SpooledMessage message{.id = "m" + std::to_string(number),
+                           .key = "k",
+                           .class_name = "c",
+                           .tenant_name = "t",
+                           .destination = 1,
+                           .deadline = UnixMs(1'000'000),
+                           .body = std::string(random() % 300, 'b')};
+    file.Append(StoredRecord::Kind::kAccepted, number,
+                spool::Encode(spool::MessageAccepted{number, message}));
+    open.push_back(number);
+    if (random() % 2 == 0) {
+      file.Append(StoredRecord::Kind::kAttempt, number,
+                  spool::Encode(spool::AttemptStarted{number, "endpoint", UnixMs(500)}));
+    }
+    if (open.size() > 6 && random() % 2 == 0) {
+      const auto ended = open.begin() + static_cast<std::ptrdiff_t>(random() % open.size());
+      file.Append(StoredRecord::Kind::kFinished, *ended,
+                  spool::Encode(spool::MessageFinished{*ended}));
+      open.erase(ended);
+    }
+  }
+  return file;
+}
+
+using Places = std::vector<std::pair<std::size_t, std::size_t>>;  // first and behind the last byte
+
+// Changes bytes behind the header; each byte of a place is changed.
+Places Damage(std::string& bytes, std::mt19937& random, int places) {
+  Places damaged;
+  for (int i = 0; i < places; ++i) {
+    const std::size_t begin = kHeaderBytes + random() % (bytes.size() - kHeaderBytes);
+    const std::size_t end = std::min(bytes.size(), begin + 1 + random() % 30);
+    for (std::size_t at = begin; at < end; ++at) {
+      bytes[at] = static_cast<char>(bytes[at] ^ static_cast<char>(1 + random() % 255));
+    }
+    damaged.emplace_back(begin, end);
+  }
+  return damaged;
+}
+
+bool IsHit(const StoredRecord& record, const Places& places) {
+  return std::any_of(places.begin(), places.end(), [&](const auto& place) {
+    return place.first < record.offset + record.bytes && record.offset < place.second;
+  });
+}
+
+class SpoolFolder {
+ public:
+  SpoolFolder() {
+    char name[] = "/tmp/brassfront-salvage-XXXXXX";
+    path_ = mkdtemp(name);
+  }
+  ~SpoolFolder() { fs::remove_all(path_); }
+
+  void Write(const std::string& bytes) const {
+    std::ofstream(path_ + "/spool", std::ios::binary) << bytes;
+  }
+  std::string Kept() const {
+    std::ifstream in(path_ + "/spool.cut", std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  }
+  std::vector<RecoveredMessage> Recover(std::vector<std::string>* reports = nullptr) const {
+    FolderOwner owner(path_);
+    Spool spool(owner, kDisk, [&](const std::string& text) {
+      if (reports != nullptr) reports->push_back(text);
+    });
+    return spool.Recover();
+  }
+
+ private:
+  std::string path_;
+};
+
+bool MayHaveRun(const RecoveredMessage& message) {
+  return std::any_of(message.attempts.begin(), message.attempts.end(),
+                     [](const SpooledAttempt& attempt) { return !attempt.known_not_run; });
+}
+
+bool IsNamed(std::size_t offset, const std::vector<std::string>& reports) {
+  const std::string place = "at offset " + std::to_string(offset);
+  return std::any_of(reports.begin(), reports.end(), [&](const std::string& report) {
+    const std::size_t found = report.find(place);
+    return found != std::string::npos && !isdigit(report[found + place.size()]);
+  });
+}
+
+TEST_CASE("damaged places cost what they hit, and are named") {
+  for (unsigned seed = 1; seed <= 500; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    StoredFile file = MakeFile(random);
+    const Places places = Damage(file.bytes, random, 1 + static_cast<int>(seed % 5));
+    std::set<SpoolId> expected;
+    std::set<SpoolId> accepted_before_a_gap;
+    std::set<SpoolId> named;  // offsets of the first record of each gap
+    bool in_gap = false;
+    for (const StoredRecord& record : file.records) {
+      if (IsHit(record, places)) {
+        if (!in_gap) named.insert(record.offset);
+        in_gap = true;
+        accepted_before_a_gap.insert(expected.begin(), expected.end());
+        continue;
+      }
+      in_gap = false;
+      if (record.kind == StoredRecord::Kind::kAccepted) expected.insert(record.number);
+      if (record.kind == StoredRecord::Kind::kFinished) {
+        expected.erase(record.number);
+        accepted_before_a_gap.erase(record.number);
+      }
+    }
+    const SpoolFolder folder;
+    folder.Write(file.bytes);
+    std::vector<std::string> reports;
+    for (const char* start : {"first", "second"}) {
+      CAPTURE(start);
+      std::set<SpoolId> recovered;
+      for (const RecoveredMessage& message : folder.Recover(&reports)) {
+        recovered.insert(message.number);
+        if (accepted_before_a_gap.contains(message.number)) CHECK(MayHaveRun(message));
+      }
+      CHECK(recovered == expected);
+    }
+    for (const std::size_t offset : named) {
+      CAPTURE(offset);
+      CHECK(IsNamed(offset, reports));
+    }
+    CHECK_FALSE(folder.Kept().empty());
+  }
+}
+
+TEST_CASE("a damaged header costs no message") {
+  std::mt19937 random(1);
+  const StoredFile file = MakeFile(random);
+  const SpoolFolder whole;
+  whole.Write(file.bytes);
+  const std::size_t open = whole.Recover().size();
+  for (std::size_t at = 0; at < kHeaderBytes; ++at) {
+    std::string bytes = file.bytes;
+    bytes[at] = static_cast<char>(bytes[at] ^ 0x10);
+    const SpoolFolder folder;
+    folder.Write(bytes);
+    CHECK(folder.Recover().size() == open);
+    CHECK(folder.Recover().size() == open);
+  }
+}
+
+TEST_CASE("a torn last record was not written, and no message counts as run for it") {
+  std::string bytes = kHeader;
+  const SpooledMessage message{.id = "m",
+                               .key = "k",
+                               .class_name = "c",
+                               .tenant_name = "t",
+                               .destination = 1,
+                               .deadline = UnixMs(1'000'000),
+                               .body = "b"};
+  bytes += spool::Encode(spool::MessageAccepted{1, message});
+  const std::string last = spool::Encode(spool::AttemptStarted{1, "endpoint", UnixMs(500)});
+  for (std::size_t length = 1; length < last.size(); ++length) {
+    const SpoolFolder folder;
+    folder.Write(bytes + last.substr(0, length));
+    const auto recovered = folder.Recover();
+    REQUIRE(recovered.size() == 1);
+    CHECK(recovered[0].attempts.empty());
+  }
+  for (std::size_t at = 0; at < last.size(); ++at) {  // whole, but damaged: it was written
+    std::string damaged = last;
+    damaged[at] = static_cast<char>(damaged[at] ^ 0x01);
+    const SpoolFolder folder;
+    folder.Write(bytes + damaged);
+    const auto recovered = folder.Recover();
+    REQUIRE(recovered.size() == 1);
+    CHECK(MayHaveRun(recovered[0]));
+  }
+}
+
+TEST_CASE("an outcome behind a gap does not clear what may have run in it") {
+  std::string bytes = kHeader;
+  const SpooledMessage message{.id = "m",
+                               .key = "k",
+                               .class_name = "c",
+                               .tenant_name = "t",
+                               .destination = 1,
+                               .deadline = UnixMs(1'000'000),
+                               .body = "b"};
+  bytes += spool::Encode(spool::MessageAccepted{1, message});
+  const std::size_t damaged = bytes.size() + spool::kFrameBytes + 3;
+  bytes += spool::Encode(spool::AttemptStarted{1, "a", UnixMs(500)});
+  bytes += spool::Encode(spool::AttemptStarted{1, "b", UnixMs(600)});
+  bytes += spool::Encode(spool::AttemptNotRun{1, 0});
+  bytes += spool::Encode(spool::AttemptNotRun{1, 1});
+  bytes[damaged] = static_cast<char>(bytes[damaged] ^ 0x7F);
+  const SpoolFolder folder;
+  folder.Write(bytes);
+  for (const char* start : {"first", "second", "third"}) {
+    CAPTURE(start);
+    const auto recovered = folder.Recover();
+    REQUIRE(recovered.size() == 1);
+    CHECK(MayHaveRun(recovered[0]));
+  }
+}
+
+}  // namespace
+}  // namespace brassfront
