Force a successor beside a predecessor that knows no lock, failing

Need: a version before that is replaced holds the listening address and no lock, so its successor read and wrote the folder under it; it gave up 8 s after its begin, a shutdown that begins after 6 s takes up to 3.7 s; and it took no notice of SIGTERM while it waited.

Change: three tests on real processes, the lock of the predecessor pretended by the shim.

--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -287,6 +287,72 @@
         second.end()
 
 
+class UnlockedPredecessorTest(OwnershipTest):
+    """A predecessor of a version that knows no lock: it has the address alone."""
+
+    def start_unlocked(self):
+        rule = self.faults.fail("flock", rig.PRETEND)
+        predecessor = self.start()
+        self.assertGreater(self.faults.hits(rule), 0)
+        return predecessor
+
+    def test_a_successor_touches_nothing_until_it_has_the_address(self):
+        for number in range(ROUNDS):
+            with self.subTest(round=number):
+                self.set_mode(Endpoint.REJECT)
+                predecessor = self.start_unlocked()
+                self.accept()
+                taken = self.successor_faults.fail("bind", rig.OBSERVE)
+                successor = self.launch(faults=self.successor_faults)
+                wait_for(
+                    "a successor without the address",
+                    lambda: self.successor_faults.hits(taken) > 1,
+                )
+                self.accept()
+                predecessor.end()
+                self.faults.end()
+                self.await_serving(successor)
+                self.accept()
+                successor.end()
+                last = self.start()
+                self.assert_all_end_once()
+                last.end()
+
+    def test_a_successor_that_waits_for_the_address_ends_on_a_signal(self):
+        predecessor = self.start_unlocked()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
+            with self.subTest(number):
+                taken = self.successor_faults.fail("bind", rig.OBSERVE)
+                successor = self.launch(faults=self.successor_faults)
+                wait_for(
+                    "a successor without the address",
+                    lambda: self.successor_faults.hits(taken) > 1,
+                )
+                self.assertEqual(successor.end(number), 0)
+                self.successor_faults.end()
+        self.accept()
+        self.set_mode(Endpoint.TAKE)
+        self.assert_all_end_once()
+        predecessor.end()
+
+    def test_the_address_is_waited_for_as_long_as_a_shutdown_takes(self):
+        predecessor = self.start_unlocked()
+        taken = self.successor_faults.fail("bind", rig.OBSERVE)
+        successor = self.launch(faults=self.successor_faults)
+        for seconds in (10, 20):  # as if so much time had passed
+            self.successor_faults.step_monotonic_clock(seconds)
+            seen = self.successor_faults.hits(taken)
+            wait_for(
+                "a further try",
+                lambda: self.successor_faults.hits(taken) > seen + 1
+                or not successor.alive(),
+            )
+            self.assertTrue(successor.alive(), successor.log)
+        self.successor_faults.step_monotonic_clock(60)
+        self.assertEqual(successor.process.wait(timeout=rig.LIMIT), os.EX_UNAVAILABLE)
+        predecessor.end()
+
+
 class TwiceTest(OwnershipTest):
     def test_a_second_process_started_by_mistake_changes_nothing(self):
         def crossing(predecessor):
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -31,6 +31,7 @@
     KILL_BEFORE,
     KILL_HALFWAY,
     OBSERVE,
+    PRETEND,
     SHORT,
     FaultTable,
 )
