Take over the listening address before the folder is touched, as long as a shutdown takes

Cause: ForwarderService listened after it had opened the spool, and StartClientServer waited for the address 8 s (kStartupRetryLimit), less than a replaced process may take (6 s and 3.7 s), and deaf to signals.

Change: TakeOver owns the folder, then the address, within 25 s together, before the spool is opened; a pending SIGTERM, SIGINT or SIGQUIT ends either wait with status 0. Other conditions of the address are waited for 8 s, as before.

--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -107,7 +107,8 @@
   }
 }
 
-ForwarderService::ForwarderService(const ServeOptions& options, Config config, FolderOwner& owner)
+ForwarderService::ForwarderService(const ServeOptions& options, Config config, FolderOwner& owner,
+                                   Socket listener)
     : config_path_(options.config_path),
       config_(std::move(config)),
       spool_(owner, SpoolBytes(config_), LogSpoolWarning),
@@ -125,7 +126,7 @@
   }
   engine_.SetExclusions(exclusions_);
   engine_.Restore(initial_list_);
-  StartClientServer();
+  StartClientServer(std::move(listener));
   StartFleet();
   StartOperatorServer();
 }
@@ -157,15 +158,7 @@
   engine_made_.get()->SetEndpoints(std::move(list));
 }
 
-void ForwarderService::StartClientServer() {
-  Socket listener;
-  const bool listening = RetryAtStart(SystemCall::kBind, [&] {
-    listener = Listen(config_.listen, AcceptMode::kNonBlocking);
-    return listener.is_open();
-  });
-  if (!listening) {
-    throw UnavailableError("cannot listen on " + config_.listen + ": " + std::strerror(errno));
-  }
+void ForwarderService::StartClientServer(Socket listener) {
   address_ = LocalAddress(listener);
   if (sources_) {
     sources_->Start([this](MemberList list) { FilterAndSetEndpoints(std::move(list)); });
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -41,8 +41,8 @@
   // Reads the other files, recovers the spool, and takes clients from then on. `owner`, which
   // outlives this, owns the state folder, or will once the folder is well. The signals that end the
   // process must be blocked before, since this starts threads. Throws what the files' readers
-  // throw, UnavailableError if it cannot listen, and std::runtime_error.
-  ForwarderService(const ServeOptions& options, Config config, FolderOwner& owner);
+  // throw, and std::runtime_error.
+  ForwarderService(const ServeOptions& options, Config config, FolderOwner& owner, Socket listener);
   ForwarderService(const ForwarderService&) = delete;
   ForwarderService& operator=(const ForwarderService&) = delete;
 
@@ -68,7 +68,7 @@
   [[nodiscard]] MemberList InitialList();
   void FilterAndSetEndpoints(MemberList list);
   void SetEndpoints(MemberList list);
-  void StartClientServer();
+  void StartClientServer(Socket listener);
   void StartFleet();
   void StartOperatorServer();
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -66,20 +66,30 @@
   int status;
 };
 
+// After a takeover that failed.
+std::string WhyUnavailable(FolderOwner& owner, const std::string& listen, int listen_error) {
+  if (owner.Acquire() != FileLock::Outcome::kTaken) {
+    return "cannot listen on " + listen + ": " + std::strerror(listen_error);
+  }
+  return "state folder " + owner.folder() + " is owned by process " +
+         std::to_string(owner.ReadHolder().process_id);
+}
+
 ServeResult Serve(const ServeOptions& options, const std::string& state_folder,
                   const sigset_t& signals) {
   Config config = ForwarderService::ReadConfigAtStart(options.config_path);
   observe::Log(Concern::kService, Level::kInfo, "process starts",
                {{"pid", getpid()}, {"state", state_folder}});
   FolderOwner owner(state_folder);
-  const Takeover takeover = TakeOverStateFolder(owner, kTakeoverLimit);
-  if (takeover == Takeover::kStopped) return {"asked to end before it owned the state folder", 0};
-  if (takeover == Takeover::kTimedOut) {
-    throw UnavailableError("state folder " + state_folder + " is owned by process " +
-                           std::to_string(owner.ReadHolder().process_id));
+  Takeover takeover = TakeOver(owner, config.listen, kTakeoverLimit);
+  if (takeover.outcome == TakeoverOutcome::kStopped) {
+    return {"asked to end before it took over", EX_OK};
+  }
+  if (takeover.outcome != TakeoverOutcome::kDone) {
+    throw UnavailableError(WhyUnavailable(owner, config.listen, takeover.error));
   }
   BeginStartup();  // the wait for a predecessor does not count
-  ForwarderService service(options, std::move(config), owner);
+  ForwarderService service(options, std::move(config), owner, std::move(takeover.listener));
   std::atomic<bool> over{false};
   Thread signal_thread =
       Thread::Require("signals", [&] { CarryOutSignals(signals, service, over); });
--- a/src/cli/state_takeover.cpp
+++ b/src/cli/state_takeover.cpp
@@ -1,12 +1,14 @@
 #include "cli/state_takeover.hpp"
 
 #include <cerrno>
+#include <csignal>
 #include <cstring>
-#include <string>
+#include <optional>
 #include <utility>
 
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
+#include "system/error_class.hpp"
 #include "system/retry.hpp"
 
 namespace brassfront {
@@ -25,7 +27,29 @@
          sigismember(&pending, SIGQUIT) == 1;
 }
 
-void LogWaiting(const FolderOwner& owner, milliseconds limit) {
+// The time that all waits of one takeover share.
+class Wait {
+ public:
+  explicit Wait(milliseconds limit) : limit_(limit) {}
+
+  [[nodiscard]] milliseconds limit() const { return limit_; }
+  [[nodiscard]] milliseconds elapsed() const {
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - start_);
+  }
+  // Pauses before another try; or why there is to be none.
+  [[nodiscard]] std::optional<TakeoverOutcome> Continue() const {
+    if (IsAskedToEnd()) return TakeoverOutcome::kStopped;
+    if (elapsed() >= limit_) return TakeoverOutcome::kTimedOut;
+    Pause(kTransientPause);
+    return std::nullopt;
+  }
+
+ private:
+  const steady_clock::time_point start_ = steady_clock::now();
+  const milliseconds limit_;
+};
+
+void LogWaitingForFolder(const FolderOwner& owner, milliseconds limit) {
   observe::Log(Concern::kService, Level::kWarning, "waiting for the state folder",
                {{"state", owner.folder()},
                 {"holder", owner.ReadHolder().process_id},
@@ -43,31 +67,56 @@
         predecessor.open_messages ? std::to_string(*predecessor.open_messages) : "unknown"}});
 }
 
-}  // namespace
-
-Takeover TakeOverStateFolder(FolderOwner& owner, milliseconds limit) {
-  const auto start = steady_clock::now();
-  const auto waited = [&] {
-    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
-  };
+// kDone also where the folder can't be locked for now.
+TakeoverOutcome TakeOverFolder(FolderOwner& owner, const Wait& wait) {
   bool logged = false;
   while (true) {
     const FileLock::Outcome outcome = owner.Acquire();
     if (outcome == FileLock::Outcome::kHeld) {
-      LogOwned(owner, waited());
-      return Takeover::kOwned;
+      LogOwned(owner, wait.elapsed());
+      return TakeoverOutcome::kDone;
     }
     if (outcome == FileLock::Outcome::kFailed) {
       observe::CountSystemCallFailure("flock", errno);
       observe::Log(Concern::kService, Level::kError, "state folder cannot be locked yet",
                    {{"state", owner.folder()}, {"error", std::strerror(errno)}});
-      return Takeover::kFolderFails;
+      return TakeoverOutcome::kDone;
     }
-    if (IsAskedToEnd()) return Takeover::kStopped;
-    if (waited() >= limit) return Takeover::kTimedOut;
-    if (!std::exchange(logged, true)) LogWaiting(owner, limit);
-    Pause(kTransientPause);
+    if (!std::exchange(logged, true)) LogWaitingForFolder(owner, wait.limit());
+    if (const auto over = wait.Continue()) return *over;
+  }
+}
+
+// An address that another process has is waited for; so are other conditions of a moment, but no
+// longer than any part of a start.
+Takeover TakeOverAddress(const std::string& listen, const Wait& wait) {
+  const auto startup_deadline = steady_clock::now() + kStartupRetryLimit;
+  bool logged = false;
+  while (true) {
+    Socket listener = Listen(listen, AcceptMode::kNonBlocking);
+    if (listener.is_open())
+      return {.outcome = TakeoverOutcome::kDone, .listener = std::move(listener)};
+    const int error = errno;
+    const bool taken = error == EADDRINUSE;
+    const bool late = !taken && steady_clock::now() >= startup_deadline;
+    if (late || !IsTransient(SystemCall::kBind, error)) {
+      return {.outcome = TakeoverOutcome::kFailed, .error = error};
+    }
+    if (taken && !std::exchange(logged, true)) {
+      observe::Log(Concern::kService, Level::kWarning, "waiting for the address",
+                   {{"listen", listen}, {"limit_ms", wait.limit().count()}});
+    }
+    if (const auto over = wait.Continue()) return {.outcome = *over, .error = error};
   }
 }
 
+}  // namespace
+
+Takeover TakeOver(FolderOwner& owner, const std::string& listen, milliseconds limit) {
+  const Wait wait(limit);
+  const TakeoverOutcome folder = TakeOverFolder(owner, wait);
+  if (folder != TakeoverOutcome::kDone) return {.outcome = folder};
+  return TakeOverAddress(listen, wait);
+}
+
 }  // namespace brassfront
