--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -10,7 +10,7 @@
 namespace brassfront {
 namespace {
 
-constexpr std::string_view kFileHeader = "BRSPOOL1";
+using spool::kFileHeader;
 constexpr const char* kFileName = "/spool";
 constexpr const char* kCompactedFileName = "/spool.new";
 constexpr const char* kKeptFileName = "/spool.cut";
--- a/src/spool/spool_record.hpp
+++ b/src/spool/spool_record.hpp
@@ -33,6 +33,9 @@
 
 namespace spool {
 
+// The first bytes of a file.
+inline constexpr std::string_view kFileHeader = "BRSPOOL1";
+
 // ---- the kinds of records ----
 
 struct MessageAccepted {
--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -7,6 +7,7 @@
 
 import os
 import signal
+import subprocess
 import threading
 import time
 import unittest
@@ -245,6 +246,36 @@
         self.assert_all_end_once()
 
 
+class HistoryTest(OwnershipTest):
+    def history(self, message):
+        command = [rig.PROGRAM, "spool", "--state", str(self.state)]
+        done = subprocess.run(
+            command + ["--history", message], capture_output=True, text=True
+        )
+        return done.returncode, done.stdout
+
+    def test_a_message_is_followed_through_two_processes(self):
+        self.set_mode(Endpoint.REJECT)
+        predecessor = self.start()
+        message, other = self.put_accepted(), self.put_accepted()
+        wait_for(
+            "a first attempt", lambda: "attempt-started" in self.history(message)[1]
+        )
+        predecessor.end()
+        self.set_mode(Endpoint.TAKE)
+        successor = self.start()
+        self.assert_all_end_once()
+        wait_for("the end", lambda: "finished" in self.history(message)[1])
+        successor.end()
+        status, text = self.history(message)
+        self.assertEqual(status, 0)
+        kinds = [line.split()[1] for line in text.splitlines()]
+        self.assertEqual((kinds[0], kinds[-1]), ("accepted", "finished"))
+        self.assertGreaterEqual(kinds.count("attempt-started"), 2)
+        self.assertNotEqual(self.history(other)[1], text)
+        self.assertEqual(self.history("nobody's")[0], 1)
+
+
 class LockFailureTest(OwnershipTest):
     def test_a_lock_that_fails_for_a_while_keeps_the_folder_untouched(self):
         for error in ("ENOLCK", "EIO", "ENOMEM"):
