--- a/tests/faults/operator_test.py
+++ b/tests/faults/operator_test.py
@@ -185,6 +185,22 @@
         self.assert_all_end()
         self.assertEqual(self.calls_to("a"), before)
 
+    def test_messages_whose_endpoints_are_all_out_end_with_a_notice(self):
+        """Over a restart too, and also where they waited for one of these."""
+        self.set_mode(Endpoint.REJECT)
+        forwarder = self.start()
+        self.put_accepted(left_ms=3000)
+        for name in self.endpoints:
+            self.assertEqual(self.enter(name), 200)
+        self.put_accepted(left_ms=3000)
+        forwarder.end()
+        self.set_mode(Endpoint.TAKE)
+        self.start()
+        self.put(left_ms=1500)
+        for message in self.accepted:
+            wait_for("the notice", lambda: self.notices_of(message))
+            self.assertEqual(self.calls_of(message), [])
+
     def test_lists_do_not_bring_it_back(self):
         self.start()
         self.settle("a")
