Go on by the address alone where a file system has no locks

Need: on a file system without flock(2) (EOPNOTSUPP, ENOSYS) every message would be rejected for ever.

Change: FileLock tells that from a lock that fails for now; the folder counts as owned then, with an error line, as the listening address is taken over before the folder is touched. Zones and the fleet's identity refuse as before.

--- a/src/cli/state_takeover.cpp
+++ b/src/cli/state_takeover.cpp
@@ -72,7 +72,11 @@
   bool logged = false;
   while (true) {
     const FileLock::Outcome outcome = owner.Acquire();
-    if (outcome == FileLock::Outcome::kHeld) {
+    if (outcome == FileLock::Outcome::kUnsupported) {
+      observe::Log(Concern::kService, Level::kError, "state folder has no locks",
+                   {{"state", owner.folder()}});
+    }
+    if (FolderOwner::IsOwned(outcome)) {
       LogOwned(owner, wait.elapsed());
       return TakeoverOutcome::kDone;
     }
--- a/src/fleet/local_identity.cpp
+++ b/src/fleet/local_identity.cpp
@@ -54,6 +54,7 @@
       return;
     case FileLock::Outcome::kTaken:
       throw std::runtime_error("another process holds " + folder_);
+    case FileLock::Outcome::kUnsupported:
     case FileLock::Outcome::kFailed:
       throw std::runtime_error("cannot lock " + folder_ + ": " + std::strerror(errno));
   }
--- a/src/operators/operator_commands.cpp
+++ b/src/operators/operator_commands.cpp
@@ -35,8 +35,7 @@
 
 void OperatorCommands::Load() {
   // Another owner may still change the file; it is written only once it was read here.
-  const bool owned = owner_.Acquire() == FileLock::Outcome::kHeld;
-  const auto stored = owned ? file_.Read() : std::nullopt;
+  const auto stored = owner_.Owns() ? file_.Read() : std::nullopt;
   if (stored) {
     excluded_.insert(stored->begin(), stored->end());
   } else {
--- a/src/spool/folder_owner.cpp
+++ b/src/spool/folder_owner.cpp
@@ -46,9 +46,10 @@
 
 FileLock::Outcome FolderOwner::Acquire() {
   const std::lock_guard lock(mutex_);
-  if (lock_.is_held()) return FileLock::Outcome::kHeld;
+  if (owned_as_) return *owned_as_;
   const FileLock::Outcome outcome = lock_.TryLock(path());
-  if (outcome != FileLock::Outcome::kHeld) return outcome;
+  if (!IsOwned(outcome)) return outcome;
+  owned_as_ = outcome;
   predecessor_ = ReadNote(path());
   Write({.process_id = getpid(), .open_messages = std::nullopt});
   return outcome;
@@ -63,7 +64,7 @@
 
 void FolderOwner::RecordEnd(std::size_t open_messages) {
   const std::lock_guard lock(mutex_);
-  if (lock_.is_held()) Write({.process_id = getpid(), .open_messages = open_messages});
+  if (owned_as_) Write({.process_id = getpid(), .open_messages = open_messages});
 }
 
 // One that fails leaves the note empty or torn, which says nothing to anyone.
--- a/src/spool/folder_owner.hpp
+++ b/src/spool/folder_owner.hpp
@@ -3,6 +3,8 @@
 // ends.
 //
 // Ownership is a lock on the file `owner`, which the kernel drops at any death of the process. The
+// Where the file system has no locks, the process goes on without: it has the listening address for
+// itself, which a forwarder takes over before it touches the folder (cli/state_takeover.hpp). The
 // file's text is for people and for the next owner: the owner's process id, and after a graceful
 // end how many messages it left open.
 #ifndef BRASSFRONT_SPOOL_FOLDER_OWNER_HPP_
@@ -34,9 +36,14 @@
 
   [[nodiscard]] const std::string& folder() const { return folder_; }
 
-  // Tries once to own the folder, without waiting; harmless once it is owned. On failure errno
-  // tells why.
+  // Tries once to own the folder, without waiting; harmless once it is owned. kUnsupported counts
+  // as owned. On failure errno tells why.
   FileLock::Outcome Acquire();
+  // The same, for those who ask nothing else.
+  [[nodiscard]] bool Owns() { return IsOwned(Acquire()); }
+  [[nodiscard]] static bool IsOwned(FileLock::Outcome outcome) {
+    return outcome == FileLock::Outcome::kHeld || outcome == FileLock::Outcome::kUnsupported;
+  }
 
   // The previous owner as it left the folder; for the owner.
   [[nodiscard]] OwnerNote predecessor() const;
@@ -52,6 +59,7 @@
   const std::string folder_;
   mutable std::mutex mutex_;
   FileLock lock_;
+  std::optional<FileLock::Outcome> owned_as_;  // none: not owned
   OwnerNote predecessor_;
 };
 
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -64,17 +64,13 @@
 
 // Nothing in the folder is touched before.
 bool Spool::OwnsFolder() {
-  switch (owner_->Acquire()) {
-    case FileLock::Outcome::kHeld:
-      return true;
-    case FileLock::Outcome::kTaken:
-      ReportOnce("spool unusable: " + folder_ + " is owned by process " +
-                 std::to_string(owner_->ReadHolder().process_id));
-      return false;
-    case FileLock::Outcome::kFailed:
-      ReportOnce("spool unusable: " + folder_ + " cannot be locked: " + std::strerror(errno));
-      return false;
-  }
+  const FileLock::Outcome outcome = owner_->Acquire();
+  if (FolderOwner::IsOwned(outcome)) return true;
+  const std::string why =
+      outcome == FileLock::Outcome::kTaken
+          ? " is owned by process " + std::to_string(owner_->ReadHolder().process_id)
+          : std::string(" cannot be locked: ") + std::strerror(errno);
+  ReportOnce("spool unusable: " + folder_ + why);
   return false;
 }
 
--- a/src/system/file_lock.cpp
+++ b/src/system/file_lock.cpp
@@ -13,6 +13,12 @@
 // A call that is interrupted each time fails in the end, like any other.
 constexpr int kMaxInterruptions = 100;
 
+FileLock::Outcome OutcomeOf(int error) {
+  if (error == EWOULDBLOCK) return FileLock::Outcome::kTaken;
+  const bool unsupported = error == EOPNOTSUPP || error == ENOSYS;
+  return unsupported ? FileLock::Outcome::kUnsupported : FileLock::Outcome::kFailed;
+}
+
 bool LockWithoutWaiting(int fd) {
   for (int interruptions = 0; interruptions < kMaxInterruptions; ++interruptions) {
     if (flock(fd, LOCK_EX | LOCK_NB) == 0) return true;
@@ -38,7 +44,7 @@
   const int error = errno;
   close(fd);
   errno = error;
-  return error == EWOULDBLOCK ? Outcome::kTaken : Outcome::kFailed;
+  return OutcomeOf(error);
 }
 
 }  // namespace brassfront
--- a/src/system/file_lock.hpp
+++ b/src/system/file_lock.hpp
@@ -13,8 +13,9 @@
  public:
   enum class Outcome {
     kHeld,
-    kTaken,  // by another process, or another object of this one
-    kFailed  // errno tells why
+    kTaken,        // by another process, or another object of this one
+    kUnsupported,  // there are no locks on this file system
+    kFailed        // errno tells why
   };
 
   FileLock() = default;
--- a/src/zones/store.cpp
+++ b/src/zones/store.cpp
@@ -180,6 +180,7 @@
       break;
     case FileLock::Outcome::kTaken:
       throw StoreError(folder_ + " is held by another process");
+    case FileLock::Outcome::kUnsupported:
     case FileLock::Outcome::kFailed:
       throw StoreError(folder_ + " cannot be locked: " + std::strerror(errno));
   }
--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -289,6 +289,30 @@
                 self.assert_all_end_once()
                 successor.end()
 
+    def test_a_file_system_without_locks_is_used_by_who_has_the_address(self):
+        for error in ("EOPNOTSUPP", "ENOSYS"):
+            with self.subTest(error):
+                self.set_mode(Endpoint.REJECT)
+                self.faults.fail("flock", error)
+                self.successor_faults.fail("flock", error)
+                predecessor = self.start()
+                self.accept()
+                taken = self.successor_faults.fail("bind", rig.OBSERVE)
+                successor = self.launch(faults=self.successor_faults)
+                wait_for(
+                    "a successor without the address",
+                    lambda: self.successor_faults.hits(taken) > 1,
+                )
+                self.accept()
+                predecessor.end()
+                self.await_serving(successor)
+                self.accept()
+                self.assert_all_end_once()
+                self.assertTrue(any("has no locks" in x for x in successor.log))
+                successor.end()
+                self.faults.end()
+                self.successor_faults.end()
+
     def test_a_lock_that_is_interrupted_is_asked_for_again(self):
         self.faults.fail("flock", "EINTR", times=5)
         forwarder = self.start()
