Test that only the owner of the folder writes the exclusions

Need: the check in OperatorCommands::Load had no test of its own.

Change: a second process whose lock fails answers 500 to 'enter' and leaves the owner's file alone.

--- a/tests/faults/operator_test.py
+++ b/tests/faults/operator_test.py
@@ -8,7 +8,7 @@
 import unittest
 
 import rig
-from rig import Endpoint, FaultTest, admin_call, toy_server, wait_for
+from rig import Endpoint, FaultTable, FaultTest, admin_call, toy_server, wait_for
 
 # An answer is owed within 1 s; a machine that runs other tests beside gets some more.
 ANSWER_LIMIT = 5  # s
@@ -285,6 +285,18 @@
         self.faults.end()
         self.assert_excluded(messages=5)
 
+    def test_who_does_not_own_the_folder_leaves_the_file_alone(self):
+        self.start()
+        self.assertEqual(self.enter("a"), 200)
+        stored = (self.state / "exclusions").read_bytes()
+        without_lock = FaultTable(self.folder / "other-faults")
+        without_lock.fail("flock", "ENOLCK")
+        self.config["listen"] = self.listen = rig.free_address()
+        self.config["admin"] = self.admin = rig.free_address()
+        self.start(faults=without_lock)
+        self.assertEqual(self.enter("b"), 500)  # in force, but not stored
+        self.assertEqual((self.state / "exclusions").read_bytes(), stored)
+
 
 class KillTest(OperatorTest):
     """A hundred rounds: SIGKILL at each step of going out and of coming back."""
