Do not look for records in a damaged last message

Cause: Reader::FindNextRecord searched the payload of a damaged record that ends with the file, and so could take bytes of a client's body for records.

Change: a record whose length ends with the file has nothing behind it.

--- a/src/spool/spool_reader.cpp
+++ b/src/spool/spool_reader.cpp
@@ -57,6 +57,7 @@
   };
   if (const auto header = ReadFrame(next_)) {
     const std::size_t behind = next_ + kFrameBytes + header->payload_bytes;
+    if (behind == end_) return std::nullopt;
     if (behind < end_ && is_record(behind)) return behind;
   }
   for (std::size_t begin = next_ + 1; !failed_ && begin + kProbeBytes <= end_;) {
--- a/tests/spool/salvage_test.cpp
+++ b/tests/spool/salvage_test.cpp
@@ -217,6 +217,24 @@
   }
 }
 
+TEST_CASE("what a client wrote into a damaged message is not taken for records") {
+  const std::string forged = spool::Encode(spool::MessageFinished{1}) + AcceptedRecord(9, "forged");
+  const std::string first = kHeader + AcceptedRecord(1, "b");
+  const std::string message = AcceptedRecord(2, forged + "tail");
+  const std::string after = AcceptedRecord(3, "b");
+  for (const std::string& behind : {std::string(), after}) {
+    for (const std::size_t at : {spool::kFrameBytes + 5, message.size() - 1}) {
+      std::string bytes = first + message + behind;
+      bytes[first.size() + at] = static_cast<char>(bytes[first.size() + at] ^ 0x01);
+      const SpoolFolder folder;
+      folder.Write(bytes);
+      std::set<SpoolId> recovered;
+      for (const RecoveredMessage& one : folder.Recover()) recovered.insert(one.spool_id);
+      CHECK(recovered == (behind.empty() ? std::set<SpoolId>{1} : std::set<SpoolId>{1, 3}));
+    }
+  }
+}
+
 TEST_CASE("an outcome behind a gap does not clear what may have run in it") {
   std::string bytes = kHeader + AcceptedRecord(1, "b");
   const std::size_t damaged = bytes.size() + spool::kFrameBytes + 3;
