--- a/src/cli/state_takeover.cpp
+++ b/src/cli/state_takeover.cpp
@@ -98,8 +98,9 @@
   bool logged = false;
   while (true) {
     Socket listener = Listen(listen, AcceptMode::kNonBlocking);
-    if (listener.is_open())
+    if (listener.is_open()) {
       return {.outcome = TakeoverOutcome::kDone, .listener = std::move(listener)};
+    }
     const int error = errno;
     const bool taken = error == EADDRINUSE;
     const bool late = !taken && steady_clock::now() >= startup_deadline;
