Wait until no call is under way before operators take an endpoint out

Cause: FaultTest.settle returned while messages that it had handed in were still on their way to the endpoint; on a busy machine they arrived behind the operator's call and were counted as new work.

Change: settle waits for their ends. The check on new work stays as it is.

Forced by endpoints that take 0.15 s: test_lists_do_not_bring_it_back fails in 3 of 3 without, passes in 5 of 5 with.

--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -340,7 +340,7 @@
             wait_for("the end of " + message, lambda: self.is_over(message))
 
     def settle(self, name):
-        """Waits until calls go to this endpoint."""
+        """Waits until calls go to this endpoint, and none is under way any more."""
         before = self.calls_to(name)
 
         def called():
@@ -348,3 +348,4 @@
             return self.calls_to(name) > before
 
         wait_for("a call to " + name, called)
+        self.assert_all_end()
