Log why each message is given up, and each post of notifications

Cause: from the log of a forwarder nobody could tell whether a message without its final answer had been given up, why, and what became of its notification.

Change: a reason in RejectMessage and FailMessage; a line for each accepted message that is given up, with its history; a line and a counter for each post, with its size, status, time and the age of its oldest.

--- a/include/dispatch_policy/actions.hpp
+++ b/include/dispatch_policy/actions.hpp
@@ -22,18 +22,30 @@
   Time start_by{};
 };
 
+// Why a message is over without a delivery. For logs alone: the action says what follows from it.
+enum class GiveUpReason {
+  kNotAdmitted,          // the admission gate rejected it at its arrival
+  kUnknownClass,         // the settings do not have its class
+  kDeadline,             // its time is up
+  kAttemptsExhausted,    // no further attempt is allowed
+  kDedupWindowExpired,   // its receiver may have forgotten its idempotency key
+  kEndpointsUnavailable  // all of its endpoints have asked to wait beyond its deadline
+};
+
 // The message is over, and no attempt of it has had an effect that a further submission would
 // double.
 struct RejectMessage {
   MessageId message = 0;
   // What the client is told to wait before it submits the message again; 0: it is told nothing.
   Duration retry_after{};
+  GiveUpReason reason = GiveUpReason::kNotAdmitted;
 };
 
 // The message is over without a delivery, and may have taken effect: submitting it again may double
 // the effect.
 struct FailMessage {
   MessageId message = 0;
+  GiveUpReason reason = GiveUpReason::kUnknownClass;
 };
 
 // Stop the attempt. It is still answered by an AttemptCompleted.
@@ -65,6 +77,9 @@
 using Action = std::variant<SendAttempt, RejectMessage, FailMessage, CancelAttempt, SetTimer,
                             StartHealthCheck, SubscribeToEndpointList, LogMessage>;
 
+// The name in the log.
+[[nodiscard]] const char* ToString(GiveUpReason reason);
+
 }  // namespace dispatch_policy
 
 #endif  // DISPATCH_POLICY_ACTIONS_HPP_
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -362,17 +362,18 @@
 }
 
 void Engine::Apply(const dispatch_policy::RejectMessage& action) {
-  LogMessageStep("message rejected", action.message, "policy");
+  LogMessageStep("message rejected", action.message, ToString(action.reason));
   observe::Count("messages_rejected_total", {"reason", "policy"});
   if (RejectSubmission(action.message, SubmitResult::Rejected(action.retry_after))) return;
-  GiveUp(action.message, {.retry_allowed = true, .retry_after = CeilToMs(action.retry_after)});
+  GiveUp(action.message, action.reason,
+         {.retry_allowed = true, .retry_after = CeilToMs(action.retry_after)});
 }
 
 void Engine::Apply(const dispatch_policy::FailMessage& action) {
-  LogMessageStep("message failed", action.message, "policy");
+  LogMessageStep("message failed", action.message, ToString(action.reason));
   observe::Count("messages_failed_total");
   if (RejectSubmission(action.message, SubmitResult::Invalid("cannot be delivered"))) return;
-  GiveUp(action.message, {});
+  GiveUp(action.message, action.reason, {});
 }
 
 // Replies to the message's client and forgets the message. False if no client waits for a reply.
@@ -382,11 +383,18 @@
   return true;
 }
 
-void Engine::GiveUp(MessageId message, Notification notification) {
+void Engine::GiveUp(MessageId message, dispatch_policy::GiveUpReason reason,
+                    Notification notification) {
   const InFlightMessage* found = messages_.GiveUp(message, notification.retry_allowed, Now());
   if (found == nullptr) return;
   notification.message = message;
   notification.id = found->client_id;
+  notification.given_up_at = ToTimePoint(found->given_up_at);
+  observe::Log(Concern::kEngine, Level::kInfo, "message given up",
+               {{"id", notification.id},
+                {"reason", ToString(reason)},
+                {"notification", notification.retry_allowed ? "deferred" : "undeliverable"},
+                {"history", messages_.History(message)}});
   notifications_.push_back(std::move(notification));
 }
 
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -143,7 +143,7 @@
 
   [[nodiscard]] Time NextWakeUp() const;
   bool RejectSubmission(MessageId message, SubmitResult result);
-  void GiveUp(MessageId message, Notification notification);
+  void GiveUp(MessageId message, dispatch_policy::GiveUpReason reason, Notification notification);
   void LogMessageStep(const char* event, MessageId message, std::string_view reason = {}) const;
   void DoHousekeeping();
   void PublishMetrics();
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -94,6 +94,8 @@
   void LogOverdue(Time now);
   [[nodiscard]] Time NextOverdue() const { return trace_.NextOverdue(); }
   [[nodiscard]] std::uint64_t overdue() const { return trace_.overdue(); }
+  // The message's steps, for the log; empty if it is not in flight.
+  [[nodiscard]] std::string History(MessageId message) const { return trace_.History(message); }
   [[nodiscard]] std::size_t size() const { return messages_.size(); }
   [[nodiscard]] std::size_t deliverable() const { return deliverable_; }
   [[nodiscard]] const MessageTotals& totals() const { return totals_; }
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -1,7 +1,10 @@
 #include "net/notification_client.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "observe/log.hpp"
+#include "observe/metrics.hpp"
 #include "protocol/json.hpp"
 
 namespace brassfront {
@@ -13,6 +16,26 @@
 constexpr std::size_t kMaxBatchSize = 500;  // notifications in a request
 constexpr int kHttpNoContent = 204;         // confirms all of a request
 
+// One line for each post: what it held, what became of it, and how long its oldest has waited.
+void LogPost(const std::vector<Notification>& batch, std::size_t bytes, int status,
+             std::chrono::steady_clock::time_point posted_at) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto oldest =
+      std::min_element(batch.begin(), batch.end(),
+                       [](const auto& a, const auto& b) { return a.given_up_at < b.given_up_at; });
+  const auto in_ms = [](auto duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  };
+  observe::Log(observe::Concern::kPlatform, observe::Level::kInfo, "notifications posted",
+               {{"count", batch.size()},
+                {"bytes", bytes},
+                {"status", status},
+                {"elapsed_ms", in_ms(now - posted_at)},
+                {"oldest_ms", in_ms(now - oldest->given_up_at)}});
+  observe::Count("notification_posts_total",
+                 {"outcome", status == kHttpNoContent ? "confirmed" : "unconfirmed"});
+}
+
 }  // namespace
 
 std::string NotificationLine(const Notification& notification) {
@@ -59,7 +82,10 @@
     const std::string request =
         HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
     HttpReader reader;
-    if (client_.Exchange(request, reader) && reader.status() == kHttpNoContent) {
+    const auto posted_at = std::chrono::steady_clock::now();
+    const bool answered = client_.Exchange(request, reader);
+    LogPost(batch, body.size(), answered ? reader.status() : 0, posted_at);
+    if (answered && reader.status() == kHttpNoContent) {
       for (const Notification& notification : batch) on_confirmed_(notification.message);
       return;
     }
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -21,6 +21,7 @@
   std::string id{};            // the client's id of the message
   bool retry_allowed = false;  // the client may submit it again; else it is undeliverable
   std::chrono::milliseconds retry_after{};  // if a retry is allowed
+  std::chrono::steady_clock::time_point given_up_at{};
 };
 
 class NotificationClient {
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -23,4 +23,22 @@
   return std::move(impl_->context.actions);
 }
 
+const char* ToString(GiveUpReason reason) {
+  switch (reason) {
+    case GiveUpReason::kNotAdmitted:
+      return "not-admitted";
+    case GiveUpReason::kUnknownClass:
+      return "unknown-class";
+    case GiveUpReason::kDeadline:
+      return "deadline";
+    case GiveUpReason::kAttemptsExhausted:
+      return "attempts-exhausted";
+    case GiveUpReason::kDedupWindowExpired:
+      return "dedup-window-expired";
+    case GiveUpReason::kEndpointsUnavailable:
+      return "endpoints-unavailable";
+  }
+  return "unknown";
+}
+
 }  // namespace dispatch_policy
--- a/src/policy/message_ledger.cpp
+++ b/src/policy/message_ledger.cpp
@@ -9,19 +9,23 @@
 void MessageLedger::AdmitMessage(const MessageArrived& event) {
   if (messages_.count(event.message) != 0) return;
   const std::size_t index = event.message_class;  // out of range: nothing is known to be safe
-  if (index >= settings_.classes.size()) return context_.Do(RejectMessage{event.message});
+  if (index >= settings_.classes.size()) {
+    return context_.Do(RejectMessage{event.message, {}, GiveUpReason::kUnknownClass});
+  }
   const Duration class_deadline = settings_.classes[index].deadline;
   Message message(event.message, index, now_, event.time_left, class_deadline);
   Destination& destination = registry_.FindOrAddDestination(event.destination);
   destination.arrivals.Add(now_);
   if (gate_.Admit(destination)) return Enqueue(std::move(message), event.destination, event.key);
-  context_.Do(RejectMessage{message.id, gate_.RetryAfter(destination, message)});
+  context_.Do(RejectMessage{message.id, gate_.RetryAfter(destination, message),
+                            GiveUpReason::kNotAdmitted});
 }
 
 void MessageLedger::RestoreMessage(const MessageRestored& event) {
   if (messages_.count(event.message) != 0) return;
   const std::size_t index = event.message_class;  // out of range: nothing is known to be safe
-  if (index >= settings_.classes.size()) return context_.Do(FailMessage{event.message});
+  if (index >= settings_.classes.size())
+    return context_.Do(FailMessage{event.message, GiveUpReason::kUnknownClass});
   const Duration class_deadline = settings_.classes[index].deadline;
   Message message(event.message, index, now_, event.time_left, class_deadline);
   message.earlier_attempts = event.attempts_used;
@@ -30,7 +34,8 @@
   if (event.may_have_run && ran_on != nullptr) message.ran_in_zone = ran_on->entry.zone;
   registry_.FindOrAddDestination(event.destination);
   Enqueue(std::move(message), event.destination, event.key);
-  if (AttemptsExhausted(messages_.at(event.message))) GiveUp(messages_.at(event.message));
+  Message& restored = messages_.at(event.message);
+  if (AttemptsExhausted(restored)) GiveUp(restored, GiveUpReason::kAttemptsExhausted);
 }
 
 void MessageLedger::CancelMessage(const MessageCancelled& event) {
@@ -60,13 +65,13 @@
   return &message;
 }
 
-void MessageLedger::GiveUp(Message& message) {
+void MessageLedger::GiveUp(Message& message, GiveUpReason reason) {
   CancelAttempts(message);
   const Destination& destination = registry_.DestinationAt(message.destination);
   if (SafeToResubmit(message)) {
-    context_.Do(RejectMessage{message.id, gate_.RetryAfter(destination, message)});
+    context_.Do(RejectMessage{message.id, gate_.RetryAfter(destination, message), reason});
   } else {
-    context_.Do(FailMessage{message.id});
+    context_.Do(FailMessage{message.id, reason});
   }
   Finish(message);
 }
@@ -176,8 +181,12 @@
     const Time last = message.deadline - settings_.decision_interval;
     const bool idle = message.attempts_in_flight == 0;
     const bool waits_past = idle && AllEndpointsWaitPast(message.destination, last);
-    if (now_ >= last || waits_past || (idle && ledger_.DedupWindowExpired(message))) {
-      ledger_.GiveUp(message);
+    if (now_ >= last) {
+      ledger_.GiveUp(message, GiveUpReason::kDeadline);
+    } else if (waits_past) {
+      ledger_.GiveUp(message, GiveUpReason::kEndpointsUnavailable);
+    } else if (idle && ledger_.DedupWindowExpired(message)) {
+      ledger_.GiveUp(message, GiveUpReason::kDedupWindowExpired);
     } else if (!idle) {
       ReviewAttempt(message);
     }
@@ -234,7 +243,9 @@
 }
 
 void RetryScheduler::ScheduleRetry(Message& message, const AttemptCompleted& event) {
-  if (event.exhausted || ledger_.AttemptsExhausted(message)) return ledger_.GiveUp(message);
+  if (event.exhausted || ledger_.AttemptsExhausted(message)) {
+    return ledger_.GiveUp(message, GiveUpReason::kAttemptsExhausted);
+  }
   const Outcome outcome = event.outcome;
   if (outcome == Outcome::kError) message.not_before = now_ + kRejectionPause;
   if (outcome == Outcome::kNotSent || outcome == Outcome::kConnectionLimitReached) {
--- a/src/policy/message_ledger.hpp
+++ b/src/policy/message_ledger.hpp
@@ -42,7 +42,7 @@
   Message* RecordCompletion(const AttemptCompleted& event);
 
   // Gives the message up at once: rejects it where submitting it again is harmless, else fails it.
-  void GiveUp(Message& message);
+  void GiveUp(Message& message, GiveUpReason reason);
 
   // The message is over. Its record stays while an attempt is in flight.
   void Finish(Message& message);
