Force posts of notifications that are held, late or rejected, failing

Callers saw: an accepted message with neither a delivery nor a notification by its deadline.

Cause: NotificationClient posts one batch at a time over one connection, and goes on to the next when that batch is confirmed, which an agent that answers later than 100 ms, or rejects one line, never does.

--- /dev/null
+++ b/tests/faults/final_answer_test.py
@@ -0,0 +1,81 @@
+"""The incident of 3 December 2026 on real processes: docs/incidents.
+
+Whatever becomes of one post of notifications, the notification of every other message
+that was given up reaches the agent, and each is confirmed at last.
+"""
+
+import unittest
+
+import rig
+from agent import Agent
+from rig import Endpoint, FaultTest, wait_for
+
+
+class FinalAnswerTest(FaultTest):
+    def setUp(self):
+        super().setUp()
+        self.discovery = self.new_stand_in(Agent)
+        self.discovery.members = self.members()
+        self.config["discovery"] = self.discovery.address
+        self.addCleanup(self.discovery.release.set)
+        self.set_mode(Endpoint.REJECT)  # so that every message ends by its deadline
+
+    def give_up_one(self):
+        """Hands a message in; its notification has reached the agent at the return."""
+        message = self.put_accepted(left_ms=300)
+        wait_for(
+            "the notification of " + message, lambda: self.discovery.has_read(message)
+        )
+        return message
+
+    def await_none_in_flight(self):
+        def none():
+            _, metrics = rig.admin_call(self.config["admin"], "GET", "/metrics")
+            return "brassfront_messages_in_flight 0" in metrics.splitlines()
+
+        wait_for("all messages to end", none)
+
+    def start_with_admin(self):
+        self.config["admin"] = rig.free_address()
+        return self.start()
+
+
+class HeldPostTest(FinalAnswerTest):
+    # Guards against one post that the agent does not answer holding back all others.
+    def test_a_post_that_is_not_answered_holds_no_other_notification_back(self):
+        self.discovery.on_post = self.discovery.hold
+        self.start()
+        for _ in range(3):
+            self.give_up_one()
+
+    # Guards against an agent that answers later than a limit of ours being asked for ever.
+    def test_an_agent_that_always_answers_late_confirms_at_last(self):
+        def answer_late(post):
+            self.discovery.release.wait(timeout=0.3)
+            return 204
+
+        self.discovery.on_post = answer_late
+        self.start_with_admin()
+        for _ in range(3):
+            self.give_up_one()
+        self.await_none_in_flight()
+
+
+class RejectedPostTest(FinalAnswerTest):
+    # Guards against one line that the agent can't read holding back all that share its post.
+    def test_a_line_that_the_agent_rejects_holds_no_other_notification_back(self):
+        rejected = "f" * 16
+
+        def reject_the_first(post):
+            return 400 if rejected in post.ids else 204
+
+        self.discovery.on_post = reject_the_first
+        self.start()
+        self.put_accepted(left_ms=300, message=rejected)
+        wait_for("the rejected post", lambda: self.discovery.has_read(rejected))
+        for _ in range(3):
+            self.give_up_one()
+
+
+if __name__ == "__main__":
+    unittest.main()
