Post each notification at once, whatever became of the ones before

Callers saw: an accepted message with neither a delivery nor a notification in its time, where the platform's agent answered late, rejected a line or did not answer.

Cause: NotificationClient posted one batch at a time over one connection, with 100 ms for connecting and answering alike, and repeated it until it was confirmed; what came behind it waited.

Change: NotificationOutbox (no I/O, times given in) says what is posted when: new notifications at once, what is not confirmed again after 100 to 250 ms while the first post is still waited for, a rejected post in halves. The client carries up to 8 posts at once, each on a connection of its own, within the 24 reserved descriptors; connecting (1.5 s) and answering (5 s) have bounds of their own. Half of the posts are left alone until they end, so that a slow agent confirms at last; the others make way. The engine's thread owns the outbox.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -37,6 +37,46 @@
          std::holds_alternative<dispatch_policy::FailMessage>(action);
 }
 
+std::int64_t InMilliseconds(dispatch_policy::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+constexpr int kHttpNoContent = 204;  // confirms all of a post
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpContentTooLarge = 413;
+
+PostOutcome ToOutcome(const NotificationPostResult& result) {
+  if (result.status == kHttpNoContent) return PostOutcome::kConfirmed;
+  const bool rejected = result.status == kHttpBadRequest || result.status == kHttpContentTooLarge;
+  return rejected ? PostOutcome::kRejected : PostOutcome::kFailed;
+}
+
+std::string_view ToString(PostOutcome outcome) {
+  switch (outcome) {
+    case PostOutcome::kConfirmed:
+      return "confirmed";
+    case PostOutcome::kRejected:
+      return "rejected";
+    case PostOutcome::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+// One line for each post: what it held, what became of it, and how long its oldest has waited.
+void LogPost(const NotificationPostResult& result, const NotificationOutbox::PostEnd& end) {
+  observe::Log(Concern::kPlatform, Level::kInfo, "notifications posted",
+               {{"post", result.post},
+                {"count", end.messages},
+                {"status", result.status},
+                {"elapsed_ms", InMilliseconds(end.elapsed)},
+                {"oldest_ms", InMilliseconds(end.oldest_wait)}});
+  observe::Count("notification_posts_total", {"outcome", ToString(ToOutcome(result))});
+  if (!end.rejected) return;
+  observe::LogSeldom(Concern::kPlatform, Level::kError, "notification rejected",
+                     {{"id", *end.rejected}, {"status", result.status}});
+}
+
 }  // namespace
 
 std::size_t Engine::MaxEndpointConnections(const Config& config) {
@@ -57,9 +97,8 @@
           {config_, messages_, endpoints_, latencies_, policy_events_}, buffers,
           [this](EndpointCallResult result) { loop_.Push(std::move(result)); },
           [this](Time at, Deadline deadline) { loop_.SetDeadline(at, deadline); }),
-      notification_client_(
-          config.discovery, buffers,
-          [this](MessageId message) { loop_.Push(NotificationConfirmed{message}); }),
+      notification_client_(config.discovery, NotificationOutbox::kMaxPosts, buffers,
+                           [this](NotificationPostResult result) { loop_.Push(result); }),
       discovery_watcher_(
           config.discovery, kWholeList,
           {.size = config.policy_settings.group_size, .seed = config.seed}, buffers,
@@ -195,6 +234,7 @@
     const Time next_decision = last_decision_ + config_.policy_settings.decision_interval;
     if (!policy_events_.empty() && now >= next_decision) Decide(now);
     call_dispatcher_.StartReadyCalls(now);
+    StartPosts(now);
     messages_in_flight_ = messages_.size();
     if (now >= messages_.NextOverdue()) messages_.LogOverdue(now);
     if (shutdown_.IsOver(now, messages_.size())) break;
@@ -205,8 +245,8 @@
   LogFinalTotals(messages_.totals(), spool_);
 }
 
-Engine::Time Engine::NextWakeUp() const {
-  Time next = messages_.NextOverdue();
+Engine::Time Engine::NextWakeUp() {
+  Time next = std::min(messages_.NextOverdue(), messages_.outbox().NextWakeUp());
   const Time now = Now();
   if (!held_events_.empty()) next = std::min<Time>(next, now + kHoldCheckInterval);
   if (policy_events_.empty()) return next;
@@ -228,10 +268,6 @@
     if (!EndsMessage(action)) std::visit(apply, action);
   }
   call_dispatcher_.CloseBatches();
-  // Last: by now the calls of the messages that were given up have been cancelled.
-  for (Notification& notification : std::exchange(notifications_, {})) {
-    notification_client_.Post(std::move(notification));
-  }
   latencies_.decide.Add(Now() - now);
 }
 
@@ -283,6 +319,10 @@
   observe::SetGauge("calls_in_flight", {},
                     static_cast<std::int64_t>(call_dispatcher_.calls().size()));
   const Time now = Now();
+  const NotificationOutbox& outbox = messages_.outbox();
+  observe::SetGauge("notifications_unconfirmed", {}, static_cast<std::int64_t>(outbox.size()));
+  const Time oldest_wait = now - outbox.OldestAddedAt().value_or(now);
+  observe::SetGauge("notification_oldest_ms", {}, InMilliseconds(oldest_wait));
   if (now < next_metrics_line_) return;
   if (next_metrics_line_ != Time{}) observe::LogMetrics();
   next_metrics_line_ = now + kMetricsLineInterval;
@@ -303,6 +343,7 @@
 void Engine::On(const DiscoveryAddressChanged& event) {
   discovery_watcher_.SetAddress(event.discovery);
   notification_client_.SetAddress(event.discovery);
+  messages_.outbox().RepostAll(Now());
 }
 
 // ======== messages ========
@@ -342,11 +383,24 @@
   messages_.End(event.message, TraceStep::kCancelled, Now());
 }
 
-void Engine::On(const NotificationConfirmed& event) {
-  const InFlightMessage* message = messages_.Find(event.message);
-  if (message == nullptr) return;
-  latencies_.notify.Add(Now() - message->given_up_at);
-  messages_.End(event.message, TraceStep::kNotified, Now());
+void Engine::On(const NotificationPostResult& event) {
+  const auto end = messages_.outbox().Complete(event.post, ToOutcome(event), Now());
+  if (!end) return;
+  LogPost(event, *end);
+  for (const MessageId message : end->confirmed) {
+    latencies_.notify.Add(Now() - messages_.Find(message)->given_up_at);
+    messages_.End(message, TraceStep::kNotified, Now());
+  }
+}
+
+// Whatever is to be posted by now. After a decision, so that the calls of the messages that were
+// given up have been cancelled.
+void Engine::StartPosts(Time now) {
+  NotificationOutbox& outbox = messages_.outbox();
+  while (auto post = outbox.NextPost(now)) {
+    if (post->makes_way) notification_client_.Abandon(*post->makes_way);
+    notification_client_.Start(post->id, std::move(post->body));
+  }
 }
 
 // At debug level: what became of a message, by its client's id.
@@ -365,15 +419,17 @@
   LogMessageStep("message rejected", action.message, ToString(action.reason));
   observe::Count("messages_rejected_total", {"reason", "policy"});
   if (RejectSubmission(action.message, SubmitResult::Rejected(action.retry_after))) return;
-  GiveUp(action.message, action.reason,
-         {.retry_allowed = true, .retry_after = CeilToMs(action.retry_after)});
+  GiveUp({.message = action.message,
+          .retry_allowed = true,
+          .retry_after = CeilToMs(action.retry_after)},
+         ToString(action.reason));
 }
 
 void Engine::Apply(const dispatch_policy::FailMessage& action) {
   LogMessageStep("message failed", action.message, ToString(action.reason));
   observe::Count("messages_failed_total");
   if (RejectSubmission(action.message, SubmitResult::Invalid("cannot be delivered"))) return;
-  GiveUp(action.message, action.reason, {});
+  GiveUp({.message = action.message}, ToString(action.reason));
 }
 
 // Replies to the message's client and forgets the message. False if no client waits for a reply.
@@ -383,19 +439,14 @@
   return true;
 }
 
-void Engine::GiveUp(MessageId message, dispatch_policy::GiveUpReason reason,
-                    Notification notification) {
-  const InFlightMessage* found = messages_.GiveUp(message, notification.retry_allowed, Now());
+void Engine::GiveUp(const Notification& notification, std::string_view reason) {
+  const InFlightMessage* found = messages_.GiveUp(notification, Now());
   if (found == nullptr) return;
-  notification.message = message;
-  notification.id = found->client_id;
-  notification.given_up_at = ToTimePoint(found->given_up_at);
   observe::Log(Concern::kEngine, Level::kInfo, "message given up",
-               {{"id", notification.id},
-                {"reason", ToString(reason)},
+               {{"id", found->client_id},
+                {"reason", reason},
                 {"notification", notification.retry_allowed ? "deferred" : "undeliverable"},
-                {"history", messages_.History(message)}});
-  notifications_.push_back(std::move(notification));
+                {"history", messages_.History(notification.message)}});
 }
 
 void Engine::Apply(const dispatch_policy::SetTimer& action) {
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -97,9 +97,6 @@
   struct ClientDisconnected {
     MessageId message;
   };
-  struct NotificationConfirmed {
-    MessageId message;
-  };
   struct ShutdownRequested {};
   struct DiscoveryAddressChanged {
     std::string discovery;
@@ -109,7 +106,7 @@
   };
   using InboxEvent =
       std::variant<PendingSubmission, MessageAcknowledged, ClientDisconnected, EndpointCallResult,
-                   MemberList, NotificationConfirmed, ShutdownRequested, DiscoveryAddressChanged,
+                   MemberList, NotificationPostResult, ShutdownRequested, DiscoveryAddressChanged,
                    PostedTask, EndpointUpdate>;
 
   void On(PendingSubmission submission);
@@ -117,7 +114,7 @@
   void On(const ClientDisconnected& event);
   void On(const EndpointCallResult& event);
   void On(const MemberList& event);
-  void On(const NotificationConfirmed& event);
+  void On(const NotificationPostResult& event);
   void On(const ShutdownRequested& event);
   void On(const DiscoveryAddressChanged& event);
   void On(const PostedTask& event);
@@ -141,9 +138,10 @@
   void AddListEvent(dispatch_policy::Event event);
   void ReleaseHeldEvents(Time now);
 
-  [[nodiscard]] Time NextWakeUp() const;
+  [[nodiscard]] Time NextWakeUp();
   bool RejectSubmission(MessageId message, SubmitResult result);
-  void GiveUp(MessageId message, dispatch_policy::GiveUpReason reason, Notification notification);
+  void GiveUp(const Notification& notification, std::string_view reason);
+  void StartPosts(Time now);
   void LogMessageStep(const char* event, MessageId message, std::string_view reason = {}) const;
   void DoHousekeeping();
   void PublishMetrics();
@@ -162,7 +160,6 @@
 
   MessageTable messages_;
   Spool& spool_;
-  std::vector<Notification> notifications_;  // to be posted after this decision
   EndpointRegistry endpoints_;
   StageLatencies latencies_;
   SubmissionQueue submissions_;
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -126,12 +126,14 @@
   trace_.Note(message, now, TraceStep::kCompleted, static_cast<std::uint32_t>(outcome));
 }
 
-const InFlightMessage* MessageTable::GiveUp(MessageId message, bool retry_allowed, Time now) {
-  InFlightMessage* found = Find(message);
+const InFlightMessage* MessageTable::GiveUp(Notification notification, Time now) {
+  InFlightMessage* found = Find(notification.message);
   if (found == nullptr || std::exchange(found->given_up, true)) return nullptr;
   --deliverable_;
   found->given_up_at = now;
-  trace_.Note(message, now, TraceStep::kGivenUp, retry_allowed ? 1 : 0);
+  trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
+  notification.id = found->client_id;
+  outbox_.Add(notification, now);
   return found;
 }
 
@@ -146,6 +148,7 @@
                   {"history", trace_.History(message)}});
   }
   trace_.Note(message, now, final_step);
+  outbox_.Remove(message);
   Remove(message);
 }
 
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -1,5 +1,6 @@
-// The messages in flight: accepted and not ended. It keeps the spool's records of them and their
-// histories (MessageTrace), and finds them by id and by the client's id.
+// The messages in flight: accepted and not ended. It keeps the spool's records of them, their
+// histories (MessageTrace) and what the platform has to confirm (NotificationOutbox), and finds
+// them by id and by the client's id.
 #ifndef BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
 #define BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
 
@@ -14,6 +15,7 @@
 #include "forwarder/endpoint_registry.hpp"
 #include "forwarder/message_totals.hpp"
 #include "forwarder/message_trace.hpp"
+#include "forwarder/notification_outbox.hpp"
 #include "protocol/delivery_request.hpp"
 #include "spool/spool.hpp"
 
@@ -79,9 +81,9 @@
   // An attempt that was started has completed; the message may have ended before.
   void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
                        Time now);
-  // The message will not be delivered, and a notification is due. None if it has ended or was given
-  // up before; else the message. `retry_allowed`: it was rejected, not failed.
-  [[nodiscard]] const InFlightMessage* GiveUp(MessageId message, bool retry_allowed, Time now);
+  // The message will not be delivered: the notification, which gets its client's id here, is posted
+  // until it is confirmed. None if the message has ended or was given up before; else the message.
+  const InFlightMessage* GiveUp(Notification notification, Time now);
   // Records the end of a message in flight in spool, log and history, and removes it.
   void End(MessageId message, TraceStep final_step, Time now);
 
@@ -94,6 +96,7 @@
   void LogOverdue(Time now);
   [[nodiscard]] Time NextOverdue() const { return trace_.NextOverdue(); }
   [[nodiscard]] std::uint64_t overdue() const { return trace_.overdue(); }
+  [[nodiscard]] NotificationOutbox& outbox() { return outbox_; }
   // The message's steps, for the log; empty if it is not in flight.
   [[nodiscard]] std::string History(MessageId message) const { return trace_.History(message); }
   [[nodiscard]] std::size_t size() const { return messages_.size(); }
@@ -108,6 +111,7 @@
   std::map<MessageId, InFlightMessage> messages_;
   std::unordered_map<std::string, MessageId> ids_by_client_id_;
   MessageTrace trace_;
+  NotificationOutbox outbox_;
   MessageTotals totals_;
   std::size_t deliverable_ = 0;
   std::size_t body_bytes_ = 0;
--- /dev/null
+++ b/src/forwarder/notification_outbox.cpp
@@ -0,0 +1,219 @@
+#include "forwarder/notification_outbox.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/json.hpp"
+
+namespace brassfront {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The first delay, doubled for each further post, up to the longest.
+milliseconds DelayAfter(std::uint32_t posts, milliseconds first, milliseconds longest) {
+  milliseconds delay = first;
+  for (std::uint32_t i = 1; i < posts && delay < longest; ++i) delay *= 2;
+  return std::min(delay, longest);
+}
+
+}  // namespace
+
+std::string NotificationLine(const Notification& notification) {
+  const std::string id = json::Quote(notification.id);
+  if (!notification.retry_allowed) return R"({"id":)" + id + R"(,"status":"undeliverable"})" + "\n";
+  const std::string retry_after_ms = std::to_string(notification.retry_after.count());
+  return R"({"id":)" + id + R"(,"status":"deferred","again_ms":)" + retry_after_ms + "}\n";
+}
+
+void NotificationOutbox::Add(const Notification& notification, Time now) {
+  const bool added =
+      pending_
+          .try_emplace(notification.message, Pending{.id = notification.id,
+                                                     .line = NotificationLine(notification),
+                                                     .added_at = now})
+          .second;
+  if (added) new_.insert(notification.message);
+}
+
+void NotificationOutbox::Remove(MessageId message) {
+  const auto it = pending_.find(message);
+  if (it == pending_.end()) return;
+  new_.erase(message);
+  repeats_.erase({it->second.repeat_at, message});
+  pending_.erase(it);
+}
+
+std::optional<NotificationOutbox::Post> NotificationOutbox::NextPost(Time now) {
+  if (NextWakeUp() > now) return std::nullopt;
+  std::vector<MessageId> batch = CollectBatch(now);
+  if (batch.empty()) return std::nullopt;
+  return BeginPost(std::move(batch), now);
+}
+
+// New ones go first, with whatever else is due. What was rejected goes by itself, in turn with
+// them.
+std::vector<NotificationOutbox::MessageId> NotificationOutbox::CollectBatch(Time now) {
+  const std::optional<std::size_t> rejected = FindRejectedBatchSize(now);
+  if (rejected && (rejected_are_next_ || new_.empty())) {
+    rejected_are_next_ = false;
+    return CollectRepeats(now, *rejected);
+  }
+  rejected_are_next_ = rejected.has_value();
+  std::vector<MessageId> batch;
+  for (auto it = new_.begin(); it != new_.end() && batch.size() < kMaxBatchSize; ++it) {
+    batch.push_back(*it);
+  }
+  const std::vector<MessageId> repeats = CollectRepeats(now, kMaxBatchSize);
+  batch.insert(batch.end(), repeats.begin(), repeats.end());
+  return batch;
+}
+
+std::vector<NotificationOutbox::MessageId> NotificationOutbox::CollectRepeats(
+    Time now, std::size_t max_batch) const {
+  std::vector<MessageId> batch;
+  for (const Repeat& repeat : repeats_) {
+    if (repeat.at > now || batch.size() >= max_batch) break;
+    if (pending_.at(repeat.message).max_batch == max_batch) batch.push_back(repeat.message);
+  }
+  return batch;
+}
+
+std::optional<std::size_t> NotificationOutbox::FindRejectedBatchSize(Time now) const {
+  for (const Repeat& repeat : repeats_) {
+    if (repeat.at > now) break;
+    const std::size_t max_batch = pending_.at(repeat.message).max_batch;
+    if (max_batch < kMaxBatchSize) return max_batch;
+  }
+  return std::nullopt;
+}
+
+// Takes as much of the batch as fits.
+NotificationOutbox::Post NotificationOutbox::BeginPost(std::vector<MessageId> batch, Time now) {
+  Post post{.id = next_post_++, .oldest_added_at = now};
+  if (running_.size() >= kMaxPosts) {
+    const auto oldest = FindOldestImpatient();
+    post.makes_way = oldest->first;
+    running_.erase(oldest);
+  }
+  for (const MessageId message : batch) {
+    Pending& pending = pending_.at(message);
+    const bool fits = post.body.size() + pending.line.size() <= kMaxPostBytes;
+    if (!post.messages.empty() && (!fits || post.messages.size() >= kMaxBatchSize)) break;
+    post.body += pending.line;
+    post.messages.push_back(message);
+    post.oldest_added_at = std::min(post.oldest_added_at, pending.added_at);
+    ++pending.posts;
+    RepeatAt(message, pending, now + DelayAfter(pending.posts, kFirstRepeat, kLongestRepeat));
+  }
+  running_[post.id] = {.messages = post.messages,
+                       .started_at = now,
+                       .oldest_added_at = post.oldest_added_at,
+                       .patient = PatientPosts() < kMaxPatientPosts};
+  last_start_ = now;
+  return post;
+}
+
+std::optional<NotificationOutbox::PostEnd> NotificationOutbox::Complete(PostId post,
+                                                                        PostOutcome outcome,
+                                                                        Time now) {
+  const auto node = running_.extract(post);
+  if (node.empty()) return std::nullopt;
+  const RunningPost& ended = node.mapped();
+  PostEnd end{.messages = ended.messages.size(),
+              .elapsed = now - ended.started_at,
+              .oldest_wait = now - ended.oldest_added_at};
+  switch (outcome) {
+    case PostOutcome::kConfirmed:
+      Confirm(ended, end);
+      break;
+    case PostOutcome::kRejected:
+      Reject(ended, end, now);
+      break;
+    case PostOutcome::kFailed:
+      Retry(ended, now);
+      break;
+  }
+  return end;
+}
+
+void NotificationOutbox::Confirm(const RunningPost& post, PostEnd& end) {
+  for (const MessageId message : post.messages) {
+    if (pending_.count(message) == 0) continue;
+    end.confirmed.push_back(message);
+    Remove(message);
+  }
+}
+
+// The halves are posted by themselves until the one that can't be read is alone.
+void NotificationOutbox::Reject(const RunningPost& post, PostEnd& end, Time now) {
+  const std::size_t half = post.messages.size() / 2;
+  for (const MessageId message : post.messages) {
+    const auto it = pending_.find(message);
+    if (it == pending_.end()) continue;
+    Pending& pending = it->second;
+    pending.max_batch = std::clamp<std::size_t>(half, 1, pending.max_batch);
+    RepeatAt(message, pending, half > 0 ? now : now + kRejectedRetry);
+    if (half == 0) end.rejected = pending.id;
+  }
+}
+
+void NotificationOutbox::Retry(const RunningPost& post, Time now) {
+  for (const MessageId message : post.messages) {
+    const auto it = pending_.find(message);
+    if (it == pending_.end()) continue;
+    Pending& pending = it->second;
+    const Time retry_at = now + DelayAfter(pending.posts, kFirstRetry, kLongestRetry);
+    RepeatAt(message, pending, std::min(pending.repeat_at, retry_at));
+  }
+}
+
+void NotificationOutbox::RepostAll(Time now) {
+  for (auto& [message, pending] : pending_) {
+    if (new_.count(message) != 0) continue;
+    pending.posts = 0;
+    RepeatAt(message, pending, now);
+  }
+}
+
+void NotificationOutbox::RepeatAt(MessageId message, Pending& pending, Time at) {
+  new_.erase(message);
+  repeats_.erase({pending.repeat_at, message});
+  pending.repeat_at = at;
+  repeats_.insert({at, message});
+}
+
+NotificationOutbox::Time NotificationOutbox::NextWakeUp() const {
+  if (!new_.empty()) return EarliestStart();
+  if (repeats_.empty()) return Time::max();
+  return std::max(repeats_.begin()->at, EarliestStart());
+}
+
+NotificationOutbox::Time NotificationOutbox::EarliestStart() const {
+  if (running_.empty()) return Time::min();
+  const Time spaced = last_start_ + kPostSpacing;
+  if (running_.size() < kMaxPosts) return spaced;
+  return std::max(spaced, FindOldestImpatient()->second.started_at + kMinAgeToMakeWay);
+}
+
+// Posts are numbered in the order of their starts. With kMaxPosts running there is one.
+std::map<NotificationOutbox::PostId, NotificationOutbox::RunningPost>::const_iterator
+NotificationOutbox::FindOldestImpatient() const {
+  return std::find_if(running_.begin(), running_.end(),
+                      [](const auto& entry) { return !entry.second.patient; });
+}
+
+std::size_t NotificationOutbox::PatientPosts() const {
+  return static_cast<std::size_t>(std::count_if(
+      running_.begin(), running_.end(), [](const auto& entry) { return entry.second.patient; }));
+}
+
+std::optional<NotificationOutbox::Time> NotificationOutbox::OldestAddedAt() const {
+  std::optional<Time> oldest;
+  for (const auto& [message, pending] : pending_) {
+    oldest = std::min(oldest.value_or(pending.added_at), pending.added_at);
+  }
+  return oldest;
+}
+
+}  // namespace brassfront
--- a/src/net/discovery_watcher.cpp
+++ b/src/net/discovery_watcher.cpp
@@ -19,7 +19,10 @@
     : on_list_(std::move(on_list)),
       timeouts_(group.size, group.seed),
       revision_(revision),
-      client_("discovery", std::move(address), DiscoveryTimeouts::kSilenceTimeout, buffers),
+      client_("discovery", std::move(address),
+              {.connect = DiscoveryTimeouts::kSilenceTimeout,
+               .silence = DiscoveryTimeouts::kSilenceTimeout},
+              buffers),
       thread_(Thread::Require("discovery", [this] { WatchLoop(); })) {}
 
 DiscoveryWatcher::~DiscoveryWatcher() {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,10 +5,10 @@
 
 namespace brassfront {
 
-HttpClient::HttpClient(std::string log_side, std::string address,
-                       std::chrono::milliseconds silence_timeout, BufferPool& buffers)
+HttpClient::HttpClient(std::string log_side, std::string address, const Timeouts& timeouts,
+                       BufferPool& buffers)
     : log_side_(std::move(log_side)),
-      silence_timeout_(silence_timeout),
+      timeouts_(timeouts),
       buffers_(buffers),
       address_(std::move(address)) {}
 
@@ -29,6 +29,17 @@
   wake_.notify_all();
 }
 
+void HttpClient::Interrupt() {
+  const std::lock_guard lock(mutex_);
+  interrupted_ = true;
+  if (socket_.is_open()) ShutDown(socket_.fd());
+}
+
+void HttpClient::Resume() {
+  const std::lock_guard lock(mutex_);
+  interrupted_ = false;
+}
+
 void HttpClient::Stop() {
   const std::lock_guard lock(mutex_);
   stopped_ = true;
@@ -39,7 +50,7 @@
 bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
                           const GiveUpAt& give_up_at) {
   if (!EnsureConnected()) return false;
-  if (!socket_.SendAll(request, std::chrono::steady_clock::now() + silence_timeout_)) {
+  if (!socket_.SendAll(request, std::chrono::steady_clock::now() + timeouts_.silence)) {
     Close(CloseReason::kWriteFailed);
     return false;
   }
@@ -70,24 +81,25 @@
     connected_to_ = address_;
     exchanges_ = 0;
   }
-  const bool connected = Connect(socket_, connected_to_, silence_timeout_);
-  bool still_wanted = false;
-  {
-    // A stop or a new address may have come before there was a connection to shut down.
-    const std::lock_guard lock(mutex_);
-    still_wanted = !stopped_ && connected_to_ == address_;
-  }
-  if (connected && still_wanted) return true;
+  const bool connected = Connect(socket_, connected_to_, timeouts_.connect);
+  // An interruption may have come before there was a connection to shut down.
+  if (connected && IsWanted()) return true;
   Close(CloseReason::kConnectFailed);
   return false;
 }
 
+// Whether the open connection is to be used.
+bool HttpClient::IsWanted() const {
+  const std::lock_guard lock(mutex_);
+  return !stopped_ && !interrupted_ && connected_to_ == address_;
+}
+
 // Until the response is complete or can't become so. False if the connection was closed for it.
 bool HttpClient::ReadResponse(HttpReader& reader, const OnBytes& on_bytes,
                               const GiveUpAt& give_up_at) {
   BufferPool::Buffer buffer = buffers_.Get();
   while (!reader.done() && !reader.broken()) {
-    const SteadyTime silent_at = std::chrono::steady_clock::now() + silence_timeout_;
+    const SteadyTime silent_at = std::chrono::steady_clock::now() + timeouts_.silence;
     if (!socket_.AwaitInput(give_up_at ? give_up_at() : silent_at)) {
       Close(CloseReason::kSilent);
       return false;
@@ -110,7 +122,8 @@
   return true;
 }
 
-// A stop and a new address shut the socket down, so they are the reason whatever was seen of it.
+// A stop, a new address and an interruption shut the socket down, so they are the reason whatever
+// was seen of it.
 void HttpClient::Close(CloseReason reason) {
   const std::lock_guard lock(mutex_);
   socket_.Close();
@@ -118,6 +131,8 @@
     reason = CloseReason::kShutdown;
   } else if (connected_to_ != address_) {
     reason = CloseReason::kMoved;
+  } else if (interrupted_) {
+    reason = CloseReason::kCancelled;
   }
   LogConnectionEnd(log_side_, connected_to_, ToString(reason), exchanges_);
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -21,9 +21,13 @@
 
 class HttpClient {
  public:
-  // `log_side`: what the log calls the peer. `silence_timeout`: how long the peer may send nothing,
-  // and how long connecting may take. The buffers must outlive the client.
-  HttpClient(std::string log_side, std::string address, std::chrono::milliseconds silence_timeout,
+  struct Timeouts {
+    std::chrono::milliseconds connect;  // how long connecting may take
+    std::chrono::milliseconds silence;  // how long the peer may take nothing or send nothing
+  };
+
+  // `log_side`: what the log calls the peer. The buffers must outlive the client.
+  HttpClient(std::string log_side, std::string address, const Timeouts& timeouts,
              BufferPool& buffers);
   ~HttpClient();
 
@@ -33,6 +37,9 @@
   // Ends the exchange in progress; later ones go to the new address. Without effect if it is the
   // same.
   void SetAddress(std::string address);
+  // Ends the exchange in progress; later ones fail until Resume.
+  void Interrupt();
+  void Resume();
   // Ends the exchange in progress; later ones fail at once.
   void Stop();
   [[nodiscard]] bool stopped() const { return stopped_; }
@@ -57,17 +64,19 @@
 
  private:
   bool EnsureConnected();
+  [[nodiscard]] bool IsWanted() const;
   bool ReadResponse(HttpReader& reader, const OnBytes& on_bytes, const GiveUpAt& give_up_at);
   void Close(CloseReason reason);
 
   const std::string log_side_;
-  const std::chrono::milliseconds silence_timeout_;
+  const Timeouts timeouts_;
   BufferPool& buffers_;
   mutable std::mutex mutex_;  // guards the addresses, and the socket's opening and closing
   std::string address_;
   std::string connected_to_;
   std::condition_variable wake_;  // on a stop and a new address
   std::atomic<bool> stopped_{false};
+  bool interrupted_ = false;
   Socket socket_;
   std::size_t exchanges_ = 0;  // on this connection
 };
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -3,94 +3,88 @@
 #include <algorithm>
 #include <utility>
 
-#include "observe/log.hpp"
-#include "observe/metrics.hpp"
-#include "protocol/json.hpp"
-
 namespace brassfront {
 namespace {
 
-constexpr std::chrono::milliseconds kResponseTimeout{100};  // the platform answers at once
-constexpr std::chrono::milliseconds kRetryDelay{20};
-constexpr std::size_t kMaxPending = 100'000;
-constexpr std::size_t kMaxBatchSize = 500;  // notifications in a request
-constexpr int kHttpNoContent = 204;         // confirms all of a request
+constexpr const char* kLogSide = "notifications";
+constexpr const char* kPath = "/v2/finals";
 
-// One line for each post: what it held, what became of it, and how long its oldest has waited.
-void LogPost(const std::vector<Notification>& batch, std::size_t bytes, int status,
-             std::chrono::steady_clock::time_point posted_at) {
-  const auto now = std::chrono::steady_clock::now();
-  const auto oldest =
-      std::min_element(batch.begin(), batch.end(),
-                       [](const auto& a, const auto& b) { return a.given_up_at < b.given_up_at; });
-  const auto in_ms = [](auto duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  };
-  observe::Log(observe::Concern::kPlatform, observe::Level::kInfo, "notifications posted",
-               {{"count", batch.size()},
-                {"bytes", bytes},
-                {"status", status},
-                {"elapsed_ms", in_ms(now - posted_at)},
-                {"oldest_ms", in_ms(now - oldest->given_up_at)}});
-  observe::Count("notification_posts_total",
-                 {"outcome", status == kHttpNoContent ? "confirmed" : "unconfirmed"});
+// The status of the answer; 0 if it did not come whole.
+int Exchange(HttpClient& client, const std::string& body) {
+  const std::string request =
+      HttpPost(kPath, client.address(), {{"Content-Type", "application/json"}}, body);
+  const SteadyTime give_up_at =
+      std::chrono::steady_clock::now() + NotificationClient::kAnswerTimeout;
+  HttpReader reader;
+  const bool answered = client.Exchange(request, reader, {}, [&] { return give_up_at; });
+  return answered ? reader.status() : 0;
 }
 
 }  // namespace
 
-std::string NotificationLine(const Notification& notification) {
-  const std::string id = json::Quote(notification.id);
-  if (!notification.retry_allowed) return R"({"id":)" + id + R"(,"status":"undeliverable"})" + "\n";
-  const std::string retry_after_ms = std::to_string(notification.retry_after.count());
-  return R"({"id":)" + id + R"(,"status":"deferred","again_ms":)" + retry_after_ms + "}\n";
+NotificationClient::NotificationClient(std::string address, std::size_t max_posts,
+                                       BufferPool& buffers, OnResult on_result)
+    : on_result_(std::move(on_result)),
+      connections_(max_posts),
+      threads_(kLogSide, {.min_threads = 1, .max_threads = max_posts},
+               [this](const Post& post) { Carry(post); }) {
+  const HttpClient::Timeouts timeouts{.connect = kConnectTimeout, .silence = kAnswerTimeout};
+  const std::lock_guard lock(mutex_);
+  for (Connection& connection : connections_) {
+    connection.client = std::make_unique<HttpClient>(kLogSide, address, timeouts, buffers);
+    idle_.push_back(&connection);
+  }
 }
 
-NotificationClient::NotificationClient(std::string address, BufferPool& buffers,
-                                       OnConfirmed on_confirmed)
-    : on_confirmed_(std::move(on_confirmed)),
-      client_("notifications", std::move(address), kResponseTimeout, buffers),
-      pending_(kMaxPending),
-      thread_(Thread::Require("notifications", [this] { Run(); })) {}
-
 NotificationClient::~NotificationClient() {
-  pending_.Close();
-  client_.Stop();
-  thread_.Join();
+  const std::lock_guard lock(mutex_);
+  for (Connection& connection : connections_) connection.client->Stop();
 }
 
-void NotificationClient::Post(Notification notification) { pending_.Push(std::move(notification)); }
-
-void NotificationClient::Run() {
-  while (auto first = pending_.Pop()) PostUntilConfirmed(CompleteBatch(std::move(*first)));
+void NotificationClient::Start(std::uint64_t post, std::string body) {
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_.insert(post);
+  }
+  threads_.Submit({post, std::move(body)});
 }
 
-// With what else is waiting now.
-std::vector<Notification> NotificationClient::CompleteBatch(Notification first) {
-  std::vector<Notification> batch{std::move(first)};
-  while (batch.size() < kMaxBatchSize) {
-    auto another = pending_.PopUntil(std::chrono::steady_clock::time_point::min());
-    if (!another) break;
-    batch.push_back(std::move(*another));
+void NotificationClient::Abandon(std::uint64_t post) {
+  const std::lock_guard lock(mutex_);
+  waiting_.erase(post);
+  for (Connection& connection : connections_) {
+    if (connection.post == post) connection.client->Interrupt();
   }
-  return batch;
 }
 
-void NotificationClient::PostUntilConfirmed(const std::vector<Notification>& batch) {
-  std::string body;
-  for (const Notification& notification : batch) body += NotificationLine(notification);
-  while (!client_.stopped()) {
-    const std::string request =
-        HttpPost("/v2/finals", client_.address(), {{"Content-Type", "application/json"}}, body);
-    HttpReader reader;
-    const auto posted_at = std::chrono::steady_clock::now();
-    const bool answered = client_.Exchange(request, reader);
-    LogPost(batch, body.size(), answered ? reader.status() : 0, posted_at);
-    if (answered && reader.status() == kHttpNoContent) {
-      for (const Notification& notification : batch) on_confirmed_(notification.message);
-      return;
-    }
-    client_.Pause(kRetryDelay);
+void NotificationClient::SetAddress(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  for (Connection& connection : connections_) connection.client->SetAddress(address);
+}
+
+void NotificationClient::Carry(const Post& post) {
+  int status = 0;
+  if (Connection* connection = TakeConnection(post.id)) {
+    status = Exchange(*connection->client, post.body);
+    ReturnConnection(*connection);
   }
+  on_result_({.post = post.id, .status = status});
+}
+
+NotificationClient::Connection* NotificationClient::TakeConnection(std::uint64_t post) {
+  const std::lock_guard lock(mutex_);
+  if (waiting_.erase(post) == 0) return nullptr;
+  Connection* connection = idle_.back();
+  idle_.pop_back();
+  connection->post = post;
+  connection->client->Resume();
+  return connection;
+}
+
+void NotificationClient::ReturnConnection(Connection& connection) {
+  const std::lock_guard lock(mutex_);
+  connection.post = 0;
+  idle_.push_back(&connection);
 }
 
 }  // namespace brassfront
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -1,59 +1,81 @@
-// Notifies the platform of accepted messages that will not be delivered. Each notification is
-// posted again and again until the platform has confirmed it.
+// Carries posts of notifications to the platform, several at once, each on a connection of its own.
+// What is posted, and what a post's end means, is up to the caller (forwarder/notification_outbox).
 #ifndef BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
 #define BRASSFRONT_NET_NOTIFICATION_CLIENT_HPP_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
-#include "concurrency/bounded_queue.hpp"
-#include "concurrency/thread.hpp"
+#include "concurrency/thread_pool.hpp"
 #include "net/http_client.hpp"
 
 namespace brassfront {
 
-struct Notification {
-  std::uint64_t message = 0;   // the caller's number for it, passed to OnConfirmed
-  std::string id{};            // the client's id of the message
-  bool retry_allowed = false;  // the client may submit it again; else it is undeliverable
-  std::chrono::milliseconds retry_after{};  // if a retry is allowed
-  std::chrono::steady_clock::time_point given_up_at{};
+// How a post ended.
+struct NotificationPostResult {
+  std::uint64_t post = 0;  // the caller's number for it
+  int status = 0;          // of HTTP; 0: no whole answer came
 };
 
 class NotificationClient {
  public:
-  // Called by the client's thread, once for each notification that the platform has confirmed.
-  using OnConfirmed = std::function<void(std::uint64_t message)>;
+  // A connection may take so long to come up, where the platform's listener is crowded.
+  static constexpr std::chrono::milliseconds kConnectTimeout{1500};
+  // Of the whole answer, from the post's last byte. The platform answers at once; one that does not
+  // is waited for while nothing else needs the connection.
+  static constexpr std::chrono::milliseconds kAnswerTimeout{5000};
 
-  // The buffers must outlive the client.
-  NotificationClient(std::string address, BufferPool& buffers, OnConfirmed on_confirmed);
-  // What has not been confirmed by now is dropped.
+  // Called by the client's threads, once for each post.
+  using OnResult = std::function<void(NotificationPostResult)>;
+
+  // `max_posts`: at once, and connections. The buffers must outlive the client. Throws
+  // std::runtime_error where the system has no room for a thread.
+  NotificationClient(std::string address, std::size_t max_posts, BufferPool& buffers,
+                     OnResult on_result);
+  // Ends the posts that are running.
   ~NotificationClient();
+  NotificationClient(const NotificationClient&) = delete;
+  NotificationClient& operator=(const NotificationClient&) = delete;
 
   // Any thread may call what follows.
 
-  // Waits while the queue of 100,000 notifications is full.
-  void Post(Notification notification);
-  // Notifications that have not been confirmed are posted there, too.
-  void SetAddress(std::string address) { client_.SetAddress(std::move(address)); }
+  // Never waits. The body's lines are notifications.
+  void Start(std::uint64_t post, std::string body);
+  // The post's result does not matter any more: its connection is closed if it is running.
+  void Abandon(std::uint64_t post);
+  // Running posts end without an answer; later ones go to the new address. Without effect if it is
+  // the same.
+  void SetAddress(const std::string& address);
 
  private:
-  void Run();
-  std::vector<Notification> CompleteBatch(Notification first);
-  void PostUntilConfirmed(const std::vector<Notification>& batch);
-
-  const OnConfirmed on_confirmed_;
-  HttpClient client_;
-  BoundedQueue<Notification> pending_;
-  Thread thread_;  // the last member: it uses the others
-};
+  struct Post {
+    std::uint64_t id = 0;
+    std::string body;
+  };
+  struct Connection {
+    std::unique_ptr<HttpClient> client;
+    std::uint64_t post = 0;  // that it carries
+  };
 
-// The notification's line in a request.
-std::string NotificationLine(const Notification& notification);
+  void Carry(const Post& post);
+  // Null if the post was abandoned before it began.
+  [[nodiscard]] Connection* TakeConnection(std::uint64_t post);
+  void ReturnConnection(Connection& connection);
+
+  const OnResult on_result_;
+  std::mutex mutex_;                     // guards what follows
+  std::set<std::uint64_t> waiting_;      // posts that no connection carries yet
+  std::vector<Connection> connections_;  // as many as threads; never moved
+  std::vector<Connection*> idle_;        // of these, the most recently used last
+  ThreadPool<Post> threads_;             // the last member: its threads use the others
+};
 
 }  // namespace brassfront
 
