End a message at its deadline when nothing has decided about it

Callers saw: an owed message that a restart found got no notification while the file of the exclusions could not be read: the policy is told of restored messages only once it is known who is out, and nobody else looked at their deadline.

Cause: the deadline was the policy's alone, and what the policy does not know it can't give up. The program noticed (message overdue) and did nothing.

Change: FinalAnswerLedger holds the deadline of each accepted message until it is closed; the engine gives up what has passed it undecided, tells the policy, and does not hand it on later. Outbox and ledger are one owner of what the platform is owed, reached only through MessageTable.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -215,6 +215,8 @@
   if (held_events_.empty() || known_list_hold_.IsActive(now)) return;
   if (exclusions_ != nullptr && !exclusions_->is_complete()) return;
   for (dispatch_policy::Event& event : std::exchange(held_events_, {})) {
+    const auto* restored = std::get_if<dispatch_policy::MessageRestored>(&event);
+    if (restored != nullptr && !messages_.IsDeliverable(restored->message)) continue;
     policy_events_.emplace_back(std::move(event));
   }
 }
@@ -233,6 +235,7 @@
     ReleaseHeldEvents(now);
     const Time next_decision = last_decision_ + config_.policy_settings.decision_interval;
     if (!policy_events_.empty() && now >= next_decision) Decide(now);
+    GiveUpExpired(now);
     call_dispatcher_.StartReadyCalls(now);
     StartPosts(now);
     messages_in_flight_ = messages_.size();
@@ -246,7 +249,7 @@
 }
 
 Engine::Time Engine::NextWakeUp() {
-  Time next = std::min(messages_.NextOverdue(), messages_.outbox().NextWakeUp());
+  Time next = std::min(messages_.NextOverdue(), messages_.final_answers().NextWakeUp());
   const Time now = Now();
   if (!held_events_.empty()) next = std::min<Time>(next, now + kHoldCheckInterval);
   if (policy_events_.empty()) return next;
@@ -319,7 +322,7 @@
   observe::SetGauge("calls_in_flight", {},
                     static_cast<std::int64_t>(call_dispatcher_.calls().size()));
   const Time now = Now();
-  const NotificationOutbox& outbox = messages_.outbox();
+  const NotificationOutbox& outbox = messages_.final_answers().outbox();
   observe::SetGauge("notifications_unconfirmed", {}, static_cast<std::int64_t>(outbox.size()));
   const Time oldest_wait = now - outbox.OldestAddedAt().value_or(now);
   observe::SetGauge("notification_oldest_ms", {}, InMilliseconds(oldest_wait));
@@ -343,7 +346,7 @@
 void Engine::On(const DiscoveryAddressChanged& event) {
   discovery_watcher_.SetAddress(event.discovery);
   notification_client_.SetAddress(event.discovery);
-  messages_.outbox().RepostAll(Now());
+  messages_.final_answers().outbox().RepostAll(Now());
 }
 
 // ======== messages ========
@@ -384,7 +387,7 @@
 }
 
 void Engine::On(const NotificationPostResult& event) {
-  const auto end = messages_.outbox().Complete(event.post, ToOutcome(event), Now());
+  const auto end = messages_.final_answers().outbox().Complete(event.post, ToOutcome(event), Now());
   if (!end) return;
   LogPost(event, *end);
   for (const MessageId message : end->confirmed) {
@@ -396,13 +399,22 @@
 // Whatever is to be posted by now. After a decision, so that the calls of the messages that were
 // given up have been cancelled.
 void Engine::StartPosts(Time now) {
-  NotificationOutbox& outbox = messages_.outbox();
+  NotificationOutbox& outbox = messages_.final_answers().outbox();
   while (auto post = outbox.NextPost(now)) {
     if (post->makes_way) notification_client_.Abandon(*post->makes_way);
     notification_client_.Start(post->id, std::move(post->body));
   }
 }
 
+// What nobody has decided by its deadline.
+void Engine::GiveUpExpired(Time now) {
+  for (const MessageId message : messages_.final_answers().FindExpired(now)) {
+    observe::Count("messages_expired_undecided_total");
+    policy_events_.emplace_back(dispatch_policy::MessageCancelled{message});
+    GiveUp({.message = message}, "expired-undecided");
+  }
+}
+
 // At debug level: what became of a message, by its client's id.
 void Engine::LogMessageStep(const char* event, MessageId message, std::string_view reason) const {
   if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -53,8 +53,10 @@
                             .body = std::move(message.message.body),
                             .acknowledged = true,
                             .attempts_recorded = attempts});
-  trace_.Begin(message.spool_id, now, now + std::max(time_left, kMinTimeAfterRestore),
-               TraceStep::kRestored, static_cast<std::uint32_t>(attempts));
+  const Time deadline = now + std::max(time_left, kMinTimeAfterRestore);
+  trace_.Begin(message.spool_id, now, deadline, TraceStep::kRestored,
+               static_cast<std::uint32_t>(attempts));
+  final_answers_.Open(message.spool_id, deadline);
 }
 
 void MessageTable::Insert(MessageId id, InFlightMessage message) {
@@ -78,6 +80,7 @@
   ++totals_.accepted;
   observe::Count("messages_accepted_total");
   trace_.Begin(message, submitted_at, now + time_left, TraceStep::kAccepted);
+  final_answers_.Open(message, now + time_left);
   return true;
 }
 
@@ -133,7 +136,7 @@
   found->given_up_at = now;
   trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
   notification.id = found->client_id;
-  outbox_.Add(notification, now);
+  final_answers_.GiveUp(notification, now);
   return found;
 }
 
@@ -148,7 +151,7 @@
                   {"history", trace_.History(message)}});
   }
   trace_.Note(message, now, final_step);
-  outbox_.Remove(message);
+  final_answers_.Close(message);
   Remove(message);
 }
 
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -1,5 +1,5 @@
 // The messages in flight: accepted and not ended. It keeps the spool's records of them, their
-// histories (MessageTrace) and what the platform has to confirm (NotificationOutbox), and finds
+// histories (MessageTrace) and what is still owed to the platform (FinalAnswerLedger), and finds
 // them by id and by the client's id.
 #ifndef BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
 #define BRASSFRONT_FORWARDER_MESSAGE_TABLE_HPP_
@@ -13,9 +13,9 @@
 
 #include "dispatch_policy/dispatch_policy.hpp"
 #include "forwarder/endpoint_registry.hpp"
+#include "forwarder/final_answer_ledger.hpp"
 #include "forwarder/message_totals.hpp"
 #include "forwarder/message_trace.hpp"
-#include "forwarder/notification_outbox.hpp"
 #include "protocol/delivery_request.hpp"
 #include "spool/spool.hpp"
 
@@ -96,7 +96,7 @@
   void LogOverdue(Time now);
   [[nodiscard]] Time NextOverdue() const { return trace_.NextOverdue(); }
   [[nodiscard]] std::uint64_t overdue() const { return trace_.overdue(); }
-  [[nodiscard]] NotificationOutbox& outbox() { return outbox_; }
+  [[nodiscard]] FinalAnswerLedger& final_answers() { return final_answers_; }
   // The message's steps, for the log; empty if it is not in flight.
   [[nodiscard]] std::string History(MessageId message) const { return trace_.History(message); }
   [[nodiscard]] std::size_t size() const { return messages_.size(); }
@@ -111,7 +111,7 @@
   std::map<MessageId, InFlightMessage> messages_;
   std::unordered_map<std::string, MessageId> ids_by_client_id_;
   MessageTrace trace_;
-  NotificationOutbox outbox_;
+  FinalAnswerLedger final_answers_;
   MessageTotals totals_;
   std::size_t deliverable_ = 0;
   std::size_t body_bytes_ = 0;
--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -77,5 +77,18 @@
             self.give_up_one()
 
 
+class UndecidedTest(FinalAnswerTest):
+    # Guards against an owed message that nobody decides about outliving its deadline.
+    def test_owed_messages_end_while_the_exclusions_cannot_be_read(self):
+        forwarder = self.start()
+        owed = [self.put_accepted(left_ms=1500) for _ in range(3)]
+        forwarder.end()
+        (self.state / "exclusions").mkdir()  # can be opened, not read
+        self.start_with_admin()
+        for message in owed:
+            wait_for("its notification", lambda: self.discovery.has_read(message))
+        self.await_none_in_flight()
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/forwarder/final_answer_ledger_test.cpp
@@ -0,0 +1,60 @@
+// Who still needs a final answer, in virtual time.
+#include "forwarder/final_answer_ledger.hpp"
+
+#include <doctest/doctest.h>
+
+namespace brassfront {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Messages = std::vector<FinalAnswerLedger::MessageId>;
+
+constexpr FinalAnswerLedger::Time kStart = seconds(100);
+constexpr FinalAnswerLedger::Time kDeadline = kStart + seconds(2);
+
+// Guards against a deadline that nobody sees: the message would never get its final answer.
+TEST_CASE("a message that nobody gave up by its deadline is found, until it is given up") {
+  FinalAnswerLedger ledger;
+  ledger.Open(1, kDeadline);
+  CHECK(ledger.NextWakeUp() == kDeadline);
+  CHECK(ledger.FindExpired(kDeadline - milliseconds(1)).empty());
+  CHECK(ledger.FindExpired(kDeadline) == Messages{1});
+  CHECK(ledger.FindExpired(kDeadline + seconds(1)) == Messages{1});
+  CHECK(ledger.GiveUp({.message = 1, .id = "a"}, kDeadline));
+  CHECK(ledger.FindExpired(kDeadline + seconds(1)).empty());
+  CHECK(ledger.outbox().size() == 1);
+}
+
+TEST_CASE("a message is given up once, and only while it is open") {
+  FinalAnswerLedger ledger;
+  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  ledger.Open(1, kDeadline);
+  CHECK(ledger.GiveUp({.message = 1}, kStart));
+  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  CHECK(ledger.Close(1));
+  CHECK_FALSE(ledger.Close(1));
+  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  CHECK(ledger.open() == 0);
+}
+
+TEST_CASE("a message that is closed has no deadline and no notification any more") {
+  FinalAnswerLedger ledger;
+  ledger.Open(1, kDeadline);
+  ledger.Open(2, kDeadline);
+  CHECK(ledger.GiveUp({.message = 2, .id = "b"}, kStart));
+  ledger.Close(1);
+  ledger.Close(2);
+  CHECK(ledger.NextWakeUp() == FinalAnswerLedger::Time::max());
+  CHECK_FALSE(ledger.outbox().NextPost(kDeadline));
+}
+
+TEST_CASE("a message that is opened twice keeps its first deadline") {
+  FinalAnswerLedger ledger;
+  ledger.Open(1, kDeadline);
+  ledger.Open(1, kDeadline + seconds(5));
+  CHECK(ledger.FindExpired(kDeadline) == Messages{1});
+}
+
+}  // namespace
+}  // namespace brassfront
