Notify the platform as well where a delivery may not count for it

Callers may see: no final answer for a message whose endpoint answered about its deadline, or said by itself that nothing more is owed.

Cause: an answer of 200 or 410 ended a message at once, also where the platform may count none: its time for the message began when the client sent it, and a process may be held up for 150 ms; and an answer that came behind a give-up took back the notification before anybody had confirmed it.

Change: MessageTable::Conclude. The ledger's own deadline has a grace of 50 ms, so that the policy, which may tell the client to come back, goes first.

That the lost message of the report was of this kind is not shown.

--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -219,10 +219,9 @@
   if (call.endpoint_call) {
     context_.messages.CompleteAttempt(attempt.message, attempt.spool_index, result.outcome, now);
   }
-  if (result.message_over && context_.messages.Find(attempt.message) != nullptr) {
+  if (result.message_over) {
     const bool delivered = result.outcome == dispatch_policy::Outcome::kDelivered;
-    context_.messages.End(attempt.message, delivered ? TraceStep::kDelivered : TraceStep::kGone,
-                          Now());
+    context_.messages.Conclude(attempt.message, delivered, now);
   }
   observe::Count("attempts_total", {"outcome", ToString(result.outcome)});
   completed.message = attempt.message;
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -411,7 +411,7 @@
   for (const MessageId message : messages_.final_answers().FindExpired(now)) {
     observe::Count("messages_expired_undecided_total");
     policy_events_.emplace_back(dispatch_policy::MessageCancelled{message});
-    GiveUp({.message = message}, "expired-undecided");
+    messages_.GiveUp({.message = message}, "expired-undecided", now);
   }
 }
 
@@ -431,17 +431,17 @@
   LogMessageStep("message rejected", action.message, ToString(action.reason));
   observe::Count("messages_rejected_total", {"reason", "policy"});
   if (RejectSubmission(action.message, SubmitResult::Rejected(action.retry_after))) return;
-  GiveUp({.message = action.message,
-          .retry_allowed = true,
-          .retry_after = CeilToMs(action.retry_after)},
-         ToString(action.reason));
+  messages_.GiveUp({.message = action.message,
+                    .retry_allowed = true,
+                    .retry_after = CeilToMs(action.retry_after)},
+                   ToString(action.reason), Now());
 }
 
 void Engine::Apply(const dispatch_policy::FailMessage& action) {
   LogMessageStep("message failed", action.message, ToString(action.reason));
   observe::Count("messages_failed_total");
   if (RejectSubmission(action.message, SubmitResult::Invalid("cannot be delivered"))) return;
-  GiveUp({.message = action.message}, ToString(action.reason));
+  messages_.GiveUp({.message = action.message}, ToString(action.reason), Now());
 }
 
 // Replies to the message's client and forgets the message. False if no client waits for a reply.
@@ -451,16 +451,6 @@
   return true;
 }
 
-void Engine::GiveUp(const Notification& notification, std::string_view reason) {
-  const InFlightMessage* found = messages_.GiveUp(notification, Now());
-  if (found == nullptr) return;
-  observe::Log(Concern::kEngine, Level::kInfo, "message given up",
-               {{"id", found->client_id},
-                {"reason", reason},
-                {"notification", notification.retry_allowed ? "deferred" : "undeliverable"},
-                {"history", messages_.History(notification.message)}});
-}
-
 void Engine::Apply(const dispatch_policy::SetTimer& action) {
   loop_.SetDeadline(action.at, {DeadlineKind::kPolicyTimer, action.token});
 }
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -140,7 +140,6 @@
 
   [[nodiscard]] Time NextWakeUp();
   bool RejectSubmission(MessageId message, SubmitResult result);
-  void GiveUp(const Notification& notification, std::string_view reason);
   void GiveUpExpired(Time now);
   void StartPosts(Time now);
   void LogMessageStep(const char* event, MessageId message, std::string_view reason = {}) const;
--- a/src/forwarder/final_answer_ledger.hpp
+++ b/src/forwarder/final_answer_ledger.hpp
@@ -25,6 +25,15 @@
   using Time = NotificationOutbox::Time;
   using MessageId = NotificationOutbox::MessageId;
 
+  // An answer that came within so much of the deadline, or later, may be one that the platform does
+  // not count: its clock for the message began when the client sent it, and this process may have
+  // been held up for 150 ms before it read that, or before it read the answer.
+  static constexpr std::chrono::milliseconds kDeliveryMargin{250};
+
+  // Whoever decides about deliveries has so much time behind the deadline: it may count from a
+  // moment that is a little later.
+  static constexpr std::chrono::milliseconds kDecisionGrace{50};
+
   // The message was accepted, or taken over from an earlier process. Without effect if it is open.
   void Open(MessageId message, Time deadline) {
     if (deadlines_.try_emplace(message, deadline).second) undecided_.insert({deadline, message});
@@ -46,12 +55,16 @@
     return true;
   }
 
-  // The messages whose deadline has passed and that were not given up. They stay open, and are
-  // returned until they are given up or closed.
+  // Whether a delivery at this time is certain to count. Only for a message that is open.
+  [[nodiscard]] bool IsDeliveryCertain(MessageId message, Time now) const {
+    return deadlines_.at(message) - now >= kDeliveryMargin;
+  }
+  // The messages whose deadline and its grace have passed and that were not given up. They stay
+  // open, and are returned until they are given up or closed.
   [[nodiscard]] std::vector<MessageId> FindExpired(Time now) const {
     std::vector<MessageId> expired;
     for (const auto& [deadline, message] : undecided_) {
-      if (deadline > now) break;
+      if (deadline + kDecisionGrace > now) break;
       expired.push_back(message);
     }
     return expired;
@@ -61,8 +74,8 @@
   [[nodiscard]] const NotificationOutbox& outbox() const { return outbox_; }
   // When to look for expired messages and posts next; Time::max() if there is neither.
   [[nodiscard]] Time NextWakeUp() const {
-    const Time next_deadline = undecided_.empty() ? Time::max() : undecided_.begin()->first;
-    return std::min(next_deadline, outbox_.NextWakeUp());
+    if (undecided_.empty()) return outbox_.NextWakeUp();
+    return std::min(undecided_.begin()->first + kDecisionGrace, outbox_.NextWakeUp());
   }
   [[nodiscard]] std::size_t open() const { return deadlines_.size(); }
 
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -129,15 +129,28 @@
   trace_.Note(message, now, TraceStep::kCompleted, static_cast<std::uint32_t>(outcome));
 }
 
-const InFlightMessage* MessageTable::GiveUp(Notification notification, Time now) {
+void MessageTable::GiveUp(Notification notification, std::string_view reason, Time now) {
   InFlightMessage* found = Find(notification.message);
-  if (found == nullptr || std::exchange(found->given_up, true)) return nullptr;
+  if (found == nullptr || std::exchange(found->given_up, true)) return;
   --deliverable_;
   found->given_up_at = now;
   trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
   notification.id = found->client_id;
   final_answers_.GiveUp(notification, now);
-  return found;
+  observe::Log(Concern::kEngine, Level::kInfo, "message given up",
+               {{"id", notification.id},
+                {"reason", reason},
+                {"notification", notification.retry_allowed ? "deferred" : "undeliverable"},
+                {"history", trace_.History(notification.message)}});
+}
+
+void MessageTable::Conclude(MessageId message, bool delivered, Time now) {
+  if (!IsDeliverable(message)) return;
+  if (!delivered) return GiveUp({.message = message}, "gone", now);
+  if (final_answers_.IsDeliveryCertain(message, now)) {
+    return End(message, TraceStep::kDelivered, now);
+  }
+  GiveUp({.message = message}, "delivered-late", now);
 }
 
 void MessageTable::End(MessageId message, TraceStep final_step, Time now) {
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "dispatch_policy/dispatch_policy.hpp"
@@ -58,7 +59,8 @@
   [[nodiscard]] bool HasCapacityFor(std::size_t body_bytes) const;
   // Enters a message that the spool has not recorded yet.
   [[nodiscard]] MessageId Add(const DeliveryRequest& request);
-  // Records an added message in the spool. False if the spool has no room: the message is removed.
+  // Records an added message in the spool. False if the spool
+  // has no room: the message is removed.
   [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time submitted_at,
                              Time now, UnixMs unix_now);
   // Removes a message that is not in the spool.
@@ -82,8 +84,13 @@
   void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
                        Time now);
   // The message will not be delivered: the notification, which gets its client's id here, is posted
-  // until it is confirmed. None if the message has ended or was given up before; else the message.
-  const InFlightMessage* GiveUp(Notification notification, Time now);
+  // until it is confirmed, which ends the message. `reason`: for the log. Without effect if the
+  // message has ended or was given up before.
+  void GiveUp(Notification notification, std::string_view reason, Time now);
+  // An endpoint has answered that the message is delivered, or that nothing more is owed. Ends the
+  // message if that is certain to count for the platform; else the platform is notified as well,
+  // which does no harm. Without effect if the message has ended or was given up before.
+  void Conclude(MessageId message, bool delivered, Time now);
   // Records the end of a message in flight in spool, log and history, and removes it.
   void End(MessageId message, TraceStep final_step, Time now);
 
--- a/src/forwarder/message_totals.hpp
+++ b/src/forwarder/message_totals.hpp
@@ -15,7 +15,7 @@
   std::uint64_t restored = 0;  // taken over from the spool
   std::uint64_t delivered = 0;
   std::uint64_t notified = 0;   // given up, and the platform has confirmed the notification
-  std::uint64_t cancelled = 0;  // the client left before it was told, or nothing more was owed
+  std::uint64_t cancelled = 0;  // the client left before it was told
 
   // Counts the end of a message; `final_step` is one of the final steps.
   void CountEnd(TraceStep final_step);
--- a/src/forwarder/message_trace.cpp
+++ b/src/forwarder/message_trace.cpp
@@ -9,8 +9,8 @@
 constexpr std::size_t kMaxFirstSteps = 8;
 
 bool IsFinal(TraceStep step) {
-  return step == TraceStep::kDelivered || step == TraceStep::kGone ||
-         step == TraceStep::kNotified || step == TraceStep::kCancelled;
+  return step == TraceStep::kDelivered || step == TraceStep::kNotified ||
+         step == TraceStep::kCancelled;
 }
 
 }  // namespace
@@ -127,8 +127,6 @@
       return "given-up";
     case TraceStep::kDelivered:
       return "delivered";
-    case TraceStep::kGone:
-      return "gone";
     case TraceStep::kNotified:
       return "notified";
     case TraceStep::kCancelled:
--- a/src/forwarder/message_trace.hpp
+++ b/src/forwarder/message_trace.hpp
@@ -33,7 +33,6 @@
   kCompleted,     // an attempt; detail: its dispatch_policy::Outcome
   kGivenUp,       // a notification is due; detail: 1 for a rejection, 0 for a failure
   kDelivered,     // final
-  kGone,          // final: the endpoint says that nothing more is owed
   kNotified,      // final: the platform has confirmed the notification
   kCancelled      // final: the client disconnected before it was told
 };
