Count a message's time from the moment its request was read

Cause: the deadline in spool, ledger and policy counted from when the engine came to the request, which under load is some ticks after a worker had read it; an answer between the two deadlines was late for the platform alone.

Change: MessageTable::Persist and the policy's MessageArrived count from the submission.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -371,7 +371,7 @@
   event.destination = request.destination;
   event.message_class = submission.indexes.message_class;
   event.tenant = submission.indexes.tenant;
-  event.time_left = request.time_left;
+  event.time_left = std::max<Duration>(request.time_left - (Now() - submission.submitted_at), {});
   known_list_hold_.LimitBy(Now(), request.time_left);
   LogMessageStep("message arrived", event.message);
   submissions_.Add(event.message, std::move(submission));
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -68,19 +68,23 @@
 
 bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time submitted_at, Time now,
                            UnixMs unix_now) {
-  const std::chrono::milliseconds time_left = request.time_left;
-  const SpooledMessage record{std::move(request.id),         std::move(request.key),
-                              std::move(request.class_name), std::move(request.tenant_name),
-                              request.destination,           unix_now + time_left,
-                              std::move(request.body)};
+  const Time deadline = submitted_at + request.time_left;
+  const SpooledMessage record{
+      std::move(request.id),
+      std::move(request.key),
+      std::move(request.class_name),
+      std::move(request.tenant_name),
+      request.destination,
+      unix_now + std::chrono::floor<std::chrono::milliseconds>(deadline - now),
+      std::move(request.body)};
   if (!spool_.Accept(message, record)) {
     Remove(message);
     return false;
   }
   ++totals_.accepted;
   observe::Count("messages_accepted_total");
-  trace_.Begin(message, submitted_at, now + time_left, TraceStep::kAccepted);
-  final_answers_.Open(message, now + time_left);
+  trace_.Begin(message, submitted_at, deadline, TraceStep::kAccepted);
+  final_answers_.Open(message, deadline);
   return true;
 }
 
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -59,7 +59,7 @@
   [[nodiscard]] bool HasCapacityFor(std::size_t body_bytes) const;
   // Enters a message that the spool has not recorded yet.
   [[nodiscard]] MessageId Add(const DeliveryRequest& request);
-  // Records an added message in the spool. False if the spool
+  // Records an added message in the spool; its time counts from its submission. False if the spool
   // has no room: the message is removed.
   [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time submitted_at,
                              Time now, UnixMs unix_now);
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -127,6 +127,15 @@
   CHECK(table->final_answers().outbox().size() == 1);
 }
 
+TEST_CASE_FIXTURE(TableFixture, "a message's time counts from its submission") {
+  const auto message = table->Add(Request("m"));
+  REQUIRE(table->Persist(message, Request("m"), kStart, kStart + seconds(2), kUnixStart));
+  CHECK(table->final_answers().NextWakeUp() ==
+        kStart + seconds(20) + FinalAnswerLedger::kDecisionGrace);
+  Open();
+  CHECK(spool->Recover().at(0).message.deadline == kUnixStart + seconds(18));
+}
+
 TEST_CASE_FIXTURE(TableFixture, "a message survives the process until its end is recorded") {
   AddPersisted("kept");
   const auto ended = AddPersisted("ended");
