Take no answer that came before the call's first byte, nor one that nobody asked for

Cause: a kept connection was looked at when it was taken from the pool, not before the first byte; HTTP/1.1 can't tell a stale answer from the call's own once the request is out.

Change: the last look is behind the last check before the first byte. An endpoint whose connections had unasked input gets a rest of 100 ms on each before it is reused, for 60 s.

An answer that comes between the look and the write can't be told; the rest narrows it to endpoints that were not seen to do it.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -24,20 +24,35 @@
   BudgetFor(endpoint).OnCall(now);
   for (std::size_t i = idle_.size(); i-- > 0;) {
     if (idle_[i].endpoint != endpoint || idle_[i].address != address) continue;
+    const bool stale = idle_[i].socket.HasInputOrEnd();
+    if (!stale && !IsSettled(idle_[i], now)) continue;
     EndpointConnection connection = std::move(idle_[i]);
     idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
-    if (!connection.socket.HasInputOrEnd()) return connection;
-    connection.Close(CloseReason::kStale);
+    if (!stale) return connection;
+    Discard(std::move(connection), now);
   }
   return {.endpoint = endpoint, .address = address};
 }
 
+void ConnectionPool::Discard(EndpointConnection connection, SteadyTime now) {
+  if (connection.socket.HasInput()) last_unasked_input_[connection.endpoint] = now;
+  connection.Close(CloseReason::kStale);
+}
+
+bool ConnectionPool::IsSettled(const EndpointConnection& connection, SteadyTime now) const {
+  const auto unasked = last_unasked_input_.find(connection.endpoint);
+  if (unasked == last_unasked_input_.end()) return true;
+  if (now - unasked->second >= kUnaskedInputMemory) return true;
+  return now - connection.returned_at >= kSettleTime;
+}
+
 void ConnectionPool::Return(EndpointConnection connection, SteadyTime now) {
   if (shut_down_) return connection.Close(CloseReason::kShutdown);
   const std::uint64_t endpoint = connection.endpoint;
   const IdleConnectionBudget& budget = BudgetFor(endpoint);
   const IdleConnectionBudget::Seconds timeout =
       budget.IdleTimeout(now, options_.connection_idle * kIdleTimeoutShare);
+  connection.returned_at = now;
   connection.expires_at = now + std::chrono::duration_cast<SteadyTime::duration>(timeout);
   idle_.push_back(std::move(connection));
   const auto is_to_endpoint = [endpoint](const EndpointConnection& other) {
@@ -58,9 +73,10 @@
 }
 
 void ConnectionPool::CloseExpired(SteadyTime now) {
-  std::erase_if(idle_, [now](EndpointConnection& connection) {
+  std::erase_if(idle_, [this, now](EndpointConnection& connection) {
     const bool closed_by_peer = connection.socket.HasInputOrEnd();
     if (!closed_by_peer && connection.expires_at > now) return false;
+    if (connection.socket.HasInput()) last_unasked_input_[connection.endpoint] = now;
     connection.Close(closed_by_peer ? CloseReason::kPeerClosed : CloseReason::kIdle);
     return true;
   });
@@ -74,6 +90,7 @@
 
 void ConnectionPool::RemoveEndpoint(std::uint64_t endpoint) {
   budgets_.erase(endpoint);
+  last_unasked_input_.erase(endpoint);
   std::erase_if(idle_, [endpoint](EndpointConnection& connection) {
     if (connection.endpoint != endpoint) return false;
     connection.Close(CloseReason::kEndpointRemoved);
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -4,6 +4,7 @@
 #ifndef BRASSFRONT_NET_CONNECTION_POOL_HPP_
 #define BRASSFRONT_NET_CONNECTION_POOL_HPP_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -21,8 +22,9 @@
   Socket socket{};
   std::uint64_t endpoint = 0;  // its id; another endpoint may take over the address
   std::string address{};
-  std::size_t calls = 0;    // that were answered, or not, on it
-  SteadyTime expires_at{};  // while idle
+  std::size_t calls = 0;     // that were answered, or not, on it
+  SteadyTime expires_at{};   // while idle
+  SteadyTime returned_at{};  // while idle: since then
 
   // Closes the socket and leaves the one line in the log that each connection leaves.
   void Close(CloseReason reason);
@@ -37,6 +39,12 @@
     IdleConnectionBudget::Seconds connection_idle{};
   };
 
+  // After input that nobody had asked for, an endpoint's connections are taken for ready only once
+  // they have been idle for the first of these times, for as long as the second: what comes late
+  // would be read as the answer to the next call.
+  static constexpr std::chrono::milliseconds kSettleTime{100};
+  static constexpr std::chrono::seconds kUnaskedInputMemory{60};
+
   explicit ConnectionPool(const Options& options) : options_(options) {}
   // Idle connections are closed as at the end of the process.
   ~ConnectionPool() { Shutdown(); }
@@ -52,6 +60,10 @@
   // The endpoint closed a new connection because it had too many: fewer are kept for a while.
   void OnConnectionRejected(std::uint64_t endpoint, SteadyTime now);
 
+  // The idle or reused connection can't be used any more: its peer has closed it, or has sent what
+  // nobody had asked for. Closes it.
+  void Discard(EndpointConnection connection, SteadyTime now);
+
   // Closes what has expired or was closed by the peer.
   void CloseExpired(SteadyTime now);
   // When the next connection expires; max() if none is idle.
@@ -63,11 +75,13 @@
 
  private:
   IdleConnectionBudget& BudgetFor(std::uint64_t endpoint);
+  [[nodiscard]] bool IsSettled(const EndpointConnection& connection, SteadyTime now) const;
 
   const Options options_;
   bool shut_down_ = false;
   std::vector<EndpointConnection> idle_;  // the most recently used last
   std::map<std::uint64_t, IdleConnectionBudget> budgets_;
+  std::map<std::uint64_t, SteadyTime> last_unasked_input_;  // by endpoint
 };
 
 }  // namespace brassfront
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -156,6 +156,13 @@
       if (opened == OpenResult::kFailed) return {.outcome = CallOutcome::kConnectFailed};
     }
     if (!call.BeginWrite()) return GiveUpBeforeWrite(std::move(connection), call);
+    // What has come by now would be read as the answer to this call.
+    if (reused && connection.socket.HasInputOrEnd()) {
+      call.UndoBeginWrite();
+      call.DetachConnection();
+      DiscardConnection(std::move(connection));
+      continue;
+    }
     if (connection.socket.SendAll(call.request)) return ReadResponse(std::move(connection), call);
     // The request is not complete, so it did not run. If the connection was idle before, it may
     // have ended unnoticed, which says nothing about the endpoint: the next one may work.
@@ -235,6 +242,11 @@
   return connections_.Take(call.endpoint, call.address, std::chrono::steady_clock::now());
 }
 
+void EndpointClient::DiscardConnection(EndpointConnection connection) {
+  const std::lock_guard lock(mutex_);
+  connections_.Discard(std::move(connection), std::chrono::steady_clock::now());
+}
+
 void EndpointClient::ReturnConnection(EndpointConnection connection) {
   const std::lock_guard lock(mutex_);
   connections_.Return(std::move(connection), std::chrono::steady_clock::now());
--- a/src/net/endpoint_client.hpp
+++ b/src/net/endpoint_client.hpp
@@ -59,6 +59,7 @@
   EndpointCallResult ReadResponse(EndpointConnection connection, EndpointCall& call);
   EndpointConnection TakeConnection(const EndpointCall& call);
   void ReturnConnection(EndpointConnection connection);
+  void DiscardConnection(EndpointConnection connection);
 
   const Options options_;
   BufferPool& buffers_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -179,6 +179,11 @@
          !IsTransient(SystemCall::kReceive, errno);
 }
 
+bool Socket::HasInput() const {
+  char byte = 0;
+  return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool Socket::PeerHasEnded() const {
   tcp_info info{};
   socklen_t length = sizeof info;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -48,6 +48,8 @@
   ssize_t ReceiveNow(std::span<char> into);
   // True if input, the peer's end or an error has come. An idle connection is not usable then.
   [[nodiscard]] bool HasInputOrEnd() const;
+  // True if unread input has come.
+  [[nodiscard]] bool HasInput() const;
   // True if the peer has closed or reset the connection, by TCP's state: unread input does not
   // matter, nor what this side has shut down.
   [[nodiscard]] bool PeerHasEnded() const;
--- a/tests/network/connection_pool_test.cpp
+++ b/tests/network/connection_pool_test.cpp
@@ -57,6 +57,23 @@
   CHECK(pool.Take(kEndpoint, kAddress, kStart).socket.fd() == second_descriptor);
 }
 
+// Guards against an endpoint's late second answer being read as the answer to the next call.
+TEST_CASE_FIXTURE(Fixture, "after unasked input a connection is reused once it has settled") {
+  Socket unasked = ReturnNew();
+  unasked.SendAll("HTTP/1.1 200 OK\r\n\r\n");
+  CHECK_FALSE(pool.Take(kEndpoint, kAddress, kStart).socket.is_open());
+  CHECK(IsClosed(unasked));
+  Socket peer = ReturnNew();
+  const SteadyTime settled = kStart + ConnectionPool::kSettleTime;
+  CHECK_FALSE(pool.Take(kEndpoint, kAddress, settled - milliseconds(1)).socket.is_open());
+  CHECK(pool.Take(kEndpoint, kAddress, settled).socket.is_open());
+  Socket other = ReturnNew(kStart, kOtherEndpoint);
+  CHECK(pool.Take(kOtherEndpoint, kAddress, kStart).socket.is_open());
+  Socket later = ReturnNew(kStart + ConnectionPool::kUnaskedInputMemory);
+  CHECK(pool.Take(kEndpoint, kAddress, kStart + ConnectionPool::kUnaskedInputMemory)
+            .socket.is_open());
+}
+
 TEST_CASE_FIXTURE(Fixture, "without an idle connection one without a socket is given") {
   const EndpointConnection fresh = pool.Take(kEndpoint, kAddress, kStart);
   CHECK_FALSE(fresh.socket.is_open());
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -84,6 +84,21 @@
   CHECK(NextResult().outcome == CallOutcome::kAnswered);
 }
 
+// Guards against an answer that nobody asked for ending the next call on its connection.
+TEST_CASE_FIXTURE(Fixture, "what comes on a reused connection before the first byte is no answer") {
+  Socket first;
+  CHECK(Answered(first, kOk).status == 200);
+  // The last check before the first byte, at which the connection has been chosen.
+  const auto send_unasked = [&first] { return first.is_open() && first.SendAll(kOk); };
+  bool sent = false;
+  const auto permit = [&] { return sent || (sent = send_unasked()); };
+  client.Start(std::make_shared<EndpointCall>(++number, 1, peer.address, HttpGet("/", peer.address),
+                                              kNever, permit));
+  Socket second = peer.AcceptRequest();
+  second.SendAll("HTTP/1.1 503 Busy\r\nWait-Ms: 1\r\nContent-Length: 0\r\n\r\n");
+  CHECK(NextResult().status == 503);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a call that is withdrawn before its first byte is not sent") {
   auto withdrawn = Make();
   withdrawn->WithdrawBeforeSend();
