Judge a restored message's delivery by its own deadline, not by the restart's allowance

Cause: the ledger knew a restored message by the later of its deadline and 1.5 s from the restart, which is the platform's allowance for notifications; a delivery in between was taken for certain to count.

Change: the ledger keeps the deadline and the time of the decision apart.

Result: 'a restored message delivered behind its deadline is notified' fails without the change and passes with it; 233 cases of the network tests pass.

--- a/src/forwarder/final_answer_ledger.hpp
+++ b/src/forwarder/final_answer_ledger.hpp
@@ -34,37 +34,42 @@
   // moment that is a little later.
   static constexpr std::chrono::milliseconds kDecisionGrace{50};
 
-  // The message was accepted, or taken over from an earlier process. Without effect if it is open.
-  void Open(MessageId message, Time deadline) {
-    if (deadlines_.try_emplace(message, deadline).second) undecided_.insert({deadline, message});
+  // The message was accepted, or taken over from an earlier process. `decided_by`: when it has to
+  // be given up at the latest, which is not before its deadline; its grace comes on top. Without
+  // effect if it is open.
+  void Open(MessageId message, Time deadline, Time decided_by) {
+    const Obligation obligation{.deadline = deadline, .expires_at = decided_by + kDecisionGrace};
+    const bool opened = open_.try_emplace(message, obligation).second;
+    if (opened) undecided_.insert({obligation.expires_at, message});
   }
+  void Open(MessageId message, Time deadline) { Open(message, deadline, deadline); }
   // The message will not be delivered. False if it is not open or was given up before.
   bool GiveUp(const Notification& notification, Time now) {
-    const auto it = deadlines_.find(notification.message);
-    if (it == deadlines_.end()) return false;
-    if (undecided_.erase({it->second, it->first}) == 0) return false;
+    const auto it = open_.find(notification.message);
+    if (it == open_.end()) return false;
+    if (undecided_.erase({it->second.expires_at, it->first}) == 0) return false;
     outbox_.Add(notification, now);
     return true;
   }
   // The message has its final answer, or needs none. False if it was not open.
   bool Close(MessageId message) {
-    const auto node = deadlines_.extract(message);
+    const auto node = open_.extract(message);
     if (node.empty()) return false;
-    undecided_.erase({node.mapped(), message});
+    undecided_.erase({node.mapped().expires_at, message});
     outbox_.Remove(message);
     return true;
   }
 
   // Whether a delivery at this time is certain to count. Only for a message that is open.
   [[nodiscard]] bool IsDeliveryCertain(MessageId message, Time now) const {
-    return deadlines_.at(message) - now >= kDeliveryMargin;
+    return open_.at(message).deadline - now >= kDeliveryMargin;
   }
-  // The messages whose deadline and its grace have passed and that were not given up. They stay
+  // The messages that should have been decided about by now, and were not given up. They stay
   // open, and are returned until they are given up or closed.
   [[nodiscard]] std::vector<MessageId> FindExpired(Time now) const {
     std::vector<MessageId> expired;
-    for (const auto& [deadline, message] : undecided_) {
-      if (deadline + kDecisionGrace > now) break;
+    for (const auto& [expires_at, message] : undecided_) {
+      if (expires_at > now) break;
       expired.push_back(message);
     }
     return expired;
@@ -75,13 +80,18 @@
   // When to look for expired messages and posts next; Time::max() if there is neither.
   [[nodiscard]] Time NextWakeUp() const {
     if (undecided_.empty()) return outbox_.NextWakeUp();
-    return std::min(undecided_.begin()->first + kDecisionGrace, outbox_.NextWakeUp());
+    return std::min(undecided_.begin()->first, outbox_.NextWakeUp());
   }
-  [[nodiscard]] std::size_t open() const { return deadlines_.size(); }
+  [[nodiscard]] std::size_t open() const { return open_.size(); }
 
  private:
-  std::map<MessageId, Time> deadlines_;             // of all open messages
-  std::set<std::pair<Time, MessageId>> undecided_;  // of these, not given up
+  struct Obligation {
+    Time deadline{};
+    Time expires_at{};
+  };
+
+  std::map<MessageId, Obligation> open_;
+  std::set<std::pair<Time, MessageId>> undecided_;  // of these, not given up; by expires_at
   NotificationOutbox outbox_;
 };
 
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -53,10 +53,10 @@
                             .body = std::move(message.message.body),
                             .acknowledged = true,
                             .attempts_recorded = attempts});
-  const Time deadline = now + std::max(time_left, kMinTimeAfterRestore);
-  trace_.Begin(message.spool_id, now, deadline, TraceStep::kRestored,
+  const Time decided_by = now + std::max(time_left, kMinTimeAfterRestore);
+  trace_.Begin(message.spool_id, now, decided_by, TraceStep::kRestored,
                static_cast<std::uint32_t>(attempts));
-  final_answers_.Open(message.spool_id, deadline);
+  final_answers_.Open(message.spool_id, now + time_left, decided_by);
 }
 
 void MessageTable::Insert(MessageId id, InFlightMessage message) {
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -111,6 +111,17 @@
   CHECK(table->size() == 0);
 }
 
+// Guards against a restart's longer time for notifications being taken for time to deliver in.
+TEST_CASE_FIXTURE(TableFixture, "a restored message delivered behind its deadline is notified") {
+  AddPersisted("m");
+  Open();
+  RecoveredMessage recovered = spool->Recover().at(0);
+  const auto message = recovered.spool_id;
+  table->AddRestored(std::move(recovered), milliseconds(100), kStart);
+  table->Conclude(message, true, kStart + milliseconds(200));
+  CHECK(table->final_answers().outbox().size() == 1);
+}
+
 // Guards against the end of a message whose endpoint alone says that nothing more is owed.
 TEST_CASE_FIXTURE(TableFixture, "a message that its endpoint takes for over is notified") {
   const auto message = AddPersisted("m");
