Count a message's time from the read of its request, not from its turn

Cause: the commands of a connection are executed one after another, each waiting for a decision, and a message's time began when its turn came.

Change: a connection notes when it was read; what had come while earlier commands were served counts from the read of these. A request whose time is over by its turn is rejected (messages_rejected_total reason=late).

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -136,9 +136,12 @@
     unknown.unknown_destination = true;
     return unknown;
   }
+  const Time now = Now();
+  const auto received_at = request.received_at.value_or(ToTimePoint(now));
   PendingSubmission submission{.request = std::move(request),
                                .indexes = std::get<RequestIndexes>(validation),
-                               .submitted_at = Now(),
+                               .received_at = received_at.time_since_epoch(),
+                               .submitted_at = now,
                                .reply = {}};
   std::future<SubmitResult> reply = submission.reply.get_future();
   if (!loop_.Push(std::move(submission))) return {};
@@ -362,16 +365,21 @@
     return submissions_.Reply(submission,
                               SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull));
   }
-  if (call_observer_ != nullptr) call_observer_->OnMessageArrived(request.destination);
   // No client may ask for more time than its class has.
   const auto& message_class = config_.policy_settings.classes[submission.indexes.message_class];
   request.time_left = std::min<milliseconds>(request.time_left, CeilToMs(message_class.deadline));
+  if (submission.received_at + request.time_left <= Now()) {
+    observe::Count("messages_rejected_total", {"reason", "late"});
+    return submissions_.Reply(submission,
+                              SubmitResult::Rejected(dispatch_policy::kRetryAfterWhenFull));
+  }
+  if (call_observer_ != nullptr) call_observer_->OnMessageArrived(request.destination);
   dispatch_policy::MessageArrived event;
   event.message = messages_.Add(request);
   event.destination = request.destination;
   event.message_class = submission.indexes.message_class;
   event.tenant = submission.indexes.tenant;
-  event.time_left = std::max<Duration>(request.time_left - (Now() - submission.submitted_at), {});
+  event.time_left = request.time_left - (Now() - submission.received_at);
   known_list_hold_.LimitBy(Now(), request.time_left);
   LogMessageStep("message arrived", event.message);
   submissions_.Add(event.message, std::move(submission));
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -66,9 +66,9 @@
   messages_[id] = std::move(message);
 }
 
-bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time submitted_at, Time now,
+bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time received_at, Time now,
                            UnixMs unix_now) {
-  const Time deadline = submitted_at + request.time_left;
+  const Time deadline = received_at + request.time_left;
   const SpooledMessage record{
       std::move(request.id),
       std::move(request.key),
@@ -83,7 +83,7 @@
   }
   ++totals_.accepted;
   observe::Count("messages_accepted_total");
-  trace_.Begin(message, submitted_at, deadline, TraceStep::kAccepted);
+  trace_.Begin(message, received_at, deadline, TraceStep::kAccepted);
   final_answers_.Open(message, deadline);
   return true;
 }
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -59,10 +59,10 @@
   [[nodiscard]] bool HasCapacityFor(std::size_t body_bytes) const;
   // Enters a message that the spool has not recorded yet.
   [[nodiscard]] MessageId Add(const DeliveryRequest& request);
-  // Records an added message in the spool; its time counts from its submission. False if the spool
+  // Records an added message in the spool; its time counts from its receipt. False if the spool
   // has no room: the message is removed.
-  [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time submitted_at,
-                             Time now, UnixMs unix_now);
+  [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time received_at, Time now,
+                             UnixMs unix_now);
   // Removes a message that is not in the spool.
   void Remove(MessageId message);
   // Enters a message that an earlier process had accepted.
--- a/src/forwarder/submission_queue.cpp
+++ b/src/forwarder/submission_queue.cpp
@@ -30,7 +30,7 @@
     const UnixMs unix_now = messages.SpoolTime();
     const dispatch_policy::Time now = Now();
     latencies_.accept.Add(now - submission.submitted_at);
-    if (messages.Persist(message, std::move(submission.request), submission.submitted_at, now,
+    if (messages.Persist(message, std::move(submission.request), submission.received_at, now,
                          unix_now)) {
       SubmitResult accepted;
       accepted.status = SubmitResult::Status::kAccepted;
--- a/src/forwarder/submission_queue.hpp
+++ b/src/forwarder/submission_queue.hpp
@@ -20,7 +20,8 @@
 struct PendingSubmission {
   DeliveryRequest request;
   RequestIndexes indexes;
-  dispatch_policy::Time submitted_at{};
+  dispatch_policy::Time received_at{};   // its time counts from here
+  dispatch_policy::Time submitted_at{};  // for the latencies
   std::promise<SubmitResult> reply;
 };
 
--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -99,6 +99,7 @@
   } catch (const InvalidDeliveryRequest& error) {
     return ReplyInvalid(connection, RespError("ERR", error.what()));
   }
+  request.received_at = connection.received_at;
   const SubmitResult result = acceptor_.Submit(std::move(request));
   if (result.status == SubmitResult::Status::kInvalid) {
     return ReplyInvalid(connection, RespError("ERR", result.error));
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -36,8 +36,13 @@
   Socket socket;
   RespReader reader{};
   State state = State::kReading;
-  SteadyTime idle_since;               // connected, or its last command was answered
-  SteadyTime deadline{};               // of the state that it is in; kept by ClientConnectionTable
+  SteadyTime idle_since;  // connected, or its last command was answered
+  SteadyTime deadline{};  // of the state that it is in; kept by ClientConnectionTable
+  SteadyTime read_at{};   // when the commands that are served now were read
+  // Since when these commands may have waited to be read: since the read before, if there was input
+  // at the end of serving what that read brought.
+  SteadyTime received_at{};
+  bool input_waits = false;            // there was, when the last commands had been served
   std::size_t commands = 0;            // answered so far
   bool has_submitted_message = false;  // a valid one, accepted or not
   std::size_t consecutive_invalid_commands = 0;
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -194,6 +194,9 @@
   const bool begins_command = connection.IsBetweenCommands();
   connection.reader.Feed({buffer.span().data(), static_cast<std::size_t>(received)});
   if (!connection.reader.commands().empty() || connection.reader.broken()) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    connection.received_at = connection.input_waits ? connection.read_at : now;
+    connection.read_at = now;
     connections_.Unschedule(connection);
     connection.state = ClientConnection::State::kServing;
     workers_.Submit(&connection);
@@ -330,6 +333,7 @@
   }
   if (close_reason) return BeginLingeringClose(connection, *close_reason);
   connection.state = ClientConnection::State::kReading;
+  connection.input_waits = connection.socket.HasInput();
   connection.idle_since = now;
   connections_.Schedule(connection, now + (between_commands ? limits_.idle : limits_.command));
   Rearm(connection);
--- a/src/protocol/delivery_request.hpp
+++ b/src/protocol/delivery_request.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -19,8 +20,10 @@
   std::string class_name;
   std::string tenant_name;  // empty: the first
   std::uint64_t destination = 0;
-  std::chrono::milliseconds time_left{};
+  std::chrono::milliseconds time_left{};  // from `received_at` on
   std::string body;
+  // When its last byte came, or earlier where that is not known; none: at its submission.
+  std::optional<std::chrono::steady_clock::time_point> received_at{};
 };
 
 // What the client is told in answer; the text is for people.
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -138,7 +138,7 @@
   CHECK(table->final_answers().outbox().size() == 1);
 }
 
-TEST_CASE_FIXTURE(TableFixture, "a message's time counts from its submission") {
+TEST_CASE_FIXTURE(TableFixture, "a message's time counts from its receipt") {
   const auto message = table->Add(Request("m"));
   REQUIRE(table->Persist(message, Request("m"), kStart, kStart + seconds(2), kUnixStart));
   CHECK(table->final_answers().NextWakeUp() ==
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -22,7 +22,8 @@
 // Refuses, or accepts everything; counts what it is seen.
 class CountingAcceptor : public MessageAcceptor {
  public:
-  SubmitResult Submit(DeliveryRequest) override {
+  SubmitResult Submit(DeliveryRequest request) override {
+    received_at.push_back(*request.received_at);
     if (meanwhile) meanwhile();
     if (!accepts) return {};
     ++accepted;
@@ -34,6 +35,8 @@
 
   bool accepts = false;
   std::function<void()> meanwhile;  // before each answer
+  // Of all requests. Read once their replies have come, and only of clients one behind the other.
+  std::vector<SteadyTime> received_at;
   std::atomic<int> accepted{0}, acknowledged{0}, disconnected{0};
 };
 
@@ -189,6 +192,34 @@
   for (int i = 0; i < 600; ++i) REQUIRE(Line(client) == "+PONG\r\n");
 }
 
+// Guards against the time that commands of one connection wait for each other being added to the
+// time of their messages.
+TEST_CASE_FIXTURE(Fixture, "pipelined commands count from the moment at which they were read") {
+  Start({.connections = 4});
+  acceptor.meanwhile = [] { std::this_thread::sleep_for(std::chrono::milliseconds(1)); };
+  Socket client = Client(std::string(kPut) + std::string(kPut) + std::string(kPut));
+  for (int i = 0; i < 3; ++i) CHECK(Line(client).starts_with("-BUSY"));
+  REQUIRE(acceptor.received_at.size() == 3);
+  CHECK(acceptor.received_at[0] == acceptor.received_at[1]);
+  CHECK(acceptor.received_at[0] == acceptor.received_at[2]);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a command that came while others were served counts from their read") {
+  Start({.connections = 4});
+  Socket client = Client();
+  bool sent = false;
+  acceptor.meanwhile = [&] {
+    if (!std::exchange(sent, true)) client.SendAll(kPut);
+  };
+  client.SendAll(kPut);
+  for (int i = 0; i < 2; ++i) CHECK(Line(client).starts_with("-BUSY"));
+  client.SendAll(kPut);
+  CHECK(Line(client).starts_with("-BUSY"));
+  REQUIRE(acceptor.received_at.size() == 3);
+  CHECK(acceptor.received_at[0] == acceptor.received_at[1]);
+  CHECK(acceptor.received_at[2] > acceptor.received_at[1]);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a connection is closed after too many invalid commands in a row") {
   Start({.connections = 2, .command = kNever, .idle = kNever, .max_invalid_commands = 3});
   const std::string invalid = "*1\r\n$4\r\nNOPE\r\n";
