Notify the platform of a message only once its client knows that it was accepted

Callers may see: a final answer that came before +OK, which the platform may not count, and none after it. In a probe with 0.1 s of time and the worker's write held for 0.15 s the notification was read at 97 ms and +OK at 150 ms, one post in all.

Cause: calls wait for the acknowledgement, the notification did not.

Change: MessageTable holds the notification of a message that is given up before it is acknowledged; the ledger keeps 'given up' and 'posted' apart.

--- a/src/forwarder/final_answer_ledger.hpp
+++ b/src/forwarder/final_answer_ledger.hpp
@@ -3,7 +3,8 @@
 //
 // Each accepted message is opened once and closed once. Whoever decides about deliveries gives it
 // up by its deadline; where that does not happen, for whatever reason, TakeExpired says so, and the
-// caller gives it up. From then on its notification is in the outbox until it is closed.
+// caller gives it up. Its notification is in the outbox from then on until it is closed, but not
+// before the message's client knows that it was accepted: a final answer before that may not count.
 #ifndef BRASSFRONT_FORWARDER_FINAL_ANSWER_LEDGER_HPP_
 #define BRASSFRONT_FORWARDER_FINAL_ANSWER_LEDGER_HPP_
 
@@ -43,13 +44,15 @@
     if (opened) undecided_.insert({obligation.expires_at, message});
   }
   void Open(MessageId message, Time deadline) { Open(message, deadline, deadline); }
-  // The message will not be delivered. False if it is not open or was given up before.
-  bool GiveUp(const Notification& notification, Time now) {
-    const auto it = open_.find(notification.message);
-    if (it == open_.end()) return false;
-    if (undecided_.erase({it->second.expires_at, it->first}) == 0) return false;
-    outbox_.Add(notification, now);
-    return true;
+  // The message will not be delivered, and Notify follows once its client knows that it was
+  // accepted. False if it is not open or was given up before.
+  bool GiveUp(MessageId message) {
+    const auto it = open_.find(message);
+    return it != open_.end() && undecided_.erase({it->second.expires_at, message}) > 0;
+  }
+  // Posts the notification of a message that was given up, until the message is closed.
+  void Notify(const Notification& notification, Time now) {
+    if (open_.count(notification.message) > 0) outbox_.Add(notification, now);
   }
   // The message has its final answer, or needs none. False if it was not open.
   bool Close(MessageId message) {
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -117,6 +117,9 @@
   if (found == nullptr) return;
   found->acknowledged = true;
   trace_.Note(message, now, TraceStep::kAcknowledged);
+  if (const auto held = std::exchange(found->held_notification, std::nullopt)) {
+    final_answers_.Notify(*held, now);
+  }
 }
 
 std::optional<std::size_t> MessageTable::BeginAttempt(MessageId message, const Endpoint& endpoint,
@@ -140,7 +143,12 @@
   found->given_up_at = now;
   trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
   notification.id = found->client_id;
-  final_answers_.GiveUp(notification, now);
+  final_answers_.GiveUp(notification.message);
+  if (found->acknowledged) {
+    final_answers_.Notify(notification, now);
+  } else {
+    found->held_notification = notification;
+  }
   observe::Log(Concern::kEngine, Level::kInfo, "message given up",
                {{"id", notification.id},
                 {"reason", reason},
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -26,8 +26,9 @@
   std::string client_id{};
   std::string key{};  // the idempotency key; empty: none
   std::string body{};
-  bool acknowledged = false;  // its client knows that it was accepted
-  bool given_up = false;      // its notification is not confirmed yet
+  bool acknowledged = false;                        // its client knows that it was accepted
+  bool given_up = false;                            // its notification is not confirmed yet
+  std::optional<Notification> held_notification{};  // until it is acknowledged
   dispatch_policy::Time given_up_at{};
   std::size_t attempts_recorded = 0;  // in the spool, by earlier processes too
   std::size_t attempts_decided = 0;   // by the policy of this process
@@ -84,8 +85,8 @@
   void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
                        Time now);
   // The message will not be delivered: the notification, which gets its client's id here, is posted
-  // until it is confirmed, which ends the message. `reason`: for the log. Without effect if the
-  // message has ended or was given up before.
+  // once the message is acknowledged and until it is confirmed, which ends the message. `reason`:
+  // for the log. Without effect if the message has ended or was given up before.
   void GiveUp(Notification notification, std::string_view reason, Time now);
   // An endpoint has answered that the message is delivered, or that nothing more is owed. Ends the
   // message if that is certain to count for the platform; else the platform is notified as well,
--- a/tests/forwarder/final_answer_ledger_test.cpp
+++ b/tests/forwarder/final_answer_ledger_test.cpp
@@ -22,28 +22,33 @@
   CHECK(ledger.FindExpired(kExpiry - milliseconds(1)).empty());
   CHECK(ledger.FindExpired(kExpiry) == Messages{1});
   CHECK(ledger.FindExpired(kExpiry + seconds(1)) == Messages{1});
-  CHECK(ledger.GiveUp({.message = 1, .id = "a"}, kExpiry));
+  CHECK(ledger.GiveUp(1));
   CHECK(ledger.FindExpired(kExpiry + seconds(1)).empty());
-  CHECK(ledger.outbox().size() == 1);
 }
 
 TEST_CASE("a message is given up once, and only while it is open") {
   FinalAnswerLedger ledger;
-  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  CHECK_FALSE(ledger.GiveUp(1));
+  ledger.Notify({.message = 1}, kStart);
+  CHECK(ledger.outbox().size() == 0);
   ledger.Open(1, kDeadline);
-  CHECK(ledger.GiveUp({.message = 1}, kStart));
-  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  CHECK(ledger.GiveUp(1));
+  CHECK_FALSE(ledger.GiveUp(1));
+  ledger.Notify({.message = 1}, kStart);
+  CHECK(ledger.outbox().size() == 1);
   CHECK(ledger.Close(1));
   CHECK_FALSE(ledger.Close(1));
-  CHECK_FALSE(ledger.GiveUp({.message = 1}, kStart));
+  CHECK_FALSE(ledger.GiveUp(1));
   CHECK(ledger.open() == 0);
+  CHECK(ledger.outbox().size() == 0);
 }
 
 TEST_CASE("a message that is closed has no deadline and no notification any more") {
   FinalAnswerLedger ledger;
   ledger.Open(1, kDeadline);
   ledger.Open(2, kDeadline);
-  CHECK(ledger.GiveUp({.message = 2, .id = "b"}, kStart));
+  CHECK(ledger.GiveUp(2));
+  ledger.Notify({.message = 2, .id = "b"}, kStart);
   ledger.Close(1);
   ledger.Close(2);
   CHECK(ledger.NextWakeUp() == FinalAnswerLedger::Time::max());
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -48,6 +48,7 @@
   MessageTable::MessageId AddPersisted(const std::string& id) {
     const auto message = table->Add(Request(id));
     REQUIRE(table->Persist(message, Request(id), kStart, kStart, kUnixStart));
+    table->Acknowledge(message, kStart);
     return message;
   }
 
@@ -93,6 +94,17 @@
   CHECK(post->body == NotificationLine({.id = "m"}));
 }
 
+// Guards against a final answer that the platform hears before the client knows of the message.
+TEST_CASE_FIXTURE(TableFixture, "a message is notified only once its client knows of it") {
+  const auto message = table->Add(Request("m"));
+  REQUIRE(table->Persist(message, Request("m"), kStart, kStart, kUnixStart));
+  table->GiveUp({.message = message}, "test", kStart);
+  CHECK(table->final_answers().FindExpired(kStart + seconds(30)).empty());
+  CHECK_FALSE(table->final_answers().outbox().NextPost(kStart + seconds(1)));
+  table->Acknowledge(message, kStart + seconds(2));
+  CHECK(table->final_answers().outbox().NextPost(kStart + seconds(2)));
+}
+
 TEST_CASE_FIXTURE(TableFixture, "a delivery well before the deadline ends the message") {
   const auto message = AddPersisted("m");
   table->Conclude(message, true, kStart + seconds(1));
