Judge a delivery's certainty by all messages of its call

Callers may see: no final answer for a message that shared a call with one whose time ran out about then: the platform counts nothing of a call that outlasts one of its messages.

Cause: each message of a call was judged by its own deadline alone.

Change: CallDispatcher takes a call's answer for certain only if it is so for each of its messages; MessageEnd names what an endpoint's answer makes of a message.

--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -78,6 +78,12 @@
   return FormatBatchCall(endpoint.address, items, time_left);
 }
 
+MessageEnd ToMessageEnd(const AttemptResult& result) {
+  if (result.outcome != dispatch_policy::Outcome::kDelivered)
+    return MessageEnd::kOverForTheEndpoint;
+  return result.in_doubt ? MessageEnd::kDeliveredInDoubt : MessageEnd::kDelivered;
+}
+
 std::vector<AttemptResult> ParseAnswer(const PendingCall& call, const EndpointCallResult& result) {
   if (call.attempts.size() == 1) return {ParseSingleAnswer(result)};
   std::vector<std::string> ids;
@@ -197,8 +203,14 @@
         dispatch_policy::HealthCheckCompleted{call.endpoint, outcome, elapsed, report});
     return;
   }
-  const std::vector<AttemptResult> results = ParseAnswer(call, result);
+  std::vector<AttemptResult> results = ParseAnswer(call, result);
+  // The platform counts nothing of a call that outlasts one of its messages.
+  const bool certain =
+      std::all_of(call.attempts.begin(), call.attempts.end(), [&](const PendingAttempt& attempt) {
+        return context_.messages.IsDeliveryCertain(attempt.message, now);
+      });
   for (std::size_t i = 0; i < results.size(); ++i) {
+    results[i].in_doubt = !certain;
     dispatch_policy::AttemptCompleted completed;
     completed.elapsed = elapsed;
     completed.retry_after = retry_after;
@@ -219,10 +231,7 @@
   if (call.endpoint_call) {
     context_.messages.CompleteAttempt(attempt.message, attempt.spool_index, result.outcome, now);
   }
-  if (result.message_over) {
-    const bool delivered = result.outcome == dispatch_policy::Outcome::kDelivered;
-    context_.messages.Conclude(attempt.message, delivered, now);
-  }
+  if (result.message_over) context_.messages.Conclude(attempt.message, ToMessageEnd(result), now);
   observe::Count("attempts_total", {"outcome", ToString(result.outcome)});
   completed.message = attempt.message;
   completed.attempt = attempt.attempt;
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -53,10 +53,10 @@
                             .body = std::move(message.message.body),
                             .acknowledged = true,
                             .attempts_recorded = attempts});
-  const Time decided_by = now + std::max(time_left, kMinTimeAfterRestore);
-  trace_.Begin(message.spool_id, now, decided_by, TraceStep::kRestored,
-               static_cast<std::uint32_t>(attempts));
-  final_answers_.Open(message.spool_id, now + time_left, decided_by);
+  trace_.Begin(message.spool_id, now, now + std::max(time_left, kMinTimeAfterRestore),
+               TraceStep::kRestored, static_cast<std::uint32_t>(attempts));
+  final_answers_.Open(message.spool_id, now + time_left,
+                      now + std::max(time_left, kMinTimeAfterRestore));
 }
 
 void MessageTable::Insert(MessageId id, InFlightMessage message) {
@@ -156,13 +156,16 @@
                 {"history", trace_.History(notification.message)}});
 }
 
-void MessageTable::Conclude(MessageId message, bool delivered, Time now) {
+void MessageTable::Conclude(MessageId message, MessageEnd end, Time now) {
   if (!IsDeliverable(message)) return;
-  if (!delivered) return GiveUp({.message = message}, "gone", now);
-  if (final_answers_.IsDeliveryCertain(message, now)) {
-    return End(message, TraceStep::kDelivered, now);
+  switch (end) {
+    case MessageEnd::kDelivered:
+      return End(message, TraceStep::kDelivered, now);
+    case MessageEnd::kDeliveredInDoubt:
+      return GiveUp({.message = message}, "delivered-late", now);
+    case MessageEnd::kOverForTheEndpoint:
+      return GiveUp({.message = message}, "gone", now);
   }
-  GiveUp({.message = message}, "delivered-late", now);
 }
 
 void MessageTable::End(MessageId message, TraceStep final_step, Time now) {
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -34,6 +34,13 @@
   std::size_t attempts_decided = 0;   // by the policy of this process
 };
 
+// What an endpoint's answer makes of a message.
+enum class MessageEnd {
+  kDelivered,          // for certain
+  kDeliveredInDoubt,   // the platform may not count the answer
+  kOverForTheEndpoint  // nothing more is owed, as the endpoint says
+};
+
 // Used by the engine's thread alone. Knows no clock: times are the caller's.
 class MessageTable {
  public:
@@ -88,10 +95,15 @@
   // once the message is acknowledged and until it is confirmed, which ends the message. `reason`:
   // for the log. Without effect if the message has ended or was given up before.
   void GiveUp(Notification notification, std::string_view reason, Time now);
-  // An endpoint has answered that the message is delivered, or that nothing more is owed. Ends the
-  // message if that is certain to count for the platform; else the platform is notified as well,
-  // which does no harm. Without effect if the message has ended or was given up before.
-  void Conclude(MessageId message, bool delivered, Time now);
+  // Whether an answer of 200 at this time is certain to be counted by the platform as the message's
+  // delivery. For a call with several messages it must be so for each of them.
+  [[nodiscard]] bool IsDeliveryCertain(MessageId message, Time now) const {
+    return IsDeliverable(message) && final_answers_.IsDeliveryCertain(message, now);
+  }
+  // An endpoint has answered that the message is over. Ends the message if it was delivered for
+  // certain; else the platform is notified as well, which does no harm. Without effect if the
+  // message has ended or was given up before.
+  void Conclude(MessageId message, MessageEnd end, Time now);
   // Records the end of a message in flight in spool, log and history, and removes it.
   void End(MessageId message, TraceStep final_step, Time now);
 
--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -4,7 +4,9 @@
 that was given up reaches the agent, and each is confirmed at last.
 """
 
+import time
 import unittest
+import uuid
 
 import rig
 from agent import Agent
@@ -90,5 +92,42 @@
         self.await_none_in_flight()
 
 
+class SharedCallTest(FinalAnswerTest):
+    SHORT_MS, LONG_MS = 1000, 20000
+    ANSWER_AFTER_S = 0.64  # from the call, which waits 0.2 s for others
+
+    def members(self, **phases):
+        """One endpoint, which takes several messages in a call."""
+        return [dict(m, flavor="bundle") for m in super().members(**phases)][:1]
+
+    # Guards against a call that the platform does not count, since it may have outlasted
+    # one of its messages, ending the others.
+    def test_all_messages_of_a_call_about_the_deadline_of_one_are_notified(self):
+        endpoint = self.endpoints["a"]
+        forwarder = self.start()
+        pair = []
+
+        def answer_late(call):
+            if call["id"] == pair[0]:  # the first of its call
+                time.sleep(self.ANSWER_AFTER_S)
+            endpoint.delivered.append(call["id"])
+            return 200, {}
+
+        def short_was_late():
+            pair[:] = [uuid.uuid4().hex[:16] for _ in range(2)]
+            client = rig.toy_server.Client(self.listen)
+            for message, left_ms in zip(pair, (self.LONG_MS, self.SHORT_MS)):
+                client.put(rig.DESTINATION, "body", left_ms=left_ms, message=message)
+            client.close()
+            wait_for("the answers", lambda: all(map(self.is_over, pair)))
+            sizes = [call["bundle"] for call in endpoint.calls if call["id"] == pair[1]]
+            late = "id=%s reason=delivered-late" % pair[1]
+            return sizes == [2] and any(late in line for line in forwarder.log)
+
+        endpoint.answer = answer_late
+        wait_for("a short message of a call that ends about its time", short_was_late)
+        wait_for("the other's notification", lambda: self.discovery.has_read(pair[0]))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -107,7 +107,8 @@
 
 TEST_CASE_FIXTURE(TableFixture, "a delivery well before the deadline ends the message") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, true, kStart + seconds(1));
+  CHECK(table->IsDeliveryCertain(message, kStart + seconds(1)));
+  table->Conclude(message, MessageEnd::kDelivered, kStart + seconds(1));
   CHECK(table->size() == 0);
   CHECK(table->final_answers().open() == 0);
   CHECK(table->totals().delivered == 1);
@@ -116,7 +117,9 @@
 // Guards against a delivery that the platform does not count leaving the message without an end.
 TEST_CASE_FIXTURE(TableFixture, "a delivery about the deadline is notified as well") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, true, kStart + seconds(20) - milliseconds(10));
+  const auto late = kStart + seconds(20) - milliseconds(10);
+  CHECK_FALSE(table->IsDeliveryCertain(message, late));
+  table->Conclude(message, MessageEnd::kDeliveredInDoubt, late);
   CHECK_FALSE(table->IsDeliverable(message));
   CHECK(table->final_answers().outbox().size() == 1);
   table->End(message, TraceStep::kNotified, kStart + seconds(20));
@@ -124,20 +127,20 @@
 }
 
 // Guards against a restart's longer time for notifications being taken for time to deliver in.
-TEST_CASE_FIXTURE(TableFixture, "a restored message delivered behind its deadline is notified") {
+TEST_CASE_FIXTURE(TableFixture,
+                  "a restored message is not delivered for certain behind its own deadline") {
   AddPersisted("m");
   Open();
   RecoveredMessage recovered = spool->Recover().at(0);
   const auto message = recovered.spool_id;
   table->AddRestored(std::move(recovered), milliseconds(100), kStart);
-  table->Conclude(message, true, kStart + milliseconds(200));
-  CHECK(table->final_answers().outbox().size() == 1);
+  CHECK_FALSE(table->IsDeliveryCertain(message, kStart + milliseconds(200)));
 }
 
 // Guards against the end of a message whose endpoint alone says that nothing more is owed.
 TEST_CASE_FIXTURE(TableFixture, "a message that its endpoint takes for over is notified") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, false, kStart);
+  table->Conclude(message, MessageEnd::kOverForTheEndpoint, kStart);
   CHECK(table->final_answers().outbox().size() == 1);
 }
 
@@ -145,7 +148,7 @@
 TEST_CASE_FIXTURE(TableFixture, "a message that was given up ends with its notification alone") {
   const auto message = AddPersisted("m");
   table->GiveUp({.message = message}, "test", kStart);
-  table->Conclude(message, true, kStart);
+  table->Conclude(message, MessageEnd::kDelivered, kStart);
   CHECK(table->size() == 1);
   CHECK(table->final_answers().outbox().size() == 1);
 }
