Count a restored message's time on while it is held back at a start

Cause: a restored message that is held until discovery's first list has come, for 1 s at most, got its time left as it was at the restart: deadline, X-Time-Left-Ms and the limit of its calls were late by the hold.

Change: the time left is taken anew at the release.

Result: by reading and by the probe that showed it (a delivery behind the deadline taken for one in time); no test of its own.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -218,8 +218,10 @@
   if (held_events_.empty() || known_list_hold_.IsActive(now)) return;
   if (exclusions_ != nullptr && !exclusions_->is_complete()) return;
   for (dispatch_policy::Event& event : std::exchange(held_events_, {})) {
-    const auto* restored = std::get_if<dispatch_policy::MessageRestored>(&event);
-    if (restored != nullptr && !messages_.IsDeliverable(restored->message)) continue;
+    if (auto* restored = std::get_if<dispatch_policy::MessageRestored>(&event)) {
+      if (!messages_.IsDeliverable(restored->message)) continue;
+      restored->time_left = messages_.final_answers().TimeLeft(restored->message, now);
+    }
     policy_events_.emplace_back(std::move(event));
   }
 }
--- a/src/forwarder/final_answer_ledger.hpp
+++ b/src/forwarder/final_answer_ledger.hpp
@@ -63,9 +63,13 @@
     return true;
   }
 
+  // Until the deadline, below 0 behind it. Only for a message that is open.
+  [[nodiscard]] Time TimeLeft(MessageId message, Time now) const {
+    return open_.at(message).deadline - now;
+  }
   // Whether a delivery at this time is certain to count. Only for a message that is open.
   [[nodiscard]] bool IsDeliveryCertain(MessageId message, Time now) const {
-    return open_.at(message).deadline - now >= kDeliveryMargin;
+    return TimeLeft(message, now) >= kDeliveryMargin;
   }
   // The messages that should have been decided about by now, and were not given up. They stay
   // open, and are returned until they are given up or closed.
