Repeat a post on a new connection, sooner, and with threads to spare

Cause: a repeated post took the next idle connection, of which an agent that was slow once leaves up to eight; and where no further thread can be started, one patient post held the only one.

Change: what was posted before goes over a connection that is not open, or over a new one; the first repeat comes after 50 ms (was 100 ms); three threads are kept and two posts are patient, so that one is always free.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -412,7 +412,9 @@
   NotificationOutbox& outbox = messages_.final_answers().outbox();
   while (auto post = outbox.NextPost(now)) {
     if (post->makes_way) notification_client_.Abandon(*post->makes_way);
-    notification_client_.Start(post->id, std::move(post->body));
+    const auto reuse =
+        post->repeats ? NotificationClient::Reuse::kForbidden : NotificationClient::Reuse::kAllowed;
+    notification_client_.Start(post->id, std::move(post->body), reuse);
   }
 }
 
--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -41,6 +41,7 @@
   if (it == pending_.end()) return;
   new_.erase(message);
   repeats_.erase({it->second.repeat_at, message});
+  if (it->second.max_batch < kMaxBatchSize) --rejected_;
   pending_.erase(it);
 }
 
@@ -103,6 +104,7 @@
     post.body += pending.line;
     post.messages.push_back(message);
     post.oldest_added_at = std::min(post.oldest_added_at, pending.added_at);
+    post.repeats = post.repeats || pending.posts > 0;
     ++pending.posts;
     RepeatAt(message, pending, now + DelayAfter(pending.posts, kFirstRepeat, kLongestRepeat));
   }
@@ -152,6 +154,7 @@
     const auto it = pending_.find(message);
     if (it == pending_.end()) continue;
     Pending& pending = it->second;
+    if (pending.max_batch == kMaxBatchSize) ++rejected_;
     pending.max_batch = std::clamp<std::size_t>(half, 1, pending.max_batch);
     RepeatAt(message, pending, half > 0 ? now : now + kRejectedRetry);
     if (half == 0) end.rejected = pending.id;
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -48,7 +48,7 @@
   static constexpr std::size_t kMaxPosts = 8;
   // Of these, so many are left alone until they end, so that a platform that is always slow
   // confirms at last. The others make way for notifications that were never posted.
-  static constexpr std::size_t kMaxPatientPosts = 4;
+  static constexpr std::size_t kMaxPatientPosts = 2;
   // Between the starts of two posts while the first is waited for: most answers come sooner.
   static constexpr std::chrono::milliseconds kPostSpacing{25};
   // The age from which on a post makes way.
@@ -56,7 +56,7 @@
   static constexpr std::chrono::milliseconds kMaxPostDelay = kMinAgeToMakeWay + 2 * kPostSpacing;
   // A notification whose post is not answered is posted again after the first of these, then after
   // twice as long each time, up to the second.
-  static constexpr std::chrono::milliseconds kFirstRepeat{100};
+  static constexpr std::chrono::milliseconds kFirstRepeat{50};
   static constexpr std::chrono::milliseconds kLongestRepeat{250};
   // The same where its post has failed.
   static constexpr std::chrono::milliseconds kFirstRetry{20};
@@ -71,6 +71,7 @@
     std::string body{};
     std::vector<MessageId> messages{};
     Time oldest_added_at{};             // of its notifications
+    bool repeats = false;               // one that was posted before
     std::optional<PostId> makes_way{};  // a post that is not waited for any more
   };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -47,6 +47,15 @@
   wake_.notify_all();
 }
 
+bool HttpClient::is_open() const {
+  const std::lock_guard lock(mutex_);
+  return socket_.is_open();
+}
+
+void HttpClient::Disconnect() {
+  if (socket_.is_open()) Close(CloseReason::kStale);
+}
+
 bool HttpClient::Exchange(std::string_view request, HttpReader& reader, const OnBytes& on_bytes,
                           const GiveUpAt& give_up_at) {
   if (!EnsureConnected()) return false;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -44,6 +44,9 @@
   void Stop();
   [[nodiscard]] bool stopped() const { return stopped_; }
 
+  // Whether there is a connection, as far as is known.
+  [[nodiscard]] bool is_open() const;
+
   // ---- for the one thread that makes the requests ----
 
   // Called whenever a part of the response has come; false ends the exchange.
@@ -58,6 +61,9 @@
   [[nodiscard]] bool Exchange(std::string_view request, HttpReader& reader,
                               const OnBytes& on_bytes = {}, const GiveUpAt& give_up_at = {});
 
+  // Closes the connection, if there is one; the next request is made on a new one.
+  void Disconnect();
+
   // Waits for the time, or less if stopped or if the address is no longer the given one, if one is
   // given. True if the address is another one.
   bool Pause(std::chrono::milliseconds time, const std::string& address = {});
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -1,6 +1,7 @@
 #include "net/notification_client.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace brassfront {
@@ -8,6 +9,8 @@
 
 constexpr const char* kLogSide = "notifications";
 constexpr const char* kPath = "/v2/finals";
+// Kept, however idle: more than there are posts that are left alone (NotificationOutbox).
+constexpr std::size_t kMinThreads = 3;
 
 // The status of the answer; 0 if it did not come whole.
 int Exchange(HttpClient& client, const std::string& body) {
@@ -26,7 +29,8 @@
                                        BufferPool& buffers, OnResult on_result)
     : on_result_(std::move(on_result)),
       connections_(max_posts),
-      threads_(kLogSide, {.min_threads = 1, .max_threads = max_posts},
+      threads_(kLogSide,
+               {.min_threads = std::min(kMinThreads, max_posts), .max_threads = max_posts},
                [this](const Post& post) { Carry(post); }) {
   const HttpClient::Timeouts timeouts{.connect = kConnectTimeout, .silence = kAnswerTimeout};
   const std::lock_guard lock(mutex_);
@@ -41,12 +45,12 @@
   for (Connection& connection : connections_) connection.client->Stop();
 }
 
-void NotificationClient::Start(std::uint64_t post, std::string body) {
+void NotificationClient::Start(std::uint64_t post, std::string body, Reuse reuse) {
   {
     const std::lock_guard lock(mutex_);
     waiting_.insert(post);
   }
-  threads_.Submit({post, std::move(body)});
+  threads_.Submit({post, std::move(body), reuse});
 }
 
 void NotificationClient::Abandon(std::uint64_t post) {
@@ -64,23 +68,37 @@
 
 void NotificationClient::Carry(const Post& post) {
   int status = 0;
-  if (Connection* connection = TakeConnection(post.id)) {
+  if (Connection* connection = TakeConnection(post)) {
     status = Exchange(*connection->client, post.body);
     ReturnConnection(*connection);
   }
   on_result_({.post = post.id, .status = status});
 }
 
-NotificationClient::Connection* NotificationClient::TakeConnection(std::uint64_t post) {
+NotificationClient::Connection* NotificationClient::TakeConnection(const Post& post) {
   const std::lock_guard lock(mutex_);
-  if (waiting_.erase(post) == 0) return nullptr;
-  Connection* connection = idle_.back();
-  idle_.pop_back();
-  connection->post = post;
+  if (waiting_.erase(post.id) == 0) return nullptr;
+  Connection* connection = TakeIdle(post.reuse);
+  connection->post = post.id;
   connection->client->Resume();
   return connection;
 }
 
+// With the mutex held. There is one for each thread.
+NotificationClient::Connection* NotificationClient::TakeIdle(Reuse reuse) {
+  auto chosen = std::prev(idle_.end());
+  if (reuse == Reuse::kForbidden) {
+    const auto closed = std::find_if(idle_.begin(), idle_.end(), [](const Connection* connection) {
+      return !connection->client->is_open();
+    });
+    if (closed != idle_.end()) chosen = closed;
+  }
+  Connection* const connection = *chosen;
+  idle_.erase(chosen);
+  if (reuse == Reuse::kForbidden) connection->client->Disconnect();
+  return connection;
+}
+
 void NotificationClient::ReturnConnection(Connection& connection) {
   const std::lock_guard lock(mutex_);
   connection.post = 0;
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -46,8 +46,10 @@
 
   // Any thread may call what follows.
 
+  // Whether an open connection may be used: it may have fallen silent unnoticed.
+  enum class Reuse { kAllowed, kForbidden };
   // Never waits. The body's lines are notifications.
-  void Start(std::uint64_t post, std::string body);
+  void Start(std::uint64_t post, std::string body, Reuse reuse = Reuse::kAllowed);
   // The post's result does not matter any more: its connection is closed if it is running.
   void Abandon(std::uint64_t post);
   // Running posts end without an answer; later ones go to the new address. Without effect if it is
@@ -58,6 +60,7 @@
   struct Post {
     std::uint64_t id = 0;
     std::string body;
+    Reuse reuse = Reuse::kAllowed;
   };
   struct Connection {
     std::unique_ptr<HttpClient> client;
@@ -66,7 +69,8 @@
 
   void Carry(const Post& post);
   // Null if the post was abandoned before it began.
-  [[nodiscard]] Connection* TakeConnection(std::uint64_t post);
+  [[nodiscard]] Connection* TakeConnection(const Post& post);
+  [[nodiscard]] Connection* TakeIdle(Reuse reuse);
   void ReturnConnection(Connection& connection);
 
   const OnResult on_result_;
--- a/tests/forwarder/notification_outbox_test.cpp
+++ b/tests/forwarder/notification_outbox_test.cpp
@@ -43,6 +43,7 @@
   const auto post = outbox.NextPost(kStart);
   REQUIRE(post);
   CHECK(post->messages == Messages{1, 2});
+  CHECK_FALSE(post->repeats);
   CHECK(post->body == NotificationLine(Of(1)) + NotificationLine(Of(2)));
   CHECK_FALSE(outbox.NextPost(kStart));
   const auto end = outbox.Complete(post->id, PostOutcome::kConfirmed, kStart + milliseconds(1));
@@ -92,7 +93,10 @@
   outbox.Add(Of(1), kStart);
   CHECK(PostAt(outbox, kStart) == Messages{1});
   CHECK(outbox.NextWakeUp() == kStart + Outbox::kFirstRepeat);
-  CHECK(PostAt(outbox, kStart + Outbox::kFirstRepeat) == Messages{1});
+  const auto repeat = outbox.NextPost(kStart + Outbox::kFirstRepeat);
+  REQUIRE(repeat);
+  CHECK(repeat->messages == Messages{1});
+  CHECK(repeat->repeats);
   CHECK(outbox.NextWakeUp() == kStart + 3 * Outbox::kFirstRepeat);
 }
 
--- a/tests/network/notification_client_test.cpp
+++ b/tests/network/notification_client_test.cpp
@@ -75,6 +75,22 @@
   CHECK(ended->status == 0);
 }
 
+// Guards against connections that fell silent unnoticed being used one after another.
+TEST_CASE_FIXTURE(ClientFixture, "a post that may not reuse a connection comes on a new one") {
+  client.Start(1, std::string(kBody));
+  Socket first = TakePost();
+  Confirm(first);
+  CHECK(results.Pop()->post == 1);
+  client.Start(2, std::string(kBody), NotificationClient::Reuse::kForbidden);
+  Socket second = TakePost();  // of a new connection
+  Confirm(second);
+  CHECK(results.Pop()->post == 2);
+  client.Start(3, std::string(kBody), NotificationClient::Reuse::kForbidden);
+  Socket third = TakePost();  // though both were open
+  Confirm(third);
+  CHECK(results.Pop()->post == 3);
+}
+
 TEST_CASE_FIXTURE(ClientFixture, "posts go to another address once it is given") {
   client.Start(1, std::string(kBody));
   Socket first = TakePost();
