--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -143,6 +143,7 @@
   std::map<MessageId, Pending> pending_;
   std::set<MessageId> new_;   // of these, never posted
   std::set<Repeat> repeats_;  // the others
+  std::size_t rejected_ = 0;  // of these, those that were in a post that was rejected
   std::map<PostId, RunningPost> running_;
   PostId next_post_ = 1;
   Time last_start_{};
