--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -41,6 +41,17 @@
         )
         return successor
 
+    def start_without_address(self):
+        """A successor that has tried more than once to get the address, in vain.
+        The rule `address_rule` counts its tries."""
+        self.address_rule = self.successor_faults.fail("bind", rig.OBSERVE)
+        successor = self.launch(faults=self.successor_faults)
+        wait_for(
+            "a successor without the address",
+            lambda: self.successor_faults.hits(self.address_rule) > 1,
+        )
+        return successor
+
     def release(self, successor):
         self.successor_faults.end()
         self.await_serving(successor)
@@ -297,12 +308,7 @@
                 self.successor_faults.fail("flock", error)
                 predecessor = self.start()
                 self.accept()
-                taken = self.successor_faults.fail("bind", rig.OBSERVE)
-                successor = self.launch(faults=self.successor_faults)
-                wait_for(
-                    "a successor without the address",
-                    lambda: self.successor_faults.hits(taken) > 1,
-                )
+                successor = self.start_without_address()
                 self.accept()
                 predecessor.end()
                 self.await_serving(successor)
@@ -353,12 +359,7 @@
                 self.set_mode(Endpoint.REJECT)
                 predecessor = self.start_unlocked()
                 self.accept()
-                taken = self.successor_faults.fail("bind", rig.OBSERVE)
-                successor = self.launch(faults=self.successor_faults)
-                wait_for(
-                    "a successor without the address",
-                    lambda: self.successor_faults.hits(taken) > 1,
-                )
+                successor = self.start_without_address()
                 self.accept()
                 predecessor.end()
                 self.faults.end()
@@ -374,12 +375,7 @@
         predecessor = self.start_unlocked()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
             with self.subTest(number):
-                taken = self.successor_faults.fail("bind", rig.OBSERVE)
-                successor = self.launch(faults=self.successor_faults)
-                wait_for(
-                    "a successor without the address",
-                    lambda: self.successor_faults.hits(taken) > 1,
-                )
+                successor = self.start_without_address()
                 self.assertEqual(successor.end(number), 0)
                 self.successor_faults.end()
         self.accept()
@@ -389,14 +385,13 @@
 
     def test_the_address_is_waited_for_as_long_as_a_shutdown_takes(self):
         predecessor = self.start_unlocked()
-        taken = self.successor_faults.fail("bind", rig.OBSERVE)
-        successor = self.launch(faults=self.successor_faults)
+        successor = self.start_without_address()
         for seconds in (10, 20):  # as if so much time had passed
             self.successor_faults.step_monotonic_clock(seconds)
-            seen = self.successor_faults.hits(taken)
+            seen = self.successor_faults.hits(self.address_rule)
             wait_for(
                 "a further try",
-                lambda: self.successor_faults.hits(taken) > seen + 1
+                lambda: self.successor_faults.hits(self.address_rule) > seen + 1
                 or not successor.alive(),
             )
             self.assertTrue(successor.alive(), successor.log)
