Write the owner's note only once the listening address is owned too

A process wrote its note into STATE/owner as soon as it had the lock, while it still waited for its address. Beside a predecessor without a lock it overwrote the note of a living process and never read that one's last word; a start that did not get the address took the last word of its predecessor with it. FolderOwner::Lock now leaves the note as it is, and Acquire, which reads and writes it, comes behind both takeovers. The order of lock and address is as before.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -68,7 +68,7 @@
 
 // After a takeover that failed.
 std::string WhyUnavailable(FolderOwner& owner, const std::string& listen, int listen_error) {
-  if (owner.Acquire() != FileLock::Outcome::kTaken) {
+  if (owner.Lock() != FileLock::Outcome::kTaken) {
     return "cannot listen on " + listen + ": " + std::strerror(listen_error);
   }
   return "state folder " + owner.folder() + " is owned by process " +
--- a/src/cli/state_takeover.cpp
+++ b/src/cli/state_takeover.cpp
@@ -67,19 +67,16 @@
         predecessor.open_messages ? std::to_string(*predecessor.open_messages) : "unknown"}});
 }
 
-// kDone also where the folder can't be locked for now.
-TakeoverOutcome TakeOverFolder(FolderOwner& owner, const Wait& wait) {
+// kDone also where the folder can't be locked for now. Leaves the owner's note as it is.
+TakeoverOutcome LockFolder(FolderOwner& owner, const Wait& wait) {
   bool logged = false;
   while (true) {
-    const FileLock::Outcome outcome = owner.Acquire();
+    const FileLock::Outcome outcome = owner.Lock();
     if (outcome == FileLock::Outcome::kUnsupported) {
       observe::Log(Concern::kService, Level::kError, "state folder has no locks",
                    {{"state", owner.folder()}});
     }
-    if (FolderOwner::IsOwned(outcome)) {
-      LogOwned(owner, wait.elapsed());
-      return TakeoverOutcome::kDone;
-    }
+    if (FolderOwner::IsOwned(outcome)) return TakeoverOutcome::kDone;
     if (outcome == FileLock::Outcome::kFailed) {
       observe::CountSystemCallFailure("flock", errno);
       observe::Log(Concern::kService, Level::kError, "state folder cannot be locked yet",
@@ -119,9 +116,14 @@
 
 Takeover TakeOver(FolderOwner& owner, const std::string& listen, milliseconds limit) {
   const Wait wait(limit);
-  const TakeoverOutcome folder = TakeOverFolder(owner, wait);
+  const TakeoverOutcome folder = LockFolder(owner, wait);
   if (folder != TakeoverOutcome::kDone) return {.outcome = folder};
-  return TakeOverAddress(listen, wait);
+  const milliseconds waited_for_folder = wait.elapsed();
+  Takeover takeover = TakeOverAddress(listen, wait);
+  if (takeover.outcome == TakeoverOutcome::kDone && owner.Owns()) {
+    LogOwned(owner, waited_for_folder);
+  }
+  return takeover;
 }
 
 }  // namespace brassfront
--- a/src/cli/state_takeover.hpp
+++ b/src/cli/state_takeover.hpp
@@ -2,8 +2,8 @@
 // be there, serving or in its graceful shutdown.
 //
 // Two things have one owner: the state folder (spool/folder_owner.hpp) and the listening address.
-// Nothing in the folder is touched before both are this process's, so that a predecessor of a
-// version that knows no lock is waited for as well.
+// Nothing in the folder is touched before both are this process's, not even the owner's note, so
+// that a predecessor of a version that knows no lock is waited for as well.
 #ifndef BRASSFRONT_CLI_STATE_TAKEOVER_HPP_
 #define BRASSFRONT_CLI_STATE_TAKEOVER_HPP_
 
--- a/src/spool/folder_owner.cpp
+++ b/src/spool/folder_owner.cpp
@@ -44,17 +44,28 @@
 
 }  // namespace
 
+FileLock::Outcome FolderOwner::Lock() {
+  const std::lock_guard lock(mutex_);
+  return LockOnce();
+}
+
 FileLock::Outcome FolderOwner::Acquire() {
   const std::lock_guard lock(mutex_);
-  if (owned_as_) return *owned_as_;
-  const FileLock::Outcome outcome = lock_.TryLock(path());
-  if (!IsOwned(outcome)) return outcome;
-  owned_as_ = outcome;
+  const FileLock::Outcome outcome = LockOnce();
+  if (!IsOwned(outcome) || has_note_) return outcome;
+  has_note_ = true;
   predecessor_ = ReadNote(path());
   Write({.process_id = getpid(), .open_messages = std::nullopt});
   return outcome;
 }
 
+FileLock::Outcome FolderOwner::LockOnce() {
+  if (locked_as_) return *locked_as_;
+  const FileLock::Outcome outcome = lock_.TryLock(path());
+  if (IsOwned(outcome)) locked_as_ = outcome;
+  return outcome;
+}
+
 OwnerNote FolderOwner::predecessor() const {
   const std::lock_guard lock(mutex_);
   return predecessor_;
@@ -64,7 +75,7 @@
 
 void FolderOwner::RecordEnd(std::size_t open_messages) {
   const std::lock_guard lock(mutex_);
-  if (owned_as_) Write({.process_id = getpid(), .open_messages = open_messages});
+  if (has_note_) Write({.process_id = getpid(), .open_messages = open_messages});
 }
 
 // One that fails leaves the note empty or torn, which says nothing to anyone.
--- a/tests/faults/ownership_test.py
+++ b/tests/faults/ownership_test.py
@@ -7,6 +7,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -52,6 +53,15 @@
         )
         return successor
 
+    def note(self):
+        """What the owner of the folder has written into its file."""
+        return (self.state / "owner").read_text()
+
+    def assert_takes_over_note(self, successor, process, open_messages):
+        """The successor has read this last word of its predecessor."""
+        told = "predecessor=%d predecessor_open=%s" % (process.pid, open_messages)
+        wait_for("the note", lambda: any(told in line for line in successor.log))
+
     def release(self, successor):
         self.successor_faults.end()
         self.await_serving(successor)
@@ -308,7 +318,9 @@
                 self.successor_faults.fail("flock", error)
                 predecessor = self.start()
                 self.accept()
+                before = self.note()
                 successor = self.start_without_address()
+                self.assertEqual(self.note(), before)
                 self.accept()
                 predecessor.end()
                 self.await_serving(successor)
@@ -371,6 +383,52 @@
                 self.assert_all_end_once()
                 last.end()
 
+    # Guards against a successor that overwrites the note of a predecessor which lives,
+    # and so never learns how many messages that one has left open.
+    def test_a_successor_leaves_the_note_of_a_living_predecessor(self):
+        for number in range(ROUNDS):
+            with self.subTest(round=number):
+                self.set_mode(Endpoint.REJECT)
+                predecessor = self.start_unlocked()
+                self.accept()
+                before = self.note()
+                self.assertIn("pid %d\n" % predecessor.process.pid, before)
+                successor = self.start_without_address()
+                self.assertEqual(self.note(), before)
+                self.assertEqual(predecessor.end(signal.SIGTERM), 0)
+                self.faults.end()
+                self.successor_faults.end()
+                self.await_serving(successor)
+                self.assert_takes_over_note(successor, predecessor.process, 3)
+                self.assert_all_end_once()
+                successor.end()
+                self.accepted.clear()
+
+    # Guards against a start that locks the folder, does not get the address, and takes
+    # the last word of its predecessor with it.
+    def test_a_start_without_the_address_leaves_the_last_word(self):
+        self.set_mode(Endpoint.REJECT)
+        predecessor = self.start()
+        self.accept()
+        self.assertEqual(predecessor.end(signal.SIGTERM), 0)
+        before = self.note()
+        self.assertIn("open 3\n", before)
+        host, port = self.listen.split(":")
+        with socket.create_server((host, int(port))):
+            stopped = self.start_without_address()
+            self.assertEqual(self.note(), before)
+            self.assertEqual(stopped.end(signal.SIGTERM), 0)
+            self.successor_faults.end()
+            late = self.start_without_address()
+            self.successor_faults.step_monotonic_clock(60)
+            status = late.process.wait(timeout=rig.LIMIT)
+            self.assertEqual(status, os.EX_UNAVAILABLE)
+            self.assertEqual(self.note(), before)
+        successor = self.start()
+        self.assert_takes_over_note(successor, predecessor.process, 3)
+        self.assert_all_end_once()
+        successor.end()
+
     def test_a_successor_that_waits_for_the_address_ends_on_a_signal(self):
         predecessor = self.start_unlocked()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
--- a/tests/network/folder_owner_test.cpp
+++ b/tests/network/folder_owner_test.cpp
@@ -56,6 +56,37 @@
   CHECK(fs::file_size(folder.path + "/owner") <= FolderOwner::kMaxBytesOnDisk);
 }
 
+// Guards against a process that has locked the folder, but waits for its address, taking the last
+// word of its predecessor away.
+TEST_CASE("a lock alone leaves the predecessor's note as it is") {
+  const StateFolder folder;
+  {
+    FolderOwner owner(folder.path);
+    REQUIRE(owner.Acquire() == Outcome::kHeld);
+    owner.RecordEnd(7);
+  }
+  {
+    FolderOwner waits_in_vain(folder.path);
+    REQUIRE(waits_in_vain.Lock() == Outcome::kHeld);
+    waits_in_vain.RecordEnd(0);  // it has nothing to say
+  }
+  FolderOwner owner(folder.path);
+  REQUIRE(owner.Lock() == Outcome::kHeld);
+  CHECK(owner.ReadHolder().open_messages == 7);
+  REQUIRE(owner.Acquire() == Outcome::kHeld);
+  CHECK(owner.predecessor().open_messages == 7);
+}
+
+TEST_CASE("a predecessor's note is read behind its end, not when the folder was locked") {
+  const StateFolder folder;
+  FolderOwner owner(folder.path);
+  REQUIRE(owner.Lock() == Outcome::kHeld);
+  std::ofstream(folder.path + "/owner") << "pid 12\nopen 3\n";  // of one without a lock
+  REQUIRE(owner.Acquire() == Outcome::kHeld);
+  CHECK(owner.predecessor().process_id == 12);
+  CHECK(owner.predecessor().open_messages == 3);
+}
+
 TEST_CASE("a note that can't be understood says nothing") {
   for (const char* text : {"", "pid", "pid x", "open", "\0\1", "open 5x pid 3"}) {
     const StateFolder folder;
