Answer clients that have ended their sending and still read

Acknowledge took a client that had half-closed its connection for one that has closed: its message was cancelled and the connection ended with no answer, and so did the commands behind it in the same connection. The two look the same, and the message of one that has closed must not be delivered; so the message is still cancelled, but the client is told so with -BUSY, which it may repeat, and the commands behind it are executed.

New acknowledge_test.py (FaultAcknowledge) plays clients that half-close, close, reset and pipeline, with send and getsockopt failing: 3 of 13 cases fail on the program before (no answer to a half-closed client, with the command alone, during its record, and with 4 commands and PING pipelined), 13 of 13 pass now. No message whose client has the whole +OK was cancelled, before or after. brassfront_network_tests 232 of 232.

--- a/src/net/client_commands.cpp
+++ b/src/net/client_commands.cpp
@@ -113,17 +113,20 @@
 }
 
 // A client that has closed meanwhile may submit the message again under a new id, so this one must
-// not be delivered. The reply is written at once: the message waits for it.
+// not be delivered. A client that has only ended its sending looks the same and still reads: it is
+// told that the message is rejected. The reply is written at once: the message waits for it.
 std::optional<CloseReason> ClientCommands::Acknowledge(ClientConnection& connection,
                                                        std::uint64_t message) const {
-  const bool acknowledged = !connection.socket.PeerHasEnded() &&
-                            AppendReply(connection, RespSimple("OK")) && FlushReplies(connection);
-  if (!acknowledged) {
+  const bool accepted = !connection.socket.PeerHasEnded();
+  const std::string reply = accepted ? RespSimple("OK") : RespError("BUSY", "");
+  const bool replied = AppendReply(connection, reply) && FlushReplies(connection);
+  if (accepted && replied) {
+    acceptor_.OnAcknowledged(message);
+  } else {
     acceptor_.OnClientDisconnected(message);
-    return CloseReason::kClientGone;
   }
-  acceptor_.OnAcknowledged(message);
-  return std::nullopt;
+  if (replied) return std::nullopt;
+  return CloseReason::kClientGone;
 }
 
 std::optional<CloseReason> ClientCommands::ReplyInvalid(ClientConnection& connection,
--- /dev/null
+++ b/tests/faults/acknowledge_test.py
@@ -0,0 +1,262 @@
+"""The acknowledgement of an accepted message, to clients that leave around it.
+
+A client that has read the whole `+OK` is owed the message's end. One that still reads
+gets an answer to each command that was read, also where it has ended its sending.
+"""
+
+import socket
+import struct
+import unittest
+import uuid
+
+import rig
+import toy_server
+from rig import FaultTest, wait_for
+
+# The states of TCP once the peer has confirmed the end of our sending: FIN_WAIT2, and
+# TIME_WAIT and CLOSE once it has ended its own.
+CONFIRMED_STATES = (5, 6, 7)
+LEFT_MS = 20000
+
+
+def end_sending(client):
+    """Half-closes the connection; the forwarder's system knows that at the return."""
+    client.socket.shutdown(socket.SHUT_WR)
+
+    def is_confirmed():
+        info = client.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] in CONFIRMED_STATES
+
+    wait_for("the confirmation of our end", is_confirmed)
+
+
+def reset(client):
+    linger = struct.pack("ii", 1, 0)  # on, for 0 s: a reset in place of an end
+    client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    client.close()
+
+
+def read_all(client):
+    """The lines of all replies up to the end of the connection."""
+    try:
+        return client.file.read().decode().splitlines()
+    except ConnectionResetError:
+        return ["reset"]
+
+
+class AcknowledgeTest(FaultTest):
+    def setUp(self):
+        super().setUp()
+        self.config["admin"] = rig.free_address()
+
+    def connect(self):
+        client = toy_server.Client(self.listen, timeout=rig.LIMIT)
+        self.addCleanup(client.close)
+        return client
+
+    def send_put(self, client):
+        """Sends one command and returns the message's id."""
+        message = uuid.uuid4().hex[:16]
+        fields = "c=plan-event,t=acme,d=%d,k=%s,dest=%d"
+        fields %= (LEFT_MS, uuid.uuid4().hex[:16], rig.DESTINATION)
+        client.send("MSG.PUT", "0" * 16, message, fields, "body")
+        return message
+
+    def judge(self, message, reply):
+        """Whether the reply says that the message is owed; it is waited for then."""
+        self.assertRegex(reply, r"^(\+OK|-BUSY( \d+)?)$", message)
+        if reply == "+OK":
+            self.accepted.append(message)
+        return reply == "+OK"
+
+    def await_none_in_flight(self):
+        def none():
+            _, metrics = rig.admin_call(self.config["admin"], "GET", "/metrics")
+            return "brassfront_messages_in_flight 0" in metrics.splitlines()
+
+        wait_for("all messages to end", none)
+
+    def assert_owed_end(self):
+        self.assert_all_end()
+        self.await_none_in_flight()
+        self.faults.end()
+
+
+class HalfClosedTest(AcknowledgeTest):
+    """Clients that end their sending right behind the command and read the answer."""
+
+    def assert_not_delivered(self, messages):
+        """Those that were refused; what was accepted has ended by now."""
+        self.await_none_in_flight()
+        for message in messages:
+            self.assertEqual(self.calls_of(message), [])
+
+    # Guards against a connection that ends without an answer to a command that was read.
+    def test_a_client_that_ends_its_sending_gets_an_answer(self):
+        self.start()
+        refused = []
+        for _ in range(20):
+            client = self.connect()
+            message = self.send_put(client)
+            end_sending(client)
+            if not self.judge(message, client.read()):
+                refused.append(message)
+            self.assertEqual(client.read(), "")
+        self.assert_owed_end()
+        self.assert_not_delivered(refused)
+
+    # Guards against the same where the end comes while the message is being recorded.
+    def test_a_client_that_ends_its_sending_during_the_record_gets_an_answer(self):
+        self.start()
+        held = self.faults.fail("pwrite", rig.HOLD_BEFORE)
+        client = self.connect()
+        message = self.send_put(client)
+        wait_for("the record", lambda: self.faults.hits(held) > 0)
+        end_sending(client)
+        self.faults.end()
+        owed = self.judge(message, client.read())
+        self.assert_owed_end()
+        self.assert_not_delivered([] if owed else [message])
+
+    # Guards against the commands behind the first one being left without an answer.
+    def test_each_of_several_commands_gets_an_answer(self):
+        self.start()
+        held = self.faults.fail("pwrite", rig.HOLD_BEFORE)
+        client = self.connect()
+        messages = [self.send_put(client) for _ in range(4)]
+        client.send("PING")
+        wait_for("the first record", lambda: self.faults.hits(held) > 0)
+        end_sending(client)
+        self.faults.end()
+        replies = read_all(client)
+        self.assertEqual(len(replies), 5, replies)
+        refused = [m for m, r in zip(messages, replies) if not self.judge(m, r)]
+        self.assertEqual(replies[-1], "+PONG")
+        self.assert_owed_end()
+        self.assert_not_delivered(refused)
+
+    def test_a_connection_whose_state_cannot_be_told_gets_an_answer(self):
+        self.start()
+        for error in ("ENOBUFS", "EINVAL", "ENOMEM"):
+            with self.subTest(error):
+                rule = self.faults.fail("getsockopt", error)
+                client = self.connect()
+                message = self.send_put(client)
+                end_sending(client)
+                self.judge(message, client.read())
+                self.assertGreater(self.faults.hits(rule), 0)
+                self.assert_owed_end()
+
+
+class LeavingTest(AcknowledgeTest):
+    """Clients that are gone as soon as they have read `+OK`."""
+
+    def leave_behind(self, leave):
+        self.start()
+        for _ in range(20):
+            client = self.connect()
+            message = self.send_put(client)
+            owed = self.judge(message, client.read())
+            leave(client)
+            self.assertTrue(owed)
+        self.assert_owed_end()
+
+    def leave_before_the_send_returns(self, leave):
+        """The forwarder knows of its reply only once the client is gone."""
+        self.start()
+        for _ in range(5):
+            client = self.connect()
+            held = self.faults.fail("send", rig.HOLD_AFTER, times=1)
+            message = self.send_put(client)
+            self.assertTrue(self.judge(message, client.read()))
+            self.assertEqual(self.faults.hits(held), 1)
+            leave(client)
+            self.faults.end()
+            self.assert_owed_end()
+
+    def test_a_client_that_closes_behind_its_answer(self):
+        self.leave_behind(toy_server.Client.close)
+
+    def test_a_client_that_resets_behind_its_answer(self):
+        self.leave_behind(reset)
+
+    def test_a_client_that_closes_before_the_send_returns(self):
+        self.leave_before_the_send_returns(toy_server.Client.close)
+
+    def test_a_client_that_resets_before_the_send_returns(self):
+        self.leave_before_the_send_returns(reset)
+
+    def test_a_client_that_leaves_with_its_answers_unread(self):
+        self.start()
+        for leave in (toy_server.Client.close, reset):
+            for commands in (1, 4):
+                with self.subTest(leave=leave.__name__, commands=commands):
+                    client = self.connect()
+                    for _ in range(commands):
+                        self.send_put(client)
+                    leave(client)
+                    self.put_accepted()
+                    self.assert_owed_end()
+
+    def test_pipelined_commands_of_a_client_that_leaves_behind_the_first_answers(self):
+        self.start()
+        for leave in (toy_server.Client.close, reset):
+            for read in range(1, 5):
+                with self.subTest(leave=leave.__name__, read=read):
+                    client = self.connect()
+                    messages = [self.send_put(client) for _ in range(4)]
+                    for message in messages[:read]:
+                        self.judge(message, client.read())
+                    leave(client)
+                    self.assert_owed_end()
+
+
+class FailingReplyTest(AcknowledgeTest):
+    """The reply's own system calls fail."""
+
+    def test_a_reply_that_is_written_in_parts(self):
+        self.start()
+        self.faults.fail("send", rig.SHORT, bytes_moved=1)
+        for commands in (1, 4):
+            with self.subTest(commands=commands):
+                client = self.connect()
+                messages = [self.send_put(client) for _ in range(commands)]
+                for message in messages:
+                    self.assertTrue(self.judge(message, client.read()))
+        self.assert_owed_end()
+
+    def test_a_reply_that_fails_for_a_moment(self):
+        self.start()
+        for error in ("EINTR", "EAGAIN", "ENOBUFS", "ENOMEM"):
+            for leave in (toy_server.Client.close, reset, end_sending):
+                with self.subTest(error=error, leave=leave.__name__):
+                    rule = self.faults.fail("send", error, times=3)
+                    client = self.connect()
+                    messages = [self.send_put(client) for _ in range(2)]
+                    for message in messages:
+                        self.assertTrue(self.judge(message, client.read()))
+                    leave(client)
+                    self.assertGreater(self.faults.hits(rule), 0)
+                    self.assert_owed_end()
+
+    def test_a_reply_that_breaks_off_is_never_completed(self):
+        """Part of it was written: the client must not read a whole `+OK`."""
+        self.start()
+        for error in ("EPIPE", "ECONNRESET", "ENOBUFS"):
+            for part in (0, 1, 4):
+                with self.subTest(error=error, part=part):
+                    if part:
+                        self.faults.fail("send", rig.SHORT, bytes_moved=part, times=1)
+                    rule = self.faults.fail("send", error)
+                    client = self.connect()
+                    message = self.send_put(client)
+                    reply = client.file.read().decode()
+                    self.faults.end()
+                    self.assertGreater(self.faults.hits(rule), 0)
+                    self.assertEqual(reply, "+OK\r\n"[:part])
+                    self.await_none_in_flight()
+                    self.assertEqual(self.calls_of(message), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
