Give messages an end whose record changes after the file was read

Recover reported such a message once and left it out for good: accepted, neither delivered nor notified, and still open in the totals at the exit. Where the changed record could be decoded, the message was even delivered with its changed body, as its checksum was not looked at again. The spool now keeps each open message's client id in memory from the first read. A record that is no longer what it was is kept in spool.cut and replaced, by a compaction, by one with that id and no class, which the policy gives up with its notification. It is named in the log and counted as spool_unreadable_messages_total. As the id is always known, no message has to be finished without a notification.

With the spool before, 6 of 6 new cases of spool_test.cpp and the new case of state_test.py (a byte of a stored body changed behind the read) fail; now brassfront_network_tests 238 of 238, brassfront_salvage_tests 5 of 5, the case of state_test.py passes.

--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "observe/metrics.hpp"
+
 namespace brassfront {
 namespace {
 
@@ -40,6 +42,17 @@
   return records;
 }
 
+// From a stored MessageAccepted record; none if it is damaged, or the record of something else.
+std::optional<SpooledMessage> DecodeAccepted(SpoolId number, std::string_view stored) {
+  const auto header = spool::DecodeFrameHeader(stored.substr(0, spool::kFrameBytes));
+  const std::string_view payload = stored.substr(spool::kFrameBytes);
+  if (!spool::IsIntact(header, payload)) return std::nullopt;
+  auto record = spool::DecodePayload(payload);
+  auto* accepted = record ? std::get_if<spool::MessageAccepted>(&*record) : nullptr;
+  if (accepted == nullptr || accepted->number != number) return std::nullopt;
+  return std::move(accepted->message);
+}
+
 }  // namespace
 
 Spool::Spool(FolderOwner& owner, std::size_t disk_bytes, Report report)
@@ -119,32 +132,51 @@
 
 std::vector<RecoveredMessage> Spool::Recover() {
   std::vector<RecoveredMessage> recovered;
+  bool has_replaced = false;
   for (const SpoolId number : std::exchange(unrecovered_, {})) {
     const auto found = open_messages_.find(number);
     if (found == open_messages_.end()) continue;
-    const OpenMessage& open = found->second;
-    const std::size_t payload_bytes = open.record_bytes - spool::kFrameBytes;
-    const auto payload = file_.Read(open.offset + spool::kFrameBytes, payload_bytes);
-    if (!payload && errno != 0) {
+    OpenMessage& open = found->second;
+    const auto stored = file_.Read(open.offset, open.record_bytes);
+    if (!stored && errno != 0) {
       unrecovered_.insert(number);
       continue;
     }
-    auto record = payload ? spool::DecodePayload(*payload) : std::nullopt;
-    auto* accepted = record ? std::get_if<spool::MessageAccepted>(&*record) : nullptr;
-    if (accepted == nullptr) {
-      report_("spool: a message could not be read again");
-      continue;
+    auto message = stored ? DecodeAccepted(number, *stored) : std::nullopt;
+    if (!message) {
+      report_("spool: message could not be read again: id=" + open.client_id);
+      if (owner_ == nullptr) continue;
+      message = ReplaceRecord(number, open);
+      has_replaced = true;
     }
-    recovered.push_back({number, std::move(accepted->message), open.attempts});
+    recovered.push_back({number, std::move(*message), open.attempts});
     // It becomes this attempt before any other record is written.
     if (open.attempt_may_be_lost) {
       recovered.back().attempts.push_back(
           {.endpoint = kUnknownEndpoint, .started_at = latest_time_});
     }
   }
+  if (has_replaced) static_cast<void>(Prepare());
   return recovered;
 }
 
+// What is left of a message whose record was intact when the file was read, and is not any more:
+// enough to give it up. The next compaction writes that in place of the record, whose bytes are
+// kept beside the spool before.
+SpooledMessage Spool::ReplaceRecord(SpoolId number, OpenMessage& open) {
+  observe::Count("spool_unreadable_messages_total");
+  SpooledMessage message;
+  message.id = open.client_id;
+  message.deadline = Now();
+  damaged_.push_back({open.offset, open.record_bytes});
+  compaction_is_due_ = true;
+  compacted_bytes_ -= open.record_bytes;
+  open.replacement = spool::Encode(spool::MessageAccepted{number, message});
+  open.record_bytes = open.replacement.size();
+  compacted_bytes_ += open.record_bytes;
+  return message;
+}
+
 bool Spool::Accept(SpoolId number, const SpooledMessage& message) {
   return Append(spool::MessageAccepted{number, message}, Space::kUnreserved);
 }
@@ -237,8 +269,11 @@
 
 bool Spool::Apply(const spool::MessageAccepted& record, const Extent& extent) {
   next_number_ = std::max(next_number_, record.number + 1);
-  const OpenMessage opened{extent.offset, extent.bytes, {}};
-  if (!open_messages_.emplace(record.number, opened).second) return false;
+  OpenMessage opened;
+  opened.offset = extent.offset;
+  opened.record_bytes = extent.bytes;
+  opened.client_id = record.message.id;
+  if (!open_messages_.emplace(record.number, std::move(opened)).second) return false;
   compacted_bytes_ += extent.bytes;
   return true;
 }
@@ -309,21 +344,24 @@
   return true;
 }
 
-// Writes the first bytes of the damaged places to a file of their own, for people to look at. False
-// if they can't be read or kept now, for which there is another time; a full disk is not waited
-// for.
+// Writes the first bytes of the damaged places to a file of their own, for people to look at,
+// behind those that this process has kept before. False if they can't be read or kept now, for
+// which there is another time; a full disk is not waited for.
 bool Spool::KeepDamaged() {
+  const std::size_t begin = has_kept_ ? std::min(kept_bytes_, kMaxKeptBytes) : 0;
   std::string kept_text;
   for (const Extent& extent : damaged_) {
     const auto bytes =
-        file_.Read(extent.offset, std::min(extent.bytes, kMaxKeptBytes - kept_text.size()));
+        file_.Read(extent.offset, std::min(extent.bytes, kMaxKeptBytes - begin - kept_text.size()));
     if (!bytes && errno != 0) return false;
     if (bytes) kept_text += *bytes;
   }
-  File kept = File::OpenEmpty(folder_ + kKeptFileName);
+  const std::string path = folder_ + kKeptFileName;
+  File kept = has_kept_ ? File::Open(path) : File::OpenEmpty(path);
   if (!kept.is_open()) return false;
-  if (!kept.Write(0, kept_text)) return errno == ENOSPC || errno == EDQUOT;
-  kept_bytes_ = kept_text.size();
+  if (!kept.Write(begin, kept_text)) return errno == ENOSPC || errno == EDQUOT;
+  kept_bytes_ = begin + kept_text.size();
+  has_kept_ = true;
   return true;
 }
 
@@ -403,7 +441,8 @@
   for (const auto& [number, open] : open_messages_) {
     if (!written) break;
     offsets[number] = size;
-    const auto accepted = file_.Read(open.offset, open.record_bytes);
+    const auto accepted = open.replacement.empty() ? file_.Read(open.offset, open.record_bytes)
+                                                   : std::optional(open.replacement);
     written = accepted && write(*accepted) && write(EncodeAttempts(number, open.attempts));
   }
   if (!written || std::rename(path.c_str(), (folder_ + kFileName).c_str()) != 0) {
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -64,8 +64,9 @@
   [[nodiscard]] bool is_available() const { return file_.is_open(); }
 
   // The messages that are not finished and were not returned before, in the order of acceptance.
-  // Their bodies are read from the file here; one whose read fails is left for the next call, one
-  // that can't be decoded is reported and left out.
+  // Their bodies are read from the file here; one whose read fails is left for the next call. One
+  // whose record is no longer what it was is reported and returned with its client's id alone: it
+  // has no class, and its time is over. For inspection it is left out.
   [[nodiscard]] std::vector<RecoveredMessage> Recover();
 
   // False if the message can't be stored: it must be rejected then. `number` must be new.
@@ -94,8 +95,10 @@
   struct OpenMessage {
     std::size_t offset = 0;        // of its MessageAccepted record
     std::size_t record_bytes = 0;  // of that record, the frame included
+    std::string client_id;
     std::vector<SpooledAttempt> attempts;
     bool attempt_may_be_lost = false;  // in a damaged place, and that is not recorded yet
+    std::string replacement;  // of that record, for the next compaction; empty: it is intact
   };
   using Extent = spool::Extent;
   // An outcome of an attempt that could not be recorded yet.
@@ -115,6 +118,7 @@
   [[nodiscard]] bool LoadRecords(std::size_t begin);
   void NoteDamage(const Extent& extent);
   void NoteTornTail(const Extent& extent);
+  [[nodiscard]] SpooledMessage ReplaceRecord(SpoolId number, OpenMessage& open);
 
   // ---- what a record changes; false if it contradicts the records before it ----
   bool Apply(const spool::MessageAccepted& record, const Extent& extent);
@@ -149,6 +153,7 @@
   std::vector<Extent> damaged_;     // not kept beside the spool yet
   bool compaction_is_due_ = false;  // to remove damaged places between the records
   std::size_t kept_bytes_ = 0;      // of the file beside the spool
+  bool has_kept_ = false;           // that file is of this process
   bool header_is_due_ = false;
   bool anchor_is_due_ = false;
   SpoolClock clock_;
--- a/tests/faults/state_test.py
+++ b/tests/faults/state_test.py
@@ -87,6 +87,39 @@
                 forwarder.end(signal.SIGTERM)
                 self.accepted.clear()
 
+    # Guards against an accepted message without an end: its record was intact when the
+    # file was read, and is not when the message is restored.
+    def test_a_record_that_changes_behind_the_read_ends_with_a_notice(self):
+        self.config["admin"] = rig.free_address()  # its file is opened behind the read
+        path = self.state / "spool"
+        for opens in range(20):
+            others = self.owe()
+            (message,) = self.owe(1, body="before")
+            held = self.faults.fail("open", rig.HOLD_BEFORE, skip=opens)
+            forwarder = self.launch()
+            wait_for("a held open", lambda: self.faults.hits(held) > 0)
+            path.write_bytes(path.read_bytes().replace(b"before", b"behind"))
+            self.faults.end()
+            self.await_serving(forwarder)
+            for other in others:
+                wait_for("the call", lambda: self.calls_of(other))
+            again = "could not be read again: id=" + message
+            if any(again in line for line in forwarder.log):
+                break
+            self.assertTrue(any("spool damaged" in line for line in forwarder.log))
+            forwarder.end()  # it was held too early: the file was not read yet
+        wait_for("the notice", lambda: self.notices_of(message))
+        self.assertEqual(self.calls_of(message), [])
+        self.assertIn(b"behind", (self.state / "spool.cut").read_bytes())
+        self.put_accepted()
+        forwarder.end(signal.SIGTERM)
+        totals = "notified=1 cancelled=0 open=0"
+        wait_for("the totals", lambda: any(totals in line for line in forwarder.log))
+        self.assertFalse(any("do not agree" in line for line in forwarder.log))
+        second = self.start()
+        self.assertFalse(any("spool differs" in line for line in second.log))
+        self.assertFalse(any("spool damaged" in line for line in second.log))
+
     def test_a_file_that_is_no_spool_is_kept_aside(self):
         (self.state / "spool").write_bytes(b"something else of the operators'")
         self.start()
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -197,6 +197,132 @@
   CHECK_FALSE(fs::exists(folder.path() + "/spool.new"));
 }
 
+// Three stored messages, and where the second one's record lies.
+struct StoredMessages {
+  explicit StoredMessages(const Folder& folder) {
+    Spool spool = Open(folder);
+    REQUIRE(spool.Accept(1, Message("first")));
+    begin = spool.file_bytes();
+    REQUIRE(spool.Accept(2, Message("second")));
+    end = spool.file_bytes();
+    REQUIRE(spool.Accept(3, Message("third")));
+  }
+  std::size_t begin = 0;
+  std::size_t end = 0;
+};
+
+std::string ReadKept(const Folder& folder) {
+  std::ifstream in(folder.path() + "/spool.cut", std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+// Checks what Recover returned: the second message with its client's id alone, the others whole.
+void CheckSecondIsGivenUp(const Spool& spool, const std::vector<RecoveredMessage>& recovered) {
+  REQUIRE(recovered.size() == 3);
+  CHECK(recovered[0].message.body == std::string(10, 'b'));
+  CHECK(recovered[1].spool_id == 2);
+  CHECK(recovered[1].message.id == "second");
+  CHECK(recovered[1].message.class_name.empty());
+  CHECK(recovered[1].message.body.empty());
+  CHECK(recovered[1].message.deadline <= spool.Now());
+  CHECK(recovered[2].message.body == std::string(10, 'b'));
+}
+
+// Guards against an accepted message without an end, and against one that is delivered changed.
+TEST_CASE("a record that changes after the file was read leaves a message to be given up") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  const std::string whole = folder.Read();
+  for (std::size_t at = stored.begin; at < stored.end; ++at) {
+    folder.Write(whole);
+    int reports = 0;
+    Spool spool = Open(folder, &reports);
+    std::string changed = whole;
+    changed[at] = static_cast<char>(changed[at] ^ 0x40);
+    folder.Write(changed);
+    CheckSecondIsGivenUp(spool, spool.Recover());
+    CHECK(reports == 1);
+    CHECK(spool.CountStoredOpen() == 3);
+    CHECK(ReadKept(folder) == changed.substr(stored.begin, stored.end - stored.begin));
+    spool.Finish(2);
+    CHECK(spool.CountStoredOpen() == 2);
+  }
+}
+
+// Guards against the message being lost where the process ends before it was given up.
+TEST_CASE("a message to be given up is still that at the next start") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  {
+    Spool spool = Open(folder);
+    std::string changed = folder.Read();
+    changed[stored.end - 1] = 'x';
+    folder.Write(changed);
+    REQUIRE(spool.Recover().size() == 3);
+  }
+  int reports = 0;
+  Spool spool = Open(folder, &reports);
+  CheckSecondIsGivenUp(spool, spool.Recover());
+  CHECK(reports == 0);
+}
+
+TEST_CASE("a file that is cut short after it was read leaves messages to be given up") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  Spool spool = Open(folder);
+  fs::resize_file(folder.file(), stored.begin + 3);
+  const auto recovered = spool.Recover();
+  REQUIRE(recovered.size() == 3);
+  CHECK(recovered[0].message.class_name == "c");
+  CHECK(recovered[1].message.class_name.empty());
+  CHECK(recovered[2].message.class_name.empty());
+  CHECK(recovered[2].message.id == "third");
+  CHECK(spool.CountStoredOpen() == 3);
+}
+
+TEST_CASE("a message to be given up ends though the file can't be compacted") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  {
+    Spool spool = Open(folder);
+    std::string changed = folder.Read();
+    changed[stored.end - 1] = 'x';
+    folder.Write(changed);
+    fs::create_directory(folder.path() + "/spool.new");
+    CheckSecondIsGivenUp(spool, spool.Recover());
+    for (SpoolId number = 1; number <= 3; ++number) spool.Finish(number);
+    CHECK(spool.open_messages() == 0);
+  }
+  CHECK(Open(folder).open_messages() == 0);
+}
+
+TEST_CASE("damage that is found later is kept behind what was found first") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  const std::string whole = folder.Read();
+  folder.Write(whole + "torn");
+  Spool spool = Open(folder);
+  std::string changed = whole;
+  changed[stored.end - 1] = 'x';
+  folder.Write(changed);
+  CheckSecondIsGivenUp(spool, spool.Recover());
+  CHECK(ReadKept(folder) == "torn" + changed.substr(stored.begin, stored.end - stored.begin));
+}
+
+TEST_CASE("an inspection leaves out a record that changes meanwhile, and the file as it is") {
+  const Folder folder;
+  const StoredMessages stored(folder);
+  int reports = 0;
+  Spool spool = Spool::OpenToRead(folder.path(), [&](const std::string&) { ++reports; });
+  std::string changed = folder.Read();
+  changed[stored.end - 1] = 'x';
+  folder.Write(changed);
+  CHECK(spool.Recover().size() == 2);
+  CHECK(reports == 1);
+  CHECK(folder.Read() == changed);
+  CHECK_FALSE(fs::exists(folder.path() + "/spool.cut"));
+}
+
 TEST_CASE("reading a spool leaves its file as it is") {
   const Folder folder;
   REQUIRE(Open(folder).Accept(1, Message("1")));
