--- a/tests/faults/acknowledge_test.py
+++ b/tests/faults/acknowledge_test.py
@@ -91,7 +91,7 @@
         for message in messages:
             self.assertEqual(self.calls_of(message), [])
 
-    # Guards against a connection that ends without an answer to a command that was read.
+    # Guards against a connection that ends with no answer to a command that was read.
     def test_a_client_that_ends_its_sending_gets_an_answer(self):
         self.start()
         refused = []
--- a/tests/faults/state_test.py
+++ b/tests/faults/state_test.py
@@ -87,6 +87,11 @@
                 forwarder.end(signal.SIGTERM)
                 self.accepted.clear()
 
+    def bodies_of(self, message):
+        """What the endpoints were sent of the message, by any process."""
+        calls = [call for e in self.endpoints.values() for call in list(e.calls)]
+        return {call["body"] for call in calls if call["id"] == message}
+
     # Guards against an accepted message without an end: its record was intact when the
     # file was read, and is not when the message is restored.
     def test_a_record_that_changes_behind_the_read_ends_with_a_notice(self):
@@ -109,7 +114,8 @@
             self.assertTrue(any("spool damaged" in line for line in forwarder.log))
             forwarder.end()  # it was held too early: the file was not read yet
         wait_for("the notice", lambda: self.notices_of(message))
-        self.assertEqual(self.calls_of(message), [])
+        # An endpoint may take late what the killed process had sent, which is unchanged.
+        self.assertLessEqual(self.bodies_of(message), {b"before"})
         self.assertIn(b"behind", (self.state / "spool.cut").read_bytes())
         self.put_accepted()
         forwarder.end(signal.SIGTERM)
