Test notifications against an agent that moves, cuts, refuses or does not accept

Each case forces one fault at the agent and its end: SIGHUP moves discovery while posts are held or refused, 30 posts in a row are cut unread, answered in part or with 500, the listener is closed and opened again, its queue is full. A second, unasked-for 204 that is there before the next post is written does not confirm that post.

--- /dev/null
+++ b/tests/faults/final_answer_agent_test.py
@@ -0,0 +1,176 @@
+"""An agent of discovery that moves, refuses, cuts, rejects or does not accept.
+
+Whatever it does for a while, it reads the notification of each message that was given up
+once it can, and each is confirmed at last.
+"""
+
+import signal
+import socket
+import time
+import unittest
+
+import rig
+from agent import Agent
+from final_answer_test import FinalAnswerTest
+from rig import wait_for
+
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
+MESSAGES = 3
+LEFT_MS = 300
+NOTICE_LIMIT_S = 0.3  # behind the end of a message's time, by the protocol
+MAX_POSTS = 8  # that a forwarder waits for at once
+CONNECTIONS_BEYOND_THE_BACKLOG = 4
+
+
+class AgentTest(FinalAnswerTest):
+    def put_some(self, count=MESSAGES):
+        return [self.put_accepted(left_ms=LEFT_MS) for _ in range(count)]
+
+    def await_overdue(self):
+        """The notification of each message that was handed in before is due."""
+        due = time.monotonic() + LEFT_MS / 1000 + NOTICE_LIMIT_S
+        wait_for("the messages' time", lambda: time.monotonic() > due)
+
+    def assert_confirmed(self, messages, agent=None):
+        agent = agent or self.discovery
+        for message in messages:
+            wait_for(
+                "the notification of " + message,
+                lambda: any(line["id"] == message for line in list(agent.notices)),
+            )
+        self.await_none_in_flight()
+
+
+class MoveTest(AgentTest):
+    def start_and_move(self, forwarder):
+        """Discovery has a new address from now on; returns the agent there."""
+        other = self.new_stand_in(Agent)
+        other.members = self.members()
+        self.config["discovery"] = other.address
+        self.write_config()
+        forwarder.send_signal(signal.SIGHUP)
+        return other
+
+    # Guards against notifications waiting for an agent that discovery has left.
+    def test_held_notifications_go_to_the_address_that_discovery_moved_to(self):
+        self.discovery.on_post = self.discovery.hold
+        forwarder = self.start_with_admin()
+        messages = [self.give_up_one() for _ in range(MESSAGES)]
+        other = self.start_and_move(forwarder)
+        messages += self.put_some()
+        self.assert_confirmed(messages, other)
+
+    # Guards against the same where the old agent has gone.
+    def test_refused_notifications_go_to_the_address_that_discovery_moved_to(self):
+        forwarder = self.start_with_admin()
+        self.discovery.refuse()
+        messages = self.put_some()
+        self.await_overdue()
+        self.assert_confirmed(messages, self.start_and_move(forwarder))
+
+
+class CutTest(AgentTest):
+    FAULTS = 30  # posts in a row that fail
+
+    # Guards against posts that are cut off unread being taken for read.
+    def test_notifications_whose_posts_are_cut_unread_are_read_at_last(self):
+        cut = []
+
+        def cut_the_first():
+            cut.append(None)
+            return len(cut) > self.FAULTS
+
+        self.discovery.on_head = cut_the_first
+        self.start_with_admin()
+        self.assert_confirmed(self.put_some())
+
+    # Guards against a part of an answer confirming a post, and against giving up.
+    def test_half_an_answer_confirms_nothing(self):
+        for length in (1, NO_CONTENT.index(b"4") + 1, len(NO_CONTENT) - 1):
+            with self.subTest(length=length):
+                self.assert_confirmed_behind(NO_CONTENT[:length])
+
+    # Guards against notifications being dropped after so many errors.
+    def test_an_agent_that_answers_with_errors_confirms_at_last(self):
+        self.assert_confirmed_behind(500)
+
+    def assert_confirmed_behind(self, answer):
+        self.discovery.posts.clear()
+        self.discovery.on_post = lambda post: (
+            answer if post.number < self.FAULTS else 204
+        )
+        forwarder = self.start_with_admin()
+        self.assert_confirmed(self.put_some())
+        self.assertGreater(len(self.discovery.posts), self.FAULTS)
+        forwarder.end()
+
+
+class ListenerTest(AgentTest):
+    # Guards against an agent that was away for a while being left alone afterwards.
+    def test_an_agent_that_refused_connections_reads_all_once_it_is_back(self):
+        address = rig.free_address()
+        self.discovery.refuse()
+        self.discovery.listen_at(address)
+        self.config["discovery"] = address
+        self.start_with_admin()
+        self.discovery.refuse()
+        messages = self.put_some()
+        self.await_overdue()
+        self.discovery.listen_at(address)
+        self.assert_confirmed(messages)
+
+    def fill_the_queue(self):
+        """Further connections do not come up until the agent accepts."""
+        self.discovery.stop_accepting(backlog=0)
+        host, port = self.discovery.server_address
+        for _ in range(CONNECTIONS_BEYOND_THE_BACKLOG):
+            filler = socket.socket()
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex((host, port))
+
+    # Guards against connections that do not come up keeping new notifications apart.
+    def test_an_agent_that_did_not_accept_reads_all_within_the_posts_that_wait(self):
+        self.start_with_admin()
+        wait_for("the watch", lambda: self.discovery.connections)
+        self.fill_the_queue()
+        messages = self.put_some(2 * MAX_POSTS)
+        self.await_overdue()
+        self.assertFalse(self.discovery.posts)
+        self.discovery.accept_again()
+        self.assert_confirmed(messages)
+        first_posts = self.discovery.posts[: MAX_POSTS + 1]
+        read = {message for post in first_posts for message in post.ids}
+        self.assertEqual(read & set(messages), set(messages))
+
+
+class SecondAnswerTest(AgentTest):
+    """The agent answers one post twice, on a connection that is kept."""
+
+    def setUp(self):
+        super().setUp()
+        self.config["settings"]["limits"].update(probes=False)
+
+    def answer_the_first_by_hand(self, post):
+        """The first post's connection is read no further until the test's end."""
+        if post.number > 0:
+            return 204
+        post.connection.sendall(NO_CONTENT)
+        self.discovery.release.wait(timeout=rig.LIMIT)
+        return None
+
+    def confirm_one(self):
+        self.discovery.on_post = self.answer_the_first_by_hand
+        self.give_up_one()
+        self.await_none_in_flight()
+
+    # Guards against a post being confirmed by an answer that was there before it.
+    def test_a_second_answer_confirms_no_later_post(self):
+        self.start_with_admin()
+        self.confirm_one()
+        self.discovery.posts[0].connection.sendall(NO_CONTENT)
+        self.assert_confirmed([self.give_up_one()])
+
+
+if __name__ == "__main__":
+    unittest.main()
