--- a/tests/faults/agent.py
+++ b/tests/faults/agent.py
@@ -12,6 +12,14 @@
 import rig
 
 
+SHUTDOWN_CHECK_S = 0.02  # between a stand-in's looks whether it is to end
+
+
+def serve(stand_in):
+    options = {"poll_interval": SHUTDOWN_CHECK_S}
+    threading.Thread(target=stand_in.serve_forever, kwargs=options, daemon=True).start()
+
+
 class Post:
     """One post of notifications, as it was read."""
 
@@ -65,6 +73,10 @@
     def address(self):
         return "%s:%d" % self.server_address
 
+    def start(self):
+        serve(self)
+        return self
+
     def process_request(self, request, client_address):
         self.connections.append(request)
         super().process_request(request, client_address)
--- a/tests/faults/final_answer_agent_test.py
+++ b/tests/faults/final_answer_agent_test.py
@@ -6,7 +6,6 @@
 
 import signal
 import socket
-import time
 import unittest
 
 import rig
@@ -17,7 +16,6 @@
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
 MESSAGES = 3
 LEFT_MS = 300
-NOTICE_LIMIT_S = 0.3  # behind the end of a message's time, by the protocol
 MAX_POSTS = 8  # that a forwarder waits for at once
 CONNECTIONS_BEYOND_THE_BACKLOG = 4
 
@@ -26,11 +24,6 @@
     def put_some(self, count=MESSAGES):
         return [self.put_accepted(left_ms=LEFT_MS) for _ in range(count)]
 
-    def await_overdue(self):
-        """The notification of each message that was handed in before is due."""
-        due = time.monotonic() + LEFT_MS / 1000 + NOTICE_LIMIT_S
-        wait_for("the messages' time", lambda: time.monotonic() > due)
-
     def assert_confirmed(self, messages, agent=None):
         agent = agent or self.discovery
         for message in messages:
@@ -65,7 +58,7 @@
         forwarder = self.start_with_admin()
         self.discovery.refuse()
         messages = self.put_some()
-        self.await_overdue()
+        self.await_overdue(LEFT_MS)
         self.assert_confirmed(messages, self.start_and_move(forwarder))
 
 
@@ -115,7 +108,7 @@
         self.start_with_admin()
         self.discovery.refuse()
         messages = self.put_some()
-        self.await_overdue()
+        self.await_overdue(LEFT_MS)
         self.discovery.listen_at(address)
         self.assert_confirmed(messages)
 
@@ -135,7 +128,7 @@
         wait_for("the watch", lambda: self.discovery.connections)
         self.fill_the_queue()
         messages = self.put_some(2 * MAX_POSTS)
-        self.await_overdue()
+        self.await_overdue(LEFT_MS)
         self.assertFalse(self.discovery.posts)
         self.discovery.accept_again()
         self.assert_confirmed(messages)
--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -4,12 +4,15 @@
 that was given up reaches the agent, and each is confirmed at last.
 """
 
+import time
 import unittest
 
 import rig
-from agent import Agent
+from agent import Agent, serve
 from rig import Endpoint, FaultTest, wait_for
 
+NOTICE_LIMIT_S = 0.3  # behind the end of a message's time, by the protocol
+
 
 class FinalAnswerTest(FaultTest):
     def setUp(self):
@@ -20,6 +23,18 @@
         self.addCleanup(self.discovery.release.set)
         self.set_mode(Endpoint.REJECT)  # so that every message ends by its deadline
 
+    def new_stand_in(self, kind=rig.toy_server.Toy):
+        stand_in = kind()
+        serve(stand_in)
+        self.addCleanup(stand_in.server_close)
+        self.addCleanup(stand_in.shutdown)
+        return stand_in
+
+    def await_overdue(self, left_ms):
+        """The notification of each message handed in with this time is due."""
+        due = time.monotonic() + left_ms / 1000 + NOTICE_LIMIT_S
+        wait_for("the messages' time", lambda: time.monotonic() > due)
+
     def give_up_one(self):
         """Hands a message in; its notification has reached the agent at the return."""
         message = self.put_accepted(left_ms=300)
