Test notifications over restarts, and while this machine lacks something

SIGTERM with posts that are held to the end, SIGKILL before and behind the post's connect and send, a crowd of clients under a limit of 128 descriptors, threads that are refused, and twelve errors of socket, connect, send, recv and poll that last until the notification is due.

--- /dev/null
+++ b/tests/faults/final_answer_restart_test.py
@@ -0,0 +1,90 @@
+"""Restarts while notifications are not confirmed.
+
+A process ends in its time though the agent answers no post, and its successor notifies
+what it left.
+"""
+
+import signal
+import time
+import unittest
+
+import rig
+from final_answer_test import FinalAnswerTest
+from rig import KILL_AFTER, KILL_BEFORE, Endpoint, wait_for
+
+SIGKILL_BEHIND_SIGTERM_S = 3.7  # by the protocol, no sooner
+
+
+class RestartTest(FinalAnswerTest):
+    def posts_since(self, first):
+        return {
+            message for post in self.discovery.posts[first:] for message in post.ids
+        }
+
+    def assert_confirmed_by_a_successor(self, messages):
+        """The agent answers from now on."""
+        first = len(self.discovery.posts)
+        self.discovery.on_post = lambda post: 204
+        successor = self.start()
+        for message in messages:
+            wait_for(
+                "the notification of " + message,
+                lambda: message in self.posts_since(first),
+            )
+        self.await_none_in_flight()
+        successor.end()
+
+
+class TerminatedTest(RestartTest):
+    # Guards against posts that are not answered keeping a process beyond its time.
+    def test_a_process_whose_posts_are_held_ends_in_its_time(self):
+        self.discovery.on_post = self.discovery.hold
+        forwarder = self.start_with_admin()
+        messages = [self.give_up_one() for _ in range(3)]
+        started = time.monotonic()
+        self.assertEqual(forwarder.end(signal.SIGTERM), 0)
+        self.assertLess(time.monotonic() - started, SIGKILL_BEHIND_SIGTERM_S)
+        self.assert_confirmed_by_a_successor(messages)
+
+
+class KilledTest(RestartTest):
+    # Guards against a notification that was read and not confirmed being dropped.
+    def test_a_kill_behind_the_first_post_leaves_its_notification_to_the_successor(
+        self,
+    ):
+        forwarder = self.start_with_admin()
+
+        def kill(post):
+            forwarder.send_signal(signal.SIGKILL)
+
+        self.discovery.on_post = kill
+        message = self.put_accepted(left_ms=300)
+        forwarder.process.wait(timeout=rig.LIMIT)
+        self.assertTrue(self.discovery.has_read(message))
+        self.assert_confirmed_by_a_successor([message])
+
+    # Guards against a message that was given up and never posted being dropped.
+    def test_a_kill_before_the_first_post_leaves_its_notification_to_the_successor(
+        self,
+    ):
+        self.config["settings"]["limits"].update(probes=False)
+        self.set_mode(Endpoint.HANG)
+        for call, moment in (
+            ("connect", KILL_BEFORE),
+            ("connect", KILL_AFTER),
+            ("send", KILL_BEFORE),
+            ("send", KILL_AFTER),
+        ):
+            with self.subTest(call=call, moment=moment):
+                forwarder = self.start_with_admin()
+                message = self.put_accepted(left_ms=800)
+                wait_for("its call", lambda: self.hangs(message))
+                # Nothing but the post opens a connection or sends from now on.
+                self.faults.fail(call, moment)
+                forwarder.process.wait(timeout=rig.LIMIT)
+                self.faults.end()
+                self.assert_confirmed_by_a_successor([message])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/faults/final_answer_shortage_test.py
@@ -0,0 +1,130 @@
+"""Notifications while this machine lacks descriptors, threads or memory.
+
+What fails here for a while, or a crowd of clients, keeps no notification from the agent.
+"""
+
+import resource
+import select
+import socket
+import unittest
+
+import rig
+from final_answer_test import FinalAnswerTest
+from rig import Endpoint, toy_server, wait_for
+
+MESSAGES = 3
+LEFT_MS = 300
+CLOSED = -1  # the descriptor of a socket that was closed
+
+
+class ShortageTest(FinalAnswerTest):
+    def setUp(self):
+        super().setUp()
+        self.config["settings"]["limits"].update(probes=False)
+
+    def assert_read(self, messages):
+        for message in messages:
+            wait_for(
+                "the notification of " + message,
+                lambda: self.discovery.has_read(message),
+            )
+
+    def assert_confirmed(self, messages):
+        self.assert_read(messages)
+        self.await_none_in_flight()
+
+
+class CrowdTest(ShortageTest):
+    DESCRIPTORS = 128
+
+    def gather_clients(self):
+        """Opens idle connections until one is closed for want of room."""
+        clients = []
+
+        def one_is_closed():
+            client = toy_server.Client(self.listen, timeout=rig.LIMIT)
+            self.addCleanup(client.close)
+            clients.append(client)
+            if client.call("PING") != "+PONG":
+                return True
+            readable, _, _ = select.select([c.socket for c in clients], [], [], 0)
+            return bool(readable)
+
+        wait_for("a crowd that takes all room", one_is_closed)
+        return clients
+
+    # Guards against clients taking the descriptors that notifications need.
+    def test_a_crowd_of_idle_clients_leaves_room_for_several_posts(self):
+        self.config["limits"]["sockets"] = self.DESCRIPTORS
+        self.discovery.on_post = self.discovery.hold
+        forwarder = self.start_with_admin()
+        limits = (self.DESCRIPTORS, self.DESCRIPTORS)
+        resource.prlimit(forwarder.process.pid, resource.RLIMIT_NOFILE, limits)
+        self.gather_clients()
+        for _ in range(MESSAGES):
+            self.give_up_one()
+        connections = {post.connection.fileno() for post in self.discovery.posts}
+        self.assertGreater(len(connections - {CLOSED}), 1)
+        self.discovery.release.set()
+        self.await_none_in_flight()
+
+
+class ThreadTest(ShortageTest):
+    # Guards against notifications that wait for a thread which can't be started.
+    def test_notifications_go_out_while_no_further_thread_can_be_started(self):
+        self.discovery.on_post = lambda post: (
+            204 if post.number else self.discovery.hold(post)
+        )
+        self.start_with_admin()
+        rule = self.faults.fail("thread", "EAGAIN")
+        messages = [self.give_up_one()]
+        messages += [self.put_accepted(left_ms=LEFT_MS) for _ in range(MESSAGES)]
+        wait_for("a thread that is refused", lambda: self.faults.hits(rule) > 0)
+        self.assert_read(messages)
+        self.assert_confirmed(messages)
+
+
+class CallTest(ShortageTest):
+    FAILURES = 5  # calls in a row
+    FAULTS = (
+        ("socket", "ENFILE"),
+        ("socket", "EMFILE"),
+        ("connect", "EADDRNOTAVAIL"),
+        ("connect", "ETIMEDOUT"),
+        ("connect", "EINTR"),
+        ("send", "EAGAIN"),
+        ("send", "ECONNRESET"),
+        ("send", "ENOBUFS"),
+        ("recv", "ECONNRESET"),
+        ("recv", "EINTR"),
+        ("poll", "EINTR"),
+        ("poll", "ENOMEM"),
+    )
+
+    # Guards against a call that fails for a while ending the posts for good.
+    def test_notifications_are_confirmed_behind_each_call_that_failed(self):
+        self.set_mode(Endpoint.HANG)  # no call to an endpoint is begun under a fault
+        self.start_with_admin()
+        for call, error in self.FAULTS:
+            with self.subTest(call=call, error=error):
+                message = self.put_accepted(left_ms=LEFT_MS)
+                wait_for("its call", lambda: self.hangs(message))
+                self.cut_posts()  # so that the next one opens a connection
+                rule = self.faults.fail(call, error)
+                self.await_overdue(LEFT_MS)
+                wait_for(
+                    "the failures", lambda: self.faults.hits(rule) >= self.FAILURES
+                )
+                self.faults.end()
+                self.assert_confirmed([message])
+
+    def cut_posts(self):
+        for post in self.discovery.posts:
+            try:
+                post.connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it has ended before
+
+
+if __name__ == "__main__":
+    unittest.main()
