Wait for the ends of messages by the counters, not by a gauge that is old

`brassfront_messages_in_flight` is set once a second, so a test that looked within a second of its first message read the 0 of before it and saw nothing. The tests compare the counters of accepted, restored and ended messages instead: each is exact, and at least one message must have begun.

--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -4,6 +4,7 @@
 that was given up reaches the agent, and each is confirmed at last.
 """
 
+import re
 import time
 import unittest
 
@@ -44,12 +45,21 @@
         return message
 
     def await_none_in_flight(self):
+        """By the counters, which are exact; the gauge is set once a second."""
+
+        def count(metrics, name):
+            series = re.compile("brassfront_" + name + r"(?:\{.*\})? (\d+)$")
+            found = [series.match(line) for line in metrics.splitlines()]
+            return sum(int(match[1]) for match in found if match)
+
         def none():
             try:
                 _, metrics = rig.admin_call(self.config["admin"], "GET", "/metrics")
             except OSError:  # the second address is served a little later than clients
                 return False
-            return "brassfront_messages_in_flight 0" in metrics.splitlines()
+            begun = count(metrics, "messages_accepted_total")
+            begun += count(metrics, "messages_restored_total")
+            return begun > 0 and begun == count(metrics, "messages_ended_total")
 
         wait_for("all messages to end", none)
 
