Test a late delivery of a message that a restart kept beyond its time

A restored message is kept for 1.5 s at least. A delivery in that time, but behind the client's deadline, counted as certain, and no notification went out.

The test puts a message in with 1.2 s while the forwarder is held up for 0.15 s, kills it, and lets the endpoint answer 200 at 1.24 s.

--- a/tests/faults/final_answer_delivery_test.py
+++ b/tests/faults/final_answer_delivery_test.py
@@ -80,6 +80,11 @@
     def test_a_late_delivery_of_a_restored_message_is_notified_as_well(self):
         self.assert_notified_by_a_successor(left_s=2.5)
 
+    # Guards against the time that a restored message is kept at least counting as the
+    # client's.
+    def test_a_late_delivery_is_notified_though_a_restart_kept_its_message_longer(self):
+        self.assert_notified_by_a_successor(left_s=1.2)
+
 
 class GoneTest(FinalAnswerTest):
     # Guards against an endpoint's "the message is over" ending it without a notification.
