--- a/tests/faults/final_answer_delivery_test.py
+++ b/tests/faults/final_answer_delivery_test.py
@@ -14,7 +14,7 @@
 
 import rig
 from final_answer_test import FinalAnswerTest
-from rig import Endpoint, toy_server, wait_for
+from rig import HOLD_BEFORE, Endpoint, toy_server, wait_for
 
 HOLD_UP_S = 0.15  # the longest that a forwarder may be held up, by the protocol
 MARGIN_S = 0.04  # an answer comes so long behind the client's deadline
@@ -223,6 +223,18 @@
         self.accepting[0].sendall(OK)
         self.assert_final(self.put_accepted(left_ms=3000))
 
+    # Guards against the same where it comes between the look for it and the writing.
+    def test_an_answer_that_comes_before_a_call_is_written_does_not_end_it(self):
+        self.start_with_admin()
+        self.deliver_first()
+        # The reply to the client is sent, then the call.
+        rule = self.faults.fail("send", HOLD_BEFORE, skip=1, times=1)
+        message = self.put_accepted(left_ms=3000)
+        wait_for("the call", lambda: self.faults.hits(rule) == 1)
+        self.accepting[0].sendall(OK)
+        self.faults.end()
+        self.assert_final(message)
+
 
 if __name__ == "__main__":
     unittest.main()
