Test a held post while no further thread can be started: fails

The client of notifications has one thread at first. While the system starts no other, a post that the agent holds occupies it until its answer's timeout of 5 s, and no other notification goes out meanwhile; the protocol allows 300 ms behind a message's time.

It is red: test_a_held_post_keeps_none_back_though_no_further_thread_can_be_started.

--- a/tests/faults/final_answer_shortage_test.py
+++ b/tests/faults/final_answer_shortage_test.py
@@ -14,6 +14,7 @@
 
 MESSAGES = 3
 LEFT_MS = 300
+SLACK_MS = 1500  # of a busy machine, beside the protocol's limit
 CLOSED = -1  # the descriptor of a socket that was closed
 
 
@@ -83,6 +84,17 @@
         self.assert_read(messages)
         self.assert_confirmed(messages)
 
+    # Guards against one post that is held occupying the only thread.
+    def test_a_held_post_keeps_none_back_though_no_further_thread_can_be_started(self):
+        self.discovery.on_post = self.discovery.hold
+        self.start_with_admin()
+        self.faults.fail("thread", "EAGAIN")
+        self.give_up_one()
+        message = self.put_accepted(left_ms=LEFT_MS)
+        self.await_overdue(LEFT_MS)
+        self.await_overdue(SLACK_MS)
+        self.assertTrue(self.discovery.has_read(message))
+
 
 class CallTest(ShortageTest):
     FAILURES = 5  # calls in a row
