--- a/tests/faults/state_test.py
+++ b/tests/faults/state_test.py
@@ -114,7 +114,7 @@
             self.assertTrue(any("spool damaged" in line for line in forwarder.log))
             forwarder.end()  # it was held too early: the file was not read yet
         wait_for("the notice", lambda: self.notices_of(message))
-        # An endpoint may take late what the killed process had sent, which is unchanged.
+        # An endpoint may take late, and unchanged, what the killed process had sent.
         self.assertLessEqual(self.bodies_of(message), {b"before"})
         self.assertIn(b"behind", (self.state / "spool.cut").read_bytes())
         self.put_accepted()
