--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -27,19 +27,18 @@
 }
 
 void NotificationOutbox::Add(const Notification& notification, Time now) {
-  const bool added =
-      pending_
-          .try_emplace(notification.message, Pending{.id = notification.id,
-                                                     .line = NotificationLine(notification),
-                                                     .added_at = now})
-          .second;
-  if (added) new_.insert(notification.message);
+  Pending pending{.id = notification.id,
+                  .line = NotificationLine(notification),
+                  .added_at = now,
+                  .order = next_order_};
+  if (!pending_.try_emplace(notification.message, std::move(pending)).second) return;
+  new_.emplace(next_order_++, notification.message);
 }
 
 void NotificationOutbox::Remove(MessageId message) {
   const auto it = pending_.find(message);
   if (it == pending_.end()) return;
-  new_.erase(message);
+  new_.erase(it->second.order);
   repeats_.erase({it->second.repeat_at, message});
   if (it->second.max_batch < kMaxBatchSize) --rejected_;
   pending_.erase(it);
@@ -63,7 +62,7 @@
   rejected_are_next_ = rejected.has_value();
   std::vector<MessageId> batch;
   for (auto it = new_.begin(); it != new_.end() && batch.size() < kMaxBatchSize; ++it) {
-    batch.push_back(*it);
+    batch.push_back(it->second);
   }
   const std::vector<MessageId> repeats = CollectRepeats(now, kMaxBatchSize);
   batch.insert(batch.end(), repeats.begin(), repeats.end());
@@ -173,14 +172,14 @@
 
 void NotificationOutbox::RepostAll(Time now) {
   for (auto& [message, pending] : pending_) {
-    if (new_.count(message) != 0) continue;
+    if (new_.count(pending.order) != 0) continue;
     pending.posts = 0;
     RepeatAt(message, pending, now);
   }
 }
 
 void NotificationOutbox::RepeatAt(MessageId message, Pending& pending, Time at) {
-  new_.erase(message);
+  new_.erase(pending.order);
   repeats_.erase({pending.repeat_at, message});
   pending.repeat_at = at;
   repeats_.insert({at, message});
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -108,6 +108,7 @@
     std::string id;
     std::string line;
     Time added_at{};
+    std::uint64_t order = 0;                // of the addition
     Time repeat_at{};                       // once it was posted
     std::uint32_t posts = 0;                // so far
     std::size_t max_batch = kMaxBatchSize;  // halved by each rejection
@@ -141,7 +142,8 @@
   void Retry(const RunningPost& post, Time now);
 
   std::map<MessageId, Pending> pending_;
-  std::set<MessageId> new_;   // of these, never posted
+  std::map<std::uint64_t, MessageId> new_;  // of these, never posted; by their order
+  std::uint64_t next_order_ = 0;
   std::set<Repeat> repeats_;  // the others
   std::size_t rejected_ = 0;  // of these, those that were in a post that was rejected
   std::map<PostId, RunningPost> running_;
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-NotificationClient::NotificationClient(std::string address, std::size_t max_posts,
+NotificationClient::NotificationClient(const std::string& address, std::size_t max_posts,
                                        BufferPool& buffers, OnResult on_result)
     : on_result_(std::move(on_result)),
       connections_(max_posts),
--- a/src/net/notification_client.hpp
+++ b/src/net/notification_client.hpp
@@ -37,7 +37,7 @@
 
   // `max_posts`: at once, and connections. The buffers must outlive the client. Throws
   // std::runtime_error where the system has no room for a thread.
-  NotificationClient(std::string address, std::size_t max_posts, BufferPool& buffers,
+  NotificationClient(const std::string& address, std::size_t max_posts, BufferPool& buffers,
                      OnResult on_result);
   // Ends the posts that are running.
   ~NotificationClient();
--- a/tests/forwarder/notification_outbox_test.cpp
+++ b/tests/forwarder/notification_outbox_test.cpp
@@ -36,6 +36,13 @@
   CHECK(NotificationLine({.id = "m"}) == "{\"id\":\"m\",\"status\":\"undeliverable\"}\n");
 }
 
+TEST_CASE("a post has its notifications in the order of their addition") {
+  Outbox outbox;
+  outbox.Add(Of(2), kStart);
+  outbox.Add(Of(1), kStart);
+  CHECK(PostAt(outbox, kStart) == Messages{2, 1});
+}
+
 TEST_CASE("what is new is posted at once, and confirmed once") {
   Outbox outbox;
   outbox.Add(Of(1), kStart);
