--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -77,7 +77,8 @@
         for _ in range(3):
             self.give_up_one()
 
-    # Guards against an agent that answers later than a limit of ours being asked for ever.
+    # Guards against an agent that answers later than a limit of ours being asked for
+    # ever.
     def test_an_agent_that_always_answers_late_confirms_at_last(self):
         def answer_late(post):
             self.discovery.release.wait(timeout=0.3)
@@ -91,7 +92,8 @@
 
 
 class RejectedPostTest(FinalAnswerTest):
-    # Guards against one line that the agent can't read holding back all that share its post.
+    # Guards against one line that the agent can't read holding back all that share its
+    # post.
     def test_a_line_that_the_agent_rejects_holds_no_other_notification_back(self):
         rejected = "f" * 16
 
@@ -127,7 +129,8 @@
         """One endpoint, which takes several messages in a call."""
         return [dict(m, flavor="bundle") for m in super().members(**phases)][:1]
 
-    # Guards against a call that the platform does not count, since it may have outlasted
+    # Guards against a call that the platform does not count, since it may have
+    # outlasted
     # one of its messages, ending the others.
     def test_all_messages_of_a_call_about_the_deadline_of_one_are_notified(self):
         endpoint = self.endpoints["a"]
