--- a/tests/faults/agent.py
+++ b/tests/faults/agent.py
@@ -33,6 +33,10 @@
         if status is None:  # not answered at all
             self.close_connection = True
             return
+        if isinstance(status, bytes):  # a part of an answer
+            self.wfile.write(status)
+            self.close_connection = True
+            return
         if status == 204:
             for line in lines:
                 agent.note(agent.notices, line)
--- /dev/null
+++ b/tests/faults/soak_agent.py
@@ -0,0 +1,196 @@
+"""An agent of discovery whose faults the soak's schedule decides.
+
+Posts of notifications and lists have faults of their own. Each fault ends by itself.
+"""
+
+import enum
+import random
+import socket
+import threading
+import time
+
+import agent
+import rig
+
+# A post that is not read says nothing to the agent, so these faults come in windows that
+# leave a forwarder time for another post before the notification is late.
+UNREAD_WINDOW_S = 0.05
+UNREAD_PERIOD_S = 0.4
+SLOW_S = (0.11, 0.3)
+VERY_SLOW_S = (0.5, 1.0)
+POLL_S = 0.02  # of the thread that accepts connections
+PART_OF_ANSWER = b"HTTP/1.1 204 No Con"
+
+
+class Fault(enum.Enum):
+    SLOW = "slow"
+    VERY_SLOW = "very slow"
+    UNANSWERED = "read and not answered"
+    CUT_ANSWER = "closed in the middle of the answer"
+    ERROR = "answered with 500"
+    REJECT_ID = "a certain id rejected"  # of posts alone
+    UNREAD = "not read"
+    CUT_UNREAD = "closed unread"
+
+
+POST_FAULTS = tuple(Fault)
+LIST_FAULTS = tuple(fault for fault in Fault if fault != Fault.REJECT_ID)
+UNREAD_FAULTS = (Fault.UNREAD, Fault.CUT_UNREAD)
+DELAYS_S = {Fault.SLOW: SLOW_S, Fault.VERY_SLOW: VERY_SLOW_S}
+
+
+class FaultSpan:
+    """One fault that is over at `end`."""
+
+    def __init__(self, fault, seconds, delays, windows=False):
+        self.fault = fault
+        self.begin = time.monotonic()
+        self.end = self.begin + seconds
+        self.delays = delays
+        self.windows = windows  # there is a fault only at the start of each period
+        self.rejected = None  # the id, from the first post on
+
+    def active(self):
+        now = time.monotonic()
+        if now >= self.end:
+            return False
+        phase = (now - self.begin) % UNREAD_PERIOD_S
+        return not self.windows or phase < UNREAD_WINDOW_S
+
+    def delay(self):
+        return self.delays.uniform(*DELAYS_S[self.fault])
+
+
+class SoakAgentHandler(agent.AgentHandler):
+    def handle(self):
+        with self.server.changed:
+            self.server.connections.add(self.connection)
+        try:
+            super().handle()
+        finally:
+            with self.server.changed:
+                self.server.connections.discard(self.connection)
+
+    def leave_unread(self, span):
+        """Whether the request stays unread; its connection ends then."""
+        if span is None or span.fault not in UNREAD_FAULTS:
+            return False
+        if span.fault == Fault.UNREAD:
+            self.server.release.wait(timeout=rig.LIMIT)
+        self.close_connection = True
+        return True
+
+    def do_POST(self):
+        if not self.leave_unread(self.server.active_fault(self.server.post_fault)):
+            super().do_POST()
+
+    def do_GET(self):
+        span = self.server.active_fault(self.server.list_fault)
+        if self.leave_unread(span):
+            return
+        if span is not None and span.fault == Fault.ERROR:
+            return self.reply(500)
+        if span is not None and span.fault in DELAYS_S:
+            time.sleep(span.delay())
+        super().do_GET()
+
+    def chunk(self, text):
+        span = self.server.active_fault(self.server.list_fault)
+        if span is None:
+            return super().chunk(text)
+        if span.fault in DELAYS_S:
+            time.sleep(span.delay())
+            return super().chunk(text)
+        if span.fault in (Fault.UNANSWERED, Fault.UNREAD):
+            self.server.release.wait(timeout=rig.LIMIT)
+        if span.fault == Fault.CUT_ANSWER:
+            self.wfile.write(b"%x\r\n%s" % (len(text), text[: len(text) // 2].encode()))
+        raise ConnectionAbortedError
+
+
+class SoakAgent(agent.Agent):
+    def __init__(self):
+        super().__init__()
+        self.RequestHandlerClass = SoakAgentHandler
+        self.on_post = self.answer_post
+        self.post_fault = None
+        self.list_fault = None
+        self.read_at = {}  # when a message's notification was first read
+        self.connections = set()
+
+    def start(self):
+        arguments = {"poll_interval": POLL_S}
+        threading.Thread(
+            target=self.serve_forever, kwargs=arguments, daemon=True
+        ).start()
+        return self
+
+    @staticmethod
+    def active_fault(span):
+        return span if span is not None and span.active() else None
+
+    def begin_post_fault(self, fault, seconds, seed):
+        windows = fault in UNREAD_FAULTS
+        self.post_fault = FaultSpan(fault, seconds, random.Random(seed), windows)
+
+    def begin_list_fault(self, fault, seconds, seed):
+        self.list_fault = FaultSpan(fault, seconds, random.Random(seed))
+
+    def end_faults(self):
+        self.post_fault = None
+        self.list_fault = None
+
+    def answer_post(self, post):
+        """The status of the answer to a post that was read."""
+        span = self.active_fault(self.post_fault)
+        fault = span.fault if span else None
+        if fault == Fault.REJECT_ID and self.rejects(span, post):
+            self.note_read([span.rejected], post)  # no post can bring more of it
+            return 400
+        self.note_read(post.ids, post)
+        if self.refused_notices > 0:
+            self.refused_notices -= 1
+            return 500
+        if fault == Fault.ERROR:
+            return 500
+        if fault == Fault.CUT_ANSWER:
+            return PART_OF_ANSWER
+        if fault == Fault.UNANSWERED:
+            self.release.wait(timeout=rig.LIMIT)
+            return None
+        if fault in DELAYS_S:
+            time.sleep(span.delay())
+        return 204
+
+    def rejects(self, span, post):
+        """Rejects the first id that it sees, and each post with it."""
+        with self.changed:
+            span.rejected = span.rejected or post.ids[0]
+        return span.rejected in post.ids
+
+    def note_read(self, ids, post):
+        with self.changed:
+            for message in ids:
+                self.read_at.setdefault(message, post.arrived)
+
+    def refuse_connections(self):
+        """For a moment connections are refused; the open ones are cut."""
+        self.shutdown()
+        self.socket.close()
+        listener = socket.socket(self.address_family, self.socket_type)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.server_address)  # nobody else gets the port
+        self.cut_connections()
+        time.sleep(UNREAD_WINDOW_S)
+        listener.listen(self.request_queue_size)
+        self.socket = listener
+        self.start()
+
+    def cut_connections(self):
+        with self.changed:
+            open_connections = list(self.connections)
+        for connection in open_connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it has ended by itself
--- /dev/null
+++ b/tests/faults/soak_endpoint.py
@@ -0,0 +1,79 @@
+"""An endpoint whose answers the soak's schedule decides."""
+
+import enum
+import random
+import time
+
+import rig
+from rig import toy_server
+
+ABOUT_DEADLINE_S = (-0.03, 0.06)
+UNASKED_AFTER_S = (0.001, 0.02)
+DEFAULT_LEFT_MS = 1000
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+FIRST_LINE = b"HTTP/1.1 200 OK\r\n"
+PART_OF_LINE = b"HTTP/1.1 20"
+
+
+class Mode(enum.Enum):
+    TAKE = "take"
+    TURN_AWAY = "turn away"  # 503
+    HANG = "never answer"
+    ABOUT_DEADLINE = "answer about the deadline"
+    HANG_IN_LINE = "hang in the first line"
+    HANG_IN_HEADERS = "hang behind the first line"
+    CUT_LINE = "cut the first line"
+    OVER = "410"
+    UNASKED = "a second answer unasked for"
+
+
+class SoakEndpointHandler(toy_server.Handler):
+    def do_POST(self):
+        self.rfile.read(int(self.headers["Content-Length"]))
+        endpoint = self.server
+        message = self.headers["X-Correlation-Id"]
+        mode = endpoint.mode
+        endpoint.arrivals.append((time.monotonic(), message, mode))
+        if mode == Mode.TURN_AWAY:
+            return self.reply(503)
+        if mode == Mode.OVER:
+            endpoint.over.add(message)
+            return self.reply(410)
+        if mode == Mode.HANG:
+            return None
+        endpoint.delivered.append(message)  # it runs, whatever the answer
+        return self.answer_run(message, mode)
+
+    def answer_run(self, message, mode):
+        if mode == Mode.ABOUT_DEADLINE:
+            self.wait_for_deadline()
+        if mode == Mode.HANG_IN_LINE:
+            return self.wfile.write(PART_OF_LINE)
+        if mode == Mode.CUT_LINE:
+            self.wfile.write(PART_OF_LINE)
+            self.close_connection = True
+            return None
+        self.wfile.write(FIRST_LINE if mode == Mode.HANG_IN_HEADERS else OK)
+        self.server.answered.append((time.monotonic(), message))
+        if mode == Mode.UNASKED:
+            time.sleep(self.server.chance.uniform(*UNASKED_AFTER_S))
+            self.wfile.write(OK)
+        return None
+
+    def wait_for_deadline(self):
+        left_ms = int(self.headers["X-Time-Left-Ms"] or DEFAULT_LEFT_MS)
+        early_or_late = self.server.chance.uniform(*ABOUT_DEADLINE_S)
+        time.sleep(max(0, left_ms / 1000 + early_or_late))
+
+
+class SoakEndpoint(rig.Endpoint):
+    """`delivered` has each message once for each time that it ran."""
+
+    def __init__(self):
+        super().__init__()
+        self.RequestHandlerClass = SoakEndpointHandler
+        self.mode = Mode.TAKE
+        self.arrivals = []  # when, message, and how it is answered
+        self.answered = []  # when the first line with 200 was written, message
+        self.over = set()  # messages that were answered with 410
+        self.chance = random.Random()
