--- /dev/null
+++ b/tests/faults/soak_actions.py
@@ -0,0 +1,227 @@
+"""What may happen in a schedule of the soak; each `act_` method is one action."""
+
+import signal
+import time
+
+import rig
+import soak_judge
+from rig import admin_call
+from soak_agent import LIST_FAULTS, POST_FAULTS, Fault
+from soak_endpoint import Mode
+from soak_stage import Stage
+
+KILL_AFTER_S = 3.7  # behind SIGTERM, at the earliest
+HOLD_UPS_S = (0.05, 0.1, 0.15)  # a machine may hold a process up for so long
+LONG_HOLD_S = 1.5  # that a successor may begin in
+OUTAGE_S = (0.8, 3.5)  # of all endpoints
+AGENT_FAULT_S = (0.5, 2.5)
+HELD_POSTS_S = 0.04  # before the agent moves
+CROWD = 120  # idle connections
+SIGNALS_TO_END = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
+
+
+class Actions(Stage):
+    unasked_answers = False  # endpoints may write a second answer that nobody asked for
+
+    def end_current(self, how=signal.SIGKILL):
+        """The signal of a restart."""
+        if self.restart_began is None:
+            self.restart_began = time.monotonic()
+        self.current.send_signal(how)
+
+    def hand_over(self, ended_at):
+        """The current process has ended: another one serves within the limit."""
+        status = self.current.process.wait(timeout=rig.LIMIT)
+        self.note("ended", self.current.process.pid, status)
+        if self.successor is None:
+            time.sleep(self.random.choice((0, 0.02, 0.2)))
+            self.successor = self.new_process()
+        self.current, self.successor = self.successor, None
+        self.await_ready(ended_at)
+        grace_ends = time.monotonic() + soak_judge.RESTART_GRACE_S
+        self.excused_spans.append((self.restart_began, grace_ends))
+        self.restart_began = None
+
+    def act_start_beside(self):
+        if self.successor is None:
+            self.successor = self.new_process()
+            time.sleep(self.random.choice((0, 0.05, 0.4)))
+
+    def act_end_successor(self):
+        if self.successor is None:
+            return self.act_start_beside()
+        self.note("end the one that waits")
+        how = self.random.choice((signal.SIGKILL, *SIGNALS_TO_END))
+        self.successor.end(how)
+        self.successor = None
+
+    def act_shut_down(self):
+        for _ in range(self.random.choice((1, 1, 3))):
+            number = self.random.choice(SIGNALS_TO_END)
+            self.note("signal", number.name)
+            self.end_current(number)
+        if self.successor is None and self.random.random() < 0.6:
+            time.sleep(self.random.choice((0.02, 0.3, 1)))
+            self.successor = self.new_process()
+        end = time.monotonic() + KILL_AFTER_S
+        while self.current.alive() and time.monotonic() < end:
+            time.sleep(0.005)
+        self.end_current()
+        self.hand_over(time.monotonic())
+
+    def act_kill(self):
+        self.note("SIGKILL")
+        self.end_current()
+        self.hand_over(time.monotonic())
+
+    def act_kill_behind_ok(self):
+        try:
+            client = rig.toy_server.Client(self.listen, timeout=3)
+            reply = self.put_one(client, self.random)
+        except OSError:
+            reply = "none"
+        self.note("SIGKILL behind", reply)
+        self.end_current()
+        self.hand_over(time.monotonic())
+
+    def act_kill_in_write(self):
+        how = self.random.choice(
+            (rig.KILL_BEFORE, rig.KILL_HALFWAY, rig.KILL_AFTER, rig.KILL_HALFWAY)
+        )
+        skip = self.random.randrange(40)
+        self.note("kill in a write", how, skip)
+        self.current.faults.fail("pwrite", how, skip=skip, bytes_moved=11)
+        end = time.monotonic() + 2
+        while self.current.alive() and time.monotonic() < end:
+            seen_alive = time.monotonic()
+            time.sleep(0.01)
+        self.end_current()
+        self.restart_began = seen_alive
+        self.hand_over(time.monotonic())
+
+    def act_hold_up(self):
+        seconds = self.random.choice(HOLD_UPS_S)
+        self.note("held up", seconds)
+        self.current.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.current.send_signal(signal.SIGCONT)
+
+    def act_stop_and_continue(self):
+        """For longer than a machine holds a process up, so none is overdue then."""
+        self.note("SIGSTOP")
+        began = time.monotonic()
+        self.current.send_signal(signal.SIGSTOP)
+        if self.random.random() < 0.5:
+            self.act_start_beside()
+        time.sleep(LONG_HOLD_S)
+        self.current.send_signal(signal.SIGCONT)
+        self.excused_spans.append((began, time.monotonic()))
+        self.note("SIGCONT")
+
+    def act_reload(self):
+        move = self.random.random() < 0.5
+        if move:
+            self.new_agent(revision=self.discovery.revision + 1)
+        self.send_reload("discovery moved" if move else "")
+
+    def send_reload(self, why):
+        self.write_config()
+        self.note("SIGHUP", why)
+        for _ in range(self.random.choice((1, 4))):
+            self.current.send_signal(signal.SIGHUP)
+
+    def act_agent_posts(self):
+        fault = self.random.choice(POST_FAULTS)
+        seconds = self.random.uniform(*AGENT_FAULT_S)
+        self.note("posts:", fault.value, "%.2f" % seconds)
+        self.discovery.begin_post_fault(fault, seconds, self.random.random())
+
+    def act_agent_lists(self):
+        fault = self.random.choice(LIST_FAULTS)
+        seconds = self.random.uniform(*AGENT_FAULT_S)
+        self.note("lists:", fault.value, "%.2f" % seconds)
+        self.discovery.begin_list_fault(fault, seconds, self.random.random())
+
+    def act_agent_refuses(self):
+        self.note("agent refuses connections")
+        self.discovery.refuse_connections()
+
+    def act_agent_moves_with_posts(self):
+        """Posts are held unread or unanswered, and SIGHUP moves the agent."""
+        fault = self.random.choice((Fault.UNREAD, Fault.UNANSWERED, Fault.VERY_SLOW))
+        self.note("posts held:", fault.value)
+        self.discovery.begin_post_fault(fault, 2 * HELD_POSTS_S, self.random.random())
+        time.sleep(HELD_POSTS_S)
+        self.new_agent(revision=self.discovery.revision + 1)
+        self.send_reload("discovery moved")
+
+    def act_outage(self):
+        """All endpoints are out, and come back when little time is left."""
+        seconds = self.random.uniform(*OUTAGE_S)
+        phase = self.random.choice(("Terminating", "Gone"))
+        self.note("all endpoints", phase, "%.2f" % seconds)
+        self.discovery.announce(self.members(a=phase, b=phase, c=phase))
+        self.later(seconds, self.end_outage)
+
+    def end_outage(self):
+        self.note("all endpoints ready")
+        self.discovery.announce(self.members())
+
+    def act_folder_fault(self):
+        call = self.random.choice("pwrite pread open rename ftruncate fsync".split())
+        error = self.random.choice(("EIO", "ENOSPC"))
+        self.note("folder fails", call, error)
+        self.current.faults.fail(call, error)
+        time.sleep(self.random.choice((0.05, 0.5)))
+        self.current.faults.end()
+
+    def act_clock(self):
+        step = self.random.choice((-3600, -2, 2, 3600))
+        self.note("clock", step)
+        self.current.faults.step_clock(step)
+
+    def act_endpoints(self):
+        modes = [mode for mode in Mode if mode != Mode.UNASKED]
+        if self.unasked_answers:
+            modes += [Mode.UNASKED] * 3
+        if self.random.random() < 0.5:  # otherwise trouble at all of them
+            modes += [Mode.TAKE] * 3
+        for name, endpoint in self.endpoints.items():
+            endpoint.mode = self.random.choice(modes)
+            self.note("endpoint", name, endpoint.mode.value)
+
+    def act_list(self):
+        phase = self.random.choice(("Ready", "Terminating", "Gone"))
+        self.note("list: b", phase)
+        self.discovery.announce(self.members(b=phase))
+
+    def act_notices(self):
+        self.note("notices refused")
+        self.discovery.refused_notices = 20
+
+    def act_operators(self):
+        name = "c"
+        entering = name not in self.out
+        path = "/maintenance/%s?id=%s" % ("enter" if entering else "exit", name)
+        asked_at = time.monotonic()
+        try:
+            status, _ = admin_call(self.current.admin, "POST", path)
+        except OSError as error:
+            status = str(error)
+        self.note("operator", path, status)
+        if entering and status == 200:
+            self.out[name] = time.monotonic()
+        elif not entering:  # back, or nobody knows
+            self.drain_spans.append((name, self.out.pop(name), asked_at))
+
+    def act_crowd(self):
+        self.note("crowd")
+        crowd = []
+        for _ in range(CROWD):
+            try:
+                crowd.append(rig.toy_server.Client(self.listen, timeout=1))
+            except OSError:
+                break
+        time.sleep(0.3)
+        for client in crowd:
+            client.close()
--- /dev/null
+++ b/tests/faults/soak_stage.py
@@ -0,0 +1,120 @@
+"""What a schedule of the soak plays on: endpoints, agents, processes and clients."""
+
+import random
+import threading
+import time
+
+import rig
+import soak_judge
+from rig import FaultTable, FaultTest
+from soak_agent import SoakAgent
+from soak_endpoint import SoakEndpoint
+
+ONCE, REPEATABLE = "once", "plan-event"  # classes by what a repeat may do
+READY_S = 10  # after the end of the process before
+LEFT_MS = (300, 500, 800, 1500, 1500, 3000, 4500)
+
+
+class Stage(FaultTest):
+    def __init__(self, seed):
+        super().__init__()
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.events = []
+        self.began = time.monotonic()
+
+    def setUp(self):
+        super().setUp()
+        for name in "abc":
+            self.endpoints[name] = self.new_stand_in(SoakEndpoint)
+        self.config["known"]["members"] = self.members()
+        self.discoveries = []
+        self.new_agent(revision=1)
+        token = self.config["settings"]["classes"][0]
+        once = dict(token, name=ONCE, effect="side_effect")
+        self.config["settings"]["classes"].append(once)
+        self.config["settings"]["realms"][0]["quota-rps"] = 500.0
+        self.accepted = {}  # by id
+        self.once = set()
+        self.lock = threading.Lock()
+        self.stopping = threading.Event()
+        self.processes = []
+        self.current = None
+        self.successor = None
+        self.out = {}  # endpoints that operators took out, and since when
+        self.drain_spans = []  # name, begin, end
+        self.excused_spans = []  # in which no notification is overdue
+        self.restart_began = None
+        self.timers = []
+        self.heartbeat = soak_judge.Heartbeat()
+        self.addCleanup(self.heartbeat.stop)
+
+    def new_agent(self, revision):
+        self.discovery = self.new_stand_in(SoakAgent)
+        self.addCleanup(self.discovery.release.set)
+        self.discovery.revision = revision
+        self.discovery.members = self.members()
+        self.discoveries.append(self.discovery)
+        self.config["discovery"] = self.discovery.address
+
+    def later(self, seconds, function):
+        timer = threading.Timer(seconds, function)
+        timer.daemon = True
+        timer.start()
+        self.timers.append(timer)
+
+    def note(self, text, *values):
+        self.events.append(
+            (time.monotonic() - self.began, " ".join([text, *map(str, values)]))
+        )
+
+    def new_process(self):
+        self.config["admin"] = rig.free_address()
+        table = FaultTable(self.folder / ("faults-%d" % len(self.processes)))
+        forwarder = self.launch(faults=table, options=("--log-level", "debug"))
+        forwarder.faults = table
+        forwarder.admin = self.config["admin"]
+        self.processes.append(forwarder)
+        self.note("started", forwarder.process.pid)
+        return forwarder
+
+    def put_one(self, client, chance):
+        """One message on an open connection; its reply."""
+        name = ONCE if chance.random() < 0.5 else REPEATABLE
+        left_ms = chance.choice(LEFT_MS)
+        fields = "c=%s,t=acme" % name
+        body = "x" * chance.choice((10, 900, 900, 20000))
+        sent_at = time.monotonic()
+        message, reply = client.put(
+            rig.DESTINATION, body, left_ms=left_ms, fields=fields
+        )
+        if reply == "+OK":
+            with self.lock:
+                self.accepted[message] = soak_judge.Message(
+                    message, sent_at, left_ms / 1000, time.monotonic()
+                )
+                if name == ONCE:
+                    self.once.add(message)
+        return reply
+
+    def run_client(self, seed):
+        chance = random.Random(seed)
+        while not self.stopping.is_set():
+            try:
+                client = rig.toy_server.Client(self.listen, timeout=3)
+            except OSError:
+                time.sleep(0.02)
+                continue
+            try:
+                while not self.stopping.is_set() and self.put_one(client, chance):
+                    time.sleep(chance.random() * 0.04)
+            except OSError:
+                pass
+            finally:
+                client.close()
+
+    def await_ready(self, since):
+        self.await_serving(self.current)
+        took = time.monotonic() - since
+        self.note("ready", self.current.process.pid, "%.2f" % took)
+        self.assertLess(took, READY_S, "not ready in time")
--- /dev/null
+++ b/tests/faults/soak_verdict.py
@@ -0,0 +1,156 @@
+"""What is asked of a schedule of the soak behind its end."""
+
+import signal
+import time
+
+import rig
+import soak_judge
+from soak_actions import SIGNALS_TO_END, Actions
+
+DRAIN_GRACE_S = 1.5
+SETTLE_S = 4  # behind the last deadline
+FAILED_JUDGEMENT = "FAILED JUDGEMENT"
+FORBIDDEN_LINES = (
+    "fatal signal",
+    "do not agree",
+    "spool differs",
+    "spool damaged",
+    "could not be read again",
+)
+
+
+class Verdict(Actions):
+    def answered_at(self):
+        """When each message was first answered with 200."""
+        first = {}
+        for endpoint in self.endpoints.values():
+            for at, message in list(endpoint.answered):
+                first[message] = min(at, first.get(message, at))
+        return first
+
+    def open_ids(self):
+        """Messages with neither a delivery that counts nor a notification that the agent
+        has confirmed."""
+        confirmed = {n["id"] for d in self.discoveries for n in list(d.notices)}
+        answered_at = self.answered_at()
+        return {
+            message.name
+            for message in self.accepted.values()
+            if message.name not in confirmed
+            and not message.is_delivered(answered_at.get(message.name))
+        }
+
+    def read_at(self):
+        """When an agent first read each message's notification."""
+        first = {}
+        for agent in self.discoveries:
+            with agent.changed:
+                for message, at in agent.read_at.items():
+                    first[message] = min(at, first.get(message, at))
+        return first
+
+    def judge(self):
+        deadlines = [message.deadline for message in self.accepted.values()]
+        end = max([time.monotonic(), *deadlines]) + SETTLE_S
+        while self.open_ids() and time.monotonic() < end:
+            time.sleep(0.05)
+        open_ids = self.open_ids()
+        counts = ("notified", len(self.read_at()), "open", len(open_ids))
+        self.note("accepted", len(self.accepted), *counts)
+        judgements = {
+            "lost": lambda: self.judge_lost(open_ids),
+            "late": self.judge_time,
+            "run more than once": self.judge_repeats,
+            "sent to an endpoint that is out": self.judge_drains,
+            "process": self.judge_processes,
+        }
+        failures = []
+        for name, judgement in judgements.items():
+            try:
+                judgement()
+            except AssertionError as failure:
+                failures.append("%s %s: %s" % (FAILED_JUDGEMENT, name, failure))
+        if failures:
+            self.fail("\n".join(failures))
+
+    def judge_lost(self, open_ids):
+        for message in open_ids:
+            self.tell_history(self.accepted[message])
+        self.assertEqual(open_ids, set(), "lost")
+
+    def judge_time(self):
+        late = soak_judge.late_messages(
+            self.accepted.values(),
+            self.answered_at(),
+            self.read_at(),
+            self.excused_spans,
+            self.heartbeat,
+        )
+        for message, due, by, allowed in late:
+            self.note(
+                "LATE %s due %.3f by %s allowed %.3f"
+                % (message.name, due - self.began, by, allowed)
+            )
+            self.tell_history(message)
+        self.assertEqual([x[0].name for x in late], [], "late")
+
+    def tell_history(self, message):
+        """What was seen of one message, into the timeline."""
+        name = message.name
+        seen = [
+            (message.sent_at, "client sends"),
+            (message.replied_at, "client reads +OK"),
+            (message.deadline, "deadline"),
+        ]
+        for which, endpoint in self.endpoints.items():
+            seen += [
+                (at, "%s gets it: %s" % (which, mode.value))
+                for at, called, mode in endpoint.arrivals
+                if called == name
+            ]
+            seen += [
+                (at, which + " answers 200")
+                for at, answered in endpoint.answered
+                if answered == name
+            ]
+        for agent in self.discoveries:
+            seen += [
+                (p.arrived, "agent reads it") for p in agent.posts if name in p.ids
+            ]
+        for at, what in sorted(seen):
+            self.note("%s %.3f %s" % (name, at - self.began, what))
+        for forwarder in self.processes:
+            for line in forwarder.log:
+                if name in line:
+                    self.note(name, forwarder.process.pid, line)
+
+    def judge_repeats(self):
+        counts = {}
+        for endpoint in self.endpoints.values():
+            for message in endpoint.delivered:
+                counts[message] = counts.get(message, 0) + 1
+        repeated = {i for i in self.once if counts.get(i, 0) > 1}
+        self.assertEqual(repeated, set(), "run more than once")
+
+    def judge_drains(self):
+        now = time.monotonic()
+        spans = self.drain_spans + [(n, begin, now) for n, begin in self.out.items()]
+        for name, begin, end in spans:
+            late = [
+                "%.2f" % (at - begin)
+                for at, *_ in self.endpoints[name].arrivals
+                if begin + DRAIN_GRACE_S < at < end
+            ]
+            self.assertEqual(late, [], "sent to an endpoint that is out")
+
+    def judge_processes(self):
+        self.assertEqual(self.current.end(signal.SIGTERM), 0)
+        for forwarder in self.processes:
+            status = forwarder.process.poll()
+            forwarder.reader.join(timeout=rig.LIMIT)
+            # A signal may come before the program's first instruction.
+            not_begun = not forwarder.log and -status in SIGNALS_TO_END
+            expected = status in (0, -signal.SIGKILL) or not_begun
+            self.assertTrue(expected, (status, forwarder.log[-3:]))
+            wrong = [x for x in forwarder.log if any(f in x for f in FORBIDDEN_LINES)]
+            self.assertEqual(wrong, [])
