Soak: unread windows that do not add up, long holds that stop the clock, waits for a processor noted

Overlapping faults left posts unread for over 50 ms on end.

Waits of the forwarder's threads for a processor are noted as evidence alone.

--- a/tests/faults/soak_stage.py
+++ b/tests/faults/soak_stage.py
@@ -9,6 +9,7 @@
 from rig import FaultTable, FaultTest
 from soak_agent import SoakAgent
 from soak_endpoint import SoakEndpoint
+from soak_scheduling import ProcessorWaits
 
 ONCE, REPEATABLE = "once", "plan-event"  # classes by what a repeat may do
 READY_S = 10  # after the end of the process before
@@ -44,10 +45,17 @@
         self.out = {}  # endpoints that operators took out, and since when
         self.drain_spans = []  # name, begin, end
         self.excused_spans = []  # in which no notification is overdue
+        self.long_holds = []  # in which the time does not count
         self.restart_began = None
         self.timers = []
         self.heartbeat = soak_judge.Heartbeat()
         self.addCleanup(self.heartbeat.stop)
+        waits = ProcessorWaits(self.current_pid, self.note)
+        self.addCleanup(waits.stop)
+
+    def current_pid(self):
+        current = self.current
+        return None if current is None else current.process.pid
 
     def new_agent(self, revision):
         self.discovery = self.new_stand_in(SoakAgent)
