Let the soak's agent and the other tests' agent keep their connections apart

Cause: both parts of the agent, joined, had a field 'connections', a list and a set: requests to the soak's agent failed, and each schedule with it ('notified 0').

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -6,8 +6,8 @@
 Each schedule has clients that use their connections until these break, endpoints,
 discovery, operators, and one forwarder at a time that owns the state folder, with
 successors that are started beside it. A seed fixes the schedule, not the machine's
-timing. What a failed one wrote is kept in the folder of --keep, with the history of each
-message that had no final answer in time.
+timing. What a failed one wrote is kept in the folder of --keep, with the history of
+each message that had no final answer in time.
 """
 
 import argparse
--- a/tests/faults/soak_agent.py
+++ b/tests/faults/soak_agent.py
@@ -12,9 +12,9 @@
 import agent
 import rig
 
-# A post that is not read says nothing to the agent, so these faults come in windows, one
-# at the start of each period of the clock. They leave a forwarder time for another post
-# before the notification is late.
+# A post that is not read says nothing to the agent, so these faults come in windows,
+# one at the start of each period of the clock. They leave a forwarder time for another
+# post before the notification is late.
 UNREAD_WINDOW_S = 0.05
 UNREAD_PERIOD_S = 0.4
 SLOW_S = (0.11, 0.3)
@@ -76,12 +76,12 @@
 class SoakAgentHandler(agent.AgentHandler):
     def handle(self):
         with self.server.changed:
-            self.server.connections.add(self.connection)
+            self.server.open_connections.add(self.connection)
         try:
             super().handle()
         finally:
             with self.server.changed:
-                self.server.connections.discard(self.connection)
+                self.server.open_connections.discard(self.connection)
 
     def leave_unread(self, span):
         """Whether the request stays unread; its connection ends then."""
@@ -128,7 +128,7 @@
         self.post_fault = None
         self.list_fault = None
         self.read_at = {}  # when a message's notification was first read
-        self.connections = set()
+        self.open_connections = set()
 
     def start(self):
         arguments = {"poll_interval": POLL_S}
@@ -203,7 +203,7 @@
 
     def cut_connections(self):
         with self.changed:
-            open_connections = list(self.connections)
+            open_connections = list(self.open_connections)
         for connection in open_connections:
             try:
                 connection.shutdown(socket.SHUT_RDWR)
--- a/tests/faults/soak_judge.py
+++ b/tests/faults/soak_judge.py
@@ -1,8 +1,8 @@
 """Whether each accepted message had its final answer in time.
 
-The rule is the protocol page's: a message is delivered by its deadline, or the platform's
-agent has read its notification 300 ms later. No notification is overdue from the signal
-of a restart until 1.5 s after the next process is ready.
+The rule is the protocol page's: a message is delivered by its deadline, or the
+platform's agent has read its notification 300 ms later. No notification is overdue
+from the signal of a restart until 1.5 s after the next process is ready.
 """
 
 import threading
@@ -83,8 +83,8 @@
 
 
 def notification_due(deadline, excused_spans, long_holds):
-    """When the notification is overdue. The spans are merged ones. The limit's clock stands
-    still while the process is held for longer than a machine would do it."""
+    """When the notification is overdue. The spans are merged ones. The limit's clock
+    stands still while the process is held for longer than a machine would do it."""
     due = due_after_restarts(deadline, excused_spans)
     for begin, end in long_holds:
         clock_starts = due - NOTIFICATION_LIMIT_S
--- a/tests/faults/soak_verdict.py
+++ b/tests/faults/soak_verdict.py
@@ -30,8 +30,8 @@
         return first
 
     def open_ids(self):
-        """Messages with neither a delivery that counts nor a notification that the agent
-        has confirmed."""
+        """Messages with neither a delivery that counts nor a notification that the
+        agent has confirmed."""
         confirmed = {n["id"] for d in self.discoveries for n in list(d.notices)}
         answered_at = self.answered_at()
         return {
