--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -53,10 +53,10 @@
                             .body = std::move(message.message.body),
                             .acknowledged = true,
                             .attempts_recorded = attempts});
-  const Time deadline = now + std::max(time_left, kMinTimeAfterRestore);
-  trace_.Begin(message.spool_id, now, deadline, TraceStep::kRestored,
-               static_cast<std::uint32_t>(attempts));
-  final_answers_.Open(message.spool_id, deadline);
+  trace_.Begin(message.spool_id, now, now + std::max(time_left, kMinTimeAfterRestore),
+               TraceStep::kRestored, static_cast<std::uint32_t>(attempts));
+  final_answers_.Open(message.spool_id, now + time_left,
+                      now + std::max(time_left, kMinDecisionTimeAfterRestore));
 }
 
 void MessageTable::Insert(MessageId id, InFlightMessage message) {
@@ -66,9 +66,9 @@
   messages_[id] = std::move(message);
 }
 
-bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time submitted_at, Time now,
+bool MessageTable::Persist(MessageId message, DeliveryRequest request, Time received_at, Time now,
                            UnixMs unix_now) {
-  const Time deadline = submitted_at + request.time_left;
+  const Time deadline = received_at + request.time_left;
   const SpooledMessage record{
       std::move(request.id),
       std::move(request.key),
@@ -83,7 +83,7 @@
   }
   ++totals_.accepted;
   observe::Count("messages_accepted_total");
-  trace_.Begin(message, submitted_at, deadline, TraceStep::kAccepted);
+  trace_.Begin(message, received_at, deadline, TraceStep::kAccepted);
   final_answers_.Open(message, deadline);
   return true;
 }
@@ -117,6 +117,9 @@
   if (found == nullptr) return;
   found->acknowledged = true;
   trace_.Note(message, now, TraceStep::kAcknowledged);
+  if (const auto held = std::exchange(found->held_notification, std::nullopt)) {
+    final_answers_.Notify(*held, now);
+  }
 }
 
 std::optional<std::size_t> MessageTable::BeginAttempt(MessageId message, const Endpoint& endpoint,
@@ -140,7 +143,12 @@
   found->given_up_at = now;
   trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
   notification.id = found->client_id;
-  final_answers_.GiveUp(notification, now);
+  final_answers_.GiveUp(notification.message);
+  if (found->acknowledged) {
+    final_answers_.Notify(notification, now);
+  } else {
+    found->held_notification = notification;
+  }
   observe::Log(Concern::kEngine, Level::kInfo, "message given up",
                {{"id", notification.id},
                 {"reason", reason},
@@ -148,13 +156,16 @@
                 {"history", trace_.History(notification.message)}});
 }
 
-void MessageTable::Conclude(MessageId message, bool delivered, Time now) {
+void MessageTable::Conclude(MessageId message, MessageEnd end, Time now) {
   if (!IsDeliverable(message)) return;
-  if (!delivered) return GiveUp({.message = message}, "gone", now);
-  if (final_answers_.IsDeliveryCertain(message, now)) {
-    return End(message, TraceStep::kDelivered, now);
+  switch (end) {
+    case MessageEnd::kDelivered:
+      return End(message, TraceStep::kDelivered, now);
+    case MessageEnd::kDeliveredInDoubt:
+      return GiveUp({.message = message}, "delivered-late", now);
+    case MessageEnd::kOverForTheEndpoint:
+      return GiveUp({.message = message}, "gone", now);
   }
-  GiveUp({.message = message}, "delivered-late", now);
 }
 
 void MessageTable::End(MessageId message, TraceStep final_step, Time now) {
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -26,13 +26,21 @@
   std::string client_id{};
   std::string key{};  // the idempotency key; empty: none
   std::string body{};
-  bool acknowledged = false;  // its client knows that it was accepted
-  bool given_up = false;      // its notification is not confirmed yet
+  bool acknowledged = false;                        // its client knows that it was accepted
+  bool given_up = false;                            // its notification is not confirmed yet
+  std::optional<Notification> held_notification{};  // until it is acknowledged
   dispatch_policy::Time given_up_at{};
   std::size_t attempts_recorded = 0;  // in the spool, by earlier processes too
   std::size_t attempts_decided = 0;   // by the policy of this process
 };
 
+// What an endpoint's answer makes of a message.
+enum class MessageEnd {
+  kDelivered,          // for certain
+  kDeliveredInDoubt,   // the platform may not count the answer
+  kOverForTheEndpoint  // nothing more is owed, as the endpoint says
+};
+
 // Used by the engine's thread alone. Knows no clock: times are the caller's.
 class MessageTable {
  public:
@@ -48,6 +56,8 @@
   // A restored message is overdue no earlier than this after the restart: its notification may have
   // to wait for the platform.
   static constexpr Duration kMinTimeAfterRestore = std::chrono::milliseconds(1500);
+  // The policy has so much time to decide about a restored message, however old it is.
+  static constexpr Duration kMinDecisionTimeAfterRestore = std::chrono::milliseconds(200);
 
   // The spool outlives the table.
   MessageTable(Spool& spool, const Limits& limits);
@@ -59,10 +69,10 @@
   [[nodiscard]] bool HasCapacityFor(std::size_t body_bytes) const;
   // Enters a message that the spool has not recorded yet.
   [[nodiscard]] MessageId Add(const DeliveryRequest& request);
-  // Records an added message in the spool; its time counts from its submission. False if the spool
+  // Records an added message in the spool; its time counts from its receipt. False if the spool
   // has no room: the message is removed.
-  [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time submitted_at,
-                             Time now, UnixMs unix_now);
+  [[nodiscard]] bool Persist(MessageId message, DeliveryRequest request, Time received_at, Time now,
+                             UnixMs unix_now);
   // Removes a message that is not in the spool.
   void Remove(MessageId message);
   // Enters a message that an earlier process had accepted.
@@ -84,13 +94,18 @@
   void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
                        Time now);
   // The message will not be delivered: the notification, which gets its client's id here, is posted
-  // until it is confirmed, which ends the message. `reason`: for the log. Without effect if the
-  // message has ended or was given up before.
+  // once the message is acknowledged and until it is confirmed, which ends the message. `reason`:
+  // for the log. Without effect if the message has ended or was given up before.
   void GiveUp(Notification notification, std::string_view reason, Time now);
-  // An endpoint has answered that the message is delivered, or that nothing more is owed. Ends the
-  // message if that is certain to count for the platform; else the platform is notified as well,
-  // which does no harm. Without effect if the message has ended or was given up before.
-  void Conclude(MessageId message, bool delivered, Time now);
+  // Whether an answer of 200 at this time is certain to be counted by the platform as the message's
+  // delivery. For a call with several messages it must be so for each of them.
+  [[nodiscard]] bool IsDeliveryCertain(MessageId message, Time now) const {
+    return IsDeliverable(message) && final_answers_.IsDeliveryCertain(message, now);
+  }
+  // An endpoint has answered that the message is over. Ends the message if it was delivered for
+  // certain; else the platform is notified as well, which does no harm. Without effect if the
+  // message has ended or was given up before.
+  void Conclude(MessageId message, MessageEnd end, Time now);
   // Records the end of a message in flight in spool, log and history, and removes it.
   void End(MessageId message, TraceStep final_step, Time now);
 
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -48,6 +48,7 @@
   MessageTable::MessageId AddPersisted(const std::string& id) {
     const auto message = table->Add(Request(id));
     REQUIRE(table->Persist(message, Request(id), kStart, kStart, kUnixStart));
+    table->Acknowledge(message, kStart);
     return message;
   }
 
@@ -93,9 +94,21 @@
   CHECK(post->body == NotificationLine({.id = "m"}));
 }
 
+// Guards against a final answer that the platform hears before the client knows of the message.
+TEST_CASE_FIXTURE(TableFixture, "a message is notified only once its client knows of it") {
+  const auto message = table->Add(Request("m"));
+  REQUIRE(table->Persist(message, Request("m"), kStart, kStart, kUnixStart));
+  table->GiveUp({.message = message}, "test", kStart);
+  CHECK(table->final_answers().FindExpired(kStart + seconds(30)).empty());
+  CHECK_FALSE(table->final_answers().outbox().NextPost(kStart + seconds(1)));
+  table->Acknowledge(message, kStart + seconds(2));
+  CHECK(table->final_answers().outbox().NextPost(kStart + seconds(2)));
+}
+
 TEST_CASE_FIXTURE(TableFixture, "a delivery well before the deadline ends the message") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, true, kStart + seconds(1));
+  CHECK(table->IsDeliveryCertain(message, kStart + seconds(1)));
+  table->Conclude(message, MessageEnd::kDelivered, kStart + seconds(1));
   CHECK(table->size() == 0);
   CHECK(table->final_answers().open() == 0);
   CHECK(table->totals().delivered == 1);
@@ -104,17 +117,40 @@
 // Guards against a delivery that the platform does not count leaving the message without an end.
 TEST_CASE_FIXTURE(TableFixture, "a delivery about the deadline is notified as well") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, true, kStart + seconds(20) - milliseconds(10));
+  const auto late = kStart + seconds(20) - milliseconds(10);
+  CHECK_FALSE(table->IsDeliveryCertain(message, late));
+  table->Conclude(message, MessageEnd::kDeliveredInDoubt, late);
   CHECK_FALSE(table->IsDeliverable(message));
   CHECK(table->final_answers().outbox().size() == 1);
   table->End(message, TraceStep::kNotified, kStart + seconds(20));
   CHECK(table->size() == 0);
 }
 
+// Guards against a restart's longer time for notifications being taken for time to deliver in.
+TEST_CASE_FIXTURE(TableFixture,
+                  "a restored message is not delivered for certain behind its own deadline") {
+  AddPersisted("m");
+  Open();
+  RecoveredMessage recovered = spool->Recover().at(0);
+  const auto message = recovered.spool_id;
+  table->AddRestored(std::move(recovered), milliseconds(100), kStart);
+  CHECK_FALSE(table->IsDeliveryCertain(message, kStart + milliseconds(200)));
+}
+
+// Guards against the restart's allowance for notifications being used up before anybody decides.
+TEST_CASE_FIXTURE(TableFixture, "a restored message without time is decided about soon") {
+  AddPersisted("m");
+  Open();
+  RecoveredMessage recovered = spool->Recover().at(0);
+  table->AddRestored(std::move(recovered), milliseconds(-100), kStart);
+  CHECK(table->final_answers().FindExpired(kStart + milliseconds(100)).empty());
+  CHECK(table->final_answers().FindExpired(kStart + milliseconds(300)).size() == 1);
+}
+
 // Guards against the end of a message whose endpoint alone says that nothing more is owed.
 TEST_CASE_FIXTURE(TableFixture, "a message that its endpoint takes for over is notified") {
   const auto message = AddPersisted("m");
-  table->Conclude(message, false, kStart);
+  table->Conclude(message, MessageEnd::kOverForTheEndpoint, kStart);
   CHECK(table->final_answers().outbox().size() == 1);
 }
 
@@ -122,12 +158,12 @@
 TEST_CASE_FIXTURE(TableFixture, "a message that was given up ends with its notification alone") {
   const auto message = AddPersisted("m");
   table->GiveUp({.message = message}, "test", kStart);
-  table->Conclude(message, true, kStart);
+  table->Conclude(message, MessageEnd::kDelivered, kStart);
   CHECK(table->size() == 1);
   CHECK(table->final_answers().outbox().size() == 1);
 }
 
-TEST_CASE_FIXTURE(TableFixture, "a message's time counts from its submission") {
+TEST_CASE_FIXTURE(TableFixture, "a message's time counts from its receipt") {
   const auto message = table->Add(Request("m"));
   REQUIRE(table->Persist(message, Request("m"), kStart, kStart + seconds(2), kUnixStart));
   CHECK(table->final_answers().NextWakeUp() ==
