--- a/tests/faults/final_answer_shortage_test.py
+++ b/tests/faults/final_answer_shortage_test.py
@@ -122,14 +122,17 @@
                 message = self.put_accepted(left_ms=LEFT_MS)
                 wait_for("its call", lambda: self.hangs(message))
                 self.cut_posts()  # so that the next one opens a connection
-                rule = self.faults.fail(call, error)
-                self.await_overdue(LEFT_MS)
-                wait_for(
-                    "the failures", lambda: self.faults.hits(rule) >= self.FAILURES
-                )
-                self.faults.end()
+                self.fail_until_due(call, error)
                 self.assert_confirmed([message])
 
+    def fail_until_due(self, call, error):
+        rule = self.faults.fail(call, error)
+        try:
+            self.await_overdue(LEFT_MS)
+            wait_for("the failures", lambda: self.faults.hits(rule) >= self.FAILURES)
+        finally:
+            self.faults.end()
+
     def cut_posts(self):
         for post in self.discovery.posts:
             try:
