Force the endpoint's late answer to reach a message that was given up

The call's own timeout closed its connection 5 ms behind the give-up, so the released answer never reached the forwarder and the test showed nothing. Now the forwarder's threads are held behind recv(): the answer is read before the deadline and has its effect behind it (`call completed outcome=0 status=200` behind `message given up`).

--- a/tests/faults/final_answer_delivery_test.py
+++ b/tests/faults/final_answer_delivery_test.py
@@ -14,7 +14,7 @@
 
 import rig
 from final_answer_test import FinalAnswerTest
-from rig import HOLD_BEFORE, Endpoint, toy_server, wait_for
+from rig import HOLD_AFTER, HOLD_BEFORE, Endpoint, toy_server, wait_for
 
 HOLD_UP_S = 0.15  # the longest that a forwarder may be held up, by the protocol
 MARGIN_S = 0.04  # an answer comes so long behind the client's deadline
@@ -162,9 +162,21 @@
 
         self.discovery.on_post = cut_what_was_held
         self.start_with_admin()
-        message = self.give_up_one()
+        client = toy_server.Client(self.listen, timeout=rig.LIMIT)
+        self.addCleanup(client.close)
+        message, reply = client.put(rig.DESTINATION, "body", left_ms=2500)
+        self.assertEqual(reply, "+OK")
+        wait_for("the call", lambda: self.hangs(message))
+        # The answer is read before the deadline, and has its effect behind it.
+        rule = self.faults.fail("recv", HOLD_AFTER)
         for endpoint in self.endpoints.values():
             endpoint.released.set()
+        wait_for(
+            "the call's and discovery's threads", lambda: self.faults.hits(rule) >= 2
+        )
+        self.assertFalse(self.discovery.has_read(message))
+        wait_for("its notification", lambda: self.discovery.has_read(message))
+        self.faults.end()
         # The result of a later call has been read, so that of the held call has as well.
         self.set_mode(Endpoint.TAKE)
         later = self.put_accepted(left_ms=20000)
