Play random orders of events against the parts that owe the final answer

Cause: a message can miss its final answer by an order of events that nobody wrote a test for: a restart behind a late answer, an agent that is slow while a list is held back, a client that leaves while its message is being decided.

Change: brassfront_exploration_tests (FinalAnswerExploration) draws orders from seeds and plays them in virtual time, without a thread, a socket or a sleep: the real policy, message table, ledger, outbox, spool, call tracker, endpoint registry, list hold and shutdown, in a mirror of the engine's glue. A judge that sees only clients, endpoints, the agent and the stored records looks for lost and late answers, calls made twice, overlaps and messages left open.

--- /dev/null
+++ b/tests/forwarder/final_answer_judge.hpp
@@ -0,0 +1,282 @@
+// What clients, endpoints and the platform are owed, judged from what they see alone: nothing here
+// knows the forwarder's parts, but for the constants that bound when a notification is posted
+// again.
+//
+// The rules are those of the protocol page. An accepted message whose client has heard so is
+// delivered by an endpoint's 200 before its deadline, or its notification is read by the agent by
+// DueAt. A call that may have run is not repeated where that does harm, and no two calls of a
+// message are out at once: the policy never asks for that, whatever its settings are.
+#ifndef BRASSFRONT_TESTS_FORWARDER_FINAL_ANSWER_JUDGE_HPP_
+#define BRASSFRONT_TESTS_FORWARDER_FINAL_ANSWER_JUDGE_HPP_
+
+#include <algorithm>
+#include <bit>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "forwarder/notification_outbox.hpp"
+#include "order_of_events.hpp"
+
+namespace brassfront::exploration {
+
+// A rule that was broken, and where.
+struct Breach {
+  std::string rule;
+  std::string details;
+};
+
+class FinalAnswerJudge {
+ public:
+  using Time = dispatch_policy::Time;
+
+  // The protocol page's times.
+  static constexpr Millis kNoticeGrace{300};          // behind a message's deadline
+  static constexpr Millis kNoticeAfterRestart{1500};  // from when the process is ready
+  static constexpr Millis kTimeSlack{50};             // of a window
+
+  // Whether a call that has ended has run.
+  enum class Ran { kNever, kMaybe, kDelivered };
+
+  FinalAnswerJudge(dispatch_policy::Duration dedup_window, std::size_t messages)
+      : dedup_window_(dedup_window), messages_(messages) {}
+
+  // ---- what happens ----
+
+  void OnSubmitted(const Submit& submit, Time at) {
+    Fate& fate = fates_[submit.id];
+    fate.message_class = submit.message_class;
+    fate.sent_at = fate.read_at = at;
+    fate.deadline = at + submit.time;
+  }
+  void OnRequestRead(const std::string& id, Time at) { fates_.at(id).read_at = at; }
+  // The client knows that its message was accepted.
+  void OnHeard(const std::string& id) { fates_.at(id).heard = true; }
+
+  // The last byte of a call's request was written. `call` is new.
+  void OnCallWritten(std::uint64_t call, const std::string& id, Time at) {
+    Fate& fate = fates_.at(id);
+    if (fate.deferred) Report("call-after-deferral", id, at);
+    for (const auto& [number, earlier] : fate.calls) {
+      if (earlier.is_out) Report("overlap", id, at);
+      if (earlier.ran == Ran::kNever) continue;
+      if (fate.message_class == kNeverRepeated) Report("duplicate", id, at);
+      const bool expired = at - earlier.written_at > dedup_window_ + kTimeSlack;
+      if (fate.message_class == kKeyed && expired) Report("duplicate", id, at);
+    }
+    fate.calls[call] = {.written_at = at};
+  }
+  // Its answer was written, or its connection has ended.
+  void OnCallEnded(std::uint64_t call, const std::string& id, Ran ran, Time at) {
+    Fate& fate = fates_.at(id);
+    Call& ended = fate.calls.at(call);
+    ended.is_out = false;
+    ended.ran = ran;
+    if (ran == Ran::kDelivered && !fate.delivered_at) fate.delivered_at = at;
+  }
+
+  // The agent has read this line of a post and takes it for good.
+  void OnNotificationRead(const std::string& id, bool deferred, Time at) {
+    const auto it = fates_.find(id);
+    if (it == fates_.end()) return Report("unknown-notification", id, at);
+    Fate& fate = it->second;
+    if (!fate.notified_at) fate.notified_at = at;
+    if (!deferred || fate.message_class != kNeverRepeated) return;
+    fate.deferred = true;  // its client hands it in again
+    const bool may_have_run =
+        std::any_of(fate.calls.begin(), fate.calls.end(),
+                    [](const auto& entry) { return entry.second.ran != Ran::kNever; });
+    if (may_have_run) Report("deferral-after-call", id, at);
+  }
+
+  void OnHeldUp(Time from, Time until) { held_up_.emplace_back(from, until); }
+  void OnRestart(Time signal) {
+    exemptions_.push_back({.from = signal, .until = Time::max(), .due = Time::max()});
+    restart_ = exemptions_.size() - 1;
+  }
+  void OnReady(Time at) {
+    Exemption& restart = exemptions_.at(restart_);
+    restart.until = restart.due = at + kNoticeAfterRestart;
+    restart.held_up_from = at;
+  }
+  // `from` and `until` in the time of the other methods.
+  void AddTrouble(const AgentTrouble& trouble, Time from, Time until) {
+    exemptions_.push_back(ExemptionFor(trouble, from, until));
+  }
+
+  void Report(std::string rule, const std::string& details, Time at) {
+    breaches_.push_back({std::move(rule), details + " at " + Text(at)});
+  }
+
+  // ---- the verdict, once everything is calm ----
+
+  [[nodiscard]] std::vector<Breach> Finish() {
+    for (const auto& [id, fate] : fates_) {
+      if (!fate.heard) continue;
+      if (fate.delivered_at && *fate.delivered_at < fate.deadline) continue;
+      const Time due = DueAt(id, fate);
+      if (fate.notified_at && *fate.notified_at <= due) continue;
+      const std::string seen = fate.notified_at ? "notified at " + Text(*fate.notified_at)
+                                                : std::string("never notified");
+      breaches_.push_back(
+          {fate.notified_at ? "late" : "lost",
+           id + ", deadline " + Text(fate.deadline) + ", due " + Text(due) + ", " + seen});
+    }
+    return breaches_;
+  }
+  [[nodiscard]] static std::string Text(Time time) {
+    return std::to_string(std::chrono::duration<double, std::milli>(time).count()) + " ms";
+  }
+
+ private:
+  struct Call {
+    Time written_at{};
+    bool is_out = true;
+    Ran ran = Ran::kMaybe;
+  };
+  struct Fate {
+    std::size_t message_class = 0;
+    Time sent_at{};
+    Time read_at{};  // its request, by the forwarder
+    Time deadline{};
+    bool heard = false;
+    bool deferred = false;  // of the class that may not be repeated
+    std::optional<Time> delivered_at;
+    std::optional<Time> notified_at;
+    std::map<std::uint64_t, Call> calls;
+  };
+  // What is due in the interval is due later.
+  struct Exemption {
+    Time from{};
+    Time until{};
+    Time due{};           // at this time at the earliest
+    Time held_up_from{};  // hold-ups from here on are added
+    Time extension{};     // added to what is due otherwise
+    std::vector<std::string> rejected{};
+    Time rejected_due{};  // of these
+  };
+
+  // A notification is part of a post so soon, after an earlier one of it was left unanswered, or
+  // failed.
+  static constexpr Millis kRecovery =
+      NotificationOutbox::kLongestRepeat + NotificationOutbox::kMaxPostDelay;
+
+  [[nodiscard]] Exemption ExemptionFor(const AgentTrouble& trouble, Time from, Time until) const {
+    using Kind = AgentTrouble::Kind;
+    Exemption exemption{.from = from, .until = until, .held_up_from = until};
+    // All messages, posted by themselves one after the other.
+    const Time singly = 2 * NotificationOutbox::kPostSpacing * messages_;
+    switch (trouble.kind) {
+      case Kind::kAnswersLate:
+      case Kind::kCutsRead:
+        return Exemption{};  // what is read at once is in time
+      case Kind::kReadsLate:
+        // A post is left alone until it is read once one of the others that are has ended.
+        exemption.extension = 2 * trouble.delay + kRecovery;
+        exemption.until += exemption.extension;
+        return exemption;
+      case Kind::kRejects:
+        // A post is halved until the unreadable notification is alone in one.
+        exemption.extension =
+            (std::bit_width(messages_) + 1) * NotificationOutbox::kMaxPostDelay + singly;
+        exemption.until += exemption.extension;
+        exemption.rejected = trouble.rejected;
+        exemption.rejected_due = until + NotificationOutbox::kRejectedRetry + kRecovery + singly;
+        return exemption;
+      case Kind::kMixed:
+        exemption.due = until + 2 * trouble.delay + kRecovery;
+        exemption.until = exemption.due;
+        return exemption;
+      default:  // nothing is read until the end
+        exemption.due = exemption.until = until + kRecovery;
+        return exemption;
+    }
+  }
+
+  // How long the process was held up between the two.
+  [[nodiscard]] Time HeldUp(Time from, Time until) const {
+    Time sum{};
+    for (const auto& [begin, end] : held_up_) {
+      sum += std::max(Time{}, std::min(end, until) - std::max(begin, from));
+    }
+    return sum;
+  }
+  // The time, and how long the process is held up between `from` and what results.
+  [[nodiscard]] Time Delayed(Time time, Time from) const {
+    Time result = time;
+    while (true) {
+      const Time next = time + HeldUp(from, result);
+      if (next == result) return result;
+      result = next;
+    }
+  }
+
+  // By when the message's notification must have been read. What delays it is looked at again after
+  // each step, because it may be due in the next trouble then.
+  [[nodiscard]] Time DueAt(const std::string& id, const Fate& fate) const {
+    Time due = fate.deadline + kNoticeGrace + HeldUp(fate.sent_at, fate.read_at);
+    due = Delayed(due, fate.deadline);
+    Time since = due;  // it may be read from here on
+    std::vector<bool> applied(exemptions_.size());
+    while (const auto next = FindExemption(id, since, due, applied)) {
+      const Exemption& exemption = exemptions_[*next];
+      due = std::max(due, Extended(id, due, exemption));
+      if (exemption.extension == Time{}) {
+        // From a later time on, what is read late is read late anew.
+        ForgetExtensions(applied);
+        since = due;
+      }
+      applied[*next] = true;
+    }
+    return due;
+  }
+  // One that delays what is due in this time and was not applied: one in which nothing is read goes
+  // before those that add to the time.
+  [[nodiscard]] std::optional<std::size_t> FindExemption(const std::string& id, Time since,
+                                                         Time due,
+                                                         const std::vector<bool>& applied) const {
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < exemptions_.size(); ++i) {
+      const Exemption& exemption = exemptions_[i];
+      const Time until = IsRejected(id, exemption) ? exemption.rejected_due : exemption.until;
+      if (applied[i] || due < exemption.from || since >= until) continue;
+      if (exemption.extension == Time{}) return i;
+      found = i;
+    }
+    return found;
+  }
+  void ForgetExtensions(std::vector<bool>& applied) const {
+    for (std::size_t i = 0; i < exemptions_.size(); ++i) {
+      if (exemptions_[i].extension > Time{}) applied[i] = false;
+    }
+  }
+  [[nodiscard]] static bool IsRejected(const std::string& id, const Exemption& exemption) {
+    const auto& rejected = exemption.rejected;
+    return std::find(rejected.begin(), rejected.end(), id) != rejected.end();
+  }
+  [[nodiscard]] Time Extended(const std::string& id, Time due, const Exemption& exemption) const {
+    if (IsRejected(id, exemption)) {
+      return Delayed(exemption.rejected_due, exemption.held_up_from);
+    }
+    if (exemption.extension > Time{}) return Delayed(due + exemption.extension, due);
+    if (exemption.due == Time::max()) return exemption.due;
+    return Delayed(exemption.due, exemption.held_up_from);
+  }
+
+  const dispatch_policy::Duration dedup_window_;
+  const std::size_t messages_;
+  std::map<std::string, Fate> fates_;
+  std::vector<std::pair<Time, Time>> held_up_;
+  std::vector<Exemption> exemptions_;
+  std::size_t restart_ = 0;  // the last one
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace brassfront::exploration
+
+#endif  // BRASSFRONT_TESTS_FORWARDER_FINAL_ANSWER_JUDGE_HPP_
--- /dev/null
+++ b/tests/forwarder/virtual_forwarder.hpp
@@ -0,0 +1,492 @@
+// One process of the forwarder in virtual time: the real dispatch policy, message table (with its
+// ledger and outbox), call tracker, endpoint registry, list hold and shutdown, on a real spool. It
+// has no thread, socket or clock: the owner passes events in, says what time it is, and runs
+// rounds.
+//
+// It mirrors the engine's glue between these parts and must follow it: src/forwarder/engine.cpp
+// (the round in Run, On, Decide, Apply, Restore, GiveUpExpired, StartPosts) and the parts of
+// src/forwarder/call_dispatcher.cpp that wait for no thread. Left out are logs, metrics, retries of
+// a failing spool, and connections. Whoever changes the order of steps there changes it here.
+#ifndef BRASSFRONT_TESTS_FORWARDER_VIRTUAL_FORWARDER_HPP_
+#define BRASSFRONT_TESTS_FORWARDER_VIRTUAL_FORWARDER_HPP_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "config/config.hpp"
+#include "dispatch_policy/dispatch_policy.hpp"
+#include "forwarder/call_tracker.hpp"
+#include "forwarder/clock.hpp"
+#include "forwarder/deadline_queue.hpp"
+#include "forwarder/endpoint_protocol.hpp"
+#include "forwarder/endpoint_registry.hpp"
+#include "forwarder/index_of.hpp"
+#include "forwarder/known_list_hold.hpp"
+#include "forwarder/message_table.hpp"
+#include "forwarder/shutdown.hpp"
+#include "net/notification_client.hpp"
+
+namespace brassfront::exploration {
+
+using dispatch_policy::Duration;
+using dispatch_policy::MessageId;
+using dispatch_policy::Time;
+
+// The spool's clock, which follows the virtual one.
+[[nodiscard]] inline UnixMs SpoolTimeAt(Time now) {
+  constexpr UnixMs kUnixStart{1'700'000'000'000};
+  return kUnixStart + std::chrono::floor<std::chrono::milliseconds>(now);
+}
+
+// The threads, peers and clock around a forwarder. It must not call the forwarder back at once:
+// what follows from a call is passed in later.
+class Surroundings {
+ public:
+  Surroundings() = default;
+  Surroundings(const Surroundings&) = delete;
+  Surroundings& operator=(const Surroundings&) = delete;
+  virtual ~Surroundings() = default;
+
+  [[nodiscard]] virtual Time Now() const = 0;
+  // The process may be held up here: a decision was made, and nothing of it was carried out.
+  virtual void MaybeHoldUp() = 0;
+  // The client's thread is told that its message is accepted, or that it is not.
+  virtual void OnAccepted(MessageId message, const std::string& client_id) = 0;
+  virtual void OnRefused(const std::string& client_id) = 0;
+  // The call is for a thread of its own from here on; no first byte later than `start_by`.
+  virtual void StartCall(const PendingCall& call, const std::string& endpoint, Time start_by) = 0;
+  virtual void StartPost(std::uint64_t post, std::string body) = 0;
+  virtual void AbandonPost(std::uint64_t post) = 0;
+  virtual void OnDiscoveryAddressChanged() = 0;
+};
+
+class VirtualForwarder : private CallTracker::Starter {
+ public:
+  // What other threads push.
+  struct Submission {
+    DeliveryRequest request;
+    std::size_t message_class = 0;
+    Time submitted_at{};
+  };
+  struct MessageAcknowledged {
+    MessageId message = 0;
+  };
+  struct ClientDisconnected {
+    MessageId message = 0;
+  };
+  struct ShutdownRequested {};
+  struct DiscoveryAddressChanged {};
+  using InboxEvent =
+      std::variant<Submission, MessageAcknowledged, ClientDisconnected, EndpointCallResult,
+                   MemberList, NotificationPostResult, ShutdownRequested, DiscoveryAddressChanged>;
+
+  static constexpr std::size_t kMaxBodyMemory = std::size_t{1} << 20;  // bytes, of all bodies
+  static constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
+  static constexpr std::chrono::milliseconds kHoldCheckInterval{5};
+
+  // The arguments outlive the forwarder. No restored message and no list is passed on to the policy
+  // before `exclusions_known_at`.
+  VirtualForwarder(const Config& config, Spool& spool, Surroundings& surroundings,
+                   Time exclusions_known_at)
+      : config_(config),
+        spool_(spool),
+        surroundings_(surroundings),
+        exclusions_known_at_(exclusions_known_at),
+        policy_(config.policy_settings, config.seed),
+        known_list_hold_(surroundings.Now()),
+        messages_(spool, {.max_in_flight = config.policy_settings.max_in_flight,
+                          .max_body_bytes = kMaxBodyMemory}),
+        endpoints_(config),
+        calls_(config.policy_settings.max_concurrent_calls) {
+    for (const dispatch_policy::ClassSettings& settings : config.policy_settings.classes) {
+      known_list_hold_.LimitBy(Now(), settings.deadline);
+    }
+    deadlines_.Set(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
+  }
+
+  // Takes over what the spool owes, and begins.
+  void Restore() {
+    const Time now = Now();
+    held_events_.emplace_back(endpoints_.Apply(config_.known, now));
+    for (RecoveredMessage& recovered : spool_.Recover()) RestoreMessage(std::move(recovered), now);
+    Decide(now);
+    calls_.StartReadyCalls(Now(), *this);
+    waits_since_ = Now();
+  }
+
+  // ---- other threads ----
+
+  [[nodiscard]] bool KnowsDestination(dispatch_policy::DestinationId destination) const {
+    return endpoints_.KnowsDestination(destination);
+  }
+  void Push(InboxEvent event) { inbox_.push_back(std::move(event)); }
+
+  // ---- the loop ----
+
+  // When the loop's next round begins, if nothing holds it up.
+  [[nodiscard]] Time NextRoundAt() {
+    if (!inbox_.empty()) return Time::min();
+    return std::min(deadlines_.Next(), NextWakeUp());
+  }
+
+  // One round. False if the shutdown is over.
+  [[nodiscard]] bool RunRound() {
+    for (InboxEvent& event : std::exchange(inbox_, {})) {
+      std::visit([this](auto& alternative) { On(std::move(alternative)); }, event);
+    }
+    const Time now = Now();
+    while (const auto due = deadlines_.PopDue(now)) On(*due);
+    ReleaseHeldEvents(now);
+    const Time next_decision = last_decision_ + config_.policy_settings.decision_interval;
+    if (!policy_events_.empty() && now >= next_decision) Decide(now);
+    GiveUpExpired(now);
+    calls_.StartReadyCalls(now, *this);
+    StartPosts(now);
+    if (now >= messages_.NextOverdue()) messages_.LogOverdue(now);
+    waits_since_ = Now();
+    return !shutdown_.IsOver(now, messages_.size());
+  }
+
+  [[nodiscard]] MessageTable& messages() { return messages_; }
+
+ private:
+  [[nodiscard]] Time Now() const { return surroundings_.Now(); }
+
+  // Rejections and failures are applied before accepted messages are persisted, all else after.
+  [[nodiscard]] static bool EndsMessage(const dispatch_policy::Action& action) {
+    return std::holds_alternative<dispatch_policy::RejectMessage>(action) ||
+           std::holds_alternative<dispatch_policy::FailMessage>(action);
+  }
+
+  // ======== a new process ========
+
+  void RestoreMessage(RecoveredMessage recovered, Time now) {
+    const UnixMs spool_now = SpoolTimeAt(now);
+    dispatch_policy::MessageRestored event;
+    event.message = recovered.spool_id;
+    event.destination = recovered.message.destination;
+    event.message_class = IndexOf(config_.class_names, recovered.message.class_name);
+    event.time_left = recovered.message.deadline - spool_now;
+    const Duration longest = config_.policy_settings.classes.at(event.message_class).deadline;
+    event.time_left = std::min(event.time_left, longest);
+    event.attempts_used = recovered.attempts.size();
+    for (const SpooledAttempt& attempt : recovered.attempts) {
+      if (attempt.known_not_run || event.may_have_run) continue;
+      const Duration age = std::max(spool_now - attempt.started_at, UnixMs(0));
+      event.may_have_run = std::max(now - age, Time{});
+      event.ran_on_endpoint = endpoints_.FindOrAddId(attempt.endpoint);
+    }
+    known_list_hold_.LimitBy(now, event.time_left);
+    messages_.AddRestored(std::move(recovered), event.time_left, now);
+    AddListEvent(std::move(event));
+  }
+
+  void AddListEvent(dispatch_policy::Event event) {
+    (held_events_.empty() ? policy_events_ : held_events_).emplace_back(std::move(event));
+  }
+
+  void ReleaseHeldEvents(Time now) {
+    if (held_events_.empty() || known_list_hold_.IsActive(now)) return;
+    if (now < exclusions_known_at_) return;
+    for (dispatch_policy::Event& event : std::exchange(held_events_, {})) {
+      const auto* restored = std::get_if<dispatch_policy::MessageRestored>(&event);
+      if (restored != nullptr && !messages_.IsDeliverable(restored->message)) continue;
+      policy_events_.emplace_back(std::move(event));
+    }
+  }
+
+  // ======== the round ========
+
+  [[nodiscard]] Time NextWakeUp() {
+    Time next = std::min(messages_.NextOverdue(), messages_.final_answers().NextWakeUp());
+    if (!held_events_.empty()) next = std::min<Time>(next, waits_since_ + kHoldCheckInterval);
+    if (policy_events_.empty()) return next;
+    return std::min(next, last_decision_ + config_.policy_settings.decision_interval);
+  }
+
+  void Decide(Time now) {
+    last_decision_ = now;
+    const std::vector<dispatch_policy::Event> events = std::exchange(policy_events_, {});
+    const std::vector<dispatch_policy::Action> actions = policy_.Decide(now, events);
+    surroundings_.MaybeHoldUp();
+    const auto apply = [this](const auto& action) { Apply(action); };
+    for (const dispatch_policy::Action& action : actions) {
+      if (EndsMessage(action)) std::visit(apply, action);
+    }
+    AcceptAll();
+    for (const dispatch_policy::Action& action : actions) {
+      if (!EndsMessage(action)) std::visit(apply, action);
+    }
+    calls_.CloseBatches();
+  }
+
+  // As SubmissionQueue::AcceptAll.
+  void AcceptAll() {
+    for (auto& [message, submission] : std::exchange(submissions_, {})) {
+      const Time now = Now();
+      const std::string client_id = submission.request.id;
+      if (messages_.Persist(message, std::move(submission.request), submission.submitted_at, now,
+                            SpoolTimeAt(now))) {
+        surroundings_.OnAccepted(message, client_id);
+      } else {
+        surroundings_.OnRefused(client_id);
+        policy_events_.emplace_back(dispatch_policy::MessageCancelled{message});
+      }
+    }
+  }
+
+  void GiveUpExpired(Time now) {
+    for (const MessageId message : messages_.final_answers().FindExpired(now)) {
+      policy_events_.emplace_back(dispatch_policy::MessageCancelled{message});
+      messages_.GiveUp({.message = message}, "expired-undecided", now);
+    }
+  }
+
+  void StartPosts(Time now) {
+    NotificationOutbox& outbox = messages_.final_answers().outbox();
+    while (auto post = outbox.NextPost(now)) {
+      if (post->makes_way) surroundings_.AbandonPost(*post->makes_way);
+      surroundings_.StartPost(post->id, std::move(post->body));
+    }
+  }
+
+  void On(const Deadline& event) {
+    if (event.kind == DeadlineKind::kPolicyTimer) {
+      policy_events_.emplace_back(dispatch_policy::TimerFired{event.id});
+    } else if (event.kind == DeadlineKind::kCallTimeout) {
+      calls_.OnTimeout(event.id);
+    } else if (event.kind == DeadlineKind::kHousekeeping) {
+      static_cast<void>(endpoints_.ForgetRemoved(Now(), calls_.EndpointsInUse()));
+      deadlines_.Set(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
+    }
+  }
+
+  // ======== messages ========
+
+  void On(Submission submission) {
+    DeliveryRequest& request = submission.request;
+    if (messages_.HasClientId(request.id) || !messages_.HasCapacityFor(request.body.size())) {
+      return surroundings_.OnRefused(request.id);
+    }
+    const auto& message_class = config_.policy_settings.classes.at(submission.message_class);
+    request.time_left =
+        std::min<std::chrono::milliseconds>(request.time_left, CeilToMs(message_class.deadline));
+    dispatch_policy::MessageArrived event;
+    event.message = messages_.Add(request);
+    event.destination = request.destination;
+    event.message_class = submission.message_class;
+    event.time_left = std::max<Duration>(request.time_left - (Now() - submission.submitted_at), {});
+    known_list_hold_.LimitBy(Now(), request.time_left);
+    submissions_.emplace(event.message, std::move(submission));
+    policy_events_.emplace_back(std::move(event));
+  }
+
+  void On(const MessageAcknowledged& event) { messages_.Acknowledge(event.message, Now()); }
+
+  void On(const ClientDisconnected& event) {
+    if (messages_.Find(event.message) == nullptr) return;
+    policy_events_.emplace_back(dispatch_policy::MessageCancelled{event.message});
+    messages_.End(event.message, TraceStep::kCancelled, Now());
+  }
+
+  void On(const NotificationPostResult& event) {
+    constexpr int kHttpNoContent = 204;
+    constexpr int kHttpBadRequest = 400;
+    PostOutcome outcome = PostOutcome::kFailed;
+    if (event.status == kHttpNoContent) outcome = PostOutcome::kConfirmed;
+    if (event.status == kHttpBadRequest) outcome = PostOutcome::kRejected;
+    const auto end = messages_.final_answers().outbox().Complete(event.post, outcome, Now());
+    if (!end) return;
+    for (const MessageId message : end->confirmed) {
+      messages_.End(message, TraceStep::kNotified, Now());
+    }
+  }
+
+  void On(const ShutdownRequested&) {
+    const auto exit_times = shutdown_.Begin(Now());
+    if (!exit_times) return;
+    deadlines_.Set(exit_times->earliest, {DeadlineKind::kShutdown});
+    deadlines_.Set(exit_times->latest, {DeadlineKind::kShutdown});
+  }
+
+  void On(const DiscoveryAddressChanged&) {
+    surroundings_.OnDiscoveryAddressChanged();
+    messages_.final_answers().outbox().RepostAll(Now());
+  }
+
+  void Apply(const dispatch_policy::RejectMessage& action) {
+    if (RefuseSubmission(action.message)) return;
+    messages_.GiveUp({.message = action.message,
+                      .retry_allowed = true,
+                      .retry_after = CeilToMs(action.retry_after)},
+                     ToString(action.reason), Now());
+  }
+
+  void Apply(const dispatch_policy::FailMessage& action) {
+    if (RefuseSubmission(action.message)) return;
+    messages_.GiveUp({.message = action.message}, ToString(action.reason), Now());
+  }
+
+  // False if no client waits for a reply.
+  bool RefuseSubmission(MessageId message) {
+    const auto node = submissions_.extract(message);
+    if (node.empty()) return false;
+    surroundings_.OnRefused(node.mapped().request.id);
+    messages_.Remove(message);
+    return true;
+  }
+
+  void Apply(const dispatch_policy::SetTimer& action) {
+    deadlines_.Set(action.at, {DeadlineKind::kPolicyTimer, action.token});
+  }
+  void Apply(const dispatch_policy::SubscribeToEndpointList&) {}
+  void Apply(const dispatch_policy::LogMessage&) {}
+
+  // ======== endpoints ========
+
+  void On(const MemberList& list) {
+    if (list.source == ListSource::kDiscovery) known_list_hold_.End();
+    if (endpoints_.IsStale(list)) return;
+    AddListEvent(endpoints_.Apply(list, Now()));
+    calls_.WithdrawCalls([this](auto endpoint) { return !endpoints_.IsServing(endpoint); });
+  }
+
+  // ======== calls, as CallDispatcher ========
+
+  void Apply(const dispatch_policy::StartHealthCheck& action) {
+    calls_.AddHealthCheck(action.endpoint, last_decision_,
+                          last_decision_ + config_.connect_timeout);
+  }
+
+  void Apply(const dispatch_policy::SendAttempt& action) {
+    DecidedAttempt decided;
+    decided.attempt.message = action.message;
+    decided.endpoint = action.endpoint;
+    decided.max_batch = endpoints_.MaxBatch(action.endpoint);
+    decided.decided_at = last_decision_;
+    decided.start_by = action.start_by;
+    decided.deadline = last_decision_ + action.timeout;
+    if (InFlightMessage* message = messages_.Find(action.message)) {
+      decided.attempt.client_id = message->client_id;
+      decided.attempt.attempt = message->attempts_decided++;
+      decided.bytes = message->body.size();
+    }
+    calls_.AddAttempt(std::move(decided));
+  }
+
+  void Apply(const dispatch_policy::CancelAttempt& action) {
+    const bool message_over = !messages_.IsDeliverable(action.message);
+    calls_.CancelAttempt(action.message, action.attempt, message_over);
+  }
+
+  [[nodiscard]] bool IsDeliverable(MessageId message) const override {
+    return messages_.IsDeliverable(message);
+  }
+  [[nodiscard]] bool IsAcknowledged(MessageId message) const override {
+    return messages_.Find(message)->acknowledged;
+  }
+
+  [[nodiscard]] bool Start(CallId id, PendingCall& call, Time now) override {
+    const Endpoint& endpoint = endpoints_.At(call.endpoint);
+    for (PendingAttempt& attempt : call.attempts) {
+      const auto spool_index =
+          messages_.BeginAttempt(attempt.message, endpoint, now, SpoolTimeAt(Now()));
+      if (!spool_index) return false;
+      attempt.spool_index = *spool_index;
+    }
+    if (call.attempts.size() > 1) call.deadline -= CallTracker::kBatchTimeoutMargin;
+    call.started_at = now;
+    // Its own look at the steady clock never ends it: the surroundings look at the virtual one.
+    call.endpoint_call =
+        std::make_shared<EndpointCall>(id, call.endpoint, endpoint.address, "", SteadyTime::max());
+    deadlines_.Set(call.deadline, {DeadlineKind::kCallTimeout, id});
+    surroundings_.StartCall(call, endpoint.name, call.start_by);
+    return true;
+  }
+
+  void OnAttemptNotSent(const PendingCall& call, const PendingAttempt& attempt, Time now) override {
+    CompleteAttempt(call, attempt, {.outcome = dispatch_policy::Outcome::kNotSent}, {}, now);
+  }
+
+  void On(const EndpointCallResult& result) {
+    const auto call = calls_.Complete(result.call_id);
+    if (!call) return;
+    CompleteCall(*call, result, Now());
+    if (ParseRetryAfter(result) <= std::chrono::milliseconds(0)) return;
+    calls_.WithdrawCalls(
+        [&](auto endpoint) { return endpoints_.SharesRateLimit(call->endpoint, endpoint); });
+  }
+
+  void CompleteCall(const PendingCall& call, const EndpointCallResult& result, Time now) {
+    dispatch_policy::AttemptCompleted completed;
+    completed.elapsed = now - call.started_at;
+    completed.retry_after = ParseRetryAfter(result);
+    if (call.health_check) {
+      policy_events_.emplace_back(dispatch_policy::HealthCheckCompleted{
+          call.endpoint, ParseSingleAnswer(result).outcome, completed.elapsed, {}});
+      return;
+    }
+    const std::vector<AttemptResult> results = ParseAnswer(call, result);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      CompleteAttempt(call, call.attempts[i], results[i], completed, now);
+    }
+  }
+
+  [[nodiscard]] static std::vector<AttemptResult> ParseAnswer(const PendingCall& call,
+                                                              const EndpointCallResult& result) {
+    if (call.attempts.size() == 1) return {ParseSingleAnswer(result)};
+    std::vector<std::string> ids;
+    for (const PendingAttempt& attempt : call.attempts) ids.push_back(attempt.client_id);
+    return ParseBatchAnswer(result, ids);
+  }
+
+  void CompleteAttempt(const PendingCall& call, const PendingAttempt& attempt,
+                       const AttemptResult& result, dispatch_policy::AttemptCompleted completed,
+                       Time now) {
+    if (call.endpoint_call) {
+      messages_.CompleteAttempt(attempt.message, attempt.spool_index, result.outcome, now);
+    }
+    if (result.message_over) {
+      const bool delivered = result.outcome == dispatch_policy::Outcome::kDelivered;
+      messages_.Conclude(attempt.message, delivered, now);
+    }
+    completed.message = attempt.message;
+    completed.attempt = attempt.attempt;
+    completed.endpoint = call.endpoint;
+    completed.outcome = result.outcome;
+    completed.finished = result.message_over || messages_.Find(attempt.message) == nullptr;
+    completed.exhausted = result.exhausted;
+    policy_events_.emplace_back(completed);
+  }
+
+  const Config& config_;
+  Spool& spool_;
+  Surroundings& surroundings_;
+  const Time exclusions_known_at_;
+  std::vector<InboxEvent> inbox_;
+  DeadlineQueue deadlines_;
+  dispatch_policy::DispatchPolicy policy_;
+  std::vector<dispatch_policy::Event> policy_events_;  // for the next decision
+  Time last_decision_{};
+  Time waits_since_{};  // the end of the last round
+  KnownListHold known_list_hold_;
+  std::vector<dispatch_policy::Event> held_events_;
+  MessageTable messages_;
+  EndpointRegistry endpoints_;
+  std::map<MessageId, Submission> submissions_;
+  GracefulShutdown shutdown_;
+  CallTracker calls_;
+};
+
+}  // namespace brassfront::exploration
+
+#endif  // BRASSFRONT_TESTS_FORWARDER_VIRTUAL_FORWARDER_HPP_
