Count what random orders of events reach, and follow the engine's glue

Cause: an explorer in which nothing happens any more would pass. The engine counts a message's time from the read of its request now, and holds a notification back until the client knows of its message.

Change: the test checks that the orders accept, deliver, notify and restart. The mirror of the engine's glue follows the two changes. The judge takes no notification for read that came before the client knew of its message, and the agent's connection is closed when an answer takes longer than the client waits.

--- a/tests/forwarder/exploration_test.cpp
+++ b/tests/forwarder/exploration_test.cpp
@@ -56,13 +56,13 @@
   std::optional<FolderOwner> owner_;
 };
 
-[[nodiscard]] std::vector<Breach> Play(const OrderOfEvents& order, FolderOwner& owner,
-                                       std::string* trace = nullptr) {
+[[nodiscard]] Verdict Play(const OrderOfEvents& order, FolderOwner& owner,
+                           std::string* trace = nullptr) {
   return OrderPlayer(order, owner, trace).Play();
 }
 
 [[nodiscard]] bool Breaks(const std::string& rule, const OrderOfEvents& order, FolderOwner& owner) {
-  const std::vector<Breach> breaches = Play(order, owner);
+  const std::vector<Breach> breaches = Play(order, owner).breaches;
   return std::any_of(breaches.begin(), breaches.end(),
                      [&](const Breach& breach) { return breach.rule == rule; });
 }
@@ -119,7 +119,7 @@
   std::cout << "seed " << order.seed << " breaks " << breach.rule << ": " << breach.details << "\n";
   const OrderOfEvents smallest = Shrink(order, breach.rule, owner);
   std::string trace;
-  const std::vector<Breach> breaches = Play(smallest, owner, &trace);
+  const std::vector<Breach> breaches = Play(smallest, owner, &trace).breaches;
   std::cout << "smallest order, " << Describe(smallest) << "  what happens:\n" << trace;
   for (const Breach& left : breaches)
     std::cout << "  " << left.rule << ": " << left.details << "\n";
@@ -131,36 +131,53 @@
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-// How many orders break each rule.
-using Broken = std::map<std::string, std::uint64_t>;
+// What was seen in all orders.
+struct Exploration {
+  std::uint64_t orders = 0;
+  std::map<std::string, std::uint64_t> broken{};  // orders that break a rule, by its name
+  Verdict sums{};                                 // without breaches
+};
+
+void Add(const Verdict& verdict, Verdict& sums) {
+  sums.accepted += verdict.accepted;
+  sums.delivered += verdict.delivered;
+  sums.notified += verdict.notified;
+  sums.restarts += verdict.restarts;
+}
 
 // Plays the orders, and shows some of those that break rules.
-[[nodiscard]] Broken Explore(std::uint64_t first, std::uint64_t count) {
+[[nodiscard]] Exploration Explore(std::uint64_t first, std::uint64_t count) {
   observe::SetUpLog({.level = observe::Level::kOff});
   SpoolFolder folder;
   const auto began = std::chrono::steady_clock::now();
-  Broken broken;
+  Exploration exploration{.orders = count};
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     const OrderOfEvents order = OrderSource(seed).Draw();
-    const std::vector<Breach> breaches = Play(order, folder.owner());
+    const Verdict verdict = Play(order, folder.owner());
+    Add(verdict, exploration.sums);
     std::set<std::string> rules;
-    for (const Breach& breach : breaches) {
+    for (const Breach& breach : verdict.breaches) {
       if (!rules.insert(breach.rule).second) continue;
-      if (++broken[breach.rule] <= kMaxShown) Show(order, breach, folder.owner());
+      if (++exploration.broken[breach.rule] <= kMaxShown) Show(order, breach, folder.owner());
     }
   }
   const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
   std::cout << count << " orders from seed " << first << ", "
-            << static_cast<double>(count) / took.count() << " a second\n";
-  for (const auto& [rule, orders] : broken) std::cout << orders << " orders break " << rule << "\n";
-  return broken;
+            << static_cast<double>(count) / took.count() << " a second, with "
+            << exploration.sums.accepted << " accepted messages, " << exploration.sums.delivered
+            << " delivered, " << exploration.sums.notified << " notified, "
+            << exploration.sums.restarts << " restarts\n";
+  for (const auto& [rule, orders] : exploration.broken) {
+    std::cout << orders << " orders break " << rule << "\n";
+  }
+  return exploration;
 }
 
 // The orders are played once for all tests.
-[[nodiscard]] const Broken& BrokenRules() {
-  static const Broken kBroken = Explore(FromEnvironment("EXPLORATION_FIRST", kFirstSeed),
-                                        FromEnvironment("EXPLORATION_COUNT", kOrders));
-  return kBroken;
+[[nodiscard]] const Exploration& PlayedOrders() {
+  static const Exploration kExploration = Explore(FromEnvironment("EXPLORATION_FIRST", kFirstSeed),
+                                                  FromEnvironment("EXPLORATION_COUNT", kOrders));
+  return kExploration;
 }
 
 // The rules on messages of which the client was told to hand them in again.
@@ -171,7 +188,7 @@
 // Guards against accepted messages that get no final answer in time, and calls made twice, in any
 // order of events.
 TEST_CASE("no order of events leaves a message without its final answer") {
-  for (const auto& [rule, orders] : BrokenRules()) {
+  for (const auto& [rule, orders] : PlayedOrders().broken) {
     if (IsAboutDeferral(rule)) continue;
     INFO(rule);
     CHECK(orders == 0);
@@ -181,12 +198,23 @@
 // Guards against a message that runs although its client was told to hand it in again, in any order
 // of events.
 TEST_CASE("no order of events defers a message that may not be repeated and has it run") {
-  for (const auto& [rule, orders] : BrokenRules()) {
+  for (const auto& [rule, orders] : PlayedOrders().broken) {
     if (!IsAboutDeferral(rule)) continue;
     INFO(rule);
     CHECK(orders == 0);
   }
 }
 
+// Guards against orders in which next to nothing happens any more.
+TEST_CASE("the orders deliver, notify and restart") {
+  const Exploration& played = PlayedOrders();
+  constexpr std::uint64_t kEnoughOrders = 100;
+  if (played.orders < kEnoughOrders) return;
+  CHECK(played.sums.accepted >= played.orders);
+  CHECK(played.sums.delivered >= played.orders / 2);
+  CHECK(played.sums.notified >= played.orders / 2);
+  CHECK(played.sums.restarts >= played.orders / 4);
+}
+
 }  // namespace
 }  // namespace brassfront::exploration
--- a/tests/forwarder/final_answer_judge.hpp
+++ b/tests/forwarder/final_answer_judge.hpp
@@ -31,6 +31,16 @@
   std::string details;
 };
 
+// What became of an order.
+struct Verdict {
+  std::vector<Breach> breaches{};
+  // Messages whose clients have heard that they are accepted, and of these.
+  std::uint64_t accepted = 0;
+  std::uint64_t delivered = 0;  // in time
+  std::uint64_t notified = 0;
+  std::uint64_t restarts = 0;
+};
+
 class FinalAnswerJudge {
  public:
   using Time = dispatch_policy::Time;
@@ -85,7 +95,8 @@
     const auto it = fates_.find(id);
     if (it == fates_.end()) return Report("unknown-notification", id, at);
     Fate& fate = it->second;
-    if (!fate.notified_at) fate.notified_at = at;
+    // Before the client knows of its message the platform may not know it either.
+    if (fate.heard && !fate.notified_at) fate.notified_at = at;
     if (!deferred || fate.message_class != kNeverRepeated) return;
     fate.deferred = true;  // its client hands it in again
     const bool may_have_run =
@@ -98,6 +109,7 @@
   void OnRestart(Time signal) {
     exemptions_.push_back({.from = signal, .until = Time::max(), .due = Time::max()});
     restart_ = exemptions_.size() - 1;
+    ++restarts_;
   }
   void OnReady(Time at) {
     Exemption& restart = exemptions_.at(restart_);
@@ -115,20 +127,20 @@
 
   // ---- the verdict, once everything is calm ----
 
-  [[nodiscard]] std::vector<Breach> Finish() {
+  [[nodiscard]] Verdict Finish() {
+    Verdict verdict{.restarts = restarts_};
     for (const auto& [id, fate] : fates_) {
       if (!fate.heard) continue;
-      if (fate.delivered_at && *fate.delivered_at < fate.deadline) continue;
-      const Time due = DueAt(id, fate);
-      if (fate.notified_at && *fate.notified_at <= due) continue;
-      const std::string seen = fate.notified_at ? "notified at " + Text(*fate.notified_at)
-                                                : std::string("never notified");
-      breaches_.push_back(
-          {fate.notified_at ? "late" : "lost",
-           id + ", deadline " + Text(fate.deadline) + ", due " + Text(due) + ", " + seen});
+      ++verdict.accepted;
+      const bool delivered = fate.delivered_at && *fate.delivered_at < fate.deadline;
+      verdict.delivered += delivered;
+      verdict.notified += fate.notified_at.has_value();
+      if (!delivered) CheckNotified(id, fate);
     }
-    return breaches_;
+    verdict.breaches = std::move(breaches_);
+    return verdict;
   }
+
   [[nodiscard]] static std::string Text(Time time) {
     return std::to_string(std::chrono::duration<double, std::milli>(time).count()) + " ms";
   }
@@ -216,6 +228,16 @@
     }
   }
 
+  void CheckNotified(const std::string& id, const Fate& fate) {
+    const Time due = DueAt(id, fate);
+    if (fate.notified_at && *fate.notified_at <= due) return;
+    const std::string seen =
+        fate.notified_at ? "notified at " + Text(*fate.notified_at) : std::string("never notified");
+    breaches_.push_back(
+        {fate.notified_at ? "late" : "lost",
+         id + ", deadline " + Text(fate.deadline) + ", due " + Text(due) + ", " + seen});
+  }
+
   // By when the message's notification must have been read. What delays it is looked at again after
   // each step, because it may be due in the next trouble then.
   [[nodiscard]] Time DueAt(const std::string& id, const Fate& fate) const {
@@ -274,6 +296,7 @@
   std::vector<std::pair<Time, Time>> held_up_;
   std::vector<Exemption> exemptions_;
   std::size_t restart_ = 0;  // the last one
+  std::uint64_t restarts_ = 0;
   std::vector<Breach> breaches_;
 };
 
--- a/tests/forwarder/order_player.hpp
+++ b/tests/forwarder/order_player.hpp
@@ -43,7 +43,7 @@
         judge_(order.settings.classes.at(kKeyed).dedup_window, CountMessages(order)) {}
 
   // Plays it until all is calm.
-  [[nodiscard]] std::vector<Breach> Play() {
+  [[nodiscard]] Verdict Play() {
     std::remove((owner_.folder() + "/spool").c_str());
     for (const Step& step : order_.steps) {
       std::visit([this](const auto& alternative) { Prepare(alternative); }, step);
@@ -516,8 +516,10 @@
     }
   }
 
-  // What is read then counts, if the post is still open.
+  // What is read then counts, if the post is still open. One that takes too long is closed before.
   void EndPost(std::uint64_t post, Time at, int status, std::string read) {
+    const Time latest = now_ + NotificationClient::kAnswerTimeout;
+    if (at > latest) return EndPost(post, latest, 0, {});
     At(at, [this, process = process_, post, status, read = std::move(read)](Time when) {
       if (process != process_ || open_posts_.erase(post) == 0) return;
       Read(read, when);
--- a/tests/forwarder/virtual_forwarder.hpp
+++ b/tests/forwarder/virtual_forwarder.hpp
@@ -75,7 +75,7 @@
   struct Submission {
     DeliveryRequest request;
     std::size_t message_class = 0;
-    Time submitted_at{};
+    Time received_at{};  // its time counts from here
   };
   struct MessageAcknowledged {
     MessageId message = 0;
@@ -234,7 +234,7 @@
     for (auto& [message, submission] : std::exchange(submissions_, {})) {
       const Time now = Now();
       const std::string client_id = submission.request.id;
-      if (messages_.Persist(message, std::move(submission.request), submission.submitted_at, now,
+      if (messages_.Persist(message, std::move(submission.request), submission.received_at, now,
                             SpoolTimeAt(now))) {
         surroundings_.OnAccepted(message, client_id);
       } else {
@@ -280,11 +280,14 @@
     const auto& message_class = config_.policy_settings.classes.at(submission.message_class);
     request.time_left =
         std::min<std::chrono::milliseconds>(request.time_left, CeilToMs(message_class.deadline));
+    if (submission.received_at + request.time_left <= Now()) {
+      return surroundings_.OnRefused(request.id);
+    }
     dispatch_policy::MessageArrived event;
     event.message = messages_.Add(request);
     event.destination = request.destination;
     event.message_class = submission.message_class;
-    event.time_left = std::max<Duration>(request.time_left - (Now() - submission.submitted_at), {});
+    event.time_left = request.time_left - (Now() - submission.received_at);
     known_list_hold_.LimitBy(Now(), request.time_left);
     submissions_.emplace(event.message, std::move(submission));
     policy_events_.emplace_back(std::move(event));
