--- a/tests/forwarder/final_answer_judge.hpp
+++ b/tests/forwarder/final_answer_judge.hpp
@@ -90,6 +90,15 @@
     if (ran == Ran::kDelivered && !fate.delivered_at) fate.delivered_at = at;
   }
 
+  // The message's time was up, or it got its final answer, after the first time and by the second.
+  [[nodiscard]] bool EndedWithin(const std::string& id, Time after, Time by) const {
+    const Fate& fate = fates_.at(id);
+    Time ended = fate.deadline;
+    if (fate.delivered_at) ended = std::min(ended, *fate.delivered_at);
+    if (fate.notified_at) ended = std::min(ended, *fate.notified_at);
+    return ended > after && ended <= by;
+  }
+
   // The agent has read this line of a post and takes it for good.
   void OnNotificationRead(const std::string& id, bool deferred, Time at) {
     const auto it = fates_.find(id);
