Soak: say what the switch for unasked answers is for

An endpoint's second 200, 1 to 20 ms behind its first, is taken for the answer to the next call on that connection.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -153,7 +153,8 @@
     parser.add_argument(
         "--unasked-answers",
         action="store_true",
-        help="endpoints may write a second answer that nobody asked for",
+        help="endpoints may also write a second answer that nobody asked for, on which"
+        " the program loses messages",
     )
     given = parser.parse_args()
     if given.play is not None:
