--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -37,46 +37,6 @@
          std::holds_alternative<dispatch_policy::FailMessage>(action);
 }
 
-std::int64_t InMilliseconds(dispatch_policy::Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
-constexpr int kHttpNoContent = 204;  // confirms all of a post
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpContentTooLarge = 413;
-
-PostOutcome ToOutcome(const NotificationPostResult& result) {
-  if (result.status == kHttpNoContent) return PostOutcome::kConfirmed;
-  const bool rejected = result.status == kHttpBadRequest || result.status == kHttpContentTooLarge;
-  return rejected ? PostOutcome::kRejected : PostOutcome::kFailed;
-}
-
-std::string_view ToString(PostOutcome outcome) {
-  switch (outcome) {
-    case PostOutcome::kConfirmed:
-      return "confirmed";
-    case PostOutcome::kRejected:
-      return "rejected";
-    case PostOutcome::kFailed:
-      return "failed";
-  }
-  return "unknown";
-}
-
-// One line for each post: what it held, what became of it, and how long its oldest has waited.
-void LogPost(const NotificationPostResult& result, const NotificationOutbox::PostEnd& end) {
-  observe::Log(Concern::kPlatform, Level::kInfo, "notifications posted",
-               {{"post", result.post},
-                {"count", end.messages},
-                {"status", result.status},
-                {"elapsed_ms", InMilliseconds(end.elapsed)},
-                {"oldest_ms", InMilliseconds(end.oldest_wait)}});
-  observe::Count("notification_posts_total", {"outcome", ToString(ToOutcome(result))});
-  if (!end.rejected) return;
-  observe::LogSeldom(Concern::kPlatform, Level::kError, "notification rejected",
-                     {{"id", *end.rejected}, {"status", result.status}});
-}
-
 }  // namespace
 
 std::size_t Engine::MaxEndpointConnections(const Config& config) {
@@ -97,7 +57,7 @@
           {config_, messages_, endpoints_, latencies_, policy_events_}, buffers,
           [this](EndpointCallResult result) { loop_.Push(std::move(result)); },
           [this](Time at, Deadline deadline) { loop_.SetDeadline(at, deadline); }),
-      notification_client_(config.discovery, NotificationOutbox::kMaxPosts, buffers,
+      notification_poster_(config.discovery, messages_.final_answers().outbox(), buffers,
                            [this](NotificationPostResult result) { loop_.Push(result); }),
       discovery_watcher_(
           config.discovery, kWholeList,
@@ -242,7 +202,7 @@
     if (!policy_events_.empty() && now >= next_decision) Decide(now);
     GiveUpExpired(now);
     call_dispatcher_.StartReadyCalls(now);
-    StartPosts(now);
+    notification_poster_.StartDue(now);
     messages_in_flight_ = messages_.size();
     if (now >= messages_.NextOverdue()) messages_.LogOverdue(now);
     if (shutdown_.IsOver(now, messages_.size())) break;
@@ -327,10 +287,7 @@
   observe::SetGauge("calls_in_flight", {},
                     static_cast<std::int64_t>(call_dispatcher_.calls().size()));
   const Time now = Now();
-  const NotificationOutbox& outbox = messages_.final_answers().outbox();
-  observe::SetGauge("notifications_unconfirmed", {}, static_cast<std::int64_t>(outbox.size()));
-  const Time oldest_wait = now - outbox.OldestAddedAt().value_or(now);
-  observe::SetGauge("notification_oldest_ms", {}, InMilliseconds(oldest_wait));
+  notification_poster_.PublishMetrics(now);
   if (now < next_metrics_line_) return;
   if (next_metrics_line_ != Time{}) observe::LogMetrics();
   next_metrics_line_ = now + kMetricsLineInterval;
@@ -350,8 +307,7 @@
 
 void Engine::On(const DiscoveryAddressChanged& event) {
   discovery_watcher_.SetAddress(event.discovery);
-  notification_client_.SetAddress(event.discovery);
-  messages_.final_answers().outbox().RepostAll(Now());
+  notification_poster_.SetAddress(event.discovery, Now());
 }
 
 // ======== messages ========
@@ -397,27 +353,12 @@
 }
 
 void Engine::On(const NotificationPostResult& event) {
-  const auto end = messages_.final_answers().outbox().Complete(event.post, ToOutcome(event), Now());
-  if (!end) return;
-  LogPost(event, *end);
-  for (const MessageId message : end->confirmed) {
+  for (const MessageId message : notification_poster_.Complete(event, Now())) {
     latencies_.notify.Add(Now() - messages_.Find(message)->given_up_at);
     messages_.End(message, TraceStep::kNotified, Now());
   }
 }
 
-// Whatever is to be posted by now. After a decision, so that the calls of the messages that were
-// given up have been cancelled.
-void Engine::StartPosts(Time now) {
-  NotificationOutbox& outbox = messages_.final_answers().outbox();
-  while (auto post = outbox.NextPost(now)) {
-    if (post->makes_way) notification_client_.Abandon(*post->makes_way);
-    const auto reuse =
-        post->repeats ? NotificationClient::Reuse::kForbidden : NotificationClient::Reuse::kAllowed;
-    notification_client_.Start(post->id, std::move(post->body), reuse);
-  }
-}
-
 // What nobody has decided by its deadline.
 void Engine::GiveUpExpired(Time now) {
   for (const MessageId message : messages_.final_answers().FindExpired(now)) {
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -27,11 +27,11 @@
 #include "forwarder/event_loop.hpp"
 #include "forwarder/known_list_hold.hpp"
 #include "forwarder/message_table.hpp"
+#include "forwarder/notification_poster.hpp"
 #include "forwarder/shutdown.hpp"
 #include "forwarder/stage_latencies.hpp"
 #include "forwarder/submission_queue.hpp"
 #include "net/discovery_watcher.hpp"
-#include "net/notification_client.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
@@ -141,7 +141,6 @@
   [[nodiscard]] Time NextWakeUp();
   bool RejectSubmission(MessageId message, SubmitResult result);
   void GiveUpExpired(Time now);
-  void StartPosts(Time now);
   void LogMessageStep(const char* event, MessageId message, std::string_view reason = {}) const;
   void DoHousekeeping();
   void PublishMetrics();
@@ -169,7 +168,7 @@
 
   // Last, so that their threads end first: they push to the loop.
   CallDispatcher call_dispatcher_;
-  NotificationClient notification_client_;
+  NotificationPoster notification_poster_;
   DiscoveryWatcher discovery_watcher_;
 };
 
