--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -79,8 +79,9 @@
 }
 
 MessageEnd ToMessageEnd(const AttemptResult& result) {
-  if (result.outcome != dispatch_policy::Outcome::kDelivered)
+  if (result.outcome != dispatch_policy::Outcome::kDelivered) {
     return MessageEnd::kOverForTheEndpoint;
+  }
   return result.in_doubt ? MessageEnd::kDeliveredInDoubt : MessageEnd::kDelivered;
 }
 
--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -46,9 +46,9 @@
 
 std::optional<NotificationOutbox::Post> NotificationOutbox::NextPost(Time now) {
   if (NextWakeUp() > now) return std::nullopt;
-  std::vector<MessageId> batch = CollectBatch(now);
+  const std::vector<MessageId> batch = CollectBatch(now);
   if (batch.empty()) return std::nullopt;
-  return BeginPost(std::move(batch), now);
+  return BeginPost(batch, now);
 }
 
 // New ones go first, with whatever else is due. What was rejected goes by itself, in turn with
@@ -89,7 +89,8 @@
 }
 
 // Takes as much of the batch as fits.
-NotificationOutbox::Post NotificationOutbox::BeginPost(std::vector<MessageId> batch, Time now) {
+NotificationOutbox::Post NotificationOutbox::BeginPost(const std::vector<MessageId>& batch,
+                                                       Time now) {
   Post post{.id = next_post_++, .oldest_added_at = now};
   if (running_.size() >= kMaxPosts) {
     const auto oldest = FindOldestImpatient();
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -131,7 +131,7 @@
   [[nodiscard]] std::vector<MessageId> CollectRepeats(Time now, std::size_t max_batch) const;
   // The limit of the first repeat that is due and was rejected before; none if there is none.
   [[nodiscard]] std::optional<std::size_t> FindRejectedBatchSize(Time now) const;
-  [[nodiscard]] Post BeginPost(std::vector<MessageId> batch, Time now);
+  [[nodiscard]] Post BeginPost(const std::vector<MessageId>& batch, Time now);
   // The oldest post that may make way; none if all are patient.
   [[nodiscard]] std::map<PostId, RunningPost>::const_iterator FindOldestImpatient() const;
   [[nodiscard]] std::size_t PatientPosts() const;
--- a/src/policy/message_ledger.cpp
+++ b/src/policy/message_ledger.cpp
@@ -24,8 +24,9 @@
 void MessageLedger::RestoreMessage(const MessageRestored& event) {
   if (messages_.count(event.message) != 0) return;
   const std::size_t index = event.message_class;  // out of range: nothing is known to be safe
-  if (index >= settings_.classes.size())
+  if (index >= settings_.classes.size()) {
     return context_.Do(FailMessage{event.message, GiveUpReason::kUnknownClass});
+  }
   const Duration class_deadline = settings_.classes[index].deadline;
   Message message(event.message, index, now_, event.time_left, class_deadline);
   message.earlier_attempts = event.attempts_used;
