Look for waiting input before the connections' mutex, and note unasked input in one place

Cause: each served batch of commands made a system call with the mutex held that every worker needs; two places of the connection pool noted an endpoint's unasked input.

Change: the worker looks before it takes the mutex (the connection is its own then); NoteUnaskedInput serves both places. No behaviour changes.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -321,6 +321,7 @@
 
 void ClientServer::ServeCommands(ClientConnection& connection) {
   std::optional<CloseReason> close_reason = commands_.ExecutePending(connection);
+  connection.input_waits = connection.socket.HasInput();
   const std::lock_guard lock(mutex_);
   const bool between_commands = connection.reader.between_commands();
   if (!close_reason && between_commands && ClosesBetweenCommands()) {
@@ -333,7 +334,6 @@
   }
   if (close_reason) return BeginLingeringClose(connection, *close_reason);
   connection.state = ClientConnection::State::kReading;
-  connection.input_waits = connection.socket.HasInput();
   connection.idle_since = now;
   connections_.Schedule(connection, now + (between_commands ? limits_.idle : limits_.command));
   Rearm(connection);
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -35,10 +35,14 @@
 }
 
 void ConnectionPool::Discard(EndpointConnection connection, SteadyTime now) {
-  if (connection.socket.HasInput()) last_unasked_input_[connection.endpoint] = now;
+  NoteUnaskedInput(connection, now);
   connection.Close(CloseReason::kStale);
 }
 
+void ConnectionPool::NoteUnaskedInput(const EndpointConnection& connection, SteadyTime now) {
+  if (connection.socket.HasInput()) last_unasked_input_[connection.endpoint] = now;
+}
+
 bool ConnectionPool::IsSettled(const EndpointConnection& connection, SteadyTime now) const {
   const auto unasked = last_unasked_input_.find(connection.endpoint);
   if (unasked == last_unasked_input_.end()) return true;
@@ -76,7 +80,7 @@
   std::erase_if(idle_, [this, now](EndpointConnection& connection) {
     const bool closed_by_peer = connection.socket.HasInputOrEnd();
     if (!closed_by_peer && connection.expires_at > now) return false;
-    if (connection.socket.HasInput()) last_unasked_input_[connection.endpoint] = now;
+    NoteUnaskedInput(connection, now);
     connection.Close(closed_by_peer ? CloseReason::kPeerClosed : CloseReason::kIdle);
     return true;
   });
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -75,6 +75,7 @@
 
  private:
   IdleConnectionBudget& BudgetFor(std::uint64_t endpoint);
+  void NoteUnaskedInput(const EndpointConnection& connection, SteadyTime now);
   [[nodiscard]] bool IsSettled(const EndpointConnection& connection, SteadyTime now) const;
 
   const Options options_;
