Start stand-ins, await ends and keep connections in one way in the fault tests

Cause: acknowledge_test.py waited for the gauge of messages in flight, which is set once a second and may be a 0 of before; final_answer_test.py had the exact form by counters. Stand-ins were started in three ways, the soak's agent kept a second list of its connections, and unasked_answer_test.py blanked out tests that it had inherited.

Change: await_none_in_flight by the counters stands in rig.py, stricter for acknowledge_test.py; Toy.start takes the interval; the agent's list serves the soak; the two stand-ins that answer twice are classes without tests. All assertions stay.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -44,8 +44,12 @@
     def address(self):
         return "127.0.0.1:%d" % self.server_address[1]
 
-    def start(self):
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+    def start(self, poll_s=0.5):
+        """Serves in a thread of its own, which looks each `poll_s` whether to end."""
+        arguments = {"poll_interval": poll_s}
+        threading.Thread(
+            target=self.serve_forever, kwargs=arguments, daemon=True
+        ).start()
         return self
 
     def note(self, into, entry):
--- a/tests/faults/acknowledge_test.py
+++ b/tests/faults/acknowledge_test.py
@@ -69,13 +69,6 @@
             self.accepted.append(message)
         return reply == "+OK"
 
-    def await_none_in_flight(self):
-        def none():
-            _, metrics = rig.admin_call(self.config["admin"], "GET", "/metrics")
-            return "brassfront_messages_in_flight 0" in metrics.splitlines()
-
-        wait_for("all messages to end", none)
-
     def assert_owed_end(self):
         self.assert_all_end()
         self.await_none_in_flight()
--- a/tests/faults/agent.py
+++ b/tests/faults/agent.py
@@ -12,14 +12,6 @@
 import rig
 
 
-SHUTDOWN_CHECK_S = 0.02  # between a stand-in's looks whether it is to end
-
-
-def serve(stand_in):
-    options = {"poll_interval": SHUTDOWN_CHECK_S}
-    threading.Thread(target=stand_in.serve_forever, kwargs=options, daemon=True).start()
-
-
 class Post:
     """One post of notifications, as it was read."""
 
@@ -73,10 +65,6 @@
     def address(self):
         return "%s:%d" % self.server_address
 
-    def start(self):
-        serve(self)
-        return self
-
     def process_request(self, request, client_address):
         self.connections.append(request)
         super().process_request(request, client_address)
@@ -88,7 +76,7 @@
 
     def accept_again(self):
         self.socket.listen(self.request_queue_size)
-        self.start()
+        self.start(rig.STAND_IN_POLL_S)
 
     def refuse(self):
         """Ends all connections, and refuses new ones."""
@@ -111,7 +99,7 @@
         self.server_address = (host, int(port))
         self.server_bind()
         self.server_activate()
-        self.start()
+        self.start(rig.STAND_IN_POLL_S)
 
     def hold(self, post):
         """Answers once the test releases what is held."""
--- a/tests/faults/final_answer_agent_test.py
+++ b/tests/faults/final_answer_agent_test.py
@@ -137,7 +137,7 @@
         self.assertEqual(read & set(messages), set(messages))
 
 
-class SecondAnswerTest(AgentTest):
+class AgentThatAnswersTwice(AgentTest):
     """The agent answers one post twice, on a connection that is kept."""
 
     def setUp(self):
@@ -157,6 +157,8 @@
         self.give_up_one()
         self.await_none_in_flight()
 
+
+class SecondAnswerTest(AgentThatAnswersTwice):
     # Guards against a post being confirmed by an answer that was there before it.
     def test_a_second_answer_confirms_no_later_post(self):
         self.start_with_admin()
--- a/tests/faults/final_answer_delivery_test.py
+++ b/tests/faults/final_answer_delivery_test.py
@@ -189,7 +189,7 @@
         self.await_none_in_flight()
 
 
-class SecondAnswerTest(FinalAnswerTest):
+class EndpointThatAnswersTwice(FinalAnswerTest):
     """An endpoint answers one call twice, on a connection that is kept."""
 
     def setUp(self):
@@ -230,6 +230,8 @@
         wait_for("the delivery", lambda: self.calls_of(message))
         self.await_none_in_flight()
 
+
+class SecondAnswerTest(EndpointThatAnswersTwice):
     # Guards against a call being ended by an answer that was there before it was
     # written.
     def test_an_answer_that_nobody_asked_for_ends_no_call(self):
--- a/tests/faults/final_answer_test.py
+++ b/tests/faults/final_answer_test.py
@@ -4,13 +4,12 @@
 that was given up reaches the agent, and each is confirmed at last.
 """
 
-import re
 import time
 import unittest
 import uuid
 
 import rig
-from agent import Agent, serve
+from agent import Agent
 from rig import Endpoint, FaultTest, wait_for
 
 NOTICE_LIMIT_S = 0.3  # behind the end of a message's time, by the protocol
@@ -25,13 +24,6 @@
         self.addCleanup(self.discovery.release.set)
         self.set_mode(Endpoint.REJECT)  # so that every message ends by its deadline
 
-    def new_stand_in(self, kind=rig.toy_server.Toy):
-        stand_in = kind()
-        serve(stand_in)
-        self.addCleanup(stand_in.server_close)
-        self.addCleanup(stand_in.shutdown)
-        return stand_in
-
     def await_overdue(self, left_ms):
         """The notification of each message handed in with this time is due."""
         due = time.monotonic() + left_ms / 1000 + NOTICE_LIMIT_S
@@ -45,25 +37,6 @@
         )
         return message
 
-    def await_none_in_flight(self):
-        """By the counters, which are exact; the gauge is set once a second."""
-
-        def count(metrics, name):
-            series = re.compile("brassfront_" + name + r"(?:\{.*\})? (\d+)$")
-            found = [series.match(line) for line in metrics.splitlines()]
-            return sum(int(match[1]) for match in found if match)
-
-        def none():
-            try:
-                _, metrics = rig.admin_call(self.config["admin"], "GET", "/metrics")
-            except OSError:  # the second address is served a little later than clients
-                return False
-            begun = count(metrics, "messages_accepted_total")
-            begun += count(metrics, "messages_restored_total")
-            return begun > 0 and begun == count(metrics, "messages_ended_total")
-
-        wait_for("all messages to end", none)
-
     def start_with_admin(self):
         self.config["admin"] = rig.free_address()
         return self.start()
--- a/tests/faults/rig.py
+++ b/tests/faults/rig.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -40,6 +41,7 @@
 SHIM = os.environ["FAULT_SHIM"]
 LIMIT = float(os.environ.get("FAULT_LIMIT_SECONDS", "20"))
 DESTINATION = 1
+STAND_IN_POLL_S = 0.02  # between a stand-in's looks whether it is to end
 
 
 def wait_for(what, condition):
@@ -213,7 +215,7 @@
         self.accepted = []
 
     def new_stand_in(self, kind=toy_server.Toy):
-        stand_in = kind().start()
+        stand_in = kind().start(STAND_IN_POLL_S)
         self.addCleanup(stand_in.server_close)
         self.addCleanup(stand_in.shutdown)
         return stand_in
@@ -339,6 +341,26 @@
         for message in self.accepted:
             wait_for("the end of " + message, lambda: self.is_over(message))
 
+    def await_none_in_flight(self):
+        """By the counters, which are exact; the gauge is set once a second. Needs the
+        second address in the configuration."""
+
+        def count(metrics, name):
+            series = re.compile("brassfront_" + name + r"(?:\{.*\})? (\d+)$")
+            found = [series.match(line) for line in metrics.splitlines()]
+            return sum(int(match[1]) for match in found if match)
+
+        def none():
+            try:
+                _, metrics = admin_call(self.config["admin"], "GET", "/metrics")
+            except OSError:  # the second address is served a little later than clients
+                return False
+            begun = count(metrics, "messages_accepted_total")
+            begun += count(metrics, "messages_restored_total")
+            return begun > 0 and begun == count(metrics, "messages_ended_total")
+
+        wait_for("all messages to end", none)
+
     def settle(self, name):
         """Waits until calls go to this endpoint, and none is under way any more."""
         before = self.calls_to(name)
--- a/tests/faults/soak_agent.py
+++ b/tests/faults/soak_agent.py
@@ -6,7 +6,6 @@
 import enum
 import random
 import socket
-import threading
 import time
 
 import agent
@@ -19,7 +18,6 @@
 UNREAD_PERIOD_S = 0.4
 SLOW_S = (0.11, 0.3)
 VERY_SLOW_S = (0.5, 1.0)
-POLL_S = 0.02  # of the thread that accepts connections
 PART_OF_ANSWER = b"HTTP/1.1 204 No Con"
 
 
@@ -74,15 +72,6 @@
 
 
 class SoakAgentHandler(agent.AgentHandler):
-    def handle(self):
-        with self.server.changed:
-            self.server.open_connections.add(self.connection)
-        try:
-            super().handle()
-        finally:
-            with self.server.changed:
-                self.server.open_connections.discard(self.connection)
-
     def leave_unread(self, span):
         """Whether the request stays unread; its connection ends then."""
         if span is None or span.fault not in UNREAD_FAULTS:
@@ -128,14 +117,6 @@
         self.post_fault = None
         self.list_fault = None
         self.read_at = {}  # when a message's notification was first read
-        self.open_connections = set()
-
-    def start(self):
-        arguments = {"poll_interval": POLL_S}
-        threading.Thread(
-            target=self.serve_forever, kwargs=arguments, daemon=True
-        ).start()
-        return self
 
     @staticmethod
     def active_fault(span):
@@ -199,13 +180,4 @@
         time.sleep(UNREAD_WINDOW_S)
         listener.listen(self.request_queue_size)
         self.socket = listener
-        self.start()
-
-    def cut_connections(self):
-        with self.changed:
-            open_connections = list(self.open_connections)
-        for connection in open_connections:
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # it has ended by itself
+        self.start(rig.STAND_IN_POLL_S)
--- a/tests/faults/unasked_answer_test.py
+++ b/tests/faults/unasked_answer_test.py
@@ -8,15 +8,12 @@
 
 import final_answer_agent_test
 import final_answer_delivery_test
-from final_answer_delivery_test import OK
 from final_answer_agent_test import NO_CONTENT
+from final_answer_delivery_test import OK
 from rig import HOLD_BEFORE, Endpoint, wait_for
 
 
-class UnaskedAnswerOfAgentTest(final_answer_agent_test.SecondAnswerTest):
-    # Not this file's.
-    test_a_second_answer_confirms_no_later_post = None
-
+class UnaskedAnswerOfAgentTest(final_answer_agent_test.AgentThatAnswersTwice):
     # Guards against a post being confirmed by an answer that was there before it.
     def test_an_answer_that_comes_before_a_post_is_written_does_not_confirm_it(self):
         self.start_with_admin()
@@ -31,10 +28,7 @@
         self.assert_confirmed([message])
 
 
-class UnaskedAnswerOfEndpointTest(final_answer_delivery_test.SecondAnswerTest):
-    # Not this file's.
-    test_an_answer_that_nobody_asked_for_ends_no_call = None
-
+class UnaskedAnswerOfEndpointTest(final_answer_delivery_test.EndpointThatAnswersTwice):
     # Guards against a call being ended by an answer that was there before it was
     # written.
     def test_an_answer_that_comes_before_a_call_is_written_does_not_end_it(self):
