--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -207,6 +207,13 @@
     end = spool.file_bytes();
     REQUIRE(spool.Accept(3, Message("third")));
   }
+  // Changes a byte of the second one in the file, and returns the file's bytes.
+  std::string SpoilSecond(const Folder& folder, std::string bytes) const {
+    bytes[end - 1] = 'x';
+    folder.Write(bytes);
+    return bytes;
+  }
+
   std::size_t begin = 0;
   std::size_t end = 0;
 };
@@ -255,9 +262,7 @@
   const StoredMessages stored(folder);
   {
     Spool spool = Open(folder);
-    std::string changed = folder.Read();
-    changed[stored.end - 1] = 'x';
-    folder.Write(changed);
+    stored.SpoilSecond(folder, folder.Read());
     REQUIRE(spool.Recover().size() == 3);
   }
   int reports = 0;
@@ -285,9 +290,7 @@
   const StoredMessages stored(folder);
   {
     Spool spool = Open(folder);
-    std::string changed = folder.Read();
-    changed[stored.end - 1] = 'x';
-    folder.Write(changed);
+    stored.SpoilSecond(folder, folder.Read());
     fs::create_directory(folder.path() + "/spool.new");
     CheckSecondIsGivenUp(spool, spool.Recover());
     for (SpoolId number = 1; number <= 3; ++number) spool.Finish(number);
@@ -302,9 +305,7 @@
   const std::string whole = folder.Read();
   folder.Write(whole + "torn");
   Spool spool = Open(folder);
-  std::string changed = whole;
-  changed[stored.end - 1] = 'x';
-  folder.Write(changed);
+  const std::string changed = stored.SpoilSecond(folder, whole);
   CheckSecondIsGivenUp(spool, spool.Recover());
   CHECK(ReadKept(folder) == "torn" + changed.substr(stored.begin, stored.end - stored.begin));
 }
@@ -314,9 +315,7 @@
   const StoredMessages stored(folder);
   int reports = 0;
   Spool spool = Spool::OpenToRead(folder.path(), [&](const std::string&) { ++reports; });
-  std::string changed = folder.Read();
-  changed[stored.end - 1] = 'x';
-  folder.Write(changed);
+  const std::string changed = stored.SpoilSecond(folder, folder.Read());
   CHECK(spool.Recover().size() == 2);
   CHECK(reports == 1);
   CHECK(folder.Read() == changed);
