--- a/tests/faults/agent.py
+++ b/tests/faults/agent.py
@@ -18,11 +18,16 @@
     def __init__(self, number, lines, connection=None):
         self.number = number  # from 0, in the order of arrival
         self.connection = connection  # the socket that it came by
+        self.lines = lines
         self.ids = [line["id"] for line in lines]
+        self.confirms = True  # it is answered once it was read
         self.arrived = time.monotonic()
 
 
 class AgentHandler(rig.LayoutHandler):
+    def confirms(self):
+        return True
+
     def do_POST(self):
         if self.server.on_head():
             return super().do_POST()
@@ -33,6 +38,7 @@
         agent = self.server
         with agent.changed:
             post = Post(len(agent.posts), lines, self.connection)
+            post.confirms = self.confirms()
             agent.posts.append(post)
             for line in lines:
                 agent.first_posted.setdefault(line["id"], post.arrived)
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -22,6 +22,7 @@
 import time
 import unittest
 
+from soak_agent import PostShare
 from soak_endpoint import Mode
 from soak_verdict import FAILED_JUDGEMENT, Verdict
 
@@ -47,12 +48,17 @@
     "act_outage": 3,
 }
 
+# With a fault of a share of the posts nothing else keeps notifications unread.
+POST_SHARE_ACTIONS = ("act_endpoints", "act_outage", "act_list")
+KILL_ACTIONS = ("act_kill", "act_kill", "act_kill_behind_ok", "act_kill_in_write")
+
 
 class Soak(Verdict):
-    def __init__(self, seed=0, keep=None, unasked_answers=False):
+    def __init__(self, seed, given):
         super().__init__(seed)
-        self.keep = keep
-        self.unasked_answers = unasked_answers
+        self.keep = given.keep
+        self.unasked_answers = given.unasked_answers
+        self.post_share = given.post_share
         self.interruptions_left = self.random.choice(MOST_INTERRUPTIONS)
 
     def runTest(self):
@@ -85,6 +91,10 @@
 
     def draw_action(self):
         names = [name for name in dir(self) if name.startswith("act_")]
+        if self.post_share is not None:
+            kinds = KILL_ACTIONS if self.post_share[0] == "unconfirmed" else ()
+            names = [*POST_SHARE_ACTIONS, *kinds]
+            return self.random.choice(names)
         if self.interruptions_left == 0:
             names = [name for name in names if name not in INTERRUPTIONS]
         weights = [WEIGHTS.get(name, 1) for name in names]
@@ -120,12 +130,13 @@
                 out.writelines(line + "\n" for line in forwarder.log)
 
 
-def play(seed, keep, unasked_answers):
+def play(seed, given):
     """Whether the schedule held, and what to say of it."""
     text = io.StringIO()
-    soak = Soak(seed, keep, unasked_answers)
+    soak = Soak(seed, given)
     held = unittest.TextTestRunner(stream=text).run(soak).wasSuccessful()
-    summary = [line for _, line in soak.events if line.startswith("accepted")]
+    told = ("accepted", "late ")
+    summary = [line for _, line in soak.events if line.startswith(told)]
     return held, " ".join(summary + ([] if held else [text.getvalue()]))
 
 
@@ -133,16 +144,31 @@
     command = [sys.executable, __file__, "--play", str(seed), "--keep", given.keep]
     if given.unasked_answers:
         command.append("--unasked-answers")
+    if given.post_share is not None:
+        command += ["--post-share", "%s:%s" % given.post_share]
     done = subprocess.run(command, capture_output=True, text=True)
     return seed, done.returncode == 0, done.stdout + done.stderr
 
 
+def parse_post_share(text):
+    name, share = text.split(":")
+    if name not in PostShare.FAULTS or not 0 < float(share) < 1:
+        raise argparse.ArgumentTypeError("not FAULT:SHARE: " + text)
+    return name, float(share)
+
+
 def failed_judgements(text):
     """The names of the judgements that a schedule has failed."""
     names = re.findall(FAILED_JUDGEMENT + " ([a-z ]+):", text)
     return sorted(set(names)) or ["before the judgement"]
 
 
+def counted(text):
+    """What a schedule's summary counts."""
+    found = re.findall(r"\b(accepted|notified|open|late) (\d+)\b", text)
+    return {name: int(count) for name, count in found}
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=50)
@@ -156,13 +182,21 @@
         help="endpoints may also write a second answer that nobody asked for, on which"
         " the program loses messages",
     )
+    parser.add_argument(
+        "--post-share",
+        type=parse_post_share,
+        metavar="FAULT:SHARE",
+        help="a share of all posts, drawn post by post, meets a fault: %s"
+        % ", ".join(PostShare.FAULTS),
+    )
     given = parser.parse_args()
     if given.play is not None:
-        held, text = play(given.play, given.keep, given.unasked_answers)
+        held, text = play(given.play, given)
         print(text)
         return 0 if held else 1
     failed = []
     judgements = collections.Counter()
+    totals = collections.Counter()
     with concurrent.futures.ThreadPoolExecutor(given.jobs) as pool:
         seeds = range(given.first, given.first + given.seeds)
         for seed, held, text in pool.map(
@@ -170,12 +204,14 @@
         ):
             print("seed %d %s %s" % (seed, "held" if held else "FAILED", text.strip()))
             sys.stdout.flush()
+            totals.update(counted(text))
             if not held:
                 failed.append(seed)
                 judgements.update(failed_judgements(text))
     print(
         "%d of %d held; failed: %s" % (given.seeds - len(failed), given.seeds, failed)
     )
+    print("in all: " + ", ".join("%s %d" % item for item in totals.items()))
     for name, count in sorted(judgements.items()):
         print("  %s: %d" % (name, count))
     return 1 if failed else 0
--- a/tests/faults/soak_agent.py
+++ b/tests/faults/soak_agent.py
@@ -6,6 +6,7 @@
 import enum
 import random
 import socket
+import threading
 import time
 
 import agent
@@ -71,6 +72,27 @@
         return self.delays.uniform(*DELAYS_S[self.fault])
 
 
+class PostShare:
+    """A share of all posts, drawn post by post, meets one fault for the whole play."""
+
+    FAULTS = {
+        "cut": Fault.CUT_UNREAD,
+        "silent": Fault.UNREAD,
+        "refused": Fault.REJECT_ID,
+        "unconfirmed": Fault.UNANSWERED,
+    }
+
+    def __init__(self, name, share, seed):
+        self.fault = self.FAULTS[name]
+        self.share = share
+        self.chance = random.Random(seed)
+        self.lock = threading.Lock()
+
+    def draw(self):
+        with self.lock:
+            return self.chance.random() < self.share
+
+
 class SoakAgentHandler(agent.AgentHandler):
     def leave_unread(self, span):
         """Whether the request stays unread; its connection ends then."""
@@ -82,9 +104,20 @@
         return True
 
     def do_POST(self):
-        if not self.leave_unread(self.server.active_fault(self.server.post_fault)):
+        if self.leave_unread(self.server.active_fault(self.server.post_fault)):
+            return
+        share = self.server.post_share
+        self.share_fault = share.fault if share and share.draw() else None
+        if self.share_fault == Fault.REJECT_ID:
+            self.rfile.read(int(self.headers["Content-Length"]))
+            return self.reply(400)
+        if not self.leave_unread(share if self.share_fault else None):
             super().do_POST()
 
+    def confirms(self):
+        """Whether a post that was read is answered."""
+        return self.share_fault != Fault.UNANSWERED
+
     def do_GET(self):
         span = self.server.active_fault(self.server.list_fault)
         if self.leave_unread(span):
@@ -116,7 +149,10 @@
         self.on_post = self.answer_post
         self.post_fault = None
         self.list_fault = None
+        self.post_share = None
         self.read_at = {}  # when a message's notification was first read
+        self.deferred_at = {}  # the same for one that allows a retry
+        self.statuses = {}  # all that were read of a message
 
     @staticmethod
     def active_fault(span):
@@ -141,6 +177,9 @@
             self.note_read([span.rejected], post)  # no post can bring more of it
             return 400
         self.note_read(post.ids, post)
+        if not post.confirms:
+            self.release.wait(timeout=rig.LIMIT)
+            return None
         if self.refused_notices > 0:
             self.refused_notices -= 1
             return 500
@@ -165,6 +204,11 @@
         with self.changed:
             for message in ids:
                 self.read_at.setdefault(message, post.arrived)
+            for line in post.lines:
+                name, status = line["id"], line["status"]
+                self.statuses.setdefault(name, set()).add(status)
+                if status == "deferred":
+                    self.deferred_at.setdefault(name, post.arrived)
 
     def refuse_connections(self):
         """In an unread window connections are refused; the open ones are cut."""
--- a/tests/faults/soak_stage.py
+++ b/tests/faults/soak_stage.py
@@ -7,7 +7,7 @@
 import rig
 import soak_judge
 from rig import FaultTable, FaultTest
-from soak_agent import SoakAgent
+from soak_agent import PostShare, SoakAgent
 from soak_endpoint import SoakEndpoint
 from soak_scheduling import ProcessorWaits
 
@@ -17,6 +17,8 @@
 
 
 class Stage(FaultTest):
+    post_share = None  # a fault of PostShare, and the share of posts that it meets
+
     def __init__(self, seed):
         super().__init__()
         self.seed = seed
@@ -59,6 +61,10 @@
 
     def new_agent(self, revision):
         self.discovery = self.new_stand_in(SoakAgent)
+        if self.post_share is not None:
+            name, share = self.post_share
+            chance = self.random.random()
+            self.discovery.post_share = PostShare(name, share, chance)
         self.addCleanup(self.discovery.release.set)
         self.discovery.revision = revision
         self.discovery.members = self.members()
--- a/tests/faults/soak_verdict.py
+++ b/tests/faults/soak_verdict.py
@@ -61,6 +61,8 @@
         judgements = {
             "lost": lambda: self.judge_lost(open_ids),
             "late": self.judge_time,
+            "called after a deferral": self.judge_deferrals,
+            "more than one status": self.judge_statuses,
             "run more than once": self.judge_repeats,
             "sent to an endpoint that is out": self.judge_drains,
             "process": self.judge_processes,
@@ -88,6 +90,7 @@
             self.long_holds,
             self.heartbeat,
         )
+        self.note("late", len(late))
         for message, due, by, allowed in late:
             seen = "never read" if by is None else "late by %.3f" % by
             self.note(
@@ -136,6 +139,30 @@
         repeated = {i for i in self.once if counts.get(i, 0) > 1}
         self.assertEqual(repeated, set(), "run more than once")
 
+    def judge_deferrals(self):
+        """A client hands a message in again once it is deferred, so it must not run."""
+        deferred_at = {}
+        for agent in self.discoveries:
+            for message, at in list(agent.deferred_at.items()):
+                deferred_at[message] = min(at, deferred_at.get(message, at))
+        called = {
+            message
+            for endpoint in self.endpoints.values()
+            for at, message, _ in list(endpoint.arrivals)
+            if message in self.once and at > deferred_at.get(message, at)
+        }
+        for message in sorted(called)[:HISTORIES]:
+            self.tell_history(self.accepted[message])
+        self.assertEqual(called, set(), "called after a deferral")
+
+    def judge_statuses(self):
+        statuses = {}
+        for agent in self.discoveries:
+            for message, seen in list(agent.statuses.items()):
+                statuses.setdefault(message, set()).update(seen)
+        several = {message for message, seen in statuses.items() if len(seen) > 1}
+        self.assertEqual(several, set(), "more than one status")
+
     def judge_drains(self):
         now = time.monotonic()
         spans = self.drain_spans + [(n, begin, now) for n, begin in self.out.items()]
