Post urgent notifications at even intervals, and back off only behind the bound

Callers saw messages without a final answer 300 ms behind their deadline where the agent closed, ignored or refused a share of the posts, drawn post by post.

Cause: NotificationOutbox doubled the pause behind each post of a line from the first one on (20 to 160 ms, 50 to 250 ms, 1 s for a line refused alone), so four or five tries fitted into the bound, and chance took the rest.

Retries share their times, so their posts do not grow with the notifications (second test). A line that was rejected alone joins the others that were, and is not searched for again while it is urgent; behind that it is posted once a second as before.

--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -30,7 +30,8 @@
   Pending pending{.id = notification.id,
                   .line = NotificationLine(notification),
                   .added_at = now,
-                  .order = next_order_};
+                  .order = next_order_,
+                  .urgent_until = now + kUrgentTime};
   if (!pending_.try_emplace(notification.message, std::move(pending)).second) return;
   new_.emplace(next_order_++, notification.message);
 }
@@ -40,7 +41,7 @@
   if (it == pending_.end()) return;
   new_.erase(it->second.order);
   repeats_.erase({it->second.repeat_at, message});
-  if (it->second.max_batch < kMaxBatchSize) --rejected_;
+  if (it->second.group != Group{}) --rejected_;
   pending_.erase(it);
 }
 
@@ -54,7 +55,7 @@
 // New ones go first, with whatever else is due. What was rejected goes by itself, in turn with
 // them.
 std::vector<NotificationOutbox::MessageId> NotificationOutbox::CollectBatch(Time now) {
-  const std::optional<std::size_t> rejected = FindRejectedBatchSize(now);
+  const std::optional<Group> rejected = FindRejectedGroup(now);
   if (rejected && (rejected_are_next_ || new_.empty())) {
     rejected_are_next_ = false;
     return CollectRepeats(now, *rejected);
@@ -64,26 +65,27 @@
   for (auto it = new_.begin(); it != new_.end() && batch.size() < kMaxBatchSize; ++it) {
     batch.push_back(it->second);
   }
-  const std::vector<MessageId> repeats = CollectRepeats(now, kMaxBatchSize);
+  const std::vector<MessageId> repeats = CollectRepeats(now, Group{});
   batch.insert(batch.end(), repeats.begin(), repeats.end());
   return batch;
 }
 
 std::vector<NotificationOutbox::MessageId> NotificationOutbox::CollectRepeats(
-    Time now, std::size_t max_batch) const {
+    Time now, const Group& group) const {
   std::vector<MessageId> batch;
   for (const Repeat& repeat : repeats_) {
-    if (repeat.at > now || batch.size() >= max_batch) break;
-    if (pending_.at(repeat.message).max_batch == max_batch) batch.push_back(repeat.message);
+    if (repeat.at > now || batch.size() >= group.max_batch) break;
+    if (pending_.at(repeat.message).group == group) batch.push_back(repeat.message);
   }
   return batch;
 }
 
-std::optional<std::size_t> NotificationOutbox::FindRejectedBatchSize(Time now) const {
+std::optional<NotificationOutbox::Group> NotificationOutbox::FindRejectedGroup(Time now) const {
+  if (rejected_ == 0) return std::nullopt;
   for (const Repeat& repeat : repeats_) {
     if (repeat.at > now) break;
-    const std::size_t max_batch = pending_.at(repeat.message).max_batch;
-    if (max_batch < kMaxBatchSize) return max_batch;
+    const Group& group = pending_.at(repeat.message).group;
+    if (group != Group{}) return group;
   }
   return std::nullopt;
 }
@@ -106,7 +108,8 @@
     post.oldest_added_at = std::min(post.oldest_added_at, pending.added_at);
     post.repeats = post.repeats || pending.posts > 0;
     ++pending.posts;
-    RepeatAt(message, pending, now + DelayAfter(pending.posts, kFirstRepeat, kLongestRepeat));
+    if (now >= pending.urgent_until) ++pending.late_posts;
+    RepeatAt(message, pending, RepeatTime(pending, now));
   }
   running_[post.id] = {.messages = post.messages,
                        .started_at = now,
@@ -154,31 +157,65 @@
     const auto it = pending_.find(message);
     if (it == pending_.end()) continue;
     Pending& pending = it->second;
-    if (pending.max_batch == kMaxBatchSize) ++rejected_;
-    pending.max_batch = std::clamp<std::size_t>(half, 1, pending.max_batch);
-    RepeatAt(message, pending, half > 0 ? now : now + kRejectedRetry);
     if (half == 0) end.rejected = pending.id;
+    if (half == 0 || pending.group.rejected_alone) {
+      RejectAlone(message, pending, now);
+      continue;
+    }
+    SetGroup(pending, {.max_batch = std::clamp<std::size_t>(half, 1, pending.group.max_batch)});
+    RepeatAt(message, pending, now);
   }
 }
 
+// A platform that rejects a share of all posts takes it the next time. It is not halved anew, so
+// that what can't be read costs one search.
+void NotificationOutbox::RejectAlone(MessageId message, Pending& pending, Time now) {
+  const bool urgent = now < pending.urgent_until;
+  SetGroup(pending, urgent ? Group{.rejected_alone = true} : Group{.max_batch = 1});
+  RepeatAt(message, pending, urgent ? SharedRetryTime(now) : now + kRejectedRetry);
+}
+
+void NotificationOutbox::SetGroup(Pending& pending, const Group& group) {
+  if (pending.group != Group{}) --rejected_;
+  pending.group = group;
+  if (pending.group != Group{}) ++rejected_;
+}
+
 void NotificationOutbox::Retry(const RunningPost& post, Time now) {
   for (const MessageId message : post.messages) {
     const auto it = pending_.find(message);
     if (it == pending_.end()) continue;
     Pending& pending = it->second;
-    const Time retry_at = now + DelayAfter(pending.posts, kFirstRetry, kLongestRetry);
-    RepeatAt(message, pending, std::min(pending.repeat_at, retry_at));
+    RepeatAt(message, pending, std::min(pending.repeat_at, RetryTime(pending, now)));
   }
 }
 
 void NotificationOutbox::RepostAll(Time now) {
   for (auto& [message, pending] : pending_) {
     if (new_.count(pending.order) != 0) continue;
-    pending.posts = 0;
+    pending.posts = pending.late_posts = 0;
+    pending.urgent_until = now + kUrgentTime;
     RepeatAt(message, pending, now);
   }
 }
 
+NotificationOutbox::Time NotificationOutbox::RepeatTime(const Pending& pending, Time now) {
+  if (now >= pending.urgent_until) {
+    return now + DelayAfter(pending.late_posts, kFirstRepeat, kLongestRepeat);
+  }
+  return now + (pending.posts > 1 ? kUrgentRepeat : kFirstRepeat);
+}
+
+NotificationOutbox::Time NotificationOutbox::RetryTime(const Pending& pending, Time now) {
+  if (now < pending.urgent_until) return SharedRetryTime(now);
+  return now + DelayAfter(pending.late_posts, kFirstRetry, kLongestRetry);
+}
+
+NotificationOutbox::Time NotificationOutbox::SharedRetryTime(Time now) {
+  if (shared_retry_at_ <= now) shared_retry_at_ = now + kFirstRetry;
+  return shared_retry_at_;
+}
+
 void NotificationOutbox::RepeatAt(MessageId message, Pending& pending, Time at) {
   new_.erase(pending.order);
   repeats_.erase({pending.repeat_at, message});
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -5,7 +5,9 @@
 // The law: a notification is part of a post within kMaxPostDelay of its addition, whatever became
 // of any other post, and is posted again and again until a post that holds it is confirmed. A
 // notification that arrives twice does no harm, so a post that is not answered soon is repeated
-// while its answer is still waited for.
+// while its answer is still waited for. Until kUrgentTime behind its addition it is posted again at
+// even intervals, so that ten posts or more may reach the platform in time; from then on a backoff
+// protects a platform that is in trouble.
 #ifndef BRASSFRONT_FORWARDER_NOTIFICATION_OUTBOX_HPP_
 #define BRASSFRONT_FORWARDER_NOTIFICATION_OUTBOX_HPP_
 
@@ -54,14 +56,20 @@
   // The age from which on a post makes way.
   static constexpr std::chrono::milliseconds kMinAgeToMakeWay{100};
   static constexpr std::chrono::milliseconds kMaxPostDelay = kMinAgeToMakeWay + 2 * kPostSpacing;
-  // A notification whose post is not answered is posted again after the first of these, then after
-  // twice as long each time, up to the second.
+  // A notification is urgent for so long: the platform counts it as late soon afterwards.
+  static constexpr std::chrono::milliseconds kUrgentTime{300};
+  // An urgent one whose post is not answered is posted again after the first of these, then each
+  // time after the second.
   static constexpr std::chrono::milliseconds kFirstRepeat{50};
+  static constexpr std::chrono::milliseconds kUrgentRepeat = kPostSpacing;
+  // One that is not urgent waits for twice as long each time, up to this.
   static constexpr std::chrono::milliseconds kLongestRepeat{250};
-  // The same where its post has failed.
+  // An urgent one whose post has failed, or that was rejected alone, is posted again after this at
+  // the latest, with all others of which that holds.
   static constexpr std::chrono::milliseconds kFirstRetry{20};
+  // One that is not urgent waits for twice as long each time, up to the first of these where its
+  // post has failed, and for the second where it was rejected alone.
   static constexpr std::chrono::milliseconds kLongestRetry{160};
-  // One that the platform rejects alone.
   static constexpr std::chrono::milliseconds kRejectedRetry{1000};
   static constexpr std::size_t kMaxBatchSize = 500;  // notifications in a post
   static constexpr std::size_t kMaxPostBytes = std::size_t{64} * 1024;
@@ -104,14 +112,24 @@
   [[nodiscard]] std::optional<Time> OldestAddedAt() const;
 
  private:
+  // Notifications that may be repeated in one post.
+  struct Group {
+    std::size_t max_batch = kMaxBatchSize;  // halved by each rejection
+    // Of those that were rejected alone, and are urgent: the platform may take them the next time.
+    bool rejected_alone = false;
+
+    friend bool operator==(const Group& left, const Group& right) = default;
+  };
   struct Pending {
     std::string id;
     std::string line;
     Time added_at{};
-    std::uint64_t order = 0;                // of the addition
-    Time repeat_at{};                       // once it was posted
-    std::uint32_t posts = 0;                // so far
-    std::size_t max_batch = kMaxBatchSize;  // halved by each rejection
+    std::uint64_t order = 0;  // of the addition
+    Time urgent_until{};
+    Time repeat_at{};              // once it was posted
+    std::uint32_t posts = 0;       // so far
+    std::uint32_t late_posts = 0;  // of these, when it was not urgent any more
+    Group group{};
   };
   struct RunningPost {
     std::vector<MessageId> messages;
@@ -128,24 +146,32 @@
   };
 
   [[nodiscard]] std::vector<MessageId> CollectBatch(Time now);
-  [[nodiscard]] std::vector<MessageId> CollectRepeats(Time now, std::size_t max_batch) const;
-  // The limit of the first repeat that is due and was rejected before; none if there is none.
-  [[nodiscard]] std::optional<std::size_t> FindRejectedBatchSize(Time now) const;
+  [[nodiscard]] std::vector<MessageId> CollectRepeats(Time now, const Group& group) const;
+  // The group of the first repeat that is due and was rejected before; none if there is none.
+  [[nodiscard]] std::optional<Group> FindRejectedGroup(Time now) const;
   [[nodiscard]] Post BeginPost(const std::vector<MessageId>& batch, Time now);
   // The oldest post that may make way; none if all are patient.
   [[nodiscard]] std::map<PostId, RunningPost>::const_iterator FindOldestImpatient() const;
   [[nodiscard]] std::size_t PatientPosts() const;
   [[nodiscard]] Time EarliestStart() const;
   void RepeatAt(MessageId message, Pending& pending, Time at);
+  // When it is posted again behind a post of which nothing was heard, or that failed.
+  [[nodiscard]] static Time RepeatTime(const Pending& pending, Time now);
+  [[nodiscard]] Time RetryTime(const Pending& pending, Time now);
+  // The next time for all urgent retries, so that their posts do not grow in number with them.
+  [[nodiscard]] Time SharedRetryTime(Time now);
+  void RejectAlone(MessageId message, Pending& pending, Time now);
   void Confirm(const RunningPost& post, PostEnd& end);
   void Reject(const RunningPost& post, PostEnd& end, Time now);
+  void SetGroup(Pending& pending, const Group& group);
   void Retry(const RunningPost& post, Time now);
 
   std::map<MessageId, Pending> pending_;
   std::map<std::uint64_t, MessageId> new_;  // of these, never posted; by their order
   std::uint64_t next_order_ = 0;
   std::set<Repeat> repeats_;  // the others
-  std::size_t rejected_ = 0;  // of these, those that were in a post that was rejected
+  std::size_t rejected_ = 0;  // of these, those that are not in the group of all others
+  Time shared_retry_at_{};
   std::map<PostId, RunningPost> running_;
   PostId next_post_ = 1;
   Time last_start_{};
