Record a give-up in the spool before the platform is told, and keep to it over a restart

Callers saw a message that may not be repeated called by the next process after the platform had read `deferred` for it, or ended with another status: the client had been told to hand it in anew, so it might run twice.

Cause: a give-up was in memory alone until the 204 of its post; the spool still had the message as one to be tried. The law that was missing: what another part has been told is on record before it is told.

Mend: MessageTable::GiveUp writes the decision with its status first; AddRestored takes it over, so the message is notified as it was to be and never called, of any class. A folder that can't be written delays no notification: the record is written once it can be. Writes: one of 25 bytes more for a message that is given up, none for one that is delivered.

--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -148,8 +148,9 @@
 
 void Engine::RestoreMessage(RecoveredMessage recovered, Time now, UnixMs spool_now) {
   auto event = MakeRestoredEvent(recovered, config_, endpoints_, now, spool_now);
-  known_list_hold_.LimitBy(now, event.time_left);
   messages_.AddRestored(std::move(recovered), event.time_left, now);
+  if (!messages_.IsDeliverable(event.message)) return;
+  known_list_hold_.LimitBy(now, event.time_left);
   AddListEvent(std::move(event));
 }
 
--- a/src/forwarder/message_table.cpp
+++ b/src/forwarder/message_table.cpp
@@ -57,6 +57,11 @@
                TraceStep::kRestored, static_cast<std::uint32_t>(attempts));
   final_answers_.Open(message.spool_id, now + time_left,
                       now + std::max(time_left, kMinDecisionTimeAfterRestore));
+  if (!message.give_up) return;
+  GiveUp({.message = message.spool_id,
+          .retry_allowed = message.give_up->retry_allowed,
+          .retry_after = message.give_up->retry_after},
+         "given-up-before", now);
 }
 
 void MessageTable::Insert(MessageId id, InFlightMessage message) {
@@ -143,6 +148,8 @@
   found->given_up_at = now;
   trace_.Note(notification.message, now, TraceStep::kGivenUp, notification.retry_allowed ? 1 : 0);
   notification.id = found->client_id;
+  spool_.GiveUp(notification.message, {.retry_allowed = notification.retry_allowed,
+                                       .retry_after = notification.retry_after});
   final_answers_.GiveUp(notification.message);
   if (found->acknowledged) {
     final_answers_.Notify(notification, now);
--- a/src/forwarder/message_table.hpp
+++ b/src/forwarder/message_table.hpp
@@ -75,7 +75,8 @@
                              UnixMs unix_now);
   // Removes a message that is not in the spool.
   void Remove(MessageId message);
-  // Enters a message that an earlier process had accepted.
+  // Enters a message that an earlier process had accepted. One that it had given up stays given up,
+  // and is notified as it was to be.
   void AddRestored(RecoveredMessage message, Duration time_left, Time now);
 
   // ---- progress ----
@@ -93,9 +94,10 @@
   // An attempt that was started has completed; the message may have ended before.
   void CompleteAttempt(MessageId message, std::size_t spool_index, dispatch_policy::Outcome outcome,
                        Time now);
-  // The message will not be delivered: the notification, which gets its client's id here, is posted
-  // once the message is acknowledged and until it is confirmed, which ends the message. `reason`:
-  // for the log. Without effect if the message has ended or was given up before.
+  // The message will not be delivered, which the spool records first: the notification, which gets
+  // its client's id here, is posted once the message is acknowledged and until it is confirmed,
+  // which ends the message. `reason`: for the log. Without effect if the message has ended or was
+  // given up before.
   void GiveUp(Notification notification, std::string_view reason, Time now);
   // Whether an answer of 200 at this time is certain to be counted by the platform as the message's
   // delivery. For a call with several messages it must be so for each of them.
--- a/src/spool/message_history.cpp
+++ b/src/spool/message_history.cpp
@@ -50,6 +50,12 @@
   return "attempt-not-run attempt=" + std::to_string(record.attempt);
 }
 
+std::string DescribeRecord(const MessageGivenUp& record) {
+  if (!record.give_up.retry_allowed) return "given-up notification=undeliverable";
+  return "given-up notification=deferred retry_after_ms=" +
+         std::to_string(record.give_up.retry_after.count());
+}
+
 std::string DescribeRecord(const MessageFinished&) { return "finished"; }
 
 std::string DescribeRecord(const DamagedPlace& place) {
--- a/src/spool/message_history.hpp
+++ b/src/spool/message_history.hpp
@@ -20,7 +20,9 @@
 
 struct HistoryStep {
   std::size_t offset = 0;
-  std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageFinished, DamagedPlace> what;
+  std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageGivenUp, MessageFinished,
+               DamagedPlace>
+      what;
 };
 
 // The records of the messages with this client's id, in the order of the file, and the damaged
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -31,17 +31,6 @@
   return (bytes + kBlockBytes - 1) / kBlockBytes * kBlockBytes;
 }
 
-// The records of a message's attempts, as a compaction writes them.
-std::string EncodeAttempts(SpoolId number, const std::vector<SpooledAttempt>& attempts) {
-  std::string records;
-  for (std::size_t i = 0; i < attempts.size(); ++i) {
-    const SpooledAttempt& attempt = attempts[i];
-    records += spool::Encode(spool::AttemptStarted{number, attempt.endpoint, attempt.started_at});
-    if (attempt.known_not_run) records += spool::Encode(spool::AttemptNotRun{number, i});
-  }
-  return records;
-}
-
 // From a stored MessageAccepted record; none if it is damaged, or the record of something else.
 std::optional<SpooledMessage> DecodeAccepted(SpoolId number, std::string_view stored) {
   const auto header = spool::DecodeFrameHeader(stored.substr(0, spool::kFrameBytes));
@@ -55,6 +44,17 @@
 
 }  // namespace
 
+std::string Spool::EncodeProgress(SpoolId number, const OpenMessage& open) {
+  std::string records;
+  for (std::size_t i = 0; i < open.attempts.size(); ++i) {
+    const SpooledAttempt& attempt = open.attempts[i];
+    records += spool::Encode(spool::AttemptStarted{number, attempt.endpoint, attempt.started_at});
+    if (attempt.known_not_run) records += spool::Encode(spool::AttemptNotRun{number, i});
+  }
+  if (open.give_up) records += spool::Encode(spool::MessageGivenUp{number, *open.give_up});
+  return records;
+}
+
 Spool::Spool(FolderOwner& owner, std::size_t disk_bytes, Report report)
     : owner_(&owner), folder_(owner.folder()), disk_bytes_(disk_bytes), report_(std::move(report)) {
   clock_.Begin(std::nullopt, {}, ReadMachineTime());
@@ -149,7 +149,7 @@
       message = ReplaceRecord(number, open);
       has_replaced = true;
     }
-    recovered.push_back({number, std::move(*message), open.attempts});
+    recovered.push_back({number, std::move(*message), open.attempts, open.give_up});
     // It becomes this attempt before any other record is written.
     if (open.attempt_may_be_lost) {
       recovered.back().attempts.push_back(
@@ -192,6 +192,15 @@
   pending_not_run_.push_back({number, attempt});
 }
 
+void Spool::GiveUp(SpoolId number, const SpooledGiveUp& give_up) {
+  const auto found = open_messages_.find(number);
+  if (found == open_messages_.end() || found->second.give_up) return;
+  if (Append(spool::MessageGivenUp{number, give_up}, Space::kReserved)) return;
+  if (pending_give_ups_.emplace(number, give_up).second) {
+    report_("spool: a give-up could not be noted yet");
+  }
+}
+
 void Spool::Finish(SpoolId number) {
   if (open_messages_.count(number) == 0) return;
   if (Append(spool::MessageFinished{number}, Space::kReserved)) return;
@@ -299,12 +308,21 @@
   return true;
 }
 
+bool Spool::Apply(const spool::MessageGivenUp& record, const Extent& extent) {
+  next_number_ = std::max(next_number_, record.number + 1);
+  const auto found = open_messages_.find(record.number);
+  if (found == open_messages_.end() || found->second.give_up) return true;
+  found->second.give_up = record.give_up;
+  compacted_bytes_ += extent.bytes;
+  return true;
+}
+
 bool Spool::Apply(const spool::MessageFinished& record, const Extent&) {
   next_number_ = std::max(next_number_, record.number + 1);
   const auto found = open_messages_.find(record.number);
   if (found == open_messages_.end()) return true;
   compacted_bytes_ -= found->second.record_bytes;
-  compacted_bytes_ -= EncodeAttempts(record.number, found->second.attempts).size();
+  compacted_bytes_ -= EncodeProgress(record.number, found->second).size();
   open_messages_.erase(found);
   return true;
 }
@@ -385,6 +403,11 @@
     if (!Write(record, Space::kReserved)) return false;
     pending_not_run_.pop_back();
   }
+  while (!pending_give_ups_.empty()) {
+    const auto [number, give_up] = *pending_give_ups_.begin();
+    if (!Write(spool::MessageGivenUp{number, give_up}, Space::kReserved)) return false;
+    pending_give_ups_.erase(number);
+  }
   while (!pending_ends_.empty()) {
     const SpoolId number = *pending_ends_.begin();
     if (!Write(spool::MessageFinished{number}, Space::kReserved)) return false;
@@ -443,7 +466,7 @@
     offsets[number] = size;
     const auto accepted = open.replacement.empty() ? file_.Read(open.offset, open.record_bytes)
                                                    : std::optional(open.replacement);
-    written = accepted && write(*accepted) && write(EncodeAttempts(number, open.attempts));
+    written = accepted && write(*accepted) && write(EncodeProgress(number, open));
   }
   if (!written || std::rename(path.c_str(), (folder_ + kFileName).c_str()) != 0) {
     report_("spool: could not be compacted");
--- a/src/spool/spool.hpp
+++ b/src/spool/spool.hpp
@@ -41,6 +41,7 @@
   SpoolId spool_id = 0;
   SpooledMessage message;
   std::vector<SpooledAttempt> attempts;
+  std::optional<SpooledGiveUp> give_up{};  // it must not be tried again then
 };
 
 class Spool {
@@ -76,6 +77,10 @@
   [[nodiscard]] bool BeginAttempt(SpoolId number, const std::string& endpoint, UnixMs at);
   // `attempt`: index among the message's attempts. One that can't be stored counts as possibly run.
   void MarkNotRun(SpoolId number, std::size_t attempt);
+  // To be called before anybody is told that the message will not be delivered. One that can't be
+  // stored now is stored later: a process that ends before leaves the message as one to be tried.
+  // Harmless for an unknown message, and for one that was given up before.
+  void GiveUp(SpoolId number, const SpooledGiveUp& give_up);
   // The message needs no further attempt or recovery. Harmless for an unknown one.
   void Finish(SpoolId number);
 
@@ -97,6 +102,7 @@
     std::size_t record_bytes = 0;  // of that record, the frame included
     std::string client_id;
     std::vector<SpooledAttempt> attempts;
+    std::optional<SpooledGiveUp> give_up{};
     bool attempt_may_be_lost = false;  // in a damaged place, and that is not recorded yet
     std::string replacement;  // of that record, for the next compaction; empty: it is intact
   };
@@ -111,6 +117,9 @@
 
   Spool(std::string folder, Report report);
 
+  // The records of a message behind its first one, as a compaction writes them.
+  [[nodiscard]] static std::string EncodeProgress(SpoolId number, const OpenMessage& open);
+
   // ---- reading ----
   [[nodiscard]] bool OwnsFolder();
   void Open();
@@ -124,6 +133,7 @@
   bool Apply(const spool::MessageAccepted& record, const Extent& extent);
   bool Apply(const spool::AttemptStarted& record, const Extent& extent);
   bool Apply(const spool::AttemptNotRun& record, const Extent& extent);
+  bool Apply(const spool::MessageGivenUp& record, const Extent& extent);
   bool Apply(const spool::MessageFinished& record, const Extent& extent);
   bool Apply(const spool::ClockAnchor& record, const Extent& extent);
 
@@ -159,6 +169,7 @@
   SpoolClock clock_;
   std::optional<spool::ClockAnchor> stored_anchor_;
   UnixMs latest_time_{};  // of any record
+  std::map<SpoolId, SpooledGiveUp> pending_give_ups_;
   std::set<SpoolId> pending_ends_;
   std::vector<PendingNotRun> pending_not_run_;
   std::set<SpoolId> unrecovered_;          // not returned by Recover yet
--- a/src/spool/spool_record.cpp
+++ b/src/spool/spool_record.cpp
@@ -2,6 +2,7 @@
 
 #include <zlib.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace brassfront::spool {
@@ -16,6 +17,12 @@
   kClockAnchor = 'C',
 };
 
+// A give-up is stored as the outcome of an attempt that no message has: earlier versions pass over
+// such an outcome. These bits of the attempt's index hold what was decided.
+constexpr std::uint64_t kGiveUpMark = std::uint64_t{1} << 63;
+constexpr std::uint64_t kRetryAllowedMark = std::uint64_t{1} << 62;
+constexpr std::uint64_t kRetryAfterMask = 0xFFFF'FFFF;  // in milliseconds
+
 constexpr int kNumberBytes = 8;
 constexpr int kLengthBytes = 4;
 
@@ -108,11 +115,22 @@
   return record;
 }
 
-AttemptNotRun ReadAttemptNotRun(PayloadReader& reader) {
-  AttemptNotRun record;
-  record.number = reader.Number();
-  record.attempt = reader.Number();
-  return record;
+std::uint64_t ToAttemptIndex(const SpooledGiveUp& give_up) {
+  const auto retry_after = static_cast<std::uint64_t>(std::clamp<std::int64_t>(
+      give_up.retry_after.count(), 0, static_cast<std::int64_t>(kRetryAfterMask)));
+  return kGiveUpMark | (give_up.retry_allowed ? kRetryAllowedMark : 0) | retry_after;
+}
+
+SpooledGiveUp ToGiveUp(std::uint64_t attempt_index) {
+  return {.retry_allowed = (attempt_index & kRetryAllowedMark) != 0,
+          .retry_after = std::chrono::milliseconds(attempt_index & kRetryAfterMask)};
+}
+
+Record ReadAttemptNotRun(PayloadReader& reader) {
+  const SpoolId number = reader.Number();
+  const std::uint64_t attempt = reader.Number();
+  if ((attempt & kGiveUpMark) != 0) return MessageGivenUp{number, ToGiveUp(attempt)};
+  return AttemptNotRun{number, attempt};
 }
 
 ClockAnchor ReadClockAnchor(PayloadReader& reader) {
@@ -166,6 +184,13 @@
   return PayloadWriter(Tag::kAttemptNotRun).Number(record.number).Number(record.attempt).Framed();
 }
 
+std::string Encode(const MessageGivenUp& record) {
+  return PayloadWriter(Tag::kAttemptNotRun)
+      .Number(record.number)
+      .Number(ToAttemptIndex(record.give_up))
+      .Framed();
+}
+
 std::string Encode(const MessageFinished& record) {
   return PayloadWriter(Tag::kMessageFinished).Number(record.number).Framed();
 }
--- a/src/spool/spool_record.hpp
+++ b/src/spool/spool_record.hpp
@@ -31,6 +31,12 @@
   std::string body;
 };
 
+// The decision that a message will not be delivered, as the platform is told it.
+struct SpooledGiveUp {
+  bool retry_allowed = false;               // the client may hand it in again; else undeliverable
+  std::chrono::milliseconds retry_after{};  // if a retry is allowed; up to 49 days are stored
+};
+
 namespace spool {
 
 // The first bytes of a file.
@@ -56,6 +62,12 @@
   std::size_t attempt = 0;  // index among the message's AttemptStarted records
 };
 
+// Written before the platform is told: no further attempt is made.
+struct MessageGivenUp {
+  SpoolId number = 0;
+  SpooledGiveUp give_up;
+};
+
 // The message needs no further attempt or recovery.
 struct MessageFinished {
   SpoolId number = 0;
@@ -69,8 +81,8 @@
   UnixMs wall{};                          // the time that it stands for
 };
 
-using Record =
-    std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageFinished, ClockAnchor>;
+using Record = std::variant<MessageAccepted, AttemptStarted, AttemptNotRun, MessageGivenUp,
+                            MessageFinished, ClockAnchor>;
 
 // ---- encoding ----
 
@@ -78,6 +90,7 @@
 std::string Encode(const MessageAccepted& record);
 std::string Encode(const AttemptStarted& record);
 std::string Encode(const AttemptNotRun& record);
+std::string Encode(const MessageGivenUp& record);
 std::string Encode(const MessageFinished& record);
 std::string Encode(const ClockAnchor& record);
 
--- a/tests/faults/final_answer_restart_test.py
+++ b/tests/faults/final_answer_restart_test.py
@@ -47,6 +47,39 @@
         self.assert_confirmed_by_a_successor(messages)
 
 
+class DeferredTest(RestartTest):
+    CLASS = {"effect": "side_effect"}  # may not be repeated
+
+    def lines_of(self, message):
+        """What the agent has read of the message."""
+        return [
+            line
+            for post in self.discovery.posts
+            for line in post.lines
+            if line["id"] == message
+        ]
+
+    # Guards against a message running, or getting another status, whose client was told
+    # to hand it in again.
+    def test_a_deferral_outlives_a_kill_before_its_confirmation(self):
+        for left_ms in (300, 800, 2000):
+            with self.subTest(left_ms=left_ms):
+                forwarder = self.start_with_admin()
+                self.discovery.on_post = lambda post: forwarder.send_signal(
+                    signal.SIGKILL
+                )
+                message = self.put_accepted(left_ms=left_ms)
+                forwarder.process.wait(timeout=rig.LIMIT)
+                told = self.lines_of(message)
+                self.assertEqual(told[0]["status"], "deferred")
+                self.set_mode(Endpoint.TAKE)
+                self.assert_confirmed_by_a_successor([message])
+                self.set_mode(Endpoint.REJECT)
+                self.assertEqual(self.calls_of(message), [])
+                for line in self.lines_of(message):
+                    self.assertEqual(line, told[0])
+
+
 class KilledTest(RestartTest):
     # Guards against a notification that was read and not confirmed being dropped.
     def test_a_kill_behind_the_first_post_leaves_its_notification_to_the_successor(
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -137,6 +137,21 @@
   CHECK_FALSE(table->IsDeliveryCertain(message, kStart + milliseconds(200)));
 }
 
+// Guards against a deferred message being tried again, or notified otherwise, by the next process.
+TEST_CASE_FIXTURE(TableFixture, "a message that was given up stays so over a restart") {
+  const auto message = AddPersisted("m");
+  const Notification deferral{
+      .message = message, .id = "m", .retry_allowed = true, .retry_after = milliseconds(250)};
+  table->GiveUp(deferral, "test", kStart);
+  Open();
+  table->AddRestored(spool->Recover().at(0), seconds(10), kStart);
+  CHECK_FALSE(table->IsDeliverable(message));
+  CHECK(table->deliverable() == 0);
+  const auto post = table->final_answers().outbox().NextPost(kStart);
+  REQUIRE(post);
+  CHECK(post->body == NotificationLine(deferral));
+}
+
 // Guards against the restart's allowance for notifications being used up before anybody decides.
 TEST_CASE_FIXTURE(TableFixture, "a restored message without time is decided about soon") {
   AddPersisted("m");
--- a/tests/forwarder/virtual_forwarder.hpp
+++ b/tests/forwarder/virtual_forwarder.hpp
@@ -173,8 +173,9 @@
 
   void RestoreMessage(RecoveredMessage recovered, Time now) {
     auto event = MakeRestoredEvent(recovered, config_, endpoints_, now, SpoolTimeAt(now));
-    known_list_hold_.LimitBy(now, event.time_left);
     messages_.AddRestored(std::move(recovered), event.time_left, now);
+    if (!messages_.IsDeliverable(event.message)) return;
+    known_list_hold_.LimitBy(now, event.time_left);
     AddListEvent(std::move(event));
   }
 
--- a/tests/network/spool_record_test.cpp
+++ b/tests/network/spool_record_test.cpp
@@ -51,6 +51,14 @@
   CHECK(PayloadOf(Encode(MessageFinished{2})) == Bytes("E\2\0\0\0\0\0\0\0"));
 }
 
+// Guards against earlier versions taking a give-up for damage, or for the outcome of an attempt.
+TEST_CASE("a give-up is stored as the outcome of an attempt that no message has") {
+  CHECK(PayloadOf(Encode(MessageGivenUp{2, {}})) == Bytes("N\2\0\0\0\0\0\0\0\0\0\0\0\0\0\0\x80"));
+  const SpooledGiveUp deferral{.retry_allowed = true, .retry_after = UnixMs(258)};
+  CHECK(PayloadOf(Encode(MessageGivenUp{2, deferral})) ==
+        Bytes("N\2\0\0\0\0\0\0\0\2\1\0\0\0\0\0\xc0"));
+}
+
 TEST_CASE("the frame holds the payload's length and its CRC-32, low byte first") {
   const std::string record = Encode(MessageFinished{2});
   const FrameHeader header = DecodeFrameHeader(record.substr(0, kFrameBytes));
@@ -79,6 +87,17 @@
   CHECK(not_run.number == 3);
   CHECK(not_run.attempt == 4);
   CHECK(RoundTrip(MessageFinished{5}).number == 5);
+  const auto undeliverable = RoundTrip(MessageGivenUp{6, {}});
+  CHECK(undeliverable.number == 6);
+  CHECK_FALSE(undeliverable.give_up.retry_allowed);
+  constexpr UnixMs kLongestStored{0xFFFF'FFFF};
+  for (const UnixMs retry_after : {UnixMs(0), UnixMs(258), kLongestStored}) {
+    const auto deferred = RoundTrip(MessageGivenUp{7, {true, retry_after}});
+    CHECK(deferred.give_up.retry_allowed);
+    CHECK(deferred.give_up.retry_after == retry_after);
+  }
+  const auto longer = RoundTrip(MessageGivenUp{8, {true, kLongestStored + UnixMs(1)}});
+  CHECK(longer.give_up.retry_after == kLongestStored);
 }
 
 TEST_CASE("a payload with a changed byte is not intact") {
@@ -96,7 +115,7 @@
 TEST_CASE("a payload that is cut anywhere or has a byte too many is not decoded") {
   for (const std::string& record :
        {Encode(MessageAccepted{1, kMessage}), Encode(AttemptStarted{2, "e", UnixMs(3)}),
-        Encode(AttemptNotRun{2, 1}), Encode(MessageFinished{2})}) {
+        Encode(AttemptNotRun{2, 1}), Encode(MessageGivenUp{2, {}}), Encode(MessageFinished{2})}) {
     const std::string payload = PayloadOf(record);
     for (std::size_t length = 0; length < payload.size(); ++length) {
       CHECK_FALSE(DecodePayload(payload.substr(0, length)).has_value());
--- a/tests/network/spool_test.cpp
+++ b/tests/network/spool_test.cpp
@@ -84,6 +84,39 @@
   CHECK(spool.next_number() == 4);
 }
 
+// Guards against a message being tried again whose notification an earlier process had posted.
+TEST_CASE("a give-up is recovered as it was decided, behind a compaction as well") {
+  const Folder folder;
+  {
+    Spool spool = Open(folder);
+    for (SpoolId i = 1; i <= 3; ++i) REQUIRE(spool.Accept(i, Message(std::to_string(i))));
+    spool.GiveUp(1, {.retry_allowed = true, .retry_after = UnixMs(250)});
+    spool.GiveUp(2, {});
+    spool.GiveUp(2, {.retry_allowed = true});  // the first one holds
+    spool.GiveUp(99, {});
+  }
+  SpoolId next = 10;
+  for (const bool compacts : {false, true}) {
+    CAPTURE(compacts);
+    Spool spool = Open(folder);
+    const auto recovered = spool.Recover();
+    REQUIRE(recovered.size() == 3);
+    REQUIRE(recovered[0].give_up);
+    CHECK(recovered[0].give_up->retry_allowed);
+    CHECK(recovered[0].give_up->retry_after == UnixMs(250));
+    REQUIRE(recovered[1].give_up);
+    CHECK_FALSE(recovered[1].give_up->retry_allowed);
+    CHECK_FALSE(recovered[2].give_up);
+    // Bytes of finished messages, until the file is smaller than before.
+    for (std::size_t before = 0; !compacts && spool.file_bytes() >= before;) {
+      REQUIRE(next < 100);
+      before = spool.file_bytes();
+      REQUIRE(spool.Accept(next, Message("big", 20'000)));
+      spool.Finish(next++);
+    }
+  }
+}
+
 TEST_CASE("a tail that is torn at any byte is cut off") {
   const Folder folder;
   std::size_t kept = 0;
