Refuse an answer that the kernel received before its request was sent

Callers saw messages ended as delivered that nobody had delivered, and notifications confirmed that nobody had read, where an endpoint or agent wrote a second answer between the last look at a kept connection and the writing.

Cause: what came on a connection was taken for the answer to the request whose turn it was, whenever it had come.

The kernel tells the order by software timestamps (SO_TIMESTAMPING).

SegmentTimes keeps the time at which the last byte of a request was sent, and compares it with that of the first unread byte. An earlier answer ends the connection: a call on a reused connection may have run then, a post is made again. Timestamps show as POLLERR, which Await reads away; missing ones, refused options and a stepped wall clock conclude nothing, as before.

--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "observe/metrics.hpp"
 #include "protocol/http.hpp"
 #include "system/retry.hpp"
 
@@ -36,8 +37,12 @@
 }
 
 // Reads until the response is complete, cannot become so, or the connection is shut down. Returns
-// what the connection ends for if the response is not complete.
-CloseReason ReadUntilComplete(Socket& socket, BufferPool& buffers, HttpReader& reader) {
+// what the connection ends for if the response is not complete: kStale if it was received before
+// the request was sent. On a new connection that is no earlier answer, but a rejection.
+CloseReason ReadUntilComplete(EndpointConnection& connection, BufferPool& buffers,
+                              HttpReader& reader) {
+  Socket& socket = connection.socket;
+  bool may_be_earlier = connection.calls > 0;
   CloseReason failure = CloseReason::kMalformed;
   SteadyTime deadline = SteadyTime::max();
   while (!reader.done() && !reader.broken()) {
@@ -47,6 +52,9 @@
       deadline = std::chrono::steady_clock::now() + kResponseTimeout;
     }
     if (!socket.AwaitInput(deadline)) return CloseReason::kIncomplete;
+    if (std::exchange(may_be_earlier, false) && socket.InputPrecedesWrite()) {
+      return CloseReason::kStale;
+    }
     BufferPool::Buffer buffer = buffers.Get();
     const ssize_t received = socket.Receive(buffer.span());
     if (received > 0) {
@@ -202,6 +210,7 @@
     if (connection.socket.is_open()) {
       if (!call.AttachConnection(connection.socket)) return OpenResult::kNotTried;
       if (Connect(connection.socket, call.address, options_.connect_timeout)) {
+        connection.socket.RecordSegmentTimes();
         return OpenResult::kOpened;
       }
       error = errno;
@@ -218,13 +227,16 @@
 
 EndpointCallResult EndpointClient::ReadResponse(EndpointConnection connection, EndpointCall& call) {
   HttpReader reader(kMaxResponseBodyBytes);
-  const CloseReason failure = ReadUntilComplete(connection.socket, buffers_, reader);
+  const CloseReason failure = ReadUntilComplete(connection, buffers_, reader);
   call.DetachConnection();
   const StopReason stop = call.stop_reason();
   const std::size_t calls_on_connection = ++connection.calls;
   // Before the result is passed on: a call that was stopped has closed its connection then.
   if (reader.done() && reader.keep_alive() && stop == StopReason::kNone) {
     ReturnConnection(std::move(connection));
+  } else if (failure == CloseReason::kStale && stop == StopReason::kNone) {
+    observe::Count("unasked_answers_total", {"side", "endpoint"});
+    DiscardConnection(std::move(connection));
   } else {
     connection.Close(CloseReasonFor(stop, reader.done() ? CloseReason::kKeepAliveOff : failure));
   }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,13 +3,16 @@
 #include <cerrno>
 #include <utility>
 
+#include "observe/metrics.hpp"
+
 namespace brassfront {
 
 HttpClient::HttpClient(std::string log_side, std::string address, const Timeouts& timeouts,
-                       BufferPool& buffers)
+                       BufferPool& buffers, EarlyResponse early_response)
     : log_side_(std::move(log_side)),
       timeouts_(timeouts),
       buffers_(buffers),
+      early_response_(early_response),
       address_(std::move(address)) {}
 
 HttpClient::~HttpClient() {
@@ -91,6 +94,7 @@
     exchanges_ = 0;
   }
   const bool connected = Connect(socket_, connected_to_, timeouts_.connect);
+  if (connected && early_response_ == EarlyResponse::kRefused) socket_.RecordSegmentTimes();
   // An interruption may have come before there was a connection to shut down.
   if (connected && IsWanted()) return true;
   Close(CloseReason::kConnectFailed);
@@ -103,16 +107,27 @@
   return !stopped_ && !interrupted_ && connected_to_ == address_;
 }
 
+bool HttpClient::IsEarlyResponse() {
+  if (!socket_.InputPrecedesWrite()) return false;
+  observe::Count("unasked_answers_total", {"side", log_side_});
+  return true;
+}
+
 // Until the response is complete or can't become so. False if the connection was closed for it.
 bool HttpClient::ReadResponse(HttpReader& reader, const OnBytes& on_bytes,
                               const GiveUpAt& give_up_at) {
   BufferPool::Buffer buffer = buffers_.Get();
+  bool is_first = true;
   while (!reader.done() && !reader.broken()) {
     const SteadyTime silent_at = std::chrono::steady_clock::now() + timeouts_.silence;
     if (!socket_.AwaitInput(give_up_at ? give_up_at() : silent_at)) {
       Close(CloseReason::kSilent);
       return false;
     }
+    if (std::exchange(is_first, false) && IsEarlyResponse()) {
+      Close(CloseReason::kStale);
+      return false;
+    }
     const ssize_t received = socket_.Receive(buffer.span());
     if (received < 0) {
       Close(errno == EAGAIN ? CloseReason::kSilent : CloseReason::kReset);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -26,9 +26,13 @@
     std::chrono::milliseconds silence;  // how long the peer may take nothing or send nothing
   };
 
+  // What becomes of a response that was received before its request was sent, where the kernel
+  // tells: it answers something else.
+  enum class EarlyResponse { kAccepted, kRefused };
+
   // `log_side`: what the log calls the peer. The buffers must outlive the client.
   HttpClient(std::string log_side, std::string address, const Timeouts& timeouts,
-             BufferPool& buffers);
+             BufferPool& buffers, EarlyResponse early_response = EarlyResponse::kAccepted);
   ~HttpClient();
 
   // ---- for any thread ----
@@ -71,12 +75,14 @@
  private:
   bool EnsureConnected();
   [[nodiscard]] bool IsWanted() const;
+  [[nodiscard]] bool IsEarlyResponse();
   bool ReadResponse(HttpReader& reader, const OnBytes& on_bytes, const GiveUpAt& give_up_at);
   void Close(CloseReason reason);
 
   const std::string log_side_;
   const Timeouts timeouts_;
   BufferPool& buffers_;
+  const EarlyResponse early_response_;
   mutable std::mutex mutex_;  // guards the addresses, and the socket's opening and closing
   std::string address_;
   std::string connected_to_;
--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -35,7 +35,8 @@
   const HttpClient::Timeouts timeouts{.connect = kConnectTimeout, .silence = kAnswerTimeout};
   const std::lock_guard lock(mutex_);
   for (Connection& connection : connections_) {
-    connection.client = std::make_unique<HttpClient>(kLogSide, address, timeouts, buffers);
+    connection.client = std::make_unique<HttpClient>(kLogSide, address, timeouts, buffers,
+                                                     HttpClient::EarlyResponse::kRefused);
     idle_.push_back(&connection);
   }
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -121,15 +121,19 @@
 }
 
 bool Socket::Await(std::int16_t events, SteadyTime until) const {
-  for (int failures = 0; failures < kMaxPollFailures; ++failures) {
+  int failures = 0;
+  while (failures < kMaxPollFailures) {
     pollfd wanted{fd_, events, 0};
     const int ready = poll(&wanted, 1, PollTimeout(until));
+    // A timestamp of a sent segment shows as an error, and is none.
+    if (ready > 0 && wanted.revents == POLLERR && segment_times_.ReadSent(fd_)) continue;
     if (ready > 0) return true;
     if (ready == 0) return false;
     observe::CountSystemCallFailure("poll", errno);
     if (!IsTransient(SystemCall::kPoll, errno)) return true;
     if (std::chrono::steady_clock::now() >= until) return false;
     Pause(kTransientPause);
+    ++failures;
   }
   return true;
 }
@@ -138,9 +142,11 @@
 
 bool Socket::SendAll(std::string_view bytes, SteadyTime until) {
   ShortageTimer shortage;
+  segment_times_.OnWriteBegins(fd_);
   while (!bytes.empty()) {
     const ssize_t sent = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent > 0) {
+      segment_times_.OnWritten(static_cast<std::size_t>(sent));
       bytes.remove_prefix(static_cast<std::size_t>(sent));
       continue;
     }
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -14,6 +14,8 @@
 #include <string_view>
 #include <utility>
 
+#include "net/segment_times.hpp"
+
 namespace brassfront {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -25,9 +27,11 @@
   Socket() = default;
   explicit Socket(int fd) : fd_(fd) {}
   ~Socket() { Close(); }
-  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket(Socket&& other) noexcept
+      : fd_(std::exchange(other.fd_, -1)), segment_times_(other.segment_times_) {}
   Socket& operator=(Socket&& other) noexcept {
     std::swap(fd_, other.fd_);
+    std::swap(segment_times_, other.segment_times_);
     return *this;
   }
 
@@ -35,6 +39,13 @@
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   void Close();
 
+  // From now on the kernel notes when bytes are sent and received, where it can. For a connection
+  // that has come up and on which nothing was written.
+  void RecordSegmentTimes() { segment_times_.Enable(fd_); }
+  // Whether the unread input was received before the last byte written was sent, so that it is no
+  // answer to that. False where the kernel does not tell.
+  [[nodiscard]] bool InputPrecedesWrite() { return segment_times_.InputPrecedesWrite(fd_); }
+
   // False if not all of the bytes could be written by then. A shortage of this machine's memory is
   // waited out, for a second at most.
   bool SendAll(std::string_view bytes, SteadyTime until = SteadyTime::max());
@@ -59,6 +70,7 @@
   [[nodiscard]] bool Await(std::int16_t events, SteadyTime until) const;
 
   int fd_ = -1;
+  mutable SegmentTimes segment_times_;  // what poll(2) shows as an error is read into it
 };
 
 // True if the text is IPv4:PORT.
--- a/tests/network/endpoint_client_test.cpp
+++ b/tests/network/endpoint_client_test.cpp
@@ -25,6 +25,7 @@
     ReadRequest(socket);
     return socket;
   }
+  Socket AcceptConnection() { return Accept(listener_); }
   static void ReadRequest(Socket& socket) {
     std::string got;
     char byte = 0;
@@ -192,6 +193,77 @@
   CHECK(NextResult().outcome == CallOutcome::kConnectFailed);
 }
 
+// A connection with an end of the test's own, on which segments have times.
+struct TimedConnection {
+  TimedConnection() {
+    const Socket listener = Listen("127.0.0.1:0");
+    REQUIRE(Connect(ours, LocalAddress(listener), std::chrono::milliseconds(1500)));
+    peer = Accept(listener);
+    ours.RecordSegmentTimes();
+  }
+  static void ReceiveByte(Socket& socket) {
+    char byte = 0;
+    CHECK(socket.Receive({&byte, 1}) == 1);
+  }
+
+  bool AnswerIsTakenForEarly() {
+    REQUIRE(ours.SendAll("q"));
+    ReceiveByte(peer);
+    REQUIRE(peer.SendAll("a"));
+    REQUIRE(ours.AwaitInput(kNever));
+    const bool taken_for_early = ours.InputPrecedesWrite();
+    ReceiveByte(ours);
+    return taken_for_early;
+  }
+  bool EarlyInputIsTold() {
+    REQUIRE(peer.SendAll("x"));
+    REQUIRE(ours.AwaitInput(kNever));
+    REQUIRE(ours.SendAll("q"));
+    const bool told = ours.InputPrecedesWrite();
+    ReceiveByte(ours);
+    ReceiveByte(peer);
+    return told;
+  }
+
+  Socket ours = NewSocket();
+  Socket peer{};
+};
+
+// Guards against an answer ending a call that was sent behind it, and against true ones refused.
+TEST_CASE_FIXTURE(TimedConnection, "input that came before a write is told from its answer") {
+  constexpr int kExchanges = 500;
+  // The kernel begins to note when segments are received a moment after it was asked to.
+  while (!EarlyInputIsTold()) std::this_thread::yield();
+  for (int i = 0; i < kExchanges; ++i) {
+    CHECK_FALSE(AnswerIsTakenForEarly());
+    CHECK(EarlyInputIsTold());
+  }
+}
+
+// Guards against a timestamp being taken for input, on which a read would wait without end.
+TEST_CASE_FIXTURE(TimedConnection, "a timestamp of what was sent is no input and no end") {
+  REQUIRE(ours.SendAll("q"));
+  ReceiveByte(peer);
+  CHECK_FALSE(ours.AwaitInput(std::chrono::steady_clock::now() + std::chrono::milliseconds(20)));
+  CHECK_FALSE(ours.HasInputOrEnd());
+  Socket moved = std::move(ours);
+  REQUIRE(moved.SendAll("q"));
+  CHECK_FALSE(moved.AwaitInput(std::chrono::steady_clock::now() + std::chrono::milliseconds(20)));
+}
+
+// Guards against the rejection of a connection being taken for the answer to another call.
+TEST_CASE_FIXTURE(Fixture, "a 503 that comes before the request still rejects the connection") {
+  Socket socket;
+  const std::string busy = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  auto call = std::make_shared<EndpointCall>(++number, 1, peer.address, HttpGet("/", peer.address),
+                                             kNever, [&] {
+                                               socket = peer.AcceptConnection();
+                                               return socket.SendAll(busy);
+                                             });
+  client.Start(std::move(call));
+  CHECK(NextResult().outcome == CallOutcome::kConnectionLimitReached);
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a 503 that closes a new connection means that the connection limit is reached") {
   const std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n";
