Let the posts that are left alone carry all that was not confirmed soon

Callers saw notifications seconds late behind an agent that reads each post some 0.6 s after it came.

Cause: such an agent reads only the two posts that do not make way, and these carried only what was due in the moment in which they began. A line whose repeat was due a little later was in posts alone that were cut off before they were read.

A post that will be left alone now holds each notification that is older than the first repeat (50 ms), so a platform that answers at once gets nothing twice for it.

--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -74,12 +74,20 @@
     Time now, const Group& group) const {
   std::vector<MessageId> batch;
   for (const Repeat& repeat : repeats_) {
-    if (repeat.at > now || batch.size() >= group.max_batch) break;
-    if (pending_.at(repeat.message).group == group) batch.push_back(repeat.message);
+    if (batch.size() >= group.max_batch) break;
+    if (pending_.at(repeat.message).group != group || !IsDue(repeat, now)) continue;
+    batch.push_back(repeat.message);
   }
   return batch;
 }
 
+// A platform that reads late reads the posts alone that do not make way.
+bool NotificationOutbox::IsDue(const Repeat& repeat, Time now) const {
+  if (repeat.at <= now) return true;
+  const bool is_patient = PatientPosts() < kMaxPatientPosts;
+  return is_patient && pending_.at(repeat.message).added_at + kFirstRepeat <= now;
+}
+
 std::optional<NotificationOutbox::Group> NotificationOutbox::FindRejectedGroup(Time now) const {
   if (rejected_ == 0) return std::nullopt;
   for (const Repeat& repeat : repeats_) {
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -49,7 +49,8 @@
   // Posts that are waited for at once, each on a connection of its own.
   static constexpr std::size_t kMaxPosts = 8;
   // Of these, so many are left alone until they end, so that a platform that is always slow
-  // confirms at last. The others make way for notifications that were never posted.
+  // confirms at last: they carry whatever was not confirmed soon. The others make way for
+  // notifications that were never posted.
   static constexpr std::size_t kMaxPatientPosts = 2;
   // Between the starts of two posts while the first is waited for: most answers come sooner.
   static constexpr std::chrono::milliseconds kPostSpacing{25};
@@ -147,6 +148,8 @@
 
   [[nodiscard]] std::vector<MessageId> CollectBatch(Time now);
   [[nodiscard]] std::vector<MessageId> CollectRepeats(Time now, const Group& group) const;
+  // Whether it belongs in a post that begins now.
+  [[nodiscard]] bool IsDue(const Repeat& repeat, Time now) const;
   // The group of the first repeat that is due and was rejected before; none if there is none.
   [[nodiscard]] std::optional<Group> FindRejectedGroup(Time now) const;
   [[nodiscard]] Post BeginPost(const std::vector<MessageId>& batch, Time now);
--- a/tests/forwarder/notification_outbox_test.cpp
+++ b/tests/forwarder/notification_outbox_test.cpp
@@ -293,6 +293,34 @@
   }
 }
 
+// Guards against a notification being in no post that is left alone until a slow platform reads it.
+TEST_CASE("a platform that reads each post late has read all of them two delays later") {
+  constexpr milliseconds kReadsAfter{600};
+  constexpr milliseconds kReadBy = 2 * kReadsAfter + Outbox::kLongestRepeat + Outbox::kMaxPostDelay;
+  constexpr Outbox::MessageId kNotifications = 200;
+  Outbox outbox;
+  std::map<Outbox::PostId, Outbox::Time> reads_at;
+  std::map<Outbox::MessageId, Outbox::Time> added_at;
+  std::mt19937_64 random(1);
+  auto add_at = kStart;
+  for (auto now = kStart; now < kStart + seconds(60); now += milliseconds(1)) {
+    if (now >= add_at && added_at.size() < kNotifications) {
+      const auto message = static_cast<Outbox::MessageId>(added_at.size() + 1);
+      added_at[message] = now;
+      outbox.Add(Of(message), now);
+      add_at = now + milliseconds(random() % 400);
+    }
+    while (!reads_at.empty() && reads_at.begin()->second <= now) {
+      const auto end = outbox.Complete(reads_at.begin()->first, PostOutcome::kConfirmed, now);
+      reads_at.erase(reads_at.begin());
+      if (!end) continue;
+      for (const auto message : end->confirmed) CHECK(now - added_at.at(message) <= kReadBy);
+    }
+    while (const auto post = outbox.NextPost(now)) reads_at[post->id] = now + kReadsAfter;
+  }
+  CHECK(outbox.size() == 0);
+}
+
 // Guards against the tries before a notification is late growing with the notifications.
 TEST_CASE("an agent that refuses all connections is asked 50 times a second, and new ones once") {
   Outbox outbox;
