--- a/src/forwarder/notification_outbox.cpp
+++ b/src/forwarder/notification_outbox.cpp
@@ -72,22 +72,19 @@
 
 std::vector<NotificationOutbox::MessageId> NotificationOutbox::CollectRepeats(
     Time now, const Group& group) const {
+  // A platform that reads late reads the posts alone that do not make way: these carry more.
+  const bool is_patient = PatientPosts() < kMaxPatientPosts;
   std::vector<MessageId> batch;
   for (const Repeat& repeat : repeats_) {
-    if (batch.size() >= group.max_batch) break;
-    if (pending_.at(repeat.message).group != group || !IsDue(repeat, now)) continue;
-    batch.push_back(repeat.message);
+    const bool is_due = repeat.at <= now;
+    if (batch.size() >= group.max_batch || (!is_due && !is_patient)) break;
+    const Pending& pending = pending_.at(repeat.message);
+    const bool is_old = pending.added_at + kFirstRepeat <= now;
+    if (pending.group == group && (is_due || is_old)) batch.push_back(repeat.message);
   }
   return batch;
 }
 
-// A platform that reads late reads the posts alone that do not make way.
-bool NotificationOutbox::IsDue(const Repeat& repeat, Time now) const {
-  if (repeat.at <= now) return true;
-  const bool is_patient = PatientPosts() < kMaxPatientPosts;
-  return is_patient && pending_.at(repeat.message).added_at + kFirstRepeat <= now;
-}
-
 std::optional<NotificationOutbox::Group> NotificationOutbox::FindRejectedGroup(Time now) const {
   if (rejected_ == 0) return std::nullopt;
   for (const Repeat& repeat : repeats_) {
--- a/src/forwarder/notification_outbox.hpp
+++ b/src/forwarder/notification_outbox.hpp
@@ -148,8 +148,6 @@
 
   [[nodiscard]] std::vector<MessageId> CollectBatch(Time now);
   [[nodiscard]] std::vector<MessageId> CollectRepeats(Time now, const Group& group) const;
-  // Whether it belongs in a post that begins now.
-  [[nodiscard]] bool IsDue(const Repeat& repeat, Time now) const;
   // The group of the first repeat that is due and was rejected before; none if there is none.
   [[nodiscard]] std::optional<Group> FindRejectedGroup(Time now) const;
   [[nodiscard]] Post BeginPost(const std::vector<MessageId>& batch, Time now);
