--- a/src/net/segment_times.hpp
+++ b/src/net/segment_times.hpp
@@ -11,7 +11,8 @@
 
 namespace brassfront {
 
-// Of one connection, for the thread that uses it. The caller passes its descriptor.
+// Of one connection, for the thread that uses it. The caller passes its descriptor. Where nothing was
+// enabled, several threads may write.
 class SegmentTimes {
  public:
   // Asks the kernel for timestamps. Without effect where it has none, or refuses them: then nothing
@@ -20,7 +21,9 @@
 
   // To be called before and after each write, of which so many bytes were taken.
   void OnWriteBegins(int fd);
-  void OnWritten(std::size_t bytes) { written_ += static_cast<std::uint32_t>(bytes); }
+  void OnWritten(std::size_t bytes) {
+    if (enabled_) written_ += static_cast<std::uint32_t>(bytes);
+  }
 
   // Reads the timestamps that have come, which poll(2) tells as an error. False if there was none.
   bool ReadSent(int fd);
