--- a/src/net/segment_times.hpp
+++ b/src/net/segment_times.hpp
@@ -11,8 +11,8 @@
 
 namespace brassfront {
 
-// Of one connection, for the thread that uses it. The caller passes its descriptor. Where nothing was
-// enabled, several threads may write.
+// Of one connection, for the thread that uses it. The caller passes its descriptor. Where nothing
+// was enabled, several threads may write.
 class SegmentTimes {
  public:
   // Asks the kernel for timestamps. Without effect where it has none, or refuses them: then nothing
