Doubt a delivery on a reused connection behind which its endpoint falls silent

Cause: a delivery was settled as soon as its connection had rested without input, which a silent endpoint's does too.

Change: UnsettledAnswers also knows the calls that are out. A delivery stays unsettled while a call that was written behind it is out. If that is given up after 100 ms or more without a byte, or the message's deadline comes first, the platform is notified as well, unless a call that was written 100 ms behind the delivery has been answered. It works because an endpoint that owes the true answer and has fallen silent does not answer later calls either.

--- a/src/forwarder/unsettled_deliveries.hpp
+++ b/src/forwarder/unsettled_deliveries.hpp
@@ -22,7 +22,7 @@
     bool is_certain = false;
   };
 
-  // `deadline`: of the message. An answer that is not settled by then is taken for certain.
+  // `deadline`: of the message. An answer that is not settled by then is in doubt.
   void Add(MessageId message, SharedAnswerCertainty certainty, Time deadline) {
     deliveries_.push_back({message, std::move(certainty), deadline});
   }
@@ -32,7 +32,7 @@
     std::erase_if(deliveries_, [&](const Delivery& delivery) {
       const AnswerCertainty certainty = *delivery.certainty;
       if (certainty == AnswerCertainty::kUnsettled && now < delivery.deadline) return false;
-      settled.push_back({delivery.message, certainty != AnswerCertainty::kDoubtful});
+      settled.push_back({delivery.message, certainty == AnswerCertainty::kCertain});
       return true;
     });
     return settled;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -60,7 +60,7 @@
 // An answer that is not settled is only found out on its own connection, so that one stays open.
 bool ConnectionPool::CloseIfSettled(EndpointConnection& connection, CloseReason reason,
                                     SteadyTime now) {
-  if (unsettled_answers_.Has(connection.id) && !connection.socket.HasInputOrEnd()) {
+  if (unsettled_answers_.IsUnrested(connection.id) && !connection.socket.HasInputOrEnd()) {
     connection.closes_for = reason;
     return false;
   }
@@ -68,6 +68,15 @@
   return true;
 }
 
+void ConnectionPool::OnCallWritten(const EndpointConnection& connection, SteadyTime now) {
+  unsettled_answers_.OnCallWritten(connection.endpoint, now);
+}
+
+void ConnectionPool::OnCallEnded(const EndpointConnection& connection, SteadyTime written_at,
+                                 UnsettledAnswers::CallEnd end, SteadyTime now) {
+  unsettled_answers_.OnCallEnded(connection.endpoint, written_at, end, now);
+}
+
 SharedAnswerCertainty ConnectionPool::OnAnswer(const EndpointConnection& connection,
                                                SteadyTime now) {
   return unsettled_answers_.Add(connection.id, connection.endpoint, now);
@@ -82,11 +91,12 @@
 
 void ConnectionPool::SettleAnswers(SteadyTime now) {
   std::erase_if(idle_, [&](EndpointConnection& connection) {
-    if (!unsettled_answers_.Has(connection.id) || !connection.socket.HasInputOrEnd()) return false;
+    if (!unsettled_answers_.IsUnrested(connection.id) || !connection.socket.HasInputOrEnd())
+      return false;
     CloseIdle(connection, CloseReason::kStale, now);
     return true;
   });
-  unsettled_answers_.SettleRested(now);
+  unsettled_answers_.Settle(now);
   std::erase_if(idle_, [&](EndpointConnection& connection) {
     return connection.closes_for && CloseIfSettled(connection, *connection.closes_for, now);
   });
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -71,13 +71,17 @@
   // Closes a connection that was in use.
   void Close(EndpointConnection connection, CloseReason reason, SteadyTime now);
 
+  // A call was written on a connection, and has ended.
+  void OnCallWritten(const EndpointConnection& connection, SteadyTime now);
+  void OnCallEnded(const EndpointConnection& connection, SteadyTime written_at,
+                   UnsettledAnswers::CallEnd end, SteadyTime now);
   // An answer has come on a reused connection. Whether it is the answer to its call is known once
-  // the connection has rested.
+  // the connection has rested, and the endpoint has answered later calls.
   [[nodiscard]] SharedAnswerCertainty OnAnswer(const EndpointConnection& connection,
                                                SteadyTime now);
   // Input that nobody had asked for has come from this endpoint.
   void OnUnaskedInput(std::uint64_t endpoint, SteadyTime now);
-  // Looks at the connections with unsettled answers, and settles those that have rested by now.
+  // Looks at the connections that rest behind unsettled answers, and settles what can be by now.
   void SettleAnswers(SteadyTime now);
 
   // Closes what has expired or was closed by the peer.
--- a/src/net/endpoint_client.cpp
+++ b/src/net/endpoint_client.cpp
@@ -67,6 +67,12 @@
   return failure;
 }
 
+UnsettledAnswers::CallEnd CallEndOf(const HttpReader& reader, StopReason stop) {
+  if (reader.done()) return UnsettledAnswers::CallEnd::kAnswered;
+  const bool is_silent = !reader.begun() && stop != StopReason::kNone;
+  return is_silent ? UnsettledAnswers::CallEnd::kSilent : UnsettledAnswers::CallEnd::kOther;
+}
+
 // The outcome of a call whose request was written. An incomplete response counts only if its first
 // line has status 200, so that a request that has run is never taken for one that was rejected.
 EndpointCallResult MakeResult(HttpReader& reader, StopReason stop) {
@@ -176,7 +182,10 @@
       DiscardConnection(std::move(connection));
       continue;
     }
-    if (connection.socket.SendAll(call.request)) return ReadResponse(std::move(connection), call);
+    if (connection.socket.SendAll(call.request)) {
+      const SteadyTime written_at = NoteWritten(connection);
+      return ReadResponse(std::move(connection), call, written_at);
+    }
     // The request is not complete, so it did not run. If the connection was idle before, it may
     // have ended unnoticed, which says nothing about the endpoint: the next one may work.
     call.UndoBeginWrite();
@@ -230,13 +239,15 @@
   }
 }
 
-EndpointCallResult EndpointClient::ReadResponse(EndpointConnection connection, EndpointCall& call) {
+EndpointCallResult EndpointClient::ReadResponse(EndpointConnection connection, EndpointCall& call,
+                                                SteadyTime written_at) {
   HttpReader reader(kMaxResponseBodyBytes);
   const CloseReason failure = ReadUntilComplete(connection, buffers_, reader);
   call.DetachConnection();
   const StopReason stop = call.stop_reason();
   const std::size_t calls_on_connection = ++connection.calls;
-  SharedAnswerCertainty certainty = NoteAnswer(connection, reader);
+  SharedAnswerCertainty certainty =
+      NoteEnd(connection, written_at, CallEndOf(reader, stop), reader);
   // Before the result is passed on: a call that was stopped has closed its connection then.
   if (reader.done() && reader.keep_alive() && stop == StopReason::kNone) {
     ReturnConnection(std::move(connection));
@@ -272,11 +283,20 @@
   connections_.Close(std::move(connection), reason, std::chrono::steady_clock::now());
 }
 
+SteadyTime EndpointClient::NoteWritten(const EndpointConnection& connection) {
+  const SteadyTime now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(mutex_);
+  connections_.OnCallWritten(connection, now);
+  return now;
+}
+
 // To be called before the connection is returned or closed. The call is counted.
-SharedAnswerCertainty EndpointClient::NoteAnswer(const EndpointConnection& connection,
-                                                 const HttpReader& reader) {
+SharedAnswerCertainty EndpointClient::NoteEnd(const EndpointConnection& connection,
+                                              SteadyTime written_at, UnsettledAnswers::CallEnd end,
+                                              const HttpReader& reader) {
   const SteadyTime now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
+  connections_.OnCallEnded(connection, written_at, end, now);
   SharedAnswerCertainty certainty;
   const bool had_earlier_answer = connection.calls > 1;
   if (had_earlier_answer && reader.status() == kHttpOk) {
--- a/src/net/endpoint_client.hpp
+++ b/src/net/endpoint_client.hpp
@@ -59,13 +59,16 @@
   // kNotTried: the call was stopped, or this machine had no room for a connection.
   enum class OpenResult { kOpened, kFailed, kNotTried };
   [[nodiscard]] OpenResult OpenConnection(EndpointConnection& connection, EndpointCall& call);
-  EndpointCallResult ReadResponse(EndpointConnection connection, EndpointCall& call);
+  EndpointCallResult ReadResponse(EndpointConnection connection, EndpointCall& call,
+                                  SteadyTime written_at);
   EndpointConnection TakeConnection(const EndpointCall& call);
   void ReturnConnection(EndpointConnection connection);
   void DiscardConnection(EndpointConnection connection);
   void CloseConnection(EndpointConnection connection, CloseReason reason);
-  [[nodiscard]] SharedAnswerCertainty NoteAnswer(const EndpointConnection& connection,
-                                                 const HttpReader& reader);
+  SteadyTime NoteWritten(const EndpointConnection& connection);
+  [[nodiscard]] SharedAnswerCertainty NoteEnd(const EndpointConnection& connection,
+                                              SteadyTime written_at, UnsettledAnswers::CallEnd end,
+                                              const HttpReader& reader);
 
   const Options options_;
   BufferPool& buffers_;
--- a/src/net/unsettled_answers.cpp
+++ b/src/net/unsettled_answers.cpp
@@ -1,59 +1,91 @@
 #include "net/unsettled_answers.hpp"
 
+#include <algorithm>
+
 namespace brassfront {
-namespace {
 
-void SetAll(const std::vector<SharedAnswerCertainty>& answers, AnswerCertainty certainty) {
-  for (const SharedAnswerCertainty& answer : answers) answer->store(certainty);
+void UnsettledAnswers::OnCallEnded(EndpointId endpoint, SteadyTime written_at, CallEnd end,
+                                   SteadyTime now) {
+  EndpointCalls& calls = endpoints_[endpoint];
+  const auto out = calls.calls_out.find(written_at);
+  if (out != calls.calls_out.end()) calls.calls_out.erase(out);
+  if (end == CallEnd::kAnswered) {
+    calls.last_answered_call = std::max(calls.last_answered_call, written_at);
+  }
+  if (end != CallEnd::kSilent || now - written_at < kSettleTime) return;
+  std::erase_if(answers_, [&](const Answer& answer) {
+    if (answer.endpoint != endpoint || answer.came_at > written_at) return false;
+    if (HasAnsweredSince(calls, answer)) return false;
+    answer.certainty->store(AnswerCertainty::kDoubtful);
+    return true;
+  });
 }
 
-}  // namespace
-
-SharedAnswerCertainty UnsettledAnswers::Add(ConnectionId connection, std::uint64_t endpoint,
+SharedAnswerCertainty UnsettledAnswers::Add(ConnectionId connection, EndpointId endpoint,
                                             SteadyTime now) {
-  OfConnection& entry =
-      by_connection_.try_emplace(connection, OfConnection{.endpoint = endpoint, .oldest = now})
-          .first->second;
-  entry.answers.push_back(
-      std::make_shared<std::atomic<AnswerCertainty>>(AnswerCertainty::kUnsettled));
-  return entry.answers.back();
+  auto certainty = std::make_shared<std::atomic<AnswerCertainty>>(AnswerCertainty::kUnsettled);
+  answers_.push_back(
+      {.connection = connection, .endpoint = endpoint, .came_at = now, .certainty = certainty});
+  return certainty;
 }
 
 void UnsettledAnswers::OnRest(ConnectionId connection, SteadyTime now) {
-  const auto it = by_connection_.find(connection);
-  if (it != by_connection_.end()) it->second.rests_since = now;
+  for (Answer& answer : answers_) {
+    if (answer.connection == connection) answer.rests_since = now;
+  }
 }
 
 void UnsettledAnswers::OnReuse(ConnectionId connection, SteadyTime now) {
-  const auto it = by_connection_.find(connection);
-  if (it == by_connection_.end()) return;
-  if (it->second.HasRested(now)) {
-    SetAll(it->second.answers, AnswerCertainty::kCertain);
-    by_connection_.erase(it);
-  } else {
-    it->second.rests_since.reset();
+  for (Answer& answer : answers_) {
+    if (answer.connection != connection) continue;
+    answer.NoteRest(now);
+    answer.rests_since.reset();
   }
 }
 
-void UnsettledAnswers::OnUnaskedInput(std::uint64_t endpoint) {
-  std::erase_if(by_connection_, [&](const auto& entry) {
-    if (entry.second.endpoint != endpoint) return false;
-    SetAll(entry.second.answers, AnswerCertainty::kDoubtful);
+void UnsettledAnswers::OnUnaskedInput(EndpointId endpoint) {
+  std::erase_if(answers_, [&](const Answer& answer) {
+    if (answer.endpoint != endpoint) return false;
+    answer.certainty->store(AnswerCertainty::kDoubtful);
     return true;
   });
 }
 
-void UnsettledAnswers::SettleRested(SteadyTime now) {
-  std::erase_if(by_connection_, [now](const auto& entry) {
-    if (!entry.second.HasRested(now)) return false;
-    SetAll(entry.second.answers, AnswerCertainty::kCertain);
+void UnsettledAnswers::Settle(SteadyTime now) {
+  std::erase_if(answers_, [&](Answer& answer) {
+    answer.NoteRest(now);
+    if (!answer.has_rested || AwaitsLaterCall(answer)) return false;
+    answer.certainty->store(AnswerCertainty::kCertain);
     return true;
   });
+  std::erase_if(endpoints_, [&](const auto& entry) {
+    return entry.second.calls_out.empty() &&
+           std::none_of(answers_.begin(), answers_.end(),
+                        [&](const Answer& answer) { return answer.endpoint == entry.first; });
+  });
+}
+
+// Whether a call is out that was written behind the answer, and none that was written long enough
+// behind it has been answered: the endpoint may have fallen silent ahead of the answer.
+bool UnsettledAnswers::AwaitsLaterCall(const Answer& answer) const {
+  const auto found = endpoints_.find(answer.endpoint);
+  if (found == endpoints_.end()) return false;
+  const EndpointCalls& calls = found->second;
+  return !HasAnsweredSince(calls, answer) &&
+         calls.calls_out.lower_bound(answer.came_at) != calls.calls_out.end();
+}
+
+bool UnsettledAnswers::IsUnrested(ConnectionId connection) const {
+  return std::any_of(answers_.begin(), answers_.end(), [&](const Answer& answer) {
+    return answer.connection == connection && !answer.has_rested;
+  });
 }
 
 bool UnsettledAnswers::NeedsRest(ConnectionId connection, SteadyTime now) const {
-  const auto it = by_connection_.find(connection);
-  return it != by_connection_.end() && now - it->second.oldest >= kMaxUnsettledTime;
+  return std::any_of(answers_.begin(), answers_.end(), [&](const Answer& answer) {
+    return answer.connection == connection && !answer.has_rested &&
+           now - answer.came_at >= kMaxUnsettledTime;
+  });
 }
 
 }  // namespace brassfront
--- a/src/net/unsettled_answers.hpp
+++ b/src/net/unsettled_answers.hpp
@@ -1,8 +1,9 @@
 // Answers that may turn out to be those of earlier requests. An endpoint that writes a second
 // answer which nobody asked for may write it behind the next request on the same connection, where
 // it reads as the answer to that request; the true one comes behind it, on a connection that seems
-// idle. So an answer on a reused connection is settled once its connection has rested without
-// input.
+// idle, or never, where the endpoint has fallen silent. So an answer on a reused connection is
+// settled once its connection has rested without input, and its endpoint has not fallen silent
+// behind it.
 #ifndef BRASSFRONT_NET_UNSETTLED_ANSWERS_HPP_
 #define BRASSFRONT_NET_UNSETTLED_ANSWERS_HPP_
 
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "net/socket.hpp"
@@ -20,26 +22,41 @@
 
 enum class AnswerCertainty {
   kUnsettled,
-  kCertain,   // its connection has rested, and nothing came behind it
+  kCertain,   // nothing speaks against it
   kDoubtful,  // it may be the answer to an earlier request
 };
 
 // Shared by whoever holds the answer, who reads it, and UnsettledAnswers, which changes it once.
 using SharedAnswerCertainty = std::shared_ptr<std::atomic<AnswerCertainty>>;
 
-// Of the connections of one pool. Knows no clock and no lock: times are the caller's.
+// Of the connections of one pool. Knows no clock and no lock: times are the caller's. Endpoints and
+// connections are known by their numbers.
 class UnsettledAnswers {
  public:
   using ConnectionId = std::uint64_t;
+  using EndpointId = std::uint64_t;
 
-  // An answer is settled once its connection has rested for so long behind it. An endpoint that
-  // takes longer for the true one is not found out by that connection.
+  // An answer is settled no earlier than when its connection has rested for so long behind it. A
+  // call that is written so long behind it is not answered by what was to be answered before.
   static constexpr std::chrono::milliseconds kSettleTime{100};
-  // A connection may be reused without rest until its oldest unsettled answer is so old.
+  // A connection may be reused without rest until its oldest answer that did not rest is so old.
   static constexpr std::chrono::milliseconds kMaxUnsettledTime{250};
 
+  // ---- calls, on any connection ----
+
+  void OnCallWritten(EndpointId endpoint, SteadyTime now) {
+    endpoints_[endpoint].calls_out.insert(now);
+  }
+  enum class CallEnd { kAnswered, kSilent, kOther };
+  // The call that was written then has ended. kSilent: this side has given it up, and nothing of an
+  // answer had come; what the endpoint has answered ahead of it is doubtful, unless it answered a
+  // call that was written kSettleTime behind that.
+  void OnCallEnded(EndpointId endpoint, SteadyTime written_at, CallEnd end, SteadyTime now);
+
+  // ---- reused connections ----
+
   // An answer has come at `now` on a connection that is in use.
-  [[nodiscard]] SharedAnswerCertainty Add(ConnectionId connection, std::uint64_t endpoint,
+  [[nodiscard]] SharedAnswerCertainty Add(ConnectionId connection, EndpointId endpoint,
                                           SteadyTime now);
   // The connection that was in use has begun to rest, or was closed.
   void OnRest(ConnectionId connection, SteadyTime now);
@@ -47,31 +64,41 @@
   void OnReuse(ConnectionId connection, SteadyTime now);
   // Input that nobody had asked for has come from this endpoint: its unsettled answers are
   // doubtful, on each of its connections.
-  void OnUnaskedInput(std::uint64_t endpoint);
-  // The answers on connections that have rested for kSettleTime are certain. To be called after
-  // these connections were looked at for input.
-  void SettleRested(SteadyTime now);
-
-  // Whether an answer on this connection is unsettled.
-  [[nodiscard]] bool Has(ConnectionId connection) const {
-    return by_connection_.contains(connection);
-  }
+  void OnUnaskedInput(EndpointId endpoint);
+  // Settles what can be settled by now. To be called after the connections for which IsUnrested
+  // were looked at for input.
+  void Settle(SteadyTime now);
+
+  // Whether the connection has not rested yet behind an unsettled answer.
+  [[nodiscard]] bool IsUnrested(ConnectionId connection) const;
   // The connection has to rest before it is used again.
   [[nodiscard]] bool NeedsRest(ConnectionId connection, SteadyTime now) const;
 
  private:
-  struct OfConnection {
-    std::uint64_t endpoint = 0;  // its id
-    SteadyTime oldest{};
-    std::optional<SteadyTime> rests_since{};  // none: in use
-    std::vector<SharedAnswerCertainty> answers{};
-
-    [[nodiscard]] bool HasRested(SteadyTime now) const {
-      return rests_since && now - *rests_since >= kSettleTime;
+  struct Answer {
+    ConnectionId connection = 0;
+    EndpointId endpoint = 0;
+    SteadyTime came_at{};
+    std::optional<SteadyTime> rests_since{};  // none: the connection is in use
+    bool has_rested = false;
+    SharedAnswerCertainty certainty{};
+
+    void NoteRest(SteadyTime now) {
+      has_rested = has_rested || (rests_since && now - *rests_since >= kSettleTime);
     }
   };
+  struct EndpointCalls {
+    std::multiset<SteadyTime> calls_out{};  // when they were written
+    SteadyTime last_answered_call{};        // when it was written
+  };
+
+  [[nodiscard]] static bool HasAnsweredSince(const EndpointCalls& calls, const Answer& answer) {
+    return calls.last_answered_call >= answer.came_at + kSettleTime;
+  }
+  [[nodiscard]] bool AwaitsLaterCall(const Answer& answer) const;
 
-  std::map<ConnectionId, OfConnection> by_connection_;
+  std::vector<Answer> answers_;
+  std::map<EndpointId, EndpointCalls> endpoints_;  // with calls out, or with unsettled answers
 };
 
 }  // namespace brassfront
--- a/tests/forwarder/message_table_test.cpp
+++ b/tests/forwarder/message_table_test.cpp
@@ -170,23 +170,24 @@
   CHECK(recovered[0].attempts.size() == 1);
 }
 
-TEST_CASE("an unsettled delivery is taken for certain at its message's deadline") {
+// Guards against a false delivery at an endpoint that has fallen silent since.
+TEST_CASE("a delivery that is not settled by its message's deadline is in doubt") {
   UnsettledDeliveries deliveries;
   const auto answer = [] {
     return std::make_shared<std::atomic<AnswerCertainty>>(AnswerCertainty::kUnsettled);
   };
-  const SharedAnswerCertainty doubtful = answer();
+  const SharedAnswerCertainty certain = answer();
   deliveries.Add(1, answer(), kStart + seconds(1));
-  deliveries.Add(2, doubtful, kStart + seconds(1));
+  deliveries.Add(2, certain, kStart + seconds(1));
   CHECK(deliveries.TakeSettled(kStart).empty());
-  *doubtful = AnswerCertainty::kDoubtful;
+  *certain = AnswerCertainty::kCertain;
   const auto found = deliveries.TakeSettled(kStart);
   REQUIRE(found.size() == 1);
   CHECK(found[0].message == 2);
-  CHECK_FALSE(found[0].is_certain);
+  CHECK(found[0].is_certain);
   const auto expired = deliveries.TakeSettled(kStart + seconds(1));
   REQUIRE(expired.size() == 1);
-  CHECK(expired[0].is_certain);
+  CHECK_FALSE(expired[0].is_certain);
   CHECK(deliveries.empty());
 }
 
--- a/tests/network/connection_pool_test.cpp
+++ b/tests/network/connection_pool_test.cpp
@@ -136,6 +136,50 @@
   CHECK(other.certainty() == AnswerCertainty::kUnsettled);
 }
 
+// Guards against the same where the endpoint falls silent ahead of the true answer.
+TEST_CASE_FIXTURE(Fixture, "an endpoint that falls silent behind an answer makes it doubtful") {
+  AnsweredConnection answered(pool, kStart);
+  const AnsweredConnection later(pool, kStart + milliseconds(1));
+  pool.OnCallWritten(later.connection, kStart + milliseconds(1));
+  pool.Return(std::move(answered.connection), kStart);
+  const SteadyTime rested = kStart + UnsettledAnswers::kSettleTime;
+  pool.SettleAnswers(rested);
+  CHECK(answered.certainty() == AnswerCertainty::kUnsettled);  // a later call is out
+  using CallEnd = UnsettledAnswers::CallEnd;
+  const auto end = [&](CallEnd how) {
+    pool.OnCallEnded(later.connection, kStart + milliseconds(1), how, rested + milliseconds(1));
+  };
+  SUBCASE("in vain") {
+    end(CallEnd::kSilent);
+    CHECK(answered.certainty() == AnswerCertainty::kDoubtful);
+  }
+  SUBCASE("answered") {
+    end(CallEnd::kAnswered);
+    pool.SettleAnswers(rested + milliseconds(1));
+    CHECK(answered.certainty() == AnswerCertainty::kCertain);
+  }
+  SUBCASE("broken off") {
+    end(CallEnd::kOther);
+    pool.SettleAnswers(rested + milliseconds(1));
+    CHECK(answered.certainty() == AnswerCertainty::kCertain);
+  }
+  SUBCASE("another one that was written long enough behind it is answered") {
+    pool.OnCallWritten(later.connection, rested);
+    pool.OnCallEnded(later.connection, rested, CallEnd::kAnswered, rested);
+    end(CallEnd::kSilent);
+    pool.SettleAnswers(rested + milliseconds(1));
+    CHECK(answered.certainty() == AnswerCertainty::kCertain);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call that is given up at once says nothing of an answer before") {
+  const AnsweredConnection answered(pool, kStart);
+  pool.OnCallWritten(answered.connection, kStart);
+  pool.OnCallEnded(answered.connection, kStart, UnsettledAnswers::CallEnd::kSilent,
+                   kStart + UnsettledAnswers::kSettleTime - kJustBefore);
+  CHECK(answered.certainty() == AnswerCertainty::kUnsettled);
+}
+
 // Guards against a connection that is never at rest keeping its answers unsettled.
 TEST_CASE_FIXTURE(Fixture, "a connection with unsettled answers has to rest after a while") {
   AnsweredConnection answered(pool, kStart);
@@ -148,6 +192,7 @@
   CHECK(answered.certainty() == AnswerCertainty::kUnsettled);
   const SteadyTime rested = too_long + UnsettledAnswers::kSettleTime;
   CHECK(pool.Take(kEndpoint, kAddress, rested).socket.is_open());
+  pool.SettleAnswers(rested);
   CHECK(answered.certainty() == AnswerCertainty::kCertain);
 }
 
