--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -91,8 +91,8 @@
 
 void ConnectionPool::SettleAnswers(SteadyTime now) {
   std::erase_if(idle_, [&](EndpointConnection& connection) {
-    if (!unsettled_answers_.IsUnrested(connection.id) || !connection.socket.HasInputOrEnd())
-      return false;
+    if (!unsettled_answers_.IsUnrested(connection.id)) return false;
+    if (!connection.socket.HasInputOrEnd()) return false;
     CloseIdle(connection, CloseReason::kStale, now);
     return true;
   });
