Split the player of orders: endpoints' answers, agent's troubles, stored ends

What an endpoint answers, which trouble an agent has and how often the spool records an end are headers of their own now, and an end of a batch's item is one table in place of nested branches.

--- a/tests/forwarder/order_player.hpp
+++ b/tests/forwarder/order_player.hpp
@@ -13,7 +13,6 @@
 #include <memory>
 #include <optional>
 #include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <tuple>
@@ -21,11 +20,13 @@
 #include <variant>
 #include <vector>
 
+#include "agent_troubles.hpp"
 #include "final_answer_judge.hpp"
 #include "order_of_events.hpp"
 #include "spool/folder_owner.hpp"
 #include "spool/spool.hpp"
-#include "spool/spool_reader.hpp"
+#include "stored_ends.hpp"
+#include "virtual_endpoint.hpp"
 #include "virtual_forwarder.hpp"
 
 namespace brassfront::exploration {
@@ -66,7 +67,6 @@
   static constexpr Millis kClientPatience{400};   // of the protocol page
   static constexpr Millis kKillAfterTerm{3700};   // of the protocol page
   static constexpr Millis kHealthCheckTime{5};
-  static constexpr int kHttpOk = 200;
 
   // Something outside of the forwarder's loop that happens at its time.
   struct Happening {
@@ -194,7 +194,7 @@
 
   void Prepare(const AgentTrouble& step) {
     Until(kStart + step.until);
-    troubles_.push_back(&step);
+    troubles_.Add(step);
     judge_.AddTrouble(step, kStart + step.at, kStart + step.until);
     if (step.kind != AgentTrouble::Kind::kMoved) return;
     At(kStart + step.until, [this](Time) {
@@ -377,68 +377,20 @@
     Finish(id, std::move(result));
   }
 
-  [[nodiscard]] static EndpointCallResult MakeResult(const Answer& answer) {
-    using Kind = Answer::Kind;
-    EndpointCallResult result{.outcome = CallOutcome::kAnswered, .complete = true};
-    switch (answer.kind) {
-      case Kind::kOkCutOff:
-        result.complete = false;
-        result.status = kHttpOk;
-        break;
-      case Kind::kOver:
-        result.status = 410;
-        break;
-      case Kind::kWait:
-        result.status = 429;
-        result.retry_after_ms = std::to_string(answer.wait.count());
-        break;
-      case Kind::kError:
-        result.status = 500;
-        break;
-      case Kind::kBusy:
-        result.status = 503;
-        break;
-      case Kind::kSlotsTaken:
-        result.status = 503;
-        result.slots_taken = "1";
-        break;
-      case Kind::kExhausted:
-        result.status = 504;
-        break;
-      case Kind::kCut:
-        return {.outcome = CallOutcome::kReset};
-      default:
-        result.status = kHttpOk;
-    }
-    return result;
-  }
-
   // A batch's answer with an end for each message.
   [[nodiscard]] EndpointCallResult AnswerEach(std::uint64_t id, const RunningCall& running,
                                               EndpointCallResult result, Time at) {
-    using Kind = Answer::Kind;
     // Nothing of a call counts that outlasts one of its messages.
     const bool counts =
         std::none_of(running.ids.begin(), running.ids.end(), [&](const std::string& message) {
           return judge_.EndedWithin(message, running.written_at, at);
         });
     for (std::size_t i = 0; i < running.ids.size(); ++i) {
-      std::string state = "error";
-      Ran ran = Ran::kMaybe;
-      const Kind kind = running.answers[i].kind;
-      if (kind == Kind::kOk || kind == Kind::kOkAboutDeadline || kind == Kind::kOkCutOff) {
-        state = "ok";
-        ran = counts ? Ran::kDelivered : Ran::kMaybe;
-      } else if (kind == Kind::kWait || kind == Kind::kBusy || kind == Kind::kSlotsTaken) {
-        state = "later";
-        ran = Ran::kNever;
-      } else if (kind == Kind::kOver || kind == Kind::kExhausted) {
-        state = kind == Kind::kOver ? "gone" : "exhausted";
-        ran = Ran::kNever;
-      }
+      const BatchItemEnd end = EndOfBatchItem(running.answers[i]);
+      const Ran ran = end.ran == Ran::kDelivered && !counts ? Ran::kMaybe : end.ran;
       EndAttempt(id, running, running.ids[i], ran, at);
       result.body += (i == 0 ? "[" : ",") + (R"({"id":")" + running.ids[i]) + R"(","state":")" +
-                     state + R"("})";
+                     end.state + R"("})";
     }
     result.body += "]";
     return result;
@@ -498,9 +450,9 @@
   void TakePost(std::uint64_t post, const std::string& body, Time at) {
     using Kind = AgentTrouble::Kind;
     if (open_posts_.count(post) == 0) return;
-    const AgentTrouble* trouble = TroubleAt(at);
+    const AgentTrouble* trouble = troubles_.At(at - kStart);
     if (trouble == nullptr) return EndPost(post, at, kHttpNoContent, body);
-    switch (KindOf(*trouble)) {
+    switch (troubles_.DrawKind(*trouble)) {
       case Kind::kAnswersLate:
         Read(body, at);
         return EndPost(post, at + trouble->delay, kHttpNoContent, {});
@@ -516,7 +468,7 @@
       case Kind::kError:
         return EndPost(post, at + trouble->delay, 500, {});
       case Kind::kRejects:
-        if (!Holds(body, trouble->rejected)) return EndPost(post, at, kHttpNoContent, body);
+        if (!HoldsAny(body, trouble->rejected)) return EndPost(post, at, kHttpNoContent, body);
         return EndPost(post, at + trouble->delay, 400, {});
       default:  // refused
         return EndPost(post, at, 0, {});
@@ -536,24 +488,6 @@
     });
   }
 
-  [[nodiscard]] const AgentTrouble* TroubleAt(Time at) const {
-    const AgentTrouble* present = nullptr;
-    for (const AgentTrouble* trouble : troubles_) {
-      if (at >= kStart + trouble->at && at < kStart + trouble->until) present = trouble;
-    }
-    return present;
-  }
-  [[nodiscard]] AgentTrouble::Kind KindOf(const AgentTrouble& trouble) {
-    using Kind = AgentTrouble::Kind;
-    if (trouble.kind != Kind::kMixed) return trouble.kind;
-    constexpr std::size_t kKinds = 7;  // those before kRejects
-    return static_cast<Kind>(std::mt19937_64(trouble.seed + mixed_posts_++)() % kKinds);
-  }
-  [[nodiscard]] static bool Holds(const std::string& body, const std::vector<std::string>& ids) {
-    return std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
-      return body.find("\"" + id + "\"") != std::string::npos;
-    });
-  }
   void Read(const std::string& body, Time at) {
     static const std::string kBeforeId = R"({"id":")";
     for (std::size_t begin = 0; begin < body.size(); begin = body.find('\n', begin) + 1) {
@@ -589,19 +523,7 @@
 
   // Each message that was accepted is finished once.
   void CheckStoredEnds() {
-    std::map<SpoolId, int> ends;
-    const File file = File::OpenToRead(owner_.folder() + "/spool");
-    const std::size_t size = file.Size().value_or(0);
-    spool::Reader reader(file, spool::kFileHeader.size(), size);
-    for (auto item = reader.Next(); item.outcome == spool::Reader::Outcome::kRecord;
-         item = reader.Next()) {
-      if (const auto* accepted = std::get_if<spool::MessageAccepted>(&item.record)) {
-        ends.emplace(accepted->number, 0);
-      } else if (const auto* finished = std::get_if<spool::MessageFinished>(&item.record)) {
-        ++ends[finished->number];
-      }
-    }
-    for (const auto& [number, count] : ends) {
+    for (const auto& [number, count] : CountStoredEnds(owner_.folder())) {
       if (count == 1) continue;
       judge_.Report("stored-ends",
                     "message " + std::to_string(number) + ": " + std::to_string(count), now_);
@@ -639,9 +561,8 @@
   bool watch_is_open_ = false;
   std::map<std::uint64_t, RunningCall> calls_;
   std::uint64_t next_call_ = 0;
-  std::vector<const AgentTrouble*> troubles_;
+  AgentTroubles troubles_;
   std::set<std::uint64_t> open_posts_;
-  std::uint64_t mixed_posts_ = 0;
 };
 
 }  // namespace brassfront::exploration
