Reproduce calls in a told wait and to a cold destination behind a replaced process

The endpoints' own records are judged, by the rule on waits of the protocol and the budget that the settings give a cold destination.

--- /dev/null
+++ b/tests/faults/replacement_rig.py
@@ -0,0 +1,144 @@
+"""Endpoints that ask to wait and come back cold, and processes that take over from each
+other while they do."""
+
+import signal
+import threading
+import time
+
+import rig
+from load_judge import ColdRules, Wait, calls_in_waits, windows_over_budget
+from rig import Endpoint, FaultTable, FaultTest, wait_for
+
+WAITING = "waiting for the state folder"
+RATE = 50.0  # calls a second that the destination takes; `size` in its list
+FEED_INTERVAL_S = 0.02
+SEND_LEFT_MS = 20000
+
+
+class TimedEndpoint(Endpoint):
+    """Records when calls came, and which waits it asked for. While `opens_at` lies
+    ahead it answers 429 with the time until then."""
+
+    def __init__(self):
+        super().__init__()
+        self.arrivals = []
+        self.waits = []
+        self.opens_at = 0.0
+        self.answer = self.answer_by_time
+
+    def answer_by_time(self, call):
+        now = time.monotonic()
+        self.arrivals.append(now)
+        if now < self.opens_at:
+            self.waits.append(Wait(now, self.opens_at))
+            return 429, {"Wait-Ms": int((self.opens_at - now) * 1000)}
+        return self.answer_by_mode(call)
+
+
+class Feed:
+    """A client that hands in messages at an even rate, on connections that it keeps."""
+
+    def __init__(self, test, interval_s=FEED_INTERVAL_S):
+        self.test = test
+        self.interval_s = interval_s
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while not self.stopping.is_set():
+            try:
+                client = rig.toy_server.Client(self.test.listen, timeout=5)
+                while not self.stopping.wait(self.interval_s):
+                    message, reply = client.put(
+                        rig.DESTINATION, "body", left_ms=SEND_LEFT_MS
+                    )
+                    if reply == "+OK":
+                        self.test.accepted.append(message)
+                    elif not reply:
+                        break
+                client.close()
+            except OSError:
+                time.sleep(self.interval_s)
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+
+
+class ReplacementTest(FaultTest):
+    """Processes that run one after another on one state folder, judged as one."""
+
+    def setUp(self):
+        super().setUp()
+        for name in "ab":
+            self.endpoints[name] = self.new_stand_in(TimedEndpoint)
+        self.tell()
+        self.config["known"]["members"] = self.members()
+        self.rules = ColdRules.of_settings(self.config["settings"], RATE)
+        self.tables = 0
+
+    # ---- processes ----
+
+    def own_faults(self):
+        self.tables += 1
+        return FaultTable(self.folder / ("faults-%d" % self.tables))
+
+    def start_process(self):
+        faults = self.own_faults()
+        process = self.start(faults=faults)
+        process.faults = faults
+        return process
+
+    def start_beside(self):
+        """A second process that waits for the first one to end."""
+        faults = self.own_faults()
+        process = self.launch(faults=faults)
+        process.faults = faults
+        wait_for(
+            "a second process",
+            lambda: any(WAITING in line for line in process.log),
+        )
+        return process
+
+    def replace(self, process, how=signal.SIGTERM):
+        """The second process, which serves once the first one has ended."""
+        successor = self.start_beside()
+        process.end(how)
+        self.await_serving(successor)
+        return successor
+
+    # ---- trouble ----
+
+    def shut_until(self, opens_at):
+        for endpoint in self.endpoints.values():
+            endpoint.opens_at = opens_at
+
+    def waits_told(self):
+        return [w for e in self.endpoints.values() for w in list(e.waits)]
+
+    def arrivals(self):
+        return [at for e in self.endpoints.values() for at in list(e.arrivals)]
+
+    def await_log(self, process, text, count=1):
+        wait_for(
+            text,
+            lambda: sum(text in line for line in list(process.log)) >= count,
+        )
+
+    def fail_until_open(self, process):
+        """The destination fails until the process has seen the outage."""
+        self.set_mode(Endpoint.REJECT)
+        self.await_log(process, "breaker open", len(self.endpoints))
+
+    # ---- judgement ----
+
+    def assert_waits_kept(self):
+        broken = calls_in_waits(self.arrivals(), self.waits_told())
+        first = broken[:1]
+        self.assertFalse(broken, "%d calls in a wait: %s" % (len(broken), first))
+
+    def assert_within_cold_budget(self, returned_at):
+        over = windows_over_budget(self.arrivals(), returned_at, self.rules)
+        most = max(over, key=lambda window: window[1] / window[2], default=None)
+        self.assertIsNone(most, "(seconds behind the return, calls, budget)")
