Log which endpoint asked to wait, and the message and attempt of each call

'endpoint asked to wait' (info, 20 a second at most) names the endpoint, its destination, the time and what it binds; 'call started' (debug) the call, endpoint, the client's id and the attempt over all processes; the counter retry_after_total counts waits.

--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -84,7 +84,8 @@
                       milliseconds elapsed) {
   if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
   observe::Log(Concern::kEngine, Level::kDebug, "call completed",
-               {{"endpoint", call.endpoint},
+               {{"call", result.call_id},
+                {"endpoint", call.endpoint},
                 {"messages", call.attempts.size()},
                 {"outcome", static_cast<int>(result.outcome)},
                 {"status", result.status},
@@ -93,6 +94,26 @@
                 {"load", result.load_report}});
 }
 
+void LogCallStarted(CallId id, const PendingCall& call, const Endpoint& endpoint) {
+  if (!observe::Logs(Concern::kEngine, Level::kDebug)) return;
+  for (const PendingAttempt& attempt : call.attempts) {
+    observe::Log(Concern::kEngine, Level::kDebug, "call started",
+                 {{"call", id},
+                  {"endpoint", endpoint.name},
+                  {"id", attempt.client_id},
+                  {"attempt", attempt.spool_index}});
+  }
+}
+
+void LogRetryAfter(const CallTarget& target, milliseconds retry_after) {
+  observe::Count("retry_after_total");
+  observe::LogSeldom(Concern::kEngine, Level::kInfo, "endpoint asked to wait",
+                     {{"endpoint", target.endpoint},
+                      {"destination", target.destination},
+                      {"retry_after_ms", retry_after.count()},
+                      {"binds", target.has_own_rate_limit ? "endpoint" : "destination"}});
+}
+
 }  // namespace
 
 std::size_t CallDispatcher::MaxConnections(const Config& config) {
@@ -156,6 +177,7 @@
   const milliseconds time_left = std::max(CeilToMs(call.deadline - now), milliseconds(0));
   call.started_at = now;
   context_.latencies.start.Add(now - call.decided_at);
+  LogCallStarted(id, call, endpoint);
   call.endpoint_call = std::make_shared<EndpointCall>(
       id, call.endpoint, endpoint.address, FormatRequest(endpoint, items, time_left),
       ToTimePoint(call.start_by), CallPermit(call.endpoint));
@@ -169,7 +191,9 @@
   if (!call) return;
   ScheduleIdleExpiry();
   CompleteCall(*call, result, Now());
-  if (ParseRetryAfter(result) <= milliseconds(0)) return;
+  const milliseconds retry_after = ParseRetryAfter(result);
+  if (retry_after <= milliseconds(0)) return;
+  LogRetryAfter(context_.endpoints.Target(call->endpoint), retry_after);
   // The Retry-After binds all calls under the same rate limit that are not being written yet.
   calls_.WithdrawCalls(
       [&](auto endpoint) { return context_.endpoints.SharesRateLimit(call->endpoint, endpoint); });
--- a/tests/faults/load_judge.py
+++ b/tests/faults/load_judge.py
@@ -1,4 +1,4 @@
-"""Judges of an endpoint's load, from the records of the endpoints alone: calls in a wait
+"""Judges of an endpoint's load, from the endpoints' own records: calls in a wait
 that was asked for, and calls beyond the budget of a destination that is warming up.
 
 The bounds are those of the platform's rules and of the forwarder's settings.
