Keep what endpoints told and how they fare over a replacement of the process

The message spool crossed the replacement, so a new process got the backlog without what had held it back, and sent it at once.

Change: the policy says which conditions changed (DispatchPolicy::TakeConditionChanges) and takes them up again (EndpointConditionRestored, DestinationConditionRestored). A condition is stored in the decision that follows the answer, before anything is sent. Where a predecessor left messages and its conditions are missing, damaged, old or of a version without them, the destinations of these messages are tried by single calls and get a slow start. At its end a process still takes up answers that have come.

--- a/include/dispatch_policy/dispatch_policy.hpp
+++ b/include/dispatch_policy/dispatch_policy.hpp
@@ -15,6 +15,9 @@
 //    good.
 //  * A message that outlasts the process is passed to the next DispatchPolicy as MessageRestored,
 //    not before the first endpoint list; its attempts are numbered from 0 again.
+//  * What was observed of endpoints binds for as long as the dispatcher lives, which may be several
+//    processes: such callers store what TakeConditionChanges returns, and pass it to the next
+//    DispatchPolicy before the messages.
 #ifndef DISPATCH_POLICY_DISPATCH_POLICY_HPP_
 #define DISPATCH_POLICY_DISPATCH_POLICY_HPP_
 
@@ -24,6 +27,7 @@
 #include <vector>
 
 #include "dispatch_policy/actions.hpp"
+#include "dispatch_policy/conditions.hpp"
 #include "dispatch_policy/events.hpp"
 #include "dispatch_policy/settings.hpp"
 
@@ -45,6 +49,10 @@
   // policy can't be used further then.
   [[nodiscard]] std::vector<Action> Decide(Time now, std::span<const Event> events);
 
+  // The conditions that may have changed since the last call: for callers that hand them to the
+  // next process. Times in them are of the caller's clock.
+  [[nodiscard]] std::vector<ConditionChange> TakeConditionChanges();
+
  private:
   struct Impl;  // the components; see src/policy/policy_components.hpp
   std::unique_ptr<Impl> impl_;
--- a/include/dispatch_policy/events.hpp
+++ b/include/dispatch_policy/events.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "dispatch_policy/conditions.hpp"
 #include "dispatch_policy/settings.hpp"
 
 namespace dispatch_policy {
@@ -62,6 +63,28 @@
   EndpointId ran_on_endpoint = 0;
 };
 
+// What an earlier process of this dispatcher, or this one before it forgot a removed endpoint, had
+// observed of an endpoint. To be passed behind the first endpoint list that names it.
+struct EndpointConditionRestored {
+  EndpointId endpoint = 0;
+  EndpointCondition condition;
+  RateLimitCondition own_limit;
+};
+
+// What an earlier process of this dispatcher had observed of a destination.
+struct DestinationConditionRestored {
+  DestinationId destination = 0;
+  DestinationCondition condition;
+  RateLimitCondition shared_limit;
+};
+
+// An earlier process of this dispatcher has left messages for a destination, and what it had
+// observed there is not known: its endpoints are tried by single calls first. To be passed behind
+// the endpoint list.
+struct DestinationConditionLost {
+  DestinationId destination = 0;
+};
+
 // The end of an attempt that SendAttempt asked for.
 struct AttemptCompleted {
   MessageId message = 0;
@@ -163,7 +186,8 @@
 // One thing that has happened.
 using Event =
     std::variant<MessageArrived, MessageRestored, AttemptCompleted, MessageCancelled, TimerFired,
-                 HealthCheckCompleted, EndpointList, QuotaLeased, PeerHealthReport>;
+                 HealthCheckCompleted, EndpointList, QuotaLeased, PeerHealthReport,
+                 EndpointConditionRestored, DestinationConditionRestored, DestinationConditionLost>;
 
 }  // namespace dispatch_policy
 
--- a/src/cli/forwarder_service.hpp
+++ b/src/cli/forwarder_service.hpp
@@ -18,6 +18,7 @@
 #include "net/client_server.hpp"
 #include "operators/operator_commands.hpp"
 #include "operators/operator_server.hpp"
+#include "snapshot/condition_store.hpp"
 #include "spool/spool.hpp"
 
 namespace brassfront {
@@ -76,6 +77,7 @@
   const Config config_;
   BufferPool buffers_;
   Spool spool_;
+  ConditionStore conditions_;
   EndpointExclusions exclusions_;
   const std::unique_ptr<OperatorCommands> operator_commands_;  // nullptr: no second address
   const std::unique_ptr<EndpointSources> sources_;             // nullptr: the platform alone
--- a/src/forwarder/call_dispatcher.cpp
+++ b/src/forwarder/call_dispatcher.cpp
@@ -286,6 +286,11 @@
   }
 }
 
+void CallDispatcher::CancelAll() {
+  calls_.WithdrawCalls([](auto) { return true; });
+  calls_.StopStarted();
+}
+
 void CallDispatcher::OnEndpointForgotten(dispatch_policy::EndpointId endpoint) {
   // A call that was out when the endpoint was removed may have left a connection since.
   endpoint_client_.RemoveEndpoint(endpoint);
--- a/src/forwarder/call_dispatcher.hpp
+++ b/src/forwarder/call_dispatcher.hpp
@@ -75,6 +75,9 @@
   // Ends messages whose deliveries have become certain, and notifies the platform of doubtful ones.
   void OnSettlementCheck(Time now);
 
+  // At the end of the process: calls that wait are withdrawn, started ones end with what has come.
+  void CancelAll();
+
   // Calls that have not completed, started or not.
   [[nodiscard]] const CallTracker& calls() const { return calls_; }
 
--- a/src/forwarder/call_tracker.cpp
+++ b/src/forwarder/call_tracker.cpp
@@ -111,6 +111,17 @@
   }
 }
 
+void CallTracker::StopStarted() {
+  for (auto& [id, call] : calls_) {
+    if (call.endpoint_call) call.endpoint_call->Abort(EndpointCall::StopReason::kCancelled);
+  }
+}
+
+bool CallTracker::HasStarted() const {
+  return std::any_of(calls_.begin(), calls_.end(),
+                     [](const auto& entry) { return entry.second.endpoint_call != nullptr; });
+}
+
 void CallTracker::OnTimeout(CallId id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
--- a/src/forwarder/call_tracker.hpp
+++ b/src/forwarder/call_tracker.hpp
@@ -109,6 +109,10 @@
   void CancelAttempt(MessageId message, std::size_t attempt, bool message_over);
   // Withdraws the calls to these endpoints that are not being written yet.
   void WithdrawCalls(const std::function<bool(EndpointId)>& matches);
+  // Ends all started calls, whatever they are doing.
+  void StopStarted();
+  // Whether a call was started and has not completed.
+  [[nodiscard]] bool HasStarted() const;
   // The call's deadline has passed; ignored if the call has completed.
   void OnTimeout(CallId id);
   // Removes a call that has run; none if the id is unknown.
--- a/src/forwarder/endpoint_registry.cpp
+++ b/src/forwarder/endpoint_registry.cpp
@@ -88,6 +88,13 @@
   return result;
 }
 
+dispatch_policy::EndpointList EndpointRegistry::Listing() const {
+  dispatch_policy::EndpointList result;
+  result.version = revision_;
+  for (const auto& [id, endpoint] : endpoints_) result.entries.push_back(endpoint.entry);
+  return result;
+}
+
 void EndpointRegistry::Store(const Member& member, EndpointId id) {
   Endpoint& endpoint = endpoints_[id];
   endpoint.name = member.id;
@@ -134,6 +141,11 @@
   return it->second;
 }
 
+const Endpoint* EndpointRegistry::Find(EndpointId endpoint) const {
+  const auto it = endpoints_.find(endpoint);
+  return it == endpoints_.end() ? nullptr : &it->second;
+}
+
 bool EndpointRegistry::IsServing(EndpointId endpoint) const {
   return At(endpoint).entry.state == EndpointState::kListed;
 }
--- a/src/forwarder/endpoint_registry.hpp
+++ b/src/forwarder/endpoint_registry.hpp
@@ -40,6 +40,8 @@
 
   // Takes over a list, complete or of changes, and returns it in the policy's terms.
   [[nodiscard]] dispatch_policy::EndpointList Apply(const MemberList& list, Time now);
+  // All endpoints that are known, as a list of changes.
+  [[nodiscard]] dispatch_policy::EndpointList Listing() const;
   // An older list than the last one applied.
   [[nodiscard]] bool IsStale(const MemberList& list) const { return list.revision < revision_; }
 
@@ -49,6 +51,8 @@
   [[nodiscard]] std::optional<EndpointId> FindId(const std::string& name) const;
   // The endpoint must be known: it was in a list, and has not been forgotten.
   [[nodiscard]] const Endpoint& At(EndpointId endpoint) const { return endpoints_.at(endpoint); }
+  // Null if it is not known.
+  [[nodiscard]] const Endpoint* Find(EndpointId endpoint) const;
   // Listed, and neither draining nor removed.
   [[nodiscard]] bool IsServing(EndpointId endpoint) const;
   [[nodiscard]] std::vector<EndpointId> NotServing() const;
--- a/src/forwarder/engine.cpp
+++ b/src/forwarder/engine.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds kHoldCheckInterval{5};  // while lists are held back
 constexpr std::uint64_t kWholeList = 0;        // the revision to watch from in a new process
 constexpr milliseconds kMetricsLineInterval{60'000};
+constexpr milliseconds kLastAnswersLimit{100};  // at the end of the process
 
 MessageTable::Limits MessageLimits(const Config& config) {
   const auto memory = static_cast<double>(config.limits.memory_bytes);
@@ -52,6 +53,7 @@
       messages_(spool, MessageLimits(config)),
       spool_(spool),
       endpoints_(config),
+      condition_recorder_(endpoints_),
       submissions_(latencies_),
       call_dispatcher_(
           {config_, messages_, endpoints_, latencies_, policy_events_}, buffers,
@@ -130,7 +132,9 @@
 
 void Engine::Restore(const MemberList& known) {
   const Time now = Now();
-  held_events_.emplace_back(endpoints_.Apply(known, now));
+  const dispatch_policy::EndpointList list = endpoints_.Apply(known, now);
+  held_events_.emplace_back(list);
+  AddConditions(list);
   RestoreMessages(now);
   observe::Log(Concern::kEngine, Level::kInfo, "restored", {{"messages", messages_.deliverable()}});
   Decide(now);
@@ -151,6 +155,7 @@
   messages_.AddRestored(std::move(recovered), event.time_left, now);
   if (!messages_.IsDeliverable(event.message)) return;
   known_list_hold_.LimitBy(now, event.time_left);
+  condition_recorder_.OnMessageRestored(event.destination);
   AddListEvent(std::move(event));
 }
 
@@ -158,6 +163,20 @@
   (held_events_.empty() ? policy_events_ : held_events_).emplace_back(std::move(event));
 }
 
+// Behind a list that was passed on: what is known of its endpoints.
+void Engine::AddConditions(const dispatch_policy::EndpointList& list) {
+  for (dispatch_policy::Event& event : condition_recorder_.EventsBehind(list)) {
+    AddListEvent(std::move(event));
+  }
+}
+
+// Behind all lists that are held back, as endpoints of any of them may be meant.
+void Engine::AddLostConditions() {
+  for (dispatch_policy::Event& event : condition_recorder_.TakeLost()) {
+    policy_events_.emplace_back(std::move(event));
+  }
+}
+
 // The configured list and what came after it, once discovery was asked and it is known who is out.
 void Engine::ReleaseHeldEvents(Time now) {
   if (held_events_.empty() || known_list_hold_.IsActive(now)) return;
@@ -169,6 +188,7 @@
     }
     policy_events_.emplace_back(std::move(event));
   }
+  AddLostConditions();
 }
 
 void Engine::Run(std::function<void()> on_drain) {
@@ -176,12 +196,7 @@
   // What Restore decided must not wait for the first event.
   call_dispatcher_.StartReadyCalls(Now());
   while (true) {
-    const Time now = loop_.RunOnce(
-        [this] { return NextWakeUp(); },
-        [this](InboxEvent event) {
-          std::visit([this](auto& alternative) { On(std::move(alternative)); }, event);
-        },
-        [this](const Deadline& deadline) { On(deadline); });
+    const Time now = TakeEvents([this] { return NextWakeUp(); });
     ReleaseHeldEvents(now);
     const Time next_decision = last_decision_ + config_.policy_settings.decision_interval;
     if (!policy_events_.empty() && now >= next_decision) Decide(now);
@@ -192,12 +207,34 @@
     if (now >= messages_.NextOverdue()) messages_.LogOverdue(now);
     if (shutdown_.IsOver(now, messages_.size())) break;
   }
+  TakeLastAnswers();
   latencies_.LogAndReset(Level::kInfo, messages_.size(), call_dispatcher_.calls().size());
   observe::Log(Concern::kEngine, Level::kInfo, "shutdown complete",
                {{"in_flight", messages_.size()}, {"overdue", messages_.overdue()}});
   LogFinalTotals(messages_.totals(), spool_);
 }
 
+// Waits until the wake-up or an event, and takes up all events that have come. Returns the time.
+Engine::Time Engine::TakeEvents(const std::function<Time()>& next_wake_up) {
+  return loop_.RunOnce(
+      next_wake_up,
+      [this](InboxEvent event) {
+        std::visit([this](auto& alternative) { On(std::move(alternative)); }, event);
+      },
+      [this](const Deadline& deadline) { On(deadline); });
+}
+
+// At the end of a process: what endpoints have answered by now binds the next one. Nothing is sent
+// any more.
+void Engine::TakeLastAnswers() {
+  call_dispatcher_.CancelAll();
+  const Time end = Now() + kLastAnswersLimit;
+  while (call_dispatcher_.calls().HasStarted() && Now() < end) TakeEvents([&] { return end; });
+  const Time now = Now();
+  static_cast<void>(policy_.Decide(now, std::exchange(policy_events_, {})));
+  condition_recorder_.Record(policy_.TakeConditionChanges(), now);
+}
+
 Engine::Time Engine::NextWakeUp() const {
   Time next = std::min(messages_.NextOverdue(), messages_.final_answers().NextWakeUp());
   const Time now = Now();
@@ -210,6 +247,7 @@
   last_decision_ = now;
   const std::vector<dispatch_policy::Event> events = std::exchange(policy_events_, {});
   const std::vector<dispatch_policy::Action> actions = policy_.Decide(now, events);
+  condition_recorder_.Record(policy_.TakeConditionChanges(), now);
   const auto apply = [this](const auto& action) { Apply(action); };
   for (const dispatch_policy::Action& action : actions) {
     if (EndsMessage(action)) std::visit(apply, action);
@@ -255,6 +293,7 @@
   for (const auto endpoint :
        endpoints_.ForgetRemoved(Now(), call_dispatcher_.calls().EndpointsInUse())) {
     call_dispatcher_.OnEndpointForgotten(endpoint);
+    condition_recorder_.OnEndpointForgotten(endpoint);
   }
   latencies_.LogAndReset(Level::kDebug, messages_.size(), call_dispatcher_.calls().size());
   loop_.SetDeadline(Now() + kHousekeepingInterval, {DeadlineKind::kHousekeeping});
@@ -264,8 +303,10 @@
 void Engine::RetrySpool() {
   loop_.SetDeadline(Now() + kSpoolRetryInterval, {DeadlineKind::kSpoolRetry});
   spool_.Retry();
+  if (condition_recorder_.Retry(Now())) AddConditions(endpoints_.Listing());
   const std::size_t restored = RestoreMessages(Now());
   if (restored == 0) return;
+  if (held_events_.empty()) AddLostConditions();
   observe::Log(Concern::kEngine, Level::kInfo, "restored late", {{"messages", restored}});
 }
 
@@ -414,7 +455,9 @@
     observe::Count("endpoint_lists_refused_total", {"reason", "stale"});
     return;
   }
-  AddListEvent(endpoints_.Apply(list, Now()));
+  const dispatch_policy::EndpointList applied = endpoints_.Apply(list, Now());
+  AddListEvent(applied);
+  AddConditions(applied);
   call_dispatcher_.OnEndpointsChanged();
 }
 
--- a/src/forwarder/engine.hpp
+++ b/src/forwarder/engine.hpp
@@ -23,6 +23,7 @@
 #include "exclusions/endpoint_exclusions.hpp"
 #include "forwarder/call_dispatcher.hpp"
 #include "forwarder/call_observer.hpp"
+#include "forwarder/condition_recorder.hpp"
 #include "forwarder/endpoint_registry.hpp"
 #include "forwarder/event_loop.hpp"
 #include "forwarder/known_list_hold.hpp"
@@ -59,6 +60,9 @@
     exclusions_ = &exclusions;
     call_dispatcher_.SetExclusions(exclusions);
   }
+  // To be called before Restore, if at all. What is observed of endpoints is kept there, and taken
+  // over from there. It outlives the engine.
+  void SetConditionStore(ConditionStore& store) { condition_recorder_.SetStore(store); }
   // Takes over the messages that an earlier process had accepted, with the endpoints that are known
   // now. Clients may connect once it has returned.
   void Restore(const MemberList& known);
@@ -136,11 +140,15 @@
   void RetrySpool();
   // Passes an event on to the policy, or holds it back for as long as lists are.
   void AddListEvent(dispatch_policy::Event event);
+  void AddConditions(const dispatch_policy::EndpointList& list);
+  void AddLostConditions();
   void ReleaseHeldEvents(Time now);
 
   [[nodiscard]] Time NextWakeUp() const;
   bool RejectSubmission(MessageId message, SubmitResult result);
   void GiveUpExpired(Time now);
+  Time TakeEvents(const std::function<Time()>& next_wake_up);
+  void TakeLastAnswers();
   void LogMessageStep(const char* event, MessageId message, std::string_view reason = {}) const;
   void DoHousekeeping();
   void PublishMetrics();
@@ -160,6 +168,7 @@
   MessageTable messages_;
   Spool& spool_;
   EndpointRegistry endpoints_;
+  ConditionRecorder condition_recorder_;
   StageLatencies latencies_;
   SubmissionQueue submissions_;
   GracefulShutdown shutdown_;
--- a/src/policy/circuit_breaker.cpp
+++ b/src/policy/circuit_breaker.cpp
@@ -20,12 +20,16 @@
 constexpr double kLossyNetworkShare = 0.08;   // of answers that came after lost calls
 constexpr std::size_t kBindingWitnesses = 2;  // of other dispatchers; one alone may be wrong
 
-constexpr std::array kHealthNames = {"closed", "open", "recovering"};  // in the log
+const char* ToString(Health health) {
+  constexpr std::array kNames = {"closed", "open", "recovering"};
+  return kNames.at(static_cast<std::size_t>(health));
+}
 
 void CircuitBreaker::RecordAttempt(const Attempt& attempt, const AttemptCompleted& event) {
   Endpoint& endpoint = registry_.EndpointAt(attempt.endpoint);
   RateLimitScope& scope = registry_.FindScope(endpoint);
   Call& call = concurrency_.CallAt(attempt.call);
+  registry_.MarkChanged(endpoint);
   scope.wait_until = std::max(scope.wait_until, now_ + event.retry_after);
   if (event.retry_after > context_.max_deadline) {
     context_.Do(LogMessage{"endpoint " + std::to_string(attempt.endpoint) + " told a wait of " +
@@ -44,6 +48,7 @@
 void CircuitBreaker::CompleteHealthCheck(const HealthCheckCompleted& event) {
   Endpoint* endpoint = registry_.FindEndpoint(event.endpoint);
   if (endpoint == nullptr || !std::exchange(endpoint->checking, false)) return;
+  registry_.MarkChanged(*endpoint);
   rate_limiter_.ApplyLoadReport(registry_.FindScope(*endpoint), event.report);
   const Call check{.sent = now_ - event.elapsed, .message_class = SIZE_MAX};
   RecordOutcome(*endpoint, event.outcome, check, Duration{}, Duration{});
@@ -52,6 +57,7 @@
 void CircuitBreaker::ApplyPeerReport(const PeerHealthReport& report) {
   Endpoint* endpoint = registry_.FindEndpoint(report.endpoint);
   if (endpoint == nullptr || endpoint->last_answer > now_ - report.age) return;  // ours is newer
+  registry_.MarkChanged(*endpoint);
   RateLimitScope& scope = registry_.FindScope(*endpoint);
   const bool binding = report.witnesses >= kBindingWitnesses;
   if (report.health == PeerHealth::kBeingTested) {
@@ -74,7 +80,15 @@
   }
 }
 
+void CircuitBreaker::RequireTrial(Endpoint& endpoint) {
+  if (endpoint.health != Health::kClosed || endpoint.last_answer > Time{}) return;
+  TransitionTo(endpoint, Health::kOpen);
+  endpoint.closed_by_endpoint = true;
+  registry_.FindScope(endpoint).next_trial = now_;
+}
+
 void CircuitBreaker::RecordCall(Endpoint& endpoint) {
+  registry_.MarkChanged(endpoint);
   rate_limiter_.RecordCall(endpoint);
   if (endpoint.health == Health::kClosed) return;
   registry_.FindScope(endpoint).next_trial = now_ + context_.AddJitter(TrialInterval(endpoint));
@@ -86,14 +100,15 @@
     const double share = rate_limiter_.LocalShareOfLimit(endpoint);
     if (rate_limiter_.CallsRarely(share)) rate_limiter_.LimitRareCaller(scope, share);
   }
+  registry_.MarkChanged(endpoint);
   endpoint.health = health;
   endpoint.closed_by_endpoint = false;
   endpoint.health_since = now_;
   const Duration interval = context_.AddJitter(TrialInterval(endpoint));
   scope.next_trial = std::max(scope.next_trial, now_ + interval);
-  context_.Do(LogMessage{"breaker " + std::string(kHealthNames[static_cast<std::size_t>(health)]) +
-                         " destination " + std::to_string(endpoint.entry.destination) +
-                         " endpoint " + std::to_string(endpoint.entry.endpoint)});
+  context_.Do(LogMessage{"breaker " + std::string(ToString(health)) + " destination " +
+                         std::to_string(endpoint.entry.destination) + " endpoint " +
+                         std::to_string(endpoint.entry.endpoint)});
 }
 
 bool CircuitBreaker::HasConnectionCapacity(const Endpoint& endpoint) const {
@@ -147,6 +162,7 @@
 }
 
 void CircuitBreaker::RecordFailure(Endpoint& endpoint, const Call& call, bool connect_failed) {
+  registry_.MarkChanged(endpoint);
   endpoint.connect_failed = connect_failed;
   if (endpoint.failures++ == 0) endpoint.first_failure = call.sent;
   const bool recovering = endpoint.health == Health::kRecovering;
--- a/src/policy/circuit_breaker.hpp
+++ b/src/policy/circuit_breaker.hpp
@@ -13,6 +13,9 @@
 // Mean deviations above the mean latency at which an answer is overdue.
 extern const double kOverdueDeviations;
 
+// The name in the log.
+[[nodiscard]] const char* ToString(Health health);
+
 // Closed: calls go out. Open: trial calls only. Recovering: calls at a rate that grows within the
 // slow start.
 class CircuitBreaker {
@@ -37,6 +40,10 @@
   // instance's own calls would: one that is wrong or lies costs a round trip, whatever it claims.
   void ApplyPeerReport(const PeerHealthReport& report);
 
+  // Nothing is known of an endpoint that an earlier process has left messages for: it is tried by
+  // single calls, the first one at once, and gets a slow start. Ignored where something is known.
+  void RequireTrial(Endpoint& endpoint);
+
   // Books a call or health check: the next one waits for the pace and, while not closed, for the
   // next trial.
   void RecordCall(Endpoint& endpoint);
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -23,6 +23,10 @@
   return std::move(impl_->context.actions);
 }
 
+std::vector<ConditionChange> DispatchPolicy::TakeConditionChanges() {
+  return impl_->condition_transfer.TakeChanges();
+}
+
 const char* ToString(GiveUpReason reason) {
   switch (reason) {
     case GiveUpReason::kNotAdmitted:
--- a/src/policy/endpoint_registry.hpp
+++ b/src/policy/endpoint_registry.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "policy/decision_context.hpp"
 #include "policy/policy_state.hpp"
@@ -54,6 +55,12 @@
   // The destination must be known: some message or list has named it.
   Destination& DestinationAt(DestinationId id) { return destinations_.at(id); }
 
+  // The condition of the endpoint, or of its limit, may have changed.
+  void MarkChanged(const Endpoint& endpoint) { changed_.insert(endpoint.entry.endpoint); }
+
+  // The endpoints that were marked since the last call.
+  std::set<EndpointId> TakeChanged() { return std::exchange(changed_, {}); }
+
   // Destinations that hold messages or whose gate is not in normal mode, in ascending order.
   std::set<DestinationId>& active() { return active_; }
 
@@ -82,6 +89,7 @@
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<DestinationId, Destination> destinations_;
   std::set<DestinationId> active_;
+  std::set<EndpointId> changed_;
 };
 
 }  // namespace dispatch_policy
--- a/src/policy/limits.cpp
+++ b/src/policy/limits.cpp
@@ -160,12 +160,19 @@
 constexpr double kMinUsableShare = 0.4;        // of that usable share: the lowest rate then
 constexpr double kPauseInCallIntervals = 0.6;  // of our mean interval; doubles with rejections
 constexpr double kMinLeasedRate = 0.05;        // calls a second: one call in 20 s
+constexpr double kWholeMemories = 8;           // time constants after which nothing older counts
 
 void RateEstimator::Add(Time now) {
   value_ = value_ * Weight(now - last_) + 1 / memory_;
   last_ = now;
 }
 
+void RateEstimator::Resume(double rate, Time now) {
+  value_ = rate;
+  first_ = now - FromSeconds(kWholeMemories * memory_);
+  last_ = now;
+}
+
 double RateEstimator::Rate(Time now) const {
   if (value_ <= 0) return 0;
   const Duration seen = std::max<Duration>(now - first_, std::chrono::seconds(1));
--- a/src/policy/policy_components.hpp
+++ b/src/policy/policy_components.hpp
@@ -9,6 +9,7 @@
 #include "policy/admission_gate.hpp"
 #include "policy/circuit_breaker.hpp"
 #include "policy/concurrency_limiter.hpp"
+#include "policy/condition_transfer.hpp"
 #include "policy/decision_context.hpp"
 #include "policy/endpoint_registry.hpp"
 #include "policy/endpoint_selector.hpp"
@@ -34,6 +35,9 @@
   void On(const TimerFired&) { retry_scheduler.OnTimerFired(); }
   void On(const QuotaLeased& event) { rate_limiter.ApplyQuotaLease(event); }
   void On(const PeerHealthReport& event) { breaker.ApplyPeerReport(event); }
+  void On(const EndpointConditionRestored& event) { condition_transfer.Restore(event); }
+  void On(const DestinationConditionRestored& event) { condition_transfer.Restore(event); }
+  void On(const DestinationConditionLost& event) { condition_transfer.OnLost(event); }
 
   DecisionContext context;
   EndpointRegistry registry{context};
@@ -42,6 +46,7 @@
   AdmissionGate admission_gate{context, registry};
   MessageLedger ledger{context, registry, admission_gate};
   CircuitBreaker breaker{context, registry, rate_limiter, concurrency_limiter};
+  ConditionTransfer condition_transfer{context, registry, breaker};
   RetryScheduler retry_scheduler{context, registry, concurrency_limiter, ledger, breaker};
   EndpointSelector selector{context,        registry, rate_limiter, concurrency_limiter,
                             admission_gate, ledger,   breaker,      retry_scheduler};
--- a/src/policy/policy_state.hpp
+++ b/src/policy/policy_state.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch_policy/conditions.hpp"
 #include "dispatch_policy/events.hpp"
 #include "policy/rate_estimator.hpp"
 #include "policy/seconds.hpp"
@@ -70,53 +71,28 @@
 
 // What shares one rate limit, one Retry-After and one trial call: a destination, or an endpoint
 // with a limit of its own.
-struct RateLimitScope {
+struct RateLimitScope : RateLimitCondition {
   RateLimitScope(Seconds memory, Time start) : accepted_calls(memory, start) {}
 
-  Time wait_until{};                     // end of the Retry-After
-  Time next_call{};                      // no call before this
-  Time next_trial{};                     // no trial call before this
-  double rate = 0;                       // learned, calls a second; 0: no limit seen
-  bool from_even_share = false;          // `rate` follows from the even share of the limit
-  double limit = 0;                      // of all dispatchers, calls a second; 0: unknown
-  bool limit_reported = false;           // else `limit` is the listed one
   std::optional<double> allowance_left;  // share of the reported limit, 0 to 1
   std::optional<double> leased_rate;     // this dispatcher's, calls a second; none: not leased
-  Time rate_changed{};
-  int rejections = 0;
-  Time first_rejection{};  // of those in a row
-  Time last_rejection{};
   RateEstimator accepted_calls;
 };
 
-// State of an endpoint's circuit breaker.
-enum class Health { kClosed, kOpen, kRecovering };
-
 // An endpoint, listed or removed, and what was observed of it.
-struct Endpoint {
+struct Endpoint : EndpointCondition {
   Endpoint(EndpointEntry listed, Seconds call_rate_memory, Time start)
       : entry(listed), own_scope(call_rate_memory, start) {}
 
   EndpointEntry entry;
-  Health health = Health::kClosed;
-  Time health_since{};
-  bool closed_by_endpoint = false;     // open because it rejects or asked to wait
-  double failure_share = 0;            // of recent calls
   std::vector<double> class_failures;  // by message class; empty: no failure yet
-  int failures = 0;
-  Time first_failure{};         // send of the first of those in a row
-  int overdue_in_row = 0;       // calls without an answer in time since the last answer
-  bool connect_failed = false;  // the last failure was a connection that never came up
-  double latency = 0;           // seconds; 0: unknown
-  double deviation = 0;         // mean deviation, seconds
-  Time last_answer{};           // send of the last call that was delivered
+  int overdue_in_row = 0;              // calls without an answer in time since the last answer
+  double latency = 0;                  // seconds; 0: unknown
+  double deviation = 0;                // mean deviation, seconds
   int calls_in_flight = 0;
   int calls_not_overdue = 0;  // of those in flight
   bool checking = false;
   std::optional<Time> removed_at;
-  int connection_limit = 0;  // calls in flight that its connections allowed; 0: no limit seen
-  Time limit_seen{};         // when the connection limit was reached last
-  Time next_call{};          // no call before this
   RateLimitScope own_scope;  // used where it has a limit of its own
 };
 
--- a/src/policy/rate_estimator.hpp
+++ b/src/policy/rate_estimator.hpp
@@ -17,6 +17,9 @@
   // Counts one event; `now` never falls from call to call.
   void Add(Time now);
 
+  // Goes on from a rate that an earlier estimator had, in events a second.
+  void Resume(double rate, Time now);
+
   // Events a second; 0 before the first one.
   [[nodiscard]] double Rate(Time now) const;
 
--- /dev/null
+++ b/src/snapshot/condition_store.cpp
@@ -0,0 +1,200 @@
+#include "snapshot/condition_store.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <string_view>
+
+#include "observe/log.hpp"
+#include "observe/metrics.hpp"
+#include "spool/spool_clock.hpp"
+
+namespace brassfront {
+namespace {
+
+using dispatch_policy::Time;
+using observe::Concern;
+using observe::Level;
+
+constexpr const char* kFileName = "/conditions";
+// The first bytes of a file; the number is that of the layout.
+constexpr std::string_view kMagic = "BRCOND01";
+constexpr std::size_t kHeaderBytes = 256;
+constexpr std::size_t kInitialSlots = 64;
+
+std::size_t FileBytes(std::size_t slots) { return kHeaderBytes + slots * kMaxConditionRecordBytes; }
+
+std::string_view View(std::span<const char> bytes) { return {bytes.data(), bytes.size()}; }
+
+}  // namespace
+
+ConditionStore::ConditionStore(FolderOwner& owner, std::size_t max_bytes, Time now)
+    : owner_(owner), max_bytes_(max_bytes) {
+  Open(now);
+}
+
+bool ConditionStore::Retry(Time now) {
+  const bool was_open = file_.is_open();
+  if (!was_open) Open(now);
+  if (!file_.is_open() || unstored_ == 0) return file_.is_open() && !was_open;
+  for (auto& [key, entry] : entries_) {
+    if (entry.slot) continue;
+    --unstored_;
+    Store(entry);
+  }
+  return !was_open;
+}
+
+std::optional<ConditionRecord> ConditionStore::Find(const ConditionKey& key) const {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) return std::nullopt;
+  return found->second.record;
+}
+
+std::vector<ConditionRecord> ConditionStore::Destinations() const {
+  std::vector<ConditionRecord> records;
+  for (const auto& [key, entry] : entries_) {
+    if (key.kind == ConditionKind::kDestination) records.push_back(entry.record);
+  }
+  return records;
+}
+
+void ConditionStore::Put(const ConditionRecord& record) {
+  const auto [found, added] = entries_.try_emplace(record.key, Entry{record, std::nullopt});
+  Entry& entry = found->second;
+  if (added && FileBytes(entries_.size()) > max_bytes_) EvictOldest(record.recorded_at);
+  if (!added && entry.record.Equals(record)) return;
+  entry.record = record;
+  if (!added && !entry.slot) return;  // stored by Retry
+  Store(entry);
+}
+
+void ConditionStore::Erase(const ConditionKey& key) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) return;
+  if (const auto slot = found->second.slot) {
+    std::ranges::fill(SlotBytes(*slot), '\0');
+    free_slots_.push_back(*slot);
+  } else {
+    --unstored_;
+  }
+  entries_.erase(found);
+}
+
+// Makes room for a newer condition: no wait is lost, and the next process is told that one is
+// missing.
+void ConditionStore::EvictOldest(Time now) {
+  const auto is_older = [&](const auto& left, const auto& right) {
+    const auto order = [&](const ConditionRecord& record) {
+      return std::pair(record.limit.wait_until > now, record.recorded_at);
+    };
+    return order(left.second.record) < order(right.second.record);
+  };
+  const ConditionKey oldest = std::ranges::min_element(entries_, is_older)->first;
+  Erase(oldest);
+  NoteMissing();
+}
+
+void ConditionStore::NoteMissing() {
+  observe::Count("conditions_not_stored_total");
+  if (!file_.is_open() || !header_.is_complete) return;
+  header_.is_complete = false;
+  WriteHeader();
+}
+
+// ======== the file ========
+
+void ConditionStore::Open(Time now) {
+  if (!owner_.Owns()) return;
+  MappedFile file =
+      MappedFile::Open(owner_.folder() + kFileName, std::min(FileBytes(kInitialSlots), max_bytes_));
+  if (!file.is_open()) {
+    observe::LogSeldom(Concern::kSpool, Level::kWarning, "conditions not stored",
+                       {{"file", owner_.folder() + kFileName}, {"error", std::strerror(errno)}});
+    return;
+  }
+  file_ = std::move(file);
+  is_complete_ = TakeOverHeader();
+  ReadSlots(now);
+  WriteHeader();
+  observe::Log(Concern::kSpool, Level::kInfo, "conditions read",
+               {{"known", entries_.size()},
+                {"complete", is_complete_ ? "yes" : "no"},
+                {"bytes", file_.bytes().size()}});
+}
+
+// Whether the file is what the predecessor has left. A file of an earlier start of the machine, of
+// another layout, or that is damaged is emptied.
+bool ConditionStore::TakeOverHeader() {
+  const std::int64_t predecessor = owner_.predecessor().process_id;
+  const std::string_view stored = View(file_.bytes().first(kHeaderBytes));
+  const auto header =
+      stored.starts_with(kMagic) ? DecodeHeader(stored.substr(kMagic.size())) : std::nullopt;
+  header_ = {ReadMachineTime().boot_id, getpid(), true};
+  const bool same_clock = header && !header->boot_id.empty() && header->boot_id == header_.boot_id;
+  if (!same_clock) {
+    std::ranges::fill(file_.bytes(), '\0');
+    return predecessor == 0;
+  }
+  return header->process_id == predecessor && header->is_complete;
+}
+
+// What is in memory already is newer.
+void ConditionStore::ReadSlots(Time now) {
+  for (std::size_t slot = slots(); slot-- > 0;) {
+    DecodedSlot decoded = DecodeSlot(View(SlotBytes(slot)));
+    const ConditionRecord& record = decoded.record;
+    // Nothing was recorded later than now.
+    const bool damaged = decoded.state == SlotState::kDamaged || record.recorded_at > now;
+    const bool usable = decoded.state == SlotState::kUsed && !damaged;
+    if (damaged) is_complete_ = false;
+    if (usable && entries_.try_emplace(record.key, Entry{record, slot}).second) continue;
+    std::ranges::fill(SlotBytes(slot), '\0');
+    free_slots_.push_back(slot);
+  }
+}
+
+void ConditionStore::WriteHeader() {
+  const std::string text = std::string(kMagic) + Encode(header_);
+  std::ranges::copy(text, file_.bytes().begin());
+}
+
+// Puts the entry into its slot, or into a free one.
+void ConditionStore::Store(Entry& entry) {
+  if (!entry.slot) entry.slot = TakeFreeSlot();
+  if (!entry.slot) {
+    ++unstored_;
+    return NoteMissing();
+  }
+  const std::string encoded = Encode(entry.record);
+  std::ranges::copy(encoded, SlotBytes(*entry.slot).begin());
+}
+
+std::optional<std::size_t> ConditionStore::TakeFreeSlot() {
+  if (!file_.is_open()) return std::nullopt;
+  if (free_slots_.empty()) {
+    const std::size_t present = slots();
+    const std::size_t size = std::min(FileBytes(2 * present), max_bytes_);
+    if (size < FileBytes(present + 1) || !file_.Grow(size)) return std::nullopt;
+    AddFreeSlots(present);
+  }
+  const std::size_t slot = free_slots_.back();
+  free_slots_.pop_back();
+  return slot;
+}
+
+void ConditionStore::AddFreeSlots(std::size_t first) {
+  for (std::size_t slot = slots(); slot > first; --slot) free_slots_.push_back(slot - 1);
+}
+
+std::size_t ConditionStore::slots() const {
+  return (file_.bytes().size() - kHeaderBytes) / kMaxConditionRecordBytes;
+}
+
+std::span<char> ConditionStore::SlotBytes(std::size_t slot) const {
+  return file_.bytes().subspan(FileBytes(slot), kMaxConditionRecordBytes);
+}
+
+}  // namespace brassfront
--- a/src/spool/file.hpp
+++ b/src/spool/file.hpp
@@ -30,6 +30,8 @@
   static File OpenEmpty(const std::string& path);
 
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
+  // -1 if it is closed. It stays the file's.
+  [[nodiscard]] int descriptor() const { return fd_; }
   // Nothing on failure.
   [[nodiscard]] std::optional<std::size_t> Size() const;
   // Exactly `length` bytes, or nothing; errno is 0 then if the file is shorter.
