--- /dev/null
+++ b/tests/policy/condition_transfer_test.cpp
@@ -0,0 +1,142 @@
+// What a process observed of endpoints binds the policy of the next one.
+#include <gtest/gtest.h>
+
+#include "policy_fixture.hpp"
+
+namespace dispatch_policy {
+namespace {
+
+constexpr Time kChange = 10s;  // of the process
+
+using EndOfCall = std::function<AttemptCompleted(PolicyDriver&, Time, const SendAttempt&)>;
+
+struct Trouble {
+  const char* name;
+  EndOfCall end;  // of each call before the change
+};
+
+AttemptCompleted EndAfter(PolicyDriver& driver, const SendAttempt& send, Outcome outcome,
+                          Duration retry_after = {}) {
+  AttemptCompleted end = driver.End(send.message, outcome, send.endpoint);
+  end.retry_after = retry_after;
+  return end;
+}
+
+const Trouble kTroubles[] = {
+    {"a Retry-After of the last answers",
+     [](PolicyDriver& driver, Time, const SendAttempt& send) {
+       return EndAfter(driver, send, Outcome::kRejected, 8s);
+     }},
+    {"an outage",
+     [](PolicyDriver& driver, Time at, const SendAttempt& send) {
+       return EndAfter(driver, send, at < 2s ? Outcome::kDelivered : Outcome::kConnectFailed);
+     }},
+    {"a slow start",
+     [](PolicyDriver& driver, Time at, const SendAttempt& send) {
+       const bool failing = at > 2s && at < 8s;
+       return EndAfter(driver, send, failing ? Outcome::kError : Outcome::kDelivered);
+     }},
+    {"a learned rate",
+     [](PolicyDriver& driver, Time at, const SendAttempt& send) {
+       const bool over = at / 100ms % 3 != 0;
+       return EndAfter(driver, send, over ? Outcome::kRejected : Outcome::kDelivered);
+     }},
+    {"a reported limit",
+     [](PolicyDriver& driver, Time, const SendAttempt& send) {
+       AttemptCompleted end = EndAfter(driver, send, Outcome::kDelivered);
+       end.report.limit = 2;
+       return end;
+     }},
+};
+
+Settings SettingsOfCase(bool own_limits) {
+  Settings settings = TestSettings();
+  settings.kinds[0].per_endpoint_limits = own_limits;
+  return settings;
+}
+
+// A policy that has seen the trouble, with all its calls ended.
+void Observe(PolicyDriver& driver, const Trouble& trouble) {
+  MessageId next = 1;
+  driver.At(0s, {One()});
+  const std::vector<Event> last = Drive(
+      driver, 100ms, kChange, [&] { return Arrive(next++); },
+      [&](Time at, const SendAttempt& send) { return trouble.end(driver, at, send); });
+  driver.At(kChange - 1ms, last);
+}
+
+std::vector<Event> RestoredConditions(PolicyDriver& predecessor) {
+  std::vector<Event> events = {One()};
+  for (const ConditionChange& change : predecessor.policy.TakeConditionChanges()) {
+    if (const auto* endpoint = std::get_if<EndpointConditionChange>(&change)) {
+      events.emplace_back(
+          EndpointConditionRestored{endpoint->endpoint, endpoint->condition, endpoint->own_limit});
+    } else {
+      const auto& destination = std::get<DestinationConditionChange>(change);
+      events.emplace_back(DestinationConditionRestored{
+          destination.destination, destination.condition, destination.shared_limit});
+    }
+  }
+  return events;
+}
+
+// Calls of new messages in the 3 s behind the change, all of which are delivered.
+int CallsBehindTheChange(PolicyDriver& driver) {
+  MessageId next = 1000;
+  int calls = 0;
+  Drive(
+      driver, kChange, kChange + 3s, [&] { return Arrive(next++); },
+      [&](Time, const SendAttempt& send) {
+        ++calls;
+        return driver.End(send.message, Outcome::kDelivered, send.endpoint);
+      });
+  return calls;
+}
+
+// Guards against a successor that sends what its predecessor would hold back (report 115bff).
+TEST(ConditionTransfer, ASuccessorSendsNoMoreThanItsPredecessorWould) {
+  for (const Trouble& trouble : kTroubles) {
+    for (const bool own_limits : {false, true}) {
+      SCOPED_TRACE(std::string(trouble.name) + (own_limits ? ", own limit" : ", shared limit"));
+      PolicyDriver undisturbed(SettingsOfCase(own_limits));
+      Observe(undisturbed, trouble);
+      PolicyDriver predecessor(SettingsOfCase(own_limits));
+      Observe(predecessor, trouble);
+      PolicyDriver successor(SettingsOfCase(own_limits), 2);
+      successor.At(kChange, RestoredConditions(predecessor));
+      const int without_change = CallsBehindTheChange(undisturbed);
+      EXPECT_LT(without_change, 20);  // of 30 messages and those before: the trouble binds
+      EXPECT_LE(CallsBehindTheChange(successor), without_change + 2);
+    }
+  }
+}
+
+// Guards against a wait that ends early because its endpoint was taken for another one.
+TEST(ConditionTransfer, AConditionOfAnUnknownEndpointChangesNothing) {
+  PolicyDriver driver;
+  driver.At(1s, {One(), EndpointConditionRestored{7, {.health = Health::kOpen}, {}}, Arrive(1)});
+  EXPECT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+}
+
+// Guards against a backlog that is sent at once where nothing is known of its destination.
+TEST(ConditionTransfer, ABacklogOfUnknownConditionBeginsWithOneTrialAndASlowStart) {
+  PolicyDriver driver;
+  std::vector<Event> events = {One()};
+  for (MessageId id = 1; id <= 50; ++id) {
+    MessageRestored restored;
+    restored.message = id;
+    restored.destination = 1;
+    restored.time_left = 15s;
+    events.emplace_back(restored);
+  }
+  events.emplace_back(DestinationConditionLost{1});
+  driver.At(1s, events);
+  ASSERT_EQ(driver.ActionsOf<SendAttempt>().size(), 1u);
+  const MessageId trial = driver.ActionsOf<SendAttempt>()[0].message;
+  driver.At(1100ms, {driver.End(trial, Outcome::kDelivered)});
+  EXPECT_LE(driver.ActionsOf<SendAttempt>().size(), 1u);
+  EXPECT_TRUE(Logged(driver, "breaker recovering"));
+}
+
+}  // namespace
+}  // namespace dispatch_policy
