Tell a cut file of conditions from a whole one, and force further crossings

A file that was cut behind its header was taken for one in which nothing binds: 10 calls in a wait in the new test of a file cut to 100 bytes. The header now has the number of records, written so that there are never fewer than it says; a file with fewer is incomplete, and costs one trial call.

--- a/src/snapshot/condition_record.cpp
+++ b/src/snapshot/condition_record.cpp
@@ -176,6 +176,7 @@
   field(header.boot_id);
   field(header.process_id);
   field(header.is_complete);
+  field(header.records);
 }
 
 // The payload of the frame at the begin; none if it is damaged.
--- a/src/snapshot/condition_record.hpp
+++ b/src/snapshot/condition_record.hpp
@@ -52,6 +52,8 @@
   std::int64_t process_id = 0;
   // False if something that the process observed could not be stored.
   bool is_complete = true;
+  // In the file, at least.
+  std::uint64_t records = 0;
 };
 
 // Bytes of a record at most, its frame included.
--- a/src/snapshot/condition_store.cpp
+++ b/src/snapshot/condition_store.cpp
@@ -75,6 +75,8 @@
   const auto found = entries_.find(key);
   if (found == entries_.end()) return;
   if (const auto slot = found->second.slot) {
+    --header_.records;
+    WriteHeader();  // first: there are never fewer records than it says
     std::ranges::fill(SlotBytes(*slot), '\0');
     free_slots_.push_back(*slot);
   } else {
@@ -116,8 +118,9 @@
     return;
   }
   file_ = std::move(file);
-  is_complete_ = TakeOverHeader();
-  ReadSlots(now);
+  const auto predecessor = TakeOverHeader();
+  const auto read = ReadSlots(now);
+  is_complete_ = predecessor && read && *read >= *predecessor;
   WriteHeader();
   observe::Log(Concern::kSpool, Level::kInfo, "conditions read",
                {{"known", entries_.size()},
@@ -125,35 +128,45 @@
                 {"bytes", file_.bytes().size()}});
 }
 
-// Whether the file is what the predecessor has left. A file of an earlier start of the machine, of
-// another layout, or that is damaged is emptied.
-bool ConditionStore::TakeOverHeader() {
+// The number of records that the predecessor has left; none if the file is not all that it knew. A
+// file of an earlier start of the machine, of another layout, or with a damaged header is emptied.
+std::optional<std::uint64_t> ConditionStore::TakeOverHeader() {
   const std::int64_t predecessor = owner_.predecessor().process_id;
   const std::string_view stored = View(file_.bytes().first(kHeaderBytes));
   const auto header =
       stored.starts_with(kMagic) ? DecodeHeader(stored.substr(kMagic.size())) : std::nullopt;
-  header_ = {ReadMachineTime().boot_id, getpid(), true};
+  header_ = {.boot_id = ReadMachineTime().boot_id, .process_id = getpid()};
   const bool same_clock = header && !header->boot_id.empty() && header->boot_id == header_.boot_id;
   if (!same_clock) {
     std::ranges::fill(file_.bytes(), '\0');
-    return predecessor == 0;
+    if (predecessor != 0) return std::nullopt;
+    return 0;
   }
-  return header->process_id == predecessor && header->is_complete;
+  if (header->process_id != predecessor || !header->is_complete) return std::nullopt;
+  return header->records;
 }
 
-// What is in memory already is newer.
-void ConditionStore::ReadSlots(Time now) {
+// Returns the number of records; none if any is damaged. What is in memory already is newer.
+std::optional<std::uint64_t> ConditionStore::ReadSlots(Time now) {
+  std::uint64_t intact_records = 0;
+  bool any_damaged = false;
   for (std::size_t slot = slots(); slot-- > 0;) {
     DecodedSlot decoded = DecodeSlot(View(SlotBytes(slot)));
     const ConditionRecord& record = decoded.record;
     // Nothing was recorded later than now.
     const bool damaged = decoded.state == SlotState::kDamaged || record.recorded_at > now;
-    const bool usable = decoded.state == SlotState::kUsed && !damaged;
-    if (damaged) is_complete_ = false;
-    if (usable && entries_.try_emplace(record.key, Entry{record, slot}).second) continue;
+    const bool is_record = decoded.state == SlotState::kUsed && !damaged;
+    any_damaged = any_damaged || damaged;
+    intact_records += is_record ? 1 : 0;
+    if (is_record && entries_.try_emplace(record.key, Entry{record, slot}).second) {
+      ++header_.records;
+      continue;
+    }
     std::ranges::fill(SlotBytes(slot), '\0');
     free_slots_.push_back(slot);
   }
+  if (any_damaged) return std::nullopt;
+  return intact_records;
 }
 
 void ConditionStore::WriteHeader() {
@@ -163,13 +176,17 @@
 
 // Puts the entry into its slot, or into a free one.
 void ConditionStore::Store(Entry& entry) {
-  if (!entry.slot) entry.slot = TakeFreeSlot();
+  const bool is_new = !entry.slot;
+  if (is_new) entry.slot = TakeFreeSlot();
   if (!entry.slot) {
     ++unstored_;
     return NoteMissing();
   }
   const std::string encoded = Encode(entry.record);
   std::ranges::copy(encoded, SlotBytes(*entry.slot).begin());
+  if (!is_new) return;
+  ++header_.records;
+  WriteHeader();
 }
 
 std::optional<std::size_t> ConditionStore::TakeFreeSlot() {
--- a/src/snapshot/condition_store.hpp
+++ b/src/snapshot/condition_store.hpp
@@ -9,6 +9,7 @@
 #define BRASSFRONT_SNAPSHOT_CONDITION_STORE_HPP_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -60,8 +61,8 @@
   void EvictOldest(Time now);
   void NoteMissing();
   void Open(Time now);
-  void ReadSlots(Time now);
-  [[nodiscard]] bool TakeOverHeader();
+  [[nodiscard]] std::optional<std::uint64_t> ReadSlots(Time now);
+  [[nodiscard]] std::optional<std::uint64_t> TakeOverHeader();
   void WriteHeader();
   void Store(Entry& entry);
   [[nodiscard]] std::optional<std::size_t> TakeFreeSlot();
--- a/tests/faults/replacement_rig.py
+++ b/tests/faults/replacement_rig.py
@@ -17,7 +17,7 @@
 
 class TimedEndpoint(Endpoint):
     """Records when calls came, and which waits it asked for. While `opens_at` lies
-    ahead it answers 429 with the time until then."""
+    ahead it answers 429 with the time until then; in mode HOLD once it is released."""
 
     def __init__(self):
         super().__init__()
@@ -27,8 +27,11 @@
         self.answer = self.answer_by_time
 
     def answer_by_time(self, call):
+        self.arrivals.append(time.monotonic())
+        if self.mode == self.HOLD:
+            self.hung.append(call["id"])
+            self.released.wait(timeout=rig.LIMIT)
         now = time.monotonic()
-        self.arrivals.append(now)
         if now < self.opens_at:
             self.waits.append(Wait(now, self.opens_at))
             return 429, {"Wait-Ms": int((self.opens_at - now) * 1000)}
--- a/tests/faults/replacement_test.py
+++ b/tests/faults/replacement_test.py
@@ -4,53 +4,147 @@
 import time
 import unittest
 
+from load_judge import calls_in_waits
 from replacement_rig import Feed, ReplacementTest
-from rig import Endpoint, wait_for
+from rig import Endpoint, admin_call, wait_for
 
 WAIT_S = 8.0  # reaches beyond a graceful shutdown of 3.2 s and the next start
+SHORT_WAIT_S = 4.0  # for changes by SIGKILL, which take no time
 MESSAGES = 12
 KILL_BEHIND_WAIT_S = 0.1  # a wait binds from then on
+NEW_VERSION_FILE = "conditions"
 
 
 class WaitTest(ReplacementTest):
-    def begin_wait(self):
+    def begin_wait(self, wait_s, process=None):
         """A process that was told to wait, with messages that wait for that."""
-        process = self.start_process()
+        process = process or self.start_process()
         self.put_accepted()
         self.assert_all_end()
-        opens_at = time.monotonic() + WAIT_S
-        self.shut_until(opens_at)
+        self.opens_at = time.monotonic() + wait_s
+        self.shut_until(self.opens_at)
         for _ in range(MESSAGES):
             self.put_accepted()
         wait_for("a wait", self.waits_told)
-        return process, opens_at
+        return process
+
+    def await_binding(self):
+        """All waits that were told bind from now on."""
+        told_at = max(wait.told_at for wait in self.waits_told())
+        wait_for(
+            "the moment from which the wait binds",
+            lambda: time.monotonic() > told_at + KILL_BEHIND_WAIT_S,
+        )
 
-    def assert_kept_to_its_end(self, opens_at):
-        """The wait ends under the process that serves now."""
-        self.assertLess(time.monotonic(), opens_at, "the wait was over before")
-        wait_for("the end of the wait", lambda: time.monotonic() > opens_at)
+    def kill(self, process):
+        """The process that takes over from one that is killed once the wait binds."""
+        successor = self.start_beside()
+        self.await_binding()
+        process.end(signal.SIGKILL)
+        self.await_serving(successor)
+        return successor
+
+    def await_end_of_wait(self):
+        """The wait ends under the process that serves now, which delivers."""
+        self.assertLess(time.monotonic(), self.opens_at, "the wait was over before")
+        wait_for("the end of the wait", lambda: time.monotonic() > self.opens_at)
         self.assert_all_end()
+
+    def assert_kept_to_its_end(self):
+        self.await_end_of_wait()
         self.assert_waits_kept()
 
     # Guards against the report 115bff: a destination is called by the process that
     # takes over, in a wait that it had told the one before.
     def test_a_wait_binds_the_process_that_takes_over(self):
-        process, opens_at = self.begin_wait()
-        self.replace(process)
-        self.assert_kept_to_its_end(opens_at)
+        self.replace(self.begin_wait(WAIT_S))
+        self.assert_kept_to_its_end()
 
     # Guards against a wait that only a graceful shutdown hands over.
     def test_a_wait_binds_behind_sigkill(self):
-        process, opens_at = self.begin_wait()
-        told_at = self.waits_told()[-1].told_at
-        successor = self.start_beside()
+        self.kill(self.begin_wait(SHORT_WAIT_S))
+        self.assert_kept_to_its_end()
+
+    # Guards against a wait that is handed over once only.
+    def test_a_wait_binds_the_successor_of_a_successor(self):
+        successor = self.kill(self.begin_wait(SHORT_WAIT_S))
+        self.kill(successor)
+        self.assert_kept_to_its_end()
+
+    # Guards against a second process that spoils what it is to take over.
+    def test_a_wait_outlives_a_second_process_that_dies_while_it_waits(self):
+        process = self.begin_wait(SHORT_WAIT_S)
+        for how in (signal.SIGKILL, signal.SIGTERM):
+            self.start_beside().end(how)
+        self.kill(process)
+        self.assert_kept_to_its_end()
+
+    # Guards against a wait that is forgotten with an endpoint that leaves the list.
+    def test_a_wait_binds_while_its_endpoint_leaves_the_list_and_returns(self):
+        self.config["settings"]["family-info"]["own-limits"] = [True, True]
+        process = self.begin_wait(SHORT_WAIT_S)
         wait_for(
-            "the moment from which the wait binds",
-            lambda: time.monotonic() > told_at + KILL_BEHIND_WAIT_S,
+            "a wait of each", lambda: all(e.waits for e in self.endpoints.values())
         )
-        process.end(signal.SIGKILL)
-        self.await_serving(successor)
-        self.assert_kept_to_its_end(opens_at)
+        self.tell(a="Gone", b="Gone")
+        successor = self.kill(process)
+        self.tell()
+        self.await_log(successor, "condition restored endpoint", 2)
+        self.assert_kept_to_its_end()
+
+    # Guards against a folder that fails or is full when the wait is told, and is well
+    # again when the next process starts.
+    def test_a_wait_binds_though_the_folder_fails_when_it_is_told(self):
+        for error in ("EIO", "ENOSPC"):
+            with self.subTest(error):
+                process = self.start_process()
+                self.set_mode(Endpoint.HOLD)
+                for _ in range(MESSAGES):
+                    self.put_accepted()
+                wait_for("calls", lambda: any(e.hung for e in self.endpoints.values()))
+                for call in ("pwrite", "open", "ftruncate", "rename", "fsync"):
+                    process.faults.fail(call, error)
+                self.opens_at = time.monotonic() + SHORT_WAIT_S
+                self.shut_until(self.opens_at)
+                self.set_mode(Endpoint.TAKE)
+                for endpoint in self.endpoints.values():
+                    endpoint.released.set()
+                wait_for("a wait", self.waits_told)
+                successor = self.kill(process)
+                self.assert_kept_to_its_end()
+                successor.end()
+                for endpoint in self.endpoints.values():
+                    endpoint.released.clear()
+                    endpoint.hung.clear()
+                    endpoint.waits.clear()
+
+    # Guards against a backlog that is sent at once, and against messages that are lost,
+    # where the predecessor left no conditions or damaged ones.
+    def test_a_missing_or_damaged_record_costs_one_call_to_each_endpoint(self):
+        def damage(path):
+            stored = bytearray(path.read_bytes())
+            for offset in range(0, len(stored), 64):
+                stored[offset + 40] ^= 0xFF
+            path.write_bytes(stored)
+
+        spoilers = {
+            "an earlier version": lambda path: path.unlink(),
+            "damaged": damage,
+            "cut off": lambda path: path.write_bytes(path.read_bytes()[:100]),
+        }
+        for name, spoil in spoilers.items():
+            with self.subTest(name):
+                process = self.begin_wait(SHORT_WAIT_S)
+                self.await_binding()
+                process.end(signal.SIGKILL)
+                spoil(self.state / NEW_VERSION_FILE)
+                told = [w for w in self.waits_told() if w.until == self.opens_at]
+                successor = self.start_process()
+                self.await_end_of_wait()
+                broken = {at for at, _ in calls_in_waits(self.arrivals(), told)}
+                self.assertLessEqual(len(broken), len(self.endpoints))
+                self.assertLess(len(broken), MESSAGES)
+                successor.end()
 
 
 class ColdTest(ReplacementTest):
@@ -64,6 +158,10 @@
         self.set_mode(Endpoint.TAKE)
         self.await_log(process, "breaker recovering")
         change(process)
+        self.judge_window(feed, returned_at)
+
+    def judge_window(self, feed, returned_at):
+        """The load up to the end of a whole window behind now."""
         changed_at = time.monotonic()
         wait_for(
             "a whole window behind the change",
@@ -82,6 +180,32 @@
     def test_a_cold_destination_is_spared_by_the_process_that_takes_over(self):
         self.play_return(self.replace)
 
+    # Guards against endpoints that come back from maintenance cold, and get the full
+    # load from the process that takes over.
+    def test_a_return_from_maintenance_is_spared_by_the_process_that_takes_over(self):
+        self.config["admin"] = self.admin
+        process = self.start_process()
+        feed = Feed(self)
+        self.addCleanup(feed.stop)
+        wait_for("deliveries", lambda: len(self.arrivals()) > 10)
+
+        def call_operators(path):
+            for name in self.endpoints:
+                wait_for(
+                    path,
+                    lambda: admin_call(self.admin, "POST", path + "?id=" + name)[0]
+                    == 200,
+                )
+
+        call_operators("/maintenance/enter")
+        accepted = len(self.accepted)
+        wait_for("a backlog", lambda: len(self.accepted) > accepted + 40)
+        returned_at = time.monotonic()
+        call_operators("/maintenance/exit")
+        wait_for("a call", lambda: max(self.arrivals()) > returned_at)
+        self.replace(process, signal.SIGKILL)
+        self.judge_window(feed, returned_at)
+
     # Guards against a return that only a graceful shutdown hands over.
     def test_a_cold_destination_is_spared_behind_sigkill(self):
         self.play_return(lambda process: self.replace(process, signal.SIGKILL))
