Let the soak's endpoints ask to wait, and judge waits over every change of process

The soak judged messages alone: no schedule had a wait, and no judge looked whether one was broken across a replacement.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -37,6 +37,7 @@
     "act_kill_in_write",
     "act_shut_down",
     "act_stop_and_continue",
+    "act_wait_over_a_change",
 )
 WEIGHTS = {  # of actions that leave messages without a delivery; others have 1
     "act_agent_lists": 2,
--- a/tests/faults/soak_actions.py
+++ b/tests/faults/soak_actions.py
@@ -14,6 +14,7 @@
 HOLD_UPS_S = (0.05, 0.1, 0.15)  # a machine may hold a process up for so long
 LONG_HOLD_S = 1.5  # that a successor may begin in
 OUTAGE_S = (0.8, 3.5)  # of all endpoints
+WAIT_S = (0.5, 3.0)  # that endpoints ask for
 AGENT_FAULT_S = (0.5, 2.5)
 HOLD_POSTS_S = 0.5  # reaches over the next unread window
 HELD_POSTS_S = 0.04  # in that window, before the agent moves
@@ -188,10 +189,23 @@
             modes += [Mode.UNASKED] * 3
         if self.random.random() < 0.5:  # otherwise trouble at all of them
             modes += [Mode.TAKE] * 3
+        opens_at = time.monotonic() + self.random.uniform(*WAIT_S)
         for name, endpoint in self.endpoints.items():
+            endpoint.opens_at = opens_at
             endpoint.mode = self.random.choice(modes)
             self.note("endpoint", name, endpoint.mode.value)
 
+    def act_wait_over_a_change(self):
+        """All endpoints ask to wait, and another process takes over meanwhile."""
+        seconds = self.random.uniform(*WAIT_S)
+        self.note("all endpoints ask to wait", "%.2f" % seconds)
+        for endpoint in self.endpoints.values():
+            endpoint.opens_at = time.monotonic() + seconds
+            endpoint.mode = Mode.WAIT
+        time.sleep(self.random.uniform(0, seconds / 2))
+        self.act_start_beside()
+        self.act_kill()
+
     def act_list(self):
         phase = self.random.choice(("Ready", "Terminating", "Gone"))
         self.note("list: b", phase)
--- a/tests/faults/soak_endpoint.py
+++ b/tests/faults/soak_endpoint.py
@@ -5,6 +5,7 @@
 import time
 
 import rig
+from load_judge import Wait
 from rig import toy_server
 
 ABOUT_DEADLINE_S = (-0.03, 0.06)
@@ -18,6 +19,7 @@
 class Mode(enum.Enum):
     TAKE = "take"
     TURN_AWAY = "turn away"  # 503
+    WAIT = "ask to wait"  # 429, until it opens
     HANG = "never answer"
     ABOUT_DEADLINE = "answer about the deadline"
     HANG_IN_LINE = "hang in the first line"
@@ -36,6 +38,8 @@
         endpoint.arrivals.append((time.monotonic(), message, mode))
         if mode == Mode.TURN_AWAY:
             return self.reply(503)
+        if mode == Mode.WAIT and time.monotonic() < endpoint.opens_at:
+            return self.ask_to_wait()
         if mode == Mode.OVER:
             endpoint.over.add(message)
             return self.reply(410)
@@ -44,6 +48,12 @@
         endpoint.delivered.append(message)  # it runs, whatever the answer
         return self.answer_run(message, mode)
 
+    def ask_to_wait(self):
+        opens_at = self.server.opens_at
+        wait_ms = max(1, int((opens_at - time.monotonic()) * 1000))
+        self.reply(429, {"Wait-Ms": wait_ms})
+        self.server.waits.append(Wait(time.monotonic(), opens_at))
+
     def answer_run(self, message, mode):
         if mode == Mode.ABOUT_DEADLINE:
             self.wait_for_deadline()
@@ -76,4 +86,6 @@
         self.arrivals = []  # when, message, and how it is answered
         self.answered = []  # when the first line with 200 was written, message
         self.over = set()  # messages that were answered with 410
+        self.opens_at = 0.0  # in mode WAIT
+        self.waits = []  # that were told
         self.chance = random.Random()
--- a/tests/faults/soak_verdict.py
+++ b/tests/faults/soak_verdict.py
@@ -5,9 +5,11 @@
 
 import rig
 import soak_judge
+from load_judge import WAIT_SLACK_S, calls_in_waits
 from soak_actions import SIGNALS_TO_END, Actions
 
 DRAIN_GRACE_S = 1.5
+HOLD_UP_S = 0.15  # of a forwarder between its clock and its write, by the page
 SETTLE_S = 4  # behind the last deadline
 HISTORIES = 10  # at most, of each kind
 FAILED_JUDGEMENT = "FAILED JUDGEMENT"
@@ -65,6 +67,7 @@
             "more than one status": self.judge_statuses,
             "run more than once": self.judge_repeats,
             "sent to an endpoint that is out": self.judge_drains,
+            "called in a wait": self.judge_waits,
             "process": self.judge_processes,
         }
         failures = []
@@ -174,6 +177,28 @@
             ]
             self.assertEqual(late, [], "sent to an endpoint that is out")
 
+    def judge_waits(self):
+        """A wait of any endpoint binds all of the destination, over every change of
+        process."""
+        arrivals = [at for e in self.endpoints.values() for at, *_ in list(e.arrivals)]
+        waits = [wait for e in self.endpoints.values() for wait in list(e.waits)]
+        broken = [
+            "%.3f, told at %.3f until %.3f"
+            % tuple(x - self.began for x in (at, wait.told_at, wait.until))
+            for at, wait in calls_in_waits(arrivals, waits)
+            if not self.is_excused(at, wait)
+        ]
+        self.note("waits told", len(waits))
+        self.assertEqual(broken, [], "called in a wait")
+
+    def is_excused(self, at, wait):
+        """Whether a machine that held the forwarder or the endpoint up explains it."""
+        for begin, end in [*self.long_holds, (wait.told_at, wait.told_at)]:
+            late = HOLD_UP_S + self.heartbeat.worst(begin, at + soak_judge.AROUND_S)
+            if wait.told_at <= end and at <= end + WAIT_SLACK_S + late:
+                return True
+        return False
+
     def judge_processes(self):
         self.assertEqual(self.current.end(signal.SIGTERM), 0)
         for forwarder in self.processes:
