Force a wait over the forgetting of its endpoint

Mended by the store of conditions, which outlives the forgetting as it does the process; this is its test.

--- a/tests/faults/replacement_test.py
+++ b/tests/faults/replacement_test.py
@@ -12,6 +12,8 @@
 SHORT_WAIT_S = 4.0  # for changes by SIGKILL, which take no time
 MESSAGES = 12
 KILL_BEHIND_WAIT_S = 0.1  # a wait binds from then on
+FORGET_AFTER_S = 1  # behind its removal: the longest time of a message
+HOUSEKEEPING_S = 1.5  # within which removed endpoints are looked at
 NEW_VERSION_FILE = "conditions"
 
 
@@ -92,6 +94,33 @@
         self.await_log(successor, "condition restored endpoint", 2)
         self.assert_kept_to_its_end()
 
+    # Guards against a wait that ends because the endpoint, gone for longer than any
+    # message lives, is taken for another one when it is listed again.
+    def test_a_wait_binds_though_its_endpoint_was_forgotten_meanwhile(self):
+        self.config["settings"]["family-info"]["own-limits"] = [True, True]
+        self.config["settings"]["classes"][0]["hard-limit"] = FORGET_AFTER_S * 10**9
+        process = self.start_process()
+        self.opens_at = time.monotonic() + WAIT_S
+        self.shut_until(self.opens_at)
+        for _ in range(MESSAGES):
+            self.put()
+        wait_for(
+            "a wait of each", lambda: all(e.waits for e in self.endpoints.values())
+        )
+        self.tell(a="Gone", b="Gone")
+        self.assert_all_end()
+        gone_at = time.monotonic()
+        wait_for(
+            "the endpoints to be forgotten",
+            lambda: time.monotonic() > gone_at + FORGET_AFTER_S + HOUSEKEEPING_S,
+        )
+        self.tell()
+        for name in self.endpoints:  # it counts as one that was not known
+            self.await_log(process, "endpoint listed id=" + name, 2)
+        for _ in range(MESSAGES):
+            self.put()
+        self.assert_kept_to_its_end()
+
     # Guards against a folder that fails or is full when the wait is told, and is well
     # again when the next process starts.
     def test_a_wait_binds_though_the_folder_fails_when_it_is_told(self):
