--- a/tests/policy/circuit_breaker_test.cpp
+++ b/tests/policy/circuit_breaker_test.cpp
@@ -181,8 +181,8 @@
   }
 }
 
-// Guards against dispatchers that each take their demand for a whole destination as their part of
-// every endpoint of it: the small ones fall again when they come back (report 115bff, nachtlicht).
+// Guards against endpoints with limits of their own that fall again because each of many
+// dispatchers sends them its part of the load of the whole destination.
 TEST(CircuitBreaker, KeepsManyDispatchersWithinTheBudgetOfEachEndpointWithALimitOfItsOwn) {
   constexpr std::size_t kGroup = 32;
   constexpr Time kReturn = 26s;
