--- a/tests/policy/circuit_breaker_test.cpp
+++ b/tests/policy/circuit_breaker_test.cpp
@@ -1,10 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <random>
-#include <set>
 
 #include "policy_fixture.hpp"
 
@@ -181,62 +179,6 @@
   }
 }
 
-// Guards against endpoints with limits of their own that fall again because each of many
-// dispatchers sends them its part of the load of the whole destination.
-TEST(CircuitBreaker, KeepsManyDispatchersWithinTheBudgetOfEachEndpointWithALimitOfItsOwn) {
-  constexpr std::size_t kGroup = 32;
-  constexpr Time kReturn = 26s;
-  Settings settings = TestSettings();
-  settings.group_size = kGroup;
-  settings.kinds[0] = {.max_batch = 20, .per_endpoint_limits = true};
-  settings.weights = WeightMeaning::kApproximateRate;
-  settings.collapse_load_multiple = 1.5;
-  settings.collapse_window = 1500ms;
-  const std::vector<double> limits = {30, 9.6, 7.2};
-  std::vector<EndpointEntry> entries;
-  for (std::size_t i = 0; i < limits.size(); ++i) {
-    entries.push_back({.endpoint = i, .destination = 1, .weight = limits[i]});
-  }
-  for (unsigned seed = 0; seed < 8; ++seed) {
-    std::vector<PolicyDriver> all;
-    for (std::size_t i = 0; i < kGroup; ++i) {
-      all.emplace_back(settings, seed * kGroup + i);
-      all.back().At(900ms, {Listed(entries)});
-    }
-    std::mt19937_64 random(seed);
-    std::vector<std::vector<Event>> events(kGroup);
-    std::vector<std::vector<Time>> calls(limits.size());  // behind the return
-    MessageId next = 1;
-    for (Time t = 1s; t < kReturn + 4s; t += 20ms) {
-      const bool down = t >= kReturn - 10s && t < kReturn;
-      if (random() % 5 < 3) events[random() % kGroup].push_back(Arrive(next++));  // 30 a second
-      for (std::size_t i = 0; i < kGroup; ++i) {
-        all[i].At(t, events[i]);
-        events[i].clear();
-        std::set<EndpointId> called;
-        for (const SendAttempt& send : all[i].ActionsOf<SendAttempt>()) {
-          const Outcome outcome = down ? Outcome::kRejected : Outcome::kDelivered;
-          events[i].push_back(all[i].End(send.message, outcome, send.endpoint));
-          if (t >= kReturn && called.insert(send.endpoint).second)
-            calls[send.endpoint].push_back(t);
-        }
-      }
-    }
-    for (std::size_t endpoint = 0; endpoint < limits.size(); ++endpoint) {
-      const std::vector<Time>& times = calls[endpoint];
-      for (std::size_t first = 0; first < times.size(); ++first) {
-        const double warmth = std::chrono::duration<double>(times[first] - kReturn).count() / 10;
-        const double budget = 1.5 * 1.5 * limits[endpoint] * (0.2 + 0.8 * warmth);
-        const auto in_window = std::count_if(times.begin() + first, times.end(), [&](Time time) {
-          return time < times[first] + settings.collapse_window;
-        });
-        EXPECT_LE(in_window, budget + 3 * std::sqrt(budget) + 3)
-            << "endpoint " << endpoint << " seed " << seed << " at " << warmth;
-      }
-    }
-  }
-}
-
 // Loss on the way: a third of the calls fail, and the endpoint stays in use.
 TEST(CircuitBreaker, StaysClosedWhenAThirdOfTheCallsAreLost) {
   PolicyDriver driver;
