--- a/src/forwarder/condition_recorder.cpp
+++ b/src/forwarder/condition_recorder.cpp
@@ -67,16 +67,13 @@
 }
 
 void ConditionRecorder::Record(const EndpointConditionChange& change, Time now) {
-  const Endpoint* found = endpoints_.Find(change.endpoint);
-  if (found == nullptr) return;  // the policy remembers removed endpoints for longer
-  const Endpoint& endpoint = *found;
+  const Endpoint* endpoint = endpoints_.Find(change.endpoint);
+  if (endpoint == nullptr) return;  // the policy remembers removed endpoints for longer
+  std::set<dispatch_policy::EndpointId>& troubled = troubled_[endpoint->entry.destination];
   const bool is_ordinary = IsOrdinary(change.condition, now) && IsOrdinary(change.own_limit, now);
-  if (is_ordinary) {
-    troubled_[endpoint.entry.destination].erase(change.endpoint);
-  } else {
-    troubled_[endpoint.entry.destination].insert(change.endpoint);
-  }
-  Keep({.key = EndpointKey(endpoint.name),
+  if (is_ordinary && troubled.erase(change.endpoint) == 0) return;  // nothing is kept
+  if (!is_ordinary) troubled.insert(change.endpoint);
+  Keep({.key = EndpointKey(endpoint->name),
         .recorded_at = now,
         .endpoint = change.condition,
         .limit = change.own_limit},
