Make room for a condition before it is entered, not behind it

A process with more conditions than its file holds wrote into freed memory: Put entered the new condition, then evicted the oldest without a wait, which could be that very one. Room is made first now, so the reference is of what stays. The file has 64 slots at least, so that a tiny disk leaves no file that is too short.

--- a/src/cli/forwarder_service.cpp
+++ b/src/cli/forwarder_service.cpp
@@ -66,14 +66,11 @@
       {{"discovery", after.discovery}, {"taken_up", Join(now)}, {"at_next_start", Join(later)}});
 }
 
-std::size_t ConditionBytes(const Config& config) {
-  return config.limits.disk_bytes / ConditionStore::kDiskShare;
-}
-
 // What the other files in the state folder leave to the spool.
 std::size_t SpoolBytes(const Config& config) {
   const std::size_t exclusions = config.admin.empty() ? 0 : ExclusionFile::kMaxBytesOnDisk;
-  const std::size_t others = exclusions + FolderOwner::kMaxBytesOnDisk + ConditionBytes(config);
+  const std::size_t others = exclusions + FolderOwner::kMaxBytesOnDisk +
+                             ConditionStore::MaxBytes(config.limits.disk_bytes);
   return config.limits.disk_bytes - std::min(config.limits.disk_bytes, others);
 }
 
@@ -117,7 +114,7 @@
     : config_path_(options.config_path),
       config_(std::move(config)),
       spool_(owner, SpoolBytes(config_), LogSpoolWarning),
-      conditions_(owner, ConditionBytes(config_), Now()),
+      conditions_(owner, ConditionStore::MaxBytes(config_.limits.disk_bytes), Now()),
       operator_commands_(
           config_.admin.empty() ? nullptr : std::make_unique<OperatorCommands>(owner, exclusions_)),
       sources_(CreateSources(options.sources_path, config_)),
--- a/src/snapshot/condition_store.cpp
+++ b/src/snapshot/condition_store.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view kMagic = "BRCOND01";
 constexpr std::size_t kHeaderBytes = 256;
 constexpr std::size_t kInitialSlots = 64;
+constexpr std::size_t kDiskShare = 8;  // the file takes at most one part in so many
 
 std::size_t FileBytes(std::size_t slots) { return kHeaderBytes + slots * kMaxConditionRecordBytes; }
 
@@ -30,8 +31,12 @@
 
 }  // namespace
 
+std::size_t ConditionStore::MaxBytes(std::size_t disk_bytes) {
+  return std::max(disk_bytes / kDiskShare, FileBytes(kInitialSlots));
+}
+
 ConditionStore::ConditionStore(FolderOwner& owner, std::size_t max_bytes, Time now)
-    : owner_(owner), max_bytes_(max_bytes) {
+    : owner_(owner), max_bytes_(std::max(max_bytes, FileBytes(kInitialSlots))) {
   Open(now);
 }
 
@@ -62,13 +67,15 @@
 }
 
 void ConditionStore::Put(const ConditionRecord& record) {
-  const auto [found, added] = entries_.try_emplace(record.key, Entry{record, std::nullopt});
+  const auto found = entries_.find(record.key);
+  if (found == entries_.end()) {
+    if (FileBytes(entries_.size() + 1) > max_bytes_) EvictOldest(record.recorded_at);
+    return Store(entries_.try_emplace(record.key, Entry{record, std::nullopt}).first->second);
+  }
   Entry& entry = found->second;
-  if (added && FileBytes(entries_.size()) > max_bytes_) EvictOldest(record.recorded_at);
-  if (!added && entry.record.Equals(record)) return;
+  if (entry.record.Equals(record)) return;
   entry.record = record;
-  if (!added && !entry.slot) return;  // stored by Retry
-  Store(entry);
+  if (entry.slot) Store(entry);  // else Retry does it
 }
 
 void ConditionStore::Erase(const ConditionKey& key) {
--- a/src/snapshot/condition_store.hpp
+++ b/src/snapshot/condition_store.hpp
@@ -28,11 +28,11 @@
  public:
   using Time = dispatch_policy::Time;
 
-  // Of the space on the disk, at most one part in so many.
-  static constexpr std::size_t kDiskShare = 8;
+  // What the file may take of so much space on the disk: an eighth of it, but 64 slots at least.
+  [[nodiscard]] static std::size_t MaxBytes(std::size_t disk_bytes);
 
-  // Opens the file, if the folder is this process's. The file stays within `max_bytes`. The owner
-  // outlives the store.
+  // Opens the file, if the folder is this process's. The file stays within `max_bytes`, or 64 slots
+  // if that is more. The owner outlives the store.
   ConditionStore(FolderOwner& owner, std::size_t max_bytes, Time now);
 
   // Tries again to open the file, and to store what could not be stored. True if the file could be
