Name record.txt in each case, and end a case that is cut short with status 2

Cause: only the shared stand-ins named the record, and a fault of a case by itself ended with status 1, which says that the rule was broken. A script that was told to end left its processes behind.

An exception, a signal or more than 110 s end the case with status 2, and all that it started is ended first.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -96,4 +96,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(s.play(__file__, scenario))
+    sys.exit(s.play(pathlib.Path(sys.argv[1]), scenario))
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -22,6 +22,7 @@
 MS = 1_000_000  # nanoseconds; the unit of times in the settings
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+LONGEST_PLAY = 110  # seconds
 
 
 class CannotRun(Exception):
@@ -52,10 +53,10 @@
 class Record:
     """record.txt of a case: what was sent, answered and run, with times in ms."""
 
-    def __init__(self, case):
+    def __init__(self, path):
         self.started = time.monotonic()
         self._lock = threading.Lock()
-        self._file = open(case / "record.txt", "w", encoding="utf-8")
+        self._file = open(path, "w", encoding="utf-8")
 
     def __call__(self, event, **fields):
         now = (time.monotonic() - self.started) * 1000
@@ -581,27 +582,33 @@
         return None
 
 
-def play(case, scenario):
-    """Plays a case and returns its exit status.
+def _give_up(number, _):
+    raise CannotRun(f"{signal.Signals(number).name} before the end")
+
+
+def play(path, scenario):
+    """Plays a case, writes its record to the path, and returns the exit status.
 
     `scenario(record, cleanup)` returns a list of the ways in which the rule was
-    broken. It adds functions that end what it started to `cleanup`.
+    broken. It adds functions that end what it started to `cleanup`. A play that is
+    asked to end, takes too long or fails by itself could not run.
     """
-    case = pathlib.Path(case).resolve().parent
-    record = Record(case)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _give_up)
+    signal.alarm(LONGEST_PLAY)
+    record = Record(path)
     cleanup = []
-    record("case", name=case.name, trouble=int(trouble()))
-    if not (ROOT / "build" / "brassfront").exists():
-        record("verdict", status=COULD_NOT_RUN, why="no build/brassfront")
-        print("could not run: build the deploy file first")
-        return COULD_NOT_RUN
+    record("case", name=path.parent.name, trouble=int(trouble()))
     try:
+        if not (ROOT / "build" / "brassfront").exists():
+            raise CannotRun("build the deploy file first: no build/brassfront")
         broken = scenario(record, cleanup)
-    except (CannotRun, OSError) as error:
+    except Exception as error:  # a fault of the case says nothing about the rule
         record("verdict", status=COULD_NOT_RUN, why=f"{error!r}")
         print(f"could not run: {error!r}")
         return COULD_NOT_RUN
     finally:
+        signal.alarm(0)
         for end in reversed(cleanup):
             end()
     for fault in broken:
