--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -246,6 +246,7 @@
         self.cell = cell
         self.pace = pace
         self.calls = []  # (time, id)
+        self.answered = []  # (time, id), with 200
         super().__init__(address)
 
     def member(self, phase="Ready", flavor="shop"):
@@ -262,7 +263,8 @@
 
     def run(self, connection, message, headers, body):
         time.sleep(self.pace)
-        return answer(connection, 200)
+        answer(connection, 200)
+        self.answered.append((time.monotonic(), message))
 
 
 def member(name, address, cell, phase="Ready", flavor="shop", size=20.0):
@@ -346,6 +348,7 @@
         self.state.mkdir(exist_ok=True)
         self.listen = free_address()
         self.processes = []
+        self.prepare = None  # called in the new process, before it becomes the program
         self.config = {
             "name": "n0",
             "listen": self.listen,
@@ -394,6 +397,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=self.prepare,
             )
         self.processes.append(process)
         self.record(f"forwarder: {what}, process {number}")
@@ -465,6 +469,7 @@
                     )
                 self.connection.settimeout(limit)
                 self.connection.sendall(words(*values))
+                self.written()
                 text = self.connection.recv(4096)
                 if text:
                     return text.decode("latin-1").split("\r\n")[0]
@@ -478,6 +483,9 @@
                 return None
         return None
 
+    def written(self):
+        """Called when the last byte of a command was written."""
+
     def put(self, message, fields, body=b"hello"):
         reply = self.command("MSG.PUT", "0" * 16, message, fields, body)
         self.record(f"client: {message} {fields}: {reply}")
