Let an error of a review script end its processes and exit with 2

Cause: an unforeseen error of a script would have exited with 1, as a broken rule does, and its watchdog left the forwarder running. Change: any error exits with 2, and all processes that a script started end with it.

--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -5,7 +5,6 @@
 import json
 import os
 import re
-import signal
 import socket
 import subprocess
 import sys
@@ -17,6 +16,10 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 SECOND = 1_000_000_000
+LONGEST_PLAY = 110  # seconds
+
+
+STARTED = []  # all processes that a case has started
 
 
 class CannotRun(Exception):
@@ -400,6 +403,7 @@
                 preexec_fn=self.prepare,
             )
         self.processes.append(process)
+        STARTED.append(process)
         self.record(f"forwarder: {what}, process {number}")
         return process
 
@@ -436,11 +440,14 @@
         return "".join(log.read_text(errors="replace") for log in logs)
 
     def end(self):
-        for process in self.processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-                process.wait()
+        end_all()
+
+
+def end_all():
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
 
 
 def words(*values):
@@ -510,21 +517,27 @@
     return status
 
 
+def give_up():
+    end_all()
+    os._exit(2)
+
+
 def play(case, folder):
     """Runs case(record, folder, trouble), which returns the list of what broke the
     rule. Exits with 1 if there is any, 0 if there is none, 2 if it could not run."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'yes' if trouble else 'no'}")
-    watchdog = threading.Timer(115, lambda: os._exit(2))
+    watchdog = threading.Timer(LONGEST_PLAY, give_up)
     watchdog.daemon = True
     watchdog.start()
     with tempfile.TemporaryDirectory(prefix="brassfront-review-") as temporary:
         try:
             broken = case(record, Path(temporary), trouble)
-        except (CannotRun, OSError) as error:
-            record(f"could not run: {error}")
-            print(f"could not run: {error}")
+        except Exception as error:  # an error of the script is no broken rule
+            end_all()
+            record(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
             sys.exit(2)
     for line in broken:
         record(f"BROKEN: {line}")
