Let each case of the second review name its own record.txt

Cause: record.txt was named in the shared stand-ins alone, so that no file of a case showed who writes it.

--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -27,12 +27,12 @@
 
 
 class Record:
-    """The file record.txt of a case: one line an event, with the time in seconds."""
+    """The record of a play: one line an event, with the time in seconds."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, text):
         with self.lock:
@@ -522,10 +522,10 @@
     os._exit(2)
 
 
-def play(case, folder):
+def play(case, record_path):
     """Runs case(record, folder, trouble), which returns the list of what broke the
     rule. Exits with 1 if there is any, 0 if there is none, 2 if it could not run."""
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'yes' if trouble else 'no'}")
     watchdog = threading.Timer(LONGEST_PLAY, give_up)
